--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+CODE := toucanpin standins scenarios tools benchmarks
+
+.PHONY: demo test bench lint format golden clean
+
+demo: $(STAMP)
+	$(BIN)/python -m tools.demo
+
+test: $(STAMP)
+	$(BIN)/python -m tools.run_tests
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet $(CODE)
+	$(BIN)/ruff check --quiet $(CODE)
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff check --quiet --fix $(CODE)
+	$(BIN)/black --quiet $(CODE)
+
+golden: $(STAMP)
+	$(BIN)/python -m tools.golden
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+clean:
+	rm -rf $(VENV) var build
--- /dev/null
+++ b/toucanpin/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Signed bundles: schema, signatures, acceptance and spread."""
--- /dev/null
+++ b/toucanpin/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/toucanpin/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, composition root, sockets and threads."""
--- /dev/null
+++ b/toucanpin/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of the entry hosts, which gives hints and no safety."""
--- /dev/null
+++ b/toucanpin/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on jobs and standing tasks: ledger, queue, quotas, leases and life cycle."""
--- /dev/null
+++ b/toucanpin/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on callers' requests: admission, routing, limits, retries and verdicts."""
--- /dev/null
+++ b/toucanpin/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Events of every process, merged into one time line."""
--- /dev/null
+++ b/toucanpin/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between the processes of the system."""
