--- a/toucanpin/exception.py
+++ b/toucanpin/exception.py
@@ -6,7 +6,14 @@
 write whose answer was lost, are values of ``expression.Result`` and not exceptions.
 """
 
-__all__ = ["ToucanpinError", "SettingsError", "WireError", "PlatformError", "BundleError"]
+__all__ = [
+    "ToucanpinError",
+    "SettingsError",
+    "WireError",
+    "PlatformError",
+    "BundleError",
+    "LedgerError",
+]
 
 
 class ToucanpinError(Exception):
@@ -35,3 +42,7 @@
     def __init__(self, faults: tuple[str, ...]) -> None:
         super().__init__("\n".join(faults))
         self.faults = faults
+
+
+class LedgerError(ToucanpinError):
+    """Report a change that would commit a worker beyond its size; it is never written."""
--- /dev/null
+++ b/toucanpin/placement/absorbing.py
@@ -0,0 +1,266 @@
+"""
+Reports into changes
+====================
+
+What follows from the workers' reports and from their silence: finished, failed, stopped and lost
+attempts, each as a `Change` of the cell's row.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from toucanpin.bundles.schema import Limits
+from toucanpin.placement import lifecycle
+from toucanpin.placement.actions import Decision, Note
+from toucanpin.placement.cells import Cell, StopReason, WorkerLink
+from toucanpin.placement.lifecycle import Change
+from toucanpin.placement.ownership import list_workers
+from toucanpin.placement.records import TaskRecord, WorkerRow, WorkerState
+from toucanpin.placement.standing import refresh_record
+from toucanpin.placement.state import ControlState, View
+from toucanpin.placement.writing import split_changes, write_cell
+from toucanpin.platform.ports import TaskReport, TaskState
+
+__all__ = ["absorb_reports"]
+
+FAULTS_TO_QUARANTINE = 3
+REFUSED = "refused: "
+
+
+def absorb_reports(state: ControlState, view: View) -> Decision[None]:
+    """Commit what the reports of each cell's workers brought about."""
+    for cell in list(state.cells.values()):
+        if cell.stale or state.health.down:
+            continue
+        workers = list_workers(cell.row, view, cell.name)
+        lost = _find_lost(state, cell, view.now)
+        changes: list[Change] = list(_drop_cancelled(cell))
+        for worker in cell.row.workers.values():
+            if worker.name in lost:
+                changes.extend(_requeue_all(cell, worker.name, view))
+                workers[worker.name] = msgspec.structs.replace(worker, state=WorkerState.LOST)
+            else:
+                changes.extend(_absorb_worker(state, cell, worker, workers, view))
+        changes = [it for it in changes if it is not None]
+        if changes or workers or lost:
+            yield from _write(state, cell, changes, workers, lost, view.now)
+
+
+def _write(
+    state: ControlState,
+    cell: Cell,
+    changes: list[Change],
+    workers: dict[str, WorkerRow],
+    lost: set[str],
+    now: float,
+) -> Decision[None]:
+    """Write the changes in groups; workers and epoch go with the first."""
+    # A start that was sent to a lost worker may still be under way in the network.  Were it to
+    # arrive once the worker has a lease again, the task would run there and elsewhere: with the
+    # higher epoch the worker refuses it from our next poll on, and before that it has no lease.
+    epoch = cell.row.epoch + 1 if lost else None
+    unproven = cell.open_owners(state.watch, now)
+    groups = list(split_changes(changes)) or [[]]
+    for group in groups:
+        written = yield from write_cell(cell, state.health, group, workers, epoch, unproven)
+        if not written:
+            return
+        epoch = None
+    for name in sorted(lost):
+        yield Note("worker.lost", {"host": name, "cell": cell.name})
+
+
+def _find_lost(state: ControlState, cell: Cell, now: float) -> set[str]:
+    """Return the workers with tasks that can't be reached and certainly run nothing any more."""
+    lost: set[str] = set()
+    for worker in cell.row.workers.values():
+        link = cell.link(worker.name)
+        records = cell.tasks_on(worker.name)
+        if not records or not link.failed:
+            continue
+        lives = {it.incarnation for it in records}
+        if all(cell.has_stopped(worker.name, it, state.watch, now) for it in lives):
+            lost.add(worker.name)
+    return lost
+
+
+def _requeue_all(cell: Cell, worker: str, view: View) -> Iterator[Change]:
+    """Let everything that was committed on a lost worker wait again, or end it."""
+    for record in cell.tasks_on(worker):
+        reported = cell.link(worker).tasks.get((record.task, record.attempt))
+        checkpoint = reported.checkpoint if reported else ""
+        yield _end_stopped(cell, record, checkpoint, view)
+
+
+def _absorb_worker(
+    state: ControlState, cell: Cell, worker: WorkerRow, workers: dict[str, WorkerRow], view: View
+) -> Iterator[Change]:
+    """Yield the changes that one worker's newest report brings."""
+    link = cell.link(worker.name)
+    if link.failed or not link.incarnation:
+        return
+    _revive(state, link, worker, workers, view)
+    for record in cell.tasks_on(worker.name):
+        if record.incarnation != link.incarnation:
+            # An agent that was replaced doesn't prove that its predecessor isn't merely paused.
+            if cell.has_stopped(worker.name, record.incarnation, state.watch, view.now):
+                yield _end_stopped(cell, record, "", view)
+            continue
+        reported = link.tasks.get((record.task, record.attempt))
+        if reported is not None:
+            change = _absorb_task(cell, record, reported, worker, workers, view)
+            if change is not None:
+                yield change
+
+
+def _revive(
+    state: ControlState,
+    link: WorkerLink,
+    worker: WorkerRow,
+    workers: dict[str, WorkerRow],
+    view: View,
+) -> None:
+    """Let a worker that is back, or whose quarantine is over, receive work again."""
+    if worker.state is WorkerState.LOST:
+        workers[worker.name] = msgspec.structs.replace(
+            workers.get(worker.name, worker), state=WorkerState.ACTIVE, incarnation=link.incarnation
+        )
+    if worker.state is not WorkerState.QUARANTINED:
+        return
+    link.quarantined_at = link.quarantined_at or view.now
+    if view.now - link.quarantined_at >= state.pace.quarantine:
+        link.quarantined_at = 0.0
+        workers[worker.name] = msgspec.structs.replace(
+            worker, state=WorkerState.ACTIVE, faults=FAULTS_TO_QUARANTINE - 1
+        )
+
+
+def _absorb_task(
+    cell: Cell,
+    record: TaskRecord,
+    reported: TaskReport,
+    worker: WorkerRow,
+    workers: dict[str, WorkerRow],
+    view: View,
+) -> Change | None:
+    """Return the change that the report of one attempt brings, if any."""
+    match reported.state:
+        case TaskState.RUNNING:
+            if reported.checkpoint and reported.checkpoint != record.checkpoint:
+                return lifecycle.keep(record, reported.checkpoint)
+            return None
+        case TaskState.FINISHED:
+            if record.standing:
+                return _end_failed(cell, record, reported, worker, workers, view)
+            if record.task in cell.closed:
+                return _drop(cell, record)
+            _clear_faults(worker, workers)
+            return lifecycle.finish(
+                cell.name, record, lifecycle.name_result(record.task, record.attempt)
+            )
+        case TaskState.FAILED if not reported.detail.startswith(REFUSED):
+            return _end_failed(cell, record, reported, worker, workers, view)
+        case _:
+            return _end_stopped(cell, record, reported.checkpoint, view)
+
+
+def _drop(cell: Cell, record: TaskRecord) -> Change:
+    """Take out a task whose job is already decided, with the wish to cancel if it was read."""
+    version = cell.cancels.get(record.task)
+    if version is None:
+        return Change("task.cancel", record.task, None)
+    return lifecycle.cancel(cell.name, record.task, version, None)
+
+
+def _end_stopped(cell: Cell, record: TaskRecord, checkpoint: str, view: View) -> Change:
+    """Return what becomes of a task that has stopped without an end of its own."""
+    reason = cell.stopping.get(record.task)
+    if record.task in cell.cancels or record.task in cell.closed:
+        return _drop(cell, record)
+    if reason is StopReason.REMOVE and view.bundle is not None:
+        return lifecycle.remove_standing(
+            cell.name, record.task, record.job_version, view.bundle.version, None
+        )
+    evicted = reason is StopReason.EVICT
+    if reason is StopReason.REPLACE and view.bundle is not None:
+        record = refresh_record(record, view.bundle)
+    return lifecycle.requeue(cell.name, record, checkpoint, evicted)
+
+
+def _end_failed(
+    cell: Cell,
+    record: TaskRecord,
+    reported: TaskReport,
+    worker: WorkerRow,
+    workers: dict[str, WorkerRow],
+    view: View,
+) -> Change:
+    """Count a failure against the task or its worker, or drop a task that is cancelled."""
+    if record.task in cell.stopping or record.task in cell.closed:
+        return _end_stopped(cell, record, reported.checkpoint, view)
+    at_fault = worker.state is WorkerState.QUARANTINED
+    if not record.standing:
+        _blame(cell, record, worker, workers)
+    limits = view.bundle.limits if view.bundle else Limits()
+    return lifecycle.fail(
+        cell.name,
+        record,
+        reported.checkpoint,
+        limits.max_attempts,
+        reported.detail or "ended by itself",
+        counts=not at_fault,
+    )
+
+
+def _blame(
+    cell: Cell, record: TaskRecord, worker: WorkerRow, workers: dict[str, WorkerRow]
+) -> None:
+    """
+    Count a task's first failure against its worker, and withdraw it if it fails elsewhere too.
+
+    A wave of jobs that fail everywhere must not quarantine the cell, so a third of its workers is
+    the most.
+    """
+    if not record.failed_on:
+        now = workers.get(worker.name, worker)
+        faults = now.faults + 1
+        state = now.state
+        if faults >= FAULTS_TO_QUARANTINE and _may_quarantine(cell, workers):
+            state = WorkerState.QUARANTINED
+        workers[worker.name] = msgspec.structs.replace(now, faults=faults, state=state)
+        return
+    first = record.failed_on[0]
+    if first != worker.name and len(record.failed_on) == 1 and first in cell.row.workers:
+        blamed = workers.get(first, cell.row.workers[first])
+        faults = max(0, blamed.faults - 1)
+        state = blamed.state
+        if state is WorkerState.QUARANTINED and faults < FAULTS_TO_QUARANTINE:
+            state = WorkerState.ACTIVE
+        workers[first] = msgspec.structs.replace(blamed, faults=faults, state=state)
+
+
+def _may_quarantine(cell: Cell, workers: dict[str, WorkerRow]) -> bool:
+    newest = {**cell.row.workers, **workers}.values()
+    out = sum(it.state is WorkerState.QUARANTINED for it in newest)
+    return len(newest) > 1 and out < max(1, len(newest) // 3)
+
+
+def _clear_faults(worker: WorkerRow, workers: dict[str, WorkerRow]) -> None:
+    now = workers.get(worker.name, worker)
+    if now.faults and now.state is WorkerState.ACTIVE:
+        workers[worker.name] = msgspec.structs.replace(now, faults=0)
+
+
+def _drop_cancelled(cell: Cell) -> Iterator[Change]:
+    """Carry out the wishes to cancel: at once for what waits, after a stop for what runs."""
+    for task, version in list(cell.cancels.items()):
+        waiting = cell.queue.get(task)
+        if waiting is not None:
+            yield lifecycle.cancel(cell.name, task, version, waiting)
+        elif task in cell.row.tasks:
+            cell.ask_stop(task, StopReason.CANCEL)
+        else:
+            yield lifecycle.cancel(cell.name, task, version, None)
--- /dev/null
+++ b/toucanpin/placement/actions.py
@@ -0,0 +1,99 @@
+"""
+Actions of placement
+====================
+
+What a placement decision asks of the outside, one typed action at a time, and how it is answered.
+A decision is a generator: it yields an action and is sent an `Answer`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from toucanpin.placement.records import Life
+from toucanpin.platform.ports import ListedHost, Poll, Transaction
+
+__all__ = [
+    "Action",
+    "Answer",
+    "AskStandstill",
+    "Commit",
+    "Decision",
+    "Note",
+    "PollAll",
+    "Read",
+    "Scan",
+    "WorkerPoll",
+]
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """Commit a transaction; answered with ``Result[Committed, CommitFault]``."""
+
+    transaction: Transaction
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    """Read one row; answered with ``Result[Row | None, StoreFault]``."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Scan:
+    """Read the rows below a prefix; answered with ``Result[tuple[Row, ...], StoreFault]``."""
+
+    prefix: str
+    after: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerPoll:
+    """Address one poll to one worker."""
+
+    host: ListedHost
+    poll: Poll
+
+
+@dataclass(frozen=True, slots=True)
+class PollAll:
+    """Poll many workers at once; answered with ``Result[Report, WorkerFault]`` for each."""
+
+    polls: tuple[WorkerPoll, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AskStandstill:
+    """Ask peers not to fence ``holder``; answered with the frozenset of lives that promised."""
+
+    holder: Life
+    peers: tuple[Life, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Put one event on the time line; answered with None."""
+
+    kind: str
+    ids: dict[str, str]
+    detail: str = ""
+
+
+Action = Commit | Read | Scan | PollAll | AskStandstill | Note
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold the outcome of an action and the monotonic time (seconds) after it was known."""
+
+    now: float
+    value: Any
+
+
+Decision = Generator[Action, Answer, T]
--- /dev/null
+++ b/toucanpin/placement/authority.py
@@ -0,0 +1,236 @@
+"""
+Authority of control processes
+==============================
+
+How long a control process may grant leases, how it goes on through an outage of the table, and when
+another may take for proven that it has ended.
+
+A life renews its own row by compare-and-set; its authority ends one term after the *start* of the
+last renewal that surely succeeded.  In an outage every life on its roster is asked for a standstill
+promise not to fence it for one term.  Whoever isn't on the roster waits the long hold, which no
+chain of promises outlives.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from expression import Result
+
+from toucanpin.placement.actions import AskStandstill, Commit, Decision, Note
+from toucanpin.placement.leases import Terms
+from toucanpin.placement.records import AuthorityRow, Life, authority_key, decode, encode
+from toucanpin.platform.ports import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Row,
+    Transaction,
+    Unavailable,
+    Unknown,
+    Write,
+)
+
+__all__ = ["Authority", "Seen", "Watch"]
+
+RENEWALS_PER_TERM = 3
+RETRIES_PER_TERM = 9
+
+
+class Authority:
+    """Keep this life's own row and the end of what it may grant."""
+
+    def __init__(self, life: Life, terms: Terms) -> None:
+        """Start without authority."""
+        self.life = life
+        self.terms = terms
+        self.until = 0.0
+        self.fenced = False
+        self.answered = False
+        self._version = ABSENT
+        self._renewal = 0
+        self._renewed = 0.0
+        self._next = 0.0
+        self._rosters: frozenset[Life] = frozenset()
+
+    def holds(self, now: float) -> bool:
+        """Tell whether leases may be granted."""
+        return not self.fenced and now < self.until
+
+    def renew(self, now: float, roster: tuple[Life, ...], ceded: dict[str, int]) -> Decision[bool]:
+        """
+        Renew the row when it is due; go on by standstill promises if the table is out.
+
+        Return whether the table was asked; ``answered`` then says whether it answered.
+        """
+        if now < self._next:
+            return False
+        self._renewal += 1
+        row = AuthorityRow(self.life, self._renewal, roster, ceded=ceded)
+        token = f"{self.life.process}/{self.life.incarnation}/renew/{self._renewal}"
+        write = Write(authority_key(self.life), self._version, encode(row))
+        # A write whose answer is lost may take effect, also later: until a renewal surely succeeds
+        # the lives of every roster that may stand in the row have to promise.
+        self._rosters |= frozenset(roster)
+        answer = yield Commit(Transaction(token, (write,)))
+        self.answered = True
+        match answer.value:
+            case Result(tag="ok", ok=Committed(version)):
+                self._version = version
+                self._renewed = now
+                self._rosters = frozenset(roster)
+                self.until = max(self.until, now + self.terms.authority)
+                self.fenced = False
+                self._next = now + self.terms.authority / RENEWALS_PER_TERM
+            case Result(tag="error", error=Conflict(rows)):
+                yield from self._adopt(rows)
+            case Result(tag="error", error=Unavailable() | Unknown()):
+                self.answered = False
+                self._next = now + self.terms.authority / RETRIES_PER_TERM
+                yield from self._stand_still(answer.now)
+        return True
+
+    def _adopt(self, rows: tuple[Row, ...]) -> Decision[None]:
+        """Learn what stands in our row: an own write whose answer was lost, or a fence."""
+        for row in rows:
+            self._version = row.version
+            if row.version == ABSENT:
+                continue
+            stored = decode(row.value, AuthorityRow)
+            self._renewal = max(self._renewal, stored.renewal)
+            if stored.fenced:
+                self.fenced = True
+                self.until = 0.0
+                yield Note("authority.fenced", {}, self.life.process)
+
+    def _stand_still(self, now: float) -> Decision[None]:
+        """Go on for a term if every life that could fence us has promised not to."""
+        peers = tuple(sorted(self._rosters - {self.life}))
+        limit = self._renewed + self.terms.long_hold
+        if self.fenced or self._version == ABSENT or now >= self.until or now >= limit:
+            return
+        promised: frozenset[Life] = frozenset()
+        if peers:
+            answer = yield AskStandstill(self.life, peers)
+            promised = answer.value
+        if promised >= frozenset(peers):
+            # Counted from before the question, the promise began later and ends later for them.
+            self.until = max(self.until, min(now + self.terms.authority, limit))
+        else:
+            missing = ", ".join(peer.process for peer in peers if peer not in promised)
+            yield Note("authority.promise-missing", {}, missing)
+
+    def release(self) -> Decision[None]:
+        """Give up all authority, after the cells were released."""
+        self.until = 0.0
+        row = AuthorityRow(self.life, self._renewal + 1, (), released=True)
+        write = Write(authority_key(self.life), self._version, encode(row))
+        token = f"{self.life.process}/{self.life.incarnation}/release"
+        yield Commit(Transaction(token, (write,)))
+
+
+@dataclass(slots=True)
+class Seen:
+    """Hold another life's row and since when (own clock, seconds) its version is unchanged."""
+
+    row: AuthorityRow
+    version: int
+    since: float
+
+
+class Watch:
+    """
+    Watch the rows of other lives, fence them, and promise not to.
+
+    ``answer_standstill`` is called by another thread between steps of a decision; the fences that
+    are under way are therefore marked before the transaction is sent.
+    """
+
+    def __init__(self, life: Life, terms: Terms) -> None:
+        """Start without having seen any row."""
+        self.life = life
+        self.terms = terms
+        self.table_answers = False
+        self.read_at = 0.0
+        self._seen: dict[Life, Seen] = {}
+        self._promised: dict[Life, float] = {}
+        self._fencing: dict[Life, int] = {}
+
+    def observe(self, rows: Iterable[Row], now: float) -> None:
+        """Take in rows read at or before ``now``."""
+        for row in rows:
+            stored = decode(row.value, AuthorityRow)
+            seen = self._seen.get(stored.holder)
+            if seen is None or seen.version < row.version:
+                self._seen[stored.holder] = Seen(stored, row.version, now)
+
+    def unchanged(self, life: Life, now: float) -> float | None:
+        """Return for how many seconds a life's row has stood unchanged, None if never seen."""
+        seen = self._seen.get(life)
+        return None if seen is None else now - seen.since
+
+    def is_over(self, life: Life) -> bool:
+        """Tell whether a life's row says that it grants nothing any more."""
+        seen = self._seen.get(life)
+        return seen is not None and (seen.row.fenced or seen.row.released)
+
+    def has_ended(self, life: Life, cell: str, epoch: int, now: float) -> bool:
+        """Tell whether a life can certainly not renew a lease of a cell at an epoch any more."""
+        seen = self._seen.get(life)
+        if seen is None:
+            return False
+        if seen.row.fenced or seen.row.ceded.get(cell, 0) >= epoch:
+            return True
+        if seen.row.released and now - seen.since >= self.terms.stretch(self.terms.lease):
+            return True
+        # The long hold bounds every chain of promises, so it needs no place on the roster.
+        return now - seen.since >= self.terms.stretch(self.terms.long_hold)
+
+    def may_fence(self, life: Life, now: float) -> bool:
+        """Tell whether a life's authority has ended as far as this member of its roster knows."""
+        seen = self._seen.get(life)
+        if seen is None or seen.row.fenced or self.life not in seen.row.roster:
+            return False
+        if now < self._promised.get(life, 0.0):
+            return False
+        return now - seen.since >= self.terms.stretch(self.terms.authority)
+
+    def fence(self, life: Life, now: float) -> Decision[None]:
+        """Mark a life's row as fenced if it still stands as it was seen."""
+        if not self.may_fence(life, now):
+            return
+        seen = self._seen[life]
+        fenced = AuthorityRow(
+            life, seen.row.renewal, seen.row.roster, fenced=True, ceded=seen.row.ceded
+        )
+        token = f"{self.life.process}/{self.life.incarnation}/fence/{life.process}/{seen.version}"
+        write = Write(authority_key(life), seen.version, encode(fenced))
+        # A promise given while this write is under way, or after its answer was lost, would be
+        # broken by the write: the mark stays until the row is seen at another version.
+        self._fencing[life] = seen.version
+        answer = yield Commit(Transaction(token, (write,)))
+        match answer.value:
+            case Result(tag="ok", ok=Committed(version)):
+                self._seen[life] = Seen(fenced, version, answer.now)
+                yield Note("authority.fence", {}, life.process)
+            case Result(tag="error", error=Conflict(rows)):
+                self.observe((row for row in rows if row.version != ABSENT), answer.now)
+            case Result(tag="error", error=Unavailable()):
+                del self._fencing[life]
+
+    def answer_standstill(self, holder: Life, now: float) -> bool:
+        """Promise not to fence a holder for one term, unless the table can be read here."""
+        seen = self._seen.get(holder)
+        if self.table_answers or self._is_fencing(holder) or (seen and seen.row.fenced):
+            return False
+        until = now + self.terms.stretch(self.terms.authority)
+        self._promised[holder] = max(until, self._promised.get(holder, 0.0))
+        return True
+
+    def _is_fencing(self, holder: Life) -> bool:
+        version = self._fencing.get(holder)
+        if version is None:
+            return False
+        seen = self._seen.get(holder)
+        return seen is None or seen.version <= version
--- /dev/null
+++ b/toucanpin/placement/cells.py
@@ -0,0 +1,176 @@
+"""
+Cells in memory
+===============
+
+What an owner knows of a cell besides its row: the queue, and a link to each worker with the leases
+that were granted over it.  All of it can be rebuilt from rows and reports.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from toucanpin.placement.authority import Watch
+from toucanpin.placement.leases import NO_GRANT, Grant, Terms, compute_grant
+from toucanpin.placement.queue import TaskQueue
+from toucanpin.placement.records import CellRow, Life, TaskRecord, WorkerRow, cell_key
+from toucanpin.platform.ports import HostRole, ListedHost, Report, TaskReport
+
+__all__ = ["Cell", "StopReason", "WorkerLife", "WorkerLink", "address_worker"]
+
+
+class StopReason(enum.Enum):
+    """Say why an owner stops a running task; a higher value takes the place of a lower one."""
+
+    EVICT = 1
+    REPLACE = 2
+    REMOVE = 3
+    CANCEL = 4
+
+
+@dataclass(slots=True)
+class WorkerLife:
+    """
+    Bound the leases of one incarnation of a worker.
+
+    ``ends`` is the latest end (own clock) of a lease that this owner granted; ``reached`` is True
+    once it has accepted a poll of this owner, since when it refuses those of earlier owners.
+    """
+
+    ends: float = 0.0
+    reached: bool = False
+
+
+@dataclass(slots=True)
+class WorkerLink:
+    """Hold what is known of one worker from its polls; times are on the own clock in seconds."""
+
+    name: str
+    incarnation: str = ""
+    clock: int = 0
+    received: float = 0.0
+    failed: bool = False
+    next_poll: float = 0.0
+    lapsed: bool = True
+    lives: dict[str, WorkerLife] = field(default_factory=dict)
+    tasks: dict[tuple[str, int], TaskReport] = field(default_factory=dict)
+    shares: dict[str, float] = field(default_factory=dict)
+    sampled: dict[str, float] = field(default_factory=dict)
+    quarantined_at: float = 0.0
+
+    def life(self, incarnation: str) -> WorkerLife:
+        """Return the bound of one incarnation."""
+        return self.lives.setdefault(incarnation, WorkerLife())
+
+    def grant(self, until: float, terms: Terms) -> Grant:
+        """Return the lease to grant now, and remember its end before it is sent."""
+        if not self.incarnation:
+            return NO_GRANT
+        grant = compute_grant(self.clock, self.received, until, terms)
+        life = self.life(self.incarnation)
+        life.ends = max(life.ends, grant.ends)
+        return grant
+
+    def take_report(self, report: Report, received: float) -> None:
+        """Take in a report whose poll was accepted."""
+        self.take_clock(report, received)
+        self.life(report.incarnation).reached = True
+        self.lapsed = report.lapsed
+        self.tasks = {(it.task, it.attempt): it for it in report.tasks}
+
+    def take_clock(self, report: Report, received: float) -> None:
+        """Take in the worker's clock and incarnation."""
+        if report.incarnation != self.incarnation:
+            self.tasks = {}
+            self.lapsed = True
+        self.incarnation = report.incarnation
+        self.clock = report.clock
+        self.received = received
+        self.failed = False
+
+
+@dataclass(slots=True)
+class Cell:
+    """
+    Hold one owned cell.
+
+    ``stale`` says that the row may differ from what is held here.  ``released_bound`` is when the
+    leases of an owner that released the cell have ended.  ``closed`` are tasks whose job row has
+    already been decided by somebody else.
+    """
+
+    name: str
+    row: CellRow
+    version: int
+    released_bound: float = 0.0
+    stale: bool = False
+    scanned: int = 0
+    queue: TaskQueue = field(default_factory=TaskQueue)
+    payloads: dict[str, bytes] = field(default_factory=dict)
+    cancels: dict[str, int] = field(default_factory=dict)
+    links: dict[str, WorkerLink] = field(default_factory=dict)
+    stopping: dict[str, StopReason] = field(default_factory=dict)
+    not_before: dict[str, float] = field(default_factory=dict)
+    closed: set[str] = field(default_factory=set)
+    unwanted_since: float | None = None
+
+    @property
+    def key(self) -> str:
+        """Return the key of the cell's row."""
+        return cell_key(self.name)
+
+    def link(self, worker: str) -> WorkerLink:
+        """Return the link to a worker."""
+        known = self.links.get(worker)
+        if known is None:
+            known = self.links[worker] = WorkerLink(worker)
+        return known
+
+    def tasks_on(self, worker: str) -> list[TaskRecord]:
+        """Return what is committed on a worker."""
+        return [it for it in self.row.tasks.values() if it.worker == worker]
+
+    def ask_stop(self, task: str, reason: StopReason) -> None:
+        """Have a running task stopped."""
+        known = self.stopping.get(task)
+        if known is None or known.value < reason.value:
+            self.stopping[task] = reason
+
+    def grants_end(self) -> float:
+        """Return when every lease that was granted here has ended, on the own clock."""
+        lives = (life for link in self.links.values() for life in link.lives.values())
+        return max((life.ends for life in lives), default=0.0)
+
+    def has_stopped(self, worker: str, incarnation: str, watch: Watch, now: float) -> bool:
+        """
+        Tell whether a worker's incarnation certainly runs nothing any more.
+
+        Nobody can have renewed its lease for a whole term: our own grants have ended, and if it has
+        not refused earlier owners since we came, their authority has ended too.
+        """
+        life = self.link(worker).life(incarnation)
+        if now < life.ends:
+            return False
+        return life.reached or self.is_proven(watch, now)
+
+    def is_proven(self, watch: Watch, now: float) -> bool:
+        """Tell whether no earlier owner can renew a lease here."""
+        if now < self.released_bound:
+            return False
+        return not self.open_owners(watch, now)
+
+    def open_owners(self, watch: Watch, now: float) -> tuple[tuple[Life, int], ...]:
+        """Return the earlier owners whose authority isn't proven to have ended."""
+        return tuple(
+            (life, epoch)
+            for life, epoch in self.row.unproven
+            if not watch.has_ended(life, self.name, epoch, now)
+        )
+
+
+def address_worker(row: WorkerRow) -> ListedHost:
+    """Return the address of a worker, also when the host list no longer names it."""
+    return ListedHost(
+        row.name, HostRole.WORKER, row.site, row.rack, row.address, row.port, size=row.size
+    )
--- /dev/null
+++ b/toucanpin/placement/controller.py
@@ -0,0 +1,80 @@
+"""
+One turn of a control process
+=============================
+
+Read top-down: authority first, then whose cells these are, then what the workers reported, what the
+bundle wants, what is placed, and last the polls that carry it all to the workers.
+"""
+
+from __future__ import annotations
+
+from toucanpin.placement.absorbing import absorb_reports
+from toucanpin.placement.actions import Decision
+from toucanpin.placement.ownership import (
+    hand_over_cells,
+    lose_all_cells,
+    read_queues,
+    read_rows,
+    release_cell,
+    take_cells,
+)
+from toucanpin.placement.placing import drain_workers, follow_policy, move_tasks, place_tasks
+from toucanpin.placement.polling import fetch_payloads, poll_workers
+from toucanpin.placement.standing import reconcile_standing
+from toucanpin.placement.state import ControlState, View
+
+__all__ = ["release_all", "take_turn"]
+
+
+def take_turn(state: ControlState, view: View) -> Decision[None]:
+    """Take one turn; a turn that is cut short anywhere leaves nothing to repair."""
+    state.health.begin_turn(view.now)
+    yield from renew_authority(state, view)
+    if not state.health.down:
+        yield from read_rows(state)
+        yield from fence_earlier_owners(state, view)
+        yield from take_cells(state, view)
+        yield from hand_over_cells(state, view)
+        yield from read_queues(state)
+        yield from absorb_reports(state, view)
+        yield from reconcile_standing(state, view)
+        drain_workers(state, view)
+        follow_policy(state, view)
+        yield from place_tasks(state, view)
+        yield from move_tasks(state, view)
+        yield from fetch_payloads(state, view)
+    state.watch.table_answers = not state.health.down
+    yield from poll_workers(state, view)
+
+
+def renew_authority(state: ControlState, view: View) -> Decision[None]:
+    """Renew the own row, also as the probe that tells when the table answers again."""
+    asked = yield from state.authority.renew(view.now, view.lives(), state.ceded(view.now))
+    if asked:
+        if state.authority.answered:
+            state.health.succeed(view.now)
+        else:
+            state.health.fail()
+    if state.authority.fenced:
+        yield from lose_all_cells(state)
+
+
+def fence_earlier_owners(state: ControlState, view: View) -> Decision[None]:
+    """Prove that the authority of earlier owners of our cells has ended."""
+    owners = {
+        life
+        for cell in state.cells.values()
+        for life, _ in cell.open_owners(state.watch, view.now)
+        if life != state.life
+    }
+    for life in sorted(owners):
+        if state.health.may_commit():
+            yield from state.watch.fence(life, view.now)
+
+
+def release_all(state: ControlState) -> Decision[None]:
+    """Release every cell and all authority, so that others take over at once."""
+    state.draining = True
+    for cell in list(state.cells.values()):
+        yield from release_cell(state, cell)
+    yield from state.authority.release()
--- /dev/null
+++ b/toucanpin/placement/lifecycle.py
@@ -0,0 +1,193 @@
+"""
+Life of a task
+==============
+
+The edges of a task's state machine.  Each edge is a `Change`: what becomes of the record in the
+cell row and which other rows change in the same transaction.
+
+    queued --place--> committed --finish--> job finished
+       ^                  |------fail-----> queued again, or job failed
+       +------requeue-----+------cancel---> gone (the job row already says cancelled)
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from toucanpin.placement.queue import Waiting
+from toucanpin.placement.records import (
+    JobRow,
+    JobState,
+    QueueRow,
+    StandingRow,
+    TaskRecord,
+    cancel_key,
+    encode,
+    job_key,
+    queue_key,
+    standing_key,
+)
+from toucanpin.platform.ports import ABSENT, Write
+
+__all__ = [
+    "Change",
+    "cancel",
+    "fail",
+    "finish",
+    "keep",
+    "move",
+    "name_checkpoint",
+    "name_result",
+    "place",
+    "remove_standing",
+    "requeue",
+]
+
+FAILED_ON_KEPT = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """
+    Change one task within a transaction on a cell's row.
+
+    ``record`` replaces the task in the cell row, None takes it out.  ``queued`` is the record that
+    then waits in this cell's queue.  ``kind`` names the event on the time line.
+    """
+
+    kind: str
+    task: str
+    record: TaskRecord | None
+    writes: tuple[Write, ...] = ()
+    queued: TaskRecord | None = None
+    detail: str = ""
+
+
+def name_result(task: str, attempt: int) -> str:
+    """Return the object that receives an attempt's result: no other attempt writes there."""
+    return f"result/{task}/{attempt}"
+
+
+def name_checkpoint(task: str, attempt: int, sequence: int) -> str:
+    """Return the object of an attempt's checkpoint."""
+    return f"checkpoint/{task}/{attempt}/{sequence}"
+
+
+def place(cell: str, waiting: Waiting, worker: str, incarnation: str) -> Change:
+    """Commit a waiting task to a worker as its next attempt."""
+    record = waiting.record
+    placed = msgspec.structs.replace(
+        record,
+        attempt=record.attempt + 1,
+        worker=worker,
+        incarnation=incarnation,
+        order=record.order or waiting.version,
+        job_version=record.job_version or waiting.version,
+    )
+    delete = Write(queue_key(cell, record.task), waiting.version, None)
+    return Change("task.place", record.task, placed, (delete,), detail=worker)
+
+
+def keep(record: TaskRecord, checkpoint: str) -> Change:
+    """Accept a newer checkpoint of a running attempt."""
+    newer = msgspec.structs.replace(record, checkpoint=checkpoint)
+    return Change("task.checkpoint", record.task, newer, detail=checkpoint)
+
+
+def finish(cell: str, record: TaskRecord, result: str) -> Change:
+    """End a job with the result of its running attempt; the job row decides against a cancel."""
+    done = JobRow(record.task, JobState.FINISHED, record, cell, record.attempt, result)
+    write = Write(job_key(record.task), record.job_version, encode(done))
+    return Change("job.finish", record.task, None, (write,))
+
+
+def requeue(cell: str, record: TaskRecord, checkpoint: str, evicted: bool) -> Change:
+    """Let a stopped or lost attempt wait again, to resume from its newest checkpoint."""
+    waiting = msgspec.structs.replace(
+        record,
+        worker="",
+        incarnation="",
+        checkpoint=checkpoint or record.checkpoint,
+        evictions=record.evictions + int(evicted),
+    )
+    kind = "task.evict" if evicted else "task.requeue"
+    return _wait(kind, cell, waiting, record.worker)
+
+
+def fail(
+    cell: str, record: TaskRecord, checkpoint: str, max_attempts: int, detail: str, counts: bool
+) -> Change:
+    """
+    Count a failed attempt, and end the job if it has failed too often.
+
+    ``counts`` is False where the worker is known to be at fault.  A standing task has no end.
+    """
+    failures = record.failures + int(counts)
+    failed_on = record.failed_on
+    if record.worker not in failed_on:
+        failed_on = (*failed_on, record.worker)[-FAILED_ON_KEPT:]
+    if failures >= max_attempts and not record.standing:
+        hosts = ", ".join(failed_on)
+        reason = f"failed {failures} times on {hosts}: {detail}"
+        done = JobRow(record.task, JobState.FAILED, record, cell, record.attempt, reason=reason)
+        write = Write(job_key(record.task), record.job_version, encode(done))
+        return Change("job.fail", record.task, None, (write,), detail=reason)
+    waiting = msgspec.structs.replace(
+        record,
+        worker="",
+        incarnation="",
+        checkpoint=checkpoint or record.checkpoint,
+        failures=failures,
+        failed_on=failed_on,
+    )
+    return _wait("task.fail", cell, waiting, f"{record.worker}: {detail}")
+
+
+def _wait(kind: str, cell: str, waiting: TaskRecord, detail: str) -> Change:
+    write = Write(queue_key(cell, waiting.task), ABSENT, encode(QueueRow(waiting)))
+    return Change(kind, waiting.task, None, (write,), queued=waiting, detail=detail)
+
+
+def cancel(cell: str, task: str, cancel_version: int, waiting: Waiting | None) -> Change:
+    """Drop the record of a cancelled job, which has stopped or waits."""
+    writes: tuple[Write, ...] = (Write(cancel_key(cell, task), cancel_version, None),)
+    if waiting is not None:
+        writes += (Write(queue_key(cell, task), waiting.version, None),)
+    return Change("task.cancel", task, None, writes)
+
+
+def remove_standing(
+    cell: str, task: str, row_version: int, bundle: int, waiting: Waiting | None
+) -> Change:
+    """Drop a standing task that a newer bundle no longer names, once it has stopped."""
+    row = StandingRow(task, cell, bundle, removed=bundle)
+    writes: tuple[Write, ...] = (Write(standing_key(task), row_version, encode(row)),)
+    if waiting is not None:
+        writes += (Write(queue_key(cell, task), waiting.version, None),)
+    return Change("standing.remove", task, None, writes)
+
+
+def move(cell: str, waiting: Waiting, target: str, payload: bytes) -> tuple[Write, ...]:
+    """Return the writes that move a waiting task to another cell's queue."""
+    record = waiting.record
+    version = record.job_version or waiting.version
+    # Zero stands for the version of the new queue row, which the job row receives as well.
+    moved = msgspec.structs.replace(
+        record,
+        job_version=0,
+        order=record.order or waiting.version,
+        moves=record.moves + 1,
+    )
+    if record.standing:
+        place_row = encode(StandingRow(record.task, target, record.bundle))
+        owner = Write(standing_key(record.task), version, place_row)
+    else:
+        job = JobRow(record.task, JobState.ACCEPTED, moved, target)
+        owner = Write(job_key(record.task), version, encode(job))
+    return (
+        Write(queue_key(cell, record.task), waiting.version, None),
+        Write(queue_key(target, record.task), ABSENT, encode(QueueRow(moved, payload))),
+        owner,
+    )
--- /dev/null
+++ b/toucanpin/placement/ownership.py
@@ -0,0 +1,292 @@
+"""
+Ownership of cells
+==================
+
+Which cells are ours, by hints, and how they are taken, handed over and lost, by compare-and-set.
+
+Taking a cell raises its epoch: its row then refuses the earlier owner's writes, and each worker
+that accepts a poll of ours refuses the earlier owner's polls.  So workers go on without a gap while
+the earlier owner's authority still stands; only for a worker that we can't reach does it matter,
+and there `Cell.has_stopped` waits for the proof.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from expression import Result
+
+from toucanpin.placement.actions import Commit, Decision, Note, Read, Scan
+from toucanpin.placement.cells import Cell
+from toucanpin.placement.queue import name_cell, shape_cells
+from toucanpin.placement.records import (
+    AUTHORITY_PREFIX,
+    CELL_PREFIX,
+    STANDING_PREFIX,
+    CancelRow,
+    CellRow,
+    Life,
+    QueueRow,
+    StandingRow,
+    WorkerRow,
+    WorkerState,
+    decode,
+    encode,
+    queue_prefix,
+)
+from toucanpin.placement.state import ControlState, StoredCell, View
+from toucanpin.platform.ports import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Row,
+    Transaction,
+    Unavailable,
+    Unknown,
+    Write,
+)
+
+__all__ = ["hand_over_cells", "read_queues", "read_rows", "release_cell", "take_cells"]
+
+
+def read_rows(state: ControlState) -> Decision[None]:
+    """Read what changed in the rows of authority, cells and standing tasks."""
+    rows = yield from _scan(state, AUTHORITY_PREFIX, state.scanned_authority)
+    state.watch.observe(rows, state.watch.read_at)
+    state.scanned_authority = _newest(rows, state.scanned_authority)
+    rows = yield from _scan(state, CELL_PREFIX, state.scanned_cells)
+    for row in rows:
+        name = row.key.removeprefix(CELL_PREFIX)
+        state.stored[name] = StoredCell(decode(row.value, CellRow), row.version)
+    state.scanned_cells = _newest(rows, state.scanned_cells)
+    rows = yield from _scan(state, STANDING_PREFIX, state.scanned_standing)
+    for row in rows:
+        name = row.key.removeprefix(STANDING_PREFIX)
+        state.standing[name] = (decode(row.value, StandingRow), row.version)
+    state.scanned_standing = _newest(rows, state.scanned_standing)
+    yield from _refresh_cells(state)
+
+
+def _scan(state: ControlState, prefix: str, after: int) -> Decision[tuple[Row, ...]]:
+    """Read the changed rows below a prefix, none while the table is out."""
+    if state.health.down:
+        return ()
+    answer = yield Scan(prefix, after)
+    match answer.value:
+        case Result(tag="ok", ok=rows):
+            state.watch.read_at = answer.now
+            state.health.succeed(answer.now)
+            return tuple(rows)
+        case _:
+            state.health.fail()
+            return ()
+
+
+def _newest(rows: tuple[Row, ...], before: int) -> int:
+    return max((row.version for row in rows), default=before)
+
+
+def _refresh_cells(state: ControlState) -> Decision[None]:
+    """Drop the cells that another life has taken, and read back those that may have changed."""
+    for cell in list(state.cells.values()):
+        stored = state.stored.get(cell.name)
+        if stored is not None and stored.version > cell.version:
+            yield from _adopt_row(state, cell, stored)
+        if cell.stale and cell.name in state.cells and not state.health.down:
+            answer = yield Read(cell.key)
+            match answer.value:
+                case Result(tag="ok", ok=Row() as row):
+                    read = StoredCell(decode(row.value, CellRow), row.version)
+                    yield from _adopt_row(state, cell, read)
+                case Result(tag="error"):
+                    state.health.fail()
+
+
+def _adopt_row(state: ControlState, cell: Cell, stored: StoredCell) -> Decision[None]:
+    """Go on from a cell's row as it stands, or let the cell go."""
+    if stored.row.owner != state.life or stored.row.epoch < cell.row.epoch:
+        yield from lose_cell(state, cell, stored.row.epoch - 1)
+        return
+    if stored.version != cell.version:
+        # An own write took effect although its answer was lost: what waits is read anew.
+        cell.row = stored.row
+        cell.version = stored.version
+        cell.scanned = 0
+        for task in list(cell.row.tasks):
+            cell.queue.drop(task)
+    cell.stale = False
+
+
+def lose_cell(state: ControlState, cell: Cell, epoch: int) -> Decision[None]:
+    """Stop acting on a cell; it is ceded once the leases granted there have ended."""
+    del state.cells[cell.name]
+    known = state.lost.get(cell.name, (0, 0.0))
+    last = max(epoch, cell.row.epoch, known[0])
+    state.lost[cell.name] = (last, max(cell.grants_end(), known[1]))
+    yield Note("cell.lose", {"cell": cell.name})
+
+
+def lose_all_cells(state: ControlState) -> Decision[None]:
+    """Let every cell go after a fence: whoever fenced us waited for the end of our leases."""
+    for cell in list(state.cells.values()):
+        yield from lose_cell(state, cell, cell.row.epoch)
+    state.lost = {name: (epoch, 0.0) for name, (epoch, _) in state.lost.items()}
+
+
+def take_cells(state: ControlState, view: View) -> Decision[None]:
+    """Take the cells that are ours by rendezvous and that nobody else is known to hold."""
+    lives = view.lives()
+    listed = {shape.name for shape in shape_cells(view.hosts)}
+    used = {name for name, it in state.stored.items() if it.row.tasks or it.row.owner is not None}
+    for name in sorted(listed | used):
+        if name in state.cells or state.prefers(name, lives) != state.life:
+            continue
+        stored = state.stored.get(name)
+        if stored is not None and not _is_free(state, stored.row, lives, view.now):
+            continue
+        if state.health.may_commit() and state.authority.holds(view.now):
+            yield from _take(state, view, name, stored)
+
+
+def _is_free(state: ControlState, row: CellRow, lives: tuple[Life, ...], now: float) -> bool:
+    """Tell whether a cell may be taken from its owner without disturbing a live one."""
+    owner = row.owner
+    if owner is None or owner == state.life:
+        return True
+    # After an outage of the table every row stands unchanged: first let its owner renew.
+    quiet = state.terms.take_after + state.terms.authority / 3
+    if now < state.health.well_since + quiet and state.health.well_since > 0:
+        return False
+    unchanged = state.watch.unchanged(owner, now)
+    if unchanged is None:
+        return False
+    if state.watch.is_over(owner):
+        return True
+    if owner in lives:
+        return unchanged >= state.terms.stretch(state.terms.authority)
+    return unchanged >= state.terms.take_after
+
+
+def _take(state: ControlState, view: View, name: str, stored: StoredCell | None) -> Decision[None]:
+    """Write ourselves into a cell's row as its owner, with a higher epoch."""
+    before = stored.row if stored else CellRow(0, None, {}, {})
+    unproven = tuple(
+        (life, epoch)
+        for life, epoch in before.unproven
+        if not state.watch.has_ended(life, name, epoch, view.now)
+    )
+    if before.owner is not None and before.owner != state.life:
+        unproven = (*unproven, (before.owner, before.epoch))
+    row = msgspec.structs.replace(
+        before,
+        epoch=before.epoch + 1,
+        owner=state.life,
+        unproven=unproven,
+        workers={**before.workers, **list_workers(before, view, name)},
+    )
+    cell = Cell(name, row, ABSENT)
+    version = stored.version if stored else ABSENT
+    token = f"{name}/{row.epoch}/take/{state.life.process}/{state.life.incarnation}"
+    state.health.count()
+    answer = yield Commit(Transaction(token, (Write(cell.key, version, encode(row)),)))
+    match answer.value:
+        case Result(tag="ok", ok=Committed(committed)):
+            cell.version = committed
+            # Leases of an owner that released the cell, or our own of an earlier time here, end
+            # one term after the row was seen.
+            cell.released_bound = answer.now + state.terms.stretch(state.terms.lease)
+            state.cells[name] = cell
+            yield Note("cell.take", {"cell": name}, f"epoch {row.epoch}")
+        case Result(tag="error", error=Conflict(rows)):
+            for found in rows:
+                if found.version != ABSENT:
+                    state.stored[name] = StoredCell(decode(found.value, CellRow), found.version)
+        case Result(tag="error", error=Unavailable() | Unknown()):
+            state.health.fail()
+
+
+def list_workers(row: CellRow, view: View, cell: str) -> dict[str, WorkerRow]:
+    """Return the workers of a cell whose rows differ from the host list."""
+    changed: dict[str, WorkerRow] = {}
+    for host in view.workers().values():
+        if name_cell(host) != cell:
+            continue
+        known = row.workers.get(host.name)
+        if known is None:
+            known = WorkerRow(host.name, host.site, host.rack, host.address, host.port, host.size)
+            changed[host.name] = known
+        leaving = WorkerState.LEAVING if host.leaving else WorkerState.ACTIVE
+        wanted = msgspec.structs.replace(
+            known,
+            address=host.address,
+            port=host.port,
+            size=host.size,
+            state=leaving if known.state is not WorkerState.QUARANTINED else known.state,
+        )
+        if known.state is WorkerState.LOST and not host.leaving:
+            wanted = msgspec.structs.replace(wanted, state=WorkerState.LOST)
+        if wanted != known:
+            changed[host.name] = wanted
+    return changed
+
+
+def read_queues(state: ControlState) -> Decision[None]:
+    """Read what was added to the queues of the owned cells, and the wishes to cancel."""
+    for cell in state.cells.values():
+        prefix = queue_prefix(cell.name)
+        rebuild = cell.scanned == 0
+        known = state.health.down
+        rows = yield from _scan(state, prefix, cell.scanned)
+        if known or state.health.down:
+            return
+        if rebuild:
+            _drop_vanished(cell, rows)
+        for row in rows:
+            kind, _, task = row.key.removeprefix(prefix).partition("/")
+            if kind == "task":
+                waiting = decode(row.value, QueueRow)
+                cell.queue.put(waiting.record, row.version, state.watch.read_at)
+                if waiting.payload:
+                    cell.payloads[task] = waiting.payload
+            elif kind == "cancel":
+                cell.cancels[decode(row.value, CancelRow).task] = row.version
+        cell.scanned = _newest(rows, cell.scanned)
+
+
+def _drop_vanished(cell: Cell, rows: tuple[Row, ...]) -> None:
+    """Forget the waiting tasks whose rows are gone."""
+    there = {row.key.rpartition("/")[2] for row in rows}
+    for waiting in list(cell.queue.in_order()):
+        if waiting.record.task not in there:
+            cell.queue.drop(waiting.record.task)
+
+
+def hand_over_cells(state: ControlState, view: View) -> Decision[None]:
+    """Release the cells that another live process should own for some time now."""
+    lives = view.lives()
+    for cell in list(state.cells.values()):
+        if state.prefers(cell.name, lives) == state.life:
+            cell.unwanted_since = None
+            continue
+        if cell.unwanted_since is None:
+            cell.unwanted_since = view.now
+        if view.now - cell.unwanted_since >= state.pace.hand_over_after:
+            yield from release_cell(state, cell)
+
+
+def release_cell(state: ControlState, cell: Cell) -> Decision[None]:
+    """Write that a cell has no owner, so that its next one needn't wait."""
+    if cell.stale or state.health.down:
+        return
+    row = msgspec.structs.replace(cell.row, owner=None)
+    token = f"{cell.name}/{row.epoch}/release"
+    state.health.count()
+    answer = yield Commit(Transaction(token, (Write(cell.key, cell.version, encode(row)),)))
+    match answer.value:
+        case Result(tag="ok", ok=Committed(version)):
+            state.stored[cell.name] = StoredCell(row, version)
+            yield from lose_cell(state, cell, row.epoch)
+        case Result(tag="error", error=Conflict()):
+            cell.stale = True
+        case _:
+            cell.stale = True
+            state.health.fail()
--- /dev/null
+++ b/toucanpin/placement/placing.py
@@ -0,0 +1,268 @@
+"""
+Placing
+=======
+
+Which waiting task goes to which worker: as many as fit one transaction, in the queue's order,
+within quotas.  What this cell can't hold moves to another cell's queue.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from expression import Result
+
+from toucanpin.placement import lifecycle
+from toucanpin.placement.actions import Commit, Decision, Note
+from toucanpin.placement.cells import Cell, StopReason, WorkerLink
+from toucanpin.placement.ledger import FreeIndex, add, fits, subtract, used_by_team, used_by_worker
+from toucanpin.placement.lifecycle import Change
+from toucanpin.placement.policy import Evict, Limit
+from toucanpin.placement.queue import CellShape, Quotas, Waiting, rank, shape_cells
+from toucanpin.placement.records import CellRow, TaskRecord, WorkerState
+from toucanpin.placement.state import ControlState, View
+from toucanpin.placement.writing import split_changes, write_cell
+from toucanpin.platform.ports import (
+    MAX_TRANSACTION_ROWS,
+    Committed,
+    Conflict,
+    Size,
+    Transaction,
+    Write,
+)
+
+__all__ = ["drain_workers", "follow_policy", "move_tasks", "place_tasks"]
+
+CANDIDATES = 8
+ROWS_OF_MOVE = 3
+MOVES_EACH_TRANSACTION = MAX_TRANSACTION_ROWS // ROWS_OF_MOVE
+
+
+def drain_workers(state: ControlState, view: View) -> None:
+    """Have the tasks of leaving workers checkpointed and evicted."""
+    listed = view.workers()
+    for cell in state.cells.values():
+        for name, worker in cell.row.workers.items():
+            host = listed.get(name)
+            leaving = worker.state is WorkerState.LEAVING or (host is not None and host.leaving)
+            if not leaving:
+                continue
+            for record in cell.tasks_on(name):
+                cell.ask_stop(record.task, StopReason.EVICT)
+
+
+def follow_policy(state: ControlState, view: View) -> None:
+    """Take over what the policy wants done to running tasks."""
+    for cell in state.cells.values():
+        for act in state.policy.act(view.now, cell.row):
+            record = cell.row.tasks.get(act.task)
+            match act:
+                case Evict(task) if record is not None:
+                    cell.ask_stop(task, StopReason.EVICT)
+                case Limit(task, share) if record is not None:
+                    cell.link(record.worker).shares[task] = share
+
+
+def count_teams(state: ControlState) -> dict[str, Size]:
+    """Return what each team uses: here as committed, elsewhere as last read."""
+    used: dict[str, Size] = {}
+    rows = [cell.row for cell in state.cells.values()]
+    rows.extend(it.row for name, it in state.stored.items() if name not in state.cells)
+    for row in rows:
+        for team, size in used_by_team(row.tasks.values()).items():
+            used[team] = add(used.get(team, Size(0, 0, 0)), size)
+    return used
+
+
+def place_tasks(state: ControlState, view: View) -> Decision[None]:
+    """Commit waiting tasks to workers, up to 63 in a transaction."""
+    teams = view.bundle.teams if view.bundle else ()
+    quotas = Quotas(teams, count_teams(state))
+    for cell in list(state.cells.values()):
+        if cell.stale or not len(cell.queue):
+            continue
+        changes = list(choose_places(state, cell, view, quotas))
+        for group in split_changes(changes):
+            written = yield from write_cell(cell, state.health, group)
+            if not written:
+                break
+
+
+def find_usable(state: ControlState, cell: Cell, view: View) -> list[str]:
+    """Return the workers that may receive work now: listed, heard from, and under our lease."""
+    listed = view.workers()
+    usable = []
+    for name, worker in cell.row.workers.items():
+        host = listed.get(name)
+        link = cell.link(name)
+        if host is None or host.leaving or worker.state is not WorkerState.ACTIVE:
+            continue
+        if _is_ready(link, view.now, state.pace.poll):
+            usable.append(name)
+    return usable
+
+
+def _is_ready(link: WorkerLink, now: float, poll: float) -> bool:
+    heard = not link.failed and link.incarnation and now - link.received <= 3 * poll
+    return bool(heard) and link.life(link.incarnation).reached
+
+
+def choose_places(state: ControlState, cell: Cell, view: View, quotas: Quotas) -> Iterator[Change]:
+    """Yield the placements that the free sizes and the quotas allow, in the queue's order."""
+    if not state.authority.holds(view.now):
+        return
+    usable = find_usable(state, cell, view)
+    index = FreeIndex.of_cell(cell.row, usable)
+    reserved = 0
+    tries = 0
+    for waiting in cell.queue.in_order():
+        tries += 1
+        if not len(index) or tries > state.pace.tries_each_turn:
+            return
+        record = waiting.record
+        if not _may_place(cell, waiting, view.now) or not quotas.allows(record.team, record.size):
+            continue
+        found = _avoid_failed(record, index.candidates(record.size, CANDIDATES))
+        worker = state.policy.choose(record, found, cell.row)
+        if worker is None:
+            if not found and _wants_reserve(state, waiting, view.now) and reserved == 0:
+                reserved += 1
+                _reserve(cell, record, index)
+            continue
+        index.take(worker, record.size)
+        quotas.take(record.team, record.size)
+        yield lifecycle.place(cell.name, waiting, worker, cell.link(worker).incarnation)
+
+
+def _may_place(cell: Cell, waiting: Waiting, now: float) -> bool:
+    task = waiting.record.task
+    if task in cell.row.tasks or task in cell.cancels or task in cell.closed:
+        return False
+    return now >= cell.not_before.get(task, 0.0)
+
+
+def _avoid_failed(record: TaskRecord, workers: list[str]) -> list[str]:
+    """Prefer workers on which the task hasn't failed."""
+    others = [it for it in workers if it not in record.failed_on]
+    return others or workers
+
+
+def _wants_reserve(state: ControlState, waiting: Waiting, now: float) -> bool:
+    return waiting.record.urgent or now - waiting.since >= state.pace.reserve_after
+
+
+def _reserve(cell: Cell, record: TaskRecord, index: FreeIndex) -> None:
+    """
+    Keep the emptiest worker that can ever hold a task free of others for this turn.
+
+    Small tasks would otherwise fill every gap before it grows large enough, and a large task would
+    wait for ever.  For an urgent task the least important work there is evicted.
+    """
+    able = [
+        name
+        for name in cell.row.workers
+        if index.free(name) is not None and fits(record.size, cell.row.workers[name].size)
+    ]
+    if not able:
+        return
+    worker = max(able, key=lambda name: _room(index, name))
+    free = index.free(worker)
+    index.drop(worker)
+    if record.urgent and free is not None:
+        _evict_for(cell, record, worker, free)
+
+
+def _room(index: FreeIndex, name: str) -> tuple[int, int, int, str]:
+    free = index.free(name) or Size(0, 0, 0)
+    return free.accelerators, free.processors, free.memory, name
+
+
+def _evict_for(cell: Cell, record: TaskRecord, worker: str, free: Size) -> None:
+    """Evict the fewest of the least important batch tasks that make room, or none."""
+    victims = []
+    for other in sorted(cell.tasks_on(worker), key=lambda it: (it.priority, it.evictions)):
+        if fits(record.size, free):
+            break
+        if other.task in cell.stopping:
+            free = add(free, other.size)
+        elif not other.urgent and not other.standing:
+            victims.append(other.task)
+            free = add(free, other.size)
+    if fits(record.size, free):
+        for task in victims:
+            cell.ask_stop(task, StopReason.EVICT)
+
+
+def move_tasks(state: ControlState, view: View) -> Decision[None]:
+    """Move what has waited here too long to a cell that has room, or can ever hold it."""
+    shapes = {it.name: it for it in shape_cells(view.hosts)}
+    free = {
+        name: _free_sizes(it.row) for name, it in state.stored.items() if name not in state.cells
+    }
+    free.update({cell.name: _free_sizes(cell.row) for cell in state.cells.values()})
+    for cell in list(state.cells.values()):
+        moves: list[tuple[Waiting, str]] = []
+        for waiting in cell.queue.in_order():
+            if len(moves) == MOVES_EACH_TRANSACTION:
+                break
+            if cell.stale or not _may_place(cell, waiting, view.now):
+                continue
+            here = shapes.get(cell.name)
+            patience = state.pace.move_after * 2**waiting.record.moves
+            never = here is None or not here.can_hold(waiting.record.size)
+            if not never and view.now - waiting.since < patience:
+                continue
+            target = _find_room(cell.name, waiting.record, free, shapes)
+            if target is not None:
+                moves.append((waiting, target))
+        if moves and state.health.may_commit():
+            yield from _commit_moves(state, cell, moves)
+
+
+def _free_sizes(row: CellRow) -> list[Size]:
+    """Return what is free on each worker of a cell that may receive work."""
+    used = used_by_worker(row.tasks.values())
+    return [
+        subtract(it.size, used.get(name, Size(0, 0, 0)))
+        for name, it in row.workers.items()
+        if it.state is WorkerState.ACTIVE
+    ]
+
+
+def _find_room(
+    cell: str, record: TaskRecord, free: dict[str, list[Size]], shapes: dict[str, CellShape]
+) -> str | None:
+    """Return another listed cell with room, and count the room as taken."""
+    for name in sorted(free, key=lambda it: rank(record.task, it), reverse=True):
+        if name == cell or name not in shapes:
+            continue
+        for position, size in enumerate(free[name]):
+            if fits(record.size, size):
+                free[name][position] = subtract(size, record.size)
+                return name
+    return None
+
+
+def _commit_moves(
+    state: ControlState, cell: Cell, moves: list[tuple[Waiting, str]]
+) -> Decision[None]:
+    writes: list[Write] = []
+    for waiting, target in moves:
+        payload = cell.payloads.get(waiting.record.task, b"")
+        writes.extend(lifecycle.move(cell.name, waiting, target, payload))
+    token = f"{cell.name}/move/{state.life.process}/{state.next_sequence()}"
+    state.health.count()
+    answer = yield Commit(Transaction(token, tuple(writes)))
+    match answer.value:
+        case Result(tag="ok", ok=Committed()):
+            for waiting, target in moves:
+                cell.queue.drop(waiting.record.task)
+                ids = {"cell": cell.name, "task": waiting.record.task}
+                yield Note("task.move", ids, target)
+        case Result(tag="error", error=Conflict()):
+            # A cancelled job or a row that is gone: read the whole queue anew.
+            cell.scanned = 0
+        case _:
+            cell.scanned = 0
+            cell.stale = True
+            state.health.fail()
--- /dev/null
+++ b/toucanpin/placement/polling.py
@@ -0,0 +1,184 @@
+"""
+Polls of workers
+================
+
+Which orders each worker of a cell gets in its next poll, under which lease, and what its report
+says.  Every order may be repeated: the worker knows attempts by their numbers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from expression import Result
+
+from toucanpin.bundles.schema import Bundle
+from toucanpin.placement.actions import Decision, Note, PollAll, Read, WorkerPoll
+from toucanpin.placement.cells import Cell, StopReason, WorkerLink, address_worker
+from toucanpin.placement.lifecycle import name_checkpoint, name_result
+from toucanpin.placement.records import TaskRecord, payload_key
+from toucanpin.placement.state import ControlState, View
+from toucanpin.platform.ports import (
+    Checkpoint,
+    Forget,
+    Order,
+    Poll,
+    Report,
+    Row,
+    Start,
+    Stop,
+    TaskState,
+    Throttle,
+    WorkerFault,
+)
+
+__all__ = ["fetch_payloads", "poll_workers"]
+
+
+def fetch_payloads(state: ControlState, view: View) -> Decision[None]:
+    """Read the payloads of committed tasks that have yet to be started."""
+    for cell in state.cells.values():
+        for record in cell.row.tasks.values():
+            if state.health.down or not _lacks_payload(cell, record):
+                continue
+            answer = yield Read(payload_key(record.task))
+            match answer.value:
+                case Result(tag="ok", ok=Row() as row):
+                    cell.payloads[record.task] = row.value
+                case Result(tag="error"):
+                    state.health.fail()
+
+
+def _lacks_payload(cell: Cell, record: TaskRecord) -> bool:
+    if not record.has_payload or record.standing or record.task in cell.payloads:
+        return False
+    link = cell.link(record.worker)
+    return bool(link.incarnation) and (record.task, record.attempt) not in link.tasks
+
+
+def poll_workers(state: ControlState, view: View) -> Decision[None]:
+    """Poll every worker that is due or for which there are orders, all at once."""
+    now = view.now
+    asked: list[tuple[Cell, WorkerLink, Poll]] = []
+    polls: list[WorkerPoll] = []
+    for cell in state.cells.values():
+        for name, worker in cell.row.workers.items():
+            link = cell.link(name)
+            orders = tuple(_give_orders(state, cell, link, view.bundle, now))
+            if now < link.next_poll and (not orders or link.failed):
+                continue
+            link.next_poll = now + state.pace.poll
+            until = state.authority.until if state.authority.holds(now) else 0.0
+            grant = link.grant(until, state.terms)
+            poll = Poll(cell.row.epoch, link.incarnation, grant.lease_until, orders)
+            asked.append((cell, link, poll))
+            polls.append(WorkerPoll(address_worker(worker), poll))
+    if not polls:
+        return
+    answer = yield PollAll(tuple(polls))
+    for (cell, link, poll), outcome in zip(asked, answer.value, strict=True):
+        match outcome:
+            case Result(tag="ok", ok=Report() as report):
+                yield from _take_report(state, cell, link, poll, report, answer.now)
+            case Result(tag="error", error=WorkerFault(detail)):
+                if not link.failed:
+                    yield Note("worker.silent", {"host": link.name, "cell": cell.name}, detail)
+                link.failed = True
+
+
+def _give_orders(
+    state: ControlState, cell: Cell, link: WorkerLink, bundle: Bundle | None, now: float
+) -> Iterator[Order]:
+    """Yield the orders that bring a worker in line with the cell's row."""
+    if not link.incarnation or cell.stale:
+        # A row that may have changed must start nothing, and stop nothing that it may hold.
+        return
+    committed = {(it.task, it.attempt): it for it in cell.tasks_on(link.name)}
+    for (task, attempt), reported in link.tasks.items():
+        if (task, attempt) in committed:
+            continue
+        if reported.state is TaskState.RUNNING:
+            yield Stop(task, attempt)
+        else:
+            yield Forget(task, attempt)
+    for record in committed.values():
+        if record.incarnation == link.incarnation:
+            yield from _order_task(state, cell, link, record, bundle, now)
+
+
+def _order_task(
+    state: ControlState,
+    cell: Cell,
+    link: WorkerLink,
+    record: TaskRecord,
+    bundle: Bundle | None,
+    now: float,
+) -> Iterator[Order]:
+    """Yield the orders for one committed task."""
+    reported = link.tasks.get((record.task, record.attempt))
+    if reported is not None and reported.state is not TaskState.RUNNING:
+        return
+    reason = cell.stopping.get(record.task)
+    if reason is not None:
+        checkpoint = name_checkpoint(record.task, record.attempt, state.next_sequence())
+        keeps = reason in (StopReason.EVICT, StopReason.REPLACE)
+        yield Stop(record.task, record.attempt, checkpoint if keeps else "")
+    elif reported is None:
+        payload = _find_payload(cell, record, bundle)
+        if payload is not None and state.authority.holds(now):
+            yield _make_start(record, payload)
+    else:
+        yield from _order_running(state, link, record, now)
+
+
+def _order_running(
+    state: ControlState, link: WorkerLink, record: TaskRecord, now: float
+) -> Iterator[Order]:
+    """Yield the throttle that was asked for and the checkpoint that is due."""
+    share = link.shares.pop(record.task, None)
+    if share is not None:
+        yield Throttle(record.task, record.attempt, share)
+    due = link.sampled.setdefault(record.task, now + state.pace.checkpoint)
+    if not record.standing and now >= due:
+        link.sampled[record.task] = now + state.pace.checkpoint
+        name = name_checkpoint(record.task, record.attempt, state.next_sequence())
+        yield Checkpoint(record.task, record.attempt, name)
+
+
+def _find_payload(cell: Cell, record: TaskRecord, bundle: Bundle | None) -> bytes | None:
+    """Return a task's payload, None while it isn't known."""
+    if record.standing:
+        wanted = bundle.standing if bundle else ()
+        return next((it.payload.encode() for it in wanted if it.name == record.task), None)
+    if not record.has_payload:
+        return b""
+    return cell.payloads.get(record.task)
+
+
+def _make_start(record: TaskRecord, payload: bytes) -> Start:
+    return Start(
+        record.task,
+        record.attempt,
+        record.kind,
+        record.size,
+        payload,
+        record.checkpoint,
+        name_result(record.task, record.attempt),
+        record.standing,
+    )
+
+
+def _take_report(
+    state: ControlState, cell: Cell, link: WorkerLink, poll: Poll, report: Report, now: float
+) -> Decision[None]:
+    """Take in a report; a refused poll says that we are not the owner or that the life is new."""
+    if report.accepted:
+        link.take_report(report, now)
+        state.policy.observe(now, report, cell.tasks_on(link.name))
+        return
+    if report.epoch > poll.epoch:
+        cell.stale = True
+        yield Note("worker.refused", {"host": link.name, "cell": cell.name}, f"{report.epoch}")
+        return
+    link.take_clock(report, now)
+    link.next_poll = now
--- /dev/null
+++ b/toucanpin/placement/standing.py
@@ -0,0 +1,168 @@
+"""
+Standing tasks
+==============
+
+Bring the records of standing tasks in line with the bundle: one record each, inserted once, stopped
+when a newer bundle no longer names it, replaced when its description changed.
+"""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+from expression import Result
+
+from toucanpin.bundles.schema import Bundle, StandingTask
+from toucanpin.placement import lifecycle
+from toucanpin.placement.actions import Commit, Decision, Note
+from toucanpin.placement.cells import Cell, StopReason
+from toucanpin.placement.queue import Waiting, choose_cell, shape_cells
+from toucanpin.placement.records import (
+    QueueRow,
+    StandingRow,
+    TaskRecord,
+    decode,
+    encode,
+    queue_key,
+    standing_key,
+)
+from toucanpin.placement.state import ControlState, View
+from toucanpin.placement.writing import split_changes, write_cell
+from toucanpin.platform.ports import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Size,
+    Transaction,
+    Unavailable,
+    Unknown,
+    Write,
+)
+
+__all__ = ["reconcile_standing", "refresh_record"]
+
+
+def describe(task: StandingTask) -> str:
+    """Return a digest of a standing task's description."""
+    return xxhash.xxh3_64_hexdigest(msgspec.json.encode(task))
+
+
+def refresh_record(record: TaskRecord, bundle: Bundle) -> TaskRecord:
+    """Return a stopped task's record with its description in a bundle."""
+    wanted = next((it for it in bundle.standing if it.name == record.task), None)
+    if wanted is None:
+        return record
+    fresh = _make_record(wanted, bundle)
+    return msgspec.structs.replace(
+        record,
+        kind=fresh.kind,
+        team=fresh.team,
+        size=fresh.size,
+        digest=fresh.digest,
+        bundle=fresh.bundle,
+        checkpoint="",
+    )
+
+
+def _make_record(task: StandingTask, bundle: Bundle) -> TaskRecord:
+    size = Size(task.processors, task.memory, task.accelerators)
+    return TaskRecord(
+        task.name,
+        task.kind,
+        task.team,
+        size,
+        standing=True,
+        urgent=True,
+        digest=describe(task),
+        bundle=bundle.version,
+    )
+
+
+def reconcile_standing(state: ControlState, view: View) -> Decision[None]:
+    """Insert, replace and remove standing tasks as the bundle in force says."""
+    bundle = view.bundle
+    if bundle is None or state.health.down:
+        return
+    shapes = shape_cells(view.hosts)
+    wanted = {it.name: it for it in bundle.standing}
+    for task in bundle.standing:
+        size = Size(task.processors, task.memory, task.accelerators)
+        home = choose_cell(task.name, size, shapes)
+        if home in state.cells and state.health.may_commit():
+            yield from _insert(state, task, bundle, home)
+    for cell in list(state.cells.values()):
+        _mark_running(cell, wanted, bundle)
+        yield from _change_waiting(state, cell, wanted, bundle)
+
+
+def _insert(state: ControlState, task: StandingTask, bundle: Bundle, home: str) -> Decision[None]:
+    """Insert a standing task's one record, unless it has been inserted by anyone."""
+    known, version = state.standing.get(task.name, (None, ABSENT))
+    if known is not None and (known.removed == 0 or known.removed >= bundle.version):
+        return
+    record = _make_record(task, bundle)
+    row = StandingRow(task.name, home, bundle.version)
+    writes = (
+        Write(standing_key(task.name), version, encode(row)),
+        Write(queue_key(home, task.name), ABSENT, encode(QueueRow(record))),
+    )
+    state.health.count()
+    answer = yield Commit(Transaction(f"standing/{task.name}/{bundle.version}", writes))
+    match answer.value:
+        case Result(tag="ok", ok=Committed(committed)):
+            state.standing[task.name] = (row, committed)
+            yield Note("standing.add", {"task": task.name, "cell": home})
+        case Result(tag="error", error=Conflict(rows)):
+            for found in rows:
+                if found.key == standing_key(task.name) and found.version != ABSENT:
+                    state.standing[task.name] = (
+                        decode(found.value, StandingRow),
+                        found.version,
+                    )
+        case Result(tag="error", error=Unavailable() | Unknown()):
+            state.health.fail()
+
+
+def _is_removed(record: TaskRecord, wanted: dict[str, StandingTask], bundle: Bundle) -> bool:
+    return record.standing and record.task not in wanted and bundle.version > record.bundle
+
+
+def _is_changed(record: TaskRecord, wanted: dict[str, StandingTask], bundle: Bundle) -> bool:
+    if not record.standing or record.task not in wanted or bundle.version <= record.bundle:
+        return False
+    return describe(wanted[record.task]) != record.digest
+
+
+def _mark_running(cell: Cell, wanted: dict[str, StandingTask], bundle: Bundle) -> None:
+    """Have the running tasks stopped that the bundle removed or changed."""
+    for record in cell.row.tasks.values():
+        if _is_removed(record, wanted, bundle):
+            cell.ask_stop(record.task, StopReason.REMOVE)
+        elif _is_changed(record, wanted, bundle):
+            cell.ask_stop(record.task, StopReason.REPLACE)
+
+
+def _change_waiting(
+    state: ControlState, cell: Cell, wanted: dict[str, StandingTask], bundle: Bundle
+) -> Decision[None]:
+    """Remove or replace the waiting tasks that the bundle removed or changed."""
+    changes: list[lifecycle.Change] = []
+    for waiting in cell.queue.in_order():
+        if _is_removed(waiting.record, wanted, bundle):
+            version = waiting.record.job_version or waiting.version
+            changes.append(
+                lifecycle.remove_standing(
+                    cell.name, waiting.record.task, version, bundle.version, waiting
+                )
+            )
+        elif _is_changed(waiting.record, wanted, bundle):
+            changes.append(_replace_waiting(cell, waiting, bundle))
+    for group in split_changes(changes):
+        yield from write_cell(cell, state.health, group)
+
+
+def _replace_waiting(cell: Cell, waiting: Waiting, bundle: Bundle) -> lifecycle.Change:
+    record = refresh_record(waiting.record, bundle)
+    record = msgspec.structs.replace(record, job_version=record.job_version or waiting.version)
+    write = Write(queue_key(cell.name, record.task), waiting.version, encode(QueueRow(record)))
+    return lifecycle.Change("standing.replace", record.task, None, (write,), queued=record)
--- /dev/null
+++ b/toucanpin/placement/state.py
@@ -0,0 +1,115 @@
+"""
+State of a control process
+==========================
+
+Everything that the decisions of one control process share between turns.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from toucanpin.bundles.schema import Bundle
+from toucanpin.membership.member import Member, Standing
+from toucanpin.placement.authority import Authority, Watch
+from toucanpin.placement.cells import Cell
+from toucanpin.placement.leases import Terms
+from toucanpin.placement.policy import Policy, TightestFit
+from toucanpin.placement.queue import rank
+from toucanpin.placement.records import CellRow, Life, StandingRow
+from toucanpin.placement.writing import TableHealth
+from toucanpin.platform.ports import HostRole, ListedHost
+
+__all__ = ["ControlState", "Pace", "View"]
+
+CONTROL_ROLE = "control"
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """Set the times (seconds) and bounds of a control process beside those of its leases."""
+
+    poll: float = 1.0
+    checkpoint: float = 30.0
+    hand_over_after: float = 2.0
+    move_after: float = 5.0
+    reserve_after: float = 60.0
+    quarantine: float = 600.0
+    restart_pause: float = 1.0
+    max_restart_pause: float = 60.0
+    commits_each_turn: int = 8
+    tries_each_turn: int = 256
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Show a turn what the outside hints at; ``now`` is monotonic, ``wall`` of the epoch."""
+
+    now: float
+    hosts: tuple[ListedHost, ...]
+    members: tuple[Member, ...]
+    bundle: Bundle | None
+
+    def workers(self) -> dict[str, ListedHost]:
+        """Return the listed workers by name."""
+        return {it.name: it for it in self.hosts if it.role is HostRole.WORKER}
+
+    def lives(self) -> tuple[Life, ...]:
+        """Return the control processes that membership believes to be there."""
+        return tuple(
+            sorted(
+                Life(it.name, it.incarnation)
+                for it in self.members
+                if it.role == CONTROL_ROLE and it.standing in (Standing.ALIVE, Standing.SUSPECT)
+            )
+        )
+
+
+@dataclass(slots=True)
+class StoredCell:
+    """Hold a cell's row as it was last read."""
+
+    row: CellRow
+    version: int
+
+
+@dataclass(slots=True)
+class ControlState:
+    """Hold one control process's authority, its cells and what it read of the others."""
+
+    life: Life
+    terms: Terms = field(default_factory=Terms)
+    pace: Pace = field(default_factory=Pace)
+    policy: Policy = field(default_factory=TightestFit)
+    cells: dict[str, Cell] = field(default_factory=dict)
+    stored: dict[str, StoredCell] = field(default_factory=dict)
+    standing: dict[str, tuple[StandingRow, int]] = field(default_factory=dict)
+    lost: dict[str, tuple[int, float]] = field(default_factory=dict)
+    scanned_cells: int = 0
+    scanned_standing: int = 0
+    scanned_authority: int = 0
+    sequence: int = 0
+    draining: bool = False
+    authority: Authority = field(init=False)
+    watch: Watch = field(init=False)
+    health: TableHealth = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Build the parts that depend on this life."""
+        self.authority = Authority(self.life, self.terms)
+        self.watch = Watch(self.life, self.terms)
+        self.health = TableHealth(self.pace.commits_each_turn)
+
+    def next_sequence(self) -> int:
+        """Return a number that no earlier call of this life returned."""
+        self.sequence += 1
+        return self.sequence
+
+    def prefers(self, cell: str, lives: tuple[Life, ...]) -> Life:
+        """Return the life that should own a cell among those believed to be there."""
+        names = {it.process: it for it in (*lives, self.life)}
+        return names[max(names, key=lambda name: rank(cell, name))]
+
+    def ceded(self, now: float) -> dict[str, int]:
+        """Return the cells that are lost and on which no own lease can be live."""
+        return {cell: epoch for cell, (epoch, ends) in self.lost.items() if now >= ends}
--- /dev/null
+++ b/toucanpin/placement/submission.py
@@ -0,0 +1,352 @@
+"""
+Submission of jobs
+==================
+
+Accept, show, list and cancel jobs.  Accepting is one transaction, so a job that was accepted is
+durable; the id follows from the idempotency key, so a repeated submission finds the first.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+from expression import Error, Ok, Result
+
+from toucanpin.bundles.schema import Bundle
+from toucanpin.placement.actions import Commit, Decision, Read, Scan
+from toucanpin.placement.queue import CellShape, Quotas, choose_cell
+from toucanpin.placement.records import (
+    JOB_PREFIX,
+    CancelRow,
+    CellRow,
+    JobRow,
+    JobState,
+    QueueRow,
+    TaskRecord,
+    cancel_key,
+    cell_key,
+    decode,
+    encode,
+    job_key,
+    payload_key,
+    queue_key,
+)
+from toucanpin.platform.ports import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Row,
+    Size,
+    Transaction,
+    Unavailable,
+    Write,
+)
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = [
+    "JobFilter",
+    "JobStatus",
+    "Submission",
+    "cancel_job",
+    "list_jobs",
+    "name_job",
+    "read_status",
+    "submit_job",
+]
+
+RETRY_AFTER = 2.0
+MAX_TRIES = 3
+MAX_KEY = 256
+MAX_PRIORITY = 9
+
+
+class Submission(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Describe a job as it is submitted; ``memory`` is in MiB, ``payload`` goes to the worker."""
+
+    kind: str
+    team: str
+    processors: int
+    memory: int
+    accelerators: int = 0
+    priority: int = 0
+    urgent: bool = False
+    payload: str = ""
+
+    def size(self) -> Size:
+        """Return the declared size."""
+        return Size(self.processors, self.memory, self.accelerators)
+
+
+class JobStatus(msgspec.Struct, frozen=True):
+    """Show a job: ``state`` is queued or running while it is accepted."""
+
+    job: str
+    state: str
+    kind: str
+    team: str
+    attempt: int
+    evictions: int = 0
+    failures: int = 0
+    host: str = ""
+    result: str = ""
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class JobFilter:
+    """Choose jobs to list; empty texts match all."""
+
+    team: str = ""
+    kind: str = ""
+    state: str = ""
+    limit: int = 1000
+
+    def matches(self, status: JobStatus) -> bool:
+        """Tell whether a job is to be listed."""
+        wanted = ((self.team, status.team), (self.kind, status.kind), (self.state, status.state))
+        return all(not want or want == found for want, found in wanted)
+
+
+def name_job(team: str, key: str) -> str:
+    """Return the id of a team's job with an idempotency key."""
+    return hashlib.blake2b(f"{team}\0{key}".encode(), digest_size=12).hexdigest()
+
+
+def refuse(reason: Reason, detail: str, retry_after: float | None = None) -> Refusal:
+    """Return a refusal of a request that certainly changed nothing."""
+    return Refusal(Verdict.NOT_RUN, reason, detail, retry_after)
+
+
+def check_submission(
+    request: Submission, key: str, shapes: Sequence[CellShape], bundle: Bundle | None
+) -> Refusal | None:
+    """Return why a job can't be accepted, or can never run, None if it may."""
+    if bundle is None or not shapes:
+        detail = "the bundle in force or the host list isn't known yet"
+        return refuse(Reason.NOT_READY, detail, RETRY_AFTER)
+    size = request.size()
+    if not key or len(key) > MAX_KEY:
+        return refuse(Reason.BAD_REQUEST, f"the idempotency key must have 1 to {MAX_KEY} letters")
+    if request.processors < 1 or request.memory < 1 or request.accelerators < 0:
+        return refuse(Reason.BAD_REQUEST, "processors and memory must be at least 1")
+    if not 0 <= request.priority <= MAX_PRIORITY:
+        return refuse(Reason.BAD_REQUEST, f"priority must be between 0 and {MAX_PRIORITY}")
+    if len(request.payload.encode()) > bundle.limits.max_job_payload:
+        detail = f"the payload is larger than {bundle.limits.max_job_payload} bytes"
+        return refuse(Reason.TOO_LARGE, detail)
+    if bundle.teams and all(it.name != request.team for it in bundle.teams):
+        return refuse(Reason.FORBIDDEN, f"the bundle names no team {request.team!r}")
+    if not Quotas(bundle.teams, {}).allows(request.team, size):
+        return refuse(Reason.NEVER_FITS, f"larger than the whole quota of {request.team}")
+    if not any(shape.can_hold(size) for shape in shapes):
+        return refuse(Reason.NEVER_FITS, explain_never(size, shapes))
+    return None
+
+
+def explain_never(size: Size, shapes: Sequence[CellShape]) -> str:
+    """Return which part of a size no worker has, or that none has all parts together."""
+    workers = [it for shape in shapes for it in shape.sizes]
+    for part in ("processors", "memory", "accelerators"):
+        most = max(getattr(it, part) for it in workers)
+        if getattr(size, part) > most:
+            return f"needs {getattr(size, part)} {part}, the largest worker has {most}"
+    return "no worker has its processors, memory and accelerators together"
+
+
+def submit_job(
+    request: Submission,
+    key: str,
+    shapes: Sequence[CellShape],
+    bundle: Bundle | None,
+    submitted: float,
+) -> Decision[Result[JobStatus, Refusal]]:
+    """
+    Accept a job durably, once for each key; ``submitted`` is wall time in seconds.
+
+    A lost answer is settled by the same conditional insert: if the first took effect, the second
+    conflicts and shows the job.
+    """
+    refusal = check_submission(request, key, shapes, bundle)
+    if refusal is not None:
+        return Error(refusal)
+    job = name_job(request.team, key)
+    record = _make_record(request, job, submitted)
+    cell = choose_cell(job, record.size, shapes)
+    assert cell is not None
+    transaction = Transaction(f"submit/{job}", _make_inserts(request, record, cell))
+    certain = True
+    for _ in range(MAX_TRIES):
+        answer = yield Commit(transaction)
+        match answer.value:
+            case Result(tag="ok", ok=Committed()):
+                return Ok(_show(JobRow(job, JobState.ACCEPTED, record, cell), None))
+            case Result(tag="error", error=Conflict(rows)):
+                return _settle(job, record, rows)
+            case Result(tag="error", error=Unavailable(detail)):
+                if certain:
+                    return Error(refuse(Reason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
+            case _:
+                certain = False
+    return Error(
+        Refusal(
+            Verdict.MAY_HAVE_RUN,
+            Reason.STORE_UNCERTAIN,
+            "the job may have been accepted: repeat with the same Idempotency-Key",
+            RETRY_AFTER,
+        )
+    )
+
+
+def _make_record(request: Submission, job: str, submitted: float) -> TaskRecord:
+    digest = hashlib.blake2b(msgspec.json.encode(request), digest_size=8).hexdigest()
+    return TaskRecord(
+        job,
+        request.kind,
+        request.team,
+        request.size(),
+        urgent=request.urgent,
+        priority=request.priority,
+        digest=digest,
+        submitted=submitted,
+        has_payload=bool(request.payload),
+    )
+
+
+def _make_inserts(request: Submission, record: TaskRecord, cell: str) -> tuple[Write, ...]:
+    """Return the inserts of a job; its payload stands alone, so that no later write carries it."""
+    job = JobRow(record.task, JobState.ACCEPTED, record, cell)
+    payload = request.payload.encode()
+    writes: tuple[Write, ...] = (
+        Write(job_key(record.task), ABSENT, encode(job)),
+        Write(queue_key(cell, record.task), ABSENT, encode(QueueRow(record, payload))),
+    )
+    if payload:
+        writes += (Write(payload_key(record.task), ABSENT, payload),)
+    return writes
+
+
+def _settle(job: str, record: TaskRecord, rows: Sequence[Row]) -> Result[JobStatus, Refusal]:
+    """Return the job that stands under the key already, if it is the same."""
+    for row in rows:
+        if row.key != job_key(job) or row.version == ABSENT:
+            continue
+        found = decode(row.value, JobRow)
+        if found.record.digest == record.digest:
+            return Ok(_show(found, None))
+        detail = f"the key belongs to job {job}, which differs"
+        return Error(refuse(Reason.CONFLICT, detail))
+    return Error(refuse(Reason.INTERNAL, f"rows of job {job} stand without it", RETRY_AFTER))
+
+
+def _show(job: JobRow, cell: CellRow | None) -> JobStatus:
+    record = job.record
+    state = job.state.value
+    if job.state is JobState.ACCEPTED:
+        committed = cell.tasks.get(job.job) if cell else None
+        record = committed or record
+        state = "running" if committed else "queued"
+    return JobStatus(
+        job.job,
+        state,
+        record.kind,
+        record.team,
+        record.attempt,
+        record.evictions,
+        record.failures,
+        record.worker,
+        job.result,
+        job.reason,
+    )
+
+
+def read_job(job: str) -> Decision[Result[tuple[JobRow, int], Refusal]]:
+    """Read a job's row and its version."""
+    answer = yield Read(job_key(job))
+    match answer.value:
+        case Result(tag="ok", ok=Row() as row):
+            return Ok((decode(row.value, JobRow), row.version))
+        case Result(tag="ok"):
+            return Error(refuse(Reason.NOT_FOUND, f"there is no job {job}"))
+        case _:
+            detail = answer.value.error.detail
+            return Error(refuse(Reason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
+
+
+def read_status(job: str) -> Decision[Result[JobStatus, Refusal]]:
+    """Read how far a job has come."""
+    found = yield from read_job(job)
+    if found.is_error():
+        return Error(found.error)
+    row, _ = found.ok
+    if row.state is not JobState.ACCEPTED:
+        return Ok(_show(row, None))
+    answer = yield Read(cell_key(row.cell))
+    match answer.value:
+        case Result(tag="ok", ok=Row() as stored):
+            return Ok(_show(row, decode(stored.value, CellRow)))
+        case _:
+            return Ok(_show(row, None))
+
+
+def list_jobs(wanted: JobFilter) -> Decision[Result[tuple[JobStatus, ...], Refusal]]:
+    """List the jobs that match a filter, newest last."""
+    cells: dict[str, CellRow] = {}
+    answer = yield Scan("cell/")
+    if answer.value.is_ok():
+        for row in answer.value.ok:
+            cells[row.key.removeprefix("cell/")] = decode(row.value, CellRow)
+    answer = yield Scan(JOB_PREFIX)
+    if answer.value.is_error():
+        detail = answer.value.error.detail
+        return Error(refuse(Reason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
+    jobs = sorted((decode(it.value, JobRow) for it in answer.value.ok), key=_submitted)
+    shown = (_show(job, cells.get(job.cell)) for job in jobs)
+    return Ok(tuple([it for it in shown if wanted.matches(it)][-wanted.limit :]))
+
+
+def _submitted(job: JobRow) -> float:
+    return job.record.submitted
+
+
+def cancel_job(job: str) -> Decision[Result[JobStatus, Refusal]]:
+    """
+    Cancel a job, or show the end that came first.
+
+    The job's row decides: a finish and a cancel both change it from the same version, so one of
+    them conflicts and tells its caller the other's outcome.
+    """
+    uncertain = False
+    for _ in range(MAX_TRIES):
+        found = yield from read_job(job)
+        if found.is_error():
+            return Error(_may_have_cancelled() if uncertain else found.error)
+        row, version = found.ok
+        if row.state is not JobState.ACCEPTED:
+            return Ok(_show(row, None))
+        cancelled = msgspec.structs.replace(row, state=JobState.CANCELLED, reason="cancelled")
+        writes = (
+            Write(job_key(job), version, encode(cancelled)),
+            Write(cancel_key(row.cell, job), ABSENT, encode(CancelRow(job))),
+        )
+        answer = yield Commit(Transaction(f"cancel/{job}/{version}", writes))
+        match answer.value:
+            case Result(tag="ok", ok=Committed()):
+                return Ok(_show(cancelled, None))
+            case Result(tag="error", error=Unavailable(detail)):
+                if not uncertain:
+                    return Error(refuse(Reason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
+            case Result(tag="error", error=Conflict()):
+                continue
+            case _:
+                uncertain = True
+    if uncertain:
+        return Error(_may_have_cancelled())
+    return Error(refuse(Reason.CONFLICT, "the job moves between cells: repeat", RETRY_AFTER))
+
+
+def _may_have_cancelled() -> Refusal:
+    detail = "the job may have been cancelled: read its status"
+    return Refusal(Verdict.MAY_HAVE_RUN, Reason.STORE_UNCERTAIN, detail, RETRY_AFTER)
--- /dev/null
+++ b/toucanpin/placement/tests/test_path.py
@@ -0,0 +1,41 @@
+"""Tests of the plain path of jobs and standing tasks."""
+
+import unittest
+
+from toucanpin.placement.records import JobState
+from toucanpin.placement.tests.world import World
+from toucanpin.verdict import Reason, Verdict
+
+
+class PathTest(unittest.TestCase):
+    """Follow jobs and standing tasks with nothing failing."""
+
+    def test_job_runs_to_its_result(self):
+        """A submitted job is placed, started, finished, and its row points at the result."""
+        world = World()
+        status = world.submit("a").ok
+        world.run(4)
+        job = world.jobs()[status.job]
+        self.assertEqual(job.state, JobState.FINISHED)
+        self.assertIsNotNone(world.objects.get(job.result))
+
+    def test_standing_task_is_started_and_removed(self):
+        """A standing task runs while the bundle names it, and no longer."""
+        world = World()
+        world.set_standing(2, "enc")
+        world.run(4)
+        self.assertEqual(len(world.running("enc")), 1)
+        world.set_standing(3)
+        world.run(2)
+        self.assertEqual(world.running("enc"), [])
+        self.assertEqual(world.cells()["s.r0"].tasks, {})
+
+    def test_job_that_never_fits_is_told_at_once(self):
+        """The refusal says which part no worker has."""
+        refusal = World().submit("big", processors=64).error
+        self.assertEqual((refusal.verdict, refusal.reason), (Verdict.NOT_RUN, Reason.NEVER_FITS))
+        self.assertIn("64 processors", refusal.detail)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/toucanpin/placement/tests/world.py
@@ -0,0 +1,333 @@
+"""
+World of the placement tests
+============================
+
+Several control processes over the stand-ins' cores on one virtual clock.  A process makes one step
+from one ``yield`` to the next, so a test may do anything to it between any two actions.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from expression import Error, Ok
+
+from standins.faults import Effect, FaultPlan, Rule
+from standins.memory import Line, MemoryObjects, MemoryTable, MemoryWorkers
+from standins.objects import ObjectsCore
+from standins.table import TableCore
+from standins.work import Work
+from standins.worker import WorkerCore
+from toucanpin.bundles.schema import Bundle, StandingTask
+from toucanpin.membership.member import Member
+from toucanpin.placement.actions import (
+    Answer,
+    AskStandstill,
+    Commit,
+    Note,
+    PollAll,
+    Read,
+    Scan,
+)
+from toucanpin.placement.controller import release_all, take_turn
+from toucanpin.placement.ledger import fits, used_by_worker
+from toucanpin.placement.leases import Terms
+from toucanpin.placement.queue import shape_cells
+from toucanpin.placement.records import CellRow, JobRow, JobState, Life, decode
+from toucanpin.placement.state import ControlState, Pace, View
+from toucanpin.placement.submission import Submission, cancel_job, submit_job
+from toucanpin.platform.ports import HostRole, ListedHost, Size, WorkerFault
+
+WORKER_SIZE = Size(8, 8_000, 1)
+TERMS = Terms()
+PACE = Pace(poll=0.5, checkpoint=5.0, quarantine=30.0)
+TURN = 0.25
+NOTICE = 1.0
+
+
+def describe_work(units: int, fail: str = "never") -> str:
+    """Return the payload of a task that works for so many milliseconds."""
+    return msgspec.json.encode(Work(work=units, input="x", fail=fail)).decode()
+
+
+class Process:
+    """Run the turns of one control process, one action at a time."""
+
+    def __init__(self, world: World, life: Life) -> None:
+        self.world = world
+        self.life = life
+        self.state = ControlState(life, TERMS, PACE)
+        self.turn = None
+        self.action = None
+        self.next_turn = 0.0
+        self.killed_at = None
+        self.paused = False
+        self.cut_table = False
+        self.cut_peers: set[str] = set()
+
+    def step(self) -> None:
+        """Carry out one action, or begin the next turn."""
+        if self.killed_at is not None or self.paused:
+            return
+        if self.turn is None:
+            if self.world.now < self.next_turn:
+                return
+            self.next_turn = self.world.now + TURN
+            self.turn = take_turn(self.state, self.world.view(self))
+            self._send(None)
+            return
+        value = self.world.perform(self, self.action)
+        self._send(Answer(self.world.now, value))
+
+    def _send(self, answer: Answer | None) -> None:
+        try:
+            self.action = next(self.turn) if answer is None else self.turn.send(answer)
+        except StopIteration:
+            self.turn = None
+
+    def finish_turn(self) -> None:
+        """Make all steps of one turn."""
+        self.step()
+        while self.turn is not None and self.killed_at is None and not self.paused:
+            self.step()
+
+    def stop(self) -> None:
+        """Release everything and end."""
+        self.turn = release_all(self.state)
+        self._send(None)
+        while self.turn is not None:
+            self._send(Answer(self.world.now, self.world.perform(self, self.action)))
+        self.killed_at = self.world.now
+
+
+class World:
+    """Hold the clock, the platform's cores and the control processes."""
+
+    def __init__(self, racks: int = 1, workers: int = 2, processes: int = 1) -> None:
+        self.now = 100.0
+        self.table = TableCore()
+        self.plan = FaultPlan()
+        self.line = Line(lambda: self.now, self.plan)
+        self.objects = ObjectsCore()
+        self.bundle = Bundle("test", 1)
+        self.cores: dict[str, WorkerCore] = {}
+        self.hosts: list[ListedHost] = []
+        self.dead_workers: dict[str, float] = {}
+        self.paused_workers: set[str] = set()
+        self.events: list[tuple[str, Note]] = []
+        self.ended: dict[str, JobRow] = {}
+        self.processes: dict[str, Process] = {}
+        store = MemoryObjects(self.objects, self.line, "worker")
+        self.workers = MemoryWorkers(self.cores, store, self.line, "control")
+        for rack in range(racks):
+            for number in range(workers):
+                self.add_worker(f"w{rack}{number}", f"r{rack}")
+        for number in range(processes):
+            self.add_process(f"e{number}/control", 1)
+
+    def add_worker(self, name: str, rack: str, size: Size = WORKER_SIZE) -> None:
+        """Add a worker host and list it."""
+        self.cores[name] = WorkerCore(name, "1", size)
+        host = ListedHost(name, HostRole.WORKER, "s", rack, "127.0.0.1", 1, size=size)
+        self.hosts.append(host)
+
+    def add_process(self, name: str, incarnation: int) -> Process:
+        """Start a control process; a second life takes the place of the first."""
+        process = self.processes[name] = Process(self, Life(name, incarnation))
+        return process
+
+    def view(self, asker: Process) -> View:
+        """Return what a process believes; the death of another is noticed after a while."""
+        members = tuple(
+            Member(name, name, "s", "control", it.life.incarnation, "127.0.0.1", 1)
+            for name, it in self.processes.items()
+            if it.killed_at is None or self.now - it.killed_at < NOTICE
+        )
+        return View(self.now, tuple(self.hosts), members, self.bundle)
+
+    def perform(self, process: Process, action):
+        """Carry out one action with the ports of a process."""
+        client = process.life.process
+        table = MemoryTable(self.table, self.line, client)
+        match action:
+            case Commit(transaction):
+                return table.commit(transaction)
+            case Read(key):
+                return table.read(key)
+            case Scan(prefix, after):
+                return table.scan(prefix, after)
+            case PollAll(polls):
+                return [self.poll(client, it) for it in polls]
+            case AskStandstill(holder, peers):
+                return frozenset(it for it in peers if self._ask(process, holder, it))
+            case Note():
+                self.events.append((client, action))
+                return None
+
+    def poll(self, client: str, asked):
+        """Poll one worker, unless it is cut off from this process."""
+        if any(
+            rule.client == f"{client}>{asked.host.name}" and rule.operation == "cut"
+            for rule in self.plan.rules
+        ):
+            return Error(WorkerFault("cut off", False))
+        return self.workers.poll(asked.host, asked.poll)
+
+    def _ask(self, process: Process, holder: Life, peer: Life) -> bool:
+        other = self.processes.get(peer.process)
+        if other is None or other.life != peer or other.killed_at is not None or other.paused:
+            return False
+        if peer.process in process.cut_peers or process.life.process in other.cut_peers:
+            return False
+        return other.state.watch.answer_standstill(holder, self.now)
+
+    def run(self, seconds: float, check: bool = True) -> None:
+        """Let time pass in small steps; every process makes whole turns."""
+        until = self.now + seconds
+        while self.now < until:
+            self.pass_time(TURN / 2)
+            for process in list(self.processes.values()):
+                process.finish_turn()
+            if check:
+                self.check()
+
+    def pass_time(self, seconds: float) -> None:
+        """Advance the clock and the workers."""
+        self.now += seconds
+        self.workers.advance()
+
+    def fault(self, effect: Effect, operation: str = "*", client: str = "*", times: int = -1):
+        """Put a fault in force."""
+        self.plan.rules = (*self.plan.rules, Rule(effect, client, operation, times))
+
+    def cut(self, client: str, worker: str) -> None:
+        """Cut a control process off from a worker."""
+        rule = Rule(Effect.DOWN, f"{client}>{worker}", "cut")
+        self.plan.rules = (*self.plan.rules, rule)
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.plan.rules = ()
+
+    def submit(self, key: str, processors: int = 1, work: int = 1000, **fields):
+        """Submit a job and return its status or refusal."""
+        fail = fields.pop("fail", "never")
+        memory = fields.pop("memory", 100)
+        team = fields.pop("team", "t")
+        request = Submission(
+            "k", team, processors, memory, payload=describe_work(work, fail), **fields
+        )
+        shapes = shape_cells(self.hosts)
+        return self.drive(submit_job(request, key, shapes, self.bundle, self.now))
+
+    def cancel(self, job: str):
+        """Cancel a job."""
+        return self.drive(cancel_job(job))
+
+    def drive(self, decision):
+        """Run a decision of the request role to its end."""
+        table = MemoryTable(self.table, self.line, "front")
+        answer = None
+        while True:
+            try:
+                action = next(decision) if answer is None else decision.send(answer)
+            except StopIteration as stop:
+                return stop.value
+            match action:
+                case Commit(transaction):
+                    value = table.commit(transaction)
+                case Read(key):
+                    value = table.read(key)
+                case Scan(prefix, after):
+                    value = table.scan(prefix, after)
+            answer = Answer(self.now, value)
+
+    def set_standing(self, version: int, *names: str, processors: int = 1) -> None:
+        """Put a bundle with these standing tasks in force."""
+        tasks = tuple(
+            StandingTask(it, "t", "encoder", processors, 100, payload=describe_work(0))
+            for it in names
+        )
+        self.bundle = Bundle("test", version, standing=tasks)
+
+    def kill_worker(self, name: str) -> None:
+        """Lose a worker and everything on it."""
+        self.dead_workers[name] = self.now
+        self.workers.lost.add(name)
+
+    def replace_worker(self, name: str) -> None:
+        """Start a new life of a worker that was lost."""
+        old = self.cores[name]
+        self.retired = [*getattr(self, "retired", []), (old, self.dead_workers.pop(name, self.now))]
+        self.cores[name] = WorkerCore(name, old.incarnation + "x", old.size)
+        self.workers.lost.discard(name)
+
+    def pause_worker(self, name: str) -> None:
+        """Let a worker make no step."""
+        self.workers.pause(name)
+        self.paused_workers.add(name)
+
+    def resume_worker(self, name: str) -> None:
+        """Wake a worker; its guard comes before anything else that it does."""
+        self.paused_workers.discard(name)
+        self.workers.resume(name)
+
+    def intervals(self) -> dict[str, list[tuple[float, float, str, int]]]:
+        """Return when each task ran where, from the workers' own logs."""
+        found: dict[str, list[tuple[float, float, str, int]]] = {}
+        cores = [(core, self.dead_workers.get(name)) for name, core in self.cores.items()]
+        for core, died in [*cores, *getattr(self, "retired", [])]:
+            last = int((self.now if died is None else died) * 1000)
+            for it in core.log:
+                # A core that makes no step any more runs nothing after its lease.
+                end = min(last, core._lease_until) if it.stopped_at is None else it.stopped_at
+                found.setdefault(it.task, []).append((it.started_at, end, core.name, it.attempt))
+        return found
+
+    def running(self, task: str) -> list[str]:
+        """Return the workers on which a task runs now."""
+        now = int(self.now * 1000)
+        return [w for start, end, w, _ in self.intervals().get(task, []) if start <= now <= end]
+
+    def jobs(self) -> dict[str, JobRow]:
+        """Return the jobs' rows."""
+        rows = self.table.scan("job/")
+        return {it.key.removeprefix("job/"): decode(it.value, JobRow) for it in rows}
+
+    def cells(self) -> dict[str, CellRow]:
+        """Return the cells' rows."""
+        rows = self.table.scan("cell/")
+        return {it.key.removeprefix("cell/"): decode(it.value, CellRow) for it in rows}
+
+    def check(self) -> None:
+        """Raise AssertionError if anything that must always hold doesn't."""
+        for task, runs in self.intervals().items():
+            runs.sort()
+            for (_, end, here, one), (start, _, there, two) in zip(runs, runs[1:], strict=False):
+                assert start >= end, f"{task}/{one} on {here} and {two} on {there} at {start}"
+        places: dict[str, str] = {}
+        for name, cell in self.cells().items():
+            for worker, used in used_by_worker(cell.tasks.values()).items():
+                assert fits(used, cell.workers[worker].size), f"{worker} holds {used}"
+            for task in cell.tasks:
+                assert task not in places, f"{task} in {name} and {places[task]}"
+                places[task] = name
+        for row in self.table.scan("queue/"):
+            kind, _, task = row.key.removeprefix("queue/").partition("/")[2].partition("/")
+            if kind == "task":
+                assert task not in places, f"{task} waits at {row.key} and is in {places[task]}"
+                places[task] = row.key
+        for name, job in self.jobs().items():
+            if name in self.ended:
+                assert self.ended[name] == job, f"{name} ended twice"
+            elif job.state is not JobState.ACCEPTED:
+                self.ended[name] = job
+            else:
+                assert name in places, f"{name} is accepted and nowhere"
+
+    def count_ended(self) -> int:
+        """Return the number of jobs that ended."""
+        self.check()
+        return len(self.ended)
+
+
+__all__ = ["Effect", "Error", "Ok", "Process", "World", "describe_work"]
--- /dev/null
+++ b/toucanpin/placement/writing.py
@@ -0,0 +1,224 @@
+"""
+Writing a cell
+==============
+
+Commit changes of a cell's tasks in as few transactions as their rows allow, and learn from
+conflicts and lost answers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+
+import msgspec
+from expression import Result
+
+from toucanpin.placement import ledger
+from toucanpin.placement.actions import Commit, Decision, Note
+from toucanpin.placement.cells import Cell, StopReason
+from toucanpin.placement.lifecycle import Change
+from toucanpin.placement.records import (
+    CellRow,
+    JobRow,
+    JobState,
+    Life,
+    QueueRow,
+    WorkerRow,
+    decode,
+    encode,
+    job_key,
+    queue_key,
+)
+from toucanpin.platform.ports import (
+    ABSENT,
+    MAX_TRANSACTION_ROWS,
+    Committed,
+    Conflict,
+    Row,
+    Transaction,
+    Unavailable,
+    Unknown,
+    Write,
+)
+
+__all__ = ["TableHealth", "split_changes", "write_cell"]
+
+ROWS_BESIDE_CELL = MAX_TRANSACTION_ROWS - 1
+MIN_RETRY_PAUSE = 0.125
+MAX_RETRY_PAUSE = 1.0
+FAILURES_OF_OUTAGE = 2
+
+
+class TableHealth:
+    """
+    Remember whether the table answers, and count commits against a budget for each turn.
+
+    Without the budget everything that waited out an outage would be written at once.
+    """
+
+    def __init__(self, budget: int) -> None:
+        """Start with a table that is believed to answer."""
+        self.down = False
+        self.well_since = 0.0
+        self.commits = 0
+        self.budget = budget
+        self._left = budget
+        self._failures = 0
+        self._retry_at = 0.0
+        self._now = 0.0
+
+    def begin_turn(self, now: float) -> None:
+        """Allow a new turn's commits, and another try of a table that gave no answer."""
+        self._now = now
+        self._left = self.budget
+        if self.down and now >= self._retry_at:
+            self.down = False
+
+    def may_commit(self) -> bool:
+        """Tell whether this turn may commit once more."""
+        return not self.down and self._left > 0
+
+    def count(self) -> None:
+        """Count one commit."""
+        self.commits += 1
+        self._left -= 1
+
+    def fail(self) -> None:
+        """Note that the table gave no answer; the pauses between tries grow to a second."""
+        self.down = True
+        self._failures += 1
+        pause = min(MAX_RETRY_PAUSE, MIN_RETRY_PAUSE * 2 ** min(self._failures, 8))
+        self._retry_at = self._now + pause
+
+    def succeed(self, now: float) -> None:
+        """Note that the table answered."""
+        if self._failures >= FAILURES_OF_OUTAGE:
+            self.well_since = now
+        self._failures = 0
+
+
+def split_changes(changes: Sequence[Change]) -> Iterator[list[Change]]:
+    """Yield the changes in groups that fit one transaction beside the cell's row."""
+    group: list[Change] = []
+    rows = 0
+    for change in changes:
+        if group and rows + len(change.writes) > ROWS_BESIDE_CELL:
+            yield group
+            group, rows = [], 0
+        group.append(change)
+        rows += len(change.writes)
+    if group:
+        yield group
+
+
+def write_cell(
+    cell: Cell,
+    health: TableHealth,
+    changes: Sequence[Change] = (),
+    workers: Mapping[str, WorkerRow] | None = None,
+    epoch: int | None = None,
+    unproven: tuple[tuple[Life, int], ...] | None = None,
+) -> Decision[bool]:
+    """Commit all changes of one group with the cell's row; tell whether that surely happened."""
+    if cell.stale or not health.may_commit():
+        return False
+    after = _apply(cell.row, changes, workers, epoch, unproven)
+    ledger.check(cell.row, after)
+    writes = [Write(cell.key, cell.version, encode(after))]
+    for change in changes:
+        writes.extend(change.writes)
+    token = f"{cell.name}/{after.epoch}/{cell.version}"
+    health.count()
+    answer = yield Commit(Transaction(token, tuple(writes)))
+    match answer.value:
+        case Result(tag="ok", ok=Committed(version)):
+            cell.row = after
+            cell.version = version
+            for change in changes:
+                _follow(cell, change, version, answer.now)
+                yield _note(cell, change)
+            return True
+        case Result(tag="error", error=Conflict(rows)):
+            _learn(cell, rows, answer.now)
+        case Result(tag="error", error=Unavailable()):
+            health.fail()
+        case Result(tag="error", error=Unknown()):
+            # The write may have taken effect or may still do so: nothing is decided on the old
+            # row before it was read back, and a late effect makes our next write conflict.
+            cell.stale = True
+            health.fail()
+    return False
+
+
+def _apply(
+    row: CellRow,
+    changes: Sequence[Change],
+    workers: Mapping[str, WorkerRow] | None,
+    epoch: int | None,
+    unproven: tuple[tuple[Life, int], ...] | None,
+) -> CellRow:
+    tasks = dict(row.tasks)
+    for change in changes:
+        if change.record is None:
+            tasks.pop(change.task, None)
+        else:
+            tasks[change.task] = change.record
+    return msgspec.structs.replace(
+        row,
+        tasks=tasks,
+        workers=row.workers if workers is None else {**row.workers, **workers},
+        epoch=row.epoch if epoch is None else epoch,
+        unproven=row.unproven if unproven is None else unproven,
+    )
+
+
+def _follow(cell: Cell, change: Change, version: int, now: float) -> None:
+    """Bring what is held in memory in line with a committed change."""
+    if change.queued is not None:
+        cell.queue.put(change.queued, version, now)
+    else:
+        cell.queue.drop(change.task)
+    if change.record is None:
+        cell.stopping.pop(change.task, None)
+        cell.closed.discard(change.task)
+        if change.queued is None:
+            cell.payloads.pop(change.task, None)
+            cell.not_before.pop(change.task, None)
+            cell.cancels.pop(change.task, None)
+
+
+def _note(cell: Cell, change: Change) -> Note:
+    ids = {"cell": cell.name, "task": change.task}
+    if change.record is not None and change.record.worker:
+        ids["host"] = change.record.worker
+    standing = change.kind.startswith("standing.")
+    if not standing:
+        ids["job"] = change.task
+    return Note(change.kind, ids, change.detail)
+
+
+def _learn(cell: Cell, rows: Sequence[Row], now: float) -> None:
+    """Take in the rows that were not as expected."""
+    for row in rows:
+        if row.key == cell.key:
+            cell.stale = True
+            continue
+        kind, _, rest = row.key.partition("/")
+        task = rest.rpartition("/")[2]
+        if kind == "queue" and row.key == queue_key(cell.name, task):
+            cell.queue.drop(task)
+            if row.version != ABSENT:
+                cell.queue.put(decode(row.value, QueueRow).record, row.version, now)
+        elif kind == "job" and row.key == job_key(task):
+            _learn_job(cell, task, row)
+        elif kind == "queue":
+            cell.cancels.pop(task, None)
+
+
+def _learn_job(cell: Cell, task: str, row: Row) -> None:
+    """Let go of a task whose job another writer has already brought to its one outcome."""
+    state = JobState.CANCELLED if row.version == ABSENT else decode(row.value, JobRow).state
+    if state is not JobState.ACCEPTED:
+        cell.closed.add(task)
+        if task in cell.row.tasks:
+            cell.ask_stop(task, StopReason.CANCEL)
