--- /dev/null
+++ b/toucanpin/daemon/control.py
@@ -0,0 +1,167 @@
+"""
+Control role
+============
+
+Drive the turns of a control process with real ports: one thread for the decisions, a pool for the
+polls of workers, one thread that refreshes the host list.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from expression import Result
+from logbook import Logger
+
+from toucanpin.daemon.driving import perform_on_table
+from toucanpin.daemon.parts import BundleView, EventSink, MembershipView
+from toucanpin.placement.actions import (
+    Action,
+    Answer,
+    AskStandstill,
+    Decision,
+    Note,
+    PollAll,
+    WorkerPoll,
+)
+from toucanpin.placement.controller import release_all, take_turn
+from toucanpin.placement.leases import Terms
+from toucanpin.placement.policy import Policy, TightestFit
+from toucanpin.placement.records import Life
+from toucanpin.placement.state import ControlState, Pace, View
+from toucanpin.platform.ports import HostList, ListedHost, Report, Table, WorkerFault, Workers
+
+__all__ = ["AskPeers", "Control"]
+
+TURN = 0.25
+HOSTS_PERIOD = 1.0
+POLL_THREADS = 16
+STOP_STEP = 0.05
+
+AskPeers = Callable[[Life, tuple[Life, ...]], frozenset[Life]]
+
+log = Logger("toucanpin.control")
+
+
+class Control:
+    """
+    Run one control process as a part of the daemon.
+
+    ``ask_peers`` asks lives for a standstill promise over the inner protocol, whose handler calls
+    `answer_standstill` at the other end.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        incarnation: int,
+        table: Table,
+        workers: Workers,
+        hosts: HostList,
+        members: MembershipView,
+        bundle: BundleView,
+        events: EventSink,
+        ask_peers: AskPeers,
+        terms: Terms | None = None,
+        pace: Pace | None = None,
+        policy: Policy | None = None,
+        turn: float = TURN,
+    ) -> None:
+        """Connect the ports; nothing is asked before `start`."""
+        life = Life(process, incarnation)
+        self.state = ControlState(life, terms or Terms(), pace or Pace(), policy or TightestFit())
+        self._table = table
+        self._workers = workers
+        self._hosts = hosts
+        self._members = members
+        self._bundle = bundle
+        self._events = events
+        self._ask_peers = ask_peers
+        self._turn = turn
+        self._listed: tuple[ListedHost, ...] = ()
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._cut = threading.Event()
+        self._pool = ThreadPoolExecutor(POLL_THREADS, "poll")
+        self._threads = (
+            threading.Thread(target=self._run_turns, name="turns", daemon=True),
+            threading.Thread(target=self._refresh_hosts, name="hosts", daemon=True),
+        )
+
+    def start(self) -> None:
+        """Start the threads."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self, grace: float) -> None:
+        """Release the cells and the authority, so that others take over at once."""
+        self._stopping.set()
+        deadline = time.monotonic() + grace
+        for thread in self._threads:
+            thread.join(max(STOP_STEP, deadline - time.monotonic()))
+        self._cut.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def is_ready(self) -> bool:
+        """Tell whether this process has authority and knows the host list."""
+        return bool(self._listed) and self.state.authority.holds(time.monotonic())
+
+    def answer_standstill(self, holder: Life) -> bool:
+        """Promise not to fence a holder for one term, or refuse."""
+        with self._lock:
+            return self.state.watch.answer_standstill(holder, time.monotonic())
+
+    def _run_turns(self) -> None:
+        """Take a turn each period until the part is stopped, then release everything."""
+        while not self._stopping.is_set():
+            began = time.monotonic()
+            try:
+                self._drive(take_turn(self.state, self._view(began)))
+            except Exception:
+                # A fault in one turn must not end the renewals, or every task here would stop.
+                # Rows change only by compare-and-set, so the next turn starts from the truth.
+                log.exception("turn failed")
+                for cell in list(self.state.cells.values()):
+                    cell.stale = True
+            self._stopping.wait(max(0.0, self._turn - (time.monotonic() - began)))
+        self._drive(release_all(self.state))
+
+    def _view(self, now: float) -> View:
+        return View(now, self._listed, self._members.members(), self._bundle.current())
+
+    def _drive(self, decision: Decision[None]) -> None:
+        """Run a decision; a step and a peer's question never overlap."""
+        answer: Answer | None = None
+        while not self._cut.is_set():
+            with self._lock:
+                try:
+                    action = next(decision) if answer is None else decision.send(answer)
+                except StopIteration:
+                    return
+            value = self._perform(action)
+            answer = Answer(time.monotonic(), value)
+
+    def _perform(self, action: Action) -> object:
+        match action:
+            case PollAll(polls):
+                return tuple(self._pool.map(self._poll, polls))
+            case AskStandstill(holder, peers):
+                return self._ask_peers(holder, peers)
+            case Note(kind, ids, detail):
+                return self._events.record(kind, ids, detail)
+            case _:
+                return perform_on_table(self._table, action)
+
+    def _poll(self, asked: WorkerPoll) -> Result[Report, WorkerFault]:
+        return self._workers.poll(asked.host, asked.poll)
+
+    def _refresh_hosts(self) -> None:
+        """Keep the newest host list that could be read."""
+        while not self._stopping.is_set():
+            outcome = self._hosts.hosts()
+            if outcome.is_ok():
+                self._listed = outcome.ok
+            self._stopping.wait(HOSTS_PERIOD)
--- /dev/null
+++ b/toucanpin/daemon/driving.py
@@ -0,0 +1,42 @@
+"""
+Driving of decisions
+====================
+
+Carry out the actions of a placement decision with real ports.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+from toucanpin.placement.actions import Action, Answer, Commit, Decision, Read, Scan
+from toucanpin.platform.ports import Table
+
+__all__ = ["drive", "perform_on_table"]
+
+T = TypeVar("T")
+
+
+def drive(decision: Decision[T], perform: Callable[[Action], object]) -> T:
+    """Run a decision to its end."""
+    try:
+        action = next(decision)
+        while True:
+            action = decision.send(Answer(time.monotonic(), perform(action)))
+    except StopIteration as stop:
+        result: T = stop.value
+        return result
+
+
+def perform_on_table(table: Table, action: Action) -> object:
+    """Carry out an action that concerns the table alone."""
+    match action:
+        case Commit(transaction):
+            return table.commit(transaction)
+        case Read(key):
+            return table.read(key)
+        case Scan(prefix, after):
+            return table.scan(prefix, after)
+    raise TypeError(f"not an action on the table: {action!r}")
--- /dev/null
+++ b/toucanpin/daemon/jobs.py
@@ -0,0 +1,221 @@
+"""
+HTTP interface of jobs
+======================
+
+The WSGI application below ``/v1/jobs`` and ``/v1/standing``, JSON in and out.
+"""
+
+from __future__ import annotations
+
+import math
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+from expression import Result
+
+from toucanpin.daemon.driving import drive, perform_on_table
+from toucanpin.daemon.parts import BundleView
+from toucanpin.placement.actions import Decision
+from toucanpin.placement.queue import shape_cells
+from toucanpin.placement.submission import (
+    JobFilter,
+    JobStatus,
+    Submission,
+    cancel_job,
+    list_jobs,
+    list_standing,
+    read_status,
+    submit_job,
+)
+from toucanpin.platform.ports import ListedHost, Objects, Table
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = ["JobsApp"]
+
+MAX_BODY_BESIDE_PAYLOAD = 16_384
+MAX_LISTED = 10_000
+
+STATUS_OF_REASON = {
+    Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
+    Reason.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.FORBIDDEN: HTTPStatus.FORBIDDEN,
+    Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
+    Reason.CONFLICT: HTTPStatus.CONFLICT,
+    Reason.NEVER_FITS: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.STORE_UNCERTAIN: HTTPStatus.SERVICE_UNAVAILABLE,
+}
+
+
+class RefusalBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Show a refusal in JSON; ``retry_after`` is in seconds."""
+
+    verdict: str
+    reason: str
+    detail: str
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold one HTTP answer."""
+
+    status: HTTPStatus
+    body: bytes
+    kind: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class RefusedError(Exception):
+    """Carry a refusal to the one place that answers with it."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class JobsApp:
+    """Answer for jobs and standing tasks; ``hosts`` gives the newest host list that is known."""
+
+    def __init__(
+        self,
+        table: Table,
+        objects: Objects,
+        hosts: Callable[[], tuple[ListedHost, ...]],
+        bundle: BundleView,
+    ) -> None:
+        """Connect the ports."""
+        self._table = table
+        self._objects = objects
+        self._hosts = hosts
+        self._bundle = bundle
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        try:
+            reply = self._route(environ)
+        except RefusedError as refused:
+            reply = answer_refusal(refused.refusal)
+        headers = [
+            ("Content-Type", reply.kind),
+            ("Content-Length", str(len(reply.body))),
+            *reply.headers,
+        ]
+        start_response(f"{reply.status.value} {reply.status.phrase}", headers)
+        return [reply.body]
+
+    def _route(self, environ: dict[str, Any]) -> Reply:
+        method = environ["REQUEST_METHOD"]
+        parts = [it for it in environ.get("PATH_INFO", "").split("/") if it]
+        match (method, *parts):
+            case ("POST", "v1", "jobs"):
+                return self._submit(environ)
+            case ("GET", "v1", "jobs"):
+                return self._list(environ)
+            case ("GET", "v1", "jobs", job):
+                return show(self._run(read_status(job)))
+            case ("DELETE", "v1", "jobs", job):
+                return self._cancel(job)
+            case ("GET", "v1", "jobs", job, "result"):
+                return self._read_result(job)
+            case ("GET", "v1", "standing"):
+                return show(self._run(list_standing()))
+            case ("GET", "v1", "standing", name):
+                return self._show_standing(name)
+        detail = f"{method} isn't offered here"
+        raise RefusedError(Refusal(Verdict.NOT_RUN, Reason.NOT_FOUND, detail))
+
+    def _run(self, decision: Decision[Result[Any, Refusal]]) -> Any:
+        """Run a decision on the table, and raise its refusal."""
+        outcome = drive(decision, lambda action: perform_on_table(self._table, action))
+        if outcome.is_error():
+            raise RefusedError(outcome.error)
+        return outcome.ok
+
+    def _submit(self, environ: dict[str, Any]) -> Reply:
+        bundle = self._bundle.current()
+        payload = bundle.limits.max_job_payload if bundle else 0
+        body = read_body(environ, 2 * payload + MAX_BODY_BESIDE_PAYLOAD)
+        try:
+            request = msgspec.json.decode(body, type=Submission)
+        except msgspec.MsgspecError as error:
+            refusal = Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, str(error))
+            raise RefusedError(refusal) from error
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "").strip()
+        shapes = shape_cells(self._hosts())
+        status = self._run(submit_job(request, key, shapes, bundle, time.time()))
+        location = (("Location", f"/v1/jobs/{status.job}"),)
+        return Reply(HTTPStatus.ACCEPTED, msgspec.json.encode(status), headers=location)
+
+    def _list(self, environ: dict[str, Any]) -> Reply:
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        texts = {name: query[name][-1] for name in ("team", "kind", "state") if name in query}
+        limit = query.get("limit", ["1000"])[-1]
+        if not limit.isdecimal() or not 1 <= int(limit) <= MAX_LISTED:
+            detail = f"limit must be between 1 and {MAX_LISTED}"
+            raise RefusedError(Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
+        return show(self._run(list_jobs(JobFilter(**texts, limit=int(limit)))))
+
+    def _cancel(self, job: str) -> Reply:
+        """Cancel a job; one that ended first is shown with its end and a conflict."""
+        status: JobStatus = self._run(cancel_job(job))
+        code = HTTPStatus.OK if status.state == "cancelled" else HTTPStatus.CONFLICT
+        return Reply(code, msgspec.json.encode(status))
+
+    def _read_result(self, job: str) -> Reply:
+        """Return the result's bytes, or the state of a job that has none."""
+        status: JobStatus = self._run(read_status(job))
+        if status.state in ("queued", "running"):
+            return Reply(HTTPStatus.ACCEPTED, msgspec.json.encode(status))
+        if not status.result:
+            return Reply(HTTPStatus.GONE, msgspec.json.encode(status))
+        found = self._objects.get(status.result)
+        if found.is_error() or found.ok is None:
+            detail = "the result can't be read now"
+            raise RefusedError(Refusal(Verdict.NOT_RUN, Reason.STORE_UNAVAILABLE, detail, 2.0))
+        return Reply(HTTPStatus.OK, found.ok, "application/octet-stream")
+
+    def _show_standing(self, name: str) -> Reply:
+        for status in self._run(list_standing()):
+            if status.task == name:
+                return show(status)
+        detail = f"no standing task {name!r} is wanted"
+        raise RefusedError(Refusal(Verdict.NOT_RUN, Reason.NOT_FOUND, detail))
+
+
+def show(value: Any) -> Reply:
+    """Answer with a value in JSON."""
+    return Reply(HTTPStatus.OK, msgspec.json.encode(value))
+
+
+def read_body(environ: dict[str, Any], limit: int) -> bytes:
+    """Read a request's body, which must say its length."""
+    length = environ.get("CONTENT_LENGTH") or ""
+    if not length.isdecimal():
+        detail = "Content-Length is needed"
+        raise RefusedError(Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
+    if int(length) > limit:
+        detail = f"the body is larger than {limit} bytes"
+        raise RefusedError(Refusal(Verdict.NOT_RUN, Reason.TOO_LARGE, detail))
+    body: bytes = environ["wsgi.input"].read(int(length))
+    return body
+
+
+def answer_refusal(refusal: Refusal) -> Reply:
+    """Answer with a refusal, its verdict and when to come back."""
+    body = RefusalBody(
+        refusal.verdict.value, refusal.reason.value, refusal.detail, refusal.retry_after
+    )
+    headers: list[tuple[str, str]] = [("Toucanpin-Verdict", refusal.verdict.value)]
+    if refusal.retry_after is not None:
+        headers.append(("Retry-After", str(math.ceil(refusal.retry_after))))
+    status = STATUS_OF_REASON.get(refusal.reason, HTTPStatus.INTERNAL_SERVER_ERROR)
+    return Reply(status, msgspec.json.encode(body), headers=tuple(headers))
--- a/toucanpin/placement/submission.py
+++ b/toucanpin/placement/submission.py
@@ -19,12 +19,15 @@
 from toucanpin.placement.actions import Commit, Decision, Read, Scan
 from toucanpin.placement.queue import CellShape, Quotas, choose_cell
 from toucanpin.placement.records import (
+    CELL_PREFIX,
     JOB_PREFIX,
+    STANDING_PREFIX,
     CancelRow,
     CellRow,
     JobRow,
     JobState,
     QueueRow,
+    StandingRow,
     TaskRecord,
     cancel_key,
     cell_key,
@@ -49,9 +52,11 @@
 __all__ = [
     "JobFilter",
     "JobStatus",
+    "StandingStatus",
     "Submission",
     "cancel_job",
     "list_jobs",
+    "list_standing",
     "name_job",
     "read_status",
     "submit_job",
@@ -95,6 +100,16 @@
     reason: str = ""
 
 
+class StandingStatus(msgspec.Struct, frozen=True):
+    """Show a standing task: running on a host, or queued in a cell."""
+
+    task: str
+    state: str
+    cell: str
+    host: str = ""
+    attempt: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class JobFilter:
     """Choose jobs to list; empty texts match all."""
@@ -294,10 +309,10 @@
 def list_jobs(wanted: JobFilter) -> Decision[Result[tuple[JobStatus, ...], Refusal]]:
     """List the jobs that match a filter, newest last."""
     cells: dict[str, CellRow] = {}
-    answer = yield Scan("cell/")
+    answer = yield Scan(CELL_PREFIX)
     if answer.value.is_ok():
         for row in answer.value.ok:
-            cells[row.key.removeprefix("cell/")] = decode(row.value, CellRow)
+            cells[row.key.removeprefix(CELL_PREFIX)] = decode(row.value, CellRow)
     answer = yield Scan(JOB_PREFIX)
     if answer.value.is_error():
         detail = answer.value.error.detail
@@ -307,6 +322,31 @@
     return Ok(tuple([it for it in shown if wanted.matches(it)][-wanted.limit :]))
 
 
+def list_standing() -> Decision[Result[tuple[StandingStatus, ...], Refusal]]:
+    """List the standing tasks that are wanted."""
+    rows: list[tuple[Row, ...]] = []
+    for prefix in (STANDING_PREFIX, CELL_PREFIX):
+        answer = yield Scan(prefix)
+        if answer.value.is_error():
+            detail = answer.value.error.detail
+            return Error(refuse(Reason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
+        rows.append(answer.value.ok)
+    committed = {
+        task: record
+        for row in rows[1]
+        for task, record in decode(row.value, CellRow).tasks.items()
+        if record.standing
+    }
+    places = (decode(row.value, StandingRow) for row in rows[0])
+    return Ok(tuple(_show_standing(it, committed.get(it.task)) for it in places if not it.removed))
+
+
+def _show_standing(row: StandingRow, record: TaskRecord | None) -> StandingStatus:
+    if record is None:
+        return StandingStatus(row.task, "queued", row.cell)
+    return StandingStatus(row.task, "running", row.cell, record.worker, record.attempt)
+
+
 def _submitted(job: JobRow) -> float:
     return job.record.submitted
 
--- a/toucanpin/placement/tests/world.py
+++ b/toucanpin/placement/tests/world.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 from expression import Error, Ok
 
@@ -29,8 +31,8 @@
     Scan,
 )
 from toucanpin.placement.controller import release_all, take_turn
-from toucanpin.placement.ledger import fits, used_by_worker
 from toucanpin.placement.leases import Terms
+from toucanpin.placement.ledger import fits, used_by_worker
 from toucanpin.placement.queue import shape_cells
 from toucanpin.placement.records import CellRow, JobRow, JobState, Life, decode
 from toucanpin.placement.state import ControlState, Pace, View
@@ -44,7 +46,7 @@
 NOTICE = 1.0
 
 
-def describe_work(units: int, fail: str = "never") -> str:
+def describe_work(units: int, fail: Any = "never") -> str:
     """Return the payload of a task that works for so many milliseconds."""
     return msgspec.json.encode(Work(work=units, input="x", fail=fail)).decode()
 
@@ -56,10 +58,10 @@
         self.world = world
         self.life = life
         self.state = ControlState(life, TERMS, PACE)
-        self.turn = None
-        self.action = None
+        self.turn: Any = None
+        self.action: Any = None
         self.next_turn = 0.0
-        self.killed_at = None
+        self.killed_at: float | None = None
         self.paused = False
         self.cut_table = False
         self.cut_peers: set[str] = set()
@@ -116,6 +118,7 @@
         self.events: list[tuple[str, Note]] = []
         self.ended: dict[str, JobRow] = {}
         self.processes: dict[str, Process] = {}
+        self.retired: list[tuple[WorkerCore, float]] = []
         store = MemoryObjects(self.objects, self.line, "worker")
         self.workers = MemoryWorkers(self.cores, store, self.line, "control")
         for rack in range(racks):
@@ -144,7 +147,7 @@
         )
         return View(self.now, tuple(self.hosts), members, self.bundle)
 
-    def perform(self, process: Process, action):
+    def perform(self, process: Process, action: Any) -> Any:
         """Carry out one action with the ports of a process."""
         client = process.life.process
         table = MemoryTable(self.table, self.line, client)
@@ -226,7 +229,8 @@
     def drive(self, decision):
         """Run a decision of the request role to its end."""
         table = MemoryTable(self.table, self.line, "front")
-        answer = None
+        answer: Answer | None = None
+        value: Any = None
         while True:
             try:
                 action = next(decision) if answer is None else decision.send(answer)
@@ -257,7 +261,7 @@
     def replace_worker(self, name: str) -> None:
         """Start a new life of a worker that was lost."""
         old = self.cores[name]
-        self.retired = [*getattr(self, "retired", []), (old, self.dead_workers.pop(name, self.now))]
+        self.retired.append((old, self.dead_workers.pop(name, self.now)))
         self.cores[name] = WorkerCore(name, old.incarnation + "x", old.size)
         self.workers.lost.discard(name)
 
@@ -275,7 +279,7 @@
         """Return when each task ran where, from the workers' own logs."""
         found: dict[str, list[tuple[float, float, str, int]]] = {}
         cores = [(core, self.dead_workers.get(name)) for name, core in self.cores.items()]
-        for core, died in [*cores, *getattr(self, "retired", [])]:
+        for core, died in [*cores, *self.retired]:
             last = int((self.now if died is None else died) * 1000)
             for it in core.log:
                 # A core that makes no step any more runs nothing after its lease.
