Add stand-ins of the outside world and the HTTP adapters of the ports

Cause: decisions, scenarios and the demo need a platform, workers and instances to speak with. Change: pure cores (table, objects, host list, worker, instance) with a typed plan of faults, the four ports in memory over them, three small HTTP processes, and the adapters with the line between 'no effect' and 'may have taken effect'. Ruled out: library retries (a commit could apply twice); chunked answers of the platform, since the cut tests showed that an end mark cut after '0' and a head cut between two lines look whole to http.client, so an answer counts only with a stated and met length.

--- /dev/null
+++ b/standins/memory.py
@@ -0,0 +1,231 @@
+"""
+Ports in memory
+===============
+
+The four ports directly over the cores, with the faults of a plan, for unit tests and scenarios.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from expression import Error, Ok, Result
+
+from standins.faults import Effect, FaultPlan
+from standins.hostlist import HostListCore
+from standins.objects import ObjectsCore
+from standins.table import TableCore
+from standins.worker import Get, Put, WorkerCore
+from toucanpin.platform.ports import (
+    CommitFault,
+    Committed,
+    Conflict,
+    ListedHost,
+    Poll,
+    Report,
+    Row,
+    StoreFault,
+    Transaction,
+    Unavailable,
+    Unknown,
+    WorkerFault,
+)
+
+__all__ = ["Line", "MemoryHostList", "MemoryObjects", "MemoryTable", "MemoryWorkers"]
+
+MILLISECONDS = 1_000
+TIMEOUT = 2.0
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Late:
+    """Hold an operation that takes effect after its client has given up."""
+
+    due: float
+    operation: Callable[[], object]
+
+
+class Line:
+    """
+    Carry operations to a core under a plan of faults.
+
+    ``now`` and ``sleep`` are in seconds; a delay at or over ``timeout`` loses the answer, and the
+    operation takes effect when the delay is over.
+    """
+
+    def __init__(
+        self,
+        now: Callable[[], float],
+        plan: FaultPlan | None = None,
+        sleep: Callable[[float], None] = lambda seconds: None,
+        timeout: float = TIMEOUT,
+    ) -> None:
+        self.now = now
+        self.plan = FaultPlan() if plan is None else plan
+        self._sleep = sleep
+        self._timeout = timeout
+        self._late: list[Late] = []
+
+    def carry(
+        self, operation: str, client: str, act: Callable[[], T], *names: str
+    ) -> Result[T, StoreFault]:
+        """Carry out one operation, or the fault that strikes it."""
+        self.settle()
+        rule = self.plan.strike(operation, client, *names)
+        match rule and rule.effect:
+            case Effect.DOWN:
+                return Error(Unavailable("down"))
+            case Effect.LOSE_BEFORE:
+                return Error(Unknown("the connection broke"))
+            case Effect.LOSE_AFTER:
+                act()
+                return Error(Unknown("the connection broke"))
+            case Effect.SLOW if rule and rule.delay >= self._timeout:
+                self._late.append(Late(self.now() + rule.delay, act))
+                self._sleep(self._timeout)
+                return Error(Unknown("no answer in time"))
+            case Effect.SLOW if rule:
+                self._sleep(rule.delay)
+        return Ok(act())
+
+    def settle(self) -> None:
+        """Let the late operations that are due take effect, in the order of their instants."""
+        now = self.now()
+        due = sorted((it for it in self._late if it.due <= now), key=lambda it: it.due)
+        self._late = [it for it in self._late if it.due > now]
+        for late in due:
+            late.operation()
+
+
+class MemoryTable:
+    """Reach a table core as one client."""
+
+    def __init__(self, core: TableCore, line: Line, client: str) -> None:
+        self._core = core
+        self._line = line
+        self._client = client
+
+    def read(self, key: str) -> Result[Row | None, StoreFault]:
+        """Read one row, None if absent."""
+        return self._line.carry("read", self._client, lambda: self._core.read(key))
+
+    def scan(self, prefix: str, after: int = 0) -> Result[tuple[Row, ...], StoreFault]:
+        """Read the rows below a prefix that changed after a version."""
+        return self._line.carry("scan", self._client, lambda: self._core.scan(prefix, after))
+
+    def commit(self, transaction: Transaction) -> Result[Committed, CommitFault]:
+        """Apply a transaction, all or nothing."""
+        outcome = self._line.carry("commit", self._client, lambda: self._core.commit(transaction))
+        match outcome:
+            case Result(tag="ok", ok=Committed() as committed):
+                return Ok(committed)
+            case Result(tag="ok", ok=Conflict() as conflict):
+                return Error(conflict)
+            case Result(error=fault):
+                return Error(fault)
+
+
+class MemoryObjects:
+    """Reach an object store core as one client."""
+
+    def __init__(self, core: ObjectsCore, line: Line, client: str) -> None:
+        self._core = core
+        self._line = line
+        self._client = client
+
+    def put(self, name: str, body: bytes) -> Result[None, StoreFault]:
+        """Store an object."""
+        return self._line.carry("put", self._client, lambda: self._core.put(name, body))
+
+    def get(self, name: str) -> Result[bytes | None, StoreFault]:
+        """Read an object, None if absent."""
+        return self._line.carry("get", self._client, lambda: self._core.get(name))
+
+    def names(self, prefix: str) -> Result[tuple[str, ...], StoreFault]:
+        """List the names below a prefix."""
+        return self._line.carry("names", self._client, lambda: self._core.names(prefix))
+
+
+class MemoryHostList:
+    """Reach a host list core as one client."""
+
+    def __init__(self, core: HostListCore, line: Line, client: str) -> None:
+        self._core = core
+        self._line = line
+        self._client = client
+
+    def hosts(self) -> Result[tuple[ListedHost, ...], StoreFault]:
+        """Read the whole list."""
+        return self._line.carry("hosts", self._client, lambda: self._core.hosts(self._line.now()))
+
+
+class MemoryWorkers:
+    """
+    Reach worker cores by name as one client.
+
+    ``lost`` names the workers that are gone.  A rule's client may also be a worker's name.  The
+    workers write to ``objects``.
+    """
+
+    def __init__(
+        self, cores: dict[str, WorkerCore], objects: MemoryObjects, line: Line, client: str
+    ) -> None:
+        self.cores = cores
+        self.lost: set[str] = set()
+        self._objects = objects
+        self._line = line
+        self._client = client
+        self._paused: dict[str, list[Poll]] = {}
+
+    def pause(self, name: str) -> None:
+        """Let a worker make no step; the polls that reach it wait in its socket."""
+        self._paused.setdefault(name, [])
+
+    def resume(self, name: str) -> None:
+        """Wake a worker, which then takes the polls that waited."""
+        for poll in self._paused.pop(name, []):
+            self.cores[name].poll(self._clock(), poll)
+
+    def poll(self, host: ListedHost, poll: Poll) -> Result[Report, WorkerFault]:
+        """Send one poll to the worker of this name."""
+        if host.name not in self.cores or host.name in self.lost:
+            return Error(WorkerFault("connection refused", reached=False))
+        if host.name in self._paused:
+            self._paused[host.name].append(poll)
+            return Error(WorkerFault("no answer in time", reached=True))
+        core = self.cores[host.name]
+        outcome = self._line.carry(
+            "poll", self._client, lambda: core.poll(self._clock(), poll), host.name
+        )
+        self._run_effects(core)
+        return outcome.map_error(
+            lambda fault: WorkerFault(fault.detail, reached=isinstance(fault, Unknown))
+        )
+
+    def advance(self) -> None:
+        """Let every worker that is there work up to now."""
+        self._line.settle()
+        for name, core in self.cores.items():
+            if name not in self._paused and name not in self.lost:
+                core.advance(self._clock())
+                self._run_effects(core)
+
+    def _clock(self) -> int:
+        """Return the instant in milliseconds."""
+        return int(self._line.now() * MILLISECONDS)
+
+    def _run_effects(self, core: WorkerCore) -> None:
+        """Do once what a core asks of the object store."""
+        for effect in list(core.take_effects()):
+            match effect:
+                case Put(name=name, body=body):
+                    stored = self._objects.put(name, body).is_ok()
+                    core.finish_put(self._clock(), effect, stored)
+                case Get(name=name):
+                    found = self._objects.get(name)
+                    content = found.ok if found.is_ok() else None
+                    core.finish_get(self._clock(), effect, content, found.is_ok())
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,331 @@
+"""
+Core of the worker stand-in
+===========================
+
+The agent of one worker: lease and guard, attempts, deterministic work, late measurements.  Times
+are milliseconds of the worker's own monotonic clock.  What touches the object store leaves the core
+as an effect, whose outcome the caller brings back.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from standins.work import Attempt, Service, Work, describe_result, read_work, write_checkpoint
+from toucanpin.platform.ports import (
+    Checkpoint,
+    Forget,
+    Order,
+    Poll,
+    Report,
+    Size,
+    Start,
+    Stop,
+    TaskState,
+    Throttle,
+    UsageSample,
+)
+
+__all__ = ["Get", "Interval", "Purpose", "Put", "WorkerCore"]
+
+MIN_SHARE = 0.05
+SAMPLE_PERIOD = 1_000
+REFUSED = "refused: "
+
+
+class Purpose(enum.Enum):
+    """Say why an object is written."""
+
+    RESULT = "result"
+    CHECKPOINT = "checkpoint"
+    LAST_CHECKPOINT = "last-checkpoint"
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Ask the caller to write an object and to call ``finish_put``."""
+
+    task: str
+    attempt: int
+    name: str
+    body: bytes
+    progress: int
+    purpose: Purpose
+
+
+@dataclass(frozen=True, slots=True)
+class Get:
+    """Ask the caller to read an object and to call ``finish_get``."""
+
+    task: str
+    attempt: int
+    name: str
+
+
+@dataclass(slots=True)
+class Interval:
+    """Log when an attempt ran; ``stopped_at`` is None while it does."""
+
+    task: str
+    attempt: int
+    started_at: int
+    stopped_at: int | None = None
+
+
+class WorkerCore:
+    """Act as the agent of one worker."""
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        size: Size,
+        lag: int = 0,
+        services: tuple[Service, ...] = (),
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.size = size
+        self.lag = lag
+        self.services = services
+        self.fail_all = False
+        self.log: list[Interval] = []
+        self.polls = 0
+        self._epoch = 0
+        self._lease_until = 0
+        self._attempts: dict[tuple[str, int], Attempt] = {}
+        self._highest: dict[str, int] = {}
+        self._running: dict[str, Interval] = {}
+        self._effects: deque[Put | Get] = deque()
+        self._samples: deque[UsageSample] = deque()
+        self._next_sample = 0
+
+    def poll(self, now: int, poll: Poll) -> Report:
+        """Take one poll and report."""
+        self.advance(now)
+        self.polls += 1
+        accepted = poll.epoch >= self._epoch and poll.incarnation in ("", self.incarnation)
+        if accepted:
+            self._epoch = poll.epoch
+            # An old poll that arrives late must neither lengthen the lease nor cut a newer one.
+            self._lease_until = max(self._lease_until, poll.lease_until)
+            for order in poll.orders:
+                self._obey(now, order)
+        return self._report(now, accepted)
+
+    def advance(self, now: int) -> None:
+        """Run the guard, then let the tasks work up to this instant."""
+        # The guard goes first: a holder that was paused past its lease must not do another step
+        # of work, write a checkpoint or obey an order in the belief that it still holds the lease.
+        until = min(now, self._lease_until)
+        for attempt in self._live():
+            attempt.work_until(until)
+        if now >= self._lease_until:
+            self._stop_all()
+        self._sample(now)
+        for attempt in self._live():
+            self._end_if_done(attempt, until)
+
+    def take_effects(self) -> Iterator[Put | Get]:
+        """Yield what the caller has to do with the object store."""
+        while self._effects:
+            yield self._effects.popleft()
+
+    def finish_put(self, now: int, put: Put, stored: bool) -> None:
+        """Take the outcome of a write; a result that wasn't stored is tried again."""
+        self.advance(now)
+        attempt = self._find(put.task, put.attempt)
+        if attempt is None:
+            return
+        if stored and put.purpose is not Purpose.RESULT:
+            attempt.note_checkpoint(put.name, put.progress)
+        if put.purpose is Purpose.LAST_CHECKPOINT:
+            self._end(attempt, TaskState.STOPPED, "stopped", now)
+        if put.purpose is Purpose.RESULT and attempt.writing and not attempt.stopping:
+            if stored:
+                self._end(attempt, TaskState.FINISHED, "", now)
+            elif attempt.state is TaskState.RUNNING:
+                self._effects.append(put)
+
+    def finish_get(self, now: int, get: Get, body: bytes | None, answered: bool) -> None:
+        """Take the checkpoint to resume from; one that wasn't read is asked for again."""
+        self.advance(now)
+        attempt = self._find(get.task, get.attempt)
+        if attempt is None or attempt.state is not TaskState.RUNNING:
+            return
+        if not answered:
+            self._effects.append(get)
+        elif body is None:
+            self._end(attempt, TaskState.FAILED, "the checkpoint is missing", now)
+        elif not attempt.resume(body, get.name, now):
+            self._end(attempt, TaskState.FAILED, "the checkpoint can't be read", now)
+
+    def _obey(self, now: int, order: Order) -> None:
+        """Carry out one order."""
+        match order:
+            case Start():
+                self._start(now, order)
+            case Stop():
+                self._stop(now, order)
+            case Throttle(task, number, share):
+                if attempt := self._find_live(task, number):
+                    attempt.throttle(now, min(1.0, max(MIN_SHARE, share)))
+            case Checkpoint(task, number, name):
+                if attempt := self._find_live(task, number):
+                    self._put_checkpoint(attempt, name, Purpose.CHECKPOINT)
+            case Forget(task, number):
+                attempt = self._find(task, number)
+                if attempt and attempt.state is not TaskState.RUNNING:
+                    del self._attempts[(task, number)]
+
+    def _start(self, now: int, start: Start) -> None:
+        """Start an attempt unless it is late, or say why it can't run here."""
+        if start.attempt <= self._highest.get(start.task, 0):
+            return
+        self._highest[start.task] = start.attempt
+        if older := self._find_task(start.task):
+            # Two attempts of one task would be the task in two places.
+            self._end(older, TaskState.STOPPED, "superseded", now)
+        work = read_work(start.payload)
+        attempt = Attempt(start, work or Work(), started_at=now, worked_until=now)
+        self._attempts[(start.task, start.attempt)] = attempt
+        if refusal := self._find_refusal(now, work):
+            attempt.state = TaskState.FAILED
+            attempt.detail = REFUSED + refusal
+            return
+        self._running[start.task] = Interval(start.task, start.attempt, now)
+        self.log.append(self._running[start.task])
+        if start.checkpoint:
+            attempt.loading = True
+            self._effects.append(Get(start.task, start.attempt, start.checkpoint))
+
+    def _find_refusal(self, now: int, work: Work | None) -> str:
+        """Return why the newest start is refused, empty if it isn't."""
+        if now >= self._lease_until:
+            return "no lease"
+        if work is None:
+            return "the payload can't be understood"
+        held = [it.start.size for it in self._live()]
+        fits = (
+            sum(it.processors for it in held) <= self.size.processors
+            and sum(it.memory for it in held) <= self.size.memory
+            and sum(it.accelerators for it in held) <= self.size.accelerators
+        )
+        return "" if fits else "no capacity"
+
+    def _stop(self, now: int, stop: Stop) -> None:
+        """Stop an attempt and every lower one, and refuse them from now on."""
+        unseen = stop.attempt > self._highest.get(stop.task, 0)
+        self._highest[stop.task] = max(stop.attempt, self._highest.get(stop.task, 0))
+        if attempt := self._find_task(stop.task):
+            if attempt.start.attempt <= stop.attempt and not attempt.stopping:
+                self._halt(now, attempt, stop.checkpoint)
+        elif unseen:
+            start = Start(stop.task, stop.attempt, "", Size(0, 0), b"", "", "", False)
+            tombstone = Attempt(start, Work(), started_at=now, worked_until=now)
+            tombstone.state = TaskState.STOPPED
+            tombstone.detail = REFUSED + "stopped before its start"
+            self._attempts[(stop.task, stop.attempt)] = tombstone
+
+    def _halt(self, now: int, attempt: Attempt, checkpoint: str) -> None:
+        """Let an attempt work no more; it counts as stopped once its checkpoint is written."""
+        if not checkpoint or attempt.loading:
+            self._end(attempt, TaskState.STOPPED, "stopped", now)
+            return
+        attempt.stopping = True
+        self._close_interval(attempt, now)
+        self._put_checkpoint(attempt, checkpoint, Purpose.LAST_CHECKPOINT)
+
+    def _put_checkpoint(self, attempt: Attempt, name: str, purpose: Purpose) -> None:
+        """Ask for the writing of a checkpoint."""
+        if attempt.loading:
+            return
+        start = attempt.start
+        progress = int(attempt.progress)
+        body = write_checkpoint(start.task, start.attempt, progress)
+        self._effects.append(Put(start.task, start.attempt, name, body, progress, purpose))
+
+    def _end_if_done(self, attempt: Attempt, now: int) -> None:
+        """Fail an attempt whose fault is due, or write the result of one that is done."""
+        if attempt.stopping or attempt.writing:
+            return
+        if self.fail_all:
+            self._end(attempt, TaskState.FAILED, "this worker fails every task", now)
+        elif attempt.must_fail():
+            self._end(attempt, TaskState.FAILED, "the task failed by itself", now)
+        elif attempt.is_done():
+            attempt.writing = True
+            start = attempt.start
+            body = describe_result(attempt.work)
+            progress = int(attempt.progress)
+            self._effects.append(
+                Put(start.task, start.attempt, start.output, body, progress, Purpose.RESULT)
+            )
+
+    def _stop_all(self) -> None:
+        """Stop every attempt at the end of the lease, and drop what they still meant to write."""
+        self._effects.clear()
+        for attempt in self._live():
+            self._end(attempt, TaskState.STOPPED, "the lease lapsed", self._lease_until)
+
+    def _end(self, attempt: Attempt, state: TaskState, detail: str, now: int) -> None:
+        """Give an attempt its last state, unless it has one."""
+        if attempt.state is not TaskState.RUNNING:
+            return
+        attempt.state = state
+        attempt.detail = detail
+        self._close_interval(attempt, now)
+
+    def _close_interval(self, attempt: Attempt, now: int) -> None:
+        """Log the end of an attempt's run."""
+        interval = self._running.get(attempt.start.task)
+        if interval is not None and interval.attempt == attempt.start.attempt:
+            interval.stopped_at = now
+            del self._running[attempt.start.task]
+
+    def _live(self) -> list[Attempt]:
+        """Return the attempts that hold capacity."""
+        return [it for it in self._attempts.values() if it.state is TaskState.RUNNING]
+
+    def _find(self, task: str, number: int) -> Attempt | None:
+        """Return an attempt by its number."""
+        return self._attempts.get((task, number))
+
+    def _find_task(self, task: str) -> Attempt | None:
+        """Return the attempt of a task that holds capacity."""
+        return next((it for it in self._live() if it.start.task == task), None)
+
+    def _find_live(self, task: str, number: int) -> Attempt | None:
+        """Return an attempt that works."""
+        attempt = self._find(task, number)
+        if attempt is None or attempt.state is not TaskState.RUNNING or attempt.stopping:
+            return None
+        return attempt
+
+    def _sample(self, now: int) -> None:
+        """Measure the services once in a period."""
+        if now < self._next_sample:
+            return
+        self._next_sample = now + SAMPLE_PERIOD
+        residents = self._live()
+        self._samples.extend(service.measure(now, residents) for service in self.services)
+
+    def _report(self, now: int, accepted: bool) -> Report:
+        """Report every attempt and the measurements that are old enough."""
+        due = []
+        while self._samples and self._samples[0].sampled_at <= now - self.lag:
+            due.append(self._samples.popleft())
+        return Report(
+            worker=self.name,
+            incarnation=self.incarnation,
+            clock=now,
+            epoch=self._epoch,
+            accepted=accepted,
+            lapsed=now >= self._lease_until,
+            size=self.size,
+            tasks=tuple(it.report(now - self.lag) for it in self._attempts.values()),
+            samples=tuple(due),
+        )
--- /dev/null
+++ b/toucanpin/platform/tests/test_http.py
@@ -0,0 +1,226 @@
+"""Tests of the HTTP adapters against every place at which an exchange can break."""
+
+import unittest
+
+from toucanpin.platform.http import HttpHostList, HttpObjects, HttpTable, HttpWorkers
+from toucanpin.platform.ports import (
+    MAX_TRANSACTION_ROWS,
+    Committed,
+    Conflict,
+    HostRole,
+    ListedHost,
+    Poll,
+    Transaction,
+    Unavailable,
+    Unknown,
+    Write,
+)
+from toucanpin.platform.tests.scripted import Reply, ScriptedServer, find_closed_port
+
+TRANSACTION = Transaction("t1", (Write("job/1", 0, b"value"),))
+POLL = Poll(3, "", 0, ())
+APPLIED = b"HTTP/1.1 200 x\r\nContent-Length: 13\r\n\r\n" + b'{"version":7}'
+NO_EFFECT = b"HTTP/1.1 503 x\r\nToucanpin-Effect: none\r\nContent-Length: 0\r\n\r\n"
+
+
+def answer(body, status=200, headers=""):
+    head = f"HTTP/1.1 {status} x\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def chunk(body):
+    head = b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head + f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+
+
+def is_unknown(outcome):
+    return outcome.is_error() and isinstance(outcome.error, Unknown)
+
+
+class AdapterTest(unittest.TestCase):
+    def serve(self, *replies):
+        server = ScriptedServer(*replies)
+        self.addCleanup(server.close)
+        return server
+
+    def table(self, url, timeout=2.0):
+        table = HttpTable(url, "entry1/control", timeout)
+        self.addCleanup(table.close)
+        return table
+
+    def commit(self, *replies, timeout=2.0):
+        return self.table(self.serve(*replies).url, timeout).commit(TRANSACTION)
+
+
+class CommitTest(AdapterTest):
+    def test_applied_commit(self):
+        self.assertEqual(self.commit(Reply(answer(b'{"version":7}'))).ok, Committed(7))
+
+    def test_conflict_names_the_rows(self):
+        body = b'{"rows":[{"key":"job/1","version":4,"value":"AQI="}]}'
+        fault = self.commit(Reply(answer(body, 409))).error
+        self.assertIsInstance(fault, Conflict)
+        self.assertEqual(fault.rows[0].value, b"\x01\x02")
+
+    def test_nobody_listens(self):
+        """
+        The platform is down and its port closed.  No byte of the commit has left, so it has had no
+        effect and the caller may repeat it as it is.
+        """
+        fault = self.table(f"http://127.0.0.1:{find_closed_port()}").commit(TRANSACTION).error
+        self.assertIsInstance(fault, Unavailable)
+
+    def test_refusal_that_states_no_effect(self):
+        self.assertIsInstance(self.commit(Reply(NO_EFFECT)).error, Unavailable)
+
+    def test_503_that_states_nothing(self):
+        """
+        A proxy of the platform answers 503 after it has passed the commit on.  Taken for "no
+        effect", the commit would be repeated and might apply twice.
+        """
+        self.assertTrue(is_unknown(self.commit(Reply(answer(b"", 503)))))
+
+    def test_connection_broken_at_every_byte(self):
+        """
+        The platform applies the commit, and its answer is cut after some bytes: none, half a
+        status line, a whole head, half a body.  The caller must see that the commit may have taken
+        effect at every cut, with a close as with a reset, and success only for the whole answer.
+        """
+        refused = len(NO_EFFECT.rstrip())  # The last blank line adds nothing to what was stated.
+        for whole, last in ((APPLIED, len(APPLIED)), (NO_EFFECT, refused)):
+            for then in ("close", "reset"):
+                for cut in range(last):
+                    with self.subTest(cut=cut, then=then, whole=whole[:40]):
+                        self.assertTrue(is_unknown(self.commit(Reply(whole[:cut], then))))
+
+    def test_reset_before_the_request_is_read(self):
+        """
+        The connection is made, and the platform resets it while the commit is written.  Nobody can
+        tell how much had been read, so it may have taken effect.
+        """
+        self.assertTrue(is_unknown(self.commit(Reply(b"", "reset", unread=True))))
+
+    def test_no_answer_in_time(self):
+        self.assertTrue(is_unknown(self.commit(Reply(b"", "hang"), timeout=0.05)))
+
+    def test_late_answer_does_not_reach_the_next_commit(self):
+        """
+        The first commit times out and its answer comes later, on a connection that was kept.  Read
+        by the next commit, that answer would tell it of a version that it never got.
+        """
+        server = self.serve(
+            Reply(answer(b'{"version":1}')[:20], "hang"), Reply(answer(b'{"version":2}'))
+        )
+        table = self.table(server.url, 0.05)
+        self.assertTrue(is_unknown(table.commit(TRANSACTION)))
+        self.assertEqual(table.commit(TRANSACTION).ok, Committed(2))
+
+    def test_kept_connection_that_the_platform_closes(self):
+        """
+        The first commit leaves its connection open.  The platform reads the second commit on it and
+        closes without an answer, as one that is shutting down does.  A library that repeats by
+        itself would commit twice.
+        """
+        server = self.serve(
+            Reply(answer(b'{"version":1}'), "keep"), Reply(b""), Reply(answer(b'{"version":3}'))
+        )
+        table = self.table(server.url)
+        self.assertEqual(table.commit(TRANSACTION).ok, Committed(1))
+        self.assertTrue(is_unknown(table.commit(TRANSACTION)))
+        self.assertEqual(len(server.requests), 2)
+
+    def test_answers_that_break_the_dialect(self):
+        bodies = (b"", b"{", b"[]", b'{"version":"x"}', b"\xff\xfe", b"[" * 5_000)
+        broken = [answer(body) for body in bodies]
+        broken += [answer(body, 409) for body in bodies]
+        broken += [answer(b'{"version":1}', status) for status in (201, 301, 400, 404, 500, 503)]
+        broken += [b"HTTP/1.1 200 x\r\n\r\n{", b"SSH-2.0-x\r\n\r\n", b"HTTP/1.1 abc\r\n\r\n"]
+        broken += [chunk(b"{}").replace(b"2\r\n", b"zz\r\n", 1), b"\x00" * 70_000]
+        for whole in broken:
+            with self.subTest(whole=whole[:60]):
+                self.assertTrue(is_unknown(self.commit(Reply(whole))))
+
+    def test_redirect_is_not_followed(self):
+        server = self.serve(Reply(answer(b"", 307, "Location: /elsewhere\r\n"), "keep"))
+        self.assertTrue(is_unknown(self.table(server.url).commit(TRANSACTION)))
+        self.assertEqual(len(server.requests), 1)
+
+    def test_too_many_rows_are_not_sent(self):
+        writes = tuple(Write(f"k{n}", 0, b"") for n in range(MAX_TRANSACTION_ROWS + 1))
+        with self.assertRaises(ValueError):
+            self.table("http://127.0.0.1:1").commit(Transaction("t", writes))
+
+    def test_client_names_itself(self):
+        server = self.serve(Reply(answer(b'{"version":7}')))
+        self.table(server.url).commit(TRANSACTION)
+        self.assertIn(b"Toucanpin-Client: entry1/control\r\n", server.requests[0])
+
+
+class ObjectsTest(AdapterTest):
+    def get(self, whole):
+        objects = HttpObjects(self.serve(Reply(whole)).url, "c")
+        self.addCleanup(objects.close)
+        return objects.get("a/b ?")
+
+    def test_cut_object_never_looks_whole(self):
+        """
+        The store breaks off in the middle of a checkpoint.  Taken as whole, a job would resume from
+        half of its work.
+        """
+        whole = answer(b"x" * 30)
+        for cut in range(len(whole)):
+            with self.subTest(cut=cut):
+                self.assertTrue(is_unknown(self.get(whole[:cut])))
+        self.assertEqual(self.get(whole).ok, b"x" * 30)
+
+    def test_chunked_object_is_refused(self):
+        """
+        A chunked object is cut within its end mark, and the library takes it for whole.  The
+        dialect states lengths, so any chunked answer is a fault.
+        """
+        whole = chunk(b"x" * 30)
+        for cut in range(len(whole) + 1):
+            with self.subTest(cut=cut):
+                self.assertTrue(is_unknown(self.get(whole[:cut])))
+
+    def test_object_without_stated_end(self):
+        self.assertTrue(is_unknown(self.get(b"HTTP/1.1 200 x\r\n\r\nhalf")))
+
+    def test_absence_is_only_what_the_store_states(self):
+        stated = answer(b"", 404, "Toucanpin-Object: absent\r\n")
+        self.assertIsNone(self.get(stated).ok)
+        self.assertTrue(is_unknown(self.get(answer(b"", 404))))
+
+
+class HostListTest(AdapterTest):
+    def test_broken_list_is_a_fault(self):
+        hosts = HttpHostList(self.serve(Reply(answer(b'{"hosts":[{"name":1}]}'))).url, "c")
+        self.addCleanup(hosts.close)
+        self.assertTrue(is_unknown(hosts.hosts()))
+
+
+class WorkersTest(AdapterTest):
+    def poll(self, port, timeout=2.0):
+        workers = HttpWorkers("c", timeout)
+        self.addCleanup(workers.close)
+        host = ListedHost("w1", HostRole.WORKER, "s", "r", "127.0.0.1", port)
+        return workers.poll(host, POLL)
+
+    def test_worker_that_is_gone_was_not_reached(self):
+        self.assertFalse(self.poll(find_closed_port()).error.reached)
+
+    def test_worker_that_states_no_effect_was_not_reached(self):
+        self.assertFalse(self.poll(self.serve(Reply(NO_EFFECT)).port).error.reached)
+
+    def test_worker_that_breaks_off_may_have_acted(self):
+        """
+        The worker takes a start order and its report is lost, wholly or in part.  The task may be
+        running; an owner that believes the opposite starts it elsewhere as well.
+        """
+        for reply in (Reply(b""), Reply(answer(b"{}")), Reply(answer(b"x" * 9)[:-3], "reset")):
+            with self.subTest(reply=reply):
+                self.assertTrue(self.poll(self.serve(reply).port).error.reached)
+
+
+if __name__ == "__main__":
+    unittest.main()
