--- a/standins/tests/test_worker.py
+++ b/standins/tests/test_worker.py
@@ -189,13 +189,16 @@
         A job has done its work and its result is on the way to the store when a stop arrives.  The
         attempt ends as stopped, and the store's late answer doesn't change that.
         """
-        self.poll(0, start(), lease=9_000)
-        self.core.advance(1_000)
-        (put,) = self.core.take_effects()
-        assert isinstance(put, Put)
-        self.core.poll(1_001, Poll(1, "", 0, (Stop("t", 1),)))
-        self.core.finish_put(1_002, put, stored=True)
-        self.assertIs(self.task(1_003).state, TaskState.STOPPED)
+        for attempt, checkpoint in ((1, ""), (2, "c1")):
+            now = attempt * 2_000
+            self.poll(now, start(attempt=attempt), lease=9_000)
+            self.core.advance(now + 1_000)
+            (put,) = self.core.take_effects()
+            assert isinstance(put, Put)
+            self.core.poll(now + 1_001, Poll(1, "", 0, (Stop("t", attempt, checkpoint),)))
+            self.core.finish_put(now + 1_002, put, stored=True)
+            self.run_effects(now + 1_003)
+            self.assertIs(self.task(now + 1_004, attempt).state, TaskState.STOPPED)
 
     def test_throttled_job_works_and_uses_less(self):
         self.poll(0, start(), Throttle("t", 1, 0.25), lease=9_000)
--- a/toucanpin/platform/tests/test_http.py
+++ b/toucanpin/platform/tests/test_http.py
@@ -141,7 +141,8 @@
                 self.assertTrue(is_unknown(self.commit(Reply(whole))))
 
     def test_redirect_is_not_followed(self):
-        server = self.serve(Reply(answer(b"", 307, "Location: /elsewhere\r\n"), "keep"))
+        moved = answer(b"", 307, "Location: /elsewhere\r\n")
+        server = self.serve(Reply(moved, "keep"), Reply(APPLIED))
         self.assertTrue(is_unknown(self.table(server.url).commit(TRANSACTION)))
         self.assertEqual(len(server.requests), 1)
 
