Let any life on a roster fence, and count a standing task's attempts on

Cause: found by random interleavings. A cell's new owner that started late isn't on the earlier owner's roster, so lost workers waited for the long hold though another life could prove the end. A standing task that was removed and came back began at attempt 1 again, which its worker refuses. Change: every life on a roster fences for all cells; the standing row keeps the last attempt.

--- a/toucanpin/placement/absorbing.py
+++ b/toucanpin/placement/absorbing.py
@@ -182,7 +182,7 @@
         return _drop(cell, record)
     if reason is StopReason.REMOVE and view.bundle is not None:
         return lifecycle.remove_standing(
-            cell.name, record.task, record.job_version, view.bundle.version, None
+            cell.name, record, record.job_version, view.bundle.version, None
         )
     evicted = reason is StopReason.EVICT
     if reason is StopReason.REPLACE and view.bundle is not None:
--- a/toucanpin/placement/controller.py
+++ b/toucanpin/placement/controller.py
@@ -60,13 +60,14 @@
 
 
 def fence_earlier_owners(state: ControlState, view: View) -> Decision[None]:
-    """Prove that the authority of earlier owners of our cells has ended."""
-    owners = {
-        life
-        for cell in state.cells.values()
-        for life, _ in cell.open_owners(state.watch, view.now)
-        if life != state.life
-    }
+    """
+    Prove that the authority of earlier owners has ended, of cells of ours or of others.
+
+    The new owner may have started too late to be on the earlier one's roster; then only a life
+    that is on it can prove the end before the long hold.
+    """
+    rows = (stored.row for stored in state.stored.values())
+    owners = {life for row in rows for life, _ in row.unproven if life != state.life}
     for life in sorted(owners):
         if state.health.may_commit():
             yield from state.watch.fence(life, view.now)
--- a/toucanpin/placement/lifecycle.py
+++ b/toucanpin/placement/lifecycle.py
@@ -159,10 +159,11 @@
 
 
 def remove_standing(
-    cell: str, task: str, row_version: int, bundle: int, waiting: Waiting | None
+    cell: str, record: TaskRecord, row_version: int, bundle: int, waiting: Waiting | None
 ) -> Change:
     """Drop a standing task that a newer bundle no longer names, once it has stopped."""
-    row = StandingRow(task, cell, bundle, removed=bundle)
+    task = record.task
+    row = StandingRow(task, cell, bundle, removed=bundle, attempt=record.attempt)
     writes: tuple[Write, ...] = (Write(standing_key(task), row_version, encode(row)),)
     if waiting is not None:
         writes += (Write(queue_key(cell, task), waiting.version, None),)
--- a/toucanpin/placement/records.py
+++ b/toucanpin/placement/records.py
@@ -162,13 +162,15 @@
     Hold the place of a standing task's one record.
 
     ``removed`` is the bundle version that took it out, zero while it is wanted: a process with an
-    older bundle would otherwise bring it back.
+    older bundle would otherwise bring it back.  ``attempt`` is then its last one: a task that comes
+    back must go on counting, as workers refuse the attempts that they have seen.
     """
 
     task: str
     cell: str
     bundle: int
     removed: int = 0
+    attempt: int = 0
 
 
 class AuthorityRow(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/toucanpin/placement/standing.py
+++ b/toucanpin/placement/standing.py
@@ -64,7 +64,7 @@
     )
 
 
-def _make_record(task: StandingTask, bundle: Bundle) -> TaskRecord:
+def _make_record(task: StandingTask, bundle: Bundle, attempt: int = 0) -> TaskRecord:
     size = Size(task.processors, task.memory, task.accelerators)
     return TaskRecord(
         task.name,
@@ -74,6 +74,7 @@
         standing=True,
         urgent=True,
         digest=describe(task),
+        attempt=attempt,
         bundle=bundle.version,
     )
 
@@ -100,7 +101,7 @@
     known, version = state.standing.get(task.name, (None, ABSENT))
     if known is not None and (known.removed == 0 or known.removed >= bundle.version):
         return
-    record = _make_record(task, bundle)
+    record = _make_record(task, bundle, known.attempt if known else 0)
     row = StandingRow(task.name, home, bundle.version)
     writes = (
         Write(standing_key(task.name), version, encode(row)),
@@ -152,7 +153,7 @@
             version = waiting.record.job_version or waiting.version
             changes.append(
                 lifecycle.remove_standing(
-                    cell.name, waiting.record.task, version, bundle.version, waiting
+                    cell.name, waiting.record, version, bundle.version, waiting
                 )
             )
         elif _is_changed(waiting.record, wanted, bundle):
