Test failures of owners, table, workers and jobs; take cells from owners that don't renew

Cause: the tests showed that a process which still sends heartbeats but doesn't renew its authority (frozen, or cut off from the table) kept the rendezvous claim to its cells for ever. Change: only lives whose rows were renewed within half a term may own cells; nobody is judged right after an outage of the table.

--- a/toucanpin/placement/authority.py
+++ b/toucanpin/placement/authority.py
@@ -32,7 +32,7 @@
     Write,
 )
 
-__all__ = ["Authority", "Seen", "Watch"]
+__all__ = ["RENEWALS_PER_TERM", "Authority", "Seen", "Watch"]
 
 RENEWALS_PER_TERM = 3
 RETRIES_PER_TERM = 9
--- a/toucanpin/placement/leases.py
+++ b/toucanpin/placement/leases.py
@@ -34,6 +34,15 @@
         """Return how long to wait here until ``seconds`` have surely passed on another clock."""
         return seconds * (1 + self.drift)
 
+    def silence(self) -> float:
+        """
+        Return after which time an unchanged row shows that its owner has missed a renewal.
+
+        It is more than the third of the term between renewals and less than a lease, so workers are
+        renewed by another owner in time although membership still believes in the first.
+        """
+        return self.authority / 2
+
     def shrink(self, seconds: float) -> float:
         """Return how long another clock may run until surely no more than ``seconds`` passed."""
         return seconds / (1 + self.drift)
--- a/toucanpin/placement/ownership.py
+++ b/toucanpin/placement/ownership.py
@@ -135,10 +135,11 @@
 def take_cells(state: ControlState, view: View) -> Decision[None]:
     """Take the cells that are ours by rendezvous and that nobody else is known to hold."""
     lives = view.lives()
+    able = state.able_lives(view)
     listed = {shape.name for shape in shape_cells(view.hosts)}
     used = {name for name, it in state.stored.items() if it.row.tasks or it.row.owner is not None}
     for name in sorted(listed | used):
-        if name in state.cells or state.prefers(name, lives) != state.life:
+        if name in state.cells or state.prefers(name, able) != state.life:
             continue
         stored = state.stored.get(name)
         if stored is not None and not _is_free(state, stored.row, lives, view.now):
@@ -152,9 +153,7 @@
     owner = row.owner
     if owner is None or owner == state.life:
         return True
-    # After an outage of the table every row stands unchanged: first let its owner renew.
-    quiet = state.terms.take_after + state.terms.authority / 3
-    if now < state.health.well_since + quiet and state.health.well_since > 0:
+    if state.is_quiet(now):
         return False
     unchanged = state.watch.unchanged(owner, now)
     if unchanged is None:
@@ -162,7 +161,7 @@
     if state.watch.is_over(owner):
         return True
     if owner in lives:
-        return unchanged >= state.terms.stretch(state.terms.authority)
+        return unchanged >= state.terms.silence()
     return unchanged >= state.terms.take_after
 
 
@@ -262,9 +261,9 @@
 
 def hand_over_cells(state: ControlState, view: View) -> Decision[None]:
     """Release the cells that another live process should own for some time now."""
-    lives = view.lives()
+    able = state.able_lives(view)
     for cell in list(state.cells.values()):
-        if state.prefers(cell.name, lives) == state.life:
+        if state.prefers(cell.name, able) == state.life:
             cell.unwanted_since = None
             continue
         if cell.unwanted_since is None:
--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -11,7 +11,7 @@
 
 from toucanpin.bundles.schema import Bundle
 from toucanpin.membership.member import Member, Standing
-from toucanpin.placement.authority import Authority, Watch
+from toucanpin.placement.authority import RENEWALS_PER_TERM, Authority, Watch
 from toucanpin.placement.cells import Cell
 from toucanpin.placement.leases import Terms
 from toucanpin.placement.policy import Policy, TightestFit
@@ -110,6 +110,34 @@
         names = {it.process: it for it in (*lives, self.life)}
         return names[max(names, key=lambda name: rank(cell, name))]
 
+    def is_quiet(self, now: float) -> bool:
+        """
+        Tell whether the table has just come back.
+
+        Every row then stands unchanged for as long as it was out; its owner gets time to renew it
+        before anybody takes that for a death.
+        """
+        quiet = self.terms.take_after + self.terms.authority / RENEWALS_PER_TERM
+        return 0 < self.health.well_since and now < self.health.well_since + quiet
+
+    def able_lives(self, view: View) -> tuple[Life, ...]:
+        """
+        Return the lives that may own cells: there, and renewing their authority.
+
+        A process that still sends heartbeats but is cut off from the table would otherwise keep the
+        claim to cells that it can't serve.
+        """
+        lives = view.lives()
+        if self.is_quiet(view.now):
+            return lives
+        return tuple(it for it in lives if self._renews(it, view.now))
+
+    def _renews(self, life: Life, now: float) -> bool:
+        unchanged = self.watch.unchanged(life, now)
+        if unchanged is None or self.watch.is_over(life):
+            return False
+        return unchanged < self.terms.silence()
+
     def ceded(self, now: float) -> dict[str, int]:
         """Return the cells that are lost and on which no own lease can be live."""
         return {cell: epoch for cell, (epoch, ends) in self.lost.items() if now >= ends}
--- a/toucanpin/placement/tests/world.py
+++ b/toucanpin/placement/tests/world.py
@@ -62,10 +62,24 @@
         self.action: Any = None
         self.next_turn = 0.0
         self.killed_at: float | None = None
-        self.paused = False
+        self.paused_at: float | None = None
         self.cut_table = False
         self.cut_peers: set[str] = set()
 
+    @property
+    def silent_since(self) -> float | None:
+        """Return since when the process sends no heartbeats, None if it does."""
+        return self.paused_at if self.killed_at is None else self.killed_at
+
+    @property
+    def paused(self) -> bool:
+        """Tell whether the process is frozen."""
+        return self.paused_at is not None
+
+    @paused.setter
+    def paused(self, paused: bool) -> None:
+        self.paused_at = self.world.now if paused else None
+
     def step(self) -> None:
         """Carry out one action, or begin the next turn."""
         if self.killed_at is not None or self.paused:
@@ -143,7 +157,7 @@
         members = tuple(
             Member(name, name, "s", "control", it.life.incarnation, "127.0.0.1", 1)
             for name, it in self.processes.items()
-            if it.killed_at is None or self.now - it.killed_at < NOTICE
+            if it.silent_since is None or self.now - it.silent_since < NOTICE
         )
         return View(self.now, tuple(self.hosts), members, self.bundle)
 
