--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -118,7 +118,7 @@
         before anybody takes that for a death.
         """
         quiet = self.terms.take_after + self.terms.authority / RENEWALS_PER_TERM
-        return 0 < self.health.well_since and now < self.health.well_since + quiet
+        return self.health.well_since > 0 and now < self.health.well_since + quiet
 
     def able_lives(self, view: View) -> tuple[Life, ...]:
         """
--- a/toucanpin/placement/tests/test_failures.py
+++ b/toucanpin/placement/tests/test_failures.py
@@ -11,10 +11,12 @@
 WAITED = 6_000
 
 
-def find_gaps(world: World, task: str) -> list[int]:
+def find_gaps(world: World, task: str) -> list[float]:
     """Return the gaps (ms) between the runs of a task, the last up to now if it doesn't run."""
     runs = sorted(world.intervals()[task])
-    gaps = [start - end for (_, end, *_), (start, *_) in zip(runs, runs[1:], strict=False)]
+    gaps: list[float] = [
+        start - end for (_, end, *_), (start, *_) in zip(runs, runs[1:], strict=False)
+    ]
     if not world.running(task):
         gaps.append(int(world.now * 1000) - runs[-1][1])
     return gaps
@@ -284,7 +286,7 @@
         world.resume_worker(worker)
         world.run(10)
         self.assertEqual(len(world.running("enc")), 1)
-        self.assertNotIn("enc", [it.task for it in world.cores[worker]._live()])
+        self.assertNotIn("enc", [it.start.task for it in world.cores[worker]._live()])
 
     def test_delayed_start_is_refused_after_the_worker_was_lost(self):
         """
--- /dev/null
+++ b/toucanpin/placement/tests/test_queue.py
@@ -0,0 +1,197 @@
+"""Tests of ledger, queue, quotas, submission and the choice of cells."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from toucanpin.bundles.schema import Bundle, Team
+from toucanpin.exception import LedgerError
+from toucanpin.placement import ledger
+from toucanpin.placement.ledger import FreeIndex
+from toucanpin.placement.queue import CellShape, Quotas, TaskQueue, choose_cell
+from toucanpin.placement.records import CellRow, JobState, TaskRecord, WorkerRow
+from toucanpin.placement.tests.world import World
+from toucanpin.platform.ports import Size
+from toucanpin.verdict import Reason
+
+FIXED = settings(derandomize=True, database=None, deadline=None, max_examples=200)
+SIZES = st.builds(Size, st.integers(0, 8), st.integers(0, 8), st.integers(0, 2))
+
+
+def make_task(name: str, **fields) -> TaskRecord:
+    """Return a record."""
+    size = fields.pop("size", Size(1, 1))
+    return TaskRecord(name, "k", fields.pop("team", "t"), size, **fields)
+
+
+def make_cell(size: Size, *tasks: TaskRecord) -> CellRow:
+    """Return the row of a cell with one worker."""
+    worker = WorkerRow("w", "s", "r", "", 0, size)
+    return CellRow(1, None, {"w": worker}, {it.task: it for it in tasks})
+
+
+class LedgerTest(unittest.TestCase):
+    """Count sizes."""
+
+    @FIXED
+    @given(st.lists(SIZES, max_size=20), SIZES, st.lists(st.integers(0, 19), max_size=10))
+    def test_index_agrees_with_a_plain_search(self, free, wanted, taken):
+        """The index finds a worker exactly if one has room, and the tightest of them first."""
+        index = FreeIndex()
+        plain = {str(number): size for number, size in enumerate(free)}
+        for name, size in plain.items():
+            index.put(name, size)
+        for number in taken:
+            name = str(number)
+            if name in plain and ledger.fits(Size(1, 1), plain[name]):
+                index.take(name, Size(1, 1))
+                plain[name] = ledger.subtract(plain[name], Size(1, 1))
+        able = [name for name, size in plain.items() if ledger.fits(wanted, size)]
+        found = index.candidates(wanted, 1)
+        self.assertEqual(bool(found), bool(able))
+        if found:
+            tightest = min((plain[it].accelerators, plain[it].processors) for it in able)
+            chosen = plain[found[0]]
+            self.assertEqual((chosen.accelerators, chosen.processors), tightest)
+
+    def test_overcommitment_is_never_written(self):
+        """Each part counts, and a task on an unknown worker counts as well."""
+        whole = Size(4, 4, 1)
+        for size in (Size(5, 1), Size(1, 5), Size(1, 1, 2)):
+            with self.subTest(size=size), self.assertRaises(LedgerError):
+                ledger.check(None, make_cell(whole, make_task("a", size=size, worker="w")))
+        with self.assertRaises(LedgerError):
+            ledger.check(None, make_cell(whole, make_task("a", worker="x")))
+
+    def test_worker_that_shrank_keeps_what_it_holds(self):
+        """Its tasks may still end one by one, but nothing is added."""
+        one = make_task("a", size=Size(3, 1), worker="w")
+        two = make_task("b", size=Size(3, 1), worker="w")
+        before = make_cell(Size(2, 2), one, two)
+        ledger.check(before, make_cell(Size(2, 2), one))
+        with self.assertRaises(LedgerError):
+            ledger.check(make_cell(Size(2, 2), one), before)
+
+
+class QueueTest(unittest.TestCase):
+    """Order what waits."""
+
+    def order(self, *entries: tuple[str, float, dict]) -> list[str]:
+        """Return the order of tasks that came at these instants."""
+        queue = TaskQueue()
+        for version, (name, since, fields) in enumerate(entries, start=1):
+            queue.put(make_task(name, **fields), version, since)
+        return [it.record.task for it in queue.in_order()]
+
+    def test_urgent_then_priority_then_age(self):
+        """A step of priority is worth a minute of waiting."""
+        order = self.order(
+            ("late", 50.0, {}),
+            ("early", 0.0, {}),
+            ("important", 50.0, {"priority": 1}),
+            ("urgent", 60.0, {"urgent": True}),
+        )
+        self.assertEqual(order, ["urgent", "important", "early", "late"])
+
+    def test_urgent_work_starves_nobody(self):
+        """After seven urgent tasks one other is tried."""
+        entries = [(f"u{number}", 0.0, {"urgent": True}) for number in range(20)]
+        self.assertEqual(self.order(*entries, ("other", 0.0, {})).index("other"), 7)
+
+    def test_quota_bounds_every_part(self):
+        """A team that the bundle doesn't name may hold nothing."""
+        quotas = Quotas([Team("t", 4, 100, 0)], {"t": Size(3, 10, 0)})
+        self.assertTrue(quotas.allows("t", Size(1, 1)))
+        quotas.take("t", Size(1, 1))
+        self.assertFalse(quotas.allows("t", Size(1, 1)))
+        self.assertFalse(quotas.allows("x", Size(1, 1)))
+
+    def test_cell_is_one_that_can_ever_hold_the_task(self):
+        """The rendezvous choice skips the others and moves few tasks when a cell comes."""
+        shapes = [CellShape(f"c{number}", (Size(8, 8),)) for number in range(4)]
+        shapes.append(CellShape("big", (Size(64, 64, 1),)))
+        self.assertEqual(choose_cell("a", Size(9, 1), shapes), "big")
+        self.assertIsNone(choose_cell("a", Size(65, 1), shapes))
+        names = [f"t{number}" for number in range(500)]
+        before = {it: choose_cell(it, Size(1, 1), shapes[:4]) for it in names}
+        after = {it: choose_cell(it, Size(1, 1), shapes) for it in names}
+        moved = {after[it] for it in names if after[it] != before[it]}
+        self.assertEqual(moved, {"big"})
+
+
+class PolicyTest(unittest.TestCase):
+    """Follow quotas, urgency and cells through whole turns."""
+
+    def test_team_never_passes_its_quota(self):
+        """Its other jobs wait, and all finish in the end."""
+        world = World(workers=4)
+        world.bundle = Bundle("test", 2, teams=(Team("t", 4, 10_000, 0),))
+        for number in range(10):
+            world.submit(str(number), processors=2, work=1_000)
+        most = 0
+        for _ in range(60):
+            world.run(0.5)
+            tasks = world.cells()["s.r0"].tasks.values()
+            most = max(most, sum(it.size.processors for it in tasks))
+        self.assertEqual((most, world.count_ended()), (4, 10))
+
+    def test_job_over_the_whole_quota_is_told_at_once(self):
+        """So is a job of a team that isn't named."""
+        world = World()
+        world.bundle = Bundle("test", 2, teams=(Team("t", 4, 10_000, 0),))
+        self.assertEqual(world.submit("a", processors=5).error.reason, Reason.NEVER_FITS)
+        self.assertEqual(world.submit("b", team="x").error.reason, Reason.FORBIDDEN)
+
+    def test_urgent_job_evicts_and_the_evicted_resumes(self):
+        """
+        An urgent job starts within a few turns on a full cell; what made room for it goes on from
+        its checkpoint and finishes once.
+        """
+        world = World(workers=1)
+        for number in range(4):
+            world.submit(str(number), processors=2, work=8_000)
+        world.run(4)
+        asked = world.now
+        job = world.submit("u", processors=2, work=1_000, urgent=True).ok.job
+        world.run(3)
+        started = world.intervals()[job][0][0] / 1000
+        self.assertLess(started - asked, 1.2)
+        world.settle(60)
+        self.assertEqual({it.state for it in world.jobs().values()}, {JobState.FINISHED})
+        evicted = [it.record.evictions for it in world.jobs().values()]
+        self.assertEqual(sum(evicted), 1)
+
+    def test_work_moves_to_a_cell_with_room(self):
+        """What waits too long in a full cell is moved, and is still cancelled where it went."""
+        world = World(racks=2, workers=1, processes=2)
+        for number in range(12):
+            world.submit(str(number), processors=4, work=60_000)
+        world.run(20)
+        running = sum(len(cell.tasks) for cell in world.cells().values())
+        self.assertEqual(running, 4)
+        for job in world.jobs():
+            world.cancel(job)
+        world.run(5)
+        self.assertEqual(world.table.scan("queue/"), ())
+        self.assertEqual([cell.tasks for cell in world.cells().values()], [{}, {}])
+
+    def test_large_job_is_not_starved_by_small_ones(self):
+        """One worker is kept free for it once it has waited for a minute."""
+        world = World(workers=1)
+        number = 0
+        world.run(1)
+        for number in range(8):
+            world.submit(f"s{number}", work=4_000 + 500 * number)
+        world.run(1)
+        big = world.submit("big", processors=8, work=500).ok.job
+        for _ in range(70):
+            number += 1
+            world.submit(f"s{number}", work=7_000)
+            world.run(1.0)
+        world.run(20)
+        self.assertEqual(world.jobs()[big].state, JobState.FINISHED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/placement/tests/world.py
+++ b/toucanpin/placement/tests/world.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+from contextlib import contextmanager
+from typing import Any, cast
 
 import msgspec
 from expression import Error, Ok
@@ -44,6 +45,8 @@
 PACE = Pace(poll=0.5, checkpoint=5.0, quarantine=30.0)
 TURN = 0.25
 NOTICE = 1.0
+RATES = (1.009, 0.991, 1.0)
+ROUNDING = 2
 
 
 def describe_work(units: int, fail: Any = "never") -> str:
@@ -51,6 +54,65 @@
     return msgspec.json.encode(Work(work=units, input="x", fail=fail)).decode()
 
 
+class Clock:
+    """Run at a rate and from an offset of its own; the rates differ by less than the drift."""
+
+    def __init__(self, number: int) -> None:
+        self.rate = RATES[number % len(RATES)]
+        self.offset = 37.0 * number
+
+    def read(self, now: float) -> float:
+        """Return this clock's seconds at an instant of the world."""
+        return now * self.rate + self.offset
+
+    def invert(self, reading: float) -> float:
+        """Return the world's instant at which this clock shows a reading."""
+        return (reading - self.offset) / self.rate
+
+
+class SkewedCore(WorkerCore):
+    """Act as a worker's agent on a clock of its own; the caller's instants are the world's."""
+
+    def __init__(self, name: str, incarnation: str, size: Size, number: int) -> None:
+        super().__init__(name, incarnation, size)
+        self.clock = Clock(number)
+
+    def read_clock(self, now: int) -> int:
+        """Return this worker's milliseconds."""
+        return int(self.clock.read(now / 1000) * 1000)
+
+    def poll(self, now, poll):
+        """Take one poll at an instant of the world."""
+        with self._own_clock():
+            return super().poll(self.read_clock(now), poll)
+
+    def advance(self, now):
+        """Advance to an instant of the world, or of the own clock while in another call."""
+        if self._inside:
+            super().advance(now)
+            return
+        with self._own_clock():
+            super().advance(self.read_clock(now))
+
+    def finish_put(self, now, put, stored):
+        """Take the outcome of a write."""
+        with self._own_clock():
+            super().finish_put(self.read_clock(now), put, stored)
+
+    def finish_get(self, now, get, body, answered):
+        """Take the outcome of a read."""
+        with self._own_clock():
+            super().finish_get(self.read_clock(now), get, body, answered)
+
+    _inside = False
+
+    @contextmanager
+    def _own_clock(self):
+        self._inside = True
+        yield
+        self._inside = False
+
+
 class Process:
     """Run the turns of one control process, one action at a time."""
 
@@ -58,6 +120,7 @@
         self.world = world
         self.life = life
         self.state = ControlState(life, TERMS, PACE)
+        self.clock = Clock(len(world.processes) + 1)
         self.turn: Any = None
         self.action: Any = None
         self.next_turn = 0.0
@@ -66,6 +129,11 @@
         self.cut_table = False
         self.cut_peers: set[str] = set()
 
+    @property
+    def now(self) -> float:
+        """Return this process's own monotonic seconds."""
+        return self.clock.read(self.world.now)
+
     @property
     def silent_since(self) -> float | None:
         """Return since when the process sends no heartbeats, None if it does."""
@@ -92,7 +160,7 @@
             self._send(None)
             return
         value = self.world.perform(self, self.action)
-        self._send(Answer(self.world.now, value))
+        self._send(Answer(self.now, value))
 
     def _send(self, answer: Answer | None) -> None:
         try:
@@ -111,7 +179,7 @@
         self.turn = release_all(self.state)
         self._send(None)
         while self.turn is not None:
-            self._send(Answer(self.world.now, self.world.perform(self, self.action)))
+            self._send(Answer(self.now, self.world.perform(self, self.action)))
         self.killed_at = self.world.now
 
 
@@ -125,16 +193,18 @@
         self.line = Line(lambda: self.now, self.plan)
         self.objects = ObjectsCore()
         self.bundle = Bundle("test", 1)
-        self.cores: dict[str, WorkerCore] = {}
+        self.cores: dict[str, SkewedCore] = {}
         self.hosts: list[ListedHost] = []
         self.dead_workers: dict[str, float] = {}
         self.paused_workers: set[str] = set()
         self.events: list[tuple[str, Note]] = []
         self.ended: dict[str, JobRow] = {}
         self.processes: dict[str, Process] = {}
-        self.retired: list[tuple[WorkerCore, float]] = []
+        self.retired: list[tuple[SkewedCore, float]] = []
         store = MemoryObjects(self.objects, self.line, "worker")
-        self.workers = MemoryWorkers(self.cores, store, self.line, "control")
+        self.workers = MemoryWorkers(
+            cast(dict[str, WorkerCore], self.cores), store, self.line, "control"
+        )
         for rack in range(racks):
             for number in range(workers):
                 self.add_worker(f"w{rack}{number}", f"r{rack}")
@@ -143,7 +213,7 @@
 
     def add_worker(self, name: str, rack: str, size: Size = WORKER_SIZE) -> None:
         """Add a worker host and list it."""
-        self.cores[name] = WorkerCore(name, "1", size)
+        self.cores[name] = SkewedCore(name, "1", size, len(self.cores))
         host = ListedHost(name, HostRole.WORKER, "s", rack, "127.0.0.1", 1, size=size)
         self.hosts.append(host)
 
@@ -159,7 +229,7 @@
             for name, it in self.processes.items()
             if it.silent_since is None or self.now - it.silent_since < NOTICE
         )
-        return View(self.now, tuple(self.hosts), members, self.bundle)
+        return View(asker.now, tuple(self.hosts), members, self.bundle)
 
     def perform(self, process: Process, action: Any) -> Any:
         """Carry out one action with the ports of a process."""
@@ -195,7 +265,7 @@
             return False
         if peer.process in process.cut_peers or process.life.process in other.cut_peers:
             return False
-        return other.state.watch.answer_standstill(holder, self.now)
+        return other.state.watch.answer_standstill(holder, other.now)
 
     def run(self, seconds: float, check: bool = True) -> None:
         """Let time pass in small steps; every process makes whole turns."""
@@ -287,7 +357,8 @@
         """Start a new life of a worker that was lost."""
         old = self.cores[name]
         self.retired.append((old, self.dead_workers.pop(name, self.now)))
-        self.cores[name] = WorkerCore(name, old.incarnation + "x", old.size)
+        number = list(self.cores).index(name) + 1
+        self.cores[name] = SkewedCore(name, old.incarnation + "x", old.size, number)
         self.workers.lost.discard(name)
 
     def pause_worker(self, name: str) -> None:
@@ -305,17 +376,22 @@
         found: dict[str, list[tuple[float, float, str, int]]] = {}
         cores = [(core, self.dead_workers.get(name)) for name, core in self.cores.items()]
         for core, died in [*cores, *self.retired]:
-            last = int((self.now if died is None else died) * 1000)
+            last = self.now if died is None else died
+            lease = core.clock.invert(core._lease_until / 1000)
             for it in core.log:
+                began = core.clock.invert(it.started_at / 1000)
                 # A core that makes no step any more runs nothing after its lease.
-                end = min(last, core._lease_until) if it.stopped_at is None else it.stopped_at
-                found.setdefault(it.task, []).append((it.started_at, end, core.name, it.attempt))
+                end = min(last, lease)
+                if it.stopped_at is not None:
+                    end = core.clock.invert(it.stopped_at / 1000)
+                run = (int(began * 1000), int(end * 1000), core.name, it.attempt)
+                found.setdefault(it.task, []).append(run)
         return found
 
     def running(self, task: str) -> list[str]:
         """Return the workers on which a task runs now."""
         now = int(self.now * 1000)
-        return [w for start, end, w, _ in self.intervals().get(task, []) if start <= now <= end]
+        return [w for start, end, w, _ in self.intervals().get(task, []) if now <= end + ROUNDING]
 
     def jobs(self) -> dict[str, JobRow]:
         """Return the jobs' rows."""
@@ -332,7 +408,9 @@
         for task, runs in self.intervals().items():
             runs.sort()
             for (_, end, here, one), (start, _, there, two) in zip(runs, runs[1:], strict=False):
-                assert start >= end, f"{task}/{one} on {here} and {two} on {there} at {start}"
+                assert (
+                    start >= end - ROUNDING
+                ), f"{task}/{one} on {here} and {two} on {there} at {start}"
         places: dict[str, str] = {}
         for name, cell in self.cells().items():
             for worker, used in used_by_worker(cell.tasks.values()).items():
