--- /dev/null
+++ b/toucanpin/timeline/codec.py
@@ -0,0 +1,41 @@
+"""
+Codec
+=====
+
+Events as JSON lines.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from toucanpin.timeline.event import Event
+from toucanpin.timeline.faults import Unreadable
+
+__all__ = ["decode_lines", "encode_lines"]
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(Event)
+
+
+def encode_lines(events: Iterable[Event]) -> Iterator[bytes]:
+    """Yield one line for each event, its end included."""
+    for event in events:
+        yield _ENCODER.encode(event) + b"\n"
+
+
+def decode_lines(source: str, body: bytes) -> Iterator[Event | Unreadable]:
+    """
+    Yield the event of each line, or the fault of a line that holds none.
+
+    A process that dies while it sends leaves half a line at the end; the rest is still told.
+    """
+    for number, line in enumerate(body.split(b"\n"), start=1):
+        if not line.strip():
+            continue
+        try:
+            yield _DECODER.decode(line)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            yield Unreadable(source, number, str(error))
--- a/toucanpin/timeline/event.py
+++ b/toucanpin/timeline/event.py
@@ -14,10 +14,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Cause:
-    """Point at the event of another process that came before, by its sequence number."""
+    """
+    Point at the event of another process that came before, by its sequence number.
+
+    Sequence numbers start anew in each incarnation; an empty ``incarnation`` leaves it open.
+    """
 
     process: str
     sequence: int
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/toucanpin/timeline/tests/test_recorder.py
@@ -0,0 +1,62 @@
+"""Tests of the recorder."""
+
+import itertools
+import threading
+import unittest
+
+from toucanpin.timeline.recorder import Recorder
+
+
+def make_recorder(capacity=4):
+    """Make a recorder whose clocks count."""
+    ticks = itertools.count()
+    return Recorder("a/control", "1", lambda: float(next(ticks)), lambda: 0.0, capacity)
+
+
+class RecorderTest(unittest.TestCase):
+    def test_numbers_start_at_one(self):
+        recorder = make_recorder()
+        self.assertEqual(recorder.record("process.started", {}).sequence, 1)
+        self.assertEqual(recorder.last, 1)
+
+    def test_full_buffer_drops_the_oldest_and_counts_them(self):
+        recorder = make_recorder(capacity=4)
+        for _ in range(7):
+            recorder.record("x", {})
+        excerpt = recorder.read_after(1)
+        self.assertEqual([event.sequence for event in excerpt.events], [4, 5, 6, 7])
+        self.assertEqual(excerpt.missed, 2)
+        self.assertEqual(recorder.dropped, 3)
+
+    def test_reads_after_a_number_and_up_to_a_limit(self):
+        recorder = make_recorder(capacity=10)
+        for _ in range(6):
+            recorder.record("x", {})
+        excerpt = recorder.read_after(2, limit=2)
+        self.assertEqual([event.sequence for event in excerpt.events], [3, 4])
+        self.assertEqual(recorder.read_after(6).events, ())
+        self.assertEqual(recorder.read_after(99).events, ())
+
+    def test_later_change_of_the_ids_does_not_change_the_event(self):
+        ids = {"job": "a"}
+        event = make_recorder().record("x", ids)
+        ids["job"] = "b"
+        self.assertEqual(event.ids, {"job": "a"})
+
+    def test_threads_get_distinct_numbers_in_the_order_of_the_clock(self):
+        recorder = make_recorder(capacity=4_000)
+        threads = [
+            threading.Thread(target=lambda: [recorder.record("x", {}) for _ in range(500)])
+            for _ in range(4)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        events = recorder.read_after(0).events
+        self.assertEqual([event.sequence for event in events], list(range(1, 2_001)))
+        self.assertEqual([event.monotonic for event in events], [float(n) for n in range(2_000)])
+
+
+if __name__ == "__main__":
+    unittest.main()
