--- /dev/null
+++ b/scenarios/check.py
@@ -0,0 +1,103 @@
+"""
+Check
+=====
+
+Faults of a scenario that its grammar doesn't show: names that nothing bears, and the like.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from scenarios import model
+from scenarios.model import Place, Scenario, ScenarioError
+
+__all__ = ["PLATFORM", "ROLES", "find_faults", "name_hosts"]
+
+PLATFORM = ("table", "objects", "hostlist")
+ROLES = ("control", "request")
+
+
+def name_hosts(hosts: model.Hosts) -> Iterator[str]:
+    """Yield the names of entry hosts, workers and instances."""
+    yield from name_entries(hosts)
+    yield from (f"w{number}" for number in range(1, hosts.worker + 1))
+    yield from (f"i{number}" for number in range(1, hosts.instance + 1))
+
+
+def name_entries(hosts: model.Hosts) -> Iterator[str]:
+    """Yield the names of entry hosts: entry-a, entry-b and so on."""
+    return (f"entry-{chr(ord('a') + number)}" for number in range(hosts.entry))
+
+
+def find_faults(scenario: Scenario) -> Iterator[ScenarioError]:
+    """Yield what is wrong with a scenario, in the order of its lines."""
+    faults = [*_check_events(scenario), *_check_expectations(scenario)]
+    if not scenario.expectations:
+        faults.append(ScenarioError(Place(scenario.file, 1), "the scenario expects nothing"))
+    yield from sorted(faults, key=lambda fault: fault.place.line)
+
+
+def _check_events(scenario: Scenario) -> Iterator[ScenarioError]:
+    """Yield the faults of events."""
+    entries = {"", *name_entries(scenario.hosts)}
+    processes = {f"{entry}/{role}" for entry in name_entries(scenario.hosts) for role in ROLES}
+    targets = {*name_hosts(scenario.hosts), *processes, *PLATFORM}
+    services = {each.service.name for each in scenario.services}
+    seen: set[str] = set()
+    for event in scenario.events:
+        match event.action:
+            case model.SubmitJob(job, through=entry):
+                yield from _require(event.place, "entry host", entry, entries)
+                if job in seen:
+                    yield ScenarioError(event.place, f"job {job} is submitted twice")
+                seen.add(job)
+            case model.CancelJob(job, entry):
+                yield from _require(event.place, "entry host", entry, entries)
+                yield from _require(event.place, "job", job, seen)
+            case model.SubmitBundle(through=entry):
+                yield from _require(event.place, "entry host", entry, entries)
+            case model.SendRequest(service=service, through=entry):
+                yield from _require(event.place, "entry host", entry, entries)
+                yield from _require(event.place, "service", service, services)
+            case model.Outage(target):
+                yield from _require(event.place, "service of the platform", target, PLATFORM)
+            case model.Cut(source, target) | model.Slow(source, target):
+                yield from _require(event.place, "host", source, targets)
+                yield from _require(event.place, "host", target, targets)
+            case model.LoseAnswers(source, target):
+                yield from _require(event.place, "host", source, targets)
+                yield from _require(event.place, "host", target, targets)
+            case action:
+                yield from _require(event.place, "host", action.target, targets - {*PLATFORM})
+
+
+def _check_expectations(scenario: Scenario) -> Iterator[ScenarioError]:
+    """Yield the faults of expectations."""
+    actions = [event.action for event in scenario.events]
+    jobs = {action.job for action in actions if isinstance(action, model.SubmitJob)}
+    requests = {action.request for action in actions if isinstance(action, model.SendRequest)}
+    bundles = {action.version for action in actions if isinstance(action, model.SubmitBundle)}
+    standing = {task.name for task in scenario.standing}
+    for expectation in scenario.expectations:
+        place = expectation.place
+        match expectation.expected:
+            case model.JobEnds(job) | model.JobResumes(job):
+                yield from _require(place, "job", job, jobs | ({""} if jobs else set()))
+            case model.RequestEnds(request):
+                known = requests | ({""} if requests else set())
+                yield from _require(place, "request", request, known)
+            case model.StandingRuns(task):
+                yield from _require(place, "standing task", task, standing)
+            case model.BundleEverywhere(version):
+                yield from _require(place, "bundle", str(version), map(str, bundles | {1}))
+            case model.NoWork(host):
+                yield from _require(place, "host", host, name_hosts(scenario.hosts))
+
+
+def _require(place: Place, what: str, name: str, known: Iterable[str]) -> Iterator[ScenarioError]:
+    """Yield a fault if nothing bears a name."""
+    names = sorted(name for name in known if name)
+    if name not in names and (name or not names or "" not in known):
+        missing = f"no {what} is named {name!r}" if name else f"there is no {what}"
+        yield ScenarioError(place, f"{missing}; there are: {', '.join(names) or 'none'}")
--- /dev/null
+++ b/scenarios/evidence.py
@@ -0,0 +1,98 @@
+"""
+Evidence
+========
+
+What happened in a world, as seen from outside the system: what ran where and when, what callers
+and submitters were told, which bundle was in force in which process.  Times are in seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from scenarios.model import FOREVER, JobEnd, RequestEnd
+
+__all__ = ["Breach", "BundleInForce", "Evidence", "JobTold", "RequestRun", "RequestTold", "TaskRun"]
+
+
+@dataclass(slots=True)
+class TaskRun:
+    """Hold the time that one attempt truly ran at a worker."""
+
+    task: str
+    attempt: int
+    host: str
+    started: float
+    stopped: float = FOREVER
+    resumed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobTold:
+    """Hold an end of a job as its submitter can read it; ``right`` tells of the result's body."""
+
+    job: str
+    time: float
+    end: JobEnd
+    right: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRun:
+    """Hold one run of a request at an instance."""
+
+    request: str
+    host: str
+    started: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTold:
+    """Hold what a caller was told; ``whole`` says that the answer is complete and its own."""
+
+    request: str
+    entry: str
+    sent: float
+    time: float
+    end: RequestEnd
+    whole: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class BundleInForce:
+    """Hold the instant at which a life of a process took a version into force."""
+
+    process: str
+    life: int
+    version: int
+    time: float
+    digest: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """Hold a promise that was seen broken."""
+
+    time: float
+    detail: str
+
+
+@dataclass(slots=True)
+class Evidence:
+    """
+    Gather everything that was seen until ``ended``.
+
+    ``accepted`` gives the instants at which versions of the bundle were accepted; ``living`` the
+    instant since when each process that runs at the end has run.
+    """
+
+    ended: float = 0.0
+    runs: list[TaskRun] = field(default_factory=list)
+    jobs: list[JobTold] = field(default_factory=list)
+    requests: list[RequestTold] = field(default_factory=list)
+    request_runs: list[RequestRun] = field(default_factory=list)
+    accepted: dict[int, float] = field(default_factory=dict)
+    bundles: list[BundleInForce] = field(default_factory=list)
+    living: dict[str, float] = field(default_factory=dict)
+    overcommitted: list[Breach] = field(default_factory=list)
+    cut_off: list[Breach] = field(default_factory=list)
--- /dev/null
+++ b/scenarios/judge.py
@@ -0,0 +1,194 @@
+"""
+Judge
+=====
+
+Weigh the evidence of a run against what its scenario expects.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import pairwise
+
+from scenarios import model
+from scenarios.evidence import Evidence, TaskRun
+from scenarios.model import Always, JobEnd, Place, RequestEnd, Scenario
+
+__all__ = ["Failure", "judge"]
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Report an expectation that did not hold."""
+
+    place: Place
+    detail: str
+
+    def __str__(self) -> str:
+        """Write the failure as one line."""
+        return f"{self.place}: {self.detail}"
+
+
+def judge(scenario: Scenario, evidence: Evidence) -> Iterator[Failure]:
+    """Yield the expectations that did not hold, each with what was seen."""
+    for expectation in scenario.expectations:
+        for detail in _weigh(scenario, evidence, expectation.expected):
+            yield Failure(expectation.place, detail)
+
+
+def _weigh(scenario: Scenario, seen: Evidence, expected: model.Expected) -> Iterator[str]:
+    """Yield what contradicts one expectation."""
+    match expected:
+        case model.JobEnds(job, end, within):
+            for event in scenario.events:
+                match event.action:
+                    case model.SubmitJob(name) if job in ("", name):
+                        yield from _weigh_job(seen, name, end, event.time + within)
+        case model.JobResumes(job):
+            yield from _weigh_resumption(seen, job)
+        case model.StandingRuns(task, gap):
+            yield from _weigh_gaps(seen, task, gap)
+        case model.BundleEverywhere(version, within):
+            yield from _weigh_spread(seen, version, within)
+        case model.RequestEnds(request, end, within):
+            for event in scenario.events:
+                match event.action:
+                    case model.SendRequest(name) if request in ("", name):
+                        yield from _weigh_request(seen, name, end, event.time + within)
+        case model.NoWork(host, after):
+            yield from _weigh_silence(seen, host, after)
+        case model.AlwaysExpected(Always.ONE_PLACE):
+            yield from _weigh_places(seen)
+        case model.AlwaysExpected(Always.NEVER_OVERCOMMITTED):
+            yield from (f"at {each.time:.3f}s {each.detail}" for each in seen.overcommitted)
+        case model.AlwaysExpected(Always.NO_REVERT):
+            yield from _weigh_reverts(seen)
+        case model.AlwaysExpected(Always.TRUE_NOT_RUN):
+            yield from _weigh_not_run(seen)
+        case model.AlwaysExpected(Always.NONE_CUT_OFF):
+            yield from (f"at {each.time:.3f}s {each.detail}" for each in seen.cut_off)
+
+
+def _weigh_job(seen: Evidence, job: str, end: JobEnd, until: float) -> Iterator[str]:
+    """Yield what is wrong with the end of a job."""
+    told = [each for each in seen.jobs if each.job == job]
+    if len(told) != 1:
+        ends = ", ".join(f"{each.end.value} at {each.time:.3f}s" for each in told) or "none"
+        yield f"job {job} has {len(told)} ends: {ends}"
+        return
+    if told[0].end is not end:
+        yield f"job {job} ended as {told[0].end.value!r}"
+    if told[0].time > until:
+        yield f"job {job} ended at {told[0].time:.3f}s, after {until:.3f}s"
+    if not told[0].right:
+        yield f"job {job} has a wrong result"
+
+
+def _weigh_resumption(seen: Evidence, job: str) -> Iterator[str]:
+    """Yield what is wrong with a job's one resumption."""
+    runs = sorted((run for run in seen.runs if run.task == job), key=lambda run: run.started)
+    resumed = [run for run in runs if run.resumed]
+    if len(runs) != 2 or len(resumed) != 1:
+        yield f"job {job} ran {len(runs)} times and resumed {len(resumed)} times"
+
+
+def _weigh_gaps(seen: Evidence, task: str, limit: float) -> Iterator[str]:
+    """Yield the gaps of a standing task that are too long, from the start to the end."""
+    runs = sorted((run for run in seen.runs if run.task == task), key=lambda run: run.started)
+    last = 0.0
+    for run in runs:
+        if run.started - last >= limit:
+            yield f"standing task {task} did not run from {last:.3f}s to {run.started:.3f}s"
+        last = max(last, run.stopped)
+    if seen.ended - last >= limit:
+        yield f"standing task {task} did not run from {last:.3f}s to {seen.ended:.3f}s"
+
+
+def _weigh_spread(seen: Evidence, version: int, within: float) -> Iterator[str]:
+    """Yield the processes in which a version, or a later one, was not in force in time."""
+    if version not in seen.accepted:
+        yield f"bundle {version} was never accepted"
+        return
+    for process, since in sorted(seen.living.items()):
+        until = max(seen.accepted[version], since) + within
+        times = [
+            each.time
+            for each in seen.bundles
+            if each.process == process and each.version >= version and each.time >= since
+        ]
+        if not times or min(times) > until:
+            first = f"at {min(times):.3f}s" if times else "never"
+            yield f"bundle {version} came into force in {process} {first}, not by {until:.3f}s"
+
+
+def _weigh_reverts(seen: Evidence) -> Iterator[str]:
+    """Yield the processes that went back to a lower version, and versions with two contents."""
+    ordered = sorted(seen.bundles, key=lambda each: each.time)
+    highest: dict[str, int] = defaultdict(int)
+    digests: dict[int, str] = {}
+    for each in ordered:
+        if each.version < highest[each.process]:
+            yield (
+                f"at {each.time:.3f}s {each.process} went from bundle "
+                f"{highest[each.process]} to {each.version}"
+            )
+        highest[each.process] = max(highest[each.process], each.version)
+        if digests.setdefault(each.version, each.digest) != each.digest:
+            yield f"at {each.time:.3f}s bundle {each.version} differs in {each.process}"
+
+
+def _weigh_request(seen: Evidence, request: str, end: RequestEnd, until: float) -> Iterator[str]:
+    """Yield what is wrong with the end of a request."""
+    if end is RequestEnd.AT_MOST_ONCE:
+        runs = [run for run in seen.request_runs if run.request == request]
+        if len(runs) > 1:
+            yield f"request {request} ran at {', '.join(run.host for run in runs)}"
+        return
+    told = [each for each in seen.requests if each.request == request]
+    if not told:
+        yield f"the caller of request {request} was told nothing"
+    for each in told:
+        if each.end is not end:
+            yield f"the caller of request {request} was told {each.end.value!r}"
+        if not each.whole:
+            yield f"request {request} got an answer that is not its own, or not whole"
+        if each.time > until:
+            yield f"request {request} ended at {each.time:.3f}s, after {until:.3f}s"
+
+
+def _weigh_not_run(seen: Evidence) -> Iterator[str]:
+    """Yield the requests that ran although every caller of them was told otherwise."""
+    ran = {run.request for run in seen.request_runs}
+    ends: dict[str, set[RequestEnd]] = defaultdict(set)
+    for told in seen.requests:
+        ends[told.request].add(told.end)
+    for request in sorted(ran):
+        if ends[request] == {RequestEnd.NOT_RUN}:
+            yield f"request {request} ran, and its caller was told that it had not"
+
+
+def _weigh_silence(seen: Evidence, host: str, after: float) -> Iterator[str]:
+    """Yield the work that a host received after an instant."""
+    tasks = ((run.started, f"task {run.task}") for run in seen.runs if run.host == host)
+    requests = (
+        (run.started, f"request {run.request}") for run in seen.request_runs if run.host == host
+    )
+    for started, what in sorted((*tasks, *requests)):
+        if started > after:
+            yield f"{host} received {what} at {started:.3f}s"
+
+
+def _weigh_places(seen: Evidence) -> Iterator[str]:
+    """Yield the tasks of which two attempts ran at one time."""
+    by_task: dict[str, list[TaskRun]] = defaultdict(list)
+    for run in seen.runs:
+        by_task[run.task].append(run)
+    for task, runs in sorted(by_task.items()):
+        for before, after in pairwise(sorted(runs, key=lambda run: run.started)):
+            if after.started < before.stopped:
+                yield (
+                    f"task {task} ran at {before.host} until {before.stopped:.3f}s "
+                    f"and at {after.host} from {after.started:.3f}s"
+                )
--- /dev/null
+++ b/scenarios/kernel.py
@@ -0,0 +1,195 @@
+"""
+Kernel
+======
+
+A virtual clock with an event heap, and a network between named endpoints with faults.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from scenarios import model
+
+__all__ = ["Kernel", "Loss", "Network", "covers"]
+
+LATENCY = (0.0005, 0.004)
+CALL_TIMEOUT = 2.0
+
+
+class Kernel:
+    """Run callbacks in the order of their instants; those of one instant in the order of asking."""
+
+    def __init__(self, seed: int) -> None:
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self._numbers = itertools.count()
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+
+    def call_at(self, time: float, callback: Callable[[], None]) -> None:
+        """Run a callback at an instant, not before now."""
+        heapq.heappush(self._heap, (max(time, self.now), next(self._numbers), callback))
+
+    def call_after(self, delay: float, callback: Callable[[], None]) -> None:
+        """Run a callback after a delay."""
+        self.call_at(self.now + delay, callback)
+
+    def run_until(self, time: float) -> None:
+        """Run everything that is due up to an instant, inclusive."""
+        while self._heap and self._heap[0][0] <= time:
+            self.now, _, callback = heapq.heappop(self._heap)
+            callback()
+        self.now = time
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """Tell a caller that no answer came; ``sent`` is False if the target certainly did nothing."""
+
+    detail: str
+    sent: bool
+
+
+def covers(target: str, name: str) -> bool:
+    """Tell whether a target of a fault is this endpoint or the host that it runs on."""
+    return target in (name, name.split("/", 1)[0])
+
+
+class Network:
+    """
+    Carry calls between endpoints: processes, workers, instances and the platform's services.
+
+    A call takes a small latency each way, drawn from the seed.  What reaches a paused endpoint
+    waits until it resumes; what reaches one that is gone is lost.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._cuts: list[tuple[model.Cut, float]] = []
+        self._slows: list[tuple[model.Slow, float]] = []
+        self._lost_answers: list[list] = []
+        self._outages: dict[str, float] = {}
+        self._paused: dict[str, float] = {}
+        self._gone: set[str] = set()
+
+    def apply(self, fault: model.Action) -> None:
+        """Bring about a fault from now on."""
+        now = self._kernel.now
+        match fault:
+            case model.Cut(duration=duration):
+                self._cuts.append((fault, now + duration))
+            case model.Slow(duration=duration):
+                self._slows.append((fault, now + duration))
+            case model.LoseAnswers(source, target, count):
+                self._lost_answers.append([source, target, count])
+            case model.Outage(target, duration):
+                self._outages[target] = now + duration
+            case model.Pause(target, duration):
+                self._paused[target] = now + duration
+
+    def remove(self, name: str) -> None:
+        """Let an endpoint be gone."""
+        self._gone.add(name)
+
+    def restore(self, name: str) -> None:
+        """Let a new endpoint answer under a name."""
+        self._gone.discard(name)
+        self._paused.pop(name, None)
+
+    def is_gone(self, name: str) -> bool:
+        """Tell whether an endpoint is gone."""
+        return any(covers(target, name) for target in self._gone)
+
+    def resumes_at(self, name: str) -> float:
+        """Return the instant at which an endpoint next does anything: now unless it is paused."""
+        ends = (end for target, end in self._paused.items() if covers(target, name))
+        return max(ends, default=self._kernel.now)
+
+    def call(
+        self,
+        source: str,
+        target: str,
+        act: Callable[[], object],
+        reply: Callable[[object], None],
+        timeout: float = CALL_TIMEOUT,
+    ) -> None:
+        """
+        Let ``act`` happen at the target and its outcome, or a Loss, reach ``reply`` at the source.
+        """
+        open_call = [True]
+
+        def close(outcome: object) -> None:
+            """Answer the caller once."""
+            if open_call[0]:
+                open_call[0] = False
+                reply(outcome)
+
+        def arrive() -> None:
+            """Act at the target, once it isn't paused."""
+            if self.is_gone(target):
+                return
+            resumed = self.resumes_at(target)
+            if resumed > self._kernel.now:
+                self._kernel.call_at(resumed, arrive)
+                return
+            outcome = act()
+            if not self._is_cut(target, source) and not self._loses_answer(target, source):
+                self._kernel.call_after(self._draw(target, source), lambda: close(outcome))
+
+        if self.is_gone(target) or self._outages.get(target, 0.0) > self._kernel.now:
+            refused = Loss("refused", sent=False)
+            self._kernel.call_after(self._draw(source, target), lambda: close(refused))
+            return
+        # A connection that stood before the cut takes the bytes; only a new one fails untouched.
+        sent = self._kernel.random.random() < 0.5
+        lost = Loss("no answer in time", sent=True)
+        if self._is_cut(source, target):
+            lost = Loss("no answer in time", sent=sent)
+        else:
+            self._kernel.call_after(self._draw(source, target), arrive)
+        self._kernel.call_after(timeout, lambda: close(lost))
+
+    def tell(self, source: str, target: str, act: Callable[[], None]) -> None:
+        """Send a message that has no answer, such as a heartbeat."""
+        self.call(source, target, act, lambda outcome: None)
+
+    def _draw(self, source: str, target: str) -> float:
+        """Draw the latency of one message."""
+        now = self._kernel.now
+        extra = sum(
+            slow.delay
+            for slow, end in self._slows
+            if now < end and self._joins(slow.source, slow.target, source, target)
+        )
+        return self._kernel.random.uniform(*LATENCY) + extra
+
+    def _is_cut(self, source: str, target: str) -> bool:
+        """Tell whether messages from source to target get lost."""
+        now = self._kernel.now
+        return any(
+            now < end
+            and (
+                (covers(cut.source, source) and covers(cut.target, target))
+                if cut.one_way
+                else self._joins(cut.source, cut.target, source, target)
+            )
+            for cut, end in self._cuts
+        )
+
+    def _joins(self, left: str, right: str, source: str, target: str) -> bool:
+        """Tell whether a message runs between two targets of a fault, either way."""
+        return (covers(left, source) and covers(right, target)) or (
+            covers(left, target) and covers(right, source)
+        )
+
+    def _loses_answer(self, source: str, target: str) -> bool:
+        """Tell whether this answer is one of those to lose, and count it."""
+        for entry in self._lost_answers:
+            if entry[2] > 0 and covers(entry[0], source) and covers(entry[1], target):
+                entry[2] -= 1
+                return True
+        return False
--- /dev/null
+++ b/scenarios/runner.py
@@ -0,0 +1,107 @@
+"""
+Runner
+======
+
+Run a scenario in a world and tell what failed and what happened.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Protocol
+
+from scenarios import model
+from scenarios.evidence import Evidence
+from scenarios.judge import Failure, judge
+from scenarios.model import FOREVER, Action, Scenario
+from toucanpin.timeline.event import Event
+from toucanpin.timeline.faults import explain_fault
+from toucanpin.timeline.merge import merge
+from toucanpin.timeline.text import render_text
+
+__all__ = ["FILES", "Outcome", "World", "find_scenarios", "run"]
+
+FILES = Path(__file__).with_name("files")
+SETTLING = 1.0
+LEAST_TIME = 30.0
+
+
+class World(Protocol):
+    """Bring about what a scenario says, and see what happens."""
+
+    def advance(self, time: float) -> None:
+        """Let everything happen up to an instant, in seconds since the start."""
+        ...
+
+    def apply(self, action: Action) -> None:
+        """Bring about an action now."""
+        ...
+
+    def close(self) -> Evidence:
+        """End everything and return what was seen."""
+        ...
+
+    def events(self) -> Iterable[Event]:
+        """Return the events of every process, lost ones too, in any order."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Hold the failures of a run and its session as text."""
+
+    failures: tuple[Failure, ...]
+    session: str
+
+
+def find_scenarios() -> list[Path]:
+    """Return the scenario files."""
+    return sorted(FILES.glob("*.scenario"))
+
+
+def run(scenario: Scenario, make_world: Callable[[Scenario], World]) -> Outcome:
+    """Run a scenario from its start until everything that it expects is due."""
+    world = make_world(scenario)
+    for event in scenario.events:
+        world.advance(event.time)
+        world.apply(event.action)
+    world.advance(find_end(scenario))
+    failures = tuple(judge(scenario, world.close()))
+    return Outcome(failures, _write_session(scenario, world, failures))
+
+
+def find_end(scenario: Scenario) -> float:
+    """Return the instant at which a scenario ends."""
+    last = max((event.time for event in scenario.events), default=0.0)
+    spans = [_find_span(each.expected) for each in scenario.expectations]
+    faults = [_find_duration(event) for event in scenario.events]
+    return max(LEAST_TIME, last + max((*spans, 0.0)), *faults) + SETTLING
+
+
+def _find_span(expected: model.Expected) -> float:
+    """Return how long after the last action an expectation may be due."""
+    match expected:
+        case model.JobEnds(within=span) | model.RequestEnds(within=span):
+            return 0.0 if span == FOREVER else span
+        case model.BundleEverywhere(within=span):
+            return span
+        case _:
+            return 0.0
+
+
+def _find_duration(event: model.Event) -> float:
+    """Return the instant at which a fault ends."""
+    duration = getattr(event.action, "duration", 0.0)
+    return event.time + (0.0 if duration == FOREVER else duration)
+
+
+def _write_session(scenario: Scenario, world: World, failures: tuple[Failure, ...]) -> str:
+    """Write the time line of a run, what is wrong with it, and what failed."""
+    faults: list[str] = []
+    merged = merge(world.events(), lambda fault: faults.append(explain_fault(fault)))
+    lines = [f"{scenario.title} (seed {scenario.seed})", *render_text(merged)]
+    lines += [f"time line: {fault}" for fault in faults]
+    lines += [f"failed: {failure}" for failure in failures] or ["every expectation held"]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/scenarios/tests/test_judge.py
@@ -0,0 +1,121 @@
+"""Tests of the judge: each promise is seen broken by evidence that breaks it."""
+
+import unittest
+from dataclasses import replace
+
+from scenarios.evidence import (
+    Breach,
+    BundleInForce,
+    Evidence,
+    JobTold,
+    RequestRun,
+    RequestTold,
+    TaskRun,
+)
+from scenarios.judge import judge
+from scenarios.language import parse
+from scenarios.model import JobEnd, RequestEnd
+
+HEAD = """scenario "x"
+hosts 2 entry, 2 worker, 2 instance
+service verify
+standing enc processors 1
+at 1s submit job a
+at 1s submit bundle 2 through entry-a
+at 1s send request r to verify through entry-a
+"""
+ANSWERED = RequestTold("r", "entry-a", 1.0, 1.2, RequestEnd.ANSWERED)
+
+
+def weigh(line, **seen):
+    """Return what is wrong with evidence under one expectation."""
+    scenario = parse(HEAD + line, "x.scenario")
+    return [failure.detail for failure in judge(scenario, Evidence(ended=30.0, **seen))]
+
+
+class JudgeTest(unittest.TestCase):
+    def expect_broken(self, line, words, **seen):
+        """Check that evidence breaks an expectation in one way."""
+        (detail,) = weigh(line, **seen)
+        self.assertIn(words, detail)
+
+    def test_job_that_finished_once(self):
+        line = "expect job a finished once within 10s"
+        once = JobTold("a", 5.0, JobEnd.FINISHED)
+        self.assertEqual(weigh(line, jobs=[once]), [])
+        self.expect_broken(line, "0 ends", jobs=[])
+        self.expect_broken(line, "2 ends", jobs=[once, once])
+        self.expect_broken(line, "'cancelled'", jobs=[replace(once, end=JobEnd.CANCELLED)])
+        self.expect_broken(line, "after 11.000s", jobs=[replace(once, time=12.0)])
+        self.expect_broken(line, "wrong result", jobs=[replace(once, right=False)])
+
+    def test_job_that_resumed_once(self):
+        line = "expect job a resumed once"
+        first, second = TaskRun("a", 1, "w1", 0.0, 3.0), TaskRun("a", 2, "w2", 4.0, 6.0, True)
+        self.assertEqual(weigh(line, runs=[first, second]), [])
+        self.expect_broken(line, "resumed 0", runs=[first, replace(second, resumed=False)])
+        self.expect_broken(line, "ran 3", runs=[first, second, replace(second, attempt=3)])
+
+    def test_two_places(self):
+        line = "expect never two places"
+        first, second = TaskRun("a", 1, "w1", 0.0, 3.0), TaskRun("a", 2, "w2", 3.0)
+        self.assertEqual(weigh(line, runs=[second, first]), [])
+        self.expect_broken(line, "ran at w1", runs=[first, replace(second, started=2.9)])
+
+    def test_gap_of_a_standing_task(self):
+        line = "expect standing enc gap below 5s"
+        first, second = TaskRun("enc", 1, "w1", 1.0, 9.0), TaskRun("enc", 2, "w2", 13.0)
+        self.assertEqual(weigh(line, runs=[first, second]), [])
+        self.expect_broken(line, "from 9.000s", runs=[first, replace(second, started=14.0)])
+        self.expect_broken(line, "to 30.000s", runs=[first, replace(second, stopped=20.0)])
+
+    def test_bundle_everywhere_and_never_back(self):
+        line, back = "expect bundle 2 everywhere within 3s", "expect bundles never revert"
+        living = {"p": 0.0, "q": 10.0}
+        forces = [BundleInForce("p", 1, 2, 3.0), BundleInForce("q", 2, 2, 11.0)]
+        accepted = {2: 1.0}
+        self.assertEqual(weigh(line, accepted=accepted, living=living, bundles=forces), [])
+        self.assertEqual(weigh(back, bundles=forces), [])
+        self.expect_broken(line, "never accepted", living=living, bundles=forces)
+        late = [forces[0], replace(forces[1], time=14.0)]
+        self.expect_broken(line, "in q at 14", accepted=accepted, living=living, bundles=late)
+        earlier_life = [forces[0], replace(forces[1], time=9.0)]
+        self.expect_broken(
+            line, "in q never", accepted=accepted, living=living, bundles=earlier_life
+        )
+        lower = BundleInForce("p", 2, 1, 20.0)
+        self.expect_broken(back, "from bundle 2 to 1", bundles=[*forces, lower])
+        other = replace(forces[1], digest="other")
+        self.expect_broken(back, "bundle 2 differs", bundles=[forces[0], other])
+
+    def test_ends_of_requests(self):
+        line = "expect request r answered within 1s"
+        self.assertEqual(weigh(line, requests=[ANSWERED]), [])
+        self.expect_broken(line, "told nothing")
+        self.expect_broken(line, "not whole", requests=[replace(ANSWERED, whole=False)])
+        self.expect_broken(line, "after 2.000s", requests=[replace(ANSWERED, time=2.1)])
+        refused = replace(ANSWERED, end=RequestEnd.NOT_RUN)
+        self.expect_broken(line, "'not run'", requests=[refused])
+        run = RequestRun("r", "i1", 1.1)
+        self.assertEqual(weigh("expect no false not run", requests=[refused]), [])
+        self.expect_broken(
+            "expect no false not run", "it had not", requests=[refused], request_runs=[run]
+        )
+        once = "expect every request run at most once"
+        self.assertEqual(weigh(once, request_runs=[run]), [])
+        self.expect_broken(once, "ran at i1, i1", request_runs=[run, run])
+
+    def test_no_work_after_leaving(self):
+        line = "expect no work for w1 after 5s"
+        run = TaskRun("a", 1, "w1", 4.0)
+        self.assertEqual(weigh(line, runs=[run]), [])
+        self.expect_broken(line, "received task a", runs=[replace(run, started=5.5)])
+
+    def test_breaches_are_told(self):
+        breach = Breach(3.0, "w1 holds too much")
+        self.expect_broken("expect never overcommitted", "w1", overcommitted=[breach])
+        self.expect_broken("expect no request cut off", "w1", cut_off=[breach])
+
+
+if __name__ == "__main__":
+    unittest.main()
