--- /dev/null
+++ b/scenarios/actors.py
@@ -0,0 +1,295 @@
+"""
+Actors
+======
+
+What acts on the virtual clock: processes of the system, workers, and the platform's services.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from scenarios.evidence import Evidence, TaskRun
+from scenarios.kernel import Kernel, Loss, Network
+from standins.hostlist import HostListCore
+from standins.objects import ObjectsCore
+from standins.table import TableCore
+from standins.worker import Get, Put, WorkerCore
+from toucanpin.platform.ports import (
+    Conflict,
+    Poll,
+    Report,
+    Row,
+    Size,
+    Start,
+    StoreFault,
+    Transaction,
+    Unavailable,
+    Unknown,
+    WorkerFault,
+)
+from toucanpin.timeline.recorder import Recorder
+
+__all__ = ["Platform", "Process", "SimulatedWorker"]
+
+MILLISECONDS = 1_000
+TICK = 0.05
+WORKER_TIMEOUT = 1.0
+CLOCK_DRIFT = 0.01
+CLOCK_START = 10_000.0
+WALL_SKEW = 0.005
+HOST_LIST_LAG = 2.0
+
+
+class Process:
+    """
+    Live one life of a process: a name, its own clocks, and nothing kept from earlier lives.
+
+    A callback of a paused process waits until it resumes; one of a dead process never runs.
+    """
+
+    def __init__(self, kernel: Kernel, network: Network, name: str, life: int) -> None:
+        self.kernel = kernel
+        self.network = network
+        self.name = name
+        self.host = name.split("/", 1)[0]
+        self.life = life
+        self.alive = True
+        self.since = kernel.now
+        self.wall_step = kernel.random.uniform(-WALL_SKEW, WALL_SKEW)
+        self._rate = 1.0 + kernel.random.uniform(-CLOCK_DRIFT, CLOCK_DRIFT)
+        self.recorder = Recorder(name, str(life), self.read_clock, self.read_wall)
+
+    def read_clock(self) -> float:
+        """Return the process's monotonic clock, which started at 0 and runs at its own rate."""
+        return (self.kernel.now - self.since) * self._rate
+
+    def read_wall(self) -> float:
+        """Return the wall clock of the process's host."""
+        return self.kernel.now + self.wall_step
+
+    def guard(self, callback: Callable[..., None]) -> Callable[..., None]:
+        """Return a callback that runs in this life only, and not while it is paused."""
+
+        def run(*arguments: Any) -> None:
+            """Run now, after the pause, or never."""
+            if not self.alive:
+                return
+            resumed = self.network.resumes_at(self.name)
+            if resumed > self.kernel.now:
+                self.kernel.call_at(resumed, lambda: run(*arguments))
+            else:
+                callback(*arguments)
+
+        return run
+
+    def after(self, delay: float, callback: Callable[[], None]) -> None:
+        """Run a callback in this life after a delay."""
+        self.kernel.call_after(delay, self.guard(callback))
+
+    def call(
+        self,
+        target: str,
+        act: Callable[[], object],
+        reply: Callable[[Any], None],
+        **timing: float,
+    ) -> None:
+        """Call another endpoint and go on with its answer in this life."""
+        self.network.call(self.name, target, act, self.guard(reply), **timing)
+
+    def drive(
+        self,
+        decision: Generator[Any, Any, Any],
+        perform: Callable[[Any, Callable[[Any], None]], None],
+        done: Callable[[Any], None] = lambda value: None,
+    ) -> None:
+        """Run a decision: let each action be performed and send its outcome into the decision."""
+
+        def step(outcome: Any) -> None:
+            """Go on to the next action."""
+            try:
+                action = decision.send(outcome)
+            except StopIteration as end:
+                done(end.value)
+                return
+            perform(action, self.guard(step))
+
+        step(None)
+
+
+class Platform:
+    """Hold the cores of the platform's services and carry calls to them."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.table = TableCore()
+        self.objects = ObjectsCore()
+        self.hosts = HostListCore(lag=HOST_LIST_LAG)
+        self.watchers: list[Callable[[Row], None]] = []
+        self._kernel = kernel
+
+    def commit(
+        self, caller: Process, transaction: Transaction, reply: Callable[[Result], None]
+    ) -> None:
+        """Commit for a process and reply with the table's outcome or a fault."""
+
+        def act() -> object:
+            """Commit at the table and show every changed row to the watchers."""
+            outcome = self.table.commit(transaction)
+            if not isinstance(outcome, Conflict):
+                for write in transaction.writes:
+                    row = Row(write.key, outcome.version, write.value or b"")
+                    for watch in () if write.check_only else self.watchers:
+                        watch(row)
+            return Error(outcome) if isinstance(outcome, Conflict) else Ok(outcome)
+
+        caller.call("table", act, lambda outcome: reply(_explain(outcome)))
+
+    def read(self, caller: Process, key: str, reply: Callable[[Result], None]) -> None:
+        """Read one row for a process."""
+        act = lambda: Ok(self.table.read(key))  # noqa: E731
+        caller.call("table", act, lambda outcome: reply(_explain(outcome)))
+
+    def scan(
+        self, caller: Process, prefix: str, after: int, reply: Callable[[Result], None]
+    ) -> None:
+        """Read the changed rows below a prefix for a process."""
+        act = lambda: Ok(self.table.scan(prefix, after))  # noqa: E731
+        caller.call("table", act, lambda outcome: reply(_explain(outcome)))
+
+    def list_hosts(self, caller: Process, reply: Callable[[Result], None]) -> None:
+        """Read the host list for a process."""
+        act = lambda: Ok(self.hosts.hosts(self._kernel.now))  # noqa: E731
+        caller.call("hostlist", act, lambda outcome: reply(_explain(outcome)))
+
+
+class SimulatedWorker(Process):
+    """Run a worker's core on a clock of its own, and see what truly ran."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        network: Network,
+        platform: Platform,
+        evidence: Evidence,
+        name: str,
+        life: int,
+        size: Size,
+    ) -> None:
+        super().__init__(kernel, network, name, life)
+        self.core = WorkerCore(name, str(life), size)
+        self._platform = platform
+        self._evidence = evidence
+        self._seen: dict[int, TaskRun] = {}
+        self._resumed: set[tuple[str, int]] = set()
+        self._start = CLOCK_START + kernel.random.uniform(0.0, CLOCK_START)
+        self.after(TICK, self._tick)
+
+    def read_milliseconds(self) -> int:
+        """Return the worker's monotonic clock."""
+        return int((self.read_clock() + self._start) * MILLISECONDS)
+
+    def poll(self, poll: Poll) -> Report:
+        """Take a poll."""
+        for order in poll.orders:
+            match order:
+                case Start(task, attempt, checkpoint=checkpoint) if checkpoint:
+                    self._resumed.add((task, attempt))
+        report = self.core.poll(self.read_milliseconds(), poll)
+        self._follow()
+        return report
+
+    def end(self) -> None:
+        """Lose everything at once."""
+        self._look(self.kernel.now)
+        self.alive = False
+        for run in self._seen.values():
+            run.stopped = min(run.stopped, self.kernel.now)
+
+    def _tick(self) -> None:
+        """Let the tasks work."""
+        self.core.advance(self.read_milliseconds())
+        self._follow()
+        self.after(TICK, self._tick)
+
+    def _follow(self) -> None:
+        """Carry out what the core asks of the object store and log what ran."""
+        for effect in list(self.core.take_effects()):
+            self._carry(effect)
+        self._look(self.kernel.now)
+
+    def _carry(self, effect: Put | Get) -> None:
+        """Carry one effect to the object store."""
+        match effect:
+            case Put(name=name, body=body):
+                put = effect
+                act = lambda: self._platform.objects.put(name, body)  # noqa: E731
+                self.call("objects", act, lambda outcome: self._finish_put(put, outcome))
+            case Get(name=name):
+                get = effect
+                act = lambda: self._platform.objects.get(name)  # noqa: E731
+                self.call("objects", act, lambda outcome: self._finish_get(get, outcome))
+
+    def _finish_put(self, put: Put, outcome: object) -> None:
+        """Tell the core how a write ended."""
+        self.core.finish_put(self.read_milliseconds(), put, not isinstance(outcome, Loss))
+        self._follow()
+
+    def _finish_get(self, get: Get, outcome: Any) -> None:
+        """Tell the core how a read ended."""
+        answered = not isinstance(outcome, Loss)
+        body = outcome if answered else None
+        self.core.finish_get(self.read_milliseconds(), get, body, answered)
+        self._follow()
+
+    def _look(self, now: float) -> None:
+        """Note the runs that started or stopped; the core stops them on the worker's own clock."""
+        for number, interval in enumerate(self.core.log):
+            run = self._seen.get(number)
+            if run is None:
+                resumed = (interval.task, interval.attempt) in self._resumed
+                run = TaskRun(interval.task, interval.attempt, self.name, now, resumed=resumed)
+                self._seen[number] = run
+                self._evidence.runs.append(run)
+            if interval.stopped_at is not None and run.stopped > now:
+                run.stopped = max(run.started, min(now, self._to_true(interval.stopped_at)))
+
+    def _to_true(self, milliseconds: int) -> float:
+        """Convert a reading of the worker's clock into the world's time."""
+        return self.since + (milliseconds / MILLISECONDS - self._start) / self._rate
+
+
+def poll_worker(
+    caller: Process,
+    name: str,
+    find: Callable[[str], SimulatedWorker | None],
+    poll: Poll,
+    reply: Callable[[Result[Report, WorkerFault]], None],
+) -> None:
+    """Send one poll to whatever worker bears a name when the poll arrives."""
+
+    def act() -> object:
+        """Let the worker take the poll."""
+        worker = find(name)
+        return Loss("refused", sent=False) if worker is None else worker.poll(poll)
+
+    def tell(outcome: object) -> None:
+        """Turn a missing answer into the port's fault."""
+        match outcome:
+            case Loss(detail, sent):
+                reply(Error(WorkerFault(detail, reached=sent)))
+            case Report():
+                reply(Ok(outcome))
+
+    caller.call(name, act, tell, timeout=WORKER_TIMEOUT)
+
+
+def _explain(outcome: Any) -> Result[Any, StoreFault]:
+    """Turn a missing answer into the port's fault."""
+    match outcome:
+        case Loss(detail, sent):
+            return Error(Unknown(detail) if sent else Unavailable(detail))
+        case _:
+            return outcome
--- a/scenarios/kernel.py
+++ b/scenarios/kernel.py
@@ -15,6 +15,8 @@
 
 from scenarios import model
 
+Reply = Callable[[object], None]
+
 __all__ = ["Kernel", "Loss", "Network", "covers"]
 
 LATENCY = (0.0005, 0.004)
@@ -117,9 +119,18 @@
         reply: Callable[[object], None],
         timeout: float = CALL_TIMEOUT,
     ) -> None:
-        """
-        Let ``act`` happen at the target and its outcome, or a Loss, reach ``reply`` at the source.
-        """
+        """Let ``act`` happen at the target and its outcome, or a Loss, reach the source."""
+        self.ask(source, target, lambda answer: answer(act()), reply, timeout)
+
+    def ask(
+        self,
+        source: str,
+        target: str,
+        handle: Callable[[Reply], None],
+        reply: Reply,
+        timeout: float = CALL_TIMEOUT,
+    ) -> None:
+        """Let the target handle a question that it answers when it can."""
         open_call = [True]
 
         def close(outcome: object) -> None:
@@ -136,7 +147,10 @@
             if resumed > self._kernel.now:
                 self._kernel.call_at(resumed, arrive)
                 return
-            outcome = act()
+            handle(answer)
+
+        def answer(outcome: object) -> None:
+            """Send the answer back unless it gets lost."""
             if not self._is_cut(target, source) and not self._loses_answer(target, source):
                 self._kernel.call_after(self._draw(target, source), lambda: close(outcome))
 
--- /dev/null
+++ b/scenarios/witness.py
@@ -0,0 +1,82 @@
+"""
+Witness
+=======
+
+Watch the platform's table from outside and note what the promises are about.
+"""
+
+from __future__ import annotations
+
+from scenarios.evidence import Breach, Evidence, JobTold
+from scenarios.model import JobEnd
+from standins.objects import ObjectsCore
+from standins.work import Work, describe_result
+from toucanpin.placement.ledger import fits, used_by_worker
+from toucanpin.placement.records import (
+    CELL_PREFIX,
+    JOB_PREFIX,
+    CellRow,
+    JobRow,
+    JobState,
+    decode,
+)
+from toucanpin.platform.ports import Row, Size
+
+__all__ = ["Witness", "describe_work"]
+
+ENDS = {
+    JobState.FINISHED: JobEnd.FINISHED,
+    JobState.CANCELLED: JobEnd.CANCELLED,
+    JobState.FAILED: JobEnd.FAILED,
+}
+MILLISECONDS = 1_000
+
+
+def describe_work(job: str, seconds: int) -> Work:
+    """Return what a job of a scenario does."""
+    return Work(work=seconds * MILLISECONDS, input=job)
+
+
+class Witness:
+    """
+    Note the ends of jobs and hosts that are committed beyond their size.
+
+    ``names`` gives the scenario's names of jobs by the ids that the system gave them.
+    """
+
+    def __init__(
+        self, objects: ObjectsCore, evidence: Evidence, capacity: Size, names: dict[str, str]
+    ) -> None:
+        self._objects = objects
+        self._evidence = evidence
+        self._capacity = capacity
+        self._names = names
+        self._ended: dict[str, JobRow] = {}
+
+    def see(self, now: float, row: Row) -> None:
+        """Take in one changed row."""
+        if row.key.startswith(CELL_PREFIX) and row.value:
+            self._see_cell(now, decode(row.value, CellRow))
+        elif row.key.startswith(JOB_PREFIX) and row.value:
+            self._see_job(now, decode(row.value, JobRow))
+
+    def _see_cell(self, now: float, cell: CellRow) -> None:
+        """Note the workers on which more is committed than they have."""
+        for worker, size in sorted(used_by_worker(cell.tasks.values()).items()):
+            if not fits(size, self._capacity):
+                detail = f"{worker} has {self._capacity} and is committed to {size}"
+                self._evidence.overcommitted.append(Breach(now, detail))
+
+    def _see_job(self, now: float, row: JobRow) -> None:
+        """Note the end of a job, and any other end that follows it."""
+        if row.state not in ENDS or row == self._ended.get(row.job):
+            return
+        self._ended[row.job] = row
+        right = row.state is not JobState.FINISHED or self._is_right(row)
+        name = self._names.get(row.job, row.job)
+        self._evidence.jobs.append(JobTold(name, now, ENDS[row.state], right))
+
+    def _is_right(self, row: JobRow) -> bool:
+        """Tell whether the object that a finished job points at is its result."""
+        name = self._names.get(row.job, row.job)
+        return self._objects.get(row.result) == describe_result(describe_work(name, 0))
