Add settings, logs, metrics, host list and the operators' HTTP

Cause: the daemon needs its frame before its parts. Change: settings checked whole with every fault at once; JSON logs with event ids; OpenTelemetry metrics in the Prometheus text form; probes.

--- /dev/null
+++ b/toucanpin/daemon/hosts.py
@@ -0,0 +1,74 @@
+"""
+Host list of a process
+======================
+
+Keep the newest host list that the platform gave; it is a hint that lags both ways.
+"""
+
+from __future__ import annotations
+
+import threading
+
+import logbook
+from expression import Result
+
+from toucanpin.daemon.logs import EventId
+from toucanpin.platform.ports import HostList, HostRole, ListedHost
+
+__all__ = ["Hosts"]
+
+log = logbook.Logger("toucanpin.hosts")
+
+
+class Hosts:
+    """Read the host list again and again and show the newest."""
+
+    __slots__ = ("_every", "_halt", "_hosts", "_port", "_thread")
+
+    def __init__(self, port: HostList, every: float) -> None:
+        """Prepare to read ``port`` every so many seconds."""
+        self._port = port
+        self._every = every
+        self._hosts: tuple[ListedHost, ...] | None = None
+        self._halt = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="hosts", daemon=True)
+
+    def start(self) -> None:
+        """Start reading."""
+        self._thread.start()
+
+    def stop(self, grace: float) -> None:
+        """Stop reading."""
+        self._halt.set()
+        self._thread.join(grace)
+
+    def known(self) -> bool:
+        """Say whether the list was read at least once."""
+        return self._hosts is not None
+
+    def all(self) -> tuple[ListedHost, ...]:
+        """Return the newest list, empty while none is known."""
+        return self._hosts or ()
+
+    def workers(self) -> tuple[ListedHost, ...]:
+        """Return the listed workers."""
+        return tuple(host for host in self.all() if host.role is HostRole.WORKER)
+
+    def instances(self) -> tuple[ListedHost, ...]:
+        """Return the listed instances of services."""
+        return tuple(host for host in self.all() if host.role is HostRole.INSTANCE)
+
+    def _run(self) -> None:
+        """Read until halted."""
+        while True:
+            self._read()
+            if self._halt.wait(self._every):
+                return
+
+    def _read(self) -> None:
+        """Read once; a failed read keeps the older list, which is a hint anyway."""
+        match self._port.hosts():
+            case Result(tag="ok", ok=hosts):
+                self._hosts = hosts
+            case Result(error=fault):
+                log.warning("host list not read: {}", fault, extra={"event": EventId.HOSTS_STALE})
--- /dev/null
+++ b/toucanpin/daemon/metrics.py
@@ -0,0 +1,90 @@
+"""
+Metrics
+=======
+
+OpenTelemetry instruments of a process, readable over HTTP and pushed by OTLP if a collector is set.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from opentelemetry.metrics import Meter
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import (
+    HistogramDataPoint,
+    InMemoryMetricReader,
+    Metric,
+    MetricReader,
+    NumberDataPoint,
+    PeriodicExportingMetricReader,
+)
+from opentelemetry.sdk.resources import Resource
+
+from toucanpin.daemon.settings import Process, Telemetry
+from toucanpin.daemon.web import StartResponse, answer_text
+
+__all__ = ["Metrics"]
+
+
+class Metrics:
+    """Own the meter of this process and show what it measured."""
+
+    __slots__ = ("_provider", "_reader", "meter")
+
+    def __init__(self, process: Process, telemetry: Telemetry) -> None:
+        """Build the meter, with a push to the collector if one is set."""
+        self._reader = InMemoryMetricReader()
+        readers: list[MetricReader] = [self._reader]
+        if telemetry.collector is not None:
+            readers.append(_make_push_reader(telemetry))
+        resource = Resource.create(
+            {"service.name": "toucanpind", "host.name": process.host, "role": process.role}
+        )
+        self._provider = MeterProvider(metric_readers=readers, resource=resource)
+        self.meter: Meter = self._provider.get_meter("toucanpin")
+
+    def serve(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Answer with every metric in the Prometheus text form."""
+        return answer_text(start, self.write_text(), kind="text/plain; version=0.0.4")
+
+    def write_text(self) -> str:
+        """Write every metric in the Prometheus text form."""
+        data = self._reader.get_metrics_data()
+        if data is None:
+            return ""
+        metrics = (
+            metric
+            for resource in data.resource_metrics
+            for scope in resource.scope_metrics
+            for metric in scope.metrics
+        )
+        return "".join(f"{line}\n" for metric in metrics for line in _write_metric(metric))
+
+    def stop(self) -> None:
+        """Push what is left and stop."""
+        self._provider.shutdown()
+
+
+def _make_push_reader(telemetry: Telemetry) -> MetricReader:
+    """Build the reader that pushes to the collector."""
+    # The exporter loads protobuf and requests, which a process without a collector does not need.
+    from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
+
+    exporter = OTLPMetricExporter(endpoint=f"{telemetry.collector}/v1/metrics")
+    return PeriodicExportingMetricReader(exporter, export_interval_millis=telemetry.every_ms)
+
+
+def _write_metric(metric: Metric) -> Iterator[str]:
+    """Yield the lines of one metric."""
+    name = metric.name.replace(".", "_")
+    yield f"# HELP {name} {metric.description}"
+    for point in metric.data.data_points:
+        labels = ",".join(f'{key}="{value!s}"' for key, value in (point.attributes or {}).items())
+        match point:
+            case HistogramDataPoint():
+                yield f"{name}_count{{{labels}}} {point.count}"
+                yield f"{name}_sum{{{labels}}} {point.sum}"
+            case NumberDataPoint():
+                yield f"{name}{{{labels}}} {point.value}"
--- /dev/null
+++ b/toucanpin/daemon/settings.py
@@ -0,0 +1,160 @@
+"""
+Settings of a process
+=====================
+
+Every setting with its type, unit, limits, default and meaning.  ``toucanpin config explain``
+prints this module's knowledge; ``reading`` checks a file against it.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+__all__ = [
+    "Control",
+    "Keys",
+    "Listen",
+    "Log",
+    "Peers",
+    "Platform",
+    "Process",
+    "Requests",
+    "Settings",
+    "Telemetry",
+    "Tls",
+]
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+EndpointText = Annotated[str, Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")]
+Url = Annotated[str, Meta(pattern=r"^https?://\d+\.\d+\.\d+\.\d+:\d+$")]
+Milliseconds = Annotated[int, Meta(ge=1, le=3_600_000)]
+
+
+class Process(msgspec.Struct, frozen=True, kw_only=True):
+    """Who this process is."""
+
+    deployment: Annotated[Name, Meta(description="the deployment whose bundles it takes")]
+    host: Annotated[Name, Meta(description="name of this entry host")]
+    site: Annotated[Name, Meta(description="data centre of this entry host")]
+    role: Annotated[
+        Literal["request", "control"], Meta(description="what this process does on its host")
+    ]
+
+
+class Listen(msgspec.Struct, frozen=True, kw_only=True):
+    """Where this process listens."""
+
+    operators: Annotated[EndpointText, Meta(description="HTTP for operators, metrics and probes")]
+    inner: Annotated[EndpointText, Meta(description="inner protocol, TCP and UDP on one number")]
+    callers: Annotated[
+        EndpointText | None, Meta(description="HTTP for callers; the request role needs it")
+    ] = None
+
+
+class Platform(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the platform's services are."""
+
+    table: Annotated[Url, Meta(description="transactional table service")]
+    objects: Annotated[Url, Meta(description="object store")]
+    hosts: Annotated[Url, Meta(description="host list")]
+    timeout_ms: Annotated[
+        Milliseconds, Meta(description="longest wait for one answer", extra={"unit": "ms"})
+    ] = 2_000
+    hosts_every_ms: Annotated[
+        Milliseconds, Meta(description="time between reads of the host list", extra={"unit": "ms"})
+    ] = 1_000
+
+
+class Peers(msgspec.Struct, frozen=True, kw_only=True):
+    """How processes of the system find and trust each other."""
+
+    key_file: Annotated[str, Meta(description="file with the keys of the inner protocol")]
+    seeds: Annotated[
+        tuple[EndpointText, ...], Meta(description="inner endpoints of some other processes")
+    ] = ()
+    heartbeat_ms: Annotated[
+        Milliseconds, Meta(description="time between heartbeats", extra={"unit": "ms"})
+    ] = 200
+
+
+class Keys(msgspec.Struct, frozen=True, kw_only=True):
+    """What signatures of bundles are trusted."""
+
+    ring_file: Annotated[str, Meta(description="key ring that is trusted at the start")]
+
+
+class Control(msgspec.Struct, frozen=True, kw_only=True):
+    """Times of the control role."""
+
+    turn_ms: Annotated[
+        Milliseconds, Meta(description="time between turns of placement", extra={"unit": "ms"})
+    ] = 200
+    lease_ms: Annotated[
+        Milliseconds, Meta(description="term of a worker's lease", extra={"unit": "ms"})
+    ] = 4_000
+    authority_ms: Annotated[
+        Milliseconds, Meta(description="term of an owner's authority", extra={"unit": "ms"})
+    ] = 6_000
+    hold_ms: Annotated[
+        Milliseconds,
+        Meta(description="wait of a taker that no roster names", extra={"unit": "ms"}),
+    ] = 2_100_000
+
+
+class Requests(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits of the request role."""
+
+    threads: Annotated[
+        int, Meta(ge=1, le=1_024, description="callers' requests served at one time")
+    ] = 64
+    drain_ms: Annotated[
+        Milliseconds,
+        Meta(description="longest wait for requests in flight at the end", extra={"unit": "ms"}),
+    ] = 30_000
+
+
+class Log(msgspec.Struct, frozen=True, kw_only=True):
+    """What is logged and how."""
+
+    level: Annotated[
+        Literal["debug", "info", "warning", "error"], Meta(description="lowest level written")
+    ] = "info"
+    format: Annotated[
+        Literal["json", "text"], Meta(description="JSON lines, or lines for people")
+    ] = "json"
+
+
+class Telemetry(msgspec.Struct, frozen=True, kw_only=True):
+    """Where metrics go besides the operators' HTTP."""
+
+    collector: Annotated[Url | None, Meta(description="OTLP collector, none if unset")] = None
+    every_ms: Annotated[
+        Milliseconds, Meta(description="time between pushes", extra={"unit": "ms"})
+    ] = 10_000
+
+
+class Tls(msgspec.Struct, frozen=True, kw_only=True):
+    """Certificate for callers and operators; plain HTTP if unset."""
+
+    certificate: Annotated[str | None, Meta(description="certificate chain, PEM")] = None
+    key: Annotated[str | None, Meta(description="private key, PEM, readable by its owner only")] = (
+        None
+    )
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold all settings of one process."""
+
+    process: Process
+    listen: Listen
+    platform: Platform
+    peers: Peers
+    keys: Keys
+    control: Control = Control()
+    requests: Requests = Requests()
+    log: Log = Log()
+    telemetry: Telemetry = Telemetry()
+    tls: Tls = Tls()
