--- /dev/null
+++ b/tools/demo/processes.py
@@ -0,0 +1,113 @@
+"""
+Processes of the demonstration
+==============================
+
+Start, watch, kill and end separate processes by their ids; the product itself starts none.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from types import TracebackType
+
+import urllib3
+
+__all__ = ["Launcher"]
+
+READY_SECONDS = 30.0
+POLL_SECONDS = 0.1
+END_SECONDS = 8.0
+READY = 200
+
+
+class Launcher:
+    """Own the processes that this run started, and end them all."""
+
+    __slots__ = ("_folder", "_processes")
+
+    def __init__(self, folder: Path) -> None:
+        """Prepare to start processes that log into a folder."""
+        self._folder = folder
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> Launcher:
+        """Begin a run."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End every process, also after Ctrl-C."""
+        self.end_all()
+
+    def start(self, name: str, module: str, arguments: Sequence[str]) -> None:
+        """Start ``python -m module`` under a name."""
+        with (self._folder / f"{name}.log").open("ab") as log:
+            # A session of its own keeps the terminal's Ctrl-C for this launcher, which ends all.
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+
+    def kill(self, name: str) -> None:
+        """End one process by SIGKILL."""
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    def end(self, name: str) -> int:
+        """End one process by SIGTERM, by SIGKILL if it does not, and return its exit code."""
+        process = self._processes[name]
+        process.terminate()
+        try:
+            return process.wait(END_SECONDS)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def end_all(self) -> None:
+        """End every process that still runs."""
+        running = [name for name, process in self._processes.items() if process.poll() is None]
+        for name in running:
+            self._processes[name].terminate()
+        for name in running:
+            self.end(name)
+
+    def read_log(self, name: str) -> str:
+        """Return what a process logged."""
+        return (self._folder / f"{name}.log").read_text(errors="replace")
+
+    def wait_ready(self, name: str, url: str) -> None:
+        """
+        Wait until a process answers 200 at a URL.
+
+        Raises
+        ------
+        RuntimeError
+            If it ends or is not ready in time; the message carries the end of its log.
+        """
+        deadline = time.monotonic() + READY_SECONDS
+        reason = "no answer"
+        while time.monotonic() < deadline:
+            if self._processes[name].poll() is not None:
+                reason = f"it ended with {self._processes[name].returncode}"
+                break
+            try:
+                answer = urllib3.request("GET", url, timeout=1.0, retries=False)
+            except urllib3.exceptions.HTTPError:
+                time.sleep(POLL_SECONDS)
+                continue
+            if answer.status == READY:
+                return
+            reason = answer.data.decode(errors="replace").strip()
+            time.sleep(POLL_SECONDS)
+        raise RuntimeError(f"{name} is not ready at {url}: {reason}\n{self.read_log(name)[-2000:]}")
--- /dev/null
+++ b/toucanpin/cli/config.py
@@ -0,0 +1,100 @@
+"""
+Commands on settings
+====================
+
+Check a settings file and explain every setting.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, get_args, get_origin
+
+import click
+import msgspec
+
+from toucanpin.cli.exits import ExitCode
+from toucanpin.cli.http import fail
+from toucanpin.cli.output import output_option, show
+from toucanpin.daemon.reading import read_settings
+from toucanpin.daemon.settings import Settings
+from toucanpin.exception import SettingsError
+
+__all__ = ["config"]
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """Explain one setting."""
+
+    key: str
+    unit: str
+    default: str
+    meaning: str
+
+
+@click.group()
+def config() -> None:
+    """
+    Check and explain settings.
+
+    \b
+    Examples:
+      toucanpin config check /etc/toucanpin/entry.toml
+      toucanpin config explain
+    """
+
+
+@config.command()
+@click.argument("file", type=click.Path(path_type=Path))
+def check(file: Path) -> None:
+    """Check FILE whole and print every fault."""
+    try:
+        read_settings(file)
+    except SettingsError as error:
+        fail(str(error), ExitCode.REFUSED)
+    click.echo(f"{file}: good")
+
+
+@config.command()
+@output_option
+def explain(form: str) -> None:
+    """Print every setting with its unit, default and meaning."""
+    lines = tuple(_explain_all())
+    rows = ((line.key, line.unit, line.default, line.meaning) for line in lines)
+    show(form, ("setting", "unit", "default", "meaning"), rows, lines)
+
+
+def _explain_all() -> Iterator[Explanation]:
+    """Yield every setting of every section."""
+    for section in msgspec.structs.fields(Settings):
+        for field in msgspec.structs.fields(section.type):
+            meta = tuple(_find_meta(field.type))
+            yield Explanation(
+                f"{section.name}.{field.name}",
+                next((found.extra["unit"] for found in meta if found.extra), ""),
+                _write_default(field),
+                next((found.description for found in meta if found.description), ""),
+            )
+
+
+def _find_meta(kind: Any) -> Iterator[msgspec.Meta]:
+    """Yield what is said of a type, outermost first."""
+    if get_origin(kind) is None:
+        return
+    for part in reversed(get_args(kind)):
+        if isinstance(part, msgspec.Meta):
+            yield part
+        else:
+            yield from _find_meta(part)
+
+
+def _write_default(field: msgspec.structs.FieldInfo) -> str:
+    """Write a setting's default as the file would."""
+    if field.required:
+        return "(required)"
+    if field.default is None:
+        return "(unset)"
+    if field.default is msgspec.NODEFAULT:
+        return "[]"
+    return str(field.default)
--- /dev/null
+++ b/toucanpin/cli/exits.py
@@ -0,0 +1,22 @@
+"""
+Exit codes
+==========
+
+Codes that scripts can rely on.
+"""
+
+from __future__ import annotations
+
+import enum
+
+__all__ = ["ExitCode"]
+
+
+class ExitCode(enum.IntEnum):
+    """Say how a command ended."""
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNCERTAIN = 4
--- /dev/null
+++ b/toucanpin/cli/main.py
@@ -0,0 +1,39 @@
+"""
+Operators' tool
+===============
+
+The command ``toucanpin``; each group of commands stands in a module of its own.
+"""
+
+from __future__ import annotations
+
+import click
+
+from toucanpin import __version__
+from toucanpin.cli.completion import completion
+from toucanpin.cli.config import config
+from toucanpin.cli.status import doctor, hosts, status
+
+__all__ = ["main"]
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="toucanpin")
+def main() -> None:
+    """
+    Operate a toucanpin deployment.
+
+    \b
+    Exit codes: 0 done, 1 refused or failed, 2 wrong usage,
+    3 conflict with another change, 4 not reached or outcome uncertain.
+
+    \b
+    Examples:
+      toucanpin bundle check changeover.toml
+      toucanpin status --operators http://127.0.1.1:9080
+      toucanpin job submit --callers http://127.0.1.1:8080 job.json
+    """
+
+
+for command in (completion, config, doctor, hosts, status):
+    main.add_command(command)
--- /dev/null
+++ b/toucanpin/cli/output.py
@@ -0,0 +1,61 @@
+"""
+Output of the tool
+==================
+
+Tables for people and JSON for scripts; colour only on a terminal.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+__all__ = ["Form", "output_option", "show", "url_option"]
+
+PLAIN_WIDTH = 200
+
+
+class Form(enum.Enum):
+    """Name the forms of output."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+output_option = click.option(
+    "--output",
+    "form",
+    type=click.Choice([form.value for form in Form]),
+    default=Form.TABLE.value,
+    show_default=True,
+    help="Readable table, or JSON for scripts.",
+)
+
+url_option = click.option(
+    "--operators",
+    "url",
+    envvar="TOUCANPIN_OPERATORS",
+    required=True,
+    metavar="URL",
+    help="Operators' HTTP of any process, such as http://127.0.1.1:9080.",
+)
+
+
+def show(form: str, columns: Sequence[str], rows: Iterable[Sequence[Any]], value: Any) -> None:
+    """Print rows as a table, or the whole value as JSON."""
+    if Form(form) is Form.JSON:
+        click.echo(msgspec.json.format(msgspec.json.encode(value)).decode())
+        return
+    console = Console()
+    if not console.is_terminal:
+        console = Console(width=PLAIN_WIDTH, no_color=True)
+    table = Table(*columns, box=None, pad_edge=False)
+    for row in rows:
+        table.add_row(*(str(cell) for cell in row))
+    console.print(table)
--- /dev/null
+++ b/toucanpin/cli/status.py
@@ -0,0 +1,135 @@
+"""
+Commands on the state of a deployment
+=====================================
+
+Show the processes that one process knows, the platform's hosts, and what looks wrong.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import click
+import msgspec
+
+from toucanpin.cli.exits import ExitCode
+from toucanpin.cli.http import Answer, ask, ask_json
+from toucanpin.cli.output import output_option, show, url_option
+from toucanpin.daemon.reading import read_settings
+from toucanpin.daemon.settings import Settings
+from toucanpin.exception import SettingsError
+
+__all__ = ["doctor", "hosts", "status"]
+
+READY = 200
+PROBE_SECONDS = 2.0
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """Hold one thing that the doctor found; ``remedy`` is empty if all is well."""
+
+    file: str
+    check: str
+    finding: str
+    remedy: str = ""
+
+
+@click.command()
+@url_option
+@output_option
+def status(url: str, form: str) -> None:
+    """
+    Show the processes of the system as one of them sees them.
+
+    \b
+    Example:
+      toucanpin status --operators http://127.0.1.1:9080
+    """
+    members = ask_json("GET", f"{url}/v1/members")
+    columns = ("name", "site", "standing", "incarnation", "address", "port", "bundle")
+    rows = (tuple(member[column] for column in columns) for member in members)
+    show(form, columns, rows, members)
+
+
+@click.command()
+@url_option
+@output_option
+def hosts(url: str, form: str) -> None:
+    """
+    Show the hosts that the platform lists, which lag behind reality.
+
+    \b
+    Example:
+      toucanpin hosts --operators http://127.0.1.1:9080 --output json
+    """
+    listed = ask_json("GET", f"{url}/v1/hosts")
+    columns = ("name", "role", "site", "rack", "address", "port", "leaving", "service")
+    rows = (tuple(host[column] for column in columns) for host in listed)
+    show(form, columns, rows, listed)
+
+
+@click.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@output_option
+def doctor(files: tuple[Path, ...], form: str) -> None:
+    """
+    Check settings FILES and the processes behind them, and say what to do.
+
+    \b
+    Example:
+      toucanpin doctor /etc/toucanpin/*.toml
+    """
+    findings = [finding for file in files for finding in _examine(file)]
+    columns = ("file", "check", "finding", "what to do")
+    rows = (msgspec.structs.astuple(finding) for finding in findings)
+    show(form, columns, rows, findings)
+    if any(finding.remedy for finding in findings):
+        sys.exit(ExitCode.REFUSED)
+
+
+def _examine(file: Path) -> Iterator[Finding]:
+    """Yield what one settings file and its process show."""
+    try:
+        settings = read_settings(file)
+    except SettingsError as error:
+        for fault in error.faults:
+            yield Finding(str(file), "settings", fault, "mend the file, then start the process")
+        return
+    yield Finding(str(file), "settings", "good")
+    yield from _examine_process(file, settings)
+    yield from _examine_platform(file, settings)
+
+
+def _examine_process(file: Path, settings: Settings) -> Iterator[Finding]:
+    """Yield what the process says of itself."""
+    url = f"http://{settings.listen.operators}"
+    answer = _try(f"{url}/readyz")
+    if answer is None:
+        yield Finding(str(file), "process", f"{url} is out of reach", "start it; read its log")
+    elif answer.status != READY:
+        reasons = answer.body.decode().strip().replace("\n", "; ")
+        yield Finding(
+            str(file), "ready", reasons, "wait; if it stays, check the table and the peers"
+        )
+    else:
+        yield Finding(str(file), "ready", "ready")
+
+
+def _examine_platform(file: Path, settings: Settings) -> Iterator[Finding]:
+    """Yield whether the platform's services can be reached from here."""
+    platform = settings.platform
+    for name, url in (("table", platform.table), ("objects", platform.objects)):
+        if _try(url) is None:
+            yield Finding(str(file), name, f"{url} is out of reach", "check the platform's service")
+        else:
+            yield Finding(str(file), name, "reached")
+
+
+def _try(url: str) -> Answer | None:
+    """Ask a URL, None if nothing answers."""
+    try:
+        return ask("GET", url, timeout=PROBE_SECONDS)
+    except SystemExit:
+        return None
