Add membership, heartbeats and the decisions on bundles

Cause: bundles must take effect everywhere and never go back, and processes must find each other. Change: view of members with incarnations, suspicion and refutation; documents, canonical bytes, signatures with key rings, acceptance by one conditional write, spread by table and peers.

--- /dev/null
+++ b/toucanpin/bundles/acceptance.py
@@ -0,0 +1,270 @@
+"""
+Acceptance of bundles
+=====================
+
+Decide whether a submitted bundle becomes the one in force, by one conditional write.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Result
+
+from toucanpin.bundles.canonical import decode_bundle
+from toucanpin.bundles.difference import compare_bundles
+from toucanpin.bundles.record import (
+    CURRENT_KEY,
+    BundleRecord,
+    decode_record,
+    encode_record,
+    name_version_key,
+)
+from toucanpin.bundles.signature import (
+    KeyRing,
+    SignedBundle,
+    Verified,
+    extends_rings,
+    verify_bundle,
+)
+from toucanpin.platform.ports import (
+    ABSENT,
+    CommitFault,
+    Committed,
+    Conflict,
+    Row,
+    StoreFault,
+    Transaction,
+    Unavailable,
+    Unknown,
+    Write,
+)
+
+__all__ = [
+    "Accepted",
+    "Action",
+    "Commit",
+    "Conflicted",
+    "NotAccepted",
+    "Outcome",
+    "Pause",
+    "Read",
+    "Refused",
+    "Submission",
+    "Uncertain",
+    "accept_bundle",
+]
+
+MAX_ATTEMPTS = 6
+PAUSE_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    """Read one row; the outcome is that of ``Table.read``."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """Commit one transaction; the outcome is that of ``Table.commit``."""
+
+    transaction: Transaction
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Wait some seconds; the outcome is None."""
+
+    seconds: float
+
+
+Action = Read | Commit | Pause
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """
+    Ask for a bundle to be accepted.
+
+    ``expected`` is the version in force that the operator had before them, 0 for none.
+    """
+
+    signed: SignedBundle
+    expected: int
+    operator: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """Say that the bundle was accepted; ``repeated`` if that was so before this submission."""
+
+    record: BundleRecord
+    repeated: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Say that the bundle can't be accepted, and nothing changed."""
+
+    faults: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Conflicted:
+    """Name the bundle in force in place of the expected one, and how it differs from this one."""
+
+    winner: BundleRecord | None
+    difference: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NotAccepted:
+    """Say that the table couldn't be asked: nothing changed, and the submission may be repeated."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Uncertain:
+    """Say that the bundle may have been accepted, or may yet be; the same one may be repeated."""
+
+    detail: str
+
+
+Outcome = Accepted | Refused | Conflicted | NotAccepted | Uncertain
+Acceptance = Generator[Action, Any, Outcome]
+
+
+def accept_bundle(
+    root: KeyRing, submission: Submission, next_token: Callable[[], str]
+) -> Acceptance:
+    """
+    Yield reads and one conditional write, and return what became of the submission.
+
+    Notes
+    -----
+    After a lost answer the write may still take effect later.  Reading the old row back proves
+    nothing then, so the same conditional write is repeated: whichever of the two comes first moves
+    the row's version and makes the other one fail, and both hold the same bundle.
+    """
+    match verify_bundle(root, submission.signed):
+        case Result(tag="ok", ok=verified):
+            pass
+        case Result(error=error):
+            return Refused(error.faults)
+    version = verified.bundle.version
+    if version != submission.expected + 1:
+        allowed = submission.expected + 1
+        return Refused((f"version is {version}; allowed: {allowed}, one above the expected one",))
+    return (yield from _settle(_Attempt(verified, submission, next_token)))
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    verified: Verified
+    submission: Submission
+    next_token: Callable[[], str]
+
+    def record(self) -> BundleRecord:
+        """Return the record to be written."""
+        return BundleRecord(
+            self.verified.bundle.version,
+            self.verified.digest,
+            self.submission.operator,
+            self.submission.at,
+            self.submission.signed,
+        )
+
+    def transaction(self, row: Row | None) -> Transaction:
+        """Return the one write that puts the bundle in force, on top of the row that was read."""
+        value = encode_record(self.record())
+        expected = ABSENT if row is None else row.version
+        key = name_version_key(self.verified.bundle.version)
+        writes = (Write(CURRENT_KEY, expected, value), Write(key, ABSENT, value))
+        return Transaction(self.next_token(), writes)
+
+
+def _settle(attempt: _Attempt) -> Acceptance:
+    doubtful = False
+    detail = ""
+    for _ in range(MAX_ATTEMPTS):
+        match (yield Read(CURRENT_KEY)):
+            case Result(tag="ok", ok=row):
+                pass
+            case Result(error=fault):
+                detail = _say(fault)
+                if not doubtful:
+                    return NotAccepted(detail)
+                yield Pause(PAUSE_SECONDS)
+                continue
+        verdict = yield from _judge(attempt, row)
+        if verdict is not None:
+            return verdict
+        match (yield Commit(attempt.transaction(row))):
+            case Result(tag="ok", ok=Committed()):
+                return Accepted(attempt.record())
+            case Result(error=Conflict()):
+                continue  # the next read shows who was first
+            case Result(error=Unavailable() as fault):
+                detail = fault.detail
+                if not doubtful:
+                    return NotAccepted(detail)
+            case Result(error=Unknown() as fault):
+                doubtful = True
+                detail = fault.detail
+        yield Pause(PAUSE_SECONDS)
+    if doubtful:
+        return Uncertain(detail)
+    return NotAccepted(detail or "the row of the bundle kept changing")
+
+
+def _judge(attempt: _Attempt, row: Row | None) -> Generator[Action, Any, Outcome | None]:
+    expected = attempt.submission.expected
+    if row is None:
+        return None if expected == 0 else Conflicted(None, ())
+    match decode_record(row.value):
+        case Result(tag="ok", ok=current):
+            pass
+        case Result(error=error):
+            return Refused(error.faults)
+    if current.digest == attempt.verified.digest:
+        return Accepted(current, repeated=True)
+    if current.version != expected:
+        return (yield from _lose(attempt, current))
+    if not extends_rings(current.signed.rings, attempt.submission.signed.rings):
+        # A bundle without the newest ring was signed for an older one, perhaps by a key that has
+        # been revoked since.
+        return Refused(("the key rings of the bundle in force are missing or differ",))
+    return None
+
+
+def _lose(attempt: _Attempt, current: BundleRecord) -> Generator[Action, Any, Outcome | None]:
+    # The bundle may have been accepted, its answer lost, and a later one accepted on top of it.
+    # Its own row tells, where the current row would name a winner that is none.
+    match (yield Read(name_version_key(attempt.verified.bundle.version))):
+        case Result(tag="ok", ok=Row(value=value)):
+            match decode_record(value):
+                case Result(tag="ok", ok=own) if own.digest == attempt.verified.digest:
+                    return Accepted(own, repeated=True)
+        case Result(tag="error", error=fault):
+            return Uncertain(f"version {current.version} is in force; {_say(fault)}")
+    return Conflicted(current, _explain(current, attempt.verified))
+
+
+def _explain(current: BundleRecord, verified: Verified) -> tuple[str, ...]:
+    match decode_bundle(current.signed.document):
+        case Result(tag="ok", ok=bundle):
+            return compare_bundles(bundle, verified.bundle)
+    return ()
+
+
+def _say(fault: StoreFault | CommitFault) -> str:
+    match fault:
+        case Unavailable(detail) | Unknown(detail):
+            return detail
+    return str(fault)
--- /dev/null
+++ b/toucanpin/bundles/record.py
@@ -0,0 +1,82 @@
+"""
+Records of accepted bundles
+===========================
+
+What the table keeps of each accepted bundle, and its keys there.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from expression import Error, Ok, Result
+
+from toucanpin.bundles.signature import KeyRing, SignedBundle, Verified, verify_bundle
+from toucanpin.exception import BundleError
+
+__all__ = [
+    "CURRENT_KEY",
+    "BundleRecord",
+    "decode_record",
+    "decode_signed",
+    "encode_record",
+    "encode_signed",
+    "name_version_key",
+    "verify_record",
+]
+
+CURRENT_KEY = "bundle/current"
+_VERSION_PREFIX = "bundle/version/"
+_VERSION_DIGITS = 16
+
+
+class BundleRecord(msgspec.Struct, frozen=True):
+    """Hold an accepted bundle, who submitted it and when (seconds of the wall clock)."""
+
+    version: int
+    digest: str
+    operator: str
+    accepted_at: float
+    signed: SignedBundle
+
+
+def name_version_key(version: int) -> str:
+    """Return the key of the row that keeps one accepted version."""
+    return f"{_VERSION_PREFIX}{version:0{_VERSION_DIGITS}d}"
+
+
+def encode_record(record: BundleRecord) -> bytes:
+    """Return the value of a record's row."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(value: bytes) -> Result[BundleRecord, BundleError]:
+    """Return the record of a row's value; it is not verified yet."""
+    try:
+        return Ok(msgspec.json.decode(value, type=BundleRecord))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Error(BundleError((f"not a record of a bundle: {error}",)))
+
+
+def verify_record(root: KeyRing, record: BundleRecord) -> Result[Verified, BundleError]:
+    """Check a record's signatures, and that its version and digest are those of its bundle."""
+    match verify_bundle(root, record.signed):
+        case Result(tag="ok", ok=verified):
+            same = (verified.bundle.version, verified.digest) == (record.version, record.digest)
+            if same:
+                return Ok(verified)
+            return Error(BundleError(("the record names another version or digest",)))
+        case Result(error=error):
+            return Error(error)
+
+
+def encode_signed(signed: SignedBundle) -> bytes:
+    """Return a signed bundle as operators submit it and processes hand it on."""
+    return msgspec.json.encode(signed)
+
+
+def decode_signed(data: bytes) -> Result[SignedBundle, BundleError]:
+    """Return the signed bundle of untrusted bytes; it is not verified yet."""
+    try:
+        return Ok(msgspec.json.decode(data, type=SignedBundle))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Error(BundleError((f"not a signed bundle: {error}",)))
--- /dev/null
+++ b/toucanpin/daemon/gossip.py
@@ -0,0 +1,257 @@
+"""
+Heartbeats of a process
+=======================
+
+Drive the view of the members with UDP heartbeats and a timer.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+import time
+from collections.abc import Callable
+
+import logbook
+
+from toucanpin.daemon.parts import EventSink
+from toucanpin.membership.beat import Beat, Change, Record, Timing
+from toucanpin.membership.member import Member, Standing
+from toucanpin.membership.view import MAX_RECORDS, View
+from toucanpin.wire.datagram import DatagramSocket
+from toucanpin.wire.identity import Identity
+from toucanpin.wire.keys import PeerKeys
+from toucanpin.wire.messages import UNCONFIRMED, Envelope, Heartbeat, MemberRecord, Received
+
+__all__ = ["BeatListener", "Gossip"]
+
+BeatListener = Callable[[Member, int], None]
+
+_STOP_SECONDS = 5.0
+
+_log = logbook.Logger("gossip")
+
+
+def _know_nothing() -> int:
+    return UNCONFIRMED
+
+
+def _see_no_event() -> int:
+    return 0
+
+
+class Gossip:
+    """
+    Tell the other processes that this one is there, and show which of them are.
+
+    Listeners get each heartbeat's sender and, in milliseconds, how long ago the table confirmed
+    its bundle.  ``identity`` stamps every message of this process.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        deployment: str,
+        seeds: tuple[tuple[str, int], ...],
+        keys: PeerKeys,
+        timing: Timing | None = None,
+        events: EventSink | None = None,
+        event_sequence: Callable[[], int] = _see_no_event,
+    ) -> None:
+        self._timing = timing or Timing()
+        self._view = View(own, self._timing, time.monotonic())
+        self._seeds = seeds
+        self._keys = keys
+        self._events = events
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._thread: threading.Thread | None = None
+        self._socket: DatagramSocket | None = None
+        self._listeners: list[BeatListener] = []
+        self.confirmed_age: Callable[[], int] = _know_nothing
+        self.identity = Identity(
+            deployment,
+            own.name,
+            own.site,
+            lambda: self._view.own.incarnation,
+            lambda: self._view.own.bundle,
+            event_sequence,
+        )
+
+    @property
+    def own(self) -> Member:
+        """Return this process as the others see it."""
+        return self._view.own
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of all heartbeats sent so far."""
+        return 0 if self._socket is None else self._socket.sent_bytes
+
+    def members(self) -> tuple[Member, ...]:
+        """Return every known member, this process first."""
+        with self._lock:
+            return self._view.members()
+
+    def listen(self, listener: BeatListener) -> None:
+        """Call ``listener`` on each heartbeat, on the thread of the heartbeats."""
+        self._listeners.append(listener)
+
+    def carry(self, bundle: int) -> None:
+        """Stamp the version of the bundle in force on every message, and tell it at once."""
+        with self._lock:
+            changed = bundle != self._view.own.bundle
+            self._view.carry(bundle)
+        if changed:
+            self._send_round()
+
+    def start(self) -> None:
+        """Bind the port and exchange heartbeats until stopped."""
+        own = self._view.own
+        self._socket = DatagramSocket(own.address, own.port, self.identity, self._keys)
+        self._thread = threading.Thread(target=self._run, name="gossip", daemon=True)
+        self._thread.start()
+
+    def stop(self, grace: float) -> None:
+        """Tell the members that this process leaves, and release the port."""
+        self._stopping.set()
+        if self._thread is not None:
+            self._thread.join(max(grace, _STOP_SECONDS))
+        with self._lock:
+            self._view.leave()
+        self._send_round()
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _run(self) -> None:
+        due = time.monotonic()
+        while not self._stopping.is_set():
+            now = time.monotonic()
+            if now >= due:
+                self._tick(now)
+                due = now + self._timing.interval
+            self._receive(due - now)
+
+    def _tick(self, now: float) -> None:
+        with self._lock:
+            changes = self._view.tick(now)
+        self._report(changes)
+        self._send_round()
+
+    def _receive(self, timeout: float) -> None:
+        channel = self._socket
+        received = None if channel is None else channel.receive(min(timeout, self._timing.interval))
+        if received is None or not isinstance(received.message, Heartbeat):
+            return
+        beat = _to_beat(received.envelope, received.message)
+        now = time.monotonic()
+        with self._lock:
+            changes = self._view.receive(beat, now)
+            owed = self._view.owes_answer(beat, now)
+            answers = self._view.answers(beat.sender.member.name) if owed else ()
+            digest = self._view.digest()
+        self._report(changes)
+        self._answer(beat.sender.member, digest, answers)
+        self._notify(beat.sender.member, received)
+
+    def _notify(self, member: Member, received: Received) -> None:
+        if member.name == self._view.own.name or not isinstance(received.message, Heartbeat):
+            return
+        for listener in self._listeners:
+            listener(member, received.message.confirmed_age)
+
+    def _answer(self, member: Member, digest: int, records: tuple[Record, ...]) -> None:
+        for start in range(0, len(records), MAX_RECORDS):
+            self._send(member.address, member.port, digest, records[start : start + MAX_RECORDS])
+
+    def _send_round(self) -> None:
+        with self._lock:
+            targets = self._view.targets()
+            beat = self._view.beat(0)
+            known = self._view.endpoints()
+        for member in targets:
+            self._send(member.address, member.port, beat.digest, beat.records)
+        for address, port in self._seeds:
+            if (address, port) not in known:
+                self._send(address, port, beat.digest, beat.records)
+
+    def _send(self, address: str, port: int, digest: int, records: tuple[Record, ...]) -> None:
+        channel = self._socket
+        if channel is None:
+            return
+        own = self._view.own
+        heartbeat = Heartbeat(
+            own.address,
+            own.port,
+            own.standing is Standing.LEAVING,
+            digest,
+            self.confirmed_age(),
+            tuple(_to_wire(record) for record in records),
+        )
+        with contextlib.suppress(OSError):
+            channel.send(address, port, heartbeat)
+
+    def _report(self, changes: tuple[Change, ...]) -> None:
+        for change in changes:
+            member = change.member
+            _log.info("member {} {} ({})", member.name, change.kind.value, member.incarnation)
+            if self._events is not None:
+                detail = f"{member.name} incarnation {member.incarnation}"
+                self._events.record(f"member-{change.kind.value}", {"host": member.host}, detail)
+
+
+def _split(name: str) -> tuple[str, str]:
+    host, _, role = name.partition("/")
+    return host, role
+
+
+def _to_beat(envelope: Envelope, heartbeat: Heartbeat) -> Beat:
+    host, role = _split(envelope.sender)
+    member = Member(
+        envelope.sender,
+        host,
+        envelope.site,
+        role,
+        envelope.incarnation,
+        heartbeat.address,
+        heartbeat.port,
+        Standing.LEAVING if heartbeat.leaving else Standing.ALIVE,
+        envelope.bundle,
+    )
+    records = tuple(_to_record(record) for record in heartbeat.records if _is_known(record))
+    return Beat(Record(member, envelope.sequence), heartbeat.digest, records)
+
+
+def _is_known(record: MemberRecord) -> bool:
+    return record.standing in {standing.value for standing in Standing}
+
+
+def _to_record(record: MemberRecord) -> Record:
+    host, role = _split(record.name)
+    member = Member(
+        record.name,
+        host,
+        record.site,
+        role,
+        record.incarnation,
+        record.address,
+        record.port,
+        Standing(record.standing),
+        record.bundle,
+    )
+    return Record(member, record.sequence)
+
+
+def _to_wire(record: Record) -> MemberRecord:
+    member = record.member
+    return MemberRecord(
+        member.name,
+        member.site,
+        member.incarnation,
+        record.sequence,
+        member.address,
+        member.port,
+        member.standing.value,
+        member.bundle,
+    )
--- /dev/null
+++ b/toucanpin/membership/beat.py
@@ -0,0 +1,71 @@
+"""
+Heartbeats
+==========
+
+What one process tells another of itself and of the members that it knows.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from toucanpin.membership.member import Member
+
+__all__ = ["Beat", "Change", "ChangeKind", "Record", "Timing"]
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Tell of one member; ``sequence`` is the newest heard of from this incarnation of it."""
+
+    member: Member
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """
+    Hold one heartbeat: the sender's own record, a digest of its view and what changed in it.
+
+    ``sequence`` in ``sender`` only grows within one incarnation.
+    """
+
+    sender: Record
+    digest: int
+    records: tuple[Record, ...] = ()
+
+
+class ChangeKind(enum.Enum):
+    """Say what became of a member in this process's view."""
+
+    JOINED = "joined"
+    RETURNED = "returned"
+    SUSPECTED = "suspected"
+    REFUTED = "refuted"
+    LEAVING = "leaving"
+    GONE = "gone"
+    RENEWED = "renewed"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Report one change of the view."""
+
+    kind: ChangeKind
+    member: Member
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """
+    Time the view; all in seconds.
+
+    A member is suspected after ``suspect_after`` without a heartbeat, gone after ``gone_after``
+    without any sign of it, and forgotten ``forget_after`` later.
+    """
+
+    interval: float = 0.5
+    suspect_after: float = 2.0
+    gone_after: float = 6.0
+    forget_after: float = 3_600.0
--- /dev/null
+++ b/toucanpin/membership/view.py
@@ -0,0 +1,273 @@
+"""
+View of the members
+===================
+
+Decide, from heartbeats alone, which processes are there.  The view gives hints: a member that it
+calls gone may be running, and no promise of the system rests on it.
+
+Notes
+-----
+Suspicion before removal, incarnation numbers and refutation follow SWIM, with direct heartbeats to
+every member in place of random probes, which is cheaper than probing up to some dozens of members.
+
+References
+----------
+Das, Gupta, Motivala: SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+Protocol. DSN 2002.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import xxhash
+
+from toucanpin.membership.beat import Beat, Change, ChangeKind, Record, Timing
+from toucanpin.membership.member import Member, Standing
+
+__all__ = ["View"]
+
+MAX_RECORDS = 8
+MAX_ANSWERS = 2
+RELAYS = 3
+PROBE_EVERY = 5
+_DIGEST_LIMIT = 2**63
+
+_THERE = (Standing.ALIVE, Standing.SUSPECT)
+
+
+@dataclass(slots=True)
+class _Entry:
+    """Keep what is known of one member; ``heard`` is direct, ``evidence`` also through others."""
+
+    member: Member
+    sequence: int
+    heard: float
+    evidence: float
+    relays: int = RELAYS
+    answered: float = float("-inf")
+
+    def stand(self, standing: Standing) -> Member:
+        """Change the standing and return the member as it is now."""
+        self.member = dataclasses.replace(self.member, standing=standing)
+        return self.member
+
+
+class View:
+    """Keep the members as one process sees them; times are readings of its monotonic clock."""
+
+    def __init__(self, own: Member, timing: Timing, now: float) -> None:
+        self.own = own
+        self._timing = timing
+        self._entries: dict[str, _Entry] = {}
+        self._ticked = now
+        self._answers = 0
+        self._rounds = 0
+
+    def members(self) -> tuple[Member, ...]:
+        """Return every known member, this process first."""
+        return (self.own, *(entry.member for entry in self._entries.values()))
+
+    def digest(self) -> int:
+        """Summarize the names and incarnations of the members that are there."""
+        there = (m for m in self.members() if m.standing in _THERE)
+        return sum(_hash(member) for member in there) % _DIGEST_LIMIT
+
+    def leave(self) -> None:
+        """Say from now on that this process is leaving."""
+        self.own = dataclasses.replace(self.own, standing=Standing.LEAVING)
+
+    def carry(self, bundle: int) -> None:
+        """Note the version of the bundle in force here."""
+        if bundle != self.own.bundle:
+            self.own = dataclasses.replace(self.own, bundle=bundle)
+
+    def endpoints(self) -> frozenset[tuple[str, int]]:
+        """Return the endpoints that heartbeats come from or go to, this process's own included."""
+        return frozenset((member.address, member.port) for member in self.members())
+
+    def targets(self) -> tuple[Member, ...]:
+        """
+        Return the members to send this round's heartbeat to.
+
+        Gone members are still probed now and then: after a parting of sites each side has removed
+        the other, and would never meet it again if both only sent to who is there.
+        """
+        self._rounds += 1
+        probe = self._rounds % PROBE_EVERY == 0
+        members = (entry.member for entry in self._entries.values())
+        return tuple(m for m in members if probe or m.standing is not Standing.GONE)
+
+    def beat(self, sequence: int) -> Beat:
+        """Return this round's heartbeat, with news and the members that are suspected."""
+        records: list[Record] = []
+        for entry in self._entries.values():
+            if len(records) == MAX_RECORDS:
+                break
+            if entry.relays > 0 or entry.member.standing is Standing.SUSPECT:
+                entry.relays = max(0, entry.relays - 1)
+                records.append(Record(entry.member, entry.sequence))
+        news = tuple(r for r in records if r.member.standing is not Standing.GONE)
+        return Beat(Record(self.own, sequence), self.digest(), news)
+
+    def answers(self, name: str) -> tuple[Record, ...]:
+        """Return all that the named member needs to reach the same view, itself included."""
+        return tuple(
+            Record(entry.member, entry.sequence)
+            for entry in self._entries.values()
+            if entry.member.standing is not Standing.GONE or entry.member.name == name
+        )
+
+    def tick(self, now: float) -> tuple[Change, ...]:
+        """Suspect and remove who was silent for too long; call it every interval."""
+        changes = list(self._resume(now))
+        self._ticked = now
+        self._answers = 0
+        for entry in tuple(self._entries.values()):
+            changes += self._age(entry, now)
+        return tuple(changes)
+
+    def receive(self, beat: Beat, now: float) -> tuple[Change, ...]:
+        """Take one heartbeat in."""
+        if beat.sender.member.name == self.own.name:
+            return tuple(self._refute(beat.sender))
+        changes = list(self._hear(beat.sender, now))
+        for record in beat.records:
+            changes += self._learn(record, now)
+        return tuple(changes)
+
+    def owes_answer(self, beat: Beat, now: float) -> bool:
+        """
+        Say whether the sender of a heartbeat just received must be sent ``answers``.
+
+        It must if its view differs, or if its incarnation is over here.  At most MAX_ANSWERS
+        an interval are given, and one to each member, so that neither a replay nor a change that
+        everybody sees at once makes a storm.
+        """
+        entry = self._entries.get(beat.sender.member.name)
+        if entry is None or self._answers >= MAX_ANSWERS:
+            return False
+        over = (
+            entry.member.standing is Standing.GONE
+            or beat.sender.member.incarnation < entry.member.incarnation
+        )
+        due = now - entry.answered >= self._timing.interval
+        if not due or not (over or beat.digest != self.digest()):
+            return False
+        entry.answered = now
+        self._answers += 1
+        return True
+
+    def _resume(self, now: float) -> Iterator[Change]:
+        pause = now - self._ticked
+        if pause <= self._timing.suspect_after:
+            return
+        # This process was frozen.  What it knows is old, and the silence of the others was its own:
+        # judging them by it would remove everybody at once.  The others have removed it meanwhile,
+        # so it comes back as a new incarnation.
+        for entry in self._entries.values():
+            entry.heard += pause
+            entry.evidence += pause
+        yield self._renew(self.own.incarnation + 1)
+
+    def _renew(self, incarnation: int) -> Change:
+        self.own = dataclasses.replace(self.own, incarnation=incarnation)
+        return Change(ChangeKind.RENEWED, self.own)
+
+    def _age(self, entry: _Entry, now: float) -> Iterator[Change]:
+        timing = self._timing
+        silent = now - entry.evidence
+        match entry.member.standing:
+            case Standing.ALIVE if now - entry.heard > timing.suspect_after:
+                yield Change(ChangeKind.SUSPECTED, entry.stand(Standing.SUSPECT))
+            case Standing.SUSPECT | Standing.LEAVING if silent > timing.gone_after:
+                yield Change(ChangeKind.GONE, entry.stand(Standing.GONE))
+            case Standing.GONE if silent > timing.gone_after + timing.forget_after:
+                del self._entries[entry.member.name]
+
+    def _hear(self, record: Record, now: float) -> Iterator[Change]:
+        member = record.member
+        entry = self._entries.get(member.name)
+        if entry is None or member.incarnation > entry.member.incarnation:
+            yield from self._admit(record, now)
+            yield from self._displace(member)
+            return
+        if (member.incarnation, record.sequence) <= (entry.member.incarnation, entry.sequence):
+            return  # delayed, replayed, or of an earlier life
+        if entry.member.standing is Standing.GONE:
+            # Removed members don't come back as they were: others may have acted on the removal.
+            # The sender is told, and returns as a new incarnation.
+            return
+        entry.sequence = record.sequence
+        entry.heard = entry.evidence = now
+        yield from self._follow(entry, member)
+
+    def _follow(self, entry: _Entry, member: Member) -> Iterator[Change]:
+        before = entry.member.standing
+        standing = Standing.LEAVING if before is Standing.LEAVING else member.standing
+        entry.member = dataclasses.replace(member, standing=standing)
+        if standing is before:
+            return
+        entry.relays = RELAYS
+        kind = ChangeKind.LEAVING if standing is Standing.LEAVING else ChangeKind.REFUTED
+        yield Change(kind, entry.member)
+
+    def _admit(self, record: Record, now: float) -> Iterator[Change]:
+        member = record.member
+        known = self._entries.get(member.name)
+        if known is None and member.standing not in _THERE:
+            return
+        if member.standing is Standing.SUSPECT:
+            member = dataclasses.replace(member, standing=Standing.ALIVE)
+        self._entries[member.name] = _Entry(member, record.sequence, now, now)
+        yield Change(ChangeKind.JOINED if known is None else ChangeKind.RETURNED, member)
+
+    def _displace(self, member: Member) -> Iterator[Change]:
+        # A replaced host takes the address of the one before it under another name.  Whoever was
+        # there isn't any more, and must not be counted until its timeout.
+        for entry in self._entries.values():
+            other = entry.member
+            if other.name == member.name or other.standing is Standing.GONE:
+                continue
+            same = (other.address, other.port) == (member.address, member.port)
+            if same and other.incarnation < member.incarnation:
+                yield Change(ChangeKind.GONE, entry.stand(Standing.GONE))
+
+    def _learn(self, record: Record, now: float) -> Iterator[Change]:
+        member = record.member
+        if member.name == self.own.name:
+            yield from self._refute(record)
+            return
+        entry = self._entries.get(member.name)
+        if entry is None or member.incarnation > entry.member.incarnation:
+            if member.standing is not Standing.GONE:
+                yield from self._admit(record, now)
+            return
+        if member.incarnation < entry.member.incarnation:
+            return
+        if entry.member.standing is Standing.GONE:
+            return
+        if member.standing is Standing.LEAVING:
+            yield from self._follow(entry, member)
+        elif record.sequence > entry.sequence:
+            entry.sequence = record.sequence
+            entry.evidence = now
+            bundle = max(entry.member.bundle, member.bundle)
+            entry.member = dataclasses.replace(entry.member, bundle=bundle)
+        elif member.standing is Standing.SUSPECT and record.sequence < entry.sequence:
+            entry.relays = max(entry.relays, 1)  # what was heard here refutes the suspicion
+
+    def _refute(self, record: Record) -> Iterator[Change]:
+        told = record.member
+        if told.incarnation < self.own.incarnation or self.own.standing is Standing.LEAVING:
+            return
+        over = told.standing in (Standing.GONE, Standing.LEAVING)
+        elsewhere = (told.address, told.port) != (self.own.address, self.own.port)
+        if told.incarnation > self.own.incarnation or over or elsewhere:
+            yield self._renew(told.incarnation + 1)
+
+
+def _hash(member: Member) -> int:
+    return xxhash.xxh64_intdigest(f"{member.name} {member.incarnation}".encode())
