--- /dev/null
+++ b/toucanpin/daemon/caller_answer.py
@@ -0,0 +1,130 @@
+"""
+Answers to callers
+==================
+
+Writes an instance's answer, or a refusal, to a caller's connection.  An answer that is cut on its
+way ends the connection without its terminator, so it can't look whole.
+"""
+
+from __future__ import annotations
+
+import math
+import time
+from typing import Any
+
+from toucanpin.daemon.caller_server import encode_refusal
+from toucanpin.daemon.forwarder import UpstreamCutError
+from toucanpin.requests.messages import Response
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = ["write_refusal", "write_response"]
+
+WRITE_SECONDS = 10.0
+NO_BODY_STATUSES = frozenset({204, 304})
+STATUS_LINES = {
+    Reason.BAD_REQUEST: "400 Bad Request",
+    Reason.TOO_LARGE: "413 Content Too Large",
+    Reason.UNKNOWN_SERVICE: "404 Not Found",
+    Reason.NOT_FOUND: "404 Not Found",
+    Reason.CONFLICT: "409 Conflict",
+    Reason.DUPLICATE: "409 Conflict",
+    Reason.DEADLINE: "504 Gateway Timeout",
+    Reason.UPSTREAM_TIMEOUT: "504 Gateway Timeout",
+    Reason.UPSTREAM_BROKE: "502 Bad Gateway",
+    Reason.INTERNAL: "500 Internal Server Error",
+}
+UNAVAILABLE = "503 Service Unavailable"
+TOO_LONG_FOR_OLD_CALLER = Refusal(
+    Verdict.MAY_HAVE_RUN,
+    Reason.UPSTREAM_BROKE,
+    "the answer's length is not known beforehand, which HTTP/1.0 can't carry safely",
+)
+
+
+def write_refusal(req: Any, refusal: Refusal, closing: bool) -> bool:
+    """Write a refusal; return False if the caller was gone."""
+    body = encode_refusal(refusal)
+    head = [
+        f"HTTP/1.1 {STATUS_LINES.get(refusal.reason, UNAVAILABLE)}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+        f"Toucanpin-Verdict: {refusal.verdict.value}",
+        f"Toucanpin-Reason: {refusal.reason.value}",
+    ]
+    if refusal.retry_after is not None:
+        head.append(f"Retry-After: {math.ceil(refusal.retry_after)}")
+    return _write_head(req, head, b"" if req.method == b"HEAD" else body, closing)
+
+
+def write_response(req: Any, response: Response, closing: bool) -> bool:
+    """Write an instance's answer; return False if it was cut."""
+    if response.rest is None:
+        return _write_head(req, _list_head(req, response, False), response.body, closing)
+    chunked = not any(name.lower() == "content-length" for name, _ in response.headers)
+    if chunked and req.response_protocol != "HTTP/1.1":
+        response.rest.close()
+        return write_refusal(req, TOO_LONG_FOR_OLD_CALLER, closing)
+    return _write_stream(req, response, chunked, closing)
+
+
+def _list_head(req: Any, response: Response, streamed: bool) -> list[str]:
+    head = [f"HTTP/1.1 {response.status} {response.reason}"]
+    bodiless = req.method == b"HEAD" or response.status in NO_BODY_STATUSES
+    own_length = not streamed and not bodiless
+    for name, value in response.headers:
+        if not (own_length and name.lower() == "content-length"):
+            head.append(f"{name}: {value}")
+    if own_length:
+        head.append(f"Content-Length: {len(response.body)}")
+    return head
+
+
+def _write_head(req: Any, head: list[str], body: bytes, closing: bool) -> bool:
+    req.close_connection = req.close_connection or closing or not req.body_is_read
+    if req.close_connection:
+        head.append("Connection: close")
+    elif req.response_protocol != "HTTP/1.1":
+        head.append("Connection: Keep-Alive")
+    head.append("\r\n")
+    req.sent_headers = True
+    return _write(req, "\r\n".join(head).encode("latin-1") + body)
+
+
+def _write_stream(req: Any, response: Response, chunked: bool, closing: bool) -> bool:
+    head = _list_head(req, response, True)
+    if chunked:
+        head.append("Transfer-Encoding: chunked")
+    complete = False
+    try:
+        first = _frame(response.body, chunked)
+        complete = _write_head(req, head, first, closing) and _write_rest(req, response, chunked)
+    finally:
+        response.rest.close()
+        if not complete:
+            req.close_connection = True
+    return complete
+
+
+def _write_rest(req: Any, response: Response, chunked: bool) -> bool:
+    try:
+        for piece in response.rest:
+            if not _write(req, _frame(piece, chunked)):
+                return False
+    except UpstreamCutError:
+        # No last chunk, or fewer bytes than Content-Length: the caller sees that it is cut.
+        return False
+    return not chunked or _write(req, b"0\r\n\r\n")
+
+
+def _frame(piece: bytes, chunked: bool) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(piece), piece) if chunked and piece else piece
+
+
+def _write(req: Any, data: bytes) -> bool:
+    req.conn.socket.deadline = time.monotonic() + WRITE_SECONDS
+    try:
+        req.conn.wfile.write(data)
+    except OSError:
+        req.close_connection = True
+        return False
+    return True
--- /dev/null
+++ b/toucanpin/daemon/caller_request.py
@@ -0,0 +1,217 @@
+"""
+Requests of callers
+===================
+
+Turns a parsed HTTP request for ``/v1/services/<service>/<path>`` into what decisions need and what
+is sent to an instance, or into a refusal.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from toucanpin.bundles.schema import Service
+from toucanpin.daemon.caller_input import BodyTooLargeError, CallerGoneError
+from toucanpin.daemon.forwarder import (
+    HOP_BY_HOP,
+    PIECE_BYTES,
+    WHOLE_BYTES,
+    CallerFaultError,
+    Outgoing,
+)
+from toucanpin.requests.messages import Request
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = ["SERVICES_PREFIX", "Incoming", "refuse", "split_target", "take_request"]
+
+SERVICES_PREFIX = b"/v1/services/"
+IDEMPOTENT_METHODS = frozenset({b"GET", b"HEAD", b"PUT", b"DELETE", b"OPTIONS"})
+METHOD = re.compile(rb"[A-Z]{1,20}")
+REQUEST_ID = re.compile(rb"[!-~]{1,128}")
+MILLISECONDS = re.compile(rb"[0-9]{1,9}")
+OWN_HEADERS = frozenset({b"Toucanpin-Deadline-Ms", b"Content-Length", b"Expect"})
+DROPPED = frozenset(name.title().encode() for name in HOP_BY_HOP) | OWN_HEADERS
+
+
+class Incoming(msgspec.Struct):
+    """Hold one request for a service; ``rest_begun`` once its body can't be sent again."""
+
+    request: Request
+    outgoing: Outgoing
+    rest_begun: bool = False
+
+
+def refuse(reason: Reason, detail: str, verdict: Verdict = Verdict.NOT_RUN) -> CallerFaultError:
+    """Make the error of a request that is at fault itself."""
+    return CallerFaultError(Refusal(verdict, reason, detail))
+
+
+def split_target(uri: bytes) -> tuple[str, str]:
+    """Split a request's target into the service's name and the target at the instance."""
+    name, slash, path = uri[len(SERVICES_PREFIX) :].partition(b"/")
+    if not slash:
+        name, mark, query = name.partition(b"?")
+        path = mark + query
+    return name.decode("ascii"), "/" + path.decode("ascii")
+
+
+def take_request(req: Any, service: Service, target: str, arrived: float) -> Incoming:
+    """Read the head and the first part of the body; raise CallerFaultError if at fault."""
+    headers: dict[bytes, bytes] = req.inheaders
+    if METHOD.fullmatch(req.method) is None:
+        raise refuse(Reason.BAD_REQUEST, "the method is not accepted")
+    request = Request(
+        service.name,
+        _name_caller(req, headers),
+        _read_request_id(headers),
+        _is_idempotent(req.method, headers),
+        arrived,
+        arrived + _read_limit(headers, service) / 1_000,
+    )
+    length = int(headers.get(b"Content-Length", 0))
+    if length > service.max_body:
+        raise refuse(Reason.TOO_LARGE, f"the body is larger than {service.max_body} bytes")
+    body = b""
+    ended = True
+    if length or req.chunked_read:
+        req.conn.socket.deadline = request.deadline
+        body, ended = _read_first(req, length, service.max_body)
+    framing = _frame_headers(headers, body, ended, length)
+    outgoing = Outgoing(
+        req.method.decode("ascii"),
+        target,
+        _take_headers(headers) + framing,
+        body,
+        None,
+        not ended and not length,
+    )
+    incoming = Incoming(request, outgoing)
+    if not ended:
+        rest = _Rest(req, incoming, length - len(body), service.max_body - len(body))
+        incoming.outgoing = msgspec.structs.replace(outgoing, rest=rest)
+    return incoming
+
+
+def _name_caller(req: Any, headers: dict[bytes, bytes]) -> str:
+    named = headers.get(b"Toucanpin-Caller") or headers.get(b"X-Forwarded-For")
+    return named.decode("latin-1") if named else str(req.conn.remote_addr)
+
+
+def _read_request_id(headers: dict[bytes, bytes]) -> str:
+    value = headers.get(b"Toucanpin-Request-Id")
+    if value is None:
+        return ""
+    if REQUEST_ID.fullmatch(value) is None:
+        raise refuse(
+            Reason.BAD_REQUEST, "Toucanpin-Request-Id must be 1 to 128 visible ASCII characters"
+        )
+    return value.decode("ascii")
+
+
+def _is_idempotent(method: bytes, headers: dict[bytes, bytes]) -> bool:
+    mark = headers.get(b"Toucanpin-Idempotent")
+    if mark is None:
+        return method in IDEMPOTENT_METHODS
+    if mark not in (b"true", b"false"):
+        raise refuse(Reason.BAD_REQUEST, "Toucanpin-Idempotent must be true or false")
+    return mark == b"true"
+
+
+def _read_limit(headers: dict[bytes, bytes], service: Service) -> int:
+    value = headers.get(b"Toucanpin-Deadline-Ms")
+    if value is None:
+        return service.deadline_ms
+    if MILLISECONDS.fullmatch(value) is None:
+        raise refuse(
+            Reason.BAD_REQUEST, "Toucanpin-Deadline-Ms must be a whole number of milliseconds"
+        )
+    return min(int(value), service.deadline_ms)
+
+
+def _read_first(req: Any, length: int, limit: int) -> tuple[bytes, bool]:
+    """Read the first part of a body; return it and whether it is the whole body."""
+    try:
+        body = req.rfile.read(WHOLE_BYTES if not length else min(length, WHOLE_BYTES))
+    except BodyTooLargeError as error:
+        raise refuse(Reason.TOO_LARGE, str(error)) from error
+    except CallerGoneError as error:
+        raise refuse(Reason.BAD_REQUEST, str(error)) from error
+    except TimeoutError as error:
+        raise refuse(Reason.DEADLINE, "the body did not arrive in time") from error
+    if len(body) > limit:
+        raise refuse(Reason.TOO_LARGE, f"the body is larger than {limit} bytes")
+    if length:
+        if len(body) < min(length, WHOLE_BYTES):
+            raise refuse(Reason.BAD_REQUEST, "the body is shorter than its Content-Length")
+        return body, len(body) == length
+    return body, bool(req.rfile.closed)
+
+
+def _frame_headers(
+    headers: dict[bytes, bytes], body: bytes, ended: bool, length: int
+) -> tuple[tuple[str, str], ...]:
+    if not ended and not length:
+        return (("Transfer-Encoding", "chunked"),)
+    if body or b"Content-Length" in headers:
+        return (("Content-Length", str(length or len(body))),)
+    return ()
+
+
+def _take_headers(headers: dict[bytes, bytes]) -> tuple[tuple[str, str], ...]:
+    connection = headers.get(b"Connection")
+    dropped = DROPPED
+    if connection is not None:
+        dropped = DROPPED | {name.strip().title() for name in connection.split(b",")}
+    return tuple(
+        (name.decode("ascii"), value.decode("latin-1"))
+        for name, value in headers.items()
+        if name not in dropped
+    )
+
+
+class _Rest:
+    """Read the part of a body that follows its first, once."""
+
+    __slots__ = ("_req", "_incoming", "_left", "_allowed")
+
+    def __init__(self, req: Any, incoming: Incoming, left: int, allowed: int) -> None:
+        self._req = req
+        self._incoming = incoming
+        self._left = left
+        self._allowed = allowed
+
+    def __call__(self) -> Iterator[bytes]:
+        """Yield the pieces; raise CallerFaultError if the caller breaks off."""
+        self._incoming.rest_begun = True
+        known = self._left > 0
+        while not known or self._left > 0:
+            piece = self._read(known)
+            if not piece:
+                break
+            self._left -= len(piece)
+            self._allowed -= len(piece)
+            if self._allowed < 0:
+                raise self._blame(Reason.TOO_LARGE, "the body is too large")
+            yield piece
+        if known and self._left > 0:
+            raise self._blame(Reason.BAD_REQUEST, "the body is shorter than its Content-Length")
+
+    def _read(self, known: bool) -> bytes:
+        self._req.conn.socket.deadline = self._incoming.request.deadline
+        size = min(self._left, PIECE_BYTES) if known else PIECE_BYTES
+        try:
+            return self._req.rfile.read(size)
+        except BodyTooLargeError as error:
+            raise self._blame(Reason.TOO_LARGE, str(error)) from error
+        except TimeoutError as error:
+            raise self._blame(Reason.DEADLINE, "the body did not arrive in time") from error
+        except (CallerGoneError, OSError) as error:
+            raise self._blame(Reason.BAD_REQUEST, str(error)) from error
+
+    @staticmethod
+    def _blame(reason: Reason, detail: str) -> CallerFaultError:
+        return refuse(reason, detail, Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/toucanpin/daemon/caller_server.py
@@ -0,0 +1,249 @@
+"""
+Server for callers
+==================
+
+A cheroot server with strict input, JSON refusals and no thread held by a caller that has not sent
+its whole request head yet.
+"""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import math
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+import msgspec
+from cheroot import server, wsgi
+from cheroot.makefile import MakeFile
+
+from toucanpin.daemon.caller_input import ChunkedBody, read_headers
+from toucanpin.daemon.timed_socket import time_socket
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = ["CallerRequest", "CallerServer", "encode_refusal"]
+
+HEAD_END = b"\r\n\r\n"
+HEAD_SECONDS = 5.0
+BODY_SECONDS = 30.0
+IDLE_SECONDS = 30
+PARK_INTERVAL = 0.02
+EXPIRY_SECONDS = 0.1
+MAX_PARKED = 2_000
+MAX_IDLE_CALLERS = 2_000
+LEFTOVER_BYTES = 1 << 16
+REASONS = {
+    400: Reason.BAD_REQUEST,
+    408: Reason.DEADLINE,
+    413: Reason.TOO_LARGE,
+    414: Reason.TOO_LARGE,
+    500: Reason.INTERNAL,
+}
+
+log = logbook.Logger("toucanpin.front")
+_encode = msgspec.json.Encoder().encode
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Encode the JSON body of a refusal."""
+    body: dict[str, Any] = {
+        "verdict": refusal.verdict.value,
+        "reason": refusal.reason.value,
+        "detail": refusal.detail,
+    }
+    if refusal.retry_after is not None:
+        body["retry_after"] = round(refusal.retry_after, 3)
+    return _encode(body)
+
+
+class CallerRequest(server.HTTPRequest):
+    """Parse one request strictly; answer malformed ones as JSON and close."""
+
+    rfile: Any
+    server: Any
+    conn: Any
+
+    def read_request_headers(self) -> bool:
+        """Read the header block, refuse what is ambiguous, then let cheroot apply it."""
+        uri = self.uri
+        if any(byte <= 0x20 or byte >= 0x7F for byte in uri):
+            self.simple_response("400 Bad Request", "the target has characters not accepted")
+            return False
+        self.header_reader = self._read_strictly
+        return super().read_request_headers()
+
+    def _read_strictly(self, rfile: Any, into: dict[bytes, bytes]) -> dict[bytes, bytes]:
+        into.update(read_headers(rfile, self.request_protocol, self.method))
+        return into
+
+    def parse_request(self) -> None:
+        """Parse within the time for a head, then allow the time for a body."""
+        self.conn.socket.deadline = time.monotonic() + HEAD_SECONDS
+        super().parse_request()
+        self.conn.socket.deadline = time.monotonic() + BODY_SECONDS
+
+    def respond(self) -> None:
+        """Call the gateway; close the connection unless the whole body was read."""
+        limit = self.server.max_request_body_size
+        if self.chunked_read:
+            self.rfile = ChunkedBody(self.conn.rfile, limit)
+        else:
+            length = int(self.inheaders.get(b"Content-Length", 0))
+            self.rfile = server.KnownLengthRFile(self.conn.rfile, length)
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+        if not self.body_is_read:
+            self.close_connection = True
+
+    @property
+    def body_is_read(self) -> bool:
+        """Say whether the connection stands at the start of the next request."""
+        if self.chunked_read:
+            return bool(self.rfile.closed)
+        return self.rfile.remaining == 0
+
+    def simple_response(self, status: Any, msg: str = "") -> None:
+        """Refuse a malformed request as not run and close its connection."""
+        self.close_connection = True
+        code = int(str(status)[:3])
+        reason = REASONS.get(code, Reason.BAD_REQUEST)
+        detail = msg or str(status)[4:]
+        verdict = Verdict.MAY_HAVE_RUN if code >= 500 else Verdict.NOT_RUN
+        body = encode_refusal(Refusal(verdict, reason, detail))
+        head = (
+            f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n"
+            "Content-Type: application/json\r\nConnection: close\r\n"
+            f"Toucanpin-Verdict: {verdict.value}\r\nToucanpin-Reason: {reason.value}\r\n\r\n"
+        )
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write(head.encode("ascii") + body)
+            self.conn.wfile.flush()
+
+
+class CallerConnection(server.HTTPConnection):
+    """Serve one caller's connection under deadlines."""
+
+    RequestHandlerClass = CallerRequest
+
+    def __init__(self, owner: Any, sock: socket.socket, makefile: Any = MakeFile) -> None:
+        super().__init__(owner, time_socket(sock, time.monotonic() + HEAD_SECONDS), makefile)
+        self.parked_since: float | None = None
+        self.touched = False
+
+    def head_is_there(self, limit: int) -> bool:
+        """Say whether a thread can read a whole head, or its failure, without waiting."""
+        if self.rfile.has_data():
+            return True
+        try:
+            self.socket.settimeout(0)
+            seen = self.socket.recv(limit + 1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return not seen or HEAD_END in seen or len(seen) > limit
+
+    def close(self) -> None:
+        """Close, after reading what the caller sent meanwhile."""
+        # Closing with unread input makes the kernel reset the connection, and the caller may
+        # lose the refusal that was just written.
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.settimeout(0)
+            self.socket.recv(LEFTOVER_BYTES)
+        super().close()
+
+
+class CallerServer(wsgi.Server):
+    """Accept callers; hand a connection to a thread only once a whole head has arrived."""
+
+    ConnectionClass = CallerConnection
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        gateway: Callable[[Any], Any],
+        threads: int,
+        max_header: int,
+        max_body: int,
+        grace: float,
+    ) -> None:
+        super().__init__(
+            address,
+            wsgi_app=None,
+            numthreads=threads,
+            request_queue_size=1024,
+            timeout=IDLE_SECONDS,
+            shutdown_timeout=math.ceil(grace),
+        )
+        self.gateway = gateway
+        self.expiration_interval = EXPIRY_SECONDS
+        self.max_request_header_size = max_header
+        self.max_request_body_size = max_body
+        self.keep_alive_conn_limit = MAX_IDLE_CALLERS
+        self._parked: collections.deque[CallerConnection] = collections.deque()
+        self._parker = threading.Thread(target=self._check_parked, name="parked", daemon=True)
+        self._closing = threading.Event()
+
+    def prepare(self) -> None:
+        """Bind, listen and start the threads."""
+        super().prepare()
+        self._parker.start()
+
+    def stop(self) -> None:
+        """Stop accepting, finish what is in flight and close."""
+        self._closing.set()
+        super().stop()
+        while self._parked:
+            self._parked.popleft().close()
+
+    def process_conn(self, conn: Any) -> None:
+        """Queue a connection for a thread, or park it until its head is whole."""
+        if conn.head_is_there(self.max_request_header_size):
+            super().process_conn(conn)
+            return
+        if not conn.touched:
+            conn.touched = True
+            self.put_conn(conn)
+            return
+        conn.parked_since = time.monotonic()
+        self._parked.append(conn)
+        if len(self._parked) > MAX_PARKED:
+            self._refuse_slow(self._parked.popleft())
+
+    def _check_parked(self) -> None:
+        # A thread that read a trickling head itself would be lost to other callers for as long;
+        # a few hundred such callers would take them all.
+        while not self._closing.wait(PARK_INTERVAL):
+            for _ in range(len(self._parked)):
+                try:
+                    conn = self._parked.popleft()
+                except IndexError:
+                    break
+                if conn.head_is_there(self.max_request_header_size):
+                    super().process_conn(conn)
+                elif time.monotonic() - (conn.parked_since or 0.0) > HEAD_SECONDS:
+                    self._refuse_slow(conn)
+                else:
+                    self._parked.append(conn)
+
+    def _refuse_slow(self, conn: CallerConnection) -> None:
+        request = CallerRequest(self, conn)
+        conn.socket.deadline = time.monotonic() + PARK_INTERVAL
+        request.simple_response("408 Request Timeout", "the request's head took too long")
+        conn.close()
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Log what cheroot reports."""
+        if traceback:
+            log.warn("{}", msg, exc_info=True)
+        else:
+            log.debug("{}", msg)
--- /dev/null
+++ b/toucanpin/daemon/claimer.py
@@ -0,0 +1,194 @@
+"""
+Claimer
+=======
+
+The thread that inserts claim rows, many in one transaction, and tells the waiting requests.
+"""
+
+from __future__ import annotations
+
+import collections
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+
+from toucanpin.platform.ports import Table, Transaction, Write
+from toucanpin.requests.claims import (
+    ClaimOutcome,
+    Commit,
+    PendingClaim,
+    ReadRow,
+    gather_batch,
+    prepare_claim,
+    settle_claims,
+)
+from toucanpin.requests.messages import Claimed, HeldClaim, NotClaimed
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = ["Claimer"]
+
+COME_BACK_SECONDS = 2.0
+JOIN_SECONDS = 2.0
+MAX_RELEASES = 64
+
+log = logbook.Logger("toucanpin.claims")
+
+
+class _Waiter:
+    """Let one request wait for its claim."""
+
+    __slots__ = ("claim", "done", "outcome", "given_up")
+
+    def __init__(self, claim: PendingClaim) -> None:
+        self.claim = claim
+        self.done = threading.Event()
+        self.outcome: ClaimOutcome | None = None
+        self.given_up = False
+
+
+class Claimer:
+    """
+    Insert and release claim rows.
+
+    Parameters
+    ----------
+    table : the platform's table
+    process : unique name of this life of this process, the prefix of its tokens
+    clock : monotonic clock in seconds
+    wall : wall clock in seconds, for the buckets of rows
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        process: str,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._table = table
+        self._process = process
+        self._clock = clock
+        self._wall = wall
+        self._changed = threading.Condition()
+        self._waiters: collections.deque[_Waiter] = collections.deque()
+        self._releases: collections.deque[HeldClaim] = collections.deque()
+        self._count = 0
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name="claimer", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Release what is to be released and end the thread."""
+        with self._changed:
+            self._stopping = True
+            self._changed.notify()
+        self._thread.join(JOIN_SECONDS)
+
+    def claim(self, request_id: str, deadline: float) -> Claimed | NotClaimed:
+        """Insert the claim of a request id, waiting until the deadline at the longest."""
+        with self._changed:
+            pending = prepare_claim(request_id, self._make_token(), self._wall())
+            waiter = _Waiter(pending)
+            self._waiters.append(waiter)
+            self._changed.notify()
+        waiter.done.wait(max(0.0, deadline - self._clock()))
+        with self._changed:
+            waiter.given_up = waiter.outcome is None
+        now = self._clock()
+        match waiter.outcome:
+            case HeldClaim() as held:
+                return Claimed(now, held)
+            case Refusal() as refusal:
+                return NotClaimed(now, refusal)
+        detail = "the store did not answer in time"
+        refusal = Refusal(
+            Verdict.NOT_RUN, Reason.STORE_UNCERTAIN, detail, retry_after=COME_BACK_SECONDS
+        )
+        return NotClaimed(now, refusal)
+
+    def release(self, claim: HeldClaim) -> None:
+        """Delete a claim row soon; its request certainly did not run."""
+        with self._changed:
+            self._releases.append(claim)
+            self._changed.notify()
+
+    def _make_token(self) -> str:
+        self._count += 1
+        return f"{self._process}:{self._count}"
+
+    def _next_token(self) -> str:
+        with self._changed:
+            return self._make_token()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                while not (self._waiters or self._releases or self._stopping):
+                    self._changed.wait()
+                if self._stopping and not (self._waiters or self._releases):
+                    return
+                batch = self._take_batch()
+                releases = [
+                    self._releases.popleft() for _ in range(min(MAX_RELEASES, len(self._releases)))
+                ]
+            try:
+                if batch:
+                    self._settle(batch)
+                if releases:
+                    self._delete(releases)
+            except Exception:
+                log.exception("claims failed")
+                self._fail(batch)
+
+    def _take_batch(self) -> list[_Waiter]:
+        waiting = [waiter for waiter in self._waiters if not waiter.given_up]
+        chosen, _ = gather_batch(tuple(waiter.claim for waiter in waiting))
+        tokens = {claim.token for claim in chosen}
+        self._waiters = collections.deque(w for w in waiting if w.claim.token not in tokens)
+        return [waiter for waiter in waiting if waiter.claim.token in tokens]
+
+    def _settle(self, batch: list[_Waiter]) -> None:
+        steps = settle_claims(tuple(waiter.claim for waiter in batch), self._next_token)
+        reply: Any = None
+        while True:
+            try:
+                action = steps.send(reply)
+            except StopIteration as end:
+                self._tell(batch, end.value)
+                return
+            match action:
+                case Commit(transaction=transaction):
+                    reply = self._table.commit(transaction)
+                case ReadRow(key=key):
+                    reply = self._table.read(key)
+
+    def _tell(self, batch: list[_Waiter], outcomes: dict[bytes, ClaimOutcome]) -> None:
+        with self._changed:
+            for waiter in batch:
+                outcome = outcomes[waiter.claim.token]
+                waiter.outcome = outcome
+                if waiter.given_up and isinstance(outcome, HeldClaim):
+                    # Its request was answered as not run; the caller may come back with the id.
+                    self._releases.append(outcome)
+                waiter.done.set()
+
+    def _fail(self, batch: list[_Waiter]) -> None:
+        detail = "the claim failed inside this process"
+        refusal = Refusal(Verdict.NOT_RUN, Reason.STORE_UNCERTAIN, detail, COME_BACK_SECONDS)
+        with self._changed:
+            for waiter in batch:
+                waiter.outcome = waiter.outcome or refusal
+                waiter.done.set()
+
+    def _delete(self, releases: list[HeldClaim]) -> None:
+        writes = tuple(Write(claim.key, claim.version, None) for claim in releases)
+        result = self._table.commit(Transaction(self._next_token(), writes))
+        if result.is_error():
+            # The ids stay claimed until their bucket ends: callers must use new ones.
+            log.warn("{} claims could not be released: {}", len(writes), result.error)
--- /dev/null
+++ b/toucanpin/daemon/forwarder.py
@@ -0,0 +1,348 @@
+"""
+Forwarder
+=========
+
+Sends one attempt of a request to one instance by urllib3's connections, and says exactly how far
+it came: before the first byte, after it, or to a whole answer.
+"""
+
+from __future__ import annotations
+
+import http.client
+import re
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from toucanpin.daemon.timed_socket import TimedSocket, time_socket
+from toucanpin.requests.messages import Broke, CallerFailed, Refused, Response, TimedOut, Whole
+from toucanpin.verdict import Refusal
+
+__all__ = ["CallerFaultError", "Forwarder", "Outgoing", "UpstreamCutError"]
+
+CONNECT_SECONDS = 0.5
+WHOLE_BYTES = 65_536
+PIECE_BYTES = 65_536
+STREAM_IDLE_SECONDS = 10.0
+FRESH_IDLE_SECONDS = 1.0
+MAX_IDLE_SECONDS = 20.0
+MAX_CHUNK_LINE = 256
+MAX_TRAILER_LINE = 8_192
+LAST_CHUNK = b"0\r\n\r\n"
+CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
+NO_BODY_STATUSES = frozenset({204, 304})
+FIRST_FINAL_STATUS = 200
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+ForwardOutcome = Refused | Broke | TimedOut | Whole | CallerFailed
+
+
+class CallerFaultError(Exception):
+    """Report that the caller's body can't be read on; carries the refusal."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class UpstreamCutError(Exception):
+    """Report that a streamed answer ended early."""
+
+
+class Outgoing(msgspec.Struct, frozen=True):
+    """
+    Hold what is sent to an instance.
+
+    ``headers`` are all but the deadline; ``rest`` yields the part of the body that follows
+    ``body``, None if there is none.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    rest: Callable[[], Iterator[bytes]] | None = None
+    chunked: bool = False
+
+
+class _Answer(http.client.HTTPResponse):
+    """Read an answer, and take no cut chunk for its end."""
+
+    def _read_next_chunk_size(self) -> int:
+        # The library takes a size line that was cut after "0" for the last chunk.
+        line = self.fp.readline(MAX_CHUNK_LINE)
+        size, _, _ = line.partition(b";")
+        if not line.endswith(b"\r\n") or CHUNK_SIZE.fullmatch(size.rstrip()) is None:
+            raise ValueError("a chunk's size line is cut or malformed")
+        return int(size, 16)
+
+    def _read_and_discard_trailer(self) -> None:
+        while (line := self.fp.readline(MAX_TRAILER_LINE)) != b"\r\n":
+            if not line.endswith(b"\n"):
+                raise http.client.IncompleteRead(b"")
+
+
+class _Connection(HTTPConnection):
+    """Know whether anything was written, and limit the whole exchange by one deadline."""
+
+    response_class = _Answer
+    written = False
+    used = False
+    idle_since = 0.0
+    deadline = 0.0
+    wire: TimedSocket
+
+    def _new_conn(self) -> socket.socket:
+        self.wire = time_socket(super()._new_conn(), self.deadline)
+        return self.wire
+
+    def exchange(self, deadline: float) -> None:
+        """Begin an exchange that ends by the deadline."""
+        self.written = False
+        self.deadline = deadline
+        if self.sock is not None:
+            self.wire.deadline = deadline
+
+    def send(self, data: Any) -> None:
+        """Write to the instance; from the first call on the request may run."""
+        if self.sock is None:
+            # The library would open another connection here, in the middle of a request.
+            raise http.client.NotConnected()
+        self.written = True
+        self.wire.sendall(data)
+
+    def read_head(self) -> http.client.HTTPResponse:
+        """Read the head of the answer, without the wrapper that urllib3 puts around it."""
+        return http.client.HTTPConnection.getresponse(self)
+
+
+class Forwarder:
+    """
+    Keep the connections to one instance and make attempts over them.
+
+    Parameters
+    ----------
+    address, port : where the instance listens
+    clock : monotonic clock in seconds
+    """
+
+    def __init__(
+        self, address: str, port: int, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.address = address
+        self.port = port
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._idle: list[_Connection] = []
+        self._open = 0
+        self.limit = 1
+
+    @property
+    def open_connections(self) -> int:
+        """Count the connections to the instance, in use and idle."""
+        return self._open
+
+    def forward(self, outgoing: Outgoing, deadline: float, fresh: bool) -> ForwardOutcome:
+        """Make one attempt."""
+        try:
+            connection = self._checkout(deadline, fresh)
+        except (OSError, HTTPError) as error:
+            return Refused(self._clock(), f"no connection to the instance: {_name(error)}")
+        if connection is None:
+            return Refused(self._clock(), "every connection allowed to the instance is in use")
+        reused = connection.used
+        started = False
+        try:
+            self._send(connection, outgoing, deadline)
+            head = connection.read_head()
+            started = True
+            return self._receive(connection, head, outgoing.method)
+        except CallerFaultError as fault:
+            self._discard(connection)
+            return CallerFailed(self._clock(), fault.refusal)
+        except TimeoutError:
+            # The late answer dies with its connection: were the connection used again, the next
+            # caller would receive this one's answer.
+            self._discard(connection)
+            return TimedOut(self._clock())
+        except (OSError, HTTPError, http.client.HTTPException, ValueError) as error:
+            self._discard(connection)
+            if not connection.written:
+                return Refused(self._clock(), f"nothing was sent: {_name(error)}")
+            stale = reused and not started
+            return Broke(self._clock(), f"the instance broke off: {_name(error)}", stale)
+        except BaseException:
+            self._discard(connection)
+            raise
+
+    def close_idle(self, everything: bool = False) -> None:
+        """Close connections that were idle for long or exceed the limit."""
+        now = self._clock()
+        with self._lock:
+            old = [c for c in self._idle if everything or c.idle_since + MAX_IDLE_SECONDS < now]
+            excess = max(0, self._open - len(old) - self.limit)
+            young = [connection for connection in self._idle if connection not in old]
+            old += young[:excess]
+            self._idle = young[excess:]
+            self._open -= len(old)
+        for connection in old:
+            connection.close()
+
+    def _checkout(self, deadline: float, fresh: bool) -> _Connection | None:
+        now = self._clock()
+        oldest = now - (FRESH_IDLE_SECONDS if fresh else MAX_IDLE_SECONDS)
+        while (connection := self._pop_idle()) is not None:
+            # A readable idle connection was closed by its peer, or holds an answer that nobody
+            # asked for; neither may carry a request.
+            if connection.idle_since >= oldest and connection.is_connected:
+                connection.exchange(deadline)
+                return connection
+            self._discard(connection)
+        with self._lock:
+            if self._open >= self.limit:
+                return None
+            self._open += 1
+        connection = _Connection(
+            self.address, self.port, timeout=max(0.001, min(CONNECT_SECONDS, deadline - now))
+        )
+        connection.exchange(deadline)
+        try:
+            connection.connect()
+        except BaseException:
+            self._discard(connection)
+            raise
+        return connection
+
+    def _pop_idle(self) -> _Connection | None:
+        with self._lock:
+            return self._idle.pop() if self._idle else None
+
+    def _discard(self, connection: _Connection) -> None:
+        with self._lock:
+            self._open -= 1
+        connection.close()
+
+    def _keep(self, connection: _Connection) -> None:
+        connection.used = True
+        connection.idle_since = self._clock()
+        with self._lock:
+            if self._open <= self.limit:
+                self._idle.append(connection)
+                return
+        self._discard(connection)
+
+    def _send(self, connection: _Connection, outgoing: Outgoing, deadline: float) -> None:
+        remaining = max(1, int((deadline - self._clock()) * 1_000))
+        connection.putrequest(
+            outgoing.method, outgoing.target, skip_host=True, skip_accept_encoding=True
+        )
+        for name, value in outgoing.headers:
+            connection.putheader(name, value)
+        connection.putheader("Toucanpin-Deadline-Ms", str(remaining))
+        first = _frame(outgoing.body) if outgoing.chunked else outgoing.body
+        connection.endheaders(first or None)
+        if outgoing.rest is not None:
+            for piece in outgoing.rest():
+                connection.send(_frame(piece) if outgoing.chunked else piece)
+        if outgoing.chunked:
+            connection.send(LAST_CHUNK)
+
+    def _receive(
+        self, connection: _Connection, head: http.client.HTTPResponse, method: str
+    ) -> Whole:
+        _check_framing(head, method)
+        body = head.read(WHOLE_BYTES)
+        whole = head.isclosed() and not head.length
+        if not whole and len(body) < WHOLE_BYTES:
+            raise http.client.IncompleteRead(body)
+        headers = _take_headers(head)
+        verdict = head.getheader("Toucanpin-Verdict", "")
+        not_run = whole and head.status == 503 and verdict == "not-run"
+        draining = not_run and head.getheader("Toucanpin-Reason", "") == "draining"
+        rest = None
+        if whole:
+            self._finish(connection, head.will_close)
+        else:
+            rest = self._stream(connection, head)
+        response = Response(head.status, head.reason, headers, body, rest, not_run, draining)
+        return Whole(self._clock(), response)
+
+    def _finish(self, connection: _Connection, will_close: bool) -> None:
+        if will_close:
+            self._discard(connection)
+        else:
+            self._keep(connection)
+
+    def _stream(self, connection: _Connection, head: http.client.HTTPResponse) -> Iterator[bytes]:
+        """Yield the rest of a large answer; raise UpstreamCutError if it ends early."""
+        finished = False
+        try:
+            while not head.isclosed():
+                connection.wire.deadline = time.monotonic() + STREAM_IDLE_SECONDS
+                piece = head.read1(PIECE_BYTES)
+                if not piece:
+                    break
+                yield piece
+            if head.length:
+                raise UpstreamCutError("the answer is shorter than its Content-Length")
+            finished = True
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise UpstreamCutError(f"the instance broke off: {_name(error)}") from error
+        finally:
+            head.close()
+            if finished:
+                self._finish(connection, head.will_close)
+            else:
+                self._discard(connection)
+
+
+def _check_framing(head: http.client.HTTPResponse, method: str) -> None:
+    """Raise ValueError if the end of the answer can't be told from a cut."""
+    if head.status < FIRST_FINAL_STATUS:
+        raise ValueError(f"status {head.status} is not final")
+    lengths = head.headers.get_all("Content-Length", [])
+    coding = head.headers.get("Transfer-Encoding")
+    if len(set(lengths)) > 1 or (lengths and coding is not None):
+        raise ValueError("the answer's length is given in two ways")
+    if any(not (length.isascii() and length.isdigit()) for length in lengths):
+        raise ValueError("the answer's Content-Length is not a plain number")
+    if method == "HEAD" or head.status in NO_BODY_STATUSES:
+        return
+    if not lengths and not head.chunked:
+        # Such a body ends with its connection, so a cut one would look whole.
+        raise ValueError("the answer has neither Content-Length nor chunks")
+
+
+def _take_headers(head: http.client.HTTPResponse) -> tuple[tuple[str, str], ...]:
+    named = {name.strip().lower() for name in head.headers.get("Connection", "").split(",")}
+    return tuple(
+        (name, value)
+        for name, value in head.headers.items()
+        if (lowered := name.lower()) not in HOP_BY_HOP and lowered not in named
+    )
+
+
+def _frame(piece: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(piece), piece) if piece else b""
+
+
+def _name(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"
--- /dev/null
+++ b/toucanpin/daemon/front.py
@@ -0,0 +1,325 @@
+"""
+Front
+=====
+
+Answers callers: drives the path of each request with real sockets, threads and clocks.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import logbook
+from cheroot import wsgi
+
+from toucanpin.daemon.caller_answer import write_refusal, write_response
+from toucanpin.daemon.caller_request import (
+    SERVICES_PREFIX,
+    Incoming,
+    refuse,
+    split_target,
+    take_request,
+)
+from toucanpin.daemon.caller_server import CallerServer, encode_refusal
+from toucanpin.daemon.claimer import Claimer
+from toucanpin.daemon.forwarder import CallerFaultError
+from toucanpin.daemon.parts import BundleView, EventSink, MembershipView, WsgiApp
+from toucanpin.daemon.upstreams import ServiceEntry, Upstreams
+from toucanpin.platform.ports import ListedHost, Table
+from toucanpin.requests.admission import Ticket
+from toucanpin.requests.messages import (
+    Answer,
+    CallerFailed,
+    Claim,
+    Delivered,
+    Forward,
+    Relay,
+    Release,
+    Wait,
+    Woken,
+)
+from toucanpin.requests.path import serve_request
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = ["Front", "FrontSettings"]
+
+TICK_SECONDS = 0.05
+DRAIN_POLL_SECONDS = 0.02
+QUIET_SECONDS = 0.3
+NOT_READY = Refusal(
+    Verdict.NOT_RUN, Reason.NOT_READY, "this process does not know the bundle in force yet", 1.0
+)
+NOT_SETTLED = Refusal(
+    Verdict.NOT_RUN, Reason.NOT_READY, "this process does not know its share of slots yet", 1.0
+)
+BODY_AGAIN = Refusal(
+    Verdict.NOT_RUN, Reason.UPSTREAM_BROKE, "the streamed body can't be sent a second time"
+)
+INTERNAL = Refusal(Verdict.MAY_HAVE_RUN, Reason.INTERNAL, "this process failed")
+
+log = logbook.Logger("toucanpin.front")
+
+
+@dataclass(frozen=True, slots=True)
+class FrontSettings:
+    """
+    Set up a front.
+
+    ``name`` is this process's name among the members (``<host>/request``), ``incarnation`` this
+    life of it; times are in seconds, sizes in bytes.  ``linger`` is how long a draining front
+    still takes what the balancer sends, ``settle`` how long shares of slots wait for others.
+    """
+
+    name: str
+    incarnation: str
+    site: str
+    address: str
+    port: int
+    threads: int = 128
+    settle: float = 2.0
+    linger: float = 2.0
+    max_header: int = 16_384
+    max_body: int = 16_777_216
+
+
+class Front:
+    """
+    Serve callers on one address.
+
+    Parameters
+    ----------
+    settings : names, limits and times
+    bundle : the bundle in force
+    hosts : the platform's list as last read
+    members : the processes believed to be there; its request processes share the slots
+    table : where claims stand
+    events : time line of this process
+    mounts : applications by path prefix, such as ``/v1/jobs``; they see the whole ``PATH_INFO``
+    rng : source of randomness of decisions
+    """
+
+    def __init__(
+        self,
+        settings: FrontSettings,
+        bundle: BundleView,
+        hosts: Callable[[], tuple[ListedHost, ...]],
+        members: MembershipView,
+        table: Table,
+        events: EventSink,
+        mounts: dict[str, WsgiApp],
+        rng: Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._bundle = bundle
+        self._events = events
+        self._mounts = mounts
+        self._claimer = Claimer(table, f"{settings.name}:{settings.incarnation}")
+        self._upstreams = Upstreams(
+            settings.name, settings.site, settings.settle, bundle, hosts, members, rng or Random()
+        )
+        self._server = CallerServer(
+            (settings.address, settings.port),
+            self._make_gateway,
+            settings.threads,
+            settings.max_header,
+            settings.max_body,
+            settings.linger,
+        )
+        self._server.wsgi_app = self._dispatch
+        self._draining = False
+        self._stopped = threading.Event()
+        self._busy = 0
+        self._last_request = 0.0
+        self._busy_lock = threading.Lock()
+        self.counts: Counter[str] = Counter()
+        self._threads = [
+            threading.Thread(target=self._server.serve, name="front", daemon=True),
+            threading.Thread(target=self._tick, name="front-tick", daemon=True),
+        ]
+
+    @property
+    def port(self) -> int:
+        """Return the port that callers use."""
+        return int(self._server.bind_addr[1])
+
+    @property
+    def ready(self) -> bool:
+        """Say whether a balancer should send callers here."""
+        known = self._bundle.current() is not None
+        return known and self._upstreams.owns_slots and not self._draining
+
+    def start(self) -> None:
+        """Bind and start serving."""
+        self._upstreams.refresh(time.monotonic())
+        self._claimer.start()
+        self._server.prepare()
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self, grace: float) -> None:
+        """
+        Stop without cutting off a request: not ready at once, closed when nothing is in flight.
+
+        The balancer notices late, so requests are still taken for the lingering time; each answer
+        then ends its connection.
+        """
+        self._draining = True
+        began = time.monotonic()
+        linger = min(self._settings.linger, grace / 2)
+        while not self._is_quiet(began, linger, grace):
+            time.sleep(DRAIN_POLL_SECONDS)
+        self._server.shutdown_timeout = max(0.1, began + grace - time.monotonic())
+        self._server.stop()
+        self._stopped.set()
+        self._claimer.stop()
+        self._upstreams.close()
+        for thread in self._threads:
+            thread.join(1.0)
+
+    def _is_quiet(self, began: float, linger: float, grace: float) -> bool:
+        now = time.monotonic()
+        if now >= began + grace:
+            return True
+        quiet = now - max(began, self._last_request) >= QUIET_SECONDS
+        return self._busy == 0 and now >= began + linger and quiet
+
+    def _tick(self) -> None:
+        while not self._stopped.wait(TICK_SECONDS):
+            try:
+                self._upstreams.tick(time.monotonic())
+            except Exception:
+                log.exception("refreshing instances failed")
+
+    def _make_gateway(self, req: Any) -> Any:
+        if req.uri.startswith(SERVICES_PREFIX):
+            return _ServiceGateway(self, req)
+        return wsgi.Gateway_10(req)
+
+    def _dispatch(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        for prefix, app in self._mounts.items():
+            if path == prefix or path.startswith(prefix.rstrip("/") + "/"):
+                return app(environ, start_response)
+        body = encode_refusal(Refusal(Verdict.NOT_RUN, Reason.NOT_FOUND, "no such path"))
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("Toucanpin-Verdict", Verdict.NOT_RUN.value),
+            ("Toucanpin-Reason", Reason.NOT_FOUND.value),
+        ]
+        start_response("404 Not Found", headers)
+        return [body]
+
+    def serve(self, req: Any) -> None:
+        """Answer one request for a service."""
+        with self._busy_lock:
+            self._busy += 1
+            self._last_request = time.monotonic()
+        try:
+            self._serve(req)
+        except CallerFaultError as fault:
+            self._refuse(req, fault.refusal, "")
+        except Exception:
+            log.exception("a request failed")
+            if req.sent_headers:
+                req.close_connection = True
+            else:
+                self._refuse(req, INTERNAL, "")
+        finally:
+            with self._busy_lock:
+                self._busy -= 1
+
+    def _serve(self, req: Any) -> None:
+        arrived = time.monotonic()
+        name, target = split_target(req.uri)
+        if self._bundle.current() is None:
+            self._refuse(req, NOT_READY, "")
+            return
+        entry = self._upstreams.find(name)
+        if entry is None:
+            raise refuse(Reason.UNKNOWN_SERVICE, "the bundle in force has no such service")
+        incoming = take_request(req, entry.state.service, target, arrived)
+        if not self._upstreams.owns_slots:
+            self._refuse(req, NOT_SETTLED, incoming.request.request_id)
+            return
+        self._drive(req, incoming, entry)
+
+    def _drive(self, req: Any, incoming: Incoming, entry: ServiceEntry) -> None:
+        """Take the steps of a path: decisions under the service's lock, the rest outside it."""
+        request = incoming.request
+        path = serve_request(request, entry.state)
+        outcome: Any = None
+        try:
+            while True:
+                with entry.lock:
+                    try:
+                        action = path.send(outcome)
+                    finally:
+                        entry.wake()
+                    if isinstance(action, Wait):
+                        event = entry.expect(action.ticket)
+                match action:
+                    case Forward():
+                        outcome = self._forward(incoming, entry, action)
+                    case Relay(response=response):
+                        whole = write_response(req, response, self._draining)
+                        self.counts["relayed" if whole else "cut"] += 1
+                        outcome = Delivered(time.monotonic(), not whole)
+                    case Wait(ticket=ticket, until=until):
+                        outcome = self._wait(entry, ticket, event, until)
+                    case Claim(request_id=request_id, deadline=deadline):
+                        outcome = self._claimer.claim(request_id, deadline)
+                    case Release(claim=claim):
+                        self._claimer.release(claim)
+                        outcome = Delivered(time.monotonic())
+                    case Answer(refusal=refusal):
+                        self._refuse(req, refusal, request.request_id)
+                        outcome = Delivered(time.monotonic())
+        except StopIteration:
+            return
+        finally:
+            with entry.lock:
+                path.close()
+                entry.wake()
+
+    @staticmethod
+    def _wait(entry: ServiceEntry, ticket: Ticket, event: threading.Event, until: float) -> Woken:
+        event.wait(max(0.0, until - time.monotonic()))
+        entry.forget(ticket)
+        return Woken(time.monotonic())
+
+    def _forward(self, incoming: Incoming, entry: ServiceEntry, action: Forward) -> Any:
+        if incoming.rest_begun:
+            return CallerFailed(time.monotonic(), BODY_AGAIN)
+        self.counts["attempts"] += 1
+        forwarder = entry.forwarders[action.instance]
+        return forwarder.forward(incoming.outgoing, action.deadline, action.fresh_connection)
+
+    def _refuse(self, req: Any, refusal: Refusal, request_id: str) -> None:
+        self.counts[refusal.reason.value] += 1
+        ids = {"request": request_id} if request_id else {}
+        detail = f"{refusal.verdict.value} {refusal.reason.value}: {refusal.detail}"
+        self._events.record("request.refused", ids, detail)
+        write_refusal(req, refusal, self._draining)
+
+
+class _ServiceGateway:
+    """Hand a request for a service to the front, past WSGI's environment."""
+
+    __slots__ = ("_front", "_req")
+
+    def __init__(self, front: Front, req: Any) -> None:
+        self._front = front
+        self._req = req
+
+    def respond(self) -> None:
+        """Answer the request."""
+        self._front.serve(self._req)
--- /dev/null
+++ b/toucanpin/daemon/timed_socket.py
@@ -0,0 +1,60 @@
+"""
+Sockets with a deadline
+=======================
+
+A socket whose every operation ends by one instant, however slowly the peer sends byte after byte.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from typing import Any
+
+__all__ = ["TimedSocket", "time_socket"]
+
+FOREVER = float("inf")
+
+
+class TimedSocket(socket.socket):
+    """
+    Limit the sum of all waits by ``deadline`` (monotonic seconds) in place of each wait.
+
+    A plain timeout starts afresh with every byte, so a peer that trickles would hold its thread
+    for as long as it likes.
+    """
+
+    __slots__ = ("deadline",)
+
+    deadline: float
+
+    def _arm(self) -> None:
+        if self.deadline == FOREVER:
+            self.settimeout(None)
+            return
+        remaining = self.deadline - time.monotonic()
+        if remaining <= 0:
+            raise TimeoutError("timed out")
+        self.settimeout(remaining)
+
+    def recv_into(self, *args: Any, **kwargs: Any) -> int:
+        """Receive by the deadline."""
+        self._arm()
+        return super().recv_into(*args, **kwargs)
+
+    def send(self, *args: Any, **kwargs: Any) -> int:
+        """Send what fits by the deadline."""
+        self._arm()
+        return super().send(*args, **kwargs)
+
+    def sendall(self, *args: Any, **kwargs: Any) -> None:
+        """Send all by the deadline."""
+        self._arm()
+        super().sendall(*args, **kwargs)
+
+
+def time_socket(sock: socket.socket, deadline: float) -> TimedSocket:
+    """Turn a plain socket into one with a deadline; the plain one is used up."""
+    timed = TimedSocket(sock.family, sock.type, sock.proto, fileno=sock.detach())
+    timed.deadline = deadline
+    return timed
--- /dev/null
+++ b/toucanpin/daemon/upstreams.py
@@ -0,0 +1,170 @@
+"""
+Upstreams
+=========
+
+Keeps, for each service of the bundle, its decisions' state, the lock around it and the connections
+to its instances, refreshed from bundle, host list and membership.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from random import Random
+
+from toucanpin.bundles.schema import Bundle, Service
+from toucanpin.daemon.forwarder import Forwarder
+from toucanpin.daemon.parts import BundleView, MembershipView
+from toucanpin.membership.member import Standing
+from toucanpin.platform.ports import HostRole, ListedHost
+from toucanpin.requests.admission import Ticket
+from toucanpin.requests.routing import InstanceShare
+from toucanpin.requests.service import ServiceState
+from toucanpin.requests.shares import ShareBook
+
+__all__ = ["ServiceEntry", "Upstreams"]
+
+REQUEST_ROLE = "request"
+REFRESH_SECONDS = 0.2
+
+
+class ServiceEntry:
+    """Hold one service: state, lock, forwarders by instance and the threads that wait."""
+
+    __slots__ = ("state", "lock", "forwarders", "_events")
+
+    def __init__(self, state: ServiceState) -> None:
+        self.state = state
+        self.lock = threading.Lock()
+        self.forwarders: dict[str, Forwarder] = {}
+        self._events: dict[Ticket, threading.Event] = {}
+
+    def expect(self, ticket: Ticket) -> threading.Event:
+        """Make the event that ends a ticket's wait; call with the lock held."""
+        event = self._events[ticket] = threading.Event()
+        if ticket.settled:
+            event.set()
+        return event
+
+    def wake(self) -> None:
+        """Wake the threads whose tickets were settled; call with the lock held."""
+        settled = self.state.settled
+        while settled:
+            event = self._events.get(settled.pop())
+            if event is not None:
+                event.set()
+
+    def forget(self, ticket: Ticket) -> None:
+        """Drop a ticket's event."""
+        with self.lock:
+            self._events.pop(ticket, None)
+
+
+class Upstreams:
+    """Keep the entries of all services up to date."""
+
+    def __init__(
+        self,
+        name: str,
+        site: str,
+        settle: float,
+        bundle: BundleView,
+        hosts: Callable[[], tuple[ListedHost, ...]],
+        members: MembershipView,
+        rng: Random,
+    ) -> None:
+        self._site = site
+        self._bundle = bundle
+        self._hosts = hosts
+        self._members = members
+        self._rng = rng
+        self._book = ShareBook(name, settle)
+        self._entries: dict[str, ServiceEntry] = {}
+        self._refreshed = 0.0
+        self.owns_slots = False
+
+    def find(self, name: str) -> ServiceEntry | None:
+        """Return the entry of a service, None if the bundle has no such service."""
+        return self._entries.get(name)
+
+    def tick(self, now: float) -> None:
+        """Grant what time has freed, and refresh when it is time to."""
+        if now - self._refreshed >= REFRESH_SECONDS:
+            self.refresh(now)
+        for entry in list(self._entries.values()):
+            with entry.lock:
+                entry.state.grant(now)
+                entry.wake()
+
+    def refresh(self, now: float) -> None:
+        """Read bundle, host list and membership and apply them."""
+        self._refreshed = now
+        names = tuple(
+            member.name
+            for member in self._members.members()
+            if member.role == REQUEST_ROLE and member.standing is not Standing.GONE
+        )
+        self._book.update(names, now)
+        bundle = self._bundle.current()
+        if bundle is None:
+            return
+        hosts = [host for host in self._hosts() if host.role is HostRole.INSTANCE]
+        entries = {
+            service.name: self._refresh_service(bundle, service, hosts, now)
+            for service in bundle.services
+        }
+        gone = [entry for name, entry in self._entries.items() if name not in entries]
+        self._entries = entries
+        self.owns_slots = self._book.owns_any
+        for entry in gone:
+            _close(entry)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for entry in self._entries.values():
+            _close(entry)
+
+    def _refresh_service(
+        self, bundle: Bundle, service: Service, hosts: list[ListedHost], now: float
+    ) -> ServiceEntry:
+        entry = self._entries.get(service.name)
+        if entry is None:
+            rng = Random(self._rng.random())
+            share = bundle.limits.retry_share
+            entry = ServiceEntry(ServiceState(service, share, self._site, rng, now))
+        mine = [host for host in hosts if host.service == service.name]
+        shares = tuple(self._share(host, service) for host in mine)
+        listed = {host.name for host in mine}
+        with entry.lock:
+            for host in mine:
+                self._refresh_forwarder(entry, host, service)
+            for name in [name for name in entry.forwarders if name not in listed]:
+                entry.forwarders[name].limit = 0
+                if not entry.state.router.knows(name):
+                    del entry.forwarders[name]
+            if entry.state.service != service:
+                entry.state.configure(service)
+            entry.state.update(shares, now)
+            entry.wake()
+        for forwarder in list(entry.forwarders.values()):
+            forwarder.close_idle()
+        return entry
+
+    def _share(self, host: ListedHost, service: Service) -> InstanceShare:
+        slots = self._book.share(host.name, host.slots or service.slots)
+        return InstanceShare(host.name, host.site, slots, host.leaving)
+
+    def _refresh_forwarder(self, entry: ServiceEntry, host: ListedHost, service: Service) -> None:
+        forwarder = entry.forwarders.get(host.name)
+        if forwarder is None or (forwarder.address, forwarder.port) != (host.address, host.port):
+            if forwarder is not None:
+                forwarder.limit = 0
+                forwarder.close_idle(everything=True)
+            forwarder = entry.forwarders[host.name] = Forwarder(host.address, host.port)
+        forwarder.limit = self._book.share(host.name, host.connections or service.connections)
+
+
+def _close(entry: ServiceEntry) -> None:
+    for forwarder in entry.forwarders.values():
+        forwarder.limit = 0
+        forwarder.close_idle(everything=True)
--- /dev/null
+++ b/toucanpin/requests/service.py
@@ -0,0 +1,106 @@
+"""
+State of one service
+====================
+
+What one request process keeps of one service: queue, routing and retry budget, put together.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from toucanpin.bundles.schema import Service
+from toucanpin.requests.admission import Admission, Ticket
+from toucanpin.requests.retries import RetryBudget
+from toucanpin.requests.routing import InstanceShare, Router
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = ["ServiceState"]
+
+ABSENT_RETRY_SECONDS = 2.0
+
+
+class ServiceState:
+    """
+    Put the decisions about one service together.
+
+    Not safe for threads: the daemon takes a lock around each step.  ``settled`` collects the
+    tickets whose wait ended in this step, for the daemon to wake.
+    """
+
+    __slots__ = ("service", "rng", "admission", "router", "budget", "settled")
+
+    def __init__(
+        self, service: Service, retry_share: float, site: str, rng: Random, now: float
+    ) -> None:
+        self.service = service
+        self.rng = rng
+        self.admission = Admission(service.queue, rng)
+        self.router = Router(site, rng)
+        self.budget = RetryBudget(retry_share, now)
+        self.settled: list[Ticket] = []
+
+    def configure(self, service: Service) -> None:
+        """Take in a changed description of the service."""
+        self.service = service
+        self.admission.limit = service.queue
+
+    def update(self, shares: tuple[InstanceShare, ...], now: float) -> None:
+        """Take in instances and shares, and grant what they allow."""
+        self.router.update(shares, now)
+        self.admission.slots = self.router.owned
+        self.grant(now)
+
+    def check(self, caller: str, deadline: float, now: float) -> Refusal | None:
+        """Refuse at the door what can't be served."""
+        if self.router.known == 0:
+            return self.refuse_absent()
+        free = not len(self.admission) and self.router.has_free(now)
+        return self.admission.check(caller, deadline, now, free)
+
+    def refuse_absent(self) -> Refusal:
+        """Refuse because the service has no instance."""
+        wait = ABSENT_RETRY_SECONDS * self.rng.uniform(1.0, 2.0)
+        detail = "the service has no instance"
+        return Refusal(Verdict.NOT_RUN, Reason.NO_UPSTREAM, detail, retry_after=wait)
+
+    def request_slot(
+        self, caller: str, deadline: float, tried: frozenset[str], now: float
+    ) -> Ticket:
+        """Take a slot at once if one is free, or queue for it; retries go before first attempts."""
+        ticket = Ticket(caller, deadline, tried)
+        if tried or not len(self.admission):
+            ticket.granted = self.router.take(tried, now)
+        if ticket.granted is None:
+            loser = self.admission.enter(ticket, urgent=bool(tried))
+            if loser is not None and loser is not ticket:
+                self.settled.append(loser)
+        return ticket
+
+    def give_back(self, instance: str, now: float, held_until: float | None = None) -> None:
+        """Return a slot and grant it to whose turn it is."""
+        self.router.give_back(instance, now, held_until)
+        self.grant(now)
+
+    def grant(self, now: float) -> None:
+        """Grant free slots in turn; tickets too late to be served are refused at once."""
+        while (ticket := self.admission.peek()) is not None:
+            if now + self.admission.mean > ticket.deadline:
+                ticket.refusal = self.expire()
+            else:
+                ticket.granted = self.router.take(ticket.tried, now)
+                if ticket.granted is None:
+                    return
+            self.admission.pop()
+            self.settled.append(ticket)
+
+    def abandon(self, ticket: Ticket, now: float) -> None:
+        """Take back a ticket whose holder has gone."""
+        self.admission.remove(ticket)
+        if ticket.granted is not None:
+            self.give_back(ticket.granted, now)
+
+    def expire(self) -> Refusal:
+        """Refuse because no slot came free in time."""
+        wait = max(1.0, self.admission.expect_wait()) * self.rng.uniform(1.0, 2.0)
+        return Refusal(Verdict.NOT_RUN, Reason.OVERLOAD, "no slot came free in time", wait)
