Take no cut answer of an instance for a whole one

Ruled out: urllib3's own wrapper, as it sits above the same reader. Change: a strict head and strict chunk ends in a subclass of the library's reader.

--- a/toucanpin/daemon/caller_request.py
+++ b/toucanpin/daemon/caller_request.py
@@ -17,12 +17,12 @@
 from toucanpin.bundles.schema import Service
 from toucanpin.daemon.caller_input import BodyTooLargeError, CallerGoneError
 from toucanpin.daemon.forwarder import (
-    HOP_BY_HOP,
     PIECE_BYTES,
     WHOLE_BYTES,
     CallerFaultError,
     Outgoing,
 )
+from toucanpin.daemon.upstream_answer import HOP_BY_HOP
 from toucanpin.requests.messages import Request
 from toucanpin.verdict import Reason, Refusal, Verdict
 
--- a/toucanpin/daemon/forwarder.py
+++ b/toucanpin/daemon/forwarder.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import http.client
-import re
 import socket
 import threading
 import time
@@ -21,6 +20,7 @@
 from urllib3.exceptions import HTTPError
 
 from toucanpin.daemon.timed_socket import TimedSocket, time_socket
+from toucanpin.daemon.upstream_answer import InstanceAnswer
 from toucanpin.requests.messages import Broke, CallerFailed, Refused, Response, TimedOut, Whole
 from toucanpin.verdict import Refusal
 
@@ -32,26 +32,7 @@
 STREAM_IDLE_SECONDS = 10.0
 FRESH_IDLE_SECONDS = 1.0
 MAX_IDLE_SECONDS = 20.0
-MAX_CHUNK_LINE = 256
-MAX_TRAILER_LINE = 8_192
 LAST_CHUNK = b"0\r\n\r\n"
-CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
-NO_BODY_STATUSES = frozenset({204, 304})
-FIRST_FINAL_STATUS = 200
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 ForwardOutcome = Refused | Broke | TimedOut | Whole | CallerFailed
 
 
@@ -83,27 +64,10 @@
     chunked: bool = False
 
 
-class _Answer(http.client.HTTPResponse):
-    """Read an answer, and take no cut chunk for its end."""
-
-    def _read_next_chunk_size(self) -> int:
-        # The library takes a size line that was cut after "0" for the last chunk.
-        line = self.fp.readline(MAX_CHUNK_LINE)
-        size, _, _ = line.partition(b";")
-        if not line.endswith(b"\r\n") or CHUNK_SIZE.fullmatch(size.rstrip()) is None:
-            raise ValueError("a chunk's size line is cut or malformed")
-        return int(size, 16)
-
-    def _read_and_discard_trailer(self) -> None:
-        while (line := self.fp.readline(MAX_TRAILER_LINE)) != b"\r\n":
-            if not line.endswith(b"\n"):
-                raise http.client.IncompleteRead(b"")
-
-
 class _Connection(HTTPConnection):
     """Know whether anything was written, and limit the whole exchange by one deadline."""
 
-    response_class = _Answer
+    response_class = InstanceAnswer
     written = False
     used = False
     idle_since = 0.0
@@ -129,9 +93,11 @@
         self.written = True
         self.wire.sendall(data)
 
-    def read_head(self) -> http.client.HTTPResponse:
+    def read_head(self) -> InstanceAnswer:
         """Read the head of the answer, without the wrapper that urllib3 puts around it."""
-        return http.client.HTTPConnection.getresponse(self)
+        answer = http.client.HTTPConnection.getresponse(self)
+        assert isinstance(answer, InstanceAnswer)
+        return answer
 
 
 class Forwarder:
@@ -174,7 +140,7 @@
             self._send(connection, outgoing, deadline)
             head = connection.read_head()
             started = True
-            return self._receive(connection, head, outgoing.method)
+            return self._receive(connection, head)
         except CallerFaultError as fault:
             self._discard(connection)
             return CallerFailed(self._clock(), fault.refusal)
@@ -265,18 +231,15 @@
         if outgoing.chunked:
             connection.send(LAST_CHUNK)
 
-    def _receive(
-        self, connection: _Connection, head: http.client.HTTPResponse, method: str
-    ) -> Whole:
-        _check_framing(head, method)
+    def _receive(self, connection: _Connection, head: InstanceAnswer) -> Whole:
         body = head.read(WHOLE_BYTES)
         whole = head.isclosed() and not head.length
         if not whole and len(body) < WHOLE_BYTES:
             raise http.client.IncompleteRead(body)
-        headers = _take_headers(head)
-        verdict = head.getheader("Toucanpin-Verdict", "")
+        headers = head.take_headers()
+        verdict = head.named.get("toucanpin-verdict", "")
         not_run = whole and head.status == 503 and verdict == "not-run"
-        draining = not_run and head.getheader("Toucanpin-Reason", "") == "draining"
+        draining = not_run and head.named.get("toucanpin-reason", "") == "draining"
         rest = None
         if whole:
             self._finish(connection, head.will_close)
@@ -291,7 +254,7 @@
         else:
             self._keep(connection)
 
-    def _stream(self, connection: _Connection, head: http.client.HTTPResponse) -> Iterator[bytes]:
+    def _stream(self, connection: _Connection, head: InstanceAnswer) -> Iterator[bytes]:
         """Yield the rest of a large answer; raise UpstreamCutError if it ends early."""
         finished = False
         try:
@@ -314,32 +277,6 @@
                 self._discard(connection)
 
 
-def _check_framing(head: http.client.HTTPResponse, method: str) -> None:
-    """Raise ValueError if the end of the answer can't be told from a cut."""
-    if head.status < FIRST_FINAL_STATUS:
-        raise ValueError(f"status {head.status} is not final")
-    lengths = head.headers.get_all("Content-Length", [])
-    coding = head.headers.get("Transfer-Encoding")
-    if len(set(lengths)) > 1 or (lengths and coding is not None):
-        raise ValueError("the answer's length is given in two ways")
-    if any(not (length.isascii() and length.isdigit()) for length in lengths):
-        raise ValueError("the answer's Content-Length is not a plain number")
-    if method == "HEAD" or head.status in NO_BODY_STATUSES:
-        return
-    if not lengths and not head.chunked:
-        # Such a body ends with its connection, so a cut one would look whole.
-        raise ValueError("the answer has neither Content-Length nor chunks")
-
-
-def _take_headers(head: http.client.HTTPResponse) -> tuple[tuple[str, str], ...]:
-    named = {name.strip().lower() for name in head.headers.get("Connection", "").split(",")}
-    return tuple(
-        (name, value)
-        for name, value in head.headers.items()
-        if (lowered := name.lower()) not in HOP_BY_HOP and lowered not in named
-    )
-
-
 def _frame(piece: bytes) -> bytes:
     return b"%x\r\n%b\r\n" % (len(piece), piece) if piece else b""
 
--- /dev/null
+++ b/toucanpin/daemon/upstream_answer.py
@@ -0,0 +1,120 @@
+"""
+Answers of instances
+====================
+
+The library's reader of answers, with a strict head and no tolerance for ends that come early.
+"""
+
+from __future__ import annotations
+
+import http.client
+import re
+
+__all__ = ["HOP_BY_HOP", "InstanceAnswer"]
+
+MAX_LINE = 16_384
+MAX_HEADERS = 100
+MAX_CHUNK_LINE = 256
+NO_BODY_STATUSES = frozenset({204, 304})
+STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([2-9][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?\r\n")
+HEADER_LINE = re.compile(rb"([!#$%&'*+.^`|~0-9A-Za-z-]+):[ \t]*([\t\x20-\x7e\x80-\xff]*)\r\n")
+DIGITS = re.compile("[0-9]{1,15}")
+CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class InstanceAnswer(http.client.HTTPResponse):
+    """
+    Read one answer and accept only one whose end can't be mistaken.
+
+    The library takes the end of a connection for the end of the headers, of the trailers, of a
+    chunk's size and of a body without a length.  Each would let a cut answer pass for a whole one.
+    ``named`` holds the headers by lower-case name, ``lines`` in the order received.
+    """
+
+    named: dict[str, str]
+    lines: list[tuple[str, str]]
+
+    def begin(self) -> None:
+        """Read the head; raise ValueError if it is malformed, ConnectionError if it is cut."""
+        line = self._read_line()
+        match = STATUS_LINE.fullmatch(line)
+        if match is None:
+            raise ValueError(f"not a final status line: {line[:40]!r}")
+        self.version = 11 if match[1] == b"1" else 10
+        self.code = self.status = int(match[2])
+        self.reason = (match[3] or b"").decode("latin-1")
+        self._read_header_lines()
+        self._take_framing()
+
+    def take_headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers that concern the caller."""
+        connection = self.named.get("connection")
+        dropped = HOP_BY_HOP
+        if connection is not None:
+            dropped = HOP_BY_HOP | {name.strip().lower() for name in connection.split(",")}
+        return tuple(line for line in self.lines if line[0].lower() not in dropped)
+
+    def _read_line(self) -> bytes:
+        line = self.fp.readline(MAX_LINE)
+        if not line.endswith(b"\n"):
+            raise http.client.RemoteDisconnected("the answer's head is cut")
+        return line
+
+    def _read_header_lines(self) -> None:
+        self.named = {}
+        self.lines = []
+        while (line := self._read_line()) != b"\r\n":
+            match = HEADER_LINE.fullmatch(line)
+            if match is None or len(self.lines) >= MAX_HEADERS:
+                raise ValueError(f"a header line is not accepted: {line[:40]!r}")
+            name, value = match[1].decode("ascii"), match[2].rstrip(b" \t").decode("latin-1")
+            self.lines.append((name, value))
+            key = name.lower()
+            if key in ("content-length", "transfer-encoding") and key in self.named:
+                raise ValueError(f"{name} is given twice")
+            known = self.named.get(key)
+            self.named[key] = value if known is None else f"{known}, {value}"
+
+    def _take_framing(self) -> None:
+        named = self.named
+        coding = named.get("transfer-encoding")
+        length = named.get("content-length")
+        if coding is not None and (length is not None or coding.lower() != "chunked"):
+            raise ValueError("the answer's framing is not accepted")
+        if length is not None and DIGITS.fullmatch(length) is None:
+            raise ValueError("the answer's Content-Length is not a plain number")
+        self.chunked = coding is not None
+        self.chunk_left = None
+        self.length = None if length is None else int(length)
+        if self.status in NO_BODY_STATUSES or self._method == "HEAD":  # type: ignore[attr-defined]
+            self.chunked = False
+            self.length = 0
+        elif length is None and not self.chunked:
+            raise ValueError("the answer has neither Content-Length nor chunks")
+        connection = named.get("connection", "").lower()
+        kept = "keep-alive" in connection if self.version == 10 else "close" not in connection
+        self.will_close = not kept
+
+    def _read_next_chunk_size(self) -> int:
+        line = self.fp.readline(MAX_CHUNK_LINE)
+        size, _, _ = line.partition(b";")
+        if not line.endswith(b"\r\n") or CHUNK_SIZE.fullmatch(size.rstrip()) is None:
+            raise ValueError("a chunk's size line is cut or malformed")
+        return int(size, 16)
+
+    def _read_and_discard_trailer(self) -> None:
+        while self._read_line() != b"\r\n":
+            pass
