--- a/scenarios/actors.py
+++ b/scenarios/actors.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Generator
+from functools import partial
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -143,26 +144,29 @@
                     row = Row(write.key, outcome.version, write.value or b"")
                     for watch in () if write.check_only else self.watchers:
                         watch(row)
-            return Error(outcome) if isinstance(outcome, Conflict) else Ok(outcome)
+            return outcome
 
         caller.call("table", act, lambda outcome: reply(_explain(outcome)))
 
     def read(self, caller: Process, key: str, reply: Callable[[Result], None]) -> None:
         """Read one row for a process."""
-        act = lambda: Ok(self.table.read(key))  # noqa: E731
+        act = partial(self.table.read, key)
         caller.call("table", act, lambda outcome: reply(_explain(outcome)))
 
     def scan(
         self, caller: Process, prefix: str, after: int, reply: Callable[[Result], None]
     ) -> None:
         """Read the changed rows below a prefix for a process."""
-        act = lambda: Ok(self.table.scan(prefix, after))  # noqa: E731
+        act = partial(self.table.scan, prefix, after)
         caller.call("table", act, lambda outcome: reply(_explain(outcome)))
 
     def list_hosts(self, caller: Process, reply: Callable[[Result], None]) -> None:
         """Read the host list for a process."""
-        act = lambda: Ok(self.hosts.hosts(self._kernel.now))  # noqa: E731
-        caller.call("hostlist", act, lambda outcome: reply(_explain(outcome)))
+        caller.call(
+            "hostlist",
+            lambda: self.hosts.hosts(self._kernel.now),
+            lambda outcome: reply(_explain(outcome)),
+        )
 
 
 class SimulatedWorker(Process):
@@ -224,13 +228,11 @@
         """Carry one effect to the object store."""
         match effect:
             case Put(name=name, body=body):
-                put = effect
-                act = lambda: self._platform.objects.put(name, body)  # noqa: E731
-                self.call("objects", act, lambda outcome: self._finish_put(put, outcome))
+                act = partial(self._platform.objects.put, name, body)
+                self.call("objects", act, partial(self._finish_put, effect))
             case Get(name=name):
-                get = effect
-                act = lambda: self._platform.objects.get(name)  # noqa: E731
-                self.call("objects", act, lambda outcome: self._finish_get(get, outcome))
+                read = partial(self._platform.objects.get, name)
+                self.call("objects", read, partial(self._finish_get, effect))
 
     def _finish_put(self, put: Put, outcome: object) -> None:
         """Tell the core how a write ended."""
@@ -291,5 +293,7 @@
     match outcome:
         case Loss(detail, sent):
             return Error(Unknown(detail) if sent else Unavailable(detail))
+        case Conflict():
+            return Error(outcome)
         case _:
-            return outcome
+            return Ok(outcome)
--- a/scenarios/beliefs.py
+++ b/scenarios/beliefs.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from scenarios.actors import Process
 from toucanpin.membership.member import Member, Standing
 
@@ -39,8 +41,8 @@
         """Tell every other process and do so again."""
         for name in sorted(self._processes):
             if name != process.name:
-                member = describe(process)
-                process.network.tell(process.name, name, lambda name=name: self._hear(name, member))
+                news = partial(self._hear, name, describe(process))
+                process.network.tell(process.name, name, news)
         process.after(HEARTBEAT, lambda: self._beat(process))
 
     def _hear(self, name: str, member: Member) -> None:
--- a/scenarios/control.py
+++ b/scenarios/control.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from expression import Result
 
 from scenarios.actors import Platform, Process, SimulatedWorker, poll_worker
-from scenarios.kernel import Kernel, Loss, Network
+from scenarios.kernel import Kernel, Loss, Network, Reply
 from toucanpin.bundles.schema import Bundle
 from toucanpin.membership.member import Member
 from toucanpin.placement import actions
@@ -30,8 +31,6 @@
 TURN = 0.25
 HOST_LIST_PERIOD = 1.0
 
-Reply = Callable[[Any], None]
-
 
 class Neighbours:
     """Find whatever bears a name now: the seam through which actors reach each other."""
@@ -153,7 +152,7 @@
                 each.host.name,
                 self._neighbours.workers.get,
                 each.poll,
-                lambda outcome, place=place: keep(place, outcome),
+                partial(keep, place),
             )
 
     def _ask_standstill(self, holder: Life, peers: tuple[Life, ...], answer: Reply) -> None:
@@ -169,8 +168,8 @@
         for peer in peers:
             self.call(
                 peer.process,
-                lambda peer=peer: self._promise(peer, holder),
-                lambda outcome, peer=peer: keep(peer, outcome),
+                partial(self._promise, peer, holder),
+                partial(keep, peer),
                 timeout=1.0,
             )
 
--- a/scenarios/kernel.py
+++ b/scenarios/kernel.py
@@ -12,12 +12,13 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from scenarios import model
 
-Reply = Callable[[object], None]
+Reply = Callable[[Any], None]
 
-__all__ = ["Kernel", "Loss", "Network", "covers"]
+__all__ = ["Kernel", "Loss", "Network", "Reply", "covers"]
 
 LATENCY = (0.0005, 0.004)
 CALL_TIMEOUT = 2.0
--- a/scenarios/tests/test_language.py
+++ b/scenarios/tests/test_language.py
@@ -1,6 +1,7 @@
 """Tests of the scenario language."""
 
 import unittest
+from typing import Any
 
 from scenarios import model
 from scenarios.language import parse
@@ -38,8 +39,9 @@
         self.assertEqual(scenario.capacity, Size(16, 1024))
         submit, kill, cut = scenario.events
         self.assertEqual((submit.time, submit.place), (0.5, Place("night.scenario", 9)))
-        self.assertEqual(submit.action.size.processors, 4)
-        self.assertTrue(submit.action.urgent)
+        self.assertEqual(
+            submit.action, model.SubmitJob("render-1", Size(4, 256), work=20, urgent=True)
+        )
         self.assertEqual(kill.action, model.Kill("w1"))
         self.assertEqual(cut.action, model.Cut("entry-a", "table", False, 10.0))
         (expectation,) = scenario.expectations
@@ -69,7 +71,7 @@
             "at 3s send 2 requests r to verify through entry-a every 10ms idempotent\n"
             "expect every job failed\n"
         )
-        actions = [event.action for event in parse(HEAD + lines, "x").events]
+        actions: list[Any] = [event.action for event in parse(HEAD + lines, "x").events]
         self.assertEqual([it.job for it in actions[:3]], ["bake-1", "bake-2", "bake-3"])
         self.assertEqual([it.through for it in actions[:3]], ["entry-a", "entry-b", "entry-a"])
         self.assertEqual([it.variant for it in actions[3:5]], [0, 1])
--- a/scenarios/world.py
+++ b/scenarios/world.py
@@ -9,17 +9,18 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
 
 import msgspec
 
 from scenarios import model
-from scenarios.actors import Platform, Process, SimulatedWorker
+from scenarios.actors import Platform, SimulatedWorker
 from scenarios.beliefs import Beliefs
 from scenarios.check import name_entries
 from scenarios.control import Control, Neighbours
 from scenarios.evidence import Evidence, JobTold
-from scenarios.kernel import Kernel, Loss, Network, covers
+from scenarios.kernel import Kernel, Loss, Network, Reply, covers
 from scenarios.model import Action, Hosts, JobEnd, Scenario
 from scenarios.witness import Witness, describe_work
 from toucanpin.bundles.schema import Bundle
@@ -56,6 +57,7 @@
         self._lives: dict[str, int] = {}
         self._script = Recorder("scenario", "1", self._read_time, self._read_time)
         self._recorders = [self._script]
+        self._script.record("script.start", {}, f"seed {scenario.seed}")
         self._bundle = Bundle(
             deployment=DEPLOYMENT,
             version=1,
@@ -133,8 +135,8 @@
             if getattr(action, each.name) != each.default
         }
         ids = {IDS[name]: str(value) for name, value in given.items() if name in IDS}
-        detail = ", ".join(f"{key} {value}" for key, value in given.items() if key not in IDS)
-        self._script.record(f"script.{type(action).__name__.lower()}", ids, detail)
+        words = (f"{key} {describe(value)}" for key, value in given.items() if key not in IDS)
+        self._script.record(f"script.{type(action).__name__.lower()}", ids, ", ".join(words))
 
     def _start_host(self, name: str) -> None:
         """Start what runs on a host."""
@@ -203,9 +205,9 @@
         )
         self._names[name_job(action.team, action.job)] = action.job
 
-        def ask(control: Control, answer: object) -> None:
+        def ask(control: Control, answer: Reply) -> None:
             """Put the question to a process."""
-            control.submit(request, action.job, answer)  # type: ignore[arg-type]
+            control.submit(request, action.job, answer)
 
         def refuse() -> None:
             """Note that the job was refused."""
@@ -219,29 +221,41 @@
         ids = {name: each for each, name in self._names.items()}
         self._insist(entry, lambda control, answer: control.cancel(ids[job], answer), lambda: None)
 
-    def _insist(self, entry: str, ask: object, refuse: object) -> None:
+    def _insist(
+        self, entry: str, ask: Callable[[Control, Reply], None], refuse: Callable[[], None]
+    ) -> None:
         """Ask through an entry host, and after a while through another, until there is an end."""
         names = sorted(self._neighbours.processes)
         name = f"{entry}/control" if entry else self._kernel.random.choice(names)
 
-        def handle(answer: object) -> None:
+        def handle(answer: Reply) -> None:
             """Let the process that bears the name now decide."""
-            control = self._neighbours.processes[name]
-            ask(control, answer)  # type: ignore[operator]
+            process = self._neighbours.processes[name]
+            if isinstance(process, Control):
+                ask(process, answer)
 
-        def hear(outcome: object) -> None:
+        def hear(outcome: Any) -> None:
             """Take the answer, or ask again."""
             if not isinstance(outcome, Loss):
-                if outcome.is_ok():  # type: ignore[attr-defined]
+                if outcome.is_ok():
                     return
-                if outcome.error.reason in FINAL:  # type: ignore[attr-defined]
-                    refuse()  # type: ignore[operator]
+                if outcome.error.reason in FINAL:
+                    refuse()
                     return
             self._kernel.call_after(CALLER_PAUSE, lambda: self._insist("", ask, refuse))
 
         self._network.ask(CALLER, name, handle, hear, timeout=CALLER_TIMEOUT)
 
 
+def describe(value: object) -> str:
+    """Write a field of an action."""
+    match value:
+        case Size(processors, memory, accelerators):
+            return f"{processors}/{memory}/{accelerators}"
+        case _:
+            return str(value)
+
+
 def list_hosts(hosts: Hosts, capacity: Size) -> Iterator[ListedHost]:
     """Yield the hosts of a scenario, spread over its sites and racks."""
     for number, name in enumerate(name_entries(hosts)):
--- /dev/null
+++ b/toucanpin/cli/tests/test_timeline.py
@@ -0,0 +1,117 @@
+"""Tests of the command ``timeline``."""
+
+import contextlib
+import threading
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import mock
+from wsgiref.simple_server import WSGIRequestHandler, make_server
+
+from click.testing import CliRunner
+from expression import Error, Ok
+
+from toucanpin.cli import timeline as module
+from toucanpin.cli.timeline import EXIT_INCOMPLETE, timeline
+from toucanpin.daemon.timeline import timeline_app
+from toucanpin.platform.ports import Unavailable
+from toucanpin.timeline.codec import encode_lines
+from toucanpin.timeline.event import Cause, Event
+from toucanpin.timeline.recorder import Recorder
+
+LOST = Event("entry-a/control", "1", 1, 1.0, 9.0, "task.placed", {"job": "j"})
+NOBODY = "http://127.0.0.1:1"
+
+
+class QuietHandler(WSGIRequestHandler):
+    """Answer without a log."""
+
+    def log_message(self, format, *args):
+        """Say nothing."""
+
+
+@contextlib.contextmanager
+def serve(app):
+    """Serve an application on a free port of the loopback and yield its URL."""
+    with make_server("127.0.0.1", 0, app, handler_class=QuietHandler) as server:
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        try:
+            yield f"http://127.0.0.1:{server.server_port}"
+        finally:
+            server.shutdown()
+            thread.join()
+
+
+class StoredObjects:
+    """Hold what a lost process had sent."""
+
+    def __init__(self, bodies):
+        self.bodies = bodies
+
+    def put(self, name, body):
+        return Error(Unavailable("read only"))
+
+    def get(self, name):
+        return Ok(self.bodies.get(name))
+
+    def names(self, prefix):
+        return Ok(tuple(self.bodies))
+
+
+class TimelineCommandTest(unittest.TestCase):
+    def run_command(self, *arguments, bodies=None):
+        """Run the command beside one live process and a store."""
+        recorder = Recorder("entry-b/control", "1", lambda: 5.0, lambda: 5.0)
+        recorder.record("job.finished", {"job": "j"}, causes=(Cause("entry-a/control", 1, "1"),))
+        recorder.record("request.answered", {"request": "r"})
+        stored = bodies or {"timeline/entry-a/control/1/1": b"".join(encode_lines([LOST]))}
+        with serve(timeline_app(recorder)) as url:
+            filled = [url if word == "LIVE" else word for word in arguments]
+            with mock.patch.object(
+                module, "HttpObjects", lambda url, client: StoredObjects(stored)
+            ):
+                return CliRunner().invoke(timeline, filled)
+
+    def test_merges_a_live_process_and_what_a_lost_one_left(self):
+        """
+        One process is gone; its last events are in the store, and its clock ran ahead.
+
+        The time line tells them before the event that they caused in the live process.
+        """
+        result = self.run_command("--from", "LIVE", "--store", "http://store", "--job", "j")
+        self.assertEqual(result.exit_code, 0, result.output)
+        lines = result.stdout.splitlines()
+        self.assertEqual(len(lines), 2)
+        self.assertIn("task.placed", lines[0])
+        self.assertIn("job.finished", lines[1])
+
+    def test_says_which_source_was_not_read_and_shows_the_rest(self):
+        result = self.run_command("--from", NOBODY, "--from", "LIVE", "--output", "json")
+        self.assertEqual(result.exit_code, EXIT_INCOMPLETE)
+        self.assertEqual(len(result.stdout.splitlines()), 2)
+        self.assertIn(f"{NOBODY}: not read", result.stderr)
+        self.assertIn("its cause entry-a/control#1 is missing", result.stderr)
+
+    def test_reports_an_unreadable_line_with_its_place(self):
+        bodies = {"timeline/x/1/1": b"".join(encode_lines([LOST])) + b'{"process": "entr'}
+        result = self.run_command("--store", "http://store", bodies=bodies)
+        self.assertEqual(result.exit_code, 0)
+        self.assertIn("timeline/x/1/1:2: unreadable event", result.stderr)
+        self.assertEqual(len(result.stdout.splitlines()), 1)
+
+    def test_draws_lanes(self):
+        with TemporaryDirectory() as folder:
+            for name, start in (("lanes.svg", "<svg"), ("lanes.html", "<!doctype html>")):
+                path = Path(folder, name)
+                result = self.run_command("--from", "LIVE", "--picture", str(path))
+                self.assertEqual(result.exit_code, 0, result.output)
+                self.assertTrue(path.read_text().startswith(start))
+
+    def test_asks_for_a_source_and_a_known_kind_of_picture(self):
+        self.assertEqual(self.run_command().exit_code, 2)
+        self.assertEqual(self.run_command("--from", NOBODY, "--picture", "x.png").exit_code, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/toucanpin/cli/timeline.py
@@ -0,0 +1,175 @@
+"""
+Command ``timeline``
+====================
+
+Gather the events of many processes, merge them and show them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+import urllib3
+
+from toucanpin.platform.http import HttpObjects
+from toucanpin.platform.ports import Objects
+from toucanpin.timeline.codec import decode_lines, encode_lines
+from toucanpin.timeline.event import Event
+from toucanpin.timeline.faults import Fault, Unreadable, explain_fault
+from toucanpin.timeline.filters import Filter, select
+from toucanpin.timeline.lanes import render_html, render_svg
+from toucanpin.timeline.merge import keep_events, merge
+from toucanpin.timeline.text import render_text
+
+__all__ = ["EXIT_INCOMPLETE", "Unfetched", "fetch_process", "gather_objects", "timeline"]
+
+PATH = "/v1/timeline"
+PREFIX = "timeline/"
+EXIT_INCOMPLETE = 3
+_TIMEOUT = urllib3.Timeout(connect=2.0, read=10.0)
+_HTTP_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Unfetched:
+    """Report a source that could not be read."""
+
+    source: str
+    detail: str
+
+
+Item = Event | Unreadable | Unfetched
+
+
+def fetch_process(http: urllib3.PoolManager, url: str) -> Iterator[Item]:
+    """Yield the events that one process still holds."""
+    address = url.rstrip("/")
+    address = address if address.endswith(PATH) else address + PATH
+    try:
+        answer = http.request("GET", address, timeout=_TIMEOUT, retries=False)
+    except urllib3.exceptions.HTTPError as error:
+        yield Unfetched(url, str(error))
+        return
+    if answer.status != _HTTP_OK:
+        yield Unfetched(url, f"answered with status {answer.status}")
+        return
+    yield from decode_lines(url, answer.data)
+
+
+def gather_objects(objects: Objects, prefix: str = PREFIX) -> Iterator[Item]:
+    """Yield the events that processes, lost ones too, left in the object store."""
+    listed = objects.names(prefix)
+    if listed.is_error():
+        yield Unfetched(prefix, str(listed.error))
+        return
+    for name in sorted(listed.ok):
+        found = objects.get(name)
+        if found.is_error():
+            yield Unfetched(name, str(found.error))
+        elif found.ok is None:
+            yield Unfetched(name, "listed but absent")
+        else:
+            yield from decode_lines(name, found.ok)
+
+
+@click.command(epilog="""\b
+Examples:
+  toucanpin timeline --from http://127.0.0.11:8080 --from http://127.0.0.12:8080
+  toucanpin timeline --store http://127.0.0.2:9000 --job render-1
+  toucanpin timeline --store http://127.0.0.2:9000 --kind task --picture lanes.html
+""")
+@click.option("--from", "urls", multiple=True, metavar="URL", help="Ask this process; repeatable.")
+@click.option("--store", metavar="URL", help="Read what processes left in this object store.")
+@click.option("--request", default="", help="Show only this request.")
+@click.option("--job", default="", help="Show only this job.")
+@click.option("--host", default="", help="Show only what happened on this host or is about it.")
+@click.option("--bundle", default="", help="Show only this version of the bundle.")
+@click.option("--task", default="", help="Show only this task.")
+@click.option("--kind", default="", help="Show only this kind of event, or family of kinds.")
+@click.option(
+    "--output",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    show_default=True,
+    help="Print a readable line or a JSON line for each event.",
+)
+@click.option(
+    "--picture",
+    type=click.Path(dir_okay=False, writable=True, path_type=Path),
+    help="Write lanes to this .svg or .html file instead of printing.",
+)
+def timeline(
+    urls: tuple[str, ...],
+    store: str | None,
+    request: str,
+    job: str,
+    host: str,
+    bundle: str,
+    task: str,
+    kind: str,
+    output: str,
+    picture: Path | None,
+) -> None:
+    """
+    Show what happened, over all processes and in causal order.
+
+    Exits with 3 if a source could not be read; what the others told is still shown.
+    """
+    if not urls and store is None:
+        raise click.UsageError("name at least one --from or --store")
+    if picture is not None and picture.suffix not in (".svg", ".html"):
+        raise click.BadParameter("must end in .svg or .html", param_hint="--picture")
+    missing: list[Unfetched] = []
+    items = _keep_fetched(_gather(urls, store), missing)
+    merged = merge(keep_events(items, _tell), _tell)
+    wanted = Filter(request=request, job=job, host=host, bundle=bundle, task=task, kind=kind)
+    _show(select(merged, wanted), output, picture)
+    for fault in missing:
+        click.echo(f"{fault.source}: not read: {fault.detail}", err=True)
+    if missing:
+        raise click.exceptions.Exit(EXIT_INCOMPLETE)
+
+
+def _gather(urls: tuple[str, ...], store: str | None) -> Iterator[Item]:
+    """Yield what every source tells."""
+    http = urllib3.PoolManager()
+    for url in urls:
+        yield from fetch_process(http, url)
+    if store is not None:
+        yield from gather_objects(_open_objects(store))
+
+
+def _open_objects(url: str) -> Objects:
+    """Reach an object store."""
+    return HttpObjects(url, client="toucanpin")
+
+
+def _keep_fetched(items: Iterable[Item], missing: list[Unfetched]) -> Iterator[Event | Unreadable]:
+    """Pass on what was read and collect the sources that were not."""
+    for item in items:
+        match item:
+            case Unfetched():
+                missing.append(item)
+            case _:
+                yield item
+
+
+def _tell(fault: Fault) -> None:
+    """Print a fault of the time line beside it."""
+    click.echo(explain_fault(fault), err=True)
+
+
+def _show(events: Iterable[Event], output: str, picture: Path | None) -> None:
+    """Print the events or draw them."""
+    if picture is not None:
+        draw = render_svg if picture.suffix == ".svg" else render_html
+        picture.write_text(draw(events), encoding="utf-8")
+    elif output == "json":
+        for line in encode_lines(events):
+            click.echo(line.decode(), nl=False)
+    else:
+        for text in render_text(events):
+            click.echo(text)
