--- a/scenarios/actors.py
+++ b/scenarios/actors.py
@@ -288,7 +288,7 @@
     caller.call(name, act, tell, timeout=WORKER_TIMEOUT)
 
 
-def _explain(outcome: Any) -> Result[Any, StoreFault]:
+def _explain(outcome: Any) -> Result[Any, StoreFault | Conflict]:
     """Turn a missing answer into the port's fault."""
     match outcome:
         case Loss(detail, sent):
