Add the daemon's part of bundles and the commands for operators

Cause: bundles must be submitted, spread and followed. Change: shell around the spread, operators' HTTP for submission, history and force, commands check, diff, sign, submit, status, history, wait, keys.

--- a/toucanpin/bundles/spread.py
+++ b/toucanpin/bundles/spread.py
@@ -7,119 +7,30 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 import xxhash
 from expression import Result
 
+from toucanpin.bundles.asks import (
+    Ask,
+    Offer,
+    OfferKind,
+    Peer,
+    PullFrom,
+    PushTo,
+    Readiness,
+    ReadTable,
+    Source,
+    SpreadTiming,
+)
 from toucanpin.bundles.record import BundleRecord, decode_record, verify_record
 from toucanpin.bundles.schema import Bundle
 from toucanpin.bundles.signature import KeyRing, Verified, extends_rings
 from toucanpin.platform.ports import Row
 
-__all__ = [
-    "Ask",
-    "Offer",
-    "OfferKind",
-    "Peer",
-    "PullFrom",
-    "PushTo",
-    "ReadTable",
-    "Readiness",
-    "Source",
-    "Spread",
-    "SpreadTiming",
-]
-
-
-@dataclass(frozen=True, slots=True)
-class SpreadTiming:
-    """
-    Time the spread; all in seconds.
-
-    ``settle`` is how long a fresh process collects peers' versions when the table is silent;
-    ``catch_up`` how long a process serves on although it has seen a higher version; ``isolated``
-    how long one serves that reaches neither the table nor half of the others; ``outage`` how long
-    one serves that reaches those, but none of them the table.
-    """
-
-    poll: float = 2.0
-    retry: float = 0.2
-    settle: float = 2.0
-    catch_up: float = 5.0
-    isolated: float = 30.0
-    outage: float = 2_100.0
-    pause: float = 2.0
-
-
-class Source(enum.Enum):
-    """Say where a record came from."""
-
-    TABLE = "table"
-    PEER = "peer"
-    ACCEPTANCE = "acceptance"
-
-
-class OfferKind(enum.Enum):
-    """Say what became of an offered bundle."""
-
-    APPLIED = "applied"
-    KEPT = "kept"
-    KNOWN = "known"
-    LOWER = "lower"
-    REFUSED = "refused"
-
-
-@dataclass(frozen=True, slots=True)
-class Offer:
-    """Report what became of an offered bundle, and why."""
-
-    kind: OfferKind
-    detail: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Peer:
-    """Name a member that is there and the version that it last said to have in force."""
-
-    name: str
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class ReadTable:
-    """Read the current row if its version in the table is higher than ``after``."""
-
-    after: int
-
-
-@dataclass(frozen=True, slots=True)
-class PullFrom:
-    """Ask a peer for its bundle."""
-
-    peer: str
-    above: int
-
-
-@dataclass(frozen=True, slots=True)
-class PushTo:
-    """Hand the bundle in force to a peer."""
-
-    peer: str
-    record: BundleRecord
-
-
-Ask = ReadTable | PullFrom | PushTo
-
-
-@dataclass(frozen=True, slots=True)
-class Readiness:
-    """Say whether the bundle in force may be served by, and if not, why."""
-
-    ready: bool
-    reason: str = ""
+__all__ = ["Spread"]
 
 
 @dataclass(slots=True)
@@ -147,6 +58,7 @@
         self._behind_since: float | None = None
         self._confirmed_at: float | None = None
         self._row_version = 0
+        self._table_version = 0
         self._touched = now
         self._distrust_until = now
         self._reading = False
@@ -187,7 +99,7 @@
         if confirmed_age is None or now < self._distrust_until:
             return
         if self._held is not None and version == self._held.record.version == self._seen:
-            self._confirm(now - confirmed_age)
+            self._confirm(now - confirmed_age - self._timing.hop)
 
     def take_rows(self, rows: tuple[Row, ...], asked_at: float, now: float) -> Offer:
         """Take the table's answer to a ReadTable that was sent at ``asked_at``."""
@@ -198,10 +110,10 @@
         offer = Offer(OfferKind.KNOWN)
         for row in rows:
             offer = self._take_row(row, now)
-            if offer.kind is OfferKind.REFUSED:
-                return offer
-        self._learnt = True
-        if self._held is None or self._held.record.version == self._seen:
+        held = 0 if self._held is None else self._held.record.version
+        # A read that is behind a peer's push or stamp is a stale one and confirms nothing.
+        if offer.kind is not OfferKind.REFUSED and held == self._table_version == self._seen:
+            self._learnt = True
             self._confirm(asked_at)
         return offer
 
@@ -218,7 +130,9 @@
         if source is Source.PEER:
             self._pulling = False
         offer = self._judge(record, source, now)
-        if offer.kind is OfferKind.APPLIED and source is Source.ACCEPTANCE:
+        if offer.kind not in (OfferKind.APPLIED, OfferKind.KNOWN):
+            self._pull_due = now + self._timing.retry
+        elif source is Source.ACCEPTANCE:
             self._learnt = True
             self._push = True
             self._confirm(now)
@@ -246,7 +160,7 @@
         return tuple(asks)
 
     def confirmed_age(self, now: float) -> float | None:
-        """Return the seconds since the table confirmed the bundle in force, None if it never did."""
+        """Return the seconds since the table confirmed the bundle, None if it never did."""
         if self._confirmed_at is None or not self._learnt:
             return None
         return max(0.0, now - self._confirmed_at)
@@ -270,7 +184,10 @@
             return Readiness(False, f"version {self._seen} is in force, only {version} is here")
         together = 2 * reached >= known and known > 0
         limit = self._timing.outage if together else self._timing.isolated
-        age = now - (self._started if self._confirmed_at is None else self._confirmed_at)
+        confirmed_at = self._confirmed_at
+        if confirmed_at is None:
+            confirmed_at = self._started - self._timing.isolated
+        age = now - confirmed_at
         if age > limit:
             return Readiness(False, f"the bundle was last confirmed {age:.0f} s ago")
         return Readiness(True)
@@ -300,8 +217,9 @@
                 offer = self._judge(record, Source.TABLE, now)
             case Result(error=error):
                 offer = Offer(OfferKind.REFUSED, str(error))
-        if offer.kind in (OfferKind.APPLIED, OfferKind.KNOWN):
+        if offer.kind in (OfferKind.APPLIED, OfferKind.KNOWN) and self._held is not None:
             self._row_version = max(self._row_version, row.version)
+            self._table_version = self._held.record.version
         return offer
 
     def _judge(self, record: BundleRecord, source: Source, now: float) -> Offer:
--- /dev/null
+++ b/toucanpin/cli/bundle.py
@@ -0,0 +1,222 @@
+"""
+Commands for bundles
+====================
+
+Check, compare, submit and follow the bundles of a deployment.
+"""
+
+from __future__ import annotations
+
+import http
+import sys
+import time
+from pathlib import Path
+
+import click
+import msgspec
+
+from toucanpin.bundles.canonical import digest, encode_bundle
+from toucanpin.bundles.difference import compare_bundles
+from toucanpin.cli.exits import ExitCode
+from toucanpin.cli.files import (
+    existing_file,
+    read_bundle,
+    read_in_force,
+    read_signed,
+    unpack_bundle,
+)
+from toucanpin.cli.http import ask, ask_json, fail
+from toucanpin.cli.output import Form, output_option, show, url_option
+from toucanpin.cli.signing import keys, sign
+from toucanpin.daemon.bundles import BundleStatus
+from toucanpin.daemon.submission import Force, History, SubmitAnswer, SubmitRequest
+
+__all__ = ["bundle"]
+
+POLL_SECONDS = 0.25
+SUBMIT_SECONDS = 30.0
+_DIGITS_SHOWN = 16
+_SUBMIT_STATUSES = (
+    http.HTTPStatus.OK,
+    http.HTTPStatus.CONFLICT,
+    http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+)
+_EXIT_CODES = {
+    "accepted": ExitCode.DONE,
+    "refused": ExitCode.REFUSED,
+    "conflict": ExitCode.CONFLICT,
+    "unavailable": ExitCode.UNCERTAIN,
+    "uncertain": ExitCode.UNCERTAIN,
+}
+
+file_argument = click.argument("file", type=existing_file)
+
+
+@click.group()
+def bundle() -> None:
+    """
+    Check, sign and roll out bundles.
+
+    \b
+    Examples:
+      toucanpin bundle check changeover.toml
+      toucanpin bundle sign changeover.toml --key alice.key --out changeover.json
+      toucanpin bundle submit changeover.json --operators http://127.0.1.1:9080
+      toucanpin bundle wait --operators http://127.0.1.1:9080
+    """
+
+
+bundle.add_command(keys)
+bundle.add_command(sign)
+
+
+@bundle.command()
+@file_argument
+@output_option
+def check(file: Path, form: str) -> None:
+    """
+    Check a bundle's TOML file whole and name every fault.
+
+    \b
+    Example:
+      toucanpin bundle check changeover.toml
+    """
+    parsed = read_bundle(file)
+    name = digest(encode_bundle(parsed))
+    value = {"deployment": parsed.deployment, "version": parsed.version, "digest": name}
+    show(form, tuple(value), [tuple(value.values())], value)
+
+
+@bundle.command()
+@file_argument
+@click.option("--against", type=existing_file, help="Older bundle; the one in force if not given.")
+@click.option("--operators", "url", envvar="TOUCANPIN_OPERATORS", metavar="URL")
+@output_option
+def diff(file: Path, against: Path | None, url: str | None, form: str) -> None:
+    """
+    Show what a bundle changes against another file or against the one in force.
+
+    \b
+    Example:
+      toucanpin bundle diff changeover.toml --operators http://127.0.1.1:9080
+    """
+    new = read_bundle(file)
+    if against is None and url is None:
+        raise click.UsageError("--against FILE or --operators URL is needed")
+    in_force = None if url is None or against is not None else unpack_bundle(read_in_force(url))
+    old = in_force if against is None else read_bundle(against)
+    lines = compare_bundles(old, new)
+    if Form(form) is Form.JSON:
+        show(form, (), (), {"changes": lines})
+        return
+    click.echo("\n".join(lines) or "no difference")
+
+
+@bundle.command()
+@file_argument
+@click.option("--expected", type=int, help="Version in force; the bundle's less one if not given.")
+@url_option
+@output_option
+def submit(file: Path, expected: int | None, url: str, form: str) -> None:
+    """
+    Submit a signed bundle; after a lost answer, submit it again to learn the outcome.
+
+    \b
+    Example:
+      toucanpin bundle submit changeover.json --operators http://127.0.1.1:9080
+    """
+    signed = read_signed(file)
+    parsed = unpack_bundle(signed)
+    if expected is None:
+        expected = 0 if parsed is None else parsed.version - 1
+    body = msgspec.json.encode(SubmitRequest(expected, signed))
+    headers = {"Content-Type": "application/json"}
+    answer = ask("POST", f"{url}/v1/bundle", body, headers, SUBMIT_SECONDS)
+    if answer.status not in _SUBMIT_STATUSES:
+        text = answer.body.decode(errors="replace").strip()
+        fail(f"HTTP {answer.status}: {text}", ExitCode.REFUSED)
+    try:
+        outcome = msgspec.json.decode(answer.body, type=SubmitAnswer)
+    except msgspec.MsgspecError as error:
+        fail(f"the answer can't be understood, it may have acted: {error}", ExitCode.UNCERTAIN)
+    if Form(form) is Form.JSON:
+        show(form, (), (), outcome)
+    else:
+        click.echo(_describe(outcome))
+    sys.exit(_EXIT_CODES.get(outcome.outcome, ExitCode.REFUSED))
+
+
+@bundle.command()
+@url_option
+@output_option
+def status(url: str, form: str) -> None:
+    """Show the bundle in force and where it is."""
+    own = msgspec.convert(ask_json("GET", f"{url}/v1/bundle"), BundleStatus)
+    force = _read_force(url)
+    if Form(form) is Form.TABLE:
+        age = "never" if own.confirmed_age is None else f"{own.confirmed_age:.1f} s ago"
+        state = "ready" if own.ready else f"not ready: {own.reason}"
+        click.echo(f"{own.process}: version {own.version}, {state}, confirmed {age}")
+    rows = [(each.name, each.site, each.standing, each.version) for each in force.processes]
+    value = {"bundle": own, "force": force}
+    show(form, ("process", "site", "standing", "version"), rows, value)
+
+
+@bundle.command()
+@click.option("--limit", type=click.IntRange(1, 100), default=20, show_default=True)
+@url_option
+@output_option
+def history(limit: int, url: str, form: str) -> None:
+    """List the accepted versions, the newest first."""
+    answer = msgspec.convert(ask_json("GET", f"{url}/v1/bundle/history?limit={limit}"), History)
+    rows = [
+        (each.version, each.digest[:_DIGITS_SHOWN], each.operator, _show_time(each.accepted_at))
+        for each in answer.versions
+    ]
+    show(form, ("version", "digest", "operator", "accepted at"), rows, answer)
+
+
+@bundle.command()
+@click.option("--version", type=int, help="Version to wait for; the one in force if not given.")
+@click.option("--timeout", type=float, default=30.0, show_default=True, help="Seconds.")
+@url_option
+@output_option
+def wait(version: int | None, timeout: float, url: str, form: str) -> None:
+    """Wait until every live process has a version in force, and name those that lag."""
+    deadline = time.monotonic() + timeout
+    while True:
+        force = _read_force(url)
+        target = max(version or force.version, 1)
+        lagging = [each for each in force.processes if each.version < target]
+        if not lagging or time.monotonic() >= deadline:
+            break
+        time.sleep(POLL_SECONDS)
+    rows = [(each.name, each.site, each.standing, each.version) for each in lagging]
+    if Form(form) is Form.JSON or lagging:
+        value = {"version": target, "lagging": [each.name for each in lagging]}
+        show(form, ("lagging", "site", "standing", "version"), rows, value)
+    else:
+        click.echo(f"version {target} is in force at {len(force.processes)} processes")
+    sys.exit(ExitCode.REFUSED if lagging else ExitCode.DONE)
+
+
+def _read_force(url: str) -> Force:
+    return msgspec.convert(ask_json("GET", f"{url}/v1/bundle/force"), Force)
+
+
+def _describe(answer: SubmitAnswer) -> str:
+    lines = "".join(f"\n  {line}" for line in answer.detail)
+    match answer.outcome:
+        case "accepted":
+            again = " (it was before)" if answer.repeated else ""
+            return f"version {answer.version} is accepted{again}: {answer.digest}"
+        case "conflict" if answer.version:
+            return f"conflict: version {answer.version} by {answer.operator} is in force{lines}"
+        case "uncertain":
+            return f"uncertain, submit the same bundle again to learn the outcome{lines}"
+    return f"{answer.outcome}{lines}"
+
+
+def _show_time(seconds: float) -> str:
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(seconds))
--- /dev/null
+++ b/toucanpin/cli/files.py
@@ -0,0 +1,104 @@
+"""
+Files of bundles and keys
+=========================
+
+Read bundles, signed bundles and private keys, or end the tool with every fault.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TypeVar
+
+import click
+import msgspec
+from expression import Result
+
+from toucanpin.bundles.canonical import decode_bundle, encode_bundle
+from toucanpin.bundles.document import parse_bundle
+from toucanpin.bundles.record import decode_signed
+from toucanpin.bundles.schema import Bundle
+from toucanpin.bundles.signature import KeyRing, SignedBundle, SignedRing, parse_ring
+from toucanpin.cli.exits import ExitCode
+from toucanpin.cli.http import ask_json, fail
+from toucanpin.cli.keys import PrivateKey, load_key
+from toucanpin.daemon.bundles import BundleStatus
+from toucanpin.exception import BundleError
+
+__all__ = [
+    "existing_file",
+    "read_bundle",
+    "read_in_force",
+    "read_key",
+    "read_ring",
+    "read_signed",
+    "read_signed_ring",
+    "read_unsigned",
+    "unpack_bundle",
+]
+
+Value = TypeVar("Value")
+
+existing_file = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+def read_bundle(path: Path) -> Bundle:
+    """Read a bundle's TOML file."""
+    return _unwrap(parse_bundle(_read_text(path), str(path)))
+
+
+def read_ring(path: Path) -> KeyRing:
+    """Read a key ring's TOML file."""
+    return _unwrap(parse_ring(_read_text(path), str(path)))
+
+
+def read_signed(path: Path) -> SignedBundle:
+    """Read a signed bundle."""
+    return _unwrap(decode_signed(path.read_bytes()))
+
+
+def read_unsigned(path: Path) -> SignedBundle:
+    """Read a TOML file to be signed, or a signed bundle that needs one more signature."""
+    if path.suffix == ".toml":
+        return SignedBundle(encode_bundle(read_bundle(path)), ())
+    return read_signed(path)
+
+
+def read_signed_ring(path: Path) -> SignedRing:
+    """Read a signed key ring."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=SignedRing)
+    except msgspec.MsgspecError as error:
+        fail(f"{path}: not a signed key ring: {error}", ExitCode.REFUSED)
+
+
+def read_key(path: Path) -> PrivateKey:
+    """Read a private key."""
+    loaded = load_key(path)
+    if loaded.is_error():
+        fail(loaded.error, ExitCode.REFUSED)
+    return loaded.ok
+
+
+def read_in_force(url: str) -> SignedBundle | None:
+    """Ask a process for the bundle in force."""
+    status = msgspec.convert(ask_json("GET", f"{url}/v1/bundle"), BundleStatus)
+    return None if status.record is None else status.record.signed
+
+
+def unpack_bundle(signed: SignedBundle | None) -> Bundle | None:
+    """Return the bundle within a signed one."""
+    return None if signed is None else _unwrap(decode_bundle(signed.document))
+
+
+def _read_text(path: Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except UnicodeDecodeError:
+        fail(f"{path}: not text in UTF-8", ExitCode.REFUSED)
+
+
+def _unwrap(result: Result[Value, BundleError]) -> Value:
+    if result.is_error():
+        fail(str(result.error), ExitCode.REFUSED)
+    return result.ok
--- a/toucanpin/cli/main.py
+++ b/toucanpin/cli/main.py
@@ -10,6 +10,7 @@
 import click
 
 from toucanpin import __version__
+from toucanpin.cli.bundle import bundle
 from toucanpin.cli.completion import completion
 from toucanpin.cli.config import config
 from toucanpin.cli.status import doctor, hosts, status
@@ -35,5 +36,5 @@
     """
 
 
-for command in (completion, config, doctor, hosts, status):
+for command in (bundle, completion, config, doctor, hosts, status):
     main.add_command(command)
--- /dev/null
+++ b/toucanpin/daemon/bundles.py
@@ -0,0 +1,290 @@
+"""
+Bundles of a process
+====================
+
+Drive the spread of bundles with the table, the peers and a timer, and show what is in force.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import logbook
+import msgspec
+from expression import Result
+
+from toucanpin.bundles.asks import (
+    Ask,
+    Offer,
+    OfferKind,
+    Peer,
+    PullFrom,
+    PushTo,
+    Readiness,
+    ReadTable,
+    Source,
+    SpreadTiming,
+)
+from toucanpin.bundles.record import CURRENT_KEY, BundleRecord, decode_record, encode_record
+from toucanpin.bundles.schema import Bundle
+from toucanpin.bundles.signature import KeyRing
+from toucanpin.bundles.spread import Spread
+from toucanpin.daemon.gossip import Gossip
+from toucanpin.daemon.parts import EventSink
+from toucanpin.membership.member import Member, Standing
+from toucanpin.platform.ports import Table
+from toucanpin.wire.client import InnerClient
+from toucanpin.wire.messages import (
+    UNCONFIRMED,
+    Envelope,
+    PullAnswer,
+    PullBundle,
+    PushAnswer,
+    PushBundle,
+)
+from toucanpin.wire.server import Handler
+
+__all__ = ["BundleStatus", "Bundles"]
+
+CALL_SECONDS = 2.0
+ASK_SECONDS = 0.1
+MAX_CALLS = 12
+_REACHED = (Standing.ALIVE, Standing.SUSPECT)
+
+_log = logbook.Logger("bundles")
+
+
+class BundleStatus(msgspec.Struct, frozen=True):
+    """Show the bundle of one process; ``confirmed_age`` is in seconds."""
+
+    process: str
+    ready: bool
+    reason: str
+    version: int
+    seen: int
+    digest: str
+    confirmed_age: float | None
+    record: BundleRecord | None
+
+
+class Bundles:
+    """Keep the bundle in force in this process; any thread may ask for it."""
+
+    def __init__(
+        self,
+        gossip: Gossip,
+        table: Table,
+        client: InnerClient,
+        root: KeyRing,
+        events: EventSink | None = None,
+        timing: SpreadTiming | None = None,
+    ) -> None:
+        self._gossip = gossip
+        self._table = table
+        self._client = client
+        self._events = events
+        self._spread = Spread(gossip.own.name, root, timing or SpreadTiming(), now=time.monotonic())
+        self._lock = threading.Lock()
+        self._wake = threading.Event()
+        self._stopping = threading.Event()
+        self._calls = ThreadPoolExecutor(MAX_CALLS, thread_name_prefix="bundle-call")
+        self._thread: threading.Thread | None = None
+        gossip.confirmed_age = self._confirmed_milliseconds
+        gossip.listen(self._hear)
+
+    def current(self) -> Bundle | None:
+        """
+        Return the bundle in force, None while this process must not serve by it.
+
+        The check is made at each call: a process that was frozen for minutes must not serve one
+        more request by what it held before.
+        """
+        with self._lock:
+            return self._spread.bundle if self._is_ready().ready else None
+
+    def record(self) -> BundleRecord | None:
+        """Return the record of the bundle in force, None while it isn't known."""
+        with self._lock:
+            return self._spread.record
+
+    def readiness(self) -> Readiness:
+        """Say whether this process may serve by the bundle that it holds."""
+        with self._lock:
+            return self._is_ready()
+
+    def status(self) -> BundleStatus:
+        """Show the bundle to operators."""
+        with self._lock:
+            readiness = self._is_ready()
+            record = self._spread.record
+            age = self._spread.confirmed_age(time.monotonic())
+            return BundleStatus(
+                self._gossip.own.name,
+                readiness.ready,
+                readiness.reason,
+                self._spread.version,
+                self._spread.seen,
+                "" if record is None else record.digest,
+                age,
+                record,
+            )
+
+    def handlers(self) -> dict[type, Handler]:
+        """Return the handlers of the inner protocol's server."""
+        return {PushBundle: self._take_push, PullBundle: self._give}
+
+    def take_accepted(self, record: BundleRecord) -> None:
+        """Put a bundle in force that was accepted through this process, and hand it on."""
+        self._offer(record, Source.ACCEPTANCE)
+        self._wake.set()
+
+    def start(self) -> None:
+        """Start to learn what is in force."""
+        self._thread = threading.Thread(target=self._run, name="bundles", daemon=True)
+        self._thread.start()
+
+    def stop(self, grace: float) -> None:
+        """Stop asking; calls in flight get ``grace`` seconds."""
+        self._stopping.set()
+        self._wake.set()
+        if self._thread is not None:
+            self._thread.join(grace)
+        self._calls.shutdown(wait=False, cancel_futures=True)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            self._wake.clear()
+            peers = tuple(_to_peer(m) for m in self._others())
+            with self._lock:
+                asks = self._spread.ask(peers, time.monotonic())
+                version = self._spread.version
+            self._gossip.carry(version)
+            for ask in asks:
+                self._calls.submit(self._perform, ask)
+            self._wake.wait(ASK_SECONDS)
+
+    def _others(self) -> tuple[Member, ...]:
+        return tuple(m for m in self._gossip.members()[1:] if m.standing in _REACHED)
+
+    def _perform(self, ask: Ask) -> None:
+        try:
+            match ask:
+                case ReadTable(after):
+                    self._read(after)
+                case PullFrom(peer, above):
+                    self._pull(peer, above)
+                case PushTo(peer, record):
+                    self._push(peer, record)
+        except Exception:
+            _log.exception("{} failed", type(ask).__name__)
+        self._wake.set()
+
+    def _read(self, after: int) -> None:
+        asked_at = time.monotonic()
+        result = self._table.scan(CURRENT_KEY, after)
+        now = time.monotonic()
+        match result:
+            case Result(tag="ok", ok=rows):
+                with self._lock:
+                    offer = self._spread.take_rows(rows, asked_at, now)
+                self._report(offer, Source.TABLE)
+            case Result(error=fault):
+                _log.warning("bundle not read from the table: {}", fault)
+                with self._lock:
+                    self._spread.miss_table(now)
+
+    def _pull(self, peer: str, above: int) -> None:
+        record = self._fetch(peer, above)
+        if record is not None:
+            self._offer(record, Source.PEER)
+            return
+        with self._lock:
+            self._spread.miss_peer(time.monotonic())
+
+    def _fetch(self, peer: str, above: int) -> BundleRecord | None:
+        member = self._find(peer)
+        if member is None:
+            return None
+        match self._client.call(member, PullBundle(above), CALL_SECONDS):
+            case Result(tag="ok", ok=received):
+                match received.message:
+                    case PullAnswer(record=value) if value:
+                        return _decode(value, peer)
+            case Result(error=fault):
+                _log.warning("bundle not pulled: {}", fault.detail)
+        return None
+
+    def _push(self, peer: str, record: BundleRecord) -> None:
+        member = self._find(peer)
+        if member is None:
+            return
+        message = PushBundle(record.version, encode_record(record))
+        match self._client.call(member, message, CALL_SECONDS):
+            case Result(tag="error", error=fault):
+                _log.warning("bundle {} not pushed: {}", record.version, fault.detail)
+
+    def _find(self, name: str) -> Member | None:
+        return next((m for m in self._gossip.members() if m.name == name), None)
+
+    def _take_push(self, envelope: Envelope, message: PushBundle) -> PushAnswer:
+        record = _decode(message.record, envelope.sender)
+        if record is None:
+            return PushAnswer(self._spread.version, False, "not a record of a bundle")
+        offer = self._offer(record, Source.PEER)
+        self._wake.set()
+        return PushAnswer(self._spread.version, offer.kind is OfferKind.APPLIED, offer.detail)
+
+    def _give(self, envelope: Envelope, message: PullBundle) -> PullAnswer:
+        record = self.record()
+        if record is None or record.version <= message.above:
+            return PullAnswer(0 if record is None else record.version, b"")
+        return PullAnswer(record.version, encode_record(record))
+
+    def _hear(self, member: Member, confirmed_age: int) -> None:
+        age = None if confirmed_age == UNCONFIRMED else confirmed_age / 1_000
+        with self._lock:
+            seen = self._spread.seen
+            self._spread.hear(member.bundle, age, time.monotonic())
+        if member.bundle > seen:
+            self._wake.set()
+
+    def _offer(self, record: BundleRecord, source: Source) -> Offer:
+        with self._lock:
+            offer = self._spread.offer(record, source, time.monotonic())
+            version = self._spread.version
+        self._gossip.carry(version)
+        self._report(offer, source)
+        return offer
+
+    def _report(self, offer: Offer, source: Source) -> None:
+        match offer.kind:
+            case OfferKind.REFUSED | OfferKind.LOWER:
+                _log.error("bundle from {} {}: {}", source.value, offer.kind.value, offer.detail)
+            case OfferKind.APPLIED:
+                version = str(self._spread.version)
+                _log.notice("bundle {} is in force, from {}", version, source.value)
+                if self._events is not None:
+                    self._events.record("bundle-in-force", {"bundle": version}, source.value)
+
+    def _is_ready(self) -> Readiness:
+        reached, known = self._gossip.reach()
+        return self._spread.readiness(reached, known, time.monotonic())
+
+    def _confirmed_milliseconds(self) -> int:
+        age = self._spread.confirmed_age(time.monotonic())
+        return UNCONFIRMED if age is None else int(age * 1_000)
+
+
+def _to_peer(member: Member) -> Peer:
+    return Peer(member.name, member.bundle)
+
+
+def _decode(value: bytes, peer: str) -> BundleRecord | None:
+    match decode_record(value):
+        case Result(tag="ok", ok=record):
+            return record
+        case Result(error=error):
+            _log.error("bundle from {} not understood: {}", peer, error)
+    return None
--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -93,6 +93,11 @@
         with self._lock:
             return self._view.members()
 
+    def reach(self) -> tuple[int, int]:
+        """Return how many other members are heard, and how many should be."""
+        with self._lock:
+            return self._view.reach()
+
     def listen(self, listener: BeatListener) -> None:
         """Call ``listener`` on each heartbeat, on the thread of the heartbeats."""
         self._listeners.append(listener)
--- /dev/null
+++ b/toucanpin/daemon/submission.py
@@ -0,0 +1,297 @@
+"""
+Operators' HTTP for bundles
+===========================
+
+Submit a signed bundle, and show what is in force, what was before and where it is in force.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+import urllib.parse
+import uuid
+from collections.abc import Iterable
+from typing import Any
+
+import logbook
+import msgspec
+from expression import Result
+
+from toucanpin.bundles.acceptance import (
+    Accepted,
+    Commit,
+    Conflicted,
+    NotAccepted,
+    Outcome,
+    Pause,
+    Read,
+    Refused,
+    Submission,
+    Uncertain,
+    accept_bundle,
+)
+from toucanpin.bundles.record import BundleRecord, decode_record, name_version_key
+from toucanpin.bundles.signature import KeyRing, SignedBundle
+from toucanpin.daemon.bundles import Bundles
+from toucanpin.daemon.gossip import Gossip
+from toucanpin.daemon.parts import EventSink, WsgiApp
+from toucanpin.daemon.web import StartResponse, answer_json, answer_refusal
+from toucanpin.membership.member import Standing
+from toucanpin.platform.ports import Row, Table
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = [
+    "Force",
+    "History",
+    "ProcessForce",
+    "SubmitAnswer",
+    "SubmitRequest",
+    "VersionEntry",
+    "make_bundle_apps",
+]
+
+MAX_BODY = 1_048_576
+MAX_HISTORY = 100
+DEFAULT_HISTORY = 20
+RETRY_SECONDS = 5.0
+
+_log = logbook.Logger("submission")
+
+
+class SubmitRequest(msgspec.Struct, frozen=True):
+    """Ask for a signed bundle to be accepted on top of the expected version."""
+
+    expected: int
+    signed: SignedBundle
+
+
+class SubmitAnswer(msgspec.Struct, frozen=True):
+    """
+    Say what became of a submission.
+
+    ``outcome`` is accepted, refused, conflict, unavailable or uncertain; ``version``, ``digest``
+    and ``operator`` are of the accepted bundle, of the winner in a conflict.
+    """
+
+    outcome: str
+    verdict: str
+    reason: str = ""
+    version: int = 0
+    digest: str = ""
+    operator: str = ""
+    repeated: bool = False
+    detail: tuple[str, ...] = ()
+
+
+class VersionEntry(msgspec.Struct, frozen=True):
+    """Show one accepted version; ``accepted_at`` is in seconds of the wall clock."""
+
+    version: int
+    digest: str
+    operator: str
+    accepted_at: float
+
+
+class History(msgspec.Struct, frozen=True):
+    """List accepted versions, the newest first."""
+
+    versions: tuple[VersionEntry, ...]
+
+
+class ProcessForce(msgspec.Struct, frozen=True):
+    """Show which version one process says that it has in force."""
+
+    name: str
+    site: str
+    standing: str
+    version: int
+
+
+class Force(msgspec.Struct, frozen=True):
+    """Show the version in force here and in every process that is there."""
+
+    version: int
+    everywhere: bool
+    processes: tuple[ProcessForce, ...]
+
+
+def make_bundle_apps(
+    bundles: Bundles,
+    gossip: Gossip,
+    table: Table,
+    root: KeyRing,
+    events: EventSink | None = None,
+) -> dict[str, WsgiApp]:
+    """Build the applications by path."""
+    desk = _Desk(bundles, gossip, table, root, events)
+    return {
+        "/v1/bundle": desk.serve_bundle,
+        "/v1/bundle/history": desk.serve_history,
+        "/v1/bundle/force": desk.serve_force,
+    }
+
+
+class _Desk:
+    """Serve operators' requests on bundles."""
+
+    def __init__(
+        self,
+        bundles: Bundles,
+        gossip: Gossip,
+        table: Table,
+        root: KeyRing,
+        events: EventSink | None,
+    ) -> None:
+        self._bundles = bundles
+        self._gossip = gossip
+        self._table = table
+        self._root = root
+        self._events = events
+
+    def serve_bundle(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Show the bundle in force, or take a submission."""
+        match environ["REQUEST_METHOD"]:
+            case "GET":
+                return answer_json(start, self._bundles.status())
+            case "POST":
+                return self._submit(environ, start)
+        return _refuse(start, "use GET or POST")
+
+    def serve_history(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """List the newest accepted versions."""
+        query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+        text = query.get("limit", [str(DEFAULT_HISTORY)])[0]
+        if not text.isdecimal() or not 1 <= int(text) <= MAX_HISTORY:
+            return _refuse(start, f"limit is {text!r}; allowed: 1 to {MAX_HISTORY}")
+        return answer_json(start, History(tuple(self._list_versions(int(text)))))
+
+    def serve_force(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Show where which version is in force."""
+        processes = tuple(
+            ProcessForce(m.name, m.site, m.standing.value, m.bundle)
+            for m in self._gossip.members()
+            if m.standing is not Standing.GONE
+        )
+        version = self._gossip.own.bundle
+        everywhere = version > 0 and all(each.version == version for each in processes)
+        return answer_json(start, Force(version, everywhere, processes))
+
+    def _list_versions(self, limit: int) -> Iterable[VersionEntry]:
+        newest = self._gossip.own.bundle
+        for version in range(newest, max(0, newest - limit), -1):
+            match self._table.read(name_version_key(version)):
+                case Result(tag="ok", ok=Row(value=value)):
+                    yield from _to_entry(value)
+
+    def _submit(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        length = environ.get("CONTENT_LENGTH") or ""
+        if not length.isdecimal() or int(length) > MAX_BODY:
+            return _refuse(start, f"a body of 1 to {MAX_BODY} bytes with its length is needed")
+        try:
+            body = environ["wsgi.input"].read(int(length))
+            request = msgspec.json.decode(body, type=SubmitRequest)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return _refuse(start, f"not a submission: {error}")
+        operator = _name_operator(environ, request.signed)
+        outcome = self._accept(request, operator)
+        self._note(outcome, operator)
+        return _answer(start, outcome)
+
+    def _accept(self, request: SubmitRequest, operator: str) -> Outcome:
+        submission = Submission(request.signed, request.expected, operator, time.time())
+        steps = accept_bundle(self._root, submission, lambda: uuid.uuid4().hex)
+        answer: Any = None
+        while True:
+            try:
+                action = steps.send(answer)
+            except StopIteration as stop:
+                outcome: Outcome = stop.value
+                return outcome
+            match action:
+                case Read(key):
+                    answer = self._table.read(key)
+                case Commit(transaction):
+                    answer = self._table.commit(transaction)
+                case Pause(seconds):
+                    answer = threading.Event().wait(seconds)
+
+    def _note(self, outcome: Outcome, operator: str) -> None:
+        kind = type(outcome).__name__.lower()
+        _log.notice("bundle submitted by {}: {}", operator, kind)
+        match outcome:
+            case Accepted(record, repeated):
+                if not repeated or record.version == self._gossip.own.bundle + 1:
+                    self._bundles.take_accepted(record)
+                ids = {"bundle": str(record.version)}
+            case _:
+                ids = {}
+        if self._events is not None:
+            self._events.record(f"bundle-{kind}", ids, f"submitted by {operator}")
+
+
+def _answer(start: StartResponse, outcome: Outcome) -> Iterable[bytes]:
+    not_run, may_have_run = Verdict.NOT_RUN.value, Verdict.MAY_HAVE_RUN.value
+    status = 200
+    headers: dict[str, str] = {}
+    match outcome:
+        case Accepted(record, repeated):
+            answer = SubmitAnswer(
+                "accepted",
+                Verdict.RAN.value,
+                "",
+                record.version,
+                record.digest,
+                record.operator,
+                repeated,
+            )
+        case Refused(faults):
+            status = 422
+            answer = SubmitAnswer("refused", not_run, Reason.BAD_REQUEST.value, detail=faults)
+        case Conflicted(winner, difference):
+            status = 409
+            answer = _answer_conflict(winner, difference)
+        case NotAccepted(detail):
+            status = 503
+            headers["Retry-After"] = str(int(RETRY_SECONDS))
+            reason = Reason.STORE_UNAVAILABLE.value
+            answer = SubmitAnswer("unavailable", not_run, reason, detail=(detail,))
+        case Uncertain(detail):
+            status = 503
+            headers["Retry-After"] = str(int(RETRY_SECONDS))
+            reason = Reason.STORE_UNCERTAIN.value
+            answer = SubmitAnswer("uncertain", may_have_run, reason, detail=(detail,))
+    headers |= {"Toucanpin-Verdict": answer.verdict}
+    if answer.reason:
+        headers |= {"Toucanpin-Reason": answer.reason}
+    return answer_json(start, answer, status, headers)
+
+
+def _answer_conflict(winner: BundleRecord | None, difference: tuple[str, ...]) -> SubmitAnswer:
+    verdict, reason = Verdict.NOT_RUN.value, Reason.CONFLICT.value
+    if winner is None:
+        return SubmitAnswer("conflict", verdict, reason, detail=("no bundle is in force yet",))
+    return SubmitAnswer(
+        "conflict",
+        verdict,
+        reason,
+        winner.version,
+        winner.digest,
+        winner.operator,
+        detail=difference,
+    )
+
+
+def _name_operator(environ: dict[str, Any], signed: SignedBundle) -> str:
+    identity = environ.get("toucanpin.operator") or ""
+    return identity or " and ".join(signature.key for signature in signed.signatures)
+
+
+def _to_entry(value: bytes) -> Iterable[VersionEntry]:
+    match decode_record(value):
+        case Result(tag="ok", ok=record):
+            yield VersionEntry(record.version, record.digest, record.operator, record.accepted_at)
+
+
+def _refuse(start: StartResponse, detail: str) -> Iterable[bytes]:
+    return answer_refusal(start, Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
--- a/toucanpin/membership/view.py
+++ b/toucanpin/membership/view.py
@@ -40,7 +40,11 @@
 
 @dataclass(slots=True)
 class _Entry:
-    """Keep what is known of one member; ``heard`` is direct, ``evidence`` also through others."""
+    """
+    Keep what is known of one member; ``heard`` is direct, ``evidence`` also through others.
+
+    ``excused`` is True if it left or was replaced, so that its silence means nothing.
+    """
 
     member: Member
     sequence: int
@@ -48,6 +52,7 @@
     evidence: float
     relays: int = RELAYS
     answered: float = float("-inf")
+    excused: bool = False
 
     def stand(self, standing: Standing) -> Member:
         """Change the standing and return the member as it is now."""
@@ -88,6 +93,13 @@
         """Return the endpoints that heartbeats come from or go to, this process's own included."""
         return frozenset((member.address, member.port) for member in self.members())
 
+    def reach(self) -> tuple[int, int]:
+        """Return how many others are heard, and how many should be: those and the lost ones."""
+        entries = tuple(self._entries.values())
+        heard = sum(entry.member.standing is Standing.ALIVE for entry in entries)
+        expected = sum(not entry.excused for entry in entries)
+        return heard, expected
+
     def targets(self) -> tuple[Member, ...]:
         """
         Return the members to send this round's heartbeat to.
@@ -208,6 +220,7 @@
         before = entry.member.standing
         standing = Standing.LEAVING if before is Standing.LEAVING else member.standing
         entry.member = dataclasses.replace(member, standing=standing)
+        entry.excused = standing is Standing.LEAVING
         if standing is before:
             return
         entry.relays = RELAYS
@@ -233,6 +246,7 @@
                 continue
             same = (other.address, other.port) == (member.address, member.port)
             if same and other.incarnation < member.incarnation:
+                entry.excused = True
                 yield Change(ChangeKind.GONE, entry.stand(Standing.GONE))
 
     def _learn(self, record: Record, now: float) -> Iterator[Change]:
--- a/toucanpin/wire/inner.thrift
+++ b/toucanpin/wire/inner.thrift
@@ -39,7 +39,7 @@
 
 struct PushBundle {
   1: required i64 version
-  2: required binary signed
+  2: required binary record
 }
 
 struct PushAnswer {
@@ -54,7 +54,7 @@
 
 struct PullAnswer {
   1: required i64 version
-  2: required binary signed
+  2: required binary record
 }
 
 struct Standstill {
--- a/toucanpin/wire/messages.py
+++ b/toucanpin/wire/messages.py
@@ -84,10 +84,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PushBundle:
-    """Hand over an accepted bundle with its signatures."""
+    """Hand over the record of an accepted bundle."""
 
     version: int
-    signed: bytes
+    record: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,10 +108,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PullAnswer:
-    """Give the bundle in force; ``signed`` is empty if it isn't higher than was asked for."""
+    """Give the bundle in force; ``record`` is empty if it isn't higher than was asked for."""
 
     version: int
-    signed: bytes
+    record: bytes
 
 
 @dataclass(frozen=True, slots=True)
