--- a/scenarios/kernel.py
+++ b/scenarios/kernel.py
@@ -170,7 +170,17 @@
 
     def tell(self, source: str, target: str, act: Callable[[], None]) -> None:
         """Send a message that has no answer, such as a heartbeat."""
-        self.call(source, target, act, lambda outcome: None)
+
+        def arrive() -> None:
+            """Act at the target, once it isn't paused."""
+            resumed = self.resumes_at(target)
+            if resumed > self._kernel.now:
+                self._kernel.call_at(resumed, arrive)
+            elif not self.is_gone(target):
+                act()
+
+        if not self._is_cut(source, target):
+            self._kernel.call_after(self._draw(source, target), arrive)
 
     def _draw(self, source: str, target: str) -> float:
         """Draw the latency of one message."""
--- a/scenarios/witness.py
+++ b/scenarios/witness.py
@@ -30,6 +30,7 @@
     JobState.FAILED: JobEnd.FAILED,
 }
 MILLISECONDS = 1_000
+VERSION_PREFIX = "bundle/version/"
 
 
 def describe_work(job: str, seconds: int) -> Work:
@@ -57,6 +58,8 @@
         """Take in one changed row."""
         if row.key.startswith(CELL_PREFIX) and row.value:
             self._see_cell(now, decode(row.value, CellRow))
+        elif row.key.startswith(VERSION_PREFIX):
+            self._evidence.accepted.setdefault(int(row.key.removeprefix(VERSION_PREFIX)), now)
         elif row.key.startswith(JOB_PREFIX) and row.value:
             self._see_job(now, decode(row.value, JobRow))
 
