--- a/toucanpin/daemon/claimer.py
+++ b/toucanpin/daemon/claimer.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import secrets
 import threading
 import time
 from collections.abc import Callable
@@ -56,7 +57,7 @@
     Parameters
     ----------
     table : the platform's table
-    process : unique name of this life of this process, the prefix of its tokens
+    process : name of this process, the prefix of its tokens
     clock : monotonic clock in seconds
     wall : wall clock in seconds, for the buckets of rows
     """
@@ -69,7 +70,9 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         self._table = table
-        self._process = process
+        # Equal tokens would let two processes both believe that a row is theirs; a random part
+        # keeps them apart even if names and incarnations are set up wrongly.
+        self._process = f"{process}:{secrets.token_hex(8)}"
         self._clock = clock
         self._wall = wall
         self._changed = threading.Condition()
--- /dev/null
+++ b/toucanpin/daemon/tests/test_front_safety.py
@@ -0,0 +1,211 @@
+"""Tests of the front's promises: at most once by id, draining, retries over real connections."""
+
+import socket
+import threading
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from toucanpin.bundles.schema import Service
+from toucanpin.daemon.tests.front_harness import (
+    SERVICE,
+    FakeTable,
+    ScriptedInstance,
+    answer,
+    call,
+    echo,
+    make_front,
+)
+
+NOT_RUN = answer(b"full", "503 Service Unavailable", "Toucanpin-Verdict: not-run\r\n")
+
+
+def refused_port() -> int:
+    """Find a port on which nothing listens."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+class FrontSafetyTest(unittest.TestCase):
+    def start(self, *ports, **options):
+        front = make_front(ports, **options)
+        self.addCleanup(front.stop, 1.0)
+        return front
+
+    def instance(self, script=echo):
+        instance = ScriptedInstance(script)
+        self.addCleanup(instance.close)
+        return instance
+
+    def test_runs_one_id_once_through_two_fronts(self):
+        """
+        One caller gets the answer, the other a 409 "may have run"; the instance runs it once.
+
+        A balancer sends the same non-idempotent request through two entry hosts at once.  Only the
+        claim row in the table that both share can tell them apart.
+        """
+        instance = self.instance()
+        table = FakeTable()
+        fronts = [self.start(instance.port, table=table) for _ in range(2)]
+        for number in range(10):
+            with ThreadPoolExecutor(2) as pool:
+                ask = lambda front, number=number: call(  # noqa: E731
+                    front, "/", "POST", Toucanpin_Request_Id=f"r{number}"
+                )
+                replies = sorted(pool.map(ask, fronts), key=lambda reply: reply.status)
+            self.assertEqual([reply.status for reply in replies], [200, 409])
+            self.assertEqual(replies[1].verdict, "may-have-run")
+        self.assertEqual(len(instance.requests), 10)
+
+    def test_runs_nothing_with_an_id_while_the_table_is_down(self):
+        """
+        The caller is told "not run" at once and when to come back; other requests go on.
+
+        Without the table nobody can know whether the id came through another entry host.
+        """
+        instance = self.instance()
+        table = FakeTable()
+        table.faults = ["down"]
+        front = self.start(instance.port, table=table)
+        reply = call(front, "/", "POST", Toucanpin_Request_Id="r1")
+        self.assertEqual((reply.status, reply.verdict), (503, "not-run"))
+        self.assertEqual(reply.reason, "store-unavailable")
+        self.assertIn("retry-after", reply.headers)
+        self.assertEqual(instance.requests, [])
+        self.assertEqual(call(front, "/", "POST").status, 200)
+        table.faults = []
+        self.assertEqual(call(front, "/", "POST", Toucanpin_Request_Id="r1").status, 200)
+
+    def test_reads_back_a_claim_whose_answer_was_lost(self):
+        """
+        The caller gets its answer, and the id is taken.
+
+        The claim's write takes effect but its answer is lost; its row holds this request's token.
+        """
+        instance = self.instance()
+        table = FakeTable()
+        table.faults = ["lost after"]
+        front = self.start(instance.port, table=table)
+        self.assertEqual(call(front, "/", "POST", Toucanpin_Request_Id="r1").status, 200)
+        self.assertEqual(call(front, "/", "POST", Toucanpin_Request_Id="r1").status, 409)
+        self.assertEqual(len(instance.requests), 1)
+
+    def test_frees_the_id_of_a_request_that_did_not_run(self):
+        """
+        The caller comes back with the same id and is served.
+
+        The only instance says that it didn't run the request.  Were its claim kept, the caller
+        who was told "not run" would be refused as a duplicate when coming back.
+        """
+        instance = self.instance(
+            lambda number, request, sock: sock.sendall(NOT_RUN if number == 1 else answer(b"ok"))
+            is None
+        )
+        table = FakeTable()
+        front = self.start(instance.port, table=table)
+        reply = call(front, "/", "POST", Toucanpin_Request_Id="r1")
+        self.assertEqual((reply.status, reply.verdict), (503, "not-run"))
+        front.stop(1.0)
+        self.assertEqual(table.rows, {})
+        again = self.start(instance.port, table=table)
+        self.assertEqual(call(again, "/", "POST", Toucanpin_Request_Id="r1").status, 200)
+
+    def test_retries_a_non_idempotent_request_only_if_it_did_not_run(self):
+        """
+        The caller gets its answer from another instance, or is told what is known.
+
+        One instance refuses connections, or answers "not run": another one may run the request.
+        If it resets after the request was written, nobody else may.
+        """
+        good = self.instance()
+        full = self.instance(lambda number, request, sock: sock.sendall(NOT_RUN) is None)
+        broken = self.instance(lambda number, request, sock: False)
+        for port in (refused_port(), full.port):
+            front = self.start(port, good.port)
+            statuses = [call(front, "/", "POST", b"x").status for _ in range(3)]
+            self.assertEqual(statuses, [200, 200, 200])
+        before = len(good.requests)
+        front = self.start(broken.port, good.port)
+        replies = [call(front, "/", "POST", b"x") for _ in range(8)]
+        told = [reply for reply in replies if reply.status == 502]
+        self.assertTrue(told)
+        self.assertEqual({reply.verdict for reply in told}, {"may-have-run"})
+        self.assertEqual(len(good.requests) - before + len(broken.requests), 8)
+
+    def test_tells_the_truth_when_a_later_attempt_did_not_run(self):
+        """
+        The caller is told "may have run", though the last attempt certainly did not run.
+
+        The first instance breaks off after the request was written, the second one refuses it.
+        """
+        broken = self.instance(lambda number, request, sock: False)
+        full = self.instance(lambda number, request, sock: sock.sendall(NOT_RUN) is None)
+        front = self.start(broken.port, full.port)
+        entry = front._upstreams.find(SERVICE)
+        entry.state.budget._tokens = 5.0
+        for _ in range(4):
+            reply = call(front, "/")
+            if len(broken.requests):
+                break
+        self.assertEqual(reply.verdict, "may-have-run")
+
+    def test_finishes_what_is_in_flight_when_stopped(self):
+        """
+        The caller gets its whole answer, and the front closes only then.
+
+        The front is told to stop while the instance still works on a request.
+        """
+        reached, go_on = threading.Event(), threading.Event()
+
+        def hold(number, request, sock):
+            reached.set()
+            go_on.wait(10.0)
+            return echo(number, request, sock)
+
+        instance = self.instance(hold)
+        front = make_front([instance.port])
+        with ThreadPoolExecutor(2) as pool:
+            reply = pool.submit(call, front, "/held")
+            reached.wait(10.0)
+            stopping = pool.submit(front.stop, 10.0)
+            while front.ready:
+                pass
+            self.assertFalse(stopping.done())
+            go_on.set()
+            self.assertEqual(reply.result().body, b"/held|")
+            stopping.result()
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.1", front.port), 1.0)
+
+    def test_refuses_at_once_what_would_wait_beyond_its_deadline(self):
+        """
+        The late callers get 503 "not run" with Retry-After while the slots are still taken.
+
+        Two slots, both held; the queue holds two more.  Nothing is held back until its deadline.
+        """
+        held, go_on = threading.Semaphore(0), threading.Event()
+
+        def hold(number, request, sock):
+            held.release()
+            go_on.wait(10.0)
+            return echo(number, request, sock)
+
+        instance = self.instance(hold)
+        service = Service(SERVICE, slots=2, connections=4, queue=2, deadline_ms=8_000)
+        front = self.start(instance.port, service=service)
+        entry = front._upstreams.find(SERVICE)
+        with ThreadPoolExecutor(4) as pool:
+            asked = [pool.submit(call, front, "/a") for _ in range(4)]
+            held.acquire()
+            held.acquire()
+            while len(entry.state.admission) < 2:
+                pass
+            reply = call(front, "/late")
+            self.assertEqual((reply.status, reply.reason), (503, "overload"))
+            self.assertEqual(reply.verdict, "not-run")
+            self.assertIn("retry-after", reply.headers)
+            go_on.set()
+            self.assertEqual([future.result().status for future in asked], [200] * 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/daemon/upstreams.py
+++ b/toucanpin/daemon/upstreams.py
@@ -131,7 +131,7 @@
         if entry is None:
             rng = Random(self._rng.random())
             share = bundle.limits.retry_share
-            entry = ServiceEntry(ServiceState(service, share, self._site, rng, now))
+            entry = ServiceEntry(ServiceState(service, share, self._site, rng))
         mine = [host for host in hosts if host.service == service.name]
         shares = tuple(self._share(host, service) for host in mine)
         listed = {host.name for host in mine}
--- a/toucanpin/requests/path.py
+++ b/toucanpin/requests/path.py
@@ -205,7 +205,7 @@
             return False
         if self._now + service.admission.mean >= request.deadline:
             return False
-        return service.budget.spend(not isinstance(outcome, Refused), self._now)
+        return service.budget.spend()
 
     def _explain(self, outcome: Any) -> Refusal:
         wait = COME_BACK_SECONDS * self._service.rng.uniform(1.0, 2.0)
--- a/toucanpin/requests/service.py
+++ b/toucanpin/requests/service.py
@@ -30,14 +30,12 @@
 
     __slots__ = ("service", "rng", "admission", "router", "budget", "settled")
 
-    def __init__(
-        self, service: Service, retry_share: float, site: str, rng: Random, now: float
-    ) -> None:
+    def __init__(self, service: Service, retry_share: float, site: str, rng: Random) -> None:
         self.service = service
         self.rng = rng
         self.admission = Admission(service.queue, rng)
         self.router = Router(site, rng)
-        self.budget = RetryBudget(retry_share, now)
+        self.budget = RetryBudget(retry_share)
         self.settled: list[Ticket] = []
 
     def configure(self, service: Service) -> None:
