Prove paths, claims and shares on a virtual clock

Cause: retries, ejection, overload and claims act together; each was proved alone only. Conclusion: amplification stays within 1.1 for broken, refused and not-run answers.

--- /dev/null
+++ b/toucanpin/requests/tests/test_path.py
@@ -0,0 +1,222 @@
+"""Tests of a request's path on a virtual clock."""
+
+import unittest
+from random import Random
+from typing import Any
+
+from toucanpin.bundles.schema import Service
+from toucanpin.requests.messages import (
+    Answer,
+    Broke,
+    Claim,
+    Claimed,
+    Forward,
+    HeldClaim,
+    Refused,
+    Relay,
+    Release,
+    Request,
+    Response,
+    TimedOut,
+    Whole,
+)
+from toucanpin.requests.path import serve_request
+from toucanpin.requests.service import ServiceState
+from toucanpin.requests.tests.virtual import Attempt, Clock, Load, VirtualFront, share_evenly
+from toucanpin.verdict import Reason, Verdict
+
+SERVICE = Service("verify")
+WELL = Response(200, "OK", (), b"x")
+
+
+def walk(idempotent, outcomes, request_id="", instances=3):
+    """Drive one path by hand; return its actions' types and its last answer."""
+    state = ServiceState(SERVICE, 0.1, "casco", Random(1))
+    state.update(share_evenly([f"i{n}" for n in range(instances)]), 0.0)
+    path = serve_request(Request("verify", "c", request_id, idempotent, 0.0, 2.0), state)
+    actions: list[Any] = []
+    outcome = None
+    feed = iter(outcomes)
+    while True:
+        try:
+            action = path.send(outcome)
+        except StopIteration:
+            busy = sum(instance.in_flight for instance in state.router._instances.values())
+            return actions, busy
+        actions.append(action)
+        outcome = next(feed, None)
+
+
+def kinds(actions):
+    """Name the types of actions."""
+    return [type(action).__name__ for action in actions]
+
+
+class PathTest(unittest.TestCase):
+    def test_relays_a_whole_answer(self):
+        actions, busy = walk(False, [Whole(0.1, WELL)])
+        self.assertEqual(kinds(actions), ["Forward", "Relay"])
+        self.assertEqual(busy, 0)
+
+    def test_retries_a_refused_attempt_at_another_instance(self):
+        actions, _ = walk(False, [Refused(0.1, "x"), Whole(0.2, WELL)])
+        self.assertEqual(kinds(actions), ["Forward", "Forward", "Relay"])
+        self.assertNotEqual(actions[0].instance, actions[1].instance)
+
+    def test_never_repeats_a_non_idempotent_request_that_may_have_run(self):
+        """
+        The caller is told "may have run" after one attempt.
+
+        The instance broke off, or didn't answer in time, after the first byte was written; a
+        second attempt could run the request twice.
+        """
+        for outcome in (Broke(0.1, "x"), Broke(0.1, "x", stale=True), TimedOut(2.0)):
+            actions, _ = walk(False, [outcome])
+            self.assertEqual(kinds(actions), ["Forward", "Answer"])
+            self.assertIs(actions[-1].refusal.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_never_calls_not_run_what_an_earlier_attempt_may_have_run(self):
+        """
+        The caller is told "may have run", though the last instances refused the request.
+
+        The first attempt of an idempotent request broke off after its first byte.
+        """
+        not_run = Whole(0.2, Response(503, "", (), b"", None, True))
+        for last in (Refused(0.2, "x"), not_run):
+            actions, _ = walk(True, [Broke(0.1, "x"), last, last])
+            self.assertEqual(kinds(actions), ["Forward", "Forward", "Forward", "Answer"])
+            self.assertIs(actions[-1].refusal.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_claims_before_forwarding_and_releases_what_did_not_run(self):
+        claimed = Claimed(0.1, HeldClaim("k", 7))
+        actions, _ = walk(False, [claimed, Whole(0.2, WELL)], "r1")
+        self.assertEqual(kinds(actions), ["Claim", "Forward", "Relay"])
+        refused = [claimed] + [Refused(0.2, "x")] * 3
+        actions, _ = walk(False, refused, "r1")
+        self.assertEqual(kinds(actions)[-2:], ["Release", "Answer"])
+        actions, _ = walk(False, [claimed, Broke(0.2, "x")], "r1")
+        self.assertEqual(kinds(actions), ["Claim", "Forward", "Answer"])
+
+    def test_refuses_at_once_without_instances(self):
+        actions, _ = walk(True, [], instances=0)
+        self.assertIs(actions[0].refusal.reason, Reason.NO_UPSTREAM)
+        self.assertIs(actions[0].refusal.verdict, Verdict.NOT_RUN)
+
+    def test_passes_on_the_remaining_time(self):
+        actions, _ = walk(False, [Refused(0.5, "x"), Whole(0.6, WELL)])
+        self.assertEqual([action.deadline for action in actions[:2]], [2.0, 2.0])
+
+    def test_uses_every_action(self):
+        self.assertEqual(len({Answer, Claim, Forward, Relay, Release}), 5)
+
+
+class LoadTest(unittest.TestCase):
+    def run_front(self, behave, rate=500.0, count=3_000, instances=10, slots=8, **options):
+        clock, load = Clock(), Load()
+        front = VirtualFront(clock, Service("verify", **options), behave, load)
+        front.update(share_evenly([f"i{n}" for n in range(instances)], slots))
+        rng = Random(5)
+        at = 0.0
+        for _ in range(count):
+            at += rng.expovariate(rate)
+            clock.at(at, front.ask)
+        clock.run()
+        return front, load
+
+    def test_limits_retries_when_every_instance_fails(self):
+        """
+        Callers get their refusals, and the instances at most 1.1 times the requests.
+
+        Every attempt fails, each in one way.  With a count of retries in place of a budget, three
+        attempts would go out for each request and keep the instances down.
+        """
+        for kind in ("broke", "refused", "not run"):
+            with self.subTest(kind):
+                front, load = self.run_front(lambda name, now, k=kind: Attempt(0.005, k))
+                self.assertLessEqual(sum(load.sent.values()), 1.1 * len(front.records))
+                self.assertFalse(any(record.ok for record in front.records))
+
+    def test_keeps_traffic_from_an_instance_that_fails_fast(self):
+        """
+        All but a few callers get good answers.
+
+        One instance of ten answers 500 in a millisecond, the others work for 50.  It always looks
+        idle, so least-loaded routing would send it most of the traffic.
+        """
+        front, load = self.run_front(
+            lambda name, now: Attempt(0.001, status=500) if name == "i0" else Attempt(0.05),
+            rate=1_200.0,
+        )
+        bad = sum(not record.ok for record in front.records)
+        self.assertLess(load.sent["i0"], 0.02 * len(front.records))
+        self.assertLess(bad, 0.02 * len(front.records))
+
+    def test_probes_an_instance_back_in(self):
+        front, load = self.run_front(
+            lambda name, now: Attempt(0.01, status=500 if name == "i0" and now < 1.0 else 200)
+        )
+        recent = [record for record in front.records if record.request.arrived > 4.0]
+        self.assertTrue(all(record.ok for record in recent))
+        self.assertGreater(load.sent["i0"], 20)
+
+    def test_keeps_half_of_the_instances_when_all_fail(self):
+        _, load = self.run_front(lambda name, now: Attempt(0.01, status=500))
+        self.assertGreaterEqual(sum(count > 100 for count in load.sent.values()), 5)
+
+    def test_refuses_overload_at_once_and_serves_the_rest(self):
+        """
+        At twice the capacity, half of the callers are served and the others refused at once.
+
+        Requests that can't be served in time are refused as they come, or when it shows; none
+        takes a slot only to miss its deadline.
+        """
+        front, load = self.run_front(
+            lambda name, now: Attempt(0.05), rate=640.0, instances=2, queue=32
+        )
+        good = [record for record in front.records if record.ok]
+        self.assertGreater(len(good), 0.95 * 320.0 * front.records[-1].request.arrived)
+        refused = [record for record in front.records if not record.ok]
+        self.assertTrue(refused)
+        for record in refused:
+            self.assertIs(record.outcome.verdict, Verdict.NOT_RUN)
+            self.assertGreater(record.outcome.retry_after, 0.0)
+            self.assertLess(record.answered - record.request.arrived, 0.05)
+        self.assertLessEqual(max(load.most.values()), 8)
+
+    def test_serves_a_quiet_caller_beside_a_flood(self):
+        """
+        The quiet caller's requests are served though another caller fills the queue.
+
+        The full queue gives up the newest request of the caller with the longest line.
+        """
+        clock, load = Clock(), Load()
+        service = Service("verify", queue=16)
+        front = VirtualFront(clock, service, lambda name, now: Attempt(0.05), load)
+        front.update(share_evenly(["i0"]))
+        for number in range(2_000):
+            clock.at(number * 0.001, lambda: front.ask(caller="flood"))
+        quiet = []
+        for number in range(20):
+            clock.at(0.2 + number * 0.08, lambda: quiet.append(front.ask(caller="quiet")))
+        clock.run()
+        self.assertTrue(all(record.ok for record in quiet))
+
+    def test_holds_the_slot_of_an_attempt_whose_end_is_unknown(self):
+        """
+        The instance never works on more than its eight slots.
+
+        Attempts break off here while the instance goes on with them until their deadline; were
+        their slots used again at once, it would soon have far more than eight.
+        """
+        clock, load = Clock(), Load()
+        front = VirtualFront(clock, Service("verify"), lambda n, t: Attempt(0.01, "lost"), load)
+        front.update(share_evenly(["i0"]))
+        for number in range(100):
+            clock.at(number * 0.01, lambda: front.ask(idempotent=False))
+        clock.run()
+        self.assertGreater(load.sent["i0"], 8)
+        self.assertLessEqual(load.most["i0"], 8)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/toucanpin/requests/tests/test_shares.py
@@ -0,0 +1,63 @@
+"""Tests of the shares of slots."""
+
+import unittest
+
+from toucanpin.requests.shares import ShareBook, share_of
+
+INSTANCES = [f"i{n}" for n in range(35)]
+
+
+def names(count):
+    """Name request processes."""
+    return tuple(f"e{n}/request" for n in range(count))
+
+
+class ShareTest(unittest.TestCase):
+    def test_adds_up_to_the_slots_under_one_view(self):
+        for count in (1, 2, 6, 8, 9, 20):
+            members = names(count)
+            for total in (1, 8, 64):
+                for instance in INSTANCES:
+                    shares = [share_of(instance, total, members, me) for me in members]
+                    self.assertEqual(sum(shares), total)
+                    self.assertLessEqual(max(shares) - min(shares), 1)
+
+    def test_never_gives_out_a_slot_twice_while_views_change(self):
+        """
+        No instance gets more than its eight slots while members come and go at any instants.
+
+        Each process learns of a change at its own instant, up to a second apart, and applies it.
+        Were a departed member's slots used at once, it could still be using them itself.
+        """
+        members = names(7)
+        changes = [(2.0, members[:6]), (6.0, members), (10.0, members[1:]), (14.0, members[1:5])]
+        books = {name: ShareBook(name, 2.0) for name in members}
+        for step in range(200):
+            now = step * 0.1
+            for number, name in enumerate(members):
+                seen = [view for at, view in changes if now >= at + number * 0.15]
+                books[name].update(seen[-1] if seen else members, now)
+            for instance in INSTANCES[:10]:
+                total = sum(book.share(instance, 8) for book in books.values())
+                self.assertLessEqual(total, 8, f"at {now}")
+
+    def test_owns_nothing_after_a_pause_until_settled(self):
+        """
+        A process that was frozen uses no slot until others had time to take it in again.
+
+        It wakes with its old view, in which it owns slots that the others use by now.
+        """
+        book = ShareBook("e0/request", 2.0)
+        for step in range(40):
+            book.update(names(2), step * 0.1)
+        self.assertEqual(book.share("i0", 8), 4)
+        book.update(names(2), 60.0)
+        self.assertEqual(book.share("i0", 8), 0)
+        self.assertFalse(book.owns_any)
+        for step in range(1, 25):
+            book.update(names(2), 60.0 + step * 0.1)
+        self.assertEqual(book.share("i0", 8), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
