--- /dev/null
+++ b/toucanpin/daemon/standstill.py
@@ -0,0 +1,96 @@
+"""
+Standstill promises between processes
+=====================================
+
+Carry an owner's question to its roster, and the roster's promises back, by the inner protocol.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+
+from expression import Result
+
+from toucanpin.daemon.gossip import Gossip
+from toucanpin.membership.incarnation import read_life
+from toucanpin.membership.member import Member
+from toucanpin.placement.records import Life
+from toucanpin.wire.client import InnerClient
+from toucanpin.wire.messages import Envelope, Standstill, StandstillAnswer
+from toucanpin.wire.server import Handler
+
+__all__ = ["LivesView", "StandstillCalls"]
+
+CALL_SECONDS = 0.5
+MAX_CALLS = 16
+
+
+class LivesView:
+    """Show the members with the numbers of their lives, which refutations do not change."""
+
+    __slots__ = ("_gossip",)
+
+    def __init__(self, gossip: Gossip) -> None:
+        """Show the members that a gossip knows."""
+        self._gossip = gossip
+
+    def members(self) -> tuple[Member, ...]:
+        """Return every known member, this process first."""
+        return tuple(
+            replace(member, incarnation=read_life(member.incarnation))
+            for member in self._gossip.members()
+        )
+
+
+class StandstillCalls:
+    """Ask the control processes of a roster for their promises."""
+
+    __slots__ = ("_client", "_gossip", "_pool")
+
+    def __init__(self, gossip: Gossip, client: InnerClient) -> None:
+        """Ask over the inner protocol."""
+        self._gossip = gossip
+        self._client = client
+        self._pool = ThreadPoolExecutor(MAX_CALLS, thread_name_prefix="standstill")
+
+    def ask_peers(self, holder: Life, peers: tuple[Life, ...]) -> frozenset[Life]:
+        """Return the peers that promise not to fence the holder."""
+        answers = self._pool.map(lambda peer: self._ask(holder, peer), peers)
+        return frozenset(peer for peer, promised in zip(peers, answers, strict=True) if promised)
+
+    def make_handler(self, answer: Callable[[Life], bool]) -> Handler:
+        """Build the handler that answers other processes."""
+
+        def handle(envelope: Envelope, message: Standstill) -> StandstillAnswer:
+            """Answer one question."""
+            # The question speaks for its sender only: a process can't ask in another's name.
+            if message.owner != envelope.sender:
+                return StandstillAnswer(False, f"{envelope.sender} is not {message.owner}")
+            promised = answer(Life(envelope.sender, read_life(envelope.incarnation)))
+            return StandstillAnswer(promised)
+
+        return handle
+
+    def _ask(self, holder: Life, peer: Life) -> bool:
+        """Ask one life of a peer; a later life of the same name made no promise for it."""
+        member = self._find(peer)
+        if member is None:
+            return False
+        question = Standstill(holder.process, CALL_SECONDS)
+        match self._client.call(member, question, CALL_SECONDS):
+            case Result(tag="ok", ok=received):
+                match received.message:
+                    case StandstillAnswer(promised=promised):
+                        return promised and read_life(received.envelope.incarnation) == (
+                            peer.incarnation
+                        )
+        return False
+
+    def _find(self, peer: Life) -> Member | None:
+        """Find the member that is the peer."""
+        for member in self._gossip.members():
+            if member.name == peer.process and read_life(member.incarnation) == peer.incarnation:
+                return member
+        return None
