Compose the daemon and show the whole path as separate processes

Cause: the parts stood side by side, nothing ran end to end. Change: composition root, standstill promises over the inner protocol, commands for jobs, a demonstration with 17 processes that kills an entry host and a worker and drains another in the middle.

--- /dev/null
+++ b/tools/demo/__main__.py
@@ -0,0 +1,272 @@
+"""
+Demonstration
+=============
+
+Start the whole system and its surroundings as separate processes, load it, break it, count.
+"""
+
+from __future__ import annotations
+
+import shutil
+import sys
+import threading
+import time
+from pathlib import Path
+
+import msgspec
+import urllib3
+
+from tools.demo.bundle import STANDING, make_keys, run_tool, submit_bundle
+from tools.demo.callers import RequestCounts, send_requests
+from tools.demo.jobs import JobCounts, follow_jobs, submit_jobs
+from tools.demo.observer import Observer
+from tools.demo.processes import Launcher
+from tools.demo.report import Line, Report, print_report
+from tools.demo.topology import (
+    PLATFORM_PORT,
+    ROLES,
+    SERVICE,
+    Entry,
+    Topology,
+    Worker,
+    make_topology,
+    settings_path,
+    write_settings,
+)
+from toucanpin.platform.ports import HostRole, ListedHost, Size
+
+__all__ = ["main"]
+
+REQUESTS = 500
+JOBS = 40
+NEVER_FIT = 2
+KILL_AT_REQUEST = 200
+WORKER_SIZE = Size(64, 250_000, 2)
+STANDING_SECONDS = 20.0
+SETTLE_SECONDS = 1.5
+MAX_GAP_SECONDS = 30.0
+FOLDER = Path("var/demo")
+
+
+def main() -> int:
+    """Run the demonstration and return its exit code."""
+    shutil.rmtree(FOLDER, ignore_errors=True)
+    FOLDER.mkdir(parents=True)
+    folder = FOLDER.resolve()
+    topology = make_topology()
+    began = time.monotonic()
+    try:
+        with Launcher(folder) as launcher:
+            report = _run(topology, folder, launcher)
+    except KeyboardInterrupt:
+        print("interrupted; every process is ended", file=sys.stderr)
+        return 130
+    report.seconds = time.monotonic() - began
+    return print_report(report)
+
+
+def _run(topology: Topology, folder: Path, launcher: Launcher) -> Report:
+    """Start, load, break and count."""
+    make_keys(folder)
+    write_settings(topology, folder)
+    _start_surroundings(topology, launcher)
+    _start_system(topology, folder, launcher)
+    print(submit_bundle(folder, topology.entries[0]))
+    for entry in topology.entries:
+        for role in ROLES:
+            launcher.wait_ready(f"{entry.name}-{role}", f"{entry.operators(role)}/readyz")
+    observer = Observer(topology.workers, STANDING)
+    observer.start()
+    _wait_for_standing(observer)
+    requests, jobs = _load(topology, launcher, observer)
+    _wait_for_standing(observer)
+    observer.stop()
+    executions = _count_executions(topology)
+    picture = _draw_timeline(topology, folder)
+    return _count(requests, jobs, observer, executions, picture)
+
+
+def _start_surroundings(topology: Topology, launcher: Launcher) -> None:
+    """Start the platform, the workers and the instances, and list them."""
+    launcher.start(
+        "platform", "standins.platform", ["--listen", f"{topology.platform}:{PLATFORM_PORT}"]
+    )
+    launcher.wait_ready("platform", f"{topology.platform_url}/counts")
+    for worker in topology.workers:
+        launcher.start(worker.name, "standins.workerd", _worker_arguments(topology, worker))
+    for instance in topology.instances:
+        arguments = ["--listen", f"{instance.address}:{instance.port}"]
+        arguments += ["--control", f"{instance.address}:{instance.control_port}"]
+        arguments += ["--service", SERVICE, "--name", instance.name, "--service-time", "10"]
+        launcher.start(instance.name, "standins.instanced", arguments)
+    for worker in topology.workers:
+        launcher.wait_ready(worker.name, f"{worker.url}/counts")
+    for instance in topology.instances:
+        launcher.wait_ready(instance.name, f"{instance.control}/counts")
+    _list_hosts(topology, leaving="")
+
+
+def _worker_arguments(topology: Topology, worker: Worker) -> list[str]:
+    """Return the arguments of one worker."""
+    return [
+        *("--listen", f"{worker.address}:{worker.port}", "--name", worker.name),
+        *("--site", worker.site, "--rack", worker.rack),
+        *("--processors", str(WORKER_SIZE.processors), "--memory", str(WORKER_SIZE.memory)),
+        *("--accelerators", str(WORKER_SIZE.accelerators), "--objects", topology.platform_url),
+    ]
+
+
+def _list_hosts(topology: Topology, leaving: str) -> None:
+    """Put the host list into the platform, with one host marked as leaving."""
+    hosts = [
+        ListedHost(
+            it.name,
+            HostRole.WORKER,
+            it.site,
+            it.rack,
+            it.address,
+            it.port,
+            leaving=it.name == leaving,
+            size=WORKER_SIZE,
+        )
+        for it in topology.workers
+    ]
+    hosts += [
+        ListedHost(
+            it.name,
+            HostRole.INSTANCE,
+            it.site,
+            "rack-1",
+            it.address,
+            it.port,
+            service=SERVICE,
+            slots=8,
+            connections=64,
+        )
+        for it in topology.instances
+    ]
+    body = msgspec.json.encode(hosts)
+    answer = urllib3.request("PUT", f"{topology.platform_url}/hosts", body=body, timeout=5.0)
+    if answer.status >= 400:
+        raise RuntimeError(f"the platform refused the host list: {answer.data.decode()}")
+
+
+def _start_system(topology: Topology, folder: Path, launcher: Launcher) -> None:
+    """Start both roles on every entry host."""
+    for entry in topology.entries:
+        for role in ROLES:
+            path = settings_path(folder, entry, role)
+            launcher.start(f"{entry.name}-{role}", "toucanpin.daemon.main", ["--config", str(path)])
+    for entry in topology.entries:
+        for role in ROLES:
+            launcher.wait_ready(f"{entry.name}-{role}", f"{entry.operators(role)}/livez")
+
+
+def _wait_for_standing(observer: Observer) -> None:
+    """Wait until each standing task was seen just now."""
+    deadline = time.monotonic() + STANDING_SECONDS
+    while time.monotonic() < deadline:
+        now = time.monotonic()
+        seen = [it.seen_at for it in observer.watched.values()]
+        if all(at is not None and now - at < 1.0 for at in seen):
+            return
+        time.sleep(0.1)
+    raise RuntimeError(f"standing tasks do not run: {observer.watched}")
+
+
+def _load(
+    topology: Topology, launcher: Launcher, observer: Observer
+) -> tuple[RequestCounts, JobCounts]:
+    """Send requests and jobs, and break hosts in the middle."""
+    jobs = JobCounts()
+    names = submit_jobs(topology.entries, JOBS, jobs)
+    time.sleep(SETTLE_SECONDS)
+    broken = threading.Event()
+
+    def break_hosts(ended: int) -> None:
+        """Kill an entry host and a worker once enough requests ended."""
+        if ended >= KILL_AT_REQUEST and not broken.is_set():
+            broken.set()
+            _break(topology, launcher, observer)
+
+    requests = send_requests(topology.entries, REQUESTS, break_hosts)
+    follow_jobs(topology.entries, names, jobs)
+    return requests, jobs
+
+
+def _break(topology: Topology, launcher: Launcher, observer: Observer) -> None:
+    """Kill the second entry host and the first standing task's worker; drain another worker."""
+    entry = topology.entries[1]
+    for role in ROLES:
+        launcher.kill(f"{entry.name}-{role}")
+    victim = observer.find_host(STANDING[0])
+    launcher.kill(victim)
+    leaving = next(it.name for it in topology.workers if it.name != victim)
+    _list_hosts(topology, leaving)
+    print(f"killed {entry.name} and {victim}, draining {leaving}")
+
+
+def _count_executions(topology: Topology) -> dict[str, int]:
+    """Return how often each request ran, over all instances."""
+    totals: dict[str, int] = {}
+    for instance in topology.instances:
+        answer = urllib3.request("GET", f"{instance.control}/executions", timeout=5.0)
+        for name, count in msgspec.json.decode(answer.data).items():
+            totals[name] = totals.get(name, 0) + count
+    return totals
+
+
+def _draw_timeline(topology: Topology, folder: Path) -> Path:
+    """Merge every process's events and draw them; a killed process left what it had sent."""
+    live: tuple[Entry, ...] = (topology.entries[0], *topology.entries[2:])
+    sources = [
+        part for entry in live for role in ROLES for part in ("--from", f"{entry.operators(role)}")
+    ]
+    picture = folder / "timeline.html"
+    run_tool(
+        folder,
+        *("timeline", *sources, "--store", topology.platform_url),
+        *("--picture", str(picture)),
+    )
+    return picture
+
+
+def _count(
+    requests: RequestCounts,
+    jobs: JobCounts,
+    observer: Observer,
+    executions: dict[str, int],
+    picture: Path,
+) -> Report:
+    """Compare the counts with what they must be."""
+    odd = {f"request-{number}" for number in range(1, REQUESTS, 2)}
+    twice = sum(1 for name in odd if executions.get(name, 0) > 1)
+    lines = [
+        Line("requests asked", requests.asked, requests.asked == REQUESTS),
+        Line(
+            "answered right",
+            requests.right,
+            requests.right + requests.uncertain + requests.not_run == REQUESTS,
+        ),
+        Line("answered wrong", requests.wrong, requests.wrong == 0),
+        Line("uncertain, may have run", requests.uncertain, True),
+        Line("not run", requests.not_run, requests.not_run == 0),
+        Line("asked again by the caller", requests.repeated, True),
+        Line("non-idempotent run twice", twice, twice == 0),
+        Line("jobs submitted", jobs.submitted, jobs.submitted == JOBS),
+        Line("told that they never fit", jobs.never_fits, jobs.never_fits == NEVER_FIT),
+        Line("jobs finished once", jobs.finished, jobs.finished == JOBS - NEVER_FIT),
+        Line("results right", jobs.right, jobs.right == JOBS - NEVER_FIT),
+        Line("evicted", jobs.evicted, jobs.evicted > 0),
+        Line("resumed or started again", jobs.resumed, jobs.resumed > 0),
+        Line("unfinished", jobs.unfinished, jobs.unfinished == 0),
+    ]
+    for task, watched in observer.watched.items():
+        lines.append(Line(f"{task}: seen in two places", watched.doubles, watched.doubles == 0))
+        gap = f"{watched.gap:.1f} s"
+        lines.append(Line(f"{task}: longest gap", gap, watched.gap < MAX_GAP_SECONDS))
+    return Report(lines, picture)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/demo/bundle.py
@@ -0,0 +1,76 @@
+"""
+Bundle of the demonstration
+===========================
+
+Write a bundle, make keys, sign and submit it with the tool ``toucanpin`` as an operator would.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+from tools.demo.topology import DEPLOYMENT, SERVICE, Entry
+
+__all__ = ["STANDING", "TEAM", "make_keys", "run_tool", "submit_bundle"]
+
+TEAM = "line"
+STANDING = ("stencil-watch", "reflow-watch")
+TOOL_SECONDS = 30.0
+
+
+def run_tool(folder: Path, *arguments: str) -> str:
+    """
+    Run ``toucanpin`` in a folder and return what it printed.
+
+    Raises
+    ------
+    RuntimeError
+        If it ends with another code than 0.
+    """
+    done = subprocess.run(
+        [sys.executable, "-m", "toucanpin.cli.main", *arguments],
+        cwd=folder,
+        capture_output=True,
+        text=True,
+        timeout=TOOL_SECONDS,
+        check=False,
+    )
+    if done.returncode:
+        raise RuntimeError(f"toucanpin {' '.join(arguments)}: {done.stderr or done.stdout}")
+    return done.stdout
+
+
+def make_keys(folder: Path) -> None:
+    """Make the signer's key and the key ring that every process trusts at its start."""
+    signer = run_tool(folder, "bundle", "keys", "new", "supervisor", "--out", "supervisor.key")
+    head = f'deployment = "{DEPLOYMENT}"\nversion = 1\nthreshold = 1\n'
+    (folder / "ring.toml").write_text(f"{head}{signer}")
+
+
+def submit_bundle(folder: Path, entry: Entry) -> str:
+    """Check, sign, submit and wait for the first bundle; return the tool's last line."""
+    (folder / "bundle.toml").write_text(_write_bundle())
+    operators = ("--operators", entry.operators("request"))
+    run_tool(folder, "bundle", "check", "bundle.toml")
+    run_tool(
+        folder, "bundle", "sign", "bundle.toml", "--key", "supervisor.key", "--out", "bundle.json"
+    )
+    run_tool(folder, "bundle", "submit", "bundle.json", *operators)
+    return run_tool(folder, "bundle", "wait", "--version", "1", *operators).strip()
+
+
+def _write_bundle() -> str:
+    """Write the bundle's text."""
+    standing = "".join(
+        f'[[standing]]\nname = "{name}"\nteam = "{TEAM}"\nkind = "watch"\n'
+        "processors = 2\nmemory = 1024\n"
+        for name in STANDING
+    )
+    return (
+        f'deployment = "{DEPLOYMENT}"\nversion = 1\n'
+        f'[[services]]\nname = "{SERVICE}"\n'
+        f"{standing}"
+        f'[[teams]]\nname = "{TEAM}"\nprocessors = 256\nmemory = 1000000\naccelerators = 8\n'
+    )
--- /dev/null
+++ b/tools/demo/jobs.py
@@ -0,0 +1,147 @@
+"""
+Jobs of the demonstration
+=========================
+
+Submit jobs, two of which can never run, follow them to their end and compare their results.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from tools.demo.bundle import TEAM
+from tools.demo.topology import Entry
+
+__all__ = ["JobCounts", "follow_jobs", "submit_jobs"]
+
+IMPOSSIBLE = (
+    {"processors": 4_000, "memory": 1_024},
+    {"processors": 2, "memory": 1_024, "accelerators": 64},
+)
+LONG_WORK = 6_000
+SHORT_WORK = 800
+LONG_EVERY = 3
+TRIES = 40
+PAUSE_SECONDS = 0.3
+END_SECONDS = 40.0
+ACCEPTED = 202
+NEVER_FITS = 422
+OK = 200
+
+
+@dataclass(slots=True)
+class JobCounts:
+    """Count the ends of jobs."""
+
+    submitted: int = 0
+    accepted: int = 0
+    never_fits: int = 0
+    finished: int = 0
+    right: int = 0
+    evicted: int = 0
+    resumed: int = 0
+    unfinished: int = 0
+
+
+def submit_jobs(entries: tuple[Entry, ...], count: int, counts: JobCounts) -> dict[str, str]:
+    """Submit jobs through every entry host in turn; return job names with their inputs."""
+    accepted = {}
+    for number, body in enumerate(_make_bodies(count)):
+        counts.submitted += 1
+        answer = _submit(entries, number, body)
+        if answer is None:
+            continue
+        if answer.status == NEVER_FITS:
+            counts.never_fits += 1
+        elif answer.status == ACCEPTED:
+            counts.accepted += 1
+            accepted[msgspec.json.decode(answer.data)["job"]] = f"program {number}"
+    return accepted
+
+
+def follow_jobs(entries: tuple[Entry, ...], jobs: dict[str, str], counts: JobCounts) -> None:
+    """Wait until every job has ended and count the ends."""
+    deadline = time.monotonic() + END_SECONDS
+    waiting = set(jobs)
+    while waiting and time.monotonic() < deadline:
+        for job in sorted(waiting):
+            status = _ask(entries, "GET", f"/v1/jobs/{job}")
+            if status is None or status.status != OK:
+                continue
+            fields = msgspec.json.decode(status.data)
+            if fields["state"] in ("queued", "running"):
+                continue
+            waiting.discard(job)
+            _count_end(entries, job, fields, jobs[job], counts)
+        time.sleep(PAUSE_SECONDS)
+    counts.unfinished += len(waiting)
+
+
+def _make_bodies(count: int) -> Iterator[dict[str, object]]:
+    """Yield the descriptions of jobs, the impossible ones first."""
+    for number in range(count):
+        size = {"processors": 8, "memory": 4_096}
+        if number < len(IMPOSSIBLE):
+            size = IMPOSSIBLE[number]
+        work = LONG_WORK if number % LONG_EVERY == 0 else SHORT_WORK
+        payload = msgspec.json.encode({"work": work, "input": f"program {number}"}).decode()
+        yield {"kind": "placement-program", "team": TEAM, "payload": payload, **size}
+
+
+def _submit(
+    entries: tuple[Entry, ...], number: int, body: dict[str, object]
+) -> urllib3.BaseHTTPResponse | None:
+    """Submit one job, with the same key after each failure."""
+    headers = {"Idempotency-Key": f"job-{number}", "Content-Type": "application/json"}
+    return _ask(entries[number % len(entries) :] + entries, "POST", "/v1/jobs", body, headers)
+
+
+def _ask(
+    entries: tuple[Entry, ...],
+    method: str,
+    path: str,
+    body: dict[str, object] | None = None,
+    headers: dict[str, str] | None = None,
+) -> urllib3.BaseHTTPResponse | None:
+    """Ask one entry host after the other until one gives a final answer."""
+    content = None if body is None else msgspec.json.encode(body)
+    for attempt in range(TRIES):
+        entry = entries[attempt % len(entries)]
+        try:
+            answer = urllib3.request(
+                method,
+                f"{entry.callers}{path}",
+                body=content,
+                headers=headers,
+                timeout=3.0,
+                retries=False,
+            )
+        except HTTPError:
+            time.sleep(PAUSE_SECONDS)
+            continue
+        if answer.status != 503:
+            return answer
+        time.sleep(PAUSE_SECONDS)
+    return None
+
+
+def _count_end(
+    entries: tuple[Entry, ...], job: str, fields: dict[str, object], text: str, counts: JobCounts
+) -> None:
+    """Count one ended job and compare its result."""
+    if fields["state"] != "finished":
+        counts.unfinished += 1
+        return
+    counts.finished += 1
+    counts.evicted += bool(fields["evictions"])
+    counts.resumed += bool(fields["evictions"]) or fields["attempt"] != 1
+    result = _ask(entries, "GET", f"/v1/jobs/{job}/result")
+    expected = hashlib.sha256(text.encode()).hexdigest().encode()
+    counts.right += result is not None and result.data == expected
--- /dev/null
+++ b/tools/demo/observer.py
@@ -0,0 +1,95 @@
+"""
+Observer of standing tasks
+==========================
+
+Ask the workers what they run, again and again, and measure the gaps of each standing task and any
+moment at which two workers ran it.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from tools.demo.topology import Worker
+
+__all__ = ["Observer", "Watched"]
+
+PERIOD_SECONDS = 0.1
+ASK_SECONDS = 0.5
+
+
+@dataclass(slots=True)
+class Watched:
+    """Hold what was seen of one task; ``gap`` is the longest time in seconds without it."""
+
+    gap: float = 0.0
+    doubles: int = 0
+    seen_at: float | None = None
+    hosts: list[str] = field(default_factory=list)
+
+
+class Observer:
+    """Watch standing tasks until stopped."""
+
+    __slots__ = ("_halt", "_thread", "_workers", "watched")
+
+    def __init__(self, workers: tuple[Worker, ...], tasks: tuple[str, ...]) -> None:
+        """Prepare to watch tasks on workers."""
+        self._workers = workers
+        self.watched = {task: Watched() for task in tasks}
+        self._halt = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Start watching."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop watching."""
+        self._halt.set()
+        self._thread.join()
+
+    def find_host(self, task: str) -> str:
+        """Return the worker on which a task was last seen, empty if nowhere yet."""
+        hosts = self.watched[task].hosts
+        return hosts[-1] if hosts else ""
+
+    def _run(self) -> None:
+        """Look once a period."""
+        while not self._halt.wait(PERIOD_SECONDS):
+            self._look()
+
+    def _look(self) -> None:
+        """Ask every worker and take in what runs where."""
+        running = {worker.name: _read_running(worker) for worker in self._workers}
+        now = time.monotonic()
+        for task, watched in self.watched.items():
+            hosts = [name for name, tasks in running.items() if task in tasks]
+            watched.doubles += len(hosts) > 1
+            if hosts:
+                _take_in(watched, hosts[0], now)
+
+
+def _take_in(watched: Watched, host: str, now: float) -> None:
+    """Note that a task runs now."""
+    if watched.seen_at is not None:
+        watched.gap = max(watched.gap, now - watched.seen_at)
+    watched.seen_at = now
+    if not watched.hosts or watched.hosts[-1] != host:
+        watched.hosts.append(host)
+
+
+def _read_running(worker: Worker) -> set[str]:
+    """Return the tasks that a worker says it runs, none if it gives no answer."""
+    try:
+        answer = urllib3.request("GET", f"{worker.url}/log", timeout=ASK_SECONDS, retries=False)
+    except HTTPError:
+        return set()
+    log = msgspec.json.decode(answer.data)
+    return {entry["task"] for entry in log if entry["stopped_at"] is None}
--- a/tools/demo/topology.py
+++ b/tools/demo/topology.py
@@ -25,6 +25,7 @@
 PLATFORM_PORT = 5000
 WORKER_PORT = 6000
 INSTANCE_PORT = 6100
+INSTANCE_CONTROL_PORT = 6101
 PEER_KEY_BYTES = 32
 
 
@@ -70,11 +71,12 @@
     site: str
     address: str
     port: int = INSTANCE_PORT
+    control_port: int = INSTANCE_CONTROL_PORT
 
     @property
-    def url(self) -> str:
-        """Give the URL of the instance."""
-        return f"http://{self.address}:{self.port}"
+    def control(self) -> str:
+        """Give the URL for faults and counts."""
+        return f"http://{self.address}:{self.control_port}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +118,7 @@
     """Write the key of the peers and a settings file for each process into a folder."""
     key = folder / "peers.toml"
     key.touch(mode=0o600)
-    key.write_text(f'[keys]\nk1 = "{secrets.token_hex(PEER_KEY_BYTES)}"\n')
+    key.write_text(f'current = "k1"\n[keys]\nk1 = "{secrets.token_hex(PEER_KEY_BYTES)}"\n')
     for entry in topology.entries:
         for role in ROLES:
             path = settings_path(folder, entry, role)
@@ -150,7 +152,9 @@
         yield f'{service} = "{topology.platform_url}"'
     yield "[peers]"
     yield 'key_file = "peers.toml"'
-    seeds = (f'"{other.address}:{INNER_PORTS[role]}"' for other in topology.entries)
+    seeds = (
+        f'"{other.address}:{port}"' for other in topology.entries for port in INNER_PORTS.values()
+    )
     yield f"seeds = [{', '.join(seeds)}]"
     yield "[keys]"
     yield 'ring_file = "ring.toml"'
--- /dev/null
+++ b/toucanpin/cli/job.py
@@ -0,0 +1,162 @@
+"""
+Commands for jobs and standing tasks
+====================================
+
+Submit, follow, list and cancel jobs through any entry host, and show standing tasks.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+import urllib.parse
+import uuid
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from toucanpin.cli.exits import ExitCode
+from toucanpin.cli.http import ask, ask_json, fail
+from toucanpin.cli.output import output_option, show
+from toucanpin.placement.submission import JobStatus, StandingStatus
+
+__all__ = ["job", "standing"]
+
+POLL_SECONDS = 0.5
+OK = 200
+ENDED = ("finished", "failed", "cancelled")
+JOB_COLUMNS = ("job", "state", "kind", "team", "attempt", "evictions", "failures", "host", "reason")
+STANDING_COLUMNS = ("task", "state", "cell", "host", "attempt")
+
+callers_option = click.option(
+    "--callers",
+    "url",
+    envvar="TOUCANPIN_CALLERS",
+    required=True,
+    metavar="URL",
+    help="Callers' HTTP of any entry host, such as http://127.0.1.1:8080.",
+)
+
+
+@click.group()
+def job() -> None:
+    """
+    Submit and follow batch jobs.
+
+    \b
+    Examples:
+      toucanpin job submit --callers http://127.0.1.1:8080 --key render-17 job.json
+      toucanpin job wait --callers http://127.0.1.1:8080 JOB
+    """
+
+
+@job.command()
+@click.argument("file", type=click.File("rb"))
+@click.option("--key", help="Idempotency key; submitting again with it changes nothing.")
+@callers_option
+@output_option
+def submit(file: Any, key: str | None, url: str, form: str) -> None:
+    """Submit the job that FILE describes as JSON (- for standard input)."""
+    key = key or uuid.uuid4().hex
+    try:
+        submission = msgspec.json.decode(file.read())
+    except msgspec.DecodeError as error:
+        fail(f"{file.name}: is not JSON: {error}", ExitCode.USAGE)
+    answer = ask_json("POST", f"{url}/v1/jobs", submission, {"Idempotency-Key": key})
+    _show_jobs(form, [msgspec.convert(answer, JobStatus)])
+
+
+@job.command()
+@click.argument("name")
+@callers_option
+@output_option
+def status(name: str, url: str, form: str) -> None:
+    """Show the job NAME."""
+    _show_jobs(form, [_read_job(url, name)])
+
+
+@job.command("list")
+@click.option("--team", help="Only this team's jobs.")
+@click.option("--kind", help="Only this kind.")
+@click.option("--state", help="Only this state.")
+@click.option("--limit", type=click.IntRange(1, 10_000), default=1_000, show_default=True)
+@callers_option
+@output_option
+def list_(
+    team: str | None, kind: str | None, state: str | None, limit: int, url: str, form: str
+) -> None:
+    """List jobs."""
+    chosen = {"team": team, "kind": kind, "state": state, "limit": limit}
+    query = urllib.parse.urlencode({name: value for name, value in chosen.items() if value})
+    answer = ask_json("GET", f"{url}/v1/jobs?{query}")
+    _show_jobs(form, msgspec.convert(answer, list[JobStatus]))
+
+
+@job.command()
+@click.argument("name")
+@callers_option
+@output_option
+def cancel(name: str, url: str, form: str) -> None:
+    """Cancel the job NAME; a job that ended first keeps its end (exit code 3)."""
+    answer = ask("DELETE", f"{url}/v1/jobs/{urllib.parse.quote(name, safe='')}")
+    try:
+        found = msgspec.json.decode(answer.body, type=JobStatus)
+    except msgspec.MsgspecError:
+        fail(answer.body.decode(errors="replace"), ExitCode.REFUSED)
+    _show_jobs(form, [found])
+    sys.exit(ExitCode.DONE if answer.status == OK else ExitCode.CONFLICT)
+
+
+@job.command()
+@click.argument("name")
+@click.option("--out", type=click.Path(path_type=Path), help="File for the result.")
+@callers_option
+def result(name: str, out: Path | None, url: str) -> None:
+    """Print the result of the job NAME or write it to a file."""
+    answer = ask("GET", f"{url}/v1/jobs/{urllib.parse.quote(name, safe='')}/result")
+    if answer.status != OK:
+        fail(f"no result: {answer.body.decode(errors='replace')}", ExitCode.REFUSED)
+    if out is None:
+        sys.stdout.buffer.write(answer.body)
+    else:
+        out.write_bytes(answer.body)
+
+
+@job.command()
+@click.argument("name")
+@click.option("--timeout", type=float, default=60.0, show_default=True, help="Seconds.")
+@callers_option
+@output_option
+def wait(name: str, timeout: float, url: str, form: str) -> None:
+    """Wait until the job NAME has ended; exit code 1 if it did not finish."""
+    deadline = time.monotonic() + timeout
+    found = _read_job(url, name)
+    while found.state not in ENDED and time.monotonic() < deadline:
+        time.sleep(POLL_SECONDS)
+        found = _read_job(url, name)
+    _show_jobs(form, [found])
+    sys.exit(ExitCode.DONE if found.state == "finished" else ExitCode.REFUSED)
+
+
+@click.command()
+@callers_option
+@output_option
+def standing(url: str, form: str) -> None:
+    """Show the standing tasks that the bundle in force wants, and where they run."""
+    found = msgspec.convert(ask_json("GET", f"{url}/v1/standing"), list[StandingStatus])
+    rows = (tuple(getattr(one, column) for column in STANDING_COLUMNS) for one in found)
+    show(form, STANDING_COLUMNS, rows, found)
+
+
+def _read_job(url: str, name: str) -> JobStatus:
+    """Read one job's state."""
+    answer = ask_json("GET", f"{url}/v1/jobs/{urllib.parse.quote(name, safe='')}")
+    return msgspec.convert(answer, JobStatus)
+
+
+def _show_jobs(form: str, jobs: list[JobStatus]) -> None:
+    """Print jobs."""
+    rows = (tuple(getattr(one, column) for column in JOB_COLUMNS) for one in jobs)
+    show(form, JOB_COLUMNS, rows, jobs)
--- a/toucanpin/cli/main.py
+++ b/toucanpin/cli/main.py
@@ -13,7 +13,9 @@
 from toucanpin.cli.bundle import bundle
 from toucanpin.cli.completion import completion
 from toucanpin.cli.config import config
+from toucanpin.cli.job import job, standing
 from toucanpin.cli.status import doctor, hosts, status
+from toucanpin.cli.timeline import timeline
 
 __all__ = ["main"]
 
@@ -36,5 +38,9 @@
     """
 
 
-for command in (bundle, completion, config, doctor, hosts, status):
+for command in (bundle, completion, config, doctor, hosts, job, standing, status, timeline):
     main.add_command(command)
+
+
+if __name__ == "__main__":
+    main()
--- a/toucanpin/daemon/main.py
+++ b/toucanpin/daemon/main.py
@@ -52,6 +52,7 @@
     """
     try:
         settings = read_settings(file)
+        daemon = compose(settings, file.parent)
     except SettingsError as error:
         click.echo(str(error), err=True)
         raise SystemExit(EXIT_SETTINGS) from error
@@ -60,7 +61,7 @@
         return
     handler = make_log_handler(settings.log, settings.process)
     with handler.applicationbound():
-        _run(compose(settings, file.parent), settings, file, handler)
+        _run(daemon, settings, file, handler)
 
 
 def _run(daemon: Daemon, settings: Settings, file: Path, handler: logbook.Handler) -> None:
--- a/toucanpin/daemon/root.py
+++ b/toucanpin/daemon/root.py
@@ -104,7 +104,8 @@
         self.root = _read_ring(folder / settings.keys.ring_file)
         client = InnerClient(self.gossip.identity, self.peer_keys)
         self.bundles = Bundles(self.gossip, self.table, client, self.root, self.recorder)
-        self.standstill = StandstillCalls(self.gossip, client)
+        term = settings.control.authority_ms / MILLISECONDS
+        self.standstill = StandstillCalls(self.gossip, client, term)
         self.roles: list[Part] = []
         self.handlers: dict[type, Handler] = dict(self.bundles.handlers())
 
@@ -157,7 +158,7 @@
         streamer = TimelineStreamer(self.recorder, self.objects, random.Random())
         operators = Operators(parse_endpoint(self.settings.listen.operators), self._guard())
         self._measure()
-        parts = (
+        parts: tuple[Part, ...] = (
             streamer,
             operators,
             self.hosts,
@@ -200,7 +201,7 @@
             self.name,
             self.life,
             self.table,
-            HttpWorkers(self.settings.platform.timeout_ms / MILLISECONDS),
+            HttpWorkers(self.name, self.settings.platform.timeout_ms / MILLISECONDS),
             self.host_list,
             LivesView(self.gossip),
             self.bundles,
@@ -209,7 +210,7 @@
             Terms(
                 lease=times.lease_ms / MILLISECONDS,
                 authority=times.authority_ms / MILLISECONDS,
-                hold=times.hold_ms / MILLISECONDS,
+                long_hold=times.hold_ms / MILLISECONDS,
             ),
             turn=times.turn_ms / MILLISECONDS,
         )
--- a/toucanpin/daemon/standstill.py
+++ b/toucanpin/daemon/standstill.py
@@ -47,10 +47,11 @@
 class StandstillCalls:
     """Ask the control processes of a roster for their promises."""
 
-    __slots__ = ("_client", "_gossip", "_pool")
+    __slots__ = ("_client", "_gossip", "_pool", "_term")
 
-    def __init__(self, gossip: Gossip, client: InnerClient) -> None:
-        """Ask over the inner protocol."""
+    def __init__(self, gossip: Gossip, client: InnerClient, term: float) -> None:
+        """Ask over the inner protocol for promises that last ``term`` seconds."""
+        self._term = term
         self._gossip = gossip
         self._client = client
         self._pool = ThreadPoolExecutor(MAX_CALLS, thread_name_prefix="standstill")
@@ -62,12 +63,17 @@
 
     def make_handler(self, answer: Callable[[Life], bool]) -> Handler:
         """Build the handler that answers other processes."""
+        term = self._term
 
         def handle(envelope: Envelope, message: Standstill) -> StandstillAnswer:
             """Answer one question."""
             # The question speaks for its sender only: a process can't ask in another's name.
             if message.owner != envelope.sender:
                 return StandstillAnswer(False, f"{envelope.sender} is not {message.owner}")
+            # A promise shorter than the asker's term would end while it still grants leases, and a
+            # taker could then start the same task elsewhere.
+            if message.seconds > term:
+                return StandstillAnswer(False, f"terms differ: {message.seconds} s, here {term} s")
             promised = answer(Life(envelope.sender, read_life(envelope.incarnation)))
             return StandstillAnswer(promised)
 
@@ -78,7 +84,7 @@
         member = self._find(peer)
         if member is None:
             return False
-        question = Standstill(holder.process, CALL_SECONDS)
+        question = Standstill(holder.process, self._term)
         match self._client.call(member, question, CALL_SECONDS):
             case Result(tag="ok", ok=received):
                 match received.message:
