--- a/toucanpin/placement/cells.py
+++ b/toucanpin/placement/cells.py
@@ -95,7 +95,8 @@
     """
     Hold one owned cell.
 
-    ``stale`` says that the row may differ from what is held here.  ``released_bound`` is when the
+    ``stale`` says that the row may differ from what is held here, ``refused`` that a worker has seen
+    a higher epoch.  ``released_bound`` is when the
     leases of an owner that released the cell have ended.  ``closed`` are tasks whose job row has
     already been decided by somebody else.
     """
@@ -105,6 +106,7 @@
     version: int
     released_bound: float = 0.0
     stale: bool = False
+    refused: bool = False
     scanned: int = 0
     queue: TaskQueue = field(default_factory=TaskQueue)
     payloads: dict[str, bytes] = field(default_factory=dict)
--- a/toucanpin/placement/ownership.py
+++ b/toucanpin/placement/ownership.py
@@ -114,6 +114,7 @@
         for task in list(cell.row.tasks):
             cell.queue.drop(task)
     cell.stale = False
+    cell.refused = False
 
 
 def lose_cell(state: ControlState, cell: Cell, epoch: int) -> Decision[None]:
--- a/toucanpin/placement/polling.py
+++ b/toucanpin/placement/polling.py
@@ -62,6 +62,9 @@
     asked: list[tuple[Cell, WorkerLink, Poll]] = []
     polls: list[WorkerPoll] = []
     for cell in state.cells.values():
+        if cell.refused:
+            # Another life owns the cell: what it can't reach must not be renewed from here.
+            continue
         for name, worker in cell.row.workers.items():
             link = cell.link(name)
             orders = tuple(_give_orders(state, cell, link, view.bundle, now))
@@ -178,6 +181,7 @@
         return
     if report.epoch > poll.epoch:
         cell.stale = True
+        cell.refused = True
         yield Note("worker.refused", {"host": link.name, "cell": cell.name}, f"{report.epoch}")
         return
     link.take_clock(report, now)
--- a/toucanpin/placement/tests/test_failures.py
+++ b/toucanpin/placement/tests/test_failures.py
@@ -186,6 +186,7 @@
         owner.finish_turn()
         world.heal()
         world.cut(other.life.process, worker)
+        world.cut(owner.life.process, next(it for it in world.cores if it != worker))
         for operation in ("read", "scan"):
             world.fault(Effect.DOWN, operation, owner.life.process)
         world.run(1.75)
@@ -431,7 +432,7 @@
         """
         world = World(workers=3)
         for number in range(10):
-            world.submit(str(number), work=500, fail="always")
+            world.submit(str(number), processors=2, work=500, fail="always")
         most = 0
         for _ in range(160):
             world.run(0.25)
