--- a/toucanpin/placement/tests/test_failures.py
+++ b/toucanpin/placement/tests/test_failures.py
@@ -182,7 +182,8 @@
         world.run(25)
         self.assertEqual(len(world.running(status.job)), 1)
         owner.paused = False
-        world.cut(owner.life.process, worker)
+        for name in world.cores:
+            world.cut(owner.life.process, name)
         owner.finish_turn()
         world.heal()
         world.cut(other.life.process, worker)
