Poll without waiting for silent workers; collect rows of what is gone

Cause: one unanswered poll held every turn for its timeout, and rows of dead lives and workers stayed.

--- a/toucanpin/daemon/control.py
+++ b/toucanpin/daemon/control.py
@@ -11,9 +11,9 @@
 import threading
 import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 
-from expression import Result
+from expression import Error, Result
 from logbook import Logger
 
 from toucanpin.daemon.driving import perform_on_table
@@ -39,6 +39,7 @@
 TURN = 0.25
 HOSTS_PERIOD = 1.0
 POLL_THREADS = 16
+POLL_WAIT = 0.5
 STOP_STEP = 0.05
 
 AskPeers = Callable[[Life, tuple[Life, ...]], frozenset[Life]]
@@ -46,6 +47,44 @@
 log = Logger("toucanpin.control")
 
 
+class PollPool:
+    """
+    Poll many workers at once without waiting for the slowest.
+
+    A worker that doesn't answer would otherwise hold every turn for as long as its poll may take,
+    and urgent work on the others with it.  Its report, if one comes, answers a later poll of the
+    same epoch: by then it only counts as received later, which shortens what may be granted on it.
+    """
+
+    def __init__(self, workers: Workers) -> None:
+        self._workers = workers
+        self._pool = ThreadPoolExecutor(POLL_THREADS, "poll")
+        self._under_way: dict[str, tuple[int, Future[Result[Report, WorkerFault]]]] = {}
+
+    def poll_all(self, asked: tuple[WorkerPoll, ...]) -> tuple[Result[Report, WorkerFault], ...]:
+        """Poll each worker that has no poll under way; return what is known after a short wait."""
+        for it in asked:
+            if it.host.name not in self._under_way:
+                future = self._pool.submit(self._workers.poll, it.host, it.poll)
+                self._under_way[it.host.name] = (it.poll.epoch, future)
+        wait([self._under_way[it.host.name][1] for it in asked], POLL_WAIT)
+        return tuple(self._take(it) for it in asked)
+
+    def _take(self, asked: WorkerPoll) -> Result[Report, WorkerFault]:
+        """Return a worker's outcome, unless it is late or of another epoch."""
+        epoch, future = self._under_way[asked.host.name]
+        if not future.done():
+            return Error(WorkerFault("no answer yet", reached=True))
+        del self._under_way[asked.host.name]
+        if epoch != asked.poll.epoch:
+            return Error(WorkerFault("the answer is to an earlier epoch", reached=True))
+        return future.result()
+
+    def close(self) -> None:
+        """Start nothing more."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+
 class Control:
     """
     Run one control process as a part of the daemon.
@@ -74,7 +113,6 @@
         life = Life(process, incarnation)
         self.state = ControlState(life, terms or Terms(), pace or Pace(), policy or TightestFit())
         self._table = table
-        self._workers = workers
         self._hosts = hosts
         self._members = members
         self._bundle = bundle
@@ -85,7 +123,7 @@
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._cut = threading.Event()
-        self._pool = ThreadPoolExecutor(POLL_THREADS, "poll")
+        self._polls = PollPool(workers)
         self._threads = (
             threading.Thread(target=self._run_turns, name="turns", daemon=True),
             threading.Thread(target=self._refresh_hosts, name="hosts", daemon=True),
@@ -103,7 +141,7 @@
         for thread in self._threads:
             thread.join(max(STOP_STEP, deadline - time.monotonic()))
         self._cut.set()
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._polls.close()
 
     def is_ready(self) -> bool:
         """Tell whether this process has authority and knows the host list."""
@@ -147,7 +185,7 @@
     def _perform(self, action: Action) -> object:
         match action:
             case PollAll(polls):
-                return tuple(self._pool.map(self._poll, polls))
+                return self._polls.poll_all(polls)
             case AskStandstill(holder, peers):
                 return self._ask_peers(holder, peers)
             case Note(kind, ids, detail):
@@ -155,9 +193,6 @@
             case _:
                 return perform_on_table(self._table, action)
 
-    def _poll(self, asked: WorkerPoll) -> Result[Report, WorkerFault]:
-        return self._workers.poll(asked.host, asked.poll)
-
     def _refresh_hosts(self) -> None:
         """Keep the newest host list that could be read."""
         while not self._stopping.is_set():
--- a/toucanpin/daemon/tests/test_control.py
+++ b/toucanpin/daemon/tests/test_control.py
@@ -13,11 +13,12 @@
 from standins.table import TableCore
 from standins.worker import WorkerCore
 from toucanpin.bundles.schema import Bundle, StandingTask
-from toucanpin.daemon.control import Control
+from toucanpin.daemon.control import Control, PollPool
 from toucanpin.daemon.jobs import JobsApp
 from toucanpin.membership.member import Member
+from toucanpin.placement.actions import WorkerPoll
 from toucanpin.placement.records import AuthorityRow, CellRow, decode
-from toucanpin.platform.ports import HostRole, ListedHost, Size
+from toucanpin.platform.ports import HostRole, ListedHost, Poll, Report, Size
 from toucanpin.timeline.event import Event
 
 PATIENCE = 30.0
@@ -130,6 +131,48 @@
         self.assertTrue(authority.released)
 
 
+class SilentWorkers:
+    """Answer for one worker at once and for the other only when told."""
+
+    def __init__(self) -> None:
+        self.release = threading.Event()
+
+    def poll(self, host, poll):
+        """Wait if this is the silent worker."""
+        if host.name == "silent":
+            self.release.wait(PATIENCE)
+        return Ok(Report(host.name, "1", 1, poll.epoch, True, False, Size(1, 1), ()))
+
+
+class PollPoolTest(unittest.TestCase):
+    """Poll workers of which one is silent."""
+
+    def poll(self, pool, epoch):
+        """Poll both workers; return who answered."""
+        size = Size(1, 1)
+        hosts = [
+            ListedHost(it, HostRole.WORKER, "s", "r", "127.0.0.1", 1, size=size)
+            for it in ("quick", "silent")
+        ]
+        polls = tuple(WorkerPoll(it, Poll(epoch, "", 0, ())) for it in hosts)
+        return [it.is_ok() for it in pool.poll_all(polls)]
+
+    def test_silent_worker_holds_up_nobody(self):
+        """
+        The quick worker's report is there while the silent one's poll is still under way.  The late
+        report answers a later poll, but never one of another epoch: to accept an old epoch says
+        nothing about refusing an owner that came in between.
+        """
+        for epoch, late in ((1, True), (2, False)):
+            with self.subTest(epoch=epoch):
+                workers = SilentWorkers()
+                pool = PollPool(workers)
+                self.assertEqual(self.poll(pool, 1), [True, False])
+                workers.release.set()
+                self.assertEqual(self.poll(pool, epoch), [True, late])
+                pool.close()
+
+
 class JobsAppTest(unittest.TestCase):
     """Call the interface of jobs without any control process."""
 
--- a/toucanpin/placement/absorbing.py
+++ b/toucanpin/placement/absorbing.py
@@ -44,16 +44,16 @@
                 workers[worker.name] = msgspec.structs.replace(worker, state=WorkerState.LOST)
             else:
                 changes.extend(_absorb_worker(state, cell, worker, workers, view))
-        changes = [it for it in changes if it is not None]
-        if changes or workers or lost:
-            yield from _write(state, cell, changes, workers, lost, view.now)
+        merged: dict[str, WorkerRow | None] = {**workers, **dict.fromkeys(_find_gone(cell, view))}
+        if changes or merged or lost:
+            yield from _write(state, cell, changes, merged, lost, view.now)
 
 
 def _write(
     state: ControlState,
     cell: Cell,
     changes: list[Change],
-    workers: dict[str, WorkerRow],
+    workers: dict[str, WorkerRow | None],
     lost: set[str],
     now: float,
 ) -> Decision[None]:
@@ -87,6 +87,16 @@
     return lost
 
 
+def _find_gone(cell: Cell, view: View) -> list[str]:
+    """Return the workers that are neither listed nor reached and hold nothing."""
+    listed = view.workers()
+    return [
+        name
+        for name in cell.row.workers
+        if name not in listed and cell.link(name).failed and not cell.tasks_on(name)
+    ]
+
+
 def _requeue_all(cell: Cell, worker: str, view: View) -> Iterator[Change]:
     """Let everything that was committed on a lost worker wait again, or end it."""
     for record in cell.tasks_on(worker):
--- a/toucanpin/placement/authority.py
+++ b/toucanpin/placement/authority.py
@@ -96,6 +96,9 @@
         for row in rows:
             self._version = row.version
             if row.version == ABSENT:
+                # The row was collected: nothing refers to this life as an owner any more.
+                self.fenced = True
+                self.until = 0.0
                 continue
             stored = decode(row.value, AuthorityRow)
             self._renewal = max(self._renewal, stored.renewal)
@@ -219,6 +222,23 @@
             case Result(tag="error", error=Unavailable()):
                 del self._fencing[life]
 
+    def find_remains(self, now: float, there: frozenset[Life]) -> tuple[tuple[Life, int], ...]:
+        """Return the lives, with the versions of their rows, that are gone for good."""
+        gone = ((life, seen) for life, seen in self._seen.items() if life not in there)
+        return tuple((life, seen.version) for life, seen in gone if self._is_gone(seen, now))
+
+    def _is_gone(self, seen: Seen, now: float) -> bool:
+        wait = self.terms.long_hold
+        if seen.row.fenced or seen.row.released:
+            wait = self.terms.authority
+        return now - seen.since >= self.terms.stretch(wait)
+
+    def forget(self, life: Life) -> None:
+        """Drop a life whose row was deleted."""
+        self._seen.pop(life, None)
+        self._promised.pop(life, None)
+        self._fencing.pop(life, None)
+
     def answer_standstill(self, holder: Life, now: float) -> bool:
         """Promise not to fence a holder for one term, unless the table can be read here."""
         seen = self._seen.get(holder)
--- a/toucanpin/placement/cells.py
+++ b/toucanpin/placement/cells.py
@@ -95,10 +95,9 @@
     """
     Hold one owned cell.
 
-    ``stale`` says that the row may differ from what is held here, ``refused`` that a worker has seen
-    a higher epoch.  ``released_bound`` is when the
-    leases of an owner that released the cell have ended.  ``closed`` are tasks whose job row has
-    already been decided by somebody else.
+    ``stale`` says that the row may differ from what is held here, ``refused`` that a worker has
+    seen a higher epoch.  ``released_bound`` is when the leases of an owner that released the cell
+    have ended.  ``closed`` are tasks whose job row has already been decided by somebody else.
     """
 
     name: str
--- a/toucanpin/placement/controller.py
+++ b/toucanpin/placement/controller.py
@@ -11,6 +11,7 @@
 from toucanpin.placement.absorbing import absorb_reports
 from toucanpin.placement.actions import Decision
 from toucanpin.placement.ownership import (
+    collect_lives,
     hand_over_cells,
     lose_all_cells,
     read_queues,
@@ -34,6 +35,7 @@
         yield from read_rows(state)
         yield from fence_earlier_owners(state, view)
         yield from take_cells(state, view)
+        yield from collect_lives(state, view)
         yield from hand_over_cells(state, view)
         yield from read_queues(state)
         yield from absorb_reports(state, view)
--- a/toucanpin/placement/ownership.py
+++ b/toucanpin/placement/ownership.py
@@ -29,6 +29,7 @@
     StandingRow,
     WorkerRow,
     WorkerState,
+    authority_key,
     decode,
     encode,
     queue_prefix,
@@ -45,7 +46,14 @@
     Write,
 )
 
-__all__ = ["hand_over_cells", "read_queues", "read_rows", "release_cell", "take_cells"]
+__all__ = [
+    "collect_lives",
+    "hand_over_cells",
+    "read_queues",
+    "read_rows",
+    "release_cell",
+    "take_cells",
+]
 
 
 def read_rows(state: ControlState) -> Decision[None]:
@@ -229,6 +237,25 @@
     return changed
 
 
+def collect_lives(state: ControlState, view: View) -> Decision[None]:
+    """Delete the authority rows of lives that are gone and that no cell refers to."""
+    rows = [stored.row for stored in state.stored.values()]
+    used = {row.owner for row in rows} | {life for row in rows for life, _ in row.unproven}
+    there = frozenset(view.lives()) | {state.life}
+    for life, version in state.watch.find_remains(view.now, there):
+        if life in used or not state.health.may_commit():
+            continue
+        state.health.count()
+        write = Write(authority_key(life), version, None)
+        token = f"{state.life.process}/{state.life.incarnation}/collect/{life.process}/{version}"
+        answer = yield Commit(Transaction(token, (write,)))
+        match answer.value:
+            case Result(tag="ok") | Result(tag="error", error=Conflict()):
+                state.watch.forget(life)
+            case _:
+                state.health.fail()
+
+
 def read_queues(state: ControlState) -> Decision[None]:
     """Read what was added to the queues of the owned cells, and the wishes to cancel."""
     for cell in state.cells.values():
--- a/toucanpin/placement/tests/test_failures.py
+++ b/toucanpin/placement/tests/test_failures.py
@@ -194,6 +194,28 @@
         self.assertTrue(owner.state.authority.holds(owner.now))
         self.assertEqual(len(world.running(status.job)), 1)
 
+    def test_rows_of_what_is_gone_are_collected(self):
+        """
+        Rows don't pile up as hosts come and go: authority rows of lives that no cell refers to and
+        workers that are neither listed nor reached are deleted.  A life that was only frozen begins
+        anew when it wakes.
+        """
+        world = World(processes=3)
+        world.run(5)
+        frozen = world.processes["e0/control"]
+        frozen.paused = True
+        world.kill_worker("w00")
+        world.hosts = [it for it in world.hosts if it.name != "w00"]
+        world.run(90)
+        self.assertEqual(len(world.table.scan("control/")), 2)
+        self.assertEqual(list(world.cells()["s.r0"].workers), ["w01"])
+        frozen.paused = False
+        world.run(15)
+        self.assertEqual(len(world.table.scan("control/")), 3)
+        world.submit("a")
+        world.settle(20)
+        self.assertEqual(world.count_ended(), 1)
+
 
 class OutageTest(unittest.TestCase):
     """Take the table out, alone and together with other losses."""
--- a/toucanpin/placement/writing.py
+++ b/toucanpin/placement/writing.py
@@ -115,11 +115,15 @@
     cell: Cell,
     health: TableHealth,
     changes: Sequence[Change] = (),
-    workers: Mapping[str, WorkerRow] | None = None,
+    workers: Mapping[str, WorkerRow | None] | None = None,
     epoch: int | None = None,
     unproven: tuple[tuple[Life, int], ...] | None = None,
 ) -> Decision[bool]:
-    """Commit all changes of one group with the cell's row; tell whether that surely happened."""
+    """
+    Commit all changes of one group with the cell's row; tell whether that surely happened.
+
+    ``workers`` are merged into the row, None takes one out.
+    """
     if cell.stale or not health.may_commit():
         return False
     after = _apply(cell.row, changes, workers, epoch, unproven)
@@ -153,7 +157,7 @@
 def _apply(
     row: CellRow,
     changes: Sequence[Change],
-    workers: Mapping[str, WorkerRow] | None,
+    workers: Mapping[str, WorkerRow | None] | None,
     epoch: int | None,
     unproven: tuple[tuple[Life, int], ...] | None,
 ) -> CellRow:
@@ -166,12 +170,20 @@
     return msgspec.structs.replace(
         row,
         tasks=tasks,
-        workers=row.workers if workers is None else {**row.workers, **workers},
+        workers=_merge(row.workers, workers or {}),
         epoch=row.epoch if epoch is None else epoch,
         unproven=row.unproven if unproven is None else unproven,
     )
 
 
+def _merge(
+    before: Mapping[str, WorkerRow], changed: Mapping[str, WorkerRow | None]
+) -> dict[str, WorkerRow]:
+    """Return the workers after changes; None takes a worker out."""
+    merged = {**before, **changed}
+    return {name: worker for name, worker in merged.items() if worker is not None}
+
+
 def _follow(cell: Cell, change: Change, version: int, now: float) -> None:
     """Bring what is held in memory in line with a committed change."""
     if change.queued is not None:
