Keep leases alive over the death of an owner and the pause of a peer

Ruled out: longer leases alone (the gap of a dead worker grows with them); renewing every second (135 control processes would spend 135 writes a second). Change: cells are divided among processes that are heard of, suspects keep their place on rosters; renewal every 2 s, a row must stand 3.2 s before it is taken, leases 6 s, settings check the relation; a life is the upper part of the incarnation; the outage limit needs no sign of a newer bundle.

--- a/scenarios/peer.py
+++ b/scenarios/peer.py
@@ -25,6 +25,7 @@
 from toucanpin.bundles.signature import KeyRing
 from toucanpin.bundles.spread import Spread
 from toucanpin.membership.beat import Beat, Record, Timing
+from toucanpin.membership.incarnation import number_life
 from toucanpin.membership.member import Member, Standing
 from toucanpin.membership.view import View
 from toucanpin.platform.ports import ListedHost
@@ -33,7 +34,6 @@
 
 ASK_PERIOD = 0.1
 HOST_LIST_PERIOD = 1.0
-LIVES_APART = 1_000
 THERE = (Standing.ALIVE, Standing.SUSPECT)
 
 
@@ -59,8 +59,7 @@
         self.site = site
         self.hosts: tuple[ListedHost, ...] = ()
         role = name.partition("/")[2]
-        # A view renews its incarnation after a pause; the next life's must still be higher.
-        own = Member(name, self.host, site, role, life * LIVES_APART, name, 1)
+        own = Member(name, self.host, site, role, number_life(life), name, 1)
         self.view = View(own, Timing(), self.read_clock())
         self.spread = Spread(name, around.ring, SpreadTiming(), self.read_clock())
         self._sent = 0
--- a/toucanpin/bundles/spread.py
+++ b/toucanpin/bundles/spread.py
@@ -183,7 +183,10 @@
             version = self._held.record.version
             return Readiness(False, f"version {self._seen} is in force, only {version} is here")
         together = 2 * reached >= known and known > 0
-        limit = self._timing.outage if together else self._timing.isolated
+        # A process that was cut off for long hears of the newer bundle in the very heartbeat that
+        # ends its cut; without the second condition it would serve by the old one once more.
+        patient = together and self._behind_since is None
+        limit = self._timing.outage if patient else self._timing.isolated
         confirmed_at = self._confirmed_at
         if confirmed_at is None:
             confirmed_at = self._started - self._timing.isolated
--- a/toucanpin/daemon/reading.py
+++ b/toucanpin/daemon/reading.py
@@ -19,10 +19,13 @@
 from toucanpin.daemon.endpoint import parse_endpoint
 from toucanpin.daemon.settings import Settings
 from toucanpin.exception import SettingsError
+from toucanpin.placement.leases import Terms
+from toucanpin.placement.state import Pace
 
 __all__ = ["check_secret_file", "read_settings"]
 
-MIN_POLLS_PER_LEASE = 3
+POLLS_BEFORE_LAPSE = 2
+MILLISECONDS = 1_000
 
 
 def read_settings(path: Path) -> Settings:
@@ -139,10 +142,12 @@
 def _check_times(settings: Settings) -> Iterator[str]:
     """Yield times that defeat each other."""
     control = settings.control
-    if control.lease_ms < MIN_POLLS_PER_LEASE * control.turn_ms:
+    terms = Terms(authority=control.authority_ms / MILLISECONDS)
+    shortest = int((terms.take_after + POLLS_BEFORE_LAPSE * Pace().poll) * MILLISECONDS)
+    if control.lease_ms < shortest:
         yield (
-            f"control.lease_ms: {control.lease_ms} is too short for turns of "
-            f"{control.turn_ms} ms; allowed is {MIN_POLLS_PER_LEASE * control.turn_ms} or more"
+            f"control.lease_ms: {control.lease_ms} ends before a dead owner is replaced; with "
+            f"control.authority_ms = {control.authority_ms} allowed is {shortest} or more"
         )
     if control.authority_ms < control.lease_ms:
         yield (
--- a/toucanpin/daemon/root.py
+++ b/toucanpin/daemon/root.py
@@ -27,7 +27,7 @@
 from toucanpin.daemon.operators import Operators, ProcessState, make_probe_apps
 from toucanpin.daemon.parts import Part, WsgiApp
 from toucanpin.daemon.settings import Settings
-from toucanpin.daemon.standstill import LivesView, StandstillCalls
+from toucanpin.daemon.standstill import StandstillCalls
 from toucanpin.daemon.submission import make_bundle_apps
 from toucanpin.daemon.timeline import TimelineStreamer, timeline_app
 from toucanpin.daemon.views import make_view_apps
@@ -203,7 +203,7 @@
             self.table,
             HttpWorkers(self.name, self.settings.platform.timeout_ms / MILLISECONDS),
             self.host_list,
-            LivesView(self.gossip),
+            self.gossip,
             self.bundles,
             self.recorder,
             self.standstill.ask_peers,
--- a/toucanpin/daemon/settings.py
+++ b/toucanpin/daemon/settings.py
@@ -95,10 +95,10 @@
     ] = 200
     lease_ms: Annotated[
         Milliseconds, Meta(description="term of a worker's lease", extra={"unit": "ms"})
-    ] = 5_000
+    ] = 6_000
     authority_ms: Annotated[
         Milliseconds, Meta(description="term of an owner's authority", extra={"unit": "ms"})
-    ] = 9_000
+    ] = 10_000
     hold_ms: Annotated[
         Milliseconds,
         Meta(description="wait of a taker that no roster names", extra={"unit": "ms"}),
--- a/toucanpin/daemon/standstill.py
+++ b/toucanpin/daemon/standstill.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import replace
 
 from expression import Result
 
@@ -21,29 +20,12 @@
 from toucanpin.wire.messages import Envelope, Standstill, StandstillAnswer
 from toucanpin.wire.server import Handler
 
-__all__ = ["LivesView", "StandstillCalls"]
+__all__ = ["StandstillCalls"]
 
 CALL_SECONDS = 0.5
 MAX_CALLS = 16
 
 
-class LivesView:
-    """Show the members with the numbers of their lives, which refutations do not change."""
-
-    __slots__ = ("_gossip",)
-
-    def __init__(self, gossip: Gossip) -> None:
-        """Show the members that a gossip knows."""
-        self._gossip = gossip
-
-    def members(self) -> tuple[Member, ...]:
-        """Return every known member, this process first."""
-        return tuple(
-            replace(member, incarnation=read_life(member.incarnation))
-            for member in self._gossip.members()
-        )
-
-
 class StandstillCalls:
     """Ask the control processes of a roster for their promises."""
 
@@ -97,6 +79,6 @@
     def _find(self, peer: Life) -> Member | None:
         """Find the member that is the peer."""
         for member in self._gossip.members():
-            if member.name == peer.process and read_life(member.incarnation) == peer.incarnation:
+            if member.name == peer.process and member.life == peer.incarnation:
                 return member
         return None
--- a/toucanpin/daemon/tests/test_control.py
+++ b/toucanpin/daemon/tests/test_control.py
@@ -15,6 +15,7 @@
 from toucanpin.bundles.schema import Bundle, StandingTask
 from toucanpin.daemon.control import Control
 from toucanpin.daemon.jobs import JobsApp
+from toucanpin.membership.incarnation import number_life
 from toucanpin.membership.member import Member
 from toucanpin.placement.records import AuthorityRow, CellRow, decode
 from toucanpin.platform.ports import HostRole, ListedHost, Size
@@ -45,7 +46,7 @@
 
     def members(self):
         """Serve as the membership."""
-        return (Member("e0/control", "e0", "s", "control", 1, "127.0.0.1", 1),)
+        return (Member("e0/control", "e0", "s", "control", number_life(1), "127.0.0.1", 1),)
 
     def current(self):
         """Serve as the bundle in force."""
--- a/toucanpin/daemon/tests/test_reading.py
+++ b/toucanpin/daemon/tests/test_reading.py
@@ -51,7 +51,7 @@
     def test_reads_a_good_file_with_defaults(self):
         settings = self.read(GOOD)
         self.assertEqual(settings.process.site, "welshpool")
-        self.assertEqual(settings.control.lease_ms, 5_000)
+        self.assertEqual(settings.control.lease_ms, 6_000)
 
     def test_reports_every_fault_at_once_with_file_key_and_value(self):
         text = GOOD.replace('role = "request"', 'role = "boss"').replace("[keys]", "[kees]")
@@ -78,8 +78,8 @@
         faults = self.faults(GOOD.replace("127.0.1.1:7070", "127.0.1.1:70700"))
         self.assertIn("70700", faults[0])
 
-    def test_refuses_a_lease_that_one_late_poll_would_end(self):
-        faults = self.faults(GOOD + "[control]\nturn_ms = 3000\n")
+    def test_refuses_a_lease_that_ends_before_a_dead_owner_is_replaced(self):
+        faults = self.faults(GOOD + "[control]\nlease_ms = 3500\n")
         self.assertIn("control.lease_ms", faults[0])
 
     def test_refuses_a_key_file_that_others_can_read(self):
--- a/toucanpin/membership/incarnation.py
+++ b/toucanpin/membership/incarnation.py
@@ -8,14 +8,19 @@
 
 from __future__ import annotations
 
-__all__ = ["begin_incarnation", "read_life"]
+__all__ = ["begin_incarnation", "number_life", "read_life"]
 
 REFUTATION_BITS = 20
 
 
 def begin_incarnation(wall: float) -> int:
     """Return the first incarnation of a life that begins at ``wall`` (seconds since 1970)."""
-    return int(wall * 1_000) << REFUTATION_BITS
+    return number_life(int(wall * 1_000))
+
+
+def number_life(life: int) -> int:
+    """Return the first incarnation of a life."""
+    return life << REFUTATION_BITS
 
 
 def read_life(incarnation: int) -> int:
--- a/toucanpin/membership/member.py
+++ b/toucanpin/membership/member.py
@@ -10,6 +10,8 @@
 import enum
 from dataclasses import dataclass
 
+from toucanpin.membership.incarnation import read_life
+
 __all__ = ["Member", "Standing"]
 
 
@@ -40,3 +42,8 @@
     port: int
     standing: Standing = Standing.ALIVE
     bundle: int = 0
+
+    @property
+    def life(self) -> int:
+        """Return the number of this life, which refuted suspicions do not change."""
+        return read_life(self.incarnation)
--- a/toucanpin/placement/authority.py
+++ b/toucanpin/placement/authority.py
@@ -34,7 +34,6 @@
 
 __all__ = ["Authority", "Seen", "Watch"]
 
-RENEWALS_PER_TERM = 3
 RETRIES_PER_TERM = 9
 
 
@@ -82,7 +81,7 @@
                 self._rosters = frozenset(roster)
                 self.until = max(self.until, now + self.terms.authority)
                 self.fenced = False
-                self._next = now + self.terms.authority / RENEWALS_PER_TERM
+                self._next = now + self.terms.renew_every
             case Result(tag="error", error=Conflict(rows)):
                 yield from self._adopt(rows)
             case Result(tag="error", error=Unavailable() | Unknown()):
--- a/toucanpin/placement/leases.py
+++ b/toucanpin/placement/leases.py
@@ -13,6 +13,8 @@
 __all__ = ["Grant", "Terms", "compute_grant"]
 
 MILLISECONDS = 1000
+RENEWALS_PER_TERM = 5
+RENEWAL_SLACK = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,16 +22,30 @@
     """
     Set the times of leases and authority, in seconds; ``drift`` is a share.
 
-    ``lease`` must be well above the time after which a dead owner's cells are taken, so that
-    workers are renewed by the taker before their leases lapse, and below ``authority``.
+    ``lease`` must be well above ``take_after``, so that workers are renewed by the taker of a dead
+    owner's cells before their leases lapse, and below ``authority``.
     """
 
-    lease: float = 5.0
-    authority: float = 9.0
+    lease: float = 6.0
+    authority: float = 10.0
     drift: float = 0.02
-    take_after: float = 2.0
     long_hold: float = 35 * 60.0
 
+    @property
+    def renew_every(self) -> float:
+        """Return the time between renewals of a process's own authority."""
+        return self.authority / RENEWALS_PER_TERM
+
+    @property
+    def take_after(self) -> float:
+        """
+        Return how long the row of an owner that is not heard of must stand before it is taken.
+
+        A live owner's row stands for a whole period of its renewals.  A shorter wait took cells
+        from owners that were alive but not heard, which took them back at once, again and again.
+        """
+        return self.renew_every + RENEWAL_SLACK
+
     def stretch(self, seconds: float) -> float:
         """Return how long to wait here until ``seconds`` have surely passed on another clock."""
         return seconds * (1 + self.drift)
--- a/toucanpin/placement/ownership.py
+++ b/toucanpin/placement/ownership.py
@@ -134,7 +134,7 @@
 
 def take_cells(state: ControlState, view: View) -> Decision[None]:
     """Take the cells that are ours by rendezvous and that nobody else is known to hold."""
-    lives = view.lives()
+    lives = view.answering()
     listed = {shape.name for shape in shape_cells(view.hosts)}
     used = {name for name, it in state.stored.items() if it.row.tasks or it.row.owner is not None}
     for name in sorted(listed | used):
@@ -153,7 +153,7 @@
     if owner is None or owner == state.life:
         return True
     # After an outage of the table every row stands unchanged: first let its owner renew.
-    quiet = state.terms.take_after + state.terms.authority / 3
+    quiet = state.terms.take_after + state.terms.renew_every
     if now < state.health.well_since + quiet and state.health.well_since > 0:
         return False
     unchanged = state.watch.unchanged(owner, now)
@@ -262,7 +262,7 @@
 
 def hand_over_cells(state: ControlState, view: View) -> Decision[None]:
     """Release the cells that another live process should own for some time now."""
-    lives = view.lives()
+    lives = view.answering()
     for cell in list(state.cells.values()):
         if state.prefers(cell.name, lives) == state.life:
             cell.unwanted_since = None
--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -55,14 +55,21 @@
         return {it.name: it for it in self.hosts if it.role is HostRole.WORKER}
 
     def lives(self) -> tuple[Life, ...]:
-        """Return the control processes that membership believes to be there."""
-        return tuple(
-            sorted(
-                Life(it.name, it.incarnation)
-                for it in self.members
-                if it.role == CONTROL_ROLE and it.standing in (Standing.ALIVE, Standing.SUSPECT)
-            )
-        )
+        """Return the control processes that membership believes to be there, suspects too."""
+        return self._list_lives((Standing.ALIVE, Standing.SUSPECT))
+
+    def answering(self) -> tuple[Life, ...]:
+        """
+        Return the control processes that are heard of.
+
+        Cells are divided among these.  Waiting until a suspect is given up let the leases of a
+        dead owner's workers lapse, and every task there stopped.
+        """
+        return self._list_lives((Standing.ALIVE,))
+
+    def _list_lives(self, standings: tuple[Standing, ...]) -> tuple[Life, ...]:
+        chosen = (it for it in self.members if it.role == CONTROL_ROLE and it.standing in standings)
+        return tuple(sorted(Life(it.name, it.life) for it in chosen))
 
 
 @dataclass(slots=True)
--- a/toucanpin/placement/tests/world.py
+++ b/toucanpin/placement/tests/world.py
@@ -20,6 +20,7 @@
 from standins.work import Work
 from standins.worker import WorkerCore
 from toucanpin.bundles.schema import Bundle, StandingTask
+from toucanpin.membership.incarnation import number_life
 from toucanpin.membership.member import Member
 from toucanpin.placement.actions import (
     Answer,
@@ -141,7 +142,7 @@
     def view(self, asker: Process) -> View:
         """Return what a process believes; the death of another is noticed after a while."""
         members = tuple(
-            Member(name, name, "s", "control", it.life.incarnation, "127.0.0.1", 1)
+            Member(name, name, "s", "control", number_life(it.life.incarnation), "127.0.0.1", 1)
             for name, it in self.processes.items()
             if it.killed_at is None or self.now - it.killed_at < NOTICE
         )
