--- a/toucanpin/daemon/caller_server.py
+++ b/toucanpin/daemon/caller_server.py
@@ -11,6 +11,7 @@
 import collections
 import contextlib
 import math
+import re
 import socket
 import threading
 import time
@@ -23,12 +24,12 @@
 from cheroot.makefile import MakeFile
 
 from toucanpin.daemon.caller_input import ChunkedBody, read_headers
+from toucanpin.daemon.caller_reader import CallerReader
 from toucanpin.daemon.timed_socket import time_socket
 from toucanpin.verdict import Reason, Refusal, Verdict
 
 __all__ = ["CallerRequest", "CallerServer", "encode_refusal"]
 
-HEAD_END = b"\r\n\r\n"
 HEAD_SECONDS = 5.0
 BODY_SECONDS = 30.0
 IDLE_SECONDS = 30
@@ -37,6 +38,7 @@
 MAX_PARKED = 2_000
 MAX_IDLE_CALLERS = 2_000
 LEFTOVER_BYTES = 1 << 16
+TARGET = re.compile(rb"[!-~]+")
 REASONS = {
     400: Reason.BAD_REQUEST,
     408: Reason.DEADLINE,
@@ -70,8 +72,7 @@
 
     def read_request_headers(self) -> bool:
         """Read the header block, refuse what is ambiguous, then let cheroot apply it."""
-        uri = self.uri
-        if any(byte <= 0x20 or byte >= 0x7F for byte in uri):
+        if TARGET.fullmatch(self.uri) is None:
             self.simple_response("400 Bad Request", "the target has characters not accepted")
             return False
         self.header_reader = self._read_strictly
@@ -132,24 +133,18 @@
     """Serve one caller's connection under deadlines."""
 
     RequestHandlerClass = CallerRequest
+    rfile: Any
 
     def __init__(self, owner: Any, sock: socket.socket, makefile: Any = MakeFile) -> None:
-        super().__init__(owner, time_socket(sock, time.monotonic() + HEAD_SECONDS), makefile)
+        timed = time_socket(sock, time.monotonic() + HEAD_SECONDS)
+        super().__init__(owner, timed, makefile)
+        self.rfile = CallerReader(timed)
         self.parked_since: float | None = None
         self.touched = False
 
     def head_is_there(self, limit: int) -> bool:
         """Say whether a thread can read a whole head, or its failure, without waiting."""
-        if self.rfile.has_data():
-            return True
-        try:
-            self.socket.settimeout(0)
-            seen = self.socket.recv(limit + 1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return not seen or HEAD_END in seen or len(seen) > limit
+        return self.rfile.collect_head(limit)
 
     def close(self) -> None:
         """Close, after reading what the caller sent meanwhile."""
--- a/toucanpin/daemon/forwarder.py
+++ b/toucanpin/daemon/forwarder.py
@@ -73,6 +73,7 @@
     idle_since = 0.0
     deadline = 0.0
     wire: TimedSocket
+    head: list[bytes] | None = None
 
     def _new_conn(self) -> socket.socket:
         self.wire = time_socket(super()._new_conn(), self.deadline)
@@ -81,6 +82,7 @@
     def exchange(self, deadline: float) -> None:
         """Begin an exchange that ends by the deadline."""
         self.written = False
+        self.head = []
         self.deadline = deadline
         if self.sock is not None:
             self.wire.deadline = deadline
@@ -90,9 +92,17 @@
         if self.sock is None:
             # The library would open another connection here, in the middle of a request.
             raise http.client.NotConnected()
+        if self.head is not None:
+            self.head.append(data)
+            return
         self.written = True
         self.wire.sendall(data)
 
+    def flush_head(self, body: bytes) -> None:
+        """Write the gathered head and the first part of the body together."""
+        head, self.head = self.head or [], None
+        self.send(b"".join((*head, body)))
+
     def read_head(self) -> InstanceAnswer:
         """Read the head of the answer, without the wrapper that urllib3 puts around it."""
         answer = http.client.HTTPConnection.getresponse(self)
@@ -223,8 +233,8 @@
         for name, value in outgoing.headers:
             connection.putheader(name, value)
         connection.putheader("Toucanpin-Deadline-Ms", str(remaining))
-        first = _frame(outgoing.body) if outgoing.chunked else outgoing.body
-        connection.endheaders(first or None)
+        connection.endheaders()
+        connection.flush_head(_frame(outgoing.body) if outgoing.chunked else outgoing.body)
         if outgoing.rest is not None:
             for piece in outgoing.rest():
                 connection.send(_frame(piece) if outgoing.chunked else piece)
--- a/toucanpin/daemon/timed_socket.py
+++ b/toucanpin/daemon/timed_socket.py
@@ -42,6 +42,11 @@
         self._arm()
         return super().recv_into(*args, **kwargs)
 
+    def receive(self, size: int) -> bytes:
+        """Receive up to ``size`` bytes by the deadline."""
+        self._arm()
+        return super().recv(size)
+
     def send(self, *args: Any, **kwargs: Any) -> int:
         """Send what fits by the deadline."""
         self._arm()
--- a/toucanpin/requests/routing.py
+++ b/toucanpin/requests/routing.py
@@ -19,6 +19,7 @@
 SLOW_START_SECONDS = 10.0
 COLDEST = 0.1
 BUSY_SECONDS = 0.1
+DRAWS = 4
 DRAINING_SECONDS = 30.0
 
 
@@ -59,28 +60,29 @@
             limit = min(limit, 1)
         return limit - self.in_flight - len(self.held)
 
-    def load(self, now: float) -> float:
-        """Compare instances: slots in use by slots owned, higher while the instance is cold."""
-        warmth = min(1.0, max(COLDEST, (now - self.since) / SLOW_START_SECONDS))
-        return (self.in_flight + len(self.held) + 1) / (self.slots * warmth)
+    def load(self) -> float:
+        """Compare instances: slots in use by slots owned, counting the next request."""
+        return (self.in_flight + len(self.held) + 1) / self.slots
 
 
 class Router:
     """Choose instances of one service and keep their load and health."""
 
-    __slots__ = ("_site", "_rng", "_ejector", "_instances", "ejected")
+    __slots__ = ("_site", "_rng", "_ejector", "_instances", "_near", "_known", "ejected")
 
     def __init__(self, site: str, rng: Random) -> None:
         self._site = site
         self._rng = rng
         self._ejector = Ejector(rng)
         self._instances: dict[str, Instance] = {}
+        self._near: list[Instance] = []
+        self._known = 0
         self.ejected: list[str] = []
 
     @property
     def known(self) -> int:
         """Count the instances that may get new requests, shares aside."""
-        return sum(1 for instance in self._instances.values() if not instance.leaving)
+        return self._known
 
     @property
     def owned(self) -> int:
@@ -105,6 +107,12 @@
                 self._instances[share.name] = known
             known.slots = share.slots
             known.leaving = share.leaving
+        self._known = sum(not instance.leaving for instance in self._instances.values())
+        self._near = [
+            instance
+            for instance in self._instances.values()
+            if instance.site == self._site and instance.slots and not instance.leaving
+        ]
 
     def knows(self, name: str) -> bool:
         """Say whether an instance is listed or still has requests in flight."""
@@ -112,21 +120,14 @@
 
     def has_free(self, now: float) -> bool:
         """Say whether any slot may be taken now."""
-        return any(self._takes(i, now) and i.free(now) > 0 for i in self._instances.values())
+        nobody: frozenset[str] = frozenset()
+        return any(self._is_takeable(i, nobody, now) for i in self._instances.values())
 
     def take(self, tried: frozenset[str], now: float) -> str | None:
         """Take a slot of an instance not tried before; None if there is none."""
-        near: list[Instance] = []
-        far: list[Instance] = []
-        for instance in self._instances.values():
-            if instance.name in tried or not self._takes(instance, now):
-                continue
-            if instance.free(now) > 0:
-                (near if instance.site == self._site else far).append(instance)
-        candidates = near or far
-        if not candidates:
+        chosen = self._sample(tried, now) or self._search(tried, now)
+        if chosen is None:
             return None
-        chosen = self._choose(candidates, now)
         chosen.in_flight += 1
         return chosen.name
 
@@ -174,9 +175,38 @@
         self._ejector.renew(instance.health, now)
         return instance.health.phase is not Phase.OUT
 
-    def _choose(self, candidates: list[Instance], now: float) -> Instance:
-        if len(candidates) == 1:
-            return candidates[0]
-        first = candidates[int(self._rng.random() * len(candidates))]
-        second = candidates[int(self._rng.random() * len(candidates))]
-        return first if first.load(now) <= second.load(now) else second
+    def _sample(self, tried: frozenset[str], now: float) -> Instance | None:
+        """Take the less loaded of the first two takeable instances near, of a few drawn."""
+        near = self._near
+        first: Instance | None = None
+        for _ in range(DRAWS if near else 0):
+            drawn = near[int(self._rng.random() * len(near))]
+            if drawn is first or not self._is_takeable(drawn, tried, now):
+                continue
+            if self._is_spared(drawn, now):
+                continue
+            if first is None:
+                first = drawn
+                continue
+            return first if first.load() <= drawn.load() else drawn
+        return first
+
+    def _is_spared(self, instance: Instance, now: float) -> bool:
+        """Spare a new instance part of its draws, fewer as it warms up."""
+        age = now - instance.since
+        if age >= SLOW_START_SECONDS:
+            return False
+        return self._rng.random() > max(COLDEST, age / SLOW_START_SECONDS)
+
+    def _search(self, tried: frozenset[str], now: float) -> Instance | None:
+        """Look at every instance, near ones first."""
+        takeable = [i for i in self._instances.values() if self._is_takeable(i, tried, now)]
+        near = [instance for instance in takeable if instance.site == self._site]
+        candidates = near or takeable
+        if len(candidates) < 2:
+            return candidates[0] if candidates else None
+        first, second = self._rng.sample(candidates, 2)
+        return first if first.load() <= second.load() else second
+
+    def _is_takeable(self, instance: Instance, tried: frozenset[str], now: float) -> bool:
+        return instance.name not in tried and self._takes(instance, now) and instance.free(now) > 0
