--- /dev/null
+++ b/benchmarks/queue_model.py
@@ -0,0 +1,163 @@
+"""
+Model of queues at instances
+============================
+
+Latency of requests to instances with few slots, on a virtual clock with fixed seeds: the real
+decisions behind several entry hosts, against balancers that are simpler and one that knows all.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+
+from toucanpin.bundles.schema import Service
+from toucanpin.requests.routing import InstanceShare
+from toucanpin.requests.shares import share_of
+from toucanpin.requests.tests.virtual import Attempt, Clock, Load, VirtualFront
+
+__all__ = ["Result", "Shape", "arrivals", "run_central", "run_own", "run_queues"]
+
+SLOTS = 8
+NETWORK_SECONDS = 0.002
+MEAN_SECONDS = 0.05
+DEADLINE = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Set up one run: load as a share of all slots; ``sigma`` is the spread of service times."""
+
+    load: float
+    sigma: float
+    count: int
+    instances: int = 35
+    hosts: int = 6
+    seed: int = 7
+
+
+@dataclass(slots=True)
+class Result:
+    """Collect the latencies of served requests and of refusals, in seconds."""
+
+    served: list[float] = field(default_factory=list)
+    refused: list[float] = field(default_factory=list)
+    span: float = 0.0
+    most: int = 0
+
+    def quantile(self, share: float) -> float:
+        """Return a latency that this share of the served requests didn't exceed."""
+        ordered = sorted(self.served)
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+    @property
+    def goodput(self) -> float:
+        """Return requests served within the deadline, for each second."""
+        return sum(latency <= DEADLINE for latency in self.served) / self.span
+
+
+def arrivals(shape: Shape) -> Iterator[tuple[float, float, int]]:
+    """Yield instant, service time and entry host of each request."""
+    rng = Random(shape.seed)
+    rate = shape.load * shape.instances * SLOTS / MEAN_SECONDS
+    mu = math.log(MEAN_SECONDS) - shape.sigma**2 / 2
+    at = 0.0
+    for _ in range(shape.count):
+        at += rng.expovariate(rate)
+        yield at, rng.lognormvariate(mu, shape.sigma), rng.randrange(shape.hosts)
+
+
+def run_central(shape: Shape) -> Result:
+    """Serve from one queue that sees every slot: the bound."""
+    result = Result()
+    free = [0.0] * (shape.instances * SLOTS)
+    at = 0.0
+    for at, seconds, _ in arrivals(shape):
+        start = max(at, free[0])
+        heapq.heapreplace(free, start + seconds)
+        result.served.append(start + seconds - at + NETWORK_SECONDS)
+    result.span = at
+    return result
+
+
+def run_queues(shape: Shape, choose: Callable[[int, list[list[int]], Random], int]) -> Result:
+    """Serve by balancers that send at once; requests queue at the instances."""
+    result = Result()
+    rng = Random(shape.seed + 1)
+    sent = [[0] * shape.instances for _ in range(shape.hosts)]
+    busy = [0] * shape.instances
+    queues: list[deque[tuple[float, float, int]]] = [deque() for _ in range(shape.instances)]
+    clock = Clock()
+
+    def begin(instance: int, at: float, seconds: float, host: int) -> None:
+        busy[instance] += 1
+        clock.at(clock.now + seconds, partial(end, instance, at, host))
+
+    def end(instance: int, at: float, host: int) -> None:
+        busy[instance] -= 1
+        sent[host][instance] -= 1
+        result.served.append(clock.now - at + NETWORK_SECONDS)
+        if queues[instance]:
+            begin(instance, *queues[instance].popleft())
+
+    def arrive(at: float, seconds: float, host: int) -> None:
+        instance = choose(host, sent, rng)
+        sent[host][instance] += 1
+        if busy[instance] < SLOTS:
+            begin(instance, at, seconds, host)
+        else:
+            queues[instance].append((at, seconds, host))
+
+    for at, seconds, host in arrivals(shape):
+        clock.at(at, partial(arrive, at, seconds, host))
+        result.span = at
+    clock.run()
+    return result
+
+
+def run_own(
+    shape: Shape,
+    lost: tuple[float, float, int] | None = None,
+    share: Callable[[str, int, tuple[str, ...], str], int] = share_of,
+) -> Result:
+    """
+    Serve by the real decisions, one front for each entry host, each with its share of slots.
+
+    With ``lost`` the first so many instances refuse connections between two instants.
+    """
+    result = Result()
+    clock, load = Clock(), Load()
+    names = [f"i{number}" for number in range(shape.instances)]
+    members = tuple(f"e{number}/request" for number in range(shape.hosts))
+    missing = frozenset(names[: lost[2]]) if lost else frozenset()
+    draws = Random(shape.seed + 2)
+    mu = math.log(MEAN_SECONDS) - shape.sigma**2 / 2
+
+    def behave(name: str, now: float) -> Attempt:
+        if lost and name in missing and lost[0] <= now < lost[1]:
+            return Attempt(NETWORK_SECONDS, "refused")
+        return Attempt(draws.lognormvariate(mu, shape.sigma) + NETWORK_SECONDS)
+
+    fronts = []
+    for number, member in enumerate(members):
+        front = VirtualFront(clock, Service("s"), behave, load, number + 1)
+        shares = (
+            InstanceShare(name, "casco", share(name, SLOTS, members, member)) for name in names
+        )
+        front.update(tuple(shares))
+        fronts.append(front)
+    for at, _, host in arrivals(shape):
+        clock.at(at, partial(fronts[host].ask, limit=DEADLINE))
+        result.span = at
+    clock.run()
+    for front in fronts:
+        for record in front.records:
+            latency = record.answered - record.request.arrived
+            (result.served if record.ok else result.refused).append(latency)
+    result.most = max(load.most.values())
+    return result
--- /dev/null
+++ b/benchmarks/requests.py
@@ -0,0 +1,116 @@
+"""
+Benchmarks of requests
+======================
+
+Prints one line for each figure: ``bench NAME value=… unit=… baseline=… ratio=…``.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from benchmarks.queue_model import Shape, run_central, run_own, run_queues
+from benchmarks.request_cost import measure_costs
+
+__all__ = ["main"]
+
+COUNT = 30_000
+LOADS = (0.5, 0.8, 0.95, 1.2)
+SPREADS = {"even": 0.25, "skewed": 1.0}
+QUANTILES = {"p50": 0.5, "p99": 0.99, "p99.9": 0.999}
+LOSS_SECONDS = (3.0, 13.0)
+LOSS_RATE_COUNT = 70_000
+
+
+def main() -> None:
+    """Run and print every benchmark of requests."""
+    print_costs()
+    for spread, sigma in SPREADS.items():
+        for load in LOADS:
+            print_tails(spread, Shape(load, sigma, COUNT))
+    print_overload()
+    print_loss()
+
+
+def print_costs() -> None:
+    """Compare the front's processor time with the bare forwarder's."""
+    own, bare = measure_costs()
+    print_line("request_cpu", own, "ms", bare)
+
+
+def print_tails(spread: str, shape: Shape) -> None:
+    """Compare latencies with those of one central queue, the bound."""
+    bound = run_central(shape)
+    runs = {
+        "own": run_own(shape),
+        "random": run_queues(shape, _choose_random),
+        "round_robin": run_queues(shape, _RoundRobin()),
+        "local_least": run_queues(shape, _choose_least),
+        "local_two": run_queues(shape, _choose_two),
+    }
+    for name, run in runs.items():
+        for label, share in QUANTILES.items():
+            key = f"{label}_{name}_{spread}_{round(shape.load * 100)}"
+            print_line(key, run.quantile(share) * 1_000, "ms", bound.quantile(share) * 1_000)
+    own = runs["own"]
+    refused = len(own.refused) / shape.count
+    print_line(f"refused_own_{spread}_{round(shape.load * 100)}", refused * 100, "%", 0.0)
+    print_line(f"most_own_{spread}_{round(shape.load * 100)}", own.most, "slots", 8.0)
+
+
+def print_overload() -> None:
+    """Compare goodput at 120 % of the slots with that at 100 %, and time the refusals."""
+    for spread, sigma in SPREADS.items():
+        full = run_own(Shape(1.0, sigma, COUNT))
+        over = run_own(Shape(1.2, sigma, COUNT))
+        print_line(f"goodput_{spread}_120_to_100", over.goodput, "1/s", full.goodput)
+        slow = sum(latency > 0.05 for latency in over.refused) / max(1, len(over.refused))
+        print_line(f"refusals_over_50ms_{spread}_120", slow * 100, "%", 0.0)
+
+
+def print_loss() -> None:
+    """Lose a third of the instances for ten seconds at half load."""
+    shape = Shape(0.5, 0.25, LOSS_RATE_COUNT)
+    calm = run_own(shape)
+    hurt = run_own(shape, lost=(*LOSS_SECONDS, shape.instances // 3))
+    print_line("goodput_third_lost", hurt.goodput, "1/s", calm.goodput)
+    print_line("p99_third_lost", hurt.quantile(0.99) * 1_000, "ms", calm.quantile(0.99) * 1_000)
+
+
+def print_line(name: str, value: float, unit: str, baseline: float) -> None:
+    """Print one figure."""
+    ratio = f"{value / baseline:.3f}" if baseline else "-"
+    print(f"bench {name} value={value:.3f} unit={unit} baseline={baseline:.3f} ratio={ratio}")
+
+
+def _choose_random(host: int, sent: list[list[int]], rng: Random) -> int:
+    return rng.randrange(len(sent[host]))
+
+
+def _choose_least(host: int, sent: list[list[int]], rng: Random) -> int:
+    own = sent[host]
+    least = min(own)
+    return rng.choice([number for number, count in enumerate(own) if count == least])
+
+
+def _choose_two(host: int, sent: list[list[int]], rng: Random) -> int:
+    own = sent[host]
+    first, second = rng.randrange(len(own)), rng.randrange(len(own))
+    return first if own[first] <= own[second] else second
+
+
+class _RoundRobin:
+    """Choose instances in turn, each host from a start of its own."""
+
+    def __init__(self) -> None:
+        self._next: dict[int, int] = {}
+
+    def __call__(self, host: int, sent: list[list[int]], rng: Random) -> int:
+        count = len(sent[host])
+        number = self._next.get(host, host * count // len(sent))
+        self._next[host] = (number + 1) % count
+        return number
+
+
+if __name__ == "__main__":
+    main()
