--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -117,6 +117,34 @@
         names = {it.process: it for it in (*lives, self.life)}
         return names[max(names, key=lambda name: rank(cell, name))]
 
+    def is_quiet(self, now: float) -> bool:
+        """
+        Tell whether the table has just come back.
+
+        Every row then stands unchanged for as long as it was out; its owner gets time to renew it
+        before anybody takes that for a death.
+        """
+        quiet = self.terms.take_after + self.terms.renew_every
+        return self.health.well_since > 0 and now < self.health.well_since + quiet
+
+    def able_lives(self, view: View) -> tuple[Life, ...]:
+        """
+        Return the lives that may own cells: heard of, and renewing their authority.
+
+        A process that still sends heartbeats but is cut off from the table would otherwise keep the
+        claim to cells that it can't serve.
+        """
+        lives = view.answering()
+        if self.is_quiet(view.now):
+            return lives
+        return tuple(it for it in lives if self._renews(it, view.now))
+
+    def _renews(self, life: Life, now: float) -> bool:
+        unchanged = self.watch.unchanged(life, now)
+        if unchanged is None or self.watch.is_over(life):
+            return False
+        return unchanged < self.terms.silence()
+
     def ceded(self, now: float) -> dict[str, int]:
         """Return the cells that are lost and on which no own lease can be live."""
         return {cell: epoch for cell, (epoch, ends) in self.lost.items() if now >= ends}
