--- /dev/null
+++ b/toucanpin/membership/tests/test_view.py
@@ -0,0 +1,222 @@
+"""Tests of the view of the members on a virtual clock."""
+
+import dataclasses
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from toucanpin.membership.beat import Beat, ChangeKind, Record, Timing
+from toucanpin.membership.member import Standing
+from toucanpin.membership.tests.mesh import Mesh, make_member
+from toucanpin.membership.view import View
+
+A, B, C, D = "a/request", "b/request", "c/request", "d/request"
+FUZZ = settings(derandomize=True, database=None, deadline=None, max_examples=200)
+
+
+def build_mesh(names=(A, B, C)):
+    mesh = Mesh()
+    for index, name in enumerate(names):
+        mesh.add(make_member(name, 10 + index, 7_000 + index))
+    mesh.run(4)
+    return mesh
+
+
+class ViewTest(unittest.TestCase):
+    def test_all_find_each_other_through_one_seed(self):
+        mesh = build_mesh((A, B, C, D))
+        for name in (A, B, C, D):
+            self.assertEqual(mesh.sees_alive(name), {A, B, C, D})
+
+    def test_silence_is_suspected_before_it_is_removal(self):
+        mesh = build_mesh()
+        del mesh.views[C]
+        mesh.run(3)
+        self.assertIs(mesh.standing(A, C), Standing.SUSPECT)
+        mesh.run(6)
+        self.assertIs(mesh.standing(A, C), Standing.GONE)
+
+    def test_leaving_is_told_at_once_and_stays(self):
+        """
+        A process drains and says so.  Heartbeats that it sent before arrive afterwards; nobody may
+        take it for alive again, or new work would be sent to it.
+        """
+        mesh = build_mesh()
+        late = mesh.make_beat(C)
+        mesh.views[C].leave()
+        mesh.run(1)
+        self.assertIs(mesh.standing(A, C), Standing.LEAVING)
+        mesh.views[A].receive(late, mesh.now)
+        again = dataclasses.replace(late.sender, sequence=10_000)
+        mesh.views[A].receive(Beat(again, late.digest), mesh.now)
+        self.assertIs(mesh.standing(A, C), Standing.LEAVING)
+        self.assertEqual(mesh.views[A].reach(), (1, 1))
+
+    def test_a_one_way_cut_does_not_remove(self):
+        """
+        Nothing of B reaches A, all else gets through.  A suspects B; C still hears B and says so.
+        Removing B would make A take over what B still does.
+        """
+        mesh = build_mesh()
+        mesh.cut = lambda sender, receiver: (sender, receiver) == (B, A)
+        mesh.run(60)
+        self.assertIs(mesh.standing(A, B), Standing.SUSPECT)
+        self.assertIs(mesh.standing(C, B), Standing.ALIVE)
+        mesh.cut = lambda sender, receiver: False
+        mesh.run(1)
+        self.assertIs(mesh.standing(A, B), Standing.ALIVE)
+
+    def test_a_process_frozen_longer_than_every_timeout(self):
+        """
+        B is frozen for ten minutes; the others remove it.  It wakes with a socket full of old
+        heartbeats and a view in which everybody was silent for ten minutes.  It must not remove
+        them, and must come back as a new incarnation, not as what it was.
+        """
+        mesh = build_mesh()
+        before = mesh.views[B].own.incarnation
+        mesh.freeze(B)
+        mesh.run(600)
+        self.assertIs(mesh.standing(A, B), Standing.GONE)
+        mesh.resume(B)
+        mesh.run(3)
+        self.assertGreater(mesh.views[B].own.incarnation, before)
+        for name in (A, B, C):
+            self.assertEqual(mesh.sees_alive(name), {A, B, C})
+        lost = [c for c in mesh.changes[B] if c.kind in (ChangeKind.GONE, ChangeKind.SUSPECTED)]
+        self.assertEqual(lost, [])
+
+    def test_old_state_does_not_resurrect(self):
+        """
+        B was removed.  A heartbeat that it sent as the removed incarnation arrives, with a higher
+        sequence number than any before.  B stays removed until it answers as a new incarnation.
+        """
+        mesh = build_mesh()
+        beat = mesh.make_beat(B)
+        del mesh.views[B]
+        mesh.run(10)
+        newer = dataclasses.replace(beat.sender, sequence=beat.sender.sequence + 1_000)
+        mesh.views[A].receive(Beat(newer, beat.digest), mesh.now)
+        self.assertIs(mesh.standing(A, B), Standing.GONE)
+        self.assertTrue(mesh.views[A].owes_answer(Beat(newer, beat.digest), mesh.now))
+        told = [r.member.standing for r in mesh.views[A].answers(B) if r.member.name == B]
+        self.assertEqual(told, [Standing.GONE])
+
+    def test_a_replaced_host_of_the_same_name_and_address(self):
+        """
+        B's host is replaced; the new one has its name and address and a clock that is behind, so
+        its incarnation starts lower.  It is told and takes a higher one; the old life stays over.
+        """
+        mesh = build_mesh()
+        old = mesh.make_beat(B)
+        mesh.add(make_member(B, 3, 7_001))
+        mesh.run(5)
+        self.assertGreater(mesh.views[B].own.incarnation, 11)
+        self.assertEqual(mesh.sees_alive(A), {A, B, C})
+        current = [m for m in mesh.views[A].members() if m.name == B]
+        mesh.views[A].receive(old, mesh.now)
+        self.assertEqual([m for m in mesh.views[A].members() if m.name == B], current)
+
+    def test_a_replaced_host_of_another_name_at_the_address(self):
+        """
+        B's host is replaced by one named D at B's address.  B must not be counted until its
+        timeout: its share of the slots would be idle, and calls to it would reach D.
+        """
+        mesh = build_mesh()
+        del mesh.views[B]
+        mesh.add(make_member(D, 50, 7_001))
+        mesh.run(1)
+        self.assertIs(mesh.standing(A, B), Standing.GONE)
+        self.assertIs(mesh.standing(A, D), Standing.ALIVE)
+        self.assertEqual(mesh.views[A].reach()[1], 2)
+
+    def test_two_sites_parted_for_minutes_meet_again(self):
+        """
+        Two sites of two hosts are parted for ten minutes, and each removes the other.  When the
+        link is back nobody is left who sends to the other side, but for the probes.
+        """
+        mesh = build_mesh((A, B, C, D))
+        left = {A, B}
+        mesh.cut = lambda sender, receiver: (sender in left) != (receiver in left)
+        mesh.run(600)
+        self.assertEqual((mesh.sees_alive(A), mesh.sees_alive(C)), ({A, B}, {C, D}))
+        self.assertEqual(mesh.views[A].reach(), (1, 3))
+        mesh.cut = lambda sender, receiver: False
+        mesh.run(8)
+        for name in (A, B, C, D):
+            self.assertEqual(mesh.sees_alive(name), {A, B, C, D})
+
+    def test_a_replayed_heartbeat_keeps_nobody_alive(self):
+        """
+        Someone sends captured heartbeats of a dead process again and again.  It must be removed
+        as if they did not come.
+        """
+        mesh = build_mesh()
+        captured = mesh.make_beat(C)
+        mesh.views[A].receive(captured, mesh.now)
+        del mesh.views[C]
+        for _ in range(40):
+            mesh.run(0.5)
+            mesh.views[A].receive(captured, mesh.now)
+        self.assertIs(mesh.standing(A, C), Standing.GONE)
+
+    def test_answers_are_rationed(self):
+        view = View(make_member(A, 1, 7_000), Timing(), 0.0)
+        owed = 0
+        for index in range(50):
+            beat = Beat(Record(make_member(f"x{index}/request", 1, 8_000 + index), 1), index)
+            view.receive(beat, 0.1)
+            owed += view.owes_answer(beat, 0.1)
+        self.assertLessEqual(owed, 2)
+
+
+OLDER = st.builds(
+    lambda incarnation, sequence, standing: Record(
+        dataclasses.replace(make_member(B, incarnation, 7_001), standing=standing), sequence
+    ),
+    st.integers(1, 19),
+    st.integers(0, 10_000),
+    st.sampled_from(Standing),
+)
+
+
+class StaleRecordTest(unittest.TestCase):
+    @FUZZ
+    @given(st.lists(st.tuples(OLDER, st.booleans()), max_size=12))
+    def test_no_record_of_an_older_life_touches_a_newer_one(self, records):
+        """
+        B lives as incarnation 20.  Records and heartbeats of its earlier lives, suspect, leaving or
+        gone, arrive in any order, from B's old socket and from other members.
+        """
+        mesh = Mesh()
+        view = mesh.add(make_member(A, 1, 7_000))
+        alive = Beat(Record(make_member(B, 20, 7_001), 5), 0)
+        view.receive(alive, mesh.now)
+        before = view.members()
+        for index, (record, direct) in enumerate(records):
+            relay = Record(make_member(C, 1, 7_002), index + 1)
+            beat = Beat(record, 0) if direct else Beat(relay, 0, (record,))
+            view.receive(beat, mesh.now)
+        self.assertEqual(view.members()[1], before[1])
+
+    @FUZZ
+    @given(st.permutations(list(range(6))))
+    def test_the_order_of_arrival_does_not_matter(self, order):
+        """
+        Heartbeats of three lives of B arrive out of order.  What A ends with is the newest life.
+        """
+        mesh = Mesh()
+        view = mesh.add(make_member(A, 1, 7_000))
+        records = [
+            Record(dataclasses.replace(make_member(B, life, 7_001), bundle=life), sequence)
+            for life in (1, 2, 3)
+            for sequence in (1, 2)
+        ]
+        for index in order:
+            view.receive(Beat(records[index], 0), mesh.now)
+        self.assertEqual(view.members()[1].incarnation, 3)
+        self.assertEqual(view.members()[1].bundle, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
