--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -27,6 +27,7 @@
 
 BeatListener = Callable[[Member, int], None]
 
+RECEIVE_SECONDS = 0.1
 _STOP_SECONDS = 5.0
 
 _log = logbook.Logger("gossip")
@@ -146,7 +147,7 @@
 
     def _receive(self, timeout: float) -> None:
         channel = self._socket
-        received = None if channel is None else channel.receive(min(timeout, self._timing.interval))
+        received = None if channel is None else channel.receive(min(timeout, RECEIVE_SECONDS))
         if received is None or not isinstance(received.message, Heartbeat):
             return
         beat = _to_beat(received.envelope, received.message)
--- /dev/null
+++ b/toucanpin/daemon/tests/bundle_parts.py
@@ -0,0 +1,117 @@
+"""Processes in threads that spread bundles over sockets of the loopback network."""
+
+from __future__ import annotations
+
+import io
+import itertools
+import os
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from standins.faults import FaultPlan
+from standins.memory import Line, MemoryTable
+from standins.table import TableCore
+from toucanpin.bundles.tests.fixtures import ROOT
+from toucanpin.daemon.bundles import Bundles
+from toucanpin.daemon.gossip import Gossip
+from toucanpin.daemon.submission import make_bundle_apps
+from toucanpin.daemon.web import mount_apps
+from toucanpin.membership.member import Member
+from toucanpin.wire.client import InnerClient
+from toucanpin.wire.keys import PeerKeys
+from toucanpin.wire.server import InnerServer
+
+__all__ = ["Node", "Platform", "wait_until"]
+
+PORT = 17_946
+PATIENCE = 30.0
+KEYS = PeerKeys("k1", {"k1": bytes(32)})
+
+_networks = itertools.count(1)
+
+
+class Platform:
+    """Keep the table that the nodes of one test share, and the addresses that they get."""
+
+    def __init__(self) -> None:
+        self.core = TableCore()
+        self.plan = FaultPlan()
+        self.line = Line(time.monotonic, self.plan)
+        self._network = f"127.{64 + os.getpid() % 128}.{next(_networks) % 250}"
+
+    def address(self, index: int) -> str:
+        """Return the address of one host."""
+        return f"{self._network}.{index + 1}"
+
+
+class Node:
+    """Run the parts of one process that concern bundles."""
+
+    def __init__(self, platform: Platform, index: int, incarnation: int = 1_000) -> None:
+        host = f"h{index}"
+        own = Member(
+            f"{host}/request",
+            host,
+            "malaga",
+            "request",
+            incarnation,
+            platform.address(index),
+            PORT,
+        )
+        seeds = ((platform.address(0), PORT),)
+        table = MemoryTable(platform.core, platform.line, host)
+        self.name = own.name
+        self.gossip = Gossip(own, ROOT.deployment, seeds, KEYS)
+        client = InnerClient(self.gossip.identity, KEYS)
+        self.bundles = Bundles(self.gossip, table, client, ROOT)
+        self.server = InnerServer(
+            own.address, PORT, self.gossip.identity, KEYS, self.bundles.handlers()
+        )
+        self.apps = make_bundle_apps(self.bundles, self.gossip, table, ROOT)
+
+    def start(self) -> Node:
+        """Start every part."""
+        self.server.start()
+        self.gossip.start()
+        self.bundles.start()
+        return self
+
+    def stop(self) -> None:
+        """Stop every part and say farewell."""
+        self.bundles.stop(PATIENCE)
+        self.gossip.stop(PATIENCE)
+        self.server.stop(PATIENCE)
+
+    def version(self) -> int:
+        """Return the version that this process serves by, 0 for none."""
+        current = self.bundles.current()
+        return 0 if current is None else current.version
+
+    def request(self, method: str, path: str, body: bytes = b"") -> tuple[int, Any]:
+        """Ask the operators' application and return the status and the JSON."""
+        statuses: list[str] = []
+        path, _, query = path.partition("?")
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+        }
+        parts = mount_apps(self.apps)(environ, lambda status, headers: statuses.append(status))
+        return int(statuses[0].split()[0]), msgspec.json.decode(b"".join(parts))
+
+
+def wait_until(condition: Callable[[], bool]) -> bool:
+    """Wait until a condition holds, with a patience that only a fault exhausts."""
+    deadline = time.monotonic() + PATIENCE
+    pause = threading.Event()
+    while not condition():
+        if time.monotonic() > deadline:
+            return False
+        pause.wait(0.02)
+    return True
