--- /dev/null
+++ b/scenarios/world.py
@@ -0,0 +1,299 @@
+"""
+World
+=====
+
+The world of a scenario on a virtual clock: the decisions of the daemon, driven through fakes at the
+interfaces.  Nothing here decides anything that the product decides.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
+from typing import Any
+
+import msgspec
+from expression import Ok
+
+from scenarios import model
+from scenarios.actors import Platform, SimulatedWorker
+from scenarios.check import name_entries
+from scenarios.control import Control
+from scenarios.evidence import Evidence, JobTold
+from scenarios.kernel import Kernel, Loss, Network, Reply, covers
+from scenarios.model import Action, Hosts, JobEnd, Scenario
+from scenarios.peer import PeerProcess, Surroundings
+from scenarios.signing import make_ring, make_submission
+from scenarios.witness import Witness, describe_work
+from toucanpin.bundles.acceptance import (
+    Accepted,
+    Commit,
+    Conflicted,
+    Read,
+    Refused,
+    accept_bundle,
+)
+from toucanpin.placement.submission import Submission, name_job
+from toucanpin.platform.ports import HostRole, ListedHost, Size
+from toucanpin.timeline.event import Event
+from toucanpin.timeline.recorder import Recorder
+from toucanpin.verdict import Reason
+
+__all__ = ["VirtualWorld"]
+
+JOB_KIND = "master"
+CALLER = "caller"
+CALLER_PAUSE = 1.0
+CALLER_TIMEOUT = 5.0
+LONG_AGO = -1_000.0
+IDS = {"job": "job", "request": "request", "version": "bundle"}
+FINAL = frozenset({Reason.NEVER_FITS, Reason.FORBIDDEN, Reason.BAD_REQUEST, Reason.TOO_LARGE})
+
+
+class VirtualWorld:
+    """Run one scenario; two runs of one scenario are the same."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self._scenario = scenario
+        self._kernel = Kernel(scenario.seed)
+        self._network = Network(self._kernel)
+        self._platform = Platform(self._kernel)
+        self._evidence = Evidence()
+        self._around = Surroundings(
+            self._kernel, self._network, self._platform, self._evidence, make_ring()
+        )
+        self._names: dict[str, str] = {}
+        self._lives: dict[str, int] = {}
+        self._script = Recorder("scenario", "1", self._read_time, self._read_time)
+        self._recorders = [self._script]
+        self._script.record("script.start", {}, f"seed {scenario.seed}")
+        witness = Witness(self._platform.objects, self._evidence, scenario.capacity, self._names)
+        self._platform.watchers.append(lambda row: witness.see(self._kernel.now, row))
+        self._accept_first_bundle()
+        self._hosts = {each.name: each for each in list_hosts(scenario.hosts, scenario.capacity)}
+        self._platform.hosts.replace(LONG_AGO, tuple(self._hosts.values()))
+        for name in self._hosts:
+            self._start_host(name)
+
+    def advance(self, time: float) -> None:
+        """Let everything happen up to an instant."""
+        self._kernel.run_until(time)
+
+    def apply(self, action: Action) -> None:
+        """Bring about an action now."""
+        self._record(action)
+        match action:
+            case model.SubmitJob():
+                self._submit(action)
+            case model.SubmitBundle(version, entry, variant):
+                self._submit_bundle(version, entry, variant)
+            case model.CancelJob(job, entry):
+                self._cancel(job, entry)
+            case model.Kill(target):
+                self._kill(target)
+            case model.Replace(target):
+                self._kill(target)
+                self._start_host(target)
+            case model.Leave(target):
+                self._platform.hosts.mark_leaving(self._kernel.now, target)
+            case model.ShutDown(target):
+                for process in self._find_processes(target):
+                    process.shut_down()
+            case model.StepClock(target, amount):
+                for process in self._find_processes(target):
+                    process.wall_step += amount
+            case _:
+                self._network.apply(action)
+
+    def close(self) -> Evidence:
+        """Return what was seen."""
+        self._evidence.ended = self._kernel.now
+        self._evidence.living = {
+            each.name: each.since for each in self._around.peers.values() if each.alive
+        }
+        for run in self._evidence.runs:
+            run.task = self._names.get(run.task, run.task)
+        return self._evidence
+
+    def events(self) -> Iterable[Event]:
+        """Return the events of every life of every process, with the scenario's names of jobs."""
+        for recorder in self._recorders:
+            for event in recorder.read_after(0).events:
+                ids = {key: self._names.get(value, value) for key, value in event.ids.items()}
+                yield dataclasses.replace(event, ids=ids, detail=self._translate(event.detail))
+
+    def _read_time(self) -> float:
+        """Return the world's time."""
+        return self._kernel.now
+
+    def _translate(self, text: str) -> str:
+        """Put the scenario's names of jobs into a text."""
+        for job, name in self._names.items():
+            text = text.replace(job, name)
+        return text
+
+    def _record(self, action: Action) -> None:
+        """Put an action of the script on the time line."""
+        given = {
+            each.name: getattr(action, each.name)
+            for each in dataclasses.fields(action)
+            if getattr(action, each.name) != each.default
+        }
+        ids = {IDS[name]: str(value) for name, value in given.items() if name in IDS}
+        words = (f"{key} {describe(value)}" for key, value in given.items() if key not in IDS)
+        self._script.record(f"script.{type(action).__name__.lower()}", ids, ", ".join(words))
+
+    def _start_host(self, name: str) -> None:
+        """Start what runs on a host."""
+        if name.startswith("w"):
+            life = self._begin_life(name)
+            worker = SimulatedWorker(
+                self._kernel,
+                self._network,
+                self._platform,
+                self._evidence,
+                name,
+                life,
+                self._scenario.capacity,
+            )
+            self._around.workers[name] = worker
+            return
+        process = f"{name}/control"
+        site = self._hosts[name].site
+        control = Control(self._around, process, self._begin_life(process), site)
+        self._around.peers[process] = control
+        self._recorders.append(control.recorder)
+
+    def _begin_life(self, name: str) -> int:
+        """Count a new life of a process."""
+        self._lives[name] = self._lives.get(name, 0) + 1
+        self._network.restore(name)
+        return self._lives[name]
+
+    def _kill(self, target: str) -> None:
+        """End everything that a target covers."""
+        for name, worker in self._around.workers.items():
+            if covers(target, name) and worker.alive:
+                worker.end()
+                self._network.remove(name)
+        for process in self._find_processes(target):
+            process.end(graceful=False)
+
+    def _find_processes(self, target: str) -> Iterator[PeerProcess]:
+        """Yield the living processes that a target covers."""
+        for name, process in self._around.peers.items():
+            if covers(target, name) and process.alive:
+                yield process
+
+    def _accept_first_bundle(self) -> None:
+        """Let version 1 be in force from the start."""
+        submission = make_submission(self._scenario, 1, 0, 0.0)
+        decision = accept_bundle(make_ring(), submission, lambda: "first")
+        outcome: Any = None
+        with contextlib.suppress(StopIteration):
+            while True:
+                match decision.send(outcome):
+                    case Read(key):
+                        outcome = Ok(self._platform.table.read(key))
+                    case Commit(transaction):
+                        outcome = Ok(self._platform.table.commit(transaction))
+
+    def _submit(self, action: model.SubmitJob) -> None:
+        """Submit a job as its owner does: again under the same key until it is told an end."""
+        work = msgspec.json.encode(describe_work(action.job, action.work)).decode()
+        size = action.size
+        request = Submission(
+            JOB_KIND,
+            action.team,
+            size.processors,
+            size.memory,
+            size.accelerators,
+            urgent=action.urgent,
+            payload=work,
+        )
+        self._names[name_job(action.team, action.job)] = action.job
+
+        def ask(control: Control, answer: Reply) -> None:
+            """Put the question to a process."""
+            control.submit(request, action.job, answer)
+
+        def refuse() -> None:
+            """Note that the job was refused."""
+            now = self._kernel.now
+            self._evidence.jobs.append(JobTold(action.job, now, JobEnd.REFUSED))
+
+        self._insist(action.through, ask, refuse)
+
+    def _cancel(self, job: str, entry: str) -> None:
+        """Ask to cancel a job until it is told an end."""
+        ids = {name: each for each, name in self._names.items()}
+        self._insist(entry, lambda control, answer: control.cancel(ids[job], answer), lambda: None)
+
+    def _submit_bundle(self, version: int, entry: str, variant: int) -> None:
+        """Submit a bundle as an operator does: the same one again until it is told an end."""
+        submission = make_submission(self._scenario, version, variant, self._kernel.now)
+        name = f"{entry}/control"
+        ids = {"bundle": str(version)}
+
+        def hear(outcome: object) -> None:
+            """Note the end, or repeat the submission."""
+            match outcome:
+                case Accepted() | Refused() | Conflicted():
+                    told = type(outcome).__name__.lower()
+                    self._script.record(f"operator.{told}", ids, submission.operator)
+                case _:
+                    again = partial(self._submit_bundle, version, entry, variant)
+                    self._kernel.call_after(CALLER_PAUSE, again)
+
+        def handle(answer: Reply) -> None:
+            """Let the process that bears the name now decide."""
+            self._around.peers[name].accept(submission, answer)
+
+        self._network.ask(CALLER, name, handle, hear, timeout=CALLER_TIMEOUT)
+
+    def _insist(
+        self, entry: str, ask: Callable[[Control, Reply], None], refuse: Callable[[], None]
+    ) -> None:
+        """Ask through an entry host, and after a while through another, until there is an end."""
+        names = sorted(self._around.peers)
+        name = f"{entry}/control" if entry else self._kernel.random.choice(names)
+
+        def handle(answer: Reply) -> None:
+            """Let the process that bears the name now decide."""
+            process = self._around.peers[name]
+            if isinstance(process, Control):
+                ask(process, answer)
+
+        def hear(outcome: Any) -> None:
+            """Take the answer, or ask again."""
+            if not isinstance(outcome, Loss):
+                if outcome.is_ok():
+                    return
+                if outcome.error.reason in FINAL:
+                    refuse()
+                    return
+            self._kernel.call_after(CALLER_PAUSE, lambda: self._insist("", ask, refuse))
+
+        self._network.ask(CALLER, name, handle, hear, timeout=CALLER_TIMEOUT)
+
+
+def describe(value: object) -> str:
+    """Write a field of an action."""
+    match value:
+        case Size(processors, memory, accelerators):
+            return f"{processors}/{memory}/{accelerators}"
+        case _:
+            return str(value)
+
+
+def list_hosts(hosts: Hosts, capacity: Size) -> Iterator[ListedHost]:
+    """Yield the hosts of a scenario, spread over its sites and racks."""
+    for number, name in enumerate(name_entries(hosts)):
+        site = f"site-{number % hosts.site + 1}"
+        yield ListedHost(name, HostRole.ENTRY, site, "", "", 0)
+    for number in range(hosts.worker):
+        site = f"site-{number % hosts.site + 1}"
+        rack = f"rack-{number // hosts.site % hosts.rack + 1}"
+        yield ListedHost(f"w{number + 1}", HostRole.WORKER, site, rack, "", 0, size=capacity)
