--- a/scenarios/control.py
+++ b/scenarios/control.py
@@ -32,7 +32,7 @@
 
     def __init__(self, around: Surroundings, name: str, life: int, site: str) -> None:
         super().__init__(around, name, life, site)
-        self.state = ControlState(Life(name, self.view.own.incarnation))
+        self.state = ControlState(Life(name, life))
         self._draining = False
         self.after(around.kernel.random.uniform(0.0, TURN), self._turn)
 
--- a/scenarios/peer.py
+++ b/scenarios/peer.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -25,6 +25,7 @@
 from toucanpin.bundles.signature import KeyRing
 from toucanpin.bundles.spread import Spread
 from toucanpin.membership.beat import Beat, Record, Timing
+from toucanpin.membership.incarnation import REFUTATION_BITS, read_life
 from toucanpin.membership.member import Member, Standing
 from toucanpin.membership.view import View
 from toucanpin.platform.ports import ListedHost
@@ -33,7 +34,7 @@
 
 ASK_PERIOD = 0.1
 HOST_LIST_PERIOD = 1.0
-LIVES_APART = 1_000
+TIMING = Timing(interval=0.2)
 THERE = (Standing.ALIVE, Standing.SUSPECT)
 
 
@@ -59,20 +60,22 @@
         self.site = site
         self.hosts: tuple[ListedHost, ...] = ()
         role = name.partition("/")[2]
-        # A view renews its incarnation after a pause; the next life's must still be higher.
-        own = Member(name, self.host, site, role, life * LIVES_APART, name, 1)
-        self.view = View(own, Timing(), self.read_clock())
+        own = Member(name, self.host, site, role, life << REFUTATION_BITS, name, 1)
+        self.view = View(own, TIMING, self.read_clock())
         self.spread = Spread(name, around.ring, SpreadTiming(), self.read_clock())
         self._sent = 0
         self._tokens = 0
         self._in_force = 0
-        self.after(around.kernel.random.uniform(0.0, Timing().interval), self._beat)
+        self.after(around.kernel.random.uniform(0.0, TIMING.interval), self._beat)
         self._spread_on()
         self._list_hosts()
 
     def members(self) -> tuple[Member, ...]:
-        """Return every known member, this process included."""
-        return self.view.members()
+        """Return every known member, this process included, with the numbers of their lives."""
+        return tuple(
+            replace(member, incarnation=read_life(member.incarnation))
+            for member in self.view.members()
+        )
 
     def current(self) -> Bundle | None:
         """Return the bundle in force, None while this process must not serve by it."""
@@ -127,7 +130,7 @@
         for change in self.view.tick(self.read_clock()):
             self._note(change)
         self._send_round()
-        self.after(Timing().interval, self._beat)
+        self.after(TIMING.interval, self._beat)
 
     def _send_round(self) -> None:
         """Send one round of heartbeats, also to processes never heard of."""
