--- a/scenarios/peer.py
+++ b/scenarios/peer.py
@@ -49,6 +49,7 @@
     ring: KeyRing
     workers: dict[str, SimulatedWorker] = field(default_factory=dict)
     peers: dict[str, PeerProcess] = field(default_factory=dict)
+    instances: dict[str, Any] = field(default_factory=dict)
 
 
 class PeerProcess(Process):
--- /dev/null
+++ b/scenarios/requesting.py
@@ -0,0 +1,290 @@
+"""
+Request processes
+=================
+
+Drive the path of requests on the virtual clock, and answer as instances of services do.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from typing import Any
+
+from scenarios.actors import Process
+from scenarios.evidence import RequestRun
+from scenarios.kernel import Loss, Reply
+from scenarios.model import SendRequest, ServedService
+from scenarios.peer import PeerProcess, Surroundings
+from standins.instance import InstanceCore, Outcome
+from toucanpin.bundles.schema import Bundle, Service
+from toucanpin.membership.member import Standing
+from toucanpin.platform.ports import ListedHost, Transaction, Write
+from toucanpin.requests import claims, messages
+from toucanpin.requests.admission import Ticket
+from toucanpin.requests.claims import prepare_claim, settle_claims
+from toucanpin.requests.messages import HeldClaim
+from toucanpin.requests.path import serve_request
+from toucanpin.requests.routing import InstanceShare
+from toucanpin.requests.service import ServiceState
+from toucanpin.requests.shares import ShareBook
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = ["Fronting", "SimulatedInstance"]
+
+REFRESH = 0.2
+GRANT = 0.05
+SETTLE = 2.0
+NOT_READY = Refusal(Verdict.NOT_RUN, Reason.NOT_READY, "not ready yet", 1.0)
+STORE_LATE = Refusal(Verdict.NOT_RUN, Reason.STORE_UNCERTAIN, "the store is late", 2.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """Hold a request as an instance receives it."""
+
+    request: str
+    deadline: float
+
+
+class SimulatedInstance(Process):
+    """Run requests of one service, as many at a time as it has slots."""
+
+    def __init__(self, around: Surroundings, name: str, life: int, served: ServedService) -> None:
+        super().__init__(around.kernel, around.network, name, life)
+        self.core = InstanceCore(served.service.name, name, served.service.slots)
+        self._takes = served.takes
+        self._evidence = around.evidence
+        self._running = 0
+        self._waiting: deque[tuple[Asked, Reply]] = deque()
+
+    def handle(self, asked: Asked, answer: Reply) -> None:
+        """Run a request when a slot is free."""
+        self._waiting.append((asked, answer))
+        self._start_next()
+
+    def end(self) -> None:
+        """Lose everything at once."""
+        self.alive = False
+        self.network.remove(self.name)
+
+    def _start_next(self) -> None:
+        """Start the next request if there is a slot, unless it comes too late."""
+        while self._waiting and self._running < self.core.slots:
+            asked, answer = self._waiting.popleft()
+            if self.kernel.now >= asked.deadline:
+                answer(None)
+                continue
+            self._running += 1
+            run = RequestRun(asked.request, self.name, self.kernel.now)
+            self._evidence.request_runs.append(run)
+            outcome = self.core.run(asked.request, "POST", f"/{asked.request}", b"", 0)
+            self.after(self._takes, partial(self._finish, outcome, answer))
+
+    def _finish(self, outcome: Outcome, answer: Reply) -> None:
+        """Answer and go on."""
+        self._running -= 1
+        answer(outcome)
+        self._start_next()
+
+
+class Fronting(PeerProcess):
+    """Live one life of a request process."""
+
+    def __init__(self, around: Surroundings, name: str, life: int, site: str) -> None:
+        super().__init__(around, name, life, site)
+        self._book = ShareBook(name, SETTLE)
+        self._states: dict[str, ServiceState] = {}
+        self._waiters: dict[Ticket, Callable[[], None]] = {}
+        self._random = Random(around.kernel.random.random())
+        self._busy = 0
+        self._draining = False
+        self._claims = 0
+        self._refresh()
+        self._grant()
+
+    def shut_down(self) -> None:
+        """Take nothing new, and end once nothing is in flight."""
+        super().shut_down()
+        self._draining = True
+
+    def serve(self, sent: SendRequest, answer: Reply) -> None:
+        """Lead a caller's request to its answer."""
+        state = self._states.get(sent.service)
+        ready = self.current() is not None and self._book.owns_any and not self._draining
+        if state is None or not ready:
+            answer(NOT_READY)
+            return
+        now = self.read_clock()
+        request = messages.Request(
+            sent.service, "caller", sent.request, sent.idempotent, now, now + sent.deadline
+        )
+        self._busy += 1
+        perform = partial(self._perform, state, sent, answer)
+        self.drive(serve_request(request, state), perform, partial(self._leave, state))
+
+    def _leave(self, state: ServiceState, _: object) -> None:
+        """Count a request that has its answer."""
+        self._busy -= 1
+        self._wake(state)
+
+    def _perform(
+        self,
+        state: ServiceState,
+        sent: SendRequest,
+        answer: Reply,
+        action: messages.Action,
+        reply: Reply,
+    ) -> None:
+        """Carry out an action of a path."""
+        self._wake(state)
+        match action:
+            case messages.Claim(request_id, deadline):
+                self._claim(request_id, deadline, reply)
+            case messages.Release(claim):
+                self._release(claim)
+                self.after(0.0, lambda: reply(messages.Delivered(self.read_clock())))
+            case messages.Wait(ticket, until):
+                self._wait(ticket, until, reply)
+            case messages.Forward(instance, deadline):
+                self._forward(sent, instance, deadline, reply)
+            case messages.Answer(refusal):
+                detail = f"{refusal.verdict.value} {refusal.reason.value}"
+                self.recorder.record("request.refused", {"request": sent.request}, detail)
+                answer(refusal)
+                self.after(0.0, lambda: reply(messages.Delivered(self.read_clock())))
+            case messages.Relay(response):
+                answer(response)
+                self.after(0.0, lambda: reply(messages.Delivered(self.read_clock())))
+
+    def _wait(self, ticket: Ticket, until: float, reply: Reply) -> None:
+        """Wait until a ticket is settled, or long enough."""
+
+        def wake() -> None:
+            """End the wait once."""
+            if self._waiters.pop(ticket, None) is not None:
+                reply(messages.Woken(self.read_clock()))
+
+        self._waiters[ticket] = wake
+        self.after(0.0 if ticket.settled else max(0.0, until - self.read_clock()), wake)
+
+    def _wake(self, state: ServiceState) -> None:
+        """End the waits of tickets that were settled."""
+        while state.settled:
+            waiter = self._waiters.get(state.settled.pop())
+            if waiter is not None:
+                self.after(0.0, waiter)
+
+    def _forward(self, sent: SendRequest, instance: str, deadline: float, reply: Reply) -> None:
+        """Make one attempt at an instance."""
+        left = max(0.001, deadline - self.read_clock())
+        asked = Asked(sent.request, self.kernel.now + left)
+        self.recorder.record("request.forwarded", {"request": sent.request, "host": instance})
+
+        def handle(respond: Reply) -> None:
+            """Let whatever bears the name now take the request."""
+            self.around.instances[instance].handle(asked, respond)
+
+        def hear(outcome: object) -> None:
+            """Tell the path how the attempt ended."""
+            now = self.read_clock()
+            match outcome:
+                case Loss(detail, False):
+                    reply(messages.Refused(now, detail))
+                case Loss():
+                    reply(messages.TimedOut(now))
+                case Outcome(request=request):
+                    body = request.encode()
+                    reply(messages.Whole(now, messages.Response(200, "OK", (), body)))
+                case _:
+                    late = messages.Response(503, "", (), b"", not_run=True)
+                    reply(messages.Whole(now, late))
+
+        self.network.ask(self.name, instance, handle, self.guard(hear), timeout=left)
+
+    def _claim(self, request_id: str, deadline: float, reply: Reply) -> None:
+        """Claim a request id, giving up at the deadline."""
+        given_up = [False]
+        pending = prepare_claim(request_id, self._name_token(), self.read_wall())
+
+        def give_up() -> None:
+            """Tell the path that the store is late."""
+            if not given_up[0]:
+                given_up[0] = True
+                reply(messages.NotClaimed(self.read_clock(), STORE_LATE))
+
+        def settle(outcomes: dict[bytes, Any]) -> None:
+            """Tell the path, or release what nobody waits for any more."""
+            outcome = outcomes[pending.token]
+            if given_up[0]:
+                if isinstance(outcome, HeldClaim):
+                    self._release(outcome)
+                return
+            given_up[0] = True
+            now = self.read_clock()
+            match outcome:
+                case HeldClaim():
+                    reply(messages.Claimed(now, outcome))
+                case _:
+                    reply(messages.NotClaimed(now, outcome))
+
+        self.after(max(0.0, deadline - self.read_clock()), give_up)
+        self.drive(settle_claims((pending,), self._name_token), self._perform_claim, settle)
+
+    def _perform_claim(self, action: claims.Commit | claims.ReadRow, reply: Reply) -> None:
+        """Carry out an action of a claim."""
+        match action:
+            case claims.Commit(transaction):
+                self.around.platform.commit(self, transaction, reply)
+            case claims.ReadRow(key):
+                self.around.platform.read(self, key, reply)
+
+    def _release(self, claim: HeldClaim) -> None:
+        """Delete a claim row."""
+        write = Write(claim.key, claim.version, None)
+        transaction = Transaction(self._name_token(), (write,))
+        self.around.platform.commit(self, transaction, lambda outcome: None)
+
+    def _refresh(self) -> None:
+        """Take in members, hosts and bundle as they are now."""
+        now = self.read_clock()
+        names = tuple(
+            member.name
+            for member in self.members()
+            if member.role == "request" and member.standing is not Standing.GONE
+        )
+        self._book.update(names, now)
+        bundle = self.current()
+        if bundle is not None:
+            for service in bundle.services:
+                self._refresh_service(bundle, service, now)
+        if self._draining and not self._busy:
+            self.end(graceful=True)
+        self.after(REFRESH, self._refresh)
+
+    def _refresh_service(self, bundle: Bundle, service: Service, now: float) -> None:
+        """Take in the instances of one service."""
+        state = self._states.get(service.name)
+        if state is None:
+            share = bundle.limits.retry_share
+            state = ServiceState(service, share, self.site, Random(self._random.random()))
+            self._states[service.name] = state
+        state.configure(service)
+        mine = (host for host in self.hosts if host.service == service.name)
+        state.update(tuple(self._share(host, service) for host in mine), now)
+        self._wake(state)
+
+    def _share(self, host: ListedHost, service: Service) -> InstanceShare:
+        """Return this process's share of one instance."""
+        slots = self._book.share(host.name, host.slots or service.slots)
+        return InstanceShare(host.name, host.site, slots, host.leaving)
+
+    def _grant(self) -> None:
+        """Grant what time has freed."""
+        for state in self._states.values():
+            state.grant(self.read_clock())
+            self._wake(state)
+        self.after(GRANT, self._grant)
--- a/scenarios/world.py
+++ b/scenarios/world.py
@@ -21,10 +21,11 @@
 from scenarios.actors import Platform, SimulatedWorker
 from scenarios.check import name_entries
 from scenarios.control import Control
-from scenarios.evidence import Evidence, JobTold
+from scenarios.evidence import Evidence, JobTold, RequestTold
 from scenarios.kernel import Kernel, Loss, Network, Reply, covers
-from scenarios.model import Action, Hosts, JobEnd, Scenario
+from scenarios.model import Action, JobEnd, RequestEnd, Scenario
 from scenarios.peer import PeerProcess, Surroundings
+from scenarios.requesting import Fronting, SimulatedInstance
 from scenarios.signing import make_ring, make_submission
 from scenarios.witness import Witness, describe_work
 from toucanpin.bundles.acceptance import (
@@ -37,9 +38,10 @@
 )
 from toucanpin.placement.submission import Submission, name_job
 from toucanpin.platform.ports import HostRole, ListedHost, Size
+from toucanpin.requests.messages import Response
 from toucanpin.timeline.event import Event
 from toucanpin.timeline.recorder import Recorder
-from toucanpin.verdict import Reason
+from toucanpin.verdict import Reason, Refusal, Verdict
 
 __all__ = ["VirtualWorld"]
 
@@ -47,6 +49,7 @@
 CALLER = "caller"
 CALLER_PAUSE = 1.0
 CALLER_TIMEOUT = 5.0
+CALLER_PATIENCE = 1.0
 LONG_AGO = -1_000.0
 IDS = {"job": "job", "request": "request", "version": "bundle"}
 FINAL = frozenset({Reason.NEVER_FITS, Reason.FORBIDDEN, Reason.BAD_REQUEST, Reason.TOO_LARGE})
@@ -72,7 +75,7 @@
         witness = Witness(self._platform.objects, self._evidence, scenario.capacity, self._names)
         self._platform.watchers.append(lambda row: witness.see(self._kernel.now, row))
         self._accept_first_bundle()
-        self._hosts = {each.name: each for each in list_hosts(scenario.hosts, scenario.capacity)}
+        self._hosts = {each.name: each for each in list_hosts(scenario)}
         self._platform.hosts.replace(LONG_AGO, tuple(self._hosts.values()))
         for name in self._hosts:
             self._start_host(name)
@@ -87,6 +90,8 @@
         match action:
             case model.SubmitJob():
                 self._submit(action)
+            case model.SendRequest():
+                self._send(action)
             case model.SubmitBundle(version, entry, variant):
                 self._submit_bundle(version, entry, variant)
             case model.CancelJob(job, entry):
@@ -160,11 +165,21 @@
             )
             self._around.workers[name] = worker
             return
-        process = f"{name}/control"
-        site = self._hosts[name].site
-        control = Control(self._around, process, self._begin_life(process), site)
-        self._around.peers[process] = control
-        self._recorders.append(control.recorder)
+        host = self._hosts[name]
+        if host.role is HostRole.INSTANCE:
+            served = next(it for it in self._scenario.services if it.service.name == host.service)
+            life = self._begin_life(name)
+            self._around.instances[name] = SimulatedInstance(self._around, name, life, served)
+            return
+        self._start_process(Control, f"{name}/control", host.site)
+        if self._scenario.services:
+            self._start_process(Fronting, f"{name}/request", host.site)
+
+    def _start_process(self, kind: type[PeerProcess], name: str, site: str) -> None:
+        """Start one process of an entry host."""
+        process = kind(self._around, name, self._begin_life(name), site)
+        self._around.peers[name] = process
+        self._recorders.append(process.recorder)
 
     def _begin_life(self, name: str) -> int:
         """Count a new life of a process."""
@@ -174,9 +189,9 @@
 
     def _kill(self, target: str) -> None:
         """End everything that a target covers."""
-        for name, worker in self._around.workers.items():
-            if covers(target, name) and worker.alive:
-                worker.end()
+        for name, other in (*self._around.workers.items(), *self._around.instances.items()):
+            if covers(target, name) and other.alive:
+                other.end()
                 self._network.remove(name)
         for process in self._find_processes(target):
             process.end(graceful=False)
@@ -231,6 +246,35 @@
         ids = {name: each for each, name in self._names.items()}
         self._insist(entry, lambda control, answer: control.cancel(ids[job], answer), lambda: None)
 
+    def _send(self, action: model.SendRequest) -> None:
+        """Send a request as a caller does, once, and note what the caller is told."""
+        sent = self._kernel.now
+        name = f"{action.through}/request"
+
+        def hear(outcome: object) -> None:
+            """Note the answer; a caller that hears nothing has to assume that it may have run."""
+            whole = True
+            match outcome:
+                case Loss(sent=False) | Refusal(verdict=Verdict.NOT_RUN):
+                    end = RequestEnd.NOT_RUN
+                case Response(body=body):
+                    end = RequestEnd.ANSWERED
+                    whole = body == action.request.encode()
+                case _:
+                    end = RequestEnd.MAY_HAVE_RUN
+            now = self._kernel.now
+            told = RequestTold(action.request, action.through, sent, now, end, whole)
+            self._evidence.requests.append(told)
+            self._script.record("caller.told", {"request": action.request}, end.value)
+
+        def handle(answer: Reply) -> None:
+            """Let the process that bears the name now decide."""
+            process = self._around.peers[name]
+            if isinstance(process, Fronting):
+                process.serve(action, answer)
+
+        self._network.ask(CALLER, name, handle, hear, timeout=action.deadline + CALLER_PATIENCE)
+
     def _submit_bundle(self, version: int, entry: str, variant: int) -> None:
         """Submit a bundle as an operator does: the same one again until it is told an end."""
         submission = make_submission(self._scenario, version, variant, self._kernel.now)
@@ -257,7 +301,7 @@
         self, entry: str, ask: Callable[[Control, Reply], None], refuse: Callable[[], None]
     ) -> None:
         """Ask through an entry host, and after a while through another, until there is an end."""
-        names = sorted(self._around.peers)
+        names = sorted(name for name in self._around.peers if name.endswith("/control"))
         name = f"{entry}/control" if entry else self._kernel.random.choice(names)
 
         def handle(answer: Reply) -> None:
@@ -288,8 +332,9 @@
             return str(value)
 
 
-def list_hosts(hosts: Hosts, capacity: Size) -> Iterator[ListedHost]:
+def list_hosts(scenario: Scenario) -> Iterator[ListedHost]:
     """Yield the hosts of a scenario, spread over its sites and racks."""
+    hosts, capacity = scenario.hosts, scenario.capacity
     for number, name in enumerate(name_entries(hosts)):
         site = f"site-{number % hosts.site + 1}"
         yield ListedHost(name, HostRole.ENTRY, site, "", "", 0)
@@ -297,3 +342,16 @@
         site = f"site-{number % hosts.site + 1}"
         rack = f"rack-{number // hosts.site % hosts.rack + 1}"
         yield ListedHost(f"w{number + 1}", HostRole.WORKER, site, rack, "", 0, size=capacity)
+    for number in range(hosts.instance if scenario.services else 0):
+        service = scenario.services[number % len(scenario.services)].service
+        yield ListedHost(
+            f"i{number + 1}",
+            HostRole.INSTANCE,
+            f"site-{number % hosts.site + 1}",
+            "",
+            "",
+            0,
+            service=service.name,
+            slots=service.slots,
+            connections=service.connections,
+        )
