--- a/scenarios/evidence.py
+++ b/scenarios/evidence.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from scenarios.model import FOREVER, JobEnd, RequestEnd
@@ -87,7 +88,8 @@
     Gather everything that was seen until ``ended``.
 
     ``accepted`` gives the instants at which versions of the bundle were accepted; ``living`` the
-    instant since when each process that runs at the end has run; ``lives_ended`` when others ended.
+    instant since when each process that runs at the end has run; ``lives_ended`` when others ended;
+    ``kinds`` counts the events on the time line.
     """
 
     ended: float = 0.0
@@ -101,3 +103,4 @@
     lives_ended: dict[tuple[str, int], float] = field(default_factory=dict)
     overcommitted: list[Breach] = field(default_factory=list)
     cut_off: list[Breach] = field(default_factory=list)
+    kinds: Counter[str] = field(default_factory=Counter)
--- a/scenarios/judge.py
+++ b/scenarios/judge.py
@@ -59,6 +59,9 @@
                         yield from _weigh_request(seen, name, end, event.time + within)
         case model.NoWork(host, after):
             yield from _weigh_silence(seen, host, after)
+        case model.FewEvents(most, kind):
+            if seen.kinds[kind] > most:
+                yield f"there are {seen.kinds[kind]} {kind} events, more than {most}"
         case model.AlwaysExpected(Always.ONE_PLACE):
             yield from _weigh_places(seen)
         case model.AlwaysExpected(Always.NEVER_OVERCOMMITTED):
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -32,6 +32,7 @@
     "$END": "the end of the file",
     "_NL": "the end of the line",
     "NAME": "a name",
+    "KIND": "a kind of event such as cell.take",
     "INT": "a whole number",
     "STRING": "a text in quotes",
     "DURATION": "a duration such as 3s, 20ms or 2min",
@@ -146,6 +147,7 @@
 
     INT = int
     NAME = str
+    KIND = str
     DURATION = staticmethod(_read_seconds)
     SIGNED_DURATION = staticmethod(_read_seconds)
 
@@ -331,6 +333,7 @@
     standing_runs = model.StandingRuns
     bundle_everywhere = model.BundleEverywhere
     no_work = model.NoWork
+    few_events = model.FewEvents
 
     def request_ends(
         self, name: str, end: Token, within: float = model.FOREVER
--- a/scenarios/model.py
+++ b/scenarios/model.py
@@ -27,6 +27,7 @@
     "Event",
     "Expectation",
     "Expected",
+    "FewEvents",
     "Hosts",
     "JobEnd",
     "JobEnds",
@@ -313,6 +314,14 @@
     after: float
 
 
+@dataclass(frozen=True, slots=True)
+class FewEvents:
+    """Expect no more events of a kind on the time line."""
+
+    most: int
+    kind: str
+
+
 @dataclass(frozen=True, slots=True)
 class AlwaysExpected:
     """Expect a promise to hold all the time."""
@@ -321,7 +330,14 @@
 
 
 Expected = (
-    JobEnds | JobResumes | StandingRuns | BundleEverywhere | RequestEnds | NoWork | AlwaysExpected
+    JobEnds
+    | JobResumes
+    | StandingRuns
+    | BundleEverywhere
+    | RequestEnds
+    | NoWork
+    | FewEvents
+    | AlwaysExpected
 )
 
 
--- a/scenarios/runner.py
+++ b/scenarios/runner.py
@@ -68,7 +68,9 @@
         world.advance(event.time)
         world.apply(event.action)
     world.advance(find_end(scenario))
-    failures = tuple(judge(scenario, world.close()))
+    evidence = world.close()
+    evidence.kinds.update(event.kind for event in world.events())
+    failures = tuple(judge(scenario, evidence))
     return Outcome(failures, _write_session(scenario, world, failures))
 
 
--- a/scenarios/tests/test_judge.py
+++ b/scenarios/tests/test_judge.py
@@ -1,6 +1,7 @@
 """Tests of the judge: each promise is seen broken by evidence that breaks it."""
 
 import unittest
+from collections import Counter
 from dataclasses import replace
 from typing import Any
 
@@ -116,6 +117,11 @@
         self.assertEqual(weigh(line, runs=[run]), [])
         self.expect_broken(line, "received task a", runs=[replace(run, started=5.5)])
 
+    def test_events_are_counted(self):
+        line = "expect at most 3 cell.take events"
+        self.assertEqual(weigh(line, kinds=Counter({"cell.take": 3})), [])
+        self.expect_broken(line, "4 cell.take", kinds=Counter({"cell.take": 4}))
+
     def test_breaches_are_told(self):
         breach = Breach(3.0, "w1 holds too much")
         self.expect_broken("expect never overcommitted", "w1", overcommitted=[breach])
