--- a/scenarios/judge.py
+++ b/scenarios/judge.py
@@ -53,8 +53,11 @@
         case model.BundleEverywhere(version, within):
             yield from _weigh_spread(seen, version, within)
         case model.RequestEnds(request, end, within):
+            once = end is RequestEnd.AT_MOST_ONCE
             for event in scenario.events:
                 match event.action:
+                    case model.SendRequest(idempotent=True) if once and not request:
+                        continue
                     case model.SendRequest(name) if request in ("", name):
                         yield from _weigh_request(seen, name, end, event.time + within)
         case model.NoWork(host, after):
