--- a/toucanpin/daemon/caller_answer.py
+++ b/toucanpin/daemon/caller_answer.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
+import http
 import math
 import time
 from typing import Any
 
 from toucanpin.daemon.caller_server import encode_refusal
 from toucanpin.daemon.forwarder import UpstreamCutError
+from toucanpin.daemon.web import STATUS_OF_REASON
 from toucanpin.requests.messages import Response
 from toucanpin.verdict import Reason, Refusal, Verdict
 
@@ -22,18 +24,9 @@
 WRITE_SECONDS = 10.0
 NO_BODY_STATUSES = frozenset({204, 304})
 STATUS_LINES = {
-    Reason.BAD_REQUEST: "400 Bad Request",
-    Reason.TOO_LARGE: "413 Content Too Large",
-    Reason.UNKNOWN_SERVICE: "404 Not Found",
-    Reason.NOT_FOUND: "404 Not Found",
-    Reason.CONFLICT: "409 Conflict",
-    Reason.DUPLICATE: "409 Conflict",
-    Reason.DEADLINE: "504 Gateway Timeout",
-    Reason.UPSTREAM_TIMEOUT: "504 Gateway Timeout",
-    Reason.UPSTREAM_BROKE: "502 Bad Gateway",
-    Reason.INTERNAL: "500 Internal Server Error",
+    reason: f"{status} {http.HTTPStatus(status).phrase}"
+    for reason, status in STATUS_OF_REASON.items()
 }
-UNAVAILABLE = "503 Service Unavailable"
 TOO_LONG_FOR_OLD_CALLER = Refusal(
     Verdict.MAY_HAVE_RUN,
     Reason.UPSTREAM_BROKE,
@@ -45,7 +38,7 @@
     """Write a refusal; return False if the caller was gone."""
     body = encode_refusal(refusal)
     head = [
-        f"HTTP/1.1 {STATUS_LINES.get(refusal.reason, UNAVAILABLE)}",
+        f"HTTP/1.1 {STATUS_LINES[refusal.reason]}",
         "Content-Type: application/json",
         f"Content-Length: {len(body)}",
         f"Toucanpin-Verdict: {refusal.verdict.value}",
--- a/toucanpin/daemon/front.py
+++ b/toucanpin/daemon/front.py
@@ -10,7 +10,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -26,11 +26,13 @@
     split_target,
     take_request,
 )
-from toucanpin.daemon.caller_server import CallerServer, encode_refusal
+from toucanpin.daemon.caller_server import CallerServer
 from toucanpin.daemon.claimer import Claimer
 from toucanpin.daemon.forwarder import CallerFaultError
 from toucanpin.daemon.parts import BundleView, EventSink, MembershipView, WsgiApp
+from toucanpin.daemon.sweeper import Sweeper
 from toucanpin.daemon.upstreams import ServiceEntry, Upstreams
+from toucanpin.daemon.web import mount_apps
 from toucanpin.platform.ports import ListedHost, Table
 from toucanpin.requests.admission import Ticket
 from toucanpin.requests.messages import (
@@ -118,8 +120,8 @@
         self._settings = settings
         self._bundle = bundle
         self._events = events
-        self._mounts = mounts
         self._claimer = Claimer(table, f"{settings.name}:{settings.incarnation}")
+        self._sweeper = Sweeper(table, settings.name, members)
         self._upstreams = Upstreams(
             settings.name, settings.site, settings.settle, bundle, hosts, members, rng or Random()
         )
@@ -131,7 +133,7 @@
             settings.max_body,
             settings.linger,
         )
-        self._server.wsgi_app = self._dispatch
+        self._server.wsgi_app = mount_apps(mounts)
         self._draining = False
         self._stopped = threading.Event()
         self._busy = 0
@@ -152,12 +154,14 @@
     def ready(self) -> bool:
         """Say whether a balancer should send callers here."""
         known = self._bundle.current() is not None
-        return known and self._upstreams.owns_slots and not self._draining
+        settled = self._upstreams.knows_shares(time.monotonic())
+        return known and settled and not self._draining
 
     def start(self) -> None:
         """Bind and start serving."""
         self._upstreams.refresh(time.monotonic())
         self._claimer.start()
+        self._sweeper.start()
         self._server.prepare()
         for thread in self._threads:
             thread.start()
@@ -178,6 +182,7 @@
         self._server.stop()
         self._stopped.set()
         self._claimer.stop()
+        self._sweeper.stop()
         self._upstreams.close()
         for thread in self._threads:
             thread.join(1.0)
@@ -201,23 +206,6 @@
             return _ServiceGateway(self, req)
         return wsgi.Gateway_10(req)
 
-    def _dispatch(
-        self, environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> Iterable[bytes]:
-        path = environ["PATH_INFO"]
-        for prefix, app in self._mounts.items():
-            if path == prefix or path.startswith(prefix.rstrip("/") + "/"):
-                return app(environ, start_response)
-        body = encode_refusal(Refusal(Verdict.NOT_RUN, Reason.NOT_FOUND, "no such path"))
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            ("Toucanpin-Verdict", Verdict.NOT_RUN.value),
-            ("Toucanpin-Reason", Reason.NOT_FOUND.value),
-        ]
-        start_response("404 Not Found", headers)
-        return [body]
-
     def serve(self, req: Any) -> None:
         """Answer one request for a service."""
         with self._busy_lock:
@@ -247,7 +235,7 @@
         if entry is None:
             raise refuse(Reason.UNKNOWN_SERVICE, "the bundle in force has no such service")
         incoming = take_request(req, entry.state.service, target, arrived)
-        if not self._upstreams.owns_slots:
+        if not self._upstreams.knows_shares(arrived):
             self._refuse(req, NOT_SETTLED, incoming.request.request_id)
             return
         self._drive(req, incoming, entry)
--- /dev/null
+++ b/toucanpin/daemon/sweeper.py
@@ -0,0 +1,88 @@
+"""
+Sweeper
+=======
+
+The thread that deletes old claim rows at an even, low rate.
+"""
+
+from __future__ import annotations
+
+import secrets
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+
+from toucanpin.daemon.parts import MembershipView
+from toucanpin.membership.member import Standing
+from toucanpin.platform.ports import Table
+from toucanpin.requests.claims import Commit
+from toucanpin.requests.sweeps import Scan, list_parts, sweep_part
+
+__all__ = ["Sweeper"]
+
+PAUSE_SECONDS = 1.0
+JOIN_SECONDS = 2.0
+
+log = logbook.Logger("toucanpin.claims")
+
+
+class Sweeper:
+    """Sweep this process's part of the old claims."""
+
+    def __init__(
+        self,
+        table: Table,
+        name: str,
+        members: MembershipView,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._table = table
+        self._name = name
+        self._members = members
+        self._wall = wall
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="sweeper", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stopped.set()
+        self._thread.join(JOIN_SECONDS)
+
+    def sweep(self, prefix: str) -> int:
+        """Sweep one part now and return how many rows were deleted."""
+        steps = sweep_part(prefix, lambda: f"{self._name}:sweep:{secrets.token_hex(8)}")
+        reply: Any = None
+        while True:
+            try:
+                action = steps.send(reply)
+            except StopIteration as end:
+                return int(end.value)
+            match action:
+                case Scan(prefix=wanted):
+                    reply = self._table.scan(wanted)
+                case Commit(transaction=transaction):
+                    reply = self._table.commit(transaction)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(PAUSE_SECONDS):
+            for prefix in list_parts(self._wall(), self._list_members(), self._name):
+                try:
+                    self.sweep(prefix)
+                except Exception:
+                    log.exception("sweeping old claims failed")
+                if self._stopped.wait(PAUSE_SECONDS):
+                    return
+
+    def _list_members(self) -> tuple[str, ...]:
+        return tuple(
+            member.name
+            for member in self._members.members()
+            if member.role == "request" and member.standing is Standing.ALIVE
+        )
--- a/toucanpin/daemon/upstreams.py
+++ b/toucanpin/daemon/upstreams.py
@@ -20,7 +20,7 @@
 from toucanpin.requests.admission import Ticket
 from toucanpin.requests.routing import InstanceShare
 from toucanpin.requests.service import ServiceState
-from toucanpin.requests.shares import ShareBook
+from toucanpin.requests.shares import PAUSE, ShareBook
 
 __all__ = ["ServiceEntry", "Upstreams"]
 
@@ -81,12 +81,21 @@
         self._book = ShareBook(name, settle)
         self._entries: dict[str, ServiceEntry] = {}
         self._refreshed = 0.0
-        self.owns_slots = False
+        self._owns_any = False
 
     def find(self, name: str) -> ServiceEntry | None:
         """Return the entry of a service, None if the bundle has no such service."""
         return self._entries.get(name)
 
+    def knows_shares(self, now: float) -> bool:
+        """
+        Say whether this process knows its shares of slots as of now.
+
+        After a pause it doesn't until the next refresh: the shares that it remembers may be in use
+        by others.
+        """
+        return self._owns_any and now - self._refreshed <= PAUSE
+
     def tick(self, now: float) -> None:
         """Grant what time has freed, and refresh when it is time to."""
         if now - self._refreshed >= REFRESH_SECONDS:
@@ -115,7 +124,7 @@
         }
         gone = [entry for name, entry in self._entries.items() if name not in entries]
         self._entries = entries
-        self.owns_slots = self._book.owns_any
+        self._owns_any = self._book.owns_any
         for entry in gone:
             _close(entry)
 
--- a/toucanpin/daemon/web.py
+++ b/toucanpin/daemon/web.py
@@ -18,7 +18,7 @@
 from toucanpin.daemon.parts import WsgiApp
 from toucanpin.verdict import Reason, Refusal, Verdict
 
-__all__ = ["answer_json", "answer_refusal", "answer_text", "mount_apps"]
+__all__ = ["STATUS_OF_REASON", "answer_json", "answer_refusal", "answer_text", "mount_apps"]
 
 STATUS_OF_REASON = {
     Reason.BAD_REQUEST: 400,
@@ -34,7 +34,7 @@
     Reason.DRAINING: 503,
     Reason.NOT_READY: 503,
     Reason.NO_UPSTREAM: 503,
-    Reason.UPSTREAM_REFUSED: 502,
+    Reason.UPSTREAM_REFUSED: 503,
     Reason.UPSTREAM_BROKE: 502,
     Reason.UPSTREAM_TIMEOUT: 504,
     Reason.STORE_UNAVAILABLE: 503,
--- a/toucanpin/requests/path.py
+++ b/toucanpin/requests/path.py
@@ -39,8 +39,6 @@
 __all__ = ["serve_request"]
 
 MAX_ATTEMPTS = 3
-PATIENCE_SHARE = 0.6
-MIN_ATTEMPT_SECONDS = 0.05
 BROKEN_STATUSES = frozenset({500, 502, 503, 504})
 COME_BACK_SECONDS = 1.0
 
@@ -132,7 +130,7 @@
         request, service = self._request, self._service
         started = self._now
         deadline = self._limit_attempt()
-        held_until: float | None = deadline
+        held_until: float | None = request.deadline
         try:
             outcome = yield Forward(instance, deadline, not request.idempotent)
             self._now = outcome.at
@@ -140,7 +138,7 @@
                 held_until = None
         finally:
             # After an answer that never came, the instance may still be at work until the
-            # deadline that it was given; its slot isn't ours to use again before that.
+            # caller's deadline; its slot isn't ours to use again before that.
             if not (held_until is None and isinstance(outcome, Whole) and outcome.response.rest):
                 service.give_back(instance, self._now, held_until)
         self._book(instance, outcome, started)
@@ -149,12 +147,12 @@
 
     def _limit_attempt(self) -> float:
         """Leave time for another attempt where one may follow."""
-        request = self._request
-        if not request.idempotent or not self._service.router.has_other(self._tried):
+        request, service = self._request, self._service
+        if not request.idempotent or not service.router.has_other(self._tried):
+            return request.deadline
+        if len(self._tried) + 1 >= MAX_ATTEMPTS or not service.budget.affords:
             return request.deadline
-        patience = (request.deadline - self._now) * PATIENCE_SHARE
-        usual = self._service.admission.mean * 3
-        return min(request.deadline, self._now + max(patience, usual, MIN_ATTEMPT_SECONDS))
+        return self._now + service.patience.limit(request.deadline - self._now)
 
     def _book(self, instance: str, outcome: Any, started: float) -> None:
         service = self._service
@@ -163,6 +161,7 @@
                 service.router.avoid(instance, draining, self._now)
             case Whole(response=Response(status=status)):
                 service.admission.observe(self._now - started)
+                service.patience.observe(self._now - started)
                 if status in BROKEN_STATUSES:
                     service.router.fail(instance, self._now)
                 else:
@@ -173,6 +172,7 @@
                     service.router.fail(instance, self._now)
             case TimedOut():
                 self._may_have_run = True
+                service.patience.observe(self._now - started)
                 service.router.fail(instance, self._now)
             case Refused():
                 service.router.fail(instance, self._now)
--- a/toucanpin/requests/retries.py
+++ b/toucanpin/requests/retries.py
@@ -29,13 +29,18 @@
         self._earned = share * EARNED_PART
         self._tokens = FIRST_TOKENS
 
+    @property
+    def affords(self) -> bool:
+        """Say whether a retry is in the budget."""
+        return self._tokens >= 1.0
+
     def earn(self) -> None:
         """Count one first attempt."""
         self._tokens = min(MAX_TOKENS, self._tokens + self._earned)
 
     def spend(self) -> bool:
         """Take one retry if the budget allows it."""
-        if self._tokens < 1.0:
+        if not self.affords:
             return False
         self._tokens -= 1.0
         return True
--- a/toucanpin/requests/service.py
+++ b/toucanpin/requests/service.py
@@ -11,6 +11,7 @@
 
 from toucanpin.bundles.schema import Service
 from toucanpin.requests.admission import Admission, Ticket
+from toucanpin.requests.patience import Patience
 from toucanpin.requests.retries import RetryBudget
 from toucanpin.requests.routing import InstanceShare, Router
 from toucanpin.verdict import Reason, Refusal, Verdict
@@ -28,7 +29,7 @@
     tickets whose wait ended in this step, for the daemon to wake.
     """
 
-    __slots__ = ("service", "rng", "admission", "router", "budget", "settled")
+    __slots__ = ("service", "rng", "admission", "router", "budget", "patience", "settled")
 
     def __init__(self, service: Service, retry_share: float, site: str, rng: Random) -> None:
         self.service = service
@@ -36,6 +37,7 @@
         self.admission = Admission(service.queue, rng)
         self.router = Router(site, rng)
         self.budget = RetryBudget(retry_share)
+        self.patience = Patience()
         self.settled: list[Ticket] = []
 
     def configure(self, service: Service) -> None:
--- a/toucanpin/requests/shares.py
+++ b/toucanpin/requests/shares.py
@@ -15,7 +15,7 @@
 
 import xxhash
 
-__all__ = ["ShareBook", "share_of"]
+__all__ = ["PAUSE", "ShareBook", "share_of"]
 
 PAUSE = 2.0
 
--- a/toucanpin/requests/tests/test_claims.py
+++ b/toucanpin/requests/tests/test_claims.py
@@ -1,6 +1,7 @@
 """Tests of claims, with two request processes interleaved at every step."""
 
 import unittest
+from contextlib import suppress
 from random import Random
 
 from expression import Error, Ok
@@ -23,6 +24,7 @@
     settle_claims,
 )
 from toucanpin.requests.messages import HeldClaim
+from toucanpin.requests.sweeps import list_parts, sweep_part
 from toucanpin.verdict import Reason, Verdict
 
 
@@ -147,6 +149,30 @@
         self.assertIs(outcome.verdict, Verdict.NOT_RUN)
         self.assertIs(outcome.reason, Reason.STORE_UNCERTAIN)
 
+    def test_sweeps_only_what_no_longer_refuses_duplicates(self):
+        table = CalmTable(Random(1))
+        for wall in range(0, BUCKET_SECONDS * 8, 100):
+            run(table, tuple(prepare_claim(f"r{wall}.{n}", f"{wall}.{n}", wall) for n in range(9)))
+        now = BUCKET_SECONDS * 7 + 1.0
+        members = ("a", "b", "c")
+        parts = [set(list_parts(now, members, me)) for me in members]
+        self.assertEqual(len(set.union(*parts)), sum(len(part) for part in parts))
+        for prefix in set.union(*parts):
+            self.sweep(table, prefix)
+        left = {int(key.split("/")[1]) for key in table.rows}
+        self.assertEqual(left, {5, 6, 7})
+
+    @staticmethod
+    def sweep(table, prefix):
+        steps = sweep_part(prefix, lambda: "t")
+        next(steps)
+        reply = Ok(tuple(row for key, row in table.rows.items() if key.startswith(prefix)))
+        with suppress(StopIteration):
+            while True:
+                action = steps.send(reply)
+                assert isinstance(action, Commit)
+                reply = table.apply(action.transaction)
+
     def test_fills_transactions_and_puts_second_claims_off(self):
         claims = tuple(prepare_claim(f"r{n}", f"{n}", 100.0) for n in range(40))
         batch, rest = gather_batch(claims)
--- a/toucanpin/requests/tests/test_path.py
+++ b/toucanpin/requests/tests/test_path.py
@@ -202,6 +202,38 @@
         clock.run()
         self.assertTrue(all(record.ok for record in quiet))
 
+    def test_leaves_a_frozen_instance_soon(self):
+        """
+        Nearly all callers are served in time, the slowest within half a second.
+
+        One instance of ten takes connections and never answers, as a stopped process does.  Without
+        a limit of its own the first attempt would use up the caller's two seconds.
+        """
+        front, load = self.run_front(
+            lambda name, now: Attempt(60.0 if name == "i0" and now > 1.0 else 0.05), rate=800.0
+        )
+        late = [
+            record for record in front.records if record.answered - record.request.arrived > 0.5
+        ]
+        self.assertLess(len(late), 0.005 * len(front.records))
+        self.assertFalse([record for record in front.records if not record.ok])
+        self.assertLessEqual(load.sent["i0"], 100)
+
+    def test_does_not_cut_answers_that_are_only_slow(self):
+        """
+        All callers but a few are served, though answer times spread widely.
+
+        Attempts are cut after a limit learnt from answers.  Learnt from the answers alone, without
+        the attempts that were cut, the limit shrinks with each cut until most are cut.
+        """
+        rng = Random(3)
+        front, load = self.run_front(
+            lambda name, now: Attempt(rng.lognormvariate(-3.5, 1.0)), rate=1_200.0
+        )
+        bad = sum(not record.ok for record in front.records)
+        self.assertLess(bad, 0.005 * len(front.records))
+        self.assertLess(sum(load.sent.values()), 1.02 * len(front.records))
+
     def test_holds_the_slot_of_an_attempt_whose_end_is_unknown(self):
         """
         The instance never works on more than its eight slots.
