--- a/toucanpin/requests/tests/test_claims.py
+++ b/toucanpin/requests/tests/test_claims.py
@@ -64,7 +64,9 @@
             return Error(Conflict(tuple(wrong)))
         self.version += 1
         for write in transaction.writes:
-            if not write.check_only:
+            if write.value is None and not write.check_only:
+                del self.rows[write.key]
+            elif not write.check_only:
                 self.rows[write.key] = Row(write.key, self.version, write.value)
         return Ok(Committed(self.version))
 
