--- /dev/null
+++ b/toucanpin/placement/tests/world.py
@@ -0,0 +1,441 @@
+"""
+World of the placement tests
+============================
+
+Several control processes over the stand-ins' cores on one virtual clock.  A process makes one step
+from one ``yield`` to the next, so a test may do anything to it between any two actions.
+"""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import Any, cast
+
+import msgspec
+from expression import Error, Ok
+
+from standins.faults import Effect, FaultPlan, Rule
+from standins.memory import Line, MemoryObjects, MemoryTable, MemoryWorkers
+from standins.objects import ObjectsCore
+from standins.table import TableCore
+from standins.work import Work
+from standins.worker import WorkerCore
+from toucanpin.bundles.schema import Bundle, StandingTask
+from toucanpin.membership.incarnation import number_life
+from toucanpin.membership.member import Member
+from toucanpin.placement.actions import (
+    Answer,
+    AskStandstill,
+    Commit,
+    Note,
+    PollAll,
+    Read,
+    Scan,
+)
+from toucanpin.placement.controller import release_all, take_turn
+from toucanpin.placement.leases import Terms
+from toucanpin.placement.ledger import fits, used_by_worker
+from toucanpin.placement.queue import shape_cells
+from toucanpin.placement.records import CellRow, JobRow, JobState, Life, decode
+from toucanpin.placement.state import ControlState, Pace, View
+from toucanpin.placement.submission import Submission, cancel_job, submit_job
+from toucanpin.platform.ports import HostRole, ListedHost, Size, WorkerFault
+
+WORKER_SIZE = Size(8, 8_000, 1)
+TERMS = Terms(long_hold=60.0)
+PACE = Pace(poll=0.5, checkpoint=5.0, quarantine=30.0)
+TURN = 0.25
+NOTICE = 1.0
+RATES = (1.009, 0.991, 1.0)
+ROUNDING = 2
+
+
+def describe_work(units: int, fail: Any = "never") -> str:
+    """Return the payload of a task that works for so many milliseconds."""
+    return msgspec.json.encode(Work(work=units, input="x", fail=fail)).decode()
+
+
+class Clock:
+    """Run at a rate and from an offset of its own; the rates differ by less than the drift."""
+
+    def __init__(self, number: int) -> None:
+        self.rate = RATES[number % len(RATES)]
+        self.offset = 37.0 * number
+
+    def read(self, now: float) -> float:
+        """Return this clock's seconds at an instant of the world."""
+        return now * self.rate + self.offset
+
+    def invert(self, reading: float) -> float:
+        """Return the world's instant at which this clock shows a reading."""
+        return (reading - self.offset) / self.rate
+
+
+class SkewedCore(WorkerCore):
+    """Act as a worker's agent on a clock of its own; the caller's instants are the world's."""
+
+    def __init__(self, name: str, incarnation: str, size: Size, number: int) -> None:
+        super().__init__(name, incarnation, size)
+        self.clock = Clock(number)
+
+    def read_clock(self, now: int) -> int:
+        """Return this worker's milliseconds."""
+        return int(self.clock.read(now / 1000) * 1000)
+
+    def poll(self, now, poll):
+        """Take one poll at an instant of the world."""
+        with self._own_clock():
+            return super().poll(self.read_clock(now), poll)
+
+    def advance(self, now):
+        """Advance to an instant of the world, or of the own clock while in another call."""
+        if self._inside:
+            super().advance(now)
+            return
+        with self._own_clock():
+            super().advance(self.read_clock(now))
+
+    def finish_put(self, now, put, stored):
+        """Take the outcome of a write."""
+        with self._own_clock():
+            super().finish_put(self.read_clock(now), put, stored)
+
+    def finish_get(self, now, get, body, answered):
+        """Take the outcome of a read."""
+        with self._own_clock():
+            super().finish_get(self.read_clock(now), get, body, answered)
+
+    _inside = False
+
+    @contextmanager
+    def _own_clock(self):
+        self._inside = True
+        yield
+        self._inside = False
+
+
+class Process:
+    """Run the turns of one control process, one action at a time."""
+
+    def __init__(self, world: World, life: Life) -> None:
+        self.world = world
+        self.life = life
+        self.state = ControlState(life, TERMS, PACE)
+        self.clock = Clock(len(world.processes) + 1)
+        self.turn: Any = None
+        self.action: Any = None
+        self.next_turn = 0.0
+        self.killed_at: float | None = None
+        self.paused_at: float | None = None
+        self.cut_table = False
+        self.cut_peers: set[str] = set()
+
+    @property
+    def now(self) -> float:
+        """Return this process's own monotonic seconds."""
+        return self.clock.read(self.world.now)
+
+    @property
+    def silent_since(self) -> float | None:
+        """Return since when the process sends no heartbeats, None if it does."""
+        return self.paused_at if self.killed_at is None else self.killed_at
+
+    @property
+    def paused(self) -> bool:
+        """Tell whether the process is frozen."""
+        return self.paused_at is not None
+
+    @paused.setter
+    def paused(self, paused: bool) -> None:
+        self.paused_at = self.world.now if paused else None
+
+    def step(self) -> None:
+        """Carry out one action, or begin the next turn."""
+        if self.killed_at is not None or self.paused:
+            return
+        if self.turn is None:
+            if self.world.now < self.next_turn:
+                return
+            self.next_turn = self.world.now + TURN
+            self.turn = take_turn(self.state, self.world.view(self))
+            self._send(None)
+            return
+        value = self.world.perform(self, self.action)
+        self._send(Answer(self.now, value))
+
+    def _send(self, answer: Answer | None) -> None:
+        try:
+            self.action = next(self.turn) if answer is None else self.turn.send(answer)
+        except StopIteration:
+            self.turn = None
+
+    def finish_turn(self) -> None:
+        """Make all steps of one turn."""
+        self.step()
+        while self.turn is not None and self.killed_at is None and not self.paused:
+            self.step()
+
+    def stop(self) -> None:
+        """Release everything and end."""
+        self.turn = release_all(self.state)
+        self._send(None)
+        while self.turn is not None:
+            self._send(Answer(self.now, self.world.perform(self, self.action)))
+        self.killed_at = self.world.now
+
+
+class World:
+    """Hold the clock, the platform's cores and the control processes."""
+
+    def __init__(self, racks: int = 1, workers: int = 2, processes: int = 1) -> None:
+        self.now = 100.0
+        self.table = TableCore()
+        self.plan = FaultPlan()
+        self.line = Line(lambda: self.now, self.plan)
+        self.objects = ObjectsCore()
+        self.bundle = Bundle("test", 1)
+        self.cores: dict[str, SkewedCore] = {}
+        self.hosts: list[ListedHost] = []
+        self.dead_workers: dict[str, float] = {}
+        self.paused_workers: set[str] = set()
+        self.events: list[tuple[str, Note]] = []
+        self.ended: dict[str, JobRow] = {}
+        self.processes: dict[str, Process] = {}
+        self.retired: list[tuple[SkewedCore, float]] = []
+        store = MemoryObjects(self.objects, self.line, "worker")
+        self.workers = MemoryWorkers(
+            cast(dict[str, WorkerCore], self.cores), store, self.line, "control"
+        )
+        for rack in range(racks):
+            for number in range(workers):
+                self.add_worker(f"w{rack}{number}", f"r{rack}")
+        for number in range(processes):
+            self.add_process(f"e{number}/control", 1)
+
+    def add_worker(self, name: str, rack: str, size: Size = WORKER_SIZE) -> None:
+        """Add a worker host and list it."""
+        self.cores[name] = SkewedCore(name, "1", size, len(self.cores))
+        host = ListedHost(name, HostRole.WORKER, "s", rack, "127.0.0.1", 1, size=size)
+        self.hosts.append(host)
+
+    def add_process(self, name: str, incarnation: int) -> Process:
+        """Start a control process; a second life takes the place of the first."""
+        process = self.processes[name] = Process(self, Life(name, incarnation))
+        return process
+
+    def view(self, asker: Process) -> View:
+        """Return what a process believes; the death of another is noticed after a while."""
+        members = tuple(
+            Member(name, name, "s", "control", number_life(it.life.incarnation), "127.0.0.1", 1)
+            for name, it in self.processes.items()
+            if it.silent_since is None or self.now - it.silent_since < NOTICE
+        )
+        return View(asker.now, tuple(self.hosts), members, self.bundle)
+
+    def perform(self, process: Process, action: Any) -> Any:
+        """Carry out one action with the ports of a process."""
+        client = process.life.process
+        table = MemoryTable(self.table, self.line, client)
+        match action:
+            case Commit(transaction):
+                return table.commit(transaction)
+            case Read(key):
+                return table.read(key)
+            case Scan(prefix, after):
+                return table.scan(prefix, after)
+            case PollAll(polls):
+                return [self.poll(client, it) for it in polls]
+            case AskStandstill(holder, peers):
+                return frozenset(it for it in peers if self._ask(process, holder, it))
+            case Note():
+                self.events.append((client, action))
+                return None
+
+    def poll(self, client: str, asked):
+        """Poll one worker, unless it is cut off from this process."""
+        if any(
+            rule.client == f"{client}>{asked.host.name}" and rule.operation == "cut"
+            for rule in self.plan.rules
+        ):
+            return Error(WorkerFault("cut off", False))
+        return self.workers.poll(asked.host, asked.poll)
+
+    def _ask(self, process: Process, holder: Life, peer: Life) -> bool:
+        other = self.processes.get(peer.process)
+        if other is None or other.life != peer or other.killed_at is not None or other.paused:
+            return False
+        if peer.process in process.cut_peers or process.life.process in other.cut_peers:
+            return False
+        return other.state.watch.answer_standstill(holder, other.now)
+
+    def run(self, seconds: float, check: bool = True) -> None:
+        """Let time pass in small steps; every process makes whole turns."""
+        until = self.now + seconds
+        while self.now < until:
+            self.pass_time(TURN / 2)
+            for process in list(self.processes.values()):
+                process.finish_turn()
+            if check:
+                self.check()
+
+    def settle(self, seconds: float) -> None:
+        """Run until every job has ended and every standing task runs, for so long at most."""
+        until = self.now + seconds
+        while self.now < until and not self.is_settled():
+            self.run(2.0)
+
+    def is_settled(self) -> bool:
+        """Tell whether every job has ended and every standing task runs once."""
+        ended = all(it.state is not JobState.ACCEPTED for it in self.jobs().values())
+        return ended and all(len(self.running(it.name)) == 1 for it in self.bundle.standing)
+
+    def pass_time(self, seconds: float) -> None:
+        """Advance the clock and the workers."""
+        self.now += seconds
+        self.workers.advance()
+
+    def fault(self, effect: Effect, operation: str = "*", client: str = "*", times: int = -1):
+        """Put a fault in force."""
+        self.plan.rules = (*self.plan.rules, Rule(effect, client, operation, times))
+
+    def cut(self, client: str, worker: str) -> None:
+        """Cut a control process off from a worker."""
+        rule = Rule(Effect.DOWN, f"{client}>{worker}", "cut")
+        self.plan.rules = (*self.plan.rules, rule)
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.plan.rules = ()
+
+    def submit(self, key: str, processors: int = 1, work: int = 1000, **fields):
+        """Submit a job and return its status or refusal."""
+        fail = fields.pop("fail", "never")
+        memory = fields.pop("memory", 100)
+        team = fields.pop("team", "t")
+        request = Submission(
+            "k", team, processors, memory, payload=describe_work(work, fail), **fields
+        )
+        shapes = shape_cells(self.hosts)
+        return self.drive(submit_job(request, key, shapes, self.bundle, self.now))
+
+    def cancel(self, job: str):
+        """Cancel a job."""
+        return self.drive(cancel_job(job))
+
+    def drive(self, decision):
+        """Run a decision of the request role to its end."""
+        table = MemoryTable(self.table, self.line, "front")
+        answer: Answer | None = None
+        value: Any = None
+        while True:
+            try:
+                action = next(decision) if answer is None else decision.send(answer)
+            except StopIteration as stop:
+                return stop.value
+            match action:
+                case Commit(transaction):
+                    value = table.commit(transaction)
+                case Read(key):
+                    value = table.read(key)
+                case Scan(prefix, after):
+                    value = table.scan(prefix, after)
+            answer = Answer(self.now, value)
+
+    def set_standing(self, version: int, *names: str, processors: int = 1) -> None:
+        """Put a bundle with these standing tasks in force."""
+        tasks = tuple(
+            StandingTask(it, "t", "encoder", processors, 100, payload=describe_work(0))
+            for it in names
+        )
+        self.bundle = Bundle("test", version, standing=tasks)
+
+    def kill_worker(self, name: str) -> None:
+        """Lose a worker and everything on it."""
+        self.dead_workers[name] = self.now
+        self.workers.lost.add(name)
+
+    def replace_worker(self, name: str) -> None:
+        """Start a new life of a worker that was lost."""
+        old = self.cores[name]
+        self.retired.append((old, self.dead_workers.pop(name, self.now)))
+        number = list(self.cores).index(name) + 1
+        self.cores[name] = SkewedCore(name, old.incarnation + "x", old.size, number)
+        self.workers.lost.discard(name)
+
+    def pause_worker(self, name: str) -> None:
+        """Let a worker make no step."""
+        self.workers.pause(name)
+        self.paused_workers.add(name)
+
+    def resume_worker(self, name: str) -> None:
+        """Wake a worker; its guard comes before anything else that it does."""
+        self.paused_workers.discard(name)
+        self.workers.resume(name)
+
+    def intervals(self) -> dict[str, list[tuple[float, float, str, int]]]:
+        """Return when each task ran where, from the workers' own logs."""
+        found: dict[str, list[tuple[float, float, str, int]]] = {}
+        cores = [(core, self.dead_workers.get(name)) for name, core in self.cores.items()]
+        for core, died in [*cores, *self.retired]:
+            last = self.now if died is None else died
+            lease = core.clock.invert(core._lease_until / 1000)
+            for it in core.log:
+                began = core.clock.invert(it.started_at / 1000)
+                # A core that makes no step any more runs nothing after its lease.
+                end = min(last, lease)
+                if it.stopped_at is not None:
+                    end = core.clock.invert(it.stopped_at / 1000)
+                run = (int(began * 1000), int(end * 1000), core.name, it.attempt)
+                found.setdefault(it.task, []).append(run)
+        return found
+
+    def running(self, task: str) -> list[str]:
+        """Return the workers on which a task runs now."""
+        now = int(self.now * 1000)
+        return [w for start, end, w, _ in self.intervals().get(task, []) if now <= end + ROUNDING]
+
+    def jobs(self) -> dict[str, JobRow]:
+        """Return the jobs' rows."""
+        rows = self.table.scan("job/")
+        return {it.key.removeprefix("job/"): decode(it.value, JobRow) for it in rows}
+
+    def cells(self) -> dict[str, CellRow]:
+        """Return the cells' rows."""
+        rows = self.table.scan("cell/")
+        return {it.key.removeprefix("cell/"): decode(it.value, CellRow) for it in rows}
+
+    def check(self) -> None:
+        """Raise AssertionError if anything that must always hold doesn't."""
+        for task, runs in self.intervals().items():
+            runs.sort()
+            for (_, end, here, one), (start, _, there, two) in zip(runs, runs[1:], strict=False):
+                assert (
+                    start >= end - ROUNDING
+                ), f"{task}/{one} on {here} and {two} on {there} at {start}"
+        places: dict[str, str] = {}
+        for name, cell in self.cells().items():
+            for worker, used in used_by_worker(cell.tasks.values()).items():
+                assert fits(used, cell.workers[worker].size), f"{worker} holds {used}"
+            for task in cell.tasks:
+                assert task not in places, f"{task} in {name} and {places[task]}"
+                places[task] = name
+        for row in self.table.scan("queue/"):
+            kind, _, task = row.key.removeprefix("queue/").partition("/")[2].partition("/")
+            if kind == "task":
+                assert task not in places, f"{task} waits at {row.key} and is in {places[task]}"
+                places[task] = row.key
+        for name, job in self.jobs().items():
+            if name in self.ended:
+                assert self.ended[name] == job, f"{name} ended twice"
+            elif job.state is not JobState.ACCEPTED:
+                self.ended[name] = job
+            else:
+                assert name in places, f"{name} is accepted and nowhere"
+
+    def count_ended(self) -> int:
+        """Return the number of jobs that ended."""
+        self.check()
+        return len(self.ended)
+
+
+__all__ = ["Effect", "Error", "Ok", "Process", "World", "describe_work"]
