--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,367 @@
+"""
+Benchmark of the interference policy
+====================================
+
+Places the same streams of jobs on the same fixed pair tables with several choosers, and prints
+service p99, batch throughput and evictions of each, against a chooser that knows the true table.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from benchmarks.pair_tables import (
+    BATCH,
+    MILLISECONDS,
+    PROCESSORS,
+    FakeWorker,
+    Job,
+    PairTable,
+    make_workers,
+    quiet_factor,
+)
+from toucanpin.bundles.schema import Weights
+from toucanpin.interference import (
+    Action,
+    Avoid,
+    Budget,
+    Candidate,
+    Evict,
+    HostView,
+    InterferencePolicy,
+    KindUsage,
+    Resident,
+    Sample,
+    ServiceLoad,
+    SetShare,
+    Tuning,
+)
+from toucanpin.platform.ports import Order, Poll, Report, Size, Start, Stop, TaskState, Throttle
+
+__all__ = ["CHOOSERS", "DEPLOYMENTS", "Figures", "main", "measure"]
+
+SECONDS = 1_800
+LAG = 10
+REPORT_PERIOD = 5
+RATE = 0.50
+RESTART = 5
+LOOK_AHEAD = 40
+TUNED_TABLES = (11, 12, 13, 14)
+KEPT_TABLES = (101, 102, 103, 104)
+DEPLOYMENTS = {
+    "cooperative": Weights(latency=2.0, throughput=0.5, evictions=0.2),
+    "stillwater": Weights(latency=1.0, throughput=0.5, evictions=1.0),
+}
+EVICT_ABOVE = 1.0
+
+
+@dataclass(slots=True)
+class Place:
+    """Hold what the owner knows of one worker."""
+
+    worker: FakeWorker
+    index: int
+    residents: dict[str, Resident] = field(default_factory=dict)
+    jobs: dict[str, Job] = field(default_factory=dict)
+    loads: dict[str, float] = field(default_factory=dict)
+    latencies: dict[str, float] = field(default_factory=dict)
+    avoided_until: float = 0.0
+    free: int = BATCH.processors
+
+    def view(self) -> HostView:
+        """Return the view that decisions get."""
+        loads = tuple(ServiceLoad(it, self.loads.get(it, 0.5)) for it in self.worker.services)
+        return HostView(self.worker.name, PROCESSORS, loads, tuple(self.residents.values()))
+
+
+class Chooser(Protocol):
+    """Choose places for jobs and act on hosts."""
+
+    def choose(self, now: int, places: list[Place], job: Job) -> Place | None:
+        """Return the place for a job, None to let it wait."""
+        ...
+
+    def use(self, job: Job) -> float:
+        """Return the processors that a job is thought to use."""
+        ...
+
+    def take(self, now: int, place: Place, report: Report) -> Iterator[Action]:
+        """Take a report and yield actions."""
+        ...
+
+    def note(self, now: int, place: Place) -> None:
+        """Take note of changed residents."""
+        ...
+
+
+class Plain:
+    """Place by a rule that knows nothing of interference."""
+
+    def __init__(self, key: Callable[[Place], float], evicts: bool = False) -> None:
+        self._key = key
+        self._evicts = evicts
+
+    def choose(self, now: int, places: list[Place], job: Job) -> Place | None:
+        """Return the fitting place with the lowest key."""
+        fitting = (it for it in places if it.free >= job.processors)
+        return min(fitting, key=self._key, default=None)
+
+    def use(self, job: Job) -> float:
+        """Believe the declaration."""
+        return job.processors
+
+    def take(self, now: int, place: Place, report: Report) -> Iterator[Action]:
+        """Evict the largest task whenever a measured tail is over the limit, if at all."""
+        if not self._evicts or not place.residents:
+            return
+        table = place.worker.table
+        for service, latency in place.latencies.items():
+            quiet = table.quiet[service] * quiet_factor(place.loads[service])
+            if latency / quiet - 1.0 > EVICT_ABOVE:
+                yield Evict(max(place.residents.values(), key=lambda it: it.processors).task)
+                return
+
+    def note(self, now: int, place: Place) -> None:
+        """Take no note."""
+
+
+class Learning:
+    """Place and act by the policy under test, or by the same policy with the true table."""
+
+    def __init__(self, table: PairTable, weights: Weights, knows: bool) -> None:
+        self._table = table
+        self._knows = knows
+        self._usage = KindUsage()
+        tuning = Tuning(settle=0.0, surplus_weight=0.0) if knows else Tuning()
+        self.policy = InterferencePolicy(
+            weights, TrueEffects(table) if knows else None, Budget(), tuning
+        )
+
+    def choose(self, now: int, places: list[Place], job: Job) -> Place | None:
+        """Return the place to whose cost the job adds least, unless it harms everywhere."""
+        task = Candidate(job.kind, self.use(job))
+        best, lowest = None, 0.0
+        for place in places:
+            if place.free < job.processors or now < place.avoided_until:
+                continue
+            score = self.policy.score(place.view(), task)
+            if score < lowest:
+                best, lowest = place, score
+        return best
+
+    def use(self, job: Job) -> float:
+        """Return the true or the learned use."""
+        if self._knows:
+            return job.processors * self._table.use[job.kind]
+        return self._usage.estimate(job.kind, job.processors)
+
+    def take(self, now: int, place: Place, report: Report) -> Iterator[Action]:
+        """Learn from a report and decide."""
+        for task in report.tasks:
+            resident = place.residents.get(task.task)
+            if resident is not None:
+                job = place.jobs[task.task]
+                self._usage.learn(job.kind, job.processors, resident.share, task.processors)
+        if self._knows:
+            place.loads = {it: place.worker.load(it) for it in place.worker.services}
+        view = place.view()
+        samples = [
+            Sample(view.host, it.service, it.sampled_at / MILLISECONDS, it.latency_p99, it.load)
+            for it in report.samples
+        ]
+        self.policy.observe(now, view)
+        self.policy.measure(now, view, samples)
+        yield from self.policy.decide(now, view)
+
+    def note(self, now: int, place: Place) -> None:
+        """Record the residents."""
+        self.policy.observe(now, place.view())
+
+
+@dataclass(frozen=True, slots=True)
+class TrueEffects:
+    """Know the true table at every instant."""
+
+    table: PairTable
+
+    def rise(self, service: str, kind: str, load: float) -> float:
+        """Return the true rise."""
+        return self.table.true_rise(service, kind, load)
+
+    def quiet(self, service: str, load: float) -> float | None:
+        """Return the true quiet p99."""
+        return self.table.quiet[service] * quiet_factor(load)
+
+
+CHOOSERS: dict[str, Callable[[PairTable, Weights], Chooser]] = {
+    "first-fit": lambda table, weights: Plain(lambda place: place.index),
+    "spreading": lambda table, weights: Plain(lambda place: -place.free),
+    "best-fit": lambda table, weights: Plain(lambda place: place.free),
+    "evict-only": lambda table, weights: Plain(lambda place: -place.free, evicts=True),
+    "toucanpin": lambda table, weights: Learning(table, weights, knows=False),
+    "knowing": lambda table, weights: Learning(table, weights, knows=True),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """
+    Hold what one run gave.
+
+    ``p99`` is that of all requests in units of the idle one, ``throughput`` the share of the batch
+    processors that worked, ``evictions`` a count, ``waiting`` the mean number of queued jobs.
+    """
+
+    p99: float
+    throughput: float
+    evictions: float
+    waiting: float
+
+
+class Run:
+    """Drive one chooser through one world."""
+
+    def __init__(self, seed: int, chooser: str, weights: Weights, lag: int = LAG) -> None:
+        self.table = PairTable(seed, SECONDS)
+        self._jobs = self.table.make_jobs(RATE)
+        self.chooser = CHOOSERS[chooser](self.table, weights)
+        workers = make_workers(self.table, seed, lag)
+        self.places = [Place(worker, index) for index, worker in enumerate(workers)]
+        self.queue: list[tuple[int, Job, float]] = []
+        self.evictions = 0
+        self._waiting = 0
+        self._tails: dict[float, float] = {}
+
+    def run(self) -> Figures:
+        """Run all seconds."""
+        for now, jobs in enumerate(self._jobs):
+            self.table.step(now)
+            self.queue += [(now, job, 0.0) for job in jobs]
+            self._place(now)
+            self._waiting += len(self.queue)
+            for place in self.places:
+                for factor, load in place.worker.step(now):
+                    key = round(factor, 2)
+                    self._tails[key] = self._tails.get(key, 0.0) + load
+                if (now + place.index) % REPORT_PERIOD == 0:
+                    self._poll(now, place)
+        done = sum(place.worker.done for place in self.places)
+        capacity = BATCH.processors * len(self.places) * SECONDS
+        return Figures(
+            find_p99(self._tails), done / capacity, self.evictions, self._waiting / SECONDS
+        )
+
+    def _place(self, now: int) -> None:
+        """Place the jobs at the head of the queue that find a place."""
+        left = []
+        for ready, job, done in self.queue[:LOOK_AHEAD]:
+            place = self.chooser.choose(now, self.places, job) if ready <= now else None
+            if place is None:
+                left.append((ready, job, done))
+                continue
+            size = Size(job.processors, 0)
+            saved = str(done)
+            work = str(job.work).encode()
+            start = Start(job.name, 1, job.kind, size, work, saved, "", False)
+            place.worker.poll(Poll(1, "", 0, (start,)))
+            use = self.chooser.use(job)
+            place.residents[job.name] = Resident(job.name, job.name, job.kind, use)
+            place.jobs[job.name] = job
+            place.free -= job.processors
+            self.chooser.note(now, place)
+        self.queue[:LOOK_AHEAD] = left
+
+    def _poll(self, now: int, place: Place) -> None:
+        """Fetch a report and carry out what the chooser decides."""
+        report = place.worker.poll(Poll(1, "", 0, ()))
+        for task in report.tasks:
+            if task.state is TaskState.FINISHED:
+                self._release(place, task.task)
+        for sample in report.samples:
+            place.loads[sample.service] = sample.load
+            place.latencies[sample.service] = sample.latency_p99
+        actions = list(self.chooser.take(now, place, report))
+        orders = [order for it in actions for order in self._act(now, place, it)]
+        if orders:
+            place.worker.poll(Poll(1, "", 0, tuple(orders)))
+            for order in orders:
+                if isinstance(order, Stop):
+                    self._requeue(now, place, order.task)
+            self.chooser.note(now, place)
+
+    def _act(self, now: int, place: Place, action: Action) -> Iterator[Order]:
+        """Turn an action into orders."""
+        match action:
+            case Avoid(until=until):
+                place.avoided_until = until
+            case SetShare(task, share):
+                it = place.residents[task]
+                place.residents[task] = Resident(it.task, it.job, it.kind, it.processors, share)
+                yield Throttle(task, 1, share)
+            case Evict(task):
+                yield Stop(task, 1, "checkpoint")
+
+    def _requeue(self, now: int, place: Place, task: str) -> None:
+        """Queue an evicted job again, from its checkpoint."""
+        self.evictions += 1
+        job = self._release(place, task)
+        done = place.worker.saved.pop(task)
+        self.queue.insert(0, (now + RESTART, job, done))
+
+    def _release(self, place: Place, task: str) -> Job:
+        """Free what a job held."""
+        del place.residents[task]
+        job = place.jobs.pop(task)
+        place.free += job.processors
+        return job
+
+
+def find_p99(tails: dict[float, float]) -> float:
+    """Return the p99 of all requests, each host's tail being exponential with its own p99."""
+    total = sum(tails.values())
+    low, high = 0.5, 50.0
+    for _ in range(50):
+        middle = (low + high) / 2
+        over = sum(weight * 0.01 ** (middle / p99) for p99, weight in tails.items())
+        low, high = (middle, high) if over / total > 0.01 else (low, middle)
+    return high
+
+
+def measure(chooser: str, weights: Weights, seeds: tuple[int, ...]) -> Figures:
+    """Return the mean figures of a chooser over several tables."""
+    runs = [Run(seed, chooser, weights).run() for seed in seeds]
+    return Figures(
+        sum(it.p99 for it in runs) / len(runs),
+        sum(it.throughput for it in runs) / len(runs),
+        sum(it.evictions for it in runs) / len(runs),
+        sum(it.waiting for it in runs) / len(runs),
+    )
+
+
+def print_line(name: str, value: float, unit: str, baseline: float) -> None:
+    """Print one figure against its baseline."""
+    ratio = f"{value / baseline:.3f}" if baseline else "none"
+    print(f"bench {name} value={value:.4g} unit={unit} baseline={baseline:.4g} ratio={ratio}")
+
+
+def main() -> None:
+    """Print the figures of every chooser on the tuned and the kept tables."""
+    chosen = sys.argv[1:] or list(CHOOSERS)
+    for split, seeds in (("tuned", TUNED_TABLES), ("kept", KEPT_TABLES)):
+        for deployment, weights in DEPLOYMENTS.items():
+            knowing = measure("knowing", weights, seeds)
+            evicting = measure("evict-only", weights, seeds)
+            for chooser in chosen:
+                figures = measure(chooser, weights, seeds)
+                prefix = f"policy.{deployment}.{split}.{chooser}"
+                print_line(f"{prefix}.p99", figures.p99, "x-idle", knowing.p99)
+                print_line(f"{prefix}.throughput", figures.throughput, "share", knowing.throughput)
+                print_line(f"{prefix}.evictions", figures.evictions, "count", evicting.evictions)
+                print_line(f"{prefix}.waiting", figures.waiting, "jobs", knowing.waiting)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/toucanpin/interference/__init__.py
@@ -0,0 +1,41 @@
+"""
+Interference
+============
+
+Learns from late measurements what tasks cost the services beside them, and decides without input
+or output what to do: avoid, throttle, checkpoint and evict.
+"""
+
+from toucanpin.interference.budget import Budget, EvictionBudget
+from toucanpin.interference.estimator import Effects, PairEstimator, Prior
+from toucanpin.interference.policy import (
+    Action,
+    Avoid,
+    Evict,
+    InterferencePolicy,
+    Sample,
+    SetShare,
+    Tuning,
+)
+from toucanpin.interference.usage import KindUsage
+from toucanpin.interference.view import Candidate, HostView, Resident, ServiceLoad
+
+__all__ = [
+    "Action",
+    "Avoid",
+    "Budget",
+    "Candidate",
+    "Effects",
+    "Evict",
+    "EvictionBudget",
+    "HostView",
+    "InterferencePolicy",
+    "KindUsage",
+    "PairEstimator",
+    "Prior",
+    "Resident",
+    "Sample",
+    "ServiceLoad",
+    "SetShare",
+    "Tuning",
+]
--- /dev/null
+++ b/toucanpin/interference/budget.py
@@ -0,0 +1,60 @@
+"""
+Eviction budget
+===============
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+__all__ = ["Budget", "EvictionBudget"]
+
+MINUTE = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """Limit evictions: all in a minute, and those of one job within ``job_span`` seconds."""
+
+    per_minute: int = 6
+    per_job: int = 2
+    job_span: float = 1_800.0
+
+
+class EvictionBudget:
+    """Grant evictions within a budget."""
+
+    def __init__(self, budget: Budget | None = None) -> None:
+        self._budget = budget or Budget()
+        self._recent: deque[float] = deque()
+        self._jobs: dict[str, deque[float]] = {}
+
+    def allows(self, now: float, job: str) -> bool:
+        """Tell whether a job may be evicted now."""
+        drop_before(self._recent, now - MINUTE)
+        if len(self._recent) >= self._budget.per_minute:
+            return False
+        own = self._jobs.get(job)
+        if own is None:
+            return True
+        drop_before(own, now - self._budget.job_span)
+        return len(own) < self._budget.per_job
+
+    def spend(self, now: float, job: str) -> None:
+        """Count an eviction."""
+        self._recent.append(now)
+        self._jobs.setdefault(job, deque()).append(now)
+        self._drop_old_jobs(now)
+
+    def _drop_old_jobs(self, now: float) -> None:
+        """Forget the jobs whose evictions are all too old to count."""
+        edge = now - self._budget.job_span
+        for job in [job for job, instants in self._jobs.items() if instants[-1] <= edge]:
+            del self._jobs[job]
+
+
+def drop_before(instants: deque[float], edge: float) -> None:
+    """Drop the instants up to an edge."""
+    while instants and instants[0] <= edge:
+        instants.popleft()
--- /dev/null
+++ b/toucanpin/interference/estimator.py
@@ -0,0 +1,142 @@
+"""
+Estimator of pair effects
+=========================
+
+Learns, for each service, what each kind of task beside it costs its tail latency, with the load of
+the service as a factor.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from toucanpin.interference.regression import Regression
+from toucanpin.interference.view import Resident
+
+__all__ = ["Effects", "PairEstimator", "Prior", "measure_amounts"]
+
+QUIET = "quiet"
+LOAD = "load"
+KIND = "kind/"
+MIN_QUIET = 0.05
+
+
+class Effects(Protocol):
+    """Say what kinds of tasks cost a service."""
+
+    def rise(self, service: str, kind: str, load: float) -> float:
+        """Return the rise of the p99, relative to the quiet one, beside a host full of a kind."""
+        ...
+
+    def quiet(self, service: str, load: float) -> float | None:
+        """Return the p99 without neighbours in milliseconds, None if it isn't known."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Prior:
+    """
+    State what is believed before any sample.
+
+    ``rise`` is that of a host full of an unknown kind at full load; deviations are standard ones;
+    ``noise`` is relative to the sample; ``memory`` is in seconds.
+    """
+
+    rise: float = 1.0
+    rise_deviation: float = 1.5
+    load_rise: float = 0.5
+    load_deviation: float = 0.5
+    quiet_deviation: float = 0.3
+    noise: float = 0.12
+    memory: float = 2_400.0
+    weight: float = 2.0
+
+
+class PairEstimator:
+    """Estimate the effects of pairs of a service and a kind of task."""
+
+    def __init__(self, prior: Prior | None = None) -> None:
+        self._prior = prior or Prior()
+        self._models: dict[str, Regression] = {}
+        self._scales: dict[str, float] = {}
+
+    def learn(
+        self, now: float, service: str, latency: float, load: float, amounts: Mapping[str, float]
+    ) -> None:
+        """
+        Take a sample of a service's p99.
+
+        Parameters
+        ----------
+        latency
+            Milliseconds.
+        load
+            Load of the service when it was measured, between 0 and 1.
+        amounts
+            Share of the host's processors that each kind used at that instant.
+        """
+        if latency <= 0:
+            return
+        model = self._models.get(service) or self._add_service(now, service, latency, load)
+        for kind in amounts:
+            if KIND + kind not in model:
+                rise = self._guess_rise(model)
+                model.add(now, KIND + kind, rise, self._prior.rise_deviation)
+        features = make_features(load, amounts)
+        value = latency / self._scales[service]
+        expected = max(value, model.predict(features))
+        model.learn(now, features, value, self._prior.noise * expected)
+
+    def rise(self, service: str, kind: str, load: float) -> float:
+        """Return the rise of the p99, relative to the quiet one, beside a host full of a kind."""
+        model = self._models.get(service)
+        if model is None:
+            return self._prior.rise * load
+        name = KIND + kind
+        effect = model.mean(name) if name in model else self._guess_rise(model)
+        return max(0.0, effect) * load / self._predict_quiet(model, load)
+
+    def quiet(self, service: str, load: float) -> float | None:
+        """Return the p99 without neighbours in milliseconds, None if it isn't known."""
+        model = self._models.get(service)
+        if model is None:
+            return None
+        return self._predict_quiet(model, load) * self._scales[service]
+
+    def _add_service(self, now: float, service: str, latency: float, load: float) -> Regression:
+        """Start the model of a service with its first sample as the unit of latency."""
+        prior = self._prior
+        model = Regression(prior.memory)
+        self._scales[service] = latency / (1.0 + prior.load_rise * load)
+        model.add(now, QUIET, 1.0, prior.quiet_deviation)
+        model.add(now, LOAD, prior.load_rise, prior.load_deviation)
+        self._models[service] = model
+        return model
+
+    def _guess_rise(self, model: Regression) -> float:
+        """Guess the effect of an unknown kind from the known ones and the prior."""
+        known = model.means(KIND)
+        total = self._prior.rise * self._prior.weight + sum(known)
+        return total / (self._prior.weight + len(known))
+
+    def _predict_quiet(self, model: Regression, load: float) -> float:
+        """Predict the p99 without neighbours in units of the model."""
+        return max(MIN_QUIET, model.predict(make_features(load, {})))
+
+
+def make_features(load: float, amounts: Mapping[str, float]) -> dict[str, float]:
+    """Return the features of a sample."""
+    features = {QUIET: 1.0, LOAD: load}
+    features.update((KIND + kind, load * amount) for kind, amount in amounts.items())
+    return features
+
+
+def measure_amounts(residents: Iterable[Resident], processors: int) -> dict[str, float]:
+    """Return the share of a host's processors that each kind uses."""
+    amounts: defaultdict[str, float] = defaultdict(float)
+    for it in residents:
+        amounts[it.kind] += it.processors * it.share / processors
+    return dict(amounts)
--- /dev/null
+++ b/toucanpin/interference/policy.py
@@ -0,0 +1,234 @@
+"""
+Policy of interference
+======================
+
+Learns from late samples and answers two questions: what would a task cost here, and what has to be
+done about a host.  Times are seconds of the owner's clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, replace
+
+from toucanpin.bundles.schema import Weights
+from toucanpin.interference.budget import Budget, EvictionBudget
+from toucanpin.interference.cost import SHARES, HostCost, choose_shares
+from toucanpin.interference.estimator import Effects, PairEstimator, measure_amounts
+from toucanpin.interference.history import CoResidents
+from toucanpin.interference.view import Candidate, HostView, Resident
+
+__all__ = ["Action", "Avoid", "Evict", "InterferencePolicy", "Sample", "SetShare", "Tuning"]
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """Give the measured p99 of a service on a host at a past instant, in milliseconds."""
+
+    host: str
+    service: str
+    sampled_at: float
+    latency: float
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class Avoid:
+    """Place nothing more on a host until an instant."""
+
+    host: str
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class SetShare:
+    """Throttle a task to a share, or give it back."""
+
+    task: str
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class Evict:
+    """Checkpoint and stop a task, and queue it again."""
+
+    task: str
+
+
+Action = Avoid | SetShare | Evict
+
+
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """
+    Set how readily the policy acts.
+
+    ``margin`` is the gain, in cost per minute, that a change of shares must promise; ``settle`` is
+    how many seconds after an action a sample has to be taken to show it; ``evict_share`` and
+    ``patience`` (seconds) say below which share and after how long a task is worth moving;
+    ``horizon`` is for how many minutes a move pays; ``elsewhere`` is the share that the task is
+    expected to get there; ``surplus_weight`` is how fast a host's own deviation is followed.
+    """
+
+    margin: float = 0.02
+    settle: float = 2.0
+    evict_share: float = 0.25
+    patience: float = 60.0
+    horizon: float = 5.0
+    elsewhere: float = 0.7
+    surplus_weight: float = 0.3
+
+
+@dataclass(slots=True)
+class HostState:
+    """Remember of one host who was there, what was measured and what was done."""
+
+    history: CoResidents = field(default_factory=CoResidents)
+    newest: float = float("-inf")
+    sampled: dict[str, float] = field(default_factory=dict)
+    acted_at: float = float("-inf")
+    surplus: float = 0.0
+    low_since: dict[str, float] = field(default_factory=dict)
+
+
+class InterferencePolicy:
+    """Decide about interference on the hosts of one owner."""
+
+    def __init__(
+        self,
+        weights: Weights,
+        effects: Effects | None = None,
+        budget: Budget | None = None,
+        tuning: Tuning | None = None,
+    ) -> None:
+        self.weights = weights
+        self.estimator = PairEstimator()
+        self._effects = effects or self.estimator
+        self._budget = EvictionBudget(budget)
+        self._tuning = tuning or Tuning()
+        self._hosts: dict[str, HostState] = {}
+
+    def observe(self, now: float, view: HostView) -> None:
+        """Note who is on a host from now on; call it for each change and each report."""
+        state = self._hosts.setdefault(view.host, HostState())
+        state.history.record(now, view.residents)
+        low = {it.task for it in view.residents if it.share <= self._tuning.evict_share}
+        kept = {task: since for task, since in state.low_since.items() if task in low}
+        state.low_since = {task: kept.get(task, now) for task in low}
+
+    def measure(self, now: float, view: HostView, samples: Iterable[Sample]) -> None:
+        """Learn from samples of a host; one that came before, or too late, is left out."""
+        state = self._hosts.setdefault(view.host, HostState())
+        for sample in samples:
+            if sample.sampled_at <= state.sampled.get(sample.service, float("-inf")):
+                continue
+            state.sampled[sample.service] = sample.sampled_at
+            state.newest = max(state.newest, sample.sampled_at)
+            residents = state.history.find(sample.sampled_at)
+            if residents is not None:
+                self._learn(now, view, state, sample, residents)
+
+    def score(self, view: HostView, task: Candidate) -> float:
+        """
+        Return what a task would add to the cost of a host, by the minute.
+
+        The host with the lowest score is best; above zero the task does more harm than good.
+        """
+        cost = self._price(view)
+        newcomer = Resident("", "", task.kind, task.processors)
+        joined = replace(view, residents=(*view.residents, newcomer))
+        shares = [it.share for it in joined.residents]
+        return self._price(joined).price(shares) - cost.price(shares[:-1])
+
+    def decide(self, now: float, view: HostView) -> Iterator[Action]:
+        """Yield what has to be done about a host now, in rising order."""
+        state = self._hosts.setdefault(view.host, HostState())
+        # The samples at hand are older than the last action.  Acting on them again would answer the
+        # same rise twice, then its absence twice: shares swing and tasks are evicted for nothing.
+        if state.newest < state.acted_at + self._tuning.settle:
+            return
+        cost = self._price(view)
+        changes = list(self._change_shares(cost, view))
+        if changes:
+            state.acted_at = now
+            if any(is_lower(change, view) for change in changes):
+                yield Avoid(view.host, now + self._tuning.patience)
+            yield from changes
+            return
+        evicted = self._choose_evicted(now, cost, view, state)
+        if evicted is not None:
+            state.acted_at = now
+            self._budget.spend(now, evicted.job)
+            yield Evict(evicted.task)
+
+    def forget_host(self, host: str) -> None:
+        """Forget a host that is gone or has another owner."""
+        self._hosts.pop(host, None)
+
+    def _price(self, view: HostView) -> HostCost:
+        """Price a host with what is known of it."""
+        state = self._hosts.get(view.host)
+        surplus = max(0.0, state.surplus) if state else 0.0
+        return HostCost(self._effects, self.weights, view, surplus)
+
+    def _learn(
+        self,
+        now: float,
+        view: HostView,
+        state: HostState,
+        sample: Sample,
+        residents: tuple[Resident, ...],
+    ) -> None:
+        """Learn from one sample and the tasks that were there when it was taken."""
+        amounts = measure_amounts(residents, view.processors)
+        quiet = self.estimator.quiet(sample.service, sample.load)
+        if quiet:
+            rise = sum(
+                amount * self.estimator.rise(sample.service, kind, sample.load)
+                for kind, amount in amounts.items()
+            )
+            error = sample.latency / quiet - 1.0 - rise
+            state.surplus += self._tuning.surplus_weight * (error - state.surplus)
+        self.estimator.learn(now, sample.service, sample.latency, sample.load, amounts)
+
+    def _change_shares(self, cost: HostCost, view: HostView) -> Iterator[SetShare]:
+        """Yield the changes of shares that are worth it; a rise goes one step at a time."""
+        current = [it.share for it in view.residents]
+        chosen = choose_shares(cost, view.residents)
+        if cost.price(current) - cost.price(chosen) < self._tuning.margin:
+            return
+        for it, share in zip(view.residents, chosen, strict=True):
+            if share > it.share:
+                share = next(step for step in SHARES if step > it.share)
+            if share != it.share:
+                yield SetShare(it.task, share)
+
+    def _choose_evicted(
+        self, now: float, cost: HostCost, view: HostView, state: HostState
+    ) -> Resident | None:
+        """Choose the task whose move gains most, None if no move is worth its cost."""
+        best = None
+        best_gain = 0.0
+        for index, it in enumerate(view.residents):
+            since = state.low_since.get(it.task, now)
+            if not it.batch or now - since < self._tuning.patience:
+                continue
+            gain = self._gain_by_move(cost, view, index)
+            if gain > best_gain and self._budget.allows(now, it.job):
+                best, best_gain = it, gain
+        return best
+
+    def _gain_by_move(self, cost: HostCost, view: HostView, index: int) -> float:
+        """Return what the move of one task gains over the horizon, less its cost."""
+        it = view.residents[index]
+        shares = [other.share for other in view.residents]
+        without = [*shares[:index], 0.0, *shares[index + 1 :]]
+        here = cost.price(shares) - cost.price(without)
+        work = self._tuning.elsewhere * it.processors / view.processors
+        gain = (here + self.weights.throughput * work) * self._tuning.horizon
+        return gain - self.weights.evictions * (1.0 + it.unsaved / 60.0)
+
+
+def is_lower(change: SetShare, view: HostView) -> bool:
+    """Tell whether a change takes share from a task."""
+    return any(it.task == change.task and change.share < it.share for it in view.residents)
--- /dev/null
+++ b/toucanpin/interference/regression.py
@@ -0,0 +1,103 @@
+"""
+Regression that forgets
+=======================
+
+Linear regression on a stream of samples, in which each coefficient drifts about a prior: a Kalman
+filter over Ornstein-Uhlenbeck processes.  Few samples leave a coefficient near its prior, and old
+ones lose their weight.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+__all__ = ["Coefficient", "Regression"]
+
+MAX_DEVIATIONS = 3.0
+
+
+@dataclass(slots=True)
+class Coefficient:
+    """Hold one coefficient: its prior, its mean and when it was last brought up to date."""
+
+    prior: float
+    variance: float
+    mean: float
+    updated_at: float
+
+
+class Regression:
+    """
+    Estimate coefficients by name.
+
+    Parameters
+    ----------
+    memory
+        Seconds after which a deviation from the prior has lost 63% of its weight.
+    """
+
+    def __init__(self, memory: float) -> None:
+        self._memory = memory
+        self._names: dict[str, int] = {}
+        self._coefficients: list[Coefficient] = []
+        self._covariance: list[list[float]] = []
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._names
+
+    def add(self, now: float, name: str, prior: float, deviation: float) -> None:
+        """Add a coefficient at its prior, which has this standard deviation."""
+        variance = deviation * deviation
+        self._names[name] = len(self._coefficients)
+        self._coefficients.append(Coefficient(prior, variance, prior, now))
+        for row in self._covariance:
+            row.append(0.0)
+        self._covariance.append([0.0] * len(self._coefficients))
+        self._covariance[-1][-1] = variance
+
+    def mean(self, name: str) -> float:
+        """Return the estimate of a coefficient."""
+        return self._coefficients[self._names[name]].mean
+
+    def means(self, prefix: str) -> list[float]:
+        """Return the estimates of the coefficients whose names begin so."""
+        return [self.mean(name) for name in self._names if name.startswith(prefix)]
+
+    def predict(self, features: Mapping[str, float]) -> float:
+        """Predict a sample."""
+        return sum(self.mean(name) * value for name, value in features.items())
+
+    def learn(self, now: float, features: Mapping[str, float], value: float, noise: float) -> None:
+        """Take a sample with noise of this standard deviation."""
+        for name in features:
+            self._forget(self._names[name], now)
+        present = [(self._names[name], x) for name, x in features.items() if x]
+        gains = [sum(row[index] * x for index, x in present) for row in self._covariance]
+        spread = noise * noise + sum(gains[index] * x for index, x in present)
+        limit = MAX_DEVIATIONS * math.sqrt(spread)
+        # One wild measurement must not undo what many have shown, so its pull is limited.
+        error = max(-limit, min(limit, value - self.predict(features)))
+        for index, gain in enumerate(gains):
+            if gain:
+                self._coefficients[index].mean += gain / spread * error
+                row = self._covariance[index]
+                for other, other_gain in enumerate(gains):
+                    row[other] -= gain * other_gain / spread
+
+    def _forget(self, index: int, now: float) -> None:
+        """Let a coefficient drift back to its prior for the time since its last sample."""
+        it = self._coefficients[index]
+        elapsed = now - it.updated_at
+        if elapsed <= 0:
+            return
+        kept = math.exp(-elapsed / self._memory)
+        it.updated_at = now
+        it.mean = it.prior + (it.mean - it.prior) * kept
+        row = self._covariance[index]
+        for other in range(len(row)):
+            if other != index:
+                row[other] *= kept
+                self._covariance[other][index] = row[other]
+        row[index] = it.variance + (row[index] - it.variance) * kept * kept
