Order the time line over processes by what their messages carry

Cause: every inner message carried the number of its sender's newest event, and no receiver used it, so the merged time line rested on wall clocks alone. Change: a process's next event names as its causes the newest events that it heard of since its last one.

--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -41,6 +41,10 @@
     return 0
 
 
+def _hear_nothing(envelope: Envelope) -> None:
+    return None
+
+
 class Gossip:
     """
     Tell the other processes that this one is there, and show which of them are.
@@ -58,6 +62,7 @@
         timing: Timing | None = None,
         events: EventSink | None = None,
         event_sequence: Callable[[], int] = _see_no_event,
+        hear: Callable[[Envelope], None] = _hear_nothing,
     ) -> None:
         self._timing = timing or Timing()
         self._view = View(own, self._timing, time.monotonic())
@@ -77,6 +82,7 @@
             lambda: self._view.own.incarnation,
             lambda: self._view.own.bundle,
             event_sequence,
+            hear,
         )
 
     @property
--- a/toucanpin/daemon/root.py
+++ b/toucanpin/daemon/root.py
@@ -38,10 +38,11 @@
 from toucanpin.membership.member import Member
 from toucanpin.placement.leases import Terms
 from toucanpin.platform.http import HttpHostList, HttpObjects, HttpTable, HttpWorkers
+from toucanpin.timeline.event import Cause
 from toucanpin.timeline.recorder import Recorder
 from toucanpin.wire.client import InnerClient
 from toucanpin.wire.keys import load_peer_keys
-from toucanpin.wire.messages import Standstill
+from toucanpin.wire.messages import Envelope, Standstill
 from toucanpin.wire.server import Handler, InnerServer
 
 __all__ = ["Daemon", "compose"]
@@ -142,8 +143,14 @@
             Timing(interval=settings.peers.heartbeat_ms / MILLISECONDS),
             self.recorder,
             lambda: self.recorder.last,
+            self._hear,
         )
 
+    def _hear(self, envelope: Envelope) -> None:
+        """Let what this process records next come after what the sender had recorded."""
+        life = str(read_life(envelope.incarnation))
+        self.recorder.hear(Cause(envelope.sender, envelope.event, life))
+
     def build(self) -> Daemon:
         """Connect the parts of the role and return them in starting order."""
         match self.settings.process.role:
--- a/toucanpin/timeline/recorder.py
+++ b/toucanpin/timeline/recorder.py
@@ -42,7 +42,17 @@
         Bound the number of events kept; the oldest are dropped and counted.
     """
 
-    __slots__ = ("_events", "_incarnation", "_last", "_lock", "_monotonic", "_process", "_wall")
+    __slots__ = (
+        "_events",
+        "_heard",
+        "_incarnation",
+        "_last",
+        "_lock",
+        "_monotonic",
+        "_process",
+        "_unrecorded",
+        "_wall",
+    )
 
     def __init__(
         self,
@@ -58,6 +68,8 @@
         self._wall = wall
         self._events: deque[Event] = deque(maxlen=capacity)
         self._last = 0
+        self._heard: dict[str, Cause] = {}
+        self._unrecorded: dict[str, Cause] = {}
         self._lock = threading.Lock()
 
     @property
@@ -82,6 +94,16 @@
         with self._lock:
             return self._last - len(self._events)
 
+    def hear(self, cause: Cause) -> None:
+        """Let the next event come after an event of another process, named by a message."""
+        if cause.sequence == 0 or cause.process == self._process:
+            return
+        with self._lock:
+            known = self._heard.get(cause.process)
+            if known is None or _is_later(cause, known):
+                self._heard[cause.process] = cause
+                self._unrecorded[cause.process] = cause
+
     def record(
         self, kind: str, ids: dict[str, str], detail: str = "", causes: tuple[Cause, ...] = ()
     ) -> Event:
@@ -90,6 +112,8 @@
         # under a lower sequence number, and the process's own order would contradict its clock.
         with self._lock:
             self._last += 1
+            heard = tuple(self._unrecorded.values())
+            self._unrecorded.clear()
             event = Event(
                 process=self._process,
                 incarnation=self._incarnation,
@@ -99,7 +123,7 @@
                 kind=kind,
                 ids=dict(ids),
                 detail=detail,
-                causes=causes,
+                causes=(*causes, *heard),
             )
             self._events.append(event)
             return event
@@ -113,3 +137,8 @@
             stop = None if limit is None else skipped + limit
             events = tuple(islice(self._events, skipped, stop))
             return Excerpt(events, missed=max(first - wanted, 0))
+
+
+def _is_later(cause: Cause, known: Cause) -> bool:
+    """Say whether a cause is news; of two lives of a process the one heard last counts."""
+    return cause.incarnation != known.incarnation or cause.sequence > known.sequence
--- a/toucanpin/timeline/tests/test_recorder.py
+++ b/toucanpin/timeline/tests/test_recorder.py
@@ -4,6 +4,7 @@
 import threading
 import unittest
 
+from toucanpin.timeline.event import Cause
 from toucanpin.timeline.recorder import Recorder
 
 
@@ -37,6 +38,23 @@
         self.assertEqual(recorder.read_after(6).events, ())
         self.assertEqual(recorder.read_after(99).events, ())
 
+    def test_the_next_event_comes_after_what_a_message_named(self):
+        recorder = make_recorder()
+        recorder.hear(Cause("b/control", 7, "1"))
+        recorder.hear(Cause("b/control", 5, "1"))
+        recorder.hear(Cause("c/control", 0, "1"))
+        self.assertEqual(recorder.record("x", {}).causes, (Cause("b/control", 7, "1"),))
+        self.assertEqual(recorder.record("y", {}).causes, ())
+        recorder.hear(Cause("b/control", 7, "1"))
+        self.assertEqual(recorder.record("z", {}).causes, ())
+
+    def test_a_new_life_of_a_process_counts_anew(self):
+        recorder = make_recorder()
+        recorder.hear(Cause("b/control", 7, "1"))
+        recorder.record("x", {})
+        recorder.hear(Cause("b/control", 2, "2"))
+        self.assertEqual(recorder.record("y", {}).causes, (Cause("b/control", 2, "2"),))
+
     def test_later_change_of_the_ids_does_not_change_the_event(self):
         ids = {"job": "a"}
         event = make_recorder().record("x", ids)
--- a/toucanpin/wire/client.py
+++ b/toucanpin/wire/client.py
@@ -18,7 +18,7 @@
 from toucanpin.exception import WireError
 from toucanpin.membership.member import Member
 from toucanpin.verdict import Verdict
-from toucanpin.wire.codec import MajorVersionError, Purpose, decode, encode
+from toucanpin.wire.codec import MajorVersionError, Purpose, encode
 from toucanpin.wire.identity import Identity
 from toucanpin.wire.keys import PeerKeys
 from toucanpin.wire.messages import Message, Received, Refused
@@ -71,7 +71,7 @@
             detail = f"{member.name} closed the connection without an answer"
             return Error(CallFault(Verdict.MAY_HAVE_RUN, detail))
         try:
-            received = decode(self._keys, Purpose.ANSWER, self._identity.deployment, frame)
+            received = self._identity.open(self._keys, Purpose.ANSWER, frame)
         except MajorVersionError as error:
             _log.error("inner protocol refused: {}", error)
             return Error(CallFault(Verdict.NOT_RUN, str(error)))
--- a/toucanpin/wire/datagram.py
+++ b/toucanpin/wire/datagram.py
@@ -13,7 +13,7 @@
 import logbook
 
 from toucanpin.exception import WireError
-from toucanpin.wire.codec import MAX_DATAGRAM, Purpose, decode, encode
+from toucanpin.wire.codec import MAX_DATAGRAM, Purpose, encode
 from toucanpin.wire.identity import Identity
 from toucanpin.wire.keys import PeerKeys
 from toucanpin.wire.messages import Heartbeat, Received
@@ -57,7 +57,7 @@
         except OSError:
             return None
         try:
-            return decode(self._keys, Purpose.HEARTBEAT, self._identity.deployment, frame)
+            return self._identity.open(self._keys, Purpose.HEARTBEAT, frame)
         except WireError as error:
             self._report(address, error)
             return None
--- a/toucanpin/wire/identity.py
+++ b/toucanpin/wire/identity.py
@@ -11,8 +11,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from toucanpin.wire.codec import MINOR
-from toucanpin.wire.messages import Envelope
+from toucanpin.wire.codec import MINOR, Purpose, decode
+from toucanpin.wire.keys import PeerKeys
+from toucanpin.wire.messages import Envelope, Received
 
 __all__ = ["Identity"]
 
@@ -21,12 +22,17 @@
     return 0
 
 
+def _ignore(envelope: Envelope) -> None:
+    return None
+
+
 @dataclass(slots=True)
 class Identity:
     """
     Stamp the messages of one process; one instance serves all of its channels.
 
-    ``incarnation``, ``bundle`` and ``event`` are asked for at each message.
+    ``incarnation``, ``bundle`` and ``event`` are asked for at each message; ``hear`` is told the
+    envelope of every message that was understood and trusted.
     """
 
     deployment: str
@@ -35,6 +41,7 @@
     incarnation: Callable[[], int]
     bundle: Callable[[], int] = _zero
     event: Callable[[], int] = _zero
+    hear: Callable[[Envelope], None] = _ignore
     _sequences: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
     def stamp(self, audience: str = "", nonce: int = 0) -> Envelope:
@@ -51,3 +58,16 @@
             audience,
             nonce,
         )
+
+    def open(self, keys: PeerKeys, purpose: Purpose, frame: bytes) -> Received:
+        """
+        Decode a frame that arrived.
+
+        Raises
+        ------
+        WireError
+            If it can't be understood or trusted.
+        """
+        received = decode(keys, purpose, self.deployment, frame)
+        self.hear(received.envelope)
+        return received
--- a/toucanpin/wire/server.py
+++ b/toucanpin/wire/server.py
@@ -17,7 +17,7 @@
 import logbook
 
 from toucanpin.exception import WireError
-from toucanpin.wire.codec import MajorVersionError, Purpose, decode, encode
+from toucanpin.wire.codec import MajorVersionError, Purpose, encode
 from toucanpin.wire.identity import Identity
 from toucanpin.wire.keys import PeerKeys
 from toucanpin.wire.messages import Envelope, Message, Received, Refused
@@ -139,7 +139,7 @@
             If the request can't be understood or trusted; it then gets no answer.
         """
         try:
-            received = decode(self._keys, Purpose.REQUEST, self._identity.deployment, frame)
+            received = self._identity.open(self._keys, Purpose.REQUEST, frame)
         except MajorVersionError as error:
             _log.error("inner protocol refused: {}", error)
             return self._seal(Envelope(0, "", "", "", 0, 0, 0, 0), Refused(str(error)))
