Let operators drain hosts and watch the deployment live

Cause: a host could only be drained by the platform's list, which lags, and by whoever edits it. Change: a row for each drained host, merged into the host list that both roles read; while the table is out the drains that were known stay in force; toucanpin drain, top.

--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -78,7 +78,7 @@
     observer = Observer(topology.workers, STANDING)
     observer.start()
     _wait_for_standing(observer)
-    requests, jobs = _load(topology, launcher, observer)
+    requests, jobs = _load(topology, folder, launcher, observer)
     _wait_for_standing(observer)
     observer.stop()
     executions = _count_executions(topology)
@@ -103,7 +103,7 @@
         launcher.wait_ready(worker.name, f"{worker.url}/counts")
     for instance in topology.instances:
         launcher.wait_ready(instance.name, f"{instance.control}/counts")
-    _list_hosts(topology, leaving="")
+    _list_hosts(topology)
 
 
 def _worker_arguments(topology: Topology, worker: Worker) -> list[str]:
@@ -116,8 +116,8 @@
     ]
 
 
-def _list_hosts(topology: Topology, leaving: str) -> None:
-    """Put the host list into the platform, with one host marked as leaving."""
+def _list_hosts(topology: Topology) -> None:
+    """Put the host list into the platform."""
     hosts = [
         ListedHost(
             it.name,
@@ -126,7 +126,6 @@
             it.rack,
             it.address,
             it.port,
-            leaving=it.name == leaving,
             size=WORKER_SIZE,
         )
         for it in topology.workers
@@ -175,7 +174,7 @@
 
 
 def _load(
-    topology: Topology, launcher: Launcher, observer: Observer
+    topology: Topology, folder: Path, launcher: Launcher, observer: Observer
 ) -> tuple[RequestCounts, JobCounts]:
     """Send requests and jobs, and break hosts in the middle."""
     jobs = JobCounts()
@@ -187,14 +186,14 @@
         """Kill an entry host and a worker once enough requests ended."""
         if ended >= KILL_AT_REQUEST and not broken.is_set():
             broken.set()
-            _break(topology, launcher, observer)
+            _break(topology, folder, launcher, observer)
 
     requests = send_requests(topology.entries, REQUESTS, break_hosts)
     follow_jobs(topology.entries, names, jobs)
     return requests, jobs
 
 
-def _break(topology: Topology, launcher: Launcher, observer: Observer) -> None:
+def _break(topology: Topology, folder: Path, launcher: Launcher, observer: Observer) -> None:
     """Kill the second entry host and the first standing task's worker; drain another worker."""
     entry = topology.entries[1]
     for role in ROLES:
@@ -202,7 +201,8 @@
     victim = observer.find_host(STANDING[0])
     launcher.kill(victim)
     leaving = next(it.name for it in topology.workers if it.name != victim)
-    _list_hosts(topology, leaving)
+    operators = topology.entries[0].operators("request")
+    run_tool(folder, "drain", "begin", leaving, "--operators", operators)
     print(f"killed {entry.name} and {victim}, draining {leaving}")
 
 
--- a/toucanpin/cli/main.py
+++ b/toucanpin/cli/main.py
@@ -13,9 +13,11 @@
 from toucanpin.cli.bundle import bundle
 from toucanpin.cli.completion import completion
 from toucanpin.cli.config import config
+from toucanpin.cli.drain import drain
 from toucanpin.cli.job import job, standing
 from toucanpin.cli.status import doctor, hosts, status
 from toucanpin.cli.timeline import timeline
+from toucanpin.cli.top import top
 
 __all__ = ["main"]
 
@@ -38,7 +40,21 @@
     """
 
 
-for command in (bundle, completion, config, doctor, hosts, job, standing, status, timeline):
+COMMANDS = (
+    bundle,
+    completion,
+    config,
+    doctor,
+    drain,
+    hosts,
+    job,
+    standing,
+    status,
+    timeline,
+    top,
+)
+
+for command in COMMANDS:
     main.add_command(command)
 
 
--- /dev/null
+++ b/toucanpin/cli/top.py
@@ -0,0 +1,80 @@
+"""
+Live view
+=========
+
+Show processes, standing tasks and jobs, again and again.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Iterator
+
+import click
+import msgspec
+from rich.console import Console, Group, RenderableType
+from rich.live import Live
+from rich.table import Table
+
+from toucanpin.cli.http import ask_json
+from toucanpin.cli.job import STANDING_COLUMNS, callers_option
+from toucanpin.cli.output import url_option
+from toucanpin.membership.member import Member
+from toucanpin.placement.submission import JobStatus, StandingStatus
+
+__all__ = ["top"]
+
+MEMBER_COLUMNS = ("name", "site", "standing", "bundle")
+JOB_COLUMNS = ("state", "jobs")
+
+
+@click.command()
+@url_option
+@callers_option
+@click.option("--every", type=float, default=1.0, show_default=True, help="Seconds.")
+@click.option("--rounds", type=int, help="End after so many pictures.")
+def top(url: str, callers: str, every: float, rounds: int | None) -> None:
+    """
+    Watch processes, standing tasks and jobs until Ctrl-C.
+
+    \b
+    Example:
+      toucanpin top --operators http://127.0.1.1:9080 --callers http://127.0.1.1:8080
+    """
+    console = Console()
+    with Live(_draw(url, callers), console=console, auto_refresh=False) as live:
+        for _ in _count_rounds(rounds):
+            time.sleep(every)
+            live.update(_draw(url, callers), refresh=True)
+
+
+def _count_rounds(rounds: int | None) -> Iterator[int]:
+    """Yield the numbers of the rounds after the first, without end if none is given."""
+    done = 1
+    while rounds is None or done < rounds:
+        yield done
+        done += 1
+
+
+def _draw(url: str, callers: str) -> RenderableType:
+    """Read everything once and draw it."""
+    members = msgspec.convert(ask_json("GET", f"{url}/v1/members"), list[Member])
+    standing = msgspec.convert(ask_json("GET", f"{callers}/v1/standing"), list[StandingStatus])
+    jobs = msgspec.convert(ask_json("GET", f"{callers}/v1/jobs?limit=10000"), list[JobStatus])
+    states = Counter(job.state for job in jobs)
+    processes = [(m.name, m.site, m.standing.value, m.bundle) for m in members]
+    tasks = [tuple(getattr(one, column) for column in STANDING_COLUMNS) for one in standing]
+    return Group(
+        _make_table(MEMBER_COLUMNS, processes),
+        _make_table(STANDING_COLUMNS, tasks),
+        _make_table(JOB_COLUMNS, sorted(states.items())),
+    )
+
+
+def _make_table(columns: tuple[str, ...], rows: list[tuple[object, ...]]) -> Table:
+    """Make one table."""
+    table = Table(*columns, box=None, pad_edge=False)
+    for row in rows:
+        table.add_row(*(str(cell) for cell in row))
+    return table
--- a/toucanpin/daemon/access.py
+++ b/toucanpin/daemon/access.py
@@ -92,6 +92,7 @@
         if not allowed:
             detail = f"operator {operator.name!r} lacks the role {role.value!r}"
             return answer_refusal(start, _refuse(Reason.FORBIDDEN, detail))
+        environ["toucanpin.operator"] = operator.name
         return app(environ, start)
 
     return check
@@ -111,10 +112,10 @@
     """Say which role a request needs."""
     if method in READ_METHODS:
         return OperatorRole.READ
-    if method == "DELETE":
-        return OperatorRole.CANCEL
     if path.startswith("/v1/drain"):
         return OperatorRole.DRAIN
+    if method == "DELETE":
+        return OperatorRole.CANCEL
     return OperatorRole.SUBMIT
 
 
--- /dev/null
+++ b/toucanpin/daemon/drains.py
@@ -0,0 +1,103 @@
+"""
+Drains of a process
+===================
+
+Show the platform's host list with the hosts that operators drain marked as leaving, and let
+operators begin and end drains.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+from typing import Any
+from urllib.parse import unquote
+
+import logbook
+from expression import Ok, Result
+
+from toucanpin.daemon.driving import drive, perform_on_table
+from toucanpin.daemon.hosts import Hosts
+from toucanpin.daemon.parts import EventSink, WsgiApp
+from toucanpin.daemon.web import StartResponse, answer_json, answer_refusal
+from toucanpin.placement.drains import (
+    DRAIN_PREFIX,
+    DrainRow,
+    apply_drains,
+    read_drains,
+    set_drain,
+)
+from toucanpin.platform.ports import HostList, ListedHost, StoreFault, Table
+from toucanpin.verdict import Reason, Refusal, Verdict
+
+__all__ = ["DRAIN_PATH", "DrainedHosts", "make_drain_app"]
+
+DRAIN_PATH = "/v1/drain"
+
+log = logbook.Logger("toucanpin.drains")
+
+
+class DrainedHosts:
+    """List the platform's hosts, those that operators drain as leaving."""
+
+    __slots__ = ("_drains", "_hosts", "_table")
+
+    def __init__(self, hosts: HostList, table: Table) -> None:
+        """Read hosts from the platform's list and drains from the table."""
+        self._hosts = hosts
+        self._table = table
+        self._drains: tuple[DrainRow, ...] = ()
+
+    def hosts(self) -> Result[tuple[ListedHost, ...], StoreFault]:
+        """Read the whole list."""
+        match self._hosts.hosts():
+            case Result(tag="ok", ok=listed):
+                drained = frozenset(drain.host for drain in self.drains())
+                return Ok(apply_drains(listed, drained))
+            case failed:
+                return failed
+
+    def drains(self) -> tuple[DrainRow, ...]:
+        """Read the drains; while the table is out, those that were known stay in force."""
+        match self._table.scan(DRAIN_PREFIX):
+            case Result(tag="ok", ok=rows):
+                self._drains = read_drains(rows)
+            case Result(error=fault):
+                log.warning("drains not read: {}", fault, extra={"event": "drains.stale"})
+        return self._drains
+
+
+def make_drain_app(drained: DrainedHosts, hosts: Hosts, table: Table, events: EventSink) -> WsgiApp:
+    """Build the application: GET lists drains, PUT and DELETE of a host's path change them."""
+
+    def serve(environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        name = unquote(environ["PATH_INFO"].removeprefix(DRAIN_PATH).strip("/"))
+        match environ["REQUEST_METHOD"]:
+            case "GET" if not name:
+                return answer_json(start, drained.drains())
+            case "PUT" if name:
+                return change(environ, start, name, wanted=True)
+            case "DELETE" if name:
+                return change(environ, start, name, wanted=False)
+        detail = f"use GET {DRAIN_PATH}, PUT or DELETE {DRAIN_PATH}/HOST"
+        return answer_refusal(start, Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail))
+
+    def change(
+        environ: dict[str, Any], start: StartResponse, name: str, wanted: bool
+    ) -> Iterable[bytes]:
+        """Begin or end a drain."""
+        if wanted and name not in {host.name for host in hosts.all()}:
+            detail = f"the platform lists no host {name!r}"
+            return answer_refusal(start, Refusal(Verdict.NOT_RUN, Reason.NOT_FOUND, detail))
+        row = DrainRow(name, environ.get("toucanpin.operator", ""), time.time())
+        outcome = drive(set_drain(row, wanted), lambda action: perform_on_table(table, action))
+        match outcome:
+            case Result(tag="ok", ok=changed):
+                kind = "host.drain" if wanted else "host.undrain"
+                events.record(kind, {"host": name}, row.operator)
+                return answer_json(start, {"host": name, "drain": wanted, "changed": changed})
+            case Result(error=refusal):
+                return answer_refusal(start, refusal)
+
+    return serve
--- a/toucanpin/daemon/root.py
+++ b/toucanpin/daemon/root.py
@@ -18,6 +18,7 @@
 from toucanpin.daemon.access import guard_app, read_operators
 from toucanpin.daemon.bundles import Bundles
 from toucanpin.daemon.control import Control
+from toucanpin.daemon.drains import DRAIN_PATH, DrainedHosts, make_drain_app
 from toucanpin.daemon.endpoint import Endpoint, parse_endpoint
 from toucanpin.daemon.front import Front, FrontSettings
 from toucanpin.daemon.gossip import Gossip
@@ -116,7 +117,8 @@
         timeout = platform.timeout_ms / MILLISECONDS
         self.table = HttpTable(platform.table, self.name, timeout)
         self.objects = HttpObjects(platform.objects, self.name, timeout)
-        self.host_list = HttpHostList(platform.hosts, self.name, timeout)
+        listed = HttpHostList(platform.hosts, self.name, timeout)
+        self.host_list = DrainedHosts(listed, self.table)
         self.hosts = Hosts(self.host_list, platform.hosts_every_ms / MILLISECONDS)
 
     def _join_members(self, incarnation: int) -> None:
@@ -232,6 +234,7 @@
             **make_probe_apps(self._find_unready, self._show_state),
             **make_bundle_apps(self.bundles, self.gossip, self.table, self.root, self.recorder),
             **make_view_apps(self.gossip, self.hosts),
+            DRAIN_PATH: make_drain_app(self.host_list, self.hosts, self.table, self.recorder),
             "/metrics": self.metrics.serve,
             "/v1/timeline": timeline_app(self.recorder),
         }
