Doubt the bundle after a freeze or a time alone

Cause: the scenario bundle-cut-off showed a process that served version 1 for 5 ms when its cut ended, as the first heartbeats made it count as one of many in an outage of the table; a frozen process would have done the same on waking, by a view of the time before. Ruled out: to begin as a fresh process, which would take back its stamp. Change: such a process isn't ready until a confirmation from after it came back, or, with the table out, until its view had time to become true; most of the others must be heard in place of half, so that the larger part of a 5 to 4 parting doesn't pass for all.

--- a/toucanpin/bundles/asks.py
+++ b/toucanpin/bundles/asks.py
@@ -31,16 +31,18 @@
     """
     Time the spread; all in seconds.
 
-    ``settle`` is how long a fresh process collects peers' versions when the table is silent;
-    ``catch_up`` how long a process serves on although it has seen a higher version; ``isolated``
-    how long one serves that reaches neither the table nor half of the others; ``outage`` how long
-    one serves that reaches those, but none of them the table.  ``hop`` is added to the age of a
-    confirmation at each process that it passes; it must exceed the delay of a heartbeat.
+    ``settle`` is how long a process that starts or was away listens to its peers when the table is
+    silent, longer than it takes to suspect a member; ``catch_up`` how long a process serves on
+    although it has seen a higher version; ``isolated`` how long one serves that reaches neither
+    the table nor most of the others; ``outage`` how long one serves that reaches those, but none
+    of them the table; ``pause`` the gap that shows that the process was frozen.  ``hop`` is added
+    to the age of a confirmation at each process that it passes; it must exceed the delay of a
+    heartbeat.
     """
 
     poll: float = 2.0
     retry: float = 0.2
-    settle: float = 2.0
+    settle: float = 3.0
     catch_up: float = 5.0
     isolated: float = 30.0
     outage: float = 2_100.0
--- a/toucanpin/bundles/spread.py
+++ b/toucanpin/bundles/spread.py
@@ -56,6 +56,7 @@
         self._started = now
         self._seen = 0
         self._behind_since: float | None = None
+        self._doubted_at: float | None = None
         self._confirmed_at: float | None = None
         self._row_version = 0
         self._table_version = 0
@@ -170,11 +171,12 @@
         Say whether to serve by the bundle in force.
 
         ``reached`` of ``known`` other processes answer at present.  A process that reaches neither
-        the table nor half of the others is most likely cut off, and a newer bundle may be in
-        force elsewhere: it stops soon.  While half of them can be reached and none reaches the
+        the table nor most of the others is probably cut off, and a newer bundle may be in
+        force elsewhere: it stops soon.  While most of them can be reached and none reaches the
         table, the table is out, nobody can accept a bundle, and stopping would only add to the
         outage.
         """
+        self._touch(now)
         if not self._learnt:
             return Readiness(False, "the bundle in force isn't known yet")
         if self._held is None:
@@ -182,19 +184,38 @@
         if self._behind_since is not None and now - self._behind_since > self._timing.catch_up:
             version = self._held.record.version
             return Readiness(False, f"version {self._seen} is in force, only {version} is here")
-        together = 2 * reached >= known and known > 0
-        limit = self._timing.outage if together else self._timing.isolated
+        together = 2 * reached > known
+        # A process that was cut off for long hears of the newer bundle in the very heartbeat that
+        # ends its cut; without the second condition it would serve by the old one once more.
+        patient = together and self._behind_since is None
+        limit = self._timing.outage if patient else self._timing.isolated
         confirmed_at = self._confirmed_at
         if confirmed_at is None:
             confirmed_at = self._started - self._timing.isolated
         age = now - confirmed_at
+        if age > self._timing.isolated and not together:
+            self._doubted_at = now
         if age > limit:
             return Readiness(False, f"the bundle was last confirmed {age:.0f} s ago")
+        if self._is_doubted(patient, now):
+            return Readiness(False, "a newer bundle may have come while this process was away")
         return Readiness(True)
 
+    def _is_doubted(self, patient: bool, now: float) -> bool:
+        # After a freeze, or after a time alone, the first to answer may be as old as this process,
+        # and the view of who is there is of the time before.  The doubt ends with a confirmation
+        # from after it began; with the table out, once the view had time to become true again.
+        if self._doubted_at is None:
+            return False
+        settled = now - self._doubted_at >= self._timing.settle
+        if patient and settled and not self._table_answers:
+            self._doubted_at = None
+        return self._doubted_at is not None
+
     def _touch(self, now: float) -> None:
         if now - self._touched > self._timing.pause:
             self._distrust_until = now + self._timing.settle
+            self._doubted_at = now
             self._read_due = now
         self._touched = now
 
@@ -210,6 +231,8 @@
     def _confirm(self, at: float) -> None:
         if self._confirmed_at is None or at > self._confirmed_at:
             self._confirmed_at = at
+        if self._doubted_at is not None and at >= self._doubted_at:
+            self._doubted_at = None
 
     def _take_row(self, row: Row, now: float) -> Offer:
         match decode_record(row.value):
--- a/toucanpin/bundles/tests/cluster.py
+++ b/toucanpin/bundles/tests/cluster.py
@@ -41,6 +41,7 @@
     stamps: dict[str, int] = field(default_factory=dict)
     heard: dict[str, float] = field(default_factory=dict)
     history: list[tuple[float, int]] = field(default_factory=list)
+    served: list[tuple[float, int]] = field(default_factory=list)
     frozen: bool = False
     waiting: list[Callable[[], None]] = field(default_factory=list)
     dead: bool = False
@@ -135,6 +136,10 @@
         reached = sum(self.now - at < 2.0 for at in process.heard.values())
         return process.spread.readiness(reached, len(process.heard), self.now).ready
 
+    def serve(self, name: str) -> int:
+        """Return the version that a process would serve a request by now, 0 for none."""
+        return self.version(name) if self.is_ready(name) else 0
+
     def _later(self, delay: float, process: Process, act: Callable[[], None]) -> None:
         def strike() -> None:
             if process.frozen:
@@ -179,6 +184,7 @@
             receiver.stamps[sender] = version
             receiver.heard[sender] = self.now
             seen = receiver.spread.seen
+            self._note(receiver)  # a request that comes between the view's change and the stamp
             receiver.spread.hear(version, age, self.now)
             if version > seen:
                 self._wake(receiver)
@@ -243,6 +249,8 @@
 
     def _note(self, process: Process) -> None:
         version = process.spread.version
+        if self.processes.get(process.name) is process:
+            process.served.append((self.now, self.serve(process.name)))
         last = process.history[-1][1] if process.history else 0
         if version != last:
             process.history.append((self.now, version))
--- a/toucanpin/bundles/tests/test_rollback.py
+++ b/toucanpin/bundles/tests/test_rollback.py
@@ -157,8 +157,13 @@
         self.assertEqual(self.versions(), [1] * 3 + [2] * 3)
         self.assertEqual([self.cluster.is_ready(name) for name in NAMES], [False] * 3 + [True] * 3)
         self.cluster.cut = lambda sender, receiver: False
+        healed = self.cluster.now
+        self.cluster.run(6)
         self.restore()
         self.cluster.run(3)
+        for name in LEFT:
+            served = self.cluster.processes[name].served
+            self.assertNotIn(1, [version for at, version in served if at >= healed])
         self.assertEqual(self.versions(), [2] * 6)
         self.assertTrue(all(self.cluster.is_ready(name) for name in NAMES))
         self.assert_no_way_back()
@@ -184,6 +189,23 @@
         self.assertEqual(self.cluster.version(SECOND), 2)
         self.assert_no_way_back()
 
+    def test_a_process_frozen_for_minutes(self):
+        """
+        A process is frozen for five minutes and misses version 2.  On waking it believes that all
+        the others are there, and the bound for an outage of the table isn't over.  A request that
+        it finds in its socket must not be served by version 1.
+        """
+        self.cluster.freeze(SECOND)
+        self.cluster.accept(make_record(2), FIRST)
+        self.cluster.run(300)
+        process = self.cluster.processes[SECOND]
+        process.heard = dict.fromkeys(process.heard, self.cluster.now)
+        woken = self.cluster.now
+        self.assertEqual(self.cluster.serve(SECOND), 0)
+        self.cluster.resume(SECOND)
+        self.cluster.run(5)
+        self.assertEqual({version for at, version in process.served if at > woken}, {0, 2})
+
     def test_two_bundles_of_one_version(self):
         """
         A signed bundle that lost its race is pushed by somebody.  Its version and signature are as
@@ -266,7 +288,14 @@
         self.spread = Spread("a/request", ROOT, SpreadTiming(), 0.0)
         self.spread.take_rows((row_of(make_record(1), 1),), 0.0, 0.1)
 
+        self.now = 0.1
+
     def is_ready(self, reached, now):
+        """Let a process that is never frozen run until ``now`` and say whether it is ready."""
+        while self.now < now - 1.0:
+            self.now += 1.0
+            self.spread.readiness(reached, 5, self.now)
+        self.now = now
         return self.spread.readiness(reached, 5, now).ready
 
     def test_alone_it_stops_soon_together_it_serves_on_through_an_outage(self):
@@ -277,15 +306,43 @@
         """
         self.assertTrue(self.is_ready(1, 29.0))
         self.assertFalse(self.is_ready(1, 31.0))
+        self.setUp()
         self.assertTrue(self.is_ready(3, 1_800.0))
         self.assertFalse(self.is_ready(3, 2_200.0))
 
+    def test_the_first_others_after_a_time_alone_prove_nothing(self):
+        """
+        After a minute alone the heartbeats of most others arrive again, none of which knows more.
+        The process waits until the stamps of the rest would have come, too.
+        """
+        self.is_ready(1, 60.0)
+        self.spread.miss_table(60.0)
+        self.assertFalse(self.is_ready(4, 60.5))
+        self.assertTrue(self.is_ready(4, 64.0))
+
+    def test_heartbeats_of_before_a_freeze_end_no_doubt(self):
+        """
+        A process wakes with the table out of reach and reads its socket slowly.  Heartbeats from
+        before the freeze call version 1 fresh; their ages are of a time long ago.
+        """
+        self.is_ready(1, 10.0)
+        self.assertFalse(self.spread.readiness(1, 5, 310.0).ready)
+        self.now = 310.0
+        self.is_ready(1, 311.5)
+        self.spread.hear(1, 0.1, 311.5)
+        self.assertFalse(self.is_ready(1, 312.0))
+
+    def test_a_higher_stamp_ends_the_patience_of_an_outage(self):
+        """After minutes without the table, the stamp of a peer shows that bundles come again."""
+        self.assertTrue(self.is_ready(3, 600.0))
+        self.spread.hear(2, None, 600.0)
+        self.assertFalse(self.is_ready(3, 600.1))
+
     def test_a_peers_confirmation_counts_with_its_age(self):
-        for second in range(30):
-            self.spread.ask((), float(second))
+        self.is_ready(1, 30.0)
         self.spread.hear(1, 0.5, 30.0)
-        self.assertTrue(self.is_ready(1, 50.0))
         self.assertEqual(self.spread.confirmed_age(30.0), 1.5)
+        self.assertTrue(self.is_ready(1, 50.0))
 
     def test_two_that_are_cut_off_do_not_keep_each_other_fresh(self):
         """
@@ -297,11 +354,12 @@
         other.take_rows((row_of(make_record(1), 1),), 0.0, 0.1)
         now = 0.1
         while now < 60:
+            self.is_ready(1, now)
             for sender, receiver in ((self.spread, other), (other, self.spread)):
                 age = sender.confirmed_age(now)
                 now += 0.5
                 receiver.hear(1, age, now)
-        self.assertFalse(self.is_ready(1, now))
+        self.assertFalse(self.is_ready(1, now + 0.5))
 
     def test_behind_it_stops_after_the_time_to_catch_up(self):
         self.spread.hear(2, None, 1.0)
