--- a/toucanpin/daemon/caller_request.py
+++ b/toucanpin/daemon/caller_request.py
@@ -141,7 +141,7 @@
     except CallerGoneError as error:
         raise refuse(Reason.BAD_REQUEST, str(error)) from error
     except TimeoutError as error:
-        raise refuse(Reason.DEADLINE, "the body did not arrive in time") from error
+        raise refuse(Reason.BAD_REQUEST, "the body did not arrive in time") from error
     if len(body) > limit:
         raise refuse(Reason.TOO_LARGE, f"the body is larger than {limit} bytes")
     if length:
@@ -208,7 +208,7 @@
         except BodyTooLargeError as error:
             raise self._blame(Reason.TOO_LARGE, str(error)) from error
         except TimeoutError as error:
-            raise self._blame(Reason.DEADLINE, "the body did not arrive in time") from error
+            raise self._blame(Reason.BAD_REQUEST, "the body did not arrive in time") from error
         except (CallerGoneError, OSError) as error:
             raise self._blame(Reason.BAD_REQUEST, str(error)) from error
 
--- a/toucanpin/daemon/front.py
+++ b/toucanpin/daemon/front.py
@@ -54,6 +54,7 @@
 TICK_SECONDS = 0.05
 DRAIN_POLL_SECONDS = 0.02
 QUIET_SECONDS = 0.3
+SPARE_THREADS = 8
 NOT_READY = Refusal(
     Verdict.NOT_RUN, Reason.NOT_READY, "this process does not know the bundle in force yet", 1.0
 )
@@ -123,7 +124,14 @@
         self._claimer = Claimer(table, f"{settings.name}:{settings.incarnation}")
         self._sweeper = Sweeper(table, settings.name, members)
         self._upstreams = Upstreams(
-            settings.name, settings.site, settings.settle, bundle, hosts, members, rng or Random()
+            settings.name,
+            settings.site,
+            settings.settle,
+            bundle,
+            hosts,
+            members,
+            rng or Random(),
+            max(1, settings.threads - SPARE_THREADS),
         )
         self._server = CallerServer(
             (settings.address, settings.port),
--- a/toucanpin/daemon/upstreams.py
+++ b/toucanpin/daemon/upstreams.py
@@ -72,7 +72,9 @@
         hosts: Callable[[], tuple[ListedHost, ...]],
         members: MembershipView,
         rng: Random,
+        places: int,
     ) -> None:
+        self._places = places
         self._site = site
         self._bundle = bundle
         self._hosts = hosts
@@ -140,7 +142,7 @@
         if entry is None:
             rng = Random(self._rng.random())
             share = bundle.limits.retry_share
-            entry = ServiceEntry(ServiceState(service, share, self._site, rng))
+            entry = ServiceEntry(ServiceState(service, share, self._site, rng, self._places))
         mine = [host for host in hosts if host.service == service.name]
         shares = tuple(self._share(host, service) for host in mine)
         listed = {host.name for host in mine}
--- a/toucanpin/requests/service.py
+++ b/toucanpin/requests/service.py
@@ -19,6 +19,7 @@
 __all__ = ["ServiceState"]
 
 ABSENT_RETRY_SECONDS = 2.0
+MANY_PLACES = 1 << 30
 
 
 class ServiceState:
@@ -26,13 +27,22 @@
     Put the decisions about one service together.
 
     Not safe for threads: the daemon takes a lock around each step.  ``settled`` collects the
-    tickets whose wait ended in this step, for the daemon to wake.
+    tickets whose wait ended in this step, for the daemon to wake.  ``places`` is how many requests
+    the process can keep at one time, in flight and queued.
     """
 
-    __slots__ = ("service", "rng", "admission", "router", "budget", "patience", "settled")
+    __slots__ = ("service", "places", "rng", "admission", "router", "budget", "patience", "settled")
 
-    def __init__(self, service: Service, retry_share: float, site: str, rng: Random) -> None:
+    def __init__(
+        self,
+        service: Service,
+        retry_share: float,
+        site: str,
+        rng: Random,
+        places: int = MANY_PLACES,
+    ) -> None:
         self.service = service
+        self.places = places
         self.rng = rng
         self.admission = Admission(service.queue, rng)
         self.router = Router(site, rng)
@@ -43,12 +53,14 @@
     def configure(self, service: Service) -> None:
         """Take in a changed description of the service."""
         self.service = service
-        self.admission.limit = service.queue
 
     def update(self, shares: tuple[InstanceShare, ...], now: float) -> None:
         """Take in instances and shares, and grant what they allow."""
         self.router.update(shares, now)
         self.admission.slots = self.router.owned
+        # A request that finds no thread would wait unseen, and be refused late or never.
+        room = max(1, self.places - self.router.owned)
+        self.admission.limit = min(self.service.queue, room)
         self.grant(now)
 
     def check(self, caller: str, deadline: float, now: float) -> Refusal | None:
--- a/toucanpin/requests/tests/test_path.py
+++ b/toucanpin/requests/tests/test_path.py
@@ -21,6 +21,7 @@
     Whole,
 )
 from toucanpin.requests.path import serve_request
+from toucanpin.requests.routing import InstanceShare
 from toucanpin.requests.service import ServiceState
 from toucanpin.requests.tests.virtual import Attempt, Clock, Load, VirtualFront, share_evenly
 from toucanpin.verdict import Reason, Verdict
@@ -234,6 +235,54 @@
         self.assertLess(bad, 0.005 * len(front.records))
         self.assertLess(sum(load.sent.values()), 1.02 * len(front.records))
 
+    def test_outlives_the_loss_of_a_site(self):
+        """
+        Callers are served by the far site after a moment, and by the near one when it is back.
+
+        The whole near site refuses connections for four seconds.
+        """
+        clock, load = Clock(), Load()
+        near = [f"n{number}" for number in range(5)]
+
+        def behave(name, now):
+            lost = name in near and 2.0 <= now < 6.0
+            return Attempt(0.001, "refused") if lost else Attempt(0.02)
+
+        front = VirtualFront(clock, Service("verify"), behave, load)
+        shares = share_evenly(near)
+        shares += tuple(InstanceShare(f"f{number}", "kennebec", 8) for number in range(5))
+        front.update(shares)
+        for number in range(4_000):
+            clock.at(number * 0.005, front.ask)
+        clock.run()
+        bad = [record for record in front.records if not record.ok]
+        self.assertLess(len(bad), 0.01 * len(front.records))
+        self.assertGreater(sum(load.sent.get(name, 0) for name in near), 2_000)
+
+    def test_recovers_from_a_herd_after_an_outage(self):
+        """
+        All callers that come after the outage are served, and no instance gets more than its slots.
+
+        Every instance refuses connections for two seconds; then 600 callers come back within a
+        tenth of a second, on 80 slots.
+        """
+        clock, load = Clock(), Load()
+        front = VirtualFront(
+            clock,
+            Service("verify", queue=1_000),
+            lambda name, now: Attempt(0.001, "refused") if now < 2.0 else Attempt(0.05),
+            load,
+        )
+        front.update(share_evenly([f"i{number}" for number in range(10)]))
+        for number in range(200):
+            clock.at(number * 0.01, front.ask)
+        herd: list[Any] = []
+        for number in range(600):
+            clock.at(2.0 + number / 6_000, lambda: herd.append(front.ask()))
+        clock.run()
+        self.assertGreater(sum(record.ok for record in herd), 0.95 * len(herd))
+        self.assertLessEqual(max(load.most.values()), 8)
+
     def test_holds_the_slot_of_an_attempt_whose_end_is_unknown(self):
         """
         The instance never works on more than its eight slots.
