--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -7,14 +7,17 @@
 
 from __future__ import annotations
 
+import time
 from random import Random
 
-from benchmarks.queue_model import Shape, run_central, run_own, run_queues
+from benchmarks.queue_model import SLOTS, Shape, run_central, run_own, run_queues
 from benchmarks.request_cost import measure_costs
+from toucanpin.requests.shares import ShareBook
 
 __all__ = ["main"]
 
 COUNT = 30_000
+CONNECTIONS = 64
 LOADS = (0.5, 0.8, 0.95, 1.2)
 SPREADS = {"even": 0.25, "skewed": 1.0}
 QUANTILES = {"p50": 0.5, "p99": 0.99, "p99.9": 0.999}
@@ -30,6 +33,7 @@
             print_tails(spread, Shape(load, sigma, COUNT))
     print_overload()
     print_loss()
+    print_shares()
 
 
 def print_costs() -> None:
@@ -52,10 +56,10 @@
         for label, share in QUANTILES.items():
             key = f"{label}_{name}_{spread}_{round(shape.load * 100)}"
             print_line(key, run.quantile(share) * 1_000, "ms", bound.quantile(share) * 1_000)
-    own = runs["own"]
-    refused = len(own.refused) / shape.count
+        key = f"most_{name}_{spread}_{round(shape.load * 100)}"
+        print_line(key, run.most, "requests at one instance", SLOTS)
+    refused = len(runs["own"].refused) / shape.count
     print_line(f"refused_own_{spread}_{round(shape.load * 100)}", refused * 100, "%", 0.0)
-    print_line(f"most_own_{spread}_{round(shape.load * 100)}", own.most, "slots", 8.0)
 
 
 def print_overload() -> None:
@@ -77,6 +81,28 @@
     print_line("p99_third_lost", hurt.quantile(0.99) * 1_000, "ms", calm.quantile(0.99) * 1_000)
 
 
+def print_shares() -> None:
+    """Time the work of shares, which exchange no load: one change of members, one refresh."""
+    changed: dict[int, float] = {}
+    still: dict[int, float] = {}
+    for hosts in (9, 135):
+        book = ShareBook("e0/request", 2.0)
+        members = tuple(f"e{number}/request" for number in range(hosts))
+        changed[hosts] = _time_shares(book, members, 0.0)
+        still[hosts] = _time_shares(book, members, 0.2)
+    print_line("shares_change_135_hosts", changed[135] * 1_000, "ms", changed[9] * 1_000)
+    print_line("shares_refresh_135_hosts", still[135] * 1_000, "ms", still[9] * 1_000)
+
+
+def _time_shares(book: ShareBook, members: tuple[str, ...], now: float) -> float:
+    began = time.process_time()
+    book.update(members, now)
+    for number in range(Shape(1.0, 1.0, 0).instances):
+        book.share(f"i{number}", SLOTS)
+        book.share(f"i{number}", CONNECTIONS)
+    return time.process_time() - began
+
+
 def print_line(name: str, value: float, unit: str, baseline: float) -> None:
     """Print one figure."""
     ratio = f"{value / baseline:.3f}" if baseline else "-"
