--- a/scenarios/judge.py
+++ b/scenarios/judge.py
@@ -84,10 +84,14 @@
         ends = ", ".join(f"{each.end.value} at {each.time:.3f}s" for each in told) or "none"
         yield f"job {job} has {len(told)} ends: {ends}"
         return
-    if told[0].end is not end:
+    if end is not JobEnd.ENDED and told[0].end is not end:
         yield f"job {job} ended as {told[0].end.value!r}"
     if told[0].time > until:
         yield f"job {job} ended at {told[0].time:.3f}s, after {until:.3f}s"
+    if told[0].end is JobEnd.CANCELLED:
+        for run in seen.runs:
+            if run.task == job and min(run.stopped, seen.ended) > until:
+                yield f"cancelled job {job} still ran at {run.host} after {until:.3f}s"
     if not told[0].right:
         yield f"job {job} has a wrong result"
 
--- a/scenarios/model.py
+++ b/scenarios/model.py
@@ -241,6 +241,7 @@
     """Say how a job is expected to end."""
 
     FINISHED = "finished once"
+    ENDED = "ended once"
     CANCELLED = "cancelled"
     REFUSED = "refused"
     FAILED = "failed"
--- a/scenarios/tests/test_judge.py
+++ b/scenarios/tests/test_judge.py
@@ -51,6 +51,14 @@
         self.expect_broken(line, "after 11.000s", jobs=[replace(once, time=12.0)])
         self.expect_broken(line, "wrong result", jobs=[replace(once, right=False)])
 
+    def test_cancelled_job_stops(self):
+        line = "expect job a cancelled within 10s"
+        told, run = JobTold("a", 5.0, JobEnd.CANCELLED), TaskRun("a", 1, "w1", 0.0, 6.0)
+        self.assertEqual(weigh(line, jobs=[told], runs=[run]), [])
+        self.expect_broken(line, "still ran", jobs=[told], runs=[replace(run, stopped=11.5)])
+        self.assertEqual(weigh("expect job a ended once", jobs=[told]), [])
+        self.expect_broken("expect job a ended once", "2 ends", jobs=[told, told])
+
     def test_job_that_resumed_once(self):
         line = "expect job a resumed once"
         first, second = TaskRun("a", 1, "w1", 0.0, 3.0), TaskRun("a", 2, "w2", 4.0, 6.0, True)
