--- a/scenarios/peer.py
+++ b/scenarios/peer.py
@@ -25,7 +25,11 @@
 from toucanpin.bundles.signature import KeyRing
 from toucanpin.bundles.spread import Spread
 from toucanpin.membership.beat import Beat, Record, Timing
+<<<<<<< HEAD
 from toucanpin.membership.incarnation import REFUTATION_BITS, read_life
+=======
+from toucanpin.membership.incarnation import number_life
+>>>>>>> main
 from toucanpin.membership.member import Member, Standing
 from toucanpin.membership.view import View
 from toucanpin.platform.ports import ListedHost
@@ -34,7 +38,10 @@
 
 ASK_PERIOD = 0.1
 HOST_LIST_PERIOD = 1.0
+<<<<<<< HEAD
 TIMING = Timing(interval=0.2)
+=======
+>>>>>>> main
 THERE = (Standing.ALIVE, Standing.SUSPECT)
 
 
@@ -61,8 +68,13 @@
         self.site = site
         self.hosts: tuple[ListedHost, ...] = ()
         role = name.partition("/")[2]
+<<<<<<< HEAD
         own = Member(name, self.host, site, role, life << REFUTATION_BITS, name, 1)
         self.view = View(own, TIMING, self.read_clock())
+=======
+        own = Member(name, self.host, site, role, number_life(life), name, 1)
+        self.view = View(own, Timing(), self.read_clock())
+>>>>>>> main
         self.spread = Spread(name, around.ring, SpreadTiming(), self.read_clock())
         self._sent = 0
         self._tokens = 0
--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -55,14 +55,21 @@
         return {it.name: it for it in self.hosts if it.role is HostRole.WORKER}
 
     def lives(self) -> tuple[Life, ...]:
-        """Return the control processes that membership believes to be there."""
-        return tuple(
-            sorted(
-                Life(it.name, it.incarnation)
-                for it in self.members
-                if it.role == CONTROL_ROLE and it.standing in (Standing.ALIVE, Standing.SUSPECT)
-            )
-        )
+        """Return the control processes that membership believes to be there, suspects too."""
+        return self._list_lives((Standing.ALIVE, Standing.SUSPECT))
+
+    def answering(self) -> tuple[Life, ...]:
+        """
+        Return the control processes that are heard of.
+
+        Cells are divided among these.  Waiting until a suspect is given up let the leases of a
+        dead owner's workers lapse, and every task there stopped.
+        """
+        return self._list_lives((Standing.ALIVE,))
+
+    def _list_lives(self, standings: tuple[Standing, ...]) -> tuple[Life, ...]:
+        chosen = (it for it in self.members if it.role == CONTROL_ROLE and it.standing in standings)
+        return tuple(sorted(Life(it.name, it.life) for it in chosen))
 
 
 @dataclass(slots=True)
@@ -110,6 +117,34 @@
         names = {it.process: it for it in (*lives, self.life)}
         return names[max(names, key=lambda name: rank(cell, name))]
 
+    def is_quiet(self, now: float) -> bool:
+        """
+        Tell whether the table has just come back.
+
+        Every row then stands unchanged for as long as it was out; its owner gets time to renew it
+        before anybody takes that for a death.
+        """
+        quiet = self.terms.take_after + self.terms.renew_every
+        return self.health.well_since > 0 and now < self.health.well_since + quiet
+
+    def able_lives(self, view: View) -> tuple[Life, ...]:
+        """
+        Return the lives that may own cells: heard of, and renewing their authority.
+
+        A process that still sends heartbeats but is cut off from the table would otherwise keep the
+        claim to cells that it can't serve.
+        """
+        lives = view.answering()
+        if self.is_quiet(view.now):
+            return lives
+        return tuple(it for it in lives if self._renews(it, view.now))
+
+    def _renews(self, life: Life, now: float) -> bool:
+        unchanged = self.watch.unchanged(life, now)
+        if unchanged is None or self.watch.is_over(life):
+            return False
+        return unchanged < self.terms.silence()
+
     def ceded(self, now: float) -> dict[str, int]:
         """Return the cells that are lost and on which no own lease can be live."""
         return {cell: epoch for cell, (epoch, ends) in self.lost.items() if now >= ends}
