--- a/scenarios/peer.py
+++ b/scenarios/peer.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
@@ -25,11 +25,7 @@
 from toucanpin.bundles.signature import KeyRing
 from toucanpin.bundles.spread import Spread
 from toucanpin.membership.beat import Beat, Record, Timing
-<<<<<<< HEAD
-from toucanpin.membership.incarnation import REFUTATION_BITS, read_life
-=======
 from toucanpin.membership.incarnation import number_life
->>>>>>> main
 from toucanpin.membership.member import Member, Standing
 from toucanpin.membership.view import View
 from toucanpin.platform.ports import ListedHost
@@ -38,10 +34,7 @@
 
 ASK_PERIOD = 0.1
 HOST_LIST_PERIOD = 1.0
-<<<<<<< HEAD
 TIMING = Timing(interval=0.2)
-=======
->>>>>>> main
 THERE = (Standing.ALIVE, Standing.SUSPECT)
 
 
@@ -68,13 +61,8 @@
         self.site = site
         self.hosts: tuple[ListedHost, ...] = ()
         role = name.partition("/")[2]
-<<<<<<< HEAD
-        own = Member(name, self.host, site, role, life << REFUTATION_BITS, name, 1)
-        self.view = View(own, TIMING, self.read_clock())
-=======
         own = Member(name, self.host, site, role, number_life(life), name, 1)
-        self.view = View(own, Timing(), self.read_clock())
->>>>>>> main
+        self.view = View(own, TIMING, self.read_clock())
         self.spread = Spread(name, around.ring, SpreadTiming(), self.read_clock())
         self._sent = 0
         self._tokens = 0
@@ -84,11 +72,8 @@
         self._list_hosts()
 
     def members(self) -> tuple[Member, ...]:
-        """Return every known member, this process included, with the numbers of their lives."""
-        return tuple(
-            replace(member, incarnation=read_life(member.incarnation))
-            for member in self.view.members()
-        )
+        """Return every known member, this process included."""
+        return self.view.members()
 
     def current(self) -> Bundle | None:
         """Return the bundle in force, None while this process must not serve by it."""
