--- a/scenarios/check.py
+++ b/scenarios/check.py
@@ -60,8 +60,9 @@
             case model.SendRequest(service=service, through=entry):
                 yield from _require(event.place, "entry host", entry, entries)
                 yield from _require(event.place, "service", service, services)
-            case model.Outage(target):
+            case model.Outage(target, client=client):
                 yield from _require(event.place, "service of the platform", target, PLATFORM)
+                yield from _require(event.place, "host", client, targets | {""})
             case model.Cut(source, target) | model.Slow(source, target):
                 yield from _require(event.place, "host", source, targets)
                 yield from _require(event.place, "host", target, targets)
--- a/scenarios/kernel.py
+++ b/scenarios/kernel.py
@@ -75,7 +75,7 @@
         self._cuts: list[tuple[model.Cut, float]] = []
         self._slows: list[tuple[model.Slow, float]] = []
         self._lost_answers: list[list] = []
-        self._outages: dict[str, float] = {}
+        self._outages: list[tuple[model.Outage, float]] = []
         self._paused: dict[str, float] = {}
         self._gone: set[str] = set()
 
@@ -89,8 +89,8 @@
                 self._slows.append((fault, now + duration))
             case model.LoseAnswers(source, target, count):
                 self._lost_answers.append([source, target, count])
-            case model.Outage(target, duration):
-                self._outages[target] = now + duration
+            case model.Outage(duration=duration):
+                self._outages.append((fault, now + duration))
             case model.Pause(target, duration):
                 self._paused[target] = now + duration
 
@@ -155,7 +155,7 @@
             if not self._is_cut(target, source) and not self._loses_answer(target, source):
                 self._kernel.call_after(self._draw(target, source), lambda: close(outcome))
 
-        if self.is_gone(target) or self._outages.get(target, 0.0) > self._kernel.now:
+        if self.is_gone(target) or self._refuses(target, source):
             refused = Loss("refused", sent=False)
             self._kernel.call_after(self._draw(source, target), lambda: close(refused))
             return
@@ -211,6 +211,15 @@
             covers(left, target) and covers(right, source)
         )
 
+    def _refuses(self, target: str, source: str) -> bool:
+        """Tell whether a service of the platform refuses a client."""
+        return any(
+            self._kernel.now < end
+            and outage.target == target
+            and (not outage.client or covers(outage.client, source))
+            for outage, end in self._outages
+        )
+
     def _loses_answer(self, source: str, target: str) -> bool:
         """Tell whether this answer is one of those to lose, and count it."""
         for entry in self._lost_answers:
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -284,6 +284,11 @@
     def cut_one_way(self, source: str, target: str, seconds: float = model.FOREVER) -> model.Cut:
         return model.Cut(source, target, True, seconds)
 
+    def outage_to_one(
+        self, target: str, client: str, seconds: float = model.FOREVER
+    ) -> model.Outage:
+        return model.Outage(target, seconds, client)
+
     @v_args(inline=False)
     def lose(self, parts: list[Any]) -> model.LoseAnswers:
         count = parts[0] if isinstance(parts[0], int) else 1
--- a/scenarios/model.py
+++ b/scenarios/model.py
@@ -164,10 +164,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Outage:
-    """Take a service of the platform away from everybody."""
+    """Let a service of the platform refuse one client, everybody if none is named."""
 
     target: str
     duration: float = FOREVER
+    client: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/scenarios/tests/test_language.py
+++ b/scenarios/tests/test_language.py
@@ -55,6 +55,7 @@
             "lose next answer of table to entry-b": model.LoseAnswers("table", "entry-b", 1),
             "lose next 3 answers of w1 to entry-b": model.LoseAnswers("w1", "entry-b", 3),
             "outage of table for 2min": model.Outage("table", 120.0),
+            "outage of table to entry-a": model.Outage("table", FOREVER, "entry-a"),
             "step clock of entry-a by -5s": model.StepClock("entry-a", -5.0),
             "replace host entry-a": model.Replace("entry-a"),
             "mark worker w1 leaving": model.Leave("w1"),
