--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -32,6 +32,7 @@
     "$END": "the end of the file",
     "_NL": "the end of the line",
     "NAME": "a name",
+    "KIND": "a kind of event such as cell.take",
     "INT": "a whole number",
     "STRING": "a text in quotes",
     "DURATION": "a duration such as 3s, 20ms or 2min",
@@ -146,6 +147,7 @@
 
     INT = int
     NAME = str
+    KIND = str
     DURATION = staticmethod(_read_seconds)
     SIGNED_DURATION = staticmethod(_read_seconds)
 
@@ -282,6 +284,11 @@
     def cut_one_way(self, source: str, target: str, seconds: float = model.FOREVER) -> model.Cut:
         return model.Cut(source, target, True, seconds)
 
+    def outage_to_one(
+        self, target: str, client: str, seconds: float = model.FOREVER
+    ) -> model.Outage:
+        return model.Outage(target, seconds, client)
+
     @v_args(inline=False)
     def lose(self, parts: list[Any]) -> model.LoseAnswers:
         count = parts[0] if isinstance(parts[0], int) else 1
@@ -331,6 +338,7 @@
     standing_runs = model.StandingRuns
     bundle_everywhere = model.BundleEverywhere
     no_work = model.NoWork
+    few_events = model.FewEvents
 
     def request_ends(
         self, name: str, end: Token, within: float = model.FOREVER
--- a/scenarios/peer.py
+++ b/scenarios/peer.py
@@ -25,6 +25,7 @@
 from toucanpin.bundles.signature import KeyRing
 from toucanpin.bundles.spread import Spread
 from toucanpin.membership.beat import Beat, Record, Timing
+from toucanpin.membership.incarnation import number_life
 from toucanpin.membership.member import Member, Standing
 from toucanpin.membership.view import View
 from toucanpin.platform.ports import ListedHost
@@ -33,7 +34,7 @@
 
 ASK_PERIOD = 0.1
 HOST_LIST_PERIOD = 1.0
-LIVES_APART = 1_000
+TIMING = Timing(interval=0.2)
 THERE = (Standing.ALIVE, Standing.SUSPECT)
 
 
@@ -48,6 +49,7 @@
     ring: KeyRing
     workers: dict[str, SimulatedWorker] = field(default_factory=dict)
     peers: dict[str, PeerProcess] = field(default_factory=dict)
+    instances: dict[str, Any] = field(default_factory=dict)
 
 
 class PeerProcess(Process):
@@ -59,14 +61,13 @@
         self.site = site
         self.hosts: tuple[ListedHost, ...] = ()
         role = name.partition("/")[2]
-        # A view renews its incarnation after a pause; the next life's must still be higher.
-        own = Member(name, self.host, site, role, life * LIVES_APART, name, 1)
-        self.view = View(own, Timing(), self.read_clock())
+        own = Member(name, self.host, site, role, number_life(life), name, 1)
+        self.view = View(own, TIMING, self.read_clock())
         self.spread = Spread(name, around.ring, SpreadTiming(), self.read_clock())
         self._sent = 0
         self._tokens = 0
         self._in_force = 0
-        self.after(around.kernel.random.uniform(0.0, Timing().interval), self._beat)
+        self.after(around.kernel.random.uniform(0.0, TIMING.interval), self._beat)
         self._spread_on()
         self._list_hosts()
 
@@ -127,7 +128,7 @@
         for change in self.view.tick(self.read_clock()):
             self._note(change)
         self._send_round()
-        self.after(Timing().interval, self._beat)
+        self.after(TIMING.interval, self._beat)
 
     def _send_round(self) -> None:
         """Send one round of heartbeats, also to processes never heard of."""
--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -27,6 +27,7 @@
 
 BeatListener = Callable[[Member, int], None]
 
+RECEIVE_SECONDS = 0.1
 _STOP_SECONDS = 5.0
 
 _log = logbook.Logger("gossip")
@@ -40,6 +41,10 @@
     return 0
 
 
+def _hear_nothing(envelope: Envelope) -> None:
+    return None
+
+
 class Gossip:
     """
     Tell the other processes that this one is there, and show which of them are.
@@ -57,6 +62,7 @@
         timing: Timing | None = None,
         events: EventSink | None = None,
         event_sequence: Callable[[], int] = _see_no_event,
+        hear: Callable[[Envelope], None] = _hear_nothing,
     ) -> None:
         self._timing = timing or Timing()
         self._view = View(own, self._timing, time.monotonic())
@@ -76,6 +82,7 @@
             lambda: self._view.own.incarnation,
             lambda: self._view.own.bundle,
             event_sequence,
+            hear,
         )
 
     @property
@@ -146,7 +153,7 @@
 
     def _receive(self, timeout: float) -> None:
         channel = self._socket
-        received = None if channel is None else channel.receive(min(timeout, self._timing.interval))
+        received = None if channel is None else channel.receive(min(timeout, RECEIVE_SECONDS))
         if received is None or not isinstance(received.message, Heartbeat):
             return
         beat = _to_beat(received.envelope, received.message)
--- a/toucanpin/placement/ownership.py
+++ b/toucanpin/placement/ownership.py
@@ -143,7 +143,7 @@
 
 def take_cells(state: ControlState, view: View) -> Decision[None]:
     """Take the cells that are ours by rendezvous and that nobody else is known to hold."""
-    lives = view.lives()
+    lives = view.answering()
     able = state.able_lives(view)
     listed = {shape.name for shape in shape_cells(view.hosts)}
     used = {name for name, it in state.stored.items() if it.row.tasks or it.row.owner is not None}
--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -11,7 +11,7 @@
 
 from toucanpin.bundles.schema import Bundle
 from toucanpin.membership.member import Member, Standing
-from toucanpin.placement.authority import RENEWALS_PER_TERM, Authority, Watch
+from toucanpin.placement.authority import Authority, Watch
 from toucanpin.placement.cells import Cell
 from toucanpin.placement.leases import Terms
 from toucanpin.placement.policy import Policy, TightestFit
@@ -55,14 +55,21 @@
         return {it.name: it for it in self.hosts if it.role is HostRole.WORKER}
 
     def lives(self) -> tuple[Life, ...]:
-        """Return the control processes that membership believes to be there."""
-        return tuple(
-            sorted(
-                Life(it.name, it.incarnation)
-                for it in self.members
-                if it.role == CONTROL_ROLE and it.standing in (Standing.ALIVE, Standing.SUSPECT)
-            )
-        )
+        """Return the control processes that membership believes to be there, suspects too."""
+        return self._list_lives((Standing.ALIVE, Standing.SUSPECT))
+
+    def answering(self) -> tuple[Life, ...]:
+        """
+        Return the control processes that are heard of.
+
+        Cells are divided among these.  Waiting until a suspect is given up let the leases of a
+        dead owner's workers lapse, and every task there stopped.
+        """
+        return self._list_lives((Standing.ALIVE,))
+
+    def _list_lives(self, standings: tuple[Standing, ...]) -> tuple[Life, ...]:
+        chosen = (it for it in self.members if it.role == CONTROL_ROLE and it.standing in standings)
+        return tuple(sorted(Life(it.name, it.life) for it in chosen))
 
 
 @dataclass(slots=True)
@@ -117,17 +124,17 @@
         Every row then stands unchanged for as long as it was out; its owner gets time to renew it
         before anybody takes that for a death.
         """
-        quiet = self.terms.take_after + self.terms.authority / RENEWALS_PER_TERM
+        quiet = self.terms.take_after + self.terms.renew_every
         return self.health.well_since > 0 and now < self.health.well_since + quiet
 
     def able_lives(self, view: View) -> tuple[Life, ...]:
         """
-        Return the lives that may own cells: there, and renewing their authority.
+        Return the lives that may own cells: heard of, and renewing their authority.
 
         A process that still sends heartbeats but is cut off from the table would otherwise keep the
         claim to cells that it can't serve.
         """
-        lives = view.lives()
+        lives = view.answering()
         if self.is_quiet(view.now):
             return lives
         return tuple(it for it in lives if self._renews(it, view.now))
