Renew leases between the steps of a turn, so that a hanging table stops nothing

Ruled out: a shorter timeout (a slow table would then look down); polls on a thread of their own (a second writer of the state that turns decide on). Change: after each step, leases whose polls are late are renewed by polls without orders; the last poll of a turn goes by the time of the last answer.

--- a/toucanpin/cli/top.py
+++ b/toucanpin/cli/top.py
@@ -9,7 +9,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 import click
 import msgspec
@@ -72,7 +72,7 @@
     )
 
 
-def _make_table(columns: tuple[str, ...], rows: list[tuple[object, ...]]) -> Table:
+def _make_table(columns: Sequence[str], rows: Sequence[Sequence[object]]) -> Table:
     """Make one table."""
     table = Table(*columns, box=None, pad_edge=False)
     for row in rows:
--- a/toucanpin/placement/cells.py
+++ b/toucanpin/placement/cells.py
@@ -52,6 +52,7 @@
     received: float = 0.0
     failed: bool = False
     next_poll: float = 0.0
+    renewed: float = 0.0
     lapsed: bool = True
     lives: dict[str, WorkerLife] = field(default_factory=dict)
     tasks: dict[tuple[str, int], TaskReport] = field(default_factory=dict)
--- a/toucanpin/placement/controller.py
+++ b/toucanpin/placement/controller.py
@@ -10,6 +10,7 @@
 
 from toucanpin.placement.absorbing import absorb_reports
 from toucanpin.placement.actions import Decision
+from toucanpin.placement.keepalive import keep_leases
 from toucanpin.placement.ownership import (
     collect_lives,
     hand_over_cells,
@@ -29,6 +30,12 @@
 
 def take_turn(state: ControlState, view: View) -> Decision[None]:
     """Take one turn; a turn that is cut short anywhere leaves nothing to repair."""
+    state.now = view.now
+    yield from keep_leases(state, _take_steps(state, view))
+
+
+def _take_steps(state: ControlState, view: View) -> Decision[None]:
+    """Take the steps of a turn in their order."""
     state.health.begin_turn(view.now)
     yield from renew_authority(state, view)
     if not state.health.down:
--- /dev/null
+++ b/toucanpin/placement/keepalive.py
@@ -0,0 +1,93 @@
+"""
+Leases during slow decisions
+============================
+
+Renew the leases of workers in between the steps of a turn, however long the table takes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TypeVar
+
+from expression import Result
+
+from toucanpin.placement.actions import Answer, Decision, PollAll, WorkerPoll
+from toucanpin.placement.cells import Cell, WorkerLink, address_worker
+from toucanpin.placement.state import ControlState
+from toucanpin.platform.ports import Poll, Report
+
+__all__ = ["keep_leases"]
+
+T = TypeVar("T")
+
+
+def keep_leases(state: ControlState, decision: Decision[T]) -> Decision[T]:
+    """
+    Run a decision and renew each lease that is due after every one of its steps.
+
+    A table that hangs holds each step until its timeout.  With renewals only at the end of a turn
+    two such steps used up a lease, and the guards of all workers stopped every task although all
+    owners were alive.  A step ends after one timeout, which is well below a lease.
+    """
+    answer: Answer | None = None
+    while True:
+        try:
+            action = next(decision) if answer is None else decision.send(answer)
+        except StopIteration as stop:
+            result: T = stop.value
+            return result
+        answer = yield action
+        state.now = max(state.now, answer.now)
+        if not isinstance(action, PollAll):
+            yield from _renew_due(state)
+
+
+def _renew_due(state: ControlState) -> Decision[None]:
+    """Renew the leases whose workers were not polled for longer than the pace of polls."""
+    due = tuple(_find_due(state))
+    if not due:
+        return
+    polls = tuple(_make_poll(state, cell, link) for cell, link in due)
+    answer = yield PollAll(polls)
+    state.now = max(state.now, answer.now)
+    for (cell, link), asked, outcome in zip(due, polls, answer.value, strict=True):
+        match outcome:
+            case Result(tag="ok", ok=Report() as report):
+                _take_clock(cell, link, asked.poll, report, answer.now)
+
+
+def _find_due(state: ControlState) -> Iterator[tuple[Cell, WorkerLink]]:
+    """Yield the workers whose leases run and whose next poll is late."""
+    if not state.authority.holds(state.now):
+        return
+    for cell in state.cells.values():
+        if cell.refused:
+            continue
+        for name in cell.row.workers:
+            link = cell.link(name)
+            late = state.now >= max(link.next_poll, link.renewed + state.pace.poll)
+            if link.incarnation and not link.failed and not link.lapsed and late:
+                yield cell, link
+
+
+def _make_poll(state: ControlState, cell: Cell, link: WorkerLink) -> WorkerPoll:
+    """Make a poll that renews a lease and orders nothing."""
+    link.renewed = state.now
+    grant = link.grant(state.authority.until, state.terms)
+    poll = Poll(cell.row.epoch, link.incarnation, grant.lease_until, ())
+    return WorkerPoll(address_worker(cell.row.workers[link.name]), poll)
+
+
+def _take_clock(cell: Cell, link: WorkerLink, poll: Poll, report: Report, now: float) -> None:
+    """
+    Take in the worker's clock, on which the next grant is based, and nothing else.
+
+    The step that is under way may hold what the last report said; the next poll of the turn brings
+    the news of tasks.
+    """
+    if report.epoch > poll.epoch:
+        cell.refused = True
+    elif report.accepted and report.incarnation == link.incarnation:
+        link.clock = report.clock
+        link.received = now
--- a/toucanpin/placement/polling.py
+++ b/toucanpin/placement/polling.py
@@ -58,7 +58,7 @@
 
 def poll_workers(state: ControlState, view: View) -> Decision[None]:
     """Poll every worker that is due or for which there are orders, all at once."""
-    now = view.now
+    now = max(view.now, state.now)
     asked: list[tuple[Cell, WorkerLink, Poll]] = []
     polls: list[WorkerPoll] = []
     for cell in state.cells.values():
--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -96,6 +96,7 @@
     scanned_standing: int = 0
     scanned_authority: int = 0
     sequence: int = 0
+    now: float = 0.0
     draining: bool = False
     authority: Authority = field(init=False)
     watch: Watch = field(init=False)
