--- /dev/null
+++ b/benchmarks/bundles.py
@@ -0,0 +1,200 @@
+"""
+Benchmarks of bundles and membership
+====================================
+
+Measure how long an accepted bundle takes to be in force everywhere, by several ways of spreading,
+and what heartbeats cost.  Prints one line for each figure:
+``bench NAME value=… unit=… baseline=… ratio=…``.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from benchmarks.bundle_processes import measure_processes
+from standins.faults import Effect, Rule
+from toucanpin.bundles.asks import SpreadTiming
+from toucanpin.bundles.tests.cluster import Cluster
+from toucanpin.bundles.tests.fixtures import make_record
+from toucanpin.membership.tests.mesh import Mesh, make_member
+from toucanpin.wire.codec import Purpose, decode, encode
+from toucanpin.wire.keys import PeerKeys
+from toucanpin.wire.messages import Envelope, Heartbeat, MemberRecord
+
+__all__ = ["main"]
+
+PROCESSES = 9
+CHANGES = 40
+POLL = SpreadTiming().poll
+INTERVAL = 0.5
+DATAGRAM_OVERHEAD = 28
+FRAME_REPEATS = 2_000
+LOSS = 0.05
+OUTAGE = 10.0
+CONDITIONS = ("healthy", "third_cut", "table_down")
+KEYS = PeerKeys("k1", {"k1": bytes(32)})
+
+
+@dataclass(frozen=True, slots=True)
+class Way:
+    """Describe one way of spreading; ``poll`` is in seconds."""
+
+    name: str
+    stamps: bool
+    push: bool
+    poll: float = POLL
+
+
+WAYS = (
+    Way("polling_2s", stamps=False, push=False),
+    Way("polling_500ms", stamps=False, push=False, poll=0.5),
+    Way("push", stamps=False, push=True),
+    Way("stamps", stamps=True, push=False),
+    Way("push_and_stamps", stamps=True, push=True),
+)
+
+
+def main() -> None:
+    """Run and print every benchmark of bundles and membership."""
+    print_spread()
+    print_heartbeats()
+    print_bytes()
+    measure_processes(print_line)
+
+
+def print_line(name: str, value: float, unit: str, baseline: float) -> None:
+    """Print one figure."""
+    ratio = f"{value / baseline:.3f}" if baseline else "-"
+    print(f"bench {name} value={value:.3f} unit={unit} baseline={baseline:.3f} ratio={ratio}")
+
+
+def print_spread() -> None:
+    """Compare the ways of spreading on the virtual clock, against polling every two seconds."""
+    for condition in CONDITIONS:
+        baseline: list[float] = []
+        for way in WAYS:
+            delays, messages = measure_spread(way, condition)
+            baseline = baseline or delays
+            for label, share in (("p50", 0.5), ("p99", 0.99)):
+                key = f"bundle_in_force_{label}_{way.name}_{condition}"
+                value = pick_quantile(delays, share) * 1_000
+                print_line(key, value, "ms", pick_quantile(baseline, share) * 1_000)
+            if condition == "healthy":
+                print_line(f"bundle_messages_{way.name}", messages, "1/s", 0.0)
+
+
+def measure_spread(way: Way, condition: str) -> tuple[list[float], float]:
+    """
+    Return, for each change, the seconds until the last process had it, and messages a second.
+
+    The table is out of reach for OUTAGE seconds after each change, where the condition says so.
+    """
+    names = tuple(f"h{index}/request" for index in range(PROCESSES))
+    timing = SpreadTiming(poll=way.poll)
+    cluster = Cluster(names, timing=timing, stamps=way.stamps, push=way.push, interval=INTERVAL)
+    cluster.cut = lambda sender, receiver: cluster.random.random() < LOSS
+    cluster.accept(make_record(1), names[0])
+    cluster.run(5)
+    delays = []
+    began, sent = cluster.now, cluster.messages
+    for version in range(2, CHANGES + 2):
+        delays.append(_change(cluster, condition, version, names[version % 3]))
+        cluster.run(2 + cluster.random.random() * POLL)
+    return delays, (cluster.messages - sent) / (cluster.now - began)
+
+
+def _change(cluster: Cluster, condition: str, version: int, through: str) -> float:
+    """Accept one bundle and return how long it took to be in force everywhere."""
+    names = tuple(cluster.processes)
+    match condition:
+        case "table_down":
+            cluster.plan.rules = (Rule(Effect.DOWN),)
+        case "third_cut":
+            cut = names[-PROCESSES // 3 :]
+            cluster.plan.rules = tuple(Rule(Effect.DOWN, client=name) for name in cut)
+    accepted = cluster.now
+    cluster.accept(make_record(version), through)
+    cluster.run(OUTAGE)
+    cluster.plan.rules = ()
+    if any(cluster.version(name) < version for name in names):
+        cluster.run(OUTAGE)
+    reached = (
+        next(at for at, known in process.history if known >= version)
+        for process in cluster.processes.values()
+    )
+    return max(reached) - accepted
+
+
+def print_heartbeats() -> None:
+    """Print size and processor time of a heartbeat, without and with news."""
+    for count in (0, 8):
+        heartbeat = Heartbeat("127.0.0.1", 7070, False, -(2**62), 120, (make_entry(),) * count)
+        envelope = Envelope(0, "swan-coast", "entry-a/request", "malaga", 2**60, 9_000, 12, 4_000)
+        frame = encode(KEYS, Purpose.HEARTBEAT, envelope, heartbeat)
+        print_line(f"heartbeat_bytes_{count}_records", len(frame), "B", 0.0)
+        writing = _time(partial(encode, KEYS, Purpose.HEARTBEAT, envelope, heartbeat))
+        reading = _time(partial(decode, KEYS, Purpose.HEARTBEAT, "swan-coast", frame))
+        print_line(f"heartbeat_encode_{count}_records", writing, "us", 0.0)
+        print_line(f"heartbeat_decode_{count}_records", reading, "us", 0.0)
+
+
+def make_entry() -> MemberRecord:
+    """Make the record of a member."""
+    return MemberRecord("entry-b/control", "malaga", 2**60, 9_000, "10.1.2.3", 7070, "alive", 12)
+
+
+def print_bytes() -> None:
+    """Print what a quiet full mesh costs each process, against the budget of 21 KB a second."""
+    for count in (9, 18, 27, 135):
+        mesh = Mesh()
+        for index in range(count):
+            mesh.add(make_member(f"entry-{index}/request", 10 + index, 7_000 + index))
+        mesh.run(8)
+        before = mesh.beats
+        began = time.process_time()
+        mesh.run(10)
+        spent = (time.process_time() - began) / count / 10
+        rate = (mesh.beats - before) / count / 10
+        size = len(encode(KEYS, Purpose.HEARTBEAT, *make_plain())) + DATAGRAM_OVERHEAD
+        print_line(f"heartbeats_sent_bytes_{count}_processes", rate * size / 1_000, "KB/s", 21.0)
+        costs = rate * (measure_encode() + measure_decode()) / 1_000 + spent * 1_000
+        print_line(f"heartbeats_processor_{count}_processes", costs, "ms/s", 22.0)
+
+
+def make_plain() -> tuple[Envelope, Heartbeat]:
+    """Make a heartbeat without news."""
+    envelope = Envelope(0, "swan-coast", "entry-a/request", "malaga", 2**60, 9_000, 12, 4_000)
+    return envelope, Heartbeat("127.0.0.1", 7070, False, -(2**62), 120)
+
+
+def measure_encode() -> float:
+    """Return the microseconds to encode a heartbeat without news."""
+    envelope, heartbeat = make_plain()
+    return _time(lambda: encode(KEYS, Purpose.HEARTBEAT, envelope, heartbeat))
+
+
+def measure_decode() -> float:
+    """Return the microseconds to decode a heartbeat without news."""
+    frame = encode(KEYS, Purpose.HEARTBEAT, *make_plain())
+    return _time(lambda: decode(KEYS, Purpose.HEARTBEAT, "swan-coast", frame))
+
+
+def pick_quantile(values: list[float], share: float) -> float:
+    """Return a quantile of measured values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _time(act: Callable[[], object]) -> float:
+    """Return the processor time of one call in microseconds."""
+    began = time.process_time()
+    for _ in range(FRAME_REPEATS):
+        act()
+    return (time.process_time() - began) / FRAME_REPEATS * 1_000_000
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/demo/processes.py
+++ b/tools/demo/processes.py
@@ -59,6 +59,10 @@
                 start_new_session=True,
             )
 
+    def pid(self, name: str) -> int:
+        """Return the process id of one process."""
+        return self._processes[name].pid
+
     def kill(self, name: str) -> None:
         """End one process by SIGKILL."""
         self._processes[name].kill()
--- a/toucanpin/bundles/tests/cluster.py
+++ b/toucanpin/bundles/tests/cluster.py
@@ -150,8 +150,7 @@
         heapq.heappush(self._events, (self.now + delay, next(self._order), strike))
 
     def _tick(self, process: Process) -> None:
-        peers = tuple(Peer(name, version) for name, version in process.stamps.items())
-        for ask in process.spread.ask(peers if self.stamps else (), self.now):
+        for ask in process.spread.ask(self._list_peers(process), self.now):
             match ask:
                 case ReadTable(after):
                     self._read(process, after)
@@ -162,6 +161,11 @@
         self._note(process)
         self._later(TICK, process, lambda: self._tick(process))
 
+    def _list_peers(self, process: Process) -> tuple[Peer, ...]:
+        if self.stamps:
+            return tuple(Peer(name, version) for name, version in process.stamps.items())
+        return tuple(Peer(name, 0) for name in self.processes if name != process.name)
+
     def _beat(self, process: Process) -> None:
         self._tell(process)
         self._later(self.interval, process, lambda: self._beat(process))
@@ -192,8 +196,7 @@
         return hear
 
     def _wake(self, process: Process) -> None:
-        peers = tuple(Peer(name, version) for name, version in process.stamps.items())
-        for ask in process.spread.ask(peers, self.now):
+        for ask in process.spread.ask(self._list_peers(process), self.now):
             match ask:
                 case ReadTable(after):
                     self._read(process, after)
--- a/toucanpin/daemon/bundles.py
+++ b/toucanpin/daemon/bundles.py
@@ -33,8 +33,10 @@
 from toucanpin.bundles.spread import Spread
 from toucanpin.daemon.gossip import Gossip
 from toucanpin.daemon.parts import EventSink
+from toucanpin.membership.incarnation import read_life
 from toucanpin.membership.member import Member, Standing
 from toucanpin.platform.ports import Table
+from toucanpin.timeline.event import Cause
 from toucanpin.wire.client import InnerClient
 from toucanpin.wire.messages import (
     UNCONFIRMED,
@@ -43,6 +45,7 @@
     PullBundle,
     PushAnswer,
     PushBundle,
+    Received,
 )
 from toucanpin.wire.server import Handler
 
@@ -196,22 +199,23 @@
                     self._spread.miss_table(now)
 
     def _pull(self, peer: str, above: int) -> None:
-        record = self._fetch(peer, above)
-        if record is not None:
-            self._offer(record, Source.PEER)
-            return
+        received = self._fetch(peer, above)
+        match received and received.message:
+            case PullAnswer(record=value) if received and value:
+                record = _decode(value, peer)
+                if record is not None:
+                    self._offer(record, Source.PEER, (_to_cause(received.envelope),))
+                    return
         with self._lock:
             self._spread.miss_peer(time.monotonic())
 
-    def _fetch(self, peer: str, above: int) -> BundleRecord | None:
+    def _fetch(self, peer: str, above: int) -> Received | None:
         member = self._find(peer)
         if member is None:
             return None
         match self._client.call(member, PullBundle(above), CALL_SECONDS):
             case Result(tag="ok", ok=received):
-                match received.message:
-                    case PullAnswer(record=value) if value:
-                        return _decode(value, peer)
+                return received
             case Result(error=fault):
                 _log.warning("bundle not pulled: {}", fault.detail)
         return None
@@ -232,7 +236,7 @@
         record = _decode(message.record, envelope.sender)
         if record is None:
             return PushAnswer(self._spread.version, False, "not a record of a bundle")
-        offer = self._offer(record, Source.PEER)
+        offer = self._offer(record, Source.PEER, (_to_cause(envelope),))
         self._wake.set()
         return PushAnswer(self._spread.version, offer.kind is OfferKind.APPLIED, offer.detail)
 
@@ -250,15 +254,15 @@
         if member.bundle > seen:
             self._wake.set()
 
-    def _offer(self, record: BundleRecord, source: Source) -> Offer:
+    def _offer(self, record: BundleRecord, source: Source, causes: tuple[Cause, ...] = ()) -> Offer:
         with self._lock:
             offer = self._spread.offer(record, source, time.monotonic())
             version = self._spread.version
         self._gossip.carry(version)
-        self._report(offer, source)
+        self._report(offer, source, causes)
         return offer
 
-    def _report(self, offer: Offer, source: Source) -> None:
+    def _report(self, offer: Offer, source: Source, causes: tuple[Cause, ...] = ()) -> None:
         match offer.kind:
             case OfferKind.REFUSED | OfferKind.LOWER:
                 _log.error("bundle from {} {}: {}", source.value, offer.kind.value, offer.detail)
@@ -266,7 +270,9 @@
                 version = str(self._spread.version)
                 _log.notice("bundle {} is in force, from {}", version, source.value)
                 if self._events is not None:
-                    self._events.record("bundle-in-force", {"bundle": version}, source.value)
+                    self._events.record(
+                        "bundle.in-force", {"bundle": version}, source.value, causes
+                    )
 
     def _is_ready(self) -> Readiness:
         reached, known = self._gossip.reach()
@@ -281,6 +287,10 @@
     return Peer(member.name, member.bundle)
 
 
+def _to_cause(envelope: Envelope) -> Cause:
+    return Cause(envelope.sender, envelope.event, str(read_life(envelope.incarnation)))
+
+
 def _decode(value: bytes, peer: str) -> BundleRecord | None:
     match decode_record(value):
         case Result(tag="ok", ok=record):
--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -204,7 +204,7 @@
             _log.info("member {} {} ({})", member.name, change.kind.value, member.incarnation)
             if self._events is not None:
                 detail = f"{member.name} incarnation {member.incarnation}"
-                self._events.record(f"member-{change.kind.value}", {"host": member.host}, detail)
+                self._events.record(f"member.{change.kind.value}", {"host": member.host}, detail)
 
 
 def _split(name: str) -> tuple[str, str]:
--- a/toucanpin/daemon/settings.py
+++ b/toucanpin/daemon/settings.py
@@ -78,7 +78,7 @@
     ] = ()
     heartbeat_ms: Annotated[
         Milliseconds, Meta(description="time between heartbeats", extra={"unit": "ms"})
-    ] = 200
+    ] = 500
 
 
 class Keys(msgspec.Struct, frozen=True, kw_only=True):
--- a/toucanpin/daemon/submission.py
+++ b/toucanpin/daemon/submission.py
@@ -227,7 +227,7 @@
             case _:
                 ids = {}
         if self._events is not None:
-            self._events.record(f"bundle-{kind}", ids, f"submitted by {operator}")
+            self._events.record(f"bundle.{kind}", ids, f"submitted by {operator}")
 
 
 def _answer(start: StartResponse, outcome: Outcome) -> Iterable[bytes]:
--- a/toucanpin/membership/view.py
+++ b/toucanpin/membership/view.py
@@ -70,6 +70,7 @@
         self._ticked = now
         self._answers = 0
         self._rounds = 0
+        self._digest: int | None = None
 
     def members(self) -> tuple[Member, ...]:
         """Return every known member, this process first."""
@@ -77,12 +78,15 @@
 
     def digest(self) -> int:
         """Summarize the names and incarnations of the members that are there."""
-        there = (m for m in self.members() if m.standing in _THERE)
-        return sum(_hash(member) for member in there) % _DIGEST_LIMIT
+        if self._digest is None:
+            there = (m for m in self.members() if m.standing in _THERE)
+            self._digest = sum(_hash(member) for member in there) % _DIGEST_LIMIT
+        return self._digest
 
     def leave(self) -> None:
         """Say from now on that this process is leaving."""
         self.own = dataclasses.replace(self.own, standing=Standing.LEAVING)
+        self._digest = None
 
     def carry(self, bundle: int) -> None:
         """Note the version of the bundle in force here."""
@@ -139,16 +143,16 @@
         self._answers = 0
         for entry in tuple(self._entries.values()):
             changes += self._age(entry, now)
-        return tuple(changes)
+        return self._publish(changes)
 
     def receive(self, beat: Beat, now: float) -> tuple[Change, ...]:
         """Take one heartbeat in."""
         if beat.sender.member.name == self.own.name:
-            return tuple(self._refute(beat.sender))
+            return self._publish(list(self._refute(beat.sender)))
         changes = list(self._hear(beat.sender, now))
         for record in beat.records:
             changes += self._learn(record, now)
-        return tuple(changes)
+        return self._publish(changes)
 
     def owes_answer(self, beat: Beat, now: float) -> bool:
         """
@@ -172,6 +176,11 @@
         self._answers += 1
         return True
 
+    def _publish(self, changes: list[Change]) -> tuple[Change, ...]:
+        if changes:
+            self._digest = None
+        return tuple(changes)
+
     def _resume(self, now: float) -> Iterator[Change]:
         pause = now - self._ticked
         if pause <= self._timing.suspect_after:
