--- a/toucanpin/daemon/bundles.py
+++ b/toucanpin/daemon/bundles.py
@@ -52,7 +52,7 @@
 __all__ = ["BundleStatus", "Bundles"]
 
 CALL_SECONDS = 2.0
-ASK_SECONDS = 0.1
+ASK_SECONDS = 0.2
 MAX_CALLS = 12
 _REACHED = (Standing.ALIVE, Standing.SUSPECT)
 
--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -27,7 +27,7 @@
 
 BeatListener = Callable[[Member, int], None]
 
-RECEIVE_SECONDS = 0.1
+RECEIVE_SECONDS = 0.25
 _STOP_SECONDS = 5.0
 
 _log = logbook.Logger("gossip")
--- a/toucanpin/wire/server.py
+++ b/toucanpin/wire/server.py
@@ -30,7 +30,7 @@
 MAX_CONNECTIONS = 64
 REQUEST_SECONDS = 5.0
 _BACKLOG = 64
-_ACCEPT_SECONDS = 0.2
+_ACCEPT_SECONDS = 0.5
 
 _log = logbook.Logger("wire")
 
