--- a/toucanpin/placement/absorbing.py
+++ b/toucanpin/placement/absorbing.py
@@ -19,7 +19,7 @@
 from toucanpin.placement.lifecycle import Change
 from toucanpin.placement.ownership import list_workers
 from toucanpin.placement.records import TaskRecord, WorkerRow, WorkerState
-from toucanpin.placement.standing import refresh_record
+from toucanpin.placement.standing import is_removed, refresh_record
 from toucanpin.placement.state import ControlState, View
 from toucanpin.placement.writing import split_changes, write_cell
 from toucanpin.platform.ports import TaskReport, TaskState
@@ -44,16 +44,16 @@
                 workers[worker.name] = msgspec.structs.replace(worker, state=WorkerState.LOST)
             else:
                 changes.extend(_absorb_worker(state, cell, worker, workers, view))
-        changes = [it for it in changes if it is not None]
-        if changes or workers or lost:
-            yield from _write(state, cell, changes, workers, lost, view.now)
+        merged: dict[str, WorkerRow | None] = {**workers, **dict.fromkeys(_find_gone(cell, view))}
+        if changes or merged or lost:
+            yield from _write(state, cell, changes, merged, lost, view.now)
 
 
 def _write(
     state: ControlState,
     cell: Cell,
     changes: list[Change],
-    workers: dict[str, WorkerRow],
+    workers: dict[str, WorkerRow | None],
     lost: set[str],
     now: float,
 ) -> Decision[None]:
@@ -87,6 +87,16 @@
     return lost
 
 
+def _find_gone(cell: Cell, view: View) -> list[str]:
+    """Return the workers that are neither listed nor reached and hold nothing."""
+    listed = view.workers()
+    return [
+        name
+        for name in cell.row.workers
+        if name not in listed and cell.link(name).failed and not cell.tasks_on(name)
+    ]
+
+
 def _requeue_all(cell: Cell, worker: str, view: View) -> Iterator[Change]:
     """Let everything that was committed on a lost worker wait again, or end it."""
     for record in cell.tasks_on(worker):
@@ -180,13 +190,14 @@
     reason = cell.stopping.get(record.task)
     if record.task in cell.cancels or record.task in cell.closed:
         return _drop(cell, record)
-    if reason is StopReason.REMOVE and view.bundle is not None:
-        return lifecycle.remove_standing(
-            cell.name, record, record.job_version, view.bundle.version, None
-        )
-    evicted = reason is StopReason.EVICT
-    if reason is StopReason.REPLACE and view.bundle is not None:
+    if reason in (StopReason.REMOVE, StopReason.REPLACE) and view.bundle is not None:
+        # A still newer bundle may have brought the task back while it was being stopped.
+        if is_removed(record, view.bundle):
+            return lifecycle.remove_standing(
+                cell.name, record, record.job_version, view.bundle.version, None
+            )
         record = refresh_record(record, view.bundle)
+    evicted = reason is StopReason.EVICT
     return lifecycle.requeue(cell.name, record, checkpoint, evicted)
 
 
