--- a/scenarios/peer.py
+++ b/scenarios/peer.py
@@ -34,6 +34,7 @@
 
 ASK_PERIOD = 0.1
 HOST_LIST_PERIOD = 1.0
+TIMING = Timing(interval=0.2)
 THERE = (Standing.ALIVE, Standing.SUSPECT)
 
 
@@ -48,6 +49,7 @@
     ring: KeyRing
     workers: dict[str, SimulatedWorker] = field(default_factory=dict)
     peers: dict[str, PeerProcess] = field(default_factory=dict)
+    instances: dict[str, Any] = field(default_factory=dict)
 
 
 class PeerProcess(Process):
@@ -60,12 +62,12 @@
         self.hosts: tuple[ListedHost, ...] = ()
         role = name.partition("/")[2]
         own = Member(name, self.host, site, role, number_life(life), name, 1)
-        self.view = View(own, Timing(), self.read_clock())
+        self.view = View(own, TIMING, self.read_clock())
         self.spread = Spread(name, around.ring, SpreadTiming(), self.read_clock())
         self._sent = 0
         self._tokens = 0
         self._in_force = 0
-        self.after(around.kernel.random.uniform(0.0, Timing().interval), self._beat)
+        self.after(around.kernel.random.uniform(0.0, TIMING.interval), self._beat)
         self._spread_on()
         self._list_hosts()
 
@@ -126,7 +128,7 @@
         for change in self.view.tick(self.read_clock()):
             self._note(change)
         self._send_round()
-        self.after(Timing().interval, self._beat)
+        self.after(TIMING.interval, self._beat)
 
     def _send_round(self) -> None:
         """Send one round of heartbeats, also to processes never heard of."""
--- a/toucanpin/daemon/root.py
+++ b/toucanpin/daemon/root.py
@@ -18,6 +18,7 @@
 from toucanpin.daemon.access import guard_app, read_operators
 from toucanpin.daemon.bundles import Bundles
 from toucanpin.daemon.control import Control
+from toucanpin.daemon.drains import DRAIN_PATH, DrainedHosts, make_drain_app
 from toucanpin.daemon.endpoint import Endpoint, parse_endpoint
 from toucanpin.daemon.front import Front, FrontSettings
 from toucanpin.daemon.gossip import Gossip
@@ -38,10 +39,11 @@
 from toucanpin.membership.member import Member
 from toucanpin.placement.leases import Terms
 from toucanpin.platform.http import HttpHostList, HttpObjects, HttpTable, HttpWorkers
+from toucanpin.timeline.event import Cause
 from toucanpin.timeline.recorder import Recorder
 from toucanpin.wire.client import InnerClient
 from toucanpin.wire.keys import load_peer_keys
-from toucanpin.wire.messages import Standstill
+from toucanpin.wire.messages import Envelope, Standstill
 from toucanpin.wire.server import Handler, InnerServer
 
 __all__ = ["Daemon", "compose"]
@@ -115,7 +117,8 @@
         timeout = platform.timeout_ms / MILLISECONDS
         self.table = HttpTable(platform.table, self.name, timeout)
         self.objects = HttpObjects(platform.objects, self.name, timeout)
-        self.host_list = HttpHostList(platform.hosts, self.name, timeout)
+        listed = HttpHostList(platform.hosts, self.name, timeout)
+        self.host_list = DrainedHosts(listed, self.table)
         self.hosts = Hosts(self.host_list, platform.hosts_every_ms / MILLISECONDS)
 
     def _join_members(self, incarnation: int) -> None:
@@ -142,8 +145,14 @@
             Timing(interval=settings.peers.heartbeat_ms / MILLISECONDS),
             self.recorder,
             lambda: self.recorder.last,
+            self._hear,
         )
 
+    def _hear(self, envelope: Envelope) -> None:
+        """Let what this process records next come after what the sender had recorded."""
+        life = str(read_life(envelope.incarnation))
+        self.recorder.hear(Cause(envelope.sender, envelope.event, life))
+
     def build(self) -> Daemon:
         """Connect the parts of the role and return them in starting order."""
         match self.settings.process.role:
@@ -225,6 +234,7 @@
             **make_probe_apps(self._find_unready, self._show_state),
             **make_bundle_apps(self.bundles, self.gossip, self.table, self.root, self.recorder),
             **make_view_apps(self.gossip, self.hosts),
+            DRAIN_PATH: make_drain_app(self.host_list, self.hosts, self.table, self.recorder),
             "/metrics": self.metrics.serve,
             "/v1/timeline": timeline_app(self.recorder),
         }
