--- a/scenarios/kernel.py
+++ b/scenarios/kernel.py
@@ -15,6 +15,8 @@
 from typing import Any
 
 from scenarios import model
+from toucanpin.timeline.event import Cause
+from toucanpin.timeline.recorder import Recorder
 
 Reply = Callable[[Any], None]
 
@@ -67,11 +69,13 @@
     Carry calls between endpoints: processes, workers, instances and the platform's services.
 
     A call takes a small latency each way, drawn from the seed.  What reaches a paused endpoint
-    waits until it resumes; what reaches one that is gone is lost.
+    waits until it resumes; what reaches one that is gone is lost.  ``recorders`` are those of the
+    endpoints that have one: messages between them carry the causes of the time line.
     """
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
+        self.recorders: dict[str, Recorder] = {}
         self._cuts: list[tuple[model.Cut, float]] = []
         self._slows: list[tuple[model.Slow, float]] = []
         self._lost_answers: list[list] = []
@@ -133,6 +137,7 @@
     ) -> None:
         """Let the target handle a question that it answers when it can."""
         open_call = [True]
+        question = self._stamp(source)
 
         def close(outcome: object) -> None:
             """Answer the caller once."""
@@ -148,12 +153,20 @@
             if resumed > self._kernel.now:
                 self._kernel.call_at(resumed, arrive)
                 return
+            self._hear(target, question)
             handle(answer)
 
         def answer(outcome: object) -> None:
             """Send the answer back unless it gets lost."""
+            stamp = self._stamp(target)
+
+            def bring() -> None:
+                """Let the caller have the answer."""
+                self._hear(source, stamp)
+                close(outcome)
+
             if not self._is_cut(target, source) and not self._loses_answer(target, source):
-                self._kernel.call_after(self._draw(target, source), lambda: close(outcome))
+                self._kernel.call_after(self._draw(target, source), bring)
 
         if self.is_gone(target) or self._refuses(target, source):
             refused = Loss("refused", sent=False)
@@ -170,6 +183,7 @@
 
     def tell(self, source: str, target: str, act: Callable[[], None]) -> None:
         """Send a message that has no answer, such as a heartbeat."""
+        stamp = self._stamp(source)
 
         def arrive() -> None:
             """Act at the target, once it isn't paused."""
@@ -177,11 +191,25 @@
             if resumed > self._kernel.now:
                 self._kernel.call_at(resumed, arrive)
             elif not self.is_gone(target):
+                self._hear(target, stamp)
                 act()
 
         if not self._is_cut(source, target):
             self._kernel.call_after(self._draw(source, target), arrive)
 
+    def _stamp(self, name: str) -> Cause | None:
+        """Name the newest event of a sender, as each inner message does."""
+        recorder = self.recorders.get(name)
+        if recorder is None:
+            return None
+        return Cause(recorder.process, recorder.last, recorder.incarnation)
+
+    def _hear(self, name: str, cause: Cause | None) -> None:
+        """Let a receiver's next event come after what a message named."""
+        recorder = self.recorders.get(name)
+        if recorder is not None and cause is not None:
+            recorder.hear(cause)
+
     def _draw(self, source: str, target: str) -> float:
         """Draw the latency of one message."""
         now = self._kernel.now
--- a/scenarios/peer.py
+++ b/scenarios/peer.py
@@ -33,6 +33,7 @@
 __all__ = ["PeerProcess", "Surroundings"]
 
 ASK_PERIOD = 0.1
+PAUSED = 1.0
 HOST_LIST_PERIOD = 1.0
 TIMING = Timing(interval=0.2)
 THERE = (Standing.ALIVE, Standing.SUSPECT)
@@ -67,6 +68,7 @@
         self._sent = 0
         self._tokens = 0
         self._in_force = 0
+        self._seen_at = around.kernel.now
         self.after(around.kernel.random.uniform(0.0, TIMING.interval), self._beat)
         self._spread_on()
         self._list_hosts()
@@ -220,19 +222,23 @@
         self.view.carry(self.spread.version)
         bundle = self.current()
         version = 0 if bundle is None else bundle.version
+        if self.kernel.now - self._seen_at > PAUSED:
+            # While it was paused nothing was served by any bundle; what counts is what it wakes to.
+            self._note_force(0, self._seen_at)
+            self._in_force = 0
+        self._seen_at = self.kernel.now
         if version == self._in_force:
             return
         self._in_force = version
         kind = "bundle.in-force" if version else "bundle.withheld"
         self.recorder.record(kind, {"bundle": str(version)} if version else {}, source)
+        self._note_force(version, self.kernel.now)
+
+    def _note_force(self, version: int, time: float) -> None:
+        """Note for the judge what is in force from an instant on."""
         record = self.spread.record
-        force = BundleInForce(
-            self.name,
-            self.life,
-            version,
-            self.kernel.now,
-            record.digest if version and record is not None else "",
-        )
+        digest = record.digest if version and record is not None else ""
+        force = BundleInForce(self.name, self.life, version, time, digest)
         self.around.evidence.bundles.append(force)
 
     def _list_hosts(self) -> None:
--- a/scenarios/world.py
+++ b/scenarios/world.py
@@ -71,6 +71,7 @@
         self._lives: dict[str, int] = {}
         self._script = Recorder("scenario", "1", self._read_time, self._read_time)
         self._recorders = [self._script]
+        self._network.recorders[CALLER] = self._script
         self._script.record("script.start", {}, f"seed {scenario.seed}")
         witness = Witness(self._platform.objects, self._evidence, scenario.capacity, self._names)
         self._platform.watchers.append(lambda row: witness.see(self._kernel.now, row))
@@ -180,6 +181,7 @@
         process = kind(self._around, name, self._begin_life(name), site)
         self._around.peers[name] = process
         self._recorders.append(process.recorder)
+        self._network.recorders[name] = process.recorder
 
     def _begin_life(self, name: str) -> int:
         """Count a new life of a process."""
