--- a/scenarios/world.py
+++ b/scenarios/world.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from typing import Any
@@ -26,6 +25,7 @@
 from scenarios.model import Action, JobEnd, RequestEnd, Scenario
 from scenarios.peer import PeerProcess, Surroundings
 from scenarios.requesting import Fronting, SimulatedInstance
+from scenarios.script import Script
 from scenarios.signing import make_ring, make_submission
 from scenarios.witness import Witness, describe_work
 from toucanpin.bundles.acceptance import (
@@ -36,11 +36,10 @@
     Refused,
     accept_bundle,
 )
-from toucanpin.placement.submission import Submission, name_job
-from toucanpin.platform.ports import HostRole, ListedHost, Size
+from toucanpin.placement.submission import Submission
+from toucanpin.platform.ports import HostRole, ListedHost
 from toucanpin.requests.messages import Response
 from toucanpin.timeline.event import Event
-from toucanpin.timeline.recorder import Recorder
 from toucanpin.verdict import Reason, Refusal, Verdict
 
 __all__ = ["VirtualWorld"]
@@ -51,7 +50,6 @@
 CALLER_TIMEOUT = 5.0
 CALLER_PATIENCE = 1.0
 LONG_AGO = -1_000.0
-IDS = {"job": "job", "request": "request", "version": "bundle"}
 FINAL = frozenset({Reason.NEVER_FITS, Reason.FORBIDDEN, Reason.BAD_REQUEST, Reason.TOO_LARGE})
 
 
@@ -67,13 +65,14 @@
         self._around = Surroundings(
             self._kernel, self._network, self._platform, self._evidence, make_ring()
         )
-        self._names: dict[str, str] = {}
         self._lives: dict[str, int] = {}
-        self._script = Recorder("scenario", "1", self._read_time, self._read_time)
-        self._recorders = [self._script]
-        self._network.recorders[CALLER] = self._script
-        self._script.record("script.start", {}, f"seed {scenario.seed}")
-        witness = Witness(self._platform.objects, self._evidence, scenario.capacity, self._names)
+        self._script = Script(self._read_time)
+        self._recorders = [self._script.recorder]
+        self._network.recorders[CALLER] = self._script.recorder
+        self._script.recorder.record("script.start", {}, f"seed {scenario.seed}")
+        witness = Witness(
+            self._platform.objects, self._evidence, scenario.capacity, self._script.names
+        )
         self._platform.watchers.append(lambda row: witness.see(self._kernel.now, row))
         self._accept_first_bundle()
         self._hosts = {each.name: each for each in list_hosts(scenario)}
@@ -87,7 +86,7 @@
 
     def apply(self, action: Action) -> None:
         """Bring about an action now."""
-        self._record(action)
+        self._script.record(action)
         match action:
             case model.SubmitJob():
                 self._submit(action)
@@ -120,37 +119,18 @@
             each.name: each.since for each in self._around.peers.values() if each.alive
         }
         for run in self._evidence.runs:
-            run.task = self._names.get(run.task, run.task)
+            run.task = self._script.names.get(run.task, run.task)
         return self._evidence
 
     def events(self) -> Iterable[Event]:
         """Return the events of every life of every process, with the scenario's names of jobs."""
-        for recorder in self._recorders:
-            for event in recorder.read_after(0).events:
-                ids = {key: self._names.get(value, value) for key, value in event.ids.items()}
-                yield dataclasses.replace(event, ids=ids, detail=self._translate(event.detail))
+        kept = (event for each in self._recorders for event in each.read_after(0).events)
+        return self._script.translate(kept)
 
     def _read_time(self) -> float:
         """Return the world's time."""
         return self._kernel.now
 
-    def _translate(self, text: str) -> str:
-        """Put the scenario's names of jobs into a text."""
-        for job, name in self._names.items():
-            text = text.replace(job, name)
-        return text
-
-    def _record(self, action: Action) -> None:
-        """Put an action of the script on the time line."""
-        given = {
-            each.name: getattr(action, each.name)
-            for each in dataclasses.fields(action)
-            if getattr(action, each.name) != each.default
-        }
-        ids = {IDS[name]: str(value) for name, value in given.items() if name in IDS}
-        words = (f"{key} {describe(value)}" for key, value in given.items() if key not in IDS)
-        self._script.record(f"script.{type(action).__name__.lower()}", ids, ", ".join(words))
-
     def _start_host(self, name: str) -> None:
         """Start what runs on a host."""
         if name.startswith("w"):
@@ -230,7 +210,7 @@
             urgent=action.urgent,
             payload=work,
         )
-        self._names[name_job(action.team, action.job)] = action.job
+        self._script.name_job(action.team, action.job)
 
         def ask(control: Control, answer: Reply) -> None:
             """Put the question to a process."""
@@ -245,8 +225,8 @@
 
     def _cancel(self, job: str, entry: str) -> None:
         """Ask to cancel a job until it is told an end."""
-        ids = {name: each for each, name in self._names.items()}
-        self._insist(entry, lambda control, answer: control.cancel(ids[job], answer), lambda: None)
+        name = self._script.find_job(job)
+        self._insist(entry, lambda control, answer: control.cancel(name, answer), lambda: None)
 
     def _send(self, action: model.SendRequest) -> None:
         """Send a request as a caller does, once, and note what the caller is told."""
@@ -267,7 +247,7 @@
             now = self._kernel.now
             told = RequestTold(action.request, action.through, sent, now, end, whole)
             self._evidence.requests.append(told)
-            self._script.record("caller.told", {"request": action.request}, end.value)
+            self._script.recorder.record("caller.told", {"request": action.request}, end.value)
 
         def handle(answer: Reply) -> None:
             """Let the process that bears the name now decide."""
@@ -288,7 +268,7 @@
             match outcome:
                 case Accepted() | Refused() | Conflicted():
                     told = type(outcome).__name__.lower()
-                    self._script.record(f"operator.{told}", ids, submission.operator)
+                    self._script.recorder.record(f"operator.{told}", ids, submission.operator)
                 case _:
                     again = partial(self._submit_bundle, version, entry, variant)
                     self._kernel.call_after(CALLER_PAUSE, again)
@@ -325,15 +305,6 @@
         self._network.ask(CALLER, name, handle, hear, timeout=CALLER_TIMEOUT)
 
 
-def describe(value: object) -> str:
-    """Write a field of an action."""
-    match value:
-        case Size(processors, memory, accelerators):
-            return f"{processors}/{memory}/{accelerators}"
-        case _:
-            return str(value)
-
-
 def list_hosts(scenario: Scenario) -> Iterator[ListedHost]:
     """Yield the hosts of a scenario, spread over its sites and racks."""
     hosts, capacity = scenario.hosts, scenario.capacity
