--- a/scenarios/signing.py
+++ b/scenarios/signing.py
@@ -17,7 +17,7 @@
 
 __all__ = ["make_ring", "make_submission"]
 
-DEPLOYMENT = "scenario"
+DEPLOYMENT = "swan-coast"
 SIGNER = "operator"
 VARIANT_STEP = 0.01
 _KEY = Ed25519PrivateKey.from_private_bytes(bytes(range(32)))
--- a/scenarios/witness.py
+++ b/scenarios/witness.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from scenarios.evidence import Breach, Evidence, JobTold
 from scenarios.model import JobEnd
-from standins.objects import ObjectsCore
 from standins.work import Work, describe_result
 from toucanpin.placement.records import (
     CELL_PREFIX,
@@ -45,9 +46,13 @@
     """
 
     def __init__(
-        self, objects: ObjectsCore, evidence: Evidence, capacity: Size, names: dict[str, str]
+        self,
+        read_object: Callable[[str], bytes | None],
+        evidence: Evidence,
+        capacity: Size,
+        names: dict[str, str],
     ) -> None:
-        self._objects = objects
+        self._read_object = read_object
         self._evidence = evidence
         self._capacity = capacity
         self._names = names
@@ -85,4 +90,4 @@
     def _is_right(self, row: JobRow) -> bool:
         """Tell whether the object that a finished job points at is its result."""
         name = self._names.get(row.job, row.job)
-        return self._objects.get(row.result) == describe_result(describe_work(name, 0))
+        return self._read_object(row.result) == describe_result(describe_work(name, 0))
--- a/scenarios/world.py
+++ b/scenarios/world.py
@@ -71,7 +71,7 @@
         self._network.recorders[CALLER] = self._script.recorder
         self._script.recorder.record("script.start", {}, f"seed {scenario.seed}")
         witness = Witness(
-            self._platform.objects, self._evidence, scenario.capacity, self._script.names
+            self._platform.objects.get, self._evidence, scenario.capacity, self._script.names
         )
         self._platform.watchers.append(lambda row: witness.see(self._kernel.now, row))
         self._accept_first_bundle()
--- a/tools/demo/processes.py
+++ b/tools/demo/processes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import signal
 import subprocess
 import sys
 import time
@@ -64,6 +65,11 @@
         self._processes[name].kill()
         self._processes[name].wait()
 
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process that still runs."""
+        if self._processes[name].poll() is None:
+            self._processes[name].send_signal(number)
+
     def end(self, name: str) -> int:
         """End one process by SIGTERM, by SIGKILL if it does not, and return its exit code."""
         process = self._processes[name]
