--- /dev/null
+++ b/scenarios/callers.py
@@ -0,0 +1,120 @@
+"""
+Callers
+=======
+
+Submit, cancel and send over HTTP as people outside do, and note what they are told.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from scenarios import model
+from scenarios.evidence import Evidence, JobTold, RequestTold
+from scenarios.model import JobEnd, RequestEnd
+from scenarios.script import Script
+from scenarios.witness import describe_work
+from tools.demo.topology import Entry
+
+__all__ = ["Callers"]
+
+TRIES = 60
+PAUSE = 0.5
+TIMEOUT = 3.0
+MILLISECONDS = 1_000
+REFUSED_STATUSES = frozenset({400, 403, 413, 422})
+BUSY_STATUS = 503
+
+
+class Callers:
+    """Act for everybody outside the system; any thread may call."""
+
+    def __init__(
+        self,
+        entries: tuple[Entry, ...],
+        evidence: Evidence,
+        script: Script,
+        read_time: Callable[[], float],
+    ) -> None:
+        self._entries = entries
+        self._evidence = evidence
+        self._script = script
+        self._read_time = read_time
+
+    def submit(self, action: model.SubmitJob) -> None:
+        """Submit a job as its owner does."""
+        work = msgspec.json.encode(describe_work(action.job, action.work)).decode()
+        fields = {
+            "kind": "master",
+            "team": action.team,
+            "processors": action.size.processors,
+            "memory": action.size.memory,
+            "accelerators": action.size.accelerators,
+            "urgent": action.urgent,
+            "payload": work,
+        }
+        headers = {"Idempotency-Key": action.job, "Content-Type": "application/json"}
+        body = msgspec.json.encode(fields)
+        answer = self._ask(action.through, "POST", "/v1/jobs", body, headers)
+        if answer is not None and answer.status in REFUSED_STATUSES:
+            now = self._read_time()
+            self._evidence.jobs.append(JobTold(action.job, now, JobEnd.REFUSED))
+
+    def cancel(self, job: str, entry: str) -> None:
+        """Ask to cancel a job."""
+        self._ask(entry, "DELETE", f"/v1/jobs/{self._script.find_job(job)}", b"", {})
+
+    def send(self, action: model.SendRequest) -> None:
+        """Send a request once and note what its caller is told."""
+        sent = self._read_time()
+        entry = next(each for each in self._entries if each.name == action.through)
+        headers = {
+            "Toucanpin-Request-Id": action.request,
+            "Toucanpin-Idempotent": str(action.idempotent).lower(),
+            "Toucanpin-Deadline-Ms": str(int(action.deadline * MILLISECONDS)),
+        }
+        url = f"{entry.callers}/v1/services/{action.service}/{action.request}"
+        whole = True
+        try:
+            answer = urllib3.request(
+                "POST", url, headers=headers, timeout=action.deadline + 1, retries=False
+            )
+        except urllib3.exceptions.NewConnectionError:
+            end = RequestEnd.NOT_RUN
+        except HTTPError:
+            end = RequestEnd.MAY_HAVE_RUN
+        else:
+            verdict = answer.headers.get("Toucanpin-Verdict", "")
+            ends = {"not-run": RequestEnd.NOT_RUN, "may-have-run": RequestEnd.MAY_HAVE_RUN}
+            end = ends.get(verdict, RequestEnd.ANSWERED)
+            if end is RequestEnd.ANSWERED:
+                whole = msgspec.json.decode(answer.data).get("request") == action.request
+        now = self._read_time()
+        told = RequestTold(action.request, action.through, sent, now, end, whole)
+        self._evidence.requests.append(told)
+        self._script.recorder.record("caller.told", {"request": action.request}, end.value)
+
+    def _ask(
+        self, entry: str, method: str, path: str, body: bytes, headers: dict[str, str]
+    ) -> urllib3.BaseHTTPResponse | None:
+        """Ask an entry host, then the others, until one doesn't say to come back."""
+        entries = self._entries
+        start = next((at for at, each in enumerate(entries) if each.name == entry), 0)
+        for attempt in range(TRIES):
+            url = f"{entries[(start + attempt) % len(entries)].callers}{path}"
+            try:
+                answer = urllib3.request(
+                    method, url, body=body, headers=headers, timeout=TIMEOUT, retries=False
+                )
+            except HTTPError:
+                time.sleep(PAUSE)
+                continue
+            if answer.status != BUSY_STATUS:
+                return answer
+            time.sleep(PAUSE)
+        return None
--- /dev/null
+++ b/scenarios/hosting.py
@@ -0,0 +1,79 @@
+"""
+Hosting
+=======
+
+Start what runs on each host of a scenario as processes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+from scenarios import model
+from scenarios.model import Scenario
+from scenarios.world import list_hosts
+from tools.demo.processes import Launcher
+from tools.demo.topology import ROLES, Entry, Instance, Topology, Worker, settings_path
+
+__all__ = ["Hosting"]
+
+MILLISECONDS = 1_000
+
+
+class Hosting:
+    """Know the hosts of a scenario and start their processes."""
+
+    def __init__(
+        self, scenario: Scenario, topology: Topology, folder: Path, launcher: Launcher
+    ) -> None:
+        self._scenario = scenario
+        self._topology = topology
+        self._folder = folder
+        self._launcher = launcher
+
+    def start(self, name: str) -> None:
+        """Start what runs on a host."""
+        match self.find(name):
+            case Entry() as entry:
+                for role in ROLES:
+                    path = settings_path(self._folder, entry, role)
+                    arguments = ["--config", str(path)]
+                    self._launcher.start(f"{name}-{role}", "toucanpin.daemon.main", arguments)
+            case Worker() as worker:
+                size = self._scenario.capacity
+                arguments = ["--listen", f"{worker.address}:{worker.port}", "--name", name]
+                arguments += ["--objects", self._topology.platform_url]
+                arguments += ["--processors", str(size.processors), "--memory", str(size.memory)]
+                arguments += ["--accelerators", str(size.accelerators)]
+                self._launcher.start(name, "standins.workerd", arguments)
+            case Instance() as instance:
+                served = self._serve(name)
+                arguments = ["--listen", f"{instance.address}:{instance.port}", "--name", name]
+                arguments += ["--control", f"{instance.address}:{instance.control_port}"]
+                arguments += ["--service", served.service.name]
+                arguments += ["--service-time", str(int(served.takes * MILLISECONDS))]
+                self._launcher.start(name, "standins.instanced", arguments)
+
+    def name_processes(self, target: str) -> Iterator[str]:
+        """Yield the processes of a target as the launcher names them."""
+        host, _, role = target.partition("/")
+        if isinstance(self.find(host), Entry):
+            yield from (f"{host}-{each}" for each in ROLES if role in ("", each))
+        else:
+            yield host
+
+    def find(self, name: str) -> Entry | Worker | Instance:
+        """Return the host of a name."""
+        topology = self._topology
+        hosts: tuple[Entry | Worker | Instance, ...] = (
+            *topology.entries,
+            *topology.workers,
+            *topology.instances,
+        )
+        return next(host for host in hosts if host.name == name.partition("/")[0])
+
+    def _serve(self, name: str) -> model.ServedService:
+        """Return the service that an instance serves."""
+        listed = next(each for each in list_hosts(self._scenario) if each.name == name)
+        return next(it for it in self._scenario.services if it.service.name == listed.service)
--- a/scenarios/processes.py
+++ b/scenarios/processes.py
@@ -25,13 +25,16 @@
 from urllib3.exceptions import HTTPError
 
 from scenarios import model
-from scenarios.evidence import Evidence, JobTold, RequestRun, RequestTold, TaskRun
+from scenarios.callers import Callers
+from scenarios.evidence import Evidence, RequestRun, TaskRun
+from scenarios.hosting import Hosting
 from scenarios.language import read
-from scenarios.model import Action, JobEnd, RequestEnd, Scenario, ScenarioError
+from scenarios.model import Action, Scenario
 from scenarios.runner import run
 from scenarios.script import Script
 from scenarios.signing import make_ring, make_submission
-from scenarios.witness import Witness, describe_work
+from scenarios.surroundings import check_able, make_rules, place_hosts
+from scenarios.witness import Witness
 from scenarios.world import list_hosts
 from standins.faults import Effect, Rule
 from tools.demo.bundle import run_tool
@@ -39,17 +42,11 @@
 from tools.demo.topology import (
     PLATFORM_PORT,
     ROLES,
-    Entry,
-    Instance,
-    Topology,
-    Worker,
-    make_topology,
-    settings_path,
     write_settings,
 )
 from toucanpin.bundles.record import encode_signed
 from toucanpin.platform.http import HttpObjects, HttpTable
-from toucanpin.platform.ports import HostRole, ListedHost
+from toucanpin.platform.ports import HostRole
 from toucanpin.timeline.codec import decode_lines
 from toucanpin.timeline.event import Event
 
@@ -58,18 +55,9 @@
 FOLDER = Path("var/scenario")
 WATCH_PERIOD = 0.1
 CALLERS = 32
-TRIES = 60
 PAUSE = 0.5
 TIMEOUT = 3.0
 MILLISECONDS = 1_000
-PLATFORM = ("table", "objects", "hostlist")
-OPERATIONS = {
-    "table": ("read", "scan", "commit"),
-    "objects": ("put", "get", "names"),
-    "hostlist": ("hosts",),
-}
-REFUSED_STATUSES = frozenset({400, 403, 413, 422})
-BUSY_STATUS = 503
 
 
 class ProcessWorld:
@@ -83,14 +71,17 @@
         self._folder = FOLDER.resolve()
         self._launcher = Launcher(self._folder)
         self._topology = place_hosts(scenario)
+        self._hosting = Hosting(scenario, self._topology, self._folder, self._launcher)
         self._evidence = Evidence()
-        self._script = Script(lambda: time.monotonic() - self._zero)
         self._zero = time.monotonic()
+        self._script = Script(self._read_time)
+        self._callers = Callers(
+            self._topology.entries, self._evidence, self._script, self._read_time
+        )
         self._pool = ThreadPoolExecutor(CALLERS)
         self._later: list[tuple[float, Callable[[], None]]] = []
         self._rules: list[Rule] = []
         self._runs: dict[tuple[str, str, int], TaskRun] = {}
-        self._ended: set[str] = set()
         self._leaving: set[str] = set()
         self._halt = threading.Event()
         url = self._topology.platform_url
@@ -122,16 +113,16 @@
         match action:
             case model.SubmitJob():
                 self._script.name_job(action.team, action.job)
-                self._pool.submit(self._submit, action)
+                self._pool.submit(self._callers.submit, action)
             case model.CancelJob(job, entry):
-                self._pool.submit(self._cancel, job, entry)
+                self._pool.submit(self._callers.cancel, job, entry)
             case model.SendRequest():
-                self._pool.submit(self._send, action)
+                self._pool.submit(self._callers.send, action)
             case model.Kill(target):
                 self._kill(target)
             case model.Replace(target):
                 self._kill(target)
-                self._start_host(target)
+                self._hosting.start(target)
             case model.Pause(target, duration):
                 self._signal(target, signal.SIGSTOP)
                 self._after(duration, lambda: self._signal(target, signal.SIGCONT))
@@ -151,7 +142,7 @@
         self._halt.set()
         self._watcher.join()
         self._look()
-        self._evidence.ended = time.monotonic() - self._zero
+        self._evidence.ended = self._read_time()
         self._count_requests()
         self._events = list(self._gather())
         self._pool.shutdown(wait=False, cancel_futures=True)
@@ -163,6 +154,10 @@
         """Return the events of every process, lost ones too."""
         return self._script.translate((*self._script.recorder.read_after(0).events, *self._events))
 
+    def _read_time(self) -> float:
+        """Return the scenario's time."""
+        return time.monotonic() - self._zero
+
     def _start(self) -> None:
         """Start everything and put the first bundle in force."""
         ring = make_ring()
@@ -177,7 +172,7 @@
         self._launcher.wait_ready("platform", f"{self._topology.platform_url}/counts")
         self._list_hosts()
         for name in self._name_hosts():
-            self._start_host(name)
+            self._hosting.start(name)
         entry = self._topology.entries[0]
         self._launcher.wait_ready(f"{entry.name}-control", f"{entry.operators('control')}/livez")
         signed = make_submission(self._scenario, 1, 0, 0.0).signed
@@ -197,51 +192,13 @@
         yield from (instance.name for instance in topology.instances)
         yield from (entry.name for entry in topology.entries)
 
-    def _start_host(self, name: str) -> None:
-        """Start what runs on a host."""
-        match self._find(name):
-            case Entry() as entry:
-                for role in ROLES:
-                    path = settings_path(self._folder, entry, role)
-                    arguments = ["--config", str(path)]
-                    self._launcher.start(f"{name}-{role}", "toucanpin.daemon.main", arguments)
-            case Worker() as worker:
-                size = self._scenario.capacity
-                arguments = ["--listen", f"{worker.address}:{worker.port}", "--name", name]
-                arguments += ["--objects", self._topology.platform_url]
-                arguments += ["--processors", str(size.processors), "--memory", str(size.memory)]
-                arguments += ["--accelerators", str(size.accelerators)]
-                self._launcher.start(name, "standins.workerd", arguments)
-            case Instance() as instance:
-                served = self._serve(name)
-                arguments = ["--listen", f"{instance.address}:{instance.port}", "--name", name]
-                arguments += ["--control", f"{instance.address}:{instance.control_port}"]
-                arguments += ["--service", served.service.name]
-                arguments += ["--service-time", str(int(served.takes * MILLISECONDS))]
-                self._launcher.start(name, "standins.instanced", arguments)
-
-    def _find(self, name: str) -> Entry | Worker | Instance:
-        """Return the host of a name."""
-        topology = self._topology
-        hosts: tuple[Entry | Worker | Instance, ...] = (
-            *topology.entries,
-            *topology.workers,
-            *topology.instances,
-        )
-        return next(host for host in hosts if host.name == name.partition("/")[0])
-
-    def _serve(self, name: str) -> model.ServedService:
-        """Return the service that an instance serves."""
-        listed = next(each for each in list_hosts(self._scenario) if each.name == name)
-        return next(it for it in self._scenario.services if it.service.name == listed.service)
-
     def _list_hosts(self) -> None:
         """Put the host list into the platform."""
         hosts = [
             replace(
                 each,
-                address=self._find(each.name).address,
-                port=getattr(self._find(each.name), "port", 0),
+                address=self._hosting.find(each.name).address,
+                port=getattr(self._hosting.find(each.name), "port", 0),
                 leaving=each.name in self._leaving,
             )
             for each in list_hosts(self._scenario)
@@ -255,31 +212,23 @@
         if answer.status >= 400:
             raise RuntimeError(f"{url} refused: {answer.data.decode()}")
 
-    def _name_processes(self, target: str) -> Iterator[str]:
-        """Yield the processes of a target as the launcher names them."""
-        host, _, role = target.partition("/")
-        if isinstance(self._find(host), Entry):
-            yield from (f"{host}-{each}" for each in ROLES if role in ("", each))
-        else:
-            yield host
-
     def _kill(self, target: str) -> None:
         """End the processes of a target at once."""
         self._look()
-        for name in self._name_processes(target):
+        for name in self._hosting.name_processes(target):
             self._launcher.kill(name)
         for run_ in self._runs.values():
             if run_.host == target:
-                run_.stopped = min(run_.stopped, time.monotonic() - self._zero)
+                run_.stopped = min(run_.stopped, self._read_time())
 
     def _signal(self, target: str, number: signal.Signals) -> None:
         """Send a signal to the processes of a target."""
-        for name in self._name_processes(target):
+        for name in self._hosting.name_processes(target):
             self._launcher.send_signal(name, number)
 
     def _after(self, delay: float, lift: Callable[[], None]) -> None:
         """Lift a fault after a while."""
-        due = time.monotonic() - self._zero + delay
+        due = self._read_time() + delay
         self._later.append((due, lift))
         self._later.sort(key=lambda entry: entry[0])
 
@@ -301,80 +250,6 @@
         """Put the faults in force."""
         self._put(f"{self._topology.platform_url}/faults", rules)
 
-    def _ask(
-        self, entry: str, method: str, path: str, body: bytes, headers: dict[str, str]
-    ) -> urllib3.BaseHTTPResponse | None:
-        """Ask an entry host, then the others, until one doesn't say to come back."""
-        entries = self._topology.entries
-        start = next((at for at, each in enumerate(entries) if each.name == entry), 0)
-        for attempt in range(TRIES):
-            url = f"{entries[(start + attempt) % len(entries)].callers}{path}"
-            try:
-                answer = urllib3.request(
-                    method, url, body=body, headers=headers, timeout=TIMEOUT, retries=False
-                )
-            except HTTPError:
-                time.sleep(PAUSE)
-                continue
-            if answer.status != BUSY_STATUS:
-                return answer
-            time.sleep(PAUSE)
-        return None
-
-    def _submit(self, action: model.SubmitJob) -> None:
-        """Submit a job as its owner does."""
-        work = msgspec.json.encode(describe_work(action.job, action.work)).decode()
-        fields = {
-            "kind": "master",
-            "team": action.team,
-            "processors": action.size.processors,
-            "memory": action.size.memory,
-            "accelerators": action.size.accelerators,
-            "urgent": action.urgent,
-            "payload": work,
-        }
-        headers = {"Idempotency-Key": action.job, "Content-Type": "application/json"}
-        body = msgspec.json.encode(fields)
-        answer = self._ask(action.through, "POST", "/v1/jobs", body, headers)
-        if answer is not None and answer.status in REFUSED_STATUSES:
-            now = time.monotonic() - self._zero
-            self._evidence.jobs.append(JobTold(action.job, now, JobEnd.REFUSED))
-
-    def _cancel(self, job: str, entry: str) -> None:
-        """Ask to cancel a job."""
-        self._ask(entry, "DELETE", f"/v1/jobs/{self._script.find_job(job)}", b"", {})
-
-    def _send(self, action: model.SendRequest) -> None:
-        """Send a request once and note what its caller is told."""
-        sent = time.monotonic() - self._zero
-        entry = self._find(action.through)
-        assert isinstance(entry, Entry)
-        headers = {
-            "Toucanpin-Request-Id": action.request,
-            "Toucanpin-Idempotent": str(action.idempotent).lower(),
-            "Toucanpin-Deadline-Ms": str(int(action.deadline * MILLISECONDS)),
-        }
-        url = f"{entry.callers}/v1/services/{action.service}/{action.request}"
-        whole = True
-        try:
-            answer = urllib3.request(
-                "POST", url, headers=headers, timeout=action.deadline + 1, retries=False
-            )
-        except urllib3.exceptions.NewConnectionError:
-            end = RequestEnd.NOT_RUN
-        except HTTPError:
-            end = RequestEnd.MAY_HAVE_RUN
-        else:
-            verdict = answer.headers.get("Toucanpin-Verdict", "")
-            ends = {"not-run": RequestEnd.NOT_RUN, "may-have-run": RequestEnd.MAY_HAVE_RUN}
-            end = ends.get(verdict, RequestEnd.ANSWERED)
-            if end is RequestEnd.ANSWERED:
-                whole = msgspec.json.decode(answer.data).get("request") == action.request
-        now = time.monotonic() - self._zero
-        told = RequestTold(action.request, action.through, sent, now, end, whole)
-        self._evidence.requests.append(told)
-        self._script.recorder.record("caller.told", {"request": action.request}, end.value)
-
     def _watch(self) -> None:
         """Look again and again."""
         seen = 0
@@ -383,7 +258,7 @@
             found = self._table.scan("", seen)
             if found.is_ok():
                 for row in sorted(found.ok, key=lambda row: row.version):
-                    self._witness.see(time.monotonic() - self._zero, row)
+                    self._witness.see(self._read_time(), row)
                     seen = max(seen, row.version)
 
     def _look(self) -> None:
@@ -442,43 +317,6 @@
         return found.ok if found.is_ok() else None
 
 
-def check_able(scenario: Scenario) -> None:
-    """Raise ScenarioError for what real processes on one machine can't be made to do."""
-    for event in scenario.events:
-        match event.action:
-            case model.Slow() | model.StepClock() | model.SubmitBundle() | model.ShutDown():
-                raise ScenarioError(event.place, "processes can't be made to do this yet")
-            case model.Cut(_, target) | model.LoseAnswers(target) if target not in PLATFORM:
-                raise ScenarioError(event.place, "only the platform can be cut from processes")
-    for expectation in scenario.expectations:
-        match expectation.expected:
-            case model.BundleEverywhere() | model.NoWork():
-                raise ScenarioError(expectation.place, "this can't be seen of processes yet")
-
-
-def place_hosts(scenario: Scenario) -> Topology:
-    """Place the scenario's hosts on loopback addresses, under the scenario's names."""
-    hosts = scenario.hosts
-    made = make_topology(hosts.entry, hosts.worker, hosts.instance if scenario.services else 0)
-    listed: dict[str, ListedHost] = {each.name: each for each in list_hosts(scenario)}
-    workers = tuple(replace(it, name=f"w{at + 1}") for at, it in enumerate(made.workers))
-    instances = tuple(replace(it, name=f"i{at + 1}") for at, it in enumerate(made.instances))
-    return Topology(
-        made.platform,
-        tuple(replace(it, site=listed[it.name].site) for it in made.entries),
-        tuple(replace(it, site=listed[it.name].site) for it in workers),
-        tuple(replace(it, site=listed[it.name].site) for it in instances),
-    )
-
-
-def make_rules(effect: Effect, target: str, client: str, times: int = -1) -> Iterator[Rule]:
-    """Yield the stand-in's rules for a fault of one of its services."""
-    clients = [f"{client}/{role}" for role in ROLES] if client and "/" not in client else [client]
-    for operation in OPERATIONS[target]:
-        for each in clients:
-            yield Rule(effect, each or "*", operation, times)
-
-
 @click.command()
 @click.argument("files", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
 def main(files: tuple[Path, ...]) -> None:
--- /dev/null
+++ b/scenarios/surroundings.py
@@ -0,0 +1,65 @@
+"""
+Surroundings of processes
+=========================
+
+Where a scenario's hosts stand as processes, which faults of the platform can be brought about, and
+what processes can't be made to do.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from scenarios import model
+from scenarios.check import PLATFORM
+from scenarios.model import Scenario, ScenarioError
+from scenarios.world import list_hosts
+from standins.faults import ANY, FOREVER, Effect, Rule
+from tools.demo.topology import ROLES, Topology, make_topology
+from toucanpin.platform.ports import ListedHost
+
+__all__ = ["check_able", "make_rules", "place_hosts"]
+
+OPERATIONS = {
+    "table": ("read", "scan", "commit"),
+    "objects": ("put", "get", "names"),
+    "hostlist": ("hosts",),
+}
+
+
+def check_able(scenario: Scenario) -> None:
+    """Raise ScenarioError for what real processes on one machine can't be made to do."""
+    for event in scenario.events:
+        match event.action:
+            case model.Slow() | model.StepClock() | model.SubmitBundle() | model.ShutDown():
+                raise ScenarioError(event.place, "processes can't be made to do this yet")
+            case model.Cut(_, target) | model.LoseAnswers(target) if target not in PLATFORM:
+                raise ScenarioError(event.place, "only the platform can be cut from processes")
+    for expectation in scenario.expectations:
+        match expectation.expected:
+            case model.BundleEverywhere() | model.NoWork():
+                raise ScenarioError(expectation.place, "this can't be seen of processes yet")
+
+
+def place_hosts(scenario: Scenario) -> Topology:
+    """Place the scenario's hosts on loopback addresses, under the scenario's names."""
+    hosts = scenario.hosts
+    made = make_topology(hosts.entry, hosts.worker, hosts.instance if scenario.services else 0)
+    listed: dict[str, ListedHost] = {each.name: each for each in list_hosts(scenario)}
+    workers = tuple(replace(it, name=f"w{at + 1}") for at, it in enumerate(made.workers))
+    instances = tuple(replace(it, name=f"i{at + 1}") for at, it in enumerate(made.instances))
+    return Topology(
+        made.platform,
+        tuple(replace(it, site=listed[it.name].site) for it in made.entries),
+        tuple(replace(it, site=listed[it.name].site) for it in workers),
+        tuple(replace(it, site=listed[it.name].site) for it in instances),
+    )
+
+
+def make_rules(effect: Effect, target: str, client: str, times: int = FOREVER) -> Iterator[Rule]:
+    """Yield the stand-in's rules for a fault of one of its services."""
+    clients = [f"{client}/{role}" for role in ROLES] if client and "/" not in client else [client]
+    for operation in OPERATIONS[target]:
+        for each in clients:
+            yield Rule(effect, each or ANY, operation, times)
