--- /dev/null
+++ b/benchmarks/node_cost.py
@@ -0,0 +1,144 @@
+"""
+Cost of control on an entry host
+================================
+
+Processor time, resident memory and heartbeats' bytes of each role, measured on real processes at
+several sizes, and their slopes in members and in workers.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import urllib3
+
+from tools.demo.bundle import make_keys, submit_bundle
+from tools.demo.processes import Launcher
+from tools.demo.surroundings import start_surroundings, start_system
+from tools.demo.topology import ROLES, Topology, make_topology, write_settings
+
+__all__ = ["Cost", "main", "measure"]
+
+FOLDER = Path("var/node-cost")
+SETTLE_SECONDS = 12.0
+WINDOW_SECONDS = 10.0
+TICKS = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+MEGABYTE = 1_000_000.0
+BUDGET_CORE = 22.0
+BUDGET_MEMORY = 256.0
+BUDGET_BYTES = 21_000.0
+SMALL, MORE_WORKERS, MORE_HOSTS = (3, 4), (3, 16), (6, 4)
+SENT = "toucanpin_heartbeat_sent_bytes"
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Hold the mean cost of one process: ms of processor a second, MB, heartbeat bytes/s."""
+
+    processor: float
+    memory: float
+    heartbeats: float
+
+
+def main() -> None:
+    """Measure three sizes and print the figures and slopes."""
+    small, workers, hosts = (measure(*size) for size in (SMALL, MORE_WORKERS, MORE_HOSTS))
+    for role in ROLES:
+        for line in _describe(role, small[role], workers[role], hosts[role]):
+            print(line)
+
+
+def measure(entries: int, workers: int) -> dict[str, Cost]:
+    """Run a deployment of a size without load and return the mean cost of each role."""
+    shutil.rmtree(FOLDER, ignore_errors=True)
+    FOLDER.mkdir(parents=True)
+    folder = FOLDER.resolve()
+    topology = make_topology(entries, workers, instances=2)
+    with Launcher(folder) as launcher:
+        make_keys(folder)
+        write_settings(topology, folder)
+        start_surroundings(topology, launcher)
+        start_system(topology, folder, launcher)
+        submit_bundle(folder, topology.entries[0])
+        time.sleep(SETTLE_SECONDS)
+        before = _read_all(topology, launcher)
+        time.sleep(WINDOW_SECONDS)
+        after = _read_all(topology, launcher)
+    return {role: _compare(before[role], after[role]) for role in ROLES}
+
+
+def _read_all(topology: Topology, launcher: Launcher) -> dict[str, list[Cost]]:
+    """Return the running totals of every process by role; memory is not a total."""
+    return {
+        role: [
+            _read(launcher.find_id(f"{entry.name}-{role}"), entry.operators(role))
+            for entry in topology.entries
+        ]
+        for role in ROLES
+    }
+
+
+def _read(process: int, url: str) -> Cost:
+    """Return the totals of one process."""
+    fields = Path(f"/proc/{process}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    pages = int(Path(f"/proc/{process}/statm").read_text().split()[1])
+    text = urllib3.request("GET", f"{url}/metrics").data.decode()
+    sent = next(line for line in text.splitlines() if line.startswith(SENT))
+    return Cost(ticks * 1_000 / TICKS, pages * PAGE / MEGABYTE, float(sent.split()[-1]))
+
+
+def _compare(before: list[Cost], after: list[Cost]) -> Cost:
+    """Return the mean cost of one process between two readings."""
+    pairs = list(zip(before, after, strict=True))
+    share = len(pairs) * WINDOW_SECONDS
+    return Cost(
+        sum(b.processor - a.processor for a, b in pairs) / share,
+        sum(b.memory for _, b in pairs) / len(pairs),
+        sum(b.heartbeats - a.heartbeats for a, b in pairs) / share,
+    )
+
+
+def _describe(role: str, small: Cost, workers: Cost, hosts: Cost) -> Iterator[str]:
+    """Yield the lines of one role."""
+    yield _line(f"idle_{role}_processor", small.processor, "ms/s", BUDGET_CORE)
+    yield _line(f"idle_{role}_memory", small.memory, "MB", BUDGET_MEMORY)
+    yield _line(f"idle_{role}_heartbeats", small.heartbeats, "B/s", BUDGET_BYTES)
+    more = (MORE_WORKERS[1] - SMALL[1]) / SMALL[0]
+    yield _line(
+        f"slope_{role}_processor_owned_worker",
+        (workers.processor - small.processor) / more,
+        "ms/s",
+        BUDGET_CORE,
+    )
+    members = (MORE_HOSTS[0] - SMALL[0]) * len(ROLES)
+    yield _line(
+        f"slope_{role}_processor_member",
+        (hosts.processor - small.processor) / members,
+        "ms/s",
+        BUDGET_CORE,
+    )
+    yield _line(
+        f"slope_{role}_heartbeats_member",
+        (hosts.heartbeats - small.heartbeats) / members,
+        "B/s",
+        BUDGET_BYTES,
+    )
+
+
+def _line(name: str, value: float, unit: str, budget: float) -> str:
+    """Write one figure, with the users' budget of a node as its baseline."""
+    return (
+        f"bench {name} value={value:.3f} unit={unit} "
+        f"baseline={budget:.3f} ratio={value / budget:.4f}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/toucanpin/daemon/settings.py
+++ b/toucanpin/daemon/settings.py
@@ -92,7 +92,7 @@
 
     turn_ms: Annotated[
         Milliseconds, Meta(description="time between turns of placement", extra={"unit": "ms"})
-    ] = 200
+    ] = 400
     lease_ms: Annotated[
         Milliseconds, Meta(description="term of a worker's lease", extra={"unit": "ms"})
     ] = 6_000
