Hold slots for the deadline of requests that began on them

Cause: a process that joins took over slots two seconds after it saw the members, while another may have begun requests of two seconds on them after that (12 requests on 8 slots in the test). A service that a new bundle brought was called unknown until the next refresh. Ruled out: one hold for all services, as the longest deadline would keep every service waiting. Change: the hold is a second plus the service's deadline; ShareBook.share takes a hold of its own. Conclusion: the sum over two processes, requests in flight counted, stays at eight.

--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -86,7 +86,7 @@
     changed: dict[int, float] = {}
     still: dict[int, float] = {}
     for hosts in (9, 135):
-        book = ShareBook("e0/request", 2.0)
+        book = ShareBook("e0/request", 3.0)
         members = tuple(f"e{number}/request" for number in range(hosts))
         changed[hosts] = _time_shares(book, members, 0.0)
         still[hosts] = _time_shares(book, members, 0.2)
--- a/toucanpin/daemon/front.py
+++ b/toucanpin/daemon/front.py
@@ -76,7 +76,8 @@
 
     ``name`` is this process's name among the members (``<host>/request``), ``incarnation`` this
     life of it; times are in seconds, sizes in bytes.  ``linger`` is how long a draining front
-    still takes what the balancer sends, ``settle`` how long shares of slots wait for others.
+    still takes what the balancer sends, ``settle`` how long shares of slots wait for others; None
+    for the time in which members learn of each other plus each service's deadline.
     """
 
     name: str
@@ -85,7 +86,7 @@
     address: str
     port: int
     threads: int = 128
-    settle: float = 2.0
+    settle: float | None = None
     linger: float = 2.0
     max_header: int = 16_384
     max_body: int = 16_777_216
@@ -236,14 +237,18 @@
     def _serve(self, req: Any) -> None:
         arrived = time.monotonic()
         name, target = split_target(req.uri)
-        if self._bundle.current() is None:
+        bundle = self._bundle.current()
+        if bundle is None:
             self._refuse(req, NOT_READY, "")
             return
         entry = self._upstreams.find(name)
+        if entry is None and any(service.name == name for service in bundle.services):
+            self._refuse(req, NOT_SETTLED, "")
+            return
         if entry is None:
             raise refuse(Reason.UNKNOWN_SERVICE, "the bundle in force has no such service")
         incoming = take_request(req, entry.state.service, target, arrived)
-        if not self._upstreams.knows_shares(arrived):
+        if not self._upstreams.knows_shares(arrived, entry.state.service):
             self._refuse(req, NOT_SETTLED, incoming.request.request_id)
             return
         self._drive(req, incoming, entry)
--- a/toucanpin/daemon/tests/test_front.py
+++ b/toucanpin/daemon/tests/test_front.py
@@ -59,6 +59,11 @@
         self.assertEqual((reply.status, reply.verdict, reply.reason), (503, "not-run", "not-ready"))
         self.assertIn("retry-after", reply.headers)
 
+    def test_is_not_ready_for_a_service_that_a_new_bundle_just_brought(self):
+        front = self.start(echo)
+        front._upstreams.find = lambda name: None
+        self.assertEqual(call(front, "/").reason, "not-ready")
+
     def test_hands_other_paths_to_mounted_applications(self):
         def app(environ, start_response):
             start_response("200 OK", [("Content-Length", "2")])
--- a/toucanpin/daemon/upstreams.py
+++ b/toucanpin/daemon/upstreams.py
@@ -20,12 +20,13 @@
 from toucanpin.requests.admission import Ticket
 from toucanpin.requests.routing import InstanceShare
 from toucanpin.requests.service import ServiceState
-from toucanpin.requests.shares import PAUSE, ShareBook
+from toucanpin.requests.shares import LONGEST_HOLD, PAUSE, ShareBook
 
 __all__ = ["ServiceEntry", "Upstreams"]
 
 REQUEST_ROLE = "request"
 REFRESH_SECONDS = 0.2
+SPREAD_SECONDS = 1.0
 
 
 class ServiceEntry:
@@ -67,7 +68,7 @@
         self,
         name: str,
         site: str,
-        settle: float,
+        settle: float | None,
         bundle: BundleView,
         hosts: Callable[[], tuple[ListedHost, ...]],
         members: MembershipView,
@@ -80,23 +81,26 @@
         self._hosts = hosts
         self._members = members
         self._rng = rng
-        self._book = ShareBook(name, settle)
+        self._book = ShareBook(name, SPREAD_SECONDS)
+        self._settle = settle
         self._entries: dict[str, ServiceEntry] = {}
         self._refreshed = 0.0
-        self._owns_any = False
 
     def find(self, name: str) -> ServiceEntry | None:
         """Return the entry of a service, None if the bundle has no such service."""
         return self._entries.get(name)
 
-    def knows_shares(self, now: float) -> bool:
+    def knows_shares(self, now: float, service: Service | None = None) -> bool:
         """
-        Say whether this process knows its shares of slots as of now.
+        Say whether this process knows its shares of slots as of now, of one service or of all.
 
         After a pause it doesn't until the next refresh: the shares that it remembers may be in use
         by others.
         """
-        return self._owns_any and now - self._refreshed <= PAUSE
+        if now - self._refreshed > PAUSE:
+            return False
+        services = [service] if service else [e.state.service for e in self._entries.values()]
+        return all(self._book.owns(self._hold(each)) for each in services)
 
     def tick(self, now: float) -> None:
         """Grant what time has freed, and refresh when it is time to."""
@@ -126,7 +130,6 @@
         }
         gone = [entry for name, entry in self._entries.items() if name not in entries]
         self._entries = entries
-        self._owns_any = self._book.owns_any
         for entry in gone:
             _close(entry)
 
@@ -162,7 +165,7 @@
         return entry
 
     def _share(self, host: ListedHost, service: Service) -> InstanceShare:
-        slots = self._book.share(host.name, host.slots or service.slots)
+        slots = self._book.share(host.name, host.slots or service.slots, self._hold(service))
         return InstanceShare(host.name, host.site, slots, host.leaving)
 
     def _refresh_forwarder(self, entry: ServiceEntry, host: ListedHost, service: Service) -> None:
@@ -172,7 +175,13 @@
                 forwarder.limit = 0
                 forwarder.close_idle(everything=True)
             forwarder = entry.forwarders[host.name] = Forwarder(host.address, host.port)
-        forwarder.limit = self._book.share(host.name, host.connections or service.connections)
+        total = host.connections or service.connections
+        forwarder.limit = self._book.share(host.name, total, self._hold(service))
+
+    def _hold(self, service: Service) -> float:
+        if self._settle is not None:
+            return self._settle
+        return min(LONGEST_HOLD, SPREAD_SECONDS + service.deadline_ms / 1_000)
 
 
 def _close(entry: ServiceEntry) -> None:
--- a/toucanpin/requests/tests/test_shares.py
+++ b/toucanpin/requests/tests/test_shares.py
@@ -41,6 +41,26 @@
                 total = sum(book.share(instance, 8) for book in books.values())
                 self.assertLessEqual(total, 8, f"at {now}")
 
+    def test_waits_for_requests_that_began_on_the_slots_before(self):
+        """
+        The instance never has more than its eight requests at one time.
+
+        A second process joins; the first learns of it half a second later and has just begun
+        requests on all eight slots, of which it owns four from then on.  They may take two seconds.
+        """
+        old, new = (ShareBook(name, 1.0) for name in names(2))
+        hold = 1.0 + 2.0
+        for step in range(100):
+            old.update(names(1), step * 0.1)
+        self.assertEqual(old.share("i0", 8, hold), 8)
+        for step in range(100, 150):
+            now = step * 0.1
+            old.update(names(1 if now < 10.5 else 2), now)
+            new.update(names(2), now)
+            in_flight = 8 if now < 10.4 + 2.0 else old.share("i0", 8, hold)
+            self.assertLessEqual(in_flight + new.share("i0", 8, hold), 8, f"at {now}")
+        self.assertEqual(old.share("i0", 8, hold) + new.share("i0", 8, hold), 8)
+
     def test_owns_nothing_after_a_pause_until_settled(self):
         """
         A process that was frozen uses no slot until others had time to take it in again.
