--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -27,7 +27,7 @@
 
 BeatListener = Callable[[Member, int], None]
 
-RECEIVE_SECONDS = 0.1
+RECEIVE_SECONDS = 0.25
 _STOP_SECONDS = 5.0
 
 _log = logbook.Logger("gossip")
@@ -210,7 +210,7 @@
             _log.info("member {} {} ({})", member.name, change.kind.value, member.incarnation)
             if self._events is not None:
                 detail = f"{member.name} incarnation {member.incarnation}"
-                self._events.record(f"member-{change.kind.value}", {"host": member.host}, detail)
+                self._events.record(f"member.{change.kind.value}", {"host": member.host}, detail)
 
 
 def _split(name: str) -> tuple[str, str]:
--- a/toucanpin/placement/cells.py
+++ b/toucanpin/placement/cells.py
@@ -52,6 +52,7 @@
     received: float = 0.0
     failed: bool = False
     next_poll: float = 0.0
+    renewed: float = 0.0
     lapsed: bool = True
     lives: dict[str, WorkerLife] = field(default_factory=dict)
     tasks: dict[tuple[str, int], TaskReport] = field(default_factory=dict)
@@ -95,10 +96,9 @@
     """
     Hold one owned cell.
 
-    ``stale`` says that the row may differ from what is held here, ``refused`` that a worker has seen
-    a higher epoch.  ``released_bound`` is when the
-    leases of an owner that released the cell have ended.  ``closed`` are tasks whose job row has
-    already been decided by somebody else.
+    ``stale`` says that the row may differ from what is held here, ``refused`` that a worker has
+    seen a higher epoch.  ``released_bound`` is when the leases of an owner that released the cell
+    have ended.  ``closed`` are tasks whose job row has already been decided by somebody else.
     """
 
     name: str
--- a/toucanpin/placement/controller.py
+++ b/toucanpin/placement/controller.py
@@ -10,7 +10,9 @@
 
 from toucanpin.placement.absorbing import absorb_reports
 from toucanpin.placement.actions import Decision
+from toucanpin.placement.keepalive import keep_leases
 from toucanpin.placement.ownership import (
+    collect_lives,
     hand_over_cells,
     lose_all_cells,
     read_queues,
@@ -28,12 +30,19 @@
 
 def take_turn(state: ControlState, view: View) -> Decision[None]:
     """Take one turn; a turn that is cut short anywhere leaves nothing to repair."""
+    state.now = view.now
+    yield from keep_leases(state, _take_steps(state, view))
+
+
+def _take_steps(state: ControlState, view: View) -> Decision[None]:
+    """Take the steps of a turn in their order."""
     state.health.begin_turn(view.now)
     yield from renew_authority(state, view)
     if not state.health.down:
         yield from read_rows(state)
         yield from fence_earlier_owners(state, view)
         yield from take_cells(state, view)
+        yield from collect_lives(state, view)
         yield from hand_over_cells(state, view)
         yield from read_queues(state)
         yield from absorb_reports(state, view)
