Let the thread of parked callers rest while nobody is parked

Cause: an idle request role woke 50 times a second for connections that were not there, 4.1 ms/s of processor time. Change: it waits for the first parked connection. Ruled out: a longer interval, which would delay callers that send their head in pieces. Measured: 4.1 -> 0.0 ms/s; 61 tests pass.

--- a/toucanpin/daemon/caller_server.py
+++ b/toucanpin/daemon/caller_server.py
@@ -187,6 +187,7 @@
         self._parked: collections.deque[CallerConnection] = collections.deque()
         self._parker = threading.Thread(target=self._check_parked, name="parked", daemon=True)
         self._closing = threading.Event()
+        self._occupied = threading.Event()
 
     def prepare(self) -> None:
         """Bind, listen and start the threads."""
@@ -196,6 +197,7 @@
     def stop(self) -> None:
         """Stop accepting, finish what is in flight and close."""
         self._closing.set()
+        self._occupied.set()
         super().stop()
         while self._parked:
             self._parked.popleft().close()
@@ -211,6 +213,7 @@
             return
         conn.parked_since = time.monotonic()
         self._parked.append(conn)
+        self._occupied.set()
         if len(self._parked) > MAX_PARKED:
             self._refuse_slow(self._parked.popleft())
 
@@ -218,6 +221,8 @@
         # A thread that read a trickling head itself would be lost to other callers for as long;
         # a few hundred such callers would take them all.
         while not self._closing.wait(PARK_INTERVAL):
+            if not self._parked:
+                self._rest()
             for _ in range(len(self._parked)):
                 try:
                     conn = self._parked.popleft()
@@ -230,6 +235,13 @@
                 else:
                     self._parked.append(conn)
 
+    def _rest(self) -> None:
+        """Wait until a connection is parked."""
+        self._occupied.clear()
+        # One that was parked just before the flag was cleared is seen here, later ones set it.
+        if not self._parked and not self._closing.is_set():
+            self._occupied.wait()
+
     def _refuse_slow(self, conn: CallerConnection) -> None:
         request = CallerRequest(self, conn)
         conn.socket.deadline = time.monotonic() + PARK_INTERVAL
