Make a turn's cost linear in hosts and share its commits over the cells

Cause: benchmarks/placement.py showed an idle turn of 23 us a host at 35 hosts and 186 us at 2,800: each cell went through the whole host list; and with more cells than commits in a turn the same cells were served again and again, and reports could use up every commit. Ruled out: beginning each turn at another cell by a count of turns (it resonated with finishes: two of four cells got nothing). Change: the list is sorted by cells once a turn, the search for room uses the index and runs once a second; cells are served after the one served last, those with urgent work first; reports leave half of a turn's commits to placing.

--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,263 @@
+"""
+Placement
+=========
+
+What a placement decision costs with 35, 350 and 2,800 hosts, how many starts one write carries,
+what a control process holds in memory, and how long a recovery takes on the virtual clock of the
+tests.
+Prints one line for each figure: ``bench NAME value=… unit=… baseline=… ratio=…``.
+"""
+
+from __future__ import annotations
+
+import gc
+import math
+import time
+import tracemalloc
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from toucanpin.placement.actions import Answer, Commit, PollAll
+from toucanpin.placement.controller import take_turn
+from toucanpin.placement.ledger import FreeIndex, fits, subtract
+from toucanpin.placement.queue import TaskQueue
+from toucanpin.placement.records import TaskRecord
+from toucanpin.placement.tests.world import WORKER_SIZE, Process, World
+from toucanpin.platform.ports import Size
+
+__all__ = ["main"]
+
+HOSTS = (35, 350, 2_800)
+HOSTS_EACH_RACK = 7
+JOBS_EACH_HOST = 8
+DECISIONS = 5_000
+QUEUED = 20_000
+WEIGHED = 140
+SEED = 5
+TASK = Size(1, 100)
+GOAL_MS = 0.3
+MICRO = 1e6
+MILLI = 1e3
+
+
+def main() -> None:
+    """Print every figure."""
+    print_choices()
+    print_starts()
+    print_memory()
+    print_recovery()
+
+
+def print_choices() -> None:
+    """Print the time of one choice by the index, against a search through all hosts."""
+    own: list[float] = []
+    for hosts in HOSTS:
+        indexed = measure_choices(hosts, choose_by_index)
+        plain = measure_choices(hosts, choose_by_search)
+        own.append(indexed)
+        print_line(f"placement.choice.{hosts}", indexed * MICRO, "us", plain * MICRO)
+    print_line("placement.choice.slope", find_slope(own), "exponent", 1.0)
+
+
+def measure_choices(hosts: int, choose: Callable[..., str | None]) -> float:
+    """Return the processor seconds of one choice on hosts that are partly filled."""
+    rng = Random(SEED)
+    index = FreeIndex()
+    for number in range(hosts):
+        index.put(f"w{number}", Size(rng.randrange(1, 65), rng.randrange(1_000, 250_000)))
+    free = {f"w{number}": index.free(f"w{number}") for number in range(hosts)}
+    wanted = [Size(rng.randrange(1, 9), rng.randrange(100, 8_000)) for _ in range(DECISIONS)]
+    began = time.process_time()
+    for size in wanted:
+        choose(index, free, size)
+    return (time.process_time() - began) / DECISIONS
+
+
+def choose_by_index(index: FreeIndex, free: dict[str, Size], size: Size) -> str | None:
+    """Choose, take and give back by the index."""
+    found = index.candidates(size, 1)
+    if not found:
+        return None
+    index.take(found[0], size)
+    index.give(found[0], size)
+    return found[0]
+
+
+def choose_by_search(index: FreeIndex, free: dict[str, Size], size: Size) -> str | None:
+    """Choose by looking at every host."""
+    able = [(it.accelerators, it.processors, name) for name, it in free.items() if fits(size, it)]
+    if not able:
+        return None
+    name = min(able)[2]
+    free[name] = subtract(free[name], Size(0, 0))
+    return name
+
+
+def find_slope(values: list[float]) -> float:
+    """Return the exponent with which values grow between the fewest and the most hosts."""
+    return math.log(values[-1] / values[0]) / math.log(HOSTS[-1] / HOSTS[0])
+
+
+class Meter:
+    """Drive turns of one process and count what its decisions cost, the fakes left out."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.process: Process = next(iter(world.processes.values()))
+        self.seconds = 0.0
+        self.commits = 0
+        self.started = 0
+
+    def take_turn(self) -> None:
+        """Take one turn."""
+        world, process = self.world, self.process
+        world.pass_time(0.25)
+        turn = take_turn(process.state, world.view(process))
+        answer: Any = None
+        while True:
+            began = time.process_time()
+            try:
+                action = next(turn) if answer is None else turn.send(answer)
+            except StopIteration:
+                self.seconds += time.process_time() - began
+                return
+            self.seconds += time.process_time() - began
+            self._count(action)
+            answer = Answer(process.now, world.perform(process, action))
+
+    def _count(self, action: Any) -> None:
+        if isinstance(action, Commit):
+            self.commits += 1
+        if isinstance(action, PollAll):
+            self.started += sum(len(it.poll.orders) for it in action.polls)
+
+    def reset(self) -> None:
+        """Begin to count anew."""
+        self.seconds = 0.0
+        self.commits = 0
+        self.started = 0
+
+
+def make_world(hosts: int) -> Meter:
+    """Return a world whose one process owns every cell and has heard of every worker."""
+    world = World(racks=hosts // HOSTS_EACH_RACK, workers=HOSTS_EACH_RACK)
+    meter = Meter(world)
+    racks = hosts // HOSTS_EACH_RACK
+    for _ in range(racks // 8 + 8):
+        meter.take_turn()
+    assert len(meter.process.state.cells) == racks
+    return meter
+
+
+def print_starts() -> None:
+    """Print processor time and writes of a start, from the queue to the order in a poll."""
+    costs: list[float] = []
+    for hosts in HOSTS:
+        meter = make_world(hosts)
+        jobs = hosts * JOBS_EACH_HOST
+        meter.reset()
+        idle_turns = 8
+        for _ in range(idle_turns):
+            meter.take_turn()
+        idle = meter.seconds / idle_turns
+        for number in range(jobs):
+            meter.world.submit(str(number), work=600_000)
+        meter.reset()
+        turns = 0
+        while meter.started < jobs:
+            meter.take_turn()
+            turns += 1
+        cost = max(0.0, meter.seconds - idle * turns) / jobs
+        costs.append(cost)
+        print_line(f"placement.start.{hosts}", cost * MILLI, "ms", GOAL_MS)
+        rate = jobs / meter.seconds
+        print_line(f"placement.decisions.{hosts}", rate, "starts/s", 1 / GOAL_MS * MILLI)
+        print_line(f"placement.starts_each_write.{hosts}", jobs / meter.commits, "starts", 32.0)
+        print_line(f"placement.idle_turn.{hosts}", idle / hosts * MICRO, "us/host", 0.0)
+    print_line("placement.start.slope", find_slope(costs), "exponent", 1.0)
+
+
+def print_memory() -> None:
+    """Print what a control process holds for a host, a waiting job and a running task."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    queue = TaskQueue()
+    for number in range(QUEUED):
+        queue.put(TaskRecord(f"{number:024x}", "k", "t", Size(1, 100)), number, 0.0)
+    queued = (tracemalloc.get_traced_memory()[0] - before) / QUEUED
+    tracemalloc.stop()
+    print_line("placement.memory.queued", queued, "bytes", 0.0)
+    print_line("placement.memory.host", weigh_state(WEIGHED, 0) / WEIGHED, "bytes", 0.0)
+    tasks = WEIGHED * JOBS_EACH_HOST
+    running = (weigh_state(WEIGHED, JOBS_EACH_HOST) - weigh_state(WEIGHED, 0)) / tasks
+    print_line("placement.memory.running", running, "bytes", 0.0)
+
+
+def weigh_state(hosts: int, jobs_each_host: int) -> float:
+    """Return the bytes of a process's state, by building it with the fakes and dropping it."""
+    meter = make_world(hosts)
+    for number in range(hosts * jobs_each_host):
+        meter.world.submit(str(number), work=600_000)
+    for _ in range(20 * (1 + jobs_each_host)):
+        meter.take_turn()
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    # Everything is read and reported anew, so the state is built under the measurement.
+    process = meter.world.add_process(meter.process.life.process, 2)
+    meter.process.killed_at = meter.world.now
+    meter.process = process
+    for _ in range(hosts // HOSTS_EACH_RACK // 8 + 60):
+        meter.take_turn()
+    assert len(process.state.cells) == hosts // HOSTS_EACH_RACK
+    gc.collect()
+    with_state = tracemalloc.get_traced_memory()[0]
+    process.state.cells.clear()
+    process.state.stored.clear()
+    gc.collect()
+    without = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del before
+    return with_state - without
+
+
+def print_recovery() -> None:
+    """Print recoveries in seconds of the virtual clock; the baseline is the lease or the goal."""
+    world = World(processes=3, workers=4)
+    world.set_standing(2, "enc")
+    world.run(6)
+    terms = next(iter(world.processes.values())).state.terms
+    owner = next(it for it in world.processes.values() if it.state.cells)
+    owner.killed_at = died = world.now
+    job = world.submit("a", work=500).ok.job
+    while job not in world.intervals():
+        world.run(0.25)
+    taken = world.intervals()[job][0][0] / MILLI - died
+    print_line("placement.recovery.owner", taken, "s", terms.lease)
+    gaps = len(world.intervals()["enc"]) - 1
+    print_line("placement.recovery.owner_gaps", gaps, "gaps", 0.0)
+    world.kill_worker(world.running("enc")[0])
+    world.run(20)
+    runs = sorted(world.intervals()["enc"])
+    print_line("placement.recovery.worker", (runs[1][0] - runs[0][1]) / MILLI, "s", terms.lease)
+    world = World(processes=3, workers=4)
+    world.run(6)
+    asked = world.now
+    job = world.submit("u", work=500, urgent=True).ok.job
+    world.run(5)
+    started = world.intervals()[job][0][0] / MILLI - asked
+    print_line("placement.urgent_start", started, "s", 1.2)
+
+
+def print_line(name: str, value: float, unit: str, baseline: float) -> None:
+    """Print one figure."""
+    ratio = f"{value / baseline:.3f}" if baseline else "-"
+    print(f"bench {name} value={value:.4g} unit={unit} baseline={baseline:.4g} ratio={ratio}")
+
+
+assert WORKER_SIZE.processors >= JOBS_EACH_HOST * TASK.processors
+
+if __name__ == "__main__":
+    main()
--- a/toucanpin/placement/absorbing.py
+++ b/toucanpin/placement/absorbing.py
@@ -32,8 +32,8 @@
 
 def absorb_reports(state: ControlState, view: View) -> Decision[None]:
     """Commit what the reports of each cell's workers brought about."""
-    for cell in list(state.cells.values()):
-        if cell.stale or state.health.down:
+    for cell in state.in_turn(state.last_absorbed):
+        if cell.stale or not state.health.may_absorb():
             continue
         workers = list_workers(cell.row, view, cell.name)
         lost = _find_lost(state, cell, view.now)
@@ -46,6 +46,7 @@
                 changes.extend(_absorb_worker(state, cell, worker, workers, view))
         merged: dict[str, WorkerRow | None] = {**workers, **dict.fromkeys(_find_gone(cell, view))}
         if changes or merged or lost:
+            state.last_absorbed = cell.name
             yield from _write(state, cell, changes, merged, lost, view.now)
 
 
@@ -89,7 +90,7 @@
 
 def _find_gone(cell: Cell, view: View) -> list[str]:
     """Return the workers that are neither listed nor reached and hold nothing."""
-    listed = view.workers()
+    listed = view.workers
     return [
         name
         for name in cell.row.workers
--- a/toucanpin/placement/cells.py
+++ b/toucanpin/placement/cells.py
@@ -115,6 +115,8 @@
     not_before: dict[str, float] = field(default_factory=dict)
     closed: set[str] = field(default_factory=set)
     unwanted_since: float | None = None
+    _grouped_row: CellRow | None = None
+    _grouped: dict[str, list[TaskRecord]] = field(default_factory=dict)
 
     @property
     def key(self) -> str:
@@ -130,7 +132,12 @@
 
     def tasks_on(self, worker: str) -> list[TaskRecord]:
         """Return what is committed on a worker."""
-        return [it for it in self.row.tasks.values() if it.worker == worker]
+        if self._grouped_row is not self.row:
+            self._grouped_row = self.row
+            self._grouped = {}
+            for record in self.row.tasks.values():
+                self._grouped.setdefault(record.worker, []).append(record)
+        return list(self._grouped.get(worker, ()))
 
     def ask_stop(self, task: str, reason: StopReason) -> None:
         """Have a running task stopped."""
--- a/toucanpin/placement/ownership.py
+++ b/toucanpin/placement/ownership.py
@@ -17,7 +17,6 @@
 
 from toucanpin.placement.actions import Commit, Decision, Note, Read, Scan
 from toucanpin.placement.cells import Cell
-from toucanpin.placement.queue import name_cell, shape_cells
 from toucanpin.placement.records import (
     AUTHORITY_PREFIX,
     CELL_PREFIX,
@@ -145,7 +144,7 @@
     """Take the cells that are ours by rendezvous and that nobody else is known to hold."""
     lives = view.answering()
     able = state.able_lives(view)
-    listed = {shape.name for shape in shape_cells(view.hosts)}
+    listed = {shape.name for shape in view.shapes}
     used = {name for name, it in state.stored.items() if it.row.tasks or it.row.owner is not None}
     for name in sorted(listed | used):
         if name in state.cells or state.prefers(name, able) != state.life:
@@ -215,9 +214,7 @@
 def list_workers(row: CellRow, view: View, cell: str) -> dict[str, WorkerRow]:
     """Return the workers of a cell whose rows differ from the host list."""
     changed: dict[str, WorkerRow] = {}
-    for host in view.workers().values():
-        if name_cell(host) != cell:
-            continue
+    for host in view.workers_of_cells.get(cell, ()):
         known = row.workers.get(host.name)
         if known is None:
             known = WorkerRow(host.name, host.site, host.rack, host.address, host.port, host.size)
--- a/toucanpin/placement/placing.py
+++ b/toucanpin/placement/placing.py
@@ -9,17 +9,26 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from itertools import islice
 
 from expression import Result
 
 from toucanpin.placement import lifecycle
 from toucanpin.placement.actions import Commit, Decision, Note
 from toucanpin.placement.cells import Cell, StopReason, WorkerLink
-from toucanpin.placement.ledger import FreeIndex, add, fits, subtract, used_by_team, used_by_worker
+from toucanpin.placement.ledger import (
+    NOTHING,
+    FreeIndex,
+    add,
+    fits,
+    subtract,
+    used_by_team,
+    used_by_worker,
+)
 from toucanpin.placement.lifecycle import Change
 from toucanpin.placement.policy import Evict, Limit
-from toucanpin.placement.queue import CellShape, Quotas, Waiting, rank, shape_cells
-from toucanpin.placement.records import CellRow, TaskRecord, WorkerState
+from toucanpin.placement.queue import CellShape, Quotas, Waiting
+from toucanpin.placement.records import TaskRecord, WorkerState
 from toucanpin.placement.state import ControlState, View
 from toucanpin.placement.writing import split_changes, write_cell
 from toucanpin.platform.ports import (
@@ -34,13 +43,15 @@
 __all__ = ["drain_workers", "follow_policy", "move_tasks", "place_tasks"]
 
 CANDIDATES = 8
+MOVE_CANDIDATES = 32
+MOVE_PERIOD = 1.0
 ROWS_OF_MOVE = 3
 MOVES_EACH_TRANSACTION = MAX_TRANSACTION_ROWS // ROWS_OF_MOVE
 
 
 def drain_workers(state: ControlState, view: View) -> None:
     """Have the tasks of leaving workers checkpointed and evicted."""
-    listed = view.workers()
+    listed = view.workers
     for cell in state.cells.values():
         for name, worker in cell.row.workers.items():
             host = listed.get(name)
@@ -70,27 +81,34 @@
     rows.extend(it.row for name, it in state.stored.items() if name not in state.cells)
     for row in rows:
         for team, size in used_by_team(row.tasks.values()).items():
-            used[team] = add(used.get(team, Size(0, 0, 0)), size)
+            used[team] = add(used.get(team, NOTHING), size)
     return used
 
 
 def place_tasks(state: ControlState, view: View) -> Decision[None]:
     """Commit waiting tasks to workers, up to 63 in a transaction."""
+    if not any(len(cell.queue) for cell in state.cells.values()):
+        return
     teams = view.bundle.teams if view.bundle else ()
-    quotas = Quotas(teams, count_teams(state))
-    for cell in list(state.cells.values()):
-        if cell.stale or not len(cell.queue):
+    quotas = Quotas(teams, count_teams(state) if teams else {})
+    for cell in sorted(state.in_turn(state.last_placed), key=_has_no_urgent):
+        if cell.stale or not len(cell.queue) or not state.health.may_commit():
             continue
         changes = list(choose_places(state, cell, view, quotas))
         for group in split_changes(changes):
+            state.last_placed = cell.name
             written = yield from write_cell(cell, state.health, group)
             if not written:
                 break
 
 
+def _has_no_urgent(cell: Cell) -> bool:
+    return not cell.queue.has_urgent()
+
+
 def find_usable(state: ControlState, cell: Cell, view: View) -> list[str]:
     """Return the workers that may receive work now: listed, heard from, and under our lease."""
-    listed = view.workers()
+    listed = view.workers
     usable = []
     for name, worker in cell.row.workers.items():
         host = listed.get(name)
@@ -173,7 +191,7 @@
 
 
 def _room(index: FreeIndex, name: str) -> tuple[int, int, int, str]:
-    free = index.free(name) or Size(0, 0, 0)
+    free = index.free(name) or NOTHING
     return free.accelerators, free.processors, free.memory, name
 
 
@@ -195,52 +213,64 @@
 
 def move_tasks(state: ControlState, view: View) -> Decision[None]:
     """Move what has waited here too long to a cell that has room, or can ever hold it."""
-    shapes = {it.name: it for it in shape_cells(view.hosts)}
-    free = {
-        name: _free_sizes(it.row) for name, it in state.stored.items() if name not in state.cells
+    if view.now < state.next_move:
+        return
+    shapes = {it.name: it for it in view.shapes}
+    due = {
+        cell.name: list(_find_due(state, cell, view.now, shapes.get(cell.name)))
+        for cell in state.cells.values()
+        if not cell.stale
     }
-    free.update({cell.name: _free_sizes(cell.row) for cell in state.cells.values()})
-    for cell in list(state.cells.values()):
-        moves: list[tuple[Waiting, str]] = []
-        for waiting in cell.queue.in_order():
-            if len(moves) == MOVES_EACH_TRANSACTION:
-                break
-            if cell.stale or not _may_place(cell, waiting, view.now):
-                continue
-            here = shapes.get(cell.name)
-            patience = state.pace.move_after * 2**waiting.record.moves
-            never = here is None or not here.can_hold(waiting.record.size)
-            if not never and view.now - waiting.since < patience:
-                continue
-            target = _find_room(cell.name, waiting.record, free, shapes)
-            if target is not None:
-                moves.append((waiting, target))
+    if not any(due.values()):
+        return
+    state.next_move = view.now + MOVE_PERIOD
+    room = Room(state, shapes)
+    for name, waiting in due.items():
+        moves = list(islice(room.find_moves(name, waiting), MOVES_EACH_TRANSACTION))
         if moves and state.health.may_commit():
-            yield from _commit_moves(state, cell, moves)
-
-
-def _free_sizes(row: CellRow) -> list[Size]:
-    """Return what is free on each worker of a cell that may receive work."""
-    used = used_by_worker(row.tasks.values())
-    return [
-        subtract(it.size, used.get(name, Size(0, 0, 0)))
-        for name, it in row.workers.items()
-        if it.state is WorkerState.ACTIVE
-    ]
+            yield from _commit_moves(state, state.cells[name], moves)
 
 
-def _find_room(
-    cell: str, record: TaskRecord, free: dict[str, list[Size]], shapes: dict[str, CellShape]
-) -> str | None:
-    """Return another listed cell with room, and count the room as taken."""
-    for name in sorted(free, key=lambda it: rank(record.task, it), reverse=True):
-        if name == cell or name not in shapes:
+def _find_due(
+    state: ControlState, cell: Cell, now: float, shape: CellShape | None
+) -> Iterator[Waiting]:
+    """Yield the first waiting tasks that have waited long enough, or that can never run here."""
+    for waiting in islice(cell.queue.in_order(), state.pace.tries_each_turn):
+        if not _may_place(cell, waiting, now):
             continue
-        for position, size in enumerate(free[name]):
-            if fits(record.size, size):
-                free[name][position] = subtract(size, record.size)
-                return name
-    return None
+        patience = state.pace.move_after * 2**waiting.record.moves
+        never = shape is None or not shape.can_hold(waiting.record.size)
+        if never or now - waiting.since >= patience:
+            yield waiting
+
+
+class Room:
+    """Find room in the listed cells as their rows were last read."""
+
+    def __init__(self, state: ControlState, shapes: dict[str, CellShape]) -> None:
+        """Index the workers of every listed cell."""
+        self._index = FreeIndex()
+        self._cells: dict[str, str] = {}
+        rows = {name: it.row for name, it in state.stored.items()}
+        rows.update({cell.name: cell.row for cell in state.cells.values()})
+        for cell, row in rows.items():
+            if cell not in shapes:
+                continue
+            used = used_by_worker(row.tasks.values())
+            for name, worker in row.workers.items():
+                if worker.state is WorkerState.ACTIVE:
+                    self._cells[name] = cell
+                    self._index.put(name, subtract(worker.size, used.get(name, NOTHING)))
+
+    def find_moves(self, cell: str, due: list[Waiting]) -> Iterator[tuple[Waiting, str]]:
+        """Yield the tasks for which another cell has room, and count the room as taken."""
+        for waiting in due:
+            size = waiting.record.size
+            found = self._index.candidates(size, MOVE_CANDIDATES)
+            others = [it for it in found if self._cells[it] != cell]
+            if others:
+                self._index.take(others[0], size)
+                yield waiting, self._cells[others[0]]
 
 
 def _commit_moves(
--- a/toucanpin/placement/queue.py
+++ b/toucanpin/placement/queue.py
@@ -84,6 +84,10 @@
         if entry is not None:
             del self._lane(entry.record)[self._key(entry)]
 
+    def has_urgent(self) -> bool:
+        """Tell whether an urgent task waits."""
+        return bool(self._urgent)
+
     def in_order(self) -> Iterator[Waiting]:
         """Yield the waiting tasks as they are to be tried; the queue may change meanwhile."""
         urgent = list(self._urgent.values())
--- a/toucanpin/placement/standing.py
+++ b/toucanpin/placement/standing.py
@@ -16,7 +16,7 @@
 from toucanpin.placement import lifecycle
 from toucanpin.placement.actions import Commit, Decision, Note
 from toucanpin.placement.cells import Cell, StopReason
-from toucanpin.placement.queue import Waiting, choose_cell, shape_cells
+from toucanpin.placement.queue import Waiting, choose_cell
 from toucanpin.placement.records import (
     QueueRow,
     StandingRow,
@@ -84,7 +84,7 @@
     bundle = view.bundle
     if bundle is None or state.health.down:
         return
-    shapes = shape_cells(view.hosts)
+    shapes = view.shapes
     wanted = {it.name: it for it in bundle.standing}
     for task in bundle.standing:
         size = Size(task.processors, task.memory, task.accelerators)
--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from toucanpin.bundles.schema import Bundle
 from toucanpin.membership.member import Member, Standing
@@ -15,7 +16,7 @@
 from toucanpin.placement.cells import Cell
 from toucanpin.placement.leases import Terms
 from toucanpin.placement.policy import Policy, TightestFit
-from toucanpin.placement.queue import rank
+from toucanpin.placement.queue import CellShape, name_cell, rank, shape_cells
 from toucanpin.placement.records import CellRow, Life, StandingRow
 from toucanpin.placement.writing import TableHealth
 from toucanpin.platform.ports import HostRole, ListedHost
@@ -41,19 +42,38 @@
     tries_each_turn: int = 256
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class View:
-    """Show a turn what the outside hints at; ``now`` is monotonic, ``wall`` of the epoch."""
+    """
+    Show a turn what the outside hints at; ``now`` is monotonic.
+
+    The host list is sorted by cells once: to go through all of it for each cell made the cost of a
+    turn grow with the square of the hosts.
+    """
 
     now: float
     hosts: tuple[ListedHost, ...]
     members: tuple[Member, ...]
     bundle: Bundle | None
 
+    @cached_property
     def workers(self) -> dict[str, ListedHost]:
         """Return the listed workers by name."""
         return {it.name: it for it in self.hosts if it.role is HostRole.WORKER}
 
+    @cached_property
+    def shapes(self) -> tuple[CellShape, ...]:
+        """Return the cells of the host list."""
+        return shape_cells(self.hosts)
+
+    @cached_property
+    def workers_of_cells(self) -> dict[str, list[ListedHost]]:
+        """Return the listed workers of each cell."""
+        cells: dict[str, list[ListedHost]] = {}
+        for host in self.workers.values():
+            cells.setdefault(name_cell(host), []).append(host)
+        return cells
+
     def lives(self) -> tuple[Life, ...]:
         """Return the control processes that membership believes to be there, suspects too."""
         return self._list_lives((Standing.ALIVE, Standing.SUSPECT))
@@ -96,6 +116,9 @@
     scanned_standing: int = 0
     scanned_authority: int = 0
     sequence: int = 0
+    last_absorbed: str = ""
+    last_placed: str = ""
+    next_move: float = 0.0
     draining: bool = False
     authority: Authority = field(init=False)
     watch: Watch = field(init=False)
@@ -107,6 +130,15 @@
         self.watch = Watch(self.life, self.terms)
         self.health = TableHealth(self.pace.commits_each_turn)
 
+    def in_turn(self, last: str) -> list[Cell]:
+        """
+        Return the cells in the order of their names, beginning after the one that was served last.
+
+        A turn commits to a few cells only; always from the same first one, the others would starve.
+        """
+        names = sorted(self.cells, key=lambda name: (name <= last, name))
+        return [self.cells[name] for name in names]
+
     def next_sequence(self) -> int:
         """Return a number that no earlier call of this life returned."""
         self.sequence += 1
--- a/toucanpin/placement/tests/test_queue.py
+++ b/toucanpin/placement/tests/test_queue.py
@@ -11,6 +11,7 @@
 from toucanpin.placement.ledger import FreeIndex
 from toucanpin.placement.queue import CellShape, Quotas, TaskQueue, choose_cell, shape_cells
 from toucanpin.placement.records import CellRow, JobState, TaskRecord, WorkerRow
+from toucanpin.placement.state import Pace
 from toucanpin.placement.submission import name_job
 from toucanpin.placement.tests.world import World
 from toucanpin.platform.ports import Size
@@ -182,6 +183,19 @@
         self.assertEqual(world.table.scan("queue/"), ())
         self.assertEqual([cell.tasks for cell in world.cells().values()], [{}, {}])
 
+    def test_budget_of_commits_starves_no_cell(self):
+        """With one commit a turn for placing, work is started in every cell."""
+        world = World(racks=12, workers=1)
+        world.run(3)
+        process = world.processes["e0/control"]
+        process.state.pace = Pace(poll=0.1, commits_each_turn=2)
+        process.state.health.budget = 2
+        for number in range(1_200):
+            world.submit(str(number), work=100)
+        world.run(6)
+        places = {it.ids["cell"] for _, it in world.events if it.kind == "task.place"}
+        self.assertEqual(len(places), 12)
+
     def test_large_job_is_not_starved_by_small_ones(self):
         """One worker is kept free for it once it has waited for a minute."""
         world = World(workers=1)
--- a/toucanpin/placement/writing.py
+++ b/toucanpin/placement/writing.py
@@ -78,6 +78,10 @@
         """Tell whether this turn may commit once more."""
         return not self.down and self._left > 0
 
+    def may_absorb(self) -> bool:
+        """Tell whether this turn may commit reports once more; half is kept for placing."""
+        return not self.down and self._left > self.budget // 2
+
     def count(self) -> None:
         """Count one commit."""
         self.commits += 1
