Let a cell go before its release is sent

Cause: an owner whose release took effect but whose answer was slow or lost went on renewing leases, while the next owner counts one lease from the release: a task ran in two places (the test showed it red: enc/1 on w00 and 2 on w01). Ruled out: a bound of two leases (a lost answer may be read back much later). Change: the cell is let go before the commit and taken back only if the release surely had no effect; a release without effect is repeated from the row.

--- a/toucanpin/placement/ownership.py
+++ b/toucanpin/placement/ownership.py
@@ -29,6 +29,7 @@
     WorkerRow,
     WorkerState,
     authority_key,
+    cell_key,
     decode,
     encode,
     queue_prefix,
@@ -295,22 +296,44 @@
             cell.unwanted_since = view.now
         if view.now - cell.unwanted_since >= state.pace.hand_over_after:
             yield from release_cell(state, cell)
+    for name, stored in list(state.stored.items()):
+        # The answer of an earlier release was lost and the row shows that it had no effect.
+        left = stored.row.owner == state.life and name not in state.cells
+        if left and state.prefers(name, able) != state.life and state.health.may_commit():
+            yield from _write_release(state, name, stored)
 
 
 def release_cell(state: ControlState, cell: Cell) -> Decision[None]:
     """Write that a cell has no owner, so that its next one needn't wait."""
     if cell.stale or state.health.down:
         return
-    row = msgspec.structs.replace(cell.row, owner=None)
-    token = f"{cell.name}/{row.epoch}/release"
+    # The next owner counts one lease from the release.  Whatever was granted after the release was
+    # sent, because its answer was slow or lost, could outlast that: so the cell is let go first,
+    # and taken back only if the release certainly had no effect.
+    before = state.lost.get(cell.name)
+    yield from lose_cell(state, cell, cell.row.epoch)
+    stored = StoredCell(cell.row, cell.version)
+    failed = yield from _write_release(state, cell.name, stored)
+    if failed:
+        state.cells[cell.name] = cell
+        state.lost.pop(cell.name)
+        if before is not None:
+            state.lost[cell.name] = before
+
+
+def _write_release(state: ControlState, name: str, stored: StoredCell) -> Decision[bool]:
+    """Commit a release; return whether it certainly had no effect and the row is as it was."""
+    row = msgspec.structs.replace(stored.row, owner=None)
+    token = f"{name}/{row.epoch}/release"
+    write = Write(cell_key(name), stored.version, encode(row))
     state.health.count()
-    answer = yield Commit(Transaction(token, (Write(cell.key, cell.version, encode(row)),)))
+    answer = yield Commit(Transaction(token, (write,)))
     match answer.value:
         case Result(tag="ok", ok=Committed(version)):
-            state.stored[cell.name] = StoredCell(row, version)
-            yield from lose_cell(state, cell, row.epoch)
-        case Result(tag="error", error=Conflict()):
-            cell.stale = True
-        case _:
-            cell.stale = True
+            state.stored[name] = StoredCell(row, version)
+        case Result(tag="error", error=Unavailable()):
+            state.health.fail()
+            return True
+        case Result(tag="error", error=Unknown()):
             state.health.fail()
+    return False
--- a/toucanpin/placement/tests/test_failures.py
+++ b/toucanpin/placement/tests/test_failures.py
@@ -2,8 +2,9 @@
 
 import unittest
 
-from toucanpin.placement.actions import Note
+from toucanpin.placement.actions import Commit, Note
 from toucanpin.placement.cells import WorkerLife
+from toucanpin.placement.queue import rank
 from toucanpin.placement.records import JobState, WorkerState
 from toucanpin.placement.tests.world import Effect, World, describe_work
 from toucanpin.platform.ports import Poll, Size, Start
@@ -194,6 +195,57 @@
         self.assertTrue(owner.state.authority.holds(owner.now))
         self.assertEqual(len(world.running(status.job)), 1)
 
+    def test_lost_answer_of_a_hand_over(self):
+        """
+        One encoder is heard, after a gap.  An owner hands a cell over, the release takes effect and
+        its answer is lost; the owner can't read the table afterwards.  The next owner counts one
+        lease from the release, so the first must have stopped renewing before it asked for it.
+        """
+        world = World(processes=0, workers=2)
+        names = sorted(("a/control", "b/control"), key=lambda name: rank("s.r0", name))
+        first = world.add_process(names[0], 1)
+        world.set_standing(2, "enc")
+        world.run(8)
+        second = world.add_process(names[1], 1)
+        (worker,) = world.running("enc")
+        world.cut(second.life.process, worker)
+        world.cut(first.life.process, next(it for it in world.cores if it != worker))
+        while not (
+            isinstance(first.action, Commit) and "release" in first.action.transaction.token
+        ):
+            world.pass_time(0.02)
+            first.step()
+            second.finish_turn()
+        world.fault(Effect.LOSE_AFTER, "commit", first.life.process, 1)
+        first.step()
+        for operation in TABLE:
+            world.fault(Effect.DOWN, operation, first.life.process)
+        world.run(40)
+        self.assertEqual(len(world.running("enc")), 1)
+        self.assertEqual(len(find_gaps(world, "enc")), 1)
+
+    def test_hand_over_that_surely_failed_is_tried_again(self):
+        """
+        No gap is heard.  The release finds the table out for a moment: the owner keeps the cell and
+        hands it over later.
+        """
+        world = World(processes=0, workers=2)
+        names = sorted(("a/control", "b/control"), key=lambda name: rank("s.r0", name))
+        first = world.add_process(names[0], 1)
+        world.set_standing(2, "enc")
+        world.run(8)
+        second = world.add_process(names[1], 1)
+        while not (
+            isinstance(first.action, Commit) and "release" in first.action.transaction.token
+        ):
+            world.pass_time(0.02)
+            first.step()
+            second.finish_turn()
+        world.fault(Effect.DOWN, "commit", first.life.process, 1)
+        world.run(10)
+        self.assertEqual(find_owner(world, "enc"), second)
+        self.assertEqual(find_gaps(world, "enc"), [])
+
     def test_rows_of_what_is_gone_are_collected(self):
         """
         Rows don't pile up as hosts come and go: authority rows of lives that no cell refers to and
