--- a/toucanpin/daemon/jobs.py
+++ b/toucanpin/daemon/jobs.py
@@ -21,17 +21,16 @@
 from toucanpin.daemon.driving import drive, perform_on_table
 from toucanpin.daemon.parts import BundleView
 from toucanpin.placement.actions import Decision
-from toucanpin.placement.queue import shape_cells
-from toucanpin.placement.submission import (
+from toucanpin.placement.inquiry import (
     JobFilter,
     JobStatus,
-    Submission,
     cancel_job,
     list_jobs,
     list_standing,
     read_status,
-    submit_job,
 )
+from toucanpin.placement.queue import shape_cells
+from toucanpin.placement.submission import Submission, submit_job
 from toucanpin.platform.ports import ListedHost, Objects, Table
 from toucanpin.verdict import Reason, Refusal, Verdict
 
--- a/toucanpin/placement/keepalive.py
+++ b/toucanpin/placement/keepalive.py
@@ -21,6 +21,8 @@
 
 T = TypeVar("T")
 
+CHECK_SHARE = 0.25
+
 
 def keep_leases(state: ControlState, decision: Decision[T]) -> Decision[T]:
     """
@@ -45,6 +47,9 @@
 
 def _renew_due(state: ControlState) -> Decision[None]:
     """Renew the leases whose workers were not polled for longer than the pace of polls."""
+    if state.now < state.next_lease_check:
+        return
+    state.next_lease_check = state.now + CHECK_SHARE * state.pace.poll
     due = tuple(_find_due(state))
     if not due:
         return
--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -119,6 +119,7 @@
     last_absorbed: str = ""
     last_placed: str = ""
     next_move: float = 0.0
+    next_lease_check: float = 0.0
     now: float = 0.0
     draining: bool = False
     authority: Authority = field(init=False)
--- a/toucanpin/placement/submission.py
+++ b/toucanpin/placement/submission.py
@@ -2,7 +2,7 @@
 Submission of jobs
 ==================
 
-Accept, show, list and cancel jobs.  Accepting is one transaction, so a job that was accepted is
+Accept jobs.  Accepting is one transaction, so a job that was accepted is
 durable; the id follows from the idempotency key, so a repeated submission finds the first.
 """
 
@@ -10,27 +10,25 @@
 
 import hashlib
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import msgspec
 from expression import Error, Ok, Result
 
 from toucanpin.bundles.schema import Bundle
-from toucanpin.placement.actions import Commit, Decision, Read, Scan
+from toucanpin.placement.actions import Commit, Decision
+from toucanpin.placement.inquiry import (
+    JobStatus,
+    StandingStatus,
+    cancel_job,
+    refuse,
+    show_job,
+)
 from toucanpin.placement.queue import CellShape, Quotas, choose_cell
 from toucanpin.placement.records import (
-    CELL_PREFIX,
-    JOB_PREFIX,
-    STANDING_PREFIX,
-    CancelRow,
-    CellRow,
     JobRow,
     JobState,
     QueueRow,
-    StandingRow,
     TaskRecord,
-    cancel_key,
-    cell_key,
     decode,
     encode,
     job_key,
@@ -50,15 +48,11 @@
 from toucanpin.verdict import Reason, Refusal, Verdict
 
 __all__ = [
-    "JobFilter",
     "JobStatus",
     "StandingStatus",
     "Submission",
     "cancel_job",
-    "list_jobs",
-    "list_standing",
     "name_job",
-    "read_status",
     "submit_job",
 ]
 
@@ -85,56 +79,11 @@
         return Size(self.processors, self.memory, self.accelerators)
 
 
-class JobStatus(msgspec.Struct, frozen=True):
-    """Show a job: ``state`` is queued or running while it is accepted."""
-
-    job: str
-    state: str
-    kind: str
-    team: str
-    attempt: int
-    evictions: int = 0
-    failures: int = 0
-    host: str = ""
-    result: str = ""
-    reason: str = ""
-
-
-class StandingStatus(msgspec.Struct, frozen=True):
-    """Show a standing task: running on a host, or queued in a cell."""
-
-    task: str
-    state: str
-    cell: str
-    host: str = ""
-    attempt: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class JobFilter:
-    """Choose jobs to list; empty texts match all."""
-
-    team: str = ""
-    kind: str = ""
-    state: str = ""
-    limit: int = 1000
-
-    def matches(self, status: JobStatus) -> bool:
-        """Tell whether a job is to be listed."""
-        wanted = ((self.team, status.team), (self.kind, status.kind), (self.state, status.state))
-        return all(not want or want == found for want, found in wanted)
-
-
 def name_job(team: str, key: str) -> str:
     """Return the id of a team's job with an idempotency key."""
     return hashlib.blake2b(f"{team}\0{key}".encode(), digest_size=12).hexdigest()
 
 
-def refuse(reason: Reason, detail: str, retry_after: float | None = None) -> Refusal:
-    """Return a refusal of a request that certainly changed nothing."""
-    return Refusal(Verdict.NOT_RUN, reason, detail, retry_after)
-
-
 def check_submission(
     request: Submission, key: str, shapes: Sequence[CellShape], bundle: Bundle | None
 ) -> Refusal | None:
@@ -197,7 +146,7 @@
         answer = yield Commit(transaction)
         match answer.value:
             case Result(tag="ok", ok=Committed()):
-                return Ok(_show(JobRow(job, JobState.ACCEPTED, record, cell), None))
+                return Ok(show_job(JobRow(job, JobState.ACCEPTED, record, cell), None))
             case Result(tag="error", error=Conflict(rows)):
                 return _settle(job, record, rows)
             case Result(tag="error", error=Unavailable(detail)):
@@ -250,143 +199,7 @@
             continue
         found = decode(row.value, JobRow)
         if found.record.digest == record.digest:
-            return Ok(_show(found, None))
+            return Ok(show_job(found, None))
         detail = f"the key belongs to job {job}, which differs"
         return Error(refuse(Reason.CONFLICT, detail))
     return Error(refuse(Reason.INTERNAL, f"rows of job {job} stand without it", RETRY_AFTER))
-
-
-def _show(job: JobRow, cell: CellRow | None) -> JobStatus:
-    record = job.record
-    state = job.state.value
-    if job.state is JobState.ACCEPTED:
-        committed = cell.tasks.get(job.job) if cell else None
-        record = committed or record
-        state = "running" if committed else "queued"
-    return JobStatus(
-        job.job,
-        state,
-        record.kind,
-        record.team,
-        record.attempt,
-        record.evictions,
-        record.failures,
-        record.worker,
-        job.result,
-        job.reason,
-    )
-
-
-def read_job(job: str) -> Decision[Result[tuple[JobRow, int], Refusal]]:
-    """Read a job's row and its version."""
-    answer = yield Read(job_key(job))
-    match answer.value:
-        case Result(tag="ok", ok=Row() as row):
-            return Ok((decode(row.value, JobRow), row.version))
-        case Result(tag="ok"):
-            return Error(refuse(Reason.NOT_FOUND, f"there is no job {job}"))
-        case _:
-            detail = answer.value.error.detail
-            return Error(refuse(Reason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
-
-
-def read_status(job: str) -> Decision[Result[JobStatus, Refusal]]:
-    """Read how far a job has come."""
-    found = yield from read_job(job)
-    if found.is_error():
-        return Error(found.error)
-    row, _ = found.ok
-    if row.state is not JobState.ACCEPTED:
-        return Ok(_show(row, None))
-    answer = yield Read(cell_key(row.cell))
-    match answer.value:
-        case Result(tag="ok", ok=Row() as stored):
-            return Ok(_show(row, decode(stored.value, CellRow)))
-        case _:
-            return Ok(_show(row, None))
-
-
-def list_jobs(wanted: JobFilter) -> Decision[Result[tuple[JobStatus, ...], Refusal]]:
-    """List the jobs that match a filter, newest last."""
-    cells: dict[str, CellRow] = {}
-    answer = yield Scan(CELL_PREFIX)
-    if answer.value.is_ok():
-        for row in answer.value.ok:
-            cells[row.key.removeprefix(CELL_PREFIX)] = decode(row.value, CellRow)
-    answer = yield Scan(JOB_PREFIX)
-    if answer.value.is_error():
-        detail = answer.value.error.detail
-        return Error(refuse(Reason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
-    jobs = sorted((decode(it.value, JobRow) for it in answer.value.ok), key=_submitted)
-    shown = (_show(job, cells.get(job.cell)) for job in jobs)
-    return Ok(tuple([it for it in shown if wanted.matches(it)][-wanted.limit :]))
-
-
-def list_standing() -> Decision[Result[tuple[StandingStatus, ...], Refusal]]:
-    """List the standing tasks that are wanted."""
-    rows: list[tuple[Row, ...]] = []
-    for prefix in (STANDING_PREFIX, CELL_PREFIX):
-        answer = yield Scan(prefix)
-        if answer.value.is_error():
-            detail = answer.value.error.detail
-            return Error(refuse(Reason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
-        rows.append(answer.value.ok)
-    committed = {
-        task: record
-        for row in rows[1]
-        for task, record in decode(row.value, CellRow).tasks.items()
-        if record.standing
-    }
-    places = (decode(row.value, StandingRow) for row in rows[0])
-    return Ok(tuple(_show_standing(it, committed.get(it.task)) for it in places if not it.removed))
-
-
-def _show_standing(row: StandingRow, record: TaskRecord | None) -> StandingStatus:
-    if record is None:
-        return StandingStatus(row.task, "queued", row.cell)
-    return StandingStatus(row.task, "running", row.cell, record.worker, record.attempt)
-
-
-def _submitted(job: JobRow) -> float:
-    return job.record.submitted
-
-
-def cancel_job(job: str) -> Decision[Result[JobStatus, Refusal]]:
-    """
-    Cancel a job, or show the end that came first.
-
-    The job's row decides: a finish and a cancel both change it from the same version, so one of
-    them conflicts and tells its caller the other's outcome.
-    """
-    uncertain = False
-    for _ in range(MAX_TRIES):
-        found = yield from read_job(job)
-        if found.is_error():
-            return Error(_may_have_cancelled() if uncertain else found.error)
-        row, version = found.ok
-        if row.state is not JobState.ACCEPTED:
-            return Ok(_show(row, None))
-        cancelled = msgspec.structs.replace(row, state=JobState.CANCELLED, reason="cancelled")
-        writes = (
-            Write(job_key(job), version, encode(cancelled)),
-            Write(cancel_key(row.cell, job), ABSENT, encode(CancelRow(job))),
-        )
-        answer = yield Commit(Transaction(f"cancel/{job}/{version}", writes))
-        match answer.value:
-            case Result(tag="ok", ok=Committed()):
-                return Ok(_show(cancelled, None))
-            case Result(tag="error", error=Unavailable(detail)):
-                if not uncertain:
-                    return Error(refuse(Reason.STORE_UNAVAILABLE, detail, RETRY_AFTER))
-            case Result(tag="error", error=Conflict()):
-                continue
-            case _:
-                uncertain = True
-    if uncertain:
-        return Error(_may_have_cancelled())
-    return Error(refuse(Reason.CONFLICT, "the job moves between cells: repeat", RETRY_AFTER))
-
-
-def _may_have_cancelled() -> Refusal:
-    detail = "the job may have been cancelled: read its status"
-    return Refusal(Verdict.MAY_HAVE_RUN, Reason.STORE_UNCERTAIN, detail, RETRY_AFTER)
--- /dev/null
+++ b/toucanpin/placement/tests/helpers.py
@@ -0,0 +1,45 @@
+"""
+Helpers of the placement tests
+==============================
+"""
+
+from __future__ import annotations
+
+from toucanpin.placement.tests.world import Effect, Process, World
+
+__all__ = ["TABLE", "cut_table", "find_gaps", "find_owner", "start_standing"]
+
+TABLE = ("commit", "read", "scan")
+
+
+def find_gaps(world: World, task: str) -> list[float]:
+    """Return the gaps (ms) between the runs of a task, the last up to now if it doesn't run."""
+    runs = sorted(world.intervals()[task])
+    gaps: list[float] = [
+        start - end for (_, end, *_), (start, *_) in zip(runs, runs[1:], strict=False)
+    ]
+    if not world.running(task):
+        gaps.append(int(world.now * 1000) - runs[-1][1])
+    return gaps
+
+
+def start_standing(**sizes: int) -> World:
+    """Return a world in which one standing task runs."""
+    world = World(**sizes)
+    world.set_standing(2, "enc")
+    world.run(5)
+    return world
+
+
+def find_owner(world: World, task: str) -> Process:
+    """Return the process that owns the cell in which a task runs."""
+    for cell in world.cells().values():
+        if task in cell.tasks and cell.owner:
+            return world.processes[cell.owner.process]
+    raise AssertionError(f"{task} is in no cell")
+
+
+def cut_table(world: World) -> None:
+    """Take the table out for everyone."""
+    for operation in TABLE:
+        world.fault(Effect.DOWN, operation)
--- /dev/null
+++ b/toucanpin/placement/tests/test_outages.py
@@ -0,0 +1,114 @@
+"""Tests of outages of the table and of lost answers of submissions."""
+
+import unittest
+
+from toucanpin.placement.tests.helpers import (
+    TABLE,
+    cut_table,
+    find_gaps,
+    find_owner,
+    start_standing,
+)
+from toucanpin.placement.tests.world import Effect, World
+
+
+class OutageTest(unittest.TestCase):
+    """Take the table out, alone and together with other losses."""
+
+    def test_outage_with_all_promises_makes_no_gap(self):
+        """
+        Encoders go on through an outage that is far longer than leases and authority: every life
+        on the owner's roster promises not to fence it, again and again.
+        """
+        world = start_standing(processes=3)
+        cut_table(world)
+        world.run(50)
+        self.assertEqual(find_gaps(world, "enc"), [])
+        world.heal()
+        world.run(15)
+        self.assertEqual(find_gaps(world, "enc"), [])
+
+    def test_outage_with_a_promise_missing_is_silent_and_never_double(self):
+        """
+        The encoder falls silent when its lease has lapsed, and comes back with the table: one life
+        of the roster died in the outage and can't promise, so it might be taking over.
+        """
+        world = start_standing(processes=3)
+        owner = find_owner(world, "enc")
+        cut_table(world)
+        world.run(2)
+        other = next(it for it in world.processes.values() if it is not owner)
+        other.killed_at = world.now
+        world.run(30)
+        self.assertEqual(world.running("enc"), [])
+        world.heal()
+        world.run(15)
+        self.assertEqual(len(world.running("enc")), 1)
+
+    def test_owner_cut_off_from_table_and_peers_gives_way(self):
+        """
+        One encoder is heard, after a gap.  The owner and its worker are cut off together from the
+        table and from the other process, which reads the table: it refuses to promise, fences the
+        owner after the term and starts the encoder elsewhere.
+        """
+        world = start_standing(processes=2)
+        owner = find_owner(world, "enc")
+        other = next(it for it in world.processes.values() if it is not owner)
+        worker = world.running("enc")[0]
+        for operation in TABLE:
+            world.fault(Effect.DOWN, operation, owner.life.process)
+        owner.cut_peers.add(other.life.process)
+        world.cut(other.life.process, worker)
+        world.run(40)
+        self.assertEqual(len(world.running("enc")), 1)
+        self.assertNotEqual(world.running("enc"), [worker])
+
+    def test_catching_up_is_bounded(self):
+        """
+        The table sees no storm when it is back: what ended during the outage is committed many at
+        a time, and each turn has a budget.
+        """
+        world = World(racks=2, workers=4, processes=2)
+        for number in range(40):
+            world.submit(str(number), work=3_000)
+        world.run(2)
+        cut_table(world)
+        world.run(15)
+        self.assertEqual(len(world.ended), 0)
+        world.heal()
+        before = world.table.counts.writes
+        world.run(5)
+        self.assertEqual(world.count_ended(), 40)
+        self.assertLess(world.table.counts.writes - before, 40)
+
+    def test_submission_during_an_outage_has_not_run(self):
+        """The submitter is told at once that nothing was accepted, and when to come back."""
+        world = World()
+        cut_table(world)
+        refusal = world.submit("a").error
+        self.assertEqual(refusal.verdict.value, "not-run")
+        self.assertIsNotNone(refusal.retry_after)
+        world.heal()
+        self.assertEqual(world.jobs(), {})
+
+    def test_lost_answers_of_a_submission(self):
+        """
+        The submitter has one job, whichever answer was lost.  A first insert that took effect makes
+        the second one conflict, and the conflict shows the job; if no answer comes at all, the
+        advice is to repeat the same key.
+        """
+        for effect in (Effect.LOSE_BEFORE, Effect.LOSE_AFTER):
+            for times in (1, 2, 3):
+                with self.subTest(effect=effect, times=times):
+                    world = World()
+                    world.fault(effect, "commit", "front", times)
+                    outcome = world.submit("a")
+                    if times == 3:
+                        self.assertEqual(outcome.error.verdict.value, "may-have-run")
+                        self.assertIn("same Idempotency-Key", outcome.error.detail)
+                        outcome = world.submit("a")
+                    self.assertEqual(list(world.jobs()), [outcome.ok.job])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/toucanpin/placement/tests/test_owners.py
@@ -0,0 +1,259 @@
+"""Tests of the loss, freezing and replacement of owners."""
+
+import unittest
+
+from toucanpin.placement.actions import Commit, Note
+from toucanpin.placement.cells import WorkerLife
+from toucanpin.placement.queue import rank
+from toucanpin.placement.records import JobState
+from toucanpin.placement.tests.helpers import TABLE, find_gaps, find_owner, start_standing
+from toucanpin.placement.tests.world import Effect, World
+
+
+class OwnerTest(unittest.TestCase):
+    """Lose, freeze and replace the processes that own cells."""
+
+    def test_death_of_an_owner_makes_no_gap(self):
+        """
+        The encoder's listeners hear nothing of it.  Its cell's owner is killed; another process
+        takes the cell by a higher epoch and renews the worker's lease before it lapses.
+        """
+        world = start_standing(processes=3)
+        find_owner(world, "enc").killed_at = world.now
+        world.run(15)
+        self.assertEqual(find_gaps(world, "enc"), [])
+
+    def test_all_replaced_at_once_makes_no_gap(self):
+        """
+        Nothing is heard either when every entry host is replaced in the same instant.  No new life
+        is on an old roster, so nobody can prove the end of an old authority; but each worker that
+        accepts the higher epoch needs no such proof.
+        """
+        world = start_standing(processes=3)
+        world.submit("a", work=20_000)
+        for name, old in list(world.processes.items()):
+            old.killed_at = world.now
+            world.add_process(name, 2)
+        world.run(30)
+        self.assertEqual(find_gaps(world, "enc"), [])
+        self.assertEqual([it.state for it in world.jobs().values()], [JobState.FINISHED])
+
+    def test_all_replaced_and_a_worker_lost_waits_the_long_hold(self):
+        """
+        The encoder is silent for the long hold, then runs again, never twice.  Its worker is cut
+        off from the new processes: an old owner could still renew it, and nobody on its roster is
+        left to prove the contrary.
+        """
+        world = start_standing(processes=2)
+        worker = world.running("enc")[0]
+        for name, old in list(world.processes.items()):
+            old.killed_at = world.now
+            world.add_process(name, 2)
+            world.cut(name, worker)
+        world.run(30)
+        self.assertEqual(len(world.intervals()["enc"]), 1)
+        world.run(50)
+        self.assertEqual(len(world.intervals()["enc"]), 2)
+        self.assertEqual(len(world.running("enc")), 1)
+
+    def test_stopped_owner_hands_over_at_once(self):
+        """
+        Callers notice nothing when an entry host is shut down: it releases its cells, and the next
+        owner's first turn takes them.
+        """
+        world = start_standing(processes=2)
+        owner = find_owner(world, "enc")
+        owner.stop()
+        world.run(0.5)
+        self.assertNotEqual(find_owner(world, "enc"), owner)
+        world.run(10)
+        self.assertEqual(find_gaps(world, "enc"), [])
+
+    def test_paused_owner_that_wakes_changes_nothing(self):
+        """
+        One encoder is heard throughout.  Its owner freezes between any two actions of a turn, its
+        cell is taken, it wakes and goes on with the rest of that turn: its writes conflict and the
+        workers refuse its epoch.
+        """
+        for steps in range(1, 14):
+            with self.subTest(steps=steps):
+                world = start_standing(processes=2)
+                owner = find_owner(world, "enc")
+                world.submit("a", work=4_000)
+                world.pass_time(0.6)
+                for _ in range(steps):
+                    owner.step()
+                owner.paused = True
+                world.run(25)
+                self.assertNotEqual(find_owner(world, "enc"), owner)
+                owner.paused = False
+                world.run(10)
+                self.assertEqual(find_gaps(world, "enc"), [])
+                self.assertEqual(world.count_ended(), 1)
+
+    def test_two_owners_that_both_believe(self):
+        """
+        One encoder is heard.  The first owner is cut off from the table alone and still renews a
+        worker that the second can't reach; the second may start the encoder elsewhere only after
+        the first one's authority has ended.
+        """
+        world = start_standing(processes=2)
+        owner = find_owner(world, "enc")
+        other = next(it for it in world.processes.values() if it is not owner)
+        worker = world.running("enc")[0]
+        for operation in TABLE:
+            world.fault(Effect.DOWN, operation, owner.life.process)
+        world.cut(other.life.process, worker)
+        world.run(40)
+        self.assertEqual(len(world.running("enc")), 1)
+        self.assertNotEqual(world.running("enc"), [worker])
+        self.assertEqual(len(find_gaps(world, "enc")), 1)
+
+    def test_fenced_owner_takes_part_again(self):
+        """
+        Nothing stops.  A process that woke after its authority was fenced lets its cells go, renews
+        its authority anew, and gets them back from the other one by a release.
+        """
+        world = start_standing(processes=2)
+        owner = find_owner(world, "enc")
+        owner.paused = True
+        world.run(30)
+        self.assertNotEqual(find_owner(world, "enc"), owner)
+        owner.paused = False
+        world.run(15)
+        self.assertIn("authority.fenced", {note.kind for _, note in world.events})
+        self.assertEqual(find_owner(world, "enc"), owner)
+        self.assertEqual(find_gaps(world, "enc"), [])
+
+    def test_fenced_owner_starts_nothing_under_its_new_authority(self):
+        """
+        The job runs in one place.  Its owner freezes between committing and starting it; another
+        life fences the owner, proves that the worker runs nothing and starts the job elsewhere.
+        The owner wakes, renews its authority, but can't read the cells' rows: had it kept the cell,
+        it would now start the job on the worker that only it can reach.
+        """
+        world = World(processes=2)
+        world.run(5)
+        status = world.submit("a", work=60_000).ok
+        (owner,) = [it for it in world.processes.values() if it.state.cells]
+        other = next(it for it in world.processes.values() if it is not owner)
+        while not (isinstance(owner.action, Note) and owner.action.kind == "task.place"):
+            world.pass_time(0.01)
+            owner.step()
+        owner.paused = True
+        worker = world.cells()["s.r0"].tasks[status.job].worker
+        world.cut(other.life.process, worker)
+        world.run(25)
+        self.assertEqual(len(world.running(status.job)), 1)
+        owner.paused = False
+        for name in world.cores:
+            world.cut(owner.life.process, name)
+        owner.finish_turn()
+        world.heal()
+        world.cut(other.life.process, worker)
+        world.cut(owner.life.process, next(it for it in world.cores if it != worker))
+        for operation in ("read", "scan"):
+            world.fault(Effect.DOWN, operation, owner.life.process)
+        world.run(1.75)
+        self.assertTrue(owner.state.authority.holds(owner.now))
+        self.assertEqual(len(world.running(status.job)), 1)
+
+    def test_lost_answer_of_a_hand_over(self):
+        """
+        One encoder is heard, after a gap.  An owner hands a cell over, the release takes effect and
+        its answer is lost; the owner can't read the table afterwards.  The next owner counts one
+        lease from the release, so the first must have stopped renewing before it asked for it.
+        """
+        world = World(processes=0, workers=2)
+        names = sorted(("a/control", "b/control"), key=lambda name: rank("s.r0", name))
+        first = world.add_process(names[0], 1)
+        world.set_standing(2, "enc")
+        world.run(8)
+        second = world.add_process(names[1], 1)
+        (worker,) = world.running("enc")
+        world.cut(second.life.process, worker)
+        world.cut(first.life.process, next(it for it in world.cores if it != worker))
+        while not (
+            isinstance(first.action, Commit) and "release" in first.action.transaction.token
+        ):
+            world.pass_time(0.02)
+            first.step()
+            second.finish_turn()
+        world.fault(Effect.LOSE_AFTER, "commit", first.life.process, 1)
+        first.step()
+        for operation in TABLE:
+            world.fault(Effect.DOWN, operation, first.life.process)
+        world.run(40)
+        self.assertEqual(len(world.running("enc")), 1)
+        self.assertEqual(len(find_gaps(world, "enc")), 1)
+
+    def test_hand_over_that_surely_failed_is_tried_again(self):
+        """
+        No gap is heard.  The release finds the table out for a moment: the owner keeps the cell and
+        hands it over later.
+        """
+        world = World(processes=0, workers=2)
+        names = sorted(("a/control", "b/control"), key=lambda name: rank("s.r0", name))
+        first = world.add_process(names[0], 1)
+        world.set_standing(2, "enc")
+        world.run(8)
+        second = world.add_process(names[1], 1)
+        while not (
+            isinstance(first.action, Commit) and "release" in first.action.transaction.token
+        ):
+            world.pass_time(0.02)
+            first.step()
+            second.finish_turn()
+        world.fault(Effect.DOWN, "commit", first.life.process, 1)
+        world.run(10)
+        self.assertEqual(find_owner(world, "enc"), second)
+        self.assertEqual(find_gaps(world, "enc"), [])
+
+    def test_rows_of_what_is_gone_are_collected(self):
+        """
+        Rows don't pile up as hosts come and go: authority rows of lives that no cell refers to and
+        workers that are neither listed nor reached are deleted.  A life that was only frozen begins
+        anew when it wakes.
+        """
+        world = World(processes=3)
+        world.run(5)
+        frozen = world.processes["e0/control"]
+        frozen.paused = True
+        world.kill_worker("w00")
+        world.hosts = [it for it in world.hosts if it.name != "w00"]
+        world.run(90)
+        self.assertEqual(len(world.table.scan("control/")), 2)
+        self.assertEqual(list(world.cells()["s.r0"].workers), ["w01"])
+        frozen.paused = False
+        world.run(15)
+        self.assertEqual(len(world.table.scan("control/")), 3)
+        world.submit("a")
+        world.settle(20)
+        self.assertEqual(world.count_ended(), 1)
+
+
+class LeaseTest(unittest.TestCase):
+    """Hold the rule by which a worker is declared lost."""
+
+    def test_own_grants_and_earlier_owners_both_count(self):
+        """
+        A worker is proven to run nothing only after our own grants, and unless it has accepted our
+        epoch also only after the authority of every earlier owner.
+        """
+        world = start_standing(processes=2)
+        owner = find_owner(world, "enc")
+        (name,) = world.running("enc")
+        cell = next(it for it in owner.state.cells.values() if name in it.row.workers)
+        link = cell.link(name)
+        link.lives["1"] = WorkerLife(ends=world.now + 5, reached=True)
+        watch = owner.state.watch
+        self.assertFalse(cell.has_stopped(name, "1", watch, world.now))
+        self.assertTrue(cell.has_stopped(name, "1", watch, world.now + 5))
+        link.lives["1"] = WorkerLife(ends=0.0, reached=False)
+        cell.released_bound = world.now + 7
+        self.assertFalse(cell.has_stopped(name, "1", watch, world.now + 5))
+        self.assertTrue(cell.has_stopped(name, "1", watch, world.now + 7))
+
+
+if __name__ == "__main__":
+    unittest.main()
