--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -24,7 +24,7 @@
 from toucanpin.placement.queue import TaskQueue
 from toucanpin.placement.records import TaskRecord
 from toucanpin.placement.tests.world import WORKER_SIZE, Process, World
-from toucanpin.platform.ports import Size
+from toucanpin.platform.ports import Size, Start
 
 __all__ = ["main"]
 
@@ -130,7 +130,8 @@
         if isinstance(action, Commit):
             self.commits += 1
         if isinstance(action, PollAll):
-            self.started += sum(len(it.poll.orders) for it in action.polls)
+            orders = (order for it in action.polls for order in it.poll.orders)
+            self.started += sum(isinstance(order, Start) for order in orders)
 
     def reset(self) -> None:
         """Begin to count anew."""
