--- a/benchmarks/pair_tables.py
+++ b/benchmarks/pair_tables.py
@@ -117,10 +117,10 @@
         """Draw the effect of a pair: most are mild, some are severe."""
         lot = self._random.random()
         if lot < 0.5:
-            return self._random.uniform(0.05, 0.4)
+            return self._random.uniform(0.1, 0.8)
         if lot < 0.8:
-            return self._random.uniform(0.5, 1.5)
-        return self._random.uniform(2.0, 5.0)
+            return self._random.uniform(1.0, 3.0)
+        return self._random.uniform(4.0, 10.0)
 
     def _draw_job(self, draw: random.Random, now: int, number: int, kind: str = "") -> Job:
         """Draw a job."""
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
-import sys
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
+import click
+
 from benchmarks.pair_tables import (
     BATCH,
     MILLISECONDS,
@@ -39,9 +41,19 @@
     SetShare,
     Tuning,
 )
-from toucanpin.platform.ports import Order, Poll, Report, Size, Start, Stop, TaskState, Throttle
+from toucanpin.platform.ports import (
+    Order,
+    Poll,
+    Report,
+    Size,
+    Start,
+    Stop,
+    TaskState,
+    Throttle,
+    UsageSample,
+)
 
-__all__ = ["CHOOSERS", "DEPLOYMENTS", "Figures", "main", "measure"]
+__all__ = ["CHOOSERS", "DEPLOYMENTS", "SPLITS", "Figures", "Group", "main", "measure"]
 
 SECONDS = 1_800
 LAG = 10
@@ -49,8 +61,7 @@
 RATE = 0.50
 RESTART = 5
 LOOK_AHEAD = 40
-TUNED_TABLES = (11, 12, 13, 14)
-KEPT_TABLES = (101, 102, 103, 104)
+SPLITS = {"tuned": (11, 12, 13, 14), "kept": (101, 102, 103, 104)}
 DEPLOYMENTS = {
     "cooperative": Weights(latency=2.0, throughput=0.5, evictions=0.2),
     "stillwater": Weights(latency=1.0, throughput=0.5, evictions=1.0),
@@ -68,6 +79,7 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     loads: dict[str, float] = field(default_factory=dict)
     latencies: dict[str, float] = field(default_factory=dict)
+    unread: tuple[UsageSample, ...] = ()
     avoided_until: float = 0.0
     free: int = BATCH.processors
 
@@ -100,9 +112,10 @@
 class Plain:
     """Place by a rule that knows nothing of interference."""
 
-    def __init__(self, key: Callable[[Place], float], evicts: bool = False) -> None:
+    def __init__(self, key: Callable[[Place], float], pause: int | None = None) -> None:
         self._key = key
-        self._evicts = evicts
+        self._pause = pause
+        self._evicted_at: dict[str, int] = {}
 
     def choose(self, now: int, places: list[Place], job: Job) -> Place | None:
         """Return the fitting place with the lowest key."""
@@ -114,13 +127,15 @@
         return job.processors
 
     def take(self, now: int, place: Place, report: Report) -> Iterator[Action]:
-        """Evict the largest task whenever a measured tail is over the limit, if at all."""
-        if not self._evicts or not place.residents:
-            return
+        """Evict the largest task when a measured tail is over the limit, if it evicts at all."""
         table = place.worker.table
+        last = self._evicted_at.get(place.worker.name, -SECONDS)
+        if self._pause is None or now < last + self._pause or not place.residents:
+            return
         for service, latency in place.latencies.items():
             quiet = table.quiet[service] * quiet_factor(place.loads[service])
             if latency / quiet - 1.0 > EVICT_ABOVE:
+                self._evicted_at[place.worker.name] = now
                 yield Evict(max(place.residents.values(), key=lambda it: it.processors).task)
                 return
 
@@ -135,7 +150,7 @@
         self._table = table
         self._knows = knows
         self._usage = KindUsage()
-        tuning = Tuning(settle=0.0, surplus_weight=0.0) if knows else Tuning()
+        tuning = Tuning(settle=0.0) if knows else Tuning()
         self.policy = InterferencePolicy(
             weights, TrueEffects(table) if knows else None, Budget(), tuning
         )
@@ -200,7 +215,8 @@
     "first-fit": lambda table, weights: Plain(lambda place: place.index),
     "spreading": lambda table, weights: Plain(lambda place: -place.free),
     "best-fit": lambda table, weights: Plain(lambda place: place.free),
-    "evict-only": lambda table, weights: Plain(lambda place: -place.free, evicts=True),
+    "evict-only": lambda table, weights: Plain(lambda place: -place.free, pause=0),
+    "evict-pausing": lambda table, weights: Plain(lambda place: -place.free, pause=2 * LAG),
     "toucanpin": lambda table, weights: Learning(table, weights, knows=False),
     "knowing": lambda table, weights: Learning(table, weights, knows=True),
 }
@@ -266,7 +282,7 @@
             saved = str(done)
             work = str(job.work).encode()
             start = Start(job.name, 1, job.kind, size, work, saved, "", False)
-            place.worker.poll(Poll(1, "", 0, (start,)))
+            self._take_report(place, place.worker.poll(Poll(1, "", 0, (start,))))
             use = self.chooser.use(job)
             place.residents[job.name] = Resident(job.name, job.name, job.kind, use)
             place.jobs[job.name] = job
@@ -277,21 +293,27 @@
     def _poll(self, now: int, place: Place) -> None:
         """Fetch a report and carry out what the chooser decides."""
         report = place.worker.poll(Poll(1, "", 0, ()))
-        for task in report.tasks:
-            if task.state is TaskState.FINISHED:
-                self._release(place, task.task)
-        for sample in report.samples:
-            place.loads[sample.service] = sample.load
-            place.latencies[sample.service] = sample.latency_p99
-        actions = list(self.chooser.take(now, place, report))
+        self._take_report(place, report)
+        samples, place.unread = place.unread, ()
+        actions = list(self.chooser.take(now, place, replace(report, samples=samples)))
         orders = [order for it in actions for order in self._act(now, place, it)]
         if orders:
-            place.worker.poll(Poll(1, "", 0, tuple(orders)))
+            self._take_report(place, place.worker.poll(Poll(1, "", 0, tuple(orders))))
             for order in orders:
                 if isinstance(order, Stop):
                     self._requeue(now, place, order.task)
             self.chooser.note(now, place)
 
+    def _take_report(self, place: Place, report: Report) -> None:
+        """Take the ends of jobs, and keep the samples for the chooser."""
+        for task in report.tasks:
+            if task.state is TaskState.FINISHED:
+                self._release(place, task.task)
+        for sample in report.samples:
+            place.loads[sample.service] = sample.load
+            place.latencies[sample.service] = sample.latency_p99
+        place.unread += report.samples
+
     def _act(self, now: int, place: Place, action: Action) -> Iterator[Order]:
         """Turn an action into orders."""
         match action:
@@ -299,7 +321,7 @@
                 place.avoided_until = until
             case SetShare(task, share):
                 it = place.residents[task]
-                place.residents[task] = Resident(it.task, it.job, it.kind, it.processors, share)
+                place.residents[task] = replace(it, share=share)
                 yield Throttle(task, 1, share)
             case Evict(task):
                 yield Stop(task, 1, "checkpoint")
@@ -330,37 +352,85 @@
     return high
 
 
-def measure(chooser: str, weights: Weights, seeds: tuple[int, ...]) -> Figures:
-    """Return the mean figures of a chooser over several tables."""
-    runs = [Run(seed, chooser, weights).run() for seed in seeds]
+@dataclass(frozen=True, slots=True)
+class Group:
+    """Name what is averaged over tables."""
+
+    split: str
+    deployment: str
+    chooser: str
+
+
+@dataclass(frozen=True, slots=True)
+class Task:
+    """Name one run of the benchmark."""
+
+    split: str
+    deployment: str
+    chooser: str
+    seed: int
+
+
+def run_task(task: Task) -> Figures:
+    """Run one task."""
+    return Run(task.seed, task.chooser, DEPLOYMENTS[task.deployment]).run()
+
+
+def list_tasks(splits: Iterable[str]) -> Iterator[Task]:
+    """Yield every run of some splits of the tables."""
+    for split in splits:
+        for deployment in DEPLOYMENTS:
+            for chooser in CHOOSERS:
+                for seed in SPLITS[split]:
+                    yield Task(split, deployment, chooser, seed)
+
+
+def average(figures: list[Figures]) -> Figures:
+    """Return the means over several tables."""
+    count = len(figures)
     return Figures(
-        sum(it.p99 for it in runs) / len(runs),
-        sum(it.throughput for it in runs) / len(runs),
-        sum(it.evictions for it in runs) / len(runs),
-        sum(it.waiting for it in runs) / len(runs),
+        sum(it.p99 for it in figures) / count,
+        sum(it.throughput for it in figures) / count,
+        sum(it.evictions for it in figures) / count,
+        sum(it.waiting for it in figures) / count,
     )
 
 
+def measure(splits: Iterable[str], processes: int = 2) -> dict[Group, Figures]:
+    """Return the mean figures of each split, deployment and chooser."""
+    tasks = list(list_tasks(splits))
+    groups: dict[Group, list[Figures]] = {}
+    with ProcessPoolExecutor(processes) as pool:
+        for task, figures in zip(tasks, pool.map(run_task, tasks), strict=True):
+            group = Group(task.split, task.deployment, task.chooser)
+            groups.setdefault(group, []).append(figures)
+    return {group: average(figures) for group, figures in groups.items()}
+
+
 def print_line(name: str, value: float, unit: str, baseline: float) -> None:
     """Print one figure against its baseline."""
     ratio = f"{value / baseline:.3f}" if baseline else "none"
     print(f"bench {name} value={value:.4g} unit={unit} baseline={baseline:.4g} ratio={ratio}")
 
 
-def main() -> None:
-    """Print the figures of every chooser on the tuned and the kept tables."""
-    chosen = sys.argv[1:] or list(CHOOSERS)
-    for split, seeds in (("tuned", TUNED_TABLES), ("kept", KEPT_TABLES)):
-        for deployment, weights in DEPLOYMENTS.items():
-            knowing = measure("knowing", weights, seeds)
-            evicting = measure("evict-only", weights, seeds)
-            for chooser in chosen:
-                figures = measure(chooser, weights, seeds)
-                prefix = f"policy.{deployment}.{split}.{chooser}"
-                print_line(f"{prefix}.p99", figures.p99, "x-idle", knowing.p99)
-                print_line(f"{prefix}.throughput", figures.throughput, "share", knowing.throughput)
-                print_line(f"{prefix}.evictions", figures.evictions, "count", evicting.evictions)
-                print_line(f"{prefix}.waiting", figures.waiting, "jobs", knowing.waiting)
+def print_figures(measured: dict[Group, Figures]) -> None:
+    """Print a line for each figure; p99, throughput and queue against the knowing chooser."""
+    for group, it in measured.items():
+        knowing = measured[replace(group, chooser="knowing")]
+        evicting = measured[replace(group, chooser="evict-only")]
+        prefix = f"policy.{group.deployment}.{group.split}.{group.chooser}"
+        print_line(f"{prefix}.p99", it.p99, "x-idle", knowing.p99)
+        print_line(f"{prefix}.throughput", it.throughput, "share", knowing.throughput)
+        print_line(f"{prefix}.evictions", it.evictions, "count", evicting.evictions)
+        print_line(f"{prefix}.waiting", it.waiting, "jobs", knowing.waiting)
+
+
+@click.command()
+@click.option("--split", "splits", multiple=True, type=click.Choice(list(SPLITS)))
+@click.option("--processes", default=2, help="Runs at one time.")
+def main(splits: tuple[str, ...], processes: int) -> None:
+    """Measure the interference policy on the tuned and the kept tables."""
+    print_figures(measure(splits or tuple(SPLITS), processes))
 
 
 if __name__ == "__main__":
--- a/toucanpin/interference/cost.py
+++ b/toucanpin/interference/cost.py
@@ -29,25 +29,37 @@
     hosts does.
     """
 
-    def __init__(
-        self, effects: Effects, weights: Weights, view: HostView, surplus: float = 0.0
-    ) -> None:
+    def __init__(self, effects: Effects, weights: Weights, view: HostView) -> None:
         self._weights = weights
         self._loads = [it.load for it in view.services]
-        self._surplus = surplus
         self._rises = [rate(effects, view, it) for it in view.residents]
         self._work = [it.processors / view.processors if it.batch else 0.0 for it in view.residents]
 
     def price(self, shares: Sequence[float]) -> float:
         """Return the cost if the residents had these shares, in their order."""
+        return self.price_latency(shares) - self.value_work(shares)
+
+    def price_latency(self, shares: Sequence[float]) -> float:
+        """Return the cost of the services' tails alone."""
         latency = 0.0
         for service, load in enumerate(self._loads):
-            rise = self._surplus
+            rise = 0.0
             for share, rises in zip(shares, self._rises, strict=True):
                 rise += share * rises[service]
             latency += load * rise * rise
+        return self._weights.latency * latency
+
+    def value_work(self, shares: Sequence[float]) -> float:
+        """Return the value of the batch work alone."""
         work = sum(share * work for share, work in zip(shares, self._work, strict=True))
-        return self._weights.latency * latency - self._weights.throughput * work
+        return self._weights.throughput * work
+
+    def is_worth(self, current: Sequence[float], chosen: Sequence[float], margin: float) -> bool:
+        """Tell whether a change gains more than a part, the margin, of what it trades."""
+        latency = self.price_latency(current) - self.price_latency(chosen)
+        work = self.value_work(chosen) - self.value_work(current)
+        # Relative to what is traded: a fixed margin would leave small tasks throttled for good.
+        return latency + work > margin * (abs(latency) + abs(work))
 
 
 def rate(effects: Effects, view: HostView, resident: Resident) -> list[float]:
--- a/toucanpin/interference/estimator.py
+++ b/toucanpin/interference/estimator.py
@@ -50,7 +50,7 @@
     load_rise: float = 0.5
     load_deviation: float = 0.5
     quiet_deviation: float = 0.3
-    noise: float = 0.12
+    noise: float = 0.2
     memory: float = 2_400.0
     weight: float = 2.0
 
--- a/toucanpin/interference/policy.py
+++ b/toucanpin/interference/policy.py
@@ -63,20 +63,19 @@
     """
     Set how readily the policy acts.
 
-    ``margin`` is the gain, in cost per minute, that a change of shares must promise; ``settle`` is
-    how many seconds after an action a sample has to be taken to show it; ``evict_share`` and
+    ``margin`` is the part of what a change of shares trades that it must gain; ``settle`` is how
+    many seconds after an action a sample has to be taken to show it; ``evict_share`` and
     ``patience`` (seconds) say below which share and after how long a task is worth moving;
     ``horizon`` is for how many minutes a move pays; ``elsewhere`` is the share that the task is
-    expected to get there; ``surplus_weight`` is how fast a host's own deviation is followed.
+    expected to get there.
     """
 
-    margin: float = 0.02
+    margin: float = 0.3
     settle: float = 2.0
     evict_share: float = 0.25
     patience: float = 60.0
     horizon: float = 5.0
     elsewhere: float = 0.7
-    surplus_weight: float = 0.3
 
 
 @dataclass(slots=True)
@@ -87,7 +86,6 @@
     newest: float = float("-inf")
     sampled: dict[str, float] = field(default_factory=dict)
     acted_at: float = float("-inf")
-    surplus: float = 0.0
     low_since: dict[str, float] = field(default_factory=dict)
 
 
@@ -126,7 +124,8 @@
             state.newest = max(state.newest, sample.sampled_at)
             residents = state.history.find(sample.sampled_at)
             if residents is not None:
-                self._learn(now, view, state, sample, residents)
+                amounts = measure_amounts(residents, view.processors)
+                self.estimator.learn(now, sample.service, sample.latency, sample.load, amounts)
 
     def score(self, view: HostView, task: Candidate) -> float:
         """
@@ -167,35 +166,13 @@
 
     def _price(self, view: HostView) -> HostCost:
         """Price a host with what is known of it."""
-        state = self._hosts.get(view.host)
-        surplus = max(0.0, state.surplus) if state else 0.0
-        return HostCost(self._effects, self.weights, view, surplus)
-
-    def _learn(
-        self,
-        now: float,
-        view: HostView,
-        state: HostState,
-        sample: Sample,
-        residents: tuple[Resident, ...],
-    ) -> None:
-        """Learn from one sample and the tasks that were there when it was taken."""
-        amounts = measure_amounts(residents, view.processors)
-        quiet = self.estimator.quiet(sample.service, sample.load)
-        if quiet:
-            rise = sum(
-                amount * self.estimator.rise(sample.service, kind, sample.load)
-                for kind, amount in amounts.items()
-            )
-            error = sample.latency / quiet - 1.0 - rise
-            state.surplus += self._tuning.surplus_weight * (error - state.surplus)
-        self.estimator.learn(now, sample.service, sample.latency, sample.load, amounts)
+        return HostCost(self._effects, self.weights, view)
 
     def _change_shares(self, cost: HostCost, view: HostView) -> Iterator[SetShare]:
         """Yield the changes of shares that are worth it; a rise goes one step at a time."""
         current = [it.share for it in view.residents]
         chosen = choose_shares(cost, view.residents)
-        if cost.price(current) - cost.price(chosen) < self._tuning.margin:
+        if not cost.is_worth(current, chosen, self._tuning.margin):
             return
         for it, share in zip(view.residents, chosen, strict=True):
             if share > it.share:
--- /dev/null
+++ b/toucanpin/interference/tests/test_policy.py
@@ -0,0 +1,281 @@
+"""Tests of the policy: attribution, rising order, the lag, hysteresis, budget and weights."""
+
+import dataclasses
+import unittest
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from toucanpin.bundles.schema import Weights
+from toucanpin.interference import (
+    Avoid,
+    Budget,
+    Candidate,
+    Evict,
+    EvictionBudget,
+    HostView,
+    InterferencePolicy,
+    Resident,
+    Sample,
+    ServiceLoad,
+    SetShare,
+    Tuning,
+)
+from toucanpin.interference.cost import SHARES
+from toucanpin.interference.history import CoResidents
+
+NOISY = Resident("t1", "j1", "noisy", 16.0)
+MILD = Resident("t2", "j2", "mild", 16.0)
+STANDING = Resident("t3", "j3", "noisy", 8.0, batch=False)
+
+
+class FixedEffects:
+    def __init__(self, **rises):
+        self.rises = rises
+
+    def rise(self, service, kind, load):
+        return self.rises.get(kind, 0.0) * load
+
+    def quiet(self, service, load):
+        return 20.0
+
+
+def make_view(*residents, load=0.8, host="h1"):
+    return HostView(host, 64, (ServiceLoad("s", load),), residents)
+
+
+def sample(at, latency=30.0, load=0.8):
+    return Sample("h1", "s", at, latency, load)
+
+
+def apply(view, actions):
+    """Return the view after the actions."""
+    shares = {it.task: it.share for it in actions if isinstance(it, SetShare)}
+    gone = {it.task for it in actions if isinstance(it, Evict)}
+    residents = tuple(
+        dataclasses.replace(it, share=shares.get(it.task, it.share))
+        for it in view.residents
+        if it.task not in gone
+    )
+    return dataclasses.replace(view, residents=residents)
+
+
+class PolicyTest(unittest.TestCase):
+    def make(self, weights=None, **rises):
+        effects = FixedEffects(**(rises or {"noisy": 8.0}))
+        self.policy = InterferencePolicy(weights or Weights(), effects)
+
+    def step(self, now, view, *samples):
+        """Take samples, decide and carry the actions out."""
+        self.policy.observe(now, view)
+        self.policy.measure(now, view, samples)
+        actions = list(self.policy.decide(now, view))
+        view = apply(view, actions)
+        self.policy.observe(now, view)
+        return actions, view
+
+    def test_throttles_the_task_that_harms(self):
+        self.make()
+        actions, view = self.step(10, make_view(NOISY, MILD), sample(9))
+        self.assertIsInstance(actions[0], Avoid)
+        self.assertEqual([it.task for it in actions[1:]], ["t1"])
+        self.assertLess(view.residents[0].share, 1.0)
+
+    def test_standing_task_is_left_alone(self):
+        self.make(noisy=40.0)
+        actions, _ = self.step(10, make_view(STANDING), sample(9))
+        self.assertEqual(actions, [])
+
+    def test_waits_for_a_sample_that_shows_the_last_action(self):
+        """
+        A task was throttled at second 10; reports go on to bring samples of the seconds before.
+        Acting on them would answer the same rise twice, here by lowering the share again because
+        the load looks as high as it was.
+        """
+        self.make()
+        _, view = self.step(10, make_view(NOISY), sample(9))
+        rising = dataclasses.replace(view, services=(ServiceLoad("s", 1.0),))
+        for now in range(11, 20):
+            actions, _ = self.step(now, rising, sample(now - 10))
+            self.assertEqual(actions, [])
+        rising = dataclasses.replace(rising, services=(ServiceLoad("s", 0.1),))
+        actions, _ = self.step(24, rising, sample(13))
+        self.assertNotEqual(actions, [])
+
+    def test_load_that_swings_a_little_changes_nothing(self):
+        """
+        The load of a service swings by a few hundredths.  Without a margin each report would move
+        the share by a step and back.
+        """
+        self.make()
+        view = make_view(NOISY)
+        changes = 0
+        for step in range(1, 60):
+            load = 0.62 + 0.02 * (step % 2)
+            view = dataclasses.replace(view, services=(ServiceLoad("s", load),))
+            actions, view = self.step(20 * step, view, sample(20 * step - 10))
+            changes += bool(actions)
+        self.assertLessEqual(changes, 2)
+
+    def test_evicts_only_after_throttling_did_not_help_for_long(self):
+        """
+        A task does so much harm that its share stays near the floor.  Only after it has had next to
+        nothing for the patience is it moved, and the order is avoid, throttle, evict.
+        """
+        self.make(noisy=60.0)
+        view = make_view(NOISY)
+        seen = []
+        for now in range(10, 200, 10):
+            actions, view = self.step(now, view, sample(now - 1))
+            seen += [(now, type(it)) for it in actions]
+        kinds = [kind for _, kind in seen]
+        self.assertEqual(kinds, [Avoid, SetShare, Evict])
+        patience = Tuning().patience
+        self.assertGreaterEqual(seen[2][0] - seen[1][0], patience)
+
+    def test_costly_eviction_is_not_made(self):
+        """Stillwater's weights and much unsaved work make a move dearer than its gain."""
+        self.make(Weights(evictions=1.0), noisy=60.0)
+        view = make_view(dataclasses.replace(NOISY, unsaved=600.0))
+        for now in range(10, 400, 10):
+            actions, view = self.step(now, view, sample(now - 1))
+            self.assertNotIn(Evict, [type(it) for it in actions])
+
+    def test_weight_of_latency_lowers_the_share(self):
+        shares = []
+        for latency in (0.5, 4.0):
+            self.make(Weights(latency=latency), noisy=3.0)
+            _, view = self.step(10, make_view(NOISY), sample(9))
+            shares.append(view.residents[0].share)
+        self.assertLess(shares[1], shares[0])
+
+    def test_share_is_given_back_step_by_step(self):
+        self.make()
+        view = make_view(dataclasses.replace(NOISY, share=0.1), load=0.2)
+        shares = []
+        for now in range(10, 100, 10):
+            _, view = self.step(now, view, sample(now - 1, load=0.2))
+            shares.append(view.residents[0].share)
+        self.assertEqual(shares[:5], [0.25, 0.5, 0.75, 1.0, 1.0])
+
+    def test_score_prefers_the_host_that_suffers_least(self):
+        self.make(noisy=8.0, mild=0.1)
+        busy, idle = make_view(NOISY, load=0.9), make_view(load=0.2, host="h2")
+        noisy, mild = Candidate("noisy", 8.0), Candidate("mild", 8.0)
+        self.assertGreater(self.policy.score(busy, noisy), 0.0)
+        self.assertLess(self.policy.score(idle, noisy), self.policy.score(busy, noisy))
+        self.assertLess(self.policy.score(idle, mild), 0.0)
+
+    def test_sample_is_charged_to_those_who_were_there(self):
+        """
+        A noisy task leaves and a mild one comes; the sample of the noisy time arrives afterwards.
+        Charged to the present task, it would make the mild kind look noisy and be throttled.
+        """
+        self.policy = InterferencePolicy(Weights())
+        now = 0.0
+        for _ in range(40):
+            self.policy.observe(now, make_view(NOISY))
+            self.policy.observe(now + 10, make_view(MILD))
+            late = [sample(now + 5, 60.0), sample(now + 15, 20.0)]
+            self.policy.measure(now + 25, make_view(MILD), late)
+            now += 30
+        rise = self.policy.estimator.rise
+        self.assertGreater(rise("s", "noisy", 0.8), rise("s", "mild", 0.8) + 2.0)
+
+    def test_samples_that_come_twice_or_too_late_count_once(self):
+        """A report is doubled on its way, and a sample is older than what is remembered."""
+        self.policy = InterferencePolicy(Weights())
+        view = make_view(NOISY)
+        self.policy.observe(100, view)
+        self.policy.measure(110, view, [sample(105, 60.0)])
+        learnt = self.policy.estimator.rise("s", "noisy", 0.8)
+        self.policy.measure(111, view, [sample(105, 60.0), sample(104, 90.0), sample(50, 90.0)])
+        self.assertEqual(self.policy.estimator.rise("s", "noisy", 0.8), learnt)
+
+    def test_budget_holds_over_hosts(self):
+        """
+        A noisy wave hits many hosts at once and every one would evict.  Only the budget's number
+        goes in a minute, or the wave of evictions would cost more than the wave of noise.
+        """
+        effects = FixedEffects(noisy=60.0)
+        policy = InterferencePolicy(Weights(), effects, Budget(per_minute=2))
+        evicted = []
+        views = [make_view(dataclasses.replace(NOISY, share=0.05), host=f"h{n}") for n in range(9)]
+        for view in views:
+            policy.observe(0, view)
+        for view in views:
+            policy.measure(70, view, [Sample(view.host, "s", 70, 30.0, 0.8)])
+            evicted += [it for it in policy.decide(71, view) if isinstance(it, Evict)]
+        self.assertEqual(len(evicted), 2)
+
+
+class BudgetTest(unittest.TestCase):
+    def test_one_job_is_not_evicted_again_and_again(self):
+        budget = EvictionBudget(Budget(per_minute=5, per_job=2, job_span=600.0))
+        for now in (0.0, 100.0):
+            self.assertTrue(budget.allows(now, "j"))
+            budget.spend(now, "j")
+        self.assertFalse(budget.allows(200.0, "j"))
+        self.assertTrue(budget.allows(200.0, "other"))
+        self.assertTrue(budget.allows(601.0, "j"))
+
+
+class CoResidentsTest(unittest.TestCase):
+    def test_finds_who_was_there(self):
+        history = CoResidents(span=100.0)
+        history.record(10, (NOISY,))
+        history.record(50, (MILD,))
+        self.assertIsNone(history.find(9))
+        self.assertEqual(history.find(49), (NOISY,))
+        self.assertEqual(history.find(50), (MILD,))
+        history.record(200, ())
+        self.assertIsNone(history.find(20))
+        self.assertEqual(history.find(100), (MILD,))
+
+
+RESIDENTS = st.lists(
+    st.builds(
+        Resident,
+        st.uuids().map(str),
+        st.sampled_from(["j1", "j2"]),
+        st.sampled_from(["noisy", "mild", "new"]),
+        st.floats(0, 64),
+        st.sampled_from(SHARES),
+        st.booleans(),
+        st.floats(0, 1_000),
+    ),
+    max_size=8,
+)
+STEPS = st.lists(
+    st.tuples(st.floats(0, 60), st.floats(0, 1), st.floats(0, 1e4), RESIDENTS), max_size=15
+)
+
+
+class RandomHostsTest(unittest.TestCase):
+    @seed(4)
+    @settings(max_examples=100, derandomize=True, deadline=None, database=None)
+    @given(STEPS)
+    def test_actions_name_batch_tasks_of_the_host_only(self, steps):
+        """Whatever is measured, only batch tasks that are there are touched, within the shares."""
+        policy = InterferencePolicy(Weights())
+        now = 0.0
+        for pause, load, latency, residents in steps:
+            now += pause
+            view = make_view(*residents, load=load)
+            policy.observe(now, view)
+            policy.measure(now, view, [sample(now, latency, load)])
+            batch = {it.task for it in residents if it.batch}
+            for action in policy.decide(now, view):
+                match action:
+                    case Avoid(host, until):
+                        self.assertEqual((host, until > now), ("h1", True))
+                    case SetShare(task, share):
+                        self.assertIn(task, batch)
+                        self.assertIn(share, SHARES)
+                    case Evict(task):
+                        self.assertIn(task, batch)
+            self.assertLess(policy.score(view, Candidate("noisy", 4.0)), float("inf"))
+
+
+if __name__ == "__main__":
+    unittest.main()
