--- a/benchmarks/choosers.py
+++ b/benchmarks/choosers.py
@@ -33,6 +33,7 @@
     Resident,
     Sample,
     ServiceLoad,
+    Summary,
     Tuning,
 )
 from toucanpin.platform.ports import Report, UsageSample
@@ -133,6 +134,8 @@
         self._table = table
         self._knows = knows
         self._usage = KindUsage()
+        self._summaries: dict[str, Summary] = {}
+        self._summed_at = -1
         tuning = Tuning(settle=settle)
         self.policy = InterferencePolicy(
             weights, TrueEffects(table) if knows else None, Budget(), tuning
@@ -145,7 +148,7 @@
         for place in places:
             if place.free < job.processors or now < place.avoided_until:
                 continue
-            score = self.policy.score(place.view(), task)
+            score = self.policy.score_summary(self._summarize(now, place), task)
             if score < lowest:
                 best, lowest = place, score
         return best
@@ -174,8 +177,19 @@
         self.policy.measure(now, view, samples)
         yield from self.policy.decide(now, view)
 
+    def _summarize(self, now: int, place: Place) -> Summary:
+        """Sum up a place once in a second and after each change."""
+        if self._summed_at != now:
+            self._summed_at = now
+            self._summaries.clear()
+        name = place.worker.name
+        if name not in self._summaries:
+            self._summaries[name] = self.policy.summarize(place.view())
+        return self._summaries[name]
+
     def note(self, now: int, place: Place) -> None:
         """Record the residents."""
+        self._summaries.pop(place.worker.name, None)
         self.policy.observe(now, place.view())
 
 
--- a/toucanpin/interference/__init__.py
+++ b/toucanpin/interference/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from toucanpin.interference.budget import Budget, EvictionBudget
+from toucanpin.interference.cost import Summary
 from toucanpin.interference.estimator import Effects, PairEstimator, Prior
 from toucanpin.interference.policy import (
     Action,
@@ -37,5 +38,6 @@
     "Sample",
     "ServiceLoad",
     "SetShare",
+    "Summary",
     "Tuning",
 ]
--- a/toucanpin/interference/policy.py
+++ b/toucanpin/interference/policy.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from toucanpin.bundles.schema import Weights
 from toucanpin.interference.budget import Budget, EvictionBudget
-from toucanpin.interference.cost import SHARES, HostCost, choose_shares
+from toucanpin.interference.cost import SHARES, HostCost, Summary, score
 from toucanpin.interference.estimator import Effects, PairEstimator, measure_amounts
 from toucanpin.interference.history import CoResidents
 from toucanpin.interference.view import Candidate, HostView, Resident
@@ -133,11 +133,17 @@
 
         The host with the lowest score is best; above zero the task does more harm than good.
         """
-        cost = self._price(view)
-        newcomer = Resident("", "", task.kind, task.processors)
-        joined = replace(view, residents=(*view.residents, newcomer))
-        shares = [it.share for it in joined.residents]
-        return self._price(joined).price(shares) - cost.price(shares[:-1])
+        return self.score_summary(self.summarize(view), task)
+
+    def summarize(self, view: HostView) -> Summary:
+        """Sum up a host once for the scores of many tasks."""
+        shares = [it.share for it in view.residents]
+        rises = self._price(view).sum_rises(shares)
+        return Summary(view.processors, view.services, tuple(rises))
+
+    def score_summary(self, summary: Summary, task: Candidate) -> float:
+        """Return the score of a task on a host that was summed up before."""
+        return score(self._effects, self.weights, summary, task)
 
     def decide(self, now: float, view: HostView) -> Iterator[Action]:
         """Yield what has to be done about a host now, in rising order."""
@@ -171,7 +177,7 @@
     def _change_shares(self, cost: HostCost, view: HostView) -> Iterator[SetShare]:
         """Yield the changes of shares that are worth it; a rise goes one step at a time."""
         current = [it.share for it in view.residents]
-        chosen = choose_shares(cost, view.residents)
+        chosen = cost.choose_shares()
         if not cost.is_worth(current, chosen, self._tuning.margin):
             return
         for it, share in zip(view.residents, chosen, strict=True):
