--- a/benchmarks/choosers.py
+++ b/benchmarks/choosers.py
@@ -68,8 +68,8 @@
 class Chooser(Protocol):
     """Choose places for jobs and act on hosts."""
 
-    def choose(self, now: int, places: list[Place], job: Job) -> Place | None:
-        """Return the place for a job, None to let it wait."""
+    def choose(self, now: int, places: list[Place], job: Job, waited: float) -> Place | None:
+        """Return the place for a job that waited so many seconds, None to let it wait."""
         ...
 
     def use(self, job: Job) -> float:
@@ -93,7 +93,7 @@
         self._pause = pause
         self._evicted_at: dict[str, int] = {}
 
-    def choose(self, now: int, places: list[Place], job: Job) -> Place | None:
+    def choose(self, now: int, places: list[Place], job: Job, waited: float) -> Place | None:
         """Return the fitting place with the lowest key."""
         fitting = (it for it in places if it.free >= job.processors)
         return min(fitting, key=self._key, default=None)
@@ -141,17 +141,17 @@
             weights, TrueEffects(table) if knows else None, Budget(), tuning
         )
 
-    def choose(self, now: int, places: list[Place], job: Job) -> Place | None:
+    def choose(self, now: int, places: list[Place], job: Job, waited: float) -> Place | None:
         """Return the place to whose cost the job adds least, unless it harms everywhere."""
         task = Candidate(job.kind, self.use(job))
-        best, lowest = None, 0.0
+        best, lowest = None, float("inf")
         for place in places:
             if place.free < job.processors or now < place.avoided_until:
                 continue
             score = self.policy.score_summary(self._summarize(now, place), task)
             if score < lowest:
                 best, lowest = place, score
-        return best
+        return best if self.policy.accepts(lowest, waited) else None
 
     def use(self, job: Job) -> float:
         """Return the true or the learned use."""
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -26,7 +26,6 @@
 REPORT_PERIOD = 5
 RATE = 0.50
 RESTART = 5
-LOOK_AHEAD = 40
 SPLITS = {"tuned": (11, 12, 13, 14), "kept": (101, 102, 103, 104)}
 DEPLOYMENTS = {
     "cooperative": Weights(latency=2.0, throughput=0.5, evictions=0.2),
@@ -83,11 +82,18 @@
         )
 
     def _place(self, now: int) -> None:
-        """Place the jobs at the head of the queue that find a place."""
+        """Place the queued jobs that find a place."""
         left = []
-        for ready, job, done in self.queue[:LOOK_AHEAD]:
-            place = self.chooser.choose(now, self.places, job) if ready <= now else None
+        refused: set[tuple[str, int]] = set()
+        for ready, job, done in self.queue:
+            place = None
+            if ready <= now and (job.kind, job.processors) not in refused:
+                place = self.chooser.choose(now, self.places, job, now - ready)
             if place is None:
+                # The longest waiting job of a class is asked for first; what holds for it holds
+                # for the others.
+                if ready <= now:
+                    refused.add((job.kind, job.processors))
                 left.append((ready, job, done))
                 continue
             size = Size(job.processors, 0)
@@ -100,7 +106,7 @@
             place.jobs[job.name] = job
             place.free -= job.processors
             self.chooser.note(now, place)
-        self.queue[:LOOK_AHEAD] = left
+        self.queue = left
 
     def _poll(self, now: int, place: Place) -> None:
         """Fetch a report and carry out what the chooser decides."""
--- a/toucanpin/interference/policy.py
+++ b/toucanpin/interference/policy.py
@@ -67,7 +67,7 @@
     many seconds after an action a sample has to be taken to show it; ``evict_share`` and
     ``patience`` (seconds) say below which share and after how long a task is worth moving;
     ``horizon`` is for how many minutes a move pays; ``elsewhere`` is the share that the task is
-    expected to get there.
+    expected to get there; ``max_wait`` is after how many seconds a task takes the best host there is.
     """
 
     margin: float = 0.3
@@ -76,6 +76,7 @@
     patience: float = 60.0
     horizon: float = 5.0
     elsewhere: float = 0.7
+    max_wait: float = 300.0
 
 
 @dataclass(slots=True)
@@ -145,6 +146,11 @@
         """Return the score of a task on a host that was summed up before."""
         return score(self._effects, self.weights, summary, task)
 
+    def accepts(self, score: float, waited: float) -> bool:
+        """Tell whether a task that waited so many seconds is placed at this score."""
+        # A kind that harms everywhere would never start; throttling bounds what it does.
+        return score < 0.0 or (waited >= self._tuning.max_wait and score < float("inf"))
+
     def decide(self, now: float, view: HostView) -> Iterator[Action]:
         """Yield what has to be done about a host now, in rising order."""
         state = self._hosts.setdefault(view.host, HostState())
--- a/toucanpin/interference/tests/test_policy.py
+++ b/toucanpin/interference/tests/test_policy.py
@@ -167,6 +167,14 @@
         self.assertLess(self.policy.score(idle, noisy), self.policy.score(busy, noisy))
         self.assertLess(self.policy.score(idle, mild), 0.0)
 
+    def test_task_that_harms_everywhere_starts_in_the_end(self):
+        self.make(noisy=60.0)
+        score = self.policy.score(make_view(load=0.9), Candidate("noisy", 8.0))
+        max_wait = Tuning().max_wait
+        self.assertFalse(self.policy.accepts(score, max_wait - 1))
+        self.assertTrue(self.policy.accepts(score, max_wait))
+        self.assertTrue(self.policy.accepts(-0.1, 0))
+
     def test_sample_is_charged_to_those_who_were_there(self):
         """
         A noisy task leaves and a mild one comes; the sample of the noisy time arrives afterwards.
