--- a/toucanpin/interference/policy.py
+++ b/toucanpin/interference/policy.py
@@ -67,10 +67,11 @@
     many seconds after an action a sample has to be taken to show it; ``evict_share`` and
     ``patience`` (seconds) say below which share and after how long a task is worth moving;
     ``horizon`` is for how many minutes a move pays; ``elsewhere`` is the share that the task is
-    expected to get there; ``max_wait`` is after how many seconds a task takes the best host there is.
+    expected to get there; ``max_wait`` is after how many seconds a task takes the
+    best host there is.
     """
 
-    margin: float = 0.3
+    margin: float = 0.6
     settle: float = 2.0
     evict_share: float = 0.25
     patience: float = 60.0
