--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -26,7 +26,7 @@
 REPORT_PERIOD = 5
 RATE = 0.50
 RESTART = 5
-SPLITS = {"tuned": (11, 12, 13, 14), "kept": (201, 202, 203, 204)}
+SPLITS = {"tuned": (11, 12, 13, 14), "kept": (301, 302, 303, 304)}
 DEPLOYMENTS = {
     "cooperative": Weights(latency=2.0, throughput=0.5, evictions=0.2),
     "stillwater": Weights(latency=1.0, throughput=0.5, evictions=1.0),
--- a/toucanpin/interference/cost.py
+++ b/toucanpin/interference/cost.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from toucanpin.bundles.schema import Weights
@@ -71,21 +71,32 @@
         # Relative to what is traded: a fixed margin would leave small tasks throttled for good.
         return latency + work > margin * (abs(latency) + abs(work))
 
-    def choose_shares(self) -> list[float]:
-        """Choose the shares of the batch tasks that cost least, one task after the other."""
+    def lower_shares(self) -> list[float]:
+        """Choose the shares of the batch tasks that cost least, none above its present one."""
+        return self._choose_shares(lambda share, present: share <= present)
+
+    def raise_shares(self) -> list[float]:
+        """Choose the shares of the batch tasks that cost least, none below its present one."""
+        return self._choose_shares(lambda share, present: share >= present)
+
+    def _choose_shares(self, allows: Callable[[float, float], bool]) -> list[float]:
+        """Choose allowed shares, one task after the other, until none changes."""
         residents = self._view.residents
         shares = [it.share for it in residents]
+        steps = [[step for step in SHARES if allows(step, it.share)] for it in residents]
         totals = self.sum_rises(shares)
         for _ in range(MAX_PASSES):
             before = list(shares)
             for index, it in enumerate(residents):
-                if it.batch:
-                    shares[index] = self._choose_share(index, shares[index], totals)
+                if it.batch and steps[index]:
+                    shares[index] = self._choose_share(index, shares[index], steps[index], totals)
             if shares == before:
                 break
         return shares
 
-    def _choose_share(self, index: int, share: float, totals: list[float]) -> float:
+    def _choose_share(
+        self, index: int, share: float, steps: Sequence[float], totals: list[float]
+    ) -> float:
         """Choose the share of one task while the others keep theirs, and correct the totals."""
         rises = self._rises[index]
         square = 0.0
@@ -95,7 +106,7 @@
             slope += 2.0 * it.load * rise * (total - share * rise)
         square *= self._weights.latency
         slope = self._weights.latency * slope - self._weights.throughput * self._work[index]
-        chosen = min(SHARES, key=lambda it: (square * it + slope) * it)
+        chosen = min(steps, key=lambda it: (square * it + slope) * it)
         for service, rise in enumerate(rises):
             totals[service] += (chosen - share) * rise
         return chosen
--- a/toucanpin/interference/policy.py
+++ b/toucanpin/interference/policy.py
@@ -63,15 +63,15 @@
     """
     Set how readily the policy acts.
 
-    ``margin`` is the part of what a change of shares trades that it must gain; ``settle`` is how
-    many seconds after an action a sample has to be taken to show it; ``evict_share`` and
-    ``patience`` (seconds) say below which share and after how long a task is worth moving;
-    ``horizon`` is for how many minutes a move pays; ``elsewhere`` is the share that the task is
-    expected to get there; ``max_wait`` is after how many seconds a task takes the
-    best host there is.
+    ``lower_margin`` and ``raise_margin`` are the part of what a change of shares trades that it
+    must gain.  ``settle`` is how many seconds after an action a sample has to be taken to show it.
+    ``evict_share`` and ``patience`` (seconds) say below which share and after how long a task is
+    worth moving, ``horizon`` for how many minutes a move pays, ``elsewhere`` which share the task
+    is expected to get there.  After ``max_wait`` seconds a task takes the best host there is.
     """
 
-    margin: float = 0.6
+    lower_margin: float = 0.6
+    raise_margin: float = 0.2
     settle: float = 2.0
     evict_share: float = 0.25
     patience: float = 60.0
@@ -184,14 +184,14 @@
     def _change_shares(self, cost: HostCost, view: HostView) -> Iterator[SetShare]:
         """Yield the changes of shares that are worth it; a rise goes one step at a time."""
         current = [it.share for it in view.residents]
-        chosen = cost.choose_shares()
-        if not cost.is_worth(current, chosen, self._tuning.margin):
+        lower = cost.lower_shares()
+        if cost.is_worth(current, lower, self._tuning.lower_margin):
+            yield from name_changes(view, lower)
             return
-        for it, share in zip(view.residents, chosen, strict=True):
-            if share > it.share:
-                share = next(step for step in SHARES if step > it.share)
-            if share != it.share:
-                yield SetShare(it.task, share)
+        higher = cost.raise_shares()
+        if cost.is_worth(current, higher, self._tuning.raise_margin):
+            steps = [find_step(now, then) for now, then in zip(current, higher, strict=True)]
+            yield from name_changes(view, steps)
 
     def _choose_evicted(
         self, now: float, cost: HostCost, view: HostView, state: HostState
@@ -222,3 +222,15 @@
 def is_lower(change: SetShare, view: HostView) -> bool:
     """Tell whether a change takes share from a task."""
     return any(it.task == change.task and change.share < it.share for it in view.residents)
+
+
+def find_step(present: float, chosen: float) -> float:
+    """Return the next step from a share towards a higher one."""
+    return present if chosen == present else next(step for step in SHARES if step > present)
+
+
+def name_changes(view: HostView, shares: Iterable[float]) -> Iterator[SetShare]:
+    """Yield the shares that differ from the present ones."""
+    for it, share in zip(view.residents, shares, strict=True):
+        if share != it.share:
+            yield SetShare(it.task, share)
