--- a/docs/plot_policy.py
+++ b/docs/plot_policy.py
@@ -17,6 +17,7 @@
 
 matplotlib.use("Agg")
 matplotlib.rcParams["svg.hashsalt"] = "toucanpin"
+matplotlib.rcParams["svg.fonttype"] = "none"
 
 from matplotlib import pyplot  # noqa: E402
 
@@ -42,13 +43,11 @@
     figure, axes = pyplot.subplots(1, len(DEPLOYMENTS), figsize=(11, 4.5), sharey=True)
     for axis, deployment in zip(axes, DEPLOYMENTS, strict=True):
         for chooser, it in figures[deployment].items():
-            axis.scatter(it["throughput"], it["p99"], s=30)
             label = f"{chooser} ({it['evictions']:.0f} evictions)"
-            place = (it["throughput"], it["p99"])
-            axis.annotate(label, place, xytext=(5, 4), textcoords="offset points", fontsize=7)
+            axis.scatter(it["throughput"], it["p99"], s=30, label=label)
         axis.set_title(deployment)
         axis.set_xlabel("batch throughput (share of its processors)")
-        axis.margins(x=0.35)
+        axis.legend(fontsize=8, loc="center left")
     axes[0].set_ylabel("p99 of all requests (idle = 1)")
     figure.tight_layout()
     content = io.StringIO()
