--- /dev/null
+++ b/toucanpin/daemon/forwarder.py
@@ -0,0 +1,295 @@
+"""
+Forwarder
+=========
+
+Sends one attempt of a request to one instance by urllib3's connections, and says exactly how far
+it came: before the first byte, after it, or to a whole answer.
+"""
+
+from __future__ import annotations
+
+import http.client
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from toucanpin.daemon.timed_socket import TimedSocket, time_socket
+from toucanpin.daemon.upstream_answer import InstanceAnswer
+from toucanpin.requests.messages import Broke, CallerFailed, Refused, Response, TimedOut, Whole
+from toucanpin.verdict import Refusal
+
+__all__ = ["CallerFaultError", "Forwarder", "Outgoing", "UpstreamCutError"]
+
+CONNECT_SECONDS = 0.5
+WHOLE_BYTES = 65_536
+PIECE_BYTES = 65_536
+STREAM_IDLE_SECONDS = 10.0
+FRESH_IDLE_SECONDS = 1.0
+MAX_IDLE_SECONDS = 20.0
+LAST_CHUNK = b"0\r\n\r\n"
+ForwardOutcome = Refused | Broke | TimedOut | Whole | CallerFailed
+
+
+class CallerFaultError(Exception):
+    """Report that the caller's body can't be read on; carries the refusal."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class UpstreamCutError(Exception):
+    """Report that a streamed answer ended early."""
+
+
+class Outgoing(msgspec.Struct, frozen=True):
+    """
+    Hold what is sent to an instance.
+
+    ``headers`` are all but the deadline; ``rest`` yields the part of the body that follows
+    ``body``, None if there is none.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    rest: Callable[[], Iterator[bytes]] | None = None
+    chunked: bool = False
+
+
+class _Connection(HTTPConnection):
+    """Know whether anything was written, and limit the whole exchange by one deadline."""
+
+    response_class = InstanceAnswer
+    written = False
+    used = False
+    idle_since = 0.0
+    deadline = 0.0
+    wire: TimedSocket
+    head: list[bytes] | None = None
+
+    def _new_conn(self) -> socket.socket:
+        self.wire = time_socket(super()._new_conn(), self.deadline)
+        return self.wire
+
+    def exchange(self, deadline: float) -> None:
+        """Begin an exchange that ends by the deadline."""
+        self.written = False
+        self.head = []
+        self.deadline = deadline
+        if self.sock is not None:
+            self.wire.deadline = deadline
+
+    def send(self, data: Any) -> None:
+        """Write to the instance; from the first call on the request may run."""
+        if self.sock is None:
+            # The library would open another connection here, in the middle of a request.
+            raise http.client.NotConnected()
+        if self.head is not None:
+            self.head.append(data)
+            return
+        self.written = True
+        self.wire.sendall(data)
+
+    def flush_head(self, body: bytes) -> None:
+        """Write the gathered head and the first part of the body together."""
+        head, self.head = self.head or [], None
+        self.send(b"".join((*head, body)))
+
+    def read_head(self) -> InstanceAnswer:
+        """Read the head of the answer, without the wrapper that urllib3 puts around it."""
+        answer = http.client.HTTPConnection.getresponse(self)
+        assert isinstance(answer, InstanceAnswer)
+        return answer
+
+
+class Forwarder:
+    """
+    Keep the connections to one instance and make attempts over them.
+
+    Parameters
+    ----------
+    address, port : where the instance listens
+    clock : monotonic clock in seconds
+    """
+
+    def __init__(
+        self, address: str, port: int, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.address = address
+        self.port = port
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._idle: list[_Connection] = []
+        self._open = 0
+        self.limit = 1
+
+    @property
+    def open_connections(self) -> int:
+        """Count the connections to the instance, in use and idle."""
+        return self._open
+
+    def forward(self, outgoing: Outgoing, deadline: float, fresh: bool) -> ForwardOutcome:
+        """Make one attempt."""
+        try:
+            connection = self._checkout(deadline, fresh)
+        except (OSError, HTTPError) as error:
+            return Refused(self._clock(), f"no connection to the instance: {_name(error)}")
+        if connection is None:
+            return Refused(self._clock(), "every connection allowed to the instance is in use")
+        reused = connection.used
+        started = False
+        try:
+            self._send(connection, outgoing, deadline)
+            head = connection.read_head()
+            started = True
+            return self._receive(connection, head)
+        except CallerFaultError as fault:
+            self._discard(connection)
+            return CallerFailed(self._clock(), fault.refusal)
+        except TimeoutError:
+            # The late answer dies with its connection: were the connection used again, the next
+            # caller would receive this one's answer.
+            self._discard(connection)
+            return TimedOut(self._clock())
+        except (OSError, HTTPError, http.client.HTTPException, ValueError) as error:
+            self._discard(connection)
+            if not connection.written:
+                return Refused(self._clock(), f"nothing was sent: {_name(error)}")
+            stale = reused and not started
+            return Broke(self._clock(), f"the instance broke off: {_name(error)}", stale)
+        except BaseException:
+            self._discard(connection)
+            raise
+
+    def close_idle(self, everything: bool = False) -> None:
+        """Close connections that were idle for long or exceed the limit."""
+        now = self._clock()
+        with self._lock:
+            old = [c for c in self._idle if everything or c.idle_since + MAX_IDLE_SECONDS < now]
+            excess = max(0, self._open - len(old) - self.limit)
+            young = [connection for connection in self._idle if connection not in old]
+            old += young[:excess]
+            self._idle = young[excess:]
+            self._open -= len(old)
+        for connection in old:
+            connection.close()
+
+    def _checkout(self, deadline: float, fresh: bool) -> _Connection | None:
+        now = self._clock()
+        oldest = now - (FRESH_IDLE_SECONDS if fresh else MAX_IDLE_SECONDS)
+        while (connection := self._pop_idle()) is not None:
+            # A readable idle connection was closed by its peer, or holds an answer that nobody
+            # asked for; neither may carry a request.
+            if connection.idle_since >= oldest and connection.is_connected:
+                connection.exchange(deadline)
+                return connection
+            self._discard(connection)
+        with self._lock:
+            if self._open >= self.limit:
+                return None
+            self._open += 1
+        connection = _Connection(
+            self.address, self.port, timeout=max(0.001, min(CONNECT_SECONDS, deadline - now))
+        )
+        connection.exchange(deadline)
+        try:
+            connection.connect()
+        except BaseException:
+            self._discard(connection)
+            raise
+        return connection
+
+    def _pop_idle(self) -> _Connection | None:
+        with self._lock:
+            return self._idle.pop() if self._idle else None
+
+    def _discard(self, connection: _Connection) -> None:
+        with self._lock:
+            self._open -= 1
+        connection.close()
+
+    def _keep(self, connection: _Connection) -> None:
+        connection.used = True
+        connection.idle_since = self._clock()
+        with self._lock:
+            if self._open <= self.limit:
+                self._idle.append(connection)
+                return
+        self._discard(connection)
+
+    def _send(self, connection: _Connection, outgoing: Outgoing, deadline: float) -> None:
+        remaining = max(1, int((deadline - self._clock()) * 1_000))
+        connection.putrequest(
+            outgoing.method, outgoing.target, skip_host=True, skip_accept_encoding=True
+        )
+        for name, value in outgoing.headers:
+            connection.putheader(name, value)
+        connection.putheader("Toucanpin-Deadline-Ms", str(remaining))
+        connection.endheaders()
+        connection.flush_head(_frame(outgoing.body) if outgoing.chunked else outgoing.body)
+        if outgoing.rest is not None:
+            for piece in outgoing.rest():
+                connection.send(_frame(piece) if outgoing.chunked else piece)
+        if outgoing.chunked:
+            connection.send(LAST_CHUNK)
+
+    def _receive(self, connection: _Connection, head: InstanceAnswer) -> Whole:
+        body = head.read(WHOLE_BYTES)
+        whole = head.isclosed() and not head.length
+        if not whole and len(body) < WHOLE_BYTES:
+            raise http.client.IncompleteRead(body)
+        headers = head.take_headers()
+        verdict = head.named.get("toucanpin-verdict", "")
+        not_run = whole and head.status == 503 and verdict == "not-run"
+        draining = not_run and head.named.get("toucanpin-reason", "") == "draining"
+        rest = None
+        if whole:
+            self._finish(connection, head.will_close)
+        else:
+            rest = self._stream(connection, head)
+        response = Response(head.status, head.reason, headers, body, rest, not_run, draining)
+        return Whole(self._clock(), response)
+
+    def _finish(self, connection: _Connection, will_close: bool) -> None:
+        if will_close:
+            self._discard(connection)
+        else:
+            self._keep(connection)
+
+    def _stream(self, connection: _Connection, head: InstanceAnswer) -> Iterator[bytes]:
+        """Yield the rest of a large answer; raise UpstreamCutError if it ends early."""
+        finished = False
+        try:
+            while not head.isclosed():
+                connection.wire.deadline = time.monotonic() + STREAM_IDLE_SECONDS
+                piece = head.read1(PIECE_BYTES)
+                if not piece:
+                    break
+                yield piece
+            if head.length:
+                raise UpstreamCutError("the answer is shorter than its Content-Length")
+            finished = True
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise UpstreamCutError(f"the instance broke off: {_name(error)}") from error
+        finally:
+            head.close()
+            if finished:
+                self._finish(connection, head.will_close)
+            else:
+                self._discard(connection)
+
+
+def _frame(piece: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(piece), piece) if piece else b""
+
+
+def _name(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"
