--- a/toucanpin/interference/estimator.py
+++ b/toucanpin/interference/estimator.py
@@ -50,7 +50,7 @@
     load_rise: float = 0.5
     load_deviation: float = 0.5
     quiet_deviation: float = 0.3
-    noise: float = 0.12
+    noise: float = 0.2
     memory: float = 2_400.0
     weight: float = 2.0
 
@@ -87,8 +87,10 @@
                 model.add(now, KIND + kind, rise, self._prior.rise_deviation)
         features = make_features(load, amounts)
         value = latency / self._scales[service]
-        expected = max(value, model.predict(features))
-        model.learn(now, features, value, self._prior.noise * expected)
+        # The noise grows with the sample itself, so that one wild measurement can't undo what many
+        # have shown.
+        scale = max(value, model.predict(features))
+        model.learn(now, features, value, self._prior.noise * scale)
 
     def rise(self, service: str, kind: str, load: float) -> float:
         """Return the rise of the p99, relative to the quiet one, beside a host full of a kind."""
--- a/toucanpin/interference/policy.py
+++ b/toucanpin/interference/policy.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from toucanpin.bundles.schema import Weights
 from toucanpin.interference.budget import Budget, EvictionBudget
-from toucanpin.interference.cost import SHARES, HostCost, choose_shares
+from toucanpin.interference.cost import SHARES, HostCost, Summary, score
 from toucanpin.interference.estimator import Effects, PairEstimator, measure_amounts
 from toucanpin.interference.history import CoResidents
 from toucanpin.interference.view import Candidate, HostView, Resident
@@ -63,20 +63,21 @@
     """
     Set how readily the policy acts.
 
-    ``margin`` is the gain, in cost per minute, that a change of shares must promise; ``settle`` is
-    how many seconds after an action a sample has to be taken to show it; ``evict_share`` and
-    ``patience`` (seconds) say below which share and after how long a task is worth moving;
-    ``horizon`` is for how many minutes a move pays; ``elsewhere`` is the share that the task is
-    expected to get there; ``surplus_weight`` is how fast a host's own deviation is followed.
+    ``lower_margin`` and ``raise_margin`` are the part of what a change of shares trades that it
+    must gain.  ``settle`` is how many seconds after an action a sample has to be taken to show it.
+    ``evict_share`` and ``patience`` (seconds) say below which share and after how long a task is
+    worth moving, ``horizon`` for how many minutes a move pays, ``elsewhere`` which share the task
+    is expected to get there.  After ``max_wait`` seconds a task takes the best host there is.
     """
 
-    margin: float = 0.02
+    lower_margin: float = 0.6
+    raise_margin: float = 0.2
     settle: float = 2.0
     evict_share: float = 0.25
     patience: float = 60.0
     horizon: float = 5.0
     elsewhere: float = 0.7
-    surplus_weight: float = 0.3
+    max_wait: float = 300.0
 
 
 @dataclass(slots=True)
@@ -87,7 +88,6 @@
     newest: float = float("-inf")
     sampled: dict[str, float] = field(default_factory=dict)
     acted_at: float = float("-inf")
-    surplus: float = 0.0
     low_since: dict[str, float] = field(default_factory=dict)
 
 
@@ -126,7 +126,8 @@
             state.newest = max(state.newest, sample.sampled_at)
             residents = state.history.find(sample.sampled_at)
             if residents is not None:
-                self._learn(now, view, state, sample, residents)
+                amounts = measure_amounts(residents, view.processors)
+                self.estimator.learn(now, sample.service, sample.latency, sample.load, amounts)
 
     def score(self, view: HostView, task: Candidate) -> float:
         """
@@ -134,11 +135,22 @@
 
         The host with the lowest score is best; above zero the task does more harm than good.
         """
-        cost = self._price(view)
-        newcomer = Resident("", "", task.kind, task.processors)
-        joined = replace(view, residents=(*view.residents, newcomer))
-        shares = [it.share for it in joined.residents]
-        return self._price(joined).price(shares) - cost.price(shares[:-1])
+        return self.score_summary(self.summarize(view), task)
+
+    def summarize(self, view: HostView) -> Summary:
+        """Sum up a host once for the scores of many tasks."""
+        shares = [it.share for it in view.residents]
+        rises = self._price(view).sum_rises(shares)
+        return Summary(view.processors, view.services, tuple(rises))
+
+    def score_summary(self, summary: Summary, task: Candidate) -> float:
+        """Return the score of a task on a host that was summed up before."""
+        return score(self._effects, self.weights, summary, task)
+
+    def accepts(self, score: float, waited: float) -> bool:
+        """Tell whether a task that waited so many seconds is placed at this score."""
+        # A kind that harms everywhere would never start; throttling bounds what it does.
+        return score < 0.0 or (waited >= self._tuning.max_wait and score < float("inf"))
 
     def decide(self, now: float, view: HostView) -> Iterator[Action]:
         """Yield what has to be done about a host now, in rising order."""
@@ -167,41 +179,19 @@
 
     def _price(self, view: HostView) -> HostCost:
         """Price a host with what is known of it."""
-        state = self._hosts.get(view.host)
-        surplus = max(0.0, state.surplus) if state else 0.0
-        return HostCost(self._effects, self.weights, view, surplus)
-
-    def _learn(
-        self,
-        now: float,
-        view: HostView,
-        state: HostState,
-        sample: Sample,
-        residents: tuple[Resident, ...],
-    ) -> None:
-        """Learn from one sample and the tasks that were there when it was taken."""
-        amounts = measure_amounts(residents, view.processors)
-        quiet = self.estimator.quiet(sample.service, sample.load)
-        if quiet:
-            rise = sum(
-                amount * self.estimator.rise(sample.service, kind, sample.load)
-                for kind, amount in amounts.items()
-            )
-            error = sample.latency / quiet - 1.0 - rise
-            state.surplus += self._tuning.surplus_weight * (error - state.surplus)
-        self.estimator.learn(now, sample.service, sample.latency, sample.load, amounts)
+        return HostCost(self._effects, self.weights, view)
 
     def _change_shares(self, cost: HostCost, view: HostView) -> Iterator[SetShare]:
         """Yield the changes of shares that are worth it; a rise goes one step at a time."""
         current = [it.share for it in view.residents]
-        chosen = choose_shares(cost, view.residents)
-        if cost.price(current) - cost.price(chosen) < self._tuning.margin:
+        lower = cost.lower_shares()
+        if cost.is_worth(current, lower, self._tuning.lower_margin):
+            yield from name_changes(view, lower)
             return
-        for it, share in zip(view.residents, chosen, strict=True):
-            if share > it.share:
-                share = next(step for step in SHARES if step > it.share)
-            if share != it.share:
-                yield SetShare(it.task, share)
+        higher = cost.raise_shares()
+        if cost.is_worth(current, higher, self._tuning.raise_margin):
+            steps = [find_step(now, then) for now, then in zip(current, higher, strict=True)]
+            yield from name_changes(view, steps)
 
     def _choose_evicted(
         self, now: float, cost: HostCost, view: HostView, state: HostState
@@ -232,3 +222,15 @@
 def is_lower(change: SetShare, view: HostView) -> bool:
     """Tell whether a change takes share from a task."""
     return any(it.task == change.task and change.share < it.share for it in view.residents)
+
+
+def find_step(present: float, chosen: float) -> float:
+    """Return the next step from a share towards a higher one."""
+    return present if chosen == present else next(step for step in SHARES if step > present)
+
+
+def name_changes(view: HostView, shares: Iterable[float]) -> Iterator[SetShare]:
+    """Yield the shares that differ from the present ones."""
+    for it, share in zip(view.residents, shares, strict=True):
+        if share != it.share:
+            yield SetShare(it.task, share)
