Excuse replaced hosts by the platform's list

Cause: hosts that were replaced under new names counted as lost for an hour; after as many replacements as there are hosts, each would have taken an outage of the table for a cut of its own and stopped after 30 s. Ruled out: to forget gone members sooner (parted sites would not meet again). Change: who is gone here and not on the platform's list of entry hosts isn't counted; a list that lacks this host says nothing.

--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -74,6 +74,7 @@
         self._thread: threading.Thread | None = None
         self._socket: DatagramSocket | None = None
         self._listeners: list[BeatListener] = []
+        self._entry_hosts: Callable[[], frozenset[str]] = frozenset
         self.confirmed_age: Callable[[], int] = _know_nothing
         self.identity = Identity(
             deployment,
@@ -109,6 +110,10 @@
         """Call ``listener`` on each heartbeat, on the thread of the heartbeats."""
         self._listeners.append(listener)
 
+    def watch_hosts(self, entry_hosts: Callable[[], frozenset[str]]) -> None:
+        """Ask for the names of the platform's entry hosts at each round, empty while unknown."""
+        self._entry_hosts = entry_hosts
+
     def carry(self, bundle: int) -> None:
         """Stamp the version of the bundle in force on every message, and tell it at once."""
         with self._lock:
@@ -146,8 +151,10 @@
             self._receive(due - now)
 
     def _tick(self, now: float) -> None:
+        listed = self._entry_hosts()
         with self._lock:
             changes = self._view.tick(now)
+            self._view.excuse(listed)
         self._report(changes)
         self._send_round()
 
--- a/toucanpin/daemon/hosts.py
+++ b/toucanpin/daemon/hosts.py
@@ -58,6 +58,10 @@
         """Return the listed instances of services."""
         return tuple(host for host in self.all() if host.role is HostRole.INSTANCE)
 
+    def entry_names(self) -> frozenset[str]:
+        """Return the names of the listed entry hosts, empty while none are known."""
+        return frozenset(host.name for host in self.all() if host.role is HostRole.ENTRY)
+
     def _run(self) -> None:
         """Read until halted."""
         while True:
--- a/toucanpin/daemon/root.py
+++ b/toucanpin/daemon/root.py
@@ -103,6 +103,7 @@
         self.recorder = Recorder(self.name, str(self.life), time.monotonic, time.time)
         self._connect_platform()
         self._join_members(incarnation)
+        self.gossip.watch_hosts(self.hosts.entry_names)
         self.root = _read_ring(folder / settings.keys.ring_file)
         client = InnerClient(self.gossip.identity, self.peer_keys)
         self.bundles = Bundles(self.gossip, self.table, client, self.root, self.recorder)
--- a/toucanpin/membership/tests/test_view.py
+++ b/toucanpin/membership/tests/test_view.py
@@ -160,6 +160,23 @@
             mesh.views[A].receive(captured, mesh.now)
         self.assertIs(mesh.standing(A, C), Standing.GONE)
 
+    def test_replaced_hosts_do_not_count_as_lost(self):
+        """
+        Two of four hosts are replaced by others at new addresses.  The platform's list no longer
+        names the old ones.  Those that are left hear everybody there is, and must know it, or they
+        would take an outage of the table for a cut of their own.
+        """
+        mesh = build_mesh((A, B, C, D))
+        del mesh.views[C], mesh.views[D]
+        mesh.run(10)
+        view = mesh.views[A]
+        self.assertEqual(view.reach(), (1, 3))
+        for listed in ({"x"}, {"a", "b", "c", "d"}):
+            view.excuse(frozenset(listed))
+            self.assertEqual(view.reach(), (1, 3))
+        view.excuse(frozenset({"a"}))
+        self.assertEqual(view.reach(), (1, 1))
+
     def test_answers_are_rationed(self):
         view = View(make_member(A, 1, 7_000), Timing(), 0.0)
         owed = 0
--- a/toucanpin/membership/view.py
+++ b/toucanpin/membership/view.py
@@ -104,6 +104,21 @@
         expected = sum(not entry.excused for entry in entries)
         return heard, expected
 
+    def excuse(self, listed: frozenset[str]) -> None:
+        """
+        Take the platform's list of entry hosts: whoever is silent and not on it won't come back.
+
+        Replaced hosts leave their names behind.  Counted as lost for an hour, they would make a
+        process that hears everybody believe that it hears less than half.  The list lags, so it
+        excuses only who is gone here as well, and one that lacks this host is no list of entry
+        hosts.
+        """
+        if self.own.host not in listed:
+            return
+        for entry in self._entries.values():
+            if entry.member.standing is Standing.GONE and entry.member.host not in listed:
+                entry.excused = True
+
     def targets(self) -> tuple[Member, ...]:
         """
         Return the members to send this round's heartbeat to.
