Keep pushes to frozen peers from delaying the table

Cause: one pool served reads and pushes; twelve frozen peers would have held all its threads for two seconds. Change: a pool for pushes; a test of a rotated ring on the command line.

--- a/toucanpin/cli/tests/test_bundle.py
+++ b/toucanpin/cli/tests/test_bundle.py
@@ -87,6 +87,20 @@
         again = self.run_command("keys", "new", "bob", "--out", path)
         self.assertEqual(again.exit_code, ExitCode.REFUSED)
 
+    def test_a_rotated_ring_travels_with_the_bundle(self):
+        """Alice signs ring 2, which drops her; from then on bob's signature counts, hers doesn't."""
+        bob = self.folder / "bob.key"
+        public = self.run_command("keys", "new", "bob", "--out", bob).output
+        ring = self.folder / "ring-2.toml"
+        ring.write_text(f'deployment = "swan"\nversion = 2\nthreshold = 1\n{public}')
+        signed_ring = self.folder / "ring-2.json"
+        self.run_command("keys", "sign", ring, "--key", self.key, "--out", signed_ring)
+        for key, good in ((bob, True), (self.key, False)):
+            out = self.folder / "signed.json"
+            words = ("sign", self.write(1), "--key", key, "--ring", signed_ring, "--out", out)
+            self.assertEqual(self.run_command(*words).exit_code, ExitCode.DONE)
+            self.assertEqual(verify_bundle(ROOT, read_signed(out)).is_ok(), good)
+
     def test_a_process_that_is_not_there(self):
         result = self.run_command("status", "--operators", "http://127.0.0.1:9")
         self.assertEqual(result.exit_code, ExitCode.UNCERTAIN)
--- a/toucanpin/daemon/bundles.py
+++ b/toucanpin/daemon/bundles.py
@@ -53,7 +53,8 @@
 
 CALL_SECONDS = 2.0
 ASK_SECONDS = 0.2
-MAX_CALLS = 12
+MAX_CALLS = 4
+MAX_PUSHES = 12
 _REACHED = (Standing.ALIVE, Standing.SUSPECT)
 
 _log = logbook.Logger("bundles")
@@ -92,7 +93,10 @@
         self._lock = threading.Lock()
         self._wake = threading.Event()
         self._stopping = threading.Event()
+        # Pushes have threads of their own: a dozen frozen peers, each of which takes a connection
+        # and then says nothing, must not keep this process from reading the table.
         self._calls = ThreadPoolExecutor(MAX_CALLS, thread_name_prefix="bundle-call")
+        self._pushes = ThreadPoolExecutor(MAX_PUSHES, thread_name_prefix="bundle-push")
         self._thread: threading.Thread | None = None
         gossip.confirmed_age = self._confirmed_milliseconds
         gossip.listen(self._hear)
@@ -155,6 +159,7 @@
         if self._thread is not None:
             self._thread.join(grace)
         self._calls.shutdown(wait=False, cancel_futures=True)
+        self._pushes.shutdown(wait=False, cancel_futures=True)
 
     def _run(self) -> None:
         while not self._stopping.is_set():
@@ -165,7 +170,8 @@
                 version = self._spread.version
             self._gossip.carry(version)
             for ask in asks:
-                self._calls.submit(self._perform, ask)
+                pool = self._pushes if isinstance(ask, PushTo) else self._calls
+                pool.submit(self._perform, ask)
             self._wake.wait(ASK_SECONDS)
 
     def _others(self) -> tuple[Member, ...]:
