--- a/toucanpin/cli/tests/test_bundle.py
+++ b/toucanpin/cli/tests/test_bundle.py
@@ -88,7 +88,7 @@
         self.assertEqual(again.exit_code, ExitCode.REFUSED)
 
     def test_a_rotated_ring_travels_with_the_bundle(self):
-        """Alice signs ring 2, which drops her; from then on bob's signature counts, hers doesn't."""
+        """Alice signs ring 2, which drops her; from then on only bob's signature counts."""
         bob = self.folder / "bob.key"
         public = self.run_command("keys", "new", "bob", "--out", bob).output
         ring = self.folder / "ring-2.toml"
--- a/toucanpin/wire/server.py
+++ b/toucanpin/wire/server.py
@@ -30,7 +30,7 @@
 MAX_CONNECTIONS = 64
 REQUEST_SECONDS = 5.0
 _BACKLOG = 64
-_ACCEPT_SECONDS = 0.5
+_ACCEPT_SECONDS = 1.0
 
 _log = logbook.Logger("wire")
 
@@ -81,6 +81,9 @@
         """Take no new connection and finish those in flight within ``grace`` seconds."""
         deadline = time.monotonic() + grace
         self._stopping.set()
+        if self._listener is not None:
+            with contextlib.suppress(OSError):
+                self._listener.shutdown(socket.SHUT_RDWR)  # wakes the accepting thread at once
         if self._accepting is not None:
             self._accepting.join()
         if self._listener is not None:
@@ -95,6 +98,8 @@
             except TimeoutError:
                 continue
             except OSError as error:
+                if self._stopping.is_set():
+                    return
                 _log.warning("inner listener: {}", error)
                 self._stopping.wait(_ACCEPT_SECONDS)
                 continue
