Keep the heartbeats going after a fault

Cause: names of 63 letters made a datagram too large, and the error ended the thread of the heartbeats; the process went silent without noticing. Change: such datagrams are sent in parts, and a fault in one round is logged and doesn't end the thread; the same for the questions on bundles.

--- a/toucanpin/daemon/bundles.py
+++ b/toucanpin/daemon/bundles.py
@@ -164,16 +164,26 @@
     def _run(self) -> None:
         while not self._stopping.is_set():
             self._wake.clear()
-            peers = tuple(_to_peer(m) for m in self._others())
-            with self._lock:
-                asks = self._spread.ask(peers, time.monotonic())
-                version = self._spread.version
-            self._gossip.carry(version)
-            for ask in asks:
-                pool = self._pushes if isinstance(ask, PushTo) else self._calls
-                pool.submit(self._perform, ask)
+            # A fault in one round must not end this thread: the process would serve on without
+            # asking anybody until the bundle's age stops it.
+            try:
+                self._ask_round()
+            except Exception:
+                _log.exception("round of questions failed")
             self._wake.wait(ASK_SECONDS)
 
+    def _ask_round(self) -> None:
+        peers = tuple(_to_peer(m) for m in self._others())
+        with self._lock:
+            asks = self._spread.ask(peers, time.monotonic())
+            # Also asked here, so that a time alone is noticed while no request comes in.
+            self._is_ready()
+            version = self._spread.version
+        self._gossip.carry(version)
+        for ask in asks:
+            pool = self._pushes if isinstance(ask, PushTo) else self._calls
+            pool.submit(self._perform, ask)
+
     def _others(self) -> tuple[Member, ...]:
         return tuple(m for m in self._gossip.members()[1:] if m.standing in _REACHED)
 
--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import threading
 import time
 from collections.abc import Callable
@@ -15,6 +14,7 @@
 import logbook
 
 from toucanpin.daemon.parts import EventSink
+from toucanpin.exception import WireError
 from toucanpin.membership.beat import Beat, Change, Record, Timing
 from toucanpin.membership.member import Member, Standing
 from toucanpin.membership.view import MAX_RECORDS, View
@@ -28,7 +28,6 @@
 BeatListener = Callable[[Member, int], None]
 
 RECEIVE_SECONDS = 0.25
-_STOP_SECONDS = 5.0
 
 _log = logbook.Logger("gossip")
 
@@ -133,7 +132,7 @@
         """Tell the members that this process leaves, and release the port."""
         self._stopping.set()
         if self._thread is not None:
-            self._thread.join(max(grace, _STOP_SECONDS))
+            self._thread.join(grace)
         with self._lock:
             self._view.leave()
         self._send_round()
@@ -145,10 +144,15 @@
         due = time.monotonic()
         while not self._stopping.is_set():
             now = time.monotonic()
-            if now >= due:
-                self._tick(now)
-                due = now + self._timing.interval
-            self._receive(due - now)
+            # A fault in one heartbeat must not end this thread: the process would go silent, be
+            # removed by all others and never notice.
+            try:
+                if now >= due:
+                    due = now + self._timing.interval
+                    self._tick(now)
+                self._receive(due - now)
+            except Exception:
+                _log.exception("heartbeat failed")
 
     def _tick(self, now: float) -> None:
         listed = self._entry_hosts()
@@ -208,8 +212,15 @@
             self.confirmed_age(),
             tuple(_to_wire(record) for record in records),
         )
-        with contextlib.suppress(OSError):
+        try:
             channel.send(address, port, heartbeat)
+        except WireError:
+            if len(records) <= 1:
+                raise
+            # Long names make a datagram too large for all of its records.
+            half = len(records) // 2
+            self._send(address, port, digest, records[:half])
+            self._send(address, port, digest, records[half:])
 
     def _report(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
--- a/toucanpin/wire/datagram.py
+++ b/toucanpin/wire/datagram.py
@@ -46,7 +46,7 @@
         frame = encode(self._keys, Purpose.HEARTBEAT, self._identity.stamp(), heartbeat)
         if len(frame) > MAX_DATAGRAM:
             raise WireError(f"heartbeat of {len(frame)} bytes; at most {MAX_DATAGRAM} are allowed")
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, OverflowError):
             self.sent_bytes += self._socket.sendto(frame, (address, port))
 
     def receive(self, timeout: float) -> Received | None:
