--- a/scenarios/world.py
+++ b/scenarios/world.py
@@ -36,6 +36,7 @@
     Refused,
     accept_bundle,
 )
+from toucanpin.bundles.acceptance import Submission as BundleSubmission
 from toucanpin.placement.submission import Submission
 from toucanpin.platform.ports import HostRole, ListedHost
 from toucanpin.requests.messages import Response
@@ -260,17 +261,21 @@
     def _submit_bundle(self, version: int, entry: str, variant: int) -> None:
         """Submit a bundle as an operator does: the same one again until it is told an end."""
         submission = make_submission(self._scenario, version, variant, self._kernel.now)
-        name = f"{entry}/control"
-        ids = {"bundle": str(version)}
+        self._offer_bundle(submission, f"{entry}/control", str(version))
+
+    def _offer_bundle(self, submission: BundleSubmission, name: str, version: str) -> None:
+        """Submit a bundle through a process, and after a while through another."""
 
         def hear(outcome: object) -> None:
             """Note the end, or repeat the submission."""
             match outcome:
                 case Accepted() | Refused() | Conflicted():
-                    told = type(outcome).__name__.lower()
-                    self._script.recorder.record(f"operator.{told}", ids, submission.operator)
+                    kind = f"operator.{type(outcome).__name__.lower()}"
+                    ids = {"bundle": version}
+                    self._script.recorder.record(kind, ids, submission.operator)
                 case _:
-                    again = partial(self._submit_bundle, version, entry, variant)
+                    other = self._kernel.random.choice(self._name_controls())
+                    again = partial(self._offer_bundle, submission, other, version)
                     self._kernel.call_after(CALLER_PAUSE, again)
 
         def handle(answer: Reply) -> None:
@@ -279,12 +284,15 @@
 
         self._network.ask(CALLER, name, handle, hear, timeout=CALLER_TIMEOUT)
 
+    def _name_controls(self) -> list[str]:
+        """Return the names of all control processes."""
+        return sorted(name for name in self._around.peers if name.endswith("/control"))
+
     def _insist(
         self, entry: str, ask: Callable[[Control, Reply], None], refuse: Callable[[], None]
     ) -> None:
         """Ask through an entry host, and after a while through another, until there is an end."""
-        names = sorted(name for name in self._around.peers if name.endswith("/control"))
-        name = f"{entry}/control" if entry else self._kernel.random.choice(names)
+        name = f"{entry}/control" if entry else self._kernel.random.choice(self._name_controls())
 
         def handle(answer: Reply) -> None:
             """Let the process that bears the name now decide."""
