--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,47 +1,93 @@
-"""Run every test, pass over the known red ones only, and close with a count."""
+"""
+Test runner
+===========
+
+Run every test, a module in a process of its own, pass over the known red ones only, and close with
+a count.
+"""
 
 from __future__ import annotations
 
+import argparse
+import io
 import sys
 import unittest
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
-__all__ = ["main"]
+__all__ = ["ModuleRun", "main", "read_known_red", "run_module"]
 
 KNOWN_RED = Path("KNOWN-RED.txt")
 MAX_KNOWN_RED = 3
-PACKAGES = ("toucanpin", "standins", "scenarios", "tools")
+PACKAGES = ("toucanpin", "standins", "scenarios", "tools", "benchmarks")
+DEFAULT_PROCESSES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class ModuleRun:
+    """Hold what came of one module; ``bad`` are the ids of tests that did not pass."""
+
+    module: str
+    count: int
+    bad: frozenset[str]
+    output: str
 
 
-def read_known_red() -> dict[str, str]:
+def read_known_red(path: Path = KNOWN_RED) -> dict[str, str]:
     """Read the ids of tests that fail for a known fault, with the line that explains each."""
-    if not KNOWN_RED.exists():
+    if not path.exists():
         return {}
-    lines = (line.strip() for line in KNOWN_RED.read_text().splitlines())
+    lines = (line.strip() for line in path.read_text().splitlines())
     return {line.split()[0]: line for line in lines if line and not line.startswith("#")}
 
 
+def run_module(module: str) -> ModuleRun:
+    """Run the tests of one module; what they print is kept only if one fails."""
+    stream = io.StringIO()
+    suite = unittest.TestLoader().loadTestsFromName(module)
+    result = unittest.TextTestRunner(stream=stream, buffer=True).run(suite)
+    bad = {test.id() for test, _ in (*result.failures, *result.errors)}
+    bad |= {test.id() for test in result.unexpectedSuccesses}
+    output = stream.getvalue() if bad else ""
+    return ModuleRun(module, result.testsRun, frozenset(bad), output)
+
+
 def main() -> int:
     """Run all tests and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--processes", type=int, default=DEFAULT_PROCESSES)
     known = read_known_red()
     if len(known) > MAX_KNOWN_RED:
         print(f"KNOWN-RED.txt lists {len(known)} tests; at most {MAX_KNOWN_RED} are allowed")
         return 1
-    suite = unittest.TestSuite()
+    with ProcessPoolExecutor(parser.parse_args().processes) as pool:
+        runs = list(pool.map(run_module, sorted(_find_modules())))
+    return _report(runs, known)
+
+
+def _find_modules() -> Iterator[str]:
+    """Yield the names of the modules that hold tests."""
     for package in PACKAGES:
-        loader = unittest.TestLoader()
-        suite.addTests(loader.discover(package, top_level_dir="."))
-    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
-    bad = {test.id() for test, _ in (*result.failures, *result.errors)}
-    bad |= {test.id() for test in result.unexpectedSuccesses}
+        for path in Path(package).rglob("tests/test_*.py"):
+            yield ".".join(path.with_suffix("").parts)
+
+
+def _report(runs: list[ModuleRun], known: dict[str, str]) -> int:
+    """Print what did not pass and the count, and return the exit code."""
+    bad = {name for run in runs for name in run.bad}
+    for run in runs:
+        if run.bad - known.keys():
+            print(run.output)
     for name in sorted(bad & known.keys()):
         print(f"known red: {known[name]}")
-    failed = bad - known.keys()
-    for name in sorted(failed):
+    failed = sorted(bad - known.keys())
+    for name in failed:
         print(f"failed: {name}")
-    passed = result.testsRun - len(bad)
-    print(f"{passed} passed, {len(failed)} failed")
-    return 1 if failed or result.testsRun == 0 else 0
+    count = sum(run.count for run in runs)
+    print(f"{count - len(bad)} passed, {len(failed)} failed")
+    return 1 if failed or count == 0 else 0
 
 
 if __name__ == "__main__":
