--- a/scenarios/judge.py
+++ b/scenarios/judge.py
@@ -53,13 +53,8 @@
         case model.BundleEverywhere(version, within):
             yield from _weigh_spread(seen, version, within)
         case model.RequestEnds(request, end, within):
-            once = end is RequestEnd.AT_MOST_ONCE
-            for event in scenario.events:
-                match event.action:
-                    case model.SendRequest(idempotent=True) if once and not request:
-                        continue
-                    case model.SendRequest(name) if request in ("", name):
-                        yield from _weigh_request(seen, name, end, event.time + within)
+            for name, sent in _list_requests(scenario, request, end).items():
+                yield from _weigh_request(seen, name, end, sent + within)
         case model.NoWork(host, after):
             yield from _weigh_silence(seen, host, after)
         case model.FewEvents(most, kind):
@@ -179,6 +174,19 @@
             yield f"request {request} ended at {each.time:.3f}s, after {until:.3f}s"
 
 
+def _list_requests(scenario: Scenario, request: str, end: RequestEnd) -> dict[str, float]:
+    """Give the requests that are meant and when each was first sent; only ids are at most once."""
+    first: dict[str, float] = {}
+    once = end is RequestEnd.AT_MOST_ONCE
+    for event in scenario.events:
+        match event.action:
+            case model.SendRequest(idempotent=True) if once and not request:
+                continue
+            case model.SendRequest(name) if request in ("", name):
+                first.setdefault(name, event.time)
+    return first
+
+
 def _weigh_not_run(seen: Evidence) -> Iterator[str]:
     """Yield the requests that ran although every caller of them was told otherwise."""
     ran = {run.request for run in seen.request_runs}
