--- a/scenarios/requesting.py
+++ b/scenarios/requesting.py
@@ -208,7 +208,7 @@
     def _claim(self, request_id: str, deadline: float, reply: Reply) -> None:
         """Claim a request id, giving up at the deadline."""
         given_up = [False]
-        pending = prepare_claim(request_id, self._name_token(), self.read_wall())
+        pending = prepare_claim(request_id, self._name_token())
 
         def give_up() -> None:
             """Tell the path that the store is late."""
--- a/toucanpin/daemon/claimer.py
+++ b/toucanpin/daemon/claimer.py
@@ -59,7 +59,6 @@
     table : the platform's table
     process : name of this process, the prefix of its tokens
     clock : monotonic clock in seconds
-    wall : wall clock in seconds, for the buckets of rows
     """
 
     def __init__(
@@ -67,14 +66,12 @@
         table: Table,
         process: str,
         clock: Callable[[], float] = time.monotonic,
-        wall: Callable[[], float] = time.time,
     ) -> None:
         self._table = table
         # Equal tokens would let two processes both believe that a row is theirs; a random part
         # keeps them apart even if names and incarnations are set up wrongly.
         self._process = f"{process}:{secrets.token_hex(8)}"
         self._clock = clock
-        self._wall = wall
         self._changed = threading.Condition()
         self._waiters: collections.deque[_Waiter] = collections.deque()
         self._releases: collections.deque[HeldClaim] = collections.deque()
@@ -96,7 +93,7 @@
     def claim(self, request_id: str, deadline: float) -> Claimed | NotClaimed:
         """Insert the claim of a request id, waiting until the deadline at the longest."""
         with self._changed:
-            pending = prepare_claim(request_id, self._make_token(), self._wall())
+            pending = prepare_claim(request_id, self._make_token())
             waiter = _Waiter(pending)
             self._waiters.append(waiter)
             self._changed.notify()
--- a/toucanpin/daemon/sweeper.py
+++ b/toucanpin/daemon/sweeper.py
@@ -2,7 +2,7 @@
 Sweeper
 =======
 
-The thread that deletes old claim rows at an even, low rate.
+The thread that deletes this process's part of the old claim rows, at an even, low rate.
 """
 
 from __future__ import annotations
@@ -19,11 +19,10 @@
 from toucanpin.membership.member import Standing
 from toucanpin.platform.ports import Table
 from toucanpin.requests.claims import Commit
-from toucanpin.requests.sweeps import Scan, list_parts, sweep_part
+from toucanpin.requests.sweeps import Ages, Scan, choose_pause, list_parts, sweep_part
 
 __all__ = ["Sweeper"]
 
-PAUSE_SECONDS = 1.0
 JOIN_SECONDS = 2.0
 
 log = logbook.Logger("toucanpin.claims")
@@ -37,12 +36,13 @@
         table: Table,
         name: str,
         members: MembershipView,
-        wall: Callable[[], float] = time.time,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._table = table
         self._name = name
         self._members = members
-        self._wall = wall
+        self._clock = clock
+        self._ages = Ages()
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="sweeper", daemon=True)
 
@@ -57,7 +57,7 @@
 
     def sweep(self, prefix: str) -> int:
         """Sweep one part now and return how many rows were deleted."""
-        steps = sweep_part(prefix, lambda: f"{self._name}:sweep:{secrets.token_hex(8)}")
+        steps = sweep_part(prefix, self._ages, self._clock, self._make_token)
         reply: Any = None
         while True:
             try:
@@ -70,15 +70,25 @@
                 case Commit(transaction=transaction):
                     reply = self._table.commit(transaction)
 
+    def _make_token(self) -> str:
+        return f"{self._name}:sweep:{secrets.token_hex(8)}"
+
     def _run(self) -> None:
-        while not self._stopped.wait(PAUSE_SECONDS):
-            for prefix in list_parts(self._wall(), self._list_members(), self._name):
-                try:
-                    self.sweep(prefix)
-                except Exception:
-                    log.exception("sweeping old claims failed")
-                if self._stopped.wait(PAUSE_SECONDS):
+        while True:
+            prefixes = list_parts(self._list_members(), self._name)
+            pause = choose_pause(len(prefixes))
+            for prefix in prefixes or ("",):
+                if self._stopped.wait(pause):
                     return
+                self._try(prefix)
+
+    def _try(self, prefix: str) -> None:
+        """Sweep one part, if any; a fault leaves it for the next time."""
+        try:
+            if prefix:
+                self.sweep(prefix)
+        except Exception:
+            log.exception("sweeping old claims failed")
 
     def _list_members(self) -> tuple[str, ...]:
         return tuple(
--- a/toucanpin/placement/placing.py
+++ b/toucanpin/placement/placing.py
@@ -107,13 +107,20 @@
 
 
 def find_usable(state: ControlState, cell: Cell, view: View) -> list[str]:
-    """Return the workers that may receive work now: listed, heard from, and under our lease."""
+    """
+    Return the workers that may receive work now: listed, heard from, and under our lease.
+
+    A process that started while the host list is away has none.  It goes by the cell's row then:
+    work that had lost its worker would otherwise wait for the list, beside workers that answer.
+    """
     listed = view.workers
     usable = []
     for name, worker in cell.row.workers.items():
         host = listed.get(name)
         link = cell.link(name)
-        if host is None or host.leaving or worker.state is not WorkerState.ACTIVE:
+        unlisted = host is None and bool(listed)
+        leaving = host is not None and host.leaving
+        if unlisted or leaving or worker.state is not WorkerState.ACTIVE:
             continue
         if _is_ready(link, view.now, state.pace.poll):
             usable.append(name)
--- a/toucanpin/requests/claims.py
+++ b/toucanpin/requests/claims.py
@@ -3,7 +3,9 @@
 =====================
 
 A non-idempotent request with a caller's id runs only after its claim row was inserted, whichever
-entry host it came through.  Many claims share one transaction.
+entry host it came through.  Many claims share one transaction.  The row's key follows from the id
+alone: keys that held the wall time let two hosts whose clocks were apart insert a row each, and the
+request ran twice.
 """
 
 from __future__ import annotations
@@ -30,6 +32,8 @@
 from toucanpin.verdict import Reason, Refusal, Verdict
 
 __all__ = [
+    "CLAIM_PREFIX",
+    "PART_DIGITS",
     "ClaimOutcome",
     "Commit",
     "PendingClaim",
@@ -39,9 +43,9 @@
     "settle_claims",
 ]
 
-BUCKET_SECONDS = 600
-CLOCK_SKEW_SECONDS = 30
-MAX_CLAIMS = 31
+CLAIM_PREFIX = "claim/"
+PART_DIGITS = 2
+MAX_CLAIMS = MAX_TRANSACTION_ROWS
 MAX_ROUNDS = 2
 COME_BACK_SECONDS = 2.0
 
@@ -50,10 +54,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingClaim:
-    """Hold one claim to be made: its own row, the rows that must be absent, its unique token."""
+    """Hold one claim to be made: its row and its unique token."""
 
     key: str
-    others: tuple[str, ...]
     token: bytes
 
 
@@ -71,24 +74,10 @@
     key: str
 
 
-def prepare_claim(request_id: str, token: str, wall: float) -> PendingClaim:
-    """
-    Name the rows of one claim made at wall time ``wall`` (seconds).
-
-    Rows stand in buckets of time so that old ones can be deleted together.  The bucket before is
-    checked, so an id stays claimed for at least one bucket; near a bucket's end the next one is
-    checked too, as an entry host whose clock is ahead may have claimed the id there.
-    """
+def prepare_claim(request_id: str, token: str) -> PendingClaim:
+    """Name the row of one claim; rows stand in parts, so that old ones can be deleted in turns."""
     name = hashlib.blake2b(request_id.encode(), digest_size=16).hexdigest()
-    bucket = int(wall // BUCKET_SECONDS)
-    others = [_name_row(bucket - 1, name)]
-    if wall % BUCKET_SECONDS > BUCKET_SECONDS - CLOCK_SKEW_SECONDS:
-        others.append(_name_row(bucket + 1, name))
-    return PendingClaim(_name_row(bucket, name), tuple(others), token.encode())
-
-
-def _name_row(bucket: int, name: str) -> str:
-    return f"claim/{bucket}/{name}"
+    return PendingClaim(f"{CLAIM_PREFIX}{name[:PART_DIGITS]}/{name}", token.encode())
 
 
 def gather_batch(
@@ -102,16 +91,12 @@
     batch: list[PendingClaim] = []
     rest: list[PendingClaim] = []
     keys: set[str] = set()
-    rows = 0
     for claim in waiting:
-        own = {claim.key, *claim.others}
-        full = rows + len(own) > MAX_TRANSACTION_ROWS or len(batch) >= MAX_CLAIMS
-        if full or own & keys:
+        if len(batch) >= MAX_CLAIMS or claim.key in keys:
             rest.append(claim)
             continue
         batch.append(claim)
-        keys |= own
-        rows += len(own)
+        keys.add(claim.key)
     return tuple(batch), tuple(rest)
 
 
@@ -157,11 +142,7 @@
 
 
 def _write(pending: list[PendingClaim], token: str) -> Transaction:
-    writes = [Write(claim.key, ABSENT, claim.token) for claim in pending]
-    checks = [
-        Write(key, ABSENT, None, check_only=True) for claim in pending for key in claim.others
-    ]
-    return Transaction(token, tuple(writes + checks))
+    return Transaction(token, tuple(Write(claim.key, ABSENT, claim.token) for claim in pending))
 
 
 def _judge(claim: PendingClaim, found: dict[str, Row]) -> ClaimOutcome | None:
@@ -169,7 +150,7 @@
     own = found.get(claim.key)
     if own is not None and own.value == claim.token:
         return HeldClaim(claim.key, own.version)
-    if own is not None or any(key in found for key in claim.others):
+    if own is not None:
         detail = "a request with this id was let through before"
         return Refusal(Verdict.MAY_HAVE_RUN, Reason.DUPLICATE, detail)
     return None
--- a/toucanpin/requests/tests/test_claims.py
+++ b/toucanpin/requests/tests/test_claims.py
@@ -16,7 +16,6 @@
     Unknown,
 )
 from toucanpin.requests.claims import (
-    BUCKET_SECONDS,
     Commit,
     ReadRow,
     gather_batch,
@@ -24,7 +23,7 @@
     settle_claims,
 )
 from toucanpin.requests.messages import HeldClaim
-from toucanpin.requests.sweeps import list_parts, sweep_part
+from toucanpin.requests.sweeps import KEPT_SECONDS, Ages, list_parts, sweep_part
 from toucanpin.verdict import Reason, Verdict
 
 
@@ -108,10 +107,8 @@
         for seed in range(3_000):
             rng = Random(seed)
             table = LossyTable(rng)
-            walls = (BUCKET_SECONDS * 5 + rng.choice((-20.0, -1.0, 1.0, 300.0)) for _ in range(2))
             batches = [
-                tuple(prepare_claim(f"r{n}", f"p{p}:{n}", wall) for n in range(3))
-                for p, wall in enumerate(walls)
+                tuple(prepare_claim(f"r{n}", f"p{p}:{n}") for n in range(3)) for p in range(2)
             ]
             outcomes = self.interleave(table, batches, rng)
             for number in range(3):
@@ -138,8 +135,8 @@
 
     def test_refuses_duplicates_and_serves_the_rest_of_a_batch(self):
         table = CalmTable(Random(1))
-        run(table, (prepare_claim("r1", "a", 6_100.0),))
-        batch = (prepare_claim("r1", "b", 6_700.0), prepare_claim("r2", "c", 6_700.0))
+        run(table, (prepare_claim("r1", "a"),))
+        batch = (prepare_claim("r1", "b"), prepare_claim("r2", "c"))
         outcomes = run(table, batch)
         self.assertIs(outcomes[b"b"].reason, Reason.DUPLICATE)
         self.assertIs(outcomes[b"b"].verdict, Verdict.MAY_HAVE_RUN)
@@ -147,26 +144,42 @@
 
     def test_refuses_as_not_run_what_stays_uncertain(self):
         table = DeafTable(Random(1))
-        outcome = run(table, (prepare_claim("r1", "a", 0.0),))[b"a"]
+        outcome = run(table, (prepare_claim("r1", "a"),))[b"a"]
         self.assertIs(outcome.verdict, Verdict.NOT_RUN)
         self.assertIs(outcome.reason, Reason.STORE_UNCERTAIN)
 
     def test_sweeps_only_what_no_longer_refuses_duplicates(self):
+        """
+        A caller repeats an id within ten minutes and is told that it is a duplicate: sweeps have
+        left its row, although another process's wall clock is ahead, since none is looked at.
+        Rows whose version was seen ten minutes ago are deleted.
+        """
         table = CalmTable(Random(1))
-        for wall in range(0, BUCKET_SECONDS * 8, 100):
-            run(table, tuple(prepare_claim(f"r{wall}.{n}", f"{wall}.{n}", wall) for n in range(9)))
-        now = BUCKET_SECONDS * 7 + 1.0
+        ages = Ages()
+        for second in range(0, 2_000, 100):
+            run(table, tuple(prepare_claim(f"r{second}.{n}", f"{second}.{n}") for n in range(9)))
+            for prefix in list_parts(("a",), "a"):
+                self.sweep(table, prefix, ages, float(second))
+        left = {row.value.decode().split(".")[0] for row in table.rows.values()}
+        kept = {str(second) for second in range(0, 2_000, 100) if 1_900 - second < KEPT_SECONDS}
+        self.assertEqual(left, kept)
+
+    def test_a_process_that_just_started_deletes_nothing(self):
+        table = CalmTable(Random(1))
+        run(table, (prepare_claim("r", "a"),))
+        for prefix in list_parts(("a",), "a"):
+            self.sweep(table, prefix, Ages(), 1e9)
+        self.assertEqual(len(table.rows), 1)
+
+    def test_each_part_is_swept_by_one_process(self):
         members = ("a", "b", "c")
-        parts = [set(list_parts(now, members, me)) for me in members]
+        parts = [set(list_parts(members, me)) for me in members]
         self.assertEqual(len(set.union(*parts)), sum(len(part) for part in parts))
-        for prefix in set.union(*parts):
-            self.sweep(table, prefix)
-        left = {int(key.split("/")[1]) for key in table.rows}
-        self.assertEqual(left, {5, 6, 7})
+        self.assertEqual(set.union(*parts), set(list_parts(("a",), "a")))
 
     @staticmethod
-    def sweep(table, prefix):
-        steps = sweep_part(prefix, lambda: "t")
+    def sweep(table, prefix, ages, now):
+        steps = sweep_part(prefix, ages, lambda: now, lambda: "t")
         next(steps)
         reply = Ok(tuple(row for key, row in table.rows.items() if key.startswith(prefix)))
         with suppress(StopIteration):
@@ -176,13 +189,10 @@
                 reply = table.apply(action.transaction)
 
     def test_fills_transactions_and_puts_second_claims_off(self):
-        claims = tuple(prepare_claim(f"r{n}", f"{n}", 100.0) for n in range(40))
+        claims = tuple(prepare_claim(f"r{n}", f"{n}") for n in range(MAX_TRANSACTION_ROWS + 9))
         batch, rest = gather_batch(claims)
-        self.assertEqual((len(batch), len(rest)), (31, 9))
-        late = tuple(prepare_claim(f"r{n}", f"{n}", 590.0) for n in range(40))
-        batch, _ = gather_batch(late)
-        self.assertLessEqual(sum(1 + len(c.others) for c in batch), MAX_TRANSACTION_ROWS)
-        twins = (prepare_claim("r", "a", 0.0), prepare_claim("r", "b", 0.0))
+        self.assertEqual((len(batch), len(rest)), (MAX_TRANSACTION_ROWS, 9))
+        twins = (prepare_claim("r", "a"), prepare_claim("r", "b"))
         self.assertEqual(gather_batch(twins), (twins[:1], twins[1:]))
 
 
