Read the plan in one scan and the host list once

Cause: an idle control role took 21.0 ms/s of processor time, most of it HTTP exchanges of about 0.7 ms (profile: 9.6 a second), among them three scans a turn and the host list read by two parts. Ruled out: longer turns (urgent work must start within 1.2 s) and rarer scans (a dead owner's cells must be taken before leases end). Change: authority, cells and standing tasks share a prefix and a scan; control uses the list that the process has already.

--- a/toucanpin/daemon/hosts.py
+++ b/toucanpin/daemon/hosts.py
@@ -10,10 +10,10 @@
 import threading
 
 import logbook
-from expression import Result
+from expression import Error, Ok, Result
 
 from toucanpin.daemon.logs import EventId
-from toucanpin.platform.ports import HostList, HostRole, ListedHost
+from toucanpin.platform.ports import HostList, HostRole, ListedHost, StoreFault, Unavailable
 
 __all__ = ["Hosts"]
 
@@ -46,6 +46,12 @@
         """Say whether the list was read at least once."""
         return self._hosts is not None
 
+    def hosts(self) -> Result[tuple[ListedHost, ...], StoreFault]:
+        """Return the newest list, so that other parts of this process need not read it again."""
+        if self._hosts is None:
+            return Error(Unavailable("the host list was not read yet"))
+        return Ok(self._hosts)
+
     def all(self) -> tuple[ListedHost, ...]:
         """Return the newest list, empty while none is known."""
         return self._hosts or ()
--- a/toucanpin/daemon/root.py
+++ b/toucanpin/daemon/root.py
@@ -212,7 +212,7 @@
             self.life,
             self.table,
             HttpWorkers(self.name, self.settings.platform.timeout_ms / MILLISECONDS),
-            self.host_list,
+            self.hosts,
             self.gossip,
             self.bundles,
             self.recorder,
--- a/toucanpin/daemon/tests/test_control.py
+++ b/toucanpin/daemon/tests/test_control.py
@@ -126,9 +126,9 @@
             json.loads(caller.call("GET", headers["Location"])[2])["state"], "finished"
         )
         self.assertEqual(json.loads(caller.call("GET", "/v1/standing")[2])[0]["host"], "w0")
-        cell = decode(platform.core.scan("cell/")[0].value, CellRow)
+        cell = decode(platform.core.scan("plan/cell/")[0].value, CellRow)
         self.assertIsNone(cell.owner)
-        authority = decode(platform.core.scan("control/")[0].value, AuthorityRow)
+        authority = decode(platform.core.scan("plan/control/")[0].value, AuthorityRow)
         self.assertTrue(authority.released)
 
 
--- a/toucanpin/placement/ownership.py
+++ b/toucanpin/placement/ownership.py
@@ -20,6 +20,7 @@
 from toucanpin.placement.records import (
     AUTHORITY_PREFIX,
     CELL_PREFIX,
+    PLAN_PREFIX,
     STANDING_PREFIX,
     CancelRow,
     CellRow,
@@ -57,21 +58,29 @@
 
 
 def read_rows(state: ControlState) -> Decision[None]:
-    """Read what changed in the rows of authority, cells and standing tasks."""
-    rows = yield from _scan(state, AUTHORITY_PREFIX, state.scanned_authority)
-    state.watch.observe(rows, state.watch.read_at)
-    state.scanned_authority = _newest(rows, state.scanned_authority)
-    rows = yield from _scan(state, CELL_PREFIX, state.scanned_cells)
+    """
+    Read what changed in the rows of authority, cells and standing tasks.
+
+    They share a prefix: one scan a turn instead of three is a third less processor time of an idle
+    control process, and fewer reads of the table.
+    """
+    rows = yield from _scan(state, PLAN_PREFIX, state.scanned)
+    authority = [row for row in rows if row.key.startswith(AUTHORITY_PREFIX)]
+    state.watch.observe(authority, state.watch.read_at)
     for row in rows:
+        _take_row(state, row)
+    state.scanned = _newest(rows, state.scanned)
+    yield from _refresh_cells(state)
+
+
+def _take_row(state: ControlState, row: Row) -> None:
+    """Take in a cell's row or a standing task's."""
+    if row.key.startswith(CELL_PREFIX):
         name = row.key.removeprefix(CELL_PREFIX)
         state.stored[name] = StoredCell(decode(row.value, CellRow), row.version)
-    state.scanned_cells = _newest(rows, state.scanned_cells)
-    rows = yield from _scan(state, STANDING_PREFIX, state.scanned_standing)
-    for row in rows:
+    elif row.key.startswith(STANDING_PREFIX):
         name = row.key.removeprefix(STANDING_PREFIX)
         state.standing[name] = (decode(row.value, StandingRow), row.version)
-    state.scanned_standing = _newest(rows, state.scanned_standing)
-    yield from _refresh_cells(state)
 
 
 def _scan(state: ControlState, prefix: str, after: int) -> Decision[tuple[Row, ...]]:
--- a/toucanpin/placement/records.py
+++ b/toucanpin/placement/records.py
@@ -39,10 +39,11 @@
     "standing_key",
 ]
 
-AUTHORITY_PREFIX = "control/"
-CELL_PREFIX = "cell/"
+PLAN_PREFIX = "plan/"
+AUTHORITY_PREFIX = PLAN_PREFIX + "control/"
+CELL_PREFIX = PLAN_PREFIX + "cell/"
+STANDING_PREFIX = PLAN_PREFIX + "standing/"
 JOB_PREFIX = "job/"
-STANDING_PREFIX = "standing/"
 
 
 class Life(msgspec.Struct, frozen=True, order=True):
--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -112,9 +112,7 @@
     stored: dict[str, StoredCell] = field(default_factory=dict)
     standing: dict[str, tuple[StandingRow, int]] = field(default_factory=dict)
     lost: dict[str, tuple[int, float]] = field(default_factory=dict)
-    scanned_cells: int = 0
-    scanned_standing: int = 0
-    scanned_authority: int = 0
+    scanned: int = 0
     sequence: int = 0
     last_absorbed: str = ""
     last_placed: str = ""
--- a/toucanpin/placement/tests/test_owners.py
+++ b/toucanpin/placement/tests/test_owners.py
@@ -222,11 +222,11 @@
         world.kill_worker("w00")
         world.hosts = [it for it in world.hosts if it.name != "w00"]
         world.run(90)
-        self.assertEqual(len(world.table.scan("control/")), 2)
+        self.assertEqual(len(world.table.scan("plan/control/")), 2)
         self.assertEqual(list(world.cells()["s.r0"].workers), ["w01"])
         frozen.paused = False
         world.run(15)
-        self.assertEqual(len(world.table.scan("control/")), 3)
+        self.assertEqual(len(world.table.scan("plan/control/")), 3)
         world.submit("a")
         world.settle(20)
         self.assertEqual(world.count_ended(), 1)
--- a/toucanpin/placement/tests/world.py
+++ b/toucanpin/placement/tests/world.py
@@ -342,8 +342,8 @@
 
     def cells(self) -> dict[str, CellRow]:
         """Return the cells' rows."""
-        rows = self.table.scan("cell/")
-        return {it.key.removeprefix("cell/"): decode(it.value, CellRow) for it in rows}
+        rows = self.table.scan("plan/cell/")
+        return {it.key.removeprefix("plan/cell/"): decode(it.value, CellRow) for it in rows}
 
     def check(self) -> None:
         """Raise AssertionError if anything that must always hold doesn't."""
