Start nothing under a lease that is computed from an old reading

Cause: after a gap in the polls a start went out with a lease that had already ended; the worker refused it and the attempt was used up. Change: starts wait for a report that is fresher than half a lease.

--- a/toucanpin/placement/polling.py
+++ b/toucanpin/placement/polling.py
@@ -128,7 +128,10 @@
         yield Stop(record.task, record.attempt, checkpoint if keeps else "")
     elif reported is None:
         payload = _find_payload(cell, record, bundle)
-        if payload is not None and state.authority.holds(now):
+        # A lease that is computed from an old reading of the worker's clock may have ended when it
+        # arrives; the worker would refuse the start, and the attempt would be used up.
+        fresh = now - link.received < state.terms.lease / 2
+        if payload is not None and fresh and state.authority.holds(now):
             yield _make_start(record, payload)
     else:
         yield from _order_running(state, link, record, now)
--- a/toucanpin/placement/tests/test_owners.py
+++ b/toucanpin/placement/tests/test_owners.py
@@ -155,6 +155,7 @@
         for name in world.cores:
             world.cut(owner.life.process, name)
         owner.finish_turn()
+        world.pass_time(0.6)
         world.heal()
         world.cut(other.life.process, worker)
         world.cut(owner.life.process, next(it for it in world.cores if it != worker))
