--- a/scenarios/actors.py
+++ b/scenarios/actors.py
@@ -207,6 +207,8 @@
 
     def end(self) -> None:
         """Lose everything at once."""
+        # A worker that is killed while it is paused has done nothing since, also after its lease.
+        self.core.advance(self.read_milliseconds())
         self._look(self.kernel.now)
         self.alive = False
         for run in self._seen.values():
