--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import threading
 import time
 from collections.abc import Callable
@@ -15,6 +14,7 @@
 import logbook
 
 from toucanpin.daemon.parts import EventSink
+from toucanpin.exception import WireError
 from toucanpin.membership.beat import Beat, Change, Record, Timing
 from toucanpin.membership.member import Member, Standing
 from toucanpin.membership.view import MAX_RECORDS, View
@@ -28,7 +28,6 @@
 BeatListener = Callable[[Member, int], None]
 
 RECEIVE_SECONDS = 0.25
-_STOP_SECONDS = 5.0
 
 _log = logbook.Logger("gossip")
 
@@ -74,6 +73,7 @@
         self._thread: threading.Thread | None = None
         self._socket: DatagramSocket | None = None
         self._listeners: list[BeatListener] = []
+        self._entry_hosts: Callable[[], frozenset[str]] = frozenset
         self.confirmed_age: Callable[[], int] = _know_nothing
         self.identity = Identity(
             deployment,
@@ -109,6 +109,10 @@
         """Call ``listener`` on each heartbeat, on the thread of the heartbeats."""
         self._listeners.append(listener)
 
+    def watch_hosts(self, entry_hosts: Callable[[], frozenset[str]]) -> None:
+        """Ask for the names of the platform's entry hosts at each round, empty while unknown."""
+        self._entry_hosts = entry_hosts
+
     def carry(self, bundle: int) -> None:
         """Stamp the version of the bundle in force on every message, and tell it at once."""
         with self._lock:
@@ -128,7 +132,7 @@
         """Tell the members that this process leaves, and release the port."""
         self._stopping.set()
         if self._thread is not None:
-            self._thread.join(max(grace, _STOP_SECONDS))
+            self._thread.join(grace)
         with self._lock:
             self._view.leave()
         self._send_round()
@@ -140,14 +144,29 @@
         due = time.monotonic()
         while not self._stopping.is_set():
             now = time.monotonic()
-            if now >= due:
-                self._tick(now)
-                due = now + self._timing.interval
-            self._receive(due - now)
+            # A fault in one heartbeat must not end this thread: the process would go silent, be
+            # removed by all others and never notice.
+            try:
+                if now >= due:
+                    due = now + self._wait_for_round()
+                    self._tick(now)
+                self._receive(due - now)
+            except Exception:
+                _log.exception("heartbeat failed")
+
+    def _wait_for_round(self) -> float:
+        # Rounds begin at whole intervals of the wall clock, in all processes at nearly one time.
+        # Heartbeats then come in bursts, which cost much less than one by one, when each wakes
+        # a cold thread.  Clocks that differ only lose that.
+        interval = self._timing.interval
+        wait = interval - time.time() % interval
+        return wait if wait > interval / 2 else wait + interval
 
     def _tick(self, now: float) -> None:
+        listed = self._entry_hosts()
         with self._lock:
             changes = self._view.tick(now)
+            self._view.excuse(listed)
         self._report(changes)
         self._send_round()
 
@@ -174,21 +193,22 @@
             listener(member, received.message.confirmed_age)
 
     def _answer(self, member: Member, digest: int, records: tuple[Record, ...]) -> None:
+        endpoints = ((member.address, member.port),)
         for start in range(0, len(records), MAX_RECORDS):
-            self._send(member.address, member.port, digest, records[start : start + MAX_RECORDS])
+            self._send(endpoints, digest, records[start : start + MAX_RECORDS])
 
     def _send_round(self) -> None:
         with self._lock:
             targets = self._view.targets()
             beat = self._view.beat(0)
             known = self._view.endpoints()
-        for member in targets:
-            self._send(member.address, member.port, beat.digest, beat.records)
-        for address, port in self._seeds:
-            if (address, port) not in known:
-                self._send(address, port, beat.digest, beat.records)
+        endpoints = [(member.address, member.port) for member in targets]
+        endpoints += [seed for seed in self._seeds if seed not in known]
+        self._send(tuple(endpoints), beat.digest, beat.records)
 
-    def _send(self, address: str, port: int, digest: int, records: tuple[Record, ...]) -> None:
+    def _send(
+        self, endpoints: tuple[tuple[str, int], ...], digest: int, records: tuple[Record, ...]
+    ) -> None:
         channel = self._socket
         if channel is None:
             return
@@ -201,8 +221,15 @@
             self.confirmed_age(),
             tuple(_to_wire(record) for record in records),
         )
-        with contextlib.suppress(OSError):
-            channel.send(address, port, heartbeat)
+        try:
+            channel.send(heartbeat, endpoints)
+        except WireError:
+            if len(records) <= 1:
+                raise
+            # Long names make a datagram too large for all of its records.
+            half = len(records) // 2
+            self._send(endpoints, digest, records[:half])
+            self._send(endpoints, digest, records[half:])
 
     def _report(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
