Hedge idempotent requests out of the retry budget

Cause: one slow instance set the tail; an attempt was only given up after three times the p99.

Change: a path may yield Hedge, Await and Cancel after a Forward that is Pending. A hedge takes a token, a slot of its own and another instance, and only below 75 % of the slots. The loser's connection is closed, its slot held until its deadline. One thread polls both.

--- a/benchmarks/queue_model.py
+++ b/benchmarks/queue_model.py
@@ -17,6 +17,7 @@
 from random import Random
 
 from toucanpin.bundles.schema import Service
+from toucanpin.requests.patience import Patience
 from toucanpin.requests.routing import InstanceShare
 from toucanpin.requests.shares import share_of
 from toucanpin.requests.tests.virtual import Attempt, Clock, Load, VirtualFront
@@ -43,12 +44,17 @@
 
 @dataclass(slots=True)
 class Result:
-    """Collect the latencies of served requests and of refusals, in seconds."""
+    """
+    Collect the latencies of served requests and of refusals, in seconds.
+
+    ``attempts`` counts them for each request.
+    """
 
     served: list[float] = field(default_factory=list)
     refused: list[float] = field(default_factory=list)
     span: float = 0.0
     most: int = 0
+    attempts: float = 1.0
 
     def quantile(self, share: float) -> float:
         """Return a latency that this share of the served requests didn't exceed."""
@@ -125,11 +131,14 @@
     shape: Shape,
     lost: tuple[float, float, int] | None = None,
     share: Callable[[str, int, tuple[str, ...], str], int] = share_of,
+    slow: float = 1.0,
+    hedged: bool = True,
 ) -> Result:
     """
     Serve by the real decisions, one front for each entry host, each with its share of slots.
 
-    With ``lost`` the first so many instances refuse connections between two instants.
+    With ``lost`` the first so many instances refuse connections between two instants; the last one
+    takes ``slow`` times as long.
     """
     result = Result()
     clock, load = Clock(), Load()
@@ -142,7 +151,8 @@
     def behave(name: str, now: float) -> Attempt:
         if lost and name in missing and lost[0] <= now < lost[1]:
             return Attempt(NETWORK_SECONDS, "refused")
-        return Attempt(draws.lognormvariate(mu, shape.sigma) + NETWORK_SECONDS)
+        factor = slow if name == names[-1] else 1.0
+        return Attempt(draws.lognormvariate(mu, shape.sigma) * factor + NETWORK_SECONDS)
 
     fronts = []
     for number, member in enumerate(members):
@@ -151,6 +161,8 @@
             InstanceShare(name, "casco", share(name, SLOTS, members, member)) for name in names
         )
         front.update(tuple(shares))
+        if not hedged:
+            front.state.patience = _Unhedged()
         fronts.append(front)
     for at, _, host in arrivals(shape):
         clock.at(at, partial(fronts[host].ask, limit=DEADLINE))
@@ -161,4 +173,13 @@
             latency = record.answered - record.request.arrived
             (result.served if record.ok else result.refused).append(latency)
     result.most = max(load.most.values())
+    result.attempts = sum(load.sent.values()) / shape.count
     return result
+
+
+class _Unhedged(Patience):
+    """Begin no second attempt beside a first."""
+
+    def hedge_after(self, mean: float) -> float | None:
+        """Never hedge."""
+        return None
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -21,6 +21,8 @@
 LOADS = (0.5, 0.8, 0.95, 1.2)
 SPREADS = {"even": 0.25, "skewed": 1.0}
 QUANTILES = {"p50": 0.5, "p99": 0.99, "p99.9": 0.999}
+HEDGING_LOADS = (0.5, 0.65, 0.8)
+SLOW_FACTOR = 10.0
 LOSS_SECONDS = (3.0, 13.0)
 LOSS_RATE_COUNT = 70_000
 
@@ -33,6 +35,7 @@
             print_tails(spread, Shape(load, sigma, COUNT))
     print_overload()
     print_loss()
+    print_hedging()
     print_shares()
 
 
@@ -81,6 +84,23 @@
     print_line("p99_third_lost", hurt.quantile(0.99) * 1_000, "ms", calm.quantile(0.99) * 1_000)
 
 
+def print_hedging() -> None:
+    """Compare with hedges and without: one of 35 instances slow, and none."""
+    for spread, sigma in SPREADS.items():
+        for load in HEDGING_LOADS:
+            for label, slow in (("one_slow", SLOW_FACTOR), ("none_slow", 1.0)):
+                shape = Shape(load, sigma, COUNT)
+                bare = run_own(shape, slow=slow, hedged=False)
+                hedged = run_own(shape, slow=slow)
+                key = f"hedged_{label}_{spread}_{round(load * 100)}"
+                for name, share in QUANTILES.items():
+                    value, baseline = hedged.quantile(share), bare.quantile(share)
+                    print_line(f"{name}_{key}", value * 1_000, "ms", baseline * 1_000)
+                print_line(f"attempts_{key}", hedged.attempts, "for a request", bare.attempts)
+                refused = len(hedged.refused), len(bare.refused)
+                print_line(f"refused_{key}", refused[0], "requests", refused[1])
+
+
 def print_shares() -> None:
     """Time the work of shares, which exchange no load: one change of members, one refresh."""
     changed: dict[int, float] = {}
--- /dev/null
+++ b/toucanpin/daemon/attempts.py
@@ -0,0 +1,87 @@
+"""
+Attempts
+========
+
+Makes the attempts of one request, two beside each other where its path asks for a hedge.  One
+thread waits for both, so a request that isn't hedged pays for no other thread.
+"""
+
+from __future__ import annotations
+
+import select
+import time
+from collections.abc import Callable
+from typing import Any
+
+from toucanpin.daemon.forwarder import Exchange, Forwarder, Outgoing
+from toucanpin.requests.messages import Delivered, Ended, Forward, Hedge, Pending
+
+__all__ = ["Attempts"]
+
+
+class Attempts:
+    """
+    Keep the exchanges of one request that go on, by instance.
+
+    Parameters
+    ----------
+    outgoing : what is sent
+    find : forwarder of an instance
+    """
+
+    __slots__ = ("_outgoing", "_find", "_running")
+
+    def __init__(self, outgoing: Outgoing, find: Callable[[str], Forwarder]) -> None:
+        self._outgoing = outgoing
+        self._find = find
+        self._running: dict[str, Exchange] = {}
+
+    def forward(self, action: Forward) -> Any:
+        """Make the first attempt; return its outcome, or Pending at the instant asked for."""
+        forwarder = self._find(action.instance)
+        # A body that streams can't be sent a second time.
+        if action.pending_at is None or self._outgoing.rest is not None:
+            return forwarder.forward(self._outgoing, action.deadline, action.fresh_connection)
+        begun = forwarder.begin(self._outgoing, action.deadline, action.fresh_connection)
+        if not isinstance(begun, Exchange):
+            return begun
+        self._running[action.instance] = begun
+        if self._wait(action.pending_at) is None:
+            return Pending(time.monotonic())
+        return self._finish(action.instance)
+
+    def hedge(self, action: Hedge) -> Ended:
+        """Begin a second attempt; return the first end of both."""
+        forwarder = self._find(action.instance)
+        begun = forwarder.begin(self._outgoing, action.deadline, False)
+        if not isinstance(begun, Exchange):
+            return Ended(action.instance, begun)
+        self._running[action.instance] = begun
+        return self.wait()
+
+    def wait(self) -> Ended:
+        """Return the next end of an attempt."""
+        soonest = min(self._running, key=lambda name: self._running[name].deadline)
+        # At its deadline an attempt ends too: reading its answer then times out.
+        instance = self._wait(self._running[soonest].deadline) or soonest
+        return Ended(instance, self._finish(instance))
+
+    def cancel(self) -> Delivered:
+        """Close what goes on."""
+        while self._running:
+            _, exchange = self._running.popitem()
+            exchange.forwarder.cancel(exchange)
+        return Delivered(time.monotonic())
+
+    def _finish(self, instance: str) -> Any:
+        exchange = self._running.pop(instance)
+        return exchange.forwarder.finish(exchange)
+
+    def _wait(self, until: float) -> str | None:
+        """Wait for an answer to begin; return its instance, None if none did."""
+        names = {exchange.socket.fileno(): name for name, exchange in self._running.items()}
+        poll = select.poll()
+        for number in names:
+            poll.register(number, select.POLLIN)
+        ready = poll.poll(max(0.0, until - time.monotonic()) * 1_000)
+        return names[ready[0][0]] if ready else None
--- a/toucanpin/daemon/forwarder.py
+++ b/toucanpin/daemon/forwarder.py
@@ -24,7 +24,7 @@
 from toucanpin.requests.messages import Broke, CallerFailed, Refused, Response, TimedOut, Whole
 from toucanpin.verdict import Refusal
 
-__all__ = ["CallerFaultError", "Forwarder", "Outgoing", "UpstreamCutError"]
+__all__ = ["CallerFaultError", "Exchange", "Forwarder", "Outgoing", "UpstreamCutError"]
 
 CONNECT_SECONDS = 0.5
 WHOLE_BYTES = 65_536
@@ -110,6 +110,24 @@
         return answer
 
 
+class Exchange(msgspec.Struct, frozen=True, eq=False):
+    """Hold one attempt whose request was sent and whose answer wasn't read yet."""
+
+    forwarder: Forwarder
+    connection: _Connection
+    reused: bool
+
+    @property
+    def socket(self) -> socket.socket:
+        """Return the socket that becomes readable when the answer begins, or breaks off."""
+        return self.connection.wire
+
+    @property
+    def deadline(self) -> float:
+        """Return the instant by which the answer must be there."""
+        return self.connection.deadline
+
+
 class Forwarder:
     """
     Keep the connections to one instance and make attempts over them.
@@ -138,36 +156,59 @@
 
     def forward(self, outgoing: Outgoing, deadline: float, fresh: bool) -> ForwardOutcome:
         """Make one attempt."""
+        begun = self.begin(outgoing, deadline, fresh)
+        return self.finish(begun) if isinstance(begun, Exchange) else begun
+
+    def begin(
+        self, outgoing: Outgoing, deadline: float, fresh: bool
+    ) -> Exchange | Refused | Broke | TimedOut | CallerFailed:
+        """Send the request; the exchange that is returned must be finished or cancelled."""
         try:
             connection = self._checkout(deadline, fresh)
         except (OSError, HTTPError) as error:
             return Refused(self._clock(), f"no connection to the instance: {_name(error)}")
         if connection is None:
             return Refused(self._clock(), "every connection allowed to the instance is in use")
-        reused = connection.used
-        started = False
+        exchange = Exchange(self, connection, connection.used)
         try:
             self._send(connection, outgoing, deadline)
-            head = connection.read_head()
+        except BaseException as error:
+            return self._explain(exchange, error)
+        return exchange
+
+    def finish(self, exchange: Exchange) -> ForwardOutcome:
+        """Read the answer's head and first part."""
+        started = False
+        try:
+            head = exchange.connection.read_head()
             started = True
-            return self._receive(connection, head)
-        except CallerFaultError as fault:
-            self._discard(connection)
-            return CallerFailed(self._clock(), fault.refusal)
-        except TimeoutError:
-            # The late answer dies with its connection: were the connection used again, the next
-            # caller would receive this one's answer.
-            self._discard(connection)
-            return TimedOut(self._clock())
-        except (OSError, HTTPError, http.client.HTTPException, ValueError) as error:
-            self._discard(connection)
-            if not connection.written:
-                return Refused(self._clock(), f"nothing was sent: {_name(error)}")
-            stale = reused and not started
-            return Broke(self._clock(), f"the instance broke off: {_name(error)}", stale)
-        except BaseException:
-            self._discard(connection)
-            raise
+            return self._receive(exchange.connection, head)
+        except BaseException as error:
+            return self._explain(exchange, error, started)
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Close the connection; the answer that may still come dies with it."""
+        self._discard(exchange.connection)
+
+    def _explain(
+        self, exchange: Exchange, error: BaseException, started: bool = False
+    ) -> Refused | Broke | TimedOut | CallerFailed:
+        """Give up the connection and say how far the attempt came."""
+        connection = exchange.connection
+        # A late answer dies with its connection: were the connection used again, the next caller
+        # would receive this one's answer.
+        self._discard(connection)
+        match error:
+            case CallerFaultError():
+                return CallerFailed(self._clock(), error.refusal)
+            case TimeoutError():
+                return TimedOut(self._clock())
+            case OSError() | HTTPError() | http.client.HTTPException() | ValueError():
+                if not connection.written:
+                    return Refused(self._clock(), f"nothing was sent: {_name(error)}")
+                stale = exchange.reused and not started
+                return Broke(self._clock(), f"the instance broke off: {_name(error)}", stale)
+        raise error
 
     def close_idle(self, everything: bool = False) -> None:
         """Close connections that were idle for long or exceed the limit."""
--- a/toucanpin/daemon/front.py
+++ b/toucanpin/daemon/front.py
@@ -18,6 +18,7 @@
 import logbook
 from cheroot import wsgi
 
+from toucanpin.daemon.attempts import Attempts
 from toucanpin.daemon.caller_answer import write_refusal, write_response
 from toucanpin.daemon.caller_request import (
     SERVICES_PREFIX,
@@ -37,12 +38,16 @@
 from toucanpin.requests.admission import Ticket
 from toucanpin.requests.messages import (
     Answer,
+    Await,
     CallerFailed,
+    Cancel,
     Claim,
     Delivered,
     Forward,
+    Hedge,
     Relay,
     Release,
+    Response,
     Wait,
     Woken,
 )
@@ -55,6 +60,7 @@
 DRAIN_POLL_SECONDS = 0.02
 QUIET_SECONDS = 0.3
 SPARE_THREADS = 8
+FORWARDED, HEDGED = "request.forwarded", "request.hedged"
 NOT_READY = Refusal(
     Verdict.NOT_RUN, Reason.NOT_READY, "this process does not know the bundle in force yet", 1.0
 )
@@ -259,6 +265,7 @@
         """Take the steps of a path: decisions under the service's lock, the rest outside it."""
         request = incoming.request
         path = serve_request(request, entry.state)
+        attempts = Attempts(incoming.outgoing, entry.forwarders.__getitem__)
         outcome: Any = None
         try:
             while True:
@@ -270,13 +277,10 @@
                     if isinstance(action, Wait):
                         event = entry.expect(action.ticket)
                 match action:
-                    case Forward():
-                        outcome = self._forward(incoming, entry, action)
+                    case Forward() | Hedge() | Await() | Cancel():
+                        outcome = self._attempt(incoming, attempts, action)
                     case Relay(response=response):
-                        whole = write_response(req, response, self._draining)
-                        self._count("relayed" if whole else "cut")
-                        self._note("request.answered", request.request_id, str(response.status))
-                        outcome = Delivered(time.monotonic(), not whole)
+                        outcome = self._relay(req, response, request.request_id)
                     case Wait(ticket=ticket, until=until):
                         outcome = self._wait(entry, ticket, event, until)
                     case Claim(request_id=request_id, deadline=deadline):
@@ -290,6 +294,7 @@
         except StopIteration:
             return
         finally:
+            attempts.cancel()
             with entry.lock:
                 path.close()
                 entry.wake()
@@ -300,13 +305,24 @@
         entry.forget(ticket)
         return Woken(time.monotonic())
 
-    def _forward(self, incoming: Incoming, entry: ServiceEntry, action: Forward) -> Any:
+    def _relay(self, req: Any, response: Response, request_id: str) -> Delivered:
+        whole = write_response(req, response, self._draining)
+        self._count("relayed" if whole else "cut")
+        self._note("request.answered", request_id, str(response.status))
+        return Delivered(time.monotonic(), not whole)
+
+    def _attempt(self, incoming: Incoming, attempts: Attempts, action: Any) -> Any:
+        match action:
+            case Await():
+                return attempts.wait()
+            case Cancel():
+                return attempts.cancel()
         if incoming.rest_begun:
             return CallerFailed(time.monotonic(), BODY_AGAIN)
-        self._count("attempts")
-        self._note("request.forwarded", incoming.request.request_id, action.instance)
-        forwarder = entry.forwarders[action.instance]
-        return forwarder.forward(incoming.outgoing, action.deadline, action.fresh_connection)
+        hedged = isinstance(action, Hedge)
+        self._count("hedges" if hedged else "attempts")
+        self._note(HEDGED if hedged else FORWARDED, incoming.request.request_id, action.instance)
+        return attempts.hedge(action) if hedged else attempts.forward(action)
 
     def _count(self, name: str) -> None:
         with self._busy_lock:
--- /dev/null
+++ b/toucanpin/daemon/tests/test_hedging.py
@@ -0,0 +1,85 @@
+"""Tests of hedged requests over real connections."""
+
+import threading
+import unittest
+
+from toucanpin.daemon.tests.front_harness import (
+    SERVICE,
+    WAIT,
+    ScriptedInstance,
+    answer,
+    call,
+    make_front,
+)
+
+LEARNT_SECONDS = 0.4
+HELD = 3
+
+
+class HeldInstances:
+    """Serve from two instances; whichever gets a held target first keeps it until it is closed."""
+
+    def __init__(self) -> None:
+        self.closed = [threading.Event() for _ in range(HELD)]
+        self._seen: set[bytes] = set()
+        self._lock = threading.Lock()
+        self.instances = [ScriptedInstance(self._answer) for _ in range(2)]
+
+    def _answer(self, number, request, sock) -> bool:
+        target = request.split(b" ", 2)[1]
+        with self._lock:
+            held = target.startswith(b"/held/") and target not in self._seen
+            self._seen.add(target)
+        if not held:
+            sock.sendall(answer(target))
+            return True
+        # Nothing more is sent on this connection, so this ends when the front closes it.
+        if sock.recv(1) == b"":
+            self.closed[int(target[6:])].set()
+        sock.sendall(answer(b"late"))
+        return False
+
+
+class HedgingTest(unittest.TestCase):
+    def setUp(self):
+        self.held = HeldInstances()
+        self.front = make_front([instance.port for instance in self.held.instances])
+        self.addCleanup(self.front.stop, 1.0)
+        for instance in self.held.instances:
+            self.addCleanup(instance.close)
+        for _ in range(100):
+            self.front._upstreams.find(SERVICE).state.patience.observe(LEARNT_SECONDS)
+
+    def test_answers_each_caller_once_with_its_own_answer(self):
+        """
+        Each caller gets the answer to its own request, whole, from the second instance asked.
+
+        The first instance asked is silent until its connection is closed, and answers then.  On a
+        connection used again, that late answer would reach the next caller.
+        """
+        for number in range(HELD):
+            target = f"/held/{number}"
+            reply = call(self.front, target)
+            self.assertEqual((reply.status, reply.body), (200, target.encode()))
+            self.assertTrue(self.held.closed[number].wait(WAIT))
+            after = call(self.front, f"/after/{number}")
+            self.assertEqual(after.body, f"/after/{number}".encode())
+        self.assertEqual(self.front.counts["hedges"], HELD)
+
+    def test_gives_up_the_connections_of_cancelled_attempts(self):
+        """
+        After hedges the front holds no more connections than it did, all of them idle.
+
+        A cancelled attempt that kept its place in the count would use up the instance's share of
+        connections, until the front refuses everything.
+        """
+        for number in range(HELD):
+            call(self.front, f"/held/{number}")
+        forwarders = self.front._upstreams.find(SERVICE).forwarders.values()
+        for forwarder in forwarders:
+            forwarder.close_idle(everything=True)
+        self.assertEqual(sum(each.open_connections for each in forwarders), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/requests/messages.py
+++ b/toucanpin/requests/messages.py
@@ -19,16 +19,21 @@
 __all__ = [
     "Action",
     "Answer",
+    "Await",
     "Broke",
     "CallerFailed",
+    "Cancel",
     "Claim",
     "Claimed",
     "Delivered",
+    "Ended",
     "Forward",
+    "Hedge",
     "HeldClaim",
     "NotClaimed",
     "Outcome",
     "Path",
+    "Pending",
     "Refused",
     "Relay",
     "Release",
@@ -100,12 +105,29 @@
     """
     Send the request to an instance; its whole head and first part must be there by the deadline.
 
-    ``fresh_connection`` forbids connections that were idle for long.
+    ``fresh_connection`` forbids connections that were idle for long.  The outcome is ``Pending`` if
+    ``pending_at`` passes before an answer begins and the request can be sent a second time.
     """
 
     instance: str
     deadline: float
     fresh_connection: bool
+    pending_at: float | None = None
+
+
+class Hedge(msgspec.Struct, frozen=True):
+    """Begin a second attempt beside the pending one; the outcome is the first to have ended."""
+
+    instance: str
+    deadline: float
+
+
+class Await(msgspec.Struct, frozen=True):
+    """Wait for the attempt that goes on; the outcome is its end."""
+
+
+class Cancel(msgspec.Struct, frozen=True):
+    """Close the connection of the attempt that goes on; needs no outcome but an instant."""
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -172,6 +194,12 @@
     response: Response
 
 
+class Pending(msgspec.Struct, frozen=True):
+    """Say that an attempt goes on and has no answer yet."""
+
+    at: float
+
+
 class CallerFailed(msgspec.Struct, frozen=True):
     """Say that the caller's own body ended early, came late or grew too large."""
 
@@ -179,6 +207,13 @@
     refusal: Refusal
 
 
+class Ended(msgspec.Struct, frozen=True):
+    """Say which of the attempts that went on has ended, and how."""
+
+    instance: str
+    outcome: Refused | Broke | TimedOut | Whole | CallerFailed
+
+
 class Delivered(msgspec.Struct, frozen=True):
     """Say that the answer has left, or that ``cut`` ended it early."""
 
@@ -186,8 +221,18 @@
     cut: bool = False
 
 
-Action = Claim | Release | Wait | Forward | Answer | Relay
+Action = Claim | Release | Wait | Forward | Hedge | Await | Cancel | Answer | Relay
 Outcome = (
-    Claimed | NotClaimed | Woken | Refused | Broke | TimedOut | Whole | CallerFailed | Delivered
+    Claimed
+    | NotClaimed
+    | Woken
+    | Refused
+    | Broke
+    | TimedOut
+    | Whole
+    | Pending
+    | Ended
+    | CallerFailed
+    | Delivered
 )
 Path = Generator[Action, Any, None]
--- a/toucanpin/requests/path.py
+++ b/toucanpin/requests/path.py
@@ -15,15 +15,21 @@
 from collections.abc import Generator
 from typing import Any
 
+import msgspec
+
 from toucanpin.requests.messages import (
     Answer,
+    Await,
     Broke,
     CallerFailed,
+    Cancel,
     Claim,
     Claimed,
     Forward,
+    Hedge,
     NotClaimed,
     Path,
+    Pending,
     Refused,
     Relay,
     Release,
@@ -80,6 +86,14 @@
     return outcome
 
 
+class _Attempt(msgspec.Struct, frozen=True, eq=False):
+    """Name an attempt that goes on, and its time."""
+
+    instance: str
+    started: float
+    deadline: float
+
+
 class _Attempts:
     """Try instances until one answers, or until nothing more may be tried."""
 
@@ -100,7 +114,7 @@
             instance = yield from self._acquire()
             if isinstance(instance, Refusal):
                 return self._conclude(last or instance)
-            outcome = yield from self._forward(instance)
+            instance, outcome = yield from self._forward(instance)
             if isinstance(outcome, Whole):
                 relayed = yield from self._relay(instance, outcome)
                 if relayed:
@@ -126,24 +140,79 @@
         return ticket.refusal or service.expire()
 
     def _forward(self, instance: str) -> _Steps:
-        """Make one attempt and book its outcome on the instance."""
-        request, service = self._request, self._service
-        started = self._now
-        deadline = self._limit_attempt()
-        held_until: float | None = request.deadline
+        """Make one attempt, hedged if it takes long; return the instance and outcome that count."""
+        first = _Attempt(instance, self._now, self._limit_attempt())
+        running = {instance: first}
         try:
-            outcome = yield Forward(instance, deadline, not request.idempotent)
+            outcome = yield Forward(
+                instance, first.deadline, not self._request.idempotent, self._pick_hedge(first)
+            )
             self._now = outcome.at
-            if not isinstance(outcome, Broke | TimedOut):
-                held_until = None
+            if isinstance(outcome, Pending):
+                return (yield from self._hedge(first, running))
+            self._end(running, instance, outcome)
+            return instance, outcome
+        finally:
+            for attempt in running.values():
+                self._service.give_back(attempt.instance, self._now, self._request.deadline)
+
+    def _pick_hedge(self, first: _Attempt) -> float | None:
+        """Return the instant at which a second attempt may start, None for never."""
+        if not self._request.idempotent or len(self._tried) + 2 > MAX_ATTEMPTS:
+            return None
+        after = self._service.patience.hedge_after(self._service.admission.mean)
+        if after is None or first.started + after >= first.deadline:
+            return None
+        return first.started + after
+
+    def _hedge(self, first: _Attempt, running: dict[str, _Attempt]) -> _Steps:
+        """Start a second attempt beside the first if one may; the first good answer wins."""
+        second = self._service.take_hedge(self._tried | {first.instance}, self._now)
+        if second is None:
+            ended = yield Await()
+        else:
+            running[second] = _Attempt(second, self._now, self._limit_attempt())
+            ended = yield Hedge(second, running[second].deadline)
+        spare = None
+        while True:
+            self._now = ended.outcome.at
+            self._end(running, ended.instance, ended.outcome)
+            if not running or _is_good(ended.outcome):
+                break
+            if isinstance(ended.outcome, Whole) and not ended.outcome.response.not_run:
+                spare = ended
+            ended = yield Await()
+        if running:
+            yield from self._cancel(first, running)
+        elif spare is not None and not isinstance(ended.outcome, Whole):
+            ended = spare
+        return ended.instance, ended.outcome
+
+    def _cancel(self, first: _Attempt, running: dict[str, _Attempt]) -> _Steps:
+        """End the attempt that lost; its slot is free once the instance must have stopped."""
+        service = self._service
+        _, loser = running.popitem()
+        try:
+            yield Cancel()
         finally:
-            # After an answer that never came, the instance may still be at work until the
-            # caller's deadline; its slot isn't ours to use again before that.
-            if not (held_until is None and isinstance(outcome, Whole) and outcome.response.rest):
-                service.give_back(instance, self._now, held_until)
-        self._book(instance, outcome, started)
+            # The instance may not notice that the connection closed, but it was told how long the
+            # attempt lasts; given back at once, the slot would be used twice.
+            service.give_back(loser.instance, self._now, loser.deadline)
+        if loser is first:
+            service.patience.observe(self._now - loser.started)
+            service.router.fail(loser.instance, self._now, overtaken=True)
+
+    def _end(self, running: dict[str, _Attempt], instance: str, outcome: Any) -> None:
+        """Give back the slot of an attempt that ended and book its outcome."""
+        attempt = running.pop(instance)
+        # After an answer that never came, the instance may still be at work until the caller's
+        # deadline; its slot isn't ours to use again before that.
+        lost = isinstance(outcome, Broke | TimedOut)
+        held_until = self._request.deadline if lost else None
+        if not (isinstance(outcome, Whole) and outcome.response.rest):
+            self._service.give_back(instance, self._now, held_until)
+        self._book(instance, outcome, attempt.started)
         self._tried |= {instance}
-        return outcome
 
     def _limit_attempt(self) -> float:
         """Leave time for another attempt where one may follow."""
@@ -231,3 +300,11 @@
                 Verdict.MAY_HAVE_RUN, refusal.reason, refusal.detail, refusal.retry_after
             )
         return refusal
+
+
+def _is_good(outcome: Any) -> bool:
+    """Say whether an answer is worth more than what another attempt may still bring."""
+    if not isinstance(outcome, Whole) or outcome.response.not_run:
+        return False
+    # A large answer can't be put aside while another attempt goes on.
+    return outcome.response.status not in BROKEN_STATUSES or outcome.response.rest is not None
--- a/toucanpin/requests/service.py
+++ b/toucanpin/requests/service.py
@@ -19,6 +19,7 @@
 __all__ = ["ServiceState"]
 
 ABSENT_RETRY_SECONDS = 2.0
+MAX_HEDGING_LOAD = 0.75
 MANY_PLACES = 1 << 30
 
 
@@ -89,6 +90,22 @@
                 self.settled.append(loser)
         return ticket
 
+    def take_hedge(self, tried: frozenset[str], now: float) -> str | None:
+        """
+        Take a slot and a token for a second attempt; None if nobody may have them.
+
+        A hedge pays like a retry.  With few slots free it would only push out first attempts: they
+        wait for the slots that it and the attempt it overtakes hold.
+        """
+        if len(self.admission) or not self.budget.affords:
+            return None
+        if self.router.count_taken(now) > MAX_HEDGING_LOAD * self.router.owned:
+            return None
+        instance = self.router.take(tried, now)
+        if instance is not None:
+            self.budget.spend()
+        return instance
+
     def give_back(self, instance: str, now: float, held_until: float | None = None) -> None:
         """Return a slot and grant it to whose turn it is."""
         self.router.give_back(instance, now, held_until)
