Be ready only with the services of the bundle, test real entry hosts

Cause: a process that had just started knew the bundle up to 0.2 s before it set up its services. With none to ask about it called itself ready, so a balancer sent it callers, whom it refused as not-ready.

Ruled out: asking only whether each service of the bundle is set up; a new service in a bundle would then make every host unready at once.

Change: not ready while the bundle has services and none is set up. New tests with real processes: one id through two hosts at once, all hosts replaced, one killed and one frozen together. The demonstration's questions, bundle and roles can be chosen by its users.

--- a/tools/demo/bundle.py
+++ b/tools/demo/bundle.py
@@ -49,9 +49,9 @@
     (folder / "ring.toml").write_text(f"{head}{signer}")
 
 
-def submit_bundle(folder: Path, entry: Entry) -> str:
+def submit_bundle(folder: Path, entry: Entry, text: str | None = None) -> str:
     """Check, sign, submit and wait for the first bundle; return the tool's last line."""
-    (folder / "bundle.toml").write_text(_write_bundle())
+    (folder / "bundle.toml").write_text(text or _write_bundle())
     operators = ("--operators", entry.operators("request"))
     run_tool(folder, "bundle", "check", "bundle.toml")
     run_tool(
--- a/tools/demo/callers.py
+++ b/tools/demo/callers.py
@@ -21,7 +21,7 @@
 
 from tools.demo.topology import SERVICE, Entry
 
-__all__ = ["RequestCounts", "send_requests"]
+__all__ = ["Question", "RequestCounts", "send_requests"]
 
 CALLERS = 12
 TRIES = 40
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Question:
+class Question:
     """Hold one request; every second one is not idempotent."""
 
     number: int
@@ -69,6 +69,16 @@
         content = f"{self.method} {self.path}\n".encode() + self.body
         return hashlib.sha256(content).hexdigest()
 
+    def is_answered_by(self, body: bytes) -> bool:
+        """Say whether an answer belongs to this request and is whole."""
+        try:
+            fields = msgspec.json.decode(body)
+            return bool(
+                fields["request"] == f"request-{self.number}" and fields["digest"] == self.digest
+            )
+        except (msgspec.DecodeError, KeyError, TypeError):
+            return False
+
 
 def send_requests(
     entries: tuple[Entry, ...], count: int, after: Callable[[int], None]
@@ -80,7 +90,7 @@
 
     def ask(number: int) -> None:
         """Ask one question and count its end."""
-        outcome = _ask_until_known(pool, entries, _Question(number), counts, lock)
+        outcome = _ask_until_known(pool, entries, Question(number), counts, lock)
         with lock:
             counts.asked += 1
             setattr(counts, outcome, getattr(counts, outcome) + 1)
@@ -95,7 +105,7 @@
 def _ask_until_known(
     pool: urllib3.PoolManager,
     entries: tuple[Entry, ...],
-    question: _Question,
+    question: Question,
     counts: RequestCounts,
     lock: threading.Lock,
 ) -> str:
@@ -114,7 +124,7 @@
     return "not_run"
 
 
-def _ask_once(pool: urllib3.PoolManager, entry: Entry, question: _Question) -> str:
+def _ask_once(pool: urllib3.PoolManager, entry: Entry, question: Question) -> str:
     """Ask one entry host once."""
     url = f"{entry.callers}/v1/services/{SERVICE}{question.path}"
     headers = {"Toucanpin-Request-Id": f"request-{question.number}"}
@@ -132,14 +142,4 @@
         return "may-have-run"
     if answer.status != OK:
         return answer.headers.get("Toucanpin-Verdict", "may-have-run")
-    try:
-        return "right" if _is_right(answer.data, question) else "wrong"
-    except (msgspec.DecodeError, KeyError, TypeError):
-        return "wrong"
-
-
-def _is_right(body: bytes, question: _Question) -> bool:
-    """Say whether an answer belongs to its question and is whole."""
-    fields = msgspec.json.decode(body)
-    own = fields["request"] == f"request-{question.number}"
-    return own and fields["digest"] == question.digest
+    return "right" if question.is_answered_by(answer.data) else "wrong"
--- a/tools/demo/surroundings.py
+++ b/tools/demo/surroundings.py
@@ -92,12 +92,14 @@
         raise RuntimeError(f"the platform refused the host list: {answer.data.decode()}")
 
 
-def start_system(topology: Topology, folder: Path, launcher: Launcher) -> None:
-    """Start both roles on every entry host."""
+def start_system(
+    topology: Topology, folder: Path, launcher: Launcher, roles: tuple[str, ...] = ROLES
+) -> None:
+    """Start the roles, both if not told otherwise, on every entry host."""
     for entry in topology.entries:
-        for role in ROLES:
+        for role in roles:
             path = settings_path(folder, entry, role)
             launcher.start(f"{entry.name}-{role}", "toucanpin.daemon.main", ["--config", str(path)])
     for entry in topology.entries:
-        for role in ROLES:
+        for role in roles:
             launcher.wait_ready(f"{entry.name}-{role}", f"{entry.operators(role)}/livez")
--- /dev/null
+++ b/toucanpin/daemon/tests/entry_hosts.py
@@ -0,0 +1,246 @@
+"""Real request processes before real instances, a balancer and callers that load them."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import signal
+import tempfile
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+import urllib3
+
+from tools.demo.bundle import make_keys, submit_bundle
+from tools.demo.processes import Launcher
+from tools.demo.surroundings import start_surroundings, start_system
+from tools.demo.topology import (
+    CALLERS_PORT,
+    DEPLOYMENT,
+    SERVICE,
+    Entry,
+    make_topology,
+    settings_path,
+    write_settings,
+)
+
+__all__ = ["Answered", "Balancer", "EntryHosts", "Load", "ask", "wait_until"]
+
+ROLE = "request"
+BOUND_SECONDS = 30.0
+POLL_SECONDS = 0.05
+PROBE_SECONDS = 0.5
+BUNDLE = (
+    f'deployment = "{DEPLOYMENT}"\nversion = 1\n'
+    f'[[services]]\nname = "{SERVICE}"\ndeadline_ms = 1000\n'
+)
+_POLL = threading.Event()
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Wait for a condition; fail if it doesn't hold within a generous bound."""
+    bound = time.monotonic() + BOUND_SECONDS
+    while not condition():
+        if time.monotonic() > bound:
+            raise AssertionError(f"never happened: {what}")
+        _POLL.wait(POLL_SECONDS)
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Hold what a caller saw; ``status`` is 0 if its connection broke, ``whole`` a right answer."""
+
+    number: int
+    entry: str
+    status: int
+    verdict: str
+    whole: bool
+    detail: str = ""
+
+
+def ask(entry: Entry, question) -> Answered:
+    """Ask one entry host once, on a connection of its own."""
+    connection = http.client.HTTPConnection(entry.address, CALLERS_PORT, timeout=BOUND_SECONDS)
+    headers = {"Toucanpin-Request-Id": f"request-{question.number}", "Connection": "close"}
+    target = f"/v1/services/{SERVICE}{question.path}"
+    try:
+        connection.request(question.method, target, question.body or None, headers)
+        answer = connection.getresponse()
+        body = answer.read()
+    except ConnectionRefusedError:
+        return Answered(question.number, entry.name, 0, "not-run", False)
+    except (OSError, http.client.HTTPException):
+        return Answered(question.number, entry.name, 0, "", False)
+    finally:
+        connection.close()
+    whole = answer.status == 200 and question.is_answered_by(body)
+    verdict = answer.getheader("Toucanpin-Verdict", "")
+    detail = "" if whole else body.decode(errors="replace")
+    return Answered(question.number, entry.name, answer.status, verdict, whole, detail)
+
+
+class EntryHosts:
+    """Start the platform, two instances and three request processes."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+        self.topology = make_topology(entries=3, workers=0, instances=2)
+        self.launcher = Launcher(self.folder)
+
+    def start(self) -> None:
+        """Start everything and wait until every entry host is ready."""
+        make_keys(self.folder)
+        write_settings(self.topology, self.folder)
+        start_surroundings(self.topology, self.launcher)
+        start_system(self.topology, self.folder, self.launcher, (ROLE,))
+        submit_bundle(self.folder, self.topology.entries[0], BUNDLE)
+        for entry in self.topology.entries:
+            self.wait_ready(entry)
+
+    def close(self) -> None:
+        """End every process."""
+        self.launcher.end_all()
+        self._folder.cleanup()
+
+    def wait_ready(self, entry: Entry) -> None:
+        """Wait until an entry host takes callers."""
+        self.launcher.wait_ready(f"{entry.name}-{ROLE}", f"{entry.operators(ROLE)}/readyz")
+
+    def replace(self, entry: Entry) -> int:
+        """End an entry host gracefully and start it again; return the exit code of the old."""
+        code = self.launcher.end(f"{entry.name}-{ROLE}")
+        self.start_again(entry)
+        return code
+
+    def start_again(self, entry: Entry) -> None:
+        """Start an entry host's process and wait until it takes callers."""
+        path = settings_path(self.folder, entry, ROLE)
+        self.launcher.start(
+            f"{entry.name}-{ROLE}", "toucanpin.daemon.main", ["--config", str(path)]
+        )
+        self.wait_ready(entry)
+
+    def kill(self, entry: Entry) -> None:
+        """End an entry host by SIGKILL."""
+        self.launcher.kill(f"{entry.name}-{ROLE}")
+
+    def signal(self, entry: Entry, number: signal.Signals) -> None:
+        """Send a signal to an entry host's process."""
+        self.launcher.send_signal(f"{entry.name}-{ROLE}", number)
+
+    def find_gone(self, observer: Entry) -> set[str]:
+        """Return the entry hosts that one doesn't count among the members any more."""
+        answer = urllib3.request("GET", f"{observer.operators(ROLE)}/v1/members", timeout=5.0)
+        members = msgspec.json.decode(answer.data)
+        there = {member["host"] for member in members if member["standing"] != "gone"}
+        return {entry.name for entry in self.topology.entries} - there
+
+    def count_executions(self) -> Counter[str]:
+        """Return how often each request ran, over all instances."""
+        totals: Counter[str] = Counter()
+        for instance in self.topology.instances:
+            answer = urllib3.request("GET", f"{instance.control}/executions", timeout=5.0)
+            totals.update(msgspec.json.decode(answer.data))
+        return totals
+
+    def count_over_slots(self) -> int:
+        """Return how often an instance had more requests than slots."""
+        answers = (
+            urllib3.request("GET", f"{instance.control}/counts", timeout=5.0)
+            for instance in self.topology.instances
+        )
+        return sum(msgspec.json.decode(answer.data)["over_slots"] for answer in answers)
+
+
+class Balancer:
+    """Send callers to the ready host with the fewest of them; readiness is learnt late."""
+
+    def __init__(self, entries: tuple[Entry, ...]) -> None:
+        self._ready: dict[Entry, bool] = dict.fromkeys(entries, True)
+        self._busy: Counter[Entry] = Counter()
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._threads = [threading.Thread(target=self._probe, args=(each,)) for each in entries]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop probing."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def take(self) -> Entry | None:
+        """Choose a host, None if none is ready."""
+        with self._lock:
+            ready = [entry for entry, is_ready in self._ready.items() if is_ready]
+            if not ready:
+                return None
+            chosen = min(ready, key=lambda entry: (self._busy[entry], entry.name))
+            self._busy[chosen] += 1
+            return chosen
+
+    def give_back(self, entry: Entry) -> None:
+        """Count a caller as gone."""
+        with self._lock:
+            self._busy[entry] -= 1
+
+    def _probe(self, entry: Entry) -> None:
+        while not self._stopped.wait(POLL_SECONDS):
+            status = 0
+            with suppress(urllib3.exceptions.HTTPError):
+                url = f"{entry.operators(ROLE)}/readyz"
+                status = urllib3.request("GET", url, timeout=PROBE_SECONDS, retries=False).status
+            self._ready[entry] = status == 200
+
+
+class Load:
+    """Keep callers asking, one request after another each, until stopped."""
+
+    def __init__(
+        self, balancer: Balancer, numbers: itertools.count, make: Callable, callers: int
+    ) -> None:
+        self.answered: list[Answered] = []
+        self._balancer = balancer
+        self._numbers = numbers
+        self._make = make
+        self._stopped = threading.Event()
+        self._threads = [threading.Thread(target=self._ask_on) for _ in range(callers)]
+        for thread in self._threads:
+            thread.start()
+
+    def wait_for(self, count: int, entry: Entry | None = None) -> None:
+        """Wait for so many more right answers, of one entry host or of all."""
+        before = self._count_right(entry)
+        wait_until(lambda: self._count_right(entry) >= before + count, "right answers")
+
+    def _count_right(self, entry: Entry | None) -> int:
+        return sum(
+            seen.whole and (entry is None or seen.entry == entry.name)
+            for seen in list(self.answered)
+        )
+
+    def stop(self) -> list[Answered]:
+        """Stop after the requests in flight and return what callers saw."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+        return self.answered
+
+    def _ask_on(self) -> None:
+        while not self._stopped.is_set():
+            entry = self._balancer.take()
+            if entry is None:
+                self._stopped.wait(POLL_SECONDS)
+                continue
+            try:
+                self.answered.append(ask(entry, self._make(next(self._numbers))))
+            finally:
+                self._balancer.give_back(entry)
--- /dev/null
+++ b/toucanpin/daemon/tests/test_entry_hosts.py
@@ -0,0 +1,119 @@
+"""Tests of failures of real entry hosts under load."""
+
+import itertools
+import signal
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from threading import Barrier
+
+from tools.demo.callers import Question
+from toucanpin.daemon.tests.entry_hosts import Balancer, EntryHosts, Load, ask, wait_until
+
+CALLERS = 4
+PAIRS = 20
+ANSWERS = 100
+VERDICTS = {"not-run", "may-have-run"}
+
+
+class EntryHostsTest(unittest.TestCase):
+    hosts: EntryHosts
+    numbers: "itertools.count[int]"
+
+    @classmethod
+    def setUpClass(cls):
+        cls.hosts = EntryHosts()
+        cls.addClassCleanup(cls.hosts.close)
+        cls.hosts.start()
+        cls.numbers = itertools.count(1)
+
+    def load(self):
+        balancer = Balancer(self.hosts.topology.entries)
+        self.addCleanup(balancer.stop)
+        load = Load(balancer, self.numbers, Question, CALLERS)
+        self.addCleanup(load.stop)
+        return load
+
+    def check_executions(self, answered):
+        """Check that nothing non-idempotent ran twice, and what was told ran as told."""
+        ran = self.hosts.count_executions()
+        for seen in answered:
+            count = ran[f"request-{seen.number}"]
+            if seen.whole:
+                self.assertGreaterEqual(count, 1, seen)
+            if seen.verdict == "not-run":
+                self.assertEqual(count, 0, seen)
+            if Question(seen.number).method == "POST":
+                self.assertLessEqual(count, 1, seen)
+        self.assertEqual(self.hosts.count_over_slots(), 0)
+
+    def test_a_runs_one_id_once_through_two_entry_hosts(self):
+        """
+        One caller gets the answer, the other a 409 "may have run"; the instances run it once.
+
+        A balancer sends one non-idempotent request through two entry hosts at the same time.  Only
+        the claim row in the platform's table can tell them apart.
+        """
+        entries = self.hosts.topology.entries
+        for at in range(PAIRS):
+            question = Question(100_001 + 2 * at)
+            barrier = Barrier(2)
+
+            def ask_together(entry, question=question, barrier=barrier):
+                barrier.wait()
+                return ask(entry, question)
+
+            pair = (entries[at % 3], entries[(at + 1) % 3])
+            with ThreadPoolExecutor(2) as pool:
+                answered = sorted(pool.map(ask_together, pair), key=lambda it: it.status)
+            self.assertEqual([it.status for it in answered], [200, 409])
+            self.assertTrue(answered[0].whole)
+            self.assertEqual(answered[1].verdict, "may-have-run")
+            self.check_executions(answered)
+
+    def test_b_loses_no_request_while_all_entry_hosts_are_replaced(self):
+        """
+        Every caller gets its right answer, though each entry host ends and starts again meanwhile.
+
+        A host that is told to end says first that it isn't ready, serves on while the balancer
+        learns of it and finishes what it has; a new one says that it is ready only with its slots.
+        """
+        load = self.load()
+        for entry in self.hosts.topology.entries:
+            load.wait_for(ANSWERS)
+            self.assertEqual(self.hosts.replace(entry), 0)
+            load.wait_for(ANSWERS, entry)
+        answered = load.stop()
+        self.assertEqual([seen for seen in answered if not seen.whole][:5], [])
+        self.check_executions(answered)
+
+    def test_c_answers_truly_while_one_entry_host_is_killed_and_one_frozen(self):
+        """
+        Callers get right answers or verdicts, but for those whose host is killed.
+
+        One host is killed and another is stopped at the same time.  Both are given up by the third,
+        which takes over their slots; the stopped one then wakes, with old shares and old requests.
+        Those who saw a broken connection ask again under the same id elsewhere.
+        """
+        awake, frozen, killed = self.hosts.topology.entries
+        load = self.load()
+        load.wait_for(ANSWERS)
+        self.hosts.kill(killed)
+        self.hosts.signal(frozen, signal.SIGSTOP)
+        self.addCleanup(self.hosts.signal, frozen, signal.SIGCONT)
+        both = {frozen.name, killed.name}
+        wait_until(lambda: self.hosts.find_gone(awake) == both, "both hosts given up")
+        load.wait_for(ANSWERS, awake)
+        self.hosts.signal(frozen, signal.SIGCONT)
+        load.wait_for(ANSWERS, frozen)
+        answered = load.stop()
+        broken = [seen for seen in answered if seen.status == 0 and not seen.verdict]
+        again = [ask(awake, Question(seen.number)) for seen in broken]
+        self.assertLessEqual({seen.entry for seen in broken}, {killed.name})
+        for seen in (*(it for it in answered if it not in broken), *again):
+            self.assertTrue(seen.whole or seen.verdict in VERDICTS, seen)
+        self.check_executions(answered)
+        self.check_executions(again)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/daemon/tests/test_front.py
+++ b/toucanpin/daemon/tests/test_front.py
@@ -1,11 +1,13 @@
 """Tests of the front with real sockets: whole answers, verdicts and streams."""
 
 import unittest
+from random import Random
 
-from toucanpin.bundles.schema import Service
+from toucanpin.bundles.schema import Bundle, Service
 from toucanpin.daemon.tests.front_harness import (
     SERVICE,
     FakeTable,
+    FakeView,
     ScriptedInstance,
     answer,
     call,
@@ -13,6 +15,8 @@
     make_front,
     send_raw,
 )
+from toucanpin.daemon.upstreams import Upstreams
+from toucanpin.platform.ports import HostRole, ListedHost
 
 
 class FrontTest(unittest.TestCase):
@@ -64,6 +68,25 @@
         front._upstreams.find = lambda name: None
         self.assertEqual(call(front, "/").reason, "not-ready")
 
+    def test_is_not_ready_before_the_services_of_its_bundle_are_set_up(self):
+        """
+        A balancer sends nothing to a process that would refuse all of it.
+
+        A process that just started learns of the bundle, and only at its next refresh of the
+        services in it.  Between the two it has none whose slots it would have to know.
+        """
+        bundle = Bundle("test", 1, (Service(SERVICE),))
+        view = FakeView(None, ("e1/request",))
+        hosts = (ListedHost("i", HostRole.INSTANCE, "casco", "r", "127.0.0.1", 1, False, SERVICE),)
+        upstreams = Upstreams(
+            "e1/request", "casco", 0.0, view, lambda: hosts, view, Random(1), places=8
+        )
+        upstreams.refresh(1.0)
+        view.bundle = bundle
+        self.assertFalse(upstreams.knows_shares(1.0))
+        upstreams.refresh(1.2)
+        self.assertTrue(upstreams.knows_shares(1.2))
+
     def test_hands_other_paths_to_mounted_applications(self):
         def app(environ, start_response):
             start_response("200 OK", [("Content-Length", "2")])
--- a/toucanpin/daemon/upstreams.py
+++ b/toucanpin/daemon/upstreams.py
@@ -99,7 +99,12 @@
         """
         if now - self._refreshed > PAUSE:
             return False
-        services = [service] if service else [e.state.service for e in self._entries.values()]
+        bundle = self._bundle.current()
+        if bundle is None or (bundle.services and not self._entries):
+            # The bundle is known a moment before its services are: with none to ask about, a
+            # process that had just started would call itself ready and refuse what it is sent.
+            return False
+        services = (service,) if service else bundle.services
         return all(self._book.owns(self._hold(each)) for each in services)
 
     def tick(self, now: float) -> None:
