--- a/toucanpin/interference/history.py
+++ b/toucanpin/interference/history.py
@@ -38,7 +38,3 @@
             if since <= instant:
                 return residents
         return None
-
-    def changed_within(self, start: float, end: float) -> bool:
-        """Tell whether the residents changed after ``start`` and not after ``end``."""
-        return any(start < since <= end for since, _ in self._entries)
