--- a/toucanpin/daemon/gossip.py
+++ b/toucanpin/daemon/gossip.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import threading
 import time
 from collections.abc import Callable
@@ -15,6 +14,7 @@
 import logbook
 
 from toucanpin.daemon.parts import EventSink
+from toucanpin.exception import WireError
 from toucanpin.membership.beat import Beat, Change, Record, Timing
 from toucanpin.membership.member import Member, Standing
 from toucanpin.membership.view import MAX_RECORDS, View
@@ -28,7 +28,6 @@
 BeatListener = Callable[[Member, int], None]
 
 RECEIVE_SECONDS = 0.25
-_STOP_SECONDS = 5.0
 
 _log = logbook.Logger("gossip")
 
@@ -74,6 +73,7 @@
         self._thread: threading.Thread | None = None
         self._socket: DatagramSocket | None = None
         self._listeners: list[BeatListener] = []
+        self._entry_hosts: Callable[[], frozenset[str]] = frozenset
         self.confirmed_age: Callable[[], int] = _know_nothing
         self.identity = Identity(
             deployment,
@@ -109,6 +109,10 @@
         """Call ``listener`` on each heartbeat, on the thread of the heartbeats."""
         self._listeners.append(listener)
 
+    def watch_hosts(self, entry_hosts: Callable[[], frozenset[str]]) -> None:
+        """Ask for the names of the platform's entry hosts at each round, empty while unknown."""
+        self._entry_hosts = entry_hosts
+
     def carry(self, bundle: int) -> None:
         """Stamp the version of the bundle in force on every message, and tell it at once."""
         with self._lock:
@@ -128,7 +132,7 @@
         """Tell the members that this process leaves, and release the port."""
         self._stopping.set()
         if self._thread is not None:
-            self._thread.join(max(grace, _STOP_SECONDS))
+            self._thread.join(grace)
         with self._lock:
             self._view.leave()
         self._send_round()
@@ -140,14 +144,21 @@
         due = time.monotonic()
         while not self._stopping.is_set():
             now = time.monotonic()
-            if now >= due:
-                self._tick(now)
-                due = now + self._timing.interval
-            self._receive(due - now)
+            # A fault in one heartbeat must not end this thread: the process would go silent, be
+            # removed by all others and never notice.
+            try:
+                if now >= due:
+                    due = now + self._timing.interval
+                    self._tick(now)
+                self._receive(due - now)
+            except Exception:
+                _log.exception("heartbeat failed")
 
     def _tick(self, now: float) -> None:
+        listed = self._entry_hosts()
         with self._lock:
             changes = self._view.tick(now)
+            self._view.excuse(listed)
         self._report(changes)
         self._send_round()
 
@@ -201,8 +212,15 @@
             self.confirmed_age(),
             tuple(_to_wire(record) for record in records),
         )
-        with contextlib.suppress(OSError):
+        try:
             channel.send(address, port, heartbeat)
+        except WireError:
+            if len(records) <= 1:
+                raise
+            # Long names make a datagram too large for all of its records.
+            half = len(records) // 2
+            self._send(address, port, digest, records[:half])
+            self._send(address, port, digest, records[half:])
 
     def _report(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
