Place, throttle and evict by interference in the control role

Cause: the policy of interference was built and measured, but the daemon placed by the tightest fit. Change: an adapter behind the seam of placement turns reports into views and samples; the seam is told the bundle in force and how long a task has waited. A faulty policy is kept from the turn, a throttle is repeated with each poll that is due, and the samples of renewals in between are learnt.

--- a/toucanpin/daemon/control.py
+++ b/toucanpin/daemon/control.py
@@ -28,8 +28,9 @@
     WorkerPoll,
 )
 from toucanpin.placement.controller import release_all, take_turn
+from toucanpin.placement.interfering import InterferingPlacement
 from toucanpin.placement.leases import Terms
-from toucanpin.placement.policy import Policy, TightestFit
+from toucanpin.placement.policy import Policy
 from toucanpin.placement.records import Life
 from toucanpin.placement.state import ControlState, Pace, View
 from toucanpin.platform.ports import HostList, ListedHost, Report, Table, WorkerFault, Workers
@@ -111,7 +112,8 @@
     ) -> None:
         """Connect the ports; nothing is asked before `start`."""
         life = Life(process, incarnation)
-        self.state = ControlState(life, terms or Terms(), pace or Pace(), policy or TightestFit())
+        advice = policy or InterferingPlacement()
+        self.state = ControlState(life, terms or Terms(), pace or Pace(), advice)
         self._table = table
         self._hosts = hosts
         self._members = members
--- a/toucanpin/placement/cells.py
+++ b/toucanpin/placement/cells.py
@@ -56,7 +56,8 @@
     lapsed: bool = True
     lives: dict[str, WorkerLife] = field(default_factory=dict)
     tasks: dict[tuple[str, int], TaskReport] = field(default_factory=dict)
-    shares: dict[str, float] = field(default_factory=dict)
+    shares: dict[tuple[str, int], float] = field(default_factory=dict)
+    unsent: set[tuple[str, int]] = field(default_factory=set)
     sampled: dict[str, float] = field(default_factory=dict)
     quarantined_at: float = 0.0
 
@@ -64,6 +65,11 @@
         """Return the bound of one incarnation."""
         return self.lives.setdefault(incarnation, WorkerLife())
 
+    def limit(self, task: str, attempt: int, share: float) -> None:
+        """Have an attempt limited to a share in the next poll and in each that is due later."""
+        self.shares[(task, attempt)] = share
+        self.unsent.add((task, attempt))
+
     def grant(self, until: float, terms: Terms) -> Grant:
         """Return the lease to grant now, and remember its end before it is sent."""
         if not self.incarnation:
@@ -79,6 +85,8 @@
         self.life(report.incarnation).reached = True
         self.lapsed = report.lapsed
         self.tasks = {(it.task, it.attempt): it for it in report.tasks}
+        self.shares = {key: it for key, it in self.shares.items() if key in self.tasks}
+        self.unsent &= self.shares.keys()
 
     def take_clock(self, report: Report, received: float) -> None:
         """Take in the worker's clock and incarnation."""
--- a/toucanpin/placement/controller.py
+++ b/toucanpin/placement/controller.py
@@ -48,7 +48,7 @@
         yield from absorb_reports(state, view)
         yield from reconcile_standing(state, view)
         drain_workers(state, view)
-        follow_policy(state, view)
+        yield from follow_policy(state, view)
         yield from place_tasks(state, view)
         yield from move_tasks(state, view)
         yield from fetch_payloads(state, view)
--- /dev/null
+++ b/toucanpin/placement/interfering.py
@@ -0,0 +1,171 @@
+"""
+Placement by interference
+=========================
+
+Adapts the policy of `toucanpin.interference` to the seam of placement: reports become views and
+samples, its actions become limits and evictions.  It does no input or output.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator, Sequence
+
+from toucanpin.bundles.schema import Bundle, Weights
+from toucanpin.interference import (
+    Avoid,
+    Budget,
+    Candidate,
+    InterferencePolicy,
+    KindUsage,
+    Resident,
+    SetShare,
+    Summary,
+    Tuning,
+)
+from toucanpin.interference import Evict as Move
+from toucanpin.placement.policy import Act, Evict, Limit
+from toucanpin.placement.records import CellRow, TaskRecord
+from toucanpin.placement.residency import HostNotes
+from toucanpin.platform.ports import Report
+
+__all__ = ["InterferingPlacement"]
+
+
+class InterferingPlacement:
+    """
+    Choose by what a task costs the services beside it; throttle and evict what harms them.
+
+    Workers whose services were never measured are filled tightest first.
+    """
+
+    def __init__(self, budget: Budget | None = None, tuning: Tuning | None = None) -> None:
+        self._tuning = tuning or Tuning()
+        self._learner = InterferencePolicy(Weights(), budget=budget, tuning=self._tuning)
+        self._usage = KindUsage()
+        self._hosts: dict[str, HostNotes] = {}
+        self._summaries: dict[str, Summary] = {}
+        self._evicted: dict[str, tuple[str, float]] = {}
+        self._now = 0.0
+
+    def prepare(self, now: float, bundle: Bundle | None, workers: Collection[str]) -> None:
+        """Take the weights in force, and forget hosts that are gone or of another owner."""
+        self._now = now
+        if bundle is not None:
+            self._learner.weights = bundle.weights
+        for host in [it for it in self._hosts if it not in workers]:
+            del self._hosts[host]
+            self._summaries.pop(host, None)
+            self._learner.forget_host(host)
+        self._evicted = {task: it for task, it in self._evicted.items() if now < it[1]}
+
+    def choose(
+        self, task: TaskRecord, workers: Sequence[str], cell: CellRow, waited: float
+    ) -> str | None:
+        """Return the worker to whose cost the task adds least, None if it had better wait."""
+        if not workers:
+            return None
+        candidate = Candidate(task.kind, self._estimate(task))
+        welcome = [it for it in workers if not self._keeps_off(it, task.task)]
+        # Standing and urgent tasks never wait, and no other waits for ever.
+        waits = not (task.standing or task.urgent or waited >= self._tuning.max_wait)
+        if waits and not welcome:
+            return None
+        allowed = welcome or workers
+        if not any(self._is_measured(it) for it in allowed):
+            return allowed[0]
+        scores = {it: self._score(it, candidate) for it in allowed}
+        best = min(scores, key=lambda name: scores[name])
+        harmful = self._is_measured(best) and not self._learner.accepts(scores[best], waited)
+        if waits and harmful:
+            return None
+        self._expect(best, task, candidate)
+        return best
+
+    def observe(self, now: float, report: Report, tasks: Sequence[TaskRecord]) -> None:
+        """Learn from a report who was there, what they used and what services measured."""
+        notes = self._hosts.get(report.worker)
+        if notes is None:
+            notes = self._hosts[report.worker] = HostNotes(report.worker)
+        notes.take_report(now, report, tasks, self._usage)
+        samples = list(notes.take_samples(now, report))
+        view = notes.view()
+        self._learner.observe(now, view)
+        self._learner.measure(now, view, samples)
+        self._summaries.pop(report.worker, None)
+
+    def act(self, now: float, cell: CellRow) -> tuple[Act, ...]:
+        """Return what follows from the reports that came since it was last asked."""
+        acts: list[Act] = []
+        for name in cell.workers:
+            notes = self._hosts.get(name)
+            if notes is not None and notes.changed:
+                notes.changed = False
+                acts.extend(self._act_on(now, notes))
+        return tuple(acts)
+
+    def _act_on(self, now: float, notes: HostNotes) -> Iterator[Act]:
+        """Yield the acts on one host."""
+        yield from (Limit(task, 1.0) for task in notes.returned)
+        yield from notes.remarks
+        notes.returned, notes.remarks = [], []
+        for action in list(self._learner.decide(now, notes.view())):
+            match action:
+                case Avoid(_, until):
+                    notes.avoided_until = until
+                case SetShare(task, share):
+                    yield from self._limit(now, notes, task, share)
+                case Move(task):
+                    self._evicted[task] = (notes.name, now + self._tuning.patience)
+                    yield Evict(task)
+        for it in notes.residents:
+            if it.batch:
+                yield from self._limit(now, notes, it.task)
+
+    def _limit(
+        self, now: float, notes: HostNotes, task: str, share: float | None = None
+    ) -> Iterator[Limit]:
+        """Yield the share of a task, at most its ceiling, if it isn't in force yet."""
+        known = notes.find(task)
+        if known is None:
+            return
+        known.wanted = known.wanted if share is None else share
+        bounded = min(known.wanted, known.ceiling)
+        if bounded != known.share:
+            known.share, known.changed_at = bounded, now
+            yield Limit(task, bounded)
+
+    def _estimate(self, task: TaskRecord) -> float:
+        """Return how many processors a task is expected to use."""
+        return self._usage.estimate(task.kind, task.size.processors)
+
+    def _keeps_off(self, worker: str, task: str) -> bool:
+        """Tell whether a host is avoided, or by this task because it was evicted there."""
+        notes = self._hosts.get(worker)
+        avoided = notes is not None and self._now < notes.avoided_until
+        host, until = self._evicted.get(task, ("", 0.0))
+        return avoided or (host == worker and self._now < until)
+
+    def _is_measured(self, worker: str) -> bool:
+        """Tell whether services were measured on a host not long ago."""
+        notes = self._hosts.get(worker)
+        return notes is not None and bool(notes.services())
+
+    def _score(self, worker: str, candidate: Candidate) -> float:
+        """Return what a task adds to the cost of a host."""
+        notes = self._hosts.get(worker)
+        if notes is None or not notes.services():
+            size = notes.processors if notes is not None else candidate.processors
+            return -self._learner.weights.throughput * candidate.processors / max(1.0, size)
+        if worker not in self._summaries:
+            self._summaries[worker] = self._learner.summarize(notes.expect())
+        return self._learner.score_summary(self._summaries[worker], candidate)
+
+    def _expect(self, worker: str, task: TaskRecord, candidate: Candidate) -> None:
+        """Count a chosen task at once, so that a whole turn's tasks don't crowd on one host."""
+        notes = self._hosts.get(worker)
+        if notes is None:
+            return
+        processors = candidate.processors
+        batch = not task.standing
+        notes.expected.append(Resident(task.task, task.task, task.kind, processors, batch=batch))
+        self._summaries.pop(worker, None)
--- a/toucanpin/placement/keepalive.py
+++ b/toucanpin/placement/keepalive.py
@@ -60,6 +60,15 @@
         match outcome:
             case Result(tag="ok", ok=Report() as report):
                 _take_clock(cell, link, asked.poll, report, answer.now)
+                _learn_samples(state, cell, link, report, answer.now)
+
+
+def _learn_samples(
+    state: ControlState, cell: Cell, link: WorkerLink, report: Report, now: float
+) -> None:
+    """Let the policy have the samples, which no later report repeats."""
+    if report.accepted and report.incarnation == link.incarnation:
+        state.policy.observe(now, report, cell.tasks_on(link.name))
 
 
 def _find_due(state: ControlState) -> Iterator[tuple[Cell, WorkerLink]]:
--- a/toucanpin/placement/placing.py
+++ b/toucanpin/placement/placing.py
@@ -26,7 +26,7 @@
     used_by_worker,
 )
 from toucanpin.placement.lifecycle import Change
-from toucanpin.placement.policy import Evict, Limit
+from toucanpin.placement.policy import Evict, Limit, Remark
 from toucanpin.placement.queue import CellShape, Quotas, Waiting
 from toucanpin.placement.records import TaskRecord, WorkerState
 from toucanpin.placement.state import ControlState, View
@@ -62,16 +62,28 @@
                 cell.ask_stop(record.task, StopReason.EVICT)
 
 
-def follow_policy(state: ControlState, view: View) -> None:
+def follow_policy(state: ControlState, view: View) -> Decision[None]:
     """Take over what the policy wants done to running tasks."""
+    owned = {name for cell in state.cells.values() for name in cell.row.workers}
+    state.policy.prepare(view.now, view.bundle, owned)
     for cell in state.cells.values():
         for act in state.policy.act(view.now, cell.row):
             record = cell.row.tasks.get(act.task)
             match act:
-                case Evict(task) if record is not None:
+                case Evict(task) if record is not None and not record.standing:
                     cell.ask_stop(task, StopReason.EVICT)
                 case Limit(task, share) if record is not None:
-                    cell.link(record.worker).shares[task] = share
+                    cell.link(record.worker).limit(task, record.attempt, share)
+                    yield _remark(cell, "task.throttle", task, f"{share:g}")
+                case Remark(kind, task, detail):
+                    yield _remark(cell, kind, task, detail)
+
+
+def _remark(cell: Cell, kind: str, task: str, detail: str) -> Note:
+    ids = {"cell": cell.name}
+    if task:
+        ids["task"] = task
+    return Note(kind, ids, detail)
 
 
 def count_teams(state: ControlState) -> dict[str, Size]:
@@ -141,7 +153,8 @@
         if not _may_place(cell, waiting, view.now) or not quotas.allows(record.team, record.size):
             continue
         found = _avoid_failed(record, index.candidates(record.size, CANDIDATES))
-        worker = state.policy.choose(record, found, cell.row)
+        waited = view.now - waiting.since
+        worker = state.policy.choose(record, found, cell.row, waited)
         if worker is None:
             if not found and _wants_reserve(state, waiting, view.now) and reserved == 0:
                 reserved += 1
--- a/toucanpin/placement/policy.py
+++ b/toucanpin/placement/policy.py
@@ -8,14 +8,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
+from toucanpin.bundles.schema import Bundle
 from toucanpin.placement.records import CellRow, TaskRecord
 from toucanpin.platform.ports import Report
 
-__all__ = ["Act", "Evict", "Limit", "Policy", "TightestFit"]
+__all__ = ["Act", "Evict", "Guarded", "Limit", "Policy", "Remark", "TightestFit"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,13 +34,28 @@
     share: float
 
 
-Act = Evict | Limit
+@dataclass(frozen=True, slots=True)
+class Remark:
+    """Put on the time line what was noticed, of a task if it is named."""
+
+    kind: str
+    task: str
+    detail: str
+
+
+Act = Evict | Limit | Remark
 
 
 class Policy(Protocol):
     """Choose workers and act on what they report."""
 
-    def choose(self, task: TaskRecord, workers: Sequence[str], cell: CellRow) -> str | None:
+    def prepare(self, now: float, bundle: Bundle | None, workers: Collection[str]) -> None:
+        """Take in, once a turn, the bundle in force and the workers of all owned cells."""
+        ...
+
+    def choose(
+        self, task: TaskRecord, workers: Sequence[str], cell: CellRow, waited: float
+    ) -> str | None:
         """Return one of the workers, tightest first, or None to let the task wait."""
         ...
 
@@ -55,7 +71,12 @@
 class TightestFit:
     """Choose the worker with the least room, and never act."""
 
-    def choose(self, task: TaskRecord, workers: Sequence[str], cell: CellRow) -> str | None:
+    def prepare(self, now: float, bundle: Bundle | None, workers: Collection[str]) -> None:
+        """Need nothing."""
+
+    def choose(
+        self, task: TaskRecord, workers: Sequence[str], cell: CellRow, waited: float
+    ) -> str | None:
         """Return the first, which has the least room."""
         return workers[0] if workers else None
 
@@ -65,3 +86,59 @@
     def act(self, now: float, cell: CellRow) -> tuple[Act, ...]:
         """Do nothing."""
         return ()
+
+
+class Guarded:
+    """
+    Keep the faults of a policy from the turn that asks it.
+
+    An exception would end the turn before its polls, and the next one too: no lease would be
+    renewed and every task here would stop, for the sake of advice.  Where the policy fails, the
+    tightest worker is taken and nothing is done; the first fault of each turn is remarked.
+    """
+
+    def __init__(self, policy: Policy) -> None:
+        self.policy = policy
+        self._fallback = TightestFit()
+        self._fault = ""
+
+    def prepare(self, now: float, bundle: Bundle | None, workers: Collection[str]) -> None:
+        """Take in the bundle in force and the workers."""
+        try:
+            self.policy.prepare(now, bundle, workers)
+        except Exception as error:
+            self._note(error)
+
+    def choose(
+        self, task: TaskRecord, workers: Sequence[str], cell: CellRow, waited: float
+    ) -> str | None:
+        """Return the policy's choice, or the tightest worker if it fails."""
+        try:
+            chosen = self.policy.choose(task, workers, cell, waited)
+        except Exception as error:
+            self._note(error)
+            return self._fallback.choose(task, workers, cell, waited)
+        return chosen if chosen in workers else None
+
+    def observe(self, now: float, report: Report, tasks: Sequence[TaskRecord]) -> None:
+        """Let the policy learn."""
+        try:
+            self.policy.observe(now, report, tasks)
+        except Exception as error:
+            self._note(error)
+
+    def act(self, now: float, cell: CellRow) -> tuple[Act, ...]:
+        """Return the policy's acts, or the remark that it failed."""
+        acts: tuple[Act, ...] = ()
+        try:
+            acts = self.policy.act(now, cell)
+        except Exception as error:
+            self._note(error)
+        if self._fault:
+            acts = (*acts, Remark("policy.fail", "", self._fault))
+            self._fault = ""
+        return acts
+
+    def _note(self, error: Exception) -> None:
+        """Remember the first fault until it is remarked."""
+        self._fault = self._fault or f"{type(error).__name__}: {error}"
--- a/toucanpin/placement/polling.py
+++ b/toucanpin/placement/polling.py
@@ -138,8 +138,12 @@
     state: ControlState, link: WorkerLink, record: TaskRecord, now: float
 ) -> Iterator[Order]:
     """Yield the throttle that was asked for and the checkpoint that is due."""
-    share = link.shares.pop(record.task, None)
-    if share is not None:
+    key = (record.task, record.attempt)
+    share = link.shares.get(key)
+    # No report tells which share is in force.  A throttle whose poll got lost would be believed by
+    # the policy for good, so it is repeated; a worker that has it already changes nothing.
+    if share is not None and (key in link.unsent or now >= link.next_poll):
+        link.unsent.discard(key)
         yield Throttle(record.task, record.attempt, share)
     due = link.sampled.setdefault(record.task, now + state.pace.checkpoint)
     if not record.standing and now >= due:
--- /dev/null
+++ b/toucanpin/placement/residency.py
@@ -0,0 +1,200 @@
+"""
+Residency
+=========
+
+What an owner learns of one worker from its reports for the policy of interference: who runs there
+at which share, how much of its declaration each task uses, and the late samples of services.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+from toucanpin.interference import HostView, KindUsage, Resident, Sample, ServiceLoad
+from toucanpin.placement.policy import Remark
+from toucanpin.placement.records import TaskRecord
+from toucanpin.platform.ports import Report, TaskReport, TaskState
+
+__all__ = ["AttemptNotes", "HostNotes"]
+
+MILLISECONDS = 1_000
+SERVICE_SPAN = 120.0
+SETTLE = 2.0
+SAVED_STEP = 60.0
+OUTGROWN = 1.5
+OUTGROWN_SAMPLES = 3
+OUTGROWN_SHARE = 0.5
+MIN_SHARE = 0.05
+
+
+@dataclass(slots=True)
+class AttemptNotes:
+    """
+    Remember of one attempt what was ordered and measured; times are on the owner's clock.
+
+    ``share`` is in force, ``wanted`` is what the policy asked for.  ``sampled_at`` is on the
+    worker's clock.  ``excess`` counts samples in a row far above the declaration; ``ceiling`` is
+    the highest share while it is so.
+    """
+
+    saved_at: float
+    share: float = 1.0
+    wanted: float = 1.0
+    changed_at: float = float("-inf")
+    checkpoint: str = ""
+    sampled_at: int = -1
+    excess: int = 0
+    ceiling: float = 1.0
+
+
+@dataclass(slots=True)
+class HostNotes:
+    """
+    Remember one worker.
+
+    ``residents`` are the batch and standing tasks that run by the last report, ``expected`` all
+    that will.
+    """
+
+    name: str
+    incarnation: str = ""
+    processors: int = 1
+    avoided_until: float = float("-inf")
+    changed: bool = False
+    residents: tuple[Resident, ...] = ()
+    expected: list[Resident] = field(default_factory=list)
+    attempts: dict[tuple[str, int], AttemptNotes] = field(default_factory=dict)
+    remarks: list[Remark] = field(default_factory=list)
+    returned: list[str] = field(default_factory=list)
+    _sampled: dict[str, int] = field(default_factory=dict)
+    _loads: dict[str, tuple[float, float]] = field(default_factory=dict)
+
+    def services(self) -> tuple[ServiceLoad, ...]:
+        """Return the services that were measured here not long ago."""
+        return tuple(ServiceLoad(name, load) for name, (load, _) in self._loads.items())
+
+    def view(self) -> HostView:
+        """Return the worker as it was reported."""
+        return HostView(self.name, self.processors, self.services(), self.residents)
+
+    def expect(self) -> HostView:
+        """Return the worker as it will be once everything committed there has started."""
+        return HostView(self.name, self.processors, self.services(), tuple(self.expected))
+
+    def find(self, task: str) -> AttemptNotes | None:
+        """Return the notes of the newest attempt of a task."""
+        found = [it for it in self.attempts if it[0] == task]
+        return self.attempts[max(found)] if found else None
+
+    def take_report(
+        self, now: float, report: Report, tasks: Sequence[TaskRecord], usage: KindUsage
+    ) -> None:
+        """Take in who runs and what it uses."""
+        self._note_life(report, tasks)
+        self.processors = max(1, report.size.processors)
+        self.changed = True
+        reported = {(it.task, it.attempt): it for it in report.tasks}
+        attempts: dict[tuple[str, int], AttemptNotes] = {}
+        residents = []
+        self.expected = []
+        for record in tasks:
+            key = (record.task, record.attempt)
+            it = reported.get(key)
+            if it is not None and it.state is not TaskState.RUNNING:
+                continue
+            notes = attempts[key] = self.attempts.get(key) or AttemptNotes(saved_at=now)
+            if it is not None:
+                self._measure_task(now, report, record, it, notes, usage)
+            resident = describe(now, record, notes, usage)
+            self.expected.append(resident)
+            if it is not None:
+                residents.append(resident)
+        self.attempts = attempts
+        self.residents = tuple(residents)
+
+    def _note_life(self, report: Report, tasks: Sequence[TaskRecord]) -> None:
+        """
+        Start anew with a worker, or life of it, that was not known.
+
+        An earlier owner may have throttled tasks here, and nothing tells by how much: without
+        being given back their shares they would stay throttled for good.
+        """
+        if report.incarnation == self.incarnation:
+            return
+        self.incarnation = report.incarnation
+        self.attempts = {}
+        self._sampled = {}
+        running = {it.task for it in report.tasks if it.state is TaskState.RUNNING}
+        self.returned = [it.task for it in tasks if it.task in running and not it.standing]
+
+    def take_samples(self, now: float, report: Report) -> Iterator[Sample]:
+        """Yield the samples that were not seen before, on the owner's clock."""
+        for it in sorted(report.samples, key=lambda sample: sample.sampled_at):
+            # Compared on the worker's own clock: the conversion moves by the time that a report
+            # takes, and a sample that came twice would count as a newer one.
+            if it.sampled_at <= self._sampled.get(it.service, -1):
+                continue
+            self._sampled[it.service] = it.sampled_at
+            self._loads[it.service] = (it.load, now)
+            at = convert(now, report, it.sampled_at)
+            yield Sample(self.name, it.service, at, it.latency_p99, it.load)
+        self._loads = {
+            name: (load, at) for name, (load, at) in self._loads.items() if now - at <= SERVICE_SPAN
+        }
+
+    def _measure_task(
+        self,
+        now: float,
+        report: Report,
+        record: TaskRecord,
+        it: TaskReport,
+        notes: AttemptNotes,
+        usage: KindUsage,
+    ) -> None:
+        """Learn from the usage of one attempt, unless it is known or older than its share."""
+        if it.checkpoint != notes.checkpoint:
+            notes.checkpoint, notes.saved_at = it.checkpoint, now
+        if it.sampled_at <= notes.sampled_at:
+            return
+        notes.sampled_at = it.sampled_at
+        if convert(now, report, it.sampled_at) < notes.changed_at + SETTLE:
+            return
+        usage.learn(record.kind, record.size.processors, notes.share, it.processors)
+        self._catch_outgrown(record, it, notes)
+
+    def _catch_outgrown(self, record: TaskRecord, it: TaskReport, notes: AttemptNotes) -> None:
+        """Remark a task that uses far more than it declared, and bound its share."""
+        # At a lower share it would use less; what it would take at a full one is compared.
+        processors = it.processors / notes.share / max(1, record.size.processors)
+        memory = it.memory / max(1, record.size.memory)
+        excess = max(processors, memory)
+        notes.excess = notes.excess + 1 if excess > OUTGROWN else 0
+        if notes.excess == 0:
+            notes.ceiling = 1.0
+        if notes.excess != OUTGROWN_SAMPLES:
+            return
+        notes.ceiling = max(MIN_SHARE, min(OUTGROWN_SHARE, 1.0 / excess))
+        detail = f"uses {it.processors:.1f} processors and {it.memory} MiB of memory"
+        declared = f"declared {record.size.processors} and {record.size.memory}"
+        self.remarks.append(Remark("task.outgrown", record.task, f"{detail}, {declared}"))
+
+
+def convert(now: float, report: Report, instant: int) -> float:
+    """Return an instant of the worker's clock on the owner's."""
+    return now - (report.clock - instant) / MILLISECONDS
+
+
+def describe(now: float, record: TaskRecord, notes: AttemptNotes, usage: KindUsage) -> Resident:
+    """Return a task as the policy sees it; rounded, so that small news make no new history."""
+    unsaved = (now - notes.saved_at) // SAVED_STEP * SAVED_STEP
+    processors = round(usage.estimate(record.kind, record.size.processors), 1)
+    return Resident(
+        record.task,
+        record.task,
+        record.kind,
+        processors,
+        notes.share,
+        batch=not record.standing,
+        unsaved=0.0 if record.standing else unsaved,
+    )
--- a/toucanpin/placement/state.py
+++ b/toucanpin/placement/state.py
@@ -15,7 +15,7 @@
 from toucanpin.placement.authority import Authority, Watch
 from toucanpin.placement.cells import Cell
 from toucanpin.placement.leases import Terms
-from toucanpin.placement.policy import Policy, TightestFit
+from toucanpin.placement.policy import Guarded, Policy, TightestFit
 from toucanpin.placement.queue import CellShape, name_cell, rank, shape_cells
 from toucanpin.placement.records import CellRow, Life, StandingRow
 from toucanpin.placement.writing import TableHealth
@@ -131,6 +131,7 @@
         self.authority = Authority(self.life, self.terms)
         self.watch = Watch(self.life, self.terms)
         self.health = TableHealth(self.pace.commits_each_turn)
+        self.policy = Guarded(self.policy)
 
     def in_turn(self, last: str) -> list[Cell]:
         """
