--- /dev/null
+++ b/toucanpin/placement/tests/test_interfering.py
@@ -0,0 +1,293 @@
+"""Tests of placement by interference: from late samples to throttles, evictions and resumption."""
+
+import unittest
+
+import msgspec
+
+from standins.faults import Effect
+from standins.work import Service
+from toucanpin.bundles.schema import Bundle, Weights
+from toucanpin.interference import Budget, Tuning
+from toucanpin.placement.interfering import InterferingPlacement
+from toucanpin.placement.policy import Guarded, TightestFit
+from toucanpin.placement.records import CellRow, JobState, TaskRecord
+from toucanpin.placement.residency import HostNotes
+from toucanpin.placement.tests.helpers import find_gaps
+from toucanpin.placement.tests.world import World
+from toucanpin.platform.ports import Report, Size, TaskReport, TaskState, UsageSample
+
+LAG = 8.0
+NOISE = 4.0
+PATIENCE = 20.0
+COOPERATIVE = Weights(2.0, 0.5, 0.2)
+
+
+def make_world(workers: int = 2, budget: Budget | None = None) -> World:
+    """Return a world whose one owner places by interference."""
+    world = World(workers=workers)
+    world.bundle = Bundle("test", 2, weights=COOPERATIVE)
+    for process in world.processes.values():
+        advise(process, budget)
+    return world
+
+
+def advise(process, budget: Budget | None = None) -> None:
+    """Let a process place by interference."""
+    policy = InterferingPlacement(budget, Tuning(patience=PATIENCE))
+    process.state.policy = Guarded(policy)
+
+
+def add_service(world: World, worker: str, kind: str = "k") -> None:
+    """Put a service beside the tasks of a worker, whose samples come late."""
+    core = world.cores[worker]
+    core.lag = int(LAG * 1000)
+    core.services = (Service("verify", 10.0, 0.8, ((kind, NOISE),)),)
+
+
+def watch(world: World, seconds: float) -> list[tuple[float, str, str]]:
+    """Run, and return when the policy acted, how and with what detail."""
+    seen = len(world.events)
+    acts = []
+    until = world.now + seconds
+    while world.now < until:
+        world.run(0.125)
+        for _, note in world.events[seen:]:
+            if note.kind in ("task.throttle", "task.evict", "task.outgrown", "policy.fail"):
+                acts.append((world.now, note.kind, note.detail))
+        seen = len(world.events)
+    return acts
+
+
+class PathTest(unittest.TestCase):
+    """Follow a noisy job beside a service from its first sample to its end."""
+
+    def setUp(self):
+        self.world = make_world(workers=1)
+        add_service(self.world, "w00")
+        self.world.run(20)
+        self.world.submit("a", processors=4, work=60_000)
+        self.world.run(2)
+        (self.record,) = self.world.cells()["s.r0"].tasks.values()
+        self.world.add_worker("w01", "r0")
+
+    def test_noisy_job_is_throttled_then_evicted_and_finishes_once(self):
+        """
+        The service's late samples show that the job harms it: the job is throttled, and as that
+        lasts, checkpointed and moved.  It resumes once, on the other host, from what it had done,
+        and its submitter gets one result.
+        """
+        acts = watch(self.world, 90)
+        kinds = [kind for _, kind, _ in acts]
+        self.assertEqual(kinds[0], "task.throttle")
+        self.assertEqual(kinds.count("task.evict"), 1)
+        self.world.settle(120)
+        (job,) = self.world.jobs().values()
+        runs = sorted(self.world.intervals()[self.record.task])
+        self.assertEqual((job.state, job.attempt), (JobState.FINISHED, 2))
+        self.assertEqual(len(runs), 2)
+        self.assertNotEqual(runs[0][2], runs[1][2])
+        # Half of the first run at most counts: the rest was at a low share.  Without the
+        # checkpoint of the eviction the second run would take the whole of the work again.
+        self.assertLess(runs[1][1] - runs[1][0], 55_000)
+
+    def test_nothing_is_done_twice_on_old_samples(self):
+        """
+        After each act on the host nothing more is done until a sample that was taken after it has
+        come, a whole lag later: what comes before still shows the host as it was.
+        """
+        times = sorted({at for at, *_ in watch(self.world, 90)})
+        self.assertGreater(len(times), 1)
+        waits = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+        self.assertGreaterEqual(min(waits), LAG)
+
+    def test_lost_throttle_is_repeated(self):
+        """
+        The service isn't harmed for long although the poll that carried the throttle got lost: the
+        share is ordered again with the next poll that is due.
+        """
+        world = self.world
+        core = world.cores[self.record.worker]
+        seen = len(world.events)
+        for _ in range(2_000):
+            world.pass_time(0.125)
+            world.processes["e0/control"].step()
+            if "task.throttle" in [note.kind for _, note in world.events[seen:]]:
+                break
+        world.fault(Effect.LOSE_BEFORE, "poll", times=2)
+        world.run(3)
+        world.heal()
+        (attempt,) = core._live()
+        self.assertLess(attempt.share, 1.0)
+
+
+class BudgetTest(unittest.TestCase):
+    """Bound evictions."""
+
+    def test_evictions_stay_within_the_budget(self):
+        """
+        Four noisy jobs would all be moved; no more are than the budget allows, and all finish once.
+        """
+        world = make_world(workers=1, budget=Budget(per_minute=1))
+        add_service(world, "w00")
+        world.run(20)
+        for number in range(4):
+            world.submit(str(number), processors=2, work=40_000)
+        world.run(2)
+        world.add_worker("w01", "r0")
+        evicted = [at for at, kind, _ in watch(world, 150) if kind == "task.evict"]
+        self.assertGreater(len(evicted), 1)
+        self.assertGreaterEqual(
+            min([60.0, *(b - a for a, b in zip(evicted, evicted[1:], strict=False))]), 59.0
+        )
+        world.settle(300)
+        self.assertEqual({it.state for it in world.jobs().values()}, {JobState.FINISHED})
+
+
+class FallbackTest(unittest.TestCase):
+    """Do without samples, and without a policy that works."""
+
+    def run_jobs(self, policy) -> list:
+        """Return what a world does under a policy."""
+        world = World(workers=3)
+        for process in world.processes.values():
+            process.state.policy = Guarded(policy)
+        world.run(2)
+        for number in range(12):
+            world.submit(str(number), processors=1 + number % 4, work=2_000)
+        world.run(10)
+        return [(note.kind, note.ids, note.detail) for _, note in world.events]
+
+    def test_workers_without_samples_are_filled_as_before(self):
+        """Every task goes to the same host in the same order as by the tightest fit."""
+        self.assertEqual(self.run_jobs(InterferingPlacement()), self.run_jobs(TightestFit()))
+
+    def test_faulty_policy_stops_no_renewal(self):
+        """
+        The encoder is heard without a gap and the job finishes, though every call of the policy
+        fails: leases are renewed, and the tightest host is taken.
+        """
+        world = World()
+        for process in world.processes.values():
+            process.state.policy = Guarded(FaultyPolicy())
+        world.set_standing(2, "enc")
+        world.run(2)
+        world.submit("a", work=3_000)
+        acts = watch(world, 20)
+        self.assertEqual(find_gaps(world, "enc"), [])
+        self.assertEqual(len(world.running("enc")), 1)
+        self.assertEqual(world.count_ended(), 1)
+        self.assertIn("policy.fail", [kind for _, kind, _ in acts])
+
+
+class FaultyPolicy:
+    """Fail at every call."""
+
+    def prepare(self, now, bundle, workers):
+        """Fail."""
+        raise ValueError("prepare")
+
+    def choose(self, task, workers, cell, waited):
+        """Fail."""
+        raise ValueError("choose")
+
+    def observe(self, now, report, tasks):
+        """Fail."""
+        raise ValueError("observe")
+
+    def act(self, now, cell):
+        """Fail."""
+        raise ValueError("act")
+
+
+class OutgrownTest(unittest.TestCase):
+    """Catch tasks that use far more than they declared."""
+
+    def test_task_that_outgrows_its_declaration_is_throttled(self):
+        """
+        A job that uses three times what it declared is named on the time line and held to a lower
+        share; what is committed stays by its declaration, and it finishes.
+        """
+        world = make_world(workers=1)
+        world.run(2)
+        world.submit("a", processors=2, work=6_000, use=3.0)
+        acts = watch(world, 30)
+        self.assertEqual([kind for _, kind, _ in acts][:2], ["task.outgrown", "task.throttle"])
+        self.assertEqual(world.count_ended(), 1)
+
+
+class ReportTest(unittest.TestCase):
+    """Take in late and doubled reports."""
+
+    SIZE = Size(8, 8_000)
+
+    def report(self, clock: int, running: tuple[str, ...], *samples: UsageSample) -> Report:
+        """Return a report with these running tasks."""
+        tasks = tuple(
+            TaskReport(it, 1, TaskState.RUNNING, 0, "", "", 4.0, 100, clock) for it in running
+        )
+        return Report("w", "1", clock, 1, True, False, self.SIZE, tasks, samples)
+
+    def record(self, task: str) -> TaskRecord:
+        """Return the record of a task whose kind is its name."""
+        return TaskRecord(task, task, "t", Size(4, 100), attempt=1, worker="w", incarnation="1")
+
+    def learn(self, policy: InterferingPlacement) -> None:
+        """Let one task be there for 30 s and another after it; samples come 20 s late."""
+        for second in range(80):
+            task = "noisy" if second < 30 else "quiet"
+            taken = second - 20
+            latency = 50.0 if 0 <= taken < 30 else 10.0
+            samples = [UsageSample("verify", taken * 1000, latency, 0.8)] if taken >= 0 else []
+            report = self.report(second * 1000, (task,), *samples)
+            policy.observe(500.0 + second, report, [self.record(task)])
+
+    def test_late_sample_is_charged_to_those_who_were_there(self):
+        """
+        The quiet job isn't blamed for samples that arrive while it runs and were taken before it
+        came: worker and owner share no clock, so instants are converted.
+        """
+        policy = InterferingPlacement()
+        self.learn(policy)
+        rise = policy._learner.estimator.rise
+        self.assertGreater(rise("verify", "noisy", 0.8), 2 * rise("verify", "quiet", 0.8))
+
+    def test_doubled_report_is_learnt_once(self):
+        """A sample that comes twice, the second time after a slower poll, counts once."""
+        notes = HostNotes("w")
+        sample = UsageSample("verify", 1_000, 50.0, 0.8)
+        first = list(notes.take_samples(500.0, self.report(2_000, (), sample)))
+        again = list(notes.take_samples(502.0, self.report(2_100, (), sample)))
+        self.assertEqual((len(first), len(again)), (1, 0))
+
+    def test_new_owner_gives_back_shares(self):
+        """
+        A job that an earlier owner throttled isn't slow for good: nobody tells the new owner by how
+        much, so it begins with the whole share.
+        """
+        policy = InterferingPlacement()
+        record = self.record("a")
+        policy.observe(1.0, self.report(1_000, ("a",)), [record])
+        cell = msgspec.convert(
+            {"epoch": 1, "owner": None, "workers": {}, "tasks": {}}, type=CellRow
+        )
+        cell = msgspec.structs.replace(cell, workers={"w": None}, tasks={"a": record})
+        (act,) = policy.act(1.0, cell)
+        self.assertEqual((act.task, act.share), ("a", 1.0))
+        self.assertEqual(policy.act(2.0, cell), ())
+
+    def test_standing_and_urgent_tasks_never_wait(self):
+        """An encoder takes the least bad host at once where a batch task of its kind waits."""
+        policy = InterferingPlacement()
+        self.learn(policy)
+        policy.prepare(600.0, Bundle("test", 2, weights=Weights(20.0, 0.1, 0.2)), {"w"})
+        record = self.record("noisy")
+        cell = CellRow(1, None, {}, {})
+        self.assertIsNone(policy.choose(record, ["w"], cell, 0.0))
+        for field in ("standing", "urgent"):
+            pressing = msgspec.structs.replace(record, **{field: True})
+            self.assertEqual(policy.choose(pressing, ["w"], cell, 0.0), "w")
+        self.assertEqual(policy.choose(record, ["w"], cell, 300.0), "w")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/placement/tests/world.py
+++ b/toucanpin/placement/tests/world.py
@@ -50,9 +50,9 @@
 ROUNDING = 2
 
 
-def describe_work(units: int, fail: Any = "never") -> str:
+def describe_work(units: int, fail: Any = "never", use: float = 1.0) -> str:
     """Return the payload of a task that works for so many milliseconds."""
-    return msgspec.json.encode(Work(work=units, input="x", fail=fail)).decode()
+    return msgspec.json.encode(Work(work=units, input="x", fail=fail, use=use)).decode()
 
 
 class Process:
@@ -251,10 +251,11 @@
     def submit(self, key: str, processors: int = 1, work: int = 1000, **fields):
         """Submit a job and return its status or refusal."""
         fail = fields.pop("fail", "never")
+        use = fields.pop("use", 1.0)
         memory = fields.pop("memory", 100)
         team = fields.pop("team", "t")
         request = Submission(
-            "k", team, processors, memory, payload=describe_work(work, fail), **fields
+            "k", team, processors, memory, payload=describe_work(work, fail, use), **fields
         )
         shapes = shape_cells(self.hosts)
         return self.drive(submit_job(request, key, shapes, self.bundle, self.now))
