--- a/toucanpin/placement/interfering.py
+++ b/toucanpin/placement/interfering.py
@@ -44,7 +44,6 @@
         self._usage = KindUsage()
         self._hosts: dict[str, HostNotes] = {}
         self._summaries: dict[str, Summary] = {}
-        self._evicted: dict[str, tuple[str, float]] = {}
         self._now = 0.0
 
     def prepare(self, now: float, bundle: Bundle | None, workers: Collection[str]) -> None:
@@ -56,7 +55,6 @@
             del self._hosts[host]
             self._summaries.pop(host, None)
             self._learner.forget_host(host)
-        self._evicted = {task: it for task, it in self._evicted.items() if now < it[1]}
 
     def choose(
         self, task: TaskRecord, workers: Sequence[str], cell: CellRow, waited: float
@@ -65,7 +63,7 @@
         if not workers:
             return None
         candidate = Candidate(task.kind, self._estimate(task))
-        welcome = [it for it in workers if not self._keeps_off(it, task.task)]
+        welcome = [it for it in workers if not self._is_avoided(it)]
         # Standing and urgent tasks never wait, and no other waits for ever.
         waits = not (task.standing or task.urgent or waited >= self._tuning.max_wait)
         if waits and not welcome:
@@ -115,7 +113,6 @@
                 case SetShare(task, share):
                     yield from self._limit(now, notes, task, share)
                 case Move(task):
-                    self._evicted[task] = (notes.name, now + self._tuning.patience)
                     yield Evict(task)
         for it in notes.residents:
             if it.batch:
@@ -138,12 +135,10 @@
         """Return how many processors a task is expected to use."""
         return self._usage.estimate(task.kind, task.size.processors)
 
-    def _keeps_off(self, worker: str, task: str) -> bool:
-        """Tell whether a host is avoided, or by this task because it was evicted there."""
+    def _is_avoided(self, worker: str) -> bool:
+        """Tell whether nothing more is placed on a host for a while."""
         notes = self._hosts.get(worker)
-        avoided = notes is not None and self._now < notes.avoided_until
-        host, until = self._evicted.get(task, ("", 0.0))
-        return avoided or (host == worker and self._now < until)
+        return notes is not None and self._now < notes.avoided_until
 
     def _is_measured(self, worker: str) -> bool:
         """Tell whether services were measured on a host not long ago."""
