Give the tool one way to operators' HTTP, with tokens and TLS

The settings tls.* were checked and used nowhere. `toucanpin top` failed at every call: its two options wrote into one argument.

Answers that aren't what they should be end with code 4 in place of a traceback. `timeline` exited with 3 for a source that it could not read, which is the code for a conflict elsewhere; it is 4 now, as for everything that was not reached. Its test asks for that code instead.

Operators' HTTP speaks TLS. cheroot shakes hands on the accepting thread; here the handshake advances as bytes come, without waiting, and a worker gets a connection only once its request has begun. Ruled out: the handshake on worker threads, since four silent peers hold all four; a shorter timeout on accepting, since peers in a row add up.

Not covered: a peer that trickles a request's head holds one of four threads until the server's timeout; more than 512 silent connections at a time keep others out for 10 s.

--- a/toucanpin/cli/bundle.py
+++ b/toucanpin/cli/bundle.py
@@ -17,6 +17,7 @@
 
 from toucanpin.bundles.canonical import digest, encode_bundle
 from toucanpin.bundles.difference import compare_bundles
+from toucanpin.cli.access import optional_url_option, url_option
 from toucanpin.cli.exits import ExitCode
 from toucanpin.cli.files import (
     existing_file,
@@ -25,8 +26,8 @@
     read_signed,
     unpack_bundle,
 )
-from toucanpin.cli.http import ask, ask_json, fail
-from toucanpin.cli.output import Form, output_option, show, url_option
+from toucanpin.cli.http import ask, fail, read
+from toucanpin.cli.output import Form, output_option, show
 from toucanpin.cli.signing import keys, sign
 from toucanpin.daemon.bundles import BundleStatus
 from toucanpin.daemon.submission import Force, History, SubmitAnswer, SubmitRequest
@@ -91,7 +92,7 @@
 @bundle.command()
 @file_argument
 @click.option("--against", type=existing_file, help="Older bundle; the one in force if not given.")
-@click.option("--operators", "url", envvar="TOUCANPIN_OPERATORS", metavar="URL")
+@optional_url_option
 @output_option
 def diff(file: Path, against: Path | None, url: str | None, form: str) -> None:
     """
@@ -152,7 +153,7 @@
 @output_option
 def status(url: str, form: str) -> None:
     """Show the bundle in force and where it is."""
-    own = msgspec.convert(ask_json("GET", f"{url}/v1/bundle"), BundleStatus)
+    own = read(f"{url}/v1/bundle", BundleStatus)
     force = _read_force(url)
     if Form(form) is Form.TABLE:
         age = "never" if own.confirmed_age is None else f"{own.confirmed_age:.1f} s ago"
@@ -169,7 +170,7 @@
 @output_option
 def history(limit: int, url: str, form: str) -> None:
     """List the accepted versions, the newest first."""
-    answer = msgspec.convert(ask_json("GET", f"{url}/v1/bundle/history?limit={limit}"), History)
+    answer = read(f"{url}/v1/bundle/history?limit={limit}", History)
     rows = [
         (each.version, each.digest[:_DIGITS_SHOWN], each.operator, _show_time(each.accepted_at))
         for each in answer.versions
@@ -202,7 +203,7 @@
 
 
 def _read_force(url: str) -> Force:
-    return msgspec.convert(ask_json("GET", f"{url}/v1/bundle/force"), Force)
+    return read(f"{url}/v1/bundle/force", Force)
 
 
 def _describe(answer: SubmitAnswer) -> str:
--- a/toucanpin/cli/drain.py
+++ b/toucanpin/cli/drain.py
@@ -12,8 +12,9 @@
 
 import click
 
+from toucanpin.cli.access import url_option
 from toucanpin.cli.http import ask_json
-from toucanpin.cli.output import output_option, show, url_option
+from toucanpin.cli.output import output_option, show
 
 __all__ = ["drain"]
 
--- a/toucanpin/cli/files.py
+++ b/toucanpin/cli/files.py
@@ -20,7 +20,7 @@
 from toucanpin.bundles.schema import Bundle
 from toucanpin.bundles.signature import KeyRing, SignedBundle, SignedRing, parse_ring
 from toucanpin.cli.exits import ExitCode
-from toucanpin.cli.http import ask_json, fail
+from toucanpin.cli.http import fail, read
 from toucanpin.cli.keys import PrivateKey, load_key
 from toucanpin.daemon.bundles import BundleStatus
 from toucanpin.exception import BundleError
@@ -82,7 +82,7 @@
 
 def read_in_force(url: str) -> SignedBundle | None:
     """Ask a process for the bundle in force."""
-    status = msgspec.convert(ask_json("GET", f"{url}/v1/bundle"), BundleStatus)
+    status = read(f"{url}/v1/bundle", BundleStatus)
     return None if status.record is None else status.record.signed
 
 
--- a/toucanpin/cli/job.py
+++ b/toucanpin/cli/job.py
@@ -17,12 +17,13 @@
 import click
 import msgspec
 
+from toucanpin.cli.access import callers_option
 from toucanpin.cli.exits import ExitCode
-from toucanpin.cli.http import ask, ask_json, fail
+from toucanpin.cli.http import ask, ask_json, convert, fail, read
 from toucanpin.cli.output import output_option, show
 from toucanpin.placement.submission import JobStatus, StandingStatus
 
-__all__ = ["job", "standing"]
+__all__ = ["STANDING_COLUMNS", "job", "standing"]
 
 POLL_SECONDS = 0.5
 OK = 200
@@ -30,15 +31,6 @@
 JOB_COLUMNS = ("job", "state", "kind", "team", "attempt", "evictions", "failures", "host", "reason")
 STANDING_COLUMNS = ("task", "state", "cell", "host", "attempt")
 
-callers_option = click.option(
-    "--callers",
-    "url",
-    envvar="TOUCANPIN_CALLERS",
-    required=True,
-    metavar="URL",
-    help="Callers' HTTP of any entry host, such as http://127.0.1.1:8080.",
-)
-
 
 @click.group()
 def job() -> None:
@@ -65,7 +57,7 @@
     except msgspec.DecodeError as error:
         fail(f"{file.name}: is not JSON: {error}", ExitCode.USAGE)
     answer = ask_json("POST", f"{url}/v1/jobs", submission, {"Idempotency-Key": key})
-    _show_jobs(form, [msgspec.convert(answer, JobStatus)])
+    _show_jobs(form, [convert(answer, JobStatus)])
 
 
 @job.command()
@@ -90,8 +82,7 @@
     """List jobs."""
     chosen = {"team": team, "kind": kind, "state": state, "limit": limit}
     query = urllib.parse.urlencode({name: value for name, value in chosen.items() if value})
-    answer = ask_json("GET", f"{url}/v1/jobs?{query}")
-    _show_jobs(form, msgspec.convert(answer, list[JobStatus]))
+    _show_jobs(form, read(f"{url}/v1/jobs?{query}", list[JobStatus]))
 
 
 @job.command()
@@ -145,15 +136,14 @@
 @output_option
 def standing(url: str, form: str) -> None:
     """Show the standing tasks that the bundle in force wants, and where they run."""
-    found = msgspec.convert(ask_json("GET", f"{url}/v1/standing"), list[StandingStatus])
+    found = read(f"{url}/v1/standing", list[StandingStatus])
     rows = (tuple(getattr(one, column) for column in STANDING_COLUMNS) for one in found)
     show(form, STANDING_COLUMNS, rows, found)
 
 
 def _read_job(url: str, name: str) -> JobStatus:
     """Read one job's state."""
-    answer = ask_json("GET", f"{url}/v1/jobs/{urllib.parse.quote(name, safe='')}")
-    return msgspec.convert(answer, JobStatus)
+    return read(f"{url}/v1/jobs/{urllib.parse.quote(name, safe='')}", JobStatus)
 
 
 def _show_jobs(form: str, jobs: list[JobStatus]) -> None:
--- a/toucanpin/cli/output.py
+++ b/toucanpin/cli/output.py
@@ -16,7 +16,7 @@
 from rich.console import Console
 from rich.table import Table
 
-__all__ = ["Form", "output_option", "show", "url_option"]
+__all__ = ["Form", "output_option", "show"]
 
 PLAIN_WIDTH = 200
 
@@ -37,15 +37,6 @@
     help="Readable table, or JSON for scripts.",
 )
 
-url_option = click.option(
-    "--operators",
-    "url",
-    envvar="TOUCANPIN_OPERATORS",
-    required=True,
-    metavar="URL",
-    help="Operators' HTTP of any process, such as http://127.0.1.1:9080.",
-)
-
 
 def show(form: str, columns: Sequence[str], rows: Iterable[Sequence[Any]], value: Any) -> None:
     """Print rows as a table, or the whole value as JSON."""
--- a/toucanpin/cli/signing.py
+++ b/toucanpin/cli/signing.py
@@ -14,6 +14,7 @@
 
 from toucanpin.bundles.record import encode_signed
 from toucanpin.bundles.signature import SignedRing, encode_ring, sign_bundle, sign_ring
+from toucanpin.cli.access import optional_url_option
 from toucanpin.cli.exits import ExitCode
 from toucanpin.cli.files import (
     existing_file,
@@ -51,13 +52,7 @@
     type=existing_file,
     help="Signed key ring to carry along, made by 'keys sign'.",
 )
-@click.option(
-    "--operators",
-    "url",
-    envvar="TOUCANPIN_OPERATORS",
-    metavar="URL",
-    help="Operators' HTTP of a process, from which earlier key rings are taken.",
-)
+@optional_url_option
 @out_option
 def sign(
     file: Path,
--- a/toucanpin/cli/status.py
+++ b/toucanpin/cli/status.py
@@ -13,10 +13,12 @@
 
 import click
 import msgspec
+from expression import Result
 
+from toucanpin.cli.access import ca_option, url_option
 from toucanpin.cli.exits import ExitCode
-from toucanpin.cli.http import Answer, ask, ask_json
-from toucanpin.cli.output import output_option, show, url_option
+from toucanpin.cli.http import Answer, Unreached, ask_json, send
+from toucanpin.cli.output import output_option, show
 from toucanpin.daemon.reading import read_settings
 from toucanpin.daemon.settings import Settings
 from toucanpin.exception import SettingsError
@@ -72,6 +74,7 @@
 
 @click.command()
 @click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@ca_option
 @output_option
 def doctor(files: tuple[Path, ...], form: str) -> None:
     """
@@ -104,32 +107,30 @@
 
 def _examine_process(file: Path, settings: Settings) -> Iterator[Finding]:
     """Yield what the process says of itself."""
-    url = f"http://{settings.listen.operators}"
-    answer = _try(f"{url}/readyz")
-    if answer is None:
-        yield Finding(str(file), "process", f"{url} is out of reach", "start it; read its log")
-    elif answer.status != READY:
-        reasons = answer.body.decode().strip().replace("\n", "; ")
-        yield Finding(
-            str(file), "ready", reasons, "wait; if it stays, check the table and the peers"
-        )
-    else:
-        yield Finding(str(file), "ready", "ready")
+    scheme = "http" if settings.tls.certificate is None else "https"
+    url = f"{scheme}://{settings.listen.operators}"
+    match _probe(f"{url}/readyz"):
+        case Result(tag="ok", ok=answer) if answer.status == READY:
+            yield Finding(str(file), "ready", "ready")
+        case Result(tag="ok", ok=answer):
+            reasons = answer.body.decode(errors="replace").strip().replace("\n", "; ")
+            remedy = "wait; if it stays, check the table and the peers"
+            yield Finding(str(file), "ready", reasons, remedy)
+        case Result(error=fault):
+            yield Finding(str(file), "process", fault.detail, "start it; read its log; see --ca")
 
 
 def _examine_platform(file: Path, settings: Settings) -> Iterator[Finding]:
     """Yield whether the platform's services can be reached from here."""
     platform = settings.platform
     for name, url in (("table", platform.table), ("objects", platform.objects)):
-        if _try(url) is None:
-            yield Finding(str(file), name, f"{url} is out of reach", "check the platform's service")
-        else:
-            yield Finding(str(file), name, "reached")
+        match _probe(url):
+            case Result(tag="ok"):
+                yield Finding(str(file), name, "reached")
+            case Result(error=fault):
+                yield Finding(str(file), name, fault.detail, "check the platform's service")
 
 
-def _try(url: str) -> Answer | None:
-    """Ask a URL, None if nothing answers."""
-    try:
-        return ask("GET", url, timeout=PROBE_SECONDS)
-    except SystemExit:
-        return None
+def _probe(url: str) -> Result[Answer, Unreached]:
+    """Ask a URL and wait a short time only."""
+    return send("GET", url, timeout=PROBE_SECONDS)
--- a/toucanpin/cli/timeline.py
+++ b/toucanpin/cli/timeline.py
@@ -12,8 +12,11 @@
 from pathlib import Path
 
 import click
-import urllib3
+from expression import Result
 
+from toucanpin.cli.access import ca_option, token_option, trust_url
+from toucanpin.cli.exits import ExitCode
+from toucanpin.cli.http import send
 from toucanpin.platform.http import HttpObjects
 from toucanpin.platform.ports import Objects
 from toucanpin.timeline.codec import decode_lines, encode_lines
@@ -24,12 +27,10 @@
 from toucanpin.timeline.merge import keep_events, merge
 from toucanpin.timeline.text import render_text
 
-__all__ = ["EXIT_INCOMPLETE", "Unfetched", "fetch_process", "gather_objects", "timeline"]
+__all__ = ["Unfetched", "fetch_process", "gather_objects", "timeline"]
 
 PATH = "/v1/timeline"
 PREFIX = "timeline/"
-EXIT_INCOMPLETE = 3
-_TIMEOUT = urllib3.Timeout(connect=2.0, read=10.0)
 _HTTP_OK = 200
 
 
@@ -44,19 +45,17 @@
 Item = Event | Unreadable | Unfetched
 
 
-def fetch_process(http: urllib3.PoolManager, url: str) -> Iterator[Item]:
+def fetch_process(url: str) -> Iterator[Item]:
     """Yield the events that one process still holds."""
     address = url.rstrip("/")
     address = address if address.endswith(PATH) else address + PATH
-    try:
-        answer = http.request("GET", address, timeout=_TIMEOUT, retries=False)
-    except urllib3.exceptions.HTTPError as error:
-        yield Unfetched(url, str(error))
-        return
-    if answer.status != _HTTP_OK:
-        yield Unfetched(url, f"answered with status {answer.status}")
-        return
-    yield from decode_lines(url, answer.data)
+    match send("GET", address):
+        case Result(tag="ok", ok=answer) if answer.status == _HTTP_OK:
+            yield from decode_lines(url, answer.body)
+        case Result(tag="ok", ok=answer):
+            yield Unfetched(url, f"answered with status {answer.status}")
+        case Result(error=fault):
+            yield Unfetched(url, fault.detail)
 
 
 def gather_objects(objects: Objects, prefix: str = PREFIX) -> Iterator[Item]:
@@ -75,13 +74,29 @@
             yield from decode_lines(name, found.ok)
 
 
+def _take_sources(
+    context: click.Context, parameter: click.Parameter, values: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Check the URLs of the processes."""
+    return tuple(trust_url(value) for value in values)
+
+
 @click.command(epilog="""\b
 Examples:
   toucanpin timeline --from http://127.0.0.11:8080 --from http://127.0.0.12:8080
   toucanpin timeline --store http://127.0.0.2:9000 --job render-1
   toucanpin timeline --store http://127.0.0.2:9000 --kind task --picture lanes.html
 """)
-@click.option("--from", "urls", multiple=True, metavar="URL", help="Ask this process; repeatable.")
+@click.option(
+    "--from",
+    "urls",
+    multiple=True,
+    metavar="URL",
+    callback=_take_sources,
+    help="Ask this process; repeatable.",
+)
+@token_option
+@ca_option
 @click.option("--store", metavar="URL", help="Read what processes left in this object store.")
 @click.option("--request", default="", help="Show only this request.")
 @click.option("--job", default="", help="Show only this job.")
@@ -116,7 +131,7 @@
     """
     Show what happened, over all processes and in causal order.
 
-    Exits with 3 if a source could not be read; what the others told is still shown.
+    Exits with 4 if a source could not be read; what the others told is still shown.
     """
     if not urls and store is None:
         raise click.UsageError("name at least one --from or --store")
@@ -130,14 +145,13 @@
     for fault in missing:
         click.echo(f"{fault.source}: not read: {fault.detail}", err=True)
     if missing:
-        raise click.exceptions.Exit(EXIT_INCOMPLETE)
+        raise click.exceptions.Exit(ExitCode.UNCERTAIN)
 
 
 def _gather(urls: tuple[str, ...], store: str | None) -> Iterator[Item]:
     """Yield what every source tells."""
-    http = urllib3.PoolManager()
     for url in urls:
-        yield from fetch_process(http, url)
+        yield from fetch_process(url)
     if store is not None:
         yield from gather_objects(_open_objects(store))
 
--- a/toucanpin/cli/top.py
+++ b/toucanpin/cli/top.py
@@ -12,14 +12,13 @@
 from collections.abc import Iterator, Sequence
 
 import click
-import msgspec
 from rich.console import Console, Group, RenderableType
 from rich.live import Live
 from rich.table import Table
 
-from toucanpin.cli.http import ask_json
-from toucanpin.cli.job import STANDING_COLUMNS, callers_option
-from toucanpin.cli.output import url_option
+from toucanpin.cli.access import both_urls_option
+from toucanpin.cli.http import read
+from toucanpin.cli.job import STANDING_COLUMNS
 from toucanpin.membership.member import Member
 from toucanpin.placement.submission import JobStatus, StandingStatus
 
@@ -30,8 +29,7 @@
 
 
 @click.command()
-@url_option
-@callers_option
+@both_urls_option
 @click.option("--every", type=float, default=1.0, show_default=True, help="Seconds.")
 @click.option("--rounds", type=int, help="End after so many pictures.")
 def top(url: str, callers: str, every: float, rounds: int | None) -> None:
@@ -59,9 +57,9 @@
 
 def _draw(url: str, callers: str) -> RenderableType:
     """Read everything once and draw it."""
-    members = msgspec.convert(ask_json("GET", f"{url}/v1/members"), list[Member])
-    standing = msgspec.convert(ask_json("GET", f"{callers}/v1/standing"), list[StandingStatus])
-    jobs = msgspec.convert(ask_json("GET", f"{callers}/v1/jobs?limit=10000"), list[JobStatus])
+    members = read(f"{url}/v1/members", list[Member])
+    standing = read(f"{callers}/v1/standing", list[StandingStatus])
+    jobs = read(f"{callers}/v1/jobs?limit=10000", list[JobStatus])
     states = Counter(job.state for job in jobs)
     processes = [(m.name, m.site, m.standing.value, m.bundle) for m in members]
     tasks = [tuple(getattr(one, column) for column in STANDING_COLUMNS) for one in standing]
--- a/toucanpin/daemon/operators.py
+++ b/toucanpin/daemon/operators.py
@@ -12,12 +12,14 @@
 from typing import Any
 
 import msgspec
-from cheroot import wsgi
 
 from toucanpin import __version__
 from toucanpin.daemon.endpoint import Endpoint
+from toucanpin.daemon.operators_server import OperatorsServer, PatientAdapter
 from toucanpin.daemon.parts import WsgiApp
+from toucanpin.daemon.settings import Tls
 from toucanpin.daemon.web import StartResponse, answer_json, answer_text, mount_apps
+from toucanpin.exception import SettingsError
 
 __all__ = ["Operators", "Probe", "ProcessState", "make_probe_apps"]
 
@@ -43,14 +45,24 @@
 
     __slots__ = ("_server", "_thread")
 
-    def __init__(self, endpoint: Endpoint, apps: Mapping[str, WsgiApp]) -> None:
-        """Prepare to serve the mounted applications."""
-        self._server = wsgi.Server(
+    def __init__(
+        self, endpoint: Endpoint, apps: Mapping[str, WsgiApp], tls: Tls | None = None
+    ) -> None:
+        """Prepare to serve the mounted applications, over TLS if a certificate is set."""
+        self._server = OperatorsServer(
             (endpoint.address, endpoint.port), mount_apps(apps), numthreads=THREADS
         )
+        if tls is not None and tls.certificate is not None:
+            self._server.ssl_adapter = _make_adapter(tls)
         self._server.server_name = f"toucanpind/{__version__}"
         self._thread = threading.Thread(target=self._server.serve, name="operators", daemon=True)
 
+    @property
+    def port(self) -> int:
+        """Return the port that is bound, which differs from the setting if that is 0."""
+        port: int = self._server.bind_addr[1]
+        return port
+
     def start(self) -> None:
         """Bind and serve."""
         self._server.prepare()
@@ -63,6 +75,14 @@
         self._thread.join(grace)
 
 
+def _make_adapter(tls: Tls) -> PatientAdapter:
+    """Load the certificate and its key."""
+    try:
+        return PatientAdapter(tls.certificate, tls.key)
+    except (OSError, ValueError) as error:
+        raise SettingsError((f"tls: certificate or key can't be used: {error}",)) from error
+
+
 def make_probe_apps(not_ready: Probe, state: Callable[[], ProcessState]) -> dict[str, WsgiApp]:
     """Build the applications that answer liveness, readiness and state."""
 
--- a/toucanpin/daemon/root.py
+++ b/toucanpin/daemon/root.py
@@ -27,7 +27,7 @@
 from toucanpin.daemon.metrics import Metrics
 from toucanpin.daemon.operators import Operators, ProcessState, make_probe_apps
 from toucanpin.daemon.parts import Part, WsgiApp
-from toucanpin.daemon.settings import Settings
+from toucanpin.daemon.settings import Settings, Tls
 from toucanpin.daemon.standstill import StandstillCalls
 from toucanpin.daemon.submission import make_bundle_apps
 from toucanpin.daemon.timeline import TimelineStreamer, timeline_app
@@ -166,7 +166,9 @@
             inner.address, inner.port, self.gossip.identity, self.peer_keys, self.handlers
         )
         streamer = TimelineStreamer(self.recorder, self.objects, random.Random())
-        operators = Operators(parse_endpoint(self.settings.listen.operators), self._guard())
+        operators = Operators(
+            parse_endpoint(self.settings.listen.operators), self._guard(), self._find_tls()
+        )
         self._measure()
         parts: tuple[Part, ...] = (
             streamer,
@@ -229,6 +231,13 @@
         self.control = control
         self.roles.append(control)
 
+    def _find_tls(self) -> Tls:
+        """Return the files for operators' TLS, found from the settings' folder."""
+        tls = self.settings.tls
+        if tls.certificate is None or tls.key is None:
+            return tls
+        return Tls(certificate=str(self.folder / tls.certificate), key=str(self.folder / tls.key))
+
     def _guard(self) -> dict[str, WsgiApp]:
         """Mount the operators' applications, behind their tokens if any are set."""
         apps = {
--- a/toucanpin/daemon/settings.py
+++ b/toucanpin/daemon/settings.py
@@ -138,9 +138,15 @@
 
 
 class Tls(msgspec.Struct, frozen=True, kw_only=True):
-    """Certificate for callers and operators; plain HTTP if unset."""
+    """
+    Certificate for operators' HTTP; plain HTTP if unset.
 
-    certificate: Annotated[str | None, Meta(description="certificate chain, PEM")] = None
+    Callers' TLS ends at the platform's balancer.
+    """
+
+    certificate: Annotated[
+        str | None, Meta(description="certificate chain of operators' HTTP, PEM")
+    ] = None
     key: Annotated[str | None, Meta(description="private key, PEM, readable by its owner only")] = (
         None
     )
