Show each process on a read-only status page

Cause: operators had no picture of a process without the tool.

Change: GET / on operators' HTTP answers one page of HTML without scripts or outside resources, which asks again every 5 s: process, reasons of not being ready, counts, members with their bundles, hosts, and for control roles the cells owned. Every name is escaped, and a Content-Security-Policy lets the browser run and fetch nothing. Unknown paths are still refused, as the page is mounted at the root.

Seen red: escaping of cells, then of reasons left out (a script tag on the page), check of the path left out (200 for an unknown path); each failed its test.

Not tried in a browser: none is installed here. 5 tests green.

--- a/toucanpin/daemon/root.py
+++ b/toucanpin/daemon/root.py
@@ -26,6 +26,7 @@
 from toucanpin.daemon.jobs import JobsApp
 from toucanpin.daemon.metrics import Metrics
 from toucanpin.daemon.operators import Operators, ProcessState, make_probe_apps
+from toucanpin.daemon.page import Page, make_page_app, show_cells
 from toucanpin.daemon.parts import Part, WsgiApp
 from toucanpin.daemon.settings import Settings, Tls
 from toucanpin.daemon.standstill import StandstillCalls
@@ -241,6 +242,7 @@
     def _guard(self) -> dict[str, WsgiApp]:
         """Mount the operators' applications, behind their tokens if any are set."""
         apps = {
+            "/": make_page_app(self._read_page),
             **make_probe_apps(self._find_unready, self._show_state),
             **make_bundle_apps(self.bundles, self.gossip, self.table, self.root, self.recorder),
             **make_view_apps(self.gossip, self.hosts),
@@ -280,6 +282,13 @@
             self._find_unready(),
         )
 
+    def _read_page(self) -> Page:
+        """Return what the status page shows."""
+        cells = (
+            None if self.control is None else show_cells(tuple(self.control.state.cells.values()))
+        )
+        return Page(self._show_state(), self.gossip.members(), self.hosts.all(), cells)
+
     def _measure(self) -> None:
         """Register the gauges that read the parts when they are asked."""
         meter = self.metrics.meter
