--- a/toucanpin/daemon/root.py
+++ b/toucanpin/daemon/root.py
@@ -215,7 +215,7 @@
             self.life,
             self.table,
             HttpWorkers(self.name, self.settings.platform.timeout_ms / MILLISECONDS),
-            self.host_list,
+            self.hosts,
             self.gossip,
             self.bundles,
             self.recorder,
