--- a/toucanpin/placement/interfering.py
+++ b/toucanpin/placement/interfering.py
@@ -122,7 +122,7 @@
         self, now: float, notes: HostNotes, task: str, share: float | None = None
     ) -> Iterator[Limit]:
         """Yield the share of a task, at most its ceiling, if it isn't in force yet."""
-        known = notes.find(task)
+        known = notes.attempts.get(task)
         if known is None:
             return
         known.wanted = known.wanted if share is None else share
--- a/toucanpin/placement/residency.py
+++ b/toucanpin/placement/residency.py
@@ -38,6 +38,7 @@
     the highest share while it is so.
     """
 
+    attempt: int
     saved_at: float
     share: float = 1.0
     wanted: float = 1.0
@@ -64,7 +65,7 @@
     changed: bool = False
     residents: tuple[Resident, ...] = ()
     expected: list[Resident] = field(default_factory=list)
-    attempts: dict[tuple[str, int], AttemptNotes] = field(default_factory=dict)
+    attempts: dict[str, AttemptNotes] = field(default_factory=dict)
     remarks: list[Remark] = field(default_factory=list)
     returned: list[str] = field(default_factory=list)
     _sampled: dict[str, int] = field(default_factory=dict)
@@ -82,11 +83,6 @@
         """Return the worker as it will be once everything committed there has started."""
         return HostView(self.name, self.processors, self.services(), tuple(self.expected))
 
-    def find(self, task: str) -> AttemptNotes | None:
-        """Return the notes of the newest attempt of a task."""
-        found = [it for it in self.attempts if it[0] == task]
-        return self.attempts[max(found)] if found else None
-
     def take_report(
         self, now: float, report: Report, tasks: Sequence[TaskRecord], usage: KindUsage
     ) -> None:
@@ -95,15 +91,17 @@
         self.processors = max(1, report.size.processors)
         self.changed = True
         reported = {(it.task, it.attempt): it for it in report.tasks}
-        attempts: dict[tuple[str, int], AttemptNotes] = {}
+        attempts: dict[str, AttemptNotes] = {}
         residents = []
         self.expected = []
         for record in tasks:
-            key = (record.task, record.attempt)
-            it = reported.get(key)
+            it = reported.get((record.task, record.attempt))
             if it is not None and it.state is not TaskState.RUNNING:
                 continue
-            notes = attempts[key] = self.attempts.get(key) or AttemptNotes(saved_at=now)
+            known = self.attempts.get(record.task)
+            if known is None or known.attempt != record.attempt:
+                known = AttemptNotes(record.attempt, saved_at=now)
+            notes = attempts[record.task] = known
             if it is not None:
                 self._measure_task(now, report, record, it, notes, usage)
             resident = describe(now, record, notes, usage)
--- a/toucanpin/placement/tests/test_interfering.py
+++ b/toucanpin/placement/tests/test_interfering.py
@@ -9,7 +9,7 @@
 from toucanpin.bundles.schema import Bundle, Weights
 from toucanpin.interference import Budget, Tuning
 from toucanpin.placement.interfering import InterferingPlacement
-from toucanpin.placement.policy import Guarded, TightestFit
+from toucanpin.placement.policy import Guarded, Limit, TightestFit
 from toucanpin.placement.records import CellRow, JobState, TaskRecord
 from toucanpin.placement.residency import HostNotes
 from toucanpin.placement.state import ControlState, Pace
@@ -275,7 +275,7 @@
         )
         cell = msgspec.structs.replace(cell, workers={"w": None}, tasks={"a": record})
         (act,) = policy.act(1.0, cell)
-        self.assertEqual((act.task, act.share), ("a", 1.0))
+        self.assertEqual(act, Limit("a", 1.0))
         self.assertEqual(policy.act(2.0, cell), ())
 
     def test_standing_and_urgent_tasks_never_wait(self):
