--- a/toucanpin/placement/interfering.py
+++ b/toucanpin/placement/interfering.py
@@ -86,6 +86,7 @@
             notes = self._hosts[report.worker] = HostNotes(report.worker)
         notes.take_report(now, report, tasks, self._usage)
         samples = list(notes.take_samples(now, report))
+        notes.measured = notes.measured or bool(samples)
         view = notes.view()
         self._learner.observe(now, view)
         self._learner.measure(now, view, samples)
@@ -106,7 +107,10 @@
         yield from (Limit(task, 1.0) for task in notes.returned)
         yield from notes.remarks
         notes.returned, notes.remarks = [], []
-        for action in list(self._learner.decide(now, notes.view())):
+        # Without a new sample nothing new is known, and deciding is half of a report's cost.
+        actions = list(self._learner.decide(now, notes.view())) if notes.measured else []
+        notes.measured = False
+        for action in actions:
             match action:
                 case Avoid(_, until):
                     notes.avoided_until = until
--- a/toucanpin/placement/residency.py
+++ b/toucanpin/placement/residency.py
@@ -54,6 +54,7 @@
     """
     Remember one worker.
 
+    ``changed`` tells of a report, ``measured`` of a sample, that wasn't acted on yet.
     ``residents`` are the batch and standing tasks that run by the last report, ``expected`` all
     that will.
     """
@@ -63,6 +64,7 @@
     processors: int = 1
     avoided_until: float = float("-inf")
     changed: bool = False
+    measured: bool = False
     residents: tuple[Resident, ...] = ()
     expected: list[Resident] = field(default_factory=list)
     attempts: dict[str, AttemptNotes] = field(default_factory=dict)
