--- a/toucanpin/daemon/tests/test_control.py
+++ b/toucanpin/daemon/tests/test_control.py
@@ -131,6 +131,19 @@
         authority = decode(platform.core.scan("control/")[0].value, AuthorityRow)
         self.assertTrue(authority.released)
 
+    def test_policy_of_interference_is_the_default(self):
+        """
+        The operator reads on the time line that an encoder uses three times what it declared: the
+        control role learns from reports without being told which policy to use.
+        """
+        platform = Platform()
+        greedy = StandingTask("enc", "t", "encoder", 1, 100, payload='{"use": 3.0}')
+        platform.bundle = Bundle("test", 1, standing=(greedy,))
+        control = platform.control()
+        control.start()
+        self.assertTrue(platform.wait("task.outgrown"))
+        control.stop(PATIENCE)
+
 
 class SilentWorkers:
     """Answer for one worker at once and for the other only when told."""
--- a/toucanpin/placement/tests/test_interfering.py
+++ b/toucanpin/placement/tests/test_interfering.py
@@ -291,6 +291,33 @@
             self.assertEqual(policy.choose(pressing, ["w"], cell, 0.0), "w")
         self.assertEqual(policy.choose(record, ["w"], cell, 300.0), "w")
 
+    def test_new_bundle_changes_weights_and_forgets_nothing(self):
+        """
+        A batch task that had to wait is let in by a bundle that weighs throughput more: the new
+        weights are in force with the next turn, over what was learnt before.
+        """
+        policy = InterferingPlacement()
+        self.learn(policy)
+        record = self.record("noisy")
+        cell = CellRow(1, None, {}, {})
+        before = policy._learner.estimator.rise("verify", "noisy", 0.8)
+        policy.prepare(600.0, Bundle("test", 2, weights=Weights(20.0, 0.1, 0.2)), {"w"})
+        self.assertIsNone(policy.choose(record, ["w"], cell, 0.0))
+        policy.prepare(601.0, Bundle("test", 3, weights=Weights(0.01, 5.0, 0.2)), {"w"})
+        self.assertEqual(policy.choose(record, ["w"], cell, 0.0), "w")
+        self.assertEqual(policy._learner.estimator.rise("verify", "noisy", 0.8), before)
+
+    def test_host_of_another_owner_is_forgotten(self):
+        """
+        A host that another process owned in between has other tasks and shares by now: what was
+        noted of it, its avoidance too, is dropped, and memory doesn't grow with hosts that come.
+        """
+        policy = InterferingPlacement()
+        self.learn(policy)
+        policy.prepare(600.0, None, set())
+        self.assertEqual(policy._hosts, {})
+        self.assertEqual(policy._learner._hosts, {})
+
 
 if __name__ == "__main__":
     unittest.main()
