--- a/toucanpin/daemon/jobs.py
+++ b/toucanpin/daemon/jobs.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -20,6 +19,7 @@
 
 from toucanpin.daemon.driving import drive, perform_on_table
 from toucanpin.daemon.parts import BundleView
+from toucanpin.daemon.web import answer_refusal
 from toucanpin.placement.actions import Decision
 from toucanpin.placement.inquiry import (
     JobFilter,
@@ -39,27 +39,6 @@
 MAX_BODY_BESIDE_PAYLOAD = 16_384
 MAX_LISTED = 10_000
 
-STATUS_OF_REASON = {
-    Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
-    Reason.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    Reason.FORBIDDEN: HTTPStatus.FORBIDDEN,
-    Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
-    Reason.CONFLICT: HTTPStatus.CONFLICT,
-    Reason.NEVER_FITS: HTTPStatus.UNPROCESSABLE_ENTITY,
-    Reason.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
-    Reason.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
-    Reason.STORE_UNCERTAIN: HTTPStatus.SERVICE_UNAVAILABLE,
-}
-
-
-class RefusalBody(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Show a refusal in JSON; ``retry_after`` is in seconds."""
-
-    verdict: str
-    reason: str
-    detail: str
-    retry_after: float | None = None
-
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -102,7 +81,7 @@
         try:
             reply = self._route(environ)
         except RefusedError as refused:
-            reply = answer_refusal(refused.refusal)
+            return answer_refusal(start_response, refused.refusal)
         headers = [
             ("Content-Type", reply.kind),
             ("Content-Length", str(len(reply.body))),
@@ -206,15 +185,3 @@
         raise RefusedError(Refusal(Verdict.NOT_RUN, Reason.TOO_LARGE, detail))
     body: bytes = environ["wsgi.input"].read(int(length))
     return body
-
-
-def answer_refusal(refusal: Refusal) -> Reply:
-    """Answer with a refusal, its verdict and when to come back."""
-    body = RefusalBody(
-        refusal.verdict.value, refusal.reason.value, refusal.detail, refusal.retry_after
-    )
-    headers: list[tuple[str, str]] = [("Toucanpin-Verdict", refusal.verdict.value)]
-    if refusal.retry_after is not None:
-        headers.append(("Retry-After", str(math.ceil(refusal.retry_after))))
-    status = STATUS_OF_REASON.get(refusal.reason, HTTPStatus.INTERNAL_SERVER_ERROR)
-    return Reply(status, msgspec.json.encode(body), headers=tuple(headers))
