Ask again under the ids that a killed entry host had served

Cause: with the claim skipped the test of a killed and a frozen host still passed, as few callers saw a broken connection after their request had run. Change: ten requests that the killed host had answered are sent again through another host. Seen red with the claim skipped (run twice). Green twice, 31.2 and 31.4 s.

--- a/toucanpin/daemon/tests/test_entry_hosts.py
+++ b/toucanpin/daemon/tests/test_entry_hosts.py
@@ -12,6 +12,7 @@
 CALLERS = 4
 PAIRS = 20
 ANSWERS = 40
+REPEATED = 10
 VERDICTS = {"not-run", "may-have-run"}
 
 
@@ -92,7 +93,8 @@
 
         One host is killed and another is stopped at the same time.  Both are given up by the third,
         which takes over their slots; the stopped one then wakes, with old shares and old requests.
-        Those who saw a broken connection ask again under the same id elsewhere.
+        Those who saw a broken connection ask again under the same id elsewhere, as do some whom the
+        killed host had answered; its claims outlive it.
         """
         awake, frozen, killed = self.hosts.topology.entries
         load = self.load()
@@ -107,7 +109,9 @@
         load.wait_for(ANSWERS, frozen)
         answered = load.stop()
         broken = [seen for seen in answered if seen.status == 0 and not seen.verdict]
-        again = [ask(awake, Question(seen.number)) for seen in broken]
+        posts = [seen for seen in answered if Question(seen.number).method == "POST"]
+        served = [seen for seen in posts if seen.whole and seen.entry == killed.name]
+        again = [ask(awake, Question(seen.number)) for seen in (*broken, *served[-REPEATED:])]
         self.assertLessEqual({seen.entry for seen in broken}, {killed.name})
         for seen in (*(it for it in answered if it not in broken), *again):
             self.assertTrue(seen.whole or seen.verdict in VERDICTS, seen)
