--- a/docs/plot_policy.py
+++ b/benchmarks/plot_policy.py
@@ -3,7 +3,7 @@
 ===========================================
 
 Reads the lines of ``python -m benchmarks.policy`` and draws p99 against batch throughput:
-``python docs/plot_policy.py < lines > docs/policy.svg``.
+``python -m benchmarks.plot_policy < docs/figures/policy.txt > docs/figures/policy.svg``.
 """
 
 from __future__ import annotations
