--- a/toucanpin/daemon/main.py
+++ b/toucanpin/daemon/main.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import threading
 from pathlib import Path
@@ -71,8 +72,9 @@
     def end(number: int, frame: object) -> None:
         """Drain at the first signal and end at once at the second."""
         if ending.is_set():
-            # An operator who asks twice does not want to wait for callers any longer.
-            raise SystemExit(EXIT_FORCED)
+            # An operator who asks twice does not want to wait any longer.  Raising would not do:
+            # the interpreter joins the threads of pools at its end, and one may wait for a peer.
+            os._exit(EXIT_FORCED)
         ending.set()
 
     def reread(number: int, frame: object) -> None:
