--- /dev/null
+++ b/tools/tests/test_openapi.py
@@ -0,0 +1,37 @@
+"""Tests of the callers' interface of jobs as documented."""
+
+import unittest
+
+import msgspec
+
+from tools.openapi import PAGE, describe_jobs
+
+
+class OpenApiTest(unittest.TestCase):
+    def setUp(self):
+        self.document = msgspec.json.decode(PAGE.read_bytes())
+
+    def test_the_page_is_what_the_code_decodes_and_encodes(self):
+        again = msgspec.json.decode(msgspec.json.encode(describe_jobs(self.document)))
+        self.assertEqual(again, self.document)
+
+    def test_every_reference_leads_somewhere(self):
+        for reference in self.find_references(self.document):
+            found = self.document
+            for part in reference.removeprefix("#/").split("/"):
+                self.assertIn(part, found, reference)
+                found = found[part]
+
+    def find_references(self, value):
+        if isinstance(value, dict):
+            if "$ref" in value:
+                yield value["$ref"]
+            for inner in value.values():
+                yield from self.find_references(inner)
+        if isinstance(value, list):
+            for inner in value:
+                yield from self.find_references(inner)
+
+
+if __name__ == "__main__":
+    unittest.main()
