--- /dev/null
+++ b/toucanpin/entry/contender.py
@@ -0,0 +1,102 @@
+"""
+Contender for a cell
+====================
+
+Watch who owns a cell, take it when nobody does, and own it then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import logbook
+import xxhash
+
+from toucanpin.entry.clocks import Clocks
+from toucanpin.entry.owner import DeposedError, Owner
+from toucanpin.entry.rows import OWNER_KEY, OWNERS
+from toucanpin.exception import PlatformError
+from toucanpin.http import CallError
+from toucanpin.platform.store import Committed, Expected, Put, Store
+from toucanpin.scheduling.ownership import (
+    OwnerRecord,
+    Watch,
+    decode_owner,
+    encode_owner,
+    observe,
+    should_take,
+)
+from toucanpin.scheduling.settings import HostSettings
+
+__all__ = ["Contender"]
+
+_log = logbook.Logger("contender")
+POLL = 0.4  # s between reads of the owner's row
+REST = 1.0  # s that a process which lost a cell leaves it to others
+
+
+class Contender:
+    """Contend for one cell for as long as the process lives."""
+
+    def __init__(
+        self, store: Store, clocks: Clocks, settings: HostSettings, life: str, cell: str
+    ) -> None:
+        self._store = store
+        self._clocks = clocks
+        self._settings = settings
+        self._life = life
+        self._cell = cell
+        self._owner: Owner | None = None
+        self._leaving = False
+        digest = xxhash.xxh32_intdigest(f"{cell}/{settings.name}/{life}".encode())
+        self._rank = digest / 2**32
+
+    async def run(self) -> None:
+        """Contend for ever."""
+        watch = Watch()
+        while not self._leaving:
+            try:
+                if await self._look(watch) and not self._leaving:
+                    await self._take(watch)
+                    watch = Watch()
+            except (CallError, PlatformError) as error:
+                _log.warn("owner not read", event="owner.unread", reason=error)
+            await asyncio.sleep(POLL)
+
+    async def resign(self) -> None:
+        """Contend no more, and give up the cell if it is owned."""
+        self._leaving = True
+        if self._owner is not None:
+            self._owner.resign()
+
+    async def _look(self, watch: Watch) -> bool:
+        begun = time.monotonic()
+        page = await self._store.read(OWNERS, self._cell, OWNER_KEY, OWNER_KEY + "\0")
+        now = time.monotonic()
+        row = page.rows[0] if page.rows else None
+        record = decode_owner(row.value) if row else None
+        observe(watch, row.version if row else 0, record, now - begun, now)
+        return should_take(watch, self._rank)
+
+    async def _take(self, watch: Watch) -> None:
+        before = watch.record
+        token = before.token + 1 if before else 1
+        record = OwnerRecord(self._settings.name, self._life, token, 0)
+        expected = (Expected(OWNERS, OWNER_KEY, watch.version),)
+        put = (Put(OWNERS, OWNER_KEY, encode_owner(record)),)
+        sent_at = time.monotonic()
+        result = await self._store.transact(self._cell, expected, put)
+        if not isinstance(result, Committed):
+            return
+        _log.info("cell taken", event="cell.taken", cell=self._cell, token=token, before=before)
+        self._owner = Owner(self._store, self._clocks, self._settings.bounds, self._cell, record)
+        try:
+            await self._owner.run(result.version, sent_at)
+        except DeposedError as error:
+            _log.warn("cell lost", event="cell.lost", cell=self._cell, reason=error)
+        except Exception:
+            _log.exception("owner failed", event="cell.failed", cell=self._cell)
+        self._owner = None
+        if not self._leaving:
+            await asyncio.sleep(REST)
--- /dev/null
+++ b/toucanpin/entry/requests.py
@@ -0,0 +1,208 @@
+"""
+Callers' requests
+=================
+
+Accept, show, count and cancel jobs: every answer stands in the table before it is given.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+import logbook
+import msgspec
+
+from toucanpin.entry.clocks import Clocks
+from toucanpin.entry.configuration import FRESH, ConfigurationWatch
+from toucanpin.entry.rows import COUNTS, JOBS, PROGRESS, cancel_key
+from toucanpin.exception import PlatformError
+from toucanpin.http import CallError, Request, Response
+from toucanpin.platform.callers import (
+    DEADLINE_HEADER,
+    JobSyntaxError,
+    decode_submission,
+    encode_count,
+    encode_state,
+    is_job_id,
+)
+from toucanpin.platform.store import Committed, Expected, Put, Store
+from toucanpin.scheduling.configuration import Queue
+from toucanpin.scheduling.job import encode_job, find_job_fault
+from toucanpin.scheduling.progress import JobState, decode_progress
+
+__all__ = ["Requests"]
+
+_log = logbook.Logger("requests")
+T = TypeVar("T")
+DEFAULT_DEADLINE = 3.0  # s, for callers that don't say how long they wait
+ANSWER_MARGIN = 0.15  # s that an answer needs to reach a caller
+FIRST_PAUSE = 0.03  # s before the second try at the table; doubled each time
+LONGEST_PAUSE = 0.25  # s
+TRY_TIMEOUT = 0.9  # s for one try at the table
+REFUSE_AFTER = 0.5  # s of certain refusals by the table after which a caller is sent away
+COME_BACK = 1  # s after which a caller that was refused should try again
+
+
+@dataclass(frozen=True, slots=True)
+class _Found(Generic[T]):
+    """Hold what a read gave, if it was answered."""
+
+    answered: bool
+    value: T | None
+
+
+class Requests:
+    """Answer callers' requests about jobs."""
+
+    __slots__ = ("_clocks", "_configuration", "_store")
+
+    def __init__(self, store: Store, configuration: ConfigurationWatch, clocks: Clocks) -> None:
+        self._store = store
+        self._configuration = configuration
+        self._clocks = clocks
+
+    async def handle(self, request: Request) -> Response | None:
+        """Answer one request of a caller."""
+        path = request.path.partition("?")[0]
+        host = request.headers.get("host", "")
+        queue = await self._configuration.find(host, path)
+        if self._configuration.current is None:
+            return Response(503, retry_after=COME_BACK)
+        if queue is None:
+            if time.monotonic() - self._configuration.confirmed > 2 * FRESH:
+                return Response(503, retry_after=COME_BACK)
+            return Response(404)
+        rest = path[len(queue.prefix) :].strip("/")
+        deadline = time.monotonic() + _read_deadline(request) - ANSWER_MARGIN
+        match request.method:
+            case "POST" if is_job_id(rest):
+                return await self._submit(queue, rest, request.body, deadline)
+            case "GET" if is_job_id(rest):
+                return await self._show(queue, rest, deadline)
+            case "DELETE" if is_job_id(rest):
+                return await self._cancel(queue, rest, deadline)
+            case "GET" if not rest:
+                return await self._count(queue, deadline)
+            case "POST" | "GET" | "DELETE":
+                return Response(404)
+        return Response(405)
+
+    async def _submit(
+        self, queue: Queue, identifier: str, body: bytes, deadline: float
+    ) -> Response | None:
+        try:
+            job = decode_submission(identifier, queue, body, self._clocks.now().table)
+            fault = find_job_fault(job)
+        except JobSyntaxError as error:
+            fault = str(error)
+        if fault:
+            _log.info("job refused", event="job.malformed", job=identifier, reason=fault)
+            return Response(400, msgspec.json.encode({"error": fault}))
+        put = Put(JOBS, identifier, encode_job(job))
+        written = await self._write(queue.service, put, deadline)
+        _log.info("job handed in", event="job.submitted", job=identifier, written=written)
+        match written:
+            case True:
+                return Response(200)
+            case False:
+                return Response(503, retry_after=COME_BACK)
+        # The row may still be written, so neither an acceptance nor a refusal would be true.
+        return Response(504)
+
+    async def _cancel(self, queue: Queue, identifier: str, deadline: float) -> Response:
+        async def find() -> bool:
+            page = await self._store.read(JOBS, queue.service, identifier, identifier + "\0")
+            return bool(page.rows)
+
+        found = await self._try(find, deadline)
+        if not found.answered:
+            return Response(503, retry_after=COME_BACK)
+        if not found.value:
+            return Response(410)
+        written = await self._write(
+            queue.service, Put(JOBS, cancel_key(identifier), b"1"), deadline
+        )
+        _log.info("job cancelled", event="job.cancelled", job=identifier, written=written)
+        return Response(200) if written else Response(503, retry_after=COME_BACK)
+
+    async def _show(self, queue: Queue, identifier: str, deadline: float) -> Response:
+        async def find() -> JobState | None:
+            end = identifier + "\0"
+            page = await self._store.read(PROGRESS, queue.service, identifier, end)
+            if page.rows:
+                return JobState(decode_progress(page.rows[0].value).state)
+            page = await self._store.read(JOBS, queue.service, identifier, end)
+            if page.rows:
+                return JobState.PENDING
+            # Between the two reads the job may have ended and been forgotten, never begun.
+            return None
+
+        found = await self._try(find, deadline)
+        if not found.answered:
+            return Response(503, retry_after=COME_BACK)
+        state = found.value
+        return Response(410) if state is None else Response(200, encode_state(state))
+
+    async def _count(self, queue: Queue, deadline: float) -> Response:
+        async def find() -> int:
+            page = await self._store.read(COUNTS, queue.service, queue.name, queue.name + "\0")
+            return msgspec.msgpack.decode(page.rows[0].value, type=int) if page.rows else 0
+
+        await self._configuration.refresh(FRESH)
+        current = self._configuration.current
+        if current is not None and queue.name not in {other.name for other in current.queues}:
+            return Response(404)
+        count = await self._try(find, deadline)
+        if count.value is None:
+            return Response(503, retry_after=COME_BACK)
+        return Response(200, encode_count(count.value))
+
+    async def _write(self, cell: str, put: Put, deadline: float) -> bool | None:
+        """
+        Write a row that mustn't exist; None if it isn't known whether it was written.
+
+        A try without an answer may be carried out late, so after one of these only finding the
+        row settles the matter, however certain the later refusals are.
+        """
+        begun = time.monotonic()
+        pause = FIRST_PAUSE
+        unsure = False
+        while True:
+            left = deadline - time.monotonic()
+            if left <= 0 or (not unsure and time.monotonic() - begun > REFUSE_AFTER):
+                return None if unsure else False
+            expected = (Expected(put.table, put.key, 0),)
+            try:
+                result = await self._store.transact(cell, expected, (put,), min(left, TRY_TIMEOUT))
+            except CallError as error:
+                unsure = unsure or not error.certain
+            except PlatformError as error:
+                _log.error("write refused", event="store.fault", key=put.key, reason=error)
+                return None if unsure else False
+            else:
+                # A conflict says that the row is there: this try's, or the same request's earlier.
+                return isinstance(result, Committed) or any(row.version for row in result.rows)
+            await asyncio.sleep(min(pause, max(0.0, deadline - time.monotonic())))
+            pause = min(2 * pause, LONGEST_PAUSE)
+
+    async def _try(self, find: Callable[[], Awaitable[T]], deadline: float) -> _Found[T]:
+        """Repeat a read until it is answered, within the deadline."""
+        pause = FIRST_PAUSE
+        while time.monotonic() < deadline:
+            try:
+                return _Found(True, await find())
+            except CallError:
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, LONGEST_PAUSE)
+        return _Found(False, None)
+
+
+def _read_deadline(request: Request) -> float:
+    try:
+        return min(30.0, float(request.headers.get(DEADLINE_HEADER, "")) / 1_000)
+    except ValueError:
+        return DEFAULT_DEADLINE
--- /dev/null
+++ b/toucanpin/entry/root.py
@@ -0,0 +1,115 @@
+"""
+Composition root
+================
+
+Wire the parts of an entry host's process, and run them until it is told to end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+import time
+import traceback
+from collections.abc import Coroutine
+from typing import Any
+
+import logbook
+
+from toucanpin.entry.clocks import Clocks
+from toucanpin.entry.configuration import ConfigurationWatch
+from toucanpin.entry.contender import Contender
+from toucanpin.entry.requests import Requests
+from toucanpin.http import Client, Request, Response, Server
+from toucanpin.platform.store import Store
+from toucanpin.scheduling.settings import HostSettings
+
+__all__ = ["EntryProcess"]
+
+_log = logbook.Logger("entry")
+MAX_HEADERS = 16_384  # bytes, until a configuration says otherwise
+MAX_BODY = 262_144  # bytes, until a configuration says otherwise
+UNREADY_AFTER = 2.5  # s without the table after which new connections should go elsewhere
+# The balancer asks each second and needs two misses; connections opened until then are served.
+LINGER = 2.6
+EXIT_MARGIN = 1.2  # s before the platform kills the process
+
+
+class EntryProcess:
+    """Run everything of one entry host."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        self._settings = settings
+        self._life = secrets.token_hex(6)
+        self._store = Store(Client(settings.store))
+        self._clocks = Clocks(self._store)
+        self._configuration = ConfigurationWatch(self._store)
+        self._requests = Requests(self._store, self._configuration, self._clocks)
+        self._front = Server(self._requests.handle, MAX_HEADERS, MAX_BODY)
+        self._readiness = Server(self._answer_probe, MAX_HEADERS, MAX_BODY)
+        self._contenders: dict[str, Contender] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._leaving = False
+
+    async def run(self) -> None:
+        """Run until SIGTERM."""
+        ending = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, ending.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        await self._front.listen(self._settings.front)
+        await self._readiness.listen(self._settings.readiness)
+        self._spawn(self._configuration.run())
+        self._spawn(self._contend())
+        _log.info("started", event="process.started", life=self._life)
+        await ending.wait()
+        await self._shut_down()
+
+    async def _shut_down(self) -> None:
+        self._leaving = True
+        begun = time.monotonic()
+        _log.info("draining", event="process.draining")
+        self._front.closing = True
+        for contender in self._contenders.values():
+            await contender.resign()
+        await asyncio.sleep(LINGER)
+        left = self._settings.bounds.shutdown - EXIT_MARGIN - (time.monotonic() - begun)
+        await self._front.drain(max(0.0, left))
+        await asyncio.sleep(0.05)
+        _log.info("stopped", event="process.stopped")
+
+    async def _contend(self) -> None:
+        """Contend for the cell of each service that the configuration names."""
+        while True:
+            current = self._configuration.current
+            for service in current.services if current else ():
+                if service not in self._contenders:
+                    contender = Contender(
+                        self._store, self._clocks, self._settings, self._life, service
+                    )
+                    self._contenders[service] = contender
+                    self._spawn(contender.run())
+            if current is not None:
+                self._front.max_headers = current.max_headers
+                self._front.max_body = current.max_body
+            await asyncio.sleep(0.1)
+
+    async def _answer_probe(self, request: Request) -> Response:
+        age = time.monotonic() - self._configuration.confirmed
+        ready = (
+            not self._leaving and self._configuration.current is not None and age < UNREADY_AFTER
+        )
+        return Response(200 if ready else 503)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._reap)
+
+    def _reap(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            where = traceback.format_exception(error)
+            _log.error("part failed", event="process.fault", reason=repr(error), where=where)
--- /dev/null
+++ b/toucanpin/entry/rows.py
@@ -0,0 +1,26 @@
+"""
+Rows of the product
+===================
+
+Where the product keeps what must last: tables, parts and keys.
+"""
+
+__all__ = ["COUNTS", "JOBS", "OWNERS", "OWNER_KEY", "PROGRESS", "cancel_key", "split_key"]
+
+JOBS = "jobs"  # by cell: jobs as accepted, and wishes to cancel them; written by any host
+PROGRESS = "progress"  # by cell: what has become of each job; written by the cell's owner
+COUNTS = "counts"  # by cell: how many jobs of each queue wait; written by the cell's owner
+OWNERS = "owners"  # by cell: its owner
+OWNER_KEY = "owner"
+_CANCEL = "/cancel"
+
+
+def cancel_key(job: str) -> str:
+    """Return the key of the wish to cancel a job."""
+    return job + _CANCEL
+
+
+def split_key(key: str) -> tuple[str, bool]:
+    """Return the job of a key, and whether the row is a wish to cancel it."""
+    job, slash, _ = key.partition("/")
+    return job, bool(slash)
--- /dev/null
+++ b/toucanpin/http/client.py
@@ -0,0 +1,207 @@
+"""
+HTTP client
+===========
+
+Call one address over kept connections, and say of each failure whether the request may have run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass
+
+import httptools
+
+from toucanpin.exception import ToucanpinError
+from toucanpin.verdict import Verdict
+
+__all__ = ["Answer", "CallError", "Client"]
+
+CONNECT_TIMEOUT = (
+    0.6  # s: one lost opening packet is sent again after 1 s, a dead host never answers
+)
+MAX_ANSWER = 4_194_304  # bytes: four times the platform's largest page
+MAX_IDLE = 8  # kept connections to one address
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold one whole answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class CallError(ToucanpinError):
+    """Report a call without a usable answer; ``verdict`` says whether it may have had an effect."""
+
+    def __init__(self, verdict: Verdict, detail: str, status: int = 0) -> None:
+        super().__init__(detail)
+        self.verdict = verdict
+        self.status = status
+
+    @property
+    def certain(self) -> bool:
+        """Tell whether the request certainly had no effect."""
+        return self.verdict is Verdict.NOT_RUN
+
+
+class Client:
+    """Call one address; each connection carries one request at a time."""
+
+    __slots__ = ("_host", "_idle", "_port", "address")
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._idle: list[_Connection] = []
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+        timeout: float = 1.0,
+    ) -> Answer:
+        """
+        Send one request and wait at most ``timeout`` seconds for the whole answer.
+
+        Raises
+        ------
+        CallError
+            If no whole answer came.
+        """
+        request = _encode(method, path, self.address, body, headers)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        connection = await self._connect(min(timeout, CONNECT_TIMEOUT))
+        waiter = connection.send(request)
+        try:
+            async with asyncio.timeout_at(deadline):
+                answer = await waiter
+        except TimeoutError as error:
+            connection.abort()
+            detail = f"{self.address} {method} {path}: no answer in {timeout} s"
+            raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        if connection.reusable and len(self._idle) < MAX_IDLE:
+            self._idle.append(connection)
+        else:
+            connection.abort()
+        return answer
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    async def _connect(self, timeout: float) -> _Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout):
+                _, connection = await loop.create_connection(_Connection, self._host, self._port)
+        except (OSError, TimeoutError) as error:
+            detail = f"{self.address} can't be reached: {error or 'time-out'}"
+            raise CallError(Verdict.NOT_RUN, detail) from error
+        return connection
+
+
+class _Connection(asyncio.Protocol):
+    """Carry requests one after another; anything unexpected ends the connection."""
+
+    def __init__(self) -> None:
+        self.reusable = True
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[Answer] | None = None
+        self._reset()
+
+    def _reset(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self._size = 0
+
+    def send(self, request: bytes) -> asyncio.Future[Answer]:
+        """Write one request and return the future of its answer."""
+        self._waiter = asyncio.get_running_loop().create_future()
+        assert self._transport is not None
+        self._transport.write(request)
+        return self._waiter
+
+    def abort(self) -> None:
+        """Drop the connection with whatever is under way on it."""
+        self.reusable = False
+        self._waiter = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def data_received(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._waiter is None or self._size > MAX_ANSWER:
+            self._fail("an answer that nobody asked for, or one that is too large")
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"an answer that is no HTTP: {error}")
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._fail(f"connection ended: {error or 'closed'}")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        answer = Answer(self._parser.get_status_code(), self._headers, b"".join(self._body))
+        waiter = self._waiter
+        self._waiter = None
+        if not self._parser.should_keep_alive():
+            self.reusable = False
+        self._reset()
+        if waiter is not None and not waiter.done():
+            waiter.set_result(answer)
+
+    def _fail(self, detail: str) -> None:
+        self.reusable = False
+        waiter = self._waiter
+        self._waiter = None
+        # Bytes of the request may have reached the other side before the connection ended, also
+        # on a kept connection that was closed as the request was written.
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(CallError(Verdict.MAY_HAVE_RUN, detail))
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def _encode(
+    method: str, path: str, host: str, body: bytes, headers: tuple[tuple[str, str], ...]
+) -> bytes:
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body:
+        lines.append("Content-Type: application/json")
+    if body or method != "GET":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- /dev/null
+++ b/toucanpin/platform/callers.py
@@ -0,0 +1,140 @@
+"""
+Callers' interface of jobs
+==========================
+
+Decode what callers hand in, and encode what they are told.
+"""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+
+from toucanpin.scheduling.configuration import Queue
+from toucanpin.scheduling.job import Job, Step
+from toucanpin.scheduling.progress import JobState
+
+__all__ = ["JobSyntaxError", "decode_submission", "encode_count", "encode_state", "is_job_id"]
+
+from toucanpin.exception import ToucanpinError
+
+DEADLINE_HEADER = "x-deadline-ms"
+MAX_SPEC = 4_000  # bytes, by the platform's page
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+_WORDS = {
+    JobState.PENDING: "pending",
+    JobState.ACTIVE: "active",
+    JobState.COMPLETED: "completed",
+    JobState.FAILED: "failed",
+    JobState.CANCELLED: "canceled",
+}
+
+
+class JobSyntaxError(ToucanpinError):
+    """Report a job that can't be read."""
+
+
+class _Step(msgspec.Struct, rename="camel"):
+    """Hold a step; flags come as true, counts of fillers as a number or true."""
+
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    affinity: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fill_count: bool | int = False
+    lossy: int = 0
+
+
+class _Submission(msgspec.Struct, rename="camel"):
+    spec: str
+    pipeline: list[_Step]
+    repeat_count: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Submission, strict=False)
+
+
+def is_job_id(text: str) -> bool:
+    """Tell whether a text is the id of a job."""
+    return _JOB_ID.fullmatch(text) is not None
+
+
+def decode_submission(identifier: str, queue: Queue, body: bytes, clock: int) -> Job:
+    """
+    Decode a caller's job for a queue; ``clock`` is the table's, in ms.
+
+    Raises
+    ------
+    JobSyntaxError
+        If the body isn't a job.
+    """
+    try:
+        submission = _decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise JobSyntaxError(str(error)) from error
+    if len(submission.spec.encode()) > MAX_SPEC:
+        raise JobSyntaxError(f"spec has more than {MAX_SPEC} bytes")
+    return Job(
+        id=identifier,
+        queue=queue.name,
+        cell=queue.service,
+        spec=submission.spec,
+        steps=tuple(_to_step(step) for step in submission.pipeline),
+        priority=queue.priority,
+        max_failures=queue.max_failures,
+        stretch=queue.stretch,
+        aim=queue.aim,
+        accepted=clock,
+        repeats=submission.repeat_count,
+        start_at=submission.start_at_ms,
+        interval=submission.interval_ms,
+        advised=queue.advised,
+    )
+
+
+def encode_state(state: JobState) -> bytes:
+    """Return a job's state as callers read it."""
+    return msgspec.json.encode({"state": _WORDS[state]})
+
+
+def encode_count(count: int) -> bytes:
+    """Return how many jobs of a queue wait."""
+    return msgspec.json.encode({"pendingJobs": count})
+
+
+def _to_step(step: _Step) -> Step:
+    return Step(
+        count=step.count,
+        cpu=step.cpu,
+        memory=step.mem_mb,
+        accelerators=step.gpu,
+        estimate=int(step.estimate_ms),
+        after=step.after,
+        checkpoints=step.checkpointing,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        label=step.requires,
+        rack=step.affinity,
+        per_worker=step.anti_affinity,
+        speculative=step.speculative,
+        lasting=step.long_running,
+        image=step.image,
+        target=int(step.target_ms),
+        fills=bool(step.fill_count),
+        may_miss=step.lossy,
+    )
--- /dev/null
+++ b/toucanpin/platform/nodefile.py
@@ -0,0 +1,108 @@
+"""
+Settings file of the platform
+=============================
+
+Read the file of ``name=value`` lines that the platform lays on each host.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from toucanpin.exception import SettingsError
+from toucanpin.scheduling.settings import Bounds, HostSettings
+
+__all__ = ["parse_settings", "read_settings"]
+
+VARIABLE = "TOUCANPIN_NODE_FILE"
+DEFAULT_PATH = "/etc/toucanpin/local.conf"
+
+
+def read_settings() -> HostSettings:
+    """Read the settings of this process."""
+    path = Path(os.environ.get(VARIABLE, DEFAULT_PATH))
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise SettingsError((f"{path}: {error.strerror}",)) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> HostSettings:
+    """
+    Decode the text of a settings file; unknown names are ignored.
+
+    Raises
+    ------
+    SettingsError
+        If a name that is needed is missing or its value can't be used.
+    """
+    reader = _Reader(text)
+    mode = reader.text("controlMode", "invoke")
+    if mode != "invoke":
+        reader.faults.append(f"controlMode={mode}: only invoke is supported")
+    # The two names are one letter apart on the page: seconds end in S or _s, the others in Ms.
+    bounds = Bounds(
+        longest_lease=reader.number("bounds.maxHoldMs", 10_000) / 1_000,
+        stop=reader.number("bounds.stopTimeoutMs", 200) / 1_000,
+        shutdown=reader.number("bounds.graceS", 6),
+        keep_ended=reader.number("bounds.status_s", 120),
+        early=reader.number("bounds.early_ms", 250) / 1_000,
+        gang_wait=reader.number("bounds.gangTimeoutMs", 3_000) / 1_000,
+        spread_factor=reader.number("bounds.spreadFactor", 3),
+        restore=reader.number("bounds.restoreMs", 250) / 1_000,
+        checkpoint_every=reader.number("bounds.checkpointS", 1),
+        contact=reader.number("bounds.contactMs", 3_000) / 1_000,
+    )
+    settings = HostSettings(
+        name=reader.text("nodeName"),
+        address=reader.text("ip"),
+        data_centre=reader.text("zone", ""),
+        front=reader.address("listen.front"),
+        readiness=reader.address("listen.readiness"),
+        inner_port=int(reader.number("internalPorts", 0)),
+        store=reader.address("platform.address"),
+        advice=reader.text("advice", ""),
+        machines=reader.text("cloudApi.address", ""),
+        heartbeat=reader.number("heartbeatMs", 1_100) / 1_000,
+        max_row=int(reader.number("platform.rowBytes", 65_536)),
+        bounds=bounds,
+    )
+    if reader.faults:
+        raise SettingsError(tuple(reader.faults))
+    return settings
+
+
+class _Reader:
+    """Read values by name and collect the faults."""
+
+    def __init__(self, text: str) -> None:
+        lines = (line.strip() for line in text.splitlines())
+        pairs = (line.partition("=") for line in lines if line and not line.startswith("#"))
+        self._values = {name.strip(): value.strip() for name, _, value in pairs}
+        self.faults: list[str] = []
+
+    def text(self, name: str, default: str | None = None) -> str:
+        value = self._values.get(name, default)
+        if value is None:
+            self.faults.append(f"{name} is missing")
+            return ""
+        return value
+
+    def number(self, name: str, default: float) -> float:
+        value = self._values.get(name, "").partition(",")[0]
+        if not value:
+            return default
+        try:
+            return float(value)
+        except ValueError:
+            self.faults.append(f"{name}={value} is no number")
+            return default
+
+    def address(self, name: str) -> str:
+        value = self.text(name)
+        host, _, port = value.rpartition(":")
+        if value and not (host and port.isdigit()):
+            self.faults.append(f"{name}={value} is no address with a port")
+        return value
--- /dev/null
+++ b/toucanpin/platform/queues.py
@@ -0,0 +1,93 @@
+"""
+Operators' configuration on the platform
+========================================
+
+Decode the document of queues and services that the operators keep in the store.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from toucanpin.exception import PlatformError
+from toucanpin.scheduling.configuration import Configuration, Queue, Service
+
+__all__ = ["CONFIGURATION_KEY", "OPERATORS_TABLE", "decode_configuration"]
+
+OPERATORS_TABLE = "op"
+CONFIGURATION_KEY = "config"
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    """Hold a route, which the pages also call a queue; ``advice`` is an object or absent."""
+
+    name: str = ""
+    host: str = ""
+    path_prefix: str = "/"
+    service: str = ""
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 2.0
+    target_latency_ms: float = 1_000
+    timeout_ms: float = 3_000
+    advice: msgspec.Raw | None = None
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str = ""
+    rejects_overload: bool = True
+    standby: bool = False
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+
+
+class _Document(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_decoder = msgspec.json.Decoder(_Document)
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """
+    Decode the operators' document.
+
+    Raises
+    ------
+    PlatformError
+        If it isn't one.
+    """
+    try:
+        document = _decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise PlatformError(f"the operators' configuration can't be read: {error}") from error
+    queues = tuple(_to_queue(route) for route in document.routes)
+    services = {
+        service.name: Service(service.name, service.rejects_overload, service.standby)
+        for service in document.services
+    }
+    limits = document.limits
+    return Configuration(
+        document.version, queues, services, limits.max_header_bytes, limits.max_body_bytes
+    )
+
+
+def _to_queue(route: _Route) -> Queue:
+    return Queue(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        service=route.service,
+        priority=route.priority,
+        max_failures=max(1, route.max_attempts),
+        stretch=route.stretch,
+        aim=int(route.target_latency_ms),
+        timeout=int(route.timeout_ms),
+        advised=route.advice is not None and bytes(route.advice) not in (b"null", b"{}", b'""'),
+    )
--- /dev/null
+++ b/toucanpin/platform/store.py
@@ -0,0 +1,233 @@
+"""
+Store of the platform
+=====================
+
+Rows in tables: conditional transactions, ranges, and what has changed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+from urllib.parse import quote
+
+import msgspec
+
+from toucanpin.exception import PlatformError
+from toucanpin.http.client import Answer, CallError
+from toucanpin.verdict import Verdict
+
+__all__ = ["Caller", "Conflict", "Committed", "Expected", "Page", "Put", "Row", "Store"]
+
+READ_TIMEOUT = 1.0  # s: a healthy answer takes 10 ms, one of a store 60 times slower 0.6 s
+MAX_PAGE = 500  # rows of one answer, by the platform's page
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Hold one row; ``version`` is 0 where it doesn't exist."""
+
+    table: str
+    part: str
+    key: str
+    value: bytes
+    version: int
+    deleted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Expected:
+    """Demand the version that a row must have for a transaction to apply; 0 means none."""
+
+    table: str
+    key: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Write one row, or drop it where ``value`` is None."""
+
+    table: str
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """Say that a transaction was applied; ``clock`` is the store's, in ms."""
+
+    version: int
+    clock: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Say that a transaction was not applied, with the rows that it named as they are."""
+
+    rows: tuple[Row, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Hold rows as of one moment; ``version`` is the store's newest."""
+
+    rows: tuple[Row, ...]
+    more: bool
+    version: int
+    clock: int
+
+
+class Caller(Protocol):
+    """Call the store, directly or through a peer."""
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", *, timeout: float = 1.0
+    ) -> Answer: ...
+
+
+class _Key(msgspec.Struct, rename="camel"):
+    """Name a row in a request; the wire calls the version of a row ``rowVersion``."""
+
+    table: str
+    part: str
+    key: str
+
+
+class _Expectation(msgspec.Struct, rename="camel"):
+    table: str
+    part: str
+    key: str
+    row_version: int
+
+
+class _Value(msgspec.Struct, rename="camel"):
+    table: str
+    part: str
+    key: str
+    value: bytes
+
+
+class _Transaction(msgspec.Struct, rename="camel"):
+    """The wire calls the conditions ``expectedRevision`` though each holds a row's version."""
+
+    expected_revision: list[_Expectation]
+    puts: list[_Value]
+    remove: list[_Key]
+
+
+class _WireRow(msgspec.Struct, rename="camel"):
+    table: str = ""
+    part: str = ""
+    key: str = ""
+    value: bytes = b""
+    row_version: int = 0
+    deleted: bool = False
+
+
+class _WireRows(msgspec.Struct, rename="camel"):
+    rows: list[_WireRow] = []
+    more_pages: bool = False
+    row_version: int = 0
+    now_ms: float = 0
+
+
+class Store:
+    """Speak to the store in rows; every failure says whether a write may still take effect."""
+
+    __slots__ = ("_caller", "clock")
+
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
+        self.clock = 0  # the store's own, in ms, from its newest answer
+
+    async def transact(
+        self,
+        part: str,
+        expected: Sequence[Expected],
+        puts: Sequence[Put],
+        timeout: float = READ_TIMEOUT,
+    ) -> Committed | Conflict:
+        """
+        Apply all of ``puts`` in one part if all of ``expected`` holds, or nothing.
+
+        Raises
+        ------
+        CallError
+            If nothing was done, or it isn't known; a write that isn't known may come seconds later.
+        """
+        transaction = _Transaction(
+            [_Expectation(e.table, part, e.key, e.version) for e in expected],
+            [_Value(p.table, part, p.key, p.value) for p in puts if p.value is not None],
+            [_Key(p.table, part, p.key) for p in puts if p.value is None],
+        )
+        body = msgspec.json.encode(transaction)
+        answer = await self._caller.call("POST", "/rows-tx", body, timeout=timeout)
+        rows = self._decode(answer, (200, 412))
+        if answer.status == 412:
+            return Conflict(tuple(_to_row(row) for row in rows.rows))
+        return Committed(rows.row_version, self.clock)
+
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        start: str = "",
+        end: str = "",
+        limit: int = MAX_PAGE,
+        timeout: float = READ_TIMEOUT,
+    ) -> Page:
+        """Read the rows of a range of keys that excludes ``end``, as of one moment."""
+        path = f"/rows-get?table={quote(table)}&part={quote(part)}&limit={limit}"
+        if start:
+            path += f"&from={quote(start)}"
+        if end:
+            # The wire's name of the end of a range also stands for other things elsewhere.
+            path += f"&target={quote(end)}"
+        answer = await self._caller.call("GET", path, timeout=timeout)
+        return self._to_page(self._decode(answer, (200,)))
+
+    async def read_all(self, table: str, part: str = "") -> Page:
+        """Read all rows of a part; ``version`` is that of the first page."""
+        rows: list[Row] = []
+        start = ""
+        first: Page | None = None
+        while True:
+            page = await self.read(table, part, start=start)
+            first = first or page
+            rows += page.rows
+            if not page.more or not page.rows:
+                return Page(tuple(rows), False, first.version, page.clock)
+            start = page.rows[-1].key + "\0"
+
+    async def follow(self, table: str, after: int, wait: float) -> Page | None:
+        """Wait for changes of a table after a version; None if that history is gone."""
+        path = f"/rows-feed?table={quote(table)}&after={after}&waitMs={int(wait * 1_000)}"
+        answer = await self._caller.call("GET", path, timeout=wait + READ_TIMEOUT)
+        if answer.status == 410:
+            return None
+        return self._to_page(self._decode(answer, (200,)))
+
+    def _decode(self, answer: Answer, good: tuple[int, ...]) -> _WireRows:
+        if answer.status in (429, 503):
+            detail = f"the store refused with {answer.status}"
+            raise CallError(Verdict.NOT_RUN, detail, answer.status)
+        if answer.status not in good:
+            raise PlatformError(f"the store answered {answer.status}: {answer.body[:200]!r}")
+        try:
+            rows = msgspec.json.decode(answer.body, type=_WireRows)
+        except msgspec.MsgspecError as error:
+            detail = f"the store's answer can't be read: {error}"
+            raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
+        self.clock = max(self.clock, int(rows.now_ms))
+        return rows
+
+    def _to_page(self, rows: _WireRows) -> Page:
+        return Page(
+            tuple(_to_row(row) for row in rows.rows), rows.more_pages, rows.row_version, self.clock
+        )
+
+
+def _to_row(row: _WireRow) -> Row:
+    return Row(row.table, row.part, row.key, row.value, row.row_version, row.deleted)
--- /dev/null
+++ b/toucanpin/platform/workers.py
@@ -0,0 +1,254 @@
+"""
+Workers of the platform
+=======================
+
+The workers' own entries in the store, and the calls that start, stop, pace and hold tasks.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from toucanpin.exception import PlatformError
+from toucanpin.http.client import Answer, CallError, Client
+from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.orders import (
+    End,
+    Ended,
+    Held,
+    Refused,
+    Running,
+    Started,
+    WorkerEntry,
+)
+from toucanpin.verdict import Verdict
+
+__all__ = [
+    "WORKERS_TABLE",
+    "WorkerCalls",
+    "WorkerReplacedError",
+    "decode_worker",
+    "encode_task",
+    "parse_task",
+]
+
+WORKERS_TABLE = "servers"
+CALL_TIMEOUT = 0.5  # s: an order takes 2 ms, so 0.5 s without an answer means a lost one
+_INSTANCE_HEADER = "X-Expect-Instance"
+_ENDS = {
+    "done": End.DONE,
+    "failed": End.FAILED,
+    "stopped": End.STOPPED,
+    "lapsed": End.LAPSED,
+    "broken": End.BROKEN,
+    "alone": End.ALONE,
+}
+_REASONS = {
+    "fence": Refused.FENCED,
+    "old": Refused.OLD_ATTEMPT,
+    "late": Refused.LATE,
+    "room": Refused.NO_ROOM,
+    "ticket": Refused.NO_TICKET,
+}
+
+
+class WorkerReplacedError(CallError):
+    """Report that another life of the worker answers: what the earlier one ran is gone."""
+
+
+class _Capacity(msgspec.Struct, rename="camel"):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Entry(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str = ""
+    state: str = "ready"
+    cold_left_ms: float = 0
+    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    labels: tuple[str, ...] = ()
+    machine: str = ""
+    remaining_ms: float = 0
+
+
+class _Start(msgspec.Struct, rename="camel", omit_defaults=True):
+    task: str
+    attempt: int
+    spec: str
+    deadline_ms: int
+    fencing_token: int
+    checkpoint: str = ""
+    ticket: str = ""
+
+
+class _Stop(msgspec.Struct, rename="camel"):
+    task: str
+    attempt: int
+    fencing_token: int
+
+
+class _Pace(msgspec.Struct, rename="camel"):
+    task: str
+    attempt: int
+    percent: int
+    fencing_token: int
+
+
+class _Hold(msgspec.Struct, rename="camel", omit_defaults=True):
+    fencing_token: int
+    acked_seq: int = 0
+    deadline_ms: int = 0
+    wait_ms: int = 0
+
+
+class _Answer(msgspec.Struct, rename="camel"):
+    clock_ms: int
+    reason: str = ""
+    running: list[list] = []
+    finished: list[list] = []
+
+
+class WorkerCalls:
+    """Call one life of one worker."""
+
+    __slots__ = ("_client", "_header")
+
+    def __init__(self, identifier: str, address: str) -> None:
+        self._client = Client(address)
+        self._header = ((_INSTANCE_HEADER, identifier),)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def start(
+        self,
+        task: TaskKey,
+        attempt: int,
+        spec: str,
+        deadline: int,
+        token: int,
+        checkpoint: str = "",
+        ticket: str = "",
+    ) -> Started:
+        """Start a task under a lease that ends at ``deadline`` on the worker's clock, in ms."""
+        order = _Start(encode_task(task), attempt, spec, deadline, token, checkpoint, ticket)
+        answer = await self._call("/run-start", order)
+        if answer.status in (429, 503):
+            return Started(0, Refused.UNHEALTHY)
+        if answer.status == 400:
+            return Started(0, Refused.MALFORMED)
+        body = _decode(answer, (200, 409))
+        if answer.status == 200:
+            return Started(body.clock_ms, None)
+        return Started(body.clock_ms, _read_reason(body.reason))
+
+    async def stop(self, task: TaskKey, attempt: int, token: int) -> Refused | None:
+        """Stop one attempt for good, also one that isn't there yet."""
+        answer = await self._call("/run-stop", _Stop(encode_task(task), attempt, token))
+        return _read_refusal(answer)
+
+    async def pace(self, task: TaskKey, attempt: int, percent: int, token: int) -> Refused | None:
+        """Let a task work at a share of its speed."""
+        answer = await self._call("/pace", _Pace(encode_task(task), attempt, percent, token))
+        return _read_refusal(answer)
+
+    async def hold(
+        self, token: int, acknowledged: int, deadline: int, wait: float, timeout: float
+    ) -> Held | Refused:
+        """Renew the lease unless ``deadline`` is 0, acknowledge ends, and look."""
+        order = _Hold(token, acknowledged, deadline, int(wait * 1_000))
+        answer = await self._call("/hold", order, wait + timeout)
+        if answer.status in (429, 503):
+            raise CallError(Verdict.NOT_RUN, f"the worker refused with {answer.status}")
+        body = _decode(answer, (200, 409))
+        if answer.status == 409:
+            return _read_reason(body.reason)
+        return Held(
+            body.clock_ms,
+            tuple(_to_running(row) for row in body.running),
+            tuple(_to_ended(row) for row in body.finished),
+        )
+
+    async def _call(
+        self, path: str, order: msgspec.Struct, timeout: float = CALL_TIMEOUT
+    ) -> Answer:
+        body = msgspec.json.encode(order)
+        answer = await self._client.call("POST", path, body, self._header, timeout)
+        if answer.status == 421:
+            raise WorkerReplacedError(Verdict.NOT_RUN, "another life of the worker answers", 421)
+        return answer
+
+
+def decode_worker(identifier: str, value: bytes) -> WorkerEntry:
+    """Decode a worker's entry in the store."""
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except msgspec.MsgspecError as error:
+        raise PlatformError(f"the entry of worker {identifier} can't be read: {error}") from error
+    return WorkerEntry(
+        id=identifier,
+        service=entry.service,
+        address=entry.address,
+        data_centre=entry.zone,
+        ready=entry.state == "ready",
+        cpu=entry.capacity.cpu,
+        memory=entry.capacity.mem_mb,
+        accelerators=entry.capacity.gpu,
+        labels=entry.labels,
+        cold=entry.cold_left_ms / 1_000,
+        machine=entry.machine,
+        left=entry.remaining_ms / 1_000,
+    )
+
+
+def encode_task(task: TaskKey) -> str:
+    """Return a task's name on the wire."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def parse_task(text: str) -> TaskKey:
+    """Read a task's name."""
+    try:
+        job, occurrence, step, index = text.split(".")
+        return TaskKey(job, int(occurrence), int(step), int(index))
+    except ValueError as error:
+        raise PlatformError(f"{text!r} names no task") from error
+
+
+def _decode(answer: Answer, good: tuple[int, ...]) -> _Answer:
+    if answer.status not in good:
+        raise PlatformError(f"a worker answered {answer.status}: {answer.body[:200]!r}")
+    try:
+        return msgspec.json.decode(answer.body, type=_Answer)
+    except msgspec.MsgspecError as error:
+        detail = f"a worker's answer can't be read: {error}"
+        raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
+
+
+def _read_refusal(answer: Answer) -> Refused | None:
+    if answer.status in (429, 503):
+        return Refused.UNHEALTHY
+    if answer.status == 400:
+        return Refused.MALFORMED
+    body = _decode(answer, (200, 409))
+    return _read_reason(body.reason) if answer.status == 409 else None
+
+
+def _read_reason(reason: str) -> Refused:
+    try:
+        return _REASONS[reason]
+    except KeyError as error:
+        raise PlatformError(f"a worker refused for an unknown reason: {reason!r}") from error
+
+
+def _to_running(row: list) -> Running:
+    measure = float(row[4]) if len(row) > 4 else 0.0
+    return Running(parse_task(row[0]), row[1], row[2], row[3], measure)
+
+
+def _to_ended(row: list) -> Ended:
+    return Ended(row[0], parse_task(row[1]), row[2], _ENDS[row[3]], row[4])
--- /dev/null
+++ b/toucanpin/scheduling/batches.py
@@ -0,0 +1,77 @@
+"""
+Batches
+=======
+
+What one transaction of a cell's owner carries, and what may be done once it is written.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.progress import encode_progress
+from toucanpin.scheduling.worker import Phase, Run
+
+__all__ = ["Batch", "apply_batch", "has_work", "take_batch"]
+
+MAX_ROWS = 90  # of a transaction's 100 entries; the owner's row takes two
+MAX_BYTES = 400_000  # of a transaction's 1 MB, which base64 makes a third larger
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """
+    Hold one transaction's content and what waits for it.
+
+    ``records`` are the progress of jobs by id; ``forgotten`` are jobs whose rows are dropped;
+    ``placed`` are runs to be started and ``ends`` the newest written end of each worker.
+    """
+
+    records: dict[str, bytes]
+    forgotten: tuple[str, ...]
+    placed: tuple[Run, ...]
+    ends: dict[str, int]
+
+
+def has_work(cell: Cell) -> bool:
+    """Tell whether something waits to be written."""
+    return bool(cell.dirty or cell.ends or cell.forgotten)
+
+
+def take_batch(cell: Cell) -> Batch:
+    """Take what waits, as far as one transaction holds it."""
+    records: dict[str, bytes] = {}
+    size = 0
+    for identifier in list(cell.dirty):
+        if len(records) >= MAX_ROWS or size > MAX_BYTES:
+            break
+        del cell.dirty[identifier]
+        records[identifier] = encode_progress(cell.jobs[identifier].progress)
+        size += len(records[identifier])
+    # Ends and starts wait for the rows of all jobs that they changed.
+    whole = not cell.dirty
+    placed = [run for run in cell.placed if whole or run.task.job not in cell.dirty]
+    cell.placed = [run for run in cell.placed if not whole and run.task.job in cell.dirty]
+    ends = dict(cell.ends) if whole else {}
+    if whole:
+        cell.ends.clear()
+    room = (MAX_ROWS - len(records)) // 3
+    forgotten = tuple(cell.forgotten[: max(0, room)])
+    del cell.forgotten[: len(forgotten)]
+    return Batch(records, forgotten, tuple(placed), ends)
+
+
+def apply_batch(cell: Cell, batch: Batch) -> list[Run]:
+    """Take note that a batch is written; return the runs that may be started."""
+    for identifier, sequence in batch.ends.items():
+        worker = cell.workers.get(identifier)
+        if worker is not None:
+            worker.acknowledged = max(worker.acknowledged, sequence)
+    started = []
+    for run in batch.placed:
+        # A job may have been cancelled while its places were being written.
+        if run.phase is Phase.PLACED:
+            run.phase = Phase.ORDERED
+            started.append(run)
+    return started
--- /dev/null
+++ b/toucanpin/scheduling/cell.py
@@ -0,0 +1,152 @@
+"""
+Cells
+=====
+
+The state of one cell, which one owner at a time decides about: its jobs, workers and orders.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from toucanpin.scheduling.job import Job, TaskKey
+from toucanpin.scheduling.orders import PaceOrder, StopOrder
+from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, TaskState
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+__all__ = [
+    "Cell",
+    "Group",
+    "LiveJob",
+    "Now",
+    "begin_occurrence",
+    "find_record",
+    "list_runs",
+    "mark_dirty",
+    "open_steps",
+    "task_offsets",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Now:
+    """
+    Hold the clocks at one moment.
+
+    ``steady`` is in seconds; ``table`` is the table's clock and ``wall`` counts from 1970, in ms.
+    """
+
+    steady: float
+    table: int
+    wall: int
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Group:
+    """Name the tasks of one step of one occurrence."""
+
+    job: str
+    occurrence: int
+    step: int
+
+
+@dataclass(slots=True)
+class LiveJob:
+    """Follow a job that is known here; ``left`` counts the tasks that each step still owes."""
+
+    job: Job
+    progress: Progress
+    objective: int = 0
+    offsets: tuple[int, ...] = ()
+    left: dict[int, list[int]] = field(default_factory=dict)
+    racks: dict[Group, str] = field(default_factory=dict)
+    runs: int = 0
+
+
+@dataclass(slots=True)
+class Cell:
+    """
+    Hold everything that the owner of a cell knows.
+
+    ``token`` fences earlier owners at the workers; ``horizon`` is the local time by which every
+    lease that an earlier owner may have granted has ended; ``confirmed`` is when the newest write
+    that the table accepted was sent.
+    """
+
+    name: str
+    token: int
+    horizon: float
+    confirmed: float
+    guarded: bool = True
+    jobs: dict[str, LiveJob] = field(default_factory=dict)
+    workers: dict[str, Worker] = field(default_factory=dict)
+    waiting: dict[Group, set[int]] = field(default_factory=dict)
+    delayed: dict[TaskKey, float] = field(default_factory=dict)
+    dirty: dict[str, None] = field(default_factory=dict)
+    placed: list[Run] = field(default_factory=list)
+    ends: dict[str, int] = field(default_factory=dict)
+    orders: list[StopOrder | PaceOrder] = field(default_factory=list)
+    forgotten: list[str] = field(default_factory=list)
+    next_due: float = 0.0
+
+
+def task_offsets(job: Job) -> tuple[int, ...]:
+    """Return where the records of each step begin."""
+    offsets = [0]
+    for step in job.steps:
+        offsets.append(offsets[-1] + step.count)
+    return tuple(offsets)
+
+
+def find_record(live: LiveJob, task: TaskKey) -> TaskRecord | None:
+    """Return the record of a task, None if its occurrence hasn't begun or is over."""
+    records = live.progress.tasks.get(task.occurrence)
+    if records is None or not 0 <= task.step < len(live.job.steps):
+        return None
+    if not 0 <= task.index < live.job.steps[task.step].count:
+        return None
+    return records[live.offsets[task.step] + task.index]
+
+
+def mark_dirty(cell: Cell, live: LiveJob) -> None:
+    """Have a job's progress written with the next commit."""
+    cell.dirty[live.job.id] = None
+
+
+def begin_occurrence(cell: Cell, live: LiveJob, occurrence: int) -> None:
+    """Make the tasks of an occurrence known, and let those wait that follow nothing."""
+    total = live.offsets[-1]
+    live.progress.tasks[occurrence] = [TaskRecord() for _ in range(total)]
+    live.left[occurrence] = [step.count for step in live.job.steps]
+    open_steps(cell, live, occurrence)
+
+
+def open_steps(cell: Cell, live: LiveJob, occurrence: int) -> None:
+    """Let all tasks wait for a place whose earlier steps are done."""
+    if live.progress.state >= JobState.COMPLETED:
+        return
+    left = live.left[occurrence]
+    records = live.progress.tasks[occurrence]
+    for number, step in enumerate(live.job.steps):
+        if not left[number] or any(left[earlier] for earlier in step.after):
+            continue
+        group = Group(live.job.id, occurrence, number)
+        start = live.offsets[number]
+        idle = {
+            index
+            for index in range(step.count)
+            if records[start + index].state == TaskState.WAITING
+        }
+        if idle:
+            cell.waiting[group] = idle
+
+
+def list_runs(cell: Cell, live: LiveJob) -> list[Run]:
+    """Return the runs of a job, wherever they are."""
+    job = live.job.id
+    return [
+        run
+        for worker in cell.workers.values()
+        for run in worker.runs.values()
+        if run.task.job == job and run.phase is not Phase.STOPPING
+    ]
--- /dev/null
+++ b/toucanpin/scheduling/holding.py
@@ -0,0 +1,185 @@
+"""
+Holding workers
+===============
+
+Leases of workers, what their answers say of their runs, and what their silence allows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from toucanpin.scheduling.cell import Cell, Now, find_record
+from toucanpin.scheduling.ending import apply_end, end_run, stop_run, wait_again
+from toucanpin.scheduling.orders import Held, HoldOrder, Running, StopOrder, WorkerEntry
+from toucanpin.scheduling.progress import JobState, TaskState
+from toucanpin.scheduling.worker import Phase, Run, Worker, grant_deadline
+
+__all__ = [
+    "AUTHORITY",
+    "LEASE",
+    "list_workers",
+    "lease_end",
+    "plan_hold",
+    "replace_worker",
+    "take_answer",
+    "take_silence",
+    "lapse_workers",
+]
+
+LEASE = 4.5  # s: covers the death of an owner (2 s), ends doubts about a lost worker soon
+AUTHORITY = 7.0  # s that an owner may go on granting leases after its newest accepted write
+BUSY_WAIT = 0.4  # s a worker's answer may wait: progress and latency are judged that often
+IDLE_WAIT = 1.5  # s for a worker that runs nothing
+GONE_AFTER = 3.0  # s that a worker which doesn't answer and isn't listed is remembered
+PROGRESS_STEP = 1  # percent that counts as a move
+
+
+def list_workers(cell: Cell, entries: Iterable[WorkerEntry], now: Now) -> list[Worker]:
+    """Take up the workers' own entries; return those that are new."""
+    fresh = []
+    for entry in entries:
+        worker = cell.workers.get(entry.id)
+        if worker is None:
+            worker = Worker(entry, lapse_at=cell.horizon)
+            cell.workers[entry.id] = worker
+            fresh.append(worker)
+        elif not worker.entry.address:
+            fresh.append(worker)
+        worker.entry = entry
+        worker.listed_at = now.steady
+    return fresh
+
+
+def lease_end(cell: Cell, now: Now) -> float:
+    """
+    Return the local time until which leases may be granted now.
+
+    An owner that the table hasn't confirmed for long may have been replaced.  Its successor waits
+    for the end of this authority before it starts elsewhere what a silent worker may run.
+    """
+    return min(now.steady + LEASE, cell.confirmed + AUTHORITY)
+
+
+def plan_hold(cell: Cell, worker: Worker, now: Now) -> HoldOrder:
+    """Say what to ask a worker next."""
+    if not worker.reached or worker.silent:
+        # A renewal without an answer may be carried out late, so while a worker is silent it is
+        # only asked; otherwise each try would move the moment at which its lease has surely ended.
+        return HoldOrder(worker.acknowledged, 0, 0.0)
+    until = lease_end(cell, now)
+    deadline = grant_deadline(worker, until) if worker.runs and until > now.steady else 0
+    if worker.seen > worker.acknowledged:
+        # Ends that aren't written yet would be listed again at once.
+        return HoldOrder(worker.acknowledged, deadline, 0.0)
+    return HoldOrder(worker.acknowledged, deadline, BUSY_WAIT if worker.runs else IDLE_WAIT)
+
+
+def take_answer(cell: Cell, worker: Worker, held: Held, sent_at: float, now: Now) -> None:
+    """Take note of what a worker lists; ``sent_at`` is when it was asked."""
+    _read_clock(worker, held.clock, now)
+    worker.answered_at = now.steady
+    worker.silent = False
+    for ended in held.ended:
+        if ended.sequence > worker.seen:
+            apply_end(cell, worker, ended, now)
+            worker.seen = ended.sequence
+    listed = {running.task: running for running in held.running}
+    worker.strangers = frozenset(_find_strangers(worker, held.running))
+    for running in held.running:
+        _take_running(cell, worker, running, now)
+    for run in list(worker.runs.values()):
+        found = listed.get(run.task)
+        if found is None or found.attempt != run.attempt:
+            _take_absence(cell, worker, run, sent_at, now)
+    worker.reached = True
+
+
+def take_silence(worker: Worker) -> None:
+    """Take note that a worker did not answer."""
+    worker.silent = True
+
+
+def replace_worker(cell: Cell, worker: Worker, now: Now) -> None:
+    """Take note that another life answers at a worker's address: its runs are gone."""
+    _end_all(cell, worker, now)
+    del cell.workers[worker.entry.id]
+
+
+def lapse_workers(cell: Cell, now: Now) -> list[Worker]:
+    """Free what ran on workers whose leases have surely ended; return those that are forgotten."""
+    forgotten = []
+    for worker in list(cell.workers.values()):
+        if not worker.silent and worker.reached:
+            continue
+        if now.steady <= worker.lapse_at:
+            continue
+        _end_all(cell, worker, now)
+        unlisted = now.steady > worker.listed_at + GONE_AFTER
+        if unlisted and now.steady > worker.answered_at + GONE_AFTER:
+            del cell.workers[worker.entry.id]
+            forgotten.append(worker)
+    return forgotten
+
+
+def _end_all(cell: Cell, worker: Worker, now: Now) -> None:
+    for run in list(worker.runs.values()):
+        if run.phase is Phase.PLACED:
+            stop_run(cell, run)
+            _end_unsent(cell, run)
+        else:
+            end_run(cell, worker, run, now)
+
+
+def _end_unsent(cell: Cell, run: Run) -> None:
+    """Let a task wait again whose start was never sent."""
+    live = cell.jobs.get(run.task.job)
+    if live is not None and not JobState(live.progress.state).ended:
+        wait_again(cell, run)
+
+
+def _read_clock(worker: Worker, clock: int, now: Now) -> None:
+    worker.clock = clock
+    worker.clock_at = now.steady
+
+
+def _find_strangers(worker: Worker, rows: Iterable[Running]) -> Iterable:
+    for running in rows:
+        run = worker.runs.get(running.task)
+        if run is None or run.attempt != running.attempt:
+            yield running.task
+
+
+def _take_running(cell: Cell, worker: Worker, running: Running, now: Now) -> None:
+    run = worker.runs.get(running.task)
+    if run is None or run.attempt != running.attempt:
+        # An order of an earlier owner, or one that was carried out late: nothing counts on it.
+        cell.orders.append(StopOrder(worker.entry.id, running.task, running.attempt))
+        return
+    live = cell.jobs.get(run.task.job)
+    record = find_record(live, run.task) if live else None
+    if run.phase is Phase.UNKNOWN or run.phase is Phase.ORDERED:
+        run.phase = Phase.RUNNING
+        run.started_at = run.moved_at = now.steady
+        run.unsure = False
+        if live is None or record is None or JobState(live.progress.state).ended:
+            stop_run(cell, run)
+    if running.percent - run.percent >= PROGRESS_STEP or running.percent < run.percent:
+        run.moved_at = now.steady
+    run.percent = running.percent
+    run.measure = running.measure
+    if running.checkpoint:
+        run.checkpoint = running.checkpoint
+        if record is not None and record.state == TaskState.PLACED:
+            record.checkpoint = running.checkpoint
+
+
+def _take_absence(cell: Cell, worker: Worker, run: Run, sent_at: float, now: Now) -> None:
+    match run.phase:
+        case Phase.UNKNOWN:
+            # The worker has this owner's token now, so no order of an earlier owner can start it.
+            end_run(cell, worker, run, now)
+        case Phase.RUNNING if sent_at > run.started_at:
+            end_run(cell, worker, run, now)
+        case Phase.STOPPING if run.stopped_at and sent_at > run.stopped_at:
+            end_run(cell, worker, run, now)
--- /dev/null
+++ b/toucanpin/scheduling/intake.py
@@ -0,0 +1,132 @@
+"""
+Intake of jobs
+==============
+
+Take up jobs from their rows, cancellations, and occurrences that are due.
+"""
+
+from __future__ import annotations
+
+from toucanpin.scheduling.cell import (
+    Cell,
+    LiveJob,
+    Now,
+    begin_occurrence,
+    open_steps,
+    task_offsets,
+)
+from toucanpin.scheduling.ending import end_job
+from toucanpin.scheduling.job import Job, TaskKey
+from toucanpin.scheduling.orders import WorkerEntry
+from toucanpin.scheduling.progress import JobState, Progress, TaskState
+from toucanpin.scheduling.worker import Phase, Run, Worker, reserve_run
+
+__all__ = ["begin_due", "cancel_job", "forget_ended", "restore_job", "submit_job"]
+
+
+def submit_job(cell: Cell, job: Job, now: Now) -> bool:
+    """Take up an accepted job; return whether it is new here."""
+    if job.id in cell.jobs:
+        return False
+    live = _make_live(job, Progress(JobState.PENDING, 0, [], {}))
+    cell.jobs[job.id] = live
+    _begin(cell, live, now)
+    return True
+
+
+def restore_job(cell: Cell, job: Job, progress: Progress, now: Now) -> None:
+    """Take up a job that an earlier owner has worked on; its placed tasks are unknown at first."""
+    live = _make_live(job, progress)
+    cell.jobs[job.id] = live
+    for occurrence, records in progress.tasks.items():
+        live.left[occurrence] = _count_left(live, occurrence)
+        for number, step in enumerate(job.steps):
+            for index in range(step.count):
+                record = records[live.offsets[number] + index]
+                if record.state == TaskState.PLACED:
+                    task = TaskKey(job.id, occurrence, number, index)
+                    worker = _find_worker(cell, record.worker)
+                    run = Run(task, record.attempt, worker.entry.id, step, Phase.UNKNOWN)
+                    run.checkpoint = record.checkpoint
+                    reserve_run(worker, run)
+        if not JobState(progress.state).ended:
+            open_steps(cell, live, occurrence)
+    if not JobState(progress.state).ended:
+        _begin(cell, live, now)
+
+
+def cancel_job(cell: Cell, identifier: str, now: Now) -> None:
+    """Cancel a job unless it has ended."""
+    live = cell.jobs.get(identifier)
+    if live is not None and not JobState(live.progress.state).ended:
+        end_job(cell, live, JobState.CANCELLED, now)
+
+
+def begin_due(cell: Cell, now: Now) -> None:
+    """Begin the occurrences whose time has come."""
+    if now.steady < cell.next_due:
+        return
+    cell.next_due = now.steady + DUE_PERIOD
+    for live in cell.jobs.values():
+        if live.job.repeats and not JobState(live.progress.state).ended:
+            _begin(cell, live, now)
+
+
+def forget_ended(cell: Cell, now: Now, keep: float) -> None:
+    """Drop the rows of jobs that ended longer ago than callers may ask, in seconds."""
+    limit = now.table - int(keep * 1_000)
+    old = [
+        identifier
+        for identifier, live in cell.jobs.items()
+        if JobState(live.progress.state).ended and live.progress.ended < limit
+    ]
+    for identifier in old:
+        del cell.jobs[identifier]
+        cell.dirty.pop(identifier, None)
+        cell.forgotten.append(identifier)
+
+
+DUE_PERIOD = 0.02  # s between looks for occurrences that are due
+
+
+def _make_live(job: Job, progress: Progress) -> LiveJob:
+    live = LiveJob(job, progress, offsets=task_offsets(job))
+    live.objective = job.accepted + job.aim + int(job.stretch * _longest_chain(job))
+    return live
+
+
+def _longest_chain(job: Job) -> int:
+    ends: list[int] = []
+    for step in job.steps:
+        ends.append(step.estimate + max((ends[earlier] for earlier in step.after), default=0))
+    return max(ends)
+
+
+def _begin(cell: Cell, live: LiveJob, now: Now) -> None:
+    job = live.job
+    over = set(live.progress.over)
+    for occurrence in range(job.occurrences):
+        if job.repeats and job.start_at + occurrence * job.interval > now.wall:
+            break
+        if occurrence not in live.progress.tasks and occurrence not in over:
+            begin_occurrence(cell, live, occurrence)
+
+
+def _count_left(live: LiveJob, occurrence: int) -> list[int]:
+    records = live.progress.tasks[occurrence]
+    left = []
+    for number, step in enumerate(live.job.steps):
+        start = live.offsets[number]
+        part = records[start : start + step.count]
+        left.append(sum(record.state != TaskState.DONE for record in part))
+    return left
+
+
+def _find_worker(cell: Cell, identifier: str) -> Worker:
+    """Return a worker, also one that no list names: what it was given may still run there."""
+    worker = cell.workers.get(identifier)
+    if worker is None:
+        entry = WorkerEntry(identifier, cell.name, "", "", False, 0, 0, 0)
+        worker = Worker(entry, lapse_at=cell.horizon)
+        cell.workers[identifier] = worker
+    return worker
--- /dev/null
+++ b/toucanpin/scheduling/ownership.py
@@ -0,0 +1,86 @@
+"""
+Ownership of a cell
+===================
+
+Who decides about a cell: one row, written with every commit of its owner.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+__all__ = ["OwnerRecord", "Watch", "decode_owner", "encode_owner", "observe", "should_take"]
+
+UNHEARD = 1.3  # s without a new write after which an owner counts as gone; it writes each 0.35 s
+RENEWAL = 0.35  # s between writes of an owner that has nothing else to write
+SLOW_FACTOR = 3.0  # reads of the row that an owner's write may take longer, while the store is slow
+
+
+class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """
+    Name the owner of a cell.
+
+    ``life`` differs between starts of one host; ``token`` grows with each owner and fences the
+    earlier ones; ``sequence`` grows with each write, so no earlier write can apply after a later.
+    An empty ``host`` says that the last owner has resigned.
+    """
+
+    host: str
+    life: str
+    token: int
+    sequence: int
+
+
+@dataclass(slots=True)
+class Watch:
+    """Follow the owner's row; ``changed_at`` is when it was first seen as it is."""
+
+    version: int = -1
+    record: OwnerRecord | None = None
+    changed_at: float = 0.0
+    seen_at: float = 0.0
+    read_time: float = 0.0
+    silent: float = 0.0
+
+
+def observe(
+    watch: Watch, version: int, record: OwnerRecord | None, took: float, now: float
+) -> None:
+    """Take note of a read of the row that took ``took`` seconds."""
+    gap = now - watch.seen_at
+    watch.seen_at = now
+    watch.read_time = max(took, watch.read_time * 0.8)
+    if version != watch.version:
+        watch.version = version
+        watch.record = record
+        watch.changed_at = now
+        watch.silent = 0.0
+        return
+    # Only time in which the row could be read counts: after an outage of the table its owner
+    # needs a moment to write again, and was as well as anybody until then.
+    watch.silent += min(gap, 2 * RENEWAL + took)
+
+
+def should_take(watch: Watch, rank: float) -> bool:
+    """
+    Tell whether to take the cell now.
+
+    ``rank`` is from 0 to 1 and spreads the hosts that would take it at the same moment.
+    """
+    if watch.version < 0:
+        return False
+    if watch.record is None or not watch.record.host:
+        return watch.silent >= rank * RENEWAL
+    return watch.silent >= UNHEARD + rank * RENEWAL + SLOW_FACTOR * watch.read_time
+
+
+def encode_owner(record: OwnerRecord) -> bytes:
+    """Return a record as it stands in its row."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode_owner(value: bytes) -> OwnerRecord:
+    """Read a record from its row."""
+    return msgspec.msgpack.decode(value, type=OwnerRecord)
--- /dev/null
+++ b/toucanpin/scheduling/placing.py
@@ -0,0 +1,189 @@
+"""
+Placing
+=======
+
+Choose a worker for each task that waits, the most urgent first.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, mark_dirty
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.progress import JobState, TaskState
+from toucanpin.scheduling.sharing import Sharing, predict_pressure
+from toucanpin.scheduling.worker import Phase, Run, Worker, has_room, release_run, reserve_run
+
+__all__ = ["place_tasks"]
+
+CONTACT = 2.5  # s without an answer after which a worker gets nothing new
+FAR = 4.0  # weight of a place away from a step's data against a wholly idle worker's 1
+SUSPECT = 100.0  # weight that leaves failing workers for the case that no other has room
+SAFE = 0.6  # of a target: a tail predicted below it counts as undisturbed
+HARM = 5.0  # weight of a predicted tail of a whole target more than that
+BESIDE_FILLING = 1.0  # weight against serving beside a worker full of what fills
+
+
+def place_tasks(cell: Cell, sharing: Sharing, now: Now) -> None:
+    """Place what waits; the places count only once they are written."""
+    if not cell.waiting:
+        return
+    able = [worker for worker in cell.workers.values() if _is_able(worker, now)]
+    for group in sorted(cell.waiting, key=lambda group: _rank(cell, group)):
+        live = cell.jobs[group.job]
+        step = live.job.steps[group.step]
+        if step.gang:
+            _place_gang(cell, live, group, step, able, sharing, now)
+        else:
+            _place_group(cell, live, group, step, able, sharing, now)
+        if not cell.waiting[group]:
+            del cell.waiting[group]
+
+
+def _rank(cell: Cell, group: Group) -> tuple[int, int, Group]:
+    live = cell.jobs[group.job]
+    return live.job.priority, live.objective, group
+
+
+def _is_able(worker: Worker, now: Now) -> bool:
+    return (
+        worker.reached
+        and not worker.silent
+        and worker.entry.ready
+        and not worker.strangers
+        and now.steady - worker.answered_at < CONTACT
+    )
+
+
+def _place_group(
+    cell: Cell,
+    live: LiveJob,
+    group: Group,
+    step: Step,
+    able: list[Worker],
+    sharing: Sharing,
+    now: Now,
+) -> None:
+    waiting = cell.waiting[group]
+    for index in sorted(waiting):
+        task = TaskKey(group.job, group.occurrence, group.step, index)
+        if cell.delayed.get(task, 0.0) > now.steady:
+            continue
+        worker = _choose(live, group, step, able, sharing, now)
+        if worker is None:
+            return
+        cell.delayed.pop(task, None)
+        waiting.discard(index)
+        _place(cell, live, task, step, worker)
+
+
+def _place_gang(
+    cell: Cell,
+    live: LiveJob,
+    group: Group,
+    step: Step,
+    able: list[Worker],
+    sharing: Sharing,
+    now: Now,
+) -> None:
+    """Place all tasks of a gang or none; a part of one would only wait."""
+    waiting = cell.waiting[group]
+    if len(waiting) < step.count:
+        return
+    start = live.offsets[group.step]
+    records = live.progress.tasks[group.occurrence][start : start + step.count]
+    attempt = max(record.attempt for record in records)
+    checkpoint = max((record.checkpoint for record in records), default="")
+    for record in records:
+        record.attempt = attempt
+        record.checkpoint = checkpoint
+    chosen: list[tuple[TaskKey, Worker]] = []
+    placed: list[Run] = []
+    for index in sorted(waiting):
+        worker = _choose(live, group, step, able, sharing, now)
+        if worker is None:
+            break
+        task = TaskKey(group.job, group.occurrence, group.step, index)
+        chosen.append((task, worker))
+        run = Run(task, 0, worker.entry.id, step, Phase.PLACED)
+        reserve_run(worker, run)
+        placed.append(run)
+    for run, (_, worker) in zip(placed, chosen, strict=True):
+        release_run(worker, run)
+    if len(chosen) < step.count:
+        live.racks.pop(group, None)
+        return
+    for task, worker in chosen:
+        waiting.discard(task.index)
+        _place(cell, live, task, step, worker)
+
+
+def _place(cell: Cell, live: LiveJob, task: TaskKey, step: Step, worker: Worker) -> None:
+    record = live.progress.tasks[task.occurrence][live.offsets[task.step] + task.index]
+    record.state = TaskState.PLACED
+    record.attempt += 1
+    record.worker = worker.entry.id
+    run = Run(task, record.attempt, worker.entry.id, step, Phase.PLACED)
+    run.checkpoint = record.checkpoint
+    reserve_run(worker, run)
+    cell.placed.append(run)
+    if live.progress.state == JobState.PENDING:
+        live.progress.state = JobState.ACTIVE
+    mark_dirty(cell, live)
+
+
+def _choose(
+    live: LiveJob, group: Group, step: Step, able: Iterable[Worker], sharing: Sharing, now: Now
+) -> Worker | None:
+    best: Worker | None = None
+    best_cost = 0.0
+    rack = live.racks.get(group, "")
+    for worker in able:
+        if not _may_run(worker, group, step):
+            continue
+        cost = _weigh(worker, step, rack, sharing, now)
+        if best is None or cost < best_cost:
+            best, best_cost = worker, cost
+    if best is not None and step.same_rack:
+        live.racks.setdefault(group, best.rack)
+    return best
+
+
+def _may_run(worker: Worker, group: Group, step: Step) -> bool:
+    if not has_room(worker, step):
+        return False
+    if step.label and step.label not in worker.entry.labels:
+        return False
+    return not step.per_worker or _count_group(worker, group) < step.per_worker
+
+
+def _count_group(worker: Worker, group: Group) -> int:
+    return sum(
+        run.task.job == group.job
+        and run.task.step == group.step
+        and run.task.occurrence == group.occurrence
+        for run in worker.runs.values()
+    )
+
+
+def _weigh(worker: Worker, step: Step, rack: str, sharing: Sharing, now: Now) -> float:
+    """Return the cost of a place: lower is better."""
+    entry = worker.entry
+    cost = 0.0
+    if worker.suspect_until > now.steady:
+        cost += SUSPECT + worker.failures
+    if step.rack and step.rack != worker.rack:
+        cost += FAR
+    if rack and rack != worker.rack:
+        cost += FAR
+    if step.fills:
+        # What fills shares the cores that the others leave, so it goes where most are left.
+        asked = worker.cpu + worker.filling_cpu + step.cpu
+        pressure = predict_pressure(sharing, worker, step.image, step.cpu)
+        return cost + HARM * max(0.0, pressure - SAFE) + asked / max(1, entry.cpu)
+    # The fullest worker that still has room: wide tasks find whole workers later.
+    left = 1 - (worker.cpu + step.cpu) / max(1, entry.cpu)
+    if step.target:
+        return cost + left + BESIDE_FILLING * worker.filling_cpu / max(1, entry.cpu)
+    return cost + left + 0.2 * worker.fillers
--- /dev/null
+++ b/toucanpin/scheduling/progress.py
@@ -0,0 +1,75 @@
+"""
+Progress of a job
+=================
+
+The record of every task of a job, as it stands in one row that the owner of the cell writes.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+__all__ = ["JobState", "Progress", "TaskRecord", "TaskState", "decode_progress", "encode_progress"]
+
+
+class JobState(enum.IntEnum):
+    """Say what has become of a job."""
+
+    PENDING = 0
+    ACTIVE = 1
+    COMPLETED = 2
+    FAILED = 3
+    CANCELLED = 4
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether nothing of the job may start any more."""
+        return self >= JobState.COMPLETED
+
+
+class TaskState(enum.IntEnum):
+    """Say what is known of one task."""
+
+    WAITING = 0
+    PLACED = 1
+    DONE = 2
+
+
+class TaskRecord(msgspec.Struct, array_like=True, omit_defaults=True):
+    """
+    Hold what must last of one task.
+
+    A task that is placed may run at ``worker`` under ``attempt`` until an end is known.
+    """
+
+    state: int = 0
+    attempt: int = 0
+    failures: int = 0
+    worker: str = ""
+    checkpoint: str = ""
+
+
+class Progress(msgspec.Struct, array_like=True):
+    """
+    Hold what must last of one job.
+
+    ``ended`` is on the table's clock in ms; ``tasks`` holds the records of each occurrence that
+    has begun and not ended, in the order of steps and indices; ``over`` counts those that ended.
+    """
+
+    state: int
+    ended: int
+    over: list[int]
+    tasks: dict[int, list[TaskRecord]]
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Return a job's progress as it stands in its row."""
+    return msgspec.msgpack.encode(progress)
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Read a job's progress from its row."""
+    return msgspec.msgpack.decode(value, type=Progress)
--- /dev/null
+++ b/toucanpin/scheduling/settings.py
@@ -0,0 +1,46 @@
+"""
+Settings of an entry host
+=========================
+
+What a process learns from its host, in plain types; times are in seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Bounds", "HostSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Hold the times that the deployment promises or demands."""
+
+    longest_lease: float = 10.0
+    stop: float = 0.2
+    shutdown: float = 6.0
+    keep_ended: float = 120.0
+    early: float = 0.25
+    gang_wait: float = 3.0
+    spread_factor: float = 3.0
+    restore: float = 0.25
+    checkpoint_every: float = 1.0
+    contact: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Hold what one process is told."""
+
+    name: str
+    address: str
+    data_centre: str
+    front: str
+    readiness: str
+    inner_port: int
+    store: str
+    advice: str
+    machines: str
+    heartbeat: float
+    max_row: int
+    bounds: Bounds
--- /dev/null
+++ b/toucanpin/scheduling/starting.py
@@ -0,0 +1,88 @@
+"""
+Starting tasks
+==============
+
+What the answer to a start means, and what to do without one.
+"""
+
+from __future__ import annotations
+
+import enum
+
+from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.ending import end_run, stop_run
+from toucanpin.scheduling.holding import lease_end
+from toucanpin.scheduling.orders import Refused, Started
+from toucanpin.scheduling.worker import Phase, Run, Worker, grant_deadline
+
+__all__ = ["Next", "plan_start", "take_no_start", "take_started", "take_stopped"]
+
+SHORTEST_LEASE = 0.5  # s: a start with less would lapse before it is renewed
+UNHEALTHY = 1.0  # s that a worker gets nothing after it refused to start anything
+FULL = 0.3  # s that a worker gets nothing after it had less room than its owner thought
+
+
+class Next(enum.Enum):
+    """Say what to do with a start."""
+
+    SETTLED = "settled"
+    AGAIN = "again"
+    LATER = "later"
+    FENCED = "fenced"
+
+
+def plan_start(cell: Cell, worker: Worker, run: Run, now: Now) -> int:
+    """Return the lease's end for a start on the worker's clock, 0 if it must not be sent now."""
+    until = lease_end(cell, now)
+    if worker.silent or until - now.steady < SHORTEST_LEASE:
+        return 0
+    run.ordered_at = now.steady
+    return grant_deadline(worker, until)
+
+
+def take_started(cell: Cell, worker: Worker, run: Run, answer: Started, now: Now) -> Next:
+    """Take note of a worker's answer to a start."""
+    if run.phase is not Phase.ORDERED:
+        return Next.SETTLED
+    match answer.refused:
+        case None:
+            run.phase = Phase.RUNNING
+            run.started_at = run.moved_at = now.steady
+            run.unsure = False
+            return Next.SETTLED
+        case Refused.FENCED:
+            return Next.FENCED
+        case Refused.LATE:
+            return Next.AGAIN
+        case Refused.NO_ROOM:
+            worker.suspect_until = max(worker.suspect_until, now.steady + FULL)
+        case Refused.UNHEALTHY:
+            worker.suspect_until = max(worker.suspect_until, now.steady + UNHEALTHY)
+    _give_up(cell, worker, run, now)
+    return Next.SETTLED
+
+
+def take_no_start(cell: Cell, worker: Worker, run: Run, certain: bool, now: Now) -> Next:
+    """Take note that a start got no answer; ``certain`` says that it was never sent."""
+    if run.phase is not Phase.ORDERED:
+        return Next.SETTLED
+    run.unsure = run.unsure or not certain
+    if not run.unsure:
+        worker.suspect_until = max(worker.suspect_until, now.steady + UNHEALTHY)
+        _give_up(cell, worker, run, now)
+        return Next.SETTLED
+    # The same start again is safe: the worker accepts an attempt that it already has.
+    return Next.LATER if worker.silent else Next.AGAIN
+
+
+def take_stopped(worker: Worker, run: Run, now: Now) -> None:
+    """Take note that a worker acknowledged a stop; its next list shows what is left."""
+    if run.phase is Phase.STOPPING:
+        run.stopped_at = now.steady
+
+
+def _give_up(cell: Cell, worker: Worker, run: Run, now: Now) -> None:
+    if run.unsure:
+        stop_run(cell, run)
+    else:
+        end_run(cell, worker, run, now)
--- /dev/null
+++ b/toucanpin/scheduling/worker.py
@@ -0,0 +1,132 @@
+"""
+Workers as their owner sees them
+================================
+
+Room, runs and lease of one life of a worker.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.orders import WorkerEntry
+
+__all__ = ["Phase", "Run", "Worker", "grant_deadline", "has_room", "release_run", "reserve_run"]
+
+SLOWEST_CLOCK = 0.98  # a worker's clock may be 2% slow, by the platform's page
+LAPSE_MARGIN = 0.25  # s: time that a worker may take to kill what its lease no longer covers
+
+
+class Phase(enum.Enum):
+    """Say how far one run has come."""
+
+    PLACED = "placed"  # not written yet: nothing was sent
+    ORDERED = "ordered"  # a start was or is being sent
+    RUNNING = "running"  # the worker has said so
+    STOPPING = "stopping"  # it must end; room is taken until the worker lists the end
+    UNKNOWN = "unknown"  # found in a row at takeover; the worker hasn't been asked
+
+
+@dataclass(slots=True)
+class Run:
+    """Follow one attempt of a task on one worker; times are on the local steady clock."""
+
+    task: TaskKey
+    attempt: int
+    worker: str
+    step: Step
+    phase: Phase
+    ordered_at: float = 0.0
+    started_at: float = 0.0
+    percent: int = 0
+    moved_at: float = 0.0
+    checkpoint: str = ""
+    measure: float = 0.0
+    pace: int = 100
+    paced_at: float = 0.0
+    over_since: float = 0.0
+    # A start without an answer may be carried out seconds later, so another worker may get the
+    # task only once a stop was acknowledged or the lease has ended.
+    unsure: bool = False
+    stopped_at: float = 0.0  # when a stop was acknowledged, 0 if it wasn't
+
+
+@dataclass(slots=True)
+class Worker:
+    """Hold what the owner of a cell knows of a worker; times are on the local steady clock."""
+
+    entry: WorkerEntry
+    runs: dict[TaskKey, Run] = field(default_factory=dict)
+    cpu: int = 0
+    memory: int = 0
+    accelerators: int = 0
+    fillers: int = 0
+    filling_cpu: int = 0
+    servers: int = 0
+    reached: bool = False
+    listed_at: float = 0.0
+    answered_at: float = 0.0
+    silent: bool = False
+    clock: int = 0
+    clock_at: float = 0.0
+    lapse_at: float = 0.0
+    seen: int = 0
+    acknowledged: int = 0
+    suspect_until: float = 0.0
+    failures: int = 0
+    strangers: frozenset[TaskKey] = frozenset()
+
+    @property
+    def rack(self) -> str:
+        """Return the label that names the rack, empty if none does."""
+        return self.entry.labels[1] if len(self.entry.labels) > 1 else ""
+
+
+def has_room(worker: Worker, step: Step) -> bool:
+    """Tell whether a task of a step fits what the worker has left."""
+    entry = worker.entry
+    if worker.memory + step.memory > entry.memory:
+        return False
+    if worker.accelerators + step.accelerators > entry.accelerators:
+        return False
+    return step.fills or worker.cpu + step.cpu <= entry.cpu
+
+
+def reserve_run(worker: Worker, run: Run) -> None:
+    """Take the room of a run."""
+    worker.runs[run.task] = run
+    _count(worker, run.step, 1)
+
+
+def release_run(worker: Worker, run: Run) -> None:
+    """Give the room of a run back."""
+    if worker.runs.get(run.task) is run:
+        del worker.runs[run.task]
+        _count(worker, run.step, -1)
+
+
+def grant_deadline(worker: Worker, until: float) -> int:
+    """
+    Return a lease's end on the worker's clock, and remember when it has ended for certain.
+
+    ``until`` is on the local clock.  Orders may arrive late, but the end that they carry is fixed.
+    """
+    ahead = max(0.0, until - worker.clock_at)
+    deadline = worker.clock + int(ahead * 1_000)
+    lapse = worker.clock_at + ahead / SLOWEST_CLOCK + LAPSE_MARGIN
+    worker.lapse_at = max(worker.lapse_at, lapse)
+    return deadline
+
+
+def _count(worker: Worker, step: Step, sign: int) -> None:
+    worker.memory += sign * step.memory
+    worker.accelerators += sign * step.accelerators
+    if step.fills:
+        worker.fillers += sign
+        worker.filling_cpu += sign * step.cpu
+    else:
+        worker.cpu += sign * step.cpu
+    if step.target:
+        worker.servers += sign
