Learn what filling tasks cost serving ones, by pair of images

Change: a tail is read as a queue's utilization; the least utilized task of a job shows its load, the others what neighbours cost; places, paces and moves use that, and a task over its target for 1.8 s is cleared.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -48,10 +48,11 @@
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import PaceOrder, Refused, StopOrder, WorkerEntry
 from toucanpin.scheduling.ownership import RENEWAL, OwnerRecord, decode_owner, encode_owner
+from toucanpin.scheduling.pacing import control_pace
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.progress import decode_progress
 from toucanpin.scheduling.settings import Bounds
-from toucanpin.scheduling.sharing import Sharing, control_sharing, learn_sharing
+from toucanpin.scheduling.sharing import Sharing, learn_effects
 from toucanpin.scheduling.starting import (
     Next,
     plan_start,
@@ -344,7 +345,7 @@
                 raise DeposedError(f"worker {identifier} refused: {answer.value}")
             now = self._clocks.now()
             take_answer(self._cell, worker, answer, sent_at, now)
-            learn_sharing(self._sharing, worker, now)
+            learn_effects(self._sharing, worker, now)
             self._after_change()
             if order.wait == 0.0 and time.monotonic() - sent_at < 0.02:
                 await asyncio.sleep(0.02)
@@ -399,6 +400,14 @@
     async def _order(self, order: StopOrder | PaceOrder) -> None:
         match order:
             case StopOrder():
+                _log.info(
+                    "stopping",
+                    event="task.stopping",
+                    job=order.task.job,
+                    task=order.task,
+                    worker=order.worker,
+                    reason=order.reason,
+                )
                 await self._stop(order)
             case PaceOrder():
                 await self._pace(order)
@@ -449,7 +458,7 @@
                 _log.info("worker gone", event="worker.gone", worker=worker.entry.id)
             begin_due(self._cell, now)
             move_tasks(self._cell, now)
-            control_sharing(self._cell, self._sharing, now)
+            control_pace(self._cell, self._sharing, now)
             if now.steady > forgotten_at + FORGET_PERIOD:
                 forgotten_at = now.steady
                 forget_ended(self._cell, now, self._bounds.keep_ended + KEEP_MARGIN)
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -88,6 +88,7 @@
     orders: list[StopOrder | PaceOrder] = field(default_factory=list)
     forgotten: list[str] = field(default_factory=list)
     next_due: float = 0.0
+    paced_at: float = 0.0
 
 
 def task_offsets(job: Job) -> tuple[int, ...]:
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -40,6 +40,7 @@
 def finish_run(cell: Cell, worker: Worker, run: Run, end: End, checkpoint: str, now: Now) -> None:
     """Give the room of a run back and decide what becomes of its task."""
     release_run(worker, run)
+    worker.changed_at = now.steady
     live = cell.jobs.get(run.task.job)
     record = find_record(live, run.task) if live else None
     if live is None or record is None or record.attempt != run.attempt:
@@ -82,10 +83,10 @@
     for group in [group for group in cell.waiting if group.job == live.job.id]:
         del cell.waiting[group]
     for run in list_runs(cell, live):
-        stop_run(cell, run)
+        stop_run(cell, run, "job ended")
 
 
-def stop_run(cell: Cell, run: Run) -> None:
+def stop_run(cell: Cell, run: Run, reason: str) -> None:
     """Have a run end; one that was never sent ends at once."""
     worker = cell.workers[run.worker]
     if run.phase is Phase.PLACED:
@@ -100,7 +101,7 @@
         return
     run.phase = Phase.STOPPING
     run.stopped_at = 0.0
-    cell.orders.append(StopOrder(run.worker, run.task, run.attempt))
+    cell.orders.append(StopOrder(run.worker, run.task, run.attempt, reason))
 
 
 def wait_again(cell: Cell, run: Run) -> None:
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -125,7 +125,7 @@
 def _end_all(cell: Cell, worker: Worker, now: Now) -> None:
     for run in list(worker.runs.values()):
         if run.phase is Phase.PLACED:
-            stop_run(cell, run)
+            stop_run(cell, run, "worker lost")
             _end_unsent(cell, run)
         else:
             end_run(cell, worker, run, now)
@@ -154,16 +154,16 @@
     run = worker.runs.get(running.task)
     if run is None or run.attempt != running.attempt:
         # An order of an earlier owner, or one that was carried out late: nothing counts on it.
-        cell.orders.append(StopOrder(worker.entry.id, running.task, running.attempt))
+        cell.orders.append(StopOrder(worker.entry.id, running.task, running.attempt, "unknown run"))
         return
     live = cell.jobs.get(run.task.job)
     record = find_record(live, run.task) if live else None
     if run.phase is Phase.UNKNOWN or run.phase is Phase.ORDERED:
         run.phase = Phase.RUNNING
-        run.started_at = run.moved_at = now.steady
+        run.started_at = run.moved_at = worker.changed_at = now.steady
         run.unsure = False
         if live is None or record is None or JobState(live.progress.state).ended:
-            stop_run(cell, run)
+            stop_run(cell, run, "job ended")
     if running.percent - run.percent >= PROGRESS_STEP or running.percent < run.percent:
         run.moved_at = now.steady
     run.percent = running.percent
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -26,10 +26,10 @@
             if run.phase is not Phase.RUNNING:
                 continue
             if not worker.entry.ready and _leaves_too_soon(worker, run, now):
-                stop_run(cell, run)
+                stop_run(cell, run, "worker leaves")
             elif _stands_still(run, now):
                 worker.suspect_until = now.steady + SUSPICION
-                stop_run(cell, run)
+                stop_run(cell, run, "stands still")
 
 
 def _leaves_too_soon(worker: Worker, run: Run, now: Now) -> bool:
@@ -46,7 +46,7 @@
 def _stands_still(run: Run, now: Now) -> bool:
     return (
         not run.step.lasting
-        and run.pace == 100
+        and run.pace > 0
         and run.percent < 100
         and now.steady - run.moved_at > STALL
     )
--- a/toucanpin/scheduling/orders.py
+++ b/toucanpin/scheduling/orders.py
@@ -109,7 +109,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldOrder:
-    """Renew a lease until ``deadline`` on the worker's clock (0: look only), and wait for an end."""
+    """Renew a lease until ``deadline`` on the worker's clock (0: only look); wait for an end."""
 
     acknowledged: int
     deadline: int
@@ -132,6 +132,7 @@
     worker: str
     task: TaskKey
     attempt: int
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/toucanpin/scheduling/pacing.py
@@ -0,0 +1,189 @@
+"""
+Pacing of what fills
+====================
+
+Slow, quicken or move the tasks that fill beside a serving task, so that it keeps its target.
+"""
+
+from __future__ import annotations
+
+from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.ending import stop_run
+from toucanpin.scheduling.orders import PaceOrder
+from toucanpin.scheduling.sharing import (
+    Sharing,
+    measure_loads,
+    predict_rise,
+    predict_utilization,
+    use_cores,
+)
+from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
+
+__all__ = ["control_pace"]
+
+PERIOD = 0.2  # s between looks; measurements come each 0.4 s
+LAG = 0.7  # s after an order until a tail, a mean of half a second, shows it
+HIGH = 0.95  # of the utilization that a target allows: above it what fills is slowed
+AIM = 0.9  # what slowing aims at
+LOW = 0.9  # below it what fills may work more
+OVER_LONG = 0.9  # s over a target after which the harmful leave, whatever is estimated
+OVER_TOO_LONG = 1.8  # s after which all that fills leaves; four seconds are never reached
+LOWEST_PACE = 30  # percent below which a task is better moved
+STEP = 10  # percent: paces are multiples of it
+SLIGHT = 0.04  # utilization: slowing a task that adds less would cost work and gain nothing
+BETTER = 0.92  # of the allowed utilization that a better place may reach
+CROWD = 1.3  # of its cores that may be asked for there
+
+
+def control_pace(cell: Cell, sharing: Sharing, now: Now) -> None:
+    """Adjust what fills on each worker that serves."""
+    if now.steady < cell.paced_at + PERIOD:
+        return
+    cell.paced_at = now.steady
+    measure_loads(cell, sharing, now)
+    for worker in cell.workers.values():
+        if worker.fillers and worker.reached and not worker.silent:
+            _control(cell, sharing, worker, now)
+
+
+def _control(cell: Cell, sharing: Sharing, worker: Worker, now: Now) -> None:
+    fillers = [run for run in worker.runs.values() if run.step.fills and run.phase is Phase.RUNNING]
+    if not fillers:
+        return
+    over = _find_longest_over(worker, now)
+    if over > OVER_LONG:
+        # The estimates have failed here: without this a target could be missed for seconds, by
+        # neighbours that are thought harmless.
+        _clear(cell, fillers, over > OVER_TOO_LONG, sharing, worker, now)
+        return
+    hottest = _find_hottest(sharing, worker)
+    if hottest is None:
+        for run in fillers:
+            _set_pace(cell, run, 100, now)
+        return
+    reached = sharing.utilization(hottest) / sharing.limit(hottest)
+    if reached > HIGH:
+        _slow(cell, sharing, worker, hottest, fillers, now)
+    elif reached < LOW:
+        _quicken(cell, sharing, worker, fillers, now)
+
+
+def _find_longest_over(worker: Worker, now: Now) -> float:
+    """Return for how long a serving task has been over its target, in seconds."""
+    longest = 0.0
+    for run in worker.runs.values():
+        if not run.step.target or run.phase is not Phase.RUNNING:
+            continue
+        if run.measure <= run.step.target:
+            run.over_since = 0.0
+        elif not run.over_since:
+            run.over_since = now.steady
+        else:
+            longest = max(longest, now.steady - run.over_since)
+    return longest
+
+
+def _clear(
+    cell: Cell, fillers: list[Run], wholly: bool, sharing: Sharing, worker: Worker, now: Now
+) -> None:
+    """Have what fills leave a worker, or stand still there."""
+    for run in fillers:
+        rise = predict_rise(sharing, worker, run.step.image, run.step.cpu)
+        if not wholly and rise < SLIGHT / 2:
+            continue
+        if run.step.checkpoints:
+            stop_run(cell, run, "serving task over its target")
+        elif run.pace > 0:
+            run.paced_at = 0.0
+            _set_pace(cell, run, 0, now)
+
+
+def _find_hottest(sharing: Sharing, worker: Worker) -> Run | None:
+    serving = (
+        run
+        for run in worker.runs.values()
+        if run.step.target and run.phase is Phase.RUNNING and run.measure > 0
+    )
+    return max(
+        serving,
+        key=lambda run: sharing.utilization(run) / max(0.05, sharing.limit(run)),
+        default=None,
+    )
+
+
+def _slow(
+    cell: Cell, sharing: Sharing, worker: Worker, hottest: Run, fillers: list[Run], now: Now
+) -> None:
+    """Take away as much of what fills as brings the hottest task below its target."""
+    if now.steady < worker.slowed_at + LAG:
+        return
+    worker.slowed_at = now.steady
+    whole = max(1, worker.entry.cpu)
+    image = hottest.step.image
+    load = max(0.05, sharing.load(hottest))
+    excess = sharing.utilization(hottest) - AIM * sharing.limit(hottest)
+    costs = [
+        (load * sharing.effect(image, run.step.image) * run.step.cpu / whole, run)
+        for run in fillers
+    ]
+    for cost, run in sorted(costs, key=lambda pair: -pair[0]):
+        if excess <= 0 or cost < SLIGHT:
+            return
+        current = max(0, run.pace)
+        share = min(current / 100, excess / cost) if cost > 0.01 else 0.0
+        wanted = int((current - 100 * share) // STEP) * STEP
+        if wanted >= current:
+            continue
+        excess -= cost * (current - max(0, wanted)) / 100
+        if _moves_freely(run) or (
+            wanted < LOWEST_PACE and run.percent < 30 and _has_better(cell, sharing, worker, run)
+        ):
+            stop_run(cell, run, "harms what serves")
+        else:
+            _set_pace(cell, run, max(0, wanted), now)
+
+
+def _quicken(cell: Cell, sharing: Sharing, worker: Worker, fillers: list[Run], now: Now) -> None:
+    """Give back what the worker can take, the task that has waited longest first."""
+    if any(run.paced_at > now.steady - LAG for run in fillers):
+        return
+    for run in sorted(fillers, key=lambda run: run.paced_at):
+        if run.pace >= 100:
+            continue
+        for wanted in (100, 60, 30):
+            more = run.step.cpu * (wanted - max(0, run.pace)) // 100
+            if more <= 0:
+                break
+            if predict_utilization(sharing, worker, run.step.image, more) < AIM:
+                _set_pace(cell, run, wanted, now)
+                break
+
+
+def _has_better(cell: Cell, sharing: Sharing, worker: Worker, run: Run) -> bool:
+    """Tell whether another worker could take a task without harm."""
+    return any(
+        other is not worker
+        and other.reached
+        and not other.silent
+        and other.entry.ready
+        and has_room(other, run.step)
+        and predict_utilization(sharing, other, run.step.image, run.step.cpu, True) < BETTER
+        and use_cores(sharing, other) + run.step.cpu < CROWD * other.entry.cpu
+        for other in cell.workers.values()
+    )
+
+
+def _moves_freely(run: Run) -> bool:
+    """Tell whether a task loses nothing by a stop, which saves what it has done."""
+    return run.step.checkpoints
+
+
+def _set_pace(cell: Cell, run: Run, percent: int, now: Now) -> None:
+    if percent == run.pace or now.steady - run.paced_at < LAG:
+        return
+    run.pace = percent
+    run.paced_at = now.steady
+    run.moved_at = now.steady
+    worker = cell.workers[run.worker]
+    worker.changed_at = now.steady
+    cell.orders.append(PaceOrder(run.worker, run.task, run.attempt, percent))
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -12,7 +12,7 @@
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, mark_dirty
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import JobState, TaskState
-from toucanpin.scheduling.sharing import Sharing, predict_pressure
+from toucanpin.scheduling.sharing import Sharing, predict_rise, predict_utilization, use_cores
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room, release_run, reserve_run
 
 __all__ = ["place_tasks"]
@@ -20,8 +20,12 @@
 CONTACT = 2.5  # s without an answer after which a worker gets nothing new
 FAR = 4.0  # weight of a place away from a step's data against a wholly idle worker's 1
 SUSPECT = 100.0  # weight that leaves failing workers for the case that no other has room
-SAFE = 0.6  # of a target: a tail predicted below it counts as undisturbed
-HARM = 5.0  # weight of a predicted tail of a whole target more than that
+SAFE = 0.85  # of the utilization that a target allows: below it nothing counts as disturbed
+CROWDED = 3.0  # weight of cores that are asked for and not there: tasks take that much longer
+HARM = 6.0  # weight of a whole such utilization more
+TOO_HOT = 0.95  # of it: a task that fills waits rather than bring a serving one above
+# Each image that serves on a worker keeps some that fill away, so images are best kept apart.
+OTHER_IMAGE = 1.5
 BESIDE_FILLING = 1.0  # weight against serving beside a worker full of what fills
 
 
@@ -142,7 +146,14 @@
     for worker in able:
         if not _may_run(worker, group, step):
             continue
-        cost = _weigh(worker, step, rack, sharing, now)
+        pressure = 0.0
+        if step.fills and worker.servers:
+            pressure = predict_utilization(sharing, worker, step.image, step.cpu)
+            if pressure > TOO_HOT:
+                continue
+            pressure = predict_utilization(sharing, worker, step.image, step.cpu, planned=True)
+            pressure += predict_rise(sharing, worker, step.image, step.cpu)
+        cost = _weigh(worker, step, rack, pressure, sharing, now)
         if best is None or cost < best_cost:
             best, best_cost = worker, cost
     if best is not None and step.same_rack:
@@ -167,7 +178,9 @@
     )
 
 
-def _weigh(worker: Worker, step: Step, rack: str, sharing: Sharing, now: Now) -> float:
+def _weigh(
+    worker: Worker, step: Step, rack: str, pressure: float, sharing: Sharing, now: Now
+) -> float:
     """Return the cost of a place: lower is better."""
     entry = worker.entry
     cost = 0.0
@@ -179,11 +192,22 @@
         cost += FAR
     if step.fills:
         # What fills shares the cores that the others leave, so it goes where most are left.
-        asked = worker.cpu + worker.filling_cpu + step.cpu
-        pressure = predict_pressure(sharing, worker, step.image, step.cpu)
-        return cost + HARM * max(0.0, pressure - SAFE) + asked / max(1, entry.cpu)
+        asked = use_cores(sharing, worker) + step.cpu
+        return cost + HARM * max(0.0, pressure - SAFE) + _weigh_crowd(asked / max(1, entry.cpu))
     # The fullest worker that still has room: wide tasks find whole workers later.
     left = 1 - (worker.cpu + step.cpu) / max(1, entry.cpu)
     if step.target:
-        return cost + left + BESIDE_FILLING * worker.filling_cpu / max(1, entry.cpu)
+        beside = BESIDE_FILLING * worker.filling_cpu / max(1, entry.cpu)
+        return cost + left + beside + OTHER_IMAGE * _count_others(worker, step.image)
     return cost + left + 0.2 * worker.fillers
+
+
+def _count_others(worker: Worker, image: str) -> int:
+    """Return how many images other than this one serve on a worker."""
+    images = {run.step.image for run in worker.runs.values() if run.step.target}
+    return len(images - {image})
+
+
+def _weigh_crowd(asked: float) -> float:
+    """Return the cost of a share of a worker's cores that is asked for."""
+    return asked if asked <= 1.0 else 1.0 + CROWDED * (asked - 1.0)
--- a/toucanpin/scheduling/sharing.py
+++ b/toucanpin/scheduling/sharing.py
@@ -3,81 +3,167 @@
 ==================
 
 Learn which tasks that fill harm which tasks that serve, and slow or move them when they do.
+
+Notes
+-----
+A serving task's tail follows a queue: ``tail = quiet / (1 - utilization)``.  What fills beside it
+multiplies its utilization by ``1 + sum(effect * share of the worker's cores in use)``, where the
+effect depends on the two images.  Tasks of one job carry the same load, so the least utilized of
+them shows what the job's load is without neighbours, and the others show what neighbours cost.
 """
 
 from __future__ import annotations
 
-from toucanpin.interference.estimator import PairEstimator, Prior
+from dataclasses import dataclass
+
+from toucanpin.interference.regression import Regression
 from toucanpin.scheduling.cell import Cell, Now
-from toucanpin.scheduling.ending import stop_run
-from toucanpin.scheduling.orders import PaceOrder
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
-__all__ = ["Sharing", "control_sharing", "learn_sharing", "predict_pressure"]
-
-NEAR = 0.85  # of a target: above it what fills is slowed
-CALM = 0.65  # of a target: below it what fills may work more
-LAG = 0.7  # s after an order until the tail, a mean of half a second, shows it
-FASTER = 34  # percent that are given back at a time
-BLAME = 0.25  # share of the estimated rise from which a task counts as a cause of it
-SERIOUS = 0.25  # rise by one task, in targets, from which slowing it isn't enough
-SLOWED = 1.5  # s that a task is left slowed before it is moved, if it can resume
-# The effects shift within seconds and differ a hundredfold by pair, so what was learned fades in
-# half a minute and the first samples of a pair count almost alone.
-PRIOR = Prior(rise=2.0, rise_deviation=25.0, load_rise=0.0, load_deviation=0.01, memory=30.0)
-LOAD = 1.0  # the platform tells no load of a serving task; its effect counts as a quiet tail
+__all__ = [
+    "Sharing",
+    "learn_effects",
+    "measure_loads",
+    "predict_rise",
+    "predict_utilization",
+    "use_cores",
+]
+
+MEMORY = 60.0  # s after which an effect is mostly forgotten; measured ones held for half a minute
+PRIOR_EFFECT = 2.0  # of a pair never seen; measured pairs lie near 0.3 or between 2 and 7
+PRIOR_DEVIATION = 4.0
+NOISE = 0.25  # of a measured factor, as a share of it
+LEAST_LOAD = 0.775  # of the quiet tail's share in the lowest tail seen: load is never quite 0
+SATURATED = 50.0  # quiet tails at which a queue counts as full; beyond, tails grow with load
+SATURATION = 0.98  # utilization there
+FIRST_QUIET = 0.2  # of a target, for an image whose tail was never seen
+WARM_UP = 3.0  # s after its start in which a serving task's tail may look lower than any later
+SETTLED = 0.9  # s after a change of what fills until a tail, a mean of half a second, shows it
+PEAK_KEPT = 0.98  # of a load's peak each second: loads swing within 10 to 20 s
+PLANNED = 0.85  # of the peak that a place is judged by: what fills stays for a part of a swing
+FRESH = 1.5  # s for which a measurement counts
+
+
+@dataclass(slots=True)
+class _Load:
+    """Hold a job's utilization without neighbours, its recent peak, and when it was measured."""
+
+    value: float
+    peak: float
+    at: float
 
 
 class Sharing:
-    """Hold what is known of the effects between images."""
+    """Hold what is known of loads and of the effects between images."""
 
-    __slots__ = ("_cache", "estimator")
+    __slots__ = ("_effects", "_lowest", "_regressions", "loads")
 
     def __init__(self) -> None:
-        self.estimator = PairEstimator(PRIOR)
-        self._cache: dict[tuple[str, str], float] = {}
-
-    def rise(self, serving: str, filling: str) -> float:
-        """Return the rise of a tail, in quiet tails, beside a worker full of an image."""
-        key = (serving, filling)
-        value = self._cache.get(key)
-        if value is None:
-            value = self.estimator.rise(serving, filling, LOAD)
-            self._cache[key] = value
-        return value
-
-    def quiet(self, serving: str) -> float:
-        """Return the tail without anything beside, in ms; 0 if it isn't known."""
-        return self.estimator.quiet(serving, LOAD) or 0.0
-
-    def forget_cache(self) -> None:
-        """Have estimates computed anew."""
-        self._cache.clear()
-
-
-def learn_sharing(sharing: Sharing, worker: Worker, now: Now) -> None:
+        self.loads: dict[str, _Load] = {}
+        self._regressions: dict[str, Regression] = {}
+        self._effects: dict[tuple[str, str], float] = {}
+        self._lowest: dict[str, float] = {}
+
+    def effect(self, serving: str, filling: str) -> float:
+        """Return how much utilization grows beside a worker full of an image, relatively."""
+        return self._effects.get((serving, filling), PRIOR_EFFECT)
+
+    def quiet(self, image: str, target: int) -> float:
+        """Return the tail of an idle serving task, in ms."""
+        lowest = self._lowest.get(image)
+        return lowest * LEAST_LOAD if lowest else target * FIRST_QUIET
+
+    def utilization(self, run: Run) -> float:
+        """Return the utilization that a serving task's tail shows."""
+        quiet = self.quiet(run.step.image, run.step.target)
+        if run.measure <= quiet:
+            return 0.0
+        if run.measure > SATURATED * quiet:
+            return SATURATION * run.measure / (SATURATED * quiet)
+        return 1 - quiet / run.measure
+
+    def limit(self, run: Run) -> float:
+        """Return the utilization at which a serving task reaches its target."""
+        return 1 - self.quiet(run.step.image, run.step.target) / run.step.target
+
+    def load(self, run: Run) -> float:
+        """Return the utilization that a serving task would have without neighbours."""
+        known = self.loads.get(run.task.job)
+        return known.value if known else 0.5 * self.limit(run)
+
+    def planned_load(self, run: Run) -> float:
+        """Return the utilization without neighbours that a serving task is thought to reach."""
+        known = self.loads.get(run.task.job)
+        return max(known.value, PLANNED * known.peak) if known else 0.6 * self.limit(run)
+
+    def note_tail(self, image: str, tail: float) -> None:
+        """Take note of a tail, which may be the lowest of its image."""
+        lowest = self._lowest.get(image)
+        if lowest is None or tail < lowest:
+            self._lowest[image] = tail
+
+    def learn(self, now: float, serving: str, factor: float, amounts: dict[str, float]) -> None:
+        """Learn from a utilization that is ``factor`` times the one without neighbours."""
+        model = self._regressions.get(serving)
+        if model is None:
+            model = self._regressions[serving] = Regression(MEMORY)
+        for image in amounts:
+            if image not in model:
+                model.add(now, image, PRIOR_EFFECT, PRIOR_DEVIATION)
+        model.learn(now, amounts, factor - 1, NOISE * max(1.0, factor))
+        for image in amounts:
+            self._effects[serving, image] = max(0.0, model.mean(image))
+
+
+def measure_loads(cell: Cell, sharing: Sharing, now: Now) -> None:
+    """Find the load of each serving job: the least utilization among its tasks."""
+    least: dict[str, float] = {}
+    for worker in cell.workers.values():
+        if now.steady - worker.answered_at > FRESH:
+            continue
+        for run in worker.runs.values():
+            if _is_measured(run):
+                if now.steady - run.started_at > WARM_UP:
+                    sharing.note_tail(run.step.image, run.measure)
+                found = sharing.utilization(run)
+                least[run.task.job] = min(found, least.get(run.task.job, found))
+    for job, value in least.items():
+        before = sharing.loads.get(job)
+        kept = before.peak * PEAK_KEPT ** (now.steady - before.at) if before else 0.0
+        sharing.loads[job] = _Load(value, max(value, kept), now.steady)
+    for job in [job for job, load in sharing.loads.items() if now.steady - load.at > 10 * FRESH]:
+        del sharing.loads[job]
+
+
+def learn_effects(sharing: Sharing, worker: Worker, now: Now) -> None:
     """Learn from the newest measurements of a worker."""
-    tails: dict[str, list[float]] = {}
+    if not worker.servers or not worker.fillers or now.steady < worker.changed_at + SETTLED:
+        return
     amounts: dict[str, float] = {}
     for run in worker.runs.values():
-        if run.phase is not Phase.RUNNING or run.measure <= 0:
-            continue
-        if run.step.target and run.percent >= 100:
-            tails.setdefault(run.step.image, []).append(run.measure)
-        elif run.step.fills:
+        if run.step.fills and run.phase is Phase.RUNNING and run.measure > 0:
             share = run.measure / max(1, worker.entry.cpu)
             amounts[run.step.image] = amounts.get(run.step.image, 0.0) + share
-    for image, values in tails.items():
-        mean = sum(values) / len(values)
-        sharing.estimator.learn(now.steady, image, mean, LOAD, amounts)
-    if tails and amounts:
-        sharing.forget_cache()
-
-
-def predict_pressure(sharing: Sharing, worker: Worker, image: str, cpu: int) -> float:
-    """Return the highest tail on a worker, in targets, once it also runs ``cpu`` of an image."""
-    if not worker.servers:
-        return 0.0
+    if not amounts:
+        return
+    factors: dict[str, list[float]] = {}
+    for run in worker.runs.values():
+        if _is_measured(run) and run.task.job in sharing.loads:
+            load = max(0.05, sharing.load(run))
+            factors.setdefault(run.step.image, []).append(sharing.utilization(run) / load)
+    for image, values in factors.items():
+        sharing.learn(now.steady, image, sum(values) / len(values), amounts)
+
+
+def predict_utilization(
+    sharing: Sharing, worker: Worker, image: str, cpu: int, planned: bool = False
+) -> float:
+    """
+    Return the highest utilization on a worker, as a share of what a target allows.
+
+    ``cpu`` of an image are thought to run there besides; 0 judges the worker as it is.  With
+    ``planned`` the serving tasks are thought to be as loaded as they soon will be.
+    """
     whole = max(1, worker.entry.cpu)
     fillers = [run for run in worker.runs.values() if run.step.fills]
     highest = 0.0
@@ -85,74 +171,41 @@
         if not run.step.target:
             continue
         serving = run.step.image
-        quiet = sharing.quiet(serving)
         beside = sum(
-            sharing.rise(serving, other.step.image) * other.step.cpu / whole for other in fillers
+            sharing.effect(serving, other.step.image) * other.step.cpu * max(0, other.pace) / 100
+            for other in fillers
         )
-        expected = max(run.measure, quiet * (1 + beside))
-        more = quiet * sharing.rise(serving, image) * cpu / whole
-        highest = max(highest, (expected + more) / run.step.target)
+        more = sharing.effect(serving, image) * cpu
+        load = sharing.planned_load(run) if planned else sharing.load(run)
+        expected = load * (1 + (beside + more) / whole)
+        measured = sharing.utilization(run) + load * more / whole
+        highest = max(highest, max(expected, measured) / max(0.05, sharing.limit(run)))
     return highest
 
 
-def control_sharing(cell: Cell, sharing: Sharing, now: Now) -> None:
-    """Slow, quicken or move what fills, on each worker that also serves."""
-    for worker in cell.workers.values():
-        if worker.fillers and worker.reached and not worker.silent:
-            _control(cell, sharing, worker, now)
-
-
-def _control(cell: Cell, sharing: Sharing, worker: Worker, now: Now) -> None:
-    serving = (
-        run for run in worker.runs.values() if run.step.target and run.phase is Phase.RUNNING
-    )
-    hottest = max(serving, key=_press, default=None)
-    pressure = _press(hottest) if hottest else 0.0
-    fillers = [run for run in worker.runs.values() if run.step.fills and run.phase is Phase.RUNNING]
-    if hottest is None or pressure < CALM:
-        for run in fillers:
-            _set_pace(cell, run, min(100, max(0, run.pace) + FASTER), now)
-        return
-    if pressure < NEAR:
-        return
+def predict_rise(sharing: Sharing, worker: Worker, image: str, cpu: int) -> float:
+    """Return the most that ``cpu`` of an image would add to a serving task's utilization."""
     whole = max(1, worker.entry.cpu)
-    quiet = sharing.quiet(hottest.step.image)
-    rises = {
-        run.task: sharing.rise(hottest.step.image, run.step.image)
-        * run.step.cpu
-        * max(0, run.pace)
-        / 100
-        / whole
-        for run in fillers
-    }
-    total = sum(rises.values())
-    for run in fillers:
-        if rises[run.task] < BLAME * total:
-            continue
-        serious = rises[run.task] * quiet / hottest.step.target > SERIOUS
-        if pressure > 1.0 and serious and _may_move(run, now):
-            stop_run(cell, run)
-        elif run.pace <= 50 and run.paced_at and now.steady - run.paced_at > SLOWED:
-            if _may_move(run, now):
-                stop_run(cell, run)
-        else:
-            _set_pace(cell, run, 0 if pressure > 1.0 else max(0, run.pace) // 2, now)
-
-
-def _press(run: Run) -> float:
-    """Return a serving task's tail in targets."""
-    return run.measure / run.step.target
+    rises = (
+        sharing.planned_load(run) * sharing.effect(run.step.image, image) * cpu / whole
+        for run in worker.runs.values()
+        if run.step.target
+    )
+    return max(rises, default=0.0)
 
 
-def _may_move(run: Run, now: Now) -> bool:
-    """Tell whether moving a task loses little: it can resume, or has hardly begun."""
-    return run.step.checkpoints or run.percent < 50
+def use_cores(sharing: Sharing, worker: Worker) -> float:
+    """Return the cores that a worker's tasks use together, in thousandths."""
+    return sum(
+        run.step.cpu * (sharing.load(run) if run.step.target else 1.0)
+        for run in worker.runs.values()
+    )
 
 
-def _set_pace(cell: Cell, run: Run, percent: int, now: Now) -> None:
-    if percent == run.pace or now.steady - run.paced_at < LAG:
-        return
-    run.pace = percent
-    run.paced_at = now.steady
-    run.moved_at = now.steady
-    cell.orders.append(PaceOrder(run.worker, run.task, run.attempt, percent))
+def _is_measured(run: Run) -> bool:
+    return (
+        run.step.target > 0
+        and run.phase is Phase.RUNNING
+        and run.measure > 0
+        and run.percent >= 100
+    )
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -47,7 +47,7 @@
     match answer.refused:
         case None:
             run.phase = Phase.RUNNING
-            run.started_at = run.moved_at = now.steady
+            run.started_at = run.moved_at = worker.changed_at = now.steady
             run.unsure = False
             return Next.SETTLED
         case Refused.FENCED:
@@ -83,6 +83,6 @@
 
 def _give_up(cell: Cell, worker: Worker, run: Run, now: Now) -> None:
     if run.unsure:
-        stop_run(cell, run)
+        stop_run(cell, run, "start unsure")
     else:
         end_run(cell, worker, run, now)
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -75,6 +75,8 @@
     seen: int = 0
     acknowledged: int = 0
     suspect_until: float = 0.0
+    slowed_at: float = 0.0  # when what fills was last slowed or moved
+    changed_at: float = 0.0  # when what fills last began, ended or changed its pace
     failures: int = 0
     strangers: frozenset[TaskKey] = frozenset()
 
