--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import logbook
 
+from toucanpin.entry.clocks import steady_time
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.queues import CONFIGURATION_KEY, OPERATORS_TABLE, decode_configuration
@@ -45,12 +45,12 @@
 
     async def refresh(self, age: float = 0.0) -> bool:
         """Read the document unless that was done within ``age`` seconds; return whether it is."""
-        if age and time.monotonic() - self.confirmed <= age:
+        if age and steady_time() - self.confirmed <= age:
             return True
         async with self._lock:
-            if age and time.monotonic() - self.confirmed <= age:
+            if age and steady_time() - self.confirmed <= age:
                 return True
-            sent_at = time.monotonic()
+            sent_at = steady_time()
             end = CONFIGURATION_KEY + "\0"
             try:
                 page = await self._store.read(OPERATORS_TABLE, "", CONFIGURATION_KEY, end)
--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -8,12 +8,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import logbook
 import xxhash
 
-from toucanpin.entry.clocks import Clocks
+from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.owner import DeposedError, Owner
 from toucanpin.entry.rows import OWNER_KEY, OWNERS
 from toucanpin.exception import PlatformError
@@ -71,9 +70,9 @@
             self._owner.resign()
 
     async def _look(self, watch: Watch) -> bool:
-        begun = time.monotonic()
+        begun = steady_time()
         page = await self._store.read(OWNERS, self._cell, OWNER_KEY, OWNER_KEY + "\0")
-        now = time.monotonic()
+        now = steady_time()
         row = page.rows[0] if page.rows else None
         record = decode_owner(row.value) if row else None
         observe(watch, row.version if row else 0, record, now - begun, now)
@@ -85,14 +84,14 @@
         record = OwnerRecord(self._settings.name, self._life, token, 0)
         expected = (Expected(OWNERS, OWNER_KEY, watch.version),)
         put = (Put(OWNERS, OWNER_KEY, encode_owner(record)),)
-        sent_at = time.monotonic()
+        sent_at = steady_time()
         result = await self._store.transact(self._cell, expected, put)
         if not isinstance(result, Committed):
             return
         _log.info("cell taken", event="cell.taken", cell=self._cell, token=token, before=before)
         self._owner = Owner(self._store, self._clocks, self._settings.bounds, self._cell, record)
         try:
-            await self._owner.run(result.version, sent_at)
+            await self._owner.run(result.version, sent_at, before is None)
         except DeposedError as error:
             _log.warn("cell lost", event="cell.lost", cell=self._cell, reason=error)
         except Exception:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -8,14 +8,22 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Coroutine
 
 import logbook
 import msgspec
 
-from toucanpin.entry.clocks import Clocks
-from toucanpin.entry.rows import COUNTS, JOBS, OWNER_KEY, OWNERS, PROGRESS, cancel_key, split_key
+from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.rows import (
+    COUNTS,
+    EFFECTS,
+    JOBS,
+    OWNER_KEY,
+    OWNERS,
+    PROGRESS,
+    cancel_key,
+    split_key,
+)
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.store import Committed, Expected, Put, Row, Store
@@ -52,7 +60,7 @@
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.progress import decode_progress
 from toucanpin.scheduling.settings import Bounds
-from toucanpin.scheduling.sharing import Sharing, learn_effects
+from toucanpin.scheduling.sharing import Learned, Sharing, learn_effects
 from toucanpin.scheduling.starting import (
     Next,
     plan_start,
@@ -74,6 +82,7 @@
 SILENT_PAUSE = 0.3  # s between questions to a worker that doesn't answer
 COMMIT_TIMEOUT = 0.8  # s for one try of a commit; a store 60 times slower takes 0.5 s
 COUNT_PERIOD = 0.5  # s between writes of how many jobs wait
+LEARNED_PERIOD = 3.0  # s between writes of what was learned
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
 KEEP_MARGIN = 15.0  # s that ended jobs are kept longer than promised
 
@@ -103,9 +112,10 @@
         self._written_at = 0.0
         self._counted_at = 0.0
         self._counts: dict[str, int] = {}
+        self._learned_at = 0.0
         self._resigning = False
 
-    async def run(self, version: int, confirmed: float) -> None:
+    async def run(self, version: int, confirmed: float, first: bool) -> None:
         """
         Decide about the cell from the write of ``version`` on, sent at ``confirmed``.
 
@@ -120,7 +130,7 @@
         self._cell.confirmed = confirmed
         self._written_at = confirmed
         # Everything that an earlier owner granted ends by then, on a clock that is 2% slow too.
-        self._cell.horizon = time.monotonic() + AUTHORITY * 1.04 + 0.4
+        self._cell.horizon = steady_time() + (0.0 if first else AUTHORITY * 1.04 + 0.4)
         try:
             await self._load()
             for work in (self._commit(), self._follow(), self._list(), self._tick()):
@@ -157,10 +167,14 @@
             try:
                 jobs = await self._store.read_all(JOBS, self._cell.name)
                 progress = await self._store.read_all(PROGRESS, self._cell.name)
+                learned = await self._store.read(EFFECTS, self._cell.name)
                 break
             except (CallError, PlatformError) as error:
                 _log.warn("cell not read", event="cell.unread", reason=error)
                 await asyncio.sleep(RETRY)
+        if learned.rows:
+            effects = msgspec.msgpack.decode(learned.rows[0].value, type=Learned)
+            self._sharing.restore(effects, self._clocks.now().steady)
         known = {row.key: decode_progress(row.value) for row in progress.rows}
         now = self._clocks.now()
         cancelled = []
@@ -187,7 +201,7 @@
 
     async def _commit(self) -> None:
         while True:
-            due = self._written_at + RENEWAL - time.monotonic()
+            due = self._written_at + RENEWAL - steady_time()
             if due > 0 and not has_work(self._cell) and not self._resigning:
                 try:
                     async with asyncio.timeout(min(due, TICK)):
@@ -198,7 +212,7 @@
             now = self._clocks.now()
             place_tasks(self._cell, self._sharing, now)
             idle = not has_work(self._cell) and not self._resigning
-            if idle and time.monotonic() < self._written_at + RENEWAL:
+            if idle and steady_time() < self._written_at + RENEWAL:
                 continue
             batch = take_batch(self._cell)
             await self._write(batch)
@@ -217,10 +231,11 @@
             puts += [Put(JOBS, identifier, None), Put(JOBS, cancel_key(identifier), None)]
             puts.append(Put(PROGRESS, identifier, None))
         puts += self._put_counts()
+        puts += self._put_effects()
         pause = 0.02
         while True:
             expected = (Expected(OWNERS, OWNER_KEY, self._version),)
-            sent_at = time.monotonic()
+            sent_at = steady_time()
             try:
                 result = await self._store.transact(self._cell.name, expected, puts, COMMIT_TIMEOUT)
             except CallError as error:
@@ -245,10 +260,17 @@
         self._written_at = sent_at
         self._cell.confirmed = sent_at
 
+    def _put_effects(self) -> list[Put]:
+        if steady_time() < self._learned_at + LEARNED_PERIOD:
+            return []
+        self._learned_at = steady_time()
+        learned = msgspec.msgpack.encode(self._sharing.export())
+        return [Put(EFFECTS, OWNER_KEY, learned)]
+
     def _put_counts(self) -> list[Put]:
-        if time.monotonic() < self._counted_at + COUNT_PERIOD:
+        if steady_time() < self._counted_at + COUNT_PERIOD:
             return []
-        self._counted_at = time.monotonic()
+        self._counted_at = steady_time()
         counts = count_pending(self._cell)
         for queue in self._counts:
             counts.setdefault(queue, 0)
@@ -262,16 +284,16 @@
 
     async def _follow(self) -> None:
         """Take up new jobs and wishes to cancel as their rows appear."""
-        listed_at = time.monotonic()
+        listed_at = steady_time()
         while True:
             try:
                 page = None
-                if time.monotonic() < listed_at + RELIST_PERIOD:
-                    wait = min(FEED_WAIT, max(0.05, listed_at + RELIST_PERIOD - time.monotonic()))
+                if steady_time() < listed_at + RELIST_PERIOD:
+                    wait = min(FEED_WAIT, max(0.05, listed_at + RELIST_PERIOD - steady_time()))
                     page = await self._store.follow(JOBS, self._feed_from, wait)
                 if page is None:
                     page = await self._store.read_all(JOBS, self._cell.name)
-                    listed_at = time.monotonic()
+                    listed_at = steady_time()
             except (CallError, PlatformError) as error:
                 _log.warn("jobs not followed", event="jobs.unread", reason=error)
                 await asyncio.sleep(RETRY)
@@ -323,7 +345,7 @@
         calls = self._calls[identifier]
         while self._cell.workers.get(identifier) is worker:
             order = plan_hold(self._cell, worker, self._clocks.now())
-            sent_at = time.monotonic()
+            sent_at = steady_time()
             try:
                 answer = await calls.hold(
                     self._cell.token, order.acknowledged, order.deadline, order.wait, HOLD_TIMEOUT
@@ -347,7 +369,7 @@
             take_answer(self._cell, worker, answer, sent_at, now)
             learn_effects(self._sharing, worker, now)
             self._after_change()
-            if order.wait == 0.0 and time.monotonic() - sent_at < 0.02:
+            if order.wait == 0.0 and steady_time() - sent_at < 0.02:
                 await asyncio.sleep(0.02)
         calls.close()
         if self._calls.get(identifier) is calls:
--- /dev/null
+++ b/toucanpin/entry/peers.py
@@ -0,0 +1,112 @@
+"""
+Peers
+=====
+
+Who the other hosts are and the key that all share, as rows of the table tell.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+
+import logbook
+import msgspec
+
+from toucanpin.exception import PlatformError
+from toucanpin.http import CallError
+from toucanpin.platform.store import Committed, Expected, Put, Store
+from toucanpin.scheduling.settings import HostSettings
+
+__all__ = ["Peer", "Peers"]
+
+_log = logbook.Logger("peers")
+HOSTS = "hosts"
+KEYS = "keys"
+KEY_NAME = "peers"
+ANNOUNCE = 4.0  # s between announcements of a host
+READ = 2.0  # s between reads of the others
+GONE = 15.0  # s without an announcement after which a host isn't asked for anything
+RETRY = 0.3  # s after a failure
+
+
+class Peer(msgspec.Struct, frozen=True, array_like=True):
+    """
+    Announce one host.
+
+    ``announced`` is on the table's clock; ``wall`` is how far the host's time of day is ahead of
+    the table's clock, both in ms.
+    """
+
+    name: str
+    address: str
+    port: int
+    announced: int
+    wall: int
+
+
+class Peers:
+    """Keep the list of hosts and announce this one."""
+
+    __slots__ = ("_settings", "_store", "_version", "known", "secret")
+
+    def __init__(self, store: Store, settings: HostSettings) -> None:
+        self._store = store
+        self._settings = settings
+        self._version = -1
+        self.known: tuple[Peer, ...] = ()
+        self.secret = b""
+
+    async def run(self) -> None:
+        """Announce and read for ever."""
+        announced_at = 0.0
+        while True:
+            try:
+                if not self.secret:
+                    await self._agree_on_key()
+                if time.monotonic() > announced_at + ANNOUNCE or not announced_at:
+                    await self._announce()
+                    announced_at = time.monotonic()
+                await self._read()
+            except (CallError, PlatformError) as error:
+                _log.info("peers not read", event="peers.unread", reason=error)
+                await asyncio.sleep(RETRY)
+                continue
+            await asyncio.sleep(READ)
+
+    def others(self) -> tuple[Peer, ...]:
+        """Return the other hosts that are thought to be there."""
+        limit = self._store.clock - int(GONE * 1_000)
+        name = self._settings.name
+        return tuple(peer for peer in self.known if peer.name != name and peer.announced > limit)
+
+    def wall_offsets(self) -> tuple[int, ...]:
+        """Return how far each host's time of day is ahead of the table's clock, in ms."""
+        limit = self._store.clock - int(GONE * 1_000)
+        return tuple(peer.wall for peer in self.known if peer.announced > limit)
+
+    async def _announce(self) -> None:
+        settings = self._settings
+        clock = self._store.clock
+        wall = time.time_ns() // 1_000_000 - clock
+        peer = Peer(settings.name, settings.address, settings.inner_port, clock, wall)
+        put = Put(HOSTS, settings.name, msgspec.msgpack.encode(peer))
+        await self._store.transact("", (), (put,))
+
+    async def _read(self) -> None:
+        page = await self._store.read(HOSTS)
+        self.known = tuple(msgspec.msgpack.decode(row.value, type=Peer) for row in page.rows)
+
+    async def _agree_on_key(self) -> None:
+        page = await self._store.read(KEYS, "", KEY_NAME, KEY_NAME + "\0")
+        if page.rows:
+            self.secret = page.rows[0].value
+            return
+        secret = secrets.token_bytes(32)
+        expected = (Expected(KEYS, KEY_NAME, 0),)
+        written = await self._store.transact("", expected, (Put(KEYS, KEY_NAME, secret),))
+        if isinstance(written, Committed):
+            self.secret = secret
+            return
+        self.secret = written.rows[0].value
--- /dev/null
+++ b/toucanpin/entry/relay.py
@@ -0,0 +1,242 @@
+"""
+Relay of store calls
+====================
+
+Reach the platform's store through a peer while the store turns this host away.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import struct
+import time
+from typing import TYPE_CHECKING
+
+import logbook
+
+from toucanpin.exception import WireError
+from toucanpin.http import Answer, CallError, Client
+from toucanpin.verdict import Verdict
+
+if TYPE_CHECKING:
+    from toucanpin.entry.peers import Peer, Peers
+    from toucanpin.wire.codec import Purpose
+    from toucanpin.wire.messages import Message, Received, RelayAnswer
+
+__all__ = ["RelayServer", "RelayedStore"]
+
+_log = logbook.Logger("relay")
+_LENGTH = struct.Struct(">I")
+MAX_FRAME = 1_048_576  # bytes, of the inner protocol
+DIRECT_SHARE = 0.45  # of a call's time that a direct try may take before a peer is asked
+LONGEST_BRIEF = 1.1  # s that calls other than watches may take
+PROBE = 0.5  # s between direct tries while peers are used
+PROBE_TIMEOUT = 0.4  # s
+USELESS = 0.4  # s that peers aren't asked after one couldn't reach the store either
+CONNECT_TIMEOUT = 0.3  # s to reach a peer
+_PROBE_PATH = "/rows-get?table=op&part=&limit=1&from=config&target=config%00"
+_REFUSED = (429, 503)
+
+
+class RelayedStore:
+    """Call the store directly, or through a peer while it answers others and not this host."""
+
+    __slots__ = ("_direct", "_name", "_peers", "_probing", "_useless_until", "direct_works")
+
+    def __init__(self, direct: Client, name: str) -> None:
+        self._direct = direct
+        self._name = name
+        self._peers: Peers | None = None
+        self._probing: asyncio.Task[None] | None = None
+        self._useless_until = 0.0
+        self.direct_works = True
+
+    def use_peers(self, peers: Peers) -> None:
+        """Use these peers from now on."""
+        self._peers = peers
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", *, timeout: float = 1.0
+    ) -> Answer:
+        """
+        Call the store.
+
+        A call that got no answer directly is repeated through a peer.  That is safe, since every
+        write carries the versions that it expects: whichever copy comes second does nothing.
+        """
+        deadline = time.monotonic() + timeout
+        unsure = False
+        refusal: Answer | None = None
+        failure: CallError | None = None
+        if self.direct_works or not self._may_relay():
+            # A watch is meant to stay unanswered for long, so its silence says nothing.
+            brief = timeout <= LONGEST_BRIEF
+            share = DIRECT_SHARE if brief and self._may_relay() else 1.0
+            try:
+                answer = await self._direct.call(method, path, body, timeout=timeout * share)
+                if answer.status not in _REFUSED:
+                    return answer
+                refusal = answer
+            except CallError as error:
+                failure = error
+                unsure = not error.certain
+            self._note_failure()
+        if time.monotonic() >= deadline:
+            raise CallError(Verdict.MAY_HAVE_RUN, str(failure))
+        if self._may_relay():
+            try:
+                answer = await self._relay(method, path, body, deadline - time.monotonic())
+                if answer.status not in _REFUSED:
+                    return answer
+                self._useless_until = time.monotonic() + USELESS
+                refusal = answer
+            except CallError as error:
+                self._useless_until = time.monotonic() + USELESS
+                failure = error
+                unsure = unsure or not error.certain
+        if refusal is not None and not unsure:
+            return refusal
+        verdict = Verdict.MAY_HAVE_RUN if unsure else Verdict.NOT_RUN
+        raise CallError(verdict, str(failure or "the store refused"))
+
+    def _may_relay(self) -> bool:
+        return (
+            self._peers is not None
+            and bool(self._peers.secret)
+            and time.monotonic() >= self._useless_until
+            and bool(self._peers.others())
+        )
+
+    def _note_failure(self) -> None:
+        if self.direct_works:
+            self.direct_works = False
+            _log.warn("store not reached directly", event="store.lost")
+        if self._probing is None:
+            self._probing = asyncio.ensure_future(self._probe())
+
+    async def _probe(self) -> None:
+        """Try the store directly until it answers."""
+        while True:
+            await asyncio.sleep(PROBE)
+            try:
+                answer = await self._direct.call("GET", _PROBE_PATH, timeout=PROBE_TIMEOUT)
+            except CallError:
+                continue
+            if answer.status == 200:
+                break
+        self.direct_works = True
+        self._probing = None
+        _log.info("store reached directly", event="store.regained")
+
+    async def _relay(self, method: str, path: str, body: bytes, left: float) -> Answer:
+        assert self._peers is not None
+        peer = random.choice(self._peers.others())
+        answer = await _ask(self._name, self._peers.secret, peer, method, path, body, left)
+        if answer.status:
+            return Answer(answer.status, {}, answer.body)
+        verdict = Verdict.NOT_RUN if answer.certain else Verdict.MAY_HAVE_RUN
+        raise CallError(verdict, f"{peer.name} didn't reach the store either")
+
+
+class RelayServer:
+    """Call the store for peers that it turns away."""
+
+    __slots__ = ("_name", "_peers", "_server", "_store")
+
+    def __init__(self, store: RelayedStore, direct: Client, peers: Peers, name: str) -> None:
+        self._store = (store, direct)
+        self._peers = peers
+        self._name = name
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: str, port: int) -> None:
+        """Listen for peers."""
+        self._server = await asyncio.start_server(self._serve, address, port)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        from toucanpin.wire.codec import Purpose
+        from toucanpin.wire.messages import RelayCall
+
+        try:
+            frame = await _read_frame(reader)
+            received = _decode(self._peers.secret, Purpose.REQUEST, frame)
+            match received.message:
+                case RelayCall(method, path, body, timeout):
+                    answer = await self._call(method, path, body, timeout)
+                    nonce = received.envelope.nonce
+                    writer.write(
+                        _encode(self._name, self._peers.secret, Purpose.ANSWER, nonce, answer)
+                    )
+                    await writer.drain()
+        except (WireError, OSError, asyncio.IncompleteReadError) as error:
+            _log.info("relay refused", event="relay.refused", reason=error)
+        finally:
+            writer.close()
+
+    async def _call(self, method: str, path: str, body: bytes, timeout: float) -> RelayAnswer:
+        from toucanpin.wire.messages import RelayAnswer
+
+        store, direct = self._store
+        if not store.direct_works:
+            return RelayAnswer(0, b"", True)
+        try:
+            answer = await direct.call(method, path, body, timeout=timeout)
+        except CallError as error:
+            return RelayAnswer(0, b"", error.certain)
+        return RelayAnswer(answer.status, answer.body, True)
+
+
+async def _ask(
+    name: str, secret: bytes, peer: Peer, method: str, path: str, body: bytes, left: float
+) -> RelayAnswer:
+    from toucanpin.wire.codec import Purpose
+    from toucanpin.wire.messages import RelayAnswer, RelayCall
+
+    nonce = secrets.randbelow(2**62) + 1
+    try:
+        async with asyncio.timeout(min(left, CONNECT_TIMEOUT)):
+            reader, writer = await asyncio.open_connection(peer.address, peer.port)
+    except (OSError, TimeoutError) as error:
+        raise CallError(Verdict.NOT_RUN, f"{peer.name} can't be reached: {error}") from error
+    try:
+        async with asyncio.timeout(left):
+            call = RelayCall(method, path, body, max(0.05, left - 0.02))
+            writer.write(_encode(name, secret, Purpose.REQUEST, nonce, call))
+            await writer.drain()
+            received = _decode(secret, Purpose.ANSWER, await _read_frame(reader))
+    except (OSError, TimeoutError, WireError, asyncio.IncompleteReadError) as error:
+        raise CallError(Verdict.MAY_HAVE_RUN, f"{peer.name}: {error!r}") from error
+    finally:
+        writer.close()
+    match received.message:
+        case RelayAnswer() if received.envelope.nonce == nonce:
+            return received.message
+    raise CallError(Verdict.MAY_HAVE_RUN, f"{peer.name} answered something else")
+
+
+async def _read_frame(reader: asyncio.StreamReader) -> bytes:
+    (size,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if not 0 < size <= MAX_FRAME:
+        raise WireError(f"frame of {size} bytes; allowed are 1 to {MAX_FRAME}")
+    return await reader.readexactly(size)
+
+
+def _encode(name: str, secret: bytes, purpose: Purpose, nonce: int, message: Message) -> bytes:
+    from toucanpin.wire.codec import MINOR, encode
+    from toucanpin.wire.keys import PeerKeys
+    from toucanpin.wire.messages import Envelope
+
+    envelope = Envelope(MINOR, "entry", name, "", 0, 0, 0, 0, "", nonce)
+    frame = encode(PeerKeys("table", {"table": secret}), purpose, envelope, message)
+    if len(frame) > MAX_FRAME:
+        raise WireError(f"frame of {len(frame)} bytes; allowed are 1 to {MAX_FRAME}")
+    return _LENGTH.pack(len(frame)) + frame
+
+
+def _decode(secret: bytes, purpose: Purpose, frame: bytes) -> Received:
+    from toucanpin.wire.codec import decode
+    from toucanpin.wire.keys import PeerKeys
+
+    return decode(PeerKeys("table", {"table": secret}), purpose, "entry", frame)
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -16,7 +16,7 @@
 import logbook
 import msgspec
 
-from toucanpin.entry.clocks import Clocks
+from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.configuration import FRESH, ConfigurationWatch
 from toucanpin.entry.rows import COUNTS, JOBS, PROGRESS, cancel_key
 from toucanpin.exception import PlatformError
@@ -73,7 +73,7 @@
         if self._configuration.current is None:
             return Response(503, retry_after=COME_BACK)
         if queue is None:
-            if time.monotonic() - self._configuration.confirmed > 2 * FRESH:
+            if steady_time() - self._configuration.confirmed > 2 * FRESH:
                 return Response(503, retry_after=COME_BACK)
             return Response(404)
         rest = path[len(queue.prefix) :].strip("/")
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -17,9 +17,11 @@
 
 import logbook
 
-from toucanpin.entry.clocks import Clocks
+from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.configuration import ConfigurationWatch
 from toucanpin.entry.contender import Contender
+from toucanpin.entry.peers import Peers
+from toucanpin.entry.relay import RelayedStore, RelayServer
 from toucanpin.entry.requests import Requests
 from toucanpin.http import Client, Request, Response, Server
 from toucanpin.platform.store import Store
@@ -42,8 +44,14 @@
     def __init__(self, settings: HostSettings) -> None:
         self._settings = settings
         self._life = secrets.token_hex(6)
-        self._store = Store(Client(settings.store))
+        direct = Client(settings.store)
+        relayed = RelayedStore(direct, settings.name)
+        self._store = Store(relayed)
+        self._peers = Peers(self._store, settings)
+        relayed.use_peers(self._peers)
+        self._relay = RelayServer(relayed, direct, self._peers, settings.name)
         self._clocks = Clocks(self._store)
+        self._clocks.offsets = self._peers.wall_offsets
         self._configuration = ConfigurationWatch(self._store)
         self._requests = Requests(self._store, self._configuration, self._clocks)
         self._front = Server(self._requests.handle, MAX_HEADERS, MAX_BODY)
@@ -60,6 +68,9 @@
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
         await self._front.listen(self._settings.front)
         await self._readiness.listen(self._settings.readiness)
+        if self._settings.inner_port:
+            await self._relay.listen(self._settings.address, self._settings.inner_port)
+            self._spawn(self._peers.run())
         self._spawn(self._configuration.run())
         self._spawn(self._contend())
         _log.info("started", event="process.started", life=self._life)
@@ -96,7 +107,7 @@
             await asyncio.sleep(0.1)
 
     async def _answer_probe(self, request: Request) -> Response:
-        age = time.monotonic() - self._configuration.confirmed
+        age = steady_time() - self._configuration.confirmed
         ready = (
             not self._leaving and self._configuration.current is not None and age < UNREADY_AFTER
         )
--- a/toucanpin/entry/rows.py
+++ b/toucanpin/entry/rows.py
@@ -5,11 +5,21 @@
 Where the product keeps what must last: tables, parts and keys.
 """
 
-__all__ = ["COUNTS", "JOBS", "OWNERS", "OWNER_KEY", "PROGRESS", "cancel_key", "split_key"]
+__all__ = [
+    "COUNTS",
+    "EFFECTS",
+    "JOBS",
+    "OWNERS",
+    "OWNER_KEY",
+    "PROGRESS",
+    "cancel_key",
+    "split_key",
+]
 
 JOBS = "jobs"  # by cell: jobs as accepted, and wishes to cancel them; written by any host
 PROGRESS = "progress"  # by cell: what has become of each job; written by the cell's owner
 COUNTS = "counts"  # by cell: how many jobs of each queue wait; written by the cell's owner
+EFFECTS = "effects"  # by cell: what its owner has learned of neighbours; for the next owner
 OWNERS = "owners"  # by cell: its owner
 OWNER_KEY = "owner"
 _CANCEL = "/cancel"
--- a/toucanpin/interference/regression.py
+++ b/toucanpin/interference/regression.py
@@ -59,6 +59,15 @@
         """Return the estimate of a coefficient."""
         return self._coefficients[self._names[name]].mean
 
+    def names(self) -> tuple[str, ...]:
+        """Return the names of the coefficients."""
+        return tuple(self._names)
+
+    def deviation(self, name: str) -> float:
+        """Return the standard deviation of an estimate."""
+        index = self._names[name]
+        return math.sqrt(max(0.0, self._covariance[index][index]))
+
     def means(self, prefix: str) -> list[float]:
         """Return the estimates of the coefficients whose names begin so."""
         return [self.mean(name) for name in self._names if name.startswith(prefix)]
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -21,6 +21,7 @@
 __all__ = ["Caller", "Conflict", "Committed", "Expected", "Page", "Put", "Row", "Store"]
 
 READ_TIMEOUT = 1.0  # s: a healthy answer takes 10 ms, one of a store 60 times slower 0.6 s
+PAGE = 150  # rows asked for at a time, so that a page also passes the inner protocol
 MAX_PAGE = 500  # rows of one answer, by the platform's page
 
 
@@ -194,7 +195,7 @@
         start = ""
         first: Page | None = None
         while True:
-            page = await self.read(table, part, start=start)
+            page = await self.read(table, part, start=start, limit=PAGE)
             first = first or page
             rows += page.rows
             if not page.more or not page.rows:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -23,7 +23,7 @@
 SAFE = 0.85  # of the utilization that a target allows: below it nothing counts as disturbed
 CROWDED = 3.0  # weight of cores that are asked for and not there: tasks take that much longer
 HARM = 6.0  # weight of a whole such utilization more
-TOO_HOT = 0.95  # of it: a task that fills waits rather than bring a serving one above
+TOO_HOT = 1.05  # of it: a task that fills waits rather than bring a serving one above
 # Each image that serves on a worker keeps some that fill away, so images are best kept apart.
 OTHER_IMAGE = 1.5
 BESIDE_FILLING = 1.0  # weight against serving beside a worker full of what fills
@@ -152,6 +152,8 @@
             if pressure > TOO_HOT:
                 continue
             pressure = predict_utilization(sharing, worker, step.image, step.cpu, planned=True)
+            if pressure > TOO_HOT:
+                continue
             pressure += predict_rise(sharing, worker, step.image, step.cpu)
         cost = _weigh(worker, step, rack, pressure, sharing, now)
         if best is None or cost < best_cost:
--- a/toucanpin/scheduling/sharing.py
+++ b/toucanpin/scheduling/sharing.py
@@ -16,11 +16,14 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from toucanpin.interference.regression import Regression
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = [
+    "Learned",
     "Sharing",
     "learn_effects",
     "measure_loads",
@@ -29,21 +32,41 @@
     "use_cores",
 ]
 
-MEMORY = 60.0  # s after which an effect is mostly forgotten; measured ones held for half a minute
-PRIOR_EFFECT = 2.0  # of a pair never seen; measured pairs lie near 0.3 or between 2 and 7
-PRIOR_DEVIATION = 4.0
+MEMORY = 200.0  # s after which an effect is mostly forgotten; measured ones held for a minute
+PRIOR_EFFECT = 1.0  # of a pair never seen; measured pairs lie near 0.3 or between 2 and 7
+PRIOR_DEVIATION = 3.0
+# Deviations that are added to an estimate, so that few tasks at a time try what isn't known.
+CAUTION = 0.3
+UNKNOWN_EFFECT = PRIOR_EFFECT + CAUTION * PRIOR_DEVIATION
+LEAST_DEVIATION = 0.5  # of an effect that an earlier owner has learned
 NOISE = 0.25  # of a measured factor, as a share of it
 LEAST_LOAD = 0.775  # of the quiet tail's share in the lowest tail seen: load is never quite 0
 SATURATED = 50.0  # quiet tails at which a queue counts as full; beyond, tails grow with load
 SATURATION = 0.98  # utilization there
 FIRST_QUIET = 0.2  # of a target, for an image whose tail was never seen
 WARM_UP = 3.0  # s after its start in which a serving task's tail may look lower than any later
-SETTLED = 0.9  # s after a change of what fills until a tail, a mean of half a second, shows it
+SETTLED = 0.5  # s after a change of what fills until a tail, a mean of half a second, shows it
 PEAK_KEPT = 0.98  # of a load's peak each second: loads swing within 10 to 20 s
 PLANNED = 0.85  # of the peak that a place is judged by: what fills stays for a part of a swing
 FRESH = 1.5  # s for which a measurement counts
 
 
+class Effect(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what was learned of one pair of images."""
+
+    serving: str
+    filling: str
+    mean: float
+    deviation: float
+
+
+class Learned(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what the next owner of a cell should know: effects, and each image's lowest tail."""
+
+    effects: list[Effect]
+    lowest: dict[str, float]
+
+
 @dataclass(slots=True)
 class _Load:
     """Hold a job's utilization without neighbours, its recent peak, and when it was measured."""
@@ -66,7 +89,7 @@
 
     def effect(self, serving: str, filling: str) -> float:
         """Return how much utilization grows beside a worker full of an image, relatively."""
-        return self._effects.get((serving, filling), PRIOR_EFFECT)
+        return self._effects.get((serving, filling), UNKNOWN_EFFECT)
 
     def quiet(self, image: str, target: int) -> float:
         """Return the tail of an idle serving task, in ms."""
@@ -102,6 +125,29 @@
         if lowest is None or tail < lowest:
             self._lowest[image] = tail
 
+    def export(self) -> Learned:
+        """Return what was learned, for the next owner."""
+        effects = [
+            Effect(serving, image, model.mean(image), model.deviation(image))
+            for serving, model in self._regressions.items()
+            for image in model.names()
+        ]
+        return Learned(effects, dict(self._lowest))
+
+    def restore(self, learned: Learned, now: float) -> None:
+        """Begin with what an earlier owner has learned."""
+        self._lowest.update(learned.lowest)
+        for effect in learned.effects:
+            model = self._regressions.setdefault(effect.serving, Regression(MEMORY))
+            if effect.filling not in model:
+                deviation = max(LEAST_DEVIATION, effect.deviation)
+                model.add(now, effect.filling, effect.mean, deviation)
+                self._set_effect(effect.serving, effect.filling, model)
+
+    def _set_effect(self, serving: str, image: str, model: Regression) -> None:
+        doubt = CAUTION * model.deviation(image)
+        self._effects[serving, image] = max(0.0, model.mean(image) + doubt)
+
     def learn(self, now: float, serving: str, factor: float, amounts: dict[str, float]) -> None:
         """Learn from a utilization that is ``factor`` times the one without neighbours."""
         model = self._regressions.get(serving)
@@ -112,7 +158,7 @@
                 model.add(now, image, PRIOR_EFFECT, PRIOR_DEVIATION)
         model.learn(now, amounts, factor - 1, NOISE * max(1.0, factor))
         for image in amounts:
-            self._effects[serving, image] = max(0.0, model.mean(image))
+            self._set_effect(serving, image, model)
 
 
 def measure_loads(cell: Cell, sharing: Sharing, now: Now) -> None:
--- /dev/null
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -0,0 +1,299 @@
+"""
+Scripted fleet
+==============
+
+Workers and an owner on a virtual clock, with every order and answer under control of a test.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from toucanpin.scheduling.batches import apply_batch, take_batch
+from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.holding import (
+    AUTHORITY,
+    lapse_workers,
+    list_workers,
+    plan_hold,
+    replace_worker,
+    take_answer,
+    take_silence,
+)
+from toucanpin.scheduling.intake import begin_due, restore_job, submit_job
+from toucanpin.scheduling.job import Job, Step, TaskKey
+from toucanpin.scheduling.moving import move_tasks
+from toucanpin.scheduling.orders import (
+    End,
+    Ended,
+    Held,
+    PaceOrder,
+    Refused,
+    Running,
+    Started,
+    StopOrder,
+    WorkerEntry,
+)
+from toucanpin.scheduling.pacing import control_pace
+from toucanpin.scheduling.placing import place_tasks
+from toucanpin.scheduling.progress import decode_progress
+from toucanpin.scheduling.sharing import Sharing
+from toucanpin.scheduling.starting import (
+    Next,
+    plan_start,
+    take_no_start,
+    take_started,
+    take_stopped,
+)
+from toucanpin.scheduling.worker import Phase, Run
+
+__all__ = ["Fleet", "FleetWorker", "make_job"]
+
+STEP = 0.05  # s of the virtual clock
+
+
+def make_job(identifier: str = "j1", steps: tuple[Step, ...] = (Step(cpu=1_000),), **fields) -> Job:
+    """Return a job of the cell ``c``."""
+    return Job(identifier, "q", "c", "spec", steps, **fields)
+
+
+@dataclass(slots=True)
+class Present:
+    """Hold one run that a worker carries out."""
+
+    attempt: int
+    started: float
+    lasts: float
+    fails: bool
+
+
+@dataclass(slots=True)
+class FleetWorker:
+    """Carry out orders as the platform's workers do, on the test's clock."""
+
+    entry: WorkerEntry
+    token: int = 0
+    deadline: float = 0.0
+    runs: dict[TaskKey, Present] = field(default_factory=dict)
+    ended: list[Ended] = field(default_factory=list)
+    highest: dict[TaskKey, int] = field(default_factory=dict)
+    sequence: int = 0
+    acknowledged: int = 0
+    silent: bool = False
+    deaf: bool = False
+    failing: bool = False
+    stuck: bool = False
+    lasts: float = 1.0
+    late: list[tuple[float, TaskKey, int, int, int]] = field(default_factory=list)
+    starts: list[tuple[TaskKey, int]] = field(default_factory=list)
+
+    def start(self, task: TaskKey, attempt: int, deadline: int, token: int, now: float) -> Started:
+        clock = int(now * 1_000)
+        if token < self.token:
+            return Started(clock, Refused.FENCED)
+        self.token = token
+        if deadline <= clock:
+            return Started(clock, Refused.LATE)
+        self.deadline = max(self.deadline, deadline / 1_000)
+        present = self.runs.get(task)
+        if present is not None and present.attempt == attempt:
+            return Started(clock, None)
+        if attempt <= self.highest.get(task, 0):
+            return Started(clock, Refused.OLD_ATTEMPT)
+        self.runs[task] = Present(attempt, now, self.lasts, self.failing)
+        self.starts.append((task, attempt))
+        return Started(clock, None)
+
+    def stop(self, task: TaskKey, attempt: int, token: int) -> Refused | None:
+        if token < self.token:
+            return Refused.FENCED
+        self.highest[task] = max(self.highest.get(task, 0), attempt)
+        present = self.runs.get(task)
+        if present is not None and present.attempt <= attempt:
+            self.end(task, End.STOPPED)
+        return None
+
+    def hold(self, token: int, acknowledged: int, deadline: int, now: float) -> Held | Refused:
+        if token < self.token:
+            return Refused.FENCED
+        self.token = token
+        self.acknowledged = max(self.acknowledged, acknowledged)
+        self.ended = [ended for ended in self.ended if ended.sequence > acknowledged]
+        self.deadline = max(self.deadline, deadline / 1_000)
+        running = tuple(
+            Running(task, run.attempt, "", self.percent(run, now))
+            for task, run in self.runs.items()
+        )
+        return Held(int(now * 1_000), running, tuple(self.ended))
+
+    def percent(self, run: Present, now: float) -> int:
+        if self.stuck:
+            return 0
+        return min(99, int(100 * (now - run.started) / run.lasts))
+
+    def end(self, task: TaskKey, end: End) -> None:
+        run = self.runs.pop(task)
+        self.highest[task] = max(self.highest.get(task, 0), run.attempt)
+        self.sequence += 1
+        self.ended.append(Ended(self.sequence, task, run.attempt, end, ""))
+
+    def advance(self, now: float) -> None:
+        for order in [order for order in self.late if order[0] <= now]:
+            self.late.remove(order)
+            _, task, attempt, deadline, token = order
+            self.start(task, attempt, deadline, token, now)
+        for task, run in list(self.runs.items()):
+            if now >= self.deadline:
+                self.end(task, End.LAPSED)
+            elif run.fails:
+                self.end(task, End.FAILED)
+            elif not self.stuck and now >= run.started + run.lasts:
+                self.end(task, End.DONE)
+
+
+class Fleet:
+    """Drive one cell's owner against scripted workers."""
+
+    def __init__(self, workers: int = 2, cpu: int = 4_000, token: int = 1) -> None:
+        self.time = 100.0
+        self.workers: dict[str, FleetWorker] = {}
+        for number in range(workers):
+            self.add_worker(f"w{number}", cpu)
+        self.rows: dict[str, bytes] = {}
+        self.jobs: dict[str, Job] = {}
+        self.store_up = True
+        self.unlisted: set[str] = set()
+        self.double: list[TaskKey] = []
+        self.pending: list[Run] = []
+        self.stops: list[StopOrder] = []
+        self.paces: list[PaceOrder] = []
+        self.cell = self._make_cell(token)
+        self.sharing = Sharing()
+
+    def add_worker(self, name: str, cpu: int = 4_000, **fields) -> FleetWorker:
+        """Add a worker."""
+        entry = WorkerEntry(name, "c", f"{name}:1", "dc", True, cpu, 8_000, 0, **fields)
+        self.workers[name] = FleetWorker(entry)
+        return self.workers[name]
+
+    def now(self) -> Now:
+        """Return the virtual clocks."""
+        return Now(self.time, int(self.time * 1_000), int(self.time * 1_000))
+
+    def submit(self, job: Job) -> None:
+        """Hand a job in."""
+        self.jobs[job.id] = job
+        submit_job(self.cell, job, self.now())
+
+    def replace_owner(self) -> None:
+        """Kill the owner; another one starts from the rows."""
+        self.pending.clear()
+        self.stops.clear()
+        self.cell = self._make_cell(self.cell.token + 1)
+        self.sharing = Sharing()
+        for job in self.jobs.values():
+            if job.id in self.rows:
+                restore_job(self.cell, job, decode_progress(self.rows[job.id]), self.now())
+            else:
+                submit_job(self.cell, job, self.now())
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / STEP)):
+            self._turn()
+
+    def state(self, job: str) -> int:
+        """Return a job's state as it is written."""
+        return decode_progress(self.rows[job]).state if job in self.rows else 0
+
+    def _make_cell(self, token: int) -> Cell:
+        return Cell("c", token, self.time + AUTHORITY * 1.04 + 0.4, self.time)
+
+    def _turn(self) -> None:
+        self.time += STEP
+        for worker in self.workers.values():
+            worker.advance(self.time)
+        self._find_doubles()
+        listed = [w.entry for w in self.workers.values() if w.entry.id not in self.unlisted]
+        list_workers(self.cell, listed, self.now())
+        self._hold_all()
+        lapse_workers(self.cell, self.now())
+        begin_due(self.cell, self.now())
+        move_tasks(self.cell, self.now())
+        control_pace(self.cell, self.sharing, self.now())
+        place_tasks(self.cell, self.sharing, self.now())
+        if self.store_up:
+            batch = take_batch(self.cell)
+            self.rows.update(batch.records)
+            self.cell.confirmed = self.time
+            self.pending += apply_batch(self.cell, batch)
+        self._send_starts()
+        self._send_orders()
+
+    def _hold_all(self) -> None:
+        for worker in list(self.cell.workers.values()):
+            there = self.workers.get(worker.entry.id)
+            order = plan_hold(self.cell, worker, self.now())
+            if there is None:
+                if worker.entry.address and f"{worker.entry.id}'" in self.workers:
+                    replace_worker(self.cell, worker, self.now())
+                else:
+                    take_silence(worker)
+                continue
+            if there.silent:
+                take_silence(worker)
+                continue
+            held = there.hold(self.cell.token, order.acknowledged, order.deadline, self.time)
+            assert isinstance(held, Held), held
+            take_answer(self.cell, worker, held, self.time, self.now())
+
+    def _send_starts(self) -> None:
+        again = []
+        for run in self.pending:
+            worker = self.cell.workers.get(run.worker)
+            if worker is None or run.phase is not Phase.ORDERED:
+                continue
+            deadline = plan_start(self.cell, worker, run, self.now())
+            if not deadline:
+                again.append(run)
+                continue
+            there = self.workers.get(run.worker)
+            if there is None or there.silent:
+                following = take_no_start(self.cell, worker, run, False, self.now())
+            elif there.deaf:
+                order = (self.time + 6.0, run.task, run.attempt, deadline, self.cell.token)
+                there.late.append(order)
+                following = take_no_start(self.cell, worker, run, False, self.now())
+            else:
+                token = self.cell.token
+                answer = there.start(run.task, run.attempt, deadline, token, self.time)
+                following = take_started(self.cell, worker, run, answer, self.now())
+            if following is not Next.SETTLED:
+                again.append(run)
+        self.pending = again
+
+    def _send_orders(self) -> None:
+        orders = self.stops + [o for o in self.cell.orders if isinstance(o, StopOrder)]
+        self.paces += [o for o in self.cell.orders if isinstance(o, PaceOrder)]
+        self.cell.orders = []
+        self.stops = []
+        for order in orders:
+            worker = self.cell.workers.get(order.worker)
+            there = self.workers.get(order.worker)
+            if worker is None or there is None:
+                continue
+            if there.silent or there.deaf:
+                self.stops.append(order)
+                continue
+            there.stop(order.task, order.attempt, self.cell.token)
+            run = worker.runs.get(order.task)
+            if run is not None and run.attempt == order.attempt:
+                take_stopped(worker, run, self.now())
+
+    def _find_doubles(self) -> None:
+        seen: set[TaskKey] = set()
+        for worker in self.workers.values():
+            for task in worker.runs:
+                if task in seen:
+                    self.double.append(task)
+                seen.add(task)
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_failures.py
@@ -0,0 +1,241 @@
+"""Lost answers, silent workers, replaced owners and outages of the table."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from toucanpin.scheduling.holding import AUTHORITY, LEASE
+from toucanpin.scheduling.intake import cancel_job
+from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+
+
+class LostAnswerTest(unittest.TestCase):
+    def test_a_start_without_an_answer_runs_once(self) -> None:
+        """
+        The caller waits for its job.  The worker doesn't answer a start and carries it out 6 s
+        later.  The owner may neither place the task elsewhere nor forget the late order: a stop
+        that the worker acknowledges comes first.
+        """
+        fleet = Fleet()
+        for worker in fleet.workers.values():
+            worker.deaf = True
+        fleet.submit(make_job())
+        fleet.run(1.0)
+        for worker in fleet.workers.values():
+            worker.deaf = False
+        fleet.run(10.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertFalse(fleet.double)
+        starts = [start for worker in fleet.workers.values() for start in worker.starts]
+        self.assertEqual(1, len(starts))
+
+    def test_a_cancelled_job_is_not_started_by_an_order_that_comes_late(self) -> None:
+        """
+        The caller cancels while a start has no answer.  The worker would carry the start out 6 s
+        later, when nobody thinks of the job any more; the stop that it acknowledged prevents it.
+        """
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].deaf = True
+        fleet.submit(make_job())
+        fleet.run(0.5)
+        cancel_job(fleet.cell, "j1", fleet.now())
+        fleet.run(0.5)
+        fleet.workers["w0"].deaf = False
+        fleet.run(10.0)
+        self.assertFalse(fleet.workers["w0"].starts)
+
+    def test_ends_are_acknowledged_only_once_they_are_written(self) -> None:
+        """
+        The table is away as a task ends.  An acknowledged end is forgotten by the worker, so an
+        owner that died before the write would run the task a second time.
+        """
+        fleet = Fleet(workers=1)
+        fleet.submit(make_job())
+        fleet.run(0.5)
+        fleet.store_up = False
+        fleet.run(2.0)
+        self.assertEqual(0, fleet.workers["w0"].acknowledged)
+        self.assertNotEqual(JobState.COMPLETED, fleet.state("j1"))
+        fleet.store_up = True
+        fleet.run(0.2)
+        self.assertEqual(1, fleet.workers["w0"].acknowledged)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
+
+class SilentWorkerTest(unittest.TestCase):
+    def test_a_task_moves_only_after_the_lease_of_a_silent_worker(self) -> None:
+        """
+        A worker is cut off and works on.  Started elsewhere at once the task would run twice;
+        the owner waits until the lease that it granted has surely ended.
+        """
+        fleet = Fleet()
+        for worker in fleet.workers.values():
+            worker.lasts = 30.0
+        fleet.run(AUTHORITY + 1.0)  # the first owner too waits for leases of one before it
+        fleet.submit(make_job())
+        fleet.run(1.0)
+        holder = next(worker for worker in fleet.workers.values() if worker.runs)
+        holder.silent = True
+        fleet.run(LEASE - 1.0)
+        self.assertEqual(1, sum(len(worker.runs) for worker in fleet.workers.values()))
+        fleet.run(3.0)
+        self.assertFalse(fleet.double)
+        others = [worker for worker in fleet.workers.values() if worker is not holder]
+        self.assertTrue(any(worker.runs for worker in others))
+
+    def test_a_worker_that_returns_in_time_keeps_its_tasks(self) -> None:
+        fleet = Fleet()
+        fleet.submit(make_job())
+        fleet.run(0.5)
+        holder = next(worker for worker in fleet.workers.values() if worker.runs)
+        holder.silent = True
+        fleet.run(2.0)
+        holder.silent = False
+        fleet.run(1.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertEqual(1, sum(len(worker.starts) for worker in fleet.workers.values()))
+
+    def test_tasks_on_a_worker_that_stand_still_move(self) -> None:
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].stuck = True
+        fleet.submit(make_job())
+        fleet.run(0.5)
+        fleet.add_worker("w1")
+        fleet.run(4.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertFalse(fleet.double)
+
+
+class ReplacedOwnerTest(unittest.TestCase):
+    def test_what_runs_is_adopted(self) -> None:
+        fleet = Fleet()
+        for worker in fleet.workers.values():
+            worker.lasts = 3.0
+        fleet.submit(make_job(steps=(Step(count=4, cpu=1_000),)))
+        fleet.run(1.0)
+        fleet.replace_owner()
+        fleet.run(4.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertEqual(4, sum(len(worker.starts) for worker in fleet.workers.values()))
+
+    def test_a_silent_worker_delays_only_what_it_may_run(self) -> None:
+        """
+        The owner dies while a worker is cut off.  The next one can't ask that worker, which may
+        hold a lease as long as the old owner's authority; all other tasks start at once.
+        """
+        fleet = Fleet()
+        for worker in fleet.workers.values():
+            worker.lasts = 30.0
+        fleet.submit(make_job("j1"))
+        fleet.run(1.0)
+        holder = next(worker for worker in fleet.workers.values() if worker.runs)
+        holder.silent = True
+        fleet.replace_owner()
+        fleet.submit(make_job("j2"))
+        fleet.run(0.5)
+        other = next(worker for worker in fleet.workers.values() if worker is not holder)
+        self.assertEqual({"j2"}, {task.job for task in other.runs})
+        fleet.run(AUTHORITY + 2.0)
+        self.assertEqual({"j1", "j2"}, {task.job for task in other.runs})
+        self.assertFalse(fleet.double)
+
+    def test_a_worker_that_no_list_names_may_still_run_a_task(self) -> None:
+        """
+        A worker is cut off for so long that its entry is gone, then the owner dies.  The next one
+        learns of the worker from the job's row alone, and must wait for its lease all the same.
+        """
+        fleet = Fleet()
+        for worker in fleet.workers.values():
+            worker.lasts = 30.0
+        fleet.submit(make_job("j1"))
+        fleet.run(1.0)
+        holder = next(worker for worker in fleet.workers.values() if worker.runs)
+        holder.silent = True
+        fleet.unlisted.add(holder.entry.id)
+        fleet.replace_owner()
+        fleet.run(LEASE - 1.0)
+        self.assertEqual(1, sum(len(worker.runs) for worker in fleet.workers.values()))
+        fleet.run(AUTHORITY)
+        self.assertFalse(fleet.double)
+        self.assertEqual(2, sum(len(worker.starts) for worker in fleet.workers.values()))
+
+    def test_an_unwritten_place_is_never_started(self) -> None:
+        fleet = Fleet()
+        fleet.run(0.2)
+        fleet.store_up = False
+        fleet.submit(make_job())
+        fleet.run(2.0)
+        self.assertFalse(any(worker.starts for worker in fleet.workers.values()))
+
+
+class OutageTest(unittest.TestCase):
+    def test_leases_are_renewed_through_an_outage_but_not_for_ever(self) -> None:
+        """
+        The table is away.  Standing tasks must run on through it, yet after the owner's authority
+        another owner could be at work that this one can't hear of, so renewals end.
+        """
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].lasts = 60.0
+        fleet.submit(make_job(steps=(Step(cpu=1_000, lasting=True),)))
+        fleet.run(1.0)
+        fleet.store_up = False
+        fleet.run(AUTHORITY - 0.5)
+        self.assertTrue(fleet.workers["w0"].runs)
+        fleet.run(1.5)
+        self.assertFalse(fleet.workers["w0"].runs)
+
+
+class RandomFaultsTest(unittest.TestCase):
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    @given(
+        faults=st.lists(
+            st.tuples(
+                st.sampled_from(["silent", "deaf", "owner", "store", "fail", "cancel"]),
+                st.integers(0, 2),
+                st.floats(0.2, 4.0),
+            ),
+            min_size=1,
+            max_size=6,
+        )
+    )
+    def test_no_task_runs_twice_whatever_fails(self, faults) -> None:
+        """
+        Workers fall silent or answer late, owners die and the table goes away, in any order.
+        Callers may wait for long, but no task runs in two places, and in the end all jobs that
+        nobody cancelled are done.
+        """
+        fleet = Fleet(workers=3)
+        for number in range(3):
+            steps = (Step(count=2, cpu=1_000), Step(cpu=1_000, after=(0,)))
+            fleet.submit(make_job(f"j{number}", steps, max_failures=50))
+        for kind, number, seconds in faults:
+            worker = fleet.workers[f"w{number}"]
+            match kind:
+                case "silent":
+                    worker.silent = True
+                case "deaf":
+                    worker.deaf = True
+                case "owner":
+                    fleet.replace_owner()
+                case "store":
+                    fleet.store_up = False
+                case "fail":
+                    worker.failing = True
+                case "cancel":
+                    cancel_job(fleet.cell, f"j{number}", fleet.now())
+            fleet.run(seconds)
+            fleet.store_up = True
+            worker.silent = worker.deaf = worker.failing = False
+        fleet.run(30.0)
+        self.assertFalse(fleet.double)
+        for number in range(3):
+            self.assertIn(fleet.state(f"j{number}"), (JobState.COMPLETED, JobState.CANCELLED))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_sharing.py
@@ -0,0 +1,125 @@
+"""What fills beside what serves: what is learned, and what is done about it."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.orders import PaceOrder, StopOrder, WorkerEntry
+from toucanpin.scheduling.pacing import OVER_TOO_LONG, control_pace
+from toucanpin.scheduling.sharing import (
+    UNKNOWN_EFFECT,
+    Sharing,
+    learn_effects,
+    measure_loads,
+    predict_utilization,
+)
+from toucanpin.scheduling.worker import Phase, Run, Worker, reserve_run
+
+SERVES = Step(cpu=10_000, lasting=True, image="web", target=50)
+FILLS = Step(cpu=6_000, fills=True, image="batch", checkpoints=True)
+QUIET = 10.0
+
+
+def _tail(utilization: float) -> float:
+    return QUIET / (1 - utilization)
+
+
+def _now(steady: float) -> Now:
+    return Now(steady, int(steady * 1_000), int(steady * 1_000))
+
+
+class SharingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cell = Cell("c", 1, 0.0, 0.0)
+        self.sharing = Sharing()
+        self.sharing.note_tail("web", QUIET / 0.775)
+        for name in ("w0", "w1"):
+            entry = WorkerEntry(name, "c", "a:1", "dc", True, 60_000, 256_000, 0)
+            self.cell.workers[name] = Worker(entry, reached=True)
+
+    def _add(self, worker: str, job: str, step: Step, index: int = 0, measure: float = 0.0) -> Run:
+        run = Run(TaskKey(job, 0, 0, index), 1, worker, step, Phase.RUNNING, percent=100)
+        run.measure = measure
+        run.started_at = -10.0
+        reserve_run(self.cell.workers[worker], run)
+        return run
+
+    def _observe(self, steady: float) -> None:
+        for worker in self.cell.workers.values():
+            worker.answered_at = steady
+        measure_loads(self.cell, self.sharing, _now(steady))
+        for worker in self.cell.workers.values():
+            learn_effects(self.sharing, worker, _now(steady))
+
+    def test_an_effect_is_learned_from_a_task_of_the_same_job_without_neighbours(self) -> None:
+        self._add("w0", "s", SERVES, 0, _tail(0.3))
+        self._add("w1", "s", SERVES, 1, _tail(0.45))
+        self._add("w1", "b", FILLS, 0, 6_000)
+        for turn in range(20):
+            self._observe(10.0 + turn)
+        # A tenth of the worker raised utilization by half: an effect of five.
+        self.assertAlmostEqual(5.0, self.sharing.effect("web", "batch"), delta=1.0)
+
+    def test_a_harmless_pair_is_told_from_an_unknown_one(self) -> None:
+        self._add("w0", "s", SERVES, 0, _tail(0.3))
+        self._add("w1", "s", SERVES, 1, _tail(0.3))
+        self._add("w1", "b", FILLS, 0, 6_000)
+        for turn in range(20):
+            self._observe(10.0 + turn)
+        self.assertLess(self.sharing.effect("web", "batch"), 1.0)
+        self.assertEqual(UNKNOWN_EFFECT, self.sharing.effect("web", "other"))
+
+    def test_utilization_grows_beyond_full_with_the_tail(self) -> None:
+        run = self._add("w0", "s", SERVES, 0, 600.0)
+        self.assertGreater(self.sharing.utilization(run), 1.0)
+        run.measure = 5.0
+        self.assertEqual(0.0, self.sharing.utilization(run))
+
+    def test_a_neighbour_raises_what_is_predicted(self) -> None:
+        self._add("w0", "s", SERVES, 0, _tail(0.4))
+        self._observe(10.0)
+        worker = self.cell.workers["w0"]
+        alone = predict_utilization(self.sharing, worker, "batch", 0)
+        beside = predict_utilization(self.sharing, worker, "batch", 6_000)
+        self.assertGreater(beside, alone)
+
+    def test_a_harmful_task_that_can_resume_leaves(self) -> None:
+        self._add("w0", "s", SERVES, 0, _tail(0.4))
+        self._add("w1", "s", SERVES, 1, _tail(0.79))
+        self._add("w1", "b", FILLS, 0, 6_000)
+        self._observe(10.0)
+        control_pace(self.cell, self.sharing, _now(10.3))
+        self.assertIsInstance(self.cell.orders[0], StopOrder)
+
+    def test_a_harmful_task_that_cannot_resume_is_slowed(self) -> None:
+        step = Step(cpu=6_000, fills=True, image="batch")
+        self._add("w0", "s", SERVES, 0, _tail(0.4))
+        self._add("w1", "s", SERVES, 1, _tail(0.79))
+        run = self._add("w1", "b", step, 0, 6_000)
+        run.percent = 60
+        self._observe(10.0)
+        control_pace(self.cell, self.sharing, _now(10.3))
+        self.assertIsInstance(self.cell.orders[0], PaceOrder)
+        self.assertLess(run.pace, 100)
+
+    def test_what_is_thought_harmless_leaves_too_before_the_limit(self) -> None:
+        """
+        A user of the service waits.  The estimates say that the neighbours cost nothing, and the
+        tail stays over its target.  Four seconds of that are a broken promise, so everything that
+        fills leaves before, whatever is believed.
+        """
+        self._add("w0", "s", SERVES, 0, _tail(0.9))
+        run = self._add("w0", "b", FILLS, 0, 6_000)
+        self.sharing._effects["web", "batch"] = 0.0
+        steady = 10.0
+        while run.phase is Phase.RUNNING and steady < 15.0:
+            self.cell.workers["w0"].answered_at = steady
+            control_pace(self.cell, self.sharing, _now(steady))
+            steady += 0.25
+        self.assertLess(steady - 10.0, OVER_TOO_LONG + 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/wire/inner.thrift
+++ b/toucanpin/wire/inner.thrift
@@ -71,6 +71,20 @@
   1: required string reason
 }
 
+// status is 0 where the store gave no answer; certain then says that it did nothing.
+struct RelayCall {
+  1: required string method
+  2: required string path
+  3: required binary body
+  4: required double timeout
+}
+
+struct RelayAnswer {
+  1: required i32 status
+  2: required binary body
+  3: required bool certain
+}
+
 // Exactly one field is set.
 struct Body {
   1: optional Heartbeat heartbeat
@@ -81,4 +95,6 @@
   6: optional Standstill standstill
   7: optional StandstillAnswer standstill_answer
   8: optional Refused refused
+  9: optional RelayCall relay_call
+  10: optional RelayAnswer relay_answer
 }
--- a/toucanpin/wire/messages.py
+++ b/toucanpin/wire/messages.py
@@ -20,6 +20,8 @@
     "PushBundle",
     "Received",
     "Refused",
+    "RelayAnswer",
+    "RelayCall",
     "Standstill",
     "StandstillAnswer",
     "UNCONFIRMED",
@@ -137,6 +139,29 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class RelayCall:
+    """Ask a member to call the platform's store in the sender's place, within some seconds."""
+
+    method: str
+    path: str
+    body: bytes
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAnswer:
+    """
+    Hand over the store's answer.
+
+    ``status`` is 0 where there was none; ``certain`` then says that the store did nothing.
+    """
+
+    status: int
+    body: bytes
+    certain: bool
+
+
 Message = (
     Heartbeat
     | PushBundle
@@ -146,6 +171,8 @@
     | Standstill
     | StandstillAnswer
     | Refused
+    | RelayCall
+    | RelayAnswer
 )
 
 
