--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -415,6 +415,8 @@
             match following:
                 case Next.FENCED:
                     raise DeposedError(f"worker {run.worker} has another owner")
+                case Next.SETTLED:
+                    break
                 case Next.LATER:
                     await asyncio.sleep(RETRY)
         self._after_change()
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -91,7 +91,6 @@
     worker = cell.workers[run.worker]
     if run.phase is Phase.PLACED:
         release_run(worker, run)
-        run.phase = Phase.STOPPING
         cell.placed = [other for other in cell.placed if other is not run]
         live = cell.jobs.get(run.task.job)
         record = find_record(live, run.task) if live else None
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -32,6 +32,7 @@
 BUSY_WAIT = 0.4  # s a worker's answer may wait: progress and latency are judged that often
 IDLE_WAIT = 1.5  # s for a worker that runs nothing
 GONE_AFTER = 3.0  # s that a worker which doesn't answer and isn't listed is remembered
+STOP_AGAIN = 0.6  # s after which a run that still runs is stopped again
 PROGRESS_STEP = 1  # percent that counts as a move
 
 
@@ -156,6 +157,10 @@
         # An order of an earlier owner, or one that was carried out late: nothing counts on it.
         cell.orders.append(StopOrder(worker.entry.id, running.task, running.attempt, "unknown run"))
         return
+    if run.phase is Phase.STOPPING and now.steady > run.stop_sent_at + STOP_AGAIN:
+        # The first order may have found no connection to a worker that was only just known.
+        run.stop_sent_at = now.steady
+        cell.orders.append(StopOrder(run.worker, run.task, run.attempt, "still running"))
     live = cell.jobs.get(run.task.job)
     record = find_record(live, run.task) if live else None
     if run.phase is Phase.UNKNOWN or run.phase is Phase.ORDERED:
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -55,7 +55,7 @@
         case Refused.LATE:
             return Next.AGAIN
         case Refused.NO_ROOM:
-            worker.suspect_until = max(worker.suspect_until, now.steady + FULL)
+            worker.full_until = now.steady + FULL
         case Refused.UNHEALTHY:
             worker.suspect_until = max(worker.suspect_until, now.steady + UNHEALTHY)
     _give_up(cell, worker, run, now)
--- a/toucanpin/scheduling/tests/test_failures.py
+++ b/toucanpin/scheduling/tests/test_failures.py
@@ -7,11 +7,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from toucanpin.scheduling.batches import apply_batch, take_batch
 from toucanpin.scheduling.holding import AUTHORITY, LEASE
 from toucanpin.scheduling.intake import cancel_job
 from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.orders import Refused, Started
+from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.starting import Next, take_started
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.worker import Phase
 
 
 class LostAnswerTest(unittest.TestCase):
@@ -67,6 +72,42 @@
         self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
 
 
+class RefusedStartTest(unittest.TestCase):
+    def test_a_refused_start_leaves_nothing_that_could_be_sent_again(self) -> None:
+        """
+        A worker refuses a start for want of room, and the task is placed elsewhere.  Were the first
+        start repeated it would find room a moment later, and the task would run twice.
+        """
+        fleet = Fleet()
+        fleet.run(0.2)
+        fleet.submit(make_job())
+        place_tasks(fleet.cell, fleet.sharing, fleet.now())
+        batch = take_batch(fleet.cell)
+        (run,) = apply_batch(fleet.cell, batch)
+        worker = fleet.cell.workers[run.worker]
+        answer = Started(0, Refused.NO_ROOM)
+        self.assertIs(Next.SETTLED, take_started(fleet.cell, worker, run, answer, fleet.now()))
+        self.assertIs(Phase.ENDED, run.phase)
+        place_tasks(fleet.cell, fleet.sharing, fleet.now())
+        (again,) = apply_batch(fleet.cell, take_batch(fleet.cell))
+        self.assertNotEqual(run.worker, again.worker)
+
+    def test_a_stop_that_found_no_worker_is_sent_again(self) -> None:
+        """
+        A job is cancelled as its owner is replaced.  The next owner knows the job's runs before it
+        has a connection to any worker, so its first stop can't be sent, and the task ran on.
+        """
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].lasts = 60.0
+        fleet.submit(make_job(steps=(Step(cpu=1_000, lasting=True),)))
+        fleet.run(0.5)
+        fleet.replace_owner()
+        cancel_job(fleet.cell, "j1", fleet.now())
+        fleet.cell.orders.clear()
+        fleet.run(1.0)
+        self.assertFalse(fleet.workers["w0"].runs)
+
+
 class SilentWorkerTest(unittest.TestCase):
     def test_a_task_moves_only_after_the_lease_of_a_silent_worker(self) -> None:
         """
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -26,6 +26,7 @@
     ORDERED = "ordered"  # a start was or is being sent
     RUNNING = "running"  # the worker has said so
     STOPPING = "stopping"  # it must end; room is taken until the worker lists the end
+    ENDED = "ended"  # nothing is left of it, and no order for it may be sent any more
     UNKNOWN = "unknown"  # found in a row at takeover; the worker hasn't been asked
 
 
@@ -51,6 +52,7 @@
     # task only once a stop was acknowledged or the lease has ended.
     unsure: bool = False
     stopped_at: float = 0.0  # when a stop was acknowledged, 0 if it wasn't
+    stop_sent_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -75,6 +77,7 @@
     seen: int = 0
     acknowledged: int = 0
     suspect_until: float = 0.0
+    full_until: float = 0.0  # it had less room than its owner thought
     slowed_at: float = 0.0  # when what fills was last slowed or moved
     changed_at: float = 0.0  # when what fills last began, ended or changed its pace
     failures: int = 0
@@ -103,7 +106,8 @@
 
 
 def release_run(worker: Worker, run: Run) -> None:
-    """Give the room of a run back."""
+    """Give the room of a run back, for good."""
+    run.phase = Phase.ENDED
     if worker.runs.get(run.task) is run:
         del worker.runs[run.task]
         _count(worker, run.step, -1)
