--- /dev/null
+++ b/standins/site/store.py
@@ -0,0 +1,190 @@
+"""
+Store
+=====
+
+Rows in tables with conditional transactions and a feed, on as many addresses as a test needs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import time
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from toucanpin.http import Request, Response, Server
+
+__all__ = ["Faults", "SiteStore"]
+
+MAX_BODY = 1_048_576  # bytes of one transaction
+
+
+@dataclass(slots=True)
+class Faults:
+    """Say how one address of the store misbehaves."""
+
+    refusing: int = 0  # status of every answer, 0 for none
+    silent: bool = False
+    lose_writes: int = 0  # so many transactions are done and not answered
+    late_writes: int = 0  # so many transactions are done later, without an answer
+    late_by: float = 1.0  # s
+
+
+@dataclass(slots=True)
+class _Stored:
+    value: bytes
+    version: int
+
+
+@dataclass(slots=True)
+class _Change:
+    table: str
+    part: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclass(slots=True)
+class SiteStore:
+    """Keep rows; each address has faults of its own, so that single hosts can be turned away."""
+
+    rows: dict[tuple[str, str, str], _Stored] = field(default_factory=dict)
+    version: int = 0
+    changes: list[_Change] = field(default_factory=list)
+    forgotten: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    begun: float = field(default_factory=time.monotonic)
+    transactions: int = 0
+
+    async def listen(self, address: str, faults: Faults) -> Server:
+        """Serve one address under its own faults."""
+
+        async def handle(request: Request) -> Response | None:
+            return await self._handle(request, faults)
+
+        server = Server(handle, 16_384, MAX_BODY)
+        await server.listen(address)
+        return server
+
+    def put(self, table: str, key: str, value: bytes, part: str = "") -> None:
+        """Write a row as the operator or a worker does."""
+        self._apply([(table, part, key, value)])
+
+    def drop(self, table: str, key: str, part: str = "") -> None:
+        """Drop a row."""
+        self._apply([(table, part, key, None)])
+
+    def forget_history(self) -> None:
+        """Forget all changes so far."""
+        self.changes.clear()
+        self.forgotten = self.version
+
+    async def _handle(self, request: Request, faults: Faults) -> Response | None:
+        if faults.silent:
+            await asyncio.sleep(60)
+            return None
+        if faults.refusing:
+            return Response(faults.refusing)
+        parts = urlsplit(request.path)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        match parts.path:
+            case "/rows-tx":
+                return await self._transact(msgspec.json.decode(request.body), faults)
+            case "/rows-get":
+                return self._get(query)
+            case "/rows-feed":
+                return await self._feed(query)
+        return Response(404)
+
+    async def _transact(self, call: dict[str, Any], faults: Faults) -> Response | None:
+        self.transactions += 1
+        if faults.late_writes:
+            faults.late_writes -= 1
+            asyncio.get_running_loop().call_later(faults.late_by, self._try, call)
+            await asyncio.sleep(faults.late_by)
+            return None
+        answer = self._try(call)
+        if faults.lose_writes:
+            faults.lose_writes -= 1
+            return None
+        return answer
+
+    def _try(self, call: dict[str, Any]) -> Response:
+        expected = [(_name(row), row["rowVersion"]) for row in call["expectedRevision"]]
+        if any(self._version(name) != version for name, version in expected):
+            rows = [self._describe(name) for name, _ in expected]
+            return self._answer(412, {"rows": rows})
+        puts = [(*_name(row), base64.b64decode(row["value"])) for row in call["puts"]]
+        drops = [(*_name(row), None) for row in call["remove"]]
+        self._apply(puts + drops)
+        return self._answer(200, {})
+
+    def _apply(self, entries: list[tuple[str, str, str, bytes | None]]) -> None:
+        self.version += 1
+        for table, part, key, value in entries:
+            if value is None:
+                self.rows.pop((table, part, key), None)
+            else:
+                self.rows[table, part, key] = _Stored(value, self.version)
+            self.changes.append(_Change(table, part, key, value, self.version))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _get(self, query: dict[str, str]) -> Response:
+        table, part = query["table"], query.get("part", "")
+        low, high = query.get("from", ""), query.get("target")
+        keys = sorted(
+            name
+            for name in self.rows
+            if name[:2] == (table, part) and name[2] >= low and (high is None or name[2] < high)
+        )
+        limit = int(query.get("limit", "500"))
+        rows = [self._describe(name) for name in keys[:limit]]
+        return self._answer(200, {"rows": rows, "morePages": len(keys) > limit})
+
+    async def _feed(self, query: dict[str, str]) -> Response:
+        after = int(query["after"])
+        deadline = time.monotonic() + int(query["waitMs"]) / 1_000
+        while True:
+            if after < self.forgotten:
+                return self._answer(410, {})
+            found = [c for c in self.changes if c.version > after and c.table == query["table"]]
+            left = deadline - time.monotonic()
+            if found or left <= 0:
+                return self._answer(200, {"rows": [_encode(change) for change in found]})
+            try:
+                async with asyncio.timeout(left):
+                    await self.changed.wait()
+            except TimeoutError:
+                continue
+
+    def _version(self, name: tuple[str, str, str]) -> int:
+        stored = self.rows.get(name)
+        return stored.version if stored else 0
+
+    def _describe(self, name: tuple[str, str, str]) -> dict[str, Any]:
+        stored = self.rows.get(name)
+        value = stored.value if stored else None
+        return _encode(_Change(*name, value, stored.version if stored else 0))
+
+    def _answer(self, status: int, fields: dict[str, Any]) -> Response:
+        now = int((time.monotonic() - self.begun) * 1_000) + 1
+        body = {"rowVersion": self.version, "nowMs": now, **fields}
+        return Response(status, msgspec.json.encode(body))
+
+
+def _name(row: dict[str, Any]) -> tuple[str, str, str]:
+    return row["table"], row["part"], row["key"]
+
+
+def _encode(change: _Change) -> dict[str, Any]:
+    row: dict[str, Any] = {"table": change.table, "part": change.part, "key": change.key}
+    row["rowVersion"] = change.version
+    if change.value is None:
+        return {**row, "deleted": True}
+    return {**row, "value": base64.b64encode(change.value).decode()}
--- /dev/null
+++ b/standins/site/worker.py
@@ -0,0 +1,137 @@
+"""
+Worker
+======
+
+A worker that registers in the store and takes orders over HTTP.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import msgspec
+
+from standins.site.store import SiteStore
+from standins.site.worker_core import WorkerCore
+from toucanpin.http import Request, Response, Server
+from toucanpin.platform.workers import encode_task, parse_task
+from toucanpin.scheduling.orders import Refused, Started, WorkerEntry
+
+__all__ = ["SiteWorker"]
+
+TICK = 0.02  # s between looks at what has ended
+_REASONS = {
+    Refused.FENCED: "fence",
+    Refused.OLD_ATTEMPT: "old",
+    Refused.LATE: "late",
+    Refused.NO_ROOM: "room",
+}
+
+
+class SiteWorker:
+    """Serve one worker's calls."""
+
+    def __init__(self, store: SiteStore, entry: WorkerEntry) -> None:
+        self.core = WorkerCore(entry)
+        self.refuse_next = 0
+        self._store = store
+        self._begun = time.monotonic()
+        self._task: asyncio.Task[None] | None = None
+        self._server = Server(self._handle, 16_384, 65_536)
+
+    async def start(self) -> None:
+        """Listen and register."""
+        entry = self.core.entry
+        await self._server.listen(entry.address)
+        self.register()
+        self._task = asyncio.ensure_future(self._advance())
+
+    async def stop(self) -> None:
+        """End without a word."""
+        if self._task is not None:
+            self._task.cancel()
+        await self._server.drain(0.0)
+
+    def register(self) -> None:
+        """Write the worker's entry."""
+        entry = self.core.entry
+        fields = {
+            "service": entry.service,
+            "address": entry.address,
+            "zone": entry.data_centre,
+            "state": "ready" if entry.ready else "draining",
+            "capacity": {"cpu": entry.cpu, "memMb": entry.memory, "gpu": entry.accelerators},
+            "labels": entry.labels,
+        }
+        self._store.put("servers", entry.id, msgspec.json.encode(fields))
+
+    def _now(self) -> float:
+        return time.monotonic() - self._begun + 1.0
+
+    async def _advance(self) -> None:
+        while True:
+            self.core.advance(self._now())
+            await asyncio.sleep(TICK)
+
+    async def _handle(self, request: Request) -> Response | None:
+        if request.headers.get("x-expect-instance") != self.core.entry.id:
+            return Response(421)
+        call = msgspec.json.decode(request.body)
+        match request.path:
+            case "/run-start":
+                return self._start(call)
+            case "/run-stop":
+                task = parse_task(call["task"])
+                refused = self.core.stop(task, call["attempt"], call["fencingToken"])
+                return self._answer(refused)
+            case "/pace":
+                return self._answer(None)
+            case "/hold":
+                return await self._hold(call)
+        return Response(404)
+
+    def _start(self, call: dict[str, Any]) -> Response:
+        if self.refuse_next:
+            self.refuse_next -= 1
+            return self._answer(Refused.NO_ROOM)
+        answer: Started = self.core.start(
+            parse_task(call["task"]),
+            call["attempt"],
+            call["deadlineMs"],
+            call["fencingToken"],
+            self._now(),
+        )
+        return self._answer(answer.refused)
+
+    async def _hold(self, call: dict[str, Any]) -> Response:
+        deadline = time.monotonic() + call.get("waitMs", 0) / 1_000
+        while True:
+            held = self.core.hold(
+                call["fencingToken"],
+                call.get("ackedSeq", 0),
+                call.get("deadlineMs", 0),
+                self._now(),
+            )
+            if isinstance(held, Refused):
+                return self._answer(held)
+            if held.ended or time.monotonic() >= deadline:
+                break
+            await asyncio.sleep(TICK)
+        running = [
+            [encode_task(r.task), r.attempt, r.checkpoint, r.percent, 0] for r in held.running
+        ]
+        ended = [
+            [e.sequence, encode_task(e.task), e.attempt, e.end.value, e.checkpoint]
+            for e in held.ended
+        ]
+        body = {"clockMs": held.clock, "running": running, "finished": ended}
+        return Response(200, msgspec.json.encode(body))
+
+    def _answer(self, refused: Refused | None) -> Response:
+        clock = int(self._now() * 1_000)
+        if refused is None:
+            return Response(200, msgspec.json.encode({"clockMs": clock}))
+        body = {"clockMs": clock, "reason": _REASONS[refused]}
+        return Response(409, msgspec.json.encode(body))
--- /dev/null
+++ b/standins/site/worker_core.py
@@ -0,0 +1,115 @@
+"""
+Core of a worker
+================
+
+What a worker of the platform does with orders; time is an argument.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.orders import End, Ended, Held, Refused, Running, Started, WorkerEntry
+
+__all__ = ["Present", "WorkerCore"]
+
+
+@dataclass(slots=True)
+class Present:
+    """Hold one run that a worker carries out."""
+
+    attempt: int
+    started: float
+    lasts: float
+    fails: bool
+
+
+@dataclass(slots=True)
+class WorkerCore:
+    """Carry out orders as the platform's workers do, on a clock that is an argument."""
+
+    entry: WorkerEntry
+    token: int = 0
+    deadline: float = 0.0
+    runs: dict[TaskKey, Present] = field(default_factory=dict)
+    ended: list[Ended] = field(default_factory=list)
+    highest: dict[TaskKey, int] = field(default_factory=dict)
+    sequence: int = 0
+    acknowledged: int = 0
+    silent: bool = False
+    deaf: bool = False
+    failing: bool = False
+    stuck: bool = False
+    lasts: float = 1.0
+    late: list[tuple[float, TaskKey, int, int, int]] = field(default_factory=list)
+    starts: list[tuple[TaskKey, int]] = field(default_factory=list)
+
+    def start(self, task: TaskKey, attempt: int, deadline: int, token: int, now: float) -> Started:
+        """Start a task, or say why not."""
+        clock = int(now * 1_000)
+        if token < self.token:
+            return Started(clock, Refused.FENCED)
+        self.token = token
+        if deadline <= clock:
+            return Started(clock, Refused.LATE)
+        self.deadline = max(self.deadline, deadline / 1_000)
+        present = self.runs.get(task)
+        if present is not None and present.attempt == attempt:
+            return Started(clock, None)
+        if attempt <= self.highest.get(task, 0):
+            return Started(clock, Refused.OLD_ATTEMPT)
+        self.runs[task] = Present(attempt, now, self.lasts, self.failing)
+        self.starts.append((task, attempt))
+        return Started(clock, None)
+
+    def stop(self, task: TaskKey, attempt: int, token: int) -> Refused | None:
+        """Stop an attempt for good."""
+        if token < self.token:
+            return Refused.FENCED
+        self.highest[task] = max(self.highest.get(task, 0), attempt)
+        present = self.runs.get(task)
+        if present is not None and present.attempt <= attempt:
+            self.end(task, End.STOPPED)
+        return None
+
+    def hold(self, token: int, acknowledged: int, deadline: int, now: float) -> Held | Refused:
+        """Renew the lease, forget acknowledged ends, and list what is left."""
+        if token < self.token:
+            return Refused.FENCED
+        self.token = token
+        self.acknowledged = max(self.acknowledged, acknowledged)
+        self.ended = [ended for ended in self.ended if ended.sequence > acknowledged]
+        self.deadline = max(self.deadline, deadline / 1_000)
+        running = tuple(
+            Running(task, run.attempt, "", self.percent(run, now))
+            for task, run in self.runs.items()
+        )
+        return Held(int(now * 1_000), running, tuple(self.ended))
+
+    def percent(self, run: Present, now: float) -> int:
+        """Return how far a run has come."""
+        if self.stuck:
+            return 0
+        return min(99, int(100 * (now - run.started) / run.lasts))
+
+    def end(self, task: TaskKey, end: End) -> None:
+        """End a run."""
+        run = self.runs.pop(task)
+        self.highest[task] = max(self.highest.get(task, 0), run.attempt)
+        self.sequence += 1
+        self.ended.append(Ended(self.sequence, task, run.attempt, end, ""))
+
+    def advance(self, now: float) -> None:
+        """Carry out late orders, and end what has lapsed, failed or is done."""
+        for order in [order for order in self.late if order[0] <= now]:
+            self.late.remove(order)
+            _, task, attempt, deadline, token = order
+            self.start(task, attempt, deadline, token, now)
+        for task, run in list(self.runs.items()):
+            if now >= self.deadline:
+                self.end(task, End.LAPSED)
+            elif run.fails:
+                self.end(task, End.FAILED)
+            elif not self.stuck and now >= run.started + run.lasts:
+                self.end(task, End.DONE)
--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -55,7 +55,7 @@
             try:
                 page = await self._store.read(OPERATORS_TABLE, "", CONFIGURATION_KEY, end)
             except (CallError, PlatformError) as error:
-                _log.warn("configuration not read", event="configuration.unread", reason=error)
+                _log.warning("configuration not read", event="configuration.unread", reason=error)
                 return False
             if page.rows:
                 self._take(page.rows[0].value)
--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -51,6 +51,11 @@
         digest = xxhash.xxh32_intdigest(f"{cell}/{settings.name}/{life}".encode())
         self._rank = digest / 2**32
 
+    @property
+    def owns(self) -> bool:
+        """Tell whether this process owns the cell."""
+        return self._owner is not None
+
     async def run(self) -> None:
         """Contend for ever."""
         watch = Watch()
@@ -60,7 +65,7 @@
                     await self._take(watch)
                     watch = Watch()
             except (CallError, PlatformError) as error:
-                _log.warn("owner not read", event="owner.unread", reason=error)
+                _log.warning("owner not read", event="owner.unread", reason=error)
             await asyncio.sleep(POLL)
 
     async def resign(self) -> None:
@@ -93,7 +98,7 @@
         try:
             await self._owner.run(result.version, sent_at, before is None)
         except DeposedError as error:
-            _log.warn("cell lost", event="cell.lost", cell=self._cell, reason=error)
+            _log.warning("cell lost", event="cell.lost", cell=self._cell, reason=error)
         except Exception:
             _log.exception("owner failed", event="cell.failed", cell=self._cell)
         self._owner = None
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -170,7 +170,7 @@
                 learned = await self._store.read(EFFECTS, self._cell.name)
                 break
             except (CallError, PlatformError) as error:
-                _log.warn("cell not read", event="cell.unread", reason=error)
+                _log.warning("cell not read", event="cell.unread", reason=error)
                 await asyncio.sleep(RETRY)
         if learned.rows:
             effects = msgspec.msgpack.decode(learned.rows[0].value, type=Learned)
@@ -239,7 +239,7 @@
             try:
                 result = await self._store.transact(self._cell.name, expected, puts, COMMIT_TIMEOUT)
             except CallError as error:
-                _log.warn("commit not answered", event="commit.unanswered", reason=error)
+                _log.warning("commit not answered", event="commit.unanswered", reason=error)
                 await asyncio.sleep(pause)
                 pause = min(0.2, 2 * pause)
                 continue
@@ -295,7 +295,7 @@
                     page = await self._store.read_all(JOBS, self._cell.name)
                     listed_at = steady_time()
             except (CallError, PlatformError) as error:
-                _log.warn("jobs not followed", event="jobs.unread", reason=error)
+                _log.warning("jobs not followed", event="jobs.unread", reason=error)
                 await asyncio.sleep(RETRY)
                 continue
             self._feed_from = max(self._feed_from, page.version)
@@ -325,7 +325,7 @@
             try:
                 page = await self._store.read_all(WORKERS_TABLE)
             except (CallError, PlatformError) as error:
-                _log.warn("workers not read", event="workers.unread", reason=error)
+                _log.warning("workers not read", event="workers.unread", reason=error)
                 await asyncio.sleep(RETRY)
                 continue
             entries = (decode_worker(row.key, row.value) for row in page.rows)
@@ -357,7 +357,7 @@
                 break
             except (CallError, PlatformError) as error:
                 if not worker.silent:
-                    _log.warn(
+                    _log.warning(
                         "worker silent", event="worker.silent", worker=identifier, reason=error
                     )
                 take_silence(worker)
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -112,7 +112,7 @@
     def _note_failure(self) -> None:
         if self.direct_works:
             self.direct_works = False
-            _log.warn("store not reached directly", event="store.lost")
+            _log.warning("store not reached directly", event="store.lost")
         if self._probing is None:
             self._probing = asyncio.ensure_future(self._probe())
 
@@ -155,6 +155,11 @@
         """Listen for peers."""
         self._server = await asyncio.start_server(self._serve, address, port)
 
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         from toucanpin.wire.codec import Purpose
         from toucanpin.wire.messages import RelayCall
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -66,6 +66,12 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, ending.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        await self.start()
+        await ending.wait()
+        await self.shut_down()
+
+    async def start(self) -> None:
+        """Listen and begin all parts."""
         await self._front.listen(self._settings.front)
         await self._readiness.listen(self._settings.readiness)
         if self._settings.inner_port:
@@ -74,10 +80,27 @@
         self._spawn(self._configuration.run())
         self._spawn(self._contend())
         _log.info("started", event="process.started", life=self._life)
-        await ending.wait()
-        await self._shut_down()
 
-    async def _shut_down(self) -> None:
+    def owned_cells(self) -> tuple[str, ...]:
+        """Return the cells that this host owns."""
+        return tuple(cell for cell, it in self._contenders.items() if it.owns)
+
+    def knows_peers(self) -> bool:
+        """Tell whether this host could reach the store through another."""
+        return bool(self._peers.secret) and bool(self._peers.others())
+
+    async def abort(self) -> None:
+        """End at once, as a kill would; for embedding."""
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._front.drain(0.0)
+        await self._readiness.drain(0.0)
+        self._relay.close()
+
+    async def shut_down(self) -> None:
+        """Give up what is owned, answer what was read, then close."""
         self._leaving = True
         begun = time.monotonic()
         _log.info("draining", event="process.draining")
--- /dev/null
+++ b/toucanpin/entry/tests/site.py
@@ -0,0 +1,151 @@
+"""
+A small site
+============
+
+Entry hosts, a store and workers in one event loop, on addresses of this machine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import msgspec
+
+from standins.site.store import Faults, SiteStore
+from standins.site.worker import SiteWorker
+from toucanpin.entry.root import EntryProcess
+from toucanpin.http import Answer, Client
+from toucanpin.scheduling.orders import WorkerEntry
+from toucanpin.scheduling.settings import Bounds, HostSettings
+
+__all__ = ["JOB", "Site", "free_port"]
+
+JOB = "00000000000000a1"
+PREFIX = "/jobs/"
+HOST = "site.example"
+
+
+def free_port() -> int:
+    """Return a port of 127.0.0.1 that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Site:
+    """Run hosts and workers against one store."""
+
+    def __init__(self) -> None:
+        self.store = SiteStore()
+        self.faults: list[Faults] = []
+        self.hosts: list[EntryProcess] = []
+        self.fronts: list[Client] = []
+        self.workers: list[SiteWorker] = []
+        self._servers: list = []
+
+    def configure(self, version: int = 1, prefix: str = PREFIX) -> None:
+        """Write a configuration with one queue."""
+        route = {
+            "name": "q",
+            "host": HOST,
+            "pathPrefix": prefix,
+            "service": "c",
+            "maxAttempts": 2,
+            "priority": 0,
+        }
+        document = {"version": version, "routes": [route], "services": [{"name": "c"}]}
+        self.store.put("op", "config", msgspec.json.encode(document))
+
+    async def add_host(self) -> EntryProcess:
+        """Start an entry host with a store address of its own."""
+        address = f"127.0.0.1:{free_port()}"
+        faults = Faults()
+        self._servers.append(await self.store.listen(address, faults))
+        self.faults.append(faults)
+        front = f"127.0.0.1:{free_port()}"
+        settings = HostSettings(
+            name=f"h{len(self.hosts)}",
+            address="127.0.0.1",
+            data_centre="dc",
+            front=front,
+            readiness=f"127.0.0.1:{free_port()}",
+            inner_port=free_port(),
+            store=address,
+            advice="",
+            machines="",
+            heartbeat=1.0,
+            max_row=65_536,
+            bounds=Bounds(),
+        )
+        process = EntryProcess(settings)
+        await process.start()
+        self.hosts.append(process)
+        self.fronts.append(Client(front))
+        return process
+
+    async def add_worker(self, cpu: int = 4_000, lasts: float = 0.2) -> SiteWorker:
+        """Start a worker."""
+        name = f"w{len(self.workers)}"
+        entry = WorkerEntry(name, "c", f"127.0.0.1:{free_port()}", "dc", True, cpu, 8_000, 0)
+        worker = SiteWorker(self.store, entry)
+        worker.core.lasts = lasts
+        await worker.start()
+        self.workers.append(worker)
+        return worker
+
+    async def close(self) -> None:
+        """End everything."""
+        for host in self.hosts:
+            await host.abort()
+        for worker in self.workers:
+            await worker.stop()
+        for server in self._servers:
+            await server.drain(0.0)
+        for front in self.fronts:
+            front.close()
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", host: int = 0, deadline: int = 3_000
+    ) -> Answer:
+        """Call a host as a caller does."""
+        headers = (("Host", HOST), ("X-Deadline-Ms", str(deadline)))
+        return await self.fronts[host].call(method, path, body, headers, 10.0)
+
+    async def submit(self, job: str = JOB, host: int = 0, deadline: int = 3_000, **step) -> Answer:
+        """Hand in a job of one step."""
+        body = {"spec": "work", "pipeline": [{"count": 1, "cpu": 1_000, **step}]}
+        return await self.call("POST", PREFIX + job, msgspec.json.encode(body), host, deadline)
+
+    async def state(self, job: str = JOB, host: int = 0) -> str:
+        """Ask for a job's state."""
+        answer = await self.call("GET", PREFIX + job, host=host)
+        return msgspec.json.decode(answer.body)["state"] if answer.status == 200 else ""
+
+    async def until(self, condition: Callable, turns: int = 300) -> bool:
+        """Wait until a condition holds, for a bounded number of turns."""
+        for _ in range(turns):
+            found = condition()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    async def until_state(self, state: str, job: str = JOB, host: int = 0) -> bool:
+        """Wait until a job is in a state."""
+
+        async def check() -> bool:
+            return await self.state(job, host) == state
+
+        return await self.until(check)
+
+    async def until_ready(self, host: int = 0) -> bool:
+        """Wait until a host knows a configuration."""
+
+        async def check() -> bool:
+            return (await self.call("GET", PREFIX, host=host)).status == 200
+
+        return await self.until(check)
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -7,8 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
+from standins.site.worker_core import WorkerCore
 from toucanpin.scheduling.batches import apply_batch, take_batch
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.holding import (
@@ -24,13 +23,8 @@
 from toucanpin.scheduling.job import Job, Step, TaskKey
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import (
-    End,
-    Ended,
     Held,
     PaceOrder,
-    Refused,
-    Running,
-    Started,
     StopOrder,
     WorkerEntry,
 )
@@ -47,7 +41,7 @@
 )
 from toucanpin.scheduling.worker import Phase, Run
 
-__all__ = ["Fleet", "FleetWorker", "make_job"]
+__all__ = ["Fleet", "make_job"]
 
 STEP = 0.05  # s of the virtual clock
 
@@ -57,106 +51,12 @@
     return Job(identifier, "q", "c", "spec", steps, **fields)
 
 
-@dataclass(slots=True)
-class Present:
-    """Hold one run that a worker carries out."""
-
-    attempt: int
-    started: float
-    lasts: float
-    fails: bool
-
-
-@dataclass(slots=True)
-class FleetWorker:
-    """Carry out orders as the platform's workers do, on the test's clock."""
-
-    entry: WorkerEntry
-    token: int = 0
-    deadline: float = 0.0
-    runs: dict[TaskKey, Present] = field(default_factory=dict)
-    ended: list[Ended] = field(default_factory=list)
-    highest: dict[TaskKey, int] = field(default_factory=dict)
-    sequence: int = 0
-    acknowledged: int = 0
-    silent: bool = False
-    deaf: bool = False
-    failing: bool = False
-    stuck: bool = False
-    lasts: float = 1.0
-    late: list[tuple[float, TaskKey, int, int, int]] = field(default_factory=list)
-    starts: list[tuple[TaskKey, int]] = field(default_factory=list)
-
-    def start(self, task: TaskKey, attempt: int, deadline: int, token: int, now: float) -> Started:
-        clock = int(now * 1_000)
-        if token < self.token:
-            return Started(clock, Refused.FENCED)
-        self.token = token
-        if deadline <= clock:
-            return Started(clock, Refused.LATE)
-        self.deadline = max(self.deadline, deadline / 1_000)
-        present = self.runs.get(task)
-        if present is not None and present.attempt == attempt:
-            return Started(clock, None)
-        if attempt <= self.highest.get(task, 0):
-            return Started(clock, Refused.OLD_ATTEMPT)
-        self.runs[task] = Present(attempt, now, self.lasts, self.failing)
-        self.starts.append((task, attempt))
-        return Started(clock, None)
-
-    def stop(self, task: TaskKey, attempt: int, token: int) -> Refused | None:
-        if token < self.token:
-            return Refused.FENCED
-        self.highest[task] = max(self.highest.get(task, 0), attempt)
-        present = self.runs.get(task)
-        if present is not None and present.attempt <= attempt:
-            self.end(task, End.STOPPED)
-        return None
-
-    def hold(self, token: int, acknowledged: int, deadline: int, now: float) -> Held | Refused:
-        if token < self.token:
-            return Refused.FENCED
-        self.token = token
-        self.acknowledged = max(self.acknowledged, acknowledged)
-        self.ended = [ended for ended in self.ended if ended.sequence > acknowledged]
-        self.deadline = max(self.deadline, deadline / 1_000)
-        running = tuple(
-            Running(task, run.attempt, "", self.percent(run, now))
-            for task, run in self.runs.items()
-        )
-        return Held(int(now * 1_000), running, tuple(self.ended))
-
-    def percent(self, run: Present, now: float) -> int:
-        if self.stuck:
-            return 0
-        return min(99, int(100 * (now - run.started) / run.lasts))
-
-    def end(self, task: TaskKey, end: End) -> None:
-        run = self.runs.pop(task)
-        self.highest[task] = max(self.highest.get(task, 0), run.attempt)
-        self.sequence += 1
-        self.ended.append(Ended(self.sequence, task, run.attempt, end, ""))
-
-    def advance(self, now: float) -> None:
-        for order in [order for order in self.late if order[0] <= now]:
-            self.late.remove(order)
-            _, task, attempt, deadline, token = order
-            self.start(task, attempt, deadline, token, now)
-        for task, run in list(self.runs.items()):
-            if now >= self.deadline:
-                self.end(task, End.LAPSED)
-            elif run.fails:
-                self.end(task, End.FAILED)
-            elif not self.stuck and now >= run.started + run.lasts:
-                self.end(task, End.DONE)
-
-
 class Fleet:
     """Drive one cell's owner against scripted workers."""
 
     def __init__(self, workers: int = 2, cpu: int = 4_000, token: int = 1) -> None:
         self.time = 100.0
-        self.workers: dict[str, FleetWorker] = {}
+        self.workers: dict[str, WorkerCore] = {}
         for number in range(workers):
             self.add_worker(f"w{number}", cpu)
         self.rows: dict[str, bytes] = {}
@@ -170,10 +70,10 @@
         self.cell = self._make_cell(token)
         self.sharing = Sharing()
 
-    def add_worker(self, name: str, cpu: int = 4_000, **fields) -> FleetWorker:
+    def add_worker(self, name: str, cpu: int = 4_000, **fields) -> WorkerCore:
         """Add a worker."""
         entry = WorkerEntry(name, "c", f"{name}:1", "dc", True, cpu, 8_000, 0, **fields)
-        self.workers[name] = FleetWorker(entry)
+        self.workers[name] = WorkerCore(entry)
         return self.workers[name]
 
     def now(self) -> Now:
