--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -20,6 +20,7 @@
 
 __all__ = ["Faults", "SiteStore"]
 
+_Entry = tuple[str, str, str, bytes | None]
 MAX_BODY = 1_048_576  # bytes of one transaction
 
 
@@ -119,12 +120,14 @@
         if any(self._version(name) != version for name, version in expected):
             rows = [self._describe(name) for name, _ in expected]
             return self._answer(412, {"rows": rows})
-        puts = [(*_name(row), base64.b64decode(row["value"])) for row in call["puts"]]
-        drops = [(*_name(row), None) for row in call["remove"]]
-        self._apply(puts + drops)
+        entries: list[_Entry] = [
+            (*_name(row), base64.b64decode(row["value"])) for row in call["puts"]
+        ]
+        entries += [(*_name(row), None) for row in call["remove"]]
+        self._apply(entries)
         return self._answer(200, {})
 
-    def _apply(self, entries: list[tuple[str, str, str, bytes | None]]) -> None:
+    def _apply(self, entries: list[_Entry]) -> None:
         self.version += 1
         for table, part, key, value in entries:
             if value is None:
--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -14,7 +14,7 @@
 
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.owner import DeposedError, Owner
-from toucanpin.entry.rows import OWNER_KEY, OWNERS
+from toucanpin.entry.rows import HANDOVERS, OWNER_KEY, OWNERS
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.store import Committed, Expected, Put, Store
@@ -24,7 +24,7 @@
     decode_owner,
     encode_owner,
     observe,
-    should_take,
+    plan_take,
 )
 from toucanpin.scheduling.settings import HostSettings
 
@@ -32,6 +32,7 @@
 
 _log = logbook.Logger("contender")
 POLL = 0.4  # s between reads of the owner's row
+HANDOVER_WAIT = 20.0  # s that a watch of resignations waits
 REST = 1.0  # s that a process which lost a cell leaves it to others
 
 
@@ -48,6 +49,7 @@
         self._cell = cell
         self._owner: Owner | None = None
         self._leaving = False
+        self._resigned = asyncio.Event()
         digest = xxhash.xxh32_intdigest(f"{cell}/{settings.name}/{life}".encode())
         self._rank = digest / 2**32
 
@@ -61,12 +63,34 @@
         watch = Watch()
         while not self._leaving:
             try:
-                if await self._look(watch) and not self._leaving:
+                delay = await self._look(watch)
+                if delay is not None and not self._leaving:
+                    await asyncio.sleep(delay)
                     await self._take(watch)
                     watch = Watch()
             except (CallError, PlatformError) as error:
                 _log.warning("owner not read", event="owner.unread", reason=error)
-            await asyncio.sleep(POLL)
+            try:
+                async with asyncio.timeout(POLL):
+                    await self._resigned.wait()
+            except TimeoutError:
+                continue
+            self._resigned.clear()
+
+    async def follow_handovers(self) -> None:
+        """Look at once when an owner resigns."""
+        after = 0
+        while True:
+            try:
+                page = await self._store.follow(HANDOVERS, after, HANDOVER_WAIT)
+                if page is None:
+                    page = await self._store.read(HANDOVERS, self._cell)
+            except (CallError, PlatformError):
+                await asyncio.sleep(REST)
+                continue
+            after = max(after, page.version)
+            if any(row.part == self._cell for row in page.rows):
+                self._resigned.set()
 
     async def resign(self) -> None:
         """Contend no more, and give up the cell if it is owned."""
@@ -74,14 +98,14 @@
         if self._owner is not None:
             self._owner.resign()
 
-    async def _look(self, watch: Watch) -> bool:
+    async def _look(self, watch: Watch) -> float | None:
         begun = steady_time()
         page = await self._store.read(OWNERS, self._cell, OWNER_KEY, OWNER_KEY + "\0")
         now = steady_time()
         row = page.rows[0] if page.rows else None
         record = decode_owner(row.value) if row else None
         observe(watch, row.version if row else 0, record, now - begun, now)
-        return should_take(watch, self._rank)
+        return plan_take(watch, self._rank)
 
     async def _take(self, watch: Watch) -> None:
         before = watch.record
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -17,6 +17,7 @@
 from toucanpin.entry.rows import (
     COUNTS,
     EFFECTS,
+    HANDOVERS,
     JOBS,
     OWNER_KEY,
     OWNERS,
@@ -230,6 +231,8 @@
         for identifier in batch.forgotten:
             puts += [Put(JOBS, identifier, None), Put(JOBS, cancel_key(identifier), None)]
             puts.append(Put(PROGRESS, identifier, None))
+        if self._resigning:
+            puts.append(Put(HANDOVERS, OWNER_KEY, self._record.life.encode()))
         puts += self._put_counts()
         puts += self._put_effects()
         pause = 0.02
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -124,6 +124,7 @@
                     )
                     self._contenders[service] = contender
                     self._spawn(contender.run())
+                    self._spawn(contender.follow_handovers())
             if current is not None:
                 self._front.max_headers = current.max_headers
                 self._front.max_body = current.max_body
--- a/toucanpin/entry/rows.py
+++ b/toucanpin/entry/rows.py
@@ -8,6 +8,7 @@
 __all__ = [
     "COUNTS",
     "EFFECTS",
+    "HANDOVERS",
     "JOBS",
     "OWNERS",
     "OWNER_KEY",
@@ -21,6 +22,7 @@
 COUNTS = "counts"  # by cell: how many jobs of each queue wait; written by the cell's owner
 EFFECTS = "effects"  # by cell: what its owner has learned of neighbours; for the next owner
 OWNERS = "owners"  # by cell: its owner
+HANDOVERS = "handovers"  # by cell: changes as an owner resigns, so that others needn't wait
 OWNER_KEY = "owner"
 _CANCEL = "/cancel"
 
--- a/toucanpin/scheduling/ownership.py
+++ b/toucanpin/scheduling/ownership.py
@@ -11,9 +11,10 @@
 
 import msgspec
 
-__all__ = ["OwnerRecord", "Watch", "decode_owner", "encode_owner", "observe", "should_take"]
+__all__ = ["OwnerRecord", "Watch", "decode_owner", "encode_owner", "observe", "plan_take"]
 
 UNHEARD = 1.3  # s without a new write after which an owner counts as gone; it writes each 0.35 s
+FREE_SPREAD = 0.12  # s over which hosts spread their grip at a cell that nobody owns
 RENEWAL = 0.35  # s between writes of an owner that has nothing else to write
 SLOW_FACTOR = 3.0  # reads of the row that an owner's write may take longer, while the store is slow
 
@@ -63,17 +64,18 @@
     watch.silent += min(gap, 2 * RENEWAL + took)
 
 
-def should_take(watch: Watch, rank: float) -> bool:
+def plan_take(watch: Watch, rank: float) -> float | None:
     """
-    Tell whether to take the cell now.
+    Return after how many seconds to take the cell, None if it has an owner.
 
     ``rank`` is from 0 to 1 and spreads the hosts that would take it at the same moment.
     """
     if watch.version < 0:
-        return False
+        return None
     if watch.record is None or not watch.record.host:
-        return watch.silent >= rank * RENEWAL
-    return watch.silent >= UNHEARD + rank * RENEWAL + SLOW_FACTOR * watch.read_time
+        return rank * FREE_SPREAD
+    patience = UNHEARD + rank * RENEWAL + SLOW_FACTOR * watch.read_time
+    return 0.0 if watch.silent >= patience else None
 
 
 def encode_owner(record: OwnerRecord) -> bytes:
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_ownership.py
@@ -0,0 +1,63 @@
+"""When a cell may be taken."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.ownership import (
+    UNHEARD,
+    OwnerRecord,
+    Watch,
+    decode_owner,
+    encode_owner,
+    observe,
+    plan_take,
+)
+
+OWNER = OwnerRecord("h", "life", 3, 1)
+
+
+class OwnershipTest(unittest.TestCase):
+    def _watch(self, readings: list[tuple[float, int]], record: OwnerRecord | None) -> Watch:
+        watch = Watch()
+        for now, version in readings:
+            observe(watch, version, record, 0.005, now)
+        return watch
+
+    def test_an_owner_that_writes_keeps_its_cell(self) -> None:
+        watch = self._watch([(i * 0.4, i) for i in range(20)], OWNER)
+        self.assertIsNone(plan_take(watch, 0.0))
+
+    def test_an_owner_that_is_unheard_loses_it(self) -> None:
+        watch = self._watch([(i * 0.4, 1) for i in range(5)], OWNER)
+        self.assertEqual(0.0, plan_take(watch, 0.0))
+
+    def test_time_without_a_reading_is_not_silence(self) -> None:
+        """
+        The table is away for 20 s.  Afterwards its owner has not written yet, and would be replaced
+        at the first reading if the outage counted.
+        """
+        watch = self._watch([(0.0, 1), (0.4, 1), (20.4, 1)], OWNER)
+        self.assertIsNone(plan_take(watch, 0.0))
+        self.assertLess(watch.silent, UNHEARD)
+
+    def test_a_slow_table_gives_an_owner_more_time(self) -> None:
+        watch = Watch()
+        for i in range(5):
+            observe(watch, 1, OWNER, 0.3, i * 0.4)
+        self.assertIsNone(plan_take(watch, 0.0))
+
+    def test_a_free_cell_is_taken_by_rank(self) -> None:
+        free = self._watch([(0.0, 0)], None)
+        first, second = plan_take(free, 0.1), plan_take(free, 0.9)
+        assert first is not None and second is not None
+        self.assertLess(first, second)
+        resigned = self._watch([(0.0, 5)], OwnerRecord("", "life", 3, 1))
+        self.assertIsNotNone(plan_take(resigned, 0.5))
+
+    def test_a_record_survives_its_row(self) -> None:
+        self.assertEqual(OWNER, decode_owner(encode_owner(OWNER)))
+
+
+if __name__ == "__main__":
+    unittest.main()
