Keep a slow table from holding up owner and callers; resign in the last write

Ruled out: refusals by the store's rate (429 counts were of the part). Change: jobs' rows in eight parts by id; direct tries of 1 s; an owner ends only once its resignation is written.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -23,11 +23,13 @@
     OWNERS,
     PROGRESS,
     cancel_key,
+    job_part,
+    list_job_parts,
     split_key,
 )
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
-from toucanpin.platform.store import Committed, Expected, Put, Row, Store
+from toucanpin.platform.store import Committed, Expected, Page, Put, Row, Store
 from toucanpin.platform.workers import (
     WORKERS_TABLE,
     WorkerCalls,
@@ -81,7 +83,7 @@
 RETRY = 0.1  # s before an order is repeated
 HOLD_TIMEOUT = 0.7  # s beyond its wait for a worker's answer
 SILENT_PAUSE = 0.3  # s between questions to a worker that doesn't answer
-COMMIT_TIMEOUT = 0.8  # s for one try of a commit; a store 60 times slower takes 0.5 s
+COMMIT_TIMEOUT = 2.0  # s for one try of a commit; a store 60 times slower takes 0.6 s
 COUNT_PERIOD = 0.5  # s between writes of how many jobs wait
 LEARNED_PERIOD = 3.0  # s between writes of what was learned
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
@@ -108,6 +110,7 @@
         self._calls: dict[str, WorkerCalls] = {}
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
+        self._parts = frozenset(list_job_parts(name))
         self._deposed: asyncio.Future[None] | None = None
         self._feed_from = 0
         self._written_at = 0.0
@@ -166,7 +169,7 @@
         """Read all rows of the cell, then the workers; nothing is decided before."""
         while True:
             try:
-                jobs = await self._store.read_all(JOBS, self._cell.name)
+                jobs = await self._read_jobs()
                 progress = await self._store.read_all(PROGRESS, self._cell.name)
                 learned = await self._store.read(EFFECTS, self._cell.name)
                 break
@@ -219,7 +222,7 @@
             await self._write(batch)
             for run in apply_batch(self._cell, batch):
                 self._spawn(self._start(run))
-            if self._resigning:
+            if not self._record.host:
                 raise DeposedError("resigned")
 
     async def _write(self, batch: Batch) -> None:
@@ -229,7 +232,7 @@
         puts = [Put(OWNERS, OWNER_KEY, encode_owner(record))]
         puts += [Put(PROGRESS, key, value) for key, value in batch.records.items()]
         for identifier in batch.forgotten:
-            puts += [Put(JOBS, identifier, None), Put(JOBS, cancel_key(identifier), None)]
+            await self._drop_job(identifier)
             puts.append(Put(PROGRESS, identifier, None))
         if self._resigning:
             puts.append(Put(HANDOVERS, OWNER_KEY, self._record.life.encode()))
@@ -263,6 +266,22 @@
         self._written_at = sent_at
         self._cell.confirmed = sent_at
 
+    async def _read_jobs(self) -> Page:
+        """Read the jobs of all parts; ``version`` is the oldest of their moments."""
+        pages = [await self._store.read_all(JOBS, part) for part in list_job_parts(self._cell.name)]
+        rows = tuple(row for page in pages for row in page.rows)
+        return Page(rows, False, min(page.version for page in pages), pages[-1].clock)
+
+    async def _drop_job(self, identifier: str) -> None:
+        """Drop a job's own rows before its progress, or it would look like a new one."""
+        drops = (Put(JOBS, identifier, None), Put(JOBS, cancel_key(identifier), None))
+        while True:
+            try:
+                await self._store.transact(job_part(self._cell.name, identifier), (), drops)
+                return
+            except CallError:
+                await asyncio.sleep(RETRY)
+
     def _put_effects(self) -> list[Put]:
         if steady_time() < self._learned_at + LEARNED_PERIOD:
             return []
@@ -295,7 +314,7 @@
                     wait = min(FEED_WAIT, max(0.05, listed_at + RELIST_PERIOD - steady_time()))
                     page = await self._store.follow(JOBS, self._feed_from, wait)
                 if page is None:
-                    page = await self._store.read_all(JOBS, self._cell.name)
+                    page = await self._read_jobs()
                     listed_at = steady_time()
             except (CallError, PlatformError) as error:
                 _log.warning("jobs not followed", event="jobs.unread", reason=error)
@@ -308,7 +327,7 @@
         now = self._clocks.now()
         cancelled = []
         for row in rows:
-            if row.part != self._cell.name or row.deleted:
+            if row.part not in self._parts or row.deleted:
                 continue
             identifier, is_cancel = split_key(row.key)
             if is_cancel:
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -30,8 +30,8 @@
 _log = logbook.Logger("relay")
 _LENGTH = struct.Struct(">I")
 MAX_FRAME = 1_048_576  # bytes, of the inner protocol
-DIRECT_SHARE = 0.45  # of a call's time that a direct try may take before a peer is asked
-LONGEST_BRIEF = 1.1  # s that calls other than watches may take
+DIRECT_TIMEOUT = 1.0  # s of a direct try before a peer is asked; a slow store takes 0.6 s
+LONGEST_BRIEF = 2.5  # s that calls other than watches may take
 PROBE = 0.5  # s between direct tries while peers are used
 PROBE_TIMEOUT = 0.4  # s
 USELESS = 0.4  # s that peers aren't asked after one couldn't reach the store either
@@ -73,9 +73,11 @@
         if self.direct_works or not self._may_relay():
             # A watch is meant to stay unanswered for long, so its silence says nothing.
             brief = timeout <= LONGEST_BRIEF
-            share = DIRECT_SHARE if brief and self._may_relay() else 1.0
+            direct_timeout = (
+                min(timeout, DIRECT_TIMEOUT) if brief and self._may_relay() else timeout
+            )
             try:
-                answer = await self._direct.call(method, path, body, timeout=timeout * share)
+                answer = await self._direct.call(method, path, body, timeout=direct_timeout)
                 if answer.status not in _REFUSED:
                     return answer
                 refusal = answer
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -18,7 +18,7 @@
 
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.configuration import FRESH, ConfigurationWatch
-from toucanpin.entry.rows import COUNTS, JOBS, PROGRESS, cancel_key
+from toucanpin.entry.rows import COUNTS, JOBS, PROGRESS, cancel_key, job_part
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError, Request, Response
 from toucanpin.platform.callers import (
@@ -42,7 +42,7 @@
 ANSWER_MARGIN = 0.15  # s that an answer needs to reach a caller
 FIRST_PAUSE = 0.03  # s before the second try at the table; doubled each time
 LONGEST_PAUSE = 0.25  # s
-TRY_TIMEOUT = 0.9  # s for one try at the table
+TRY_TIMEOUT = 1.8  # s for one try at the table; a slow one takes 0.6 s, and a peer may follow
 REFUSE_AFTER = 0.5  # s of certain refusals by the table after which a caller is sent away
 COME_BACK = 1  # s after which a caller that was refused should try again
 
@@ -103,7 +103,7 @@
             _log.info("job refused", event="job.malformed", job=identifier, reason=fault)
             return Response(400, msgspec.json.encode({"error": fault}))
         put = Put(JOBS, identifier, encode_job(job))
-        written = await self._write(queue.service, put, deadline)
+        written = await self._write(job_part(queue.service, identifier), put, deadline)
         _log.info("job handed in", event="job.submitted", job=identifier, written=written)
         match written:
             case True:
@@ -115,7 +115,8 @@
 
     async def _cancel(self, queue: Queue, identifier: str, deadline: float) -> Response:
         async def find() -> bool:
-            page = await self._store.read(JOBS, queue.service, identifier, identifier + "\0")
+            part = job_part(queue.service, identifier)
+            page = await self._store.read(JOBS, part, identifier, identifier + "\0")
             return bool(page.rows)
 
         found = await self._try(find, deadline)
@@ -124,7 +125,9 @@
         if not found.value:
             return Response(410)
         written = await self._write(
-            queue.service, Put(JOBS, cancel_key(identifier), b"1"), deadline
+            job_part(queue.service, identifier),
+            Put(JOBS, cancel_key(identifier), b"1"),
+            deadline,
         )
         _log.info("job cancelled", event="job.cancelled", job=identifier, written=written)
         return Response(200) if written else Response(503, retry_after=COME_BACK)
@@ -135,7 +138,8 @@
             page = await self._store.read(PROGRESS, queue.service, identifier, end)
             if page.rows:
                 return JobState(decode_progress(page.rows[0].value).state)
-            page = await self._store.read(JOBS, queue.service, identifier, end)
+            part = job_part(queue.service, identifier)
+            page = await self._store.read(JOBS, part, identifier, end)
             if page.rows:
                 return JobState.PENDING
             # Between the two reads the job may have ended and been forgotten, never begun.
@@ -161,7 +165,7 @@
             return Response(503, retry_after=COME_BACK)
         return Response(200, encode_count(count.value))
 
-    async def _write(self, cell: str, put: Put, deadline: float) -> bool | None:
+    async def _write(self, part: str, put: Put, deadline: float) -> bool | None:
         """
         Write a row that mustn't exist; None if it isn't known whether it was written.
 
@@ -177,7 +181,7 @@
                 return None if unsure else False
             expected = (Expected(put.table, put.key, 0),)
             try:
-                result = await self._store.transact(cell, expected, (put,), min(left, TRY_TIMEOUT))
+                result = await self._store.transact(part, expected, (put,), min(left, TRY_TIMEOUT))
             except CallError as error:
                 unsure = unsure or not error.certain
             except PlatformError as error:
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -20,7 +20,7 @@
 
 __all__ = ["Caller", "Conflict", "Committed", "Expected", "Page", "Put", "Row", "Store"]
 
-READ_TIMEOUT = 1.0  # s: a healthy answer takes 10 ms, one of a store 60 times slower 0.6 s
+READ_TIMEOUT = 2.0  # s: a healthy answer takes 10 ms, one of a store 60 times slower 0.6 s
 PAGE = 150  # rows asked for at a time, so that a page also passes the inner protocol
 MAX_PAGE = 500  # rows of one answer, by the platform's page
 
--- a/toucanpin/scheduling/batches.py
+++ b/toucanpin/scheduling/batches.py
@@ -16,6 +16,7 @@
 __all__ = ["Batch", "apply_batch", "has_work", "take_batch"]
 
 MAX_ROWS = 90  # of a transaction's 100 entries; the owner's row takes two
+MAX_FORGOTTEN = 5  # jobs whose rows are dropped at a time, since each takes a call of its own
 MAX_BYTES = 400_000  # of a transaction's 1 MB, which base64 makes a third larger
 
 
@@ -56,8 +57,7 @@
     ends = dict(cell.ends) if whole else {}
     if whole:
         cell.ends.clear()
-    room = (MAX_ROWS - len(records)) // 3
-    forgotten = tuple(cell.forgotten[: max(0, room)])
+    forgotten = tuple(cell.forgotten[:MAX_FORGOTTEN])
     del cell.forgotten[: len(forgotten)]
     return Batch(records, forgotten, tuple(placed), ends)
 
