--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -118,7 +118,7 @@
         if not isinstance(result, Committed):
             return
         _log.info("cell taken", event="cell.taken", cell=self._cell, token=token, before=before)
-        self._owner = Owner(self._store, self._clocks, self._settings.bounds, self._cell, record)
+        self._owner = Owner(self._store, self._clocks, self._settings, self._cell, record)
         try:
             await self._owner.run(result.version, sent_at, before is None)
         except DeposedError as error:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -29,6 +29,7 @@
 )
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
+from toucanpin.platform.advice import AdviceCalls
 from toucanpin.platform.store import Committed, Expected, Page, Put, Row, Store
 from toucanpin.platform.workers import (
     WORKERS_TABLE,
@@ -36,6 +37,7 @@
     WorkerReplacedError,
     decode_worker,
 )
+from toucanpin.scheduling.advising import Advice, AdviceOrder, plan_advice, take_advice
 from toucanpin.scheduling.batches import Batch, apply_batch, has_work, take_batch
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.counting import count_pending
@@ -60,9 +62,9 @@
 from toucanpin.scheduling.orders import PaceOrder, Refused, StopOrder, WorkerEntry
 from toucanpin.scheduling.ownership import RENEWAL, OwnerRecord, decode_owner, encode_owner
 from toucanpin.scheduling.pacing import control_pace
-from toucanpin.scheduling.placing import place_tasks
+from toucanpin.scheduling.placing import list_able, place_tasks
 from toucanpin.scheduling.progress import decode_progress
-from toucanpin.scheduling.settings import Bounds
+from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.sharing import Learned, Sharing, learn_effects
 from toucanpin.scheduling.starting import (
     Next,
@@ -98,11 +100,12 @@
     """Own one cell until another process does or this one resigns."""
 
     def __init__(
-        self, store: Store, clocks: Clocks, bounds: Bounds, name: str, record: OwnerRecord
+        self, store: Store, clocks: Clocks, settings: HostSettings, name: str, record: OwnerRecord
     ) -> None:
         self._store = store
         self._clocks = clocks
-        self._bounds = bounds
+        self._bounds = settings.bounds
+        self._advice = AdviceCalls(settings.advice) if settings.advice else None
         self._record = record
         self._version = 0
         self._cell = Cell(name, record.token, 0.0, 0.0)
@@ -417,6 +420,7 @@
                     deadline,
                     self._cell.token,
                     run.checkpoint,
+                    run.ticket,
                 )
             except WorkerReplacedError:
                 return
@@ -495,6 +499,16 @@
                 run.paced_at = 0.0
                 run.pace = -1
 
+    async def _advise(self, order: AdviceOrder) -> None:
+        advice: Advice | None = None
+        if self._advice is not None:
+            try:
+                advice = await self._advice.ask(order.group, order.workers)
+            except CallError as error:
+                _log.warning("no advice", event="advice.missing", reason=error)
+        take_advice(self._cell, order, advice, self._clocks.now())
+        self._wake.set()
+
     async def _tick(self) -> None:
         forgotten_at = 0.0
         while True:
@@ -504,6 +518,8 @@
                 _log.info("worker gone", event="worker.gone", worker=worker.entry.id)
             begin_due(self._cell, now)
             move_tasks(self._cell, now)
+            for order in plan_advice(self._cell, list_able(self._cell, now), now):
+                self._spawn(self._advise(order))
             control_pace(self._cell, self._sharing, now)
             if now.steady > forgotten_at + FORGET_PERIOD:
                 forgotten_at = now.steady
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -8,12 +8,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.orders import PaceOrder, StopOrder
 from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, TaskState
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
+if TYPE_CHECKING:
+    from toucanpin.scheduling.advising import Advised
+
 __all__ = [
     "Cell",
     "Group",
@@ -87,6 +91,7 @@
     ends: dict[str, int] = field(default_factory=dict)
     orders: list[StopOrder | PaceOrder] = field(default_factory=list)
     forgotten: list[str] = field(default_factory=list)
+    advised: dict[Group, Advised] = field(default_factory=dict)
     next_due: float = 0.0
     paced_at: float = 0.0
 
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -82,6 +82,8 @@
     mark_dirty(cell, live)
     for group in [group for group in cell.waiting if group.job == live.job.id]:
         del cell.waiting[group]
+    for asked in [group for group in cell.advised if group.job == live.job.id]:
+        del cell.advised[asked]
     for run in list_runs(cell, live):
         stop_run(cell, run, "job ended")
 
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -9,13 +9,14 @@
 
 from collections.abc import Iterable
 
+from toucanpin.scheduling.advising import find_ticket
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, mark_dirty
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.sharing import Sharing, predict_rise, predict_utilization, use_cores
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room, release_run, reserve_run
 
-__all__ = ["place_tasks"]
+__all__ = ["list_able", "place_tasks"]
 
 CONTACT = 2.5  # s without an answer after which a worker gets nothing new
 FAR = 4.0  # weight of a place away from a step's data against a wholly idle worker's 1
@@ -33,18 +34,26 @@
     """Place what waits; the places count only once they are written."""
     if not cell.waiting:
         return
-    able = [worker for worker in cell.workers.values() if _is_able(worker, now)]
+    able = list_able(cell, now)
     for group in sorted(cell.waiting, key=lambda group: _rank(cell, group)):
         live = cell.jobs[group.job]
         step = live.job.steps[group.step]
+        allowed = able
+        if live.job.advised:
+            allowed = [w for w in able if find_ticket(cell, group, w.entry.id, now)]
         if step.gang:
-            _place_gang(cell, live, group, step, able, sharing, now)
+            _place_gang(cell, live, group, step, allowed, sharing, now)
         else:
-            _place_group(cell, live, group, step, able, sharing, now)
+            _place_group(cell, live, group, step, allowed, sharing, now)
         if not cell.waiting[group]:
             del cell.waiting[group]
 
 
+def list_able(cell: Cell, now: Now) -> list[Worker]:
+    """Return the workers that may get something new."""
+    return [worker for worker in cell.workers.values() if _is_able(worker, now)]
+
+
 def _rank(cell: Cell, group: Group) -> tuple[int, int, Group]:
     live = cell.jobs[group.job]
     return live.job.priority, live.objective, group
@@ -80,7 +89,7 @@
             return
         cell.delayed.pop(task, None)
         waiting.discard(index)
-        _place(cell, live, task, step, worker)
+        _place(cell, live, task, step, worker, now)
 
 
 def _place_gang(
@@ -121,16 +130,18 @@
         return
     for task, worker in chosen:
         waiting.discard(task.index)
-        _place(cell, live, task, step, worker)
+        _place(cell, live, task, step, worker, now)
 
 
-def _place(cell: Cell, live: LiveJob, task: TaskKey, step: Step, worker: Worker) -> None:
+def _place(cell: Cell, live: LiveJob, task: TaskKey, step: Step, worker: Worker, now: Now) -> None:
     record = live.progress.tasks[task.occurrence][live.offsets[task.step] + task.index]
     record.state = TaskState.PLACED
     record.attempt += 1
     record.worker = worker.entry.id
     run = Run(task, record.attempt, worker.entry.id, step, Phase.PLACED)
     run.checkpoint = record.checkpoint
+    group = Group(task.job, task.occurrence, task.step)
+    run.ticket = find_ticket(cell, group, worker.entry.id, now)
     reserve_run(worker, run)
     cell.placed.append(run)
     if live.progress.state == JobState.PENDING:
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -9,7 +9,7 @@
 
 import enum
 
-from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.cell import Cell, Group, Now
 from toucanpin.scheduling.ending import end_run, stop_run
 from toucanpin.scheduling.holding import lease_end
 from toucanpin.scheduling.orders import Refused, Started
@@ -56,6 +56,9 @@
             return Next.AGAIN
         case Refused.NO_ROOM:
             worker.full_until = now.steady + FULL
+        case Refused.NO_TICKET:
+            group = Group(run.task.job, run.task.occurrence, run.task.step)
+            cell.advised.pop(group, None)
         case Refused.UNHEALTHY:
             worker.suspect_until = max(worker.suspect_until, now.steady + UNHEALTHY)
     _give_up(cell, worker, run, now)
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -44,6 +44,7 @@
     percent: int = 0
     moved_at: float = 0.0
     checkpoint: str = ""
+    ticket: str = ""
     measure: float = 0.0
     pace: int = 100
     paced_at: float = 0.0
