--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -57,7 +57,7 @@
     restore_job,
     submit_job,
 )
-from toucanpin.scheduling.job import decode_job
+from toucanpin.scheduling.job import decode_job, format_task
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import PaceOrder, Refused, StopOrder, WorkerEntry
 from toucanpin.scheduling.ownership import RENEWAL, OwnerRecord, decode_owner, encode_owner
@@ -224,6 +224,14 @@
             batch = take_batch(self._cell)
             await self._write(batch)
             for run in apply_batch(self._cell, batch):
+                _log.info(
+                    "placed",
+                    event="task.placed",
+                    job=run.task.job,
+                    task=format_task(run.task),
+                    attempt=run.attempt,
+                    worker=run.worker,
+                )
                 self._spawn(self._start(run))
             if not self._record.host:
                 raise DeposedError("resigned")
@@ -391,6 +399,17 @@
             if isinstance(answer, Refused):
                 raise DeposedError(f"worker {identifier} refused: {answer.value}")
             now = self._clocks.now()
+            for ended in answer.ended:
+                if ended.sequence > worker.seen:
+                    _log.info(
+                        "ended",
+                        event="task.ended",
+                        job=ended.task.job,
+                        task=format_task(ended.task),
+                        attempt=ended.attempt,
+                        worker=identifier,
+                        end=ended.end.value,
+                    )
             take_answer(self._cell, worker, answer, sent_at, now)
             learn_effects(self._sharing, worker, now)
             self._after_change()
@@ -454,7 +473,7 @@
                     "stopping",
                     event="task.stopping",
                     job=order.task.job,
-                    task=order.task,
+                    task=format_task(order.task),
                     worker=order.worker,
                     reason=order.reason,
                 )
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -70,7 +70,22 @@
         self._clocks = clocks
 
     async def handle(self, request: Request) -> Response | None:
-        """Answer one request of a caller."""
+        """Answer one request of a caller; one that isn't served leaves a line."""
+        begun = steady_time()
+        response = await self._answer(request)
+        if response is not None and response.status >= 500:
+            _log.warning(
+                "request not served",
+                event="request.unserved",
+                method=request.method,
+                path=request.path,
+                status=response.status,
+                took=round(steady_time() - begun, 3),
+                configuration_age=round(begun - self._configuration.confirmed, 3),
+            )
+        return response
+
+    async def _answer(self, request: Request) -> Response | None:
         path = request.path.partition("?")[0]
         host = request.headers.get("host", "")
         queue = await self._configuration.find(host, path)
--- a/toucanpin/platform/workers.py
+++ b/toucanpin/platform/workers.py
@@ -11,7 +11,7 @@
 
 from toucanpin.exception import PlatformError
 from toucanpin.http.client import Answer, CallError, Client
-from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.orders import (
     End,
     Ended,
@@ -207,7 +207,7 @@
 
 def encode_task(task: TaskKey) -> str:
     """Return a task's name on the wire."""
-    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+    return format_task(task)
 
 
 def parse_task(text: str) -> TaskKey:
--- a/toucanpin/scheduling/job.py
+++ b/toucanpin/scheduling/job.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-__all__ = ["Job", "Step", "TaskKey", "decode_job", "encode_job", "find_job_fault"]
+__all__ = ["Job", "Step", "TaskKey", "decode_job", "encode_job", "find_job_fault", "format_task"]
 
 MAX_TASKS = 3_000  # of one occurrence: its record has to fit one row of the table
 MAX_STEPS = 200
@@ -81,6 +81,11 @@
     index: int
 
 
+def format_task(task: TaskKey) -> str:
+    """Return a task's name as logs and operators read it."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+
+
 def find_job_fault(job: Job) -> str:
     """Return what makes a job malformed, empty if nothing does."""
     if not 1 <= len(job.steps) <= MAX_STEPS:
