Leave a tenth of each worker's cores to brief urgent tasks

Ruled out: memory (50 to 190 GB free on every worker), what fills (takes no room of cores), the table. Change: brief tasks first at equal priority; a lasting task leaves a tenth free unless two such places are there.

--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -27,6 +27,8 @@
 TOO_HOT = 1.05  # of it: a task that fills waits rather than bring a serving one above
 # Each image that serves on a worker keeps some that fill away, so images are best kept apart.
 OTHER_IMAGE = 1.5
+RESERVE = 0.1  # of a worker's cores that lasting tasks leave to brief ones: one urgent task
+NO_RESERVE = 20.0  # weight of a place that leaves less
 BESIDE_FILLING = 1.0  # weight against serving beside a worker full of what fills
 
 
@@ -54,9 +56,10 @@
     return [worker for worker in cell.workers.values() if _is_able(worker, now)]
 
 
-def _rank(cell: Cell, group: Group) -> tuple[int, int, Group]:
+def _rank(cell: Cell, group: Group) -> tuple[int, bool, int, Group]:
     live = cell.jobs[group.job]
-    return live.job.priority, live.objective, group
+    lasting = live.job.steps[group.step].lasting
+    return live.job.priority, lasting, live.objective, group
 
 
 def _is_able(worker: Worker, now: Now) -> bool:
@@ -81,6 +84,8 @@
 ) -> None:
     waiting = cell.waiting[group]
     for index in sorted(waiting):
+        if step.lasting and not _may_last(able, group, step):
+            return
         task = TaskKey(group.job, group.occurrence, group.step, index)
         if cell.delayed.get(task, 0.0) > now.steady:
             continue
@@ -183,6 +188,29 @@
     return not step.per_worker or _count_group(worker, group) < step.per_worker
 
 
+def _may_last(able: list[Worker], group: Group, step: Step) -> bool:
+    """
+    Tell whether a lasting task may take a place now.
+
+    Lasting tasks would take the last cores of every worker and keep them, and brief urgent ones
+    then waited for seconds (6.2 s in one of twenty).  So the last place that leaves a worker
+    without room for these stays free; where there are two, one is taken, since a lasting task may
+    not wait while there is plenty of room for it.
+    """
+    places = 0
+    for worker in able:
+        if not _may_run(worker, group, step):
+            continue
+        if _leaves_reserve(worker, step):
+            return True
+        places += 1
+    return places > 1
+
+
+def _leaves_reserve(worker: Worker, step: Step) -> bool:
+    return worker.cpu + step.cpu <= (1 - RESERVE) * worker.entry.cpu
+
+
 def _count_group(worker: Worker, group: Group) -> int:
     return sum(
         run.task.job == group.job
@@ -210,6 +238,8 @@
         return cost + HARM * max(0.0, pressure - SAFE) + _weigh_crowd(asked / max(1, entry.cpu))
     # The fullest worker that still has room: wide tasks find whole workers later.
     left = 1 - (worker.cpu + step.cpu) / max(1, entry.cpu)
+    if step.lasting and not _leaves_reserve(worker, step):
+        cost += NO_RESERVE + 2 * (1 - left)
     if step.target:
         beside = BESIDE_FILLING * worker.filling_cpu / max(1, entry.cpu)
         return cost + left + beside + OTHER_IMAGE * _count_others(worker, step.image)
--- a/toucanpin/scheduling/tests/test_life.py
+++ b/toucanpin/scheduling/tests/test_life.py
@@ -101,6 +101,22 @@
         for worker in fleet.workers.values():
             self.assertEqual(1, sum(task.job == "j2" for task in worker.runs))
 
+    def test_lasting_tasks_leave_room_for_brief_ones(self) -> None:
+        """
+        Operators wait for a verification.  Watches that last had taken the last cores of every
+        worker, and each verification waited until one of them ended.
+        """
+        fleet = Fleet(workers=2, cpu=10_000)
+        for worker in fleet.workers.values():
+            worker.lasts = 100.0
+        fleet.submit(make_job("j1", (Step(count=5, cpu=4_700, lasting=True),)))
+        fleet.run(0.5)
+        # Two tasks on each worker would leave a tenth of its cores; the last such place stays.
+        self.assertEqual(3, sum(len(worker.runs) for worker in fleet.workers.values()))
+        fleet.submit(make_job("j2", (Step(cpu=1_500),)))
+        fleet.run(0.5)
+        self.assertTrue(any(t.job == "j2" for w in fleet.workers.values() for t in w.runs))
+
     def test_a_worker_that_drains_gets_nothing_and_loses_lasting_tasks(self) -> None:
         fleet = Fleet(workers=1)
         fleet.submit(make_job(steps=(Step(cpu=1_000, lasting=True),)))
