Keep a cell when a worker answers what the protocol doesn't know

Cause: an unknown status of a worker ended the owner's whole work; found by reading, its test was red before the change. Change: it counts as an answer that is missing: the start is repeated.

--- a/standins/site/worker.py
+++ b/standins/site/worker.py
@@ -36,6 +36,7 @@
     def __init__(self, store: SiteStore, entry: WorkerEntry) -> None:
         self.core = WorkerCore(entry)
         self.refuse_next = 0
+        self.garbage_next = 0
         self._store = store
         self._begun = time.monotonic()
         self._task: asyncio.Task[None] | None = None
@@ -93,6 +94,9 @@
         return Response(404)
 
     def _start(self, call: dict[str, Any]) -> Response:
+        if self.garbage_next:
+            self.garbage_next -= 1
+            return Response(500, b"garbage")
         if self.refuse_next:
             self.refuse_next -= 1
             return self._answer(Refused.NO_ROOM)
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -82,6 +82,7 @@
 LIST_PERIOD = 0.5  # s between reads of the workers' entries; a drain must be seen within 2 s
 RELIST_PERIOD = 3.0  # s between full reads of the jobs, for what a watch has missed
 FEED_WAIT = 5.0  # s that a watch of the jobs waits
+SHORT_RETRY = 0.02  # s before a start is repeated
 RETRY = 0.1  # s before an order is repeated
 HOLD_TIMEOUT = 0.7  # s beyond its wait for a worker's answer
 SILENT_PAUSE = 0.3  # s between questions to a worker that doesn't answer
@@ -443,10 +444,11 @@
                 )
             except WorkerReplacedError:
                 return
-            except CallError as error:
-                following = take_no_start(
-                    self._cell, worker, run, error.certain, self._clocks.now()
-                )
+            except (CallError, PlatformError) as error:
+                certain = isinstance(error, CallError) and error.certain
+                following = take_no_start(self._cell, worker, run, certain, self._clocks.now())
+                if following is not Next.SETTLED:
+                    await asyncio.sleep(SHORT_RETRY)
             else:
                 if answer.refused is not None:
                     _log.info(
@@ -493,7 +495,7 @@
                 refused = await calls.stop(order.task, order.attempt, self._cell.token)
             except WorkerReplacedError:
                 return
-            except CallError:
+            except (CallError, PlatformError):
                 await asyncio.sleep(RETRY)
                 continue
             if refused is Refused.FENCED:
@@ -511,7 +513,7 @@
             return
         try:
             await calls.pace(order.task, order.attempt, order.percent, self._cell.token)
-        except CallError:
+        except (CallError, PlatformError):
             worker = self._cell.workers.get(order.worker)
             run = worker.runs.get(order.task) if worker else None
             if run is not None:
--- a/toucanpin/entry/tests/test_site.py
+++ b/toucanpin/entry/tests/test_site.py
@@ -126,6 +126,20 @@
         self.assertTrue(await self.site.until_state("completed"))
         self.assertEqual([2], [attempt for _, attempt in worker.core.starts])
 
+    async def test_garbage_from_a_worker_costs_one_try_and_not_the_cell(self) -> None:
+        """
+        A worker answers a start with a status that the protocol doesn't know.  The task may or may
+        not run, so the same start is repeated; the owner keeps its cell.
+        """
+        await self.site.add_host()
+        worker = await self.site.add_worker()
+        self.assertTrue(await self.site.until_ready())
+        worker.garbage_next = 2
+        await self.site.submit()
+        self.assertTrue(await self.site.until_state("completed"))
+        self.assertEqual([1], [attempt for _, attempt in worker.core.starts])
+        self.assertTrue(self.site.hosts[0].owned_cells())
+
     async def _add_bystander(self) -> int:
         """Start two hosts and a worker; return the host that doesn't own the cell."""
         await self.site.add_host()
