--- /dev/null
+++ b/toucanpin/entry/tests/test_relay.py
@@ -0,0 +1,107 @@
+"""Calls of the store through a peer, and peers that can't be trusted or can't help."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from standins.site.store import Faults, SiteStore
+from toucanpin.entry.peers import Peer, Peers
+from toucanpin.entry.relay import RelayedStore, RelayServer
+from toucanpin.entry.tests.site import free_port
+from toucanpin.http import CallError, Client
+from toucanpin.platform.store import Committed, Expected, Put, Store
+from toucanpin.scheduling.settings import Bounds, HostSettings
+
+SECRET = b"k" * 32
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.core = SiteStore()
+        self.faults = (Faults(), Faults())
+        self.servers = []
+        self.stores = []
+        ports = (free_port(), free_port())
+        for number, faults in enumerate(self.faults):
+            address = f"127.0.0.1:{free_port()}"
+            self.servers.append(await self.core.listen(address, faults))
+            direct = Client(address)
+            relayed = RelayedStore(direct, f"h{number}")
+            store = Store(relayed)
+            store.clock = 1_000
+            peers = Peers(store, _settings(f"h{number}", address, ports[number]))
+            peers.secret = SECRET
+            other = 1 - number
+            peers.known = (Peer(f"h{other}", "127.0.0.1", ports[other], 1_000, 0),)
+            relayed.use_peers(peers)
+            server = RelayServer(relayed, direct, peers, f"h{number}")
+            await server.listen("127.0.0.1", ports[number])
+            self.stores.append((store, relayed, peers, server))
+
+    async def asyncTearDown(self) -> None:
+        for _, _, _, server in self.stores:
+            server.close()
+        for server in self.servers:
+            await server.drain(0.0)
+
+    async def _put(self) -> Committed:
+        store = self.stores[0][0]
+        result = await store.transact("", (Expected("t", "k", 0),), (Put("t", "k", b"v"),))
+        assert isinstance(result, Committed)
+        return result
+
+    async def test_a_host_that_is_turned_away_writes_through_its_peer(self) -> None:
+        self.faults[0].refusing = 503
+        await self._put()
+        self.assertIn(("t", "", "k"), self.core.rows)
+
+    async def test_a_host_that_the_store_does_not_answer_writes_through_its_peer(self) -> None:
+        self.faults[0].silent = True
+        await self._put()
+        self.assertIn(("t", "", "k"), self.core.rows)
+
+    async def test_an_outage_for_all_is_a_certain_refusal(self) -> None:
+        for faults in self.faults:
+            faults.refusing = 503
+        with self.assertRaises(CallError) as caught:
+            await self._put()
+        self.assertTrue(caught.exception.certain)
+
+    async def test_a_refusal_after_silence_is_not_certain(self) -> None:
+        """
+        The store is silent towards this host and refuses its peer.  The first try may still be
+        carried out, so the refusal of the second proves nothing.
+        """
+        self.faults[0].silent = True
+        self.faults[1].refusing = 503
+        with self.assertRaises(CallError) as caught:
+            await self._put()
+        self.assertFalse(caught.exception.certain)
+
+    async def test_a_frame_under_another_key_is_not_obeyed(self) -> None:
+        self.faults[0].refusing = 503
+        self.stores[0][2].secret = b"x" * 32
+        with self.assertRaises(CallError):
+            await self._put()
+        self.assertEqual({}, self.core.rows)
+
+    async def test_the_store_is_used_directly_again(self) -> None:
+        self.faults[0].refusing = 503
+        await self._put()
+        relayed = self.stores[0][1]
+        self.assertFalse(relayed.direct_works)
+        self.faults[0].refusing = 0
+        for _ in range(100):
+            if relayed.direct_works:
+                break
+            await asyncio.sleep(0.05)
+        self.assertTrue(relayed.direct_works)
+
+
+def _settings(name: str, store: str, port: int) -> HostSettings:
+    return HostSettings(name, "127.0.0.1", "dc", "", "", port, store, "", "", 1.0, 65_536, Bounds())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/toucanpin/http/tests/test_http.py
@@ -0,0 +1,145 @@
+"""Client and server against each other and against scripted bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from toucanpin.http import CallError, Client, Request, Response, Server
+from toucanpin.verdict import Verdict
+
+
+class HttpTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.seen: list[Request] = []
+        self.release = asyncio.Event()
+        self.release.set()
+        self.server = Server(self._handle, 1_024, 4_096)
+        self.server_socket = await self._listen(self.server)
+        self.client = Client(self.server_socket)
+
+    async def asyncTearDown(self) -> None:
+        self.release.set()
+        self.client.close()
+        await self.server.drain(0.0)
+
+    async def _listen(self, server: Server) -> str:
+        from toucanpin.entry.tests.site import free_port
+
+        address = f"127.0.0.1:{free_port()}"
+        await server.listen(address)
+        return address
+
+    async def _handle(self, request: Request) -> Response | None:
+        self.seen.append(request)
+        await self.release.wait()
+        match request.path:
+            case "/broken":
+                return None
+            case "/fault":
+                raise ValueError("a fault of the handler")
+            case "/later":
+                return Response(503, retry_after=2)
+        return Response(200, request.body)
+
+    async def _speak(self, data: bytes) -> bytes:
+        host, _, port = self.server_socket.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        writer.write_eof()
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    async def test_bodies_pass_whole_on_one_connection(self) -> None:
+        for size in (0, 1, 4_000):
+            answer = await self.client.call("POST", "/echo", b"x" * size)
+            self.assertEqual((200, b"x" * size), (answer.status, answer.body))
+        self.assertEqual(1, len(self.server.open))
+
+    async def test_requests_that_come_together_are_answered_in_their_order(self) -> None:
+        one = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n1"
+        two = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nConnection: close\r\n\r\n2"
+        answer = await self._speak(one + two)
+        self.assertEqual(2, answer.count(b"HTTP/1.1 200"))
+        self.assertLess(answer.index(b"\r\n\r\n1"), answer.index(b"\r\n\r\n2"))
+
+    async def test_limits_hold_before_anything_is_kept(self) -> None:
+        cases = (
+            (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 2_000 + b"\r\n\r\n", b" 431 "),
+            (b"GET /" + b"x" * 9_000 + b" HTTP/1.1\r\nHost: h\r\n\r\n", b" 414 "),
+            (
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5_000,
+                b" 413 ",
+            ),
+            (b"no http at all\r\n\r\n", b" 400 "),
+        )
+        for data, status in cases:
+            with self.subTest(status):
+                self.assertIn(status, (await self._speak(data)).partition(b"\r\n")[0])
+        self.assertFalse(self.seen)
+
+    async def test_a_cut_body_is_never_handled(self) -> None:
+        await self._speak(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")
+        self.assertFalse(self.seen)
+
+    async def test_a_fault_of_a_handler_is_an_answer(self) -> None:
+        self.assertEqual(500, (await self.client.call("GET", "/fault")).status)
+
+    async def test_a_refusal_says_when_to_come_back(self) -> None:
+        answer = await self.client.call("GET", "/later")
+        self.assertEqual("2", answer.headers["retry-after"])
+
+    async def test_a_broken_connection_and_silence_may_have_had_an_effect(self) -> None:
+        with self.assertRaises(CallError) as caught:
+            await self.client.call("POST", "/broken")
+        self.assertIs(Verdict.MAY_HAVE_RUN, caught.exception.verdict)
+        self.release.clear()
+        with self.assertRaises(CallError) as caught:
+            await self.client.call("POST", "/slow", timeout=0.05)
+        self.assertIs(Verdict.MAY_HAVE_RUN, caught.exception.verdict)
+
+    async def test_a_server_that_drains_answers_what_it_has_read(self) -> None:
+        self.release.clear()
+        call = asyncio.ensure_future(self.client.call("POST", "/slow", b"x", timeout=5.0))
+        while not self.seen:
+            await asyncio.sleep(0.01)
+        draining = asyncio.ensure_future(self.server.drain(5.0))
+        await asyncio.sleep(0.05)
+        self.release.set()
+        answer = await call
+        await draining
+        self.assertEqual((200, "close"), (answer.status, answer.headers["connection"]))
+
+
+class ScriptedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def _call(self, data: bytes) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = Client(f"127.0.0.1:{port}")
+        try:
+            await client.call("GET", "/", timeout=2.0)
+        finally:
+            client.close()
+            server.close()
+
+    async def test_answers_that_are_cut_or_no_http_are_errors(self) -> None:
+        for data in (
+            b"",
+            b"HTTP/1.1 200 OK\r\nContent-Le",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+            b"garbage\r\n\r\n",
+        ):
+            with self.subTest(data), self.assertRaises(CallError) as caught:
+                await self._call(data)
+            self.assertIs(Verdict.MAY_HAVE_RUN, caught.exception.verdict)
+
+
+if __name__ == "__main__":
+    unittest.main()
