--- /dev/null
+++ b/toucanpin/entry/cell_rows.py
@@ -0,0 +1,206 @@
+"""
+Rows of a cell
+==============
+
+Read and write what lasts of one cell, in the name of its owner.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+import msgspec
+
+from toucanpin.entry.clocks import steady_time
+from toucanpin.entry.rows import (
+    COUNTS,
+    EFFECTS,
+    HANDOVERS,
+    JOBS,
+    OWNER_KEY,
+    OWNERS,
+    PROGRESS,
+    cancel_key,
+    job_part,
+    list_job_parts,
+    split_key,
+)
+from toucanpin.exception import PlatformError
+from toucanpin.http import CallError
+from toucanpin.platform.store import Committed, Expected, Page, Put, Store
+from toucanpin.scheduling.batches import Batch
+from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.counting import count_pending
+from toucanpin.scheduling.intake import cancel_job, restore_job, submit_job
+from toucanpin.scheduling.job import decode_job
+from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
+from toucanpin.scheduling.progress import decode_progress
+from toucanpin.scheduling.sharing import Learned, Sharing
+
+__all__ = ["CellRows", "DeposedError"]
+
+_log = logbook.Logger("rows")
+RETRY = 0.1  # s before a read is repeated
+FIRST_PAUSE = 0.02  # s before a commit is repeated; doubled each time
+LONGEST_PAUSE = 0.2  # s
+COMMIT_TIMEOUT = 2.0  # s for one try of a commit; a store 60 times slower takes 0.6 s
+COUNT_PERIOD = 0.5  # s between writes of how many jobs wait
+LEARNED_PERIOD = 3.0  # s between writes of what was learned
+
+
+class DeposedError(Exception):
+    """Say that another process owns the cell."""
+
+
+class CellRows:
+    """
+    Read and write the rows of one cell.
+
+    ``record`` is the owner's row as it was last written, at ``version``; ``written_at`` is when
+    that write was sent.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        cell: Cell,
+        sharing: Sharing,
+        record: OwnerRecord,
+        version: int,
+        written_at: float,
+    ) -> None:
+        self._store = store
+        self._cell = cell
+        self._sharing = sharing
+        self.record = record
+        self._version = version
+        self.written_at = written_at
+        self._counted_at = 0.0
+        self._counts: dict[str, int] = {}
+        self._learned_at = 0.0
+
+    async def load(self, now: Callable[[], Now]) -> int:
+        """Read all rows of the cell into it; return the version to follow the jobs from."""
+        while True:
+            try:
+                jobs = await self.read_jobs()
+                progress = await self._store.read_all(PROGRESS, self._cell.name)
+                learned = await self._store.read(EFFECTS, self._cell.name)
+                break
+            except (CallError, PlatformError) as error:
+                _log.warning("cell not read", event="cell.unread", reason=error)
+                await asyncio.sleep(RETRY)
+        if learned.rows:
+            effects = msgspec.msgpack.decode(learned.rows[0].value, type=Learned)
+            self._sharing.restore(effects, now().steady)
+        known = {row.key: decode_progress(row.value) for row in progress.rows}
+        moment = now()
+        cancelled = []
+        for row in jobs.rows:
+            identifier, is_cancel = split_key(row.key)
+            if is_cancel:
+                cancelled.append(identifier)
+                continue
+            job = decode_job(row.value)
+            if identifier in known:
+                restore_job(self._cell, job, known[identifier], moment)
+            else:
+                submit_job(self._cell, job, moment)
+        for identifier in cancelled:
+            cancel_job(self._cell, identifier, moment)
+        _log.info(
+            "cell owned",
+            event="cell.owned",
+            cell=self._cell.name,
+            token=self._cell.token,
+            jobs=len(self._cell.jobs),
+        )
+        return jobs.version
+
+    async def read_jobs(self) -> Page:
+        """Read the jobs of all parts; ``version`` is the oldest of their moments."""
+        pages = [await self._store.read_all(JOBS, part) for part in list_job_parts(self._cell.name)]
+        rows = tuple(row for page in pages for row in page.rows)
+        return Page(rows, False, min(page.version for page in pages), pages[-1].clock)
+
+    async def write(self, batch: Batch, resigning: bool) -> None:
+        """
+        Write a batch, however long it takes; nothing of a later one is written before.
+
+        Raises
+        ------
+        DeposedError
+            If another process owns the cell.
+        """
+        host = "" if resigning else self.record.host
+        record = OwnerRecord(host, self.record.life, self.record.token, self.record.sequence + 1)
+        puts = [Put(OWNERS, OWNER_KEY, encode_owner(record))]
+        puts += [Put(PROGRESS, key, value) for key, value in batch.records.items()]
+        for identifier in batch.forgotten:
+            await self._drop_job(identifier)
+            puts.append(Put(PROGRESS, identifier, None))
+        if resigning:
+            puts.append(Put(HANDOVERS, OWNER_KEY, self.record.life.encode()))
+        puts += self._put_counts()
+        puts += self._put_effects()
+        pause = FIRST_PAUSE
+        while True:
+            expected = (Expected(OWNERS, OWNER_KEY, self._version),)
+            sent_at = steady_time()
+            try:
+                result = await self._store.transact(self._cell.name, expected, puts, COMMIT_TIMEOUT)
+            except CallError as error:
+                _log.warning("commit not answered", event="commit.unanswered", reason=error)
+                await asyncio.sleep(pause)
+                pause = min(LONGEST_PAUSE, 2 * pause)
+                continue
+            if isinstance(result, Committed):
+                self._version = result.version
+                break
+            row = result.rows[0]
+            found = decode_owner(row.value) if row.version else None
+            if found == record:
+                # An earlier try whose answer was lost was carried out.
+                self._version = row.version
+                break
+            if found == self.record:
+                self._version = row.version
+                continue
+            raise DeposedError(f"owned by {found}")
+        self.record = record
+        self.written_at = sent_at
+        self._cell.confirmed = sent_at
+
+    async def _drop_job(self, identifier: str) -> None:
+        """Drop a job's own rows before its progress, or it would look like a new one."""
+        drops = (Put(JOBS, identifier, None), Put(JOBS, cancel_key(identifier), None))
+        while True:
+            try:
+                await self._store.transact(job_part(self._cell.name, identifier), (), drops)
+                return
+            except CallError:
+                await asyncio.sleep(RETRY)
+
+    def _put_effects(self) -> list[Put]:
+        if steady_time() < self._learned_at + LEARNED_PERIOD:
+            return []
+        self._learned_at = steady_time()
+        learned = msgspec.msgpack.encode(self._sharing.export())
+        return [Put(EFFECTS, OWNER_KEY, learned)]
+
+    def _put_counts(self) -> list[Put]:
+        if steady_time() < self._counted_at + COUNT_PERIOD:
+            return []
+        self._counted_at = steady_time()
+        counts = count_pending(self._cell)
+        for queue in self._counts:
+            counts.setdefault(queue, 0)
+        changed = {
+            queue: count for queue, count in counts.items() if self._counts.get(queue) != count
+        }
+        self._counts = counts
+        return [
+            Put(COUNTS, queue, msgspec.msgpack.encode(count)) for queue, count in changed.items()
+        ]
--- /dev/null
+++ b/toucanpin/entry/cell_workers.py
@@ -0,0 +1,230 @@
+"""
+Workers of a cell
+=================
+
+Send the orders of a cell's owner to its workers, and bring back what they answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+
+import logbook
+
+from toucanpin.entry.cell_rows import DeposedError
+from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.exception import PlatformError
+from toucanpin.http import CallError
+from toucanpin.platform.workers import WorkerCalls, WorkerReplacedError
+from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.holding import (
+    list_workers,
+    plan_hold,
+    replace_worker,
+    take_answer,
+    take_silence,
+)
+from toucanpin.scheduling.job import format_task
+from toucanpin.scheduling.orders import Ended, PaceOrder, Refused, StopOrder, WorkerEntry
+from toucanpin.scheduling.sharing import Sharing, learn_effects
+from toucanpin.scheduling.starting import (
+    Next,
+    plan_start,
+    take_no_start,
+    take_started,
+    take_stopped,
+)
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+__all__ = ["CellWorkers"]
+
+_log = logbook.Logger("workers")
+SHORT_RETRY = 0.02  # s before a start is repeated
+RETRY = 0.1  # s before another order is repeated
+HOLD_TIMEOUT = 0.7  # s beyond its wait for a worker's answer
+SILENT_PAUSE = 0.3  # s between questions to a worker that doesn't answer
+BRIEF = 0.02  # s that a question takes at least, so that unwritten ends aren't asked for in a loop
+
+
+class CellWorkers:
+    """Speak to the workers of one cell; ``changed`` is called after each answer."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        sharing: Sharing,
+        clocks: Clocks,
+        spawn: Callable[[Coroutine], None],
+        changed: Callable[[], None],
+    ) -> None:
+        self._cell = cell
+        self._sharing = sharing
+        self._clocks = clocks
+        self._spawn = spawn
+        self._changed = changed
+        self._calls: dict[str, WorkerCalls] = {}
+
+    def close(self) -> None:
+        """Close all connections."""
+        for calls in self._calls.values():
+            calls.close()
+
+    def take_entries(self, entries: Iterable[WorkerEntry]) -> None:
+        """Take up the workers' own entries, and speak to those that are new."""
+        for worker in list_workers(self._cell, entries, self._clocks.now()):
+            entry = worker.entry
+            self._calls[entry.id] = WorkerCalls(entry.id, entry.address)
+            self._spawn(self._hold(worker))
+
+    async def _hold(self, worker: Worker) -> None:
+        """Ask one worker for ever, so that its lease is renewed and its ends are heard."""
+        identifier = worker.entry.id
+        calls = self._calls[identifier]
+        while self._cell.workers.get(identifier) is worker:
+            order = plan_hold(self._cell, worker, self._clocks.now())
+            sent_at = steady_time()
+            try:
+                answer = await calls.hold(
+                    self._cell.token, order.acknowledged, order.deadline, order.wait, HOLD_TIMEOUT
+                )
+            except WorkerReplacedError:
+                _log.info("worker replaced", event="worker.replaced", worker=identifier)
+                replace_worker(self._cell, worker, self._clocks.now())
+                self._changed()
+                break
+            except (CallError, PlatformError) as error:
+                if not worker.silent:
+                    _log.warning(
+                        "worker silent", event="worker.silent", worker=identifier, reason=error
+                    )
+                take_silence(worker)
+                await asyncio.sleep(SILENT_PAUSE)
+                continue
+            if isinstance(answer, Refused):
+                raise DeposedError(f"worker {identifier} refused: {answer.value}")
+            now = self._clocks.now()
+            _log_ends(worker, answer.ended)
+            take_answer(self._cell, worker, answer, sent_at, now)
+            learn_effects(self._sharing, worker, now)
+            self._changed()
+            if order.wait == 0.0 and steady_time() - sent_at < BRIEF:
+                await asyncio.sleep(BRIEF)
+        calls.close()
+        if self._calls.get(identifier) is calls:
+            del self._calls[identifier]
+
+    async def start(self, run: Run) -> None:
+        """Send one start until its outcome is known."""
+        while run.phase is Phase.ORDERED:
+            worker = self._cell.workers.get(run.worker)
+            calls = self._calls.get(run.worker)
+            if worker is None or calls is None:
+                return
+            deadline = plan_start(self._cell, worker, run, self._clocks.now())
+            if not deadline:
+                await asyncio.sleep(RETRY)
+                continue
+            live = self._cell.jobs[run.task.job]
+            try:
+                answer = await calls.start(
+                    run.task,
+                    run.attempt,
+                    live.job.spec,
+                    deadline,
+                    self._cell.token,
+                    run.checkpoint,
+                    run.ticket,
+                )
+            except WorkerReplacedError:
+                return
+            except (CallError, PlatformError) as error:
+                certain = isinstance(error, CallError) and error.certain
+                following = take_no_start(self._cell, worker, run, certain, self._clocks.now())
+                if following is not Next.SETTLED:
+                    await asyncio.sleep(SHORT_RETRY)
+            else:
+                if answer.refused is not None:
+                    _log.info(
+                        "start refused",
+                        event="task.refused",
+                        job=run.task.job,
+                        worker=run.worker,
+                        reason=answer.refused.value,
+                    )
+                following = take_started(self._cell, worker, run, answer, self._clocks.now())
+            match following:
+                case Next.FENCED:
+                    raise DeposedError(f"worker {run.worker} has another owner")
+                case Next.SETTLED:
+                    break
+                case Next.LATER:
+                    await asyncio.sleep(RETRY)
+        self._changed()
+
+    async def order(self, order: StopOrder | PaceOrder) -> None:
+        """Carry out an order, however often it has to be sent."""
+        match order:
+            case StopOrder():
+                _log.info(
+                    "stopping",
+                    event="task.stopping",
+                    job=order.task.job,
+                    task=format_task(order.task),
+                    worker=order.worker,
+                    reason=order.reason,
+                )
+                await self._stop(order)
+            case PaceOrder():
+                await self._pace(order)
+
+    async def _stop(self, order: StopOrder) -> None:
+        """Send one stop until it is acknowledged or the worker's life is over."""
+        while True:
+            worker = self._cell.workers.get(order.worker)
+            calls = self._calls.get(order.worker)
+            if worker is None or calls is None:
+                return
+            run = worker.runs.get(order.task)
+            try:
+                refused = await calls.stop(order.task, order.attempt, self._cell.token)
+            except WorkerReplacedError:
+                return
+            except (CallError, PlatformError):
+                await asyncio.sleep(RETRY)
+                continue
+            if refused is Refused.FENCED:
+                raise DeposedError(f"worker {order.worker} has another owner")
+            if refused is Refused.UNHEALTHY:
+                await asyncio.sleep(RETRY)
+                continue
+            if run is not None and run.attempt == order.attempt:
+                take_stopped(worker, run, self._clocks.now())
+            return
+
+    async def _pace(self, order: PaceOrder) -> None:
+        calls = self._calls.get(order.worker)
+        if calls is None:
+            return
+        try:
+            await calls.pace(order.task, order.attempt, order.percent, self._cell.token)
+        except (CallError, PlatformError):
+            worker = self._cell.workers.get(order.worker)
+            run = worker.runs.get(order.task) if worker else None
+            if run is not None:
+                run.paced_at = 0.0
+                run.pace = -1
+
+
+def _log_ends(worker: Worker, ends: Iterable[Ended]) -> None:
+    for ended in ends:
+        if ended.sequence > worker.seen:
+            _log.info(
+                "ended",
+                event="task.ended",
+                job=ended.task.job,
+                task=format_task(ended.task),
+                attempt=ended.attempt,
+                worker=worker.entry.id,
+                end=ended.end.value,
+            )
--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -12,8 +12,9 @@
 import logbook
 import xxhash
 
+from toucanpin.entry.cell_rows import DeposedError
 from toucanpin.entry.clocks import Clocks, steady_time
-from toucanpin.entry.owner import DeposedError, Owner
+from toucanpin.entry.owner import Owner
 from toucanpin.entry.rows import HANDOVERS, OWNER_KEY, OWNERS
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
@@ -118,9 +119,18 @@
         if not isinstance(result, Committed):
             return
         _log.info("cell taken", event="cell.taken", cell=self._cell, token=token, before=before)
-        self._owner = Owner(self._store, self._clocks, self._settings, self._cell, record)
+        self._owner = Owner(
+            self._store,
+            self._clocks,
+            self._settings,
+            self._cell,
+            record,
+            result.version,
+            sent_at,
+            before is None,
+        )
         try:
-            await self._owner.run(result.version, sent_at, before is None)
+            await self._owner.run()
         except DeposedError as error:
             _log.warning("cell lost", event="cell.lost", cell=self._cell, reason=error)
         except Exception:
--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -9,7 +9,7 @@
 from toucanpin.entry.peers import Peer, Peers
 from toucanpin.entry.relay import RelayedStore, RelayServer
 from toucanpin.entry.tests.site import free_port
-from toucanpin.http import CallError, Client
+from toucanpin.http import CallError, Client, Server
 from toucanpin.platform.store import Committed, Expected, Put, Store
 from toucanpin.scheduling.settings import Bounds, HostSettings
 
@@ -20,8 +20,8 @@
     async def asyncSetUp(self) -> None:
         self.core = SiteStore()
         self.faults = (Faults(), Faults())
-        self.servers = []
-        self.stores = []
+        self.servers: list[Server] = []
+        self.stores: list[tuple[Store, RelayedStore, Peers, RelayServer]] = []
         ports = (free_port(), free_port())
         for number, faults in enumerate(self.faults):
             address = f"127.0.0.1:{free_port()}"
@@ -35,13 +35,13 @@
             other = 1 - number
             peers.known = (Peer(f"h{other}", "127.0.0.1", ports[other], 1_000, 0),)
             relayed.use_peers(peers)
-            server = RelayServer(relayed, direct, peers, f"h{number}")
-            await server.listen("127.0.0.1", ports[number])
-            self.stores.append((store, relayed, peers, server))
+            relay = RelayServer(relayed, direct, peers, f"h{number}")
+            await relay.listen("127.0.0.1", ports[number])
+            self.stores.append((store, relayed, peers, relay))
 
     async def asyncTearDown(self) -> None:
-        for _, _, _, server in self.stores:
-            server.close()
+        for _, _, _, relay in self.stores:
+            relay.close()
         for server in self.servers:
             await server.drain(0.0)
 
