Demonstrate jobs of several tasks with their owner killed

Change: a second part of the demonstration on the stand-ins of the users' platform; its harness moves from the tests to the stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m tools.demo
+	$(BIN)/python -m tools.site_demo
 
 test: $(STAMP)
 	$(BIN)/python -m tools.run_tests
--- /dev/null
+++ b/tools/site_demo.py
@@ -0,0 +1,81 @@
+"""
+Demonstration on the users' platform
+====================================
+
+Jobs of several tasks on three entry hosts, four workers and a store; the owner of their cell is
+killed in the middle.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import logbook
+import msgspec
+
+from standins.site.site import PREFIX, Site
+
+__all__ = ["main"]
+
+JOBS = 12
+LASTING = "00000000000000ff"
+STEPS = (
+    {"count": 3, "cpu": 500, "memMb": 64, "estimateMs": 300},
+    {"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 300, "after": [0], "checkpointing": True},
+)
+
+
+async def demonstrate() -> list[str]:
+    """Run the demonstration and return what went wrong."""
+    site = Site()
+    site.configure()
+    faults = []
+    try:
+        for _ in range(3):
+            await site.add_host()
+        for _ in range(4):
+            await site.add_worker(lasts=0.3)
+        for number in range(3):
+            if not await site.until_ready(number):
+                faults.append(f"host {number} isn't ready")
+        await site.submit(LASTING, longRunning=True)
+        names = [f"{number:016x}" for number in range(1, JOBS + 1)]
+        for number, name in enumerate(names):
+            body = msgspec.json.encode({"spec": name, "pipeline": STEPS})
+            answer = await site.call("POST", PREFIX + name, body, number % 3)
+            if answer.status != 200:
+                faults.append(f"job {name} was answered {answer.status}")
+        if not await site.until(lambda: any(worker.core.starts for worker in site.workers)):
+            faults.append("nothing was started")
+        owner = next(n for n, host in enumerate(site.hosts) if host.owned_cells())
+        await site.hosts[owner].abort()
+        other = (owner + 1) % 3
+        for name in names:
+            if not await site.until_state("completed", name, other):
+                faults.append(f"job {name} isn't completed")
+        if not await site.until_state("active", LASTING, other):
+            faults.append("the lasting task isn't active")
+        starts = [task for worker in site.workers for task, _ in worker.core.starts]
+        wanted = JOBS * sum(step["count"] for step in STEPS)  # type: ignore[misc]
+        finished = {task for task in starts if task.job != LASTING}
+        if len(finished) != wanted:
+            faults.append(f"{len(finished)} tasks were started in place of {wanted}")
+        print(f"{JOBS} jobs, {wanted} tasks, {len(starts)} starts; owner killed: host {owner}")
+    finally:
+        await site.close()
+    return faults
+
+
+def main() -> int:
+    """Run the demonstration; return 1 if anything is wrong."""
+    with logbook.NullHandler().applicationbound():
+        faults = asyncio.run(demonstrate())
+    for fault in faults:
+        print("wrong:", fault)
+    print("the users' platform:", "wrong" if faults else "right")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -5,10 +5,10 @@
 import asyncio
 import unittest
 
+from standins.site.site import free_port
 from standins.site.store import Faults, SiteStore
 from toucanpin.entry.peers import Peer, Peers
 from toucanpin.entry.relay import RelayedStore, RelayServer
-from toucanpin.entry.tests.site import free_port
 from toucanpin.http import CallError, Client, Server
 from toucanpin.platform.store import Committed, Expected, Put, Store
 from toucanpin.scheduling.settings import Bounds, HostSettings
--- a/toucanpin/entry/tests/test_site.py
+++ b/toucanpin/entry/tests/test_site.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from toucanpin.entry.tests.site import JOB, PREFIX, Site
+from standins.site.site import JOB, PREFIX, Site
 
 
 class SiteTest(unittest.IsolatedAsyncioTestCase):
--- a/toucanpin/http/tests/test_http.py
+++ b/toucanpin/http/tests/test_http.py
@@ -24,7 +24,7 @@
         await self.server.drain(0.0)
 
     async def _listen(self, server: Server) -> str:
-        from toucanpin.entry.tests.site import free_port
+        from standins.site.site import free_port
 
         address = f"127.0.0.1:{free_port()}"
         await server.listen(address)
--- a/toucanpin/platform/tests/test_site_calls.py
+++ b/toucanpin/platform/tests/test_site_calls.py
@@ -94,7 +94,7 @@
 
 class WorkerCallsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        from toucanpin.entry.tests.site import free_port
+        from standins.site.site import free_port
 
         self.answer: Response | None = Response(200)
         self.requests: list[Request] = []
@@ -167,7 +167,7 @@
             await self.calls.hold(1, 0, 0, 0.0, 1.0)
 
     async def test_a_port_without_a_listener_had_no_effect(self) -> None:
-        from toucanpin.entry.tests.site import free_port
+        from standins.site.site import free_port
 
         calls = WorkerCalls("i-1", f"127.0.0.1:{free_port()}")
         with self.assertRaises(CallError) as caught:
