--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -113,7 +113,9 @@
         headers = (("Host", HOST), ("X-Deadline-Ms", str(deadline)))
         return await self.fronts[host].call(method, path, body, headers, 10.0)
 
-    async def submit(self, job: str = JOB, host: int = 0, deadline: int = 3_000, **step) -> Answer:
+    async def submit(
+        self, job: str = JOB, host: int = 0, deadline: int = 3_000, **step: object
+    ) -> Answer:
         """Hand in a job of one step."""
         body = {"spec": "work", "pipeline": [{"count": 1, "cpu": 1_000, **step}]}
         return await self.call("POST", PREFIX + job, msgspec.json.encode(body), host, deadline)
