--- a/toucanpin/entry/tests/test_site.py
+++ b/toucanpin/entry/tests/test_site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 import msgspec
@@ -152,6 +153,21 @@
         self.assertTrue(await self.site.until(lambda: all(h.knows_peers() for h in hosts)))
         return 0 if hosts[1].owned_cells() else 1
 
+    async def test_a_resignation_during_a_write_stands_in_the_table(self) -> None:
+        """
+        The owner is told to end while a write of it is under way.  Were it to end with that write,
+        its row would still name it, and callers would wait until its silence was noticed.
+        """
+        bystander = await self._add_bystander()
+        owner = 1 - bystander
+        self.site.faults[owner].late_by = 0.3
+        self.site.faults[owner].late_writes = 1
+        self.assertTrue(await self.site.until(lambda: not self.site.faults[owner].late_writes))
+        ending = asyncio.ensure_future(self.site.hosts[owner].shut_down())
+        self.assertTrue(await self.site.until(self.site.hosts[bystander].owned_cells))
+        self.assertIn(("handovers", "c", "owner"), self.site.store.rows)
+        await ending
+
     async def test_a_write_that_is_done_late_makes_one_job(self) -> None:
         """
         The store carries the row of a new job out a second late and answers nothing.  The host
