Ask a worker again only once its ends are written

Ruled out: longer waits of the question itself (an end answers it at once, so they cost nothing). Change: the question waits for the write, at most 0.4 s, so that a lease is renewed in an outage.

--- a/standins/site/worker.py
+++ b/standins/site/worker.py
@@ -37,6 +37,7 @@
         self.core = WorkerCore(entry)
         self.refuse_next = 0
         self.garbage_next = 0
+        self.looks = 0
         self._store = store
         self._begun = time.monotonic()
         self._task: asyncio.Task[None] | None = None
@@ -110,6 +111,7 @@
         return self._answer(answer.refused)
 
     async def _hold(self, call: dict[str, Any]) -> Response:
+        self.looks += 1
         deadline = time.monotonic() + call.get("waitMs", 0) / 1_000
         while True:
             held = self.core.hold(
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -44,7 +44,7 @@
 RETRY = 0.1  # s before another order is repeated
 HOLD_TIMEOUT = 0.7  # s beyond its wait for a worker's answer
 SILENT_PAUSE = 0.3  # s between questions to a worker that doesn't answer
-BRIEF = 0.02  # s that a question takes at least, so that unwritten ends aren't asked for in a loop
+WRITE_WAIT = 0.4  # s for which a worker isn't asked while its ends are being written
 
 
 class CellWorkers:
@@ -64,6 +64,12 @@
         self._spawn = spawn
         self._changed = changed
         self._calls: dict[str, WorkerCalls] = {}
+        self._written = asyncio.Event()
+
+    def note_written(self) -> None:
+        """Wake those who wait for ends to be written."""
+        self._written.set()
+        self._written.clear()
 
     def close(self) -> None:
         """Close all connections."""
@@ -108,12 +114,26 @@
             take_answer(self._cell, worker, answer, sent_at, now)
             learn_effects(self._sharing, worker, now)
             self._changed()
-            if order.wait == 0.0 and steady_time() - sent_at < BRIEF:
-                await asyncio.sleep(BRIEF)
+            await self._wait_for_writes(worker)
         calls.close()
         if self._calls.get(identifier) is calls:
             del self._calls[identifier]
 
+    async def _wait_for_writes(self, worker: Worker) -> None:
+        """
+        Wait until the ends that a worker lists are written and can be acknowledged.
+
+        A worker lists them again at once until then, so each question would be wasted.  A slow
+        write mustn't hold up the next renewal of the lease.
+        """
+        until = steady_time() + WRITE_WAIT
+        while worker.seen > worker.acknowledged and steady_time() < until:
+            try:
+                async with asyncio.timeout(until - steady_time()):
+                    await self._written.wait()
+            except TimeoutError:
+                return
+
     async def start(self, run: Run) -> None:
         """Send one start until its outcome is known."""
         while run.phase is Phase.ORDERED:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -145,7 +145,9 @@
             batch = take_batch(self._cell)
             await self._rows.write(batch, self._resigning)
             self._cell.confirmed = self._rows.written_at
-            for run in apply_batch(self._cell, batch):
+            started = apply_batch(self._cell, batch)
+            self._workers.note_written()
+            for run in started:
                 _log_place(run)
                 self._spawn(self._workers.start(run))
             if not self._rows.record.host:
--- /dev/null
+++ b/toucanpin/entry/tests/test_cell_workers.py
@@ -0,0 +1,64 @@
+"""When a worker is asked again."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from standins.site.site import JOB, Site
+from toucanpin.entry.cell_workers import CellWorkers
+from toucanpin.entry.clocks import Clocks
+from toucanpin.platform.store import Store
+from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.orders import WorkerEntry
+from toucanpin.scheduling.sharing import Sharing
+from toucanpin.scheduling.worker import Worker
+
+
+class UnwrittenEndsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_worker_is_asked_again_once_its_ends_are_written(self) -> None:
+        """
+        A worker lists an end that the table hasn't accepted yet.  It would list it again at once,
+        so every question until the write is done costs a look and tells nothing.
+        """
+        site = Site()
+        clocks = Clocks(Store(site.store))  # type: ignore[arg-type]
+        workers = CellWorkers(Cell("c", 1, 0.0, 0.0), Sharing(), clocks, lambda _: None, _nothing)
+        worker = Worker(WorkerEntry("w", "c", "127.0.0.1:1", "dc", True, 1, 1, 0))
+        worker.seen = 1
+        waiting = asyncio.ensure_future(workers._wait_for_writes(worker))
+        await asyncio.sleep(0)
+        workers.note_written()
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done(), "another worker's write says nothing of this one's")
+        worker.acknowledged = 1
+        workers.note_written()
+        await waiting
+
+    async def test_ends_are_noted_while_the_store_refuses_and_written_after(self) -> None:
+        """
+        The store refuses as a task ends.  The worker is still asked, so that its lease goes on, and
+        the job is shown as completed once the store is back.
+        """
+        site = Site()
+        site.configure()
+        self.addAsyncCleanup(site.close)
+        await site.add_host()
+        worker = await site.add_worker(lasts=0.5)
+        self.assertTrue(await site.until_ready())
+        await site.submit()
+        self.assertTrue(await site.until(lambda: worker.core.runs))
+        site.faults[0].refusing = 503
+        self.assertTrue(await site.until(lambda: worker.core.ended))
+        looks = worker.looks
+        self.assertTrue(await site.until(lambda: worker.looks > looks + 2))
+        site.faults[0].refusing = 0
+        self.assertTrue(await site.until_state("completed", JOB))
+
+
+def _nothing() -> None:
+    """Do nothing."""
+
+
+if __name__ == "__main__":
+    unittest.main()
