Learn effects between images better, and judge a place by where loads go

What was learned was wrong: the lowest of six noisy tails was taken for a job's load, early tails of loaded tasks for the quiet tail, and each measurement counted several times. Change: loads from tasks with harmless neighbours; effects weighed by the tail's noise, once a measurement; places judged by the load's slope; jobs that serve kept together.

--- /dev/null
+++ b/benchmarks/shared_workers.py
@@ -0,0 +1,167 @@
+"""
+Workers that share
+==================
+
+A model of workers on which tasks that fill disturb tasks that serve; time is an argument.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.orders import End, Ended, Held, Running, WorkerEntry
+
+__all__ = ["Pairs", "SharedRun", "SharedWorker", "SharedWorld"]
+
+QUIET = 0.2  # of a target: the tail of an idle serving task
+MEASURE = 0.5  # s over which a worker measures
+NOISE = 0.05  # of a measured tail
+RESTORE = 0.25  # s that a resumed task needs first
+CHECKPOINT = 1.0  # s of work between checkpoints
+
+
+@dataclass(slots=True)
+class Pairs:
+    """Hold how much each filling image raises the utilization of each serving one."""
+
+    effects: dict[tuple[str, str], float]
+
+    @classmethod
+    def draw(cls, rng: random.Random, serving: int, filling: int, heavy: float) -> Pairs:
+        """Draw a table in which a share of the pairs disturbs heavily."""
+        effects = {}
+        for server in range(serving):
+            for filler in range(filling):
+                strength = 4.5 if rng.random() < heavy else 0.3
+                effects[f"s{server}", f"f{filler}"] = strength * rng.uniform(0.7, 1.3)
+        return cls(effects)
+
+
+@dataclass(slots=True)
+class SharedRun:
+    """Follow one run; ``work`` is in seconds on a whole worker, ``done`` what is behind it."""
+
+    task: TaskKey
+    attempt: int
+    step: Step
+    started: float
+    work: float
+    usage: float
+    done: float = 0.0
+    fails: bool = False
+    pace: int = 100
+    tails: list[tuple[float, float]] = field(default_factory=list)
+    cores: list[tuple[float, float]] = field(default_factory=list)
+    over: bool = False
+    blamed: bool = False
+
+
+@dataclass(slots=True)
+class SharedWorker:
+    """Run tasks that disturb each other."""
+
+    entry: WorkerEntry
+    runs: dict[TaskKey, SharedRun] = field(default_factory=dict)
+    ended: list[Ended] = field(default_factory=list)
+    sequence: int = 0
+    held_at: float = 0.0
+    listed: int = 0
+
+    def hold(self, acknowledged: int, now: float) -> Held:
+        """List what runs and what has ended."""
+        self.ended = [ended for ended in self.ended if ended.sequence > acknowledged]
+        running = tuple(_list_run(run, now) for run in self.runs.values())
+        self.held_at = now
+        self.listed = self.sequence
+        return Held(int(now * 1_000), running, tuple(self.ended))
+
+    def end(self, task: TaskKey, end: End) -> None:
+        """End a run, which keeps its checkpoint."""
+        run = self.runs.pop(task)
+        self.sequence += 1
+        checkpoint = repr(run.done) if run.step.checkpoints and end is not End.DONE else ""
+        self.ended.append(Ended(self.sequence, task, run.attempt, end, checkpoint))
+
+
+class SharedWorld:
+    """Hold all workers, the loads of serving jobs and the table of pairs."""
+
+    def __init__(self, rng: random.Random, pairs: Pairs, swing: float, period: float) -> None:
+        self.rng = rng
+        self.pairs = pairs
+        self.workers: dict[str, SharedWorker] = {}
+        self.thrown_away = 0.0
+        self._swing = swing
+        self._period = period
+        self._phases: dict[str, float] = {}
+
+    def load(self, job: str, now: float) -> float:
+        """Return the load that a job's callers put on each of its tasks."""
+        phase = self._phases.setdefault(job, self.rng.random())
+        return 0.45 * (1 + self._swing * math.sin(2 * math.pi * (now / self._period + phase)))
+
+    def advance(self, now: float, seconds: float) -> None:
+        """Let time pass on all workers."""
+        for worker in self.workers.values():
+            self._advance(worker, now, seconds)
+
+    def _advance(self, worker: SharedWorker, now: float, seconds: float) -> None:
+        whole = worker.entry.cpu
+        serving = [run for run in worker.runs.values() if run.step.target]
+        firm = sum(
+            run.step.cpu * (self.load(run.task.job, now) if run.step.target else 1.0)
+            for run in worker.runs.values()
+            if not run.step.fills
+        )
+        fillers = [run for run in worker.runs.values() if run.step.fills]
+        wanted = sum(run.usage * run.pace / 100 for run in fillers)
+        granted = min(1.0, max(0.0, whole - firm) / wanted) if wanted else 1.0
+        amounts: dict[str, float] = {}
+        for run in fillers:
+            cores = run.usage * run.pace / 100 * granted
+            amounts[run.step.image] = amounts.get(run.step.image, 0.0) + cores / whole
+            _note(run.cores, now, cores)
+        for run in serving:
+            self._disturb(run, amounts, now)
+        for run in list(worker.runs.values()):
+            if run.step.target:
+                continue
+            speed = run.pace / 100 * granted if run.step.fills else 1.0
+            run.done += seconds * speed
+            if run.done >= run.work:
+                worker.end(run.task, End.FAILED if run.fails else End.DONE)
+
+    def _disturb(self, run: SharedRun, amounts: dict[str, float], now: float) -> None:
+        load = self.load(run.task.job, now)
+        growth = sum(
+            share * self.pairs.effects[run.step.image, image] for image, share in amounts.items()
+        )
+        used = load * (1 + growth)
+        quiet = QUIET * run.step.target
+        tail = quiet / (1 - used) if used < 0.98 else quiet * 50 * (1 + used - 0.98)
+        run.over = tail > run.step.target
+        run.blamed = run.over and quiet / (1 - load) <= run.step.target
+        _note(run.tails, now, tail * self.rng.gauss(1.0, NOISE))
+
+
+def _note(values: list[tuple[float, float]], now: float, value: float) -> None:
+    values.append((now, value))
+    while values[0][0] < now - MEASURE:
+        values.pop(0)
+
+
+def _mean(values: list[tuple[float, float]]) -> float:
+    return sum(value for _, value in values) / len(values) if values else 0.0
+
+
+def _list_run(run: SharedRun, now: float) -> Running:
+    if run.step.target:
+        ready = now - run.started > 0.3
+        return Running(run.task, run.attempt, "", 100 if ready else 0, round(_mean(run.tails)))
+    percent = min(99, int(100 * run.done / run.work))
+    checkpoint = repr(CHECKPOINT * int(run.done / CHECKPOINT)) if run.step.checkpoints else ""
+    measure = _mean(run.cores) if run.step.fills else run.step.cpu
+    return Running(run.task, run.attempt, checkpoint, percent, measure)
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -26,8 +26,9 @@
     take_silence,
 )
 from toucanpin.scheduling.job import format_task
+from toucanpin.scheduling.learning import learn_effects
 from toucanpin.scheduling.orders import Ended, PaceOrder, Refused, StopOrder, WorkerEntry
-from toucanpin.scheduling.sharing import Sharing, learn_effects
+from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.starting import (
     Next,
     plan_start,
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -24,6 +24,7 @@
 from toucanpin.scheduling.advising import Advice, AdviceOrder, plan_advice, take_advice
 from toucanpin.scheduling.batches import apply_batch, has_work, take_batch
 from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.choosing import list_able
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
 from toucanpin.scheduling.intake import begin_due, cancel_job, forget_ended, submit_job
 from toucanpin.scheduling.job import decode_job, format_task
@@ -31,7 +32,7 @@
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.ownership import RENEWAL, OwnerRecord
 from toucanpin.scheduling.pacing import control_pace
-from toucanpin.scheduling.placing import list_able, place_tasks
+from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Run
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -40,7 +40,6 @@
 def finish_run(cell: Cell, worker: Worker, run: Run, end: End, checkpoint: str, now: Now) -> None:
     """Give the room of a run back and decide what becomes of its task."""
     release_run(worker, run)
-    worker.changed_at = now.steady
     live = cell.jobs.get(run.task.job)
     record = find_record(live, run.task) if live else None
     if live is None or record is None or record.attempt != run.attempt:
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -165,7 +165,7 @@
     record = find_record(live, run.task) if live else None
     if run.phase is Phase.UNKNOWN or run.phase is Phase.ORDERED:
         run.phase = Phase.RUNNING
-        run.started_at = run.moved_at = worker.changed_at = now.steady
+        run.started_at = run.moved_at = now.steady
         run.unsure = False
         if live is None or record is None or JobState(live.progress.state).ended:
             stop_run(cell, run, "job ended")
--- a/toucanpin/scheduling/pacing.py
+++ b/toucanpin/scheduling/pacing.py
@@ -9,14 +9,16 @@
 
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.ending import stop_run
+from toucanpin.scheduling.learning import measure_loads
 from toucanpin.scheduling.orders import PaceOrder
-from toucanpin.scheduling.sharing import (
-    Sharing,
-    measure_loads,
+from toucanpin.scheduling.prediction import (
+    measure_use,
     predict_rise,
+    predict_rise_of,
     predict_utilization,
     use_cores,
 )
+from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
 
 __all__ = ["control_pace"]
@@ -118,12 +120,9 @@
     if now.steady < worker.slowed_at + LAG:
         return
     worker.slowed_at = now.steady
-    whole = max(1, worker.entry.cpu)
-    image = hottest.step.image
-    load = max(0.05, sharing.load(hottest))
     excess = sharing.utilization(hottest) - AIM * sharing.limit(hottest)
     costs = [
-        (load * sharing.effect(image, run.step.image) * run.step.cpu / whole, run)
+        (predict_rise_of(sharing, worker, hottest, run.step.image, measure_use(run)), run)
         for run in fillers
     ]
     for cost, run in sorted(costs, key=lambda pair: -pair[0]):
@@ -184,6 +183,4 @@
     run.pace = percent
     run.paced_at = now.steady
     run.moved_at = now.steady
-    worker = cell.workers[run.worker]
-    worker.changed_at = now.steady
     cell.orders.append(PaceOrder(run.worker, run.task, run.attempt, percent))
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -47,7 +47,7 @@
     match answer.refused:
         case None:
             run.phase = Phase.RUNNING
-            run.started_at = run.moved_at = worker.changed_at = now.steady
+            run.started_at = run.moved_at = now.steady
             run.unsure = False
             return Next.SETTLED
         case Refused.FENCED:
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -80,7 +80,7 @@
     suspect_until: float = 0.0
     full_until: float = 0.0  # it had less room than its owner thought
     slowed_at: float = 0.0  # when what fills was last slowed or moved
-    changed_at: float = 0.0  # when what fills last began, ended or changed its pace
+    learned_at: float = 0.0  # when effects were last learned from its measurements
     failures: int = 0
     strangers: frozenset[TaskKey] = frozenset()
 
