Stop less urgent work for urgent tasks, end gangs as one, copy and move what is slow

Cause: what deployments may ask for and today's sites do not was missing or wrong. Failures of a gang were counted by member, so it could start once too often; one end of a gang left the others to run again; a member refused left the others to wait alone; copies were not begun; batch work that takes room held up urgent tasks; slow workers kept their tasks.

--- a/standins/site/worker_core.py
+++ b/standins/site/worker_core.py
@@ -40,6 +40,8 @@
     silent: bool = False
     deaf: bool = False
     failing: bool = False
+    refusing: int = 0  # so many starts find no room
+    forgotten: list[Ended] = field(default_factory=list)
     stuck: bool = False
     lasts: float = 1.0
     late: list[tuple[float, TaskKey, int, int, int]] = field(default_factory=list)
@@ -54,6 +56,9 @@
         if deadline <= clock:
             return Started(clock, Refused.LATE)
         self.deadline = max(self.deadline, deadline / 1_000)
+        if self.refusing:
+            self.refusing -= 1
+            return Started(clock, Refused.NO_ROOM)
         present = self.runs.get(task)
         if present is not None and present.attempt == attempt:
             return Started(clock, None)
@@ -79,6 +84,7 @@
             return Refused.FENCED
         self.token = token
         self.acknowledged = max(self.acknowledged, acknowledged)
+        self.forgotten += [ended for ended in self.ended if ended.sequence <= acknowledged]
         self.ended = [ended for ended in self.ended if ended.sequence > acknowledged]
         self.deadline = max(self.deadline, deadline / 1_000)
         running = tuple(
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -13,7 +13,7 @@
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.orders import PaceOrder, StopOrder
 from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, TaskState
-from toucanpin.scheduling.worker import Phase, Run, Worker
+from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
 
 if TYPE_CHECKING:
     from toucanpin.scheduling.advising import Advised
@@ -23,7 +23,9 @@
     "Group",
     "LiveJob",
     "Now",
+    "add_run",
     "begin_occurrence",
+    "drop_run",
     "find_record",
     "list_runs",
     "mark_dirty",
@@ -56,7 +58,12 @@
 
 @dataclass(slots=True)
 class LiveJob:
-    """Follow a job that is known here; ``left`` counts the tasks that each step still owes."""
+    """
+    Follow a job that is known here.
+
+    ``left`` counts the tasks that each step still owes; ``times`` holds what the
+    tasks of each step took, in seconds.
+    """
 
     job: Job
     progress: Progress
@@ -64,7 +71,7 @@
     offsets: tuple[int, ...] = ()
     left: dict[int, list[int]] = field(default_factory=dict)
     racks: dict[Group, str] = field(default_factory=dict)
-    runs: int = 0
+    times: dict[int, list[float]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -81,9 +88,9 @@
     token: int
     horizon: float
     confirmed: float
-    guarded: bool = True
     jobs: dict[str, LiveJob] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
+    runs: dict[str, list[Run]] = field(default_factory=dict)  # by job, whatever their phase
     waiting: dict[Group, set[int]] = field(default_factory=dict)
     delayed: dict[TaskKey, float] = field(default_factory=dict)
     dirty: dict[str, None] = field(default_factory=dict)
@@ -94,6 +101,7 @@
     advised: dict[Group, Advised] = field(default_factory=dict)
     next_due: float = 0.0
     paced_at: float = 0.0
+    moved: set[TaskKey] = field(default_factory=set)  # tasks that have left a slow worker
 
 
 def task_offsets(job: Job) -> tuple[int, ...]:
@@ -147,12 +155,23 @@
             cell.waiting[group] = idle
 
 
+def add_run(cell: Cell, worker: Worker, run: Run) -> None:
+    """Give a run its room on a worker."""
+    reserve_run(worker, run)
+    cell.runs.setdefault(run.task.job, []).append(run)
+
+
+def drop_run(cell: Cell, worker: Worker, run: Run) -> None:
+    """Give the room of a run back, for good."""
+    release_run(worker, run)
+    left = [other for other in cell.runs.get(run.task.job, ()) if other is not run]
+    if left:
+        cell.runs[run.task.job] = left
+    else:
+        cell.runs.pop(run.task.job, None)
+
+
 def list_runs(cell: Cell, live: LiveJob) -> list[Run]:
-    """Return the runs of a job, wherever they are."""
-    job = live.job.id
-    return [
-        run
-        for worker in cell.workers.values()
-        for run in worker.runs.values()
-        if run.task.job == job and run.phase is not Phase.STOPPING
-    ]
+    """Return the runs of a job that aren't being stopped, wherever they are."""
+    runs = cell.runs.get(live.job.id, ())
+    return [run for run in runs if run.phase is not Phase.STOPPING]
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -16,7 +16,9 @@
 from toucanpin.scheduling.worker import Worker, has_room
 
 __all__ = [
+    "RESERVE",
     "choose_worker",
+    "fits_rules",
     "list_able",
     "may_last",
 ]
@@ -49,7 +51,7 @@
     best: Worker | None = None
     best_cost = 0.0
     for worker in able:
-        if not _may_run(worker, group, step):
+        if not _may_run(worker, group, step) or _is_kept(worker, live, now):
             continue
         cost = _weigh_filling(worker, step, sharing) if step.fills else _weigh(worker, group, step)
         if cost is None:
@@ -90,14 +92,21 @@
     )
 
 
-def _may_run(worker: Worker, group: Group, step: Step) -> bool:
-    if not has_room(worker, step):
-        return False
+def fits_rules(worker: Worker, group: Group, step: Step) -> bool:
+    """Tell whether a worker may run a task of a step, if it has room."""
     if step.label and step.label not in worker.entry.labels:
         return False
     return not step.per_worker or _count_group(worker, group) < step.per_worker
 
 
+def _may_run(worker: Worker, group: Group, step: Step) -> bool:
+    return has_room(worker, step) and fits_rules(worker, group, step)
+
+
+def _is_kept(worker: Worker, live: LiveJob, now: Now) -> bool:
+    return now.steady < worker.kept_until and live.job.priority > worker.kept_for
+
+
 def _leaves_reserve(worker: Worker, step: Step) -> bool:
     return worker.cpu + step.cpu <= (1 - RESERVE) * worker.entry.cpu
 
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -12,16 +12,27 @@
     Group,
     LiveJob,
     Now,
+    drop_run,
     find_record,
     list_runs,
     mark_dirty,
     open_steps,
 )
+from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.orders import End, Ended, StopOrder
 from toucanpin.scheduling.progress import JobState, TaskRecord, TaskState
-from toucanpin.scheduling.worker import Phase, Run, Worker, release_run
-
-__all__ = ["apply_end", "end_job", "end_run", "finish_run", "stop_run", "wait_again"]
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+__all__ = [
+    "apply_end",
+    "end_job",
+    "end_run",
+    "finish_run",
+    "list_members",
+    "stop_gang",
+    "stop_run",
+    "wait_again",
+]
 
 SUSPICION = 3.0  # s that a worker is avoided after failures; a day's failing workers last 4 to 7 s
 RETRY_DELAY = 0.25  # s before a lasting task that failed is placed again, so a loop can't spin
@@ -32,21 +43,26 @@
     cell.ends[worker.entry.id] = max(cell.ends.get(worker.entry.id, 0), ended.sequence)
     _judge_worker(worker, ended.end, now)
     run = worker.runs.get(ended.task)
-    if run is None or run.attempt != ended.attempt:
-        return
-    finish_run(cell, worker, run, ended.end, ended.checkpoint, now)
+    if run is not None and run.attempt == ended.attempt:
+        finish_run(cell, worker, run, ended.end, ended.checkpoint, now)
+    elif ended.end is End.DONE:
+        _take_copy_done(cell, ended.task, now)
 
 
 def finish_run(cell: Cell, worker: Worker, run: Run, end: End, checkpoint: str, now: Now) -> None:
     """Give the room of a run back and decide what becomes of its task."""
-    release_run(worker, run)
+    drop_run(cell, worker, run)
     live = cell.jobs.get(run.task.job)
     record = find_record(live, run.task) if live else None
-    if live is None or record is None or record.attempt != run.attempt:
+    if live is None or record is None or record.state == TaskState.DONE:
+        return
+    if record.attempt != run.attempt:
+        _finish_copy(cell, live, run, record, end, now)
         return
     mark_dirty(cell, live)
     if checkpoint:
         record.checkpoint = checkpoint
+    counted = record.state == TaskState.LEAVING
     record.worker = ""
     record.state = TaskState.WAITING
     if JobState(live.progress.state).ended:
@@ -55,18 +71,20 @@
         return
     match end:
         case End.DONE if not run.step.lasting:
-            _finish_task(cell, live, run, record, now)
+            _note_time(live, run, now)
+            _finish_task(cell, live, run.task, record, now)
+            return
         case End.FAILED if not run.step.lasting:
-            record.failures += 1
+            if not counted:
+                _count_failure(live, run, record)
             if record.failures >= live.job.max_failures:
                 end_job(cell, live, JobState.FAILED, now)
                 return
-            wait_again(cell, run)
         case End.FAILED | End.DONE:
             cell.delayed[run.task] = now.steady + RETRY_DELAY
-            wait_again(cell, run)
-        case _:
-            wait_again(cell, run)
+    wait_again(cell, run)
+    if run.step.gang:
+        stop_gang(cell, live, run, "another member ended")
 
 
 def end_run(cell: Cell, worker: Worker, run: Run, now: Now) -> None:
@@ -91,16 +109,18 @@
     """Have a run end; one that was never sent ends at once."""
     worker = cell.workers[run.worker]
     if run.phase is Phase.PLACED:
-        release_run(worker, run)
+        drop_run(cell, worker, run)
         cell.placed = [other for other in cell.placed if other is not run]
         live = cell.jobs.get(run.task.job)
         record = find_record(live, run.task) if live else None
-        if record is not None and record.attempt == run.attempt:
+        if live is not None and record is not None and record.attempt == run.attempt:
             record.state = TaskState.WAITING
             record.worker = ""
+            if not JobState(live.progress.state).ended:
+                wait_again(cell, run)
         return
     run.phase = Phase.STOPPING
-    run.stopped_at = 0.0
+    run.stopped_at = run.stop_sent_at = 0.0
     cell.orders.append(StopOrder(run.worker, run.task, run.attempt, reason))
 
 
@@ -110,13 +130,86 @@
     cell.waiting.setdefault(group, set()).add(run.task.index)
 
 
-def _finish_task(cell: Cell, live: LiveJob, run: Run, record: TaskRecord, now: Now) -> None:
-    record.state = TaskState.DONE
-    record.checkpoint = ""
-    occurrence = run.task.occurrence
+def stop_gang(cell: Cell, live: LiveJob, run: Run, reason: str) -> None:
+    """Stop the other members of a run's gang, which would wait for it or do their work in vain."""
+    for other in list_members(cell, live, run):
+        if other is not run:
+            stop_run(cell, other, reason)
+
+
+def list_members(cell: Cell, live: LiveJob, run: Run) -> list[Run]:
+    """Return what goes on of a run's gang, the run included."""
+    return [
+        other
+        for other in list_runs(cell, live)
+        if other.task.occurrence == run.task.occurrence
+        and other.task.step == run.task.step
+        and other.attempt == run.attempt
+    ]
+
+
+def _count_failure(live: LiveJob, run: Run, record: TaskRecord) -> None:
+    """
+    Count a failure against a task, and once against all members of a gang.
+
+    A gang fails as a whole, whoever of its members does, and several may at the same moment.
+    """
+    if not run.step.gang:
+        record.failures += 1
+        return
+    for member in _list_records(live, run.task):
+        member.failures += 1
+        if member.state == TaskState.PLACED:
+            member.state = TaskState.LEAVING
+
+
+def _take_copy_done(cell: Cell, task: TaskKey, now: Now) -> None:
+    """Take note that a copy is done that isn't followed: an earlier owner began it."""
+    live = cell.jobs.get(task.job)
+    record = find_record(live, task) if live else None
+    if live is None or record is None or record.state == TaskState.DONE:
+        return
+    if live.job.steps[task.step].speculative and not JobState(live.progress.state).ended:
+        _finish_task(cell, live, task, record, now)
+        mark_dirty(cell, live)
+
+
+def _finish_copy(
+    cell: Cell, live: LiveJob, run: Run, record: TaskRecord, end: End, now: Now
+) -> None:
+    """Take note of the end of a copy that another one follows: the first that is done counts."""
+    if not run.step.speculative or JobState(live.progress.state).ended:
+        return
+    match end:
+        case End.DONE:
+            _finish_task(cell, live, run.task, record, now)
+        case End.FAILED:
+            record.failures += 1
+            if record.failures >= live.job.max_failures:
+                end_job(cell, live, JobState.FAILED, now)
+        case _:
+            return
+    mark_dirty(cell, live)
+
+
+def _finish_task(cell: Cell, live: LiveJob, task: TaskKey, record: TaskRecord, now: Now) -> None:
+    """Note that a task is done, and with it all of its gang."""
+    step = live.job.steps[task.step]
+    done = _list_records(live, task) if step.gang else [record]
+    for member in done:
+        member.state = TaskState.DONE
+        member.checkpoint = ""
+    group = Group(task.job, task.occurrence, task.step)
+    if group in cell.waiting:
+        cell.waiting[group] -= set(range(step.count)) if step.gang else {task.index}
+        if not cell.waiting[group]:
+            del cell.waiting[group]
+    if step.speculative:
+        _stop_copies(cell, live, task)
+    occurrence = task.occurrence
     left = live.left[occurrence]
-    left[run.task.step] -= 1
-    if left[run.task.step]:
+    left[task.step] -= len(done)
+    if left[task.step]:
         return
     if any(left):
         open_steps(cell, live, occurrence)
@@ -129,6 +222,25 @@
         live.progress.ended = now.table
 
 
+def _note_time(live: LiveJob, run: Run, now: Now) -> None:
+    """Keep what a task of a step took, to know slow workers by."""
+    if run.started_at and not run.resumed:
+        live.times.setdefault(run.task.step, []).append(now.steady - run.started_at)
+
+
+def _stop_copies(cell: Cell, live: LiveJob, task: TaskKey) -> None:
+    for run in list_runs(cell, live):
+        if run.task == task:
+            stop_run(cell, run, "another copy is done")
+
+
+def _list_records(live: LiveJob, task: TaskKey) -> list[TaskRecord]:
+    """Return the records of all tasks of a task's step."""
+    start = live.offsets[task.step]
+    count = live.job.steps[task.step].count
+    return live.progress.tasks[task.occurrence][start : start + count]
+
+
 def _judge_worker(worker: Worker, end: End, now: Now) -> None:
     """Avoid a worker that fails tasks: failing fast frees its room, which attracts more of them."""
     match end:
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 from toucanpin.scheduling.cell import Cell, Now, find_record
-from toucanpin.scheduling.ending import apply_end, end_run, stop_run, wait_again
+from toucanpin.scheduling.ending import apply_end, end_run, stop_run
 from toucanpin.scheduling.orders import Held, HoldOrder, Running, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.worker import Phase, Run, Worker, grant_deadline
@@ -127,18 +127,10 @@
     for run in list(worker.runs.values()):
         if run.phase is Phase.PLACED:
             stop_run(cell, run, "worker lost")
-            _end_unsent(cell, run)
-        else:
+        elif worker.runs.get(run.task) is run:
             end_run(cell, worker, run, now)
 
 
-def _end_unsent(cell: Cell, run: Run) -> None:
-    """Let a task wait again whose start was never sent."""
-    live = cell.jobs.get(run.task.job)
-    if live is not None and not JobState(live.progress.state).ended:
-        wait_again(cell, run)
-
-
 def _read_clock(worker: Worker, clock: int, now: Now) -> None:
     worker.clock = clock
     worker.clock_at = now.steady
@@ -157,10 +149,8 @@
         # An order of an earlier owner, or one that was carried out late: nothing counts on it.
         cell.orders.append(StopOrder(worker.entry.id, running.task, running.attempt, "unknown run"))
         return
-    if run.phase is Phase.STOPPING and now.steady > run.stop_sent_at + STOP_AGAIN:
-        # The first order may have found no connection to a worker that was only just known.
-        run.stop_sent_at = now.steady
-        cell.orders.append(StopOrder(run.worker, run.task, run.attempt, "still running"))
+    if run.phase is Phase.STOPPING:
+        _stop_again(cell, run, now)
     live = cell.jobs.get(run.task.job)
     record = find_record(live, run.task) if live else None
     if run.phase is Phase.UNKNOWN or run.phase is Phase.ORDERED:
@@ -172,13 +162,24 @@
     if running.percent - run.percent >= PROGRESS_STEP or running.percent < run.percent:
         run.moved_at = now.steady
     run.percent = running.percent
+    run.shown_at = now.steady
     run.measure = running.measure
     if running.checkpoint:
         run.checkpoint = running.checkpoint
-        if record is not None and record.state == TaskState.PLACED:
+        placed = record is not None and record.state in (TaskState.PLACED, TaskState.LEAVING)
+        if record is not None and placed and record.attempt == run.attempt:
             record.checkpoint = running.checkpoint
 
 
+def _stop_again(cell: Cell, run: Run, now: Now) -> None:
+    """Repeat a stop: the first may have found no connection to a worker that was just known."""
+    if not run.stop_sent_at:
+        run.stop_sent_at = now.steady
+    elif now.steady > run.stop_sent_at + STOP_AGAIN:
+        run.stop_sent_at = now.steady
+        cell.orders.append(StopOrder(run.worker, run.task, run.attempt, "still running"))
+
+
 def _take_absence(cell: Cell, worker: Worker, run: Run, sent_at: float, now: Now) -> None:
     match run.phase:
         case Phase.UNKNOWN:
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -11,6 +11,7 @@
     Cell,
     LiveJob,
     Now,
+    add_run,
     begin_occurrence,
     open_steps,
     task_offsets,
@@ -19,7 +20,7 @@
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.progress import JobState, Progress, TaskState
-from toucanpin.scheduling.worker import Phase, Run, Worker, reserve_run
+from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = ["begin_due", "cancel_job", "forget_ended", "restore_job", "submit_job"]
 
@@ -43,12 +44,12 @@
         for number, step in enumerate(job.steps):
             for index in range(step.count):
                 record = records[live.offsets[number] + index]
-                if record.state == TaskState.PLACED:
+                if record.state in (TaskState.PLACED, TaskState.LEAVING):
                     task = TaskKey(job.id, occurrence, number, index)
                     worker = _find_worker(cell, record.worker)
                     run = Run(task, record.attempt, worker.entry.id, step, Phase.UNKNOWN)
                     run.checkpoint = record.checkpoint
-                    reserve_run(worker, run)
+                    add_run(cell, worker, run)
         if not JobState(progress.state).ended:
             open_steps(cell, live, occurrence)
     if not JobState(progress.state).ended:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -8,25 +8,30 @@
 from __future__ import annotations
 
 from toucanpin.scheduling.advising import find_ticket
-from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, mark_dirty
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, add_run, mark_dirty
 from toucanpin.scheduling.choosing import (
     choose_worker,
     list_able,
     may_last,
 )
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.preempting import Freed, free_room
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
 
 __all__ = ["place_tasks"]
 
+MOST_STOPS = 16  # tasks of a step that room is made for at a time; each weighs all workers
+
 
 def place_tasks(cell: Cell, sharing: Sharing, now: Now) -> None:
     """Place what waits; the places count only once they are written."""
     if not cell.waiting:
         return
     able = list_able(cell, now)
+    freed: dict[str, Freed] = {}
+    least_urgent = _find_least_urgent(cell)
     for group in sorted(cell.waiting, key=lambda group: _rank(cell, group)):
         live = cell.jobs[group.job]
         step = live.job.steps[group.step]
@@ -37,6 +42,8 @@
             _place_gang(cell, live, group, step, allowed, sharing, now)
         else:
             _place_group(cell, live, group, step, allowed, sharing, now)
+        if live.job.priority < least_urgent and not step.gang:
+            _make_room(cell, group, step, allowed, freed, now)
         if not cell.waiting[group]:
             del cell.waiting[group]
 
@@ -47,6 +54,30 @@
     return live.job.priority, lasting, live.objective, group
 
 
+def _find_least_urgent(cell: Cell) -> int:
+    """Return the highest number that stands for the priority of a job which runs."""
+    running = (cell.jobs[job].job.priority for job in cell.runs if job in cell.jobs)
+    return max(running, default=0)
+
+
+def _make_room(
+    cell: Cell,
+    group: Group,
+    step: Step,
+    able: list[Worker],
+    freed: dict[str, Freed],
+    now: Now,
+) -> None:
+    """Stop what is less urgent for the tasks of a step that found no place."""
+    waiting = sorted(cell.waiting[group])[:MOST_STOPS]
+    for index in waiting:
+        task = TaskKey(group.job, group.occurrence, group.step, index)
+        if cell.delayed.get(task, 0.0) > now.steady:
+            continue
+        if not free_room(cell, group, step, able, freed, now):
+            return
+
+
 def _place_group(
     cell: Cell,
     live: LiveJob,
@@ -129,9 +160,10 @@
     record.worker = worker.entry.id
     run = Run(task, record.attempt, worker.entry.id, step, Phase.PLACED)
     run.checkpoint = record.checkpoint
+    run.resumed = bool(record.checkpoint)
     group = Group(task.job, task.occurrence, task.step)
     run.ticket = find_ticket(cell, group, worker.entry.id, now)
-    reserve_run(worker, run)
+    add_run(cell, worker, run)
     cell.placed.append(run)
     if live.progress.state == JobState.PENDING:
         live.progress.state = JobState.ACTIVE
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -35,6 +35,7 @@
     WAITING = 0
     PLACED = 1
     DONE = 2
+    LEAVING = 3  # placed in a gang whose failure is counted already; its own end counts no more
 
 
 class TaskRecord(msgspec.Struct, array_like=True, omit_defaults=True):
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_moving.py
@@ -0,0 +1,100 @@
+"""Tasks that do better elsewhere, and copies where they are allowed."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.orders import End
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+
+
+class SlowWorkerTest(unittest.TestCase):
+    def test_a_task_leaves_a_worker_that_is_many_times_slower(self) -> None:
+        """
+        A caller waits for a job of three equal tasks.  One worker has turned six times slower; its
+        siblings' times show it, and the task begins anew elsewhere instead of ending last.
+        """
+        fleet = Fleet(workers=4, cpu=1_000)
+        fleet.workers["w0"].lasts = 12.0
+        for name in ("w1", "w2", "w3"):
+            fleet.workers[name].lasts = 2.0
+        fleet.submit(make_job(steps=(Step(count=3, cpu=1_000),)))
+        fleet.run(5.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertFalse(fleet.double)
+
+    def test_a_task_stays_on_a_slow_worker_if_no_other_has_room(self) -> None:
+        fleet = Fleet(workers=3, cpu=1_000)
+        fleet.workers["w0"].lasts = 8.0
+        for name in ("w1", "w2"):
+            fleet.workers[name].lasts = 2.0
+        fleet.submit(make_job("j0", (Step(count=3, cpu=1_000),)))
+        fleet.run(1.9)
+        self.assertEqual(3, sum(len(worker.starts) for worker in fleet.workers.values()))
+
+    def test_unequal_siblings_stay_where_they_are(self) -> None:
+        fleet = Fleet(workers=2, cpu=1_000)
+        fleet.workers["w0"].lasts = 3.0
+        fleet.workers["w1"].lasts = 1.6
+        fleet.submit(make_job(steps=(Step(count=2, cpu=1_000),)))
+        fleet.run(5.0)
+        self.assertEqual(2, sum(len(worker.starts) for worker in fleet.workers.values()))
+
+
+class CopyTest(unittest.TestCase):
+    STEP = Step(cpu=1_000, speculative=True)
+
+    def test_a_copy_begins_before_a_silent_worker_is_given_up(self) -> None:
+        """
+        The worker of an urgent task is lost.  Its lease ends in seconds only, but copies of this
+        task may run side by side, so another one begins at once and its end counts.
+        """
+        fleet = Fleet(workers=2, cpu=1_000)
+        for worker in fleet.workers.values():
+            worker.lasts = 1.0
+        fleet.submit(make_job(steps=(self.STEP,)))
+        fleet.run(0.3)
+        first = next(worker for worker in fleet.workers.values() if worker.runs)
+        first.silent = True
+        fleet.run(2.4)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
+    def test_the_first_copy_that_is_done_ends_the_other(self) -> None:
+        fleet = Fleet(workers=2, cpu=1_000)
+        for worker in fleet.workers.values():
+            worker.lasts = 100.0
+        fleet.submit(make_job(steps=(self.STEP,)))
+        fleet.run(0.3)
+        first = next(worker for worker in fleet.workers.values() if worker.runs)
+        first.stuck = True
+        fleet.run(2.5)
+        self.assertEqual(2, sum(len(worker.runs) for worker in fleet.workers.values()))
+        first.end(TaskKey("j1", 0, 0, 0), End.DONE)
+        fleet.run(0.5)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertFalse(any(worker.runs for worker in fleet.workers.values()))
+
+    def test_a_copy_that_an_earlier_owner_began_counts_too(self) -> None:
+        """
+        Two copies run and the owner is killed.  The next one knows of the newer copy alone; the
+        older one is done first, and nothing of the task may start after that end is acknowledged.
+        """
+        fleet = Fleet(workers=2, cpu=1_000)
+        for worker in fleet.workers.values():
+            worker.lasts = 100.0
+        fleet.submit(make_job(steps=(self.STEP,)))
+        fleet.run(0.3)
+        first = next(worker for worker in fleet.workers.values() if worker.runs)
+        first.stuck = True
+        fleet.run(2.5)
+        first.end(TaskKey("j1", 0, 0, 0), End.DONE)
+        fleet.replace_owner()
+        fleet.run(1.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertEqual(2, sum(len(worker.starts) for worker in fleet.workers.values()))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_preempting.py
@@ -0,0 +1,72 @@
+"""Room that urgent tasks get where less urgent ones have taken it."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.orders import End
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+
+
+class PreemptionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet(workers=2, cpu=4_000)
+        for worker in self.fleet.workers.values():
+            worker.lasts = 60.0
+
+    def _is_running(self, job: str) -> bool:
+        return any(t.job == job for w in self.fleet.workers.values() for t in w.runs)
+
+    def test_an_urgent_task_does_not_wait_for_patient_ones(self) -> None:
+        """
+        Patient tasks fill all workers when a caller hands in an urgent one.  It would wait for a
+        minute; instead the patient task that loses least gives way and runs again later.
+        """
+        steps = (Step(count=4, cpu=2_000),)
+        self.fleet.submit(make_job("slow", steps, priority=2))
+        self.fleet.run(5.0)
+        self.fleet.submit(make_job("saves", (Step(cpu=100, checkpoints=True),), priority=2))
+        self.fleet.run(0.5)
+        self.fleet.submit(make_job("urgent", (Step(cpu=2_000),), priority=0))
+        self.fleet.run(1.0)
+        self.assertTrue(self._is_running("urgent"))
+        stops = [e for w in self.fleet.workers.values() for e in w.ended + w.forgotten]
+        self.assertEqual(1, sum(ended.end is End.STOPPED for ended in stops))
+
+    def test_what_resumes_gives_way_before_what_would_begin_anew(self) -> None:
+        self.fleet.submit(make_job("plain", (Step(count=2, cpu=2_000),), priority=2))
+        self.fleet.submit(
+            make_job("saves", (Step(count=2, cpu=2_000, checkpoints=True),), priority=2)
+        )
+        self.fleet.run(5.0)
+        self.fleet.submit(make_job("urgent", (Step(cpu=2_000),), priority=0))
+        self.fleet.run(0.5)
+        running = [t for w in self.fleet.workers.values() for t in w.runs]
+        self.assertEqual(2, sum(task.job == "plain" for task in running))
+
+    def test_equals_and_lasting_tasks_are_left_alone(self) -> None:
+        self.fleet.submit(make_job("equal", (Step(count=2, cpu=3_000),), priority=0))
+        self.fleet.submit(make_job("lasting", (Step(cpu=900, lasting=True),), priority=2))
+        self.fleet.run(1.0)
+        self.fleet.submit(make_job("urgent", (Step(cpu=2_000),), priority=0))
+        self.fleet.run(1.0)
+        self.assertFalse(self._is_running("urgent"))
+        self.assertTrue(self._is_running("lasting"))
+        self.assertEqual(JobState.PENDING, self.fleet.state("urgent"))
+
+    def test_memory_of_what_fills_is_freed_too(self) -> None:
+        fill = Step(count=2, cpu=1_000, memory=8_000, fills=True, checkpoints=True)
+        self.fleet.submit(make_job("fill", (fill,), priority=2))
+        self.fleet.run(1.0)
+        self.fleet.submit(make_job("urgent", (Step(cpu=1_000, memory=4_000),), priority=0))
+        self.fleet.run(0.5)
+        self.assertTrue(any(TaskKey("urgent", 0, 0, 0) in w.runs for w in self._workers()))
+
+    def _workers(self):  # noqa: ANN202
+        return self.fleet.workers.values()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/scheduling/tests/test_sharing.py
+++ b/toucanpin/scheduling/tests/test_sharing.py
@@ -4,14 +4,14 @@
 
 import unittest
 
-from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.cell import Cell, Now, add_run
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.learning import learn_effects, measure_loads
 from toucanpin.scheduling.orders import PaceOrder, StopOrder, WorkerEntry
 from toucanpin.scheduling.pacing import OVER_TOO_LONG, control_pace
 from toucanpin.scheduling.prediction import predict_utilization
 from toucanpin.scheduling.sharing import CAUTION, PRIOR_DEVIATION, PRIOR_EFFECT, Effect, Sharing
-from toucanpin.scheduling.worker import Phase, Run, Worker, reserve_run
+from toucanpin.scheduling.worker import Phase, Run, Worker
 
 SERVES = Step(cpu=10_000, lasting=True, image="web", target=50)
 FILLS = Step(cpu=6_000, fills=True, image="batch", checkpoints=True)
@@ -40,7 +40,7 @@
         run = Run(TaskKey(job, 0, 0, index), 1, worker, step, Phase.RUNNING, percent=100)
         run.measure = measure
         run.started_at = -10.0
-        reserve_run(self.cell.workers[worker], run)
+        add_run(self.cell, self.cell.workers[worker], run)
         return run
 
     def _observe(self, steady: float) -> None:
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -42,6 +42,7 @@
     ordered_at: float = 0.0
     started_at: float = 0.0
     percent: int = 0
+    shown_at: float = 0.0  # when the percentage was last listed
     moved_at: float = 0.0
     checkpoint: str = ""
     ticket: str = ""
@@ -54,6 +55,7 @@
     unsure: bool = False
     stopped_at: float = 0.0  # when a stop was acknowledged, 0 if it wasn't
     stop_sent_at: float = 0.0
+    resumed: bool = False  # it began from a checkpoint, so its progress says little of its time
 
 
 @dataclass(slots=True)
@@ -79,6 +81,8 @@
     acknowledged: int = 0
     suspect_until: float = 0.0
     full_until: float = 0.0  # it had less room than its owner thought
+    kept_until: float = 0.0  # room was made for tasks of priority ``kept_for``, others stay away
+    kept_for: int = 0
     slowed_at: float = 0.0  # when what fills was last slowed or moved
     learned_at: float = 0.0  # when effects were last learned from its measurements
     failures: int = 0
