Read queues with advice, share out questions among hosts, keep parts of a process running

Change: the advice of a route is a typed structure; a document that can't be read leaves the last one in force; parts that fail are begun again; questions are asked for the most urgent steps first, only about workers that could take a task now, and through all hosts (a relay call names the service that it is for). Tests: platform (document), entry (unreadable document, advisers), scheduling (order of questions).

--- /dev/null
+++ b/toucanpin/entry/advisers.py
@@ -0,0 +1,77 @@
+"""
+Advisers
+========
+
+Share out questions to the advice service, which answers each host one after another.
+"""
+
+from __future__ import annotations
+
+import logbook
+
+from toucanpin.entry.clocks import steady_time
+from toucanpin.entry.peers import Peers
+from toucanpin.entry.relay import ADVICE, PeerCaller
+from toucanpin.http import CallError, Client
+from toucanpin.platform.advice import AdviceCalls
+from toucanpin.scheduling.advising import Advice
+from toucanpin.scheduling.cell import Group
+
+__all__ = ["Advisers"]
+
+_log = logbook.Logger("advice")
+AVOID = 2.0  # s for which a host isn't asked after a question got no answer through it
+
+
+class Advisers:
+    """
+    Ask for advice through this host and its peers, one question each at a time.
+
+    A question takes half a second, so one host alone answers two steps a second; what waits behind
+    them would miss its objective.
+    """
+
+    def __init__(self, name: str, client: Client | None, peers: Peers) -> None:
+        self._name = name
+        self._client = client
+        self._peers = peers
+        self._busy: set[str] = set()
+        self._avoided: dict[str, float] = {}
+
+    def count_free(self) -> int:
+        """Return how many questions may be asked now."""
+        return len(self._list_free())
+
+    async def ask(self, group: Group, workers: tuple[str, ...]) -> Advice | None:
+        """Ask which of ``workers`` may run a step; None if there was no answer."""
+        free = self._list_free()
+        if not free or self._client is None:
+            return None
+        name = free[0]
+        self._busy.add(name)
+        try:
+            return await self._make_calls(name).ask(group, workers)
+        except CallError as error:
+            self._avoided[name] = steady_time() + AVOID
+            _log.warning("no advice", event="advice.missing", through=name, reason=error)
+            return None
+        finally:
+            self._busy.discard(name)
+
+    def _list_free(self) -> list[str]:
+        if self._client is None:
+            return []
+        peers = [peer.name for peer in self._peers.others()] if self._peers.secret else []
+        now = steady_time()
+        return [
+            name
+            for name in (self._name, *peers)
+            if name not in self._busy and self._avoided.get(name, 0.0) <= now
+        ]
+
+    def _make_calls(self, name: str) -> AdviceCalls:
+        assert self._client is not None
+        for peer in self._peers.others():
+            if peer.name == name:
+                return AdviceCalls(PeerCaller(self._name, self._peers, peer, ADVICE))
+        return AdviceCalls(self._client)
--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -57,8 +57,8 @@
             except (CallError, PlatformError) as error:
                 _log.warning("configuration not read", event="configuration.unread", reason=error)
                 return False
-            if page.rows:
-                self._take(page.rows[0].value)
+            if page.rows and not self._take(page.rows[0].value):
+                return False
             self.confirmed = sent_at
             return True
 
@@ -71,12 +71,17 @@
         await self.refresh(FRESH)
         return find_queue(self.current, host, path) if self.current else None
 
-    def _take(self, value: bytes) -> None:
+    def _take(self, value: bytes) -> bool:
+        """Put a document in force unless it is old; return whether it could be read."""
         if value == self._value:
-            return
-        configuration = decode_configuration(value)
+            return True
+        try:
+            configuration = decode_configuration(value)
+        except PlatformError as error:
+            _log.error("configuration unreadable", event="configuration.unreadable", reason=error)
+            return False
         if self.current is not None and configuration.version <= self.current.version:
-            return
+            return True
         self._value = value
         self.current = configuration
         _log.info(
@@ -85,3 +90,4 @@
             version=configuration.version,
             queues=len(configuration.queues),
         )
+        return True
--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -12,6 +12,7 @@
 import logbook
 import xxhash
 
+from toucanpin.entry.advisers import Advisers
 from toucanpin.entry.cell_rows import DeposedError
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.owner import Owner
@@ -41,11 +42,18 @@
     """Contend for one cell for as long as the process lives."""
 
     def __init__(
-        self, store: Store, clocks: Clocks, settings: HostSettings, life: str, cell: str
+        self,
+        store: Store,
+        clocks: Clocks,
+        settings: HostSettings,
+        advisers: Advisers,
+        life: str,
+        cell: str,
     ) -> None:
         self._store = store
         self._clocks = clocks
         self._settings = settings
+        self._advisers = advisers
         self._life = life
         self._cell = cell
         self._owner: Owner | None = None
@@ -128,6 +136,7 @@
             result.version,
             sent_at,
             before is None,
+            self._advisers,
         )
         try:
             await self._owner.run()
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -12,19 +12,18 @@
 
 import logbook
 
+from toucanpin.entry.advisers import Advisers
 from toucanpin.entry.cell_rows import CellRows, DeposedError
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.rows import JOBS, list_job_parts, split_key
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
-from toucanpin.platform.advice import AdviceCalls
 from toucanpin.platform.store import Row, Store
 from toucanpin.platform.workers import WORKERS_TABLE, decode_worker
-from toucanpin.scheduling.advising import Advice, AdviceOrder, plan_advice, take_advice
+from toucanpin.scheduling.advising import AdviceOrder, plan_advice, take_advice
 from toucanpin.scheduling.batches import apply_batch, has_work, take_batch
 from toucanpin.scheduling.cell import Cell
-from toucanpin.scheduling.choosing import list_able
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
 from toucanpin.scheduling.intake import begin_due, cancel_job, forget_ended, submit_job
 from toucanpin.scheduling.job import decode_job, format_task
@@ -69,11 +68,12 @@
         version: int,
         confirmed: float,
         first: bool,
+        advisers: Advisers,
     ) -> None:
         self._store = store
         self._clocks = clocks
         self._bounds = settings.bounds
-        self._advice = AdviceCalls(settings.advice) if settings.advice else None
+        self._advisers = advisers
         horizon = steady_time() + (0.0 if first else HORIZON)
         self._cell = Cell(name, record.token, horizon, confirmed)
         self._sharing = Sharing()
@@ -206,12 +206,7 @@
             await asyncio.sleep(LIST_PERIOD)
 
     async def _advise(self, order: AdviceOrder) -> None:
-        advice: Advice | None = None
-        if self._advice is not None:
-            try:
-                advice = await self._advice.ask(order.group, order.workers)
-            except CallError as error:
-                _log.warning("no advice", event="advice.missing", reason=error)
+        advice = await self._advisers.ask(order.group, order.workers)
         take_advice(self._cell, order, advice, self._clocks.now())
         self._wake.set()
 
@@ -224,7 +219,8 @@
                 _log.info("worker gone", event="worker.gone", worker=worker.entry.id)
             begin_due(self._cell, now)
             move_tasks(self._cell, now)
-            for order in plan_advice(self._cell, list_able(self._cell, now), now):
+            free = self._advisers.count_free()
+            for order in plan_advice(self._cell, self._sharing, free, now):
                 self._spawn(self._advise(order))
             control_pace(self._cell, self._sharing, now)
             if now.steady > forgotten_at + FORGET_PERIOD:
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -1,8 +1,9 @@
 """
-Relay of store calls
-====================
+Relay of calls
+==============
 
-Reach the platform's store through a peer while the store turns this host away.
+Reach the platform's store through a peer while the store turns this host away, and share out calls
+to a service that serves each host in turn.
 """
 
 from __future__ import annotations
@@ -23,11 +24,13 @@
 if TYPE_CHECKING:
     from toucanpin.entry.peers import Peer, Peers
     from toucanpin.wire.codec import Purpose
-    from toucanpin.wire.messages import Message, Received, RelayAnswer
+    from toucanpin.wire.messages import Message, Received, RelayAnswer, RelayCall
 
-__all__ = ["RelayServer", "RelayedStore"]
+__all__ = ["ADVICE", "STORE", "PeerCaller", "RelayServer", "RelayedStore"]
 
 _log = logbook.Logger("relay")
+STORE = "store"
+ADVICE = "advice"
 _LENGTH = struct.Struct(">I")
 MAX_FRAME = 1_048_576  # bytes, of the inner protocol
 DIRECT_TIMEOUT = 1.0  # s of a direct try before a peer is asked; a slow store takes 0.6 s
@@ -135,20 +138,58 @@
     async def _relay(self, method: str, path: str, body: bytes, left: float) -> Answer:
         assert self._peers is not None
         peer = random.choice(self._peers.others())
-        answer = await _ask(self._name, self._peers.secret, peer, method, path, body, left)
+        caller = PeerCaller(self._name, self._peers, peer, STORE)
+        return await caller.call(method, path, body, timeout=left)
+
+
+class PeerCaller:
+    """Call one of the platform's services through one peer."""
+
+    __slots__ = ("_name", "_peer", "_peers", "_service")
+
+    def __init__(self, name: str, peers: Peers, peer: Peer, service: str) -> None:
+        self._name = name
+        self._peers = peers
+        self._peer = peer
+        self._service = service
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", *, timeout: float = 1.0
+    ) -> Answer:
+        """
+        Call the service.
+
+        Raises
+        ------
+        CallError
+            If the peer or the service gave no answer.
+        """
+        answer = await _ask(
+            self._name, self._peers.secret, self._peer, method, path, body, timeout, self._service
+        )
         if answer.status:
             return Answer(answer.status, {}, answer.body)
         verdict = Verdict.NOT_RUN if answer.certain else Verdict.MAY_HAVE_RUN
-        raise CallError(verdict, f"{peer.name} didn't reach the store either")
+        raise CallError(verdict, f"{self._peer.name} didn't reach the {self._service} either")
 
 
 class RelayServer:
-    """Call the store for peers that it turns away."""
-
-    __slots__ = ("_name", "_peers", "_server", "_store")
-
-    def __init__(self, store: RelayedStore, direct: Client, peers: Peers, name: str) -> None:
-        self._store = (store, direct)
+    """Call the platform's services for peers that can't, or that share out their calls."""
+
+    __slots__ = ("_name", "_peers", "_server", "_services", "_store")
+
+    def __init__(
+        self,
+        store: RelayedStore,
+        direct: Client,
+        peers: Peers,
+        name: str,
+        advice: Client | None = None,
+    ) -> None:
+        self._store = store
+        self._services = {STORE: direct}
+        if advice is not None:
+            self._services[ADVICE] = advice
         self._peers = peers
         self._name = name
         self._server: asyncio.Server | None = None
@@ -170,8 +211,8 @@
             frame = await _read_frame(reader)
             received = _decode(self._peers.secret, Purpose.REQUEST, frame)
             match received.message:
-                case RelayCall(method, path, body, timeout):
-                    answer = await self._call(method, path, body, timeout)
+                case RelayCall():
+                    answer = await self._call(received.message)
                     nonce = received.envelope.nonce
                     writer.write(
                         _encode(self._name, self._peers.secret, Purpose.ANSWER, nonce, answer)
@@ -182,21 +223,28 @@
         finally:
             writer.close()
 
-    async def _call(self, method: str, path: str, body: bytes, timeout: float) -> RelayAnswer:
+    async def _call(self, call: RelayCall) -> RelayAnswer:
         from toucanpin.wire.messages import RelayAnswer
 
-        store, direct = self._store
-        if not store.direct_works:
+        client = self._services.get(call.target)
+        if client is None or (call.target == STORE and not self._store.direct_works):
             return RelayAnswer(0, b"", True)
         try:
-            answer = await direct.call(method, path, body, timeout=timeout)
+            answer = await client.call(call.method, call.path, call.body, timeout=call.timeout)
         except CallError as error:
             return RelayAnswer(0, b"", error.certain)
         return RelayAnswer(answer.status, answer.body, True)
 
 
 async def _ask(
-    name: str, secret: bytes, peer: Peer, method: str, path: str, body: bytes, left: float
+    name: str,
+    secret: bytes,
+    peer: Peer,
+    method: str,
+    path: str,
+    body: bytes,
+    left: float,
+    service: str,
 ) -> RelayAnswer:
     from toucanpin.wire.codec import Purpose
     from toucanpin.wire.messages import RelayAnswer, RelayCall
@@ -209,7 +257,7 @@
         raise CallError(Verdict.NOT_RUN, f"{peer.name} can't be reached: {error}") from error
     try:
         async with asyncio.timeout(left):
-            call = RelayCall(method, path, body, max(0.05, left - 0.02))
+            call = RelayCall(method, path, body, max(0.05, left - 0.02), service)
             writer.write(_encode(name, secret, Purpose.REQUEST, nonce, call))
             await writer.drain()
             received = _decode(secret, Purpose.ANSWER, await _read_frame(reader))
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -12,11 +12,12 @@
 import signal
 import time
 import traceback
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import logbook
 
+from toucanpin.entry.advisers import Advisers
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.configuration import ConfigurationWatch
 from toucanpin.entry.contender import Contender
@@ -35,6 +36,7 @@
 UNREADY_AFTER = 2.5  # s without the table after which new connections should go elsewhere
 # The balancer asks each second and needs two misses; connections opened until then are served.
 LINGER = 2.6
+AFTER_FAULT = 0.3  # s after which a part that failed is begun again
 EXIT_MARGIN = 1.2  # s before the platform kills the process
 
 
@@ -49,7 +51,9 @@
         self._store = Store(relayed)
         self._peers = Peers(self._store, settings)
         relayed.use_peers(self._peers)
-        self._relay = RelayServer(relayed, direct, self._peers, settings.name)
+        advice = Client(settings.advice) if settings.advice else None
+        self._relay = RelayServer(relayed, direct, self._peers, settings.name, advice)
+        self._advisers = Advisers(settings.name, advice, self._peers)
         self._clocks = Clocks(self._store)
         self._clocks.offsets = self._peers.wall_offsets
         self._configuration = ConfigurationWatch(self._store)
@@ -76,9 +80,9 @@
         await self._readiness.listen(self._settings.readiness)
         if self._settings.inner_port:
             await self._relay.listen(self._settings.address, self._settings.inner_port)
-            self._spawn(self._peers.run())
-        self._spawn(self._configuration.run())
-        self._spawn(self._contend())
+            self._spawn(self._peers.run)
+        self._spawn(self._configuration.run)
+        self._spawn(self._contend)
         _log.info("started", event="process.started", life=self._life)
 
     def owned_cells(self) -> tuple[str, ...]:
@@ -120,11 +124,16 @@
             for service in current.services if current else ():
                 if service not in self._contenders:
                     contender = Contender(
-                        self._store, self._clocks, self._settings, self._life, service
+                        self._store,
+                        self._clocks,
+                        self._settings,
+                        self._advisers,
+                        self._life,
+                        service,
                     )
                     self._contenders[service] = contender
-                    self._spawn(contender.run())
-                    self._spawn(contender.follow_handovers())
+                    self._spawn(contender.run)
+                    self._spawn(contender.follow_handovers)
             if current is not None:
                 self._front.max_headers = current.max_headers
                 self._front.max_body = current.max_body
@@ -137,14 +146,24 @@
         )
         return Response(200 if ready else 503)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
+    def _spawn(self, part: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        task = asyncio.ensure_future(_keep_running(part))
         self._tasks.add(task)
-        task.add_done_callback(self._reap)
+        task.add_done_callback(self._tasks.discard)
 
-    def _reap(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        error = None if task.cancelled() else task.exception()
-        if error is not None:
+
+async def _keep_running(part: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """
+    Run a part of the process, and again whenever it fails.
+
+    A process that goes on without one of its parts looks alive to the balancer and answers nothing
+    right; one message that can't be read would do that to every host at the same moment.
+    """
+    while True:
+        try:
+            await part()
+            return
+        except Exception as error:
             where = traceback.format_exception(error)
             _log.error("part failed", event="process.fault", reason=repr(error), where=where)
+        await asyncio.sleep(AFTER_FAULT)
--- /dev/null
+++ b/toucanpin/entry/tests/test_advisers.py
@@ -0,0 +1,79 @@
+"""Questions to the advice service, shared out among hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import msgspec
+
+from standins.site.site import free_port
+from toucanpin.entry.advisers import Advisers
+from toucanpin.entry.peers import Peer, Peers
+from toucanpin.entry.relay import RelayedStore, RelayServer
+from toucanpin.http import Client, Request, Response, Server
+from toucanpin.platform.store import Store
+from toucanpin.scheduling.cell import Group
+from toucanpin.scheduling.settings import Bounds, HostSettings
+
+GROUP = Group("00000000000000a1", 0, 0)
+
+
+class AdvisersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.asked: list[dict] = []
+        self.go = asyncio.Event()
+        address = f"127.0.0.1:{free_port()}"
+        self.service = Server(self._answer, 16_384, 65_536)
+        await self.service.listen(address)
+        self.client = Client(address)
+        store = RelayedStore(self.client, "h1")
+        port = free_port()
+        settings = HostSettings(
+            "h0", "127.0.0.1", "dc", "", "", 0, address, address, "", 1.0, 65_536, Bounds()
+        )
+        self.peers = Peers(Store(store), settings)
+        self.peers.secret = b"k" * 32
+        self.peers.known = (Peer("h1", "127.0.0.1", port, 1, 0),)
+        self.relay = RelayServer(store, self.client, self.peers, "h1", self.client)
+        await self.relay.listen("127.0.0.1", port)
+        self.advisers = Advisers("h0", self.client, self.peers)
+
+    async def asyncTearDown(self) -> None:
+        self.relay.close()
+        await self.service.drain(0.0)
+
+    async def _answer(self, request: Request) -> Response:
+        self.asked.append(msgspec.json.decode(request.body))
+        await self.go.wait()
+        body = {"approved": [["w1", "t1"]], "validityMs": 3_000}
+        return Response(200, msgspec.json.encode(body))
+
+    async def test_two_hosts_ask_two_questions_at_a_time(self) -> None:
+        """
+        Steps of two jobs wait for advice, and the service takes half a second for each question of
+        a host.  The second one goes through a peer instead of behind the first.
+        """
+        first = asyncio.ensure_future(self.advisers.ask(GROUP, ("w1",)))
+        second = asyncio.ensure_future(self.advisers.ask(GROUP, ("w1", "w2")))
+        while len(self.asked) < 2:
+            await asyncio.sleep(0.01)
+        self.assertEqual(0, self.advisers.count_free())
+        self.go.set()
+        for answer in (await first, await second):
+            assert answer is not None
+            self.assertEqual({"w1": "t1"}, answer.tickets)
+        self.assertEqual(2, self.advisers.count_free())
+
+    async def test_a_host_through_which_no_answer_came_is_left_alone(self) -> None:
+        self.go.set()
+        self.relay.close()
+        self.advisers._busy.add("h0")
+        self.assertIsNone(await self.advisers.ask(GROUP, ("w1",)))
+        self.assertEqual(0, self.advisers.count_free())
+        self.advisers._busy.discard("h0")
+        self.assertIsNotNone(await self.advisers.ask(GROUP, ("w1",)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/entry/tests/test_site.py
+++ b/toucanpin/entry/tests/test_site.py
@@ -96,6 +96,18 @@
         self.assertEqual(404, (await self.site.call("GET", "/other/")).status)
         self.assertEqual(200, (await self.site.call("GET", PREFIX)).status)
 
+    async def test_a_document_that_cannot_be_read_leaves_the_last_one_in_force(self) -> None:
+        await self.site.add_host()
+        self.assertTrue(await self.site.until_ready())
+        self.site.store.put("op", "config", b"{}")
+        self.assertEqual(200, (await self.site.call("GET", PREFIX)).status)
+        self.site.configure(version=9, prefix="/other/")
+
+        async def check() -> bool:
+            return (await self.site.call("GET", "/other/")).status == 200
+
+        self.assertTrue(await self.site.until(check))
+
     async def test_another_host_takes_over_and_adopts(self) -> None:
         """
         The owner is killed while a task runs.  Another host takes the cell, finds the task on its
--- a/toucanpin/platform/advice.py
+++ b/toucanpin/platform/advice.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from toucanpin.http import CallError, Client
+from toucanpin.http import CallError
+from toucanpin.platform.store import Caller
 from toucanpin.scheduling.advising import Advice
 from toucanpin.scheduling.cell import Group
 from toucanpin.verdict import Verdict
@@ -32,12 +33,12 @@
 
 
 class AdviceCalls:
-    """Call the advice service."""
+    """Call the advice service, from this host or through another."""
 
-    __slots__ = ("_client",)
+    __slots__ = ("_caller",)
 
-    def __init__(self, address: str) -> None:
-        self._client = Client(address)
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
 
     async def ask(self, group: Group, workers: tuple[str, ...]) -> Advice:
         """
@@ -50,7 +51,7 @@
         """
         question = _Question(f"{group.job}.{group.occurrence}.{group.step}", workers)
         body = msgspec.json.encode(question)
-        answer = await self._client.call("POST", "/advise", body, timeout=TIMEOUT)
+        answer = await self._caller.call("POST", "/advise", body, timeout=TIMEOUT)
         if answer.status != 200:
             raise CallError(Verdict.NOT_RUN, f"the advice service answered {answer.status}")
         try:
--- a/toucanpin/platform/queues.py
+++ b/toucanpin/platform/queues.py
@@ -18,8 +18,16 @@
 CONFIGURATION_KEY = "config"
 
 
+class _Advice(msgspec.Struct, rename="camel"):
+    """Hold what a call for advice takes, what each worker in it adds, and how long it holds."""
+
+    decision_ms: float = 0
+    period_ms: float = 0
+    validity_ms: float = 0
+
+
 class _Route(msgspec.Struct, rename="camel"):
-    """Hold a route, which the pages also call a queue; ``advice`` is an object or absent."""
+    """Hold a route, which the pages also call a queue."""
 
     name: str = ""
     host: str = ""
@@ -30,7 +38,7 @@
     stretch: float = 2.0
     target_latency_ms: float = 1_000
     timeout_ms: float = 3_000
-    advice: msgspec.Raw | None = None
+    advice: _Advice | None = None
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -89,5 +97,5 @@
         stretch=route.stretch,
         aim=int(route.target_latency_ms),
         timeout=int(route.timeout_ms),
-        advised=route.advice is not None and bytes(route.advice) not in (b"null", b"{}", b'""'),
+        advised=route.advice is not None,
     )
--- a/toucanpin/platform/tests/test_site_calls.py
+++ b/toucanpin/platform/tests/test_site_calls.py
@@ -212,5 +212,21 @@
     return (running.task, running.attempt, running.checkpoint, running.percent, running.measure)
 
 
+class AdvisedQueueTest(unittest.TestCase):
+    def test_a_queue_with_advice_is_read(self) -> None:
+        """
+        The operators give one queue a policy.  A document that no host can read would leave all of
+        them without a configuration, and every caller would be sent away.
+        """
+        advice = {"decisionMs": 480.0, "periodMs": 2.0, "validityMs": 3000}
+        routes = [
+            {"name": "a", "host": "h", "pathPrefix": "/a/", "service": "c", "advice": advice},
+            {"name": "b", "host": "h", "pathPrefix": "/b/", "service": "c"},
+        ]
+        document = {"version": 3, "routes": routes, "services": [], "limits": {}}
+        configuration = decode_configuration(msgspec.json.encode(document))
+        self.assertEqual([True, False], [queue.advised for queue in configuration.queues])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/toucanpin/scheduling/advising.py
+++ b/toucanpin/scheduling/advising.py
@@ -7,15 +7,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from toucanpin.scheduling.cell import Cell, Group, Now
-from toucanpin.scheduling.worker import Worker, has_room
+from toucanpin.scheduling.cell import Cell, Group, Now, rank_group
+from toucanpin.scheduling.choosing import list_able, list_candidates
+from toucanpin.scheduling.sharing import Sharing
+from toucanpin.scheduling.worker import Worker
 
 __all__ = ["Advice", "Advised", "AdviceOrder", "find_ticket", "plan_advice", "take_advice"]
 
-QUESTION = 30  # workers of one question; more make the answer late, fewer leave too little choice
+QUESTION = 40  # workers of one question; more make the answer late, fewer leave too little choice
 MARGIN = 0.5  # s before a ticket's end from which on it isn't used
 PAUSE = 0.3  # s after a question without an answer
 
@@ -55,26 +56,35 @@
     return ticket if now.steady < until - MARGIN else ""
 
 
-def plan_advice(cell: Cell, able: Iterable[Worker], now: Now) -> list[AdviceOrder]:
-    """Return the questions that steps which wait for advice need now."""
-    able = list(able)
-    orders = []
-    for group in cell.waiting:
+def plan_advice(cell: Cell, sharing: Sharing, free: int, now: Now) -> list[AdviceOrder]:
+    """
+    Return at most ``free`` questions that steps need now, the most urgent first.
+
+    Answers hold for seconds only, so nobody asks about workers that couldn't take a task now.
+    """
+    orders: list[AdviceOrder] = []
+    if not free:
+        return orders
+    able: list[Worker] | None = None
+    for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group)):
         live = cell.jobs[group.job]
         if not live.job.advised:
             continue
         advised = cell.advised.setdefault(group, Advised())
         if advised.asking or now.steady < advised.again_at:
             continue
-        step = live.job.steps[group.step]
-        fitting = [worker.entry.id for worker in able if has_room(worker, step)]
-        if any(find_ticket(cell, group, worker, now) for worker in fitting):
+        able = list_able(cell, now) if able is None else able
+        fitting = list_candidates(live, group, live.job.steps[group.step], able, sharing, now)
+        if any(find_ticket(cell, group, worker.entry.id, now) for worker in fitting):
             continue
         # What was refused stays refused, so the next question goes to other workers.
-        asked = [worker for worker in fitting if worker not in advised.refused][:QUESTION]
+        ids = (worker.entry.id for worker in fitting)
+        asked = [worker for worker in ids if worker not in advised.refused][:QUESTION]
         if asked:
             advised.asking = True
             orders.append(AdviceOrder(group, tuple(asked)))
+        if len(orders) >= free:
+            break
     return orders
 
 
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -30,6 +30,7 @@
     "list_runs",
     "mark_dirty",
     "open_steps",
+    "rank_group",
     "task_offsets",
 ]
 
@@ -155,6 +156,13 @@
             cell.waiting[group] = idle
 
 
+def rank_group(cell: Cell, group: Group) -> tuple[int, bool, int, Group]:
+    """Return what orders steps that wait, the most urgent first."""
+    live = cell.jobs[group.job]
+    lasting = live.job.steps[group.step].lasting
+    return live.job.priority, lasting, live.objective, group
+
+
 def add_run(cell: Cell, worker: Worker, run: Run) -> None:
     """Give a run its room on a worker."""
     reserve_run(worker, run)
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.job import Step
@@ -20,6 +20,7 @@
     "choose_worker",
     "fits_rules",
     "list_able",
+    "list_candidates",
     "may_last",
 ]
 
@@ -47,19 +48,30 @@
     live: LiveJob, group: Group, step: Step, able: Iterable[Worker], sharing: Sharing, now: Now
 ) -> Worker | None:
     """Return the best worker for one more task of a step, None if none may run it."""
+    places = _weigh_all(live, group, step, able, sharing, now)
+    best = min(places, key=lambda place: place[0], default=None)
+    return best[1] if best else None
+
+
+def list_candidates(
+    live: LiveJob, group: Group, step: Step, able: Iterable[Worker], sharing: Sharing, now: Now
+) -> list[Worker]:
+    """Return the workers that could take one more task of a step, the best first."""
+    places = sorted(_weigh_all(live, group, step, able, sharing, now), key=lambda place: place[0])
+    return [worker for _, worker in places]
+
+
+def _weigh_all(
+    live: LiveJob, group: Group, step: Step, able: Iterable[Worker], sharing: Sharing, now: Now
+) -> Iterator[tuple[float, Worker]]:
+    """Yield the cost of each place that a task of a step could take."""
     rack = live.racks.get(group, "")
-    best: Worker | None = None
-    best_cost = 0.0
     for worker in able:
         if not _may_run(worker, group, step) or _is_kept(worker, live, now):
             continue
         cost = _weigh_filling(worker, step, sharing) if step.fills else _weigh(worker, group, step)
-        if cost is None:
-            continue
-        cost += _weigh_place(worker, step, rack, now)
-        if best is None or cost < best_cost:
-            best, best_cost = worker, cost
-    return best
+        if cost is not None:
+            yield cost + _weigh_place(worker, step, rack, now), worker
 
 
 def may_last(able: Iterable[Worker], group: Group, step: Step) -> bool:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from toucanpin.scheduling.advising import find_ticket
-from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, add_run, mark_dirty
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, add_run, mark_dirty, rank_group
 from toucanpin.scheduling.choosing import (
     choose_worker,
     list_able,
@@ -32,7 +32,7 @@
     able = list_able(cell, now)
     freed: dict[str, Freed] = {}
     least_urgent = _find_least_urgent(cell)
-    for group in sorted(cell.waiting, key=lambda group: _rank(cell, group)):
+    for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group)):
         live = cell.jobs[group.job]
         step = live.job.steps[group.step]
         allowed = able
@@ -48,12 +48,6 @@
             del cell.waiting[group]
 
 
-def _rank(cell: Cell, group: Group) -> tuple[int, bool, int, Group]:
-    live = cell.jobs[group.job]
-    lasting = live.job.steps[group.step].lasting
-    return live.job.priority, lasting, live.objective, group
-
-
 def _find_least_urgent(cell: Cell) -> int:
     """Return the highest number that stands for the priority of a job which runs."""
     running = (cell.jobs[job].job.priority for job in cell.runs if job in cell.jobs)
--- a/toucanpin/scheduling/tests/test_advising.py
+++ b/toucanpin/scheduling/tests/test_advising.py
@@ -4,7 +4,13 @@
 
 import unittest
 
-from toucanpin.scheduling.advising import Advice, find_ticket, plan_advice, take_advice
+from toucanpin.scheduling.advising import (
+    Advice,
+    AdviceOrder,
+    find_ticket,
+    plan_advice,
+    take_advice,
+)
 from toucanpin.scheduling.cell import Group
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.placing import place_tasks
@@ -19,8 +25,10 @@
         self.fleet.run(0.2)
         self.fleet.submit(make_job(steps=(Step(count=2, cpu=1_000),), advised=True))
 
-    def _ask(self):
-        return plan_advice(self.fleet.cell, self.fleet.cell.workers.values(), self.fleet.now())
+    def _ask(self, free: int = 5) -> list[AdviceOrder]:
+        for worker in self.fleet.cell.workers.values():
+            worker.answered_at = self.fleet.time
+        return plan_advice(self.fleet.cell, self.fleet.sharing, free, self.fleet.now())
 
     def test_nothing_is_placed_without_a_ticket(self) -> None:
         place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
@@ -50,6 +58,23 @@
         self.fleet.time += 0.5
         self.assertEqual(1, len(self._ask()))
 
+    def test_the_most_urgent_steps_are_asked_about_first(self) -> None:
+        """
+        The service answers one question after another, half a second each.  Questions of patient
+        steps that came first would make urgent ones late.
+        """
+        step = Step(cpu=1_000)
+        self.fleet.submit(make_job("j0", (step,), advised=True, priority=2))
+        self.fleet.submit(make_job("j2", (step,), advised=True, priority=0, accepted=-5_000))
+        orders = self._ask(free=2)
+        self.assertEqual(["j2", "j1"], [order.group.job for order in orders])
+
+    def test_nobody_asks_about_a_worker_that_could_not_take_the_step(self) -> None:
+        self.fleet.cell.workers["w0"].memory = 8_000
+        self.fleet.submit(make_job("j0", (Step(cpu=100, memory=10),), advised=True))
+        asked = {order.group.job: order.workers for order in self._ask()}
+        self.assertNotIn("w0", asked["j0"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucanpin/wire/codec.py
+++ b/toucanpin/wire/codec.py
@@ -93,7 +93,7 @@
 
 
 _FIELDS = {kind: _list_fields(kind) for kind in (*_KINDS.values(), Envelope, messages.MemberRecord)}
-_OPTIONAL = {"audience": "", "nonce": 0}
+_OPTIONAL = {"audience": "", "nonce": 0, "target": "store"}
 
 
 def encode(keys: PeerKeys, purpose: Purpose, envelope: Envelope, message: Message) -> bytes:
--- a/toucanpin/wire/inner.thrift
+++ b/toucanpin/wire/inner.thrift
@@ -72,11 +72,13 @@
 }
 
 // status is 0 where the store gave no answer; certain then says that it did nothing.
+// target names what is called: "store" if it is left out, or "advice".
 struct RelayCall {
   1: required string method
   2: required string path
   3: required binary body
   4: required double timeout
+  5: optional string target
 }
 
 struct RelayAnswer {
--- a/toucanpin/wire/messages.py
+++ b/toucanpin/wire/messages.py
@@ -141,20 +141,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayCall:
-    """Ask a member to call the platform's store in the sender's place, within some seconds."""
+    """Ask a member to call a service of the platform in the sender's place, within some seconds."""
 
     method: str
     path: str
     body: bytes
     timeout: float
+    target: str = "store"
 
 
 @dataclass(frozen=True, slots=True)
 class RelayAnswer:
     """
-    Hand over the store's answer.
+    Hand over the service's answer.
 
-    ``status`` is 0 where there was none; ``certain`` then says that the store did nothing.
+    ``status`` is 0 where there was none; ``certain`` then says that the service did nothing.
     """
 
     status: int
