Carry out waves of upkeep: empty workers, order their machines, say when all are through

Ruled out: going as fast as the wave allows (each machine away leaves its tasks to the others), taking a new worker on a machine for a sign that it was through (it may have crashed before its order). Change: scheduling/upkeep.py decides who goes next and what leaves a worker; entry/waves.py writes each machine down before its order, repeats orders without an answer, and waits at a takeover until earlier orders are past; stops of lasting tasks keep to what their step's users bear. Tests: test_upkeep.py, test_waves.py on a stand-in of the machines.

--- /dev/null
+++ b/standins/site/machines.py
@@ -0,0 +1,91 @@
+"""
+Machines
+========
+
+The platform's machines: a list of them, and upkeep that replaces the worker on one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from standins.site.site import Site
+from standins.site.worker import SiteWorker
+from toucanpin.http import Request, Response, Server
+
+__all__ = ["SiteMachines"]
+
+
+class SiteMachines:
+    """Answer calls about machines, each of which is one worker of a site at a time."""
+
+    def __init__(self, site: Site, upkeep: float = 0.3) -> None:
+        self._site = site
+        self._upkeep = upkeep
+        self._server = Server(self._handle, 16_384, 65_536)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.workers: dict[str, SiteWorker | None] = {}
+        self.through: dict[str, int] = {}
+        self.holders: list[tuple[str, str, int]] = []
+        self.most_down = 0
+        self.lose_answers = 0
+
+    async def listen(self, address: str) -> None:
+        """Listen for calls."""
+        await self._server.listen(address)
+
+    async def close(self) -> None:
+        """End everything."""
+        for task in self._tasks:
+            task.cancel()
+        await self._server.drain(0.0)
+
+    def add(self, name: str, worker: SiteWorker) -> None:
+        """Add a machine that is a worker now."""
+        self.workers[name] = worker
+
+    async def _handle(self, request: Request) -> Response | None:
+        if request.method == "GET":
+            return Response(200, msgspec.json.encode(self._list()))
+        call = msgspec.json.decode(request.body)
+        holder = request.headers["x-lease-holder"]
+        token = int(request.headers["x-fencing-token"])
+        self.holders.append((call["machine"], holder, token))
+        return self._begin(call["machine"])
+
+    def _list(self) -> dict[str, object]:
+        machines = [
+            {
+                "machine": name,
+                "pool": "c",
+                "state": "up" if worker else "upkeep",
+                "id": worker.core.entry.id if worker else None,
+            }
+            for name, worker in self.workers.items()
+        ]
+        return {"machines": machines, "nextToken": None}
+
+    def _begin(self, name: str) -> Response | None:
+        if name not in self.workers:
+            return Response(400)
+        if name not in self.through:
+            worker = self.workers[name]
+            assert worker is not None
+            self.through[name] = len(worker.core.runs)
+            self.workers[name] = None
+            down = sum(it is None for it in self.workers.values())
+            self.most_down = max(self.most_down, down)
+            task = asyncio.ensure_future(self._replace(name, worker))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return None
+        return Response(200, b"{}")
+
+    async def _replace(self, name: str, worker: SiteWorker) -> None:
+        await worker.leave()
+        await asyncio.sleep(self._upkeep)
+        self.workers[name] = await self._site.add_worker(lasts=worker.core.lasts)
--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -37,7 +37,8 @@
 class Site:
     """Run hosts and workers against one store."""
 
-    def __init__(self) -> None:
+    def __init__(self, machines: str = "") -> None:
+        self.machines = machines
         self.store = SiteStore()
         self.faults: list[Faults] = []
         self.hosts: list[EntryProcess] = []
@@ -74,7 +75,7 @@
             inner_port=free_port(),
             store=address,
             advice="",
-            machines="",
+            machines=self.machines,
             heartbeat=1.0,
             max_row=65_536,
             bounds=Bounds(),
--- a/standins/site/worker.py
+++ b/standins/site/worker.py
@@ -56,6 +56,11 @@
             self._task.cancel()
         await self._server.drain(0.0)
 
+    async def leave(self) -> None:
+        """End, and let the entry go."""
+        await self.stop()
+        self._store.drop("servers", self.core.entry.id)
+
     def register(self) -> None:
         """Write the worker's entry."""
         entry = self.core.entry
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -17,8 +17,10 @@
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.rows import JOBS, list_job_parts, split_key
+from toucanpin.entry.waves import Waves
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
+from toucanpin.platform.machines import MachineCalls
 from toucanpin.platform.store import Row, Store
 from toucanpin.platform.workers import WORKERS_TABLE, decode_worker
 from toucanpin.scheduling.advising import AdviceOrder, plan_advice, take_advice
@@ -81,6 +83,10 @@
         self._workers = CellWorkers(
             self._cell, self._sharing, clocks, self._spawn, self._after_change
         )
+        self._waves: Waves | None = None
+        if settings.machines:
+            calls = MachineCalls(settings.machines, settings.name)
+            self._waves = Waves(store, calls, self._cell, clocks, settings.bounds, first)
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
         self._parts = frozenset(list_job_parts(name))
@@ -103,6 +109,8 @@
             self._feed_from = await self._rows.load(self._clocks.now)
             for work in (self._commit(), self._follow(), self._list(), self._tick()):
                 self._spawn(work)
+            if self._waves is not None:
+                self._spawn(self._waves.run())
             await self._deposed
         finally:
             for task in tuple(self._tasks):
--- a/toucanpin/entry/rows.py
+++ b/toucanpin/entry/rows.py
@@ -15,6 +15,7 @@
     "OWNERS",
     "OWNER_KEY",
     "PROGRESS",
+    "WAVES",
     "cancel_key",
     "job_part",
     "list_job_parts",
@@ -27,6 +28,7 @@
 EFFECTS = "effects"  # by cell: what its owner has learned of neighbours; for the next owner
 OWNERS = "owners"  # by cell: its owner
 HANDOVERS = "handovers"  # by cell: changes as an owner resigns, so that others needn't wait
+WAVES = "waves"  # by number: how far a wave of upkeep is; written by owners of its machines
 OWNER_KEY = "owner"
 _CANCEL = "/cancel"
 PARTS = 8
--- /dev/null
+++ b/toucanpin/entry/tests/test_waves.py
@@ -0,0 +1,90 @@
+"""Waves of upkeep through an entry host, the published calls and stand-ins."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from standins.site.machines import SiteMachines
+from standins.site.site import Site, free_port
+
+
+class WavesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        address = f"127.0.0.1:{free_port()}"
+        self.site = Site(machines=address)
+        self.site.configure()
+        self.addAsyncCleanup(self.site.close)
+        self.machines = SiteMachines(self.site)
+        self.addAsyncCleanup(self.machines.close)
+        await self.machines.listen(address)
+        await self.site.add_host()
+        for number in range(3):
+            self.machines.add(f"m{number}", await self.site.add_worker(lasts=60.0))
+        self.assertTrue(await self.site.until_ready())
+        self.assertTrue(await self.site.until(self.site.hosts[0].owned_cells))
+
+    def _ask(self, *machines: str, cap: int = 1) -> None:
+        wave = {"wave": 1, "machines": machines, "durationS": 20, "cap": cap}
+        self.site.store.put("op", "wave/1", msgspec.json.encode(wave))
+
+    def _state(self) -> str:
+        row = self.site.store.rows.get(("status", "", "wave/1"))
+        return msgspec.json.decode(row.value)["state"] if row else ""
+
+    async def test_each_machine_goes_through_its_upkeep_and_nothing_runs_there(self) -> None:
+        """
+        Operators ask for the upkeep of all machines, one at a time, while a service runs.  Its task
+        leaves each worker before the machine goes down, and the wave is over when all are back.
+        """
+        await self.site.submit(longRunning=True)
+        self.assertTrue(
+            await self.site.until(lambda: any(worker.core.runs for worker in self.site.workers))
+        )
+        self._ask("m0", "m1", "m2")
+        self.assertTrue(await self.site.until(lambda: self._state() == "active"))
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertEqual({"m0": 0, "m1": 0, "m2": 0}, self.machines.through)
+        self.assertEqual(1, self.machines.most_down)
+        self.assertTrue(
+            await self.site.until(lambda: any(worker.core.runs for worker in self.site.workers))
+        )
+
+    async def test_an_order_without_an_answer_is_repeated(self) -> None:
+        self.machines.lose_answers = 1
+        self._ask("m1")
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertEqual({"m1": 0}, self.machines.through)
+
+    async def test_a_machine_that_is_gone_does_not_hold_up_its_wave(self) -> None:
+        self._ask("m1", "m9")
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertEqual({"m1": 0}, self.machines.through)
+
+    async def test_a_machine_that_crashed_before_its_order_is_ordered_again(self) -> None:
+        """
+        An owner writes down that a machine goes, and is killed with the order unsent.  The machine
+        crashes and comes back as another worker, as it would after its upkeep.  To call the wave
+        completed would be wrong: that machine has not been through.
+        """
+        record = msgspec.msgpack.encode([0, {"m1": "a worker before"}, [], False])
+        self.site.store.put("waves", "1", record)
+        self._ask("m1")
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertEqual({"m1": 0}, self.machines.through)
+
+    async def test_a_new_owner_goes_on_with_a_wave(self) -> None:
+        await self.site.add_host()
+        self.assertTrue(await self.site.until_ready(1))
+        self._ask("m0", "m1", "m2")
+        self.assertTrue(await self.site.until(lambda: self.machines.through))
+        await self.site.hosts[0].abort()
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=900))
+        self.assertEqual(3, len(self.machines.through))
+        holders = {(holder, token) for _, holder, token in self.machines.holders}
+        self.assertEqual({("h0", 1), ("h1", 2)}, holders)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/toucanpin/entry/waves.py
@@ -0,0 +1,231 @@
+"""
+Waves of upkeep
+===============
+
+Carry out what operators ask of machines: empty each worker, send its machine into upkeep, say when
+all are through.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+import msgspec
+
+from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.rows import WAVES
+from toucanpin.exception import PlatformError
+from toucanpin.http import CallError
+from toucanpin.platform.machines import (
+    STATUS_TABLE,
+    WAVE_PREFIX,
+    MachineCalls,
+    Ordered,
+    decode_wave,
+    encode_wave_status,
+)
+from toucanpin.platform.queues import OPERATORS_TABLE
+from toucanpin.platform.store import Committed, Expected, Put, Store
+from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.settings import Bounds
+from toucanpin.scheduling.upkeep import (
+    Machine,
+    MachineState,
+    Order,
+    Wave,
+    WaveRecord,
+    empty_worker,
+    find_returned,
+    is_over,
+    list_next,
+    reopen_workers,
+)
+from toucanpin.scheduling.worker import Worker
+
+__all__ = ["Waves"]
+
+_log = logbook.Logger("waves")
+IDLE = 1.0  # s between looks for waves
+PERIOD = 0.25  # s between turns while a wave is on
+LIST_PERIOD = 0.5  # s between lists of machines; all hosts together may read 36 to 60 a second
+AGAIN = 0.4  # s before an order without an answer is repeated
+# An owner that was suspended may believe that it still is one; its successor waits this out.
+FRESH = 1.0  # s since the newest accepted write within which machines are ordered
+
+
+class Waves:
+    """Carry out the waves of one cell's machines, in the name of its owner."""
+
+    def __init__(
+        self,
+        store: Store,
+        calls: MachineCalls,
+        cell: Cell,
+        clocks: Clocks,
+        bounds: Bounds,
+        first: bool,
+    ) -> None:
+        self._store = store
+        self._calls = calls
+        self._cell = cell
+        self._clocks = clocks
+        self._bounds = bounds
+        # Orders of two owners for one machine mustn't take turns.
+        self._quiet_until = 0.0 if first else steady_time() + bounds.machine_lease
+        self._records: dict[int, tuple[WaveRecord, int]] = {}
+        self._machines: dict[str, Machine] = {}
+        self._listed_at = 0.0
+        self._ordering: set[str] = set()
+        self._orders: dict[int, dict[str, Order]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Look for waves for ever."""
+        try:
+            while True:
+                active = False
+                try:
+                    active = await self._turn()
+                except (CallError, PlatformError) as error:
+                    _log.warning("waves not read", event="waves.unread", reason=error)
+                await asyncio.sleep(PERIOD if active else IDLE)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            self._calls.close()
+
+    async def _turn(self) -> bool:
+        page = await self._store.read(OPERATORS_TABLE, "", WAVE_PREFIX, WAVE_PREFIX + "\x7f")
+        waves = [decode_wave(row.value) for row in page.rows]
+        open_waves = [wave for wave in waves if not await self._is_completed(wave)]
+        if not open_waves or steady_time() < self._quiet_until:
+            return bool(open_waves)
+        await self._list()
+        emptied: list[Worker] = []
+        for wave in open_waves:
+            emptied += await self._advance(wave)
+        reopen_workers(self._cell.workers.values(), emptied)
+        return True
+
+    async def _is_completed(self, wave: Wave) -> bool:
+        """Tell whether a wave is over; one that is new is said to be active."""
+        known = self._records.get(wave.number)
+        if known is None:
+            known = await self._read(wave)
+        return known[0].completed
+
+    async def _read(self, wave: Wave) -> tuple[WaveRecord, int]:
+        key = str(wave.number)
+        page = await self._store.read(WAVES, "", key, key + "\0")
+        if page.rows:
+            record = msgspec.msgpack.decode(page.rows[0].value, type=WaveRecord)
+            self._records[wave.number] = (record, page.rows[0].version)
+            return self._records[wave.number]
+        record = WaveRecord(self._clocks.now().table, {}, [])
+        status = Put(STATUS_TABLE, f"{WAVE_PREFIX}{wave.number}", encode_wave_status(False))
+        _log.info("wave begun", event="wave.begun", wave=wave.number, machines=len(wave.machines))
+        await self._write(wave, record, 0, (status,))
+        return self._records.get(wave.number) or await self._read(wave)
+
+    async def _write(
+        self, wave: Wave, record: WaveRecord, version: int, more: tuple[Put, ...] = ()
+    ) -> bool:
+        """Write a record; another's write or a lost answer has it read anew before the next one."""
+        key = str(wave.number)
+        self._records.pop(wave.number, None)
+        put = Put(WAVES, key, msgspec.msgpack.encode(record))
+        result = await self._store.transact("", (Expected(WAVES, key, version),), (put, *more))
+        if not isinstance(result, Committed):
+            return False
+        self._records[wave.number] = (record, result.version)
+        return True
+
+    async def _list(self) -> None:
+        if steady_time() < self._listed_at + LIST_PERIOD:
+            return
+        asked_at = steady_time()
+        machines = await self._calls.list()
+        self._machines = {machine.name: machine for machine in machines}
+        self._listed_at = asked_at
+
+    async def _advance(self, wave: Wave) -> list[Worker]:
+        """Take a wave as far as it goes now; return the workers that are being emptied for it."""
+        record, version = self._records.get(wave.number) or await self._read(wave)
+        orders = self._orders.setdefault(wave.number, {})
+        through, anew = find_returned(record, self._machines, orders, self._listed_at)
+        gone = [
+            name
+            for name in wave.machines
+            if name not in self._machines and name not in record.done and name not in record.down
+        ]
+        if through or anew or gone:
+            down = {name: it for name, it in record.down.items() if name not in through + anew}
+            for name in through + anew:
+                orders.pop(name, None)
+            await self._write(
+                wave, WaveRecord(record.begun, down, record.done + through + gone), version
+            )
+            _log.info("upkeep over", event="upkeep.done", wave=wave.number, machines=through)
+            return []
+        if is_over(wave, record):
+            status = Put(STATUS_TABLE, f"{WAVE_PREFIX}{wave.number}", encode_wave_status(True))
+            over = WaveRecord(record.begun, {}, record.done, True)
+            await self._write(wave, over, version, (status,))
+            _log.info("wave completed", event="wave.completed", wave=wave.number)
+            return []
+        for name, worker in record.down.items():
+            machine = self._machines.get(name)
+            up = machine is not None and machine.state is MachineState.UP
+            if machine is not None and up and machine.worker == worker:
+                self._order(wave, name)
+        return await self._empty(wave, record, version)
+
+    async def _empty(self, wave: Wave, record: WaveRecord, version: int) -> list[Worker]:
+        now = self._clocks.now()
+        upkeep = self._bounds.upkeep
+        chosen = list_next(self._cell, wave, record, self._machines, upkeep, now)
+        ready = [worker for worker in chosen if empty_worker(self._cell, worker, now)]
+        if not ready:
+            return chosen
+        names = {machine.worker: name for name, machine in self._machines.items()}
+        down = dict(record.down)
+        for worker in ready[: max(0, wave.cap - len(down))]:
+            down[names[worker.entry.id]] = worker.entry.id
+        if await self._write(wave, WaveRecord(record.begun, down, record.done), version):
+            for name in down:
+                self._order(wave, name)
+        return chosen
+
+    def _order(self, wave: Wave, name: str) -> None:
+        if name in self._ordering:
+            return
+        self._ordering.add(name)
+        task = asyncio.ensure_future(self._send(wave, name))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, wave: Wave, name: str) -> None:
+        """Order one machine's upkeep, once; a later turn repeats it if it is still the same."""
+        order = self._orders.setdefault(wave.number, {}).setdefault(name, Order())
+        try:
+            if steady_time() > self._cell.confirmed + FRESH:
+                return
+            answer = await self._calls.begin_upkeep(name, wave.number, self._cell.token)
+            _log.info("upkeep ordered", event="upkeep.ordered", machine=name, answer=answer.value)
+            if answer is Ordered.DONE:
+                order.acknowledged = order.acknowledged or steady_time()
+            elif answer in (Ordered.UNKNOWN_MACHINE, Ordered.NOT_IN_WAVE):
+                await self._strike(wave, name)
+        except (CallError, PlatformError) as error:
+            _log.warning("upkeep not ordered", event="upkeep.failed", machine=name, reason=error)
+        finally:
+            await asyncio.sleep(AGAIN)
+            self._ordering.discard(name)
+
+    async def _strike(self, wave: Wave, name: str) -> None:
+        """Count a machine as through that isn't there, or isn't of the wave any more."""
+        record, version = await self._read(wave)
+        if name in record.down:
+            down = {other: worker for other, worker in record.down.items() if other != name}
+            await self._write(wave, WaveRecord(record.begun, down, [*record.done, name]), version)
--- a/toucanpin/platform/nodefile.py
+++ b/toucanpin/platform/nodefile.py
@@ -54,6 +54,8 @@
         restore=reader.number("bounds.restoreMs", 250) / 1_000,
         checkpoint_every=reader.number("bounds.checkpointS", 1),
         contact=reader.number("bounds.contactMs", 3_000) / 1_000,
+        upkeep=reader.number("bounds.maintenanceS", 2),
+        machine_lease=reader.number("bounds.leaseMs", 3_000) / 1_000,
     )
     settings = HostSettings(
         name=reader.text("nodeName"),
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -99,6 +99,7 @@
         and not worker.silent
         and worker.entry.ready
         and not worker.strangers
+        and not worker.closing_since
         and now.steady >= worker.full_until
         and now.steady - worker.answered_at < CONTACT
     )
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -25,6 +25,7 @@
 
 __all__ = [
     "apply_end",
+    "count_away",
     "end_job",
     "end_run",
     "finish_run",
@@ -148,6 +149,21 @@
     ]
 
 
+def count_away(cell: Cell, run: Run) -> int:
+    """Return how many other tasks of a lasting task's step are not at work."""
+    live = cell.jobs.get(run.task.job)
+    if live is None:
+        return 0
+    at_work = sum(
+        other.phase is Phase.RUNNING and other.percent >= 100
+        for other in list_runs(cell, live)
+        if other is not run
+        and other.task.step == run.task.step
+        and other.task.occurrence == run.task.occurrence
+    )
+    return run.step.count - 1 - at_work
+
+
 def _count_failure(live: LiveJob, run: Run, record: TaskRecord) -> None:
     """
     Count a failure against a task, and once against all members of a gang.
--- a/toucanpin/scheduling/settings.py
+++ b/toucanpin/scheduling/settings.py
@@ -26,6 +26,8 @@
     restore: float = 0.25
     checkpoint_every: float = 1.0
     contact: float = 3.0
+    upkeep: float = 2.0
+    machine_lease: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_upkeep.py
@@ -0,0 +1,108 @@
+"""Which machine goes next, and what leaves its worker before."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.upkeep import (
+    Machine,
+    MachineState,
+    Order,
+    Wave,
+    WaveRecord,
+    empty_worker,
+    find_returned,
+    is_over,
+    list_next,
+)
+
+UP = MachineState.UP
+
+
+class UpkeepTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet(workers=4)
+        for worker in self.fleet.workers.values():
+            worker.lasts = 60.0
+        self.fleet.run(0.2)
+        self.machines = {f"m{n}": Machine(f"m{n}", "c", UP, f"w{n}") for n in range(4)}
+        begun = int(self.fleet.time * 1_000)
+        self.record = WaveRecord(begun, {}, [])
+
+    def _next(self, wave: Wave) -> list[str]:
+        chosen = list_next(self.fleet.cell, wave, self.record, self.machines, 2.0, self.fleet.now())
+        return [worker.entry.id for worker in chosen]
+
+    def _empty(self, name: str) -> bool:
+        return empty_worker(self.fleet.cell, self.fleet.cell.workers[name], self.fleet.now())
+
+    def test_as_few_go_at_a_time_as_the_end_allows(self) -> None:
+        names = ("m0", "m1", "m2", "m3")
+        self.assertEqual(1, len(self._next(Wave(1, names, 60.0, 4))))
+        self.assertEqual(2, len(self._next(Wave(1, names, 12.0, 4))))
+        self.assertEqual(4, len(self._next(Wave(1, names, 3.0, 4))))
+
+    def test_never_more_are_down_than_the_wave_allows(self) -> None:
+        wave = Wave(1, ("m0", "m1", "m2", "m3"), 1.0, 2)
+        self.record.down = {"m0": "w0"}
+        self.assertEqual(1, len(self._next(wave)))
+        self.record.down = {"m0": "w0", "m1": "w1"}
+        self.assertFalse(self._next(wave))
+
+    def test_the_worker_that_loses_least_goes_first(self) -> None:
+        self.fleet.submit(make_job(steps=(Step(count=3, cpu=1_000, per_worker=1),)))
+        self.fleet.run(2.0)
+        idle = [name for name, worker in self.fleet.workers.items() if not worker.runs]
+        self.assertEqual(idle, self._next(Wave(1, ("m0", "m1", "m2", "m3"), 60.0, 1)))
+
+    def test_what_resumes_leaves_at_once_and_what_would_begin_anew_may_end(self) -> None:
+        self.fleet.submit(make_job("saves", (Step(cpu=4_000, checkpoints=True),)))
+        self.fleet.submit(make_job("plain", (Step(cpu=4_000),)))
+        self.fleet.run(0.5)
+        place = {t.job: n for n, w in self.fleet.workers.items() for t in w.runs}
+        for name in place.values():
+            self.assertFalse(self._empty(name))
+        self.fleet.run(0.5)
+        self.assertTrue(self._empty(place["saves"]))
+        self.assertFalse(self._empty(place["plain"]))
+        self.fleet.run(2.5)
+        self._empty(place["plain"])
+        self.fleet.run(0.3)
+        self.assertTrue(self._empty(place["plain"]), "a worker isn't waited for without end")
+
+    def test_no_more_tasks_of_a_service_leave_than_its_users_bear(self) -> None:
+        """
+        A service bears one of its tasks away at a time.  Two machines of a wave hold one each; the
+        second task may leave only once the first is at work elsewhere.
+        """
+        step = Step(count=3, cpu=1_000, lasting=True, per_worker=1, may_miss=1)
+        self.fleet.submit(make_job("s", (step,)))
+        self.fleet.run(0.5)
+        holders = [name for name, worker in self.fleet.workers.items() if worker.runs]
+        for run in self.fleet.cell.runs["s"]:
+            run.percent = 100
+        self._empty(holders[0])
+        self._empty(holders[1])
+        stops = [order.worker for order in self.fleet.cell.orders]
+        self.assertEqual([holders[0]], stops)
+
+    def test_only_an_acknowledged_order_shows_that_a_machine_was_through(self) -> None:
+        self.record.down = {"m0": "before", "m1": "before", "m2": "w2", "m3": "w3", "m9": "x"}
+        orders = {"m0": Order(5.0), "m1": Order(), "m2": Order(5.0)}
+        through, anew = find_returned(self.record, self.machines, orders, 5.2)
+        self.assertEqual((["m0", "m9"], ["m1", "m3"]), (through, anew))
+        through, _ = find_returned(self.record, self.machines, orders, 6.0)
+        self.assertEqual(["m0", "m2", "m9"], through)
+
+    def test_a_wave_is_over_when_all_are_through(self) -> None:
+        wave = Wave(1, ("m0", "m1"), 60.0, 1)
+        self.record.done = ["m0"]
+        self.assertFalse(is_over(wave, self.record))
+        self.record.done = ["m0", "m1"]
+        self.assertTrue(is_over(wave, self.record))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/toucanpin/scheduling/upkeep.py
@@ -0,0 +1,192 @@
+"""
+Upkeep of machines
+==================
+
+Which machine of a wave goes into its upkeep next, and how its worker is emptied before.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.ending import count_away, stop_run
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+__all__ = [
+    "Machine",
+    "MachineState",
+    "Order",
+    "Wave",
+    "WaveRecord",
+    "empty_worker",
+    "find_returned",
+    "is_over",
+    "list_next",
+    "reopen_workers",
+]
+
+PACE = 0.65  # of a wave's time after which all machines should have been through their upkeep
+OVERHEAD = 1.5  # s that a machine takes besides its upkeep: emptying, the call, the next list
+SETTLED = 0.5  # s after an order until a list of machines surely shows it
+PATIENCE = 2.5  # s that a worker is kept from new tasks while those that can't resume run on
+
+
+class MachineState(enum.Enum):
+    """Say what a machine does."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """Hold a machine, its pool and the id of the worker that it is now."""
+
+    name: str
+    pool: str
+    state: MachineState
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wave:
+    """Hold what operators ask: upkeep of all these machines in time, at most ``cap`` at once."""
+
+    number: int
+    machines: tuple[str, ...]
+    seconds: float
+    cap: int
+
+
+@dataclass(slots=True)
+class Order:
+    """Follow an order of this owner; ``acknowledged`` is the local time, 0 if it wasn't."""
+
+    acknowledged: float = 0.0
+
+
+class WaveRecord(msgspec.Struct, array_like=True):
+    """
+    Hold what must last of one wave.
+
+    ``begun`` is on the table's clock in ms; ``down`` holds the worker that each machine was as its
+    upkeep was ordered; ``done`` are machines that have been through it, or are gone.
+    """
+
+    begun: int
+    down: dict[str, str]
+    done: list[str]
+    completed: bool = False
+
+
+def is_over(wave: Wave, record: WaveRecord) -> bool:
+    """Tell whether every machine of a wave has been through its upkeep."""
+    return set(wave.machines) <= set(record.done)
+
+
+def find_returned(
+    record: WaveRecord, machines: dict[str, Machine], orders: dict[str, Order], listed: float
+) -> tuple[list[str], list[str]]:
+    """
+    Return the machines that came back from their upkeep, or are gone, and those to begin anew.
+
+    ``listed`` is when the list of machines was asked for.  A machine that is another worker now may
+    have crashed before its order was carried out, so only an order that was acknowledged shows that
+    it has been through.  One that an earlier owner may have ordered is emptied again first: this
+    owner may have placed tasks there.
+    """
+    through: list[str] = []
+    anew: list[str] = []
+    for name, worker in record.down.items():
+        machine = machines.get(name)
+        order = orders.get(name)
+        if machine is None:
+            through.append(name)
+        elif machine.state is not MachineState.UP or not machine.worker:
+            continue
+        elif order is None:
+            anew.append(name)
+        elif machine.worker != worker:
+            (through if order.acknowledged else anew).append(name)
+        elif order.acknowledged and listed > order.acknowledged + SETTLED:
+            # An order for what is already done is acknowledged, too, and changes nothing.
+            through.append(name)
+    return through, anew
+
+
+def list_next(
+    cell: Cell,
+    wave: Wave,
+    record: WaveRecord,
+    machines: dict[str, Machine],
+    upkeep: float,
+    now: Now,
+) -> list[Worker]:
+    """
+    Return the workers to be emptied for their upkeep now; an upkeep takes ``upkeep`` seconds.
+
+    As few go at a time as the wave's end allows, those first that lose least: each one that is
+    away leaves its tasks to the others.
+    """
+    waiting = [name for name in wave.machines if name not in record.done]
+    left = wave.seconds * PACE - (now.table - record.begun) / 1_000
+    rounds = max(1.0, left / (upkeep + OVERHEAD))
+    free = min(wave.cap, math.ceil(len(waiting) / rounds)) - len(record.down)
+    closing = {worker.entry.id for worker in cell.workers.values() if worker.closing_since}
+    candidates: list[Worker] = []
+    chosen: list[Worker] = []
+    for name in waiting:
+        machine = machines.get(name)
+        if name in record.down or machine is None or machine.state is not MachineState.UP:
+            continue
+        worker = cell.workers.get(machine.worker)
+        if worker is None or not worker.reached:
+            continue
+        (chosen if worker.entry.id in closing else candidates).append(worker)
+    candidates.sort(key=lambda worker: _weigh(worker, now))
+    return (chosen + candidates)[: max(0, free)]
+
+
+def empty_worker(cell: Cell, worker: Worker, now: Now) -> bool:
+    """Have a worker's tasks leave it; return whether nothing is left to lose there."""
+    if not worker.closing_since:
+        worker.closing_since = now.steady
+    patient = now.steady < worker.closing_since + PATIENCE
+    for run in list(worker.runs.values()):
+        if _may_leave(cell, run, patient):
+            stop_run(cell, run, "upkeep")
+    return not worker.runs and worker.seen == worker.acknowledged
+
+
+def reopen_workers(workers: Iterable[Worker], chosen: Iterable[Worker]) -> None:
+    """Let workers take tasks again that are not to be emptied any more."""
+    kept = {worker.entry.id for worker in chosen}
+    for worker in workers:
+        if worker.entry.id not in kept:
+            worker.closing_since = 0.0
+
+
+def _may_leave(cell: Cell, run: Run, patient: bool) -> bool:
+    if run.phase is not Phase.RUNNING:
+        return run.phase is Phase.PLACED
+    if run.step.lasting:
+        # Users of a service bear so many of its tasks away at a time, and no more.
+        return not run.step.may_miss or count_away(cell, run) < run.step.may_miss
+    return run.step.checkpoints or not patient
+
+
+def _weigh(worker: Worker, now: Now) -> float:
+    """Return what emptying a worker would lose, in core-seconds."""
+    lost = 0.0
+    for run in worker.runs.values():
+        elapsed = now.steady - run.started_at
+        lost += run.step.cpu * (1.0 if run.step.lasting or run.step.checkpoints else elapsed)
+    return lost
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -83,6 +83,7 @@
     full_until: float = 0.0  # it had less room than its owner thought
     kept_until: float = 0.0  # room was made for tasks of priority ``kept_for``, others stay away
     kept_for: int = 0
+    closing_since: float = 0.0  # it is being emptied for the upkeep of its machine
     slowed_at: float = 0.0  # when what fills was last slowed or moved
     learned_at: float = 0.0  # when effects were last learned from its measurements
     failures: int = 0
