Keep a worker for a task that is too large for what is free

Change: a step that found no place keeps the roomiest worker from those behind it, up to 12% of workers.

--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -11,6 +11,7 @@
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, add_run, mark_dirty, rank_group
 from toucanpin.scheduling.choosing import (
     choose_worker,
+    fits_rules,
     list_able,
     may_last,
 )
@@ -22,6 +23,7 @@
 
 __all__ = ["place_tasks"]
 
+MOST_KEPT = 0.12  # of the workers that are kept for large tasks at a time
 MOST_STOPS = 16  # tasks of a step that room is made for at a time; each weighs all workers
 
 
@@ -44,6 +46,7 @@
             _place_group(cell, live, group, step, allowed, sharing, now)
         if live.job.priority < least_urgent and not step.gang:
             _make_room(cell, group, step, allowed, freed, now)
+        able = _keep_for_large(cell, group, step, able)
         if not cell.waiting[group]:
             del cell.waiting[group]
 
@@ -54,6 +57,22 @@
     return max(running, default=0)
 
 
+def _keep_for_large(cell: Cell, group: Group, step: Step, able: list[Worker]) -> list[Worker]:
+    """
+    Keep a worker from less urgent steps, for a task that is too large for what is free.
+
+    Small tasks would take each core that becomes free, and a large one waits for seconds: one of 13
+    cores waited 9 s among tasks of 4.
+    """
+    if not cell.waiting[group] or step.fills or step.lasting or step.gang:
+        return able
+    fitting = [worker for worker in able if fits_rules(worker, group, step)]
+    if len(able) <= len(cell.workers) * (1 - MOST_KEPT) or not fitting:
+        return able
+    roomiest = max(fitting, key=lambda worker: worker.entry.cpu - worker.cpu)
+    return [worker for worker in able if worker is not roomiest]
+
+
 def _make_room(
     cell: Cell,
     group: Group,
