Sum up each worker once a round, keep places in a heap, rest what found no place

Change: a round sums up each worker once, a step's places stand in a heap, a task that fills and found no place is not weighed again for 1.2 ms a worker, slow tasks are looked for each 0.2 s.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -42,6 +42,7 @@
 
 _log = logbook.Logger("owner")
 TICK = 0.05  # s between looks at what only time brings: lapsed leases, due times, stalls
+MOVE_PERIOD = 0.2  # s between looks for tasks that do better elsewhere; answers come each 0.4 s
 LIST_PERIOD = 0.5  # s between reads of the workers' entries; a drain must be seen within 2 s
 RELIST_PERIOD = 3.0  # s between full reads of the jobs, for what a watch has missed
 FEED_WAIT = 5.0  # s that a watch of the jobs waits
@@ -219,14 +220,16 @@
         self._wake.set()
 
     async def _tick(self) -> None:
-        forgotten_at = 0.0
+        forgotten_at = moved_at = 0.0
         while True:
             await asyncio.sleep(TICK)
             now = self._clocks.now()
             for worker in lapse_workers(self._cell, now):
                 _log.info("worker gone", event="worker.gone", worker=worker.entry.id)
             begin_due(self._cell, now)
-            move_tasks(self._cell, now)
+            if now.steady > moved_at + MOVE_PERIOD:
+                moved_at = now.steady
+                move_tasks(self._cell, now)
             free = self._advisers.count_free()
             for order in plan_advice(self._cell, self._sharing, free, now):
                 self._spawn(self._advise(order))
--- a/toucanpin/scheduling/advising.py
+++ b/toucanpin/scheduling/advising.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.cell import Cell, Group, Now, rank_group
-from toucanpin.scheduling.choosing import list_able, list_candidates
+from toucanpin.scheduling.choosing import Places, Round, list_able
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Worker
 
@@ -66,6 +66,7 @@
     if not free:
         return orders
     able: list[Worker] | None = None
+    round_ = Round(sharing, now)
     for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group)):
         live = cell.jobs[group.job]
         if not live.job.advised:
@@ -74,7 +75,8 @@
         if advised.asking or now.steady < advised.again_at:
             continue
         able = list_able(cell, now) if able is None else able
-        fitting = list_candidates(live, group, live.job.steps[group.step], able, sharing, now)
+        step = live.job.steps[group.step]
+        fitting = Places(round_, live, group, step, able).list()
         if any(find_ticket(cell, group, worker.entry.id, now) for worker in fitting):
             continue
         # What was refused stays refused, so the next question goes to other workers.
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -82,7 +82,8 @@
 
     ``token`` fences earlier owners at the workers; ``horizon`` is the local time by which every
     lease that an earlier owner may have granted has ended; ``confirmed`` is when the newest write
-    that the table accepted was sent.
+    that the table accepted was sent.  ``barren`` holds, by filling image, the cores that found no
+    place and until when nobody asks again.
     """
 
     name: str
@@ -102,6 +103,7 @@
     advised: dict[Group, Advised] = field(default_factory=dict)
     next_due: float = 0.0
     paced_at: float = 0.0
+    barren: dict[str, tuple[int, float]] = field(default_factory=dict)
     moved: set[TaskKey] = field(default_factory=set)  # tasks that have left a slow worker
 
 
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -7,20 +7,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.job import Step
-from toucanpin.scheduling.prediction import predict_rise, predict_utilization, use_cores
+from toucanpin.scheduling.prediction import Heat, heat_worker, predict_rise, predict_share
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Worker, has_room
 
 __all__ = [
     "RESERVE",
-    "choose_worker",
+    "Places",
+    "Round",
     "fits_rules",
     "list_able",
-    "list_candidates",
     "may_last",
 ]
 
@@ -39,41 +41,80 @@
 BESIDE_FILLING = 1.0  # weight against serving beside a worker full of what fills
 
 
+@dataclass(slots=True)
+class Round:
+    """Hold what one round of placing knows of workers, so that each is summed up once."""
+
+    sharing: Sharing
+    now: Now
+    heats: dict[str, Heat] = field(default_factory=dict)
+
+    def heat(self, worker: Worker) -> Heat:
+        """Return how a worker fares."""
+        known = self.heats.get(worker.entry.id)
+        if known is None:
+            known = self.heats[worker.entry.id] = heat_worker(self.sharing, worker, planned=True)
+        return known
+
+
+class Places:
+    """Hold the places that the tasks of a step could take, the cheapest first."""
+
+    __slots__ = ("_able", "_group", "_heap", "_live", "_round", "_step")
+
+    def __init__(
+        self, round_: Round, live: LiveJob, group: Group, step: Step, able: Iterable[Worker]
+    ) -> None:
+        self._round = round_
+        self._live = live
+        self._group = group
+        self._step = step
+        self._able = list(able)
+        self._heap: list[tuple[float, int, Worker]] = []
+        self.renew_all()
+
+    def renew_all(self) -> None:
+        """Weigh all workers anew."""
+        weighed = (self._weigh(number) for number in range(len(self._able)))
+        self._heap = [place for place in weighed if place is not None]
+        heapq.heapify(self._heap)
+
+    def find(self) -> Worker | None:
+        """Return the best worker for one more task, None if none may run it."""
+        return self._heap[0][2] if self._heap else None
+
+    def renew(self) -> None:
+        """Weigh the best worker anew, which has got a task since."""
+        _, number, worker = heapq.heappop(self._heap)
+        self._round.heats.pop(worker.entry.id, None)
+        place = self._weigh(number)
+        if place is not None:
+            heapq.heappush(self._heap, place)
+
+    def list(self) -> list[Worker]:
+        """Return all workers that could take a task, the best first."""
+        return [worker for _, _, worker in sorted(self._heap, key=lambda place: place[:2])]
+
+    def _weigh(self, number: int) -> tuple[float, int, Worker] | None:
+        worker = self._able[number]
+        step = self._step
+        if not _may_run(worker, self._group, step) or _is_kept(worker, self._live, self._round.now):
+            return None
+        if step.fills:
+            cost = _weigh_filling(self._round, worker, step)
+        else:
+            cost = _weigh(worker, self._group, step)
+        if cost is None:
+            return None
+        rack = self._live.racks.get(self._group, "")
+        return cost + _weigh_place(worker, step, rack, self._round.now), number, worker
+
+
 def list_able(cell: Cell, now: Now) -> list[Worker]:
     """Return the workers that may get something new."""
     return [worker for worker in cell.workers.values() if _is_able(worker, now)]
 
 
-def choose_worker(
-    live: LiveJob, group: Group, step: Step, able: Iterable[Worker], sharing: Sharing, now: Now
-) -> Worker | None:
-    """Return the best worker for one more task of a step, None if none may run it."""
-    places = _weigh_all(live, group, step, able, sharing, now)
-    best = min(places, key=lambda place: place[0], default=None)
-    return best[1] if best else None
-
-
-def list_candidates(
-    live: LiveJob, group: Group, step: Step, able: Iterable[Worker], sharing: Sharing, now: Now
-) -> list[Worker]:
-    """Return the workers that could take one more task of a step, the best first."""
-    places = sorted(_weigh_all(live, group, step, able, sharing, now), key=lambda place: place[0])
-    return [worker for _, worker in places]
-
-
-def _weigh_all(
-    live: LiveJob, group: Group, step: Step, able: Iterable[Worker], sharing: Sharing, now: Now
-) -> Iterator[tuple[float, Worker]]:
-    """Yield the cost of each place that a task of a step could take."""
-    rack = live.racks.get(group, "")
-    for worker in able:
-        if not _may_run(worker, group, step) or _is_kept(worker, live, now):
-            continue
-        cost = _weigh_filling(worker, step, sharing) if step.fills else _weigh(worker, group, step)
-        if cost is not None:
-            yield cost + _weigh_place(worker, step, rack, now), worker
-
-
 def may_last(able: Iterable[Worker], group: Group, step: Step) -> bool:
     """
     Tell whether a lasting task may take a place now.
@@ -159,19 +200,20 @@
     return cost + left + 0.2 * worker.fillers
 
 
-def _weigh_filling(worker: Worker, step: Step, sharing: Sharing) -> float | None:
+def _weigh_filling(round_: Round, worker: Worker, step: Step) -> float | None:
     """Return the cost of a place for a task that fills, None if it would do harm there."""
-    whole = max(1, worker.entry.cpu)
-    asked = (use_cores(sharing, worker, planned=True) + step.cpu) / whole
+    sharing = round_.sharing
+    heat = round_.heat(worker)
+    asked = (heat.cores + step.cpu) / heat.whole
     if asked > FULL:
         return None
     cost = asked if asked <= 1.0 else 1.0 + CROWDED * (asked - 1.0)
-    if not worker.servers:
+    if not heat.served:
         return cost
-    pressure = predict_utilization(sharing, worker, step.image, step.cpu, planned=True)
+    pressure = predict_share(sharing, heat, step.image, step.cpu)
     if pressure > TOO_HOT:
         return None
-    rise = predict_rise(sharing, worker, step.image, step.cpu)
+    rise = predict_rise(sharing, heat, step.image, step.cpu)
     return cost + HARM * max(0.0, pressure + rise - SAFE)
 
 
--- a/toucanpin/scheduling/pacing.py
+++ b/toucanpin/scheduling/pacing.py
@@ -12,11 +12,11 @@
 from toucanpin.scheduling.learning import measure_loads
 from toucanpin.scheduling.orders import PaceOrder
 from toucanpin.scheduling.prediction import (
+    heat_worker,
     measure_use,
     predict_rise,
     predict_rise_of,
-    predict_utilization,
-    use_cores,
+    predict_share,
 )
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
@@ -89,8 +89,9 @@
     cell: Cell, fillers: list[Run], wholly: bool, sharing: Sharing, worker: Worker, now: Now
 ) -> None:
     """Have what fills leave a worker, or stand still there."""
+    heat = heat_worker(sharing, worker, planned=True)
     for run in fillers:
-        rise = predict_rise(sharing, worker, run.step.image, run.step.cpu)
+        rise = predict_rise(sharing, heat, run.step.image, run.step.cpu)
         if not wholly and rise < SLIGHT / 2:
             continue
         if run.step.checkpoints:
@@ -153,23 +154,24 @@
             more = run.step.cpu * (wanted - max(0, run.pace)) // 100
             if more <= 0:
                 break
-            if predict_utilization(sharing, worker, run.step.image, more) < AIM:
+            if predict_share(sharing, heat_worker(sharing, worker), run.step.image, more) < AIM:
                 _set_pace(cell, run, wanted, now)
                 break
 
 
 def _has_better(cell: Cell, sharing: Sharing, worker: Worker, run: Run) -> bool:
     """Tell whether another worker could take a task without harm."""
-    return any(
-        other is not worker
-        and other.reached
-        and not other.silent
-        and other.entry.ready
-        and has_room(other, run.step)
-        and predict_utilization(sharing, other, run.step.image, run.step.cpu, True) < BETTER
-        and use_cores(sharing, other) + run.step.cpu < CROWD * other.entry.cpu
-        for other in cell.workers.values()
-    )
+    for other in cell.workers.values():
+        if other is worker or not other.reached or other.silent or not other.entry.ready:
+            continue
+        if not has_room(other, run.step):
+            continue
+        heat = heat_worker(sharing, other, planned=True)
+        if heat.cores + run.step.cpu >= CROWD * heat.whole:
+            continue
+        if predict_share(sharing, heat, run.step.image, run.step.cpu) < BETTER:
+            return True
+    return False
 
 
 def _moves_freely(run: Run) -> bool:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -10,7 +10,8 @@
 from toucanpin.scheduling.advising import find_ticket
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, add_run, mark_dirty, rank_group
 from toucanpin.scheduling.choosing import (
-    choose_worker,
+    Places,
+    Round,
     fits_rules,
     list_able,
     may_last,
@@ -23,6 +24,7 @@
 
 __all__ = ["place_tasks"]
 
+BARREN = 0.0012  # s a worker for which what found no place isn't weighed again
 MOST_KEPT = 0.12  # of the workers that are kept for large tasks at a time
 MOST_STOPS = 16  # tasks of a step that room is made for at a time; each weighs all workers
 
@@ -32,6 +34,7 @@
     if not cell.waiting:
         return
     able = list_able(cell, now)
+    round_ = Round(sharing, now)
     freed: dict[str, Freed] = {}
     least_urgent = _find_least_urgent(cell)
     for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group)):
@@ -41,9 +44,9 @@
         if live.job.advised:
             allowed = [w for w in able if find_ticket(cell, group, w.entry.id, now)]
         if step.gang:
-            _place_gang(cell, live, group, step, allowed, sharing, now)
+            _place_gang(cell, round_, live, group, step, allowed)
         else:
-            _place_group(cell, live, group, step, allowed, sharing, now)
+            _place_group(cell, round_, live, group, step, allowed)
         if live.job.priority < least_urgent and not step.gang:
             _make_room(cell, group, step, allowed, freed, now)
         able = _keep_for_large(cell, group, step, able)
@@ -92,47 +95,58 @@
 
 
 def _place_group(
-    cell: Cell,
-    live: LiveJob,
-    group: Group,
-    step: Step,
-    able: list[Worker],
-    sharing: Sharing,
-    now: Now,
+    cell: Cell, round_: Round, live: LiveJob, group: Group, step: Step, able: list[Worker]
 ) -> None:
     waiting = cell.waiting[group]
+    if _is_barren(cell, step, round_.now):
+        return
+    places = Places(round_, live, group, step, able)
     for index in sorted(waiting):
         if step.lasting and not may_last(able, group, step):
             return
         task = TaskKey(group.job, group.occurrence, group.step, index)
-        if cell.delayed.get(task, 0.0) > now.steady:
+        if cell.delayed.get(task, 0.0) > round_.now.steady:
             continue
-        worker = _choose(live, group, step, able, sharing, now)
+        worker = places.find()
         if worker is None:
+            _note_barren(cell, live, step, round_.now)
             return
         cell.delayed.pop(task, None)
         waiting.discard(index)
-        _place(cell, live, task, step, worker, now)
+        _place(cell, live, task, step, worker, round_.now)
+        _renew(places, live, group, step, worker)
+
 
+def _renew(places: Places, live: LiveJob, group: Group, step: Step, worker: Worker) -> None:
+    """Weigh places anew after one is taken; tasks that want one rack stay with the first."""
+    places.renew()
+    if step.same_rack and group not in live.racks:
+        live.racks[group] = worker.rack
+        places.renew_all()
 
-def _choose(
-    live: LiveJob, group: Group, step: Step, able: list[Worker], sharing: Sharing, now: Now
-) -> Worker | None:
-    """Choose a worker, and keep the tasks of a step together where they want that."""
-    worker = choose_worker(live, group, step, able, sharing, now)
-    if worker is not None and step.same_rack:
-        live.racks.setdefault(group, worker.rack)
-    return worker
+
+def _is_barren(cell: Cell, step: Step, now: Now) -> bool:
+    """Tell whether an equal or smaller task found no place a moment ago."""
+    cpu, until = cell.barren.get(step.image, (0, 0.0))
+    return step.fills and now.steady < until and step.cpu >= cpu
+
+
+def _note_barren(cell: Cell, live: LiveJob, step: Step, now: Now) -> None:
+    """
+    Remember that a task that fills found no place.
+
+    A long queue would otherwise be weighed against all workers at each end of a task, which takes
+    more processor time than there is between two ends on a few hundred workers.
+    """
+    if not step.fills or step.label or step.per_worker or live.job.advised:
+        return
+    known, until = cell.barren.get(step.image, (step.cpu, 0.0))
+    cpu = min(known, step.cpu) if now.steady < until else step.cpu
+    cell.barren[step.image] = (cpu, now.steady + BARREN * len(cell.workers))
 
 
 def _place_gang(
-    cell: Cell,
-    live: LiveJob,
-    group: Group,
-    step: Step,
-    able: list[Worker],
-    sharing: Sharing,
-    now: Now,
+    cell: Cell, round_: Round, live: LiveJob, group: Group, step: Step, able: list[Worker]
 ) -> None:
     """Place all tasks of a gang or none; a part of one would only wait."""
     waiting = cell.waiting[group]
@@ -145,25 +159,38 @@
     for record in records:
         record.attempt = attempt
         record.checkpoint = checkpoint
-    chosen: list[tuple[TaskKey, Worker]] = []
-    placed: list[Run] = []
-    for index in sorted(waiting):
-        worker = _choose(live, group, step, able, sharing, now)
+    chosen = _find_for_all(round_, live, group, step, able)
+    if len(chosen) < step.count:
+        live.racks.pop(group, None)
+        return
+    for index, worker in zip(sorted(waiting), chosen, strict=True):
+        waiting.discard(index)
+        task = TaskKey(group.job, group.occurrence, group.step, index)
+        _place(cell, live, task, step, worker, round_.now)
+        round_.heats.pop(worker.entry.id, None)
+
+
+def _find_for_all(
+    round_: Round, live: LiveJob, group: Group, step: Step, able: list[Worker]
+) -> list[Worker]:
+    """Return a worker for each task of a gang, fewer if not all find one; nothing is taken yet."""
+    places = Places(round_, live, group, step, able)
+    chosen: list[Worker] = []
+    trial: list[tuple[Worker, Run]] = []
+    for index in range(step.count):
+        worker = places.find()
         if worker is None:
             break
         task = TaskKey(group.job, group.occurrence, group.step, index)
-        chosen.append((task, worker))
         run = Run(task, 0, worker.entry.id, step, Phase.PLACED)
         reserve_run(worker, run)
-        placed.append(run)
-    for run, (_, worker) in zip(placed, chosen, strict=True):
+        trial.append((worker, run))
+        chosen.append(worker)
+        _renew(places, live, group, step, worker)
+    for worker, run in trial:
         release_run(worker, run)
-    if len(chosen) < step.count:
-        live.racks.pop(group, None)
-        return
-    for task, worker in chosen:
-        waiting.discard(task.index)
-        _place(cell, live, task, step, worker, now)
+        round_.heats.pop(worker.entry.id, None)
+    return chosen
 
 
 def _place(cell: Cell, live: LiveJob, task: TaskKey, step: Step, worker: Worker, now: Now) -> None:
--- a/toucanpin/scheduling/prediction.py
+++ b/toucanpin/scheduling/prediction.py
@@ -7,62 +7,91 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Run, Worker
 
-__all__ = ["measure_use", "predict_rise", "predict_rise_of", "predict_utilization", "use_cores"]
+__all__ = ["Heat", "heat_worker", "measure_use", "predict_rise", "predict_rise_of", "predict_share"]
 
 
-def predict_utilization(
-    sharing: Sharing, worker: Worker, image: str, cpu: int, planned: bool = False
-) -> float:
+@dataclass(frozen=True, slots=True)
+class Served:
     """
-    Return the highest utilization on a worker, as a share of what a target allows.
+    Hold how one serving job fares on a worker.
+
+    ``load`` is its utilization without neighbours, ``expected`` and ``measured`` are those with
+    what fills there now; ``limit`` is the one at which it reaches its target.
+    """
+
+    image: str
+    load: float
+    expected: float
+    measured: float
+    limit: float
+
+
+@dataclass(frozen=True, slots=True)
+class Heat:
+    """Hold the cores of a worker, those in use, and how its serving jobs fare."""
+
+    whole: int
+    cores: float
+    served: tuple[Served, ...]
+
 
-    ``cpu`` of an image are thought to run there besides; 0 judges the worker as it is.  With
-    ``planned`` the serving tasks are thought to be as loaded as they soon may be.
+def heat_worker(sharing: Sharing, worker: Worker, planned: bool = False) -> Heat:
+    """
+    Sum up a worker as it is.
+
+    With ``planned`` the serving tasks are thought to be as loaded as they soon may be.
     """
     whole = max(1, worker.entry.cpu)
-    fillers = [run for run in worker.runs.values() if run.step.fills]
+    cores = 0.0
+    amounts: dict[str, float] = {}
+    hottest: dict[str, Run] = {}
+    for run in worker.runs.values():
+        if run.step.target:
+            load = sharing.planned_load(run) if planned else sharing.load(run)
+            cores += run.step.cpu * load
+            other = hottest.get(run.task.job)
+            # Tasks of one job fare alike, so one of them stands for all.
+            if other is None or run.measure > other.measure:
+                hottest[run.task.job] = run
+            continue
+        used = measure_use(run)
+        cores += used
+        if run.step.fills:
+            amounts[run.step.image] = amounts.get(run.step.image, 0.0) + used / whole
+    served = tuple(_sum_up(sharing, run, amounts, planned) for run in hottest.values())
+    return Heat(whole, cores, served)
+
+
+def predict_share(sharing: Sharing, heat: Heat, image: str, cpu: float) -> float:
+    """Return the highest utilization with ``cpu`` of an image more, as a share of its limit."""
     highest = 0.0
-    for run in _find_distinct(worker):
-        serving = run.step.image
-        beside = sum(
-            sharing.effect(serving, other.step.image) * measure_use(other) for other in fillers
-        )
-        more = sharing.effect(serving, image) * cpu
-        load = sharing.planned_load(run) if planned else sharing.load(run)
-        expected = load * (1 + (beside + more) / whole)
-        measured = sharing.utilization(run) + load * more / whole
-        highest = max(highest, max(expected, measured) / sharing.limit(run))
+    for served in heat.served:
+        rise = served.load * sharing.effect(served.image, image) * cpu / heat.whole
+        share = (max(served.expected, served.measured) + rise) / served.limit
+        highest = max(highest, share)
     return highest
 
 
-def predict_rise(sharing: Sharing, worker: Worker, image: str, cpu: float) -> float:
+def predict_rise(sharing: Sharing, heat: Heat, image: str, cpu: float) -> float:
     """Return the most that ``cpu`` of an image add to a serving task's utilization."""
-    rises = (predict_rise_of(sharing, worker, run, image, cpu) for run in _find_distinct(worker))
-    return max(rises, default=0.0)
+    highest = 0.0
+    for served in heat.served:
+        rise = served.load * sharing.effect(served.image, image) * cpu / heat.whole
+        highest = max(highest, rise)
+    return highest
 
 
 def predict_rise_of(
     sharing: Sharing, worker: Worker, serving: Run, image: str, cpu: float
 ) -> float:
     """Return what ``cpu`` of an image add to the utilization of one serving task."""
-    whole = max(1, worker.entry.cpu)
     effect = sharing.effect(serving.step.image, image)
-    return sharing.planned_load(serving) * effect * cpu / whole
-
-
-def use_cores(sharing: Sharing, worker: Worker, planned: bool = False) -> float:
-    """Return the cores that a worker's tasks use together, in thousandths."""
-    total = 0.0
-    for run in worker.runs.values():
-        if run.step.target:
-            load = sharing.planned_load(run) if planned else sharing.load(run)
-            total += run.step.cpu * load
-        else:
-            total += measure_use(run)
-    return total
+    return sharing.planned_load(serving) * effect * cpu / max(1, worker.entry.cpu)
 
 
 def measure_use(run: Run) -> float:
@@ -74,12 +103,8 @@
     return run.measure or run.step.cpu
 
 
-def _find_distinct(worker: Worker) -> list[Run]:
-    """Return one serving task of each job: those of one job fare alike."""
-    hottest: dict[str, Run] = {}
-    for run in worker.runs.values():
-        if run.step.target:
-            other = hottest.get(run.task.job)
-            if other is None or run.measure > other.measure:
-                hottest[run.task.job] = run
-    return list(hottest.values())
+def _sum_up(sharing: Sharing, run: Run, amounts: dict[str, float], planned: bool) -> Served:
+    image = run.step.image
+    growth = sum(share * sharing.effect(image, filling) for filling, share in amounts.items())
+    load = sharing.planned_load(run) if planned else sharing.load(run)
+    return Served(image, load, load * (1 + growth), sharing.utilization(run), sharing.limit(run))
--- a/toucanpin/scheduling/sharing.py
+++ b/toucanpin/scheduling/sharing.py
@@ -62,13 +62,15 @@
     """
     Hold a job's utilization without neighbours, and when it was measured.
 
-    ``clean`` says that tasks with harmless neighbours showed it; ``recent`` are measurements.
+    ``clean`` says that tasks with harmless neighbours showed it; ``recent`` are measurements;
+    ``rise`` is by how much it may soon grow.
     """
 
     value: float
     at: float
     clean: bool
     recent: deque[tuple[float, float]]
+    rise: float = UNSURE_RISE
 
     def slope(self) -> float:
         """Return by how much it rises in a second."""
@@ -145,8 +147,7 @@
         known = self.loads.get(run.task.job)
         if known is None:
             return FIRST_LOAD * self.limit(run)
-        rise = UNSURE_RISE + AHEAD * max(0.0, known.slope())
-        return max(known.value, min(known.value + rise, HIGH_TIDE * self.limit(run)))
+        return max(known.value, min(known.value + known.rise, HIGH_TIDE * self.limit(run)))
 
     def note_tail(self, image: str, tail: float, now: float) -> None:
         """Take note of a tail, which may be the lowest of its image."""
@@ -169,6 +170,7 @@
         known.recent.append((now, value))
         while known.recent[0][0] < now - WINDOW:
             known.recent.popleft()
+        known.rise = UNSURE_RISE + AHEAD * max(0.0, known.slope())
 
     def learn(
         self, now: float, serving: str, factor: float, noise: float, amounts: dict[str, float]
--- a/toucanpin/scheduling/tests/test_sharing.py
+++ b/toucanpin/scheduling/tests/test_sharing.py
@@ -9,7 +9,7 @@
 from toucanpin.scheduling.learning import learn_effects, measure_loads
 from toucanpin.scheduling.orders import PaceOrder, StopOrder, WorkerEntry
 from toucanpin.scheduling.pacing import OVER_TOO_LONG, control_pace
-from toucanpin.scheduling.prediction import predict_utilization
+from toucanpin.scheduling.prediction import heat_worker, predict_share
 from toucanpin.scheduling.sharing import CAUTION, PRIOR_DEVIATION, PRIOR_EFFECT, Effect, Sharing
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
@@ -79,8 +79,9 @@
         self._add("w0", "s", SERVES, 0, _tail(0.4))
         self._observe(10.0)
         worker = self.cell.workers["w0"]
-        alone = predict_utilization(self.sharing, worker, "batch", 0)
-        beside = predict_utilization(self.sharing, worker, "batch", 6_000)
+        heat = heat_worker(self.sharing, worker)
+        alone = predict_share(self.sharing, heat, "batch", 0)
+        beside = predict_share(self.sharing, heat, "batch", 6_000)
         self.assertGreater(beside, alone)
 
     def test_a_harmful_task_that_can_resume_leaves(self) -> None:
