Serve metrics, bound the logs, tell the story of an id

Cause: on-call engineers had no metrics of the entry process; its log had no limit, and a reader that stood still would have stopped it at a full pipe; lines of several hosts could not be put in order. Tests: test_logs.py, test_metrics.py, cli test_explain.py.

--- /dev/null
+++ b/toucanpin/cli/explain.py
@@ -0,0 +1,128 @@
+"""
+Command ``explain``
+===================
+
+Tell what became of a job or of a worker, from the logs of all processes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import IO, Any
+
+import click
+import msgspec
+
+from toucanpin.cli.exits import ExitCode
+
+__all__ = ["Line", "explain", "parse_lines", "select_story"]
+
+# What surrounds a story: it concerns every job of a cell or host, whatever the id asked for.
+BACKGROUND = (
+    "cell.taken",
+    "cell.lost",
+    "configuration.applied",
+    "process.draining",
+    "process.started",
+    "store.lost",
+    "store.regained",
+)
+HIDDEN = ("time", "clock", "level", "host", "event", "message")
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """Hold one log line; ``clock`` is the table's, in ms, which all hosts share."""
+
+    clock: int
+    time: str
+    host: str
+    event: str
+    fields: dict[str, Any]
+
+
+def parse_lines(lines: Iterable[str]) -> Iterator[Line]:
+    """Yield the log lines among others, whatever a collector has put before them."""
+    for text in lines:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = msgspec.json.decode(text[start:])
+        except msgspec.MsgspecError:
+            continue
+        if isinstance(fields, dict) and "event" in fields:
+            yield Line(
+                int(fields.get("clock") or 0),
+                str(fields.get("time", "")),
+                str(fields.get("host", "")),
+                str(fields["event"]),
+                {key: value for key, value in fields.items() if key not in HIDDEN},
+            )
+
+
+def select_story(lines: Iterable[Line], identifier: str, background: bool) -> list[Line]:
+    """
+    Return the lines about a job or worker in their order.
+
+    Hosts' times of day differ and jump, so the table's clock orders them; lines of before it was
+    known come by time.
+    """
+    found = sorted(lines, key=lambda line: (line.clock, line.time))
+    about = [line for line in found if _concerns(line, identifier)]
+    if not about or not background:
+        return about
+    first, last = about[0].clock, about[-1].clock
+    return [
+        line
+        for line in found
+        if _concerns(line, identifier) or (line.event in BACKGROUND and first <= line.clock <= last)
+    ]
+
+
+def _concerns(line: Line, identifier: str) -> bool:
+    return any(
+        isinstance(value, str) and identifier in value
+        for key, value in line.fields.items()
+        if key in ("job", "task", "worker", "path", "machine")
+    )
+
+
+def _write(line: Line, begun: int) -> str:
+    after = (line.clock - begun) / 1_000 if line.clock and begun else 0.0
+    fields = " ".join(f"{key}={value}" for key, value in line.fields.items())
+    return f"{after:9.3f} s  {line.host:24} {line.event:22} {fields}"
+
+
+@click.command(epilog="""\b
+Examples:
+  toucanpin explain 5c0e7a21d94b36f8 entry-1.log entry-2.log entry-3.log
+  journalctl -u toucanpin -o cat | toucanpin explain i-41da534e4d -
+  toucanpin explain 5c0e7a21d94b36f8 --json *.log""")
+@click.argument("identifier")
+@click.argument("files", nargs=-1, type=click.File("r"), required=True)
+@click.option("--background/--no-background", default=True, help="Show takeovers and restarts.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object a line.")
+def explain(identifier: str, files: tuple[IO[str], ...], background: bool, as_json: bool) -> None:
+    """
+    Tell the story of a job or worker from the logs of all hosts.
+
+    IDENTIFIER is the id of a job, a task (job.occurrence.step.index) or a worker; FILES are logs of
+    entry hosts, - for standard input.  Times count from the first line, on the table's clock.
+    """
+    lines = (line for file in files for line in parse_lines(file))
+    story = select_story(lines, identifier, background)
+    if not story:
+        click.echo(f"no line is about {identifier}", err=True)
+        raise SystemExit(ExitCode.REFUSED)
+    begun = next((line.clock for line in story if line.clock), 0)
+    for line in story:
+        if as_json:
+            click.echo(msgspec.json.encode({"event": line.event, **_plain(line)}).decode())
+        else:
+            click.echo(_write(line, begun))
+
+
+def _plain(line: Line) -> dict[str, Any]:
+    return {"clock": line.clock, "time": line.time, "host": line.host, **line.fields}
--- a/toucanpin/cli/main.py
+++ b/toucanpin/cli/main.py
@@ -14,6 +14,7 @@
 from toucanpin.cli.completion import completion
 from toucanpin.cli.config import config
 from toucanpin.cli.drain import drain
+from toucanpin.cli.explain import explain
 from toucanpin.cli.job import job, standing
 from toucanpin.cli.status import doctor, hosts, status
 from toucanpin.cli.timeline import timeline
@@ -37,6 +38,7 @@
       toucanpin bundle check changeover.toml
       toucanpin status --operators http://127.0.1.1:9080
       toucanpin job submit --callers http://127.0.1.1:8080 job.json
+      toucanpin explain 5c0e7a21d94b36f8 entry-1.log entry-2.log
     """
 
 
@@ -46,6 +48,7 @@
     config,
     doctor,
     drain,
+    explain,
     hosts,
     job,
     standing,
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -14,6 +14,7 @@
 
 from toucanpin.entry.cell_rows import DeposedError
 from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.metrics import ENDS, REFUSED_STARTS
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.workers import WorkerCalls, WorkerReplacedError
@@ -166,6 +167,7 @@
                     await asyncio.sleep(SHORT_RETRY)
             else:
                 if answer.refused is not None:
+                    REFUSED_STARTS.add(1, {"reason": answer.refused.value})
                     _log.info(
                         "start refused",
                         event="task.refused",
@@ -240,6 +242,7 @@
 def _log_ends(worker: Worker, ends: Iterable[Ended]) -> None:
     for ended in ends:
         if ended.sequence > worker.seen:
+            ENDS.add(1, {"end": ended.end.value})
             _log.info(
                 "ended",
                 event="task.ended",
--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import logbook
 import xxhash
@@ -15,6 +16,7 @@
 from toucanpin.entry.advisers import Advisers
 from toucanpin.entry.cell_rows import DeposedError
 from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.metrics import TAKEOVERS
 from toucanpin.entry.owner import Owner
 from toucanpin.entry.rows import HANDOVERS, OWNER_KEY, OWNERS
 from toucanpin.exception import PlatformError
@@ -67,6 +69,10 @@
         """Tell whether this process owns the cell."""
         return self._owner is not None
 
+    def count_waiting(self) -> Counter[str]:
+        """Return how many tasks of each priority wait in the cell, if it is owned."""
+        return self._owner.count_waiting() if self._owner else Counter()
+
     async def run(self) -> None:
         """Contend for ever."""
         watch = Watch()
@@ -127,6 +133,7 @@
         if not isinstance(result, Committed):
             return
         _log.info("cell taken", event="cell.taken", cell=self._cell, token=token, before=before)
+        TAKEOVERS.add(1)
         self._owner = Owner(
             self._store,
             self._clocks,
--- a/toucanpin/entry/logs.py
+++ b/toucanpin/entry/logs.py
@@ -2,35 +2,101 @@
 Logs of the entry process
 =========================
 
-One JSON line for each event, on standard output, with a limit that load can't exceed.
+One JSON line for each event, on standard output, with limits that neither load nor a reader that
+stands still can exceed.
 """
 
 from __future__ import annotations
 
+import os
 import sys
+import time
+from collections.abc import Callable
+from typing import Any
 
 import logbook
 import msgspec
 
-__all__ = ["make_handler"]
+__all__ = ["LineHandler", "make_handler"]
 
+RATE = 600.0  # lines a second; the busiest second of a played day with 80 starts/s wrote 340
+BURST = 3_000.0  # lines that may come at once, such as all tasks at a takeover
+MAX_HELD = 262_144  # bytes that wait for a reader before lines are dropped
 
-def make_handler(host: str) -> logbook.Handler:
-    """Build the handler that writes this process's log."""
-    handler = logbook.StreamHandler(sys.stdout, level=logbook.INFO)
 
-    def write(record: logbook.LogRecord, _: logbook.Handler) -> str:
-        fields = {
+class LineHandler(logbook.Handler):
+    """
+    Write lines without ever blocking; ``dropped`` counts those that found no room.
+
+    A log reader that stands still would otherwise stop the process at a full pipe, with all leases
+    that it holds.
+    """
+
+    def __init__(self, host: str, descriptor: int, clock: Callable[[], int] | None = None) -> None:
+        super().__init__(level=logbook.INFO)
+        self.clock = clock
+        self.dropped = 0
+        self._host = host
+        self._descriptor = descriptor
+        self._held = bytearray()
+        self._tokens = BURST
+        self._filled_at = time.monotonic()
+        self._told = 0
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write one record, or count it."""
+        if not self._take_token() or len(self._held) > MAX_HELD:
+            self.dropped += 1
+            return
+        if self.dropped > self._told:
+            self._told = self.dropped
+            self._write(self._encode_dropped())
+        self._write(self._encode(record))
+
+    def _take_token(self) -> bool:
+        now = time.monotonic()
+        self._tokens = min(BURST, self._tokens + RATE * (now - self._filled_at))
+        self._filled_at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _encode(self, record: logbook.LogRecord) -> bytes:
+        fields: dict[str, Any] = {
             "time": record.time.isoformat(timespec="milliseconds"),
+            "clock": self.clock() if self.clock else 0,
             "level": record.level_name.lower(),
-            "host": host,
+            "host": self._host,
             "event": record.kwargs.get("event") or record.channel,
             "message": record.message,
         }
-        extra = {key: str(value) for key, value in record.kwargs.items() if key != "event"}
+        for key, value in record.kwargs.items():
+            if key != "event":
+                fields[key] = value if isinstance(value, int | float | str) else str(value)
         if record.exc_info:
-            extra["exception"] = record.formatted_exception
-        return msgspec.json.encode({**fields, **extra}).decode()
+            fields["exception"] = record.formatted_exception
+        return msgspec.json.encode(fields) + b"\n"
+
+    def _encode_dropped(self) -> bytes:
+        fields = {"level": "warning", "host": self._host, "event": "log.dropped"}
+        return msgspec.json.encode({**fields, "lines": self.dropped}) + b"\n"
+
+    def _write(self, line: bytes) -> None:
+        self._held += line
+        try:
+            written = os.write(self._descriptor, self._held)
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody reads any more, which is no reason to stop serving.
+            self._held.clear()
+            return
+        del self._held[:written]
 
-    handler.formatter = write
-    return handler
+
+def make_handler(host: str) -> LineHandler:
+    """Build the handler that writes this process's log."""
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    return LineHandler(host, descriptor)
--- /dev/null
+++ b/toucanpin/entry/metrics.py
@@ -0,0 +1,131 @@
+"""
+Metrics of the entry process
+============================
+
+OpenTelemetry instruments, and the text that operators' collectors read.
+
+Notes
+-----
+The instruments come from the API, which costs 9 ms of processor time to import.  The library that
+counts costs 63 ms and is loaded once the process serves, since its start is part of each recovery.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from opentelemetry import metrics
+
+from toucanpin.http import Request, Response, Server
+
+__all__ = [
+    "ENDS",
+    "LAG",
+    "REFUSED_STARTS",
+    "REQUESTS",
+    "REQUEST_TIME",
+    "STARTS",
+    "START_WAIT",
+    "STORE_CALLS",
+    "TAKEOVERS",
+    "MetricsServer",
+    "watch",
+]
+
+_meter = metrics.get_meter("toucanpin")
+REQUESTS = _meter.create_counter("toucanpin.requests", description="Answers to callers by status")
+REQUEST_TIME = _meter.create_histogram(
+    "toucanpin.request.time", unit="s", description="Seconds until a caller was answered"
+)
+STARTS = _meter.create_counter("toucanpin.starts", description="Tasks placed and written")
+START_WAIT = _meter.create_histogram(
+    "toucanpin.start.wait", unit="s", description="Seconds from acceptance to a task's place"
+)
+REFUSED_STARTS = _meter.create_counter(
+    "toucanpin.starts.refused", description="Starts that a worker refused, by reason"
+)
+ENDS = _meter.create_counter("toucanpin.ends", description="Ends of runs by kind")
+TAKEOVERS = _meter.create_counter("toucanpin.takeovers", description="Cells taken by this host")
+STORE_CALLS = _meter.create_counter(
+    "toucanpin.store.calls", description="Calls of the store by outcome"
+)
+LAG = _meter.create_histogram(
+    "toucanpin.loop.lag", unit="s", description="Seconds that a turn of the loop came late"
+)
+BOUNDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)  # s
+
+Gauge = Callable[[], dict[str, float]]
+
+
+def watch(name: str, description: str, label: str, read: Gauge) -> None:
+    """Show the values that ``read`` returns, each under its value of ``label``."""
+
+    def observe(_: metrics.CallbackOptions) -> Iterable[metrics.Observation]:
+        return [metrics.Observation(value, {label: key}) for key, value in read().items()]
+
+    _meter.create_observable_gauge(name, callbacks=[observe], description=description)
+
+
+class MetricsServer:
+    """Serve all instruments as text at one address and path."""
+
+    def __init__(self, address: str, path: str) -> None:
+        self._address = address
+        self._path = path
+        self._reader: Any = None
+        self._server = Server(self._answer, 16_384, 1_024)
+
+    async def run(self) -> None:
+        """Load what counts, and listen."""
+        from opentelemetry.sdk.metrics import MeterProvider
+        from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+        from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+
+        self._reader = InMemoryMetricReader()
+        buckets = ExplicitBucketHistogramAggregation(BOUNDS)
+        views = [
+            View(instrument_name=name, aggregation=buckets)
+            for name in ("toucanpin.request.time", "toucanpin.start.wait", "toucanpin.loop.lag")
+        ]
+        metrics.set_meter_provider(MeterProvider(metric_readers=[self._reader], views=views))
+        await self._server.listen(self._address)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._server.drain(0.0)
+
+    async def _answer(self, request: Request) -> Response:
+        if request.path.partition("?")[0] != self._path:
+            return Response(404)
+        return Response(200, self.write_text().encode())
+
+    def write_text(self) -> str:
+        """Return all metrics in the text form that collectors read."""
+        data = self._reader.get_metrics_data() if self._reader else None
+        if data is None:
+            return ""
+        found = (
+            metric
+            for resource in data.resource_metrics
+            for scope in resource.scope_metrics
+            for metric in scope.metrics
+        )
+        return "".join(f"{line}\n" for metric in found for line in _write_metric(metric))
+
+
+def _write_metric(metric: Any) -> Iterator[str]:
+    name = metric.name.replace(".", "_")
+    yield f"# HELP {name} {metric.description}"
+    for point in metric.data.data_points:
+        labels = [f'{key}="{value}"' for key, value in (point.attributes or {}).items()]
+        if not hasattr(point, "bucket_counts"):
+            yield f"{name}{{{','.join(labels)}}} {point.value}"
+            continue
+        total = 0
+        for bound, count in zip((*BOUNDS, "+Inf"), point.bucket_counts, strict=True):
+            total += count
+            inner = ",".join([*labels, f'le="{bound}"'])
+            yield f"{name}_bucket{{{inner}}} {total}"
+        yield f"{name}_count{{{','.join(labels)}}} {point.count}"
+        yield f"{name}_sum{{{','.join(labels)}}} {point.sum}"
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Coroutine, Iterable
 
 import logbook
@@ -16,6 +17,7 @@
 from toucanpin.entry.cell_rows import CellRows, DeposedError
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.metrics import START_WAIT, STARTS
 from toucanpin.entry.rows import JOBS, list_job_parts, split_key
 from toucanpin.entry.waves import Waves
 from toucanpin.exception import PlatformError
@@ -119,6 +121,13 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
             self._workers.close()
 
+    def count_waiting(self) -> Counter[str]:
+        """Return how many tasks of each priority wait for a place."""
+        counts: Counter[str] = Counter()
+        for group, indices in self._cell.waiting.items():
+            counts[str(self._cell.jobs[group.job].job.priority)] += len(indices)
+        return counts
+
     def resign(self) -> None:
         """Give the cell up with the next write."""
         self._resigning = True
@@ -158,7 +167,7 @@
             started = apply_batch(self._cell, batch)
             self._workers.note_written()
             for run in started:
-                _log_place(run)
+                self._note_place(run)
                 self._spawn(self._workers.start(run))
             if not self._rows.record.host:
                 raise DeposedError("resigned")
@@ -239,6 +248,22 @@
                 forget_ended(self._cell, now, self._bounds.keep_ended + KEEP_MARGIN)
             self._after_change()
 
+    def _note_place(self, run: Run) -> None:
+        live = self._cell.jobs.get(run.task.job)
+        waited = (self._clocks.now().table - live.job.accepted) / 1_000 if live else 0.0
+        STARTS.add(1)
+        if live is not None and not live.job.repeats and run.attempt == 1:
+            START_WAIT.record(max(0.0, waited), {"priority": live.job.priority})
+        _log.info(
+            "placed",
+            event="task.placed",
+            job=run.task.job,
+            task=format_task(run.task),
+            attempt=run.attempt,
+            worker=run.worker,
+            age=round(waited, 3),
+        )
+
     def _after_change(self) -> None:
         orders = self._cell.orders
         self._cell.orders = []
@@ -254,14 +279,3 @@
         yield decode_worker(row.key, row.value)
     except PlatformError as error:
         _log.warning("worker's entry unreadable", event="worker.unreadable", reason=error)
-
-
-def _log_place(run: Run) -> None:
-    _log.info(
-        "placed",
-        event="task.placed",
-        job=run.task.job,
-        task=format_task(run.task),
-        attempt=run.attempt,
-        worker=run.worker,
-    )
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -17,6 +17,7 @@
 
 import logbook
 
+from toucanpin.entry.metrics import STORE_CALLS
 from toucanpin.exception import WireError
 from toucanpin.http import Answer, CallError, Client
 from toucanpin.verdict import Verdict
@@ -82,9 +83,12 @@
             try:
                 answer = await self._direct.call(method, path, body, timeout=direct_timeout)
                 if answer.status not in _REFUSED:
+                    STORE_CALLS.add(1, {"outcome": "answered"})
                     return answer
+                STORE_CALLS.add(1, {"outcome": "refused"})
                 refusal = answer
             except CallError as error:
+                STORE_CALLS.add(1, {"outcome": "failed"})
                 failure = error
                 unsure = not error.certain
             self._note_failure()
@@ -94,6 +98,7 @@
             try:
                 answer = await self._relay(method, path, body, deadline - time.monotonic())
                 if answer.status not in _REFUSED:
+                    STORE_CALLS.add(1, {"outcome": "relayed"})
                     return answer
                 self._useless_until = time.monotonic() + USELESS
                 refusal = answer
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -18,6 +18,7 @@
 
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.configuration import FRESH, ConfigurationWatch
+from toucanpin.entry.metrics import REQUEST_TIME, REQUESTS
 from toucanpin.entry.rows import COUNTS, JOBS, PROGRESS, cancel_key, job_part
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError, Request, Response
@@ -73,6 +74,9 @@
         """Answer one request of a caller; one that isn't served leaves a line."""
         begun = steady_time()
         response = await self._answer(request)
+        took = steady_time() - begun
+        REQUESTS.add(1, {"method": request.method, "status": response.status if response else 0})
+        REQUEST_TIME.record(took, {"method": request.method})
         if response is not None and response.status >= 500:
             _log.warning(
                 "request not served",
@@ -80,7 +84,7 @@
                 method=request.method,
                 path=request.path,
                 status=response.status,
-                took=round(steady_time() - begun, 3),
+                took=round(took, 3),
                 configuration_age=round(begun - self._configuration.confirmed, 3),
             )
         return response
@@ -128,7 +132,14 @@
             return Response(400, msgspec.json.encode({"error": fault}))
         put = Put(JOBS, identifier, encode_job(job))
         written = await self._write(job_part(queue.service, identifier), put, deadline)
-        _log.info("job handed in", event="job.submitted", job=identifier, written=written)
+        _log.info(
+            "job handed in",
+            event="job.submitted",
+            job=identifier,
+            queue=queue.name,
+            tasks=sum(step.count for step in job.steps),
+            written=written,
+        )
         match written:
             case True:
                 return Response(200)
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -12,6 +12,7 @@
 import signal
 import time
 import traceback
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -21,6 +22,8 @@
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.configuration import ConfigurationWatch
 from toucanpin.entry.contender import Contender
+from toucanpin.entry.logs import LineHandler
+from toucanpin.entry.metrics import LAG, MetricsServer, watch
 from toucanpin.entry.peers import Peers
 from toucanpin.entry.relay import RelayedStore, RelayServer
 from toucanpin.entry.requests import Requests
@@ -36,6 +39,7 @@
 UNREADY_AFTER = 2.5  # s without the table after which new connections should go elsewhere
 # The balancer asks each second and needs two misses; connections opened until then are served.
 LINGER = 2.6
+LAG_PERIOD = 0.25  # s between measurements of the loop's lag
 AFTER_FAULT = 0.3  # s after which a part that failed is begun again
 EXIT_MARGIN = 1.2  # s before the platform kills the process
 
@@ -43,7 +47,12 @@
 class EntryProcess:
     """Run everything of one entry host."""
 
-    def __init__(self, settings: HostSettings) -> None:
+    def __init__(
+        self,
+        settings: HostSettings,
+        metrics: tuple[int, str] | None = None,
+        logs: LineHandler | None = None,
+    ) -> None:
         self._settings = settings
         self._life = secrets.token_hex(6)
         direct = Client(settings.store)
@@ -63,6 +72,12 @@
         self._contenders: dict[str, Contender] = {}
         self._tasks: set[asyncio.Task] = set()
         self._leaving = False
+        self._metrics: MetricsServer | None = None
+        if metrics is not None:
+            self._metrics = MetricsServer(f"{settings.address}:{metrics[0]}", metrics[1])
+            self._show_gauges(logs)
+        if logs is not None:
+            logs.clock = lambda: self._clocks.now().table
 
     async def run(self) -> None:
         """Run until SIGTERM."""
@@ -83,6 +98,9 @@
             self._spawn(self._peers.run)
         self._spawn(self._configuration.run)
         self._spawn(self._contend)
+        if self._metrics is not None:
+            self._spawn(self._metrics.run)
+            self._spawn(_measure_lag)
         _log.info("started", event="process.started", life=self._life)
 
     def owned_cells(self) -> tuple[str, ...]:
@@ -102,6 +120,8 @@
         await self._front.drain(0.0)
         await self._readiness.drain(0.0)
         self._relay.close()
+        if self._metrics is not None:
+            await self._metrics.close()
 
     async def shut_down(self) -> None:
         """Give up what is owned, answer what was read, then close."""
@@ -117,6 +137,27 @@
         await asyncio.sleep(0.05)
         _log.info("stopped", event="process.stopped")
 
+    def _show_gauges(self, logs: LineHandler | None) -> None:
+        watch("toucanpin.cells.owned", "1 for each cell of this host", "cell", self._read_cells)
+        watch("toucanpin.tasks.waiting", "Tasks that wait here", "priority", self._read_waiting)
+        watch("toucanpin.configuration", "Version and age in s", "what", self._age)
+        if logs is not None:
+            watch("toucanpin.log.dropped", "Lines", "why", lambda: {"limit": logs.dropped})
+
+    def _read_cells(self) -> dict[str, float]:
+        return dict.fromkeys(self.owned_cells(), 1.0)
+
+    def _read_waiting(self) -> dict[str, float]:
+        counts: Counter[str] = Counter()
+        for contender in self._contenders.values():
+            counts.update(contender.count_waiting())
+        return dict(counts)
+
+    def _age(self) -> dict[str, float]:
+        current = self._configuration.current
+        age = steady_time() - self._configuration.confirmed
+        return {"version": current.version if current else 0, "age": age}
+
     async def _contend(self) -> None:
         """Contend for the cell of each service that the configuration names."""
         while True:
@@ -152,6 +193,14 @@
         task.add_done_callback(self._tasks.discard)
 
 
+async def _measure_lag() -> None:
+    """Record by how much the loop's turns come late."""
+    while True:
+        due = time.monotonic() + LAG_PERIOD
+        await asyncio.sleep(LAG_PERIOD)
+        LAG.record(max(0.0, time.monotonic() - due))
+
+
 async def _keep_running(part: Callable[[], Coroutine[Any, Any, None]]) -> None:
     """
     Run a part of the process, and again whenever it fails.
--- /dev/null
+++ b/toucanpin/entry/tests/test_logs.py
@@ -0,0 +1,78 @@
+"""Log lines under load, and with a reader that stands still."""
+
+from __future__ import annotations
+
+import os
+import unittest
+
+import logbook
+import msgspec
+
+from toucanpin.entry.logs import BURST, LineHandler
+
+
+class LineHandlerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        os.set_blocking(self.writer, False)
+        os.set_blocking(self.reader, False)
+        self.handler = LineHandler("h", self.writer, lambda: 77)
+
+    def _log(self, count: int, text: str = "x") -> None:
+        with self.handler.applicationbound():
+            log = logbook.Logger("part")
+            for number in range(count):
+                log.info(text, event="part.event", number=number)
+
+    def _read(self) -> list[dict]:
+        parts = []
+        while True:
+            try:
+                parts.append(os.read(self.reader, 65_536))
+            except BlockingIOError:
+                return [msgspec.json.decode(line) for line in b"".join(parts).splitlines()]
+
+    def test_a_line_holds_host_clock_event_and_fields(self) -> None:
+        self._log(1)
+        (line,) = self._read()
+        self.assertEqual(("h", 77, "part.event", 0), tuple(line[k] for k in _KEYS))
+        os.close(self.writer)
+
+    def test_a_reader_that_stands_still_stops_nothing(self) -> None:
+        """
+        A log collector hangs and the pipe fills up.  A write that waited would stop the process
+        with all leases that it holds; instead lines wait, and then are counted as dropped.
+        """
+        self._log(1_500, "x" * 2_000)
+        self.assertGreater(self.handler.dropped, 0)
+        os.close(self.writer)
+
+    def test_load_is_bounded_and_what_was_dropped_is_told(self) -> None:
+        self.addCleanup(os.close, self.writer)
+        written = 0
+        for _ in range(int(BURST) // 100 + 10):
+            self._log(100)
+            written += len(self._read())
+        self.assertGreater(self.handler.dropped, 0)
+        self.assertLess(written, BURST + 900)
+        dropped = self.handler.dropped
+        self.handler._tokens = 10.0
+        self._log(1)
+        told = self._read()
+        self.assertEqual(("log.dropped", dropped), (told[0]["event"], told[0]["lines"]))
+
+    def test_a_reader_that_is_gone_stops_nothing(self) -> None:
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.handler = LineHandler("h", writer)
+        self._log(3)
+        os.close(writer)
+        os.close(self.writer)
+
+
+_KEYS = ("host", "clock", "event", "number")
+
+
+if __name__ == "__main__":
+    unittest.main()
