Read each entry of a table alone, and estimate the table's clock from its quickest answers

Cause, entries: one value that isn't base64 made a whole page unreadable; an address such as 'word' or port 99999 raised in the owner's loop, so every host took the cell in turn and failed; an entry without a state or a capacity counted as a ready worker. Rows of hosts, keys, effects, jobs, progress, owners, waves and counts were decoded with the same trust. Cause, clocks: a host announced its time of day against the table's clock as of its newest answer, up to 0.6 s old, so every host was ahead, the median too, and timed runs began 260 to 350 ms early. Ruled out: a fixed correction of the announcement (the age differs by host and load); the mean of recent answers (a slow table or a suspended host moves it). Change: each row is decoded and checked alone, told once in the log and counted; a worker whose entry became unsound keeps what it runs and gets nothing more; a job whose progress can't be read is left alone; an owner that can't be read is replaced under a token above all earlier ones. The table's clock is the answer with the least delay, with a stated error; hosts that know it within 20 ms decide the time of day.

--- a/standins/site/worker.py
+++ b/standins/site/worker.py
@@ -40,6 +40,7 @@
         self.looks = 0
         self._store = store
         self._begun = time.monotonic()
+        self._sequence = 1
         self._task: asyncio.Task[None] | None = None
         self._server = Server(self._handle, 16_384, 65_536)
 
@@ -71,7 +72,9 @@
             "state": "ready" if entry.ready else "draining",
             "capacity": {"cpu": entry.cpu, "memMb": entry.memory, "gpu": entry.accelerators},
             "labels": entry.labels,
+            "seq": self._sequence,
         }
+        self._sequence += 1
         self._store.put("servers", entry.id, msgspec.json.encode(fields))
 
     def _now(self) -> float:
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import logbook
 import msgspec
 
 from toucanpin.entry.clocks import steady_time
+from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.rows import (
     COUNTS,
     EFFECTS,
@@ -29,17 +30,17 @@
 )
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
-from toucanpin.platform.store import Committed, Expected, Page, Put, Store
+from toucanpin.platform.store import Committed, Expected, Page, Put, Row, Store
 from toucanpin.scheduling.batches import Batch
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.counting import count_pending
 from toucanpin.scheduling.intake import cancel_job, restore_job, submit_job
-from toucanpin.scheduling.job import decode_job
+from toucanpin.scheduling.job import Job, decode_job, find_job_fault
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
-from toucanpin.scheduling.progress import decode_progress
+from toucanpin.scheduling.progress import Progress, decode_progress, fits_job
 from toucanpin.scheduling.sharing import Learned, Sharing
 
-__all__ = ["CellRows", "DeposedError"]
+__all__ = ["CellRows", "DeposedError", "decode_job_row"]
 
 _log = logbook.Logger("rows")
 RETRY = 0.1  # s before a read is repeated
@@ -59,7 +60,8 @@
     Read and write the rows of one cell.
 
     ``record`` is the owner's row as it was last written, at ``version``; ``written_at`` is when
-    that write was sent.
+    that write was sent.  ``blocked`` names jobs whose progress can't be read: they may have run, so
+    none of their tasks is started.
     """
 
     def __init__(
@@ -70,7 +72,10 @@
         record: OwnerRecord,
         version: int,
         written_at: float,
+        entries: EntryReader,
     ) -> None:
+        self._entries = entries
+        self.blocked: set[str] = set()
         self._store = store
         self._cell = cell
         self._sharing = sharing
@@ -92,24 +97,12 @@
             except (CallError, PlatformError) as error:
                 _log.warning("cell not read", event="cell.unread", reason=error)
                 await asyncio.sleep(RETRY)
-        if learned.rows:
-            effects = msgspec.msgpack.decode(learned.rows[0].value, type=Learned)
+        effects = self._entries.read_one(learned.rows, _decode_learned)
+        if effects is not None:
             self._sharing.restore(effects, now().steady)
-        known = {row.key: decode_progress(row.value) for row in progress.rows}
-        moment = now()
-        cancelled = []
-        for row in jobs.rows:
-            identifier, is_cancel = split_key(row.key)
-            if is_cancel:
-                cancelled.append(identifier)
-                continue
-            job = decode_job(row.value)
-            if identifier in known:
-                restore_job(self._cell, job, known[identifier], moment)
-            else:
-                submit_job(self._cell, job, moment)
-        for identifier in cancelled:
-            cancel_job(self._cell, identifier, moment)
+        known = {row.key: it for row, it in self._entries.read(progress.rows, _decode_progress)}
+        self.blocked = {row.key for row in progress.rows if row.key not in known}
+        self._take_jobs(jobs.rows, known, now())
         _log.info(
             "cell owned",
             event="cell.owned",
@@ -119,6 +112,23 @@
         )
         return jobs.version
 
+    def _take_jobs(self, rows: Sequence[Row], known: dict[str, Progress], now: Now) -> None:
+        own = [row for row in rows if not split_key(row.key)[1]]
+        for row, job in self._entries.read(own, decode_job_row):
+            progress = known.get(row.key)
+            if progress is not None and not fits_job(progress, job):
+                self.blocked.add(row.key)
+                _log.error("progress doesn't fit its job", event="job.blocked", job=row.key)
+            elif row.key in self.blocked:
+                _log.error("progress can't be read", event="job.blocked", job=row.key)
+            elif progress is not None:
+                restore_job(self._cell, job, progress, now)
+            else:
+                submit_job(self._cell, job, now)
+        for identifier, is_cancel in map(split_key, (row.key for row in rows)):
+            if is_cancel:
+                cancel_job(self._cell, identifier, now)
+
     async def read_jobs(self) -> Page:
         """Read the jobs of all parts; ``version`` is the oldest of their moments."""
         pages = [await self._store.read_all(JOBS, part) for part in list_job_parts(self._cell.name)]
@@ -160,7 +170,7 @@
                 self._version = result.version
                 break
             row = result.rows[0]
-            found = decode_owner(row.value) if row.version else None
+            found = self._entries.read_one((row,), _decode_owner) if row.version else None
             if found == record:
                 # An earlier try whose answer was lost was carried out.
                 self._version = row.version
@@ -204,3 +214,24 @@
         return [
             Put(COUNTS, queue, msgspec.msgpack.encode(count)) for queue, count in changed.items()
         ]
+
+
+def decode_job_row(row: Row) -> Job:
+    """Decode a job's row; one that names another job, or no possible one, isn't a job."""
+    job = decode_job(row.value)
+    fault = find_job_fault(job)
+    if fault or job.id != row.key:
+        raise PlatformError(fault or f"the row holds the job {job.id!r}")
+    return job
+
+
+def _decode_progress(row: Row) -> Progress:
+    return decode_progress(row.value)
+
+
+def _decode_learned(row: Row) -> Learned:
+    return msgspec.msgpack.decode(row.value, type=Learned)
+
+
+def _decode_owner(row: Row) -> OwnerRecord:
+    return decode_owner(row.value)
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Collection, Coroutine, Iterable
 
 import logbook
 
@@ -78,9 +78,11 @@
         for calls in self._calls.values():
             calls.close()
 
-    def take_entries(self, entries: Iterable[WorkerEntry]) -> None:
+    def take_entries(
+        self, entries: Iterable[WorkerEntry], unsound: Collection[str] = frozenset()
+    ) -> None:
         """Take up the workers' own entries, and speak to those that are new."""
-        for worker in list_workers(self._cell, entries, self._clocks.now()):
+        for worker in list_workers(self._cell, entries, self._clocks.now(), unsound):
             entry = worker.entry
             self._calls[entry.id] = WorkerCalls(entry.id, entry.address)
             self._spawn(self._hold(worker))
--- a/toucanpin/entry/clocks.py
+++ b/toucanpin/entry/clocks.py
@@ -12,30 +12,28 @@
 
 from toucanpin.platform.store import Store
 from toucanpin.scheduling.cell import Now
+from toucanpin.scheduling.timing import ClockEstimate
+from toucanpin.steady import steady_time
 
 AGREEING = 3  # hosts from which on their median decides
+UNKNOWN_ERROR = 60_000  # ms: an estimate of which nothing is known
 
-__all__ = ["Clocks", "steady_time"]
+__all__ = ["AGREEING", "Clocks", "measure_wall", "steady_time"]
 
 
 class Clocks:
-    """Read the clocks; the table's is carried on from its newest answer."""
+    """Read the clocks; the table's is estimated from its answers."""
 
-    __slots__ = ("_base", "_base_at", "_store", "offsets")
+    __slots__ = ("_store", "offsets")
 
     def __init__(self, store: Store) -> None:
         self._store = store
         self.offsets: Callable[[], Sequence[int]] = tuple
-        self._base = 0
-        self._base_at = 0.0
 
     def now(self) -> Now:
         """Return all clocks as they are."""
         steady = steady_time()
-        if self._store.clock > self._base:
-            self._base = self._store.clock
-            self._base_at = steady
-        table = self._base + int((steady - self._base_at) * 1_000)
+        table = int(self._store.estimate.read(steady))
         return Now(steady, table, self._read_wall(table))
 
     def _read_wall(self, table: int) -> int:
@@ -47,16 +45,20 @@
         doesn't move the median.
         """
         offsets = sorted(self.offsets())
-        if len(offsets) < AGREEING or not self._base:
+        if len(offsets) < AGREEING or not self._store.estimate.known:
             return time.time_ns() // 1_000_000
         return table + offsets[len(offsets) // 2]
 
 
-def steady_time() -> float:
+def measure_wall(table: ClockEstimate) -> tuple[int, int]:
     """
-    Return the time since the machine began, in seconds.
+    Return how far the time of day is ahead of the table's clock, and the error of that, in ms.
 
-    It counts the time for which the machine was suspended: an owner that wakes would otherwise
-    think that the table has confirmed it a moment ago.
+    A process may be suspended between two readings, so the time that they took is part of the
+    error.
     """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+    before = steady_time()
+    wall = time.time_ns() / 1_000_000
+    after = steady_time()
+    error = min(float(UNKNOWN_ERROR), table.error(after) + (after - before) * 1_000)
+    return round(wall - table.read((before + after) / 2)), int(error)
--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -28,12 +28,13 @@
 class ConfigurationWatch:
     """Follow the operators' document; a lower version than one in force is never taken."""
 
-    __slots__ = ("_lock", "_store", "_value", "confirmed", "current")
+    __slots__ = ("_lock", "_store", "_unreadable", "_value", "confirmed", "current")
 
     def __init__(self, store: Store) -> None:
         self._store = store
         self._lock = asyncio.Lock()
         self._value = b""
+        self._unreadable: bytes | None = None
         self.current: Configuration | None = None
         self.confirmed = 0.0  # local time at which the newest successful read was sent
 
@@ -75,9 +76,12 @@
         """Put a document in force unless it is old; return whether it could be read."""
         if value == self._value:
             return True
+        if value == self._unreadable:
+            return False
         try:
             configuration = decode_configuration(value)
         except PlatformError as error:
+            self._unreadable = value
             _log.error("configuration unreadable", event="configuration.unreadable", reason=error)
             return False
         if self.current is not None and configuration.version <= self.current.version:
--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -16,12 +16,13 @@
 from toucanpin.entry.advisers import Advisers
 from toucanpin.entry.cell_rows import DeposedError
 from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.metrics import TAKEOVERS
 from toucanpin.entry.owner import Owner
 from toucanpin.entry.rows import HANDOVERS, OWNER_KEY, OWNERS
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
-from toucanpin.platform.store import Committed, Expected, Put, Store
+from toucanpin.platform.store import Committed, Expected, Put, Row, Store
 from toucanpin.scheduling.ownership import (
     OwnerRecord,
     Watch,
@@ -58,6 +59,7 @@
         self._advisers = advisers
         self._life = life
         self._cell = cell
+        self._entries = EntryReader()
         self._owner: Owner | None = None
         self._leaving = False
         self._resigned = asyncio.Event()
@@ -118,7 +120,7 @@
         page = await self._store.read(OWNERS, self._cell, OWNER_KEY, OWNER_KEY + "\0")
         now = steady_time()
         row = page.rows[0] if page.rows else None
-        record = decode_owner(row.value) if row else None
+        record = _read_owner(row, self._entries) if row else None
         observe(watch, row.version if row else 0, record, now - begun, now)
         return plan_take(watch, self._rank, self._settings.name, self._life)
 
@@ -154,3 +156,14 @@
         self._owner = None
         if not self._leaving:
             await asyncio.sleep(REST)
+
+
+def _read_owner(row: Row, entries: EntryReader) -> OwnerRecord:
+    """
+    Return who owns a cell; nobody does where the row can't be read.
+
+    The token of the last owner isn't known then.  Each owner has written its row at least once, so
+    the store's version of the row is above every token that was ever given.
+    """
+    record = entries.read_one((row,), lambda it: decode_owner(it.value))
+    return record or OwnerRecord("", "", row.version, 0)
--- a/toucanpin/entry/metrics.py
+++ b/toucanpin/entry/metrics.py
@@ -29,6 +29,7 @@
     "START_WAIT",
     "STORE_CALLS",
     "TAKEOVERS",
+    "UNSOUND",
     "MetricsServer",
     "watch",
 ]
@@ -50,6 +51,9 @@
 STORE_CALLS = _meter.create_counter(
     "toucanpin.store.calls", description="Calls of the store by outcome"
 )
+UNSOUND = _meter.create_counter(
+    "toucanpin.entries.unsound", description="Entries of a table that name nothing, once each"
+)
 LAG = _meter.create_histogram(
     "toucanpin.loop.lag", unit="s", description="Seconds that a turn of the loop came late"
 )
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -9,14 +9,15 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine
 
 import logbook
 
 from toucanpin.entry.advisers import Advisers
-from toucanpin.entry.cell_rows import CellRows, DeposedError
+from toucanpin.entry.cell_rows import CellRows, DeposedError, decode_job_row
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.metrics import START_WAIT, STARTS
 from toucanpin.entry.rows import JOBS, list_job_parts, split_key
 from toucanpin.entry.waves import Waves
@@ -30,7 +31,7 @@
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
 from toucanpin.scheduling.intake import begin_due, cancel_job, forget_ended, submit_job
-from toucanpin.scheduling.job import decode_job, format_task
+from toucanpin.scheduling.job import format_task
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.ownership import RENEWAL, OwnerRecord
@@ -82,7 +83,10 @@
         horizon = steady_time() + (0.0 if first else HORIZON)
         self._cell = Cell(name, record.token, horizon, confirmed)
         self._sharing = Sharing()
-        self._rows = CellRows(store, self._cell, self._sharing, record, version, confirmed)
+        self._entries = EntryReader()
+        self._rows = CellRows(
+            store, self._cell, self._sharing, record, version, confirmed, self._entries
+        )
         self._workers = CellWorkers(
             self._cell, self._sharing, clocks, self._spawn, self._after_change
         )
@@ -200,8 +204,10 @@
             identifier, is_cancel = split_key(row.key)
             if is_cancel:
                 cancelled.append(identifier)
-            elif identifier not in self._cell.jobs:
-                job = decode_job(row.value)
+            elif identifier not in self._cell.jobs and identifier not in self._rows.blocked:
+                job = self._entries.read_one((row,), decode_job_row)
+                if job is None:
+                    continue
                 # A row that was dropped since it was read is of a job that has long ended.
                 if now.table - job.accepted < self._bounds.keep_ended * 1_000 or not job.accepted:
                     submit_job(self._cell, job, now)
@@ -218,9 +224,10 @@
                 _log.warning("workers not read", event="workers.unread", reason=error)
                 await asyncio.sleep(RETRY)
                 continue
-            entries = (entry for row in page.rows for entry in _read_worker(row))
-            own = [entry for entry in entries if entry.service == self._cell.name]
-            self._workers.take_entries(own)
+            sound = {row.key: entry for row, entry in self._entries.read(page.rows, _decode_entry)}
+            own = [entry for entry in sound.values() if entry.service == self._cell.name]
+            unsound = {row.key for row in page.rows if row.key not in sound}
+            self._workers.take_entries(own, unsound)
             await asyncio.sleep(LIST_PERIOD)
 
     async def _advise(self, order: AdviceOrder) -> None:
@@ -273,9 +280,5 @@
             self._wake.set()
 
 
-def _read_worker(row: Row) -> Iterable[WorkerEntry]:
-    """Yield a worker's entry; one that can't be read must not hide the others."""
-    try:
-        yield decode_worker(row.key, row.value)
-    except PlatformError as error:
-        _log.warning("worker's entry unreadable", event="worker.unreadable", reason=error)
+def _decode_entry(row: Row) -> WorkerEntry:
+    return decode_worker(row.key, row.value)
--- a/toucanpin/entry/peers.py
+++ b/toucanpin/entry/peers.py
@@ -14,9 +14,12 @@
 import logbook
 import msgspec
 
+from toucanpin.entry.clocks import AGREEING, measure_wall
+from toucanpin.entry.entries import EntryReader
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
-from toucanpin.platform.store import Committed, Expected, Put, Store
+from toucanpin.platform.addresses import check_address
+from toucanpin.platform.store import Committed, Expected, Put, Row, Store
 from toucanpin.scheduling.settings import HostSettings
 
 __all__ = ["Peer", "Peers"]
@@ -29,6 +32,8 @@
 READ = 2.0  # s between reads of the others
 GONE = 15.0  # s without an announcement after which a host isn't asked for anything
 RETRY = 0.3  # s after a failure
+KEY_BYTES = 32
+EXACT = 20  # ms of error up to which a host's time of day decides when work is due
 
 
 class Peer(msgspec.Struct, frozen=True, array_like=True):
@@ -36,7 +41,7 @@
     Announce one host.
 
     ``announced`` is on the table's clock; ``wall`` is how far the host's time of day is ahead of
-    the table's clock, both in ms.
+    the table's clock and ``error`` how wrong that may be, all in ms.
     """
 
     name: str
@@ -44,17 +49,18 @@
     port: int
     announced: int
     wall: int
+    error: int = 0
 
 
 class Peers:
     """Keep the list of hosts and announce this one."""
 
-    __slots__ = ("_settings", "_store", "_version", "known", "secret")
+    __slots__ = ("_entries", "_settings", "_store", "known", "secret")
 
     def __init__(self, store: Store, settings: HostSettings) -> None:
         self._store = store
         self._settings = settings
-        self._version = -1
+        self._entries = EntryReader()
         self.known: tuple[Peer, ...] = ()
         self.secret = b""
 
@@ -82,31 +88,52 @@
         return tuple(peer for peer in self.known if peer.name != name and peer.announced > limit)
 
     def wall_offsets(self) -> tuple[int, ...]:
-        """Return how far each host's time of day is ahead of the table's clock, in ms."""
+        """
+        Return how far each host's time of day is ahead of the table's clock, in ms.
+
+        Where enough hosts know it well, those that know it badly aren't asked.
+        """
         limit = self._store.clock - int(GONE * 1_000)
-        return tuple(peer.wall for peer in self.known if peer.announced > limit)
+        fresh = [peer for peer in self.known if peer.announced > limit]
+        exact = [peer for peer in fresh if peer.error <= EXACT]
+        return tuple(peer.wall for peer in (exact if len(exact) >= AGREEING else fresh))
 
     async def _announce(self) -> None:
         settings = self._settings
+        wall, error = measure_wall(self._store.estimate)
         clock = self._store.clock
-        wall = time.time_ns() // 1_000_000 - clock
-        peer = Peer(settings.name, settings.address, settings.inner_port, clock, wall)
+        peer = Peer(settings.name, settings.address, settings.inner_port, clock, wall, error)
         put = Put(HOSTS, settings.name, msgspec.msgpack.encode(peer))
         await self._store.transact("", (), (put,))
 
     async def _read(self) -> None:
         page = await self._store.read(HOSTS)
-        self.known = tuple(msgspec.msgpack.decode(row.value, type=Peer) for row in page.rows)
+        self.known = tuple(peer for _, peer in self._entries.read(page.rows, _decode_peer))
 
     async def _agree_on_key(self) -> None:
         page = await self._store.read(KEYS, "", KEY_NAME, KEY_NAME + "\0")
-        if page.rows:
-            self.secret = page.rows[0].value
+        known = self._entries.read_one(page.rows, _decode_key)
+        if known is not None:
+            self.secret = known
             return
-        secret = secrets.token_bytes(32)
-        expected = (Expected(KEYS, KEY_NAME, 0),)
+        secret = secrets.token_bytes(KEY_BYTES)
+        expected = (Expected(KEYS, KEY_NAME, page.rows[0].version if page.rows else 0),)
         written = await self._store.transact("", expected, (Put(KEYS, KEY_NAME, secret),))
         if isinstance(written, Committed):
             self.secret = secret
             return
-        self.secret = written.rows[0].value
+        self.secret = self._entries.read_one(written.rows, _decode_key) or b""
+
+
+def _decode_peer(row: Row) -> Peer:
+    peer = msgspec.msgpack.decode(row.value, type=Peer)
+    check_address(f"{peer.address}:{peer.port}")
+    if peer.name != row.key:
+        raise PlatformError(f"the row holds the host {peer.name!r}")
+    return peer
+
+
+def _decode_key(row: Row) -> bytes:
+    if len(row.value) != KEY_BYTES:
+        raise PlatformError(f"a key has {KEY_BYTES} bytes, not {len(row.value)}")
+    return row.value
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -18,6 +18,7 @@
 
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.configuration import FRESH, ConfigurationWatch
+from toucanpin.entry.entries import UNREADABLE
 from toucanpin.entry.metrics import REQUEST_TIME, REQUESTS
 from toucanpin.entry.rows import COUNTS, JOBS, PROGRESS, cancel_key, job_part
 from toucanpin.exception import PlatformError
@@ -30,7 +31,7 @@
     encode_state,
     is_job_id,
 )
-from toucanpin.platform.store import Committed, Expected, Put, Store
+from toucanpin.platform.store import Committed, Expected, Put, Row, Store
 from toucanpin.scheduling.configuration import Queue
 from toucanpin.scheduling.job import encode_job, find_job_fault
 from toucanpin.scheduling.progress import JobState, decode_progress
@@ -172,7 +173,7 @@
             end = identifier + "\0"
             page = await self._store.read(PROGRESS, queue.service, identifier, end)
             if page.rows:
-                return JobState(decode_progress(page.rows[0].value).state)
+                return _read_state(page.rows[0])
             part = job_part(queue.service, identifier)
             page = await self._store.read(JOBS, part, identifier, end)
             if page.rows:
@@ -189,7 +190,7 @@
     async def _count(self, queue: Queue, deadline: float) -> Response:
         async def find() -> int:
             page = await self._store.read(COUNTS, queue.service, queue.name, queue.name + "\0")
-            return msgspec.msgpack.decode(page.rows[0].value, type=int) if page.rows else 0
+            return _read_count(page.rows[0]) if page.rows else 0
 
         await self._configuration.refresh(FRESH)
         current = self._configuration.current
@@ -234,12 +235,29 @@
         while time.monotonic() < deadline:
             try:
                 return _Found(True, await find())
+            except PlatformError as error:
+                _log.error("row not read", event="store.fault", reason=error)
+                return _Found(False, None)
             except CallError:
                 await asyncio.sleep(pause)
                 pause = min(2 * pause, LONGEST_PAUSE)
         return _Found(False, None)
 
 
+def _read_state(row: Row) -> JobState:
+    try:
+        return JobState(decode_progress(row.value).state)
+    except UNREADABLE as error:
+        raise PlatformError(f"the progress of {row.key} can't be read: {error}") from error
+
+
+def _read_count(row: Row) -> int:
+    try:
+        return msgspec.msgpack.decode(row.value, type=int)
+    except UNREADABLE as error:
+        raise PlatformError(f"the count of {row.key} can't be read: {error}") from error
+
+
 def _read_deadline(request: Request) -> float:
     try:
         return min(30.0, float(request.headers.get(DEADLINE_HEADER, "")) / 1_000)
--- a/toucanpin/entry/tests/test_clocks.py
+++ b/toucanpin/entry/tests/test_clocks.py
@@ -5,15 +5,16 @@
 import time
 import unittest
 
-from toucanpin.entry.clocks import Clocks
+from toucanpin.entry.clocks import Clocks, measure_wall, steady_time
 from toucanpin.platform.store import Store
 from toucanpin.platform.tests.test_site_calls import ScriptedCaller
+from toucanpin.scheduling.timing import ClockEstimate
 
 
 class ClocksTest(unittest.TestCase):
     def setUp(self) -> None:
         self.store = Store(ScriptedCaller())
-        self.store.clock = 50_000
+        self.store.estimate.note(50_000, steady_time(), steady_time())
         self.clocks = Clocks(self.store)
 
     def test_a_jump_of_some_hosts_moves_nothing(self) -> None:
@@ -33,9 +34,23 @@
         first = self.clocks.now()
         second = self.clocks.now()
         self.assertGreaterEqual(second.table, first.table)
-        self.store.clock = 90_000
+        self.store.estimate.note(90_000, steady_time(), steady_time())
         self.assertGreaterEqual(self.clocks.now().table, 90_000)
 
+    def test_what_a_host_announces_does_not_depend_on_when_it_last_heard_of_the_table(self) -> None:
+        """
+        A job is due at a time of day.  Hosts announced how far theirs is ahead of the table's
+        clock as of its newest answer, which was up to 0.6 s old, so all of them were ahead and
+        runs began 260 to 350 ms early.
+        """
+        began = steady_time() - 0.6
+        true = time.time() * 1_000 - 0.6 * 1_000 - 40_000
+        estimate = ClockEstimate()
+        estimate.note(40_000, began, began)
+        wall, error = measure_wall(estimate)
+        self.assertAlmostEqual(true, wall, delta=error + 2)
+        self.assertLess(error, 20)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/toucanpin/entry/tests/test_entries.py
@@ -0,0 +1,169 @@
+"""Entries that other writers have left in the tables."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import unittest
+
+import logbook
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from standins.site.site import PREFIX, Site
+from toucanpin.entry.entries import EntryReader
+from toucanpin.exception import PlatformError
+from toucanpin.http import Answer
+from toucanpin.platform.store import Row, Store
+from toucanpin.platform.workers import decode_worker
+from toucanpin.scheduling.orders import WorkerEntry
+
+SOUND: dict[str, object] = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "dc",
+    "state": "ready",
+    "seq": 4,
+    "capacity": {"cpu": 64_000, "memMb": 256_000, "gpu": 0},
+    "labels": ["a", "r1-3"],
+}
+FOREIGN: tuple[object, ...] = (
+    {**SOUND, "address": "word"},
+    {**SOUND, "address": ""},
+    {**SOUND, "address": "10.0.0.1:99999"},
+    {**SOUND, "address": "10.0.0.1:-1"},
+    {**SOUND, "address": "10.0.0.1:٣"},
+    {**SOUND, "address": 7},
+    {**SOUND, "state": "resting"},
+    {**SOUND, "state": None},
+    {**SOUND, "service": ""},
+    {**SOUND, "capacity": {"cpu": -1, "memMb": 4_000}},
+    {**SOUND, "capacity": {"cpu": 10**18, "memMb": 4_000}},
+    {**SOUND, "capacity": {"cpu": "64000", "memMb": 4_000}},
+    {**SOUND, "capacity": {}},
+    {**SOUND, "labels": "a"},
+    {**SOUND, "labels": [1]},
+    *({key: value for key, value in SOUND.items() if key != name} for name in SOUND),
+    [],
+    None,
+    "text",
+)
+
+
+class _Page:
+    """Answer every read with one page."""
+
+    def __init__(self, rows: list) -> None:
+        self.body = msgspec.json.encode({"rows": rows, "rowVersion": 9, "nowMs": 5_000})
+
+    async def call(self, method: str, path: str, body: bytes = b"", *, timeout: float = 1.0):
+        return Answer(200, {}, self.body)
+
+
+def _row(key: str, value: object) -> dict:
+    return {"table": "servers", "part": "", "key": key, "value": value, "rowVersion": 3}
+
+
+def _encode(entry: object) -> str:
+    return base64.b64encode(msgspec.json.encode(entry)).decode()
+
+
+def _decode(row: Row) -> WorkerEntry:
+    return decode_worker(row.key, row.value)
+
+
+def _read(rows: list) -> dict[str, WorkerEntry]:
+    page = asyncio.run(Store(_Page(rows)).read("servers"))
+    return {row.key: entry for row, entry in EntryReader().read(page.rows, _decode)}
+
+
+_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=8,
+)
+_changed = st.dictionaries(st.sampled_from([*SOUND, "machine", "remainingMs"]), _values)
+_foreign = st.one_of(
+    _values,  # not base64, or not even text
+    st.binary().map(lambda data: base64.b64encode(data).decode()),
+    _values.map(_encode),
+    _changed.map(lambda fields: _encode({**SOUND, **fields})),
+)
+
+
+class EntriesTest(unittest.TestCase):
+    def test_an_entry_that_no_worker_writes_names_none(self) -> None:
+        for number, entry in enumerate(FOREIGN):
+            with self.subTest(number), self.assertRaises(PlatformError):
+                decode_worker("i-1", msgspec.json.encode(entry))
+        self.assertEqual("10.0.0.1:80", decode_worker("i-1", msgspec.json.encode(SOUND)).address)
+
+    def test_a_value_that_is_not_base64_hides_no_other_entry(self) -> None:
+        """
+        Another writer leaves bytes that can't be read.  The whole page of the table was refused
+        with them, no worker was known any more, and no job was ever done.
+        """
+        rows = [_row("a", _encode(SOUND)), _row("b", "*"), _row("c", 5), _row("d", _encode(SOUND))]
+        self.assertEqual({"a", "d"}, set(_read(rows)))
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.lists(_foreign, max_size=6), st.integers(0, 6))
+    def test_no_entry_changes_what_is_read_of_another(self, foreign: list, place: int) -> None:
+        """Whatever stands before or after a sound entry, it is read as if it stood alone."""
+        rows = [_row(f"f{number}", value) for number, value in enumerate(foreign)]
+        rows.insert(min(place, len(rows)), _row("sound", _encode(SOUND)))
+        alone = _read([_row("sound", _encode(SOUND))])
+        self.assertEqual(alone["sound"], _read(rows)["sound"])
+
+    def test_an_unsound_entry_is_told_once(self) -> None:
+        reader = EntryReader()
+        rows = [Row("servers", "", "x", b"", 3, sound=False)]
+        with logbook.TestHandler() as handler:
+            for _ in range(5):
+                self.assertEqual([], list(reader.read(rows, _decode)))
+        self.assertEqual(1, len(handler.records))
+
+
+class ForeignEntriesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_work_goes_on_beside_entries_of_other_writers(self) -> None:
+        """
+        Another writer has left entries in every table.  The owner's loop ended with an error at the
+        first of them, each host took the cell in turn and failed likewise: no job was ever done.
+        """
+        site = Site()
+        site.configure()
+        self.addAsyncCleanup(site.close)
+        for number, entry in enumerate(FOREIGN):
+            site.store.put("servers", f"i-f{number}", msgspec.json.encode(entry))
+        for table in ("hosts", "keys", "effects", "counts", "progress", "jobs"):
+            site.store.put(table, "foreign", b"\xff\x00{")
+            site.store.put(table, "foreign", b"\xff\x00{", part="c")
+        site.store.put("jobs", "foreign", b"\xff\x00{", part="c/3")
+        await site.add_host()
+        await site.add_worker()
+        self.assertTrue(await site.until_ready())
+        self.assertEqual(200, (await site.submit()).status)
+        self.assertTrue(await site.until_state("completed"))
+        self.assertEqual(200, (await site.call("GET", PREFIX)).status)
+
+    async def test_an_owner_that_cannot_be_read_is_replaced(self) -> None:
+        """
+        The row that names the owner holds bytes of another writer.  Nobody could tell who owns the
+        cell, so nobody took it; the token of the next owner must still be above all earlier ones.
+        """
+        site = Site()
+        site.configure()
+        self.addAsyncCleanup(site.close)
+        await site.add_host()
+        await site.add_worker()
+        self.assertTrue(await site.until_ready())
+        self.assertEqual(200, (await site.submit()).status)
+        self.assertTrue(await site.until_state("completed"))
+        site.store.put("owners", "owner", b"\xc1", part="c")
+        self.assertEqual(200, (await site.submit("f" * 16)).status)
+        self.assertTrue(await site.until_state("completed", job="f" * 16))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.rows import WAVES
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
@@ -26,7 +27,7 @@
     encode_wave_status,
 )
 from toucanpin.platform.queues import OPERATORS_TABLE
-from toucanpin.platform.store import Committed, Expected, Put, Store
+from toucanpin.platform.store import Committed, Expected, Put, Row, Store
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.settings import Bounds
 from toucanpin.scheduling.upkeep import (
@@ -73,6 +74,7 @@
         self._bounds = bounds
         # Orders of two owners for one machine mustn't take turns.
         self._quiet_until = 0.0 if first else steady_time() + bounds.machine_lease
+        self._entries = EntryReader()
         self._records: dict[int, tuple[WaveRecord, int]] = {}
         self._machines: dict[str, Machine] = {}
         self._listed_at = 0.0
@@ -97,7 +99,7 @@
 
     async def _turn(self) -> bool:
         page = await self._store.read(OPERATORS_TABLE, "", WAVE_PREFIX, WAVE_PREFIX + "\x7f")
-        waves = [decode_wave(row.value) for row in page.rows]
+        waves = [wave for _, wave in self._entries.read(page.rows, _decode_wave)]
         open_waves = [wave for wave in waves if not await self._is_completed(wave)]
         if not open_waves or steady_time() < self._quiet_until:
             return bool(open_waves)
@@ -118,14 +120,16 @@
     async def _read(self, wave: Wave) -> tuple[WaveRecord, int]:
         key = str(wave.number)
         page = await self._store.read(WAVES, "", key, key + "\0")
-        if page.rows:
-            record = msgspec.msgpack.decode(page.rows[0].value, type=WaveRecord)
-            self._records[wave.number] = (record, page.rows[0].version)
+        known = self._entries.read_one(page.rows, _decode_record)
+        if known is not None:
+            self._records[wave.number] = (known, page.rows[0].version)
             return self._records[wave.number]
+        # One that can't be read is begun anew: an order for what is done already changes nothing.
+        version = page.rows[0].version if page.rows else 0
         record = WaveRecord(self._clocks.now().table, {}, [])
         status = Put(STATUS_TABLE, f"{WAVE_PREFIX}{wave.number}", encode_wave_status(False))
         _log.info("wave begun", event="wave.begun", wave=wave.number, machines=len(wave.machines))
-        await self._write(wave, record, 0, (status,))
+        await self._write(wave, record, version, (status,))
         return self._records.get(wave.number) or await self._read(wave)
 
     async def _write(
@@ -229,3 +233,11 @@
         if name in record.down:
             down = {other: worker for other, worker in record.down.items() if other != name}
             await self._write(wave, WaveRecord(record.begun, down, [*record.done, name]), version)
+
+
+def _decode_wave(row: Row) -> Wave:
+    return decode_wave(row.value)
+
+
+def _decode_record(row: Row) -> WaveRecord:
+    return msgspec.msgpack.decode(row.value, type=WaveRecord)
--- a/toucanpin/platform/machines.py
+++ b/toucanpin/platform/machines.py
@@ -64,8 +64,14 @@
     id: str | None = ""
 
 
+class _Named(msgspec.Struct):
+    """Hold what is sure of an entry that can't be read further."""
+
+    machine: str
+
+
 class _Page(msgspec.Struct, rename="camel"):
-    machines: list[_Machine] = []
+    machines: list[msgspec.Raw] = []
     next_token: str | None = None
 
 
@@ -114,7 +120,7 @@
         for _ in range(MAX_PAGES):
             answer = await self._client.call("GET", path, timeout=TIMEOUT)
             page = _decode(answer, _Page)
-            machines += [_to_machine(machine) for machine in page.machines]
+            machines += [_read_machine(raw) for raw in page.machines]
             if not page.next_token:
                 return tuple(machines)
             path = f"/machines?pageToken={quote(page.next_token)}"
@@ -149,7 +155,7 @@
     """Decode what operators ask of some machines."""
     try:
         wave = msgspec.json.decode(value, type=_Wave)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError) as error:
         raise PlatformError(f"a wave can't be read: {error}") from error
     return Wave(wave.wave, wave.machines, wave.duration_s, max(1, wave.cap))
 
@@ -169,6 +175,29 @@
         raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
 
 
-def _to_machine(machine: _Machine) -> Machine:
+def _read_machine(raw: msgspec.Raw) -> Machine:
+    """
+    Read one entry of the list.
+
+    A machine of which only the name can be read is there, and nothing is ordered of it: taken for
+    gone, it would be counted as through its upkeep.
+
+    Raises
+    ------
+    CallError
+        If not even that can be read: then no machine can be said to be gone.
+    """
+    try:
+        machine = msgspec.json.decode(raw, type=_Machine)
+    except (msgspec.MsgspecError, ValueError):
+        return Machine(_read_name(raw), "", MachineState.DOWN, "")
     state = _STATES.get(machine.state, MachineState.DOWN)
     return Machine(machine.machine, machine.pool, state, machine.id or "")
+
+
+def _read_name(raw: msgspec.Raw) -> str:
+    try:
+        return msgspec.json.decode(raw, type=_Named).machine
+    except (msgspec.MsgspecError, ValueError) as error:
+        detail = f"an entry of the list of machines names none: {error}"
+        raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
--- a/toucanpin/platform/queues.py
+++ b/toucanpin/platform/queues.py
@@ -73,7 +73,7 @@
     """
     try:
         document = _decoder.decode(value)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError) as error:
         raise PlatformError(f"the operators' configuration can't be read: {error}") from error
     queues = tuple(_to_queue(route) for route in document.routes)
     services = {
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import binascii
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 from urllib.parse import quote
@@ -16,6 +17,8 @@
 
 from toucanpin.exception import PlatformError
 from toucanpin.http.client import Answer, CallError
+from toucanpin.scheduling.timing import ClockEstimate
+from toucanpin.steady import steady_time
 from toucanpin.verdict import Verdict
 
 __all__ = ["Caller", "Conflict", "Committed", "Expected", "Page", "Put", "Row", "Store"]
@@ -27,7 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """Hold one row; ``version`` is 0 where it doesn't exist."""
+    """
+    Hold one row; ``version`` is 0 where it doesn't exist.
+
+    ``sound`` tells whether its value could be read at all; other writers' rows may hold anything.
+    """
 
     table: str
     part: str
@@ -35,6 +42,7 @@
     value: bytes
     version: int
     deleted: bool = False
+    sound: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,16 +127,18 @@
 
 
 class _WireRow(msgspec.Struct, rename="camel"):
+    """Hold a row; its value is text in base64, or whatever another writer has left there."""
+
     table: str = ""
     part: str = ""
     key: str = ""
-    value: bytes = b""
+    value: msgspec.Raw = msgspec.Raw(b'""')
     row_version: int = 0
     deleted: bool = False
 
 
 class _WireRows(msgspec.Struct, rename="camel"):
-    rows: list[_WireRow] = []
+    rows: list[msgspec.Raw] = []
     more_pages: bool = False
     row_version: int = 0
     now_ms: float = 0
@@ -137,11 +147,12 @@
 class Store:
     """Speak to the store in rows; every failure says whether a write may still take effect."""
 
-    __slots__ = ("_caller", "clock")
+    __slots__ = ("_caller", "clock", "estimate")
 
     def __init__(self, caller: Caller) -> None:
         self._caller = caller
         self.clock = 0  # the store's own, in ms, from its newest answer
+        self.estimate = ClockEstimate()
 
     async def transact(
         self,
@@ -164,10 +175,9 @@
             [_Key(p.table, part, p.key) for p in puts if p.value is None],
         )
         body = msgspec.json.encode(transaction)
-        answer = await self._caller.call("POST", "/rows-tx", body, timeout=timeout)
-        rows = self._decode(answer, (200, 412))
+        answer, rows = await self._call("POST", "/rows-tx", body, (200, 412), timeout)
         if answer.status == 412:
-            return Conflict(tuple(_to_row(row) for row in rows.rows))
+            return Conflict(_to_rows(rows))
         return Committed(rows.row_version, self.clock)
 
     async def read(
@@ -186,8 +196,8 @@
         if end:
             # The wire's name of the end of a range also stands for other things elsewhere.
             path += f"&target={quote(end)}"
-        answer = await self._caller.call("GET", path, timeout=timeout)
-        return self._to_page(self._decode(answer, (200,)))
+        _, rows = await self._call("GET", path, b"", (200,), timeout)
+        return self._to_page(rows)
 
     async def read_all(self, table: str, part: str = "") -> Page:
         """Read all rows of a part; ``version`` is that of the first page."""
@@ -205,10 +215,19 @@
     async def follow(self, table: str, after: int, wait: float) -> Page | None:
         """Wait for changes of a table after a version; None if that history is gone."""
         path = f"/rows-feed?table={quote(table)}&after={after}&waitMs={int(wait * 1_000)}"
-        answer = await self._caller.call("GET", path, timeout=wait + READ_TIMEOUT)
-        if answer.status == 410:
-            return None
-        return self._to_page(self._decode(answer, (200,)))
+        answer, rows = await self._call("GET", path, b"", (200, 410), wait + READ_TIMEOUT)
+        return None if answer.status == 410 else self._to_page(rows)
+
+    async def _call(
+        self, method: str, path: str, body: bytes, good: tuple[int, ...], timeout: float
+    ) -> tuple[Answer, _WireRows]:
+        sent = steady_time()
+        answer = await self._caller.call(method, path, body, timeout=timeout)
+        received = steady_time()
+        rows = _WireRows() if answer.status == 410 else self._decode(answer, good)
+        if rows.now_ms:
+            self.estimate.note(rows.now_ms, sent, received)
+        return answer, rows
 
     def _decode(self, answer: Answer, good: tuple[int, ...]) -> _WireRows:
         if answer.status in (429, 503):
@@ -225,10 +244,27 @@
         return rows
 
     def _to_page(self, rows: _WireRows) -> Page:
-        return Page(
-            tuple(_to_row(row) for row in rows.rows), rows.more_pages, rows.row_version, self.clock
-        )
+        return Page(_to_rows(rows), rows.more_pages, rows.row_version, self.clock)
+
+
+def _to_rows(rows: _WireRows) -> tuple[Row, ...]:
+    return tuple(row for raw in rows.rows for row in _read_row(raw))
+
+
+def _read_row(raw: msgspec.Raw) -> Iterable[Row]:
+    """Yield a row, whatever its value is; what has no key of its own names nothing."""
+    try:
+        row = msgspec.json.decode(raw, type=_WireRow)
+    except (msgspec.MsgspecError, ValueError):
+        return
+    value = _read_value(row.value)
+    sound = value is not None
+    yield Row(row.table, row.part, row.key, value or b"", row.row_version, row.deleted, sound)
 
 
-def _to_row(row: _WireRow) -> Row:
-    return Row(row.table, row.part, row.key, row.value, row.row_version, row.deleted)
+def _read_value(raw: msgspec.Raw) -> bytes | None:
+    """Return the bytes of a value, None if they can't be read."""
+    try:
+        return binascii.a2b_base64(msgspec.json.decode(raw, type=str), strict_mode=True)
+    except (msgspec.MsgspecError, ValueError):
+        return None
--- a/toucanpin/platform/tests/test_site_calls.py
+++ b/toucanpin/platform/tests/test_site_calls.py
@@ -180,8 +180,10 @@
         value = msgspec.json.encode(
             {
                 "service": "s",
-                "address": "a:1",
+                "address": "10.0.0.1:80",
+                "zone": "dc",
                 "state": "draining",
+                "seq": 3,
                 "capacity": {"cpu": 16_000, "memMb": 32_768},
                 "labels": ["a", "r1-3"],
                 "remainingMs": 1_500,
--- a/toucanpin/platform/workers.py
+++ b/toucanpin/platform/workers.py
@@ -7,10 +7,13 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Literal
+
 import msgspec
 
 from toucanpin.exception import PlatformError
 from toucanpin.http.client import Answer, CallError, Client
+from toucanpin.platform.addresses import check_address
 from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.orders import (
     End,
@@ -34,6 +37,10 @@
 
 WORKERS_TABLE = "servers"
 CALL_TIMEOUT = 0.5  # s: an order takes 2 ms, so 0.5 s without an answer means a lost one
+# Sizes beyond these are no worker's; believed, one entry would seem to have room for all tasks.
+MOST_CPU = 10_000_000  # thousandths of a core: 10,000 cores
+MOST_MEMORY = 1_000_000_000  # MB: 1 PB
+MOST_ACCELERATORS = 10_000
 _INSTANCE_HEADER = "X-Expect-Instance"
 _ENDS = {
     "done": End.DONE,
@@ -57,21 +64,32 @@
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Annotated[int, msgspec.Meta(ge=1, le=MOST_CPU)]
+    mem_mb: Annotated[int, msgspec.Meta(ge=1, le=MOST_MEMORY)]
+    gpu: Annotated[int, msgspec.Meta(ge=0, le=MOST_ACCELERATORS)] = 0
 
 
 class _Entry(msgspec.Struct, rename="camel"):
-    service: str
+    """
+    Hold what a worker says of itself.
+
+    Every worker writes the fields without a default, so an entry that lacks one is another
+    writer's.  Taken for a worker with the default it would get tasks that never run.
+    """
+
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
-    zone: str = ""
-    state: str = "ready"
-    cold_left_ms: float = 0
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
-    labels: tuple[str, ...] = ()
+    zone: str
+    state: Literal["ready", "draining"]
+    seq: int
+    capacity: _Capacity
+    labels: tuple[str, ...]
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
     machine: str = ""
-    remaining_ms: float = 0
+    remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
+
+
+_entry_decoder = msgspec.json.Decoder(_Entry)
 
 
 class _Start(msgspec.Struct, rename="camel", omit_defaults=True):
@@ -184,15 +202,22 @@
 
 
 def decode_worker(identifier: str, value: bytes) -> WorkerEntry:
-    """Decode a worker's entry in the store."""
+    """
+    Decode a worker's entry in the store.
+
+    Raises
+    ------
+    PlatformError
+        If no worker would have written it so.
+    """
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except msgspec.MsgspecError as error:
+        entry = _entry_decoder.decode(value)
+    except (msgspec.MsgspecError, ValueError) as error:
         raise PlatformError(f"the entry of worker {identifier} can't be read: {error}") from error
     return WorkerEntry(
         id=identifier,
         service=entry.service,
-        address=entry.address,
+        address=check_address(entry.address),
         data_centre=entry.zone,
         ready=entry.state == "ready",
         cpu=entry.capacity.cpu,
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -138,6 +138,7 @@
     return (
         worker.reached
         and not worker.silent
+        and not worker.unsound
         and worker.entry.ready
         and not worker.strangers
         and not worker.closing_since
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from toucanpin.scheduling.cell import Cell, Now, find_record
 from toucanpin.scheduling.ending import apply_end, end_run, stop_run
@@ -36,8 +36,19 @@
 PROGRESS_STEP = 1  # percent that counts as a move
 
 
-def list_workers(cell: Cell, entries: Iterable[WorkerEntry], now: Now) -> list[Worker]:
-    """Take up the workers' own entries; return those that are new."""
+def list_workers(
+    cell: Cell,
+    entries: Iterable[WorkerEntry],
+    now: Now,
+    unsound: Collection[str] = frozenset(),
+) -> list[Worker]:
+    """
+    Take up the workers' own entries; return those that are new.
+
+    A worker whose entry became ``unsound`` keeps what it runs and gets nothing more.
+    """
+    for identifier, known in cell.workers.items():
+        known.unsound = identifier in unsound
     fresh = []
     for entry in entries:
         worker = cell.workers.get(entry.id)
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -11,7 +11,17 @@
 
 import msgspec
 
-__all__ = ["JobState", "Progress", "TaskRecord", "TaskState", "decode_progress", "encode_progress"]
+from toucanpin.scheduling.job import Job
+
+__all__ = [
+    "JobState",
+    "Progress",
+    "TaskRecord",
+    "TaskState",
+    "decode_progress",
+    "encode_progress",
+    "fits_job",
+]
 
 
 class JobState(enum.IntEnum):
@@ -74,3 +84,15 @@
 def decode_progress(value: bytes) -> Progress:
     """Read a job's progress from its row."""
     return msgspec.msgpack.decode(value, type=Progress)
+
+
+def fits_job(progress: Progress, job: Job) -> bool:
+    """Tell whether progress is that of a job: as many tasks, and states that there are."""
+    total = sum(step.count for step in job.steps)
+    known = set(TaskState)
+    return progress.state in set(JobState) and all(
+        0 <= occurrence < job.occurrences
+        and len(records) == total
+        and all(record.state in known for record in records)
+        for occurrence, records in progress.tasks.items()
+    )
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -74,6 +74,7 @@
     listed_at: float = 0.0
     answered_at: float = 0.0
     silent: bool = False
+    unsound: bool = False  # its entry can't be read any more, though it may still answer
     clock: int = 0
     clock_at: float = 0.0
     lapse_at: float = 0.0
