Let a lasting task take the last place after a second, also where batch work holds the memory

Lasting tasks left a tenth of each worker to brief ones unless two places were there; places whose memory filling tasks held didn't count, making room for one demanded the reserve besides, and the workers that are kept for large tasks were closed to it. Change: after a second without a place the reserve is given up, room is made without it, and what is kept for large tasks is open to lasting ones. The reason of each wait is kept beside it. Tests: test_lasting (three, each red before).

--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,8 @@
     "Group",
     "LiveJob",
     "Now",
+    "Wait",
+    "WaitReason",
     "add_run",
     "begin_occurrence",
     "drop_run",
@@ -57,6 +60,26 @@
     step: int
 
 
+class WaitReason(enum.Enum):
+    """Say why tasks of a step got no place."""
+
+    NO_ROOM = "no room"
+    RESERVED = "room is kept for brief tasks"
+    HARM = "would disturb what serves"
+    PAUSED = "pauses after a failure"
+    GANG = "not all of a gang find room"
+    NO_ADVICE = "no ticket"
+
+
+@dataclass(slots=True)
+class Wait:
+    """Tell since when tasks of a step find no place, and why they found none at last."""
+
+    since: float
+    reason: WaitReason = WaitReason.NO_ROOM
+    told_at: float = 0.0
+
+
 @dataclass(slots=True)
 class LiveJob:
     """
@@ -94,6 +117,7 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     runs: dict[str, list[Run]] = field(default_factory=dict)  # by job, whatever their phase
     waiting: dict[Group, set[int]] = field(default_factory=dict)
+    waits: dict[Group, Wait] = field(default_factory=dict)
     delayed: dict[TaskKey, float] = field(default_factory=dict)
     dirty: dict[str, None] = field(default_factory=dict)
     placed: list[Run] = field(default_factory=list)
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -8,7 +8,17 @@
 from __future__ import annotations
 
 from toucanpin.scheduling.advising import find_ticket
-from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, add_run, mark_dirty, rank_group
+from toucanpin.scheduling.cell import (
+    Cell,
+    Group,
+    LiveJob,
+    Now,
+    Wait,
+    WaitReason,
+    add_run,
+    mark_dirty,
+    rank_group,
+)
 from toucanpin.scheduling.choosing import (
     Places,
     Round,
@@ -20,29 +30,41 @@
 from toucanpin.scheduling.preempting import Freed, free_room
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.sharing import Sharing
-from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
+from toucanpin.scheduling.worker import (
+    Phase,
+    Run,
+    Worker,
+    has_room,
+    release_run,
+    reserve_run,
+)
 
 __all__ = ["place_tasks"]
 
 BARREN = 0.0012  # s a worker for which what found no place isn't weighed again
 MOST_KEPT = 0.12  # of the workers that are kept for large tasks at a time
+# A lasting task that waits for longer takes the room that is kept for brief urgent ones: left out
+# for seconds it serves nobody, while each brief task is over soon.
+RESERVE_PATIENCE = 1.0  # s
 MOST_STOPS = 16  # tasks of a step that room is made for at a time; each weighs all workers
 
 
 def place_tasks(cell: Cell, sharing: Sharing, now: Now) -> None:
     """Place what waits; the places count only once they are written."""
     if not cell.waiting:
+        cell.waits.clear()
         return
-    able = list_able(cell, now)
+    everywhere = able = list_able(cell, now)
     round_ = Round(sharing, now)
     freed: dict[str, Freed] = {}
     least_urgent = _find_least_urgent(cell)
     for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group)):
         live = cell.jobs[group.job]
         step = live.job.steps[group.step]
-        allowed = able
+        # What is kept for large tasks mustn't hold up a task that has to last.
+        allowed = everywhere if step.lasting else able
         if live.job.advised:
-            allowed = [w for w in able if find_ticket(cell, group, w.entry.id, now)]
+            allowed = [w for w in allowed if find_ticket(cell, group, w.entry.id, now)]
         if step.gang:
             _place_gang(cell, round_, live, group, step, allowed)
         else:
@@ -52,6 +74,18 @@
         able = _keep_for_large(cell, group, step, able)
         if not cell.waiting[group]:
             del cell.waiting[group]
+    for group in [group for group in cell.waits if group not in cell.waiting]:
+        del cell.waits[group]
+
+
+def _note_wait(cell: Cell, group: Group, reason: WaitReason, now: Now) -> None:
+    cell.waits.setdefault(group, Wait(now.steady)).reason = reason
+
+
+def _is_overdue(cell: Cell, group: Group, now: Now) -> bool:
+    """Tell whether a lasting task has waited for so long that it takes any place there is."""
+    wait = cell.waits.get(group)
+    return wait is not None and now.steady > wait.since + RESERVE_PATIENCE
 
 
 def _find_least_urgent(cell: Cell) -> int:
@@ -90,7 +124,8 @@
         task = TaskKey(group.job, group.occurrence, group.step, index)
         if cell.delayed.get(task, 0.0) > now.steady:
             continue
-        if not free_room(cell, group, step, able, freed, now):
+        lenient = _is_overdue(cell, group, now)
+        if not free_room(cell, group, step, able, freed, now, lenient):
             return
 
 
@@ -101,22 +136,34 @@
     if _is_barren(cell, step, round_.now):
         return
     places = Places(round_, live, group, step, able)
+    now = round_.now
     for index in sorted(waiting):
-        if step.lasting and not may_last(able, group, step):
-            return
         task = TaskKey(group.job, group.occurrence, group.step, index)
-        if cell.delayed.get(task, 0.0) > round_.now.steady:
+        if cell.delayed.get(task, 0.0) > now.steady:
+            _note_wait(cell, group, WaitReason.PAUSED, now)
             continue
         worker = places.find()
         if worker is None:
-            _note_barren(cell, live, step, round_.now)
+            _note_wait(cell, group, _find_reason(live, step, able), now)
+            _note_barren(cell, live, step, now)
+            return
+        if step.lasting and not (may_last(able, group, step) or _is_overdue(cell, group, now)):
+            _note_wait(cell, group, WaitReason.RESERVED, now)
             return
         cell.delayed.pop(task, None)
         waiting.discard(index)
-        _place(cell, live, task, step, worker, round_.now)
+        _place(cell, live, task, step, worker, now)
         _renew(places, live, group, step, worker)
 
 
+def _find_reason(live: LiveJob, step: Step, able: list[Worker]) -> WaitReason:
+    if live.job.advised and not able:
+        return WaitReason.NO_ADVICE
+    if step.fills and any(has_room(worker, step) for worker in able):
+        return WaitReason.HARM
+    return WaitReason.NO_ROOM
+
+
 def _renew(places: Places, live: LiveJob, group: Group, step: Step, worker: Worker) -> None:
     """Weigh places anew after one is taken; tasks that want one rack stay with the first."""
     places.renew()
@@ -162,6 +209,7 @@
     chosen = _find_for_all(round_, live, group, step, able)
     if len(chosen) < step.count:
         live.racks.pop(group, None)
+        _note_wait(cell, group, WaitReason.GANG, round_.now)
         return
     for index, worker in zip(sorted(waiting), chosen, strict=True):
         waiting.discard(index)
--- a/toucanpin/scheduling/preempting.py
+++ b/toucanpin/scheduling/preempting.py
@@ -43,11 +43,19 @@
 
 
 def free_room(
-    cell: Cell, group: Group, step: Step, able: Iterable[Worker], freed: dict[str, Freed], now: Now
+    cell: Cell,
+    group: Group,
+    step: Step,
+    able: Iterable[Worker],
+    freed: dict[str, Freed],
+    now: Now,
+    lenient: bool = False,
 ) -> bool:
     """
     Make room for one task of a step; return whether there will be some.
 
+    A ``lenient`` lasting task needs no reserve beside it.
+
     Without this, batch work that came first would hold up urgent tasks until it ends, for seconds.
     """
     best: tuple[Worker, list[Run]] | None = None
@@ -55,7 +63,7 @@
     for worker in able:
         if not fits_rules(worker, group, step):
             continue
-        found = _find_victims(cell, worker, group, step, freed, now)
+        found = _find_victims(cell, worker, group, step, freed, now, lenient)
         if found is None:
             continue
         lost = sum(_weigh_loss(run, now) for run in found)
@@ -78,14 +86,20 @@
 
 
 def _find_victims(
-    cell: Cell, worker: Worker, group: Group, step: Step, freed: dict[str, Freed], now: Now
+    cell: Cell,
+    worker: Worker,
+    group: Group,
+    step: Step,
+    freed: dict[str, Freed],
+    now: Now,
+    lenient: bool,
 ) -> list[Run] | None:
     """Return the runs to stop on a worker, empty if earlier stops suffice, None if none do."""
     known = freed.get(worker.entry.id)
     room = known or note_freed(worker)
     entry = worker.entry
     wanted = 0 if step.fills else step.cpu
-    if step.lasting:
+    if step.lasting and not lenient:
         # A lasting task is placed only where this much is left, else its room would go to others.
         wanted += int(RESERVE * entry.cpu)
     cpu = entry.cpu - worker.cpu + room.cpu - wanted
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_lasting.py
@@ -0,0 +1,70 @@
+"""Lasting tasks find room wherever there is some, whatever fills, waits or is kept there."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+
+LASTS = Step(cpu=1_000, memory=1_000, lasting=True)
+
+
+class LastingTaskTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet(workers=2, cpu=4_000)
+        for worker in self.fleet.workers.values():
+            worker.lasts = 60.0
+
+    def _is_running(self, job: str) -> bool:
+        return any(t.job == job for w in self.fleet.workers.values() for t in w.runs)
+
+    def _fill_up(self, step: Step) -> None:
+        self.fleet.submit(make_job("full", (step,), priority=0))
+        self.fleet.run(1.0)
+
+    def test_the_last_place_is_taken_after_a_second(self) -> None:
+        """
+        A lasting task failed, and one place of its size was left in the whole fleet.  The place
+        was kept for brief urgent tasks, of which none came, and the task ran nowhere for 11 s.
+        """
+        self._fill_up(Step(count=7, cpu=1_000))
+        self.fleet.submit(make_job("lasts", (LASTS,), priority=0))
+        self.fleet.run(0.5)
+        self.assertFalse(self._is_running("lasts"))
+        self.fleet.run(1.0)
+        self.assertTrue(self._is_running("lasts"))
+
+    def test_memory_of_what_fills_is_freed_where_the_cores_just_suffice(self) -> None:
+        """
+        Cores for one lasting task are left on each worker, and batch tasks hold all memory.  They
+        gave way only where a reserve of cores was left besides, which was nowhere.
+        """
+        self._fill_up(Step(count=2, cpu=3_000))
+        fill = Step(count=2, cpu=1_000, memory=8_000, fills=True, checkpoints=True)
+        self.fleet.submit(make_job("fill", (fill,), priority=2))
+        self.fleet.run(1.0)
+        self.fleet.submit(make_job("lasts", (LASTS,), priority=0))
+        self.fleet.run(2.0)
+        self.assertTrue(self._is_running("lasts"))
+
+    def test_a_worker_that_is_kept_for_a_large_task_takes_a_lasting_one(self) -> None:
+        """
+        Large urgent tasks wait for whole workers.  The roomiest worker is kept for them, and it is
+        the only one on which a lasting task fits.
+        """
+        fleet = Fleet(workers=10, cpu=4_000)
+        for worker in fleet.workers.values():
+            worker.lasts = 60.0
+        fleet.submit(make_job("full", (Step(count=38, cpu=1_000),), priority=0))
+        fleet.run(1.0)
+        fleet.submit(make_job("large", (Step(count=3, cpu=3_900),), priority=0))
+        fleet.run(0.5)
+        fleet.submit(make_job("lasts", (LASTS,), priority=0))
+        fleet.run(2.0)
+        placed = {task for worker in fleet.workers.values() for task in worker.runs}
+        self.assertIn(TaskKey("lasts", 0, 0, 0), placed)
+
+
+if __name__ == "__main__":
+    unittest.main()
