Log why tasks waited, and sum up where jobs' time went: toucanpin losses

Change: placements carry their wait and its reason, waits of over half a second are told (ten at a time, each 2 s), a job's end by how much it missed its objective; 'toucanpin losses' sums task-seconds by queue and cause.

--- /dev/null
+++ b/toucanpin/cli/losses.py
@@ -0,0 +1,113 @@
+"""
+Command ``losses``
+==================
+
+Sum up from the logs of all processes where the time of jobs went.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import IO
+
+import click
+
+from toucanpin.cli.exits import ExitCode
+from toucanpin.cli.explain import Line, parse_lines
+
+__all__ = ["Losses", "losses", "sum_losses"]
+
+LATE = "late"
+
+
+@dataclass(slots=True)
+class Losses:
+    """Hold, for one queue, what became of its jobs and the task-seconds by cause."""
+
+    jobs: Counter[str] = field(default_factory=Counter)
+    seconds: dict[str, float] = field(default_factory=lambda: defaultdict(float))
+    by_second: dict[int, dict[str, float]] = field(
+        default_factory=lambda: defaultdict(lambda: defaultdict(float))
+    )
+
+    def add(self, cause: str, seconds: float, clock: int) -> None:
+        """Count task-seconds that ended at a moment of the table's clock, in ms."""
+        self.seconds[cause] += seconds
+        self.by_second[clock // 1_000][cause] += seconds
+
+
+def sum_losses(lines: Iterable[Line]) -> dict[str, Losses]:
+    """
+    Return by queue where the time of its tasks went.
+
+    A wait counts once its task gets a place, a run once it ends; a run that is stopped counts
+    under the reason of the stop.
+    """
+    found: dict[str, Losses] = defaultdict(Losses)
+    began: dict[tuple[str, int], tuple[int, str]] = {}
+    reasons: dict[str, str] = {}
+    for line in sorted(lines, key=lambda line: line.clock):
+        fields = line.fields
+        match line.event:
+            case "task.placed":
+                queue = str(fields.get("queue", ""))
+                began[fields["task"], int(fields["attempt"])] = (line.clock, queue)
+                waited = float(fields.get("waited", 0.0))
+                if waited > 0:
+                    found[queue].add(f"wait: {fields.get('why', '')}", waited, line.clock)
+            case "task.stopping":
+                reasons.setdefault(fields["task"], str(fields.get("reason", "")))
+            case "task.ended":
+                start = began.pop((fields["task"], int(fields["attempt"])), None)
+                reason = reasons.pop(fields["task"], "")
+                if start is None:
+                    continue
+                end = str(fields.get("end", ""))
+                cause = f"stopped: {reason}" if end == "stopped" else f"run: {end}"
+                found[start[1]].add(cause, (line.clock - start[0]) / 1_000, line.clock)
+            case "job.ended":
+                state = str(fields.get("state", ""))
+                late = float(fields.get("late", 0.0)) > 0
+                kind = LATE if late and state == "completed" else state
+                found[str(fields.get("queue", ""))].jobs[kind] += 1
+    return dict(found)
+
+
+def _write_table(found: dict[str, Losses], by_second: bool) -> Iterable[str]:
+    for queue, lost in sorted(found.items()):
+        jobs = ", ".join(f"{count} {kind}" for kind, count in sorted(lost.jobs.items()))
+        yield f"{queue}: jobs {jobs or 'none ended'}"
+        total = sum(lost.seconds.values()) or 1.0
+        for cause, seconds in _sort_causes(lost.seconds):
+            yield f"  {seconds:10.1f} task-s {100 * seconds / total:5.1f}%  {cause}"
+        if by_second:
+            for second, causes in sorted(lost.by_second.items()):
+                largest = _sort_causes(causes)[:3]
+                worst = ", ".join(f"{cause} {value:.1f}" for cause, value in largest)
+                yield f"    second {second}: {worst}"
+
+
+def _sort_causes(seconds: dict[str, float]) -> list[tuple[str, float]]:
+    return sorted(seconds.items(), key=lambda pair: -pair[1])
+
+
+@click.command(epilog="""\b
+Examples:
+  toucanpin losses entry-*.log
+  journalctl -u toucanpin -o cat | toucanpin losses - --by-second""")
+@click.argument("files", nargs=-1, type=click.File("r"), required=True)
+@click.option("--by-second", is_flag=True, help="Also the three largest causes of each second.")
+def losses(files: tuple[IO[str], ...], by_second: bool) -> None:
+    """
+    Sum up where jobs' time went, by queue and cause, from the logs of all hosts.
+
+    FILES are logs of entry hosts, - for standard input.  Times are task-seconds.
+    """
+    found = sum_losses(line for file in files for line in parse_lines(file))
+    if not found:
+        click.echo("no line tells of a task", err=True)
+        raise SystemExit(ExitCode.REFUSED)
+    for text in _write_table(found, by_second):
+        click.echo(text)
--- a/toucanpin/cli/main.py
+++ b/toucanpin/cli/main.py
@@ -16,6 +16,7 @@
 from toucanpin.cli.drain import drain
 from toucanpin.cli.explain import explain
 from toucanpin.cli.job import job, standing
+from toucanpin.cli.losses import losses
 from toucanpin.cli.status import doctor, hosts, status
 from toucanpin.cli.timeline import timeline
 from toucanpin.cli.top import top
@@ -51,6 +52,7 @@
     explain,
     hosts,
     job,
+    losses,
     standing,
     status,
     timeline,
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 
 import logbook
 
@@ -37,6 +37,7 @@
 from toucanpin.scheduling.ownership import RENEWAL, OwnerRecord
 from toucanpin.scheduling.pacing import control_pace
 from toucanpin.scheduling.placing import place_tasks
+from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Run
@@ -51,6 +52,9 @@
 FEED_WAIT = 5.0  # s that a watch of the jobs waits
 RETRY = 0.1  # s before a read is repeated
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
+LONG_WAIT = 0.5  # s without a place from which on a wait is told
+TELL_AGAIN = 2.0  # s until it is told again
+MOST_TOLD = 10  # waits told at a time, of thousands in an overload
 KEEP_MARGIN = 15.0  # s that ended jobs are kept longer than promised
 # A lease that an earlier owner granted ends on a clock that may be 2% slow, and a little later.
 HORIZON = AUTHORITY * 1.04 + 0.4
@@ -170,6 +174,7 @@
             self._cell.confirmed = self._rows.written_at
             started = apply_batch(self._cell, batch)
             self._workers.note_written()
+            self._tell_ended(batch.records)
             for run in started:
                 self._note_place(run)
                 self._spawn(self._workers.start(run))
@@ -250,6 +255,7 @@
             for order in plan_advice(self._cell, self._sharing, free, now):
                 self._spawn(self._advise(order))
             control_pace(self._cell, self._sharing, now)
+            self._tell_waits()
             if now.steady > forgotten_at + FORGET_PERIOD:
                 forgotten_at = now.steady
                 forget_ended(self._cell, now, self._bounds.keep_ended + KEEP_MARGIN)
@@ -268,9 +274,53 @@
             task=format_task(run.task),
             attempt=run.attempt,
             worker=run.worker,
+            queue=live.job.queue if live else "",
+            image=run.step.image,
             age=round(waited, 3),
+            waited=round(run.waited, 3),
+            why=run.why,
         )
 
+    def _tell_waits(self) -> None:
+        """Log what waits for long, the longest first, a bounded number a second."""
+        now = self._clocks.now()
+        due = [
+            (group, wait)
+            for group, wait in self._cell.waits.items()
+            if now.steady - wait.since > LONG_WAIT and now.steady > wait.told_at + TELL_AGAIN
+        ]
+        due.sort(key=lambda pair: pair[1].since)
+        for group, wait in due[:MOST_TOLD]:
+            wait.told_at = now.steady
+            _log.info(
+                "waiting",
+                event="task.waiting",
+                job=group.job,
+                step=group.step,
+                queue=self._cell.jobs[group.job].job.queue,
+                tasks=len(self._cell.waiting.get(group, ())),
+                since=round(now.steady - wait.since, 3),
+                why=wait.reason.value,
+            )
+
+    def _tell_ended(self, identifiers: Iterable[str]) -> None:
+        """Log the jobs that have ended, and by how much they missed their objective."""
+        now = self._clocks.now()
+        for identifier in identifiers:
+            live = self._cell.jobs.get(identifier)
+            if live is None or live.told or not JobState(live.progress.state).ended:
+                continue
+            live.told = True
+            _log.info(
+                "job ended",
+                event="job.ended",
+                job=identifier,
+                queue=live.job.queue,
+                state=JobState(live.progress.state).name.lower(),
+                took=round((now.table - live.job.accepted) / 1_000, 3),
+                late=round((now.table - live.objective) / 1_000, 3),
+            )
+
     def _after_change(self) -> None:
         orders = self._cell.orders
         self._cell.orders = []
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -96,6 +96,7 @@
     left: dict[int, list[int]] = field(default_factory=dict)
     racks: dict[Group, str] = field(default_factory=dict)
     times: dict[int, list[float]] = field(default_factory=dict)
+    told: bool = False  # its end stands in the log
 
 
 @dataclass(slots=True)
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -251,6 +251,10 @@
     run.resumed = bool(record.checkpoint)
     group = Group(task.job, task.occurrence, task.step)
     run.ticket = find_ticket(cell, group, worker.entry.id, now)
+    wait = cell.waits.get(group)
+    if wait is not None:
+        run.waited = now.steady - wait.since
+        run.why = wait.reason.value
     add_run(cell, worker, run)
     cell.placed.append(run)
     if live.progress.state == JobState.PENDING:
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -55,6 +55,8 @@
     unsure: bool = False
     stopped_at: float = 0.0  # when a stop was acknowledged, 0 if it wasn't
     stop_sent_at: float = 0.0
+    waited: float = 0.0  # s without a place before this one
+    why: str = ""  # what kept it waiting at last
     resumed: bool = False  # it began from a checkpoint, so its progress says little of its time
 
 
