Keep the last places for brief tasks unless a lasting one ran before; gather strays of an image

Change: only a task that ran before gives up the reserve, which is what its users miss. Second change: of a worker with several serving images, a filling task must be harmless to all; one lasting task whose image stands alone there moves to a worker of its own image, while batch work waits for it.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -29,6 +29,7 @@
 from toucanpin.scheduling.advising import AdviceOrder, plan_advice, take_advice
 from toucanpin.scheduling.batches import apply_batch, has_work, take_batch
 from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.gathering import gather_images
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
 from toucanpin.scheduling.intake import begin_due, cancel_job, forget_ended, submit_job
 from toucanpin.scheduling.job import format_task
@@ -255,6 +256,7 @@
             for order in plan_advice(self._cell, self._sharing, free, now):
                 self._spawn(self._advise(order))
             control_pace(self._cell, self._sharing, now)
+            gather_images(self._cell, self._sharing, now)
             self._tell_waits()
             if now.steady > forgotten_at + FORGET_PERIOD:
                 forgotten_at = now.steady
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -129,6 +129,8 @@
     next_due: float = 0.0
     paced_at: float = 0.0
     barren: dict[str, tuple[int, float]] = field(default_factory=dict)
+    gathered_at: float = 0.0
+    gathered: dict[TaskKey, float] = field(default_factory=dict)  # when tasks were moved together
     moved: set[TaskKey] = field(default_factory=set)  # tasks that have left a slow worker
 
 
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -22,6 +22,7 @@
     "Places",
     "Round",
     "fits_rules",
+    "leaves_reserve",
     "list_able",
     "may_last",
 ]
@@ -128,7 +129,7 @@
     for worker in able:
         if not _may_run(worker, group, step):
             continue
-        if _leaves_reserve(worker, step):
+        if leaves_reserve(worker, step):
             return True
         places += 1
     return places > 1
@@ -162,7 +163,8 @@
     return now.steady < worker.kept_until and live.job.priority > worker.kept_for
 
 
-def _leaves_reserve(worker: Worker, step: Step) -> bool:
+def leaves_reserve(worker: Worker, step: Step) -> bool:
+    """Tell whether room for a brief urgent task is left beside one more task of a step."""
     return worker.cpu + step.cpu <= (1 - RESERVE) * worker.entry.cpu
 
 
@@ -193,7 +195,7 @@
     # Wide tasks find whole workers later if narrow ones fill up what is begun.
     left = 1 - (worker.cpu + step.cpu) / whole
     cost = 0.0
-    if step.lasting and not _leaves_reserve(worker, step):
+    if step.lasting and not leaves_reserve(worker, step):
         cost += NO_RESERVE + 2 * (1 - left)
     if step.target:
         beside = BESIDE_FILLING * worker.filling_cpu / whole
@@ -227,5 +229,7 @@
     """
     serving = [run for run in worker.runs.values() if run.step.target]
     jobs = {run.task.job for run in serving} - {group.job}
-    images = {run.step.image for run in serving} - {image}
-    return OTHER_JOB * len(jobs) + OTHER_IMAGE * len(images)
+    images = {run.step.image for run in serving}
+    # Where an image serves already, one task more of it shuts out no further image that fills.
+    strange = 0 if image in images else len(images)
+    return OTHER_JOB * len(jobs) + OTHER_IMAGE * strange
--- /dev/null
+++ b/toucanpin/scheduling/gathering.py
@@ -0,0 +1,145 @@
+"""
+Gathering of images
+===================
+
+Move a lasting task away from a worker where it alone shuts out batch work that waits.
+
+Notes
+-----
+About half of the images that fill disturb any one image that serves.  On a worker that serves
+several images a filling task has to be harmless to all of them: of nine filling images four can run
+beside one serving image, two beside two of them and one beside three.  Lasting tasks come in any
+order and stay for minutes, so strays of one image end up on workers of another.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from toucanpin.scheduling.cell import Cell, Group, Now, WaitReason
+from toucanpin.scheduling.choosing import fits_rules, leaves_reserve, list_able
+from toucanpin.scheduling.ending import count_away, stop_run
+from toucanpin.scheduling.sharing import Sharing
+from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
+
+__all__ = ["gather_images"]
+
+PERIOD = 0.5  # s between moves; one that was stopped runs again elsewhere within about that time
+PATIENCE = 0.5  # s that batch work has waited before anything is moved for it
+# Measured effects lie near 0.3 or between 4 and 5; the middle tells them apart.
+HEAVY = 2.0
+LEAST_GAIN = 6.0  # cores that a move has to open for what waits: those of one batch task
+REST = 20.0  # s for which a task that was moved stays, longer than a batch job takes
+
+
+@dataclass(frozen=True, slots=True)
+class _Site:
+    """Hold a worker's serving images and the cores that what fills could use."""
+
+    worker: Worker
+    images: tuple[str, ...]
+    free: float
+
+
+def gather_images(cell: Cell, sharing: Sharing, now: Now) -> Run | None:
+    """Stop the lasting task whose move opens most cores to what waits, and return it."""
+    if now.steady < cell.gathered_at + PERIOD:
+        return None
+    demand = _sum_demand(cell, now)
+    if not demand:
+        return None
+    cell.gathered_at = now.steady
+    sites = [_describe(worker) for worker in list_able(cell, now)]
+    best = max(
+        _list_moves(cell, sharing, sites, demand, now), key=lambda move: move[0], default=None
+    )
+    if best is None or best[0] < LEAST_GAIN:
+        return None
+    run = best[1]
+    cell.gathered[run.task] = now.steady
+    stop_run(cell, run, "leaves its worker to batch work")
+    return run
+
+
+def _sum_demand(cell: Cell, now: Now) -> dict[str, float]:
+    """Return by image the cores of filling tasks that wait since they would disturb."""
+    demand: dict[str, float] = {}
+    for group, wait in cell.waits.items():
+        if wait.reason is not WaitReason.HARM or now.steady - wait.since < PATIENCE:
+            continue
+        step = cell.jobs[group.job].job.steps[group.step]
+        cores = step.cpu * len(cell.waiting.get(group, ())) / 1_000
+        demand[step.image] = demand.get(step.image, 0.0) + cores
+    return demand
+
+
+def _describe(worker: Worker) -> _Site:
+    images = tuple(run.step.image for run in worker.runs.values() if run.step.target)
+    used = worker.cpu + worker.filling_cpu
+    return _Site(worker, images, max(0.0, worker.entry.cpu - used) / 1_000)
+
+
+def _list_moves(
+    cell: Cell, sharing: Sharing, sites: list[_Site], demand: dict[str, float], now: Now
+) -> Iterable[tuple[float, Run]]:
+    """Yield the cores that each possible move would open, and the task that would move."""
+    for site in sites:
+        if len(set(site.images)) < 2:
+            continue
+        for run in site.worker.runs.values():
+            if site.images.count(run.step.image) != 1 or not _may_move(cell, run, now):
+                continue
+            left = [image for image in site.images if image != run.step.image]
+            gain = _open_cores(sharing, site, left, demand, run.step.cpu / 1_000)
+            gain -= _open_cores(sharing, site, site.images, demand)
+            if gain < LEAST_GAIN:
+                continue
+            loss = _find_least_loss(sharing, sites, site, run, demand)
+            if loss is not None:
+                yield gain - loss, run
+
+
+def _may_move(cell: Cell, run: Run, now: Now) -> bool:
+    if not run.step.lasting or not run.step.target or run.phase is not Phase.RUNNING:
+        return False
+    if run.percent < 100 or now.steady < cell.gathered.get(run.task, -REST) + REST:
+        return False
+    return run.task.job in cell.jobs and count_away(cell, run) == 0
+
+
+def _find_least_loss(
+    sharing: Sharing, sites: list[_Site], site: _Site, run: Run, demand: dict[str, float]
+) -> float | None:
+    """Return the fewest cores that the task would shut to what waits, None if it has no place."""
+    group = Group(run.task.job, run.task.occurrence, run.task.step)
+    least: float | None = None
+    for other in sites:
+        if other is site or run.step.image not in other.images:
+            continue
+        worker = other.worker
+        if not (has_room(worker, run.step) and fits_rules(worker, group, run.step)):
+            continue
+        if not leaves_reserve(worker, run.step):
+            continue
+        before = _open_cores(sharing, other, other.images, demand)
+        after = _open_cores(sharing, other, other.images, demand, -run.step.cpu / 1_000)
+        least = before - after if least is None else min(least, before - after)
+    return least
+
+
+def _open_cores(
+    sharing: Sharing,
+    site: _Site,
+    images: Iterable[str],
+    demand: dict[str, float],
+    more: float = 0.0,
+) -> float:
+    """Return the cores of a worker that what waits could use beside some images."""
+    serving = set(images)
+    wanted = sum(
+        cores
+        for image, cores in demand.items()
+        if all(sharing.expected_effect(served, image) < HEAVY for served in serving)
+    )
+    return min(wanted, max(0.0, site.free + more))
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -43,8 +43,9 @@
 
 BARREN = 0.0012  # s a worker for which what found no place isn't weighed again
 MOST_KEPT = 0.12  # of the workers that are kept for large tasks at a time
-# A lasting task that waits for longer takes the room that is kept for brief urgent ones: left out
-# for seconds it serves nobody, while each brief task is over soon.
+# A lasting task that ran before and waits for longer takes the room that is kept for brief urgent
+# ones: users of its service are used to it.  New ones that all found room would leave none: urgent
+# jobs earned 0.68 of their worth with it and 0.76 without, eight days played with either.
 RESERVE_PATIENCE = 1.0  # s
 MOST_STOPS = 16  # tasks of a step that room is made for at a time; each weighs all workers
 
@@ -70,7 +71,7 @@
         else:
             _place_group(cell, round_, live, group, step, allowed)
         if live.job.priority < least_urgent and not step.gang:
-            _make_room(cell, group, step, allowed, freed, now)
+            _make_room(cell, live, group, step, allowed, freed, now)
         able = _keep_for_large(cell, group, step, able)
         if not cell.waiting[group]:
             del cell.waiting[group]
@@ -82,10 +83,13 @@
     cell.waits.setdefault(group, Wait(now.steady)).reason = reason
 
 
-def _is_overdue(cell: Cell, group: Group, now: Now) -> bool:
-    """Tell whether a lasting task has waited for so long that it takes any place there is."""
+def _may_take_last(cell: Cell, live: LiveJob, group: Group, index: int, now: Now) -> bool:
+    """Tell whether a lasting task that ran before has waited for so long that any place will do."""
     wait = cell.waits.get(group)
-    return wait is not None and now.steady > wait.since + RESERVE_PATIENCE
+    if wait is None or now.steady <= wait.since + RESERVE_PATIENCE:
+        return False
+    records = live.progress.tasks[group.occurrence]
+    return records[live.offsets[group.step] + index].attempt > 0
 
 
 def _find_least_urgent(cell: Cell) -> int:
@@ -112,6 +116,7 @@
 
 def _make_room(
     cell: Cell,
+    live: LiveJob,
     group: Group,
     step: Step,
     able: list[Worker],
@@ -124,7 +129,7 @@
         task = TaskKey(group.job, group.occurrence, group.step, index)
         if cell.delayed.get(task, 0.0) > now.steady:
             continue
-        lenient = _is_overdue(cell, group, now)
+        lenient = step.lasting and _may_take_last(cell, live, group, index, now)
         if not free_room(cell, group, step, able, freed, now, lenient):
             return
 
@@ -147,7 +152,9 @@
             _note_wait(cell, group, _find_reason(live, step, able), now)
             _note_barren(cell, live, step, now)
             return
-        if step.lasting and not (may_last(able, group, step) or _is_overdue(cell, group, now)):
+        if step.lasting and not (
+            may_last(able, group, step) or _may_take_last(cell, live, group, index, now)
+        ):
             _note_wait(cell, group, WaitReason.RESERVED, now)
             return
         cell.delayed.pop(task, None)
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_gathering.py
@@ -0,0 +1,76 @@
+"""Lasting tasks that alone shut out batch work leave to workers of their own image."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.cell import Cell, Group, Now, Wait, WaitReason, add_run
+from toucanpin.scheduling.gathering import gather_images
+from toucanpin.scheduling.intake import submit_job
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.orders import StopOrder, WorkerEntry
+from toucanpin.scheduling.sharing import Effect, Sharing
+from toucanpin.scheduling.tests.fleet import make_job
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+WEB = Step(count=4, cpu=12_000, lasting=True, image="web", target=50)
+FEED = Step(count=4, cpu=12_000, lasting=True, image="feed", target=50)
+FILLS = Step(count=6, cpu=7_000, fills=True, image="batch", checkpoints=True)
+NOW = Now(100.0, 100_000, 100_000)
+
+
+class GatheringTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cell = Cell("c", 1, 0.0, 100.0)
+        self.sharing = Sharing()
+        for name in ("w0", "w1"):
+            entry = WorkerEntry(name, "c", "10.0.0.1:1", "dc", True, 64_000, 256_000, 0)
+            worker = Worker(entry, reached=True, answered_at=NOW.steady)
+            self.cell.workers[name] = worker
+        self._learn("web", 0.3)
+        self._learn("feed", 4.5)
+        submit_job(self.cell, make_job("web", (WEB,)), NOW)
+        submit_job(self.cell, make_job("feed", (FEED,)), NOW)
+        submit_job(self.cell, make_job("batch", (FILLS,), priority=2), NOW)
+        self.cell.waits[Group("batch", 0, 0)] = Wait(95.0, WaitReason.HARM)
+        for index in range(3):
+            self._run("w0", "web", WEB, index)
+            self._run("w1", "feed", FEED, index)
+        self.stray = self._run("w0", "feed", FEED, 3)
+
+    def _learn(self, image: str, effect: float) -> None:
+        self.sharing._effects[image, "batch"] = Effect(image, "batch", effect, 0.2)
+
+    def _run(self, worker: str, job: str, step: Step, index: int) -> Run:
+        run = Run(TaskKey(job, 0, 0, index), 1, worker, step, Phase.RUNNING, percent=100)
+        add_run(self.cell, self.cell.workers[worker], run)
+        return run
+
+    def test_a_stray_that_alone_shuts_out_batch_work_leaves(self) -> None:
+        """
+        Batch work waits for seconds though half of a worker is idle: one task of another image
+        serves there, which it would disturb.  That image has workers of its own with room.
+        """
+        self.assertIs(self.stray, gather_images(self.cell, self.sharing, NOW))
+        self.assertIsInstance(self.cell.orders[0], StopOrder)
+
+    def test_nothing_moves_while_no_batch_work_waits(self) -> None:
+        self.cell.waits.clear()
+        self.assertIsNone(gather_images(self.cell, self.sharing, NOW))
+
+    def test_nothing_moves_without_a_place_beside_its_own_image(self) -> None:
+        self.cell.workers["w1"].unsound = True
+        self.assertIsNone(gather_images(self.cell, self.sharing, NOW))
+
+    def test_nothing_moves_where_the_batch_work_is_harmless(self) -> None:
+        self._learn("feed", 0.3)
+        self.assertIsNone(gather_images(self.cell, self.sharing, NOW))
+
+    def test_a_job_has_one_task_away_at_a_time(self) -> None:
+        """Users of a service would lose it if its tasks were moved while others are away."""
+        next(iter(self.cell.workers["w1"].runs.values())).percent = 0
+        self.assertIsNone(gather_images(self.cell, self.sharing, NOW))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -13,7 +13,15 @@
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.orders import WorkerEntry
 
-__all__ = ["Phase", "Run", "Worker", "grant_deadline", "has_room", "release_run", "reserve_run"]
+__all__ = [
+    "Phase",
+    "Run",
+    "Worker",
+    "grant_deadline",
+    "has_room",
+    "release_run",
+    "reserve_run",
+]
 
 SLOWEST_CLOCK = 0.98  # a worker's clock may be 2% slow, by the platform's page
 LAPSE_MARGIN = 0.25  # s: time that a worker may take to kill what its lease no longer covers
