Leave a task alone that is done when a copy of it is dropped before it was written

A copy of a task that may be copied was placed and not written yet, which takes long while an owner is behind, when the first copy was listed as done. Dropping the copy put the task back to wait: it ran once more, was counted twice, and the next step began while a task of the step before was left. Change: what is done stays done. Test: test_moving, red before.

--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -114,11 +114,16 @@
         cell.placed = [other for other in cell.placed if other is not run]
         live = cell.jobs.get(run.task.job)
         record = find_record(live, run.task) if live else None
-        if live is not None and record is not None and record.attempt == run.attempt:
-            record.state = TaskState.WAITING
-            record.worker = ""
-            if not JobState(live.progress.state).ended:
-                wait_again(cell, run)
+        if live is None or record is None or record.attempt != run.attempt:
+            return
+        # Another copy may have ended the task.  Put back to wait it would run once more and be
+        # counted twice, and the next step would begin while a task of this one is left.
+        if record.state == TaskState.DONE:
+            return
+        record.state = TaskState.WAITING
+        record.worker = ""
+        if not JobState(live.progress.state).ended:
+            wait_again(cell, run)
         return
     run.phase = Phase.STOPPING
     run.stopped_at = run.stop_sent_at = 0.0
--- a/toucanpin/scheduling/tests/test_moving.py
+++ b/toucanpin/scheduling/tests/test_moving.py
@@ -76,6 +76,31 @@
         self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
         self.assertFalse(any(worker.runs for worker in fleet.workers.values()))
 
+    def test_a_copy_that_is_not_written_yet_leaves_what_is_done_alone(self) -> None:
+        """
+        A worker is silent for a moment while the table is slow, so copies of its two tasks are
+        placed and not written yet.  Then it lists one of them as done.  The copy's end put the task
+        back to wait: it ran again, was counted twice, and the next step began beside the other.
+        """
+        fleet = Fleet(workers=2)
+        steps = (Step(count=2, cpu=1_000, speculative=True), Step(cpu=1_000, after=(0,)))
+        fleet.submit(make_job(steps=steps))
+        fleet.run(0.2)
+        busy = next(worker for worker in fleet.workers.values() if worker.runs)
+        busy.runs[TaskKey("j1", 0, 0, 1)].lasts = 60.0
+        for worker in fleet.workers.values():
+            worker.lasts = 60.0
+        busy.silent = True
+        fleet.store_up = False
+        fleet.run(1.2)
+        busy.silent = False
+        fleet.run(0.2)
+        fleet.store_up = True
+        fleet.run(1.5)
+        started = [task for worker in fleet.workers.values() for task, _ in worker.starts]
+        self.assertEqual(1, started.count(TaskKey("j1", 0, 0, 0)))
+        self.assertNotIn(TaskKey("j1", 0, 1, 0), started)
+
     def test_a_copy_that_an_earlier_owner_began_counts_too(self) -> None:
         """
         Two copies run and the owner is killed.  The next one knows of the newer copy alone; the
