Ask another peer when one doesn't reach the store either

The store turned three hosts away, the owner among them. Its commits went to a peer drawn at random, which was turned away too, and then no peer was asked for 0.4 s: sixteen commits without an answer in two seconds, and the cell was lost. Ruled out: the store (it served the other hosts all the while), the takeover (0.07 s). Change: up to three peers for a call, those that failed left out for a second.

--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -38,7 +38,9 @@
 LONGEST_BRIEF = 2.5  # s that calls other than watches may take
 PROBE = 0.5  # s between direct tries while peers are used
 PROBE_TIMEOUT = 0.4  # s
-USELESS = 0.4  # s that peers aren't asked after one couldn't reach the store either
+USELESS = 1.0  # s that a peer isn't asked after it couldn't reach the store either
+MOST_PEERS = 3  # asked for one call; in an outage for all, more would only cost the others' time
+REST = 0.4  # s that no peer is asked after none of them reached the store
 CONNECT_TIMEOUT = 0.3  # s to reach a peer
 _PROBE_PATH = "/rows-get?table=op&part=&limit=1&from=config&target=config%00"
 _REFUSED = (429, 503)
@@ -47,14 +49,23 @@
 class RelayedStore:
     """Call the store directly, or through a peer while it answers others and not this host."""
 
-    __slots__ = ("_direct", "_name", "_peers", "_probing", "_useless_until", "direct_works")
+    __slots__ = (
+        "_direct",
+        "_name",
+        "_peers",
+        "_probing",
+        "_rests_until",
+        "_useless",
+        "direct_works",
+    )
 
     def __init__(self, direct: Client, name: str) -> None:
         self._direct = direct
         self._name = name
         self._peers: Peers | None = None
         self._probing: asyncio.Task[None] | None = None
-        self._useless_until = 0.0
+        self._useless: dict[str, float] = {}
+        self._rests_until = 0.0
         self.direct_works = True
 
     def use_peers(self, peers: Peers) -> None:
@@ -94,30 +105,43 @@
             self._note_failure()
         if time.monotonic() >= deadline:
             raise CallError(Verdict.MAY_HAVE_RUN, str(failure))
-        if self._may_relay():
+        for peer in self._list_peers():
+            if time.monotonic() >= deadline:
+                break
             try:
-                answer = await self._relay(method, path, body, deadline - time.monotonic())
+                answer = await self._relay(peer, method, path, body, deadline - time.monotonic())
                 if answer.status not in _REFUSED:
                     STORE_CALLS.add(1, {"outcome": "relayed"})
+                    self._rests_until = 0.0
                     return answer
-                self._useless_until = time.monotonic() + USELESS
                 refusal = answer
             except CallError as error:
-                self._useless_until = time.monotonic() + USELESS
                 failure = error
                 unsure = unsure or not error.certain
+            self._useless[peer.name] = time.monotonic() + USELESS
+            self._rests_until = time.monotonic() + REST
         if refusal is not None and not unsure:
             return refusal
         verdict = Verdict.MAY_HAVE_RUN if unsure else Verdict.NOT_RUN
         raise CallError(verdict, str(failure or "the store refused"))
 
     def _may_relay(self) -> bool:
-        return (
-            self._peers is not None
-            and bool(self._peers.secret)
-            and time.monotonic() >= self._useless_until
-            and bool(self._peers.others())
-        )
+        return bool(self._list_peers())
+
+    def _list_peers(self) -> list[Peer]:
+        """
+        Return some peers to ask, in any order, without those that didn't reach the store lately.
+
+        The store may turn several hosts away.  Each would take its turn through another of them and
+        then rest, and an owner among them wrote nothing for two seconds.
+        """
+        if self._peers is None or not self._peers.secret:
+            return []
+        now = time.monotonic()
+        if now < self._rests_until:
+            return []
+        able = [peer for peer in self._peers.others() if self._useless.get(peer.name, 0.0) <= now]
+        return random.sample(able, min(MOST_PEERS, len(able)))
 
     def _note_failure(self) -> None:
         if self.direct_works:
@@ -140,9 +164,8 @@
         self._probing = None
         _log.info("store reached directly", event="store.regained")
 
-    async def _relay(self, method: str, path: str, body: bytes, left: float) -> Answer:
+    async def _relay(self, peer: Peer, method: str, path: str, body: bytes, left: float) -> Answer:
         assert self._peers is not None
-        peer = random.choice(self._peers.others())
         caller = PeerCaller(self._name, self._peers, peer, STORE)
         return await caller.call(method, path, body, timeout=left)
 
--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -56,6 +56,20 @@
         await self._put()
         self.assertIn(("t", "", "k"), self.core.rows)
 
+    async def test_a_peer_that_cannot_help_is_followed_by_another(self) -> None:
+        """
+        The store turns several hosts away, the owner among them.  It asked one of the others, which
+        was turned away too, and rested; so it wrote nothing for two seconds and lost its cell.
+        """
+        self.faults[0].refusing = 429
+        peers = self.stores[0][2]
+        gone = (Peer(f"g{n}", "127.0.0.1", free_port(), 1_000, 0) for n in range(2))
+        peers.known = (*gone, *peers.known)
+        for number in range(8):
+            put = Put("t", f"k{number}", b"v")
+            result = await self.stores[0][0].transact("", (), (put,))
+            self.assertIsInstance(result, Committed)
+
     async def test_a_host_that_the_store_does_not_answer_writes_through_its_peer(self) -> None:
         self.faults[0].silent = True
         await self._put()
