Tell waits once a second from a module of its own

Cause: the owner looked for what waits for long twenty times a second and told ten of them each time, so an overload could write 200 lines a second and sort thousands of waits for it. Change: one look a second; the three lines of decisions stand in entry/decisions.py, and owner.py is 60 lines shorter. Test: test_decisions.

--- /dev/null
+++ b/toucanpin/entry/decisions.py
@@ -0,0 +1,87 @@
+"""
+Log of decisions
+================
+
+One line for each task that gets a place, each job that ends, and what waits for long.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import logbook
+
+from toucanpin.entry.metrics import START_WAIT, STARTS
+from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.job import format_task
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.worker import Run
+
+__all__ = ["log_ended", "log_place", "log_waits"]
+
+_log = logbook.Logger("decisions")
+LONG_WAIT = 0.5  # s without a place from which on a wait is told
+TELL_AGAIN = 2.0  # s until it is told again
+MOST_TOLD = 10  # waits told at a time, of thousands in an overload
+
+
+def log_place(cell: Cell, run: Run, now: Now) -> None:
+    """Tell where a task goes, how long it waited for a place, and why."""
+    live = cell.jobs.get(run.task.job)
+    age = (now.table - live.job.accepted) / 1_000 if live else 0.0
+    STARTS.add(1)
+    if live is not None and not live.job.repeats and run.attempt == 1:
+        START_WAIT.record(max(0.0, age), {"priority": live.job.priority})
+    _log.info(
+        "placed",
+        event="task.placed",
+        job=run.task.job,
+        task=format_task(run.task),
+        attempt=run.attempt,
+        worker=run.worker,
+        queue=live.job.queue if live else "",
+        image=run.step.image,
+        age=round(age, 3),
+        waited=round(run.waited, 3),
+        why=run.why,
+    )
+
+
+def log_waits(cell: Cell, now: Now) -> None:
+    """Tell what waits for long, the longest first, a bounded number at a time."""
+    due = [
+        (group, wait)
+        for group, wait in cell.waits.items()
+        if now.steady - wait.since > LONG_WAIT and now.steady > wait.told_at + TELL_AGAIN
+    ]
+    due.sort(key=lambda pair: pair[1].since)
+    for group, wait in due[:MOST_TOLD]:
+        wait.told_at = now.steady
+        _log.info(
+            "waiting",
+            event="task.waiting",
+            job=group.job,
+            step=group.step,
+            queue=cell.jobs[group.job].job.queue,
+            tasks=len(cell.waiting.get(group, ())),
+            since=round(now.steady - wait.since, 3),
+            why=wait.reason.value,
+        )
+
+
+def log_ended(cell: Cell, identifiers: Iterable[str], now: Now) -> None:
+    """Tell once of each job that has ended, and by how much it missed its objective."""
+    for identifier in identifiers:
+        live = cell.jobs.get(identifier)
+        if live is None or live.told or not JobState(live.progress.state).ended:
+            continue
+        live.told = True
+        _log.info(
+            "job ended",
+            event="job.ended",
+            job=identifier,
+            queue=live.job.queue,
+            state=JobState(live.progress.state).name.lower(),
+            took=round((now.table - live.job.accepted) / 1_000, 3),
+            late=round((now.table - live.objective) / 1_000, 3),
+        )
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine
 
 import logbook
 
@@ -17,8 +17,8 @@
 from toucanpin.entry.cell_rows import CellRows, DeposedError, decode_job_row
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.decisions import log_ended, log_place, log_waits
 from toucanpin.entry.entries import EntryReader
-from toucanpin.entry.metrics import START_WAIT, STARTS
 from toucanpin.entry.rows import JOBS, list_job_parts, split_key
 from toucanpin.entry.waves import Waves
 from toucanpin.exception import PlatformError
@@ -32,16 +32,13 @@
 from toucanpin.scheduling.gathering import gather_images
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
 from toucanpin.scheduling.intake import begin_due, cancel_job, forget_ended, submit_job
-from toucanpin.scheduling.job import format_task
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.ownership import RENEWAL, OwnerRecord
 from toucanpin.scheduling.pacing import control_pace
 from toucanpin.scheduling.placing import place_tasks
-from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.sharing import Sharing
-from toucanpin.scheduling.worker import Run
 
 __all__ = ["Owner"]
 
@@ -53,9 +50,7 @@
 FEED_WAIT = 5.0  # s that a watch of the jobs waits
 RETRY = 0.1  # s before a read is repeated
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
-LONG_WAIT = 0.5  # s without a place from which on a wait is told
-TELL_AGAIN = 2.0  # s until it is told again
-MOST_TOLD = 10  # waits told at a time, of thousands in an overload
+TELL_PERIOD = 1.0  # s between looks for what waits for long
 KEEP_MARGIN = 15.0  # s that ended jobs are kept longer than promised
 # A lease that an earlier owner granted ends on a clock that may be 2% slow, and a little later.
 HORIZON = AUTHORITY * 1.04 + 0.4
@@ -175,9 +170,9 @@
             self._cell.confirmed = self._rows.written_at
             started = apply_batch(self._cell, batch)
             self._workers.note_written()
-            self._tell_ended(batch.records)
+            log_ended(self._cell, batch.records, self._clocks.now())
             for run in started:
-                self._note_place(run)
+                log_place(self._cell, run, self._clocks.now())
                 self._spawn(self._workers.start(run))
             if not self._rows.record.host:
                 raise DeposedError("resigned")
@@ -242,7 +237,7 @@
         self._wake.set()
 
     async def _tick(self) -> None:
-        forgotten_at = moved_at = 0.0
+        forgotten_at = moved_at = told_at = 0.0
         while True:
             await asyncio.sleep(TICK)
             now = self._clocks.now()
@@ -257,72 +252,14 @@
                 self._spawn(self._advise(order))
             control_pace(self._cell, self._sharing, now)
             gather_images(self._cell, self._sharing, now)
-            self._tell_waits()
+            if now.steady > told_at + TELL_PERIOD:
+                told_at = now.steady
+                log_waits(self._cell, now)
             if now.steady > forgotten_at + FORGET_PERIOD:
                 forgotten_at = now.steady
                 forget_ended(self._cell, now, self._bounds.keep_ended + KEEP_MARGIN)
             self._after_change()
 
-    def _note_place(self, run: Run) -> None:
-        live = self._cell.jobs.get(run.task.job)
-        waited = (self._clocks.now().table - live.job.accepted) / 1_000 if live else 0.0
-        STARTS.add(1)
-        if live is not None and not live.job.repeats and run.attempt == 1:
-            START_WAIT.record(max(0.0, waited), {"priority": live.job.priority})
-        _log.info(
-            "placed",
-            event="task.placed",
-            job=run.task.job,
-            task=format_task(run.task),
-            attempt=run.attempt,
-            worker=run.worker,
-            queue=live.job.queue if live else "",
-            image=run.step.image,
-            age=round(waited, 3),
-            waited=round(run.waited, 3),
-            why=run.why,
-        )
-
-    def _tell_waits(self) -> None:
-        """Log what waits for long, the longest first, a bounded number a second."""
-        now = self._clocks.now()
-        due = [
-            (group, wait)
-            for group, wait in self._cell.waits.items()
-            if now.steady - wait.since > LONG_WAIT and now.steady > wait.told_at + TELL_AGAIN
-        ]
-        due.sort(key=lambda pair: pair[1].since)
-        for group, wait in due[:MOST_TOLD]:
-            wait.told_at = now.steady
-            _log.info(
-                "waiting",
-                event="task.waiting",
-                job=group.job,
-                step=group.step,
-                queue=self._cell.jobs[group.job].job.queue,
-                tasks=len(self._cell.waiting.get(group, ())),
-                since=round(now.steady - wait.since, 3),
-                why=wait.reason.value,
-            )
-
-    def _tell_ended(self, identifiers: Iterable[str]) -> None:
-        """Log the jobs that have ended, and by how much they missed their objective."""
-        now = self._clocks.now()
-        for identifier in identifiers:
-            live = self._cell.jobs.get(identifier)
-            if live is None or live.told or not JobState(live.progress.state).ended:
-                continue
-            live.told = True
-            _log.info(
-                "job ended",
-                event="job.ended",
-                job=identifier,
-                queue=live.job.queue,
-                state=JobState(live.progress.state).name.lower(),
-                took=round((now.table - live.job.accepted) / 1_000, 3),
-                late=round((now.table - live.objective) / 1_000, 3),
-            )
-
     def _after_change(self) -> None:
         orders = self._cell.orders
         self._cell.orders = []
--- /dev/null
+++ b/toucanpin/entry/tests/test_decisions.py
@@ -0,0 +1,55 @@
+"""What the log tells of decisions, and how much of it."""
+
+from __future__ import annotations
+
+import unittest
+
+import logbook
+
+from toucanpin.entry.decisions import MOST_TOLD, log_ended, log_place, log_waits
+from toucanpin.scheduling.cell import Group
+from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+
+
+class DecisionsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet(workers=1, cpu=1_000)
+        self.handler = logbook.TestHandler()
+        self.handler.push_context()
+        self.addCleanup(self.handler.pop_context)
+
+    def _events(self) -> list[str]:
+        return [record.kwargs["event"] for record in self.handler.records]
+
+    def test_waits_are_told_the_longest_first_and_not_all(self) -> None:
+        """
+        Thousands of steps wait in an overload.  A line for each of them would fill the log and the
+        owner's processor, and none tells the on-call engineer nothing.
+        """
+        for number in range(3 * MOST_TOLD):
+            self.fleet.submit(make_job(f"j{number:02}", (Step(cpu=900),), accepted=number))
+        self.fleet.run(0.8)
+        log_waits(self.fleet.cell, self.fleet.now())
+        log_waits(self.fleet.cell, self.fleet.now())
+        self.assertEqual(2 * MOST_TOLD, self._events().count("task.waiting"))
+        told = {record.kwargs["job"] for record in self.handler.records}
+        self.assertEqual(2 * MOST_TOLD, len(told))
+        self.assertEqual("no room", self.handler.records[0].kwargs["why"])
+
+    def test_a_place_tells_its_wait_and_an_end_is_told_once(self) -> None:
+        self.fleet.submit(make_job("first", (Step(cpu=900),), accepted=1))
+        self.fleet.submit(make_job("second", (Step(cpu=900),), accepted=2))
+        self.fleet.run(1.3)
+        cell = self.fleet.cell
+        run = next(iter(cell.workers["w0"].runs.values()))
+        self.assertNotIn(Group("second", 0, 0), cell.waits)
+        log_place(cell, run, self.fleet.now())
+        self.assertGreater(self.handler.records[0].kwargs["waited"], 0.8)
+        for _ in range(2):
+            log_ended(cell, ["first", "second", "unknown"], self.fleet.now())
+        self.assertEqual(1, self._events().count("job.ended"))
+
+
+if __name__ == "__main__":
+    unittest.main()
