Place lasting tasks that ran before ahead of their siblings; forget old moves

A step's waiting tasks went by index, and the first that had to leave the reserve alone ended the round, so one that ran before and stood behind it waited as well. The moves of strays were remembered for good. Test: test_lasting, red before.

--- a/toucanpin/scheduling/gathering.py
+++ b/toucanpin/scheduling/gathering.py
@@ -57,11 +57,19 @@
     if best is None or best[0] < LEAST_GAIN:
         return None
     run = best[1]
+    _forget_old(cell, now)
     cell.gathered[run.task] = now.steady
     stop_run(cell, run, "leaves its worker to batch work")
     return run
 
 
+def _forget_old(cell: Cell, now: Now) -> None:
+    """Drop moves that hold nothing back any more; a cell lives for months."""
+    cell.gathered = {
+        task: moved_at for task, moved_at in cell.gathered.items() if now.steady < moved_at + REST
+    }
+
+
 def _sum_demand(cell: Cell, now: Now) -> dict[str, float]:
     """Return by image the cores of filling tasks that wait since they would disturb."""
     demand: dict[str, float] = {}
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -83,6 +83,15 @@
     cell.waits.setdefault(group, Wait(now.steady)).reason = reason
 
 
+def _order_waiting(cell: Cell, live: LiveJob, group: Group) -> list[int]:
+    """Return the tasks of a step that wait, those first that ran before: users miss them."""
+    start = live.offsets[group.step]
+    records = live.progress.tasks[group.occurrence]
+    return sorted(
+        cell.waiting[group], key=lambda index: (records[start + index].attempt == 0, index)
+    )
+
+
 def _may_take_last(cell: Cell, live: LiveJob, group: Group, index: int, now: Now) -> bool:
     """Tell whether a lasting task that ran before has waited for so long that any place will do."""
     wait = cell.waits.get(group)
@@ -124,8 +133,7 @@
     now: Now,
 ) -> None:
     """Stop what is less urgent for the tasks of a step that found no place."""
-    waiting = sorted(cell.waiting[group])[:MOST_STOPS]
-    for index in waiting:
+    for index in _order_waiting(cell, live, group)[:MOST_STOPS]:
         task = TaskKey(group.job, group.occurrence, group.step, index)
         if cell.delayed.get(task, 0.0) > now.steady:
             continue
@@ -142,7 +150,7 @@
         return
     places = Places(round_, live, group, step, able)
     now = round_.now
-    for index in sorted(waiting):
+    for index in _order_waiting(cell, live, group):
         task = TaskKey(group.job, group.occurrence, group.step, index)
         if cell.delayed.get(task, 0.0) > now.steady:
             _note_wait(cell, group, WaitReason.PAUSED, now)
--- a/toucanpin/scheduling/tests/test_lasting.py
+++ b/toucanpin/scheduling/tests/test_lasting.py
@@ -45,6 +45,21 @@
         self.fleet.run(1.5)
         self.assertTrue(self._is_running("lasts"))
 
+    def test_a_task_that_ran_goes_before_its_siblings_that_never_did(self) -> None:
+        """
+        A service asks for more tasks than find room, and one that ran fails.  Siblings that wait
+        for the reserve stood before it in the queue, and its users would miss it for as long.
+        """
+        fleet = Fleet(workers=1, cpu=2_000)
+        fleet.workers["w0"].lasts = 60.0
+        step = Step(count=3, cpu=1_000, lasting=True)
+        fleet.submit(make_job("full", (Step(cpu=1_000),), priority=0))
+        fleet.submit(make_job("lasts", (step,), priority=0))
+        fleet.cell.jobs["lasts"].progress.tasks[0][2].attempt = 1
+        fleet.run(2.0)
+        placed = {task for task in fleet.workers["w0"].runs if task.job == "lasts"}
+        self.assertEqual({TaskKey("lasts", 0, 0, 2)}, placed)
+
     def test_a_new_task_leaves_the_last_place_to_brief_ones(self) -> None:
         self._fill_up(Step(count=7, cpu=1_000))
         self.fleet.submit(make_job("lasts", (LASTS,), priority=0))
