Give a lasting task that failed its place back before new jobs get it

The fleet was full and some twenty lasting jobs waited ('no room'); the failed task paused for 0.25 s, and every place that became free went to the job with the earliest objective, which for a lasting job says nothing. Ruled out: the reserve and the order within the step (the task waited alone), memory of what fills (room is made after a second), takeovers (it waited on in each owner). Change: steps with a task that ran before go before new lasting ones; a lasting task that ran for two seconds or more is placed again at once. Test: test_lasting, red before.

--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -200,7 +200,7 @@
             cell.waiting[group] = idle
 
 
-def rank_group(cell: Cell, group: Group, now: Now) -> tuple[int, bool, Lateness, int, Group]:
+def rank_group(cell: Cell, group: Group, now: Now) -> tuple[int, bool, int, int, Group]:
     """
     Return what orders steps that wait, the most urgent first.
 
@@ -209,9 +209,21 @@
     instead of 0.80 and patient ones 0.81 instead of 0.80 (15 days, processor time not charged).
     """
     live = cell.jobs[group.job]
-    lasting = live.job.steps[group.step].lasting
-    lateness = Lateness.IN_TIME if lasting else judge_lateness(live, group.step, now)
-    return live.job.priority, lasting, lateness, live.objective, group
+    if live.job.steps[group.step].lasting:
+        return live.job.priority, True, not _ran_before(cell, live, group), live.objective, group
+    return live.job.priority, False, judge_lateness(live, group.step, now), live.objective, group
+
+
+def _ran_before(cell: Cell, live: LiveJob, group: Group) -> bool:
+    """
+    Tell whether a task of a step that waits has run before.
+
+    On a full fleet new lasting jobs took each place that became free, and a task that had failed
+    ran nowhere for 25 s, though its users were there all the while.
+    """
+    records = live.progress.tasks[group.occurrence]
+    start = live.offsets[group.step]
+    return any(records[start + index].attempt for index in cell.waiting.get(group, ()))
 
 
 def judge_lateness(live: LiveJob, step: int, now: Now) -> Lateness:
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -37,6 +37,9 @@
 
 SUSPICION = 3.0  # s that a worker is avoided after failures; a day's failing workers last 4 to 7 s
 RETRY_DELAY = 0.25  # s before a lasting task that failed is placed again, so a loop can't spin
+# One that ran for longer can't spin.  It goes back at once: on a full fleet another task would take
+# its place within the delay.
+BRIEF_LIFE = 2.0  # s
 
 
 def apply_end(cell: Cell, worker: Worker, ended: Ended, now: Now) -> None:
@@ -82,7 +85,8 @@
                 end_job(cell, live, JobState.FAILED, now)
                 return
         case End.FAILED | End.DONE:
-            cell.delayed[run.task] = now.steady + RETRY_DELAY
+            if now.steady < run.started_at + BRIEF_LIFE:
+                cell.delayed[run.task] = now.steady + RETRY_DELAY
     wait_again(cell, run)
     if run.step.gang:
         stop_gang(cell, live, run, "another member ended")
--- a/toucanpin/scheduling/tests/test_lasting.py
+++ b/toucanpin/scheduling/tests/test_lasting.py
@@ -60,6 +60,27 @@
         placed = {task for task in fleet.workers["w0"].runs if task.job == "lasts"}
         self.assertEqual({TaskKey("lasts", 0, 0, 2)}, placed)
 
+    def test_a_task_that_failed_goes_before_new_jobs(self) -> None:
+        """
+        A fleet is full and lasting jobs wait.  One that ran fails, and its place goes to a new job
+        whose objective is earlier, as does each place after it: the failed task ran nowhere for
+        25 s.
+        """
+        fleet = Fleet(workers=1, cpu=2_000)
+        worker = fleet.workers["w0"]
+        worker.lasts = 60.0
+        step = Step(cpu=900, lasting=True)
+        fleet.submit(make_job("lasts", (step,), accepted=90_000))
+        fleet.submit(make_job("other", (step,), accepted=90_000))
+        fleet.run(3.0)
+        for number in range(4):
+            fleet.submit(make_job(f"new{number}", (step,), accepted=number))
+        worker.end(self._lasts, End.FAILED)
+        fleet.run(1.0)
+        worker.end(TaskKey("other", 0, 0, 0), End.FAILED)
+        fleet.run(3.0)
+        self.assertEqual({"lasts", "other"}, {task.job for task in worker.runs})
+
     def test_a_new_task_leaves_the_last_place_to_brief_ones(self) -> None:
         self._fill_up(Step(count=7, cpu=1_000))
         self.fleet.submit(make_job("lasts", (LASTS,), priority=0))
