--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -44,8 +44,8 @@
 BARREN = 0.0012  # s a worker for which what found no place isn't weighed again
 MOST_KEPT = 0.12  # of the workers that are kept for large tasks at a time
 # A lasting task that ran before and waits for longer takes the room that is kept for brief urgent
-# ones: users of its service are used to it.  New ones that all found room would leave none: urgent
-# jobs earned 0.68 of their worth with it and 0.76 without, eight days played with either.
+# ones: users of its service miss it.  New ones that all did so would leave no room for brief tasks:
+# urgent jobs earned 0.68 of their worth then and 0.70 as it is, eight days played with either.
 RESERVE_PATIENCE = 1.0  # s
 MOST_STOPS = 16  # tasks of a step that room is made for at a time; each weighs all workers
 
