Tell counts, late reads of jobs, bytes by table, turns and processor time

Logs couldn't tell whether a count of 0 came from an old view, from a row that wasn't there or from a host that read late. Each count now leaves a line with what it took; an owner tells when its jobs were read late; counters show the bytes of the store's answers by table, histograms the owner's turns, a gauge the processor time. No decision changes.

--- a/toucanpin/entry/metrics.py
+++ b/toucanpin/entry/metrics.py
@@ -27,8 +27,10 @@
     "REQUEST_TIME",
     "STARTS",
     "START_WAIT",
+    "STORE_BYTES",
     "STORE_CALLS",
     "TAKEOVERS",
+    "TURN_TIME",
     "UNSOUND",
     "MetricsServer",
     "watch",
@@ -51,12 +53,24 @@
 STORE_CALLS = _meter.create_counter(
     "toucanpin.store.calls", description="Calls of the store by outcome"
 )
+STORE_BYTES = _meter.create_counter(
+    "toucanpin.store.bytes", unit="By", description="Bytes of the store's answers by table"
+)
+TURN_TIME = _meter.create_histogram(
+    "toucanpin.turn.time", unit="s", description="Seconds of an owner's turn by what is done"
+)
 UNSOUND = _meter.create_counter(
     "toucanpin.entries.unsound", description="Entries of a table that name nothing, once each"
 )
 LAG = _meter.create_histogram(
     "toucanpin.loop.lag", unit="s", description="Seconds that a turn of the loop came late"
 )
+HISTOGRAMS = (
+    "toucanpin.request.time",
+    "toucanpin.start.wait",
+    "toucanpin.loop.lag",
+    "toucanpin.turn.time",
+)
 BOUNDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)  # s
 
 Gauge = Callable[[], dict[str, float]]
@@ -88,10 +102,7 @@
 
         self._reader = InMemoryMetricReader()
         buckets = ExplicitBucketHistogramAggregation(BOUNDS)
-        views = [
-            View(instrument_name=name, aggregation=buckets)
-            for name in ("toucanpin.request.time", "toucanpin.start.wait", "toucanpin.loop.lag")
-        ]
+        views = [View(instrument_name=name, aggregation=buckets) for name in HISTOGRAMS]
         metrics.set_meter_provider(MeterProvider(metric_readers=[self._reader], views=views))
         await self._server.listen(self._address)
 
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -19,6 +19,7 @@
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.decisions import log_ended, log_place, log_waits
 from toucanpin.entry.entries import EntryReader
+from toucanpin.entry.metrics import TURN_TIME
 from toucanpin.entry.rows import JOBS, list_job_parts, split_key
 from toucanpin.entry.waves import Waves
 from toucanpin.exception import PlatformError
@@ -48,6 +49,7 @@
 LIST_PERIOD = 0.5  # s between reads of the workers' entries; a drain must be seen within 2 s
 RELIST_PERIOD = 3.0  # s between full reads of the jobs, for what a watch has missed
 FEED_WAIT = 5.0  # s that a watch of the jobs waits
+LATE = 0.5  # s beyond its wait after which a read of the jobs is told of
 RETRY = 0.1  # s before a read is repeated
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
 TELL_PERIOD = 1.0  # s between looks for what waits for long
@@ -162,6 +164,7 @@
             self._wake.clear()
             now = self._clocks.now()
             place_tasks(self._cell, self._sharing, now)
+            TURN_TIME.record(steady_time() - now.steady, {"what": "placing"})
             idle = not has_work(self._cell) and not self._resigning
             if idle and steady_time() < self._rows.written_at + RENEWAL:
                 continue
@@ -181,6 +184,7 @@
         """Take up new jobs and wishes to cancel as their rows appear."""
         listed_at = steady_time()
         while True:
+            asked_at = steady_time()
             try:
                 page = None
                 if steady_time() < listed_at + RELIST_PERIOD:
@@ -193,6 +197,9 @@
                 _log.warning("jobs not followed", event="jobs.unread", reason=error)
                 await asyncio.sleep(RETRY)
                 continue
+            took = steady_time() - asked_at
+            if took > FEED_WAIT + LATE:
+                _log.warning("jobs read late", event="jobs.late", took=round(took, 3))
             self._feed_from = max(self._feed_from, page.version)
             self._take_rows(page.rows)
 
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -14,10 +14,11 @@
 import struct
 import time
 from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, urlsplit
 
 import logbook
 
-from toucanpin.entry.metrics import STORE_CALLS
+from toucanpin.entry.metrics import STORE_BYTES, STORE_CALLS
 from toucanpin.exception import WireError
 from toucanpin.http import Answer, CallError, Client
 from toucanpin.verdict import Verdict
@@ -95,6 +96,7 @@
                 answer = await self._direct.call(method, path, body, timeout=direct_timeout)
                 if answer.status not in _REFUSED:
                     STORE_CALLS.add(1, {"outcome": "answered"})
+                    STORE_BYTES.add(len(answer.body), {"table": _find_table(path)})
                     return answer
                 STORE_CALLS.add(1, {"outcome": "refused"})
                 refusal = answer
@@ -112,6 +114,7 @@
                 answer = await self._relay(peer, method, path, body, deadline - time.monotonic())
                 if answer.status not in _REFUSED:
                     STORE_CALLS.add(1, {"outcome": "relayed"})
+                    STORE_BYTES.add(len(answer.body), {"table": _find_table(path)})
                     self._rests_until = 0.0
                     return answer
                 refusal = answer
@@ -299,6 +302,12 @@
     raise CallError(Verdict.MAY_HAVE_RUN, f"{peer.name} answered something else")
 
 
+def _find_table(path: str) -> str:
+    """Return the table that a call reads, empty for a transaction."""
+    query = parse_qs(urlsplit(path).query)
+    return query.get("table", [""])[0]
+
+
 async def _read_frame(reader: asyncio.StreamReader) -> bytes:
     (size,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
     if not 0 < size <= MAX_FRAME:
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -192,11 +192,22 @@
             page = await self._store.read(COUNTS, queue.service, queue.name, queue.name + "\0")
             return _read_count(page.rows[0]) if page.rows else 0
 
+        begun = steady_time()
         await self._configuration.refresh(FRESH)
         current = self._configuration.current
         if current is not None and queue.name not in {other.name for other in current.queues}:
             return Response(404)
+        refreshed = steady_time()
         count = await self._try(find, deadline)
+        _log.info(
+            "waiting jobs counted",
+            event="jobs.counted",
+            queue=queue.name,
+            count=-1 if count.value is None else count.value,
+            refresh=round(refreshed - begun, 3),
+            took=round(steady_time() - begun, 3),
+            configuration_age=round(begun - self._configuration.confirmed, 3),
+        )
         if count.value is None:
             return Response(503, retry_after=self._come_back())
         return Response(200, encode_count(count.value))
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -141,6 +141,7 @@
         watch("toucanpin.cells.owned", "1 for each cell of this host", "cell", self._read_cells)
         watch("toucanpin.tasks.waiting", "Tasks that wait here", "priority", self._read_waiting)
         watch("toucanpin.configuration", "Version and age in s", "what", self._age)
+        watch("toucanpin.processor", "Processor time in s", "what", _read_processor)
         if logs is not None:
             watch("toucanpin.log.dropped", "Lines", "why", lambda: {"limit": logs.dropped})
 
@@ -194,6 +195,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _read_processor() -> dict[str, float]:
+    return {"process": time.process_time()}
+
+
 async def _measure_lag() -> None:
     """Record by how much the loop's turns come late."""
     while True:
--- a/toucanpin/entry/tests/test_metrics.py
+++ b/toucanpin/entry/tests/test_metrics.py
@@ -37,6 +37,8 @@
         ):
             self.assertIn(line, text.splitlines())
         self.assertIn('toucanpin_store_calls{outcome="answered"}', text)
+        self.assertIn('toucanpin_store_bytes{table="op"}', text)
+        self.assertIn('toucanpin_turn_time_count{what="placing"}', text)
         self.assertEqual(404, (await client.call("GET", "/other")).status)
         client.close()
 
