--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -10,6 +10,7 @@
 import asyncio
 import base64
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -61,6 +62,8 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     begun: float = field(default_factory=time.monotonic)
     transactions: int = 0
+    asked: Counter[str] = field(default_factory=Counter)  # reads by table
+    given: Counter[str] = field(default_factory=Counter)  # rows of their answers by table
 
     async def listen(self, address: str, faults: Faults) -> Server:
         """Serve one address under its own faults."""
@@ -148,10 +151,13 @@
         )
         limit = int(query.get("limit", "500"))
         rows = [self._describe(name) for name in keys[:limit]]
+        self.asked[table] += 1
+        self.given[table] += len(rows)
         return self._answer(200, {"rows": rows, "morePages": len(keys) > limit})
 
     async def _feed(self, query: dict[str, str]) -> Response:
         after = int(query["after"])
+        self.asked[query["table"]] += 1
         deadline = time.monotonic() + int(query["waitMs"]) / 1_000
         while True:
             if after < self.forgotten:
@@ -159,6 +165,7 @@
             found = [c for c in self.changes if c.version > after and c.table == query["table"]]
             left = deadline - time.monotonic()
             if found or left <= 0:
+                self.given[query["table"]] += len(found)
                 return self._answer(200, {"rows": [_encode(change) for change in found]})
             try:
                 async with asyncio.timeout(left):
--- /dev/null
+++ b/toucanpin/entry/tests/test_counts.py
@@ -0,0 +1,79 @@
+"""What callers are told of how many jobs wait, while the owner's view isn't whole."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from standins.site.site import HOST, PREFIX, Site, free_port
+from standins.site.store import Faults
+from toucanpin.entry.cell_rows import CellRows
+from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.configuration import ConfigurationWatch
+from toucanpin.entry.entries import EntryReader
+from toucanpin.entry.requests import Requests
+from toucanpin.http import Client, Request, Response
+from toucanpin.platform.store import Store
+from toucanpin.scheduling.batches import take_batch
+from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.ownership import OwnerRecord
+from toucanpin.scheduling.sharing import Sharing
+
+SILENCE = 7.0  # s for which the owner hasn't been heard of
+
+
+class OldCountTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.site = Site()
+        self.site.configure()
+        self.faults = Faults()
+        address = f"127.0.0.1:{free_port()}"
+        server = await self.site.store.listen(address, self.faults)
+        self.addAsyncCleanup(server.drain, 0.0)
+        client = Client(address)
+        self.addCleanup(client.close)
+        self.store = Store(client)  # type: ignore[arg-type]
+        self.clocks = Clocks(self.store)
+        self.requests = Requests(self.store, ConfigurationWatch(self.store), self.clocks)
+
+    async def test_jobs_that_an_owner_has_not_read_are_counted(self) -> None:
+        """
+        An owner on a host without a turn, or one that was lost, has read no job for seven seconds.
+        Callers who asked how many jobs wait were told 0, since that is what it last wrote, by one
+        host after 2.1 s and by another at once, while 8 and 14 jobs had waited for 5 to 7 s.
+        """
+        await self._write_counts()
+        await self._hand_in(3)
+        self.site.store.begun -= SILENCE
+        self.assertEqual(3, await self._count())
+
+    async def _write_counts(self) -> None:
+        """Take the cell, read what is there, and write its counts once."""
+        cell = Cell("c", 1, 0.0, 0.0)
+        rows = CellRows(
+            self.store, cell, Sharing(), OwnerRecord("h", "l", 1, 0), 0, 0.0, EntryReader()
+        )
+        await rows.load(self.clocks.now)
+        self.assertLess(rows.written_at, steady_time())
+        await rows.write(take_batch(cell), False)
+
+    async def _hand_in(self, jobs: int) -> None:
+        body = msgspec.json.encode({"spec": "work", "pipeline": [{"cpu": 1_000}]})
+        for number in range(jobs):
+            answer = await self._ask("POST", f"{PREFIX}{number:016x}", body)
+            self.assertEqual(200, answer.status)
+
+    async def _count(self) -> int:
+        answer = await self._ask("GET", PREFIX)
+        self.assertEqual(200, answer.status)
+        return msgspec.json.decode(answer.body)["pendingJobs"]
+
+    async def _ask(self, method: str, path: str, body: bytes = b"") -> Response:
+        answer = await self.requests.handle(Request(method, path, {"host": HOST}, body))
+        assert answer is not None
+        return answer
+
+
+if __name__ == "__main__":
+    unittest.main()
