Ask what has changed of the configuration instead of reading it whole

Callers saw counts after seconds and then none, hosts that failed their readiness checks and, with an owner on such a host, jobs that began too late to count. The operators' document grew by 1,400 queues; every host read all of it each 0.6 s and at each count, 460 to 560 KB/s of the 625 that a link of 5 Mbit/s carries in a second. The store tells what has changed after a version; an unchanged document costs a few bytes. If the history is gone the document is read.

--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -15,7 +15,7 @@
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.queues import CONFIGURATION_KEY, OPERATORS_TABLE, decode_configuration
-from toucanpin.platform.store import Store
+from toucanpin.platform.store import Row, Store
 from toucanpin.scheduling.configuration import Configuration, Queue, find_queue
 
 __all__ = ["ConfigurationWatch"]
@@ -28,15 +28,24 @@
 class ConfigurationWatch:
     """Follow the operators' document; a lower version than one in force is never taken."""
 
-    __slots__ = ("_lock", "_store", "_unreadable", "_value", "confirmed", "current")
+    __slots__ = (
+        "_followed",
+        "_lock",
+        "_store",
+        "_unreadable",
+        "_value",
+        "confirmed",
+        "current",
+    )
 
     def __init__(self, store: Store) -> None:
         self._store = store
         self._lock = asyncio.Lock()
+        self._followed = 0  # the store's version up to which the operators' rows are known here
         self._value = b""
         self._unreadable: bytes | None = None
         self.current: Configuration | None = None
-        self.confirmed = 0.0  # local time at which the newest successful read was sent
+        self.confirmed = 0.0  # local time at which the newest successful look was sent
 
     async def run(self) -> None:
         """Poll for ever."""
@@ -45,23 +54,46 @@
             await asyncio.sleep(POLL)
 
     async def refresh(self, age: float = 0.0) -> bool:
-        """Read the document unless that was done within ``age`` seconds; return whether it is."""
+        """Look for changes unless that was done within ``age`` seconds; return whether it is."""
         if age and steady_time() - self.confirmed <= age:
             return True
         async with self._lock:
             if age and steady_time() - self.confirmed <= age:
                 return True
-            sent_at = steady_time()
-            end = CONFIGURATION_KEY + "\0"
-            try:
-                page = await self._store.read(OPERATORS_TABLE, "", CONFIGURATION_KEY, end)
-            except (CallError, PlatformError) as error:
-                _log.warning("configuration not read", event="configuration.unread", reason=error)
-                return False
-            if page.rows and not self._take(page.rows[0].value):
-                return False
-            self.confirmed = sent_at
-            return True
+            return await self._look()
+
+    async def _look(self) -> bool:
+        """Take what has changed; return whether the document in force is known to be the newest."""
+        sent_at = steady_time()
+        try:
+            value = await self._read_changed()
+        except (CallError, PlatformError) as error:
+            _log.warning("configuration not read", event="configuration.unread", reason=error)
+            return False
+        if value is not None:
+            self._take(value)
+        if self._unreadable is not None:
+            return False
+        self.confirmed = sent_at
+        return True
+
+    async def _read_changed(self) -> bytes | None:
+        """
+        Return the document if it may have changed since the last look.
+
+        Read whole each time, a document of 1,400 queues took all that a link of 5 Mbit/s carries.
+        Asked for what has changed, the store answers with a few bytes.
+        """
+        if self._followed:
+            page = await self._store.follow(OPERATORS_TABLE, self._followed, 0.0)
+            if page is not None:
+                self._followed = max(self._followed, page.version)
+                found = [row for row in page.rows if _is_document(row)]
+                return found[-1].value if found else None
+        end = CONFIGURATION_KEY + "\0"
+        page = await self._store.read(OPERATORS_TABLE, "", CONFIGURATION_KEY, end)
+        self._followed = page.version
+        return page.rows[0].value if page.rows else None
 
     async def find(self, host: str, path: str) -> Queue | None:
         """Return the queue of a request; that there is none is said of a fresh version only."""
@@ -72,20 +104,22 @@
         await self.refresh(FRESH)
         return find_queue(self.current, host, path) if self.current else None
 
-    def _take(self, value: bytes) -> bool:
-        """Put a document in force unless it is old; return whether it could be read."""
+    def _take(self, value: bytes) -> None:
+        """Put a document in force unless it is old or can't be read."""
         if value == self._value:
-            return True
+            self._unreadable = None
+            return
         if value == self._unreadable:
-            return False
+            return
         try:
             configuration = decode_configuration(value)
         except PlatformError as error:
             self._unreadable = value
             _log.error("configuration unreadable", event="configuration.unreadable", reason=error)
-            return False
+            return
+        self._unreadable = None
         if self.current is not None and configuration.version <= self.current.version:
-            return True
+            return
         self._value = value
         self.current = configuration
         _log.info(
@@ -94,4 +128,7 @@
             version=configuration.version,
             queues=len(configuration.queues),
         )
-        return True
+
+
+def _is_document(row: Row) -> bool:
+    return row.key == CONFIGURATION_KEY and not row.part and not row.deleted
