--- a/toucanpin/entry/tests/test_configuration.py
+++ b/toucanpin/entry/tests/test_configuration.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from standins.site.site import Site
+from toucanpin.entry.configuration import ConfigurationWatch
+from toucanpin.http import Answer, CallError
+from toucanpin.platform.store import Store
+from toucanpin.verdict import Verdict
 
+BOUND = 20.0  # s after which a test that would hang fails
 LOOKS = 6  # at the configuration, of which each but the first finds nothing new
 
 
@@ -31,5 +37,41 @@
         self.assertEqual(given, store.given["op"])
 
 
+class SharingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.caller = _SilentStore()
+        self.watch = ConfigurationWatch(Store(self.caller))
+
+    async def test_all_who_ask_at_a_time_share_one_look(self) -> None:
+        """
+        The store leaves a host without answers for a while, and callers keep asking it for counts.
+        Each waited for the looks of all before it, a time-out each: the last was answered after
+        38 s, though its caller had left after 3.
+        """
+        asking = [asyncio.ensure_future(self.watch.refresh(0.25)) for _ in range(5)]
+        await self.caller.asked.wait()
+        self.caller.failing.set()
+        self.assertEqual([False] * 5, await asyncio.gather(*asking))
+        self.assertEqual(1, self.caller.calls)
+
+
+class _SilentStore:
+    """Leave calls unanswered until they are made to fail."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.asked = asyncio.Event()
+        self.failing = asyncio.Event()
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", *, timeout: float = 1.0
+    ) -> Answer:
+        self.calls += 1
+        self.asked.set()
+        async with asyncio.timeout(BOUND):
+            await self.failing.wait()
+        raise CallError(Verdict.NOT_RUN, "no answer")
+
+
 if __name__ == "__main__":
     unittest.main()
