Share one look at the configuration among all who ask at a time

Callers of a host that the store left without answers waited for 38 s, long after they had left: each made a look of its own under a lock, a time-out one after the other. Whoever asks while a look is under way takes its result, and looks again only if that was sent too early. Five callers: 1 look where there were 5.

--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -30,7 +30,7 @@
 
     __slots__ = (
         "_followed",
-        "_lock",
+        "_reading",
         "_store",
         "_unreadable",
         "_value",
@@ -40,7 +40,7 @@
 
     def __init__(self, store: Store) -> None:
         self._store = store
-        self._lock = asyncio.Lock()
+        self._reading: asyncio.Task[bool] | None = None
         self._followed = 0  # the store's version up to which the operators' rows are known here
         self._value = b""
         self._unreadable: bytes | None = None
@@ -55,12 +55,15 @@
 
     async def refresh(self, age: float = 0.0) -> bool:
         """Look for changes unless that was done within ``age`` seconds; return whether it is."""
-        if age and steady_time() - self.confirmed <= age:
-            return True
-        async with self._lock:
-            if age and steady_time() - self.confirmed <= age:
-                return True
-            return await self._look()
+        wanted = steady_time() - age
+        while self.confirmed < wanted:
+            # All who ask at a time share one look.  One after the other they waited for each
+            # other's: where a look took its whole time-out, the last of a queue waited for 38 s.
+            if self._reading is None or self._reading.done():
+                self._reading = asyncio.ensure_future(self._look())
+            if not await asyncio.shield(self._reading):
+                return False
+        return True
 
     async def _look(self) -> bool:
         """Take what has changed; return whether the document in force is known to be the newest."""
