--- a/toucanpin/entry/tests/test_configuration.py
+++ b/toucanpin/entry/tests/test_configuration.py
@@ -6,9 +6,12 @@
 import unittest
 
 from standins.site.site import Site
+from toucanpin.entry.clocks import Clocks
 from toucanpin.entry.configuration import ConfigurationWatch
-from toucanpin.http import Answer, CallError
+from toucanpin.entry.requests import Requests
+from toucanpin.http import Answer, CallError, Request
 from toucanpin.platform.store import Store
+from toucanpin.scheduling.configuration import Configuration, Queue
 from toucanpin.verdict import Verdict
 
 BOUND = 20.0  # s after which a test that would hang fails
@@ -54,6 +57,19 @@
         self.assertEqual([False] * 5, await asyncio.gather(*asking))
         self.assertEqual(1, self.caller.calls)
 
+    async def test_a_caller_is_answered_when_its_time_ends(self) -> None:
+        """
+        The store leaves a host without answers.  A caller waits for 0.2 s and asks how many jobs
+        wait; the answer came once the look at the configuration had failed, seconds after it left.
+        """
+        self.watch.current = Configuration(1, (Queue("q", "", "/jobs/", "c"),))
+        requests = Requests(Store(self.caller), self.watch, Clocks(Store(self.caller)))
+        request = Request("GET", "/jobs/", {"x-deadline-ms": "200"})
+        answer = await requests.handle(request)
+        assert answer is not None
+        self.assertEqual(503, answer.status)
+        self.assertFalse(self.caller.failing.is_set())
+
 
 class _SilentStore:
     """Leave calls unanswered until they are made to fail."""
