--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -22,6 +22,7 @@
 
 _log = logbook.Logger("configuration")
 POLL = 0.6  # s: a version has to be in force 2 s after it was accepted, at 240 ms a read
+LOOK_TIME = 20.0  # s after which a look that nobody waits for is given up
 FRESH = 0.25  # s for which a version that was read may decide that a queue doesn't exist
 
 
@@ -53,8 +54,19 @@
             await self.refresh()
             await asyncio.sleep(POLL)
 
-    async def refresh(self, age: float = 0.0) -> bool:
-        """Look for changes unless that was done within ``age`` seconds; return whether it is."""
+    async def refresh(self, age: float = 0.0, patience: float = LOOK_TIME) -> bool:
+        """
+        Look for changes unless that was done within ``age`` seconds; return whether it is.
+
+        It isn't after ``patience`` seconds.
+        """
+        try:
+            async with asyncio.timeout(max(0.0, patience)):
+                return await self._refresh(age)
+        except TimeoutError:
+            return False
+
+    async def _refresh(self, age: float) -> bool:
         wanted = steady_time() - age
         while self.confirmed < wanted:
             # All who ask at a time share one look.  One after the other they waited for each
@@ -98,13 +110,17 @@
         self._followed = page.version
         return page.rows[0].value if page.rows else None
 
-    async def find(self, host: str, path: str) -> Queue | None:
-        """Return the queue of a request; that there is none is said of a fresh version only."""
+    async def find(self, host: str, path: str, patience: float) -> Queue | None:
+        """
+        Return the queue of a request; that there is none is said of a fresh version only.
+
+        The look at one takes ``patience`` seconds at most.
+        """
         if self.current is not None:
             queue = find_queue(self.current, host, path)
             if queue is not None:
                 return queue
-        await self.refresh(FRESH)
+        await self.refresh(FRESH, patience)
         return find_queue(self.current, host, path) if self.current else None
 
     def _take(self, value: bytes) -> None:
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -93,7 +93,8 @@
     async def _answer(self, request: Request) -> Response | None:
         path = request.path.partition("?")[0]
         host = request.headers.get("host", "")
-        queue = await self._configuration.find(host, path)
+        deadline = time.monotonic() + _read_deadline(request) - ANSWER_MARGIN
+        queue = await self._configuration.find(host, path, deadline - time.monotonic())
         if self._configuration.current is None:
             return Response(503, retry_after=self._come_back())
         if queue is None:
@@ -101,7 +102,6 @@
                 return Response(503, retry_after=self._come_back())
             return Response(404)
         rest = path[len(queue.prefix) :].strip("/")
-        deadline = time.monotonic() + _read_deadline(request) - ANSWER_MARGIN
         match request.method:
             case "POST" if is_job_id(rest):
                 return await self._submit(queue, rest, request.body, deadline)
@@ -193,7 +193,7 @@
             return _read_count(page.rows[0]) if page.rows else 0
 
         begun = steady_time()
-        await self._configuration.refresh(FRESH)
+        await self._configuration.refresh(FRESH, deadline - time.monotonic())
         current = self._configuration.current
         if current is not None and queue.name not in {other.name for other in current.queues}:
             return Response(404)
