--- a/toucanpin/entry/tests/test_counts.py
+++ b/toucanpin/entry/tests/test_counts.py
@@ -33,7 +33,7 @@
         self.addAsyncCleanup(server.drain, 0.0)
         client = Client(address)
         self.addCleanup(client.close)
-        self.store = Store(client)  # type: ignore[arg-type]
+        self.store = Store(client)
         self.clocks = Clocks(self.store)
         self.requests = Requests(self.store, ConfigurationWatch(self.store), self.clocks)
 
