Count a job as begun once a worker has started a task of it

Callers were told that no job waits while jobs had places on workers that left the starts unanswered. A job became active as its first place was written. It does now as a worker acknowledges a start, lists a run or lists an end; its state is written with that. Costs one more row of progress for a job.

--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -34,6 +34,7 @@
     "judge_lateness",
     "list_runs",
     "mark_dirty",
+    "note_begun",
     "open_steps",
     "rank_group",
     "sum_remaining",
@@ -172,6 +173,19 @@
     cell.dirty[live.job.id] = None
 
 
+def note_begun(cell: Cell, job: str) -> None:
+    """
+    Note that a worker has started a task of a job.
+
+    A place alone doesn't begin a job: with a worker that leaves orders unanswered its job waits on,
+    and callers who ask how many wait would be told fewer than do.
+    """
+    live = cell.jobs.get(job)
+    if live is not None and live.progress.state == JobState.PENDING:
+        live.progress.state = JobState.ACTIVE
+        mark_dirty(cell, live)
+
+
 def begin_occurrence(cell: Cell, live: LiveJob, occurrence: int) -> None:
     """Make the tasks of an occurrence known, and let those wait that follow nothing."""
     total = live.offsets[-1]
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -16,6 +16,7 @@
     find_record,
     list_runs,
     mark_dirty,
+    note_begun,
     open_steps,
 )
 from toucanpin.scheduling.job import TaskKey
@@ -46,6 +47,7 @@
     """Take note of an end that a worker lists."""
     cell.ends[worker.entry.id] = max(cell.ends.get(worker.entry.id, 0), ended.sequence)
     _judge_worker(worker, ended.end, now)
+    note_begun(cell, ended.task.job)
     run = worker.runs.get(ended.task)
     if run is not None and run.attempt == ended.attempt:
         finish_run(cell, worker, run, ended.end, ended.checkpoint, now)
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Collection, Iterable
 
-from toucanpin.scheduling.cell import Cell, Now, find_record
+from toucanpin.scheduling.cell import Cell, Now, find_record, note_begun
 from toucanpin.scheduling.ending import apply_end, end_run, stop_run
 from toucanpin.scheduling.orders import Held, HoldOrder, Running, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
@@ -177,6 +177,7 @@
         run.phase = Phase.RUNNING
         run.started_at = run.moved_at = now.steady
         run.unsure = False
+        note_begun(cell, run.task.job)
         if live is None or record is None or JobState(live.progress.state).ended:
             stop_run(cell, run, "job ended")
     if running.percent - run.percent >= PROGRESS_STEP or running.percent < run.percent:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -28,7 +28,7 @@
 )
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.preempting import Freed, free_room
-from toucanpin.scheduling.progress import JobState, TaskState
+from toucanpin.scheduling.progress import TaskState
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import (
     Phase,
@@ -272,6 +272,4 @@
         run.why = wait.reason.value
     add_run(cell, worker, run)
     cell.placed.append(run)
-    if live.progress.state == JobState.PENDING:
-        live.progress.state = JobState.ACTIVE
     mark_dirty(cell, live)
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -9,7 +9,7 @@
 
 import enum
 
-from toucanpin.scheduling.cell import Cell, Group, Now
+from toucanpin.scheduling.cell import Cell, Group, Now, note_begun
 from toucanpin.scheduling.ending import end_run, stop_run
 from toucanpin.scheduling.holding import lease_end
 from toucanpin.scheduling.orders import Refused, Started
@@ -49,6 +49,7 @@
             run.phase = Phase.RUNNING
             run.started_at = run.moved_at = now.steady
             run.unsure = False
+            note_begun(cell, run.task.job)
             return Next.SETTLED
         case Refused.FENCED:
             return Next.FENCED
