Give counts of a view whose age is known, and add what came since

Two callers were told that no job waits, one after 2.1 s and one at once, while 8 and 14 had waited for 5 to 7 s. A count had no age: whatever the owner last wrote was given, also by an owner that had read no job for seconds, one that was lost or one that had just taken over, and 0 where there was no row at all. Ruled out: a host that mixes answers up (each was the owner's row as it stood). Counts carry the version of the table up to which their owner has taken up all jobs; hosts add the jobs handed in after it to a view older than 1.5 s, and refuse where that can't be told. An owner's watch of jobs comes back each half second, so an idle one has a young view too. One row holds all counts of a cell: with a row a queue, more than nine queues that changed at a time would have made a transaction larger than the table takes.

--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -17,6 +17,7 @@
 from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.rows import (
     COUNTS,
+    COUNTS_KEY,
     EFFECTS,
     HANDOVERS,
     JOBS,
@@ -33,7 +34,7 @@
 from toucanpin.platform.store import Committed, Expected, Page, Put, Row, Store
 from toucanpin.scheduling.batches import Batch
 from toucanpin.scheduling.cell import Cell, Now
-from toucanpin.scheduling.counting import count_pending
+from toucanpin.scheduling.counting import View, count_pending, encode_counts
 from toucanpin.scheduling.intake import cancel_job, restore_job, submit_job
 from toucanpin.scheduling.job import Job, decode_job, find_job_fault
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
@@ -61,7 +62,7 @@
 
     ``record`` is the owner's row as it was last written, at ``version``; ``written_at`` is when
     that write was sent.  ``blocked`` names jobs whose progress can't be read: they may have run, so
-    none of their tasks is started.
+    none of their tasks is started.  ``view`` tells which jobs have been taken up.
     """
 
     def __init__(
@@ -83,7 +84,7 @@
         self._version = version
         self.written_at = written_at
         self._counted_at = 0.0
-        self._counts: dict[str, int] = {}
+        self.view = View()
         self._learned_at = 0.0
 
     async def load(self, now: Callable[[], Now]) -> int:
@@ -103,6 +104,7 @@
         known = {row.key: it for row, it in self._entries.read(progress.rows, _decode_progress)}
         self.blocked = {row.key for row in progress.rows if row.key not in known}
         self._take_jobs(jobs.rows, known, now())
+        self.view = View(jobs.version, jobs.clock)
         _log.info(
             "cell owned",
             event="cell.owned",
@@ -130,10 +132,11 @@
                 cancel_job(self._cell, identifier, now)
 
     async def read_jobs(self) -> Page:
-        """Read the jobs of all parts; ``version`` is the oldest of their moments."""
+        """Read the jobs of all parts; ``version`` and ``clock`` are of the oldest moment."""
         pages = [await self._store.read_all(JOBS, part) for part in list_job_parts(self._cell.name)]
         rows = tuple(row for page in pages for row in page.rows)
-        return Page(rows, False, min(page.version for page in pages), pages[-1].clock)
+        version = min(page.version for page in pages)
+        return Page(rows, False, version, min(page.clock for page in pages))
 
     async def write(self, batch: Batch, resigning: bool) -> None:
         """
@@ -204,16 +207,8 @@
         if steady_time() < self._counted_at + COUNT_PERIOD:
             return []
         self._counted_at = steady_time()
-        counts = count_pending(self._cell)
-        for queue in self._counts:
-            counts.setdefault(queue, 0)
-        changed = {
-            queue: count for queue, count in counts.items() if self._counts.get(queue) != count
-        }
-        self._counts = counts
-        return [
-            Put(COUNTS, queue, msgspec.msgpack.encode(count)) for queue, count in changed.items()
-        ]
+        value = encode_counts(self.view, count_pending(self._cell))
+        return [Put(COUNTS, COUNTS_KEY, value)]
 
 
 def decode_job_row(row: Row) -> Job:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -30,6 +30,7 @@
 from toucanpin.scheduling.advising import AdviceOrder, plan_advice, take_advice
 from toucanpin.scheduling.batches import apply_batch, has_work, take_batch
 from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.counting import View
 from toucanpin.scheduling.gathering import gather_images
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
 from toucanpin.scheduling.intake import begin_due, cancel_job, forget_ended, submit_job
@@ -48,7 +49,9 @@
 MOVE_PERIOD = 0.2  # s between looks for tasks that do better elsewhere; answers come each 0.4 s
 LIST_PERIOD = 0.5  # s between reads of the workers' entries; a drain must be seen within 2 s
 RELIST_PERIOD = 3.0  # s between full reads of the jobs, for what a watch has missed
-FEED_WAIT = 5.0  # s that a watch of the jobs waits
+# An answer without rows tells that there are no jobs that this owner hasn't read.  Callers' counts
+# are as old as the newest answer, and may be two seconds old.
+FEED_WAIT = 0.5  # s that a watch of the jobs waits
 LATE = 0.5  # s beyond its wait after which a read of the jobs is told of
 RETRY = 0.1  # s before a read is repeated
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
@@ -202,6 +205,7 @@
                 _log.warning("jobs read late", event="jobs.late", took=round(took, 3))
             self._feed_from = max(self._feed_from, page.version)
             self._take_rows(page.rows)
+            self._rows.view = View(self._feed_from, page.clock)
 
     def _take_rows(self, rows: tuple[Row, ...]) -> None:
         now = self._clocks.now()
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -18,9 +18,10 @@
 
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.configuration import FRESH, ConfigurationWatch
-from toucanpin.entry.entries import UNREADABLE
+from toucanpin.entry.counts import read_pending
+from toucanpin.entry.entries import UNREADABLE, EntryReader
 from toucanpin.entry.metrics import REQUEST_TIME, REQUESTS
-from toucanpin.entry.rows import COUNTS, JOBS, PROGRESS, cancel_key, job_part
+from toucanpin.entry.rows import JOBS, PROGRESS, cancel_key, job_part
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError, Request, Response
 from toucanpin.platform.callers import (
@@ -64,12 +65,13 @@
 class Requests:
     """Answer callers' requests about jobs."""
 
-    __slots__ = ("_clocks", "_configuration", "_store")
+    __slots__ = ("_clocks", "_configuration", "_entries", "_store")
 
     def __init__(self, store: Store, configuration: ConfigurationWatch, clocks: Clocks) -> None:
         self._store = store
         self._configuration = configuration
         self._clocks = clocks
+        self._entries = EntryReader()
 
     async def handle(self, request: Request) -> Response | None:
         """Answer one request of a caller; one that isn't served leaves a line."""
@@ -188,29 +190,27 @@
         return Response(410) if state is None else Response(200, encode_state(state))
 
     async def _count(self, queue: Queue, deadline: float) -> Response:
-        async def find() -> int:
-            page = await self._store.read(COUNTS, queue.service, queue.name, queue.name + "\0")
-            return _read_count(page.rows[0]) if page.rows else 0
+        async def find() -> tuple[int, int] | None:
+            return await read_pending(self._store, self._entries, queue.service, queue.name)
 
         begun = steady_time()
         await self._configuration.refresh(FRESH, deadline - time.monotonic())
         current = self._configuration.current
         if current is not None and queue.name not in {other.name for other in current.queues}:
             return Response(404)
-        refreshed = steady_time()
-        count = await self._try(find, deadline)
+        count, view_age = (await self._try(find, deadline)).value or (-1, -1)
         _log.info(
             "waiting jobs counted",
             event="jobs.counted",
             queue=queue.name,
-            count=-1 if count.value is None else count.value,
-            refresh=round(refreshed - begun, 3),
+            count=count,
+            view_age=view_age / 1_000,
             took=round(steady_time() - begun, 3),
             configuration_age=round(begun - self._configuration.confirmed, 3),
         )
-        if count.value is None:
+        if count < 0:
             return Response(503, retry_after=self._come_back())
-        return Response(200, encode_count(count.value))
+        return Response(200, encode_count(count))
 
     async def _write(self, part: str, put: Put, deadline: float) -> bool | None:
         """
@@ -262,13 +262,6 @@
         raise PlatformError(f"the progress of {row.key} can't be read: {error}") from error
 
 
-def _read_count(row: Row) -> int:
-    try:
-        return msgspec.msgpack.decode(row.value, type=int)
-    except UNREADABLE as error:
-        raise PlatformError(f"the count of {row.key} can't be read: {error}") from error
-
-
 def _read_deadline(request: Request) -> float:
     try:
         return min(30.0, float(request.headers.get(DEADLINE_HEADER, "")) / 1_000)
--- a/toucanpin/entry/rows.py
+++ b/toucanpin/entry/rows.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "COUNTS",
+    "COUNTS_KEY",
     "EFFECTS",
     "HANDOVERS",
     "JOBS",
@@ -30,6 +31,7 @@
 HANDOVERS = "handovers"  # by cell: changes as an owner resigns, so that others needn't wait
 WAVES = "waves"  # by number: how far a wave of upkeep is; written by owners of its machines
 OWNER_KEY = "owner"
+COUNTS_KEY = "pending"
 _CANCEL = "/cancel"
 PARTS = 8
 
--- a/toucanpin/entry/tests/test_counts.py
+++ b/toucanpin/entry/tests/test_counts.py
@@ -48,6 +48,38 @@
         self.site.store.begun -= SILENCE
         self.assertEqual(3, await self._count())
 
+    async def test_jobs_are_counted_that_no_owner_has_ever_seen(self) -> None:
+        """
+        Jobs are handed in before a cell has its first owner.  Without a row of counts callers were
+        told 0; a host that doesn't know must say so.
+        """
+        await self._hand_in(2)
+        self.assertEqual(503, (await self._ask("GET", PREFIX)).status)
+
+    async def test_a_count_is_not_made_up_where_history_is_gone(self) -> None:
+        """
+        The owner has been silent for seven seconds and the table has forgotten its changes.  What
+        was handed in since can't be told, and 0 would be wrong.
+        """
+        await self._write_counts()
+        await self._hand_in(3)
+        self.site.store.begun -= SILENCE
+        self.site.store.forget_history()
+        self.assertEqual(503, (await self._ask("GET", PREFIX)).status)
+
+    async def test_cancelled_jobs_and_other_queues_are_not_counted(self) -> None:
+        await self._write_counts()
+        await self._hand_in(3)
+        self.assertEqual(200, (await self._ask("DELETE", f"{PREFIX}{1:016x}")).status)
+        self.site.store.begun -= SILENCE
+        self.assertEqual(2, await self._count())
+
+    async def test_a_recent_count_costs_one_read(self) -> None:
+        await self._write_counts()
+        asked = self.site.store.asked["jobs"]
+        self.assertEqual(0, await self._count())
+        self.assertEqual(asked, self.site.store.asked["jobs"])
+
     async def _write_counts(self) -> None:
         """Take the cell, read what is there, and write its counts once."""
         cell = Cell("c", 1, 0.0, 0.0)
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -200,7 +200,7 @@
         return self._to_page(rows)
 
     async def read_all(self, table: str, part: str = "") -> Page:
-        """Read all rows of a part; ``version`` is that of the first page."""
+        """Read all rows of a part; ``version`` and ``clock`` are those of the first page."""
         rows: list[Row] = []
         start = ""
         first: Page | None = None
@@ -209,7 +209,7 @@
             first = first or page
             rows += page.rows
             if not page.more or not page.rows:
-                return Page(tuple(rows), False, first.version, page.clock)
+                return Page(tuple(rows), False, first.version, first.clock)
             start = page.rows[-1].key + "\0"
 
     async def follow(self, table: str, after: int, wait: float) -> Page | None:
