--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -112,6 +112,37 @@
             await asyncio.sleep(0.05)
         self.assertTrue(relayed.direct_works)
 
+    async def test_an_answer_that_is_arriving_is_waited_for(self) -> None:
+        """
+        The configuration takes a weak link 2.2 s.  After one second the host took the store for
+        lost and asked a peer for the same rows, and the next peer, over the same full link; 25 of
+        32 hosts lost the store within two seconds of the moment at which 2,800 queues were written.
+        """
+        server = await asyncio.start_server(_trickle, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        relayed = RelayedStore(Client(f"127.0.0.1:{port}"), "h0")
+        relayed.use_peers(self.stores[0][2])
+        answer = await relayed.call("GET", "/rows-get?table=op", timeout=2.0)
+        self.assertEqual(b"x" * PIECES, answer.body)
+        self.assertTrue(relayed.direct_works)
+
+
+PIECES = 6  # of a body
+PAUSE = 0.3  # s between them: longer than a host waits for a whole answer, none longer alone
+
+
+async def _trickle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer one request with a body that takes its time."""
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % PIECES)
+    for _ in range(PIECES):
+        await asyncio.sleep(PAUSE)
+        writer.write(b"x")
+        await writer.drain()
+    writer.close()
+
 
 def _settings(name: str, store: str, port: int) -> HostSettings:
     return HostSettings(name, "127.0.0.1", "dc", "", "", port, store, "", "", 1.0, 65_536, Bounds())
