--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -75,6 +75,18 @@
         await self._put()
         self.assertIn(("t", "", "k"), self.core.rows)
 
+    async def test_a_large_configuration_passes_a_peer(self) -> None:
+        """
+        The store turns a host away after the operators' document has grown to 1.4 MB.  Its peer
+        read the document and broke off, since a frame between hosts held less: the host stayed at
+        the version before for as long as it was turned away.
+        """
+        value = b"x" * 1_400_000
+        self.core.put("op", "config", value)
+        self.faults[0].refusing = 503
+        page = await self.stores[0][0].read("op", timeout=5.0)
+        self.assertEqual(value, page.rows[0].value)
+
     async def test_an_outage_for_all_is_a_certain_refusal(self) -> None:
         for faults in self.faults:
             faults.refusing = 503
