Let all that the store may answer pass between hosts

A host that the store turned away kept an old configuration once the operators' document had more than the 1 MB of a frame. A frame holds the largest answer of the store now, 4 MB, as the client of the store does.

--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -21,6 +21,7 @@
 from toucanpin.entry.metrics import STORE_BYTES, STORE_CALLS
 from toucanpin.exception import WireError
 from toucanpin.http import Answer, CallError, Client
+from toucanpin.http.client import MAX_ANSWER
 from toucanpin.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -34,7 +35,8 @@
 STORE = "store"
 ADVICE = "advice"
 _LENGTH = struct.Struct(">I")
-MAX_FRAME = 1_048_576  # bytes, of the inner protocol
+# Whatever the store may answer has to pass, or a host that it turns away keeps an old configuration.
+MAX_FRAME = MAX_ANSWER + 65_536  # bytes, of the inner protocol; what is around an answer besides
 DIRECT_TIMEOUT = 1.0  # s of a direct try before a peer is asked; a slow store takes 0.6 s
 # A configuration of 4,200 queues has some 1.4 MB (by the bytes that hosts took in), over two seconds
 # on a link of 5 Mbit/s.
