--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -35,11 +35,11 @@
 STORE = "store"
 ADVICE = "advice"
 _LENGTH = struct.Struct(">I")
-# Whatever the store may answer has to pass, or a host that it turns away keeps an old configuration.
+# Whatever the store may answer has to pass: a host that it turns away kept an old configuration.
 MAX_FRAME = MAX_ANSWER + 65_536  # bytes, of the inner protocol; what is around an answer besides
 DIRECT_TIMEOUT = 1.0  # s of a direct try before a peer is asked; a slow store takes 0.6 s
-# A configuration of 4,200 queues has some 1.4 MB (by the bytes that hosts took in), over two seconds
-# on a link of 5 Mbit/s.
+# A configuration of 4,200 queues has some 1.4 MB (by the bytes that hosts took in), which a link of
+# 5 Mbit/s carries in over two seconds.
 ARRIVING = 6.0  # s that an answer may take that keeps arriving
 LONGEST_BRIEF = 2.5  # s that calls other than watches may take
 PROBE = 0.5  # s between direct tries while peers are used
