Find a request's queue without going through all queues

After the operators had added 4,200 queues each request compared its path with all of them, and a count went through them once more. Queues are indexed by host and prefix once a version.

--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -16,7 +16,7 @@
 from toucanpin.http import CallError
 from toucanpin.platform.queues import CONFIGURATION_KEY, OPERATORS_TABLE, decode_configuration
 from toucanpin.platform.store import Row, Store
-from toucanpin.scheduling.configuration import Configuration, Queue, find_queue
+from toucanpin.scheduling.configuration import Configuration, Queue, QueueIndex
 
 __all__ = ["ConfigurationWatch"]
 
@@ -31,6 +31,7 @@
 
     __slots__ = (
         "_followed",
+        "_index",
         "_reading",
         "_store",
         "_unreadable",
@@ -41,6 +42,7 @@
 
     def __init__(self, store: Store) -> None:
         self._store = store
+        self._index = QueueIndex(())
         self._reading: asyncio.Task[bool] | None = None
         self._followed = 0  # the store's version up to which the operators' rows are known here
         self._value = b""
@@ -116,12 +118,20 @@
 
         The look at one takes ``patience`` seconds at most.
         """
-        if self.current is not None:
-            queue = find_queue(self.current, host, path)
-            if queue is not None:
-                return queue
-        await self.refresh(FRESH, patience)
-        return find_queue(self.current, host, path) if self.current else None
+        queue = self._index.find(host, path)
+        if queue is None:
+            await self.refresh(FRESH, patience)
+            queue = self._index.find(host, path)
+        return queue
+
+    def has_queue(self, name: str) -> bool:
+        """Tell whether the configuration in force has a queue of a name."""
+        return self._index.has(name)
+
+    def apply(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        self.current = configuration
+        self._index = QueueIndex(configuration.queues)
 
     def _take(self, value: bytes) -> None:
         """Put a document in force unless it is old or can't be read."""
@@ -140,7 +150,7 @@
         if self.current is not None and configuration.version <= self.current.version:
             return
         self._value = value
-        self.current = configuration
+        self.apply(configuration)
         _log.info(
             "configuration in force",
             event="configuration.applied",
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -195,8 +195,7 @@
 
         begun = steady_time()
         await self._configuration.refresh(FRESH, deadline - time.monotonic())
-        current = self._configuration.current
-        if current is not None and queue.name not in {other.name for other in current.queues}:
+        if not self._configuration.has_queue(queue.name):
             return Response(404)
         count, view_age = (await self._try(find, deadline)).value or (-1, -1)
         _log.info(
--- a/toucanpin/entry/tests/test_configuration.py
+++ b/toucanpin/entry/tests/test_configuration.py
@@ -62,7 +62,7 @@
         The store leaves a host without answers.  A caller waits for 0.2 s and asks how many jobs
         wait; the answer came once the look at the configuration had failed, seconds after it left.
         """
-        self.watch.current = Configuration(1, (Queue("q", "", "/jobs/", "c"),))
+        self.watch.apply(Configuration(1, (Queue("q", "", "/jobs/", "c"),)))
         requests = Requests(Store(self.caller), self.watch, Clocks(Store(self.caller)))
         request = Request("GET", "/jobs/", {"x-deadline-ms": "200"})
         answer = await requests.handle(request)
--- a/toucanpin/scheduling/configuration.py
+++ b/toucanpin/scheduling/configuration.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["Configuration", "Queue", "Service", "find_queue"]
+__all__ = ["Configuration", "Queue", "QueueIndex", "Service"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,12 +49,32 @@
     max_body: int = 262_144
 
 
-def find_queue(configuration: Configuration, host: str, path: str) -> Queue | None:
-    """Return the queue of a request: the longest prefix of its path, among those of its host."""
-    name = host.partition(":")[0].lower()
-    fitting = (
-        queue
-        for queue in configuration.queues
-        if path.startswith(queue.prefix) and queue.host.lower() in ("", name)
-    )
-    return max(fitting, key=lambda queue: len(queue.prefix), default=None)
+class QueueIndex:
+    """Find the queue of a request without going through all of them."""
+
+    __slots__ = ("_by_place", "_lengths", "_names")
+
+    def __init__(self, queues: Iterable[Queue]) -> None:
+        self._names: set[str] = set()
+        self._by_place: dict[tuple[str, str], tuple[int, Queue]] = {}
+        for order, queue in enumerate(queues):
+            self._names.add(queue.name)
+            self._by_place.setdefault((queue.host.lower(), queue.prefix), (order, queue))
+        self._lengths = sorted({len(prefix) for _, prefix in self._by_place}, reverse=True)
+
+    def has(self, name: str) -> bool:
+        """Tell whether there is a queue of a name."""
+        return name in self._names
+
+    def find(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of a path, among those of a host or of any."""
+        name = host.partition(":")[0].lower()
+        for length in self._lengths:
+            if length > len(path):
+                continue
+            prefix = path[:length]
+            found = [self._by_place.get((place, prefix)) for place in (name, "")]
+            fitting = [place for place in found if place is not None]
+            if fitting:
+                return min(fitting, key=lambda place: place[0])[1]
+        return None
