Ask for a machine that no list holds before its wave is completed

Operators read that a wave was completed while a machine of it ran on and had had no upkeep. The machine was missing in one list, which is of several pages and several moments, and a machine that is missing once was counted as through.

An entry that can't be read was ruled out: it names its machine or fails the whole list. The machines' own table of states too: moving and down are waited for.

--- a/standins/site/machines.py
+++ b/standins/site/machines.py
@@ -31,6 +31,10 @@
         self.holders: list[tuple[str, str, int]] = []
         self.most_down = 0
         self.lose_answers = 0
+        self.refuse_orders = 0  # so many orders are answered with 503, and nothing is done
+        self.refused: list[str] = []
+        self.missed: dict[str, int] = {}  # so many lists leave a machine out
+        self.states: dict[str, str] = {}  # shown whatever the machine does
 
     async def listen(self, address: str) -> None:
         """Listen for calls."""
@@ -53,6 +57,10 @@
         holder = request.headers["x-lease-holder"]
         token = int(request.headers["x-fencing-token"])
         self.holders.append((call["machine"], holder, token))
+        if self.refuse_orders:
+            self.refuse_orders -= 1
+            self.refused.append(call["machine"])
+            return Response(503)
         return self._begin(call["machine"])
 
     def _list(self) -> dict[str, object]:
@@ -60,11 +68,13 @@
             {
                 "machine": name,
                 "pool": "c",
-                "state": "up" if worker else "upkeep",
+                "state": self.states.get(name, "up" if worker else "upkeep"),
                 "id": worker.core.entry.id if worker else None,
             }
             for name, worker in self.workers.items()
+            if not self.missed.get(name)
         ]
+        self.missed = {name: left - 1 for name, left in self.missed.items() if left > 1}
         return {"machines": machines, "nextToken": None}
 
     def _begin(self, name: str) -> Response | None:
--- a/toucanpin/entry/tests/test_waves.py
+++ b/toucanpin/entry/tests/test_waves.py
@@ -62,6 +62,17 @@
         self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
         self.assertEqual({"m1": 0}, self.machines.through)
 
+    async def test_a_machine_that_one_list_misses_is_not_taken_for_gone(self) -> None:
+        """
+        Operators read that a wave is completed while a machine of it runs on as it was.  A list of
+        machines has several pages, each of another moment: a machine that changed its place between
+        two of them stands in neither, and was counted as gone for good.
+        """
+        self.machines.missed["m1"] = 1
+        self._ask("m1", "m2")
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertEqual({"m1": 0, "m2": 0}, self.machines.through)
+
     async def test_a_machine_that_crashed_before_its_order_is_ordered_again(self) -> None:
         """
         An owner writes down that a machine goes, and is killed with the order unsent.  The machine
--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -39,6 +39,7 @@
     empty_worker,
     find_returned,
     is_over,
+    list_missing,
     list_next,
     reopen_workers,
 )
@@ -77,6 +78,7 @@
         self._entries = EntryReader()
         self._records: dict[int, tuple[WaveRecord, int]] = {}
         self._machines: dict[str, Machine] = {}
+        self._seen: dict[str, float] = {}
         self._listed_at = 0.0
         self._ordering: set[str] = set()
         self._orders: dict[int, dict[str, Order]] = {}
@@ -151,25 +153,21 @@
         asked_at = steady_time()
         machines = await self._calls.list()
         self._machines = {machine.name: machine for machine in machines}
+        self._seen.update(dict.fromkeys(self._machines, asked_at))
         self._listed_at = asked_at
 
     async def _advance(self, wave: Wave) -> list[Worker]:
         """Take a wave as far as it goes now; return the workers that are being emptied for it."""
         record, version = self._records.get(wave.number) or await self._read(wave)
         orders = self._orders.setdefault(wave.number, {})
-        through, anew = find_returned(record, self._machines, orders, self._listed_at)
-        gone = [
-            name
-            for name in wave.machines
-            if name not in self._machines and name not in record.done and name not in record.down
-        ]
-        if through or anew or gone:
+        through, anew = find_returned(
+            record, self._machines, orders, self._listed_at, self._bounds.upkeep
+        )
+        if through or anew:
             down = {name: it for name, it in record.down.items() if name not in through + anew}
             for name in through + anew:
                 orders.pop(name, None)
-            await self._write(
-                wave, WaveRecord(record.begun, down, record.done + through + gone), version
-            )
+            await self._write(wave, WaveRecord(record.begun, down, record.done + through), version)
             _log.info("upkeep over", event="upkeep.done", wave=wave.number, machines=through)
             return []
         if is_over(wave, record):
@@ -183,8 +181,33 @@
             up = machine is not None and machine.state is MachineState.UP
             if machine is not None and up and machine.worker == worker:
                 self._order(wave, name)
+        if await self._ask_for_missing(wave, record, version):
+            return []
         return await self._empty(wave, record, version)
 
+    async def _ask_for_missing(self, wave: Wave, record: WaveRecord, version: int) -> bool:
+        """
+        Order the upkeep of machines that are probably gone; return whether the record changed.
+
+        Only the answer to an order tells whether a machine is there.  Counted as through because
+        lists lacked it, one that runs on would be left out of a wave that is said to be completed.
+        """
+        missing = list_missing(
+            self._cell, wave, record, self._machines, self._seen, self._listed_at
+        )
+        for name in missing:
+            if name in record.down:
+                self._order(wave, name)
+        new = [name for name in missing if name not in record.down]
+        new = new[: max(0, wave.cap - len(record.down))]
+        if not new:
+            return False
+        down = {**record.down, **dict.fromkeys(new, "")}
+        if await self._write(wave, WaveRecord(record.begun, down, record.done), version):
+            for name in new:
+                self._order(wave, name)
+        return True
+
     async def _empty(self, wave: Wave, record: WaveRecord, version: int) -> list[Worker]:
         now = self._clocks.now()
         upkeep = self._bounds.upkeep
--- a/toucanpin/scheduling/upkeep.py
+++ b/toucanpin/scheduling/upkeep.py
@@ -27,6 +27,7 @@
     "empty_worker",
     "find_returned",
     "is_over",
+    "list_missing",
     "list_next",
     "reopen_workers",
 ]
@@ -34,6 +35,7 @@
 PACE = 0.65  # of a wave's time after which all machines should have been through their upkeep
 OVERHEAD = 1.5  # s that a machine takes besides its upkeep: emptying, the call, the next list
 SETTLED = 0.5  # s after an order until a list of machines surely shows it
+MISSING = 2.0  # s for which no list holds a machine until it is asked for by an order
 PATIENCE = 2.5  # s that a worker is kept from new tasks while those that can't resume run on
 
 
@@ -93,15 +95,20 @@
 
 
 def find_returned(
-    record: WaveRecord, machines: dict[str, Machine], orders: dict[str, Order], listed: float
+    record: WaveRecord,
+    machines: dict[str, Machine],
+    orders: dict[str, Order],
+    listed: float,
+    upkeep: float,
 ) -> tuple[list[str], list[str]]:
     """
-    Return the machines that came back from their upkeep, or are gone, and those to begin anew.
+    Return the machines that came back from their upkeep, and those to begin anew.
 
     ``listed`` is when the list of machines was asked for.  A machine that is another worker now may
     have crashed before its order was carried out, so only an order that was acknowledged shows that
     it has been through.  One that an earlier owner may have ordered is emptied again first: this
-    owner may have placed tasks there.
+    owner may have placed tasks there.  A list may miss a machine that is there, so that it is in
+    none says nothing; an acknowledged order does, once an upkeep of ``upkeep`` seconds is over.
     """
     through: list[str] = []
     anew: list[str] = []
@@ -109,7 +116,9 @@
         machine = machines.get(name)
         order = orders.get(name)
         if machine is None:
-            through.append(name)
+            begun = order.acknowledged if order is not None else 0.0
+            if begun and listed > begun + upkeep + OVERHEAD:
+                through.append(name)
         elif machine.state is not MachineState.UP or not machine.worker:
             continue
         elif order is None:
@@ -122,6 +131,31 @@
     return through, anew
 
 
+def list_missing(
+    cell: Cell,
+    wave: Wave,
+    record: WaveRecord,
+    machines: dict[str, Machine],
+    seen: dict[str, float],
+    listed: float,
+) -> list[str]:
+    """
+    Return the machines of a wave that are probably gone; ``seen`` is when a list last held each.
+
+    A list of several pages misses a machine that changes its place between two of them, so one list
+    says nothing.  Neither do several while a worker is there which says that it is that machine.
+    """
+    alive = {worker.entry.machine for worker in cell.workers.values()}
+    return [
+        name
+        for name in wave.machines
+        if name not in machines
+        and name not in record.done
+        and name not in alive
+        and listed >= seen.setdefault(name, listed) + MISSING
+    ]
+
+
 def list_next(
     cell: Cell,
     wave: Wave,
