Order a machine's upkeep again only where the newest list shows it as it was

An upkeep could end tasks that nobody had emptied: with each machine that a wave sent down, all machines that were down by its record were ordered again, whatever the newest list said of them. One that had crashed before its first order came through, and was just back as another worker, had tasks by then. Red before: the new test saw an order to a machine that lists show as down.

The repeat in each turn was ruled out: it looks at the state and the worker first.

Beside a new machine only that one is ordered now; the others are repeated by the turn that looks.

--- a/toucanpin/entry/tests/test_waves.py
+++ b/toucanpin/entry/tests/test_waves.py
@@ -62,6 +62,18 @@
         self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
         self.assertEqual({"m1": 0}, self.machines.through)
 
+    async def test_a_machine_that_is_down_by_itself_is_not_ordered_beside_another(self) -> None:
+        """
+        A machine of the record is down after a crash, and another one of the wave is ready to go.
+        Orders went to both: the one that comes back just then has new tasks, which nobody emptied.
+        """
+        self.machines.states["m1"] = "down"
+        record = msgspec.msgpack.encode([0, {"m1": "a worker before"}, [], False])
+        self.site.store.put("waves", "1", record)
+        self._ask("m1", "m2", cap=2)
+        self.assertTrue(await self.site.until(lambda: "m2" in self.machines.through))
+        self.assertEqual({"m2"}, {machine for machine, _, _ in self.machines.holders})
+
     async def test_a_machine_that_one_list_misses_is_not_taken_for_gone(self) -> None:
         """
         Operators read that a wave is completed while a machine of it runs on as it was.  A list of
--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -216,11 +216,13 @@
         if not ready:
             return chosen
         names = {machine.worker: name for name, machine in self._machines.items()}
-        down = dict(record.down)
-        for worker in ready[: max(0, wave.cap - len(down))]:
-            down[names[worker.entry.id]] = worker.entry.id
+        free = max(0, wave.cap - len(record.down))
+        new = {names[worker.entry.id]: worker.entry.id for worker in ready[:free]}
+        down = {**record.down, **new}
         if await self._write(wave, WaveRecord(record.begun, down, record.done), version):
-            for name in down:
+            # Those ordered before are ordered again only where the newest list shows them as they
+            # were: one that came back from a crash has tasks that nobody emptied.
+            for name in new:
                 self._order(wave, name)
         return chosen
 
