Keep a worker closed while an order to its machine may be carried out

Tasks were ended by upkeep just after they had been started. A worker was emptied, its machine written down as ordered, and from the next turn on, a quarter of a second later, the worker counted as open again, since only machines that are still to be ordered kept theirs closed. While the platform of the machines was slow or turned calls away, new tasks came and the order that got through ended them. Red before: in the new test a task ran on the machine as its upkeep began.

A task placed before the worker was emptied was ruled out: the order waits until its list is empty.

Workers of all machines that the record holds as ordered stay closed, and the turns in which a record changes reopen nobody.

--- a/toucanpin/entry/tests/test_waves.py
+++ b/toucanpin/entry/tests/test_waves.py
@@ -62,6 +62,19 @@
         self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
         self.assertEqual({"m1": 0}, self.machines.through)
 
+    async def test_a_worker_gets_nothing_while_an_order_to_its_machine_may_come(self) -> None:
+        """
+        The machines' platform turns orders away for a while.  A worker was emptied and its machine
+        written down as ordered, and from the next turn on it got tasks again.  The order that came
+        through at last ended them.
+        """
+        self.machines.refuse_orders = 4
+        self._ask("m1")
+        self.assertTrue(await self.site.until(lambda: self.machines.refused))
+        await self.site.submit(count=3, antiAffinity=1)
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertEqual({"m1": 0}, self.machines.through)
+
     async def test_a_machine_that_is_down_by_itself_is_not_ordered_beside_another(self) -> None:
         """
         A machine of the record is down after a crash, and another one of the wave is ready to go.
--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -109,6 +109,7 @@
         emptied: list[Worker] = []
         for wave in open_waves:
             emptied += await self._advance(wave)
+            emptied += self._list_ordered(wave)
         reopen_workers(self._cell.workers.values(), emptied)
         return True
 
@@ -169,7 +170,7 @@
                 orders.pop(name, None)
             await self._write(wave, WaveRecord(record.begun, down, record.done + through), version)
             _log.info("upkeep over", event="upkeep.done", wave=wave.number, machines=through)
-            return []
+            return self._list_closed()
         if is_over(wave, record):
             status = Put(STATUS_TABLE, f"{WAVE_PREFIX}{wave.number}", encode_wave_status(True))
             over = WaveRecord(record.begun, {}, record.done, True)
@@ -182,9 +183,22 @@
             if machine is not None and up and machine.worker == worker:
                 self._order(wave, name)
         if await self._ask_for_missing(wave, record, version):
-            return []
+            return self._list_closed()
         return await self._empty(wave, record, version)
 
+    def _list_ordered(self, wave: Wave) -> list[Worker]:
+        """
+        Return the workers whose machines are ordered into their upkeep.
+
+        An order without an answer may be carried out at any moment and ends all that runs there.
+        """
+        known = self._records.get(wave.number)
+        ordered = set(known[0].down.values()) if known else set()
+        return [worker for worker in self._cell.workers.values() if worker.entry.id in ordered]
+
+    def _list_closed(self) -> list[Worker]:
+        return [worker for worker in self._cell.workers.values() if worker.closing_since]
+
     async def _ask_for_missing(self, wave: Wave, record: WaveRecord, version: int) -> bool:
         """
         Order the upkeep of machines that are probably gone; return whether the record changed.
