Open workers again whose wave was withdrawn

Jobs waited beside a worker with room. It was being emptied for a wave as operators withdrew it, and workers are opened again only in turns with an open wave, so it took nothing for as long as its owner lived. Red before: the new test's second job never filled the third worker.

Now a turn without a wave opens all of them.

--- a/toucanpin/entry/tests/test_waves.py
+++ b/toucanpin/entry/tests/test_waves.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from standins.site.machines import SiteMachines
-from standins.site.site import Site, free_port
+from standins.site.site import JOB, PREFIX, Site, free_port
 
 
 class WavesTest(unittest.IsolatedAsyncioTestCase):
@@ -87,6 +87,23 @@
         self.assertTrue(await self.site.until(lambda: "m2" in self.machines.through))
         self.assertEqual({"m2"}, {machine for machine, _, _ in self.machines.holders})
 
+    async def test_a_wave_that_is_withdrawn_leaves_no_worker_closed(self) -> None:
+        """
+        Operators withdraw a wave while a worker is being emptied for it.  The worker was kept from
+        new tasks for as long as its owner lived.
+        """
+        await self.site.submit(count=3, antiAffinity=1)
+        runs = [worker.core.runs for worker in self.site.workers]
+        self.assertTrue(await self.site.until(lambda: all(runs)))
+        self._ask("m1")
+        self.assertTrue(await self.site.until(lambda: self._state() == "active"))
+        self.site.store.drop("op", "wave/1")
+        await self.site.call("DELETE", PREFIX + JOB)
+        self.assertTrue(await self.site.until(lambda: not any(runs)))
+        other = "00000000000000a2"
+        await self.site.submit(other, count=3, antiAffinity=1)
+        self.assertTrue(await self.site.until(lambda: all(runs)))
+
     async def test_a_machine_that_one_list_misses_is_not_taken_for_gone(self) -> None:
         """
         Operators read that a wave is completed while a machine of it runs on as it was.  A list of
--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -103,8 +103,11 @@
         page = await self._store.read(OPERATORS_TABLE, "", WAVE_PREFIX, WAVE_PREFIX + "\x7f")
         waves = [wave for _, wave in self._entries.read(page.rows, _decode_wave)]
         open_waves = [wave for wave in waves if not await self._is_completed(wave)]
-        if not open_waves or steady_time() < self._quiet_until:
-            return bool(open_waves)
+        if not open_waves:
+            reopen_workers(self._cell.workers.values(), ())
+            return False
+        if steady_time() < self._quiet_until:
+            return True
         await self._list()
         emptied: list[Worker] = []
         for wave in open_waves:
