Leave machines of another cell's workers to the owner of that cell

More machines than a wave allows could be down at once. A wave may name machines of two services; the owners of both cells write one record of it. Each took a machine that was ordered and still up for one that an earlier owner of its own had ordered, and struck it off, which made room under the cap; it also repeated the other's orders under its own token. Red before: the new test in test_upkeep found another cell's machine to begin anew.

Lost updates of the record were ruled out: each write names the version that it read. Names of pools aren't compared, since only a worker surely says whose it is.

An owner now begins anew only what its own workers stand on, and repeats only orders of its own.

--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -165,7 +165,7 @@
         record, version = self._records.get(wave.number) or await self._read(wave)
         orders = self._orders.setdefault(wave.number, {})
         through, anew = find_returned(
-            record, self._machines, orders, self._listed_at, self._bounds.upkeep
+            self._cell, record, self._machines, orders, self._listed_at, self._bounds.upkeep
         )
         if through or anew:
             down = {name: it for name, it in record.down.items() if name not in through + anew}
@@ -182,8 +182,9 @@
             return []
         for name, worker in record.down.items():
             machine = self._machines.get(name)
-            up = machine is not None and machine.state is MachineState.UP
-            if machine is not None and up and machine.worker == worker:
+            if machine is None or machine.state is not MachineState.UP:
+                continue
+            if machine.worker == worker and name in orders:
                 self._order(wave, name)
         if await self._ask_for_missing(wave, record, version):
             return self._list_closed()
--- a/toucanpin/scheduling/tests/test_upkeep.py
+++ b/toucanpin/scheduling/tests/test_upkeep.py
@@ -93,16 +93,30 @@
     def test_only_an_acknowledged_order_shows_that_a_machine_was_through(self) -> None:
         self.record.down = {"m0": "before", "m1": "before", "m2": "w2", "m3": "w3", "m9": "x"}
         orders = {"m0": Order(5.0), "m1": Order(), "m2": Order(5.0)}
-        through, anew = find_returned(self.record, self.machines, orders, 5.2, 2.0)
+        through, anew = find_returned(self.fleet.cell, self.record, self.machines, orders, 5.2, 2.0)
         self.assertEqual((["m0"], ["m1", "m3"]), (through, anew))
-        through, _ = find_returned(self.record, self.machines, orders, 6.0, 2.0)
+        through, _ = find_returned(self.fleet.cell, self.record, self.machines, orders, 6.0, 2.0)
         self.assertEqual(["m0", "m2"], through)
 
+    def test_the_machines_of_another_cell_are_left_to_its_owner(self) -> None:
+        """
+        One wave names machines of two services, and the owners of both cells write its record.  One
+        of them found the other's machine ordered and still up, as it is for a moment, and took it
+        off the record as if an earlier owner of its own had ordered it; more than the wave allows
+        were down then.
+        """
+        self.record.down = {"m0": "other"}
+        self.machines["m0"] = Machine("m0", "another service", UP, "other")
+        found = find_returned(self.fleet.cell, self.record, self.machines, {}, 5.0, 2.0)
+        self.assertEqual(([], []), found)
+
     def test_a_machine_that_no_list_holds_was_through_only_if_its_upkeep_began(self) -> None:
         self.record.down = {"m8": "x", "m9": "x"}
         orders = {"m8": Order(5.0), "m9": Order()}
-        self.assertEqual(([], []), find_returned(self.record, self.machines, orders, 8.0, 2.0))
-        through, anew = find_returned(self.record, self.machines, orders, 9.0, 2.0)
+        self.assertEqual(
+            ([], []), find_returned(self.fleet.cell, self.record, self.machines, orders, 8.0, 2.0)
+        )
+        through, anew = find_returned(self.fleet.cell, self.record, self.machines, orders, 9.0, 2.0)
         self.assertEqual((["m8"], []), (through, anew))
 
     def test_a_machine_is_missing_once_no_list_held_it_for_a_while(self) -> None:
--- a/toucanpin/scheduling/upkeep.py
+++ b/toucanpin/scheduling/upkeep.py
@@ -95,6 +95,7 @@
 
 
 def find_returned(
+    cell: Cell,
     record: WaveRecord,
     machines: dict[str, Machine],
     orders: dict[str, Order],
@@ -122,7 +123,9 @@
         elif machine.state is not MachineState.UP or not machine.worker:
             continue
         elif order is None:
-            anew.append(name)
+            # One with another cell's worker may have been ordered by that cell's owner just now.
+            if machine.worker in cell.workers:
+                anew.append(name)
         elif machine.worker != worker:
             (through if order.acknowledged else anew).append(name)
         elif order.acknowledged and listed > order.acknowledged + SETTLED:
