Don't take a task for lost while a worker's list of ends is cut

A caller's task could be done twice. A worker tells 500 ends at a time; a task that ended after as many that wait to be acknowledged is listed neither as running nor as ended, and what is listed nowhere was taken for lost and placed again.

A list of running tasks that is cut was ruled out: the page of the platform limits ends only.

An answer with 500 ends now says nothing of runs that it lacks; the next one, after the acknowledgement, does.

--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -36,6 +36,7 @@
 IDLE_WAIT = 1.5  # s for a worker that runs nothing
 GONE_AFTER = 3.0  # s that a worker which doesn't answer and isn't listed is remembered
 STOP_AGAIN = 0.6  # s after which a run that still runs is stopped again
+MOST_ENDS = 500  # ends that a worker lists at a time, by the platform's page
 PROGRESS_STEP = 1  # percent that counts as a move
 
 
@@ -109,7 +110,9 @@
     worker.strangers = frozenset(_find_strangers(worker, held.running))
     for running in held.running:
         _take_running(cell, worker, running, now)
-    for run in list(worker.runs.values()):
+    # A run that is missing may have ended after the last end that fitted into the answer.
+    whole = len(held.ended) < MOST_ENDS
+    for run in list(worker.runs.values()) if whole else ():
         found = listed.get(run.task)
         if found is None or found.attempt != run.attempt:
             _take_absence(cell, worker, run, sent_at, now)
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_old_views.py
@@ -0,0 +1,40 @@
+"""Decisions beside lists that aren't whole, and beside what was listed long ago."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.holding import take_answer
+from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.orders import End, Ended, Held
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.worker import Phase
+
+
+class PartialListTest(unittest.TestCase):
+    def test_an_end_that_did_not_fit_the_list_of_ends_is_waited_for(self) -> None:
+        """
+        The caller's task is done twice.  A worker tells at most 500 ends at a time, and many wait
+        to be acknowledged after an outage.  A task whose end comes after these is listed neither as
+        running nor as ended; it was taken for one that was lost, and placed again.
+        """
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].lasts = 60.0
+        fleet.submit(make_job())
+        fleet.run(0.5)
+        worker = fleet.cell.workers["w0"]
+        (run,) = fleet.cell.runs["j1"]
+        ends = [
+            Ended(number, TaskKey("old", 0, 0, number), 1, End.STOPPED, "")
+            for number in range(1, 501)
+        ]
+        take_answer(fleet.cell, worker, Held(1, (), tuple(ends)), fleet.time + 1.0, fleet.now())
+        self.assertIs(Phase.RUNNING, run.phase)
+        done = Ended(501, run.task, run.attempt, End.DONE, "")
+        take_answer(fleet.cell, worker, Held(2, (), (done,)), fleet.time + 1.0, fleet.now())
+        self.assertEqual(JobState.COMPLETED, fleet.cell.jobs["j1"].progress.state)
+
+
+if __name__ == "__main__":
+    unittest.main()
