Don't stop tasks as standing still while nobody has listed them

Jobs lost their work at once on all workers: an owner that had been suspended or kept from its turn for more than 1.5 s woke, and every task seemed to have made no progress since, as its newest lists were that old. All were stopped before the first new answer was read. Red before: four stop orders in the new test, after two seconds without a list.

Workers that are known to be silent were ruled out: they are left out already, but a suspended owner has not yet noticed any silence.

A task stands still only by lists: the newest one has to be 1.5 s after the last that showed progress.

--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -58,7 +58,7 @@
         return
     if run.step.gang and not _is_whole(cell, run):
         _judge_gang(cell, run, now)
-    elif _stands_still(run, now):
+    elif _stands_still(run):
         worker.suspect_until = now.steady + SUSPICION
         _leave(cell, run, "stands still")
 
@@ -122,8 +122,9 @@
     return elapsed * (100 - run.percent) / run.percent > left
 
 
-def _stands_still(run: Run, now: Now) -> bool:
-    return run.percent < 100 and now.steady - run.moved_at > STALL
+def _stands_still(run: Run) -> bool:
+    """Tell whether the worker has listed a task for long without progress; silence shows none."""
+    return run.percent < 100 and run.shown_at - run.moved_at > STALL
 
 
 def _find_slow(cell: Cell, times: Times, worker: Worker) -> list[Run]:
--- a/toucanpin/scheduling/tests/test_old_views.py
+++ b/toucanpin/scheduling/tests/test_old_views.py
@@ -5,7 +5,8 @@
 import unittest
 
 from toucanpin.scheduling.holding import take_answer
-from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import End, Ended, Held
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
@@ -36,5 +37,23 @@
         self.assertEqual(JobState.COMPLETED, fleet.cell.jobs["j1"].progress.state)
 
 
+class WokenOwnerTest(unittest.TestCase):
+    def test_tasks_do_not_stand_still_for_an_owner_that_was_suspended(self) -> None:
+        """
+        The process of the owner is suspended for two seconds and keeps its cell.  Its newest lists
+        are two seconds old as it wakes, and they show no progress since, so every task seemed to
+        stand still: all of them were stopped, and what can't resume began anew.
+        """
+        fleet = Fleet()
+        for worker in fleet.workers.values():
+            worker.lasts = 30.0
+        fleet.submit(make_job(steps=(Step(count=4, cpu=1_000),)))
+        fleet.run(1.0)
+        self.assertEqual(4, len(fleet.cell.runs["j1"]))
+        fleet.time += 2.0
+        move_tasks(fleet.cell, fleet.now())
+        self.assertEqual([], fleet.cell.orders)
+
+
 if __name__ == "__main__":
     unittest.main()
