Count a lasting task as away unless a list showed it at work lately

More tasks of a service were away than its users bear. One stood on a worker that had just crashed: its newest list, seconds old, showed it at work, and its lease ran on for 4.5 s, so a second one was stopped for an upkeep or to make room for batch work meanwhile. An owner that wakes from a suspension judged everything by such lists. Red before: the new test's second stop.

Tasks that are being stopped or placed were ruled out: they count as away already.

A task is at work if a list of the last two seconds shows it so. The tasks in test_gathering had no time of their newest list; they get that of the test's moment, which is what it meant.

--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -36,6 +36,8 @@
 ]
 
 SUSPICION = 3.0  # s that a worker is avoided after failures; a day's failing workers last 4 to 7 s
+# Workers are asked for what they run each 0.4 to 0.7 s, and answer late at times.
+SHOWN_LATELY = 2.0  # s since a list showed a task at work for which it is thought to be so
 RETRY_DELAY = 0.25  # s before a lasting task that failed is placed again, so a loop can't spin
 # One that ran for longer can't spin.  It goes back at once: on a full fleet another task would take
 # its place within the delay.
@@ -158,13 +160,19 @@
     ]
 
 
-def count_away(cell: Cell, run: Run) -> int:
-    """Return how many other tasks of a lasting task's step are not at work."""
+def count_away(cell: Cell, run: Run, now: Now) -> int:
+    """
+    Return how many other tasks of a lasting task's step are not at work.
+
+    One that no list showed lately counts as away: its worker may be gone, and its lease run on.
+    """
     live = cell.jobs.get(run.task.job)
     if live is None:
         return 0
     at_work = sum(
-        other.phase is Phase.RUNNING and other.percent >= 100
+        other.phase is Phase.RUNNING
+        and other.percent >= 100
+        and now.steady < other.shown_at + SHOWN_LATELY
         for other in list_runs(cell, live)
         if other is not run
         and other.task.step == run.task.step
--- a/toucanpin/scheduling/gathering.py
+++ b/toucanpin/scheduling/gathering.py
@@ -113,7 +113,7 @@
         return False
     if run.percent < 100 or now.steady < cell.gathered.get(run.task, -REST) + REST:
         return False
-    return run.task.job in cell.jobs and count_away(cell, run) == 0
+    return run.task.job in cell.jobs and count_away(cell, run, now) == 0
 
 
 def _find_least_loss(
--- a/toucanpin/scheduling/tests/test_gathering.py
+++ b/toucanpin/scheduling/tests/test_gathering.py
@@ -42,7 +42,15 @@
         self.sharing._effects[image, "batch"] = Effect(image, "batch", effect, 0.2)
 
     def _run(self, worker: str, job: str, step: Step, index: int) -> Run:
-        run = Run(TaskKey(job, 0, 0, index), 1, worker, step, Phase.RUNNING, percent=100)
+        run = Run(
+            TaskKey(job, 0, 0, index),
+            1,
+            worker,
+            step,
+            Phase.RUNNING,
+            percent=100,
+            shown_at=NOW.steady,
+        )
         add_run(self.cell, self.cell.workers[worker], run)
         return run
 
--- a/toucanpin/scheduling/tests/test_old_views.py
+++ b/toucanpin/scheduling/tests/test_old_views.py
@@ -10,6 +10,7 @@
 from toucanpin.scheduling.orders import End, Ended, Held
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.upkeep import empty_worker
 from toucanpin.scheduling.worker import Phase
 
 
@@ -54,6 +55,28 @@
         move_tasks(fleet.cell, fleet.now())
         self.assertEqual([], fleet.cell.orders)
 
+    def test_a_lasting_task_on_a_worker_not_heard_of_counts_as_away(self) -> None:
+        """
+        Users bear one task of their service away.  One stood on a worker that crashed 3 s ago; its
+        newest list shows it at work and its lease still runs, so a second one was stopped for an
+        upkeep while the first was away.
+        """
+        fleet = Fleet()
+        step = Step(count=2, cpu=1_000, lasting=True, per_worker=1, may_miss=1)
+        fleet.submit(make_job("s", (step,)))
+        fleet.run(0.5)
+        for run in fleet.cell.runs["s"]:
+            run.percent = 100
+        fleet.workers["w0"].silent = True
+        empty_worker(fleet.cell, fleet.cell.workers["w1"], fleet.now())
+        self.assertEqual(["w1"], [order.worker for order in fleet.cell.orders])
+        fleet.cell.orders.clear()
+        for run in fleet.cell.runs["s"]:
+            run.phase = Phase.RUNNING
+        fleet.time += 3.0
+        empty_worker(fleet.cell, fleet.cell.workers["w1"], fleet.now())
+        self.assertEqual([], fleet.cell.orders)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucanpin/scheduling/upkeep.py
+++ b/toucanpin/scheduling/upkeep.py
@@ -198,7 +198,7 @@
         worker.closing_since = now.steady
     patient = now.steady < worker.closing_since + PATIENCE
     for run in list(worker.runs.values()):
-        if _may_leave(cell, run, patient):
+        if _may_leave(cell, run, patient, now):
             stop_run(cell, run, "upkeep")
     return not worker.runs and worker.seen == worker.acknowledged
 
@@ -211,12 +211,12 @@
             worker.closing_since = 0.0
 
 
-def _may_leave(cell: Cell, run: Run, patient: bool) -> bool:
+def _may_leave(cell: Cell, run: Run, patient: bool, now: Now) -> bool:
     if run.phase is not Phase.RUNNING:
         return run.phase is Phase.PLACED
     if run.step.lasting:
         # Users of a service bear so many of its tasks away at a time, and no more.
-        return not run.step.may_miss or count_away(cell, run) < run.step.may_miss
+        return not run.step.may_miss or count_away(cell, run, now) < run.step.may_miss
     return run.step.checkpoints or not patient
 
 
