Judge tails only by measurements that are new

Batch work was stopped on all workers with serving tasks at once. An owner that had been suspended for two seconds judged each serving task by its newest measurement; one that was over its target then counted as over it all the while, and everything that fills beside it was cleared, or slowed and quickened, before the first new answer came. Red before: the stop in the new test.

Silent workers were ruled out: they are left out, but a suspended owner hasn't noticed any silence.

A worker that hasn't answered for 1.5 s is left as it is, the time for which its measurements count in learning too. Answers come each 0.4 s where batch work disturbs what serves.

--- a/toucanpin/scheduling/learning.py
+++ b/toucanpin/scheduling/learning.py
@@ -16,7 +16,7 @@
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
-__all__ = ["learn_effects", "measure_loads"]
+__all__ = ["FRESH", "learn_effects", "measure_loads"]
 
 WARM_UP = 3.0  # s after its start in which a serving task's tail may look lower than any later
 FRESH = 1.5  # s for which a measurement counts
--- a/toucanpin/scheduling/pacing.py
+++ b/toucanpin/scheduling/pacing.py
@@ -9,7 +9,7 @@
 
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.ending import stop_run
-from toucanpin.scheduling.learning import measure_loads
+from toucanpin.scheduling.learning import FRESH, measure_loads
 from toucanpin.scheduling.orders import PaceOrder
 from toucanpin.scheduling.prediction import (
     heat_worker,
@@ -44,7 +44,9 @@
     cell.paced_at = now.steady
     measure_loads(cell, sharing, now)
     for worker in cell.workers.values():
-        if worker.fillers and worker.reached and not worker.silent:
+        # An owner that was suspended hasn't noticed any silence yet, and its measurements are old.
+        fresh = now.steady - worker.answered_at <= FRESH
+        if worker.fillers and worker.reached and not worker.silent and fresh:
             _control(cell, sharing, worker, now)
 
 
--- a/toucanpin/scheduling/tests/test_old_views.py
+++ b/toucanpin/scheduling/tests/test_old_views.py
@@ -7,7 +7,8 @@
 from toucanpin.scheduling.holding import take_answer
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.moving import move_tasks
-from toucanpin.scheduling.orders import End, Ended, Held
+from toucanpin.scheduling.orders import End, Ended, Held, StopOrder
+from toucanpin.scheduling.pacing import control_pace
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.upkeep import empty_worker
@@ -55,6 +56,31 @@
         move_tasks(fleet.cell, fleet.now())
         self.assertEqual([], fleet.cell.orders)
 
+    def test_what_fills_is_not_cleared_for_a_tail_that_nobody_measured_again(self) -> None:
+        """
+        A serving task was over its target in the newest list, and its owner is suspended for two
+        seconds.  As it woke the task seemed to have been over its target all the while, and all
+        batch work beside it was stopped.
+        """
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].lasts = 30.0
+        serving = Step(cpu=1_000, lasting=True, target=100, image="serves")
+        filling = Step(cpu=1_000, fills=True, checkpoints=True, image="fills")
+        fleet.submit(make_job("s", (serving,)))
+        fleet.submit(make_job("b", (filling,)))
+        fleet.run(0.5)
+        (served,) = fleet.cell.runs["s"]
+        self.assertTrue(fleet.cell.runs["b"])
+        served.measure = 101.0
+        fleet.cell.workers["w0"].slowed_at = fleet.time
+        control_pace(fleet.cell, fleet.sharing, fleet.now())
+        fleet.time += 0.25
+        control_pace(fleet.cell, fleet.sharing, fleet.now())
+        fleet.time += 2.0
+        control_pace(fleet.cell, fleet.sharing, fleet.now())
+        stops = [order.reason for order in fleet.cell.orders if isinstance(order, StopOrder)]
+        self.assertNotIn("serving task over its target", stops)
+
     def test_a_lasting_task_on_a_worker_not_heard_of_counts_as_away(self) -> None:
         """
         Users bear one task of their service away.  One stood on a worker that crashed 3 s ago; its
