--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -39,6 +39,7 @@
     empty_worker,
     find_returned,
     is_over,
+    list_missing,
     list_next,
     reopen_workers,
 )
@@ -77,6 +78,7 @@
         self._entries = EntryReader()
         self._records: dict[int, tuple[WaveRecord, int]] = {}
         self._machines: dict[str, Machine] = {}
+        self._seen: dict[str, float] = {}
         self._listed_at = 0.0
         self._ordering: set[str] = set()
         self._orders: dict[int, dict[str, Order]] = {}
@@ -101,12 +103,16 @@
         page = await self._store.read(OPERATORS_TABLE, "", WAVE_PREFIX, WAVE_PREFIX + "\x7f")
         waves = [wave for _, wave in self._entries.read(page.rows, _decode_wave)]
         open_waves = [wave for wave in waves if not await self._is_completed(wave)]
-        if not open_waves or steady_time() < self._quiet_until:
-            return bool(open_waves)
+        if not open_waves:
+            reopen_workers(self._cell.workers.values(), ())
+            return False
+        if steady_time() < self._quiet_until:
+            return True
         await self._list()
         emptied: list[Worker] = []
         for wave in open_waves:
             emptied += await self._advance(wave)
+            emptied += self._list_ordered(wave)
         reopen_workers(self._cell.workers.values(), emptied)
         return True
 
@@ -151,27 +157,23 @@
         asked_at = steady_time()
         machines = await self._calls.list()
         self._machines = {machine.name: machine for machine in machines}
+        self._seen.update(dict.fromkeys(self._machines, asked_at))
         self._listed_at = asked_at
 
     async def _advance(self, wave: Wave) -> list[Worker]:
         """Take a wave as far as it goes now; return the workers that are being emptied for it."""
         record, version = self._records.get(wave.number) or await self._read(wave)
         orders = self._orders.setdefault(wave.number, {})
-        through, anew = find_returned(record, self._machines, orders, self._listed_at)
-        gone = [
-            name
-            for name in wave.machines
-            if name not in self._machines and name not in record.done and name not in record.down
-        ]
-        if through or anew or gone:
+        through, anew = find_returned(
+            self._cell, record, self._machines, orders, self._listed_at, self._bounds.upkeep
+        )
+        if through or anew:
             down = {name: it for name, it in record.down.items() if name not in through + anew}
             for name in through + anew:
                 orders.pop(name, None)
-            await self._write(
-                wave, WaveRecord(record.begun, down, record.done + through + gone), version
-            )
+            await self._write(wave, WaveRecord(record.begun, down, record.done + through), version)
             _log.info("upkeep over", event="upkeep.done", wave=wave.number, machines=through)
-            return []
+            return self._list_closed()
         if is_over(wave, record):
             status = Put(STATUS_TABLE, f"{WAVE_PREFIX}{wave.number}", encode_wave_status(True))
             over = WaveRecord(record.begun, {}, record.done, True)
@@ -180,11 +182,50 @@
             return []
         for name, worker in record.down.items():
             machine = self._machines.get(name)
-            up = machine is not None and machine.state is MachineState.UP
-            if machine is not None and up and machine.worker == worker:
+            if machine is None or machine.state is not MachineState.UP:
+                continue
+            if machine.worker == worker and name in orders:
                 self._order(wave, name)
+        if await self._ask_for_missing(wave, record, version):
+            return self._list_closed()
         return await self._empty(wave, record, version)
 
+    def _list_ordered(self, wave: Wave) -> list[Worker]:
+        """
+        Return the workers whose machines are ordered into their upkeep.
+
+        An order without an answer may be carried out at any moment and ends all that runs there.
+        """
+        known = self._records.get(wave.number)
+        ordered = set(known[0].down.values()) if known else set()
+        return [worker for worker in self._cell.workers.values() if worker.entry.id in ordered]
+
+    def _list_closed(self) -> list[Worker]:
+        return [worker for worker in self._cell.workers.values() if worker.closing_since]
+
+    async def _ask_for_missing(self, wave: Wave, record: WaveRecord, version: int) -> bool:
+        """
+        Order the upkeep of machines that are probably gone; return whether the record changed.
+
+        Only the answer to an order tells whether a machine is there.  Counted as through because
+        lists lacked it, one that runs on would be left out of a wave that is said to be completed.
+        """
+        missing = list_missing(
+            self._cell, wave, record, self._machines, self._seen, self._listed_at
+        )
+        for name in missing:
+            if name in record.down:
+                self._order(wave, name)
+        new = [name for name in missing if name not in record.down]
+        new = new[: max(0, wave.cap - len(record.down))]
+        if not new:
+            return False
+        down = {**record.down, **dict.fromkeys(new, "")}
+        if await self._write(wave, WaveRecord(record.begun, down, record.done), version):
+            for name in new:
+                self._order(wave, name)
+        return True
+
     async def _empty(self, wave: Wave, record: WaveRecord, version: int) -> list[Worker]:
         now = self._clocks.now()
         upkeep = self._bounds.upkeep
@@ -193,11 +234,13 @@
         if not ready:
             return chosen
         names = {machine.worker: name for name, machine in self._machines.items()}
-        down = dict(record.down)
-        for worker in ready[: max(0, wave.cap - len(down))]:
-            down[names[worker.entry.id]] = worker.entry.id
+        free = max(0, wave.cap - len(record.down))
+        new = {names[worker.entry.id]: worker.entry.id for worker in ready[:free]}
+        down = {**record.down, **new}
         if await self._write(wave, WaveRecord(record.begun, down, record.done), version):
-            for name in down:
+            # Those ordered before are ordered again only where the newest list shows them as they
+            # were: one that came back from a crash has tasks that nobody emptied.
+            for name in new:
                 self._order(wave, name)
         return chosen
 
--- a/toucanpin/scheduling/upkeep.py
+++ b/toucanpin/scheduling/upkeep.py
@@ -27,6 +27,7 @@
     "empty_worker",
     "find_returned",
     "is_over",
+    "list_missing",
     "list_next",
     "reopen_workers",
 ]
@@ -34,6 +35,7 @@
 PACE = 0.65  # of a wave's time after which all machines should have been through their upkeep
 OVERHEAD = 1.5  # s that a machine takes besides its upkeep: emptying, the call, the next list
 SETTLED = 0.5  # s after an order until a list of machines surely shows it
+MISSING = 2.0  # s for which no list holds a machine until it is asked for by an order
 PATIENCE = 2.5  # s that a worker is kept from new tasks while those that can't resume run on
 
 
@@ -93,15 +95,21 @@
 
 
 def find_returned(
-    record: WaveRecord, machines: dict[str, Machine], orders: dict[str, Order], listed: float
+    cell: Cell,
+    record: WaveRecord,
+    machines: dict[str, Machine],
+    orders: dict[str, Order],
+    listed: float,
+    upkeep: float,
 ) -> tuple[list[str], list[str]]:
     """
-    Return the machines that came back from their upkeep, or are gone, and those to begin anew.
+    Return the machines that came back from their upkeep, and those to begin anew.
 
     ``listed`` is when the list of machines was asked for.  A machine that is another worker now may
     have crashed before its order was carried out, so only an order that was acknowledged shows that
     it has been through.  One that an earlier owner may have ordered is emptied again first: this
-    owner may have placed tasks there.
+    owner may have placed tasks there.  A list may miss a machine that is there, so that it is in
+    none says nothing; an acknowledged order does, once an upkeep of ``upkeep`` seconds is over.
     """
     through: list[str] = []
     anew: list[str] = []
@@ -109,11 +117,15 @@
         machine = machines.get(name)
         order = orders.get(name)
         if machine is None:
-            through.append(name)
+            begun = order.acknowledged if order is not None else 0.0
+            if begun and listed > begun + upkeep + OVERHEAD:
+                through.append(name)
         elif machine.state is not MachineState.UP or not machine.worker:
             continue
         elif order is None:
-            anew.append(name)
+            # One with another cell's worker may have been ordered by that cell's owner just now.
+            if machine.worker in cell.workers:
+                anew.append(name)
         elif machine.worker != worker:
             (through if order.acknowledged else anew).append(name)
         elif order.acknowledged and listed > order.acknowledged + SETTLED:
@@ -122,6 +134,31 @@
     return through, anew
 
 
+def list_missing(
+    cell: Cell,
+    wave: Wave,
+    record: WaveRecord,
+    machines: dict[str, Machine],
+    seen: dict[str, float],
+    listed: float,
+) -> list[str]:
+    """
+    Return the machines of a wave that are probably gone; ``seen`` is when a list last held each.
+
+    A list of several pages misses a machine that changes its place between two of them, so one list
+    says nothing.  Neither do several while a worker is there which says that it is that machine.
+    """
+    alive = {worker.entry.machine for worker in cell.workers.values()}
+    return [
+        name
+        for name in wave.machines
+        if name not in machines
+        and name not in record.done
+        and name not in alive
+        and listed >= seen.setdefault(name, listed) + MISSING
+    ]
+
+
 def list_next(
     cell: Cell,
     wave: Wave,
@@ -161,7 +198,7 @@
         worker.closing_since = now.steady
     patient = now.steady < worker.closing_since + PATIENCE
     for run in list(worker.runs.values()):
-        if _may_leave(cell, run, patient):
+        if _may_leave(cell, run, patient, now):
             stop_run(cell, run, "upkeep")
     return not worker.runs and worker.seen == worker.acknowledged
 
@@ -174,12 +211,12 @@
             worker.closing_since = 0.0
 
 
-def _may_leave(cell: Cell, run: Run, patient: bool) -> bool:
+def _may_leave(cell: Cell, run: Run, patient: bool, now: Now) -> bool:
     if run.phase is not Phase.RUNNING:
         return run.phase is Phase.PLACED
     if run.step.lasting:
         # Users of a service bear so many of its tasks away at a time, and no more.
-        return not run.step.may_miss or count_away(cell, run) < run.step.may_miss
+        return not run.step.may_miss or count_away(cell, run, now) < run.step.may_miss
     return run.step.checkpoints or not patient
 
 
