Show that late lists look like tasks that stand still

Callers saw batch work lose what it had done. When an owner hears no list for 1.5 s, since its link is full or it has no turn, every task that it follows seems to stand still and is stopped, and its worker is avoided for 5 s. The test fails on the code as it is: four of four tasks are stopped after two seconds without a list.

--- a/toucanpin/scheduling/tests/test_moving.py
+++ b/toucanpin/scheduling/tests/test_moving.py
@@ -5,6 +5,7 @@
 import unittest
 
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import End
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
@@ -43,6 +44,33 @@
         self.assertEqual(2, sum(len(worker.starts) for worker in fleet.workers.values()))
 
 
+class LateListTest(unittest.TestCase):
+    def test_a_task_whose_worker_was_not_heard_of_does_not_stand_still(self) -> None:
+        """
+        The owner's link is full, and for two seconds no worker's list arrives.  The tasks work on,
+        but the owner saw no progress since it saw no list, took them to stand still and stopped
+        them all.  Progress is missing only if a later list shows none.
+        """
+        fleet = Fleet()
+        for worker in fleet.workers.values():
+            worker.lasts = 10.0
+        fleet.submit(make_job(steps=(Step(count=4, cpu=1_000),)))
+        fleet.run(0.5)
+        fleet.time += 2.0
+        move_tasks(fleet.cell, fleet.now())
+        self.assertFalse(fleet.cell.orders)
+
+    def test_a_task_that_two_lists_show_unmoved_is_stopped(self) -> None:
+        fleet = Fleet()
+        for worker in fleet.workers.values():
+            worker.stuck = True
+        fleet.submit(make_job())
+        fleet.run(0.5)
+        fleet.time += 2.0
+        fleet.run(0.05)
+        self.assertFalse(any(worker.runs for worker in fleet.workers.values()))
+
+
 class CopyTest(unittest.TestCase):
     STEP = Step(cpu=1_000, speculative=True)
 
