Show that a start which was never sent waits for a silent worker's lease

Callers saw tasks wait for nearly five seconds with room elsewhere. A place is written, its worker falls silent meanwhile, and the start is held back until the worker answers or its lease has ended, though nothing was ever sent. The test fails on the code as it is: no start within half a second, one worker of two being free.

--- a/toucanpin/scheduling/tests/test_failures.py
+++ b/toucanpin/scheduling/tests/test_failures.py
@@ -129,6 +129,26 @@
         others = [worker for worker in fleet.workers.values() if worker is not holder]
         self.assertTrue(any(worker.runs for worker in others))
 
+    def test_a_start_that_was_never_sent_goes_elsewhere_at_once(self) -> None:
+        """
+        A caller's task is placed, and its worker falls silent while the place is being written.
+        Nothing was sent, so nothing can run there; yet the task kept that place until the worker's
+        lease had ended, nearly five seconds, with room on the other worker all the while.
+        """
+        fleet = Fleet()
+        fleet.run(AUTHORITY + 1.0)
+        fleet.store_up = False
+        fleet.submit(make_job())
+        fleet.run(0.1)
+        (run,) = fleet.cell.placed
+        fleet.workers[run.worker].silent = True
+        fleet.run(0.1)
+        fleet.store_up = True
+        fleet.run(0.5)
+        self.assertEqual(1, sum(len(worker.starts) for worker in fleet.workers.values()))
+        fleet.run(1.5)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
     def test_a_worker_that_returns_in_time_keeps_its_tasks(self) -> None:
         fleet = Fleet()
         fleet.submit(make_job())
