Take a task to stand still only if lists show it

Callers saw batch work lose what it had done and jobs come late. An owner whose link is full, or that gets no turn, hears no list for more than 1.5 s; the time since a task's last progress was counted up to now, so every task stood still, was stopped, and its worker avoided for 5 s. The time now ends at the newest list that shows the task, so silence proves nothing. Ruled out: a longer limit, which would only need a longer silence.

--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -58,7 +58,7 @@
         return
     if run.step.gang and not _is_whole(cell, run):
         _judge_gang(cell, run, now)
-    elif _stands_still(run, now):
+    elif _stands_still(run):
         worker.suspect_until = now.steady + SUSPICION
         _leave(cell, run, "stands still")
 
@@ -122,8 +122,14 @@
     return elapsed * (100 - run.percent) / run.percent > left
 
 
-def _stands_still(run: Run, now: Now) -> bool:
-    return run.percent < 100 and now.steady - run.moved_at > STALL
+def _stands_still(run: Run) -> bool:
+    """
+    Tell whether lists show a task unmoved.
+
+    An owner that hears nothing for a while, since its link is full, would otherwise stop every task
+    that it follows and lose their work.
+    """
+    return run.percent < 100 and run.shown_at - run.moved_at > STALL
 
 
 def _find_slow(cell: Cell, times: Times, worker: Worker) -> list[Run]:
