Place a task elsewhere if its start was never sent to a silent worker

Callers saw tasks wait for nearly five seconds with room elsewhere. A worker fell silent while a place on it was being written, and the start was held back until the worker answered or its lease had ended. A start that was never sent can't run, so the task goes elsewhere at once; one that was sent waits as before. The test that was added for it failed (no start in half a second, one worker of two free) and passes.

--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -33,6 +33,10 @@
 
 def plan_start(cell: Cell, worker: Worker, run: Run, now: Now) -> int:
     """Return the lease's end for a start on the worker's clock, 0 if it must not be sent now."""
+    if worker.silent and not run.ordered_at:
+        # Nothing was ever sent, so nothing can run there: the task needn't wait for the lease.
+        end_run(cell, worker, run, now)
+        return 0
     until = lease_end(cell, now)
     if worker.silent or until - now.steady < SHORTEST_LEASE:
         return 0
