Measure what an owner's turn takes on a full fleet, by decision

Callers of a fleet of 246 workers saw most jobs refused or failed once the fleet was full. The owner used four seconds of processor time a second there, and nothing said on which decision.

--- /dev/null
+++ b/benchmarks/turns.py
@@ -0,0 +1,200 @@
+"""
+Benchmark of an owner's turn
+============================
+
+Print the processor time of each decision on a full fleet, and how it grows with what waits, what
+runs and the number of workers.
+
+Notes
+-----
+All workers are full and most of what waits finds no place, as in an overload: then a turn brings
+least and costs most.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import click
+
+from toucanpin.scheduling.advising import plan_advice
+from toucanpin.scheduling.cell import Cell, Now, add_run
+from toucanpin.scheduling.counting import count_pending
+from toucanpin.scheduling.gathering import gather_images
+from toucanpin.scheduling.holding import list_workers, take_answer
+from toucanpin.scheduling.intake import begin_due, submit_job
+from toucanpin.scheduling.job import Job, Step, TaskKey
+from toucanpin.scheduling.moving import move_tasks
+from toucanpin.scheduling.orders import Held, Running, WorkerEntry
+from toucanpin.scheduling.pacing import control_pace
+from toucanpin.scheduling.placing import place_tasks
+from toucanpin.scheduling.sharing import Sharing
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+__all__ = ["FullFleet", "main"]
+
+BEGIN = 100.0  # s on the virtual clock
+TURN = 0.02  # s of it between turns
+WORKER_CPU = 64_000  # thousandths of a core
+LASTING = Step(14, 13_000, 4_000, lasting=True, image="s0", target=50)
+URGENT = Step(10, 11_000, 6_000, estimate=1_000)
+SERVING = 5  # images that serve
+FILLING = 9  # images that fill
+NEAR_TARGET = 35  # ms: a tail below its target, but not so low that anything may be added
+SEED = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Say how many workers there are, what runs on each and what waits, in steps."""
+
+    workers: int = 246
+    fillers: int = 3
+    urgent: int = 20
+    lasting: int = 10
+    patient: int = 100
+
+
+class FullFleet:
+    """Hold a cell without room and what waits for some."""
+
+    def __init__(self, load: Load) -> None:
+        self.load = load
+        self.time = BEGIN
+        self.cell = Cell("c", 1, 0.0, BEGIN)
+        self.sharing = Sharing()
+        self._rng = random.Random(SEED)
+        self._count = 0
+        entries = [self._make_entry(number) for number in range(load.workers)]
+        list_workers(self.cell, entries, self.now())
+        for number, worker in enumerate(self.cell.workers.values()):
+            self._fill(worker, number)
+        self.answer()
+        self._wait(load.urgent, URGENT, 0)
+        self._wait(load.lasting, LASTING, 1)
+        for number in range(load.patient):
+            self._wait(1, self._make_filling(number), 2)
+
+    def now(self) -> Now:
+        """Return the virtual clocks."""
+        return Now(self.time, int(self.time * 1_000), int(self.time * 1_000))
+
+    def answer(self) -> None:
+        """Have all workers answer that what they run goes on."""
+        for worker in self.cell.workers.values():
+            running = [self._list_run(run) for run in worker.runs.values()]
+            take_answer(self.cell, worker, Held(1, tuple(running), ()), self.time, self.now())
+
+    def count_tasks(self) -> int:
+        """Return how many tasks wait."""
+        return sum(map(len, self.cell.waiting.values()))
+
+    def _make_entry(self, number: int) -> WorkerEntry:
+        labels = ("kind", f"r{number // 20}")
+        return WorkerEntry(f"w{number}", "c", "a:1", "dc", True, WORKER_CPU, 250_000, 0, labels)
+
+    def _make_filling(self, number: int) -> Step:
+        cpu = self._rng.randrange(5_000, 9_000, 50)
+        image = f"f{number % FILLING}"
+        return Step(20, cpu, 6_000, estimate=2_700, checkpoints=True, image=image, fills=True)
+
+    def _fill(self, worker: Worker, number: int) -> None:
+        serving = Step(1, 13_000, 4_000, lasting=True, image=f"s{number % SERVING}", target=50)
+        steps = [serving] * 3 + [URGENT] * 2
+        steps += [self._make_filling(number + more) for more in range(self.load.fillers)]
+        for step in steps:
+            job = self._submit(Step(**{**_fields(step), "count": 1}), 0 if not step.fills else 2)
+            group = next(iter(self.cell.waiting))
+            self.cell.waiting.clear()
+            run = Run(
+                TaskKey(job.id, group.occurrence, group.step, 0),
+                0,
+                worker.entry.id,
+                step,
+                Phase.RUNNING,
+                started_at=BEGIN - 2.0,
+            )
+            add_run(self.cell, worker, run)
+
+    def _list_run(self, run: Run) -> Running:
+        measure = NEAR_TARGET if run.step.target else run.step.cpu
+        percent = 100 if run.step.lasting else min(99, int(40 + 10 * (self.time - BEGIN)))
+        return Running(run.task, run.attempt, "", percent, measure)
+
+    def _wait(self, count: int, step: Step, priority: int) -> None:
+        for _ in range(count):
+            self._submit(step, priority)
+
+    def _submit(self, step: Step, priority: int) -> Job:
+        self._count += 1
+        job = Job(
+            f"j{self._count:05}",
+            "q",
+            "c",
+            "spec",
+            (step,),
+            priority=priority,
+            stretch=2.0,
+            aim=1_000,
+            accepted=int(self.time * 1_000),
+        )
+        submit_job(self.cell, job, self.now())
+        return job
+
+
+def _fields(step: Step) -> dict[str, object]:
+    return {name: getattr(step, name) for name in step.__struct_fields__}
+
+
+Decision = Callable[[FullFleet], object]
+DECISIONS: dict[str, Decision] = {
+    "placing": lambda fleet: place_tasks(fleet.cell, fleet.sharing, fleet.now()),
+    "advising": lambda fleet: plan_advice(fleet.cell, fleet.sharing, 8, fleet.now()),
+    "moving": lambda fleet: move_tasks(fleet.cell, fleet.now()),
+    "pacing": lambda fleet: control_pace(fleet.cell, fleet.sharing, fleet.now()),
+    "gathering": lambda fleet: gather_images(fleet.cell, fleet.sharing, fleet.now()),
+    "answers": lambda fleet: fleet.answer(),
+    "due": lambda fleet: begin_due(fleet.cell, fleet.now()),
+    "counting": lambda fleet: count_pending(fleet.cell),
+}
+
+
+def measure(load: Load, turns: int) -> dict[str, float]:
+    """Return the mean processor time of each decision in a turn, in ms."""
+    fleet = FullFleet(load)
+    spent = dict.fromkeys(DECISIONS, 0.0)
+    for _ in range(turns):
+        fleet.time += TURN
+        fleet.cell.confirmed = fleet.time
+        for name, decide in DECISIONS.items():
+            begun = time.process_time()
+            decide(fleet)
+            spent[name] += time.process_time() - begun
+    return {name: 1_000 * seconds / turns for name, seconds in spent.items()}
+
+
+LOADS = {
+    "as it is": Load(),
+    "half of the workers": Load(workers=123),
+    "half of the urgent": Load(urgent=10),
+    "half of the lasting": Load(lasting=5),
+    "half of the patient": Load(patient=50),
+    "twice as many fillers": Load(fillers=6),
+}
+
+
+@click.command()
+@click.option("--turns", default=30, show_default=True, help="Turns of each load.")
+def main(turns: int) -> None:
+    """Print what a turn takes with one thing halved or doubled at a time, in ms."""
+    click.echo(" " * 24 + "".join(f"{name:>11}" for name in DECISIONS))
+    for name, load in LOADS.items():
+        spent = measure(load, turns)
+        click.echo(f"{name:24}" + "".join(f"{value:11.2f}" for value in spent.values()))
+
+
+if __name__ == "__main__":
+    main()
