Show that preemption looks at every worker for every step and every task

Callers saw jobs refused, late or expired on a full fleet: the owner had no turn to answer in. Each urgent step that waits looks at what it could stop on each worker, each time any worker answers, and each of up to sixteen tasks of a step does so again.

--- /dev/null
+++ b/toucanpin/scheduling/tests/test_turns.py
@@ -0,0 +1,66 @@
+"""How much work one turn of an owner is on a full fleet."""
+
+from __future__ import annotations
+
+import unittest
+from unittest.mock import patch
+
+from toucanpin.scheduling import preempting
+from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.placing import place_tasks
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+
+WORKERS = 30
+WAITING = 20  # steps
+
+
+class FullFleetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet(workers=WORKERS, cpu=4_000)
+        for worker in self.fleet.workers.values():
+            worker.lasts = 600.0
+        self.fleet.submit(make_job("lasts", (Step(count=WORKERS, cpu=3_000, lasting=True),)))
+        self.fleet.run(1.0)
+        fill = Step(count=WORKERS, cpu=500, fills=True, image="f", checkpoints=True)
+        self.fleet.submit(make_job("fills", (fill,), priority=2))
+        self.fleet.run(1.0)
+
+    def _count(self, name: str) -> int:
+        """Return how often a turn calls one function of preemption."""
+        place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+        self.fleet.time += 0.05
+        original = getattr(preempting, name)
+        with patch.object(preempting, name, wraps=original) as counted:
+            place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+        return counted.call_count
+
+    def test_room_that_cannot_be_made_is_looked_for_once(self) -> None:
+        """
+        Urgent steps wait on a fleet on which no stop would make room for them.  Each step looked
+        at each worker in each turn, 78 ms with 246 workers and 30 such steps, and a turn comes with
+        each answer of a worker: the owner answered late, and jobs expired.
+        """
+        for number in range(WAITING):
+            step = Step(count=4, cpu=2_000 + number)
+            self.fleet.submit(make_job(f"u{number:02}", (step,)))
+        self.assertLessEqual(self._count("_find_victims"), WORKERS)
+
+    def test_workers_are_looked_at_once_for_all_tasks_of_a_step(self) -> None:
+        """
+        An urgent step of sixteen tasks comes while patient work has the room.  Each of its tasks
+        looked at each worker for what to stop, so one wide step held up all answers of its turn.
+        """
+        patient = Step(count=WORKERS, cpu=900, checkpoints=True)
+        self.fleet.submit(make_job("patient", (patient,), priority=2))
+        self.fleet.run(1.0)
+        self.fleet.submit(make_job("wide", (Step(count=16, cpu=900),)))
+        stops = len(self.fleet.cell.orders)
+        original = preempting._find_victims
+        with patch.object(preempting, "_find_victims", wraps=original) as counted:
+            place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+        self.assertEqual(16, len(self.fleet.cell.orders) - stops)
+        self.assertLessEqual(counted.call_count, WORKERS + 16)
+
+
+if __name__ == "__main__":
+    unittest.main()
