Look for what to stop once for a step, and not again where no room can be made

Callers of a full fleet saw jobs refused, late or expired: the owner was behind with its answers. Each urgent step that waited looked at the runs of each worker in each turn, and each of its first sixteen tasks did so again, so a turn grew with workers times waiting tasks.

Within a round steps come by priority and room is only taken, so a demand for which no stop makes room settles each later one that is as large. What could be stopped on each worker is kept in a heap for the tasks of a step, and only the worker that was taken is looked at again.

Ruled out: that placing itself, moving or pacing took the time (a tenth of it, 6 and 0.5 ms a turn).

--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -27,7 +27,7 @@
     may_last,
 )
 from toucanpin.scheduling.job import Step, TaskKey
-from toucanpin.scheduling.preempting import Freed, free_room
+from toucanpin.scheduling.preempting import Making, Openings
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import (
@@ -57,7 +57,7 @@
         return
     everywhere = able = list_able(cell, now)
     round_ = Round(sharing, now)
-    freed: dict[str, Freed] = {}
+    making = Making()
     least_urgent = _find_least_urgent(cell)
     for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group, now)):
         live = cell.jobs[group.job]
@@ -71,7 +71,7 @@
         else:
             _place_group(cell, round_, live, group, step, allowed)
         if live.job.priority < least_urgent and not step.gang:
-            _make_room(cell, live, group, step, allowed, freed, now)
+            _make_room(cell, live, group, step, allowed, making, now)
         able = _keep_for_large(cell, group, step, able)
         if not cell.waiting[group]:
             del cell.waiting[group]
@@ -129,16 +129,23 @@
     group: Group,
     step: Step,
     able: list[Worker],
-    freed: dict[str, Freed],
+    making: Making,
     now: Now,
 ) -> None:
     """Stop what is less urgent for the tasks of a step that found no place."""
+    openings: dict[bool, Openings] = {}
     for index in _order_waiting(cell, live, group)[:MOST_STOPS]:
         task = TaskKey(group.job, group.occurrence, group.step, index)
         if cell.delayed.get(task, 0.0) > now.steady:
             continue
         lenient = step.lasting and _may_take_last(cell, live, group, index, now)
-        if not free_room(cell, group, step, able, freed, now, lenient):
+        if making.is_hopeless(step, lenient):
+            return
+        if lenient not in openings:
+            openings[lenient] = Openings(cell, group, step, able, making, now, lenient)
+        if not openings[lenient].take():
+            if not (step.label or step.per_worker or live.job.advised):
+                making.note_hopeless(step, lenient)
             return
 
 
--- a/toucanpin/scheduling/preempting.py
+++ b/toucanpin/scheduling/preempting.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import heapq
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from toucanpin.scheduling.cell import Cell, Group, Now
@@ -16,7 +17,7 @@
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
-__all__ = ["Freed", "free_room", "note_freed"]
+__all__ = ["Freed", "Making", "Openings", "note_freed"]
 
 RESUME_LOSS = 0.3  # s of work that a task which resumes from its checkpoint loses
 # Stops end one after the other; without this, what waits would take the room of the first.
@@ -42,79 +43,148 @@
     return freed
 
 
-def free_room(
-    cell: Cell,
-    group: Group,
-    step: Step,
-    able: Iterable[Worker],
-    freed: dict[str, Freed],
-    now: Now,
-    lenient: bool = False,
-) -> bool:
+class Making:
     """
-    Make room for one task of a step; return whether there will be some.
+    Hold what one round of placing knows of the room that stops can make.
 
-    A ``lenient`` lasting task needs no reserve beside it.
-
-    Without this, batch work that came first would hold up urgent tasks until it ends, for seconds.
+    Steps come by priority, and within a round room is only taken, so what couldn't be made for one
+    task can't be made for a later one that asks for as much.
     """
-    best: tuple[Worker, list[Run]] | None = None
-    least = 0.0
-    for worker in able:
-        if not fits_rules(worker, group, step):
-            continue
-        found = _find_victims(cell, worker, group, step, freed, now, lenient)
-        if found is None:
-            continue
-        lost = sum(_weigh_loss(run, now) for run in found)
-        if best is None or lost < least:
-            best, least = (worker, found), lost
-        if not found:
-            break
-    if best is None:
-        return False
-    worker, victims = best
-    if victims:
-        worker.kept_until = now.steady + KEPT
-        worker.kept_for = cell.jobs[group.job].job.priority
-    room = freed.setdefault(worker.entry.id, note_freed(worker))
-    for run in victims:
-        stop_run(cell, run, "makes room for urgent work")
-        _add(room, run.step, 1)
-    _add(room, step, -1)
-    return True
+
+    __slots__ = ("freed", "_hopeless")
+
+    def __init__(self) -> None:
+        self.freed: dict[str, Freed] = {}
+        self._hopeless: dict[bool, list[_Demand]] = {False: [], True: []}
+
+    def is_hopeless(self, step: Step, lenient: bool) -> bool:
+        """Tell whether no room could be made for a task that asks for no more."""
+        asked = _Demand.of(step, lenient)
+        return any(known.is_within(asked) for known in self._hopeless[step.lasting])
+
+    def note_hopeless(self, step: Step, lenient: bool) -> None:
+        """Remember that no stops on any worker make room for a task of a step."""
+        self._hopeless[step.lasting].append(_Demand.of(step, lenient))
+
+    def free(self, worker: Worker) -> Freed:
+        """Return the room that stops are about to free on a worker."""
+        known = self.freed.get(worker.entry.id)
+        if known is None:
+            known = self.freed[worker.entry.id] = note_freed(worker)
+        return known
+
+
+@dataclass(frozen=True, slots=True)
+class _Demand:
+    """Hold what a task asks for; ``reserve`` is the share of the worker that stays free beside."""
+
+    cpu: int
+    memory: int
+    accelerators: int
+    reserve: float
+
+    @classmethod
+    def of(cls, step: Step, lenient: bool) -> _Demand:
+        """Return what a task of a step asks for."""
+        # A lasting task is placed only where this much is left, else its room would go to others.
+        reserve = RESERVE if step.lasting and not lenient else 0.0
+        cpu = 0 if step.fills else step.cpu
+        return cls(cpu, step.memory, step.accelerators, reserve)
+
+    def is_within(self, other: _Demand) -> bool:
+        """Tell whether another demand is at least as large in everything."""
+        return (
+            self.cpu <= other.cpu
+            and self.memory <= other.memory
+            and self.accelerators <= other.accelerators
+            and self.reserve <= other.reserve
+        )
+
+
+class Openings:
+    """Hold where stops could make room for the tasks of a step, the least loss first."""
+
+    __slots__ = ("_able", "_cell", "_demand", "_group", "_heap", "_making", "_now", "_step")
+
+    def __init__(
+        self,
+        cell: Cell,
+        group: Group,
+        step: Step,
+        able: Sequence[Worker],
+        making: Making,
+        now: Now,
+        lenient: bool = False,
+    ) -> None:
+        self._cell = cell
+        self._group = group
+        self._step = step
+        self._able = able
+        self._making = making
+        self._now = now
+        self._demand = _Demand.of(step, lenient)
+        found = (self._weigh(number) for number in range(len(able)))
+        self._heap = [opening for opening in found if opening is not None]
+        heapq.heapify(self._heap)
+
+    def take(self) -> bool:
+        """
+        Make room for one task; return whether there will be some.
+
+        Without this, batch work that came first would hold up urgent tasks until it ends, for
+        seconds.
+        """
+        if not self._heap:
+            return False
+        _, number, victims = heapq.heappop(self._heap)
+        worker = self._able[number]
+        room = self._making.free(worker)
+        if victims:
+            worker.kept_until = self._now.steady + KEPT
+            worker.kept_for = self._cell.jobs[self._group.job].job.priority
+        for run in victims:
+            stop_run(self._cell, run, "makes room for urgent work")
+            _add(room, run.step, 1)
+        _add(room, self._step, -1)
+        opening = self._weigh(number)
+        if opening is not None:
+            heapq.heappush(self._heap, opening)
+        return True
+
+    def _weigh(self, number: int) -> tuple[float, int, list[Run]] | None:
+        worker = self._able[number]
+        if not fits_rules(worker, self._group, self._step):
+            return None
+        room = self._making.free(worker)
+        victims = _find_victims(self._cell, worker, self._group, self._demand, room, self._now)
+        if victims is None:
+            return None
+        return sum(_weigh_loss(run, self._now) for run in victims), number, victims
 
 
 def _find_victims(
-    cell: Cell,
-    worker: Worker,
-    group: Group,
-    step: Step,
-    freed: dict[str, Freed],
-    now: Now,
-    lenient: bool,
+    cell: Cell, worker: Worker, group: Group, demand: _Demand, room: Freed, now: Now
 ) -> list[Run] | None:
     """Return the runs to stop on a worker, empty if earlier stops suffice, None if none do."""
-    known = freed.get(worker.entry.id)
-    room = known or note_freed(worker)
     entry = worker.entry
-    wanted = 0 if step.fills else step.cpu
-    if step.lasting and not lenient:
-        # A lasting task is placed only where this much is left, else its room would go to others.
-        wanted += int(RESERVE * entry.cpu)
+    wanted = demand.cpu + int(demand.reserve * entry.cpu)
     cpu = entry.cpu - worker.cpu + room.cpu - wanted
-    memory = entry.memory - worker.memory + room.memory - step.memory
-    accelerators = entry.accelerators - worker.accelerators + room.accelerators - step.accelerators
+    memory = entry.memory - worker.memory + room.memory - demand.memory
+    accelerators = (
+        entry.accelerators - worker.accelerators + room.accelerators - demand.accelerators
+    )
     victims: list[Run] = []
+    if min(cpu, memory, accelerators) >= 0:
+        return victims
     candidates = (run for run in worker.runs.values() if _may_stop(cell, run, group))
     for run in sorted(candidates, key=lambda run: _weigh_loss(run, now)):
-        if min(cpu, memory, accelerators) >= 0:
-            break
         victims.append(run)
         cpu += 0 if run.step.fills else run.step.cpu
         memory += run.step.memory
         accelerators += run.step.accelerators
-    return victims if min(cpu, memory, accelerators) >= 0 else None
+        if min(cpu, memory, accelerators) >= 0:
+            return victims
+    return None
 
 
 def _may_stop(cell: Cell, run: Run, group: Group) -> bool:
