Show that each step that waits weighs each worker in each turn

Callers of a full fleet got late answers: after the search for what to stop, half of a turn of placing went to steps that found no place, each weighing each worker again.

--- a/toucanpin/scheduling/tests/test_turns.py
+++ b/toucanpin/scheduling/tests/test_turns.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from unittest.mock import patch
 
 from toucanpin.scheduling import preempting
+from toucanpin.scheduling.cell import WaitReason
+from toucanpin.scheduling.choosing import Places
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
@@ -34,6 +37,43 @@
             place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
         return counted.call_count
 
+    def _count_weighed(self) -> int:
+        """Return how many places a turn weighs."""
+        original = Places._weigh
+        weighed = []
+
+        def weigh(places: Places, number: int) -> object:
+            weighed.append(number)
+            return original(places, number)
+
+        with patch.object(Places, "_weigh", weigh):
+            place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+        return len(weighed)
+
+    def test_steps_without_room_do_not_each_weigh_all_workers(self) -> None:
+        """
+        Urgent steps wait on a fleet without room.  Each weighed each worker in each turn, though
+        a smaller one had just found no place, and on 246 workers half of a turn went there.
+        """
+        for number in range(WAITING):
+            self.fleet.submit(make_job(f"u{number:02}", (Step(count=4, cpu=2_000 + number),)))
+        self.assertLessEqual(self._count_weighed(), WORKERS)
+
+    def test_lasting_steps_that_the_reserve_shuts_out_do_not_either(self) -> None:
+        """
+        Lasting steps wait for the one place that is kept for brief tasks.  Each weighed each
+        worker in each turn to learn that it is the last.
+        """
+        first = next(iter(self.fleet.workers.values()))
+        first.entry = replace(first.entry, cpu=5_000)
+        self.fleet.run(0.05)
+        for number in range(WAITING):
+            step = Step(count=4, cpu=1_900 + number, lasting=True)
+            self.fleet.submit(make_job(f"l{number:02}", (step,)))
+        self.assertLessEqual(self._count_weighed(), WORKERS)
+        reasons = {wait.reason for wait in self.fleet.cell.waits.values()}
+        self.assertEqual({WaitReason.RESERVED}, reasons)
+
     def test_room_that_cannot_be_made_is_looked_for_once(self) -> None:
         """
         Urgent steps wait on a fleet on which no stop would make room for them.  Each step looked
