Weigh the workers once for all steps that ask for as much and find no room

Callers of a full fleet got late answers since each step that waited weighed each worker in each turn, and a turn comes with most answers of workers.

Within a round of placing steps come by priority and room is only taken. So what one step didn't find, none finds that comes later and asks for as much; the same holds for the reserve that lasting tasks leave. Both are remembered for the round, as already for stops.

Ruled out: a rest between turns as for tasks that fill; an urgent task would wait for it.

--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -70,7 +70,7 @@
     "grouping of images": (Off(f"{_CHOOSING}.OTHER_IMAGE", 0.0),),
     "grouping of jobs": (Off(f"{_CHOOSING}.OTHER_JOB", 0.0),),
     "gathering of strays": (Off("benchmarks.sharing.gather_images", _nothing),),
-    "rest after no place": (Off(f"{_PLACING}.BARREN", 0.0),),
+    "rest after no place": (Off("toucanpin.scheduling.recalling.BARREN", 0.0),),
 }
 
 
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -15,6 +15,7 @@
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.prediction import Heat, heat_worker, predict_rise, predict_share
 from toucanpin.scheduling.sharing import Sharing
+from toucanpin.scheduling.shortage import Shortage
 from toucanpin.scheduling.worker import Worker, has_room
 
 __all__ = [
@@ -44,11 +45,22 @@
 
 @dataclass(slots=True)
 class Round:
-    """Hold what one round of placing knows of workers, so that each is summed up once."""
+    """
+    Hold what one round of placing knows of workers, so that each is summed up once.
+
+    ``reserved`` holds what found only room that is kept for brief tasks.
+    """
 
     sharing: Sharing
     now: Now
     heats: dict[str, Heat] = field(default_factory=dict)
+    reserved: Shortage = field(default_factory=Shortage)
+    _brief: Shortage = field(default_factory=Shortage)
+    _lasting: Shortage = field(default_factory=Shortage)
+
+    def shortage(self, lasting: bool) -> Shortage:
+        """Return what found no room; brief tasks leave out workers that are kept for large ones."""
+        return self._lasting if lasting else self._brief
 
     def heat(self, worker: Worker) -> Heat:
         """Return how a worker fares."""
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -29,6 +29,7 @@
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.preempting import Making, Openings
 from toucanpin.scheduling.progress import JobState, TaskState
+from toucanpin.scheduling.recalling import is_barren, note_barren, note_shortage, recall
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import (
     Phase,
@@ -41,13 +42,12 @@
 
 __all__ = ["place_tasks"]
 
-BARREN = 0.0012  # s a worker for which what found no place isn't weighed again
 MOST_KEPT = 0.12  # of the workers that are kept for large tasks at a time
 # A lasting task that ran before and waits for longer takes the room that is kept for brief urgent
 # ones: users of its service miss it.  New ones that all did so would leave no room for brief tasks:
 # urgent jobs earned 0.68 of their worth then and 0.70 as it is, eight days played with either.
 RESERVE_PATIENCE = 1.0  # s
-MOST_STOPS = 16  # tasks of a step that room is made for at a time; each weighs all workers
+MOST_STOPS = 16  # tasks of a step that room is made for at a time
 
 
 def place_tasks(cell: Cell, sharing: Sharing, now: Now) -> None:
@@ -153,24 +153,32 @@
     cell: Cell, round_: Round, live: LiveJob, group: Group, step: Step, able: list[Worker]
 ) -> None:
     waiting = cell.waiting[group]
-    if _is_barren(cell, step, round_.now):
+    if is_barren(cell, step, round_.now):
         return
-    places = Places(round_, live, group, step, able)
+    places: Places | None = None
     now = round_.now
     for index in _order_waiting(cell, live, group):
         task = TaskKey(group.job, group.occurrence, group.step, index)
         if cell.delayed.get(task, 0.0) > now.steady:
             _note_wait(cell, group, WaitReason.PAUSED, now)
             continue
+        bold = not step.lasting or _may_take_last(cell, live, group, index, now)
+        known = recall(round_, live, step, bold)
+        if known is not None:
+            _note_wait(cell, group, known, now)
+            return
+        if places is None:
+            places = Places(round_, live, group, step, able)
         worker = places.find()
         if worker is None:
-            _note_wait(cell, group, _find_reason(live, step, able), now)
-            _note_barren(cell, live, step, now)
+            reason = _find_reason(live, step, able)
+            _note_wait(cell, group, reason, now)
+            note_barren(cell, live, step, now)
+            note_shortage(round_, live, step, reason)
             return
-        if step.lasting and not (
-            may_last(able, group, step) or _may_take_last(cell, live, group, index, now)
-        ):
+        if not bold and not may_last(able, group, step):
             _note_wait(cell, group, WaitReason.RESERVED, now)
+            note_shortage(round_, live, step, WaitReason.RESERVED)
             return
         cell.delayed.pop(task, None)
         waiting.discard(index)
@@ -194,26 +202,6 @@
         places.renew_all()
 
 
-def _is_barren(cell: Cell, step: Step, now: Now) -> bool:
-    """Tell whether an equal or smaller task found no place a moment ago."""
-    cpu, until = cell.barren.get(step.image, (0, 0.0))
-    return step.fills and now.steady < until and step.cpu >= cpu
-
-
-def _note_barren(cell: Cell, live: LiveJob, step: Step, now: Now) -> None:
-    """
-    Remember that a task that fills found no place.
-
-    A long queue would otherwise be weighed against all workers at each end of a task, which takes
-    more processor time than there is between two ends on a few hundred workers.
-    """
-    if not step.fills or step.label or step.per_worker or live.job.advised:
-        return
-    known, until = cell.barren.get(step.image, (step.cpu, 0.0))
-    cpu = min(known, step.cpu) if now.steady < until else step.cpu
-    cell.barren[step.image] = (cpu, now.steady + BARREN * len(cell.workers))
-
-
 def _place_gang(
     cell: Cell, round_: Round, live: LiveJob, group: Group, step: Step, able: list[Worker]
 ) -> None:
--- a/toucanpin/scheduling/preempting.py
+++ b/toucanpin/scheduling/preempting.py
@@ -15,6 +15,7 @@
 from toucanpin.scheduling.choosing import RESERVE, fits_rules
 from toucanpin.scheduling.ending import stop_run
 from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.shortage import Demand, Shortage
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = ["Freed", "Making", "Openings", "note_freed"]
@@ -44,61 +45,33 @@
 
 
 class Making:
-    """
-    Hold what one round of placing knows of the room that stops can make.
+    """Hold what one round of placing knows of the room that stops can make."""
 
-    Steps come by priority, and within a round room is only taken, so what couldn't be made for one
-    task can't be made for a later one that asks for as much.
-    """
-
-    __slots__ = ("freed", "_hopeless")
+    __slots__ = ("_freed", "_hopeless")
 
     def __init__(self) -> None:
-        self.freed: dict[str, Freed] = {}
-        self._hopeless: dict[bool, list[_Demand]] = {False: [], True: []}
+        self._freed: dict[str, Freed] = {}
+        self._hopeless = {False: Shortage(), True: Shortage()}
 
     def is_hopeless(self, step: Step, lenient: bool) -> bool:
         """Tell whether no room could be made for a task that asks for no more."""
-        asked = _Demand.of(step, lenient)
-        return any(known.is_within(asked) for known in self._hopeless[step.lasting])
+        return self._hopeless[step.lasting].covers(_ask(step, lenient))
 
     def note_hopeless(self, step: Step, lenient: bool) -> None:
         """Remember that no stops on any worker make room for a task of a step."""
-        self._hopeless[step.lasting].append(_Demand.of(step, lenient))
+        self._hopeless[step.lasting].note(_ask(step, lenient))
 
     def free(self, worker: Worker) -> Freed:
         """Return the room that stops are about to free on a worker."""
-        known = self.freed.get(worker.entry.id)
+        known = self._freed.get(worker.entry.id)
         if known is None:
-            known = self.freed[worker.entry.id] = note_freed(worker)
+            known = self._freed[worker.entry.id] = note_freed(worker)
         return known
 
 
-@dataclass(frozen=True, slots=True)
-class _Demand:
-    """Hold what a task asks for; ``reserve`` is the share of the worker that stays free beside."""
-
-    cpu: int
-    memory: int
-    accelerators: int
-    reserve: float
-
-    @classmethod
-    def of(cls, step: Step, lenient: bool) -> _Demand:
-        """Return what a task of a step asks for."""
-        # A lasting task is placed only where this much is left, else its room would go to others.
-        reserve = RESERVE if step.lasting and not lenient else 0.0
-        cpu = 0 if step.fills else step.cpu
-        return cls(cpu, step.memory, step.accelerators, reserve)
-
-    def is_within(self, other: _Demand) -> bool:
-        """Tell whether another demand is at least as large in everything."""
-        return (
-            self.cpu <= other.cpu
-            and self.memory <= other.memory
-            and self.accelerators <= other.accelerators
-            and self.reserve <= other.reserve
-        )
+def _ask(step: Step, lenient: bool) -> Demand:
+    # A lasting task is placed only where this much is left, else its room would go to others.
+    return Demand.of(step, RESERVE if step.lasting and not lenient else 0.0)
 
 
 class Openings:
@@ -122,7 +95,7 @@
         self._able = able
         self._making = making
         self._now = now
-        self._demand = _Demand.of(step, lenient)
+        self._demand = _ask(step, lenient)
         found = (self._weigh(number) for number in range(len(able)))
         self._heap = [opening for opening in found if opening is not None]
         heapq.heapify(self._heap)
@@ -163,7 +136,7 @@
 
 
 def _find_victims(
-    cell: Cell, worker: Worker, group: Group, demand: _Demand, room: Freed, now: Now
+    cell: Cell, worker: Worker, group: Group, demand: Demand, room: Freed, now: Now
 ) -> list[Run] | None:
     """Return the runs to stop on a worker, empty if earlier stops suffice, None if none do."""
     entry = worker.entry
--- /dev/null
+++ b/toucanpin/scheduling/recalling.py
@@ -0,0 +1,60 @@
+"""
+Recalling
+=========
+
+Tell which tasks needn't be weighed against the workers, since others that ask for no more found no
+place.
+"""
+
+from __future__ import annotations
+
+from toucanpin.scheduling.cell import Cell, LiveJob, Now, WaitReason
+from toucanpin.scheduling.choosing import Round
+from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.shortage import Demand
+
+__all__ = ["is_barren", "note_barren", "note_shortage", "recall"]
+
+BARREN = 0.0012  # s a worker for which what found no place isn't weighed again
+
+
+def is_barren(cell: Cell, step: Step, now: Now) -> bool:
+    """Tell whether an equal or smaller task found no place a moment ago."""
+    cpu, until = cell.barren.get(step.image, (0, 0.0))
+    return step.fills and now.steady < until and step.cpu >= cpu
+
+
+def note_barren(cell: Cell, live: LiveJob, step: Step, now: Now) -> None:
+    """
+    Remember that a task that fills found no place.
+
+    A long queue would otherwise be weighed against all workers at each end of a task, which takes
+    more processor time than there is between two ends on a few hundred workers.
+    """
+    if not step.fills or step.label or step.per_worker or live.job.advised:
+        return
+    known, until = cell.barren.get(step.image, (step.cpu, 0.0))
+    cpu = min(known, step.cpu) if now.steady < until else step.cpu
+    cell.barren[step.image] = (cpu, now.steady + BARREN * len(cell.workers))
+
+
+def recall(round_: Round, live: LiveJob, step: Step, bold: bool) -> WaitReason | None:
+    """Return why a task can't find a place, if one that asks for no more found none."""
+    if step.fills or live.job.advised:
+        return None
+    demand = Demand.of(step)
+    if round_.shortage(step.lasting).covers(demand):
+        return WaitReason.NO_ROOM
+    if not bold and round_.reserved.covers(demand):
+        return WaitReason.RESERVED
+    return None
+
+
+def note_shortage(round_: Round, live: LiveJob, step: Step, reason: WaitReason) -> None:
+    """Remember that a task found no place, if no rule of its own shut it out."""
+    if step.fills or step.label or step.per_worker or live.job.advised:
+        return
+    shortage = round_.shortage(step.lasting)
+    if reason is WaitReason.RESERVED:
+        shortage = round_.reserved
+    shortage.note(Demand.of(step))
