Follow the jobs while they are being read whole

New jobs waited and tasks of cancelled ones were started although the watch of the jobs answered. The owner read all jobs every three seconds between two watches, and where one of the eight reads failed it tried again before it watched on: with a table that refuses ranges for a while, or is slow (eight reads of 0.6 s one after another), nothing new was seen meanwhile.

A watch that skips changes was ruled out: its version is taken with its rows, and the whole read's is the oldest of its parts' moments, after its rows have been taken up in the same turn.

Reading all is a task of its own now, with the same period. Only a watch whose history is gone waits for it, as it has nowhere to go on from.

--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -33,6 +33,8 @@
     lose_writes: int = 0  # so many transactions are done and not answered
     late_writes: int = 0  # so many transactions are done later, without an answer
     late_by: float = 1.0  # s
+    unreadable: str = ""  # table of which ranges aren't read
+    unread: int = 0  # ranges that weren't read
 
 
 @dataclass(slots=True)
@@ -96,6 +98,9 @@
         match parts.path:
             case "/rows-tx":
                 return await self._transact(msgspec.json.decode(request.body), faults)
+            case "/rows-get" if query["table"] == faults.unreadable:
+                faults.unread += 1
+                return Response(503)
             case "/rows-get":
                 return self._get(query)
             case "/rows-feed":
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -114,8 +114,9 @@
         self._deposed = loop.create_future()
         try:
             self._feed_from = await self._rows.load(self._clocks.now)
-            for work in (self._commit(), self._follow(), self._list(), self._tick()):
-                self._spawn(work)
+            parts = (self._commit, self._follow, self._relist, self._list, self._tick)
+            for part in parts:
+                self._spawn(part())
             if self._waves is not None:
                 self._spawn(self._waves.run())
             await self._deposed
@@ -179,23 +180,37 @@
 
     async def _follow(self) -> None:
         """Take up new jobs and wishes to cancel as their rows appear."""
-        listed_at = steady_time()
         while True:
             try:
-                page = None
-                if steady_time() < listed_at + RELIST_PERIOD:
-                    wait = min(FEED_WAIT, max(0.05, listed_at + RELIST_PERIOD - steady_time()))
-                    page = await self._store.follow(JOBS, self._feed_from, wait)
-                if page is None:
-                    page = await self._rows.read_jobs()
-                    listed_at = steady_time()
+                page = await self._store.follow(JOBS, self._feed_from, FEED_WAIT)
             except (CallError, PlatformError) as error:
                 _log.warning("jobs not followed", event="jobs.unread", reason=error)
                 await asyncio.sleep(RETRY)
                 continue
+            if page is None:
+                await self._read_jobs()
+                continue
             self._feed_from = max(self._feed_from, page.version)
             self._take_rows(page.rows)
 
+    async def _relist(self) -> None:
+        """Read all jobs now and then, for what a watch has missed."""
+        while True:
+            await asyncio.sleep(RELIST_PERIOD)
+            await self._read_jobs()
+
+    async def _read_jobs(self) -> None:
+        """Read all jobs, however long it takes; the watch goes on from there if it is behind."""
+        while True:
+            try:
+                page = await self._rows.read_jobs()
+                break
+            except (CallError, PlatformError) as error:
+                _log.warning("jobs not read", event="jobs.unread", reason=error)
+                await asyncio.sleep(RETRY)
+        self._feed_from = max(self._feed_from, page.version)
+        self._take_rows(page.rows)
+
     def _take_rows(self, rows: tuple[Row, ...]) -> None:
         now = self._clocks.now()
         cancelled = []
--- a/toucanpin/entry/tests/test_site.py
+++ b/toucanpin/entry/tests/test_site.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from standins.site.site import JOB, PREFIX, Site
+from toucanpin.entry.rows import job_part
 
 
 class SiteTest(unittest.IsolatedAsyncioTestCase):
@@ -249,6 +250,25 @@
         self.assertEqual(200, (await self.site.submit(host=0)).status)
         self.assertTrue(await self.site.until_state("completed", host=0))
 
+    async def test_jobs_are_followed_while_they_cannot_be_read_whole(self) -> None:
+        """
+        Reads of the jobs are refused, watches of them aren't.  The owner reads all jobs every few
+        seconds besides its watch, and did nothing else until that succeeded: new jobs waited, and
+        tasks of cancelled ones were started.
+        """
+        await self.site.add_host()
+        worker = await self.site.add_worker(lasts=60.0)
+        self.assertTrue(await self.site.until_ready())
+        self.assertTrue(await self.site.until(self.site.hosts[0].owned_cells))
+        self.assertTrue(await self.site.until(lambda: self.site.workers[0].looks))
+        faults = self.site.faults[0]
+        faults.unreadable = "jobs"
+        self.assertTrue(await self.site.until(lambda: faults.unread >= 2))
+        self.assertEqual(200, (await self.site.submit(longRunning=True)).status)
+        self.assertTrue(await self.site.until(lambda: worker.core.runs))
+        self.site.store.put("jobs", JOB + "/cancel", b"1", job_part("c", JOB))
+        self.assertTrue(await self.site.until(lambda: not worker.core.runs))
+
     async def test_history_that_is_gone_is_read_anew(self) -> None:
         await self.site.add_host()
         await self.site.add_worker()
