Drop the kept connections to an address once one of them is silent

Answers came seconds late, and from old views, after open connections had gone silent without a reset. A client keeps up to eight connections to an address, and each silent one cost another call its whole time-out: the owner's watch and reads of the jobs among them. Red before: the second call of the new test.

Keep-alive probes were ruled out: they are answered by the other side's kernel where only the program is silent, and cost wake-ups on hundreds of connections.

A call without an answer closes the kept ones, whose state is as doubtful; the next calls open new ones. Calls under way on others go on.

--- a/toucanpin/http/client.py
+++ b/toucanpin/http/client.py
@@ -86,6 +86,8 @@
                 answer = await waiter
         except TimeoutError as error:
             connection.abort()
+            # Kept connections go silent together, without a reset.  Left, each would cost a call.
+            self.close()
             detail = f"{self.address} {method} {path}: no answer in {timeout} s"
             raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
         except asyncio.CancelledError:
--- a/toucanpin/http/tests/test_http.py
+++ b/toucanpin/http/tests/test_http.py
@@ -112,6 +112,39 @@
         self.assertEqual((200, "close"), (answer.status, answer.headers["connection"]))
 
 
+class SilentConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_one_silent_connection_costs_one_call(self) -> None:
+        """
+        Open connections go silent at one moment, without a reset, while new ones are answered.  The
+        client kept several, and each of them cost another call its whole time: a host told its
+        callers what it had known long before.
+        """
+        silent: set[asyncio.StreamWriter] = set()
+        known: set[asyncio.StreamWriter] = set()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            known.add(writer)
+            while True:
+                try:
+                    await reader.readuntil(b"\r\n\r\n")
+                except asyncio.IncompleteReadError:
+                    return writer.close()
+                if writer not in silent:
+                    await asyncio.sleep(0.02)
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        client = Client(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        self.addCleanup(server.close)
+        self.addCleanup(client.close)
+        await asyncio.gather(*(client.call("GET", "/") for _ in range(3)))
+        self.assertEqual(3, len(known))
+        silent |= known
+        with self.assertRaises(CallError):
+            await client.call("GET", "/", timeout=0.1)
+        self.assertEqual(200, (await client.call("GET", "/")).status)
+
+
 class ScriptedAnswerTest(unittest.IsolatedAsyncioTestCase):
     async def _call(self, data: bytes) -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
