--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -10,11 +10,13 @@
 import asyncio
 import base64
 import time
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
+from sortedcontainers import SortedDict
 
 from toucanpin.http import Request, Response, Server
 
@@ -54,7 +56,7 @@
 class SiteStore:
     """Keep rows; each address has faults of its own, so that single hosts can be turned away."""
 
-    rows: dict[tuple[str, str, str], _Stored] = field(default_factory=dict)
+    rows: SortedDict[tuple[str, str, str], _Stored] = field(default_factory=SortedDict)
     version: int = 0
     changes: list[_Change] = field(default_factory=list)
     forgotten: int = 0
@@ -141,11 +143,8 @@
     def _get(self, query: dict[str, str]) -> Response:
         table, part = query["table"], query.get("part", "")
         low, high = query.get("from", ""), query.get("target")
-        keys = sorted(
-            name
-            for name in self.rows
-            if name[:2] == (table, part) and name[2] >= low and (high is None or name[2] < high)
-        )
+        end = (table, part + "\0", "") if high is None else (table, part, high)
+        keys = list(self.rows.irange((table, part, low), end, inclusive=(True, False)))
         limit = int(query.get("limit", "500"))
         rows = [self._describe(name) for name in keys[:limit]]
         return self._answer(200, {"rows": rows, "morePages": len(keys) > limit})
@@ -156,7 +155,8 @@
         while True:
             if after < self.forgotten:
                 return self._answer(410, {})
-            found = [c for c in self.changes if c.version > after and c.table == query["table"]]
+            first = bisect_right(self.changes, after, key=lambda change: change.version)
+            found = [change for change in self.changes[first:] if change.table == query["table"]]
             left = deadline - time.monotonic()
             if found or left <= 0:
                 return self._answer(200, {"rows": [_encode(change) for change in found]})
--- /dev/null
+++ b/tools/soak/answer_checks.py
@@ -0,0 +1,207 @@
+"""
+Checks of answers
+=================
+
+What callers may never see: each check takes events in their order and yields what is wrong.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+
+from tools.soak.events import (
+    Answered,
+    Broken,
+    CancelAsked,
+    Ended,
+    Event,
+    Kind,
+    Left,
+    Loss,
+    Signal,
+    Signalled,
+    Started,
+    Troubled,
+)
+from tools.soak.task_checks import TaskCheck
+from toucanpin.scheduling.job import TaskKey
+
+__all__ = ["Counts", "Kept", "Own", "Processes", "Shutdowns", "States"]
+
+MAX_ATTEMPTS = 4  # of a task, by the configuration that the soak writes
+COUNT_AGE = 5.0  # s after which an accepted job must be in a count
+COUNT_CALM = 6.0  # s after trouble until counts must be right
+# A request that comes just as an idle connection is closed may be lost; one that waited for longer
+# had been read.
+READ_BY = 1.0  # s
+STATUSES = frozenset({200, 404, 410, 429, 502, 503, 504})
+STATES = frozenset({"pending", "active", "completed", "failed", "canceled"})
+FINAL = frozenset({"completed", "failed", "canceled"})
+
+
+class Own(TaskCheck):
+    """Each answer is whole and its own: of the form that was asked for, of a known status."""
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Broken(loss=Loss.MALFORMED):
+                yield f"malformed answer to {event.kind.value} {event.subject}"
+            case Answered() if event.status not in STATUSES:
+                yield f"{event.kind.value} {event.subject} was answered {event.status}"
+            case Answered(status=404):
+                yield f"{event.kind.value} {event.subject}: 404 for a queue that is always there"
+            case Answered(kind=Kind.STATE, status=200) if event.value not in STATES:
+                yield f"the state of {event.subject} was told as {event.value!r}"
+            case Answered(kind=Kind.COUNT, status=200) if not _is_count(event.value):
+                yield f"the count of {event.subject} was told as {event.value!r}"
+
+
+def _is_count(value: str | int | None) -> bool:
+    return isinstance(value, int) and value >= 0
+
+
+class Kept(TaskCheck):
+    """A job that was accepted is never said not to exist."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._accepted: dict[str, float] = {}
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Answered(kind=Kind.SUBMIT, status=200):
+                self._accepted.setdefault(event.subject, event.at)
+            case Answered(status=410) if event.sent > self._accepted.get(event.subject, event.at):
+                yield f"{event.kind.value} {event.subject} was answered 410 after it was accepted"
+
+
+class States(TaskCheck):
+    """An end that is told is true, and stays."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._done: set[TaskKey] = set()
+        self._failures: Counter[TaskKey] = Counter()
+        self._asked: set[str] = set()
+        self._final: dict[str, Answered] = {}
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Ended(how="done"):
+                self._done.add(event.task)
+            case Ended(how="failed"):
+                self._failures[event.task] += 1
+            case CancelAsked():
+                self._asked.add(event.job)
+            case Answered(kind=Kind.STATE, status=200):
+                yield from self._judge_state(event)
+
+    def _judge_state(self, event: Answered) -> Iterator[str]:
+        before = self._final.get(event.subject)
+        if before is not None and event.sent > before.at and event.value != before.value:
+            yield f"{event.subject} was {before.value}, then {event.value} by {event.process}"
+        if event.value not in FINAL or before is not None:
+            return
+        self._final[event.subject] = event
+        match event.value:
+            case "completed":
+                missing = self._tasks(event.subject) - self._done
+                if missing:
+                    yield f"{event.subject} is told as completed before {min(missing)} was done"
+            case "failed":
+                most = max((self._failures[task] for task in self._tasks(event.subject)), default=0)
+                if most < MAX_ATTEMPTS:
+                    yield f"{event.subject} is told as failed after {most} failures of a task"
+            case "canceled" if event.subject not in self._asked:
+                yield f"{event.subject} is told as canceled, and nobody asked for it"
+
+    def _tasks(self, name: str) -> set[TaskKey]:
+        steps = self.jobs[name].steps
+        return {
+            TaskKey(name, 0, number, index)
+            for number, step in enumerate(steps)
+            for index in range(step.count)
+        }
+
+
+class Counts(TaskCheck):
+    """
+    A count is at least half of the jobs that have surely waited for long.
+
+    Nothing is said of counts in trouble of the store, the hosts or the machine, and shortly after.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._waiting: dict[str, dict[str, float]] = defaultdict(dict)
+        self._over: set[str] = set()
+        self._trouble_until = 0.0
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Troubled(orders=False):
+                self._trouble_until = max(self._trouble_until, event.until)
+            case Answered(kind=Kind.SUBMIT, status=200) if event.subject not in self._over:
+                queue = self.jobs[event.subject].queue
+                self._waiting[queue].setdefault(event.subject, event.at)
+            case Started():
+                self._drop(event.task.job)
+            case CancelAsked():
+                self._drop(event.job)
+            case Answered(kind=Kind.COUNT, status=200) if isinstance(event.value, int):
+                if event.sent > self._trouble_until + COUNT_CALM:
+                    yield from self._judge_count(event, event.value)
+
+    def _drop(self, name: str) -> None:
+        self._over.add(name)
+        if name in self.jobs:
+            self._waiting[self.jobs[name].queue].pop(name, None)
+
+    def _judge_count(self, event: Answered, count: int) -> Iterator[str]:
+        accepted = self._waiting[event.subject].values()
+        waiting = sum(at < event.sent - COUNT_AGE for at in accepted)
+        if count < waiting / 2:
+            yield f"{event.process} counted {count} of {waiting} jobs that wait in {event.subject}"
+
+
+class Shutdowns(TaskCheck):
+    """No request that was read is cut off by SIGTERM."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._signals: dict[str, set[Signal]] = defaultdict(set)
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Signalled():
+                self._signals[event.process].add(event.signal)
+            case Broken(loss=Loss.CLOSED | Loss.CUT):
+                signals = self._signals[event.process]
+                harsh = signals & {Signal.KILL, Signal.STOP}
+                waited = event.at - event.sent
+                was_read = waited > READ_BY or event.loss is Loss.CUT
+                if Signal.TERMINATE in signals and not harsh and was_read:
+                    what = f"{event.kind.value} {event.subject} ({event.loss.value})"
+                    yield f"{event.process} cut off {what} after {waited:.2f} s"
+
+
+class Processes(TaskCheck):
+    """A process ends only when it is told to, and well."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._signals: dict[str, set[Signal]] = defaultdict(set)
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Signalled():
+                self._signals[event.process].add(event.signal)
+            case Left():
+                signals = self._signals[event.process]
+                # SIGTERM may come before the process has begun to listen for it.
+                good = (event.code == 0 or event.code == -15) and Signal.TERMINATE in signals
+                killed = event.code == -9 and Signal.KILL in signals
+                if not good and not killed:
+                    names = sorted(signal.value for signal in signals)
+                    yield f"{event.process} ended with {event.code} after {names}"
--- /dev/null
+++ b/tools/soak/channel.py
@@ -0,0 +1,120 @@
+"""
+Callers' channel
+================
+
+One connection of a caller to an entry host, kept until the other side ends it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from tools.soak.events import Loss
+from toucanpin.exception import ToucanpinError
+
+__all__ = ["Channel", "ChannelError", "Reply", "open_channel"]
+
+CONNECT = 1.0  # s to connect
+HEAD = b"\r\n\r\n"
+
+
+class ChannelError(ToucanpinError):
+    """Report an answer that did not come whole."""
+
+    def __init__(self, loss: Loss) -> None:
+        super().__init__(loss.value)
+        self.loss = loss
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold one whole answer; ``last`` says that the connection ends after it."""
+
+    status: int
+    body: bytes
+    last: bool
+
+
+class Channel:
+    """Write requests and read their answers in order; several may be under way at once."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, process: str
+    ) -> None:
+        self.process = process
+        self.usable = True
+        self._begun = False  # the head of an answer has come
+        self._reader = reader
+        self._writer = writer
+
+    def close(self) -> None:
+        """End the connection."""
+        self.usable = False
+        self._writer.transport.abort()
+
+    def ended(self) -> bool:
+        """Tell whether the other side has ended the connection already."""
+        return self._reader.at_eof()
+
+    def send(self, method: str, path: str, host: str, body: bytes, deadline: float) -> None:
+        """Write one request; ``deadline`` is how long the caller waits, in s."""
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {host}",
+            f"X-Deadline-Ms: {int(deadline * 1_000)}",
+            f"Content-Length: {len(body)}",
+        ]
+        self._writer.write("\r\n".join(lines).encode() + HEAD + body)
+
+    async def receive(self, deadline: float) -> Reply:
+        """
+        Read the next answer.
+
+        Raises
+        ------
+        ChannelError
+            If it didn't come whole in time.
+        """
+        try:
+            async with asyncio.timeout(deadline):
+                reply = await self._read()
+        except TimeoutError as error:
+            self.close()
+            raise ChannelError(Loss.LATE) from error
+        except asyncio.IncompleteReadError as error:
+            self.close()
+            raise ChannelError(Loss.CUT if error.partial or self._begun else Loss.CLOSED) from error
+        except OSError as error:
+            self.close()
+            raise ChannelError(Loss.CUT if self._begun else Loss.CLOSED) from error
+        except (ValueError, KeyError, IndexError) as error:
+            self.close()
+            raise ChannelError(Loss.MALFORMED) from error
+        self.usable = not reply.last
+        return reply
+
+    async def _read(self) -> Reply:
+        self._begun = False
+        head = await self._reader.readuntil(HEAD)
+        self._begun = True
+        status, *lines = head.decode("latin-1").split("\r\n")
+        pairs = (line.partition(":") for line in lines if line)
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        body = await self._reader.readexactly(int(headers["content-length"]))
+        return Reply(int(status.split()[1]), body, headers.get("connection") == "close")
+
+
+async def open_channel(address: str, process: str) -> Channel:
+    """
+    Connect to the front address of a process.
+
+    Raises
+    ------
+    OSError, TimeoutError
+        If it can't be reached.
+    """
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(CONNECT):
+        reader, writer = await asyncio.open_connection(host, int(port))
+    return Channel(reader, writer, process)
--- /dev/null
+++ b/tools/soak/checker.py
@@ -0,0 +1,75 @@
+"""
+Checker
+=======
+
+Keep the history of a run and let all checks look at each event as it comes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from tools.soak.answer_checks import Counts, Kept, Own, Processes, Shutdowns, States
+from tools.soak.events import Event
+from tools.soak.task_checks import (
+    Leaving,
+    NotAgain,
+    OnePlace,
+    Refusals,
+    Room,
+    StepOrder,
+    TaskCheck,
+)
+
+__all__ = ["CHECKS", "Checker", "Violation"]
+
+CHECKS: tuple[type[TaskCheck], ...] = (
+    OnePlace,
+    NotAgain,
+    StepOrder,
+    Room,
+    Refusals,
+    Leaving,
+    Own,
+    Kept,
+    States,
+    Counts,
+    Shutdowns,
+    Processes,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """Hold what a check found wrong; ``at`` is in s of the steady clock."""
+
+    at: float
+    check: str
+    detail: str
+
+
+class Checker:
+    """Take events in their order."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+        self.violations: list[Violation] = []
+        self._checks = [make() for make in CHECKS]
+
+    def record(self, event: Event) -> None:
+        """Keep an event and look at it."""
+        self.events.append(event)
+        self.violations += self._judge(event)
+
+    def close(self) -> None:
+        """Look at what only the whole history shows."""
+        at = self.events[-1].at if self.events else 0.0
+        for check in self._checks:
+            name = type(check).__name__
+            self.violations += [Violation(at, name, detail) for detail in check.close()]
+
+    def _judge(self, event: Event) -> Iterator[Violation]:
+        for check in self._checks:
+            for detail in check.take(event):
+                yield Violation(event.at, type(check).__name__, detail)
--- /dev/null
+++ b/tools/soak/deployment.py
@@ -0,0 +1,204 @@
+"""
+Deployment
+==========
+
+Entry hosts as processes, with the store, links and workers as stand-ins in this process.
+"""
+
+from __future__ import annotations
+
+import fcntl
+from pathlib import Path
+from typing import IO
+
+import msgspec
+
+from tools.soak.answer_checks import MAX_ATTEMPTS
+from tools.soak.callers import SITE, Book
+from tools.soak.checker import Checker
+from tools.soak.faults import LinkMode
+from tools.soak.hosts import Host
+from tools.soak.jobs import LATE_LABEL
+from tools.soak.links import Link
+from tools.soak.plan import Size
+from tools.soak.store import HostView, SoakStore
+from tools.soak.workers import Moods, SoakWorker
+from toucanpin.http import Server
+from toucanpin.scheduling.orders import WorkerEntry
+
+__all__ = ["LASTING_QUEUE", "QUEUES", "Deployment"]
+
+SERVICES = ("c0", "c1")
+QUEUES = ("urgent", "batch", "other")  # the last is of the second service
+LASTING_QUEUE = "standing"
+ROUTES = {"urgent": ("c0", 0), "batch": ("c0", 1), "standing": ("c0", 0), "other": ("c1", 1)}
+WORKER_CPU = 8_000  # thousandths of a core
+WORKER_MEMORY = 16_000  # MB
+NETWORKS = range(1, 200)  # third numbers of 127.77.x.y, one for each run at a time
+LOCKS = Path("/tmp")
+
+
+class Deployment:
+    """Hold everything of one run, and end it."""
+
+    def __init__(self, size: Size, directory: Path, program: tuple[str, ...]) -> None:
+        self.size = size
+        self.checker = Checker()
+        self.record = self.checker.record
+        self.book = Book(QUEUES)
+        self.store = SoakStore()
+        self.moods = [Moods() for _ in range(size.workers)]
+        self.workers: list[SoakWorker | None] = [None] * size.workers
+        self.extra_workers: list[SoakWorker] = []
+        self.links: dict[tuple[int, int | None], Link] = {}
+        self.modes: dict[tuple[int, int | None], tuple[LinkMode, float]] = {}
+        self._lives = [0] * size.workers
+        self._lock, self._network = _take_network()
+        self._version = 0
+        self._servers: list[Server] = []
+        self._places: dict[str, int] = {}
+        self.views = [self._make_view(host) for host in range(size.hosts)]
+        self.hosts = [
+            Host(n, self._address(2, n), self._store_link(n), directory, program, self.record)
+            for n in range(size.hosts)
+        ]
+
+    async def start(self) -> None:
+        """Start everything."""
+        self.configure(0)
+        for number, view in enumerate(self.views):
+            behind = f"{self._address(1, number)}:7001"
+            self._servers.append(await self.store.listen_for(behind, view))
+            await self._add_link(number, None, behind, self._store_link(number))
+        for worker in range(self.size.workers):
+            await self.start_worker(worker)
+        for host in self.hosts:
+            host.start()
+
+    async def close(self) -> None:
+        """End everything that was started here."""
+        for host in self.hosts:
+            host.finish()
+        for link in self.links.values():
+            link.close()
+        for worker in (*self.workers, *self.extra_workers):
+            if worker is not None:
+                await worker.close()
+        for server in self._servers:
+            await server.drain(0.0)
+        self._lock.close()
+
+    def configure(self, extra: int) -> None:
+        """Write a configuration with so many queues that nobody uses."""
+        self._version += 1 + extra % 3
+        names = [*ROUTES, *(f"extra{number}" for number in range(extra))]
+        routes = [_describe_route(name) for name in names]
+        services = [{"name": name, "rejectsOverload": False} for name in SERVICES]
+        document = {"version": self._version, "routes": routes, "services": services}
+        self.store.put("op", "config", msgspec.json.encode(document))
+
+    async def start_worker(self, number: int) -> None:
+        """Start a life of a worker, at the address of its earlier ones."""
+        self._lives[number] += 1
+        name = f"w{number}-{self._lives[number]}"
+        service = SERVICES[number % len(SERVICES)]
+        address = f"{self._address(3, number)}:7002"
+        self._places[address] = number
+        worker = self._make_worker(name, service, address, (), self.moods[number], number % 2 == 1)
+        self.workers[number] = worker
+        await worker.start()
+
+    async def add_late_workers(self) -> None:
+        """Start a worker of each service for the jobs that waited for one."""
+        for number, service in enumerate(SERVICES):
+            address = f"{self._address(4, number)}:7002"
+            self._places[address] = self.size.workers + number
+            worker = self._make_worker(
+                f"late-{service}", service, address, ("k", "r9", LATE_LABEL), Moods(), False
+            )
+            self.extra_workers.append(worker)
+            await worker.start()
+
+    def set_link(self, host: int, worker: int | None, mode: LinkMode, delay: float = 0.0) -> None:
+        """Change how a link behaves, also one that isn't there yet."""
+        self.modes[host, worker] = (mode, delay)
+        link = self.links.get((host, worker))
+        if link is not None:
+            link.set_mode(mode, delay)
+
+    def advance_workers(self) -> None:
+        """End on all workers what is due."""
+        for worker in (*self.workers, *self.extra_workers):
+            if worker is not None:
+                worker.advance()
+
+    def _make_worker(
+        self,
+        name: str,
+        service: str,
+        address: str,
+        labels: tuple[str, ...],
+        moods: Moods,
+        slow_clock: bool,
+    ) -> SoakWorker:
+        labels = labels or ("k", f"r{address.rpartition('.')[2]}")
+        entry = WorkerEntry(
+            name, service, address, "dc", True, WORKER_CPU, WORKER_MEMORY, 0, labels
+        )
+        return SoakWorker(
+            self.store,
+            entry,
+            self.record,
+            self.book.jobs,
+            self.advance_workers,
+            moods,
+            slow_clock,
+        )
+
+    def _make_view(self, host: int) -> HostView:
+        async def find_link(address: str) -> str:
+            worker = self._places[address]
+            near = f"{self._address(5, host)}:{10_000 + worker}"
+            if (host, worker) not in self.links:
+                await self._add_link(host, worker, address, near)
+            return near
+
+        return HostView(find_link)
+
+    async def _add_link(self, host: int, worker: int | None, target: str, near: str) -> None:
+        link = self.links[host, worker] = Link(target)
+        mode, delay = self.modes.get((host, worker), (LinkMode.OPEN, 0.0))
+        link.set_mode(mode, delay)
+        await link.listen(near)
+
+    def _address(self, kind: int, number: int) -> str:
+        """Return an address of this run."""
+        return f"127.{70 + kind}.{self._network}.{number + 1}"
+
+    def _store_link(self, host: int) -> str:
+        return f"{self._address(1, host)}:7000"
+
+
+def _describe_route(name: str) -> dict[str, object]:
+    service, priority = ROUTES.get(name, ("c0", 1))
+    return {
+        "name": name,
+        "host": SITE,
+        "pathPrefix": f"/{name}/",
+        "service": service,
+        "priority": priority,
+        "maxAttempts": MAX_ATTEMPTS,
+    }
+
+
+def _take_network() -> tuple[IO[str], int]:
+    """Return addresses that no other run on this machine uses, and the lock that says so."""
+    for number in NETWORKS:
+        lock = (LOCKS / f"toucanpin-soak-{number}.lock").open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        return lock, number
+    raise OSError("too many runs at a time on this machine")
--- /dev/null
+++ b/tools/soak/events.py
@@ -0,0 +1,214 @@
+"""
+Events
+======
+
+What callers and workers see, and what the soak does, each with its time in s of the steady clock.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from tools.soak.jobs import JobPlan
+from toucanpin.scheduling.job import TaskKey
+
+__all__ = [
+    "Acknowledged",
+    "Answered",
+    "Broken",
+    "CancelAsked",
+    "Draining",
+    "Ended",
+    "Event",
+    "Gone",
+    "Joined",
+    "Kind",
+    "Left",
+    "Loss",
+    "Offered",
+    "Signal",
+    "Signalled",
+    "Started",
+    "Troubled",
+]
+
+
+class Kind(enum.Enum):
+    """Name what a caller asks for."""
+
+    SUBMIT = "submit"
+    STATE = "state"
+    COUNT = "count"
+    CANCEL = "cancel"
+
+
+class Loss(enum.Enum):
+    """Say what became of an answer that did not come whole."""
+
+    LATE = "late"  # the caller gave up
+    CLOSED = "closed"  # the other side ended the connection before any of it
+    CUT = "cut"  # the other side ended the connection in its middle
+    MALFORMED = "malformed"
+
+
+class Signal(enum.Enum):
+    """Name what is done to a process."""
+
+    TERMINATE = "SIGTERM"
+    KILL = "SIGKILL"
+    STOP = "SIGSTOP"
+    CONTINUE = "SIGCONT"
+    HANG_UP = "SIGHUP"
+
+
+@dataclass(frozen=True, slots=True)
+class Offered:
+    """Tell of a job that callers are about to hand in."""
+
+    at: float
+    job: JobPlan
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAsked:
+    """Tell that a caller is about to cancel a job."""
+
+    at: float
+    job: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """
+    Tell of a whole answer; ``subject`` is the id of a job, or the name of a queue.
+
+    ``value`` is the state or the count that was told, None where the body holds neither.
+    """
+
+    at: float
+    sent: float
+    process: str
+    kind: Kind
+    subject: str
+    status: int
+    value: str | int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """Tell of a request without a whole answer."""
+
+    at: float
+    sent: float
+    process: str
+    kind: Kind
+    subject: str
+    loss: Loss
+
+
+@dataclass(frozen=True, slots=True)
+class Joined:
+    """Tell of a life of a worker; sizes as in a job's step."""
+
+    at: float
+    worker: str
+    cpu: int
+    memory: int
+
+
+@dataclass(frozen=True, slots=True)
+class Draining:
+    """Tell that the store accepted a worker's report that it drains."""
+
+    at: float
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """Tell that a life of a worker is over, with all that it ran."""
+
+    at: float
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """Tell that a worker began a run."""
+
+    at: float
+    worker: str
+    task: TaskKey
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """Tell that a run ended on its worker."""
+
+    at: float
+    worker: str
+    task: TaskKey
+    attempt: int
+    how: str
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledged:
+    """Tell that a worker was told to forget an end."""
+
+    at: float
+    worker: str
+    task: TaskKey
+    attempt: int
+    how: str
+
+
+@dataclass(frozen=True, slots=True)
+class Signalled:
+    """Tell that the soak sent a signal to a process."""
+
+    at: float
+    process: str
+    signal: Signal
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """Tell that a process has ended; ``code`` is minus the signal that ended it."""
+
+    at: float
+    process: str
+    code: int
+
+
+@dataclass(frozen=True, slots=True)
+class Troubled:
+    """
+    Tell of trouble until ``until``.
+
+    ``orders`` says that it only delays orders to workers; else the store, a host or the machine
+    itself is in trouble.
+    """
+
+    at: float
+    until: float
+    orders: bool = False
+
+
+Event = (
+    Offered
+    | CancelAsked
+    | Answered
+    | Broken
+    | Joined
+    | Draining
+    | Gone
+    | Started
+    | Ended
+    | Acknowledged
+    | Signalled
+    | Left
+    | Troubled
+)
--- /dev/null
+++ b/tools/soak/hosts.py
@@ -0,0 +1,153 @@
+"""
+Entry hosts
+===========
+
+Start, signal and end the processes of entry hosts; only those that were started here, by their ids.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from tools.soak.events import Event, Left, Signal, Signalled
+
+__all__ = ["Host"]
+
+GRACE = 6.0  # s between SIGTERM and SIGKILL, as the platform does
+FIRST_LINES = 4_096  # bytes of a log
+LOOK = 0.02  # s between looks at whether a process has ended
+SIGNALS = {
+    Signal.TERMINATE: signal.SIGTERM,
+    Signal.KILL: signal.SIGKILL,
+    Signal.STOP: signal.SIGSTOP,
+    Signal.CONTINUE: signal.SIGCONT,
+    Signal.HANG_UP: signal.SIGHUP,
+}
+
+
+class Host:
+    """
+    Keep one entry host, whose processes come one after another.
+
+    ``program`` are the arguments of the interpreter that start a process.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        address: str,
+        store: str,
+        directory: Path,
+        program: tuple[str, ...],
+        record: Callable[[Event], None],
+    ) -> None:
+        self.number = number
+        self.front = f"{address}:8000"
+        self.wanted = False
+        self.process: subprocess.Popen[bytes] | None = None
+        self.life = 0
+        self._address = address
+        self._store = store
+        self._directory = directory
+        self._program = program
+        self._record = record
+        self._watch: asyncio.Task[None] | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the name of the present life of the process."""
+        return f"h{self.number}.{self.life}"
+
+    @property
+    def alive(self) -> bool:
+        """Tell whether the process runs, or is paused."""
+        return self.process is not None and self.process.poll() is None
+
+    @property
+    def log(self) -> Path:
+        """Return where the present life writes its lines."""
+        return self._directory / f"{self.name}.log"
+
+    def listens(self) -> bool:
+        """Tell whether the process has begun, by the line that it writes then."""
+        return self.alive and b"process.started" in self.log.read_bytes()[:FIRST_LINES]
+
+    def write_settings(self) -> None:
+        """Write the settings file; it differs each time."""
+        lines = (
+            f"# written {time.monotonic()}",
+            f"nodeName=h{self.number}",
+            f"ip={self._address}",
+            "zone=dc",
+            f"listen.front={self.front}",
+            f"listen.readiness={self._address}:8001",
+            "internalPorts=8002",
+            f"platform.address={self._store}",
+            "heartbeatMs=1000",
+            f"bounds.graceS={GRACE}",
+        )
+        self._settings.write_text("\n".join(lines) + "\n")
+
+    def start(self) -> None:
+        """Start a process unless one is there."""
+        self.wanted = True
+        if self.alive:
+            return
+        self.life += 1
+        self.write_settings()
+        environment = {**os.environ, "TOUCANPIN_NODE_FILE": str(self._settings)}
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, *self._program],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=environment,
+            )
+        self._watch = asyncio.ensure_future(self._follow(self.process, self.name))
+
+    def send(self, kind: Signal) -> None:
+        """Send a signal to the process if it is alive."""
+        if self.process is None or self.process.poll() is not None:
+            return
+        self._record(Signalled(time.monotonic(), self.name, kind))
+        self.process.send_signal(SIGNALS[kind])
+
+    async def replace(self, away: float) -> None:
+        """Start the host anew after a while, once the process that was told to end is gone."""
+        self.wanted = False
+        leaving = self.process
+        given_up = time.monotonic() + GRACE
+        back = time.monotonic() + away
+        while leaving is not None and leaving.poll() is None:
+            if time.monotonic() > given_up and leaving is self.process:
+                self.send(Signal.KILL)
+            await asyncio.sleep(LOOK)
+        await asyncio.sleep(max(0.0, back - time.monotonic()))
+        self.start()
+
+    def finish(self) -> None:
+        """End the process for good."""
+        if self._watch is not None:
+            self._watch.cancel()
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    @property
+    def _settings(self) -> Path:
+        return self._directory / f"h{self.number}.conf"
+
+    async def _follow(self, process: subprocess.Popen[bytes], name: str) -> None:
+        """Tell when a process has ended."""
+        while process.poll() is None:
+            await asyncio.sleep(LOOK)
+        assert process.returncode is not None
+        self._record(Left(time.monotonic(), name, process.returncode))
--- /dev/null
+++ b/tools/soak/jobs.py
@@ -0,0 +1,109 @@
+"""
+Jobs of the soak
+================
+
+Draw jobs as callers hand them in, and say what each of their tasks does.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import msgspec
+
+__all__ = ["LATE_LABEL", "JobPlan", "StepPlan", "draw_job", "draw_lasting", "draw_waiting"]
+
+LATE_LABEL = "late"  # of a worker that comes only after the faults
+BRIEF = (0.1, 1.2)  # s that a task lasts
+SIZES = (250, 500, 1_000, 2_000)  # thousandths of a core
+MEMORY = (64, 256, 512)  # MB
+
+
+@dataclass(frozen=True, slots=True)
+class StepPlan:
+    """Describe equal tasks; ``lasts`` is in s, sizes as in a job's step."""
+
+    count: int
+    cpu: int
+    memory: int
+    lasts: float
+    after: tuple[int, ...] = ()
+    lasting: bool = False
+    speculative: bool = False
+    label: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class JobPlan:
+    """Describe one job of a queue."""
+
+    id: str
+    queue: str
+    steps: tuple[StepPlan, ...]
+
+    @property
+    def lasting(self) -> bool:
+        """Tell whether tasks of the job run until it is cancelled."""
+        return any(step.lasting for step in self.steps)
+
+    @property
+    def waiting(self) -> bool:
+        """Tell whether the job waits for a worker that comes after the faults."""
+        return any(step.label for step in self.steps)
+
+    def encode(self) -> bytes:
+        """Return the job as callers hand it in."""
+        return msgspec.json.encode({"spec": self.id, "pipeline": [_encode(s) for s in self.steps]})
+
+
+def draw_job(random_: random.Random, queue: str) -> JobPlan:
+    """Draw a job of one to three steps."""
+    steps = []
+    for number in range(random_.choice((1, 1, 2, 3))):
+        after = tuple(sorted(random_.sample(range(number), random_.randint(0, number))))
+        step = StepPlan(
+            count=random_.randint(1, 4),
+            cpu=random_.choice(SIZES),
+            memory=random_.choice(MEMORY),
+            lasts=random_.uniform(*BRIEF),
+            after=after,
+            speculative=random_.random() < 0.08,
+        )
+        steps.append(step)
+    return JobPlan(draw_id(random_), queue, tuple(steps))
+
+
+def draw_lasting(random_: random.Random, queue: str) -> JobPlan:
+    """Draw a job whose tasks run until it is cancelled."""
+    step = StepPlan(random_.randint(1, 3), 500, 128, lasts=1e9, lasting=True)
+    return JobPlan(draw_id(random_), queue, (step,))
+
+
+def draw_waiting(random_: random.Random, queue: str) -> JobPlan:
+    """Draw a job that nobody can run until the worker for it comes."""
+    step = StepPlan(1, 500, 64, lasts=0.2, label=LATE_LABEL)
+    return JobPlan(draw_id(random_), queue, (step,))
+
+
+def draw_id(random_: random.Random) -> str:
+    """Draw the id of a job."""
+    return f"{random_.getrandbits(64):016x}"
+
+
+def _encode(step: StepPlan) -> dict[str, object]:
+    fields: dict[str, object] = {
+        "count": step.count,
+        "cpu": step.cpu,
+        "memMb": step.memory,
+        "estimateMs": int(min(step.lasts, 60.0) * 1_000),
+    }
+    if step.after:
+        fields["after"] = step.after
+    if step.lasting:
+        fields["longRunning"] = True
+    if step.speculative:
+        fields["speculative"] = True
+    if step.label:
+        fields["requires"] = step.label
+    return fields
--- /dev/null
+++ b/tools/soak/report.py
@@ -0,0 +1,41 @@
+"""
+Report
+======
+
+Say what came of a seed: one line if it is sound, else all that is needed to look for the cause.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+from tools.soak.faults import Timed
+from tools.soak.run import Outcome
+
+__all__ = ["describe"]
+
+MOST_TOLD = 20  # violations of one seed
+
+
+def describe(outcome: Outcome, plan: tuple[Timed, ...], directory: Path) -> Iterator[str]:
+    """Yield the lines of a report."""
+    bad = len(outcome.violations)
+    yield (
+        f"seed {outcome.seed}: {f'{bad} wrong' if bad else 'sound'}, {len(plan)} faults, "
+        f"{outcome.processes} processes, {outcome.accepted} accepted, "
+        f"{outcome.completed} ended by themselves, {outcome.starts} starts, "
+        f"{outcome.events} events, {outcome.took:.0f} s, {outcome.cpu:.0f} s of processor time"
+    )
+    if not bad:
+        return
+    yield "  plan, in s since callers came:"
+    for timed in plan:
+        yield f"    {timed.at:7.3f} {timed.fault}"
+    yield "  seen:"
+    for violation in outcome.violations[:MOST_TOLD]:
+        at = violation.at - outcome.begun
+        yield f"    {at:7.3f} {violation.check}: {violation.detail}"
+    yield "  logs:"
+    for path in sorted(directory.glob("*.log")):
+        yield f"    {path}"
--- /dev/null
+++ b/tools/soak/store.py
@@ -0,0 +1,91 @@
+"""
+Store of the soak
+=================
+
+The stand-in of the store with an address for each host, troubles that overlap, and workers' entries
+that name a link of each host's own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from standins.site.store import Faults, SiteStore
+from toucanpin.http import Request, Response, Server
+
+__all__ = ["HostView", "SoakStore", "Trouble"]
+
+WORKERS = "servers"
+MAX_HEADERS = 16_384  # bytes
+MAX_BODY = 1_048_576  # bytes of one transaction
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """Say how the store treats a host for a while."""
+
+    status: int = 0  # of every answer, 0 for none
+    takes: float = 0.0  # s more for each answer
+    silent: bool = False
+
+
+@dataclass(slots=True)
+class HostView:
+    """
+    Hold how one host sees the store.
+
+    ``find_link`` returns the address at which the host reaches a worker's address.
+    """
+
+    find_link: Callable[[str], Awaitable[str]]
+    faults: Faults = field(default_factory=Faults)
+    troubles: list[Trouble] = field(default_factory=list)
+
+    def note(self) -> None:
+        """Take all troubles together: the worst of each kind."""
+        statuses = [trouble.status for trouble in self.troubles if trouble.status]
+        self.faults.refusing = statuses[-1] if statuses else 0
+        self.faults.silent = any(trouble.silent for trouble in self.troubles)
+
+    @property
+    def takes(self) -> float:
+        """Return how much longer an answer takes now, in s."""
+        return max((trouble.takes for trouble in self.troubles), default=0.0)
+
+
+class SoakStore(SiteStore):
+    """Serve each host under its own troubles."""
+
+    async def listen_for(self, address: str, view: HostView) -> Server:
+        """Serve one host at an address."""
+
+        async def handle(request: Request) -> Response | None:
+            if view.takes:
+                await asyncio.sleep(view.takes)
+            response = await self._handle(request, view.faults)
+            if response is None or response.status != 200:
+                return response
+            return await _name_links(request, response, view)
+
+        server = Server(handle, MAX_HEADERS, MAX_BODY)
+        await server.listen(address)
+        return server
+
+
+async def _name_links(request: Request, response: Response, view: HostView) -> Response:
+    """Put the host's own links in the place of the workers' addresses."""
+    parts = urlsplit(request.path)
+    if parts.path != "/rows-get" or parse_qs(parts.query)["table"] != [WORKERS]:
+        return response
+    body = msgspec.json.decode(response.body)
+    for row in body["rows"]:
+        entry = msgspec.json.decode(base64.b64decode(row["value"]))
+        entry["address"] = await view.find_link(entry["address"])
+        row["value"] = base64.b64encode(msgspec.json.encode(entry)).decode()
+    return Response(200, msgspec.json.encode(body))
--- /dev/null
+++ b/tools/soak/task_checks.py
@@ -0,0 +1,201 @@
+"""
+Checks of tasks
+===============
+
+What workers may never see: each check takes events in their order and yields what is wrong.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from tools.soak.events import (
+    Acknowledged,
+    Answered,
+    Broken,
+    Draining,
+    Ended,
+    Event,
+    Gone,
+    Joined,
+    Kind,
+    Offered,
+    Started,
+    Troubled,
+)
+from tools.soak.jobs import JobPlan, StepPlan
+from toucanpin.scheduling.job import TaskKey
+
+__all__ = ["Leaving", "NotAgain", "OnePlace", "Refusals", "Room", "StepOrder", "TaskCheck"]
+
+SEEN_LEAVING = 4.0  # s after which a worker that drains gets nothing more
+CALM = 8.0  # s after trouble until a drain must have been seen
+
+
+class TaskCheck:
+    """Know the jobs that were offered."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobPlan] = {}
+
+    def take(self, event: Event) -> Iterator[str]:
+        """Yield what is wrong with an event."""
+        if isinstance(event, Offered):
+            self.jobs[event.job.id] = event.job
+        yield from self.judge(event)
+
+    def judge(self, event: Event) -> Iterator[str]:
+        """Yield what is wrong with an event, once jobs are known."""
+        raise NotImplementedError
+
+    def close(self) -> Iterator[str]:
+        """Yield what is wrong at the end."""
+        return iter(())
+
+    def step(self, task: TaskKey) -> StepPlan | None:
+        """Return the step of a task, None if no such job was offered."""
+        job = self.jobs.get(task.job)
+        return job.steps[task.step] if job else None
+
+
+class OnePlace(TaskCheck):
+    """A task runs in one place at a time, unless it may be copied."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._places: dict[TaskKey, dict[str, int]] = defaultdict(dict)
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Started():
+                step = self.step(event.task)
+                places = self._places[event.task]
+                if places and not (step and step.speculative):
+                    yield f"{event.task} began on {event.worker} while it runs on {places}"
+                places[event.worker] = event.attempt
+            case Ended():
+                self._places[event.task].pop(event.worker, None)
+            case Gone():
+                for places in self._places.values():
+                    places.pop(event.worker, None)
+
+
+class NotAgain(TaskCheck):
+    """Nothing starts after it was done and its end was acknowledged."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._done: set[TaskKey] = set()
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Acknowledged() if event.how == "done":
+                self._done.add(event.task)
+            case Started() if event.task in self._done:
+                step = self.step(event.task)
+                # A copy that was ordered before the other one was done may begin late.
+                if not (step and step.speculative):
+                    yield f"{event.task} began on {event.worker} though it was done"
+
+
+class StepOrder(TaskCheck):
+    """A task starts after all tasks of the steps that come before its own."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._done: set[TaskKey] = set()
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Ended() if event.how == "done":
+                self._done.add(event.task)
+            case Started():
+                missing = sorted(self._earlier(event.task) - self._done)
+                if missing:
+                    yield f"{event.task} began on {event.worker} before {missing[0]} was done"
+
+    def _earlier(self, task: TaskKey) -> set[TaskKey]:
+        step = self.step(task)
+        numbers = step.after if step else ()
+        steps = self.jobs[task.job].steps if step else ()
+        return {
+            TaskKey(task.job, task.occurrence, number, index)
+            for number in numbers
+            for index in range(steps[number].count)
+        }
+
+
+class Room(TaskCheck):
+    """What runs on a worker never needs more than its processors and memory."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._sizes: dict[str, tuple[int, int]] = {}
+        self._runs: dict[str, dict[TaskKey, StepPlan]] = defaultdict(dict)
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Joined():
+                self._sizes[event.worker] = (event.cpu, event.memory)
+            case Ended():
+                self._runs[event.worker].pop(event.task, None)
+            case Started():
+                step = self.step(event.task)
+                if step is not None:
+                    self._runs[event.worker][event.task] = step
+                    yield from self._measure(event)
+
+    def _measure(self, event: Started) -> Iterator[str]:
+        runs = self._runs[event.worker].values()
+        cpu = sum(step.cpu for step in runs)
+        memory = sum(step.memory for step in runs)
+        sizes = self._sizes[event.worker]
+        if cpu > sizes[0] or memory > sizes[1]:
+            yield f"{event.task} began on {event.worker}: {cpu, memory} of {sizes} are taken"
+
+
+class Refusals(TaskCheck):
+    """A job that was refused, and nothing else, never starts; nor does one that nobody offered."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._statuses: dict[str, set[int]] = defaultdict(set)
+        self._started: dict[str, str] = {}
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Answered(kind=Kind.SUBMIT):
+                self._statuses[event.subject].add(event.status)
+            case Broken(kind=Kind.SUBMIT):
+                self._statuses[event.subject].add(0)
+            case Started():
+                self._started[event.task.job] = event.worker
+                if event.task.job not in self.jobs:
+                    yield f"{event.task} began on {event.worker}, and nobody handed it in"
+
+    def close(self) -> Iterator[str]:
+        for job, worker in self._started.items():
+            statuses = self._statuses[job]
+            if statuses and statuses <= {400, 404, 429, 503}:
+                yield f"job {job} ran on {worker} though it was refused: {sorted(statuses)}"
+
+
+class Leaving(TaskCheck):
+    """A worker that drains gets nothing new after a few seconds, outside trouble."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._since: dict[str, float] = {}
+        self._trouble_until = 0.0
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Troubled():
+                self._trouble_until = max(self._trouble_until, event.until)
+            case Draining():
+                self._since[event.worker] = event.at
+            case Started() if event.worker in self._since:
+                since = max(self._since[event.worker], self._trouble_until + CALM - SEEN_LEAVING)
+                if event.at > since + SEEN_LEAVING:
+                    yield f"{event.task} began on {event.worker} long after it drained"
--- /dev/null
+++ b/tools/soak/weakened.py
@@ -0,0 +1,78 @@
+"""
+Weakened process
+================
+
+Run the process of an entry host without one of its safeguards, to see that the soak notices.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+from toucanpin.entry import __main__ as program
+from toucanpin.entry import cell_workers, owner
+from toucanpin.entry.requests import Requests
+from toucanpin.entry.root import EntryProcess
+
+__all__ = ["WEAKENINGS", "main"]
+
+
+def _forget_leases() -> None:
+    """Take what a silent worker runs for ended though its lease goes on."""
+    lapse = owner.lapse_workers
+
+    def weakened(cell, now):  # type: ignore[no-untyped-def]
+        for worker in cell.workers.values():
+            worker.lapse_at = 0.0
+        return lapse(cell, now)
+
+    owner.lapse_workers = weakened
+
+
+def _refuse_unsure() -> None:
+    """Tell a caller that a job never runs though its write had no answer."""
+    write = Requests._write
+
+    async def weakened(self, part, put, deadline):  # type: ignore[no-untyped-def]
+        return bool(await write(self, part, put, deadline))
+
+    Requests._write = weakened  # type: ignore[method-assign]
+
+
+def _acknowledge_early() -> None:
+    """Let workers forget ends before these are written."""
+    plan = cell_workers.plan_hold
+
+    def weakened(cell, worker, now):  # type: ignore[no-untyped-def]
+        worker.acknowledged = worker.seen
+        return plan(cell, worker, now)
+
+    cell_workers.plan_hold = weakened
+
+
+def _end_at_once() -> None:
+    """End on SIGTERM without an answer to what was read."""
+
+    async def weakened(self):  # type: ignore[no-untyped-def]
+        await self.abort()
+
+    EntryProcess.shut_down = weakened  # type: ignore[method-assign]
+
+
+WEAKENINGS: dict[str, Callable[[], None]] = {
+    "leases": _forget_leases,
+    "unsure-writes": _refuse_unsure,
+    "written-ends": _acknowledge_early,
+    "drain": _end_at_once,
+}
+
+
+def main() -> int:
+    """Switch the safeguard off that the first argument names, and run the process."""
+    WEAKENINGS[sys.argv.pop(1)]()
+    return program.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak/workers.py
@@ -0,0 +1,186 @@
+"""
+Workers of the soak
+===================
+
+Workers that tell what they run; they are late, refuse, fail, drain and come as another life.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from standins.site.store import SiteStore
+from standins.site.worker import SiteWorker
+from standins.site.worker_core import WorkerCore
+from tools.soak.events import Acknowledged, Draining, Ended, Event, Gone, Joined, Started
+from tools.soak.jobs import JobPlan
+from toucanpin.http import Request, Response
+from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.orders import End, Held, Refused, WorkerEntry
+from toucanpin.scheduling.orders import Started as Answer
+
+__all__ = ["Moods", "SoakWorker"]
+
+TICK = 0.02  # s between looks at what has ended
+STOPPING = 0.1  # s that a task takes to stop on the worker; the platform allows 0.2
+ENTRY_REMAINS = 3.0  # s after a crash for which the store still lists the worker
+SLOW_CLOCK = 0.982  # of a worker whose clock is as slow as the platform's page allows, nearly
+
+Record = Callable[[Event], None]
+
+
+@dataclass(slots=True)
+class Moods:
+    """Say how a worker misbehaves now; each list holds what is under way."""
+
+    late: list[float] = field(default_factory=list)  # s by which orders are carried out late
+    refuses: list[int] = field(default_factory=list)
+    fails: list[bool] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Core(WorkerCore):
+    """Carry out orders, and tell of each run when it begins and ends."""
+
+    record: Record = lambda event: None
+    jobs: dict[str, JobPlan] = field(default_factory=dict)
+    before_start: Callable[[], None] = lambda: None
+    stopping: dict[TaskKey, float] = field(default_factory=dict)
+
+    def start(self, task: TaskKey, attempt: int, deadline: int, token: int, now: float) -> Answer:
+        # A lease that has ended must have ended before another run is judged, also while this
+        # process is late with its own work.
+        self.before_start()
+        count = len(self.starts)
+        answer = WorkerCore.start(self, task, attempt, deadline, token, now)
+        if len(self.starts) > count:
+            self.runs[task].lasts = self._find_length(task)
+            self.stopping.pop(task, None)
+            self.record(Started(time.monotonic(), self.entry.id, task, attempt))
+        return answer
+
+    def stop(self, task: TaskKey, attempt: int, token: int) -> Refused | None:
+        if token < self.token:
+            return Refused.FENCED
+        self.highest[task] = max(self.highest.get(task, 0), attempt)
+        present = self.runs.get(task)
+        if present is not None and present.attempt <= attempt:
+            self.stopping.setdefault(task, time.monotonic() + STOPPING)
+        return None
+
+    def hold(self, token: int, acknowledged: int, deadline: int, now: float) -> Held | Refused:
+        known = len(self.forgotten)
+        held = WorkerCore.hold(self, token, acknowledged, deadline, now)
+        for ended in self.forgotten[known:]:
+            how = ended.end.value
+            at = time.monotonic()
+            self.record(Acknowledged(at, self.entry.id, ended.task, ended.attempt, how))
+        return held
+
+    def end(self, task: TaskKey, end: End) -> None:
+        attempt = self.runs[task].attempt
+        self.stopping.pop(task, None)
+        WorkerCore.end(self, task, end)
+        self.record(Ended(time.monotonic(), self.entry.id, task, attempt, end.value))
+
+    def advance(self, now: float) -> None:
+        for task, due in tuple(self.stopping.items()):
+            if time.monotonic() >= due and task in self.runs:
+                self.end(task, End.STOPPED)
+        WorkerCore.advance(self, now)
+
+    def _find_length(self, task: TaskKey) -> float:
+        job = self.jobs.get(task.job)
+        return job.steps[task.step].lasts if job else 0.1
+
+
+class SoakWorker(SiteWorker):
+    """
+    Serve one life of a worker.
+
+    ``before_start`` is called before a run begins, to end what has lapsed on all workers.
+    """
+
+    def __init__(
+        self,
+        store: SiteStore,
+        entry: WorkerEntry,
+        record: Record,
+        jobs: dict[str, JobPlan],
+        before_start: Callable[[], None],
+        moods: Moods,
+        slow_clock: bool = False,
+    ) -> None:
+        super().__init__(store, entry)
+        self.core = _Core(entry, record=record, jobs=jobs, before_start=before_start)
+        self._record = record
+        self._moods = moods
+        self._rate = SLOW_CLOCK if slow_clock else 1.0
+        self._over = False
+
+    async def start(self) -> None:
+        """Listen and register."""
+        entry = self.core.entry
+        self._record(Joined(time.monotonic(), entry.id, entry.cpu, entry.memory))
+        await super().start()
+
+    def advance(self) -> None:
+        """End what is due by now."""
+        if not self._over:
+            self.core.failing = bool(self._moods.fails)
+            self.core.advance(self._now())
+
+    async def crash(self) -> None:
+        """End without a word; the store lists the entry for a while."""
+        if self._over:
+            return
+        await self._finish()
+        loop = asyncio.get_running_loop()
+        loop.call_later(ENTRY_REMAINS, self._store.drop, "servers", self.core.entry.id)
+
+    async def drain(self, seconds: float) -> None:
+        """Report that the worker drains, go on for a while, then leave."""
+        self.core.entry = replace(self.core.entry, ready=False)
+        self.register()
+        self._record(Draining(time.monotonic(), self.core.entry.id))
+        await asyncio.sleep(seconds)
+        if not self._over:
+            await self._finish()
+            self._store.drop("servers", self.core.entry.id)
+
+    async def close(self) -> None:
+        """End at the end of the soak."""
+        if not self._over:
+            await self._finish()
+
+    async def _finish(self) -> None:
+        self.advance()
+        self._over = True
+        self._record(Gone(time.monotonic(), self.core.entry.id))
+        await self.stop()
+
+    def _now(self) -> float:
+        return (time.monotonic() - self._begun) * self._rate + 1.0
+
+    async def _advance(self) -> None:
+        while True:
+            self.advance()
+            await asyncio.sleep(TICK)
+
+    async def _handle(self, request: Request) -> Response | None:
+        late = max(self._moods.late, default=0.0)
+        if late:
+            await asyncio.sleep(late)
+        if self._over:
+            return None
+        self.advance()
+        if request.path == "/run-start" and self._moods.refuses:
+            return self._refuse(self._moods.refuses[-1])
+        answer = await super()._handle(request)
+        return None if late or self._over else answer
+
+    def _refuse(self, status: int) -> Response:
+        return self._answer(Refused.NO_ROOM) if status == 409 else Response(status)
