--- a/tools/soak/answer_checks.py
+++ b/tools/soak/answer_checks.py
@@ -14,6 +14,7 @@
     Answered,
     Broken,
     CancelAsked,
+    Configured,
     Ended,
     Event,
     Kind,
@@ -27,14 +28,16 @@
 from tools.soak.task_checks import TaskCheck
 from toucanpin.scheduling.job import TaskKey
 
-__all__ = ["Counts", "Kept", "Own", "Processes", "Shutdowns", "States"]
+__all__ = ["Configurations", "Counts", "Kept", "Own", "Processes", "Shutdowns", "States"]
 
 MAX_ATTEMPTS = 4  # of a task, by the configuration that the soak writes
 COUNT_AGE = 5.0  # s after which an accepted job must be in a count
 COUNT_CALM = 6.0  # s after trouble until counts must be right
+IN_FORCE = 4.0  # s after which a configuration must be in force
 # A request that comes just as an idle connection is closed may be lost; one that waited for longer
 # had been read.
 READ_BY = 1.0  # s
+SERVED = 1.5  # s after SIGTERM for which requests still come, until the balancer has noticed
 STATUSES = frozenset({200, 404, 410, 429, 502, 503, 504})
 STATES = frozenset({"pending", "active", "completed", "failed", "canceled"})
 FINAL = frozenset({"completed", "failed", "canceled"})
@@ -49,8 +52,6 @@
                 yield f"malformed answer to {event.kind.value} {event.subject}"
             case Answered() if event.status not in STATUSES:
                 yield f"{event.kind.value} {event.subject} was answered {event.status}"
-            case Answered(status=404):
-                yield f"{event.kind.value} {event.subject}: 404 for a queue that is always there"
             case Answered(kind=Kind.STATE, status=200) if event.value not in STATES:
                 yield f"the state of {event.subject} was told as {event.value!r}"
             case Answered(kind=Kind.COUNT, status=200) if not _is_count(event.value):
@@ -61,6 +62,37 @@
     return isinstance(value, int) and value >= 0
 
 
+class Configurations(TaskCheck):
+    """
+    A queue is there, for good, once its configuration was accepted, and gone once it was removed.
+
+    What was changed within the last seconds, or in trouble, may be answered either way.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._queues: frozenset[str] = frozenset()
+        self._changed: dict[str, float] = {}
+        self._troubled = 0.0
+
+    def judge(self, event: Event) -> Iterator[str]:
+        match event:
+            case Troubled(orders=False):
+                self._troubled = event.at
+            case Configured():
+                if self._queues:
+                    self._changed |= dict.fromkeys(self._queues ^ event.queues, event.at)
+                self._queues = event.queues
+            case Answered() if event.status in (200, 404):
+                job = self.jobs.get(event.subject)
+                queue = job.queue if job else event.subject
+                settled = max(self._changed.get(queue, 0.0), self._troubled) + IN_FORCE
+                always = queue in self._queues and queue not in self._changed
+                there = event.status == 200
+                if there != (queue in self._queues) and (event.sent > settled or always):
+                    yield f"{event.process} answered {event.status} for the queue {queue}"
+
+
 class Kept(TaskCheck):
     """A job that was accepted is never said not to exist."""
 
@@ -136,12 +168,12 @@
         super().__init__()
         self._waiting: dict[str, dict[str, float]] = defaultdict(dict)
         self._over: set[str] = set()
-        self._trouble_until = 0.0
+        self._troubled = 0.0
 
     def judge(self, event: Event) -> Iterator[str]:
         match event:
             case Troubled(orders=False):
-                self._trouble_until = max(self._trouble_until, event.until)
+                self._troubled = event.at
             case Answered(kind=Kind.SUBMIT, status=200) if event.subject not in self._over:
                 queue = self.jobs[event.subject].queue
                 self._waiting[queue].setdefault(event.subject, event.at)
@@ -150,7 +182,7 @@
             case CancelAsked():
                 self._drop(event.job)
             case Answered(kind=Kind.COUNT, status=200) if isinstance(event.value, int):
-                if event.sent > self._trouble_until + COUNT_CALM:
+                if event.sent > self._troubled + COUNT_CALM:
                     yield from self._judge_count(event, event.value)
 
     def _drop(self, name: str) -> None:
@@ -170,17 +202,21 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self._told: dict[str, float] = {}
         self._signals: dict[str, set[Signal]] = defaultdict(set)
 
     def judge(self, event: Event) -> Iterator[str]:
         match event:
             case Signalled():
                 self._signals[event.process].add(event.signal)
+                if event.signal is Signal.TERMINATE:
+                    self._told.setdefault(event.process, event.at)
             case Broken(loss=Loss.CLOSED | Loss.CUT):
                 signals = self._signals[event.process]
                 harsh = signals & {Signal.KILL, Signal.STOP}
                 waited = event.at - event.sent
-                was_read = waited > READ_BY or event.loss is Loss.CUT
+                told_at = self._told.get(event.process, 0.0)
+                was_read = waited > READ_BY or event.sent < told_at + SERVED
                 if Signal.TERMINATE in signals and not harsh and was_read:
                     what = f"{event.kind.value} {event.subject} ({event.loss.value})"
                     yield f"{event.process} cut off {what} after {waited:.2f} s"
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -31,6 +31,7 @@
 COPY_LATER = (0.5, 4.0)  # s after which a copy of an accepted submission may arrive
 ABSENT = 0.1  # s before a caller that reached no host tries again
 WAITING_SHARE = 0.06  # of jobs that nobody can run until the faults have ended
+EXTRA_SHARE = 0.3  # of counts that are asked of queues which come and go
 RECENT = 60  # jobs whose states are asked for
 METHODS = {Kind.SUBMIT: "POST", Kind.STATE: "GET", Kind.COUNT: "GET", Kind.CANCEL: "DELETE"}
 
@@ -44,6 +45,7 @@
     accepted: list[str] = field(default_factory=list)
     cancelled: set[str] = field(default_factory=set)
     cancelled_for_good: set[str] = field(default_factory=set)
+    extra: int = 0  # queues that nobody uses and that come and go
     quiet: bool = False
 
 
@@ -164,6 +166,9 @@
 
     def _count(self) -> Question:
         queue = self._random.choice(self._book.queues)
+        if self._random.random() < EXTRA_SHARE:
+            # The first queue that was added last, or the first one that may have been removed.
+            queue = f"extra{self._random.choice((0, max(0, self._book.extra - 1), 3))}"
         return Question(Kind.COUNT, queue, queue)
 
     def _states(self) -> tuple[Question, ...]:
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from tools.soak.answer_checks import Counts, Kept, Own, Processes, Shutdowns, States
+from tools.soak.answer_checks import Configurations, Counts, Kept, Own, Processes, Shutdowns, States
 from tools.soak.events import Event
 from tools.soak.task_checks import (
     Leaving,
@@ -32,6 +32,7 @@
     Refusals,
     Leaving,
     Own,
+    Configurations,
     Kept,
     States,
     Counts,
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import fcntl
+import time
 from pathlib import Path
 from typing import IO
 
@@ -16,13 +17,14 @@
 from tools.soak.answer_checks import MAX_ATTEMPTS
 from tools.soak.callers import SITE, Book
 from tools.soak.checker import Checker
-from tools.soak.faults import LinkMode
+from tools.soak.events import Configured
+from tools.soak.faults import LinkMode, WorkerMood
 from tools.soak.hosts import Host
 from tools.soak.jobs import LATE_LABEL
 from tools.soak.links import Link
 from tools.soak.plan import Size
 from tools.soak.store import HostView, SoakStore
-from tools.soak.workers import Moods, SoakWorker
+from tools.soak.workers import SoakWorker
 from toucanpin.http import Server
 from toucanpin.scheduling.orders import WorkerEntry
 
@@ -47,7 +49,7 @@
         self.record = self.checker.record
         self.book = Book(QUEUES)
         self.store = SoakStore()
-        self.moods = [Moods() for _ in range(size.workers)]
+        self.moods: list[list[WorkerMood]] = [[] for _ in range(size.workers)]
         self.workers: list[SoakWorker | None] = [None] * size.workers
         self.extra_workers: list[SoakWorker] = []
         self.links: dict[tuple[int, int | None], Link] = {}
@@ -96,6 +98,8 @@
         services = [{"name": name, "rejectsOverload": False} for name in SERVICES]
         document = {"version": self._version, "routes": routes, "services": services}
         self.store.put("op", "config", msgspec.json.encode(document))
+        self.book.extra = extra
+        self.record(Configured(time.monotonic(), frozenset(names)))
 
     async def start_worker(self, number: int) -> None:
         """Start a life of a worker, at the address of its earlier ones."""
@@ -114,7 +118,7 @@
             address = f"{self._address(4, number)}:7002"
             self._places[address] = self.size.workers + number
             worker = self._make_worker(
-                f"late-{service}", service, address, ("k", "r9", LATE_LABEL), Moods(), False
+                f"late-{service}", service, address, ("k", "r9", LATE_LABEL), [], False
             )
             self.extra_workers.append(worker)
             await worker.start()
@@ -138,7 +142,7 @@
         service: str,
         address: str,
         labels: tuple[str, ...],
-        moods: Moods,
+        moods: list[WorkerMood],
         slow_clock: bool,
     ) -> SoakWorker:
         labels = labels or ("k", f"r{address.rpartition('.')[2]}")
--- a/tools/soak/events.py
+++ b/tools/soak/events.py
@@ -18,6 +18,7 @@
     "Answered",
     "Broken",
     "CancelAsked",
+    "Configured",
     "Draining",
     "Ended",
     "Event",
@@ -186,17 +187,24 @@
 @dataclass(frozen=True, slots=True)
 class Troubled:
     """
-    Tell of trouble until ``until``.
+    Tell of trouble at this moment.
 
     ``orders`` says that it only delays orders to workers; else the store, a host or the machine
     itself is in trouble.
     """
 
     at: float
-    until: float
     orders: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Configured:
+    """Tell which queues are there, as the store accepted them."""
+
+    at: float
+    queues: frozenset[str]
+
+
 Event = (
     Offered
     | CancelAsked
@@ -211,4 +219,5 @@
     | Signalled
     | Left
     | Troubled
+    | Configured
 )
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -10,31 +10,25 @@
 import enum
 from dataclasses import dataclass
 
+from tools.soak.events import Signal
+
 __all__ = [
+    "ConfigurationChanges",
     "Fault",
-    "HangUp",
-    "Kill",
-    "Link",
+    "HistoryDropped",
     "LinkMode",
-    "Pause",
-    "Reconfigure",
-    "StoreForgets",
-    "StoreLate",
-    "StoreLoses",
-    "StoreRefuses",
-    "StoreSilent",
-    "StoreSlow",
-    "Terminate",
+    "LinkTrouble",
+    "Mood",
+    "ProcessEnds",
+    "ProcessPauses",
+    "SettingsChange",
+    "StoreTrouble",
     "Timed",
-    "WorkerCrash",
-    "WorkerFails",
-    "WorkerLate",
-    "WorkerLeaves",
-    "WorkerRefuses",
+    "WorkerEnds",
+    "WorkerMood",
+    "WritesUnanswered",
 ]
 
-Hosts = tuple[int, ...]
-
 
 class LinkMode(enum.Enum):
     """Say what a connection between a host and the store or a worker does to bytes."""
@@ -47,24 +41,25 @@
     SILENT = "silent"  # both are held back
 
 
-@dataclass(frozen=True, slots=True)
-class Terminate:
-    """Send SIGTERM, and start the host anew once it has been away for a while."""
+class Mood(enum.Enum):
+    """Say how a worker misbehaves."""
 
-    host: int
-    away: float
+    LATE = "late"  # orders aren't answered, and are carried out ``value`` s later
+    REFUSES = "refuses"  # starts are answered with the status ``value``; 409 is for want of room
+    FAILS = "fails"  # every task that it starts fails
 
 
 @dataclass(frozen=True, slots=True)
-class Kill:
-    """Send SIGKILL, and start the host anew after a while."""
+class ProcessEnds:
+    """End a process by SIGTERM or SIGKILL, and start the host anew after a while."""
 
     host: int
+    signal: Signal
     away: float
 
 
 @dataclass(frozen=True, slots=True)
-class Pause:
+class ProcessPauses:
     """Send SIGSTOP, and SIGCONT later."""
 
     host: int
@@ -72,76 +67,49 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HangUp:
-    """Write the settings file anew and send SIGHUP."""
+class SettingsChange:
+    """Write a host's settings file anew and send SIGHUP."""
 
     host: int
 
 
 @dataclass(frozen=True, slots=True)
-class Reconfigure:
+class ConfigurationChanges:
     """Write a configuration with so many queues beside those that are used."""
 
     extra: int
 
 
 @dataclass(frozen=True, slots=True)
-class StoreRefuses:
-    """Let the store answer some hosts with a status."""
-
-    hosts: Hosts
-    lasts: float
-    status: int
-
-
-@dataclass(frozen=True, slots=True)
-class StoreSlow:
-    """Let the store take longer for each answer to some hosts."""
-
-    hosts: Hosts
-    lasts: float
-    takes: float
-
-
-@dataclass(frozen=True, slots=True)
-class StoreSilent:
-    """Let the store leave some hosts without answers and do nothing."""
+class StoreTrouble:
+    """Let the store refuse some hosts with a status, take longer for them, or stay silent."""
 
-    hosts: Hosts
+    hosts: tuple[int, ...]
     lasts: float
+    status: int = 0
+    takes: float = 0.0
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class StoreLoses:
-    """Let some transactions of a host take effect without an answer."""
+class WritesUnanswered:
+    """Let transactions of a host take effect without an answer, at once or ``late_by`` later."""
 
     host: int
     writes: int
+    late_by: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class StoreLate:
-    """Let some transactions of a host take effect later, without an answer."""
-
-    host: int
-    writes: int
-    by: float
-
-
-@dataclass(frozen=True, slots=True)
-class StoreForgets:
+class HistoryDropped:
     """Let the store drop its history."""
 
 
 @dataclass(frozen=True, slots=True)
-class Link:
-    """
-    Trouble the connections of some hosts to the store, or to some workers.
+class LinkTrouble:
+    """Trouble connections of some hosts to some workers, or to the store if these are None."""
 
-    ``workers`` is None for the store.
-    """
-
-    hosts: Hosts
+    hosts: tuple[int, ...]
     workers: tuple[int, ...] | None
     mode: LinkMode
     lasts: float
@@ -149,16 +117,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WorkerCrash:
-    """End a worker without a word; another life comes at its address after a while."""
-
-    worker: int
-    away: float
-
-
-@dataclass(frozen=True, slots=True)
-class WorkerLeaves:
-    """Let a worker drain and go; another life comes at its address after a while."""
+class WorkerEnds:
+    """
+    End a worker's life, after it has drained or without a word; the next one comes after a while.
+    """
 
     worker: int
     drains: float
@@ -166,49 +128,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WorkerLate:
-    """Let a worker leave orders unanswered and carry them out later, for a while."""
-
-    worker: int
-    lasts: float
-    by: float
-
-
-@dataclass(frozen=True, slots=True)
-class WorkerRefuses:
-    """Let a worker refuse starts with a status for a while; 409 is for want of room."""
-
-    worker: int
-    lasts: float
-    status: int
-
-
-@dataclass(frozen=True, slots=True)
-class WorkerFails:
-    """Let a worker fail every task that it starts for a while."""
+class WorkerMood:
+    """Let a worker misbehave for a while."""
 
     worker: int
     lasts: float
+    mood: Mood
+    value: float = 0.0
 
 
 Fault = (
-    Terminate
-    | Kill
-    | Pause
-    | HangUp
-    | Reconfigure
-    | StoreRefuses
-    | StoreSlow
-    | StoreSilent
-    | StoreLoses
-    | StoreLate
-    | StoreForgets
-    | Link
-    | WorkerCrash
-    | WorkerLeaves
-    | WorkerLate
-    | WorkerRefuses
-    | WorkerFails
+    ProcessEnds
+    | ProcessPauses
+    | SettingsChange
+    | ConfigurationChanges
+    | StoreTrouble
+    | WritesUnanswered
+    | HistoryDropped
+    | LinkTrouble
+    | WorkerEnds
+    | WorkerMood
 )
 
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -85,15 +85,13 @@
         callers = [self._make_caller(number) for number in range(self._site.size.callers)]
         tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
         tasks.append(asyncio.ensure_future(self._measure_lag()))
-        conductor = Conductor(self._site)
         try:
-            await conductor.carry_out(plan)
+            await Conductor(self._site).carry_out(plan)
             self._site.book.quiet = True
             await asyncio.sleep(CALM)
             await self._site.add_late_workers()
             await self._finish()
         finally:
-            conductor.close()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -127,7 +125,7 @@
             await asyncio.sleep(LAG_LOOK)
             now = time.monotonic()
             if now > due + LAG:
-                self._site.record(Troubled(now, now))
+                self._site.record(Troubled(now))
 
     async def _finish(self) -> None:
         """Wait until all that was accepted is completed and lasting tasks run."""
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -17,24 +17,16 @@
 import msgspec
 
 from standins.site.store import Faults, SiteStore
+from tools.soak.faults import StoreTrouble
 from toucanpin.http import Request, Response, Server
 
-__all__ = ["HostView", "SoakStore", "Trouble"]
+__all__ = ["HostView", "SoakStore"]
 
 WORKERS = "servers"
 MAX_HEADERS = 16_384  # bytes
 MAX_BODY = 1_048_576  # bytes of one transaction
 
 
-@dataclass(frozen=True, slots=True)
-class Trouble:
-    """Say how the store treats a host for a while."""
-
-    status: int = 0  # of every answer, 0 for none
-    takes: float = 0.0  # s more for each answer
-    silent: bool = False
-
-
 @dataclass(slots=True)
 class HostView:
     """
@@ -45,18 +37,33 @@
 
     find_link: Callable[[str], Awaitable[str]]
     faults: Faults = field(default_factory=Faults)
-    troubles: list[Trouble] = field(default_factory=list)
-
-    def note(self) -> None:
+    takes: float = 0.0  # s more for each answer
+    _troubles: list[StoreTrouble] = field(default_factory=list)
+
+    def begin(self, trouble: StoreTrouble) -> None:
+        """Treat the host so from now on."""
+        self._troubles.append(trouble)
+        self._combine()
+
+    def end(self, trouble: StoreTrouble) -> None:
+        """Treat the host so no more."""
+        self._troubles.remove(trouble)
+        self._combine()
+
+    def leave_unanswered(self, writes: int, late_by: float) -> None:
+        """Carry out some transactions without an answer, at once or later."""
+        if late_by:
+            self.faults.late_by = late_by
+            self.faults.late_writes += writes
+        else:
+            self.faults.lose_writes += writes
+
+    def _combine(self) -> None:
         """Take all troubles together: the worst of each kind."""
-        statuses = [trouble.status for trouble in self.troubles if trouble.status]
+        statuses = [trouble.status for trouble in self._troubles if trouble.status]
         self.faults.refusing = statuses[-1] if statuses else 0
-        self.faults.silent = any(trouble.silent for trouble in self.troubles)
-
-    @property
-    def takes(self) -> float:
-        """Return how much longer an answer takes now, in s."""
-        return max((trouble.takes for trouble in self.troubles), default=0.0)
+        self.faults.silent = any(trouble.silent for trouble in self._troubles)
+        self.takes = max((trouble.takes for trouble in self._troubles), default=0.0)
 
 
 class SoakStore(SiteStore):
--- a/tools/soak/task_checks.py
+++ b/tools/soak/task_checks.py
@@ -30,7 +30,6 @@
 __all__ = ["Leaving", "NotAgain", "OnePlace", "Refusals", "Room", "StepOrder", "TaskCheck"]
 
 SEEN_LEAVING = 4.0  # s after which a worker that drains gets nothing more
-CALM = 8.0  # s after trouble until a drain must have been seen
 
 
 class TaskCheck:
@@ -187,15 +186,14 @@
     def __init__(self) -> None:
         super().__init__()
         self._since: dict[str, float] = {}
-        self._trouble_until = 0.0
+        self._troubled = 0.0
 
     def judge(self, event: Event) -> Iterator[str]:
         match event:
             case Troubled():
-                self._trouble_until = max(self._trouble_until, event.until)
+                self._troubled = event.at
             case Draining():
                 self._since[event.worker] = event.at
             case Started() if event.worker in self._since:
-                since = max(self._since[event.worker], self._trouble_until + CALM - SEEN_LEAVING)
-                if event.at > since + SEEN_LEAVING:
+                if event.at > max(self._since[event.worker], self._troubled) + SEEN_LEAVING:
                     yield f"{event.task} began on {event.worker} long after it drained"
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -16,13 +16,14 @@
 from standins.site.worker import SiteWorker
 from standins.site.worker_core import WorkerCore
 from tools.soak.events import Acknowledged, Draining, Ended, Event, Gone, Joined, Started
+from tools.soak.faults import Mood, WorkerMood
 from tools.soak.jobs import JobPlan
 from toucanpin.http import Request, Response
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.orders import End, Held, Refused, WorkerEntry
 from toucanpin.scheduling.orders import Started as Answer
 
-__all__ = ["Moods", "SoakWorker"]
+__all__ = ["SoakWorker"]
 
 TICK = 0.02  # s between looks at what has ended
 STOPPING = 0.1  # s that a task takes to stop on the worker; the platform allows 0.2
@@ -32,15 +33,6 @@
 Record = Callable[[Event], None]
 
 
-@dataclass(slots=True)
-class Moods:
-    """Say how a worker misbehaves now; each list holds what is under way."""
-
-    late: list[float] = field(default_factory=list)  # s by which orders are carried out late
-    refuses: list[int] = field(default_factory=list)
-    fails: list[bool] = field(default_factory=list)
-
-
 @dataclass(slots=True)
 class _Core(WorkerCore):
     """Carry out orders, and tell of each run when it begins and ends."""
@@ -111,7 +103,7 @@
         record: Record,
         jobs: dict[str, JobPlan],
         before_start: Callable[[], None],
-        moods: Moods,
+        moods: list[WorkerMood],
         slow_clock: bool = False,
     ) -> None:
         super().__init__(store, entry)
@@ -130,7 +122,7 @@
     def advance(self) -> None:
         """End what is due by now."""
         if not self._over:
-            self.core.failing = bool(self._moods.fails)
+            self.core.failing = bool(self._feel(Mood.FAILS))
             self.core.advance(self._now())
 
     async def crash(self) -> None:
@@ -156,6 +148,9 @@
         if not self._over:
             await self._finish()
 
+    def _feel(self, mood: Mood) -> list[float]:
+        return [it.value for it in self._moods if it.mood is mood]
+
     async def _finish(self) -> None:
         self.advance()
         self._over = True
@@ -171,14 +166,14 @@
             await asyncio.sleep(TICK)
 
     async def _handle(self, request: Request) -> Response | None:
-        late = max(self._moods.late, default=0.0)
+        late = max(self._feel(Mood.LATE), default=0.0)
         if late:
             await asyncio.sleep(late)
         if self._over:
             return None
         self.advance()
-        if request.path == "/run-start" and self._moods.refuses:
-            return self._refuse(self._moods.refuses[-1])
+        if request.path == "/run-start" and (statuses := self._feel(Mood.REFUSES)):
+            return self._refuse(int(statuses[-1]))
         answer = await super()._handle(request)
         return None if late or self._over else answer
 
