Keep a starting process when its settings change

Callers lost a host that was just coming: SIGHUP in the first 0.3 s, while modules were loaded, ended the process by the signal's default action. Ruled out: a handler that ends it, since the log had no line. Now the signal is ignored before anything is loaded; the settings are read after that, and run() listens for it as before. What is left: the interpreter's own start, before any of our code.

--- a/toucanpin/entry/__main__.py
+++ b/toucanpin/entry/__main__.py
@@ -2,55 +2,18 @@
 
 from __future__ import annotations
 
-import argparse
-import asyncio
+import signal
 import sys
 
-import logbook
-
-from toucanpin.entry.logs import make_handler
-from toucanpin.entry.root import EntryProcess
-from toucanpin.exception import SettingsError
-from toucanpin.platform.nodefile import read_settings
-
 
 def main() -> int:
     """Run until the host's init ends the process; return the exit code."""
-    options = _parse_options()
-    try:
-        settings = read_settings()
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        return 2
-    handler = make_handler(settings.name)
-    with handler.applicationbound():
-        try:
-            asyncio.run(EntryProcess(settings, options.metrics, handler).run())
-        except Exception:
-            logbook.Logger("entry").exception("process failed", event="process.failed")
-            return 1
-    return 0
-
-
-def _parse_options() -> argparse.Namespace:
-    parser = argparse.ArgumentParser(
-        prog="python -m toucanpin.entry",
-        description="Run an entry host; its settings stand in the file that the host's init names.",
-    )
-    parser.add_argument(
-        "--metrics",
-        type=_parse_metrics,
-        metavar="PORT/PATH",
-        help="where collectors read metrics, for example 9464/metrics; nowhere if it is left out",
-    )
-    return parser.parse_args()
-
+    # Loading the modules takes 0.3 s and more. A change of settings in that time would end the
+    # process by the signal's default action. They are read afterwards, so ignoring it loses nothing.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from toucanpin.entry.program import run
 
-def _parse_metrics(text: str) -> tuple[int, str]:
-    port, _, path = text.partition("/")
-    if not port.isdigit() or not 0 < int(port) < 65_536:
-        raise argparse.ArgumentTypeError(f"{text!r} is no PORT/PATH: the port is 1 to 65535")
-    return int(port), "/" + path
+    return run()
 
 
 if __name__ == "__main__":
