--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -15,28 +15,40 @@
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.queues import CONFIGURATION_KEY, OPERATORS_TABLE, decode_configuration
-from toucanpin.platform.store import Store
-from toucanpin.scheduling.configuration import Configuration, Queue, find_queue
+from toucanpin.platform.store import Row, Store
+from toucanpin.scheduling.configuration import Configuration, Queue, QueueIndex
 
 __all__ = ["ConfigurationWatch"]
 
 _log = logbook.Logger("configuration")
 POLL = 0.6  # s: a version has to be in force 2 s after it was accepted, at 240 ms a read
+LOOK_TIME = 20.0  # s after which a look that nobody waits for is given up
 FRESH = 0.25  # s for which a version that was read may decide that a queue doesn't exist
 
 
 class ConfigurationWatch:
     """Follow the operators' document; a lower version than one in force is never taken."""
 
-    __slots__ = ("_lock", "_store", "_unreadable", "_value", "confirmed", "current")
+    __slots__ = (
+        "_followed",
+        "_index",
+        "_reading",
+        "_store",
+        "_unreadable",
+        "_value",
+        "confirmed",
+        "current",
+    )
 
     def __init__(self, store: Store) -> None:
         self._store = store
-        self._lock = asyncio.Lock()
+        self._index = QueueIndex(())
+        self._reading: asyncio.Task[bool] | None = None
+        self._followed = 0  # the store's version up to which the operators' rows are known here
         self._value = b""
         self._unreadable: bytes | None = None
         self.current: Configuration | None = None
-        self.confirmed = 0.0  # local time at which the newest successful read was sent
+        self.confirmed = 0.0  # local time at which the newest successful look was sent
 
     async def run(self) -> None:
         """Poll for ever."""
@@ -44,54 +56,108 @@
             await self.refresh()
             await asyncio.sleep(POLL)
 
-    async def refresh(self, age: float = 0.0) -> bool:
-        """Read the document unless that was done within ``age`` seconds; return whether it is."""
-        if age and steady_time() - self.confirmed <= age:
-            return True
-        async with self._lock:
-            if age and steady_time() - self.confirmed <= age:
-                return True
-            sent_at = steady_time()
-            end = CONFIGURATION_KEY + "\0"
-            try:
-                page = await self._store.read(OPERATORS_TABLE, "", CONFIGURATION_KEY, end)
-            except (CallError, PlatformError) as error:
-                _log.warning("configuration not read", event="configuration.unread", reason=error)
-                return False
-            if page.rows and not self._take(page.rows[0].value):
+    async def refresh(self, age: float = 0.0, patience: float = LOOK_TIME) -> bool:
+        """
+        Look for changes unless that was done within ``age`` seconds; return whether it is.
+
+        It isn't after ``patience`` seconds.
+        """
+        try:
+            async with asyncio.timeout(max(0.0, patience)):
+                return await self._refresh(age)
+        except TimeoutError:
+            return False
+
+    async def _refresh(self, age: float) -> bool:
+        wanted = steady_time() - age
+        while self.confirmed < wanted:
+            # All who ask at a time share one look.  One after the other they waited for each
+            # other's: where a look took its whole time-out, the last of a queue waited for 38 s.
+            if self._reading is None or self._reading.done():
+                self._reading = asyncio.ensure_future(self._look())
+            if not await asyncio.shield(self._reading):
                 return False
-            self.confirmed = sent_at
-            return True
-
-    async def find(self, host: str, path: str) -> Queue | None:
-        """Return the queue of a request; that there is none is said of a fresh version only."""
-        if self.current is not None:
-            queue = find_queue(self.current, host, path)
-            if queue is not None:
-                return queue
-        await self.refresh(FRESH)
-        return find_queue(self.current, host, path) if self.current else None
-
-    def _take(self, value: bytes) -> bool:
-        """Put a document in force unless it is old; return whether it could be read."""
+        return True
+
+    async def _look(self) -> bool:
+        """Take what has changed; return whether the document in force is known to be the newest."""
+        sent_at = steady_time()
+        try:
+            value = await self._read_changed()
+        except (CallError, PlatformError) as error:
+            _log.warning("configuration not read", event="configuration.unread", reason=error)
+            return False
+        if value is not None:
+            self._take(value)
+        if self._unreadable is not None:
+            return False
+        self.confirmed = sent_at
+        return True
+
+    async def _read_changed(self) -> bytes | None:
+        """
+        Return the document if it may have changed since the last look.
+
+        Read whole each time, a document of 1,400 queues took all that a link of 5 Mbit/s carries.
+        Asked for what has changed, the store answers with a few bytes.
+        """
+        if self._followed:
+            page = await self._store.follow(OPERATORS_TABLE, self._followed, 0.0)
+            if page is not None:
+                self._followed = max(self._followed, page.version)
+                found = [row for row in page.rows if _is_document(row)]
+                return found[-1].value if found else None
+        end = CONFIGURATION_KEY + "\0"
+        page = await self._store.read(OPERATORS_TABLE, "", CONFIGURATION_KEY, end)
+        self._followed = page.version
+        return page.rows[0].value if page.rows else None
+
+    async def find(self, host: str, path: str, patience: float) -> Queue | None:
+        """
+        Return the queue of a request; that there is none is said of a fresh version only.
+
+        The look at one takes ``patience`` seconds at most.
+        """
+        queue = self._index.find(host, path)
+        if queue is None:
+            await self.refresh(FRESH, patience)
+            queue = self._index.find(host, path)
+        return queue
+
+    def has_queue(self, name: str) -> bool:
+        """Tell whether the configuration in force has a queue of a name."""
+        return self._index.has(name)
+
+    def apply(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        self.current = configuration
+        self._index = QueueIndex(configuration.queues)
+
+    def _take(self, value: bytes) -> None:
+        """Put a document in force unless it is old or can't be read."""
         if value == self._value:
-            return True
+            self._unreadable = None
+            return
         if value == self._unreadable:
-            return False
+            return
         try:
             configuration = decode_configuration(value)
         except PlatformError as error:
             self._unreadable = value
             _log.error("configuration unreadable", event="configuration.unreadable", reason=error)
-            return False
+            return
+        self._unreadable = None
         if self.current is not None and configuration.version <= self.current.version:
-            return True
+            return
         self._value = value
-        self.current = configuration
+        self.apply(configuration)
         _log.info(
             "configuration in force",
             event="configuration.applied",
             version=configuration.version,
             queues=len(configuration.queues),
         )
-        return True
+
+
+def _is_document(row: Row) -> bool:
+    return row.key == CONFIGURATION_KEY and not row.part and not row.deleted
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -14,12 +14,14 @@
 import struct
 import time
 from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, urlsplit
 
 import logbook
 
-from toucanpin.entry.metrics import STORE_CALLS
+from toucanpin.entry.metrics import STORE_BYTES, STORE_CALLS
 from toucanpin.exception import WireError
 from toucanpin.http import Answer, CallError, Client
+from toucanpin.http.client import MAX_ANSWER
 from toucanpin.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -33,8 +35,12 @@
 STORE = "store"
 ADVICE = "advice"
 _LENGTH = struct.Struct(">I")
-MAX_FRAME = 1_048_576  # bytes, of the inner protocol
+# Whatever the store may answer has to pass: a host that it turns away kept an old configuration.
+MAX_FRAME = MAX_ANSWER + 65_536  # bytes, of the inner protocol; what is around an answer besides
 DIRECT_TIMEOUT = 1.0  # s of a direct try before a peer is asked; a slow store takes 0.6 s
+# A configuration of 4,200 queues has some 1.4 MB (by the bytes that hosts took in), which a link of
+# 5 Mbit/s carries in over two seconds.
+ARRIVING = 6.0  # s that an answer may take that keeps arriving
 LONGEST_BRIEF = 2.5  # s that calls other than watches may take
 PROBE = 0.5  # s between direct tries while peers are used
 PROBE_TIMEOUT = 0.4  # s
@@ -92,9 +98,12 @@
                 min(timeout, DIRECT_TIMEOUT) if brief and self._may_relay() else timeout
             )
             try:
-                answer = await self._direct.call(method, path, body, timeout=direct_timeout)
+                answer = await self._direct.call(
+                    method, path, body, timeout=direct_timeout, arriving=ARRIVING
+                )
                 if answer.status not in _REFUSED:
                     STORE_CALLS.add(1, {"outcome": "answered"})
+                    STORE_BYTES.add(len(answer.body), {"table": _find_table(path)})
                     return answer
                 STORE_CALLS.add(1, {"outcome": "refused"})
                 refusal = answer
@@ -112,6 +121,7 @@
                 answer = await self._relay(peer, method, path, body, deadline - time.monotonic())
                 if answer.status not in _REFUSED:
                     STORE_CALLS.add(1, {"outcome": "relayed"})
+                    STORE_BYTES.add(len(answer.body), {"table": _find_table(path)})
                     self._rests_until = 0.0
                     return answer
                 refusal = answer
@@ -299,6 +309,12 @@
     raise CallError(Verdict.MAY_HAVE_RUN, f"{peer.name} answered something else")
 
 
+def _find_table(path: str) -> str:
+    """Return the table that a call reads, empty for a transaction."""
+    query = parse_qs(urlsplit(path).query)
+    return query.get("table", [""])[0]
+
+
 async def _read_frame(reader: asyncio.StreamReader) -> bytes:
     (size,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
     if not 0 < size <= MAX_FRAME:
--- a/toucanpin/entry/tests/test_waves.py
+++ b/toucanpin/entry/tests/test_waves.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from standins.site.machines import SiteMachines
-from standins.site.site import Site, free_port
+from standins.site.site import JOB, PREFIX, Site, free_port
 
 
 class WavesTest(unittest.IsolatedAsyncioTestCase):
@@ -62,6 +62,59 @@
         self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
         self.assertEqual({"m1": 0}, self.machines.through)
 
+    async def test_a_worker_gets_nothing_while_an_order_to_its_machine_may_come(self) -> None:
+        """
+        The machines' platform turns orders away for a while.  A worker was emptied and its machine
+        written down as ordered, and from the next turn on it got tasks again.  The order that came
+        through at last ended them.
+        """
+        self.machines.refuse_orders = 4
+        self._ask("m1")
+        self.assertTrue(await self.site.until(lambda: self.machines.refused))
+        await self.site.submit(count=3, antiAffinity=1)
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertEqual({"m1": 0}, self.machines.through)
+
+    async def test_a_machine_that_is_down_by_itself_is_not_ordered_beside_another(self) -> None:
+        """
+        A machine of the record is down after a crash, and another one of the wave is ready to go.
+        Orders went to both: the one that comes back just then has new tasks, which nobody emptied.
+        """
+        self.machines.states["m1"] = "down"
+        record = msgspec.msgpack.encode([0, {"m1": "a worker before"}, [], False])
+        self.site.store.put("waves", "1", record)
+        self._ask("m1", "m2", cap=2)
+        self.assertTrue(await self.site.until(lambda: "m2" in self.machines.through))
+        self.assertEqual({"m2"}, {machine for machine, _, _ in self.machines.holders})
+
+    async def test_a_wave_that_is_withdrawn_leaves_no_worker_closed(self) -> None:
+        """
+        Operators withdraw a wave while a worker is being emptied for it.  The worker was kept from
+        new tasks for as long as its owner lived.
+        """
+        await self.site.submit(count=3, antiAffinity=1)
+        runs = [worker.core.runs for worker in self.site.workers]
+        self.assertTrue(await self.site.until(lambda: all(runs)))
+        self._ask("m1")
+        self.assertTrue(await self.site.until(lambda: self._state() == "active"))
+        self.site.store.drop("op", "wave/1")
+        await self.site.call("DELETE", PREFIX + JOB)
+        self.assertTrue(await self.site.until(lambda: not any(runs)))
+        other = "00000000000000a2"
+        await self.site.submit(other, count=3, antiAffinity=1)
+        self.assertTrue(await self.site.until(lambda: all(runs)))
+
+    async def test_a_machine_that_one_list_misses_is_not_taken_for_gone(self) -> None:
+        """
+        Operators read that a wave is completed while a machine of it runs on as it was.  A list of
+        machines has several pages, each of another moment: a machine that changed its place between
+        two of them stands in neither, and was counted as gone for good.
+        """
+        self.machines.missed["m1"] = 1
+        self._ask("m1", "m2")
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertEqual({"m1": 0, "m2": 0}, self.machines.through)
+
     async def test_a_machine_that_crashed_before_its_order_is_ordered_again(self) -> None:
         """
         An owner writes down that a machine goes, and is killed with the order unsent.  The machine
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -9,7 +9,7 @@
 
 import enum
 
-from toucanpin.scheduling.cell import Cell, Group, Now
+from toucanpin.scheduling.cell import Cell, Group, Now, note_begun
 from toucanpin.scheduling.ending import end_run, stop_run
 from toucanpin.scheduling.holding import lease_end
 from toucanpin.scheduling.orders import Refused, Started
@@ -33,6 +33,10 @@
 
 def plan_start(cell: Cell, worker: Worker, run: Run, now: Now) -> int:
     """Return the lease's end for a start on the worker's clock, 0 if it must not be sent now."""
+    if worker.silent and not run.ordered_at:
+        # Nothing was ever sent, so nothing can run there: the task needn't wait for the lease.
+        end_run(cell, worker, run, now)
+        return 0
     until = lease_end(cell, now)
     if worker.silent or until - now.steady < SHORTEST_LEASE:
         return 0
@@ -49,6 +53,7 @@
             run.phase = Phase.RUNNING
             run.started_at = run.moved_at = now.steady
             run.unsure = False
+            note_begun(cell, run.task.job)
             return Next.SETTLED
         case Refused.FENCED:
             return Next.FENCED
