--- a/toucanpin/scheduling/tests/test_failures.py
+++ b/toucanpin/scheduling/tests/test_failures.py
@@ -109,6 +109,42 @@
 
 
 class SilentWorkerTest(unittest.TestCase):
+    def test_an_end_that_is_heard_after_the_lease_counts_while_the_task_waits(self) -> None:
+        """
+        A worker is cut off, and its task is done before the lease ends.  The owner gives the run up
+        with the lease, and the task waits for room elsewhere as the worker is heard again.  The end
+        was acknowledged and left out, so the task ran a second time though it was done.
+        """
+        fleet = Fleet(workers=1)
+        fleet.submit(make_job())
+        fleet.run(0.3)
+        fleet.workers["w0"].silent = True
+        fleet.run(AUTHORITY + 6.0)
+        fleet.workers["w0"].silent = False
+        fleet.run(5.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertEqual(1, len(fleet.workers["w0"].starts))
+
+    def test_an_end_that_is_heard_late_stops_a_start_that_was_not_sent(self) -> None:
+        """
+        As before, but the task has just got another place, which the table doesn't know yet.
+        Nothing was sent, so the place is given back and the task isn't started again.
+        """
+        fleet = Fleet(workers=1)
+        fleet.submit(make_job())
+        fleet.run(0.3)
+        fleet.workers["w0"].silent = True
+        fleet.run(AUTHORITY + 6.0)
+        fleet.add_worker("w1")
+        fleet.store_up = False
+        fleet.run(0.2)
+        fleet.workers["w0"].silent = False
+        fleet.run(0.2)
+        fleet.store_up = True
+        fleet.run(2.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertFalse(fleet.workers["w1"].starts)
+
     def test_a_task_moves_only_after_the_lease_of_a_silent_worker(self) -> None:
         """
         A worker is cut off and works on.  Started elsewhere at once the task would run twice;
