Count an end that is heard after its lease, while the task still waits

A caller's task ran a second time though it was done: its worker had been cut off until the lease ended, the owner gave the run up, and the end that was listed later was acknowledged and left out, since only copies' ends counted without a run. Ruled out: a lost write (the owner's rows were whole) and a late order (task.placed with attempt 2 came 0.3 to 0.8 s after the end was heard). Now such an end makes the task done while it waits or has a place to which nothing was sent, for a gang only if all of it does. A start that may have been sent goes on, as before.

--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -54,7 +54,7 @@
     if run is not None and run.attempt == ended.attempt:
         finish_run(cell, worker, run, ended.end, ended.checkpoint, now)
     elif ended.end is End.DONE:
-        _take_copy_done(cell, ended.task, now)
+        _take_late_done(cell, ended.task, now)
 
 
 def finish_run(cell: Cell, worker: Worker, run: Run, end: End, checkpoint: str, now: Now) -> None:
@@ -198,15 +198,39 @@
             member.state = TaskState.LEAVING
 
 
-def _take_copy_done(cell: Cell, task: TaskKey, now: Now) -> None:
-    """Take note that a copy is done that isn't followed: an earlier owner began it."""
+def _take_late_done(cell: Cell, task: TaskKey, now: Now) -> None:
+    """
+    Take note that a run is done that isn't followed: its lease ended, or an earlier owner began it.
+
+    The end is acknowledged, so the worker forgets it.  Left out, a task that waits for another
+    place would run once more though it was done.  A start that may have been sent goes on.
+    """
     live = cell.jobs.get(task.job)
     record = find_record(live, task) if live else None
     if live is None or record is None or record.state == TaskState.DONE:
         return
-    if live.job.steps[task.step].speculative and not JobState(live.progress.state).ended:
-        _finish_task(cell, live, task, record, now)
-        mark_dirty(cell, live)
+    step = live.job.steps[task.step]
+    if step.lasting or JobState(live.progress.state).ended:
+        return
+    if not step.speculative:
+        _take_back(cell, live, task)
+        members = _list_records(live, task) if step.gang else [record]
+        if any(member.state != TaskState.WAITING for member in members):
+            return
+    _finish_task(cell, live, task, record, now)
+    mark_dirty(cell, live)
+
+
+def _take_back(cell: Cell, live: LiveJob, task: TaskKey) -> None:
+    """Give back places of a task, and of its gang, to which nothing was sent."""
+    for run in list_runs(cell, live):
+        same = run.task == task or (run.step.gang and _same_step(run.task, task))
+        if same and run.phase is Phase.PLACED:
+            stop_run(cell, run, "done before")
+
+
+def _same_step(task: TaskKey, other: TaskKey) -> bool:
+    return (task.occurrence, task.step) == (other.occurrence, other.step)
 
 
 def _finish_copy(
