Show that batch work is stopped for a place on a failing worker

A batch task that harms its neighbour is moved if another worker could take it without harm. A worker that fails whatever it starts is empty, so it was always the better one: the task lost its work and found no place. The test fails on the code as it is.

--- a/toucanpin/scheduling/tests/test_sharing.py
+++ b/toucanpin/scheduling/tests/test_sharing.py
@@ -103,6 +103,23 @@
         self.assertIsInstance(self.cell.orders[0], PaceOrder)
         self.assertLess(run.pace, 100)
 
+    def test_a_task_does_not_leave_for_a_worker_that_fails_what_it_starts(self) -> None:
+        """
+        A batch task harms its neighbour and can't resume.  The only better place is a worker that
+        is empty since it fails whatever it starts.  The task was stopped for it, lost its work and
+        found no place.
+        """
+        step = Step(cpu=6_000, fills=True, image="batch")
+        self._add("w0", "s", SERVES, 0, _tail(0.79))
+        run = self._add("w0", "b", step, 0, 6_000)
+        run.percent = 10
+        failing = self.cell.workers["w1"]
+        failing.failed_jobs = {"x", "y"}
+        failing.suspect_until = 12.0
+        self._observe(10.0)
+        control_pace(self.cell, self.sharing, _now(10.3))
+        self.assertIsInstance(self.cell.orders[0], PaceOrder)
+
     def test_what_is_thought_harmless_leaves_too_before_the_limit(self) -> None:
         """
         A user of the service waits.  The estimates say that the neighbours cost nothing, and the
