Give a worker that fails what it starts nothing for a while

Callers saw urgent and batch jobs fail by the dozen for six seconds, while lasting ones were fine. On a full fleet a worker that fails within milliseconds has the only room. It was merely the last choice, so it got every task that waited, the same one two or three times in a fifth of a second, and jobs ended as failed with 160 sound workers in the fleet. Ends of tasks that had begun before the trouble made it trusted again each time.

A worker on which tasks of two jobs fail, without one done that began later, now gets nothing for three seconds and then one task at a time until it does one. Two jobs, since one alone may itself be hopeless; a lasting task that fails after two seconds tells nothing of its worker. A task that failed isn't tried where others fail as long as a sound worker could run it, and room is made for it elsewhere; it goes there all the same if there is no other. Ruled out: a full stop after one failure, since one task in forty fails by its own fault.

--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -83,6 +83,7 @@
     PAUSED = "pauses after a failure"
     GANG = "not all of a gang find room"
     NO_ADVICE = "no ticket"
+    FAILING = "room only where tasks fail"
 
 
 @dataclass(slots=True)
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -12,10 +12,11 @@
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
-from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.prediction import Heat, heat_worker, predict_rise, predict_share
 from toucanpin.scheduling.sharing import Sharing
-from toucanpin.scheduling.worker import Worker, has_room
+from toucanpin.scheduling.trust import is_doubted, is_trusted
+from toucanpin.scheduling.worker import Worker, fits_whole, has_room
 
 __all__ = [
     "RESERVE",
@@ -24,7 +25,9 @@
     "fits_rules",
     "leaves_reserve",
     "list_able",
+    "list_safe",
     "may_last",
+    "risks_attempt",
 ]
 
 CONTACT = 2.5  # s without an answer after which a worker gets nothing new
@@ -99,7 +102,11 @@
     def _weigh(self, number: int) -> tuple[float, int, Worker] | None:
         worker = self._able[number]
         step = self._step
-        if not _may_run(worker, self._group, step) or _is_kept(worker, self._live, self._round.now):
+        now = self._round.now
+        if not _may_run(worker, self._group, step) or _is_kept(worker, self._live, now):
+            return None
+        # Its trial may have got a task earlier in this round.
+        if not is_trusted(worker, now):
             return None
         if step.fills:
             cost = _weigh_filling(self._round, worker, step)
@@ -108,7 +115,7 @@
         if cost is None:
             return None
         rack = self._live.racks.get(self._group, "")
-        return cost + _weigh_place(worker, step, rack, self._round.now), number, worker
+        return cost + _weigh_place(worker, step, rack, now), number, worker
 
 
 def list_able(cell: Cell, now: Now) -> list[Worker]:
@@ -144,10 +151,44 @@
         and not worker.strangers
         and not worker.closing_since
         and now.steady >= worker.full_until
+        and is_trusted(worker, now)
         and now.steady - worker.answered_at < CONTACT
     )
 
 
+def risks_attempt(
+    live: LiveJob, task: TaskKey, worker: Worker, able: Iterable[Worker], now: Now
+) -> bool:
+    """
+    Tell whether a task that has failed would be tried where tasks fail, though others could run it.
+
+    On a full fleet a failing worker has the only room, and took all attempts of a task in a row.
+    """
+    if worker.suspect_until <= now.steady and not is_doubted(worker):
+        return False
+    step = live.job.steps[task.step]
+    failures = _count_failures(live, task)
+    if step.lasting or not failures:
+        return False
+    last = failures >= live.job.max_failures - 1
+    if worker.suspect_until <= now.steady and not last:
+        return False
+    group = Group(task.job, task.occurrence, task.step)
+    return any(
+        other.suspect_until <= now.steady
+        and fits_whole(other, step)
+        and fits_rules(other, group, step)
+        for other in able
+    )
+
+
+def list_safe(live: LiveJob, task: TaskKey, able: list[Worker], now: Now) -> list[Worker]:
+    """Return the workers on which a task may be tried after what became of it before."""
+    if not _count_failures(live, task):
+        return able
+    return [worker for worker in able if not risks_attempt(live, task, worker, able, now)]
+
+
 def fits_rules(worker: Worker, group: Group, step: Step) -> bool:
     """Tell whether a worker may run a task of a step, if it has room."""
     if step.label and step.label not in worker.entry.labels:
@@ -168,6 +209,11 @@
     return worker.cpu + step.cpu <= (1 - RESERVE) * worker.entry.cpu
 
 
+def _count_failures(live: LiveJob, task: TaskKey) -> int:
+    records = live.progress.tasks[task.occurrence]
+    return records[live.offsets[task.step] + task.index].failures
+
+
 def _count_group(worker: Worker, group: Group) -> int:
     return sum(
         run.task.job == group.job
@@ -181,7 +227,7 @@
     """Return what a worker's state and its distance from data and siblings cost."""
     cost = 0.0
     if worker.suspect_until > now.steady:
-        cost += SUSPECT + worker.failures
+        cost += SUSPECT + len(worker.failed_jobs)
     if step.rack and step.rack != worker.rack:
         cost += FAR
     if rack and rack != worker.rack:
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -21,6 +21,7 @@
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.orders import End, Ended, StopOrder
 from toucanpin.scheduling.progress import JobState, TaskRecord, TaskState
+from toucanpin.scheduling.trust import BRIEF_LIFE, note_done, note_failed
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = [
@@ -35,19 +36,15 @@
     "wait_again",
 ]
 
-SUSPICION = 3.0  # s that a worker is avoided after failures; a day's failing workers last 4 to 7 s
 RETRY_DELAY = 0.25  # s before a lasting task that failed is placed again, so a loop can't spin
-# One that ran for longer can't spin.  It goes back at once: on a full fleet another task would take
-# its place within the delay.
-BRIEF_LIFE = 2.0  # s
 
 
 def apply_end(cell: Cell, worker: Worker, ended: Ended, now: Now) -> None:
     """Take note of an end that a worker lists."""
     cell.ends[worker.entry.id] = max(cell.ends.get(worker.entry.id, 0), ended.sequence)
-    _judge_worker(worker, ended.end, now)
     run = worker.runs.get(ended.task)
     if run is not None and run.attempt == ended.attempt:
+        _judge_worker(worker, run, ended.end, now)
         finish_run(cell, worker, run, ended.end, ended.checkpoint, now)
     elif ended.end is End.DONE:
         _take_copy_done(cell, ended.task, now)
@@ -85,6 +82,8 @@
                 end_job(cell, live, JobState.FAILED, now)
                 return
         case End.FAILED | End.DONE:
+            # One that ran for longer can't spin.  It goes back at once: on a full fleet another
+            # task would take its place within the delay.
             if now.steady < run.started_at + BRIEF_LIFE:
                 cell.delayed[run.task] = now.steady + RETRY_DELAY
     wait_again(cell, run)
@@ -266,12 +265,9 @@
     return live.progress.tasks[task.occurrence][start : start + count]
 
 
-def _judge_worker(worker: Worker, end: End, now: Now) -> None:
-    """Avoid a worker that fails tasks: failing fast frees its room, which attracts more of them."""
+def _judge_worker(worker: Worker, run: Run, end: End, now: Now) -> None:
     match end:
         case End.DONE:
-            worker.failures = 0
-            worker.suspect_until = 0.0
+            note_done(worker, run)
         case End.FAILED:
-            worker.failures += 1
-            worker.suspect_until = now.steady + SUSPICION
+            note_failed(worker, run, now)
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -13,6 +13,7 @@
 from toucanpin.scheduling.choosing import fits_rules, list_able
 from toucanpin.scheduling.ending import list_members, stop_gang, stop_run, wait_again
 from toucanpin.scheduling.progress import JobState, TaskState
+from toucanpin.scheduling.trust import note_failed
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
 
 __all__ = ["move_tasks"]
@@ -59,7 +60,7 @@
     if run.step.gang and not _is_whole(cell, run):
         _judge_gang(cell, run, now)
     elif _stands_still(run):
-        worker.suspect_until = now.steady + SUSPICION
+        note_failed(worker, run, now, SUSPICION)
         _leave(cell, run, "stands still")
 
 
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -24,7 +24,9 @@
     Round,
     fits_rules,
     list_able,
+    list_safe,
     may_last,
+    risks_attempt,
 )
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.preempting import Freed, free_room
@@ -138,7 +140,8 @@
         if cell.delayed.get(task, 0.0) > now.steady:
             continue
         lenient = step.lasting and _may_take_last(cell, live, group, index, now)
-        if not free_room(cell, group, step, able, freed, now, lenient):
+        safe = list_safe(live, task, able, now)
+        if not free_room(cell, group, step, safe, freed, now, lenient):
             return
 
 
@@ -160,6 +163,9 @@
             _note_wait(cell, group, _find_reason(live, step, able), now)
             _note_barren(cell, live, step, now)
             return
+        if risks_attempt(live, task, worker, able, now):
+            _note_wait(cell, group, WaitReason.FAILING, now)
+            continue
         if step.lasting and not (
             may_last(able, group, step) or _may_take_last(cell, live, group, index, now)
         ):
--- a/toucanpin/scheduling/tests/test_preempting.py
+++ b/toucanpin/scheduling/tests/test_preempting.py
@@ -64,6 +64,23 @@
         self.fleet.run(0.5)
         self.assertTrue(any(TaskKey("urgent", 0, 0, 0) in w.runs for w in self._workers()))
 
+    def test_room_is_made_for_a_task_that_failed_where_tasks_do_not_fail(self) -> None:
+        """
+        An urgent task has failed on a worker that fails what it starts.  It isn't tried there
+        again, and the other worker is full of patient tasks.  The failing worker's room counted as
+        room, so nothing gave way and the urgent task waited for seconds.
+        """
+        slow = make_job("slow", (Step(count=4, cpu=2_000),), priority=2, max_failures=9)
+        self.fleet.submit(slow)
+        self.fleet.run(1.0)
+        bad = self.fleet.add_worker("bad", 2_000)
+        bad.failing = True
+        urgent = make_job("urgent", (Step(cpu=2_000),), priority=0, max_failures=3)
+        self.fleet.submit(urgent)
+        self.fleet.run(1.0)
+        self.assertEqual(1, sum(task.job == "urgent" for task, _ in bad.starts))
+        self.assertTrue(self._is_running("urgent"))
+
     def _workers(self):  # noqa: ANN202
         return self.fleet.workers.values()
 
--- /dev/null
+++ b/toucanpin/scheduling/trust.py
@@ -0,0 +1,61 @@
+"""
+Trust in workers
+================
+
+Which workers may be given tasks, by what became of those that they were given before.
+"""
+
+from __future__ import annotations
+
+from toucanpin.scheduling.cell import Now
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+__all__ = ["BRIEF_LIFE", "is_doubted", "is_trusted", "note_done", "note_failed"]
+
+SUSPICION = 3.0  # s that a worker is avoided after failures; a day's failing workers last 4 to 7 s
+DOUBTED = 2  # jobs whose tasks failed in a row; one alone may itself be at fault
+BRIEF_LIFE = 2.0  # s that a lasting task has to work for its failure to be its own
+TRIAL = 1.0  # s that one task is watched before a doubted worker gets the next
+
+
+def note_failed(worker: Worker, run: Run, now: Now, avoided: float = SUSPICION) -> None:
+    """Take note that a task failed or stood still on a worker."""
+    worker.suspect_until = max(worker.suspect_until, now.steady + avoided)
+    # A lasting task may fail at any time; only one that fails at its start tells of its worker.
+    if run.step.lasting and now.steady > run.ordered_at + BRIEF_LIFE:
+        return
+    worker.failed_jobs.add(run.task.job)
+    worker.failed_at = now.steady
+
+
+def note_done(worker: Worker, run: Run) -> None:
+    """Take note that a worker has done a task; one that began before a failure proves nothing."""
+    if run.ordered_at > worker.failed_at:
+        worker.failed_jobs.clear()
+        worker.suspect_until = 0.0
+
+
+def is_doubted(worker: Worker) -> bool:
+    """Tell whether tasks of several jobs have failed on a worker since it did one."""
+    return len(worker.failed_jobs) >= DOUBTED
+
+
+def is_trusted(worker: Worker, now: Now) -> bool:
+    """
+    Tell whether a worker may get a task.
+
+    A worker that fails whatever it starts is soon the only one with room on a full fleet: it used
+    up all attempts of job after job within a tenth of a second each.  So it gets nothing for a
+    while, and then one task at a time until it does one.
+    """
+    if not is_doubted(worker):
+        return True
+    if now.steady < worker.suspect_until:
+        return False
+    return not any(_is_on_trial(worker, run, now) for run in worker.runs.values())
+
+
+def _is_on_trial(worker: Worker, run: Run, now: Now) -> bool:
+    if run.phase is Phase.PLACED:
+        return True
+    return run.ordered_at > worker.failed_at and now.steady < run.ordered_at + TRIAL
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -17,6 +17,7 @@
     "Phase",
     "Run",
     "Worker",
+    "fits_whole",
     "grant_deadline",
     "has_room",
     "release_run",
@@ -97,7 +98,8 @@
     closing_since: float = 0.0  # it is being emptied for the upkeep of its machine
     slowed_at: float = 0.0  # when what fills was last slowed or moved
     learned_at: float = 0.0  # when effects were last learned from its measurements
-    failures: int = 0
+    failed_jobs: set[str] = field(default_factory=set)  # whose tasks failed since it did one
+    failed_at: float = 0.0
     strangers: frozenset[TaskKey] = frozenset()
 
     @property
@@ -116,6 +118,16 @@
     return step.fills or worker.cpu + step.cpu <= entry.cpu
 
 
+def fits_whole(worker: Worker, step: Step) -> bool:
+    """Tell whether a task of a step fits a worker that runs nothing."""
+    entry = worker.entry
+    return (
+        step.memory <= entry.memory
+        and step.accelerators <= entry.accelerators
+        and step.cpu <= entry.cpu
+    )
+
+
 def reserve_run(worker: Worker, run: Run) -> None:
     """Take the room of a run."""
     worker.runs[run.task] = run
