--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -37,6 +37,7 @@
     take_started,
     take_stopped,
 )
+from toucanpin.scheduling.trust import is_doubted
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = ["CellWorkers"]
@@ -115,7 +116,11 @@
                 raise DeposedError(f"worker {identifier} refused: {answer.value}")
             now = self._clocks.now()
             _log_ends(worker, answer.ended)
+            doubted = is_doubted(worker)
             take_answer(self._cell, worker, answer, sent_at, now)
+            if is_doubted(worker) and not doubted:
+                jobs = sorted(worker.failed_jobs)
+                _log.warning("tasks fail", event="worker.doubted", worker=identifier, jobs=jobs)
             learn_effects(self._sharing, worker, now)
             self._changed()
             await self._wait_for_writes(worker)
