Move no batch task for a place on a failing worker

A batch task that harms its neighbour and can't resume is stopped if another worker could take it without harm. Any worker that was reached counted, also one that fails what it starts, is doubted or is being emptied for upkeep; such a one is empty and so always better. Only workers that may get something new and aren't suspect count now. The test that failed passes.

--- a/toucanpin/scheduling/pacing.py
+++ b/toucanpin/scheduling/pacing.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.choosing import list_able
 from toucanpin.scheduling.ending import stop_run
 from toucanpin.scheduling.learning import measure_loads
 from toucanpin.scheduling.orders import PaceOrder
@@ -136,7 +137,9 @@
             continue
         excess -= cost * (current - max(0, wanted)) / 100
         if _moves_freely(run) or (
-            wanted < LOWEST_PACE and run.percent < 30 and _has_better(cell, sharing, worker, run)
+            wanted < LOWEST_PACE
+            and run.percent < 30
+            and _has_better(cell, sharing, worker, run, now)
         ):
             stop_run(cell, run, "harms what serves")
         else:
@@ -159,10 +162,14 @@
                 break
 
 
-def _has_better(cell: Cell, sharing: Sharing, worker: Worker, run: Run) -> bool:
-    """Tell whether another worker could take a task without harm."""
-    for other in cell.workers.values():
-        if other is worker or not other.reached or other.silent or not other.entry.ready:
+def _has_better(cell: Cell, sharing: Sharing, worker: Worker, run: Run, now: Now) -> bool:
+    """
+    Tell whether another worker could take a task without harm.
+
+    One that fails what it starts is empty, and would always be the better place.
+    """
+    for other in list_able(cell, now):
+        if other is worker or other.suspect_until > now.steady:
             continue
         if not has_room(other, run.step):
             continue
