--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -24,7 +24,9 @@
     Round,
     fits_rules,
     list_able,
+    list_safe,
     may_last,
+    risks_attempt,
 )
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.preempting import Making, Openings
@@ -141,6 +143,11 @@
         lenient = step.lasting and _may_take_last(cell, live, group, index, now)
         if making.is_hopeless(step, lenient):
             return
+        safe = list_safe(live, task, able, now)
+        if len(safe) < len(able):
+            # What has failed is tried in fewer places, which tells nothing of its siblings.
+            Openings(cell, group, step, safe, making, now, lenient).take()
+            continue
         if lenient not in openings:
             openings[lenient] = Openings(cell, group, step, able, making, now, lenient)
         if not openings[lenient].take():
@@ -176,6 +183,9 @@
             note_barren(cell, live, step, now)
             note_shortage(round_, live, step, reason)
             return
+        if risks_attempt(live, task, worker, able, now):
+            _note_wait(cell, group, WaitReason.FAILING, now)
+            continue
         if not bold and not may_last(able, group, step):
             _note_wait(cell, group, WaitReason.RESERVED, now)
             note_shortage(round_, live, step, WaitReason.RESERVED)
