Follow the workers' entries by what has changed

An owner of 246 workers took in 387 KB/s on a calm fleet, reading all their entries twice a second: on a weak host's link answers of the workers came late behind them. Entries and the operators' document are followed by one class now, which reads a range whole once and then what has changed, and whole again where the history is gone.

--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -12,10 +12,11 @@
 import logbook
 
 from toucanpin.entry.clocks import steady_time
+from toucanpin.entry.followed import FollowedRows
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.queues import CONFIGURATION_KEY, OPERATORS_TABLE, decode_configuration
-from toucanpin.platform.store import Row, Store
+from toucanpin.platform.store import Store
 from toucanpin.scheduling.configuration import Configuration, Queue, QueueIndex
 
 __all__ = ["ConfigurationWatch"]
@@ -33,7 +34,6 @@
         "_followed",
         "_index",
         "_reading",
-        "_store",
         "_unreadable",
         "_value",
         "confirmed",
@@ -41,10 +41,10 @@
     )
 
     def __init__(self, store: Store) -> None:
-        self._store = store
         self._index = QueueIndex(())
         self._reading: asyncio.Task[bool] | None = None
-        self._followed = 0  # the store's version up to which the operators' rows are known here
+        end = CONFIGURATION_KEY + "\0"
+        self._followed = FollowedRows(store, OPERATORS_TABLE, CONFIGURATION_KEY, end)
         self._value = b""
         self._unreadable: bytes | None = None
         self.current: Configuration | None = None
@@ -83,35 +83,18 @@
         """Take what has changed; return whether the document in force is known to be the newest."""
         sent_at = steady_time()
         try:
-            value = await self._read_changed()
+            await self._followed.update()
         except (CallError, PlatformError) as error:
             _log.warning("configuration not read", event="configuration.unread", reason=error)
             return False
-        if value is not None:
-            self._take(value)
+        row = self._followed.rows.get(CONFIGURATION_KEY)
+        if row is not None:
+            self._take(row.value)
         if self._unreadable is not None:
             return False
         self.confirmed = sent_at
         return True
 
-    async def _read_changed(self) -> bytes | None:
-        """
-        Return the document if it may have changed since the last look.
-
-        Read whole each time, a document of 1,400 queues took all that a link of 5 Mbit/s carries.
-        Asked for what has changed, the store answers with a few bytes.
-        """
-        if self._followed:
-            page = await self._store.follow(OPERATORS_TABLE, self._followed, 0.0)
-            if page is not None:
-                self._followed = max(self._followed, page.version)
-                found = [row for row in page.rows if _is_document(row)]
-                return found[-1].value if found else None
-        end = CONFIGURATION_KEY + "\0"
-        page = await self._store.read(OPERATORS_TABLE, "", CONFIGURATION_KEY, end)
-        self._followed = page.version
-        return page.rows[0].value if page.rows else None
-
     async def find(self, host: str, path: str, patience: float) -> Queue | None:
         """
         Return the queue of a request; that there is none is said of a fresh version only.
@@ -157,7 +140,3 @@
             version=configuration.version,
             queues=len(configuration.queues),
         )
-
-
-def _is_document(row: Row) -> bool:
-    return row.key == CONFIGURATION_KEY and not row.part and not row.deleted
--- /dev/null
+++ b/toucanpin/entry/followed.py
@@ -0,0 +1,60 @@
+"""
+Followed rows
+=============
+
+Keep a range of a table's rows as they are, and read only what has changed.
+"""
+
+from __future__ import annotations
+
+from toucanpin.platform.store import Page, Row, Store
+
+__all__ = ["FollowedRows"]
+
+
+class FollowedRows:
+    """
+    Follow the rows of a range of keys in a table's part without a name.
+
+    Read whole at each look, what many hosts follow filled their links: the operators' document of
+    1,400 queues took 460 to 560 KB/s of each host, the entries of 246 workers most of 387 KB/s.
+    """
+
+    __slots__ = ("_end", "_start", "_store", "_table", "_version", "rows")
+
+    def __init__(self, store: Store, table: str, start: str = "", end: str = "") -> None:
+        self._store = store
+        self._table = table
+        self._start = start
+        self._end = end
+        self._version = 0  # the store's, up to which the rows are known here
+        self.rows: dict[str, Row] = {}
+
+    async def update(self) -> None:
+        """
+        Read what has changed, or all rows where the store doesn't know that any more.
+
+        Raises
+        ------
+        CallError
+            If the store gave no answer.
+        PlatformError
+            If an answer can't be understood.
+        """
+        page = await self._store.follow(self._table, self._version, 0.0) if self._version else None
+        if page is not None:
+            self._take(page)
+            return
+        page = await self._store.read_all(self._table, start=self._start, end=self._end)
+        self.rows = {}
+        self._take(page)
+
+    def _take(self, page: Page) -> None:
+        for row in page.rows:
+            if row.part or row.key < self._start or (self._end and row.key >= self._end):
+                continue
+            if row.deleted:
+                self.rows.pop(row.key, None)
+            else:
+                self.rows[row.key] = row
+        self._version = max(self._version, page.version)
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -19,6 +19,7 @@
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.decisions import log_ended, log_place, log_waits
 from toucanpin.entry.entries import EntryReader
+from toucanpin.entry.followed import FollowedRows
 from toucanpin.entry.metrics import TURN_TIME
 from toucanpin.entry.rows import JOBS, list_job_parts, split_key
 from toucanpin.entry.waves import Waves
@@ -247,17 +248,21 @@
         self._after_change()
 
     async def _list(self) -> None:
-        """Read the workers' entries."""
+        """Follow the workers' entries."""
+        followed = FollowedRows(self._store, WORKERS_TABLE)
         while True:
             try:
-                page = await self._store.read_all(WORKERS_TABLE)
+                await followed.update()
             except (CallError, PlatformError) as error:
                 _log.warning("workers not read", event="workers.unread", reason=error)
                 await asyncio.sleep(RETRY)
                 continue
-            sound = {row.key: entry for row, entry in self._entries.read(page.rows, _decode_entry)}
+            rows = followed.rows
+            sound = {
+                row.key: entry for row, entry in self._entries.read(rows.values(), _decode_entry)
+            }
             own = [entry for entry in sound.values() if entry.service == self._cell.name]
-            unsound = {row.key for row in page.rows if row.key not in sound}
+            unsound = rows.keys() - sound.keys()
             self._workers.take_entries(own, unsound)
             await asyncio.sleep(LIST_PERIOD)
 
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -199,13 +199,16 @@
         _, rows = await self._call("GET", path, b"", (200,), timeout)
         return self._to_page(rows)
 
-    async def read_all(self, table: str, part: str = "") -> Page:
-        """Read all rows of a part; ``version`` and ``clock`` are those of the first page."""
+    async def read_all(self, table: str, part: str = "", start: str = "", end: str = "") -> Page:
+        """
+        Read all rows of a range in a part, however many pages they fill.
+
+        ``version`` and ``clock`` are those of the first page.
+        """
         rows: list[Row] = []
-        start = ""
         first: Page | None = None
         while True:
-            page = await self.read(table, part, start=start, limit=PAGE)
+            page = await self.read(table, part, start, end, limit=PAGE)
             first = first or page
             rows += page.rows
             if not page.more or not page.rows:
