Give up a silent watch of the jobs before a cancel is due

Tasks of cancelled jobs could start for seconds after the cancel was acknowledged. Open connections go silent without a reset, and the owner's watch of the jobs was waited for during 5 to 7 s, while its writes went over new connections soon.

More frequent reads of all jobs were ruled out: they cost eight reads and all rows each time.

A watch waits one second and its answer may take one more. The relay doesn't take the silence of a brief watch for an outage.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -47,7 +47,9 @@
 MOVE_PERIOD = 0.2  # s between looks for tasks that do better elsewhere; answers come each 0.4 s
 LIST_PERIOD = 0.5  # s between reads of the workers' entries; a drain must be seen within 2 s
 RELIST_PERIOD = 3.0  # s between full reads of the jobs, for what a watch has missed
-FEED_WAIT = 5.0  # s that a watch of the jobs waits
+# A connection may be silent for good; a watch on it is given up before a cancel is due, in 3 s.
+FEED_WAIT = 1.0  # s that a watch of the jobs waits
+FEED_MARGIN = 1.0  # s that its answer may take beyond; a slow store takes 0.6 s
 RETRY = 0.1  # s before a read is repeated
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
 TELL_PERIOD = 1.0  # s between looks for what waits for long
@@ -182,7 +184,7 @@
         """Take up new jobs and wishes to cancel as their rows appear."""
         while True:
             try:
-                page = await self._store.follow(JOBS, self._feed_from, FEED_WAIT)
+                page = await self._store.follow(JOBS, self._feed_from, FEED_WAIT, FEED_MARGIN)
             except (CallError, PlatformError) as error:
                 _log.warning("jobs not followed", event="jobs.unread", reason=error)
                 await asyncio.sleep(RETRY)
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -35,7 +35,7 @@
 _LENGTH = struct.Struct(">I")
 MAX_FRAME = 1_048_576  # bytes, of the inner protocol
 DIRECT_TIMEOUT = 1.0  # s of a direct try before a peer is asked; a slow store takes 0.6 s
-LONGEST_BRIEF = 2.5  # s that calls other than watches may take
+LONGEST_BRIEF = 2.5  # s that calls may take whose silence is a sign of an outage
 PROBE = 0.5  # s between direct tries while peers are used
 PROBE_TIMEOUT = 0.4  # s
 USELESS = 1.0  # s that a peer isn't asked after it couldn't reach the store either
@@ -43,6 +43,7 @@
 REST = 0.4  # s that no peer is asked after none of them reached the store
 CONNECT_TIMEOUT = 0.3  # s to reach a peer
 _PROBE_PATH = "/rows-get?table=op&part=&limit=1&from=config&target=config%00"
+_WATCH_PATH = "/rows-feed"
 _REFUSED = (429, 503)
 
 
@@ -87,7 +88,7 @@
         failure: CallError | None = None
         if self.direct_works or not self._may_relay():
             # A watch is meant to stay unanswered for long, so its silence says nothing.
-            brief = timeout <= LONGEST_BRIEF
+            brief = timeout <= LONGEST_BRIEF and not path.startswith(_WATCH_PATH)
             direct_timeout = (
                 min(timeout, DIRECT_TIMEOUT) if brief and self._may_relay() else timeout
             )
--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -93,6 +93,16 @@
             await self._put()
         self.assertFalse(caught.exception.certain)
 
+    async def test_a_brief_watch_that_nothing_changes_is_no_sign_of_an_outage(self) -> None:
+        """
+        A watch stays unanswered until something changes.  A brief one was taken for a call that the
+        store doesn't answer, and the host went through its peers from then on.
+        """
+        store, relayed, _, _ = self.stores[0]
+        page = await store.follow("t", self.core.version, 1.3, 1.0)
+        self.assertIsNotNone(page)
+        self.assertTrue(relayed.direct_works)
+
     async def test_a_frame_under_another_key_is_not_obeyed(self) -> None:
         self.faults[0].refusing = 503
         self.stores[0][2].secret = b"x" * 32
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -212,10 +212,16 @@
                 return Page(tuple(rows), False, first.version, page.clock)
             start = page.rows[-1].key + "\0"
 
-    async def follow(self, table: str, after: int, wait: float) -> Page | None:
-        """Wait for changes of a table after a version; None if that history is gone."""
+    async def follow(
+        self, table: str, after: int, wait: float, margin: float = READ_TIMEOUT
+    ) -> Page | None:
+        """
+        Wait for changes of a table after a version; None if that history is gone.
+
+        ``margin`` is for how long beyond its wait an answer is waited for.
+        """
         path = f"/rows-feed?table={quote(table)}&after={after}&waitMs={int(wait * 1_000)}"
-        answer, rows = await self._call("GET", path, b"", (200, 410), wait + READ_TIMEOUT)
+        answer, rows = await self._call("GET", path, b"", (200, 410), wait + margin)
         return None if answer.status == 410 else self._to_page(rows)
 
     async def _call(
