--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -51,8 +51,10 @@
 LIST_PERIOD = 0.5  # s between reads of the workers' entries; a drain must be seen within 2 s
 RELIST_PERIOD = 3.0  # s between full reads of the jobs, for what a watch has missed
 # An answer without rows tells that there are no jobs that this owner hasn't read.  Callers' counts
-# are as old as the newest answer, and may be two seconds old.
+# are as old as the newest answer, and may be two seconds old.  A connection may be silent for good;
+# a watch on it is given up before a cancel is due, in 3 s.
 FEED_WAIT = 0.5  # s that a watch of the jobs waits
+FEED_MARGIN = 1.0  # s that its answer may take beyond; a slow store takes 0.6 s
 LATE = 0.5  # s beyond its wait after which a read of the jobs is told of
 RETRY = 0.1  # s before a read is repeated
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
@@ -190,7 +192,7 @@
         while True:
             asked_at = steady_time()
             try:
-                page = await self._store.follow(JOBS, self._feed_from, FEED_WAIT)
+                page = await self._store.follow(JOBS, self._feed_from, FEED_WAIT, FEED_MARGIN)
             except (CallError, PlatformError) as error:
                 _log.warning("jobs not followed", event="jobs.unread", reason=error)
                 await asyncio.sleep(RETRY)
