Read all jobs for a twentieth of the time at most

Answers came late to an owner on a weak link. It read all rows of its jobs 3 s after the last such read, also those of jobs that ended minutes ago; a read that takes 4 s then takes 57% of the time. The rest after a read is 19 times what it took, 3 s at least; the watch goes on meanwhile. What follows the jobs has a module of its own.

--- /dev/null
+++ b/toucanpin/entry/cell_jobs.py
@@ -0,0 +1,148 @@
+"""
+Jobs of a cell
+==============
+
+Take up new jobs and wishes to cancel in the name of the cell's owner, as their rows appear.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
+from toucanpin.entry.cell_rows import CellRows, decode_job_row
+from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.entries import EntryReader
+from toucanpin.entry.rows import JOBS, list_job_parts, split_key
+from toucanpin.exception import PlatformError
+from toucanpin.http import CallError
+from toucanpin.platform.store import Page, Row, Store
+from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.counting import View
+from toucanpin.scheduling.intake import cancel_job, submit_job
+
+__all__ = ["FEED_MARGIN", "FEED_WAIT", "RETRY", "CellJobs", "plan_rest"]
+
+_log = logbook.Logger("jobs")
+# An answer without rows tells that there are no jobs that this owner hasn't read.  Callers' counts
+# are as old as the newest answer, and may be two seconds old.  A connection may be silent for good;
+# a watch on it is given up before a cancel is due, in 3 s.
+FEED_WAIT = 0.5  # s that a watch of the jobs waits
+FEED_MARGIN = 1.0  # s that its answer may take beyond; a slow store takes 0.6 s
+LATE = 0.5  # s beyond its wait after which a read of the jobs is told of
+RETRY = 0.1  # s before a read is repeated
+RELIST_PERIOD = 3.0  # s between full reads of the jobs, for what a watch has missed
+# Rows of ended jobs are kept for minutes, so a full read grows with the jobs of minutes.  On a weak
+# link it would take most of the time, and what the watch and the workers answer would come late.
+RELIST_SHARE = 0.05  # of the time that full reads may take
+
+
+class CellJobs:
+    """Follow the rows of one cell's jobs; ``changed`` is called after each change."""
+
+    __slots__ = (
+        "_cell",
+        "_changed",
+        "_clocks",
+        "_entries",
+        "_keep_ended",
+        "_parts",
+        "_rows",
+        "_store",
+        "followed",
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        clocks: Clocks,
+        cell: Cell,
+        rows: CellRows,
+        entries: EntryReader,
+        keep_ended: float,
+        changed: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._clocks = clocks
+        self._cell = cell
+        self._rows = rows
+        self._entries = entries
+        self._keep_ended = keep_ended
+        self._changed = changed
+        self._parts = frozenset(list_job_parts(cell.name))
+        self.followed = 0  # the store's version up to which the jobs are known
+
+    async def follow(self) -> None:
+        """Watch for changes for ever."""
+        while True:
+            asked_at = steady_time()
+            try:
+                page = await self._store.follow(JOBS, self.followed, FEED_WAIT, FEED_MARGIN)
+            except (CallError, PlatformError) as error:
+                _log.warning("jobs not followed", event="jobs.unread", reason=error)
+                await asyncio.sleep(RETRY)
+                continue
+            if page is None:
+                await self._read()
+                continue
+            took = steady_time() - asked_at
+            if took > FEED_WAIT + LATE:
+                _log.warning("jobs read late", event="jobs.late", took=round(took, 3))
+            self._take_page(page)
+
+    async def relist(self) -> None:
+        """Read all jobs now and then, for what a watch has missed."""
+        rest = RELIST_PERIOD
+        while True:
+            await asyncio.sleep(rest)
+            begun = steady_time()
+            await self._read()
+            rest = plan_rest(steady_time() - begun)
+
+    async def _read(self) -> None:
+        """Read all jobs, however long it takes; the watch goes on from there if it is behind."""
+        while True:
+            try:
+                page = await self._rows.read_jobs()
+                break
+            except (CallError, PlatformError) as error:
+                _log.warning("jobs not read", event="jobs.unread", reason=error)
+                await asyncio.sleep(RETRY)
+        self._take_page(page)
+
+    def _take_page(self, page: Page) -> None:
+        """Take up what a watch or a whole read gave, and note of which moment that is."""
+        self._take_rows(page.rows)
+        if page.version >= self.followed:
+            self.followed = page.version
+            self._rows.view = View(page.version, page.clock)
+
+    def _take_rows(self, rows: tuple[Row, ...]) -> None:
+        now = self._clocks.now()
+        cancelled = []
+        for row in rows:
+            if row.part not in self._parts or row.deleted:
+                continue
+            identifier, is_cancel = split_key(row.key)
+            if is_cancel:
+                cancelled.append(identifier)
+            elif identifier not in self._cell.jobs and identifier not in self._rows.blocked:
+                self._take_job(row, now)
+        for identifier in cancelled:
+            cancel_job(self._cell, identifier, now)
+        self._changed()
+
+    def _take_job(self, row: Row, now: Now) -> None:
+        job = self._entries.read_one((row,), decode_job_row)
+        if job is None:
+            return
+        # A row that was dropped since it was read is of a job that has long ended.
+        if now.table - job.accepted < self._keep_ended * 1_000 or not job.accepted:
+            submit_job(self._cell, job, now)
+
+
+def plan_rest(took: float) -> float:
+    """Return the seconds until the next full read of the jobs, after one of ``took`` seconds."""
+    return max(RELIST_PERIOD, took / RELIST_SHARE - took)
--- a/toucanpin/entry/tests/test_following.py
+++ b/toucanpin/entry/tests/test_following.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from toucanpin.entry.owner import FEED_MARGIN, FEED_WAIT, RETRY
+from toucanpin.entry.cell_jobs import FEED_MARGIN, FEED_WAIT, RETRY, plan_rest
 from toucanpin.http import Answer, CallError
 from toucanpin.platform.store import Store
 from toucanpin.verdict import Verdict
@@ -37,5 +37,15 @@
         self.assertLess(silent.waited[0] + RETRY, CANCEL_BOUND)
 
 
+class RelistTest(unittest.TestCase):
+    def test_full_reads_take_a_small_part_of_the_time_however_long_they_are(self) -> None:
+        """
+        A full read of the jobs takes a weak link seconds, since rows are kept for minutes after
+        their jobs' ends.  Begun again three seconds after each, it left the link to little else.
+        """
+        for took in (0.1, 1.0, 4.0):
+            self.assertLessEqual(took / (took + plan_rest(took)), 0.0501)
+
+
 if __name__ == "__main__":
     unittest.main()
