--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -19,18 +19,18 @@
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.decisions import log_ended, log_place, log_waits
 from toucanpin.entry.entries import EntryReader
+from toucanpin.entry.following import JobFeed
 from toucanpin.entry.metrics import TURN_TIME
-from toucanpin.entry.rows import JOBS, list_job_parts, split_key
+from toucanpin.entry.rows import list_job_parts, split_key
 from toucanpin.entry.waves import Waves
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.machines import MachineCalls
-from toucanpin.platform.store import Page, Row, Store
+from toucanpin.platform.store import Row, Store
 from toucanpin.platform.workers import WORKERS_TABLE, decode_worker
 from toucanpin.scheduling.advising import AdviceOrder, plan_advice, take_advice
 from toucanpin.scheduling.batches import apply_batch, has_work, take_batch
 from toucanpin.scheduling.cell import Cell
-from toucanpin.scheduling.counting import View
 from toucanpin.scheduling.gathering import gather_images
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
 from toucanpin.scheduling.intake import begin_due, cancel_job, forget_ended, submit_job
@@ -48,13 +48,6 @@
 TICK = 0.05  # s between looks at what only time brings: lapsed leases, due times, stalls
 MOVE_PERIOD = 0.2  # s between looks for tasks that do better elsewhere; answers come each 0.4 s
 LIST_PERIOD = 0.5  # s between reads of the workers' entries; a drain must be seen within 2 s
-RELIST_PERIOD = 3.0  # s between full reads of the jobs, for what a watch has missed
-# An answer without rows tells that there are no jobs that this owner hasn't read.  Callers' counts
-# are as old as the newest answer, and may be two seconds old.
-FEED_WAIT = 0.5  # s that a watch of the jobs waits
-# A connection may be silent for good; a watch on it is given up before a cancel is due, in 3 s.
-FEED_MARGIN = 1.0  # s that its answer may take beyond; a slow store takes 0.6 s
-LATE = 0.5  # s beyond its wait after which a read of the jobs is told of
 RETRY = 0.1  # s before a read is repeated
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
 TELL_PERIOD = 1.0  # s between looks for what waits for long
@@ -105,7 +98,6 @@
         self._wake = asyncio.Event()
         self._parts = frozenset(list_job_parts(name))
         self._deposed: asyncio.Future[None] | None = None
-        self._feed_from = 0
         self._resigning = False
 
     async def run(self) -> None:
@@ -120,8 +112,9 @@
         loop = asyncio.get_running_loop()
         self._deposed = loop.create_future()
         try:
-            self._feed_from = await self._rows.load(self._clocks.now)
-            parts = (self._commit, self._follow, self._relist, self._list, self._tick)
+            version = await self._rows.load(self._clocks.now)
+            jobs = JobFeed(self._store, self._rows, version, self._take_rows)
+            parts = (self._commit, jobs.follow, jobs.relist, self._list, self._tick)
             for part in parts:
                 self._spawn(part())
             if self._waves is not None:
@@ -186,48 +179,6 @@
             if not self._rows.record.host:
                 raise DeposedError("resigned")
 
-    async def _follow(self) -> None:
-        """Take up new jobs and wishes to cancel as their rows appear."""
-        while True:
-            asked_at = steady_time()
-            try:
-                page = await self._store.follow(JOBS, self._feed_from, FEED_WAIT, FEED_MARGIN)
-            except (CallError, PlatformError) as error:
-                _log.warning("jobs not followed", event="jobs.unread", reason=error)
-                await asyncio.sleep(RETRY)
-                continue
-            if page is None:
-                await self._read_jobs()
-                continue
-            took = steady_time() - asked_at
-            if took > FEED_WAIT + LATE:
-                _log.warning("jobs read late", event="jobs.late", took=round(took, 3))
-            self._take_page(page)
-
-    async def _relist(self) -> None:
-        """Read all jobs now and then, for what a watch has missed."""
-        while True:
-            await asyncio.sleep(RELIST_PERIOD)
-            await self._read_jobs()
-
-    async def _read_jobs(self) -> None:
-        """Read all jobs, however long it takes; the watch goes on from there if it is behind."""
-        while True:
-            try:
-                page = await self._rows.read_jobs()
-                break
-            except (CallError, PlatformError) as error:
-                _log.warning("jobs not read", event="jobs.unread", reason=error)
-                await asyncio.sleep(RETRY)
-        self._take_page(page)
-
-    def _take_page(self, page: Page) -> None:
-        """Take up what a watch or a whole read gave, and note of which moment that is."""
-        self._take_rows(page.rows)
-        if page.version >= self._feed_from:
-            self._feed_from = page.version
-            self._rows.view = View(page.version, page.clock)
-
     def _take_rows(self, rows: tuple[Row, ...]) -> None:
         now = self._clocks.now()
         cancelled = []
--- a/toucanpin/entry/tests/test_following.py
+++ b/toucanpin/entry/tests/test_following.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from toucanpin.entry.owner import FEED_MARGIN, FEED_WAIT, RETRY
+from toucanpin.entry.following import FEED_MARGIN, FEED_WAIT, RETRY
 from toucanpin.http import Answer, CallError
 from toucanpin.platform.store import Store
 from toucanpin.verdict import Verdict
