Let a page tell the time of its own answer

A caller's count could lack jobs that had been handed in since its owner last looked, though it was said to be recent. Each page carried the time of the newest answer that the host had read from the store, so a watch whose answer came late, after those to commits, claimed to know all jobs of a moment that it had not seen. Red before: 9,000 for 7,000 ms in the new test.

The version of the page was ruled out: it is the answer's own.

A page has its own answer's time. Readers of counts keep judging their age by the newest answer, which is what they did and the stricter of the two.

--- a/toucanpin/entry/counts.py
+++ b/toucanpin/entry/counts.py
@@ -40,8 +40,9 @@
     if counts is None or not counts.view.version:
         return None
     known = counts.jobs.get(queue, 0)
-    age = page.clock - counts.view.clock
-    if is_recent(counts.view, page.clock):
+    # The answer itself may have come late, so its age is that by the newest answer of all.
+    age = store.clock - counts.view.clock
+    if is_recent(counts.view, store.clock):
         return known, age
     rows = await _read_newer(store, counts.view.version)
     if rows is None:
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
-    """Hold rows as of one moment; ``version`` is the store's newest."""
+    """Hold rows as of one moment: ``version`` is the store's newest then, ``clock`` its time."""
 
     rows: tuple[Row, ...]
     more: bool
@@ -250,7 +250,7 @@
         return rows
 
     def _to_page(self, rows: _WireRows) -> Page:
-        return Page(_to_rows(rows), rows.more_pages, rows.row_version, self.clock)
+        return Page(_to_rows(rows), rows.more_pages, rows.row_version, int(rows.now_ms))
 
 
 def _to_rows(rows: _WireRows) -> tuple[Row, ...]:
--- a/toucanpin/platform/tests/test_site_calls.py
+++ b/toucanpin/platform/tests/test_site_calls.py
@@ -88,6 +88,20 @@
         self.assertEqual(5, page.version)
         self.assertIn("from=a%00", caller.calls[1][1])
 
+    async def test_a_page_tells_its_own_moment_however_late_it_comes(self) -> None:
+        """
+        An answer to a watch comes late, after newer ones to other calls.  Its page was given the
+        time of the newest answer, so an owner claimed to know all jobs of a moment that it hadn't
+        seen, and callers were told counts without the jobs handed in since.
+        """
+        caller = ScriptedCaller(_answer(200, nowMs=9_000), _answer(200, rowVersion=4, nowMs=7_000))
+        store = Store(caller)
+        await store.read("t")
+        page = await store.follow("t", 3, 1.0)
+        assert page is not None
+        self.assertEqual((4, 7_000), (page.version, page.clock))
+        self.assertEqual(9_000, store.clock)
+
     async def test_a_dropped_history_is_told_from_silence(self) -> None:
         self.assertIsNone(await Store(ScriptedCaller(_answer(410))).follow("t", 3, 1.0))
 
