Renew a cell's ownership while its rows are read

A cell could be without an owner for as long as the store was slow. A new owner reads all jobs and their progress, range after range, and wrote nothing until it had them; after 1.3 s, or longer with slow reads, the next host took the cell and began to read. Red before: the second token in the new test, two seconds after the first.

The time that a follower waits was ruled out: it already grows with the time of its own reads, but not with how many ranges an owner has to read.

--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -147,10 +147,7 @@
         DeposedError
             If another process owns the cell.
         """
-        host = "" if resigning else self.record.host
-        record = OwnerRecord(host, self.record.life, self.record.token, self.record.sequence + 1)
-        puts = [Put(OWNERS, OWNER_KEY, encode_owner(record))]
-        puts += [Put(PROGRESS, key, value) for key, value in batch.records.items()]
+        puts = [Put(PROGRESS, key, value) for key, value in batch.records.items()]
         for identifier in batch.forgotten:
             await self._drop_job(identifier)
             puts.append(Put(PROGRESS, identifier, None))
@@ -158,6 +155,25 @@
             puts.append(Put(HANDOVERS, OWNER_KEY, self.record.life.encode()))
         puts += self._put_counts()
         puts += self._put_effects()
+        await self._commit(puts, resigning)
+
+    async def renew(self) -> None:
+        """
+        Write the owner's row alone, while the cell's rows aren't read yet.
+
+        Counts of what isn't known would be wrong, and so would effects.
+
+        Raises
+        ------
+        DeposedError
+            If another process owns the cell.
+        """
+        await self._commit([], False)
+
+    async def _commit(self, puts: Sequence[Put], resigning: bool) -> None:
+        host = "" if resigning else self.record.host
+        record = OwnerRecord(host, self.record.life, self.record.token, self.record.sequence + 1)
+        puts = [Put(OWNERS, OWNER_KEY, encode_owner(record)), *puts]
         pause = FIRST_PAUSE
         while True:
             expected = (Expected(OWNERS, OWNER_KEY, self._version),)
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -112,7 +112,7 @@
         loop = asyncio.get_running_loop()
         self._deposed = loop.create_future()
         try:
-            version = await self._rows.load(self._clocks.now)
+            version = await self._load()
             jobs = JobFeed(self._store, self._rows, version, self._take_rows)
             parts = (self._commit, jobs.follow, jobs.relist, self._list, self._tick)
             for part in parts:
@@ -126,6 +126,20 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
             self._workers.close()
 
+    async def _load(self) -> int:
+        """
+        Read the cell's rows and renew its ownership meanwhile; return the version to follow from.
+
+        A slow store takes seconds for them, and an owner that is silent for 1.3 s is replaced.
+        """
+        reading = asyncio.ensure_future(self._rows.load(self._clocks.now))
+        try:
+            while not (await asyncio.wait((reading,), timeout=RENEWAL))[0]:
+                await self._rows.renew()
+            return reading.result()
+        finally:
+            reading.cancel()
+
     def count_waiting(self) -> Counter[str]:
         """Return how many tasks of each priority wait for a place."""
         counts: Counter[str] = Counter()
--- /dev/null
+++ b/toucanpin/entry/tests/test_loading.py
@@ -0,0 +1,50 @@
+"""A new owner that hasn't read the rows of its cell yet."""
+
+from __future__ import annotations
+
+import unittest
+
+from standins.site.site import Site
+from toucanpin.entry.rows import COUNTS, COUNTS_KEY
+from toucanpin.scheduling.ownership import OwnerRecord, decode_owner
+
+RENEWALS = 8  # of an owner: more than twice the time after which a silent one is replaced
+
+
+class LoadingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.site = Site()
+        self.site.configure()
+        self.addAsyncCleanup(self.site.close)
+        for number in range(2):
+            await self.site.add_host()
+            self.site.faults[number].unreadable = "progress"
+        await self.site.add_worker()
+
+    def _read_owner(self) -> OwnerRecord:
+        row = self.site.store.rows.get(("owners", "c", "owner"))
+        return decode_owner(row.value) if row else OwnerRecord("", "", 0, 0)
+
+    async def test_an_owner_that_reads_its_cell_for_long_keeps_it(self) -> None:
+        """
+        A new owner reads the rows of its cell for seconds, since the store is slow or the rows are
+        many.  It wrote nothing meanwhile, so another host took the cell after 1.3 s and began to
+        read, and so on: nobody owned the cell, and callers' jobs waited.
+        """
+        self.assertTrue(
+            await self.site.until(
+                lambda: self._read_owner().sequence >= RENEWALS or self._read_owner().token > 1
+            )
+        )
+        self.assertEqual(1, self._read_owner().token)
+        self.assertNotIn((COUNTS, "c", COUNTS_KEY), self.site.store.rows)
+        for faults in self.site.faults:
+            faults.unreadable = ""
+        self.assertTrue(await self.site.until_ready())
+        self.assertEqual(200, (await self.site.submit()).status)
+        self.assertTrue(await self.site.until_state("completed"))
+        self.assertEqual(1, self._read_owner().token)
+
+
+if __name__ == "__main__":
+    unittest.main()
