--- a/toucanpin/scheduling/tests/test_turns.py
+++ b/toucanpin/scheduling/tests/test_turns.py
@@ -85,6 +85,16 @@
             self.fleet.submit(make_job(f"u{number:02}", (step,)))
         self.assertLessEqual(self._count("_find_victims"), WORKERS)
 
+    def test_runs_are_not_looked_at_where_their_stops_could_not_suffice(self) -> None:
+        """
+        Urgent steps wait on a fleet of lasting tasks and of tasks that fill, whose stops free no
+        cores.  Each turn looked at each run of each worker, half of the time of placing, for what
+        the sums of a worker's runs tell.
+        """
+        for number in range(WAITING):
+            self.fleet.submit(make_job(f"u{number:02}", (Step(count=4, cpu=2_000 - number),)))
+        self.assertEqual(0, self._count("_may_stop"))
+
     def test_workers_are_looked_at_once_for_all_tasks_of_a_step(self) -> None:
         """
         An urgent step of sixteen tasks comes while patient work has the room.  Each of its tasks
