--- a/toucanpin/scheduling/tests/test_turns.py
+++ b/toucanpin/scheduling/tests/test_turns.py
@@ -59,6 +59,17 @@
             self.fleet.submit(make_job(f"u{number:02}", (Step(count=4, cpu=2_000 + number),)))
         self.assertLessEqual(self._count_weighed(), WORKERS)
 
+    def test_a_limit_on_each_worker_does_not_have_all_weighed_again(self) -> None:
+        """
+        Lasting steps of which a worker may run one task each wait on a fleet without room.  Room
+        shuts them out everywhere, their limit nowhere; yet since they have one, each weighed each
+        worker in each turn, sixteen such steps a turn on a day with 246 workers.
+        """
+        for number in range(WAITING):
+            step = Step(count=4, cpu=2_000, lasting=True, per_worker=1)
+            self.fleet.submit(make_job(f"l{number:02}", (step,)))
+        self.assertLessEqual(self._count_weighed(), WORKERS)
+
     def test_lasting_steps_that_the_reserve_shuts_out_do_not_either(self) -> None:
         """
         Lasting steps wait for the one place that is kept for brief tasks.  Each weighed each
@@ -85,6 +96,13 @@
             self.fleet.submit(make_job(f"u{number:02}", (step,)))
         self.assertLessEqual(self._count("_find_victims"), WORKERS)
 
+    def test_a_limit_on_each_worker_does_not_have_stops_looked_for_again(self) -> None:
+        """Steps with such a limit looked for what to stop on each worker, each by itself."""
+        for number in range(WAITING):
+            step = Step(count=4, cpu=2_000, lasting=True, per_worker=1)
+            self.fleet.submit(make_job(f"l{number:02}", (step,)))
+        self.assertLessEqual(self._count("most_room"), WORKERS)
+
     def test_runs_are_not_looked_at_where_their_stops_could_not_suffice(self) -> None:
         """
         Urgent steps wait on a fleet of lasting tasks and of tasks that fill, whose stops free no
