Recall what found no room also of steps with rules, where room alone shut them out

Callers of a full fleet got late answers. Steps with a label or a limit on each worker added nothing to what later steps of a turn recall, since their rules might have shut them out. Half of the lasting steps have such a limit, so each of them searched all workers in each turn.

A search now says whether a rule shut the step out of a worker that has room, or may have some once runs are stopped. Where none did, what wasn't found is recalled as for any other step.

--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -71,9 +71,13 @@
 
 
 class Places:
-    """Hold the places that the tasks of a step could take, the cheapest first."""
+    """
+    Hold the places that the tasks of a step could take, the cheapest first.
+
+    ``ruled`` says that a rule of the step shut it out of a worker that has room.
+    """
 
-    __slots__ = ("_able", "_group", "_heap", "_live", "_round", "_step")
+    __slots__ = ("_able", "_group", "_heap", "_live", "_round", "_step", "ruled")
 
     def __init__(
         self, round_: Round, live: LiveJob, group: Group, step: Step, able: Iterable[Worker]
@@ -84,6 +88,7 @@
         self._step = step
         self._able = list(able)
         self._heap: list[tuple[float, int, Worker]] = []
+        self.ruled = False
         self.renew_all()
 
     def renew_all(self) -> None:
@@ -111,7 +116,12 @@
     def _weigh(self, number: int) -> tuple[float, int, Worker] | None:
         worker = self._able[number]
         step = self._step
-        if not _may_run(worker, self._group, step) or _is_kept(worker, self._live, self._round.now):
+        if not has_room(worker, step):
+            return None
+        if not fits_rules(worker, self._group, step):
+            self.ruled = True
+            return None
+        if _is_kept(worker, self._live, self._round.now):
             return None
         if step.fills:
             cost = _weigh_filling(self._round, worker, step)
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -144,7 +144,7 @@
         if lenient not in openings:
             openings[lenient] = Openings(cell, group, step, able, making, now, lenient)
         if not openings[lenient].take():
-            if not (step.label or step.per_worker or live.job.advised):
+            if not openings[lenient].ruled and not live.job.advised:
                 making.note_hopeless(step, lenient)
             return
 
@@ -174,11 +174,11 @@
             reason = _find_reason(live, step, able)
             _note_wait(cell, group, reason, now)
             note_barren(cell, live, step, now)
-            note_shortage(round_, live, step, reason)
+            note_shortage(round_, live, step, reason, places.ruled)
             return
         if not bold and not may_last(able, group, step):
             _note_wait(cell, group, WaitReason.RESERVED, now)
-            note_shortage(round_, live, step, WaitReason.RESERVED)
+            note_shortage(round_, live, step, WaitReason.RESERVED, places.ruled)
             return
         cell.delayed.pop(task, None)
         waiting.discard(index)
--- a/toucanpin/scheduling/preempting.py
+++ b/toucanpin/scheduling/preempting.py
@@ -75,7 +75,11 @@
 
 
 class Openings:
-    """Hold where stops could make room for the tasks of a step, the least loss first."""
+    """
+    Hold where stops could make room for the tasks of a step, the least loss first.
+
+    ``ruled`` says that a rule of the step shut it out of a worker that may have room.
+    """
 
     __slots__ = (
         "_able",
@@ -87,6 +91,7 @@
         "_now",
         "_priority",
         "_step",
+        "ruled",
     )
 
     def __init__(
@@ -107,6 +112,7 @@
         self._now = now
         self._demand = _ask(step, lenient)
         self._priority = cell.jobs[group.job].job.priority
+        self.ruled = False
         found = (self._weigh(number) for number in range(len(able)))
         self._heap = [opening for opening in found if opening is not None]
         heapq.heapify(self._heap)
@@ -140,6 +146,7 @@
         if most_room(worker, self._priority) < self._demand.on(worker.entry.cpu):
             return None
         if not fits_rules(worker, self._group, self._step):
+            self.ruled = True
             return None
         room = self._making.free(worker)
         victims = _find_victims(self._cell, worker, self._group, self._demand, room, self._now)
--- a/toucanpin/scheduling/recalling.py
+++ b/toucanpin/scheduling/recalling.py
@@ -50,9 +50,11 @@
     return None
 
 
-def note_shortage(round_: Round, live: LiveJob, step: Step, reason: WaitReason) -> None:
-    """Remember that a task found no place, if no rule of its own shut it out."""
-    if step.fills or step.label or step.per_worker or live.job.advised:
+def note_shortage(
+    round_: Round, live: LiveJob, step: Step, reason: WaitReason, ruled: bool
+) -> None:
+    """Remember that a task found no place, unless a rule of its own shut it out of one."""
+    if step.fills or ruled or live.job.advised:
         return
     shortage = round_.shortage(step.lasting)
     if reason is WaitReason.RESERVED:
