--- a/toucanpin/scheduling/tests/test_turns.py
+++ b/toucanpin/scheduling/tests/test_turns.py
@@ -6,11 +6,12 @@
 from dataclasses import replace
 from unittest.mock import patch
 
-from toucanpin.scheduling import preempting
+from toucanpin.scheduling import choosing, preempting
 from toucanpin.scheduling.cell import WaitReason
 from toucanpin.scheduling.choosing import Places
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.placing import place_tasks
+from toucanpin.scheduling.recalling import BARREN
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
 WORKERS = 30
@@ -96,6 +97,25 @@
             self.fleet.submit(make_job(f"u{number:02}", (step,)))
         self.assertLessEqual(self._count("_find_victims"), WORKERS)
 
+    def test_images_without_a_place_are_weighed_in_the_same_turns(self) -> None:
+        """
+        Batch tasks of three images find no place, one after the other, and each image rests before
+        it is weighed again.  Their rests ended at different moments, and each time all workers were
+        summed up anew: a third of the time of placing on a day with 246 workers and nine images.
+        """
+        rest = BARREN * WORKERS
+        for number in range(3):
+            fill = Step(count=4, cpu=1_500, fills=True, image=f"g{number}")
+            self.fleet.submit(make_job(f"g{number}", (fill,), priority=2))
+            place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+            self.fleet.time += rest / 4
+        turns = 40
+        with patch.object(choosing, "heat_worker", wraps=choosing.heat_worker) as counted:
+            for _ in range(turns):
+                self.fleet.time += rest / 4
+                place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+        self.assertLessEqual(counted.call_count, (turns / 4 + 1) * WORKERS)
+
     def test_a_limit_on_each_worker_does_not_have_stops_looked_for_again(self) -> None:
         """Steps with such a limit looked for what to stop on each worker, each by itself."""
         for number in range(WAITING):
