Let all images that found no place rest until the same moment

Callers of a full fleet got late answers. An image that fills and found no place rests 0.3 s on 246 workers, but each rest ended at its own moment, and for each all workers were summed up anew.

The rests of all images now end together, so one turn sums the workers up for all of them. A rest is shorter than before where an image finds no place within one, and as long afterwards.

Ruled out: to keep the sums between turns, since each answer of a worker changes them.

--- a/toucanpin/scheduling/recalling.py
+++ b/toucanpin/scheduling/recalling.py
@@ -35,7 +35,17 @@
         return
     known, until = cell.barren.get(step.image, (step.cpu, 0.0))
     cpu = min(known, step.cpu) if now.steady < until else step.cpu
-    cell.barren[step.image] = (cpu, now.steady + BARREN * len(cell.workers))
+    cell.barren[step.image] = (cpu, _end_rest(cell, now))
+
+
+def _end_rest(cell: Cell, now: Now) -> float:
+    """
+    Return the end of the rest that all images share.
+
+    Rests that end one by one have all workers summed up once for each of them.
+    """
+    rest = BARREN * len(cell.workers)
+    return (now.steady // rest + 1) * rest if rest else now.steady
 
 
 def recall(round_: Round, live: LiveJob, step: Step, bold: bool) -> WaitReason | None:
