--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -74,9 +74,13 @@
 
 
 class Places:
-    """Hold the places that the tasks of a step could take, the cheapest first."""
+    """
+    Hold the places that the tasks of a step could take, the cheapest first.
+
+    ``ruled`` says that a rule of the step shut it out of a worker that has room.
+    """
 
-    __slots__ = ("_able", "_group", "_heap", "_live", "_round", "_step")
+    __slots__ = ("_able", "_group", "_heap", "_live", "_round", "_step", "ruled")
 
     def __init__(
         self, round_: Round, live: LiveJob, group: Group, step: Step, able: Iterable[Worker]
@@ -87,6 +91,7 @@
         self._step = step
         self._able = list(able)
         self._heap: list[tuple[float, int, Worker]] = []
+        self.ruled = False
         self.renew_all()
 
     def renew_all(self) -> None:
@@ -115,10 +120,13 @@
         worker = self._able[number]
         step = self._step
         now = self._round.now
-        if not _may_run(worker, self._group, step) or _is_kept(worker, self._live, now):
+        if not has_room(worker, step):
+            return None
+        if not fits_rules(worker, self._group, step):
+            self.ruled = True
             return None
         # Its trial may have got a task earlier in this round.
-        if not is_trusted(worker, now):
+        if _is_kept(worker, self._live, now) or not is_trusted(worker, now):
             return None
         if step.fills:
             cost = _weigh_filling(self._round, worker, step)
--- a/toucanpin/scheduling/recalling.py
+++ b/toucanpin/scheduling/recalling.py
@@ -35,7 +35,17 @@
         return
     known, until = cell.barren.get(step.image, (step.cpu, 0.0))
     cpu = min(known, step.cpu) if now.steady < until else step.cpu
-    cell.barren[step.image] = (cpu, now.steady + BARREN * len(cell.workers))
+    cell.barren[step.image] = (cpu, _end_rest(cell, now))
+
+
+def _end_rest(cell: Cell, now: Now) -> float:
+    """
+    Return the end of the rest that all images share.
+
+    Rests that end one by one have all workers summed up once for each of them.
+    """
+    rest = BARREN * len(cell.workers)
+    return (now.steady // rest + 1) * rest if rest else now.steady
 
 
 def recall(round_: Round, live: LiveJob, step: Step, bold: bool) -> WaitReason | None:
@@ -50,9 +60,11 @@
     return None
 
 
-def note_shortage(round_: Round, live: LiveJob, step: Step, reason: WaitReason) -> None:
-    """Remember that a task found no place, if no rule of its own shut it out."""
-    if step.fills or step.label or step.per_worker or live.job.advised:
+def note_shortage(
+    round_: Round, live: LiveJob, step: Step, reason: WaitReason, ruled: bool
+) -> None:
+    """Remember that a task found no place, unless a rule of its own shut it out of one."""
+    if step.fills or ruled or live.job.advised:
         return
     shortage = round_.shortage(step.lasting)
     if reason is WaitReason.RESERVED:
