--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -14,14 +14,14 @@
 import logbook
 
 from toucanpin.entry.advisers import Advisers
-from toucanpin.entry.cell_rows import CellRows, DeposedError, decode_job_row
+from toucanpin.entry.cell_jobs import CellJobs
+from toucanpin.entry.cell_rows import CellRows, DeposedError
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.decisions import log_ended, log_place, log_waits
 from toucanpin.entry.entries import EntryReader
-from toucanpin.entry.following import JobFeed
+from toucanpin.entry.followed import FollowedRows
 from toucanpin.entry.metrics import TURN_TIME
-from toucanpin.entry.rows import list_job_parts, split_key
 from toucanpin.entry.waves import Waves
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
@@ -33,7 +33,7 @@
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.gathering import gather_images
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
-from toucanpin.scheduling.intake import begin_due, cancel_job, forget_ended, submit_job
+from toucanpin.scheduling.intake import begin_due, forget_ended
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.ownership import RENEWAL, OwnerRecord
@@ -87,6 +87,15 @@
         self._rows = CellRows(
             store, self._cell, self._sharing, record, version, confirmed, self._entries
         )
+        self._jobs = CellJobs(
+            store,
+            clocks,
+            self._cell,
+            self._rows,
+            self._entries,
+            settings.bounds.keep_ended,
+            self._after_change,
+        )
         self._workers = CellWorkers(
             self._cell, self._sharing, clocks, self._spawn, self._after_change
         )
@@ -96,7 +105,6 @@
             self._waves = Waves(store, calls, self._cell, clocks, settings.bounds, first)
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
-        self._parts = frozenset(list_job_parts(name))
         self._deposed: asyncio.Future[None] | None = None
         self._resigning = False
 
@@ -112,9 +120,8 @@
         loop = asyncio.get_running_loop()
         self._deposed = loop.create_future()
         try:
-            version = await self._load()
-            jobs = JobFeed(self._store, self._rows, version, self._take_rows)
-            parts = (self._commit, jobs.follow, jobs.relist, self._list, self._tick)
+            self._jobs.followed = await self._load()
+            parts = (self._commit, self._jobs.follow, self._jobs.relist, self._list, self._tick)
             for part in parts:
                 self._spawn(part())
             if self._waves is not None:
@@ -193,38 +200,22 @@
             if not self._rows.record.host:
                 raise DeposedError("resigned")
 
-    def _take_rows(self, rows: tuple[Row, ...]) -> None:
-        now = self._clocks.now()
-        cancelled = []
-        for row in rows:
-            if row.part not in self._parts or row.deleted:
-                continue
-            identifier, is_cancel = split_key(row.key)
-            if is_cancel:
-                cancelled.append(identifier)
-            elif identifier not in self._cell.jobs and identifier not in self._rows.blocked:
-                job = self._entries.read_one((row,), decode_job_row)
-                if job is None:
-                    continue
-                # A row that was dropped since it was read is of a job that has long ended.
-                if now.table - job.accepted < self._bounds.keep_ended * 1_000 or not job.accepted:
-                    submit_job(self._cell, job, now)
-        for identifier in cancelled:
-            cancel_job(self._cell, identifier, now)
-        self._after_change()
-
     async def _list(self) -> None:
-        """Read the workers' entries."""
+        """Follow the workers' entries."""
+        followed = FollowedRows(self._store, WORKERS_TABLE)
         while True:
             try:
-                page = await self._store.read_all(WORKERS_TABLE)
+                await followed.update()
             except (CallError, PlatformError) as error:
                 _log.warning("workers not read", event="workers.unread", reason=error)
                 await asyncio.sleep(RETRY)
                 continue
-            sound = {row.key: entry for row, entry in self._entries.read(page.rows, _decode_entry)}
+            rows = followed.rows
+            sound = {
+                row.key: entry for row, entry in self._entries.read(rows.values(), _decode_entry)
+            }
             own = [entry for entry in sound.values() if entry.service == self._cell.name]
-            unsound = {row.key for row in page.rows if row.key not in sound}
+            unsound = rows.keys() - sound.keys()
             self._workers.take_entries(own, unsound)
             await asyncio.sleep(LIST_PERIOD)
 
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -50,6 +50,7 @@
 CONNECT_TIMEOUT = 0.3  # s to reach a peer
 _PROBE_PATH = "/rows-get?table=op&part=&limit=1&from=config&target=config%00"
 _WATCH_PATH = "/rows-feed"
+_NO_WAIT = "&waitMs=0"
 _REFUSED = (429, 503)
 
 
@@ -94,7 +95,7 @@
         failure: CallError | None = None
         if self.direct_works or not self._may_relay():
             # A watch is meant to stay unanswered for long, so its silence says nothing.
-            brief = timeout <= LONGEST_BRIEF and not path.startswith(_WATCH_PATH)
+            brief = timeout <= LONGEST_BRIEF and not _is_watch(path)
             direct_timeout = (
                 min(timeout, DIRECT_TIMEOUT) if brief and self._may_relay() else timeout
             )
@@ -310,6 +311,11 @@
     raise CallError(Verdict.MAY_HAVE_RUN, f"{peer.name} answered something else")
 
 
+def _is_watch(path: str) -> bool:
+    """Tell whether a call waits for changes; one that only asks for them is answered at once."""
+    return path.startswith(_WATCH_PATH) and not path.endswith(_NO_WAIT)
+
+
 def _find_table(path: str) -> str:
     """Return the table that a call reads, empty for a transaction."""
     query = parse_qs(urlsplit(path).query)
