Never let a followed row go back to what it was

A worker that drained could count as ready again, or one that was gone as there. A whole read of a table has several pages, each of a later moment, and changes are asked for from the first one's version on; an answer with only the first of them held earlier values of rows of later pages.

Pages that miss a row were ruled out: they go by keys, which don't move.

A row is taken only if it isn't older than the one that is known. One without a version is taken, so that a dropped row can't stay.

--- a/toucanpin/entry/followed.py
+++ b/toucanpin/entry/followed.py
@@ -53,6 +53,11 @@
         for row in page.rows:
             if row.part or row.key < self._start or (self._end and row.key >= self._end):
                 continue
+            # Pages of a whole read are of later and later moments, and changes are asked for from
+            # the first one's on: what is read of a row may be older than what is known.
+            known = self.rows.get(row.key)
+            if known is not None and 0 < row.version < known.version:
+                continue
             if row.deleted:
                 self.rows.pop(row.key, None)
             else:
