Don't count a machine as through that the platform doesn't find in its wave

A wave was said to be completed without the upkeep of a machine that it named. The platform answered the order as if the machine weren't of the wave, as it may while it hasn't read a wave that was just written, and the machine counted as through; so did one that it didn't know though it had just listed it. Red before: the new test's wave was completed with no upkeep at all.

The operators' row was ruled out as the old one: it is read in each turn.

Such an order is repeated while the wave names the machine; once it doesn't, the machine leaves the record and holds no other up. That there is no such machine is believed where the newest list agrees.

--- a/standins/site/machines.py
+++ b/standins/site/machines.py
@@ -33,6 +33,7 @@
         self.lose_answers = 0
         self.refuse_orders = 0  # so many orders are answered with 503, and nothing is done
         self.refused: list[str] = []
+        self.unknown: dict[str, int] = {}  # so many orders are answered as if not of their wave
         self.missed: dict[str, int] = {}  # so many lists leave a machine out
         self.states: dict[str, str] = {}  # shown whatever the machine does
 
@@ -61,6 +62,9 @@
             self.refuse_orders -= 1
             self.refused.append(call["machine"])
             return Response(503)
+        if self.unknown.get(call["machine"]):
+            self.unknown[call["machine"]] -= 1
+            return Response(409, b'{"reason":"wave"}')
         return self._begin(call["machine"])
 
     def _list(self) -> dict[str, object]:
--- a/toucanpin/entry/tests/test_waves.py
+++ b/toucanpin/entry/tests/test_waves.py
@@ -104,6 +104,31 @@
         await self.site.submit(other, count=3, antiAffinity=1)
         self.assertTrue(await self.site.until(lambda: all(runs)))
 
+    async def test_a_wave_that_the_platform_does_not_know_yet_is_not_completed(self) -> None:
+        """
+        Operators have just written a wave, and the platform of the machines answers the first
+        orders as if a machine weren't of it.  The machine counted as through, and the wave as
+        completed without any upkeep.
+        """
+        self.machines.unknown["m1"] = 2
+        self._ask("m1")
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertEqual({"m1": 0}, self.machines.through)
+
+    async def test_a_machine_that_is_taken_out_of_its_wave_makes_room_for_others(self) -> None:
+        """
+        Operators take a machine out of a wave after it was written down as ordered.  It counted as
+        through; now it must not hold the place of those that are still to go.
+        """
+        self.machines.unknown = {"m1": 1_000, "m2": 1_000}
+        self._ask("m1", "m2")
+        self.assertTrue(await self.site.until(lambda: self.machines.holders))
+        (other,) = {"m1", "m2"} - {self.machines.holders[0][0]}
+        self.machines.unknown[other] = 0
+        self._ask(other)
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertIn(other, self.machines.through)
+
     async def test_a_machine_that_one_list_misses_is_not_taken_for_gone(self) -> None:
         """
         Operators read that a wave is completed while a machine of it runs on as it was.  A list of
--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -167,6 +167,7 @@
         through, anew = find_returned(
             self._cell, record, self._machines, orders, self._listed_at, self._bounds.upkeep
         )
+        anew += [name for name in record.down if name not in (*wave.machines, *through, *anew)]
         if through or anew:
             down = {name: it for name, it in record.down.items() if name not in through + anew}
             for name in through + anew:
@@ -262,8 +263,10 @@
             _log.info("upkeep ordered", event="upkeep.ordered", machine=name, answer=answer.value)
             if answer is Ordered.DONE:
                 order.acknowledged = order.acknowledged or steady_time()
-            elif answer in (Ordered.UNKNOWN_MACHINE, Ordered.NOT_IN_WAVE):
+            elif answer is Ordered.UNKNOWN_MACHINE and name not in self._machines:
                 await self._strike(wave, name)
+            # A machine that isn't of the wave shows that the platform, or this host, has an old
+            # view of the wave; both read it again.
         except (CallError, PlatformError) as error:
             _log.warning("upkeep not ordered", event="upkeep.failed", machine=name, reason=error)
         finally:
@@ -271,7 +274,7 @@
             self._ordering.discard(name)
 
     async def _strike(self, wave: Wave, name: str) -> None:
-        """Count a machine as through that isn't there, or isn't of the wave any more."""
+        """Count a machine as through that isn't there."""
         record, version = await self._read(wave)
         if name in record.down:
             down = {other: worker for other, worker in record.down.items() if other != name}
