Show that a gang is tried again where tasks fail

A caller's gang fails on the only worker with room, which fails whatever it starts, and is tried there again until its attempts are used up, though sound workers are about to have room. The test fails on the code as it is.

--- a/toucanpin/scheduling/tests/test_trust.py
+++ b/toucanpin/scheduling/tests/test_trust.py
@@ -31,6 +31,23 @@
         self.assertEqual([JobState.COMPLETED] * 4, [fleet.state(name) for name in names])
         self.assertLessEqual(len(fleet.workers["bad"].starts), 6)
 
+    def test_a_gang_is_not_tried_again_where_tasks_fail(self) -> None:
+        """
+        A caller's gang fails on the only worker with room, which fails whatever it starts.  No
+        other job runs there that could show it, so the gang was tried there until its attempts
+        were used up, though sound workers were about to have room.
+        """
+        fleet = Fleet(workers=2, cpu=2_000)
+        for worker in fleet.workers.values():
+            worker.lasts = 1.0
+        fleet.submit(make_job("full", (Step(count=4, cpu=1_000),)))
+        fleet.run(0.5)
+        fleet.add_worker("bad", 2_000).failing = True
+        gang = Step(count=2, cpu=1_000, gang=True)
+        fleet.submit(make_job("gang", (gang,), max_failures=3))
+        fleet.run(4.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("gang"))
+
     def test_a_worker_that_works_again_is_tried_with_one_task(self) -> None:
         """
         A worker fails the tasks of two jobs and is well again a moment later.  It gets one task
