Try a gang that failed on sound workers, if these could hold it

A gang that had failed went back to the only worker with room, which had failed it, until its attempts were used up. It is now tried on workers that don't fail tasks, as long as these could hold all of it; if not, on any, as before. The test that failed passes.

--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -16,7 +16,7 @@
 from toucanpin.scheduling.prediction import Heat, heat_worker, predict_rise, predict_share
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.trust import is_doubted, is_trusted
-from toucanpin.scheduling.worker import Worker, fits_whole, has_room
+from toucanpin.scheduling.worker import Worker, count_whole, fits_whole, has_room
 
 __all__ = [
     "RESERVE",
@@ -186,7 +186,11 @@
     """Return the workers on which a task may be tried after what became of it before."""
     if not _count_failures(live, task):
         return able
-    return [worker for worker in able if not risks_attempt(live, task, worker, able, now)]
+    safe = [worker for worker in able if not risks_attempt(live, task, worker, able, now)]
+    step = live.job.steps[task.step]
+    if step.gang and sum(count_whole(worker, step) for worker in safe) < step.count:
+        return able
+    return safe
 
 
 def fits_rules(worker: Worker, group: Group, step: Step) -> bool:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -227,7 +227,10 @@
     for record in records:
         record.attempt = attempt
         record.checkpoint = checkpoint
-    chosen = _find_for_all(round_, live, group, step, able)
+    # All members share the failures of their gang, so the first speaks for them.
+    first = TaskKey(group.job, group.occurrence, group.step, 0)
+    safe = list_safe(live, first, able, round_.now)
+    chosen = _find_for_all(round_, live, group, step, safe)
     if len(chosen) < step.count:
         live.racks.pop(group, None)
         _note_wait(cell, group, WaitReason.GANG, round_.now)
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -17,6 +17,7 @@
     "Phase",
     "Run",
     "Worker",
+    "count_whole",
     "fits_whole",
     "grant_deadline",
     "has_room",
@@ -118,14 +119,21 @@
     return step.fills or worker.cpu + step.cpu <= entry.cpu
 
 
-def fits_whole(worker: Worker, step: Step) -> bool:
-    """Tell whether a task of a step fits a worker that runs nothing."""
+def count_whole(worker: Worker, step: Step) -> int:
+    """Return how many tasks of a step fit a worker that runs nothing."""
     entry = worker.entry
-    return (
-        step.memory <= entry.memory
-        and step.accelerators <= entry.accelerators
-        and step.cpu <= entry.cpu
+    sizes = (
+        (entry.cpu, step.cpu),
+        (entry.memory, step.memory),
+        (entry.accelerators, step.accelerators),
     )
+    most = step.per_worker or step.count
+    return min([most, *(whole // part for whole, part in sizes if part)])
+
+
+def fits_whole(worker: Worker, step: Step) -> bool:
+    """Tell whether a task of a step fits a worker that runs nothing."""
+    return count_whole(worker, step) > 0
 
 
 def reserve_run(worker: Worker, run: Run) -> None:
