--- a/toucanpin/scheduling/tests/test_large.py
+++ b/toucanpin/scheduling/tests/test_large.py
@@ -24,27 +24,6 @@
         started = {task for worker in fleet.workers.values() for task, _ in worker.starts}
         self.assertIn(TaskKey("large", 0, 0, 0), started)
 
-    def test_what_fills_takes_the_worker_that_is_kept_for_a_large_task(self) -> None:
-        """
-        A large urgent task waits for cores, and the roomiest worker is kept for it.  Batch work
-        that takes no cores of its own found its only room there, and waited as long as urgent tasks
-        did.
-        """
-        fleet = Fleet(workers=10, cpu=4_000)
-        for worker in fleet.workers.values():
-            worker.lasts = 60.0
-        crowd = Step(count=9, cpu=3_500, memory=8_000, per_worker=1)
-        fleet.submit(make_job("crowd", (crowd,), priority=0))
-        fleet.run(0.2)
-        fleet.submit(make_job("rest", (Step(cpu=1_000),), priority=0))
-        fleet.run(0.2)
-        fleet.submit(make_job("large", (Step(cpu=3_500),), priority=0))
-        fill = Step(cpu=1_000, memory=1_000, fills=True)
-        fleet.submit(make_job("fill", (fill,), priority=2))
-        fleet.run(0.5)
-        placed = {task.job for worker in fleet.workers.values() for task in worker.runs}
-        self.assertEqual({"crowd", "rest", "fill"}, placed)
-
 
 if __name__ == "__main__":
     unittest.main()
