Show that one lost answer keeps a worker from work for a third of a second more

One answer of a worker is lost. Nothing was heard of its ends for a second by then, and the owner waits 0.3 s more before it asks again; all the while the worker gets nothing and its lease isn't renewed. The test fails on the code as it is: asked once, where a second question should follow at once.

--- a/toucanpin/entry/tests/test_cell_workers.py
+++ b/toucanpin/entry/tests/test_cell_workers.py
@@ -8,11 +8,13 @@
 from standins.site.site import JOB, Site
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks
+from toucanpin.http import CallError
 from toucanpin.platform.store import Store
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Worker
+from toucanpin.verdict import Verdict
 
 
 class UnwrittenEndsTest(unittest.IsolatedAsyncioTestCase):
@@ -56,6 +58,39 @@
         self.assertTrue(await site.until_state("completed", JOB))
 
 
+class SilentWorkerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_worker_is_asked_again_at_once_and_then_after_a_pause(self) -> None:
+        """
+        One answer of a worker is lost.  The owner has heard nothing of its ends for a second by
+        then; it waited a third of a second more before it asked again, and gave the worker nothing
+        all the while.  A worker that doesn't answer twice in a row is left alone for a moment.
+        """
+        clocks = Clocks(Store(Site().store))  # type: ignore[arg-type]
+        cell = Cell("c", 1, 0.0, 0.0)
+        workers = CellWorkers(cell, Sharing(), clocks, lambda _: None, _nothing)
+        worker = Worker(WorkerEntry("w", "c", "127.0.0.1:1", "dc", True, 1, 1, 0))
+        cell.workers["w"] = worker
+        calls = _MuteCalls()
+        workers._calls["w"] = calls  # type: ignore[assignment]
+        holding = asyncio.ensure_future(workers._hold(worker))
+        for _ in range(10):
+            await asyncio.sleep(0)
+        holding.cancel()
+        self.assertEqual(2, calls.asked)
+        self.assertTrue(worker.silent)
+
+
+class _MuteCalls:
+    """Answer nothing."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+
+    async def hold(self, *_: object) -> None:
+        self.asked += 1
+        raise CallError(Verdict.MAY_HAVE_RUN, "no answer")
+
+
 def _nothing() -> None:
     """Do nothing."""
 
