Answer what waits for the store before a host that was told to end is gone

Callers saw a broken connection in place of an answer: a question that was read while the store was silent, slow or refusing waited for its caller's time, and the host closed the connection on it 4.8 s after SIGTERM, 1.2 s before it would be killed. Ruled out: an unread request (it had waited 1.0 to 3.5 s on a connection that had been used before). Now what isn't answered by then is told 504, also what waits its turn on a connection; 504 says that it may have run, which is true of all of them.

--- a/toucanpin/http/server.py
+++ b/toucanpin/http/server.py
@@ -64,8 +64,12 @@
             lambda: _Session(self), host, int(port), backlog=512, reuse_address=True
         )
 
-    async def drain(self, seconds: float) -> None:
-        """Take no new connections, answer what was read, then close, within ``seconds``."""
+    async def drain(self, seconds: float, late: Response | None = None) -> None:
+        """
+        Take no new connections, answer what was read, then close, within ``seconds``.
+
+        What isn't answered by then is answered with ``late``, or not at all if that is None.
+        """
         self.closing = True
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
@@ -74,6 +78,8 @@
         if self._server is not None:
             self._server.close()
         for session in tuple(self.open):
+            if late is not None:
+                session.give_up(late)
             session.close()
 
     async def handle(self, request: Request) -> Response | None:
@@ -106,6 +112,16 @@
         """Tell whether a request was read and isn't answered."""
         return self._task is not None
 
+    def give_up(self, response: Response) -> None:
+        """Answer alike whatever was read and isn't answered, also what waits its turn."""
+        if self._task is None or self._transport is None or self._transport.is_closing():
+            return
+        self._task.cancel()
+        self._task = None
+        for left in range(len(self._queue), -1, -1):
+            self._transport.write(_encode(response, keep=left > 0))
+        self._queue.clear()
+
     def close(self) -> None:
         """Close the connection once what was written has left."""
         if self._transport is not None:
--- a/toucanpin/http/tests/test_http.py
+++ b/toucanpin/http/tests/test_http.py
@@ -111,6 +111,24 @@
         await draining
         self.assertEqual((200, "close"), (answer.status, answer.headers["connection"]))
 
+    async def test_what_is_not_answered_in_time_is_answered_alike_at_the_end(self) -> None:
+        """
+        Two requests of a connection are read as the server is told to end; the first waits, and
+        the second for its turn.  Both callers' answers are whole, in place of a broken connection.
+        """
+        self.release.clear()
+        host, _, port = self.server_socket.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n" * 2)
+        while not self.seen:
+            await asyncio.sleep(0.01)
+        await self.server.drain(0.05, late=Response(504))
+        answers = await reader.read()
+        writer.close()
+        self.assertEqual(2, answers.count(b"HTTP/1.1 504"))
+        self.assertEqual(1, answers.count(b"Connection: close"))
+        self.assertEqual(1, len(self.seen))
+
 
 class SilentConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def test_one_silent_connection_costs_one_call(self) -> None:
