Let an end that is heard late also stop the run that took its place

Ruled out: a write that was not applied. Before: the new test red; after: green, with the two others.

--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -201,8 +201,8 @@
     """
     Take note that a run is done that isn't followed: its lease ended, or an earlier owner began it.
 
-    The end is acknowledged, so the worker forgets it.  Left out, a task that waits for another
-    place would run once more though it was done.  A start that may have been sent goes on.
+    The end is acknowledged, so the worker forgets it.  Left out, the task would run once more, and
+    as often as it is moved, though it was done; so whatever took its place is stopped.
     """
     live = cell.jobs.get(task.job)
     record = find_record(live, task) if live else None
@@ -211,25 +211,12 @@
     step = live.job.steps[task.step]
     if step.lasting or JobState(live.progress.state).ended:
         return
-    if not step.speculative:
-        _take_back(cell, live, task)
-        members = _list_records(live, task) if step.gang else [record]
-        if any(member.state != TaskState.WAITING for member in members):
-            return
-    _finish_task(cell, live, task, record, now)
-    mark_dirty(cell, live)
-
-
-def _take_back(cell: Cell, live: LiveJob, task: TaskKey) -> None:
-    """Give back places of a task, and of its gang, to which nothing was sent."""
     for run in list_runs(cell, live):
-        same = run.task == task or (run.step.gang and _same_step(run.task, task))
-        if same and run.phase is Phase.PLACED:
+        of_gang = step.gang and (run.task.occurrence, run.task.step) == (task.occurrence, task.step)
+        if run.task == task or of_gang:
             stop_run(cell, run, "done before")
-
-
-def _same_step(task: TaskKey, other: TaskKey) -> bool:
-    return (task.occurrence, task.step) == (other.occurrence, other.step)
+    _finish_task(cell, live, task, record, now)
+    mark_dirty(cell, live)
 
 
 def _finish_copy(
--- a/toucanpin/scheduling/tests/test_failures.py
+++ b/toucanpin/scheduling/tests/test_failures.py
@@ -145,6 +145,25 @@
         self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
         self.assertFalse(fleet.workers["w1"].starts)
 
+    def test_an_end_that_is_heard_late_stops_the_run_that_took_its_place(self) -> None:
+        """
+        As before, but the task runs elsewhere already as the end is heard.  Left out, the end was
+        lost: the second run was preempted again and again, and the task was started five times
+        after it was done.
+        """
+        fleet = Fleet(workers=1)
+        fleet.submit(make_job())
+        fleet.run(0.3)
+        fleet.workers["w0"].silent = True
+        fleet.run(AUTHORITY + 6.0)
+        fleet.add_worker("w1").lasts = 60.0
+        fleet.run(1.0)
+        self.assertEqual(1, len(fleet.workers["w1"].runs))
+        fleet.workers["w0"].silent = False
+        fleet.run(1.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertFalse(fleet.workers["w1"].runs)
+
     def test_a_task_moves_only_after_the_lease_of_a_silent_worker(self) -> None:
         """
         A worker is cut off and works on.  Started elsewhere at once the task would run twice;
