Soak: don't take what comes after a connection's last answer for cut off

A caller that wrote three questions at once to a host that ends got the first answer with Connection: close; the others had not been read, and the caller knows it. A test holds what counts and what doesn't.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -228,7 +228,7 @@
         for question in rest:
             at = time.monotonic()
             kind, subject = question.kind, question.subject
-            self._record(Broken(at, sent, channel.process, kind, subject, Loss.CLOSED))
+            self._record(Broken(at, sent, channel.process, kind, subject, Loss.UNREAD))
 
     def _spawn(self, work: object) -> None:
         assert asyncio.iscoroutine(work)
--- a/tools/soak/events.py
+++ b/tools/soak/events.py
@@ -51,6 +51,7 @@
     CLOSED = "closed"  # the other side ended the connection before any of it
     CUT = "cut"  # the other side ended the connection in its middle
     MALFORMED = "malformed"
+    UNREAD = "unread"  # an earlier answer on the connection said that it is the last
 
 
 class Signal(enum.Enum):
--- a/tools/soak/tests/test_checks.py
+++ b/tools/soak/tests/test_checks.py
@@ -144,6 +144,8 @@
         self.assertEqual(["Shutdowns"], self.find(TERMINATED, cut))
         idle = events.Broken(22.61, 22.6, "h1", Kind.STATE, "j", Loss.CLOSED)
         self.assertEqual([], self.find(TERMINATED, idle))
+        unread = events.Broken(20.1, 19.9, "h1", Kind.STATE, "j", Loss.UNREAD)
+        self.assertEqual([], self.find(TERMINATED, unread))
         killed = events.Signalled(20.05, "h1", Signal.KILL)
         self.assertEqual([], self.find(TERMINATED, killed, cut))
 
