--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 CODE := toucanpin standins scenarios tools benchmarks
 
-.PHONY: demo test bench lint format golden clean
+.PHONY: demo test bench soak lint format golden clean
 
 demo: $(STAMP)
 	$(BIN)/python -m tools.demo
@@ -16,6 +16,10 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks
 
+soak: $(STAMP)
+	$(BIN)/python -m tools.soak --kept --parallel 2
+	$(BIN)/python -m tools.soak --seeds 1-4 --parallel 2
+
 lint: $(STAMP)
 	$(BIN)/black --check --quiet $(CODE)
 	$(BIN)/ruff check --quiet $(CODE)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 import resource
+import signal
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -61,10 +62,15 @@
 ) -> Outcome:
     """Play a plan; ``settle`` is how long, in s, what was accepted may take after the faults."""
     site = Deployment(size, directory, program)
+    # Told to end, this process must not leave those that it started behind.
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         return await _Run(seed, site, settle).play(plan)
     finally:
         await site.close()
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
 
 
 class _Run:
