--- a/tools/soak/answer_checks.py
+++ b/tools/soak/answer_checks.py
@@ -157,6 +157,7 @@
         self._waiting: dict[str, dict[str, float]] = defaultdict(dict)
         self._over: set[str] = set()
         self._troubled = 0.0
+        self.judged = 0  # counts that were compared with jobs that waited
 
     def judge(self, event: events.Event) -> Iterator[str]:
         match event:
@@ -183,6 +184,7 @@
     def _judge_count(self, event: events.Answered, count: int) -> Iterator[str]:
         accepted = self._waiting[event.subject].values()
         waiting = sum(at < event.sent - COUNT_AGE for at in accepted)
+        self.judged += waiting > 0
         if count < waiting / 2:
             yield f"{event.process} counted {count} of {waiting} jobs that wait in {event.subject}"
 
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -62,6 +62,11 @@
         self.violations: list[Violation] = []
         self._checks = [make() for make in CHECKS]
 
+    @property
+    def judged_counts(self) -> int:
+        """Return how many counts were compared with jobs that surely waited."""
+        return sum(check.judged for check in self._checks if isinstance(check, Counts))
+
     def record(self, event: Event) -> None:
         """Keep an event and look at it."""
         self.events.append(event)
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -24,7 +24,7 @@
 SHORT = (0.3, 2.0)  # s
 LONG = (1.0, 6.0)  # s
 LEASES = (2.0, 8.0)  # s: a lease of a worker is 4.5 s
-EXTRA_QUEUES = (0, 1, 3, 40, 200)
+EXTRA_QUEUES = (0, 1, 3, 40, 1_000)
 TROUBLED_MODES = tuple(mode for mode in LinkMode if mode is not LinkMode.OPEN)
 CUTS = (LinkMode.CUT_THERE, LinkMode.CUT_BACK, LinkMode.SILENT)
 
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -25,7 +25,8 @@
         f"seed {outcome.seed}: {f'{bad} wrong' if bad else 'sound'}, {len(plan)} faults, "
         f"{outcome.processes} processes, {outcome.accepted} accepted, "
         f"{outcome.completed} ended by themselves, {outcome.starts} starts, "
-        f"{outcome.events} events, {outcome.took:.0f} s, {outcome.cpu:.0f} s of processor time"
+        f"{outcome.events} events, {outcome.judged_counts} counts judged, "
+        f"{outcome.took:.0f} s, {outcome.cpu:.0f} s of processor time"
     )
     if not bad:
         return
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -48,6 +48,7 @@
     completed: int
     starts: int
     events: int
+    judged_counts: int
     processes: int
     cpu: float  # s of processor time of the entry processes
 
@@ -187,6 +188,7 @@
             completed=len(self._completed),
             starts=sum(isinstance(event, Started) for event in checker.events),
             events=len(checker.events),
+            judged_counts=checker.judged_counts,
             processes=sum(host.life for host in self._site.hosts),
             cpu=cpu,
         )
