--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 import resource
+import signal
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -47,6 +48,7 @@
     completed: int
     starts: int
     events: int
+    judged_counts: int
     processes: int
     cpu: float  # s of processor time of the entry processes
 
@@ -61,10 +63,15 @@
 ) -> Outcome:
     """Play a plan; ``settle`` is how long, in s, what was accepted may take after the faults."""
     site = Deployment(size, directory, program)
+    # Told to end, this process must not leave those that it started behind.
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         return await _Run(seed, site, settle).play(plan)
     finally:
         await site.close()
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
 
 
 class _Run:
@@ -181,6 +188,7 @@
             completed=len(self._completed),
             starts=sum(isinstance(event, Started) for event in checker.events),
             events=len(checker.events),
+            judged_counts=checker.judged_counts,
             processes=sum(host.life for host in self._site.hosts),
             cpu=cpu,
         )
