--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -134,6 +134,39 @@
             await asyncio.sleep(0.05)
         self.assertTrue(relayed.direct_works)
 
+    async def test_a_weak_link_regains_the_store_whatever_the_operators_wrote(self) -> None:
+        """
+        The store turned a host away for a moment.  Each half second the host tried it again by
+        reading the operators' document, and gave up after 0.4 s.  A document of 1.4 MB takes a link
+        of 10 Mbit/s 1.1 s, so no try came to its end: the host filled its link with them and went
+        through its peers for good.
+        """
+        away = True
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            request = await reader.readuntil(b"\r\n\r\n")
+            if b"table=op" in request and not away:
+                await _send_slowly(writer)
+            else:
+                status = b"503 Away" if away else b"200 OK"
+                writer.write(b"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n" % status)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        relayed = RelayedStore(Client(f"127.0.0.1:{port}"), "h0")
+        relayed.use_peers(self.stores[0][2])
+        await relayed.call("GET", "/rows-get?table=t")
+        self.assertFalse(relayed.direct_works)
+        away = False
+        for _ in range(40):
+            if relayed.direct_works:
+                break
+            await asyncio.sleep(0.05)
+        self.assertTrue(relayed.direct_works)
+
     async def test_an_answer_that_is_arriving_is_waited_for(self) -> None:
         """
         The configuration takes a weak link 2.2 s.  After one second the host took the store for
@@ -158,12 +191,16 @@
 async def _trickle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Answer one request with a body that takes its time."""
     await reader.readuntil(b"\r\n\r\n")
+    await _send_slowly(writer)
+    writer.close()
+
+
+async def _send_slowly(writer: asyncio.StreamWriter) -> None:
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % PIECES)
     for _ in range(PIECES):
         await asyncio.sleep(PAUSE)
         writer.write(b"x")
         await writer.drain()
-    writer.close()
 
 
 def _settings(name: str, store: str, port: int) -> HostSettings:
