--- a/toucanpin/entry/tests/test_loading.py
+++ b/toucanpin/entry/tests/test_loading.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from standins.site.site import Site
@@ -45,6 +46,20 @@
         self.assertTrue(await self.site.until_state("completed"))
         self.assertEqual(1, self._read_owner().token)
 
+    async def test_an_owner_that_leaves_while_it_reads_hands_its_cell_over(self) -> None:
+        """
+        A new owner reads the rows of its cell for seconds, and its process is told to end, or a
+        stronger host comes.  It went on renewing its ownership until all was read or the process
+        was killed, so no host served the cell meanwhile: callers' jobs waited for nothing.
+        """
+        self.assertTrue(await self.site.until(lambda: self._read_owner().sequence >= 2))
+        name = self._read_owner().host
+        ending = asyncio.ensure_future(self.site.hosts[int(name[1:])].shut_down())
+        self.assertTrue(await self.site.until(lambda: self._read_owner().token > 1, 40))
+        self.assertFalse(ending.done())
+        self.assertNotEqual(name, self._read_owner().host)
+        await ending
+
 
 if __name__ == "__main__":
     unittest.main()
