Reopen a wave that names more machines than it was completed with

A wave stayed completed though a machine of it had had no upkeep: operators had added it afterwards, and whether a wave is over was read from its record alone. Red before: the new test's wave never became active again.

The cached record was ruled out: the one in the table says the same.

A record counts as completed for the machines that it names; otherwise the wave is active again, with the time from then on.

--- a/toucanpin/entry/tests/test_waves.py
+++ b/toucanpin/entry/tests/test_waves.py
@@ -129,6 +129,18 @@
         self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
         self.assertIn(other, self.machines.through)
 
+    async def test_a_wave_that_names_more_machines_is_not_completed_any_more(self) -> None:
+        """
+        Operators add a machine to a wave that was completed.  By its record it stayed completed,
+        though a machine of it had no upkeep.
+        """
+        self._ask("m1")
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self._ask("m1", "m2")
+        self.assertTrue(await self.site.until(lambda: self._state() == "active"))
+        self.assertTrue(await self.site.until(lambda: self._state() == "completed", turns=600))
+        self.assertEqual({"m1": 0, "m2": 0}, self.machines.through)
+
     async def test_a_machine_that_one_list_misses_is_not_taken_for_gone(self) -> None:
         """
         Operators read that a wave is completed while a machine of it runs on as it was.  A list of
--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -117,11 +117,13 @@
         return True
 
     async def _is_completed(self, wave: Wave) -> bool:
-        """Tell whether a wave is over; one that is new is said to be active."""
-        known = self._records.get(wave.number)
-        if known is None:
-            known = await self._read(wave)
-        return known[0].completed
+        """Tell whether a wave is over; one that is new, or names more now, is said to be active."""
+        record, version = self._records.get(wave.number) or await self._read(wave)
+        if record.completed and not is_over(wave, record):
+            again = WaveRecord(self._clocks.now().table, {}, record.done)
+            await self._write(wave, again, version, (_put_status(wave, False),))
+            return False
+        return record.completed
 
     async def _read(self, wave: Wave) -> tuple[WaveRecord, int]:
         key = str(wave.number)
@@ -133,9 +135,8 @@
         # One that can't be read is begun anew: an order for what is done already changes nothing.
         version = page.rows[0].version if page.rows else 0
         record = WaveRecord(self._clocks.now().table, {}, [])
-        status = Put(STATUS_TABLE, f"{WAVE_PREFIX}{wave.number}", encode_wave_status(False))
         _log.info("wave begun", event="wave.begun", wave=wave.number, machines=len(wave.machines))
-        await self._write(wave, record, version, (status,))
+        await self._write(wave, record, version, (_put_status(wave, False),))
         return self._records.get(wave.number) or await self._read(wave)
 
     async def _write(
@@ -176,9 +177,8 @@
             _log.info("upkeep over", event="upkeep.done", wave=wave.number, machines=through)
             return self._list_closed()
         if is_over(wave, record):
-            status = Put(STATUS_TABLE, f"{WAVE_PREFIX}{wave.number}", encode_wave_status(True))
             over = WaveRecord(record.begun, {}, record.done, True)
-            await self._write(wave, over, version, (status,))
+            await self._write(wave, over, version, (_put_status(wave, True),))
             _log.info("wave completed", event="wave.completed", wave=wave.number)
             return []
         for name, worker in record.down.items():
@@ -281,6 +281,10 @@
             await self._write(wave, WaveRecord(record.begun, down, [*record.done, name]), version)
 
 
+def _put_status(wave: Wave, completed: bool) -> Put:
+    return Put(STATUS_TABLE, f"{WAVE_PREFIX}{wave.number}", encode_wave_status(completed))
+
+
 def _decode_wave(row: Row) -> Wave:
     return decode_wave(row.value)
 
