--- /dev/null
+++ b/toucanpin/entry/tests/test_peers.py
@@ -0,0 +1,53 @@
+"""The list of hosts, as hosts come and go for days."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from standins.site.site import Site
+from toucanpin.entry.peers import FORGOTTEN, Peer
+from toucanpin.entry.rows import HOSTS
+
+LATER = 10 * FORGOTTEN  # s since the last announcement of hosts that are gone
+
+
+class GoneHostsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.site = Site()
+        self.site.configure()
+        self.addAsyncCleanup(self.site.close)
+        self.site.store.begun -= LATER
+
+    def _announce(self, name: str, announced: int) -> None:
+        peer = Peer(name, "127.0.0.1", 1, announced, 0)
+        self.site.store.put(HOSTS, name, msgspec.msgpack.encode(peer))
+
+    def _is_listed(self, name: str) -> bool:
+        return (HOSTS, "", name) in self.site.store.rows
+
+    async def test_hosts_that_are_long_gone_are_dropped(self) -> None:
+        """
+        Hosts are replaced all day, each under a name of its own, and announce themselves.  Nobody
+        dropped those that were gone: every host read all that had ever been there, each two
+        seconds, and once they were more than one answer holds, some that were there weren't known.
+        """
+        self._announce("gone", 1)
+        now = int(LATER * 1_000)
+        self._announce("there", now)
+        await self.site.add_host()
+        self.assertTrue(await self.site.until(lambda: not self._is_listed("gone")))
+        self.assertTrue(self._is_listed("there"))
+        self.assertTrue(self._is_listed("h0"))
+
+    async def test_hosts_are_known_however_many_there_were(self) -> None:
+        for number in range(600):
+            self._announce(f"a{number:03}", 1)
+        self._announce("there", int(LATER * 1_000))
+        host = await self.site.add_host()
+        self.assertTrue(await self.site.until(host.knows_peers))
+
+
+if __name__ == "__main__":
+    unittest.main()
