Drop the rows of hosts that are long gone, and follow the others by changes

After 500 of them some that were there weren't known any more, so no call could go through them; and every host read all rows each two seconds. Rows that weren't announced for 300 s are dropped, ten at a time under their versions; the others are followed by what has changed, however many pages they fill.

--- a/toucanpin/entry/peers.py
+++ b/toucanpin/entry/peers.py
@@ -16,6 +16,8 @@
 
 from toucanpin.entry.clocks import AGREEING, measure_wall
 from toucanpin.entry.entries import EntryReader
+from toucanpin.entry.followed import FollowedRows
+from toucanpin.entry.rows import HOSTS, KEY_NAME, KEYS
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.addresses import check_address
@@ -25,12 +27,12 @@
 __all__ = ["Peer", "Peers"]
 
 _log = logbook.Logger("peers")
-HOSTS = "hosts"
-KEYS = "keys"
-KEY_NAME = "peers"
 ANNOUNCE = 4.0  # s between announcements of a host
 READ = 2.0  # s between reads of the others
 GONE = 15.0  # s without an announcement after which a host isn't asked for anything
+# Hosts are replaced all day under new names; kept, their rows would fill every host's link.
+FORGOTTEN = 300.0  # s without an announcement after which a host's row is dropped
+MOST_DROPPED = 10  # rows at a time, each with the version that it must have
 RETRY = 0.3  # s after a failure
 THERE = 6.0  # s since an announcement for which a host is thought to be well; two of them
 STRONGER = 1.5  # times the cores that are worth a change of owner
@@ -59,12 +61,13 @@
 class Peers:
     """Keep the list of hosts and announce this one."""
 
-    __slots__ = ("_entries", "_settings", "_store", "known", "secret")
+    __slots__ = ("_entries", "_followed", "_settings", "_store", "known", "secret")
 
     def __init__(self, store: Store, settings: HostSettings) -> None:
         self._store = store
         self._settings = settings
         self._entries = EntryReader()
+        self._followed = FollowedRows(store, HOSTS)
         self.known: tuple[Peer, ...] = ()
         self.secret = b""
 
@@ -125,8 +128,19 @@
         await self._store.transact("", (), (put,))
 
     async def _read(self) -> None:
-        page = await self._store.read(HOSTS)
-        self.known = tuple(peer for _, peer in self._entries.read(page.rows, _decode_peer))
+        await self._followed.update()
+        rows = self._followed.rows.values()
+        found = tuple(self._entries.read(rows, _decode_peer))
+        self.known = tuple(peer for _, peer in found)
+        limit = self._store.clock - int(FORGOTTEN * 1_000)
+        await self._drop([row for row, peer in found if peer.announced < limit][:MOST_DROPPED])
+
+    async def _drop(self, rows: list[Row]) -> None:
+        """Drop the rows of hosts that are long gone, unless they are back since."""
+        if not rows:
+            return
+        expected = [Expected(HOSTS, row.key, row.version) for row in rows]
+        await self._store.transact("", expected, [Put(HOSTS, row.key, None) for row in rows])
 
     async def _agree_on_key(self) -> None:
         page = await self._store.read(KEYS, "", KEY_NAME, KEY_NAME + "\0")
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -19,6 +19,7 @@
 import logbook
 
 from toucanpin.entry.metrics import STORE_BYTES, STORE_CALLS
+from toucanpin.entry.rows import KEY_NAME, KEYS
 from toucanpin.exception import WireError
 from toucanpin.http import Answer, CallError, Client
 from toucanpin.http.client import MAX_ANSWER
@@ -49,7 +50,7 @@
 REST = 0.4  # s that no peer is asked after none of them reached the store
 CONNECT_TIMEOUT = 0.3  # s to reach a peer
 # Of a row that stays small: the operators' document never came whole over a weak link in that time.
-_PROBE_PATH = "/rows-get?table=keys&part=&limit=1&from=peers&target=peers%00"
+_PROBE_PATH = f"/rows-get?table={KEYS}&part=&limit=1&from={KEY_NAME}&target={KEY_NAME}%00"
 _WATCH_PATH = "/rows-feed"
 _NO_WAIT = "&waitMs=0"
 _REFUSED = (429, 503)
--- a/toucanpin/entry/rows.py
+++ b/toucanpin/entry/rows.py
@@ -12,7 +12,10 @@
     "COUNTS_KEY",
     "EFFECTS",
     "HANDOVERS",
+    "HOSTS",
     "JOBS",
+    "KEYS",
+    "KEY_NAME",
     "OWNERS",
     "OWNER_KEY",
     "PROGRESS",
@@ -30,7 +33,10 @@
 OWNERS = "owners"  # by cell: its owner
 HANDOVERS = "handovers"  # by cell: changes as an owner resigns, so that others needn't wait
 WAVES = "waves"  # by number: how far a wave of upkeep is; written by owners of its machines
+HOSTS = "hosts"  # by name: where each host is, announced by itself
+KEYS = "keys"  # the key that all hosts share
 OWNER_KEY = "owner"
+KEY_NAME = "peers"
 COUNTS_KEY = "pending"
 _CANCEL = "/cancel"
 PARTS = 8
