Give a cell up while its rows are read

An owner that was told to end, or that found a stronger host, went on renewing its ownership until all rows were read, since only a whole commit resigned. Nobody served the cell until its process was killed and its silence noticed.

--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -151,15 +151,13 @@
         for identifier in batch.forgotten:
             await self._drop_job(identifier)
             puts.append(Put(PROGRESS, identifier, None))
-        if resigning:
-            puts.append(Put(HANDOVERS, OWNER_KEY, self.record.life.encode()))
         puts += self._put_counts()
         puts += self._put_effects()
         await self._commit(puts, resigning)
 
-    async def renew(self) -> None:
+    async def renew(self, resigning: bool) -> None:
         """
-        Write the owner's row alone, while the cell's rows aren't read yet.
+        Write the owner's row alone, while the cell's rows aren't read yet, or give the cell up.
 
         Counts of what isn't known would be wrong, and so would effects.
 
@@ -168,12 +166,14 @@
         DeposedError
             If another process owns the cell.
         """
-        await self._commit([], False)
+        await self._commit([], resigning)
 
     async def _commit(self, puts: Sequence[Put], resigning: bool) -> None:
         host = "" if resigning else self.record.host
         record = OwnerRecord(host, self.record.life, self.record.token, self.record.sequence + 1)
         puts = [Put(OWNERS, OWNER_KEY, encode_owner(record)), *puts]
+        if resigning:
+            puts.append(Put(HANDOVERS, OWNER_KEY, record.life.encode()))
         pause = FIRST_PAUSE
         while True:
             expected = (Expected(OWNERS, OWNER_KEY, self._version),)
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -142,7 +142,9 @@
         reading = asyncio.ensure_future(self._rows.load(self._clocks.now))
         try:
             while not (await asyncio.wait((reading,), timeout=RENEWAL))[0]:
-                await self._rows.renew()
+                # One that leaves has no time to read on, and who waits for its silence loses more.
+                await self._rows.renew(self._resigning)
+                self._check_held()
             return reading.result()
         finally:
             reading.cancel()
@@ -197,8 +199,12 @@
             for run in started:
                 log_place(self._cell, run, self._clocks.now())
                 self._spawn(self._workers.start(run))
-            if not self._rows.record.host:
-                raise DeposedError("resigned")
+            self._check_held()
+
+    def _check_held(self) -> None:
+        """Raise DeposedError after this owner's resignation was written."""
+        if not self._rows.record.host:
+            raise DeposedError("resigned")
 
     async def _list(self) -> None:
         """Follow the workers' entries."""
