--- a/toucanpin/entry/tests/test_counts.py
+++ b/toucanpin/entry/tests/test_counts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 import msgspec
 
@@ -14,7 +15,7 @@
 from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.requests import Requests
 from toucanpin.http import Client, Request, Response
-from toucanpin.platform.store import Store
+from toucanpin.platform.store import Page, Store
 from toucanpin.scheduling.batches import take_batch
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.ownership import OwnerRecord
@@ -74,6 +75,26 @@
         self.site.store.begun -= SILENCE
         self.assertEqual(2, await self._count())
 
+    async def test_a_count_ends_while_jobs_keep_coming(self) -> None:
+        """
+        The owner is silent, so a host counts what has been handed in since.  It asked again until
+        an answer held nothing new; jobs came faster than the table answered, so no answer did, and
+        the caller got none.  Jobs that are handed in after the question needn't be counted.
+        """
+        await self._write_counts()
+        await self._hand_in(3)
+        self.site.store.begun -= SILENCE
+        follow, asked = self.store.follow, self.site.store.asked
+
+        async def follow_busy(table: str, after: int, wait: float) -> Page | None:
+            self.assertLess(asked["jobs"], 100)
+            page = await follow(table, after, wait)
+            await self._hand_in(1, asked["jobs"] + 100)
+            return page
+
+        with patch.object(Store, "follow", lambda _, *rest: follow_busy(*rest)):
+            self.assertEqual(3, await self._count())
+
     async def test_a_recent_count_costs_one_read(self) -> None:
         await self._write_counts()
         asked = self.site.store.asked["jobs"]
@@ -90,9 +111,9 @@
         self.assertLess(rows.written_at, steady_time())
         await rows.write(take_batch(cell), False)
 
-    async def _hand_in(self, jobs: int) -> None:
+    async def _hand_in(self, jobs: int, first: int = 0) -> None:
         body = msgspec.json.encode({"spec": "work", "pipeline": [{"cpu": 1_000}]})
-        for number in range(jobs):
+        for number in range(first, first + jobs):
             answer = await self._ask("POST", f"{PREFIX}{number:016x}", body)
             self.assertEqual(200, answer.status)
 
