Count newer jobs up to the moment of the question

A caller got no count while the owner was silent and jobs came faster than the table answered: the host asked for newer rows until an answer held none. It now ends with the version at which the owner's counts were read; all jobs that were accepted before the question are within it.

--- a/toucanpin/entry/counts.py
+++ b/toucanpin/entry/counts.py
@@ -44,22 +44,27 @@
     age = store.clock - counts.view.clock
     if is_recent(counts.view, store.clock):
         return known, age
-    rows = await _read_newer(store, counts.view.version)
+    rows = await _read_newer(store, counts.view.version, page.version)
     if rows is None:
         return None
     return known + _count_new(rows, entries, service, queue), age
 
 
-async def _read_newer(store: Store, version: int) -> list[Row] | None:
-    """Return the jobs' rows that have changed since a version, None if that isn't known."""
+async def _read_newer(store: Store, version: int, last: int) -> list[Row] | None:
+    """
+    Return the jobs' rows that have changed after a version, at least those up to ``last``.
+
+    None if that isn't known.
+    """
     rows: list[Row] = []
     while True:
         page = await store.follow(JOBS, version, 0.0)
         if page is None:
             return None
-        if not page.rows:
-            return rows
         rows += page.rows
+        # Jobs may come faster than answers, and then none would be without rows.
+        if not page.rows or page.version >= last:
+            return rows
         version = page.version
 
 
