--- a/toucanpin/entry/tests/test_counts.py
+++ b/toucanpin/entry/tests/test_counts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
 from unittest.mock import patch
 
 import msgspec
@@ -14,6 +15,7 @@
 from toucanpin.entry.configuration import ConfigurationWatch
 from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.requests import Requests
+from toucanpin.entry.rows import COUNTS
 from toucanpin.http import Client, Request, Response
 from toucanpin.platform.store import Page, Store
 from toucanpin.scheduling.batches import take_batch
@@ -95,6 +97,30 @@
         with patch.object(Store, "follow", lambda _, *rest: follow_busy(*rest)):
             self.assertEqual(3, await self._count())
 
+    async def test_a_count_that_was_long_on_its_way_is_not_recent(self) -> None:
+        """
+        The answer with the owner's counts waits behind a large one on a full link and comes 5 s
+        late.  It was compared with its own clock and passed for a recent one, so a caller was told
+        0 though three jobs had waited for as long; nothing newer had reached the host.
+        """
+        await self._write_counts()
+        await self._hand_in(3)
+        read = self.store.read
+
+        late = 0.0
+
+        async def read_late(*rest: Any) -> Page:
+            nonlocal late
+            page = await read(*rest)
+            late = 5.0 if rest[0] == COUNTS else late
+            return page
+
+        with (
+            patch("toucanpin.platform.store.steady_time", lambda: steady_time() + late),
+            patch.object(Store, "read", lambda _, *rest: read_late(*rest)),
+        ):
+            self.assertEqual(3, await self._count())
+
     async def test_a_recent_count_costs_one_read(self) -> None:
         await self._write_counts()
         asked = self.site.store.asked["jobs"]
