Judge the age of a count by the time at which it is given

A caller was told 0 though jobs had waited for seconds: the answer with the owner's counts waited on a full link, and its age was taken from the clock that answers tell, all of which come late there. The estimate of the table's clock goes on between answers and is taken from the quickest.

--- a/toucanpin/entry/counts.py
+++ b/toucanpin/entry/counts.py
@@ -40,9 +40,10 @@
     if counts is None or not counts.view.version:
         return None
     known = counts.jobs.get(queue, 0)
-    # The answer itself may have come late, so its age is that by the newest answer of all.
-    age = store.clock - counts.view.clock
-    if is_recent(counts.view, store.clock):
+    # On a full link all answers come late, so the newest of them doesn't tell the time either.
+    clock = store.read_clock()
+    age = clock - counts.view.clock
+    if is_recent(counts.view, clock):
         return known, age
     rows = await _read_newer(store, counts.view.version, page.version)
     if rows is None:
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -154,6 +154,10 @@
         self.clock = 0  # the store's own, in ms, from its newest answer
         self.estimate = ClockEstimate()
 
+    def read_clock(self) -> int:
+        """Return the store's clock as it is now, in ms, not as its newest answer told it."""
+        return max(self.clock, int(self.estimate.read(steady_time())))
+
     async def transact(
         self,
         part: str,
