--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -87,6 +87,35 @@
         page = await self.stores[0][0].read("op", timeout=5.0)
         self.assertEqual(value, page.rows[0].value)
 
+    async def test_an_answer_that_arrives_from_a_peer_is_waited_for(self) -> None:
+        """
+        The store turns a host away whose link carries the operators' document in over two seconds.
+        The host gave its peer up while the document was arriving, counted it as useless for a
+        second and asked the next one for the same: its configuration stayed as it was.
+        """
+        self.core.put("op", "config", b"x" * 1_000)
+        self.faults[0].refusing = 503
+        _, _, peers, _ = self.stores[0]
+        peer = peers.known[0]
+
+        async def pass_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            far, near = await asyncio.open_connection(peer.address, peer.port)
+            near.write(await reader.read(65_536))
+            answer = await far.read()
+            for start in range(0, len(answer), len(answer) // PIECES):
+                writer.write(answer[start : start + len(answer) // PIECES])
+                await asyncio.sleep(PAUSE)
+            writer.close()
+            near.close()
+
+        server = await asyncio.start_server(pass_slowly, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        peers.known = (Peer(peer.name, peer.address, port, 1_000, 0),)
+        page = await self.stores[0][0].read("op", timeout=1.0)
+        self.assertEqual(1_000, len(page.rows[0].value))
+
     async def test_an_outage_for_all_is_a_certain_refusal(self) -> None:
         for faults in self.faults:
             faults.refusing = 503
