--- a/toucanpin/entry/tests/test_counts.py
+++ b/toucanpin/entry/tests/test_counts.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
+from unittest.mock import patch
 
 import msgspec
 
@@ -13,8 +15,9 @@
 from toucanpin.entry.configuration import ConfigurationWatch
 from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.requests import Requests
+from toucanpin.entry.rows import COUNTS
 from toucanpin.http import Client, Request, Response
-from toucanpin.platform.store import Store
+from toucanpin.platform.store import Page, Store
 from toucanpin.scheduling.batches import take_batch
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.ownership import OwnerRecord
@@ -74,6 +77,50 @@
         self.site.store.begun -= SILENCE
         self.assertEqual(2, await self._count())
 
+    async def test_a_count_ends_while_jobs_keep_coming(self) -> None:
+        """
+        The owner is silent, so a host counts what has been handed in since.  It asked again until
+        an answer held nothing new; jobs came faster than the table answered, so no answer did, and
+        the caller got none.  Jobs that are handed in after the question needn't be counted.
+        """
+        await self._write_counts()
+        await self._hand_in(3)
+        self.site.store.begun -= SILENCE
+        follow, asked = self.store.follow, self.site.store.asked
+
+        async def follow_busy(table: str, after: int, wait: float) -> Page | None:
+            self.assertLess(asked["jobs"], 100)
+            page = await follow(table, after, wait)
+            await self._hand_in(1, asked["jobs"] + 100)
+            return page
+
+        with patch.object(Store, "follow", lambda _, *rest: follow_busy(*rest)):
+            self.assertEqual(3, await self._count())
+
+    async def test_a_count_that_was_long_on_its_way_is_not_recent(self) -> None:
+        """
+        The answer with the owner's counts waits behind a large one on a full link and comes 5 s
+        late.  It was compared with its own clock and passed for a recent one, so a caller was told
+        0 though three jobs had waited for as long; nothing newer had reached the host.
+        """
+        await self._write_counts()
+        await self._hand_in(3)
+        read = self.store.read
+
+        late = 0.0
+
+        async def read_late(*rest: Any) -> Page:
+            nonlocal late
+            page = await read(*rest)
+            late = 5.0 if rest[0] == COUNTS else late
+            return page
+
+        with (
+            patch("toucanpin.platform.store.steady_time", lambda: steady_time() + late),
+            patch.object(Store, "read", lambda _, *rest: read_late(*rest)),
+        ):
+            self.assertEqual(3, await self._count())
+
     async def test_a_recent_count_costs_one_read(self) -> None:
         await self._write_counts()
         asked = self.site.store.asked["jobs"]
@@ -90,9 +137,9 @@
         self.assertLess(rows.written_at, steady_time())
         await rows.write(take_batch(cell), False)
 
-    async def _hand_in(self, jobs: int) -> None:
+    async def _hand_in(self, jobs: int, first: int = 0) -> None:
         body = msgspec.json.encode({"spec": "work", "pipeline": [{"cpu": 1_000}]})
-        for number in range(jobs):
+        for number in range(first, first + jobs):
             answer = await self._ask("POST", f"{PREFIX}{number:016x}", body)
             self.assertEqual(200, answer.status)
 
