--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import fcntl
+import tempfile
 import time
 from pathlib import Path
 from typing import IO
@@ -37,7 +38,7 @@
 WORKER_CPU = 8_000  # thousandths of a core
 WORKER_MEMORY = 16_000  # MB
 NETWORKS = range(1, 200)  # third numbers of 127.77.x.y, one for each run at a time
-LOCKS = Path("/tmp")
+LOCKS = Path(tempfile.gettempdir())
 
 
 class Deployment:
