Wait for an answer that arrives from a peer

A host that the store turned away stayed at an old configuration: on a link that carries a large document in over two seconds, it gave its peer up while the document was arriving, and the peer counted as useless. As with direct answers, what keeps arriving is now waited for.

--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -301,7 +301,9 @@
             call = RelayCall(method, path, body, max(0.05, left - 0.02), service)
             writer.write(_encode(name, secret, Purpose.REQUEST, nonce, call))
             await writer.drain()
-            received = _decode(secret, Purpose.ANSWER, await _read_frame(reader))
+            size = await _read_size(reader)
+        frame = await _read_arriving(reader, size, left)
+        received = _decode(secret, Purpose.ANSWER, frame)
     except (OSError, TimeoutError, WireError, asyncio.IncompleteReadError) as error:
         raise CallError(Verdict.MAY_HAVE_RUN, f"{peer.name}: {error!r}") from error
     finally:
@@ -324,10 +326,28 @@
 
 
 async def _read_frame(reader: asyncio.StreamReader) -> bytes:
+    return await reader.readexactly(await _read_size(reader))
+
+
+async def _read_size(reader: asyncio.StreamReader) -> int:
     (size,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
     if not 0 < size <= MAX_FRAME:
         raise WireError(f"frame of {size} bytes; allowed are 1 to {MAX_FRAME}")
-    return await reader.readexactly(size)
+    return size
+
+
+async def _read_arriving(reader: asyncio.StreamReader, size: int, patience: float) -> bytes:
+    """Read what fills the link as long as a direct answer may take; no pause beyond patience."""
+    parts: list[bytes] = []
+    async with asyncio.timeout(ARRIVING):
+        while size:
+            async with asyncio.timeout(patience):
+                part = await reader.read(size)
+            if not part:
+                raise WireError(f"{size} bytes of a frame are missing")
+            parts.append(part)
+            size -= len(part)
+    return b"".join(parts)
 
 
 def _encode(name: str, secret: bytes, purpose: Purpose, nonce: int, message: Message) -> bytes:
