--- a/toucanpin/entry/tests/test_loading.py
+++ b/toucanpin/entry/tests/test_loading.py
@@ -5,11 +5,23 @@
 import asyncio
 import unittest
 
-from standins.site.site import Site
-from toucanpin.entry.rows import COUNTS, COUNTS_KEY
+from standins.site.site import Site, free_port
+from standins.site.store import Faults, SiteStore
+from toucanpin.entry.cell_rows import CellRows
+from toucanpin.entry.clocks import Clocks
+from toucanpin.entry.entries import EntryReader
+from toucanpin.entry.rows import COUNTS, COUNTS_KEY, PROGRESS
+from toucanpin.http import Answer, CallError, Client
+from toucanpin.platform.store import PAGE, Store
+from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner
+from toucanpin.scheduling.progress import JobState, Progress, encode_progress
+from toucanpin.scheduling.sharing import Sharing
+from toucanpin.verdict import Verdict
 
 RENEWALS = 8  # of an owner: more than twice the time after which a silent one is replaced
+BOUND = 5.0  # s for 15 reads and the pauses after those that fail
+PAGES = 6  # of progress
 
 
 class LoadingTest(unittest.IsolatedAsyncioTestCase):
@@ -61,5 +73,45 @@
         await ending
 
 
+class _Lossy:
+    """Lose each fifth answer."""
+
+    def __init__(self, store: Client) -> None:
+        self._store = store
+        self._calls = 0
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", *, timeout: float = 1.0
+    ) -> Answer:
+        self._calls += 1
+        if self._calls % 5 == 0:
+            raise CallError(Verdict.MAY_HAVE_RUN, "lost")
+        return await self._store.call(method, path, body, timeout=timeout)
+
+
+class LostAnswersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_cell_is_read_though_answers_are_lost(self) -> None:
+        """
+        The store loses some of its answers while a new owner reads its cell.  After each lost one
+        the owner began anew with the first of all reads, so with a fifth of the answers lost it
+        never came to the last: it kept the cell, and callers' jobs waited.
+        """
+        address = f"127.0.0.1:{free_port()}"
+        core = SiteStore()
+        ended = encode_progress(Progress(JobState.COMPLETED, 0, [], {}))
+        for number in range(PAGES * PAGE):
+            core.put(PROGRESS, f"{number:016x}", ended, part="c")
+        server = await core.listen(address, Faults())
+        self.addAsyncCleanup(server.drain, 0.0)
+        client = Client(address)
+        self.addCleanup(client.close)
+        store = Store(_Lossy(client))
+        cell = Cell("c", 1, 0.0, 0.0)
+        record = OwnerRecord("h", "l", 1, 0)
+        rows = CellRows(store, cell, Sharing(), record, 0, 0.0, EntryReader())
+        async with asyncio.timeout(BOUND):
+            await rows.load(Clocks(store).now)
+
+
 if __name__ == "__main__":
     unittest.main()
