Go on with the page that wasn't read, not with the first

An owner that took a cell while the store lost some answers never served it: each lost answer had it begin all reads anew, and with many pages no try came through without one. Each page is now asked for until it comes, for new owners and for the jobs that are read whole now and then.

--- a/toucanpin/entry/cell_jobs.py
+++ b/toucanpin/entry/cell_jobs.py
@@ -103,14 +103,7 @@
 
     async def _read(self) -> None:
         """Read all jobs, however long it takes; the watch goes on from there if it is behind."""
-        while True:
-            try:
-                page = await self._rows.read_jobs()
-                break
-            except (CallError, PlatformError) as error:
-                _log.warning("jobs not read", event="jobs.unread", reason=error)
-                await asyncio.sleep(RETRY)
-        self._take_page(page)
+        self._take_page(await self._rows.read_jobs())
 
     def _take_page(self, page: Page) -> None:
         """Take up what a watch or a whole read gave, and note of which moment that is."""
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -29,7 +29,7 @@
     list_job_parts,
     split_key,
 )
-from toucanpin.exception import PlatformError
+from toucanpin.exception import PlatformError, ToucanpinError
 from toucanpin.http import CallError
 from toucanpin.platform.store import Committed, Expected, Page, Put, Row, Store
 from toucanpin.scheduling.batches import Batch
@@ -89,15 +89,9 @@
 
     async def load(self, now: Callable[[], Now]) -> int:
         """Read all rows of the cell into it; return the version to follow the jobs from."""
-        while True:
-            try:
-                jobs = await self.read_jobs()
-                progress = await self._store.read_all(PROGRESS, self._cell.name)
-                learned = await self._store.read(EFFECTS, self._cell.name)
-                break
-            except (CallError, PlatformError) as error:
-                _log.warning("cell not read", event="cell.unread", reason=error)
-                await asyncio.sleep(RETRY)
+        jobs = await self.read_jobs()
+        progress = await self._read_part(PROGRESS, self._cell.name)
+        learned = await self._read_part(EFFECTS, self._cell.name)
         effects = self._entries.read_one(learned.rows, _decode_learned)
         if effects is not None:
             self._sharing.restore(effects, now().steady)
@@ -132,12 +126,24 @@
                 cancel_job(self._cell, identifier, now)
 
     async def read_jobs(self) -> Page:
-        """Read the jobs of all parts; ``version`` and ``clock`` are of the oldest moment."""
-        pages = [await self._store.read_all(JOBS, part) for part in list_job_parts(self._cell.name)]
+        """
+        Read the jobs of all parts, however long it takes.
+
+        ``version`` and ``clock`` are of the oldest moment.
+        """
+        pages = [await self._read_part(JOBS, part) for part in list_job_parts(self._cell.name)]
         rows = tuple(row for page in pages for row in page.rows)
         version = min(page.version for page in pages)
         return Page(rows, False, version, min(page.clock for page in pages))
 
+    async def _read_part(self, table: str, part: str) -> Page:
+        async def pause(error: ToucanpinError) -> None:
+            _log.warning("cell not read", event="cell.unread", part=part, reason=error)
+            await asyncio.sleep(RETRY)
+
+        # Begun anew after each lost answer, a read of many pages might never end.
+        return await self._store.read_all(table, part, unread=pause)
+
     async def write(self, batch: Batch, resigning: bool) -> None:
         """
         Write a batch, however long it takes; nothing of a later one is written before.
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 import binascii
-from collections.abc import Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 from urllib.parse import quote
 
 import msgspec
 
-from toucanpin.exception import PlatformError
+from toucanpin.exception import PlatformError, ToucanpinError
 from toucanpin.http.client import Answer, CallError
 from toucanpin.scheduling.timing import ClockEstimate
 from toucanpin.steady import steady_time
@@ -203,16 +203,30 @@
         _, rows = await self._call("GET", path, b"", (200,), timeout)
         return self._to_page(rows)
 
-    async def read_all(self, table: str, part: str = "", start: str = "", end: str = "") -> Page:
+    async def read_all(
+        self,
+        table: str,
+        part: str = "",
+        start: str = "",
+        end: str = "",
+        unread: Callable[[ToucanpinError], Awaitable[None]] | None = None,
+    ) -> Page:
         """
         Read all rows of a range in a part, however many pages they fill.
 
-        ``version`` and ``clock`` are those of the first page.
+        ``version`` and ``clock`` are those of the first page.  A page that wasn't read is asked for
+        again after ``unread``, if that is given.
         """
         rows: list[Row] = []
         first: Page | None = None
         while True:
-            page = await self.read(table, part, start, end, limit=PAGE)
+            try:
+                page = await self.read(table, part, start, end, limit=PAGE)
+            except (CallError, PlatformError) as error:
+                if unread is None:
+                    raise
+                await unread(error)
+                continue
             first = first or page
             rows += page.rows
             if not page.more or not page.rows:
