--- a/toucanpin/entry/tests/test_followed.py
+++ b/toucanpin/entry/tests/test_followed.py
@@ -6,10 +6,16 @@
 
 import msgspec
 
+from standins.site.site import free_port
+from standins.site.store import Faults, SiteStore
 from toucanpin.entry.followed import FollowedRows
-from toucanpin.http import Answer
+from toucanpin.entry.relay import RelayedStore
+from toucanpin.http import Answer, CallError, Client
 from toucanpin.platform.store import Store
 
+LOOKS = 4  # at rows that are written without a pause
+VERSIONS = 5  # of a row, written between two looks
+
 
 class _Script:
     """Give prepared answers, one a call."""
@@ -53,5 +59,59 @@
         self.assertEqual(["a"], list(followed.rows))
 
 
+class StormTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.core = SiteStore()
+        address = f"127.0.0.1:{free_port()}"
+        server = await self.core.listen(address, Faults())
+        self.addAsyncCleanup(server.drain, 0.0)
+        self.client = Client(address)
+        self.addCleanup(self.client.close)
+        self.written = 0
+
+    def _write(self, versions: int) -> None:
+        for _ in range(versions):
+            self.written += 1
+            self.core.put("op", "config", b"%09d" % self.written)
+
+    async def test_versions_that_were_replaced_are_not_read(self) -> None:
+        """
+        The operators write a large document many times in quick succession.  What has changed of it
+        since the last look is every version in between, so a weak link carried five documents where
+        one would do; meanwhile more were written, and the host fell further behind with each look.
+        """
+        followed = FollowedRows(Store(self.client), "op")
+        self._write(1)
+        await followed.update()
+        given = self.core.given["op"]
+        for _ in range(LOOKS):
+            self._write(VERSIONS)
+            await followed.update()
+            self.assertEqual(b"%09d" % self.written, followed.rows["config"].value)
+        self.assertLessEqual(self.core.given["op"] - given, VERSIONS + LOOKS - 1)
+        await followed.update()
+        given = self.core.given["op"]
+        await followed.update()
+        self.assertEqual(given, self.core.given["op"])
+
+    async def test_changes_that_never_come_are_not_asked_for_again(self) -> None:
+        """
+        A document of 1.4 MB was written three times within one look, and the answer with all three
+        was larger than any may be.  The host took the store for lost, asked for the same changes
+        again and again, and stayed at its old configuration.
+        """
+        relayed = RelayedStore(self.client, "h0")
+        followed = FollowedRows(Store(relayed), "op")
+        self._write(1)
+        await followed.update()
+        for number in range(3):
+            self.core.put("op", "config", b"%d" % number * 1_400_000)
+        with self.assertRaises(CallError):
+            await followed.update()
+        self.assertTrue(relayed.direct_works)
+        await followed.update()
+        self.assertEqual(b"2" * 1_400_000, followed.rows["config"].value)
+
+
 if __name__ == "__main__":
     unittest.main()
