Read a document whole while it is written faster than it is looked at

While the operators wrote a large document in quick succession, each look of each host read every version in between, and a weak link fell further behind with each of them; an answer with more than 4 MB was dropped, counted as a lost store, and was asked for again for good. Rows whose changes are larger than themselves are now read whole until they rest.

--- a/toucanpin/entry/followed.py
+++ b/toucanpin/entry/followed.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from toucanpin.http import TooLargeError
 from toucanpin.platform.store import Page, Row, Store
 
 __all__ = ["FollowedRows"]
@@ -20,7 +23,7 @@
     1,400 queues took 460 to 560 KB/s of each host, the entries of 246 workers most of 387 KB/s.
     """
 
-    __slots__ = ("_end", "_start", "_store", "_table", "_version", "rows")
+    __slots__ = ("_busy", "_end", "_start", "_store", "_table", "_version", "rows")
 
     def __init__(self, store: Store, table: str, start: str = "", end: str = "") -> None:
         self._store = store
@@ -28,6 +31,9 @@
         self._start = start
         self._end = end
         self._version = 0  # the store's, up to which the rows are known here
+        # Changes hold each version of a row.  Of a document that is written in quick succession
+        # they are many times the document, so it is read whole until it rests.
+        self._busy = False
         self.rows: dict[str, Row] = {}
 
     async def update(self) -> None:
@@ -41,18 +47,32 @@
         PlatformError
             If an answer can't be understood.
         """
-        page = await self._store.follow(self._table, self._version, 0.0) if self._version else None
+        page = await self._follow() if self._version and not self._busy else None
         if page is not None:
             self._take(page)
+            self._busy = _measure(self._list_own(page)) > _measure(self.rows.values())
             return
         page = await self._store.read_all(self._table, start=self._start, end=self._end)
+        known = self.rows
         self.rows = {}
         self._take(page)
+        self._busy = self._busy and self.rows != known
+
+    async def _follow(self) -> Page | None:
+        try:
+            return await self._store.follow(self._table, self._version, 0.0)
+        except TooLargeError:
+            # Later there would be even more of them.
+            self._busy = True
+            raise
+
+    def _list_own(self, page: Page) -> list[Row]:
+        end = self._end
+        own = (row for row in page.rows if not row.part and row.key >= self._start)
+        return [row for row in own if not end or row.key < end]
 
     def _take(self, page: Page) -> None:
-        for row in page.rows:
-            if row.part or row.key < self._start or (self._end and row.key >= self._end):
-                continue
+        for row in self._list_own(page):
             # Pages of a whole read are of later and later moments, and changes are asked for from
             # the first one's on: what is read of a row may be older than what is known.
             known = self.rows.get(row.key)
@@ -63,3 +83,8 @@
             else:
                 self.rows[row.key] = row
         self._version = max(self._version, page.version)
+
+
+def _measure(rows: Iterable[Row]) -> int:
+    """Return the bytes of some rows' values."""
+    return sum(len(row.value) for row in rows)
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -20,7 +20,7 @@
 
 from toucanpin.entry.metrics import STORE_BYTES, STORE_CALLS
 from toucanpin.exception import WireError
-from toucanpin.http import Answer, CallError, Client
+from toucanpin.http import Answer, CallError, Client, TooLargeError
 from toucanpin.http.client import MAX_ANSWER
 from toucanpin.verdict import Verdict
 
@@ -110,6 +110,9 @@
                     return answer
                 STORE_CALLS.add(1, {"outcome": "refused"})
                 refusal = answer
+            except TooLargeError:
+                STORE_CALLS.add(1, {"outcome": "failed"})
+                raise
             except CallError as error:
                 STORE_CALLS.add(1, {"outcome": "failed"})
                 failure = error
--- a/toucanpin/http/client.py
+++ b/toucanpin/http/client.py
@@ -16,7 +16,7 @@
 from toucanpin.exception import ToucanpinError
 from toucanpin.verdict import Verdict
 
-__all__ = ["Answer", "CallError", "Client"]
+__all__ = ["Answer", "CallError", "Client", "TooLargeError"]
 
 CONNECT_TIMEOUT = (
     0.6  # s: one lost opening packet is sent again after 1 s, a dead host never answers
@@ -48,6 +48,13 @@
         return self.verdict is Verdict.NOT_RUN
 
 
+class TooLargeError(CallError):
+    """Report an answer that is larger than any may be; the other side is well."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(Verdict.MAY_HAVE_RUN, detail)
+
+
 class Client:
     """Call one address; each connection carries one request at a time."""
 
@@ -163,8 +170,11 @@
     def data_received(self, data: bytes) -> None:
         self._size += len(data)
         self.received_at = asyncio.get_running_loop().time()
-        if self._waiter is None or self._size > MAX_ANSWER:
-            self._fail("an answer that nobody asked for, or one that is too large")
+        if self._waiter is None:
+            self._fail("an answer that nobody asked for")
+            return
+        if self._size > MAX_ANSWER:
+            self._end(TooLargeError(f"an answer of more than {MAX_ANSWER} bytes"))
             return
         try:
             self._parser.feed_data(data)
@@ -191,13 +201,16 @@
             waiter.set_result(answer)
 
     def _fail(self, detail: str) -> None:
+        # Bytes of the request may have reached the other side before the connection ended, also
+        # on a kept connection that was closed as the request was written.
+        self._end(CallError(Verdict.MAY_HAVE_RUN, detail))
+
+    def _end(self, error: CallError) -> None:
         self.reusable = False
         waiter = self._waiter
         self._waiter = None
-        # Bytes of the request may have reached the other side before the connection ended, also
-        # on a kept connection that was closed as the request was written.
         if waiter is not None and not waiter.done():
-            waiter.set_exception(CallError(Verdict.MAY_HAVE_RUN, detail))
+            waiter.set_exception(error)
         if self._transport is not None:
             self._transport.abort()
 
