Place nothing while it isn't known which jobs are cancelled

A task of a cancelled job started long after the cancel was acknowledged. The store took its owner's writes and told it nothing of the jobs, neither by the watch nor by reads; the wish to cancel stood in the table, and the owner went on placing by what it knew.

Starts that are on their way were left as they are: they were placed by a view that was new then.

Tasks are placed only while the owner's view of the jobs is at most 2.5 s old by the table's clock, half a second less than a cancelled job may take to stop starting. On a calm store a watch is answered each half second, on one that takes 0.6 s an answer each 1.1 s, so only a view that isn't renewed stops placing.

--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -37,6 +37,7 @@
     late_writes: int = 0  # so many transactions are done later, without an answer
     late_by: float = 1.0  # s
     unreadable: str = ""  # table of which ranges aren't read
+    unfollowed: str = ""  # table whose changes aren't told
     unread: int = 0  # ranges that weren't read
 
 
@@ -108,6 +109,8 @@
                 return Response(503)
             case "/rows-get":
                 return self._get(query)
+            case "/rows-feed" if query["table"] == faults.unfollowed:
+                return Response(503)
             case "/rows-feed":
                 return await self._feed(query)
         return Response(404)
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -30,7 +30,7 @@
 from toucanpin.platform.workers import WORKERS_TABLE, decode_worker
 from toucanpin.scheduling.advising import AdviceOrder, plan_advice, take_advice
 from toucanpin.scheduling.batches import apply_batch, has_work, take_batch
-from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.gathering import gather_images
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
 from toucanpin.scheduling.intake import begin_due, forget_ended
@@ -48,6 +48,7 @@
 TICK = 0.05  # s between looks at what only time brings: lapsed leases, due times, stalls
 MOVE_PERIOD = 0.2  # s between looks for tasks that do better elsewhere; answers come each 0.4 s
 LIST_PERIOD = 0.5  # s between reads of the workers' entries; a drain must be seen within 2 s
+OLDEST_VIEW = 2_500  # ms since the jobs were last known within which tasks are placed
 RETRY = 0.1  # s before a read is repeated
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
 TELL_PERIOD = 1.0  # s between looks for what waits for long
@@ -183,7 +184,8 @@
                     pass
             self._wake.clear()
             now = self._clocks.now()
-            place_tasks(self._cell, self._sharing, now)
+            if self._hears_of_cancels(now):
+                place_tasks(self._cell, self._sharing, now)
             TURN_TIME.record(steady_time() - now.steady, {"what": "placing"})
             idle = not has_work(self._cell) and not self._resigning
             if idle and steady_time() < self._rows.written_at + RENEWAL:
@@ -200,6 +202,14 @@
             if not self._rows.record.host:
                 raise DeposedError("resigned")
 
+    def _hears_of_cancels(self, now: Now) -> bool:
+        """
+        Tell whether the jobs are known as they were lately.
+
+        A cancelled job may start nothing 3 s after its cancel is acknowledged, by any host.
+        """
+        return now.table - self._rows.view.clock <= OLDEST_VIEW
+
     async def _list(self) -> None:
         """Follow the workers' entries."""
         followed = FollowedRows(self._store, WORKERS_TABLE)
--- a/toucanpin/entry/tests/test_following.py
+++ b/toucanpin/entry/tests/test_following.py
@@ -4,7 +4,9 @@
 
 import unittest
 
+from standins.site.site import Site
 from toucanpin.entry.cell_jobs import FEED_MARGIN, FEED_WAIT, RETRY, plan_rest
+from toucanpin.entry.rows import job_part
 from toucanpin.http import Answer, CallError
 from toucanpin.platform.store import Store
 from toucanpin.verdict import Verdict
@@ -37,6 +39,37 @@
         self.assertLess(silent.waited[0] + RETRY, CANCEL_BOUND)
 
 
+class OldViewTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_new_starts_for_an_owner_that_hears_of_no_cancels(self) -> None:
+        """
+        The store takes an owner's writes and tells it nothing of the jobs, neither by its watch nor
+        by reads.  A job that waits for room is cancelled meanwhile, which its owner can't know; as
+        another task ended, long after the cancel was acknowledged, it was started.
+        """
+        site = Site()
+        site.configure()
+        self.addAsyncCleanup(site.close)
+        await site.add_host()
+        worker = await site.add_worker(cpu=1_000, lasts=5.0)
+        self.assertTrue(await site.until_ready())
+        await site.submit()
+        self.assertTrue(await site.until(lambda: worker.core.runs))
+        other = "00000000000000a2"
+        await site.submit(other)
+        (owner,) = (it._owner for it in site.hosts[0]._contenders.values())
+        assert owner is not None
+        self.assertTrue(await site.until(lambda: sum(owner.count_waiting().values())))
+        site.faults[0].unfollowed = site.faults[0].unreadable = "jobs"
+        site.store.put("jobs", other + "/cancel", b"1", job_part("c", other))
+        self.assertTrue(await site.until(lambda: not worker.core.runs))
+        written = site.store.transactions
+        self.assertTrue(await site.until(lambda: site.store.transactions > written + 5))
+        self.assertEqual(1, len(worker.core.starts))
+        site.faults[0].unfollowed = site.faults[0].unreadable = ""
+        self.assertTrue(await site.until_state("canceled", other))
+        self.assertEqual(1, len(worker.core.starts))
+
+
 class RelistTest(unittest.TestCase):
     def test_full_reads_take_a_small_part_of_the_time_however_long_they_are(self) -> None:
         """
