--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -151,7 +151,7 @@
         if lenient not in openings:
             openings[lenient] = Openings(cell, group, step, able, making, now, lenient)
         if not openings[lenient].take():
-            if not (step.label or step.per_worker or live.job.advised):
+            if not openings[lenient].ruled and not live.job.advised:
                 making.note_hopeless(step, lenient)
             return
 
@@ -181,14 +181,14 @@
             reason = _find_reason(live, step, able)
             _note_wait(cell, group, reason, now)
             note_barren(cell, live, step, now)
-            note_shortage(round_, live, step, reason)
+            note_shortage(round_, live, step, reason, places.ruled)
             return
         if risks_attempt(live, task, worker, able, now):
             _note_wait(cell, group, WaitReason.FAILING, now)
             continue
         if not bold and not may_last(able, group, step):
             _note_wait(cell, group, WaitReason.RESERVED, now)
-            note_shortage(round_, live, step, WaitReason.RESERVED)
+            note_shortage(round_, live, step, WaitReason.RESERVED, places.ruled)
             return
         cell.delayed.pop(task, None)
         waiting.discard(index)
@@ -226,7 +226,10 @@
     for record in records:
         record.attempt = attempt
         record.checkpoint = checkpoint
-    chosen = _find_for_all(round_, live, group, step, able)
+    # All members share the failures of their gang, so the first speaks for them.
+    first = TaskKey(group.job, group.occurrence, group.step, 0)
+    safe = list_safe(live, first, able, round_.now)
+    chosen = _find_for_all(round_, live, group, step, safe)
     if len(chosen) < step.count:
         live.racks.pop(group, None)
         _note_wait(cell, group, WaitReason.GANG, round_.now)
@@ -267,6 +270,7 @@
     record.attempt += 1
     record.worker = worker.entry.id
     run = Run(task, record.attempt, worker.entry.id, step, Phase.PLACED)
+    run.priority = live.job.priority
     run.checkpoint = record.checkpoint
     run.resumed = bool(record.checkpoint)
     group = Group(task.job, task.occurrence, task.step)
