--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -104,6 +104,7 @@
     learned_at: float = 0.0  # when effects were last learned from its measurements
     failed_jobs: set[str] = field(default_factory=set)  # whose tasks failed since it did one
     failed_at: float = 0.0
+    failing_until: float = 0.0  # no task that has failed is tried there
     strangers: frozenset[TaskKey] = frozenset()
     # Sums of cores tell in one look that no stop helps an urgent task; without them each turn went
     # through all runs of all workers, half of the time of placing.
