Show that all workers are looked at for each one that is kept for a large task

Callers of a full fleet got late answers. For each brief step that waits a worker is kept, up to an eighth of them, and for each all workers are looked at: a turn grows with the square of their number.

--- a/toucanpin/scheduling/tests/test_turns.py
+++ b/toucanpin/scheduling/tests/test_turns.py
@@ -97,6 +97,18 @@
             self.fleet.submit(make_job(f"u{number:02}", (step,)))
         self.assertLessEqual(self._count("_find_victims"), WORKERS)
 
+    def test_workers_are_not_all_looked_at_for_each_that_is_kept(self) -> None:
+        """
+        Brief steps wait on a full fleet, and a worker is kept for each, up to an eighth of them.
+        Each looked at all workers for the roomiest, so a turn grew with the square of their number.
+        """
+        for number in range(WAITING):
+            step = Step(count=4, cpu=2_000 + number, per_worker=1)
+            self.fleet.submit(make_job(f"u{number:02}", (step,)))
+        with patch.object(choosing, "_count_group", wraps=choosing._count_group) as counted:
+            place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+        self.assertLessEqual(counted.call_count, WAITING)
+
     def test_images_without_a_place_are_weighed_in_the_same_turns(self) -> None:
         """
         Batch tasks of three images find no place, one after the other, and each image rests before
