Find the roomiest worker to keep from a heap, not by looking at all of them

Callers of a full fleet got late answers, since a turn grew with the square of the number of workers: for each step for which one was kept, up to an eighth of them, all were looked at.

Within a round rooms only shrink, so a heap of what is free gives the roomiest worker, and only those are looked at again that got something since. Keeping has a module of its own.

--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -22,11 +22,11 @@
 from toucanpin.scheduling.choosing import (
     Places,
     Round,
-    fits_rules,
     list_able,
     may_last,
 )
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.keeping import Keeping
 from toucanpin.scheduling.preempting import Making, Openings
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.recalling import is_barren, note_barren, note_shortage, recall
@@ -42,7 +42,6 @@
 
 __all__ = ["place_tasks"]
 
-MOST_KEPT = 0.12  # of the workers that are kept for large tasks at a time
 # A lasting task that ran before and waits for longer takes the room that is kept for brief urgent
 # ones: users of its service miss it.  New ones that all did so would leave no room for brief tasks:
 # urgent jobs earned 0.68 of their worth then and 0.70 as it is, eight days played with either.
@@ -55,7 +54,8 @@
     if not cell.waiting:
         cell.waits.clear()
         return
-    everywhere = able = list_able(cell, now)
+    everywhere = list_able(cell, now)
+    keeping = Keeping(cell, everywhere)
     round_ = Round(sharing, now)
     making = Making()
     least_urgent = _find_least_urgent(cell)
@@ -63,7 +63,7 @@
         live = cell.jobs[group.job]
         step = live.job.steps[group.step]
         # What is kept for large tasks mustn't hold up a task that has to last.
-        allowed = everywhere if step.lasting else able
+        allowed = everywhere if step.lasting else keeping.able
         if live.job.advised:
             allowed = [w for w in allowed if find_ticket(cell, group, w.entry.id, now)]
         if step.gang:
@@ -72,7 +72,7 @@
             _place_group(cell, round_, live, group, step, allowed)
         if live.job.priority < least_urgent and not step.gang:
             _make_room(cell, live, group, step, allowed, making, now)
-        able = _keep_for_large(cell, group, step, able)
+        keeping.keep_for(group, step)
         if not cell.waiting[group]:
             del cell.waiting[group]
     for group in [group for group in cell.waits if group not in cell.waiting]:
@@ -107,22 +107,6 @@
     return max(running, default=0)
 
 
-def _keep_for_large(cell: Cell, group: Group, step: Step, able: list[Worker]) -> list[Worker]:
-    """
-    Keep a worker from less urgent steps, for a task that is too large for what is free.
-
-    Small tasks would take each core that becomes free, and a large one waits for seconds: one of 13
-    cores waited 9 s among tasks of 4.
-    """
-    if not cell.waiting[group] or step.fills or step.lasting or step.gang:
-        return able
-    fitting = [worker for worker in able if fits_rules(worker, group, step)]
-    if len(able) <= len(cell.workers) * (1 - MOST_KEPT) or not fitting:
-        return able
-    roomiest = max(fitting, key=lambda worker: worker.entry.cpu - worker.cpu)
-    return [worker for worker in able if worker is not roomiest]
-
-
 def _make_room(
     cell: Cell,
     live: LiveJob,
--- a/toucanpin/scheduling/tests/test_turns.py
+++ b/toucanpin/scheduling/tests/test_turns.py
@@ -7,12 +7,15 @@
 from unittest.mock import patch
 
 from toucanpin.scheduling import choosing, preempting
-from toucanpin.scheduling.cell import WaitReason
+from toucanpin.scheduling.cell import Group, WaitReason
 from toucanpin.scheduling.choosing import Places
 from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.keeping import Keeping
+from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.recalling import BARREN
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.worker import Worker
 
 WORKERS = 30
 WAITING = 20  # steps
@@ -109,6 +112,28 @@
             place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
         self.assertLessEqual(counted.call_count, WAITING)
 
+    def test_the_roomiest_worker_is_kept_also_after_others_were_filled(self) -> None:
+        """
+        A worker was the roomiest when the turn began, and an urgent step has filled it since.  Kept
+        in its stead for the large step that follows, it would help nobody.
+        """
+        cell = Fleet(workers=10, cpu=4_000).cell
+        able = []
+        for number in range(10):
+            entry = WorkerEntry(f"w{number}", "c", "a:1", "dc", True, 4_000, 8_000, 0)
+            cell.workers[entry.id] = Worker(entry, cpu=1_000 + 100 * number)
+            able.append(cell.workers[entry.id])
+        kept = Keeping(cell, able)
+        group = Group("large", 0, 0)
+        cell.waiting[group] = {0}
+        kept.keep_for(group, Step(cpu=3_900))
+        self.assertNotIn("w0", [worker.entry.id for worker in kept.able])
+        able[1].cpu = 4_000
+        kept.keep_for(group, Step(cpu=3_900))
+        left = [worker.entry.id for worker in kept.able]
+        self.assertIn("w1", left)
+        self.assertNotIn("w2", left)
+
     def test_images_without_a_place_are_weighed_in_the_same_turns(self) -> None:
         """
         Batch tasks of three images find no place, one after the other, and each image rests before
