--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -103,10 +103,10 @@
             near.write(await reader.read(65_536))
             answer = await far.read()
             for start in range(0, len(answer), len(answer) // PIECES):
-                writer.write(answer[start : start + len(answer) // PIECES])
                 await asyncio.sleep(PAUSE)
-            writer.close()
+                writer.write(answer[start : start + len(answer) // PIECES])
             near.close()
+            writer.close()
 
         server = await asyncio.start_server(pass_slowly, "127.0.0.1", 0)
         self.addAsyncCleanup(server.wait_closed)
