--- a/toucanpin/entry/tests/test_configuration.py
+++ b/toucanpin/entry/tests/test_configuration.py
@@ -4,17 +4,24 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
-from standins.site.site import Site
+import msgspec
+
+from standins.site.site import HOST, PREFIX, Site, free_port
+from standins.site.store import Faults
 from toucanpin.entry.clocks import Clocks
 from toucanpin.entry.configuration import ConfigurationWatch
+from toucanpin.entry.followed import FollowedRows
 from toucanpin.entry.requests import Requests
-from toucanpin.http import Answer, CallError, Request
+from toucanpin.entry.rows import JOBS
+from toucanpin.http import Answer, CallError, Client, Request
 from toucanpin.platform.store import Store
 from toucanpin.scheduling.configuration import Configuration, Queue
 from toucanpin.verdict import Verdict
 
 BOUND = 20.0  # s after which a test that would hang fails
+SILENCE = 6.0  # s since the newest look at the configuration
 LOOKS = 6  # at the configuration, of which each but the first finds nothing new
 
 
@@ -40,6 +47,38 @@
         self.assertEqual(given, store.given["op"])
 
 
+class OldConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_is_accepted_under_an_old_configuration(self) -> None:
+        """
+        The operators drop a queue, and a host behind a full link doesn't hear of it for six
+        seconds, though its other calls are answered.  It went on accepting jobs of that queue, and
+        they ran.  A version has to be in force everywhere 3 s after it was accepted.
+        """
+        site = Site()
+        site.configure()
+        address = f"127.0.0.1:{free_port()}"
+        server = await site.store.listen(address, Faults())
+        self.addAsyncCleanup(server.drain, 0.0)
+        client = Client(address)
+        self.addCleanup(client.close)
+        store = Store(client)
+        watch = ConfigurationWatch(store)
+        requests = Requests(store, watch, Clocks(store))
+        self.assertTrue(await watch.refresh())
+        body = msgspec.json.encode({"spec": "work", "pipeline": [{"cpu": 1_000}]})
+        request = Request("POST", f"{PREFIX}{1:016x}", {"host": HOST}, body)
+        site.configure(2, "/other/")
+        watch.confirmed -= SILENCE
+        with patch.object(FollowedRows, "update", _fail):
+            answer = await requests.handle(request)
+        assert answer is not None
+        self.assertEqual(503, answer.status)
+        self.assertFalse([name for name in site.store.rows if name[0] == JOBS])
+        answer = await requests.handle(request)
+        assert answer is not None
+        self.assertEqual(404, answer.status)
+
+
 class SharingTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.caller = _SilentStore()
@@ -71,6 +110,10 @@
         self.assertFalse(self.caller.failing.is_set())
 
 
+async def _fail(_: FollowedRows) -> None:
+    raise CallError(Verdict.MAY_HAVE_RUN, "no answer")
+
+
 class _SilentStore:
     """Leave calls unanswered until they are made to fail."""
 
