Accept nothing under a configuration that may be out of force

A host behind a full link went on accepting jobs of a queue that the operators had dropped seconds before, since nothing but a missing queue had it look for a newer version. A job is now accepted only if the host has seen within 2 s that no newer one is there; otherwise 503, and it never runs. What was accepted before is shown and cancelled as ever.

--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -47,6 +47,9 @@
 LONGEST_PAUSE = 0.25  # s
 TRY_TIMEOUT = 1.8  # s for one try at the table; a slow one takes 0.6 s, and a peer may follow
 REFUSE_AFTER = 0.5  # s of certain refusals by the table after which a caller is sent away
+OLDEST = (
+    2.0  # s since a configuration was the newest; the next is in force 3 s after it was written
+)
 COME_BACK = 1  # s after which a caller that was refused should try again
 # Callers try a handful of times.  Outages of the table last 4 to 10 s once they last a second, and
 # callers that come back each second have used their tries before the end.
@@ -96,6 +99,9 @@
         path = request.path.partition("?")[0]
         host = request.headers.get("host", "")
         deadline = time.monotonic() + _read_deadline(request) - ANSWER_MARGIN
+        # Reads of what was accepted go on; nothing new is accepted of a queue that may be dropped.
+        if request.method == "POST" and not await self._is_current(deadline):
+            return Response(503, retry_after=self._come_back())
         queue = await self._configuration.find(host, path, deadline - time.monotonic())
         if self._configuration.current is None:
             return Response(503, retry_after=self._come_back())
@@ -117,6 +123,15 @@
                 return Response(404)
         return Response(405)
 
+    async def _is_current(self, deadline: float) -> bool:
+        """Look for as long as a write is tried whether the configuration may still be in force."""
+        until = min(deadline, time.monotonic() + REFUSE_AFTER)
+        while not await self._configuration.refresh(OLDEST, until - time.monotonic()):
+            if time.monotonic() >= until:
+                return False
+            await asyncio.sleep(FIRST_PAUSE)
+        return True
+
     def _come_back(self) -> int:
         """Return after how many seconds a refused caller should try again."""
         away = steady_time() - self._configuration.confirmed
