--- a/toucanpin/scheduling/tests/test_trust.py
+++ b/toucanpin/scheduling/tests/test_trust.py
@@ -89,6 +89,26 @@
         fleet.run(0.3)
         self.assertEqual(8, sum(len(worker.runs) for worker in fleet.workers.values()))
 
+    def test_two_jobs_that_fail_everywhere_shut_no_worker_to_others(self) -> None:
+        """
+        Two callers' jobs can't be done, and their tasks fail on each worker.  So each worker counts
+        as one that fails whatever it starts: it gets nothing for 3 s and then a task a second,
+        though all are sound and other callers' jobs wait beside a free fleet.
+        """
+        fleet = Fleet(workers=4)
+        for worker in fleet.workers.values():
+            worker.failing = True
+        for name in ("bad", "worse"):
+            fleet.submit(make_job(name, (Step(count=6, cpu=1_000),), max_failures=3))
+        fleet.run(0.5)
+        self.assertEqual(JobState.FAILED, fleet.state("worse"))
+        for worker in fleet.workers.values():
+            worker.failing = False
+            worker.lasts = 20.0
+        fleet.submit(make_job("good", (Step(count=16, cpu=1_000),)))
+        fleet.run(1.0)
+        self.assertEqual(16, sum(len(worker.runs) for worker in fleet.workers.values()))
+
     def test_a_lasting_task_that_fails_after_a_while_shuts_no_worker(self) -> None:
         fleet = Fleet(workers=1)
         worker = fleet.workers["w0"]
