--- a/toucanpin/scheduling/tests/test_turns.py
+++ b/toucanpin/scheduling/tests/test_turns.py
@@ -134,6 +134,33 @@
         self.assertIn("w1", left)
         self.assertNotIn("w2", left)
 
+    def test_workers_that_did_not_change_are_not_summed_up_in_each_turn(self) -> None:
+        """
+        Batch steps come one after the other, some ten a second on a large fleet, each in a turn of
+        its own.  Each turn summed up anew what all workers serve and suffer, though the loads in
+        these sums are measured five times a second, and that was most of a turn's time.
+        """
+        self._submit_fill("g0")
+        place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+        self.fleet.time += 0.01
+        self._submit_fill("g1")
+        with patch.object(choosing, "heat_worker", wraps=choosing.heat_worker) as counted:
+            place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+        self.assertEqual(0, counted.call_count)
+
+    def test_workers_are_summed_up_anew_when_loads_may_have_changed(self) -> None:
+        self._submit_fill("g0")
+        place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+        self.fleet.time += 0.25
+        self._submit_fill("g1")
+        with patch.object(choosing, "heat_worker", wraps=choosing.heat_worker) as counted:
+            place_tasks(self.fleet.cell, self.fleet.sharing, self.fleet.now())
+        self.assertEqual(WORKERS, counted.call_count)
+
+    def _submit_fill(self, name: str) -> None:
+        fill = Step(count=4, cpu=1_500, fills=True, image=name)
+        self.fleet.submit(make_job(name, (fill,), priority=2))
+
     def test_images_without_a_place_are_weighed_in_the_same_turns(self) -> None:
         """
         Batch tasks of three images find no place, one after the other, and each image rests before
