Keep the sum of how a worker fares until something comes, goes or is measured

Callers of a full fleet got late answers. Each turn with a batch step to place summed up what every worker serves and suffers, some fifty times a second, though loads are measured five times a second and a worker answers twice.

The sum stays with its worker until a run comes or goes there, the worker answers, or 0.2 s have passed.

Ruled out: to drop it also at each lesson about pairs of images; there are several hundred a second, and each moves an estimate that took a minute to form. Such a lesson counts up to 0.2 s later now, so decisions aren't sign for sign the same.

--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -40,35 +40,40 @@
 OTHER_JOB = 0.4  # weight of each other job that does
 RESERVE = 0.1  # of a worker's cores that lasting tasks leave to brief ones: one urgent task
 NO_RESERVE = 20.0  # weight of a place that leaves less
+HEAT_PERIOD = 0.2  # s for which a sum counts; loads are measured as often
 BESIDE_FILLING = 1.0  # weight against serving beside a worker full of what fills
 
 
 @dataclass(slots=True)
 class Round:
     """
-    Hold what one round of placing knows of workers, so that each is summed up once.
+    Hold what one round of placing knows.
 
     ``reserved`` holds what found only room that is kept for brief tasks.
     """
 
     sharing: Sharing
     now: Now
-    heats: dict[str, Heat] = field(default_factory=dict)
     reserved: Shortage = field(default_factory=Shortage)
     _brief: Shortage = field(default_factory=Shortage)
     _lasting: Shortage = field(default_factory=Shortage)
 
+    def heat(self, worker: Worker) -> Heat:
+        """
+        Return how a worker fares.
+
+        Summed up in each round, this took most of a turn on a few hundred workers.
+        """
+        now = self.now.steady
+        if worker.heat is None or now > worker.heat_at + HEAT_PERIOD:
+            worker.heat = heat_worker(self.sharing, worker, planned=True)
+            worker.heat_at = now
+        return worker.heat
+
     def shortage(self, lasting: bool) -> Shortage:
         """Return what found no room; brief tasks leave out workers that are kept for large ones."""
         return self._lasting if lasting else self._brief
 
-    def heat(self, worker: Worker) -> Heat:
-        """Return how a worker fares."""
-        known = self.heats.get(worker.entry.id)
-        if known is None:
-            known = self.heats[worker.entry.id] = heat_worker(self.sharing, worker, planned=True)
-        return known
-
 
 class Places:
     """
@@ -103,8 +108,7 @@
 
     def renew(self) -> None:
         """Weigh the best worker anew, which has got a task since."""
-        _, number, worker = heapq.heappop(self._heap)
-        self._round.heats.pop(worker.entry.id, None)
+        _, number, _ = heapq.heappop(self._heap)
         place = self._weigh(number)
         if place is not None:
             heapq.heappush(self._heap, place)
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -114,6 +114,7 @@
         if found is None or found.attempt != run.attempt:
             _take_absence(cell, worker, run, sent_at, now)
     worker.reached = True
+    worker.heat = None
 
 
 def take_silence(worker: Worker) -> None:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -209,7 +209,6 @@
         waiting.discard(index)
         task = TaskKey(group.job, group.occurrence, group.step, index)
         _place(cell, live, task, step, worker, round_.now)
-        round_.heats.pop(worker.entry.id, None)
 
 
 def _find_for_all(
@@ -231,7 +230,6 @@
         _renew(places, live, group, step, worker)
     for worker, run in trial:
         release_run(worker, run)
-        round_.heats.pop(worker.entry.id, None)
     return chosen
 
 
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -9,10 +9,14 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.orders import WorkerEntry
 
+if TYPE_CHECKING:
+    from toucanpin.scheduling.prediction import Heat
+
 __all__ = [
     "Phase",
     "Run",
@@ -106,6 +110,9 @@
     # through all runs of all workers, half of the time of placing.
     yielding: dict[int, int] = field(default_factory=dict)  # by priority, of what may be stopped
     leaving: int = 0  # of what is being stopped
+    # How it fares, as summed up at ``heat_at``, until something comes, goes or is measured.
+    heat: Heat | None = None
+    heat_at: float = 0.0
 
     @property
     def rack(self) -> str:
@@ -167,6 +174,7 @@
 
 def _count(worker: Worker, run: Run, sign: int) -> None:
     step = run.step
+    worker.heat = None
     worker.memory += sign * step.memory
     worker.accelerators += sign * step.accelerators
     if step.fills:
