--- a/tools/soak/answer_checks.py
+++ b/tools/soak/answer_checks.py
@@ -59,12 +59,9 @@
         super().__init__()
         self._queues: frozenset[str] = frozenset()
         self._changed: dict[str, float] = {}
-        self._troubled = 0.0
 
     def judge(self, event: events.Event) -> Iterator[str]:
         match event:
-            case events.Troubled(orders=False):
-                self._troubled = event.at
             case events.Configured():
                 if self._queues:
                     self._changed |= dict.fromkeys(self._queues ^ event.queues, event.at)
@@ -72,7 +69,7 @@
             case events.Answered() if event.status in (200, 404):
                 job = self.jobs.get(event.subject)
                 queue = job.queue if job else event.subject
-                settled = max(self._changed.get(queue, 0.0), self._troubled) + IN_FORCE
+                settled = max(self._changed.get(queue, 0.0), self.troubled) + IN_FORCE
                 always = queue in self._queues and queue not in self._changed
                 there = event.status == 200
                 if there != (queue in self._queues) and (event.sent > settled or always):
@@ -156,13 +153,10 @@
         super().__init__()
         self._waiting: dict[str, dict[str, float]] = defaultdict(dict)
         self._over: set[str] = set()
-        self._troubled = 0.0
         self.judged = 0  # counts that were compared with jobs that waited
 
     def judge(self, event: events.Event) -> Iterator[str]:
         match event:
-            case events.Troubled(orders=False):
-                self._troubled = event.at
             case events.Answered(kind=events.Kind.SUBMIT, status=200) if (
                 event.subject not in self._over
             ):
@@ -173,7 +167,7 @@
             case events.CancelAsked():
                 self._drop(event.job)
             case events.Answered(kind=events.Kind.COUNT, status=200, value=int(count)):
-                if count >= 0 and event.sent > self._troubled + COUNT_CALM:
+                if count >= 0 and event.sent > self.troubled + COUNT_CALM:
                     yield from self._judge_count(event, count)
 
     def _drop(self, name: str) -> None:
@@ -195,16 +189,13 @@
     def __init__(self) -> None:
         super().__init__()
         self._told: dict[str, float] = {}
-        self._signals: dict[str, set[events.Signal]] = defaultdict(set)
 
     def judge(self, event: events.Event) -> Iterator[str]:
         match event:
-            case events.Signalled():
-                self._signals[event.process].add(event.signal)
-                if event.signal is events.Signal.TERMINATE:
-                    self._told.setdefault(event.process, event.at)
+            case events.Signalled(signal=events.Signal.TERMINATE):
+                self._told.setdefault(event.process, event.at)
             case events.Broken(loss=events.Loss.CLOSED | events.Loss.CUT):
-                signals = self._signals[event.process]
+                signals = self.signals[event.process]
                 harsh = signals & {events.Signal.KILL, events.Signal.STOP}
                 waited = event.at - event.sent
                 told_at = self._told.get(event.process, 0.0)
@@ -217,16 +208,10 @@
 class Processes(TaskCheck):
     """A process ends only when it is told to, and well."""
 
-    def __init__(self) -> None:
-        super().__init__()
-        self._signals: dict[str, set[events.Signal]] = defaultdict(set)
-
     def judge(self, event: events.Event) -> Iterator[str]:
         match event:
-            case events.Signalled():
-                self._signals[event.process].add(event.signal)
             case events.Left():
-                signals = self._signals[event.process]
+                signals = self.signals[event.process]
                 # SIGTERM may come before the process has begun to listen for it.
                 good = (event.code == 0 or event.code == -15) and events.Signal.TERMINATE in signals
                 killed = event.code == -9 and events.Signal.KILL in signals
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -19,6 +19,7 @@
 
 FIRST = 1.5  # s without faults, in which the first jobs are accepted
 SERIES_EVERY = 3.0  # s of a run for each series of faults
+SERIES_HOSTS = 12  # from which on there are more series
 LENGTHS = (2, 3, 4, 6)  # faults of one series
 GAPS = (0.0, 1.2)  # s between faults of a series
 SHORT = (0.3, 2.0)  # s
@@ -44,7 +45,8 @@
     """Draw the faults of a run, in the order of their times."""
     random_ = random.Random(f"plan/{seed}")
     timed: list[Timed] = []
-    for _ in range(max(2, round(size.seconds / SERIES_EVERY))):
+    crowd = max(1.0, size.hosts / SERIES_HOSTS)
+    for _ in range(max(2, round(size.seconds / SERIES_EVERY * crowd))):
         timed += _draw_series(random_, size)
     return tuple(sorted(timed, key=lambda it: it.at))
 
--- a/tools/soak/task_checks.py
+++ b/tools/soak/task_checks.py
@@ -20,15 +20,22 @@
 
 
 class TaskCheck:
-    """Know the jobs that were offered."""
+    """Know the jobs that were offered, the last trouble, and the signals that processes got."""
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobPlan] = {}
+        self.troubled = 0.0  # of the store, a host or the machine
+        self.signals: dict[str, set[events.Signal]] = defaultdict(set)
 
     def take(self, event: events.Event) -> Iterator[str]:
         """Yield what is wrong with an event."""
-        if isinstance(event, events.Offered):
-            self.jobs[event.job.id] = event.job
+        match event:
+            case events.Offered():
+                self.jobs[event.job.id] = event.job
+            case events.Troubled(orders=False):
+                self.troubled = event.at
+            case events.Signalled():
+                self.signals[event.process].add(event.signal)
         yield from self.judge(event)
 
     def judge(self, event: events.Event) -> Iterator[str]:
