--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -47,9 +47,8 @@
 LONGEST_PAUSE = 0.25  # s
 TRY_TIMEOUT = 1.8  # s for one try at the table; a slow one takes 0.6 s, and a peer may follow
 REFUSE_AFTER = 0.5  # s of certain refusals by the table after which a caller is sent away
-OLDEST = (
-    2.0  # s since a configuration was the newest; the next is in force 3 s after it was written
-)
+# A version has to be in force 2 to 3 s after it was written.
+OLDEST = 2.0  # s since a configuration was known to be the newest
 COME_BACK = 1  # s after which a caller that was refused should try again
 # Callers try a handful of times.  Outages of the table last 4 to 10 s once they last a second, and
 # callers that come back each second have used their tries before the end.
