--- a/toucanpin/entry/advisers.py
+++ b/toucanpin/entry/advisers.py
@@ -10,8 +10,8 @@
 import logbook
 
 from toucanpin.entry.clocks import steady_time
+from toucanpin.entry.peer_calls import ADVICE, PeerCaller
 from toucanpin.entry.peers import Peers
-from toucanpin.entry.relay import ADVICE, PeerCaller
 from toucanpin.http import CallError, Client
 from toucanpin.platform.advice import AdviceCalls
 from toucanpin.scheduling.advising import Advice
--- /dev/null
+++ b/toucanpin/entry/frames.py
@@ -0,0 +1,80 @@
+"""
+Frames between hosts
+====================
+
+Read and write messages of the inner protocol under the key that all hosts share.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from typing import TYPE_CHECKING
+
+from toucanpin.exception import WireError
+from toucanpin.http.client import MAX_ANSWER
+
+if TYPE_CHECKING:
+    from toucanpin.wire.codec import Purpose
+    from toucanpin.wire.messages import Message, Received
+
+__all__ = [
+    "ARRIVING",
+    "MAX_FRAME",
+    "decode_frame",
+    "encode_frame",
+    "read_arriving",
+    "read_frame",
+    "read_size",
+]
+
+_LENGTH = struct.Struct(">I")
+# Whatever the store may answer has to pass: a host that it turns away kept an old configuration.
+MAX_FRAME = MAX_ANSWER + 65_536  # bytes, of the inner protocol; what is around an answer besides
+# A configuration of 4,200 queues has some 1.4 MB (by the bytes that hosts took in), which a link of
+# 5 Mbit/s carries in over two seconds.
+ARRIVING = 6.0  # s that an answer may take that keeps arriving
+
+
+async def read_frame(reader: asyncio.StreamReader) -> bytes:
+    return await reader.readexactly(await read_size(reader))
+
+
+async def read_size(reader: asyncio.StreamReader) -> int:
+    (size,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if not 0 < size <= MAX_FRAME:
+        raise WireError(f"frame of {size} bytes; allowed are 1 to {MAX_FRAME}")
+    return size
+
+
+async def read_arriving(reader: asyncio.StreamReader, size: int, patience: float) -> bytes:
+    """Read what fills the link as long as a direct answer may take; no pause beyond patience."""
+    parts: list[bytes] = []
+    async with asyncio.timeout(ARRIVING):
+        while size:
+            async with asyncio.timeout(patience):
+                part = await reader.read(size)
+            if not part:
+                raise WireError(f"{size} bytes of a frame are missing")
+            parts.append(part)
+            size -= len(part)
+    return b"".join(parts)
+
+
+def encode_frame(name: str, secret: bytes, purpose: Purpose, nonce: int, message: Message) -> bytes:
+    from toucanpin.wire.codec import MINOR, encode
+    from toucanpin.wire.keys import PeerKeys
+    from toucanpin.wire.messages import Envelope
+
+    envelope = Envelope(MINOR, "entry", name, "", 0, 0, 0, 0, "", nonce)
+    frame = encode(PeerKeys("table", {"table": secret}), purpose, envelope, message)
+    if len(frame) > MAX_FRAME:
+        raise WireError(f"frame of {len(frame)} bytes; allowed are 1 to {MAX_FRAME}")
+    return _LENGTH.pack(len(frame)) + frame
+
+
+def decode_frame(secret: bytes, purpose: Purpose, frame: bytes) -> Received:
+    from toucanpin.wire.codec import decode
+    from toucanpin.wire.keys import PeerKeys
+
+    return decode(PeerKeys("table", {"table": secret}), purpose, "entry", frame)
--- a/toucanpin/entry/relay.py
+++ b/toucanpin/entry/relay.py
@@ -2,220 +2,29 @@
 Relay of calls
 ==============
 
-Reach the platform's store through a peer while the store turns this host away, and share out calls
-to a service that serves each host in turn.
+Call the platform's services for other hosts.
 """
 
 from __future__ import annotations
 
 import asyncio
-import random
-import secrets
-import struct
-import time
 from typing import TYPE_CHECKING
-from urllib.parse import parse_qs, urlsplit
 
 import logbook
 
-from toucanpin.entry.metrics import STORE_BYTES, STORE_CALLS
-from toucanpin.entry.rows import KEY_NAME, KEYS
+from toucanpin.entry.frames import decode_frame, encode_frame, read_frame
+from toucanpin.entry.peer_calls import ADVICE, STORE
+from toucanpin.entry.relayed_store import RelayedStore
 from toucanpin.exception import WireError
-from toucanpin.http import Answer, CallError, Client, TooLargeError
-from toucanpin.http.client import MAX_ANSWER
-from toucanpin.verdict import Verdict
+from toucanpin.http import CallError, Client
 
 if TYPE_CHECKING:
-    from toucanpin.entry.peers import Peer, Peers
-    from toucanpin.wire.codec import Purpose
-    from toucanpin.wire.messages import Message, Received, RelayAnswer, RelayCall
+    from toucanpin.entry.peers import Peers
+    from toucanpin.wire.messages import RelayAnswer, RelayCall
 
-__all__ = ["ADVICE", "STORE", "PeerCaller", "RelayServer", "RelayedStore"]
+__all__ = ["RelayServer"]
 
 _log = logbook.Logger("relay")
-STORE = "store"
-ADVICE = "advice"
-_LENGTH = struct.Struct(">I")
-# Whatever the store may answer has to pass: a host that it turns away kept an old configuration.
-MAX_FRAME = MAX_ANSWER + 65_536  # bytes, of the inner protocol; what is around an answer besides
-DIRECT_TIMEOUT = 1.0  # s of a direct try before a peer is asked; a slow store takes 0.6 s
-# A configuration of 4,200 queues has some 1.4 MB (by the bytes that hosts took in), which a link of
-# 5 Mbit/s carries in over two seconds.
-ARRIVING = 6.0  # s that an answer may take that keeps arriving
-LONGEST_BRIEF = 2.5  # s that calls may take whose silence is a sign of an outage
-PROBE = 0.5  # s between direct tries while peers are used
-PROBE_TIMEOUT = 0.4  # s
-USELESS = 1.0  # s that a peer isn't asked after it couldn't reach the store either
-MOST_PEERS = 3  # asked for one call; in an outage for all, more would only cost the others' time
-REST = 0.4  # s that no peer is asked after none of them reached the store
-CONNECT_TIMEOUT = 0.3  # s to reach a peer
-# Of a row that stays small: the operators' document never came whole over a weak link in that time.
-_PROBE_PATH = f"/rows-get?table={KEYS}&part=&limit=1&from={KEY_NAME}&target={KEY_NAME}%00"
-_WATCH_PATH = "/rows-feed"
-_NO_WAIT = "&waitMs=0"
-_REFUSED = (429, 503)
-
-
-class RelayedStore:
-    """Call the store directly, or through a peer while it answers others and not this host."""
-
-    __slots__ = (
-        "_direct",
-        "_name",
-        "_peers",
-        "_probing",
-        "_rests_until",
-        "_useless",
-        "direct_works",
-    )
-
-    def __init__(self, direct: Client, name: str) -> None:
-        self._direct = direct
-        self._name = name
-        self._peers: Peers | None = None
-        self._probing: asyncio.Task[None] | None = None
-        self._useless: dict[str, float] = {}
-        self._rests_until = 0.0
-        self.direct_works = True
-
-    def use_peers(self, peers: Peers) -> None:
-        """Use these peers from now on."""
-        self._peers = peers
-
-    async def call(
-        self, method: str, path: str, body: bytes = b"", *, timeout: float = 1.0
-    ) -> Answer:
-        """
-        Call the store.
-
-        A call that got no answer directly is repeated through a peer.  That is safe, since every
-        write carries the versions that it expects: whichever copy comes second does nothing.
-        """
-        deadline = time.monotonic() + timeout
-        unsure = False
-        refusal: Answer | None = None
-        failure: CallError | None = None
-        if self.direct_works or not self._may_relay():
-            # A watch is meant to stay unanswered for long, so its silence says nothing.
-            brief = timeout <= LONGEST_BRIEF and not _is_watch(path)
-            direct_timeout = (
-                min(timeout, DIRECT_TIMEOUT) if brief and self._may_relay() else timeout
-            )
-            try:
-                answer = await self._direct.call(
-                    method, path, body, timeout=direct_timeout, arriving=ARRIVING
-                )
-                if answer.status not in _REFUSED:
-                    STORE_CALLS.add(1, {"outcome": "answered"})
-                    STORE_BYTES.add(len(answer.body), {"table": _find_table(path)})
-                    return answer
-                STORE_CALLS.add(1, {"outcome": "refused"})
-                refusal = answer
-            except TooLargeError:
-                STORE_CALLS.add(1, {"outcome": "failed"})
-                raise
-            except CallError as error:
-                STORE_CALLS.add(1, {"outcome": "failed"})
-                failure = error
-                unsure = not error.certain
-            self._note_failure()
-        if time.monotonic() >= deadline:
-            raise CallError(Verdict.MAY_HAVE_RUN, str(failure))
-        for peer in self._list_peers():
-            if time.monotonic() >= deadline:
-                break
-            try:
-                answer = await self._relay(peer, method, path, body, deadline - time.monotonic())
-                if answer.status not in _REFUSED:
-                    STORE_CALLS.add(1, {"outcome": "relayed"})
-                    STORE_BYTES.add(len(answer.body), {"table": _find_table(path)})
-                    self._rests_until = 0.0
-                    return answer
-                refusal = answer
-            except CallError as error:
-                failure = error
-                unsure = unsure or not error.certain
-            self._useless[peer.name] = time.monotonic() + USELESS
-            self._rests_until = time.monotonic() + REST
-        if refusal is not None and not unsure:
-            return refusal
-        verdict = Verdict.MAY_HAVE_RUN if unsure else Verdict.NOT_RUN
-        raise CallError(verdict, str(failure or "the store refused"))
-
-    def _may_relay(self) -> bool:
-        return bool(self._list_peers())
-
-    def _list_peers(self) -> list[Peer]:
-        """
-        Return some peers to ask, in any order, without those that didn't reach the store lately.
-
-        The store may turn several hosts away.  Each would take its turn through another of them and
-        then rest, and an owner among them wrote nothing for two seconds.
-        """
-        if self._peers is None or not self._peers.secret:
-            return []
-        now = time.monotonic()
-        if now < self._rests_until:
-            return []
-        able = [peer for peer in self._peers.others() if self._useless.get(peer.name, 0.0) <= now]
-        return random.sample(able, min(MOST_PEERS, len(able)))
-
-    def _note_failure(self) -> None:
-        if self.direct_works:
-            self.direct_works = False
-            _log.warning("store not reached directly", event="store.lost")
-        if self._probing is None:
-            self._probing = asyncio.ensure_future(self._probe())
-
-    async def _probe(self) -> None:
-        """Try the store directly until it answers."""
-        while True:
-            await asyncio.sleep(PROBE)
-            try:
-                answer = await self._direct.call("GET", _PROBE_PATH, timeout=PROBE_TIMEOUT)
-            except CallError:
-                continue
-            if answer.status == 200:
-                break
-        self.direct_works = True
-        self._probing = None
-        _log.info("store reached directly", event="store.regained")
-
-    async def _relay(self, peer: Peer, method: str, path: str, body: bytes, left: float) -> Answer:
-        assert self._peers is not None
-        caller = PeerCaller(self._name, self._peers, peer, STORE)
-        return await caller.call(method, path, body, timeout=left)
-
-
-class PeerCaller:
-    """Call one of the platform's services through one peer."""
-
-    __slots__ = ("_name", "_peer", "_peers", "_service")
-
-    def __init__(self, name: str, peers: Peers, peer: Peer, service: str) -> None:
-        self._name = name
-        self._peers = peers
-        self._peer = peer
-        self._service = service
-
-    async def call(
-        self, method: str, path: str, body: bytes = b"", *, timeout: float = 1.0
-    ) -> Answer:
-        """
-        Call the service.
-
-        Raises
-        ------
-        CallError
-            If the peer or the service gave no answer.
-        """
-        answer = await _ask(
-            self._name, self._peers.secret, self._peer, method, path, body, timeout, self._service
-        )
-        if answer.status:
-            return Answer(answer.status, {}, answer.body)
-        verdict = Verdict.NOT_RUN if answer.certain else Verdict.MAY_HAVE_RUN
-        raise CallError(verdict, f"{self._peer.name} didn't reach the {self._service} either")
 
 
 class RelayServer:
@@ -253,14 +62,14 @@
         from toucanpin.wire.messages import RelayCall
 
         try:
-            frame = await _read_frame(reader)
-            received = _decode(self._peers.secret, Purpose.REQUEST, frame)
+            frame = await read_frame(reader)
+            received = decode_frame(self._peers.secret, Purpose.REQUEST, frame)
             match received.message:
                 case RelayCall():
                     answer = await self._call(received.message)
                     nonce = received.envelope.nonce
                     writer.write(
-                        _encode(self._name, self._peers.secret, Purpose.ANSWER, nonce, answer)
+                        encode_frame(self._name, self._peers.secret, Purpose.ANSWER, nonce, answer)
                     )
                     await writer.drain()
         except (WireError, OSError, asyncio.IncompleteReadError) as error:
@@ -279,95 +88,3 @@
         except CallError as error:
             return RelayAnswer(0, b"", error.certain)
         return RelayAnswer(answer.status, answer.body, True)
-
-
-async def _ask(
-    name: str,
-    secret: bytes,
-    peer: Peer,
-    method: str,
-    path: str,
-    body: bytes,
-    left: float,
-    service: str,
-) -> RelayAnswer:
-    from toucanpin.wire.codec import Purpose
-    from toucanpin.wire.messages import RelayAnswer, RelayCall
-
-    nonce = secrets.randbelow(2**62) + 1
-    try:
-        async with asyncio.timeout(min(left, CONNECT_TIMEOUT)):
-            reader, writer = await asyncio.open_connection(peer.address, peer.port)
-    except (OSError, TimeoutError) as error:
-        raise CallError(Verdict.NOT_RUN, f"{peer.name} can't be reached: {error}") from error
-    try:
-        async with asyncio.timeout(left):
-            call = RelayCall(method, path, body, max(0.05, left - 0.02), service)
-            writer.write(_encode(name, secret, Purpose.REQUEST, nonce, call))
-            await writer.drain()
-            size = await _read_size(reader)
-        frame = await _read_arriving(reader, size, left)
-        received = _decode(secret, Purpose.ANSWER, frame)
-    except (OSError, TimeoutError, WireError, asyncio.IncompleteReadError) as error:
-        raise CallError(Verdict.MAY_HAVE_RUN, f"{peer.name}: {error!r}") from error
-    finally:
-        writer.close()
-    match received.message:
-        case RelayAnswer() if received.envelope.nonce == nonce:
-            return received.message
-    raise CallError(Verdict.MAY_HAVE_RUN, f"{peer.name} answered something else")
-
-
-def _is_watch(path: str) -> bool:
-    """Tell whether a call waits for changes; one that only asks for them is answered at once."""
-    return path.startswith(_WATCH_PATH) and not path.endswith(_NO_WAIT)
-
-
-def _find_table(path: str) -> str:
-    """Return the table that a call reads, empty for a transaction."""
-    query = parse_qs(urlsplit(path).query)
-    return query.get("table", [""])[0]
-
-
-async def _read_frame(reader: asyncio.StreamReader) -> bytes:
-    return await reader.readexactly(await _read_size(reader))
-
-
-async def _read_size(reader: asyncio.StreamReader) -> int:
-    (size,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if not 0 < size <= MAX_FRAME:
-        raise WireError(f"frame of {size} bytes; allowed are 1 to {MAX_FRAME}")
-    return size
-
-
-async def _read_arriving(reader: asyncio.StreamReader, size: int, patience: float) -> bytes:
-    """Read what fills the link as long as a direct answer may take; no pause beyond patience."""
-    parts: list[bytes] = []
-    async with asyncio.timeout(ARRIVING):
-        while size:
-            async with asyncio.timeout(patience):
-                part = await reader.read(size)
-            if not part:
-                raise WireError(f"{size} bytes of a frame are missing")
-            parts.append(part)
-            size -= len(part)
-    return b"".join(parts)
-
-
-def _encode(name: str, secret: bytes, purpose: Purpose, nonce: int, message: Message) -> bytes:
-    from toucanpin.wire.codec import MINOR, encode
-    from toucanpin.wire.keys import PeerKeys
-    from toucanpin.wire.messages import Envelope
-
-    envelope = Envelope(MINOR, "entry", name, "", 0, 0, 0, 0, "", nonce)
-    frame = encode(PeerKeys("table", {"table": secret}), purpose, envelope, message)
-    if len(frame) > MAX_FRAME:
-        raise WireError(f"frame of {len(frame)} bytes; allowed are 1 to {MAX_FRAME}")
-    return _LENGTH.pack(len(frame)) + frame
-
-
-def _decode(secret: bytes, purpose: Purpose, frame: bytes) -> Received:
-    from toucanpin.wire.codec import decode
-    from toucanpin.wire.keys import PeerKeys
-
-    return decode(PeerKeys("table", {"table": secret}), purpose, "entry", frame)
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -25,7 +25,8 @@
 from toucanpin.entry.logs import LineHandler
 from toucanpin.entry.metrics import LAG, MetricsServer, watch
 from toucanpin.entry.peers import Peers
-from toucanpin.entry.relay import RelayedStore, RelayServer
+from toucanpin.entry.relay import RelayServer
+from toucanpin.entry.relayed_store import RelayedStore
 from toucanpin.entry.requests import Requests
 from toucanpin.http import Client, Request, Response, Server
 from toucanpin.platform.store import Store
--- a/toucanpin/entry/tests/test_advisers.py
+++ b/toucanpin/entry/tests/test_advisers.py
@@ -10,7 +10,8 @@
 from standins.site.site import free_port
 from toucanpin.entry.advisers import Advisers
 from toucanpin.entry.peers import Peer, Peers
-from toucanpin.entry.relay import RelayedStore, RelayServer
+from toucanpin.entry.relay import RelayServer
+from toucanpin.entry.relayed_store import RelayedStore
 from toucanpin.http import Client, Request, Response, Server
 from toucanpin.platform.store import Store
 from toucanpin.scheduling.cell import Group
--- a/toucanpin/entry/tests/test_followed.py
+++ b/toucanpin/entry/tests/test_followed.py
@@ -9,7 +9,7 @@
 from standins.site.site import free_port
 from standins.site.store import Faults, SiteStore
 from toucanpin.entry.followed import FollowedRows
-from toucanpin.entry.relay import RelayedStore
+from toucanpin.entry.relayed_store import RelayedStore
 from toucanpin.http import Answer, CallError, Client
 from toucanpin.platform.store import Store
 
--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -8,7 +8,8 @@
 from standins.site.site import free_port
 from standins.site.store import Faults, SiteStore
 from toucanpin.entry.peers import Peer, Peers
-from toucanpin.entry.relay import RelayedStore, RelayServer
+from toucanpin.entry.relay import RelayServer
+from toucanpin.entry.relayed_store import RelayedStore
 from toucanpin.http import CallError, Client, Server
 from toucanpin.platform.store import Committed, Expected, Put, Store
 from toucanpin.scheduling.settings import Bounds, HostSettings
