Tell with a wait what its tasks ask for and the most that is free anywhere

The lines on waits said that there was no room; whether a task was too large for any worker, or others went first, couldn't be told apart.

Each such line now has the cores that a task asks for and the most that any worker has free.

The fault itself isn't mended by this.

--- a/toucanpin/entry/decisions.py
+++ b/toucanpin/entry/decisions.py
@@ -55,14 +55,19 @@
         if now.steady - wait.since > LONG_WAIT and now.steady > wait.told_at + TELL_AGAIN
     ]
     due.sort(key=lambda pair: pair[1].since)
+    frees = (worker.entry.cpu - worker.cpu for worker in cell.workers.values())
+    free = max(frees, default=0) if due else 0
     for group, wait in due[:MOST_TOLD]:
         wait.told_at = now.steady
+        job = cell.jobs[group.job].job
         _log.info(
             "waiting",
             event="task.waiting",
             job=group.job,
             step=group.step,
-            queue=cell.jobs[group.job].job.queue,
+            queue=job.queue,
+            cpu=job.steps[group.step].cpu,
+            free=free,
             tasks=len(cell.waiting.get(group, ())),
             since=round(now.steady - wait.since, 3),
             why=wait.reason.value,
--- a/toucanpin/entry/tests/test_decisions.py
+++ b/toucanpin/entry/tests/test_decisions.py
@@ -37,6 +37,19 @@
         self.assertEqual(2 * MOST_TOLD, len(told))
         self.assertEqual("no room", self.handler.records[0].kwargs["why"])
 
+    def test_a_wait_tells_what_is_asked_for_and_the_most_that_is_free(self) -> None:
+        """
+        A step waits for 40 s while thousands of its queue are served.  Its line said that there
+        was no room, but not that each of its tasks asks for more cores than any worker has free.
+        """
+        self.fleet.submit(make_job("small", (Step(cpu=600, lasting=True),)))
+        self.fleet.run(0.5)
+        self.fleet.submit(make_job("large", (Step(cpu=900),)))
+        self.fleet.run(0.8)
+        log_waits(self.fleet.cell, self.fleet.now())
+        told = self.handler.records[0].kwargs
+        self.assertEqual((900, 400), (told["cpu"], told["free"]))
+
     def test_a_place_tells_its_wait_and_an_end_is_told_once(self) -> None:
         self.fleet.submit(make_job("first", (Step(cpu=900),), accepted=1))
         self.fleet.submit(make_job("second", (Step(cpu=900),), accepted=2))
