--- a/toucanpin/entry/tests/test_configuration.py
+++ b/toucanpin/entry/tests/test_configuration.py
@@ -79,6 +79,25 @@
         self.assertEqual(404, answer.status)
 
 
+class OldCountTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_is_counted_under_an_old_configuration(self) -> None:
+        """
+        The operators drop a queue, and a host can't look at the configuration for six seconds.  A
+        caller who asked it how many jobs of that queue wait got a count, as if it were still there.
+        """
+        site = Site()
+        site.configure()
+        self.addAsyncCleanup(site.close)
+        await site.add_host()
+        self.assertTrue(await site.until_ready())
+        watch = site.hosts[0]._configuration
+        site.configure(2, "/other/")
+        with patch.object(FollowedRows, "update", _fail):
+            watch.confirmed -= SILENCE
+            answer = await site.call("GET", PREFIX)
+        self.assertEqual(503, answer.status)
+
+
 class SharingTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.caller = _SilentStore()
