Count no jobs under a configuration that may be out of force

A caller got a count of a queue that the operators had dropped, from a host that couldn't look at the configuration.

--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -209,6 +209,8 @@
 
         begun = steady_time()
         await self._configuration.refresh(FRESH, deadline - time.monotonic())
+        if begun - self._configuration.confirmed > OLDEST:
+            return Response(503, retry_after=self._come_back())
         if not self._configuration.has_queue(queue.name):
             return Response(404)
         count, view_age = (await self._try(find, deadline)).value or (-1, -1)
