--- a/toucanpin/entry/tests/test_decisions.py
+++ b/toucanpin/entry/tests/test_decisions.py
@@ -42,7 +42,8 @@
         A step waits for 40 s while thousands of its queue are served.  Its line said that there
         was no room, but not that each of its tasks asks for more cores than any worker has free.
         """
-        self.fleet.submit(make_job("small", (Step(cpu=600, lasting=True),)))
+        self.fleet.workers["w0"].lasts = 60.0
+        self.fleet.submit(make_job("small", (Step(cpu=600),)))
         self.fleet.run(0.5)
         self.fleet.submit(make_job("large", (Step(cpu=900),)))
         self.fleet.run(0.8)
