Draw where jobs' time went, and count it in the seconds in which it passed

Without matplotlib the table is written and the plot refused with exit code 1. Times lie in the seconds that they took.

Runs and waits that haven't ended with the logs aren't counted.

--- a/toucanpin/cli/losses.py
+++ b/toucanpin/cli/losses.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -16,6 +17,7 @@
 
 from toucanpin.cli.exits import ExitCode
 from toucanpin.cli.explain import Line, parse_lines
+from toucanpin.cli.losses_plot import draw_losses
 
 __all__ = ["Losses", "losses", "sum_losses"]
 
@@ -33,17 +35,21 @@
     )
 
     def add(self, cause: str, seconds: float, clock: int) -> None:
-        """Count task-seconds that ended at a moment of the table's clock, in ms."""
+        """Count task-seconds that ended at a moment of the table's clock, in ms, as they passed."""
         self.seconds[cause] += seconds
-        self.by_second[clock // 1_000][cause] += seconds
+        end = clock / 1_000
+        start = end - seconds
+        for second in range(math.floor(start), math.ceil(end)):
+            part = min(end, second + 1) - max(start, second)
+            self.by_second[second][cause] += part
 
 
 def sum_losses(lines: Iterable[Line]) -> dict[str, Losses]:
     """
     Return by queue where the time of its tasks went.
 
-    A wait counts once its task gets a place, a run once it ends; a run that is stopped counts
-    under the reason of the stop.
+    A wait counts if its task gets a place, a run if it ends, each in the seconds that it took; a
+    run that is stopped counts under the reason of the stop.
     """
     found: dict[str, Losses] = defaultdict(Losses)
     began: dict[tuple[str, int], tuple[int, str]] = {}
@@ -89,6 +95,15 @@
                 yield f"    second {second}: {worst}"
 
 
+def _write_plot(found: dict[str, Losses], plot: IO[str]) -> None:
+    try:
+        picture = draw_losses({queue: lost.by_second for queue, lost in found.items()})
+    except ImportError:
+        click.echo("--plot needs matplotlib: install the extra 'dev'", err=True)
+        raise SystemExit(ExitCode.REFUSED) from None
+    plot.write(picture)
+
+
 def _sort_causes(seconds: dict[str, float]) -> list[tuple[str, float]]:
     return sorted(seconds.items(), key=lambda pair: -pair[1])
 
@@ -96,10 +111,17 @@
 @click.command(epilog="""\b
 Examples:
   toucanpin losses entry-*.log
-  journalctl -u toucanpin -o cat | toucanpin losses - --by-second""")
+  journalctl -u toucanpin -o cat | toucanpin losses - --by-second
+  toucanpin losses entry-*.log --plot losses.svg""")
 @click.argument("files", nargs=-1, type=click.File("r"), required=True)
 @click.option("--by-second", is_flag=True, help="Also the three largest causes of each second.")
-def losses(files: tuple[IO[str], ...], by_second: bool) -> None:
+@click.option(
+    "--plot",
+    type=click.File("w", encoding="utf-8", lazy=True),
+    metavar="FILE.svg",
+    help="Also draw each queue's seconds by cause over the day; needs matplotlib.",
+)
+def losses(files: tuple[IO[str], ...], by_second: bool, plot: IO[str] | None) -> None:
     """
     Sum up where jobs' time went, by queue and cause, from the logs of all hosts.
 
@@ -111,3 +133,5 @@
         raise SystemExit(ExitCode.REFUSED)
     for text in _write_table(found, by_second):
         click.echo(text)
+    if plot is not None:
+        _write_plot(found, plot)
--- a/toucanpin/cli/tests/test_losses.py
+++ b/toucanpin/cli/tests/test_losses.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest.mock import patch
+from xml.etree import ElementTree
 
 import msgspec
 from click.testing import CliRunner
 
 from toucanpin.cli.explain import parse_lines
 from toucanpin.cli.losses import losses, sum_losses
+from toucanpin.cli.losses_plot import OTHER, SHOWN, rank_causes
 
 LINES = [
     {"clock": 1_000, "event": "task.placed", "task": "j.0.0.0", "attempt": 1, "queue": "batch",
@@ -35,6 +40,26 @@
             {cause: round(seconds, 3) for cause, seconds in found.seconds.items()},
         )
 
+    def test_times_lie_in_the_seconds_that_they_took(self) -> None:
+        by_second = sum_losses(parse_lines(_text()))["batch"].by_second
+        found = {
+            second: {cause: round(seconds, 3) for cause, seconds in causes.items()}
+            for second, causes in sorted(by_second.items())
+        }
+        wait, stopped, done = "wait: no room", "stopped: harms what serves", "run: done"
+        self.assertEqual(
+            {
+                -2: {wait: 0.5},
+                -1: {wait: 1.0},
+                0: {wait: 1.0},
+                1: {stopped: 1.0},
+                2: {stopped: 0.1},
+                3: {done: 1.0},
+                4: {done: 1.0},
+            },
+            found,
+        )
+
     def test_the_largest_cause_comes_first(self) -> None:
         result = CliRunner().invoke(losses, ["-", "--by-second"], input="\n".join(_text()))
         self.assertEqual(0, result.exit_code, result.output)
@@ -46,5 +71,46 @@
         self.assertEqual(1, CliRunner().invoke(losses, ["-"], input="{}").exit_code)
 
 
+class PlotTest(unittest.TestCase):
+    def _plot(self, folder: str = ".") -> tuple[int, str, str | None]:
+        with TemporaryDirectory() as base:
+            path = Path(base) / folder / "losses.svg"
+            arguments = ["-", "--plot", str(path)]
+            result = CliRunner().invoke(losses, arguments, input="\n".join(_text()))
+            picture = path.read_text("utf-8") if path.exists() else None
+        return result.exit_code, result.output, picture
+
+    def test_a_queue_and_its_causes_are_drawn(self) -> None:
+        code, output, picture = self._plot()
+        self.assertEqual(0, code, output)
+        assert picture is not None
+        words = {element.text for element in ElementTree.fromstring(picture).iter()}
+        self.assertLessEqual({"batch", "wait: no room", "run: done"}, words)
+
+    def test_the_same_logs_give_the_same_picture(self) -> None:
+        self.assertEqual(self._plot(), self._plot())
+
+    def test_without_matplotlib_the_table_stands_and_the_plot_is_refused(self) -> None:
+        with patch.dict("sys.modules", {"matplotlib": None}):
+            code, output, picture = self._plot()
+        self.assertEqual(1, code)
+        self.assertIn("batch: jobs 1 late", output)
+        self.assertIn("--plot needs matplotlib", output)
+        self.assertIsNone(picture)
+
+    def test_a_file_that_cannot_be_written_is_told(self) -> None:
+        code, output, _ = self._plot("missing")
+        self.assertEqual(1, code)
+        self.assertIn("missing/losses.svg", output)
+
+    def test_small_causes_are_drawn_as_one(self) -> None:
+        causes = {f"cause {number}": 100.0 - number for number in range(SHOWN + 3)}
+        ranked = rank_causes({7: causes, 8: {f"cause {SHOWN}": 1.0}})
+        self.assertEqual([f"cause {number}" for number in range(SHOWN)], list(ranked)[:SHOWN])
+        self.assertEqual(SHOWN + 1, len(ranked))
+        self.assertEqual(3 * 100.0 - 3 * SHOWN - 3, ranked[OTHER][7])
+        self.assertEqual(1.0, ranked[OTHER][8])
+
+
 if __name__ == "__main__":
     unittest.main()
