--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -68,7 +68,6 @@
     "slopes of loads": (Off(f"{_SHARING}.AHEAD", 0.0),),
     "caution about unknown pairs": (Off(f"{_SHARING}.CAUTION", 0.0),),
     "grouping of images": (Off(f"{_CHOOSING}.OTHER_IMAGE", 0.0),),
-    "grouping of jobs": (Off(f"{_CHOOSING}.OTHER_JOB", 0.0),),
     "gathering of strays": (Off("benchmarks.sharing.gather_images", _nothing),),
     "rest after no place": (Off("toucanpin.scheduling.recalling.BARREN", 0.0),),
 }
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -40,7 +40,6 @@
 CROWDED = 3.0  # weight of cores that are asked for and not there: tasks take that much longer
 FULL = 1.05  # of a worker's cores in use: more tasks that fill would only slow each other
 OTHER_IMAGE = 1.5  # weight of each other image that serves on a worker
-OTHER_JOB = 0.4  # weight of each other job that does
 RESERVE = 0.1  # of a worker's cores that lasting tasks leave to brief ones: one urgent task
 NO_RESERVE = 20.0  # weight of a place that leaves less
 HEAT_PERIOD = 0.2  # s for which a sum counts; loads are measured as often
@@ -132,10 +131,7 @@
         # Its trial may have got a task earlier in this round.
         if _is_kept(worker, self._live, now) or not is_trusted(worker, now):
             return None
-        if step.fills:
-            cost = _weigh_filling(self._round, worker, step)
-        else:
-            cost = _weigh(worker, self._group, step)
+        cost = _weigh_filling(self._round, worker, step) if step.fills else _weigh(worker, step)
         if cost is None:
             return None
         rack = self._live.racks.get(self._group, "")
@@ -263,7 +259,7 @@
     return cost
 
 
-def _weigh(worker: Worker, group: Group, step: Step) -> float:
+def _weigh(worker: Worker, step: Step) -> float:
     """Return the cost of a place for a task that takes room: the fullest worker comes first."""
     whole = max(1, worker.entry.cpu)
     # Wide tasks find whole workers later if narrow ones fill up what is begun.
@@ -273,7 +269,7 @@
         cost += NO_RESERVE + 2 * (1 - left)
     if step.target:
         beside = BESIDE_FILLING * worker.filling_cpu / whole
-        return cost + left + beside + _weigh_strangers(worker, group, step.image)
+        return cost + left + beside + _weigh_strangers(worker, step.image)
     return cost + left + 0.2 * worker.fillers
 
 
@@ -294,16 +290,12 @@
     return cost + HARM * max(0.0, pressure + rise - SAFE)
 
 
-def _weigh_strangers(worker: Worker, group: Group, image: str) -> float:
+def _weigh_strangers(worker: Worker, image: str) -> float:
     """
-    Return the cost of serving beside other jobs and images.
+    Return the cost of serving beside other images.
 
-    What fills beside a serving task must be harmless to its image, or its load low.  Loads of jobs
-    swing out of step, so on a worker with many jobs one is always high.
+    What fills beside a serving task must be harmless to its image, or its load low.
     """
-    serving = [run for run in worker.runs.values() if run.step.target]
-    jobs = {run.task.job for run in serving} - {group.job}
-    images = {run.step.image for run in serving}
+    images = {run.step.image for run in worker.runs.values() if run.step.target}
     # Where an image serves already, one task more of it shuts out no further image that fills.
-    strange = 0 if image in images else len(images)
-    return OTHER_JOB * len(jobs) + OTHER_IMAGE * strange
+    return 0.0 if image in images else OTHER_IMAGE * len(images)
