Take a full answer of the watch for one that may be cut

Callers could be told counts without jobs that didn't fit the answer as those of this moment. Where an answer has as many rows as one can hold, the owner's view stays as old as it was; the next answer follows at once.

--- a/toucanpin/entry/cell_jobs.py
+++ b/toucanpin/entry/cell_jobs.py
@@ -18,7 +18,7 @@
 from toucanpin.entry.rows import JOBS, list_job_parts, split_key
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
-from toucanpin.platform.store import Page, Row, Store
+from toucanpin.platform.store import MAX_PAGE, Page, Row, Store
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.counting import View
 from toucanpin.scheduling.intake import cancel_job, submit_job
@@ -90,7 +90,7 @@
             took = steady_time() - asked_at
             if took > FEED_WAIT + LATE:
                 _log.warning("jobs read late", event="jobs.late", took=round(took, 3))
-            self._take_page(page)
+            self._take_changes(page)
 
     async def relist(self) -> None:
         """Read all jobs now and then, for what a watch has missed."""
@@ -105,12 +105,17 @@
         """Read all jobs, however long it takes; the watch goes on from there if it is behind."""
         self._take_page(await self._rows.read_jobs())
 
-    def _take_page(self, page: Page) -> None:
-        """Take up what a watch or a whole read gave, and note of which moment that is."""
+    def _take_changes(self, page: Page) -> None:
+        """Take up what a watch gave; an answer that is full may lack later changes."""
+        full = len(page.rows) >= MAX_PAGE
+        self._take_page(page, self._rows.view.clock if full else page.clock)
+
+    def _take_page(self, page: Page, clock: int) -> None:
+        """Take up rows that are whole as of a moment, and note which one."""
         self._take_rows(page.rows)
         if page.version >= self.followed:
             self.followed = page.version
-            self._rows.view = View(page.version, page.clock)
+            self._rows.view = View(page.version, clock)
 
     def _take_rows(self, rows: tuple[Row, ...]) -> None:
         now = self._clocks.now()
--- a/toucanpin/entry/tests/test_following.py
+++ b/toucanpin/entry/tests/test_following.py
@@ -5,10 +5,17 @@
 import unittest
 
 from standins.site.site import Site
-from toucanpin.entry.cell_jobs import FEED_MARGIN, FEED_WAIT, RETRY, plan_rest
+from toucanpin.entry.cell_jobs import FEED_MARGIN, FEED_WAIT, RETRY, CellJobs, plan_rest
+from toucanpin.entry.cell_rows import CellRows
+from toucanpin.entry.clocks import Clocks
+from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.rows import job_part
 from toucanpin.http import Answer, CallError
-from toucanpin.platform.store import Store
+from toucanpin.platform.store import MAX_PAGE, Page, Row, Store
+from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.counting import View
+from toucanpin.scheduling.ownership import OwnerRecord
+from toucanpin.scheduling.sharing import Sharing
 from toucanpin.verdict import Verdict
 
 CANCEL_BOUND = 3.0  # s after a cancel is acknowledged from which on no task may start
@@ -70,6 +77,26 @@
         self.assertEqual(1, len(worker.core.starts))
 
 
+class CutPageTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_page_that_may_be_cut_makes_the_view_no_younger(self) -> None:
+        """
+        More has changed than one answer to the watch holds.  Its rows were taken for all that there
+        are, so callers were told counts without the others as those of this moment.
+        """
+        store = Store(_Silent())
+        clocks = Clocks(store)
+        cell = Cell("c", 1, 0.0, 0.0)
+        entries = EntryReader()
+        rows = CellRows(store, cell, Sharing(), OwnerRecord("h", "l", 1, 0), 1, 0.0, entries)
+        rows.view = View(5, 1_000)
+        jobs = CellJobs(store, clocks, cell, rows, entries, 120.0, lambda: None)
+        row = Row("jobs", "elsewhere", "k", b"", 7)
+        jobs._take_changes(Page((row,) * MAX_PAGE, False, 7, 9_000))
+        self.assertEqual(View(7, 1_000), rows.view)
+        jobs._take_changes(Page((row,), False, 8, 9_000))
+        self.assertEqual(View(8, 9_000), rows.view)
+
+
 class RelistTest(unittest.TestCase):
     def test_full_reads_take_a_small_part_of_the_time_however_long_they_are(self) -> None:
         """
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -21,7 +21,7 @@
 from toucanpin.steady import steady_time
 from toucanpin.verdict import Verdict
 
-__all__ = ["Caller", "Conflict", "Committed", "Expected", "Page", "Put", "Row", "Store"]
+__all__ = ["MAX_PAGE", "Caller", "Conflict", "Committed", "Expected", "Page", "Put", "Row", "Store"]
 
 READ_TIMEOUT = 2.0  # s: a healthy answer takes 10 ms, one of a store 60 times slower 0.6 s
 PAGE = 150  # rows asked for at a time, so that a page also passes the inner protocol
