Count an answer as lost sooner while others come in time

Callers saw urgent jobs late in the seconds in which workers' answers got lost. A question to a worker waits up to 0.7 s for an end and counted as lost 0.7 s after that, so one lost answer kept the owner from hearing the worker's ends for up to 1.4 s. What an answer may take beyond its wait is now four times the latest of the last seconds, 0.25 to 0.7 s; a second question in a row always gets 0.7 s, and its answer tells whether links are slow, so a full link or an owner without a turn brings the old time back. Ruled out: a fixed shorter time, which would take every worker for silent then, and a shorter wait, which costs more questions all the time.

--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -18,6 +18,7 @@
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.workers import WorkerCalls, WorkerReplacedError
+from toucanpin.scheduling.answering import LONGEST, AnswerTimes
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.holding import (
     list_workers,
@@ -45,7 +46,6 @@
 _log = logbook.Logger("workers")
 SHORT_RETRY = 0.02  # s before a start is repeated
 RETRY = 0.1  # s before another order is repeated
-HOLD_TIMEOUT = 0.7  # s beyond its wait for a worker's answer
 SILENT_PAUSE = 0.3  # s between questions to a worker that doesn't answer
 WRITE_WAIT = 0.4  # s for which a worker isn't asked while its ends are being written
 
@@ -67,6 +67,7 @@
         self._spawn = spawn
         self._changed = changed
         self._calls: dict[str, WorkerCalls] = {}
+        self._answers = AnswerTimes()
         self._written = asyncio.Event()
 
     def note_written(self) -> None:
@@ -95,9 +96,11 @@
         while self._cell.workers.get(identifier) is worker:
             order = plan_hold(self._cell, worker, self._clocks.now())
             sent_at = steady_time()
+            # Only the answer to a second question tells whether the first was lost or is late.
+            patience = LONGEST if worker.silent else self._answers.allow(sent_at)
             try:
                 answer = await calls.hold(
-                    self._cell.token, order.acknowledged, order.deadline, order.wait, HOLD_TIMEOUT
+                    self._cell.token, order.acknowledged, order.deadline, order.wait, patience
                 )
             except WorkerReplacedError:
                 _log.info("worker replaced", event="worker.replaced", worker=identifier)
@@ -118,6 +121,7 @@
             if isinstance(answer, Refused):
                 raise DeposedError(f"worker {identifier} refused: {answer.value}")
             now = self._clocks.now()
+            self._answers.note(now.steady - sent_at - order.wait, now.steady)
             _log_ends(worker, answer.ended)
             doubted = is_doubted(worker)
             take_answer(self._cell, worker, answer, sent_at, now)
