Remove the slopes of loads

Cause: a load's rise over 1.6 s, carried on for 0.7 s, made places look fuller than they got and kept what fills waiting.

Ruled out: that it protects what serves.

Change: the measurements of the last 1.6 s, the slope and its two settings go; the allowance of 0.05 stays.

--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -65,7 +65,6 @@
     "clearing": (Off(f"{_PACING}.OVER_LONG", 1e9),),
     "moves instead of slowing": (Off(f"{_PACING}._moves_freely", _never),),
     "learning by pairs": (Off("benchmarks.sharing.learn_effects", _nothing),),
-    "slopes of loads": (Off(f"{_SHARING}.AHEAD", 0.0),),
     "caution about unknown pairs": (Off(f"{_SHARING}.CAUTION", 0.0),),
     "grouping of images": (Off(f"{_CHOOSING}.OTHER_IMAGE", 0.0),),
     "gathering of strays": (Off("benchmarks.sharing.gather_images", _nothing),),
--- a/toucanpin/scheduling/sharing.py
+++ b/toucanpin/scheduling/sharing.py
@@ -13,7 +13,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass
 
 import msgspec
@@ -35,9 +34,7 @@
 SATURATION = 0.98  # utilization there
 FIRST_QUIET = 0.2  # of a target, for an image whose tail was never seen
 FIRST_LOAD = 0.6  # of the limit, for a job that was never measured
-AHEAD = 0.7  # s for which a load's slope is carried on to judge a place
-WINDOW = 1.6  # s over which a load's slope is measured
-UNSURE_RISE = 0.05  # that a load may rise beyond that
+UNSURE_RISE = 0.05  # of utilization by which a load may soon rise
 HIGH_TIDE = 0.85  # of the limit: a job that reached its target by itself would need no care
 
 
@@ -62,24 +59,12 @@
     """
     Hold a job's utilization without neighbours, and when it was measured.
 
-    ``clean`` says that tasks with harmless neighbours showed it; ``recent`` are measurements;
-    ``rise`` is by how much it may soon grow.
+    ``clean`` says that tasks with harmless neighbours showed it.
     """
 
     value: float
     at: float
     clean: bool
-    recent: deque[tuple[float, float]]
-    rise: float = UNSURE_RISE
-
-    def slope(self) -> float:
-        """Return by how much it rises in a second."""
-        middle = self.at - WINDOW / 2
-        older = [value for at, value in self.recent if at < middle]
-        newer = [value for at, value in self.recent if at >= middle]
-        if not older or not newer:
-            return 0.0
-        return (sum(newer) / len(newer) - sum(older) / len(older)) / (WINDOW / 2)
 
 
 @dataclass(slots=True)
@@ -147,7 +132,7 @@
         known = self.loads.get(run.task.job)
         if known is None:
             return FIRST_LOAD * self.limit(run)
-        return max(known.value, min(known.value + known.rise, HIGH_TIDE * self.limit(run)))
+        return max(known.value, min(known.value + UNSURE_RISE, HIGH_TIDE * self.limit(run)))
 
     def note_tail(self, image: str, tail: float, now: float) -> None:
         """Take note of a tail, which may be the lowest of its image."""
@@ -160,17 +145,7 @@
 
     def note_load(self, job: str, value: float, clean: bool, now: float) -> None:
         """Take note of a job's load."""
-        known = self.loads.get(job)
-        if known is None:
-            self.loads[job] = Load(value, now, clean, deque([(now, value)]))
-            return
-        known.value = value
-        known.at = now
-        known.clean = clean
-        known.recent.append((now, value))
-        while known.recent[0][0] < now - WINDOW:
-            known.recent.popleft()
-        known.rise = UNSURE_RISE + AHEAD * max(0.0, known.slope())
+        self.loads[job] = Load(value, now, clean)
 
     def learn(
         self, now: float, serving: str, factor: float, noise: float, amounts: dict[str, float]
