Show that memory, accelerators and one rack for a step are kept

With the check of memory taken out, no test failed: a worker that doesn't guard its room would have been given five tasks of 3,000 MB on 8,000 MB. Nor did one fail with the rack of a step not remembered, since in the test that rack had the fullest workers anyway. Three tests; each fails with its safeguard taken out (memory, accelerators, the remembered rack; one at a time, in a scratch copy) and passes on the code as it is. No fault was found in the code.

--- a/toucanpin/scheduling/tests/test_life.py
+++ b/toucanpin/scheduling/tests/test_life.py
@@ -32,6 +32,29 @@
         fleet.run(3.0)
         self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
 
+    def test_no_worker_gets_more_memory_than_it_has(self) -> None:
+        """
+        Processors are left over, memory is not.  A worker that doesn't guard its room starts what
+        it is told to, so only the owner keeps tasks from taking the memory of each other.
+        """
+        fleet = Fleet(workers=1)
+        fleet.submit(make_job(steps=(Step(count=5, cpu=100, memory=3_000),)))
+        for _ in range(40):
+            fleet.run(0.05)
+            self.assertLessEqual(len(fleet.workers["w0"].runs), 2)
+        fleet.run(3.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
+    def test_what_needs_an_accelerator_does_not_start_without_one(self) -> None:
+        """
+        No worker has an accelerator.  One that doesn't guard its room would start the task all the
+        same, and the task would fail there until its attempts are used up.
+        """
+        fleet = Fleet()
+        fleet.submit(make_job(steps=(Step(cpu=100, accelerators=1),)))
+        fleet.run(2.0)
+        self.assertFalse([start for worker in fleet.workers.values() for start in worker.starts])
+
     def test_a_job_fails_once_a_task_has_used_its_attempts(self) -> None:
         fleet = Fleet()
         for worker in fleet.workers.values():
--- a/toucanpin/scheduling/tests/test_racks.py
+++ b/toucanpin/scheduling/tests/test_racks.py
@@ -45,6 +45,24 @@
         self.assertEqual(1, len(set(self._racks("j"))))
         self.assertEqual(6, len(self._racks("j")))
 
+    def test_tasks_that_want_one_rack_leave_fuller_workers_elsewhere_alone(self) -> None:
+        """
+        One worker of each rack is half full, and a fuller worker is the better place by itself.
+        Once the first tasks have filled one of them, the next would go to the half full worker of
+        another rack, and then all tasks of the step take several times as long.
+        """
+        for number in (0, 2, 4):
+            entry = self.fleet.workers[f"w{number}"].entry
+            self.fleet.workers.pop(entry.id)
+            self.fleet.add_worker(entry.id, labels=("half", entry.labels[1]))
+        half = Step(count=3, cpu=2_000, label="half", per_worker=1)
+        self.fleet.submit(make_job("full", (half,)))
+        self.fleet.run(0.2)
+        self.fleet.submit(make_job("j", (Step(count=4, cpu=1_000, same_rack=True),)))
+        self.fleet.run(0.5)
+        self.assertEqual(4, len(self._racks("j")))
+        self.assertEqual(1, len(set(self._racks("j"))))
+
 
 if __name__ == "__main__":
     unittest.main()
