Show that a step's rack is forgotten by a new owner and kept when it is lost (red)

Callers whose tasks want one rack saw them on two, where all take several times as long. A rack that was chosen once stayed the step's rack after all of its workers were lost, so that every other was as far away and fullness decided; and a new owner, who reads rows only, knew no rack at all.

--- a/toucanpin/scheduling/tests/test_racks.py
+++ b/toucanpin/scheduling/tests/test_racks.py
@@ -15,6 +15,26 @@
             rack = f"r{number // 2}"
             self.fleet.add_worker(f"w{number}", labels=("a", rack))
 
+    def _fill_halves(self) -> None:
+        """Fill half of one worker of each rack, which makes it the better place by itself."""
+        for number in (0, 2, 4):
+            entry = self.fleet.workers[f"w{number}"].entry
+            self.fleet.workers.pop(entry.id)
+            self.fleet.add_worker(entry.id, labels=("half", entry.labels[1]))
+        for worker in self.fleet.workers.values():
+            worker.lasts = 60.0
+        half = Step(count=3, cpu=2_000, label="half", per_worker=1)
+        self.fleet.submit(make_job("full", (half,)))
+        self.fleet.run(0.2)
+
+    def _running(self, job: str) -> list[str]:
+        return [
+            worker.entry.labels[1]
+            for worker in self.fleet.workers.values()
+            for task in worker.runs
+            if task.job == job
+        ]
+
     def _racks(self, job: str) -> list[str]:
         return [
             worker.entry.labels[1]
@@ -51,18 +71,47 @@
         Once the first tasks have filled one of them, the next would go to the half full worker of
         another rack, and then all tasks of the step take several times as long.
         """
-        for number in (0, 2, 4):
-            entry = self.fleet.workers[f"w{number}"].entry
-            self.fleet.workers.pop(entry.id)
-            self.fleet.add_worker(entry.id, labels=("half", entry.labels[1]))
-        half = Step(count=3, cpu=2_000, label="half", per_worker=1)
-        self.fleet.submit(make_job("full", (half,)))
-        self.fleet.run(0.2)
+        self._fill_halves()
         self.fleet.submit(make_job("j", (Step(count=4, cpu=1_000, same_rack=True),)))
         self.fleet.run(0.5)
         self.assertEqual(4, len(self._racks("j")))
         self.assertEqual(1, len(set(self._racks("j"))))
 
+    def test_tasks_whose_rack_is_lost_share_another_one(self) -> None:
+        """
+        All tasks of a step run on one rack, and its workers are lost.  It was still the rack
+        that they wanted, so that all others were as far away, and the tasks were strewn over
+        two racks by how full the workers were.  Then all of them take several times as long.
+        """
+        self._fill_halves()
+        self.fleet.submit(make_job("j", (Step(count=4, cpu=1_000, same_rack=True),)))
+        self.fleet.run(0.5)
+        lost = self._running("j")[0]
+        for worker in list(self.fleet.workers.values()):
+            if worker.entry.labels[1] == lost:
+                self.fleet.workers.pop(worker.entry.id)
+        self.fleet.run(20.0)
+        self.assertEqual(4, len(self._running("j")))
+        self.assertEqual(1, len(set(self._running("j"))))
+
+    def test_a_new_owner_keeps_the_rack_of_a_step(self) -> None:
+        """
+        An owner is replaced while a step's tasks run on one rack, then one of its workers is lost.
+        The new owner knew no rack for the step, so that what ran there went to the fuller worker of
+        another rack, away from its siblings.
+        """
+        self._fill_halves()
+        self.fleet.submit(make_job("j", (Step(count=4, cpu=1_000, same_rack=True),)))
+        self.fleet.run(0.5)
+        rack = self._running("j")[0]
+        self.fleet.replace_owner()
+        self.fleet.run(1.0)
+        for worker in list(self.fleet.workers.values()):
+            if worker.entry.labels == ("half", rack):
+                self.fleet.workers.pop(worker.entry.id)
+        self.fleet.run(20.0)
+        self.assertEqual([rack] * 4, self._running("j"))
+
 
 if __name__ == "__main__":
     unittest.main()
