--- /dev/null
+++ b/toucanpin/entry/tests/test_forgetting.py
@@ -0,0 +1,67 @@
+"""What dropping the rows of jobs that ended long ago costs an owner."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Sequence
+
+from toucanpin.entry.cell_rows import CellRows
+from toucanpin.entry.entries import EntryReader
+from toucanpin.platform.store import Committed, Expected, Put, Store
+from toucanpin.scheduling.batches import Batch
+from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.ownership import OwnerRecord
+from toucanpin.scheduling.sharing import Sharing
+
+BOUND = 5.0  # s after which a test that would hang fails
+
+
+class ForgettingTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.store = _SlowParts()
+        record = OwnerRecord("h", "l", 1, 0)
+        cell = Cell("c", 1, 0.0, 0.0)
+        self.rows = CellRows(self.store, cell, Sharing(), record, 1, 0.0, EntryReader())
+
+    async def test_an_owner_commits_while_rows_of_old_jobs_are_dropped(self) -> None:
+        """
+        A table that answers late takes 0.6 s for each job that is forgotten, and an owner dropped
+        five of them, one after the other, before each commit.  From the third minute of a process on
+        all of its starts and renewals came 3 s late, which is longer than others wait for an owner.
+        """
+        async with asyncio.timeout(BOUND):
+            await self.rows.write(Batch({}, ("a1", "a2"), (), {}), False)
+        self.assertEqual(["c"], self.store.parts)
+
+    async def test_rows_of_old_jobs_are_dropped_side_by_side(self) -> None:
+        dropping = asyncio.ensure_future(self.rows.drop_jobs(["a1", "a2", "a3"]))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(3, len(self.store.parts))
+        self.store.answering.set()
+        await dropping
+
+
+class _SlowParts(Store):
+    """Answer the owner's own part, and others once that is wanted."""
+
+    def __init__(self) -> None:
+        self.parts: list[str] = []
+        self.answering = asyncio.Event()
+
+    async def transact(
+        self,
+        part: str,
+        expected: Sequence[Expected],
+        puts: Sequence[Put],
+        timeout: float = 1.0,
+    ) -> Committed:
+        self.parts.append(part)
+        if part != "c":
+            await self.answering.wait()
+        return Committed(2, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
