Show that a copy of a task may begin beside the run that it stands for (red)

A caller's task was started three times where two failures are allowed. Its runs 1 and 2 overlapped on one worker (33.58 to 35.15 s, 34.96 to 35.73 s) and both failed. What a worker runs is kept by task, so the second run takes the place of the first, whose failure nobody counts and whose room nobody gives back.

--- a/toucanpin/scheduling/tests/test_moving.py
+++ b/toucanpin/scheduling/tests/test_moving.py
@@ -74,6 +74,28 @@
 class CopyTest(unittest.TestCase):
     STEP = Step(cpu=1_000, speculative=True)
 
+    def test_no_copy_begins_beside_the_run_that_it_stands_for(self) -> None:
+        """
+        A worker is silent for a moment, so a copy of its task is wanted, and no other has room.
+        When it answers again, the copy went there, and its run took the place of the first in what
+        the owner follows.  The first run's failure was then counted by nobody, so the task had
+        three starts of two, and the room of that run was never given back.
+        """
+        fleet = Fleet(workers=1)
+        worker = fleet.workers["w0"]
+        worker.lasts = 3.0
+        fleet.submit(make_job(steps=(self.STEP,)))
+        fleet.run(0.3)
+        worker.silent = True
+        fleet.run(1.0)
+        worker.silent = False
+        fleet.run(1.0)
+        self.assertEqual(1, len(worker.starts))
+        self.assertEqual(1_000, fleet.cell.workers["w0"].cpu)
+        fleet.run(4.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertEqual(0, fleet.cell.workers["w0"].cpu)
+
     def test_a_copy_begins_before_a_silent_worker_is_given_up(self) -> None:
         """
         The worker of an urgent task is lost.  Its lease ends in seconds only, but copies of this
