Begin no copy of a task on a worker that has it

Callers saw a task started more often than its failures allow, and owners lost the room of a run for good. A copy that found room only where the first run still was replaced it in what the owner follows by task. A copy now goes to another worker or waits; room is made for it on others only. Following runs by task and attempt was ruled out here: it touches every list of a worker, and a copy beside its run gains nothing. Before: two starts on one worker in the test on the virtual clock; after: one, and all room is given back.

--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -208,6 +208,10 @@
 
 def list_safe(live: LiveJob, task: TaskKey, able: list[Worker], now: Now) -> list[Worker]:
     """Return the workers on which a task may be tried after what became of it before."""
+    if live.job.steps[task.step].speculative:
+        # What a worker runs is known by its task: a copy there would hide the run that it is for,
+        # whose failure nobody counts and whose room nobody gives back.
+        able = [worker for worker in able if task not in worker.runs]
     if not _count_failures(live, task):
         return able
     safe = [worker for worker in able if not risks_attempt(live, task, worker, able, now)]
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -172,8 +172,13 @@
             note_barren(cell, live, step, now)
             note_shortage(round_, live, step, reason, places.ruled)
             return
-        if risks_attempt(live, task, worker, able, now):
-            _note_wait(cell, group, WaitReason.FAILING, now)
+        chosen = places
+        if task in worker.runs:
+            chosen = Places(round_, live, group, step, list_safe(live, task, able, now))
+            worker = chosen.find()
+        if worker is None or risks_attempt(live, task, worker, able, now):
+            why = WaitReason.NO_ROOM if worker is None else WaitReason.FAILING
+            _note_wait(cell, group, why, now)
             continue
         if not bold and not may_last(able, group, step):
             _note_wait(cell, group, WaitReason.RESERVED, now)
@@ -182,7 +187,8 @@
         cell.delayed.pop(task, None)
         waiting.discard(index)
         _place(cell, live, task, step, worker, now)
-        _renew(places, live, group, step, worker)
+        _renew(chosen, live, group, step, worker)
+        places = places if chosen is places else None
 
 
 def _recall_rack(cell: Cell, live: LiveJob, group: Group) -> None:
