--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -64,6 +64,7 @@
     version: int = 0
     changes: list[_Change] = field(default_factory=list)
     forgotten: int = 0
+    deaf: bool = False  # changes aren't told of, as if there were none
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     begun: float = field(default_factory=time.monotonic)
     transactions: int = 0
@@ -170,7 +171,8 @@
             if after < self.forgotten:
                 return self._answer(410, {})
             first = bisect_right(self.changes, after, key=lambda change: change.version)
-            found = [change for change in self.changes[first:] if change.table == query["table"]]
+            changes = () if self.deaf else self.changes[first:]
+            found = [change for change in changes if change.table == query["table"]]
             left = deadline - time.monotonic()
             if found or left <= 0:
                 self.given[query["table"]] += len(found)
--- a/toucanpin/entry/followed.py
+++ b/toucanpin/entry/followed.py
@@ -9,10 +9,17 @@
 
 from collections.abc import Iterable
 
+from toucanpin.entry.clocks import steady_time
 from toucanpin.http import TooLargeError
 from toucanpin.platform.store import Page, Row, Store
 
-__all__ = ["FollowedRows"]
+__all__ = ["WHOLE_PERIOD", "FollowedRows", "plan_rest"]
+
+# The table's changes may hear nothing for a second while there are some, and not say so.
+WHOLE_PERIOD = 3.0  # s between whole reads, for what changes have missed
+# What is read whole grows with what there is; on a weak link it would take most of the time, and
+# everything else would come late.
+WHOLE_SHARE = 0.05  # of the time that whole reads may take
 
 
 class FollowedRows:
--- a/toucanpin/entry/tests/test_followed.py
+++ b/toucanpin/entry/tests/test_followed.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 import msgspec
 
 from standins.site.site import free_port
 from standins.site.store import Faults, SiteStore
-from toucanpin.entry.followed import FollowedRows
+from toucanpin.entry.clocks import steady_time
+from toucanpin.entry.followed import WHOLE_PERIOD, FollowedRows
 from toucanpin.entry.relayed_store import RelayedStore
 from toucanpin.http import Answer, CallError, Client
 from toucanpin.platform.store import Store
@@ -59,6 +61,36 @@
         self.assertEqual(["a"], list(followed.rows))
 
 
+class GapTest(unittest.IsolatedAsyncioTestCase):
+    async def test_what_was_missed_in_silence_is_read_later(self) -> None:
+        """
+        The table's changes hear nothing for a second while a worker drains and another one comes,
+        and answers go on as if nothing had changed.  Followed by changes alone, the one got tasks
+        until it left and the other was never known.
+        """
+        store = SiteStore()
+        address = f"127.0.0.1:{free_port()}"
+        server = await store.listen(address, Faults())
+        self.addAsyncCleanup(server.drain, 0.0)
+        client = Client(address)
+        self.addCleanup(client.close)
+        followed = FollowedRows(Store(client), "servers")
+        store.put("servers", "a", b"ready")
+        await followed.update()
+        store.deaf = True
+        store.put("servers", "a", b"drains")
+        store.put("servers", "b", b"ready")
+        await followed.update()
+        store.deaf = False
+        await followed.update()
+        self.assertEqual(b"ready", followed.rows["a"].value)
+        later = steady_time() + WHOLE_PERIOD
+        with patch("toucanpin.entry.followed.steady_time", lambda: later):
+            await followed.update()
+        self.assertEqual(b"drains", followed.rows["a"].value)
+        self.assertEqual(b"ready", followed.rows["b"].value)
+
+
 class StormTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.core = SiteStore()
