Read what is followed whole now and then, for what changes have missed

A worker that drained could get tasks until it left, and a configuration stay out of force on a host, after the table's changes had heard nothing for a second while there were some: an answer without rows moved the host past them. Ruled out: trusting the dropped history that follows, since a host that looks just before the drop is past it. What is followed is read whole each 3 s, and for a twentieth of the time at most, as the jobs are. The two tests of what looks cost keep their bound of 0 rows and leave the whole reads out; a test bounds these.

--- a/toucanpin/entry/cell_jobs.py
+++ b/toucanpin/entry/cell_jobs.py
@@ -15,6 +15,7 @@
 from toucanpin.entry.cell_rows import CellRows, decode_job_row
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.entries import EntryReader
+from toucanpin.entry.followed import WHOLE_PERIOD, plan_rest
 from toucanpin.entry.rows import JOBS, list_job_parts, split_key
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
@@ -23,7 +24,7 @@
 from toucanpin.scheduling.counting import View
 from toucanpin.scheduling.intake import cancel_job, submit_job
 
-__all__ = ["FEED_MARGIN", "FEED_WAIT", "RETRY", "CellJobs", "plan_rest"]
+__all__ = ["FEED_MARGIN", "FEED_WAIT", "RETRY", "CellJobs"]
 
 _log = logbook.Logger("jobs")
 # An answer without rows tells that there are no jobs that this owner hasn't read.  Callers' counts
@@ -33,10 +34,6 @@
 FEED_MARGIN = 1.0  # s that its answer may take beyond; a slow store takes 0.6 s
 LATE = 0.5  # s beyond its wait after which a read of the jobs is told of
 RETRY = 0.1  # s before a read is repeated
-RELIST_PERIOD = 3.0  # s between full reads of the jobs, for what a watch has missed
-# Rows of ended jobs are kept for minutes, so a full read grows with the jobs of minutes.  On a weak
-# link it would take most of the time, and what the watch and the workers answer would come late.
-RELIST_SHARE = 0.05  # of the time that full reads may take
 
 
 class CellJobs:
@@ -94,7 +91,7 @@
 
     async def relist(self) -> None:
         """Read all jobs now and then, for what a watch has missed."""
-        rest = RELIST_PERIOD
+        rest = WHOLE_PERIOD
         while True:
             await asyncio.sleep(rest)
             begun = steady_time()
@@ -140,8 +137,3 @@
         # A row that was dropped since it was read is of a job that has long ended.
         if now.table - job.accepted < self._keep_ended * 1_000 or not job.accepted:
             submit_job(self._cell, job, now)
-
-
-def plan_rest(took: float) -> float:
-    """Return the seconds until the next full read of the jobs, after one of ``took`` seconds."""
-    return max(RELIST_PERIOD, took / RELIST_SHARE - took)
--- a/toucanpin/entry/followed.py
+++ b/toucanpin/entry/followed.py
@@ -30,7 +30,7 @@
     1,400 queues took 460 to 560 KB/s of each host, the entries of 246 workers most of 387 KB/s.
     """
 
-    __slots__ = ("_busy", "_end", "_start", "_store", "_table", "_version", "rows")
+    __slots__ = ("_again_at", "_busy", "_end", "_start", "_store", "_table", "_version", "rows")
 
     def __init__(self, store: Store, table: str, start: str = "", end: str = "") -> None:
         self._store = store
@@ -41,12 +41,15 @@
         # Changes hold each version of a row.  Of a document that is written in quick succession
         # they are many times the document, so it is read whole until it rests.
         self._busy = False
+        self._again_at = 0.0  # when the rows are read whole again
         self.rows: dict[str, Row] = {}
 
     async def update(self) -> None:
         """
         Read what has changed, or all rows where the store doesn't know that any more.
 
+        They are read whole now and then besides.
+
         Raises
         ------
         CallError
@@ -54,7 +57,9 @@
         PlatformError
             If an answer can't be understood.
         """
-        page = await self._follow() if self._version and not self._busy else None
+        begun = steady_time()
+        whole = self._busy or begun >= self._again_at
+        page = None if whole else await self._follow()
         if page is not None:
             self._take(page)
             self._busy = _measure(self._list_own(page)) > _measure(self.rows.values())
@@ -64,6 +69,8 @@
         self.rows = {}
         self._take(page)
         self._busy = self._busy and self.rows != known
+        ended = steady_time()
+        self._again_at = ended + plan_rest(ended - begun)
 
     async def _follow(self) -> Page | None:
         try:
@@ -92,6 +99,11 @@
         self._version = max(self._version, page.version)
 
 
+def plan_rest(took: float) -> float:
+    """Return the seconds until the next whole read, after one of ``took`` seconds."""
+    return max(WHOLE_PERIOD, took / WHOLE_SHARE - took)
+
+
 def _measure(rows: Iterable[Row]) -> int:
     """Return the bytes of some rows' values."""
     return sum(len(row.value) for row in rows)
--- a/toucanpin/entry/tests/test_configuration.py
+++ b/toucanpin/entry/tests/test_configuration.py
@@ -22,11 +22,14 @@
 
 BOUND = 20.0  # s after which a test that would hang fails
 SILENCE = 6.0  # s since the newest look at the configuration
+RARELY = 1_000.0  # s: longer than a test takes
 LOOKS = 6  # at the configuration, of which each but the first finds nothing new
 
 
 class FollowingTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
+        # Whole reads, of which there is one each three seconds at most, aren't meant here.
+        self.enterContext(patch("toucanpin.entry.followed.WHOLE_PERIOD", RARELY))
         self.site = Site()
         self.site.configure()
         self.addAsyncCleanup(self.site.close)
--- a/toucanpin/entry/tests/test_following.py
+++ b/toucanpin/entry/tests/test_following.py
@@ -5,10 +5,11 @@
 import unittest
 
 from standins.site.site import Site
-from toucanpin.entry.cell_jobs import FEED_MARGIN, FEED_WAIT, RETRY, CellJobs, plan_rest
+from toucanpin.entry.cell_jobs import FEED_MARGIN, FEED_WAIT, RETRY, CellJobs
 from toucanpin.entry.cell_rows import CellRows
 from toucanpin.entry.clocks import Clocks
 from toucanpin.entry.entries import EntryReader
+from toucanpin.entry.followed import plan_rest
 from toucanpin.entry.rows import job_part
 from toucanpin.http import Answer, CallError
 from toucanpin.platform.store import MAX_PAGE, Page, Row, Store
--- a/toucanpin/entry/tests/test_worker_list.py
+++ b/toucanpin/entry/tests/test_worker_list.py
@@ -4,14 +4,18 @@
 
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from standins.site.site import Site
 
+RARELY = 1_000.0  # s: longer than a test takes
 LOOKS = 4
 
 
 class WorkerListTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
+        # Whole reads, of which there is one each three seconds at most, aren't meant here.
+        self.enterContext(patch("toucanpin.entry.followed.WHOLE_PERIOD", RARELY))
         self.site = Site()
         self.site.configure()
         self.addAsyncCleanup(self.site.close)
