Show that a copy's failure is lost with its owner (red)

Seen on the virtual clock only. Counting each unknown failed end was ruled out: one that the earlier owner wrote and didn't acknowledge is listed again, and would be counted twice, so a job would fail too soon.

--- a/toucanpin/scheduling/tests/test_moving.py
+++ b/toucanpin/scheduling/tests/test_moving.py
@@ -170,6 +170,30 @@
         self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
         self.assertEqual(2, sum(len(worker.starts) for worker in fleet.workers.values()))
 
+    def test_a_failure_of_a_copy_that_an_earlier_owner_began_counts_too(self) -> None:
+        """
+        Two copies run, the older one fails, and the owner is killed before it has heard of it.  The
+        next one knows of the newer copy alone, so that nobody counts the failure of the older one.
+        Then the newer one fails too, and the task, which may fail twice, is started a third time.
+        """
+        fleet = Fleet(workers=2, cpu=1_000)
+        for worker in fleet.workers.values():
+            worker.lasts = 100.0
+        fleet.submit(make_job(steps=(self.STEP,), max_failures=2))
+        fleet.run(0.3)
+        first = next(worker for worker in fleet.workers.values() if worker.runs)
+        second = next(worker for worker in fleet.workers.values() if worker is not first)
+        first.stuck = True
+        fleet.run(2.5)
+        self.assertTrue(second.runs)
+        first.end(TaskKey("j1", 0, 0, 0), End.FAILED)
+        fleet.replace_owner()
+        fleet.run(0.5)
+        second.end(TaskKey("j1", 0, 0, 0), End.FAILED)
+        fleet.run(2.0)
+        self.assertEqual(2, sum(len(worker.starts) for worker in fleet.workers.values()))
+        self.assertEqual(JobState.FAILED, fleet.state("j1"))
+
 
 if __name__ == "__main__":
     unittest.main()
