--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -123,13 +123,14 @@
         return Response(405)
 
     async def _is_current(self, deadline: float) -> bool:
-        """Look for as long as a write is tried whether the configuration may still be in force."""
-        until = min(deadline, time.monotonic() + REFUSE_AFTER)
-        while not await self._configuration.refresh(OLDEST, until - time.monotonic()):
-            if time.monotonic() >= until:
-                return False
-            await asyncio.sleep(FIRST_PAUSE)
-        return True
+        """
+        Tell whether the configuration may still be in force, after one look if that is needed.
+
+        Looked at again and again in an outage, the table was tried by so many calls that writes of
+        other callers went to it too, and got no answer that told whether they were done.
+        """
+        patience = min(REFUSE_AFTER, deadline - time.monotonic())
+        return await self._configuration.refresh(OLDEST, patience)
 
     def _come_back(self) -> int:
         """Return after how many seconds a refused caller should try again."""
