Count a failure once, whichever owner hears of it

A task that may fail twice was started four times: its older copy failed, and the owner was killed before it had heard of that. The next one didn't follow the copy and left the end out. The same held for an end that is heard after its lease. Ruled out: counting every unknown failure, since an end is listed again until it is acknowledged.

--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -50,8 +50,12 @@
     if run is not None and run.attempt == ended.attempt:
         _judge_worker(worker, run, ended.end, now)
         finish_run(cell, worker, run, ended.end, ended.checkpoint, now)
-    elif ended.end is End.DONE:
-        _take_late_done(cell, ended.task, now)
+        return
+    match ended.end:
+        case End.DONE:
+            _take_late_done(cell, ended.task, now)
+        case End.FAILED:
+            _take_late_failure(cell, ended, now)
 
 
 def finish_run(cell: Cell, worker: Worker, run: Run, end: End, checkpoint: str, now: Now) -> None:
@@ -189,10 +193,10 @@
     A gang fails as a whole, whoever of its members does, and several may at the same moment.
     """
     if not run.step.gang:
-        record.failures += 1
+        _add_failure(record, run.attempt)
         return
     for member in _list_records(live, run.task):
-        member.failures += 1
+        _add_failure(member, run.attempt)
         if member.state == TaskState.PLACED:
             member.state = TaskState.LEAVING
 
@@ -219,6 +223,33 @@
     mark_dirty(cell, live)
 
 
+def _take_late_failure(cell: Cell, ended: Ended, now: Now) -> None:
+    """
+    Count the failure of a run that isn't followed, unless it is counted already.
+
+    Its owner may have ended before it heard of the end.  Left out, the task would be tried more
+    often than its queue allows.
+    """
+    live = cell.jobs.get(ended.task.job)
+    record = find_record(live, ended.task) if live else None
+    if live is None or record is None or record.state == TaskState.DONE:
+        return
+    step = live.job.steps[ended.task.step]
+    if step.lasting or JobState(live.progress.state).ended or ended.attempt in record.counted:
+        return
+    for member in _list_records(live, ended.task) if step.gang else [record]:
+        _add_failure(member, ended.attempt)
+    mark_dirty(cell, live)
+    if record.failures >= live.job.max_failures:
+        end_job(cell, live, JobState.FAILED, now)
+
+
+def _add_failure(record: TaskRecord, attempt: int) -> None:
+    if attempt not in record.counted:
+        record.counted.append(attempt)
+        record.failures += 1
+
+
 def _finish_copy(
     cell: Cell, live: LiveJob, run: Run, record: TaskRecord, end: End, now: Now
 ) -> None:
@@ -229,7 +260,7 @@
         case End.DONE:
             _finish_task(cell, live, run.task, record, now)
         case End.FAILED:
-            record.failures += 1
+            _add_failure(record, run.attempt)
             if record.failures >= live.job.max_failures:
                 end_job(cell, live, JobState.FAILED, now)
         case _:
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -52,7 +52,8 @@
     """
     Hold what must last of one task.
 
-    A task that is placed may run at ``worker`` under ``attempt`` until an end is known.
+    A task that is placed may run at ``worker`` under ``attempt`` until an end is known; ``counted``
+    names the attempts that ``failures`` counts, so that an end that is listed again counts once.
     """
 
     state: int = 0
@@ -60,6 +61,7 @@
     failures: int = 0
     worker: str = ""
     checkpoint: str = ""
+    counted: list[int] = []
 
 
 class Progress(msgspec.Struct, array_like=True):
--- a/toucanpin/scheduling/tests/test_moving.py
+++ b/toucanpin/scheduling/tests/test_moving.py
@@ -6,7 +6,7 @@
 
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.moving import move_tasks
-from toucanpin.scheduling.orders import End
+from toucanpin.scheduling.orders import End, Ended
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
@@ -194,6 +194,31 @@
         self.assertEqual(2, sum(len(worker.starts) for worker in fleet.workers.values()))
         self.assertEqual(JobState.FAILED, fleet.state("j1"))
 
+    def test_a_failure_that_two_owners_hear_of_counts_once(self) -> None:
+        """
+        A copy fails, its owner writes that down and is killed before it acknowledges the end.  The
+        worker lists the end again to the next owner; counted twice, the job would be told as failed
+        though its task had another try.
+        """
+        fleet = Fleet(workers=2, cpu=1_000)
+        for worker in fleet.workers.values():
+            worker.lasts = 100.0
+        fleet.submit(make_job(steps=(self.STEP,), max_failures=2))
+        fleet.run(0.3)
+        first = next(worker for worker in fleet.workers.values() if worker.runs)
+        first.stuck = True
+        fleet.run(2.5)
+        task = TaskKey("j1", 0, 0, 0)
+        first.end(task, End.FAILED)
+        sequence = first.ended[-1].sequence
+        fleet.run(0.05)
+        first.ended.append(Ended(sequence + 1, task, 1, End.FAILED, ""))
+        fleet.replace_owner()
+        fleet.run(0.5)
+        record = fleet.cell.jobs["j1"].progress.tasks[0][0]
+        self.assertEqual(1, record.failures)
+        self.assertNotEqual(JobState.FAILED, fleet.state("j1"))
+
 
 if __name__ == "__main__":
     unittest.main()
