--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -12,12 +12,12 @@
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
-from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.prediction import Heat, heat_worker, predict_rise, predict_share
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.shortage import Shortage
-from toucanpin.scheduling.trust import is_doubted, is_trusted
-from toucanpin.scheduling.worker import Worker, count_whole, fits_whole, has_room
+from toucanpin.scheduling.trust import is_trusted
+from toucanpin.scheduling.worker import Worker, has_room
 
 __all__ = [
     "RESERVE",
@@ -26,9 +26,7 @@
     "fits_rules",
     "leaves_reserve",
     "list_able",
-    "list_safe",
     "may_last",
-    "risks_attempt",
 ]
 
 CONTACT = 2.5  # s without an answer after which a worker gets nothing new
@@ -176,47 +174,6 @@
     )
 
 
-def risks_attempt(
-    live: LiveJob, task: TaskKey, worker: Worker, able: Iterable[Worker], now: Now
-) -> bool:
-    """
-    Tell whether a task that has failed would be tried where tasks fail, though others could run it.
-
-    On a full fleet a failing worker has the only room, and took all attempts of a task in a row.
-    """
-    if worker.failing_until <= now.steady and not is_doubted(worker):
-        return False
-    step = live.job.steps[task.step]
-    failures = _count_failures(live, task)
-    if step.lasting or not failures:
-        return False
-    last = failures >= live.job.max_failures - 1
-    if worker.failing_until <= now.steady and not last:
-        return False
-    group = Group(task.job, task.occurrence, task.step)
-    return any(
-        other.failing_until <= now.steady
-        and fits_whole(other, step)
-        and fits_rules(other, group, step)
-        for other in able
-    )
-
-
-def list_safe(live: LiveJob, task: TaskKey, able: list[Worker], now: Now) -> list[Worker]:
-    """Return the workers on which a task may be tried after what became of it before."""
-    if live.job.steps[task.step].speculative:
-        # What a worker runs is known by its task: a copy there would hide the run that it is for,
-        # whose failure nobody counts and whose room nobody gives back.
-        able = [worker for worker in able if task not in worker.runs]
-    if not _count_failures(live, task):
-        return able
-    safe = [worker for worker in able if not risks_attempt(live, task, worker, able, now)]
-    step = live.job.steps[task.step]
-    if step.gang and sum(count_whole(worker, step) for worker in safe) < step.count:
-        return able
-    return safe
-
-
 def fits_rules(worker: Worker, group: Group, step: Step) -> bool:
     """Tell whether a worker may run a task of a step, if it has room."""
     if step.label and step.label not in worker.entry.labels:
@@ -237,11 +194,6 @@
     return worker.cpu + step.cpu <= (1 - RESERVE) * worker.entry.cpu
 
 
-def _count_failures(live: LiveJob, task: TaskKey) -> int:
-    records = live.progress.tasks[task.occurrence]
-    return records[live.offsets[task.step] + task.index].failures
-
-
 def _count_group(worker: Worker, group: Group) -> int:
     return sum(
         run.task.job == group.job
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -20,25 +20,19 @@
     open_steps,
 )
 from toucanpin.scheduling.job import TaskKey
-from toucanpin.scheduling.orders import End, Ended, StopOrder
+from toucanpin.scheduling.orders import End, Ended
 from toucanpin.scheduling.progress import JobState, TaskRecord, TaskState
+from toucanpin.scheduling.stopping import stop_gang, stop_run, wait_again
 from toucanpin.scheduling.trust import BRIEF_LIFE, note_done, note_failed
-from toucanpin.scheduling.worker import Phase, Run, Worker, note_leaving
+from toucanpin.scheduling.worker import Run, Worker
 
 __all__ = [
     "apply_end",
-    "count_away",
     "end_job",
     "end_run",
     "finish_run",
-    "list_members",
-    "stop_gang",
-    "stop_run",
-    "wait_again",
 ]
 
-# Workers are asked for what they run each 0.4 to 0.7 s, and answer late at times.
-SHOWN_LATELY = 2.0  # s since a list showed a task at work for which it is thought to be so
 RETRY_DELAY = 0.25  # s before a lasting task that failed is placed again, so a loop can't spin
 
 
@@ -117,75 +111,6 @@
         stop_run(cell, run, "job ended")
 
 
-def stop_run(cell: Cell, run: Run, reason: str) -> None:
-    """Have a run end; one that was never sent ends at once."""
-    worker = cell.workers[run.worker]
-    if run.phase is Phase.PLACED:
-        drop_run(cell, worker, run)
-        cell.placed = [other for other in cell.placed if other is not run]
-        live = cell.jobs.get(run.task.job)
-        record = find_record(live, run.task) if live else None
-        if live is None or record is None or record.attempt != run.attempt:
-            return
-        # Another copy may have ended the task.  Put back to wait it would run once more and be
-        # counted twice, and the next step would begin while a task of this one is left.
-        if record.state == TaskState.DONE:
-            return
-        record.state = TaskState.WAITING
-        record.worker = ""
-        if not JobState(live.progress.state).ended:
-            wait_again(cell, run)
-        return
-    note_leaving(worker, run)
-    run.stopped_at = run.stop_sent_at = 0.0
-    cell.orders.append(StopOrder(run.worker, run.task, run.attempt, reason))
-
-
-def wait_again(cell: Cell, run: Run) -> None:
-    """Let the task of a run wait for another place."""
-    group = Group(run.task.job, run.task.occurrence, run.task.step)
-    cell.waiting.setdefault(group, set()).add(run.task.index)
-
-
-def stop_gang(cell: Cell, live: LiveJob, run: Run, reason: str) -> None:
-    """Stop the other members of a run's gang, which would wait for it or do their work in vain."""
-    for other in list_members(cell, live, run):
-        if other is not run:
-            stop_run(cell, other, reason)
-
-
-def list_members(cell: Cell, live: LiveJob, run: Run) -> list[Run]:
-    """Return what goes on of a run's gang, the run included."""
-    return [
-        other
-        for other in list_runs(cell, live)
-        if other.task.occurrence == run.task.occurrence
-        and other.task.step == run.task.step
-        and other.attempt == run.attempt
-    ]
-
-
-def count_away(cell: Cell, run: Run, now: Now) -> int:
-    """
-    Return how many other tasks of a lasting task's step are not at work.
-
-    One that no list showed lately counts as away: its worker may be gone, and its lease run on.
-    """
-    live = cell.jobs.get(run.task.job)
-    if live is None:
-        return 0
-    at_work = sum(
-        other.phase is Phase.RUNNING
-        and other.percent >= 100
-        and now.steady < other.shown_at + SHOWN_LATELY
-        for other in list_runs(cell, live)
-        if other is not run
-        and other.task.step == run.task.step
-        and other.task.occurrence == run.task.occurrence
-    )
-    return run.step.count - 1 - at_work
-
-
 def _count_failure(live: LiveJob, run: Run, record: TaskRecord) -> None:
     """
     Count a failure against a task, and once against all members of a gang.
--- a/toucanpin/scheduling/gathering.py
+++ b/toucanpin/scheduling/gathering.py
@@ -19,8 +19,8 @@
 
 from toucanpin.scheduling.cell import Cell, Group, Now, WaitReason
 from toucanpin.scheduling.choosing import fits_rules, leaves_reserve, list_able
-from toucanpin.scheduling.ending import count_away, stop_run
 from toucanpin.scheduling.sharing import Sharing
+from toucanpin.scheduling.stopping import count_away, stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
 
 __all__ = ["gather_images"]
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -10,9 +10,10 @@
 from collections.abc import Collection, Iterable
 
 from toucanpin.scheduling.cell import Cell, Now, find_record, note_begun
-from toucanpin.scheduling.ending import apply_end, end_run, stop_run
+from toucanpin.scheduling.ending import apply_end, end_run
 from toucanpin.scheduling.orders import Held, HoldOrder, Running, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
+from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker, grant_deadline
 
 __all__ = [
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -11,8 +11,8 @@
 
 from toucanpin.scheduling.cell import Cell, Group, Now, find_record, mark_dirty
 from toucanpin.scheduling.choosing import fits_rules, list_able
-from toucanpin.scheduling.ending import list_members, stop_gang, stop_run, wait_again
 from toucanpin.scheduling.progress import JobState, TaskState
+from toucanpin.scheduling.stopping import list_members, stop_gang, stop_run, wait_again
 from toucanpin.scheduling.trust import note_failed
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
 
--- a/toucanpin/scheduling/pacing.py
+++ b/toucanpin/scheduling/pacing.py
@@ -9,7 +9,6 @@
 
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.choosing import list_able
-from toucanpin.scheduling.ending import stop_run
 from toucanpin.scheduling.learning import FRESH, measure_loads
 from toucanpin.scheduling.orders import PaceOrder
 from toucanpin.scheduling.prediction import (
@@ -20,6 +19,7 @@
     predict_share,
 )
 from toucanpin.scheduling.sharing import Sharing
+from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
 
 __all__ = ["control_pace"]
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -26,15 +26,14 @@
     Places,
     Round,
     list_able,
-    list_safe,
     may_last,
-    risks_attempt,
 )
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.keeping import Keeping
 from toucanpin.scheduling.preempting import Making, Openings
 from toucanpin.scheduling.progress import TaskState
 from toucanpin.scheduling.recalling import is_barren, note_barren, note_shortage, recall
+from toucanpin.scheduling.retrying import list_safe, risks_attempt
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import (
     Phase,
--- a/toucanpin/scheduling/preempting.py
+++ b/toucanpin/scheduling/preempting.py
@@ -13,9 +13,9 @@
 
 from toucanpin.scheduling.cell import Cell, Group, Now
 from toucanpin.scheduling.choosing import RESERVE, fits_rules
-from toucanpin.scheduling.ending import stop_run
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.shortage import Demand, Shortage
+from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker, most_room
 
 __all__ = ["Freed", "Making", "Openings", "note_freed"]
--- /dev/null
+++ b/toucanpin/scheduling/retrying.py
@@ -0,0 +1,64 @@
+"""
+Trying again
+============
+
+Where a task may be tried after what became of it before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from toucanpin.scheduling.cell import Group, LiveJob, Now
+from toucanpin.scheduling.choosing import fits_rules
+from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.trust import is_doubted
+from toucanpin.scheduling.worker import Worker, count_whole, fits_whole
+
+__all__ = ["list_safe", "risks_attempt"]
+
+
+def risks_attempt(
+    live: LiveJob, task: TaskKey, worker: Worker, able: Iterable[Worker], now: Now
+) -> bool:
+    """
+    Tell whether a task that has failed would be tried where tasks fail, though others could run it.
+
+    On a full fleet a failing worker has the only room, and took all attempts of a task in a row.
+    """
+    if worker.failing_until <= now.steady and not is_doubted(worker):
+        return False
+    step = live.job.steps[task.step]
+    failures = _count_failures(live, task)
+    if step.lasting or not failures:
+        return False
+    last = failures >= live.job.max_failures - 1
+    if worker.failing_until <= now.steady and not last:
+        return False
+    group = Group(task.job, task.occurrence, task.step)
+    return any(
+        other.failing_until <= now.steady
+        and fits_whole(other, step)
+        and fits_rules(other, group, step)
+        for other in able
+    )
+
+
+def list_safe(live: LiveJob, task: TaskKey, able: list[Worker], now: Now) -> list[Worker]:
+    """Return the workers on which a task may be tried after what became of it before."""
+    if live.job.steps[task.step].speculative:
+        # What a worker runs is known by its task: a copy there would hide the run that it is for,
+        # whose failure nobody counts and whose room nobody gives back.
+        able = [worker for worker in able if task not in worker.runs]
+    if not _count_failures(live, task):
+        return able
+    safe = [worker for worker in able if not risks_attempt(live, task, worker, able, now)]
+    step = live.job.steps[task.step]
+    if step.gang and sum(count_whole(worker, step) for worker in safe) < step.count:
+        return able
+    return safe
+
+
+def _count_failures(live: LiveJob, task: TaskKey) -> int:
+    records = live.progress.tasks[task.occurrence]
+    return records[live.offsets[task.step] + task.index].failures
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -10,9 +10,10 @@
 import enum
 
 from toucanpin.scheduling.cell import Cell, Group, Now, note_begun
-from toucanpin.scheduling.ending import end_run, stop_run
+from toucanpin.scheduling.ending import end_run
 from toucanpin.scheduling.holding import lease_end
 from toucanpin.scheduling.orders import Refused, Started
+from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker, grant_deadline
 
 __all__ = ["Next", "plan_start", "take_no_start", "take_started", "take_stopped"]
--- /dev/null
+++ b/toucanpin/scheduling/stopping.py
@@ -0,0 +1,87 @@
+"""
+Stopping runs
+=============
+
+Have runs end, alone or with their gang, and let their tasks wait for another place.
+"""
+
+from __future__ import annotations
+
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, drop_run, find_record, list_runs
+from toucanpin.scheduling.orders import StopOrder
+from toucanpin.scheduling.progress import JobState, TaskState
+from toucanpin.scheduling.worker import Phase, Run, note_leaving
+
+__all__ = ["count_away", "list_members", "stop_gang", "stop_run", "wait_again"]
+
+# Workers are asked for what they run each 0.4 to 0.7 s, and answer late at times.
+SHOWN_LATELY = 2.0  # s since a list showed a task at work for which it is thought to be so
+
+
+def stop_run(cell: Cell, run: Run, reason: str) -> None:
+    """Have a run end; one that was never sent ends at once."""
+    worker = cell.workers[run.worker]
+    if run.phase is Phase.PLACED:
+        drop_run(cell, worker, run)
+        cell.placed = [other for other in cell.placed if other is not run]
+        live = cell.jobs.get(run.task.job)
+        record = find_record(live, run.task) if live else None
+        if live is None or record is None or record.attempt != run.attempt:
+            return
+        # Another copy may have ended the task.  Put back to wait it would run once more and be
+        # counted twice, and the next step would begin while a task of this one is left.
+        if record.state == TaskState.DONE:
+            return
+        record.state = TaskState.WAITING
+        record.worker = ""
+        if not JobState(live.progress.state).ended:
+            wait_again(cell, run)
+        return
+    note_leaving(worker, run)
+    run.stopped_at = run.stop_sent_at = 0.0
+    cell.orders.append(StopOrder(run.worker, run.task, run.attempt, reason))
+
+
+def wait_again(cell: Cell, run: Run) -> None:
+    """Let the task of a run wait for another place."""
+    group = Group(run.task.job, run.task.occurrence, run.task.step)
+    cell.waiting.setdefault(group, set()).add(run.task.index)
+
+
+def stop_gang(cell: Cell, live: LiveJob, run: Run, reason: str) -> None:
+    """Stop the other members of a run's gang, which would wait for it or do their work in vain."""
+    for other in list_members(cell, live, run):
+        if other is not run:
+            stop_run(cell, other, reason)
+
+
+def list_members(cell: Cell, live: LiveJob, run: Run) -> list[Run]:
+    """Return what goes on of a run's gang, the run included."""
+    return [
+        other
+        for other in list_runs(cell, live)
+        if other.task.occurrence == run.task.occurrence
+        and other.task.step == run.task.step
+        and other.attempt == run.attempt
+    ]
+
+
+def count_away(cell: Cell, run: Run, now: Now) -> int:
+    """
+    Return how many other tasks of a lasting task's step are not at work.
+
+    One that no list showed lately counts as away: its worker may be gone, and its lease run on.
+    """
+    live = cell.jobs.get(run.task.job)
+    if live is None:
+        return 0
+    at_work = sum(
+        other.phase is Phase.RUNNING
+        and other.percent >= 100
+        and now.steady < other.shown_at + SHOWN_LATELY
+        for other in list_runs(cell, live)
+        if other is not run
+        and other.task.step == run.task.step
+        and other.task.occurrence == run.task.occurrence
+    )
+    return run.step.count - 1 - at_work
--- a/toucanpin/scheduling/upkeep.py
+++ b/toucanpin/scheduling/upkeep.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from toucanpin.scheduling.cell import Cell, Now
-from toucanpin.scheduling.ending import count_away, stop_run
+from toucanpin.scheduling.stopping import count_away, stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = [
