--- a/toucanpin/scheduling/answering.py
+++ b/toucanpin/scheduling/answering.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-__all__ = ["AnswerTimes"]
+__all__ = ["LONGEST", "SHORTEST", "AnswerTimes"]
 
 LONGEST = 0.7  # s beyond its wait that an answer may take
 SHORTEST = 0.25  # s: the least; an order takes 2 ms
