Reserve room for brief tasks on workers that stay whole, not on each

Cause: on the large fleet lasting jobs ask for about as many cores as there are. They left a tenth of each worker, 6 to 10 cores, and brief tasks there ask for 21 on the mean; those waited 15 to 21 s. Change: the same tenth lies on the workers with least lasting work, in front those with none. What brief tasks use of it doesn't count as free.

--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -14,17 +15,17 @@
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.prediction import Heat, heat_worker, predict_rise, predict_share
+from toucanpin.scheduling.reserving import leaves_reserve
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.shortage import Shortage
 from toucanpin.scheduling.trust import is_trusted
-from toucanpin.scheduling.worker import Worker, has_room
+from toucanpin.scheduling.worker import Worker, count_places, has_room
 
 __all__ = [
-    "RESERVE",
+    "Claim",
     "Places",
     "Round",
     "fits_rules",
-    "leaves_reserve",
     "list_able",
     "may_last",
 ]
@@ -38,23 +39,32 @@
 CROWDED = 3.0  # weight of cores that are asked for and not there: tasks take that much longer
 FULL = 1.05  # of a worker's cores in use: more tasks that fill would only slow each other
 OTHER_IMAGE = 1.5  # weight of each other image that serves on a worker
-RESERVE = 0.1  # of a worker's cores that lasting tasks leave to brief ones: one urgent task
-NO_RESERVE = 20.0  # weight of a place that leaves less
+NO_RESERVE = 20.0  # weight of a place that takes reserved cores
 HEAT_PERIOD = 0.2  # s for which a sum counts; loads are measured as often
 BESIDE_FILLING = 1.0  # weight against serving beside a worker full of what fills
 
 
+class Claim(enum.Enum):
+    """Say how far a task may take cores that are reserved for brief ones."""
+
+    NONE = "none"
+    SPARE = "where there are two places"
+    ALL = "all"
+
+
 @dataclass(slots=True)
 class Round:
     """
     Hold what one round of placing knows.
 
-    ``reserved`` holds what found only room that is kept for brief tasks.
+    ``reserved`` holds by claim what found only room that is reserved for brief tasks.
     """
 
     sharing: Sharing
     now: Now
-    reserved: Shortage = field(default_factory=Shortage)
+    reserved: dict[Claim, Shortage] = field(
+        default_factory=lambda: {claim: Shortage() for claim in Claim}
+    )
     _brief: Shortage = field(default_factory=Shortage)
     _lasting: Shortage = field(default_factory=Shortage)
 
@@ -141,23 +151,23 @@
     return [worker for worker in cell.workers.values() if _is_able(worker, now)]
 
 
-def may_last(able: Iterable[Worker], group: Group, step: Step) -> bool:
+def may_last(able: Iterable[Worker], group: Group, step: Step, claim: Claim) -> bool:
     """
     Tell whether a lasting task may take a place now.
 
     Lasting tasks would take the last cores of every worker and keep them, and brief urgent ones
-    then waited for seconds (6.2 s in one of twenty).  So the last place that leaves a worker
-    without room for these stays free; where there are two, one is taken, since a lasting task may
-    not wait while there is plenty of room for it.
+    would wait for seconds.
     """
+    if claim is Claim.ALL:
+        return True
     places = 0
     for worker in able:
         if not _may_run(worker, group, step):
             continue
         if leaves_reserve(worker, step):
             return True
-        places += 1
-    return places > 1
+        places += 1 if step.per_worker else count_places(worker, step)
+    return claim is Claim.SPARE and places > 1
 
 
 def _is_able(worker: Worker, now: Now) -> bool:
@@ -189,11 +199,6 @@
     return now.steady < worker.kept_until and live.job.priority > worker.kept_for
 
 
-def leaves_reserve(worker: Worker, step: Step) -> bool:
-    """Tell whether room for a brief urgent task is left beside one more task of a step."""
-    return worker.cpu + step.cpu <= (1 - RESERVE) * worker.entry.cpu
-
-
 def _count_group(worker: Worker, group: Group) -> int:
     return sum(
         run.task.job == group.job
@@ -222,7 +227,7 @@
     left = 1 - (worker.cpu + step.cpu) / whole
     cost = 0.0
     if step.lasting and not leaves_reserve(worker, step):
-        cost += NO_RESERVE + 2 * (1 - left)
+        cost += NO_RESERVE
     if step.target:
         beside = BESIDE_FILLING * worker.filling_cpu / whole
         return cost + left + beside + _weigh_strangers(worker, step.image)
--- a/toucanpin/scheduling/gathering.py
+++ b/toucanpin/scheduling/gathering.py
@@ -18,7 +18,8 @@
 from dataclasses import dataclass
 
 from toucanpin.scheduling.cell import Cell, Group, Now, WaitReason
-from toucanpin.scheduling.choosing import fits_rules, leaves_reserve, list_able
+from toucanpin.scheduling.choosing import fits_rules, list_able
+from toucanpin.scheduling.reserving import leaves_reserve
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.stopping import count_away, stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -23,6 +23,7 @@
     rank_group,
 )
 from toucanpin.scheduling.choosing import (
+    Claim,
     Places,
     Round,
     list_able,
@@ -33,6 +34,7 @@
 from toucanpin.scheduling.preempting import Making, Openings
 from toucanpin.scheduling.progress import TaskState
 from toucanpin.scheduling.recalling import is_barren, note_barren, note_shortage, recall
+from toucanpin.scheduling.reserving import reserve_room
 from toucanpin.scheduling.retrying import list_safe, risks_attempt
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import (
@@ -59,6 +61,7 @@
         cell.waits.clear()
         return
     everywhere = list_able(cell, now)
+    reserve_room(cell, everywhere, now)
     keeping = Keeping(cell, everywhere)
     round_ = Round(sharing, now)
     making = Making()
@@ -107,6 +110,19 @@
     return records[live.offsets[group.step] + index].attempt > 0
 
 
+def _find_claim(cell: Cell, live: LiveJob, group: Group, index: int, now: Now) -> Claim:
+    """
+    Return how far a task may take reserved cores.
+
+    The first task of a lasting step may take some: with nothing of it at work its service would
+    serve nobody while there is plenty of room.
+    """
+    step = live.job.steps[group.step]
+    if not step.lasting or _may_take_last(cell, live, group, index, now):
+        return Claim.ALL
+    return Claim.SPARE if len(cell.waiting[group]) == step.count else Claim.NONE
+
+
 def _find_least_urgent(cell: Cell) -> int:
     """Return the highest number that stands for the priority of a job which runs."""
     running = (cell.jobs[job].job.priority for job in cell.runs if job in cell.jobs)
@@ -157,8 +173,8 @@
         if cell.delayed.get(task, 0.0) > now.steady:
             _note_wait(cell, group, WaitReason.PAUSED, now)
             continue
-        bold = not step.lasting or _may_take_last(cell, live, group, index, now)
-        known = recall(round_, live, step, bold)
+        claim = _find_claim(cell, live, group, index, now)
+        known = recall(round_, live, step, claim)
         if known is not None:
             _note_wait(cell, group, known, now)
             return
@@ -169,7 +185,7 @@
             reason = _find_reason(live, step, able)
             _note_wait(cell, group, reason, now)
             note_barren(cell, live, step, now)
-            note_shortage(round_, live, step, reason, places.ruled)
+            note_shortage(round_, live, step, None, places.ruled)
             return
         chosen = places
         if task in worker.runs:
@@ -179,9 +195,9 @@
             why = WaitReason.NO_ROOM if worker is None else WaitReason.FAILING
             _note_wait(cell, group, why, now)
             continue
-        if not bold and not may_last(able, group, step):
+        if not may_last(able, group, step, claim):
             _note_wait(cell, group, WaitReason.RESERVED, now)
-            note_shortage(round_, live, step, WaitReason.RESERVED, places.ruled)
+            note_shortage(round_, live, step, claim, places.ruled)
             return
         cell.delayed.pop(task, None)
         waiting.discard(index)
--- a/toucanpin/scheduling/preempting.py
+++ b/toucanpin/scheduling/preempting.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from toucanpin.scheduling.cell import Cell, Group, Now
-from toucanpin.scheduling.choosing import RESERVE, fits_rules
+from toucanpin.scheduling.choosing import fits_rules
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.shortage import Demand, Shortage
 from toucanpin.scheduling.stopping import stop_run
@@ -71,7 +71,7 @@
 
 def _ask(step: Step, lenient: bool) -> Demand:
     # A lasting task is placed only where this much is left, else its room would go to others.
-    return Demand.of(step, RESERVE if step.lasting and not lenient else 0.0)
+    return Demand.of(step, step.lasting and not lenient)
 
 
 class Openings:
@@ -143,7 +143,7 @@
 
     def _weigh(self, number: int) -> tuple[float, int, list[Run]] | None:
         worker = self._able[number]
-        if most_room(worker, self._priority) < self._demand.on(worker.entry.cpu):
+        if most_room(worker, self._priority) < self._demand.on(worker.reserved):
             return None
         if not fits_rules(worker, self._group, self._step):
             self.ruled = True
@@ -160,7 +160,7 @@
 ) -> list[Run] | None:
     """Return the runs to stop on a worker, empty if earlier stops suffice, None if none do."""
     entry = worker.entry
-    cpu = entry.cpu - worker.cpu + room.cpu - demand.on(entry.cpu)
+    cpu = entry.cpu - worker.cpu + room.cpu - demand.on(worker.reserved)
     memory = entry.memory - worker.memory + room.memory - demand.memory
     accelerators = (
         entry.accelerators - worker.accelerators + room.accelerators - demand.accelerators
--- a/toucanpin/scheduling/recalling.py
+++ b/toucanpin/scheduling/recalling.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from toucanpin.scheduling.cell import Cell, LiveJob, Now, WaitReason
-from toucanpin.scheduling.choosing import Round
+from toucanpin.scheduling.choosing import Claim, Round
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.shortage import Demand
 
@@ -48,25 +48,27 @@
     return (now.steady // rest + 1) * rest if rest else now.steady
 
 
-def recall(round_: Round, live: LiveJob, step: Step, bold: bool) -> WaitReason | None:
+def recall(round_: Round, live: LiveJob, step: Step, claim: Claim) -> WaitReason | None:
     """Return why a task can't find a place, if one that asks for no more found none."""
     if step.fills or live.job.advised:
         return None
     demand = Demand.of(step)
     if round_.shortage(step.lasting).covers(demand):
         return WaitReason.NO_ROOM
-    if not bold and round_.reserved.covers(demand):
+    if round_.reserved[claim].covers(demand):
         return WaitReason.RESERVED
     return None
 
 
 def note_shortage(
-    round_: Round, live: LiveJob, step: Step, reason: WaitReason, ruled: bool
+    round_: Round, live: LiveJob, step: Step, claim: Claim | None, ruled: bool
 ) -> None:
-    """Remember that a task found no place, unless a rule of its own shut it out of one."""
+    """
+    Remember that a task found no place, unless a rule of its own shut it out of one.
+
+    With a claim it found only reserved room.
+    """
     if step.fills or ruled or live.job.advised:
         return
-    shortage = round_.shortage(step.lasting)
-    if reason is WaitReason.RESERVED:
-        shortage = round_.reserved
+    shortage = round_.reserved[claim] if claim else round_.shortage(step.lasting)
     shortage.note(Demand.of(step))
--- a/toucanpin/scheduling/shortage.py
+++ b/toucanpin/scheduling/shortage.py
@@ -16,22 +16,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """Hold what a task asks for; ``reserve`` is the share of a worker that stays free beside it."""
+    """Hold what a task asks for; ``modest`` says that it leaves reserved cores free."""
 
     cpu: int
     memory: int
     accelerators: int
-    reserve: float = 0.0
+    modest: bool = False
 
     @classmethod
-    def of(cls, step: Step, reserve: float = 0.0) -> Demand:
+    def of(cls, step: Step, modest: bool = False) -> Demand:
         """Return what a task of a step asks for."""
         cpu = 0 if step.fills else step.cpu
-        return cls(cpu, step.memory, step.accelerators, reserve)
+        return cls(cpu, step.memory, step.accelerators, modest)
 
-    def on(self, whole: int) -> int:
-        """Return the cores that it takes on a worker with ``whole``, with what stays free."""
-        return self.cpu + int(self.reserve * whole)
+    def on(self, reserved: int) -> int:
+        """Return the cores that have to be free on a worker with so many reserved ones."""
+        return self.cpu + reserved if self.modest else self.cpu
 
     def is_within(self, other: Demand) -> bool:
         """Tell whether another demand is at least as large in everything."""
@@ -39,7 +39,7 @@
             self.cpu <= other.cpu
             and self.memory <= other.memory
             and self.accelerators <= other.accelerators
-            and self.reserve <= other.reserve
+            and self.modest <= other.modest
         )
 
 
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -21,6 +21,7 @@
     "Phase",
     "Run",
     "Worker",
+    "count_places",
     "count_whole",
     "fits_whole",
     "grant_deadline",
@@ -89,6 +90,8 @@
     fillers: int = 0
     filling_cpu: int = 0
     servers: int = 0
+    lasting_cpu: int = 0
+    reserved: int = 0  # cores that lasting tasks leave to brief ones
     reached: bool = False
     listed_at: float = 0.0
     answered_at: float = 0.0
@@ -134,6 +137,17 @@
     return step.fills or worker.cpu + step.cpu <= entry.cpu
 
 
+def count_places(worker: Worker, step: Step) -> int:
+    """Return how many tasks of a step fit what a worker has left."""
+    entry = worker.entry
+    sizes = (
+        (entry.cpu - worker.cpu, 0 if step.fills else step.cpu),
+        (entry.memory - worker.memory, step.memory),
+        (entry.accelerators - worker.accelerators, step.accelerators),
+    )
+    return min((left // part for left, part in sizes if part), default=step.count)
+
+
 def count_whole(worker: Worker, step: Step) -> int:
     """Return how many tasks of a step fit a worker that runs nothing."""
     entry = worker.entry
@@ -203,6 +217,8 @@
         worker.filling_cpu += sign * step.cpu
     else:
         worker.cpu += sign * step.cpu
+        if step.lasting:
+            worker.lasting_cpu += sign * step.cpu
         if not step.lasting and not step.gang:
             known = worker.yielding.get(run.priority, 0)
             worker.yielding[run.priority] = known + sign * step.cpu
