Size the reserve by what brief tasks asked for lately

Change: the reserve is the highest demand of brief tasks of the last ten seconds or so (running and waiting) less what they hold, between a twentieth and a tenth of all cores; an owner that has seen no load begins with a tenth.

--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -145,6 +145,7 @@
     dropped: list[str] = field(default_factory=list)  # jobs of which only the progress is left
     advised: dict[Group, Advised] = field(default_factory=dict)
     next_due: float = 0.0
+    brief_peak: float | None = None  # cores that brief tasks asked for at most, lately
     reserved_at: float = float("-inf")  # when room for brief tasks was last chosen
     paced_at: float = 0.0
     barren: dict[str, tuple[int, float]] = field(default_factory=dict)
--- a/toucanpin/scheduling/reserving.py
+++ b/toucanpin/scheduling/reserving.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 from toucanpin.scheduling.cell import Cell, Now
@@ -22,7 +23,9 @@
 
 __all__ = ["leaves_reserve", "reserve_room"]
 
-RESERVE = 0.1  # of all cores
+LEAST = 0.05  # of all cores
+MOST = 0.1  # of all cores
+MEMORY = 10.0  # s in which what is remembered of a peak falls to a third
 PERIOD = 0.25  # s between choices
 
 
@@ -33,7 +36,7 @@
     cell.reserved_at = now.steady
     for worker in cell.workers.values():
         worker.reserved = 0
-    left = int(RESERVE * sum(worker.entry.cpu for worker in able))
+    left = _find_size(cell, able)
     for worker in sorted(able, key=_rank):
         free = worker.entry.cpu - worker.cpu
         if free >= left:
@@ -44,6 +47,30 @@
         left -= free
 
 
+def _find_size(cell: Cell, able: Sequence[Worker]) -> int:
+    """
+    Return the cores to reserve: what brief tasks asked for lately, less what they hold now.
+
+    Lasting tasks keep what they once have, so an owner that has seen no load yet reserves most, and
+    gives up what turns out not to be needed.
+    """
+    whole = sum(worker.entry.cpu for worker in able)
+    held = sum(worker.cpu - worker.lasting_cpu for worker in able)
+    remembered = cell.brief_peak if cell.brief_peak is not None else MOST * whole
+    cell.brief_peak = max(held + _sum_waiting(cell), remembered * math.exp(-PERIOD / MEMORY))
+    return int(min(MOST * whole, max(LEAST * whole, cell.brief_peak - held)))
+
+
+def _sum_waiting(cell: Cell) -> int:
+    """Return the cores that waiting brief tasks ask for."""
+    cores = 0
+    for group, waiting in cell.waiting.items():
+        step = cell.jobs[group.job].job.steps[group.step]
+        if not step.lasting and not step.fills:
+            cores += step.cpu * len(waiting)
+    return cores
+
+
 def leaves_reserve(worker: Worker, step: Step) -> bool:
     """Tell whether one more task of a step leaves a worker's reserved cores free."""
     return worker.cpu + step.cpu <= worker.entry.cpu - worker.reserved
