--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -9,8 +9,7 @@
 
 import enum
 import heapq
-import zlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
@@ -23,7 +22,6 @@
 from toucanpin.scheduling.worker import Worker, count_places, has_room
 
 __all__ = [
-    "FIRST_LOOK",
     "Claim",
     "Places",
     "Round",
@@ -43,8 +41,6 @@
 OTHER_IMAGE = 1.5  # weight of each other image that serves on a worker
 NO_RESERVE = 20.0  # weight of a place that takes reserved cores
 HEAT_PERIOD = 0.2  # s for which a sum counts; loads are measured as often
-FIRST_LOOK = 128  # workers that are weighed first for a step that fills
-LOOKED_AT = 3  # times as many for each task that waits, if that is more
 BESIDE_FILLING = 1.0  # weight against serving beside a worker full of what fills
 
 
@@ -93,13 +89,10 @@
     """
     Hold the places that the tasks of a step could take, the cheapest first.
 
-    ``ruled`` says that a rule of the step shut it out of a worker that has room.  Batch steps come
-    many times a second, and weighing each worker for each of them was most of an owner's work on
-    hundreds of workers; so they look at a part of them first, and at all only if that part has no
-    place left.
+    ``ruled`` says that a rule of the step shut it out of a worker that has room.
     """
 
-    __slots__ = ("_able", "_group", "_heap", "_live", "_rest", "_round", "_step", "ruled")
+    __slots__ = ("_able", "_group", "_heap", "_live", "_round", "_step", "ruled")
 
     def __init__(
         self, round_: Round, live: LiveJob, group: Group, step: Step, able: Iterable[Worker]
@@ -110,20 +103,17 @@
         self._step = step
         self._able = list(able)
         self._heap: list[tuple[float, int, Worker]] = []
-        self._rest: Sequence[int] = ()
         self.ruled = False
         self.renew_all()
 
     def renew_all(self) -> None:
-        """Weigh the workers anew."""
-        first, self._rest = self._choose_first()
-        self._heap = []
-        self._weigh_all(first)
+        """Weigh all workers anew."""
+        weighed = (self._weigh(number) for number in range(len(self._able)))
+        self._heap = [place for place in weighed if place is not None]
+        heapq.heapify(self._heap)
 
     def find(self) -> Worker | None:
         """Return the best worker for one more task, None if none may run it."""
-        if not self._heap:
-            self._weigh_rest()
         return self._heap[0][2] if self._heap else None
 
     def renew(self) -> None:
@@ -135,30 +125,8 @@
 
     def list(self) -> list[Worker]:
         """Return all workers that could take a task, the best first."""
-        self._weigh_rest()
         return [worker for _, _, worker in sorted(self._heap, key=lambda place: place[:2])]
 
-    def _choose_first(self) -> tuple[Sequence[int], Sequence[int]]:
-        """Return the workers to weigh at once and those to weigh if these have no place."""
-        numbers = range(len(self._able))
-        most = max(FIRST_LOOK, LOOKED_AT * self._step.count)
-        if not self._step.fills or self._step.gang or len(numbers) <= most:
-            return numbers, ()
-        # Each step begins elsewhere, so that the load is the same everywhere.
-        start = zlib.crc32(self._group.job.encode()) % len(numbers)
-        turned = [*numbers[start:], *numbers[:start]]
-        return turned[:most], turned[most:]
-
-    def _weigh_rest(self) -> None:
-        rest, self._rest = self._rest, ()
-        if rest:
-            self._weigh_all(rest)
-
-    def _weigh_all(self, numbers: Iterable[int]) -> None:
-        weighed = (self._weigh(number) for number in numbers)
-        self._heap += [place for place in weighed if place is not None]
-        heapq.heapify(self._heap)
-
     def _weigh(self, number: int) -> tuple[float, int, Worker] | None:
         worker = self._able[number]
         step = self._step
