--- a/toucanpin/entry/followed.py
+++ b/toucanpin/entry/followed.py
@@ -26,8 +26,8 @@
     """
     Follow the rows of a range of keys in a table's part without a name.
 
-    Read whole at each look, what many hosts follow filled their links: the operators' document of
-    1,400 queues took 460 to 560 KB/s of each host, the entries of 246 workers most of 387 KB/s.
+    Read whole at each look, what many hosts follow fills their links: the operators' document with
+    its queues, the entries of hundreds of workers.
     """
 
     __slots__ = ("_again_at", "_busy", "_end", "_start", "_store", "_table", "_version", "rows")
--- a/toucanpin/entry/frames.py
+++ b/toucanpin/entry/frames.py
@@ -31,8 +31,7 @@
 _LENGTH = struct.Struct(">I")
 # Whatever the store may answer has to pass: a host that it turns away kept an old configuration.
 MAX_FRAME = MAX_ANSWER + 65_536  # bytes, of the inner protocol; what is around an answer besides
-# A configuration of 4,200 queues has some 1.4 MB (by the bytes that hosts took in), which a link of
-# 5 Mbit/s carries in over two seconds.
+# A weak link takes seconds for a document with thousands of queues.
 ARRIVING = 6.0  # s that an answer may take that keeps arriving
 
 
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -222,9 +222,8 @@
     """
     Return what orders steps that wait, the most urgent first.
 
-    In an overload the oldest jobs would go first, and every job would be as late as they are.  With
-    those behind that have missed their objective anyway, urgent jobs earned 0.82 of their worth
-    instead of 0.80 and patient ones 0.81 instead of 0.80 (15 days, processor time not charged).
+    In an overload the oldest jobs would go first, and every job would be as late as they are.  So
+    those that have missed their objective anyway come behind the others.
     """
     live = cell.jobs[group.job]
     if live.job.steps[group.step].lasting:
--- a/toucanpin/scheduling/gathering.py
+++ b/toucanpin/scheduling/gathering.py
@@ -28,8 +28,7 @@
 
 PERIOD = 0.5  # s between moves; one that was stopped runs again elsewhere within about that time
 PATIENCE = 0.5  # s that batch work has waited before anything is moved for it
-# Measured effects lie near 0.3 or between 4 and 5; the middle tells them apart.
-HEAVY = 2.0
+HEAVY = 2.0  # effect from which an image counts as harmful to another
 LEAST_GAIN = 6.0  # cores that a move has to open for what waits: those of one batch task
 REST = 20.0  # s for which a task that was moved stays, longer than a batch job takes
 
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -31,8 +31,8 @@
 LEASE = 4.5  # s: covers the death of an owner (2 s), ends doubts about a lost worker soon
 AUTHORITY = 8.5  # s that an owner may go on granting leases after its newest accepted write
 SHARED_WAIT = 0.4  # s an answer may wait where batch work disturbs what serves; tails grow within
-# An end is told at once, so other workers are asked for their leases and progress only.  At 0.4 s
-# 176 workers were asked 780 times a second; 15 days with 0.7 s earned the same, 0.754.
+# An end is told at once, so other workers are asked for their leases and progress only, and each
+# question takes time of an owner that has hundreds of them.
 BUSY_WAIT = 0.7  # s
 IDLE_WAIT = 1.5  # s for a worker that runs nothing
 GONE_AFTER = 3.0  # s that a worker which doesn't answer and isn't listed is remembered
--- a/toucanpin/scheduling/ownership.py
+++ b/toucanpin/scheduling/ownership.py
@@ -26,8 +26,8 @@
 UNHEARD = 1.3  # s without a new write after which an owner counts as gone; it writes each 0.35 s
 FREE_SPREAD = 0.12  # s over which hosts spread their grip at a cell that nobody owns
 RENEWAL = 0.35  # s between writes of an owner that has nothing else to write
-# Half a core is used up by the orders and answers of 176 workers: such an owner read no job for
-# four seconds, and tasks of cancelled jobs were started.  Reads of the row are 0.4 s apart.
+# A weak host is used up by the orders and answers of hundreds of workers, reads its jobs late, and
+# starts tasks of jobs that were cancelled meanwhile.
 WEAK_DELAY = 0.6  # s for which a weak host leaves a cell to stronger ones
 YIELD_AFTER = 4.0  # s after which a weak owner hands its cell to a stronger host
 YIELD_AGAIN = 20.0  # s until a host that did so may do it again
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -49,8 +49,7 @@
 __all__ = ["place_tasks"]
 
 # A lasting task that ran before and waits for longer takes the room that is kept for brief urgent
-# ones: users of its service miss it.  New ones that all did so would leave no room for brief tasks:
-# urgent jobs earned 0.68 of their worth then and 0.70 as it is, eight days played with either.
+# ones: users of its service miss it.  New ones that all did so would leave no room for brief tasks.
 RESERVE_PATIENCE = 1.0  # s
 MOST_STOPS = 16  # tasks of a step that room is made for at a time
 
--- a/toucanpin/scheduling/sharing.py
+++ b/toucanpin/scheduling/sharing.py
@@ -22,8 +22,8 @@
 
 __all__ = ["Learned", "Load", "Sharing"]
 
-MEMORY = 200.0  # s after which an effect is mostly forgotten; measured ones held for a minute
-PRIOR_EFFECT = 1.0  # of a pair never seen; measured pairs lie near 0.3 or between 4 and 5
+MEMORY = 200.0  # s after which an effect is mostly forgotten
+PRIOR_EFFECT = 1.0  # of a pair never seen
 PRIOR_DEVIATION = 3.0
 CAUTION = 0.2  # deviations that are added to an estimate: what isn't known counts as harmful
 HEAVIEST = 6.0  # effect beyond which estimates are noise; also lets wrong ones be tried again
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -113,8 +113,8 @@
     failed_at: float = 0.0
     failing_until: float = 0.0  # no task that has failed is tried there
     strangers: frozenset[TaskKey] = frozenset()
-    # Sums of cores tell in one look that no stop helps an urgent task; without them each turn went
-    # through all runs of all workers, half of the time of placing.
+    # Sums of cores tell in one look that no stop helps an urgent task; without them each turn would
+    # go through all runs of all workers.
     yielding: dict[int, int] = field(default_factory=dict)  # by priority, of what may be stopped
     leaving: int = 0  # of what is being stopped
     # How it fares, as summed up at ``heat_at``, until something comes, goes or is measured.
