--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -3,7 +3,7 @@
 =============================
 
 Work out, from the slopes that ``make bench`` measured, what each role would cost at the target, and
-write docs/CAPACITY.md.  Run as ``python -m benchmarks.capacity docs/figures/bench.txt``.
+write docs/figures/daemon-capacity.md.  Run as ``python -m benchmarks.capacity docs/figures/bench.txt``.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 __all__ = ["Figures", "Line", "compute_lines", "main", "read_figures"]
 
-PAGE = Path("docs/CAPACITY.md")
+PAGE = Path("docs/figures/daemon-capacity.md")
 PATTERN = re.compile(r"bench (\S+) value=(\S+) ")
 HTTP_HEADS = 400
 
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -180,6 +180,7 @@
 LOADS = {
     "as it is": Load(),
     "half of the workers": Load(workers=123),
+    "twice the workers": Load(workers=492),
     "half of the urgent": Load(urgent=10),
     "half of the lasting": Load(lasting=5),
     "half of the patient": Load(patient=50),
