--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -2,8 +2,10 @@
 Capacity at the two-year size
 =============================
 
-Work out, from the slopes that ``make bench`` measured, what each role would cost at the target, and
-write docs/figures/daemon-capacity.md.  Run as ``python -m benchmarks.capacity docs/figures/bench.txt``.
+Work out, from the slopes that ``make bench`` measured, what each role of the earlier daemon would
+cost at the target, and write docs/figures/daemon-capacity.md.
+
+Run as ``python -m benchmarks.capacity docs/figures/bench.txt``.
 """
 
 from __future__ import annotations
