Tell of each run that is lost with its worker

The log named the worker whose life was over, not what ran there, so nothing told a task that crashes one worker after the other from workers that crash by themselves. Each lost run has a line task.lost now, with its attempt, the cause and its age, and a counter by cause. The test fails before: there was no line.

--- a/toucanpin/entry/decisions.py
+++ b/toucanpin/entry/decisions.py
@@ -2,7 +2,7 @@
 Log of decisions
 ================
 
-One line for each task that gets a place, each job that ends, and what waits for long.
+One line for each task that gets a place or is lost, each job that ends, and what waits for long.
 """
 
 from __future__ import annotations
@@ -11,13 +11,13 @@
 
 import logbook
 
-from toucanpin.entry.metrics import START_WAIT, STARTS
+from toucanpin.entry.metrics import LOST_RUNS, START_WAIT, STARTS
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.job import format_task
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.worker import Run
 
-__all__ = ["log_ended", "log_place", "log_waits"]
+__all__ = ["log_ended", "log_losses", "log_place", "log_waits"]
 
 _log = logbook.Logger("decisions")
 LONG_WAIT = 0.5  # s without a place from which on a wait is told
@@ -47,6 +47,25 @@
     )
 
 
+def log_losses(cell: Cell) -> None:
+    """Tell once of each run that was lost with its worker, and how long it was there."""
+    losses = cell.losses
+    cell.losses = []
+    for loss in losses:
+        LOST_RUNS.add(1, {"cause": loss.cause.name.lower()})
+        _log.info(
+            "lost",
+            event="task.lost",
+            job=loss.task.job,
+            task=format_task(loss.task),
+            attempt=loss.attempt,
+            worker=loss.worker,
+            phase=loss.phase.value,
+            cause=loss.cause.value,
+            age=round(loss.age, 3),
+        )
+
+
 def log_waits(cell: Cell, now: Now) -> None:
     """Tell what waits for long, the longest first, a bounded number at a time."""
     due = [
--- a/toucanpin/entry/metrics.py
+++ b/toucanpin/entry/metrics.py
@@ -22,6 +22,7 @@
 __all__ = [
     "ENDS",
     "LAG",
+    "LOST_RUNS",
     "REFUSED_STARTS",
     "REQUESTS",
     "REQUEST_TIME",
@@ -49,6 +50,9 @@
     "toucanpin.starts.refused", description="Starts that a worker refused, by reason"
 )
 ENDS = _meter.create_counter("toucanpin.ends", description="Ends of runs by kind")
+LOST_RUNS = _meter.create_counter(
+    "toucanpin.runs.lost", description="Runs lost with their workers, by cause"
+)
 TAKEOVERS = _meter.create_counter("toucanpin.takeovers", description="Cells taken by this host")
 STORE_CALLS = _meter.create_counter(
     "toucanpin.store.calls", description="Calls of the store by outcome"
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -18,7 +18,7 @@
 from toucanpin.entry.cell_rows import CellRows, DeposedError
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
-from toucanpin.entry.decisions import log_ended, log_place, log_waits
+from toucanpin.entry.decisions import log_ended, log_losses, log_place, log_waits
 from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.followed import FollowedRows
 from toucanpin.entry.metrics import TURN_TIME
@@ -277,6 +277,7 @@
             self._after_change()
 
     def _after_change(self) -> None:
+        log_losses(self._cell)
         orders = self._cell.orders
         self._cell.orders = []
         for order in orders:
--- a/toucanpin/entry/tests/test_decisions.py
+++ b/toucanpin/entry/tests/test_decisions.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from toucanpin.entry.decisions import MOST_TOLD, log_ended, log_place, log_waits
+from toucanpin.entry.decisions import MOST_TOLD, log_ended, log_losses, log_place, log_waits
 from toucanpin.scheduling.cell import Group
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
@@ -51,6 +51,21 @@
         told = self.handler.records[0].kwargs
         self.assertEqual((900, 400), (told["cpu"], told["free"]))
 
+    def test_a_run_that_is_lost_with_its_worker_is_told_once(self) -> None:
+        """Guards against tasks that are lost again and again without a line that names them."""
+        self.fleet.submit(make_job("j1", (Step(cpu=900),)))
+        self.fleet.run(0.5)
+        del self.fleet.workers["w0"]
+        self.fleet.add_worker("w0'")
+        self.fleet.run(0.2)
+        log_losses(self.fleet.cell)
+        log_losses(self.fleet.cell)
+        told = [r.kwargs for r in self.handler.records if r.kwargs["event"] == "task.lost"]
+        self.assertEqual(
+            [("j1.0.0.0", 1, "w0")], [(t["task"], t["attempt"], t["worker"]) for t in told]
+        )
+        self.assertEqual("another life answers at its worker's address", told[0]["cause"])
+
     def test_a_place_tells_its_wait_and_an_end_is_told_once(self) -> None:
         self.fleet.submit(make_job("first", (Step(cpu=900),), accepted=1))
         self.fleet.submit(make_job("second", (Step(cpu=900),), accepted=2))
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -24,6 +24,8 @@
     "Group",
     "Lateness",
     "LiveJob",
+    "Loss",
+    "LossCause",
     "Now",
     "Wait",
     "WaitReason",
@@ -96,6 +98,25 @@
     told_at: float = 0.0
 
 
+class LossCause(enum.Enum):
+    """Say what ended a run of which its worker listed no end."""
+
+    REPLACED = "another life answers at its worker's address"
+    LAPSED = "its worker's lease has ended"
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """Tell of a run that was lost with its worker; ``age`` is in s since its start was sent."""
+
+    task: TaskKey
+    attempt: int
+    worker: str
+    phase: Phase
+    cause: LossCause
+    age: float
+
+
 @dataclass(slots=True)
 class LiveJob:
     """
@@ -141,6 +162,7 @@
     placed: list[Run] = field(default_factory=list)
     ends: dict[str, int] = field(default_factory=dict)
     orders: list[StopOrder | PaceOrder] = field(default_factory=list)
+    losses: list[Loss] = field(default_factory=list)  # not logged yet
     forgotten: list[str] = field(default_factory=list)  # jobs whose own rows are to be dropped
     dropped: list[str] = field(default_factory=list)  # jobs of which only the progress is left
     advised: dict[Group, Advised] = field(default_factory=dict)
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Collection, Iterable
 
-from toucanpin.scheduling.cell import Cell, Now, find_record, note_begun
+from toucanpin.scheduling.cell import Cell, Loss, LossCause, Now, find_record, note_begun
 from toucanpin.scheduling.ending import apply_end, end_run
 from toucanpin.scheduling.orders import Held, HoldOrder, Running, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
@@ -128,7 +128,7 @@
 
 def replace_worker(cell: Cell, worker: Worker, now: Now) -> None:
     """Take note that another life answers at a worker's address: its runs are gone."""
-    _end_all(cell, worker, now)
+    _end_all(cell, worker, LossCause.REPLACED, now)
     del cell.workers[worker.entry.id]
 
 
@@ -140,7 +140,7 @@
             continue
         if now.steady <= worker.lapse_at:
             continue
-        _end_all(cell, worker, now)
+        _end_all(cell, worker, LossCause.LAPSED, now)
         unlisted = now.steady > worker.listed_at + GONE_AFTER
         if unlisted and now.steady > worker.answered_at + GONE_AFTER:
             del cell.workers[worker.entry.id]
@@ -148,14 +148,20 @@
     return forgotten
 
 
-def _end_all(cell: Cell, worker: Worker, now: Now) -> None:
+def _end_all(cell: Cell, worker: Worker, cause: LossCause, now: Now) -> None:
     for run in list(worker.runs.values()):
         if run.phase is Phase.PLACED:
             stop_run(cell, run, "worker lost")
         elif worker.runs.get(run.task) is run:
+            _note_loss(cell, run, cause, now)
             end_run(cell, worker, run, now)
 
 
+def _note_loss(cell: Cell, run: Run, cause: LossCause, now: Now) -> None:
+    age = now.steady - run.ordered_at if run.ordered_at else 0.0
+    cell.losses.append(Loss(run.task, run.attempt, run.worker, run.phase, cause, age))
+
+
 def _read_clock(worker: Worker, clock: int, now: Now) -> None:
     worker.clock = clock
     worker.clock_at = now.steady
