--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -44,6 +44,7 @@
 __all__ = ["Fleet", "make_job"]
 
 STEP = 0.05  # s of the virtual clock
+BACK = 3.0  # s until a worker that crashed is back with a new life
 
 
 def make_job(identifier: str = "j1", steps: tuple[Step, ...] = (Step(cpu=1_000),), **fields) -> Job:
@@ -64,6 +65,9 @@
         self.store_up = True
         self.unlisted: set[str] = set()
         self.double: list[TaskKey] = []
+        self.crashing: set[TaskKey] = set()  # tasks that crash each worker that starts them
+        self.crashes: list[TaskKey] = []
+        self._down: list[tuple[float, WorkerEntry]] = []
         self.pending: list[Run] = []
         self.stops: list[StopOrder] = []
         self.paces: list[PaceOrder] = []
@@ -76,6 +80,10 @@
         self.workers[name] = WorkerCore(entry)
         return self.workers[name]
 
+    def crash(self, name: str) -> None:
+        """End a worker's life; its entry stays until another life begins at its address."""
+        self._down.append((self.time + BACK, self.workers.pop(name).entry))
+
     def now(self) -> Now:
         """Return the virtual clocks."""
         return Now(self.time, int(self.time * 1_000), int(self.time * 1_000))
@@ -111,10 +119,13 @@
 
     def _turn(self) -> None:
         self.time += STEP
+        self._revive()
         for worker in self.workers.values():
             worker.advance(self.time)
         self._find_doubles()
-        listed = [w.entry for w in self.workers.values() if w.entry.id not in self.unlisted]
+        entries = [worker.entry for worker in self.workers.values()]
+        entries += [entry for _, entry in self._down]
+        listed = [entry for entry in entries if entry.id not in self.unlisted]
         list_workers(self.cell, listed, self.now())
         self._hold_all()
         lapse_workers(self.cell, self.now())
@@ -130,6 +141,12 @@
         self._send_starts()
         self._send_orders()
 
+    def _revive(self) -> None:
+        back = [entry for at, entry in self._down if at <= self.time]
+        self._down = [(at, entry) for at, entry in self._down if at > self.time]
+        for entry in back:
+            self.add_worker(f"{entry.id}'", entry.cpu)
+
     def _hold_all(self) -> None:
         for worker in list(self.cell.workers.values()):
             there = self.workers.get(worker.entry.id)
@@ -164,6 +181,10 @@
                 order = (self.time + 6.0, run.task, run.attempt, deadline, self.cell.token)
                 there.late.append(order)
                 following = take_no_start(self.cell, worker, run, False, self.now())
+            elif run.task in self.crashing:
+                self.crashes.append(run.task)
+                self.crash(run.worker)
+                following = take_no_start(self.cell, worker, run, False, self.now())
             else:
                 token = self.cell.token
                 answer = there.start(run.task, run.attempt, deadline, token, self.time)
