Give up tasks under which workers crash one after the other

Cause: a worker that crashes lists no end. What ran there was taken for lapsed, which adds nothing to a task's record, so the task waited again at once and nothing bounded its starts, whoever owned the cell. The queue's bound is for ends that a worker lists as failed, and lasting tasks have none. Copies made it worse: each was begun 0.7 s after the last worker fell silent.

Change: a task's record names the workers that were lost under it. A life that answers again is taken off, since it was only cut off; so is everything once the task ends as failed or a lasting one has been at work for 5 s. Workers that leave as they announced or for their upkeep don't count. With three lives the task isn't started any more, silent ones included where copies are allowed, and its job fails once two of them are surely over. Tasks that were lost together are placed apart, and the last try has a worker on which no other task has its last try, or harmless neighbours would be given up too.

The record is written with the place of the next try, before its start is sent, so a count can't be lost with an owner.

Tests failed before: 20 crashes in 60 s of a brief, a lasting and a gang's task and 84 of a copied one where five may be, eight over eight owners, neighbours lost again and again. Now three each.

--- a/toucanpin/entry/decisions.py
+++ b/toucanpin/entry/decisions.py
@@ -12,12 +12,12 @@
 import logbook
 
 from toucanpin.entry.metrics import LOST_RUNS, START_WAIT, STARTS
-from toucanpin.scheduling.cell import Cell, Now
-from toucanpin.scheduling.job import format_task
+from toucanpin.scheduling.cell import Cell, Now, find_record
+from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.worker import Run
 
-__all__ = ["log_ended", "log_losses", "log_place", "log_waits"]
+__all__ = ["log_ended", "log_given_up", "log_losses", "log_place", "log_waits"]
 
 _log = logbook.Logger("decisions")
 LONG_WAIT = 0.5  # s without a place from which on a wait is told
@@ -63,6 +63,20 @@
             phase=loss.phase.value,
             cause=loss.cause.value,
             age=round(loss.age, 3),
+            crashes=loss.crashes,
+        )
+
+
+def log_given_up(cell: Cell, tasks: Iterable[TaskKey]) -> None:
+    """Tell of each task that is given up which workers were lost under it."""
+    for task in tasks:
+        record = find_record(cell.jobs[task.job], task)
+        _log.warning(
+            "given up",
+            event="task.given_up",
+            job=task.job,
+            task=format_task(task),
+            workers=" ".join(record.crashed) if record else "",
         )
 
 
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -18,7 +18,7 @@
 from toucanpin.entry.cell_rows import CellRows, DeposedError
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
-from toucanpin.entry.decisions import log_ended, log_losses, log_place, log_waits
+from toucanpin.entry.decisions import log_ended, log_given_up, log_losses, log_place, log_waits
 from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.followed import FollowedRows
 from toucanpin.entry.metrics import TURN_TIME
@@ -31,6 +31,7 @@
 from toucanpin.scheduling.advising import AdviceOrder, plan_advice, take_advice
 from toucanpin.scheduling.batches import MAX_FORGOTTEN, apply_batch, has_work, take_batch
 from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.crashing import give_up_crashing
 from toucanpin.scheduling.gathering import gather_images
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
 from toucanpin.scheduling.intake import begin_due, forget_ended
@@ -259,6 +260,7 @@
             now = self._clocks.now()
             for worker in lapse_workers(self._cell, now):
                 _log.info("worker gone", event="worker.gone", worker=worker.entry.id)
+            log_given_up(self._cell, give_up_crashing(self._cell, now))
             begin_due(self._cell, now)
             if now.steady > moved_at + MOVE_PERIOD:
                 moved_at = now.steady
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -87,6 +87,7 @@
     GANG = "not all of a gang find room"
     NO_ADVICE = "no ticket"
     FAILING = "room only where tasks fail"
+    CRASHING = "workers were lost under it"
 
 
 @dataclass(slots=True)
@@ -107,7 +108,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Loss:
-    """Tell of a run that was lost with its worker; ``age`` is in s since its start was sent."""
+    """
+    Tell of a run that was lost with its worker.
+
+    ``age`` is in s since its start was sent; ``crashes`` counts the workers lost under its task.
+    """
 
     task: TaskKey
     attempt: int
@@ -115,6 +120,7 @@
     phase: Phase
     cause: LossCause
     age: float
+    crashes: int
 
 
 @dataclass(slots=True)
@@ -163,6 +169,8 @@
     ends: dict[str, int] = field(default_factory=dict)
     orders: list[StopOrder | PaceOrder] = field(default_factory=list)
     losses: list[Loss] = field(default_factory=list)  # not logged yet
+    suspects: dict[str, set[TaskKey]] = field(default_factory=dict)  # by worker lost under them
+    crashing: set[TaskKey] = field(default_factory=set)  # not to be started again
     forgotten: list[str] = field(default_factory=list)  # jobs whose own rows are to be dropped
     dropped: list[str] = field(default_factory=list)  # jobs of which only the progress is left
     advised: dict[Group, Advised] = field(default_factory=dict)
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
+from toucanpin.scheduling.crashing import LAST_TRY, count_trials
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.prediction import Heat, heat_worker, predict_rise, predict_share
 from toucanpin.scheduling.reserving import leaves_reserve
@@ -41,6 +42,8 @@
 OTHER_IMAGE = 1.5  # weight of each other image that serves on a worker
 NO_RESERVE = 20.0  # weight of a place that takes reserved cores
 HEAT_PERIOD = 0.2  # s for which a sum counts; loads are measured as often
+OTHER_TRIAL = 1.0  # weight of each other task that is watched, for one that is watched itself
+AT_STAKE = 10.0  # weight of a whole worker's cores in use for a task that may crash it
 BESIDE_FILLING = 1.0  # weight against serving beside a worker full of what fills
 
 
@@ -89,15 +92,23 @@
     """
     Hold the places that the tasks of a step could take, the cheapest first.
 
-    ``ruled`` says that a rule of the step shut it out of a worker that has room.
+    ``crashes`` counts the workers that were lost under these tasks; ``ruled`` says that a rule of
+    the step shut it out of a worker that has room.
     """
 
-    __slots__ = ("_able", "_group", "_heap", "_live", "_round", "_step", "ruled")
+    __slots__ = ("_able", "_group", "_heap", "_live", "_round", "_step", "crashes", "ruled")
 
     def __init__(
-        self, round_: Round, live: LiveJob, group: Group, step: Step, able: Iterable[Worker]
+        self,
+        round_: Round,
+        live: LiveJob,
+        group: Group,
+        step: Step,
+        able: Iterable[Worker],
+        crashes: int = 0,
     ) -> None:
         self._round = round_
+        self.crashes = crashes
         self._live = live
         self._group = group
         self._step = step
@@ -143,7 +154,10 @@
         if cost is None:
             return None
         rack = self._live.racks.get(self._group, "")
-        return cost + _weigh_place(worker, step, rack, now), number, worker
+        cost += _weigh_place(worker, step, rack, now)
+        if self.crashes:
+            cost += _weigh_crash(worker, self.crashes, now)
+        return cost, number, worker
 
 
 def list_able(cell: Cell, now: Now) -> list[Worker]:
@@ -220,6 +234,18 @@
     return cost
 
 
+def _weigh_crash(worker: Worker, crashes: int, now: Now) -> float:
+    """
+    Return the cost of a place for a task under which workers were lost.
+
+    Those lost together are kept apart, or all of them would be lost with the one that crashes.
+    """
+    cost = OTHER_TRIAL * count_trials(worker, now)
+    if crashes >= LAST_TRY:
+        cost += AT_STAKE * (worker.cpu + worker.filling_cpu) / max(1, worker.entry.cpu)
+    return cost
+
+
 def _weigh(worker: Worker, step: Step) -> float:
     """Return the cost of a place for a task that takes room: the fullest worker comes first."""
     whole = max(1, worker.entry.cpu)
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -63,6 +63,8 @@
         _finish_copy(cell, live, run, record, end, now)
         return
     mark_dirty(cell, live)
+    if end in (End.DONE, End.FAILED):
+        record.crashed = []
     if checkpoint:
         record.checkpoint = checkpoint
     counted = record.state == TaskState.LEAVING
@@ -200,6 +202,7 @@
     for member in done:
         member.state = TaskState.DONE
         member.checkpoint = ""
+        member.crashed = []
     group = Group(task.job, task.occurrence, task.step)
     if group in cell.waiting:
         cell.waiting[group] -= set(range(step.count)) if step.gang else {task.index}
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Iterable
 
 from toucanpin.scheduling.cell import Cell, Loss, LossCause, Now, find_record, note_begun
+from toucanpin.scheduling.crashing import note_alive, note_lost, note_survived
 from toucanpin.scheduling.ending import apply_end, end_run
 from toucanpin.scheduling.orders import Held, HoldOrder, Running, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
@@ -103,6 +104,7 @@
     _read_clock(worker, held.clock, now)
     worker.answered_at = now.steady
     worker.silent = False
+    note_alive(cell, worker)
     for ended in held.ended:
         if ended.sequence > worker.seen:
             apply_end(cell, worker, ended, now)
@@ -153,13 +155,14 @@
         if run.phase is Phase.PLACED:
             stop_run(cell, run, "worker lost")
         elif worker.runs.get(run.task) is run:
-            _note_loss(cell, run, cause, now)
+            _note_loss(cell, worker, run, cause, now)
             end_run(cell, worker, run, now)
 
 
-def _note_loss(cell: Cell, run: Run, cause: LossCause, now: Now) -> None:
+def _note_loss(cell: Cell, worker: Worker, run: Run, cause: LossCause, now: Now) -> None:
     age = now.steady - run.ordered_at if run.ordered_at else 0.0
-    cell.losses.append(Loss(run.task, run.attempt, run.worker, run.phase, cause, age))
+    crashes = note_lost(cell, worker, run)
+    cell.losses.append(Loss(run.task, run.attempt, run.worker, run.phase, cause, age, crashes))
 
 
 def _read_clock(worker: Worker, clock: int, now: Now) -> None:
@@ -196,6 +199,8 @@
     run.percent = running.percent
     run.shown_at = now.steady
     run.measure = running.measure
+    if record is not None:
+        note_survived(run, record)
     if running.checkpoint:
         run.checkpoint = running.checkpoint
         placed = record is not None and record.state in (TaskState.PLACED, TaskState.LEAVING)
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -17,6 +17,7 @@
     sum_remaining,
     task_offsets,
 )
+from toucanpin.scheduling.crashing import forget_crashes, restore_crashes
 from toucanpin.scheduling.ending import end_job
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.orders import WorkerEntry
@@ -45,12 +46,14 @@
         for number, step in enumerate(job.steps):
             for index in range(step.count):
                 record = records[live.offsets[number] + index]
+                task = TaskKey(job.id, occurrence, number, index)
+                restore_crashes(cell, task, record)
                 if record.state in (TaskState.PLACED, TaskState.LEAVING):
-                    task = TaskKey(job.id, occurrence, number, index)
                     worker = _find_worker(cell, record.worker)
                     run = Run(task, record.attempt, worker.entry.id, step, Phase.UNKNOWN)
                     run.checkpoint = record.checkpoint
                     run.priority = job.priority
+                    run.crashes = len(record.crashed)
                     add_run(cell, worker, run)
         if not JobState(progress.state).ended:
             open_steps(cell, live, occurrence)
@@ -87,6 +90,7 @@
         del cell.jobs[identifier]
         cell.dirty.pop(identifier, None)
         cell.forgotten.append(identifier)
+    forget_crashes(cell)
 
 
 DUE_PERIOD = 0.02  # s between looks for occurrences that are due
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -29,6 +29,7 @@
     list_able,
     may_last,
 )
+from toucanpin.scheduling.crashing import LAST_TRY, count_crashes, is_held
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.keeping import Keeping
 from toucanpin.scheduling.preempting import Making, Openings
@@ -92,12 +93,19 @@
 
 
 def _order_waiting(cell: Cell, live: LiveJob, group: Group) -> list[int]:
-    """Return the tasks of a step that wait, those first that ran before: users miss them."""
+    """
+    Return the tasks of a step that wait.
+
+    Those come first that ran before, since users miss them, and of these the ones that crash least.
+    """
     start = live.offsets[group.step]
     records = live.progress.tasks[group.occurrence]
-    return sorted(
-        cell.waiting[group], key=lambda index: (records[start + index].attempt == 0, index)
-    )
+
+    def rank(index: int) -> tuple[bool, int, int]:
+        record = records[start + index]
+        return record.attempt == 0, len(record.crashed), index
+
+    return sorted(cell.waiting[group], key=rank)
 
 
 def _may_take_last(cell: Cell, live: LiveJob, group: Group, index: int, now: Now) -> bool:
@@ -141,7 +149,7 @@
     openings: dict[bool, Openings] = {}
     for index in _order_waiting(cell, live, group)[:MOST_STOPS]:
         task = TaskKey(group.job, group.occurrence, group.step, index)
-        if cell.delayed.get(task, 0.0) > now.steady:
+        if _find_pause(cell, live, task, now) is not None:
             continue
         lenient = step.lasting and _may_take_last(cell, live, group, index, now)
         if making.is_hopeless(step, lenient):
@@ -169,16 +177,18 @@
     now = round_.now
     for index in _order_waiting(cell, live, group):
         task = TaskKey(group.job, group.occurrence, group.step, index)
-        if cell.delayed.get(task, 0.0) > now.steady:
-            _note_wait(cell, group, WaitReason.PAUSED, now)
+        pause = _find_pause(cell, live, task, now)
+        if pause is not None:
+            _note_wait(cell, group, pause, now)
             continue
         claim = _find_claim(cell, live, group, index, now)
         known = recall(round_, live, step, claim)
         if known is not None:
             _note_wait(cell, group, known, now)
             return
-        if places is None:
-            places = Places(round_, live, group, step, able)
+        crashes = count_crashes(live, task)
+        if places is None or places.crashes != crashes:
+            places = Places(round_, live, group, step, able, crashes)
         worker = places.find()
         if worker is None:
             reason = _find_reason(live, step, able)
@@ -187,8 +197,9 @@
             note_shortage(round_, live, step, None, places.ruled)
             return
         chosen = places
-        if task in worker.runs:
-            chosen = Places(round_, live, group, step, list_safe(live, task, able, now))
+        if task in worker.runs or crashes >= LAST_TRY:
+            safe = list_safe(live, task, able, now)
+            chosen = Places(round_, live, group, step, safe, crashes)
             worker = chosen.find()
         if worker is None or risks_attempt(live, task, worker, able, now):
             why = WaitReason.NO_ROOM if worker is None else WaitReason.FAILING
@@ -205,6 +216,13 @@
         places = places if chosen is places else None
 
 
+def _find_pause(cell: Cell, live: LiveJob, task: TaskKey, now: Now) -> WaitReason | None:
+    """Return why a task may not be placed yet whatever room there is, None if it may."""
+    if cell.delayed.get(task, 0.0) > now.steady:
+        return WaitReason.PAUSED
+    return WaitReason.CRASHING if is_held(cell, live, task) else None
+
+
 def _recall_rack(cell: Cell, live: LiveJob, group: Group) -> None:
     """
     Note the rack on which most tasks of a step run, if any do.
@@ -256,10 +274,17 @@
     for record in records:
         record.attempt = attempt
         record.checkpoint = checkpoint
-    # All members share the failures of their gang, so the first speaks for them.
-    first = TaskKey(group.job, group.occurrence, group.step, 0)
-    safe = list_safe(live, first, able, round_.now)
-    chosen = _find_for_all(round_, live, group, step, safe)
+    members = [
+        TaskKey(group.job, group.occurrence, group.step, index) for index in range(step.count)
+    ]
+    if any(is_held(cell, live, member) for member in members):
+        _note_wait(cell, group, WaitReason.CRASHING, round_.now)
+        return
+    # All members share the failures of their gang, so any speaks for them.
+    doubted = max(members, key=lambda member: count_crashes(live, member))
+    safe = list_safe(live, doubted, able, round_.now)
+    places = Places(round_, live, group, step, safe, count_crashes(live, doubted))
+    chosen = _find_for_all(places, live, group, step)
     if len(chosen) < step.count:
         live.racks.pop(group, None)
         _note_wait(cell, group, WaitReason.GANG, round_.now)
@@ -270,11 +295,8 @@
         _place(cell, live, task, step, worker, round_.now)
 
 
-def _find_for_all(
-    round_: Round, live: LiveJob, group: Group, step: Step, able: list[Worker]
-) -> list[Worker]:
+def _find_for_all(places: Places, live: LiveJob, group: Group, step: Step) -> list[Worker]:
     """Return a worker for each task of a gang, fewer if not all find one; nothing is taken yet."""
-    places = Places(round_, live, group, step, able)
     chosen: list[Worker] = []
     trial: list[tuple[Worker, Run]] = []
     for index in range(step.count):
@@ -299,6 +321,7 @@
     record.worker = worker.entry.id
     run = Run(task, record.attempt, worker.entry.id, step, Phase.PLACED)
     run.priority = live.job.priority
+    run.crashes = len(record.crashed)
     run.checkpoint = record.checkpoint
     run.resumed = bool(record.checkpoint)
     group = Group(task.job, task.occurrence, task.step)
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -54,6 +54,7 @@
 
     A task that is placed may run at ``worker`` under ``attempt`` until an end is known; ``counted``
     names the attempts that ``failures`` counts, so that an end that is listed again counts once.
+    ``crashed`` names the workers that were lost under the task and haven't answered since.
     """
 
     state: int = 0
@@ -62,6 +63,7 @@
     worker: str = ""
     checkpoint: str = ""
     counted: list[int] = []
+    crashed: list[str] = []
 
 
 class Progress(msgspec.Struct, array_like=True):
--- a/toucanpin/scheduling/retrying.py
+++ b/toucanpin/scheduling/retrying.py
@@ -11,6 +11,7 @@
 
 from toucanpin.scheduling.cell import Group, LiveJob, Now
 from toucanpin.scheduling.choosing import fits_rules
+from toucanpin.scheduling.crashing import LAST_TRY, count_crashes, list_quiet
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.trust import is_doubted
 from toucanpin.scheduling.worker import Worker, count_whole, fits_whole
@@ -50,6 +51,8 @@
         # What a worker runs is known by its task: a copy there would hide the run that it is for,
         # whose failure nobody counts and whose room nobody gives back.
         able = [worker for worker in able if task not in worker.runs]
+    if count_crashes(live, task) >= LAST_TRY:
+        able = list_quiet(able, now)
     if not _count_failures(live, task):
         return able
     safe = [worker for worker in able if not risks_attempt(live, task, worker, able, now)]
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -10,6 +10,7 @@
 from standins.site.worker_core import WorkerCore
 from toucanpin.scheduling.batches import apply_batch, take_batch
 from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.crashing import give_up_crashing
 from toucanpin.scheduling.holding import (
     AUTHORITY,
     lapse_workers,
@@ -129,6 +130,7 @@
         list_workers(self.cell, listed, self.now())
         self._hold_all()
         lapse_workers(self.cell, self.now())
+        give_up_crashing(self.cell, self.now())
         begin_due(self.cell, self.now())
         move_tasks(self.cell, self.now())
         control_pace(self.cell, self.sharing, self.now())
--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 from collections import Counter
+from random import Random
 
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import JobState
@@ -40,3 +42,100 @@
         fleet.run(60.0)
         self.assertLessEqual(Counter(fleet.crashes)[TaskKey("bad", 0, 0, 0)], MOST_STARTS)
         self.assertEqual(JobState.FAILED, fleet.state("bad"))
+
+    def test_a_gang_with_a_task_that_crashes_each_worker_is_given_up(self) -> None:
+        """Guards against gangs of which one member takes a worker at each try."""
+        fleet = Fleet(workers=8)
+        for worker in fleet.workers.values():
+            worker.lasts = 100.0
+        fleet.crashing = {TaskKey("bad", 0, 0, 2)}
+        fleet.submit(make_job("bad", (Step(count=3, cpu=1_000, gang=True),), max_failures=2))
+        fleet.run(60.0)
+        self.assertLessEqual(len(fleet.crashes), MOST_STARTS)
+        self.assertEqual(JobState.FAILED, fleet.state("bad"))
+
+    def test_crashes_are_counted_by_the_next_owner(self) -> None:
+        """Guards against counts that are lost with an owner: each began from nothing."""
+        fleet = Fleet(workers=12)
+        fleet.crashing = {TaskKey("bad", 0, 0, 0)}
+        fleet.submit(make_job("bad"))
+        for _ in range(8):
+            known = len(fleet.crashes)
+            while len(fleet.crashes) == known and fleet.state("bad") != JobState.FAILED:
+                fleet.run(0.1)
+            fleet.run(0.3)
+            fleet.replace_owner()
+        self.assertLessEqual(len(fleet.crashes), MOST_STARTS)
+        self.assertEqual(JobState.FAILED, fleet.state("bad"))
+
+    def test_neighbours_of_a_crashing_task_are_not_given_up(self) -> None:
+        """Guards against giving up what is lost with a crashing task again and again."""
+        for lasting in (False, True):
+            with self.subTest(lasting=lasting):
+                fleet = Fleet(workers=4, cpu=16_000)
+                for worker in fleet.workers.values():
+                    worker.lasts = 4.0
+                fleet.crashing = {TaskKey("bad", 0, 0, 0)}
+                step = Step(cpu=1_000, lasting=lasting)
+                names = [f"good{number}" for number in range(24)]
+                for name in names:
+                    fleet.submit(make_job(name, (step,)))
+                fleet.submit(make_job("bad", (step,)))
+                fleet.run(40.0)
+                self.assertEqual(JobState.FAILED, fleet.state("bad"))
+                expected = JobState.ACTIVE if lasting else JobState.COMPLETED
+                self.assertEqual({expected}, {JobState(fleet.state(name)) for name in names})
+
+
+class CrashingWorkerTest(unittest.TestCase):
+    def test_workers_that_crash_by_themselves_fail_no_job(self) -> None:
+        """Guards against blaming tasks for crashes that go through a fleet at random."""
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                random = Random(seed)
+                fleet = Fleet(workers=8, cpu=8_000)
+                fleet.submit(make_job("lasting", (Step(count=4, cpu=1_000, lasting=True),)))
+                names = [f"j{number}" for number in range(40)]
+                for name in names:
+                    fleet.submit(make_job(name, (Step(count=2, cpu=1_000),)))
+                    fleet.run(1.0)
+                    if random.random() < 0.5:
+                        fleet.crash(random.choice(sorted(fleet.workers)))
+                fleet.run(20.0)
+                self.assertEqual({JobState.COMPLETED}, {fleet.state(name) for name in names})
+                self.assertEqual(JobState.ACTIVE, fleet.state("lasting"))
+
+    def test_workers_that_were_cut_off_count_against_no_task(self) -> None:
+        """Guards against taking lost contact for crashes: the task runs to its end elsewhere."""
+        fleet = Fleet(workers=4)
+        for worker in fleet.workers.values():
+            worker.lasts = 4.0
+        fleet.submit(make_job("j1"))
+        fleet.run(0.5)
+        for _ in range(4):
+            holders = [worker for worker in fleet.workers.values() if worker.runs]
+            for worker in holders:
+                worker.silent = True
+            fleet.run(6.0)
+            for worker in holders:
+                worker.silent = False
+            fleet.run(0.5)
+        fleet.run(6.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
+    def test_workers_that_leave_as_announced_count_against_no_task(self) -> None:
+        """Guards against taking planned ends for crashes."""
+        fleet = Fleet(workers=8)
+        for worker in fleet.workers.values():
+            worker.lasts = 100.0
+        fleet.submit(make_job("j1", (Step(cpu=1_000, lasting=True),)))
+        for _ in range(4):
+            fleet.run(1.0)
+            (name,) = [name for name, worker in fleet.workers.items() if worker.runs]
+            leaving = fleet.workers[name]
+            leaving.entry = dataclasses.replace(leaving.entry, ready=False)
+            leaving.deaf = True
+            fleet.run(0.5)
+            fleet.crash(name)
+            fleet.run(6.0)
+        self.assertEqual(JobState.ACTIVE, fleet.state("j1"))
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -76,6 +76,7 @@
     why: str = ""  # what kept it waiting at last
     resumed: bool = False  # it began from a checkpoint, so its progress says little of its time
     priority: int = 0  # that of its job
+    crashes: int = 0  # workers that were lost under its task before
 
 
 @dataclass(slots=True)
