Start nothing on a worker whose room has shrunk since it was planned

A worker's room may shrink while it runs, and one that doesn't refuse what doesn't fit starts whatever it is sent. Room was checked when a place was chosen; while the place was being written, or while a start was repeated, the worker could say that it had less, and the start was sent all the same. Where the workers' entries couldn't be read, starts went out by an old view.

Room is checked once more as a start is sent. Workers of a service that doesn't refuse get none by an entry older than 2.5 s (the bound counts 3 s and a heartbeat). A start that was sent before is repeated where the worker refuses what doesn't fit: it may run there already. Reserved cores can't be negative on a shrunken worker.

Tests failed before: 4 tasks ran on a worker with room for 2; a start was sent 3 s after the last entry.

--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 
 import logbook
 import xxhash
@@ -58,6 +59,7 @@
         peers: Peers,
         life: str,
         cell: str,
+        guarded: Callable[[], bool],
     ) -> None:
         self._store = store
         self._clocks = clocks
@@ -65,6 +67,7 @@
         self._advisers = advisers
         self._life = life
         self._cell = cell
+        self._guarded = guarded
         self._peers = peers
         self._yielded_at = -YIELD_AGAIN
         self._entries = EntryReader()
@@ -175,6 +178,7 @@
             sent_at,
             before is None,
             self._advisers,
+            self._guarded,
         )
         yielding = asyncio.ensure_future(self._yield(self._owner))
         try:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 import logbook
 
@@ -63,7 +63,8 @@
     Own one cell until another process does or this one resigns.
 
     ``record`` was written at ``version`` by a write that was sent at ``confirmed``; ``first`` says
-    that no other process has owned the cell before.
+    that no other process has owned the cell before, ``guarded`` tells whether the cell's workers
+    refuse what doesn't fit.
     """
 
     def __init__(
@@ -77,11 +78,13 @@
         confirmed: float,
         first: bool,
         advisers: Advisers,
+        guarded: Callable[[], bool],
     ) -> None:
         self._store = store
         self._clocks = clocks
         self._bounds = settings.bounds
         self._advisers = advisers
+        self._guarded = guarded
         horizon = steady_time() + (0.0 if first else HORIZON)
         self._cell = Cell(name, record.token, horizon, confirmed)
         self._sharing = Sharing()
@@ -233,6 +236,7 @@
             }
             own = [entry for entry in sound.values() if entry.service == self._cell.name]
             unsound = rows.keys() - sound.keys()
+            self._cell.guarded = self._guarded()
             self._workers.take_entries(own, unsound)
             await asyncio.sleep(LIST_PERIOD)
 
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -14,6 +14,7 @@
 import traceback
 from collections import Counter
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 import logbook
@@ -176,6 +177,7 @@
                         self._peers,
                         self._life,
                         service,
+                        partial(self._is_guarded, service),
                     )
                     self._contenders[service] = contender
                     self._spawn(contender.run)
@@ -185,6 +187,12 @@
                 self._front.max_body = current.max_body
             await asyncio.sleep(0.1)
 
+    def _is_guarded(self, service: str) -> bool:
+        """Tell whether a service's workers refuse what doesn't fit, as far as is known."""
+        current = self._configuration.current
+        known = current.services.get(service) if current is not None else None
+        return known is not None and known.guarded
+
     async def _answer_probe(self, request: Request) -> Response:
         age = steady_time() - self._configuration.confirmed
         ready = (
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -158,6 +158,7 @@
     token: int
     horizon: float
     confirmed: float
+    guarded: bool = True  # its workers refuse what doesn't fit
     jobs: dict[str, LiveJob] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
     runs: dict[str, list[Run]] = field(default_factory=dict)  # by job, whatever their phase
--- a/toucanpin/scheduling/reserving.py
+++ b/toucanpin/scheduling/reserving.py
@@ -38,12 +38,12 @@
         worker.reserved = 0
     left = _find_size(cell, able)
     for worker in sorted(able, key=_rank):
-        free = worker.entry.cpu - worker.cpu
+        free = max(0, worker.entry.cpu - worker.cpu)
         if free >= left:
             worker.reserved = left
             return
         # What brief tasks hold now is theirs when they end, or lasting ones would take it then.
-        worker.reserved = worker.entry.cpu - worker.lasting_cpu
+        worker.reserved = max(0, worker.entry.cpu - worker.lasting_cpu)
         left -= free
 
 
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -14,12 +14,13 @@
 from toucanpin.scheduling.holding import lease_end
 from toucanpin.scheduling.orders import Refused, Started
 from toucanpin.scheduling.stopping import stop_run
-from toucanpin.scheduling.worker import Phase, Run, Worker, grant_deadline
+from toucanpin.scheduling.worker import Phase, Run, Worker, grant_deadline, is_overfull
 
-__all__ = ["Next", "plan_start", "take_no_start", "take_started", "take_stopped"]
+__all__ = ["OLDEST_ENTRY", "Next", "plan_start", "take_no_start", "take_started", "take_stopped"]
 
 SHORTEST_LEASE = 0.5  # s: a start with less would lapse before it is renewed
 UNHEALTHY = 1.0  # s that a worker gets nothing after it refused to start anything
+OLDEST_ENTRY = 2.5  # s since a worker that takes whatever it is given was last heard of
 FULL = 0.3  # s that a worker gets nothing after it had less room than its owner thought
 
 
@@ -38,6 +39,12 @@
         # Nothing was ever sent, so nothing can run there: the task needn't wait for the lease.
         end_run(cell, worker, run, now)
         return 0
+    if is_overfull(worker) and not (cell.guarded and run.ordered_at):
+        worker.full_until = now.steady + FULL
+        _give_up(cell, worker, run, now)
+        return 0
+    if not cell.guarded and now.steady > worker.listed_at + OLDEST_ENTRY:
+        return 0
     until = lease_end(cell, now)
     if worker.silent or until - now.steady < SHORTEST_LEASE:
         return 0
--- a/toucanpin/scheduling/tests/test_life.py
+++ b/toucanpin/scheduling/tests/test_life.py
@@ -9,6 +9,7 @@
 from toucanpin.scheduling.intake import cancel_job, forget_ended
 from toucanpin.scheduling.job import Step, TaskKey, find_job_fault
 from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.starting import OLDEST_ENTRY
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
 
@@ -55,6 +56,40 @@
         fleet.run(2.0)
         self.assertFalse([start for worker in fleet.workers.values() for start in worker.starts])
 
+    def test_nothing_starts_on_a_worker_whose_room_has_shrunk(self) -> None:
+        """Guards against starts that were planned before a worker said that it has less room."""
+        fleet = Fleet(workers=1)
+        worker = fleet.workers["w0"]
+        worker.lasts = 3.0
+        fleet.run(0.2)
+        fleet.submit(make_job(steps=(Step(count=4, cpu=1_000),)))
+        fleet.store_up = False
+        fleet.run(0.3)
+        worker.entry = replace(worker.entry, cpu=2_000)
+        fleet.run(0.3)
+        fleet.store_up = True
+        fleet.run(1.0)
+        self.assertLessEqual(len(worker.runs), 2)
+        worker.entry = replace(worker.entry, cpu=4_000)
+        fleet.run(1.0)
+        self.assertEqual(4, len(worker.runs))
+
+    def test_nothing_starts_where_an_unguarded_worker_was_not_heard_of_lately(self) -> None:
+        """Guards against starts by an old view of a worker that takes whatever it is given."""
+        for guarded in (False, True):
+            with self.subTest(guarded=guarded):
+                fleet = Fleet(workers=1)
+                fleet.cell.guarded = guarded
+                fleet.run(0.2)
+                fleet.unlisted = {"w0"}
+                fleet.run(OLDEST_ENTRY + 0.5)
+                fleet.submit(make_job())
+                fleet.run(0.5)
+                self.assertEqual(guarded, bool(fleet.workers["w0"].starts))
+                fleet.unlisted.clear()
+                fleet.run(0.5)
+                self.assertTrue(fleet.workers["w0"].starts)
+
     def test_a_job_fails_once_a_task_has_used_its_attempts(self) -> None:
         fleet = Fleet()
         for worker in fleet.workers.values():
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -26,6 +26,7 @@
     "fits_whole",
     "grant_deadline",
     "has_room",
+    "is_overfull",
     "most_room",
     "note_leaving",
     "release_run",
@@ -138,6 +139,16 @@
     return step.fills or worker.cpu + step.cpu <= entry.cpu
 
 
+def is_overfull(worker: Worker) -> bool:
+    """Tell whether a worker has less room than what it was given takes: its room may shrink."""
+    entry = worker.entry
+    return (
+        worker.cpu > entry.cpu
+        or worker.memory > entry.memory
+        or worker.accelerators > entry.accelerators
+    )
+
+
 def count_places(worker: Worker, step: Step) -> int:
     """Return how many tasks of a step fit what a worker has left."""
     entry = worker.entry
