Play a task that crashes its workers over real connections

The same guard on the path that runs: connections that end, another life at the address, the record in the store, what callers are told.

--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -87,10 +87,13 @@
         self.fronts.append(Client(front))
         return process
 
-    async def add_worker(self, cpu: int = 4_000, lasts: float = 0.2) -> SiteWorker:
-        """Start a worker."""
+    async def add_worker(
+        self, cpu: int = 4_000, lasts: float = 0.2, address: str = ""
+    ) -> SiteWorker:
+        """Start a worker, or another life of one at its address."""
         name = f"w{len(self.workers)}"
-        entry = WorkerEntry(name, "c", f"127.0.0.1:{free_port()}", "dc", True, cpu, 8_000, 0)
+        address = address or f"127.0.0.1:{free_port()}"
+        entry = WorkerEntry(name, "c", address, "dc", True, cpu, 8_000, 0)
         worker = SiteWorker(self.store, entry)
         worker.core.lasts = lasts
         await worker.start()
--- a/standins/site/worker.py
+++ b/standins/site/worker.py
@@ -38,6 +38,8 @@
         self.refuse_next = 0
         self.garbage_next = 0
         self.looks = 0
+        self.crashing: frozenset[str] = frozenset()  # jobs whose tasks crash this worker
+        self.crashed = asyncio.Event()
         self._store = store
         self._begun = time.monotonic()
         self._sequence = 1
@@ -102,7 +104,10 @@
                 return await self._hold(call)
         return Response(404)
 
-    def _start(self, call: dict[str, Any]) -> Response:
+    def _start(self, call: dict[str, Any]) -> Response | None:
+        if parse_task(call["task"]).job in self.crashing:
+            self.crashed.set()
+            return None
         if self.garbage_next:
             self.garbage_next -= 1
             return Response(500, b"garbage")
