Give a task's last try a worker whose life isn't new

Workers that crash again and again are back each time with much room, so what was lost on one of them was tried there again, and a harmless job was failed after three such lives. The last try waits for room on a worker whose life is 10 s old, if such workers could run the task at all.

--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -21,12 +21,14 @@
 __all__ = [
     "LAST_TRY",
     "MOST_CRASHES",
+    "YOUNG_LIFE",
     "count_crashes",
     "count_trials",
     "forget_crashes",
     "give_up_crashing",
     "is_held",
-    "list_quiet",
+    "is_on_last_try",
+    "is_young",
     "note_alive",
     "note_lost",
     "note_survived",
@@ -37,6 +39,7 @@
 LAST_TRY = MOST_CRASHES - 1  # workers lost under a task of which one more gives it up
 SURE_CRASHES = 2  # of them whose lives are surely over: others may only be cut off
 SURVIVAL = 5.0  # s at work after which a lasting task didn't crash its worker
+YOUNG_LIFE = 10.0  # s for which a worker's life is young
 TRIAL = 2.0  # s that a task is watched which workers were lost under
 
 
@@ -111,20 +114,14 @@
     return sum(_is_on_trial(run, now) for run in worker.runs.values())
 
 
-def list_quiet(able: list[Worker], now: Now) -> list[Worker]:
-    """
-    Return the workers on which no other task has its last try.
+def is_on_last_try(worker: Worker, now: Now) -> bool:
+    """Tell whether a worker runs a task that is given up if it is lost once more."""
+    return any(run.crashes >= LAST_TRY and _is_on_trial(run, now) for run in worker.runs.values())
 
-    Two that were lost together would be placed together again, and the harmless one would be given
-    up with the one that crashes its workers.
-    """
-    return [
-        worker
-        for worker in able
-        if not any(
-            run.crashes >= LAST_TRY and _is_on_trial(run, now) for run in worker.runs.values()
-        )
-    ]
+
+def is_young(worker: Worker, now: Now) -> bool:
+    """Tell whether a worker's life is new: it may be one of many that end soon."""
+    return now.steady < worker.known_at + YOUNG_LIFE
 
 
 def give_up_crashing(cell: Cell, now: Now) -> list[TaskKey]:
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -59,7 +59,7 @@
     for entry in entries:
         worker = cell.workers.get(entry.id)
         if worker is None:
-            worker = Worker(entry, lapse_at=cell.horizon)
+            worker = Worker(entry, lapse_at=cell.horizon, known_at=now.steady)
             cell.workers[entry.id] = worker
             fresh.append(worker)
         elif not worker.entry.address:
--- a/toucanpin/scheduling/retrying.py
+++ b/toucanpin/scheduling/retrying.py
@@ -11,7 +11,7 @@
 
 from toucanpin.scheduling.cell import Group, LiveJob, Now
 from toucanpin.scheduling.choosing import fits_rules
-from toucanpin.scheduling.crashing import LAST_TRY, count_crashes, list_quiet
+from toucanpin.scheduling.crashing import LAST_TRY, count_crashes, is_on_last_try, is_young
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.trust import is_doubted
 from toucanpin.scheduling.worker import Worker, count_whole, fits_whole
@@ -52,7 +52,7 @@
         # whose failure nobody counts and whose room nobody gives back.
         able = [worker for worker in able if task not in worker.runs]
     if count_crashes(live, task) >= LAST_TRY:
-        able = list_quiet(able, now)
+        able = _list_for_last_try(live, task, able, now)
     if not _count_failures(live, task):
         return able
     safe = [worker for worker in able if not risks_attempt(live, task, worker, able, now)]
@@ -62,6 +62,22 @@
     return safe
 
 
+def _list_for_last_try(live: LiveJob, task: TaskKey, able: list[Worker], now: Now) -> list[Worker]:
+    """
+    Return the workers whose loss would tell most of a task.
+
+    Two that were lost together would be placed together again, and the harmless one given up with
+    the one that crashes its workers; so would one that is tried on workers that come and go.
+    """
+    step = live.job.steps[task.step]
+    group = Group(task.job, task.occurrence, task.step)
+    alone = [worker for worker in able if not is_on_last_try(worker, now)]
+    steady = [worker for worker in able if not is_young(worker, now)]
+    if any(fits_whole(worker, step) and fits_rules(worker, group, step) for worker in steady):
+        return [worker for worker in alone if not is_young(worker, now)]
+    return alone
+
+
 def _count_failures(live: LiveJob, task: TaskKey) -> int:
     records = live.progress.tasks[task.occurrence]
     return records[live.offsets[task.step] + task.index].failures
--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from random import Random
 
+from toucanpin.scheduling.crashing import YOUNG_LIFE
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
@@ -105,6 +106,23 @@
                 self.assertEqual({JobState.COMPLETED}, {fleet.state(name) for name in names})
                 self.assertEqual(JobState.ACTIVE, fleet.state("lasting"))
 
+    def test_workers_that_crash_again_and_again_fail_no_job(self) -> None:
+        """Guards against trying what was lost on workers that are just back, and about to go."""
+        fleet = Fleet(workers=8)
+        machines = [f"w{number}" for number in range(4)]
+        names = [f"j{number}" for number in range(60)]
+        fleet.run(YOUNG_LIFE)
+        for name in names:
+            for worker in fleet.workers.values():
+                worker.lasts = 4.0
+            fleet.submit(make_job(name, (Step(count=2, cpu=1_000),)))
+            fleet.run(0.5)
+            due = [life for life in fleet.workers if life.rstrip("'") in machines]
+            for life in due if fleet.time % 4.0 < 0.5 else ():
+                fleet.crash(life)
+        fleet.run(40.0)
+        self.assertEqual({JobState.COMPLETED}, {fleet.state(name) for name in names})
+
     def test_workers_that_were_cut_off_count_against_no_task(self) -> None:
         """Guards against taking lost contact for crashes: the task runs to its end elsewhere."""
         fleet = Fleet(workers=4)
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -95,6 +95,7 @@
     lasting_cpu: int = 0
     reserved: int = 0  # cores that lasting tasks leave to brief ones
     reached: bool = False
+    known_at: float = 0.0  # when this life was first listed
     listed_at: float = 0.0
     answered_at: float = 0.0
     silent: bool = False
