Keep lasting tasks that were lost together where packing puts them

Tasks that were lost with one worker are tried apart. Lasting ones stay where they are put, and strewn they would shut batch work out of many workers, so only their last try is apart.

--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -156,7 +156,7 @@
         rack = self._live.racks.get(self._group, "")
         cost += _weigh_place(worker, step, rack, now)
         if self.crashes:
-            cost += _weigh_crash(worker, self.crashes, now)
+            cost += _weigh_crash(worker, step, self.crashes, now)
         return cost, number, worker
 
 
@@ -234,13 +234,14 @@
     return cost
 
 
-def _weigh_crash(worker: Worker, crashes: int, now: Now) -> float:
+def _weigh_crash(worker: Worker, step: Step, crashes: int, now: Now) -> float:
     """
     Return the cost of a place for a task under which workers were lost.
 
     Those lost together are kept apart, or all of them would be lost with the one that crashes.
+    Strewn lasting tasks would shut batch work out of many workers for as long as they run.
     """
-    cost = OTHER_TRIAL * count_trials(worker, now)
+    cost = 0.0 if step.lasting else OTHER_TRIAL * count_trials(worker, now)
     if crashes >= LAST_TRY:
         cost += AT_STAKE * (worker.cpu + worker.filling_cpu) / max(1, worker.entry.cpu)
     return cost
