Pause before a start that no worker understands is tried again

A start that is refused as malformed, or whose number a worker has seen, left its task waiting, which was placed, written and refused again as fast as the store answers: 100 times in 5 s at 20 turns a second.

--- a/standins/site/worker_core.py
+++ b/standins/site/worker_core.py
@@ -40,7 +40,8 @@
     silent: bool = False
     deaf: bool = False
     failing: bool = False
-    refusing: int = 0  # so many starts find no room
+    refusing: int = 0  # so many starts are refused
+    refusal: Refused = Refused.NO_ROOM
     forgotten: list[Ended] = field(default_factory=list)
     stuck: bool = False
     lasts: float = 1.0
@@ -58,7 +59,7 @@
         self.deadline = max(self.deadline, deadline / 1_000)
         if self.refusing:
             self.refusing -= 1
-            return Started(clock, Refused.NO_ROOM)
+            return Started(clock, self.refusal)
         present = self.runs.get(task)
         if present is not None and present.attempt == attempt:
             return Started(clock, None)
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -27,13 +27,14 @@
 from toucanpin.scheduling.worker import Run, Worker
 
 __all__ = [
+    "RETRY_DELAY",
     "apply_end",
     "end_job",
     "end_run",
     "finish_run",
 ]
 
-RETRY_DELAY = 0.25  # s before a lasting task that failed is placed again, so a loop can't spin
+RETRY_DELAY = 0.25  # s before a task is placed again for which nothing else bounds the tries
 
 
 def apply_end(cell: Cell, worker: Worker, ended: Ended, now: Now) -> None:
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -10,7 +10,7 @@
 import enum
 
 from toucanpin.scheduling.cell import Cell, Group, Now, note_begun
-from toucanpin.scheduling.ending import end_run
+from toucanpin.scheduling.ending import RETRY_DELAY, end_run
 from toucanpin.scheduling.holding import lease_end
 from toucanpin.scheduling.orders import Refused, Started
 from toucanpin.scheduling.stopping import stop_run
@@ -74,6 +74,8 @@
             cell.advised.pop(group, None)
         case Refused.UNHEALTHY:
             worker.suspect_until = max(worker.suspect_until, now.steady + UNHEALTHY)
+        case Refused.MALFORMED | Refused.OLD_ATTEMPT:
+            cell.delayed[run.task] = now.steady + RETRY_DELAY
     _give_up(cell, worker, run, now)
     return Next.SETTLED
 
--- a/toucanpin/scheduling/tests/test_failures.py
+++ b/toucanpin/scheduling/tests/test_failures.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from toucanpin.scheduling.batches import apply_batch, take_batch
+from toucanpin.scheduling.ending import RETRY_DELAY
 from toucanpin.scheduling.holding import AUTHORITY, LEASE
 from toucanpin.scheduling.intake import cancel_job
 from toucanpin.scheduling.job import Step
@@ -92,6 +93,17 @@
         (again,) = apply_batch(fleet.cell, take_batch(fleet.cell))
         self.assertNotEqual(run.worker, again.worker)
 
+    def test_a_start_that_no_worker_understands_is_not_repeated_without_a_pause(self) -> None:
+        """Guards against a loop of places, writes and refusals as fast as the store answers."""
+        fleet = Fleet()
+        for worker in fleet.workers.values():
+            worker.refusing = 1_000
+            worker.refusal = Refused.MALFORMED
+        fleet.submit(make_job())
+        fleet.run(5.0)
+        (record,) = fleet.cell.jobs["j1"].progress.tasks[0]
+        self.assertLessEqual(record.attempt, 5.0 / RETRY_DELAY + 1)
+
     def test_a_stop_that_found_no_worker_is_sent_again(self) -> None:
         """
         A job is cancelled as its owner is replaced.  The next owner knows the job's runs before it
