Give nothing up before the list of workers is read

A new owner takes up the lives that were counted against a task, and knew of none of them whether it is over: all seemed gone until the first list. Test failed before: a task was given up in the first tick though its three workers were there.

--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -125,8 +125,14 @@
 
 
 def give_up_crashing(cell: Cell, now: Now) -> list[TaskKey]:
-    """Fail the jobs of tasks under which enough workers have surely crashed; return the tasks."""
-    given_up = []
+    """
+    Fail the jobs of tasks under which enough workers have surely crashed; return the tasks.
+
+    An owner that hasn't read the list of workers yet knows of no life whether it is over.
+    """
+    given_up: list[TaskKey] = []
+    if not any(worker.entry.address for worker in cell.workers.values()):
+        return given_up
     for task in list(cell.crashing):
         live = cell.jobs.get(task.job)
         record = find_record(live, task) if live else None
--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -7,9 +7,9 @@
 from collections import Counter
 from random import Random
 
-from toucanpin.scheduling.crashing import YOUNG_LIFE
+from toucanpin.scheduling.crashing import YOUNG_LIFE, give_up_crashing
 from toucanpin.scheduling.job import Step, TaskKey
-from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.progress import JobState, encode_progress
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
 # A task is started at most twice more after three workers have crashed under it.
@@ -141,6 +141,19 @@
         fleet.run(6.0)
         self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
 
+    def test_an_owner_that_knows_no_worker_yet_gives_nothing_up(self) -> None:
+        """Guards against taking workers for gone that a new owner hasn't heard of so far."""
+        fleet = Fleet(workers=4)
+        fleet.submit(make_job("j1"))
+        fleet.run(0.5)
+        progress = fleet.cell.jobs["j1"].progress
+        progress.tasks[0][0].crashed = ["w0", "w1", "w2"]
+        fleet.rows["j1"] = encode_progress(progress)
+        fleet.replace_owner()
+        self.assertFalse(give_up_crashing(fleet.cell, fleet.now()))
+        fleet.run(3.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
     def test_workers_that_leave_as_announced_count_against_no_task(self) -> None:
         """Guards against taking planned ends for crashes."""
         fleet = Fleet(workers=8)
