Let a loss count most if it comes right after a task's start

A task that crashes what starts it is lost before any list shows it at work for a second.

Three lives that end within 1 s of a start give a task up, or five however long it was at work: two more than three is what the rule leaves, so one that crashes its workers after a while is bounded as well. Runs that an earlier owner began count among the latter, since nobody knows how long they worked.

--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -13,9 +13,10 @@
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
-from toucanpin.scheduling.crashing import LAST_TRY, count_trials
+from toucanpin.scheduling.crashing import count_watched
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.prediction import Heat, heat_worker, predict_rise, predict_share
+from toucanpin.scheduling.progress import Doubt
 from toucanpin.scheduling.reserving import leaves_reserve
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.shortage import Shortage
@@ -42,7 +43,7 @@
 OTHER_IMAGE = 1.5  # weight of each other image that serves on a worker
 NO_RESERVE = 20.0  # weight of a place that takes reserved cores
 HEAT_PERIOD = 0.2  # s for which a sum counts; loads are measured as often
-OTHER_TRIAL = 1.0  # weight of each other task that is watched, for one that is watched itself
+OTHER_WATCHED = 1.0  # weight of each other task that is watched, for one that is watched itself
 AT_STAKE = 10.0  # weight of a whole worker's cores in use for a task that may crash it
 BESIDE_FILLING = 1.0  # weight against serving beside a worker full of what fills
 
@@ -92,11 +93,11 @@
     """
     Hold the places that the tasks of a step could take, the cheapest first.
 
-    ``crashes`` counts the workers that were lost under these tasks; ``ruled`` says that a rule of
-    the step shut it out of a worker that has room.
+    ``doubt`` says how far these tasks are suspected of crashing workers; ``ruled`` says that a rule
+    of the step shut it out of a worker that has room.
     """
 
-    __slots__ = ("_able", "_group", "_heap", "_live", "_round", "_step", "crashes", "ruled")
+    __slots__ = ("_able", "_group", "_heap", "_live", "_round", "_step", "doubt", "ruled")
 
     def __init__(
         self,
@@ -105,10 +106,10 @@
         group: Group,
         step: Step,
         able: Iterable[Worker],
-        crashes: int = 0,
+        doubt: Doubt = Doubt.NONE,
     ) -> None:
         self._round = round_
-        self.crashes = crashes
+        self.doubt = doubt
         self._live = live
         self._group = group
         self._step = step
@@ -155,8 +156,8 @@
             return None
         rack = self._live.racks.get(self._group, "")
         cost += _weigh_place(worker, step, rack, now)
-        if self.crashes:
-            cost += _weigh_crash(worker, step, self.crashes, now)
+        if self.doubt:
+            cost += _weigh_crash(worker, step, self.doubt, now)
         return cost, number, worker
 
 
@@ -234,15 +235,15 @@
     return cost
 
 
-def _weigh_crash(worker: Worker, step: Step, crashes: int, now: Now) -> float:
+def _weigh_crash(worker: Worker, step: Step, doubt: Doubt, now: Now) -> float:
     """
     Return the cost of a place for a task under which workers were lost.
 
     Those lost together are kept apart, or all of them would be lost with the one that crashes.
     Strewn lasting tasks would shut batch work out of many workers for as long as they run.
     """
-    cost = 0.0 if step.lasting else OTHER_TRIAL * count_trials(worker, now)
-    if crashes >= LAST_TRY:
+    cost = 0.0 if step.lasting else OTHER_WATCHED * count_watched(worker, now)
+    if doubt is Doubt.LAST_TRY:
         cost += AT_STAKE * (worker.cpu + worker.filling_cpu) / max(1, worker.entry.cpu)
     return cost
 
--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -7,37 +7,42 @@
 Notes
 -----
 A worker that crashes lists no end, so what ran there is only known to be lost.  Each lost life
-counts against the tasks that it may have been lost under, until that life answers again.
+counts against the tasks that it may have been lost under, until that life answers again.  One that
+ends right after a start tells most against what was started.
 """
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from toucanpin.scheduling.cell import Cell, LiveJob, Now, find_record, mark_dirty
 from toucanpin.scheduling.ending import end_job
 from toucanpin.scheduling.job import TaskKey
-from toucanpin.scheduling.progress import JobState, TaskRecord, TaskState
+from toucanpin.scheduling.progress import Doubt, JobState, TaskRecord, TaskState
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = [
-    "LAST_TRY",
+    "MOST_AT_START",
     "MOST_CRASHES",
     "YOUNG_LIFE",
-    "count_crashes",
-    "count_trials",
+    "count_watched",
+    "find_doubt",
     "forget_crashes",
     "give_up_crashing",
     "is_held",
     "is_on_last_try",
     "is_young",
+    "judge_doubt",
     "note_alive",
     "note_lost",
     "note_survived",
     "restore_crashes",
 ]
 
-MOST_CRASHES = 3  # workers lost under a task after which it isn't started any more
-LAST_TRY = MOST_CRASHES - 1  # workers lost under a task of which one more gives it up
+MOST_CRASHES = 5  # workers lost under a task after which it isn't started any more
+MOST_AT_START = 3  # the same of workers that were lost right after its start
 SURE_CRASHES = 2  # of them whose lives are surely over: others may only be cut off
+START = 1.0  # s at work after which a task has outlived its start
 SURVIVAL = 5.0  # s at work after which a lasting task didn't crash its worker
 YOUNG_LIFE = 10.0  # s for which a worker's life is young
 TRIAL = 2.0  # s that a task is watched which workers were lost under
@@ -52,7 +57,7 @@
     if record.state == TaskState.DONE:
         return 0
     if worker.entry.id not in record.crashed and _may_have_crashed(worker, run):
-        record.crashed.append(worker.entry.id)
+        record.crashed[worker.entry.id] = _was_lost_at_start(run)
         mark_dirty(cell, live)
         _remember(cell, run.task, record)
     return len(record.crashed)
@@ -65,15 +70,15 @@
         record = find_record(live, task) if live else None
         if live is None or record is None or worker.entry.id not in record.crashed:
             continue
-        record.crashed.remove(worker.entry.id)
+        del record.crashed[worker.entry.id]
         mark_dirty(cell, live)
 
 
 def note_survived(run: Run, record: TaskRecord) -> None:
     """Clear a lasting task that has been at work for long."""
     if run.step.lasting and run.shown_at > run.started_at + SURVIVAL:
-        record.crashed = []
-        run.crashes = 0
+        record.crashed = {}
+        run.doubt = Doubt.NONE
 
 
 def restore_crashes(cell: Cell, task: TaskKey, record: TaskRecord) -> None:
@@ -96,27 +101,36 @@
 
     A copy is begun as soon as a worker falls silent, so silent workers count, too.
     """
-    record = _find_record(live, task)
-    lives = set(record.crashed)
-    if live.job.steps[task.step].speculative and record.attempt:
-        runs = cell.runs.get(task.job, ())
-        lives |= {run.worker for run in runs if run.task == task and _is_silent(cell, run)}
-    return len(lives) >= MOST_CRASHES
+    record = _get_record(live, task)
+    if not live.job.steps[task.step].speculative or not record.attempt:
+        return _are_too_many(record.crashed)
+    runs = [run for run in cell.runs.get(task.job, ()) if run.task == task]
+    silent = {run.worker: _was_lost_at_start(run) for run in runs if _is_silent(cell, run)}
+    return _are_too_many(record.crashed | silent)
+
+
+def judge_doubt(record: TaskRecord) -> Doubt:
+    """Return how far a task is suspected of crashing its workers."""
+    if not record.crashed:
+        return Doubt.NONE
+    one_more = record.crashed | {"": True}
+    return Doubt.LAST_TRY if _are_too_many(one_more) else Doubt.WATCHED
 
 
-def count_crashes(live: LiveJob, task: TaskKey) -> int:
-    """Return how many workers were lost under a task."""
-    return len(_find_record(live, task).crashed)
+def find_doubt(live: LiveJob, task: TaskKey) -> Doubt:
+    """Return how far a task of a job is suspected of crashing its workers."""
+    return judge_doubt(_get_record(live, task))
 
 
-def count_trials(worker: Worker, now: Now) -> int:
+def count_watched(worker: Worker, now: Now) -> int:
     """Return how many tasks are watched on a worker."""
-    return sum(_is_on_trial(run, now) for run in worker.runs.values())
+    return sum(_is_watched(run, now) for run in worker.runs.values())
 
 
 def is_on_last_try(worker: Worker, now: Now) -> bool:
     """Tell whether a worker runs a task that is given up if it is lost once more."""
-    return any(run.crashes >= LAST_TRY and _is_on_trial(run, now) for run in worker.runs.values())
+    runs = (run for run in worker.runs.values() if run.doubt is Doubt.LAST_TRY)
+    return any(_is_watched(run, now) for run in runs)
 
 
 def is_young(worker: Worker, now: Now) -> bool:
@@ -136,20 +150,21 @@
     for task in list(cell.crashing):
         live = cell.jobs.get(task.job)
         record = find_record(live, task) if live else None
-        if live is None or record is None or JobState(live.progress.state).ended:
+        if live is None or record is None or not _may_be_given_up(live, record):
             cell.crashing.discard(task)
-            continue
-        if record.state == TaskState.DONE or len(record.crashed) < MOST_CRASHES:
+        elif sum(worker not in cell.workers for worker in record.crashed) >= SURE_CRASHES:
             cell.crashing.discard(task)
-            continue
-        if sum(worker not in cell.workers for worker in record.crashed) < SURE_CRASHES:
-            continue
-        cell.crashing.discard(task)
-        end_job(cell, live, JobState.FAILED, now)
-        given_up.append(task)
+            end_job(cell, live, JobState.FAILED, now)
+            given_up.append(task)
     return given_up
 
 
+def _may_be_given_up(live: LiveJob, record: TaskRecord) -> bool:
+    if JobState(live.progress.state).ended or record.state == TaskState.DONE:
+        return False
+    return _are_too_many(record.crashed)
+
+
 def _may_have_crashed(worker: Worker, run: Run) -> bool:
     """Tell whether a run may be what ended its worker."""
     if run.phase is Phase.ORDERED and not run.ordered_at:
@@ -162,14 +177,29 @@
     return not announced and not worker.closing_since
 
 
+def _was_lost_at_start(run: Run) -> bool:
+    """
+    Tell whether a run's worker may have ended as soon as it began.
+
+    Of one that an earlier owner began nobody knows how long it was at work.
+    """
+    if run.phase is Phase.UNKNOWN or not run.ordered_at:
+        return False
+    return run.shown_at < run.ordered_at + START
+
+
+def _are_too_many(lives: Mapping[str, bool]) -> bool:
+    return len(lives) >= MOST_CRASHES or sum(lives.values()) >= MOST_AT_START
+
+
 def _remember(cell: Cell, task: TaskKey, record: TaskRecord) -> None:
     for worker in record.crashed:
         cell.suspects.setdefault(worker, set()).add(task)
-    if len(record.crashed) >= MOST_CRASHES:
+    if _are_too_many(record.crashed):
         cell.crashing.add(task)
 
 
-def _find_record(live: LiveJob, task: TaskKey) -> TaskRecord:
+def _get_record(live: LiveJob, task: TaskKey) -> TaskRecord:
     records = live.progress.tasks[task.occurrence]
     return records[live.offsets[task.step] + task.index]
 
@@ -179,7 +209,7 @@
     return worker is not None and worker.silent
 
 
-def _is_on_trial(run: Run, now: Now) -> bool:
-    if not run.crashes:
+def _is_watched(run: Run, now: Now) -> bool:
+    if run.doubt is Doubt.NONE:
         return False
     return not run.ordered_at or now.steady < run.ordered_at + TRIAL
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -65,7 +65,7 @@
         return
     mark_dirty(cell, live)
     if end in (End.DONE, End.FAILED):
-        record.crashed = []
+        record.crashed = {}
     if checkpoint:
         record.checkpoint = checkpoint
     counted = record.state == TaskState.LEAVING
@@ -203,7 +203,7 @@
     for member in done:
         member.state = TaskState.DONE
         member.checkpoint = ""
-        member.crashed = []
+        member.crashed = {}
     group = Group(task.job, task.occurrence, task.step)
     if group in cell.waiting:
         cell.waiting[group] -= set(range(step.count)) if step.gang else {task.index}
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -29,11 +29,11 @@
     list_able,
     may_last,
 )
-from toucanpin.scheduling.crashing import LAST_TRY, count_crashes, is_held
+from toucanpin.scheduling.crashing import find_doubt, is_held
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.keeping import Keeping
 from toucanpin.scheduling.preempting import Making, Openings
-from toucanpin.scheduling.progress import TaskState
+from toucanpin.scheduling.progress import Doubt, TaskState
 from toucanpin.scheduling.recalling import is_barren, note_barren, note_shortage, recall
 from toucanpin.scheduling.reserving import reserve_room
 from toucanpin.scheduling.retrying import list_safe, risks_attempt
@@ -186,9 +186,9 @@
         if known is not None:
             _note_wait(cell, group, known, now)
             return
-        crashes = count_crashes(live, task)
-        if places is None or places.crashes != crashes:
-            places = Places(round_, live, group, step, able, crashes)
+        doubt = find_doubt(live, task)
+        if places is None or places.doubt is not doubt:
+            places = Places(round_, live, group, step, able, doubt)
         worker = places.find()
         if worker is None:
             reason = _find_reason(live, step, able)
@@ -197,9 +197,9 @@
             note_shortage(round_, live, step, None, places.ruled)
             return
         chosen = places
-        if task in worker.runs or crashes >= LAST_TRY:
+        if task in worker.runs or doubt is Doubt.LAST_TRY:
             safe = list_safe(live, task, able, now)
-            chosen = Places(round_, live, group, step, safe, crashes)
+            chosen = Places(round_, live, group, step, safe, doubt)
             worker = chosen.find()
         if worker is None or risks_attempt(live, task, worker, able, now):
             why = WaitReason.NO_ROOM if worker is None else WaitReason.FAILING
@@ -281,9 +281,9 @@
         _note_wait(cell, group, WaitReason.CRASHING, round_.now)
         return
     # All members share the failures of their gang, so any speaks for them.
-    doubted = max(members, key=lambda member: count_crashes(live, member))
+    doubted = max(members, key=lambda member: find_doubt(live, member))
     safe = list_safe(live, doubted, able, round_.now)
-    places = Places(round_, live, group, step, safe, count_crashes(live, doubted))
+    places = Places(round_, live, group, step, safe, find_doubt(live, doubted))
     chosen = _find_for_all(places, live, group, step)
     if len(chosen) < step.count:
         live.racks.pop(group, None)
@@ -321,7 +321,7 @@
     record.worker = worker.entry.id
     run = Run(task, record.attempt, worker.entry.id, step, Phase.PLACED)
     run.priority = live.job.priority
-    run.crashes = len(record.crashed)
+    run.doubt = find_doubt(live, task)
     run.checkpoint = record.checkpoint
     run.resumed = bool(record.checkpoint)
     group = Group(task.job, task.occurrence, task.step)
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -14,6 +14,7 @@
 from toucanpin.scheduling.job import Job
 
 __all__ = [
+    "Doubt",
     "JobState",
     "Progress",
     "TaskRecord",
@@ -48,13 +49,22 @@
     LEAVING = 3  # placed in a gang whose failure is counted already; its own end counts no more
 
 
+class Doubt(enum.IntEnum):
+    """Say how far a task is suspected of crashing its workers."""
+
+    NONE = 0
+    WATCHED = 1  # a worker was lost under it
+    LAST_TRY = 2  # one more such loss gives it up
+
+
 class TaskRecord(msgspec.Struct, array_like=True, omit_defaults=True):
     """
     Hold what must last of one task.
 
     A task that is placed may run at ``worker`` under ``attempt`` until an end is known; ``counted``
     names the attempts that ``failures`` counts, so that an end that is listed again counts once.
-    ``crashed`` names the workers that were lost under the task and haven't answered since.
+    ``crashed`` names the workers that were lost under the task and haven't answered since, and
+    tells whether that was right after its start.
     """
 
     state: int = 0
@@ -63,7 +73,7 @@
     worker: str = ""
     checkpoint: str = ""
     counted: list[int] = []
-    crashed: list[str] = []
+    crashed: dict[str, bool] = {}
 
 
 class Progress(msgspec.Struct, array_like=True):
--- a/toucanpin/scheduling/retrying.py
+++ b/toucanpin/scheduling/retrying.py
@@ -11,8 +11,9 @@
 
 from toucanpin.scheduling.cell import Group, LiveJob, Now
 from toucanpin.scheduling.choosing import fits_rules
-from toucanpin.scheduling.crashing import LAST_TRY, count_crashes, is_on_last_try, is_young
+from toucanpin.scheduling.crashing import find_doubt, is_on_last_try, is_young
 from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.progress import Doubt
 from toucanpin.scheduling.trust import is_doubted
 from toucanpin.scheduling.worker import Worker, count_whole, fits_whole
 
@@ -51,7 +52,7 @@
         # What a worker runs is known by its task: a copy there would hide the run that it is for,
         # whose failure nobody counts and whose room nobody gives back.
         able = [worker for worker in able if task not in worker.runs]
-    if count_crashes(live, task) >= LAST_TRY:
+    if find_doubt(live, task) is Doubt.LAST_TRY:
         able = _list_for_last_try(live, task, able, now)
     if not _count_failures(live, task):
         return able
--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -26,6 +26,22 @@
         self.assertLessEqual(len(fleet.crashes), MOST_STARTS)
         self.assertEqual(JobState.FAILED, fleet.state("bad"))
 
+    def test_a_task_that_crashes_each_worker_after_a_while_is_given_up(self) -> None:
+        """Guards against crash loops of tasks that are at work before their workers crash."""
+        fleet = Fleet(workers=8)
+        for worker in fleet.workers.values():
+            worker.lasts = 4.0
+        fleet.submit(make_job("bad", max_failures=2))
+        crashes = 0
+        for _ in range(120):
+            fleet.run(0.5)
+            for name, worker in list(fleet.workers.items()):
+                if any(run.started < fleet.time - 2.0 for run in worker.runs.values()):
+                    fleet.crash(name)
+                    crashes += 1
+        self.assertLessEqual(crashes, MOST_STARTS)
+        self.assertEqual(JobState.FAILED, fleet.state("bad"))
+
     def test_a_lasting_task_that_crashes_each_worker_is_given_up(self) -> None:
         """Guards against crash loops of tasks that are started again however they end."""
         fleet = Fleet(workers=8)
@@ -147,7 +163,7 @@
         fleet.submit(make_job("j1"))
         fleet.run(0.5)
         progress = fleet.cell.jobs["j1"].progress
-        progress.tasks[0][0].crashed = ["w0", "w1", "w2"]
+        progress.tasks[0][0].crashed = dict.fromkeys(("w0", "w1", "w2"), True)
         fleet.rows["j1"] = encode_progress(progress)
         fleet.replace_owner()
         self.assertFalse(give_up_crashing(fleet.cell, fleet.now()))
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -13,6 +13,7 @@
 
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.orders import WorkerEntry
+from toucanpin.scheduling.progress import Doubt
 
 if TYPE_CHECKING:
     from toucanpin.scheduling.prediction import Heat
@@ -77,7 +78,7 @@
     why: str = ""  # what kept it waiting at last
     resumed: bool = False  # it began from a checkpoint, so its progress says little of its time
     priority: int = 0  # that of its job
-    crashes: int = 0  # workers that were lost under its task before
+    doubt: Doubt = Doubt.NONE
 
 
 @dataclass(slots=True)
