Soak: play a task that crashes its workers, and look for crash loops

Each run hands in one job, drawn apart from all else so that plans and other jobs stay as they were, of which one task crashes each worker that starts it: brief, lasting or copied. It must end as failed, with five starts at most (CrashLoops); a job may be told as failed once two workers have crashed under a task of it, and drained ones don't count (States).

--- a/tools/soak/answer_checks.py
+++ b/tools/soak/answer_checks.py
@@ -18,6 +18,7 @@
 
 MAX_ATTEMPTS = 4  # of a task, by the configuration that the soak writes
 COUNT_AGE = 5.0  # s after which an accepted job must be in a count
+ENOUGH_CRASHES = 2  # workers that crashed under a task whose job may be told as failed
 COUNT_CALM = 6.0  # s after trouble until counts must be right
 IN_FORCE = 4.0  # s after which a configuration must be in force
 # A request that comes just as an idle connection is closed may be lost; one that waited for longer
@@ -100,15 +101,26 @@
         super().__init__()
         self._done: set[TaskKey] = set()
         self._failures: Counter[TaskKey] = Counter()
+        self._running: defaultdict[str, set[TaskKey]] = defaultdict(set)
+        self._drained: set[str] = set()
+        self._crashes: Counter[TaskKey] = Counter()
         self._asked: set[str] = set()
         self._final: dict[str, events.Answered] = {}
 
     def judge(self, event: events.Event) -> Iterator[str]:
         match event:
-            case events.Ended(how="done"):
-                self._done.add(event.task)
-            case events.Ended(how="failed"):
-                self._failures[event.task] += 1
+            case events.Started():
+                self._running[event.worker].add(event.task)
+            case events.Draining():
+                self._drained.add(event.worker)
+            case events.Gone() if event.worker not in self._drained:
+                self._crashes.update(self._running.pop(event.worker, ()))
+            case events.Ended():
+                self._running[event.worker].discard(event.task)
+                if event.how == "done":
+                    self._done.add(event.task)
+                elif event.how == "failed":
+                    self._failures[event.task] += 1
             case events.CancelAsked():
                 self._asked.add(event.job)
             case events.Answered(kind=events.Kind.STATE, status=200):
@@ -128,11 +140,15 @@
                     yield f"{event.subject} is told as completed before {min(missing)} was done"
             case "failed":
                 most = max((self._failures[task] for task in self._tasks(event.subject)), default=0)
-                if most < MAX_ATTEMPTS:
+                if most < MAX_ATTEMPTS and not self._may_crash(event.subject):
                     yield f"{event.subject} is told as failed after {most} failures of a task"
             case "canceled" if event.subject not in self._asked:
                 yield f"{event.subject} is told as canceled, and nobody asked for it"
 
+    def _may_crash(self, name: str) -> bool:
+        """Tell whether two workers have crashed under a task of a job."""
+        return max((self._crashes[task] for task in self._tasks(name)), default=0) >= ENOUGH_CRASHES
+
     def _tasks(self, name: str) -> set[TaskKey]:
         steps = self.jobs[name].steps
         return {
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -13,6 +13,7 @@
 from tools.soak.answer_checks import Configurations, Counts, Kept, Own, Processes, Shutdowns, States
 from tools.soak.events import Event
 from tools.soak.task_checks import (
+    CrashLoops,
     Leaving,
     NotAgain,
     OnePlace,
@@ -28,6 +29,7 @@
     OnePlace,
     NotAgain,
     StepOrder,
+    CrashLoops,
     Room,
     Refusals,
     Leaving,
--- a/tools/soak/conductor.py
+++ b/tools/soak/conductor.py
@@ -133,21 +133,7 @@
                 await asyncio.sleep(fault.lasts)
                 moods.remove(fault)
             case faults.WorkerEnds():
-                await self._replace_worker(fault)
-
-    async def _replace_worker(self, fault: faults.WorkerEnds) -> None:
-        """End a life of a worker and start the next, unless that is under way."""
-        worker = self._site.workers[fault.worker]
-        if worker is None:
-            return
-        if fault.drains:
-            await worker.drain(fault.drains)
-        if self._site.workers[fault.worker] is not worker:
-            return
-        self._site.workers[fault.worker] = None
-        await worker.crash()
-        await asyncio.sleep(fault.away)
-        await self._site.start_worker(fault.worker)
+                await self._site.replace_worker(fault.worker, fault.drains, fault.away)
 
 
 def _tells_trouble(fault: Fault) -> bool | None:
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import fcntl
 import tempfile
 import time
@@ -29,12 +30,14 @@
 from toucanpin.http import Server
 from toucanpin.scheduling.orders import WorkerEntry
 
-__all__ = ["LASTING_QUEUE", "QUEUES", "Deployment"]
+__all__ = ["CRASHING_QUEUE", "LASTING_QUEUE", "QUEUES", "Deployment"]
 
 SERVICES = ("c0", "c1")
 QUEUES = ("urgent", "batch", "other")  # the last is of the second service
 LASTING_QUEUE = "standing"
+CRASHING_QUEUE = "batch"
 ROUTES = {"urgent": ("c0", 0), "batch": ("c0", 1), "standing": ("c0", 0), "other": ("c1", 1)}
+AWAY = 1.0  # s until another life follows one that a task has crashed
 WORKER_CPU = 8_000  # thousandths of a core
 WORKER_MEMORY = 16_000  # MB
 NETWORKS = range(1, 200)  # third numbers of 127.77.x.y, one for each run at a time
@@ -56,6 +59,7 @@
         self.links: dict[tuple[int, int | None], Link] = {}
         self.modes: dict[tuple[int, int | None], tuple[LinkMode, float]] = {}
         self._lives = [0] * size.workers
+        self._replacing: set[asyncio.Task[None]] = set()
         self._lock, self._network = _take_network()
         self._version = 0
         self._servers: list[Server] = []
@@ -82,6 +86,8 @@
         """End everything that was started here."""
         for host in self.hosts:
             host.finish()
+        for task in self._replacing:
+            task.cancel()
         for link in self.links.values():
             link.close()
         for worker in (*self.workers, *self.extra_workers):
@@ -113,6 +119,20 @@
         self.workers[number] = worker
         await worker.start()
 
+    async def replace_worker(self, number: int, drains: float, away: float) -> None:
+        """End a life of a worker and start the next, unless that is under way."""
+        worker = self.workers[number]
+        if worker is None:
+            return
+        if drains:
+            await worker.drain(drains)
+        if self.workers[number] is not worker:
+            return
+        self.workers[number] = None
+        await worker.crash()
+        await asyncio.sleep(away)
+        await self.start_worker(number)
+
     async def add_late_workers(self) -> None:
         """Start a worker of each service for the jobs that waited for one."""
         for number, service in enumerate(SERVICES):
@@ -157,9 +177,19 @@
             self.book.jobs,
             self.advance_workers,
             moods,
+            self._replace_crashed,
             slow_clock,
         )
 
+    def _replace_crashed(self, worker: SoakWorker) -> None:
+        """Let another life follow one that a task has crashed."""
+        if worker not in self.workers:
+            return
+        number = self.workers.index(worker)
+        task = asyncio.ensure_future(self.replace_worker(number, 0.0, AWAY))
+        self._replacing.add(task)
+        task.add_done_callback(self._replacing.discard)
+
     def _make_view(self, host: int) -> HostView:
         async def find_link(address: str) -> str:
             worker = self._places[address]
--- a/tools/soak/jobs.py
+++ b/tools/soak/jobs.py
@@ -12,17 +12,32 @@
 
 import msgspec
 
-__all__ = ["LATE_LABEL", "JobPlan", "StepPlan", "draw_job", "draw_lasting", "draw_waiting"]
+from toucanpin.scheduling.job import TaskKey
+
+__all__ = [
+    "LATE_LABEL",
+    "JobPlan",
+    "StepPlan",
+    "draw_crashing",
+    "draw_job",
+    "draw_lasting",
+    "draw_waiting",
+]
 
 LATE_LABEL = "late"  # of a worker that comes only after the faults
 BRIEF = (0.1, 1.2)  # s that a task lasts
+FOREVER = 1e9  # s
 SIZES = (250, 500, 1_000, 2_000)  # thousandths of a core
 MEMORY = (64, 256, 512)  # MB
 
 
 @dataclass(frozen=True, slots=True)
 class StepPlan:
-    """Describe equal tasks; ``lasts`` is in s, sizes as in a job's step."""
+    """
+    Describe equal tasks; ``lasts`` is in s, sizes as in a job's step.
+
+    ``crashes`` says that the first of them crashes each worker that starts it.
+    """
 
     count: int
     cpu: int
@@ -32,6 +47,7 @@
     lasting: bool = False
     speculative: bool = False
     label: str = ""
+    crashes: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +68,15 @@
         """Tell whether the job waits for a worker that comes after the faults."""
         return any(step.label for step in self.steps)
 
+    @property
+    def crashing(self) -> bool:
+        """Tell whether a task of the job crashes its workers."""
+        return any(step.crashes for step in self.steps)
+
+    def crashes(self, task: TaskKey) -> bool:
+        """Tell whether a task of the job crashes each worker that starts it."""
+        return task.index == 0 and self.steps[task.step].crashes
+
     def encode(self) -> bytes:
         """Return the job as callers hand it in."""
         return msgspec.json.encode({"spec": self.id, "pipeline": [_encode(s) for s in self.steps]})
@@ -76,7 +101,22 @@
 
 def draw_lasting(random_: random.Random, queue: str) -> JobPlan:
     """Draw a job whose tasks run until it is cancelled."""
-    step = StepPlan(random_.randint(1, 3), 500, 128, lasts=1e9, lasting=True)
+    step = StepPlan(random_.randint(1, 3), 500, 128, lasts=FOREVER, lasting=True)
+    return JobPlan(draw_id(random_), queue, (step,))
+
+
+def draw_crashing(random_: random.Random, queue: str) -> JobPlan:
+    """Draw a job of which one task crashes its workers."""
+    lasting = random_.random() < 0.3
+    step = StepPlan(
+        count=random_.randint(1, 3),
+        cpu=500,
+        memory=64,
+        lasts=FOREVER if lasting else random_.uniform(*BRIEF),
+        lasting=lasting,
+        speculative=random_.random() < 0.3,
+        crashes=True,
+    )
     return JobPlan(draw_id(random_), queue, (step,))
 
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -14,15 +14,16 @@
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from tools.soak.callers import Caller
 from tools.soak.checker import Violation
 from tools.soak.conductor import Conductor
-from tools.soak.deployment import LASTING_QUEUE, Deployment
+from tools.soak.deployment import CRASHING_QUEUE, LASTING_QUEUE, Deployment
 from tools.soak.events import Started, Troubled
 from tools.soak.faults import Timed
-from tools.soak.jobs import JobPlan, draw_lasting
+from tools.soak.jobs import JobPlan, draw_crashing, draw_lasting
 from tools.soak.plan import Size
 from toucanpin.scheduling.job import TaskKey
 
@@ -86,7 +87,7 @@
         started = time.monotonic()
         used = _children_time()
         await self._site.start()
-        await self._submit_lasting()
+        await self._submit_first()
         begun = time.monotonic()
         callers = [self._make_caller(number) for number in range(self._site.size.callers)]
         tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
@@ -111,19 +112,19 @@
         random_ = random.Random(f"caller/{self._seed}/{number}")
         return Caller(self._site.hosts, self._site.book, self._site.record, random_)
 
-    async def _submit_lasting(self) -> None:
-        """Wait until hosts answer, with the jobs that run for as long as the run."""
-        random_ = random.Random(f"lasting/{self._seed}")
+    async def _submit_first(self) -> None:
+        """Wait until hosts answer, with jobs that run for long and one that crashes workers."""
+        lasting = random.Random(f"lasting/{self._seed}")
+        crashing = random.Random(f"crashing/{self._seed}")
+        draws = [partial(draw_lasting, lasting, LASTING_QUEUE) for _ in range(LASTING)]
+        draws.append(partial(draw_crashing, crashing, CRASHING_QUEUE))
         given_up = time.monotonic() + READY_WITHIN
-        jobs = [draw_lasting(random_, LASTING_QUEUE) for _ in range(LASTING)]
-        while jobs:
-            if await self._observer.submit(jobs[-1]):
-                jobs.pop()
+        while draws:
+            if await self._observer.submit(draws[-1]()):
+                draws.pop()
             elif time.monotonic() > given_up:
                 self._complain("Ready", "no job was accepted at the beginning")
                 return
-            else:
-                jobs[-1] = draw_lasting(random_, LASTING_QUEUE)
 
     async def _measure_lag(self) -> None:
         """Tell of trouble whenever this process is late itself: what it sees is late then."""
@@ -151,7 +152,9 @@
     def _open_jobs(self) -> Iterator[JobPlan]:
         book = self._site.book
         for name in dict.fromkeys(book.accepted):
-            if name not in self._completed | book.cancelled and not book.jobs[name].lasting:
+            over = name in self._completed or name in book.cancelled
+            # One that crashes its workers has to end as failed, also if it would last.
+            if not over and (book.jobs[name].crashing or not book.jobs[name].lasting):
                 yield book.jobs[name]
 
     async def _look(self, job: JobPlan) -> None:
@@ -166,7 +169,8 @@
         book = self._site.book
         for name in dict.fromkeys(book.accepted):
             steps = book.jobs[name].steps
-            for index in range(steps[0].count if book.jobs[name].lasting else 0):
+            lasts = book.jobs[name].lasting and not book.jobs[name].crashing
+            for index in range(steps[0].count if lasts else 0):
                 if TaskKey(name, 0, 0, index) not in running:
                     yield f"lasting task {name}.0.0.{index} does not run"
         for name in book.cancelled_for_good:
--- a/tools/soak/task_checks.py
+++ b/tools/soak/task_checks.py
@@ -7,18 +7,30 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 
 from tools.soak import events
 from tools.soak.jobs import JobPlan, StepPlan
 from toucanpin.scheduling.job import TaskKey
 
-__all__ = ["Leaving", "NotAgain", "OnePlace", "Refusals", "Room", "StepOrder", "TaskCheck"]
+__all__ = [
+    "CrashLoops",
+    "Leaving",
+    "NotAgain",
+    "OnePlace",
+    "Refusals",
+    "Room",
+    "StepOrder",
+    "TaskCheck",
+]
 
 SEEN_LEAVING = 4.0  # s after which a worker that drains gets nothing more
 
 
+MOST_CRASHES = 5  # starts of a task that crashes its workers: two after the third crash
+
+
 class TaskCheck:
     """Know the jobs that were offered, the last trouble, and the signals that processes got."""
 
@@ -119,6 +131,25 @@
         }
 
 
+class CrashLoops(TaskCheck):
+    """A task that crashes each worker that starts it is started at most twice after the third."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._crashes: Counter[TaskKey] = Counter()
+
+    def judge(self, event: events.Event) -> Iterator[str]:
+        match event:
+            case events.Started() if self._is_crash(event.task):
+                self._crashes[event.task] += 1
+                if self._crashes[event.task] > MOST_CRASHES:
+                    yield f"{event.task} crashed {event.worker}, the {self._crashes[event.task]}th"
+
+    def _is_crash(self, task: TaskKey) -> bool:
+        job = self.jobs.get(task.job)
+        return job is not None and job.crashes(task)
+
+
 class Room(TaskCheck):
     """What runs on a worker never needs more than its processors and memory."""
 
--- a/tools/soak/tests/test_checks.py
+++ b/tools/soak/tests/test_checks.py
@@ -9,12 +9,15 @@
 from tools.soak.checker import Checker
 from tools.soak.events import Kind, Loss, Signal
 from tools.soak.jobs import JobPlan, StepPlan
+from tools.soak.task_checks import MOST_CRASHES
 from toucanpin.scheduling.job import TaskKey
 
 JOB = JobPlan("j", "q", (StepPlan(1, 600, 10, 1.0), StepPlan(1, 600, 10, 1.0, after=(0,))))
 COPIED = JobPlan("c", "q", (StepPlan(1, 600, 10, 1.0, speculative=True),))
+CRASHING = JobPlan("k", "q", (StepPlan(2, 600, 10, 1.0, crashes=True),))
 FIRST, SECOND = TaskKey("j", 0, 0, 0), TaskKey("j", 0, 1, 0)
 COPY = TaskKey("c", 0, 0, 0)
+CRASH = TaskKey("k", 0, 0, 0)
 
 
 def start(task: TaskKey, worker: str = "w1", at: float = 10.0) -> events.Started:
@@ -46,7 +49,7 @@
         checker.record(events.Configured(0.0, frozenset({"q"})))
         checker.record(events.Joined(0.0, "w1", 1_000, 1_000))
         checker.record(events.Joined(0.0, "w2", 1_000, 1_000))
-        for job in (JOB, COPIED):
+        for job in (JOB, COPIED, CRASHING):
             checker.record(events.Offered(0.5, job))
         for event in history:
             checker.record(event)
@@ -71,6 +74,11 @@
         self.assertEqual(["StepOrder"], self.find(start(SECOND)))
         self.assertEqual([], self.find(start(FIRST), end(FIRST), start(SECOND)))
 
+    def test_crash_loops(self) -> None:
+        crash = (start(CRASH), events.Gone(10.5, "w1"))
+        self.assertEqual([], self.find(*crash * MOST_CRASHES))
+        self.assertEqual(["CrashLoops"], self.find(*crash * MOST_CRASHES, start(CRASH, "w2")))
+
     def test_room(self) -> None:
         self.assertEqual(["Room"], self.find(start(FIRST), start(COPY)))
         self.assertEqual([], self.find(start(FIRST), start(COPY, "w2")))
@@ -127,6 +135,11 @@
         failed = answer(Kind.STATE, value="failed")
         self.assertEqual(["States"], self.find(end(FIRST, "failed"), failed))
         self.assertEqual([], self.find(*[end(FIRST, "failed")] * MAX_ATTEMPTS, failed))
+        crash = (start(FIRST), events.Gone(11.5, "w1"))
+        self.assertEqual(["States"], self.find(*crash, failed))
+        self.assertEqual([], self.find(*crash, *crash, failed))
+        drained = events.Draining(10.5, "w1")
+        self.assertEqual(["States"], self.find(drained, *crash, *crash, failed))
         canceled = answer(Kind.STATE, value="canceled")
         self.assertEqual(["States"], self.find(canceled))
         self.assertEqual([], self.find(events.CancelAsked(11.0, "j"), canceled))
--- a/tools/soak/weakened.py
+++ b/tools/soak/weakened.py
@@ -14,6 +14,7 @@
 from toucanpin.entry import cell_workers, owner
 from toucanpin.entry.requests import Requests
 from toucanpin.entry.root import EntryProcess
+from toucanpin.scheduling import placing
 
 __all__ = ["WEAKENINGS", "main"]
 
@@ -60,11 +61,18 @@
     EntryProcess.shut_down = weakened  # type: ignore[method-assign]
 
 
+def _forget_crashes() -> None:
+    """Start a task again however many workers were lost under it."""
+    placing.is_held = lambda cell, live, task: False
+    owner.give_up_crashing = lambda cell, now: []
+
+
 WEAKENINGS: dict[str, Callable[[], None]] = {
     "leases": _forget_leases,
     "unsure-writes": _refuse_unsure,
     "written-ends": _acknowledge_early,
     "drain": _end_at_once,
+    "crashes": _forget_crashes,
 }
 
 
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -40,6 +40,7 @@
     record: Record = lambda event: None
     jobs: dict[str, JobPlan] = field(default_factory=dict)
     before_start: Callable[[], None] = lambda: None
+    crash: Callable[[], None] = lambda: None
     stopping: dict[TaskKey, float] = field(default_factory=dict)
 
     def start(self, task: TaskKey, attempt: int, deadline: int, token: int, now: float) -> Answer:
@@ -52,6 +53,8 @@
             self.runs[task].lasts = self._find_length(task)
             self.stopping.pop(task, None)
             self.record(Started(time.monotonic(), self.entry.id, task, attempt))
+            if task.job in self.jobs and self.jobs[task.job].crashes(task):
+                self.crash()
         return answer
 
     def stop(self, task: TaskKey, attempt: int, token: int) -> Refused | None:
@@ -93,7 +96,8 @@
     """
     Serve one life of a worker.
 
-    ``before_start`` is called before a run begins, to end what has lapsed on all workers.
+    ``before_start`` is called before a run begins, to end what has lapsed on all workers;
+    ``replace`` has another life follow this one, which a task has crashed.
     """
 
     def __init__(
@@ -104,10 +108,17 @@
         jobs: dict[str, JobPlan],
         before_start: Callable[[], None],
         moods: list[WorkerMood],
+        replace: Callable[[SoakWorker], None],
         slow_clock: bool = False,
     ) -> None:
         super().__init__(store, entry)
-        self.core = _Core(entry, record=record, jobs=jobs, before_start=before_start)
+        self.core = _Core(
+            entry,
+            record=record,
+            jobs=jobs,
+            before_start=before_start,
+            crash=lambda: replace(self),
+        )
         self._record = record
         self._moods = moods
         self._rate = SLOW_CLOCK if slow_clock else 1.0
