--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -71,8 +71,8 @@
     async def _refresh(self, age: float) -> bool:
         wanted = steady_time() - age
         while self.confirmed < wanted:
-            # All who ask at a time share one look.  One after the other they waited for each
-            # other's: where a look took its whole time-out, the last of a queue waited for 38 s.
+            # All who ask at a time share one look.  One after the other they would wait for each
+            # other's, the last of them for many time-outs.
             if self._reading is None or self._reading.done():
                 self._reading = asyncio.ensure_future(self._look())
             if not await asyncio.shield(self._reading):
--- a/toucanpin/entry/metrics.py
+++ b/toucanpin/entry/metrics.py
@@ -6,8 +6,8 @@
 
 Notes
 -----
-The instruments come from the API, which costs 9 ms of processor time to import.  The library that
-counts costs 63 ms and is loaded once the process serves, since its start is part of each recovery.
+The instruments come from the API, which is quick to import.  The library that counts takes several
+times as long and is loaded once the process serves, since its start is part of each recovery.
 """
 
 from __future__ import annotations
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -266,8 +266,8 @@
     """
     Tell whether a task of a step that waits has run before.
 
-    On a full fleet new lasting jobs took each place that became free, and a task that had failed
-    ran nowhere for 25 s, though its users were there all the while.
+    On a full fleet new lasting jobs would take each place that becomes free, and a task that has
+    failed would run nowhere, though its users are there all the while.
     """
     records = live.progress.tasks[group.occurrence]
     start = live.offsets[group.step]
--- a/toucanpin/scheduling/keeping.py
+++ b/toucanpin/scheduling/keeping.py
@@ -23,8 +23,8 @@
     """
     Hold the workers that less urgent steps may still have in one round of placing.
 
-    Small tasks would take each core that becomes free, and a large one waits for seconds: one of 13
-    cores waited 9 s among tasks of 4.
+    Small tasks would take each core that becomes free, and a large one would wait for as long as
+    there are some.
     """
 
     __slots__ = ("_cell", "_least", "_roomiest", "able")
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -20,7 +20,7 @@
 
 Times = dict[tuple[str, int], list[tuple[str, float]]]
 
-STALL = 1.5  # s without progress; a task of 10 s on a worker 6.5 times slower moves each 0.65 s
+STALL = 1.5  # s without progress; above what a long task on a slow worker takes for a percent
 SUSPICION = 5.0  # s that a worker is avoided on which a task stood still or was slow
 GANG_PATIENCE = 1.5  # s after which a gang that isn't whole is stopped; workers wait 3 s at least
 SLOW = 2.5  # times their siblings' time that the tasks of a slow worker take
--- a/toucanpin/scheduling/ownership.py
+++ b/toucanpin/scheduling/ownership.py
@@ -108,9 +108,9 @@
     """
     Return after how many seconds to look at the row again.
 
-    ``place`` counts the hosts that would sooner be the owner.  Each host looked at each cell's row
-    every 0.4 s, so that the store answered mostly these looks where there are a hundred hosts.  One
-    that is far behind needs to look closely only once the owner is silent.
+    ``place`` counts the hosts that would sooner be the owner.  Where there are a hundred hosts the
+    store would answer mostly these looks.  One that is far behind needs to look closely only once
+    the owner is silent.
     """
     owned = watch.record is not None and bool(watch.record.host)
     if owned and not watch.silent and place >= NEXT_IN_LINE:
--- a/toucanpin/scheduling/trust.py
+++ b/toucanpin/scheduling/trust.py
@@ -12,11 +12,8 @@
 
 __all__ = ["BRIEF_LIFE", "is_doubted", "is_trusted", "note_done", "note_failed"]
 
-SUSPICION = 3.0  # s that a worker is avoided after failures; a day's failing workers last 4 to 7 s
-# Jobs whose tasks failed in a row.  One alone may itself be at fault, and one task in 27 failed on
-# sound workers: on a day without failing ones two jobs would have shut workers 82 times, three 9
-# times (175 workers, worked out from that day's log).
-DOUBTED = 3
+SUSPICION = 3.0  # s that a worker is avoided after failures
+DOUBTED = 3  # jobs whose tasks failed in a row; fewer may themselves be at fault
 BRIEF_LIFE = 2.0  # s that a lasting task has to work for its failure to be its own
 TRIAL = 1.0  # s that one task is watched before a doubted worker gets the next
 
@@ -50,9 +47,9 @@
     """
     Tell whether a worker may get a task.
 
-    A worker that fails whatever it starts is soon the only one with room on a full fleet: it used
-    up all attempts of job after job within a tenth of a second each.  So it gets nothing for a
-    while, and then one task at a time until it does one.
+    A worker that fails whatever it starts is soon the only one with room on a full fleet, and would
+    use up all attempts of job after job.  So it gets nothing for a while, and then one task at a
+    time until it does one.
     """
     if not is_doubted(worker):
         return True
