--- a/toucanpin/placement/absorbing.py
+++ b/toucanpin/placement/absorbing.py
@@ -40,7 +40,7 @@
         changes: list[Change] = list(_drop_cancelled(cell))
         for worker in cell.row.workers.values():
             if worker.name in lost:
-                changes.extend(_requeue_all(cell, worker.name, view))
+                changes.extend(_requeue_all(cell, worker, view))
                 workers[worker.name] = msgspec.structs.replace(worker, state=WorkerState.LOST)
             else:
                 changes.extend(_absorb_worker(state, cell, worker, workers, view))
@@ -98,12 +98,12 @@
     ]
 
 
-def _requeue_all(cell: Cell, worker: str, view: View) -> Iterator[Change]:
+def _requeue_all(cell: Cell, worker: WorkerRow, view: View) -> Iterator[Change]:
     """Let everything that was committed on a lost worker wait again, or end it."""
-    for record in cell.tasks_on(worker):
-        reported = cell.link(worker).tasks.get((record.task, record.attempt))
+    for record in cell.tasks_on(worker.name):
+        reported = cell.link(worker.name).tasks.get((record.task, record.attempt))
         checkpoint = reported.checkpoint if reported else ""
-        yield _end_stopped(cell, record, checkpoint, view)
+        yield _end_lost(cell, record, worker, checkpoint, view)
 
 
 def _absorb_worker(
@@ -118,7 +118,7 @@
         if record.incarnation != link.incarnation:
             # An agent that was replaced doesn't prove that its predecessor isn't merely paused.
             if cell.has_stopped(worker.name, record.incarnation, state.watch, view.now):
-                yield _end_stopped(cell, record, "", view)
+                yield _end_lost(cell, record, worker, "", view)
             continue
         reported = link.tasks.get((record.task, record.attempt))
         if reported is not None:
@@ -198,6 +198,17 @@
     return lifecycle.cancel(cell.name, record.task, version, None)
 
 
+def _end_lost(
+    cell: Cell, record: TaskRecord, worker: WorkerRow, checkpoint: str, view: View
+) -> Change:
+    """Return what becomes of a task whose worker is lost, which the task may have crashed."""
+    expected = worker.state is WorkerState.LEAVING or record.task in cell.stopping
+    if expected or record.task in cell.cancels or record.task in cell.closed:
+        return _end_stopped(cell, record, checkpoint, view)
+    limits = view.bundle.limits if view.bundle else Limits()
+    return lifecycle.lose(cell.name, record, checkpoint, limits.max_attempts)
+
+
 def _end_stopped(cell: Cell, record: TaskRecord, checkpoint: str, view: View) -> Change:
     """Return what becomes of a task that has stopped without an end of its own."""
     reason = cell.stopping.get(record.task)
--- a/toucanpin/placement/lifecycle.py
+++ b/toucanpin/placement/lifecycle.py
@@ -35,6 +35,7 @@
     "Change",
     "cancel",
     "fail",
+    "lose",
     "finish",
     "keep",
     "move",
@@ -92,7 +93,7 @@
 
 def keep(record: TaskRecord, checkpoint: str) -> Change:
     """Accept a newer checkpoint of a running attempt."""
-    newer = msgspec.structs.replace(record, checkpoint=checkpoint)
+    newer = msgspec.structs.replace(record, checkpoint=checkpoint, lost=0)
     return Change("task.checkpoint", record.task, newer, detail=checkpoint)
 
 
@@ -116,6 +117,21 @@
     return _wait(kind, cell, waiting, record.worker)
 
 
+def lose(cell: str, record: TaskRecord, checkpoint: str, max_attempts: int) -> Change:
+    """
+    Let an attempt that was lost with its worker wait again, and end the job after too many of them.
+
+    One that crashes its workers would otherwise take one after the other.  A standing task has no
+    end.
+    """
+    lost = record.lost + 1
+    if lost >= max_attempts and not record.standing:
+        return _end(
+            cell, record, f"{lost} workers were lost under it, the last was {record.worker}"
+        )
+    return requeue(cell, msgspec.structs.replace(record, lost=lost), checkpoint, False)
+
+
 def fail(
     cell: str, record: TaskRecord, checkpoint: str, max_attempts: int, detail: str, counts: bool
 ) -> Change:
@@ -130,10 +146,7 @@
         failed_on = (*failed_on, record.worker)[-FAILED_ON_KEPT:]
     if failures >= max_attempts and not record.standing:
         hosts = ", ".join(failed_on)
-        reason = f"failed {failures} times on {hosts}: {detail}"
-        done = JobRow(record.task, JobState.FAILED, record, cell, record.attempt, reason=reason)
-        write = Write(job_key(record.task), record.job_version, encode(done))
-        return Change("job.fail", record.task, None, (write,), detail=reason)
+        return _end(cell, record, f"failed {failures} times on {hosts}: {detail}")
     waiting = msgspec.structs.replace(
         record,
         worker="",
@@ -145,6 +158,12 @@
     return _wait("task.fail", cell, waiting, f"{record.worker}: {detail}")
 
 
+def _end(cell: str, record: TaskRecord, reason: str) -> Change:
+    done = JobRow(record.task, JobState.FAILED, record, cell, record.attempt, reason=reason)
+    write = Write(job_key(record.task), record.job_version, encode(done))
+    return Change("job.fail", record.task, None, (write,), detail=reason)
+
+
 def _wait(kind: str, cell: str, waiting: TaskRecord, detail: str) -> Change:
     write = Write(queue_key(cell, waiting.task), ABSENT, encode(QueueRow(waiting)))
     return Change(kind, waiting.task, None, (write,), queued=waiting, detail=detail)
--- a/toucanpin/placement/records.py
+++ b/toucanpin/placement/records.py
@@ -91,8 +91,9 @@
 
     ``attempt`` is that of the newest commitment.  ``order`` and ``job_version`` are versions of
     rows, zero until the task is first committed: then both are the version of its queue row.
-    ``checkpoint`` is the newest accepted one.  ``bundle`` is the version that asked for a standing
-    task.  ``priority`` grows with importance.
+    ``checkpoint`` is the newest accepted one; ``lost`` counts the workers lost since it was
+    accepted.  ``bundle`` is the version that asked for a standing task.  ``priority`` grows with
+    importance.
     """
 
     task: str
@@ -112,6 +113,7 @@
     failures: int = 0
     failed_on: tuple[str, ...] = ()
     evictions: int = 0
+    lost: int = 0
     moves: int = 0
     bundle: int = 0
     submitted: float = 0.0
--- a/toucanpin/placement/tests/test_workers.py
+++ b/toucanpin/placement/tests/test_workers.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from toucanpin.bundles.schema import Bundle, StandingTask
+from toucanpin.bundles.schema import Bundle, Limits, StandingTask
 from toucanpin.placement.records import JobState, WorkerState
 from toucanpin.placement.tests.helpers import find_gaps, start_standing
 from toucanpin.placement.tests.world import World, describe_work
@@ -127,6 +127,21 @@
         states = {it.state for it in world.cells()["s.r0"].workers.values()}
         self.assertEqual(states, {WorkerState.ACTIVE})
 
+    def test_a_job_that_crashes_its_workers_is_given_up(self):
+        """Guards against crash loops: a job took one worker after the other for ever."""
+        world = World(workers=3)
+        world.submit("a", work=30_000)
+        crashes = 0
+        for _ in range(400):
+            world.run(0.5)
+            for name in [name for task in world.intervals() for name in world.running(task)]:
+                world.kill_worker(name)
+                world.replace_worker(name)
+                crashes += 1
+        (job,) = world.jobs().values()
+        self.assertEqual(JobState.FAILED, job.state)
+        self.assertEqual(Limits().max_attempts, crashes)
+
     def test_orphan_is_stopped_and_forgotten(self):
         """
         A worker comes back with a task that no row commits to it: the task is stopped and dropped
