Let a caller read the last answers before its connection is closed

Cause: a host that drains says in an answer that it is the last and closes the connection at once. If the caller's next request is on its way, the closed socket answers it with a reset, and a caller that learns of the reset before it reads loses the answer.

Change: only the sending half is ended; what comes behind the last answer is read and dropped until the caller ends the connection, 1 s at most.

A test fails before with a broken pipe.

--- a/toucanpin/http/server.py
+++ b/toucanpin/http/server.py
@@ -19,6 +19,7 @@
 
 _log = logbook.Logger("http")
 MAX_TARGET = 8_192  # bytes of a request's path and query
+FINISH = 1.0  # s for which a caller may go on writing behind the last answer
 MAX_PIPELINED = 16  # requests that wait on one connection before it is closed
 _REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 429: "Too Many Requests"}
 
@@ -198,7 +199,7 @@
             keep = keep and not (self._server.closing and not self._queue)
             self._transport.write(_encode(response, keep))
             if not keep:
-                self._transport.close()
+                self._finish(self._transport)
                 break
         self._task = None
 
@@ -207,7 +208,23 @@
         self._broken = True
         if self._transport is not None:
             self._transport.write(_encode(Response(status), False))
-            self._transport.close()
+            self._finish(self._transport)
+
+    def _finish(self, transport: asyncio.Transport) -> None:
+        """
+        End the connection, and close it once the caller does, or after a while.
+
+        Closed while another request is on its way, it would be reset, and a caller that hasn't read
+        the last answers yet would lose them.
+        """
+        self._broken = True
+        try:
+            transport.write_eof()
+        except OSError:
+            # The caller has reset it.
+            transport.close()
+            return
+        asyncio.get_running_loop().call_later(FINISH, transport.close)
 
 
 def _encode(response: Response, keep: bool) -> bytes:
--- a/toucanpin/http/tests/test_http.py
+++ b/toucanpin/http/tests/test_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 
 from toucanpin.http import CallError, Client, Request, Response, Server
@@ -111,6 +112,22 @@
         await draining
         self.assertEqual((200, "close"), (answer.status, answer.headers["connection"]))
 
+    async def test_a_request_behind_the_last_answer_does_not_reset_the_connection(self) -> None:
+        """Guards against last answers that are lost as a draining server closes connections."""
+        self.server.closing = True
+        loop = asyncio.get_running_loop()
+        host, _, port = self.server_socket.rpartition(":")
+        request = b"GET /a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+        with socket.create_connection((host, int(port))) as caller:
+            caller.setblocking(False)
+            await loop.sock_sendall(caller, request)
+            answer = await loop.sock_recv(caller, 4_096)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+            await loop.sock_sendall(caller, request)
+            await loop.sock_sendall(caller, request)
+            self.assertEqual(b"", await loop.sock_recv(caller, 4_096))
+        self.assertEqual(1, len(self.seen))
+
     async def test_what_is_not_answered_in_time_is_answered_alike_at_the_end(self) -> None:
         """
         Two requests of a connection are read as the server is told to end; the first waits, and
