Count a crash that one task explains against no other

It was placed twice beside the task that crashes its workers, and the worker of its third try was ended by the soak 0.3 s after its start, so that three lives stood against it.

Once a task is given up, the lives that were lost under it count against it alone. A test plays the same order; it failed before.

--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -65,13 +65,7 @@
 
 def note_alive(cell: Cell, worker: Worker) -> None:
     """Take note that a worker's life goes on: nothing that was lost there crashed it."""
-    for task in cell.suspects.pop(worker.entry.id, ()):
-        live = cell.jobs.get(task.job)
-        record = find_record(live, task) if live else None
-        if live is None or record is None or worker.entry.id not in record.crashed:
-            continue
-        del record.crashed[worker.entry.id]
-        mark_dirty(cell, live)
+    _clear_life(cell, worker.entry.id)
 
 
 def note_survived(run: Run, record: TaskRecord) -> None:
@@ -147,7 +141,7 @@
     given_up: list[TaskKey] = []
     if not any(worker.entry.address for worker in cell.workers.values()):
         return given_up
-    for task in list(cell.crashing):
+    for task in sorted(cell.crashing):
         live = cell.jobs.get(task.job)
         record = find_record(live, task) if live else None
         if live is None or record is None or not _may_be_given_up(live, record):
@@ -155,10 +149,24 @@
         elif sum(worker not in cell.workers for worker in record.crashed) >= SURE_CRASHES:
             cell.crashing.discard(task)
             end_job(cell, live, JobState.FAILED, now)
+            # What was lost beside it counts no more against the others.
+            for worker in record.crashed:
+                _clear_life(cell, worker, task)
             given_up.append(task)
     return given_up
 
 
+def _clear_life(cell: Cell, worker: str, cause: TaskKey | None = None) -> None:
+    """Count a worker's life against no task any more but the one that crashed it."""
+    for task in cell.suspects.pop(worker, ()):
+        live = cell.jobs.get(task.job)
+        record = find_record(live, task) if live else None
+        if live is None or record is None or task == cause:
+            continue
+        if record.crashed.pop(worker, None) is not None:
+            mark_dirty(cell, live)
+
+
 def _may_be_given_up(live: LiveJob, record: TaskRecord) -> bool:
     if JobState(live.progress.state).ended or record.state == TaskState.DONE:
         return False
--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from random import Random
 
-from toucanpin.scheduling.crashing import YOUNG_LIFE, give_up_crashing
+from toucanpin.scheduling.crashing import MOST_AT_START, YOUNG_LIFE, give_up_crashing
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import JobState, encode_progress
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
@@ -103,6 +103,23 @@
                 expected = JobState.ACTIVE if lasting else JobState.COMPLETED
                 self.assertEqual({expected}, {JobState(fleet.state(name)) for name in names})
 
+    def test_crashes_that_another_task_explains_count_no_more(self) -> None:
+        """Guards against failing what was lost with a crashing task, and once more by chance."""
+        fleet = Fleet(workers=8, cpu=8_000)
+        for worker in fleet.workers.values():
+            worker.lasts = 100.0
+        fleet.crashing = {TaskKey("bad", 0, 0, 0)}
+        fleet.submit(make_job("good", (Step(count=3, cpu=500, lasting=True),)))
+        fleet.submit(make_job("bad", (Step(cpu=500),)))
+        while len(fleet.crashes) < MOST_AT_START:
+            fleet.run(0.05)
+        fleet.run(0.5)
+        record, *_ = fleet.cell.jobs["good"].progress.tasks[0]
+        fleet.crash(record.worker)
+        fleet.run(10.0)
+        self.assertEqual(JobState.FAILED, fleet.state("bad"))
+        self.assertEqual(JobState.ACTIVE, fleet.state("good"))
+
 
 class CrashingWorkerTest(unittest.TestCase):
     def test_workers_that_crash_by_themselves_fail_no_job(self) -> None:
