Start nothing in a data centre that operators have evacuated

Over real connections five of the seven new tests of test_evacuations failed before: (0, 6) starts expected here and there, (4, 2) seen.

Cause: the operators' rows were followed for the configuration alone. Change: every host follows the rows from config to evacuate/ in the same read, so whoever comes to own a cell knows them at no call more; workers of such a data centre are left out wherever room is looked for; a start is checked again each time that it is sent, and one whose answer was lost is stopped, not repeated. An owner whose view is older than half of evacuateMs (node file) places and sends nothing. A wait says so, the log and a gauge tell how far it is. Why it works: a read is at most 0.6 s apart and sees what was accepted before it; 2.5 s after it at the latest no start is sent on its word, within 5 s.

--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -59,6 +59,14 @@
         document = {"version": version, "routes": [route], "services": [{"name": "c"}]}
         self.store.put("op", "config", msgspec.json.encode(document))
 
+    def evacuate(self, data_centre: str) -> None:
+        """Ask as operators do that nothing more starts in a data centre."""
+        self.store.put("op", f"evacuate/{data_centre}", b"{}")
+
+    def take_back(self, data_centre: str) -> None:
+        """End a data centre's evacuation."""
+        self.store.drop("op", f"evacuate/{data_centre}")
+
     async def add_host(self, cores: float = 1.0) -> EntryProcess:
         """Start an entry host with a store address of its own."""
         address = f"127.0.0.1:{free_port()}"
@@ -88,12 +96,16 @@
         return process
 
     async def add_worker(
-        self, cpu: int = 4_000, lasts: float = 0.2, address: str = ""
+        self,
+        cpu: int = 4_000,
+        lasts: float = 0.2,
+        address: str = "",
+        data_centre: str = "dc",
     ) -> SiteWorker:
         """Start a worker, or another life of one at its address."""
         name = f"w{len(self.workers)}"
         address = address or f"127.0.0.1:{free_port()}"
-        entry = WorkerEntry(name, "c", address, "dc", True, cpu, 8_000, 0)
+        entry = WorkerEntry(name, "c", address, data_centre, True, cpu, 8_000, 0)
         worker = SiteWorker(self.store, entry)
         worker.core.lasts = lasts
         await worker.start()
--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -2,7 +2,8 @@
 Configuration watch
 ===================
 
-Keep the newest configuration that the operators wrote in force in this process.
+Keep the newest configuration that the operators wrote in force in this process, and know which data
+centres they evacuate.
 """
 
 from __future__ import annotations
@@ -15,9 +16,16 @@
 from toucanpin.entry.followed import FollowedRows
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
-from toucanpin.platform.queues import CONFIGURATION_KEY, OPERATORS_TABLE, decode_configuration
+from toucanpin.platform.queues import (
+    CONFIGURATION_KEY,
+    EVACUATION_END,
+    OPERATORS_TABLE,
+    decode_configuration,
+    list_evacuated,
+)
 from toucanpin.platform.store import Store
 from toucanpin.scheduling.configuration import Configuration, Queue, QueueIndex
+from toucanpin.scheduling.evacuating import Evacuated
 
 __all__ = ["ConfigurationWatch"]
 
@@ -38,17 +46,18 @@
         "_value",
         "confirmed",
         "current",
+        "evacuated",
     )
 
     def __init__(self, store: Store) -> None:
         self._index = QueueIndex(())
         self._reading: asyncio.Task[bool] | None = None
-        end = CONFIGURATION_KEY + "\0"
-        self._followed = FollowedRows(store, OPERATORS_TABLE, CONFIGURATION_KEY, end)
+        self._followed = FollowedRows(store, OPERATORS_TABLE, CONFIGURATION_KEY, EVACUATION_END)
         self._value = b""
         self._unreadable: bytes | None = None
         self.current: Configuration | None = None
         self.confirmed = 0.0  # local time at which the newest successful look was sent
+        self.evacuated = Evacuated(frozenset(), float("-inf"))
 
     async def run(self) -> None:
         """Poll for ever."""
@@ -87,6 +96,7 @@
         except (CallError, PlatformError) as error:
             _log.warning("configuration not read", event="configuration.unread", reason=error)
             return False
+        self.evacuated = Evacuated(list_evacuated(self._followed.rows), sent_at)
         row = self._followed.rows.get(CONFIGURATION_KEY)
         if row is not None:
             self._take(row.value)
--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -25,6 +25,7 @@
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.store import Committed, Expected, Put, Row, Store
+from toucanpin.scheduling.evacuating import Evacuated
 from toucanpin.scheduling.ownership import (
     YIELD_AFTER,
     YIELD_AGAIN,
@@ -60,6 +61,7 @@
         life: str,
         cell: str,
         guarded: Callable[[], bool],
+        evacuated: Callable[[], Evacuated],
     ) -> None:
         self._store = store
         self._clocks = clocks
@@ -68,6 +70,7 @@
         self._life = life
         self._cell = cell
         self._guarded = guarded
+        self._evacuated = evacuated
         self._peers = peers
         self._yielded_at = -YIELD_AGAIN
         self._entries = EntryReader()
@@ -86,6 +89,10 @@
         """Return how many tasks of each priority wait in the cell, if it is owned."""
         return self._owner.count_waiting() if self._owner else Counter()
 
+    def count_evacuated(self) -> dict[str, float]:
+        """Return how many tasks still run in each evacuated data centre, if the cell is owned."""
+        return self._owner.count_evacuated() if self._owner else {}
+
     async def run(self) -> None:
         """Contend for ever."""
         watch = Watch()
@@ -179,6 +186,7 @@
             before is None,
             self._advisers,
             self._guarded,
+            self._evacuated,
         )
         yielding = asyncio.ensure_future(self._yield(self._owner))
         try:
--- a/toucanpin/entry/decisions.py
+++ b/toucanpin/entry/decisions.py
@@ -13,11 +13,19 @@
 
 from toucanpin.entry.metrics import LOST_RUNS, START_WAIT, STARTS
 from toucanpin.scheduling.cell import Cell, Now, find_record
+from toucanpin.scheduling.evacuating import describe_evacuations, list_open
 from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.worker import Run
 
-__all__ = ["log_ended", "log_given_up", "log_losses", "log_place", "log_waits"]
+__all__ = [
+    "log_ended",
+    "log_evacuations",
+    "log_given_up",
+    "log_losses",
+    "log_place",
+    "log_waits",
+]
 
 _log = logbook.Logger("decisions")
 LONG_WAIT = 0.5  # s without a place from which on a wait is told
@@ -88,7 +96,7 @@
         if now.steady - wait.since > LONG_WAIT and now.steady > wait.told_at + TELL_AGAIN
     ]
     due.sort(key=lambda pair: pair[1].since)
-    frees = (worker.entry.cpu - worker.cpu for worker in cell.workers.values())
+    frees = (worker.entry.cpu - worker.cpu for worker in list_open(cell))
     free = max(frees, default=0) if due else 0
     for group, wait in due[:MOST_TOLD]:
         wait.told_at = now.steady
@@ -107,6 +115,22 @@
         )
 
 
+def log_evacuations(cell: Cell) -> None:
+    """Tell how far evacuations are, and that nothing can start if they leave no worker."""
+    if not cell.evacuated:
+        _log.info("no data centre is evacuated", event="evacuation.over")
+    elif cell.workers and not list_open(cell):
+        _log.error("nothing can start: every data centre is evacuated", event="evacuation.all")
+    for it in describe_evacuations(cell):
+        _log.info(
+            "data centre evacuated" if it.workers else "no worker is in an evacuated data centre",
+            event="evacuation.on" if it.workers else "evacuation.unknown",
+            data_centre=it.data_centre,
+            workers=it.workers,
+            runs=it.runs,
+        )
+
+
 def log_ended(cell: Cell, identifiers: Iterable[str], now: Now) -> None:
     """Tell once of each job that has ended, and by how much it missed its objective."""
     for identifier in identifiers:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -18,7 +18,14 @@
 from toucanpin.entry.cell_rows import CellRows, DeposedError
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
-from toucanpin.entry.decisions import log_ended, log_given_up, log_losses, log_place, log_waits
+from toucanpin.entry.decisions import (
+    log_ended,
+    log_evacuations,
+    log_given_up,
+    log_losses,
+    log_place,
+    log_waits,
+)
 from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.followed import FollowedRows
 from toucanpin.entry.metrics import TURN_TIME
@@ -32,6 +39,12 @@
 from toucanpin.scheduling.batches import MAX_FORGOTTEN, apply_batch, has_work, take_batch
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.crashing import give_up_crashing
+from toucanpin.scheduling.evacuating import (
+    Evacuated,
+    describe_evacuations,
+    knows_evacuations,
+    take_evacuated,
+)
 from toucanpin.scheduling.gathering import gather_images
 from toucanpin.scheduling.holding import AUTHORITY, lapse_workers
 from toucanpin.scheduling.intake import begin_due, forget_ended
@@ -64,7 +77,7 @@
 
     ``record`` was written at ``version`` by a write that was sent at ``confirmed``; ``first`` says
     that no other process has owned the cell before, ``guarded`` tells whether the cell's workers
-    refuse what doesn't fit.
+    refuse what doesn't fit, ``evacuated`` which data centres get nothing more.
     """
 
     def __init__(
@@ -79,12 +92,14 @@
         first: bool,
         advisers: Advisers,
         guarded: Callable[[], bool],
+        evacuated: Callable[[], Evacuated],
     ) -> None:
         self._store = store
         self._clocks = clocks
         self._bounds = settings.bounds
         self._advisers = advisers
         self._guarded = guarded
+        self._evacuated = evacuated
         horizon = steady_time() + (0.0 if first else HORIZON)
         self._cell = Cell(name, record.token, horizon, confirmed)
         self._sharing = Sharing()
@@ -161,6 +176,10 @@
             counts[str(self._cell.jobs[group.job].job.priority)] += len(indices)
         return counts
 
+    def count_evacuated(self) -> dict[str, float]:
+        """Return how many tasks still run in each evacuated data centre."""
+        return {it.data_centre: float(it.runs) for it in describe_evacuations(self._cell)}
+
     def resign(self) -> None:
         """Give the cell up with the next write."""
         self._resigning = True
@@ -190,7 +209,8 @@
                     pass
             self._wake.clear()
             now = self._clocks.now()
-            if self._hears_of_cancels(now):
+            self._take_evacuated()
+            if self._hears_of_cancels(now) and knows_evacuations(self._cell, now):
                 place_tasks(self._cell, self._sharing, now)
             TURN_TIME.record(steady_time() - now.steady, {"what": "placing"})
             idle = not has_work(self._cell) and not self._resigning
@@ -220,6 +240,10 @@
         """
         return now.table - self._rows.view.clock <= OLDEST_VIEW
 
+    def _take_evacuated(self) -> None:
+        if take_evacuated(self._cell, self._evacuated(), self._bounds.evacuate):
+            log_evacuations(self._cell)
+
     async def _list(self) -> None:
         """Follow the workers' entries."""
         followed = FollowedRows(self._store, WORKERS_TABLE)
@@ -262,6 +286,7 @@
         while True:
             await asyncio.sleep(TICK)
             now = self._clocks.now()
+            self._take_evacuated()
             for worker in lapse_workers(self._cell, now):
                 _log.info("worker gone", event="worker.gone", worker=worker.entry.id)
             log_given_up(self._cell, give_up_crashing(self._cell, now))
@@ -277,6 +302,8 @@
             if now.steady > told_at + TELL_PERIOD:
                 told_at = now.steady
                 log_waits(self._cell, now)
+                if self._cell.evacuated:
+                    log_evacuations(self._cell)
             if now.steady > forgotten_at + FORGET_PERIOD:
                 forgotten_at = now.steady
                 forget_ended(self._cell, now, self._bounds.keep_ended + KEEP_MARGIN)
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -144,6 +144,12 @@
     def _show_gauges(self, logs: LineHandler | None) -> None:
         watch("toucanpin.cells.owned", "1 for each cell of this host", "cell", self._read_cells)
         watch("toucanpin.tasks.waiting", "Tasks that wait here", "priority", self._read_waiting)
+        watch(
+            "toucanpin.tasks.evacuating",
+            "Tasks that still run in evacuated data centres",
+            "data_centre",
+            self._read_evacuated,
+        )
         watch("toucanpin.configuration", "Version and age in s", "what", self._age)
         watch("toucanpin.processor", "Processor time in s", "what", _read_processor)
         if logs is not None:
@@ -158,6 +164,12 @@
             counts.update(contender.count_waiting())
         return dict(counts)
 
+    def _read_evacuated(self) -> dict[str, float]:
+        counts: Counter[str] = Counter()
+        for contender in self._contenders.values():
+            counts.update(contender.count_evacuated())
+        return dict(counts)
+
     def _age(self) -> dict[str, float]:
         current = self._configuration.current
         age = steady_time() - self._configuration.confirmed
@@ -178,6 +190,7 @@
                         self._life,
                         service,
                         partial(self._is_guarded, service),
+                        lambda: self._configuration.evacuated,
                     )
                     self._contenders[service] = contender
                     self._spawn(contender.run)
--- /dev/null
+++ b/toucanpin/entry/tests/test_evacuations.py
@@ -0,0 +1,95 @@
+"""What starts in data centres that operators have evacuated, over real connections."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from standins.site.site import JOB, Site
+from standins.site.worker import SiteWorker
+
+KNOWN = 1.5  # s after which every owner has read what operators wrote
+OTHER_JOB = "00000000000000b2"
+ANOTHER_JOB = "00000000000000c3"
+
+
+class EvacuationTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.site = Site()
+        self.site.configure()
+        self.addAsyncCleanup(self.site.close)
+        await self.site.add_host()
+        self.here = await self.site.add_worker(data_centre="here")
+        self.there = await self.site.add_worker(data_centre="there")
+        self.assertTrue(await self.site.until_ready())
+
+    async def _evacuate(self, data_centre: str) -> None:
+        self.site.evacuate(data_centre)
+        await asyncio.sleep(KNOWN)
+
+    async def _finish(self, job: str = JOB, count: int = 6, host: int = 0) -> None:
+        await self.site.submit(job, host=host, count=count)
+        self.assertTrue(await self.site.until_state("completed", job, host))
+
+    async def test_nothing_starts_in_an_evacuated_data_centre(self) -> None:
+        """Guards against tasks that are sent to workers of a data centre that is being emptied."""
+        await self._evacuate("here")
+        await self._finish()
+        self.assertEqual((0, 6), (_count(self.here), _count(self.there)))
+
+    async def test_an_owner_that_has_just_begun_starts_nothing_there(self) -> None:
+        """Guards against a new owner that places tasks before it knows what is evacuated."""
+        await self.site.add_host()
+        self.assertTrue(await self.site.until_ready(1))
+        await self._evacuate("here")
+        owner = next(number for number, host in enumerate(self.site.hosts) if host.owned_cells())
+        await self.site.hosts[owner].abort()
+        await self._finish(host=1 - owner)
+        self.assertEqual((0, 6), (_count(self.here), _count(self.there)))
+
+    async def test_a_data_centre_that_is_taken_back_gets_tasks_again(self) -> None:
+        """Guards against workers that stay shut out after their evacuation."""
+        await self._evacuate("here")
+        self.there.refuse_next = 1_000
+        await self.site.submit()
+        await asyncio.sleep(KNOWN)
+        self.assertEqual(0, _count(self.here))
+        self.site.take_back("here")
+        self.assertTrue(await self.site.until_state("completed"))
+
+    async def test_all_data_centres_may_be_evacuated_at_once(self) -> None:
+        """Guards against jobs that are lost while no worker may get anything."""
+        self.site.evacuate("here")
+        await self._evacuate("there")
+        self.assertEqual(200, (await self.site.submit()).status)
+        await asyncio.sleep(KNOWN)
+        self.assertEqual("pending", await self.site.state())
+        self.assertEqual((0, 0), (_count(self.here), _count(self.there)))
+        self.site.take_back("there")
+        self.assertTrue(await self.site.until_state("completed"))
+        self.assertEqual(0, _count(self.here))
+
+    async def test_a_data_centre_that_nobody_knows_changes_nothing(self) -> None:
+        """Guards against an evacuation of an unknown data centre that holds tasks up."""
+        await self._evacuate("nowhere")
+        await self._finish()
+
+    async def test_what_cannot_be_read_of_an_evacuation_does_not_matter(self) -> None:
+        """Guards against an evacuation that is left out since another writer wrote its value."""
+        self.site.store.put("op", "evacuate/here", b"\xff{")
+        await asyncio.sleep(KNOWN)
+        await self._finish()
+        self.assertEqual(0, _count(self.here))
+
+    async def test_a_task_that_runs_goes_on(self) -> None:
+        """Guards against work that is thrown away though it would end by itself."""
+        self.here.core.lasts = self.there.core.lasts = 2.5
+        await self.site.submit(OTHER_JOB, count=8)
+        self.assertTrue(await self.site.until(lambda: _count(self.here) == 4))
+        await self._evacuate("here")
+        self.assertTrue(await self.site.until_state("completed", OTHER_JOB))
+        self.assertEqual((4, 4), (_count(self.here), _count(self.there)))
+
+
+def _count(worker: SiteWorker) -> int:
+    return len(worker.core.starts)
--- a/toucanpin/platform/nodefile.py
+++ b/toucanpin/platform/nodefile.py
@@ -56,6 +56,7 @@
         contact=reader.number("bounds.contactMs", 3_000) / 1_000,
         upkeep=reader.number("bounds.maintenanceS", 2),
         machine_lease=reader.number("bounds.leaseMs", 3_000) / 1_000,
+        evacuate=reader.number("bounds.evacuateMs", 5_000) / 1_000,
     )
     settings = HostSettings(
         name=reader.text("nodeName"),
--- a/toucanpin/platform/queues.py
+++ b/toucanpin/platform/queues.py
@@ -7,15 +7,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
 
 from toucanpin.exception import PlatformError
 from toucanpin.scheduling.configuration import Configuration, Queue, Service
 
-__all__ = ["CONFIGURATION_KEY", "OPERATORS_TABLE", "decode_configuration"]
+__all__ = [
+    "CONFIGURATION_KEY",
+    "EVACUATION_END",
+    "OPERATORS_TABLE",
+    "decode_configuration",
+    "list_evacuated",
+]
 
 OPERATORS_TABLE = "op"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+EVACUATION_END = "evacuate0"  # the first key behind those of evacuations
 
 
 class _Advice(msgspec.Struct, rename="camel"):
@@ -86,6 +96,14 @@
     )
 
 
+def list_evacuated(keys: Iterable[str]) -> frozenset[str]:
+    """Return the data centres that operators' rows name as evacuated, whatever the rows hold."""
+    named = (
+        key.removeprefix(EVACUATION_PREFIX) for key in keys if key.startswith(EVACUATION_PREFIX)
+    )
+    return frozenset(named)
+
+
 def _to_queue(route: _Route) -> Queue:
     return Queue(
         name=route.name,
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -88,6 +88,7 @@
     NO_ADVICE = "no ticket"
     FAILING = "room only where tasks fail"
     CRASHING = "workers were lost under it"
+    EVACUATED = "no room outside evacuated data centres"
 
 
 @dataclass(slots=True)
@@ -150,8 +151,9 @@
 
     ``token`` fences earlier owners at the workers; ``horizon`` is the local time by which every
     lease that an earlier owner may have granted has ended; ``confirmed`` is when the newest write
-    that the table accepted was sent.  ``barren`` holds, by filling image, the cores that found no
-    place and until when nobody asks again.
+    that the table accepted was sent.  ``evacuated`` are data centres that get nothing more, which
+    may be relied on up to ``evacuated_until``.  ``barren`` holds, by filling image, the cores that
+    found no place and until when nobody asks again.
     """
 
     name: str
@@ -159,6 +161,8 @@
     horizon: float
     confirmed: float
     guarded: bool = True  # its workers refuse what doesn't fit
+    evacuated: frozenset[str] = frozenset()
+    evacuated_until: float = float("inf")
     jobs: dict[str, LiveJob] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
     runs: dict[str, list[Run]] = field(default_factory=dict)  # by job, whatever their phase
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -14,6 +14,7 @@
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.crashing import count_watched
+from toucanpin.scheduling.evacuating import list_open
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.prediction import Heat, heat_worker, predict_rise, predict_share
 from toucanpin.scheduling.progress import Doubt
@@ -163,7 +164,7 @@
 
 def list_able(cell: Cell, now: Now) -> list[Worker]:
     """Return the workers that may get something new."""
-    return [worker for worker in cell.workers.values() if _is_able(worker, now)]
+    return [worker for worker in list_open(cell) if _is_able(worker, now)]
 
 
 def may_last(able: Iterable[Worker], group: Group, step: Step, claim: Claim) -> bool:
--- a/toucanpin/scheduling/keeping.py
+++ b/toucanpin/scheduling/keeping.py
@@ -11,6 +11,7 @@
 
 from toucanpin.scheduling.cell import Cell, Group
 from toucanpin.scheduling.choosing import fits_rules
+from toucanpin.scheduling.evacuating import list_open
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.worker import Worker
 
@@ -31,7 +32,7 @@
 
     def __init__(self, cell: Cell, able: list[Worker]) -> None:
         self._cell = cell
-        self._least = len(cell.workers) * (1 - MOST_KEPT)
+        self._least = len(list_open(cell)) * (1 - MOST_KEPT)
         self._roomiest: list[tuple[int, int, Worker]] = []
         self.able = able
 
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -89,6 +89,8 @@
 
 
 def _note_wait(cell: Cell, group: Group, reason: WaitReason, now: Now) -> None:
+    if reason is WaitReason.NO_ROOM and cell.evacuated:
+        reason = WaitReason.EVACUATED
     cell.waits.setdefault(group, Wait(now.steady)).reason = reason
 
 
--- a/toucanpin/scheduling/settings.py
+++ b/toucanpin/scheduling/settings.py
@@ -28,6 +28,7 @@
     contact: float = 3.0
     upkeep: float = 2.0
     machine_lease: float = 3.0
+    evacuate: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -11,6 +11,7 @@
 
 from toucanpin.scheduling.cell import Cell, Group, Now, note_begun
 from toucanpin.scheduling.ending import RETRY_DELAY, end_run
+from toucanpin.scheduling.evacuating import is_evacuated, knows_evacuations
 from toucanpin.scheduling.holding import lease_end
 from toucanpin.scheduling.orders import Refused, Started
 from toucanpin.scheduling.stopping import stop_run
@@ -39,12 +40,18 @@
         # Nothing was ever sent, so nothing can run there: the task needn't wait for the lease.
         end_run(cell, worker, run, now)
         return 0
+    if is_evacuated(cell, worker):
+        # A start whose answer was lost may be on its way; sent again, it would begin late for sure.
+        _give_up(cell, worker, run, now)
+        return 0
     if is_overfull(worker) and not (cell.guarded and run.ordered_at):
         worker.full_until = now.steady + FULL
         _give_up(cell, worker, run, now)
         return 0
     if not cell.guarded and now.steady > worker.listed_at + OLDEST_ENTRY:
         return 0
+    if not knows_evacuations(cell, now):
+        return 0
     until = lease_end(cell, now)
     if worker.silent or until - now.steady < SHORTEST_LEASE:
         return 0
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -75,9 +75,11 @@
         self.cell = self._make_cell(token)
         self.sharing = Sharing()
 
-    def add_worker(self, name: str, cpu: int = 4_000, **fields) -> WorkerCore:
+    def add_worker(
+        self, name: str, cpu: int = 4_000, data_centre: str = "dc", **fields
+    ) -> WorkerCore:
         """Add a worker."""
-        entry = WorkerEntry(name, "c", f"{name}:1", "dc", True, cpu, 8_000, 0, **fields)
+        entry = WorkerEntry(name, "c", f"{name}:1", data_centre, True, cpu, 8_000, 0, **fields)
         self.workers[name] = WorkerCore(entry)
         return self.workers[name]
 
