Take answers that are there before a time-out that comes late

Cause: in one turn of the loop the answer is read and the time-out fires; the time-out cancelled the waiter, whose result was there. Change: a result that is there counts; a time-out that fires more than 50 ms late gives as much time again, its own length at most. So a peer that is really silent is still given up after twice the time at most.

--- a/toucanpin/http/client.py
+++ b/toucanpin/http/client.py
@@ -10,6 +10,7 @@
 import asyncio
 import socket
 from dataclasses import dataclass
+from typing import TypeVar
 
 import httptools
 
@@ -23,6 +24,8 @@
 )
 MAX_ANSWER = 4_194_304  # bytes: four times the platform's largest page
 MAX_IDLE = 8  # kept connections to one address
+LATE = 0.05  # s by which time-outs come late in a process that was busy or suspended
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,12 +124,16 @@
             if connection.reusable:
                 return connection
         loop = asyncio.get_running_loop()
+        opening = asyncio.ensure_future(loop.create_connection(_Connection, self._host, self._port))
         try:
-            async with asyncio.timeout(timeout):
-                _, connection = await loop.create_connection(_Connection, self._host, self._port)
+            _, connection = await _wait_until(opening, loop.time() + timeout, timeout)
         except (OSError, TimeoutError) as error:
+            _drop(opening)
             detail = f"{self.address} can't be reached: {error or 'time-out'}"
             raise CallError(Verdict.NOT_RUN, detail) from error
+        except asyncio.CancelledError:
+            _drop(opening)
+            raise
         return connection
 
 
@@ -225,8 +232,7 @@
     latest = deadline - timeout + arriving
     while True:
         try:
-            async with asyncio.timeout_at(deadline):
-                return await asyncio.shield(waiter)
+            return await _wait_until(waiter, deadline, timeout)
         except TimeoutError:
             # Whoever gives up an answer that fills its link asks for the same again.
             following = min(connection.received_at + timeout, latest)
@@ -235,6 +241,31 @@
             deadline = following
 
 
+def _drop(opening: asyncio.Task[tuple[asyncio.Transport, _Connection]]) -> None:
+    """Give up a connection that is being opened, or that was opened at this moment."""
+    if not opening.cancel() and not opening.cancelled() and opening.exception() is None:
+        opening.result()[1].abort()
+
+
+async def _wait_until(waiter: asyncio.Future[T], deadline: float, longest: float) -> T:
+    """
+    Return a result that comes by a time of the loop's clock.
+
+    A process that was busy or suspended finds what came meanwhile and its time-outs at the same
+    moment.  Without some time more it would drop answers that are there, and the ends in them.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await asyncio.shield(waiter)
+    except TimeoutError:
+        late = loop.time() - deadline
+        if late < LATE and not waiter.done():
+            raise
+    async with asyncio.timeout_at(loop.time() + min(late, longest)):
+        return await asyncio.shield(waiter)
+
+
 def _encode(
     method: str, path: str, host: str, body: bytes, headers: tuple[tuple[str, str], ...]
 ) -> bytes:
