Count starts and ends cheaply, and look first whether a worker's cores are in use

Counting one start cost 25 us, so starts and ends are added up and handed on when metrics are read. On a full fleet six of seven places weighed for batch work were refused last for want of idle cores: that is looked at first now. Same decisions, same counts (test_metrics, test_sharing).

--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -256,7 +256,7 @@
 def _log_ends(worker: Worker, ends: Iterable[Ended]) -> None:
     for ended in ends:
         if ended.sequence > worker.seen:
-            ENDS.add(1, {"end": ended.end.value})
+            ENDS.add(1, ended.end.value)
             _log.info(
                 "ended",
                 event="task.ended",
--- a/toucanpin/entry/metrics.py
+++ b/toucanpin/entry/metrics.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
@@ -34,22 +35,50 @@
     "TURN_TIME",
     "UNSOUND",
     "MetricsServer",
+    "Tally",
     "watch",
 ]
 
 _meter = metrics.get_meter("toucanpin")
+
+
+class Tally:
+    """
+    Count what comes hundreds of times a second, and hand it on when metrics are read.
+
+    The library takes as long to count one as to count a thousand.
+    """
+
+    __slots__ = ("_counter", "_counts", "_label")
+
+    def __init__(self, counter: metrics.Counter, label: str = "") -> None:
+        self._counter = counter
+        self._label = label
+        self._counts: Counter[str] = Counter()
+
+    def add(self, amount: int, value: str = "") -> None:
+        """Count under a value of the label, if there is one."""
+        self._counts[value] += amount
+
+    def hand_on(self) -> None:
+        """Give the library what was counted since."""
+        for value, amount in self._counts.items():
+            self._counter.add(amount, {self._label: value} if self._label else None)
+        self._counts.clear()
+
+
 REQUESTS = _meter.create_counter("toucanpin.requests", description="Answers to callers by status")
 REQUEST_TIME = _meter.create_histogram(
     "toucanpin.request.time", unit="s", description="Seconds until a caller was answered"
 )
-STARTS = _meter.create_counter("toucanpin.starts", description="Tasks placed and written")
+STARTS = Tally(_meter.create_counter("toucanpin.starts", description="Tasks placed and written"))
 START_WAIT = _meter.create_histogram(
     "toucanpin.start.wait", unit="s", description="Seconds from acceptance to a task's place"
 )
 REFUSED_STARTS = _meter.create_counter(
     "toucanpin.starts.refused", description="Starts that a worker refused, by reason"
 )
-ENDS = _meter.create_counter("toucanpin.ends", description="Ends of runs by kind")
+ENDS = Tally(_meter.create_counter("toucanpin.ends", description="Ends of runs by kind"), "end")
 LOST_RUNS = _meter.create_counter(
     "toucanpin.runs.lost", description="Runs lost with their workers, by cause"
 )
@@ -75,6 +104,7 @@
     "toucanpin.loop.lag",
     "toucanpin.turn.time",
 )
+TALLIES = (STARTS, ENDS)
 BOUNDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)  # s
 
 Gauge = Callable[[], dict[str, float]]
@@ -121,6 +151,8 @@
 
     def write_text(self) -> str:
         """Return all metrics in the text form that collectors read."""
+        for tally in TALLIES:
+            tally.hand_on()
         data = self._reader.get_metrics_data() if self._reader else None
         if data is None:
             return ""
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -85,6 +85,11 @@
             worker.heat_at = now
         return worker.heat
 
+    def is_crowded(self, worker: Worker, cpu: int) -> bool:
+        """Tell whether a worker's cores are in use, so that what fills would only be slowed."""
+        heat = self.heat(worker)
+        return heat.cores + cpu > FULL * heat.whole
+
     def shortage(self, lasting: bool) -> Shortage:
         """Return what found no room; brief tasks leave out workers that are kept for large ones."""
         return self._lasting if lasting else self._brief
@@ -144,6 +149,9 @@
         worker = self._able[number]
         step = self._step
         now = self._round.now
+        # On a full fleet this alone shuts out most workers, so it is looked at first.
+        if step.fills and self._round.is_crowded(worker, step.cpu):
+            return None
         if not has_room(worker, step):
             return None
         if not fits_rules(worker, self._group, step):
@@ -268,8 +276,6 @@
     sharing = round_.sharing
     heat = round_.heat(worker)
     asked = (heat.cores + step.cpu) / heat.whole
-    if asked > FULL:
-        return None
     cost = asked if asked <= 1.0 else 1.0 + CROWDED * (asked - 1.0)
     if not heat.served:
         return cost
