An owner that can't follow sheds decisions, starts and questions, not leases and ends

Lasting tasks lapsed again and again, tasks whose end was heard late ran twice. Cause: on half a core the owner's decisions took all of its time (1,547 tasks placed at once, then a round of placing after each answer); answers were read more than 0.7 s late, workers taken for silent, 31,546 connections opened anew, leases lapsed after 4.5 s, and what was lost was started again. Change: (1) placing has 35% of the time, moving, pacing and gathering 8% each, and rest after it; (2) 256 starts may be on their way, fewer the later the owner's own turns come, most urgent first; (3) questions to a worker pause by twice that delay. Why it works: what must go on costs 55 questions a second for 246 workers; a rest that grows with the cost of a decision leaves time for them on any host.

--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -31,6 +31,7 @@
 from toucanpin.scheduling.learning import learn_effects
 from toucanpin.scheduling.orders import Ended, PaceOrder, Refused, StopOrder, WorkerEntry
 from toucanpin.scheduling.sharing import Sharing
+from toucanpin.scheduling.shedding import ANSWERED, Delay
 from toucanpin.scheduling.starting import (
     Next,
     plan_start,
@@ -58,17 +59,26 @@
         cell: Cell,
         sharing: Sharing,
         clocks: Clocks,
+        delay: Delay,
         spawn: Callable[[Coroutine], None],
         changed: Callable[[], None],
     ) -> None:
         self._cell = cell
         self._sharing = sharing
         self._clocks = clocks
+        self._delay = delay
         self._spawn = spawn
         self._changed = changed
         self._calls: dict[str, WorkerCalls] = {}
         self._answers = AnswerTimes()
         self._written = asyncio.Event()
+        self._sent: dict[int, float] = {}  # when starts without an answer were sent
+
+    def count_starting(self) -> int:
+        """Return how many starts are on their way that an answer may still be read for."""
+        now = steady_time()
+        oldest = now - ANSWERED - self._delay.read(now)
+        return sum(sent_at > oldest for sent_at in self._sent.values())
 
     def note_written(self) -> None:
         """Wake those who wait for ends to be written."""
@@ -131,6 +141,7 @@
             learn_effects(self._sharing, worker, len(self._cell.workers), now)
             self._changed()
             await self._wait_for_writes(worker)
+            await asyncio.sleep(self._delay.plan_pause(steady_time()))
         calls.close()
         if self._calls.get(identifier) is calls:
             del self._calls[identifier]
@@ -162,6 +173,7 @@
                 await asyncio.sleep(RETRY)
                 continue
             live = self._cell.jobs[run.task.job]
+            self._sent[id(run)] = steady_time()
             try:
                 answer = await calls.start(
                     run.task,
@@ -190,6 +202,8 @@
                         reason=answer.refused.value,
                     )
                 following = take_started(self._cell, worker, run, answer, self._clocks.now())
+            finally:
+                self._sent.pop(id(run), None)
             match following:
                 case Next.FENCED:
                     raise DeposedError(f"worker {run.worker} has another owner")
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -55,6 +55,7 @@
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.sharing import Sharing
+from toucanpin.scheduling.shedding import Delay, Share
 
 __all__ = ["Owner"]
 
@@ -66,6 +67,8 @@
 RETRY = 0.1  # s before a read is repeated
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
 TELL_PERIOD = 1.0  # s between looks for what waits for long
+PLACING_SHARE = 0.35  # of the time, at most
+PERIODIC_SHARE = 0.08  # of it for each of moving, pacing and gathering
 KEEP_MARGIN = 15.0  # s that ended jobs are kept longer than promised
 # A lease that an earlier owner granted ends on a clock that may be 2% slow, and a little later.
 HORIZON = AUTHORITY * 1.04 + 0.4
@@ -116,8 +119,9 @@
             settings.bounds.keep_ended,
             self._after_change,
         )
+        self._delay = Delay()
         self._workers = CellWorkers(
-            self._cell, self._sharing, clocks, self._spawn, self._after_change
+            self._cell, self._sharing, clocks, self._delay, self._spawn, self._after_change
         )
         self._waves: Waves | None = None
         if settings.machines:
@@ -125,6 +129,7 @@
             self._waves = Waves(store, calls, self._cell, clocks, settings.bounds, first)
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
+        self._placing = Share(PLACING_SHARE)
         self._deposed: asyncio.Future[None] | None = None
         self._resigning = False
 
@@ -205,14 +210,11 @@
                 try:
                     async with asyncio.timeout(min(due, TICK)):
                         await self._wake.wait()
+                        await asyncio.sleep(self._placing.left(steady_time()))
                 except TimeoutError:
                     pass
             self._wake.clear()
-            now = self._clocks.now()
-            self._take_evacuated()
-            if self._hears_of_cancels(now) and knows_evacuations(self._cell, now):
-                place_tasks(self._cell, self._sharing, now)
-            TURN_TIME.record(steady_time() - now.steady, {"what": "placing"})
+            self._place()
             idle = not has_work(self._cell) and not self._resigning
             if idle and steady_time() < self._rows.written_at + RENEWAL:
                 continue
@@ -227,6 +229,19 @@
                 self._spawn(self._workers.start(run))
             self._check_held()
 
+    def _place(self) -> None:
+        """Place what waits, unless that has taken its share of the time or too little is known."""
+        now = self._clocks.now()
+        self._take_evacuated()
+        if self._placing.left(now.steady):
+            return
+        if self._hears_of_cancels(now) and knows_evacuations(self._cell, now):
+            most = self._delay.limit_starts(now.steady) - self._workers.count_starting()
+            place_tasks(self._cell, self._sharing, now, most)
+        ended = steady_time()
+        self._placing.note(now.steady, ended)
+        TURN_TIME.record(ended - now.steady, {"what": "placing"})
+
     def _check_held(self) -> None:
         """Raise DeposedError after this owner's resignation was written."""
         if not self._rows.record.host:
@@ -282,23 +297,27 @@
         self._wake.set()
 
     async def _tick(self) -> None:
-        forgotten_at = moved_at = told_at = 0.0
+        forgotten_at = told_at = 0.0
+        periodic = [
+            _Periodic(lambda now: move_tasks(self._cell, now), MOVE_PERIOD),
+            _Periodic(lambda now: control_pace(self._cell, self._sharing, now), 0.0),
+            _Periodic(lambda now: gather_images(self._cell, self._sharing, now), 0.0),
+        ]
         while True:
+            due = steady_time() + TICK
             await asyncio.sleep(TICK)
             now = self._clocks.now()
+            self._delay.note(now.steady - due, now.steady)
             self._take_evacuated()
             for worker in lapse_workers(self._cell, now):
                 _log.info("worker gone", event="worker.gone", worker=worker.entry.id)
             log_given_up(self._cell, give_up_crashing(self._cell, now))
             begin_due(self._cell, now)
-            if now.steady > moved_at + MOVE_PERIOD:
-                moved_at = now.steady
-                move_tasks(self._cell, now)
+            for decision in periodic:
+                decision.make(self._clocks.now())
             free = self._advisers.count_free()
             for order in plan_advice(self._cell, self._sharing, free, now):
                 self._spawn(self._advise(order))
-            control_pace(self._cell, self._sharing, now)
-            gather_images(self._cell, self._sharing, now)
             if now.steady > told_at + TELL_PERIOD:
                 told_at = now.steady
                 log_waits(self._cell, now)
@@ -319,5 +338,25 @@
             self._wake.set()
 
 
+class _Periodic:
+    """Make a decision again and again, in its share of the time."""
+
+    __slots__ = ("_decide", "_next", "_period", "_share")
+
+    def __init__(self, decide: Callable[[Now], object], period: float) -> None:
+        self._decide = decide
+        self._period = period
+        self._share = Share(PERIODIC_SHARE)
+        self._next = 0.0
+
+    def make(self, now: Now) -> None:
+        """Make the decision unless it rests."""
+        if now.steady < self._next or self._share.left(now.steady):
+            return
+        self._next = now.steady + self._period
+        self._decide(now)
+        self._share.note(now.steady, steady_time())
+
+
 def _decode_entry(row: Row) -> WorkerEntry:
     return decode_worker(row.key, row.value)
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -52,11 +52,16 @@
 # A lasting task that ran before and waits for longer takes the room that is kept for brief urgent
 # ones: users of its service miss it.  New ones that all did so would leave no room for brief tasks.
 RESERVE_PATIENCE = 1.0  # s
+UNBOUNDED = 1_000_000  # tasks: more than any cell runs
 MOST_STOPS = 16  # tasks of a step that room is made for at a time
 
 
-def place_tasks(cell: Cell, sharing: Sharing, now: Now) -> None:
-    """Place what waits; the places count only once they are written."""
+def place_tasks(cell: Cell, sharing: Sharing, now: Now, most: int = UNBOUNDED) -> None:
+    """
+    Place what waits, about ``most`` tasks at a time; places count only once they are written.
+
+    The least urgent wait for another turn.
+    """
     if not cell.waiting:
         cell.waits.clear()
         return
@@ -67,6 +72,8 @@
     making = Making()
     least_urgent = _find_least_urgent(cell)
     for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group, now)):
+        if len(cell.placed) >= most:
+            break
         live = cell.jobs[group.job]
         step = live.job.steps[group.step]
         # What is kept for large tasks mustn't hold up a task that has to last.
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_shedding.py
@@ -0,0 +1,80 @@
+"""What an owner that can't follow does less of."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.placing import place_tasks
+from toucanpin.scheduling.shedding import LONGEST_PAUSE, MOST_STARTS, Delay, Share
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+
+
+class ShareTest(unittest.TestCase):
+    def test_a_decision_rests_for_longer_than_it_took(self) -> None:
+        """Guards against decisions that take all of a slow host's time, one after the other."""
+        share = Share(0.25)
+        self.assertEqual(0.0, share.left(10.0))
+        share.note(10.0, 10.5)
+        self.assertAlmostEqual(1.5, share.left(10.5))
+        self.assertAlmostEqual(0.5, share.left(11.5))
+        self.assertEqual(0.0, share.left(12.0))
+
+    def test_a_quick_host_hardly_rests(self) -> None:
+        """Guards against rests that hold up a host which has time to spare."""
+        share = Share(0.25)
+        share.note(10.0, 10.002)
+        self.assertLess(share.left(10.002), 0.01)
+
+
+class DelayTest(unittest.TestCase):
+    def test_a_process_in_time_asks_at_once(self) -> None:
+        """Guards against ends that are heard late by a host that has time to spare."""
+        delay = Delay()
+        delay.note(0.005, 10.0)
+        self.assertEqual(0.0, delay.plan_pause(10.0))
+        self.assertEqual(MOST_STARTS, delay.limit_starts(10.0))
+
+    def test_the_later_a_process_is_the_less_it_asks_and_starts(self) -> None:
+        """Guards against questions and starts whose answers can't be read in time."""
+        delay = Delay()
+        delay.note(0.2, 10.0)
+        self.assertAlmostEqual(0.4, delay.plan_pause(10.0))
+        self.assertEqual(MOST_STARTS // 2, delay.limit_starts(10.0))
+        delay.note(5.0, 10.0)
+        self.assertEqual(LONGEST_PAUSE, delay.plan_pause(10.0))
+        self.assertGreater(delay.limit_starts(10.0), 0)
+
+    def test_a_delay_is_forgotten(self) -> None:
+        """Guards against an owner that stays slow after a single pause."""
+        delay = Delay()
+        delay.note(1.0, 10.0)
+        delay.note(0.0, 11.0)
+        self.assertAlmostEqual(0.5, delay.read(11.0))
+        self.assertEqual(0.0, delay.plan_pause(16.0))
+
+
+class MostStartsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet(workers=10)
+        self.fleet.run(0.3)
+        for number in range(4):
+            patient = make_job(f"patient{number}", (Step(count=4, cpu=1_000),), priority=2)
+            self.fleet.submit(patient)
+        self.fleet.submit(make_job("urgent", (Step(count=4, cpu=1_000),)))
+        self.cell = self.fleet.cell
+
+    def _count(self) -> dict[str, int]:
+        return {job: len(runs) for job, runs in self.cell.runs.items()}
+
+    def test_the_most_urgent_are_placed_first(self) -> None:
+        """Guards against an owner with too much to start that starts what is least urgent."""
+        place_tasks(self.cell, self.fleet.sharing, self.fleet.now(), 4)
+        self.assertEqual({"urgent": 4}, self._count())
+
+    def test_the_others_wait_for_a_later_turn(self) -> None:
+        """Guards against steps that are left out for good."""
+        place_tasks(self.cell, self.fleet.sharing, self.fleet.now(), 0)
+        self.assertFalse(self._count())
+        self.fleet.run(3.0)
+        self.assertTrue(all(self.fleet.state(job) == 2 for job in self.fleet.jobs))
