--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -14,6 +14,7 @@
 from tools.soak.events import Event
 from tools.soak.task_checks import (
     CrashLoops,
+    Evacuations,
     Leaving,
     NotAgain,
     OnePlace,
@@ -33,6 +34,7 @@
     Room,
     Refusals,
     Leaving,
+    Evacuations,
     Own,
     Configurations,
     Kept,
@@ -44,7 +46,7 @@
 
 
 # Their verdicts hold only while the machine has processor time to spare.
-TIMED = frozenset({"Leaving", "Configurations", "Counts"})
+TIMED = frozenset({"Leaving", "Evacuations", "Configurations", "Counts"})
 
 
 @dataclass(frozen=True, slots=True)
--- a/tools/soak/conductor.py
+++ b/tools/soak/conductor.py
@@ -95,6 +95,10 @@
         match fault:
             case faults.ConfigurationChanges():
                 self._site.configure(fault.extra)
+            case faults.DataCentreEvacuated():
+                self._site.evacuate(fault.data_centre)
+                await asyncio.sleep(fault.lasts)
+                self._site.take_back(fault.data_centre)
             case faults.HistoryDropped():
                 self._site.store.forget_history()
             case faults.WritesUnanswered():
@@ -141,7 +145,7 @@
     match fault:
         case faults.WorkerMood(mood=Mood.LATE):
             return True
-        case faults.WorkerEnds() | faults.WorkerMood():
+        case faults.WorkerEnds() | faults.WorkerMood() | faults.DataCentreEvacuated():
             return None
         case faults.LinkTrouble():
             return fault.workers is not None
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -11,6 +11,7 @@
 import fcntl
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 from typing import IO
 
@@ -19,12 +20,12 @@
 from tools.soak.answer_checks import MAX_ATTEMPTS
 from tools.soak.callers import SITE, Book
 from tools.soak.checker import Checker
-from tools.soak.events import Configured
+from tools.soak.events import Configured, Evacuated
 from tools.soak.faults import LinkMode, WorkerMood
 from tools.soak.hosts import Host
 from tools.soak.jobs import LATE_LABEL
 from tools.soak.links import Link
-from tools.soak.plan import Size
+from tools.soak.plan import DATA_CENTRES, Size
 from tools.soak.store import HostView, SoakStore
 from tools.soak.workers import SoakWorker
 from toucanpin.http import Server
@@ -62,6 +63,7 @@
         self._replacing: set[asyncio.Task[None]] = set()
         self._lock, self._network = _take_network()
         self._version = 0
+        self._evacuations: Counter[str] = Counter()
         self._servers: list[Server] = []
         self._places: dict[str, int] = {}
         self.views = [self._make_view(host) for host in range(size.hosts)]
@@ -108,6 +110,23 @@
         self.book.extra = extra
         self.record(Configured(time.monotonic(), frozenset(names)))
 
+    def evacuate(self, data_centre: str) -> None:
+        """Evacuate a data centre once more; evacuations of it may overlap."""
+        self._evacuations[data_centre] += 1
+        self.store.put("op", f"evacuate/{data_centre}", b"{}")
+        self._record_evacuated()
+
+    def take_back(self, data_centre: str) -> None:
+        """End one evacuation of a data centre."""
+        self._evacuations[data_centre] -= 1
+        if not self._evacuations[data_centre]:
+            del self._evacuations[data_centre]
+            self.store.drop("op", f"evacuate/{data_centre}")
+        self._record_evacuated()
+
+    def _record_evacuated(self) -> None:
+        self.record(Evacuated(time.monotonic(), frozenset(self._evacuations)))
+
     async def start_worker(self, number: int) -> None:
         """Start a life of a worker, at the address of its earlier ones."""
         self._lives[number] += 1
@@ -115,7 +134,10 @@
         service = SERVICES[number % len(SERVICES)]
         address = f"{self._address(3, number)}:7002"
         self._places[address] = number
-        worker = self._make_worker(name, service, address, (), self.moods[number], number % 2 == 1)
+        site = DATA_CENTRES[number % len(DATA_CENTRES)]
+        worker = self._make_worker(
+            name, service, address, site, (), self.moods[number], number % 2 == 1
+        )
         self.workers[number] = worker
         await worker.start()
 
@@ -139,7 +161,7 @@
             address = f"{self._address(4, number)}:7002"
             self._places[address] = self.size.workers + number
             worker = self._make_worker(
-                f"late-{service}", service, address, ("k", "r9", LATE_LABEL), [], False
+                f"late-{service}", service, address, "dc", ("k", "r9", LATE_LABEL), [], False
             )
             self.extra_workers.append(worker)
             await worker.start()
@@ -162,13 +184,14 @@
         name: str,
         service: str,
         address: str,
+        data_centre: str,
         labels: tuple[str, ...],
         moods: list[WorkerMood],
         slow_clock: bool,
     ) -> SoakWorker:
         labels = labels or ("k", f"r{address.rpartition('.')[2]}")
         entry = WorkerEntry(
-            name, service, address, "dc", True, WORKER_CPU, WORKER_MEMORY, 0, labels
+            name, service, address, data_centre, True, WORKER_CPU, WORKER_MEMORY, 0, labels
         )
         return SoakWorker(
             self.store,
--- a/tools/soak/events.py
+++ b/tools/soak/events.py
@@ -21,6 +21,7 @@
     "Configured",
     "Draining",
     "Ended",
+    "Evacuated",
     "Event",
     "Gone",
     "Joined",
@@ -117,6 +118,7 @@
     worker: str
     cpu: int
     memory: int
+    data_centre: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +129,14 @@
     worker: str
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuated:
+    """Tell which data centres operators have evacuated, as the store accepted it."""
+
+    at: float
+    data_centres: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class Gone:
     """Tell that a life of a worker is over, with all that it ran."""
@@ -213,6 +223,7 @@
     | Broken
     | Joined
     | Draining
+    | Evacuated
     | Gone
     | Started
     | Ended
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "ConfigurationChanges",
+    "DataCentreEvacuated",
     "Fault",
     "HistoryDropped",
     "LinkMode",
@@ -80,6 +81,14 @@
     extra: int
 
 
+@dataclass(frozen=True, slots=True)
+class DataCentreEvacuated:
+    """Have operators evacuate a data centre, and take it back after a while."""
+
+    data_centre: str
+    lasts: float
+
+
 @dataclass(frozen=True, slots=True)
 class StoreTrouble:
     """Let the store refuse some hosts with a status, take longer for them, or stay silent."""
@@ -142,6 +151,7 @@
     | ProcessPauses
     | SettingsChange
     | ConfigurationChanges
+    | DataCentreEvacuated
     | StoreTrouble
     | WritesUnanswered
     | HistoryDropped
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -15,7 +15,7 @@
 from tools.soak.events import Signal
 from tools.soak.faults import Fault, LinkMode, Mood, Timed
 
-__all__ = ["Size", "draw_plan"]
+__all__ = ["DATA_CENTRES", "Size", "draw_plan"]
 
 FIRST = 1.5  # s without faults, in which the first jobs are accepted
 SERIES_EVERY = 3.0  # s of a run for each series of faults
@@ -25,6 +25,9 @@
 SHORT = (0.3, 2.0)  # s
 LONG = (1.0, 6.0)  # s
 LEASES = (2.0, 8.0)  # s: a lease of a worker is 4.5 s
+EVACUATED = (0.1, 10.0)  # s; an evacuation has to be in force after 5 s
+DATA_CENTRES = ("dc0", "dc1", "dc2")
+NOBODYS_DATA_CENTRE = "dc9"
 EXTRA_QUEUES = (0, 1, 3, 40, 1_000)
 TROUBLED_MODES = tuple(mode for mode in LinkMode if mode is not LinkMode.OPEN)
 CUTS = (LinkMode.CUT_THERE, LinkMode.CUT_BACK, LinkMode.SILENT)
@@ -112,6 +115,11 @@
     return faults.ConfigurationChanges(random_.choice(EXTRA_QUEUES))
 
 
+def _draw_evacuation(random_: random.Random, targets: _Targets) -> Fault:
+    data_centre = random_.choice((*DATA_CENTRES, NOBODYS_DATA_CENTRE))
+    return faults.DataCentreEvacuated(data_centre, targets.time(EVACUATED))
+
+
 def _draw_store(random_: random.Random, targets: _Targets) -> Fault:
     hosts, lasts = targets.some_hosts(), targets.time(LONG)
     match random_.randrange(6):
@@ -164,4 +172,5 @@
     _draw_link,
     _draw_workers_cut,
     _draw_worker,
+    _draw_evacuation,
 )
--- a/tools/soak/task_checks.py
+++ b/tools/soak/task_checks.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "CrashLoops",
+    "Evacuations",
     "Leaving",
     "NotAgain",
     "OnePlace",
@@ -26,7 +27,7 @@
 ]
 
 SEEN_LEAVING = 4.0  # s after which a worker that drains gets nothing more
-
+SEEN_EVACUATED = 5.0  # s after which nothing more is started in an evacuated data centre
 
 MOST_CRASHES = 5  # starts of a task that crashes its workers: two after the third crash
 
@@ -205,6 +206,30 @@
                 yield f"job {job} ran on {worker} though it was refused: {sorted(statuses)}"
 
 
+class Evacuations(TaskCheck):
+    """Nothing starts in an evacuated data centre after a few seconds, outside trouble."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._places: dict[str, str] = {}
+        self._since: dict[str, float] = {}
+        self._troubled = 0.0
+
+    def judge(self, event: events.Event) -> Iterator[str]:
+        match event:
+            case events.Troubled():
+                self._troubled = event.at
+            case events.Joined():
+                self._places[event.worker] = event.data_centre
+            case events.Evacuated():
+                known = self._since
+                self._since = {name: known.get(name, event.at) for name in event.data_centres}
+            case events.Started():
+                since = self._since.get(self._places[event.worker], float("inf"))
+                if event.at > max(since, self._troubled) + SEEN_EVACUATED:
+                    yield f"{event.task} began on {event.worker} long after its evacuation"
+
+
 class Leaving(TaskCheck):
     """A worker that drains gets nothing new after a few seconds, outside trouble."""
 
--- a/tools/soak/tests/test_checks.py
+++ b/tools/soak/tests/test_checks.py
@@ -47,7 +47,7 @@
         """Return the names of the checks that find something."""
         checker = Checker()
         checker.record(events.Configured(0.0, frozenset({"q"})))
-        checker.record(events.Joined(0.0, "w1", 1_000, 1_000))
+        checker.record(events.Joined(0.0, "w1", 1_000, 1_000, "dc"))
         checker.record(events.Joined(0.0, "w2", 1_000, 1_000))
         for job in (JOB, COPIED, CRASHING):
             checker.record(events.Offered(0.5, job))
@@ -56,6 +56,17 @@
         checker.close()
         return sorted({violation.check for violation in checker.violations})
 
+    def test_evacuations(self) -> None:
+        evacuated = events.Evacuated(10.0, frozenset({"dc"}))
+        taken_back = events.Evacuated(12.0, frozenset())
+        self.assertEqual(["Evacuations"], self.find(evacuated, start(FIRST, at=15.1)))
+        self.assertEqual([], self.find(evacuated, start(FIRST, at=14.9)))
+        self.assertEqual([], self.find(evacuated, start(FIRST, "w2", at=20.0)))
+        self.assertEqual([], self.find(evacuated, taken_back, start(FIRST, at=20.0)))
+        again = events.Evacuated(13.0, frozenset({"dc"}))
+        self.assertEqual([], self.find(evacuated, taken_back, again, start(FIRST, at=17.0)))
+        self.assertEqual([], self.find(evacuated, events.Troubled(12.0), start(FIRST, at=16.0)))
+
     def test_one_place(self) -> None:
         self.assertEqual(["OnePlace"], self.find(start(FIRST), start(FIRST, "w2")))
         self.assertEqual([], self.find(start(FIRST), end(FIRST, "lapsed"), start(FIRST, "w2")))
--- a/tools/soak/weakened.py
+++ b/tools/soak/weakened.py
@@ -67,12 +67,18 @@
     owner.give_up_crashing = lambda cell, now: []
 
 
+def _forget_evacuations() -> None:
+    """Start tasks in data centres that operators have evacuated."""
+    owner.take_evacuated = lambda cell, evacuated, bound: False
+
+
 WEAKENINGS: dict[str, Callable[[], None]] = {
     "leases": _forget_leases,
     "unsure-writes": _refuse_unsure,
     "written-ends": _acknowledge_early,
     "drain": _end_at_once,
     "crashes": _forget_crashes,
+    "evacuations": _forget_evacuations,
 }
 
 
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -127,7 +127,7 @@
     async def start(self) -> None:
         """Listen and register."""
         entry = self.core.entry
-        self._record(Joined(time.monotonic(), entry.id, entry.cpu, entry.memory))
+        self._record(Joined(time.monotonic(), entry.id, entry.cpu, entry.memory, entry.data_centre))
         await super().start()
 
     def advance(self) -> None:
