Keep some log lines for warnings, and tell when an owner is behind

On-call saw: at an owner's busiest second its warnings were dropped with all other lines (600 a second), so nothing told that it was late. Red before: the new test of test_logs (the newest line is an info line). Of 3,000 lines that may come at once 300 are kept for warnings and errors; owner.behind tells each second its delay, starts on their way, waiting tasks and silent workers. test_logs set the tokens to 10 to have a line written again; that is 10 above the kept ones now, the same check.

--- a/toucanpin/entry/logs.py
+++ b/toucanpin/entry/logs.py
@@ -21,6 +21,7 @@
 
 RATE = 600.0  # lines a second; an owner of hundreds of workers drops some at its busiest
 BURST = 3_000.0  # lines that may come at once, such as all tasks at a takeover
+RESERVED = 300.0  # of these lines, for warnings and errors
 MAX_HELD = 262_144  # bytes that wait for a reader before lines are dropped
 
 
@@ -45,7 +46,8 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write one record, or count it."""
-        if not self._take_token() or len(self._held) > MAX_HELD:
+        reserved = RESERVED if record.level < logbook.WARNING else 0.0
+        if not self._take_token(reserved) or len(self._held) > MAX_HELD:
             self.dropped += 1
             return
         if self.dropped > self._told:
@@ -53,11 +55,16 @@
             self._write(self._encode_dropped())
         self._write(self._encode(record))
 
-    def _take_token(self) -> bool:
+    def _take_token(self, reserved: float) -> bool:
+        """
+        Take the right to one line, if more than so many are left.
+
+        At its busiest an owner would otherwise drop the lines that tell of it.
+        """
         now = time.monotonic()
         self._tokens = min(BURST, self._tokens + RATE * (now - self._filled_at))
         self._filled_at = now
-        if self._tokens < 1.0:
+        if self._tokens < 1.0 + reserved:
             return False
         self._tokens -= 1.0
         return True
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -69,6 +69,7 @@
 TELL_PERIOD = 1.0  # s between looks for what waits for long
 PLACING_SHARE = 0.35  # of the time, at most
 PERIODIC_SHARE = 0.08  # of it for each of moving, pacing and gathering
+BEHIND = 0.2  # s of delay that is told
 KEEP_MARGIN = 15.0  # s that ended jobs are kept longer than promised
 # A lease that an earlier owner granted ends on a clock that may be 2% slow, and a little later.
 HORIZON = AUTHORITY * 1.04 + 0.4
@@ -321,6 +322,7 @@
             if now.steady > told_at + TELL_PERIOD:
                 told_at = now.steady
                 log_waits(self._cell, now)
+                self._log_behind(now)
                 if self._cell.evacuated:
                     log_evacuations(self._cell)
             if now.steady > forgotten_at + FORGET_PERIOD:
@@ -328,6 +330,20 @@
                 forget_ended(self._cell, now, self._bounds.keep_ended + KEEP_MARGIN)
             self._after_change()
 
+    def _log_behind(self, now: Now) -> None:
+        """Tell that this host is too weak for the cell, or paused."""
+        delay = self._delay.read(now.steady)
+        if delay > BEHIND:
+            _log.warning(
+                "the owner is behind",
+                event="owner.behind",
+                cell=self._cell.name,
+                delay=round(delay, 3),
+                starting=self._workers.count_starting(),
+                waiting=sum(map(len, self._cell.waiting.values())),
+                silent=sum(worker.silent for worker in self._cell.workers.values()),
+            )
+
     def _after_change(self) -> None:
         log_losses(self._cell)
         orders = self._cell.orders
--- a/toucanpin/entry/tests/test_logs.py
+++ b/toucanpin/entry/tests/test_logs.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from toucanpin.entry.logs import BURST, LineHandler
+from toucanpin.entry.logs import BURST, RESERVED, LineHandler
 
 
 class LineHandlerTest(unittest.TestCase):
@@ -57,11 +57,22 @@
         self.assertGreater(self.handler.dropped, 0)
         self.assertLess(written, BURST + 900)
         dropped = self.handler.dropped
-        self.handler._tokens = 10.0
+        self.handler._tokens = RESERVED + 10.0
         self._log(1)
         told = self._read()
         self.assertEqual(("log.dropped", dropped), (told[0]["event"], told[0]["lines"]))
 
+    def test_a_warning_is_written_where_lines_are_dropped(self) -> None:
+        """Guards against a load that hides the lines which tell of it."""
+        self.addCleanup(os.close, self.writer)
+        for _ in range(int(BURST) // 100 + 10):
+            self._log(100)
+            self._read()
+        self.assertGreater(self.handler.dropped, 0)
+        with self.handler.applicationbound():
+            logbook.Logger("part").warning("late", event="part.late")
+        self.assertEqual("part.late", self._read()[-1]["event"])
+
     def test_a_reader_that_is_gone_stops_nothing(self) -> None:
         reader, writer = os.pipe()
         os.close(reader)
