Renew leases while a new owner reads its rows, and leave the link to writes while rows are read again

Owners lost their cell (23 s, 61 s) to others while they lived, and each takeover took 3.1 to 3.5 s. Cause, from their logs: an owner read all jobs again in one go, which filled its link for seconds: its commit had no answer for more than 1.3 s, and another host took the cell. The new one read 1,200 jobs for 3 s, longer than is left of a lease, before it asked the first worker: everything that ran was lost. Red before: both tests of test_slow_takeover (gaps of 11 ms where 180 were meant; 6 starts of 3 lasting tasks). Change: a new owner reads the workers' entries first and renews their leases while it reads the rows, answers count only after that; reads that nobody waits for come in pages of 40 rows, with a rest after each that leaves them a twentieth of the time.

--- a/toucanpin/entry/cell_jobs.py
+++ b/toucanpin/entry/cell_jobs.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import logbook
 
 from toucanpin.entry.cell_rows import CellRows, decode_job_row
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.entries import EntryReader
-from toucanpin.entry.followed import WHOLE_PERIOD, plan_rest
+from toucanpin.entry.followed import WHOLE_PERIOD, WHOLE_SHARE
 from toucanpin.entry.rows import JOBS, list_job_parts, split_key
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
@@ -90,17 +90,19 @@
             self._take_changes(page)
 
     async def relist(self) -> None:
-        """Read all jobs now and then, for what a watch has missed."""
-        rest = WHOLE_PERIOD
+        """
+        Read all jobs now and then, for what a watch has missed.
+
+        Read in one go, thousands of jobs fill a slow link for seconds, and the owner's own writes
+        come so late that it is replaced.
+        """
         while True:
-            await asyncio.sleep(rest)
-            begun = steady_time()
-            await self._read()
-            rest = plan_rest(steady_time() - begun)
+            await asyncio.sleep(WHOLE_PERIOD)
+            await self._read(_rest)
 
-    async def _read(self) -> None:
+    async def _read(self, rest: Callable[[float], Awaitable[None]] | None = None) -> None:
         """Read all jobs, however long it takes; the watch goes on from there if it is behind."""
-        page = await self._rows.read_jobs()
+        page = await self._rows.read_jobs(rest)
         self._take_page(page, page.clock)
 
     def _take_changes(self, page: Page) -> None:
@@ -137,3 +139,8 @@
         # A row that was dropped since it was read is of a job that has long ended.
         if now.table - job.accepted < self._keep_ended * 1_000 or not job.accepted:
             submit_job(self._cell, job, now)
+
+
+async def _rest(took: float) -> None:
+    """Rest after a page that took so many seconds."""
+    await asyncio.sleep(took / WHOLE_SHARE - took)
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import logbook
 import msgspec
@@ -125,24 +125,31 @@
             if is_cancel:
                 cancel_job(self._cell, identifier, now)
 
-    async def read_jobs(self) -> Page:
+    async def read_jobs(self, rest: Callable[[float], Awaitable[None]] | None = None) -> Page:
         """
-        Read the jobs of all parts, however long it takes.
+        Read the jobs of all parts, however long it takes, with a rest after each page if one is
+        given.
 
         ``version`` and ``clock`` are of the oldest moment.
         """
-        pages = [await self._read_part(JOBS, part) for part in list_job_parts(self._cell.name)]
+        parts = list_job_parts(self._cell.name)
+        pages = [await self._read_part(JOBS, part, rest) for part in parts]
         rows = tuple(row for page in pages for row in page.rows)
         version = min(page.version for page in pages)
         return Page(rows, False, version, min(page.clock for page in pages))
 
-    async def _read_part(self, table: str, part: str) -> Page:
+    async def _read_part(
+        self,
+        table: str,
+        part: str,
+        rest: Callable[[float], Awaitable[None]] | None = None,
+    ) -> Page:
         async def pause(error: ToucanpinError) -> None:
             _log.warning("cell not read", event="cell.unread", part=part, reason=error)
             await asyncio.sleep(RETRY)
 
         # Begun anew after each lost answer, a read of many pages might never end.
-        return await self._store.read_all(table, part, unread=pause)
+        return await self._store.read_all(table, part, unread=pause, rest=rest)
 
     async def write(self, batch: Batch, resigning: bool) -> None:
         """
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -23,8 +23,10 @@
 from toucanpin.scheduling.holding import (
     list_workers,
     plan_hold,
+    plan_renewal,
     replace_worker,
     take_answer,
+    take_clock,
     take_silence,
 )
 from toucanpin.scheduling.job import format_task
@@ -48,6 +50,7 @@
 SHORT_RETRY = 0.02  # s before a start is repeated
 RETRY = 0.1  # s before another order is repeated
 SILENT_PAUSE = 0.3  # s between questions to a worker that doesn't answer
+RENEWAL_PERIOD = 1.0  # s between renewals of a lease while the cell's rows are being read
 WRITE_WAIT = 0.4  # s for which a worker isn't asked while its ends are being written
 
 
@@ -72,6 +75,7 @@
         self._calls: dict[str, WorkerCalls] = {}
         self._answers = AnswerTimes()
         self._written = asyncio.Event()
+        self._loaded = asyncio.Event()
         self._sent: dict[int, float] = {}  # when starts without an answer were sent
 
     def count_starting(self) -> int:
@@ -80,6 +84,10 @@
         oldest = now - ANSWERED - self._delay.read(now)
         return sum(sent_at > oldest for sent_at in self._sent.values())
 
+    def note_loaded(self) -> None:
+        """Take note that the cell's rows are read, so that answers mean something."""
+        self._loaded.set()
+
     def note_written(self) -> None:
         """Wake those who wait for ends to be written."""
         self._written.set()
@@ -103,6 +111,7 @@
         """Ask one worker for ever, so that its lease is renewed and its ends are heard."""
         identifier = worker.entry.id
         calls = self._calls[identifier]
+        await self._renew(worker, calls)
         while self._cell.workers.get(identifier) is worker:
             order = plan_hold(self._cell, worker, self._clocks.now())
             sent_at = steady_time()
@@ -146,6 +155,32 @@
         if self._calls.get(identifier) is calls:
             del self._calls[identifier]
 
+    async def _renew(self, worker: Worker, calls: WorkerCalls) -> None:
+        """
+        Renew a worker's lease until the cell's rows are read.
+
+        On a link that is slow for what it has to read a new owner takes longer than a lease, and
+        all that runs would be lost with each takeover.
+        """
+        while not self._loaded.is_set():
+            deadline = plan_renewal(self._cell, worker, self._clocks.now())
+            pause = RENEWAL_PERIOD if deadline else 0.0
+            try:
+                answer = await calls.hold(self._cell.token, 0, deadline, 0.0, LONGEST)
+            except WorkerReplacedError:
+                return
+            except (CallError, PlatformError):
+                pause = RETRY
+            else:
+                if isinstance(answer, Refused):
+                    raise DeposedError(f"worker {worker.entry.id} refused: {answer.value}")
+                take_clock(worker, answer, self._clocks.now())
+            try:
+                async with asyncio.timeout(pause):
+                    await self._loaded.wait()
+            except TimeoutError:
+                continue
+
     async def _wait_for_writes(self, worker: Worker) -> None:
         """
         Wait until the ends that a worker lists are written and can be acknowledged.
--- a/toucanpin/entry/followed.py
+++ b/toucanpin/entry/followed.py
@@ -13,7 +13,7 @@
 from toucanpin.http import TooLargeError
 from toucanpin.platform.store import Page, Row, Store
 
-__all__ = ["WHOLE_PERIOD", "FollowedRows", "plan_rest"]
+__all__ = ["WHOLE_PERIOD", "WHOLE_SHARE", "FollowedRows", "plan_rest"]
 
 # The table's changes may hear nothing for a second while there are some, and not say so.
 WHOLE_PERIOD = 3.0  # s between whole reads, for what changes have missed
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -146,8 +146,10 @@
         loop = asyncio.get_running_loop()
         self._deposed = loop.create_future()
         try:
+            self._spawn(self._list())
             self._jobs.followed = await self._load()
-            following = (self._jobs.follow, self._jobs.relist, self._list)
+            self._workers.note_loaded()
+            following = (self._jobs.follow, self._jobs.relist)
             for part in (self._commit, *following, self._tick, self._forget):
                 self._spawn(part())
             if self._waves is not None:
@@ -163,7 +165,8 @@
         """
         Read the cell's rows and renew its ownership meanwhile; return the version to follow from.
 
-        A slow store takes seconds for them, and an owner that is silent for 1.3 s is replaced.
+        A slow store takes seconds for them, and an owner that is silent for 1.3 s is replaced.  So
+        does a slow link, and leases of workers are renewed meanwhile.
         """
         reading = asyncio.ensure_future(self._rows.load(self._clocks.now))
         try:
@@ -171,6 +174,8 @@
                 # One that leaves has no time to read on, and who waits for its silence loses more.
                 await self._rows.renew(self._resigning)
                 self._check_held()
+                if self._deposed is not None and self._deposed.done():
+                    self._deposed.result()
             return reading.result()
         finally:
             reading.cancel()
--- /dev/null
+++ b/toucanpin/entry/tests/test_slow_takeover.py
@@ -0,0 +1,83 @@
+"""What a takeover costs on a host whose link is slow for what it has to read."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from unittest.mock import patch
+
+from standins.site.site import Site
+from toucanpin.entry.cell_jobs import CellJobs
+from toucanpin.entry.cell_rows import CellRows
+from toucanpin.entry.clocks import Clocks
+from toucanpin.entry.entries import EntryReader
+from toucanpin.platform.store import Page, Store
+from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.holding import LEASE
+from toucanpin.scheduling.ownership import OwnerRecord
+from toucanpin.scheduling.sharing import Sharing
+
+LOADING = LEASE + 1.0  # s that a new owner takes to read the cell's rows
+PART_OF_TIME = 0.05  # that reads which nobody waits for may take
+PAGE_TIME = 0.01  # s that a page takes
+
+
+class SlowTakeoverTest(unittest.IsolatedAsyncioTestCase):
+    async def test_what_runs_goes_on_while_a_new_owner_reads_its_rows(self) -> None:
+        """Guards against leases that lapse on all workers while a takeover is under way."""
+        site = Site()
+        site.configure()
+        self.addAsyncCleanup(site.close)
+        await site.add_host()
+        await site.add_host()
+        worker = await site.add_worker(lasts=60.0)
+        self.assertTrue(await site.until_ready(0))
+        self.assertTrue(await site.until_ready(1))
+        owner = next(number for number, host in enumerate(site.hosts) if host.owned_cells())
+        await site.submit(host=owner, count=3, longRunning=True)
+        self.assertTrue(await site.until(lambda: len(worker.core.runs) == 3))
+        load = CellRows.load
+
+        async def load_late(rows: CellRows, now: Callable[[], Now]) -> int:
+            await asyncio.sleep(LOADING)
+            return await load(rows, now)
+
+        with patch.object(CellRows, "load", load_late):
+            await site.hosts[owner].abort()
+            await asyncio.sleep(LOADING + LEASE)
+        self.assertEqual(3, len(worker.core.runs))
+        self.assertEqual(3, len(worker.core.starts))
+
+
+class _SlowPages:
+    """Answer each read with a page of one row, of which there are three in each part."""
+
+    def __init__(self) -> None:
+        self.asked: list[float] = []
+
+    async def read(self, *args: object, **fields: object) -> Page:
+        self.asked.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(PAGE_TIME)
+        return Page((), len(self.asked) % 3 != 0, 1, 1)
+
+
+class RelistTest(unittest.IsolatedAsyncioTestCase):
+    async def test_jobs_that_nobody_waits_for_leave_the_link_to_others(self) -> None:
+        """Guards against an owner that is replaced while its own reads fill its link."""
+        pages = _SlowPages()
+        store = Store(None)  # type: ignore[arg-type]
+        cell, entries = Cell("c", 1, 0.0, 0.0), EntryReader()
+        record = OwnerRecord("h", "life", 1, 0)
+        rows = CellRows(store, cell, Sharing(), record, 1, 0.0, entries)
+        jobs = CellJobs(store, Clocks(store), cell, rows, entries, 1.0, lambda: None)
+        with (
+            patch.object(Store, "read", pages.read),
+            patch("toucanpin.entry.cell_jobs.WHOLE_PERIOD", 0.0),
+        ):
+            relisting = asyncio.ensure_future(jobs.relist())
+            await asyncio.sleep(30 * PAGE_TIME / PART_OF_TIME / 10)
+            relisting.cancel()
+        gaps = [after - before for before, after in zip(pages.asked, pages.asked[1:], strict=False)]
+        self.assertGreater(len(gaps), 1)
+        self.assertGreaterEqual(min(gaps), PAGE_TIME / PART_OF_TIME * 0.9)
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -25,6 +25,7 @@
 
 READ_TIMEOUT = 2.0  # s: a healthy answer takes 10 ms, one of a store 60 times slower 0.6 s
 PAGE = 150  # rows asked for at a time, so that a page also passes the inner protocol
+FEW = 40  # rows asked for at a time where nobody waits for them
 MAX_PAGE = 500  # rows of one answer, by the platform's page
 
 
@@ -210,18 +211,21 @@
         start: str = "",
         end: str = "",
         unread: Callable[[ToucanpinError], Awaitable[None]] | None = None,
+        rest: Callable[[float], Awaitable[None]] | None = None,
     ) -> Page:
         """
         Read all rows of a range in a part, however many pages they fill.
 
         ``version`` and ``clock`` are those of the first page.  A page that wasn't read is asked for
-        again after ``unread``, if that is given.
+        again after ``unread``, and the next one after a ``rest`` that is told how many seconds this
+        one took, where these are given.
         """
         rows: list[Row] = []
         first: Page | None = None
         while True:
+            asked_at = steady_time()
             try:
-                page = await self.read(table, part, start, end, limit=PAGE)
+                page = await self.read(table, part, start, end, limit=PAGE if rest is None else FEW)
             except (CallError, PlatformError) as error:
                 if unread is None:
                     raise
@@ -229,6 +233,8 @@
                 continue
             first = first or page
             rows += page.rows
+            if rest is not None:
+                await rest(steady_time() - asked_at)
             if not page.more or not page.rows:
                 return Page(tuple(rows), False, first.version, first.clock)
             start = page.rows[-1].key + "\0"
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -23,8 +23,10 @@
     "list_workers",
     "lease_end",
     "plan_hold",
+    "plan_renewal",
     "replace_worker",
     "take_answer",
+    "take_clock",
     "take_silence",
     "lapse_workers",
 ]
@@ -93,6 +95,17 @@
     return HoldOrder(worker.acknowledged, deadline, _choose_wait(worker))
 
 
+def plan_renewal(cell: Cell, worker: Worker, now: Now) -> int:
+    """Return the lease's end for a worker of which nothing but its clock is known, 0 before."""
+    until = lease_end(cell, now)
+    return grant_deadline(worker, until) if worker.clock and until > now.steady else 0
+
+
+def take_clock(worker: Worker, held: Held, now: Now) -> None:
+    """Take note of a worker's clock alone, before it is known what should run there."""
+    _read_clock(worker, held.clock, now)
+
+
 def _choose_wait(worker: Worker) -> float:
     if not worker.runs:
         return IDLE_WAIT
