An owner no longer ends on a task that a list shows before its start is answered

Callers saw: the cell's owner ended ('owner failed', ZeroDivisionError in moving), its leases and starts stood still for 2 to 4 s until another took the cell. Cause: such a task is first heard of by a list that shows it well on its way; its time since then is 0, and so is its ratio to its siblings' times. Red before: LateStartTest (ZeroDivisionError). Change: a task that shows progress when it is first heard of tells no time, as one that began from a checkpoint doesn't.

--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -229,7 +229,7 @@
 
 def _note_time(live: LiveJob, run: Run, now: Now) -> None:
     """Keep what a task of a step took, to know slow workers by."""
-    if run.started_at and not run.resumed:
+    if run.started_at and not run.untimed:
         live.times.setdefault(run.task.step, []).append(now.steady - run.started_at)
 
 
--- a/toucanpin/scheduling/holding.py
+++ b/toucanpin/scheduling/holding.py
@@ -204,6 +204,7 @@
         run.phase = Phase.RUNNING
         run.started_at = run.moved_at = now.steady
         run.unsure = False
+        run.untimed = run.untimed or running.percent > 0
         note_begun(cell, run.task.job)
         if live is None or record is None or JobState(live.progress.state).ended:
             stop_run(cell, run, "job ended")
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -176,7 +176,7 @@
         run.phase is Phase.RUNNING
         and not run.step.lasting
         and not run.step.gang
-        and not run.resumed
+        and not run.untimed
         and run.pace == 100
         and run.percent >= SHOWN
     )
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -332,7 +332,7 @@
     run.priority = live.job.priority
     run.doubt = find_doubt(live, task)
     run.checkpoint = record.checkpoint
-    run.resumed = bool(record.checkpoint)
+    run.untimed = bool(record.checkpoint)
     group = Group(task.job, task.occurrence, task.step)
     run.ticket = find_ticket(cell, group, worker.entry.id, now)
     wait = cell.waits.get(group)
--- a/toucanpin/scheduling/tests/test_moving.py
+++ b/toucanpin/scheduling/tests/test_moving.py
@@ -9,6 +9,7 @@
 from toucanpin.scheduling.orders import End, Ended
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.worker import Phase
 
 
 class SlowWorkerTest(unittest.TestCase):
@@ -44,6 +45,21 @@
         self.assertEqual(2, sum(len(worker.starts) for worker in fleet.workers.values()))
 
 
+class LateStartTest(unittest.TestCase):
+    def test_a_task_that_a_list_shows_first_tells_no_time(self) -> None:
+        """Guards against an owner that ends as it divides by the time of a task just heard of."""
+        fleet = Fleet(workers=2, cpu=3_000)
+        fleet.workers["w0"].lasts = 12.0
+        fleet.workers["w1"].lasts = 2.0
+        fleet.submit(make_job(steps=(Step(count=6, cpu=1_000),)))
+        fleet.run(1.9)
+        unheard = next(iter(fleet.cell.workers["w0"].runs.values()))
+        unheard.phase = Phase.ORDERED
+        fleet.run(12.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertFalse(fleet.double)
+
+
 class LateListTest(unittest.TestCase):
     def test_a_task_whose_worker_was_not_heard_of_does_not_stand_still(self) -> None:
         """
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -76,7 +76,8 @@
     stop_sent_at: float = 0.0
     waited: float = 0.0  # s without a place before this one
     why: str = ""  # what kept it waiting at last
-    resumed: bool = False  # it began from a checkpoint, so its progress says little of its time
+    # It began from a checkpoint, or before it was heard of, so its progress tells no time.
+    untimed: bool = False
     priority: int = 0  # that of its job
     doubt: Doubt = Doubt.NONE
 
