Refuse at once what an owner that is behind couldn't start in time

Change: an owner whose own turns come 0.1 s late for 2 s tells with its row for how long new tasks of each priority will wait (what waits, by the starts of the last seconds). Hosts that look at that row anyway answer 503 with Retry-After 2 to a job whose own time is shorter than that, never to lasting or timed ones. 503 is said only if a read shows that no earlier try has handed the job in; without an answer 504. Red before: test_backlog, test_shedding (the parts that weren't there).

--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -86,6 +86,7 @@
         self._counted_at = 0.0
         self.view = View()
         self._learned_at = 0.0
+        self.backlog: dict[int, int] = {}  # written with the owner's row
 
     async def load(self, now: Callable[[], Now]) -> int:
         """Read all rows of the cell into it; return the version to follow the jobs from."""
@@ -181,7 +182,8 @@
 
     async def _commit(self, puts: Sequence[Put], resigning: bool) -> None:
         host = "" if resigning else self.record.host
-        record = OwnerRecord(host, self.record.life, self.record.token, self.record.sequence + 1)
+        sequence = self.record.sequence + 1
+        record = OwnerRecord(host, self.record.life, self.record.token, sequence, self.backlog)
         puts = [Put(OWNERS, OWNER_KEY, encode_owner(record)), *puts]
         if resigning:
             puts.append(Put(HANDOVERS, OWNER_KEY, record.life.encode()))
--- a/toucanpin/entry/contender.py
+++ b/toucanpin/entry/contender.py
@@ -45,6 +45,7 @@
 RETRY = 0.4  # s after a row that couldn't be read
 HANDOVER_WAIT = 20.0  # s that a watch of resignations waits
 YIELD_PERIOD = 1.0  # s between looks for a stronger host
+BACKLOG_AGE = 3.0  # s since an owner's row was read in which its backlog counts
 REST = 1.0  # s that a process which lost a cell leaves it to others
 
 
@@ -75,6 +76,7 @@
         self._yielded_at = -YIELD_AGAIN
         self._entries = EntryReader()
         self._owner: Owner | None = None
+        self._watch = Watch()
         self._leaving = False
         self._resigned = asyncio.Event()
         digest = xxhash.xxh32_intdigest(f"{cell}/{settings.name}/{life}".encode())
@@ -85,6 +87,14 @@
         """Tell whether this process owns the cell."""
         return self._owner is not None
 
+    def read_backlog(self) -> dict[int, int]:
+        """Return by priority for how long new tasks will wait for the cell's owner, in ms."""
+        if self._owner is not None:
+            return self._owner.backlog
+        watch = self._watch
+        fresh = watch.record is not None and steady_time() < watch.seen_at + BACKLOG_AGE
+        return watch.record.backlog if fresh and watch.record is not None else {}
+
     def count_waiting(self) -> Counter[str]:
         """Return how many tasks of each priority wait in the cell, if it is owned."""
         return self._owner.count_waiting() if self._owner else Counter()
@@ -95,16 +105,16 @@
 
     async def run(self) -> None:
         """Contend for ever."""
-        watch = Watch()
         while not self._leaving:
             pause = RETRY
+            watch = self._watch
             try:
                 delay = await self._look(watch)
                 if delay is not None and not self._leaving:
                     await asyncio.sleep(delay)
                     await self._take(watch)
-                    watch = Watch()
-                pause = plan_look(watch, self._peers.find_place(self._cell))
+                    self._watch = Watch()
+                pause = plan_look(self._watch, self._peers.find_place(self._cell))
             except (CallError, PlatformError) as error:
                 _log.warning("owner not read", event="owner.unread", reason=error)
             try:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -55,7 +55,7 @@
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.sharing import Sharing
-from toucanpin.scheduling.shedding import Delay, Share
+from toucanpin.scheduling.shedding import Backlog, Delay, Share
 
 __all__ = ["Owner"]
 
@@ -131,6 +131,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
         self._placing = Share(PLACING_SHARE)
+        self._backlog = Backlog()
         self._deposed: asyncio.Future[None] | None = None
         self._resigning = False
 
@@ -187,6 +188,11 @@
             counts[str(self._cell.jobs[group.job].job.priority)] += len(indices)
         return counts
 
+    @property
+    def backlog(self) -> dict[int, int]:
+        """Return by priority for how long new tasks will wait for this owner, in ms."""
+        return self._rows.backlog
+
     def count_evacuated(self) -> dict[str, float]:
         """Return how many tasks still run in each evacuated data centre."""
         return {it.data_centre: float(it.runs) for it in describe_evacuations(self._cell)}
@@ -244,6 +250,7 @@
         if self._hears_of_cancels(now) and knows_evacuations(self._cell, now):
             most = self._delay.limit_starts(now.steady) - self._workers.count_starting()
             place_tasks(self._cell, self._sharing, now, most)
+            self._backlog.note_starts(len(self._cell.placed), now.steady)
         ended = steady_time()
         self._placing.note(now.steady, ended)
         TURN_TIME.record(ended - now.steady, {"what": "placing"})
@@ -327,6 +334,7 @@
             if now.steady > told_at + TELL_PERIOD:
                 told_at = now.steady
                 log_waits(self._cell, now)
+                self._estimate_backlog(now)
                 self._log_behind(now)
                 if self._cell.evacuated:
                     log_evacuations(self._cell)
@@ -335,6 +343,16 @@
                 forget_ended(self._cell, now, self._bounds.keep_ended + KEEP_MARGIN)
             self._after_change()
 
+    def _estimate_backlog(self, now: Now) -> None:
+        waiting: Counter[int] = Counter()
+        for group, indices in self._cell.waiting.items():
+            job = self._cell.jobs[group.job].job
+            # Lasting tasks may wait for room for as long as others last.
+            if not job.steps[group.step].lasting:
+                waiting[job.priority] += len(indices)
+        delay = self._delay.read(now.steady)
+        self._rows.backlog = self._backlog.estimate(waiting, delay, now.steady)
+
     def _log_behind(self, now: Now) -> None:
         """Tell that this host is too weak for the cell, or paused."""
         delay = self._delay.read(now.steady)
@@ -345,6 +363,7 @@
                 cell=self._cell.name,
                 delay=round(delay, 3),
                 starting=self._workers.count_starting(),
+                backlog=str(self._rows.backlog),
                 waiting=sum(map(len, self._cell.waiting.values())),
                 silent=sum(worker.silent for worker in self._cell.workers.values()),
             )
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -36,6 +36,7 @@
 from toucanpin.scheduling.configuration import Queue
 from toucanpin.scheduling.job import encode_job, find_job_fault
 from toucanpin.scheduling.progress import JobState, decode_progress
+from toucanpin.scheduling.shedding import is_hopeless
 
 __all__ = ["Requests"]
 
@@ -64,13 +65,24 @@
     value: T | None
 
 
+def _no_backlog(service: str) -> Mapping[int, int]:
+    return {}
+
+
 class Requests:
     """Answer callers' requests about jobs."""
 
-    __slots__ = ("_clocks", "_configuration", "_entries", "_store")
+    __slots__ = ("_clocks", "_configuration", "_entries", "_read_backlog", "_store")
 
-    def __init__(self, store: Store, configuration: ConfigurationWatch, clocks: Clocks) -> None:
+    def __init__(
+        self,
+        store: Store,
+        configuration: ConfigurationWatch,
+        clocks: Clocks,
+        read_backlog: Callable[[str], Mapping[int, int]] = _no_backlog,
+    ) -> None:
         self._store = store
+        self._read_backlog = read_backlog
         self._configuration = configuration
         self._clocks = clocks
         self._entries = EntryReader()
@@ -148,6 +160,8 @@
         if fault:
             _log.info("job refused", event="job.malformed", job=identifier, reason=fault)
             return Response(400, msgspec.json.encode({"error": fault}))
+        if is_hopeless(job, self._read_backlog(queue.service)):
+            return await self._turn_away(queue, identifier, deadline)
         put = Put(JOBS, identifier, encode_job(job))
         written = await self._write(job_part(queue.service, identifier), put, deadline)
         _log.info(
@@ -166,13 +180,28 @@
         # The row may still be written, so neither an acceptance nor a refusal would be true.
         return Response(504)
 
-    async def _cancel(self, queue: Queue, identifier: str, deadline: float) -> Response:
+    async def _turn_away(self, queue: Queue, identifier: str, deadline: float) -> Response:
+        """
+        Refuse a job that couldn't be in time, unless an earlier try has handed it in.
+
+        Told that it never runs, a caller whose first answer was lost would hand it in anew.
+        """
+        accepted = await self._find_job(queue, identifier, deadline)
+        _log.info("job turned away", event="job.hopeless", job=identifier, queue=queue.name)
+        if not accepted.answered:
+            return Response(504)
+        return Response(200) if accepted.value else Response(503, retry_after=COME_BACK_LATER)
+
+    async def _find_job(self, queue: Queue, identifier: str, deadline: float) -> _Found[bool]:
         async def find() -> bool:
             part = job_part(queue.service, identifier)
             page = await self._store.read(JOBS, part, identifier, identifier + "\0")
             return bool(page.rows)
 
-        found = await self._try(find, deadline)
+        return await self._try(find, deadline)
+
+    async def _cancel(self, queue: Queue, identifier: str, deadline: float) -> Response:
+        found = await self._find_job(queue, identifier, deadline)
         if not found.answered:
             return Response(503, retry_after=self._come_back())
         if not found.value:
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -13,7 +13,7 @@
 import time
 import traceback
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from functools import partial
 from typing import Any
 
@@ -68,7 +68,9 @@
         self._clocks = Clocks(self._store)
         self._clocks.offsets = self._peers.wall_offsets
         self._configuration = ConfigurationWatch(self._store)
-        self._requests = Requests(self._store, self._configuration, self._clocks)
+        self._requests = Requests(
+            self._store, self._configuration, self._clocks, self._read_backlog
+        )
         self._front = Server(self._requests.handle, MAX_HEADERS, MAX_BODY)
         self._readiness = Server(self._answer_probe, MAX_HEADERS, MAX_BODY)
         self._contenders: dict[str, Contender] = {}
@@ -200,6 +202,11 @@
                 self._front.max_body = current.max_body
             await asyncio.sleep(0.1)
 
+    def _read_backlog(self, service: str) -> Mapping[int, int]:
+        """Return by priority for how long new tasks of a service will wait for its owner, in ms."""
+        contender = self._contenders.get(service)
+        return contender.read_backlog() if contender is not None else {}
+
     def _is_guarded(self, service: str) -> bool:
         """Tell whether a service's workers refuse what doesn't fit, as far as is known."""
         current = self._configuration.current
--- /dev/null
+++ b/toucanpin/entry/tests/test_backlog.py
@@ -0,0 +1,53 @@
+"""What callers hear of an owner that can't follow, over real connections."""
+
+from __future__ import annotations
+
+import unittest
+from unittest.mock import patch
+
+from standins.site.site import JOB, PREFIX, Site
+from toucanpin.entry.owner import Owner
+
+OTHER_JOB = "00000000000000b2"
+HOUR = 3_600_000  # ms
+
+
+class BacklogTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.site = Site()
+        self.site.configure()
+        self.addAsyncCleanup(self.site.close)
+        for _ in range(2):
+            await self.site.add_host()
+        await self.site.add_worker()
+        self.assertTrue(await self.site.until_ready(0))
+        self.assertTrue(await self.site.until_ready(1))
+
+    async def _fall_behind(self) -> None:
+        def estimate(owner: Owner, now: object) -> None:
+            owner._rows.backlog = {0: HOUR}
+
+        self.enterContext(patch.object(Owner, "_estimate_backlog", estimate))
+
+        async def check() -> bool:
+            backlogs = [host._read_backlog("c") for host in self.site.hosts]
+            return all(backlogs)
+
+        self.assertTrue(await self.site.until(check))
+
+    async def test_every_host_refuses_at_once_what_could_not_be_in_time(self) -> None:
+        """Guards against jobs that are accepted, and wait for longer than they are of use."""
+        await self._fall_behind()
+        for host in range(2):
+            answer = await self.site.submit(host=host)
+            self.assertEqual(503, answer.status)
+            self.assertEqual("2", answer.headers["retry-after"])
+        self.assertEqual(410, (await self.site.call("GET", PREFIX + JOB)).status)
+        self.assertEqual(200, (await self.site.submit(OTHER_JOB, longRunning=True)).status)
+
+    async def test_a_job_that_was_accepted_is_never_said_to_be_refused(self) -> None:
+        """Guards against a caller that hands a job in anew since its repeat was turned away."""
+        self.assertEqual(200, (await self.site.submit()).status)
+        await self._fall_behind()
+        self.assertEqual(200, (await self.site.submit(host=1)).status)
+        self.assertTrue(await self.site.until_state("completed"))
--- a/toucanpin/entry/tests/test_cell_workers.py
+++ b/toucanpin/entry/tests/test_cell_workers.py
@@ -75,6 +75,7 @@
         cell.workers["w"] = worker
         calls = _MuteCalls()
         workers._calls["w"] = calls  # type: ignore[assignment]
+        workers.note_loaded()
         holding = asyncio.ensure_future(workers._hold(worker))
         for _ in range(10):
             await asyncio.sleep(0)
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -30,6 +30,7 @@
     "Wait",
     "WaitReason",
     "add_run",
+    "allow_time",
     "begin_occurrence",
     "drop_run",
     "find_record",
@@ -288,6 +289,11 @@
     return Lateness.LATE if end <= limit else Lateness.WORTHLESS
 
 
+def allow_time(job: Job) -> int:
+    """Return the time in which a job should be done, in ms."""
+    return job.aim + int(job.stretch * max(sum_remaining(job)))
+
+
 def sum_remaining(job: Job) -> tuple[int, ...]:
     """Return how long a job takes from the beginning of each step on, as estimated, in ms."""
     remaining = [step.estimate for step in job.steps]
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -12,6 +12,7 @@
     LiveJob,
     Now,
     add_run,
+    allow_time,
     begin_occurrence,
     open_steps,
     sum_remaining,
@@ -98,7 +99,7 @@
 
 def _make_live(job: Job, progress: Progress) -> LiveJob:
     remaining = sum_remaining(job)
-    objective = job.accepted + job.aim + int(job.stretch * max(remaining))
+    objective = job.accepted + allow_time(job)
     return LiveJob(job, progress, objective, task_offsets(job), remaining)
 
 
--- a/toucanpin/scheduling/ownership.py
+++ b/toucanpin/scheduling/ownership.py
@@ -43,13 +43,15 @@
 
     ``life`` differs between starts of one host; ``token`` grows with each owner and fences the
     earlier ones; ``sequence`` grows with each write, so no earlier write can apply after a later.
-    An empty ``host`` says that the last owner has resigned.
+    An empty ``host`` says that the last owner has resigned.  ``backlog`` holds by priority for how
+    many ms new tasks will wait for an owner that can't follow; it is empty for one that can.
     """
 
     host: str
     life: str
     token: int
     sequence: int
+    backlog: dict[int, int] = {}
 
 
 @dataclass(slots=True)
--- a/toucanpin/scheduling/shedding.py
+++ b/toucanpin/scheduling/shedding.py
@@ -12,14 +12,21 @@
 
 1. each kind of decision has a share of the time and rests after it has used it,
 2. only so many starts are on their way at a time, and the most urgent tasks come first,
-3. workers are asked less often the later the process is: their ends wait and come together.
+3. workers are asked less often the later the process is: their ends wait and come together,
+4. a job that couldn't be in time, since starts before its own take longer, is refused at once.
 
 What is never left out are renewals of leases, and ends that were heard.
 """
 
 from __future__ import annotations
 
-__all__ = ["ANSWERED", "MOST_STARTS", "Delay", "Share"]
+import math
+from collections.abc import Mapping
+
+from toucanpin.scheduling.cell import allow_time
+from toucanpin.scheduling.job import Job
+
+__all__ = ["ANSWERED", "MOST_STARTS", "Backlog", "Delay", "Share", "is_hopeless"]
 
 MOST_STARTS = 256  # on their way at a time; a start takes a few ms
 # A start that isn't answered by then, and by the process's own delay, isn't held up here.
@@ -30,6 +37,11 @@
 LONGEST_PAUSE = 1.0  # s, a fraction of a lease
 
 
+BEHIND = 0.1  # s of delay from which on an owner itself holds up what waits
+BEHIND_FOR = 2.0  # s of it until jobs are refused
+RATE_MEMORY = 3.0  # s over which starts are counted
+
+
 class Share:
     """Give a kind of decision a share of the time: after each of them it rests."""
 
@@ -74,3 +86,52 @@
         """Return the seconds to leave between a worker's answer and the next question to it."""
         delay = self.read(now)
         return 0.0 if delay < SLIGHT else min(LONGEST_PAUSE, PAUSE * delay)
+
+
+class Backlog:
+    """Follow how long what waits will wait for an owner that can't start more tasks a second."""
+
+    __slots__ = ("_behind_since", "_counted_at", "_recent")
+
+    def __init__(self) -> None:
+        self._recent = 0.0
+        self._counted_at = 0.0
+        self._behind_since: float | None = None
+
+    def note_starts(self, count: int, now: float) -> None:
+        """Take note of tasks that get their place."""
+        self._recent = self._fade(now) + count
+        self._counted_at = now
+
+    def estimate(self, waiting: Mapping[int, int], delay: float, now: float) -> dict[int, int]:
+        """
+        Return by priority how long new tasks will wait for their start, in ms; empty if not.
+
+        ``waiting`` counts the tasks of each priority.  What waits for workers while the owner has
+        time to spare says nothing: room may come at any moment.
+        """
+        if delay < BEHIND:
+            self._behind_since = None
+            return {}
+        if self._behind_since is None:
+            self._behind_since = now
+        rate = self._fade(now) / RATE_MEMORY
+        if now < self._behind_since + BEHIND_FOR or rate <= 0:
+            return {}
+        before = 0
+        found = {}
+        for priority in sorted(waiting):
+            before += waiting[priority]
+            found[priority] = int(before / rate * 1_000)
+        return found
+
+    def _fade(self, now: float) -> float:
+        return self._recent * math.exp(-max(0.0, now - self._counted_at) / RATE_MEMORY)
+
+
+def is_hopeless(job: Job, backlog: Mapping[int, int]) -> bool:
+    """Tell whether a job couldn't be in time, since its owner is that far behind with starts."""
+    if job.repeats or any(step.lasting for step in job.steps):
+        return False
+    wait = max((wait for priority, wait in backlog.items() if priority <= job.priority), default=0)
+    return wait > allow_time(job)
--- a/toucanpin/scheduling/tests/test_shedding.py
+++ b/toucanpin/scheduling/tests/test_shedding.py
@@ -6,7 +6,14 @@
 
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.placing import place_tasks
-from toucanpin.scheduling.shedding import LONGEST_PAUSE, MOST_STARTS, Delay, Share
+from toucanpin.scheduling.shedding import (
+    LONGEST_PAUSE,
+    MOST_STARTS,
+    Backlog,
+    Delay,
+    Share,
+    is_hopeless,
+)
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
 
@@ -78,3 +85,45 @@
         self.assertFalse(self._count())
         self.fleet.run(3.0)
         self.assertTrue(all(self.fleet.state(job) == 2 for job in self.fleet.jobs))
+
+
+class BacklogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.backlog = Backlog()
+        for turn in range(100):
+            self.backlog.note_starts(10, turn * 0.1)
+
+    def test_an_owner_in_time_turns_nothing_away(self) -> None:
+        """Guards against refusals of what waits for room only."""
+        self.assertEqual({}, self.backlog.estimate({0: 10, 2: 5_000}, 0.02, 10.0))
+        self.assertEqual({}, self.backlog.estimate({0: 10, 2: 5_000}, 0.02, 15.0))
+
+    def test_one_that_is_behind_for_long_tells_how_long_each_class_waits(self) -> None:
+        """Guards against an owner that takes in more than it can ever start."""
+        waiting = {0: 100, 2: 900}
+        self.assertEqual({}, self.backlog.estimate(waiting, 0.3, 10.0), "it may be a pause")
+        self.backlog.note_starts(100, 11.0)
+        self.backlog.note_starts(100, 12.0)
+        found = self.backlog.estimate(waiting, 0.3, 12.0)
+        self.assertAlmostEqual(1_000, found[0], delta=200)
+        self.assertAlmostEqual(10_000, found[2], delta=2_000)
+
+    def test_it_takes_in_all_again_once_it_is_in_time(self) -> None:
+        """Guards against refusals that outlast their cause."""
+        self.backlog.estimate({2: 900}, 0.3, 10.0)
+        self.assertEqual({}, self.backlog.estimate({2: 900}, 0.05, 13.0))
+        self.assertEqual({}, self.backlog.estimate({2: 900}, 0.3, 13.5))
+
+    def test_jobs_are_judged_by_their_own_time(self) -> None:
+        """Guards against urgent, lasting and timed jobs that are refused for what others wait."""
+        backlog = {0: 500, 2: 9_000}
+        brief = Step(cpu=1_000, estimate=1_000)
+        patient = make_job(steps=(brief,), priority=2, aim=1_000, stretch=2.0)
+        self.assertTrue(is_hopeless(patient, backlog))
+        long = make_job(steps=(Step(cpu=1_000, estimate=5_000),), priority=2, stretch=2.0)
+        self.assertFalse(is_hopeless(long, backlog))
+        self.assertFalse(is_hopeless(make_job(steps=(brief,)), backlog))
+        lasting = make_job(steps=(Step(cpu=1_000, lasting=True),), priority=2)
+        self.assertFalse(is_hopeless(lasting, backlog))
+        timed = make_job(steps=(brief,), priority=2, repeats=2)
+        self.assertFalse(is_hopeless(timed, backlog))
