--- a/toucanpin/scheduling/shedding.py
+++ b/toucanpin/scheduling/shedding.py
@@ -39,6 +39,7 @@
 
 BEHIND = 0.1  # s of delay from which on an owner itself holds up what waits
 BEHIND_FOR = 2.0  # s of it until jobs are refused
+IN_TIME_FOR = 4.0  # s without it until all are taken in again: delays come and go with each turn
 RATE_MEMORY = 3.0  # s over which starts are counted
 
 
@@ -91,12 +92,13 @@
 class Backlog:
     """Follow how long what waits will wait for an owner that can't start more tasks a second."""
 
-    __slots__ = ("_behind_since", "_counted_at", "_recent")
+    __slots__ = ("_behind_at", "_behind_since", "_counted_at", "_recent")
 
     def __init__(self) -> None:
         self._recent = 0.0
         self._counted_at = 0.0
         self._behind_since: float | None = None
+        self._behind_at = 0.0  # when the owner was last behind
 
     def note_starts(self, count: int, now: float) -> None:
         """Take note of tasks that get their place."""
@@ -110,11 +112,14 @@
         ``waiting`` counts the tasks of each priority.  What waits for workers while the owner has
         time to spare says nothing: room may come at any moment.
         """
-        if delay < BEHIND:
+        if delay >= BEHIND:
+            self._behind_at = now
+            if self._behind_since is None:
+                self._behind_since = now
+        elif now > self._behind_at + IN_TIME_FOR:
             self._behind_since = None
-            return {}
         if self._behind_since is None:
-            self._behind_since = now
+            return {}
         rate = self._fade(now) / RATE_MEMORY
         if now < self._behind_since + BEHIND_FOR or rate <= 0:
             return {}
