Imports in scheduling run one way

The circle had nine modules, since cell and worker named types of modules that need them. Tickets of a step are state of the cell; what a worker's cores do is a module of plain types (heat). Behaviour as it was. test_layers was red before (a circle through cell and advising).

--- a/toucanpin/scheduling/advising.py
+++ b/toucanpin/scheduling/advising.py
@@ -7,14 +7,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from toucanpin.scheduling.cell import Cell, Group, Now, rank_group
+from toucanpin.scheduling.cell import Advised, Cell, Group, Now, rank_group
 from toucanpin.scheduling.choosing import Places, Round, list_able
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Worker
 
-__all__ = ["Advice", "Advised", "AdviceOrder", "find_ticket", "plan_advice", "take_advice"]
+__all__ = ["Advice", "AdviceOrder", "find_ticket", "plan_advice", "take_advice"]
 
 QUESTION = 40  # workers of one question; more make the answer late, fewer leave too little choice
 MARGIN = 0.5  # s before a ticket's end from which on it isn't used
@@ -37,16 +37,6 @@
     workers: tuple[str, ...]
 
 
-@dataclass(slots=True)
-class Advised:
-    """Hold what is known for one step; times are on the local steady clock."""
-
-    tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
-    refused: set[str] = field(default_factory=set)
-    asking: bool = False
-    again_at: float = 0.0
-
-
 def find_ticket(cell: Cell, group: Group, worker: str, now: Now) -> str:
     """Return the ticket with which a worker may run a step, empty if none is known."""
     advised = cell.advised.get(group)
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -10,7 +10,6 @@
 import enum
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from toucanpin.scheduling.durations import Durations
 from toucanpin.scheduling.job import Job, TaskKey
@@ -18,10 +17,8 @@
 from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, TaskState
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
 
-if TYPE_CHECKING:
-    from toucanpin.scheduling.advising import Advised
-
 __all__ = [
+    "Advised",
     "Cell",
     "Group",
     "Lateness",
@@ -127,6 +124,16 @@
     crashes: int
 
 
+@dataclass(slots=True)
+class Advised:
+    """Hold the tickets that are known for one step; times are on the local steady clock."""
+
+    tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    asking: bool = False
+    again_at: float = 0.0
+
+
 @dataclass(slots=True)
 class LiveJob:
     """
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -15,8 +15,9 @@
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.crashing import count_watched
 from toucanpin.scheduling.evacuating import list_open
+from toucanpin.scheduling.heat import Heat
 from toucanpin.scheduling.job import Step
-from toucanpin.scheduling.prediction import Heat, heat_worker, predict_rise, predict_share
+from toucanpin.scheduling.prediction import heat_worker, predict_rise, predict_share
 from toucanpin.scheduling.progress import Doubt
 from toucanpin.scheduling.reserving import leaves_reserve
 from toucanpin.scheduling.sharing import Sharing
--- a/toucanpin/scheduling/prediction.py
+++ b/toucanpin/scheduling/prediction.py
@@ -7,37 +7,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
+from toucanpin.scheduling.heat import Heat, Served
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import Run, Worker
 
-__all__ = ["Heat", "heat_worker", "measure_use", "predict_rise", "predict_rise_of", "predict_share"]
-
-
-@dataclass(frozen=True, slots=True)
-class Served:
-    """
-    Hold how one serving job fares on a worker.
-
-    ``load`` is its utilization without neighbours, ``expected`` and ``measured`` are those with
-    what fills there now; ``limit`` is the one at which it reaches its target.
-    """
-
-    image: str
-    load: float
-    expected: float
-    measured: float
-    limit: float
-
-
-@dataclass(frozen=True, slots=True)
-class Heat:
-    """Hold the cores of a worker, those in use, and how its serving jobs fare."""
-
-    whole: int
-    cores: float
-    served: tuple[Served, ...]
+__all__ = ["heat_worker", "measure_use", "predict_rise", "predict_rise_of", "predict_share"]
 
 
 def heat_worker(sharing: Sharing, worker: Worker, planned: bool = False) -> Heat:
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -9,15 +9,12 @@
 
 import enum
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
+from toucanpin.scheduling.heat import Heat
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.progress import Doubt
 
-if TYPE_CHECKING:
-    from toucanpin.scheduling.prediction import Heat
-
 __all__ = [
     "Phase",
     "Run",
