A full link counts as an owner's own delay

If even the quickest of the last 16 answers to starts was late, the host itself is: starts and questions become fewer. Red before: test_shedding (Fastest wasn't there).

--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -33,7 +33,7 @@
 from toucanpin.scheduling.learning import learn_effects
 from toucanpin.scheduling.orders import Ended, PaceOrder, Refused, StopOrder, WorkerEntry
 from toucanpin.scheduling.sharing import Sharing
-from toucanpin.scheduling.shedding import ANSWERED, Delay
+from toucanpin.scheduling.shedding import ANSWERED, Delay, Fastest
 from toucanpin.scheduling.starting import (
     Next,
     plan_start,
@@ -76,6 +76,7 @@
         self._answers = AnswerTimes()
         self._written = asyncio.Event()
         self._loaded = asyncio.Event()
+        self._fastest = Fastest()
         self._sent: dict[int, float] = {}  # when starts without an answer were sent
 
     def count_starting(self) -> int:
@@ -227,6 +228,7 @@
                 if following is not Next.SETTLED:
                     await asyncio.sleep(SHORT_RETRY)
             else:
+                self._note_answer(self._sent[id(run)])
                 if answer.refused is not None:
                     REFUSED_STARTS.add(1, {"reason": answer.refused.value})
                     _log.info(
@@ -248,6 +250,10 @@
                     await asyncio.sleep(RETRY)
         self._changed()
 
+    def _note_answer(self, sent_at: float) -> None:
+        now = steady_time()
+        self._delay.note(self._fastest.note(now - sent_at), now)
+
     async def order(self, order: StopOrder | PaceOrder) -> None:
         """Carry out an order, however often it has to be sent."""
         match order:
--- a/toucanpin/scheduling/shedding.py
+++ b/toucanpin/scheduling/shedding.py
@@ -21,12 +21,13 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Mapping
 
 from toucanpin.scheduling.cell import allow_time
 from toucanpin.scheduling.job import Job
 
-__all__ = ["ANSWERED", "MOST_STARTS", "Backlog", "Delay", "Share", "is_hopeless"]
+__all__ = ["ANSWERED", "MOST_STARTS", "Backlog", "Delay", "Fastest", "Share", "is_hopeless"]
 
 MOST_STARTS = 256  # on their way at a time; a start takes a few ms
 # A start that isn't answered by then, and by the process's own delay, isn't held up here.
@@ -37,6 +38,7 @@
 LONGEST_PAUSE = 1.0  # s, a fraction of a lease
 
 
+COMPARED = 16  # answers whose quickest counts
 BEHIND = 0.1  # s of delay from which on an owner itself holds up what waits
 BEHIND_FOR = 2.0  # s of it until jobs are refused
 IN_TIME_FOR = 4.0  # s without it until all are taken in again: delays come and go with each turn
@@ -89,6 +91,25 @@
         return 0.0 if delay < SLIGHT else min(LONGEST_PAUSE, PAUSE * delay)
 
 
+class Fastest:
+    """
+    Tell how late answers come for a reason of this host's own: its link is full, or it is slow.
+
+    One slow worker, or a part of them, says nothing; if even the quickest of the last answers was
+    late, all are.
+    """
+
+    __slots__ = ("_times",)
+
+    def __init__(self) -> None:
+        self._times: deque[float] = deque(maxlen=COMPARED)
+
+    def note(self, took: float) -> float:
+        """Take note of what an answer took, and return what the quickest of the last ones took."""
+        self._times.append(took)
+        return min(self._times) if len(self._times) == COMPARED else 0.0
+
+
 class Backlog:
     """Follow how long what waits will wait for an owner that can't start more tasks a second."""
 
--- a/toucanpin/scheduling/tests/test_shedding.py
+++ b/toucanpin/scheduling/tests/test_shedding.py
@@ -11,6 +11,7 @@
     MOST_STARTS,
     Backlog,
     Delay,
+    Fastest,
     Share,
     is_hopeless,
 )
@@ -87,6 +88,21 @@
         self.assertTrue(all(self.fleet.state(job) == 2 for job in self.fleet.jobs))
 
 
+class FastestTest(unittest.TestCase):
+    def test_slow_workers_do_not_pass_for_a_slow_host(self) -> None:
+        """Guards against an owner that starts less since some of its workers are slow."""
+        fastest = Fastest()
+        found = [fastest.note(0.4 if number % 4 else 0.003) for number in range(40)]
+        self.assertLess(max(found), 0.01)
+
+    def test_a_full_link_shows_in_every_answer(self) -> None:
+        """Guards against an owner with time to spare that fills its link with starts."""
+        fastest = Fastest()
+        found = [fastest.note(0.3 + number % 4 / 10) for number in range(40)]
+        self.assertEqual(0.0, found[0])
+        self.assertAlmostEqual(0.3, found[-1])
+
+
 class BacklogTest(unittest.TestCase):
     def setUp(self) -> None:
         self.backlog = Backlog()
