Plan for a serving job's load by its trend, not by a fixed rise

Loads swing by three fifths in seconds; what fills was placed and paced as if each load might rise by 0.05, also while it fell. Change: the load to plan for is what the trend of the last seconds makes of it 0.8 s on, and 0.03 more; a trend is believed up to 0.15.

--- a/toucanpin/scheduling/sharing.py
+++ b/toucanpin/scheduling/sharing.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 import msgspec
@@ -35,7 +36,10 @@
 SATURATION = 0.98  # utilization there
 FIRST_QUIET = 0.2  # of a target, for an image whose tail was never seen
 FIRST_LOAD = 0.6  # of the limit, for a job that was never measured
-UNSURE_RISE = 0.05  # of utilization by which a load may soon rise
+UNSURE_RISE = 0.03  # of utilization by which a load may rise beyond its trend
+AHEAD = 0.8  # s from a change of load to the moment at which a place or a pace answers it
+MOST_RISE = 0.15  # of utilization that a trend is believed
+TREND_MEMORY = 1.5  # s over which a trend is seen
 HIGH_TIDE = 0.85  # of the limit: a job that reached its target by itself would need no care
 
 
@@ -64,12 +68,14 @@
     """
     Hold a job's utilization without neighbours, and when it was measured.
 
-    ``clean`` says that tasks with harmless neighbours showed it.
+    ``clean`` says that tasks with harmless neighbours showed it; ``trend`` is by how much it has
+    changed a second.
     """
 
     value: float
     at: float
     clean: bool
+    trend: float = 0.0
 
 
 @dataclass(slots=True)
@@ -143,7 +149,8 @@
         known = self.loads.get(run.task.job)
         if known is None:
             return FIRST_LOAD * self.limit(run)
-        return max(known.value, min(known.value + UNSURE_RISE, HIGH_TIDE * self.limit(run)))
+        rise = min(MOST_RISE, max(0.0, UNSURE_RISE + AHEAD * known.trend))
+        return max(known.value, min(known.value + rise, HIGH_TIDE * self.limit(run)))
 
     def note_tail(self, image: str, tail: float, now: float) -> None:
         """Take note of a tail, which may be the lowest of its image."""
@@ -160,7 +167,21 @@
 
     def note_load(self, job: str, value: float, clean: bool, now: float) -> None:
         """Take note of a job's load."""
-        self.loads[job] = Load(value, now, clean)
+        self.loads[job] = Load(value, now, clean, self._find_trend(job, value, now))
+
+    def _find_trend(self, job: str, value: float, now: float) -> float:
+        """
+        Return by how much a job's load changes a second, as seen over the last seconds.
+
+        Whoever fills up to what a load is now disturbs one that rises, and leaves cores idle beside
+        one that falls.
+        """
+        known = self.loads.get(job)
+        if known is None or now <= known.at:
+            return 0.0
+        passed = now - known.at
+        weight = 1 - math.exp(-passed / TREND_MEMORY)
+        return known.trend + weight * ((value - known.value) / passed - known.trend)
 
     def learn(
         self, now: float, serving: str, factor: float, noise: float, amounts: dict[str, float]
--- a/toucanpin/scheduling/tests/test_sharing.py
+++ b/toucanpin/scheduling/tests/test_sharing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 from unittest.mock import patch
 
@@ -11,7 +12,14 @@
 from toucanpin.scheduling.orders import PaceOrder, StopOrder, WorkerEntry
 from toucanpin.scheduling.pacing import OVER_TOO_LONG, control_pace
 from toucanpin.scheduling.prediction import heat_worker, predict_share
-from toucanpin.scheduling.sharing import CAUTION, PRIOR_DEVIATION, PRIOR_EFFECT, Effect, Sharing
+from toucanpin.scheduling.sharing import (
+    AHEAD,
+    CAUTION,
+    PRIOR_DEVIATION,
+    PRIOR_EFFECT,
+    Effect,
+    Sharing,
+)
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 SERVES = Step(cpu=10_000, lasting=True, image="web", target=50)
@@ -23,6 +31,11 @@
     return QUIET / (1 - utilization)
 
 
+def _swing(steady: float) -> float:
+    """Return a load that swings by three fifths each 14 s."""
+    return 0.4 * (1 + 0.6 * math.sin(2 * math.pi * steady / 14))
+
+
 def _now(steady: float) -> Now:
     return Now(steady, int(steady * 1_000), int(steady * 1_000))
 
@@ -93,6 +106,20 @@
         run.measure = 5.0
         self.assertEqual(0.0, self.sharing.utilization(run))
 
+    def test_a_trend_says_more_of_a_load_that_swings_than_any_margin(self) -> None:
+        """Guards against work that fills up to what a load was, and idle cores as it falls."""
+        run = self._add("w0", "s", SERVES)
+        short, idle, rises = [], [], []
+        for number in range(350):
+            steady = 10.0 + 0.2 * number
+            self.sharing.note_load("s", _swing(steady), True, steady)
+            planned, after = self.sharing.planned_load(run), _swing(steady + AHEAD)
+            short.append(after - planned)
+            idle.append(planned - after)
+            rises.append(after - _swing(steady))
+        margin = max(rises) - max(short)  # that would fall short by no more
+        self.assertLess(sum(idle) / len(idle), 0.8 * margin)
+
     def test_a_neighbour_raises_what_is_predicted(self) -> None:
         self._add("w0", "s", SERVES, 0, _tail(0.4))
         self._observe(10.0)
