--- a/tools/soak/task_checks.py
+++ b/tools/soak/task_checks.py
@@ -206,44 +206,51 @@
                 yield f"job {job} ran on {worker} though it was refused: {sorted(statuses)}"
 
 
-class Evacuations(TaskCheck):
-    """Nothing starts in an evacuated data centre after a few seconds, outside trouble."""
+class StartCheck(TaskCheck):
+    """Judge starts that come long after something, and after the last trouble of any kind."""
 
     def __init__(self) -> None:
         super().__init__()
-        self._places: dict[str, str] = {}
         self._since: dict[str, float] = {}
         self._troubled = 0.0
 
+    def take(self, event: events.Event) -> Iterator[str]:
+        if isinstance(event, events.Troubled):
+            self._troubled = event.at
+        yield from super().take(event)
+
+    def is_late(self, start: events.Started, name: str, bound: float) -> bool:
+        """Tell whether a start comes more than ``bound`` seconds after what has a name."""
+        since = self._since.get(name)
+        return since is not None and start.at > max(since, self._troubled) + bound
+
+
+class Evacuations(StartCheck):
+    """Nothing starts in an evacuated data centre after a few seconds, outside trouble."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._places: dict[str, str] = {}
+
     def judge(self, event: events.Event) -> Iterator[str]:
         match event:
-            case events.Troubled():
-                self._troubled = event.at
             case events.Joined():
                 self._places[event.worker] = event.data_centre
             case events.Evacuated():
                 known = self._since
                 self._since = {name: known.get(name, event.at) for name in event.data_centres}
             case events.Started():
-                since = self._since.get(self._places[event.worker], float("inf"))
-                if event.at > max(since, self._troubled) + SEEN_EVACUATED:
+                if self.is_late(event, self._places[event.worker], SEEN_EVACUATED):
                     yield f"{event.task} began on {event.worker} long after its evacuation"
 
 
-class Leaving(TaskCheck):
+class Leaving(StartCheck):
     """A worker that drains gets nothing new after a few seconds, outside trouble."""
 
-    def __init__(self) -> None:
-        super().__init__()
-        self._since: dict[str, float] = {}
-        self._troubled = 0.0
-
     def judge(self, event: events.Event) -> Iterator[str]:
         match event:
-            case events.Troubled():
-                self._troubled = event.at
             case events.Draining():
                 self._since[event.worker] = event.at
-            case events.Started() if event.worker in self._since:
-                if event.at > max(self._since[event.worker], self._troubled) + SEEN_LEAVING:
+            case events.Started():
+                if self.is_late(event, event.worker, SEEN_LEAVING):
                     yield f"{event.task} began on {event.worker} long after it drained"
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -29,6 +29,7 @@
 from toucanpin.entry.entries import EntryReader
 from toucanpin.entry.followed import FollowedRows
 from toucanpin.entry.metrics import TURN_TIME
+from toucanpin.entry.periodic import Periodic
 from toucanpin.entry.waves import Waves
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
@@ -68,9 +69,7 @@
 FORGET_PERIOD = 5.0  # s between looks for jobs that ended long ago
 TELL_PERIOD = 1.0  # s between looks for what waits for long
 PLACING_SHARE = 0.35  # of the time, at most
-PERIODIC_SHARE = 0.08  # of it for each of moving, pacing and gathering
 BEHIND = 0.2  # s of delay that is told
-AFTER_FAULT = 1.0  # s until a decision that failed is made again
 KEEP_MARGIN = 15.0  # s that ended jobs are kept longer than promised
 # A lease that an earlier owner granted ends on a clock that may be 2% slow, and a little later.
 HORIZON = AUTHORITY * 1.04 + 0.4
@@ -313,9 +312,9 @@
     async def _tick(self) -> None:
         forgotten_at = told_at = 0.0
         periodic = [
-            _Periodic(lambda now: move_tasks(self._cell, now), MOVE_PERIOD),
-            _Periodic(lambda now: control_pace(self._cell, self._sharing, now), 0.0),
-            _Periodic(lambda now: gather_images(self._cell, self._sharing, now), 0.0),
+            Periodic(lambda now: move_tasks(self._cell, now), MOVE_PERIOD),
+            Periodic(lambda now: control_pace(self._cell, self._sharing, now), 0.0),
+            Periodic(lambda now: gather_images(self._cell, self._sharing, now), 0.0),
         ]
         while True:
             due = steady_time() + TICK
@@ -379,34 +378,5 @@
             self._wake.set()
 
 
-class _Periodic:
-    """
-    Make a decision again and again, in its share of the time.
-
-    A fault in one that others can do without costs this decision, not the cell: a takeover would
-    have all jobs stand still for seconds, and the next owner would meet the same fault.
-    """
-
-    __slots__ = ("_decide", "_next", "_period", "_share")
-
-    def __init__(self, decide: Callable[[Now], object], period: float) -> None:
-        self._decide = decide
-        self._period = period
-        self._share = Share(PERIODIC_SHARE)
-        self._next = 0.0
-
-    def make(self, now: Now) -> None:
-        """Make the decision unless it rests."""
-        if now.steady < self._next or self._share.left(now.steady):
-            return
-        self._next = now.steady + self._period
-        try:
-            self._decide(now)
-        except Exception:
-            _log.exception("a decision failed", event="owner.fault")
-            self._next = now.steady + AFTER_FAULT
-        self._share.note(now.steady, steady_time())
-
-
 def _decode_entry(row: Row) -> WorkerEntry:
     return decode_worker(row.key, row.value)
