--- /dev/null
+++ b/toucanpin/scheduling/assigning.py
@@ -0,0 +1,64 @@
+"""
+Assigning
+=========
+
+Give a task the place that was chosen for it, or note why it has none.
+"""
+
+from __future__ import annotations
+
+from toucanpin.scheduling.advising import find_ticket
+from toucanpin.scheduling.cell import (
+    Cell,
+    Group,
+    LiveJob,
+    Now,
+    Wait,
+    WaitReason,
+    add_run,
+    mark_dirty,
+)
+from toucanpin.scheduling.choosing import Places
+from toucanpin.scheduling.crashing import find_doubt
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.progress import TaskState
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+__all__ = ["assign", "note_wait", "renew_places"]
+
+
+def assign(cell: Cell, live: LiveJob, task: TaskKey, step: Step, worker: Worker, now: Now) -> None:
+    """Place a task on a worker; nothing is sent before that is written."""
+    record = live.progress.tasks[task.occurrence][live.offsets[task.step] + task.index]
+    record.state = TaskState.PLACED
+    record.attempt += 1
+    record.worker = worker.entry.id
+    run = Run(task, record.attempt, worker.entry.id, step, Phase.PLACED)
+    run.priority = live.job.priority
+    run.doubt = find_doubt(live, task)
+    run.checkpoint = record.checkpoint
+    run.untimed = bool(record.checkpoint)
+    group = Group(task.job, task.occurrence, task.step)
+    run.ticket = find_ticket(cell, group, worker.entry.id, now)
+    wait = cell.waits.get(group)
+    if wait is not None:
+        run.waited = now.steady - wait.since
+        run.why = wait.reason.value
+    add_run(cell, worker, run)
+    cell.placed.append(run)
+    mark_dirty(cell, live)
+
+
+def note_wait(cell: Cell, group: Group, reason: WaitReason, now: Now) -> None:
+    """Note why tasks of a step found no place."""
+    if reason is WaitReason.NO_ROOM and cell.evacuated:
+        reason = WaitReason.EVACUATED
+    cell.waits.setdefault(group, Wait(now.steady)).reason = reason
+
+
+def renew_places(places: Places, live: LiveJob, group: Group, step: Step, worker: Worker) -> None:
+    """Weigh places anew after one is taken; tasks that want one rack stay with the first."""
+    places.renew()
+    if step.same_rack and group not in live.racks:
+        live.racks[group] = worker.rack
+        places.renew_all()
--- /dev/null
+++ b/toucanpin/scheduling/gangs.py
@@ -0,0 +1,72 @@
+"""
+Gangs
+=====
+
+Place all tasks of a gang or none.
+"""
+
+from __future__ import annotations
+
+from toucanpin.scheduling.assigning import assign, note_wait, renew_places
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, WaitReason
+from toucanpin.scheduling.choosing import Places, Round
+from toucanpin.scheduling.crashing import find_doubt, is_held
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.retrying import list_safe
+from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
+
+__all__ = ["place_gang"]
+
+
+def place_gang(
+    cell: Cell, round_: Round, live: LiveJob, group: Group, step: Step, able: list[Worker]
+) -> None:
+    """Place all tasks of a gang or none; a part of one would only wait."""
+    waiting = cell.waiting[group]
+    if len(waiting) < step.count:
+        return
+    start = live.offsets[group.step]
+    records = live.progress.tasks[group.occurrence][start : start + step.count]
+    attempt = max(record.attempt for record in records)
+    checkpoint = max((record.checkpoint for record in records), default="")
+    for record in records:
+        record.attempt = attempt
+        record.checkpoint = checkpoint
+    members = [
+        TaskKey(group.job, group.occurrence, group.step, index) for index in range(step.count)
+    ]
+    if any(is_held(cell, live, member) for member in members):
+        note_wait(cell, group, WaitReason.CRASHING, round_.now)
+        return
+    # All members share the failures of their gang, so any speaks for them.
+    doubted = max(members, key=lambda member: find_doubt(live, member))
+    safe = list_safe(live, doubted, able, round_.now)
+    places = Places(round_, live, group, step, safe, find_doubt(live, doubted))
+    chosen = _find_for_all(places, live, group, step)
+    if len(chosen) < step.count:
+        live.racks.pop(group, None)
+        note_wait(cell, group, WaitReason.GANG, round_.now)
+        return
+    for index, worker in zip(sorted(waiting), chosen, strict=True):
+        waiting.discard(index)
+        task = TaskKey(group.job, group.occurrence, group.step, index)
+        assign(cell, live, task, step, worker, round_.now)
+
+
+def _find_for_all(places: Places, live: LiveJob, group: Group, step: Step) -> list[Worker]:
+    """Return a worker for each task of a gang, fewer if not all find one; nothing is taken yet."""
+    chosen: list[Worker] = []
+    trial: list[tuple[Worker, Run]] = []
+    for index in range(step.count):
+        worker = places.find()
+        if worker is None:
+            break
+        task = TaskKey(group.job, group.occurrence, group.step, index)
+        run = Run(task, 0, worker.entry.id, step, Phase.PLACED)
+        reserve_run(worker, run)
+        trial.append((worker, run))
+        chosen.append(worker)
+        renew_places(places, live, group, step, worker)
+    for worker, run in trial:
+        release_run(worker, run)
+    return chosen
--- a/toucanpin/scheduling/gathering.py
+++ b/toucanpin/scheduling/gathering.py
@@ -6,10 +6,9 @@
 
 Notes
 -----
-About half of the images that fill disturb any one image that serves.  On a worker that serves
-several images a filling task has to be harmless to all of them: of nine filling images four can run
-beside one serving image, two beside two of them and one beside three.  Lasting tasks come in any
-order and stay for minutes, so strays of one image end up on workers of another.
+On a worker that serves several images a filling task has to be harmless to all of them, so each
+image more shuts out a share of those that could fill beside the others.  Lasting tasks come in any
+order and stay for long, so strays of one image end up on workers of another.
 """
 
 from __future__ import annotations
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -10,16 +10,14 @@
 from collections import Counter
 
 from toucanpin.scheduling.advising import find_ticket
+from toucanpin.scheduling.assigning import assign, note_wait, renew_places
 from toucanpin.scheduling.cell import (
     Cell,
     Group,
     LiveJob,
     Now,
-    Wait,
     WaitReason,
-    add_run,
     list_runs,
-    mark_dirty,
     rank_group,
 )
 from toucanpin.scheduling.choosing import (
@@ -30,21 +28,18 @@
     may_last,
 )
 from toucanpin.scheduling.crashing import find_doubt, is_held
+from toucanpin.scheduling.gangs import place_gang
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.keeping import Keeping
 from toucanpin.scheduling.preempting import Making, Openings
-from toucanpin.scheduling.progress import Doubt, TaskState
+from toucanpin.scheduling.progress import Doubt
 from toucanpin.scheduling.recalling import is_barren, note_barren, note_shortage, recall
 from toucanpin.scheduling.reserving import reserve_room
 from toucanpin.scheduling.retrying import list_safe, risks_attempt
 from toucanpin.scheduling.sharing import Sharing
 from toucanpin.scheduling.worker import (
-    Phase,
-    Run,
     Worker,
     has_room,
-    release_run,
-    reserve_run,
 )
 
 __all__ = ["place_tasks"]
@@ -83,7 +78,7 @@
         if step.same_rack:
             _recall_rack(cell, live, group)
         if step.gang:
-            _place_gang(cell, round_, live, group, step, allowed)
+            place_gang(cell, round_, live, group, step, allowed)
         else:
             _place_group(cell, round_, live, group, step, allowed)
         if live.job.priority < least_urgent and not step.gang:
@@ -95,12 +90,6 @@
         del cell.waits[group]
 
 
-def _note_wait(cell: Cell, group: Group, reason: WaitReason, now: Now) -> None:
-    if reason is WaitReason.NO_ROOM and cell.evacuated:
-        reason = WaitReason.EVACUATED
-    cell.waits.setdefault(group, Wait(now.steady)).reason = reason
-
-
 def _order_waiting(cell: Cell, live: LiveJob, group: Group) -> list[int]:
     """
     Return the tasks of a step that wait.
@@ -188,12 +177,12 @@
         task = TaskKey(group.job, group.occurrence, group.step, index)
         pause = _find_pause(cell, live, task, now)
         if pause is not None:
-            _note_wait(cell, group, pause, now)
+            note_wait(cell, group, pause, now)
             continue
         claim = _find_claim(cell, live, group, index, now)
         known = recall(round_, live, step, claim)
         if known is not None:
-            _note_wait(cell, group, known, now)
+            note_wait(cell, group, known, now)
             return
         doubt = find_doubt(live, task)
         if places is None or places.doubt is not doubt:
@@ -201,7 +190,7 @@
         worker = places.find()
         if worker is None:
             reason = _find_reason(live, step, able)
-            _note_wait(cell, group, reason, now)
+            note_wait(cell, group, reason, now)
             note_barren(cell, live, step, now)
             note_shortage(round_, live, step, None, places.ruled)
             return
@@ -212,16 +201,16 @@
             worker = chosen.find()
         if worker is None or risks_attempt(live, task, worker, able, now):
             why = WaitReason.NO_ROOM if worker is None else WaitReason.FAILING
-            _note_wait(cell, group, why, now)
+            note_wait(cell, group, why, now)
             continue
         if not may_last(able, group, step, claim):
-            _note_wait(cell, group, WaitReason.RESERVED, now)
+            note_wait(cell, group, WaitReason.RESERVED, now)
             note_shortage(round_, live, step, claim, places.ruled)
             return
         cell.delayed.pop(task, None)
         waiting.discard(index)
-        _place(cell, live, task, step, worker, now)
-        _renew(chosen, live, group, step, worker)
+        assign(cell, live, task, step, worker, now)
+        renew_places(chosen, live, group, step, worker)
         places = places if chosen is places else None
 
 
@@ -259,86 +248,3 @@
     if step.fills and any(has_room(worker, step) for worker in able):
         return WaitReason.HARM
     return WaitReason.NO_ROOM
-
-
-def _renew(places: Places, live: LiveJob, group: Group, step: Step, worker: Worker) -> None:
-    """Weigh places anew after one is taken; tasks that want one rack stay with the first."""
-    places.renew()
-    if step.same_rack and group not in live.racks:
-        live.racks[group] = worker.rack
-        places.renew_all()
-
-
-def _place_gang(
-    cell: Cell, round_: Round, live: LiveJob, group: Group, step: Step, able: list[Worker]
-) -> None:
-    """Place all tasks of a gang or none; a part of one would only wait."""
-    waiting = cell.waiting[group]
-    if len(waiting) < step.count:
-        return
-    start = live.offsets[group.step]
-    records = live.progress.tasks[group.occurrence][start : start + step.count]
-    attempt = max(record.attempt for record in records)
-    checkpoint = max((record.checkpoint for record in records), default="")
-    for record in records:
-        record.attempt = attempt
-        record.checkpoint = checkpoint
-    members = [
-        TaskKey(group.job, group.occurrence, group.step, index) for index in range(step.count)
-    ]
-    if any(is_held(cell, live, member) for member in members):
-        _note_wait(cell, group, WaitReason.CRASHING, round_.now)
-        return
-    # All members share the failures of their gang, so any speaks for them.
-    doubted = max(members, key=lambda member: find_doubt(live, member))
-    safe = list_safe(live, doubted, able, round_.now)
-    places = Places(round_, live, group, step, safe, find_doubt(live, doubted))
-    chosen = _find_for_all(places, live, group, step)
-    if len(chosen) < step.count:
-        live.racks.pop(group, None)
-        _note_wait(cell, group, WaitReason.GANG, round_.now)
-        return
-    for index, worker in zip(sorted(waiting), chosen, strict=True):
-        waiting.discard(index)
-        task = TaskKey(group.job, group.occurrence, group.step, index)
-        _place(cell, live, task, step, worker, round_.now)
-
-
-def _find_for_all(places: Places, live: LiveJob, group: Group, step: Step) -> list[Worker]:
-    """Return a worker for each task of a gang, fewer if not all find one; nothing is taken yet."""
-    chosen: list[Worker] = []
-    trial: list[tuple[Worker, Run]] = []
-    for index in range(step.count):
-        worker = places.find()
-        if worker is None:
-            break
-        task = TaskKey(group.job, group.occurrence, group.step, index)
-        run = Run(task, 0, worker.entry.id, step, Phase.PLACED)
-        reserve_run(worker, run)
-        trial.append((worker, run))
-        chosen.append(worker)
-        _renew(places, live, group, step, worker)
-    for worker, run in trial:
-        release_run(worker, run)
-    return chosen
-
-
-def _place(cell: Cell, live: LiveJob, task: TaskKey, step: Step, worker: Worker, now: Now) -> None:
-    record = live.progress.tasks[task.occurrence][live.offsets[task.step] + task.index]
-    record.state = TaskState.PLACED
-    record.attempt += 1
-    record.worker = worker.entry.id
-    run = Run(task, record.attempt, worker.entry.id, step, Phase.PLACED)
-    run.priority = live.job.priority
-    run.doubt = find_doubt(live, task)
-    run.checkpoint = record.checkpoint
-    run.untimed = bool(record.checkpoint)
-    group = Group(task.job, task.occurrence, task.step)
-    run.ticket = find_ticket(cell, group, worker.entry.id, now)
-    wait = cell.waits.get(group)
-    if wait is not None:
-        run.waited = now.steady - wait.since
-        run.why = wait.reason.value
-    add_run(cell, worker, run)
-    cell.placed.append(run)
-    mark_dirty(cell, live)
