Tests listen on ports that no outgoing connection takes

make test failed once (918 passed, 1 failed): test_faults found its port 60785 in use. Traced: free_port took a port of the system's choice (32768 to 60999), closed it, and another test process's outgoing connection got it before it was listened on. Each process takes ports of its own below that range now, one after the other; the same check (the port is free) stays.

--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import socket
 from collections.abc import Callable
 
@@ -25,13 +27,29 @@
 JOB = "00000000000000a1"
 PREFIX = "/jobs/"
 HOST = "site.example"
+FIRST_PORT = 11_000
+PORTS = 200  # of one process
+SHARES = 100  # of processes; all end below the ports of outgoing connections
+_counter = itertools.count()
 
 
 def free_port() -> int:
-    """Return a port of 127.0.0.1 that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """
+    Return a port of 127.0.0.1 that nothing listens on.
+
+    Left to the system, ports come from those of outgoing connections, and another process may take
+    one before it is listened on.  So each process has some of its own below these.
+    """
+    first = FIRST_PORT + os.getpid() % SHARES * PORTS
+    for _ in range(PORTS):
+        port = first + next(_counter) % PORTS
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise OSError(f"no port from {first} on is free")
 
 
 class Site:
