--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -251,8 +251,9 @@
             return
         if self._hears_of_cancels(now) and knows_evacuations(self._cell, now):
             most = self._delay.limit_starts(now.steady) - self._workers.count_starting()
+            before = len(self._cell.placed)
             place_tasks(self._cell, self._sharing, now, most)
-            self._backlog.note_starts(len(self._cell.placed), now.steady)
+            self._backlog.note_starts(len(self._cell.placed) - before, now.steady)
         ended = steady_time()
         self._placing.note(now.steady, ended)
         TURN_TIME.record(ended - now.steady, {"what": "placing"})
--- a/toucanpin/http/tests/test_late_process.py
+++ b/toucanpin/http/tests/test_late_process.py
@@ -9,7 +9,7 @@
 from toucanpin.http import Client, Request, Response, Server
 
 PATIENCE = 0.2  # s that a call may take
-BUSY = 0.5  # s for which the process does nothing else
+BUSY = 0.5  # s for which the process does nothing else: its loop has to stand still
 
 
 class LateProcessTest(unittest.IsolatedAsyncioTestCase):
