--- /dev/null
+++ b/toucanpin/scheduling/tests/test_scaling.py
@@ -0,0 +1,54 @@
+"""The same load at a quarter of all sizes is decided alike."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from toucanpin.scheduling.job import Job, Step, TaskKey
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+
+Starts = dict[str, list[tuple[TaskKey, int]]]
+WORKERS = 8
+CORES = 16_000  # thousandths, of a worker at a quarter
+MEMORY = 300  # MB of each task, at every scale
+JOBS = 60
+
+
+def _draw_jobs(scale: int) -> list[Job]:
+    """Draw urgent, patient and lasting jobs, a few more than the workers can bear."""
+    chooser = random.Random(3)
+    jobs = []
+    for number in range(JOBS):
+        cpu = scale * chooser.randint(1_000, 4_000)
+        count = chooser.randint(1, 5)
+        match chooser.randrange(4):
+            case 0:
+                step, priority = Step(count, cpu, MEMORY, estimate=1_000), 0
+            case 1:
+                step, priority = Step(count, cpu, MEMORY, lasting=True, image="s"), 0
+            case _:
+                step = Step(count, cpu, MEMORY, fills=True, image="b", checkpoints=True)
+                priority = 2
+        jobs.append(make_job(f"j{number:02}", (step,), priority=priority))
+    return jobs
+
+
+def _play(scale: int) -> Starts:
+    fleet = Fleet(workers=0)
+    for number in range(WORKERS):
+        core = fleet.add_worker(f"w{number}", scale * CORES)
+        core.lasts = 1.0 + number / 10
+    for job in _draw_jobs(scale):
+        fleet.submit(job)
+        fleet.run(0.2)
+    fleet.run(3.0)
+    return {name: core.starts for name, core in fleet.workers.items()}
+
+
+class ScalingTest(unittest.TestCase):
+    def test_a_load_at_a_quarter_of_all_sizes_is_decided_alike(self) -> None:
+        """Guards against decisions that fit the sizes of one workload only."""
+        whole, quarter = _play(4), _play(1)
+        self.assertGreater(sum(map(len, quarter.values())), JOBS)
+        self.assertEqual(whole, quarter)
