What another writer left of durations stops no owner

An owner that reads sums which it can't have written ended with an OverflowError, and so would each next one. Red before: test_durations. A time beyond 100 days, or none, counts as not known.

--- a/toucanpin/scheduling/durations.py
+++ b/toucanpin/scheduling/durations.py
@@ -23,6 +23,7 @@
 MEMORY = 300.0  # steps that count
 TRUSTED = 8.0  # steps that an estimate which is right counts as many as
 SHORTEST = 10.0  # ms: below it a time says nothing
+LARGEST = 23.0  # logarithm of ms: some 100 days
 
 
 class Fit(msgspec.Struct, array_like=True):
@@ -74,4 +75,6 @@
         fit = self.fits.get(queue)
         if fit is None or estimate < SHORTEST:
             return estimate
-        return int(math.exp(fit.predict(math.log(estimate))))
+        found = fit.predict(math.log(estimate))
+        # What another writer left in the row mustn't stop the owner that reads it.
+        return int(math.exp(found)) if abs(found) < LARGEST else estimate
--- a/toucanpin/scheduling/shedding.py
+++ b/toucanpin/scheduling/shedding.py
@@ -36,8 +36,6 @@
 SLIGHT = 0.02  # s of delay that any process has
 PAUSE = 2.0  # times the delay between two questions to a worker
 LONGEST_PAUSE = 1.0  # s, a fraction of a lease
-
-
 COMPARED = 16  # answers whose quickest counts
 BEHIND = 0.1  # s of delay from which on an owner itself holds up what waits
 BEHIND_FOR = 2.0  # s of it until jobs are refused
--- a/toucanpin/scheduling/tests/test_durations.py
+++ b/toucanpin/scheduling/tests/test_durations.py
@@ -6,7 +6,7 @@
 import unittest
 from unittest.mock import patch
 
-from toucanpin.scheduling.durations import Durations
+from toucanpin.scheduling.durations import Durations, Fit
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.progress import JobState, decode_progress
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
@@ -38,6 +38,12 @@
         self.assertEqual(5_000, self.durations.predict("other", 5_000))
         self.assertEqual(0, self.durations.predict("q", 0))
 
+    def test_sums_of_another_writer_stop_nothing(self) -> None:
+        """Guards against an owner that ends as it reads what it can't have written."""
+        for value in (1e308, -1e308, float("inf"), float("nan")):
+            self.durations.fits["q"] = Fit(1.0, value, value, value, value)
+            self.assertEqual(1_000, self.durations.predict("q", 1_000))
+
     def test_estimates_that_are_right_are_believed(self) -> None:
         """Guards against a queue of unequal steps whose callers know them well."""
         self._learn(0.05)
