Tell slow workers by the progress of all their tasks

Cause: a worker counts as slow only against siblings of the same job on other workers, and from a tenth of a task on; jobs of one task, and jobs whose tasks all run on slow workers, stay there. Change: scheduling/task_times.py keeps by queue the distribution of time against estimate, with the share of tasks that take several times as long apart; scheduling/worker_speed.py weighs the recent progress of all tasks on a worker, of any queue, as odds that it is slow; moving.py avoids such a worker and moves what ends sooner elsewhere. Only where the settings call for worker profiles. The task times are kept with the learned effects over a takeover. Result: tests on the virtual clock; single-task jobs of a worker seven times slower end within 3.5 s, without the feature they stay (test).

--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -98,6 +98,7 @@
         if effects is not None:
             self._interference.restore(effects, now().steady)
             self._cell.durations.fits = effects.durations
+            self._cell.task_times = effects.task_times
         known = {row.key: it for row, it in self._reader.read(progress.rows, _decode_progress)}
         self.blocked = {row.key for row in progress.rows if row.key not in known}
         self._add_jobs(jobs.rows, known, now())
@@ -237,7 +238,8 @@
         if steady_time() < self._effects_written_at + EFFECTS_PERIOD_S:
             return []
         self._effects_written_at = steady_time()
-        learned = msgspec.msgpack.encode(self._interference.export(self._cell.durations))
+        model = self._interference.export(self._cell.durations, self._cell.task_times)
+        learned = msgspec.msgpack.encode(model)
         return [Put(EFFECTS_TABLE, OWNER_KEY, learned)]
 
     def _put_counts(self) -> list[Put]:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -46,6 +46,7 @@
     describe_evacuations,
     has_current_evacuations,
 )
+from toucanpin.scheduling.features import select_features
 from toucanpin.scheduling.intake import begin_due, forget_ended
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.leases import OWNER_AUTHORITY_S, expire_leases
@@ -115,6 +116,7 @@
         self._cell = Cell(name, record.token, earlier_leases_end, confirmed)
         self._cell.stop_time = settings.bounds.stop_time
         self._cell.restore_time = settings.bounds.restore_time
+        self._cell.features = select_features(settings.bounds)
         self._interference = InterferenceModel()
         self._reader = RowReader()
         self._rows = CellRows(
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -12,9 +12,11 @@
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.durations import Durations
+from toucanpin.scheduling.features import Features
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.orders import PaceOrder, StopOrder
 from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, TaskState
+from toucanpin.scheduling.task_times import TaskTimes
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
 
 __all__ = [
@@ -173,7 +175,8 @@
     new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` maps the image of a
     best-effort task to the cores for which no worker was found and the time until which placement
     is not retried.  ``stop_time`` and ``restore_time`` are the times in s that workers may take to
-    stop and to resume a task.
+    stop and to resume a task.  ``features`` are the optional decisions that the deployment calls
+    for.
     """
 
     name: str
@@ -183,6 +186,7 @@
     workers_enforce_limits: bool = True  # workers refuse tasks that don't fit
     stop_time: float = 0.2
     restore_time: float = 0.25
+    features: Features = Features()
     evacuated: frozenset[str] = frozenset()
     evacuated_until: float = float("inf")
     jobs: dict[str, LiveJob] = field(default_factory=dict)
@@ -209,6 +213,7 @@
     consolidated_at: float = 0.0
     consolidated: dict[TaskKey, float] = field(default_factory=dict)  # when tasks were moved
     durations: Durations = field(default_factory=lambda: Durations({}))
+    task_times: dict[str, TaskTimes] = field(default_factory=dict)  # by queue
     moved_tasks: set[TaskKey] = field(default_factory=set)  # away from slow workers
 
 
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -259,7 +259,7 @@
 def _compute_state_cost(worker: Worker, step: Step, rack: str, now: Now) -> float:
     """Return the cost of a suspect worker and of the distance to data and sibling tasks."""
     cost = 0.0
-    if worker.suspect_until > now.steady:
+    if max(worker.suspect_until, worker.slow_until) > now.steady:
         cost += SUSPECT_COST + len(worker.failed_jobs)
     if step.rack and step.rack != worker.rack:
         cost += REMOTE_RACK_COST
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -23,6 +23,7 @@
 from toucanpin.scheduling.orders import EndedRun, RunEnd
 from toucanpin.scheduling.progress import JobState, TaskRecord, TaskState
 from toucanpin.scheduling.stopping import requeue_task, stop_gang, stop_run
+from toucanpin.scheduling.task_times import record_task_time
 from toucanpin.scheduling.trust import EARLY_FAILURE_S, record_failure, record_success
 from toucanpin.scheduling.worker import Run, Worker
 
@@ -81,7 +82,7 @@
         return
     match end:
         case RunEnd.DONE if not run.step.long_running:
-            _record_task_time(live, run, now)
+            _record_task_time(cell, live, run, now)
             _finish_task(cell, live, run.task, record, now)
             return
         case RunEnd.FAILED if not run.step.long_running:
@@ -236,10 +237,14 @@
         live.progress.ended = now.table
 
 
-def _record_task_time(live: LiveJob, run: Run, now: Now) -> None:
+def _record_task_time(cell: Cell, live: LiveJob, run: Run, now: Now) -> None:
     """Record the run time of a task, by which slow workers are detected."""
-    if run.started_at and not run.untimed:
-        live.task_durations.setdefault(run.task.step, []).append(now.steady - run.started_at)
+    if not run.started_at or run.untimed:
+        return
+    took = now.steady - run.started_at
+    live.task_durations.setdefault(run.task.step, []).append(took)
+    if run.pace == 100:
+        record_task_time(cell.task_times, live.job.queue, run.step.estimate, took)
 
 
 def _record_step_duration(cell: Cell, live: LiveJob, step: int) -> None:
--- a/toucanpin/scheduling/interference_model.py
+++ b/toucanpin/scheduling/interference_model.py
@@ -21,6 +21,7 @@
 
 from toucanpin.interference.regression import Regression
 from toucanpin.scheduling.durations import Durations, Fit
+from toucanpin.scheduling.task_times import TaskTimes
 from toucanpin.scheduling.worker import Run
 
 __all__ = ["InterferenceModel", "LearnedModel", "LoadEstimate"]
@@ -59,13 +60,14 @@
     """
     Part of the model that is stored for the next owner of a cell.
 
-    Holds the effects, the lowest tail of each image in ms, and the fit of step durations of each
-    queue.
+    Holds the effects, the lowest tail of each image in ms, and for each queue the fit of step
+    durations and the distribution of task times.
     """
 
     effects: list[Effect]
     lowest_tails: dict[str, float] = msgspec.field(name="lowest")
     durations: dict[str, Fit] = {}
+    task_times: dict[str, TaskTimes] = {}
 
 
 @dataclass(slots=True)
@@ -213,10 +215,10 @@
         for image in core_shares:
             self._update_effect(service, image, model)
 
-    def export(self, durations: Durations) -> LearnedModel:
-        """Return the learned effects, settled tails and durations for the next owner."""
+    def export(self, durations: Durations, task_times: dict[str, TaskTimes]) -> LearnedModel:
+        """Return the learned effects, settled tails and times for the next owner."""
         lowest = {image: known.tail for image, known in self._lowest_tails.items() if known.settled}
-        return LearnedModel(list(self._effects.values()), lowest, durations.fits)
+        return LearnedModel(list(self._effects.values()), lowest, durations.fits, task_times)
 
     def restore(self, learned: LearnedModel, now: float) -> None:
         """Initialize the model with what an earlier owner has learned."""
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -16,6 +16,12 @@
 from toucanpin.scheduling.stopping import list_gang_runs, requeue_task, stop_gang, stop_run
 from toucanpin.scheduling.trust import record_failure
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
+from toucanpin.scheduling.worker_speed import (
+    SlowWorker,
+    find_slow_worker,
+    group_rates,
+    update_rates,
+)
 
 __all__ = ["move_tasks"]
 
@@ -23,6 +29,7 @@
 
 STALL_TIMEOUT_S = 1.5  # longer than a long task on a slow worker takes for one percent
 SUSPECT_TIME_S = 5.0  # for which a worker is avoided after a task was stalled or slow on it
+SLOW_TIME_S = 1.5  # for which a worker is avoided after its tasks were slow
 GANG_TIMEOUT_S = 1.5  # for an incomplete gang; workers themselves wait at least 3 s
 # A worker is slow if its tasks take this many times as long as their siblings elsewhere.
 SLOW_RATIO = 2.5
@@ -35,7 +42,7 @@
 
 def move_tasks(cell: Cell, now: Now) -> None:
     """Stop or copy the tasks that should run on another worker."""
-    durations = _list_durations(cell)
+    durations = {} if cell.features.worker_profiles else _list_durations(cell)
     for worker in cell.workers.values():
         if not worker.reached or worker.silent:
             _queue_copies_of_silent(cell, worker, now)
@@ -51,6 +58,33 @@
             worker.suspect_until = now.steady + SUSPECT_TIME_S
             cell.moved_tasks.add(run.task)
             _relocate(cell, run, "slow")
+    if cell.features.worker_profiles:
+        _leave_slow_workers(cell, now)
+
+
+def _leave_slow_workers(cell: Cell, now: Now) -> None:
+    """Avoid slow workers, and move the tasks that end sooner elsewhere."""
+    workers = [it for it in cell.workers.values() if it.reached and not it.silent]
+    for worker in workers:
+        update_rates(worker)
+    rates = group_rates(workers)
+    slow = [found for it in workers if (found := find_slow_worker(cell, rates, it)) is not None]
+    for found in slow:
+        found.worker.slow_until = now.steady + SLOW_TIME_S
+    for found in slow:
+        for run in found.runs:
+            if _gains_by_move(cell, found, run) and _has_other_worker(cell, run, now):
+                cell.moved_tasks.add(run.task)
+                _relocate(cell, run, "slow")
+
+
+def _gains_by_move(cell: Cell, slow: SlowWorker, run: Run) -> bool:
+    """Return whether a task would end sooner if it were moved off a slow worker."""
+    if run.task in cell.moved_tasks:
+        return False
+    left = (100 - run.percent) / run.rate
+    work = left if run.step.checkpoints else 100 / run.rate
+    return left > work / slow.factor + cell.stop_time + cell.restore_time + MOVE_OVERHEAD_S
 
 
 def _check_run(cell: Cell, worker: Worker, run: Run, now: Now) -> None:
@@ -169,7 +203,7 @@
     group = Group(run.task.job, run.task.occurrence, run.task.step)
     return any(
         worker.entry.id != run.worker
-        and worker.suspect_until <= now.steady
+        and max(worker.suspect_until, worker.slow_until) <= now.steady
         and has_room(worker, run.step)
         and meets_constraints(worker, group, run.step)
         for worker in list_eligible(cell, now)
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_worker_speed.py
@@ -0,0 +1,134 @@
+"""Tests of slow workers that the tasks of several jobs and queues reveal."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from toucanpin.scheduling.durations import Fit
+from toucanpin.scheduling.features import Features
+from toucanpin.scheduling.interference_model import InterferenceModel, LearnedModel
+from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.task_times import TaskTimes, record_task_time
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+
+TASK_TIME_S = 1.0
+SLOWDOWN = 7.0
+
+
+class SlowWorkerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet(workers=4, cpu=4_000)
+        self.fleet.cell.features = Features(worker_profiles=True)
+        for worker in self.fleet.workers.values():
+            worker.duration = TASK_TIME_S
+        self._submitted = 0
+
+    def _submit(self, count: int, width: int = 1) -> None:
+        for _ in range(count):
+            step = Step(count=width, cpu=1_000, estimate=1_000)
+            self.fleet.submit(make_job(f"j{self._submitted:03}", (step,)))
+            self._submitted += 1
+
+    def _learn(self) -> None:
+        self._submit(16)
+        self.fleet.run(3.0)
+
+    def _fill_slow_worker(self, slowdown: float) -> set[str]:
+        """Fill the fleet with jobs of one task; return those on a worker that is now slow."""
+        slow = self.fleet.workers["w0"]
+        slow.duration = slowdown * TASK_TIME_S
+        self._submit(12)
+        self.fleet.run(0.3)
+        jobs = {task.job for task in slow.runs}
+        self.assertTrue(jobs)
+        return jobs
+
+    def test_jobs_of_one_task_leave_slow_worker(self) -> None:
+        """
+        Guards against jobs without siblings that stay on a slow worker until they are late: the
+        tasks of different jobs together show that the worker is slow.
+        """
+        self._learn()
+        jobs = self._fill_slow_worker(SLOWDOWN)
+        self.fleet.run(3.5)
+        for job in jobs:
+            self.assertEqual(JobState.COMPLETED, self.fleet.state(job))
+        self.assertFalse(self.fleet.duplicate_runs)
+
+    def test_slow_worker_gets_no_new_tasks(self) -> None:
+        """Guards against new jobs that are placed on a worker known to be slow."""
+        self._learn()
+        self._fill_slow_worker(SLOWDOWN)
+        self.fleet.run(1.0)
+        started = len(self.fleet.workers["w0"].starts)
+        self._submit(6)
+        self.fleet.run(0.5)
+        self.assertEqual(started, len(self.fleet.workers["w0"].starts))
+
+    def test_single_slow_task_says_nothing_of_its_worker(self) -> None:
+        """Guards against moving a task that takes long anywhere, which would only lose its work."""
+        self._learn()
+        self._submit(12)
+        self.fleet.run(0.1)
+        worker = next(it for it in self.fleet.workers.values() if len(it.runs) > 1)
+        task = next(iter(worker.runs))
+        worker.runs[task].duration = SLOWDOWN * TASK_TIME_S
+        self.fleet.run(3.0)
+        self.assertIn(task, worker.runs)
+
+    def test_without_the_feature_a_lone_task_stays(self) -> None:
+        """Guards against changed decisions in a deployment that calls for no profiles."""
+        self.fleet.cell.features = Features()
+        self._learn()
+        jobs = self._fill_slow_worker(SLOWDOWN)
+        self.fleet.run(3.5)
+        self.assertTrue(all(self.fleet.state(job) != JobState.COMPLETED for job in jobs))
+
+    def test_unreliable_estimates_judge_no_worker(self) -> None:
+        """Guards against moves where a queue's estimates say nothing about its tasks' times."""
+        for number in range(60):
+            took = TASK_TIME_S * (0.1 if number % 2 else 10.0)
+            record_task_time(self.fleet.cell.task_times, "q", 1_000, took)
+        self._fill_slow_worker(3.0)
+        self.fleet.run(2.0)
+        self.assertTrue(self.fleet.workers["w0"].runs)
+
+
+class TaskTimesTest(unittest.TestCase):
+    def test_tail_tasks_do_not_widen_the_distribution(self) -> None:
+        """Guards against a few long tasks that hide a slow worker."""
+        times: dict[str, TaskTimes] = {}
+        for number in range(200):
+            record_task_time(times, "q", 1_000, 7.0 if number % 33 == 32 else 1.0)
+        self.assertLess(times["q"].deviation, 0.3)
+        self.assertAlmostEqual(0.03, times["q"].tail_share, delta=0.01)
+
+    def test_same_work_at_twice_all_times(self) -> None:
+        """Guards against a judgement that depends on the unit of the work."""
+        times: dict[str, TaskTimes] = {}
+        for number in range(50):
+            took = 1.0 + number % 5
+            record_task_time(times, "a", 1_000, took)
+            record_task_time(times, "b", 2_000, 2 * took)
+        self.assertAlmostEqual(times["a"].mean, times["b"].mean)
+        self.assertAlmostEqual(times["a"].deviation, times["b"].deviation)
+
+
+class LearnedRowTest(unittest.TestCase):
+    def test_row_of_previous_build_is_read(self) -> None:
+        """Guards against a takeover that forgets all effects during a rolling update."""
+        row = msgspec.msgpack.encode([[], {"web": 2.0}, {"q": Fit(1.0)}])
+        learned = msgspec.msgpack.decode(row, type=LearnedModel)
+        self.assertEqual({}, learned.task_times)
+        self.assertEqual({"web": 2.0}, learned.lowest_tails)
+
+    def test_task_times_are_kept_over_a_takeover(self) -> None:
+        """Guards against a new owner that needs to learn each queue's task times again."""
+        times = {"q": TaskTimes(10.0, 1.0, 2.0, 0.5)}
+        cell = Fleet().cell
+        learned = InterferenceModel().export(cell.durations, times)
+        row = msgspec.msgpack.encode(learned)
+        self.assertEqual(times, msgspec.msgpack.decode(row, type=LearnedModel).task_times)
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -77,6 +77,9 @@
     untimed: bool = False
     priority: int = 0  # of its job
     suspicion: CrashSuspicion = CrashSuspicion.NONE
+    rate: float = 0.0  # recent progress in percent per s, 0 if unknown
+    sampled_at: float = 0.0  # when the progress was ``sampled_percent``
+    sampled_percent: int = 0
 
 
 @dataclass(slots=True)
@@ -105,6 +108,7 @@
     listed_sequence: int = 0  # of the newest end that it listed
     acknowledged_sequence: int = 0  # of the newest end that is written
     suspect_until: float = 0.0  # avoided for new tasks after failures
+    slow_until: float = 0.0  # avoided for new tasks, as it runs all tasks slowly
     full_until: float = 0.0  # it had less capacity than its owner assumed
     reserved_until: float = 0.0  # reserved for tasks of ``reserved_priority`` after preemption
     reserved_priority: int = 0
