Log and count workers that become slow

Cause: an operator couldn't see which workers are avoided for their speed, nor since when. Change: event worker.slow with the factor and the number of tasks that show it, counter toucanpin.workers.slow.

--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -11,7 +11,7 @@
 
 import logbook
 
-from toucanpin.entry.metrics import LOST_RUNS, START_WAIT, STARTS
+from toucanpin.entry.metrics import LOST_RUNS, SLOW_WORKERS, START_WAIT, STARTS
 from toucanpin.scheduling.cell import Cell, Now, find_record
 from toucanpin.scheduling.evacuating import describe_evacuations, list_not_evacuated
 from toucanpin.scheduling.job import TaskKey, format_task
@@ -24,6 +24,7 @@
     "log_failed_tasks",
     "log_losses",
     "log_placement",
+    "log_slow_workers",
     "log_waits",
 ]
 
@@ -75,6 +76,21 @@
         )
 
 
+def log_slow_workers(cell: Cell) -> None:
+    """Log each worker that has begun to run its tasks slowly, once."""
+    found = cell.unlogged_slow_workers
+    cell.unlogged_slow_workers = []
+    for slow in found:
+        SLOW_WORKERS.add(1)
+        _log.warning(
+            "worker runs its tasks slowly",
+            event="worker.slow",
+            worker=slow.worker.entry.id,
+            factor=round(slow.factor, 2),
+            tasks=len(slow.runs),
+        )
+
+
 def log_failed_tasks(cell: Cell, tasks: Iterable[TaskKey]) -> None:
     """Log each task that has crashed too many workers, with those workers."""
     for task in tasks:
--- a/toucanpin/entry/metrics.py
+++ b/toucanpin/entry/metrics.py
@@ -28,6 +28,7 @@
     "REFUSED_STARTS",
     "REQUESTS",
     "REQUEST_TIME",
+    "SLOW_WORKERS",
     "STARTS",
     "START_WAIT",
     "STORE_BYTES",
@@ -91,6 +92,9 @@
 LOST_RUNS = _meter.create_counter(
     "toucanpin.runs.lost", description="Runs lost with their workers, by cause"
 )
+SLOW_WORKERS = _meter.create_counter(
+    "toucanpin.workers.slow", description="Times that a worker began to run its tasks slowly"
+)
 TAKEOVERS = _meter.create_counter("toucanpin.takeovers", description="Cells taken by this host")
 STORE_CALLS = _meter.create_counter(
     "toucanpin.store.calls", description="Calls of the store by outcome"
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -24,6 +24,7 @@
     log_failed_tasks,
     log_losses,
     log_placement,
+    log_slow_workers,
     log_waits,
 )
 from toucanpin.entry.metrics import TURN_TIME
@@ -385,6 +386,7 @@
 
     def _dispatch_orders(self) -> None:
         log_losses(self._cell)
+        log_slow_workers(self._cell)
         orders = self._cell.orders
         self._cell.orders = []
         for order in orders:
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -27,6 +27,7 @@
     "Loss",
     "LossCause",
     "Now",
+    "SlowWorker",
     "StepTickets",
     "Wait",
     "WaitReason",
@@ -133,6 +134,15 @@
     crashes: int
 
 
+@dataclass(frozen=True, slots=True)
+class SlowWorker:
+    """A worker that runs all tasks ``factor`` times slower than usual; ``runs`` show it."""
+
+    worker: Worker
+    factor: float
+    runs: tuple[Run, ...]
+
+
 @dataclass(slots=True)
 class StepTickets:
     """Tickets that are known for one step; times are on the local steady clock."""
@@ -200,6 +210,7 @@
     end_sequences: dict[str, int] = field(default_factory=dict)
     orders: list[StopOrder | PaceOrder] = field(default_factory=list)
     unlogged_losses: list[Loss] = field(default_factory=list)
+    unlogged_slow_workers: list[SlowWorker] = field(default_factory=list)
     suspects: dict[str, set[TaskKey]] = field(default_factory=dict)  # by the worker lost
     crashing: set[TaskKey] = field(default_factory=set)  # not to be started again
     job_rows_to_delete: list[str] = field(default_factory=list)
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -10,18 +10,13 @@
 
 import statistics
 
-from toucanpin.scheduling.cell import Cell, Group, Now, find_record, mark_dirty
+from toucanpin.scheduling.cell import Cell, Group, Now, SlowWorker, find_record, mark_dirty
 from toucanpin.scheduling.choosing import list_eligible, meets_constraints
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.stopping import list_gang_runs, requeue_task, stop_gang, stop_run
 from toucanpin.scheduling.trust import record_failure
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
-from toucanpin.scheduling.worker_speed import (
-    SlowWorker,
-    find_slow_worker,
-    group_rates,
-    update_rates,
-)
+from toucanpin.scheduling.worker_speed import find_slow_worker, group_rates, update_rates
 
 __all__ = ["move_tasks"]
 
@@ -70,6 +65,8 @@
     rates = group_rates(workers)
     slow = [found for it in workers if (found := find_slow_worker(cell, rates, it)) is not None]
     for found in slow:
+        if found.worker.slow_until <= now.steady:
+            cell.unlogged_slow_workers.append(found)
         found.worker.slow_until = now.steady + SLOW_TIME_S
     for found in slow:
         for run in found.runs:
--- a/toucanpin/scheduling/worker_speed.py
+++ b/toucanpin/scheduling/worker_speed.py
@@ -19,10 +19,10 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.cell import Cell, SlowWorker
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
-__all__ = ["SlowWorker", "find_slow_worker", "group_rates", "update_rates"]
+__all__ = ["find_slow_worker", "group_rates", "update_rates"]
 
 SAMPLE_TIME_S = 0.35  # over which progress is measured; workers report it in whole percent
 MIN_SIBLINGS = 2  # on other workers; otherwise the queue's earlier tasks are the reference
@@ -38,15 +38,6 @@
 Step = tuple[str, int]  # job and index of the step
 
 
-@dataclass(frozen=True, slots=True)
-class SlowWorker:
-    """A worker that is slow by ``factor``, with the runs that show it."""
-
-    worker: Worker
-    factor: float
-    runs: tuple[Run, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class _Sample:
     """A task's time compared with the usual one, as a logarithm, and its distribution."""
