--- a/toucanpin/scheduling/tests/test_worker_speed.py
+++ b/toucanpin/scheduling/tests/test_worker_speed.py
@@ -13,6 +13,7 @@
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.task_times import TaskTimes, record_task_time
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.worker_speed import find_slow_worker, group_rates, update_rates
 
 TASK_TIME_S = 1.0
 SLOWDOWN = 7.0
@@ -79,6 +80,39 @@
         self.fleet.run(3.0)
         self.assertIn(task, worker.runs)
 
+    def test_quick_tasks_do_not_make_a_worker_slow(self) -> None:
+        """Guards against a worker that is avoided since its tasks take half of the usual time."""
+        self._learn()
+        for worker in self.fleet.workers.values():
+            worker.duration = TASK_TIME_S / 2
+        self._submit(12)
+        self.fleet.run(0.45)
+        self.assertFalse(any(it.slow_until for it in self.fleet.cell.workers.values()))
+
+    def test_crowded_worker_is_not_slow(self) -> None:
+        """Guards against moving best-effort tasks that merely share their worker's cores."""
+        times = self.fleet.cell.task_times
+        for _ in range(20):
+            record_task_time(times, "q", 1_000, 1.0)
+        for worker in self.fleet.workers.values():
+            worker.duration = 5.0
+        step = Step(cpu=2_000, estimate=1_000, best_effort=True)
+        for number in range(8):
+            self.fleet.submit(make_job(f"crowd{number}", (step,)))
+        self.fleet.run(0.2)
+        cell = self.fleet.cell
+        for known in cell.workers.values():
+            update_rates(known)
+            for run in known.runs.values():
+                run.measure = 400.0
+                run.percent += 12
+                run.last_listed_at += 0.6
+            update_rates(known)
+        rates = group_rates(cell.workers.values())
+        found = [find_slow_worker(cell, rates, it) for it in cell.workers.values()]
+        self.assertTrue(any(rates.values()))
+        self.assertEqual([None] * len(found), found)
+
     def test_without_the_feature_a_lone_task_stays(self) -> None:
         """Guards against changed decisions in a deployment that calls for no profiles."""
         self.fleet.cell.features = Features()
--- a/toucanpin/scheduling/worker_speed.py
+++ b/toucanpin/scheduling/worker_speed.py
@@ -33,6 +33,7 @@
 TAIL_LOG_RATIO = math.log(6.0)  # typical time of a tail task
 TAIL_DEVIATION = 0.5  # of its logarithm
 MIN_RATE = 0.2  # percent per s; a task without progress counts as one with this rate
+MIN_CORE_SHARE = 0.1  # a task with fewer cores hardly makes progress to measure
 SIBLING_TAIL_SHARE = 0.03  # of a step's tasks
 
 Step = tuple[str, int]  # job and index of the step
@@ -57,7 +58,8 @@
             continue
         passed = run.last_listed_at - run.sampled_at
         if passed >= SAMPLE_TIME_S:
-            run.rate = max(MIN_RATE, (run.percent - run.sampled_percent) / passed)
+            progress = (run.percent - run.sampled_percent) / _share_of_cores(run)
+            run.rate = max(MIN_RATE, progress / passed)
             run.sampled_at = run.last_listed_at
             run.sampled_percent = run.percent
 
@@ -88,6 +90,13 @@
     return SlowWorker(worker, factor, tuple(run for run, _ in measured))
 
 
+def _share_of_cores(run: Run) -> float:
+    """Return the share of its cores that a task gets; a crowded worker isn't a slow one."""
+    if not run.step.best_effort or run.measure <= 0:
+        return 1.0
+    return min(1.0, max(MIN_CORE_SHARE, run.measure / max(1, run.step.cpu)))
+
+
 def _restart_sample(run: Run) -> None:
     run.rate = 0.0
     run.sampled_at = run.last_listed_at
