Count quick tasks as usual ones in a worker's speed

Change: a time below the usual one weighs like the usual one; the test uses a worker ten times quicker than its siblings' workers.

--- a/toucanpin/scheduling/tests/test_worker_speed.py
+++ b/toucanpin/scheduling/tests/test_worker_speed.py
@@ -81,12 +81,12 @@
         self.assertIn(task, worker.runs)
 
     def test_quick_tasks_do_not_make_a_worker_slow(self) -> None:
-        """Guards against a worker that is avoided since its tasks take half of the usual time."""
-        self._learn()
+        """Guards against a worker that is avoided since its tasks take a tenth of the usual time."""
         for worker in self.fleet.workers.values():
-            worker.duration = TASK_TIME_S / 2
-        self._submit(12)
-        self.fleet.run(0.45)
+            worker.duration = 10 * TASK_TIME_S
+        self.fleet.workers["w0"].duration = TASK_TIME_S
+        self._submit(1, width=16)
+        self.fleet.run(0.9)
         self.assertFalse(any(it.slow_until for it in self.fleet.cell.workers.values()))
 
     def test_crowded_worker_is_not_slow(self) -> None:
--- a/toucanpin/scheduling/worker_speed.py
+++ b/toucanpin/scheduling/worker_speed.py
@@ -131,9 +131,11 @@
 
 def _weigh(sample: _Sample) -> float:
     """Return how much more likely a slow worker explains a task's time, as a logarithm."""
-    slow = _density(sample.log_ratio, SLOW_LOG_RATIO, math.hypot(sample.deviation, SLOW_DEVIATION))
-    usual = _density(sample.log_ratio, 0.0, sample.deviation)
-    tail = _density(sample.log_ratio, TAIL_LOG_RATIO, math.hypot(sample.deviation, TAIL_DEVIATION))
+    # The distribution of slow workers is wider, so it would also explain very short times.
+    log_ratio = max(0.0, sample.log_ratio)
+    slow = _density(log_ratio, SLOW_LOG_RATIO, math.hypot(sample.deviation, SLOW_DEVIATION))
+    usual = _density(log_ratio, 0.0, sample.deviation)
+    tail = _density(log_ratio, TAIL_LOG_RATIO, math.hypot(sample.deviation, TAIL_DEVIATION))
     share = sample.tail_share
     return math.log((1 - share) * slow + share * tail + 1e-12) - math.log(
         (1 - share) * usual + share * tail + 1e-12
