--- a/toucanpin/scheduling/tests/test_worker_speed.py
+++ b/toucanpin/scheduling/tests/test_worker_speed.py
@@ -81,7 +81,7 @@
         self.assertIn(task, worker.runs)
 
     def test_quick_tasks_do_not_make_a_worker_slow(self) -> None:
-        """Guards against a worker that is avoided since its tasks take a tenth of the usual time."""
+        """Guards against avoiding a worker whose tasks take a tenth of the usual time."""
         for worker in self.fleet.workers.values():
             worker.duration = 10 * TASK_TIME_S
         self.fleet.workers["w0"].duration = TASK_TIME_S
