Bound the cost of placing steps with constraints on a full fleet

Cause: only steps without constraints shared what one scan of all workers had found. Gangs, steps with a label and advised steps each weighed every worker in each turn, for placement, preemption, reservation of workers and advice; so did steps of decreasing size, and steps whose own limit per worker excluded the workers with room. Trial placements of best-effort gangs discarded the cached utilization of workers.

Change: a recalled shortage names label and number of tasks (gangs) too, and what is known is the largest demand that still fits, whatever the sizes come in. A step that only its own tasks exclude is tried again after 0.2 ms per worker (the shared period for best-effort ones). Reservation keeps a heap for each label and searches no more entries than there are workers. Tickets are looked up only for the workers that have one. The order of a step's tasks is computed only where there may be room. Moving lists eligible workers and assesses a gang once.

--- a/toucanpin/scheduling/advising.py
+++ b/toucanpin/scheduling/advising.py
@@ -12,13 +12,26 @@
 from toucanpin.scheduling.cell import Cell, Group, Now, StepTickets, rank_group
 from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound, list_eligible
 from toucanpin.scheduling.interference_model import InterferenceModel
+from toucanpin.scheduling.shortage import Demand, Shortage
+from toucanpin.scheduling.unplaceable import (
+    describe_shortage,
+    is_known_unplaceable,
+    record_unplaceable,
+)
 from toucanpin.scheduling.worker import Worker
 
-__all__ = ["Advice", "AdviceRequest", "find_ticket", "plan_advice_requests", "record_advice"]
+__all__ = [
+    "Advice",
+    "AdviceRequest",
+    "find_ticket",
+    "list_ticketed",
+    "plan_advice_requests",
+    "record_advice",
+]
 
 MAX_WORKERS_PER_REQUEST = 40  # more delay the answer, fewer leave too few candidates
 EXPIRY_MARGIN_S = 0.5  # before a ticket expires, in which it isn't used
-RETRY_DELAY_S = 0.3  # after a request without an answer
+RETRY_DELAY_S = 0.3  # after a request without an answer, and while there is no worker to name
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +59,18 @@
     return ticket if now.steady < until - EXPIRY_MARGIN_S else ""
 
 
+def list_ticketed(cell: Cell, group: Group, workers: list[Worker], now: Now) -> list[Worker]:
+    """Return the workers that may run a step by valid tickets."""
+    known = cell.step_tickets.get(group)
+    if known is None or not known.tickets:
+        return []
+    return [
+        worker
+        for worker in workers
+        if worker.entry.id in known.tickets and find_ticket(cell, group, worker.entry.id, now)
+    ]
+
+
 def plan_advice_requests(
     cell: Cell, model: InterferenceModel, free: int, now: Now
 ) -> list[AdviceRequest]:
@@ -60,6 +85,7 @@
         return requests
     eligible: list[Worker] | None = None
     round_ = PlacementRound(model, now)
+    shortage = Shortage()
     for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group, now)):
         live = cell.jobs[group.job]
         if not live.job.advised:
@@ -69,9 +95,18 @@
             continue
         eligible = list_eligible(cell, now) if eligible is None else eligible
         step = live.job.steps[group.step]
-        fitting = CandidateWorkers(round_, live, group, step, eligible).list_by_cost()
-        if any(find_ticket(cell, group, worker.entry.id, now) for worker in fitting):
+        ticketed = list_ticketed(cell, group, eligible, now)
+        if ticketed and CandidateWorkers(round_, live, group, step, ticketed).best():
+            continue
+        if is_known_unplaceable(cell, step, now) or (
+            not step.best_effort and shortage.covers(Demand.of(step))
+        ):
             continue
+        candidates = CandidateWorkers(round_, live, group, step, eligible)
+        fitting = candidates.list_by_cost()
+        if not fitting and not candidates.constraint_excluded:
+            record_unplaceable(cell, step, candidates, now)
+            shortage.record(describe_shortage(step, candidates))
         # A refusal is final, so the next request names other workers.
         ids = (worker.entry.id for worker in fitting)
         requested = [worker for worker in ids if worker not in known.refused][
@@ -80,6 +115,9 @@
         if requested:
             known.request_pending = True
             requests.append(AdviceRequest(group, tuple(requested)))
+        elif fitting or step.best_effort:
+            # Otherwise many such steps would each search all workers in each turn.
+            known.retry_at = now.steady + RETRY_DELAY_S
         if len(requests) >= free:
             break
     return requests
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -15,6 +15,7 @@
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.orders import PaceOrder, StopOrder
 from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, TaskState
+from toucanpin.scheduling.shortage import Shortage
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
 
 __all__ = [
@@ -95,11 +96,16 @@
 
 @dataclass(slots=True)
 class Wait:
-    """Start of a step's wait for workers, and the latest reason for it."""
+    """
+    Start of a step's wait for workers, and the latest reason for it.
+
+    Before ``retry_at`` placement isn't tried again.
+    """
 
     since: float
     reason: WaitReason = WaitReason.NO_ROOM
     logged_at: float = 0.0
+    retry_at: float = 0.0
 
 
 class LossCause(enum.Enum):
@@ -170,10 +176,10 @@
     ``token`` fences earlier owners at the workers; ``earlier_leases_end`` is the local time by
     which every lease that an earlier owner may have granted has ended; ``confirmed_at`` is when the
     newest write that the table accepted was sent.  ``evacuated`` names the data centres that get no
-    new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` maps the image of a
-    best-effort task to the cores for which no worker was found and the time until which placement
-    is not retried.  ``stop_time`` and ``restore_time`` are the times in s that workers may take to
-    stop and to resume a task.
+    new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` holds by image the
+    demands of best-effort tasks for which no worker was found; they are not tried again until
+    ``unplaceable_until``.  ``stop_time`` and ``restore_time`` are the times in s that workers may
+    take to stop and to resume a task.
     """
 
     name: str
@@ -205,7 +211,8 @@
     short_task_peak: float | None = None  # recent peak of the cores that short tasks requested
     reserved_at: float = float("-inf")  # when cores were last reserved for short tasks
     paced_at: float = 0.0
-    unplaceable: dict[str, tuple[int, float]] = field(default_factory=dict)
+    unplaceable: dict[str, Shortage] = field(default_factory=dict)
+    unplaceable_until: float = 0.0
     consolidated_at: float = 0.0
     consolidated: dict[TaskKey, float] = field(default_factory=dict)  # when tasks were moved
     durations: Durations = field(default_factory=lambda: Durations({}))
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -29,6 +29,7 @@
     "CandidateWorkers",
     "PlacementRound",
     "ReserveAccess",
+    "has_label",
     "list_eligible",
     "may_place_long_running",
     "meets_constraints",
@@ -109,7 +110,7 @@
     Workers that could run a task of a step, in a heap by cost.
 
     ``suspicion`` is how strongly these tasks are suspected of crashing workers;
-    ``constraint_excluded`` is true if a constraint of the step excluded a worker that has room.
+    ``constraint_excluded`` is true if other tasks of the step excluded a worker that has room.
     """
 
     __slots__ = (
@@ -152,6 +153,11 @@
         """Return the cheapest worker for one more task, None if none may run it."""
         return self._heap[0][2] if self._heap else None
 
+    def find_max_free_cpu(self) -> int:
+        """Return the most free cores of any worker with the required label."""
+        free = (it.entry.cpu - it.cpu for it in self._eligible if has_label(it, self._step))
+        return max(free, default=0)
+
     def update_best(self) -> None:
         """Compute the cost of the cheapest worker anew, after a task was assigned to it."""
         _, number, _ = heapq.heappop(self._heap)
@@ -172,6 +178,8 @@
             return None
         if not has_room(worker, step):
             return None
+        if not has_label(worker, step):
+            return None
         if not meets_constraints(worker, self._group, step):
             self.constraint_excluded = True
             return None
@@ -232,9 +240,14 @@
     )
 
 
+def has_label(worker: Worker, step: Step) -> bool:
+    """Return whether a worker has the label that a step requires, if any."""
+    return not step.label or step.label in worker.entry.labels
+
+
 def meets_constraints(worker: Worker, group: Group, step: Step) -> bool:
     """Return whether a worker meets a step's constraints, apart from free resources."""
-    if step.label and step.label not in worker.entry.labels:
+    if not has_label(worker, step):
         return False
     return not step.per_worker or _count_group(worker, group) < step.per_worker
 
--- a/toucanpin/scheduling/gangs.py
+++ b/toucanpin/scheduling/gangs.py
@@ -13,6 +13,13 @@
 from toucanpin.scheduling.crashing import find_suspicion, is_start_blocked
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.retrying import list_retry_workers
+from toucanpin.scheduling.unplaceable import (
+    is_known_unplaceable,
+    is_shortage_known,
+    postpone,
+    record_shortage,
+    record_unplaceable,
+)
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
 
 __all__ = ["place_gang"]
@@ -28,7 +35,7 @@
 ) -> None:
     """Place all tasks of a gang or none, since an incomplete gang makes no progress."""
     waiting = cell.waiting[group]
-    if len(waiting) < step.count:
+    if len(waiting) < step.count or is_known_unplaceable(cell, step, round_.now):
         return
     start = live.offsets[group.step]
     records = live.progress.tasks[group.occurrence][start : start + step.count]
@@ -43,6 +50,9 @@
     if any(is_start_blocked(cell, live, member) for member in members):
         record_wait(cell, group, WaitReason.CRASHING, round_.now)
         return
+    if is_shortage_known(round_, live, step):
+        record_wait(cell, group, WaitReason.INCOMPLETE_GANG, round_.now)
+        return
     # Members share the failures of their gang, so the most suspected one represents them.
     suspected = max(members, key=lambda member: find_suspicion(live, member))
     safe = list_retry_workers(live, suspected, eligible, round_.now)
@@ -51,6 +61,12 @@
     if len(chosen) < step.count:
         live.racks.pop(group, None)
         record_wait(cell, group, WaitReason.INCOMPLETE_GANG, round_.now)
+        if len(safe) < len(eligible) or candidates.constraint_excluded:
+            postpone(cell, group, step, round_.now)
+            return
+        if not live.job.advised:
+            record_unplaceable(cell, step, candidates, round_.now, len(chosen))
+        record_shortage(round_, live, step, None, candidates, len(chosen))
         return
     for index, worker in zip(sorted(waiting), chosen, strict=True):
         waiting.discard(index)
--- a/toucanpin/scheduling/large_tasks.py
+++ b/toucanpin/scheduling/large_tasks.py
@@ -10,7 +10,7 @@
 import heapq
 
 from toucanpin.scheduling.cell import Cell, Group
-from toucanpin.scheduling.choosing import meets_constraints
+from toucanpin.scheduling.choosing import has_label, meets_constraints
 from toucanpin.scheduling.evacuating import list_not_evacuated
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.worker import Worker
@@ -29,12 +29,22 @@
     do.
     """
 
-    __slots__ = ("_cell", "_min_eligible", "_by_free_cores", "eligible")
+    __slots__ = (
+        "_by_free_cores",
+        "_cell",
+        "_min_eligible",
+        "_reserved",
+        "_searches_left",
+        "eligible",
+    )
 
     def __init__(self, cell: Cell, eligible: list[Worker]) -> None:
         self._cell = cell
         self._min_eligible = len(list_not_evacuated(cell)) * (1 - MAX_RESERVED_SHARE)
-        self._by_free_cores: list[tuple[int, int, Worker]] = []
+        self._by_free_cores: dict[str, list[tuple[int, int, Worker]]] = {}  # heaps by label
+        self._reserved: set[str] = set()
+        # Workers that may be found to run other tasks of a step that allows no more there.
+        self._searches_left = len(eligible)
         self.eligible = eligible
 
     def reserve_for(self, group: Group, step: Step) -> None:
@@ -45,6 +55,7 @@
             return
         reserved = self._pop_worker_with_most_cores(group, step)
         if reserved is not None:
+            self._reserved.add(reserved.entry.id)
             self.eligible = [worker for worker in self.eligible if worker is not reserved]
 
     def _pop_worker_with_most_cores(self, group: Group, step: Step) -> Worker | None:
@@ -54,26 +65,41 @@
         Free cores only shrink within a round, so the top of the heap is the maximum if its entry is
         still correct.  Of equal workers the first is returned.
         """
-        if not self._by_free_cores:
-            pairs = enumerate(self.eligible)
-            self._by_free_cores = [
-                (-_count_free_cores(worker), number, worker) for number, worker in pairs
-            ]
-            heapq.heapify(self._by_free_cores)
+        heap = self._get_heap(step)
         excluded: list[tuple[int, int, Worker]] = []
         found = None
-        while self._by_free_cores and found is None:
-            free_cores, number, worker = heapq.heappop(self._by_free_cores)
+        while heap and found is None and self._searches_left > 0:
+            free_cores, number, worker = heapq.heappop(heap)
+            if worker.entry.id in self._reserved:
+                continue
             if free_cores != -_count_free_cores(worker):
-                heapq.heappush(self._by_free_cores, (-_count_free_cores(worker), number, worker))
+                heapq.heappush(heap, (-_count_free_cores(worker), number, worker))
             elif meets_constraints(worker, group, step):
                 found = worker
             else:
                 excluded.append((free_cores, number, worker))
+                self._searches_left -= 1
         for entry in excluded:
-            heapq.heappush(self._by_free_cores, entry)
+            heapq.heappush(heap, entry)
         return found
 
+    def _get_heap(self, step: Step) -> list[tuple[int, int, Worker]]:
+        """
+        Return the workers that have the label of a step, with their free cores.
+
+        Steps with a label that few workers have would otherwise each search all workers.
+        """
+        heap = self._by_free_cores.get(step.label)
+        if heap is None:
+            heap = [
+                (-_count_free_cores(worker), number, worker)
+                for number, worker in enumerate(self.eligible)
+                if has_label(worker, step)
+            ]
+            heapq.heapify(heap)
+            self._by_free_cores[step.label] = heap
+        return heap
+
 
 def _count_free_cores(worker: Worker) -> int:
     return worker.entry.cpu - worker.cpu
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -36,30 +36,36 @@
 def move_tasks(cell: Cell, now: Now) -> None:
     """Stop or copy the tasks that should run on another worker."""
     durations = _list_durations(cell)
+    others: list[Worker] | None = None
+    complete: dict[tuple[Group, int], bool] = {}
     for worker in cell.workers.values():
         if not worker.reached or worker.silent:
             _queue_copies_of_silent(cell, worker, now)
             continue
         for run in list(worker.runs.values()):
             if run.phase is Phase.RUNNING:
-                _check_run(cell, worker, run, now)
+                _check_run(cell, worker, run, complete, now)
             elif run.step.gang and run.phase is Phase.ORDERED:
                 _stop_incomplete_gang(cell, run, now)
         for run in _find_slow(cell, durations, worker):
-            if not _has_other_worker(cell, run, now):
+            others = list_eligible(cell, now) if others is None else others
+            if not _has_other_worker(others, run, now):
                 continue
             worker.suspect_until = now.steady + SUSPECT_TIME_S
             cell.moved_tasks.add(run.task)
             _relocate(cell, run, "slow")
 
 
-def _check_run(cell: Cell, worker: Worker, run: Run, now: Now) -> None:
+def _check_run(
+    cell: Cell, worker: Worker, run: Run, complete: dict[tuple[Group, int], bool], now: Now
+) -> None:
+    """Stop or move a run if its worker, its gang or its lack of progress calls for it."""
     if not worker.entry.ready and _outlasts_worker(worker, run, now):
         stop_run(cell, run, "worker leaves")
         return
     if run.step.long_running or run.pace <= 0:
         return
-    if run.step.gang and not _is_gang_complete(cell, run):
+    if run.step.gang and not _is_gang_known_complete(cell, run, complete):
         _stop_incomplete_gang(cell, run, now)
     elif _is_stalled(run):
         record_failure(worker, run, now, SUSPECT_TIME_S)
@@ -97,6 +103,15 @@
             _queue_copy(cell, run)
 
 
+def _is_gang_known_complete(cell: Cell, run: Run, complete: dict[tuple[Group, int], bool]) -> bool:
+    """Return whether a gang is complete; ``complete`` holds what is known of gangs in this turn."""
+    key = (Group(run.task.job, run.task.occurrence, run.task.step), run.attempt)
+    # Otherwise each member would look at all runs of its job.
+    if key not in complete:
+        complete[key] = _is_gang_complete(cell, run)
+    return complete[key]
+
+
 def _is_gang_complete(cell: Cell, run: Run) -> bool:
     live = cell.jobs.get(run.task.job)
     record = find_record(live, run.task) if live else None
@@ -164,7 +179,7 @@
     ]
 
 
-def _has_other_worker(cell: Cell, run: Run, now: Now) -> bool:
+def _has_other_worker(eligible: list[Worker], run: Run, now: Now) -> bool:
     """Return whether another worker that isn't suspect has room for a task."""
     group = Group(run.task.job, run.task.occurrence, run.task.step)
     return any(
@@ -172,7 +187,7 @@
         and worker.suspect_until <= now.steady
         and has_room(worker, run.step)
         and meets_constraints(worker, group, run.step)
-        for worker in list_eligible(cell, now)
+        for worker in eligible
     )
 
 
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -9,7 +9,7 @@
 
 from collections import Counter
 
-from toucanpin.scheduling.advising import find_ticket
+from toucanpin.scheduling.advising import list_ticketed
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
 from toucanpin.scheduling.cell import (
     Cell,
@@ -38,7 +38,10 @@
 from toucanpin.scheduling.retrying import list_retry_workers, wastes_attempt
 from toucanpin.scheduling.unplaceable import (
     find_known_reason,
+    is_delayed,
     is_known_unplaceable,
+    is_shortage_known,
+    postpone,
     record_shortage,
     record_unplaceable,
 )
@@ -77,15 +80,16 @@
         # Workers reserved for large tasks are available to long-running ones, which must not wait.
         allowed = all_eligible if step.long_running else reservation.eligible
         if live.job.advised:
-            allowed = [w for w in allowed if find_ticket(cell, group, w.entry.id, now)]
-        if step.same_rack:
-            _update_rack(cell, live, group)
-        if step.gang:
-            place_gang(cell, round_, live, group, step, allowed)
-        else:
-            _place_group(cell, round_, live, group, step, allowed)
-        if live.job.priority < least_urgent and not step.gang:
-            _preempt_for(cell, live, group, step, allowed, preemption, now)
+            allowed = list_ticketed(cell, group, allowed, now)
+        if not is_delayed(cell, group, now):
+            if step.same_rack:
+                _update_rack(cell, live, group)
+            if step.gang:
+                place_gang(cell, round_, live, group, step, allowed)
+            else:
+                _place_group(cell, round_, live, group, step, allowed)
+            if live.job.priority < least_urgent and not step.gang:
+                _preempt_for(cell, live, group, step, allowed, preemption, now)
         reservation.reserve_for(group, step)
         if not cell.waiting[group]:
             del cell.waiting[group]
@@ -150,6 +154,8 @@
     now: Now,
 ) -> None:
     """Preempt less urgent tasks for the tasks of a step that found no worker."""
+    if preemption.is_infeasible(step, ignore_reserve=step.long_running):
+        return
     preemptions: dict[bool, PreemptionCandidates] = {}
     for index in _order_waiting(cell, live, group)[:MAX_PREEMPTIONS]:
         task = TaskKey(group.job, group.occurrence, group.step, index)
@@ -170,9 +176,10 @@
             preemptions[ignore_reserve] = PreemptionCandidates(
                 cell, group, step, eligible, preemption, now, ignore_reserve
             )
-        if not preemptions[ignore_reserve].preempt_for_one():
-            if not preemptions[ignore_reserve].constraint_excluded and not live.job.advised:
-                preemption.mark_infeasible(step, ignore_reserve)
+        candidates = preemptions[ignore_reserve]
+        if not candidates.preempt_for_one():
+            if not candidates.constraint_excluded and not live.job.advised:
+                preemption.mark_infeasible(step, candidates.describe_infeasible())
             return
 
 
@@ -187,8 +194,13 @@
     waiting = cell.waiting[group]
     if is_known_unplaceable(cell, step, round_.now):
         return
-    candidates: CandidateWorkers | None = None
     now = round_.now
+    # Ordering the tasks first would look at each of thousands of them in each turn.
+    is_short = not eligible or is_shortage_known(round_, live, step)
+    if is_short and _needs_only_room(cell, live, group, now):
+        record_wait(cell, group, _find_reason(live, step, eligible), now)
+        return
+    candidates: CandidateWorkers | None = None
     for index in _order_waiting(cell, live, group):
         task = TaskKey(group.job, group.occurrence, group.step, index)
         block = _find_block(cell, live, task, now)
@@ -207,8 +219,11 @@
         if worker is None:
             reason = _find_reason(live, step, eligible)
             record_wait(cell, group, reason, now)
-            record_unplaceable(cell, live, step, now)
-            record_shortage(round_, live, step, None, candidates.constraint_excluded)
+            if not live.job.advised:
+                record_unplaceable(cell, step, candidates, now)
+            record_shortage(round_, live, step, None, candidates)
+            if candidates.constraint_excluded:
+                postpone(cell, group, step, now)
             return
         chosen = candidates
         if task in worker.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
@@ -221,7 +236,9 @@
             continue
         if not may_place_long_running(eligible, group, step, access):
             record_wait(cell, group, WaitReason.RESERVED, now)
-            record_shortage(round_, live, step, access, candidates.constraint_excluded)
+            record_shortage(round_, live, step, access, candidates)
+            if candidates.constraint_excluded:
+                postpone(cell, group, step, now)
             return
         cell.delayed_until.pop(task, None)
         waiting.discard(index)
@@ -230,6 +247,14 @@
         candidates = candidates if chosen is candidates else None
 
 
+def _needs_only_room(cell: Cell, live: LiveJob, group: Group, now: Now) -> bool:
+    """Return whether a waiting task of a step may be placed once there is room."""
+    tasks = (
+        TaskKey(group.job, group.occurrence, group.step, index) for index in cell.waiting[group]
+    )
+    return any(_find_block(cell, live, task, now) is None for task in tasks)
+
+
 def _find_block(cell: Cell, live: LiveJob, task: TaskKey, now: Now) -> WaitReason | None:
     """Return why a task may not be placed yet on any worker, None if it may."""
     if cell.delayed_until.get(task, 0.0) > now.steady:
--- a/toucanpin/scheduling/preempting.py
+++ b/toucanpin/scheduling/preempting.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from toucanpin.scheduling.cell import Cell, Group, Now
-from toucanpin.scheduling.choosing import meets_constraints
+from toucanpin.scheduling.choosing import has_label, meets_constraints
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.shortage import Demand, Shortage
 from toucanpin.scheduling.stopping import stop_run
@@ -59,9 +59,9 @@
         """Return whether preemption could not free enough for a demand of at most this size."""
         return self._infeasible[step.long_running].covers(_make_demand(step, ignore_reserve))
 
-    def mark_infeasible(self, step: Step, ignore_reserve: bool) -> None:
-        """Record that preemption can't free enough for a task of a step on any worker."""
-        self._infeasible[step.long_running].record(_make_demand(step, ignore_reserve))
+    def mark_infeasible(self, step: Step, demand: Demand) -> None:
+        """Record a demand for which preemption can't free enough on any worker."""
+        self._infeasible[step.long_running].record(demand)
 
     def get_freed(self, worker: Worker) -> FreedResources:
         """Return the resources that preemption will free on a worker."""
@@ -81,8 +81,7 @@
     """
     Workers on which preemption could free resources for a step, in a heap by the work lost.
 
-    ``constraint_excluded`` is true if a constraint of the step excluded a worker that may have
-    room.
+    ``constraint_excluded`` is true if other tasks of the step excluded a worker that may have room.
     """
 
     __slots__ = (
@@ -91,6 +90,7 @@
         "_demand",
         "_group",
         "_heap",
+        "_max_freeable_cpu",
         "_round",
         "_now",
         "_priority",
@@ -116,6 +116,7 @@
         self._now = now
         self._demand = _make_demand(step, ignore_reserve)
         self._priority = cell.jobs[group.job].job.priority
+        self._max_freeable_cpu = 0  # on any worker, for one task
         self.constraint_excluded = False
         found = (self._make_entry(number) for number in range(len(eligible)))
         self._heap = [entry for entry in found if entry is not None]
@@ -144,11 +145,21 @@
             heapq.heappush(self._heap, entry)
         return True
 
+    def describe_infeasible(self) -> Demand:
+        """Return the smallest known demand for which preemption can't free enough."""
+        # Steps of decreasing size would otherwise each search all workers.
+        if self._demand.cpu <= self._max_freeable_cpu:
+            return self._demand
+        return self._demand.with_any_size(self._max_freeable_cpu + 1)
+
     def _make_entry(self, number: int) -> tuple[float, int, list[Run]] | None:
         worker = self._eligible[number]
-        if bound_freeable_cpu(worker, self._priority) < self._demand.required_cpu(
-            worker.reserved_cpu
-        ):
+        if not has_label(worker, self._step):
+            return None
+        freeable = bound_freeable_cpu(worker, self._priority)
+        missing = self._demand.required_cpu(worker.reserved_cpu) - freeable
+        self._max_freeable_cpu = max(self._max_freeable_cpu, self._demand.cpu - missing)
+        if missing > 0:
             return None
         if not meets_constraints(worker, self._group, self._step):
             self.constraint_excluded = True
--- a/toucanpin/scheduling/unplaceable.py
+++ b/toucanpin/scheduling/unplaceable.py
@@ -7,34 +7,69 @@
 
 from __future__ import annotations
 
-from toucanpin.scheduling.cell import Cell, LiveJob, Now, WaitReason
-from toucanpin.scheduling.choosing import PlacementRound, ReserveAccess
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, WaitReason
+from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound, ReserveAccess
 from toucanpin.scheduling.job import Step
-from toucanpin.scheduling.shortage import Demand
-
-__all__ = ["find_known_reason", "is_known_unplaceable", "record_shortage", "record_unplaceable"]
+from toucanpin.scheduling.shortage import Demand, Shortage
+
+__all__ = [
+    "describe_shortage",
+    "find_known_reason",
+    "is_delayed",
+    "is_known_unplaceable",
+    "is_shortage_known",
+    "postpone",
+    "record_shortage",
+    "record_unplaceable",
+]
 
 UNPLACEABLE_PERIOD_S = 0.0012  # per worker, without another try for best-effort tasks
+# Per worker, without another try for a step that its own constraints kept from workers with room,
+# since the result holds for no other step.
+CONSTRAINED_RETRY_S = 0.0002
+
+
+def is_delayed(cell: Cell, group: Group, now: Now) -> bool:
+    """Return whether a step's own constraints left it no worker a moment ago."""
+    wait = cell.waits.get(group)
+    return wait is not None and now.steady < wait.retry_at
+
+
+def postpone(cell: Cell, group: Group, step: Step, now: Now) -> None:
+    """Delay the next try to place a step whose own constraints excluded workers with room."""
+    wait = cell.waits.get(group)
+    if wait is None:
+        return
+    if step.best_effort:
+        wait.retry_at = _end_shared_period(cell, now)
+    else:
+        wait.retry_at = now.steady + CONSTRAINED_RETRY_S * len(cell.workers)
 
 
 def is_known_unplaceable(cell: Cell, step: Step, now: Now) -> bool:
     """Return whether an equal or smaller best-effort task could not be placed a moment ago."""
-    cpu, until = cell.unplaceable.get(step.image, (0, 0.0))
-    return step.best_effort and now.steady < until and step.cpu >= cpu
+    if not step.best_effort or now.steady >= cell.unplaceable_until:
+        return False
+    known = cell.unplaceable.get(step.image)
+    return known is not None and known.covers(_make_best_effort_demand(step, _min_count(step)))
 
 
-def record_unplaceable(cell: Cell, live: LiveJob, step: Step, now: Now) -> None:
+def record_unplaceable(
+    cell: Cell, step: Step, candidates: CandidateWorkers, now: Now, found: int = 0
+) -> None:
     """
-    Record that a best-effort task could not be placed.
+    Record that only ``found`` tasks of a best-effort step found a worker among all.
 
     Otherwise a long queue would be compared with all workers at each end of a task, which on a few
     hundred workers takes more processor time than there is between two ends.
     """
-    if not step.best_effort or step.label or step.per_worker or live.job.advised:
+    if not step.best_effort or candidates.constraint_excluded:
         return
-    known, until = cell.unplaceable.get(step.image, (step.cpu, 0.0))
-    cpu = min(known, step.cpu) if now.steady < until else step.cpu
-    cell.unplaceable[step.image] = (cpu, _end_shared_period(cell, now))
+    if now.steady >= cell.unplaceable_until:
+        cell.unplaceable.clear()
+        cell.unplaceable_until = _end_shared_period(cell, now)
+    known = cell.unplaceable.setdefault(step.image, Shortage())
+    known.record(_make_best_effort_demand(step, found + 1))
 
 
 def _end_shared_period(cell: Cell, now: Now) -> float:
@@ -47,18 +82,32 @@
     return (now.steady // period + 1) * period if period else now.steady
 
 
+def _make_best_effort_demand(step: Step, count: int) -> Demand:
+    return Demand(step.cpu, 0, 0, count=count, label=step.label)
+
+
+def _min_count(step: Step) -> int:
+    """Return how many tasks of a step have to find a worker at once."""
+    return step.count if step.gang else 1
+
+
 def find_known_reason(
     round_: PlacementRound, live: LiveJob, step: Step, access: ReserveAccess
 ) -> WaitReason | None:
     """Return why a task can't be placed, if one with no larger demand could not."""
+    if is_shortage_known(round_, live, step):
+        return WaitReason.NO_ROOM
     if step.best_effort or live.job.advised:
         return None
-    demand = Demand.of(step)
-    if round_.shortage(step.long_running).covers(demand):
-        return WaitReason.NO_ROOM
-    if round_.reserved[access].covers(demand):
-        return WaitReason.RESERVED
-    return None
+    return WaitReason.RESERVED if round_.reserved[access].covers(Demand.of(step)) else None
+
+
+def is_shortage_known(round_: PlacementRound, live: LiveJob, step: Step) -> bool:
+    """Return whether tasks with no larger demand found no room in this round."""
+    if step.best_effort or live.job.advised:
+        return False
+    demand = Demand.of(step, count=_min_count(step))
+    return round_.shortage(step.long_running).covers(demand)
 
 
 def record_shortage(
@@ -66,14 +115,23 @@
     live: LiveJob,
     step: Step,
     access: ReserveAccess | None,
-    constraint_excluded: bool,
+    candidates: CandidateWorkers,
+    found: int = 0,
 ) -> None:
     """
-    Record that a task could not be placed, unless its constraints excluded possible workers.
+    Record that only ``found`` tasks of a step found room, unless constraints excluded workers.
 
     With ``access``, only reserved capacity was left.
     """
-    if step.best_effort or constraint_excluded or live.job.advised:
+    if step.best_effort or candidates.constraint_excluded or live.job.advised:
         return
     shortage = round_.reserved[access] if access else round_.shortage(step.long_running)
-    shortage.record(Demand.of(step))
+    shortage.record(describe_shortage(step, candidates, found))
+
+
+def describe_shortage(step: Step, candidates: CandidateWorkers, found: int = 0) -> Demand:
+    """Return the smallest known demand that can't be met if only ``found`` tasks found room."""
+    demand = Demand.of(step, count=found + 1)
+    free = candidates.find_max_free_cpu()
+    # Steps of decreasing size would otherwise each search all workers.
+    return demand.with_any_size(free + 1) if demand.cpu > free else demand
