--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -16,6 +16,7 @@
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.orders import PaceOrder, StopOrder
 from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, TaskState
+from toucanpin.scheduling.shortage import Shortage
 from toucanpin.scheduling.task_times import TaskTimes
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
 
@@ -98,11 +99,16 @@
 
 @dataclass(slots=True)
 class Wait:
-    """Start of a step's wait for workers, and the latest reason for it."""
+    """
+    Start of a step's wait for workers, and the latest reason for it.
+
+    Before ``retry_at`` placement isn't tried again.
+    """
 
     since: float
     reason: WaitReason = WaitReason.NO_ROOM
     logged_at: float = 0.0
+    retry_at: float = 0.0
 
 
 class LossCause(enum.Enum):
@@ -182,11 +188,11 @@
     ``token`` fences earlier owners at the workers; ``earlier_leases_end`` is the local time by
     which every lease that an earlier owner may have granted has ended; ``confirmed_at`` is when the
     newest write that the table accepted was sent.  ``evacuated`` names the data centres that get no
-    new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` maps the image of a
-    best-effort task to the cores for which no worker was found and the time until which placement
-    is not retried.  ``stop_time`` and ``restore_time`` are the times in s that workers may take to
-    stop and to resume a task.  ``features`` are the optional decisions that the deployment calls
-    for.
+    new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` holds by image the
+    demands of best-effort tasks for which no worker was found; they are not tried again until
+    ``unplaceable_until``.  ``stop_time`` and ``restore_time`` are the times in s that workers may
+    take to stop and to resume a task.  ``features`` are the optional decisions that the
+    deployment calls for.
     """
 
     name: str
@@ -220,7 +226,8 @@
     short_task_peak: float | None = None  # recent peak of the cores that short tasks requested
     reserved_at: float = float("-inf")  # when cores were last reserved for short tasks
     paced_at: float = 0.0
-    unplaceable: dict[str, tuple[int, float]] = field(default_factory=dict)
+    unplaceable: dict[str, Shortage] = field(default_factory=dict)
+    unplaceable_until: float = 0.0
     consolidated_at: float = 0.0
     consolidated: dict[TaskKey, float] = field(default_factory=dict)  # when tasks were moved
     durations: Durations = field(default_factory=lambda: Durations({}))
