Keep an owner that is alive over an outage of the store

Cause: an outage of some seconds deposed a healthy owner. Its write hung on a connection that delivered nothing further until its timeout of up to 2 s, while other hosts took the cell 0.6 s to 1.3 s after they could read the row again; a weak host took it at 0.6 s after that, since in the outage no strong host could announce itself; and the new owner read ten parts one after another.

After an outage the time in which an owner is silent is counted anew, once for each of its writes; reads across the outage don't lengthen the owner's timeout. The first successor doesn't wait, and reads when the timeout is due. Weak hosts leave the cell for 1.4 s, don't take strong hosts for dead after an outage, and give a cell up after 1 s if they still read its rows. A new owner reads three parts at a time and decodes in slices. A failed read of the configuration is repeated after 0.2 s.

--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -27,6 +27,7 @@
 from toucanpin.platform.store import Committed, ExpectedVersion, Put, Row, Store
 from toucanpin.scheduling.evacuating import EvacuationList
 from toucanpin.scheduling.ownership import (
+    MAX_LOADING_S,
     MIN_HANDOVER_INTERVAL_S,
     MIN_TENURE_S,
     OwnerRecord,
@@ -34,7 +35,9 @@
     decode_owner,
     encode_owner,
     plan_next_read,
+    plan_rank,
     plan_takeover,
+    record_failed_read,
     record_read,
 )
 from toucanpin.scheduling.settings import HostSettings
@@ -80,7 +83,7 @@
         self._resigning = False
         self._handed_over = asyncio.Event()
         digest = xxhash.xxh32_intdigest(f"{cell}/{settings.name}/{incarnation}".encode())
-        self._rank = digest / 2**32
+        self._spread = digest / 2**32
 
     @property
     def owns(self) -> bool:
@@ -114,8 +117,9 @@
                     await asyncio.sleep(delay)
                     await self._acquire(watch)
                     self._watch = OwnerWatch()
-                pause = plan_next_read(self._watch, self._peers.count_preferred(self._cell))
+                pause = plan_next_read(self._watch, self._count_preceding())
             except (CallError, PlatformError) as error:
+                record_failed_read(self._watch)
                 _log.warning("owner's row not read", event="owner.unread", reason=error)
             try:
                 async with asyncio.timeout(pause):
@@ -153,7 +157,13 @@
         record = _read_owner(row, self._reader) if row else None
         record_read(watch, row.version if row else 0, record, now - begun, now)
         weak = self._peers.has_stronger_host()
-        return plan_takeover(watch, self._rank, self._settings.name, self._incarnation, weak)
+        rank = plan_rank(self._count_preceding(), self._spread)
+        return plan_takeover(watch, rank, self._settings.name, self._incarnation, weak)
+
+    def _count_preceding(self) -> int:
+        """Return how many live hosts precede this one as successors of the owner."""
+        record = self._watch.record
+        return self._peers.count_preferred(self._cell, record.host if record else "")
 
     async def _hand_over_to_stronger(self, owner: Owner) -> None:
         """
@@ -166,7 +176,9 @@
         while True:
             await asyncio.sleep(HANDOVER_CHECK_PERIOD_S)
             now = steady_time()
-            if now < max(began + MIN_TENURE_S, self._last_handover_at + MIN_HANDOVER_INTERVAL_S):
+            # An owner that still reads its rows starts nothing, so nothing is lost with it.
+            tenure = MIN_TENURE_S if owner.loaded else MAX_LOADING_S
+            if now < max(began + tenure, self._last_handover_at + MIN_HANDOVER_INTERVAL_S):
                 continue
             if self._peers.has_stronger_host():
                 self._last_handover_at = now
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -48,6 +48,10 @@
 INITIAL_BACKOFF_S = 0.02  # before a commit is repeated; doubled each time
 MAX_BACKOFF_S = 0.2
 COMMIT_TIMEOUT_S = 2.0  # of one attempt; a store that is 60 times slower than usual takes 0.6 s
+# Reads of a new owner at a time.  More of them would fill a link of 10 Mbit/s for so long that the
+# owner's renewals are late.
+CONCURRENT_READS = 3
+SLICE_ROWS = 50  # decoded at a time by a new owner
 COUNTS_PERIOD_S = 0.5  # between writes of the counts of pending jobs
 EFFECTS_PERIOD_S = 3.0  # between writes of the learned effects and durations
 
@@ -91,16 +95,19 @@
 
     async def load(self, now: Callable[[], Now]) -> int:
         """Read all rows of the cell; return the version from which to follow the jobs."""
-        jobs = await self.read_jobs()
-        progress = await self._read_part(PROGRESS_TABLE, self._cell.name)
-        learned = await self._read_part(EFFECTS_TABLE, self._cell.name)
+        # The order doesn't matter: from its first write on, only this owner changes the progress.
+        name = self._cell.name
+        reads = [(JOBS_TABLE, part) for part in list_job_parts(name)]
+        reads += [(PROGRESS_TABLE, name), (EFFECTS_TABLE, name)]
+        *job_pages, progress, learned = await self._read_parts(reads)
+        jobs = _join_pages(job_pages)
         effects = self._reader.read_one(learned.rows, _decode_learned)
         if effects is not None:
             self._interference.restore(effects, now().steady)
             self._cell.durations.fits = effects.durations
         known = {row.key: it for row, it in self._reader.read(progress.rows, _decode_progress)}
         self.blocked = {row.key for row in progress.rows if row.key not in known}
-        self._add_jobs(jobs.rows, known, now())
+        await self._add_jobs(jobs.rows, known, now())
         self.view = TableView(jobs.version, jobs.clock)
         _log.info(
             "cell owned",
@@ -111,9 +118,11 @@
         )
         return jobs.version
 
-    def _add_jobs(self, rows: Sequence[Row], known: dict[str, Progress], now: Now) -> None:
+    async def _add_jobs(self, rows: Sequence[Row], known: dict[str, Progress], now: Now) -> None:
         job_rows = [row for row in rows if not split_key(row.key)[1]]
-        for row, job in self._reader.read(job_rows, decode_job_row):
+        for count, (row, job) in enumerate(self._reader.read(job_rows, decode_job_row), 1):
+            if count % SLICE_ROWS == 0:
+                await asyncio.sleep(0)  # lets the renewals of leases and of the ownership run
             progress = known.get(row.key)
             if progress is not None and not matches_job(progress, job):
                 self.blocked.add(row.key)
@@ -135,10 +144,17 @@
         The ``version`` and ``clock`` of the result are those of the oldest page.
         """
         parts = list_job_parts(self._cell.name)
-        pages = [await self._read_part(JOBS_TABLE, part, throttle) for part in parts]
-        rows = tuple(row for page in pages for row in page.rows)
-        version = min(page.version for page in pages)
-        return Page(rows, False, version, min(page.clock for page in pages))
+        return _join_pages([await self._read_part(JOBS_TABLE, part, throttle) for part in parts])
+
+    async def _read_parts(self, reads: Sequence[tuple[str, str]]) -> list[Page]:
+        """Read parts of tables, some at a time, with retries."""
+        free = asyncio.Semaphore(CONCURRENT_READS)
+
+        async def read(table: str, part: str) -> Page:
+            async with free:
+                return await self._read_part(table, part)
+
+        return await asyncio.gather(*(read(table, part) for table, part in reads))
 
     async def _read_part(
         self,
@@ -248,6 +264,13 @@
         return [Put(COUNTS_TABLE, COUNTS_KEY, value)]
 
 
+def _join_pages(pages: Sequence[Page]) -> Page:
+    """Return the rows of all pages, with the version and clock of the oldest one."""
+    rows = tuple(row for page in pages for row in page.rows)
+    version = min(page.version for page in pages)
+    return Page(rows, False, version, min(page.clock for page in pages))
+
+
 def decode_job_row(row: Row) -> Job:
     """
     Decode a job's row.
--- a/toucanpin/entry/configuration.py
+++ b/toucanpin/entry/configuration.py
@@ -31,6 +31,7 @@
 
 _log = logbook.Logger("configuration")
 POLL_PERIOD_S = 0.6  # a version must be in force 2 s after it was accepted, and a read takes 240 ms
+RETRY_DELAY_S = 0.2  # after a failed read; an owner starts nothing without a recent one
 REFRESH_TIMEOUT_S = 20.0  # of a refresh that no caller waits for
 MAX_LOOKUP_AGE_S = 0.25  # maximum age of a version that shows that a queue doesn't exist
 
@@ -62,8 +63,8 @@
     async def run(self) -> None:
         """Poll the document until cancelled."""
         while True:
-            await self.refresh()
-            await asyncio.sleep(POLL_PERIOD_S)
+            confirmed = await self.refresh() or self._invalid_document is not None
+            await asyncio.sleep(POLL_PERIOD_S if confirmed else RETRY_DELAY_S)
 
     async def refresh(self, max_age: float = 0.0, time_limit: float = REFRESH_TIMEOUT_S) -> bool:
         """
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -143,6 +143,7 @@
         self._backlog = StartBacklog()
         self._failure: asyncio.Future[None] | None = None
         self._resigning = False
+        self.loaded = False  # whether the cell's rows are read, so that tasks can be placed
 
     async def run(self) -> None:
         """
@@ -158,6 +159,7 @@
         try:
             self._spawn(self._follow_workers())
             self._jobs.followed_version = await self._load()
+            self.loaded = True
             self._workers.signal_loaded()
             following = (self._jobs.follow, self._jobs.relist)
             for part in (self._commit, *following, self._tick, self._drop_ended_jobs):
--- a/toucanpin/entry/peers.py
+++ b/toucanpin/entry/peers.py
@@ -30,6 +30,7 @@
 _log = logbook.Logger("peers")
 ANNOUNCE_PERIOD_S = 4.0  # between announcements of a host
 READ_PERIOD_S = 2.0  # between reads of the registry
+MAX_READ_GAP_MS = 3_000  # a longer time between two reads is an outage of the store
 PEER_TIMEOUT_S = 15.0  # without an announcement, after which a host is no longer called
 # Hosts are replaced under new names all the time.  If their rows were kept, reading them would use
 # up the bandwidth of all hosts.
@@ -63,13 +64,26 @@
 class Peers:
     """Registry of the hosts, in which this one announces itself."""
 
-    __slots__ = ("_reader", "_cache", "_settings", "_store", "known", "secret")
+    __slots__ = (
+        "_reader",
+        "_cache",
+        "_outage",
+        "_outage_counts_until",
+        "_read_at",
+        "_settings",
+        "_store",
+        "known",
+        "secret",
+    )
 
     def __init__(self, store: Store, settings: HostSettings) -> None:
         self._store = store
         self._settings = settings
         self._reader = RowReader()
         self._cache = RowCache(store, HOSTS_TABLE)
+        self._read_at = 0  # the table's clock at the last read, in ms
+        self._outage = 0  # ms
+        self._outage_counts_until = 0  # on the table's clock, in ms
         self.known: tuple[Peer, ...] = ()
         self.secret = b""
 
@@ -98,14 +112,28 @@
 
     def has_stronger_host(self) -> bool:
         """Return whether a healthy host has far more cores than this one."""
-        limit = self._store.clock - int(HEALTHY_TIMEOUT_S * 1_000)
+        limit = self._read_at - self._find_outage() - int(HEALTHY_TIMEOUT_S * 1_000)
         min_cores = STRONGER_FACTOR * self._settings.cores
         return any(peer.announced > limit and peer.cores >= min_cores for peer in self.known)
 
-    def count_preferred(self, cell: str) -> int:
-        """Return how many live hosts precede this one for a cell: by cores, then by hash."""
+    def _find_outage(self) -> int:
+        """
+        Return the duration in ms of an outage of the store that ended recently, else 0.
+
+        No host could announce itself meanwhile.  A weak host that took all stronger ones for dead
+        would take their cell, and couldn't follow it.
+        """
+        return self._outage if self._read_at < self._outage_counts_until else 0
+
+    def count_preferred(self, cell: str, owner: str = "") -> int:
+        """
+        Return how many live hosts precede this one for a cell: by cores, then by hash.
+
+        The ``owner`` isn't counted.
+        """
         own = _make_rank(cell, self._settings.name, self._settings.cores)
-        ranks = (_make_rank(cell, peer.name, peer.cores) for peer in self.list_live())
+        others = (peer for peer in self.list_live() if peer.name != owner)
+        ranks = (_make_rank(cell, peer.name, peer.cores) for peer in others)
         return sum(rank < own for rank in ranks)
 
     def wall_offsets(self) -> tuple[int, ...]:
@@ -139,6 +167,7 @@
 
     async def _refresh(self) -> None:
         await self._cache.update()
+        self._record_read(self._store.clock)
         rows = self._cache.rows.values()
         found = tuple(self._reader.read(rows, _decode_peer))
         self.known = tuple(peer for _, peer in found)
@@ -147,6 +176,13 @@
             [row for row, peer in found if peer.announced < limit][:MAX_DROPPED_ROWS]
         )
 
+    def _record_read(self, clock: int) -> None:
+        gap = clock - self._read_at
+        if self._read_at and gap > MAX_READ_GAP_MS:
+            self._outage = gap
+            self._outage_counts_until = clock + int((ANNOUNCE_PERIOD_S + READ_PERIOD_S) * 1_000)
+        self._read_at = clock
+
     async def _drop_expired(self, rows: list[Row]) -> None:
         """Delete the rows of expired hosts that haven't announced themselves since."""
         if not rows:
--- a/toucanpin/scheduling/ownership.py
+++ b/toucanpin/scheduling/ownership.py
@@ -13,13 +13,16 @@
 
 __all__ = [
     "MIN_HANDOVER_INTERVAL_S",
+    "MAX_LOADING_S",
     "MIN_TENURE_S",
     "OwnerRecord",
     "OwnerWatch",
     "decode_owner",
     "encode_owner",
     "plan_next_read",
+    "plan_rank",
     "plan_takeover",
+    "record_failed_read",
     "record_read",
 ]
 
@@ -28,13 +31,19 @@
 OWNER_WRITE_INTERVAL_S = 0.35  # of an owner without other writes
 # On a weak host the orders and answers of hundreds of workers take all processor time: jobs are
 # read late, and tasks of jobs that were cancelled meanwhile are started.
-WEAK_HOST_DELAY_S = 0.6  # for which a weak host leaves a cell to stronger ones
+WEAK_HOST_DELAY_S = 1.4  # for which a weak host leaves a cell to stronger ones
 MIN_TENURE_S = 4.0  # after which a weak owner may hand its cell to a stronger host
+MAX_LOADING_S = 1.0  # after which a weak owner that places nothing yet gives up its cell
 MIN_HANDOVER_INTERVAL_S = 20.0  # between two handovers by one host
 SUCCESSOR_POLL_INTERVAL_S = 0.4  # between reads of the owner's row by the next hosts in the order
 POLL_INTERVAL_S = 1.2  # between reads by the other hosts
 SUCCESSOR_COUNT = 16  # hosts; most of them may fail together with the owner
 READ_TIME_FACTOR = 3.0  # by which an owner's write may exceed a read while the store is slow
+# Slower reads, or longer times without one, are outages; a slow store takes 0.6 s to answer.
+MAX_READ_TIME_S = 1.0
+MAX_READ_GAP_S = POLL_INTERVAL_S + MAX_READ_TIME_S
+MIN_READ_INTERVAL_S = 0.05  # between the last reads before a takeover
+MIN_LATER_RANK = 0.3  # of all hosts but the first in the order of succession
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -56,7 +65,14 @@
 
 @dataclass(slots=True)
 class OwnerWatch:
-    """Observed state of the owner's row; ``changed_at`` is when its version was first read."""
+    """
+    Observed state of the owner's row.
+
+    ``changed_at`` is when its version was first read, ``silent_time`` the time since then in which
+    the row could be read, and ``timeout`` the silent time at which this host takes the cell.
+    ``failed`` is true after a failed read, ``excused`` once an outage has restarted the silent time
+    of the present version.
+    """
 
     version: int = -1
     record: OwnerRecord | None = None
@@ -64,6 +80,14 @@
     seen_at: float = 0.0
     read_time: float = 0.0
     silent_time: float = 0.0
+    timeout: float = 0.0
+    failed: bool = False
+    excused: bool = False
+
+
+def record_failed_read(watch: OwnerWatch) -> None:
+    """Record that the row couldn't be read, neither directly nor through other hosts."""
+    watch.failed = True
 
 
 def record_read(
@@ -71,17 +95,39 @@
 ) -> None:
     """Record a read of the row that took ``took`` seconds."""
     gap = now - watch.seen_at
+    is_outage = watch.failed or took > MAX_READ_TIME_S or gap > MAX_READ_GAP_S
     watch.seen_at = now
-    watch.read_time = max(took, watch.read_time * 0.8)
+    watch.failed = False
     if version != watch.version:
         watch.version = version
         watch.record = record
         watch.changed_at = now
         watch.silent_time = 0.0
+        watch.excused = False
+        if is_outage:
+            return
+    elif is_outage and not watch.excused:
+        # The owner may have been alive all the time.  It needs as long to write again as an owner
+        # that is well, since its last write may have been cut off by the outage as well.  Only once
+        # for each write, or a host whose reads are always slow would never take a cell.
+        watch.silent_time = 0.0
+        watch.excused = True
         return
-    # Only time in which the row could be read counts: after an outage of the table the owner needs
-    # a moment to write again, and may have been alive all the time.
-    watch.silent_time += min(gap, 2 * OWNER_WRITE_INTERVAL_S + took)
+    else:
+        # Only time in which the row could be read counts.
+        watch.silent_time += min(gap, 2 * OWNER_WRITE_INTERVAL_S + took)
+    watch.read_time = max(took, watch.read_time * 0.8)
+
+
+def plan_rank(position: int, spread: float) -> float:
+    """
+    Return the rank of a host for ``plan_takeover``.
+
+    ``position`` is the number of live hosts before it in the order of succession, without the
+    owner; ``spread`` is a random number of the host from 0 to 1.  The first in the order is the
+    strongest, and doesn't wait for others.
+    """
+    return 0.0 if position == 0 else MIN_LATER_RANK + (1 - MIN_LATER_RANK) * spread
 
 
 def plan_takeover(
@@ -102,13 +148,13 @@
     # would let the leases of all workers expire whenever all hosts restart.
     if watch.record.host == host and watch.record.life != life:
         return 0.0
-    timeout = (
+    watch.timeout = (
         OWNER_TIMEOUT_S
         + rank * OWNER_WRITE_INTERVAL_S
         + READ_TIME_FACTOR * watch.read_time
         + weak_delay
     )
-    return 0.0 if watch.silent_time >= timeout else None
+    return 0.0 if watch.silent_time >= watch.timeout else None
 
 
 def plan_next_read(watch: OwnerWatch, position: int) -> float:
@@ -122,6 +168,9 @@
     owned = watch.record is not None and bool(watch.record.host)
     if owned and not watch.silent_time and position >= SUCCESSOR_COUNT:
         return POLL_INTERVAL_S
+    left = watch.timeout - watch.silent_time if owned and watch.silent_time else 0.0
+    if left > 0:
+        return min(SUCCESSOR_POLL_INTERVAL_S, max(MIN_READ_INTERVAL_S, left))
     return SUCCESSOR_POLL_INTERVAL_S
 
 
