--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -11,6 +11,7 @@
 import itertools
 import os
 import socket
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -119,11 +120,13 @@
         duration: float = 0.2,
         address: str = "",
         data_centre: str = "dc",
+        name: str = "",
     ) -> SiteWorker:
-        """Start a worker, or a new incarnation of one at its address."""
-        name = f"w{len(self.workers)}"
+        """Start a worker, or a new incarnation of one at its address, or under its name too."""
+        name = name or f"w{len(self.workers)}"
         address = address or f"127.0.0.1:{free_port()}"
-        entry = WorkerEntry(name, "c", address, data_centre, True, cpu, 8_000, 0)
+        born = time.time_ns() // 1_000_000
+        entry = WorkerEntry(name, "c", address, data_centre, True, cpu, 8_000, 0, born=born)
         worker = SiteWorker(self.store, entry)
         worker.core.duration = duration
         await worker.start()
--- a/standins/site/worker.py
+++ b/standins/site/worker.py
@@ -76,6 +76,8 @@
             "labels": entry.labels,
             "seq": self._sequence,
         }
+        if entry.born:
+            fields["born"] = entry.born
         self._sequence += 1
         self._store.put("servers", entry.id, msgspec.json.encode(fields))
 
@@ -145,12 +147,16 @@
             [e.sequence, encode_task(e.task), e.attempt, e.end.value, e.checkpoint]
             for e in report.ended
         ]
-        body = {"clockMs": report.clock, "running": running, "finished": ended}
-        return Response(200, msgspec.json.encode(body))
+        return self._reply(200, {"clockMs": report.clock, "running": running, "finished": ended})
 
     def _answer(self, refused: RefusalReason | None) -> Response:
         clock = int(self._now() * 1_000)
         if refused is None:
-            return Response(200, msgspec.json.encode({"clockMs": clock}))
-        body = {"clockMs": clock, "reason": _REASONS[refused]}
-        return Response(409, msgspec.json.encode(body))
+            return self._reply(200, {"clockMs": clock})
+        return self._reply(409, {"clockMs": clock, "reason": _REASONS[refused]})
+
+    def _reply(self, status: int, body: dict[str, Any]) -> Response:
+        """Answer as this incarnation; without a number, as an older platform's worker does."""
+        if self.core.entry.born:
+            body["born"] = self.core.entry.born
+        return Response(status, msgspec.json.encode(body))
--- a/standins/site/worker_core.py
+++ b/standins/site/worker_core.py
@@ -22,6 +22,8 @@
 
 __all__ = ["Run", "WorkerCore"]
 
+MAX_LEASE_S = 10.0  # longer leases are shortened
+
 
 @dataclass(slots=True)
 class Run:
@@ -60,24 +62,32 @@
         self, task: TaskKey, attempt: int, deadline: int, token: int, now: float
     ) -> StartAnswer:
         """Start a task, or return the reason for refusing it."""
-        clock = int(now * 1_000)
+        refused = self._start(task, attempt, deadline, token, now)
+        return StartAnswer(int(now * 1_000), refused, self.entry.born)
+
+    def _start(
+        self, task: TaskKey, attempt: int, deadline: int, token: int, now: float
+    ) -> RefusalReason | None:
         if token < self.token:
-            return StartAnswer(clock, RefusalReason.FENCED)
+            return RefusalReason.FENCED
         self.token = token
-        if deadline <= clock:
-            return StartAnswer(clock, RefusalReason.LATE)
-        self.deadline = max(self.deadline, deadline / 1_000)
+        if deadline <= int(now * 1_000):
+            return RefusalReason.LATE
+        self._extend_lease(deadline, now)
         if self.refusals_left:
             self.refusals_left -= 1
-            return StartAnswer(clock, self.refusal)
+            return self.refusal
         present = self.runs.get(task)
         if present is not None and present.attempt == attempt:
-            return StartAnswer(clock, None)
+            return None
         if attempt <= self.highest.get(task, 0):
-            return StartAnswer(clock, RefusalReason.OLD_ATTEMPT)
+            return RefusalReason.OLD_ATTEMPT
         self.runs[task] = Run(attempt, now, self.duration, self.failing)
         self.starts.append((task, attempt))
-        return StartAnswer(clock, None)
+        return None
+
+    def _extend_lease(self, deadline: int, now: float) -> None:
+        self.deadline = max(self.deadline, min(deadline / 1_000, now + MAX_LEASE_S))
 
     def stop(self, task: TaskKey, attempt: int, token: int) -> RefusalReason | None:
         """Stop an attempt and all lower ones of its task."""
@@ -99,12 +109,12 @@
         self.acknowledged = max(self.acknowledged, acknowledged)
         self.acknowledged_ends += [ended for ended in self.ended if ended.sequence <= acknowledged]
         self.ended = [ended for ended in self.ended if ended.sequence > acknowledged]
-        self.deadline = max(self.deadline, deadline / 1_000)
+        self._extend_lease(deadline, now)
         running = tuple(
             RunningTask(task, run.attempt, "", self.percent(run, now))
             for task, run in self.runs.items()
         )
-        return PollAnswer(int(now * 1_000), running, tuple(self.ended))
+        return PollAnswer(int(now * 1_000), running, tuple(self.ended), self.entry.born)
 
     def percent(self, run: Run, now: float) -> int:
         """Return the progress of a run in percent."""
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -20,6 +20,7 @@
 from toucanpin.platform.workers import WorkerClient, WorkerReplacedError
 from toucanpin.scheduling.answer_timeout import MAX_LATENESS_S, AnswerTimeout
 from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.incarnations import admit_answer
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import format_task
 from toucanpin.scheduling.learning import learn_effects
@@ -78,6 +79,7 @@
         self._loaded = asyncio.Event()
         self._min_answer_time = MinAnswerTime()
         self._starts_sent_at: dict[int, float] = {}  # starts that have no answer yet
+        self._told_unknown = False  # that restarts of workers under their ids can't be told
 
     def count_starting(self) -> int:
         """Return the number of starts that have been sent and may still be answered."""
@@ -104,9 +106,39 @@
     ) -> None:
         """Update the cell's workers from their entries, and start to poll new ones."""
         for worker in update_workers(self._cell, entries, self._clocks.now(), malformed):
-            entry = worker.entry
-            self._clients[entry.id] = WorkerClient(entry.id, entry.address)
-            self._spawn(self._poll(worker))
+            self._tell_unknown(worker, worker.entry.born)
+            self._begin_polling(worker)
+
+    def _begin_polling(self, worker: Worker) -> None:
+        """Poll an incarnation of a worker that has just become known."""
+        entry = worker.entry
+        if worker.earlier_born:
+            _log.info(
+                "worker restarted under its id",
+                event="worker.restarted",
+                worker=entry.id,
+                born=worker.born,
+                earlier=worker.earlier_born,
+            )
+        self._clients[entry.id] = WorkerClient(entry.id, entry.address)
+        self._spawn(self._poll(worker))
+
+    def _admits_answer(self, worker: Worker, born: int) -> bool:
+        """Return whether a worker's answer is of its known incarnation; a newer one begins."""
+        found = admit_answer(self._cell, worker, born, self._clocks.now())
+        if found is not None and found is not worker:
+            self._begin_polling(found)
+            self._on_change()
+        return found is worker
+
+    def _tell_unknown(self, worker: Worker, born: int) -> None:
+        if not born and not self._told_unknown:
+            self._told_unknown = True
+            _log.warning(
+                "a worker doesn't tell its incarnation, so its restarts may go unnoticed",
+                event="worker.unnumbered",
+                worker=worker.entry.id,
+            )
 
     async def _poll(self, worker: Worker) -> None:
         """Poll one worker, to renew its lease and to learn of ended runs, until it is replaced."""
@@ -128,6 +160,8 @@
                 self._on_change()
                 break
             except (CallError, PlatformError) as error:
+                if self._cell.workers.get(identifier) is not worker:
+                    break
                 repeated = worker.silent
                 mark_silent(worker)
                 if repeated:
@@ -144,6 +178,10 @@
                 continue
             if isinstance(answer, RefusalReason):
                 raise OwnershipLostError(f"worker {identifier} refused: {answer.value}")
+            self._tell_unknown(worker, answer.born)
+            if not self._admits_answer(worker, answer.born):
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
             now = self._clocks.now()
             self._answer_timeout.record(now.steady - sent_at - order.wait, now.steady)
             _log_ends(worker, answer.ended)
@@ -172,7 +210,7 @@
         On a slow link a new owner needs longer than a lease to read them; without renewals each
         takeover would lose all running tasks.
         """
-        while not self._loaded.is_set():
+        while not self._loaded.is_set() and self._cell.workers.get(worker.entry.id) is worker:
             deadline = plan_renewal(self._cell, worker, self._clocks.now())
             pause = RENEWAL_PERIOD_S if deadline else 0.0
             try:
@@ -184,7 +222,8 @@
             else:
                 if isinstance(answer, RefusalReason):
                     raise OwnershipLostError(f"worker {worker.entry.id} refused: {answer.value}")
-                record_clock(worker, answer, self._clocks.now())
+                if self._admits_answer(worker, answer.born):
+                    record_clock(worker, answer, self._clocks.now())
             try:
                 async with asyncio.timeout(pause):
                     await self._loaded.wait()
@@ -247,7 +286,10 @@
                         worker=run.worker,
                         reason=answer.refused.value,
                     )
-                outcome = apply_start_answer(self._cell, worker, run, answer, self._clocks.now())
+                outcome = StartOutcome.RETRY_LATER
+                if self._admits_answer(worker, answer.born):
+                    now = self._clocks.now()
+                    outcome = apply_start_answer(self._cell, worker, run, answer, now)
             finally:
                 self._starts_sent_at.pop(id(run), None)
             match outcome:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -115,6 +115,7 @@
         self._cell = Cell(name, record.token, earlier_leases_end, confirmed)
         self._cell.stop_time = settings.bounds.stop_time
         self._cell.restore_time = settings.bounds.restore_time
+        self._cell.max_lease = settings.bounds.max_lease
         self._interference = InterferenceModel()
         self._reader = RowReader()
         self._rows = CellRows(
--- a/toucanpin/entry/tests/test_dropping_jobs.py
+++ b/toucanpin/entry/tests/test_dropping_jobs.py
@@ -30,7 +30,7 @@
         table that takes 0.6 s per call, each commit would be 3 s late, and the owner be replaced.
         """
         async with asyncio.timeout(TEST_TIMEOUT_S):
-            await self.rows.write(WriteBatch({}, ("a1", "a2"), (), {}), False)
+            await self.rows.write(WriteBatch({}, ("a1", "a2"), (), ()), False)
         self.assertEqual(["c"], self.store.parts)
 
     async def test_rows_of_ended_jobs_are_deleted_concurrently(self) -> None:
--- a/toucanpin/platform/tests/test_store_and_workers.py
+++ b/toucanpin/platform/tests/test_store_and_workers.py
@@ -211,6 +211,28 @@
         with self.assertRaises(PlatformError):
             decode_worker("i-1", b"{}")
 
+    def test_malformed_incarnation_is_unknown(self) -> None:
+        """
+        Guards against losing a worker, or all its later restarts, for one field that another writer
+        has set.
+        """
+        fields = {
+            "service": "c",
+            "address": "10.0.0.1:80",
+            "zone": "dc",
+            "state": "ready",
+            "seq": 1,
+            "capacity": {"cpu": 1, "memMb": 1},
+            "labels": [],
+        }
+        for born in (None, "7", 7.5, True, -1, 0, 2**53 + 1, [7], {}):
+            with self.subTest(born=born):
+                value = msgspec.json.encode(fields | {"born": born})
+                self.assertEqual(0, decode_worker("i-1", value).born)
+        self.assertEqual(0, decode_worker("i-1", msgspec.json.encode(fields)).born)
+        value = msgspec.json.encode(fields | {"born": 1_700_000_000_000})
+        self.assertEqual(1_700_000_000_000, decode_worker("i-1", value).born)
+
     def test_configuration_is_decoded_or_refused(self) -> None:
         route = {"name": "q", "host": "h", "pathPrefix": "/p/", "service": "s", "maxAttempts": 3}
         document = {"version": 4, "routes": [route], "services": [{"name": "s"}]}
--- a/toucanpin/platform/workers.py
+++ b/toucanpin/platform/workers.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -42,6 +42,8 @@
 MAX_CPU_MILLICORES = 10_000_000  # 10,000 cores
 MAX_MEMORY_MB = 1_000_000_000  # 1 PB
 MAX_ACCELERATORS = 10_000
+# A larger one would make each later restart look older, so that all its answers were ignored.
+MAX_BORN_MS = 2**53  # the largest whole number that every writer of JSON keeps
 _INSTANCE_HEADER = "X-Expect-Instance"
 _RUN_ENDS = {
     "done": RunEnd.DONE,
@@ -88,6 +90,8 @@
     cold_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
     machine: str = ""
     remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
+    # Of any type: without it a restart can't be told, which costs less than the whole worker.
+    born: Any = 0
 
 
 _entry_decoder = msgspec.json.Decoder(_Entry)
@@ -128,6 +132,7 @@
     reason: str = ""
     running: list[list] = []
     finished: list[list] = []
+    born: Any = 0
 
 
 class WorkerClient:
@@ -162,8 +167,8 @@
             return StartAnswer(0, RefusalReason.MALFORMED)
         body = _decode(answer, (200, 409))
         if answer.status == 200:
-            return StartAnswer(body.clock_ms, None)
-        return StartAnswer(body.clock_ms, _read_reason(body.reason))
+            return StartAnswer(body.clock_ms, None, _read_born(body.born))
+        return StartAnswer(body.clock_ms, _read_reason(body.reason), _read_born(body.born))
 
     async def stop(self, task: TaskKey, attempt: int, token: int) -> RefusalReason | None:
         """Stop an attempt permanently, even if its start has not arrived yet."""
@@ -196,6 +201,7 @@
             body.clock_ms,
             tuple(_to_running(row) for row in body.running),
             tuple(_to_ended(row) for row in body.finished),
+            _read_born(body.born),
         )
 
     async def _call(
@@ -236,6 +242,7 @@
         cold_time_left=entry.cold_left_ms / 1_000,
         machine=entry.machine,
         time_left=entry.remaining_ms / 1_000,
+        born=_read_born(entry.born),
     )
 
 
@@ -272,6 +279,12 @@
     return _read_reason(body.reason) if answer.status == 409 else None
 
 
+def _read_born(value: Any) -> int:
+    """Return the start of an incarnation in Unix ms, 0 if it is missing or can't be one."""
+    known = type(value) is int and 0 < value <= MAX_BORN_MS
+    return value if known else 0
+
+
 def _read_reason(reason: str) -> RefusalReason:
     try:
         return _REASONS[reason]
--- a/toucanpin/scheduling/advising.py
+++ b/toucanpin/scheduling/advising.py
@@ -91,11 +91,14 @@
     if known is None:
         return
     known.request_pending = False
+    restarted, known.restarted = known.restarted, set()
     if advice is None:
         known.retry_at = now.steady + RETRY_DELAY_S
         return
     until = now.steady + advice.valid
     for worker in request.workers:
+        if worker in restarted:
+            continue
         ticket = advice.tickets.get(worker)
         if ticket is None:
             known.refused.add(worker)
--- a/toucanpin/scheduling/assigning.py
+++ b/toucanpin/scheduling/assigning.py
@@ -35,6 +35,7 @@
     record.state = TaskState.PLACED
     record.attempt += 1
     record.worker = worker.entry.id
+    record.born = worker.born
     run = Run(task, record.attempt, worker.entry.id, step, Phase.PLACED)
     run.priority = live.job.priority
     run.suspicion = find_suspicion(live, task)
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -138,6 +138,7 @@
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
     request_pending: bool = False
+    restarted: set[str] = field(default_factory=set)  # workers, since the request was sent
     retry_at: float = 0.0
 
 
@@ -173,7 +174,7 @@
     new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` maps the image of a
     best-effort task to the cores for which no worker was found and the time until which placement
     is not retried.  ``stop_time`` and ``restore_time`` are the times in s that workers may take to
-    stop and to resume a task.
+    stop and to resume a task, and ``max_lease`` is the longest lease that they accept.
     """
 
     name: str
@@ -183,6 +184,7 @@
     workers_enforce_limits: bool = True  # workers refuse tasks that don't fit
     stop_time: float = 0.2
     restore_time: float = 0.25
+    max_lease: float = 10.0
     evacuated: frozenset[str] = frozenset()
     evacuated_until: float = float("inf")
     jobs: dict[str, LiveJob] = field(default_factory=dict)
--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -8,7 +8,8 @@
 -----
 A worker that crashes reports no ends, so its runs are only known to be lost.  Each lost incarnation
 of a worker counts against the tasks that may have crashed it, until that incarnation answers again.
-A loss right after a start counts most against the task that was started.
+A loss right after a start counts most against the task that was started.  An incarnation whose
+number is known is named by it too, since its worker's next one answers under the same id.
 """
 
 from __future__ import annotations
@@ -56,8 +57,9 @@
         return 0
     if record.state == TaskState.DONE:
         return 0
-    if worker.entry.id not in record.crashed and _may_have_caused_loss(worker, run):
-        record.crashed[worker.entry.id] = _was_lost_at_start(run)
+    lost = _name_incarnation(worker.entry.id, run.born or worker.born)
+    if lost not in record.crashed and _may_have_caused_loss(worker, run):
+        record.crashed[lost] = _was_lost_at_start(run)
         mark_dirty(cell, live)
         _index_losses(cell, run.task, record)
     return len(record.crashed)
@@ -65,7 +67,9 @@
 
 def clear_worker(cell: Cell, worker: Worker) -> None:
     """Discard the losses counted for a worker that answers: nothing crashed it."""
-    _discard_losses(cell, worker.entry.id)
+    if cell.suspects:
+        _discard_losses(cell, worker.entry.id)
+        _discard_losses(cell, _name_incarnation(worker.entry.id, worker.born))
 
 
 def clear_survivor(run: Run, record: TaskRecord) -> None:
@@ -99,7 +103,11 @@
     if not live.job.steps[task.step].speculative or not record.attempt:
         return _exceeds_limit(record.crashed)
     runs = [run for run in cell.runs.get(task.job, ()) if run.task == task]
-    silent = {run.worker: _was_lost_at_start(run) for run in runs if _is_silent(cell, run)}
+    silent = {
+        _name_incarnation(run.worker, run.born): _was_lost_at_start(run)
+        for run in runs
+        if _is_silent(cell, run)
+    }
     return _exceeds_limit(record.crashed | silent)
 
 
@@ -146,7 +154,7 @@
         record = find_record(live, task) if live else None
         if live is None or record is None or not _may_be_failed(live, record):
             cell.crashing.discard(task)
-        elif sum(worker not in cell.workers for worker in record.crashed) >= MIN_CONFIRMED_CRASHES:
+        elif sum(_has_ended(cell, lost) for lost in record.crashed) >= MIN_CONFIRMED_CRASHES:
             cell.crashing.discard(task)
             end_job(cell, live, JobState.FAILED, now)
             # The losses are explained, so they no longer count against other tasks.
@@ -167,6 +175,20 @@
             mark_dirty(cell, live)
 
 
+def _name_incarnation(worker: str, born: int) -> str:
+    """Return the name under which the loss of an incarnation of a worker is counted."""
+    return f"{worker}/{born}" if born else worker
+
+
+def _has_ended(cell: Cell, lost: str) -> bool:
+    """Return whether a lost incarnation certainly ended; it may only be disconnected."""
+    identifier, _, born = lost.partition("/")
+    worker = cell.workers.get(identifier)
+    if worker is None:
+        return True
+    return bool(born and worker.born) and str(worker.born) != born
+
+
 def _may_be_failed(live: LiveJob, record: TaskRecord) -> bool:
     if JobState(live.progress.state).ended or record.state == TaskState.DONE:
         return False
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -74,6 +74,7 @@
         record.checkpoint = checkpoint
     counted = record.state == TaskState.GANG_FAILED
     record.worker = ""
+    record.born = 0
     record.state = TaskState.WAITING
     if JobState(live.progress.state).ended:
         if end is RunEnd.DONE:
--- /dev/null
+++ b/toucanpin/scheduling/incarnations.py
@@ -0,0 +1,162 @@
+"""
+Incarnations of workers
+=======================
+
+Tell a worker that has restarted from the one that had its id before.
+
+Notes
+-----
+A restarted worker runs nothing, has seen no fencing token, and counts its ends and its clock anew.
+So it is a new worker to its owner, and the earlier incarnation's runs are lost.  Orders to the
+earlier incarnation may still arrive: they name the worker by its id, which both have.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from toucanpin.scheduling.cell import Cell, Loss, LossCause, Now, add_run, drop_run
+from toucanpin.scheduling.crashing import record_loss
+from toucanpin.scheduling.ending import end_run
+from toucanpin.scheduling.orders import StopOrder, WorkerEntry
+from toucanpin.scheduling.stopping import stop_run
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+__all__ = [
+    "admit_answer",
+    "begin_incarnation",
+    "end_lost_runs",
+    "is_earlier",
+    "record_lost_run",
+    "record_unanswered_start",
+]
+
+# Longest time after which a worker carries out an order that it left unanswered; the platform
+# allows 12 s.
+MAX_ORDER_DELAY_S = 13.0
+
+
+def is_earlier(born: int, than: int) -> bool:
+    """Return whether an incarnation is certainly an earlier one than another of its worker."""
+    return 0 < born < than
+
+
+def admit_answer(cell: Cell, worker: Worker, born: int, now: Now) -> Worker | None:
+    """
+    Return the incarnation that sent an answer, None if it has been replaced meanwhile.
+
+    A newer incarnation replaces the known one.
+    """
+    if cell.workers.get(worker.entry.id) is not worker or is_earlier(born, worker.born):
+        return None
+    if is_earlier(worker.born, born):
+        return begin_incarnation(cell, worker, born, now)
+    worker.born = worker.born or born
+    return worker
+
+
+def begin_incarnation(
+    cell: Cell, worker: Worker, born: int, now: Now, entry: WorkerEntry | None = None
+) -> Worker:
+    """
+    Replace a worker by its next incarnation, whose entry may not be listed yet.
+
+    A start that the earlier incarnation left unanswered may reach the next one.  So its task may
+    run elsewhere only once the next one has acknowledged a stop.
+    """
+    listed = entry is not None
+    successor = Worker(
+        entry or worker.entry,
+        born=born,
+        earlier_born=worker.born,
+        sized=listed,
+        malformed=not listed,
+        unanswered_starts=worker.unanswered_starts,
+        lease_expires_at=cell.earlier_leases_end,
+        first_listed_at=now.steady,
+        listed_at=worker.listed_at,
+        answered_at=0.0 if listed else now.steady,
+    )
+    unsettled = []
+    for run in [run for run in worker.runs.values() if _may_start_late(worker, run)]:
+        if run.phase is not Phase.UNKNOWN:
+            record_lost_run(cell, worker, run, LossCause.REPLACED, now)
+        unsettled.append(replace(run))
+        drop_run(cell, worker, run)
+    end_lost_runs(cell, worker, LossCause.REPLACED, now)
+    cell.end_sequences.pop(worker.entry.id, None)
+    cell.workers[worker.entry.id] = successor
+    for run in unsettled:
+        _hand_over_run(cell, successor, run, now)
+    _stop_late_starts(cell, successor, now)
+    _discard_tickets(cell, worker.entry.id)
+    return successor
+
+
+def record_unanswered_start(worker: Worker, run: Run, now: Now) -> None:
+    """Record that a start got no answer; those too old to be carried out are forgotten."""
+    oldest = now.steady - MAX_ORDER_DELAY_S
+    starts = worker.unanswered_starts
+    for key in [key for key, sent_at in starts.items() if sent_at < oldest]:
+        del starts[key]
+    starts[run.task, run.attempt] = now.steady
+
+
+def end_lost_runs(cell: Cell, worker: Worker, cause: LossCause, now: Now) -> None:
+    """End the runs of a worker that certainly runs them no more."""
+    for run in list(worker.runs.values()):
+        if run.phase is Phase.PLACED:
+            stop_run(cell, run, "worker lost")
+        elif worker.runs.get(run.task) is run:
+            record_lost_run(cell, worker, run, cause, now)
+            end_run(cell, worker, run, now)
+
+
+def record_lost_run(cell: Cell, worker: Worker, run: Run, cause: LossCause, now: Now) -> None:
+    """Count the loss of a worker against one of its runs, and queue it for the log."""
+    age = now.steady - run.ordered_at if run.ordered_at else 0.0
+    crashes = record_loss(cell, worker, run)
+    cell.unlogged_losses.append(
+        Loss(run.task, run.attempt, run.worker, run.phase, cause, age, crashes)
+    )
+
+
+def _may_start_late(worker: Worker, run: Run) -> bool:
+    """Return whether a start of a run may still be carried out by the next incarnation."""
+    if run.phase is Phase.UNKNOWN:  # until the next incarnation has this owner's token
+        return True
+    in_flight = run.phase is Phase.ORDERED and run.ordered_at > 0.0
+    return in_flight or (run.task, run.attempt) in worker.unanswered_starts
+
+
+def _hand_over_run(cell: Cell, successor: Worker, run: Run, now: Now) -> None:
+    """Keep a run of the earlier incarnation until the next one can't start it any more."""
+    if run.phase is Phase.UNKNOWN:
+        add_run(cell, successor, run)
+        return
+    run.phase = Phase.ORDERED
+    add_run(cell, successor, run)
+    stop_run(cell, run, "its worker restarted")
+    # The lease of a late start ends on the clock of the earlier incarnation, which may be far ahead
+    # of the next one's, so only the longest lease bounds it.
+    until = now.steady + MAX_ORDER_DELAY_S + cell.max_lease
+    successor.lease_expires_at = max(successor.lease_expires_at, until)
+
+
+def _stop_late_starts(cell: Cell, successor: Worker, now: Now) -> None:
+    """Stop starts that were left unanswered and whose runs have ended since."""
+    for (task, attempt), sent_at in successor.unanswered_starts.items():
+        run = successor.runs.get(task)
+        stopped = run is not None and run.attempt == attempt
+        if not stopped and now.steady < sent_at + MAX_ORDER_DELAY_S:
+            order = StopOrder(successor.entry.id, task, attempt, "may start late")
+            cell.orders.append(order)
+
+
+def _discard_tickets(cell: Cell, worker: str) -> None:
+    """Discard the tickets of a worker, which are valid during one incarnation."""
+    for known in cell.step_tickets.values():
+        known.tickets.pop(worker, None)
+        known.refused.discard(worker)
+        if known.request_pending:
+            known.restarted.add(worker)
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -52,6 +52,7 @@
                     worker = _find_worker(cell, record.worker)
                     run = Run(task, record.attempt, worker.entry.id, step, Phase.UNKNOWN)
                     run.checkpoint = record.checkpoint
+                    run.born = record.born
                     run.priority = job.priority
                     run.suspicion = assess_suspicion(record)
                     add_run(cell, worker, run)
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -9,9 +9,15 @@
 
 from collections.abc import Collection, Iterable
 
-from toucanpin.scheduling.cell import Cell, Loss, LossCause, Now, find_record, mark_started
-from toucanpin.scheduling.crashing import clear_survivor, clear_worker, record_loss
+from toucanpin.scheduling.cell import Cell, LossCause, Now, find_record, mark_started
+from toucanpin.scheduling.crashing import clear_survivor, clear_worker
 from toucanpin.scheduling.ending import apply_end, end_run
+from toucanpin.scheduling.incarnations import (
+    begin_incarnation,
+    end_lost_runs,
+    is_earlier,
+    record_lost_run,
+)
 from toucanpin.scheduling.orders import PollAnswer, PollOrder, RunningTask, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.stopping import stop_run
@@ -55,23 +61,30 @@
     Apply the listed entries of workers; return the workers that are new.
 
     Workers in ``malformed``, whose entries can no longer be decoded, keep their runs and get no new
-    ones.
+    ones.  A list may be older than a worker's answer, or newer.
     """
     for identifier, known in cell.workers.items():
-        known.malformed = identifier in malformed
+        known.malformed = identifier in malformed or not known.sized
     added = []
     for entry in entries:
         worker = cell.workers.get(entry.id)
         if worker is None:
             worker = Worker(
-                entry, lease_expires_at=cell.earlier_leases_end, first_listed_at=now.steady
+                entry,
+                born=entry.born,
+                lease_expires_at=cell.earlier_leases_end,
+                first_listed_at=now.steady,
             )
             cell.workers[entry.id] = worker
             added.append(worker)
+        elif is_earlier(entry.born, worker.born):
+            continue
+        elif is_earlier(worker.born, entry.born):
+            worker = begin_incarnation(cell, worker, entry.born, now, entry)
+            added.append(worker)
         elif not worker.entry.address:
             added.append(worker)
-        worker.entry = entry
-        worker.listed_at = now.steady
+        _record_entry(worker, entry, now)
     return added
 
 
@@ -91,14 +104,15 @@
     if not worker.reached or worker.silent:
         # A renewal without an answer may be carried out late. So a silent worker is polled without
         # a renewal; otherwise each retry would postpone the time at which its lease has certainly
-        # expired.
-        return PollOrder(worker.acknowledged_sequence, 0, 0.0)
+        # expired.  Nothing is acknowledged, as the worker may have restarted and count its ends
+        # anew.
+        return PollOrder(0, 0, 0.0)
     until = lease_end(cell, now)
     deadline = grant_lease(worker, until) if worker.runs and until > now.steady else 0
     if worker.listed_sequence > worker.acknowledged_sequence:
         # Ends that aren't written yet would be listed again at once.
-        return PollOrder(worker.acknowledged_sequence, deadline, 0.0)
-    return PollOrder(worker.acknowledged_sequence, deadline, _choose_wait(worker))
+        return PollOrder(_choose_acknowledged(worker), deadline, 0.0)
+    return PollOrder(_choose_acknowledged(worker), deadline, _choose_wait(worker))
 
 
 def plan_renewal(cell: Cell, worker: Worker, now: Now) -> int:
@@ -112,21 +126,12 @@
     _update_clock(worker, answer.clock, now)
 
 
-def _choose_wait(worker: Worker) -> float:
-    if not worker.runs:
-        return IDLE_POLL_WAIT_S
-    return (
-        SHARED_POLL_WAIT_S
-        if worker.latency_critical_count and worker.best_effort_count
-        else BUSY_POLL_WAIT_S
-    )
-
-
 def apply_answer(cell: Cell, worker: Worker, answer: PollAnswer, sent_at: float, now: Now) -> None:
     """Apply the runs and ends that a worker lists; ``sent_at`` is when it was polled."""
     _update_clock(worker, answer.clock, now)
     worker.answered_at = now.steady
     worker.silent = False
+    worker.lists_ends = bool(answer.ended)
     clear_worker(cell, worker)
     for ended in answer.ended:
         if ended.sequence > worker.listed_sequence:
@@ -153,7 +158,9 @@
 
 def remove_replaced_worker(cell: Cell, worker: Worker, now: Now) -> None:
     """Remove a worker at whose address another incarnation answers; its runs are lost."""
-    _end_runs(cell, worker, LossCause.REPLACED, now)
+    if cell.workers.get(worker.entry.id) is not worker:
+        return
+    end_lost_runs(cell, worker, LossCause.REPLACED, now)
     del cell.workers[worker.entry.id]
 
 
@@ -165,7 +172,7 @@
             continue
         if now.steady <= worker.lease_expires_at:
             continue
-        _end_runs(cell, worker, LossCause.LAPSED, now)
+        end_lost_runs(cell, worker, LossCause.LAPSED, now)
         unlisted = now.steady > worker.listed_at + FORGET_WORKER_AFTER_S
         if unlisted and now.steady > worker.answered_at + FORGET_WORKER_AFTER_S:
             del cell.workers[worker.entry.id]
@@ -173,23 +180,33 @@
     return forgotten
 
 
-def _end_runs(cell: Cell, worker: Worker, cause: LossCause, now: Now) -> None:
-    for run in list(worker.runs.values()):
-        if run.phase is Phase.PLACED:
-            stop_run(cell, run, "worker lost")
-        elif worker.runs.get(run.task) is run:
-            _record_loss(cell, worker, run, cause, now)
-            end_run(cell, worker, run, now)
+def _choose_acknowledged(worker: Worker) -> int:
+    """
+    Return the newest end to acknowledge, 0 if the worker has none left to forget.
+
+    A poll may be carried out late by the worker's next incarnation, whose ends have low numbers.
+    """
+    return worker.acknowledged_sequence if worker.lists_ends else 0
 
 
-def _record_loss(cell: Cell, worker: Worker, run: Run, cause: LossCause, now: Now) -> None:
-    age = now.steady - run.ordered_at if run.ordered_at else 0.0
-    crashes = record_loss(cell, worker, run)
-    cell.unlogged_losses.append(
-        Loss(run.task, run.attempt, run.worker, run.phase, cause, age, crashes)
+def _choose_wait(worker: Worker) -> float:
+    if not worker.runs:
+        return IDLE_POLL_WAIT_S
+    return (
+        SHARED_POLL_WAIT_S
+        if worker.latency_critical_count and worker.best_effort_count
+        else BUSY_POLL_WAIT_S
     )
 
 
+def _record_entry(worker: Worker, entry: WorkerEntry, now: Now) -> None:
+    worker.entry = entry
+    worker.born = worker.born or entry.born
+    worker.listed_at = now.steady
+    worker.sized = True
+    worker.malformed = False
+
+
 def _update_clock(worker: Worker, clock: int, now: Now) -> None:
     worker.clock = clock
     worker.clock_read_at = now.steady
@@ -248,6 +265,8 @@
         case Phase.UNKNOWN:
             # The worker has this owner's token, so no order of an earlier owner can start it any
             # more.
+            if is_earlier(run.born, worker.born):
+                record_lost_run(cell, worker, run, LossCause.REPLACED, now)
             end_run(cell, worker, run, now)
         case Phase.RUNNING if sent_at > run.started_at:
             end_run(cell, worker, run, now)
--- a/toucanpin/scheduling/orders.py
+++ b/toucanpin/scheduling/orders.py
@@ -56,7 +56,8 @@
     A worker's entry in the table.
 
     Sizes have the units of a step's.  ``cold_time_left`` is the time in s for which the worker is
-    still cold, ``time_left`` that until it shuts down.
+    still cold, ``time_left`` that until it shuts down.  ``born`` is the number of its incarnation,
+    which grows with each restart under its id; 0 if it isn't known.
     """
 
     id: str
@@ -71,6 +72,7 @@
     cold_time_left: float = 0.0
     machine: str = ""
     time_left: float = 0.0
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +104,7 @@
     clock: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    born: int = 0  # of the incarnation that answers, 0 if it isn't known
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +113,7 @@
 
     clock: int
     refused: RefusalReason | None
+    born: int = 0  # of the incarnation that answers, 0 if it isn't known
 
 
 @dataclass(frozen=True, slots=True)
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -64,7 +64,8 @@
     A placed task may run on ``worker`` under ``attempt`` until its end is known. ``counted`` lists
     the attempts that are included in ``failures``, so that a failure that is reported twice counts
     once. ``crashed`` maps workers that were lost while they ran the task, and haven't answered
-    since, to whether the loss was right after the start.
+    since, to whether the loss was right after the start.  ``born`` tells the incarnation of
+    ``worker``.
     """
 
     state: int = 0
@@ -74,6 +75,7 @@
     checkpoint: str = ""
     counted: list[int] = []
     crashed: dict[str, bool] = {}
+    born: int = 0
 
 
 class Progress(msgspec.Struct, array_like=True):
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -12,6 +12,7 @@
 from toucanpin.scheduling.cell import Cell, Group, Now, mark_started
 from toucanpin.scheduling.ending import RETRY_DELAY_S, end_run
 from toucanpin.scheduling.evacuating import has_current_evacuations, is_evacuated
+from toucanpin.scheduling.incarnations import record_unanswered_start
 from toucanpin.scheduling.leases import lease_end
 from toucanpin.scheduling.orders import RefusalReason, StartAnswer
 from toucanpin.scheduling.stopping import stop_run
@@ -102,6 +103,8 @@
     cell: Cell, worker: Worker, run: Run, certain: bool, now: Now
 ) -> StartOutcome:
     """Handle a start without an answer; ``certain`` is true if it was never sent."""
+    if not certain:
+        record_unanswered_start(worker, run, now)
     if run.phase is not Phase.ORDERED:
         return StartOutcome.SETTLED
     run.start_unconfirmed = run.start_unconfirmed or not certain
--- a/toucanpin/scheduling/stopping.py
+++ b/toucanpin/scheduling/stopping.py
@@ -34,6 +34,7 @@
             return
         record.state = TaskState.WAITING
         record.worker = ""
+        record.born = 0
         if not JobState(live.progress.state).ended:
             requeue_task(cell, run)
         return
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from standins.site.worker_core import WorkerCore
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.crashing import fail_crashing_jobs
+from toucanpin.scheduling.incarnations import admit_answer
 from toucanpin.scheduling.intake import begin_due, restore_job, submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Job, Step, TaskKey
@@ -45,6 +48,8 @@
 __all__ = ["Fleet", "make_job"]
 
 TIME_STEP_S = 0.05  # of the virtual clock
+LATE_START_S = 6.0  # after which a worker carries out a start that it left unanswered
+FIRST_BORN = 1_000  # incarnation of each worker
 RESTART_TIME_S = 3.0  # until a crashed worker is back as a new incarnation
 
 
@@ -68,7 +73,9 @@
         self.duplicate_runs: list[TaskKey] = []
         self.crashing: set[TaskKey] = set()  # tasks that crash each worker that starts them
         self.crashes: list[TaskKey] = []
+        self.keeps_names = False  # crashed workers restart under their names
         self._down: list[tuple[float, WorkerEntry]] = []
+        self._clock_starts: dict[str, float] = {}  # of workers that restarted under their names
         self.pending: list[Run] = []
         self.stops: list[StopOrder] = []
         self.paces: list[PaceOrder] = []
@@ -79,6 +86,7 @@
         self, name: str, cpu: int = 4_000, data_centre: str = "dc", **fields
     ) -> WorkerCore:
         """Add a worker."""
+        fields = {"born": FIRST_BORN, **fields}
         entry = WorkerEntry(name, "c", f"{name}:1", data_centre, True, cpu, 8_000, 0, **fields)
         self.workers[name] = WorkerCore(entry)
         return self.workers[name]
@@ -87,6 +95,22 @@
         """Crash a worker; its entry stays until another incarnation starts at its address."""
         self._down.append((self.time + RESTART_TIME_S, self.workers.pop(name).entry))
 
+    def restart(self, name: str, **fields) -> WorkerCore:
+        """Restart a worker under its name; late starts are carried out by its next incarnation."""
+        earlier = self.workers[name]
+        entry = dataclasses.replace(earlier.entry, born=earlier.entry.born + 1, **fields)
+        successor = self.workers[name] = WorkerCore(entry, duration=earlier.duration)
+        before = self.clock(name)
+        self._clock_starts[name] = self.time - 1.0
+        step = self.clock(name) - before
+        for due, task, attempt, deadline, token in earlier.delayed_starts:
+            successor.delayed_starts.append((due + step, task, attempt, deadline, token))
+        return successor
+
+    def clock(self, name: str) -> float:
+        """Return the clock of a worker's incarnation."""
+        return self.time - self._clock_starts.get(name, 0.0)
+
     def now(self) -> Now:
         """Return the virtual clocks."""
         return Now(self.time, int(self.time * 1_000), int(self.time * 1_000))
@@ -123,8 +147,8 @@
     def _turn(self) -> None:
         self.time += TIME_STEP_S
         self._restart_crashed()
-        for worker in self.workers.values():
-            worker.advance(self.time)
+        for name, worker in self.workers.items():
+            worker.advance(self.clock(name))
         self._find_duplicate_runs()
         entries = [worker.entry for worker in self.workers.values()]
         entries += [entry for _, entry in self._down]
@@ -149,7 +173,11 @@
         restarted = [entry for at, entry in self._down if at <= self.time]
         self._down = [(at, entry) for at, entry in self._down if at > self.time]
         for entry in restarted:
-            self.add_worker(f"{entry.id}'", entry.cpu)
+            if self.keeps_names:
+                self.workers[entry.id] = WorkerCore(entry)
+                self.restart(entry.id)
+            else:
+                self.add_worker(f"{entry.id}'", entry.cpu)
 
     def _poll_workers(self) -> None:
         for worker in list(self.cell.workers.values()):
@@ -164,9 +192,11 @@
             if core.silent:
                 mark_silent(worker)
                 continue
-            answer = core.poll(self.cell.token, order.acknowledged, order.deadline, self.time)
+            clock = self.clock(worker.entry.id)
+            answer = core.poll(self.cell.token, order.acknowledged, order.deadline, clock)
             assert isinstance(answer, PollAnswer), answer
-            apply_answer(self.cell, worker, answer, self.time, self.now())
+            if admit_answer(self.cell, worker, answer.born, self.now()) is worker:
+                apply_answer(self.cell, worker, answer, self.time, self.now())
 
     def _send_starts(self) -> None:
         unsettled = []
@@ -182,8 +212,8 @@
             if core is None or core.silent:
                 outcome = apply_start_failure(self.cell, worker, run, False, self.now())
             elif core.delays_orders:
-                order = (self.time + 6.0, run.task, run.attempt, deadline, self.cell.token)
-                core.delayed_starts.append(order)
+                due = self.clock(run.worker) + LATE_START_S
+                core.delayed_starts.append((due, run.task, run.attempt, deadline, self.cell.token))
                 outcome = apply_start_failure(self.cell, worker, run, False, self.now())
             elif run.task in self.crashing:
                 self.crashes.append(run.task)
@@ -191,7 +221,10 @@
                 outcome = apply_start_failure(self.cell, worker, run, False, self.now())
             else:
                 token = self.cell.token
-                answer = core.start(run.task, run.attempt, deadline, token, self.time)
+                clock = self.clock(run.worker)
+                answer = core.start(run.task, run.attempt, deadline, token, clock)
+                if admit_answer(self.cell, worker, answer.born, self.now()) is not worker:
+                    continue
                 outcome = apply_start_answer(self.cell, worker, run, answer, self.now())
             if outcome is not StartOutcome.SETTLED:
                 unsettled.append(run)
--- a/toucanpin/scheduling/tests/test_failures.py
+++ b/toucanpin/scheduling/tests/test_failures.py
@@ -324,7 +324,7 @@
     @given(
         faults=st.lists(
             st.tuples(
-                st.sampled_from(["silent", "deaf", "owner", "store", "fail", "cancel"]),
+                st.sampled_from(["silent", "deaf", "owner", "store", "fail", "cancel", "restart"]),
                 st.integers(0, 2),
                 st.floats(0.2, 4.0),
             ),
@@ -334,7 +334,8 @@
     )
     def test_no_task_runs_twice_under_random_faults(self, faults) -> None:
         """
-        Workers become silent or answer late, owners die and the table is down, in any order. No
+        Workers become silent, answer late or restart, owners die and the table is down, in any
+        order. No
         task may run in two places, and all jobs that weren't cancelled must complete in the end.
         """
         fleet = Fleet(workers=3)
@@ -354,6 +355,8 @@
                     fleet.store_up = False
                 case "fail":
                     worker.failing = True
+                case "restart":
+                    worker = fleet.restart(f"w{number}")
                 case "cancel":
                     cancel_job(fleet.cell, f"j{number}", fleet.now())
             fleet.run(seconds)
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_incarnations.py
@@ -0,0 +1,321 @@
+"""Workers that restart under the id that they had."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from toucanpin.scheduling.advising import Advice, AdviceRequest, find_ticket, record_advice
+from toucanpin.scheduling.cell import Group, StepTickets
+from toucanpin.scheduling.incarnations import admit_answer, begin_incarnation
+from toucanpin.scheduling.intake import cancel_job
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.leases import update_workers
+from toucanpin.scheduling.progress import (
+    JobState,
+    TaskRecord,
+    decode_progress,
+)
+from toucanpin.scheduling.stopping import stop_run
+from toucanpin.scheduling.tests.fleet import FIRST_BORN, Fleet, make_job
+from toucanpin.scheduling.trust import is_distrusted
+from toucanpin.scheduling.write_batches import apply_batch, take_batch
+
+MAX_CRASHES = 5  # two more starts after the third crash
+LASTING = Step(cpu=1_000, long_running=True)
+
+
+class RestartTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet(workers=1)
+
+    def _start_lasting(self, name: str = "j1", count: int = 1) -> None:
+        self.fleet.workers["w0"].duration = 60.0
+        self.fleet.submit(make_job(name, (Step(count=count, cpu=1_000, long_running=True),)))
+        self.fleet.run(0.5)
+
+    def test_ends_of_the_next_incarnation_are_counted(self) -> None:
+        """Guards against ends with low numbers that are ignored, so that their tasks run again."""
+        self.fleet.submit(make_job("j1", (Step(count=4, cpu=1_000),)))
+        self.fleet.run(2.0)
+        core = self.fleet.restart("w0")
+        self.fleet.submit(make_job("j2", (Step(count=3, cpu=1_000),)))
+        self.fleet.run(4.0)
+        self.assertEqual(JobState.COMPLETED, self.fleet.state("j2"))
+        self.assertEqual(3, len(core.starts))
+        self.assertEqual((3, []), (core.acknowledged, core.ended))
+
+    def test_runs_of_the_earlier_incarnation_start_again(self) -> None:
+        """Guards against tasks that count as running on a worker that has forgotten them."""
+        self._start_lasting(count=2)
+        core = self.fleet.restart("w0")
+        self.fleet.run(1.0)
+        self.assertEqual(2, len(core.runs))
+        self.assertFalse(self.fleet.duplicate_runs)
+
+    def test_write_of_earlier_ends_acknowledges_nothing_later(self) -> None:
+        """
+        A worker restarts while the end that it listed is being written.  Guards against
+        acknowledging the next incarnation's first end, which no owner has seen.
+        """
+        self.fleet.submit(make_job())
+        self.fleet.run(0.5)
+        self.fleet.store_up = False
+        self.fleet.run(2.0)
+        batch = take_batch(self.fleet.cell)
+        self.fleet.restart("w0")
+        self.fleet.run(0.2)
+        apply_batch(self.fleet.cell, batch)
+        self.assertEqual(0, self.fleet.cell.workers["w0"].acknowledged_sequence)
+
+    def test_late_poll_acknowledges_nothing_of_the_next_incarnation(self) -> None:
+        """
+        Guards against a poll of the earlier incarnation that the next one carries out late, and
+        that makes it forget ends which no owner has seen.
+        """
+        self.fleet.submit(make_job("j1", (Step(count=4, cpu=1_000),)))
+        self.fleet.run(2.0)
+        self.assertEqual(4, self.fleet.workers["w0"].acknowledged)
+        self.fleet.workers["w0"].acknowledged = 0
+        self.fleet.run(0.5)
+        self.assertEqual(0, self.fleet.workers["w0"].acknowledged)
+
+    def test_late_start_does_not_run_beside_its_successor(self) -> None:
+        """
+        A worker leaves a start unanswered and restarts; its next incarnation carries the start out
+        late.  Its lease ends on a clock that is gone, so no refusal can be relied on.
+        """
+        for cancelled in (False, True):
+            with self.subTest(cancelled=cancelled):
+                fleet = Fleet(workers=2)
+                for core in fleet.workers.values():
+                    core.duration = 60.0
+                    core.delays_orders = True
+                fleet.submit(make_job(steps=(LASTING,)))
+                fleet.run(1.0)
+                cores = [fleet.restart(name) for name in ("w0", "w1")]
+                if cancelled:
+                    cancel_job(fleet.cell, "j1", fleet.now())
+                fleet.run(10.0)
+                self.assertFalse(fleet.duplicate_runs)
+                self.assertEqual(0 if cancelled else 1, sum(len(core.starts) for core in cores))
+
+    def test_task_waits_until_its_late_start_is_stopped(self) -> None:
+        """
+        The next incarnation leaves the stop of a late start unanswered for 5 s.  Guards against
+        starting the task elsewhere before.
+        """
+        fleet = Fleet(workers=2)
+        for core in fleet.workers.values():
+            core.duration = 60.0
+            core.delays_orders = True
+        fleet.submit(make_job(steps=(LASTING,)))
+        fleet.run(1.0)
+        (run,) = fleet.cell.runs["j1"]
+        for core in fleet.workers.values():
+            core.delays_orders = False
+        fleet.restart(run.worker, cpu=500).delays_orders = True
+        fleet.run(5.5)
+        fleet.workers[run.worker].delays_orders = False
+        fleet.run(4.0)
+        self.assertFalse(fleet.duplicate_runs)
+        self.assertEqual(1, sum(len(core.runs) for core in fleet.workers.values()))
+
+    def test_late_start_of_an_ended_run_is_stopped(self) -> None:
+        """
+        The earlier incarnation acknowledged the stop of an unanswered start, so the task runs
+        elsewhere.  Guards against the next incarnation, which knows of no stop, starting it too.
+        """
+        fleet = Fleet(workers=2)
+        for core in fleet.workers.values():
+            core.duration = 60.0
+            core.delays_orders = True
+        fleet.submit(make_job(steps=(LASTING,)))
+        fleet.run(1.0)
+        (run,) = fleet.cell.runs["j1"]
+        for core in fleet.workers.values():
+            core.delays_orders = False
+        stop_run(fleet.cell, run, "moved")
+        fleet.cell.workers[run.worker].full_until = fleet.time + 60.0
+        fleet.run(2.0)
+        self.assertFalse(fleet.workers[run.worker].runs)
+        fleet.restart(run.worker)
+        fleet.run(8.0)
+        self.assertFalse(fleet.duplicate_runs)
+        self.assertEqual(1, sum(len(core.runs) for core in fleet.workers.values()))
+
+    def test_gang_is_started_again_as_a_whole(self) -> None:
+        """Guards against members that run on without the ones that were lost."""
+        fleet = Fleet(workers=3, cpu=1_000)
+        for core in fleet.workers.values():
+            core.duration = 3.0
+        fleet.submit(make_job(steps=(Step(count=3, cpu=1_000, gang=True),)))
+        fleet.run(1.0)
+        fleet.restart("w1")
+        fleet.run(8.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertFalse(fleet.duplicate_runs)
+
+    def test_judgement_of_the_earlier_incarnation_is_forgotten(self) -> None:
+        """Guards against avoiding, pacing or draining a worker for what its earlier process did."""
+        self._start_lasting()
+        worker = self.fleet.cell.workers["w0"]
+        worker.failed_jobs = {"a", "b", "c"}
+        worker.suspect_until = worker.full_until = self.fleet.time + 60.0
+        (run,) = worker.runs.values()
+        run.pace = 10
+        self.fleet.restart("w0")
+        self.fleet.run(1.0)
+        worker = self.fleet.cell.workers["w0"]
+        self.assertFalse(is_distrusted(worker))
+        self.assertEqual([100], [run.pace for run in worker.runs.values()])
+
+    def test_tickets_are_valid_in_one_incarnation(self) -> None:
+        """Guards against starts that are refused, and refusals that outlive the incarnation."""
+        self.fleet.run(0.5)
+        cell, now, group = self.fleet.cell, self.fleet.now(), Group("j1", 0, 0)
+        known = cell.step_tickets[group] = StepTickets({"w0": ("t", 1e9)}, {"w0"}, True)
+        begin_incarnation(cell, cell.workers["w0"], FIRST_BORN + 1, now)
+        self.assertEqual(("", set()), (find_ticket(cell, group, "w0", now), known.refused))
+        record_advice(cell, AdviceRequest(group, ("w0",)), Advice({"w0": "t"}, 9.0), now)
+        self.assertEqual("", find_ticket(cell, group, "w0", now))
+
+
+class NewsInAnyOrderTest(unittest.TestCase):
+    """Entries and answers of two incarnations overtake each other."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(workers=1)
+        self.fleet.run(0.5)
+        self.entry = self.fleet.workers["w0"].entry
+
+    def test_answer_of_an_earlier_incarnation_is_ignored(self) -> None:
+        """Guards against going back to a process that has ended."""
+        cell = self.fleet.cell
+        first = cell.workers["w0"]
+        second = admit_answer(cell, first, FIRST_BORN + 1, self.fleet.now())
+        assert second is not None
+        self.assertIs(second, cell.workers["w0"])
+        self.assertIsNone(admit_answer(cell, first, FIRST_BORN, self.fleet.now()))
+        self.assertIsNone(admit_answer(cell, first, FIRST_BORN + 1, self.fleet.now()))
+        self.assertIsNone(admit_answer(cell, second, FIRST_BORN, self.fleet.now()))
+        self.assertIs(second, cell.workers["w0"])
+
+    def test_entry_of_an_earlier_incarnation_is_ignored(self) -> None:
+        """
+        Guards against placing tasks by the size of an earlier incarnation: the next one answers
+        before its entry is listed, and may be smaller.
+        """
+        self.fleet.unlisted.add("w0")
+        core = self.fleet.restart("w0", cpu=500)
+        self.fleet.submit(make_job())
+        for _ in range(5):
+            update_workers(self.fleet.cell, [self.entry], self.fleet.now())
+            self.fleet.run(0.2)
+        self.assertFalse(core.starts)
+        self.fleet.unlisted.clear()
+        cancel_job(self.fleet.cell, "j1", self.fleet.now())
+        self.fleet.submit(make_job("j2", (Step(cpu=400),)))
+        self.fleet.run(0.5)
+        self.assertEqual(["j2"], [task.job for task, _ in core.starts])
+        update_workers(self.fleet.cell, [self.entry], self.fleet.now())
+        self.assertEqual(500, self.fleet.cell.workers["w0"].entry.cpu)
+
+    def test_entry_of_the_next_incarnation_comes_before_its_first_answer(self) -> None:
+        """Guards against waiting for the lease of a silent worker that has restarted elsewhere."""
+        self.fleet.workers["w0"].duration = 60.0
+        self.fleet.submit(make_job(steps=(LASTING,)))
+        self.fleet.run(0.5)
+        core = self.fleet.restart("w0", address="w0:2")
+        (worker,) = update_workers(self.fleet.cell, [core.entry], self.fleet.now())
+        self.assertEqual(("w0:2", FIRST_BORN + 1), (worker.entry.address, worker.born))
+        self.fleet.run(1.0)
+        self.assertEqual(1, len(core.runs))
+
+    def test_worker_that_tells_no_incarnation_keeps_its_runs(self) -> None:
+        """Guards against losing the runs of workers of an older platform."""
+        fleet = Fleet(workers=0)
+        core = fleet.add_worker("w0", born=0)
+        core.duration = 60.0
+        fleet.submit(make_job(steps=(LASTING,)))
+        fleet.run(0.5)
+        worker = fleet.cell.workers["w0"]
+        self.assertIs(worker, admit_answer(fleet.cell, worker, FIRST_BORN, fleet.now()))
+        self.assertIs(worker, admit_answer(fleet.cell, worker, 0, fleet.now()))
+        fleet.run(6.0)
+        self.assertEqual((1, 1), (len(core.runs), len(core.starts)))
+
+
+class CrashCountTest(unittest.TestCase):
+    def test_task_that_crashes_workers_which_keep_their_ids_fails(self) -> None:
+        """Guards against a crash loop: the worker answers again, so nothing seems to be lost."""
+        for replaced in (False, True):
+            with self.subTest(owner_replaced=replaced):
+                fleet = Fleet(workers=2)
+                fleet.keeps_names = True
+                fleet.crashing = {TaskKey("bad", 0, 0, 0)}
+                fleet.submit(make_job("bad"))
+                for _ in range(8):
+                    known = len(fleet.crashes)
+                    while len(fleet.crashes) == known and fleet.state("bad") != JobState.FAILED:
+                        fleet.run(0.1)
+                    if replaced:
+                        fleet.run(0.3)
+                        fleet.replace_owner()
+                self.assertLessEqual(len(fleet.crashes), MAX_CRASHES)
+                self.assertEqual(JobState.FAILED, fleet.state("bad"))
+
+    def test_next_owner_counts_a_restart_that_no_owner_saw(self) -> None:
+        """Guards against a worker that restarts between two owners and hides that it crashed."""
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].duration = 60.0
+        fleet.submit(make_job(steps=(LASTING,)))
+        fleet.run(0.5)
+        fleet.replace_owner()
+        core = fleet.restart("w0")
+        fleet.run(1.0)
+        (record,) = fleet.cell.jobs["j1"].progress.tasks[0]
+        self.assertEqual({f"w0/{FIRST_BORN}": False}, record.crashed)
+        self.assertEqual(1, len(core.runs))
+
+    def test_answer_of_the_same_incarnation_clears_its_loss(self) -> None:
+        """Guards against counting a worker that was only cut off for longer than its lease."""
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].duration = 60.0
+        fleet.submit(make_job(steps=(LASTING,)))
+        fleet.run(0.5)
+        fleet.workers["w0"].silent = True
+        fleet.run(12.0)
+        (record,) = fleet.cell.jobs["j1"].progress.tasks[0]
+        self.assertEqual([f"w0/{FIRST_BORN}"], list(record.crashed))
+        fleet.workers["w0"].silent = False
+        fleet.run(1.0)
+        self.assertEqual({}, record.crashed)
+
+
+class _EarlierRecord(msgspec.Struct, array_like=True, omit_defaults=True):
+    """Record as the previous build reads it."""
+
+    state: int = 0
+    attempt: int = 0
+    failures: int = 0
+    worker: str = ""
+    checkpoint: str = ""
+    counted: list[int] = []
+    crashed: dict[str, bool] = {}
+
+
+class RowsOfTwoBuildsTest(unittest.TestCase):
+    def test_rows_are_read_by_both_builds(self) -> None:
+        """Guards against jobs that are blocked during a rolling update."""
+        new = TaskRecord(1, 2, 0, "w0", "", [], {"w0/5": True}, 7)
+        read = msgspec.msgpack.decode(msgspec.msgpack.encode(new), type=_EarlierRecord)
+        self.assertEqual(("w0", {"w0/5": True}), (read.worker, read.crashed))
+        earlier = [1, 0, [], {0: [_EarlierRecord(1, 2, 0, "w0")]}]
+        progress = decode_progress(msgspec.msgpack.encode(earlier))
+        self.assertEqual([TaskRecord(1, 2, 0, "w0")], progress.tasks[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -77,6 +77,7 @@
     untimed: bool = False
     priority: int = 0  # of its job
     suspicion: CrashSuspicion = CrashSuspicion.NONE
+    born: int = 0  # incarnation of the worker on which it was placed, 0 if unknown
 
 
 @dataclass(slots=True)
@@ -84,6 +85,11 @@
     """A worker as the owner of its cell knows it; times are on the local steady clock."""
 
     entry: WorkerEntry
+    born: int = 0  # start of this incarnation in Unix ms, 0 if unknown
+    earlier_born: int = 0  # that of the incarnation that it replaced
+    sized: bool = True  # its entry is of this incarnation, whose size may differ from the earlier
+    # When the newest start without an answer was sent, by task and attempt.
+    unanswered_starts: dict[tuple[TaskKey, int], float] = field(default_factory=dict)
     runs: dict[TaskKey, Run] = field(default_factory=dict)
     cpu: int = 0
     memory: int = 0
@@ -98,12 +104,14 @@
     listed_at: float = 0.0
     answered_at: float = 0.0
     silent: bool = False  # it did not answer the latest poll
-    malformed: bool = False  # its entry can no longer be decoded, though it may still answer
+    # Its entry can't be decoded or is of an earlier incarnation, though it may still answer.
+    malformed: bool = False
     clock: int = 0
     clock_read_at: float = 0.0
     lease_expires_at: float = 0.0
     listed_sequence: int = 0  # of the newest end that it listed
     acknowledged_sequence: int = 0  # of the newest end that is written
+    lists_ends: bool = False  # its latest answer listed ends, acknowledged or not
     suspect_until: float = 0.0  # avoided for new tasks after failures
     full_until: float = 0.0  # it had less capacity than its owner assumed
     reserved_until: float = 0.0  # reserved for tasks of ``reserved_priority`` after preemption
@@ -179,6 +187,7 @@
 
 def reserve_run(worker: Worker, run: Run) -> None:
     """Add a run to its worker and reserve its resources."""
+    run.born = run.born or worker.born
     worker.runs[run.task] = run
     _adjust_usage(worker, run, 1)
 
--- a/toucanpin/scheduling/write_batches.py
+++ b/toucanpin/scheduling/write_batches.py
@@ -7,19 +7,40 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.progress import encode_progress
-from toucanpin.scheduling.worker import Phase, Run
+from toucanpin.scheduling.worker import Phase, Run, Worker
 
-__all__ = ["MAX_FORGOTTEN", "WriteBatch", "apply_batch", "has_pending_writes", "take_batch"]
+__all__ = [
+    "MAX_FORGOTTEN",
+    "WriteBatch",
+    "WrittenEnd",
+    "apply_batch",
+    "has_pending_writes",
+    "take_batch",
+]
 
 MAX_ROWS = 90  # of a transaction's 100 entries; the owner's row takes two
 MAX_FORGOTTEN = 5  # jobs per transaction
 MAX_BYTES = 400_000  # of a transaction's 1 MB, which base64 makes a third larger
 
 
+@dataclass(frozen=True, slots=True)
+class WrittenEnd:
+    """
+    Newest end of one incarnation of a worker in a batch.
+
+    A worker that restarts during the write counts its ends anew, so its id alone would acknowledge
+    ends that aren't written.
+    """
+
+    worker: Worker
+    sequence: int
+
+
 @dataclass(frozen=True, slots=True)
 class WriteBatch:
     """
@@ -32,7 +53,7 @@
     records: dict[str, bytes]
     forgotten: tuple[str, ...]
     placed: tuple[Run, ...]
-    ends: dict[str, int]
+    ends: tuple[WrittenEnd, ...]
 
 
 def has_pending_writes(cell: Cell) -> bool:
@@ -54,9 +75,7 @@
     complete = not cell.dirty
     placed = [run for run in cell.placed if complete or run.task.job not in cell.dirty]
     cell.placed = [run for run in cell.placed if not complete and run.task.job in cell.dirty]
-    ends = dict(cell.end_sequences) if complete else {}
-    if complete:
-        cell.end_sequences.clear()
+    ends = tuple(_take_ends(cell)) if complete else ()
     forgotten = tuple(cell.progress_rows_to_delete[:MAX_FORGOTTEN])
     del cell.progress_rows_to_delete[: len(forgotten)]
     return WriteBatch(records, forgotten, tuple(placed), ends)
@@ -64,10 +83,8 @@
 
 def apply_batch(cell: Cell, batch: WriteBatch) -> list[Run]:
     """Apply a batch that is written; return the runs that may be started."""
-    for identifier, sequence in batch.ends.items():
-        worker = cell.workers.get(identifier)
-        if worker is not None:
-            worker.acknowledged_sequence = max(worker.acknowledged_sequence, sequence)
+    for end in batch.ends:
+        end.worker.acknowledged_sequence = max(end.worker.acknowledged_sequence, end.sequence)
     started = []
     for run in batch.placed:
         # A job may have been cancelled while its placements were written.
@@ -75,3 +92,12 @@
             run.phase = Phase.ORDERED
             started.append(run)
     return started
+
+
+def _take_ends(cell: Cell) -> Iterator[WrittenEnd]:
+    """Remove the ends that aren't written yet from the cell."""
+    for identifier, sequence in cell.end_sequences.items():
+        worker = cell.workers.get(identifier)
+        if worker is not None:
+            yield WrittenEnd(worker, sequence)
+    cell.end_sequences.clear()
