--- a/toucanpin/platform/tests/test_store_and_workers.py
+++ b/toucanpin/platform/tests/test_store_and_workers.py
@@ -225,7 +225,8 @@
             "capacity": {"cpu": 1, "memMb": 1},
             "labels": [],
         }
-        for born in (None, "7", 7.5, True, -1, 0, 2**53 + 1, [7], {}):
+        unknown: tuple[object, ...] = (None, "7", 7.5, True, -1, 0, 2**53 + 1, [7], {})
+        for born in unknown:
             with self.subTest(born=born):
                 value = msgspec.json.encode(fields | {"born": born})
                 self.assertEqual(0, decode_worker("i-1", value).born)
