--- a/tools/soak/answer_checks.py
+++ b/tools/soak/answer_checks.py
@@ -120,8 +120,11 @@
                 self._running[event.worker].add(event.task)
             case events.WorkerDraining():
                 self._drained.add(event.worker)
-            case events.WorkerGone() if event.worker not in self._drained:
-                self._crashes.update(self._running.pop(event.worker, ()))
+            case events.WorkerGone():
+                running = self._running.pop(event.worker, ())
+                if event.worker not in self._drained:
+                    self._crashes.update(running)
+                self._drained.discard(event.worker)  # it may restart under its id
             case events.RunEnded():
                 self._running[event.worker].discard(event.task)
                 if event.end_kind == "done":
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -130,7 +130,9 @@
     async def start_worker(self, number: int) -> None:
         """Start the next incarnation of a worker at the address of its earlier ones."""
         self._incarnations[number] += 1
-        name = f"w{number}-{self._incarnations[number]}"
+        await self._start_worker(number, f"w{number}-{self._incarnations[number]}")
+
+    async def _start_worker(self, number: int, name: str) -> None:
         service = SERVICES[number % len(SERVICES)]
         address = f"{self._address(3, number)}:7002"
         self._worker_numbers[address] = number
@@ -155,6 +157,16 @@
         await asyncio.sleep(away)
         await self.start_worker(number)
 
+    async def restart_worker(self, number: int, away: float) -> None:
+        """End a worker's process and start the next one under its id."""
+        worker = self.workers[number]
+        if worker is None:
+            return
+        self.workers[number] = None
+        await worker.crash(keeps_name=True)
+        await asyncio.sleep(away)
+        await self._start_worker(number, worker.core.entry.id)
+
     async def add_late_workers(self) -> None:
         """Start a worker of each service for the jobs that require the late label."""
         for number, service in enumerate(SERVICES):
@@ -191,7 +203,16 @@
     ) -> SoakWorker:
         labels = labels or ("k", f"r{address.rpartition('.')[2]}")
         entry = WorkerEntry(
-            name, service, address, data_centre, True, WORKER_CPU, WORKER_MEMORY_MB, 0, labels
+            name,
+            service,
+            address,
+            data_centre,
+            True,
+            WORKER_CPU,
+            WORKER_MEMORY_MB,
+            0,
+            labels,
+            born=time.time_ns() // 1_000_000,
         )
         return SoakWorker(
             self.store,
@@ -209,7 +230,11 @@
         if worker not in self.workers:
             return
         number = self.workers.index(worker)
-        task = asyncio.ensure_future(self.replace_worker(number, 0.0, RESTART_DELAY_S))
+        if number % 2:
+            work = self.restart_worker(number, RESTART_DELAY_S)
+        else:
+            work = self.replace_worker(number, 0.0, RESTART_DELAY_S)
+        task = asyncio.ensure_future(work)
         self._replacing.add(task)
         task.add_done_callback(self._replacing.discard)
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -27,6 +27,7 @@
     "TimedFault",
     "WorkerEnds",
     "WorkerMood",
+    "WorkerRestarts",
     "WritesUnanswered",
 ]
 
@@ -138,6 +139,14 @@
     away: float
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerRestarts:
+    """End a worker's process abruptly and start the next ``away`` s later, under the same id."""
+
+    worker: int
+    away: float
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerMood:
     """Make a worker misbehave for ``lasts`` s."""
@@ -159,6 +168,7 @@
     | HistoryDropped
     | LinkTrouble
     | WorkerEnds
+    | WorkerRestarts
     | WorkerMood
 )
 
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -66,7 +66,7 @@
         match fault:
             case faults.ProcessEnds() | faults.ProcessPauses() | faults.SettingsChange():
                 return self._signal(fault)
-            case faults.WorkerEnds() | faults.WorkerMood():
+            case faults.WorkerEnds() | faults.WorkerRestarts() | faults.WorkerMood():
                 return self._disturb_worker(fault)
             case faults.LinkTrouble():
                 return self._disturb_link(fault)
@@ -129,7 +129,9 @@
                         mode, delay = link.mode, link.delay
                 self._deployment.set_link(host, worker, mode, delay)
 
-    async def _disturb_worker(self, fault: faults.WorkerEnds | faults.WorkerMood) -> None:
+    async def _disturb_worker(
+        self, fault: faults.WorkerEnds | faults.WorkerRestarts | faults.WorkerMood
+    ) -> None:
         match fault:
             case faults.WorkerMood():
                 moods = self._deployment.moods[fault.worker]
@@ -138,6 +140,8 @@
                 moods.remove(fault)
             case faults.WorkerEnds():
                 await self._deployment.replace_worker(fault.worker, fault.drains, fault.away)
+            case faults.WorkerRestarts():
+                await self._deployment.restart_worker(fault.worker, fault.away)
 
 
 def _delays_only_orders(fault: Fault) -> bool | None:
@@ -145,7 +149,9 @@
     match fault:
         case faults.WorkerMood(mood=Mood.LATE):
             return True
-        case faults.WorkerEnds() | faults.WorkerMood() | faults.DataCentreEvacuated():
+        case faults.WorkerEnds() | faults.WorkerRestarts() | faults.WorkerMood():
+            return None
+        case faults.DataCentreEvacuated():
             return None
         case faults.LinkTrouble():
             return fault.workers is not None
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -22,6 +22,7 @@
 MIN_SCALED_HOSTS = 12  # larger deployments get proportionally more series
 SERIES_LENGTHS = (2, 3, 4, 6)  # in faults
 FAULT_GAPS_S = (0.0, 1.2)  # between faults of a series
+RESTART_GAPS_S = (1.0, 5.0)  # between restarts of workers under their ids
 SHORT_DURATIONS_S = (0.3, 2.0)
 LONG_DURATIONS_S = (1.0, 6.0)
 LEASE_CUT_DURATIONS_S = (2.0, 8.0)  # a worker's lease is 4.5 s
@@ -51,6 +52,8 @@
     host_factor = max(1.0, size.hosts / MIN_SCALED_HOSTS)
     for _ in range(max(2, round(size.seconds / SERIES_PERIOD_S * host_factor))):
         timed += _draw_series(random_, size)
+    # Drawn apart, so that each seed keeps the other faults that it had before there were restarts.
+    timed += _draw_restarts(random.Random(f"restarts/{seed}"), size)
     return tuple(sorted(timed, key=lambda it: it.at))
 
 
@@ -86,6 +89,19 @@
         at += random_.uniform(*FAULT_GAPS_S)
 
 
+def _draw_restarts(random_: random.Random, size: Size) -> Iterator[TimedFault]:
+    """Yield restarts of a few workers under their ids, some of them in quick succession."""
+    at = random_.uniform(FAULT_FREE_START_S, RESTART_GAPS_S[1])
+    while at < size.seconds:
+        worker = random_.randrange(size.workers)
+        away = round(random_.uniform(*SHORT_DURATIONS_S), 2)
+        for _ in range(random_.choice((1, 1, 2))):
+            if at < size.seconds:
+                yield TimedFault(round(at, 3), faults.WorkerRestarts(worker, away))
+            at += away + random_.uniform(*FAULT_GAPS_S)
+        at += random_.uniform(*RESTART_GAPS_S)
+
+
 def _draw_targets(random_: random.Random, size: Size) -> _Targets:
     all_hosts = tuple(range(size.hosts))
     hosts = tuple(random_.sample(all_hosts, random_.randint(1, size.hosts)))
--- a/tools/soak/task_checks.py
+++ b/tools/soak/task_checks.py
@@ -163,6 +163,8 @@
         match event:
             case events.WorkerJoined():
                 self._sizes[event.worker] = (event.cpu, event.memory)
+            case events.WorkerGone():
+                self._runs.pop(event.worker, None)
             case events.RunEnded():
                 self._runs[event.worker].pop(event.task, None)
             case events.RunStarted():
@@ -251,6 +253,8 @@
         match event:
             case events.WorkerDraining():
                 self._since[event.worker] = event.at
+            case events.WorkerGone():  # it may restart under its id, and then drains no more
+                self._since.pop(event.worker, None)
             case events.RunStarted():
                 if self.is_late(event, event.worker, DRAIN_DELAY_S):
                     yield f"{event.task} began on {event.worker} long after it drained"
--- a/tools/soak/tests/test_checks.py
+++ b/tools/soak/tests/test_checks.py
@@ -97,6 +97,8 @@
     def test_room(self) -> None:
         self.assertEqual(["Room"], self.find(start(FIRST), start(COPY)))
         self.assertEqual([], self.find(start(FIRST), start(COPY, "w2")))
+        restarted = (events.WorkerGone(11.0, "w1"), events.WorkerJoined(11.2, "w1", 1_000, 1_000))
+        self.assertEqual([], self.find(start(FIRST), *restarted, start(COPY, at=11.5)))
 
     def test_refusals(self) -> None:
         refused = answer(RequestKind.SUBMIT, 503)
@@ -113,6 +115,9 @@
         self.assertEqual([], self.find(drains, start(FIRST, at=12.0)))
         trouble = events.DisturbanceSeen(13.0)
         self.assertEqual([], self.find(drains, trouble, start(FIRST, at=15.0)))
+        gone = events.WorkerGone(11.0, "w1")
+        self.assertEqual([], self.find(drains, gone, start(FIRST, at=15.0)))
+        self.assertEqual(["Leaving"], self.find(gone, drains, start(FIRST, at=15.0)))
 
     def test_own(self) -> None:
         for invalid in (
--- a/tools/soak/weakened.py
+++ b/tools/soak/weakened.py
@@ -14,6 +14,7 @@
 from toucanpin.entry import cell_workers, owner
 from toucanpin.entry.requests import RequestHandler
 from toucanpin.entry.root import EntryProcess
+from toucanpin.platform import workers
 from toucanpin.scheduling import placing
 
 __all__ = ["WEAKENINGS", "main"]
@@ -72,6 +73,11 @@
     owner.apply_evacuations = lambda cell, evacuated, bound: False
 
 
+def _ignore_incarnations() -> None:
+    """Don't read which incarnation of a worker answers or wrote its entry."""
+    workers._read_born = lambda value: 0
+
+
 WEAKENINGS: dict[str, Callable[[], None]] = {
     "leases": _ignore_leases,
     "unsure-writes": _refuse_uncertain_writes,
@@ -79,6 +85,7 @@
     "drain": _exit_immediately,
     "crashes": _ignore_crashes,
     "evacuations": _ignore_evacuations,
+    "incarnations": _ignore_incarnations,
 }
 
 
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -148,11 +148,16 @@
             self.core.failing = bool(self._active_values(Mood.FAILS))
             self.core.advance(self._now())
 
-    async def crash(self) -> None:
-        """Exit abruptly; the store lists the entry for ENTRY_RETENTION_S more."""
+    async def crash(self, keeps_name: bool = False) -> None:
+        """
+        Exit abruptly; the store lists the entry for ENTRY_RETENTION_S more, or until the next
+        incarnation replaces it under the same name.
+        """
         if self._finished:
             return
         await self._finish()
+        if keeps_name:
+            return
         loop = asyncio.get_running_loop()
         loop.call_later(ENTRY_RETENTION_S, self._store.delete, "servers", self.core.entry.id)
 
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -73,6 +73,7 @@
         self.duplicate_runs: list[TaskKey] = []
         self.crashing: set[TaskKey] = set()  # tasks that crash each worker that starts them
         self.crashes: list[TaskKey] = []
+        self.start_delay = LATE_START_S
         self.keeps_names = False  # crashed workers restart under their names
         self._down: list[tuple[float, WorkerEntry]] = []
         self._clock_starts: dict[str, float] = {}  # of workers that restarted under their names
@@ -212,7 +213,7 @@
             if core is None or core.silent:
                 outcome = apply_start_failure(self.cell, worker, run, False, self.now())
             elif core.delays_orders:
-                due = self.clock(run.worker) + LATE_START_S
+                due = self.clock(run.worker) + self.start_delay
                 core.delayed_starts.append((due, run.task, run.attempt, deadline, self.cell.token))
                 outcome = apply_start_failure(self.cell, worker, run, False, self.now())
             elif run.task in self.crashing:
