Ignore SIGHUP until an entry process has exited

Cause: the event loop's handler of SIGHUP is removed as the loop closes, which restores the default: a change of settings in that moment ended a process that had shut down in order with -1.

Change: no handler of the loop; the process ignores SIGHUP from its start on. The new test failed before (exit code -1, not 0).

--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -93,7 +93,6 @@
         ending = asyncio.Event()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, ending.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: None)
         await self.start()
         await ending.wait()
         await self.shut_down()
--- a/toucanpin/entry/tests/test_process.py
+++ b/toucanpin/entry/tests/test_process.py
@@ -21,6 +21,26 @@
 runpy.run_module("toucanpin.entry", run_name="__main__", alter_sys=True)
 """
 
+# Sends the signal once the event loop is closed, as the process is about to exit.
+ENDING_PROGRAM = """
+import atexit, os, signal, sys
+from unittest import mock
+from toucanpin.entry import __main__, program
+from toucanpin.entry.root import EntryProcess
+
+async def start(self):
+    os.kill(os.getpid(), signal.SIGTERM)
+
+async def shut_down(self):
+    pass
+
+atexit.register(os.kill, os.getpid(), signal.SIGHUP)
+sys.argv = ["toucanpin.entry"]
+methods = {"__init__": lambda *_: None, "start": start, "shut_down": shut_down}
+with mock.patch.multiple(EntryProcess, **methods), mock.patch.object(program, "read_settings"):
+    sys.exit(__main__.main())
+"""
+
 
 class StartTest(unittest.TestCase):
     """
@@ -38,6 +58,11 @@
         self.assertIn("/nonexistent/node.conf", done.stderr)
         self.assertEqual(done.returncode, 2)
 
+    def test_sighup_at_the_end_does_not_change_the_exit_code(self) -> None:
+        """Guards against a process that has shut down in order and counts as crashed."""
+        done = subprocess.run([sys.executable, "-c", ENDING_PROGRAM], capture_output=True)
+        self.assertEqual(0, done.returncode, done.stderr)
+
 
 if __name__ == "__main__":
     unittest.main()
