Admit a restarted worker whose time of day is behind

Cause: an answer with a smaller born was ignored for good. A worker that restarts after its time of day was set back would answer each poll in vain.

Change: a process that has ended answers no call that was sent after the next one was known, so such an answer is of a newer incarnation whatever its number; answers to earlier calls and entries of the replaced one are still ignored.

--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -123,9 +123,9 @@
         self._clients[entry.id] = WorkerClient(entry.id, entry.address)
         self._spawn(self._poll(worker))
 
-    def _admits_answer(self, worker: Worker, born: int) -> bool:
+    def _admits_answer(self, worker: Worker, born: int, sent_at: float) -> bool:
         """Return whether a worker's answer is of its known incarnation; a newer one begins."""
-        found = admit_answer(self._cell, worker, born, self._clocks.now())
+        found = admit_answer(self._cell, worker, born, sent_at, self._clocks.now())
         if found is not None and found is not worker:
             self._begin_polling(found)
             self._on_change()
@@ -179,7 +179,7 @@
             if isinstance(answer, RefusalReason):
                 raise OwnershipLostError(f"worker {identifier} refused: {answer.value}")
             self._tell_unknown(worker, answer.born)
-            if not self._admits_answer(worker, answer.born):
+            if not self._admits_answer(worker, answer.born, sent_at):
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             now = self._clocks.now()
@@ -213,6 +213,7 @@
         while not self._loaded.is_set() and self._cell.workers.get(worker.entry.id) is worker:
             deadline = plan_renewal(self._cell, worker, self._clocks.now())
             pause = RENEWAL_PERIOD_S if deadline else 0.0
+            sent_at = steady_time()
             try:
                 answer = await client.poll(self._cell.token, 0, deadline, 0.0, MAX_LATENESS_S)
             except WorkerReplacedError:
@@ -222,7 +223,7 @@
             else:
                 if isinstance(answer, RefusalReason):
                     raise OwnershipLostError(f"worker {worker.entry.id} refused: {answer.value}")
-                if self._admits_answer(worker, answer.born):
+                if self._admits_answer(worker, answer.born, sent_at):
                     record_clock(worker, answer, self._clocks.now())
             try:
                 async with asyncio.timeout(pause):
@@ -287,7 +288,7 @@
                         reason=answer.refused.value,
                     )
                 outcome = StartOutcome.RETRY_LATER
-                if self._admits_answer(worker, answer.born):
+                if self._admits_answer(worker, answer.born, self._starts_sent_at[id(run)]):
                     now = self._clocks.now()
                     outcome = apply_start_answer(self._cell, worker, run, answer, now)
             finally:
--- a/toucanpin/scheduling/incarnations.py
+++ b/toucanpin/scheduling/incarnations.py
@@ -41,18 +41,22 @@
     return 0 < born < than
 
 
-def admit_answer(cell: Cell, worker: Worker, born: int, now: Now) -> Worker | None:
+def admit_answer(cell: Cell, worker: Worker, born: int, sent_at: float, now: Now) -> Worker | None:
     """
-    Return the incarnation that sent an answer, None if it has been replaced meanwhile.
+    Return the incarnation that answered a call, None if it has been replaced meanwhile.
 
-    A newer incarnation replaces the known one.
+    A newer incarnation replaces the known one.  An earlier one can't answer calls that were sent
+    since the known one has been, so a smaller number is then that of a newer one, whose time of day
+    is behind; if it were ignored, the worker would be of no more use.
     """
-    if cell.workers.get(worker.entry.id) is not worker or is_earlier(born, worker.born):
+    if cell.workers.get(worker.entry.id) is not worker:
         return None
-    if is_earlier(worker.born, born):
-        return begin_incarnation(cell, worker, born, now)
-    worker.born = worker.born or born
-    return worker
+    if not born or worker.born in (0, born):
+        worker.born = worker.born or born
+        return worker
+    if born < worker.born and sent_at <= worker.first_listed_at:
+        return None
+    return begin_incarnation(cell, worker, born, now)
 
 
 def begin_incarnation(
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -77,7 +77,7 @@
             )
             cell.workers[entry.id] = worker
             added.append(worker)
-        elif is_earlier(entry.born, worker.born):
+        elif _is_outdated(worker, entry):
             continue
         elif is_earlier(worker.born, entry.born):
             worker = begin_incarnation(cell, worker, entry.born, now, entry)
@@ -199,6 +199,13 @@
     )
 
 
+def _is_outdated(worker: Worker, entry: WorkerEntry) -> bool:
+    """Return whether an entry is of an earlier incarnation than the known one."""
+    if entry.born and entry.born == worker.earlier_born:
+        return True
+    return is_earlier(entry.born, worker.born)
+
+
 def _record_entry(worker: Worker, entry: WorkerEntry, now: Now) -> None:
     worker.entry = entry
     worker.born = worker.born or entry.born
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -99,7 +99,8 @@
     def restart(self, name: str, **fields) -> WorkerCore:
         """Restart a worker under its name; late starts are carried out by its next incarnation."""
         earlier = self.workers[name]
-        entry = dataclasses.replace(earlier.entry, born=earlier.entry.born + 1, **fields)
+        fields = {"born": earlier.entry.born + 1, **fields}
+        entry = dataclasses.replace(earlier.entry, **fields)
         successor = self.workers[name] = WorkerCore(entry, duration=earlier.duration)
         before = self.clock(name)
         self._clock_starts[name] = self.time - 1.0
@@ -196,7 +197,7 @@
             clock = self.clock(worker.entry.id)
             answer = core.poll(self.cell.token, order.acknowledged, order.deadline, clock)
             assert isinstance(answer, PollAnswer), answer
-            if admit_answer(self.cell, worker, answer.born, self.now()) is worker:
+            if admit_answer(self.cell, worker, answer.born, self.time, self.now()) is worker:
                 apply_answer(self.cell, worker, answer, self.time, self.now())
 
     def _send_starts(self) -> None:
@@ -224,7 +225,8 @@
                 token = self.cell.token
                 clock = self.clock(run.worker)
                 answer = core.start(run.task, run.attempt, deadline, token, clock)
-                if admit_answer(self.cell, worker, answer.born, self.now()) is not worker:
+                found = admit_answer(self.cell, worker, answer.born, self.time, self.now())
+                if found is not worker:
                     continue
                 outcome = apply_start_answer(self.cell, worker, run, answer, self.now())
             if outcome is not StartOutcome.SETTLED:
--- a/toucanpin/scheduling/tests/test_incarnations.py
+++ b/toucanpin/scheduling/tests/test_incarnations.py
@@ -192,16 +192,39 @@
 
     def test_answer_of_an_earlier_incarnation_is_ignored(self) -> None:
         """Guards against going back to a process that has ended."""
-        cell = self.fleet.cell
+        cell, now = self.fleet.cell, self.fleet.now()
         first = cell.workers["w0"]
-        second = admit_answer(cell, first, FIRST_BORN + 1, self.fleet.now())
+        second = admit_answer(cell, first, FIRST_BORN + 1, now.steady, now)
         assert second is not None
         self.assertIs(second, cell.workers["w0"])
-        self.assertIsNone(admit_answer(cell, first, FIRST_BORN, self.fleet.now()))
-        self.assertIsNone(admit_answer(cell, first, FIRST_BORN + 1, self.fleet.now()))
-        self.assertIsNone(admit_answer(cell, second, FIRST_BORN, self.fleet.now()))
+        for worker, born in (
+            (first, FIRST_BORN),
+            (first, FIRST_BORN + 1),
+            (second, FIRST_BORN),
+        ):
+            self.assertIsNone(admit_answer(cell, worker, born, now.steady, now))
         self.assertIs(second, cell.workers["w0"])
 
+    def test_restart_after_which_the_time_of_day_is_behind(self) -> None:
+        """
+        A worker restarts and its time of day is earlier than at its first start.  Guards against
+        ignoring all that it says, and against going back to the first by its entry.
+        """
+        self.fleet.workers["w0"].duration = 60.0
+        self.fleet.submit(make_job(steps=(LASTING,)))
+        self.fleet.run(0.5)
+        core = self.fleet.restart("w0", born=FIRST_BORN - 1)
+        self.fleet.unlisted.add("w0")
+        for _ in range(3):
+            update_workers(self.fleet.cell, [self.entry], self.fleet.now())
+            self.fleet.run(0.1)
+        known = self.fleet.cell.workers["w0"]
+        self.assertEqual(FIRST_BORN - 1, known.born)
+        self.fleet.unlisted.clear()
+        self.fleet.run(1.0)
+        self.assertIs(known, self.fleet.cell.workers["w0"])
+        self.assertEqual(1, len(core.runs))
+
     def test_entry_of_an_earlier_incarnation_is_ignored(self) -> None:
         """
         Guards against placing tasks by the size of an earlier incarnation: the next one answers
@@ -241,8 +264,9 @@
         fleet.submit(make_job(steps=(LASTING,)))
         fleet.run(0.5)
         worker = fleet.cell.workers["w0"]
-        self.assertIs(worker, admit_answer(fleet.cell, worker, FIRST_BORN, fleet.now()))
-        self.assertIs(worker, admit_answer(fleet.cell, worker, 0, fleet.now()))
+        for born in (FIRST_BORN, 0):
+            found = admit_answer(fleet.cell, worker, born, fleet.time, fleet.now())
+            self.assertIs(worker, found)
         fleet.run(6.0)
         self.assertEqual((1, 1), (len(core.runs), len(core.starts)))
 
