--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -156,6 +156,7 @@
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
     request_pending: bool = False
+    restarted: set[str] = field(default_factory=set)  # workers, since the request was sent
     retry_at: float = 0.0
 
 
@@ -191,8 +192,8 @@
     new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` holds by image the
     demands of best-effort tasks for which no worker was found; they are not tried again until
     ``unplaceable_until``.  ``stop_time`` and ``restore_time`` are the times in s that workers may
-    take to stop and to resume a task.  ``features`` are the optional decisions that the
-    deployment calls for.
+    take to stop and to resume a task, and ``max_lease`` is the longest lease that they accept.
+    ``features`` are the optional decisions that the deployment calls for.
     """
 
     name: str
@@ -202,6 +203,7 @@
     workers_enforce_limits: bool = True  # workers refuse tasks that don't fit
     stop_time: float = 0.2
     restore_time: float = 0.25
+    max_lease: float = 10.0
     features: Features = Features()
     evacuated: frozenset[str] = frozenset()
     evacuated_until: float = float("inf")
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -80,6 +80,7 @@
     rate: float = 0.0  # recent progress in percent per s, 0 if unknown
     sampled_at: float = 0.0  # when the progress was ``sampled_percent``
     sampled_percent: int = 0
+    born: int = 0  # incarnation of the worker on which it was placed, 0 if unknown
 
 
 @dataclass(slots=True)
@@ -87,6 +88,11 @@
     """A worker as the owner of its cell knows it; times are on the local steady clock."""
 
     entry: WorkerEntry
+    born: int = 0  # start of this incarnation in Unix ms, 0 if unknown
+    earlier_born: int = 0  # that of the incarnation that it replaced
+    sized: bool = True  # its entry is of this incarnation, whose size may differ from the earlier
+    # When the newest start without an answer was sent, by task and attempt.
+    unanswered_starts: dict[tuple[TaskKey, int], float] = field(default_factory=dict)
     runs: dict[TaskKey, Run] = field(default_factory=dict)
     cpu: int = 0
     memory: int = 0
@@ -101,12 +107,14 @@
     listed_at: float = 0.0
     answered_at: float = 0.0
     silent: bool = False  # it did not answer the latest poll
-    malformed: bool = False  # its entry can no longer be decoded, though it may still answer
+    # Its entry can't be decoded or is of an earlier incarnation, though it may still answer.
+    malformed: bool = False
     clock: int = 0
     clock_read_at: float = 0.0
     lease_expires_at: float = 0.0
     listed_sequence: int = 0  # of the newest end that it listed
     acknowledged_sequence: int = 0  # of the newest end that is written
+    lists_ends: bool = False  # its latest answer listed ends, acknowledged or not
     suspect_until: float = 0.0  # avoided for new tasks after failures
     slow_until: float = 0.0  # avoided for new tasks, as it runs all tasks slowly
     full_until: float = 0.0  # it had less capacity than its owner assumed
@@ -183,6 +191,7 @@
 
 def reserve_run(worker: Worker, run: Run) -> None:
     """Add a run to its worker and reserve its resources."""
+    run.born = run.born or worker.born
     worker.runs[run.task] = run
     _adjust_usage(worker, run, 1)
 
