--- a/toucanpin/scheduling/tests/test_incarnations.py
+++ b/toucanpin/scheduling/tests/test_incarnations.py
@@ -171,6 +171,17 @@
         self.assertFalse(is_distrusted(worker))
         self.assertEqual([100], [run.pace for run in worker.runs.values()])
 
+    def test_size_of_the_next_incarnation_counts(self) -> None:
+        """Guards against tasks on a worker that has shrunk, and against room that is never used."""
+        self._start_lasting(count=4)
+        for cpu, runs in ((2_500, 2), (900, 0), (8_000, 4)):
+            with self.subTest(cpu=cpu):
+                core = self.fleet.restart("w0", cpu=cpu)
+                for _ in range(40):
+                    self.fleet.run(0.05)
+                    self.assertLessEqual(1_000 * len(core.runs), cpu)
+                self.assertEqual(runs, len(core.runs))
+
     def test_tickets_are_valid_in_one_incarnation(self) -> None:
         """Guards against starts that are refused, and refusals that outlive the incarnation."""
         self.fleet.run(0.5)
