Ask workers in turn after a takeover, verify a stronger host before a handover, measure standstills

Cause: a weak host that had taken a cell asked all workers twice at once; its own reads and its first write came last (model of half a core in the trace: rows read 1.3 s after the takeover, first start after 2.0 s). It handed the cell to strong hosts that had died seconds before, since their announcements were still recent: three takeovers and 11.8 s without a start in the trace. How long a cell had placed nothing, and why, was in no log line.

Change: a new owner asks 16 new workers at a time, as fast as they answer, and 64 until its rows are read; a handover needs an answer of a stronger host that reaches the store; the silent owner itself is no stronger host to wait for. The owner measures the time without placements by cause, logs it (cell.resumed) and counts it (toucanpin.cell.standstill); toucanpin losses shows waits within it as a cause of their own.

Test: 500 jobs, 270 workers; silent store, owner killed, weak successor.

--- a/standins/site/virtual.py
+++ b/standins/site/virtual.py
@@ -15,6 +15,7 @@
 import time
 from collections.abc import Callable, Coroutine
 from contextlib import ExitStack
+from contextvars import ContextVar, copy_context
 from typing import Any
 from unittest.mock import patch
 
@@ -23,9 +24,11 @@
 from toucanpin.http import Answer, CallError, Client, Request, Server
 from toucanpin.verdict import Verdict
 
-__all__ = ["run_virtual"]
+__all__ = ["Processor", "run_virtual", "start_on"]
 
 LINK_DELAY_S = 0.004  # one way
+CALL_TIME_S = 0.001  # of one core for a call
+KILOBYTE_TIME_S = 0.0003  # of one core for each KB of an answer
 FIRST_TIME_S = 1_000.0
 WALL_TIME_S = 1_700_000_000.0
 WORKER_TICK_S = 0.1
@@ -59,6 +62,36 @@
             runner.run(main())
 
 
+class Processor:
+    """Processor of a host, which carries out one call after another."""
+
+    def __init__(self, cores: float) -> None:
+        self._cores = cores
+        self._busy_until = 0.0
+
+    async def work(self, seconds: float) -> None:
+        """Wait until work that takes one core some seconds is done."""
+        now = time.monotonic()
+        self._busy_until = max(now, self._busy_until) + seconds / self._cores
+        await asyncio.sleep(self._busy_until - now)
+
+
+_processor: ContextVar[Processor | None] = ContextVar("processor", default=None)
+
+
+async def start_on(processor: Processor, work: Coroutine[Any, Any, None]) -> None:
+    """Run ``work``, with all tasks that it starts, on a processor."""
+    context = copy_context()
+    context.run(_processor.set, processor)
+    await asyncio.get_running_loop().create_task(work, context=context)
+
+
+async def _work(seconds: float) -> None:
+    processor = _processor.get()
+    if processor is not None:
+        await processor.work(seconds)
+
+
 def _as_method(function: Callable) -> Callable:
     """Wrap a bound method so that it receives the instance on which it is called."""
     if not isinstance(getattr(function, "__self__", None), _Network):
@@ -125,6 +158,7 @@
         request = Request()
         request.method, request.path, request.body = method, path, body
         request.headers = {name.lower(): value for name, value in headers}
+        await _work(CALL_TIME_S)
         try:
             async with asyncio.timeout(timeout):
                 await asyncio.sleep(LINK_DELAY_S)
@@ -141,6 +175,7 @@
             raise CallError(Verdict.MAY_HAVE_RUN, f"{client.address}: no answer") from error
         if response is None:
             raise CallError(Verdict.MAY_HAVE_RUN, f"{client.address}: connection ended")
+        await _work(len(response.body) / 1_024 * KILOBYTE_TIME_S)
         return Answer(response.status, {}, response.body)
 
     async def call_peer(
--- a/toucanpin/cli/losses.py
+++ b/toucanpin/cli/losses.py
@@ -23,6 +23,20 @@
 
 LATE_STATE = "late"
 REASON_NOT_LOGGED = "reason not logged"  # the log line was dropped
+RESUMPTION_MS = 1_000  # within which tasks are placed that a standstill has held up
+
+
+@dataclass(frozen=True, slots=True)
+class _Interval:
+    """Time without placements on a host, in ms of the table's clock."""
+
+    start: int
+    end: int
+    why: str
+
+    def overlap(self, start: float, end: float) -> float:
+        """Return for how many seconds another interval, in ms, overlaps."""
+        return max(0.0, min(end, self.end) - max(start, self.start)) / 1_000
 
 
 @dataclass(slots=True)
@@ -50,8 +64,11 @@
     Return the losses of each queue.
 
     A wait counts once its task is placed, a run once it ends, each over the seconds that it took.
-    A stopped run counts under the reason of the stop.
+    A stopped run counts under the reason of the stop.  Waits in which the cell could place nothing
+    count under the reason of that.
     """
+    lines = list(lines)
+    standstills = _list_standstills(lines)
     losses_by_queue: dict[str, Losses] = defaultdict(Losses)
     starts: dict[tuple[str, int], tuple[int, str]] = {}
     reasons: dict[str, str] = {}
@@ -61,9 +78,8 @@
             case "task.placed":
                 queue = str(fields.get("queue", ""))
                 starts[fields["task"], int(fields["attempt"])] = (line.clock, queue)
-                waited = float(fields.get("waited", 0.0))
-                if waited > 0:
-                    losses_by_queue[queue].add(f"wait: {fields.get('why', '')}", waited, line.clock)
+                for cause, waited in _split_wait(line, standstills[line.host]):
+                    losses_by_queue[queue].add(cause, waited, line.clock)
             case "task.stopping":
                 reasons.setdefault(fields["task"], str(fields.get("reason", "")))
             case "task.ended":
@@ -82,6 +98,37 @@
     return dict(losses_by_queue)
 
 
+def _list_standstills(lines: Iterable[LogLine]) -> dict[str, list[_Interval]]:
+    """Return the times without placements by the host that ended them."""
+    found: dict[str, list[_Interval]] = defaultdict(list)
+    for line in lines:
+        if line.event == "cell.resumed":
+            start = line.clock - int(1_000 * float(line.fields.get("stood", 0.0)))
+            why = str(line.fields.get("why", REASON_NOT_LOGGED))
+            found[line.host].append(_Interval(start, line.clock, why))
+    return found
+
+
+def _split_wait(line: LogLine, standstills: list[_Interval]) -> Iterable[tuple[str, float]]:
+    """Yield the causes for which a placed task waited, each with its seconds."""
+    fields = line.fields
+    waited = float(fields.get("waited", 0.0))
+    # An owner that has just read its rows doesn't know for how long their tasks have waited.
+    step = fields["task"].split(".")[2:3]
+    starts_job = step == ["0"] and int(fields["attempt"]) == 1
+    age = float(fields.get("age", 0.0)) if starts_job else 0.0
+    held_up = 0.0
+    for standstill in standstills:
+        resumed = 0 <= line.clock - standstill.end <= RESUMPTION_MS
+        known = max(waited, age) if resumed else waited
+        overlap = standstill.overlap(line.clock - 1_000 * known, line.clock)
+        if overlap > 0:
+            held_up += overlap
+            yield f"standstill: {standstill.why}", overlap
+    if waited > held_up:
+        yield f"wait: {fields.get('why', '')}", waited - held_up
+
+
 def _count_dropped(lines: Iterable[LogLine]) -> int:
     """Return how many lines all hosts have dropped; each logs its running total."""
     by_host: dict[str, int] = {}
--- a/toucanpin/cli/tests/test_losses.py
+++ b/toucanpin/cli/tests/test_losses.py
@@ -60,6 +60,24 @@
             found,
         )
 
+    def test_waits_in_a_standstill_count_under_its_reason(self) -> None:
+        lines = [
+            {"clock": 1_500, "event": "cell.resumed", "stood": 1.0, "why": "no owner"},
+            {"clock": 1_600, "event": "task.placed", "task": "j.0.0.0", "attempt": 1,
+             "queue": "batch", "waited": 1.6, "why": "no room", "age": 1.6},
+            {"clock": 1_700, "event": "task.placed", "task": "k.0.0.0", "attempt": 1,
+             "queue": "urgent", "waited": 0.0, "why": "", "age": 0.7},
+            {"clock": 1_700, "event": "task.placed", "task": "k.0.1.0", "attempt": 1,
+             "queue": "urgent", "waited": 0.0, "why": "", "age": 0.7},
+        ]  # fmt: skip
+        text = [msgspec.json.encode({"host": "h", **line}).decode() for line in lines]
+        found = {
+            queue: {cause: round(seconds, 3) for cause, seconds in it.seconds.items()}
+            for queue, it in sum_losses(parse_lines(text)).items()
+        }
+        self.assertEqual({"standstill: no owner": 1.0, "wait: no room": 0.6}, found["batch"])
+        self.assertEqual({"standstill: no owner": 0.5}, found["urgent"])
+
     def test_the_largest_cause_comes_first(self) -> None:
         result = CliRunner().invoke(losses, ["-", "--by-second"], input="\n".join(_text()))
         self.assertEqual(0, result.exit_code, result.output)
--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -19,7 +19,9 @@
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.metrics import TAKEOVERS
 from toucanpin.entry.owner import Owner
+from toucanpin.entry.peer_calls import STORE, PeerCaller
 from toucanpin.entry.peers import Peers
+from toucanpin.entry.relayed_store import PROBE_PATH
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.tables import HANDOVERS_TABLE, OWNER_KEY, OWNERS_TABLE
 from toucanpin.exception import PlatformError
@@ -48,6 +50,7 @@
 RETRY_DELAY_S = 0.4  # after a failed read of the owner's row
 HANDOVER_WAIT_S = 20.0  # long-poll time of the watch for resignations
 HANDOVER_CHECK_PERIOD_S = 1.0  # between checks for a stronger host
+HANDOVER_PROBE_TIMEOUT_S = 0.8  # a slow store takes 0.6 s to answer
 MAX_BACKLOG_AGE_S = 3.0  # a backlog read from the owner's row is ignored after this time
 BACKOFF_S = 1.0  # after a cell was lost, or the watch for resignations failed
 
@@ -156,7 +159,7 @@
         row = page.rows[0] if page.rows else None
         record = _read_owner(row, self._reader) if row else None
         record_read(watch, row.version if row else 0, record, now - begun, now)
-        weak = self._peers.has_stronger_host()
+        weak = bool(self._peers.list_stronger(record.host if record else ""))
         rank = plan_rank(self._count_preceding(), self._spread)
         return plan_takeover(watch, rank, self._settings.name, self._incarnation, weak)
 
@@ -180,12 +183,29 @@
             tenure = MIN_TENURE_S if owner.loaded else MAX_LOADING_S
             if now < max(began + tenure, self._last_handover_at + MIN_HANDOVER_INTERVAL_S):
                 continue
-            if self._peers.has_stronger_host():
+            if await self._reaches_stronger_host():
                 self._last_handover_at = now
                 _log.info("cell handed to a stronger host", event="cell.yielded", cell=self._cell)
                 owner.resign()
                 return
 
+    async def _reaches_stronger_host(self) -> bool:
+        """
+        Return whether a stronger host answers, and reaches the store.
+
+        A host that died seconds ago still looks healthy by its announcement, and a cell that is
+        handed to it has no owner until this host takes it again.
+        """
+        for peer in self._peers.list_stronger():
+            caller = PeerCaller(self._settings.name, self._peers, peer, STORE)
+            try:
+                answer = await caller.call("GET", PROBE_PATH, timeout=HANDOVER_PROBE_TIMEOUT_S)
+            except CallError:
+                continue
+            if answer.status == 200:
+                return True
+        return False
+
     async def _acquire(self, watch: OwnerWatch) -> None:
         previous = watch.record
         token = previous.token + 1 if previous else 1
@@ -213,6 +233,7 @@
             result.version,
             sent_at,
             previous is None,
+            watch.changed_at if previous is not None else sent_at,
             self._advice_dispatcher,
             self._workers_enforce_limits,
             self._evacuated,
--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -11,11 +11,12 @@
 
 import logbook
 
-from toucanpin.entry.metrics import LOST_RUNS, START_WAIT, STARTS
+from toucanpin.entry.metrics import LOST_RUNS, STANDSTILL_TIME, START_WAIT, STARTS
 from toucanpin.scheduling.cell import Cell, Now, find_record
 from toucanpin.scheduling.evacuating import describe_evacuations, list_not_evacuated
 from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.standstill import Standstill
 from toucanpin.scheduling.worker import Run
 
 __all__ = [
@@ -24,6 +25,7 @@
     "log_failed_tasks",
     "log_losses",
     "log_placement",
+    "log_standstill",
     "log_waits",
 ]
 
@@ -88,6 +90,23 @@
         )
 
 
+def log_standstill(cell: Cell, ended: Standstill | None) -> None:
+    """Log and count a time without placements that has ended."""
+    if ended is None:
+        return
+    for cause, seconds in ended.seconds.items():
+        STANDSTILL_TIME.add(seconds, {"why": cause.value})
+    _log.warning(
+        "tasks can be placed again",
+        event="cell.resumed",
+        cell=cell.name,
+        stood=round(ended.total, 3),
+        why=ended.main_cause.value,
+        parts=", ".join(f"{it.value} {seconds:.2f}" for it, seconds in ended.seconds.items()),
+        waiting=sum(map(len, cell.waiting.values())),
+    )
+
+
 def log_waits(cell: Cell, now: Now) -> None:
     """Log the longest waits for a worker, at most ``MAX_LOGGED_WAITS`` per call."""
     due = [
--- a/toucanpin/entry/metrics.py
+++ b/toucanpin/entry/metrics.py
@@ -92,6 +92,9 @@
     "toucanpin.runs.lost", description="Runs lost with their workers, by cause"
 )
 TAKEOVERS = _meter.create_counter("toucanpin.takeovers", description="Cells taken by this host")
+STANDSTILL_TIME = _meter.create_counter(
+    "toucanpin.cell.standstill", unit="s", description="Seconds without placements by reason"
+)
 STORE_CALLS = _meter.create_counter(
     "toucanpin.store.calls", description="Calls of the store by outcome"
 )
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 
 import logbook
 
@@ -24,6 +24,7 @@
     log_failed_tasks,
     log_losses,
     log_placement,
+    log_standstill,
     log_waits,
 )
 from toucanpin.entry.metrics import TURN_TIME
@@ -56,6 +57,7 @@
 from toucanpin.scheduling.pacing import control_pace
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.settings import HostSettings
+from toucanpin.scheduling.standstill import StandstillCause, StandstillMeter
 from toucanpin.scheduling.write_batches import (
     MAX_FORGOTTEN,
     apply_batch,
@@ -69,6 +71,12 @@
 TICK_PERIOD_S = 0.05  # between checks for expired leases, due start times and stalls
 MOVE_PERIOD_S = 0.2  # between searches for tasks to move; workers answer every 0.4 s
 LIST_PERIOD_S = 0.5  # between reads of the workers' entries; a drain must be noticed within 2 s
+MAX_ASKED_WORKERS = 16  # new ones that are asked at a time
+MAX_EARLY_WORKERS = 64  # asked before the rows are read, all of which ask again after that
+READS_FIRST_S = 0.5  # for which that holds; on a slow link the reads take seconds
+MAX_ANSWER_TIME_S = 0.5  # of a new worker, after which others are asked in its place
+MAX_INTRODUCTION_S = 1.5  # leases of 4.5 s end 2 s after a takeover unless they are renewed
+INTRODUCTION_INTERVAL_S = 0.005
 MAX_VIEW_AGE_MS = 2_500  # no tasks are placed if the last read of the jobs is older
 RETRY_DELAY_S = 0.1  # before a failed read is repeated
 CLEANUP_PERIOD_S = 5.0  # between searches for ended jobs whose retention is over
@@ -86,7 +94,8 @@
     Scheduler of one cell, until another process owns the cell or this one resigns.
 
     ``record`` is the owner's row, written at ``version`` by a transaction that was sent at
-    ``confirmed``.  ``first`` is true if no process has owned the cell before.
+    ``confirmed``.  ``first`` is true if no process has owned the cell before, and ``silent_since``
+    is when the last owner's last write was seen.
     ``workers_enforce_limits`` returns whether the cell's workers refuse tasks that don't fit, and
     ``evacuated`` returns the data centres in which no task may start.
     """
@@ -101,6 +110,7 @@
         version: int,
         confirmed: float,
         first: bool,
+        silent_since: float,
         advice_dispatcher: AdviceDispatcher,
         workers_enforce_limits: Callable[[], bool],
         evacuated: Callable[[], EvacuationList],
@@ -141,6 +151,8 @@
         self._wake = asyncio.Event()
         self._placing_share = TimeShare(MAX_PLACING_SHARE)
         self._backlog = StartBacklog()
+        self._standstill = StandstillMeter(silent_since)
+        self._standstill.record_blocked(StandstillCause.TAKEOVER, steady_time())
         self._failure: asyncio.Future[None] | None = None
         self._resigning = False
         self.loaded = False  # whether the cell's rows are read, so that tasks can be placed
@@ -160,6 +172,7 @@
             self._spawn(self._follow_workers())
             self._jobs.followed_version = await self._load()
             self.loaded = True
+            self._standstill.record_blocked(StandstillCause.LOADING, steady_time())
             self._workers.signal_loaded()
             following = (self._jobs.follow, self._jobs.relist)
             for part in (self._commit, *following, self._tick, self._drop_ended_jobs):
@@ -243,7 +256,9 @@
             if idle and steady_time() < self._rows.written_at + OWNER_WRITE_INTERVAL_S:
                 continue
             batch = take_batch(self._cell)
+            sent_at = steady_time()
             await self._rows.write(batch, self._resigning)
+            self._standstill.record_write(sent_at, steady_time())
             self._cell.confirmed_at = self._rows.written_at
             started = apply_batch(self._cell, batch)
             self._workers.signal_written()
@@ -259,7 +274,11 @@
         self._update_evacuated()
         if self._placing_share.remaining_pause(now.steady):
             return
-        if self._has_recent_jobs(now) and has_current_evacuations(self._cell, now):
+        blocked = self._find_block(now)
+        if blocked is not None:
+            self._standstill.record_blocked(blocked, now.steady)
+        else:
+            log_standstill(self._cell, self._standstill.record_placing(now.steady))
             max_starts = self._delay.limit_starts(now.steady) - self._workers.count_starting()
             before = len(self._cell.placed)
             place_tasks(self._cell, self._interference, now, max_starts)
@@ -268,6 +287,14 @@
         self._placing_share.record(now.steady, ended)
         TURN_TIME.record(ended - now.steady, {"what": "placing"})
 
+    def _find_block(self, now: Now) -> StandstillCause | None:
+        """Return why no task may be placed now, None if tasks may."""
+        if not self._has_recent_jobs(now):
+            return StandstillCause.JOBS
+        if not has_current_evacuations(self._cell, now):
+            return StandstillCause.EVACUATIONS
+        return None
+
     def _raise_if_resigned(self) -> None:
         """Raise OwnershipLostError if this owner's resignation has been written."""
         if not self._rows.record.host:
@@ -302,9 +329,45 @@
             own = [entry for entry in valid.values() if entry.service == self._cell.name]
             malformed = rows.keys() - valid.keys()
             self._cell.workers_enforce_limits = self._workers_enforce_limits()
-            self._workers.update_entries(own, malformed)
+            await self._introduce(own, malformed)
             await asyncio.sleep(LIST_PERIOD_S)
 
+    async def _introduce(self, entries: list[WorkerEntry], malformed: Collection[str]) -> None:
+        """
+        Update the workers' entries; add new workers some at a time, as fast as they answer.
+
+        Hundreds of workers asked at once would take all time of a weak host that has just taken the
+        cell, and the reads and the write that its first placement needs would come last.
+        """
+        began = steady_time()
+        until = began + MAX_INTRODUCTION_S
+        while steady_time() < until:
+            known = self._list_introduced()
+            added = [entry for entry in entries if entry.id not in known]
+            if not added:
+                break
+            free = MAX_ASKED_WORKERS - self._count_asked()
+            if not self.loaded and steady_time() < began + READS_FIRST_S:
+                free = min(free, MAX_EARLY_WORKERS - len(known))
+            if free > 0:
+                listed = [entry for entry in entries if entry.id in known]
+                self._workers.update_entries(listed + added[:free], malformed)
+            await asyncio.sleep(INTRODUCTION_INTERVAL_S)
+        self._workers.update_entries(entries, malformed)
+
+    def _list_introduced(self) -> set[str]:
+        """Return the workers with an entry; others are only known from the rows of their tasks."""
+        return {key for key, worker in self._cell.workers.items() if worker.entry.address}
+
+    def _count_asked(self) -> int:
+        """Return how many new workers were asked and may still answer."""
+        oldest = steady_time() - MAX_ANSWER_TIME_S
+        return sum(
+            not (worker.reached if self.loaded else worker.clock)
+            and worker.first_listed_at > oldest
+            for worker in self._cell.workers.values()
+        )
+
     async def _drop_ended_jobs(self) -> None:
         """Delete the rows of jobs whose retention is over, without delaying commits."""
         while True:
--- a/toucanpin/entry/peers.py
+++ b/toucanpin/entry/peers.py
@@ -110,11 +110,12 @@
         name = self._settings.name
         return tuple(peer for peer in self.known if peer.name != name and peer.announced > limit)
 
-    def has_stronger_host(self) -> bool:
-        """Return whether a healthy host has far more cores than this one."""
+    def list_stronger(self, owner: str = "") -> tuple[Peer, ...]:
+        """Return the healthy hosts with far more cores than this one, without the ``owner``."""
         limit = self._read_at - self._find_outage() - int(HEALTHY_TIMEOUT_S * 1_000)
         min_cores = STRONGER_FACTOR * self._settings.cores
-        return any(peer.announced > limit and peer.cores >= min_cores for peer in self.known)
+        healthy = (peer for peer in self.known if peer.announced > limit and peer.name != owner)
+        return tuple(peer for peer in healthy if peer.cores >= min_cores)
 
     def _find_outage(self) -> int:
         """
--- a/toucanpin/entry/relayed_store.py
+++ b/toucanpin/entry/relayed_store.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from toucanpin.entry.peers import Peer, Peers
 
-__all__ = ["RelayedStore"]
+__all__ = ["PROBE_PATH", "RelayedStore"]
 
 _log = logbook.Logger("relay")
 DIRECT_TIMEOUT_S = 1.0  # of a direct call before a peer is tried; a slow store takes 0.6 s
@@ -49,7 +49,7 @@
 RELAY_BACKOFF_S = 0.4  # without relayed calls after no peer reached the store
 # The probe reads a row that stays small.  On a slow link the operators' document can't be
 # transferred within the timeout.
-_PROBE_PATH = f"/rows-get?table={KEYS_TABLE}&part=&limit=1&from={SHARED_KEY}&target={SHARED_KEY}%00"
+PROBE_PATH = f"/rows-get?table={KEYS_TABLE}&part=&limit=1&from={SHARED_KEY}&target={SHARED_KEY}%00"
 _WATCH_PATH = "/rows-feed"
 _NO_WAIT = "&waitMs=0"
 _REFUSAL_STATUSES = (429, 503)
@@ -268,7 +268,7 @@
 
     async def _probe_once(self, answered: asyncio.Event) -> None:
         try:
-            answer = await self._direct.call("GET", _PROBE_PATH, timeout=PROBE_TIMEOUT_S)
+            answer = await self._direct.call("GET", PROBE_PATH, timeout=PROBE_TIMEOUT_S)
         except CallError:
             return
         if answer.status == 200:
--- a/toucanpin/entry/tests/test_standstill.py
+++ b/toucanpin/entry/tests/test_standstill.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from standins.site.site import Site
-from standins.site.virtual import run_virtual
+from standins.site.virtual import Processor, run_virtual, start_on
 from toucanpin.entry.tables import OWNER_KEY, OWNERS_TABLE
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner
 
@@ -28,14 +28,15 @@
         self._cores = cores
         self._jobs = jobs
         self._workers = workers
+        self._duration = 0.4 if workers < WORKERS else 2.0
 
     async def begin(self) -> None:
         self.site.configure()
         for cores in self._cores:
-            await self.site.add_host(cores)
+            await start_on(Processor(cores), self._add_host(cores))
         for number in range(self._workers):
             # Different durations, so that room comes free all the time.
-            await self.site.add_worker(cpu=2_000, duration=0.4 + 0.37 * (number % 7))
+            await self.site.add_worker(cpu=2_000, duration=self._duration * (1 + number % 7))
         assert await self.site.wait_until(
             lambda: bool(self.read_owner().host) and all(it.has_peers() for it in self.site.hosts)
         )
@@ -43,10 +44,14 @@
         for host in range(len(self._cores)):
             assert await self.site.wait_until_ready(host)
         for number in range(self._jobs):
-            answer = await self.site.submit(f"{number + 1:016x}", self.owner(), 60_000, count=4)
+            host = len(self._cores) - 1
+            answer = await self.site.submit(f"{number + 1:016x}", host, 60_000, count=4)
             assert answer.status == 200, answer
         assert await self.site.wait_until(lambda: self.starts() > 0)
 
+    async def _add_host(self, cores: float) -> None:
+        await self.site.add_host(cores)
+
     def read_owner(self) -> OwnerRecord:
         row = self.site.store.rows.get((OWNERS_TABLE, "c", OWNER_KEY))
         return decode_owner(row.value) if row else OwnerRecord("", "", 0, 0)
@@ -161,6 +166,29 @@
             with self.subTest(seed=seed):
                 self._run(trace, play, seed)
 
+    def test_a_large_cell_never_stands_still_for_long(self) -> None:
+        """
+        500 jobs wait for 270 workers. The store is silent for 4.2 s, then the owner dies, then all
+        other strong hosts. A weak host read the rows for 4 s beside its workers' answers.
+        """
+        trace = _Trace((STRONG, STRONG, WEAK, WEAK), JOBS, WORKERS)
+
+        async def play() -> None:
+            trace.silence(True)
+            await trace.site.wait_until(lambda: False, int(OUTAGE_S / 0.05))
+            trace.silence(False)
+            self.assertLess(await trace.measure_next_start(), MAX_START_AFTER_RETURN_S)
+            await trace.site.wait_until(lambda: False, 40)
+            await trace.site.hosts[trace.owner()].abort()
+            self.assertLess(await trace.measure_next_start(), MAX_START_AFTER_DEATH_S)
+            await trace.site.wait_until(lambda: False, 40)
+            await trace.site.hosts[trace.owner()].abort()
+            taken = trace.read_owner().token
+            assert await trace.site.wait_until(lambda: trace.read_owner().token > taken)
+            self.assertLess(await trace.measure_next_start(), MAX_START_AFTER_RETURN_S)
+
+        self._run(trace, play)
+
 
 if __name__ == "__main__":
     unittest.main()
