--- a/toucanpin/entry/peers.py
+++ b/toucanpin/entry/peers.py
@@ -150,6 +150,14 @@
             peer.wall_offset for peer in (exact if len(exact) >= MIN_AGREEING_HOSTS else fresh)
         )
 
+    def record_read(self, clock: int) -> None:
+        """Record a read of the registry at a time of the table's clock, in ms."""
+        gap = clock - self._read_at
+        if self._read_at and gap > MAX_READ_GAP_MS:
+            self._outage = gap
+            self._outage_counts_until = clock + int((ANNOUNCE_PERIOD_S + READ_PERIOD_S) * 1_000)
+        self._read_at = clock
+
     async def _announce(self) -> None:
         settings = self._settings
         wall, error = measure_wall_offset(self._store.clock_estimate)
@@ -168,7 +176,7 @@
 
     async def _refresh(self) -> None:
         await self._cache.update()
-        self._record_read(self._store.clock)
+        self.record_read(self._store.clock)
         rows = self._cache.rows.values()
         found = tuple(self._reader.read(rows, _decode_peer))
         self.known = tuple(peer for _, peer in found)
@@ -177,13 +185,6 @@
             [row for row, peer in found if peer.announced < limit][:MAX_DROPPED_ROWS]
         )
 
-    def _record_read(self, clock: int) -> None:
-        gap = clock - self._read_at
-        if self._read_at and gap > MAX_READ_GAP_MS:
-            self._outage = gap
-            self._outage_counts_until = clock + int((ANNOUNCE_PERIOD_S + READ_PERIOD_S) * 1_000)
-        self._read_at = clock
-
     async def _drop_expired(self, rows: list[Row]) -> None:
         """Delete the rows of expired hosts that haven't announced themselves since."""
         if not rows:
--- a/toucanpin/entry/tests/test_peers.py
+++ b/toucanpin/entry/tests/test_peers.py
@@ -77,6 +77,24 @@
         strong = {name for name, own_cores in cores.items() if own_cores > 1.0}
         self.assertEqual(strong, {name for name, rank in ranks.items() if rank < 6})
 
+    def test_strong_hosts_are_not_taken_for_dead_after_an_outage(self) -> None:
+        """
+        No host can announce itself while the store is away. Guards against a weak host that sees
+        only old announcements at its return, and takes the cell before the stronger ones.
+        """
+        store = Store(Client("127.0.0.1:1"))
+        other_settings = ("127.0.0.1", "dc", "127.0.0.1:1", "127.0.0.1:2", 3, "127.0.0.1:1", "", "")
+        peers = Peers(store, HostSettings("w", *other_settings, 1.0, 65_536, Bounds(), 0.5))
+        peers.known = (Peer("s", "127.0.0.1", 1, 96_000, 0, 0, 2.0),)
+        peers.record_read(100_000)
+        self.assertEqual(("s",), tuple(peer.name for peer in peers.list_stronger()))
+        self.assertEqual((), peers.list_stronger("s"))
+        peers.record_read(105_000)
+        self.assertTrue(peers.list_stronger())
+        for clock in range(107_000, 112_000, 2_000):
+            peers.record_read(clock)
+        self.assertFalse(peers.list_stronger())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucanpin/scheduling/tests/test_ownership.py
+++ b/toucanpin/scheduling/tests/test_ownership.py
@@ -11,7 +11,9 @@
     decode_owner,
     encode_owner,
     plan_next_read,
+    plan_rank,
     plan_takeover,
+    record_failed_read,
     record_read,
 )
 
@@ -42,6 +44,38 @@
         self.assertIsNone(plan_takeover(watch, 0.0))
         self.assertLess(watch.silent_time, OWNER_TIMEOUT_S)
 
+    def test_an_outage_restarts_the_silent_time_once(self) -> None:
+        """
+        The store is away for 4 s, and the read that was sent into it ends after it. Guards against
+        counting the silence from before it, and against never replacing an owner on slow reads.
+        """
+        watch = self._watch([(0.0, 1), (0.4, 1), (0.8, 1)], OWNER)
+        record_read(watch, 1, OWNER, 4.0, 4.8)
+        self.assertEqual(0.0, watch.silent_time)
+        self.assertLess(watch.read_time, 0.1)
+        for number in range(1, 5):
+            self.assertIsNone(plan_takeover(watch, 0.0))
+            record_read(watch, 1, OWNER, 0.005, 4.8 + number * 0.4)
+        self.assertEqual(0.0, plan_takeover(watch, 0.0))
+        slow = OwnerWatch()
+        for number in range(8):
+            record_read(slow, 1, OWNER, 1.2, number * 1.6)
+        self.assertEqual(0.0, plan_takeover(slow, 1.0))
+
+    def test_a_short_refusal_restarts_the_silent_time(self) -> None:
+        watch = self._watch([(0.0, 1), (0.4, 1)], OWNER)
+        record_failed_read(watch)
+        record_read(watch, 1, OWNER, 0.005, 1.2)
+        self.assertEqual(0.0, watch.silent_time)
+
+    def test_the_first_successor_reads_when_the_timeout_is_due(self) -> None:
+        """Guards against a takeover that comes up to 0.4 s late, by the period of the reads."""
+        self.assertEqual(0.0, plan_rank(0, 0.9))
+        self.assertGreater(plan_rank(1, 0.0), 0.0)
+        watch = self._watch([(i * 0.4, 1) for i in range(4)], OWNER)
+        self.assertIsNone(plan_takeover(watch, 0.0))
+        self.assertLess(plan_next_read(watch, 0), 0.2)
+
     def test_slow_table_extends_the_owner_timeout(self) -> None:
         watch = OwnerWatch()
         for i in range(5):
