Repeat calls in flight only after silence, and read the jobs at once after a failed watch

Cause: calls in flight were repeated also when the store had refused one, which adds to the load for which it refuses; a repeated call could outlive its caller's deadline by a second.

Change: only a call without an answer makes others repeat; a copy has 0.3 s left at least; the watch on jobs is asked without a wait after a failed one.

--- a/toucanpin/entry/cell_jobs.py
+++ b/toucanpin/entry/cell_jobs.py
@@ -73,16 +73,20 @@
 
     async def follow(self) -> None:
         """Watch the rows of jobs until cancelled."""
+        wait = FEED_WAIT_S
         while True:
             asked_at = steady_time()
             try:
                 page = await self._store.follow(
-                    JOBS_TABLE, self.followed_version, FEED_WAIT_S, FEED_MARGIN_S
+                    JOBS_TABLE, self.followed_version, wait, FEED_MARGIN_S
                 )
             except (CallError, PlatformError) as error:
                 _log.warning("watch on jobs failed", event="jobs.unread", reason=error)
+                # No task is placed until there is an answer, so the next one is asked for at once.
+                wait = 0.0
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            wait = FEED_WAIT_S
             if page is None:
                 await self._read_all()
                 continue
--- a/toucanpin/entry/relayed_store.py
+++ b/toucanpin/entry/relayed_store.py
@@ -43,6 +43,7 @@
 PROBE_PERIOD_S = 0.25  # between direct calls while the store doesn't answer this host
 PROBE_TIMEOUT_S = 0.8  # a slow store takes 0.6 s to answer
 MIN_ANSWER_GAP_S = 0.1  # from a call without an answer to a later answer that disproves an outage
+MIN_REPEAT_TIME_S = 0.3  # a repeated call that ends sooner would look like another outage
 MAX_ATTEMPTS = 3  # of one call at a time
 PEER_BACKOFF_S = 1.0  # after a peer couldn't reach the store either
 MAX_PEERS = 3  # tried per call; in an outage for all hosts more of them would only add load
@@ -68,6 +69,7 @@
         "_backoff_until",
         "_failed_until",
         "_route_changes",
+        "_silent",
         "direct_works",
     )
 
@@ -81,6 +83,7 @@
         self._answer_time = 0.0  # longest recent time to a direct answer
         self._answered_at = 0.0  # time of the latest direct answer
         self._route_changes: set[asyncio.Future[None]] = set()  # one of each call in flight
+        self._silent = False  # whether the store has left a direct call without an answer
         self.direct_works = True
 
     def use_peers(self, peers: Peers) -> None:
@@ -120,10 +123,12 @@
                 if not attempts or not route_change.done():
                     continue
                 route_change = self._await_route_change()
+                left = deadline - time.monotonic()
+                if left < MIN_REPEAT_TIME_S:
+                    continue
                 if len(attempts) >= MAX_ATTEMPTS:
                     attempts.pop(0).cancel()
                     failures.append(CallError(Verdict.MAY_HAVE_RUN, "given up"))
-                left = max(deadline - time.monotonic(), min(timeout, DIRECT_TIMEOUT_S))
                 attempts.append(asyncio.ensure_future(self._attempt(method, path, body, left)))
         finally:
             self._route_changes.discard(route_change)
@@ -169,7 +174,7 @@
                 uncertain = not error.certain
             # A call from before an outage may end after it.
             if self._answered_at < sent_at + MIN_ANSWER_GAP_S:
-                self._record_failure()
+                self._record_failure(silent=uncertain)
         if time.monotonic() >= deadline:
             raise CallError(Verdict.MAY_HAVE_RUN, str(failure))
         for peer in self._list_peers():
@@ -237,7 +242,12 @@
         ]
         return random.sample(usable, min(MAX_PEERS, len(usable)))
 
-    def _record_failure(self) -> None:
+    def _record_failure(self, silent: bool) -> None:
+        """Record a direct call that was refused, or that was ``silent``: it had no answer."""
+        # After a refusal the calls in flight still get an answer, and repeating them would add to
+        # the load for which the store refuses.
+        is_change = silent and not self._silent
+        self._silent = self._silent or silent
         if self.direct_works:
             self.direct_works = False
             _log.warning(
@@ -245,6 +255,7 @@
             )
             # Idle connections go silent together with the one that failed.
             self._direct.close()
+        if is_change:
             self._signal_route_change()
         if self._probing is None:
             self._probing = asyncio.ensure_future(self._probe())
@@ -264,7 +275,9 @@
         self.direct_works = True
         self._probing = None
         _log.info("store can be reached directly again", event="store.regained")
-        self._signal_route_change()
+        if self._silent:
+            self._silent = False
+            self._signal_route_change()
 
     async def _probe_once(self, answered: asyncio.Event) -> None:
         try:
--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -4,15 +4,18 @@
 
 import asyncio
 import unittest
+from collections import Counter
+from contextlib import suppress
 
 from standins.site.site import free_port
 from standins.site.store import SiteStore, StoreFaults
 from toucanpin.entry.peers import Peer, Peers
 from toucanpin.entry.relay import RelayServer
 from toucanpin.entry.relayed_store import RelayedStore
-from toucanpin.http import CallError, Client, Server
+from toucanpin.http import Answer, CallError, Client, Server
 from toucanpin.platform.store import Committed, ExpectedVersion, Put, Store
 from toucanpin.scheduling.settings import Bounds, HostSettings
+from toucanpin.verdict import Verdict
 
 SECRET = b"k" * 32
 
@@ -212,6 +215,49 @@
         self.assertEqual(b"x" * PIECES, answer.body)
         self.assertTrue(relayed.direct_works)
 
+    async def test_calls_in_flight_are_repeated_after_silence_only(self) -> None:
+        """
+        The store leaves a call without an answer, or refuses one, and works again. A call in flight
+        on a silent connection would hang until its timeout; repeated after each refusal, it would
+        add to the load of a busy store.
+        """
+        for answer, copies in ((None, 3), (503, 1)):
+            direct = _ScriptedClient(answer)
+            relayed = RelayedStore(direct, "h0")  # type: ignore[arg-type]
+            hanging = asyncio.ensure_future(relayed.call("GET", HANGING_PATH, timeout=30.0))
+            await asyncio.sleep(0)
+            with suppress(CallError):
+                await relayed.call("GET", "/fails")
+            await asyncio.wait((hanging,), timeout=1.0)
+            self.assertTrue(relayed.direct_works)
+            self.assertEqual(copies, direct.calls[HANGING_PATH])
+            self.assertEqual(answer is None, hanging.done())
+            hanging.cancel()
+
+
+HANGING_PATH = "/rows-feed?table=t&waitMs=20000"
+
+
+class _ScriptedClient:
+    """Client of a store that answers probes and every third call of one path."""
+
+    def __init__(self, status: int | None) -> None:
+        self._status = status
+        self.calls: Counter[str] = Counter()
+
+    def close(self) -> None:
+        pass
+
+    async def call(self, method: str, path: str, *args: object, **fields: object) -> Answer:
+        self.calls[path] += 1
+        if path == HANGING_PATH and self.calls[path] < 3:
+            await asyncio.Event().wait()
+        if path != "/fails":
+            return Answer(200, {}, b"{}")
+        if self._status is None:
+            raise CallError(Verdict.MAY_HAVE_RUN, "no answer")
+        return Answer(self._status, {}, b"")
+
 
 PIECES = 6  # of a body
 PIECE_INTERVAL_S = 0.3  # s between pieces; together they exceed the timeout of an answer
