--- a/toucanpin/entry/metrics.py
+++ b/toucanpin/entry/metrics.py
@@ -96,6 +96,9 @@
     "toucanpin.workers.slow", description="Times that a worker began to run its tasks slowly"
 )
 TAKEOVERS = _meter.create_counter("toucanpin.takeovers", description="Cells taken by this host")
+STANDSTILL_TIME = _meter.create_counter(
+    "toucanpin.cell.standstill", unit="s", description="Seconds without placements by reason"
+)
 STORE_CALLS = _meter.create_counter(
     "toucanpin.store.calls", description="Calls of the store by outcome"
 )
