--- a/toucanpin/scheduling/ownership.py
+++ b/toucanpin/scheduling/ownership.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from toucanpin.scheduling.forecast import Forecast
+
 __all__ = [
     "MIN_HANDOVER_INTERVAL_S",
     "MIN_TENURE_S",
@@ -44,7 +46,8 @@
     ``life`` names the incarnation of the host's process; ``token`` grows with each owner and fences
     earlier ones; ``sequence`` grows with each write, so that no earlier write can apply after a
     later one. An empty ``host`` means that the last owner has resigned. ``backlog`` is the waiting
-    time in ms of new tasks by priority; it is empty unless the owner is overloaded.
+    time in ms of new tasks by priority; it is empty unless the owner is overloaded.  ``forecast``
+    is None unless entry hosts shall decide on admission by it.
     """
 
     host: str
@@ -52,6 +55,7 @@
     token: int
     sequence: int
     backlog: dict[int, int] = {}
+    forecast: Forecast | None = None
 
 
 @dataclass(slots=True)
