Refuse jobs by the owner's forecast, and store refusals so that they stay true

Cause: a refusal says that a job never runs, but a write of an earlier attempt without an answer may be applied seconds later, and a copy may be at another host.

Change: the owner publishes its forecast with its row; entry hosts decide at once. A refusal is a row of its own, written while there is no job; a job is written on the condition that it wasn't refused after its request came. Whichever is first makes the other fail. Without proof the answer is 504. Where settings don't call for admission control nothing is published, refused or written but the job's row, on the same condition as before. The soak's weakening of uncertain writes is moved to where they are interpreted now; it answers the same.

`job.submitted` has `outcome` in place of `written`.

--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -55,8 +55,9 @@
 class Site:
     """Entry hosts and workers that share one store."""
 
-    def __init__(self, machines: str = "") -> None:
+    def __init__(self, machines: str = "", bounds: Bounds | None = None) -> None:
         self.machines = machines
+        self.bounds = bounds or Bounds()
         self.store = SiteStore()
         self.faults: list[StoreFaults] = []
         self.hosts: list[EntryProcess] = []
@@ -104,7 +105,7 @@
             machines=self.machines,
             heartbeat=1.0,
             max_row=65_536,
-            bounds=Bounds(),
+            bounds=self.bounds,
             cores=cores,
         )
         process = EntryProcess(settings)
--- a/tools/soak/weakened.py
+++ b/tools/soak/weakened.py
@@ -12,8 +12,8 @@
 
 from toucanpin.entry import __main__ as program
 from toucanpin.entry import cell_workers, owner
-from toucanpin.entry.requests import RequestHandler
 from toucanpin.entry.root import EntryProcess
+from toucanpin.entry.submissions import SubmissionOutcome, Submissions
 from toucanpin.scheduling import placing
 
 __all__ = ["WEAKENINGS", "main"]
@@ -33,12 +33,14 @@
 
 def _refuse_uncertain_writes() -> None:
     """Answer that a job was not accepted when the outcome of its write is unknown."""
-    original = RequestHandler._write
+    original = Submissions.submit
 
-    async def weakened(self, part, put, deadline):  # type: ignore[no-untyped-def]
-        return bool(await original(self, part, put, deadline))
+    async def weakened(self, job, known_version, deadline):  # type: ignore[no-untyped-def]
+        outcome = await original(self, job, known_version, deadline)
+        unknown = outcome is SubmissionOutcome.UNKNOWN
+        return SubmissionOutcome.NOT_WRITTEN if unknown else outcome
 
-    RequestHandler._write = weakened  # type: ignore[method-assign]
+    Submissions.submit = weakened  # type: ignore[method-assign]
 
 
 def _acknowledge_early() -> None:
--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -26,6 +26,7 @@
 from toucanpin.http import CallError
 from toucanpin.platform.store import Committed, ExpectedVersion, Put, Row, Store
 from toucanpin.scheduling.evacuating import EvacuationList
+from toucanpin.scheduling.forecast import KnownForecast
 from toucanpin.scheduling.ownership import (
     MIN_HANDOVER_INTERVAL_S,
     MIN_TENURE_S,
@@ -95,6 +96,17 @@
         fresh = watch.record is not None and steady_time() < watch.seen_at + MAX_BACKLOG_AGE_S
         return watch.record.backlog if fresh and watch.record is not None else {}
 
+    def read_forecast(self) -> KnownForecast | None:
+        """Return the owner's forecast and its age, None without an owner or a forecast."""
+        if self._owner is not None:
+            forecast = self._owner.forecast
+        else:
+            record = self._watch.record
+            forecast = record.forecast if record is not None and record.host else None
+        if forecast is None:
+            return None
+        return KnownForecast(forecast, (self._clocks.now().table - forecast.made_at) / 1_000)
+
     def count_waiting(self) -> Counter[str]:
         """Return the number of unplaced tasks by priority, empty if the cell isn't owned."""
         return self._owner.count_waiting() if self._owner else Counter()
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -33,6 +33,7 @@
 from toucanpin.http import CallError
 from toucanpin.platform.store import Committed, ExpectedVersion, Page, Put, Row, Store
 from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.forecast import Forecast
 from toucanpin.scheduling.intake import cancel_job, restore_job, submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel, LearnedModel
 from toucanpin.scheduling.job import Job, decode_job, find_job_fault
@@ -88,6 +89,7 @@
         self.view = TableView()
         self._effects_written_at = 0.0
         self.backlog: dict[int, int] = {}  # written with the owner's row
+        self.forecast: Forecast | None = None  # written with the owner's row
 
     async def load(self, now: Callable[[], Now]) -> int:
         """Read all rows of the cell; return the version from which to follow the jobs."""
@@ -185,7 +187,9 @@
     async def _commit(self, puts: Sequence[Put], resigning: bool) -> None:
         host = "" if resigning else self.record.host
         sequence = self.record.sequence + 1
-        record = OwnerRecord(host, self.record.life, self.record.token, sequence, self.backlog)
+        record = OwnerRecord(
+            host, self.record.life, self.record.token, sequence, self.backlog, self.forecast
+        )
         puts = [Put(OWNERS_TABLE, OWNER_KEY, encode_owner(record)), *puts]
         if resigning:
             puts.append(Put(HANDOVERS_TABLE, OWNER_KEY, record.life.encode()))
--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -14,6 +14,7 @@
 from toucanpin.entry.metrics import LOST_RUNS, START_WAIT, STARTS
 from toucanpin.scheduling.cell import Cell, Now, find_record
 from toucanpin.scheduling.evacuating import describe_evacuations, list_not_evacuated
+from toucanpin.scheduling.forecast import Forecast
 from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.worker import Run
@@ -22,6 +23,7 @@
     "log_ended",
     "log_evacuations",
     "log_failed_tasks",
+    "log_forecast",
     "log_losses",
     "log_placement",
     "log_waits",
@@ -55,6 +57,19 @@
     )
 
 
+def log_forecast(cell: Cell, forecast: Forecast | None) -> None:
+    """Log the classes of queues whose new jobs wait for room."""
+    for queue in forecast.queues if forecast is not None else ():
+        _log.info(
+            "new jobs wait for room",
+            event="queue.forecast",
+            cell=cell.name,
+            queues=queue.name,
+            on_time_wait=queue.on_time_wait / 1_000,
+            late_wait=queue.late_wait / 1_000,
+        )
+
+
 def log_losses(cell: Cell) -> None:
     """Log each run that was lost with its worker, once."""
     losses = cell.unlogged_losses
--- a/toucanpin/entry/metrics.py
+++ b/toucanpin/entry/metrics.py
@@ -25,6 +25,7 @@
     "LOOP_LAG",
     "LOST_RUNS",
     "MALFORMED_ROWS",
+    "REFUSED_JOBS",
     "REFUSED_STARTS",
     "REQUESTS",
     "REQUEST_TIME",
@@ -76,6 +77,9 @@
 REQUEST_TIME = _meter.create_histogram(
     "toucanpin.request.time", unit="s", description="Seconds until a caller was answered"
 )
+REFUSED_JOBS = _meter.create_counter(
+    "toucanpin.jobs.refused", description="Jobs refused by queue and reason"
+)
 STARTS = BatchedCounter(
     _meter.create_counter("toucanpin.starts", description="Tasks placed and written")
 )
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -22,6 +22,7 @@
     log_ended,
     log_evacuations,
     log_failed_tasks,
+    log_forecast,
     log_losses,
     log_placement,
     log_waits,
@@ -30,6 +31,7 @@
 from toucanpin.entry.periodic import PeriodicDecision
 from toucanpin.entry.row_cache import RowCache
 from toucanpin.entry.row_reader import RowReader
+from toucanpin.entry.submissions import sweep_refusals
 from toucanpin.entry.waves import WaveController
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
@@ -46,6 +48,13 @@
     describe_evacuations,
     has_current_evacuations,
 )
+from toucanpin.scheduling.features import select_features
+from toucanpin.scheduling.forecast import (
+    FORECAST_PERIOD_S,
+    Forecast,
+    LoadHistory,
+    make_forecast,
+)
 from toucanpin.scheduling.intake import begin_due, forget_ended
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.leases import OWNER_AUTHORITY_S, expire_leases
@@ -108,6 +117,8 @@
         self._store = store
         self._clocks = clocks
         self._bounds = settings.bounds
+        self._features = select_features(settings.bounds)
+        self._load_history = LoadHistory()
         self._advice_dispatcher = advice_dispatcher
         self._workers_enforce_limits = workers_enforce_limits
         self._evacuated = evacuated
@@ -164,6 +175,8 @@
                 self._spawn(part())
             if self._waves is not None:
                 self._spawn(self._waves.run())
+            if self._features.admission_control:
+                self._spawn(sweep_refusals(self._store, self._clocks, self._cell.name))
             await self._failure
         finally:
             for task in tuple(self._tasks):
@@ -203,6 +216,11 @@
         """Estimated waiting time of new tasks by priority, in ms."""
         return self._rows.backlog
 
+    @property
+    def forecast(self) -> Forecast | None:
+        """Newest forecast of the waits of new jobs, None if there is none."""
+        return self._rows.forecast
+
     def count_evacuated(self) -> dict[str, float]:
         """Return the number of tasks that still run in each evacuated data centre."""
         return {it.data_centre: float(it.runs) for it in describe_evacuations(self._cell)}
@@ -329,6 +347,8 @@
                 lambda now: consolidate_images(self._cell, self._interference, now), 0.0
             ),
         ]
+        if self._features.admission_control:
+            periodic.append(PeriodicDecision(self._forecast_queues, FORECAST_PERIOD_S))
         while True:
             due = steady_time() + TICK_PERIOD_S
             await asyncio.sleep(TICK_PERIOD_S)
@@ -366,6 +386,10 @@
         delay = self._delay.read(now.steady)
         self._rows.backlog = self._backlog.estimate_waits(waiting, delay, now.steady)
 
+    def _forecast_queues(self, now: Now) -> None:
+        self._rows.forecast = make_forecast(self._cell, self._load_history, now)
+        log_forecast(self._cell, self._rows.forecast)
+
     def _log_delay(self, now: Now) -> None:
         """Log a warning if this host is overloaded or was suspended."""
         delay = self._delay.read(now.steady)
--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -18,9 +18,18 @@
 
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.configuration import MAX_LOOKUP_AGE_S, ConfigurationWatch
-from toucanpin.entry.metrics import REQUEST_TIME, REQUESTS
+from toucanpin.entry.metrics import REFUSED_JOBS, REQUEST_TIME, REQUESTS
 from toucanpin.entry.pending_counts import read_pending
 from toucanpin.entry.row_reader import DECODE_ERRORS, RowReader
+from toucanpin.entry.submissions import (
+    INITIAL_BACKOFF_S,
+    MAX_BACKOFF_S,
+    REFUSE_AFTER_S,
+    SubmissionOutcome,
+    Submissions,
+    WriteFailure,
+    write_rows,
+)
 from toucanpin.entry.tables import JOBS_TABLE, PROGRESS_TABLE, cancel_key, job_part
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError, Request, Response
@@ -32,9 +41,11 @@
     encode_state,
     is_job_id,
 )
-from toucanpin.platform.store import Committed, ExpectedVersion, Put, Row, Store
+from toucanpin.platform.store import Conflict, ExpectedVersion, Put, Row, Store
+from toucanpin.scheduling.admission import Refuse, decide_admission
 from toucanpin.scheduling.configuration import Queue
-from toucanpin.scheduling.job import encode_job, find_job_fault
+from toucanpin.scheduling.forecast import KnownForecast
+from toucanpin.scheduling.job import find_job_fault
 from toucanpin.scheduling.load_shedding import would_exceed_time_limit
 from toucanpin.scheduling.progress import JobState, decode_progress
 
@@ -44,10 +55,6 @@
 T = TypeVar("T")
 DEFAULT_DEADLINE_S = 3.0  # for callers that don't send one
 RESPONSE_MARGIN_S = 0.15  # time for an answer to reach the caller
-INITIAL_BACKOFF_S = 0.03  # before the second attempt; doubled each time
-MAX_BACKOFF_S = 0.25
-ATTEMPT_TIMEOUT_S = 1.8  # a slow store takes 0.6 s, and a call through a peer may follow
-REFUSE_AFTER_S = 0.5  # a caller is refused after the table has refused for this time
 # Time since the configuration was last confirmed to be the newest.  A version has to be in force 2
 # to 3 s after it was written.
 MAX_CONFIGURATION_AGE_S = 2.0
@@ -70,10 +77,22 @@
     return {}
 
 
+def _no_forecast(service: str) -> KnownForecast | None:
+    return None
+
+
 class RequestHandler:
     """Handler of callers' requests about jobs."""
 
-    __slots__ = ("_clocks", "_configuration", "_reader", "_read_backlog", "_store")
+    __slots__ = (
+        "_clocks",
+        "_configuration",
+        "_read_backlog",
+        "_read_forecast",
+        "_reader",
+        "_store",
+        "_submissions",
+    )
 
     def __init__(
         self,
@@ -81,8 +100,11 @@
         configuration: ConfigurationWatch,
         clocks: Clocks,
         read_backlog: Callable[[str], Mapping[int, int]] = _no_backlog,
+        read_forecast: Callable[[str], KnownForecast | None] | None = None,
     ) -> None:
         self._store = store
+        self._submissions = Submissions(store, clocks, fenced=read_forecast is not None)
+        self._read_forecast = read_forecast or _no_forecast
         self._read_backlog = read_backlog
         self._configuration = configuration
         self._clocks = clocks
@@ -91,7 +113,7 @@
     async def handle(self, request: Request) -> Response | None:
         """Answer a request; server errors are logged."""
         begun = steady_time()
-        response = await self._answer(request)
+        response = await self._answer(request, self._store.version)
         took = steady_time() - begun
         REQUESTS.add(1, {"method": request.method, "status": response.status if response else 0})
         REQUEST_TIME.record(took, {"method": request.method})
@@ -107,7 +129,7 @@
             )
         return response
 
-    async def _answer(self, request: Request) -> Response | None:
+    async def _answer(self, request: Request, known_version: int) -> Response | None:
         path = request.path.partition("?")[0]
         host = request.headers.get("host", "")
         deadline = time.monotonic() + _read_deadline(request) - RESPONSE_MARGIN_S
@@ -125,7 +147,7 @@
         suffix = path[len(queue.prefix) :].strip("/")
         match request.method:
             case "POST" if is_job_id(suffix):
-                return await self._submit(queue, suffix, request.body, deadline)
+                return await self._submit(queue, suffix, request.body, known_version, deadline)
             case "GET" if is_job_id(suffix):
                 return await self._show(queue, suffix, deadline)
             case "DELETE" if is_job_id(suffix):
@@ -152,7 +174,7 @@
         return LONG_RETRY_AFTER_S if outage > MIN_OUTAGE_S else RETRY_AFTER_S
 
     async def _submit(
-        self, queue: Queue, identifier: str, body: bytes, deadline: float
+        self, queue: Queue, identifier: str, body: bytes, known_version: int, deadline: float
     ) -> Response | None:
         try:
             job = decode_submission(identifier, queue, body, self._clocks.now().table)
@@ -164,24 +186,41 @@
             return Response(400, msgspec.json.encode({"error": fault}))
         if would_exceed_time_limit(job, self._read_backlog(queue.service)):
             return await self._refuse_overload(queue, identifier, deadline)
-        put = Put(JOBS_TABLE, identifier, encode_job(job))
-        written = await self._write(job_part(queue.service, identifier), put, deadline)
+        known = self._read_forecast(queue.service)
+        match decide_admission(job, known):
+            case Refuse() as refusal:
+                _log_refusal(queue, identifier, refusal, known)
+                return await self._refuse(queue, identifier, refusal.retry_after, deadline)
+        outcome = await self._submissions.submit(job, known_version, deadline)
         _log.info(
             "job submitted",
             event="job.submitted",
             job=identifier,
             queue=queue.name,
             tasks=sum(step.count for step in job.steps),
-            written=written,
+            outcome=outcome.name.lower(),
         )
-        match written:
-            case True:
+        return self._answer_submission(outcome, self._choose_retry_after())
+
+    def _answer_submission(self, outcome: SubmissionOutcome, retry_after: int) -> Response:
+        match outcome:
+            case SubmissionOutcome.STORED:
                 return Response(200)
-            case False:
-                return Response(503, retry_after=self._choose_retry_after())
-        # The write may still be applied, so neither an acceptance nor a refusal would be correct.
+            case SubmissionOutcome.REFUSED | SubmissionOutcome.NOT_WRITTEN:
+                return Response(503, retry_after=retry_after)
+        # A write may still be applied, so neither an acceptance nor a refusal would be correct.
         return Response(504)
 
+    async def _refuse(
+        self, queue: Queue, identifier: str, retry_after: int, deadline: float
+    ) -> Response:
+        """Refuse a job for want of room, unless an earlier attempt has stored it."""
+        outcome = await self._submissions.refuse(queue.service, identifier, deadline)
+        if outcome is SubmissionOutcome.NOT_WRITTEN:
+            # Nothing shows that no earlier attempt was or will be written.
+            outcome = SubmissionOutcome.UNKNOWN
+        return self._answer_submission(outcome, retry_after)
+
     async def _refuse_overload(self, queue: Queue, identifier: str, deadline: float) -> Response:
         """
         Refuse a job that can't finish in time, unless an earlier attempt has submitted it.
@@ -195,6 +234,7 @@
             job=identifier,
             queue=queue.name,
         )
+        REFUSED_JOBS.add(1, {"queue": queue.name, "reason": "owner behind"})
         if not accepted.answered:
             return Response(504)
         return Response(200) if accepted.value else Response(503, retry_after=LONG_RETRY_AFTER_S)
@@ -213,11 +253,22 @@
             return Response(503, retry_after=self._choose_retry_after())
         if not found.value:
             return Response(410)
-        written = await self._write(
+        key = cancel_key(identifier)
+        result = await write_rows(
+            self._store,
             job_part(queue.service, identifier),
-            Put(JOBS_TABLE, cancel_key(identifier), b"1"),
+            (ExpectedVersion(JOBS_TABLE, key, 0),),
+            (Put(JOBS_TABLE, key, b"1"),),
             deadline,
         )
+        match result:
+            case WriteFailure(uncertain=uncertain):
+                written = None if uncertain else False
+            case Conflict(rows=rows):
+                # The row exists, from an earlier attempt or request.
+                written = any(row.version for row in rows)
+            case _:
+                written = True
         _log.info("job cancelled", event="job.cancelled", job=identifier, written=written)
         return Response(200) if written else Response(503, retry_after=self._choose_retry_after())
 
@@ -265,36 +316,6 @@
             return Response(503, retry_after=self._choose_retry_after())
         return Response(200, encode_count(count))
 
-    async def _write(self, part: str, put: Put, deadline: float) -> bool | None:
-        """
-        Write a row that mustn't exist yet; return None if the outcome is unknown.
-
-        An attempt without an answer may still be applied later.  After one, only finding the row
-        proves the outcome, even if later attempts are refused for certain.
-        """
-        begun = time.monotonic()
-        backoff = INITIAL_BACKOFF_S
-        uncertain = False
-        while True:
-            remaining = deadline - time.monotonic()
-            if remaining <= 0 or (not uncertain and time.monotonic() - begun > REFUSE_AFTER_S):
-                return None if uncertain else False
-            expected = (ExpectedVersion(put.table, put.key, 0),)
-            try:
-                result = await self._store.transact(
-                    part, expected, (put,), min(remaining, ATTEMPT_TIMEOUT_S)
-                )
-            except CallError as error:
-                uncertain = uncertain or not error.certain
-            except PlatformError as error:
-                _log.error("write refused", event="store.fault", key=put.key, reason=error)
-                return None if uncertain else False
-            else:
-                # A conflict shows that the row exists, from an earlier attempt or request.
-                return isinstance(result, Committed) or any(row.version for row in result.rows)
-            await asyncio.sleep(min(backoff, max(0.0, deadline - time.monotonic())))
-            backoff = min(2 * backoff, MAX_BACKOFF_S)
-
     async def _read_with_retries(
         self, find: Callable[[], Awaitable[T]], deadline: float
     ) -> _ReadResult[T]:
@@ -312,6 +333,22 @@
         return _ReadResult(False, None)
 
 
+def _log_refusal(
+    queue: Queue, identifier: str, refusal: Refuse, known: KnownForecast | None
+) -> None:
+    REFUSED_JOBS.add(1, {"queue": queue.name, "reason": "no room in time"})
+    _log.info(
+        "job refused: no room in time",
+        event="job.refused",
+        job=identifier,
+        queue=queue.name,
+        expected=refusal.expected / 1_000,
+        limit=refusal.limit / 1_000,
+        retry_after=refusal.retry_after,
+        forecast_age=round(known.age, 3) if known is not None else None,
+    )
+
+
 def _read_state(row: Row) -> JobState:
     try:
         return JobState(decode_progress(row.value).state)
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -13,7 +13,7 @@
 import time
 import traceback
 from collections import Counter
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Iterator, Mapping
 from functools import partial
 from typing import Any
 
@@ -31,6 +31,8 @@
 from toucanpin.entry.requests import RequestHandler
 from toucanpin.http import Client, Request, Response, Server
 from toucanpin.platform.store import Store
+from toucanpin.scheduling.features import select_features
+from toucanpin.scheduling.forecast import KnownForecast, QueueForecast
 from toucanpin.scheduling.settings import HostSettings
 
 __all__ = ["EntryProcess"]
@@ -69,8 +71,13 @@
         self._clocks = Clocks(self._store)
         self._clocks.offsets = self._peers.wall_offsets
         self._configuration = ConfigurationWatch(self._store)
+        admission = select_features(settings.bounds).admission_control
         self._requests = RequestHandler(
-            self._store, self._configuration, self._clocks, self._read_backlog
+            self._store,
+            self._configuration,
+            self._clocks,
+            self._read_backlog,
+            self._read_forecast if admission else None,
         )
         self._front = Server(
             self._requests.handle, DEFAULT_MAX_HEADER_BYTES, DEFAULT_MAX_BODY_BYTES
@@ -162,6 +169,18 @@
             "data_centre",
             self._read_evacuated,
         )
+        register_gauge(
+            "toucanpin.forecast.wait",
+            "Expected wait in s of new jobs that can be on time",
+            "queues",
+            self._read_waits,
+        )
+        register_gauge(
+            "toucanpin.forecast.late",
+            "Expected wait in s of new jobs that can't be on time",
+            "queues",
+            self._read_late_waits,
+        )
         register_gauge(
             "toucanpin.configuration", "Version and age in s", "what", self._read_configuration
         )
@@ -184,6 +203,17 @@
             counts.update(candidate.count_evacuated())
         return dict(counts)
 
+    def _list_forecasts(self) -> Iterator[QueueForecast]:
+        for candidate in self._candidates.values():
+            known = candidate.read_forecast() if candidate.owns else None
+            yield from known.forecast.queues if known is not None else ()
+
+    def _read_waits(self) -> dict[str, float]:
+        return {it.name: it.on_time_wait / 1_000 for it in self._list_forecasts()}
+
+    def _read_late_waits(self) -> dict[str, float]:
+        return {it.name: it.late_wait / 1_000 for it in self._list_forecasts()}
+
     def _read_configuration(self) -> dict[str, float]:
         current = self._configuration.current
         age = steady_time() - self._configuration.confirmed
@@ -219,6 +249,11 @@
         candidate = self._candidates.get(service)
         return candidate.read_backlog() if candidate is not None else {}
 
+    def _read_forecast(self, service: str) -> KnownForecast | None:
+        """Return the forecast of a service's queues, None if there is none."""
+        candidate = self._candidates.get(service)
+        return candidate.read_forecast() if candidate is not None else None
+
     def _enforces_limits(self, service: str) -> bool:
         """Return whether a service's workers are known to refuse tasks that don't fit."""
         current = self._configuration.current
--- a/toucanpin/entry/tables.py
+++ b/toucanpin/entry/tables.py
@@ -18,6 +18,7 @@
     "OWNERS_TABLE",
     "OWNER_KEY",
     "PROGRESS_TABLE",
+    "REFUSALS_TABLE",
     "SHARED_KEY",
     "WAVES_TABLE",
     "cancel_key",
@@ -29,6 +30,7 @@
 JOBS_TABLE = "jobs"  # by cell and id: accepted jobs and cancel requests; written by any host
 PROGRESS_TABLE = "progress"  # by cell: progress of each job; written by the cell's owner
 COUNTS_TABLE = "counts"  # by cell: pending jobs of each queue; written by the cell's owner
+REFUSALS_TABLE = "refusals"  # by cell and id: jobs that were refused for want of room
 EFFECTS_TABLE = "effects"  # by cell: learned interference and durations; for the next owner
 OWNERS_TABLE = "owners"  # by cell: its owner
 HANDOVERS_TABLE = "handovers"  # by cell: written when an owner resigns, to notify the candidates
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -159,11 +159,12 @@
 class Store:
     """Client of the store; every failed write reports whether it may still take effect."""
 
-    __slots__ = ("_transport", "clock", "clock_estimate")
+    __slots__ = ("_transport", "clock", "clock_estimate", "version")
 
     def __init__(self, transport: Transport) -> None:
         self._transport = transport
         self.clock = 0  # the store's time, in ms, in its newest answer
+        self.version = 0  # the newest version in an answer
         self.clock_estimate = ClockEstimate()
 
     def read_clock(self) -> int:
@@ -297,6 +298,7 @@
             detail = f"the store's answer can't be decoded: {error}"
             raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
         self.clock = max(self.clock, int(rows.now_ms))
+        self.version = max(self.version, rows.row_version)
         return rows
 
     def _to_page(self, rows: _WireRows) -> Page:
