Keep free cores for urgent work by its demand, and let long-running tasks yield

Feature urgent_headroom: the reserve follows the recent demand by queue (mean of all and the largest burst of one), spread over data centres so that one of them may be emptied. While short tasks wait for room, long-running ones get no reserved cores; after as long as a stop takes, some of them stop, one of a service at a time and 5% of their cores in 10 s.

--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -99,6 +99,10 @@
         """Return the number of unplaced tasks by priority, empty if the cell isn't owned."""
         return self._owner.count_waiting() if self._owner else Counter()
 
+    def count_headroom(self) -> dict[str, float]:
+        """Return the cores that are kept for short tasks, by what is counted."""
+        return self._owner.count_headroom() if self._owner else {}
+
     def count_evacuated(self) -> dict[str, float]:
         """Return the number of tasks in evacuated data centres, empty if the cell isn't owned."""
         return self._owner.count_evacuated() if self._owner else {}
--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -14,6 +14,7 @@
 from toucanpin.entry.metrics import LOST_RUNS, START_WAIT, STARTS
 from toucanpin.scheduling.cell import Cell, Now, find_record
 from toucanpin.scheduling.evacuating import describe_evacuations, list_not_evacuated
+from toucanpin.scheduling.headroom import describe_headroom, is_scarce
 from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.worker import Run
@@ -116,6 +117,19 @@
         )
 
 
+def log_headroom(cell: Cell, now: Now) -> None:
+    """Log the cores that are kept for short tasks while they have to be shared out."""
+    if not cell.features.urgent_headroom or not is_scarce(cell.headroom, now.steady):
+        return
+    _log.info(
+        "cores are scarce for short tasks",
+        event="headroom.scarce",
+        cell=cell.name,
+        yielded=len(cell.headroom.yielded),
+        **describe_headroom(cell.headroom),
+    )
+
+
 def log_evacuations(cell: Cell) -> None:
     """Log the progress of evacuations, and an error if they leave no usable worker."""
     if not cell.evacuated:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -22,6 +22,7 @@
     log_ended,
     log_evacuations,
     log_failed_tasks,
+    log_headroom,
     log_losses,
     log_placement,
     log_waits,
@@ -46,6 +47,8 @@
     describe_evacuations,
     has_current_evacuations,
 )
+from toucanpin.scheduling.features import select_features
+from toucanpin.scheduling.headroom import describe_headroom
 from toucanpin.scheduling.intake import begin_due, forget_ended
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.leases import OWNER_AUTHORITY_S, expire_leases
@@ -115,6 +118,7 @@
         self._cell = Cell(name, record.token, earlier_leases_end, confirmed)
         self._cell.stop_time = settings.bounds.stop_time
         self._cell.restore_time = settings.bounds.restore_time
+        self._cell.features = select_features(settings.bounds)
         self._interference = InterferenceModel()
         self._reader = RowReader()
         self._rows = CellRows(
@@ -207,6 +211,12 @@
         """Return the number of tasks that still run in each evacuated data centre."""
         return {it.data_centre: float(it.runs) for it in describe_evacuations(self._cell)}
 
+    def count_headroom(self) -> dict[str, float]:
+        """Return the cores that are kept for short tasks, by what is counted."""
+        if not self._cell.features.urgent_headroom:
+            return {}
+        return describe_headroom(self._cell.headroom)
+
     def resign(self) -> None:
         """Give up the ownership with the next write."""
         self._resigning = True
@@ -347,6 +357,7 @@
             if now.steady > reported_at + REPORT_PERIOD_S:
                 reported_at = now.steady
                 log_waits(self._cell, now)
+                log_headroom(self._cell, now)
                 self._estimate_backlog(now)
                 self._log_delay(now)
                 if self._cell.evacuated:
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -162,6 +162,12 @@
             "data_centre",
             self._read_evacuated,
         )
+        register_gauge(
+            "toucanpin.headroom",
+            "Cores for short tasks: forecast, used, planned to be free, free",
+            "what",
+            self._read_headroom,
+        )
         register_gauge(
             "toucanpin.configuration", "Version and age in s", "what", self._read_configuration
         )
@@ -172,6 +178,12 @@
     def _read_cells(self) -> dict[str, float]:
         return dict.fromkeys(self.owned_cells(), 1.0)
 
+    def _read_headroom(self) -> dict[str, float]:
+        cores: Counter[str] = Counter()
+        for candidate in self._candidates.values():
+            cores.update(candidate.count_headroom())
+        return dict(cores)
+
     def _read_waiting(self) -> dict[str, float]:
         counts: Counter[str] = Counter()
         for candidate in self._candidates.values():
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.durations import Durations
+from toucanpin.scheduling.features import Features
+from toucanpin.scheduling.headroom import Headroom
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.orders import PaceOrder, StopOrder
 from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, TaskState
@@ -179,7 +181,8 @@
     new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` holds by image the
     demands of best-effort tasks for which no worker was found; they are not tried again until
     ``unplaceable_until``.  ``stop_time`` and ``restore_time`` are the times in s that workers may
-    take to stop and to resume a task.
+    take to stop and to resume a task.  ``features`` are the optional decisions that the deployment
+    calls for.
     """
 
     name: str
@@ -189,6 +192,7 @@
     workers_enforce_limits: bool = True  # workers refuse tasks that don't fit
     stop_time: float = 0.2
     restore_time: float = 0.25
+    features: Features = Features()
     evacuated: frozenset[str] = frozenset()
     evacuated_until: float = float("inf")
     jobs: dict[str, LiveJob] = field(default_factory=dict)
@@ -208,6 +212,7 @@
     progress_rows_to_delete: list[str] = field(default_factory=list)  # job rows already deleted
     step_tickets: dict[Group, StepTickets] = field(default_factory=dict)
     next_due: float = 0.0
+    headroom: Headroom = field(default_factory=Headroom)
     short_task_peak: float | None = None  # recent peak of the cores that short tasks requested
     reserved_at: float = float("-inf")  # when cores were last reserved for short tasks
     paced_at: float = 0.0
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -29,6 +29,7 @@
 )
 from toucanpin.scheduling.crashing import find_suspicion, is_start_blocked
 from toucanpin.scheduling.gangs import place_gang
+from toucanpin.scheduling.headroom import is_scarce
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
@@ -46,6 +47,7 @@
     record_unplaceable,
 )
 from toucanpin.scheduling.worker import Worker, has_room
+from toucanpin.scheduling.yielding import make_room, update_scarcity
 
 __all__ = ["place_tasks"]
 
@@ -63,7 +65,8 @@
 
     An assignment takes effect only after it is written to the table.
     """
-    if not cell.waiting:
+    # The demand for cores is also recorded while nothing waits.
+    if not cell.waiting and not cell.features.urgent_headroom:
         cell.waits.clear()
         return
     all_eligible = list_eligible(cell, now)
@@ -95,6 +98,9 @@
             del cell.waiting[group]
     for group in [group for group in cell.waits if group not in cell.waiting]:
         del cell.waits[group]
+    if cell.features.urgent_headroom and cell.reserved_at == now.steady:
+        update_scarcity(cell, now)
+        make_room(cell, all_eligible, now)
 
 
 def _order_waiting(cell: Cell, live: LiveJob, group: Group) -> list[int]:
@@ -119,6 +125,8 @@
     wait = cell.waits.get(group)
     if wait is None or now.steady <= wait.since + RESERVE_WAIT_S:
         return False
+    if cell.features.urgent_headroom and is_scarce(cell.headroom, now.steady):
+        return False
     records = live.progress.tasks[group.occurrence]
     return records[live.offsets[group.step] + index].attempt > 0
 
@@ -135,6 +143,8 @@
     step = live.job.steps[group.step]
     if not step.long_running or _may_take_reserve(cell, live, group, index, now):
         return ReserveAccess.ALL
+    if cell.features.urgent_headroom and is_scarce(cell.headroom, now.steady):
+        return ReserveAccess.NONE
     return ReserveAccess.SPARE if len(cell.waiting[group]) == step.count else ReserveAccess.NONE
 
 
@@ -243,6 +253,8 @@
         cell.delayed_until.pop(task, None)
         waiting.discard(index)
         assign_task(cell, live, task, step, worker, now)
+        if step.long_running:
+            cell.headroom.free -= step.cpu
         update_candidates(chosen, live, group, step, worker)
         candidates = candidates if chosen is candidates else None
 
--- a/toucanpin/scheduling/reserving.py
+++ b/toucanpin/scheduling/reserving.py
@@ -15,9 +15,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Iterable, Sequence
 
 from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.headroom import MAX_HEADROOM_SHARE, plan_headroom, record_demand
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.worker import Worker
 
@@ -36,8 +38,20 @@
     cell.reserved_at = now.steady
     for worker in cell.workers.values():
         worker.reserved_cpu = 0
-    missing = _compute_reserve(cell, eligible)
-    for worker in sorted(eligible, key=_rank):
+    if not cell.features.urgent_headroom:
+        _reserve_on(eligible, _compute_reserve(cell, eligible))
+        return
+    missing = _plan_headroom(cell, eligible, now)
+    total = sum(worker.entry.cpu for worker in eligible)
+    # Cores that are all in one data centre would be lost with it.
+    for workers in _split_by_data_centre(eligible):
+        share = sum(worker.entry.cpu for worker in workers) / max(1, total)
+        _reserve_on(workers, math.ceil(missing * share))
+
+
+def _reserve_on(workers: Iterable[Worker], missing: int) -> None:
+    """Reserve cores on the workers with the least long-running work."""
+    for worker in sorted(workers, key=_rank):
         free = max(0, worker.entry.cpu - worker.cpu)
         if free >= missing:
             worker.reserved_cpu = missing
@@ -48,6 +62,49 @@
         missing -= free
 
 
+def _plan_headroom(cell: Cell, eligible: Sequence[Worker], now: Now) -> int:
+    """Return the cores to reserve by the demand of short tasks as seen by this owner."""
+    total = sum(worker.entry.cpu for worker in eligible)
+    used = _sum_used_by_queue(cell)
+    requested = used + _sum_waiting_by_queue(cell)
+    record_demand(cell.headroom, requested, MAX_HEADROOM_SHARE * total, now.steady)
+    used_here = sum(worker.cpu - worker.long_running_cpu for worker in eligible)
+    return plan_headroom(cell.headroom, eligible, bool(cell.evacuated), used_here)
+
+
+def _split_by_data_centre(workers: Iterable[Worker]) -> Iterable[list[Worker]]:
+    found: dict[str, list[Worker]] = {}
+    for worker in workers:
+        found.setdefault(worker.entry.data_centre, []).append(worker)
+    return found.values()
+
+
+def _sum_used_by_queue(cell: Cell) -> Counter[str]:
+    """Return the cores that short tasks use, by queue."""
+    cores: Counter[str] = Counter()
+    for job, runs in cell.runs.items():
+        live = cell.jobs.get(job)
+        if live is not None:
+            used = sum(run.step.cpu for run in runs if _is_short(run.step))
+            cores[live.job.queue] += used
+    return cores
+
+
+def _sum_waiting_by_queue(cell: Cell) -> Counter[str]:
+    """Return the cores that waiting short tasks request, by queue."""
+    cores: Counter[str] = Counter()
+    for group, waiting in cell.waiting.items():
+        job = cell.jobs[group.job].job
+        step = job.steps[group.step]
+        if _is_short(step):
+            cores[job.queue] += step.cpu * len(waiting)
+    return cores
+
+
+def _is_short(step: Step) -> bool:
+    return not step.long_running and not step.best_effort
+
+
 def _compute_reserve(cell: Cell, eligible: Sequence[Worker]) -> int:
     """
     Return the cores to reserve: the recent peak demand of short tasks, less what they use now.
@@ -72,12 +129,7 @@
 
 def _sum_waiting_cpu(cell: Cell) -> int:
     """Return the cores that waiting short tasks request."""
-    cores = 0
-    for group, waiting in cell.waiting.items():
-        step = cell.jobs[group.job].job.steps[group.step]
-        if not step.long_running and not step.best_effort:
-            cores += step.cpu * len(waiting)
-    return cores
+    return _sum_waiting_by_queue(cell).total()
 
 
 def leaves_reserve(worker: Worker, step: Step) -> bool:
