Bound how long long-running tasks wait for cores kept for urgent work

Cause: while short tasks wait for room, long-running ones got no reserved cores for any length of time; a task of a service may wait for 6 s at most where there is room for two. Change: at most 4 s after a loss or stop, 1.5 s for the first task of a service; meanwhile all cores of eligible workers are reserved, also those that come free before the next choice. Two tests, which failed without the limits.

--- a/toucanpin/scheduling/headroom.py
+++ b/toucanpin/scheduling/headroom.py
@@ -122,8 +122,6 @@
     headroom.used = used
     headroom.free = sum(max(0, worker.entry.cpu - worker.cpu) for worker in eligible)
     headroom.planned = max(int(MIN_FREE_SHARE * total), headroom.forecast - used)
-    if headroom.recorded_at < headroom.scarce_until:
-        headroom.planned = max(headroom.planned, headroom.free)
     return headroom.planned
 
 
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -55,6 +55,9 @@
 # reserved for short urgent tasks, since its service is in use.  New ones may not: together they
 # would leave nothing to short tasks.
 RESERVE_WAIT_S = 1.0
+# While cores are scarce they wait longer, but no task for over 6 s where there is room for two.
+MAX_RETRY_DELAY_S = 4.0
+MAX_FIRST_DELAY_S = 1.5  # of a service of which no task runs
 NO_LIMIT = 1_000_000  # more tasks than any cell runs
 MAX_PREEMPTIONS = 16  # tasks of a step for which others are preempted in one round
 
@@ -125,7 +128,7 @@
     wait = cell.waits.get(group)
     if wait is None or now.steady <= wait.since + RESERVE_WAIT_S:
         return False
-    if cell.features.urgent_headroom and is_scarce(cell.headroom, now.steady):
+    if _yields_to_short(cell, group, MAX_RETRY_DELAY_S, now):
         return False
     records = live.progress.tasks[group.occurrence]
     return records[live.offsets[group.step] + index].attempt > 0
@@ -143,9 +146,19 @@
     step = live.job.steps[group.step]
     if not step.long_running or _may_take_reserve(cell, live, group, index, now):
         return ReserveAccess.ALL
-    if cell.features.urgent_headroom and is_scarce(cell.headroom, now.steady):
+    if len(cell.waiting[group]) < step.count:
         return ReserveAccess.NONE
-    return ReserveAccess.SPARE if len(cell.waiting[group]) == step.count else ReserveAccess.NONE
+    if _yields_to_short(cell, group, MAX_FIRST_DELAY_S, now):
+        return ReserveAccess.NONE
+    return ReserveAccess.SPARE
+
+
+def _yields_to_short(cell: Cell, group: Group, max_delay: float, now: Now) -> bool:
+    """Return whether long-running tasks get no reserved cores, as these are scarce."""
+    if not cell.features.urgent_headroom or not is_scarce(cell.headroom, now.steady):
+        return False
+    wait = cell.waits.get(group)
+    return wait is None or now.steady < wait.since + max_delay
 
 
 def _find_least_urgent(cell: Cell) -> int:
--- a/toucanpin/scheduling/reserving.py
+++ b/toucanpin/scheduling/reserving.py
@@ -42,6 +42,11 @@
         _reserve_on(eligible, _compute_reserve(cell, eligible))
         return
     missing = _plan_headroom(cell, eligible, now)
+    if now.steady < cell.headroom.scarce_until:
+        # Also those that come free before the next choice.
+        for worker in eligible:
+            worker.reserved_cpu = worker.entry.cpu
+        return
     total = sum(worker.entry.cpu for worker in eligible)
     # Cores that are all in one data centre would be lost with it.
     for workers in _split_by_data_centre(eligible):
--- a/toucanpin/scheduling/tests/test_headroom.py
+++ b/toucanpin/scheduling/tests/test_headroom.py
@@ -13,8 +13,9 @@
     plan_headroom,
     record_demand,
 )
+from toucanpin.scheduling.intake import cancel_job
 from toucanpin.scheduling.job import Step, TaskKey
-from toucanpin.scheduling.orders import WorkerEntry
+from toucanpin.scheduling.orders import RunEnd, WorkerEntry
 from toucanpin.scheduling.reserving import RESERVE_PERIOD_S, reserve_cores
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.tests.urgent_load import LONG_DURATION_S, ServingWorker, UrgentLoad
@@ -169,6 +170,32 @@
         running = {task for worker in fleet.workers.values() for task in worker.runs}
         self.assertFalse(running & yielded)
 
+    def test_stopped_task_returns_in_time(self) -> None:
+        """
+        Guards against a task of a service that waits for over 6 s while there is room for two such
+        tasks, since urgent work that is wider than the fleet waits all the time.
+        """
+        fleet = self._make_full_fleet(ON)
+        task = next(run.task for run in fleet.cell.runs["s0"])
+        fleet.submit(make_job("urgent", (Step(count=60, cpu=CORES),)))
+        fleet.run(1.0)
+        for name in ("s1", "s2"):
+            cancel_job(fleet.cell, name, fleet.now())
+        holder = next(worker for worker in fleet.workers.values() if task in worker.runs)
+        holder.end(task, RunEnd.FAILED)
+        fleet.run(6.0)
+        self.assertTrue(any(task in worker.runs for worker in fleet.workers.values()))
+
+    def test_first_task_of_a_service_starts_while_cores_are_scarce(self) -> None:
+        """Guards against a service without any task, though there is room for two."""
+        fleet = self._make_full_fleet(ON)
+        fleet.submit(make_job("urgent", (Step(count=60, cpu=CORES),)))
+        fleet.run(1.0)
+        cancel_job(fleet.cell, "s1", fleet.now())
+        fleet.submit(make_job("new", (Step(count=4, cpu=16_000, long_running=True),)))
+        fleet.run(3.0)
+        self.assertIn("new", fleet.cell.runs)
+
     def test_few_tasks_yield(self) -> None:
         """
         Guards against services that lose two tasks at a time, and against urgent work that takes
