--- a/toucanpin/scheduling/yielding.py
+++ b/toucanpin/scheduling/yielding.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 
 from toucanpin.scheduling.cell import Cell, Group, Now, WaitReason
 from toucanpin.scheduling.choosing import meets_constraints
@@ -54,17 +54,17 @@
     _drop_expired(cell, now)
     budget = int(MAX_YIELDING_SHARE * sum(worker.long_running_cpu for worker in eligible))
     budget -= sum(cores for _, cores in cell.headroom.yielded.values())
-    freed = {worker.entry.id: sum_stopping(worker).cpu for worker in eligible}
+    search = _Search(cell, eligible, now)
     tasks = [(group, step) for group, step in waiting for _ in cell.waiting[group]]
     for group, step in tasks[:MAX_YIELDS]:
-        if any(_claim_room(worker, group, step, freed) for worker in eligible):
+        if search.claim_room(group, step):
             continue
-        run = _find_yielding(cell, eligible, group, step, freed, now)
+        run = search.find_yielding(group, step)
         if run is None or run.step.cpu > budget:
             continue
         budget -= run.step.cpu
+        search.freed[run.worker] += run.step.cpu - step.cpu
         worker = cell.workers[run.worker]
-        freed[run.worker] += run.step.cpu - step.cpu
         worker.reserved_until = now.steady + cell.stop_time + RESERVATION_MARGIN_S
         worker.reserved_priority = cell.jobs[group.job].job.priority
         cell.headroom.yielded[run.task] = (now.steady, run.step.cpu)
@@ -83,50 +83,73 @@
             yield group, step
 
 
-def _claim_room(worker: Worker, group: Group, step: Step, freed: dict[str, int]) -> bool:
-    """Claim cores on a worker where a task will fit once all stopped ones have ended."""
-    if not freed[worker.entry.id] or _count_missing(worker, step, freed) > 0:
-        return False
-    if not meets_constraints(worker, group, step):
+class _Search:
+    """
+    Search for long-running tasks that may yield at one moment.
+
+    ``freed`` holds by worker the cores that stopped tasks will free, less those that are claimed.
+    """
+
+    __slots__ = ("_cell", "_eligible", "_now", "_runs", "_serving", "freed")
+
+    def __init__(self, cell: Cell, eligible: Sequence[Worker], now: Now) -> None:
+        self._cell = cell
+        self._eligible = {worker.entry.id: worker for worker in eligible}
+        self._now = now
+        self._serving: dict[Group, bool] = {}  # services of which all tasks are available
+        self.freed = {worker.entry.id: sum_stopping(worker).cpu for worker in eligible}
+        # Tasks that don't serve yet are stopped first, as nobody uses them.
+        self._runs = sorted(
+            (run for worker in eligible for run in worker.runs.values() if run.step.long_running),
+            key=lambda run: (run.percent >= 100, run.step.cpu, run.task),
+        )
+
+    def claim_room(self, group: Group, step: Step) -> bool:
+        """Claim cores where a task will fit once all stopped ones have ended."""
+        for name, cores in self.freed.items():
+            worker = self._eligible[name]
+            if cores <= 0 or self._count_missing(worker, step) > 0:
+                continue
+            if meets_constraints(worker, group, step):
+                self.freed[name] -= step.cpu
+                return True
         return False
-    freed[worker.entry.id] -= step.cpu
-    return True
-
-
-def _count_missing(worker: Worker, step: Step, freed: dict[str, int]) -> int:
-    return worker.cpu + step.cpu - worker.entry.cpu - freed[worker.entry.id]
-
-
-def _find_yielding(
-    cell: Cell,
-    eligible: Iterable[Worker],
-    group: Group,
-    step: Step,
-    freed: dict[str, int],
-    now: Now,
-) -> Run | None:
-    """Return the long-running task with the fewest cores that makes room for a short one."""
-    priority = cell.jobs[group.job].job.priority
-    candidates = [
-        run
-        for worker in eligible
-        if worker.memory + step.memory <= worker.entry.memory
-        and meets_constraints(worker, group, step)
-        for run in worker.runs.values()
-        if run.step.long_running
-        and run.phase is Phase.RUNNING
-        and run.priority >= priority
-        and run.step.cpu >= _count_missing(worker, step, freed) > 0
-        and run.task not in cell.headroom.yielded
-    ]
-    # Tasks that don't serve yet are stopped first, as nobody uses them.
-    candidates.sort(key=lambda run: (run.percent >= 100, run.step.cpu, run.task))
-    return next((run for run in candidates if _may_yield(cell, run, now)), None)
-
-
-def _may_yield(cell: Cell, run: Run, now: Now) -> bool:
-    """Return whether all other tasks of a service are available."""
-    return run.task.job in cell.jobs and count_unavailable(cell, run, now) == 0
+
+    def find_yielding(self, group: Group, step: Step) -> Run | None:
+        """Return the long-running task with the fewest cores that makes room for a short one."""
+        priority = self._cell.jobs[group.job].job.priority
+        for run in self._runs:
+            worker = self._eligible[run.worker]
+            if not run.step.cpu >= self._count_missing(worker, step) > 0:
+                continue
+            if worker.memory + step.memory > worker.entry.memory or run.priority < priority:
+                continue
+            if self._may_yield(run) and meets_constraints(worker, group, step):
+                self._serving[_find_service(run)] = False
+                return run
+        return None
+
+    def _count_missing(self, worker: Worker, step: Step) -> int:
+        return worker.cpu + step.cpu - worker.entry.cpu - self.freed[worker.entry.id]
+
+    def _may_yield(self, run: Run) -> bool:
+        """Return whether a task hasn't yielded lately and all others of its service serve."""
+        if run.phase is not Phase.RUNNING or run.task in self._cell.headroom.yielded:
+            return False
+        service = _find_service(run)
+        known = self._serving.get(service)
+        if known is not None:
+            return known
+        others_serve = (
+            run.task.job in self._cell.jobs and count_unavailable(self._cell, run, self._now) == 0
+        )
+        if run.percent >= 100:  # otherwise it is unavailable itself, which counts for the others
+            self._serving[service] = others_serve
+        return others_serve
+
+
+def _find_service(run: Run) -> Group:
+    return Group(run.task.job, run.task.occurrence, run.task.step)
 
 
 def _drop_expired(cell: Cell, now: Now) -> None:
