Count only urgent short work that some worker fits for headroom

Cause: less urgent short tasks, some of which may always wait, and short tasks that fit no worker would have kept long-running ones waiting. Change: only queues as urgent as the most urgent long-running tasks count, only steps that fit an idle worker make cores scarce, and the reserve is never below that without the feature.

--- a/toucanpin/scheduling/headroom.py
+++ b/toucanpin/scheduling/headroom.py
@@ -38,7 +38,8 @@
 MIN_BURST = 1.5  # times the mean, of which a queue is assumed to be capable
 MAX_HEADROOM_SHARE = 0.25  # of the usable cores, in use and free
 MIN_FREE_SHARE = 0.05  # of the usable cores
-MIN_KEPT_SHARE = 0.75  # of the planned free cores, which long-running tasks leave in any case
+# Of the cores that are forecast and not in use, which long-running tasks leave in any case.
+MIN_KEPT_SHARE = 0.75
 # Of the usable cores, as long as no peak can be known.  More would keep long-running tasks of a
 # fleet that starts from cores that nobody uses.
 UNKNOWN_SHARE = 0.1
@@ -69,7 +70,8 @@
     Demand of short tasks by queue, and the cores kept for them.
 
     ``forecast`` are the cores that they may request, ``used`` those that they use, ``planned`` the
-    free cores to keep and ``free`` all cores that were free when this was planned.  Until
+    free cores to keep and ``free`` all cores that were free when this was planned.  Only tasks of
+    jobs up to ``max_priority`` count: the others are less urgent than long-running ones.  Until
     ``scarce_until`` long-running tasks get no cores.  ``yielded`` tells when each long-running task
     was stopped to make room, and its cores.
     """
@@ -81,6 +83,7 @@
     used: int = 0
     planned: int = 0
     free: int = 0
+    max_priority: int = 0
     scarce_until: float = 0.0
     yielded: dict[TaskKey, tuple[float, int]] = field(default_factory=dict)
 
@@ -143,7 +146,8 @@
     Many of them wait when a data centre is evacuated, and would take at once what is left to short
     tasks.
     """
-    return now < headroom.scarce_until or headroom.free < MIN_KEPT_SHARE * headroom.planned
+    expected = headroom.forecast - headroom.used
+    return now < headroom.scarce_until or headroom.free < MIN_KEPT_SHARE * expected
 
 
 def _find_largest_share(eligible: Sequence[Worker]) -> float:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -102,7 +102,7 @@
     for group in [group for group in cell.waits if group not in cell.waiting]:
         del cell.waits[group]
     if cell.features.urgent_headroom and cell.reserved_at == now.steady:
-        update_scarcity(cell, now)
+        update_scarcity(cell, all_eligible, now)
         make_room(cell, all_eligible, now)
 
 
--- a/toucanpin/scheduling/reserving.py
+++ b/toucanpin/scheduling/reserving.py
@@ -70,11 +70,26 @@
 def _plan_headroom(cell: Cell, eligible: Sequence[Worker], now: Now) -> int:
     """Return the cores to reserve by the demand of short tasks as seen by this owner."""
     total = sum(worker.entry.cpu for worker in eligible)
-    used = _sum_used_by_queue(cell)
-    requested = used + _sum_waiting_by_queue(cell)
-    record_demand(cell.headroom, requested, MAX_HEADROOM_SHARE * total, now.steady)
+    cell.headroom.max_priority = _find_long_running_priority(cell)
+    queues = _list_urgent_queues(cell)
+    requested = _sum_used_by_queue(cell) + _sum_waiting_by_queue(cell)
+    urgent = {queue: cores for queue, cores in requested.items() if queue in queues}
+    record_demand(cell.headroom, urgent, MAX_HEADROOM_SHARE * total, now.steady)
     used_here = sum(worker.cpu - worker.long_running_cpu for worker in eligible)
-    return plan_headroom(cell.headroom, eligible, bool(cell.evacuated), used_here)
+    planned = plan_headroom(cell.headroom, eligible, bool(cell.evacuated), used_here)
+    return max(planned, _compute_reserve(cell, eligible))
+
+
+def _list_urgent_queues(cell: Cell) -> set[str]:
+    """Return the queues with jobs that are as urgent as all long-running ones."""
+    limit = cell.headroom.max_priority
+    return {live.job.queue for live in cell.jobs.values() if live.job.priority <= limit}
+
+
+def _find_long_running_priority(cell: Cell) -> int:
+    """Return the priority number of the most urgent long-running tasks."""
+    runs = (run for runs in cell.runs.values() for run in runs if run.step.long_running)
+    return min((run.priority for run in runs), default=0)
 
 
 def _split_by_data_centre(workers: Iterable[Worker]) -> Iterable[list[Worker]]:
--- a/toucanpin/scheduling/tests/test_headroom.py
+++ b/toucanpin/scheduling/tests/test_headroom.py
@@ -14,7 +14,7 @@
     record_demand,
 )
 from toucanpin.scheduling.intake import cancel_job
-from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.job import Job, Step, TaskKey
 from toucanpin.scheduling.orders import RunEnd, WorkerEntry
 from toucanpin.scheduling.reserving import RESERVE_PERIOD_S, reserve_cores
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
@@ -209,6 +209,30 @@
         )
         self.assertLessEqual(16_000 * len(yielded), MAX_YIELDING_SHARE * (used + 16_000))
 
+    def test_less_urgent_short_work_gets_no_headroom(self) -> None:
+        """
+        Guards against long-running tasks that wait for the sake of less urgent work, of which some
+        may always wait.
+        """
+        fleet = self._make_full_fleet(ON)
+        step = Step(count=60, cpu=16_000)
+        fleet.submit(Job("patient", "p", "c", "spec", (step,), priority=2))
+        fleet.submit(make_job("new", (Step(count=4, cpu=16_000, long_running=True),)))
+        fleet.run(3.0)
+        cancel_job(fleet.cell, "s1", fleet.now())
+        fleet.run(0.6)
+        self.assertFalse(fleet.cell.headroom.yielded)
+        self.assertNotIn("p", fleet.cell.headroom.queues)
+        self.assertIn("new", fleet.cell.runs)
+
+    def test_unplaceable_short_work_holds_nothing_back(self) -> None:
+        """Guards against long-running tasks that wait for a short one that fits no worker."""
+        fleet = self._make_full_fleet(ON)
+        fleet.submit(make_job("large", (Step(cpu=2 * CORES),)))
+        fleet.submit(make_job("other", (Step(cpu=1_000, label="none"),)))
+        fleet.run(3.0)
+        self.assertEqual(0.0, fleet.cell.headroom.scarce_until)
+
     def test_without_the_feature_nothing_yields(self) -> None:
         """Guards against a change for deployments that can correct choices later."""
         fleet = self._make_full_fleet(OFF)
--- a/toucanpin/scheduling/yielding.py
+++ b/toucanpin/scheduling/yielding.py
@@ -16,11 +16,11 @@
 from collections.abc import Iterator, Sequence
 
 from toucanpin.scheduling.cell import Cell, Group, Now, WaitReason
-from toucanpin.scheduling.choosing import meets_constraints
+from toucanpin.scheduling.choosing import has_label, meets_constraints
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.preempting import sum_stopping
 from toucanpin.scheduling.stopping import count_unavailable, stop_run
-from toucanpin.scheduling.worker import Phase, Run, Worker
+from toucanpin.scheduling.worker import Phase, Run, Worker, fits_when_idle
 
 __all__ = ["make_room", "update_scarcity"]
 
@@ -33,9 +33,13 @@
 RESERVATION_MARGIN_S = 0.4  # beyond a stop, for which freed cores are kept for urgent tasks
 
 
-def update_scarcity(cell: Cell, now: Now) -> None:
+def update_scarcity(cell: Cell, eligible: Sequence[Worker], now: Now) -> None:
     """Record whether short tasks wait for room, so that long-running ones get none."""
-    if any(_list_waiting(cell, SCARCITY_WAIT_S, now)):
+    if any(
+        fits_when_idle(worker, step) and has_label(worker, step)
+        for _, step in _list_waiting(cell, SCARCITY_WAIT_S, now)
+        for worker in eligible
+    ):
         cell.headroom.scarce_until = now.steady + SCARCITY_HOLD_S
 
 
@@ -72,12 +76,14 @@
 
 
 def _list_waiting(cell: Cell, wait_time: float, now: Now) -> Iterator[tuple[Group, Step]]:
-    """Yield the short steps that have waited for room for this time."""
+    """Yield the steps of urgent short tasks that have waited for room for this time."""
     for group, wait in cell.waits.items():
         live = cell.jobs.get(group.job)
         if live is None or not cell.waiting.get(group) or now.steady < wait.since + wait_time:
             continue
         step = live.job.steps[group.step]
+        if live.job.priority > cell.headroom.max_priority:
+            continue
         lacks_room = wait.reason in (WaitReason.NO_ROOM, WaitReason.EVACUATED)
         if lacks_room and not step.long_running and not step.best_effort:
             yield group, step
