--- a/toucanpin/scheduling/tests/test_headroom.py
+++ b/toucanpin/scheduling/tests/test_headroom.py
@@ -4,7 +4,9 @@
 
 import math
 import unittest
+from unittest.mock import patch
 
+from toucanpin.scheduling import yielding
 from toucanpin.scheduling.features import Features
 from toucanpin.scheduling.headroom import (
     MAX_HEADROOM_SHARE,
@@ -16,6 +18,7 @@
 from toucanpin.scheduling.intake import cancel_job
 from toucanpin.scheduling.job import Job, Step, TaskKey
 from toucanpin.scheduling.orders import RunEnd, WorkerEntry
+from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.reserving import RESERVE_PERIOD_S, reserve_cores
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.tests.urgent_load import LONG_DURATION_S, ServingWorker, UrgentLoad
@@ -233,6 +236,17 @@
         fleet.run(3.0)
         self.assertEqual(0.0, fleet.cell.headroom.scarce_until)
 
+    def test_many_unplaceable_steps_share_a_scan(self) -> None:
+        """Guards against a turn that compares each waiting step with each worker."""
+        fleet = self._make_full_fleet(ON)
+        for number in range(50):
+            fleet.submit(make_job(f"o{number}", (Step(cpu=1_000 + number, label="none"),)))
+        fleet.run(1.0)
+        fleet.time += 2 * RESERVE_PERIOD_S
+        with patch.object(yielding, "has_label", wraps=yielding.has_label) as counted:
+            place_tasks(fleet.cell, fleet.model, fleet.now())
+        self.assertLessEqual(counted.call_count, len(fleet.workers))
+
     def test_without_the_feature_nothing_yields(self) -> None:
         """Guards against a change for deployments that can correct choices later."""
         fleet = self._make_full_fleet(OFF)
--- a/toucanpin/scheduling/yielding.py
+++ b/toucanpin/scheduling/yielding.py
@@ -20,7 +20,7 @@
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.preempting import sum_stopping
 from toucanpin.scheduling.stopping import count_unavailable, stop_run
-from toucanpin.scheduling.worker import Phase, Run, Worker, fits_when_idle
+from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = ["make_room", "update_scarcity"]
 
@@ -35,12 +35,15 @@
 
 def update_scarcity(cell: Cell, eligible: Sequence[Worker], now: Now) -> None:
     """Record whether short tasks wait for room, so that long-running ones get none."""
-    if any(
-        fits_when_idle(worker, step) and has_label(worker, step)
-        for _, step in _list_waiting(cell, SCARCITY_WAIT_S, now)
-        for worker in eligible
-    ):
-        cell.headroom.scarce_until = now.steady + SCARCITY_HOLD_S
+    largest: dict[str, tuple[int, int, int]] = {}  # capacity of the workers with a label
+    for _, step in _list_waiting(cell, SCARCITY_WAIT_S, now):
+        if step.label not in largest:
+            largest[step.label] = _find_largest_capacity(eligible, step)
+        cpu, memory, accelerators = largest[step.label]
+        # One that fits no worker waits however many cores are free.
+        if step.cpu <= cpu and step.memory <= memory and step.accelerators <= accelerators:
+            cell.headroom.scarce_until = now.steady + SCARCITY_HOLD_S
+            return
 
 
 def make_room(cell: Cell, eligible: Sequence[Worker], now: Now) -> None:
@@ -75,6 +78,16 @@
         stop_run(cell, run, "makes room for urgent work")
 
 
+def _find_largest_capacity(eligible: Sequence[Worker], step: Step) -> tuple[int, int, int]:
+    """Return the largest cores, memory and accelerators of workers with the label of a step."""
+    entries = [worker.entry for worker in eligible if has_label(worker, step)]
+    return (
+        max((entry.cpu for entry in entries), default=-1),
+        max((entry.memory for entry in entries), default=-1),
+        max((entry.accelerators for entry in entries), default=-1),
+    )
+
+
 def _list_waiting(cell: Cell, wait_time: float, now: Now) -> Iterator[tuple[Group, Step]]:
     """Yield the steps of urgent short tasks that have waited for room for this time."""
     for group, wait in cell.waits.items():
