--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -13,6 +13,7 @@
 
 from toucanpin.scheduling.durations import Durations
 from toucanpin.scheduling.features import Features
+from toucanpin.scheduling.headroom import Headroom
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.orders import PaceOrder, StopOrder
 from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, TaskState
@@ -225,6 +226,7 @@
     progress_rows_to_delete: list[str] = field(default_factory=list)  # job rows already deleted
     step_tickets: dict[Group, StepTickets] = field(default_factory=dict)
     next_due: float = 0.0
+    headroom: Headroom = field(default_factory=Headroom)
     short_task_peak: float | None = None  # recent peak of the cores that short tasks requested
     reserved_at: float = float("-inf")  # when cores were last reserved for short tasks
     paced_at: float = 0.0
--- a/toucanpin/scheduling/reserving.py
+++ b/toucanpin/scheduling/reserving.py
@@ -15,9 +15,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Iterable, Sequence
 
 from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.headroom import MAX_HEADROOM_SHARE, plan_headroom, record_demand
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.worker import Worker
 
@@ -36,8 +38,25 @@
     cell.reserved_at = now.steady
     for worker in cell.workers.values():
         worker.reserved_cpu = 0
-    missing = _compute_reserve(cell, eligible)
-    for worker in sorted(eligible, key=_rank):
+    if not cell.features.urgent_headroom:
+        _reserve_on(eligible, _compute_reserve(cell, eligible))
+        return
+    missing = _plan_headroom(cell, eligible, now)
+    if now.steady < cell.headroom.scarce_until:
+        # Also those that come free before the next choice.
+        for worker in eligible:
+            worker.reserved_cpu = worker.entry.cpu
+        return
+    total = sum(worker.entry.cpu for worker in eligible)
+    # Cores that are all in one data centre would be lost with it.
+    for workers in _split_by_data_centre(eligible):
+        share = sum(worker.entry.cpu for worker in workers) / max(1, total)
+        _reserve_on(workers, math.ceil(missing * share))
+
+
+def _reserve_on(workers: Iterable[Worker], missing: int) -> None:
+    """Reserve cores on the workers with the least long-running work."""
+    for worker in sorted(workers, key=_rank):
         free = max(0, worker.entry.cpu - worker.cpu)
         if free >= missing:
             worker.reserved_cpu = missing
@@ -48,6 +67,64 @@
         missing -= free
 
 
+def _plan_headroom(cell: Cell, eligible: Sequence[Worker], now: Now) -> int:
+    """Return the cores to reserve by the demand of short tasks as seen by this owner."""
+    total = sum(worker.entry.cpu for worker in eligible)
+    cell.headroom.max_priority = _find_long_running_priority(cell)
+    queues = _list_urgent_queues(cell)
+    requested = _sum_used_by_queue(cell) + _sum_waiting_by_queue(cell)
+    urgent = {queue: cores for queue, cores in requested.items() if queue in queues}
+    record_demand(cell.headroom, urgent, MAX_HEADROOM_SHARE * total, now.steady)
+    used_here = sum(worker.cpu - worker.long_running_cpu for worker in eligible)
+    planned = plan_headroom(cell.headroom, eligible, bool(cell.evacuated), used_here)
+    return max(planned, _compute_reserve(cell, eligible))
+
+
+def _list_urgent_queues(cell: Cell) -> set[str]:
+    """Return the queues with jobs that are as urgent as all long-running ones."""
+    limit = cell.headroom.max_priority
+    return {live.job.queue for live in cell.jobs.values() if live.job.priority <= limit}
+
+
+def _find_long_running_priority(cell: Cell) -> int:
+    """Return the priority number of the most urgent long-running tasks."""
+    runs = (run for runs in cell.runs.values() for run in runs if run.step.long_running)
+    return min((run.priority for run in runs), default=0)
+
+
+def _split_by_data_centre(workers: Iterable[Worker]) -> Iterable[list[Worker]]:
+    found: dict[str, list[Worker]] = {}
+    for worker in workers:
+        found.setdefault(worker.entry.data_centre, []).append(worker)
+    return found.values()
+
+
+def _sum_used_by_queue(cell: Cell) -> Counter[str]:
+    """Return the cores that short tasks use, by queue."""
+    cores: Counter[str] = Counter()
+    for job, runs in cell.runs.items():
+        live = cell.jobs.get(job)
+        if live is not None:
+            used = sum(run.step.cpu for run in runs if _is_short(run.step))
+            cores[live.job.queue] += used
+    return cores
+
+
+def _sum_waiting_by_queue(cell: Cell) -> Counter[str]:
+    """Return the cores that waiting short tasks request, by queue."""
+    cores: Counter[str] = Counter()
+    for group, waiting in cell.waiting.items():
+        job = cell.jobs[group.job].job
+        step = job.steps[group.step]
+        if _is_short(step):
+            cores[job.queue] += step.cpu * len(waiting)
+    return cores
+
+
+def _is_short(step: Step) -> bool:
+    return not step.long_running and not step.best_effort
+
+
 def _compute_reserve(cell: Cell, eligible: Sequence[Worker]) -> int:
     """
     Return the cores to reserve: the recent peak demand of short tasks, less what they use now.
@@ -72,12 +149,7 @@
 
 def _sum_waiting_cpu(cell: Cell) -> int:
     """Return the cores that waiting short tasks request."""
-    cores = 0
-    for group, waiting in cell.waiting.items():
-        step = cell.jobs[group.job].job.steps[group.step]
-        if not step.long_running and not step.best_effort:
-            cores += step.cpu * len(waiting)
-    return cores
+    return _sum_waiting_by_queue(cell).total()
 
 
 def leaves_reserve(worker: Worker, step: Step) -> bool:
--- /dev/null
+++ b/toucanpin/scheduling/yielding.py
@@ -0,0 +1,179 @@
+"""
+Yielding of long-running tasks
+==============================
+
+Stop some long-running tasks where short ones of the same urgency have no room for long.
+
+Notes
+-----
+After a data centre is evacuated, the others run as many long-running tasks as before and have to
+take all short ones.  If these request more cores than are left, each waits longer than the one
+before it, until the evacuation ends.  A service with one task less serves nearly as much.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+
+from toucanpin.scheduling.cell import Cell, Group, Now, WaitReason
+from toucanpin.scheduling.choosing import has_label, meets_constraints
+from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.preempting import sum_stopping
+from toucanpin.scheduling.stopping import count_unavailable, stop_run
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+__all__ = ["make_room", "update_scarcity"]
+
+SCARCITY_WAIT_S = 0.3  # of a short task for room, from which on long-running ones get none
+# After the last such wait; until then cores that come free are kept for the next short tasks.
+SCARCITY_HOLD_S = 3.0
+YIELD_PERIOD_S = 10.0  # in which a task yields once at most
+MAX_YIELDING_SHARE = 0.05  # of the cores in use by long-running tasks, in a period
+MAX_YIELDS = 16  # tasks at a time
+RESERVATION_MARGIN_S = 0.4  # beyond a stop, for which freed cores are kept for urgent tasks
+
+
+def update_scarcity(cell: Cell, eligible: Sequence[Worker], now: Now) -> None:
+    """Record whether short tasks wait for room, so that long-running ones get none."""
+    largest: dict[str, tuple[int, int, int]] = {}  # capacity of the workers with a label
+    for _, step in _list_waiting(cell, SCARCITY_WAIT_S, now):
+        if step.label not in largest:
+            largest[step.label] = _find_largest_capacity(eligible, step)
+        cpu, memory, accelerators = largest[step.label]
+        # One that fits no worker waits however many cores are free.
+        if step.cpu <= cpu and step.memory <= memory and step.accelerators <= accelerators:
+            cell.headroom.scarce_until = now.steady + SCARCITY_HOLD_S
+            return
+
+
+def make_room(cell: Cell, eligible: Sequence[Worker], now: Now) -> None:
+    """
+    Stop long-running tasks for short ones that have waited for as long as a stop takes.
+
+    A shorter lack of room would be over before a stopped task has left its cores.
+    """
+    waiting = sorted(
+        _list_waiting(cell, cell.stop_time, now),
+        key=lambda pair: (cell.jobs[pair[0].job].job.priority, cell.waits[pair[0]].since),
+    )
+    if not waiting:
+        return
+    _drop_expired(cell, now)
+    budget = int(MAX_YIELDING_SHARE * sum(worker.long_running_cpu for worker in eligible))
+    budget -= sum(cores for _, cores in cell.headroom.yielded.values())
+    search = _Search(cell, eligible, now)
+    tasks = [(group, step) for group, step in waiting for _ in cell.waiting[group]]
+    for group, step in tasks[:MAX_YIELDS]:
+        if search.claim_room(group, step):
+            continue
+        run = search.find_yielding(group, step)
+        if run is None or run.step.cpu > budget:
+            continue
+        budget -= run.step.cpu
+        search.freed[run.worker] += run.step.cpu - step.cpu
+        worker = cell.workers[run.worker]
+        worker.reserved_until = now.steady + cell.stop_time + RESERVATION_MARGIN_S
+        worker.reserved_priority = cell.jobs[group.job].job.priority
+        cell.headroom.yielded[run.task] = (now.steady, run.step.cpu)
+        stop_run(cell, run, "makes room for urgent work")
+
+
+def _find_largest_capacity(eligible: Sequence[Worker], step: Step) -> tuple[int, int, int]:
+    """Return the largest cores, memory and accelerators of workers with the label of a step."""
+    entries = [worker.entry for worker in eligible if has_label(worker, step)]
+    return (
+        max((entry.cpu for entry in entries), default=-1),
+        max((entry.memory for entry in entries), default=-1),
+        max((entry.accelerators for entry in entries), default=-1),
+    )
+
+
+def _list_waiting(cell: Cell, wait_time: float, now: Now) -> Iterator[tuple[Group, Step]]:
+    """Yield the steps of urgent short tasks that have waited for room for this time."""
+    for group, wait in cell.waits.items():
+        live = cell.jobs.get(group.job)
+        if live is None or not cell.waiting.get(group) or now.steady < wait.since + wait_time:
+            continue
+        step = live.job.steps[group.step]
+        if live.job.priority > cell.headroom.max_priority:
+            continue
+        lacks_room = wait.reason in (WaitReason.NO_ROOM, WaitReason.EVACUATED)
+        if lacks_room and not step.long_running and not step.best_effort:
+            yield group, step
+
+
+class _Search:
+    """
+    Search for long-running tasks that may yield at one moment.
+
+    ``freed`` holds by worker the cores that stopped tasks will free, less those that are claimed.
+    """
+
+    __slots__ = ("_cell", "_eligible", "_now", "_runs", "_serving", "freed")
+
+    def __init__(self, cell: Cell, eligible: Sequence[Worker], now: Now) -> None:
+        self._cell = cell
+        self._eligible = {worker.entry.id: worker for worker in eligible}
+        self._now = now
+        self._serving: dict[Group, bool] = {}  # services of which all tasks are available
+        self.freed = {worker.entry.id: sum_stopping(worker).cpu for worker in eligible}
+        # Tasks that don't serve yet are stopped first, as nobody uses them.
+        self._runs = sorted(
+            (run for worker in eligible for run in worker.runs.values() if run.step.long_running),
+            key=lambda run: (run.percent >= 100, run.step.cpu, run.task),
+        )
+
+    def claim_room(self, group: Group, step: Step) -> bool:
+        """Claim cores where a task will fit once all stopped ones have ended."""
+        for name, cores in self.freed.items():
+            worker = self._eligible[name]
+            if cores <= 0 or self._count_missing(worker, step) > 0:
+                continue
+            if meets_constraints(worker, group, step):
+                self.freed[name] -= step.cpu
+                return True
+        return False
+
+    def find_yielding(self, group: Group, step: Step) -> Run | None:
+        """Return the long-running task with the fewest cores that makes room for a short one."""
+        priority = self._cell.jobs[group.job].job.priority
+        for run in self._runs:
+            worker = self._eligible[run.worker]
+            if not run.step.cpu >= self._count_missing(worker, step) > 0:
+                continue
+            if worker.memory + step.memory > worker.entry.memory or run.priority < priority:
+                continue
+            if self._may_yield(run) and meets_constraints(worker, group, step):
+                self._serving[_find_service(run)] = False
+                return run
+        return None
+
+    def _count_missing(self, worker: Worker, step: Step) -> int:
+        return worker.cpu + step.cpu - worker.entry.cpu - self.freed[worker.entry.id]
+
+    def _may_yield(self, run: Run) -> bool:
+        """Return whether a task hasn't yielded lately and all others of its service serve."""
+        if run.phase is not Phase.RUNNING or run.task in self._cell.headroom.yielded:
+            return False
+        service = _find_service(run)
+        known = self._serving.get(service)
+        if known is not None:
+            return known
+        others_serve = (
+            run.task.job in self._cell.jobs and count_unavailable(self._cell, run, self._now) == 0
+        )
+        if run.percent >= 100:  # otherwise it is unavailable itself, which counts for the others
+            self._serving[service] = others_serve
+        return others_serve
+
+
+def _find_service(run: Run) -> Group:
+    return Group(run.task.job, run.task.occurrence, run.task.step)
+
+
+def _drop_expired(cell: Cell, now: Now) -> None:
+    cell.headroom.yielded = {
+        task: (since, cores)
+        for task, (since, cores) in cell.headroom.yielded.items()
+        if now.steady < since + YIELD_PERIOD_S
+    }
