--- a/toucanpin/entry/tests/test_restarted_workers.py
+++ b/toucanpin/entry/tests/test_restarted_workers.py
@@ -89,6 +89,8 @@
             self.assertTrue(await self.site.wait_for_state("failed"))
             crashes = sum(worker.crashed.is_set() for worker in self.site.workers)
             self.assertLessEqual(crashes, MAX_CRASHES)
+            for task in restarting:
+                task.cancel()
 
         self._run(play)
 
