Stop late starts of a restarted worker in three more cases

Cause, found by review; in each a task ran twice for a moment (a late start is carried out by the worker's next incarnation, on whose clock its lease hasn't expired): 1. A run was stopped while its start was in flight, then the worker restarted. Only runs that were still ordered were kept, so the task ran elsewhere at once. 2. The run had ended by a stop before the start was known to be without an answer; the failed call was recorded, but after the restart nothing looked at it. 3. The worker was silent past its lease and forgotten, with its unanswered starts, and came back under its id within the longest delay of an order. Besides, a start that was repeated and crashed the next incarnation too counted as one loss: the run that was handed over kept the number of the first.

Change: the cell keeps the unanswered starts, by worker; a run whose start wasn't confirmed is kept until the next incarnation has acknowledged a stop; a start that turns out unanswered, or whose worker returns, is stopped there. A run that was handed over is one of the new incarnation.

--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -219,6 +219,8 @@
     orders: list[StopOrder | PaceOrder] = field(default_factory=list)
     unlogged_losses: list[Loss] = field(default_factory=list)
     unlogged_slow_workers: list[SlowWorker] = field(default_factory=list)
+    # When the newest start without an answer was sent, by worker, task and attempt.
+    unanswered_starts: dict[tuple[str, TaskKey, int], float] = field(default_factory=dict)
     suspects: dict[str, set[TaskKey]] = field(default_factory=dict)  # by the worker lost
     crashing: set[TaskKey] = field(default_factory=set)  # not to be started again
     job_rows_to_delete: list[str] = field(default_factory=list)
--- a/toucanpin/scheduling/incarnations.py
+++ b/toucanpin/scheduling/incarnations.py
@@ -14,10 +14,12 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from itertools import takewhile
 
 from toucanpin.scheduling.cell import Cell, Loss, LossCause, Now, add_run, drop_run
 from toucanpin.scheduling.crashing import record_loss
 from toucanpin.scheduling.ending import end_run
+from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.orders import StopOrder, WorkerEntry
 from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker
@@ -29,6 +31,7 @@
     "is_earlier",
     "record_lost_run",
     "record_unanswered_start",
+    "stop_late_starts",
 ]
 
 # Longest time after which a worker carries out an order that it left unanswered; the platform
@@ -75,14 +78,13 @@
         earlier_born=worker.born,
         sized=listed,
         malformed=not listed,
-        unanswered_starts=worker.unanswered_starts,
         lease_expires_at=cell.earlier_leases_end,
         first_listed_at=now.steady,
         listed_at=worker.listed_at,
         answered_at=0.0 if listed else now.steady,
     )
     unsettled = []
-    for run in [run for run in worker.runs.values() if _may_start_late(worker, run)]:
+    for run in [run for run in worker.runs.values() if _may_start_late(cell, run)]:
         if run.phase is not Phase.UNKNOWN:
             record_lost_run(cell, worker, run, LossCause.REPLACED, now)
         unsettled.append(replace(run))
@@ -92,18 +94,30 @@
     cell.workers[worker.entry.id] = successor
     for run in unsettled:
         _hand_over_run(cell, successor, run, now)
-    _stop_late_starts(cell, successor, now)
+    stop_late_starts(cell, successor, now)
     _discard_tickets(cell, worker.entry.id)
     return successor
 
 
-def record_unanswered_start(worker: Worker, run: Run, now: Now) -> None:
+def record_unanswered_start(cell: Cell, worker: Worker, run: Run, now: Now) -> None:
     """Record that a start got no answer; those too old to be carried out are forgotten."""
-    oldest = now.steady - MAX_ORDER_DELAY_S
-    starts = worker.unanswered_starts
-    for key in [key for key, sent_at in starts.items() if sent_at < oldest]:
-        del starts[key]
-    starts[run.task, run.attempt] = now.steady
+    starts = cell.unanswered_starts
+    key = (run.worker, run.task, run.attempt)
+    starts.pop(key, None)
+    starts[key] = now.steady
+    # Each start is added at the end, so the oldest ones come first.
+    for known in list(takewhile(lambda it: _is_too_old(starts[it], now), starts)):
+        del starts[known]
+    current = cell.workers.get(run.worker)
+    if current is not None and current is not worker:
+        _stop_late_start(cell, current, run.task, run.attempt)
+
+
+def stop_late_starts(cell: Cell, worker: Worker, now: Now) -> None:
+    """Stop starts that an earlier incarnation left unanswered and whose runs have ended since."""
+    for (identifier, task, attempt), sent_at in cell.unanswered_starts.items():
+        if identifier == worker.entry.id and not _is_too_old(sent_at, now):
+            _stop_late_start(cell, worker, task, attempt)
 
 
 def end_lost_runs(cell: Cell, worker: Worker, cause: LossCause, now: Now) -> None:
@@ -125,12 +139,18 @@
     )
 
 
-def _may_start_late(worker: Worker, run: Run) -> bool:
+def _is_too_old(sent_at: float, now: Now) -> bool:
+    """Return whether an order without an answer certainly isn't carried out any more."""
+    return now.steady > sent_at + MAX_ORDER_DELAY_S
+
+
+def _may_start_late(cell: Cell, run: Run) -> bool:
     """Return whether a start of a run may still be carried out by the next incarnation."""
     if run.phase is Phase.UNKNOWN:  # until the next incarnation has this owner's token
         return True
-    in_flight = run.phase is Phase.ORDERED and run.ordered_at > 0.0
-    return in_flight or (run.task, run.attempt) in worker.unanswered_starts
+    # A start may be in flight also after its run was stopped.
+    in_flight = run.ordered_at > 0.0 and not run.started_at
+    return in_flight or (run.worker, run.task, run.attempt) in cell.unanswered_starts
 
 
 def _hand_over_run(cell: Cell, successor: Worker, run: Run, now: Now) -> None:
@@ -139,6 +159,7 @@
         add_run(cell, successor, run)
         return
     run.phase = Phase.ORDERED
+    run.born = successor.born  # which the late start may crash as well
     add_run(cell, successor, run)
     stop_run(cell, run, "its worker restarted")
     # The lease of a late start ends on the clock of the earlier incarnation, which may be far ahead
@@ -147,14 +168,11 @@
     successor.lease_expires_at = max(successor.lease_expires_at, until)
 
 
-def _stop_late_starts(cell: Cell, successor: Worker, now: Now) -> None:
-    """Stop starts that were left unanswered and whose runs have ended since."""
-    for (task, attempt), sent_at in successor.unanswered_starts.items():
-        run = successor.runs.get(task)
-        stopped = run is not None and run.attempt == attempt
-        if not stopped and now.steady < sent_at + MAX_ORDER_DELAY_S:
-            order = StopOrder(successor.entry.id, task, attempt, "may start late")
-            cell.orders.append(order)
+def _stop_late_start(cell: Cell, worker: Worker, task: TaskKey, attempt: int) -> None:
+    """Stop a start on a worker that may carry it out late, unless its run is being stopped."""
+    run = worker.runs.get(task)
+    if run is None or run.attempt != attempt:
+        cell.orders.append(StopOrder(worker.entry.id, task, attempt, "may start late"))
 
 
 def _discard_tickets(cell: Cell, worker: str) -> None:
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -17,6 +17,7 @@
     end_lost_runs,
     is_earlier,
     record_lost_run,
+    stop_late_starts,
 )
 from toucanpin.scheduling.orders import PollAnswer, PollOrder, RunningTask, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
@@ -76,6 +77,7 @@
                 first_listed_at=now.steady,
             )
             cell.workers[entry.id] = worker
+            stop_late_starts(cell, worker, now)
             added.append(worker)
         elif _is_outdated(worker, entry):
             continue
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -104,7 +104,7 @@
 ) -> StartOutcome:
     """Handle a start without an answer; ``certain`` is true if it was never sent."""
     if not certain:
-        record_unanswered_start(worker, run, now)
+        record_unanswered_start(cell, worker, run, now)
     if run.phase is not Phase.ORDERED:
         return StartOutcome.SETTLED
     run.start_unconfirmed = run.start_unconfirmed or not certain
--- a/toucanpin/scheduling/tests/test_incarnations.py
+++ b/toucanpin/scheduling/tests/test_incarnations.py
@@ -17,9 +17,11 @@
     TaskRecord,
     decode_progress,
 )
+from toucanpin.scheduling.starting import apply_start_failure
 from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.tests.fleet import FIRST_BORN, Fleet, make_job
 from toucanpin.scheduling.trust import is_distrusted
+from toucanpin.scheduling.worker import Run
 from toucanpin.scheduling.write_batches import apply_batch, take_batch
 
 MAX_CRASHES = 5  # two more starts after the third crash
@@ -145,6 +147,82 @@
         self.assertFalse(fleet.duplicate_runs)
         self.assertEqual(1, sum(len(core.runs) for core in fleet.workers.values()))
 
+    def _leave_start_unanswered(self) -> tuple[Fleet, Run]:
+        """Return a fleet of two workers, of which one has left a start unanswered, and the run."""
+        fleet = Fleet(workers=2)
+        for core in fleet.workers.values():
+            core.duration = 60.0
+            core.delays_orders = True
+        fleet.submit(make_job(steps=(LASTING,)))
+        fleet.run(1.0)
+        (run,) = fleet.cell.runs["j1"]
+        for core in fleet.workers.values():
+            core.delays_orders = False
+        return fleet, run
+
+    def _assert_runs_once(self, fleet: Fleet) -> None:
+        fleet.run(10.0)
+        self.assertFalse(fleet.duplicate_runs)
+        self.assertEqual(1, sum(len(core.runs) for core in fleet.workers.values()))
+
+    def test_start_in_flight_of_a_stopped_run_is_stopped(self) -> None:
+        """
+        A run is stopped while its start is in flight, and the worker restarts.  Guards against
+        starting the task elsewhere before the next incarnation has refused the start.
+        """
+        fleet, run = self._leave_start_unanswered()
+        fleet.cell.unanswered_starts.clear()  # as long as the call may still be answered
+        stop_run(fleet.cell, run, "moved")
+        fleet.cell.orders.clear()  # and so may the stop
+        core = fleet.restart(run.worker)
+        core.silent = True
+        begin_incarnation(fleet.cell, fleet.cell.workers[run.worker], core.entry.born, fleet.now())
+        fleet.run(3.0)
+        self.assertFalse(any(core.starts for core in fleet.workers.values()))
+        core.silent = False
+        self._assert_runs_once(fleet)
+
+    def test_start_that_turns_out_unanswered_after_the_restart_is_stopped(self) -> None:
+        """
+        A run has ended, by a stop, before its start is known to be without an answer.  Guards
+        against the next incarnation, which knows of no stop, starting the task too.
+        """
+        fleet, run = self._leave_start_unanswered()
+        worker = fleet.cell.workers[run.worker]
+        fleet.cell.unanswered_starts.clear()
+        stop_run(fleet.cell, run, "moved")
+        worker.full_until = fleet.time + 60.0
+        fleet.run(1.0)
+        self.assertFalse(worker.runs)
+        fleet.restart(run.worker)
+        fleet.run(0.2)
+        self.assertIsNot(worker, fleet.cell.workers[run.worker])
+        apply_start_failure(fleet.cell, worker, run, False, fleet.now())
+        self._assert_runs_once(fleet)
+
+    def test_late_start_on_a_worker_that_was_forgotten_is_stopped(self) -> None:
+        """
+        A worker leaves a start unanswered, is gone for longer than its lease and returns under its
+        id.  Guards against its carrying out the start while the task runs elsewhere.
+        """
+        fleet = Fleet(workers=2)
+        fleet.start_delay = 9.0
+        fleet.run(10.0)  # until the leases of earlier owners have ended
+        for core in fleet.workers.values():
+            core.duration = 60.0
+            core.delays_orders = True
+        fleet.submit(make_job(steps=(LASTING,)))
+        fleet.run(0.2)
+        (run,) = fleet.cell.runs["j1"]
+        for core in fleet.workers.values():
+            core.delays_orders = False
+        gone = fleet.workers.pop(run.worker)
+        fleet.run(7.0)
+        self.assertNotIn(run.worker, fleet.cell.workers)
+        fleet.workers[run.worker] = gone
+        fleet.restart(run.worker)
+        self._assert_runs_once(fleet)
+
     def test_gang_is_started_again_as_a_whole(self) -> None:
         """Guards against members that run on without the ones that were lost."""
         fleet = Fleet(workers=3, cpu=1_000)
@@ -301,6 +379,19 @@
                 self.assertLessEqual(len(fleet.crashes), MAX_CRASHES)
                 self.assertEqual(JobState.FAILED, fleet.state("bad"))
 
+    def test_start_that_crashes_two_incarnations_counts_twice(self) -> None:
+        """Guards against a start that is repeated and crashes each next incarnation of a worker."""
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].delays_orders = True
+        fleet.submit(make_job())
+        fleet.run(0.2)
+        for _ in range(2):
+            fleet.restart("w0").delays_orders = True
+            fleet.run(0.1)
+        (record,) = fleet.cell.jobs["j1"].progress.tasks[0]
+        lost = {f"w0/{FIRST_BORN}": True, f"w0/{FIRST_BORN + 1}": True}
+        self.assertEqual(lost, record.crashed)
+
     def test_next_owner_counts_a_restart_that_no_owner_saw(self) -> None:
         """Guards against a worker that restarts between two owners and hides that it crashed."""
         fleet = Fleet(workers=1)
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -91,8 +91,6 @@
     born: int = 0  # start of this incarnation in Unix ms, 0 if unknown
     earlier_born: int = 0  # that of the incarnation that it replaced
     sized: bool = True  # its entry is of this incarnation, whose size may differ from the earlier
-    # When the newest start without an answer was sent, by task and attempt.
-    unanswered_starts: dict[tuple[TaskKey, int], float] = field(default_factory=dict)
     runs: dict[TaskKey, Run] = field(default_factory=dict)
     cpu: int = 0
     memory: int = 0
