Judge workers' speed by their own clocks, new reports and room that isn't claimed

Cause, found by review: 1. A report that its owner read seconds late made all workers of a queue look slow, since progress was divided by the owner's time. 2. Tasks of minutes make no whole percent in 0.35 s, which counted as a standstill (0.2 percent/s): two of them on a worker made it slow. 3. Room elsewhere counted for each task alone, in each turn anew: all tasks of a slow worker left it for one free place, lost their work and came back. 4. All workers were judged in each turn, and each task was compared with all its siblings.

Change: progress is timed by the worker's clock; a task is judged by the most that it may have made, and a rate is kept until 5 percent more are made; a moved task claims its room until it is placed; only workers with a new report are judged, by at most 40 siblings of a task, and at most 40 tasks are looked at for moves in one turn.

Result: five tests; those of 1 to 3 failed before, those of 4 need the new names.

--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -9,14 +9,16 @@
 from __future__ import annotations
 
 import statistics
+from collections.abc import Iterable, Iterator
+from itertools import islice
 
 from toucanpin.scheduling.cell import Cell, Group, Now, SlowWorker, find_record, mark_dirty
 from toucanpin.scheduling.choosing import list_eligible, meets_constraints
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.stopping import list_gang_runs, requeue_task, stop_gang, stop_run
 from toucanpin.scheduling.trust import record_failure
-from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
-from toucanpin.scheduling.worker_speed import find_slow_worker, group_rates, update_rates
+from toucanpin.scheduling.worker import Phase, Run, Worker, count_fitting_tasks, has_room
+from toucanpin.scheduling.worker_speed import StepRates, find_slow_worker, update_rates
 
 __all__ = ["move_tasks"]
 
@@ -25,6 +27,8 @@
 STALL_TIMEOUT_S = 1.5  # longer than a long task on a slow worker takes for one percent
 SUSPECT_TIME_S = 5.0  # for which a worker is avoided after a task was stalled or slow on it
 SLOW_TIME_S = 1.5  # for which a worker is avoided after its tasks were slow
+PLACING_TIME_S = 0.5  # from the end of a task that is moved until it is placed again
+MAX_MOVES = 40  # away from slow workers that are considered in one turn
 GANG_TIMEOUT_S = 1.5  # for an incomplete gang; workers themselves wait at least 3 s
 # A worker is slow if its tasks take this many times as long as their siblings elsewhere.
 SLOW_RATIO = 2.5
@@ -63,28 +67,34 @@
 def _leave_slow_workers(cell: Cell, now: Now) -> None:
     """Avoid slow workers, and move the tasks that end sooner elsewhere."""
     workers = [it for it in cell.workers.values() if it.reached and not it.silent]
-    for worker in workers:
-        update_rates(worker)
-    rates = group_rates(workers)
-    slow = [found for it in workers if (found := find_slow_worker(cell, rates, it)) is not None]
-    others = list_eligible(cell, now) if slow else []
+    # Only a new report may change what is known of a worker; to judge all of them in each turn
+    # would take much of an owner's time.
+    reported = [worker for worker in workers if update_rates(worker)]
+    rates = StepRates(cell)
+    slow = [found for it in reported if (found := find_slow_worker(cell, rates, it)) is not None]
     for found in slow:
         if found.worker.slow_until <= now.steady:
             cell.unlogged_slow_workers.append(found)
         found.worker.slow_until = now.steady + SLOW_TIME_S
-    for found in slow:
-        for run in found.runs:
-            if _gains_by_move(cell, found, run) and _has_other_worker(others, run, now):
-                cell.moved_tasks.add(run.task)
-                _relocate(cell, run, "slow")
+    others = list_eligible(cell, now) if slow else []
+    for run in islice(_list_gaining(cell, slow), MAX_MOVES):
+        target = _find_other_worker(others, run, now)
+        if target is not None:
+            _claim_room(cell, target, now)
+            cell.moved_tasks.add(run.task)
+            _relocate(cell, run, "slow")
+
+
+def _list_gaining(cell: Cell, slow: Iterable[SlowWorker]) -> Iterator[Run]:
+    return (run for found in slow for run in found.runs if _gains_by_move(cell, found, run))
 
 
 def _gains_by_move(cell: Cell, slow: SlowWorker, run: Run) -> bool:
     """Return whether a task would end sooner if it were moved off a slow worker."""
     if run.task in cell.moved_tasks:
         return False
-    left = (100 - run.percent) / run.rate
-    work = left if run.step.checkpoints else 100 / run.rate
+    left = (100 - run.percent) / run.max_rate
+    work = left if run.step.checkpoints else 100 / run.max_rate
     return left > work / slow.factor + cell.stop_time + cell.restore_time + MOVE_OVERHEAD_S
 
 
@@ -211,16 +221,39 @@
     ]
 
 
+def _claim_room(cell: Cell, worker: Worker, now: Now) -> None:
+    """
+    Claim room for a task that moves to a worker, until it has stopped and is placed.
+
+    Otherwise more tasks than fit would leave in the meantime, lose their work and come back.
+    """
+    worker.claimed_until = [until for until in worker.claimed_until if until > now.steady]
+    worker.claimed_until.append(now.steady + cell.stop_time + PLACING_TIME_S)
+
+
 def _has_other_worker(eligible: list[Worker], run: Run, now: Now) -> bool:
     """Return whether another worker that isn't suspect has room for a task."""
+    return _find_other_worker(eligible, run, now) is not None
+
+
+def _find_other_worker(eligible: list[Worker], run: Run, now: Now) -> Worker | None:
+    """Return another worker that isn't suspect and has room for a task, None if there is none."""
     group = Group(run.task.job, run.task.occurrence, run.task.step)
-    return any(
-        worker.entry.id != run.worker
+    found = (
+        worker
+        for worker in eligible
+        if worker.entry.id != run.worker
         and max(worker.suspect_until, worker.slow_until) <= now.steady
         and has_room(worker, run.step)
         and meets_constraints(worker, group, run.step)
-        for worker in eligible
+        and _has_unclaimed_room(worker, run, now)
     )
+    return next(found, None)
+
+
+def _has_unclaimed_room(worker: Worker, run: Run, now: Now) -> bool:
+    claims = sum(until > now.steady for until in worker.claimed_until)
+    return not claims or count_fitting_tasks(worker, run.step) > claims
 
 
 def _has_usable_progress(run: Run) -> bool:
--- a/toucanpin/scheduling/tests/test_worker_speed.py
+++ b/toucanpin/scheduling/tests/test_worker_speed.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 import msgspec
 
+from toucanpin.scheduling.cell import Now
 from toucanpin.scheduling.durations import Fit
 from toucanpin.scheduling.features import Features
 from toucanpin.scheduling.interference_model import InterferenceModel, LearnedModel
 from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.moving import move_tasks
+from toucanpin.scheduling.orders import RunEnd
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.task_times import TaskTimes, record_task_time
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
-from toucanpin.scheduling.worker_speed import find_slow_worker, group_rates, update_rates
+from toucanpin.scheduling.worker_speed import StepRates, find_slow_worker, update_rates
 
 TASK_TIME_S = 1.0
 SLOWDOWN = 7.0
@@ -107,12 +111,95 @@
                 run.measure = 400.0
                 run.percent += 12
                 run.last_listed_at += 0.6
+            known.clock += 600
+            known.answered_at += 0.6
             update_rates(known)
-        rates = group_rates(cell.workers.values())
+        rates = StepRates(cell)
         found = [find_slow_worker(cell, rates, it) for it in cell.workers.values()]
-        self.assertTrue(any(rates.values()))
+        rates_known = [
+            run.rate_accurate for it in cell.workers.values() for run in it.runs.values()
+        ]
+        self.assertEqual([True] * 8, rates_known)
         self.assertEqual([None] * len(found), found)
 
+    def test_long_tasks_do_not_make_a_worker_slow(self) -> None:
+        """Guards against tasks of minutes that seem to stand still between two reports."""
+        self._learn()
+        for worker in self.fleet.workers.values():
+            worker.duration = 200.0
+        for number in range(16):
+            step = Step(cpu=1_000, estimate=200_000)
+            self.fleet.submit(make_job(f"long{number:02}", (step,)))
+        self.fleet.run(15.0)
+        self.assertFalse(any(it.slow_until for it in self.fleet.cell.workers.values()))
+
+    def test_report_that_is_read_late_makes_no_worker_slow(self) -> None:
+        """Guards against moving all tasks once an owner has stood still for seconds."""
+        self._learn()
+        for worker in self.fleet.workers.values():
+            worker.duration = 10 * TASK_TIME_S
+        step = Step(cpu=1_000, estimate=10_000)
+        for number in range(12):
+            self.fleet.submit(make_job(f"long{number:02}", (step,)))
+        self.fleet.run(0.8)
+        cell = self.fleet.cell
+        for known in cell.workers.values():
+            known.clock += 700
+            for run in known.runs.values():
+                run.percent += 7
+                run.last_listed_at = run.progressed_at = self.fleet.time + 5.0
+            known.answered_at += 5.0
+        move_tasks(cell, Now(self.fleet.time + 5.0, 0, 0))
+        self.assertFalse(any(it.slow_until for it in cell.workers.values()))
+
+    def test_no_more_tasks_leave_than_fit_elsewhere(self) -> None:
+        """Guards against tasks that lose their work and wait, since room counted for each alone."""
+        self._learn()
+        for worker in self.fleet.workers.values():
+            worker.duration = 10 * TASK_TIME_S
+        self.fleet.workers["w0"].duration = 10 * SLOWDOWN * TASK_TIME_S
+        step = Step(cpu=1_000, estimate=10_000)
+        for number in range(15):
+            self.fleet.submit(make_job(f"long{number:02}", (step,)))
+        self.fleet.run(0.3)
+        if len(self.fleet.workers["w0"].runs) < 4:  # the free slot has to be elsewhere
+            self.fleet.submit(make_job("last", (step,)))
+            self.fleet.run(0.1)
+            other = self.fleet.workers["w1"]
+            other.end(next(iter(other.runs)), RunEnd.DONE)
+        self.fleet.run(3.0)
+        self.assertEqual(1, len(self.fleet.cell.moved_tasks))
+
+    def test_worker_is_judged_by_new_reports_only(self) -> None:
+        """Guards against the cost of judging hundreds of workers in each turn."""
+        self._learn()
+        self._fill_slow_worker(SLOWDOWN)
+        self.fleet.run(0.5)
+        cell, now = self.fleet.cell, self.fleet.now()
+        move_tasks(cell, now)
+        with patch("toucanpin.scheduling.moving.find_slow_worker") as judge:
+            move_tasks(cell, now)
+        judge.assert_not_called()
+
+    def test_few_siblings_of_a_wide_step_are_compared(self) -> None:
+        """Guards against a cost that grows with the square of a step's width."""
+        fleet = Fleet(workers=30)
+        fleet.submit(make_job(steps=(Step(count=120, cpu=1_000),)))
+        for worker in fleet.workers.values():
+            worker.duration = 5.0
+        fleet.run(1.0)
+        for worker in fleet.cell.workers.values():
+            update_rates(worker)
+            for run in worker.runs.values():
+                run.percent += 20
+                run.last_listed_at += 1.0
+            worker.clock += 1_000
+            worker.answered_at += 1.0
+            update_rates(worker)
+        rates = StepRates(fleet.cell)
+        for run in fleet.cell.runs["j1"]:
+            self.assertIn(len(rates.list_others(run)), range(30, 41))
+
     def test_without_the_feature_a_lone_task_stays(self) -> None:
         """Guards against changed decisions in a deployment that calls for no profiles."""
         self.fleet.cell.features = Features()
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -77,8 +77,10 @@
     untimed: bool = False
     priority: int = 0  # of its job
     suspicion: CrashSuspicion = CrashSuspicion.NONE
-    rate: float = 0.0  # recent progress in percent per s, 0 if unknown
-    sampled_at: float = 0.0  # when the progress was ``sampled_percent``
+    rate: float = 0.0  # recent progress in percent per s
+    max_rate: float = 0.0  # upper bound of the rate, 0 if unknown
+    rate_accurate: bool = False  # measured over some percent of progress
+    sampled_at: int = 0  # on the worker's clock in ms, when the progress was ``sampled_percent``
     sampled_percent: int = 0
     born: int = 0  # incarnation of the worker on which it was placed, 0 if unknown
 
@@ -115,6 +117,8 @@
     lists_ends: bool = False  # its latest answer listed ends, acknowledged or not
     suspect_until: float = 0.0  # avoided for new tasks after failures
     slow_until: float = 0.0  # avoided for new tasks, as it runs all tasks slowly
+    claimed_until: list[float] = field(default_factory=list)  # room, by tasks that move here
+    rates_updated_at: float = 0.0  # the time of the answer that the rates of its tasks are from
     full_until: float = 0.0  # it had less capacity than its owner assumed
     reserved_until: float = 0.0  # reserved for tasks of ``reserved_priority`` after preemption
     reserved_priority: int = 0
