--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -86,11 +86,12 @@
 
 
 def forget_crashes(cell: Cell) -> None:
-    """Discard the losses of tasks of forgotten jobs."""
-    for worker, tasks in list(cell.suspects.items()):
-        tasks -= {task for task in tasks if task.job not in cell.jobs}
+    """Discard the losses of tasks of forgotten jobs, and those that no longer count."""
+    for lost, tasks in list(cell.suspects.items()):
+        # A long-running job is never forgotten, and each restart of its workers has a new name.
+        tasks -= {task for task in tasks if not _counts_loss(cell, task, lost)}
         if not tasks:
-            del cell.suspects[worker]
+            del cell.suspects[lost]
 
 
 def is_start_blocked(cell: Cell, live: LiveJob, task: TaskKey) -> bool:
@@ -175,6 +176,13 @@
             mark_dirty(cell, live)
 
 
+def _counts_loss(cell: Cell, task: TaskKey, lost: str) -> bool:
+    """Return whether a loss still counts against a task."""
+    live = cell.jobs.get(task.job)
+    record = find_record(live, task) if live else None
+    return record is not None and lost in record.crashed
+
+
 def _name_incarnation(worker: str, born: int) -> str:
     """Return the name under which the loss of an incarnation of a worker is counted."""
     return f"{worker}/{born}" if born else worker
--- a/toucanpin/scheduling/tests/test_incarnations.py
+++ b/toucanpin/scheduling/tests/test_incarnations.py
@@ -9,7 +9,7 @@
 from toucanpin.scheduling.advising import Advice, AdviceRequest, find_ticket, record_advice
 from toucanpin.scheduling.cell import Group, StepTickets
 from toucanpin.scheduling.incarnations import admit_answer, begin_incarnation
-from toucanpin.scheduling.intake import cancel_job
+from toucanpin.scheduling.intake import cancel_job, forget_ended
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.leases import update_workers
 from toucanpin.scheduling.progress import (
@@ -405,6 +405,18 @@
         self.assertEqual({f"w0/{FIRST_BORN}": False}, record.crashed)
         self.assertEqual(1, len(core.runs))
 
+    def test_losses_of_a_lasting_task_are_forgotten(self) -> None:
+        """Guards against memory that grows with each restart of a worker."""
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].duration = 60.0
+        fleet.submit(make_job(steps=(LASTING,)))
+        fleet.run(0.5)
+        for _ in range(3):
+            fleet.restart("w0")
+            fleet.run(6.0)
+            forget_ended(fleet.cell, fleet.now(), 60.0)
+        self.assertEqual({}, fleet.cell.suspects)
+
     def test_answer_of_the_same_incarnation_clears_its_loss(self) -> None:
         """Guards against counting a worker that was only cut off for longer than its lease."""
         fleet = Fleet(workers=1)
--- a/toucanpin/scheduling/tests/test_worker_speed.py
+++ b/toucanpin/scheduling/tests/test_worker_speed.py
@@ -10,6 +10,7 @@
 from toucanpin.scheduling.cell import Now
 from toucanpin.scheduling.durations import Fit
 from toucanpin.scheduling.features import Features
+from toucanpin.scheduling.intake import forget_ended
 from toucanpin.scheduling.interference_model import InterferenceModel, LearnedModel
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.moving import move_tasks
@@ -63,6 +64,16 @@
             self.assertEqual(JobState.COMPLETED, self.fleet.state(job))
         self.assertFalse(self.fleet.duplicate_runs)
 
+    def test_moves_are_forgotten_with_their_jobs(self) -> None:
+        """Guards against memory that grows with each task that is moved."""
+        self._learn()
+        self._fill_slow_worker(SLOWDOWN)
+        self.fleet.run(3.5)
+        self.assertTrue(self.fleet.cell.moved_tasks)
+        self.fleet.run(60.0)
+        forget_ended(self.fleet.cell, self.fleet.now(), 10.0)
+        self.assertFalse(self.fleet.cell.moved_tasks)
+
     def test_slow_worker_gets_no_new_tasks(self) -> None:
         """Guards against new jobs that are placed on a worker known to be slow."""
         self._learn()
@@ -185,8 +196,8 @@
         """Guards against a cost that grows with the square of a step's width."""
         fleet = Fleet(workers=30)
         fleet.submit(make_job(steps=(Step(count=120, cpu=1_000),)))
-        for worker in fleet.workers.values():
-            worker.duration = 5.0
+        for core in fleet.workers.values():
+            core.duration = 5.0
         fleet.run(1.0)
         for worker in fleet.cell.workers.values():
             update_rates(worker)
