Leave tasks that take long anywhere on their workers

Cause, found by review: with worker profiles the search for slow tasks by their siblings still ran, with those that had ended. So the last tasks of a step, which take long anywhere, were moved and lost their work. Besides, long tasks stay while others end, so among the running ones they are six times as frequent as among all; two that were left over made their worker slow.

Change: with worker profiles only the odds of the worker decide; they count the long tasks by their share of the running ones.

Result: two tests, which failed before.

--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -41,8 +41,8 @@
 
 def move_tasks(cell: Cell, now: Now) -> None:
     """Stop or copy the tasks that should run on another worker."""
-    durations = {} if cell.features.worker_profiles else _list_durations(cell)
-    others: list[Worker] | None = None
+    profiles = cell.features.worker_profiles
+    durations = {} if profiles else _list_durations(cell)
     complete: dict[tuple[Group, int], bool] = {}
     for worker in cell.workers.values():
         if not worker.reached or worker.silent:
@@ -53,15 +53,21 @@
                 _check_run(cell, worker, run, complete, now)
             elif run.step.gang and run.phase is Phase.ORDERED:
                 _stop_incomplete_gang(cell, run, now)
-        for run in _find_slow(cell, durations, worker):
-            others = list_eligible(cell, now) if others is None else others
-            if not _has_other_worker(others, run, now):
-                continue
+        if not profiles:
+            _move_slow_tasks(cell, durations, worker, now)
+    if profiles:
+        _leave_slow_workers(cell, now)
+
+
+def _move_slow_tasks(cell: Cell, durations: StepDurations, worker: Worker, now: Now) -> None:
+    """Move the tasks of a worker that are slower than their siblings elsewhere."""
+    slow = _find_slow(cell, durations, worker)
+    others = list_eligible(cell, now) if slow else []
+    for run in slow:
+        if _has_other_worker(others, run, now):
             worker.suspect_until = now.steady + SUSPECT_TIME_S
             cell.moved_tasks.add(run.task)
             _relocate(cell, run, "slow")
-    if cell.features.worker_profiles:
-        _leave_slow_workers(cell, now)
 
 
 def _leave_slow_workers(cell: Cell, now: Now) -> None:
--- a/toucanpin/scheduling/tests/test_worker_speed.py
+++ b/toucanpin/scheduling/tests/test_worker_speed.py
@@ -95,6 +95,35 @@
         self.fleet.run(3.0)
         self.assertIn(task, worker.runs)
 
+    def test_two_long_tasks_left_over_say_nothing_of_their_worker(self) -> None:
+        """
+        Tasks that take long anywhere stay while their neighbours end.  Guards against avoiding a
+        worker, and losing their work, once two of them are left on it.
+        """
+        self._learn()
+        self._submit(12)
+        self.fleet.run(0.1)
+        worker = next(it for it in self.fleet.workers.values() if len(it.runs) > 2)
+        tasks = sorted(worker.runs)[:2]
+        for task in tasks:
+            worker.runs[task].duration = SLOWDOWN * TASK_TIME_S
+        self.fleet.run(4.0)
+        self.assertEqual(tasks, sorted(worker.runs))
+
+    def test_last_task_of_a_step_stays(self) -> None:
+        """
+        All siblings of a task that takes long anywhere have ended.  Guards against comparing it
+        with them alone, which would move it and lose its work.
+        """
+        self._learn()
+        self._submit(1, width=10)
+        self.fleet.run(0.1)
+        worker = next(it for it in self.fleet.workers.values() if it.runs)
+        task = next(iter(worker.runs))
+        worker.runs[task].duration = 6 * SLOWDOWN * TASK_TIME_S
+        self.fleet.run(5.0)
+        self.assertIn(task, worker.runs)
+
     def test_quick_tasks_do_not_make_a_worker_slow(self) -> None:
         """Guards against avoiding a worker whose tasks take a tenth of the usual time."""
         for worker in self.fleet.workers.values():
--- a/toucanpin/scheduling/worker_speed.py
+++ b/toucanpin/scheduling/worker_speed.py
@@ -173,11 +173,17 @@
     slow = _density(log_ratio, SLOW_LOG_RATIO, math.hypot(sample.deviation, SLOW_DEVIATION))
     usual = _density(log_ratio, 0.0, sample.deviation)
     tail = _density(log_ratio, TAIL_LOG_RATIO, math.hypot(sample.deviation, TAIL_DEVIATION))
-    share = sample.tail_share
+    share = _share_of_running(sample.tail_share)
     return math.log((1 - share) * slow + share * tail + 1e-12) - math.log(
         (1 - share) * usual + share * tail + 1e-12
     )
 
 
+def _share_of_running(tail_share: float) -> float:
+    """Return the share of tail tasks among those that run, where they stay longer than others."""
+    weight = tail_share * math.exp(TAIL_LOG_RATIO)
+    return weight / (1 - tail_share + weight)
+
+
 def _density(value: float, mean: float, deviation: float) -> float:
     return math.exp(-(((value - mean) / deviation) ** 2) / 2) / deviation
