Count the run of a late start to the incarnation that lists it

Cause, found by review: a run that was taken over kept the number of the incarnation on which it was placed, though the next one listed it. If that one was only cut off, its loss counted as a certain crash, and enough of them fail the job.

Change: a run belongs to the incarnation that lists it. Two older tests use the new set-up of the tests for late starts.

--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -240,6 +240,7 @@
     record = find_record(live, run.task) if live else None
     if run.phase is Phase.UNKNOWN or run.phase is Phase.ORDERED:
         run.phase = Phase.RUNNING
+        run.born = worker.born or run.born  # a late start of the earlier incarnation may be listed
         run.started_at = run.progressed_at = now.steady
         run.start_unconfirmed = False
         run.untimed = run.untimed or running.percent > 0
--- a/toucanpin/scheduling/tests/test_incarnations.py
+++ b/toucanpin/scheduling/tests/test_incarnations.py
@@ -83,6 +83,24 @@
         self.fleet.run(0.5)
         self.assertEqual(0, self.fleet.workers["w0"].acknowledged)
 
+    def _leave_start_unanswered(self) -> tuple[Fleet, Run]:
+        """Return a fleet of two workers, of which one has left a start unanswered, and the run."""
+        fleet = Fleet(workers=2)
+        for core in fleet.workers.values():
+            core.duration = 60.0
+            core.delays_orders = True
+        fleet.submit(make_job(steps=(LASTING,)))
+        fleet.run(1.0)
+        (run,) = fleet.cell.runs["j1"]
+        for core in fleet.workers.values():
+            core.delays_orders = False
+        return fleet, run
+
+    def _assert_runs_once(self, fleet: Fleet) -> None:
+        fleet.run(10.0)
+        self.assertFalse(fleet.duplicate_runs)
+        self.assertEqual(1, sum(len(core.runs) for core in fleet.workers.values()))
+
     def test_late_start_does_not_run_beside_its_successor(self) -> None:
         """
         A worker leaves a start unanswered and restarts; its next incarnation carries the start out
@@ -108,62 +126,24 @@
         The next incarnation leaves the stop of a late start unanswered for 5 s.  Guards against
         starting the task elsewhere before.
         """
-        fleet = Fleet(workers=2)
-        for core in fleet.workers.values():
-            core.duration = 60.0
-            core.delays_orders = True
-        fleet.submit(make_job(steps=(LASTING,)))
-        fleet.run(1.0)
-        (run,) = fleet.cell.runs["j1"]
-        for core in fleet.workers.values():
-            core.delays_orders = False
+        fleet, run = self._leave_start_unanswered()
         fleet.restart(run.worker, cpu=500).delays_orders = True
         fleet.run(5.5)
         fleet.workers[run.worker].delays_orders = False
-        fleet.run(4.0)
-        self.assertFalse(fleet.duplicate_runs)
-        self.assertEqual(1, sum(len(core.runs) for core in fleet.workers.values()))
+        self._assert_runs_once(fleet)
 
     def test_late_start_of_an_ended_run_is_stopped(self) -> None:
         """
         The earlier incarnation acknowledged the stop of an unanswered start, so the task runs
         elsewhere.  Guards against the next incarnation, which knows of no stop, starting it too.
         """
-        fleet = Fleet(workers=2)
-        for core in fleet.workers.values():
-            core.duration = 60.0
-            core.delays_orders = True
-        fleet.submit(make_job(steps=(LASTING,)))
-        fleet.run(1.0)
-        (run,) = fleet.cell.runs["j1"]
-        for core in fleet.workers.values():
-            core.delays_orders = False
+        fleet, run = self._leave_start_unanswered()
         stop_run(fleet.cell, run, "moved")
         fleet.cell.workers[run.worker].full_until = fleet.time + 60.0
         fleet.run(2.0)
         self.assertFalse(fleet.workers[run.worker].runs)
         fleet.restart(run.worker)
-        fleet.run(8.0)
-        self.assertFalse(fleet.duplicate_runs)
-        self.assertEqual(1, sum(len(core.runs) for core in fleet.workers.values()))
-
-    def _leave_start_unanswered(self) -> tuple[Fleet, Run]:
-        """Return a fleet of two workers, of which one has left a start unanswered, and the run."""
-        fleet = Fleet(workers=2)
-        for core in fleet.workers.values():
-            core.duration = 60.0
-            core.delays_orders = True
-        fleet.submit(make_job(steps=(LASTING,)))
-        fleet.run(1.0)
-        (run,) = fleet.cell.runs["j1"]
-        for core in fleet.workers.values():
-            core.delays_orders = False
-        return fleet, run
-
-    def _assert_runs_once(self, fleet: Fleet) -> None:
-        fleet.run(10.0)
-        self.assertFalse(fleet.duplicate_runs)
-        self.assertEqual(1, sum(len(core.runs) for core in fleet.workers.values()))
+        self._assert_runs_once(fleet)
 
     def test_start_in_flight_of_a_stopped_run_is_stopped(self) -> None:
         """
@@ -405,6 +385,26 @@
         self.assertEqual({f"w0/{FIRST_BORN}": False}, record.crashed)
         self.assertEqual(1, len(core.runs))
 
+    def test_late_start_makes_a_run_one_of_the_next_incarnation(self) -> None:
+        """
+        The start of an earlier owner is carried out by a worker's next incarnation, which is cut
+        off later.  Guards against counting that as the certain crash of an incarnation.
+        """
+        fleet = Fleet(workers=1)
+        fleet.workers["w0"].duration = 60.0
+        fleet.submit(make_job(steps=(LASTING,)))
+        fleet.run(0.5)
+        ((task, attempt),) = fleet.workers["w0"].starts
+        fleet.replace_owner()
+        core = fleet.restart("w0")
+        core.start(task, attempt, 10_000, 1, 1.0)
+        fleet.run(0.5)
+        self.assertTrue(core.runs)
+        core.silent = True
+        fleet.run(12.0)
+        (record,) = fleet.cell.jobs["j1"].progress.tasks[0]
+        self.assertEqual([f"w0/{FIRST_BORN + 1}"], list(record.crashed))
+
     def test_losses_of_a_lasting_task_are_forgotten(self) -> None:
         """Guards against memory that grows with each restart of a worker."""
         fleet = Fleet(workers=1)
