Apply an unanswered pace to its own attempt only

Cause, found by review: the failure of a pace in flight was recorded on whatever run the task had by then. A new attempt, at work at full speed, counted as paused, so it was never slowed down though it harmed latency-critical tasks.

Change: the attempt of the order has to be that of the run.

Result: one test, which failed before.

--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -355,7 +355,7 @@
         except (CallError, PlatformError):
             worker = self._cell.workers.get(order.worker)
             run = worker.runs.get(order.task) if worker else None
-            if run is not None:
+            if run is not None and run.attempt == order.attempt:
                 run.paced_at = 0.0
                 run.pace = -1
 
--- a/toucanpin/entry/tests/test_cell_workers.py
+++ b/toucanpin/entry/tests/test_cell_workers.py
@@ -12,9 +12,10 @@
 from toucanpin.platform.store import Store
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.interference_model import InterferenceModel
+from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.load_shedding import ProcessDelay
-from toucanpin.scheduling.orders import WorkerEntry
-from toucanpin.scheduling.worker import Worker
+from toucanpin.scheduling.orders import PaceOrder, WorkerEntry
+from toucanpin.scheduling.worker import Phase, Run, Worker
 from toucanpin.verdict import Verdict
 
 
@@ -91,6 +92,28 @@
         self.assertTrue(worker.silent)
 
 
+class UnansweredPaceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_unanswered_pace_of_an_earlier_attempt_changes_nothing(self) -> None:
+        """
+        A task starts anew while the pace of its earlier attempt is in flight, and no answer comes.
+        Guards against taking the new attempt, which works at full speed, for a paused one.
+        """
+        clocks = Clocks(Store(Site().store))  # type: ignore[arg-type]
+        cell = Cell("c", 1, 0.0, 0.0)
+        workers = CellWorkers(
+            cell, InterferenceModel(), clocks, ProcessDelay(), lambda _: None, _do_nothing
+        )
+        worker = Worker(WorkerEntry("w", "c", "127.0.0.1:1", "dc", True, 1, 1, 0))
+        cell.workers["w"] = worker
+        workers._clients["w"] = _SilentWorkerClient()  # type: ignore[assignment]
+        task = TaskKey("j", 0, 0, 0)
+        run = Run(task, 2, "w", Step(cpu=1, best_effort=True), Phase.RUNNING)
+        worker.runs[task] = run
+        for attempt, pace in ((1, 100), (2, -1)):
+            await workers.order(PaceOrder("w", task, attempt, 30))
+            self.assertEqual(pace, run.pace)
+
+
 class _SilentWorkerClient:
     """Worker that never answers."""
 
@@ -101,6 +124,9 @@
         self.polls += 1
         raise CallError(Verdict.MAY_HAVE_RUN, "no answer")
 
+    async def pace(self, *_: object) -> None:
+        raise CallError(Verdict.MAY_HAVE_RUN, "no answer")
+
 
 def _do_nothing() -> None:
     """Do nothing."""
