--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -17,6 +17,7 @@
     end_lost_runs,
     is_earlier,
     record_lost_run,
+    stop_late_starts,
 )
 from toucanpin.scheduling.orders import PollAnswer, PollOrder, RunningTask, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
@@ -76,6 +77,7 @@
                 first_listed_at=now.steady,
             )
             cell.workers[entry.id] = worker
+            stop_late_starts(cell, worker, now)
             added.append(worker)
         elif _is_outdated(worker, entry):
             continue
@@ -238,6 +240,7 @@
     record = find_record(live, run.task) if live else None
     if run.phase is Phase.UNKNOWN or run.phase is Phase.ORDERED:
         run.phase = Phase.RUNNING
+        run.born = worker.born or run.born  # a late start of the earlier incarnation may be listed
         run.started_at = run.progressed_at = now.steady
         run.start_unconfirmed = False
         run.untimed = run.untimed or running.percent > 0
