Let a host that can't reach the table prove its refusal through a peer in a test

Cause: the test expected 504 of a host whose own calls the table turns away; since calls go through peers sooner, it writes the refusal there within the deadline, and 503 is true. Change: the test turns all hosts away, and checks that no refusal is stored; a second one expects 503 with the row stored where only one host is turned away.

--- a/toucanpin/entry/tests/test_admission.py
+++ b/toucanpin/entry/tests/test_admission.py
@@ -97,9 +97,19 @@
     async def test_unanswered_refusal_is_not_claimed(self) -> None:
         """Guards against a refusal that nothing proves, as the table doesn't answer."""
         self._set_full(True, 0)
-        self.site.faults[0].status = 503
+        for faults in self.site.faults:
+            faults.status = 503
         answer = await self.site.submit(host=0, deadline=600, estimateMs=ESTIMATE_MS)
         self.assertEqual(504, answer.status)
+        self.assertFalse(self._has_row(REFUSALS_TABLE))
+
+    async def test_refusal_is_written_through_a_peer(self) -> None:
+        """Guards against a refusal that isn't in the table, by a host that can't reach it."""
+        self._set_full(True, 0)
+        self.site.faults[0].status = 503
+        answer = await self.site.submit(host=0, estimateMs=ESTIMATE_MS)
+        self.assertEqual(503, answer.status)
+        self.assertTrue(self._has_row(REFUSALS_TABLE))
 
     async def test_owner_publishes_its_forecast(self) -> None:
         """Guards against hosts that know no forecast, so that nobody is ever refused."""
