Count a takeover whose second copy conflicts with its first

Cause: calls in flight are repeated after an outage. The second copy of a takeover finds the row changed by the first one, and the host took that for another owner: it waited for the timeout (1.3 s and more) of a row that names itself, and the cell had no owner meanwhile. The owner's commits and the other conditional writes already recognize their own rows. Change: a conflict whose row is exactly the written record counts as taken.

--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -26,7 +26,7 @@
 from toucanpin.entry.tables import HANDOVERS_TABLE, OWNER_KEY, OWNERS_TABLE
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
-from toucanpin.platform.store import Committed, ExpectedVersion, Put, Row, Store
+from toucanpin.platform.store import Committed, Conflict, ExpectedVersion, Put, Row, Store
 from toucanpin.scheduling.evacuating import EvacuationList
 from toucanpin.scheduling.forecast import KnownForecast
 from toucanpin.scheduling.ownership import (
@@ -230,7 +230,8 @@
         put = (Put(OWNERS_TABLE, OWNER_KEY, encode_owner(record)),)
         sent_at = steady_time()
         result = await self._store.transact(self._cell, expected, put)
-        if not isinstance(result, Committed):
+        version = self._find_taken_version(result, record)
+        if not version:
             return
         _log.info(
             "ownership of the cell taken",
@@ -246,7 +247,7 @@
             self._settings,
             self._cell,
             record,
-            result.version,
+            version,
             sent_at,
             previous is None,
             watch.changed_at if previous is not None else sent_at,
@@ -269,6 +270,18 @@
         if not self._resigning:
             await asyncio.sleep(BACKOFF_S)
 
+    def _find_taken_version(self, result: Committed | Conflict, record: OwnerRecord) -> int:
+        """
+        Return the version of this host's own ``record``, 0 if another process has the cell.
+
+        A write is repeated after an outage, and its second copy conflicts with the first one.  A
+        host that left it at that would wait for the timeout of an owner that is itself.
+        """
+        if isinstance(result, Committed):
+            return result.version
+        rows = (row for row in result.rows if row.version)
+        return next((row.version for row in rows if _read_owner(row, self._reader) == record), 0)
+
 
 def _read_owner(row: Row, reader: RowReader) -> OwnerRecord:
     """
