Don't take a late refusal of the store for an answer

Cause: a refusal set the time of the latest answer, which disproves an outage for calls that were sent 0.1 s or more before. A refusal that took longer than that disproved itself: the host went on to call directly first, and each call waited for its refusal. It also lowered the recent answer time. Change: only answers that are no refusals count.

--- a/toucanpin/entry/relayed_store.py
+++ b/toucanpin/entry/relayed_store.py
@@ -81,7 +81,7 @@
         self._failed_until: dict[str, float] = {}
         self._backoff_until = 0.0
         self._answer_time = 0.0  # longest recent time to a direct answer
-        self._answered_at = 0.0  # time of the latest direct answer
+        self._answered_at = 0.0  # time of the latest direct answer that was no refusal
         self._route_changes: set[asyncio.Future[None]] = set()  # one of each call in flight
         self._silent = False  # whether the store has left a direct call without an answer
         self.direct_works = True
@@ -207,9 +207,10 @@
         answer = await self._direct.call(
             method, path, body, timeout=timeout, total_timeout=MAX_TRANSFER_TIME_S
         )
-        self._answered_at = time.monotonic()
-        if not is_watch:
-            self._record_answer_time(self._answered_at - sent_at)
+        if not _is_refusal(answer):
+            self._answered_at = time.monotonic()
+            if not is_watch:
+                self._record_answer_time(self._answered_at - sent_at)
         return answer
 
     def _limit_write(self) -> float:
--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -11,7 +11,7 @@
 from standins.site.store import SiteStore, StoreFaults
 from toucanpin.entry.peers import Peer, Peers
 from toucanpin.entry.relay import RelayServer
-from toucanpin.entry.relayed_store import RelayedStore
+from toucanpin.entry.relayed_store import MIN_ANSWER_GAP_S, RelayedStore
 from toucanpin.http import Answer, CallError, Client, Server
 from toucanpin.platform.store import Committed, ExpectedVersion, Put, Store
 from toucanpin.scheduling.settings import Bounds, HostSettings
@@ -167,6 +167,27 @@
             await asyncio.sleep(0.05)
         self.assertTrue(relayed.direct_works)
 
+    async def test_a_late_refusal_is_a_sign_of_an_outage(self) -> None:
+        """
+        The store refuses a host, each time after a moment.  Guards against taking a refusal for an
+        answer: each call waited for its refusal before it went through a peer.
+        """
+
+        async def refuse_late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(2 * MIN_ANSWER_GAP_S)
+            writer.write(b"HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+
+        server = await asyncio.start_server(refuse_late, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        relayed = RelayedStore(Client(f"127.0.0.1:{port}"), "h0")
+        relayed.use_peers(self.stores[0][2])
+        await relayed.call("GET", "/rows-get?table=t")
+        self.assertFalse(relayed.direct_works)
+
     async def test_direct_calls_resume_on_a_slow_link_with_a_large_document(self) -> None:
         """
         The store refuses a host for a moment, and the host probes it every 0.5 s with a timeout of
