Reserve for large tasks after a wide step used up the searches

Cause: the searches for a worker to reserve are limited in each round, and a step that already runs on all workers and waits for more uses them up. It does so in every round, so no large task behind it got a worker, and small tasks took each core that came free. Change: the limit holds for steps with a limit per worker only; for others the first worker of the heap is the result.

--- a/toucanpin/scheduling/large_tasks.py
+++ b/toucanpin/scheduling/large_tasks.py
@@ -68,7 +68,8 @@
         heap = self._get_heap(step)
         excluded: list[tuple[int, int, Worker]] = []
         found = None
-        while heap and found is None and self._searches_left > 0:
+        # Only a limit per worker can exclude a worker of the heap, so other steps find one at once.
+        while heap and found is None and (self._searches_left > 0 or not step.per_worker):
             free_cores, number, worker = heapq.heappop(heap)
             if worker.entry.id in self._reserved:
                 continue
--- a/toucanpin/scheduling/tests/test_large_tasks.py
+++ b/toucanpin/scheduling/tests/test_large_tasks.py
@@ -4,8 +4,11 @@
 
 import unittest
 
+from toucanpin.scheduling.cell import Group
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.worker import Phase, Run, Worker
 
 
 class LargeTaskTest(unittest.TestCase):
@@ -24,6 +27,26 @@
         started = {task for worker in fleet.workers.values() for task, _ in worker.starts}
         self.assertIn(TaskKey("large", 0, 0, 0), started)
 
+    def test_large_task_gets_a_worker_after_a_wide_step_found_none(self) -> None:
+        """
+        Guards against a wide step that runs on all workers, still waits for more, and uses up the
+        searches of the round: no worker was reserved for a large task of another job.
+        """
+        fleet = Fleet(workers=0)
+        cell = fleet.cell
+        wide = Step(count=20, cpu=100, per_worker=1)
+        for number in range(10):
+            entry = fleet.add_worker(f"w{number}").entry
+            worker = cell.workers[entry.id] = Worker(entry, cpu=wide.cpu)
+            task = TaskKey("wide", 0, 0, number)
+            worker.runs[task] = Run(task, 0, entry.id, wide, Phase.RUNNING)
+        reservation = LargeTaskReservation(cell, list(cell.workers.values()))
+        for name, step in (("wide", wide), ("large", Step(cpu=4_000))):
+            group = Group(name, 0, 0)
+            cell.waiting[group] = {step.count - 1}
+            reservation.reserve_for(group, step)
+        self.assertEqual(9, len(reservation.eligible))
+
 
 if __name__ == "__main__":
     unittest.main()
