Share a best-effort shortage by memory and accelerators too

Cause: a best-effort step that no worker had the memory or the accelerators for was recorded by its cores alone. The record kept all steps with its image and as many cores waiting until the end of the period, and the same step was the first to be tried in the next one: the others waited for as long as it did, on idle workers (LOST). Change: the record holds the memory and accelerators of the step. Result: test_smaller_best_effort_step_is_placed_after_a_larger_one_fails failed before the mend (0.5 s without a start on four idle workers); the tests of the work of a turn pass.

--- a/toucanpin/scheduling/tests/test_constrained_cost.py
+++ b/toucanpin/scheduling/tests/test_constrained_cost.py
@@ -189,6 +189,23 @@
         self.assertIn("other", fleet.cell.runs)
         self.assertIn("any", fleet.cell.runs)
 
+    def test_smaller_best_effort_step_is_placed_after_a_larger_one_fails(self) -> None:
+        """
+        Guards against a best-effort step that no worker has the memory or the accelerators for, and
+        that keeps other steps with its image from workers with room for as long as it waits.
+        """
+        for fields in ({"memory": 9_000}, {"accelerators": 1}):
+            fleet = Fleet(workers=4)
+            fleet.time += 0.001  # so that no turn falls on the end of a period
+            fleet.run(0.1)
+            large = Step(cpu=500, best_effort=True, image="f", **fields)
+            fleet.submit(make_job("large", (large,)))
+            fleet.submit(make_job("small", (Step(cpu=500, best_effort=True, image="f"),)))
+            fleet.run(0.5)
+            with self.subTest(**fields):
+                self.assertNotIn("large", fleet.cell.runs)
+                self.assertIn("small", fleet.cell.runs)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucanpin/scheduling/unplaceable.py
+++ b/toucanpin/scheduling/unplaceable.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, WaitReason
 from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound, ReserveAccess
 from toucanpin.scheduling.job import Step
@@ -83,7 +85,7 @@
 
 
 def _make_best_effort_demand(step: Step, count: int) -> Demand:
-    return Demand(step.cpu, 0, 0, count=count, label=step.label)
+    return replace(Demand.of(step, count=count), cpu=step.cpu)
 
 
 def _min_count(step: Step) -> int:
