Bound the time without another try of best-effort tasks

Cause: the period grows with the number of workers; on 3,000 of them it was 3.6 s, though a task must start within 3 s once there is room (LOST). Change: at most 1 s. Up to 833 workers nothing changes.

--- a/toucanpin/scheduling/tests/test_constrained_cost.py
+++ b/toucanpin/scheduling/tests/test_constrained_cost.py
@@ -12,10 +12,13 @@
 
 from toucanpin.scheduling import choosing, large_tasks, placing, preempting
 from toucanpin.scheduling.advising import plan_advice_requests
+from toucanpin.scheduling.cell import Group
+from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
-from toucanpin.scheduling.worker import count_fitting_tasks
+from toucanpin.scheduling.unplaceable import is_known_unplaceable, record_unplaceable
+from toucanpin.scheduling.worker import Worker, count_fitting_tasks
 
 WORKERS = 48
 RACK = 12  # workers
@@ -27,6 +30,8 @@
 # more for each image, as twice on average one of random size is smaller than all before it.
 MAX_GROWTH = (TURNS * 3 + 2 * BEST_EFFORT_IMAGES) * WORKERS
 SEED = 7
+HUGE_FLEET = 3_000  # workers
+MAX_RETRY_S = 1.5  # half the time in which a task has to start; a start takes time as well
 
 
 class ScanCounter:
@@ -206,6 +211,27 @@
                 self.assertNotIn("large", fleet.cell.runs)
                 self.assertIn("small", fleet.cell.runs)
 
+    def test_best_effort_step_is_tried_again_soon_on_a_huge_fleet(self) -> None:
+        """
+        Guards against a period without another try that grows with the fleet beyond the 3 s in
+        which a task has to start once there is room.
+        """
+        fleet = Fleet(workers=0)
+        for number in range(HUGE_FLEET):
+            fleet.cell.workers[f"w{number}"] = Worker(fleet.add_worker(f"w{number}").entry)
+        step = Step(cpu=500, best_effort=True, image="f")
+        fleet.submit(make_job("late", (step,)))
+        live = fleet.cell.jobs["late"]
+        group = Group("late", 0, 0)
+        candidates = CandidateWorkers(
+            PlacementRound(fleet.model, fleet.now()), live, group, step, ()
+        )
+        for _ in range(4):
+            fleet.time += MAX_RETRY_S
+            with self.subTest(time=fleet.time):
+                self.assertFalse(is_known_unplaceable(fleet.cell, step, fleet.now()))
+                record_unplaceable(fleet.cell, step, candidates, fleet.now())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucanpin/scheduling/unplaceable.py
+++ b/toucanpin/scheduling/unplaceable.py
@@ -26,6 +26,7 @@
 ]
 
 UNPLACEABLE_PERIOD_S = 0.0012  # per worker, without another try for best-effort tasks
+MAX_UNPLACEABLE_PERIOD_S = 1.0  # a task has to start within 3 s once there is room
 # Per worker, without another try for a step that its own constraints kept from workers with room,
 # since the result holds for no other step.
 CONSTRAINED_RETRY_S = 0.0002
@@ -80,7 +81,7 @@
 
     With separate periods the utilization of all workers would be computed once for each image.
     """
-    period = UNPLACEABLE_PERIOD_S * len(cell.workers)
+    period = min(MAX_UNPLACEABLE_PERIOD_S, UNPLACEABLE_PERIOD_S * len(cell.workers))
     return (now.steady // period + 1) * period if period else now.steady
 
 
