--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Collection, Coroutine
+from collections.abc import Callable, Coroutine
 
 import logbook
 
@@ -36,6 +36,7 @@
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.submissions import sweep_refusals
 from toucanpin.entry.waves import WaveController
+from toucanpin.entry.worker_introduction import WorkerIntroduction
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.machines import MachineClient
@@ -83,12 +84,6 @@
 TICK_PERIOD_S = 0.05  # between checks for expired leases, due start times and stalls
 MOVE_PERIOD_S = 0.2  # between searches for tasks to move; workers answer every 0.4 s
 LIST_PERIOD_S = 0.5  # between reads of the workers' entries; a drain must be noticed within 2 s
-MAX_ASKED_WORKERS = 16  # new ones that are asked at a time
-MAX_EARLY_WORKERS = 64  # asked before the rows are read, all of which ask again after that
-READS_FIRST_S = 0.5  # for which that holds; on a slow link the reads take seconds
-MAX_ANSWER_TIME_S = 0.5  # of a new worker, after which others are asked in its place
-MAX_INTRODUCTION_S = 1.5  # leases of 4.5 s end 2 s after a takeover unless they are renewed
-INTRODUCTION_INTERVAL_S = 0.005
 MAX_VIEW_AGE_MS = 2_500  # no tasks are placed if the last read of the jobs is older
 RETRY_DELAY_S = 0.1  # before a failed read is repeated
 CLEANUP_PERIOD_S = 5.0  # between searches for ended jobs whose retention is over
@@ -159,6 +154,7 @@
         self._workers = CellWorkers(
             self._cell, self._interference, clocks, self._delay, self._spawn, self._dispatch_orders
         )
+        self._introduction = WorkerIntroduction(self._cell, self._workers, lambda: self.loaded)
         self._waves: WaveController | None = None
         if settings.machines:
             client = MachineClient(settings.machines, settings.name)
@@ -358,45 +354,9 @@
             own = [entry for entry in valid.values() if entry.service == self._cell.name]
             malformed = rows.keys() - valid.keys()
             self._cell.workers_enforce_limits = self._workers_enforce_limits()
-            await self._introduce(own, malformed)
+            await self._introduction.update(own, malformed)
             await asyncio.sleep(LIST_PERIOD_S)
 
-    async def _introduce(self, entries: list[WorkerEntry], malformed: Collection[str]) -> None:
-        """
-        Update the workers' entries; add new workers some at a time, as fast as they answer.
-
-        Hundreds of workers asked at once would take all time of a weak host that has just taken the
-        cell, and the reads and the write that its first placement needs would come last.
-        """
-        began = steady_time()
-        until = began + MAX_INTRODUCTION_S
-        while steady_time() < until:
-            known = self._list_introduced()
-            added = [entry for entry in entries if entry.id not in known]
-            if not added:
-                break
-            free = MAX_ASKED_WORKERS - self._count_asked()
-            if not self.loaded and steady_time() < began + READS_FIRST_S:
-                free = min(free, MAX_EARLY_WORKERS - len(known))
-            if free > 0:
-                listed = [entry for entry in entries if entry.id in known]
-                self._workers.update_entries(listed + added[:free], malformed)
-            await asyncio.sleep(INTRODUCTION_INTERVAL_S)
-        self._workers.update_entries(entries, malformed)
-
-    def _list_introduced(self) -> set[str]:
-        """Return the workers with an entry; others are only known from the rows of their tasks."""
-        return {key for key, worker in self._cell.workers.items() if worker.entry.address}
-
-    def _count_asked(self) -> int:
-        """Return how many new workers were asked and may still answer."""
-        oldest = steady_time() - MAX_ANSWER_TIME_S
-        return sum(
-            not (worker.reached if self.loaded else worker.clock)
-            and worker.first_listed_at > oldest
-            for worker in self._cell.workers.values()
-        )
-
     async def _drop_ended_jobs(self) -> None:
         """Delete the rows of jobs whose retention is over, without delaying commits."""
         while True:
