Ask new workers some at a time also where rows name them

Cause: a worker that is known from the rows of its tasks isn't counted as asked, since it has no time of its first listing. After the rows were read a new owner asked 16 such workers each 5 ms, whether they answered or not. An entry of an earlier incarnation than the rows name is never recorded: the owner tried it 200 times a second for 1.5 s after each read of the list. Change: the introduction itself records whom it has asked and when.

--- a/toucanpin/entry/worker_introduction.py
+++ b/toucanpin/entry/worker_introduction.py
@@ -41,18 +41,19 @@
     cell, and the reads and the write that its first placement needs would come last.
     """
 
-    __slots__ = ("_cell", "_is_loaded", "_registry")
+    __slots__ = ("_asked_at", "_cell", "_is_loaded", "_registry")
 
     def __init__(self, cell: Cell, registry: _Registry, is_loaded: Callable[[], bool]) -> None:
         self._cell = cell
         self._registry = registry
         self._is_loaded = is_loaded
+        self._asked_at: dict[str, float] = {}  # of workers that may still answer
 
     async def update(self, entries: Sequence[WorkerEntry], malformed: Collection[str]) -> None:
         """Update the entries of all listed workers within MAX_INTRODUCTION_S."""
         began = steady_time()
+        introduced = self._list_introduced()
         while steady_time() < began + MAX_INTRODUCTION_S:
-            introduced = self._list_introduced()
             added = [entry for entry in entries if entry.id not in introduced]
             if not added:
                 break
@@ -62,6 +63,9 @@
             if free > 0:
                 listed = [entry for entry in entries if entry.id in introduced]
                 self._registry.update_entries(listed + added[:free], malformed)
+                asked = [entry.id for entry in added[:free]]
+                self._asked_at.update(dict.fromkeys(asked, steady_time()))
+                introduced.update(asked)
             await asyncio.sleep(INTRODUCTION_INTERVAL_S)
         self._registry.update_entries(entries, malformed)
 
@@ -72,8 +76,11 @@
     def _count_asked(self) -> int:
         """Return how many new workers were asked and may still answer."""
         oldest = steady_time() - MAX_ANSWER_TIME_S
-        return sum(
-            not (worker.reached if self._is_loaded() else worker.clock)
-            and worker.first_listed_at > oldest
-            for worker in self._cell.workers.values()
-        )
+        self._asked_at = {key: at for key, at in self._asked_at.items() if at > oldest}
+        return sum(not self._has_answered(key) for key in self._asked_at)
+
+    def _has_answered(self, key: str) -> bool:
+        worker = self._cell.workers.get(key)
+        if worker is None:
+            return True  # removed, so no answer is awaited
+        return worker.reached if self._is_loaded() else bool(worker.clock)
