--- a/toucanpin/scheduling/tests/test_constrained_cost.py
+++ b/toucanpin/scheduling/tests/test_constrained_cost.py
@@ -199,13 +199,13 @@
         Guards against a best-effort step that no worker has the memory or the accelerators for, and
         that keeps other steps with its image from workers with room for as long as it waits.
         """
+        small = Step(cpu=500, best_effort=True, image="f")
         for fields in ({"memory": 9_000}, {"accelerators": 1}):
             fleet = Fleet(workers=4)
             fleet.time += 0.001  # so that no turn falls on the end of a period
             fleet.run(0.1)
-            large = Step(cpu=500, best_effort=True, image="f", **fields)
-            fleet.submit(make_job("large", (large,)))
-            fleet.submit(make_job("small", (Step(cpu=500, best_effort=True, image="f"),)))
+            fleet.submit(make_job("large", (msgspec.structs.replace(small, **fields),)))
+            fleet.submit(make_job("small", (small,)))
             fleet.run(0.5)
             with self.subTest(**fields):
                 self.assertNotIn("large", fleet.cell.runs)
