Don't share the lack of two places of a step limited per worker

Cause: the first task of a service may use reserved cores where there are two places. Two places on one worker count as one for a step that may run one task there, and its failure was recorded for all demands of this size: other services waited in each turn, though the two places were enough for them. Change: such a step is postponed by itself, as where its own tasks exclude workers.

--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -259,9 +259,13 @@
             continue
         if not may_place_long_running(eligible, group, step, access):
             record_wait(cell, group, WaitReason.RESERVED, now)
-            record_shortage(round_, live, step, access, candidates)
-            if candidates.constraint_excluded:
+            # Two places on one worker aren't enough for a step that may use only one of them.
+            if candidates.constraint_excluded or (
+                step.per_worker and access is ReserveAccess.SPARE
+            ):
                 postpone(cell, group, step, now)
+            else:
+                record_shortage(round_, live, step, access, candidates)
             return
         cell.delayed_until.pop(task, None)
         waiting.discard(index)
--- a/toucanpin/scheduling/tests/test_reserving.py
+++ b/toucanpin/scheduling/tests/test_reserving.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+import msgspec
+
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
@@ -78,6 +80,22 @@
         self.assertTrue(reserved)
         self.assertFalse([w for w in reserved if w.silent])
 
+    def test_service_starts_after_one_with_a_limit_per_worker_found_no_two_places(self) -> None:
+        """
+        Guards against a service that waits though the reserve has room for two of its tasks: they
+        are on one worker, and a service before it may run only one task there.
+        """
+        fleet = Fleet(workers=1, cpu=4_000)
+        fleet.workers["w0"].duration = 60.0
+        fleet.submit(make_job("short", (Step(cpu=3_690),)))
+        fleet.run(1.0)
+        service = Step(count=3, cpu=150, long_running=True)
+        limited = msgspec.structs.replace(service, per_worker=1)
+        fleet.submit(make_job("first", (limited,)))
+        fleet.submit(make_job("second", (service,)))
+        fleet.run(1.0)
+        self.assertIn("second", fleet.cell.runs)
+
 
 if __name__ == "__main__":
     unittest.main()
