--- a/toucanpin/entry/submissions.py
+++ b/toucanpin/entry/submissions.py
@@ -50,7 +50,9 @@
 # A write without an answer is applied within seconds; after this time none is under way.
 REFUSAL_RETENTION_MS = 60_000
 SWEEP_PERIOD_S = 20.0  # between deletions of old refusals
-MAX_DELETIONS = 100  # rows of one transaction
+SWEEP_PAUSE_S = 0.2  # between pages, so that callers' writes are not delayed
+# Rows of one transaction, and of the page before it: each row takes two of its 100 entries.
+MAX_DELETIONS = 50
 
 
 class SubmissionOutcome(enum.Enum):
@@ -168,11 +170,19 @@
 
 
 async def _sweep_part(store: Store, part: str, limit: int) -> None:
-    page = await store.read(REFUSALS_TABLE, part)
-    old = [row for row in page.rows if _read_time(row) < limit][:MAX_DELETIONS]
-    if old:
-        expected = [ExpectedVersion(REFUSALS_TABLE, row.key, row.version) for row in old]
-        await store.transact(part, expected, [Put(REFUSALS_TABLE, row.key, None) for row in old])
+    """Delete the refusals of a part that were written before ``limit`` on the table's clock."""
+    start = ""
+    while True:
+        page = await store.read(REFUSALS_TABLE, part, start, limit=MAX_DELETIONS)
+        old = [row for row in page.rows if _read_time(row) < limit]
+        if old:
+            expected = [ExpectedVersion(REFUSALS_TABLE, row.key, row.version) for row in old]
+            puts = [Put(REFUSALS_TABLE, row.key, None) for row in old]
+            await store.transact(part, expected, puts)
+        if not page.more or not page.rows:
+            return
+        start = page.rows[-1].key + "\0"
+        await asyncio.sleep(SWEEP_PAUSE_S)
 
 
 def _read_time(row: Row) -> int:
--- a/toucanpin/entry/tests/test_admission.py
+++ b/toucanpin/entry/tests/test_admission.py
@@ -4,17 +4,21 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
 from standins.site.site import JOB, PREFIX, Site
 from toucanpin.entry.clocks import steady_time
+from toucanpin.entry.submissions import _sweep_part
 from toucanpin.entry.tables import JOBS_TABLE, REFUSALS_TABLE, job_part
 from toucanpin.http import Answer
+from toucanpin.platform.store import Put, Store
 from toucanpin.scheduling.forecast import NEVER_MS, Forecast, KnownForecast, QueueForecast
 from toucanpin.scheduling.ownership import OwnerRecord, OwnerWatch, record_read
 from toucanpin.scheduling.settings import Bounds
 
 SLOW_INTERRUPTIONS = Bounds(stop_time=0.9, restore_time=0.6)
 FULL = Forecast(0, (QueueForecast(0, False, NEVER_MS, NEVER_MS),))
+MAX_ENTRIES = 100  # of a transaction
 ESTIMATE_MS = 3_000  # long enough for a job to be refused
 
 
@@ -97,9 +101,41 @@
     async def test_unanswered_refusal_is_not_claimed(self) -> None:
         """Guards against a refusal that nothing proves, as the table doesn't answer."""
         self._set_full(True, 0)
-        self.site.faults[0].status = 503
+        for faults in self.site.faults:
+            faults.status = 503
         answer = await self.site.submit(host=0, deadline=600, estimateMs=ESTIMATE_MS)
         self.assertEqual(504, answer.status)
+        self.assertFalse(self._has_row(REFUSALS_TABLE))
+
+    async def test_refusal_is_claimed_only_with_its_row(self) -> None:
+        """Guards against a refusal without proof by a host that reaches the table by a peer."""
+        self._set_full(True, 0)
+        self.site.faults[0].status = 503
+        answer = await self.site.submit(host=0, deadline=600, estimateMs=ESTIMATE_MS)
+        self.assertEqual(answer.status == 503, self._has_row(REFUSALS_TABLE))
+        self.assertIn(answer.status, (503, 504))
+
+    async def test_sweep_deletes_all_old_refusals(self) -> None:
+        """
+        Guards against a table that grows while more is refused than one deletion takes, and against
+        deletions with more entries than the table takes, so that none ever succeeds.
+        """
+        store = self.site.hosts[0]._store
+        part, old = job_part("c", JOB), [f"{number:016x}" for number in range(700)]
+        for start in range(0, len(old), 100):
+            puts = [Put(REFUSALS_TABLE, name, b"1") for name in old[start : start + 100]]
+            await store.transact(part, (), puts)
+        await store.transact(part, (), (Put(REFUSALS_TABLE, "f" * 16, b"5000"),))
+        with patch.object(Store, "transact", autospec=True, side_effect=Store.transact) as calls:
+            await _sweep_part(store, part, 4_000)
+        sizes = [
+            len(call.args[2]) + len(call.args[3])
+            for call in calls.call_args_list
+            if any(put.table == REFUSALS_TABLE for put in call.args[3])
+        ]
+        self.assertLessEqual(max(sizes), MAX_ENTRIES)
+        left = [name for table, _, name in self.site.store.rows if table == REFUSALS_TABLE]
+        self.assertEqual(["f" * 16], left)
 
     async def test_owner_publishes_its_forecast(self) -> None:
         """Guards against hosts that know no forecast, so that nobody is ever refused."""
