Let all tasks of a service start while cores are scarce, and yield only where it helps

Cause: while short tasks wait, all free cores are reserved. A service of which one task ran got none for those that had never run for as long as urgent work waited that fits no free part, however many cores were free. Long-running tasks were also stopped for short ones that lacked accelerators, and a service's only task was stopped.

Change: a task that never ran joins its service after 6 s, where there are two places and the planned free cores stay. A task yields only on workers with the memory and the accelerators, and not if nothing is left of its service (the only task, a gang).

--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -58,6 +58,7 @@
 # While cores are scarce they wait longer, but no task for over 6 s where there is room for two.
 MAX_RETRY_DELAY_S = 4.0
 MAX_FIRST_DELAY_S = 1.5  # of a service of which no task runs
+MAX_JOIN_DELAY_S = 6.0  # of tasks that never ran, of a service of which others do
 NO_LIMIT = 1_000_000  # more tasks than any cell runs
 MAX_PREEMPTIONS = 16  # tasks of a step for which others are preempted in one round
 
@@ -147,7 +148,7 @@
     if not step.long_running or _may_take_reserve(cell, live, group, index, now):
         return ReserveAccess.ALL
     if len(cell.waiting[group]) < step.count:
-        return ReserveAccess.NONE
+        return ReserveAccess.SPARE if _leaves_plan(cell, group, step, now) else ReserveAccess.NONE
     if _yields_to_short(cell, group, MAX_FIRST_DELAY_S, now):
         return ReserveAccess.NONE
     return ReserveAccess.SPARE
@@ -161,6 +162,19 @@
     return wait is None or now.steady < wait.since + max_delay
 
 
+def _leaves_plan(cell: Cell, group: Group, step: Step, now: Now) -> bool:
+    """
+    Return whether a long-running task that has waited for long leaves the planned cores free.
+
+    While short tasks wait, all cores are reserved, and some may fit nowhere for minutes.
+    """
+    headroom, wait = cell.headroom, cell.waits.get(group)
+    if now.steady >= headroom.scarce_until or wait is None:
+        return False
+    waited = now.steady >= wait.since + MAX_JOIN_DELAY_S
+    return waited and headroom.free - step.cpu >= headroom.planned
+
+
 def _find_least_urgent(cell: Cell) -> int:
     """Return the highest priority number, that of the least urgent running job."""
     running = (cell.jobs[job].job.priority for job in cell.runs if job in cell.jobs)
--- a/toucanpin/scheduling/tests/test_headroom.py
+++ b/toucanpin/scheduling/tests/test_headroom.py
@@ -4,9 +4,11 @@
 
 import math
 import unittest
+from dataclasses import replace
 from unittest.mock import patch
 
 from toucanpin.scheduling import yielding
+from toucanpin.scheduling.cell import Wait, WaitReason
 from toucanpin.scheduling.features import Features
 from toucanpin.scheduling.headroom import (
     MAX_HEADROOM_SHARE,
@@ -23,7 +25,7 @@
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.tests.urgent_load import LONG_DURATION_S, ServingWorker, UrgentLoad
 from toucanpin.scheduling.worker import Worker, count_fitting_tasks
-from toucanpin.scheduling.yielding import MAX_YIELDING_SHARE
+from toucanpin.scheduling.yielding import MAX_YIELDING_SHARE, make_room
 
 ON = Features(urgent_headroom=True)
 OFF = Features()
@@ -132,14 +134,14 @@
 
 
 class YieldingTest(unittest.TestCase):
-    def _make_full_fleet(self, features: Features) -> Fleet:
-        """Return a fleet of ten workers, each full of tasks of four services, which all serve."""
+    def _make_full_fleet(self, features: Features, services: int = 4, tasks: int = 9) -> Fleet:
+        """Return a fleet of ten workers, each full of tasks of services, which all serve."""
         fleet = Fleet(workers=10, cpu=CORES)
         fleet.cell.features = features
         for name, worker in fleet.workers.items():
             fleet.workers[name] = ServingWorker(worker.entry, duration=10 * LONG_DURATION_S)
-        for number in range(4):
-            step = Step(count=9, cpu=16_000, long_running=True, max_unavailable=1)
+        for number in range(services):
+            step = Step(count=tasks, cpu=16_000, long_running=True, max_unavailable=1)
             fleet.submit(make_job(f"s{number}", (step,)))
         fleet.run(1.0)
         filler = Step(cpu=16_000)
@@ -199,6 +201,40 @@
         fleet.run(3.0)
         self.assertIn("new", fleet.cell.runs)
 
+    def test_all_tasks_of_a_service_start_while_cores_are_scarce(self) -> None:
+        """
+        Guards against a service of which only the first task ever starts: urgent work that is wider
+        than the free parts waits all the time, though more is free than is planned for it.
+        """
+        fleet = self._make_full_fleet(ON)
+        fleet.submit(make_job("urgent", (Step(count=60, cpu=CORES),)))
+        fleet.run(1.0)
+        for name in ("s1", "s2"):
+            cancel_job(fleet.cell, name, fleet.now())
+        fleet.submit(make_job("new", (Step(count=4, cpu=16_000, long_running=True),)))
+        fleet.run(8.0)
+        self.assertGreater(fleet.cell.headroom.scarce_until, fleet.now().steady)
+        self.assertEqual(4, len(fleet.cell.runs["new"]))
+
+    def test_only_task_of_a_service_does_not_yield(self) -> None:
+        """Guards against a service that is gone altogether while urgent work waits."""
+        fleet = self._make_full_fleet(ON, services=36, tasks=1)
+        self.assertFalse(self._submit_urgent(fleet, 4, 3.0))
+
+    def test_nothing_yields_to_work_that_lacks_accelerators(self) -> None:
+        """Guards against long-running tasks that are stopped for cores that nobody waits for."""
+        fleet = self._make_full_fleet(ON)
+        for worker in fleet.cell.workers.values():
+            worker.entry = replace(worker.entry, accelerators=1)
+            worker.accelerators = 1
+        fleet.submit(make_job("urgent", (Step(cpu=16_000, accelerators=1),)))
+        wait = Wait(fleet.now().steady - 10.0)
+        wait.reason = WaitReason.NO_ROOM
+        (group,) = (group for group in fleet.cell.waiting if group.job == "urgent")
+        fleet.cell.waits[group] = wait
+        make_room(fleet.cell, list(fleet.cell.workers.values()), fleet.now())
+        self.assertFalse(fleet.cell.headroom.yielded)
+
     def test_few_tasks_yield(self) -> None:
         """
         Guards against services that lose two tasks at a time, and against urgent work that takes
--- a/toucanpin/scheduling/yielding.py
+++ b/toucanpin/scheduling/yielding.py
@@ -141,7 +141,7 @@
             worker = self._eligible[run.worker]
             if not run.step.cpu >= self._count_missing(worker, step) > 0:
                 continue
-            if worker.memory + step.memory > worker.entry.memory or run.priority < priority:
+            if run.priority < priority or not _fits_beside_cores(worker, step):
                 continue
             if self._may_yield(run) and meets_constraints(worker, group, step):
                 self._serving[_find_service(run)] = False
@@ -155,6 +155,9 @@
         """Return whether a task hasn't yielded lately and all others of its service serve."""
         if run.phase is not Phase.RUNNING or run.task in self._cell.headroom.yielded:
             return False
+        # Nothing would be left of its service.
+        if run.step.gang or (run.step.count == 1 and run.percent >= 100):
+            return False
         service = _find_service(run)
         known = self._serving.get(service)
         if known is not None:
@@ -167,6 +170,15 @@
         return others_serve
 
 
+def _fits_beside_cores(worker: Worker, step: Step) -> bool:
+    """Return whether a worker has the memory and accelerators of one more task of a step."""
+    entry = worker.entry
+    return (
+        worker.memory + step.memory <= entry.memory
+        and worker.accelerators + step.accelerators <= entry.accelerators
+    )
+
+
 def _find_service(run: Run) -> Group:
     return Group(run.task.job, run.task.occurrence, run.task.step)
 
