--- a/toucanpin/scheduling/tests/test_admission.py
+++ b/toucanpin/scheduling/tests/test_admission.py
@@ -190,6 +190,20 @@
         self.assertLessEqual(len(in_vain), MAX_WRONG_SHARE * len(late), message)
         self.assertGreater(after.share_served(True), 0.8 * after.share_served(False), message)
 
+    def test_few_wait_in_vain_in_a_long_overload(self) -> None:
+        """
+        Guards against callers that wait in vain, counted from the first one on: the day is so long
+        that those who came before rates could show the overload are few.
+        """
+        before, after = self._play([Load(make_batch, lambda at: 1.5 * CORES)], 90.0)
+        message = f"{before.describe()} / {after.describe()}"
+        self.assertLess(after.count(Fate.IN_VAIN), 0.2 * before.count(Fate.IN_VAIN), message)
+        early = [name for name, times in after.attempts.items() if times[0] <= 15.0]
+        before_early, after_early = (
+            sum(day.fates.get(name) is Fate.IN_VAIN for name in early) for day in (before, after)
+        )
+        self.assertLessEqual(after_early, before_early, message)
+
     def test_best_effort_work_is_not_refused(self) -> None:
         """Guards against refusing best-effort jobs that would start before those that wait."""
         _, after = self._play([Load(make_best_effort, lambda at: 1.5 * CORES)], 40.0)
