Stop no long-running task for a short one that may not run in its place

Cause: what makes room for a task whose queue needs tickets was chosen among all workers, also those without a ticket, so a long-running task was stopped in vain, and again 10 s later.

Change: only workers with a valid ticket are considered.

Result: test_nothing_yields_to_work_without_a_ticket failed before and passes.

--- a/toucanpin/scheduling/tests/test_headroom.py
+++ b/toucanpin/scheduling/tests/test_headroom.py
@@ -8,7 +8,7 @@
 from unittest.mock import patch
 
 from toucanpin.scheduling import yielding
-from toucanpin.scheduling.cell import Wait, WaitReason
+from toucanpin.scheduling.cell import Wait
 from toucanpin.scheduling.features import Features
 from toucanpin.scheduling.headroom import (
     MAX_HEADROOM_SHARE,
@@ -221,19 +221,30 @@
         fleet = self._make_full_fleet(ON, services=36, tasks=1)
         self.assertFalse(self._submit_urgent(fleet, 4, 3.0))
 
+    def _count_yielded(self, fleet: Fleet, job: Job) -> int:
+        """Return how many tasks yield to a job that has waited for long."""
+        fleet.submit(job)
+        (group,) = (group for group in fleet.cell.waiting if group.job == job.id)
+        fleet.cell.waits[group] = Wait(fleet.now().steady - 10.0)
+        make_room(fleet.cell, list(fleet.cell.workers.values()), fleet.now())
+        return len(fleet.cell.headroom.yielded)
+
     def test_nothing_yields_to_work_that_lacks_accelerators(self) -> None:
         """Guards against long-running tasks that are stopped for cores that nobody waits for."""
         fleet = self._make_full_fleet(ON)
         for worker in fleet.cell.workers.values():
             worker.entry = replace(worker.entry, accelerators=1)
             worker.accelerators = 1
-        fleet.submit(make_job("urgent", (Step(cpu=16_000, accelerators=1),)))
-        wait = Wait(fleet.now().steady - 10.0)
-        wait.reason = WaitReason.NO_ROOM
-        (group,) = (group for group in fleet.cell.waiting if group.job == "urgent")
-        fleet.cell.waits[group] = wait
-        make_room(fleet.cell, list(fleet.cell.workers.values()), fleet.now())
-        self.assertFalse(fleet.cell.headroom.yielded)
+        step = Step(cpu=16_000, accelerators=1)
+        self.assertEqual(0, self._count_yielded(fleet, make_job("urgent", (step,))))
+
+    def test_nothing_yields_to_work_without_a_ticket(self) -> None:
+        """Guards against long-running tasks that are stopped where the short one may not run."""
+        step = Step(cpu=16_000)
+        for advised in (False, True):
+            fleet = self._make_full_fleet(ON)
+            job = Job("urgent", "q", "c", "spec", (step,), advised=advised)
+            self.assertEqual(int(not advised), self._count_yielded(fleet, job))
 
     def test_few_tasks_yield(self) -> None:
         """
--- a/toucanpin/scheduling/yielding.py
+++ b/toucanpin/scheduling/yielding.py
@@ -15,6 +15,7 @@
 
 from collections.abc import Iterator, Sequence
 
+from toucanpin.scheduling.advising import find_ticket
 from toucanpin.scheduling.cell import Cell, Group, Now, WaitReason
 from toucanpin.scheduling.choosing import has_label, meets_constraints
 from toucanpin.scheduling.job import Step
@@ -127,7 +128,11 @@
         """Claim cores where a task will fit once all stopped ones have ended."""
         for name, cores in self.freed.items():
             worker = self._eligible[name]
-            if cores <= 0 or self._count_missing(worker, step) > 0:
+            if (
+                cores <= 0
+                or not self._may_start(worker, group)
+                or self._count_missing(worker, step) > 0
+            ):
                 continue
             if meets_constraints(worker, group, step):
                 self.freed[name] -= step.cpu
@@ -143,11 +148,19 @@
                 continue
             if run.priority < priority or not _fits_beside_cores(worker, step):
                 continue
-            if self._may_yield(run) and meets_constraints(worker, group, step):
+            if not self._may_start(worker, group) or not meets_constraints(worker, group, step):
+                continue
+            if self._may_yield(run):
                 self._serving[_find_service(run)] = False
                 return run
         return None
 
+    def _may_start(self, worker: Worker, group: Group) -> bool:
+        """Return whether a task may start on a worker by its tickets."""
+        if not self._cell.jobs[group.job].job.advised:
+            return True
+        return bool(find_ticket(self._cell, group, worker.entry.id, self._now))
+
     def _count_missing(self, worker: Worker, step: Step) -> int:
         return worker.cpu + step.cpu - worker.entry.cpu - self.freed[worker.entry.id]
 
