Make no forecast while the owner is late

Cause: a forecast had its share of the time (8%) as the other periodic decisions, but was made also by an owner that can't keep up, to whose load it adds; such an owner refuses jobs by its backlog.

Change: no forecast while the owner was late by over a period (0.5 s) lately; hosts ignore the last one after 2.5 s.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -94,6 +94,8 @@
 CLEANUP_PERIOD_S = 5.0  # between searches for ended jobs whose retention is over
 REPORT_PERIOD_S = 1.0  # between log lines about waiting tasks and delays
 MAX_PLACING_SHARE = 0.35  # maximum fraction of the time that is spent on placing
+# An owner that is later than this refuses jobs by its backlog; a forecast would add to its work.
+MAX_FORECAST_DELAY_S = FORECAST_PERIOD_S
 MIN_LOGGED_DELAY_S = 0.2  # longer delays of the event loop and of answers are logged
 RETENTION_MARGIN_S = 15.0  # by which ended jobs are kept longer than promised
 # Time until all leases granted by earlier owners have ended.  They end on clocks that may run 2%
@@ -464,6 +466,8 @@
         self._rows.backlog = self._backlog.estimate_waits(waiting, delay, now.steady)
 
     def _forecast_queues(self, now: Now) -> None:
+        if self._delay.read(now.steady) > MAX_FORECAST_DELAY_S:
+            return
         self._rows.forecast = make_forecast(self._cell, self._load_history, now)
         log_forecast(self._cell, self._rows.forecast)
 
--- a/toucanpin/entry/tests/test_admission.py
+++ b/toucanpin/entry/tests/test_admission.py
@@ -146,6 +146,19 @@
 
         self.assertTrue(await self.site.wait_until(check))
 
+    async def test_late_owner_makes_no_forecast(self) -> None:
+        """Guards against an owner that is late, and still more so by forecasts."""
+        owner = next(
+            host._candidates["c"]._owner for host in self.site.hosts if host._candidates["c"].owns
+        )
+        assert owner is not None
+        now = owner._clocks.now()
+        with patch("toucanpin.entry.owner.make_forecast", return_value=None) as made:
+            for delay, expected in ((0.0, 1), (2.0, 1)):
+                owner._delay.record(delay, now.steady)
+                owner._forecast_queues(now)
+                self.assertEqual(expected, made.call_count)
+
     async def test_forecast_of_a_deposed_owner_is_not_read(self) -> None:
         """Guards against refusals by an owner that has resigned or was replaced."""
         candidate = next(
