Search each service once for long-running tasks that may yield

Cause: what makes room passed over all long-running tasks for each of up to 16 waiting ones, also those of services that may not lose another.

Change: tasks of these services are dropped for the rest of the turn.

The new test failed before and passes.

--- a/toucanpin/scheduling/tests/test_headroom.py
+++ b/toucanpin/scheduling/tests/test_headroom.py
@@ -246,6 +246,21 @@
             job = Job("urgent", "q", "c", "spec", (step,), advised=advised)
             self.assertEqual(int(not advised), self._count_yielded(fleet, job))
 
+    def test_services_that_may_not_yield_are_searched_once(self) -> None:
+        """Guards against a turn that passes over each long-running task for each waiting one."""
+        fleet = self._make_full_fleet(ON)
+        runs = [run for runs in fleet.cell.runs.values() for run in runs if run.step.long_running]
+        for run in runs:
+            run.percent = min(run.percent, 100 if run.task.index else 50)
+        for number in range(20):
+            job = make_job(f"urgent{number}", (Step(cpu=16_000),))
+            fleet.submit(job)
+        for group in fleet.cell.waiting:
+            fleet.cell.waits[group] = Wait(fleet.now().steady - 10.0)
+        with patch.object(yielding, "meets_constraints", wraps=yielding.meets_constraints) as calls:
+            make_room(fleet.cell, list(fleet.cell.workers.values()), fleet.now())
+        self.assertLessEqual(calls.call_count, 2 * len(runs))
+
     def test_few_tasks_yield(self) -> None:
         """
         Guards against services that lose two tasks at a time, and against urgent work that takes
--- a/toucanpin/scheduling/yielding.py
+++ b/toucanpin/scheduling/yielding.py
@@ -119,10 +119,11 @@
         self._serving: dict[Group, bool] = {}  # services of which all tasks are available
         self.freed = {worker.entry.id: sum_stopping(worker).cpu for worker in eligible}
         # Tasks that don't serve yet are stopped first, as nobody uses them.
-        self._runs = sorted(
+        runs = sorted(
             (run for worker in eligible for run in worker.runs.values() if run.step.long_running),
             key=lambda run: (run.percent >= 100, run.step.cpu, run.task),
         )
+        self._runs = [(run, _find_service(run)) for run in runs]
 
     def claim_room(self, group: Group, step: Step) -> bool:
         """Claim cores where a task will fit once all stopped ones have ended."""
@@ -142,7 +143,8 @@
     def find_yielding(self, group: Group, step: Step) -> Run | None:
         """Return the long-running task with the fewest cores that makes room for a short one."""
         priority = self._cell.jobs[group.job].job.priority
-        for run in self._runs:
+        self._drop_unavailable()
+        for run, service in self._runs:
             worker = self._eligible[run.worker]
             if not run.step.cpu >= self._count_missing(worker, step) > 0:
                 continue
@@ -150,11 +152,15 @@
                 continue
             if not self._may_start(worker, group) or not meets_constraints(worker, group, step):
                 continue
-            if self._may_yield(run):
-                self._serving[_find_service(run)] = False
+            if self._may_yield(run, service):
+                self._serving[service] = False
                 return run
         return None
 
+    def _drop_unavailable(self) -> None:
+        """Drop tasks of services that may not lose one, so that each search passes over fewer."""
+        self._runs = [pair for pair in self._runs if self._serving.get(pair[1], True)]
+
     def _may_start(self, worker: Worker, group: Group) -> bool:
         """Return whether a task may start on a worker by its tickets."""
         if not self._cell.jobs[group.job].job.advised:
@@ -164,14 +170,13 @@
     def _count_missing(self, worker: Worker, step: Step) -> int:
         return worker.cpu + step.cpu - worker.entry.cpu - self.freed[worker.entry.id]
 
-    def _may_yield(self, run: Run) -> bool:
+    def _may_yield(self, run: Run, service: Group) -> bool:
         """Return whether a task hasn't yielded lately and all others of its service serve."""
         if run.phase is not Phase.RUNNING or run.task in self._cell.headroom.yielded:
             return False
         # Nothing would be left of its service.
         if run.step.gang or (run.step.count == 1 and run.percent >= 100):
             return False
-        service = _find_service(run)
         known = self._serving.get(service)
         if known is not None:
             return known
