Let wide urgent work that nothing can help not hold up others

Cause: the 16 tasks for which long-running ones may yield in a turn were the 16 that waited longest, so a wide step that no yielding helps took all tries.

Change: once none yields to a task of a step, its others are passed over.

--- a/toucanpin/scheduling/tests/test_headroom.py
+++ b/toucanpin/scheduling/tests/test_headroom.py
@@ -246,6 +246,13 @@
             job = Job("urgent", "q", "c", "spec", (step,), advised=advised)
             self.assertEqual(int(not advised), self._count_yielded(fleet, job))
 
+    def test_wide_work_does_not_hold_up_others(self) -> None:
+        """Guards against urgent tasks that wait behind many which no yielding could help."""
+        fleet = self._make_full_fleet(ON)
+        fleet.submit(make_job("wide", (Step(count=60, cpu=CORES),)))
+        fleet.run(1.0)
+        self.assertTrue(self._submit_urgent(fleet, 1, 2.0))
+
     def test_services_that_may_not_yield_are_searched_once(self) -> None:
         """Guards against a turn that passes over each long-running task for each waiting one."""
         fleet = self._make_full_fleet(ON)
--- a/toucanpin/scheduling/yielding.py
+++ b/toucanpin/scheduling/yielding.py
@@ -62,18 +62,23 @@
     budget = int(MAX_YIELDING_SHARE * sum(worker.long_running_cpu for worker in eligible))
     budget -= sum(cores for _, cores in cell.headroom.yielded.values())
     search = _Search(cell, eligible, now)
-    tasks = [(group, step) for group, step in waiting for _ in cell.waiting[group]]
-    for group, step in tasks[:MAX_YIELDS]:
-        if search.claim_room(group, step):
-            continue
-        run = search.find_yielding(group, step)
-        if run is None or run.step.cpu > budget:
-            continue
-        budget -= run.step.cpu
-        search.freed[run.worker] += run.step.cpu - step.cpu
-        reserve_freed(cell, cell.workers[run.worker], cell.jobs[group.job].job.priority, now)
-        cell.headroom.yielded[run.task] = (now.steady, run.step.cpu)
-        stop_run(cell, run, "makes room for urgent work")
+    tries = 0
+    for group, step in waiting:
+        for _ in cell.waiting[group]:
+            if tries == MAX_YIELDS:
+                return
+            tries += 1
+            if search.claim_room(group, step):
+                continue
+            run = search.find_yielding(group, step)
+            if run is None or run.step.cpu > budget:
+                # Others that wait may need less.
+                break
+            budget -= run.step.cpu
+            search.freed[run.worker] += run.step.cpu - step.cpu
+            reserve_freed(cell, cell.workers[run.worker], cell.jobs[group.job].job.priority, now)
+            cell.headroom.yielded[run.task] = (now.steady, run.step.cpu)
+            stop_run(cell, run, "makes room for urgent work")
 
 
 def _find_largest_capacity(eligible: Sequence[Worker], step: Step) -> tuple[int, int, int]:
