--- a/toucanpin/scheduling/yielding.py
+++ b/toucanpin/scheduling/yielding.py
@@ -15,10 +15,11 @@
 
 from collections.abc import Iterator, Sequence
 
+from toucanpin.scheduling.advising import find_ticket
 from toucanpin.scheduling.cell import Cell, Group, Now, WaitReason
 from toucanpin.scheduling.choosing import has_label, meets_constraints
 from toucanpin.scheduling.job import Step
-from toucanpin.scheduling.preempting import sum_stopping
+from toucanpin.scheduling.preempting import reserve_freed, sum_stopping
 from toucanpin.scheduling.stopping import count_unavailable, stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
@@ -30,7 +31,6 @@
 YIELD_PERIOD_S = 10.0  # in which a task yields once at most
 MAX_YIELDING_SHARE = 0.05  # of the cores in use by long-running tasks, in a period
 MAX_YIELDS = 16  # tasks at a time
-RESERVATION_MARGIN_S = 0.4  # beyond a stop, for which freed cores are kept for urgent tasks
 
 
 def update_scarcity(cell: Cell, eligible: Sequence[Worker], now: Now) -> None:
@@ -62,20 +62,23 @@
     budget = int(MAX_YIELDING_SHARE * sum(worker.long_running_cpu for worker in eligible))
     budget -= sum(cores for _, cores in cell.headroom.yielded.values())
     search = _Search(cell, eligible, now)
-    tasks = [(group, step) for group, step in waiting for _ in cell.waiting[group]]
-    for group, step in tasks[:MAX_YIELDS]:
-        if search.claim_room(group, step):
-            continue
-        run = search.find_yielding(group, step)
-        if run is None or run.step.cpu > budget:
-            continue
-        budget -= run.step.cpu
-        search.freed[run.worker] += run.step.cpu - step.cpu
-        worker = cell.workers[run.worker]
-        worker.reserved_until = now.steady + cell.stop_time + RESERVATION_MARGIN_S
-        worker.reserved_priority = cell.jobs[group.job].job.priority
-        cell.headroom.yielded[run.task] = (now.steady, run.step.cpu)
-        stop_run(cell, run, "makes room for urgent work")
+    tries = 0
+    for group, step in waiting:
+        for _ in cell.waiting[group]:
+            if tries == MAX_YIELDS:
+                return
+            tries += 1
+            if search.claim_room(group, step):
+                continue
+            run = search.find_yielding(group, step)
+            if run is None or run.step.cpu > budget:
+                # Others that wait may need less.
+                break
+            budget -= run.step.cpu
+            search.freed[run.worker] += run.step.cpu - step.cpu
+            reserve_freed(cell, cell.workers[run.worker], cell.jobs[group.job].job.priority, now)
+            cell.headroom.yielded[run.task] = (now.steady, run.step.cpu)
+            stop_run(cell, run, "makes room for urgent work")
 
 
 def _find_largest_capacity(eligible: Sequence[Worker], step: Step) -> tuple[int, int, int]:
@@ -118,16 +121,21 @@
         self._serving: dict[Group, bool] = {}  # services of which all tasks are available
         self.freed = {worker.entry.id: sum_stopping(worker).cpu for worker in eligible}
         # Tasks that don't serve yet are stopped first, as nobody uses them.
-        self._runs = sorted(
+        runs = sorted(
             (run for worker in eligible for run in worker.runs.values() if run.step.long_running),
             key=lambda run: (run.percent >= 100, run.step.cpu, run.task),
         )
+        self._runs = [(run, _find_service(run)) for run in runs]
 
     def claim_room(self, group: Group, step: Step) -> bool:
         """Claim cores where a task will fit once all stopped ones have ended."""
         for name, cores in self.freed.items():
             worker = self._eligible[name]
-            if cores <= 0 or self._count_missing(worker, step) > 0:
+            if (
+                cores <= 0
+                or not self._may_start(worker, group)
+                or self._count_missing(worker, step) > 0
+            ):
                 continue
             if meets_constraints(worker, group, step):
                 self.freed[name] -= step.cpu
@@ -137,25 +145,40 @@
     def find_yielding(self, group: Group, step: Step) -> Run | None:
         """Return the long-running task with the fewest cores that makes room for a short one."""
         priority = self._cell.jobs[group.job].job.priority
-        for run in self._runs:
+        self._drop_unavailable()
+        for run, service in self._runs:
             worker = self._eligible[run.worker]
             if not run.step.cpu >= self._count_missing(worker, step) > 0:
                 continue
-            if worker.memory + step.memory > worker.entry.memory or run.priority < priority:
+            if run.priority < priority or not _fits_beside_cores(worker, step):
                 continue
-            if self._may_yield(run) and meets_constraints(worker, group, step):
-                self._serving[_find_service(run)] = False
+            if not self._may_start(worker, group) or not meets_constraints(worker, group, step):
+                continue
+            if self._may_yield(run, service):
+                self._serving[service] = False
                 return run
         return None
 
+    def _drop_unavailable(self) -> None:
+        """Drop tasks of services that may not lose one, so that each search passes over fewer."""
+        self._runs = [pair for pair in self._runs if self._serving.get(pair[1], True)]
+
+    def _may_start(self, worker: Worker, group: Group) -> bool:
+        """Return whether a task may start on a worker by its tickets."""
+        if not self._cell.jobs[group.job].job.advised:
+            return True
+        return bool(find_ticket(self._cell, group, worker.entry.id, self._now))
+
     def _count_missing(self, worker: Worker, step: Step) -> int:
         return worker.cpu + step.cpu - worker.entry.cpu - self.freed[worker.entry.id]
 
-    def _may_yield(self, run: Run) -> bool:
+    def _may_yield(self, run: Run, service: Group) -> bool:
         """Return whether a task hasn't yielded lately and all others of its service serve."""
         if run.phase is not Phase.RUNNING or run.task in self._cell.headroom.yielded:
             return False
-        service = _find_service(run)
+        # Nothing would be left of its service.
+        if run.step.gang or (run.step.count == 1 and run.percent >= 100):
+            return False
         known = self._serving.get(service)
         if known is not None:
             return known
@@ -167,6 +190,15 @@
         return others_serve
 
 
+def _fits_beside_cores(worker: Worker, step: Step) -> bool:
+    """Return whether a worker has the memory and accelerators of one more task of a step."""
+    entry = worker.entry
+    return (
+        worker.memory + step.memory <= entry.memory
+        and worker.accelerators + step.accelerators <= entry.accelerators
+    )
+
+
 def _find_service(run: Run) -> Group:
     return Group(run.task.job, run.task.occurrence, run.task.step)
 
