Place latency-critical and best-effort tasks by one plan

Cause: on a full fleet most pairs of images harm each other.

Change, where Features.colocation_planning is on: a plan of the best-effort demand by image and a cost of displaced demand for best-effort tasks and of lost demand for latency-critical ones; the median of undisturbed tasks as a job's load; no effect learned from the tail of a worker that hangs; the least gain of a consolidating move is the smallest task that waits. Log event colocation.blocked. Also an owner no longer ends by a division by zero if a worker lists a task before it answers its start (the new test in test_moving failed with ZeroDivisionError before).

--- a/benchmarks/shared_jobs.py
+++ b/benchmarks/shared_jobs.py
@@ -37,12 +37,38 @@
     urgent_worth: float
     patient_worth: float
     long_running_worth: float
+    serving_images: int = 5
+    best_effort_images: int = 9
+    stop_time: float = 0.2
+    restore_time: float = 0.25
+    planned: bool = False
+    resources: int = 0  # that images compete for, 0 if each pair of images differs
 
 
 SITES = {
     "cooperative": SiteLoad(34, 1.75, 1.0, 6_300, 2.0, 0.78, 50, 14.0, 0.4, 0.385, 1.41, 0.246),
     "stillwater": SiteLoad(24, 2.7, 0.64, 4_600, 2.05, 0.83, 125, 20.0, 0.4, 0.367, 2.89, 0.503),
     "cooling": SiteLoad(24, 2.54, 0.8, 4_600, 2.69, 0.8, 150, 20.0, 0.55, 0.38, 1.79, 0.417),
+    "contended": SiteLoad(
+        60,
+        2.8,
+        0.8,
+        11_000,
+        7.0,
+        0.83,
+        50,
+        14.0,
+        0.6,
+        0.349,
+        1.18,
+        0.234,
+        10,
+        18,
+        0.9,
+        0.6,
+        True,
+        3,
+    ),
 }
 LEAD_TIME_S = 8.0  # before the traffic, in which long-running jobs begin
 TRAFFIC_TIME_S = 34.0
@@ -72,11 +98,11 @@
 def _draw_long_running(rng: random.Random, site: SiteLoad, capacity: int):  # noqa: ANN202
     taken = 0.0
     number = 0
-    popular = [rng.random() ** 2 for _ in range(5)]
+    popular = [rng.random() ** 2 for _ in range(site.serving_images)]
     while taken < site.long_running_share * capacity:
         count = max(1, min(12, round(rng.lognormvariate(math.log(5.5), 0.4))))
         cpu = int(min(20_000, max(5_000, rng.gauss(13_000, 3_300))) / 50) * 50
-        image = rng.choices(range(5), popular)[0]
+        image = rng.choices(range(site.serving_images), popular)[0]
         step = Step(
             count=count,
             cpu=cpu,
@@ -102,14 +128,14 @@
     arrivals = []
     at = -4.0 if patient else 0.0
     number = 0
-    popular = [rng.random() ** 2 for _ in range(9)]
+    popular = [rng.random() ** 2 for _ in range(site.best_effort_images)]
     while True:
         burst = PATIENT_BURST[2] if patient and PATIENT_BURST[0] < at < PATIENT_BURST[1] else 1.0
         warm_up_factor = 0.3 if at < 0 else 1.0
         at += rng.expovariate(rate * burst * warm_up_factor)
         if at >= TRAFFIC_TIME_S:
             return arrivals
-        image = f"f{rng.choices(range(9), popular)[0]}" if patient else ""
+        image = f"f{rng.choices(range(site.best_effort_images), popular)[0]}" if patient else ""
         arrivals.append(_draw_job(rng, site, at, number, image))
         number += 1
 
--- a/benchmarks/shared_workers.py
+++ b/benchmarks/shared_workers.py
@@ -30,12 +30,28 @@
     effects: dict[tuple[str, str], float]
 
     @classmethod
-    def draw(cls, rng: random.Random, serving: int, best_effort: int, heavy: float) -> PairEffects:
-        """Draw a table in which a share ``heavy`` of the pairs interferes strongly."""
+    def draw(
+        cls, rng: random.Random, serving: int, best_effort: int, heavy: float, resources: int = 0
+    ) -> PairEffects:
+        """
+        Draw a table in which a share ``heavy`` of the pairs interferes strongly.
+
+        With ``resources``, a pair does if the best-effort image uses much of a resource that the
+        latency-critical one depends on, so some images resemble each other.
+        """
         effects = {}
+        used = [rng.randrange(resources + 1) for _ in range(best_effort)] if resources else []
+        needed = [
+            {number for number in range(resources) if rng.random() < heavy} for _ in range(serving)
+        ]
         for serving_image in range(serving):
             for best_effort_image in range(best_effort):
-                strength = 4.5 if rng.random() < heavy else 0.3
+                harmful = (
+                    used[best_effort_image] in needed[serving_image]
+                    if resources
+                    else rng.random() < heavy
+                )
+                strength = 4.5 if harmful else 0.3
                 effects[f"s{serving_image}", f"f{best_effort_image}"] = strength * rng.uniform(
                     0.7, 1.3
                 )
--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -20,6 +20,7 @@
 from benchmarks.shared_jobs import LEAD_TIME_S, SITES, TRAFFIC_TIME_S, Arrival, draw_jobs
 from benchmarks.shared_workers import PairEffects, SharedRun, SharedWorker, SharedWorld
 from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.colocation_plan import ColocationPlan
 from toucanpin.scheduling.consolidating import consolidate_images
 from toucanpin.scheduling.intake import submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel
@@ -69,9 +70,14 @@
     def __init__(self, site: str, seed: int) -> None:
         rng = random.Random(seed)
         load = SITES[site]
-        self.world = SharedWorld(rng, PairEffects.draw(rng, 5, 9, load.heavy), 0.5, load.period)
+        pairs = PairEffects.draw(
+            rng, load.serving_images, load.best_effort_images, load.heavy, load.resources
+        )
+        self.world = SharedWorld(rng, pairs, 0.5, load.period)
         self.cell = Cell("c", 1, 0.0, START_S - LEAD_TIME_S)
-        self.interference = InterferenceModel()
+        self.interference = InterferenceModel(ColocationPlan() if load.planned else None)
+        self.cell.stop_time, self.cell.restore_time = load.stop_time, load.restore_time
+        self._load = load
         self.time = START_S - LEAD_TIME_S - 2.0
         for number in range(load.workers):
             cpu = (64_000, 64_000, 96_000)[number % 3]
@@ -149,7 +155,9 @@
         for at, order in orders:
             model = self.world.workers[order.worker].runs.get(order.task)
             match order:
-                case StopOrder() if at + 0.1 > self.time:
+                case StopOrder() if at + self._load.stop_time / 2 > self.time:
+                    if model is not None and self._load.stop_time > 0.5:
+                        model.pace = 0
                     self._orders.append((at, order))
                 case StopOrder():
                     self._stop(order, model)
@@ -164,7 +172,7 @@
         usage = arrival.usages[run.task.step][run.task.index]
         model = SharedRun(run.task, run.attempt, run.step, self.time, work, usage)
         if run.checkpoint:
-            model.done = float(run.checkpoint) - 0.25
+            model.done = float(run.checkpoint) - self._load.restore_time
         self.world.workers[run.worker].runs[run.task] = model
         apply_start_answer(
             self.cell, worker, run, StartAnswer(int(self.time * 1_000), None), self.now()
--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -12,13 +12,16 @@
 import logbook
 
 from toucanpin.entry.metrics import LOST_RUNS, START_WAIT, STARTS
-from toucanpin.scheduling.cell import Cell, Now, find_record
+from toucanpin.scheduling.cell import Cell, Now, WaitReason, find_record
+from toucanpin.scheduling.colocation_report import describe_colocation
 from toucanpin.scheduling.evacuating import describe_evacuations, list_not_evacuated
+from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.worker import Run
 
 __all__ = [
+    "log_colocation",
     "log_ended",
     "log_evacuations",
     "log_failed_tasks",
@@ -116,6 +119,27 @@
         )
 
 
+def log_colocation(cell: Cell, model: InterferenceModel, now: Now) -> None:
+    """Log what best-effort and latency-critical tasks cost each other, while any wait for it."""
+    if model.plan is None or not any(
+        wait.reason is WaitReason.INTERFERENCE for wait in cell.waits.values()
+    ):
+        return
+    report = describe_colocation(cell, model, now)
+    _log.info(
+        "best-effort tasks wait beside idle cores",
+        event="colocation.blocked",
+        waiting=round(report.waiting),
+        idle=round(report.idle),
+        blocked={obstacle.value: round(cores) for obstacle, cores in report.blocked.items()},
+        images={str(count): workers for count, workers in sorted(report.images.items())},
+        running=report.best_effort_tasks,
+        paced=report.paced_tasks,
+        services=report.services,
+        over_target=report.over_target,
+    )
+
+
 def log_evacuations(cell: Cell) -> None:
     """Log the progress of evacuations, and an error if they leave no usable worker."""
     if not cell.evacuated:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -19,6 +19,7 @@
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.decision_log import (
+    log_colocation,
     log_ended,
     log_evacuations,
     log_failed_tasks,
@@ -38,6 +39,7 @@
 from toucanpin.platform.workers import WORKERS_TABLE, decode_worker
 from toucanpin.scheduling.advising import AdviceRequest, plan_advice_requests, record_advice
 from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.colocation_plan import ColocationPlan
 from toucanpin.scheduling.consolidating import consolidate_images
 from toucanpin.scheduling.crashing import fail_crashing_jobs
 from toucanpin.scheduling.evacuating import (
@@ -46,6 +48,7 @@
     describe_evacuations,
     has_current_evacuations,
 )
+from toucanpin.scheduling.features import select_features
 from toucanpin.scheduling.intake import begin_due, forget_ended
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.leases import OWNER_AUTHORITY_S, expire_leases
@@ -115,7 +118,10 @@
         self._cell = Cell(name, record.token, earlier_leases_end, confirmed)
         self._cell.stop_time = settings.bounds.stop_time
         self._cell.restore_time = settings.bounds.restore_time
-        self._interference = InterferenceModel()
+        features = select_features(settings.bounds)
+        self._interference = InterferenceModel(
+            ColocationPlan() if features.colocation_planning else None
+        )
         self._reader = RowReader()
         self._rows = CellRows(
             store, self._cell, self._interference, record, version, confirmed, self._reader
@@ -347,6 +353,7 @@
             if now.steady > reported_at + REPORT_PERIOD_S:
                 reported_at = now.steady
                 log_waits(self._cell, now)
+                log_colocation(self._cell, self._interference, now)
                 self._estimate_backlog(now)
                 self._log_delay(now)
                 if self._cell.evacuated:
--- a/toucanpin/scheduling/consolidating.py
+++ b/toucanpin/scheduling/consolidating.py
@@ -28,7 +28,9 @@
 MOVE_PERIOD_S = 0.5  # a moved task runs again elsewhere within about this time
 MIN_WAIT_S = 0.5  # of best-effort tasks, before a task is moved for them
 HARMFUL_EFFECT = 2.0  # from which an image counts as harmful to another
-MIN_GAIN_CORES = 6.0  # cores that a move has to make usable: those of one best-effort task
+# Cores that a move has to make usable: those of one best-effort task.  With a plan the smallest
+# that waits counts, since on small workers no move could make this many usable.
+MIN_GAIN_CORES = 6.0
 MIN_STAY_S = 20.0  # until a task is moved again; longer than a best-effort job takes
 
 
@@ -50,10 +52,10 @@
         return None
     cell.consolidated_at = now.steady
     candidates = [_describe(worker) for worker in list_eligible(cell, now)]
-    best = max(
-        _list_moves(cell, model, candidates, demand, now), key=lambda move: move[0], default=None
-    )
-    if best is None or best[0] < MIN_GAIN_CORES:
+    min_gain = MIN_GAIN_CORES if model.plan is None else _find_smallest_task(cell, demand)
+    moves = _list_moves(cell, model, candidates, demand, min_gain, now)
+    best = max(moves, key=lambda move: move[0], default=None)
+    if best is None or best[0] < min_gain:
         return None
     run = best[1]
     _drop_expired_moves(cell, now)
@@ -83,6 +85,13 @@
     return demand
 
 
+def _find_smallest_task(cell: Cell, demand: dict[str, float]) -> float:
+    """Return the cores of the smallest best-effort task that waits, ``MIN_GAIN_CORES`` at most."""
+    steps = (cell.jobs[group.job].job.steps[group.step] for group in cell.waiting)
+    sizes = (step.cpu / 1_000 for step in steps if step.best_effort and step.image in demand)
+    return min(MIN_GAIN_CORES, min(sizes, default=MIN_GAIN_CORES))
+
+
 def _describe(worker: Worker) -> _WorkerImages:
     images = tuple(run.step.image for run in worker.runs.values() if run.step.target)
     used = worker.cpu + worker.best_effort_cpu
@@ -94,6 +103,7 @@
     model: InterferenceModel,
     candidates: list[_WorkerImages],
     demand: dict[str, float],
+    min_gain: float,
     now: Now,
 ) -> Iterable[tuple[float, Run]]:
     """Yield the cores that each possible move would make usable, and the task to move."""
@@ -106,7 +116,7 @@
             remaining = [image for image in candidate.images if image != run.step.image]
             gain = _count_usable_cores(model, candidate, remaining, demand, run.step.cpu / 1_000)
             gain -= _count_usable_cores(model, candidate, candidate.images, demand)
-            if gain < MIN_GAIN_CORES:
+            if gain < min_gain:
                 continue
             loss = _find_min_loss(model, candidates, candidate, run, demand)
             if loss is not None:
--- a/toucanpin/scheduling/interference_model.py
+++ b/toucanpin/scheduling/interference_model.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from toucanpin.interference.regression import Regression
+from toucanpin.scheduling.colocation_plan import ColocationPlan
 from toucanpin.scheduling.durations import Durations, Fit
 from toucanpin.scheduling.worker import Run
 
@@ -93,7 +94,11 @@
 
 
 class InterferenceModel:
-    """Loads of latency-critical jobs and effects between pairs of images."""
+    """
+    Loads of latency-critical jobs and effects between pairs of images.
+
+    Latency-critical and best-effort tasks are placed by ``plan``, where the feature is on.
+    """
 
     __slots__ = (
         "_cautious_effects",
@@ -102,9 +107,11 @@
         "_lowest_tails",
         "_regressions",
         "loads",
+        "plan",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, plan: ColocationPlan | None = None) -> None:
+        self.plan = plan
         self.loads: dict[str, LoadEstimate] = {}
         self._regressions: dict[str, Regression] = {}
         self._effects: dict[tuple[str, str], Effect] = {}
--- a/toucanpin/scheduling/learning.py
+++ b/toucanpin/scheduling/learning.py
@@ -12,6 +12,8 @@
 
 from __future__ import annotations
 
+import statistics
+
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.worker import Phase, Run, Worker
@@ -27,6 +29,8 @@
 DISTURBED_NOISE = 0.4  # added if all tasks of a job have harmful neighbours
 LEARN_PERIOD_S = 0.4  # workers measure over half a second, so answers in between repeat a value
 MAX_SAMPLES_PER_S = 250.0  # of all workers, many of which measure the same pairs of images
+# Neighbours saturate a service at most this far; a tail beyond it shows a worker that hangs.
+MAX_LEARNED_UTILIZATION = 2.0
 MIN_LOAD = 0.05  # below which a factor is too inaccurate
 
 
@@ -48,7 +52,8 @@
                 value = model.utilization(run) / (1 + growth)
                 found.setdefault(run.task.job, []).append((growth, value))
     for job, values in found.items():
-        value, undisturbed = _estimate_load(values)
+        estimate = _estimate_load if model.plan is None else _estimate_robust_load
+        value, undisturbed = estimate(values)
         model.record_load(job, value, undisturbed, now.steady)
     for job in [job for job, load in model.loads.items() if now.steady - load.at > LOAD_MAX_AGE_S]:
         del model.loads[job]
@@ -77,6 +82,8 @@
     for run in worker.runs.values():
         if not _is_measured(run) or run.task.job not in model.loads:
             continue
+        if model.plan is not None and model.utilization(run) > MAX_LEARNED_UTILIZATION:
+            continue
         load = model.load(run)
         if load > MIN_LOAD:
             used = model.utilization(run)
@@ -121,6 +128,21 @@
     return min(value for _, value in values), False
 
 
+def _estimate_robust_load(values: list[tuple[float, float]]) -> tuple[float, bool]:
+    """
+    Return a job's load like ``_estimate_load``, but from the median of the undisturbed tasks.
+
+    Tasks on a worker that hangs have tails of seconds: one of them would raise the mean of its job
+    far above the limit, and best-effort tasks would leave all workers of the job.
+    """
+    value, undisturbed = _estimate_load(values)
+    if undisturbed:
+        value = statistics.median(
+            value for growth, value in values if growth <= MAX_UNDISTURBED_GROWTH
+        )
+    return value, undisturbed
+
+
 def _is_measured(run: Run) -> bool:
     return (
         run.step.target > 0
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -184,6 +184,8 @@
         and not run.untimed
         and run.pace == 100
         and run.percent >= MIN_PERCENT
+        # A worker may list a task before it answers the task's start.
+        and run.last_listed_at > run.started_at
     )
 
 
--- a/toucanpin/scheduling/pacing.py
+++ b/toucanpin/scheduling/pacing.py
@@ -10,6 +10,7 @@
 
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.choosing import list_eligible
+from toucanpin.scheduling.colocation_plan import update_plan
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.learning import MEASUREMENT_MAX_AGE_S, measure_loads
 from toucanpin.scheduling.orders import PaceOrder
@@ -48,6 +49,8 @@
         return
     cell.paced_at = now.steady
     measure_loads(cell, model, now)
+    if model.plan is not None:
+        update_plan(cell, model.plan, now)
     for worker in cell.workers.values():
         # An owner process that was suspended holds old measurements and hasn't marked its workers
         # as silent yet.
--- a/toucanpin/scheduling/tests/test_moving.py
+++ b/toucanpin/scheduling/tests/test_moving.py
@@ -44,6 +44,24 @@
         fleet.run(5.0)
         self.assertEqual(2, sum(len(worker.starts) for worker in fleet.workers.values()))
 
+    def test_task_listed_before_its_start_was_answered_gives_no_duration(self) -> None:
+        """
+        Guards against an owner that ends by a division by zero: a worker lists a task with some
+        progress before it answers the task's start, and its other tasks are slow.
+        """
+        fleet = Fleet(workers=2, cpu=3_000)
+        fleet.workers["w0"].duration = 30.0
+        fleet.workers["w1"].duration = 1.0
+        fleet.submit(make_job(steps=(Step(count=6, cpu=1_000),)))
+        fleet.run(1.4)
+        runs = list(fleet.cell.workers["w0"].runs.values())
+        for run in runs:
+            run.percent, run.started_at = 20, run.last_listed_at - 5.0
+        runs[0].started_at = runs[0].last_listed_at
+        move_tasks(fleet.cell, fleet.now())
+        self.assertIsNot(Phase.STOPPING, runs[0].phase)
+        self.assertIs(Phase.STOPPING, runs[1].phase)
+
 
 class UnansweredStartTest(unittest.TestCase):
     def test_run_first_seen_in_a_report_gives_no_duration(self) -> None:
