--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -45,7 +45,6 @@
 OVERSUBSCRIPTION_COST = 3.0  # per missing share of the cores, by which all tasks take longer
 MAX_CORE_SHARE = 1.05  # of a worker's cores in use: more best-effort tasks only slow each other
 OTHER_IMAGE_COST = 1.5  # per other latency-critical image on the worker
-LOST_SHARE_COST = 8.0  # per share of the best-effort demand that another image excludes
 DISPLACEMENT_COST = 3.0  # per share of the best-effort demand that could run there as well
 RESERVE_COST = 20.0  # of taking reserved cores
 UTILIZATION_MAX_AGE_S = 0.2  # loads are measured as often
@@ -183,7 +182,7 @@
         cost = (
             _compute_best_effort_cost(self._round, worker, step)
             if step.best_effort
-            else _compute_packing_cost(self._round, worker, step)
+            else _compute_packing_cost(worker, step)
         )
         if cost is None:
             return None
@@ -284,7 +283,7 @@
     return cost
 
 
-def _compute_packing_cost(round_: PlacementRound, worker: Worker, step: Step) -> float:
+def _compute_packing_cost(worker: Worker, step: Step) -> float:
     """Return the cost of a worker for a task that reserves cores, the lowest for the fullest."""
     capacity = max(1, worker.entry.cpu)
     # Packing small tasks leaves whole workers for large ones.
@@ -294,7 +293,7 @@
         cost += RESERVE_COST
     if step.target:
         neighbour_cost = BEST_EFFORT_NEIGHBOUR_COST * worker.best_effort_cpu / capacity
-        return cost + free_share + neighbour_cost + _compute_image_cost(round_, worker, step.image)
+        return cost + free_share + neighbour_cost + _compute_image_cost(worker, step.image)
     return cost + free_share + 0.2 * worker.best_effort_count
 
 
@@ -316,21 +315,13 @@
     return cost + INTERFERENCE_COST * max(0.0, share + rise - SAFE_SHARE)
 
 
-def _compute_image_cost(round_: PlacementRound, worker: Worker, image: str) -> float:
+def _compute_image_cost(worker: Worker, image: str) -> float:
     """
     Return the cost of placing a latency-critical task beside other images.
 
     A best-effort task must be harmless to all latency-critical images on its worker, or their load
     must be low.
     """
-    images = frozenset(run.step.image for run in worker.runs.values() if run.step.target)
+    images = {run.step.image for run in worker.runs.values() if run.step.target}
     # One more task of an image that runs there excludes no further best-effort images.
-    if image in images or not images:
-        return 0.0
-    cost = OTHER_IMAGE_COST * len(images)
-    model = round_.model
-    if model.plan is not None:
-        lost = model.plan.usable_share(model.expected_effect, images)
-        lost -= model.plan.usable_share(model.expected_effect, images | {image})
-        cost += LOST_SHARE_COST * lost
-    return cost
+    return 0.0 if image in images else OTHER_IMAGE_COST * len(images)
--- a/toucanpin/scheduling/consolidating.py
+++ b/toucanpin/scheduling/consolidating.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -28,8 +29,8 @@
 MOVE_PERIOD_S = 0.5  # a moved task runs again elsewhere within about this time
 MIN_WAIT_S = 0.5  # of best-effort tasks, before a task is moved for them
 HARMFUL_EFFECT = 2.0  # from which an image counts as harmful to another
-# Cores that a move has to make usable: those of one best-effort task.  With a plan the smallest
-# that waits counts, since on small workers no move could make this many usable.
+# Cores that a move has to make usable: those of one best-effort task.  With a plan the median of
+# those that wait counts, since on small workers no move could make this many usable.
 MIN_GAIN_CORES = 6.0
 MIN_STAY_S = 20.0  # until a task is moved again; longer than a best-effort job takes
 
@@ -52,7 +53,7 @@
         return None
     cell.consolidated_at = now.steady
     candidates = [_describe(worker) for worker in list_eligible(cell, now)]
-    min_gain = MIN_GAIN_CORES if model.plan is None else _find_smallest_task(cell, demand)
+    min_gain = MIN_GAIN_CORES if model.plan is None else _find_median_size(cell, demand)
     moves = _list_moves(cell, model, candidates, demand, min_gain, now)
     best = max(moves, key=lambda move: move[0], default=None)
     if best is None or best[0] < min_gain:
@@ -85,11 +86,11 @@
     return demand
 
 
-def _find_smallest_task(cell: Cell, demand: dict[str, float]) -> float:
-    """Return the cores of the smallest best-effort task that waits, ``MIN_GAIN_CORES`` at most."""
+def _find_median_size(cell: Cell, demand: dict[str, float]) -> float:
+    """Return the median cores of a task over the best-effort steps that wait."""
     steps = (cell.jobs[group.job].job.steps[group.step] for group in cell.waiting)
-    sizes = (step.cpu / 1_000 for step in steps if step.best_effort and step.image in demand)
-    return min(MIN_GAIN_CORES, min(sizes, default=MIN_GAIN_CORES))
+    sizes = [step.cpu / 1_000 for step in steps if step.best_effort and step.image in demand]
+    return statistics.median(sizes) if sizes else MIN_GAIN_CORES
 
 
 def _describe(worker: Worker) -> _WorkerImages:
