--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -19,6 +19,7 @@
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.decision_log import (
+    log_colocation,
     log_ended,
     log_evacuations,
     log_failed_tasks,
@@ -44,6 +45,7 @@
 from toucanpin.platform.workers import WORKERS_TABLE, decode_worker
 from toucanpin.scheduling.advising import AdviceRequest, plan_advice_requests, record_advice
 from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.colocation_plan import ColocationPlan
 from toucanpin.scheduling.consolidating import consolidate_images
 from toucanpin.scheduling.crashing import fail_crashing_jobs
 from toucanpin.scheduling.evacuating import (
@@ -138,7 +140,9 @@
         self._cell.restore_time = settings.bounds.restore_time
         self._cell.max_lease = settings.bounds.max_lease
         self._cell.features = select_features(settings.bounds)
-        self._interference = InterferenceModel()
+        self._interference = InterferenceModel(
+            ColocationPlan() if self._cell.features.colocation_planning else None
+        )
         self._reader = RowReader()
         self._rows = CellRows(
             store, self._cell, self._interference, record, version, confirmed, self._reader
@@ -406,6 +410,7 @@
                 reported_at = now.steady
                 log_waits(self._cell, now)
                 log_headroom(self._cell, now)
+                log_colocation(self._cell, self._interference, now)
                 self._estimate_backlog(now)
                 self._log_delay(now)
                 if self._cell.evacuated:
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -46,6 +46,7 @@
 OVERSUBSCRIPTION_COST = 3.0  # per missing share of the cores, by which all tasks take longer
 MAX_CORE_SHARE = 1.05  # of a worker's cores in use: more best-effort tasks only slow each other
 OTHER_IMAGE_COST = 1.5  # per other latency-critical image on the worker
+DISPLACEMENT_COST = 3.0  # per share of the best-effort demand that could run there as well
 RESERVE_COST = 20.0  # of taking reserved cores
 UTILIZATION_MAX_AGE_S = 0.2  # loads are measured as often
 SUSPECTED_TASK_COST = 1.0  # per suspected task on the worker, for a task that is suspected itself
@@ -315,6 +316,9 @@
     utilization = round_.utilization(worker)
     core_share = (utilization.used + step.cpu) / utilization.capacity
     cost = core_share if core_share <= 1.0 else 1.0 + OVERSUBSCRIPTION_COST * (core_share - 1.0)
+    if model.plan is not None:
+        images = frozenset(service.image for service in utilization.services)
+        cost += DISPLACEMENT_COST * model.plan.usable_share(model.expected_effect, images)
     if not utilization.services:
         return cost
     share = predict_share(model, utilization, step.image, step.cpu)
