--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -46,8 +46,8 @@
 OVERSUBSCRIPTION_COST = 3.0  # per missing share of the cores, by which all tasks take longer
 MAX_CORE_SHARE = 1.05  # of a worker's cores in use: more best-effort tasks only slow each other
 OTHER_IMAGE_COST = 1.5  # per other latency-critical image on the worker
-# Per share of the best-effort demand that could run there as well: more than idle cores cost, so that
-# tasks that fit anywhere leave rare places free, less than interference costs.
+# Per share of the best-effort demand that could run there as well: above the cost of used cores, so
+# that tasks that fit anywhere leave rare places free, and below that of interference.
 DISPLACEMENT_COST = 3.0
 RESERVE_COST = 20.0  # of taking reserved cores
 UTILIZATION_MAX_AGE_S = 0.2  # loads are measured as often
