--- a/toucanpin/scheduling/colocation_plan.py
+++ b/toucanpin/scheduling/colocation_plan.py
@@ -7,9 +7,8 @@
 Notes
 -----
 The load that this answers: more best-effort work waits than the workers can take, and most pairs of
-images harm each other.  Then each placement decides what others can still use.  A best-effort task
-goes where little of the other demand could run, and a latency-critical one beside images that
-exclude the same best-effort work as its own image does.
+images harm each other.  Then each placement decides what others can still use, so a best-effort
+task goes where little of the other demand could run.
 """
 
 from __future__ import annotations
