--- a/toucanpin/entry/tests/test_slow_takeover.py
+++ b/toucanpin/entry/tests/test_slow_takeover.py
@@ -8,6 +8,7 @@
 from unittest.mock import patch
 
 from standins.site.site import Site
+from standins.site.virtual import run_virtual
 from toucanpin.entry.cell_jobs import CellJobs
 from toucanpin.entry.cell_rows import CellRows
 from toucanpin.entry.clocks import Clocks
@@ -62,22 +63,26 @@
         return Page((), len(self.read_at) % 3 != 0, 1, 1)
 
 
-class RelistTest(unittest.IsolatedAsyncioTestCase):
-    async def test_periodic_reads_of_jobs_are_throttled(self) -> None:
+class RelistTest(unittest.TestCase):
+    def test_periodic_reads_of_jobs_are_throttled(self) -> None:
         """Guards against an owner that is replaced because its reads saturate its link."""
         pages = _EmptyPages()
-        store = Store(None)  # type: ignore[arg-type]
-        cell, reader = Cell("c", 1, 0.0, 0.0), RowReader()
-        record = OwnerRecord("h", "life", 1, 0)
-        rows = CellRows(store, cell, InterferenceModel(), record, 1, 0.0, reader)
-        jobs = CellJobs(store, Clocks(store), cell, rows, reader, 1.0, lambda: None)
+
+        async def relist() -> None:
+            store = Store(None)  # type: ignore[arg-type]
+            cell, reader = Cell("c", 1, 0.0, 0.0), RowReader()
+            record = OwnerRecord("h", "life", 1, 0)
+            rows = CellRows(store, cell, InterferenceModel(), record, 1, 0.0, reader)
+            jobs = CellJobs(store, Clocks(store), cell, rows, reader, 1.0, lambda: None)
+            relisting = asyncio.ensure_future(jobs.relist())
+            await asyncio.sleep(30 * PAGE_TIME_S / MAX_READ_SHARE / 10)
+            relisting.cancel()
+
         with (
             patch.object(Store, "read", pages.read),
             patch("toucanpin.entry.cell_jobs.FULL_READ_PERIOD_S", 0.0),
         ):
-            relisting = asyncio.ensure_future(jobs.relist())
-            await asyncio.sleep(30 * PAGE_TIME_S / MAX_READ_SHARE / 10)
-            relisting.cancel()
+            run_virtual(relist)
         gaps = [
             after - before for before, after in zip(pages.read_at, pages.read_at[1:], strict=False)
         ]
