--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -178,7 +178,7 @@
         "cores are scarce for short tasks",
         event="headroom.scarce",
         cell=cell.name,
-        yielded=len(cell.headroom.yielded),
+        evicted=len(cell.headroom.evicted),
         **describe_headroom(cell.headroom),
     )
 
--- a/toucanpin/scheduling/yielding.py
+++ b/toucanpin/scheduling/evicting.py
@@ -1,5 +1,5 @@
 """
-Yielding of long-running tasks
+Eviction of long-running tasks
 ==============================
 
 Stop some long-running tasks where short ones of the same urgency have no room for long.
@@ -28,9 +28,9 @@
 SCARCITY_WAIT_S = 0.3  # of a short task for room, from which on long-running ones get none
 # After the last such wait; until then cores that come free are kept for the next short tasks.
 SCARCITY_HOLD_S = 3.0
-YIELD_PERIOD_S = 10.0  # in which a task yields once at most
-MAX_YIELDING_SHARE = 0.05  # of the cores in use by long-running tasks, in a period
-MAX_YIELDS = 16  # tasks at a time
+EVICTION_PERIOD_S = 10.0  # in which a task is evicted once at most
+MAX_EVICTED_SHARE = 0.05  # of the cores in use by long-running tasks, in a period
+MAX_TRIES = 16  # tasks at a time
 
 
 def update_scarcity(cell: Cell, eligible: Sequence[Worker], now: Now) -> None:
@@ -59,25 +59,25 @@
     if not waiting:
         return
     _drop_expired(cell, now)
-    budget = int(MAX_YIELDING_SHARE * sum(worker.long_running_cpu for worker in eligible))
-    budget -= sum(cores for _, cores in cell.headroom.yielded.values())
+    budget = int(MAX_EVICTED_SHARE * sum(worker.long_running_cpu for worker in eligible))
+    budget -= sum(cores for _, cores in cell.headroom.evicted.values())
     search = _Search(cell, eligible, now)
     tries = 0
     for group, step in waiting:
         for _ in cell.waiting[group]:
-            if tries == MAX_YIELDS:
+            if tries == MAX_TRIES:
                 return
             tries += 1
             if search.claim_room(group, step):
                 continue
-            run = search.find_yielding(group, step)
+            run = search.find_evictable(group, step)
             if run is None or run.step.cpu > budget:
                 # Others that wait may need less.
                 break
             budget -= run.step.cpu
             search.freed[run.worker] += run.step.cpu - step.cpu
             reserve_freed(cell, cell.workers[run.worker], cell.jobs[group.job].job.priority, now)
-            cell.headroom.yielded[run.task] = (now.steady, run.step.cpu)
+            cell.headroom.evicted[run.task] = (now.steady, run.step.cpu)
             stop_run(cell, run, "makes room for urgent work")
 
 
@@ -107,7 +107,7 @@
 
 class _Search:
     """
-    Search for long-running tasks that may yield at one moment.
+    Search for long-running tasks that may be evicted at one moment.
 
     ``freed`` holds by worker the cores that stopped tasks will free, less those that are claimed.
     """
@@ -142,7 +142,7 @@
                 return True
         return False
 
-    def find_yielding(self, group: Group, step: Step) -> Run | None:
+    def find_evictable(self, group: Group, step: Step) -> Run | None:
         """Return the long-running task with the fewest cores that makes room for a short one."""
         priority = self._cell.jobs[group.job].job.priority
         self._drop_unavailable()
@@ -154,7 +154,7 @@
                 continue
             if not self._may_start(worker, group) or not meets_constraints(worker, group, step):
                 continue
-            if self._may_yield(run, service):
+            if self._may_be_evicted(run, service):
                 self._serving[service] = False
                 return run
         return None
@@ -172,9 +172,9 @@
     def _count_missing(self, worker: Worker, step: Step) -> int:
         return worker.cpu + step.cpu - worker.entry.cpu - self.freed[worker.entry.id]
 
-    def _may_yield(self, run: Run, service: Group) -> bool:
-        """Return whether a task hasn't yielded lately and all others of its service serve."""
-        if run.phase is not Phase.RUNNING or run.task in self._cell.headroom.yielded:
+    def _may_be_evicted(self, run: Run, service: Group) -> bool:
+        """Return whether a task hasn't evicted lately and all others of its service serve."""
+        if run.phase is not Phase.RUNNING or run.task in self._cell.headroom.evicted:
             return False
         # Nothing would be left of its service.
         if run.step.gang or (run.step.count == 1 and run.percent >= 100):
@@ -204,8 +204,8 @@
 
 
 def _drop_expired(cell: Cell, now: Now) -> None:
-    cell.headroom.yielded = {
+    cell.headroom.evicted = {
         task: (since, cores)
-        for task, (since, cores) in cell.headroom.yielded.items()
-        if now.steady < since + YIELD_PERIOD_S
+        for task, (since, cores) in cell.headroom.evicted.items()
+        if now.steady < since + EVICTION_PERIOD_S
     }
--- a/toucanpin/scheduling/headroom.py
+++ b/toucanpin/scheduling/headroom.py
@@ -72,7 +72,7 @@
     ``forecast`` are the cores that they may request, ``used`` those that they use, ``planned`` the
     free cores to keep and ``free`` all cores that were free when this was planned.  Only tasks of
     jobs up to ``max_priority`` count: the others are less urgent than long-running ones.  Until
-    ``scarce_until`` long-running tasks get no cores.  ``yielded`` tells when each long-running task
+    ``scarce_until`` long-running tasks get no cores.  ``evicted`` tells when each long-running task
     was stopped to make room, and its cores.
     """
 
@@ -85,7 +85,7 @@
     free: int = 0
     max_priority: int = 0
     scarce_until: float = 0.0
-    yielded: dict[TaskKey, tuple[float, int]] = field(default_factory=dict)
+    evicted: dict[TaskKey, tuple[float, int]] = field(default_factory=dict)
 
 
 def record_demand(headroom: Headroom, cores: Mapping[str, int], limit: float, now: float) -> None:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -28,6 +28,7 @@
     may_place_long_running,
 )
 from toucanpin.scheduling.crashing import find_suspicion, is_start_blocked
+from toucanpin.scheduling.evicting import make_room, update_scarcity
 from toucanpin.scheduling.gangs import place_gang
 from toucanpin.scheduling.headroom import is_scarce
 from toucanpin.scheduling.interference_model import InterferenceModel
@@ -47,7 +48,6 @@
     record_unplaceable,
 )
 from toucanpin.scheduling.worker import Worker, has_room
-from toucanpin.scheduling.yielding import make_room, update_scarcity
 
 __all__ = ["place_tasks"]
 
@@ -129,7 +129,7 @@
     wait = cell.waits.get(group)
     if wait is None or now.steady <= wait.since + RESERVE_WAIT_S:
         return False
-    if _yields_to_short(cell, group, MAX_RETRY_DELAY_S, now):
+    if _leaves_cores_to_short(cell, group, MAX_RETRY_DELAY_S, now):
         return False
     records = live.progress.tasks[group.occurrence]
     return records[live.offsets[group.step] + index].attempt > 0
@@ -149,12 +149,12 @@
         return ReserveAccess.ALL
     if len(cell.waiting[group]) < step.count:
         return ReserveAccess.SPARE if _leaves_plan(cell, group, step, now) else ReserveAccess.NONE
-    if _yields_to_short(cell, group, MAX_FIRST_DELAY_S, now):
+    if _leaves_cores_to_short(cell, group, MAX_FIRST_DELAY_S, now):
         return ReserveAccess.NONE
     return ReserveAccess.SPARE
 
 
-def _yields_to_short(cell: Cell, group: Group, max_delay: float, now: Now) -> bool:
+def _leaves_cores_to_short(cell: Cell, group: Group, max_delay: float, now: Now) -> bool:
     """Return whether long-running tasks get no reserved cores, as these are scarce."""
     if not cell.features.urgent_headroom or not is_scarce(cell.headroom, now.steady):
         return False
--- a/toucanpin/scheduling/tests/test_headroom.py
+++ b/toucanpin/scheduling/tests/test_headroom.py
@@ -7,8 +7,9 @@
 from dataclasses import replace
 from unittest.mock import patch
 
-from toucanpin.scheduling import yielding
+from toucanpin.scheduling import evicting
 from toucanpin.scheduling.cell import Wait
+from toucanpin.scheduling.evicting import MAX_EVICTED_SHARE, make_room
 from toucanpin.scheduling.features import Features
 from toucanpin.scheduling.headroom import (
     MAX_HEADROOM_SHARE,
@@ -25,7 +26,6 @@
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.tests.urgent_load import LONG_DURATION_S, ServingWorker, UrgentLoad
 from toucanpin.scheduling.worker import Worker, count_fitting_tasks
-from toucanpin.scheduling.yielding import MAX_YIELDING_SHARE, make_room
 
 ON = Features(urgent_headroom=True)
 OFF = Features()
@@ -133,7 +133,7 @@
         self._assert_served(evacuated_at=3.0)
 
 
-class YieldingTest(unittest.TestCase):
+class EvictionTest(unittest.TestCase):
     def _make_full_fleet(self, features: Features, services: int = 4, tasks: int = 9) -> Fleet:
         """Return a fleet of ten workers, each full of tasks of services, which all serve."""
         fleet = Fleet(workers=10, cpu=CORES)
@@ -155,25 +155,25 @@
         """Submit an urgent job; return the tasks that make room for it."""
         fleet.submit(make_job("urgent", (Step(count=count, cpu=16_000),)))
         fleet.run(seconds)
-        return set(fleet.cell.headroom.yielded)
+        return set(fleet.cell.headroom.evicted)
 
-    def test_service_yields_one_task_to_urgent_work(self) -> None:
+    def test_one_task_of_a_service_is_evicted_for_urgent_work(self) -> None:
         """
         Guards against urgent tasks that wait for minutes on a fleet full of long-running ones, and
         against services that lose two tasks at a time for them.
         """
         fleet = self._make_full_fleet(ON)
-        yielded = self._submit_urgent(fleet, 1, 2.0)
-        self.assertEqual(1, len(yielded))
+        evicted = self._submit_urgent(fleet, 1, 2.0)
+        self.assertEqual(1, len(evicted))
         self.assertIn("urgent", fleet.cell.runs)
 
     def test_stopped_task_does_not_return_while_urgent_work_waits(self) -> None:
         """Guards against a long-running task that takes the cores that it has made free."""
         fleet = self._make_full_fleet(ON)
-        yielded = self._submit_urgent(fleet, 30, 4.0)
-        self.assertTrue(yielded)
+        evicted = self._submit_urgent(fleet, 30, 4.0)
+        self.assertTrue(evicted)
         running = {task for worker in fleet.workers.values() for task in worker.runs}
-        self.assertFalse(running & yielded)
+        self.assertFalse(running & evicted)
 
     def test_stopped_task_returns_in_time(self) -> None:
         """
@@ -216,44 +216,44 @@
         self.assertGreater(fleet.cell.headroom.scarce_until, fleet.now().steady)
         self.assertEqual(4, len(fleet.cell.runs["new"]))
 
-    def test_only_task_of_a_service_does_not_yield(self) -> None:
+    def test_only_task_of_a_service_is_not_evicted(self) -> None:
         """Guards against a service that is gone altogether while urgent work waits."""
         fleet = self._make_full_fleet(ON, services=36, tasks=1)
         self.assertFalse(self._submit_urgent(fleet, 4, 3.0))
 
-    def _count_yielded(self, fleet: Fleet, job: Job) -> int:
-        """Return how many tasks yield to a job that has waited for long."""
+    def _count_evicted(self, fleet: Fleet, job: Job) -> int:
+        """Return how many tasks are evicted for a job that has waited for long."""
         fleet.submit(job)
         (group,) = (group for group in fleet.cell.waiting if group.job == job.id)
         fleet.cell.waits[group] = Wait(fleet.now().steady - 10.0)
         make_room(fleet.cell, list(fleet.cell.workers.values()), fleet.now())
-        return len(fleet.cell.headroom.yielded)
+        return len(fleet.cell.headroom.evicted)
 
-    def test_nothing_yields_to_work_that_lacks_accelerators(self) -> None:
+    def test_nothing_is_evicted_for_work_that_lacks_accelerators(self) -> None:
         """Guards against long-running tasks that are stopped for cores that nobody waits for."""
         fleet = self._make_full_fleet(ON)
         for worker in fleet.cell.workers.values():
             worker.entry = replace(worker.entry, accelerators=1)
             worker.accelerators = 1
         step = Step(cpu=16_000, accelerators=1)
-        self.assertEqual(0, self._count_yielded(fleet, make_job("urgent", (step,))))
+        self.assertEqual(0, self._count_evicted(fleet, make_job("urgent", (step,))))
 
-    def test_nothing_yields_to_work_without_a_ticket(self) -> None:
+    def test_nothing_is_evicted_for_work_without_a_ticket(self) -> None:
         """Guards against long-running tasks that are stopped where the short one may not run."""
         step = Step(cpu=16_000)
         for advised in (False, True):
             fleet = self._make_full_fleet(ON)
             job = Job("urgent", "q", "c", "spec", (step,), advised=advised)
-            self.assertEqual(int(not advised), self._count_yielded(fleet, job))
+            self.assertEqual(int(not advised), self._count_evicted(fleet, job))
 
     def test_wide_work_does_not_hold_up_others(self) -> None:
-        """Guards against urgent tasks that wait behind many which no yielding could help."""
+        """Guards against urgent tasks that wait behind many which no eviction could help."""
         fleet = self._make_full_fleet(ON)
         fleet.submit(make_job("wide", (Step(count=60, cpu=CORES),)))
         fleet.run(1.0)
         self.assertTrue(self._submit_urgent(fleet, 1, 2.0))
 
-    def test_services_that_may_not_yield_are_searched_once(self) -> None:
+    def test_services_that_must_stay_whole_are_searched_once(self) -> None:
         """Guards against a turn that passes over each long-running task for each waiting one."""
         fleet = self._make_full_fleet(ON)
         runs = [run for runs in fleet.cell.runs.values() for run in runs if run.step.long_running]
@@ -264,22 +264,22 @@
             fleet.submit(job)
         for group in fleet.cell.waiting:
             fleet.cell.waits[group] = Wait(fleet.now().steady - 10.0)
-        with patch.object(yielding, "meets_constraints", wraps=yielding.meets_constraints) as calls:
+        with patch.object(evicting, "meets_constraints", wraps=evicting.meets_constraints) as calls:
             make_room(fleet.cell, list(fleet.cell.workers.values()), fleet.now())
         self.assertLessEqual(calls.call_count, 2 * len(runs))
 
-    def test_few_tasks_yield(self) -> None:
+    def test_few_tasks_are_evicted(self) -> None:
         """
         Guards against services that lose two tasks at a time, and against urgent work that takes
         the place of long-running work for good.
         """
         fleet = self._make_full_fleet(ON)
-        yielded = self._submit_urgent(fleet, 30, 4.0)
-        self.assertEqual(len(yielded), len({task.job for task in yielded}))
+        evicted = self._submit_urgent(fleet, 30, 4.0)
+        self.assertEqual(len(evicted), len({task.job for task in evicted}))
         used = 16_000 * sum(
             job.startswith("s") * len(runs) for job, runs in fleet.cell.runs.items()
         )
-        self.assertLessEqual(16_000 * len(yielded), MAX_YIELDING_SHARE * (used + 16_000))
+        self.assertLessEqual(16_000 * len(evicted), MAX_EVICTED_SHARE * (used + 16_000))
 
     def test_less_urgent_short_work_gets_no_headroom(self) -> None:
         """
@@ -293,7 +293,7 @@
         fleet.run(3.0)
         cancel_job(fleet.cell, "s1", fleet.now())
         fleet.run(0.6)
-        self.assertFalse(fleet.cell.headroom.yielded)
+        self.assertFalse(fleet.cell.headroom.evicted)
         self.assertNotIn("p", fleet.cell.headroom.queues)
         self.assertIn("new", fleet.cell.runs)
 
@@ -312,11 +312,11 @@
             fleet.submit(make_job(f"o{number}", (Step(cpu=1_000 + number, label="none"),)))
         fleet.run(1.0)
         fleet.time += 2 * RESERVE_PERIOD_S
-        with patch.object(yielding, "has_label", wraps=yielding.has_label) as counted:
+        with patch.object(evicting, "has_label", wraps=evicting.has_label) as counted:
             place_tasks(fleet.cell, fleet.model, fleet.now())
         self.assertLessEqual(counted.call_count, len(fleet.workers))
 
-    def test_without_the_feature_nothing_yields(self) -> None:
+    def test_without_the_feature_nothing_is_evicted(self) -> None:
         """Guards against a change for deployments that can correct choices later."""
         fleet = self._make_full_fleet(OFF)
         self.assertFalse(self._submit_urgent(fleet, 2, 2.0))
