Tell the runs that wait for workers which don't answer

Cause: after a takeover tasks may wait 9.24 s for a worker that doesn't answer, and no line or metric told it from a slow placement.

--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -21,6 +21,7 @@
 from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.standstill import Standstill
+from toucanpin.scheduling.unsettled import describe_unsettled
 from toucanpin.scheduling.worker import Run
 
 __all__ = [
@@ -33,6 +34,7 @@
     "log_placement",
     "log_slow_workers",
     "log_standstill",
+    "log_unsettled",
     "log_waits",
 ]
 
@@ -142,6 +144,23 @@
     )
 
 
+def log_unsettled(cell: Cell, now: Now) -> None:
+    """Log the runs that may still execute on workers that don't answer, if there are any."""
+    found = describe_unsettled(cell)
+    if found is None:
+        return
+    _log.info(
+        "tasks wait until their workers answer or the leases have ended",
+        event="cell.unsettled",
+        cell=cell.name,
+        workers=found.workers,
+        unreached=found.unreached,
+        unlisted=found.unlisted,
+        silent=found.silent,
+        left=round(max(0.0, found.until - now.steady), 3),
+    )
+
+
 def log_waits(cell: Cell, now: Now) -> None:
     """Log the longest waits for a worker, at most ``MAX_LOGGED_WAITS`` per call."""
     due = [
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -29,6 +29,7 @@
     log_placement,
     log_slow_workers,
     log_standstill,
+    log_unsettled,
     log_waits,
 )
 from toucanpin.entry.metrics import TURN_TIME
@@ -73,6 +74,7 @@
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.standstill import StandstillCause, StandstillMeter
+from toucanpin.scheduling.unsettled import describe_unsettled
 from toucanpin.scheduling.write_batches import (
     MAX_FORGOTTEN,
     apply_batch,
@@ -246,6 +248,13 @@
         """Return the number of tasks that still run in each evacuated data centre."""
         return {it.data_centre: float(it.runs) for it in describe_evacuations(self._cell)}
 
+    def count_unsettled(self) -> dict[str, float]:
+        """Return the number of runs on workers that don't answer, by what is known of those."""
+        found = describe_unsettled(self._cell)
+        if found is None:
+            return {}
+        return {"unreached": float(found.unreached), "silent": float(found.silent)}
+
     def count_headroom(self) -> dict[str, float]:
         """Return the cores that are kept for short tasks, by what is counted."""
         if not self._cell.features.urgent_headroom:
@@ -407,6 +416,7 @@
                 self._spawn(self._request_advice(request))
             if now.steady > reported_at + REPORT_PERIOD_S:
                 reported_at = now.steady
+                log_unsettled(self._cell, now)
                 log_waits(self._cell, now)
                 log_headroom(self._cell, now)
                 log_colocation(self._cell, self._interference, now)
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -168,6 +168,12 @@
             "data_centre",
             self._read_evacuated,
         )
+        register_gauge(
+            "toucanpin.runs.unsettled",
+            "Runs on workers that don't answer this owner, or never have",
+            "worker",
+            self._read_unsettled,
+        )
         register_gauge(
             "toucanpin.forecast.wait",
             "Expected wait in s of new jobs that can be on time",
@@ -202,6 +208,12 @@
             cores.update(candidate.count_headroom())
         return dict(cores)
 
+    def _read_unsettled(self) -> dict[str, float]:
+        counts: Counter[str] = Counter()
+        for candidate in self._candidates.values():
+            counts.update(candidate.count_unsettled())
+        return dict(counts)
+
     def _read_waiting(self) -> dict[str, float]:
         counts: Counter[str] = Counter()
         for candidate in self._candidates.values():
