Failing test: a last attempt waits beside an idle sound worker

Cause: placing tries only the cheapest worker for a task that has failed. If that one is distrusted and the attempt is the last, the task waits; once the pause after a failure is over, an idle distrusted worker may rank first, and nothing else runs there that could restore trust. Change: a test, listed as known red. Result: fails: the job isn't completed within 10 s of virtual time, the worker beside it idles.

--- a/toucanpin/scheduling/tests/test_trust.py
+++ b/toucanpin/scheduling/tests/test_trust.py
@@ -8,6 +8,9 @@
 from toucanpin.scheduling.orders import RunEnd
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.trust import MIN_FAILED_JOBS, is_distrusted
+
+RECOVERY_S = 10.0  # longer than any pause after a failure
 
 
 class FailingWorkerTest(unittest.TestCase):
@@ -87,6 +90,39 @@
         self.assertEqual(started, len(worker.starts))
 
 
+class LastAttemptTest(unittest.TestCase):
+    def test_last_attempt_is_made_on_a_sound_worker_beside_a_distrusted_one(self) -> None:
+        """
+        A task failed on its only worker, its other attempt is the last, and a worker that tasks of
+        three jobs failed on is idle and ranks first. Guards against a wait without an end: nothing
+        else runs that could restore trust, and the sound worker isn't tried.
+        """
+        fleet = Fleet(workers=1)
+        _fail_jobs(fleet)
+        fleet.add_worker("w1").failing = True
+        fleet.run(0.2)
+        fleet.cell.workers["w0"].suspect_until = fleet.time + 0.5
+        fleet.submit(make_job("j1", max_failures=2))
+        fleet.run(0.2)
+        self.assertEqual(1, len(fleet.workers["w1"].starts))
+        fleet.workers["w1"].failing = False
+        fleet.run(RECOVERY_S)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
+
+def _fail_jobs(fleet: Fleet) -> None:
+    """Fail enough jobs on all workers of a fleet for these to be distrusted, and recover."""
+    for worker in fleet.workers.values():
+        worker.failing = True
+    for number in range(MIN_FAILED_JOBS):
+        step = Step(count=len(fleet.workers), cpu=1_000, per_worker=1)
+        fleet.submit(make_job(f"bad{number}", (step,), max_failures=1))
+        fleet.run(RECOVERY_S)
+    assert all(is_distrusted(worker) for worker in fleet.cell.workers.values())
+    for worker in fleet.workers.values():
+        worker.failing = False
+
+
 class FailingJobTest(unittest.TestCase):
     def test_job_that_always_fails_blocks_no_worker(self) -> None:
         """
