Failing test: a last attempt waits where no worker is trusted

Cause: wastes_attempt looks for another worker that could run the task, and counts distrusted ones, even the one in question. So each worker is left to another, and the last attempt is made on none.

--- a/toucanpin/scheduling/tests/test_trust.py
+++ b/toucanpin/scheduling/tests/test_trust.py
@@ -109,6 +109,23 @@
         fleet.run(RECOVERY_S)
         self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
 
+    def test_last_attempt_is_made_where_no_worker_is_trusted(self) -> None:
+        """
+        Tasks of three jobs failed on every worker, all of which have recovered. Guards against a
+        task that has one attempt left and waits for ever, each distrusted worker in favour of
+        another distrusted one or of itself.
+        """
+        fleet = Fleet(workers=2)
+        _fail_jobs(fleet)
+        worker = fleet.workers["w0"]
+        worker.failing = True
+        fleet.submit(make_job("j1", max_failures=2))
+        fleet.run(0.2)
+        self.assertEqual("j1", worker.starts[-1][0].job)
+        worker.failing = False
+        fleet.run(RECOVERY_S)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
 
 def _fail_jobs(fleet: Fleet) -> None:
     """Fail enough jobs on all workers of a fleet for these to be distrusted, and recover."""
