Test (red): a task whose worker is lost with its owner waits over 9 s

A new owner counts the time in which leases of earlier owners may last, 9.24 s, from its takeover. A worker that never answers it keeps its runs that long, though its leases began before the last write of the earlier owner. The bound is that of LOST: 6 s after the last run, and 3 s.

--- /dev/null
+++ b/toucanpin/entry/tests/test_lost_tasks.py
@@ -0,0 +1,119 @@
+"""Long-running tasks whose workers are lost while the cell changes its owner."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from standins.site.site import JOB, Site
+from standins.site.virtual import Processor, run_virtual, start_on
+from standins.site.worker import SiteWorker
+from toucanpin.entry.tables import OWNER_KEY, OWNERS_TABLE
+from toucanpin.scheduling.ownership import OwnerRecord, decode_owner
+
+# A task that could run is lost if it doesn't for 3 s, from 6 s after its last run.
+MAX_IDLE_S = 6.0 + 3.0
+STRONG, WEAK = 2.0, 0.5  # cores
+HOSTS = (STRONG, STRONG, STRONG, WEAK)
+WORKERS = 6
+TURN_S = 0.05
+
+
+class _Trace:
+    """A site with much spare capacity that runs one long-running task."""
+
+    def __init__(self, cores: tuple[float, ...]) -> None:
+        self.site = Site()
+        self._cores = cores
+
+    async def begin(self) -> None:
+        self.site.configure()
+        for cores in self._cores:
+            await start_on(Processor(cores), self._add_host())
+        for _ in range(WORKERS):
+            await self.site.add_worker(duration=600.0)
+        assert await self.site.wait_until(
+            lambda: bool(self.read_owner().host) and all(it.has_peers() for it in self.site.hosts)
+        )
+        await self.pause(8.0)
+        assert (await self.site.submit(longRunning=True)).status == 200
+        assert await self.site.wait_until(lambda: bool(self._list_running()))
+        await self.pause(3.0)
+
+    async def _add_host(self) -> None:
+        await self.site.add_host()
+
+    async def pause(self, seconds: float) -> None:
+        await self.site.wait_until(lambda: False, round(seconds / TURN_S))
+
+    def read_owner(self) -> OwnerRecord:
+        row = self.site.store.rows.get((OWNERS_TABLE, "c", OWNER_KEY))
+        return decode_owner(row.value) if row else OwnerRecord("", "", 0, 0)
+
+    def _list_running(self) -> list[SiteWorker]:
+        return [it for it in self.site.workers if any(task.job == JOB for task in it.core.runs)]
+
+    async def kill_owner(self) -> None:
+        await self.site.hosts[int(self.read_owner().host[1:])].abort()
+
+
+    async def lose_worker(self, leaves: bool) -> float:
+        """End the worker of the task, whose entry goes if it leaves; return the time."""
+        (worker,) = self._list_running()
+        await (worker.leave() if leaves else worker.stop())
+        worker.core.runs.clear()
+        return time.monotonic()
+
+    async def measure_idle_time(self, ended_at: float) -> float:
+        """Return the time in s from the end of the task's last run until it runs again."""
+        assert await self.site.wait_until(lambda: bool(self._list_running()), 800)
+        return time.monotonic() - ended_at
+
+
+class LostTaskTest(unittest.TestCase):
+    def _measure(
+        self,
+        play: Callable[[_Trace], Coroutine[Any, Any, float]],
+        cores: tuple[float, ...] = HOSTS,
+        seed: int = 0,
+    ) -> float:
+        """Return the idle time in s of the task in a trace."""
+        idle = 0.0
+
+        async def main() -> None:
+            nonlocal idle
+            trace = _Trace(cores)
+            try:
+                await trace.begin()
+                idle = await trace.measure_idle_time(await play(trace))
+            finally:
+                await trace.site.close()
+
+        run_virtual(main, seed)
+        return idle
+
+    def test_a_worker_is_lost_with_its_owner(self) -> None:
+        """
+        The owner dies, and with it or a moment later the worker of a long-running task.  Guards
+        against a next owner that counts the time of earlier leases from its takeover.
+        """
+        idle = {}
+        for cores in (HOSTS, (WEAK, WEAK, WEAK)):
+            for delay in (0.0, 0.5, 1.0, 2.0):
+                for leaves in (False, True):
+
+                    async def play(
+                        trace: _Trace, delay: float = delay, leaves: bool = leaves
+                    ) -> float:
+                        await trace.kill_owner()
+                        await trace.pause(delay)
+                        return await trace.lose_worker(leaves)
+
+                    idle[cores, delay, leaves] = self._measure(play, cores)
+        self.assertLessEqual(max(idle.values()), MAX_IDLE_S, idle)
+
+
+if __name__ == "__main__":
+    unittest.main()
