Test (red): a task whose worker was silent before a takeover waits over 9 s

An owner knows when the lease of a silent worker ends, but doesn't write it, so the next one takes the worker for one that was renewed up to the takeover. The bound is that of LOST: 6 s after the last run, and 3 s.

--- a/toucanpin/entry/tests/test_lost_tasks.py
+++ b/toucanpin/entry/tests/test_lost_tasks.py
@@ -114,6 +114,24 @@
                     idle[cores, delay, leaves] = self._measure(play, cores)
         self.assertLessEqual(max(idle.values()), MAX_IDLE_S, idle)
 
+    def test_a_worker_is_lost_before_its_owner(self) -> None:
+        """
+        The worker of a long-running task dies, and the owner before the lease has ended.  Guards
+        against a next owner that doesn't know how long the worker has been silent.
+        """
+        idle = {}
+        for delay in (0.5, 2.0):
+            for leaves in (False, True):
+
+                async def play(trace: _Trace, delay: float = delay, leaves: bool = leaves) -> float:
+                    ended_at = await trace.lose_worker(leaves)
+                    await trace.pause(delay)
+                    await trace.kill_owner()
+                    return ended_at
+
+                idle[delay, leaves] = self._measure(play)
+        self.assertLessEqual(max(idle.values()), MAX_IDLE_S, idle)
+
 
 if __name__ == "__main__":
     unittest.main()
