Bound the wait of a task's last attempt for a trusted worker

Cause: a wait that only the success of another task could end. After workers failed whatever they were given, a task with one attempt left was kept off workers that tasks of three jobs had failed on since their last success. (1) Only the cheapest worker was looked at, and none else tried if it was distrusted. (2) Distrusted workers, even the one in question, counted as those that could run the task instead. (3) Distrust ended by a success alone, and with nothing else to run there is none. That this was the users' case is suspected: their record doesn't show it. Ruled out: tickets, gangs, labels (other waits have other reasons).

--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -37,7 +37,7 @@
 from toucanpin.scheduling.preempting import PreemptionCandidates, PreemptionRound
 from toucanpin.scheduling.progress import CrashSuspicion
 from toucanpin.scheduling.reserving import reserve_cores
-from toucanpin.scheduling.retrying import list_retry_workers, wastes_attempt
+from toucanpin.scheduling.retrying import list_retry_workers, risks_attempt
 from toucanpin.scheduling.unplaceable import (
     find_known_reason,
     is_delayed,
@@ -263,12 +263,13 @@
                 postpone(cell, group, step, now)
             return
         chosen = candidates
-        if task in worker.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
+        is_risky = risks_attempt(live, task, worker, now)
+        if is_risky or task in worker.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
             safe = list_retry_workers(live, task, eligible, now)
             chosen = CandidateWorkers(round_, live, group, step, safe, suspicion)
             worker = chosen.best()
-        if worker is None or wastes_attempt(live, task, worker, eligible, now):
-            reason = WaitReason.NO_ROOM if worker is None else WaitReason.FAILING_WORKERS
+        if worker is None:
+            reason = WaitReason.FAILING_WORKERS if is_risky else WaitReason.NO_ROOM
             record_wait(cell, group, reason, now)
             continue
         if not may_place_long_running(eligible, group, step, access):
--- a/toucanpin/scheduling/retrying.py
+++ b/toucanpin/scheduling/retrying.py
@@ -12,39 +12,12 @@
 from toucanpin.scheduling.cell import Group, LiveJob, Now
 from toucanpin.scheduling.choosing import meets_constraints
 from toucanpin.scheduling.crashing import find_suspicion, is_new_worker, runs_last_attempt
-from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import CrashSuspicion
-from toucanpin.scheduling.trust import is_distrusted
+from toucanpin.scheduling.trust import is_recently_distrusted
 from toucanpin.scheduling.worker import Worker, count_fitting_when_idle, fits_when_idle
 
-__all__ = ["list_retry_workers", "wastes_attempt"]
-
-
-def wastes_attempt(
-    live: LiveJob, task: TaskKey, worker: Worker, eligible: Iterable[Worker], now: Now
-) -> bool:
-    """
-    Return whether a retry on a worker where tasks fail would waste an attempt.
-
-    On a full fleet a failing worker has the only free capacity, and would use up all attempts of a
-    task in a row. The attempt isn't wasted if no other worker could run the task.
-    """
-    if worker.retries_blocked_until <= now.steady and not is_distrusted(worker):
-        return False
-    step = live.job.steps[task.step]
-    failures = _count_failures(live, task)
-    if step.long_running or not failures:
-        return False
-    last = failures >= live.job.max_failures - 1
-    if worker.retries_blocked_until <= now.steady and not last:
-        return False
-    group = Group(task.job, task.occurrence, task.step)
-    return any(
-        other.retries_blocked_until <= now.steady
-        and fits_when_idle(other, step)
-        and meets_constraints(other, group, step)
-        for other in eligible
-    )
+__all__ = ["list_retry_workers", "risks_attempt"]
 
 
 def list_retry_workers(
@@ -59,15 +32,31 @@
         eligible = _list_for_last_attempt(live, task, eligible, now)
     if not _count_failures(live, task):
         return eligible
-    suitable = [
-        worker for worker in eligible if not wastes_attempt(live, task, worker, eligible, now)
-    ]
+    suitable = [worker for worker in eligible if not risks_attempt(live, task, worker, now)]
     step = live.job.steps[task.step]
-    if step.gang and sum(count_fitting_when_idle(worker, step) for worker in suitable) < step.count:
+    needed = step.count if step.gang else 1
+    if _count_fitting(task, step, suitable) < needed:
+        # The attempt isn't wasted if no other worker could run the task.
         return eligible
     return suitable
 
 
+def risks_attempt(live: LiveJob, task: TaskKey, worker: Worker, now: Now) -> bool:
+    """
+    Return whether a retry on a worker where tasks fail might waste an attempt.
+
+    On a full fleet a failing worker has the only free capacity, and would use up all attempts of a
+    task in a row.
+    """
+    failures = _count_failures(live, task)
+    if live.job.steps[task.step].long_running or not failures:
+        return False
+    if worker.retries_blocked_until > now.steady:
+        return True
+    is_last = failures >= live.job.max_failures - 1
+    return is_last and is_recently_distrusted(worker, now)
+
+
 def _list_for_last_attempt(
     live: LiveJob, task: TaskKey, eligible: list[Worker], now: Now
 ) -> list[Worker]:
@@ -93,3 +82,13 @@
 def _count_failures(live: LiveJob, task: TaskKey) -> int:
     records = live.progress.tasks[task.occurrence]
     return records[live.offsets[task.step] + task.index].failures
+
+
+def _count_fitting(task: TaskKey, step: Step, workers: Iterable[Worker]) -> int:
+    """Return how many tasks of a step the workers could run if they were idle."""
+    group = Group(task.job, task.occurrence, task.step)
+    return sum(
+        count_fitting_when_idle(worker, step)
+        for worker in workers
+        if step.gang or meets_constraints(worker, group, step)
+    )
--- a/toucanpin/scheduling/tests/test_trust.py
+++ b/toucanpin/scheduling/tests/test_trust.py
@@ -109,6 +109,28 @@
         fleet.run(RECOVERY_S)
         self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
 
+    def test_last_attempt_is_made_though_all_sound_workers_stay_full(self) -> None:
+        """
+        The only worker that is trusted is full of a service.  Guards against a task that has one
+        attempt left and waits for that worker without an end, beside an idle one that has recovered
+        and that nothing else can clear.
+        """
+        fleet = Fleet(workers=1)
+        _fail_jobs(fleet)
+        fleet.add_worker("w1").duration = 600.0
+        fleet.run(0.2)
+        fleet.cell.workers["w0"].suspect_until = fleet.time + 1.0
+        fleet.submit(make_job("service", (Step(cpu=4_000, long_running=True),)))
+        fleet.run(2.0)
+        worker = fleet.workers["w0"]
+        worker.failing = True
+        fleet.submit(make_job("j1", max_failures=2))
+        fleet.run(0.2)
+        self.assertEqual("j1", worker.starts[-1][0].job)
+        worker.failing = False
+        fleet.run(RECOVERY_S)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
     def test_last_attempt_is_made_where_no_worker_is_trusted(self) -> None:
         """
         Tasks of three jobs failed on every worker, all of which have recovered. Guards against a
