Test (red): two takeovers in a row let a task wait over 9 s

The second owner counts the time of all earlier leases anew, also for a worker that the first one never reached. The bound is that of LOST: 6 s after the last run, and 3 s.

--- a/toucanpin/entry/tests/test_lost_tasks.py
+++ b/toucanpin/entry/tests/test_lost_tasks.py
@@ -58,6 +58,8 @@
     async def kill_owner(self) -> None:
         await self.site.hosts[int(self.read_owner().host[1:])].abort()
 
+    async def wait_for_takeover(self, token: int) -> None:
+        assert await self.site.wait_until(lambda: self.read_owner().token > token)
 
     async def lose_worker(self, leaves: bool) -> float:
         """End the worker of the task, whose entry goes if it leaves; return the time."""
@@ -132,6 +134,26 @@
                 idle[delay, leaves] = self._measure(play)
         self.assertLessEqual(max(idle.values()), MAX_IDLE_S, idle)
 
+    def test_a_worker_is_lost_between_two_takeovers(self) -> None:
+        """
+        The next owner dies soon after its takeover.  Guards against counting the time of the
+        earlier leases anew with each owner.
+        """
+        idle = {}
+        for seed in range(4):
+
+            async def play(trace: _Trace) -> float:
+                token = trace.read_owner().token
+                await trace.kill_owner()
+                ended_at = await trace.lose_worker(leaves=True)
+                await trace.wait_for_takeover(token)
+                await trace.pause(0.3)
+                await trace.kill_owner()
+                return ended_at
+
+            idle[seed] = self._measure(play, seed=seed)
+        self.assertLessEqual(max(idle.values()), MAX_IDLE_S, idle)
+
 
 if __name__ == "__main__":
     unittest.main()
