Test (red): planned takeovers start the wait for earlier leases anew, too

Cause: the red tests of takeovers had unplanned ones only, and their hosts didn't announce their cores, so that no weak one knew of a stronger. A weak owner that hands its cell to a strong host, and an owner that shuts down, let the next one count the time of all earlier leases anew as well, with no fault near but the loss of the worker and, 4 s and more before, of the first owner. Change: hosts announce their cores; the owner also shuts down, or yields the cell; the stand-in of the network takes the options of a drain.

--- a/standins/site/virtual.py
+++ b/standins/site/virtual.py
@@ -136,7 +136,7 @@
     async def listen(self, server: Server, address: str) -> None:
         self._servers[address] = server
 
-    async def drain(self, server: Server, timeout: float, *args: object) -> None:
+    async def drain(self, server: Server, timeout: float, **options: object) -> None:
         self._servers = {name: it for name, it in self._servers.items() if it is not server}
         handling = [task for task, it in self._handling.items() if it is server]
         if handling and timeout:
--- a/toucanpin/entry/tests/test_lost_tasks.py
+++ b/toucanpin/entry/tests/test_lost_tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import unittest
 from collections.abc import Callable, Coroutine
@@ -31,7 +32,7 @@
     async def begin(self) -> None:
         self.site.configure()
         for cores in self._cores:
-            await start_on(Processor(cores), self._add_host())
+            await self.add_host(cores)
         for _ in range(WORKERS):
             await self.site.add_worker(duration=600.0)
         assert await self.site.wait_until(
@@ -42,8 +43,11 @@
         assert await self.site.wait_until(lambda: bool(self._list_running()))
         await self.pause(3.0)
 
-    async def _add_host(self) -> None:
-        await self.site.add_host()
+    async def add_host(self, cores: float) -> None:
+        async def add() -> None:
+            await self.site.add_host(cores)
+
+        await start_on(Processor(cores), add())
 
     async def pause(self, seconds: float) -> None:
         await self.site.wait_until(lambda: False, round(seconds / TURN_S))
@@ -58,6 +62,13 @@
     async def kill_owner(self) -> None:
         await self.site.hosts[int(self.read_owner().host[1:])].abort()
 
+    async def replace_owner(self) -> None:
+        """Shut the owner down, as a planned restart does, until the next one has the cell."""
+        owner = self.read_owner()
+        shutdown = asyncio.ensure_future(self.site.hosts[int(owner.host[1:])].shut_down())
+        await self.wait_for_takeover(owner.token)
+        await shutdown
+
     async def wait_for_takeover(self, token: int) -> None:
         assert await self.site.wait_until(lambda: self.read_owner().token > token)
 
@@ -118,40 +129,58 @@
 
     def test_a_worker_is_lost_before_its_owner(self) -> None:
         """
-        The worker of a long-running task dies, and the owner before the lease has ended.  Guards
-        against a next owner that doesn't know how long the worker has been silent.
+        The worker of a long-running task dies, and the owner dies or shuts down before the lease
+        has ended.  Guards against a next owner that doesn't know how long the worker was silent.
         """
         idle = {}
         for delay in (0.5, 2.0):
-            for leaves in (False, True):
+            for planned in (False, True):
+                for leaves in (False, True):
 
-                async def play(trace: _Trace, delay: float = delay, leaves: bool = leaves) -> float:
-                    ended_at = await trace.lose_worker(leaves)
-                    await trace.pause(delay)
-                    await trace.kill_owner()
-                    return ended_at
+                    async def play(
+                        trace: _Trace,
+                        delay: float = delay,
+                        planned: bool = planned,
+                        leaves: bool = leaves,
+                    ) -> float:
+                        ended_at = await trace.lose_worker(leaves)
+                        await trace.pause(delay)
+                        await (trace.replace_owner() if planned else trace.kill_owner())
+                        return ended_at
 
-                idle[delay, leaves] = self._measure(play)
+                    idle[delay, planned, leaves] = self._measure(play)
         self.assertLessEqual(max(idle.values()), MAX_IDLE_S, idle)
 
     def test_a_worker_is_lost_between_two_takeovers(self) -> None:
         """
-        The next owner dies soon after its takeover.  Guards against counting the time of the
-        earlier leases anew with each owner.
+        The next owner dies soon after its takeover, or is weak and hands the cell to a strong host.
+        Guards against counting the time of the earlier leases anew with each owner.
         """
+
+        async def die(trace: _Trace) -> None:
+            await trace.pause(0.3)
+            await trace.kill_owner()
+
+        async def yield_cell(trace: _Trace) -> None:
+            token = trace.read_owner().token
+            await trace.add_host(STRONG)
+            await trace.wait_for_takeover(token)
+
         idle = {}
-        for seed in range(4):
-
-            async def play(trace: _Trace) -> float:
-                token = trace.read_owner().token
-                await trace.kill_owner()
-                ended_at = await trace.lose_worker(leaves=True)
-                await trace.wait_for_takeover(token)
-                await trace.pause(0.3)
-                await trace.kill_owner()
-                return ended_at
-
-            idle[seed] = self._measure(play, seed=seed)
+        for cores, end in ((HOSTS, die), ((STRONG, WEAK, WEAK), yield_cell)):
+            for seed in range(4):
+
+                async def play(
+                    trace: _Trace, end: Callable[[_Trace], Coroutine[Any, Any, None]] = end
+                ) -> float:
+                    token = trace.read_owner().token
+                    await trace.kill_owner()
+                    ended_at = await trace.lose_worker(leaves=True)
+                    await trace.wait_for_takeover(token)
+                    await end(trace)
+                    return ended_at
+
+                idle[end.__name__, seed] = self._measure(play, cores, seed)
         self.assertLessEqual(max(idle.values()), MAX_IDLE_S, idle)
 
 
