Confirm a write that applied unseen as of its first sending

Cause: a commit whose answer was lost is sent again; the second finds its own record, and the owner's authority to grant leases counted from this second sending. Another host may have seen the row seconds before. Change: the first sending counts.

--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -211,6 +211,7 @@
         if resigning:
             puts.append(Put(HANDOVERS_TABLE, OWNER_KEY, record.life.encode()))
         pause = INITIAL_BACKOFF_S
+        first_sent_at = steady_time()
         while True:
             expected = (ExpectedVersion(OWNERS_TABLE, OWNER_KEY, self._version),)
             sent_at = steady_time()
@@ -229,7 +230,9 @@
             row = result.rows[0]
             found = self._reader.read_one((row,), _decode_owner) if row.version else None
             if found == record:
-                # An earlier attempt, whose answer was lost, was applied.
+                # An earlier attempt, whose answer was lost, was applied.  A successor may have seen
+                # it at once, and counts the leases from then on.
+                sent_at = first_sent_at
                 self._version = row.version
                 break
             if found == self.record:
--- a/toucanpin/entry/tests/test_cell_loading.py
+++ b/toucanpin/entry/tests/test_cell_loading.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
+from collections.abc import Sequence
 
 from standins.site.site import Site, free_port
 from standins.site.store import SiteStore, StoreFaults
+from standins.site.virtual import run_virtual
 from toucanpin.entry.cell_rows import CellRows
 from toucanpin.entry.clocks import Clocks
 from toucanpin.entry.row_reader import RowReader
-from toucanpin.entry.tables import COUNTS_KEY, COUNTS_TABLE, PROGRESS_TABLE
+from toucanpin.entry.tables import (
+    COUNTS_KEY,
+    COUNTS_TABLE,
+    OWNER_KEY,
+    OWNERS_TABLE,
+    PROGRESS_TABLE,
+)
 from toucanpin.http import Answer, CallError, Client
-from toucanpin.platform.store import PAGE_ROWS, Store
+from toucanpin.platform.store import PAGE_ROWS, Conflict, ExpectedVersion, Put, Row, Store
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner
@@ -22,6 +31,7 @@
 RENEWALS = 8  # they take more than twice the time after which a silent owner is replaced
 LOAD_TIMEOUT_S = 5.0  # s for 15 reads and the delays after failed ones
 PAGES = 6  # of progress
+ANSWER_TIMEOUT_S = 2.0
 
 
 class LoadingTest(unittest.IsolatedAsyncioTestCase):
@@ -112,5 +122,46 @@
             await rows.load(Clocks(store).now)
 
 
+class LostAnswerTest(unittest.TestCase):
+    def test_a_write_that_applied_unseen_is_confirmed_as_of_its_first_sending(self) -> None:
+        """
+        A write applies, its answer is lost, and it is sent again after its timeout.  Guards against
+        leases that count from the second sending: another host may have seen the write seconds
+        before that, and starts tasks elsewhere once the leases from then on have ended.
+        """
+
+        async def main() -> None:
+            cell = Cell("c", 1, 0.0, 0.0)
+            record = OwnerRecord("h", "l", 1, 0)
+            store = _DeafStore()
+            rows = CellRows(store, cell, InterferenceModel(), record, 1, 0.0, RowReader())
+            began = time.monotonic()
+            await rows.renew(False)
+            self.assertGreater(time.monotonic(), began + ANSWER_TIMEOUT_S)
+            self.assertEqual(began, cell.confirmed_at)
+
+        run_virtual(main)
+
+
+class _DeafStore(Store):
+    """Store whose first write applies without an answer."""
+
+    def __init__(self) -> None:
+        self._written: tuple[Row, ...] = ()
+
+    async def transact(
+        self,
+        part: str,
+        expected: Sequence[ExpectedVersion],
+        puts: Sequence[Put],
+        timeout: float = 1.0,
+    ) -> Conflict:
+        if self._written:
+            return Conflict(self._written)
+        self._written = (Row(OWNERS_TABLE, part, OWNER_KEY, puts[0].value or b"", 2),)
+        await asyncio.sleep(ANSWER_TIMEOUT_S)
+        raise CallError(Verdict.MAY_HAVE_RUN, "lost")
+
+
 if __name__ == "__main__":
     unittest.main()
