Count the leases of earlier owners from their last write, and tell silent workers to the next owner

Callers saw: a long-running task whose worker was lost near a change of the cell's owner ran nowhere for 10.7 to 15.5 s, where 9 s are allowed (LOST), with most workers idle. Cause: a new owner waited 9.24 s from its own takeover for each worker that it couldn't reach, though its predecessor granted no lease for longer than 8.5 s after its last write, 1.3 s and more before; each further owner, also after a planned handover, began the wait anew; and what an owner knew of silent workers died with it. Change: the wait counts from the last write that the successor saw; an owner grants leases for 7.5 s after a write, so that the wait ends within 9 s; the owner's row lists the workers that don't answer with the time left of their leases (200 at most), and such a worker gets no lease before a row without it is written. Rows of earlier builds don't tell their authority; after them the wait is as before.

--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -29,6 +29,8 @@
 from toucanpin.platform.store import Committed, Conflict, ExpectedVersion, Put, Row, Store
 from toucanpin.scheduling.evacuating import EvacuationList
 from toucanpin.scheduling.forecast import KnownForecast
+from toucanpin.scheduling.lease_ends import shift_lease_ends
+from toucanpin.scheduling.leases import OWNER_AUTHORITY_MS
 from toucanpin.scheduling.ownership import (
     MAX_LOADING_S,
     MIN_HANDOVER_INTERVAL_S,
@@ -229,7 +231,16 @@
     async def _acquire(self, watch: OwnerWatch) -> None:
         previous = watch.record
         token = previous.token + 1 if previous else 1
-        record = OwnerRecord(self._settings.name, self._incarnation, token, 0)
+        seen_at = watch.changed_at
+        lease_ends = previous.lease_ends if previous else {}
+        record = OwnerRecord(
+            self._settings.name,
+            self._incarnation,
+            token,
+            0,
+            authority=OWNER_AUTHORITY_MS,
+            lease_ends=shift_lease_ends(lease_ends, steady_time() - seen_at),
+        )
         expected = (ExpectedVersion(OWNERS_TABLE, OWNER_KEY, watch.version),)
         put = (Put(OWNERS_TABLE, OWNER_KEY, encode_owner(record)),)
         sent_at = steady_time()
@@ -253,8 +264,8 @@
             record,
             version,
             sent_at,
-            previous is None,
-            watch.changed_at if previous is not None else sent_at,
+            previous,
+            seen_at if previous is not None else sent_at,
             self._advice_dispatcher,
             self._workers_enforce_limits,
             self._evacuated,
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -37,6 +37,12 @@
 from toucanpin.scheduling.intake import cancel_job, restore_job, submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel, LearnedModel
 from toucanpin.scheduling.job import Job, decode_job, find_job_fault
+from toucanpin.scheduling.lease_ends import (
+    confirm_lease_ends,
+    list_lease_ends,
+    withhold_leases,
+)
+from toucanpin.scheduling.leases import OWNER_AUTHORITY_MS
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
 from toucanpin.scheduling.pending_counts import TableView, count_pending, encode_counts
 from toucanpin.scheduling.progress import Progress, decode_progress, matches_job
@@ -204,8 +210,17 @@
     async def _commit(self, puts: Sequence[Put], resigning: bool) -> None:
         host = "" if resigning else self.record.host
         sequence = self.record.sequence + 1
+        lease_ends = list_lease_ends(self._cell, steady_time())
+        withhold_leases(self._cell, lease_ends)
         record = OwnerRecord(
-            host, self.record.life, self.record.token, sequence, self.backlog, self.forecast
+            host,
+            self.record.life,
+            self.record.token,
+            sequence,
+            self.backlog,
+            self.forecast,
+            OWNER_AUTHORITY_MS,
+            lease_ends,
         )
         puts = [Put(OWNERS_TABLE, OWNER_KEY, encode_owner(record)), *puts]
         if resigning:
@@ -242,6 +257,7 @@
         self.record = record
         self.written_at = sent_at
         self._cell.confirmed_at = sent_at
+        confirm_lease_ends(self._cell, lease_ends)
 
     async def drop_jobs(self, identifiers: Sequence[str]) -> None:
         """Delete the rows of ended jobs and of their cancel requests, with retries."""
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -65,7 +65,12 @@
 from toucanpin.scheduling.headroom import describe_headroom
 from toucanpin.scheduling.intake import begin_due, forget_ended
 from toucanpin.scheduling.interference_model import InterferenceModel
-from toucanpin.scheduling.leases import OWNER_AUTHORITY_S, expire_leases
+from toucanpin.scheduling.lease_ends import (
+    find_earlier_leases_end,
+    restore_lease_ends,
+    withhold_leases,
+)
+from toucanpin.scheduling.leases import expire_leases
 from toucanpin.scheduling.load_shedding import ProcessDelay, StartBacklog, TimeShare
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import WorkerEntry
@@ -97,9 +102,6 @@
 MAX_FORECAST_DELAY_S = FORECAST_PERIOD_S
 MIN_LOGGED_DELAY_S = 0.2  # longer delays of the event loop and of answers are logged
 RETENTION_MARGIN_S = 15.0  # by which ended jobs are kept longer than promised
-# Time until all leases granted by earlier owners have ended.  They end on clocks that may run 2%
-# slow; the rest is a margin.
-PREVIOUS_LEASE_TIME_S = OWNER_AUTHORITY_S * 1.04 + 0.4
 
 
 class Owner:
@@ -107,8 +109,8 @@
     Scheduler of one cell, until another process owns the cell or this one resigns.
 
     ``record`` is the owner's row, written at ``version`` by a transaction that was sent at
-    ``confirmed``.  ``first`` is true if no process has owned the cell before, and ``silent_since``
-    is when the last owner's last write was seen.
+    ``confirmed``.  ``previous`` is the last owner's row, None if no process has owned the cell
+    before, and ``silent_since`` is when its last write was seen.
     ``workers_enforce_limits`` returns whether the cell's workers refuse tasks that don't fit, and
     ``evacuated`` returns the data centres in which no task may start.
     """
@@ -122,7 +124,7 @@
         record: OwnerRecord,
         version: int,
         confirmed: float,
-        first: bool,
+        previous: OwnerRecord | None,
         silent_since: float,
         advice_dispatcher: AdviceDispatcher,
         workers_enforce_limits: Callable[[], bool],
@@ -135,8 +137,12 @@
         self._advice_dispatcher = advice_dispatcher
         self._workers_enforce_limits = workers_enforce_limits
         self._evacuated = evacuated
-        earlier_leases_end = steady_time() + (0.0 if first else PREVIOUS_LEASE_TIME_S)
+        earlier_leases_end = find_earlier_leases_end(previous, silent_since, steady_time())
         self._cell = Cell(name, record.token, earlier_leases_end, confirmed)
+        if previous is not None:
+            ends = restore_lease_ends(previous.lease_ends, silent_since)
+            self._cell.earlier_lease_ends = ends
+            withhold_leases(self._cell, record.lease_ends)
         self._cell.stop_time = settings.bounds.stop_time
         self._cell.restore_time = settings.bounds.restore_time
         self._cell.max_lease = settings.bounds.max_lease
@@ -165,7 +171,9 @@
         self._waves: WaveController | None = None
         if settings.machines:
             client = MachineClient(settings.machines, settings.name)
-            self._waves = WaveController(store, client, self._cell, clocks, settings.bounds, first)
+            self._waves = WaveController(
+                store, client, self._cell, clocks, settings.bounds, previous is None
+            )
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
         self._placing_share = TimeShare(MAX_PLACING_SHARE)
@@ -280,9 +288,12 @@
             self._failure.set_exception(error)
 
     async def _commit(self) -> None:
+        # The first write lists the workers that haven't answered yet.  If this owner dies soon, the
+        # next one would otherwise count their leases from its takeover.
+        is_first = True
         while True:
             due = self._rows.written_at + OWNER_WRITE_INTERVAL_S - steady_time()
-            if due > 0 and not has_pending_writes(self._cell) and not self._resigning:
+            if due > 0 and not is_first and not self._must_write():
                 try:
                     async with asyncio.timeout(min(due, TICK_PERIOD_S)):
                         await self._wake.wait()
@@ -291,9 +302,10 @@
                     pass
             self._wake.clear()
             self._place_tasks()
-            idle = not has_pending_writes(self._cell) and not self._resigning
-            if idle and steady_time() < self._rows.written_at + OWNER_WRITE_INTERVAL_S:
+            is_early = steady_time() < self._rows.written_at + OWNER_WRITE_INTERVAL_S
+            if is_early and not is_first and not self._must_write():
                 continue
+            is_first = False
             batch = take_batch(self._cell)
             sent_at = steady_time()
             await self._rows.write(batch, self._resigning)
@@ -307,6 +319,10 @@
                 self._spawn(self._workers.start(run))
             self._raise_if_resigned()
 
+    def _must_write(self) -> bool:
+        """Return whether there is more to write than a renewal of the ownership."""
+        return has_pending_writes(self._cell) or self._resigning
+
     def _place_tasks(self) -> None:
         """Place waiting tasks if its share of the time allows it and the view of jobs is recent."""
         now = self._clocks.now()
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -188,12 +188,13 @@
     State of a cell as its owner knows it.
 
     ``token`` fences earlier owners at the workers; ``earlier_leases_end`` is the local time by
-    which every lease that an earlier owner may have granted has ended; ``confirmed_at`` is when the
-    newest write that the table accepted was sent.  ``evacuated`` names the data centres that get no
-    new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` holds by image the
-    demands of best-effort tasks for which no worker was found; they are not tried again until
-    ``unplaceable_until``.  ``stop_time`` and ``restore_time`` are the times in s that workers may
-    take to stop and to resume a task, and ``max_lease`` is the longest lease that they accept.
+    which every lease that an earlier owner may have granted has ended, and ``earlier_lease_ends``
+    has earlier times for some workers.  Workers in ``withheld`` get no lease.  ``confirmed_at`` is
+    when the newest write that the table accepted was sent.  ``evacuated`` names the data centres
+    that get no new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` holds by
+    image the demands of best-effort tasks for which no worker was found; they are not tried again
+    until ``unplaceable_until``.  ``stop_time`` and ``restore_time`` are the times in s that workers
+    may take to stop and to resume a task, and ``max_lease`` is the longest lease that they accept.
     ``features`` are the optional decisions that the deployment calls for.
     """
 
@@ -201,6 +202,8 @@
     token: int
     earlier_leases_end: float
     confirmed_at: float
+    earlier_lease_ends: dict[str, float] = field(default_factory=dict)
+    withheld: set[str] = field(default_factory=set)
     workers_enforce_limits: bool = True  # workers refuse tasks that don't fit
     stop_time: float = 0.2
     restore_time: float = 0.25
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -20,6 +20,7 @@
 from toucanpin.scheduling.crashing import assess_suspicion, forget_crashes, restore_crashes
 from toucanpin.scheduling.ending import end_job
 from toucanpin.scheduling.job import Job, TaskKey
+from toucanpin.scheduling.lease_ends import bound_earlier_leases
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.progress import JobState, Progress, TaskState
 from toucanpin.scheduling.worker import Phase, Run, Worker
@@ -130,6 +131,6 @@
     worker = cell.workers.get(identifier)
     if worker is None:
         entry = WorkerEntry(identifier, cell.name, "", "", False, 0, 0, 0)
-        worker = Worker(entry, lease_expires_at=cell.earlier_leases_end)
+        worker = Worker(entry, lease_expires_at=bound_earlier_leases(cell, identifier))
         cell.workers[identifier] = worker
     return worker
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -19,6 +19,7 @@
     record_lost_run,
     stop_late_starts,
 )
+from toucanpin.scheduling.lease_ends import bound_earlier_leases, is_lease_withheld
 from toucanpin.scheduling.orders import PollAnswer, PollOrder, RunningTask, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.stopping import stop_run
@@ -26,6 +27,7 @@
 
 __all__ = [
     "LEASE_S",
+    "OWNER_AUTHORITY_MS",
     "OWNER_AUTHORITY_S",
     "apply_answer",
     "expire_leases",
@@ -39,7 +41,10 @@
 ]
 
 LEASE_S = 4.5  # outlasts the failover of an owner (2 s); bounds the wait for a lost worker
-OWNER_AUTHORITY_S = 8.5  # how long an owner may grant leases after its newest accepted write
+# How long an owner may grant leases after its newest accepted write.  A successor waits a little
+# longer for workers that it can't reach, and their tasks have to run again within 9 s.
+OWNER_AUTHORITY_S = 7.5
+OWNER_AUTHORITY_MS = int(OWNER_AUTHORITY_S * 1_000)
 # Where best-effort tasks run beside latency-critical ones, whose tails may grow in a longer wait.
 SHARED_POLL_WAIT_S = 0.4
 # Ends are answered at once, so other workers are polled only for leases and progress, and polling
@@ -73,7 +78,7 @@
             worker = Worker(
                 entry,
                 born=entry.born,
-                lease_expires_at=cell.earlier_leases_end,
+                lease_expires_at=bound_earlier_leases(cell, entry.id),
                 first_listed_at=now.steady,
             )
             cell.workers[entry.id] = worker
@@ -109,8 +114,7 @@
         # expired.  Nothing is acknowledged, as the worker may have restarted and count its ends
         # anew.
         return PollOrder(0, 0, 0.0)
-    until = lease_end(cell, now)
-    deadline = grant_lease(worker, until) if worker.runs and until > now.steady else 0
+    deadline = plan_renewal(cell, worker, now) if worker.runs else 0
     if worker.listed_sequence > worker.acknowledged_sequence:
         # Ends that aren't written yet would be listed again at once.
         return PollOrder(_choose_acknowledged(worker), deadline, 0.0)
@@ -118,9 +122,11 @@
 
 
 def plan_renewal(cell: Cell, worker: Worker, now: Now) -> int:
-    """Return the lease's end on the clock of a worker whose runs aren't known yet, 0 if none."""
+    """Return the end of a lease granted now, on the clock of its worker, 0 if none may be."""
     until = lease_end(cell, now)
-    return grant_lease(worker, until) if worker.clock and until > now.steady else 0
+    if not worker.clock or until <= now.steady or is_lease_withheld(cell, worker):
+        return 0
+    return grant_lease(worker, until)
 
 
 def record_clock(worker: Worker, answer: PollAnswer, now: Now) -> None:
--- a/toucanpin/scheduling/ownership.py
+++ b/toucanpin/scheduling/ownership.py
@@ -56,7 +56,9 @@
     earlier ones; ``sequence`` grows with each write, so that no earlier write can apply after a
     later one. An empty ``host`` means that the last owner has resigned. ``backlog`` is the waiting
     time in ms of new tasks by priority; it is empty unless the owner is overloaded.  ``forecast``
-    is None unless entry hosts shall decide on admission by it.
+    is None unless entry hosts shall decide on admission by it.  ``authority`` is how long after
+    this write its owner may grant leases, in ms, 0 if unknown; ``lease_ends`` tells in how many ms
+    the leases of workers that don't answer will have ended.
     """
 
     host: str
@@ -65,6 +67,8 @@
     sequence: int
     backlog: dict[int, int] = {}
     forecast: Forecast | None = None
+    authority: int = 0
+    lease_ends: dict[str, int] = {}
 
 
 @dataclass(slots=True)
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -13,6 +13,7 @@
 from toucanpin.scheduling.ending import RETRY_DELAY_S, end_run
 from toucanpin.scheduling.evacuating import has_current_evacuations, is_evacuated
 from toucanpin.scheduling.incarnations import record_unanswered_start
+from toucanpin.scheduling.lease_ends import is_lease_withheld
 from toucanpin.scheduling.leases import lease_end
 from toucanpin.scheduling.orders import RefusalReason, StartAnswer
 from toucanpin.scheduling.stopping import stop_run
@@ -63,7 +64,9 @@
     if not has_current_evacuations(cell, now):
         return 0
     until = lease_end(cell, now)
-    if worker.silent or until - now.steady < MIN_START_LEASE_S:
+    if worker.silent or is_lease_withheld(cell, worker):
+        return 0
+    if until - now.steady < MIN_START_LEASE_S:
         return 0
     run.ordered_at = now.steady
     return grant_lease(worker, until)
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_lease_ends.py
@@ -0,0 +1,121 @@
+"""What an owner tells its successor about the leases of workers that don't answer."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.lease_ends import (
+    MAX_LISTED_WORKERS,
+    bound_earlier_leases,
+    confirm_lease_ends,
+    find_earlier_leases_end,
+    list_lease_ends,
+    restore_lease_ends,
+    shift_lease_ends,
+    withhold_leases,
+)
+from toucanpin.scheduling.leases import (
+    LEASE_S,
+    OWNER_AUTHORITY_MS,
+    OWNER_AUTHORITY_S,
+    mark_silent,
+    plan_poll,
+)
+from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
+from toucanpin.scheduling.starting import plan_start
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.worker import Worker
+
+SERVICE = make_job("j1", (Step(cpu=1_000, long_running=True),))
+
+
+class LeaseEndsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = Fleet(workers=1)
+        self.fleet.submit(SERVICE)
+        self.fleet.run(1.0)
+        self.worker = self.fleet.cell.workers["w0"]
+
+    def _list(self) -> dict[str, int]:
+        return list_lease_ends(self.fleet.cell, self.fleet.time)
+
+    def test_only_workers_that_do_not_answer_are_listed(self) -> None:
+        """Guards against a successor that takes the lease of a renewed worker for ended."""
+        self.assertEqual({}, self._list())
+        mark_silent(self.worker)
+        left = (self.worker.lease_expires_at - self.fleet.time) * 1_000
+        self.assertAlmostEqual(left, self._list()["w0"], delta=1)
+        self.assertGreaterEqual(self._list()["w0"], left)
+
+    def test_a_listed_worker_gets_no_lease_before_a_row_without_it_is_written(self) -> None:
+        """
+        A silent worker answers just after its owner has written that its lease ends soon.  Guards
+        against a renewal that the next owner doesn't know of: the task would run twice.
+        """
+        withhold_leases(self.fleet.cell, ["w0"])
+        now = self.fleet.now()
+        run = next(iter(self.worker.runs.values()))
+        self.assertEqual(0, plan_poll(self.fleet.cell, self.worker, now).deadline)
+        self.assertEqual(0, plan_start(self.fleet.cell, self.worker, run, now))
+        confirm_lease_ends(self.fleet.cell, [])
+        self.assertGreater(plan_poll(self.fleet.cell, self.worker, now).deadline, 0)
+
+    def test_a_restarted_worker_stays_withheld(self) -> None:
+        """Guards against a lease for the next incarnation of a worker whose row is still listed."""
+        withhold_leases(self.fleet.cell, ["w0"])
+        self.fleet.restart("w0")
+        self.fleet.run(0.5)
+        successor = self.fleet.cell.workers["w0"]
+        self.assertIsNot(self.worker, successor)
+        self.assertEqual(0, plan_poll(self.fleet.cell, successor, self.fleet.now()).deadline)
+
+    def test_an_end_that_was_listed_counts_on_through_two_takeovers(self) -> None:
+        """Guards against a wait that begins anew with each owner."""
+        mark_silent(self.worker)
+        listed = self._list()
+        seen_at = self.fleet.time + 0.4
+        cell = Cell("c", 2, seen_at + 9.0, seen_at)
+        cell.earlier_lease_ends = restore_lease_ends(listed, seen_at)
+        end = bound_earlier_leases(cell, "w0")
+        self.assertAlmostEqual(self.worker.lease_expires_at + 0.4, end, delta=0.01)
+        self.assertEqual(seen_at + 9.0, bound_earlier_leases(cell, "w1"))
+        again = list_lease_ends(cell, seen_at + 1.5)
+        carried = shift_lease_ends(listed, 1.5)
+        self.assertAlmostEqual(carried["w0"], again["w0"], delta=2)
+        self.assertEqual({}, list_lease_ends(cell, end + 0.1))
+
+    def test_the_list_is_bounded(self) -> None:
+        """Guards against rows that grow with the fleet while all of it is cut off."""
+        cell = self.fleet.cell
+        for number in range(2 * MAX_LISTED_WORKERS):
+            entry = self.worker.entry
+            silent = Worker(entry, runs=dict(self.worker.runs), silent=True)
+            cell.workers[f"x{number}"] = silent
+            silent.entry = type(entry)(f"x{number}", "c", "", "dc", True, 1, 1, 0)
+            silent.lease_expires_at = self.fleet.time + 1.0 + number
+        self.assertEqual(MAX_LISTED_WORKERS, len(self._list()))
+        self.assertIn("x0", self._list())
+
+
+class EarlierLeasesTest(unittest.TestCase):
+    def test_the_wait_counts_from_the_last_write_seen(self) -> None:
+        """Guards against a wait from the takeover, which comes seconds after the last write."""
+        record = OwnerRecord("h", "life", 3, 7, authority=OWNER_AUTHORITY_MS)
+        end = find_earlier_leases_end(record, 100.0, 103.0)
+        self.assertGreater(end, 100.0 + OWNER_AUTHORITY_S / 0.98)
+        self.assertLess(end, 100.0 + OWNER_AUTHORITY_S + LEASE_S)
+        self.assertEqual(103.0, find_earlier_leases_end(None, 0.0, 103.0))
+
+    def test_an_owner_of_an_earlier_build_is_waited_for_from_the_takeover(self) -> None:
+        """
+        Its row doesn't tell its authority, which it may count from a later time than that of the
+        write.  Guards against two runs of a task during a rolling update.
+        """
+        earlier = decode_owner(encode_owner(OwnerRecord("h", "life", 3, 7)))
+        self.assertGreater(find_earlier_leases_end(earlier, 100.0, 103.0), 103.0 + 8.5 / 0.98)
+
+
+if __name__ == "__main__":
+    unittest.main()
