--- a/toucanpin/entry/tests/test_cell_workers.py
+++ b/toucanpin/entry/tests/test_cell_workers.py
@@ -14,7 +14,14 @@
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.load_shedding import ProcessDelay
-from toucanpin.scheduling.orders import PaceOrder, WorkerEntry
+from toucanpin.scheduling.orders import (
+    EndedRun,
+    PaceOrder,
+    PollAnswer,
+    RunEnd,
+    RunningTask,
+    WorkerEntry,
+)
 from toucanpin.scheduling.worker import Phase, Run, Worker
 from toucanpin.verdict import Verdict
 
@@ -92,6 +99,35 @@
         self.assertTrue(worker.silent)
 
 
+class FirstRenewalTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_lease_is_renewed_at_once_after_the_first_answer(self) -> None:
+        """
+        An owner that is behind takes a cell, and a worker answers for the first time, with an end
+        to be written.  Guards against pauses before the poll that renews: the leases of an earlier
+        owner end about 2 s after a takeover, and all its long-running tasks would be lost.
+        """
+        clocks = Clocks(Store(Site().store))  # type: ignore[arg-type]
+        now = clocks.now().steady
+        cell = Cell("c", 2, now, now)
+        delay = ProcessDelay()
+        delay.record(1.0, now)
+        workers = CellWorkers(cell, InterferenceModel(), clocks, delay, lambda _: None, _do_nothing)
+        worker = Worker(WorkerEntry("w", "c", "127.0.0.1:1", "dc", True, 1, 1, 0))
+        cell.workers["w"] = worker
+        task = TaskKey("j", 0, 0, 0)
+        worker.runs[task] = Run(task, 1, "w", Step(cpu=1, long_running=True), Phase.UNKNOWN)
+        client = _BusyWorkerClient(task)
+        workers._clients["w"] = client  # type: ignore[assignment]
+        workers.signal_loaded()
+        polling = asyncio.ensure_future(workers._poll(worker))
+        for _ in range(10):
+            await asyncio.sleep(0)
+        polling.cancel()
+        self.assertEqual(0, client.deadlines[0])
+        self.assertTrue(client.deadlines[1:], "the lease isn't renewed yet")
+        self.assertGreater(client.deadlines[1], 0)
+
+
 class UnansweredPaceTest(unittest.IsolatedAsyncioTestCase):
     async def test_unanswered_pace_of_an_earlier_attempt_changes_nothing(self) -> None:
         """
@@ -128,6 +164,22 @@
         raise CallError(Verdict.MAY_HAVE_RUN, "no answer")
 
 
+class _BusyWorkerClient:
+    """Worker that runs a task and lists the end of another one."""
+
+    def __init__(self, task: TaskKey) -> None:
+        self._answer = PollAnswer(
+            50_000,
+            (RunningTask(task, 1, "", 50, 0.0),),
+            (EndedRun(1, TaskKey("other", 0, 0, 0), 1, RunEnd.DONE, ""),),
+        )
+        self.deadlines: list[int] = []
+
+    async def poll(self, token: int, acknowledged: int, deadline: int, *_: object) -> PollAnswer:
+        self.deadlines.append(deadline)
+        return self._answer
+
+
 def _do_nothing() -> None:
     """Do nothing."""
 
