Renew leases at once after a takeover, before other starts

Callers saw: long-running tasks lost their leases soon after a weak host had taken the cell, though it had reached their workers, and ran nowhere for seconds (LOST). Cause: the first poll of a worker tells its clock and can't renew its lease; before the second one the owner paused for its writes and for its own delay. Meanwhile hundreds of starts took the time in which other workers would have been asked. load_shedding says that renewals are never shed; these were. The owner's row lists only workers that fail to answer or have no entry, so that those which weren't asked yet aren't kept waiting for their renewal.

--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -26,6 +26,7 @@
 from toucanpin.scheduling.learning import learn_effects
 from toucanpin.scheduling.leases import (
     apply_answer,
+    awaits_renewal,
     mark_silent,
     plan_poll,
     plan_renewal,
@@ -185,6 +186,7 @@
             now = self._clocks.now()
             self._answer_timeout.record(now.steady - sent_at - order.wait, now.steady)
             _log_ends(worker, answer.ended)
+            was_reached = worker.reached
             was_distrusted = is_distrusted(worker)
             apply_answer(self._cell, worker, answer, sent_at, now)
             if is_distrusted(worker) and not was_distrusted:
@@ -197,6 +199,10 @@
                 )
             learn_effects(self._interference, worker, len(self._cell.workers), now)
             self._on_change()
+            if awaits_renewal(worker):
+                # Its clock is known only now, and the lease of an earlier owner may end any moment.
+                await asyncio.sleep(RETRY_DELAY_S if was_reached else 0.0)
+                continue
             await self._wait_for_writes(worker)
             await asyncio.sleep(self._delay.plan_pause(steady_time()))
         client.close()
--- a/toucanpin/scheduling/lease_ends.py
+++ b/toucanpin/scheduling/lease_ends.py
@@ -100,7 +100,8 @@
 
 def _list_silent(cell: Cell) -> Iterable[Worker]:
     for worker in cell.workers.values():
-        if worker.runs and (worker.silent or not worker.clock):
+        is_unlisted = not worker.entry.address  # it can't be asked, and may have left
+        if worker.runs and (worker.silent or is_unlisted):
             yield worker
 
 
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -30,6 +30,7 @@
     "OWNER_AUTHORITY_MS",
     "OWNER_AUTHORITY_S",
     "apply_answer",
+    "awaits_renewal",
     "expire_leases",
     "lease_end",
     "mark_silent",
@@ -115,6 +116,8 @@
         # anew.
         return PollOrder(0, 0, 0.0)
     deadline = plan_renewal(cell, worker, now) if worker.runs else 0
+    if awaits_renewal(worker):
+        return PollOrder(_choose_acknowledged(worker), 0, 0.0)
     if worker.listed_sequence > worker.acknowledged_sequence:
         # Ends that aren't written yet would be listed again at once.
         return PollOrder(_choose_acknowledged(worker), deadline, 0.0)
@@ -129,6 +132,17 @@
     return grant_lease(worker, until)
 
 
+def awaits_renewal(worker: Worker) -> bool:
+    """
+    Return whether a worker still runs tasks under the lease of an earlier owner.
+
+    Most of that lease is over when its owner has been replaced.
+    """
+    if worker.renewed or worker.silent or not worker.entry.address:
+        return False
+    return bool(worker.runs)
+
+
 def record_clock(worker: Worker, answer: PollAnswer, now: Now) -> None:
     """Record a worker's clock before its runs are known."""
     _update_clock(worker, answer.clock, now)
