Limit starts until all listed workers were asked and renewed

Change: the limit of 16 pending starts holds until every worker of the first list has been asked too.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -70,7 +70,11 @@
     restore_lease_ends,
     withhold_leases,
 )
-from toucanpin.scheduling.leases import awaits_renewal, expire_leases
+from toucanpin.scheduling.leases import (
+    MAX_STARTS_BEFORE_RENEWALS,
+    awaits_renewals,
+    expire_leases,
+)
 from toucanpin.scheduling.load_shedding import ProcessDelay, StartBacklog, TimeShare
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import WorkerEntry
@@ -100,7 +104,6 @@
 MAX_PLACING_SHARE = 0.35  # maximum fraction of the time that is spent on placing
 # An owner that is later than this refuses jobs by its backlog; a forecast would add to its work.
 MAX_FORECAST_DELAY_S = FORECAST_PERIOD_S
-MAX_STARTS_BEFORE_RENEWALS = 16  # pending ones, while leases of an earlier owner are in force
 MIN_LOGGED_DELAY_S = 0.2  # longer delays of the event loop and of answers are logged
 RETENTION_MARGIN_S = 15.0  # by which ended jobs are kept longer than promised
 
@@ -335,7 +338,10 @@
             self._standstill.record_blocked(blocked, now.steady)
         else:
             log_standstill(self._cell, self._standstill.record_placing(now.steady))
-            max_starts = self._limit_starts(now) - self._workers.count_starting()
+            max_starts = self._delay.limit_starts(now.steady)
+            if not self._introduction.completed or awaits_renewals(self._cell):
+                max_starts = min(max_starts, MAX_STARTS_BEFORE_RENEWALS)
+            max_starts -= self._workers.count_starting()
             before = len(self._cell.placed)
             place_tasks(self._cell, self._interference, now, max_starts)
             self._backlog.record_starts(len(self._cell.placed) - before, now.steady)
@@ -343,18 +349,6 @@
         self._placing_share.record(now.steady, ended)
         TURN_TIME.record(ended - now.steady, {"what": "placing"})
 
-    def _limit_starts(self, now: Now) -> int:
-        """
-        Return the largest number of pending starts.
-
-        After a takeover hundreds of leases are due for renewal.  If starts took the time of a weak
-        host before that, all tasks that run would be lost, and had to be started as well.
-        """
-        limit = self._delay.limit_starts(now.steady)
-        if any(map(awaits_renewal, self._cell.workers.values())):
-            return min(limit, MAX_STARTS_BEFORE_RENEWALS)
-        return limit
-
     def _find_block(self, now: Now) -> StandstillCause | None:
         """Return why no task may be placed now, None if tasks may."""
         if not self._has_recent_jobs(now):
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -27,10 +27,12 @@
 
 __all__ = [
     "LEASE_S",
+    "MAX_STARTS_BEFORE_RENEWALS",
     "OWNER_AUTHORITY_MS",
     "OWNER_AUTHORITY_S",
     "apply_answer",
     "awaits_renewal",
+    "awaits_renewals",
     "expire_leases",
     "lease_end",
     "mark_silent",
@@ -46,6 +48,10 @@
 # longer for workers that it can't reach, and their tasks have to run again within 9 s.
 OWNER_AUTHORITY_S = 7.5
 OWNER_AUTHORITY_MS = int(OWNER_AUTHORITY_S * 1_000)
+# Pending ones, while leases of an earlier owner are in force.  After a takeover hundreds of these
+# are due for renewal.  If starts took the link and the time of a weak host before that, all tasks
+# that run would be lost, and had to be started too.
+MAX_STARTS_BEFORE_RENEWALS = 16
 # Where best-effort tasks run beside latency-critical ones, whose tails may grow in a longer wait.
 SHARED_POLL_WAIT_S = 0.4
 # Ends are answered at once, so other workers are polled only for leases and progress, and polling
@@ -143,6 +149,11 @@
     return bool(worker.runs)
 
 
+def awaits_renewals(cell: Cell) -> bool:
+    """Return whether any worker that answers still has the lease of an earlier owner."""
+    return any(map(awaits_renewal, cell.workers.values()))
+
+
 def record_clock(worker: Worker, answer: PollAnswer, now: Now) -> None:
     """Record a worker's clock before its runs are known."""
     _update_clock(worker, answer.clock, now)
--- a/toucanpin/scheduling/tests/test_lease_ends.py
+++ b/toucanpin/scheduling/tests/test_lease_ends.py
@@ -20,8 +20,10 @@
     LEASE_S,
     OWNER_AUTHORITY_MS,
     OWNER_AUTHORITY_S,
+    awaits_renewals,
     mark_silent,
     plan_poll,
+    update_workers,
 )
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
 from toucanpin.scheduling.starting import plan_start
@@ -99,6 +101,28 @@
         self.assertIn("x0", self._list())
 
 
+class TakeoverTest(unittest.TestCase):
+    def test_leases_of_an_earlier_owner_are_due_until_they_are_renewed(self) -> None:
+        """
+        Guards against a new owner that starts hundreds of tasks before it renews the leases of
+        those that run.  A worker that doesn't answer mustn't hold it up.
+        """
+        fleet = Fleet(workers=2)
+        fleet.submit(make_job("j1", (Step(count=2, cpu=3_000, long_running=True),)))
+        fleet.run(1.0)
+        self.assertFalse(awaits_renewals(fleet.cell))
+        fleet.replace_owner()
+        update_workers(fleet.cell, [it.entry for it in fleet.workers.values()], fleet.now())
+        self.assertTrue(awaits_renewals(fleet.cell))
+        fleet.run(0.2)
+        self.assertFalse(awaits_renewals(fleet.cell))
+        fleet.replace_owner()
+        update_workers(fleet.cell, [it.entry for it in fleet.workers.values()], fleet.now())
+        for worker in fleet.cell.workers.values():
+            mark_silent(worker)
+        self.assertFalse(awaits_renewals(fleet.cell))
+
+
 class EarlierLeasesTest(unittest.TestCase):
     def test_the_wait_counts_from_the_last_write_seen(self) -> None:
         """Guards against a wait from the takeover, which comes seconds after the last write."""
