--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -33,7 +33,7 @@
     WorkerEntry,
 )
 from toucanpin.scheduling.pacing import control_pace
-from toucanpin.scheduling.placing import place_tasks
+from toucanpin.scheduling.placing import NO_LIMIT, place_tasks
 from toucanpin.scheduling.progress import decode_progress
 from toucanpin.scheduling.starting import (
     StartOutcome,
@@ -74,6 +74,7 @@
         self.crashing: set[TaskKey] = set()  # tasks that crash each worker that starts them
         self.crashes: list[TaskKey] = []
         self.start_delay = LATE_START_S
+        self.max_starts = NO_LIMIT  # in a turn, of an owner that is behind
         self.keeps_names = False  # crashed workers restart under their names
         self._down: list[tuple[float, WorkerEntry]] = []
         self._clock_starts: dict[str, float] = {}  # of workers that restarted under their names
@@ -162,7 +163,7 @@
         begin_due(self.cell, self.now())
         move_tasks(self.cell, self.now())
         control_pace(self.cell, self.model, self.now())
-        place_tasks(self.cell, self.model, self.now())
+        place_tasks(self.cell, self.model, self.now(), self.max_starts)
         if self.store_up:
             batch = take_batch(self.cell)
             self.rows.update(batch.records)
