Test (red): the wait for scarce cores begins only after the wait for a lease

Cause: where urgent work waits (feature urgent_headroom), a long-running task leaves it all reserved cores for 4 s, and elsewhere for 1 s. This wait is counted from the end of the lease, so that both add up after a takeover.

AssertionError: '' is not true

--- a/toucanpin/scheduling/tests/test_lost_runs.py
+++ b/toucanpin/scheduling/tests/test_lost_runs.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from toucanpin.scheduling.features import Features
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 
@@ -46,6 +47,28 @@
                 fleet.run(TIME_STEP_S)
             self.assertTrue(self._find_holder(fleet), f"priority {priority}")
 
+    def test_scarce_cores_do_not_prolong_the_wait_for_a_lease(self) -> None:
+        """
+        Urgent tasks that fit no worker wait all the time, and the owner dies with a worker.  Guards
+        against a long-running task that waits for the lease first, and then for scarce cores.
+        """
+        features = Features(urgent_headroom=True)
+        fleet = Fleet(workers=10, cpu=64_000)
+        fleet.cell.features = features
+        for worker in fleet.workers.values():
+            worker.duration = 600.0
+        fleet.submit(make_job("long", (Step(10, 16_000, long_running=True, per_worker=1),)))
+        fleet.run(1.0)
+        fleet.submit(make_job("urgent", (Step(count=9, cpu=64_000),)))
+        fleet.run(2.0)
+        fleet.workers.pop(self._find_holder(fleet))
+        fleet.replace_owner()
+        fleet.cell.features = features
+        for name in ("spare0", "spare1"):
+            fleet.add_worker(name, 48_000)
+        fleet.run(MAX_IDLE_S)
+        self.assertTrue(self._find_holder(fleet))
+
 
 if __name__ == "__main__":
     unittest.main()
