Failing test: a stop that can't be sent is never sent again

Cause: a new owner knows runs before it is connected to their workers, and a stop without a connection is dropped. It is repeated only if the worker lists the run. A run that never started stays STOPPING: its capacity stays reserved, and a gang waits for it.

--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -241,8 +241,8 @@
         for order in orders:
             worker = self.cell.workers.get(order.worker)
             core = self.workers.get(order.worker)
-            if worker is None or core is None:
-                continue
+            if worker is None or core is None or not worker.entry.address:
+                continue  # an owner has no connection to a worker that it only knows from a row
             if core.silent or core.delays_orders:
                 self.stops.append(order)
                 continue
--- a/toucanpin/scheduling/tests/test_failures.py
+++ b/toucanpin/scheduling/tests/test_failures.py
@@ -293,6 +293,24 @@
         self.assertFalse(fleet.duplicate_runs)
         self.assertEqual(2, sum(len(worker.starts) for worker in fleet.workers.values()))
 
+    def test_stop_without_a_connection_is_sent_again(self) -> None:
+        """
+        The owner dies before it starts a gang. The next one finds a member missing on one worker
+        and stops the other, on a worker to which it isn't connected yet. Guards against a gang that
+        waits for ever for the end of a member that never started.
+        """
+        fleet = Fleet(cpu=1_000)
+        fleet.run(0.5)
+        fleet.submit(make_job(steps=(Step(count=2, cpu=1_000, gang=True),)))
+        place_tasks(fleet.cell, fleet.model, fleet.now())
+        fleet.rows.update(take_batch(fleet.cell).records)
+        fleet.unlisted.add("w1")
+        fleet.replace_owner()
+        fleet.run(0.5)
+        fleet.unlisted.clear()
+        fleet.run(10.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
     def test_unwritten_placement_is_never_started(self) -> None:
         fleet = Fleet()
         fleet.run(0.2)
