The test of a last attempt also wants the sound worker, not the one that still fails

Cause: the distrusted worker had recovered, so an attempt made there would have passed too. Change: it goes on failing, and the task may not be started there. Stricter than before, no logic.

--- a/toucanpin/scheduling/tests/test_trust.py
+++ b/toucanpin/scheduling/tests/test_trust.py
@@ -93,21 +93,25 @@
 class LastAttemptTest(unittest.TestCase):
     def test_last_attempt_is_made_on_a_sound_worker_beside_a_distrusted_one(self) -> None:
         """
-        A task failed on its only worker, its other attempt is the last, and a worker that tasks of
-        three jobs failed on is idle and ranks first. Guards against a wait without an end: nothing
-        else runs that could restore trust, and the sound worker isn't tried.
+        A task has one attempt left, and a worker that fails every task is idle and ranks first.
+        Guards against a wait without an end: nothing else runs that could restore trust, and the
+        sound worker isn't tried.
         """
         fleet = Fleet(workers=1)
         _fail_jobs(fleet)
-        fleet.add_worker("w1").failing = True
+        failing = fleet.workers["w0"]
+        failing.failing = True
+        sound = fleet.add_worker("w1")
+        sound.failing = True
         fleet.run(0.2)
         fleet.cell.workers["w0"].suspect_until = fleet.time + 0.5
         fleet.submit(make_job("j1", max_failures=2))
         fleet.run(0.2)
-        self.assertEqual(1, len(fleet.workers["w1"].starts))
-        fleet.workers["w1"].failing = False
+        self.assertEqual(1, len(sound.starts))
+        sound.failing = False
         fleet.run(RECOVERY_S)
         self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertNotIn("j1", {task.job for task, _ in failing.starts})
 
     def test_last_attempt_is_made_where_no_worker_is_trusted(self) -> None:
         """
