Repeat a stop that got no acknowledgement, also of a run that never began

Cause: an owner that knows a worker from a row only has no connection to it, and its stop was dropped. It was repeated only if the worker listed the run; one that never began isn't listed. So the run counted as being stopped, and held its room, until the worker or the owner was gone; a gang waited for good for that member. Change: a run that is being stopped, isn't listed and has no acknowledged stop gets its stop again. A stop is idempotent, and the run ends only after an acknowledgement, as before.

--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -293,7 +293,12 @@
 
 
 def _repeat_stop(cell: Cell, run: Run, now: Now) -> None:
-    """Repeat a stop: the first may have been sent before the worker was connected."""
+    """
+    Repeat a stop: the first may have been sent before the worker was connected.
+
+    A run that never began isn't listed by its worker either, and its stop has to be acknowledged
+    before it counts as ended.
+    """
     if not run.stop_sent_at:
         run.stop_sent_at = now.steady
     elif now.steady > run.stop_sent_at + cell.stop_time + STOP_RETRY_DELAY_S:
@@ -311,5 +316,7 @@
             end_run(cell, worker, run, now)
         case Phase.RUNNING if sent_at > run.started_at:
             end_run(cell, worker, run, now)
-        case Phase.STOPPING if run.stop_acknowledged_at and sent_at > run.stop_acknowledged_at:
+        case Phase.STOPPING if not run.stop_acknowledged_at:
+            _repeat_stop(cell, run, now)
+        case Phase.STOPPING if sent_at > run.stop_acknowledged_at:
             end_run(cell, worker, run, now)
