Wait for a trusted worker with a last attempt, but not for ever

Change: a last attempt waits for a trusted worker, blocked or not; where none has room for 6 s it is made on another one that isn't blocked. Alternatives are looked for once for each task, not once for each pair of workers.

--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -37,7 +37,11 @@
 from toucanpin.scheduling.preempting import PreemptionCandidates, PreemptionRound
 from toucanpin.scheduling.progress import CrashSuspicion
 from toucanpin.scheduling.reserving import reserve_cores
-from toucanpin.scheduling.retrying import list_retry_workers, risks_attempt
+from toucanpin.scheduling.retrying import (
+    list_last_resorts,
+    list_retry_workers,
+    wastes_attempt,
+)
 from toucanpin.scheduling.unplaceable import (
     find_known_reason,
     is_delayed,
@@ -263,13 +267,17 @@
                 postpone(cell, group, step, now)
             return
         chosen = candidates
-        is_risky = risks_attempt(live, task, worker, now)
-        if is_risky or task in worker.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
+        is_wasted = wastes_attempt(live, task, worker, eligible, now)
+        if is_wasted or task in worker.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
             safe = list_retry_workers(live, task, eligible, now)
             chosen = CandidateWorkers(round_, live, group, step, safe, suspicion)
             worker = chosen.best()
+        if worker is None and is_wasted:
+            others = list_last_resorts(cell, group, eligible, now)
+            chosen = CandidateWorkers(round_, live, group, step, others, suspicion)
+            worker = chosen.best()
         if worker is None:
-            reason = WaitReason.FAILING_WORKERS if is_risky else WaitReason.NO_ROOM
+            reason = WaitReason.FAILING_WORKERS if is_wasted else WaitReason.NO_ROOM
             record_wait(cell, group, reason, now)
             continue
         if not may_place_long_running(eligible, group, step, access):
--- a/toucanpin/scheduling/retrying.py
+++ b/toucanpin/scheduling/retrying.py
@@ -8,16 +8,19 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
-from toucanpin.scheduling.cell import Group, LiveJob, Now
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.choosing import meets_constraints
 from toucanpin.scheduling.crashing import find_suspicion, is_new_worker, runs_last_attempt
-from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.progress import CrashSuspicion
-from toucanpin.scheduling.trust import is_recently_distrusted
+from toucanpin.scheduling.trust import is_distrusted
 from toucanpin.scheduling.worker import Worker, count_fitting_when_idle, fits_when_idle
 
-__all__ = ["list_retry_workers", "risks_attempt"]
+__all__ = ["list_last_resorts", "list_retry_workers", "wastes_attempt"]
+
+MAX_TRUST_WAIT_S = 6.0  # for room on a worker on which tasks don't fail
 
 
 def list_retry_workers(
@@ -32,29 +35,81 @@
         eligible = _list_for_last_attempt(live, task, eligible, now)
     if not _count_failures(live, task):
         return eligible
-    suitable = [worker for worker in eligible if not risks_attempt(live, task, worker, now)]
+    found = _find_alternatives(live, task, eligible, now)
+    suitable = [worker for worker in eligible if not _has_better(worker, found, now)]
     step = live.job.steps[task.step]
-    needed = step.count if step.gang else 1
-    if _count_fitting(task, step, suitable) < needed:
-        # The attempt isn't wasted if no other worker could run the task.
+    if step.gang and sum(count_fitting_when_idle(worker, step) for worker in suitable) < step.count:
         return eligible
     return suitable
 
 
-def risks_attempt(live: LiveJob, task: TaskKey, worker: Worker, now: Now) -> bool:
+def wastes_attempt(
+    live: LiveJob, task: TaskKey, worker: Worker, eligible: Iterable[Worker], now: Now
+) -> bool:
     """
-    Return whether a retry on a worker where tasks fail might waste an attempt.
+    Return whether a retry on a worker where tasks fail would waste an attempt.
 
     On a full fleet a failing worker has the only free capacity, and would use up all attempts of a
-    task in a row.
+    task in a row. The attempt isn't wasted if no other worker could run the task.
     """
-    failures = _count_failures(live, task)
-    if live.job.steps[task.step].long_running or not failures:
+    if worker.retries_blocked_until <= now.steady and not is_distrusted(worker):
         return False
-    if worker.retries_blocked_until > now.steady:
-        return True
+    return _has_better(worker, _find_alternatives(live, task, eligible, now), now)
+
+
+def list_last_resorts(
+    cell: Cell, group: Group, eligible: Iterable[Worker], now: Now
+) -> list[Worker]:
+    """
+    Return the workers that a task may try after it has waited for long for room on better ones.
+
+    A worker that gets nothing else can't be cleared by a success, so a task that waits for room on
+    a trusted one might wait forever beside it.
+    """
+    wait = cell.waits.get(group)
+    if wait is None or now.steady < wait.since + MAX_TRUST_WAIT_S:
+        return []
+    return [worker for worker in eligible if worker.retries_blocked_until <= now.steady]
+
+
+@dataclass(frozen=True, slots=True)
+class _Alternatives:
+    """Whether any worker could run a task that isn't blocked, or that is trusted."""
+
+    unblocked: bool = False
+    trusted: bool = False
+
+
+def _find_alternatives(
+    live: LiveJob, task: TaskKey, eligible: Iterable[Worker], now: Now
+) -> _Alternatives:
+    """
+    Return which better workers a retry of a task may wait for.
+
+    Only the last attempt waits for a trusted worker, until the pause after its failure is over.
+    """
+    step = live.job.steps[task.step]
+    failures = _count_failures(live, task)
+    if step.long_running or not failures:
+        return _Alternatives()
+    group = Group(task.job, task.occurrence, task.step)
+    fitting = [
+        worker
+        for worker in eligible
+        if fits_when_idle(worker, step) and meets_constraints(worker, group, step)
+    ]
     is_last = failures >= live.job.max_failures - 1
-    return is_last and is_recently_distrusted(worker, now)
+    return _Alternatives(
+        any(worker.retries_blocked_until <= now.steady for worker in fitting),
+        is_last and not all(is_distrusted(worker) for worker in fitting),
+    )
+
+
+def _has_better(worker: Worker, found: _Alternatives, now: Now) -> bool:
+    """Return whether a retry should rather be made on another worker than this one."""
+    if worker.retries_blocked_until > now.steady:
+        return found.unblocked
+    return found.trusted and is_distrusted(worker)
 
 
 def _list_for_last_attempt(
@@ -82,13 +137,3 @@
 def _count_failures(live: LiveJob, task: TaskKey) -> int:
     records = live.progress.tasks[task.occurrence]
     return records[live.offsets[task.step] + task.index].failures
-
-
-def _count_fitting(task: TaskKey, step: Step, workers: Iterable[Worker]) -> int:
-    """Return how many tasks of a step the workers could run if they were idle."""
-    group = Group(task.job, task.occurrence, task.step)
-    return sum(
-        count_fitting_when_idle(worker, step)
-        for worker in workers
-        if step.gang or meets_constraints(worker, group, step)
-    )
--- a/toucanpin/scheduling/trust.py
+++ b/toucanpin/scheduling/trust.py
@@ -11,10 +11,8 @@
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = [
-    "DISTRUST_PERIOD_S",
     "EARLY_FAILURE_S",
     "is_distrusted",
-    "is_recently_distrusted",
     "is_trusted",
     "record_failure",
     "record_success",
@@ -23,9 +21,6 @@
 AVOIDANCE_PERIOD_S = 3.0  # after a failure
 MIN_FAILED_JOBS = 3  # with failures in a row; fewer jobs may themselves be at fault
 EARLY_FAILURE_S = 2.0  # a long-running task that fails later isn't its worker's fault
-# Without a success or a failure, after which a worker may get the last attempt of a task.  A worker
-# that gets nothing else can't be cleared by a success, and the task would wait forever.
-DISTRUST_PERIOD_S = 8.0
 TRIAL_PERIOD_S = 1.0  # between tasks on a distrusted worker
 
 
@@ -57,11 +52,6 @@
     return len(worker.failed_jobs) >= MIN_FAILED_JOBS
 
 
-def is_recently_distrusted(worker: Worker, now: Now) -> bool:
-    """Return whether a worker is distrusted, and the latest failure isn't long ago."""
-    return is_distrusted(worker) and now.steady < worker.failed_at + DISTRUST_PERIOD_S
-
-
 def is_trusted(worker: Worker, now: Now) -> bool:
     """
     Return whether a worker may be given a task.
