Place interrupted long-running tasks before short ones after 2 s

Cause: a long-running task that had run before waited without a bound behind short tasks of its priority. These were placed first and took each freed core, workers were reserved for large short tasks only, and preemption frees no cores of best-effort tasks.

Change: once such a task has waited for 2 s (4 s while cores for urgent work are scarce) it is placed before short tasks of its priority, and the workers with the most free cores are reserved for it, with those for large short tasks 12% of the fleet at most. Tasks that never ran, of the same step too, keep their place and get nothing on reserved workers. The guard of short tasks beside interrupted ones has a higher rate, since with the lower one every interrupted task found room at once.

--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -103,13 +103,15 @@
     """
     Start of a step's wait for workers, and the latest reason for it.
 
-    Before ``retry_at`` placement isn't tried again.
+    Before ``retry_at`` placement isn't tried again.  ``interrupted`` tells since when each waiting
+    task of a long-running step that has run before does so.
     """
 
     since: float
     reason: WaitReason = WaitReason.NO_ROOM
     logged_at: float = 0.0
     retry_at: float = 0.0
+    interrupted: dict[int, float] = field(default_factory=dict)
 
 
 class LossCause(enum.Enum):
--- a/toucanpin/scheduling/large_tasks.py
+++ b/toucanpin/scheduling/large_tasks.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 
 from toucanpin.scheduling.cell import Cell, Group
 from toucanpin.scheduling.choosing import has_label, meets_constraints
@@ -51,12 +52,20 @@
         """Reserve the worker with the most free cores for a step, if tasks of it still wait."""
         if not self._cell.waiting[group] or step.best_effort or step.long_running or step.gang:
             return
-        if len(self.eligible) <= self._min_eligible:
+        if not self.count_left():
             return
         reserved = self._pop_worker_with_most_cores(group, step)
         if reserved is not None:
-            self._reserved.add(reserved.entry.id)
-            self.eligible = [worker for worker in self.eligible if worker is not reserved]
+            self.reserve({reserved.entry.id})
+
+    def reserve(self, workers: set[str]) -> None:
+        """Keep less urgent steps from workers."""
+        self._reserved |= workers
+        self.eligible = [worker for worker in self.eligible if worker.entry.id not in workers]
+
+    def count_left(self) -> int:
+        """Return how many more workers may be reserved."""
+        return max(0, math.ceil(len(self.eligible) - self._min_eligible))
 
     def _pop_worker_with_most_cores(self, group: Group, step: Step) -> Worker | None:
         """
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -18,7 +18,6 @@
     Now,
     WaitReason,
     list_runs,
-    rank_group,
 )
 from toucanpin.scheduling.choosing import (
     CandidateWorkers,
@@ -30,8 +29,14 @@
 from toucanpin.scheduling.crashing import find_suspicion, is_start_blocked
 from toucanpin.scheduling.evicting import make_room, update_scarcity
 from toucanpin.scheduling.gangs import place_gang
-from toucanpin.scheduling.headroom import is_scarce
 from toucanpin.scheduling.interference_model import InterferenceModel
+from toucanpin.scheduling.interrupted_tasks import (
+    InterruptedTaskReservation,
+    PlacementTurn,
+    leaves_cores_to_short,
+    list_turns,
+    may_take_reserve,
+)
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.preempting import PreemptionCandidates, PreemptionRound
@@ -51,12 +56,6 @@
 
 __all__ = ["place_tasks"]
 
-# A long-running task that has run before and waits for longer than this may take cores that are
-# reserved for short urgent tasks, since its service is in use.  New ones may not: together they
-# would leave nothing to short tasks.
-RESERVE_WAIT_S = 1.0
-# While cores are scarce they wait longer, but no task for over 6 s where there is room for two.
-MAX_RETRY_DELAY_S = 4.0
 MAX_FIRST_DELAY_S = 1.5  # of a service of which no task runs
 MAX_JOIN_DELAY_S = 6.0  # of tasks that never ran, of a service of which others do
 NO_LIMIT = 1_000_000  # more tasks than any cell runs
@@ -75,17 +74,21 @@
         return
     all_eligible = list_eligible(cell, now)
     reserve_cores(cell, all_eligible, now)
-    reservation = LargeTaskReservation(cell, all_eligible)
+    large = LargeTaskReservation(cell, all_eligible)
+    interrupted = InterruptedTaskReservation(cell, all_eligible, large, now)
     round_ = PlacementRound(model, now)
     preemption = PreemptionRound()
     least_urgent = _find_least_urgent(cell)
-    for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group, now)):
+    for turn in list_turns(cell, now):
         if len(cell.placed) >= max_tasks:
             break
+        group = turn.group
         live = cell.jobs[group.job]
         step = live.job.steps[group.step]
         # Workers reserved for large tasks are available to long-running ones, which must not wait.
-        allowed = all_eligible if step.long_running else reservation.eligible
+        allowed = interrupted.eligible if step.long_running else large.eligible
+        if turn.precedes:
+            allowed = all_eligible
         if live.job.advised:
             allowed = list_ticketed(cell, group, allowed, now)
         if not is_delayed(cell, group, now):
@@ -94,12 +97,15 @@
             if step.gang:
                 place_gang(cell, round_, live, group, step, allowed)
             else:
-                _place_group(cell, round_, live, group, step, allowed)
+                _place_group(cell, round_, live, turn, step, allowed)
             if live.job.priority < least_urgent and not step.gang:
-                _preempt_for(cell, live, group, step, allowed, preemption, now)
-        reservation.reserve_for(group, step)
-        if not cell.waiting[group]:
-            del cell.waiting[group]
+                _preempt_for(cell, live, turn, step, allowed, preemption, now)
+        if turn.precedes:
+            interrupted.reserve_for(group, step, _count_startable(cell, live, turn, now))
+        else:
+            large.reserve_for(group, step)
+    for group in [group for group, waiting in cell.waiting.items() if not waiting]:
+        del cell.waiting[group]
     for group in [group for group in cell.waits if group not in cell.waiting]:
         del cell.waits[group]
     if cell.features.urgent_headroom and cell.reserved_at == now.steady:
@@ -107,13 +113,24 @@
         make_room(cell, all_eligible, now)
 
 
-def _order_waiting(cell: Cell, live: LiveJob, group: Group) -> list[int]:
+def _count_startable(cell: Cell, live: LiveJob, turn: PlacementTurn, now: Now) -> int:
+    """Return how many tasks of a turn still wait and may be placed once there is room."""
+    group = turn.group
+    tasks = (
+        TaskKey(group.job, group.occurrence, group.step, index)
+        for index in cell.waiting[group].intersection(turn.tasks)
+    )
+    return sum(_find_block(cell, live, task, now) is None for task in tasks)
+
+
+def _order_waiting(cell: Cell, live: LiveJob, turn: PlacementTurn) -> list[int]:
     """
-    Return the waiting tasks of a step in the order of placement.
+    Return the waiting tasks of a turn in the order of placement.
 
     Tasks that have run before come first, since their service is in use, and of these the ones with
     fewer crashes.
     """
+    group = turn.group
     start = live.offsets[group.step]
     records = live.progress.tasks[group.occurrence]
 
@@ -121,18 +138,7 @@
         record = records[start + index]
         return record.attempt == 0, len(record.crashed), index
 
-    return sorted(cell.waiting[group], key=rank)
-
-
-def _may_take_reserve(cell: Cell, live: LiveJob, group: Group, index: int, now: Now) -> bool:
-    """Return whether a long-running task has run before and has waited for RESERVE_WAIT_S."""
-    wait = cell.waits.get(group)
-    if wait is None or now.steady <= wait.since + RESERVE_WAIT_S:
-        return False
-    if _leaves_cores_to_short(cell, group, MAX_RETRY_DELAY_S, now):
-        return False
-    records = live.progress.tasks[group.occurrence]
-    return records[live.offsets[group.step] + index].attempt > 0
+    return sorted(cell.waiting[group].intersection(turn.tasks), key=rank)
 
 
 def _find_reserve_access(
@@ -145,23 +151,15 @@
     unavailable.
     """
     step = live.job.steps[group.step]
-    if not step.long_running or _may_take_reserve(cell, live, group, index, now):
+    if not step.long_running or may_take_reserve(cell, live, group, index, now):
         return ReserveAccess.ALL
     if len(cell.waiting[group]) < step.count:
         return ReserveAccess.SPARE if _leaves_plan(cell, group, step, now) else ReserveAccess.NONE
-    if _leaves_cores_to_short(cell, group, MAX_FIRST_DELAY_S, now):
+    if leaves_cores_to_short(cell, group, MAX_FIRST_DELAY_S, now):
         return ReserveAccess.NONE
     return ReserveAccess.SPARE
 
 
-def _leaves_cores_to_short(cell: Cell, group: Group, max_delay: float, now: Now) -> bool:
-    """Return whether long-running tasks get no reserved cores, as these are scarce."""
-    if not cell.features.urgent_headroom or not is_scarce(cell.headroom, now.steady):
-        return False
-    wait = cell.waits.get(group)
-    return wait is None or now.steady < wait.since + max_delay
-
-
 def _leaves_plan(cell: Cell, group: Group, step: Step, now: Now) -> bool:
     """
     Return whether a long-running task that has waited for long leaves the planned cores free.
@@ -184,21 +182,22 @@
 def _preempt_for(
     cell: Cell,
     live: LiveJob,
-    group: Group,
+    turn: PlacementTurn,
     step: Step,
     eligible: list[Worker],
     preemption: PreemptionRound,
     now: Now,
 ) -> None:
-    """Preempt less urgent tasks for the tasks of a step that found no worker."""
+    """Preempt less urgent tasks for the tasks of a turn that found no worker."""
+    group = turn.group
     if preemption.is_infeasible(step, ignore_reserve=step.long_running):
         return
     preemptions: dict[bool, PreemptionCandidates] = {}
-    for index in _order_waiting(cell, live, group)[:MAX_PREEMPTIONS]:
+    for index in _order_waiting(cell, live, turn)[:MAX_PREEMPTIONS]:
         task = TaskKey(group.job, group.occurrence, group.step, index)
         if _find_block(cell, live, task, now) is not None:
             continue
-        ignore_reserve = step.long_running and _may_take_reserve(cell, live, group, index, now)
+        ignore_reserve = step.long_running and may_take_reserve(cell, live, group, index, now)
         if preemption.is_infeasible(step, ignore_reserve):
             return
         safe = list_retry_workers(live, task, eligible, now)
@@ -224,21 +223,22 @@
     cell: Cell,
     round_: PlacementRound,
     live: LiveJob,
-    group: Group,
+    turn: PlacementTurn,
     step: Step,
     eligible: list[Worker],
 ) -> None:
+    group = turn.group
     waiting = cell.waiting[group]
     if is_known_unplaceable(cell, step, round_.now):
         return
     now = round_.now
     # Ordering the tasks first would look at each of thousands of them in each turn.
     is_short = not eligible or is_shortage_known(round_, live, step)
-    if is_short and _needs_only_room(cell, live, group, now):
+    if is_short and _needs_only_room(cell, live, turn, now):
         record_wait(cell, group, _find_reason(live, step, eligible), now)
         return
     candidates: CandidateWorkers | None = None
-    for index in _order_waiting(cell, live, group):
+    for index in _order_waiting(cell, live, turn):
         task = TaskKey(group.job, group.occurrence, group.step, index)
         block = _find_block(cell, live, task, now)
         if block is not None:
@@ -291,11 +291,10 @@
         candidates = candidates if chosen is candidates else None
 
 
-def _needs_only_room(cell: Cell, live: LiveJob, group: Group, now: Now) -> bool:
-    """Return whether a waiting task of a step may be placed once there is room."""
-    tasks = (
-        TaskKey(group.job, group.occurrence, group.step, index) for index in cell.waiting[group]
-    )
+def _needs_only_room(cell: Cell, live: LiveJob, turn: PlacementTurn, now: Now) -> bool:
+    """Return whether a waiting task of a turn may be placed once there is room."""
+    group = turn.group
+    tasks = (TaskKey(group.job, group.occurrence, group.step, index) for index in turn.tasks)
     return any(_find_block(cell, live, task, now) is None for task in tasks)
 
 
--- a/toucanpin/scheduling/tests/test_interrupted_tasks.py
+++ b/toucanpin/scheduling/tests/test_interrupted_tasks.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
+import math
 import random
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
+from toucanpin.scheduling import interrupted_tasks
+from toucanpin.scheduling.cell import Group
 from toucanpin.scheduling.features import MAX_URGENT_WAIT_S
+from toucanpin.scheduling.interrupted_tasks import (
+    MAX_SEARCHES,
+    PRECEDENCE_WAIT_S,
+    InterruptedTaskReservation,
+    list_turns,
+)
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.large_tasks import MAX_RESERVED_SHARE, LargeTaskReservation
 from toucanpin.scheduling.orders import RunEnd
+from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 
 WORKERS = 28
@@ -19,6 +31,8 @@
 SHORT_STEP = Step(cpu=8_000, memory=1_000)
 SHORT_DURATION_S = (0.4, 1.6)
 QUEUED = 24  # short tasks that wait at any time on a fleet without free cores
+STEPS = 100  # interrupted at a time
+HIGH_RATE = 65.0  # of short tasks per s, with which those that run leave few larger holes
 ARRIVALS = 8  # short tasks that may arrive in one step of the clock
 # The operators promise that a long-running task runs again within 6 s, and 3 s more are tolerated.
 MAX_IDLE_S = 9.0
@@ -176,9 +190,9 @@
         for longer than urgent work may.
         """
         self._serve([17_000] * 4 + [20_000] * 2)
-        self._run_with_short_tasks(5.0, 30.0)
+        self._run_with_short_tasks(5.0, HIGH_RATE)
         self._leave(LEAVING // 2)
-        self._run_with_short_tasks(10.0, 30.0)
+        self._run_with_short_tasks(10.0, HIGH_RATE)
         self.assertLessEqual(self.longest_wait, MAX_URGENT_WAIT_S)
         self.assertLessEqual(self.service.longest, MAX_IDLE_S)
 
@@ -206,6 +220,42 @@
         self._run(15.0, QUEUED)
         self.assertEqual(set(), self._list_started("new"))
 
+    def test_steps_share_a_bound_on_searches(self) -> None:
+        """
+        Guards against interrupted steps that each look at all workers in each turn, which hundreds
+        of them do when a part of a fleet is lost.
+        """
+        self._run(1.0, QUEUED)
+        for number in range(STEPS):
+            step = Step(count=2, cpu=32_000 - number, memory=1_000, long_running=True)
+            self.fleet.submit(make_job(f"long{number:03}", (step,)))
+            for record in self.fleet.cell.jobs[f"long{number:03}"].progress.tasks[0]:
+                record.attempt = 1
+        self._run(PRECEDENCE_WAIT_S + 5 * TIME_STEP_S, QUEUED)
+        cell, now = self.fleet.cell, self.fleet.now()
+        self.assertTrue(any(turn.precedes for turn in list_turns(cell, now)))
+        checked = interrupted_tasks.meets_constraints
+        with patch.object(interrupted_tasks, "meets_constraints", wraps=checked) as counted:
+            place_tasks(cell, self.fleet.model, now)
+        self.assertLessEqual(counted.call_count, MAX_SEARCHES * WORKERS)
+
+    def test_reserved_workers_are_few_and_left_to_interrupted_tasks(self) -> None:
+        """
+        Guards against reservations that leave too little to short tasks, and against new
+        long-running tasks that take what comes free on reserved workers.
+        """
+        self._run(1.0, QUEUED)
+        cell = self.fleet.cell
+        workers = list(cell.workers.values())
+        large = LargeTaskReservation(cell, workers)
+        reservation = InterruptedTaskReservation(cell, workers, large, self.fleet.now())
+        step = Step(cpu=20_000, long_running=True)
+        reservation.reserve_for(Group("long", 0, 0), step, 2)
+        self.assertEqual([WORKERS - 2] * 2, [len(reservation.eligible), len(large.eligible)])
+        reservation.reserve_for(Group("other", 0, 0), step, WORKERS)
+        left = math.floor(WORKERS * (1 - MAX_RESERVED_SHARE))
+        self.assertEqual([left] * 2, [len(reservation.eligible), len(large.eligible)])
+
 
 if __name__ == "__main__":
     unittest.main()
