Count the wait of an interrupted task from its last run, and start it beyond the limit of starts

Cause: both waits counted from the end of the one before; a limit of starts was used up in the order of priority, so that what comes later in the order had no bound in time. Change: the time at which a long-running task last ran is kept until it runs again; up to 16 interrupted tasks are placed beyond the limit, of any priority.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -147,6 +147,7 @@
             ends = restore_lease_ends(previous.lease_ends, silent_since)
             self._cell.earlier_lease_ends = ends
             withhold_leases(self._cell, record.lease_ends)
+            self._cell.taken_over_from = silent_since
         self._cell.stop_time = settings.bounds.stop_time
         self._cell.restore_time = settings.bounds.restore_time
         self._cell.max_lease = settings.bounds.max_lease
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -103,15 +103,13 @@
     """
     Start of a step's wait for workers, and the latest reason for it.
 
-    Before ``retry_at`` placement isn't tried again.  ``interrupted`` tells since when each waiting
-    task of a long-running step that has run before does so.
+    Before ``retry_at`` placement isn't tried again.
     """
 
     since: float
     reason: WaitReason = WaitReason.NO_ROOM
     logged_at: float = 0.0
     retry_at: float = 0.0
-    interrupted: dict[int, float] = field(default_factory=dict)
 
 
 class LossCause(enum.Enum):
@@ -192,7 +190,9 @@
     ``token`` fences earlier owners at the workers; ``earlier_leases_end`` is the local time by
     which every lease that an earlier owner may have granted has ended, and ``earlier_lease_ends``
     has earlier times for some workers.  Workers in ``withheld`` get no lease.  ``confirmed_at`` is
-    when the newest write that the table accepted was sent.  ``evacuated`` names the data centres
+    when the newest write that the table accepted was sent, ``taken_over_from`` when that of the
+    earlier owner was seen.  ``interrupted`` tells when long-running tasks that wait again last ran.
+    ``evacuated`` names the data centres
     that get no new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` holds by
     image the demands of best-effort tasks for which no worker was found; they are not tried again
     until ``unplaceable_until``.  ``stop_time`` and ``restore_time`` are the times in s that workers
@@ -206,6 +206,7 @@
     confirmed_at: float
     earlier_lease_ends: dict[str, float] = field(default_factory=dict)
     withheld: set[str] = field(default_factory=set)
+    taken_over_from: float = 0.0
     workers_enforce_limits: bool = True  # workers refuse tasks that don't fit
     stop_time: float = 0.2
     restore_time: float = 0.25
@@ -243,6 +244,7 @@
     consolidated: dict[TaskKey, float] = field(default_factory=dict)  # when tasks were moved
     durations: Durations = field(default_factory=lambda: Durations({}))
     task_times: dict[str, TaskTimes] = field(default_factory=dict)  # by queue
+    interrupted: dict[TaskKey, float] = field(default_factory=dict)
     moved_tasks: set[TaskKey] = field(default_factory=set)  # away from slow workers
 
 
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -25,7 +25,7 @@
 from toucanpin.scheduling.stopping import requeue_task, stop_gang, stop_run
 from toucanpin.scheduling.task_times import record_task_time
 from toucanpin.scheduling.trust import EARLY_FAILURE_S, record_failure, record_success
-from toucanpin.scheduling.worker import Run, Worker
+from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = [
     "RETRY_DELAY_S",
@@ -60,6 +60,7 @@
     cell: Cell, worker: Worker, run: Run, end: RunEnd, checkpoint: str, now: Now
 ) -> None:
     """Release the resources of a run and update its task."""
+    _record_interruption(cell, run)
     drop_run(cell, worker, run)
     live = cell.jobs.get(run.task.job)
     record = find_record(live, run.task) if live else None
@@ -120,6 +121,16 @@
         stop_run(cell, run, "job ended")
 
 
+def _record_interruption(cell: Cell, run: Run) -> None:
+    """
+    Record when a long-running task last ran.
+
+    The wait for the lease of a lost worker is part of the time for which its service is down.
+    """
+    if run.step.long_running and (run.started_at or run.phase is Phase.UNKNOWN):
+        cell.interrupted[run.task] = max(run.started_at, run.last_listed_at, cell.taken_over_from)
+
+
 def _count_failure(live: LiveJob, run: Run, record: TaskRecord) -> None:
     """
     Count a failure against a task, or once against all members of its gang.
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -92,6 +92,7 @@
         del cell.jobs[identifier]
         cell.dirty.pop(identifier, None)
         cell.job_rows_to_delete.append(identifier)
+    cell.interrupted = {task: at for task, at in cell.interrupted.items() if task.job in cell.jobs}
     cell.moved_tasks = {task for task in cell.moved_tasks if task.job in cell.jobs}
     forget_crashes(cell)
 
--- a/toucanpin/scheduling/interrupted_tasks.py
+++ b/toucanpin/scheduling/interrupted_tasks.py
@@ -18,10 +18,10 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 
-from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, Wait, rank_group
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, rank_group
 from toucanpin.scheduling.choosing import meets_constraints
 from toucanpin.scheduling.headroom import is_scarce
-from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.worker import Phase, Run, Worker, fits_when_idle
 
@@ -74,14 +74,13 @@
 
 
 def may_take_reserve(cell: Cell, live: LiveJob, group: Group, index: int, now: Now) -> bool:
-    """Return whether a long-running task has run before and has waited for RESERVE_WAIT_S."""
-    wait = cell.waits.get(group)
-    if wait is None or now.steady <= wait.since + RESERVE_WAIT_S:
-        return False
-    if leaves_cores_to_short(cell, group, MAX_RETRY_DELAY_S, now):
-        return False
+    """Return whether a long-running task that has run before may take reserved cores."""
     records = live.progress.tasks[group.occurrence]
-    return records[live.offsets[group.step] + index].attempt > 0
+    if not records[live.offsets[group.step] + index].attempt:
+        return False
+    wait = MAX_RETRY_DELAY_S if _are_cores_scarce(cell, now) else RESERVE_WAIT_S
+    task = TaskKey(group.job, group.occurrence, group.step, index)
+    return now.steady > cell.interrupted.get(task, now.steady) + wait
 
 
 def leaves_cores_to_short(cell: Cell, group: Group, max_delay: float, now: Now) -> bool:
@@ -98,25 +97,24 @@
 
 def _list_preceding(cell: Cell, group: Group, now: Now) -> set[int]:
     """Return the waiting tasks of a step that have run before and waited for long enough."""
-    live = cell.jobs[group.job]
-    step = live.job.steps[group.step]
-    wait = cell.waits.get(group)
-    if not step.long_running or step.gang or wait is None:
+    step = cell.jobs[group.job].job.steps[group.step]
+    if not step.long_running or step.gang:
         return set()
-    _record_interrupted(cell, live, group, wait, now)
     # The wait of the step tells nothing of a task that failed while its siblings waited.
     due = now.steady - (MAX_RETRY_DELAY_S if _are_cores_scarce(cell, now) else PRECEDENCE_WAIT_S)
-    return {index for index, since in wait.interrupted.items() if since <= due}
+    return {index for index, since in _list_interrupted(cell, group, now) if since <= due}
 
 
-def _record_interrupted(cell: Cell, live: LiveJob, group: Group, wait: Wait, now: Now) -> None:
+def _list_interrupted(cell: Cell, group: Group, now: Now) -> Iterator[tuple[int, float]]:
+    """Yield the waiting tasks of a step that have run before, and when they last did."""
+    live = cell.jobs[group.job]
     start = live.offsets[group.step]
     records = live.progress.tasks[group.occurrence]
-    wait.interrupted = {
-        index: wait.interrupted.get(index, now.steady)
-        for index in cell.waiting[group]
-        if records[start + index].attempt
-    }
+    for index in cell.waiting[group]:
+        if records[start + index].attempt:
+            task = TaskKey(group.job, group.occurrence, group.step, index)
+            # Of a task that waited under an earlier owner it isn't known.
+            yield index, cell.interrupted.setdefault(task, now.steady)
 
 
 class InterruptedTaskReservation:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -63,6 +63,9 @@
 MAX_FIRST_DELAY_S = 1.5  # of a service of which no task runs
 MAX_JOIN_DELAY_S = 6.0  # of tasks that never ran, of a service of which others do
 NO_LIMIT = 1_000_000  # more tasks than any cell runs
+# Of interrupted tasks, beyond the limit of an owner that is behind.  Others would use up all of it
+# in each turn.
+MAX_EXTRA_STARTS = 16
 MAX_PREEMPTIONS = 16  # tasks of a step for which others are preempted in one round
 
 
@@ -84,8 +87,9 @@
     preemption = PreemptionRound()
     least_urgent = _find_least_urgent(cell)
     for turn in list_turns(cell, now):
-        if len(cell.placed) >= max_tasks:
-            break
+        extra = MAX_EXTRA_STARTS if turn.precedes else 0
+        if len(cell.placed) >= max_tasks + extra:
+            continue
         group = turn.group
         live = cell.jobs[group.job]
         step = live.job.steps[group.step]
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -145,7 +145,9 @@
         return decode_progress(self.rows[job]).state if job in self.rows else 0
 
     def _make_cell(self, token: int) -> Cell:
-        return Cell("c", token, self.time + OWNER_AUTHORITY_S * 1.04 + 0.4, self.time)
+        cell = Cell("c", token, self.time + OWNER_AUTHORITY_S * 1.04 + 0.4, self.time)
+        cell.taken_over_from = self.time
+        return cell
 
     def _turn(self) -> None:
         self.time += TIME_STEP_S
