Test (red): a second takeover shortens the wait for an owner of an earlier build

Cause: an owner that follows one of an earlier build waits for its authority from the takeover on, but its row tells only its own authority, and its successor waits for that from the row.

--- a/toucanpin/entry/tests/test_candidate.py
+++ b/toucanpin/entry/tests/test_candidate.py
@@ -10,8 +10,10 @@
 from toucanpin.entry.candidate import Candidate
 from toucanpin.entry.tables import OWNER_KEY, OWNERS_TABLE
 from toucanpin.platform.store import Committed, Conflict, Page, Put, Row
+from toucanpin.scheduling.lease_ends import UNKNOWN_AUTHORITY_S, find_earlier_leases_end
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
 from toucanpin.scheduling.settings import Bounds, HostSettings
+from toucanpin.scheduling.worker import MIN_CLOCK_RATE
 
 RESIGNED = OwnerRecord("", "past", 4, 9)
 
@@ -77,6 +79,17 @@
             await candidate.run()
         return owners
 
+    async def test_a_second_takeover_keeps_the_wait_for_an_earlier_build(self) -> None:
+        """
+        A host of an earlier build loses its cell to one of this build, and that one dies at once.
+        Guards against a third owner that waits only for the leases of the second: those of the
+        first may end later, and a task that runs under one would run twice.
+        """
+        (owner,) = await self._contend(_Store())
+        record, taken_at = owner[4], 100.0
+        end = find_earlier_leases_end(record, taken_at, taken_at)
+        self.assertGreaterEqual(end, taken_at + UNKNOWN_AUTHORITY_S / MIN_CLOCK_RATE)
+
     async def test_a_takeover_counts_if_its_second_copy_conflicts(self) -> None:
         """
         The answer to a takeover is lost, and its second copy finds the row changed by the first.
