Test (red): an owner that reads its rows drops ends of leases that are over

Cause: list_lease_ends lists carried ends only while they lie ahead, and knows no run before the rows are read. A renewal of the ownership after such an end lacks the worker, so the next owner counts its leases anew, though nothing was granted since. A weak owner gives up its cell after 1 s of reading, so two planned takeovers are enough.

--- a/toucanpin/entry/tests/test_lost_tasks.py
+++ b/toucanpin/entry/tests/test_lost_tasks.py
@@ -7,11 +7,14 @@
 import unittest
 from collections.abc import Callable, Coroutine
 from typing import Any
+from unittest.mock import patch
 
 from standins.site.site import JOB, Site
 from standins.site.virtual import Processor, run_virtual, start_on
 from standins.site.worker import SiteWorker
+from toucanpin.entry.cell_rows import CellRows
 from toucanpin.entry.tables import OWNER_KEY, OWNERS_TABLE
+from toucanpin.scheduling.cell import Now
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner
 
 # A task that could run is lost if it doesn't for 3 s, from 6 s after its last run.
@@ -21,6 +24,8 @@
 HOSTS = (STRONG, STRONG, STRONG, WEAK)
 WORKERS = 6
 FREEZE_S = 5.5
+LOAD_TIME_S = 2.0  # that a new owner takes to read its rows over a slow link
+LOST_FOR_S = 4.0  # of a worker, when most of its lease is over
 TURN_S = 0.05
 CLOCK_RATE = 0.98  # of a worker's clock that is as slow as the platform allows
 
@@ -72,10 +77,14 @@
 
     async def replace_owner(self) -> None:
         """Shut the owner down, as a planned restart does, until the next one has the cell."""
+        await (await self.hand_over())
+
+    async def hand_over(self) -> asyncio.Future[None]:
+        """Shut the owner down until the next one has the cell; return the rest of the shutdown."""
         owner = self.read_owner()
         shutdown = asyncio.ensure_future(self.site.hosts[int(owner.host[1:])].shut_down())
         await self.wait_for_takeover(owner.token)
-        await shutdown
+        return shutdown
 
     async def wait_for_takeover(self, token: int) -> None:
         assert await self.site.wait_until(lambda: self.read_owner().token > token)
@@ -231,6 +240,31 @@
         late = {key for key, found in idle.items() if found > allowed.get(key[0], MAX_IDLE_S)}
         self.assertEqual(set(), late, idle)
 
+    def test_a_second_owner_gives_up_the_cell_while_it_reads_its_rows(self) -> None:
+        """
+        A worker is lost, then its owner leaves, and the lease ends while the next owner reads its
+        rows and renews the ownership.  That one leaves as well, as a weak owner does that can't
+        finish reading.  Guards against a third owner that isn't told of the end, and waits anew.
+        """
+        load = CellRows.load
+
+        async def load_late(rows: CellRows, now: Callable[[], Now]) -> int:
+            await asyncio.sleep(LOAD_TIME_S)
+            return await load(rows, now)
+
+        async def play(trace: _Trace) -> float:
+            ended_at = await trace.lose_worker(leaves=True)
+            await trace.pause(LOST_FOR_S)
+            with patch.object(CellRows, "load", load_late):
+                first = await trace.hand_over()
+                await trace.pause(LOAD_TIME_S / 2)
+            second = await trace.hand_over()
+            idle = await trace.measure_idle_time(ended_at)
+            await asyncio.gather(first, second)
+            return time.monotonic() - idle
+
+        self.assertLessEqual(self._measure(play), MAX_IDLE_S)
+
     def test_a_worker_that_only_the_cut_off_owner_reaches_is_waited_for(self) -> None:
         """
         An owner that reaches nothing but the worker of a task renews its lease for as long as it
