Test (red): a withheld worker is polled without a pause while rows are read

Cause: _renew_until_loaded pauses only after a poll with a renewal. Without one it repeats at once, which was meant for the first answer only; a worker whose lease is withheld answers each time. It ends with the write of a row without the worker, so a slow store or an outage prolongs it.

--- a/toucanpin/entry/tests/test_cell_workers.py
+++ b/toucanpin/entry/tests/test_cell_workers.py
@@ -6,13 +6,15 @@
 import unittest
 
 from standins.site.site import JOB, Site
-from toucanpin.entry.cell_workers import CellWorkers
+from standins.site.virtual import LINK_DELAY_S, run_virtual
+from toucanpin.entry.cell_workers import RETRY_DELAY_S, CellWorkers
 from toucanpin.entry.clocks import Clocks
 from toucanpin.http import CallError
 from toucanpin.platform.store import Store
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.lease_ends import withhold_leases
 from toucanpin.scheduling.load_shedding import ProcessDelay
 from toucanpin.scheduling.orders import (
     EndedRun,
@@ -25,6 +27,8 @@
 from toucanpin.scheduling.worker import Phase, Run, Worker
 from toucanpin.verdict import Verdict
 
+WITHHELD_S = 2.0  # for which a worker gets no lease
+
 
 class UnwrittenEndsTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_worker_is_polled_again_once_its_ends_are_written(self) -> None:
@@ -128,6 +132,35 @@
         self.assertGreater(client.deadlines[1], 0)
 
 
+class WithheldLeaseTest(unittest.TestCase):
+    def test_a_worker_without_a_lease_is_not_polled_without_a_pause(self) -> None:
+        """
+        The earlier owner listed a worker as silent, so the next one may grant it no lease before it
+        has written a row without it, and the store is slow.  Guards against polls of hundreds of
+        workers one after another, which take the link and the time that the rows need.
+        """
+
+        async def main() -> None:
+            clocks = Clocks(Store(Site().store))  # type: ignore[arg-type]
+            now = clocks.now().steady
+            cell = Cell("c", 2, now, now)
+            workers = CellWorkers(
+                cell, InterferenceModel(), clocks, ProcessDelay(), lambda _: None, _do_nothing
+            )
+            worker = Worker(WorkerEntry("w", "c", "127.0.0.1:1", "dc", True, 1, 1, 0))
+            cell.workers["w"] = worker
+            withhold_leases(cell, ["w"])
+            client = _BusyWorkerClient(TaskKey("j", 0, 0, 0))
+            client.delay = LINK_DELAY_S
+            workers._clients["w"] = client  # type: ignore[assignment]
+            polling = asyncio.ensure_future(workers._poll(worker))
+            await asyncio.sleep(WITHHELD_S)
+            polling.cancel()
+            self.assertLessEqual(len(client.deadlines), 1 + WITHHELD_S / RETRY_DELAY_S)
+
+        run_virtual(main)
+
+
 class UnansweredPaceTest(unittest.IsolatedAsyncioTestCase):
     async def test_unanswered_pace_of_an_earlier_attempt_changes_nothing(self) -> None:
         """
@@ -174,9 +207,12 @@
             (EndedRun(1, TaskKey("other", 0, 0, 0), 1, RunEnd.DONE, ""),),
         )
         self.deadlines: list[int] = []
+        self.delay = 0.0  # s until it answers
 
     async def poll(self, token: int, acknowledged: int, deadline: int, *_: object) -> PollAnswer:
         self.deadlines.append(deadline)
+        if self.delay:
+            await asyncio.sleep(self.delay)
         return self._answer
 
 
