Test (red): a first placement on a worker counts as a lease of an earlier owner

Cause: awaits_renewal takes any run of a worker that this owner granted no lease for one of an earlier owner. A worker gets its first lease with its first start, so from its placement until the start is sent (a write and more) all starts are limited to 16, also in a steady state without a takeover.

Measured: true in the turn that places the first task on the only worker of a first owner.

--- a/toucanpin/scheduling/tests/test_lease_ends.py
+++ b/toucanpin/scheduling/tests/test_lease_ends.py
@@ -27,7 +27,7 @@
 )
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
 from toucanpin.scheduling.starting import plan_start
-from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 from toucanpin.scheduling.worker import Worker
 
 SERVICE = make_job("j1", (Step(cpu=1_000, long_running=True),))
@@ -123,6 +123,21 @@
         self.assertFalse(awaits_renewals(fleet.cell))
 
 
+class FirstPlacementTest(unittest.TestCase):
+    def test_a_placement_on_a_new_worker_is_no_lease_of_an_earlier_owner(self) -> None:
+        """
+        A worker joins, and its first task is placed while the write of the placement takes time.
+        Guards against an owner that limits all starts meanwhile, though nothing is to be renewed:
+        bursts are started slowly each time that a worker joins.
+        """
+        fleet = Fleet(workers=1)
+        fleet.store_up = False
+        fleet.submit(SERVICE)
+        fleet.run(TIME_STEP_S)
+        self.assertTrue(fleet.cell.workers["w0"].runs)
+        self.assertFalse(awaits_renewals(fleet.cell))
+
+
 class EarlierLeasesTest(unittest.TestCase):
     def test_the_wait_counts_from_the_last_write_seen(self) -> None:
         """Guards against a wait from the takeover, which comes seconds after the last write."""
