Carry what is known of earlier leases through an owner that only reads its rows

(1) After an owner of an earlier build the next one waits 9.24 s, but its row told only its own authority, so that a third owner might wait 0.5 s too little: a task could run twice. (2) An owner that still read its rows left out the listed ends that were over meanwhile, and the next one counted 8.2 s anew: a task was idle for 13.4 s (9 allowed). Change: the row also tells when the leases of all earlier owners have ended; listed ends stay until the worker answers or the rows place nothing there.

--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -29,7 +29,11 @@
 from toucanpin.platform.store import Committed, Conflict, ExpectedVersion, Put, Row, Store
 from toucanpin.scheduling.evacuating import EvacuationList
 from toucanpin.scheduling.forecast import KnownForecast
-from toucanpin.scheduling.lease_ends import shift_lease_ends
+from toucanpin.scheduling.lease_ends import (
+    count_ms_until,
+    find_earlier_leases_end,
+    shift_lease_ends,
+)
 from toucanpin.scheduling.leases import OWNER_AUTHORITY_MS
 from toucanpin.scheduling.ownership import (
     MAX_LOADING_S,
@@ -231,15 +235,17 @@
     async def _acquire(self, watch: OwnerWatch) -> None:
         previous = watch.record
         token = previous.token + 1 if previous else 1
-        seen_at = watch.changed_at
+        seen_at, now = watch.changed_at, steady_time()
         lease_ends = previous.lease_ends if previous else {}
+        earlier_end = find_earlier_leases_end(previous, seen_at, now)
         record = OwnerRecord(
             self._settings.name,
             self._incarnation,
             token,
             0,
             authority=OWNER_AUTHORITY_MS,
-            lease_ends=shift_lease_ends(lease_ends, steady_time() - seen_at),
+            lease_ends=shift_lease_ends(lease_ends, now - seen_at),
+            earlier_end=count_ms_until(earlier_end, now),
         )
         expected = (ExpectedVersion(OWNERS_TABLE, OWNER_KEY, watch.version),)
         put = (Put(OWNERS_TABLE, OWNER_KEY, encode_owner(record)),)
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -39,6 +39,8 @@
 from toucanpin.scheduling.job import Job, decode_job, find_job_fault
 from toucanpin.scheduling.lease_ends import (
     confirm_lease_ends,
+    count_ms_until,
+    forget_lease_ends,
     list_lease_ends,
     withhold_leases,
 )
@@ -117,6 +119,7 @@
         known = {row.key: it for row, it in self._reader.read(progress.rows, _decode_progress)}
         self.blocked = {row.key for row in progress.rows if row.key not in known}
         await self._add_jobs(jobs.rows, known, now())
+        forget_lease_ends(self._cell)
         self.view = TableView(jobs.version, jobs.clock)
         _log.info(
             "cell owned",
@@ -221,6 +224,7 @@
             self.forecast,
             OWNER_AUTHORITY_MS,
             lease_ends,
+            count_ms_until(self._cell.earlier_leases_end, steady_time()),
         )
         puts = [Put(OWNERS_TABLE, OWNER_KEY, encode_owner(record)), *puts]
         if resigning:
--- a/toucanpin/scheduling/lease_ends.py
+++ b/toucanpin/scheduling/lease_ends.py
@@ -25,7 +25,9 @@
 __all__ = [
     "bound_earlier_leases",
     "confirm_lease_ends",
+    "count_ms_until",
     "find_earlier_leases_end",
+    "forget_lease_ends",
     "is_lease_withheld",
     "list_lease_ends",
     "restore_lease_ends",
@@ -53,19 +55,36 @@
         # Such an owner may count its authority from a write that was applied before it was sent
         # again, so that only the takeover bounds it.
         return now + UNKNOWN_AUTHORITY_S * CLOCK_FACTOR + CLOCK_MARGIN_S
-    return seen_at + previous.authority / 1_000 * CLOCK_FACTOR + CLOCK_MARGIN_S
+    own_end = previous.authority / 1_000 * CLOCK_FACTOR + CLOCK_MARGIN_S
+    return seen_at + max(own_end, previous.earlier_end / 1_000)
+
+
+def count_ms_until(end: float, now: float) -> int:
+    """Return the ms until a time, rounded up, 0 if it is over."""
+    return max(0, math.ceil((end - now) * 1_000))
 
 
 def list_lease_ends(cell: Cell, now: float) -> dict[str, int]:
-    """Return in how many ms the leases of workers that don't answer will have ended, by worker."""
+    """
+    Return in how many ms the leases of workers that don't answer will have ended, by worker.
+
+    Those of an earlier owner stay listed when they are over: as long as the rows aren't read, tasks
+    may still be placed there, and the next owner would count their leases anew.
+    """
     ends = {
-        key: end
-        for key, end in cell.earlier_lease_ends.items()
-        if end > now and not _has_answered(cell, key)
+        key: end for key, end in cell.earlier_lease_ends.items() if not _has_answered(cell, key)
     }
     ends |= {worker.entry.id: worker.lease_expires_at for worker in _list_silent(cell)}
     soonest = sorted(ends.items(), key=lambda item: item[1])[:MAX_LISTED_WORKERS]
-    return {key: max(0, math.ceil((end - now) * 1_000)) for key, end in soonest}
+    return {key: count_ms_until(end, now) for key, end in soonest}
+
+
+def forget_lease_ends(cell: Cell) -> None:
+    """Discard the ends of workers on which the rows place no task, once they are read."""
+    placed = {key for key, worker in cell.workers.items() if worker.runs}
+    cell.earlier_lease_ends = {
+        key: end for key, end in cell.earlier_lease_ends.items() if key in placed
+    }
 
 
 def shift_lease_ends(listed: Mapping[str, int], elapsed: float) -> dict[str, int]:
--- a/toucanpin/scheduling/ownership.py
+++ b/toucanpin/scheduling/ownership.py
@@ -57,8 +57,9 @@
     later one. An empty ``host`` means that the last owner has resigned. ``backlog`` is the waiting
     time in ms of new tasks by priority; it is empty unless the owner is overloaded.  ``forecast``
     is None unless entry hosts shall decide on admission by it.  ``authority`` is how long after
-    this write its owner may grant leases, in ms, 0 if unknown; ``lease_ends`` tells in how many ms
-    the leases of workers that don't answer will have ended.
+    this write its owner may grant leases, in ms, 0 if unknown; ``earlier_end`` tells in how many ms
+    the leases of earlier owners will have ended, and ``lease_ends`` those of workers that don't
+    answer.
     """
 
     host: str
@@ -69,6 +70,7 @@
     forecast: Forecast | None = None
     authority: int = 0
     lease_ends: dict[str, int] = {}
+    earlier_end: int = 0
 
 
 @dataclass(slots=True)
