Renew the lease of a worker that answers again before a long poll, without polls in a loop

Change: a worker's renewal is due from when it is first listed or silent until a lease is granted; it is polled again after 0.1 s until then. The limit of starts holds for workers without any renewal by this owner, and only runs that may have been started count.

--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -218,7 +218,7 @@
         """
         while not self._loaded.is_set() and self._cell.workers.get(worker.entry.id) is worker:
             deadline = plan_renewal(self._cell, worker, self._clocks.now())
-            pause = RENEWAL_PERIOD_S if deadline else 0.0
+            pause = RENEWAL_PERIOD_S if deadline else RETRY_DELAY_S if worker.clock else 0.0
             sent_at = steady_time()
             try:
                 answer = await client.poll(self._cell.token, 0, deadline, 0.0, MAX_LATENESS_S)
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -72,7 +72,7 @@
 )
 from toucanpin.scheduling.leases import (
     MAX_STARTS_BEFORE_RENEWALS,
-    awaits_renewals,
+    awaits_first_renewals,
     expire_leases,
 )
 from toucanpin.scheduling.load_shedding import ProcessDelay, StartBacklog, TimeShare
@@ -340,7 +340,7 @@
         else:
             log_standstill(self._cell, self._standstill.record_placing(now.steady))
             max_starts = self._delay.limit_starts(now.steady)
-            if not self._introduction.completed or awaits_renewals(self._cell):
+            if not self._introduction.completed or awaits_first_renewals(self._cell):
                 max_starts = min(max_starts, MAX_STARTS_BEFORE_RENEWALS)
             max_starts -= self._workers.count_starting()
             before = len(self._cell.placed)
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -31,8 +31,8 @@
     "OWNER_AUTHORITY_MS",
     "OWNER_AUTHORITY_S",
     "apply_answer",
+    "awaits_first_renewals",
     "awaits_renewal",
-    "awaits_renewals",
     "expire_leases",
     "lease_end",
     "mark_silent",
@@ -140,18 +140,19 @@
 
 def awaits_renewal(worker: Worker) -> bool:
     """
-    Return whether a worker still runs tasks under the lease of an earlier owner.
+    Return whether a worker that answers runs tasks whose lease wasn't renewed for long.
 
-    Most of that lease is over when its owner has been replaced.
+    It was granted by an earlier owner, or before the worker was silent, and may end any moment.
     """
-    if worker.renewed or worker.silent or not worker.entry.address:
-        return False
-    return bool(worker.runs)
+    return worker.renewal_due and not worker.silent and _runs_tasks(worker)
 
 
-def awaits_renewals(cell: Cell) -> bool:
+def awaits_first_renewals(cell: Cell) -> bool:
     """Return whether any worker that answers still has the lease of an earlier owner."""
-    return any(map(awaits_renewal, cell.workers.values()))
+    return any(
+        awaits_renewal(worker) and not worker.renewed and worker.entry.address
+        for worker in cell.workers.values()
+    )
 
 
 def record_clock(worker: Worker, answer: PollAnswer, now: Now) -> None:
@@ -187,6 +188,7 @@
 def mark_silent(worker: Worker) -> None:
     """Record that a worker did not answer."""
     worker.silent = True
+    worker.renewal_due = True
 
 
 def remove_replaced_worker(cell: Cell, worker: Worker, now: Now) -> None:
@@ -213,6 +215,11 @@
     return forgotten
 
 
+def _runs_tasks(worker: Worker) -> bool:
+    """Return whether a worker may run tasks that were started before."""
+    return any(run.phase not in (Phase.PLACED, Phase.ORDERED) for run in worker.runs.values())
+
+
 def _choose_acknowledged(worker: Worker) -> int:
     """
     Return the newest end to acknowledge, 0 if the worker has none left to forget.
--- a/toucanpin/scheduling/tests/test_lease_ends.py
+++ b/toucanpin/scheduling/tests/test_lease_ends.py
@@ -11,6 +11,7 @@
     bound_earlier_leases,
     confirm_lease_ends,
     find_earlier_leases_end,
+    forget_lease_ends,
     list_lease_ends,
     restore_lease_ends,
     shift_lease_ends,
@@ -20,7 +21,8 @@
     LEASE_S,
     OWNER_AUTHORITY_MS,
     OWNER_AUTHORITY_S,
-    awaits_renewals,
+    awaits_first_renewals,
+    awaits_renewal,
     mark_silent,
     plan_poll,
     update_workers,
@@ -64,6 +66,21 @@
         confirm_lease_ends(self.fleet.cell, [])
         self.assertGreater(plan_poll(self.fleet.cell, self.worker, now).deadline, 0)
 
+    def test_a_worker_that_answers_again_is_renewed_before_a_long_poll(self) -> None:
+        """
+        A worker was silent, so that it is listed and gets no lease when it answers.  Guards against
+        a long poll before the next try: the rest of its lease may end meanwhile.
+        """
+        mark_silent(self.worker)
+        withhold_leases(self.fleet.cell, self._list())
+        self.worker.silent = False
+        self.assertTrue(awaits_renewal(self.worker))
+        order = plan_poll(self.fleet.cell, self.worker, self.fleet.now())
+        self.assertEqual((0, 0.0), (order.deadline, order.wait))
+        confirm_lease_ends(self.fleet.cell, [])
+        self.assertGreater(plan_poll(self.fleet.cell, self.worker, self.fleet.now()).deadline, 0)
+        self.assertFalse(awaits_renewal(self.worker))
+
     def test_a_restarted_worker_stays_withheld(self) -> None:
         """Guards against a lease for the next incarnation of a worker whose row is still listed."""
         withhold_leases(self.fleet.cell, ["w0"])
@@ -86,6 +103,8 @@
         again = list_lease_ends(cell, seen_at + 1.5)
         carried = shift_lease_ends(listed, 1.5)
         self.assertAlmostEqual(carried["w0"], again["w0"], delta=2)
+        self.assertEqual({"w0": 0}, list_lease_ends(cell, end + 0.1))
+        forget_lease_ends(cell)
         self.assertEqual({}, list_lease_ends(cell, end + 0.1))
 
     def test_the_list_is_bounded(self) -> None:
@@ -110,17 +129,17 @@
         fleet = Fleet(workers=2)
         fleet.submit(make_job("j1", (Step(count=2, cpu=3_000, long_running=True),)))
         fleet.run(1.0)
-        self.assertFalse(awaits_renewals(fleet.cell))
+        self.assertFalse(awaits_first_renewals(fleet.cell))
         fleet.replace_owner()
         update_workers(fleet.cell, [it.entry for it in fleet.workers.values()], fleet.now())
-        self.assertTrue(awaits_renewals(fleet.cell))
+        self.assertTrue(awaits_first_renewals(fleet.cell))
         fleet.run(0.2)
-        self.assertFalse(awaits_renewals(fleet.cell))
+        self.assertFalse(awaits_first_renewals(fleet.cell))
         fleet.replace_owner()
         update_workers(fleet.cell, [it.entry for it in fleet.workers.values()], fleet.now())
         for worker in fleet.cell.workers.values():
             mark_silent(worker)
-        self.assertFalse(awaits_renewals(fleet.cell))
+        self.assertFalse(awaits_first_renewals(fleet.cell))
 
 
 class FirstPlacementTest(unittest.TestCase):
@@ -135,7 +154,7 @@
         fleet.submit(SERVICE)
         fleet.run(TIME_STEP_S)
         self.assertTrue(fleet.cell.workers["w0"].runs)
-        self.assertFalse(awaits_renewals(fleet.cell))
+        self.assertFalse(awaits_first_renewals(fleet.cell))
 
 
 class EarlierLeasesTest(unittest.TestCase):
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -113,6 +113,7 @@
     clock_read_at: float = 0.0
     lease_expires_at: float = 0.0
     renewed: bool = False  # this owner has granted it a lease
+    renewal_due: bool = True  # none was granted since it was first listed, or silent
     listed_sequence: int = 0  # of the newest end that it listed
     acknowledged_sequence: int = 0  # of the newest end that is written
     lists_ends: bool = False  # its latest answer listed ends, acknowledged or not
@@ -234,6 +235,7 @@
     expires_at = worker.clock_read_at + ahead / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
     worker.lease_expires_at = max(worker.lease_expires_at, expires_at)
     worker.renewed = True
+    worker.renewal_due = False
     return deadline
 
 
