Estimate the waits of a cell in a module of its own

Change: LoadEstimates holds the backlog, the history of the forecast and the log of the owner's delay; Owner calls it. No change of behaviour; one test patches make_forecast at its new place.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -23,7 +23,6 @@
     log_ended,
     log_evacuations,
     log_failed_tasks,
-    log_forecast,
     log_headroom,
     log_losses,
     log_placement,
@@ -31,6 +30,7 @@
     log_standstill,
     log_waits,
 )
+from toucanpin.entry.load_estimates import LoadEstimates
 from toucanpin.entry.metrics import TURN_TIME
 from toucanpin.entry.periodic import PeriodicDecision
 from toucanpin.entry.row_cache import RowCache
@@ -55,17 +55,12 @@
     has_current_evacuations,
 )
 from toucanpin.scheduling.features import select_features
-from toucanpin.scheduling.forecast import (
-    FORECAST_PERIOD_S,
-    Forecast,
-    LoadHistory,
-    make_forecast,
-)
+from toucanpin.scheduling.forecast import FORECAST_PERIOD_S, Forecast
 from toucanpin.scheduling.headroom import describe_headroom
 from toucanpin.scheduling.intake import begin_due, forget_ended
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.leases import OWNER_AUTHORITY_S, expire_leases
-from toucanpin.scheduling.load_shedding import ProcessDelay, StartBacklog, TimeShare
+from toucanpin.scheduling.load_shedding import ProcessDelay, TimeShare
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.ownership import OWNER_WRITE_INTERVAL_S, OwnerRecord
@@ -91,9 +86,6 @@
 CLEANUP_PERIOD_S = 5.0  # between searches for ended jobs whose retention is over
 REPORT_PERIOD_S = 1.0  # between log lines about waiting tasks and delays
 MAX_PLACING_SHARE = 0.35  # maximum fraction of the time that is spent on placing
-# An owner that is later than this refuses jobs by its backlog; a forecast would add to its work.
-MAX_FORECAST_DELAY_S = FORECAST_PERIOD_S
-MIN_LOGGED_DELAY_S = 0.2  # longer delays of the event loop and of answers are logged
 RETENTION_MARGIN_S = 15.0  # by which ended jobs are kept longer than promised
 # Time until all leases granted by earlier owners have ended.  They end on clocks that may run 2%
 # slow; the rest is a margin.
@@ -129,7 +121,6 @@
         self._store = store
         self._clocks = clocks
         self._bounds = settings.bounds
-        self._load_history = LoadHistory()
         self._advice_dispatcher = advice_dispatcher
         self._workers_enforce_limits = workers_enforce_limits
         self._evacuated = evacuated
@@ -156,6 +147,7 @@
             self._dispatch_orders,
         )
         self._delay = ProcessDelay()
+        self._estimates = LoadEstimates(self._cell, self._rows, self._delay)
         self._workers = CellWorkers(
             self._cell, self._interference, clocks, self._delay, self._spawn, self._dispatch_orders
         )
@@ -167,7 +159,6 @@
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
         self._placing_share = TimeShare(MAX_PLACING_SHARE)
-        self._backlog = StartBacklog()
         self._standstill = StandstillMeter(silent_since)
         self._standstill.record_blocked(StandstillCause.TAKEOVER, steady_time())
         self._failure: asyncio.Future[None] | None = None
@@ -312,7 +303,7 @@
             max_starts = self._delay.limit_starts(now.steady) - self._workers.count_starting()
             before = len(self._cell.placed)
             place_tasks(self._cell, self._interference, now, max_starts)
-            self._backlog.record_starts(len(self._cell.placed) - before, now.steady)
+            self._estimates.record_starts(len(self._cell.placed) - before, now)
         ended = steady_time()
         self._placing_share.record(now.steady, ended)
         TURN_TIME.record(ended - now.steady, {"what": "placing"})
@@ -411,7 +402,7 @@
                 log_headroom(self._cell, now)
                 log_colocation(self._cell, self._interference, now)
                 self._estimate_backlog(now)
-                self._log_delay(now)
+                self._estimates.log_delay(self._workers.count_starting(), now)
                 if self._cell.evacuated:
                     log_evacuations(self._cell)
             if now.steady > cleaned_at + CLEANUP_PERIOD_S:
@@ -420,35 +411,10 @@
             self._dispatch_orders()
 
     def _estimate_backlog(self, now: Now) -> None:
-        waiting: Counter[int] = Counter()
-        for group, indices in self._cell.waiting.items():
-            job = self._cell.jobs[group.job].job
-            # Long-running tasks may wait for room indefinitely.
-            if not job.steps[group.step].long_running:
-                waiting[job.priority] += len(indices)
-        delay = self._delay.read(now.steady)
-        self._rows.backlog = self._backlog.estimate_waits(waiting, delay, now.steady)
+        self._estimates.update_backlog(now)
 
     def _forecast_queues(self, now: Now) -> None:
-        if self._delay.read(now.steady) > MAX_FORECAST_DELAY_S:
-            return
-        self._rows.forecast = make_forecast(self._cell, self._load_history, now)
-        log_forecast(self._cell, self._rows.forecast)
-
-    def _log_delay(self, now: Now) -> None:
-        """Log a warning if this host is overloaded or was suspended."""
-        delay = self._delay.read(now.steady)
-        if delay > MIN_LOGGED_DELAY_S:
-            _log.warning(
-                "owner can't keep up with its cell",
-                event="owner.behind",
-                cell=self._cell.name,
-                delay=round(delay, 3),
-                starting=self._workers.count_starting(),
-                backlog=str(self._rows.backlog),
-                waiting=sum(map(len, self._cell.waiting.values())),
-                silent=sum(worker.silent for worker in self._cell.workers.values()),
-            )
+        self._estimates.update_forecast(now)
 
     def _dispatch_orders(self) -> None:
         log_losses(self._cell)
--- a/toucanpin/entry/tests/test_admission.py
+++ b/toucanpin/entry/tests/test_admission.py
@@ -153,7 +153,7 @@
         )
         assert owner is not None
         now = owner._clocks.now()
-        with patch("toucanpin.entry.owner.make_forecast", return_value=None) as made:
+        with patch("toucanpin.entry.load_estimates.make_forecast", return_value=None) as made:
             for delay, expected in ((0.0, 1), (2.0, 1)):
                 owner._delay.record(delay, now.steady)
                 owner._forecast_queues(now)
