Make the time-dependent decisions of a cell in a module of its own

Cause: Owner._tick made all decisions, reports and requests for advice in one loop. Change: CellDecisions makes the decisions that are due, AdviceRequests sends the requests, PeriodTimer times the reports; the loop stays in Owner. Order of the parts is as before. The weakened process and one test patch the names at their new place.

--- a/tools/soak/weakened.py
+++ b/tools/soak/weakened.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from toucanpin.entry import __main__ as program
-from toucanpin.entry import cell_workers, owner
+from toucanpin.entry import cell_decisions, cell_workers, owner
 from toucanpin.entry.root import EntryProcess
 from toucanpin.entry.submissions import SubmissionOutcome, Submissions
 from toucanpin.platform import workers
@@ -22,14 +22,14 @@
 
 def _ignore_leases() -> None:
     """Treat the runs of a silent worker as ended while its lease is still valid."""
-    original = owner.expire_leases
+    original = cell_decisions.expire_leases
 
     def weakened(cell, now):  # type: ignore[no-untyped-def]
         for worker in cell.workers.values():
             worker.lease_expires_at = 0.0
         return original(cell, now)
 
-    owner.expire_leases = weakened
+    cell_decisions.expire_leases = weakened
 
 
 def _refuse_uncertain_writes() -> None:
@@ -67,7 +67,7 @@
 def _ignore_crashes() -> None:
     """Restart a task regardless of how many workers crashed while running it."""
     placing.is_start_blocked = lambda cell, live, task: False
-    owner.fail_crashing_jobs = lambda cell, now: []
+    cell_decisions.fail_crashing_jobs = lambda cell, now: []
 
 
 def _ignore_evacuations() -> None:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -14,6 +14,8 @@
 import logbook
 
 from toucanpin.entry.advice_dispatcher import AdviceDispatcher
+from toucanpin.entry.advice_requests import AdviceRequests
+from toucanpin.entry.cell_decisions import CellDecisions
 from toucanpin.entry.cell_jobs import CellJobs
 from toucanpin.entry.cell_rows import CellRows, OwnershipLostError
 from toucanpin.entry.cell_workers import CellWorkers
@@ -22,7 +24,6 @@
     log_colocation,
     log_ended,
     log_evacuations,
-    log_failed_tasks,
     log_headroom,
     log_losses,
     log_placement,
@@ -32,7 +33,7 @@
 )
 from toucanpin.entry.load_estimates import LoadEstimates
 from toucanpin.entry.metrics import TURN_TIME
-from toucanpin.entry.periodic import PeriodicDecision
+from toucanpin.entry.periodic import PeriodTimer
 from toucanpin.entry.row_cache import RowCache
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.submissions import sweep_refusals
@@ -43,11 +44,8 @@
 from toucanpin.platform.machines import MachineClient
 from toucanpin.platform.store import Row, Store
 from toucanpin.platform.workers import WORKERS_TABLE, decode_worker
-from toucanpin.scheduling.advising import AdviceRequest, plan_advice_requests, record_advice
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.colocation_plan import ColocationPlan
-from toucanpin.scheduling.consolidating import consolidate_images
-from toucanpin.scheduling.crashing import fail_crashing_jobs
 from toucanpin.scheduling.evacuating import (
     EvacuationList,
     apply_evacuations,
@@ -55,16 +53,13 @@
     has_current_evacuations,
 )
 from toucanpin.scheduling.features import select_features
-from toucanpin.scheduling.forecast import FORECAST_PERIOD_S, Forecast
+from toucanpin.scheduling.forecast import Forecast
 from toucanpin.scheduling.headroom import describe_headroom
-from toucanpin.scheduling.intake import begin_due, forget_ended
 from toucanpin.scheduling.interference_model import InterferenceModel
-from toucanpin.scheduling.leases import OWNER_AUTHORITY_S, expire_leases
+from toucanpin.scheduling.leases import OWNER_AUTHORITY_S
 from toucanpin.scheduling.load_shedding import ProcessDelay, TimeShare
-from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.ownership import OWNER_WRITE_INTERVAL_S, OwnerRecord
-from toucanpin.scheduling.pacing import control_pace
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.standstill import StandstillCause, StandstillMeter
@@ -79,14 +74,12 @@
 
 _log = logbook.Logger("owner")
 TICK_PERIOD_S = 0.05  # between checks for expired leases, due start times and stalls
-MOVE_PERIOD_S = 0.2  # between searches for tasks to move; workers answer every 0.4 s
 LIST_PERIOD_S = 0.5  # between reads of the workers' entries; a drain must be noticed within 2 s
 MAX_VIEW_AGE_MS = 2_500  # no tasks are placed if the last read of the jobs is older
 RETRY_DELAY_S = 0.1  # before a failed read is repeated
 CLEANUP_PERIOD_S = 5.0  # between searches for ended jobs whose retention is over
 REPORT_PERIOD_S = 1.0  # between log lines about waiting tasks and delays
 MAX_PLACING_SHARE = 0.35  # maximum fraction of the time that is spent on placing
-RETENTION_MARGIN_S = 15.0  # by which ended jobs are kept longer than promised
 # Time until all leases granted by earlier owners have ended.  They end on clocks that may run 2%
 # slow; the rest is a margin.
 PREVIOUS_LEASE_TIME_S = OWNER_AUTHORITY_S * 1.04 + 0.4
@@ -121,7 +114,6 @@
         self._store = store
         self._clocks = clocks
         self._bounds = settings.bounds
-        self._advice_dispatcher = advice_dispatcher
         self._workers_enforce_limits = workers_enforce_limits
         self._evacuated = evacuated
         earlier_leases_end = steady_time() + (0.0 if first else PREVIOUS_LEASE_TIME_S)
@@ -151,6 +143,13 @@
         self._workers = CellWorkers(
             self._cell, self._interference, clocks, self._delay, self._spawn, self._dispatch_orders
         )
+        self._decisions = CellDecisions(
+            self._cell,
+            self._interference,
+            clocks.now,
+            settings.bounds.job_retention,
+            self._forecast_queues,
+        )
         self._introduction = WorkerIntroduction(self._cell, self._workers, lambda: self.loaded)
         self._waves: WaveController | None = None
         if settings.machines:
@@ -158,6 +157,15 @@
             self._waves = WaveController(store, client, self._cell, clocks, settings.bounds, first)
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
+        self._advice_requests = AdviceRequests(
+            self._cell,
+            self._interference,
+            clocks,
+            advice_dispatcher,
+            self._spawn,
+            self._wake.set,
+        )
+        self._report_timer = PeriodTimer(REPORT_PERIOD_S)
         self._placing_share = TimeShare(MAX_PLACING_SHARE)
         self._standstill = StandstillMeter(silent_since)
         self._standstill.record_blocked(StandstillCause.TAKEOVER, steady_time())
@@ -365,51 +373,31 @@
             self._cell.progress_rows_to_delete += ended
             self._wake.set()
 
-    async def _request_advice(self, request: AdviceRequest) -> None:
-        advice = await self._advice_dispatcher.request(request.group, request.workers)
-        record_advice(self._cell, request, advice, self._clocks.now())
-        self._wake.set()
-
     async def _tick(self) -> None:
-        cleaned_at = reported_at = 0.0
-        periodic = [
-            PeriodicDecision(lambda now: move_tasks(self._cell, now), MOVE_PERIOD_S),
-            PeriodicDecision(lambda now: control_pace(self._cell, self._interference, now), 0.0),
-            PeriodicDecision(
-                lambda now: consolidate_images(self._cell, self._interference, now), 0.0
-            ),
-        ]
-        if self._cell.features.admission_control:
-            periodic.append(PeriodicDecision(self._forecast_queues, FORECAST_PERIOD_S))
+        """Make the decisions that are due, periodically."""
         while True:
             due = steady_time() + TICK_PERIOD_S
             await asyncio.sleep(TICK_PERIOD_S)
             now = self._clocks.now()
             self._delay.record(now.steady - due, now.steady)
             self._update_evacuated()
-            for worker in expire_leases(self._cell, now):
-                _log.info("worker's lease expired", event="worker.gone", worker=worker.entry.id)
-            log_failed_tasks(self._cell, fail_crashing_jobs(self._cell, now))
-            begin_due(self._cell, now)
-            for decision in periodic:
-                decision.run_if_due(self._clocks.now())
-            free = self._advice_dispatcher.count_free()
-            for request in plan_advice_requests(self._cell, self._interference, free, now):
-                self._spawn(self._request_advice(request))
-            if now.steady > reported_at + REPORT_PERIOD_S:
-                reported_at = now.steady
-                log_waits(self._cell, now)
-                log_headroom(self._cell, now)
-                log_colocation(self._cell, self._interference, now)
-                self._estimate_backlog(now)
-                self._estimates.log_delay(self._workers.count_starting(), now)
-                if self._cell.evacuated:
-                    log_evacuations(self._cell)
-            if now.steady > cleaned_at + CLEANUP_PERIOD_S:
-                cleaned_at = now.steady
-                forget_ended(self._cell, now, self._bounds.job_retention + RETENTION_MARGIN_S)
+            self._decisions.make_due(now)
+            self._advice_requests.send(now)
+            if self._report_timer.restart_if_due(now):
+                self._report(now)
+            self._decisions.forget_ended_if_due(now)
             self._dispatch_orders()
 
+    def _report(self, now: Now) -> None:
+        """Log what waits and why, and estimate for how long."""
+        log_waits(self._cell, now)
+        log_headroom(self._cell, now)
+        log_colocation(self._cell, self._interference, now)
+        self._estimate_backlog(now)
+        self._estimates.log_delay(self._workers.count_starting(), now)
+        if self._cell.evacuated:
+            log_evacuations(self._cell)
+
     def _estimate_backlog(self, now: Now) -> None:
         self._estimates.update_backlog(now)
 
--- a/toucanpin/entry/periodic.py
+++ b/toucanpin/entry/periodic.py
@@ -15,7 +15,7 @@
 from toucanpin.scheduling.cell import Now
 from toucanpin.scheduling.load_shedding import TimeShare
 
-__all__ = ["PeriodicDecision"]
+__all__ = ["PeriodTimer", "PeriodicDecision"]
 
 _log = logbook.Logger("owner")
 MAX_TIME_SHARE = 0.08  # maximum fraction of the time for one decision
@@ -49,3 +49,20 @@
             _log.exception("periodic decision failed", event="owner.fault")
             self._due_at = now.steady + RETRY_DELAY_S
         self._share.record(now.steady, steady_time())
+
+
+class PeriodTimer:
+    """Timer of something that is done every ``period`` seconds at most."""
+
+    __slots__ = ("_done_at", "_period")
+
+    def __init__(self, period: float) -> None:
+        self._period = period
+        self._done_at = 0.0
+
+    def restart_if_due(self, now: Now) -> bool:
+        """Return whether the period is over, and begin the next one if so."""
+        if now.steady <= self._done_at + self._period:
+            return False
+        self._done_at = now.steady
+        return True
--- a/toucanpin/entry/tests/test_periodic.py
+++ b/toucanpin/entry/tests/test_periodic.py
@@ -14,7 +14,9 @@
     async def test_a_decision_that_fails_does_not_cost_the_cell(self) -> None:
         """Guards against endless takeovers, as each owner would run into the same error."""
         for name in DECISIONS:
-            failing = patch(f"toucanpin.entry.owner.{name}", side_effect=ZeroDivisionError(name))
+            failing = patch(
+                f"toucanpin.entry.cell_decisions.{name}", side_effect=ZeroDivisionError(name)
+            )
             self.enterContext(failing)
         site = Site()
         site.configure()
