List workers and clean up jobs in modules of their own

Cause: Owner read the workers' entries and deleted the rows of ended jobs itself. Change: WorkerListing reads the entries, JobCleanup forgets ended jobs and deletes their rows; one constant for the period of both. No change of behaviour, no test touched.

--- a/toucanpin/entry/cell_decisions.py
+++ b/toucanpin/entry/cell_decisions.py
@@ -12,12 +12,12 @@
 import logbook
 
 from toucanpin.entry.decision_log import log_failed_tasks
-from toucanpin.entry.periodic import PeriodicDecision, PeriodTimer
+from toucanpin.entry.periodic import PeriodicDecision
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.consolidating import consolidate_images
 from toucanpin.scheduling.crashing import fail_crashing_jobs
 from toucanpin.scheduling.forecast import FORECAST_PERIOD_S
-from toucanpin.scheduling.intake import begin_due, forget_ended
+from toucanpin.scheduling.intake import begin_due
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.leases import expire_leases
 from toucanpin.scheduling.moving import move_tasks
@@ -27,31 +27,22 @@
 
 _log = logbook.Logger("owner")
 MOVE_PERIOD_S = 0.2  # between searches for tasks to move; workers answer every 0.4 s
-CLEANUP_PERIOD_S = 5.0  # between searches for ended jobs whose retention is over
-RETENTION_MARGIN_S = 15.0  # by which ended jobs are kept longer than promised
 
 
 class CellDecisions:
-    """
-    Decisions of one cell that depend on the time.
+    """Decisions of one cell that depend on the time; ``read_clocks`` returns the current time."""
 
-    ``read_clocks`` returns the current time; ended jobs are kept for ``retention`` seconds.
-    """
-
-    __slots__ = ("_cell", "_cleanup", "_periodic", "_read_clocks", "_retention")
+    __slots__ = ("_cell", "_periodic", "_read_clocks")
 
     def __init__(
         self,
         cell: Cell,
         interference: InterferenceModel,
         read_clocks: Callable[[], Now],
-        retention: float,
         forecast_queues: Callable[[Now], None],
     ) -> None:
         self._cell = cell
         self._read_clocks = read_clocks
-        self._retention = retention
-        self._cleanup = PeriodTimer(CLEANUP_PERIOD_S)
         self._periodic = [
             PeriodicDecision(lambda now: move_tasks(cell, now), MOVE_PERIOD_S),
             PeriodicDecision(lambda now: control_pace(cell, interference, now), 0.0),
@@ -68,8 +59,3 @@
         begin_due(self._cell, now)
         for decision in self._periodic:
             decision.run_if_due(self._read_clocks())
-
-    def forget_ended_if_due(self, now: Now) -> None:
-        """Forget the jobs whose retention is over."""
-        if self._cleanup.restart_if_due(now):
-            forget_ended(self._cell, now, self._retention + RETENTION_MARGIN_S)
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -11,8 +11,6 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine
 
-import logbook
-
 from toucanpin.entry.advice_dispatcher import AdviceDispatcher
 from toucanpin.entry.advice_requests import AdviceRequests
 from toucanpin.entry.cell_decisions import CellDecisions
@@ -31,19 +29,17 @@
     log_standstill,
     log_waits,
 )
+from toucanpin.entry.job_cleanup import JobCleanup
 from toucanpin.entry.load_estimates import LoadEstimates
 from toucanpin.entry.metrics import TURN_TIME
 from toucanpin.entry.periodic import PeriodTimer
-from toucanpin.entry.row_cache import RowCache
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.submissions import sweep_refusals
 from toucanpin.entry.waves import WaveController
 from toucanpin.entry.worker_introduction import WorkerIntroduction
-from toucanpin.exception import PlatformError
-from toucanpin.http import CallError
+from toucanpin.entry.worker_listing import WorkerListing
 from toucanpin.platform.machines import MachineClient
-from toucanpin.platform.store import Row, Store
-from toucanpin.platform.workers import WORKERS_TABLE, decode_worker
+from toucanpin.platform.store import Store
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.colocation_plan import ColocationPlan
 from toucanpin.scheduling.evacuating import (
@@ -58,13 +54,11 @@
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.leases import OWNER_AUTHORITY_S
 from toucanpin.scheduling.load_shedding import ProcessDelay, TimeShare
-from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.ownership import OWNER_WRITE_INTERVAL_S, OwnerRecord
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.standstill import StandstillCause, StandstillMeter
 from toucanpin.scheduling.write_batches import (
-    MAX_FORGOTTEN,
     apply_batch,
     has_pending_writes,
     take_batch,
@@ -72,12 +66,8 @@
 
 __all__ = ["Owner"]
 
-_log = logbook.Logger("owner")
 TICK_PERIOD_S = 0.05  # between checks for expired leases, due start times and stalls
-LIST_PERIOD_S = 0.5  # between reads of the workers' entries; a drain must be noticed within 2 s
 MAX_VIEW_AGE_MS = 2_500  # no tasks are placed if the last read of the jobs is older
-RETRY_DELAY_S = 0.1  # before a failed read is repeated
-CLEANUP_PERIOD_S = 5.0  # between searches for ended jobs whose retention is over
 REPORT_PERIOD_S = 1.0  # between log lines about waiting tasks and delays
 MAX_PLACING_SHARE = 0.35  # maximum fraction of the time that is spent on placing
 # Time until all leases granted by earlier owners have ended.  They end on clocks that may run 2%
@@ -114,7 +104,6 @@
         self._store = store
         self._clocks = clocks
         self._bounds = settings.bounds
-        self._workers_enforce_limits = workers_enforce_limits
         self._evacuated = evacuated
         earlier_leases_end = steady_time() + (0.0 if first else PREVIOUS_LEASE_TIME_S)
         self._cell = Cell(name, record.token, earlier_leases_end, confirmed)
@@ -147,16 +136,21 @@
             self._cell,
             self._interference,
             clocks.now,
-            settings.bounds.job_retention,
             self._forecast_queues,
         )
-        self._introduction = WorkerIntroduction(self._cell, self._workers, lambda: self.loaded)
+        introduction = WorkerIntroduction(self._cell, self._workers, lambda: self.loaded)
+        self._listing = WorkerListing(
+            store, self._cell, self._reader, introduction, workers_enforce_limits
+        )
         self._waves: WaveController | None = None
         if settings.machines:
             client = MachineClient(settings.machines, settings.name)
             self._waves = WaveController(store, client, self._cell, clocks, settings.bounds, first)
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
+        self._cleanup = JobCleanup(
+            self._cell, self._rows, settings.bounds.job_retention, self._wake.set
+        )
         self._advice_requests = AdviceRequests(
             self._cell,
             self._interference,
@@ -185,13 +179,13 @@
         loop = asyncio.get_running_loop()
         self._failure = loop.create_future()
         try:
-            self._spawn(self._follow_workers())
+            self._spawn(self._listing.run())
             self._jobs.followed_version = await self._load()
             self.loaded = True
             self._standstill.record_blocked(StandstillCause.LOADING, steady_time())
             self._workers.signal_loaded()
             following = (self._jobs.follow, self._jobs.relist)
-            for part in (self._commit, *following, self._tick, self._drop_ended_jobs):
+            for part in (self._commit, *following, self._tick, self._cleanup.drop_ended):
                 self._spawn(part())
             if self._waves is not None:
                 self._spawn(self._waves.run())
@@ -341,38 +335,6 @@
         if apply_evacuations(self._cell, self._evacuated(), self._bounds.evacuation_time):
             log_evacuations(self._cell)
 
-    async def _follow_workers(self) -> None:
-        """Read the workers' entries periodically."""
-        cache = RowCache(self._store, WORKERS_TABLE)
-        while True:
-            try:
-                await cache.update()
-            except (CallError, PlatformError) as error:
-                _log.warning("workers' entries not read", event="workers.unread", reason=error)
-                await asyncio.sleep(RETRY_DELAY_S)
-                continue
-            rows = cache.rows
-            valid = {
-                row.key: entry for row, entry in self._reader.read(rows.values(), _decode_entry)
-            }
-            own = [entry for entry in valid.values() if entry.service == self._cell.name]
-            malformed = rows.keys() - valid.keys()
-            self._cell.workers_enforce_limits = self._workers_enforce_limits()
-            await self._introduction.update(own, malformed)
-            await asyncio.sleep(LIST_PERIOD_S)
-
-    async def _drop_ended_jobs(self) -> None:
-        """Delete the rows of jobs whose retention is over, without delaying commits."""
-        while True:
-            ended = self._cell.job_rows_to_delete[:MAX_FORGOTTEN]
-            if not ended:
-                await asyncio.sleep(CLEANUP_PERIOD_S)
-                continue
-            await self._rows.drop_jobs(ended)
-            del self._cell.job_rows_to_delete[: len(ended)]
-            self._cell.progress_rows_to_delete += ended
-            self._wake.set()
-
     async def _tick(self) -> None:
         """Make the decisions that are due, periodically."""
         while True:
@@ -385,7 +347,7 @@
             self._advice_requests.send(now)
             if self._report_timer.restart_if_due(now):
                 self._report(now)
-            self._decisions.forget_ended_if_due(now)
+            self._cleanup.forget_ended_if_due(now)
             self._dispatch_orders()
 
     def _report(self, now: Now) -> None:
@@ -413,7 +375,3 @@
             self._spawn(self._workers.order(order))
         if has_pending_writes(self._cell) or self._cell.waiting:
             self._wake.set()
-
-
-def _decode_entry(row: Row) -> WorkerEntry:
-    return decode_worker(row.key, row.value)
