Place and commit in modules of their own

Cause: Owner held the commit loop and the conditions of placing beside its life. Change: PlacementTurns places when it is allowed, CommitLoop writes batches and sends the starts. The order of calls is as before; no test touched.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -18,21 +18,19 @@
 from toucanpin.entry.cell_rows import CellRows, OwnershipLostError
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.commit_loop import CommitLoop
 from toucanpin.entry.decision_log import (
     log_colocation,
-    log_ended,
     log_evacuations,
     log_headroom,
     log_losses,
-    log_placement,
     log_slow_workers,
-    log_standstill,
     log_waits,
 )
 from toucanpin.entry.job_cleanup import JobCleanup
 from toucanpin.entry.load_estimates import LoadEstimates
-from toucanpin.entry.metrics import TURN_TIME
 from toucanpin.entry.periodic import PeriodTimer
+from toucanpin.entry.placement_turns import PlacementTurns
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.submissions import sweep_refusals
 from toucanpin.entry.waves import WaveController
@@ -46,30 +44,22 @@
     EvacuationList,
     apply_evacuations,
     describe_evacuations,
-    has_current_evacuations,
 )
 from toucanpin.scheduling.features import select_features
 from toucanpin.scheduling.forecast import Forecast
 from toucanpin.scheduling.headroom import describe_headroom
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.leases import OWNER_AUTHORITY_S
-from toucanpin.scheduling.load_shedding import ProcessDelay, TimeShare
+from toucanpin.scheduling.load_shedding import ProcessDelay
 from toucanpin.scheduling.ownership import OWNER_WRITE_INTERVAL_S, OwnerRecord
-from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.standstill import StandstillCause, StandstillMeter
-from toucanpin.scheduling.write_batches import (
-    apply_batch,
-    has_pending_writes,
-    take_batch,
-)
+from toucanpin.scheduling.write_batches import has_pending_writes
 
 __all__ = ["Owner"]
 
 TICK_PERIOD_S = 0.05  # between checks for expired leases, due start times and stalls
-MAX_VIEW_AGE_MS = 2_500  # no tasks are placed if the last read of the jobs is older
 REPORT_PERIOD_S = 1.0  # between log lines about waiting tasks and delays
-MAX_PLACING_SHARE = 0.35  # maximum fraction of the time that is spent on placing
 # Time until all leases granted by earlier owners have ended.  They end on clocks that may run 2%
 # slow; the rest is a margin.
 PREVIOUS_LEASE_TIME_S = OWNER_AUTHORITY_S * 1.04 + 0.4
@@ -160,9 +150,31 @@
             self._wake.set,
         )
         self._report_timer = PeriodTimer(REPORT_PERIOD_S)
-        self._placing_share = TimeShare(MAX_PLACING_SHARE)
         self._standstill = StandstillMeter(silent_since)
         self._standstill.record_blocked(StandstillCause.TAKEOVER, steady_time())
+        placement = PlacementTurns(
+            self._cell,
+            self._interference,
+            clocks,
+            self._delay,
+            self._rows,
+            self._workers,
+            self._estimates,
+            self._standstill,
+            self._update_evacuated,
+        )
+        self._commits = CommitLoop(
+            self._cell,
+            clocks,
+            self._rows,
+            self._workers,
+            placement,
+            self._standstill,
+            self._wake,
+            self._spawn,
+            lambda: self._resigning,
+            self._raise_if_resigned,
+        )
         self._failure: asyncio.Future[None] | None = None
         self._resigning = False
         self.loaded = False  # whether the cell's rows are read, so that tasks can be placed
@@ -185,7 +197,7 @@
             self._standstill.record_blocked(StandstillCause.LOADING, steady_time())
             self._workers.signal_loaded()
             following = (self._jobs.follow, self._jobs.relist)
-            for part in (self._commit, *following, self._tick, self._cleanup.drop_ended):
+            for part in (self._commits.run, *following, self._tick, self._cleanup.drop_ended):
                 self._spawn(part())
             if self._waves is not None:
                 self._spawn(self._waves.run())
@@ -263,75 +275,13 @@
         if error is not None:
             self._failure.set_exception(error)
 
-    async def _commit(self) -> None:
-        while True:
-            due = self._rows.written_at + OWNER_WRITE_INTERVAL_S - steady_time()
-            if due > 0 and not has_pending_writes(self._cell) and not self._resigning:
-                try:
-                    async with asyncio.timeout(min(due, TICK_PERIOD_S)):
-                        await self._wake.wait()
-                        await asyncio.sleep(self._placing_share.remaining_pause(steady_time()))
-                except TimeoutError:
-                    pass
-            self._wake.clear()
-            self._place_tasks()
-            idle = not has_pending_writes(self._cell) and not self._resigning
-            if idle and steady_time() < self._rows.written_at + OWNER_WRITE_INTERVAL_S:
-                continue
-            batch = take_batch(self._cell)
-            sent_at = steady_time()
-            await self._rows.write(batch, self._resigning)
-            self._standstill.record_write(sent_at, steady_time())
-            self._cell.confirmed_at = self._rows.written_at
-            started = apply_batch(self._cell, batch)
-            self._workers.signal_written()
-            log_ended(self._cell, batch.records, self._clocks.now())
-            for run in started:
-                log_placement(self._cell, run, self._clocks.now())
-                self._spawn(self._workers.start(run))
-            self._raise_if_resigned()
-
-    def _place_tasks(self) -> None:
-        """Place waiting tasks if its share of the time allows it and the view of jobs is recent."""
-        now = self._clocks.now()
-        self._update_evacuated()
-        if self._placing_share.remaining_pause(now.steady):
-            return
-        blocked = self._find_block(now)
-        if blocked is not None:
-            self._standstill.record_blocked(blocked, now.steady)
-        else:
-            log_standstill(self._cell, self._standstill.record_placing(now.steady))
-            max_starts = self._delay.limit_starts(now.steady) - self._workers.count_starting()
-            before = len(self._cell.placed)
-            place_tasks(self._cell, self._interference, now, max_starts)
-            self._estimates.record_starts(len(self._cell.placed) - before, now)
-        ended = steady_time()
-        self._placing_share.record(now.steady, ended)
-        TURN_TIME.record(ended - now.steady, {"what": "placing"})
-
-    def _find_block(self, now: Now) -> StandstillCause | None:
-        """Return why no task may be placed now, None if tasks may."""
-        if not self._has_recent_jobs(now):
-            return StandstillCause.JOBS
-        if not has_current_evacuations(self._cell, now):
-            return StandstillCause.EVACUATIONS
-        return None
-
     def _raise_if_resigned(self) -> None:
         """Raise OwnershipLostError if this owner's resignation has been written."""
         if not self._rows.record.host:
             raise OwnershipLostError("resigned")
 
-    def _has_recent_jobs(self, now: Now) -> bool:
-        """
-        Return whether the jobs were read recently.
-
-        No task of a cancelled job may start later than 3 s after a host acknowledged the cancel.
-        """
-        return now.table - self._rows.view.clock <= MAX_VIEW_AGE_MS
-
     def _update_evacuated(self) -> None:
+        """Apply the current list of evacuated data centres."""
         if apply_evacuations(self._cell, self._evacuated(), self._bounds.evacuation_time):
             log_evacuations(self._cell)
 
