Keep background tasks and counts of a cell in modules of their own

Change: BackgroundTasks runs the parts of an owner and holds the first error, cell_counts counts what the metrics show.

--- /dev/null
+++ b/toucanpin/entry/cell_counts.py
@@ -0,0 +1,34 @@
+"""
+Counts of a cell
+================
+
+Count what a cell's owner shows in its metrics.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.evacuating import describe_evacuations
+from toucanpin.scheduling.headroom import describe_headroom
+
+__all__ = ["count_evacuated", "count_headroom", "count_waiting"]
+
+
+def count_waiting(cell: Cell) -> Counter[str]:
+    """Return the number of unplaced tasks by priority."""
+    counts: Counter[str] = Counter()
+    for group, indices in cell.waiting.items():
+        counts[str(cell.jobs[group.job].job.priority)] += len(indices)
+    return counts
+
+
+def count_evacuated(cell: Cell) -> dict[str, float]:
+    """Return the number of tasks that still run in each evacuated data centre."""
+    return {it.data_centre: float(it.runs) for it in describe_evacuations(cell)}
+
+
+def count_headroom(cell: Cell) -> dict[str, float]:
+    """Return the cores that are kept for short tasks, by what is counted."""
+    return describe_headroom(cell.headroom) if cell.features.urgent_headroom else {}
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -9,10 +9,12 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 
 from toucanpin.entry.advice_dispatcher import AdviceDispatcher
 from toucanpin.entry.advice_requests import AdviceRequests
+from toucanpin.entry.background_tasks import BackgroundTasks
+from toucanpin.entry.cell_counts import count_evacuated, count_headroom, count_waiting
 from toucanpin.entry.cell_decisions import CellDecisions
 from toucanpin.entry.cell_jobs import CellJobs
 from toucanpin.entry.cell_rows import CellRows, OwnershipLostError
@@ -40,14 +42,9 @@
 from toucanpin.platform.store import Store
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.colocation_plan import ColocationPlan
-from toucanpin.scheduling.evacuating import (
-    EvacuationList,
-    apply_evacuations,
-    describe_evacuations,
-)
+from toucanpin.scheduling.evacuating import EvacuationList, apply_evacuations
 from toucanpin.scheduling.features import select_features
 from toucanpin.scheduling.forecast import Forecast
-from toucanpin.scheduling.headroom import describe_headroom
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.leases import OWNER_AUTHORITY_S
 from toucanpin.scheduling.load_shedding import ProcessDelay
@@ -104,6 +101,8 @@
         self._interference = InterferenceModel(
             ColocationPlan() if self._cell.features.colocation_planning else None
         )
+        self._tasks = BackgroundTasks()
+        spawn = self._tasks.spawn
         self._reader = RowReader()
         self._rows = CellRows(
             store, self._cell, self._interference, record, version, confirmed, self._reader
@@ -120,13 +119,10 @@
         self._delay = ProcessDelay()
         self._estimates = LoadEstimates(self._cell, self._rows, self._delay)
         self._workers = CellWorkers(
-            self._cell, self._interference, clocks, self._delay, self._spawn, self._dispatch_orders
+            self._cell, self._interference, clocks, self._delay, spawn, self._dispatch_orders
         )
         self._decisions = CellDecisions(
-            self._cell,
-            self._interference,
-            clocks.now,
-            self._forecast_queues,
+            self._cell, self._interference, clocks.now, self._forecast_queues
         )
         introduction = WorkerIntroduction(self._cell, self._workers, lambda: self.loaded)
         self._listing = WorkerListing(
@@ -136,18 +132,12 @@
         if settings.machines:
             client = MachineClient(settings.machines, settings.name)
             self._waves = WaveController(store, client, self._cell, clocks, settings.bounds, first)
-        self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
         self._cleanup = JobCleanup(
             self._cell, self._rows, settings.bounds.job_retention, self._wake.set
         )
         self._advice_requests = AdviceRequests(
-            self._cell,
-            self._interference,
-            clocks,
-            advice_dispatcher,
-            self._spawn,
-            self._wake.set,
+            self._cell, self._interference, clocks, advice_dispatcher, spawn, self._wake.set
         )
         self._report_timer = PeriodTimer(REPORT_PERIOD_S)
         self._standstill = StandstillMeter(silent_since)
@@ -171,7 +161,7 @@
             placement,
             self._standstill,
             self._wake,
-            self._spawn,
+            spawn,
             lambda: self._resigning,
             self._raise_if_resigned,
         )
@@ -188,26 +178,23 @@
         OwnershipLostError
             If another process owns the cell.
         """
-        loop = asyncio.get_running_loop()
-        self._failure = loop.create_future()
+        self._failure = self._tasks.begin()
         try:
-            self._spawn(self._listing.run())
+            self._tasks.spawn(self._listing.run())
             self._jobs.followed_version = await self._load()
             self.loaded = True
             self._standstill.record_blocked(StandstillCause.LOADING, steady_time())
             self._workers.signal_loaded()
             following = (self._jobs.follow, self._jobs.relist)
             for part in (self._commits.run, *following, self._tick, self._cleanup.drop_ended):
-                self._spawn(part())
+                self._tasks.spawn(part())
             if self._waves is not None:
-                self._spawn(self._waves.run())
+                self._tasks.spawn(self._waves.run())
             if self._cell.features.admission_control:
-                self._spawn(sweep_refusals(self._store, self._clocks, self._cell.name))
+                self._tasks.spawn(sweep_refusals(self._store, self._clocks, self._cell.name))
             await self._failure
         finally:
-            for task in tuple(self._tasks):
-                task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self._tasks.cancel()
             self._workers.close()
 
     async def _load(self) -> int:
@@ -232,10 +219,7 @@
 
     def count_waiting(self) -> Counter[str]:
         """Return the number of unplaced tasks by priority."""
-        counts: Counter[str] = Counter()
-        for group, indices in self._cell.waiting.items():
-            counts[str(self._cell.jobs[group.job].job.priority)] += len(indices)
-        return counts
+        return count_waiting(self._cell)
 
     @property
     def backlog(self) -> dict[int, int]:
@@ -249,32 +233,17 @@
 
     def count_evacuated(self) -> dict[str, float]:
         """Return the number of tasks that still run in each evacuated data centre."""
-        return {it.data_centre: float(it.runs) for it in describe_evacuations(self._cell)}
+        return count_evacuated(self._cell)
 
     def count_headroom(self) -> dict[str, float]:
         """Return the cores that are kept for short tasks, by what is counted."""
-        if not self._cell.features.urgent_headroom:
-            return {}
-        return describe_headroom(self._cell.headroom)
+        return count_headroom(self._cell)
 
     def resign(self) -> None:
         """Give up the ownership with the next write."""
         self._resigning = True
         self._wake.set()
 
-    def _spawn(self, work: Coroutine) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._reap)
-
-    def _reap(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if task.cancelled() or self._failure is None or self._failure.done():
-            return
-        error = task.exception()
-        if error is not None:
-            self._failure.set_exception(error)
-
     def _raise_if_resigned(self) -> None:
         """Raise OwnershipLostError if this owner's resignation has been written."""
         if not self._rows.record.host:
@@ -322,6 +291,6 @@
         orders = self._cell.orders
         self._cell.orders = []
         for order in orders:
-            self._spawn(self._workers.order(order))
+            self._tasks.spawn(self._workers.order(order))
         if has_pending_writes(self._cell) or self._cell.waiting:
             self._wake.set()
