--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -23,7 +23,7 @@
 
 from benchmarks.shared_jobs import SITES
 from benchmarks.sharing import run_day
-from toucanpin.scheduling.cell import Lateness
+from toucanpin.scheduling.job_order import Lateness
 
 __all__ = ["MECHANISMS", "main"]
 
@@ -57,7 +57,7 @@
 MECHANISMS: dict[str, tuple[Replacement, ...]] = {
     "all on": (),
     "order by lateness": (
-        Replacement("toucanpin.scheduling.cell.estimate_lateness", _return_on_time),
+        Replacement("toucanpin.scheduling.job_order.estimate_lateness", _return_on_time),
     ),
     "reserve for brief tasks": (Replacement(f"{_CHOOSING}.RESERVE", 0.0),),
     "a worker kept for large tasks": (
--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -12,7 +12,7 @@
 import logbook
 
 from toucanpin.entry.metrics import LOST_RUNS, SLOW_WORKERS, STANDSTILL_TIME, START_WAIT, STARTS
-from toucanpin.scheduling.cell import Cell, Now, WaitReason, find_record
+from toucanpin.scheduling.cell import Cell, Now, find_record
 from toucanpin.scheduling.colocation_report import describe_colocation
 from toucanpin.scheduling.evacuating import describe_evacuations, list_not_evacuated
 from toucanpin.scheduling.forecast import Forecast
@@ -21,6 +21,7 @@
 from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.standstill import Standstill
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Run
 
 __all__ = [
--- a/toucanpin/scheduling/admission.py
+++ b/toucanpin/scheduling/admission.py
@@ -31,14 +31,10 @@
 
 import xxhash
 
-from toucanpin.scheduling.cell import (
-    EXPIRY_FACTOR,
-    compute_time_limit,
-    list_estimates,
-    sum_remaining_times,
-)
 from toucanpin.scheduling.forecast import Forecast, KnownForecast, QueueForecast
 from toucanpin.scheduling.job import Job
+from toucanpin.scheduling.job_order import EXPIRY_FACTOR
+from toucanpin.scheduling.job_times import compute_time_limit, list_estimates, sum_remaining_times
 
 __all__ = ["MAX_FORECAST_AGE_S", "Admission", "Admit", "Refuse", "decide_admission"]
 
--- a/toucanpin/scheduling/advising.py
+++ b/toucanpin/scheduling/advising.py
@@ -9,9 +9,10 @@
 
 from dataclasses import dataclass
 
-from toucanpin.scheduling.cell import Cell, Group, Now, StepTickets, rank_group
+from toucanpin.scheduling.cell import Cell, Group, Now, StepTickets
 from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound, list_eligible
 from toucanpin.scheduling.interference_model import InterferenceModel
+from toucanpin.scheduling.job_order import rank_group
 from toucanpin.scheduling.shortage import Demand, Shortage
 from toucanpin.scheduling.unplaceable import (
     describe_shortage,
--- a/toucanpin/scheduling/assigning.py
+++ b/toucanpin/scheduling/assigning.py
@@ -8,20 +8,12 @@
 from __future__ import annotations
 
 from toucanpin.scheduling.advising import find_ticket
-from toucanpin.scheduling.cell import (
-    Cell,
-    Group,
-    LiveJob,
-    Now,
-    Wait,
-    WaitReason,
-    add_run,
-    mark_dirty,
-)
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, add_run, mark_dirty
 from toucanpin.scheduling.choosing import CandidateWorkers
 from toucanpin.scheduling.crashing import find_suspicion
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import TaskState
+from toucanpin.scheduling.waits import Wait, WaitReason
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = ["assign_task", "record_wait", "update_candidates"]
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import enum
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.durations import Durations
@@ -16,43 +14,29 @@
 from toucanpin.scheduling.headroom import Headroom
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.orders import PaceOrder, StopOrder
-from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, TaskState
+from toucanpin.scheduling.progress import JobState, Progress, TaskRecord
 from toucanpin.scheduling.shortage import Shortage
 from toucanpin.scheduling.task_times import TaskTimes
+from toucanpin.scheduling.waits import Wait
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
+from toucanpin.scheduling.worker_faults import Loss, SlowWorker
 
 __all__ = [
     "Cell",
     "Group",
-    "Lateness",
     "LiveJob",
-    "Loss",
-    "LossCause",
     "Now",
-    "SlowWorker",
     "StepTickets",
-    "Wait",
-    "WaitReason",
     "add_run",
-    "begin_occurrence",
     "compute_task_offsets",
-    "compute_time_limit",
     "drop_run",
-    "estimate_lateness",
     "find_record",
     "list_runs",
     "mark_dirty",
     "mark_started",
-    "queue_ready_steps",
-    "rank_group",
-    "sum_remaining_times",
 ]
 
 
-# A result that is later than this multiple of the job's time limit is of no use to its caller.
-EXPIRY_FACTOR = 3
-
-
 @dataclass(frozen=True, slots=True)
 class Now:
     """
@@ -76,80 +60,6 @@
     step: int
 
 
-class Lateness(enum.IntEnum):
-    """Expected end of a job relative to its objective."""
-
-    ON_TIME = 0
-    LATE = 1
-    EXPIRED = 2
-
-
-class WaitReason(enum.Enum):
-    """Reason why tasks of a step were not placed."""
-
-    NO_ROOM = "no room"
-    RESERVED = "room is kept for brief tasks"
-    INTERFERENCE = "would disturb what serves"
-    BACKOFF = "pauses after a failure"
-    INCOMPLETE_GANG = "not all of a gang find room"
-    NO_TICKET = "no ticket"
-    FAILING_WORKERS = "room only where tasks fail"
-    CRASHING = "workers were lost under it"
-    EVACUATED = "no room outside evacuated data centres"
-
-
-@dataclass(slots=True)
-class Wait:
-    """
-    Start of a step's wait for workers, and the latest reason for it.
-
-    Before ``retry_at`` placement isn't tried again.
-    """
-
-    since: float
-    reason: WaitReason = WaitReason.NO_ROOM
-    logged_at: float = 0.0
-    retry_at: float = 0.0
-
-
-class LossCause(enum.Enum):
-    """
-    Cause of a run's end that its worker did not report.
-
-    The names of the members are values of a metric's label.
-    """
-
-    REPLACED = "another life answers at its worker's address"
-    LAPSED = "its worker's lease has ended"
-
-
-@dataclass(frozen=True, slots=True)
-class Loss:
-    """
-    Run that was lost with its worker.
-
-    ``age`` is the time in s since its start was sent; ``crashes`` counts the workers that were lost
-    while they ran its task.
-    """
-
-    task: TaskKey
-    attempt: int
-    worker: str
-    phase: Phase
-    cause: LossCause
-    age: float
-    crashes: int
-
-
-@dataclass(frozen=True, slots=True)
-class SlowWorker:
-    """A worker that runs all tasks ``factor`` times slower than usual; ``runs`` show it."""
-
-    worker: Worker
-    factor: float
-    runs: tuple[Run, ...]
-
-
 @dataclass(slots=True)
 class StepTickets:
     """Tickets that are known for one step; times are on the local steady clock."""
@@ -277,95 +187,6 @@
         mark_dirty(cell, live)
 
 
-def begin_occurrence(cell: Cell, live: LiveJob, occurrence: int) -> None:
-    """Create the records of an occurrence and queue the steps without predecessors."""
-    total = live.offsets[-1]
-    live.progress.tasks[occurrence] = [TaskRecord() for _ in range(total)]
-    live.tasks_left[occurrence] = [step.count for step in live.job.steps]
-    queue_ready_steps(cell, live, occurrence)
-
-
-def queue_ready_steps(cell: Cell, live: LiveJob, occurrence: int) -> None:
-    """Queue the unplaced tasks of all steps whose predecessors are done."""
-    if live.progress.state >= JobState.COMPLETED:
-        return
-    left = live.tasks_left[occurrence]
-    records = live.progress.tasks[occurrence]
-    for number, step in enumerate(live.job.steps):
-        if not left[number] or any(left[earlier] for earlier in step.after):
-            continue
-        group = Group(live.job.id, occurrence, number)
-        start = live.offsets[number]
-        idle = {
-            index
-            for index in range(step.count)
-            if records[start + index].state == TaskState.WAITING
-        }
-        if idle:
-            cell.waiting[group] = idle
-
-
-def rank_group(cell: Cell, group: Group, now: Now) -> tuple[int, bool, int, int, Group]:
-    """
-    Return the key that sorts waiting steps, the most urgent first.
-
-    Jobs that will miss their objective come after the others of their priority.  In an overload the
-    oldest jobs would otherwise go first, and all jobs would be late.
-    """
-    live = cell.jobs[group.job]
-    if live.job.steps[group.step].long_running:
-        return (
-            live.job.priority,
-            True,
-            not _has_run_before(cell, live, group),
-            live.objective,
-            group,
-        )
-    return live.job.priority, False, estimate_lateness(live, group.step, now), live.objective, group
-
-
-def _has_run_before(cell: Cell, live: LiveJob, group: Group) -> bool:
-    """
-    Return whether a waiting task of a step has run before.
-
-    Such steps come first: on a full fleet new long-running jobs would take all freed capacity, and
-    a failed task of a service that is in use would not run again.
-    """
-    records = live.progress.tasks[group.occurrence]
-    start = live.offsets[group.step]
-    return any(records[start + index].attempt for index in cell.waiting.get(group, ()))
-
-
-def estimate_lateness(live: LiveJob, step: int, now: Now) -> Lateness:
-    """Return how late a job will end if the given step of it starts now."""
-    end = now.table + live.remaining_ms[step]
-    if end <= live.objective:
-        return Lateness.ON_TIME
-    allowed = live.objective - live.job.accepted
-    limit = live.job.accepted + EXPIRY_FACTOR * allowed
-    return Lateness.LATE if end <= limit else Lateness.EXPIRED
-
-
-def compute_time_limit(job: Job) -> int:
-    """Return the time within which a job should end, in ms."""
-    return job.aim + int(job.stretch * max(sum_remaining_times(job, list_estimates(job))))
-
-
-def list_estimates(job: Job) -> tuple[int, ...]:
-    """Return the caller's estimates of the duration of each step, in ms."""
-    return tuple(step.estimate for step in job.steps)
-
-
-def sum_remaining_times(job: Job, times: Sequence[int]) -> tuple[int, ...]:
-    """Return the time from the start of each step to the job's end, for given step times in ms."""
-    remaining = list(times)
-    for number in range(len(job.steps) - 1, -1, -1):
-        for earlier in job.steps[number].after:
-            path_time = times[earlier] + remaining[number]
-            remaining[earlier] = max(remaining[earlier], path_time)
-    return tuple(remaining)
-
-
 def add_run(cell: Cell, worker: Worker, run: Run) -> None:
     """Add a run and reserve its resources on a worker."""
     reserve_run(worker, run)
--- a/toucanpin/scheduling/colocation_report.py
+++ b/toucanpin/scheduling/colocation_report.py
@@ -13,12 +13,13 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from toucanpin.scheduling.cell import Cell, Now, WaitReason
+from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.choosing import MAX_SHARE, PlacementRound, list_eligible
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.prediction import predict_share
 from toucanpin.scheduling.utilization import ServiceUtilization, WorkerUtilization
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Phase, Worker, has_room
 
 __all__ = ["ColocationReport", "Obstacle", "describe_colocation"]
--- a/toucanpin/scheduling/consolidating.py
+++ b/toucanpin/scheduling/consolidating.py
@@ -17,11 +17,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from toucanpin.scheduling.cell import Cell, Group, Now, WaitReason
+from toucanpin.scheduling.cell import Cell, Group, Now
 from toucanpin.scheduling.choosing import list_eligible, meets_constraints
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.reserving import leaves_reserve
 from toucanpin.scheduling.stopping import count_unavailable, stop_run
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
 
 __all__ = ["consolidate_images"]
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -17,11 +17,11 @@
     list_runs,
     mark_dirty,
     mark_started,
-    queue_ready_steps,
 )
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.orders import EndedRun, RunEnd
 from toucanpin.scheduling.progress import JobState, TaskRecord, TaskState
+from toucanpin.scheduling.step_queue import queue_ready_steps
 from toucanpin.scheduling.stopping import requeue_task, stop_gang, stop_run
 from toucanpin.scheduling.task_times import record_task_time
 from toucanpin.scheduling.trust import EARLY_FAILURE_S, record_failure, record_success
--- a/toucanpin/scheduling/evicting.py
+++ b/toucanpin/scheduling/evicting.py
@@ -16,11 +16,12 @@
 from collections.abc import Iterator, Sequence
 
 from toucanpin.scheduling.advising import find_ticket
-from toucanpin.scheduling.cell import Cell, Group, Now, WaitReason
+from toucanpin.scheduling.cell import Cell, Group, Now
 from toucanpin.scheduling.choosing import has_label, meets_constraints
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.preempting import reserve_freed, sum_stopping
 from toucanpin.scheduling.stopping import count_unavailable, stop_run
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = ["make_room", "update_scarcity"]
--- a/toucanpin/scheduling/forecast.py
+++ b/toucanpin/scheduling/forecast.py
@@ -25,8 +25,9 @@
 
 import msgspec
 
-from toucanpin.scheduling.cell import Cell, Lateness, LiveJob, Now, estimate_lateness
+from toucanpin.scheduling.cell import Cell, LiveJob, Now
 from toucanpin.scheduling.evacuating import list_not_evacuated
+from toucanpin.scheduling.job_order import Lateness, estimate_lateness
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.worker import Worker
 
--- a/toucanpin/scheduling/gangs.py
+++ b/toucanpin/scheduling/gangs.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
-from toucanpin.scheduling.cell import Cell, Group, LiveJob, WaitReason
+from toucanpin.scheduling.cell import Cell, Group, LiveJob
 from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound
 from toucanpin.scheduling.crashing import find_suspicion, is_start_blocked
 from toucanpin.scheduling.job import Step, TaskKey
@@ -20,6 +20,7 @@
     record_shortage,
     record_unplaceable,
 )
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
 
 __all__ = ["place_gang"]
--- a/toucanpin/scheduling/incarnations.py
+++ b/toucanpin/scheduling/incarnations.py
@@ -16,13 +16,14 @@
 from dataclasses import replace
 from itertools import takewhile
 
-from toucanpin.scheduling.cell import Cell, Loss, LossCause, Now, add_run, drop_run
+from toucanpin.scheduling.cell import Cell, Now, add_run, drop_run
 from toucanpin.scheduling.crashing import record_loss
 from toucanpin.scheduling.ending import end_run
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.orders import StopOrder, WorkerEntry
 from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker
+from toucanpin.scheduling.worker_faults import Loss, LossCause
 
 __all__ = [
     "admit_answer",
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Collection, Iterable
 
-from toucanpin.scheduling.cell import Cell, LossCause, Now, find_record, mark_started
+from toucanpin.scheduling.cell import Cell, Now, find_record, mark_started
 from toucanpin.scheduling.crashing import clear_survivor, clear_worker
 from toucanpin.scheduling.ending import apply_end, end_run
 from toucanpin.scheduling.incarnations import (
@@ -23,6 +23,7 @@
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker, grant_lease
+from toucanpin.scheduling.worker_faults import LossCause
 
 __all__ = [
     "LEASE_S",
--- a/toucanpin/scheduling/load_shedding.py
+++ b/toucanpin/scheduling/load_shedding.py
@@ -24,8 +24,8 @@
 from collections import deque
 from collections.abc import Mapping
 
-from toucanpin.scheduling.cell import compute_time_limit
 from toucanpin.scheduling.job import Job
+from toucanpin.scheduling.job_times import compute_time_limit
 
 __all__ = [
     "MAX_PENDING_STARTS",
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -12,12 +12,13 @@
 from collections.abc import Iterable, Iterator
 from itertools import islice
 
-from toucanpin.scheduling.cell import Cell, Group, Now, SlowWorker, find_record, mark_dirty
+from toucanpin.scheduling.cell import Cell, Group, Now, find_record, mark_dirty
 from toucanpin.scheduling.choosing import list_eligible, meets_constraints
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.stopping import list_gang_runs, requeue_task, stop_gang, stop_run
 from toucanpin.scheduling.trust import record_failure
 from toucanpin.scheduling.worker import Phase, Run, Worker, count_fitting_tasks, has_room
+from toucanpin.scheduling.worker_faults import SlowWorker
 from toucanpin.scheduling.worker_speed import StepRates, find_slow_worker, update_rates
 
 __all__ = ["move_tasks"]
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -11,15 +11,7 @@
 
 from toucanpin.scheduling.advising import list_ticketed
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
-from toucanpin.scheduling.cell import (
-    Cell,
-    Group,
-    LiveJob,
-    Now,
-    WaitReason,
-    list_runs,
-    rank_group,
-)
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, list_runs
 from toucanpin.scheduling.choosing import (
     CandidateWorkers,
     PlacementRound,
@@ -33,6 +25,7 @@
 from toucanpin.scheduling.headroom import is_scarce
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.job_order import rank_group
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.preempting import PreemptionCandidates, PreemptionRound
 from toucanpin.scheduling.progress import CrashSuspicion
@@ -47,6 +40,7 @@
     record_shortage,
     record_unplaceable,
 )
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Worker, has_room
 
 __all__ = ["place_tasks"]
--- a/toucanpin/scheduling/tests/admission_day.py
+++ b/toucanpin/scheduling/tests/admission_day.py
@@ -19,7 +19,6 @@
 
 from standins.site.worker_core import WorkerCore
 from toucanpin.scheduling.admission import Refuse, decide_admission
-from toucanpin.scheduling.cell import EXPIRY_FACTOR, compute_time_limit
 from toucanpin.scheduling.forecast import (
     FORECAST_PERIOD_S,
     Forecast,
@@ -28,6 +27,8 @@
     make_forecast,
 )
 from toucanpin.scheduling.job import Job, Step, TaskKey
+from toucanpin.scheduling.job_order import EXPIRY_FACTOR
+from toucanpin.scheduling.job_times import compute_time_limit
 from toucanpin.scheduling.orders import StartAnswer, WorkerEntry
 from toucanpin.scheduling.progress import JobState, decode_progress
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
--- a/toucanpin/scheduling/tests/test_colocation_plan.py
+++ b/toucanpin/scheduling/tests/test_colocation_plan.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from itertools import count
 
-from toucanpin.scheduling.cell import Cell, Group, Now, Wait, WaitReason, add_run
+from toucanpin.scheduling.cell import Cell, Group, Now, add_run
 from toucanpin.scheduling.colocation_plan import ColocationPlan, update_plan
 from toucanpin.scheduling.colocation_report import Obstacle, describe_colocation
 from toucanpin.scheduling.consolidating import consolidate_images
@@ -18,6 +18,7 @@
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.tests.fleet import make_job
+from toucanpin.scheduling.waits import Wait, WaitReason
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 NOW = Now(100.0, 100_000, 100_000)
--- a/toucanpin/scheduling/tests/test_consolidating.py
+++ b/toucanpin/scheduling/tests/test_consolidating.py
@@ -4,13 +4,14 @@
 
 import unittest
 
-from toucanpin.scheduling.cell import Cell, Group, Now, Wait, WaitReason, add_run
+from toucanpin.scheduling.cell import Cell, Group, Now, add_run
 from toucanpin.scheduling.consolidating import consolidate_images
 from toucanpin.scheduling.intake import submit_job
 from toucanpin.scheduling.interference_model import Effect, InterferenceModel
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.orders import StopOrder, WorkerEntry
 from toucanpin.scheduling.tests.fleet import make_job
+from toucanpin.scheduling.waits import Wait, WaitReason
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 WEB = Step(count=4, cpu=12_000, long_running=True, image="web", target=50)
--- a/toucanpin/scheduling/tests/test_evacuating.py
+++ b/toucanpin/scheduling/tests/test_evacuating.py
@@ -4,7 +4,6 @@
 
 import unittest
 
-from toucanpin.scheduling.cell import WaitReason
 from toucanpin.scheduling.evacuating import (
     EvacuationList,
     apply_evacuations,
@@ -14,6 +13,7 @@
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Phase
 
 EVACUATION_BOUND_S = 5.0  # s within which an evacuation has to be in force
--- a/toucanpin/scheduling/tests/test_headroom.py
+++ b/toucanpin/scheduling/tests/test_headroom.py
@@ -8,7 +8,6 @@
 from unittest.mock import patch
 
 from toucanpin.scheduling import evicting
-from toucanpin.scheduling.cell import Wait
 from toucanpin.scheduling.evicting import MAX_EVICTED_SHARE, make_room
 from toucanpin.scheduling.features import Features
 from toucanpin.scheduling.headroom import (
@@ -25,6 +24,7 @@
 from toucanpin.scheduling.reserving import RESERVE_PERIOD_S, reserve_cores
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.tests.urgent_load import LONG_DURATION_S, ServingWorker, UrgentLoad
+from toucanpin.scheduling.waits import Wait
 from toucanpin.scheduling.worker import Worker, count_fitting_tasks
 
 ON = Features(urgent_headroom=True)
--- a/toucanpin/scheduling/tests/test_overload.py
+++ b/toucanpin/scheduling/tests/test_overload.py
@@ -4,8 +4,9 @@
 
 import unittest
 
-from toucanpin.scheduling.cell import Group, Now, rank_group
+from toucanpin.scheduling.cell import Group, Now
 from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.job_order import rank_group
 from toucanpin.scheduling.progress import JobState, decode_progress
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
--- a/toucanpin/scheduling/tests/test_turn_cost.py
+++ b/toucanpin/scheduling/tests/test_turn_cost.py
@@ -7,7 +7,7 @@
 from unittest.mock import patch
 
 from toucanpin.scheduling import choosing, preempting
-from toucanpin.scheduling.cell import Group, WaitReason
+from toucanpin.scheduling.cell import Group
 from toucanpin.scheduling.choosing import CandidateWorkers
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
@@ -15,6 +15,7 @@
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.unplaceable import UNPLACEABLE_PERIOD_S
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Worker
 
 WORKERS = 30
--- a/toucanpin/scheduling/unplaceable.py
+++ b/toucanpin/scheduling/unplaceable.py
@@ -9,10 +9,11 @@
 
 from dataclasses import replace
 
-from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, WaitReason
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound, ReserveAccess
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.shortage import Demand, Shortage
+from toucanpin.scheduling.waits import WaitReason
 
 __all__ = [
     "describe_shortage",
--- /dev/null
+++ b/toucanpin/scheduling/worker_faults.py
@@ -0,0 +1,54 @@
+"""
+Faults of workers
+=================
+
+Runs that were lost with their workers, and workers that are slow.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.worker import Phase, Run, Worker
+
+__all__ = ["Loss", "LossCause", "SlowWorker"]
+
+
+class LossCause(enum.Enum):
+    """
+    Cause of a run's end that its worker did not report.
+
+    The names of the members are values of a metric's label.
+    """
+
+    REPLACED = "another life answers at its worker's address"
+    LAPSED = "its worker's lease has ended"
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """
+    Run that was lost with its worker.
+
+    ``age`` is the time in s since its start was sent; ``crashes`` counts the workers that were lost
+    while they ran its task.
+    """
+
+    task: TaskKey
+    attempt: int
+    worker: str
+    phase: Phase
+    cause: LossCause
+    age: float
+    crashes: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlowWorker:
+    """A worker that runs all tasks ``factor`` times slower than usual; ``runs`` show it."""
+
+    worker: Worker
+    factor: float
+    runs: tuple[Run, ...]
--- a/toucanpin/scheduling/worker_speed.py
+++ b/toucanpin/scheduling/worker_speed.py
@@ -20,8 +20,9 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from toucanpin.scheduling.cell import Cell, SlowWorker
+from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.worker import Phase, Run, Worker
+from toucanpin.scheduling.worker_faults import SlowWorker
 
 __all__ = ["StepRates", "find_slow_worker", "update_rates"]
 
