Split the forecast along its jobs

Change: forecast has the published data, load_history the rates that an owner remembers, queue_demand the sums over jobs, forecasting make_forecast.

--- a/toucanpin/entry/load_estimates.py
+++ b/toucanpin/entry/load_estimates.py
@@ -14,7 +14,9 @@
 from toucanpin.entry.cell_rows import CellRows
 from toucanpin.entry.decision_log import log_forecast
 from toucanpin.scheduling.cell import Cell, Now
-from toucanpin.scheduling.forecast import FORECAST_PERIOD_S, LoadHistory, make_forecast
+from toucanpin.scheduling.forecast import FORECAST_PERIOD_S
+from toucanpin.scheduling.forecasting import make_forecast
+from toucanpin.scheduling.load_history import LoadHistory
 from toucanpin.scheduling.load_shedding import ProcessDelay, StartBacklog
 
 __all__ = ["LoadEstimates"]
--- a/toucanpin/scheduling/tests/admission_day.py
+++ b/toucanpin/scheduling/tests/admission_day.py
@@ -19,16 +19,12 @@
 
 from standins.site.worker_core import WorkerCore
 from toucanpin.scheduling.admission import Refuse, decide_admission
-from toucanpin.scheduling.forecast import (
-    FORECAST_PERIOD_S,
-    Forecast,
-    KnownForecast,
-    LoadHistory,
-    make_forecast,
-)
+from toucanpin.scheduling.forecast import FORECAST_PERIOD_S, Forecast, KnownForecast
+from toucanpin.scheduling.forecasting import make_forecast
 from toucanpin.scheduling.job import Job, Step, TaskKey
 from toucanpin.scheduling.job_order import EXPIRY_FACTOR
 from toucanpin.scheduling.job_times import compute_time_limit
+from toucanpin.scheduling.load_history import LoadHistory
 from toucanpin.scheduling.orders import StartAnswer, WorkerEntry
 from toucanpin.scheduling.progress import JobState, decode_progress
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
--- a/toucanpin/scheduling/tests/test_admission.py
+++ b/toucanpin/scheduling/tests/test_admission.py
@@ -12,11 +12,11 @@
     NEVER_MS,
     Forecast,
     KnownForecast,
-    LoadHistory,
     QueueForecast,
-    make_forecast,
 )
+from toucanpin.scheduling.forecasting import make_forecast
 from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.load_history import LoadHistory
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
 from toucanpin.scheduling.tests.admission_day import (
     Day,
