Decide in one place which effect counts as harmful

Cause: HARMFUL_EFFECT stood in consolidating and in colocation_report, with the same comparison. Change: InterferenceModel.is_harmful holds it; both ask the model.

--- a/toucanpin/scheduling/colocation_report.py
+++ b/toucanpin/scheduling/colocation_report.py
@@ -25,7 +25,6 @@
 __all__ = ["ColocationReport", "Obstacle", "describe_colocation"]
 
 MAX_EXAMINED_IMAGES = 3  # each is compared with all workers
-HARMFUL_EFFECT = 2.0  # from which an image counts as harmful to another
 
 
 class Obstacle(enum.Enum):
@@ -121,8 +120,7 @@
         return Obstacle.LOAD
     if max(worst.expected, worst.measured) > MAX_SHARE * worst.limit:
         return Obstacle.NEIGHBOURS
-    harmful = model.expected_effect(worst.image, step.image) >= HARMFUL_EFFECT
-    return Obstacle.HARMFUL if harmful else Obstacle.UNKNOWN
+    return Obstacle.HARMFUL if model.is_harmful(worst.image, step.image) else Obstacle.UNKNOWN
 
 
 def _find_most_disturbed(
--- a/toucanpin/scheduling/consolidating.py
+++ b/toucanpin/scheduling/consolidating.py
@@ -29,7 +29,6 @@
 
 MOVE_PERIOD_S = 0.5  # a moved task runs again elsewhere within about this time
 MIN_WAIT_S = 0.5  # of best-effort tasks, before a task is moved for them
-HARMFUL_EFFECT = 2.0  # from which an image counts as harmful to another
 # Cores that a move has to make usable: those of one best-effort task.  With a plan the median of
 # those that wait counts, since on small workers no move could make this many usable.
 MIN_GAIN_CORES = 6.0
@@ -169,9 +168,6 @@
     requested = sum(
         cores
         for image, cores in demand.items()
-        if all(
-            model.expected_effect(service_image, image) < HARMFUL_EFFECT
-            for service_image in service_images
-        )
+        if not any(model.is_harmful(service_image, image) for service_image in service_images)
     )
     return min(requested, max(0.0, candidate.free + extra))
--- a/toucanpin/scheduling/interference_model.py
+++ b/toucanpin/scheduling/interference_model.py
@@ -34,6 +34,7 @@
 # Larger estimates of an effect are noise.  The bound also lets a wrong one be corrected, since its
 # pair is still placed together at times.
 MAX_EFFECT = 6.0
+HARMFUL_EFFECT = 2.0  # from which an image counts as harmful to another
 MIN_RESTORED_DEVIATION = 0.5  # of an effect that an earlier owner has learned
 IDLE_TAIL_RATIO = 0.775  # idle tail to the lowest tail seen, at which the load is still above 0
 SETTLING_TIME_S = 10.0  # of measurements until the lowest tail counts as one at low load
@@ -133,6 +134,10 @@
         known = self._effects.get((service, neighbour))
         return PRIOR_EFFECT if known is None else min(MAX_EFFECT, max(0.0, known.mean))
 
+    def is_harmful(self, service: str, neighbour: str) -> bool:
+        """Return whether the image ``neighbour`` is known to be harmful to ``service``."""
+        return self.expected_effect(service, neighbour) >= HARMFUL_EFFECT
+
     def idle_tail(self, image: str, target: int) -> float:
         """Return the tail latency of an idle latency-critical task, in ms."""
         known = self._idle_tails.get((image, target))
