Start the test servers of relayed calls in one place

Cause: three tests of relayed calls repeated the same seven lines, two the same wait. Assertions, bounds and numbers of checks are as before.

--- a/toucanpin/entry/tests/test_relay.py
+++ b/toucanpin/entry/tests/test_relay.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 from standins.site.site import free_port
@@ -12,12 +13,14 @@
 from toucanpin.entry.peers import Peer, Peers
 from toucanpin.entry.relay import RelayServer
 from toucanpin.entry.relayed_store import MIN_ANSWER_GAP_S, RelayedStore
+from toucanpin.entry.tests.slow_answers import PIECE_INTERVAL_S, PIECES, send_slowly, serve_slowly
 from toucanpin.http import Answer, CallError, Client, Server
 from toucanpin.platform.store import Committed, ExpectedVersion, Put, Store
 from toucanpin.scheduling.settings import Bounds, HostSettings
 from toucanpin.verdict import Verdict
 
 SECRET = b"k" * 32
+_Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 class RelayTest(unittest.IsolatedAsyncioTestCase):
@@ -55,6 +58,19 @@
         assert isinstance(result, Committed)
         return result
 
+    async def _listen(self, serve: _Serve) -> int:
+        """Return the port of a server that handles each connection by ``serve``."""
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        return server.sockets[0].getsockname()[1]
+
+    async def _connect(self, serve: _Serve) -> RelayedStore:
+        """Return a client of a store that handles each connection by ``serve``."""
+        relayed = RelayedStore(Client(f"127.0.0.1:{await self._listen(serve)}"), "h0")
+        relayed.use_peers(self.stores[0][2])
+        return relayed
+
     async def test_a_refused_host_writes_through_its_peer(self) -> None:
         self.faults[0].status = 503
         await self._put()
@@ -112,10 +128,7 @@
             near.close()
             writer.close()
 
-        server = await asyncio.start_server(pass_slowly, "127.0.0.1", 0)
-        self.addAsyncCleanup(server.wait_closed)
-        self.addCleanup(server.close)
-        port = server.sockets[0].getsockname()[1]
+        port = await self._listen(pass_slowly)
         peers.known = (Peer(peer.name, peer.address, port, 1_000, 0),)
         page = await self.stores[0][0].read("op", timeout=1.0)
         self.assertEqual(1_000, len(page.rows[0].value))
@@ -161,11 +174,7 @@
         relayed = self.stores[0][1]
         self.assertFalse(relayed.direct_works)
         self.faults[0].status = 0
-        for _ in range(100):
-            if relayed.direct_works:
-                break
-            await asyncio.sleep(0.05)
-        self.assertTrue(relayed.direct_works)
+        self.assertTrue(await _becomes_direct(relayed, checks=100))
 
     async def test_a_late_refusal_is_a_sign_of_an_outage(self) -> None:
         """
@@ -179,12 +188,7 @@
             writer.write(b"HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n")
             writer.close()
 
-        server = await asyncio.start_server(refuse_late, "127.0.0.1", 0)
-        self.addAsyncCleanup(server.wait_closed)
-        self.addCleanup(server.close)
-        port = server.sockets[0].getsockname()[1]
-        relayed = RelayedStore(Client(f"127.0.0.1:{port}"), "h0")
-        relayed.use_peers(self.stores[0][2])
+        relayed = await self._connect(refuse_late)
         await relayed.call("GET", "/rows-get?table=t")
         self.assertFalse(relayed.direct_works)
 
@@ -199,26 +203,17 @@
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             request = await reader.readuntil(b"\r\n\r\n")
             if b"table=op" in request and not refusing:
-                await _send_slowly(writer)
+                await send_slowly(writer)
             else:
                 status = b"503 Away" if refusing else b"200 OK"
                 writer.write(b"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n" % status)
             writer.close()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        self.addAsyncCleanup(server.wait_closed)
-        self.addCleanup(server.close)
-        port = server.sockets[0].getsockname()[1]
-        relayed = RelayedStore(Client(f"127.0.0.1:{port}"), "h0")
-        relayed.use_peers(self.stores[0][2])
+        relayed = await self._connect(serve)
         await relayed.call("GET", "/rows-get?table=t")
         self.assertFalse(relayed.direct_works)
         refusing = False
-        for _ in range(40):
-            if relayed.direct_works:
-                break
-            await asyncio.sleep(0.05)
-        self.assertTrue(relayed.direct_works)
+        self.assertTrue(await _becomes_direct(relayed, checks=40))
 
     async def test_a_slow_direct_answer_is_read_to_its_end(self) -> None:
         """
@@ -226,12 +221,7 @@
         second and requests the same rows from peers over the same link: 25 of 32 hosts did within
         two seconds after 2,800 queues were written.
         """
-        server = await asyncio.start_server(_serve_slowly, "127.0.0.1", 0)
-        self.addAsyncCleanup(server.wait_closed)
-        self.addCleanup(server.close)
-        port = server.sockets[0].getsockname()[1]
-        relayed = RelayedStore(Client(f"127.0.0.1:{port}"), "h0")
-        relayed.use_peers(self.stores[0][2])
+        relayed = await self._connect(serve_slowly)
         answer = await relayed.call("GET", "/rows-get?table=op", timeout=2.0)
         self.assertEqual(b"x" * PIECES, answer.body)
         self.assertTrue(relayed.direct_works)
@@ -280,23 +270,13 @@
         return Answer(self._status, {}, b"")
 
 
-PIECES = 6  # of a body
-PIECE_INTERVAL_S = 0.3  # s between pieces; together they exceed the timeout of an answer
-
-
-async def _serve_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answer one request with a body that arrives slowly."""
-    await reader.readuntil(b"\r\n\r\n")
-    await _send_slowly(writer)
-    writer.close()
-
-
-async def _send_slowly(writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % PIECES)
-    for _ in range(PIECES):
-        await asyncio.sleep(PIECE_INTERVAL_S)
-        writer.write(b"x")
-        await writer.drain()
+async def _becomes_direct(relayed: RelayedStore, checks: int) -> bool:
+    """Return whether one of some checks, 0.05 s apart, shows that direct calls work."""
+    for _ in range(checks):
+        if relayed.direct_works:
+            break
+        await asyncio.sleep(0.05)
+    return relayed.direct_works
 
 
 def _settings(name: str, store: str, port: int) -> HostSettings:
