Log what workers answer, and send their orders, in modules of their own

Change: worker_log has the log calls, worker_orders the stops and paces, log_fields the fields of an attempt. Events, fields and their order are as before; no test touched.

--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -10,11 +10,18 @@
 import asyncio
 from collections.abc import Callable, Collection, Coroutine, Iterable
 
-import logbook
-
 from toucanpin.entry.cell_rows import OwnershipLostError
 from toucanpin.entry.clocks import Clocks, steady_time
-from toucanpin.entry.metrics import ENDS, REFUSED_STARTS
+from toucanpin.entry.worker_log import (
+    log_distrusted,
+    log_ends,
+    log_refused,
+    log_replaced,
+    log_restarted,
+    log_silent,
+    log_unnumbered,
+)
+from toucanpin.entry.worker_orders import WorkerOrders
 from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.workers import WorkerClient, WorkerReplacedError
@@ -22,7 +29,6 @@
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.incarnations import admit_answer
 from toucanpin.scheduling.interference_model import InterferenceModel
-from toucanpin.scheduling.job import format_task
 from toucanpin.scheduling.learning import learn_effects
 from toucanpin.scheduling.leases import (
     apply_answer,
@@ -34,22 +40,20 @@
     update_workers,
 )
 from toucanpin.scheduling.load_shedding import START_ANSWER_TIME_S, MinAnswerTime, ProcessDelay
-from toucanpin.scheduling.orders import EndedRun, PaceOrder, RefusalReason, StopOrder, WorkerEntry
+from toucanpin.scheduling.orders import PaceOrder, RefusalReason, StopOrder, WorkerEntry
 from toucanpin.scheduling.starting import (
     StartOutcome,
     apply_start_answer,
     apply_start_failure,
     plan_start,
-    record_stop_acknowledged,
 )
 from toucanpin.scheduling.trust import is_distrusted
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = ["CellWorkers"]
 
-_log = logbook.Logger("workers")
 START_RETRY_DELAY_S = 0.02  # before a start without an answer is repeated
-RETRY_DELAY_S = 0.1  # before any other order is repeated
+RETRY_DELAY_S = 0.1  # before any other call is repeated
 SILENT_RETRY_DELAY_S = 0.3  # between polls of a worker that doesn't answer
 RENEWAL_PERIOD_S = 1.0  # between renewals of a lease while the cell's rows are being read
 MAX_WRITE_WAIT_S = 0.4  # polls of a worker pause for up to this time while its ends are written
@@ -74,6 +78,7 @@
         self._spawn = spawn
         self._on_change = on_change
         self._clients: dict[str, WorkerClient] = {}
+        self._orders = WorkerOrders(cell, clocks, self._clients)
         self._answer_timeout = AnswerTimeout()
         self._write_done = asyncio.Event()
         self._loaded = asyncio.Event()
@@ -113,13 +118,7 @@
         """Poll an incarnation of a worker that has just become known."""
         entry = worker.entry
         if worker.earlier_born:
-            _log.info(
-                "worker restarted under its id",
-                event="worker.restarted",
-                worker=entry.id,
-                born=worker.born,
-                earlier=worker.earlier_born,
-            )
+            log_restarted(worker)
         self._clients[entry.id] = WorkerClient(entry.id, entry.address)
         self._spawn(self._poll(worker))
 
@@ -134,11 +133,7 @@
     def _tell_unknown(self, worker: Worker, born: int) -> None:
         if not born and not self._told_unknown:
             self._told_unknown = True
-            _log.warning(
-                "a worker doesn't tell its incarnation, so its restarts may go unnoticed",
-                event="worker.unnumbered",
-                worker=worker.entry.id,
-            )
+            log_unnumbered(worker)
 
     async def _poll(self, worker: Worker) -> None:
         """Poll one worker, to renew its lease and to learn of ended runs, until it is replaced."""
@@ -155,7 +150,7 @@
                     self._cell.token, order.acknowledged, order.deadline, order.wait, timeout
                 )
             except WorkerReplacedError:
-                _log.info("worker replaced", event="worker.replaced", worker=identifier)
+                log_replaced(worker)
                 remove_replaced_worker(self._cell, worker, self._clocks.now())
                 self._on_change()
                 break
@@ -169,12 +164,7 @@
                     continue
                 # Poll again at once: a single answer may have been lost, and the worker gets no
                 # tasks until it answers.
-                _log.warning(
-                    "no answer from a worker",
-                    event="worker.silent",
-                    worker=identifier,
-                    reason=error,
-                )
+                log_silent(worker, error)
                 continue
             if isinstance(answer, RefusalReason):
                 raise OwnershipLostError(f"worker {identifier} refused: {answer.value}")
@@ -184,17 +174,11 @@
                 continue
             now = self._clocks.now()
             self._answer_timeout.record(now.steady - sent_at - order.wait, now.steady)
-            _log_ends(worker, answer.ended)
+            log_ends(worker, answer.ended)
             was_distrusted = is_distrusted(worker)
             apply_answer(self._cell, worker, answer, sent_at, now)
             if is_distrusted(worker) and not was_distrusted:
-                jobs = sorted(worker.failed_jobs)
-                _log.warning(
-                    "tasks of several jobs fail on a worker",
-                    event="worker.doubted",
-                    worker=identifier,
-                    jobs=jobs,
-                )
+                log_distrusted(worker)
             learn_effects(self._interference, worker, len(self._cell.workers), now)
             self._on_change()
             await self._wait_for_writes(worker)
@@ -279,14 +263,7 @@
             else:
                 self._record_answer(self._starts_sent_at[id(run)])
                 if answer.refused is not None:
-                    REFUSED_STARTS.add(1, {"reason": answer.refused.value})
-                    _log.info(
-                        "start refused",
-                        event="task.refused",
-                        job=run.task.job,
-                        worker=run.worker,
-                        reason=answer.refused.value,
-                    )
+                    log_refused(run, answer.refused)
                 outcome = StartOutcome.RETRY_LATER
                 if self._admits_answer(worker, answer.born, self._starts_sent_at[id(run)]):
                     now = self._clocks.now()
@@ -308,68 +285,4 @@
 
     async def order(self, order: StopOrder | PaceOrder) -> None:
         """Send an order to its worker."""
-        match order:
-            case StopOrder():
-                _log.info(
-                    "stopping task",
-                    event="task.stopping",
-                    job=order.task.job,
-                    task=format_task(order.task),
-                    worker=order.worker,
-                    reason=order.reason,
-                )
-                await self._stop(order)
-            case PaceOrder():
-                await self._pace(order)
-
-    async def _stop(self, order: StopOrder) -> None:
-        """Send a stop until it is acknowledged or the worker is replaced."""
-        while True:
-            worker = self._cell.workers.get(order.worker)
-            client = self._clients.get(order.worker)
-            if worker is None or client is None:
-                return
-            run = worker.runs.get(order.task)
-            try:
-                refused = await client.stop(order.task, order.attempt, self._cell.token)
-            except WorkerReplacedError:
-                return
-            except (CallError, PlatformError):
-                await asyncio.sleep(RETRY_DELAY_S)
-                continue
-            if refused is RefusalReason.FENCED:
-                raise OwnershipLostError(f"worker {order.worker} has another owner")
-            if refused is RefusalReason.UNHEALTHY:
-                await asyncio.sleep(RETRY_DELAY_S)
-                continue
-            if run is not None and run.attempt == order.attempt:
-                record_stop_acknowledged(worker, run, self._clocks.now())
-            return
-
-    async def _pace(self, order: PaceOrder) -> None:
-        client = self._clients.get(order.worker)
-        if client is None:
-            return
-        try:
-            await client.pace(order.task, order.attempt, order.percent, self._cell.token)
-        except (CallError, PlatformError):
-            worker = self._cell.workers.get(order.worker)
-            run = worker.runs.get(order.task) if worker else None
-            if run is not None and run.attempt == order.attempt:
-                run.paced_at = 0.0
-                run.pace = -1
-
-
-def _log_ends(worker: Worker, ends: Iterable[EndedRun]) -> None:
-    for ended in ends:
-        if ended.sequence > worker.listed_sequence:
-            ENDS.add(1, ended.end.value)
-            _log.info(
-                "task ended",
-                event="task.ended",
-                job=ended.task.job,
-                task=format_task(ended.task),
-                attempt=ended.attempt,
-                worker=worker.entry.id,
-                end=ended.end.value,
-            )
+        await self._orders.send(order)
--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -11,6 +11,7 @@
 
 import logbook
 
+from toucanpin.entry.log_fields import describe_attempt
 from toucanpin.entry.metrics import LOST_RUNS, SLOW_WORKERS, STANDSTILL_TIME, START_WAIT, STARTS
 from toucanpin.scheduling.cell import Cell, Now, find_record
 from toucanpin.scheduling.colocation_report import describe_colocation
@@ -53,10 +54,7 @@
     _log.info(
         "task placed",
         event="task.placed",
-        job=run.task.job,
-        task=format_task(run.task),
-        attempt=run.attempt,
-        worker=run.worker,
+        **describe_attempt(run.task, run.attempt, run.worker),
         queue=live.job.queue if live else "",
         image=run.step.image,
         age=round(age, 3),
@@ -87,10 +85,7 @@
         _log.info(
             "task lost with its worker",
             event="task.lost",
-            job=loss.task.job,
-            task=format_task(loss.task),
-            attempt=loss.attempt,
-            worker=loss.worker,
+            **describe_attempt(loss.task, loss.attempt, loss.worker),
             phase=loss.phase.value,
             cause=loss.cause.value,
             age=round(loss.age, 3),
