--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -40,7 +40,7 @@
     update_workers,
 )
 from toucanpin.scheduling.load_shedding import START_ANSWER_TIME_S, MinAnswerTime, ProcessDelay
-from toucanpin.scheduling.orders import PaceOrder, RefusalReason, StopOrder, WorkerEntry
+from toucanpin.scheduling.orders import PaceOrder, PollAnswer, RefusalReason, StopOrder, WorkerEntry
 from toucanpin.scheduling.starting import (
     StartOutcome,
     apply_start_answer,
@@ -172,21 +172,27 @@
             if not self._admits_answer(worker, answer.born, sent_at):
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            now = self._clocks.now()
-            self._answer_timeout.record(now.steady - sent_at - order.wait, now.steady)
-            log_ends(worker, answer.ended)
-            was_distrusted = is_distrusted(worker)
-            apply_answer(self._cell, worker, answer, sent_at, now)
-            if is_distrusted(worker) and not was_distrusted:
-                log_distrusted(worker)
-            learn_effects(self._interference, worker, len(self._cell.workers), now)
-            self._on_change()
+            self._handle_answer(worker, answer, sent_at, order.wait)
             await self._wait_for_writes(worker)
             await asyncio.sleep(self._delay.plan_pause(steady_time()))
         client.close()
         if self._clients.get(identifier) is client:
             del self._clients[identifier]
 
+    def _handle_answer(
+        self, worker: Worker, answer: PollAnswer, sent_at: float, wait: float
+    ) -> None:
+        """Apply the answer to a poll that was sent at ``sent_at`` and might wait for ``wait`` s."""
+        now = self._clocks.now()
+        self._answer_timeout.record(now.steady - sent_at - wait, now.steady)
+        log_ends(worker, answer.ended)
+        was_distrusted = is_distrusted(worker)
+        apply_answer(self._cell, worker, answer, sent_at, now)
+        if is_distrusted(worker) and not was_distrusted:
+            log_distrusted(worker)
+        learn_effects(self._interference, worker, len(self._cell.workers), now)
+        self._on_change()
+
     async def _renew_until_loaded(self, worker: Worker, client: WorkerClient) -> None:
         """
         Renew a worker's lease until the cell's rows are read.
