--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -11,8 +11,9 @@
 
 import logbook
 
+from toucanpin.entry.log_fields import describe_attempt
 from toucanpin.entry.metrics import LOST_RUNS, SLOW_WORKERS, STANDSTILL_TIME, START_WAIT, STARTS
-from toucanpin.scheduling.cell import Cell, Now, WaitReason, find_record
+from toucanpin.scheduling.cell import Cell, Now, find_record
 from toucanpin.scheduling.colocation_report import describe_colocation
 from toucanpin.scheduling.evacuating import describe_evacuations, list_not_evacuated
 from toucanpin.scheduling.forecast import Forecast
@@ -22,6 +23,7 @@
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.standstill import Standstill
 from toucanpin.scheduling.unsettled import describe_unsettled
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Run
 
 __all__ = [
@@ -54,10 +56,7 @@
     _log.info(
         "task placed",
         event="task.placed",
-        job=run.task.job,
-        task=format_task(run.task),
-        attempt=run.attempt,
-        worker=run.worker,
+        **describe_attempt(run.task, run.attempt, run.worker),
         queue=live.job.queue if live else "",
         image=run.step.image,
         age=round(age, 3),
@@ -88,10 +87,7 @@
         _log.info(
             "task lost with its worker",
             event="task.lost",
-            job=loss.task.job,
-            task=format_task(loss.task),
-            attempt=loss.attempt,
-            worker=loss.worker,
+            **describe_attempt(loss.task, loss.attempt, loss.worker),
             phase=loss.phase.value,
             cause=loss.cause.value,
             age=round(loss.age, 3),
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -9,103 +9,64 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine
-
-import logbook
+from collections.abc import Callable
 
 from toucanpin.entry.advice_dispatcher import AdviceDispatcher
+from toucanpin.entry.advice_requests import AdviceRequests
+from toucanpin.entry.background_tasks import BackgroundTasks
+from toucanpin.entry.cell_counts import (
+    count_evacuated,
+    count_headroom,
+    count_unsettled,
+    count_waiting,
+)
+from toucanpin.entry.cell_decisions import CellDecisions
 from toucanpin.entry.cell_jobs import CellJobs
 from toucanpin.entry.cell_rows import CellRows, OwnershipLostError
 from toucanpin.entry.cell_workers import CellWorkers
 from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.commit_loop import CommitLoop
 from toucanpin.entry.decision_log import (
     log_colocation,
-    log_ended,
     log_evacuations,
-    log_failed_tasks,
-    log_forecast,
     log_headroom,
     log_losses,
-    log_placement,
     log_slow_workers,
-    log_standstill,
     log_unsettled,
     log_waits,
 )
-from toucanpin.entry.metrics import TURN_TIME
-from toucanpin.entry.periodic import PeriodicDecision
-from toucanpin.entry.row_cache import RowCache
+from toucanpin.entry.job_cleanup import JobCleanup
+from toucanpin.entry.load_estimates import LoadEstimates
+from toucanpin.entry.periodic import PeriodTimer
+from toucanpin.entry.placement_turns import PlacementTurns
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.submissions import sweep_refusals
 from toucanpin.entry.waves import WaveController
 from toucanpin.entry.worker_introduction import WorkerIntroduction
-from toucanpin.exception import PlatformError
-from toucanpin.http import CallError
+from toucanpin.entry.worker_listing import WorkerListing
 from toucanpin.platform.machines import MachineClient
-from toucanpin.platform.store import Row, Store
-from toucanpin.platform.workers import WORKERS_TABLE, decode_worker
-from toucanpin.scheduling.advising import AdviceRequest, plan_advice_requests, record_advice
+from toucanpin.platform.store import Store
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.colocation_plan import ColocationPlan
-from toucanpin.scheduling.consolidating import consolidate_images
-from toucanpin.scheduling.crashing import fail_crashing_jobs
-from toucanpin.scheduling.evacuating import (
-    EvacuationList,
-    apply_evacuations,
-    describe_evacuations,
-    has_current_evacuations,
-)
+from toucanpin.scheduling.evacuating import EvacuationList, apply_evacuations
 from toucanpin.scheduling.features import select_features
-from toucanpin.scheduling.forecast import (
-    FORECAST_PERIOD_S,
-    Forecast,
-    LoadHistory,
-    make_forecast,
-)
-from toucanpin.scheduling.headroom import describe_headroom
-from toucanpin.scheduling.intake import begin_due, forget_ended
+from toucanpin.scheduling.forecast import Forecast
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.lease_ends import (
     find_earlier_leases_end,
     restore_lease_ends,
     withhold_leases,
 )
-from toucanpin.scheduling.leases import (
-    MAX_STARTS_BEFORE_RENEWALS,
-    awaits_first_renewals,
-    expire_leases,
-)
-from toucanpin.scheduling.load_shedding import ProcessDelay, StartBacklog, TimeShare
-from toucanpin.scheduling.moving import move_tasks
-from toucanpin.scheduling.orders import WorkerEntry
+from toucanpin.scheduling.load_shedding import ProcessDelay
 from toucanpin.scheduling.ownership import OWNER_WRITE_INTERVAL_S, OwnerRecord
-from toucanpin.scheduling.pacing import control_pace
-from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.settings import HostSettings
 from toucanpin.scheduling.standstill import StandstillCause, StandstillMeter
-from toucanpin.scheduling.unsettled import describe_unsettled
-from toucanpin.scheduling.write_batches import (
-    MAX_FORGOTTEN,
-    apply_batch,
-    has_pending_writes,
-    take_batch,
-)
+from toucanpin.scheduling.write_batches import has_pending_writes
 
 __all__ = ["Owner"]
 
-_log = logbook.Logger("owner")
 TICK_PERIOD_S = 0.05  # between checks for expired leases, due start times and stalls
-MOVE_PERIOD_S = 0.2  # between searches for tasks to move; workers answer every 0.4 s
-LIST_PERIOD_S = 0.5  # between reads of the workers' entries; a drain must be noticed within 2 s
-MAX_VIEW_AGE_MS = 2_500  # no tasks are placed if the last read of the jobs is older
-RETRY_DELAY_S = 0.1  # before a failed read is repeated
-CLEANUP_PERIOD_S = 5.0  # between searches for ended jobs whose retention is over
 REPORT_PERIOD_S = 1.0  # between log lines about waiting tasks and delays
-MAX_PLACING_SHARE = 0.35  # maximum fraction of the time that is spent on placing
-# An owner that is later than this refuses jobs by its backlog; a forecast would add to its work.
-MAX_FORECAST_DELAY_S = FORECAST_PERIOD_S
-MIN_LOGGED_DELAY_S = 0.2  # longer delays of the event loop and of answers are logged
-RETENTION_MARGIN_S = 15.0  # by which ended jobs are kept longer than promised
 
 
 class Owner:
@@ -137,9 +98,6 @@
         self._store = store
         self._clocks = clocks
         self._bounds = settings.bounds
-        self._load_history = LoadHistory()
-        self._advice_dispatcher = advice_dispatcher
-        self._workers_enforce_limits = workers_enforce_limits
         self._evacuated = evacuated
         earlier_leases_end = find_earlier_leases_end(previous, silent_since, steady_time())
         self._cell = Cell(name, record.token, earlier_leases_end, confirmed)
@@ -155,6 +113,8 @@
         self._interference = InterferenceModel(
             ColocationPlan() if self._cell.features.colocation_planning else None
         )
+        self._tasks = BackgroundTasks()
+        spawn = self._tasks.spawn
         self._reader = RowReader()
         self._rows = CellRows(
             store, self._cell, self._interference, record, version, confirmed, self._reader
@@ -169,22 +129,57 @@
             self._dispatch_orders,
         )
         self._delay = ProcessDelay()
+        self._estimates = LoadEstimates(self._cell, self._rows, self._delay)
         self._workers = CellWorkers(
-            self._cell, self._interference, clocks, self._delay, self._spawn, self._dispatch_orders
+            self._cell, self._interference, clocks, self._delay, spawn, self._dispatch_orders
+        )
+        self._decisions = CellDecisions(
+            self._cell, self._interference, clocks.now, self._forecast_queues
+        )
+        introduction = WorkerIntroduction(self._cell, self._workers, lambda: self.loaded)
+        self._listing = WorkerListing(
+            store, self._cell, self._reader, introduction, workers_enforce_limits
         )
-        self._introduction = WorkerIntroduction(self._cell, self._workers, lambda: self.loaded)
         self._waves: WaveController | None = None
         if settings.machines:
             client = MachineClient(settings.machines, settings.name)
             self._waves = WaveController(
                 store, client, self._cell, clocks, settings.bounds, previous is None
             )
-        self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
-        self._placing_share = TimeShare(MAX_PLACING_SHARE)
-        self._backlog = StartBacklog()
+        self._cleanup = JobCleanup(
+            self._cell, self._rows, settings.bounds.job_retention, self._wake.set
+        )
+        self._advice_requests = AdviceRequests(
+            self._cell, self._interference, clocks, advice_dispatcher, spawn, self._wake.set
+        )
+        self._report_timer = PeriodTimer(REPORT_PERIOD_S)
         self._standstill = StandstillMeter(silent_since)
         self._standstill.record_blocked(StandstillCause.TAKEOVER, steady_time())
+        placement = PlacementTurns(
+            self._cell,
+            self._interference,
+            clocks,
+            self._delay,
+            self._rows,
+            self._workers,
+            introduction,
+            self._estimates,
+            self._standstill,
+            self._update_evacuated,
+        )
+        self._commits = CommitLoop(
+            self._cell,
+            clocks,
+            self._rows,
+            self._workers,
+            placement,
+            self._standstill,
+            self._wake,
+            spawn,
+            lambda: self._resigning,
+            self._raise_if_resigned,
+        )
         self._failure: asyncio.Future[None] | None = None
         self._resigning = False
         self.loaded = False  # whether the cell's rows are read, so that tasks can be placed
@@ -198,26 +193,23 @@
         OwnershipLostError
             If another process owns the cell.
         """
-        loop = asyncio.get_running_loop()
-        self._failure = loop.create_future()
+        self._failure = self._tasks.begin()
         try:
-            self._spawn(self._follow_workers())
+            self._tasks.spawn(self._listing.run())
             self._jobs.followed_version = await self._load()
             self.loaded = True
             self._standstill.record_blocked(StandstillCause.LOADING, steady_time())
             self._workers.signal_loaded()
             following = (self._jobs.follow, self._jobs.relist)
-            for part in (self._commit, *following, self._tick, self._drop_ended_jobs):
-                self._spawn(part())
+            for part in (self._commits.run, *following, self._tick, self._cleanup.drop_ended):
+                self._tasks.spawn(part())
             if self._waves is not None:
-                self._spawn(self._waves.run())
+                self._tasks.spawn(self._waves.run())
             if self._cell.features.admission_control:
-                self._spawn(sweep_refusals(self._store, self._clocks, self._cell.name))
+                self._tasks.spawn(sweep_refusals(self._store, self._clocks, self._cell.name))
             await self._failure
         finally:
-            for task in tuple(self._tasks):
-                task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self._tasks.cancel()
             self._workers.close()
 
     async def _load(self) -> int:
@@ -242,10 +234,7 @@
 
     def count_waiting(self) -> Counter[str]:
         """Return the number of unplaced tasks by priority."""
-        counts: Counter[str] = Counter()
-        for group, indices in self._cell.waiting.items():
-            counts[str(self._cell.jobs[group.job].job.priority)] += len(indices)
-        return counts
+        return count_waiting(self._cell)
 
     @property
     def backlog(self) -> dict[int, int]:
@@ -259,230 +248,62 @@
 
     def count_evacuated(self) -> dict[str, float]:
         """Return the number of tasks that still run in each evacuated data centre."""
-        return {it.data_centre: float(it.runs) for it in describe_evacuations(self._cell)}
+        return count_evacuated(self._cell)
 
     def count_unsettled(self) -> dict[str, float]:
         """Return the number of runs on workers that don't answer, by what is known of those."""
-        found = describe_unsettled(self._cell)
-        if found is None:
-            return {}
-        return {"unreached": float(found.unreached), "silent": float(found.silent)}
+        return count_unsettled(self._cell)
 
     def count_headroom(self) -> dict[str, float]:
         """Return the cores that are kept for short tasks, by what is counted."""
-        if not self._cell.features.urgent_headroom:
-            return {}
-        return describe_headroom(self._cell.headroom)
+        return count_headroom(self._cell)
 
     def resign(self) -> None:
         """Give up the ownership with the next write."""
         self._resigning = True
         self._wake.set()
 
-    def _spawn(self, work: Coroutine) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._reap)
-
-    def _reap(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if task.cancelled() or self._failure is None or self._failure.done():
-            return
-        error = task.exception()
-        if error is not None:
-            self._failure.set_exception(error)
-
-    async def _commit(self) -> None:
-        # The first write lists the workers that haven't answered yet.  If this owner dies soon, the
-        # next one would otherwise count their leases from its takeover.
-        is_first = True
-        while True:
-            due = self._rows.written_at + OWNER_WRITE_INTERVAL_S - steady_time()
-            if due > 0 and not is_first and not self._must_write():
-                try:
-                    async with asyncio.timeout(min(due, TICK_PERIOD_S)):
-                        await self._wake.wait()
-                        await asyncio.sleep(self._placing_share.remaining_pause(steady_time()))
-                except TimeoutError:
-                    pass
-            self._wake.clear()
-            self._place_tasks()
-            is_early = steady_time() < self._rows.written_at + OWNER_WRITE_INTERVAL_S
-            if is_early and not is_first and not self._must_write():
-                continue
-            is_first = False
-            batch = take_batch(self._cell)
-            sent_at = steady_time()
-            await self._rows.write(batch, self._resigning)
-            self._standstill.record_write(sent_at, steady_time())
-            self._cell.confirmed_at = self._rows.written_at
-            started = apply_batch(self._cell, batch)
-            self._workers.signal_written()
-            log_ended(self._cell, batch.records, self._clocks.now())
-            for run in started:
-                log_placement(self._cell, run, self._clocks.now())
-                self._spawn(self._workers.start(run))
-            self._raise_if_resigned()
-
-    def _must_write(self) -> bool:
-        """Return whether there is more to write than a renewal of the ownership."""
-        return has_pending_writes(self._cell) or self._resigning
-
-    def _place_tasks(self) -> None:
-        """Place waiting tasks if its share of the time allows it and the view of jobs is recent."""
-        now = self._clocks.now()
-        self._update_evacuated()
-        if self._placing_share.remaining_pause(now.steady):
-            return
-        blocked = self._find_block(now)
-        if blocked is not None:
-            self._standstill.record_blocked(blocked, now.steady)
-        else:
-            log_standstill(self._cell, self._standstill.record_placing(now.steady))
-            max_starts = self._delay.limit_starts(now.steady)
-            if not self._introduction.completed or awaits_first_renewals(self._cell):
-                max_starts = min(max_starts, MAX_STARTS_BEFORE_RENEWALS)
-            max_starts -= self._workers.count_starting()
-            before = len(self._cell.placed)
-            place_tasks(self._cell, self._interference, now, max_starts)
-            self._backlog.record_starts(len(self._cell.placed) - before, now.steady)
-        ended = steady_time()
-        self._placing_share.record(now.steady, ended)
-        TURN_TIME.record(ended - now.steady, {"what": "placing"})
-
-    def _find_block(self, now: Now) -> StandstillCause | None:
-        """Return why no task may be placed now, None if tasks may."""
-        if not self._has_recent_jobs(now):
-            return StandstillCause.JOBS
-        if not has_current_evacuations(self._cell, now):
-            return StandstillCause.EVACUATIONS
-        return None
-
     def _raise_if_resigned(self) -> None:
         """Raise OwnershipLostError if this owner's resignation has been written."""
         if not self._rows.record.host:
             raise OwnershipLostError("resigned")
 
-    def _has_recent_jobs(self, now: Now) -> bool:
-        """
-        Return whether the jobs were read recently.
-
-        No task of a cancelled job may start later than 3 s after a host acknowledged the cancel.
-        """
-        return now.table - self._rows.view.clock <= MAX_VIEW_AGE_MS
-
     def _update_evacuated(self) -> None:
+        """Apply the current list of evacuated data centres."""
         if apply_evacuations(self._cell, self._evacuated(), self._bounds.evacuation_time):
             log_evacuations(self._cell)
 
-    async def _follow_workers(self) -> None:
-        """Read the workers' entries periodically."""
-        cache = RowCache(self._store, WORKERS_TABLE)
-        while True:
-            try:
-                await cache.update()
-            except (CallError, PlatformError) as error:
-                _log.warning("workers' entries not read", event="workers.unread", reason=error)
-                await asyncio.sleep(RETRY_DELAY_S)
-                continue
-            rows = cache.rows
-            valid = {
-                row.key: entry for row, entry in self._reader.read(rows.values(), _decode_entry)
-            }
-            own = [entry for entry in valid.values() if entry.service == self._cell.name]
-            malformed = rows.keys() - valid.keys()
-            self._cell.workers_enforce_limits = self._workers_enforce_limits()
-            await self._introduction.update(own, malformed)
-            await asyncio.sleep(LIST_PERIOD_S)
-
-    async def _drop_ended_jobs(self) -> None:
-        """Delete the rows of jobs whose retention is over, without delaying commits."""
-        while True:
-            ended = self._cell.job_rows_to_delete[:MAX_FORGOTTEN]
-            if not ended:
-                await asyncio.sleep(CLEANUP_PERIOD_S)
-                continue
-            await self._rows.drop_jobs(ended)
-            del self._cell.job_rows_to_delete[: len(ended)]
-            self._cell.progress_rows_to_delete += ended
-            self._wake.set()
-
-    async def _request_advice(self, request: AdviceRequest) -> None:
-        advice = await self._advice_dispatcher.request(request.group, request.workers)
-        record_advice(self._cell, request, advice, self._clocks.now())
-        self._wake.set()
-
     async def _tick(self) -> None:
-        cleaned_at = reported_at = 0.0
-        periodic = [
-            PeriodicDecision(lambda now: move_tasks(self._cell, now), MOVE_PERIOD_S),
-            PeriodicDecision(lambda now: control_pace(self._cell, self._interference, now), 0.0),
-            PeriodicDecision(
-                lambda now: consolidate_images(self._cell, self._interference, now), 0.0
-            ),
-        ]
-        if self._cell.features.admission_control:
-            periodic.append(PeriodicDecision(self._forecast_queues, FORECAST_PERIOD_S))
+        """Make the decisions that are due, periodically."""
         while True:
             due = steady_time() + TICK_PERIOD_S
             await asyncio.sleep(TICK_PERIOD_S)
             now = self._clocks.now()
             self._delay.record(now.steady - due, now.steady)
             self._update_evacuated()
-            for worker in expire_leases(self._cell, now):
-                _log.info("worker's lease expired", event="worker.gone", worker=worker.entry.id)
-            log_failed_tasks(self._cell, fail_crashing_jobs(self._cell, now))
-            begin_due(self._cell, now)
-            for decision in periodic:
-                decision.run_if_due(self._clocks.now())
-            free = self._advice_dispatcher.count_free()
-            for request in plan_advice_requests(self._cell, self._interference, free, now):
-                self._spawn(self._request_advice(request))
-            if now.steady > reported_at + REPORT_PERIOD_S:
-                reported_at = now.steady
-                log_unsettled(self._cell, now)
-                log_waits(self._cell, now)
-                log_headroom(self._cell, now)
-                log_colocation(self._cell, self._interference, now)
-                self._estimate_backlog(now)
-                self._log_delay(now)
-                if self._cell.evacuated:
-                    log_evacuations(self._cell)
-            if now.steady > cleaned_at + CLEANUP_PERIOD_S:
-                cleaned_at = now.steady
-                forget_ended(self._cell, now, self._bounds.job_retention + RETENTION_MARGIN_S)
+            self._decisions.make_due(now)
+            self._advice_requests.send(now)
+            if self._report_timer.restart_if_due(now):
+                self._report(now)
+            self._cleanup.forget_ended_if_due(now)
             self._dispatch_orders()
 
+    def _report(self, now: Now) -> None:
+        """Log what waits and why, and estimate for how long."""
+        log_unsettled(self._cell, now)
+        log_waits(self._cell, now)
+        log_headroom(self._cell, now)
+        log_colocation(self._cell, self._interference, now)
+        self._estimate_backlog(now)
+        self._estimates.log_delay(self._workers.count_starting(), now)
+        if self._cell.evacuated:
+            log_evacuations(self._cell)
+
     def _estimate_backlog(self, now: Now) -> None:
-        waiting: Counter[int] = Counter()
-        for group, indices in self._cell.waiting.items():
-            job = self._cell.jobs[group.job].job
-            # Long-running tasks may wait for room indefinitely.
-            if not job.steps[group.step].long_running:
-                waiting[job.priority] += len(indices)
-        delay = self._delay.read(now.steady)
-        self._rows.backlog = self._backlog.estimate_waits(waiting, delay, now.steady)
+        self._estimates.update_backlog(now)
 
     def _forecast_queues(self, now: Now) -> None:
-        if self._delay.read(now.steady) > MAX_FORECAST_DELAY_S:
-            return
-        self._rows.forecast = make_forecast(self._cell, self._load_history, now)
-        log_forecast(self._cell, self._rows.forecast)
-
-    def _log_delay(self, now: Now) -> None:
-        """Log a warning if this host is overloaded or was suspended."""
-        delay = self._delay.read(now.steady)
-        if delay > MIN_LOGGED_DELAY_S:
-            _log.warning(
-                "owner can't keep up with its cell",
-                event="owner.behind",
-                cell=self._cell.name,
-                delay=round(delay, 3),
-                starting=self._workers.count_starting(),
-                backlog=str(self._rows.backlog),
-                waiting=sum(map(len, self._cell.waiting.values())),
-                silent=sum(worker.silent for worker in self._cell.workers.values()),
-            )
+        self._estimates.update_forecast(now)
 
     def _dispatch_orders(self) -> None:
         log_losses(self._cell)
@@ -490,10 +311,6 @@
         orders = self._cell.orders
         self._cell.orders = []
         for order in orders:
-            self._spawn(self._workers.order(order))
+            self._tasks.spawn(self._workers.order(order))
         if has_pending_writes(self._cell) or self._cell.waiting:
             self._wake.set()
-
-
-def _decode_entry(row: Row) -> WorkerEntry:
-    return decode_worker(row.key, row.value)
--- a/toucanpin/scheduling/colocation_report.py
+++ b/toucanpin/scheduling/colocation_report.py
@@ -13,18 +13,18 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from toucanpin.scheduling.cell import Cell, Now, WaitReason
+from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.choosing import MAX_SHARE, PlacementRound, list_eligible
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.prediction import predict_share
 from toucanpin.scheduling.utilization import ServiceUtilization, WorkerUtilization
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Phase, Worker, has_room
 
 __all__ = ["ColocationReport", "Obstacle", "describe_colocation"]
 
 MAX_EXAMINED_IMAGES = 3  # each is compared with all workers
-HARMFUL_EFFECT = 2.0  # from which an image counts as harmful to another
 
 
 class Obstacle(enum.Enum):
@@ -120,8 +120,7 @@
         return Obstacle.LOAD
     if max(worst.expected, worst.measured) > MAX_SHARE * worst.limit:
         return Obstacle.NEIGHBOURS
-    harmful = model.expected_effect(worst.image, step.image) >= HARMFUL_EFFECT
-    return Obstacle.HARMFUL if harmful else Obstacle.UNKNOWN
+    return Obstacle.HARMFUL if model.is_harmful(worst.image, step.image) else Obstacle.UNKNOWN
 
 
 def _find_most_disturbed(
--- a/toucanpin/scheduling/interrupted_tasks.py
+++ b/toucanpin/scheduling/interrupted_tasks.py
@@ -18,10 +18,11 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 
-from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, rank_group
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.choosing import meets_constraints
 from toucanpin.scheduling.headroom import is_scarce
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.job_order import rank_group
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.worker import Phase, Run, Worker, fits_when_idle
 
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -11,14 +11,7 @@
 
 from toucanpin.scheduling.advising import list_ticketed
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
-from toucanpin.scheduling.cell import (
-    Cell,
-    Group,
-    LiveJob,
-    Now,
-    WaitReason,
-    list_runs,
-)
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, list_runs
 from toucanpin.scheduling.choosing import (
     CandidateWorkers,
     PlacementRound,
@@ -56,6 +49,7 @@
     record_shortage,
     record_unplaceable,
 )
+from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Worker, has_room
 
 __all__ = ["place_tasks"]
