Test (red): a turn searches all workers for each failed task that waits

Cause: where the cheapest worker is one on which tasks fail, a list of the others and a new search follow for each task, also when none of the others has room.

--- a/toucanpin/scheduling/tests/test_trust.py
+++ b/toucanpin/scheduling/tests/test_trust.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
+from toucanpin.scheduling import placing
+from toucanpin.scheduling.choosing import CandidateWorkers
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.orders import RunEnd
 from toucanpin.scheduling.progress import JobState
-from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 from toucanpin.scheduling.trust import MIN_FAILED_JOBS, is_distrusted
 
 RECOVERY_S = 10.0  # longer than any pause after a failure
@@ -149,6 +152,33 @@
         self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
 
 
+class FailedTasksTest(unittest.TestCase):
+    def _count_searches(self, count: int) -> int:
+        """Return the searches of a turn in which failed tasks fit only where tasks just failed."""
+        fleet = Fleet(workers=3)
+        for worker in fleet.workers.values():
+            worker.duration = 600.0
+        fleet.submit(make_job("service", (Step(count=2, cpu=4_000),)))
+        fleet.run(0.5)
+        (idle,) = (worker for worker in fleet.cell.workers.values() if not worker.runs)
+        idle.retries_blocked_until = fleet.time + RECOVERY_S
+        fleet.submit(make_job("j1", (Step(count=count, cpu=1_000),), max_failures=3))
+        for record in fleet.cell.jobs["j1"].progress.tasks[0]:
+            record.attempt = record.failures = 1
+        with patch.object(placing, "CandidateWorkers", wraps=CandidateWorkers) as search:
+            fleet.run(TIME_STEP_S)
+        self.assertFalse(idle.runs)
+        return search.call_count
+
+    def test_a_turn_with_many_failed_tasks_searches_no_more_often(self) -> None:
+        """
+        A full fleet has room only on a worker where tasks fail, and hundreds of failed tasks wait.
+        Guards against a search of all workers for each of them: an owner that places for a second
+        renews no lease meanwhile.
+        """
+        self.assertEqual(self._count_searches(10), self._count_searches(100))
+
+
 def _fail_jobs(fleet: Fleet) -> None:
     """Fail enough jobs on all workers of a fleet for these to be distrusted, and recover."""
     for worker in fleet.workers.values():
