Test (red): a handover begins the wait for scarce cores anew

Cause: Wait.since is kept by the owner only. The next owner counts MAX_RETRY_DELAY_S from its first turn, though the task has waited for as long already. Only where urgent_headroom is on.

--- a/toucanpin/scheduling/tests/test_lost_runs.py
+++ b/toucanpin/scheduling/tests/test_lost_runs.py
@@ -12,6 +12,7 @@
 MAX_IDLE_S = 6.0 + 3.0
 LONG_RUNNING = Step(cpu=1_000, long_running=True)
 TASK = TaskKey("long", 0, 0, 0)
+HANDOVER_AFTER_S = 7.0  # since the task's last run
 
 
 class LostRunTest(unittest.TestCase):
@@ -69,6 +70,31 @@
         fleet.run(MAX_IDLE_S)
         self.assertTrue(self._find_holder(fleet))
 
+    def test_a_planned_takeover_does_not_prolong_the_wait_for_scarce_cores(self) -> None:
+        """
+        A long-running task has waited for its lease and for scarce cores when its owner hands the
+        cell over.  Guards against a next owner that doesn't know since when the task waits, and
+        begins the wait for scarce cores anew.
+        """
+        features = Features(urgent_headroom=True)
+        fleet = Fleet(workers=10, cpu=64_000)
+        fleet.cell.features = features
+        for worker in fleet.workers.values():
+            worker.duration = 600.0
+        fleet.submit(make_job("long", (Step(10, 16_000, long_running=True, per_worker=1),)))
+        fleet.run(1.0)
+        fleet.submit(make_job("urgent", (Step(count=9, cpu=64_000),)))
+        fleet.run(2.0)
+        fleet.workers.pop(self._find_holder(fleet))
+        for name in ("spare0", "spare1"):
+            fleet.add_worker(name, 48_000)
+        fleet.run(HANDOVER_AFTER_S)
+        self.assertFalse(self._find_holder(fleet))
+        fleet.replace_owner()
+        fleet.cell.features = features
+        fleet.run(MAX_IDLE_S - HANDOVER_AFTER_S)
+        self.assertTrue(self._find_holder(fleet))
+
 
 if __name__ == "__main__":
     unittest.main()
