--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -31,8 +31,8 @@
     "OWNER_AUTHORITY_MS",
     "OWNER_AUTHORITY_S",
     "apply_answer",
+    "awaits_first_renewals",
     "awaits_renewal",
-    "awaits_renewals",
     "expire_leases",
     "lease_end",
     "mark_silent",
@@ -140,18 +140,19 @@
 
 def awaits_renewal(worker: Worker) -> bool:
     """
-    Return whether a worker still runs tasks under the lease of an earlier owner.
+    Return whether a worker that answers runs tasks whose lease wasn't renewed for long.
 
-    Most of that lease is over when its owner has been replaced.
+    It was granted by an earlier owner, or before the worker was silent, and may end any moment.
     """
-    if worker.renewed or worker.silent or not worker.entry.address:
-        return False
-    return bool(worker.runs)
+    return worker.renewal_due and not worker.silent and _runs_tasks(worker)
 
 
-def awaits_renewals(cell: Cell) -> bool:
+def awaits_first_renewals(cell: Cell) -> bool:
     """Return whether any worker that answers still has the lease of an earlier owner."""
-    return any(map(awaits_renewal, cell.workers.values()))
+    return any(
+        awaits_renewal(worker) and not worker.renewed and worker.entry.address
+        for worker in cell.workers.values()
+    )
 
 
 def record_clock(worker: Worker, answer: PollAnswer, now: Now) -> None:
@@ -187,6 +188,7 @@
 def mark_silent(worker: Worker) -> None:
     """Record that a worker did not answer."""
     worker.silent = True
+    worker.renewal_due = True
 
 
 def remove_replaced_worker(cell: Cell, worker: Worker, now: Now) -> None:
@@ -213,6 +215,11 @@
     return forgotten
 
 
+def _runs_tasks(worker: Worker) -> bool:
+    """Return whether a worker may run tasks that were started before."""
+    return any(run.phase not in (Phase.PLACED, Phase.ORDERED) for run in worker.runs.values())
+
+
 def _choose_acknowledged(worker: Worker) -> int:
     """
     Return the newest end to acknowledge, 0 if the worker has none left to forget.
@@ -293,7 +300,12 @@
 
 
 def _repeat_stop(cell: Cell, run: Run, now: Now) -> None:
-    """Repeat a stop: the first may have been sent before the worker was connected."""
+    """
+    Repeat a stop: the first may have been sent before the worker was connected.
+
+    A run that never began isn't listed by its worker either, and its stop has to be acknowledged
+    before it counts as ended.
+    """
     if not run.stop_sent_at:
         run.stop_sent_at = now.steady
     elif now.steady > run.stop_sent_at + cell.stop_time + STOP_RETRY_DELAY_S:
@@ -311,5 +323,7 @@
             end_run(cell, worker, run, now)
         case Phase.RUNNING if sent_at > run.started_at:
             end_run(cell, worker, run, now)
-        case Phase.STOPPING if run.stop_acknowledged_at and sent_at > run.stop_acknowledged_at:
+        case Phase.STOPPING if not run.stop_acknowledged_at:
+            _repeat_stop(cell, run, now)
+        case Phase.STOPPING if sent_at > run.stop_acknowledged_at:
             end_run(cell, worker, run, now)
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -145,7 +145,9 @@
         return decode_progress(self.rows[job]).state if job in self.rows else 0
 
     def _make_cell(self, token: int) -> Cell:
-        return Cell("c", token, self.time + OWNER_AUTHORITY_S * 1.04 + 0.4, self.time)
+        cell = Cell("c", token, self.time + OWNER_AUTHORITY_S * 1.04 + 0.4, self.time)
+        cell.taken_over_from = self.time
+        return cell
 
     def _turn(self) -> None:
         self.time += TIME_STEP_S
@@ -242,8 +244,8 @@
         for order in orders:
             worker = self.cell.workers.get(order.worker)
             core = self.workers.get(order.worker)
-            if worker is None or core is None:
-                continue
+            if worker is None or core is None or not worker.entry.address:
+                continue  # an owner has no connection to a worker that it only knows from a row
             if core.silent or core.delays_orders:
                 self.stops.append(order)
                 continue
