Test (red): an end of an earlier owner is listed again for a restarted worker

Cause: list_lease_ends lists the ends of earlier owners until the worker has answered, and tells that by its clock, which is 0 for the next incarnation. Since ends that are over stay listed, this holds for the whole tenure of an owner, though the owner has granted leases there itself.

Only where a worker restarts under its id, and its next incarnation has not answered yet.

--- a/toucanpin/scheduling/tests/test_lease_ends.py
+++ b/toucanpin/scheduling/tests/test_lease_ends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from toucanpin.scheduling.cell import Cell
@@ -90,6 +91,25 @@
         self.assertIsNot(self.worker, successor)
         self.assertEqual(0, plan_poll(self.fleet.cell, successor, self.fleet.now()).deadline)
 
+    def test_an_earlier_end_is_not_listed_again_for_the_next_incarnation(self) -> None:
+        """
+        A worker that an earlier owner listed answers, and leaves a start of this owner unanswered;
+        then it restarts under its id.  Guards against telling the next owner that its lease is over
+        while the next incarnation may still carry out that start: the task would run twice.
+        """
+        cell = self.fleet.cell
+        cell.earlier_lease_ends = {"w0": self.fleet.time - 1.0}
+        self.assertEqual({}, self._list())
+        self.fleet.workers["w0"].delays_orders = True
+        self.fleet.submit(make_job("j2"))
+        self.fleet.run(3 * TIME_STEP_S)
+        entry = dataclasses.replace(self.worker.entry, born=self.worker.born + 1)
+        update_workers(cell, [entry], self.fleet.now())
+        successor = cell.workers["w0"]
+        self.assertIn("j2", {task.job for task in successor.runs})
+        left = (successor.lease_expires_at - self.fleet.time) * 1_000
+        self.assertGreaterEqual(self._list().get("w0", left), left)
+
     def test_an_end_that_was_listed_counts_on_through_two_takeovers(self) -> None:
         """Guards against a wait that begins anew with each owner."""
         mark_silent(self.worker)
