Test (red): retries of a stop pile up

Cause: each stop is retried until it is acknowledged, and a run that is being stopped is found due for another stop 0.6 s after the last one, also while that one is still retried.

--- a/toucanpin/entry/tests/test_cell_workers.py
+++ b/toucanpin/entry/tests/test_cell_workers.py
@@ -11,7 +11,7 @@
 from toucanpin.entry.clocks import Clocks
 from toucanpin.http import CallError
 from toucanpin.platform.store import Store
-from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.cell import Cell, add_run
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.lease_ends import withhold_leases
@@ -20,14 +20,18 @@
     EndedRun,
     PaceOrder,
     PollAnswer,
+    RefusalReason,
     RunEnd,
     RunningTask,
     WorkerEntry,
 )
+from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker
 from toucanpin.verdict import Verdict
 
 WITHHELD_S = 2.0  # for which a worker gets no lease
+UNHEALTHY_S = 5.0  # for which a worker refuses all orders
+POLL_TIME_S = 0.1  # until a worker answers a poll
 
 
 class UnwrittenEndsTest(unittest.IsolatedAsyncioTestCase):
@@ -161,6 +165,46 @@
         run_virtual(main)
 
 
+class RepeatedStopTest(unittest.TestCase):
+    def test_a_stop_that_is_refused_is_repeated_once_at_a_time(self) -> None:
+        """
+        An unhealthy worker answers polls and refuses a stop for seconds.  Guards against one more
+        series of retries each time that the stop is found to be due again: the worker that can't
+        keep up gets ever more calls.
+        """
+
+        async def main() -> None:
+            clocks = Clocks(Store(Site().store))  # type: ignore[arg-type]
+            now = clocks.now().steady
+            cell = Cell("c", 1, now, now)
+            orders: list[asyncio.Future[None]] = []
+
+            def dispatch() -> None:
+                due, cell.orders = cell.orders, []
+                orders.extend(asyncio.ensure_future(workers.order(order)) for order in due)
+
+            workers = CellWorkers(
+                cell, InterferenceModel(), clocks, ProcessDelay(), lambda _: None, dispatch
+            )
+            worker = Worker(WorkerEntry("w", "c", "127.0.0.1:1", "dc", True, 1, 1, 0))
+            cell.workers["w"] = worker
+            task = TaskKey("j", 0, 0, 0)
+            run = Run(task, 1, "w", Step(cpu=1), Phase.ORDERED, ordered_at=now)
+            add_run(cell, worker, run)
+            client = _UnhealthyWorkerClient()
+            workers._clients["w"] = client  # type: ignore[assignment]
+            workers.signal_loaded()
+            stop_run(cell, run, "start unsure")
+            dispatch()
+            polling = asyncio.ensure_future(workers._poll(worker))
+            await asyncio.sleep(UNHEALTHY_S)
+            for future in (polling, *orders):
+                future.cancel()
+            self.assertLessEqual(client.stops, 1 + UNHEALTHY_S / RETRY_DELAY_S)
+
+        run_virtual(main)
+
+
 class UnansweredPaceTest(unittest.IsolatedAsyncioTestCase):
     async def test_unanswered_pace_of_an_earlier_attempt_changes_nothing(self) -> None:
         """
@@ -216,6 +260,22 @@
         return self._answer
 
 
+class _UnhealthyWorkerClient:
+    """Worker that runs nothing and refuses each stop."""
+
+    def __init__(self) -> None:
+        self.stops = 0
+
+    async def poll(self, *_: object) -> PollAnswer:
+        await asyncio.sleep(POLL_TIME_S)
+        return PollAnswer(50_000, (), ())
+
+    async def stop(self, *_: object) -> RefusalReason:
+        self.stops += 1
+        await asyncio.sleep(LINK_DELAY_S)
+        return RefusalReason.UNHEALTHY
+
+
 def _do_nothing() -> None:
     """Do nothing."""
 
