Failing test: a task stays on a worker that answers polls but no start

Cause: a start without a definite answer is repeated for as long as its worker answers polls. Neither the lease, which the polls renew, nor the list of runs, which doesn't name the task, ends that. Result: fails: the job isn't completed within 14 s of virtual time; the other worker idles.

--- a/standins/site/worker_core.py
+++ b/standins/site/worker_core.py
@@ -49,6 +49,7 @@
     acknowledged: int = 0
     silent: bool = False
     delays_orders: bool = False
+    loses_starts: bool = False  # answers no start and carries none out, as on a broken route
     failing: bool = False
     refusals_left: int = 0  # number of starts to refuse
     refusal: RefusalReason = RefusalReason.NO_ROOM
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -214,7 +214,7 @@
                 unsettled.append(run)
                 continue
             core = self.workers.get(run.worker)
-            if core is None or core.silent:
+            if core is None or core.silent or core.loses_starts:
                 outcome = apply_start_failure(self.cell, worker, run, False, self.now())
             elif core.delays_orders:
                 due = self.clock(run.worker) + self.start_delay
--- a/toucanpin/scheduling/tests/test_failures.py
+++ b/toucanpin/scheduling/tests/test_failures.py
@@ -39,6 +39,20 @@
         starts = [start for worker in fleet.workers.values() for start in worker.starts]
         self.assertEqual(1, len(starts))
 
+    def test_task_leaves_a_worker_that_answers_no_start(self) -> None:
+        """
+        A worker answers polls and stops, but each start on it fails without a definite answer.
+        Guards against a start that is repeated there for ever, beside an idle worker: a task's turn
+        has to come within 14 s.
+        """
+        fleet = Fleet()
+        fleet.run(0.5)
+        fleet.workers["w0"].loses_starts = True
+        fleet.submit(make_job())
+        fleet.run(14.0)
+        self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+        self.assertFalse(fleet.duplicate_runs)
+
     def test_cancelled_job_is_not_started_by_a_late_order(self) -> None:
         """
         A job is cancelled while a start has no answer, and the worker would carry the start out 6 s
