Forget the listed end of a worker's lease once it answers

Cause: a worker that an earlier owner listed as silent answered, got a start that it left unanswered, and restarted under its id: the next incarnation hasn't answered, so that the end, which was over, was listed again as 0 ms, though it may carry out the late start. A third owner might start the task elsewhere (narrow; by the review, not seen in a play). Change: the end is dropped with the first answer or lease. Result: the test of the review failed before and passes.

--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -136,6 +136,7 @@
     until = lease_end(cell, now)
     if not worker.clock or until <= now.steady or is_lease_withheld(cell, worker):
         return 0
+    cell.earlier_lease_ends.pop(worker.entry.id, None)
     return grant_lease(worker, until)
 
 
@@ -167,6 +168,8 @@
     worker.answered_at = now.steady
     worker.silent = False
     worker.lists_ends = bool(answer.ended)
+    # Its next incarnation may carry out a late start of this owner.
+    cell.earlier_lease_ends.pop(worker.entry.id, None)
     clear_worker(cell, worker)
     for ended in answer.ended:
         if ended.sequence > worker.listed_sequence:
