Give up a start that a worker leaves unanswered for 3 s though it answers polls

Cause: the polls renew the lease of such a worker, so that the lease never ends the run, and the start was repeated for as long as the worker lived: its task ran nowhere. Change: after 3 s the run is stopped like any start that is unsure, and its task is placed elsewhere once the stop is acknowledged.

--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -31,6 +31,7 @@
 MIN_START_LEASE_S = 0.5  # a shorter lease would expire before it is renewed
 UNHEALTHY_BACKOFF_S = 1.0  # for a worker that refused to start anything
 MAX_ENTRY_AGE_S = 2.5  # of workers that accept more tasks than fit, for a start on them
+MAX_UNCONFIRMED_S = 3.0  # in which starts are repeated on a worker that answers polls
 NO_ROOM_BACKOFF_S = 0.3  # for a worker with less capacity than its owner assumed
 
 
@@ -115,6 +116,12 @@
         worker.suspect_until = max(worker.suspect_until, now.steady + UNHEALTHY_BACKOFF_S)
         _abandon_start(cell, worker, run, now)
         return StartOutcome.SETTLED
+    run.unconfirmed_since = run.unconfirmed_since or run.ordered_at
+    if not worker.silent and now.steady > run.unconfirmed_since + MAX_UNCONFIRMED_S:
+        # Polls renew the lease of a worker that answers no start, so the lease doesn't end the run.
+        worker.suspect_until = max(worker.suspect_until, now.steady + UNHEALTHY_BACKOFF_S)
+        _abandon_start(cell, worker, run, now)
+        return StartOutcome.SETTLED
     # Repeating the start is safe: the worker accepts an attempt that it already has.
     return StartOutcome.RETRY_LATER if worker.silent else StartOutcome.RETRY_NOW
 
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -56,6 +56,7 @@
     step: Step
     phase: Phase
     ordered_at: float = 0.0
+    unconfirmed_since: float = 0.0  # when the first start without a definite answer was sent
     started_at: float = 0.0
     percent: int = 0
     last_listed_at: float = 0.0  # when the worker last listed it
