Let a task that waited under an earlier owner wait no longer for reserved cores

Cause: the time since which an interrupted long-running task waits is in memory only, so that each owner began the wait of 1, 2 or 4 s anew: 11.15 s with a handover after 7 s (9 allowed). Change: a task that the rows show as waiting after a run counts as due at once; advice is requested in the order of placement.

--- a/toucanpin/scheduling/advising.py
+++ b/toucanpin/scheduling/advising.py
@@ -12,7 +12,7 @@
 from toucanpin.scheduling.cell import Cell, Group, Now, StepTickets
 from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound, list_eligible
 from toucanpin.scheduling.interference_model import InterferenceModel
-from toucanpin.scheduling.job_order import rank_group
+from toucanpin.scheduling.interrupted_tasks import list_turns
 from toucanpin.scheduling.shortage import Demand, Shortage
 from toucanpin.scheduling.unplaceable import (
     describe_shortage,
@@ -87,7 +87,7 @@
     eligible: list[Worker] | None = None
     round_ = PlacementRound(model, now)
     shortage = Shortage()
-    for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group, now)):
+    for group in (turn.group for turn in list_turns(cell, now)):
         live = cell.jobs[group.job]
         if not live.job.advised:
             continue
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -50,6 +50,9 @@
                     run.priority = job.priority
                     run.suspicion = assess_suspicion(record)
                     add_run(cell, worker, run)
+                elif step.long_running and record.attempt:
+                    # It isn't known for how long the task has waited, but it hasn't run since.
+                    cell.interrupted[task] = float("-inf")
         if not JobState(progress.state).ended:
             queue_ready_steps(cell, live, occurrence)
     if not JobState(progress.state).ended:
--- a/toucanpin/scheduling/interrupted_tasks.py
+++ b/toucanpin/scheduling/interrupted_tasks.py
@@ -114,7 +114,6 @@
     for index in cell.waiting[group]:
         if records[start + index].attempt:
             task = TaskKey(group.job, group.occurrence, group.step, index)
-            # Of a task that waited under an earlier owner it isn't known.
             yield index, cell.interrupted.setdefault(task, now.steady)
 
 
--- a/toucanpin/scheduling/tests/test_lost_runs.py
+++ b/toucanpin/scheduling/tests/test_lost_runs.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
+from toucanpin.scheduling.cell import Group
 from toucanpin.scheduling.features import Features
+from toucanpin.scheduling.headroom import is_scarce
+from toucanpin.scheduling.interrupted_tasks import may_take_reserve
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.orders import RunEnd
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 
 # A task that could run is lost if it doesn't for 3 s, from 6 s after its last run.
@@ -77,23 +82,24 @@
         begins the wait for scarce cores anew.
         """
         features = Features(urgent_headroom=True)
-        fleet = Fleet(workers=10, cpu=64_000)
+        fleet = Fleet(workers=2, cpu=64_000)
         fleet.cell.features = features
         for worker in fleet.workers.values():
             worker.duration = 600.0
-        fleet.submit(make_job("long", (Step(10, 16_000, long_running=True, per_worker=1),)))
-        fleet.run(1.0)
+        fleet.submit(make_job("long", (Step(2, 16_000, long_running=True, per_worker=1),)))
+        fleet.run(MAX_IDLE_S)
         fleet.submit(make_job("urgent", (Step(count=9, cpu=64_000),)))
-        fleet.run(2.0)
-        fleet.workers.pop(self._find_holder(fleet))
-        for name in ("spare0", "spare1"):
-            fleet.add_worker(name, 48_000)
+        worker = fleet.workers[self._find_holder(fleet)]
+        worker.entry = replace(worker.entry, ready=False)
+        worker.end(TASK, RunEnd.STOPPED)
         fleet.run(HANDOVER_AFTER_S)
-        self.assertFalse(self._find_holder(fleet))
         fleet.replace_owner()
         fleet.cell.features = features
-        fleet.run(MAX_IDLE_S - HANDOVER_AFTER_S)
-        self.assertTrue(self._find_holder(fleet))
+        fleet.run(1.0)
+        self.assertTrue(is_scarce(fleet.cell.headroom, fleet.time))
+        live, group = fleet.cell.jobs["long"], Group("long", 0, 0)
+        self.assertEqual({TASK.index}, fleet.cell.waiting[group])
+        self.assertTrue(may_take_reserve(fleet.cell, live, group, TASK.index, fleet.now()))
 
 
 if __name__ == "__main__":
