Compare the durations of siblings in a module of its own

Change: sibling_durations finds the tasks that are slower than their siblings; moving decides what moves.

--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -8,13 +8,18 @@
 
 from __future__ import annotations
 
-import statistics
 from collections.abc import Iterable, Iterator
 from itertools import islice
 
 from toucanpin.scheduling.cell import Cell, Group, Now, find_record, mark_dirty
 from toucanpin.scheduling.choosing import list_eligible, meets_constraints
 from toucanpin.scheduling.progress import JobState, TaskState
+from toucanpin.scheduling.sibling_durations import (
+    MOVE_OVERHEAD_S,
+    StepDurations,
+    find_slow_tasks,
+    list_durations,
+)
 from toucanpin.scheduling.stopping import list_gang_runs, requeue_task, stop_gang, stop_run
 from toucanpin.scheduling.trust import record_failure
 from toucanpin.scheduling.worker import Phase, Run, Worker, count_fitting_tasks, has_room
@@ -23,27 +28,19 @@
 
 __all__ = ["move_tasks"]
 
-StepDurations = dict[tuple[str, int], list[tuple[str, float]]]  # worker and s, by job and step
-
 STALL_TIMEOUT_S = 1.5  # longer than a long task on a slow worker takes for one percent
 SUSPECT_TIME_S = 5.0  # for which a worker is avoided after a task was stalled or slow on it
 SLOW_TIME_S = 1.5  # for which a worker is avoided after its tasks were slow
 PLACING_TIME_S = 0.5  # from the end of a task that is moved until it is placed again
 MAX_MOVES = 40  # away from slow workers that are considered in one turn
 GANG_TIMEOUT_S = 1.5  # for an incomplete gang; workers themselves wait at least 3 s
-# A worker is slow if its tasks take this many times as long as their siblings elsewhere.
-SLOW_RATIO = 2.5
-SLOW_RATIO_ALONE = 4.0  # with fewer tasks than MIN_SLOW_TASKS
-MIN_SLOW_TASKS = 2
-MIN_PERCENT = 10  # of progress, from which on the duration of a task is estimated
-MOVE_OVERHEAD_S = 0.15  # of a move beyond stop and resume: report, write and start
 COPY_AFTER_S = 0.7  # without an answer of a worker until copies of its tasks start, if allowed
 
 
 def move_tasks(cell: Cell, now: Now) -> None:
     """Stop or copy the tasks that should run on another worker."""
     profiles = cell.features.worker_profiles
-    durations = {} if profiles else _list_durations(cell)
+    durations = {} if profiles else list_durations(cell)
     complete: dict[tuple[Group, int], bool] = {}
     for worker in cell.workers.values():
         if not worker.reached or worker.silent:
@@ -62,7 +59,7 @@
 
 def _move_slow_tasks(cell: Cell, durations: StepDurations, worker: Worker, now: Now) -> None:
     """Move the tasks of a worker that are slower than their siblings elsewhere."""
-    slow = _find_slow(cell, durations, worker)
+    slow = find_slow_tasks(cell, durations, worker)
     others = list_eligible(cell, now) if slow else []
     for run in slow:
         if _has_other_worker(others, run, now):
@@ -199,35 +196,6 @@
     return run.percent < 100 and run.last_listed_at - run.progressed_at > STALL_TIMEOUT_S
 
 
-def _find_slow(cell: Cell, durations: StepDurations, worker: Worker) -> list[Run]:
-    """
-    Return the tasks that would end sooner if they were restarted elsewhere.
-
-    Workers become several times slower for seconds, and make their jobs late.  The durations of
-    sibling tasks reveal it; the callers' estimates are too inaccurate.  Single tasks take up to
-    four times as long as their siblings, so the median over several tasks of the worker decides,
-    and no task is moved twice.
-    """
-    measured = [run for run in worker.runs.values() if _has_usable_progress(run)]
-    ratios = {}
-    for run in measured:
-        typical = _find_typical_duration(cell, durations, run)
-        if typical:
-            ratios[run.task] = _estimate_duration(run) / typical
-    if not ratios:
-        return []
-    median_ratio = statistics.median(ratios.values())
-    if median_ratio < (SLOW_RATIO if len(ratios) >= MIN_SLOW_TASKS else SLOW_RATIO_ALONE):
-        return []
-    return [
-        run
-        for run in measured
-        if run.task in ratios
-        and run.task not in cell.moved_tasks
-        and _finishes_sooner(cell, run, ratios[run.task])
-    ]
-
-
 def _claim_room(cell: Cell, worker: Worker, now: Now) -> None:
     """
     Claim room for a task that moves to a worker, until it has stopped and is placed.
@@ -261,49 +229,3 @@
 def _has_unclaimed_room(worker: Worker, run: Run, now: Now) -> bool:
     claims = sum(until > now.steady for until in worker.claimed_until)
     return not claims or count_fitting_tasks(worker, run.step) > claims
-
-
-def _has_usable_progress(run: Run) -> bool:
-    return (
-        run.phase is Phase.RUNNING
-        and not run.step.long_running
-        and not run.step.gang
-        and not run.untimed
-        and run.pace == 100
-        and run.percent >= MIN_PERCENT
-        # A worker may list a task before it answers the task's start.
-        and run.last_listed_at > run.started_at
-    )
-
-
-def _finishes_sooner(cell: Cell, run: Run, ratio: float) -> bool:
-    total = _estimate_duration(run)
-    left = total * (100 - run.percent) / 100
-    rerun = left / ratio if run.step.checkpoints else total / ratio
-    return left > rerun + cell.stop_time + cell.restore_time + MOVE_OVERHEAD_S
-
-
-def _list_durations(cell: Cell) -> StepDurations:
-    """Return estimated durations of running tasks with their workers, by step."""
-    durations: StepDurations = {}
-    for worker in cell.workers.values():
-        for run in worker.runs.values():
-            if _has_usable_progress(run):
-                known = durations.setdefault((run.task.job, run.task.step), [])
-                known.append((run.worker, _estimate_duration(run)))
-    return durations
-
-
-def _find_typical_duration(cell: Cell, durations: StepDurations, run: Run) -> float:
-    """Return the median duration of sibling tasks on other workers, 0 if there are none."""
-    live = cell.jobs.get(run.task.job)
-    if live is None:
-        return 0.0
-    measured = durations.get((run.task.job, run.task.step), ())
-    found = [time for worker, time in measured if worker != run.worker]
-    found += live.task_durations.get(run.task.step, ())
-    return statistics.median(found) if found else 0.0
-
-
-def _estimate_duration(run: Run) -> float:
-    return (run.last_listed_at - run.started_at) * 100 / max(1, run.percent)
