--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -22,13 +22,13 @@
 from toucanpin.scheduling.crashing import find_suspicion, is_start_blocked
 from toucanpin.scheduling.evicting import make_room, update_scarcity
 from toucanpin.scheduling.gangs import place_gang
-from toucanpin.scheduling.headroom import is_scarce
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.job_order import rank_group
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.preempting import PreemptionCandidates, PreemptionRound
 from toucanpin.scheduling.progress import CrashSuspicion
+from toucanpin.scheduling.reserve_access import find_reserve_access, may_take_reserve
 from toucanpin.scheduling.reserving import reserve_cores
 from toucanpin.scheduling.retrying import list_retry_workers, wastes_attempt
 from toucanpin.scheduling.unplaceable import (
@@ -45,14 +45,6 @@
 
 __all__ = ["place_tasks"]
 
-# A long-running task that has run before and waits for longer than this may take cores that are
-# reserved for short urgent tasks, since its service is in use.  New ones may not: together they
-# would leave nothing to short tasks.
-RESERVE_WAIT_S = 1.0
-# While cores are scarce they wait longer, but no task for over 6 s where there is room for two.
-MAX_RETRY_DELAY_S = 4.0
-MAX_FIRST_DELAY_S = 1.5  # of a service of which no task runs
-MAX_JOIN_DELAY_S = 6.0  # of tasks that never ran, of a service of which others do
 NO_LIMIT = 1_000_000  # more tasks than any cell runs
 MAX_PREEMPTIONS = 16  # tasks of a step for which others are preempted in one round
 
@@ -118,57 +110,6 @@
     return sorted(cell.waiting[group], key=rank)
 
 
-def _may_take_reserve(cell: Cell, live: LiveJob, group: Group, index: int, now: Now) -> bool:
-    """Return whether a long-running task has run before and has waited for RESERVE_WAIT_S."""
-    wait = cell.waits.get(group)
-    if wait is None or now.steady <= wait.since + RESERVE_WAIT_S:
-        return False
-    if _leaves_cores_to_short(cell, group, MAX_RETRY_DELAY_S, now):
-        return False
-    records = live.progress.tasks[group.occurrence]
-    return records[live.offsets[group.step] + index].attempt > 0
-
-
-def _find_reserve_access(
-    cell: Cell, live: LiveJob, group: Group, index: int, now: Now
-) -> ReserveAccess:
-    """
-    Return which reserved cores a task may use.
-
-    The first task of a long-running step may use some: while none of its tasks runs, its service is
-    unavailable.
-    """
-    step = live.job.steps[group.step]
-    if not step.long_running or _may_take_reserve(cell, live, group, index, now):
-        return ReserveAccess.ALL
-    if len(cell.waiting[group]) < step.count:
-        return ReserveAccess.SPARE if _leaves_plan(cell, group, step, now) else ReserveAccess.NONE
-    if _leaves_cores_to_short(cell, group, MAX_FIRST_DELAY_S, now):
-        return ReserveAccess.NONE
-    return ReserveAccess.SPARE
-
-
-def _leaves_cores_to_short(cell: Cell, group: Group, max_delay: float, now: Now) -> bool:
-    """Return whether long-running tasks get no reserved cores, as these are scarce."""
-    if not cell.features.urgent_headroom or not is_scarce(cell.headroom, now.steady):
-        return False
-    wait = cell.waits.get(group)
-    return wait is None or now.steady < wait.since + max_delay
-
-
-def _leaves_plan(cell: Cell, group: Group, step: Step, now: Now) -> bool:
-    """
-    Return whether a long-running task that has waited for long leaves the planned cores free.
-
-    While short tasks wait, all cores are reserved, and some may fit nowhere for minutes.
-    """
-    headroom, wait = cell.headroom, cell.waits.get(group)
-    if now.steady >= headroom.scarce_until or wait is None:
-        return False
-    waited = now.steady >= wait.since + MAX_JOIN_DELAY_S
-    return waited and headroom.free - step.cpu >= headroom.planned
-
-
 def _find_least_urgent(cell: Cell) -> int:
     """Return the highest priority number, that of the least urgent running job."""
     running = (cell.jobs[job].job.priority for job in cell.runs if job in cell.jobs)
@@ -192,7 +133,7 @@
         task = TaskKey(group.job, group.occurrence, group.step, index)
         if _find_block(cell, live, task, now) is not None:
             continue
-        ignore_reserve = step.long_running and _may_take_reserve(cell, live, group, index, now)
+        ignore_reserve = step.long_running and may_take_reserve(cell, live, group, index, now)
         if preemption.is_infeasible(step, ignore_reserve):
             return
         safe = list_retry_workers(live, task, eligible, now)
@@ -238,7 +179,7 @@
         if block is not None:
             record_wait(cell, group, block, now)
             continue
-        access = _find_reserve_access(cell, live, group, index, now)
+        access = find_reserve_access(cell, live, group, index, now)
         known = find_known_reason(round_, live, step, access)
         if known is not None:
             record_wait(cell, group, known, now)
