--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -29,6 +29,12 @@
 from toucanpin.platform.store import Committed, Conflict, ExpectedVersion, Put, Row, Store
 from toucanpin.scheduling.evacuating import EvacuationList
 from toucanpin.scheduling.forecast import KnownForecast
+from toucanpin.scheduling.lease_ends import (
+    count_ms_until,
+    find_earlier_leases_end,
+    shift_lease_ends,
+)
+from toucanpin.scheduling.leases import OWNER_AUTHORITY_MS
 from toucanpin.scheduling.ownership import (
     MAX_LOADING_S,
     MIN_HANDOVER_INTERVAL_S,
@@ -121,6 +127,10 @@
         """Return the cores that are kept for short tasks, by what is counted."""
         return self._owner.count_headroom() if self._owner else {}
 
+    def count_unsettled(self) -> dict[str, float]:
+        """Return the number of runs on workers that don't answer, empty if the cell isn't owned."""
+        return self._owner.count_unsettled() if self._owner else {}
+
     def count_evacuated(self) -> dict[str, float]:
         """Return the number of tasks in evacuated data centres, empty if the cell isn't owned."""
         return self._owner.count_evacuated() if self._owner else {}
@@ -225,7 +235,18 @@
     async def _acquire(self, watch: OwnerWatch) -> None:
         previous = watch.record
         token = previous.token + 1 if previous else 1
-        record = OwnerRecord(self._settings.name, self._incarnation, token, 0)
+        seen_at, now = watch.changed_at, steady_time()
+        lease_ends = previous.lease_ends if previous else {}
+        earlier_end = find_earlier_leases_end(previous, seen_at, now)
+        record = OwnerRecord(
+            self._settings.name,
+            self._incarnation,
+            token,
+            0,
+            authority=OWNER_AUTHORITY_MS,
+            lease_ends=shift_lease_ends(lease_ends, now - seen_at),
+            earlier_end=count_ms_until(earlier_end, now),
+        )
         expected = (ExpectedVersion(OWNERS_TABLE, OWNER_KEY, watch.version),)
         put = (Put(OWNERS_TABLE, OWNER_KEY, encode_owner(record)),)
         sent_at = steady_time()
@@ -249,8 +270,8 @@
             record,
             version,
             sent_at,
-            previous is None,
-            watch.changed_at if previous is not None else sent_at,
+            previous,
+            seen_at if previous is not None else sent_at,
             self._advice_dispatcher,
             self._workers_enforce_limits,
             self._evacuated,
--- a/toucanpin/entry/cell_counts.py
+++ b/toucanpin/entry/cell_counts.py
@@ -12,8 +12,9 @@
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.evacuating import describe_evacuations
 from toucanpin.scheduling.headroom import describe_headroom
+from toucanpin.scheduling.unsettled import describe_unsettled
 
-__all__ = ["count_evacuated", "count_headroom", "count_waiting"]
+__all__ = ["count_evacuated", "count_headroom", "count_unsettled", "count_waiting"]
 
 
 def count_waiting(cell: Cell) -> Counter[str]:
@@ -29,6 +30,14 @@
     return {it.data_centre: float(it.runs) for it in describe_evacuations(cell)}
 
 
+def count_unsettled(cell: Cell) -> dict[str, float]:
+    """Return the number of runs on workers that don't answer, by what is known of those."""
+    found = describe_unsettled(cell)
+    if found is None:
+        return {}
+    return {"unreached": float(found.unreached), "silent": float(found.silent)}
+
+
 def count_headroom(cell: Cell) -> dict[str, float]:
     """Return the cores that are kept for short tasks, by what is counted."""
     return describe_headroom(cell.headroom) if cell.features.urgent_headroom else {}
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -37,6 +37,14 @@
 from toucanpin.scheduling.intake import cancel_job, restore_job, submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel, LearnedModel
 from toucanpin.scheduling.job import Job, decode_job, find_job_fault
+from toucanpin.scheduling.lease_ends import (
+    confirm_lease_ends,
+    count_ms_until,
+    forget_lease_ends,
+    list_lease_ends,
+    withhold_leases,
+)
+from toucanpin.scheduling.leases import OWNER_AUTHORITY_MS
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
 from toucanpin.scheduling.pending_counts import TableView, count_pending, encode_counts
 from toucanpin.scheduling.progress import Progress, decode_progress, matches_job
@@ -111,6 +119,7 @@
         known = {row.key: it for row, it in self._reader.read(progress.rows, _decode_progress)}
         self.blocked = {row.key for row in progress.rows if row.key not in known}
         await self._add_jobs(jobs.rows, known, now())
+        forget_lease_ends(self._cell)
         self.view = TableView(jobs.version, jobs.clock)
         _log.info(
             "cell owned",
@@ -204,13 +213,24 @@
     async def _commit(self, puts: Sequence[Put], resigning: bool) -> None:
         host = "" if resigning else self.record.host
         sequence = self.record.sequence + 1
+        lease_ends = list_lease_ends(self._cell, steady_time())
+        withhold_leases(self._cell, lease_ends)
         record = OwnerRecord(
-            host, self.record.life, self.record.token, sequence, self.backlog, self.forecast
+            host,
+            self.record.life,
+            self.record.token,
+            sequence,
+            self.backlog,
+            self.forecast,
+            OWNER_AUTHORITY_MS,
+            lease_ends,
+            count_ms_until(self._cell.earlier_leases_end, steady_time()),
         )
         puts = [Put(OWNERS_TABLE, OWNER_KEY, encode_owner(record)), *puts]
         if resigning:
             puts.append(Put(HANDOVERS_TABLE, OWNER_KEY, record.life.encode()))
         pause = INITIAL_BACKOFF_S
+        first_sent_at = steady_time()
         while True:
             expected = (ExpectedVersion(OWNERS_TABLE, OWNER_KEY, self._version),)
             sent_at = steady_time()
@@ -229,7 +249,9 @@
             row = result.rows[0]
             found = self._reader.read_one((row,), _decode_owner) if row.version else None
             if found == record:
-                # An earlier attempt, whose answer was lost, was applied.
+                # An earlier attempt, whose answer was lost, was applied.  A successor may have seen
+                # it at once, and counts the leases from then on.
+                sent_at = first_sent_at
                 self._version = row.version
                 break
             if found == self.record:
@@ -239,6 +261,7 @@
         self.record = record
         self.written_at = sent_at
         self._cell.confirmed_at = sent_at
+        confirm_lease_ends(self._cell, lease_ends)
 
     async def drop_jobs(self, identifiers: Sequence[str]) -> None:
         """Delete the rows of ended jobs and of their cancel requests, with retries."""
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -32,6 +32,7 @@
 from toucanpin.scheduling.learning import learn_effects
 from toucanpin.scheduling.leases import (
     apply_answer,
+    awaits_renewal,
     mark_silent,
     plan_poll,
     plan_renewal,
@@ -172,7 +173,12 @@
             if not self._admits_answer(worker, answer.born, sent_at):
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            was_reached = worker.reached
             self._handle_answer(worker, answer, sent_at, order.wait)
+            if awaits_renewal(worker):
+                # Its clock is known only now, and the lease of an earlier owner may end any moment.
+                await asyncio.sleep(RETRY_DELAY_S if was_reached else 0.0)
+                continue
             await self._wait_for_writes(worker)
             await asyncio.sleep(self._delay.plan_pause(steady_time()))
         client.close()
@@ -202,7 +208,7 @@
         """
         while not self._loaded.is_set() and self._cell.workers.get(worker.entry.id) is worker:
             deadline = plan_renewal(self._cell, worker, self._clocks.now())
-            pause = RENEWAL_PERIOD_S if deadline else 0.0
+            pause = RENEWAL_PERIOD_S if deadline else RETRY_DELAY_S if worker.clock else 0.0
             sent_at = steady_time()
             try:
                 answer = await client.poll(self._cell.token, 0, deadline, 0.0, MAX_LATENESS_S)
--- a/toucanpin/entry/commit_loop.py
+++ b/toucanpin/entry/commit_loop.py
@@ -37,6 +37,7 @@
     __slots__ = (
         "_cell",
         "_clocks",
+        "_has_written",
         "_is_resigning",
         "_placement",
         "_raise_if_resigned",
@@ -70,6 +71,7 @@
         self._spawn = spawn
         self._is_resigning = is_resigning
         self._raise_if_resigned = raise_if_resigned
+        self._has_written = False
 
     async def run(self) -> None:
         """Place tasks and write changes until the ownership is lost."""
@@ -96,7 +98,14 @@
         return has_pending_writes(self._cell) or self._is_resigning()
 
     def _remaining_interval(self) -> float:
-        """Return the seconds until the ownership has to be renewed by a write."""
+        """
+        Return the seconds until the ownership has to be renewed by a write.
+
+        The first write lists the workers that can't be reached.  If this owner dies soon, the next
+        one would otherwise count their leases from its takeover.
+        """
+        if not self._has_written:
+            return 0.0
         return self._rows.written_at + OWNER_WRITE_INTERVAL_S - steady_time()
 
     async def _write(self) -> None:
@@ -104,6 +113,7 @@
         batch = take_batch(self._cell)
         sent_at = steady_time()
         await self._rows.write(batch, self._is_resigning())
+        self._has_written = True
         self._standstill.record_write(sent_at, steady_time())
         self._cell.confirmed_at = self._rows.written_at
         started = apply_batch(self._cell, batch)
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -14,7 +14,12 @@
 from toucanpin.entry.advice_dispatcher import AdviceDispatcher
 from toucanpin.entry.advice_requests import AdviceRequests
 from toucanpin.entry.background_tasks import BackgroundTasks
-from toucanpin.entry.cell_counts import count_evacuated, count_headroom, count_waiting
+from toucanpin.entry.cell_counts import (
+    count_evacuated,
+    count_headroom,
+    count_unsettled,
+    count_waiting,
+)
 from toucanpin.entry.cell_decisions import CellDecisions
 from toucanpin.entry.cell_jobs import CellJobs
 from toucanpin.entry.cell_rows import CellRows, OwnershipLostError
@@ -27,6 +32,7 @@
     log_headroom,
     log_losses,
     log_slow_workers,
+    log_unsettled,
     log_waits,
 )
 from toucanpin.entry.job_cleanup import JobCleanup
@@ -46,7 +52,11 @@
 from toucanpin.scheduling.features import select_features
 from toucanpin.scheduling.forecast import Forecast
 from toucanpin.scheduling.interference_model import InterferenceModel
-from toucanpin.scheduling.leases import OWNER_AUTHORITY_S
+from toucanpin.scheduling.lease_ends import (
+    find_earlier_leases_end,
+    restore_lease_ends,
+    withhold_leases,
+)
 from toucanpin.scheduling.load_shedding import ProcessDelay
 from toucanpin.scheduling.ownership import OWNER_WRITE_INTERVAL_S, OwnerRecord
 from toucanpin.scheduling.settings import HostSettings
@@ -57,9 +67,6 @@
 
 TICK_PERIOD_S = 0.05  # between checks for expired leases, due start times and stalls
 REPORT_PERIOD_S = 1.0  # between log lines about waiting tasks and delays
-# Time until all leases granted by earlier owners have ended.  They end on clocks that may run 2%
-# slow; the rest is a margin.
-PREVIOUS_LEASE_TIME_S = OWNER_AUTHORITY_S * 1.04 + 0.4
 
 
 class Owner:
@@ -67,8 +74,8 @@
     Scheduler of one cell, until another process owns the cell or this one resigns.
 
     ``record`` is the owner's row, written at ``version`` by a transaction that was sent at
-    ``confirmed``.  ``first`` is true if no process has owned the cell before, and ``silent_since``
-    is when the last owner's last write was seen.
+    ``confirmed``.  ``previous`` is the last owner's row, None if no process has owned the cell
+    before, and ``silent_since`` is when its last write was seen.
     ``workers_enforce_limits`` returns whether the cell's workers refuse tasks that don't fit, and
     ``evacuated`` returns the data centres in which no task may start.
     """
@@ -82,7 +89,7 @@
         record: OwnerRecord,
         version: int,
         confirmed: float,
-        first: bool,
+        previous: OwnerRecord | None,
         silent_since: float,
         advice_dispatcher: AdviceDispatcher,
         workers_enforce_limits: Callable[[], bool],
@@ -92,8 +99,13 @@
         self._clocks = clocks
         self._bounds = settings.bounds
         self._evacuated = evacuated
-        earlier_leases_end = steady_time() + (0.0 if first else PREVIOUS_LEASE_TIME_S)
+        earlier_leases_end = find_earlier_leases_end(previous, silent_since, steady_time())
         self._cell = Cell(name, record.token, earlier_leases_end, confirmed)
+        if previous is not None:
+            ends = restore_lease_ends(previous.lease_ends, silent_since)
+            self._cell.earlier_lease_ends = ends
+            withhold_leases(self._cell, record.lease_ends)
+            self._cell.taken_over_from = silent_since
         self._cell.stop_time = settings.bounds.stop_time
         self._cell.restore_time = settings.bounds.restore_time
         self._cell.max_lease = settings.bounds.max_lease
@@ -131,7 +143,9 @@
         self._waves: WaveController | None = None
         if settings.machines:
             client = MachineClient(settings.machines, settings.name)
-            self._waves = WaveController(store, client, self._cell, clocks, settings.bounds, first)
+            self._waves = WaveController(
+                store, client, self._cell, clocks, settings.bounds, previous is None
+            )
         self._wake = asyncio.Event()
         self._cleanup = JobCleanup(
             self._cell, self._rows, settings.bounds.job_retention, self._wake.set
@@ -149,6 +163,7 @@
             self._delay,
             self._rows,
             self._workers,
+            introduction,
             self._estimates,
             self._standstill,
             self._update_evacuated,
@@ -235,6 +250,10 @@
         """Return the number of tasks that still run in each evacuated data centre."""
         return count_evacuated(self._cell)
 
+    def count_unsettled(self) -> dict[str, float]:
+        """Return the number of runs on workers that don't answer, by what is known of those."""
+        return count_unsettled(self._cell)
+
     def count_headroom(self) -> dict[str, float]:
         """Return the cores that are kept for short tasks, by what is counted."""
         return count_headroom(self._cell)
@@ -271,6 +290,7 @@
 
     def _report(self, now: Now) -> None:
         """Log what waits and why, and estimate for how long."""
+        log_unsettled(self._cell, now)
         log_waits(self._cell, now)
         log_headroom(self._cell, now)
         log_colocation(self._cell, self._interference, now)
--- a/toucanpin/entry/placement_turns.py
+++ b/toucanpin/entry/placement_turns.py
@@ -15,9 +15,11 @@
 from toucanpin.entry.decision_log import log_standstill
 from toucanpin.entry.load_estimates import LoadEstimates
 from toucanpin.entry.metrics import TURN_TIME
+from toucanpin.entry.worker_introduction import WorkerIntroduction
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.evacuating import has_current_evacuations
 from toucanpin.scheduling.interference_model import InterferenceModel
+from toucanpin.scheduling.leases import MAX_STARTS_BEFORE_RENEWALS, awaits_first_renewals
 from toucanpin.scheduling.load_shedding import ProcessDelay, TimeShare
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.standstill import StandstillCause, StandstillMeter
@@ -37,6 +39,7 @@
         "_delay",
         "_estimates",
         "_interference",
+        "_introduction",
         "_rows",
         "_share",
         "_standstill",
@@ -52,6 +55,7 @@
         delay: ProcessDelay,
         rows: CellRows,
         workers: CellWorkers,
+        introduction: WorkerIntroduction,
         estimates: LoadEstimates,
         standstill: StandstillMeter,
         update_evacuated: Callable[[], None],
@@ -62,6 +66,7 @@
         self._delay = delay
         self._rows = rows
         self._workers = workers
+        self._introduction = introduction
         self._estimates = estimates
         self._standstill = standstill
         self._update_evacuated = update_evacuated
@@ -88,7 +93,10 @@
 
     def _place(self, now: Now) -> None:
         log_standstill(self._cell, self._standstill.record_placing(now.steady))
-        max_starts = self._delay.limit_starts(now.steady) - self._workers.count_starting()
+        max_starts = self._delay.limit_starts(now.steady)
+        if not self._introduction.completed or awaits_first_renewals(self._cell):
+            max_starts = min(max_starts, MAX_STARTS_BEFORE_RENEWALS)
+        max_starts -= self._workers.count_starting()
         before = len(self._cell.placed)
         place_tasks(self._cell, self._interference, now, max_starts)
         self._estimates.record_starts(len(self._cell.placed) - before, now)
--- a/toucanpin/entry/tests/test_cell_workers.py
+++ b/toucanpin/entry/tests/test_cell_workers.py
@@ -6,18 +6,29 @@
 import unittest
 
 from standins.site.site import JOB, Site
-from toucanpin.entry.cell_workers import CellWorkers
+from standins.site.virtual import LINK_DELAY_S, run_virtual
+from toucanpin.entry.cell_workers import RETRY_DELAY_S, CellWorkers
 from toucanpin.entry.clocks import Clocks
 from toucanpin.http import CallError
 from toucanpin.platform.store import Store
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.lease_ends import withhold_leases
 from toucanpin.scheduling.load_shedding import ProcessDelay
-from toucanpin.scheduling.orders import PaceOrder, WorkerEntry
+from toucanpin.scheduling.orders import (
+    EndedRun,
+    PaceOrder,
+    PollAnswer,
+    RunEnd,
+    RunningTask,
+    WorkerEntry,
+)
 from toucanpin.scheduling.worker import Phase, Run, Worker
 from toucanpin.verdict import Verdict
 
+WITHHELD_S = 2.0  # for which a worker gets no lease
+
 
 class UnwrittenEndsTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_worker_is_polled_again_once_its_ends_are_written(self) -> None:
@@ -92,6 +103,64 @@
         self.assertTrue(worker.silent)
 
 
+class FirstRenewalTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_lease_is_renewed_at_once_after_the_first_answer(self) -> None:
+        """
+        An owner that is behind takes a cell, and a worker answers for the first time, with an end
+        to be written.  Guards against pauses before the poll that renews: the leases of an earlier
+        owner end about 2 s after a takeover, and all its long-running tasks would be lost.
+        """
+        clocks = Clocks(Store(Site().store))  # type: ignore[arg-type]
+        now = clocks.now().steady
+        cell = Cell("c", 2, now, now)
+        delay = ProcessDelay()
+        delay.record(1.0, now)
+        workers = CellWorkers(cell, InterferenceModel(), clocks, delay, lambda _: None, _do_nothing)
+        worker = Worker(WorkerEntry("w", "c", "127.0.0.1:1", "dc", True, 1, 1, 0))
+        cell.workers["w"] = worker
+        task = TaskKey("j", 0, 0, 0)
+        worker.runs[task] = Run(task, 1, "w", Step(cpu=1, long_running=True), Phase.UNKNOWN)
+        client = _BusyWorkerClient(task)
+        workers._clients["w"] = client  # type: ignore[assignment]
+        workers.signal_loaded()
+        polling = asyncio.ensure_future(workers._poll(worker))
+        for _ in range(10):
+            await asyncio.sleep(0)
+        polling.cancel()
+        self.assertEqual(0, client.deadlines[0])
+        self.assertTrue(client.deadlines[1:], "the lease isn't renewed yet")
+        self.assertGreater(client.deadlines[1], 0)
+
+
+class WithheldLeaseTest(unittest.TestCase):
+    def test_a_worker_without_a_lease_is_not_polled_without_a_pause(self) -> None:
+        """
+        The earlier owner listed a worker as silent, so the next one may grant it no lease before it
+        has written a row without it, and the store is slow.  Guards against polls of hundreds of
+        workers one after another, which take the link and the time that the rows need.
+        """
+
+        async def main() -> None:
+            clocks = Clocks(Store(Site().store))  # type: ignore[arg-type]
+            now = clocks.now().steady
+            cell = Cell("c", 2, now, now)
+            workers = CellWorkers(
+                cell, InterferenceModel(), clocks, ProcessDelay(), lambda _: None, _do_nothing
+            )
+            worker = Worker(WorkerEntry("w", "c", "127.0.0.1:1", "dc", True, 1, 1, 0))
+            cell.workers["w"] = worker
+            withhold_leases(cell, ["w"])
+            client = _BusyWorkerClient(TaskKey("j", 0, 0, 0))
+            client.delay = LINK_DELAY_S
+            workers._clients["w"] = client  # type: ignore[assignment]
+            polling = asyncio.ensure_future(workers._poll(worker))
+            await asyncio.sleep(WITHHELD_S)
+            polling.cancel()
+            self.assertLessEqual(len(client.deadlines), 1 + WITHHELD_S / RETRY_DELAY_S)
+
+        run_virtual(main)
+
+
 class UnansweredPaceTest(unittest.IsolatedAsyncioTestCase):
     async def test_unanswered_pace_of_an_earlier_attempt_changes_nothing(self) -> None:
         """
@@ -128,6 +197,25 @@
         raise CallError(Verdict.MAY_HAVE_RUN, "no answer")
 
 
+class _BusyWorkerClient:
+    """Worker that runs a task and lists the end of another one."""
+
+    def __init__(self, task: TaskKey) -> None:
+        self._answer = PollAnswer(
+            50_000,
+            (RunningTask(task, 1, "", 50, 0.0),),
+            (EndedRun(1, TaskKey("other", 0, 0, 0), 1, RunEnd.DONE, ""),),
+        )
+        self.deadlines: list[int] = []
+        self.delay = 0.0  # s until it answers
+
+    async def poll(self, token: int, acknowledged: int, deadline: int, *_: object) -> PollAnswer:
+        self.deadlines.append(deadline)
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        return self._answer
+
+
 def _do_nothing() -> None:
     """Do nothing."""
 
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -12,6 +12,7 @@
 from toucanpin.scheduling.ending import end_job
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.job_times import sum_remaining_times
+from toucanpin.scheduling.lease_ends import bound_earlier_leases
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.progress import JobState, Progress, TaskState
 from toucanpin.scheduling.step_queue import begin_occurrence, queue_ready_steps
@@ -84,6 +85,7 @@
         del cell.jobs[identifier]
         cell.dirty.pop(identifier, None)
         cell.job_rows_to_delete.append(identifier)
+    cell.interrupted = {task: at for task, at in cell.interrupted.items() if task.job in cell.jobs}
     cell.moved_tasks = {task for task in cell.moved_tasks if task.job in cell.jobs}
     forget_crashes(cell)
 
@@ -123,6 +125,6 @@
     worker = cell.workers.get(identifier)
     if worker is None:
         entry = WorkerEntry(identifier, cell.name, "", "", False, 0, 0, 0)
-        worker = Worker(entry, lease_expires_at=cell.earlier_leases_end)
+        worker = Worker(entry, lease_expires_at=bound_earlier_leases(cell, identifier))
         cell.workers[identifier] = worker
     return worker
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -19,6 +19,7 @@
     record_lost_run,
     stop_late_starts,
 )
+from toucanpin.scheduling.lease_ends import bound_earlier_leases, is_lease_withheld
 from toucanpin.scheduling.orders import PollAnswer, PollOrder, RunningTask, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.stopping import stop_run
@@ -27,8 +28,12 @@
 
 __all__ = [
     "LEASE_S",
+    "MAX_STARTS_BEFORE_RENEWALS",
+    "OWNER_AUTHORITY_MS",
     "OWNER_AUTHORITY_S",
     "apply_answer",
+    "awaits_first_renewals",
+    "awaits_renewal",
     "expire_leases",
     "lease_end",
     "mark_silent",
@@ -40,7 +45,14 @@
 ]
 
 LEASE_S = 4.5  # outlasts the failover of an owner (2 s); bounds the wait for a lost worker
-OWNER_AUTHORITY_S = 8.5  # how long an owner may grant leases after its newest accepted write
+# How long an owner may grant leases after its newest accepted write.  A successor waits a little
+# longer for workers that it can't reach, and their tasks have to run again within 9 s.
+OWNER_AUTHORITY_S = 7.5
+OWNER_AUTHORITY_MS = int(OWNER_AUTHORITY_S * 1_000)
+# Pending ones, while leases of an earlier owner are in force.  After a takeover hundreds of these
+# are due for renewal.  If starts took the link and the time of a weak host before that, all tasks
+# that run would be lost, and had to be started too.
+MAX_STARTS_BEFORE_RENEWALS = 16
 # Where best-effort tasks run beside latency-critical ones, whose tails may grow in a longer wait.
 SHARED_POLL_WAIT_S = 0.4
 # Ends are answered at once, so other workers are polled only for leases and progress, and polling
@@ -74,7 +86,7 @@
             worker = Worker(
                 entry,
                 born=entry.born,
-                lease_expires_at=cell.earlier_leases_end,
+                lease_expires_at=bound_earlier_leases(cell, entry.id),
                 first_listed_at=now.steady,
             )
             cell.workers[entry.id] = worker
@@ -110,8 +122,9 @@
         # expired.  Nothing is acknowledged, as the worker may have restarted and count its ends
         # anew.
         return PollOrder(0, 0, 0.0)
-    until = lease_end(cell, now)
-    deadline = grant_lease(worker, until) if worker.runs and until > now.steady else 0
+    deadline = plan_renewal(cell, worker, now) if worker.runs else 0
+    if awaits_renewal(worker):
+        return PollOrder(_choose_acknowledged(worker), 0, 0.0)
     if worker.listed_sequence > worker.acknowledged_sequence:
         # Ends that aren't written yet would be listed again at once.
         return PollOrder(_choose_acknowledged(worker), deadline, 0.0)
@@ -119,9 +132,28 @@
 
 
 def plan_renewal(cell: Cell, worker: Worker, now: Now) -> int:
-    """Return the lease's end on the clock of a worker whose runs aren't known yet, 0 if none."""
+    """Return the end of a lease granted now, on the clock of its worker, 0 if none may be."""
     until = lease_end(cell, now)
-    return grant_lease(worker, until) if worker.clock and until > now.steady else 0
+    if not worker.clock or until <= now.steady or is_lease_withheld(cell, worker):
+        return 0
+    return grant_lease(worker, until)
+
+
+def awaits_renewal(worker: Worker) -> bool:
+    """
+    Return whether a worker that answers runs tasks whose lease wasn't renewed for long.
+
+    It was granted by an earlier owner, or before the worker was silent, and may end any moment.
+    """
+    return worker.renewal_due and not worker.silent and _runs_tasks(worker)
+
+
+def awaits_first_renewals(cell: Cell) -> bool:
+    """Return whether any worker that answers still has the lease of an earlier owner."""
+    return any(
+        awaits_renewal(worker) and not worker.renewed and worker.entry.address
+        for worker in cell.workers.values()
+    )
 
 
 def record_clock(worker: Worker, answer: PollAnswer, now: Now) -> None:
@@ -157,6 +189,7 @@
 def mark_silent(worker: Worker) -> None:
     """Record that a worker did not answer."""
     worker.silent = True
+    worker.renewal_due = True
 
 
 def remove_replaced_worker(cell: Cell, worker: Worker, now: Now) -> None:
@@ -183,6 +216,11 @@
     return forgotten
 
 
+def _runs_tasks(worker: Worker) -> bool:
+    """Return whether a worker may run tasks that were started before."""
+    return any(run.phase not in (Phase.PLACED, Phase.ORDERED) for run in worker.runs.values())
+
+
 def _choose_acknowledged(worker: Worker) -> int:
     """
     Return the newest end to acknowledge, 0 if the worker has none left to forget.
@@ -263,7 +301,12 @@
 
 
 def _repeat_stop(cell: Cell, run: Run, now: Now) -> None:
-    """Repeat a stop: the first may have been sent before the worker was connected."""
+    """
+    Repeat a stop: the first may have been sent before the worker was connected.
+
+    A run that never began isn't listed by its worker either, and its stop has to be acknowledged
+    before it counts as ended.
+    """
     if not run.stop_sent_at:
         run.stop_sent_at = now.steady
     elif now.steady > run.stop_sent_at + cell.stop_time + STOP_RETRY_DELAY_S:
@@ -281,5 +324,7 @@
             end_run(cell, worker, run, now)
         case Phase.RUNNING if sent_at > run.started_at:
             end_run(cell, worker, run, now)
-        case Phase.STOPPING if run.stop_acknowledged_at and sent_at > run.stop_acknowledged_at:
+        case Phase.STOPPING if not run.stop_acknowledged_at:
+            _repeat_stop(cell, run, now)
+        case Phase.STOPPING if sent_at > run.stop_acknowledged_at:
             end_run(cell, worker, run, now)
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -23,14 +23,23 @@
 from toucanpin.scheduling.evicting import make_room, update_scarcity
 from toucanpin.scheduling.gangs import place_gang
 from toucanpin.scheduling.interference_model import InterferenceModel
+from toucanpin.scheduling.interrupted_tasks import (
+    InterruptedTaskReservation,
+    PlacementTurn,
+    list_turns,
+    may_take_reserve,
+)
 from toucanpin.scheduling.job import Step, TaskKey
-from toucanpin.scheduling.job_order import rank_group
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.preempting import PreemptionCandidates, PreemptionRound
 from toucanpin.scheduling.progress import CrashSuspicion
-from toucanpin.scheduling.reserve_access import find_reserve_access, may_take_reserve
+from toucanpin.scheduling.reserve_access import find_reserve_access
 from toucanpin.scheduling.reserving import reserve_cores
-from toucanpin.scheduling.retrying import list_retry_workers, wastes_attempt
+from toucanpin.scheduling.retrying import (
+    list_last_resorts,
+    list_retry_workers,
+    wastes_attempt,
+)
 from toucanpin.scheduling.unplaceable import (
     find_known_reason,
     is_delayed,
@@ -46,6 +55,9 @@
 __all__ = ["place_tasks"]
 
 NO_LIMIT = 1_000_000  # more tasks than any cell runs
+# Of interrupted tasks, beyond the limit of an owner that is behind.  Others would use up all of it
+# in each turn.
+MAX_EXTRA_STARTS = 16
 MAX_PREEMPTIONS = 16  # tasks of a step for which others are preempted in one round
 
 
@@ -61,17 +73,22 @@
         return
     all_eligible = list_eligible(cell, now)
     reserve_cores(cell, all_eligible, now)
-    reservation = LargeTaskReservation(cell, all_eligible)
+    large = LargeTaskReservation(cell, all_eligible)
+    interrupted = InterruptedTaskReservation(cell, all_eligible, large, now)
     round_ = PlacementRound(model, now)
     preemption = PreemptionRound()
     least_urgent = _find_least_urgent(cell)
-    for group in sorted(cell.waiting, key=lambda group: rank_group(cell, group, now)):
-        if len(cell.placed) >= max_tasks:
-            break
+    for turn in list_turns(cell, now):
+        extra = MAX_EXTRA_STARTS if turn.precedes else 0
+        if len(cell.placed) >= max_tasks + extra:
+            continue
+        group = turn.group
         live = cell.jobs[group.job]
         step = live.job.steps[group.step]
         # Workers reserved for large tasks are available to long-running ones, which must not wait.
-        allowed = all_eligible if step.long_running else reservation.eligible
+        allowed = interrupted.eligible if step.long_running else large.eligible
+        if turn.precedes:
+            allowed = all_eligible
         if live.job.advised:
             allowed = list_ticketed(cell, group, allowed, now)
         if not is_delayed(cell, group, now):
@@ -80,12 +97,15 @@
             if step.gang:
                 place_gang(cell, round_, live, group, step, allowed)
             else:
-                _place_group(cell, round_, live, group, step, allowed)
+                _place_group(cell, round_, live, turn, step, allowed)
             if live.job.priority < least_urgent and not step.gang:
-                _preempt_for(cell, live, group, step, allowed, preemption, now)
-        reservation.reserve_for(group, step)
-        if not cell.waiting[group]:
-            del cell.waiting[group]
+                _preempt_for(cell, live, turn, step, allowed, preemption, now)
+        if turn.precedes:
+            interrupted.reserve_for(group, step, _count_startable(cell, live, turn, now))
+        else:
+            large.reserve_for(group, step)
+    for group in [group for group, waiting in cell.waiting.items() if not waiting]:
+        del cell.waiting[group]
     for group in [group for group in cell.waits if group not in cell.waiting]:
         del cell.waits[group]
     if cell.features.urgent_headroom and cell.reserved_at == now.steady:
@@ -93,13 +113,24 @@
         make_room(cell, all_eligible, now)
 
 
-def _order_waiting(cell: Cell, live: LiveJob, group: Group) -> list[int]:
+def _count_startable(cell: Cell, live: LiveJob, turn: PlacementTurn, now: Now) -> int:
+    """Return how many tasks of a turn still wait and may be placed once there is room."""
+    group = turn.group
+    tasks = (
+        TaskKey(group.job, group.occurrence, group.step, index)
+        for index in cell.waiting[group].intersection(turn.tasks)
+    )
+    return sum(_find_block(cell, live, task, now) is None for task in tasks)
+
+
+def _order_waiting(cell: Cell, live: LiveJob, turn: PlacementTurn) -> list[int]:
     """
-    Return the waiting tasks of a step in the order of placement.
+    Return the waiting tasks of a turn in the order of placement.
 
     Tasks that have run before come first, since their service is in use, and of these the ones with
     fewer crashes.
     """
+    group = turn.group
     start = live.offsets[group.step]
     records = live.progress.tasks[group.occurrence]
 
@@ -107,7 +138,7 @@
         record = records[start + index]
         return record.attempt == 0, len(record.crashed), index
 
-    return sorted(cell.waiting[group], key=rank)
+    return sorted(cell.waiting[group].intersection(turn.tasks), key=rank)
 
 
 def _find_least_urgent(cell: Cell) -> int:
@@ -119,17 +150,18 @@
 def _preempt_for(
     cell: Cell,
     live: LiveJob,
-    group: Group,
+    turn: PlacementTurn,
     step: Step,
     eligible: list[Worker],
     preemption: PreemptionRound,
     now: Now,
 ) -> None:
-    """Preempt less urgent tasks for the tasks of a step that found no worker."""
+    """Preempt less urgent tasks for the tasks of a turn that found no worker."""
+    group = turn.group
     if preemption.is_infeasible(step, ignore_reserve=step.long_running):
         return
     preemptions: dict[bool, PreemptionCandidates] = {}
-    for index in _order_waiting(cell, live, group)[:MAX_PREEMPTIONS]:
+    for index in _order_waiting(cell, live, turn)[:MAX_PREEMPTIONS]:
         task = TaskKey(group.job, group.occurrence, group.step, index)
         if _find_block(cell, live, task, now) is not None:
             continue
@@ -159,21 +191,22 @@
     cell: Cell,
     round_: PlacementRound,
     live: LiveJob,
-    group: Group,
+    turn: PlacementTurn,
     step: Step,
     eligible: list[Worker],
 ) -> None:
+    group = turn.group
     waiting = cell.waiting[group]
     if is_known_unplaceable(cell, step, round_.now):
         return
     now = round_.now
     # Ordering the tasks first would look at each of thousands of them in each turn.
     is_short = not eligible or is_shortage_known(round_, live, step)
-    if is_short and _needs_only_room(cell, live, group, now):
+    if is_short and _needs_only_room(cell, live, turn, now):
         record_wait(cell, group, _find_reason(live, step, eligible), now)
         return
     candidates: CandidateWorkers | None = None
-    for index in _order_waiting(cell, live, group):
+    for index in _order_waiting(cell, live, turn):
         task = TaskKey(group.job, group.occurrence, group.step, index)
         block = _find_block(cell, live, task, now)
         if block is not None:
@@ -198,12 +231,17 @@
                 postpone(cell, group, step, now)
             return
         chosen = candidates
-        if task in worker.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
+        is_wasted = wastes_attempt(live, task, worker, eligible, now)
+        if is_wasted or task in worker.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
             safe = list_retry_workers(live, task, eligible, now)
             chosen = CandidateWorkers(round_, live, group, step, safe, suspicion)
             worker = chosen.best()
-        if worker is None or wastes_attempt(live, task, worker, eligible, now):
-            reason = WaitReason.NO_ROOM if worker is None else WaitReason.FAILING_WORKERS
+        if worker is None and is_wasted:
+            others = list_last_resorts(cell, group, eligible, now)
+            chosen = CandidateWorkers(round_, live, group, step, others, suspicion)
+            worker = chosen.best()
+        if worker is None:
+            reason = WaitReason.FAILING_WORKERS if is_wasted else WaitReason.NO_ROOM
             record_wait(cell, group, reason, now)
             continue
         if not may_place_long_running(eligible, group, step, access):
@@ -225,11 +263,10 @@
         candidates = candidates if chosen is candidates else None
 
 
-def _needs_only_room(cell: Cell, live: LiveJob, group: Group, now: Now) -> bool:
-    """Return whether a waiting task of a step may be placed once there is room."""
-    tasks = (
-        TaskKey(group.job, group.occurrence, group.step, index) for index in cell.waiting[group]
-    )
+def _needs_only_room(cell: Cell, live: LiveJob, turn: PlacementTurn, now: Now) -> bool:
+    """Return whether a waiting task of a turn may be placed once there is room."""
+    group = turn.group
+    tasks = (TaskKey(group.job, group.occurrence, group.step, index) for index in turn.tasks)
     return any(_find_block(cell, live, task, now) is None for task in tasks)
 
 
--- a/toucanpin/scheduling/retrying.py
+++ b/toucanpin/scheduling/retrying.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
-from toucanpin.scheduling.cell import Group, LiveJob, Now
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.choosing import meets_constraints
 from toucanpin.scheduling.crashing import find_suspicion, is_new_worker, runs_last_attempt
 from toucanpin.scheduling.job import TaskKey
@@ -17,7 +18,29 @@
 from toucanpin.scheduling.trust import is_distrusted
 from toucanpin.scheduling.worker import Worker, count_fitting_when_idle, fits_when_idle
 
-__all__ = ["list_retry_workers", "wastes_attempt"]
+__all__ = ["list_last_resorts", "list_retry_workers", "wastes_attempt"]
+
+MAX_TRUST_WAIT_S = 6.0  # for room on a worker on which tasks don't fail
+
+
+def list_retry_workers(
+    live: LiveJob, task: TaskKey, eligible: list[Worker], now: Now
+) -> list[Worker]:
+    """Return the workers on which a task may run, given its failures and losses."""
+    if live.job.steps[task.step].speculative:
+        # Runs of a worker are indexed by task: a copy there would hide the original run, whose
+        # failure wouldn't be counted and whose resources wouldn't be released.
+        eligible = [worker for worker in eligible if task not in worker.runs]
+    if find_suspicion(live, task) is CrashSuspicion.LAST_ATTEMPT:
+        eligible = _list_for_last_attempt(live, task, eligible, now)
+    if not _count_failures(live, task):
+        return eligible
+    found = _find_alternatives(live, task, eligible, now)
+    suitable = [worker for worker in eligible if not _has_better(worker, found, now)]
+    step = live.job.steps[task.step]
+    if step.gang and sum(count_fitting_when_idle(worker, step) for worker in suitable) < step.count:
+        return eligible
+    return suitable
 
 
 def wastes_attempt(
@@ -31,41 +54,62 @@
     """
     if worker.retries_blocked_until <= now.steady and not is_distrusted(worker):
         return False
+    return _has_better(worker, _find_alternatives(live, task, eligible, now), now)
+
+
+def list_last_resorts(
+    cell: Cell, group: Group, eligible: Iterable[Worker], now: Now
+) -> list[Worker]:
+    """
+    Return the workers that a task may try after it has waited for long for room on better ones.
+
+    A worker that gets nothing else can't be cleared by a success, so a task that waits for room on
+    a trusted one might wait forever beside it.
+    """
+    wait = cell.waits.get(group)
+    if wait is None or now.steady < wait.since + MAX_TRUST_WAIT_S:
+        return []
+    return [worker for worker in eligible if worker.retries_blocked_until <= now.steady]
+
+
+@dataclass(frozen=True, slots=True)
+class _Alternatives:
+    """Whether any worker could run a task that isn't blocked, or that is trusted."""
+
+    unblocked: bool = False
+    trusted: bool = False
+
+
+def _find_alternatives(
+    live: LiveJob, task: TaskKey, eligible: Iterable[Worker], now: Now
+) -> _Alternatives:
+    """
+    Return which better workers a retry of a task may wait for.
+
+    Only the last attempt waits for a trusted worker, until the pause after its failure is over.
+    """
     step = live.job.steps[task.step]
     failures = _count_failures(live, task)
     if step.long_running or not failures:
-        return False
-    last = failures >= live.job.max_failures - 1
-    if worker.retries_blocked_until <= now.steady and not last:
-        return False
+        return _Alternatives()
     group = Group(task.job, task.occurrence, task.step)
-    return any(
-        other.retries_blocked_until <= now.steady
-        and fits_when_idle(other, step)
-        and meets_constraints(other, group, step)
-        for other in eligible
+    fitting = [
+        worker
+        for worker in eligible
+        if fits_when_idle(worker, step) and meets_constraints(worker, group, step)
+    ]
+    is_last = failures >= live.job.max_failures - 1
+    return _Alternatives(
+        any(worker.retries_blocked_until <= now.steady for worker in fitting),
+        is_last and not all(is_distrusted(worker) for worker in fitting),
     )
 
 
-def list_retry_workers(
-    live: LiveJob, task: TaskKey, eligible: list[Worker], now: Now
-) -> list[Worker]:
-    """Return the workers on which a task may run, given its failures and losses."""
-    if live.job.steps[task.step].speculative:
-        # Runs of a worker are indexed by task: a copy there would hide the original run, whose
-        # failure wouldn't be counted and whose resources wouldn't be released.
-        eligible = [worker for worker in eligible if task not in worker.runs]
-    if find_suspicion(live, task) is CrashSuspicion.LAST_ATTEMPT:
-        eligible = _list_for_last_attempt(live, task, eligible, now)
-    if not _count_failures(live, task):
-        return eligible
-    suitable = [
-        worker for worker in eligible if not wastes_attempt(live, task, worker, eligible, now)
-    ]
-    step = live.job.steps[task.step]
-    if step.gang and sum(count_fitting_when_idle(worker, step) for worker in suitable) < step.count:
-        return eligible
-    return suitable
+def _has_better(worker: Worker, found: _Alternatives, now: Now) -> bool:
+    """Return whether a retry should rather be made on another worker than this one."""
+    if worker.retries_blocked_until > now.steady:
+        return found.unblocked
+    return found.trusted and is_distrusted(worker)
 
 
 def _list_for_last_attempt(
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -33,7 +33,7 @@
     WorkerEntry,
 )
 from toucanpin.scheduling.pacing import control_pace
-from toucanpin.scheduling.placing import place_tasks
+from toucanpin.scheduling.placing import NO_LIMIT, place_tasks
 from toucanpin.scheduling.progress import decode_progress
 from toucanpin.scheduling.starting import (
     StartOutcome,
@@ -74,6 +74,7 @@
         self.crashing: set[TaskKey] = set()  # tasks that crash each worker that starts them
         self.crashes: list[TaskKey] = []
         self.start_delay = LATE_START_S
+        self.max_starts = NO_LIMIT  # in a turn, of an owner that is behind
         self.keeps_names = False  # crashed workers restart under their names
         self._down: list[tuple[float, WorkerEntry]] = []
         self._clock_starts: dict[str, float] = {}  # of workers that restarted under their names
@@ -144,7 +145,9 @@
         return decode_progress(self.rows[job]).state if job in self.rows else 0
 
     def _make_cell(self, token: int) -> Cell:
-        return Cell("c", token, self.time + OWNER_AUTHORITY_S * 1.04 + 0.4, self.time)
+        cell = Cell("c", token, self.time + OWNER_AUTHORITY_S * 1.04 + 0.4, self.time)
+        cell.taken_over_from = self.time
+        return cell
 
     def _turn(self) -> None:
         self.time += TIME_STEP_S
@@ -162,7 +165,7 @@
         begin_due(self.cell, self.now())
         move_tasks(self.cell, self.now())
         control_pace(self.cell, self.model, self.now())
-        place_tasks(self.cell, self.model, self.now())
+        place_tasks(self.cell, self.model, self.now(), self.max_starts)
         if self.store_up:
             batch = take_batch(self.cell)
             self.rows.update(batch.records)
@@ -241,8 +244,8 @@
         for order in orders:
             worker = self.cell.workers.get(order.worker)
             core = self.workers.get(order.worker)
-            if worker is None or core is None:
-                continue
+            if worker is None or core is None or not worker.entry.address:
+                continue  # an owner has no connection to a worker that it only knows from a row
             if core.silent or core.delays_orders:
                 self.stops.append(order)
                 continue
--- a/toucanpin/scheduling/trust.py
+++ b/toucanpin/scheduling/trust.py
@@ -10,7 +10,13 @@
 from toucanpin.scheduling.cell import Now
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
-__all__ = ["EARLY_FAILURE_S", "is_distrusted", "is_trusted", "record_failure", "record_success"]
+__all__ = [
+    "EARLY_FAILURE_S",
+    "is_distrusted",
+    "is_trusted",
+    "record_failure",
+    "record_success",
+]
 
 AVOIDANCE_PERIOD_S = 3.0  # after a failure
 MIN_FAILED_JOBS = 3  # with failures in a row; fewer jobs may themselves be at fault
