--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -7,11 +7,9 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
 from toucanpin.scheduling.advising import list_ticketed
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
-from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, list_runs
+from toucanpin.scheduling.cell import Cell, LiveJob, Now
 from toucanpin.scheduling.choosing import (
     CandidateWorkers,
     PlacementRound,
@@ -33,6 +31,7 @@
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.preempting import PreemptionCandidates, PreemptionRound
 from toucanpin.scheduling.progress import CrashSuspicion
+from toucanpin.scheduling.racks import update_rack
 from toucanpin.scheduling.reserve_access import find_reserve_access
 from toucanpin.scheduling.reserving import reserve_cores
 from toucanpin.scheduling.retrying import (
@@ -93,7 +92,7 @@
             allowed = list_ticketed(cell, group, allowed, now)
         if not is_delayed(cell, group, now):
             if step.same_rack:
-                _update_rack(cell, live, group)
+                update_rack(cell, live, group)
             if step.gang:
                 place_gang(cell, round_, live, group, step, allowed)
             else:
@@ -277,27 +276,6 @@
     return WaitReason.CRASHING if is_start_blocked(cell, live, task) else None
 
 
-def _update_rack(cell: Cell, live: LiveJob, group: Group) -> None:
-    """
-    Set the rack of a step to the one on which most of its tasks run, if any do.
-
-    The rack chosen first isn't final: all its workers may be lost, and a new owner doesn't know it.
-    In either case four tasks would be spread over two racks, which makes all of them slow.
-    """
-    racks = Counter(
-        worker.rack
-        for run in list_runs(cell, live)
-        if (run.task.step, run.task.occurrence) == (group.step, group.occurrence)
-        and (worker := cell.workers.get(run.worker)) is not None
-        and worker.reached
-        and not worker.silent
-    )
-    if racks:
-        live.racks[group] = racks.most_common(1)[0][0]
-    else:
-        live.racks.pop(group, None)
-
-
 def _find_reason(live: LiveJob, step: Step, eligible: list[Worker]) -> WaitReason:
     if live.job.advised and not eligible:
         return WaitReason.NO_TICKET
