--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -7,11 +7,9 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
 from toucanpin.scheduling.advising import list_ticketed
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
-from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, list_runs
+from toucanpin.scheduling.cell import Cell, LiveJob, Now
 from toucanpin.scheduling.choosing import (
     CandidateWorkers,
     PlacementRound,
@@ -26,7 +24,6 @@
 from toucanpin.scheduling.interrupted_tasks import (
     InterruptedTaskReservation,
     PlacementTurn,
-    leaves_cores_to_short,
     list_turns,
     may_take_reserve,
 )
@@ -34,6 +31,8 @@
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.preempting import PreemptionCandidates, PreemptionRound
 from toucanpin.scheduling.progress import CrashSuspicion
+from toucanpin.scheduling.racks import update_rack
+from toucanpin.scheduling.reserve_access import find_reserve_access
 from toucanpin.scheduling.reserving import reserve_cores
 from toucanpin.scheduling.retrying import (
     count_failures,
@@ -55,8 +54,6 @@
 
 __all__ = ["place_tasks"]
 
-MAX_FIRST_DELAY_S = 1.5  # of a service of which no task runs
-MAX_JOIN_DELAY_S = 6.0  # of tasks that never ran, of a service of which others do
 NO_LIMIT = 1_000_000  # more tasks than any cell runs
 # Of interrupted tasks, beyond the limit of an owner that is behind.  Others would use up all of it
 # in each turn.
@@ -96,7 +93,7 @@
             allowed = list_ticketed(cell, group, allowed, now)
         if not is_delayed(cell, group, now):
             if step.same_rack:
-                _update_rack(cell, live, group)
+                update_rack(cell, live, group)
             if step.gang:
                 place_gang(cell, round_, live, group, step, allowed)
             else:
@@ -144,38 +141,6 @@
     return sorted(cell.waiting[group].intersection(turn.tasks), key=rank)
 
 
-def _find_reserve_access(
-    cell: Cell, live: LiveJob, group: Group, index: int, now: Now
-) -> ReserveAccess:
-    """
-    Return which reserved cores a task may use.
-
-    The first task of a long-running step may use some: while none of its tasks runs, its service is
-    unavailable.
-    """
-    step = live.job.steps[group.step]
-    if not step.long_running or may_take_reserve(cell, live, group, index, now):
-        return ReserveAccess.ALL
-    if len(cell.waiting[group]) < step.count:
-        return ReserveAccess.SPARE if _leaves_plan(cell, group, step, now) else ReserveAccess.NONE
-    if leaves_cores_to_short(cell, group, MAX_FIRST_DELAY_S, now):
-        return ReserveAccess.NONE
-    return ReserveAccess.SPARE
-
-
-def _leaves_plan(cell: Cell, group: Group, step: Step, now: Now) -> bool:
-    """
-    Return whether a long-running task that has waited for long leaves the planned cores free.
-
-    While short tasks wait, all cores are reserved, and some may fit nowhere for minutes.
-    """
-    headroom, wait = cell.headroom, cell.waits.get(group)
-    if now.steady >= headroom.scarce_until or wait is None:
-        return False
-    waited = now.steady >= wait.since + MAX_JOIN_DELAY_S
-    return waited and headroom.free - step.cpu >= headroom.planned
-
-
 def _find_least_urgent(cell: Cell) -> int:
     """Return the highest priority number, that of the least urgent running job."""
     running = (cell.jobs[job].job.priority for job in cell.runs if job in cell.jobs)
@@ -248,7 +213,7 @@
         if block is not None:
             record_wait(cell, group, block, now)
             continue
-        access = _find_reserve_access(cell, live, group, index, now)
+        access = find_reserve_access(cell, live, group, index, now)
         known = find_known_reason(round_, live, step, access)
         if known is not None:
             record_wait(cell, group, known, now)
@@ -317,27 +282,6 @@
     return WaitReason.CRASHING if is_start_blocked(cell, live, task) else None
 
 
-def _update_rack(cell: Cell, live: LiveJob, group: Group) -> None:
-    """
-    Set the rack of a step to the one on which most of its tasks run, if any do.
-
-    The rack chosen first isn't final: all its workers may be lost, and a new owner doesn't know it.
-    In either case four tasks would be spread over two racks, which makes all of them slow.
-    """
-    racks = Counter(
-        worker.rack
-        for run in list_runs(cell, live)
-        if (run.task.step, run.task.occurrence) == (group.step, group.occurrence)
-        and (worker := cell.workers.get(run.worker)) is not None
-        and worker.reached
-        and not worker.silent
-    )
-    if racks:
-        live.racks[group] = racks.most_common(1)[0][0]
-    else:
-        live.racks.pop(group, None)
-
-
 def _find_reason(live: LiveJob, step: Step, eligible: list[Worker]) -> WaitReason:
     if live.job.advised and not eligible:
         return WaitReason.NO_TICKET
