Try the last resorts of a last attempt also where better workers have room but don't take the task

Cause: room alone was asked, which best-effort tasks always find, though they may disturb what serves there. Change: the last resorts follow the search of the better workers; comments of two constants, a name in a test.

--- a/toucanpin/entry/tests/test_cell_loading.py
+++ b/toucanpin/entry/tests/test_cell_loading.py
@@ -133,7 +133,7 @@
         async def main() -> None:
             cell = Cell("c", 1, 0.0, 0.0)
             record = OwnerRecord("h", "l", 1, 0)
-            store = _DeafStore()
+            store = _UnansweredStore()
             rows = CellRows(store, cell, InterferenceModel(), record, 1, 0.0, RowReader())
             began = time.monotonic()
             await rows.renew(False)
@@ -143,7 +143,7 @@
         run_virtual(main)
 
 
-class _DeafStore(Store):
+class _UnansweredStore(Store):
     """Store whose first write applies without an answer."""
 
     def __init__(self) -> None:
--- a/toucanpin/scheduling/lease_ends.py
+++ b/toucanpin/scheduling/lease_ends.py
@@ -35,7 +35,7 @@
     "withhold_leases",
 ]
 
-MAX_LISTED_WORKERS = 200  # some 5 KB in a row that is written three times a second
+MAX_LISTED_WORKERS = 200  # the row is written several times a second
 # Leases end on clocks that may run 2% slow; the rest is a margin.
 CLOCK_FACTOR = 1.04
 CLOCK_MARGIN_S = 0.4
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -45,8 +45,9 @@
 ]
 
 LEASE_S = 4.5  # outlasts the failover of an owner (2 s); bounds the wait for a lost worker
-# How long an owner may grant leases after its newest accepted write.  A successor waits a little
-# longer for workers that it can't reach, and their tasks have to run again within 9 s.
+# How long an owner may grant leases after its newest accepted write.  It outlasts a short outage of
+# the store; a successor waits a little longer for workers that it can't reach, and their services
+# are down meanwhile.
 OWNER_AUTHORITY_S = 7.5
 OWNER_AUTHORITY_MS = int(OWNER_AUTHORITY_S * 1_000)
 # Pending ones, while leases of an earlier owner are in force.  After a takeover hundreds of these
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -239,10 +239,12 @@
         is_wasted = wastes_attempt(live, task, worker, eligible, now)
         if is_wasted or task in worker.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
             safe = list_retry_workers(live, task, eligible, now)
-            if is_wasted and not any(has_room(it, step) for it in safe):
-                safe = list_last_resorts(cell, group, eligible, now)
             chosen = CandidateWorkers(round_, live, group, step, safe, suspicion)
             worker = chosen.best()
+        if worker is None and is_wasted:
+            others = list_last_resorts(cell, group, eligible, now)
+            chosen = CandidateWorkers(round_, live, group, step, others, suspicion)
+            worker = chosen.best()
         if worker is None:
             reason = WaitReason.FAILING_WORKERS if is_wasted else WaitReason.NO_ROOM
             record_wait(cell, group, reason, now)
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -16,6 +16,7 @@
 from toucanpin.scheduling.intake import begin_due, restore_job, submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Job, Step, TaskKey
+from toucanpin.scheduling.lease_ends import CLOCK_FACTOR, CLOCK_MARGIN_S
 from toucanpin.scheduling.leases import (
     OWNER_AUTHORITY_S,
     apply_answer,
@@ -145,7 +146,9 @@
         return decode_progress(self.rows[job]).state if job in self.rows else 0
 
     def _make_cell(self, token: int) -> Cell:
-        cell = Cell("c", token, self.time + OWNER_AUTHORITY_S * 1.04 + 0.4, self.time)
+        cell = Cell(
+            "c", token, self.time + OWNER_AUTHORITY_S * CLOCK_FACTOR + CLOCK_MARGIN_S, self.time
+        )
         cell.taken_over_from = self.time
         return cell
 
