--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -102,12 +102,12 @@
     has earlier times for some workers.  Workers in ``withheld`` get no lease.  ``confirmed_at`` is
     when the newest write that the table accepted was sent, ``taken_over_from`` when that of the
     earlier owner was seen.  ``interrupted`` tells when long-running tasks that wait again last ran.
-    ``evacuated`` names the data centres
-    that get no new tasks; this list is valid until ``evacuated_until``.  ``unplaceable`` holds by
-    image the demands of best-effort tasks for which no worker was found; they are not tried again
-    until ``unplaceable_until``.  ``stop_time`` and ``restore_time`` are the times in s that workers
-    may take to stop and to resume a task, and ``max_lease`` is the longest lease that they accept.
-    ``features`` are the optional decisions that the deployment calls for.
+    ``evacuated`` names the data centres that get no new tasks; this list is valid until
+    ``evacuated_until``.  ``unplaceable`` holds by image the demands of best-effort tasks for which
+    no worker was found; they are not tried again until ``unplaceable_until``.  ``stop_time`` and
+    ``restore_time`` are the times in s that workers may take to stop and to resume a task, and
+    ``max_lease`` is the longest lease that they accept.  ``features`` are the optional decisions
+    that the deployment calls for.
     """
 
     name: str
