Test that a worker which only a cut-off owner reaches is waited for

Cause: no test runs a takeover in which the earlier owner renews a lease for as long as it may. A shorter wait for earlier leases could start a task beside its run, and no test would tell. Change: a host of the virtual site can be cut off from addresses and peers, and a worker's clock can run slow, which the soak's worker uses as well.

--- a/standins/site/virtual.py
+++ b/standins/site/virtual.py
@@ -63,11 +63,16 @@
 
 
 class Processor:
-    """Processor of a host, which carries out one call after another."""
+    """
+    Processor of a host, which carries out one call after another.
+
+    Calls to ``unreachable`` addresses of servers and ports of peers get no answer.
+    """
 
     def __init__(self, cores: float) -> None:
         self._cores = cores
         self._busy_until = 0.0
+        self.unreachable: set[str | int] = set()
 
     async def work(self, seconds: float) -> None:
         """Wait until work that takes one core some seconds is done."""
@@ -86,6 +91,14 @@
     await asyncio.get_running_loop().create_task(work, context=context)
 
 
+async def _reach(target: str | int, timeout: float) -> None:
+    """Raise CallError after ``timeout`` if the caller's processor can't reach a server or peer."""
+    processor = _processor.get()
+    if processor is not None and target in processor.unreachable:
+        await asyncio.sleep(timeout)
+        raise CallError(Verdict.MAY_HAVE_RUN, f"{target}: no answer")
+
+
 async def _work(seconds: float) -> None:
     processor = _processor.get()
     if processor is not None:
@@ -164,6 +177,7 @@
         request.method, request.path, request.body = method, path, body
         request.headers = {name.lower(): value for name, value in headers}
         await _work(CALL_TIME_S)
+        await _reach(client.address, timeout)
         try:
             async with asyncio.timeout(timeout):
                 await asyncio.sleep(LINK_DELAY_S)
@@ -190,6 +204,7 @@
         from toucanpin.wire.messages import RelayCall
 
         await asyncio.sleep(LINK_DELAY_S)
+        await _reach(caller._peer.port, timeout)
         relay = self._relays.get(caller._peer.port)
         if relay is None:
             raise CallError(Verdict.NOT_RUN, "the peer can't be reached")
--- a/standins/site/worker.py
+++ b/standins/site/worker.py
@@ -41,7 +41,9 @@
         self.crashing: frozenset[str] = frozenset()  # jobs whose tasks crash this worker
         self.crashed = asyncio.Event()
         self._store = store
-        self._started_at = time.monotonic()
+        # The clock showed ``_clock_origin`` at ``_clock_began``.
+        self._clock_origin, self._clock_began = 1.0, time.monotonic()
+        self._clock_rate = 1.0
         self._sequence = 1
         self._task: asyncio.Task[None] | None = None
         self._server = Server(self._handle, 16_384, 65_536)
@@ -81,8 +83,13 @@
         self._sequence += 1
         self._store.put("servers", entry.id, msgspec.json.encode(fields))
 
+    def slow_clock(self, rate: float) -> None:
+        """Let the worker's steady clock run at a rate from now on."""
+        self._clock_origin, self._clock_began = self._now(), time.monotonic()
+        self._clock_rate = rate
+
     def _now(self) -> float:
-        return time.monotonic() - self._started_at + 1.0
+        return self._clock_origin + self._clock_rate * (time.monotonic() - self._clock_began)
 
     async def _advance(self) -> None:
         while True:
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -131,7 +131,7 @@
         )
         self._record = record
         self._moods = moods
-        self._rate = SLOW_CLOCK_RATE if slow_clock else 1.0
+        self.slow_clock(SLOW_CLOCK_RATE if slow_clock else 1.0)
         self._finished = False
 
     async def start(self) -> None:
@@ -185,9 +185,6 @@
         self._record(WorkerGone(time.monotonic(), self.core.entry.id))
         await self.stop()
 
-    def _now(self) -> float:
-        return (time.monotonic() - self._started_at) * self._rate + 1.0
-
     async def _advance(self) -> None:
         while True:
             self.advance()
--- a/toucanpin/entry/tests/test_lost_tasks.py
+++ b/toucanpin/entry/tests/test_lost_tasks.py
@@ -20,6 +20,7 @@
 HOSTS = (STRONG, STRONG, STRONG, WEAK)
 WORKERS = 6
 TURN_S = 0.05
+CLOCK_RATE = 0.98  # of a worker's clock that is as slow as the platform allows
 
 
 class _Trace:
@@ -28,6 +29,7 @@
     def __init__(self, cores: tuple[float, ...]) -> None:
         self.site = Site()
         self._cores = cores
+        self._processors: list[Processor] = []
 
     async def begin(self) -> None:
         self.site.configure()
@@ -47,7 +49,8 @@
         async def add() -> None:
             await self.site.add_host(cores)
 
-        await start_on(Processor(cores), add())
+        self._processors.append(Processor(cores))
+        await start_on(self._processors[-1], add())
 
     async def pause(self, seconds: float) -> None:
         await self.site.wait_until(lambda: False, round(seconds / TURN_S))
@@ -79,6 +82,28 @@
         worker.core.runs.clear()
         return time.monotonic()
 
+    def cut_off_owner(self) -> None:
+        """Cut the owner off from the store and all hosts, and these from the task's worker."""
+        owner = int(self.read_owner().host[1:])
+        (worker,) = self._list_running()
+        worker.slow_clock(CLOCK_RATE)
+        self.site.faults[owner].silent = True
+        for number, (host, processor) in enumerate(
+            zip(self.site.hosts, self._processors, strict=True)
+        ):
+            if number == owner:
+                continue
+            processor.unreachable.add(worker.core.entry.address)
+            self._processors[owner].unreachable.add(host._settings.inner_port)
+
+    async def count_most_runs(self, seconds: float) -> tuple[int, int]:
+        """Return the most workers that ran the task at a time, and how many do at the end."""
+        most = 0
+        for _ in range(round(seconds / TURN_S)):
+            await self.pause(TURN_S)
+            most = max(most, len(self._list_running()))
+        return most, len(self._list_running())
+
     async def measure_idle_time(self, ended_at: float) -> float:
         """Return the time in s from the end of the task's last run until it runs again."""
         assert await self.site.wait_until(lambda: bool(self._list_running()), 800)
@@ -183,6 +208,27 @@
                 idle[end.__name__, seed] = self._measure(play, cores, seed)
         self.assertLessEqual(max(idle.values()), MAX_IDLE_S, idle)
 
+    def test_a_worker_that_only_the_cut_off_owner_reaches_is_waited_for(self) -> None:
+        """
+        An owner that reaches nothing but the worker of a task renews its lease for as long as it
+        may, by a slow clock.  Guards against a next owner that starts the task beside that run.
+        """
+        for seed in range(6):
+            found: list[tuple[int, int]] = []
+
+            async def main(found: list[tuple[int, int]] = found, seed: int = seed) -> None:
+                trace = _Trace(HOSTS)
+                try:
+                    await trace.begin()
+                    await trace.pause(seed * TURN_S)
+                    trace.cut_off_owner()
+                    found.append(await trace.count_most_runs(20.0))
+                finally:
+                    await trace.site.close()
+
+            run_virtual(main, seed)
+            self.assertEqual([(1, 1)], found)
+
 
 if __name__ == "__main__":
     unittest.main()
