--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -140,8 +140,9 @@
         worker = self._make_worker(
             name, service, address, site, (), self.moods[number], number % 2 == 1
         )
-        self.workers[number] = worker
         await worker.start()
+        # A worker that ended while it starts would go on listening at the address of the next one.
+        self.workers[number] = worker
 
     async def replace_worker(self, number: int, drains: float, away: float) -> None:
         """End an incarnation of a worker and start the next, unless that is in progress."""
