Log what keeps workers from a step that waits, and the losses of a task that is given up

Cause: the incident's hypotheses couldn't be told apart: task.waiting names one reason for a step, task.given_up only workers. Change: task.excluded (two longest waits of a call, from 2 s on), more fields of task.waiting, losses with times (additional field of the row at its end, which earlier builds ignore). Result: two new tests; no logic changed.

--- a/toucanpin/entry/cell_decisions.py
+++ b/toucanpin/entry/cell_decisions.py
@@ -55,7 +55,7 @@
         """Make all decisions that are due."""
         for worker in expire_leases(self._cell, now):
             _log.info("worker's lease expired", event="worker.gone", worker=worker.entry.id)
-        log_failed_tasks(self._cell, fail_crashing_jobs(self._cell, now))
+        log_failed_tasks(self._cell, fail_crashing_jobs(self._cell, now), now)
         begin_due(self._cell, now)
         for decision in self._periodic:
             decision.run_if_due(self._read_clocks())
--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -13,9 +13,11 @@
 
 from toucanpin.entry.log_fields import describe_attempt
 from toucanpin.entry.metrics import LOST_RUNS, SLOW_WORKERS, STANDSTILL_TIME, START_WAIT, STARTS
-from toucanpin.scheduling.cell import Cell, Now, find_record
+from toucanpin.scheduling.cell import Cell, Group, Now, find_record
 from toucanpin.scheduling.colocation_report import describe_colocation
+from toucanpin.scheduling.crashing import describe_losses
 from toucanpin.scheduling.evacuating import describe_evacuations, list_not_evacuated
+from toucanpin.scheduling.exclusions import count_exclusions, describe_step
 from toucanpin.scheduling.forecast import Forecast
 from toucanpin.scheduling.headroom import describe_headroom, is_scarce
 from toucanpin.scheduling.interference_model import InterferenceModel
@@ -44,6 +46,8 @@
 MIN_LOGGED_WAIT_S = 0.5  # shorter waits for a worker aren't logged
 RELOG_PERIOD_S = 2.0  # until the same wait is logged again
 MAX_LOGGED_WAITS = 10  # per call, as thousands of steps may wait in an overload
+MIN_EXPLAINED_WAIT_S = 2.0  # from which on the line tells what keeps the workers from the step
+MAX_EXPLAINED_WAITS = 2  # per call, as each looks at all workers
 
 
 def log_placement(cell: Cell, run: Run, now: Now) -> None:
@@ -110,7 +114,7 @@
         )
 
 
-def log_failed_tasks(cell: Cell, tasks: Iterable[TaskKey]) -> None:
+def log_failed_tasks(cell: Cell, tasks: Iterable[TaskKey], now: Now) -> None:
     """Log each task that has crashed too many workers, with those workers."""
     for task in tasks:
         record = find_record(cell.jobs[task.job], task)
@@ -119,7 +123,7 @@
             event="task.given_up",
             job=task.job,
             task=format_task(task),
-            workers=" ".join(record.crashed) if record else "",
+            losses=", ".join(describe_losses(record, now)) if record else "",
         )
 
 
@@ -177,12 +181,41 @@
             job=group.job,
             step=group.step,
             queue=job.queue,
+            why=wait.reason.value,
+            since=round(now.steady - wait.since, 3),
+            age=round((now.table - job.accepted) / 1_000, 3),
             cpu=job.steps[group.step].cpu,
             free=free,
             tasks=len(cell.waiting.get(group, ())),
-            since=round(now.steady - wait.since, 3),
-            why=wait.reason.value,
+            **_describe_tasks(cell, group),
         )
+    long = [group for group, wait in due if now.steady > wait.since + MIN_EXPLAINED_WAIT_S]
+    for group in long[:MAX_EXPLAINED_WAITS]:
+        _log_exclusions(cell, group, now)
+
+
+def _describe_tasks(cell: Cell, group: Group) -> dict[str, int]:
+    """Return the fields that tell what the waiting tasks of a step have been through."""
+    found = describe_step(cell, group)
+    return {
+        "attempts": found.attempts,
+        "failures": found.failures,
+        "losses": found.losses,
+        "running": found.running,
+    }
+
+
+def _log_exclusions(cell: Cell, group: Group, now: Now) -> None:
+    """Log how many workers are kept from a step, and by what."""
+    found = count_exclusions(cell, group, now)
+    _log.info(
+        "workers that don't take the tasks of a step",
+        event="task.excluded",
+        job=group.job,
+        step=group.step,
+        owned=round(now.steady - cell.taken_over_from, 3),
+        workers=", ".join(f"{count} {reason.value}" for reason, count in found.most_common()),
+    )
 
 
 def log_headroom(cell: Cell, now: Now) -> None:
--- a/toucanpin/entry/tests/test_decision_log.py
+++ b/toucanpin/entry/tests/test_decision_log.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 import logbook
 
 from toucanpin.entry.decision_log import (
     MAX_LOGGED_WAITS,
     log_ended,
+    log_failed_tasks,
     log_losses,
     log_placement,
     log_waits,
 )
 from toucanpin.scheduling.cell import Group
-from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
+_HISTORY = ("attempts", "failures", "losses")
+
 
 class DecisionsTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -72,6 +76,33 @@
         )
         self.assertEqual("another life answers at its worker's address", logged[0]["cause"])
 
+    def test_a_long_wait_shows_what_keeps_workers_from_the_step(self) -> None:
+        """Guards against waits whose cause can't be told: room that lies on unusable workers."""
+        self.fleet.add_worker("w1", 1_000)
+        leaving = self.fleet.add_worker("w2", 1_000)
+        leaving.entry = replace(leaving.entry, ready=False)
+        self.fleet.run(0.2)
+        self.fleet.workers["w1"].silent = True
+        self.fleet.submit(make_job("j1", (Step(cpu=2_000),)))
+        self.fleet.run(2.5)
+        log_waits(self.fleet.cell, self.fleet.now())
+        logged = {record.kwargs["event"]: record.kwargs for record in self.handler.records}
+        self.assertEqual("1 no room, 1 silent, 1 leaving", logged["task.excluded"]["workers"])
+        self.assertEqual((0, 0, 0), tuple(logged["task.waiting"][it] for it in _HISTORY))
+
+    def test_a_task_that_is_given_up_shows_its_losses(self) -> None:
+        """Guards against jobs that are shown as failed without a trace of the reason."""
+        self.fleet.submit(make_job("j1"))
+        self.fleet.run(0.2)
+        record, *_ = self.fleet.cell.jobs["j1"].progress.tasks[0]
+        record.crashed = {"w8/7": True, "w9": False}
+        record.lost_at = {"w8/7": self.fleet.now().table - 1_500}
+        log_failed_tasks(self.fleet.cell, [TaskKey("j1", 0, 0, 0)], self.fleet.now())
+        self.assertEqual(
+            "w8/7 at the start 1.5 s ago, w9 later 0.0 s ago",
+            self.handler.records[-1].kwargs["losses"],
+        )
+
     def test_a_placement_shows_its_wait_and_an_end_is_logged_once(self) -> None:
         self.fleet.submit(make_job("first", (Step(cpu=900),), accepted=1))
         self.fleet.submit(make_job("second", (Step(cpu=900),), accepted=2))
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -26,6 +26,7 @@
 from toucanpin.scheduling.worker import Worker, count_fitting_tasks, has_room
 
 __all__ = [
+    "CONTACT_TIMEOUT_S",
     "CandidateWorkers",
     "PlacementRound",
     "ReserveAccess",
--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -14,12 +14,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from toucanpin.scheduling.cell import Cell, LiveJob, Now, find_record, mark_dirty
 from toucanpin.scheduling.ending import end_job
 from toucanpin.scheduling.job import TaskKey
-from toucanpin.scheduling.progress import CrashSuspicion, JobState, TaskRecord, TaskState
+from toucanpin.scheduling.progress import (
+    CrashSuspicion,
+    JobState,
+    TaskRecord,
+    TaskState,
+    clear_losses,
+)
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = [
@@ -30,6 +36,7 @@
     "clear_survivor",
     "clear_worker",
     "count_suspected",
+    "describe_losses",
     "fail_crashing_jobs",
     "find_suspicion",
     "forget_crashes",
@@ -49,7 +56,7 @@
 SUSPICION_PERIOD_S = 2.0  # after the start of a task that ran on lost workers
 
 
-def record_loss(cell: Cell, worker: Worker, run: Run) -> int:
+def record_loss(cell: Cell, worker: Worker, run: Run, now: Now) -> int:
     """Count the loss of a worker against a run's task; return the number of losses counted."""
     live = cell.jobs.get(run.task.job)
     record = find_record(live, run.task) if live else None
@@ -60,6 +67,7 @@
     lost = _name_incarnation(worker.entry.id, run.born or worker.born)
     if lost not in record.crashed and _may_have_caused_loss(worker, run):
         record.crashed[lost] = _was_lost_at_start(run)
+        record.lost_at[lost] = now.table
         mark_dirty(cell, live)
         _index_losses(cell, run.task, record)
     return len(record.crashed)
@@ -75,7 +83,7 @@
 def clear_survivor(run: Run, record: TaskRecord) -> None:
     """Discard the losses of a long-running task that has run long enough."""
     if run.step.long_running and run.last_listed_at > run.started_at + SURVIVAL_PERIOD_S:
-        record.crashed = {}
+        clear_losses(record)
         run.suspicion = CrashSuspicion.NONE
 
 
@@ -125,6 +133,13 @@
     return assess_suspicion(_get_record(live, task))
 
 
+def describe_losses(record: TaskRecord, now: Now) -> Iterator[str]:
+    """Yield a text for each loss that counts against a task: which, how it counted and when."""
+    for lost, at_start in record.crashed.items():
+        ago = (now.table - record.lost_at.get(lost, now.table)) / 1_000
+        yield f"{lost} {'at the start' if at_start else 'later'} {ago:.1f} s ago"
+
+
 def count_suspected(worker: Worker, now: Now) -> int:
     """Return how many suspected tasks a worker runs."""
     return sum(_is_suspected(run, now) for run in worker.runs.values())
@@ -173,6 +188,7 @@
         if live is None or record is None or task == cause:
             continue
         if record.crashed.pop(worker, None) is not None:
+            record.lost_at.pop(worker, None)
             mark_dirty(cell, live)
 
 
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -20,7 +20,7 @@
 )
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.orders import EndedRun, RunEnd
-from toucanpin.scheduling.progress import JobState, TaskRecord, TaskState
+from toucanpin.scheduling.progress import JobState, TaskRecord, TaskState, clear_losses
 from toucanpin.scheduling.step_queue import queue_ready_steps
 from toucanpin.scheduling.stopping import requeue_task, stop_gang, stop_run
 from toucanpin.scheduling.task_times import record_task_time
@@ -71,7 +71,7 @@
         return
     mark_dirty(cell, live)
     if end in (RunEnd.DONE, RunEnd.FAILED):
-        record.crashed = {}
+        clear_losses(record)
     if checkpoint:
         record.checkpoint = checkpoint
     counted = record.state == TaskState.GANG_FAILED
@@ -224,7 +224,7 @@
     for member in done:
         member.state = TaskState.DONE
         member.checkpoint = ""
-        member.crashed = {}
+        clear_losses(member)
     group = Group(task.job, task.occurrence, task.step)
     if group in cell.waiting:
         cell.waiting[group] -= set(range(step.count)) if step.gang else {task.index}
--- a/toucanpin/scheduling/incarnations.py
+++ b/toucanpin/scheduling/incarnations.py
@@ -134,7 +134,7 @@
 def record_lost_run(cell: Cell, worker: Worker, run: Run, cause: LossCause, now: Now) -> None:
     """Count the loss of a worker against one of its runs, and queue it for the log."""
     age = now.steady - run.ordered_at if run.ordered_at else 0.0
-    crashes = record_loss(cell, worker, run)
+    crashes = record_loss(cell, worker, run, now)
     cell.unlogged_losses.append(
         Loss(run.task, run.attempt, run.worker, run.phase, cause, age, crashes)
     )
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -19,6 +19,7 @@
     "Progress",
     "TaskRecord",
     "TaskState",
+    "clear_losses",
     "decode_progress",
     "encode_progress",
     "matches_job",
@@ -65,7 +66,7 @@
     the attempts that are included in ``failures``, so that a failure that is reported twice counts
     once. ``crashed`` maps workers that were lost while they ran the task, and haven't answered
     since, to whether the loss was right after the start.  ``born`` tells the incarnation of
-    ``worker``.
+    ``worker``.  ``lost_at`` tells when these losses were noticed, in ms on the table's clock.
     """
 
     state: int = 0
@@ -76,6 +77,7 @@
     counted: list[int] = []
     crashed: dict[str, bool] = {}
     born: int = 0
+    lost_at: dict[str, int] = {}
 
 
 class Progress(msgspec.Struct, array_like=True):
@@ -92,6 +94,12 @@
     tasks: dict[int, list[TaskRecord]]
 
 
+def clear_losses(record: TaskRecord) -> None:
+    """Discard all workers that were lost while they ran a task."""
+    record.crashed = {}
+    record.lost_at = {}
+
+
 def encode_progress(progress: Progress) -> bytes:
     """Return the encoded row of a job's progress."""
     return msgspec.msgpack.encode(progress)
