--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -18,6 +18,30 @@
 
 # A task is started at most twice more after it has crashed three workers.
 MAX_STARTS = 5
+# By seed, the share of the workers that crash, with which probability in each half second, and for
+# how long tasks run in s.
+STORMS = ((1, 0.3, 0.3, 1.4), (0, 0.6, 0.3, 1.4), (0, 1.0, 0.15, 1.4), (1, 0.3, 0.3, 3.0))
+STORM_PERIOD_S = 0.5
+
+
+def _play_storm(random: Random, share: float, chance: float, duration: float) -> Fleet:
+    """Run jobs on workers that crash and restart under their names for 26 s, and end them."""
+    fleet = Fleet(workers=24, cpu=8_000)
+    unstable = [name for name in fleet.workers if random.random() < share]
+    for number in range(5):
+        step = Step(count=4, cpu=1_000, long_running=True)
+        fleet.submit(make_job(f"long{number}", (step,), max_failures=4))
+    for number in range(52):
+        steps = (Step(count=4, cpu=1_000), Step(count=4, cpu=1_500, after=(0,)))
+        fleet.submit(make_job(f"j{number}", steps[: 1 + number % 2], max_failures=4))
+        for name in unstable:
+            if random.random() < chance:
+                fleet.restart(name)
+        for worker in fleet.workers.values():
+            worker.duration = duration
+        fleet.run(STORM_PERIOD_S)
+    fleet.run(20.0)
+    return fleet
 
 
 class CrashingTaskTest(unittest.TestCase):
@@ -170,6 +194,20 @@
         fleet.run(40.0)
         self.assertEqual({JobState.COMPLETED}, {fleet.state(name) for name in names})
 
+    def test_workers_that_restart_anyway_fail_no_job(self) -> None:
+        """Guards against blaming tasks for a storm of crashes that hits workers whatever they run."""
+        for seed, share, chance, duration in STORMS:
+            with self.subTest(seed=seed, share=share, duration=duration):
+                fleet = _play_storm(Random(seed), share, chance, duration)
+                failed = [job for job in fleet.jobs if fleet.state(job) == JobState.FAILED]
+                self.assertFalse(failed)
+                unended = [
+                    job
+                    for job, known in fleet.jobs.items()
+                    if not known.steps[0].long_running and fleet.state(job) != JobState.COMPLETED
+                ]
+                self.assertFalse(unended)
+
     def test_disconnected_workers_count_against_no_task(self) -> None:
         """
         Guards against counting a lost connection as a crash: the task runs to its end elsewhere.
--- /dev/null
+++ b/toucanpin/scheduling/tests/test_held_tasks.py
@@ -0,0 +1,119 @@
+"""Tasks that could run and are held: how long each hold may last beside free workers."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from standins.site.worker_core import WorkerCore
+from toucanpin.scheduling.interference_model import Effect
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.orders import PollAnswer, RunningTask, WorkerEntry
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
+
+MAX_STANDSTILL_S = 3.0  # of a job whose tasks may run, while under half of the cores are in use
+MAX_OVER_TARGET_S = 4.0  # of a service, because of best-effort tasks beside it
+TARGET_MS = 50
+IDLE_TAIL_MS = 10.0
+EFFECT = 4.5  # of the best-effort image on the service, per share of the cores
+SERVICE = Step(cpu=1_000, long_running=True, image="web", target=TARGET_MS, per_worker=1)
+BATCH = Step(count=2, cpu=1_200, memory=10, best_effort=True, image="batch", checkpoints=True)
+
+
+class _SharedCore(WorkerCore):
+    """Worker on which best-effort tasks disturb services, as far as they work."""
+
+    __slots__ = ("load", "paces")
+
+    def __init__(self, entry: WorkerEntry) -> None:
+        super().__init__(entry)
+        self.load = 0.0  # utilization of the service without neighbours
+        self.paces: dict[TaskKey, int] = {}
+
+    def tail(self) -> float:
+        """Return the tail of the service in ms."""
+        shares = (
+            BATCH.cpu / self.entry.cpu * self.paces.get(task, 100) / 100
+            for task in self.runs
+            if task.job.startswith("batch")
+        )
+        return IDLE_TAIL_MS / max(0.02, 1 - self.load * (1 + EFFECT * sum(shares)))
+
+    def poll(self, token: int, acknowledged: int, deadline: int, now: float):
+        answer = super().poll(token, acknowledged, deadline, now)
+        assert isinstance(answer, PollAnswer)
+        running = tuple(self._measure(it) for it in answer.running)
+        return PollAnswer(answer.clock, running, answer.ended, answer.born)
+
+    def _measure(self, running: RunningTask) -> RunningTask:
+        if running.task.job == "web":
+            return RunningTask(running.task, running.attempt, "", 100, self.tail())
+        used = BATCH.cpu * self.paces.get(running.task, 100) / 100
+        return RunningTask(running.task, running.attempt, "", running.percent, used)
+
+    def advance(self, now: float) -> None:
+        for task, run in self.runs.items():
+            lost = 1 - self.paces.get(task, 100) / 100
+            run.duration += 1_000.0 if task.job == "web" else TIME_STEP_S * lost
+        super().advance(now)
+        self.paces = {task: pace for task, pace in self.paces.items() if task in self.runs}
+
+
+class HeldTasksTest(unittest.TestCase):
+    def _measure_standstill(self, fleet: Fleet, jobs: list[str], seconds: float) -> float:
+        """Return the longest time for which a job that hasn't ended had nothing running."""
+        since = dict.fromkeys(jobs, fleet.time)
+        longest = 0.0
+        for _ in range(round(seconds / TIME_STEP_S)):
+            fleet.run(TIME_STEP_S)
+            running = {task.job for worker in fleet.workers.values() for task in worker.runs}
+            for job in jobs:
+                if job in running or JobState(fleet.state(job)).ended:
+                    since[job] = fleet.time
+                longest = max(longest, fleet.time - since[job])
+        return longest
+
+    def _serve(self, load: float, workers: int = 6) -> Fleet:
+        """Return a fleet with a service on each worker, under half of whose cores are in use."""
+        fleet = Fleet(workers=0)
+        for number in range(workers):
+            fleet.add_worker(f"w{number}")
+            core = _SharedCore(fleet.workers[f"w{number}"].entry)
+            core.load, core.duration = load, 1.0
+            fleet.workers[f"w{number}"] = core
+        fleet.model.record_tail("web", IDLE_TAIL_MS / 0.775, -100.0)
+        fleet.model.record_tail("web", IDLE_TAIL_MS / 0.775, 0.0)
+        fleet.model._store_effect(Effect("web", "batch", EFFECT, 0.1))
+        fleet.submit(make_job("web", (msgspec.structs.replace(SERVICE, count=workers),)))
+        fleet.run(2.0)
+        return fleet
+
+    def test_best_effort_jobs_do_not_stand_still_beside_services(self) -> None:
+        """Guards against batch jobs that wait for good, as they would disturb all that serves."""
+        for load in (0.5, 0.7, 0.85):
+            with self.subTest(load=load):
+                fleet = self._serve(load)
+                jobs = [f"batch{number}" for number in range(4)]
+                for job in jobs:
+                    fleet.submit(make_job(job, (BATCH,), priority=2))
+                self.assertLessEqual(self._measure_standstill(fleet, jobs, 20.0), MAX_STANDSTILL_S)
+
+    def test_task_on_its_last_attempt_does_not_wait_for_a_full_worker(self) -> None:
+        """Guards against a task that was lost with workers and waits beside idle new workers."""
+        fleet = Fleet(workers=4)
+        for worker in fleet.workers.values():
+            worker.duration = 60.0
+        fleet.submit(make_job("long", (Step(count=4, cpu=3_500, per_worker=1),)))
+        fleet.run(11.0)
+        for number in range(20):
+            fleet.add_worker(f"new{number}")
+        fleet.submit(make_job("j1", (Step(cpu=1_000),)))
+        record, *_ = fleet.cell.jobs["j1"].progress.tasks[0]
+        record.crashed = {"a/1": True, "b/1": True}
+        self.assertLessEqual(self._measure_standstill(fleet, ["j1"], 12.0), MAX_STANDSTILL_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
