Don't blame tasks for workers that are lost whatever they run

Cause: a job failed once a task had lost three workers within a second of its start, or five in all, two of them surely over. Nothing asked whether workers were lost at that rate anyway, or whether the same worker had been lost before under others. Change: a loss is explained, and proves nothing, where as many others were lost within a second, where the worker had only just started or had been lost under other tasks. From three losses of any kind on a task is started only where one more proves something: on a worker that has been there for 3 s, alone among suspects, while few others are lost. Three unexplained losses at the start, or five in all with two unexplained ones, fail the job. The holds end after 10 s (20 s while workers go on being lost). Workers that a new owner knew from rows only counted as listed for ever; now since their listing. Why it works: a task that crashes its workers is the only one lost on sound workers in calm seconds, again and again.

--- a/tools/soak/weakened.py
+++ b/tools/soak/weakened.py
@@ -15,7 +15,7 @@
 from toucanpin.entry.root import EntryProcess
 from toucanpin.entry.submissions import SubmissionOutcome, Submissions
 from toucanpin.platform import workers
-from toucanpin.scheduling import placing
+from toucanpin.scheduling import unplaceable
 
 __all__ = ["WEAKENINGS", "main"]
 
@@ -66,7 +66,7 @@
 
 def _ignore_crashes() -> None:
     """Restart a task regardless of how many workers crashed while running it."""
-    placing.is_start_blocked = lambda cell, live, task: False
+    unplaceable.is_start_blocked = lambda cell, live, task, now: False
     cell_decisions.fail_crashing_jobs = lambda cell, now: []
 
 
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -159,7 +159,7 @@
                 if self._cell.workers.get(identifier) is not worker:
                     break
                 repeated = worker.silent
-                mark_silent(worker)
+                mark_silent(worker, self._clocks.now())
                 if repeated:
                     await asyncio.sleep(SILENT_RETRY_DELAY_S)
                     continue
--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -15,7 +15,6 @@
 from toucanpin.entry.metrics import LOST_RUNS, SLOW_WORKERS, STANDSTILL_TIME, START_WAIT, STARTS
 from toucanpin.scheduling.cell import Cell, Group, Now, find_record
 from toucanpin.scheduling.colocation_report import describe_colocation
-from toucanpin.scheduling.crashing import describe_losses
 from toucanpin.scheduling.evacuating import describe_evacuations, list_not_evacuated
 from toucanpin.scheduling.exclusions import count_exclusions, describe_step
 from toucanpin.scheduling.forecast import Forecast
@@ -24,6 +23,7 @@
 from toucanpin.scheduling.job import TaskKey, format_task
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.standstill import Standstill
+from toucanpin.scheduling.suspicion import describe_losses
 from toucanpin.scheduling.unsettled import describe_unsettled
 from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Run
--- a/toucanpin/scheduling/assigning.py
+++ b/toucanpin/scheduling/assigning.py
@@ -10,9 +10,9 @@
 from toucanpin.scheduling.advising import find_ticket
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now, add_run, mark_dirty
 from toucanpin.scheduling.choosing import CandidateWorkers
-from toucanpin.scheduling.crashing import find_suspicion
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import TaskState
+from toucanpin.scheduling.suspicion import find_suspicion
 from toucanpin.scheduling.waits import Wait, WaitReason
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
@@ -21,8 +21,8 @@
 
 def assign_task(
     cell: Cell, live: LiveJob, task: TaskKey, step: Step, worker: Worker, now: Now
-) -> None:
-    """Assign a task to a worker; the start order is sent only after this is written."""
+) -> Run:
+    """Assign a task to a worker and return its run, which is started only once this is written."""
     record = live.progress.tasks[task.occurrence][live.offsets[task.step] + task.index]
     record.state = TaskState.PLACED
     record.attempt += 1
@@ -42,6 +42,7 @@
     add_run(cell, worker, run)
     cell.placed.append(run)
     mark_dirty(cell, live)
+    return run
 
 
 def record_wait(cell: Cell, group: Group, reason: WaitReason, now: Now) -> None:
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -19,7 +19,7 @@
 from toucanpin.scheduling.task_times import TaskTimes
 from toucanpin.scheduling.waits import Wait
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
-from toucanpin.scheduling.worker_faults import Loss, SlowWorker
+from toucanpin.scheduling.worker_faults import Loss, LostWorker, SlowWorker
 
 __all__ = [
     "Cell",
@@ -138,6 +138,7 @@
     unlogged_slow_workers: list[SlowWorker] = field(default_factory=list)
     # When the newest start without an answer was sent, by worker, task and attempt.
     unanswered_starts: dict[tuple[str, TaskKey, int], float] = field(default_factory=dict)
+    lost_workers: list[LostWorker] = field(default_factory=list)  # lately
     suspects: dict[str, set[TaskKey]] = field(default_factory=dict)  # by the worker lost
     crashing: set[TaskKey] = field(default_factory=set)  # not to be started again
     job_rows_to_delete: list[str] = field(default_factory=list)
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
-from toucanpin.scheduling.crashing import count_suspected
 from toucanpin.scheduling.evacuating import list_not_evacuated
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step
@@ -21,6 +20,7 @@
 from toucanpin.scheduling.progress import CrashSuspicion
 from toucanpin.scheduling.reserving import leaves_reserve
 from toucanpin.scheduling.shortage import Shortage
+from toucanpin.scheduling.suspicion import count_suspected, is_new_worker
 from toucanpin.scheduling.trust import is_trusted
 from toucanpin.scheduling.utilization import WorkerUtilization
 from toucanpin.scheduling.worker import Worker, count_fitting_tasks, has_room
@@ -28,9 +28,11 @@
 __all__ = [
     "CONTACT_TIMEOUT_S",
     "CandidateWorkers",
+    "MAX_SHARE",
     "PlacementRound",
     "ReserveAccess",
     "has_label",
+    "is_reserved_for_others",
     "list_eligible",
     "may_place_long_running",
     "meets_constraints",
@@ -53,6 +55,7 @@
 RESERVE_COST = 20.0  # of taking reserved cores
 UTILIZATION_MAX_AGE_S = 0.2  # loads are measured as often
 SUSPECTED_TASK_COST = 1.0  # per suspected task on the worker, for a task that is suspected itself
+NEW_WORKER_COST = 3.0  # for a suspected task: a worker that has just restarted may do so again
 CRASH_RISK_COST = 10.0  # per share of cores in use that a task on its last attempt puts at risk
 BEST_EFFORT_NEIGHBOUR_COST = 1.0  # per share of cores in use by best-effort tasks
 
@@ -188,7 +191,7 @@
             self.constraint_excluded = True
             return None
         # A worker on trial gets one task at a time, and may have got one in this round.
-        if _is_reserved_for_others(worker, self._live, now) or not is_trusted(worker, now):
+        if is_reserved_for_others(worker, self._live, now) or not is_trusted(worker, now):
             return None
         cost = (
             _compute_best_effort_cost(self._round, worker, step)
@@ -260,7 +263,8 @@
     return has_room(worker, step) and meets_constraints(worker, group, step)
 
 
-def _is_reserved_for_others(worker: Worker, live: LiveJob, now: Now) -> bool:
+def is_reserved_for_others(worker: Worker, live: LiveJob, now: Now) -> bool:
+    """Return whether a worker was freed for more urgent tasks than those of a job."""
     return now.steady < worker.reserved_until and live.job.priority > worker.reserved_priority
 
 
@@ -294,6 +298,8 @@
     exclude best-effort tasks from them for as long as they run.
     """
     cost = 0.0 if step.long_running else SUSPECTED_TASK_COST * count_suspected(worker, now)
+    if is_new_worker(worker, now):
+        cost += NEW_WORKER_COST
     if suspicion is CrashSuspicion.LAST_ATTEMPT:
         cost += CRASH_RISK_COST * (worker.cpu + worker.best_effort_cpu) / max(1, worker.entry.cpu)
     return cost
--- a/toucanpin/scheduling/gangs.py
+++ b/toucanpin/scheduling/gangs.py
@@ -10,9 +10,9 @@
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
 from toucanpin.scheduling.cell import Cell, Group, LiveJob
 from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound
-from toucanpin.scheduling.crashing import find_suspicion, is_start_blocked
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.retrying import list_retry_workers
+from toucanpin.scheduling.suspicion import find_suspicion, is_start_blocked
 from toucanpin.scheduling.unplaceable import (
     is_known_unplaceable,
     is_shortage_known,
@@ -48,7 +48,7 @@
     members = [
         TaskKey(group.job, group.occurrence, group.step, index) for index in range(step.count)
     ]
-    if any(is_start_blocked(cell, live, member) for member in members):
+    if any(is_start_blocked(cell, live, member, round_.now) for member in members):
         record_wait(cell, group, WaitReason.CRASHING, round_.now)
         return
     if is_shortage_known(round_, live, step):
--- a/toucanpin/scheduling/incarnations.py
+++ b/toucanpin/scheduling/incarnations.py
@@ -17,7 +17,7 @@
 from itertools import takewhile
 
 from toucanpin.scheduling.cell import Cell, Now, add_run, drop_run
-from toucanpin.scheduling.crashing import record_loss
+from toucanpin.scheduling.crashing import record_incarnation_lost, record_loss
 from toucanpin.scheduling.ending import end_run
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.orders import StopOrder, WorkerEntry
@@ -84,6 +84,7 @@
         listed_at=worker.listed_at,
         answered_at=0.0 if listed else now.steady,
     )
+    record_incarnation_lost(cell, worker, now)
     unsettled = []
     for run in [run for run in worker.runs.values() if _may_start_late(cell, run)]:
         if run.phase is not Phase.UNKNOWN:
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from toucanpin.scheduling.cell import Cell, LiveJob, Now, add_run, compute_task_offsets
-from toucanpin.scheduling.crashing import assess_suspicion, forget_crashes, restore_crashes
+from toucanpin.scheduling.crashing import forget_crashes, restore_crashes
 from toucanpin.scheduling.ending import end_job
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.job_times import sum_remaining_times
@@ -16,6 +16,7 @@
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.progress import JobState, Progress, TaskState
 from toucanpin.scheduling.step_queue import begin_occurrence, queue_ready_steps
+from toucanpin.scheduling.suspicion import assess_suspicion
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = ["begin_due", "cancel_job", "forget_ended", "restore_job", "submit_job"]
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection, Iterable
 
 from toucanpin.scheduling.cell import Cell, Now, find_record, mark_started
-from toucanpin.scheduling.crashing import clear_survivor, clear_worker
+from toucanpin.scheduling.crashing import clear_survivor, clear_worker, record_incarnation_lost
 from toucanpin.scheduling.ending import apply_end, end_run
 from toucanpin.scheduling.incarnations import (
     begin_incarnation,
@@ -99,6 +99,7 @@
             worker = begin_incarnation(cell, worker, entry.born, now, entry)
             added.append(worker)
         elif not worker.entry.address:
+            worker.first_listed_at = now.steady
             added.append(worker)
         _record_entry(worker, entry, now)
     return added
@@ -168,6 +169,7 @@
     _update_clock(worker, answer.clock, now)
     worker.answered_at = now.steady
     worker.silent = False
+    worker.silent_since = 0.0
     worker.lists_ends = bool(answer.ended)
     # Its next incarnation may carry out a late start of this owner.
     cell.earlier_lease_ends.pop(worker.entry.id, None)
@@ -190,8 +192,10 @@
     worker.utilization = None
 
 
-def mark_silent(worker: Worker) -> None:
+def mark_silent(worker: Worker, now: Now) -> None:
     """Record that a worker did not answer."""
+    if not worker.silent:
+        worker.silent_since = now.steady
     worker.silent = True
     worker.renewal_due = True
 
@@ -200,6 +204,7 @@
     """Remove a worker at whose address another incarnation answers; its runs are lost."""
     if cell.workers.get(worker.entry.id) is not worker:
         return
+    record_incarnation_lost(cell, worker, now)
     end_lost_runs(cell, worker, LossCause.REPLACED, now)
     del cell.workers[worker.entry.id]
 
@@ -212,7 +217,9 @@
             continue
         if now.steady <= worker.lease_expires_at:
             continue
-        end_lost_runs(cell, worker, LossCause.LAPSED, now)
+        if worker.runs:
+            record_incarnation_lost(cell, worker, now)
+            end_lost_runs(cell, worker, LossCause.LAPSED, now)
         unlisted = now.steady > worker.listed_at + FORGET_WORKER_AFTER_S
         if unlisted and now.steady > worker.answered_at + FORGET_WORKER_AFTER_S:
             del cell.workers[worker.entry.id]
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -17,7 +17,6 @@
     list_eligible,
     may_place_long_running,
 )
-from toucanpin.scheduling.crashing import find_suspicion, is_start_blocked
 from toucanpin.scheduling.evicting import make_room, update_scarcity
 from toucanpin.scheduling.gangs import place_gang
 from toucanpin.scheduling.interference_model import InterferenceModel
@@ -40,7 +39,9 @@
     list_retry_workers,
     wastes_attempt,
 )
+from toucanpin.scheduling.suspicion import find_suspicion
 from toucanpin.scheduling.unplaceable import (
+    find_block,
     find_known_reason,
     is_delayed,
     is_known_unplaceable,
@@ -120,7 +121,7 @@
         TaskKey(group.job, group.occurrence, group.step, index)
         for index in cell.waiting[group].intersection(turn.tasks)
     )
-    return sum(_find_block(cell, live, task, now) is None for task in tasks)
+    return sum(find_block(cell, live, task, now) is None for task in tasks)
 
 
 def _order_waiting(cell: Cell, live: LiveJob, turn: PlacementTurn) -> list[int]:
@@ -163,7 +164,7 @@
     preemptions: dict[bool, PreemptionCandidates] = {}
     for index in _order_waiting(cell, live, turn)[:MAX_PREEMPTIONS]:
         task = TaskKey(group.job, group.occurrence, group.step, index)
-        if _find_block(cell, live, task, now) is not None:
+        if find_block(cell, live, task, now) is not None:
             continue
         ignore_reserve = step.long_running and may_take_reserve(cell, live, group, index, now)
         if preemption.is_infeasible(step, ignore_reserve):
@@ -197,9 +198,9 @@
 ) -> None:
     group = turn.group
     waiting = cell.waiting[group]
-    if is_known_unplaceable(cell, step, round_.now):
-        return
     now = round_.now
+    if is_known_unplaceable(cell, step, now):
+        return
     # Ordering the tasks first would look at each of thousands of them in each turn.
     is_short = not eligible or is_shortage_known(round_, live, step)
     if is_short and _needs_only_room(cell, live, turn, now):
@@ -209,7 +210,7 @@
     hopeless: set[int] = set()  # numbers of failures with which tasks found no room to be retried
     for index in _order_waiting(cell, live, turn):
         task = TaskKey(group.job, group.occurrence, group.step, index)
-        block = _find_block(cell, live, task, now)
+        block = find_block(cell, live, task, now)
         if block is not None:
             record_wait(cell, group, block, now)
             continue
@@ -274,14 +275,7 @@
     """Return whether a waiting task of a turn may be placed once there is room."""
     group = turn.group
     tasks = (TaskKey(group.job, group.occurrence, group.step, index) for index in turn.tasks)
-    return any(_find_block(cell, live, task, now) is None for task in tasks)
-
-
-def _find_block(cell: Cell, live: LiveJob, task: TaskKey, now: Now) -> WaitReason | None:
-    """Return why a task may not be placed yet on any worker, None if it may."""
-    if cell.delayed_until.get(task, 0.0) > now.steady:
-        return WaitReason.BACKOFF
-    return WaitReason.CRASHING if is_start_blocked(cell, live, task) else None
+    return any(find_block(cell, live, task, now) is None for task in tasks)
 
 
 def _find_reason(live: LiveJob, step: Step, eligible: list[Worker]) -> WaitReason:
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -66,7 +66,8 @@
     the attempts that are included in ``failures``, so that a failure that is reported twice counts
     once. ``crashed`` maps workers that were lost while they ran the task, and haven't answered
     since, to whether the loss was right after the start.  ``born`` tells the incarnation of
-    ``worker``.  ``lost_at`` tells when these losses were noticed, in ms on the table's clock.
+    ``worker``.  ``lost_at`` tells when the lost workers last answered, in ms on the table's clock;
+    ``explained`` names those that were probably lost whatever they ran.
     """
 
     state: int = 0
@@ -78,6 +79,7 @@
     crashed: dict[str, bool] = {}
     born: int = 0
     lost_at: dict[str, int] = {}
+    explained: list[str] = []
 
 
 class Progress(msgspec.Struct, array_like=True):
@@ -98,6 +100,7 @@
     """Discard all workers that were lost while they ran a task."""
     record.crashed = {}
     record.lost_at = {}
+    record.explained = []
 
 
 def encode_progress(progress: Progress) -> bytes:
--- a/toucanpin/scheduling/retrying.py
+++ b/toucanpin/scheduling/retrying.py
@@ -12,9 +12,15 @@
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.choosing import meets_constraints
-from toucanpin.scheduling.crashing import find_suspicion, is_new_worker, runs_last_attempt
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.progress import CrashSuspicion
+from toucanpin.scheduling.suspicion import (
+    count_suspected,
+    find_suspicion,
+    is_new_worker,
+    list_lost_workers,
+    requires_proof,
+)
 from toucanpin.scheduling.trust import is_distrusted
 from toucanpin.scheduling.worker import Worker, count_fitting_when_idle, fits_when_idle
 
@@ -130,11 +136,13 @@
     """
     step = live.job.steps[task.step]
     group = Group(task.job, task.occurrence, task.step)
-    available = [worker for worker in eligible if not runs_last_attempt(worker, now)]
+    lost = list_lost_workers(live, task)
     established = [worker for worker in eligible if not is_new_worker(worker, now)]
-    if any(
+    if requires_proof(live, task, now) or any(
         fits_when_idle(worker, step) and meets_constraints(worker, group, step)
         for worker in established
     ):
-        return [worker for worker in available if not is_new_worker(worker, now)]
-    return available
+        eligible = established
+    # On a small fleet all may have been lost.
+    others = [worker for worker in eligible if worker.entry.id not in lost] or eligible
+    return [worker for worker in others if not count_suspected(worker, now)]
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -195,10 +195,10 @@
                 if worker.entry.address and f"{worker.entry.id}'" in self.workers:
                     remove_replaced_worker(self.cell, worker, self.now())
                 else:
-                    mark_silent(worker)
+                    mark_silent(worker, self.now())
                 continue
             if core.silent:
-                mark_silent(worker)
+                mark_silent(worker, self.now())
                 continue
             clock = self.clock(worker.entry.id)
             answer = core.poll(self.cell.token, order.acknowledged, order.deadline, clock)
--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -7,13 +7,10 @@
 from collections import Counter
 from random import Random
 
-from toucanpin.scheduling.crashing import (
-    MAX_CRASHES_AT_START,
-    NEW_WORKER_PERIOD_S,
-    fail_crashing_jobs,
-)
+from toucanpin.scheduling.crashing import fail_crashing_jobs
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import JobState, encode_progress
+from toucanpin.scheduling.suspicion import MAX_CRASHES_AT_START, NEW_WORKER_PERIOD_S
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
 # A task is started at most twice more after it has crashed three workers.
@@ -195,7 +192,7 @@
         self.assertEqual({JobState.COMPLETED}, {fleet.state(name) for name in names})
 
     def test_workers_that_restart_anyway_fail_no_job(self) -> None:
-        """Guards against blaming tasks for a storm of crashes that hits workers whatever they run."""
+        """Guards against blaming tasks for crashes that hit workers whatever they run."""
         for seed, share, chance, duration in STORMS:
             with self.subTest(seed=seed, share=share, duration=duration):
                 fleet = _play_storm(Random(seed), share, chance, duration)
--- a/toucanpin/scheduling/tests/test_lease_ends.py
+++ b/toucanpin/scheduling/tests/test_lease_ends.py
@@ -49,7 +49,7 @@
     def test_only_workers_that_do_not_answer_are_listed(self) -> None:
         """Guards against a successor that takes the lease of a renewed worker for ended."""
         self.assertEqual({}, self._list())
-        mark_silent(self.worker)
+        mark_silent(self.worker, self.fleet.now())
         left = (self.worker.lease_expires_at - self.fleet.time) * 1_000
         self.assertAlmostEqual(left, self._list()["w0"], delta=1)
         self.assertGreaterEqual(self._list()["w0"], left)
@@ -72,7 +72,7 @@
         A worker was silent, so that it is listed and gets no lease when it answers.  Guards against
         a long poll before the next try: the rest of its lease may end meanwhile.
         """
-        mark_silent(self.worker)
+        mark_silent(self.worker, self.fleet.now())
         withhold_leases(self.fleet.cell, self._list())
         self.worker.silent = False
         self.assertTrue(awaits_renewal(self.worker))
@@ -112,7 +112,7 @@
 
     def test_an_end_that_was_listed_counts_on_through_two_takeovers(self) -> None:
         """Guards against a wait that begins anew with each owner."""
-        mark_silent(self.worker)
+        mark_silent(self.worker, self.fleet.now())
         listed = self._list()
         seen_at = self.fleet.time + 0.4
         cell = Cell("c", 2, seen_at + 9.0, seen_at)
@@ -158,7 +158,7 @@
         fleet.replace_owner()
         update_workers(fleet.cell, [it.entry for it in fleet.workers.values()], fleet.now())
         for worker in fleet.cell.workers.values():
-            mark_silent(worker)
+            mark_silent(worker, fleet.now())
         self.assertFalse(awaits_first_renewals(fleet.cell))
 
 
--- a/toucanpin/scheduling/tests/test_unsettled.py
+++ b/toucanpin/scheduling/tests/test_unsettled.py
@@ -26,7 +26,7 @@
         fleet.run(1.0)
         self.assertIsNone(describe_unsettled(fleet.cell))
         known = fleet.cell.workers["w0"]
-        mark_silent(known)
+        mark_silent(known, fleet.now())
         expected = Unsettled(1, 0, 0, 2, known.lease_expires_at)
         self.assertEqual(expected, describe_unsettled(fleet.cell))
         successor = Cell("c", 2, earlier_leases_end=fleet.time + 9.0, confirmed_at=fleet.time)
--- a/toucanpin/scheduling/unplaceable.py
+++ b/toucanpin/scheduling/unplaceable.py
@@ -11,11 +11,13 @@
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound, ReserveAccess
-from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.shortage import Demand, Shortage
+from toucanpin.scheduling.suspicion import is_start_blocked
 from toucanpin.scheduling.waits import WaitReason
 
 __all__ = [
+    "find_block",
     "describe_shortage",
     "find_known_reason",
     "is_delayed",
@@ -33,6 +35,13 @@
 CONSTRAINED_RETRY_S = 0.0002
 
 
+def find_block(cell: Cell, live: LiveJob, task: TaskKey, now: Now) -> WaitReason | None:
+    """Return why a task may not be placed yet on any worker, None if it may."""
+    if cell.delayed_until.get(task, 0.0) > now.steady:
+        return WaitReason.BACKOFF
+    return WaitReason.CRASHING if is_start_blocked(cell, live, task, now) else None
+
+
 def is_delayed(cell: Cell, group: Group, now: Now) -> bool:
     """Return whether a step's own constraints left it no worker a moment ago."""
     wait = cell.waits.get(group)
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -108,6 +108,7 @@
     listed_at: float = 0.0
     answered_at: float = 0.0
     silent: bool = False  # it did not answer the latest poll
+    silent_since: float = 0.0  # 0 if it answers
     # Its entry can't be decoded or is of an earlier incarnation, though it may still answer.
     malformed: bool = False
     clock: int = 0
--- a/toucanpin/scheduling/worker_faults.py
+++ b/toucanpin/scheduling/worker_faults.py
@@ -13,7 +13,7 @@
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
-__all__ = ["Loss", "LossCause", "SlowWorker"]
+__all__ = ["Loss", "LossCause", "LostWorker", "SlowWorker"]
 
 
 class LossCause(enum.Enum):
@@ -45,6 +45,21 @@
     crashes: int
 
 
+@dataclass(frozen=True, slots=True)
+class LostWorker:
+    """
+    Incarnation of a worker that was lost, with the tasks that it ran.
+
+    ``at`` is when it last answered, on the local steady clock; ``suspected`` tells that one of its
+    tasks had been lost with another worker before.
+    """
+
+    worker: str
+    at: float
+    tasks: frozenset[TaskKey]
+    suspected: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SlowWorker:
     """A worker that runs all tasks ``factor`` times slower than usual; ``runs`` show it."""
