Let no job stand still for long beside idle cores

Cause: holds for the sake of others or of the task itself, each ended by an event that need not come: best-effort tasks wait while they 'would disturb what serves', a task that was lost with workers waits for room on one that was listed for 10 s, a retry for a worker on which nothing fails. Class: a wait that has no bound, or one that isn't the promise's. Change: once a job has had nothing running for 1.8 s while at most 60% of the cores are in use, one of its tasks runs where it does the least harm; a best-effort one at the highest pace that leaves the services below their targets, ordered as soon as it runs, and it is slowed down rather than stopped. Waits are also recorded for steps whose like found no room a moment ago.

--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -12,6 +12,7 @@
 from toucanpin.scheduling.cell import Cell, Now, find_record, mark_started
 from toucanpin.scheduling.crashing import clear_survivor, clear_worker, record_incarnation_lost
 from toucanpin.scheduling.ending import apply_end, end_run
+from toucanpin.scheduling.first_pace import order_first_pace
 from toucanpin.scheduling.incarnations import (
     begin_incarnation,
     end_lost_runs,
@@ -295,6 +296,7 @@
         run.start_unconfirmed = False
         run.untimed = run.untimed or running.percent > 0
         mark_started(cell, run.task.job)
+        order_first_pace(cell, run, now)
         if live is None or record is None or JobState(live.progress.state).ended:
             stop_run(cell, run, "job ended")
     if running.percent - run.percent >= MIN_PROGRESS_PERCENT or running.percent < run.percent:
--- a/toucanpin/scheduling/pacing.py
+++ b/toucanpin/scheduling/pacing.py
@@ -21,6 +21,7 @@
     predict_rise_for_run,
     predict_share,
 )
+from toucanpin.scheduling.standing_jobs import MIN_KEPT_PACE_PERCENT
 from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker, has_room
 
@@ -108,10 +109,13 @@
 ) -> None:
     """Stop best-effort tasks on a worker, or pause those that can't resume elsewhere."""
     utilization = estimate_utilization(model, worker, planned=True)
+    is_own_load = _is_loaded_by_itself(model, worker)
     for run in best_effort:
         rise = predict_rise(model, utilization, run.step.image, run.step.cpu)
         if not evict_all and rise < NEGLIGIBLE_RISE / 2:
             continue
+        if run.kept and _is_at_lowest_pace(run) and is_own_load:
+            continue
         if run.step.checkpoints:
             stop_run(cell, run, "serving task over its target")
         elif run.pace > 0:
@@ -119,6 +123,19 @@
             _set_pace(cell, run, 0, now)
 
 
+def _is_at_lowest_pace(run: Run) -> bool:
+    return run.pace <= MIN_KEPT_PACE_PERCENT
+
+
+def _is_loaded_by_itself(model: InterferenceModel, worker: Worker) -> bool:
+    """Return whether all services over their target would be so without their neighbours."""
+    return all(
+        model.load(run) >= model.limit(run)
+        for run in worker.runs.values()
+        if run.step.target and run.phase is Phase.RUNNING and run.measure > run.step.target
+    )
+
+
 def _find_most_loaded(model: InterferenceModel, worker: Worker) -> Run | None:
     service_runs = (
         run
@@ -163,7 +180,9 @@
         if new_pace >= current:
             continue
         excess -= cost * (current - max(0, new_pace)) / 100
-        if _is_resumable(run) or (
+        if run.kept and not _is_at_lowest_pace(run):
+            _set_pace(cell, run, max(MIN_KEPT_PACE_PERCENT, new_pace), now)
+        elif _is_resumable(run) or (
             new_pace < MIN_PACE_PERCENT
             and run.percent < 30
             and _has_better_worker(cell, model, worker, run, now)
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -39,6 +39,7 @@
     list_retry_workers,
     wastes_attempt,
 )
+from toucanpin.scheduling.standing_jobs import StandingJobs
 from toucanpin.scheduling.suspicion import find_suspicion
 from toucanpin.scheduling.unplaceable import (
     find_block,
@@ -78,6 +79,7 @@
     interrupted = InterruptedTaskReservation(cell, all_eligible, large, now)
     round_ = PlacementRound(model, now)
     preemption = PreemptionRound()
+    standing = StandingJobs(cell, round_)
     least_urgent = _find_least_urgent(cell)
     for turn in list_turns(cell, now):
         extra = MAX_EXTRA_STARTS if turn.precedes else 0
@@ -101,6 +103,7 @@
                 _place_group(cell, round_, live, turn, step, allowed)
             if live.job.priority < least_urgent and not step.gang:
                 _preempt_for(cell, live, turn, step, allowed, preemption, now)
+        standing.place_for(live, turn, step, allowed)
         if turn.precedes:
             interrupted.reserve_for(group, step, _count_startable(cell, live, turn, now))
         else:
@@ -200,6 +203,8 @@
     waiting = cell.waiting[group]
     now = round_.now
     if is_known_unplaceable(cell, step, now):
+        earlier = cell.waits.get(group)
+        record_wait(cell, group, earlier.reason if earlier else WaitReason.INTERFERENCE, now)
         return
     # Ordering the tasks first would look at each of thousands of them in each turn.
     is_short = not eligible or is_shortage_known(round_, live, step)
--- /dev/null
+++ b/toucanpin/scheduling/standing_jobs.py
@@ -0,0 +1,175 @@
+"""
+Standing jobs
+=============
+
+Place a task of a job of which nothing runs, although more than a third of the cores are free.
+
+Notes
+-----
+Tasks are held for the sake of others or of their own: best-effort tasks would disturb services,
+retries wait for workers on which nothing fails, and some cores are kept free.  Each of these holds
+is ended by an event that may not come for as long as a cell runs.  So a job stands still for a
+bounded time only: then one of its tasks runs where it does the least harm, best-effort ones at a
+low pace.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from toucanpin.scheduling.assigning import assign_task
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, list_runs
+from toucanpin.scheduling.choosing import (
+    MAX_SHARE,
+    PlacementRound,
+    is_reserved_for_others,
+    meets_constraints,
+)
+from toucanpin.scheduling.evacuating import list_not_evacuated
+from toucanpin.scheduling.interrupted_tasks import PlacementTurn
+from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.prediction import predict_share
+from toucanpin.scheduling.progress import CrashSuspicion
+from toucanpin.scheduling.retrying import count_failures
+from toucanpin.scheduling.suspicion import find_suspicion, is_new_worker, requires_proof
+from toucanpin.scheduling.trust import is_distrusted, is_trusted
+from toucanpin.scheduling.unplaceable import find_block
+from toucanpin.scheduling.worker import Worker, has_room
+
+__all__ = ["MIN_KEPT_PACE_PERCENT", "StandingJobs"]
+
+# Callers are promised that no job stands still for 3 s beside free workers; a round of placement,
+# a write and a start take the rest.
+MAX_STANDSTILL_S = 1.8
+MAX_USED_SHARE = 0.6  # of all cores; the promise holds up to half of them
+MAX_PLACED = 4  # in a round, as each looks at all workers
+MIN_KEPT_PACE_PERCENT = 5  # at which a task of a standing job goes on beside a loaded service
+PACES_PERCENT = (100, 60, 30, 10, MIN_KEPT_PACE_PERCENT)
+
+
+class _Doubt(enum.IntEnum):
+    """What speaks against a worker for a task that failed or was lost before."""
+
+    NONE = 0
+    MAY_BE_LOST = 1  # it has just started
+    FAILED_LATELY = 2
+    DISTRUSTED = 3  # tasks of several jobs failed there
+
+
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    """A worker for a task, at which pace, and what speaks against it."""
+
+    worker: Worker
+    pace: int  # percent
+    doubt: _Doubt
+    share: float  # of a service's limit that would be reached
+
+    def rank(self) -> tuple[_Doubt, float, int, str]:
+        """Return the key by which choices are compared, the lowest for the best."""
+        return self.doubt, self.share, -self.pace, self.worker.entry.id
+
+
+class StandingJobs:
+    """Placement of the tasks of standing jobs in one round."""
+
+    __slots__ = ("_cell", "_has_idle_cores", "_left", "_round")
+
+    def __init__(self, cell: Cell, round_: PlacementRound) -> None:
+        self._cell = cell
+        self._round = round_
+        self._left = MAX_PLACED
+        self._has_idle_cores: bool | None = None
+
+    def place_for(
+        self, live: LiveJob, turn: PlacementTurn, step: Step, eligible: list[Worker]
+    ) -> None:
+        """Place a task of a turn if its job has stood still for too long."""
+        if not self._left or step.gang or not self._stands_still(live, turn.group):
+            return
+        if self._has_idle_cores is None:
+            self._has_idle_cores = _has_idle_cores(self._cell)
+        task = self._find_task(live, turn) if self._has_idle_cores else None
+        if task is None:
+            return
+        self._left -= 1
+        choices = self._list_choices(live, task, step, eligible)
+        best = min(choices, key=_Choice.rank, default=None)
+        if best is not None:
+            self._assign(live, task, step, best)
+
+    def _stands_still(self, live: LiveJob, group: Group) -> bool:
+        wait = self._cell.waits.get(group)
+        if wait is None or self._round.now.steady < wait.since + MAX_STANDSTILL_S:
+            return False
+        return not list_runs(self._cell, live)
+
+    def _find_task(self, live: LiveJob, turn: PlacementTurn) -> TaskKey | None:
+        """Return the waiting task with the fewest failures that may be started now."""
+        cell, group, now = self._cell, turn.group, self._round.now
+        tasks = (
+            TaskKey(group.job, group.occurrence, group.step, index)
+            for index in sorted(cell.waiting[group].intersection(turn.tasks))
+        )
+        startable = (
+            task
+            for task in tasks
+            if find_block(cell, live, task, now) is None and not requires_proof(live, task, now)
+        )
+        return min(startable, key=lambda task: count_failures(live, task), default=None)
+
+    def _list_choices(
+        self, live: LiveJob, task: TaskKey, step: Step, eligible: list[Worker]
+    ) -> Iterator[_Choice]:
+        group = Group(task.job, task.occurrence, task.step)
+        now = self._round.now
+        has_failed = count_failures(live, task) > 0
+        is_suspected = find_suspicion(live, task) is not CrashSuspicion.NONE
+        for worker in eligible:
+            if not has_room(worker, step) or not meets_constraints(worker, group, step):
+                continue
+            if task in worker.runs or is_reserved_for_others(worker, live, now):
+                continue
+            if not is_trusted(worker, now):
+                continue
+            doubt = _Doubt.NONE
+            if is_suspected and is_new_worker(worker, now):
+                doubt = _Doubt.MAY_BE_LOST
+            if has_failed and worker.retries_blocked_until > now.steady:
+                doubt = _Doubt.FAILED_LATELY
+            if has_failed and is_distrusted(worker):
+                doubt = _Doubt.DISTRUSTED
+            pace, share = self._choose_pace(worker, step)
+            yield _Choice(worker, pace, doubt, share)
+
+    def _choose_pace(self, worker: Worker, step: Step) -> tuple[int, float]:
+        """Return the highest pace that harms no service, else the lowest, and the share reached."""
+        if not step.best_effort:
+            return 100, 0.0
+        utilization = self._round.utilization(worker)
+        share = 0.0
+        for pace in PACES_PERCENT:
+            cpu = step.cpu * pace / 100
+            share = predict_share(self._round.model, utilization, step.image, cpu)
+            if share <= MAX_SHARE and not self._round.is_saturated(worker, int(cpu)):
+                break
+        return pace, share
+
+    def _assign(self, live: LiveJob, task: TaskKey, step: Step, choice: _Choice) -> None:
+        cell = self._cell
+        cell.waiting[Group(task.job, task.occurrence, task.step)].discard(task.index)
+        cell.delayed_until.pop(task, None)
+        run = assign_task(cell, live, task, step, choice.worker, self._round.now)
+        if choice.pace < 100:
+            run.pace, run.kept, run.untimed = choice.pace, True, True
+        if step.long_running:
+            cell.headroom.free -= step.cpu
+
+
+def _has_idle_cores(cell: Cell) -> bool:
+    """Return whether tasks leave so many cores free that no job may stand still."""
+    workers = list_not_evacuated(cell)
+    used = sum(worker.cpu for worker in workers)
+    return used <= MAX_USED_SHARE * sum(worker.entry.cpu for worker in workers)
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -12,6 +12,7 @@
 from toucanpin.scheduling.cell import Cell, Group, Now, mark_started
 from toucanpin.scheduling.ending import RETRY_DELAY_S, end_run
 from toucanpin.scheduling.evacuating import has_current_evacuations, is_evacuated
+from toucanpin.scheduling.first_pace import order_first_pace
 from toucanpin.scheduling.incarnations import record_unanswered_start
 from toucanpin.scheduling.lease_ends import is_lease_withheld
 from toucanpin.scheduling.leases import lease_end
@@ -85,6 +86,7 @@
             run.started_at = run.progressed_at = now.steady
             run.start_unconfirmed = False
             mark_started(cell, run.task.job)
+            order_first_pace(cell, run, now)
             return StartOutcome.SETTLED
         case RefusalReason.FENCED:
             return StartOutcome.FENCED
--- a/toucanpin/scheduling/tests/test_held_tasks.py
+++ b/toucanpin/scheduling/tests/test_held_tasks.py
@@ -9,7 +9,7 @@
 from standins.site.worker_core import WorkerCore
 from toucanpin.scheduling.interference_model import Effect
 from toucanpin.scheduling.job import Step, TaskKey
-from toucanpin.scheduling.orders import PollAnswer, RunningTask, WorkerEntry
+from toucanpin.scheduling.orders import PollAnswer, RunEnd, RunningTask, WorkerEntry
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 
@@ -25,12 +25,27 @@
 class _SharedCore(WorkerCore):
     """Worker on which best-effort tasks disturb services, as far as they work."""
 
-    __slots__ = ("load", "paces")
+    __slots__ = ("load", "paces", "saved", "seen_at")
 
-    def __init__(self, entry: WorkerEntry) -> None:
+    def __init__(self, entry: WorkerEntry, load: float, saved: dict[TaskKey, float]) -> None:
         super().__init__(entry)
-        self.load = 0.0  # utilization of the service without neighbours
+        self.load = load  # utilization of the service without neighbours
         self.paces: dict[TaskKey, int] = {}
+        self.seen_at = 0.0
+        self.saved = saved  # time in s that stopped tasks have worked for, on all workers
+
+    def start(self, task: TaskKey, attempt: int, deadline: int, token: int, now: float):
+        answer = super().start(task, attempt, deadline, token, now)
+        if answer.refused is None:
+            self.runs[task].duration = self.duration - self.saved.get(task, 0.0)
+        return answer
+
+    def end(self, task: TaskKey, end: RunEnd) -> None:
+        run = self.runs[task]
+        if end is RunEnd.STOPPED:
+            left = max(0.0, run.started + run.duration - self.seen_at)
+            self.saved[task] = self.duration - left
+        super().end(task, end)
 
     def tail(self) -> float:
         """Return the tail of the service in ms."""
@@ -54,6 +69,7 @@
         return RunningTask(running.task, running.attempt, "", running.percent, used)
 
     def advance(self, now: float) -> None:
+        self.seen_at = now
         for task, run in self.runs.items():
             lost = 1 - self.paces.get(task, 100) / 100
             run.duration += 1_000.0 if task.job == "web" else TIME_STEP_S * lost
@@ -61,6 +77,14 @@
         self.paces = {task: pace for task, pace in self.paces.items() if task in self.runs}
 
 
+def _apply_paces(fleet: Fleet) -> None:
+    for order in fleet.paces:
+        core = fleet.workers.get(order.worker)
+        if isinstance(core, _SharedCore) and order.task in core.runs:
+            core.paces[order.task] = order.percent
+    fleet.paces.clear()
+
+
 class HeldTasksTest(unittest.TestCase):
     def _measure_standstill(self, fleet: Fleet, jobs: list[str], seconds: float) -> float:
         """Return the longest time for which a job that hasn't ended had nothing running."""
@@ -68,6 +92,7 @@
         longest = 0.0
         for _ in range(round(seconds / TIME_STEP_S)):
             fleet.run(TIME_STEP_S)
+            _apply_paces(fleet)
             running = {task.job for worker in fleet.workers.values() for task in worker.runs}
             for job in jobs:
                 if job in running or JobState(fleet.state(job)).ended:
@@ -78,11 +103,10 @@
     def _serve(self, load: float, workers: int = 6) -> Fleet:
         """Return a fleet with a service on each worker, under half of whose cores are in use."""
         fleet = Fleet(workers=0)
+        saved: dict[TaskKey, float] = {}
         for number in range(workers):
-            fleet.add_worker(f"w{number}")
-            core = _SharedCore(fleet.workers[f"w{number}"].entry)
-            core.load, core.duration = load, 1.0
-            fleet.workers[f"w{number}"] = core
+            entry = fleet.add_worker(f"w{number}").entry
+            fleet.workers[f"w{number}"] = _SharedCore(entry, load, saved)
         fleet.model.record_tail("web", IDLE_TAIL_MS / 0.775, -100.0)
         fleet.model.record_tail("web", IDLE_TAIL_MS / 0.775, 0.0)
         fleet.model._store_effect(Effect("web", "batch", EFFECT, 0.1))
@@ -99,6 +123,24 @@
                 for job in jobs:
                     fleet.submit(make_job(job, (BATCH,), priority=2))
                 self.assertLessEqual(self._measure_standstill(fleet, jobs, 20.0), MAX_STANDSTILL_S)
+                self._measure_standstill(fleet, jobs, 100.0)
+                self.assertEqual({JobState.COMPLETED}, {JobState(fleet.state(it)) for it in jobs})
+
+    def test_services_bear_the_tasks_of_standing_jobs(self) -> None:
+        """Guards against services over their target because no batch job may stand still."""
+        for load in (0.5, 0.7, 0.78):
+            with self.subTest(load=load):
+                fleet = self._serve(load)
+                for number in range(4):
+                    fleet.submit(make_job(f"batch{number}", (BATCH,), priority=2))
+                over: dict[str, float] = {}
+                for _ in range(round(40.0 / TIME_STEP_S)):
+                    fleet.run(TIME_STEP_S)
+                    _apply_paces(fleet)
+                    for name, core in fleet.workers.items():
+                        is_over = isinstance(core, _SharedCore) and core.tail() > TARGET_MS
+                        over[name] = over.get(name, 0.0) + TIME_STEP_S if is_over else 0.0
+                    self.assertLess(max(over.values()), MAX_OVER_TARGET_S)
 
     def test_task_on_its_last_attempt_does_not_wait_for_a_full_worker(self) -> None:
         """Guards against a task that was lost with workers and waits beside idle new workers."""
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -66,6 +66,7 @@
     measure: float = 0.0  # tail latency in ms of a latency-critical task, else the CPU in use
     pace: int = 100  # percent of full speed
     paced_at: float = 0.0
+    kept: bool = False  # slowed down rather than stopped, since its job would stand still
     over_target_since: float = 0.0
     # A start without an answer may be carried out seconds later, so the task may run elsewhere only
     # once a stop is acknowledged or the lease has expired.
