Compute the costs of workers, and keep the state of a placement round, in modules of their own

Change: worker_costs.py and placement_round.py; the bodies are unchanged; tests patch the new places and also count the workers that standing jobs look at. Result: tests of turn costs, layers, colocation and held tasks pass.

--- a/toucanpin/scheduling/advising.py
+++ b/toucanpin/scheduling/advising.py
@@ -10,9 +10,10 @@
 from dataclasses import dataclass
 
 from toucanpin.scheduling.cell import Cell, Group, Now, StepTickets
-from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound, list_eligible
+from toucanpin.scheduling.choosing import CandidateWorkers, list_eligible
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.interrupted_tasks import list_turns
+from toucanpin.scheduling.placement_round import PlacementRound
 from toucanpin.scheduling.shortage import Demand, Shortage
 from toucanpin.scheduling.unplaceable import (
     describe_shortage,
--- a/toucanpin/scheduling/colocation_report.py
+++ b/toucanpin/scheduling/colocation_report.py
@@ -14,13 +14,15 @@
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.cell import Cell, Now
-from toucanpin.scheduling.choosing import MAX_SHARE, PlacementRound, list_eligible
+from toucanpin.scheduling.choosing import list_eligible
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.placement_round import PlacementRound
 from toucanpin.scheduling.prediction import predict_share
 from toucanpin.scheduling.utilization import ServiceUtilization, WorkerUtilization
 from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Phase, Worker, has_room
+from toucanpin.scheduling.worker_costs import MAX_SHARE
 
 __all__ = ["ColocationReport", "Obstacle", "describe_colocation"]
 
--- a/toucanpin/scheduling/gangs.py
+++ b/toucanpin/scheduling/gangs.py
@@ -9,8 +9,9 @@
 
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
 from toucanpin.scheduling.cell import Cell, Group, LiveJob
-from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound
+from toucanpin.scheduling.choosing import CandidateWorkers
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.placement_round import PlacementRound
 from toucanpin.scheduling.retrying import list_retry_workers
 from toucanpin.scheduling.suspicion import find_suspicion, is_start_blocked
 from toucanpin.scheduling.unplaceable import (
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -10,13 +10,7 @@
 from toucanpin.scheduling.advising import list_ticketed
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
 from toucanpin.scheduling.cell import Cell, LiveJob, Now
-from toucanpin.scheduling.choosing import (
-    CandidateWorkers,
-    PlacementRound,
-    ReserveAccess,
-    list_eligible,
-    may_place_long_running,
-)
+from toucanpin.scheduling.choosing import CandidateWorkers, list_eligible, may_place_long_running
 from toucanpin.scheduling.evicting import make_room, update_scarcity
 from toucanpin.scheduling.gangs import place_gang
 from toucanpin.scheduling.interference_model import InterferenceModel
@@ -28,6 +22,7 @@
 )
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
+from toucanpin.scheduling.placement_round import PlacementRound, ReserveAccess
 from toucanpin.scheduling.preempting import PreemptionCandidates, PreemptionRound
 from toucanpin.scheduling.progress import CrashSuspicion
 from toucanpin.scheduling.racks import update_rack
--- a/toucanpin/scheduling/reserve_access.py
+++ b/toucanpin/scheduling/reserve_access.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
-from toucanpin.scheduling.choosing import ReserveAccess
 from toucanpin.scheduling.interrupted_tasks import leaves_cores_to_short, may_take_reserve
 from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.placement_round import ReserveAccess
 
 __all__ = ["find_reserve_access"]
 
--- a/toucanpin/scheduling/standing_jobs.py
+++ b/toucanpin/scheduling/standing_jobs.py
@@ -2,7 +2,7 @@
 Standing jobs
 =============
 
-Place a task of a job of which nothing runs, although more than a third of the cores are free.
+Place a task of a job of which nothing runs, although more than a third of the cores are idle.
 
 Notes
 -----
@@ -21,15 +21,11 @@
 
 from toucanpin.scheduling.assigning import assign_task
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, list_runs
-from toucanpin.scheduling.choosing import (
-    MAX_SHARE,
-    PlacementRound,
-    is_reserved_for_others,
-    meets_constraints,
-)
+from toucanpin.scheduling.choosing import is_reserved_for_others, meets_constraints
 from toucanpin.scheduling.evacuating import list_not_evacuated
 from toucanpin.scheduling.interrupted_tasks import PlacementTurn
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.placement_round import PlacementRound
 from toucanpin.scheduling.prediction import predict_share
 from toucanpin.scheduling.progress import CrashSuspicion
 from toucanpin.scheduling.retrying import count_failures
@@ -37,13 +33,14 @@
 from toucanpin.scheduling.trust import is_distrusted, is_trusted
 from toucanpin.scheduling.unplaceable import find_block
 from toucanpin.scheduling.worker import Worker, has_room
+from toucanpin.scheduling.worker_costs import MAX_SHARE
 
 __all__ = ["MIN_KEPT_PACE_PERCENT", "StandingJobs"]
 
 # Callers are promised that no job stands still for 3 s beside free workers; a round of placement,
 # a write and a start take the rest.
 MAX_STANDSTILL_S = 1.8
-MAX_USED_SHARE = 0.6  # of all cores; the promise holds up to half of them
+MAX_USED_SHARE = 0.6  # of all cores by their load; the promise holds up to half of them
 MAX_PLACED = 4  # in a round, as each looks at all workers
 MIN_KEPT_PACE_PERCENT = 5  # at which a task of a standing job goes on beside a loaded service
 PACES_PERCENT = (100, 60, 30, 10, MIN_KEPT_PACE_PERCENT)
@@ -90,7 +87,7 @@
         if not self._left or step.gang or not self._stands_still(live, turn.group):
             return
         if self._has_idle_cores is None:
-            self._has_idle_cores = _has_idle_cores(self._cell)
+            self._has_idle_cores = self._find_idle_cores()
         task = self._find_task(live, turn) if self._has_idle_cores else None
         if task is None:
             return
@@ -100,6 +97,12 @@
         if best is not None:
             self._assign(live, task, step, best)
 
+    def _find_idle_cores(self) -> bool:
+        """Return whether so many cores are idle that no job may stand still."""
+        workers = list_not_evacuated(self._cell)
+        used = sum(self._round.utilization(worker).used for worker in workers)
+        return used <= MAX_USED_SHARE * sum(worker.entry.cpu for worker in workers)
+
     def _stands_still(self, live: LiveJob, group: Group) -> bool:
         wait = self._cell.waits.get(group)
         if wait is None or self._round.now.steady < wait.since + MAX_STANDSTILL_S:
@@ -166,10 +169,3 @@
             run.pace, run.kept, run.untimed = choice.pace, True, True
         if step.long_running:
             cell.headroom.free -= step.cpu
-
-
-def _has_idle_cores(cell: Cell) -> bool:
-    """Return whether tasks leave so many cores free that no job may stand still."""
-    workers = list_not_evacuated(cell)
-    used = sum(worker.cpu for worker in workers)
-    return used <= MAX_USED_SHARE * sum(worker.entry.cpu for worker in workers)
--- a/toucanpin/scheduling/tests/test_constrained_cost.py
+++ b/toucanpin/scheduling/tests/test_constrained_cost.py
@@ -10,11 +10,19 @@
 
 import msgspec
 
-from toucanpin.scheduling import choosing, large_tasks, placing, preempting
+from toucanpin.scheduling import (
+    choosing,
+    large_tasks,
+    placement_round,
+    placing,
+    preempting,
+    standing_jobs,
+)
 from toucanpin.scheduling.advising import plan_advice_requests
 from toucanpin.scheduling.cell import Group
-from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound
+from toucanpin.scheduling.choosing import CandidateWorkers
 from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.placement_round import PlacementRound
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.unplaceable import is_known_unplaceable, record_unplaceable
@@ -45,8 +53,11 @@
         """Count the workers weighed for placement, preemption, reservation and advice."""
         with (
             patch.object(choosing, "has_room", self._wrap(choosing.has_room)),
+            patch.object(standing_jobs, "has_room", self._wrap(standing_jobs.has_room)),
             patch.object(
-                choosing, "estimate_utilization", self._wrap(choosing.estimate_utilization)
+                placement_round,
+                "estimate_utilization",
+                self._wrap(placement_round.estimate_utilization),
             ),
             patch.object(
                 preempting, "bound_freeable_cpu", self._wrap(preempting.bound_freeable_cpu)
--- a/toucanpin/scheduling/tests/test_turn_cost.py
+++ b/toucanpin/scheduling/tests/test_turn_cost.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from unittest.mock import patch
 
-from toucanpin.scheduling import choosing, preempting
+from toucanpin.scheduling import choosing, placement_round, preempting
 from toucanpin.scheduling.cell import Group
 from toucanpin.scheduling.choosing import CandidateWorkers
 from toucanpin.scheduling.job import Step
@@ -151,7 +151,7 @@
         self.fleet.time += 0.01
         self._submit_best_effort("g1")
         with patch.object(
-            choosing, "estimate_utilization", wraps=choosing.estimate_utilization
+            placement_round, "estimate_utilization", wraps=placement_round.estimate_utilization
         ) as counted:
             place_tasks(self.fleet.cell, self.fleet.model, self.fleet.now())
         self.assertEqual(0, counted.call_count)
@@ -162,7 +162,7 @@
         self.fleet.time += 0.25
         self._submit_best_effort("g1")
         with patch.object(
-            choosing, "estimate_utilization", wraps=choosing.estimate_utilization
+            placement_round, "estimate_utilization", wraps=placement_round.estimate_utilization
         ) as counted:
             place_tasks(self.fleet.cell, self.fleet.model, self.fleet.now())
         self.assertEqual(WORKERS, counted.call_count)
@@ -185,7 +185,7 @@
             self.fleet.time += period / 4
         turns = 40
         with patch.object(
-            choosing, "estimate_utilization", wraps=choosing.estimate_utilization
+            placement_round, "estimate_utilization", wraps=placement_round.estimate_utilization
         ) as counted:
             for _ in range(turns):
                 self.fleet.time += period / 4
--- a/toucanpin/scheduling/unplaceable.py
+++ b/toucanpin/scheduling/unplaceable.py
@@ -10,8 +10,9 @@
 from dataclasses import replace
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
-from toucanpin.scheduling.choosing import CandidateWorkers, PlacementRound, ReserveAccess
+from toucanpin.scheduling.choosing import CandidateWorkers
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.placement_round import PlacementRound, ReserveAccess
 from toucanpin.scheduling.shortage import Demand, Shortage
 from toucanpin.scheduling.suspicion import is_start_blocked
 from toucanpin.scheduling.waits import WaitReason
