Take a worker for new only if it restarted under this owner

Change: only workers that are listed 3 s or more after an owner began count as restarted; the cell knows since when it is owned.

--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -213,7 +213,7 @@
         event="task.excluded",
         job=group.job,
         step=group.step,
-        owned=round(now.steady - cell.taken_over_from, 3),
+        owned=round(now.steady - cell.owned_since, 3),
         workers=", ".join(f"{count} {reason.value}" for reason, count in found.most_common()),
     )
 
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -101,6 +101,7 @@
         self._evacuated = evacuated
         earlier_leases_end = find_earlier_leases_end(previous, silent_since, steady_time())
         self._cell = Cell(name, record.token, earlier_leases_end, confirmed)
+        self._cell.owned_since = steady_time()
         if previous is not None:
             ends = restore_lease_ends(previous.lease_ends, silent_since)
             self._cell.earlier_lease_ends = ends
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -101,7 +101,8 @@
     which every lease that an earlier owner may have granted has ended, and ``earlier_lease_ends``
     has earlier times for some workers.  Workers in ``withheld`` get no lease.  ``confirmed_at`` is
     when the newest write that the table accepted was sent, ``taken_over_from`` when that of the
-    earlier owner was seen.  ``interrupted`` tells when long-running tasks that wait again last ran.
+    earlier owner was seen, ``owned_since`` when this one began.  ``interrupted`` tells when
+    long-running tasks that wait again last ran.
     ``evacuated`` names the data centres that get no new tasks; this list is valid until
     ``evacuated_until``.  ``unplaceable`` holds by image the demands of best-effort tasks for which
     no worker was found; they are not tried again until ``unplaceable_until``.  ``stop_time`` and
@@ -117,6 +118,7 @@
     earlier_lease_ends: dict[str, float] = field(default_factory=dict)
     withheld: set[str] = field(default_factory=set)
     taken_over_from: float = 0.0
+    owned_since: float = 0.0
     workers_enforce_limits: bool = True  # workers refuse tasks that don't fit
     stop_time: float = 0.2
     restore_time: float = 0.25
--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -48,6 +48,7 @@
 SURVIVAL_PERIOD_S = 5.0  # after which a long-running task is cleared of suspicion
 # Since the latest loss, until the others of the same time are known as well.
 ASSESSMENT_DELAY_S = 1.0
+FIRST_LISTING_PERIOD_S = 3.0  # from a takeover until an owner has found the workers that are there
 
 
 def record_incarnation_lost(cell: Cell, worker: Worker, now: Now) -> None:
@@ -157,11 +158,12 @@
     """
     Return whether a loss would probably have hit any task.
 
-    A worker that had only just started, or that was lost a moment ago under other tasks, is often
+    A worker that had only just restarted, or that was lost a moment ago under other tasks, is often
     lost again.  The latter doesn't count where a start was meant as a proof: other tasks that crash
-    workers would hide this one.
+    workers would hide this one.  How long a worker has been there that this owner found is unknown.
     """
-    if 0 < run.ordered_at < worker.first_listed_at + NEW_WORKER_PERIOD_S:
+    restarted = worker.first_listed_at > cell.owned_since + FIRST_LISTING_PERIOD_S
+    if restarted and 0 < run.ordered_at < worker.first_listed_at + NEW_WORKER_PERIOD_S:
         return True
     is_proof = len(record.crashed) > MIN_PROOF_CRASHES
     if not is_proof and was_lost_otherwise(cell, worker.entry.id, run.task):
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -149,7 +149,7 @@
         cell = Cell(
             "c", token, self.time + OWNER_AUTHORITY_S * CLOCK_FACTOR + CLOCK_MARGIN_S, self.time
         )
-        cell.taken_over_from = self.time
+        cell.taken_over_from = cell.owned_since = self.time
         return cell
 
     def _turn(self) -> None:
