Read what callers ask about jobs in a module of its own

Change: entry/job_lookup.py (reads), entry/refusal_log.py; the reads that show and find a job share one.

--- a/toucanpin/entry/requests.py
+++ b/toucanpin/entry/requests.py
@@ -7,32 +7,27 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
-from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
-from typing import Generic, TypeVar
+from collections.abc import Callable, Mapping
+from typing import TypeVar
 
 import logbook
 import msgspec
 
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.configuration import MAX_LOOKUP_AGE_S, ConfigurationWatch
+from toucanpin.entry.job_lookup import JobLookup
 from toucanpin.entry.metrics import REFUSED_JOBS, REQUEST_TIME, REQUESTS
-from toucanpin.entry.pending_counts import read_pending
-from toucanpin.entry.row_reader import DECODE_ERRORS, RowReader
+from toucanpin.entry.refusal_log import log_refusal
 from toucanpin.entry.submissions import (
-    INITIAL_BACKOFF_S,
-    MAX_BACKOFF_S,
     REFUSE_AFTER_S,
     SubmissionOutcome,
     Submissions,
     WriteFailure,
     write_rows,
 )
-from toucanpin.entry.tables import JOBS_TABLE, PROGRESS_TABLE, cancel_key, job_part
-from toucanpin.exception import PlatformError
-from toucanpin.http import CallError, Request, Response
+from toucanpin.entry.tables import JOBS_TABLE, cancel_key, job_part
+from toucanpin.http import Request, Response
 from toucanpin.platform.job_messages import (
     DEADLINE_HEADER,
     JobSyntaxError,
@@ -41,13 +36,12 @@
     encode_state,
     is_job_id,
 )
-from toucanpin.platform.store import Conflict, ExpectedVersion, Put, Row, Store
+from toucanpin.platform.store import Conflict, ExpectedVersion, Put, Store
 from toucanpin.scheduling.admission import Refuse, decide_admission
 from toucanpin.scheduling.configuration import Queue
 from toucanpin.scheduling.forecast import KnownForecast
 from toucanpin.scheduling.job import find_job_fault
 from toucanpin.scheduling.load_shedding import would_exceed_time_limit
-from toucanpin.scheduling.progress import JobState, decode_progress
 
 __all__ = ["RequestHandler"]
 
@@ -65,14 +59,6 @@
 MIN_OUTAGE_S = 1.5  # without the table, after which callers get the longer delay
 
 
-@dataclass(frozen=True, slots=True)
-class _ReadResult(Generic[T]):
-    """Result of a read; ``answered`` is False if there was no answer."""
-
-    answered: bool
-    value: T | None
-
-
 def _no_backlog(service: str) -> Mapping[int, int]:
     return {}
 
@@ -87,9 +73,9 @@
     __slots__ = (
         "_clocks",
         "_configuration",
+        "_lookup",
         "_read_backlog",
         "_read_forecast",
-        "_reader",
         "_store",
         "_submissions",
     )
@@ -108,7 +94,7 @@
         self._read_backlog = read_backlog
         self._configuration = configuration
         self._clocks = clocks
-        self._reader = RowReader()
+        self._lookup = JobLookup(store)
 
     async def handle(self, request: Request) -> Response | None:
         """Answer a request; server errors are logged."""
@@ -189,7 +175,7 @@
         known = self._read_forecast(queue.service)
         match decide_admission(job, known):
             case Refuse() as refusal:
-                _log_refusal(queue, identifier, refusal, known)
+                log_refusal(queue, identifier, refusal, known)
                 return await self._refuse(queue, identifier, refusal.retry_after, deadline)
         outcome = await self._submissions.submit(job, known_version, deadline)
         _log.info(
@@ -227,7 +213,7 @@
 
         If a retry of an accepted job were refused, its caller would submit the work again.
         """
-        accepted = await self._find_job(queue, identifier, deadline)
+        accepted = await self._lookup.find_job(queue.service, identifier, deadline)
         _log.info(
             "job refused: it can't finish in time",
             event="job.hopeless",
@@ -239,16 +225,8 @@
             return Response(504)
         return Response(200) if accepted.value else Response(503, retry_after=LONG_RETRY_AFTER_S)
 
-    async def _find_job(self, queue: Queue, identifier: str, deadline: float) -> _ReadResult[bool]:
-        async def find() -> bool:
-            part = job_part(queue.service, identifier)
-            page = await self._store.read(JOBS_TABLE, part, identifier, identifier + "\0")
-            return bool(page.rows)
-
-        return await self._read_with_retries(find, deadline)
-
     async def _cancel(self, queue: Queue, identifier: str, deadline: float) -> Response:
-        found = await self._find_job(queue, identifier, deadline)
+        found = await self._lookup.find_job(queue.service, identifier, deadline)
         if not found.answered:
             return Response(503, retry_after=self._choose_retry_after())
         if not found.value:
@@ -273,36 +251,20 @@
         return Response(200) if written else Response(503, retry_after=self._choose_retry_after())
 
     async def _show(self, queue: Queue, identifier: str, deadline: float) -> Response:
-        async def find() -> JobState | None:
-            end = identifier + "\0"
-            page = await self._store.read(PROGRESS_TABLE, queue.service, identifier, end)
-            if page.rows:
-                return _read_state(page.rows[0])
-            part = job_part(queue.service, identifier)
-            page = await self._store.read(JOBS_TABLE, part, identifier, end)
-            if page.rows:
-                return JobState.PENDING
-            # Neither row exists: the job is unknown, or it ended and was deleted between the
-            # two reads.
-            return None
-
-        found = await self._read_with_retries(find, deadline)
+        found = await self._lookup.find_state(queue.service, identifier, deadline)
         if not found.answered:
             return Response(503, retry_after=self._choose_retry_after())
         state = found.value
         return Response(410) if state is None else Response(200, encode_state(state))
 
     async def _count(self, queue: Queue, deadline: float) -> Response:
-        async def find() -> tuple[int, int] | None:
-            return await read_pending(self._store, self._reader, queue.service, queue.name)
-
         begun = steady_time()
         await self._configuration.refresh(MAX_LOOKUP_AGE_S, deadline - time.monotonic())
         if begun - self._configuration.confirmed > MAX_CONFIGURATION_AGE_S:
             return Response(503, retry_after=self._choose_retry_after())
         if not self._configuration.has_queue(queue.name):
             return Response(404)
-        count, view_age = (await self._read_with_retries(find, deadline)).value or (-1, -1)
+        count, view_age = await self._lookup.count_pending(queue, deadline) or (-1, -1)
         _log.info(
             "pending jobs counted",
             event="jobs.counted",
@@ -316,45 +278,6 @@
             return Response(503, retry_after=self._choose_retry_after())
         return Response(200, encode_count(count))
 
-    async def _read_with_retries(
-        self, find: Callable[[], Awaitable[T]], deadline: float
-    ) -> _ReadResult[T]:
-        """Read, with retries until there is an answer or the deadline has passed."""
-        backoff = INITIAL_BACKOFF_S
-        while time.monotonic() < deadline:
-            try:
-                return _ReadResult(True, await find())
-            except PlatformError as error:
-                _log.error("row not read", event="store.fault", reason=error)
-                return _ReadResult(False, None)
-            except CallError:
-                await asyncio.sleep(backoff)
-                backoff = min(2 * backoff, MAX_BACKOFF_S)
-        return _ReadResult(False, None)
-
-
-def _log_refusal(
-    queue: Queue, identifier: str, refusal: Refuse, known: KnownForecast | None
-) -> None:
-    REFUSED_JOBS.add(1, {"queue": queue.name, "reason": "no room in time"})
-    _log.info(
-        "job refused: no room in time",
-        event="job.refused",
-        job=identifier,
-        queue=queue.name,
-        expected=refusal.expected / 1_000,
-        limit=refusal.limit / 1_000,
-        retry_after=refusal.retry_after,
-        forecast_age=round(known.age, 3) if known is not None else None,
-    )
-
-
-def _read_state(row: Row) -> JobState:
-    try:
-        return JobState(decode_progress(row.value).state)
-    except DECODE_ERRORS as error:
-        raise PlatformError(f"the progress of {row.key} can't be read: {error}") from error
-
 
 def _read_deadline(request: Request) -> float:
     try:
