Read a cell's rows in a module of its own

Change: entry/cell_reading.py; the bodies are unchanged. Result: entry tests of loading, slow takeovers, watches, dropped jobs and lost tasks pass.

--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -13,6 +13,7 @@
 import logbook
 import msgspec
 
+from toucanpin.entry.cell_reading import RETRY_DELAY_S, CellReader, join_pages
 from toucanpin.entry.clocks import steady_time
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.tables import (
@@ -29,7 +30,7 @@
     list_job_parts,
     split_key,
 )
-from toucanpin.exception import PlatformError, ToucanpinError
+from toucanpin.exception import PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.store import Committed, ExpectedVersion, Page, Put, Row, Store
 from toucanpin.scheduling.cell import Cell, Now
@@ -53,13 +54,9 @@
 __all__ = ["CellRows", "OwnershipLostError", "decode_job_row"]
 
 _log = logbook.Logger("rows")
-RETRY_DELAY_S = 0.1  # before a failed call is repeated
 INITIAL_BACKOFF_S = 0.02  # before a commit is repeated; doubled each time
 MAX_BACKOFF_S = 0.2
 COMMIT_TIMEOUT_S = 2.0  # of one attempt; a store that is 60 times slower than usual takes 0.6 s
-# Reads of a new owner at a time.  More of them would fill a link of 10 Mbit/s for so long that the
-# owner's renewals are late.
-CONCURRENT_READS = 3
 SLICE_ROWS = 50  # decoded at a time by a new owner
 COUNTS_PERIOD_S = 0.5  # between writes of the counts of pending jobs
 EFFECTS_PERIOD_S = 3.0  # between writes of the learned effects and durations
@@ -90,6 +87,7 @@
         reader: RowReader,
     ) -> None:
         self._reader = reader
+        self._cell_reader = CellReader(store, cell.name)
         self.blocked: set[str] = set()
         self._store = store
         self._cell = cell
@@ -109,8 +107,8 @@
         name = self._cell.name
         reads = [(JOBS_TABLE, part) for part in list_job_parts(name)]
         reads += [(PROGRESS_TABLE, name), (EFFECTS_TABLE, name)]
-        *job_pages, progress, learned = await self._read_parts(reads)
-        jobs = _join_pages(job_pages)
+        *job_pages, progress, learned = await self._cell_reader.read_parts(reads)
+        jobs = join_pages(job_pages)
         effects = self._reader.read_one(learned.rows, _decode_learned)
         if effects is not None:
             self._interference.restore(effects, now().steady)
@@ -150,37 +148,8 @@
                 cancel_job(self._cell, identifier, now)
 
     async def read_jobs(self, throttle: Callable[[float], Awaitable[None]] | None = None) -> Page:
-        """
-        Read the jobs of all parts, with retries; ``throttle`` is awaited after each page.
-
-        The ``version`` and ``clock`` of the result are those of the oldest page.
-        """
-        parts = list_job_parts(self._cell.name)
-        return _join_pages([await self._read_part(JOBS_TABLE, part, throttle) for part in parts])
-
-    async def _read_parts(self, reads: Sequence[tuple[str, str]]) -> list[Page]:
-        """Read parts of tables, some at a time, with retries."""
-        free = asyncio.Semaphore(CONCURRENT_READS)
-
-        async def read(table: str, part: str) -> Page:
-            async with free:
-                return await self._read_part(table, part)
-
-        return await asyncio.gather(*(read(table, part) for table, part in reads))
-
-    async def _read_part(
-        self,
-        table: str,
-        part: str,
-        throttle: Callable[[float], Awaitable[None]] | None = None,
-    ) -> Page:
-        async def pause(error: ToucanpinError) -> None:
-            _log.warning("rows of the cell not read", event="cell.unread", part=part, reason=error)
-            await asyncio.sleep(RETRY_DELAY_S)
-
-        # Only the failed page is repeated: with some answers lost, a read of many pages that starts
-        # over each time might never end.
-        return await self._store.read_all(table, part, on_error=pause, after_page=throttle)
+        """Read the jobs of all parts; see ``CellReader.read_jobs``."""
+        return await self._cell_reader.read_jobs(throttle)
 
     async def write(self, batch: WriteBatch, resigning: bool) -> None:
         """
@@ -293,13 +262,6 @@
         return [Put(COUNTS_TABLE, COUNTS_KEY, value)]
 
 
-def _join_pages(pages: Sequence[Page]) -> Page:
-    """Return the rows of all pages, with the version and clock of the oldest one."""
-    rows = tuple(row for page in pages for row in page.rows)
-    version = min(page.version for page in pages)
-    return Page(rows, False, version, min(page.clock for page in pages))
-
-
 def decode_job_row(row: Row) -> Job:
     """
     Decode a job's row.
