--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -34,7 +34,13 @@
 def main() -> int:
     """Play all seeds, a few at a time."""
     options = _parse_options()
-    size = Size(options.hosts, options.workers, options.callers, options.seconds)
+    size = Size(
+        options.hosts,
+        options.workers,
+        options.callers,
+        options.seconds,
+        unstable=options.unstable,
+    )
     program: tuple[str, ...] = PROGRAM
     if options.without:
         program = ("-m", "tools.soak.weakened", options.without)
@@ -84,6 +90,7 @@
     parser.add_argument("--hosts", type=int, default=6)
     parser.add_argument("--workers", type=int, default=10)
     parser.add_argument("--callers", type=int, default=10)
+    parser.add_argument("--unstable", action="store_true", help="many workers fail together")
     parser.add_argument("--parallel", type=int, default=1, help="seeds at a time")
     parser.add_argument("--logs", type=Path, default=LOG_DIRECTORY)
     parser.add_argument("--without", choices=WEAKENINGS, help="a safeguard to switch off")
--- a/tools/soak/answer_checks.py
+++ b/tools/soak/answer_checks.py
@@ -11,12 +11,12 @@
 from collections.abc import Iterator
 
 from tools.soak import events
+from tools.soak.jobs import MAX_ATTEMPTS
 from tools.soak.task_checks import TaskCheck
 from toucanpin.scheduling.job import TaskKey
 
 __all__ = ["Configurations", "Counts", "Kept", "Own", "Processes", "Shutdowns", "States"]
 
-MAX_ATTEMPTS = 4  # of a task, set in the soak's configuration
 COUNT_DELAY_S = 5.0  # until an accepted job must be included in counts
 MIN_CRASHES = 2  # worker crashes under a task after which its job may fail
 COUNT_RECOVERY_S = 6.0  # after a disturbance until counts must be correct
@@ -152,14 +152,19 @@
                 failures = max(
                     (self._failures[task] for task in self._tasks(event.subject)), default=0
                 )
-                if failures < MAX_ATTEMPTS and not self._may_crash(event.subject):
+                if failures < MAX_ATTEMPTS and not self._has_crashed(event.subject):
                     yield f"{event.subject} is told as failed after {failures} failures of a task"
             case "canceled" if event.subject not in self._cancel_requested:
                 yield f"{event.subject} is told as canceled, and nobody asked for it"
 
-    def _may_crash(self, name: str) -> bool:
-        """Return whether MIN_CRASHES workers have crashed under a task of a job."""
-        return max((self._crashes[task] for task in self._tasks(name)), default=0) >= MIN_CRASHES
+    def _has_crashed(self, name: str) -> bool:
+        """
+        Return whether a task of a job that crashes its workers has crashed MIN_CRASHES of them.
+
+        Workers that are lost under other tasks are no reason to fail their jobs.
+        """
+        tasks = (task for task in self._tasks(name) if self.jobs[name].crashes(task))
+        return max((self._crashes[task] for task in tasks), default=0) >= MIN_CRASHES
 
     def _tasks(self, name: str) -> set[TaskKey]:
         steps = self.jobs[name].steps
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -12,6 +12,7 @@
 
 from tools.soak.answer_checks import Configurations, Counts, Kept, Own, Processes, Shutdowns, States
 from tools.soak.events import Event
+from tools.soak.standing_check import Standing
 from tools.soak.task_checks import (
     CrashLoops,
     Evacuations,
@@ -42,11 +43,12 @@
     Counts,
     Shutdowns,
     Processes,
+    Standing,
 )
 
 
 # Checks whose bounds hold only while the machine has spare processor time.
-TIMING_CHECKS = frozenset({"Leaving", "Evacuations", "Configurations", "Counts"})
+TIMING_CHECKS = frozenset({"Leaving", "Evacuations", "Configurations", "Counts", "Standing"})
 
 
 @dataclass(frozen=True, slots=True)
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -17,19 +17,20 @@
 
 import msgspec
 
-from tools.soak.answer_checks import MAX_ATTEMPTS
 from tools.soak.callers import SITE, SharedState
 from tools.soak.checker import Checker
 from tools.soak.events import ConfigurationWritten, EvacuationsChanged
 from tools.soak.faults import LinkMode, WorkerMood
 from tools.soak.hosts import Host
-from tools.soak.jobs import LATE_LABEL
+from tools.soak.jobs import LATE_LABEL, MAX_ATTEMPTS, ROUTES
 from tools.soak.links import Link
 from tools.soak.plan import DATA_CENTRES, Size
 from tools.soak.store import HostView, SoakStore
 from tools.soak.workers import SoakWorker
+from toucanpin.entry.tables import OWNER_KEY, OWNERS_TABLE
 from toucanpin.http import Server
 from toucanpin.scheduling.orders import WorkerEntry
+from toucanpin.scheduling.ownership import decode_owner
 
 __all__ = ["CRASHING_QUEUE", "LONG_RUNNING_QUEUE", "QUEUES", "Deployment"]
 
@@ -37,7 +38,6 @@
 QUEUES = ("urgent", "batch", "other")  # the last belongs to the second service
 LONG_RUNNING_QUEUE = "standing"
 CRASHING_QUEUE = "batch"
-ROUTES = {"urgent": ("c0", 0), "batch": ("c0", 1), "standing": ("c0", 0), "other": ("c1", 1)}
 RESTART_DELAY_S = 1.0  # after a task has crashed a worker
 WORKER_CPU = 8_000  # thousandths of a core
 WORKER_MEMORY_MB = 16_000
@@ -179,6 +179,12 @@
             self.extra_workers.append(worker)
             await worker.start()
 
+    def find_owner(self, cell: int) -> int:
+        """Return the number of the host that owns the cell of a service, 0 if none does."""
+        stored = self.store.rows.get((OWNERS_TABLE, SERVICES[cell], OWNER_KEY))
+        name = decode_owner(stored.value).host if stored else ""
+        return next((host.number for host in self.hosts if name == f"h{host.number}"), 0)
+
     def set_link(self, host: int, worker: int | None, mode: LinkMode, delay: float = 0.0) -> None:
         """Set the mode of a link, also of one that is yet to be created."""
         self.modes[host, worker] = (mode, delay)
--- a/tools/soak/events.py
+++ b/tools/soak/events.py
@@ -33,6 +33,7 @@
     "SignalSent",
     "RunStarted",
     "DisturbanceSeen",
+    "WorkerTroubleSeen",
 ]
 
 
@@ -119,6 +120,7 @@
     cpu: int
     memory: int
     data_centre: str = ""
+    service: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,6 +210,13 @@
     orders: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerTroubleSeen:
+    """Some workers misbehaved at this time."""
+
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationWritten:
     """The store accepted a configuration with these queues."""
@@ -231,5 +240,6 @@
     | SignalSent
     | ProcessExited
     | DisturbanceSeen
+    | WorkerTroubleSeen
     | ConfigurationWritten
 )
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -20,6 +20,8 @@
     "LinkMode",
     "LinkTrouble",
     "Mood",
+    "OwnerEnds",
+    "OwnerPauses",
     "ProcessEnds",
     "ProcessPauses",
     "SettingsChange",
@@ -49,6 +51,7 @@
     LATE = "late"  # orders get no answer and are carried out ``value`` s later
     REFUSES = "refuses"  # starts are answered with the status ``value``; 409 means no room
     FAILS = "fails"  # every task that it starts fails
+    HANGS = "hangs"  # nothing is answered or carried out
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +71,22 @@
     lasts: float
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerEnds:
+    """End the process that owns a cell by SIGKILL, and restart its host ``away`` s later."""
+
+    cell: int
+    away: float
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerPauses:
+    """Suspend the process that owns a cell with SIGSTOP and resume it with SIGCONT."""
+
+    cell: int
+    lasts: float
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsChange:
     """Rewrite a host's settings file and send SIGHUP."""
@@ -160,6 +179,8 @@
 Fault = (
     ProcessEnds
     | ProcessPauses
+    | OwnerEnds
+    | OwnerPauses
     | SettingsChange
     | ConfigurationChanges
     | DataCentreEvacuated
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -13,11 +13,12 @@
 
 from tools.soak import faults
 from tools.soak.deployment import Deployment
-from tools.soak.events import DisturbanceSeen, Signal
+from tools.soak.events import DisturbanceSeen, Signal, WorkerTroubleSeen
 from tools.soak.faults import Fault, LinkMode, Mood, TimedFault
 
 __all__ = ["FaultInjector"]
 
+WORKER_FAULTS = (faults.WorkerEnds, faults.WorkerRestarts, faults.WorkerMood)
 RECORD_PERIOD_S = 0.2  # between records of an ongoing disturbance
 
 
@@ -57,6 +58,8 @@
         """Record disturbances in which answers may be late, for the checks."""
         while True:
             now = time.monotonic()
+            if any(isinstance(fault, WORKER_FAULTS) for fault in self._active.values()):
+                self._deployment.record(WorkerTroubleSeen(now))
             delays = {_delays_only_orders(fault) for fault in self._active.values()} - {None}
             if delays:
                 self._deployment.record(DisturbanceSeen(now, orders=False not in delays))
@@ -66,6 +69,12 @@
         match fault:
             case faults.ProcessEnds() | faults.ProcessPauses() | faults.SettingsChange():
                 return self._signal(fault)
+            case faults.OwnerEnds():
+                host = self._deployment.find_owner(fault.cell)
+                return self._signal(faults.ProcessEnds(host, Signal.KILL, fault.away))
+            case faults.OwnerPauses():
+                host = self._deployment.find_owner(fault.cell)
+                return self._signal(faults.ProcessPauses(host, fault.lasts))
             case faults.WorkerEnds() | faults.WorkerRestarts() | faults.WorkerMood():
                 return self._disturb_worker(fault)
             case faults.LinkTrouble():
--- a/tools/soak/jobs.py
+++ b/tools/soak/jobs.py
@@ -16,6 +16,8 @@
 
 __all__ = [
     "LATE_LABEL",
+    "MAX_ATTEMPTS",
+    "ROUTES",
     "JobPlan",
     "StepPlan",
     "draw_crashing",
@@ -24,6 +26,9 @@
     "draw_waiting",
 ]
 
+# By queue, its service and priority.
+ROUTES = {"urgent": ("c0", 0), "batch": ("c0", 1), "standing": ("c0", 0), "other": ("c1", 1)}
+MAX_ATTEMPTS = 4  # of a task
 LATE_LABEL = "late"  # of workers that are added only after the faults
 TASK_DURATIONS_S = (0.1, 1.2)
 UNLIMITED_S = 1e9
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -23,10 +23,16 @@
 SERIES_LENGTHS = (2, 3, 4, 6)  # in faults
 FAULT_GAPS_S = (0.0, 1.2)  # between faults of a series
 RESTART_GAPS_S = (1.0, 5.0)  # between restarts of workers under their ids
+STORM_SHARES = (0.3, 0.8)  # of the workers
+STORM_LENGTHS_S = (6.0, 14.0)
+UP_TIMES_S = (0.3, 3.0)  # of workers that flap
+OWNER_FAULT_GAPS_S = (2.0, 5.0)
+MAX_ORDER_DELAY_S = 6.0
 SHORT_DURATIONS_S = (0.3, 2.0)
 LONG_DURATIONS_S = (1.0, 6.0)
 LEASE_CUT_DURATIONS_S = (2.0, 8.0)  # a worker's lease is 4.5 s
 EVACUATION_DURATIONS_S = (3.0, 16.0)  # an evacuation has to be in force after 5 s
+SERVICE_COUNT = 2
 DATA_CENTRES = ("dc0", "dc1", "dc2")
 UNUSED_DATA_CENTRE = "dc9"
 EXTRA_QUEUE_COUNTS = (0, 1, 3, 40, 1_000)
@@ -36,13 +42,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Size:
-    """Size of a run: faults begin for ``seconds``, then none for ``recovery`` seconds."""
+    """
+    Size of a run: faults begin for ``seconds``, then none for ``recovery`` seconds.
+
+    With ``unstable``, many workers misbehave at the same time while their cells' owners change.
+    """
 
     hosts: int = 6
     workers: int = 10
     callers: int = 10
     seconds: float = 20.0
     recovery: float = 14.0
+    unstable: bool = False
 
 
 def draw_plan(seed: int, size: Size) -> tuple[TimedFault, ...]:
@@ -54,6 +65,8 @@
         timed += _draw_series(random_, size)
     # Drawn apart, so that each seed keeps the other faults that it had before there were restarts.
     timed += _draw_restarts(random.Random(f"restarts/{seed}"), size)
+    if size.unstable:
+        timed += _draw_storm(random.Random(f"storm/{seed}"), size)
     return tuple(sorted(timed, key=lambda it: it.at))
 
 
@@ -102,6 +115,50 @@
         at += random_.uniform(*RESTART_GAPS_S)
 
 
+def _draw_storm(random_: random.Random, size: Size) -> Iterator[TimedFault]:
+    """Yield faults of many workers at the same time, and of the owners of their cells."""
+    begin = random_.uniform(FAULT_FREE_START_S, size.seconds / 3)
+    end = min(size.seconds, begin + random_.uniform(*STORM_LENGTHS_S))
+    count = max(2, round(size.workers * random_.uniform(*STORM_SHARES)))
+    for worker in random_.sample(range(size.workers), count):
+        draw = random_.choice((_draw_flapping, _draw_flapping, _draw_misbehaviour))
+        yield from draw(random_, worker, begin, end)
+    at = begin + random_.uniform(*OWNER_FAULT_GAPS_S)
+    while at < end:
+        cell = random_.randrange(SERVICE_COUNT)
+        away = round(random_.uniform(*SHORT_DURATIONS_S), 2)
+        fault = random_.choice((faults.OwnerEnds(cell, away), faults.OwnerPauses(cell, 2 * away)))
+        yield TimedFault(round(at, 3), fault)
+        at += random_.uniform(*OWNER_FAULT_GAPS_S)
+
+
+def _draw_flapping(
+    random_: random.Random, worker: int, begin: float, end: float
+) -> Iterator[TimedFault]:
+    """Yield crashes of one worker again and again, most of which keep its id."""
+    at = begin + random_.uniform(*UP_TIMES_S)
+    while at < end:
+        away = round(random_.uniform(*SHORT_DURATIONS_S), 2)
+        if random_.random() < 0.8:
+            yield TimedFault(round(at, 3), faults.WorkerRestarts(worker, away))
+        else:
+            yield TimedFault(round(at, 3), faults.WorkerEnds(worker, 0.0, away))
+        at += away + random_.uniform(*UP_TIMES_S)
+
+
+def _draw_misbehaviour(
+    random_: random.Random, worker: int, begin: float, end: float
+) -> Iterator[TimedFault]:
+    """Yield spells in which one worker fails all tasks, hangs, or carries out orders late."""
+    at = begin + random_.uniform(*SHORT_DURATIONS_S)
+    while at < end:
+        mood = random_.choice((Mood.FAILS, Mood.HANGS, Mood.LATE))
+        lasts = round(min(end - at, random_.uniform(*LONG_DURATIONS_S)), 2)
+        delay = round(random_.uniform(1.0, MAX_ORDER_DELAY_S), 2) if mood is Mood.LATE else 0.0
+        yield TimedFault(round(at, 3), faults.WorkerMood(worker, lasts, mood, delay))
+        at += lasts + random_.uniform(*FAULT_GAPS_S)
+
+
 def _draw_targets(random_: random.Random, size: Size) -> _Targets:
     all_hosts = tuple(range(size.hosts))
     hosts = tuple(random_.sample(all_hosts, random_.randint(1, size.hosts)))
--- a/tools/soak/tests/test_checks.py
+++ b/tools/soak/tests/test_checks.py
@@ -5,16 +5,18 @@
 import unittest
 
 from tools.soak import events
-from tools.soak.answer_checks import MAX_ATTEMPTS
 from tools.soak.checker import Checker
 from tools.soak.events import Loss, RequestKind, Signal
-from tools.soak.jobs import JobPlan, StepPlan
+from tools.soak.jobs import MAX_ATTEMPTS, JobPlan, StepPlan
 from tools.soak.task_checks import MAX_CRASHES
 from toucanpin.scheduling.job import TaskKey
 
 JOB = JobPlan("j", "q", (StepPlan(1, 600, 10, 1.0), StepPlan(1, 600, 10, 1.0, after=(0,))))
 COPIED = JobPlan("c", "q", (StepPlan(1, 600, 10, 1.0, speculative=True),))
 CRASHING = JobPlan("k", "q", (StepPlan(2, 600, 10, 1.0, crashes=True),))
+STANDING = JobPlan("s", "batch", (StepPlan(1, 600, 10, 1.0),))
+LARGE = JobPlan("b", "batch", (StepPlan(1, 3_600, 10, 1.0),))
+LASTING = JobPlan("l", "batch", (StepPlan(2, 600, 10, 1e9, long_running=True),))
 FIRST, SECOND = TaskKey("j", 0, 0, 0), TaskKey("j", 0, 1, 0)
 COPY = TaskKey("c", 0, 0, 0)
 CRASH = TaskKey("k", 0, 0, 0)
@@ -38,6 +40,11 @@
     return events.AnswerReceived(sent + 0.1, sent, "h1", kind, subject, status, value)
 
 
+def _tick(at: float) -> events.AnswerReceived:
+    """Return an event without any meaning of its own."""
+    return events.AnswerReceived(at, at, "h1", RequestKind.COUNT, "q", 200, 1)
+
+
 ACCEPTED = answer(RequestKind.SUBMIT, sent=1.0)
 TERMINATED = events.SignalSent(20.0, "h1", Signal.TERMINATE)
 
@@ -157,9 +164,14 @@
         self.assertEqual([], self.find(*[end(FIRST, "failed")] * MAX_ATTEMPTS, failed))
         crash = (start(FIRST), events.WorkerGone(11.5, "w1"))
         self.assertEqual(["States"], self.find(*crash, failed))
-        self.assertEqual([], self.find(*crash, *crash, failed))
+        # Workers that are lost under a task are no reason to fail its job, unless it crashes them.
+        self.assertEqual(["States"], self.find(*crash * 5, failed))
+        crashed = (start(CRASH), events.WorkerGone(11.5, "w1"))
+        told = answer(RequestKind.STATE, value="failed", subject="k")
+        self.assertEqual(["States"], self.find(*crashed, told))
+        self.assertEqual([], self.find(*crashed, *crashed, told))
         drained = events.WorkerDraining(10.5, "w1")
-        self.assertEqual(["States"], self.find(drained, *crash, *crash, failed))
+        self.assertEqual(["States"], self.find(drained, *crashed, *crashed, told))
         canceled = answer(RequestKind.STATE, value="canceled")
         self.assertEqual(["States"], self.find(canceled))
         self.assertEqual([], self.find(events.CancelRequested(11.0, "j"), canceled))
@@ -174,6 +186,44 @@
             ["Counts"], self.find(ACCEPTED, events.DisturbanceSeen(8.0, orders=True), none)
         )
 
+    def test_standing(self) -> None:
+        """A job that could run has nothing running for 3 s, after 4 s without any trouble."""
+        joined = events.WorkerJoined(0.0, "w3", 4_000, 4_000, "dc", "c0")
+        accepted = answer(RequestKind.SUBMIT, subject="s", sent=1.0)
+        offered = events.JobOffered(0.5, STANDING)
+        later = events.AnswerReceived(9.0, 8.9, "h1", RequestKind.COUNT, "q", 200, 1)
+        since = (joined, offered, accepted, _tick(1.2), _tick(4.5))
+        self.assertEqual(["Standing"], self.find(*since, later))
+        large = start(TaskKey("b", 0, 0, 0), "w3", 6.0)
+        ended = events.RunEnded(6.5, "w3", TaskKey("b", 0, 0, 0), 1, "done")
+        busy = (events.JobOffered(0.5, LARGE), *since, large, ended)
+        self.assertEqual([], self.find(*busy, _tick(6.8), later))
+        early = events.AnswerReceived(6.0, 5.9, "h1", RequestKind.COUNT, "q", 200, 1)
+        self.assertEqual([], self.find(joined, offered, accepted, _tick(1.2), early))
+        trouble = events.WorkerTroubleSeen(3.0)
+        history = (joined, offered, accepted, _tick(1.2), trouble, later)
+        self.assertEqual([], self.find(*history))
+        runs = start(TaskKey("s", 0, 0, 0), "w3", 2.0)
+        self.assertEqual([], self.find(joined, offered, accepted, _tick(1.2), runs, later))
+        full = events.WorkerJoined(0.0, "w3", 1_000, 4_000, "dc", "c0")
+        self.assertEqual([], self.find(full, offered, accepted, _tick(1.2), later))
+
+    def test_standing_lasting_task(self) -> None:
+        """A task that lasts isn't started again though others of its job run."""
+        joined = events.WorkerJoined(0.0, "w3", 4_000, 4_000, "dc", "c0")
+        accepted = answer(RequestKind.SUBMIT, subject="l", sent=1.0)
+        first, second = (TaskKey("l", 0, 0, index) for index in (0, 1))
+        history = (
+            joined,
+            events.JobOffered(0.5, LASTING),
+            accepted,
+            start(first, "w3", 2.0),
+            start(second, "w3", 2.0),
+            events.RunEnded(3.0, "w3", second, 1, "lapsed"),
+        )
+        self.assertEqual([], self.find(*history, _tick(9.1), _tick(12.0)))
+        self.assertEqual(["Standing"], self.find(*history, _tick(9.1), _tick(12.2)))
+
     def test_shutdowns(self) -> None:
         cut = events.AnswerLost(20.1, 19.9, "h1", RequestKind.STATE, "j", Loss.CLOSED)
         self.assertEqual(["Shutdowns"], self.find(TERMINATED, cut))
--- a/tools/soak/tests/test_plan.py
+++ b/tools/soak/tests/test_plan.py
@@ -5,7 +5,7 @@
 import unittest
 from typing import get_args
 
-from tools.soak.faults import Fault, LinkMode, LinkTrouble, TimedFault
+from tools.soak.faults import Fault, LinkMode, LinkTrouble, OwnerEnds, OwnerPauses, TimedFault
 from tools.soak.plan import Size, draw_plan
 
 SEEDS = range(1, 51)
@@ -28,11 +28,21 @@
             self.assertTrue(all(self._targets_exist(timed.fault) for timed in plan))
 
     def test_all_fault_types_and_link_modes_are_drawn(self) -> None:
-        faults = [timed.fault for plan in self.plans for timed in plan]
+        unstable = [draw_plan(seed, Size(unstable=True)) for seed in SEEDS]
+        faults = [timed.fault for plan in (*self.plans, *unstable) for timed in plan]
         self.assertEqual(set(get_args(Fault)), {type(fault) for fault in faults})
         modes = {fault.mode for fault in faults if isinstance(fault, LinkTrouble)}
         self.assertEqual(set(LinkMode) - {LinkMode.OPEN}, modes)
 
+    def test_unstable_plans_disturb_many_workers_and_their_owners_at_once(self) -> None:
+        size = Size(unstable=True)
+        for seed in SEEDS:
+            added = set(draw_plan(seed, size)) - set(draw_plan(seed, self.size))
+            kinds = {type(timed.fault) for timed in added}
+            self.assertTrue(kinds & {OwnerEnds, OwnerPauses})
+            workers = {getattr(timed.fault, "worker", None) for timed in added} - {None}
+            self.assertGreaterEqual(len(workers), 2)
+
     def test_most_plans_have_faults_that_overlap(self) -> None:
         overlapping = sum(_overlaps(plan) for plan in self.plans)
         self.assertGreater(overlapping, len(self.plans) * 0.9)
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -138,7 +138,14 @@
         """Listen and register."""
         entry = self.core.entry
         self._record(
-            WorkerJoined(time.monotonic(), entry.id, entry.cpu, entry.memory, entry.data_centre)
+            WorkerJoined(
+                time.monotonic(),
+                entry.id,
+                entry.cpu,
+                entry.memory,
+                entry.data_centre,
+                entry.service,
+            )
         )
         await super().start()
 
@@ -191,6 +198,10 @@
             await asyncio.sleep(TICK_S)
 
     async def _handle(self, request: Request) -> Response | None:
+        while self._active_values(Mood.HANGS):
+            await asyncio.sleep(TICK_S)
+            if self._finished or not self._active_values(Mood.HANGS):
+                return None
         order_delay = max(self._active_values(Mood.LATE), default=0.0)
         if order_delay:
             await asyncio.sleep(order_delay)
