--- a/toucanpin/scheduling/standing_jobs.py
+++ b/toucanpin/scheduling/standing_jobs.py
@@ -2,7 +2,7 @@
 Standing jobs
 =============
 
-Place a task of a job of which nothing runs, although more than a third of the cores are idle.
+Place a task of a job of which nothing runs, although half of the cores are idle.
 
 Notes
 -----
@@ -40,7 +40,7 @@
 # Callers are promised that no job stands still for 3 s beside free workers; a round of placement,
 # a write and a start take the rest.
 MAX_STANDSTILL_S = 1.8
-MAX_USED_SHARE = 0.6  # of all cores by their load; the promise holds up to half of them
+MAX_USED_SHARE = 0.52  # of all cores, by their load; the promise holds up to half of them
 MAX_PLACED = 4  # in a round, as each looks at all workers
 MIN_KEPT_PACE_PERCENT = 5  # at which a task of a standing job goes on beside a loaded service
 PACES_PERCENT = (100, 60, 30, 10, MIN_KEPT_PACE_PERCENT)
