--- a/tools/soak/tests/test_run.py
+++ b/tools/soak/tests/test_run.py
@@ -5,6 +5,7 @@
 import asyncio
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from tools.soak.__main__ import read_kept_seeds
@@ -24,10 +25,10 @@
     the machine count: nothing runs twice, nothing accepted is lost, nothing refused runs.
     """
 
-    def play(self, seed: int) -> Outcome:
-        plan = draw_plan(seed, SIZE)
+    def play(self, seed: int, size: Size = SIZE) -> Outcome:
+        plan = draw_plan(seed, size)
         with tempfile.TemporaryDirectory() as name:
-            outcome = asyncio.run(play(seed, plan, SIZE, Path(name), SETTLE_S))
+            outcome = asyncio.run(play(seed, plan, size, Path(name), SETTLE_S))
             violations = [it for it in outcome.violations if it.check not in TIMING_CHECKS]
             self.assertEqual([], violations, "\n".join(describe(outcome, plan, Path(name))))
         return outcome
@@ -37,6 +38,10 @@
             with self.subTest(seed=seed):
                 self.assertGreater(self.play(seed).starts, 0)
 
+    def test_workers_that_fail_together_fail_no_job(self) -> None:
+        """Guards against jobs that end as failed since their workers crash again and again."""
+        self.assertGreater(self.play(1, replace(SIZE, workers=10, unstable=True)).starts, 0)
+
 
 class KeptSeedsTest(unittest.TestCase):
     def test_kept_seeds_are_distinct(self) -> None:
--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -7,11 +7,12 @@
 from collections import Counter
 from random import Random
 
+from standins.site.worker_core import WorkerCore
 from toucanpin.scheduling.crashing import fail_crashing_jobs
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import JobState, encode_progress
 from toucanpin.scheduling.suspicion import MAX_CRASHES_AT_START, NEW_WORKER_PERIOD_S
-from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 
 # A task is started at most twice more after it has crashed three workers.
 MAX_STARTS = 5
@@ -21,18 +22,28 @@
 STORM_PERIOD_S = 0.5
 
 
-def _play_storm(random: Random, share: float, chance: float, duration: float) -> Fleet:
+def _runs(worker: WorkerCore, job: str) -> bool:
+    return any(task.job == job for task in worker.runs)
+
+
+def _play_storm(
+    random: Random, share: float, chance: float, duration: float, crashing_jobs: int = 0
+) -> Fleet:
     """Run jobs on workers that crash and restart under their names for 26 s, and end them."""
     fleet = Fleet(workers=24, cpu=8_000)
+    fleet.keeps_names = True
     unstable = [name for name in fleet.workers if random.random() < share]
     for number in range(5):
         step = Step(count=4, cpu=1_000, long_running=True)
         fleet.submit(make_job(f"long{number}", (step,), max_failures=4))
     for number in range(52):
+        if number % 15 == 5 and len(fleet.crashing) < crashing_jobs:
+            fleet.crashing.add(TaskKey(f"bad{number}", 0, 0, 0))
+            fleet.submit(make_job(f"bad{number}", (Step(count=3, cpu=500),), max_failures=4))
         steps = (Step(count=4, cpu=1_000), Step(count=4, cpu=1_500, after=(0,)))
         fleet.submit(make_job(f"j{number}", steps[: 1 + number % 2], max_failures=4))
         for name in unstable:
-            if random.random() < chance:
+            if name in fleet.workers and random.random() < chance:
                 fleet.restart(name)
         for worker in fleet.workers.values():
             worker.duration = duration
@@ -132,6 +143,33 @@
                 expected = JobState.ACTIVE if long_running else JobState.COMPLETED
                 self.assertEqual({expected}, {JobState(fleet.state(name)) for name in names})
 
+    def test_tasks_that_crash_workers_are_known_while_others_crash_anyway(self) -> None:
+        """Guards against crash loops that hide among workers that crash on their own."""
+        for seed, share in ((0, 0.3), (1, 0.6), (2, 0.1)):
+            with self.subTest(seed=seed, share=share):
+                fleet = _play_storm(Random(seed), share, 0.3, 1.4, crashing_jobs=3)
+                fleet.run(40.0)
+                counts = Counter(fleet.crashes)
+                self.assertEqual(3, len(counts))
+                self.assertLessEqual(max(counts.values()), MAX_STARTS)
+                failed = {job for job in fleet.jobs if fleet.state(job) == JobState.FAILED}
+                self.assertEqual({task.job for task in fleet.crashing}, failed)
+
+    def test_tasks_that_crash_workers_together_are_both_known(self) -> None:
+        """
+        Guards against a task that crashes workers beside another such task, whose failure would
+        discard its losses.
+        """
+        fleet = Fleet(workers=12, cpu=8_000)
+        fleet.crashing = {TaskKey(f"bad{number}", 0, 0, 0) for number in range(3)}
+        for number in range(3):
+            fleet.submit(make_job(f"bad{number}", (Step(cpu=500),)))
+        fleet.run(60.0)
+        counts = Counter(fleet.crashes)
+        self.assertLessEqual(max(counts.values()), MAX_STARTS)
+        for number in range(3):
+            self.assertEqual(JobState.FAILED, fleet.state(f"bad{number}"))
+
     def test_losses_explained_by_another_task_are_discarded(self) -> None:
         """
         Guards against failing a task that was lost with a crashing task, and once more by chance.
@@ -205,6 +243,24 @@
                 ]
                 self.assertFalse(unended)
 
+    def test_a_worker_that_restarts_again_and_again_fails_no_job(self) -> None:
+        """Guards against blaming a task that lasts for three restarts of one worker."""
+        fleet = Fleet(workers=3, cpu=4_000)
+        for worker in fleet.workers.values():
+            worker.duration = 1_000.0
+        fleet.submit(make_job("long", (Step(cpu=1_000, long_running=True),)))
+        fleet.submit(make_job("full", (Step(count=2, cpu=3_500, long_running=True, per_worker=1),)))
+        fleet.run(12.0)
+        (name,) = [it for it, worker in fleet.workers.items() if _runs(worker, "long")]
+        for _ in range(6):
+            for _ in range(20):
+                fleet.run(TIME_STEP_S)
+                if _runs(fleet.workers[name], "long"):
+                    break
+            fleet.restart(name)
+        fleet.run(15.0)
+        self.assertEqual(JobState.ACTIVE, fleet.state("long"))
+
     def test_disconnected_workers_count_against_no_task(self) -> None:
         """
         Guards against counting a lost connection as a crash: the task runs to its end elsewhere.
