--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -66,6 +66,7 @@
         age=round(age, 3),
         waited=round(run.waiting_time, 3),
         why=run.wait_reason,
+        pace=run.pace,
     )
 
 
