--- a/toucanpin/scheduling/suspicion.py
+++ b/toucanpin/scheduling/suspicion.py
@@ -78,6 +78,9 @@
         return not _is_hold_over(cell, record, silent, now)
     if _is_long_ago(record, MAX_UNSTABLE_HOLD_S, now):
         return False
+    # A new owner doesn't know yet whether workers are being lost.
+    if now.steady < cell.owned_since + UNSTABLE_PERIOD_S:
+        return True
     return is_unstable(cell, task, now.steady, UNSTABLE_PERIOD_S)
 
 
