--- a/toucanpin/scheduling/instability.py
+++ b/toucanpin/scheduling/instability.py
@@ -26,10 +26,10 @@
 __all__ = ["SUSPICION_PERIOD_S", "is_unstable", "record_lost_worker", "was_lost_otherwise"]
 
 LOSS_MEMORY_S = 30.0  # for which a worker that was lost under other tasks is suspect itself
-STORM_PERIOD_S = 1.0  # between losses that may have the same cause
+SIMULTANEOUS_PERIOD_S = 1.0  # between losses that may have the same cause
 SUSPICION_PERIOD_S = 2.0  # after the start of a task that ran on lost workers
-MIN_STORM_LOSSES = 2
-MIN_STORM_SHARE = 0.04  # of all workers
+MIN_SIMULTANEOUS_LOSSES = 2
+MIN_SIMULTANEOUS_SHARE = 0.04  # of all workers
 
 
 def record_lost_worker(cell: Cell, worker: Worker, now: Now) -> None:
@@ -47,14 +47,16 @@
     return any(lost.worker == worker for lost in _list_unexplained(cell, task))
 
 
-def is_unstable(cell: Cell, task: TaskKey, at: float, period: float = STORM_PERIOD_S) -> bool:
+def is_unstable(
+    cell: Cell, task: TaskKey, at: float, period: float = SIMULTANEOUS_PERIOD_S
+) -> bool:
     """
     Return whether within ``period`` of a time many workers were lost that a task can't have
     crashed.
 
     Workers that don't answer count as well: whether they are lost may be known seconds later.
     """
-    enough = max(MIN_STORM_LOSSES, round(MIN_STORM_SHARE * len(cell.workers)))
+    enough = max(MIN_SIMULTANEOUS_LOSSES, round(MIN_SIMULTANEOUS_SHARE * len(cell.workers)))
     near = islice(_list_lost_near(cell, task, at, period), enough)
     return sum(1 for _ in near) == enough
 
--- a/toucanpin/scheduling/standing_jobs.py
+++ b/toucanpin/scheduling/standing_jobs.py
@@ -46,7 +46,7 @@
 PACES_PERCENT = (100, 60, 30, 10, MIN_KEPT_PACE_PERCENT)
 
 
-class _Doubt(enum.IntEnum):
+class _Risk(enum.IntEnum):
     """What speaks against a worker for a task that failed or was lost before."""
 
     NONE = 0
@@ -61,12 +61,12 @@
 
     worker: Worker
     pace: int  # percent
-    doubt: _Doubt
+    risk: _Risk
     share: float  # of a service's limit that would be reached
 
-    def rank(self) -> tuple[_Doubt, float, int, str]:
+    def rank(self) -> tuple[_Risk, float, int, str]:
         """Return the key by which choices are compared, the lowest for the best."""
-        return self.doubt, self.share, -self.pace, self.worker.entry.id
+        return self.risk, self.share, -self.pace, self.worker.entry.id
 
 
 class StandingJobs:
@@ -137,15 +137,15 @@
                 continue
             if not is_trusted(worker, now):
                 continue
-            doubt = _Doubt.NONE
+            risk = _Risk.NONE
             if is_suspected and is_new_worker(worker, now):
-                doubt = _Doubt.MAY_BE_LOST
+                risk = _Risk.MAY_BE_LOST
             if has_failed and worker.retries_blocked_until > now.steady:
-                doubt = _Doubt.FAILED_LATELY
+                risk = _Risk.FAILED_LATELY
             if has_failed and is_distrusted(worker):
-                doubt = _Doubt.DISTRUSTED
+                risk = _Risk.DISTRUSTED
             pace, share = self._choose_pace(worker, step)
-            yield _Choice(worker, pace, doubt, share)
+            yield _Choice(worker, pace, risk, share)
 
     def _choose_pace(self, worker: Worker, step: Step) -> tuple[int, float]:
         """Return the highest pace that harms no service, else the lowest, and the share reached."""
