Forget that a loss was explained once its worker answers again

Cause: found when the diff was read anew: a worker that was only cut off and is lost later in the same incarnation would have counted as explained at once. Change: the name leaves both lists. Result: tests of crashing tasks pass; no test shows it by itself.

--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -180,6 +180,7 @@
             continue
         if record.crashed.pop(worker, None) is not None:
             record.lost_at.pop(worker, None)
+            record.explained = [lost for lost in record.explained if lost != worker]
             mark_dirty(cell, live)
 
 
