Review, case 1: one job of 1,600 tasks stops all jobs of its service

Cause: the progress of a job is one row of the store, and nothing holds it to rowBytes. Seen: after the first refused write each owner of the cell fails in turn, and small jobs that were accepted stay pending beside idle minions. Without the large job all are completed.

--- /dev/null
+++ b/review/lib/minion.py
@@ -0,0 +1,191 @@
+"""
+Stand-in of a minion, by PROTOCOL.md, "Running tasks" and "Service discovery".
+
+A task's ``spec`` is the number of ms that it works. The minion guards its capacity, kills what runs
+when its lease expires, and keeps ends until they are acknowledged.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lib.store import Store
+from lib.wire import Message, Server
+
+TICK_S = 0.02
+HEARTBEAT_S = 1.5
+MAX_HOLD_MS = 10_000
+CHECKPOINT_S = 2.0
+STOP_S = 0.2
+MAX_ENDS = 500
+
+
+@dataclass
+class Run:
+    attempt: int
+    began: float
+    length: float
+    size: tuple[int, int]
+    saved: str = ""
+    saved_at: float = 0.0
+    stops_at: float = 0.0
+
+
+class Minion:
+    """One minion; ``sizes`` maps a job and step to the room that each of its tasks takes."""
+
+    def __init__(
+        self,
+        store: Store,
+        record: Callable[..., None],
+        sizes: dict[tuple[str, int], tuple[int, int]],
+        service: str,
+        zone: str,
+        rack: str,
+        cpu: int = 64_000,
+        memory: int = 256_000,
+    ) -> None:
+        self.id = f"i-{secrets.token_hex(4)}"
+        self.runs: dict[str, Run] = {}
+        self.cpu, self.memory = cpu, memory
+        self._store, self._record, self._sizes = store, record, sizes
+        self._entry = {
+            "service": service,
+            "zone": zone,
+            "version": "1",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "machine": f"m-{self.id[2:]}",
+            "capacity": {"cpu": cpu, "memMb": memory, "gpu": 0},
+            "labels": ["a", rack],
+            "born": time.time_ns() // 1_000_000,
+            "seq": 0,
+        }
+        self._began = time.monotonic() - 10
+        self._token = 0
+        self._lease = 0.0
+        self._ends: list[list] = []
+        self._number = 0
+        self._highest: dict[str, int] = {}
+        self._server = Server(self._handle)
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self, address: str) -> None:
+        port = await self._server.listen(address, 0)
+        self._entry["address"] = f"{address}:{port}"
+        self._tasks = [asyncio.ensure_future(self._beat()), asyncio.ensure_future(self._advance())]
+
+    async def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await self._server.close()
+
+    @property
+    def used_cpu(self) -> int:
+        return sum(run.size[0] for run in self.runs.values())
+
+    async def _beat(self) -> None:
+        while True:
+            self._entry["seq"] += 1
+            self._store.put("servers", self.id, self._entry)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _advance(self) -> None:
+        while True:
+            now = time.monotonic()
+            for task, run in list(self.runs.items()):
+                if now >= self._lease:
+                    self._end(task, "lapsed")
+                elif run.stops_at and now >= run.stops_at:
+                    run.saved = secrets.token_hex(8)
+                    self._end(task, "stopped")
+                elif now >= run.began + run.length:
+                    self._end(task, "done")
+                elif now >= run.saved_at + CHECKPOINT_S:
+                    run.saved, run.saved_at = secrets.token_hex(8), now
+            await asyncio.sleep(TICK_S)
+
+    def _end(self, task: str, how: str) -> None:
+        run = self.runs.pop(task)
+        self._highest[task] = max(run.attempt, self._highest.get(task, 0))
+        self._number += 1
+        self._ends.append([self._number, task, run.attempt, how, run.saved])
+        self._record("run ended", minion=self.id, task=task, attempt=run.attempt, how=how)
+
+    def _clock(self) -> int:
+        return int((time.monotonic() - self._began) * 1_000)
+
+    def _answer(self, status: int, **fields: object) -> tuple[int, object]:
+        return status, {"clockMs": self._clock(), "born": self._entry["born"], **fields}
+
+    def _extend(self, deadline: int) -> None:
+        granted = min(deadline, self._clock() + MAX_HOLD_MS)
+        self._lease = max(self._lease, self._began + granted / 1_000)
+
+    async def _handle(self, request: Message) -> tuple[int, object] | None:
+        path = request.first[1]
+        if path == "/healthz":
+            return 200, None
+        if request.headers.get("x-expect-instance", self.id) != self.id:
+            return self._answer(421)
+        call = request.json()
+        token = call.get("fencingToken", 0)
+        if token < self._token:
+            return self._answer(409, reason="fence")
+        self._token = token
+        match path:
+            case "/run-start":
+                return self._start(call)
+            case "/run-stop":
+                task = call["task"]
+                self._highest[task] = max(call["attempt"], self._highest.get(task, 0))
+                run = self.runs.get(task)
+                if run is not None and run.attempt <= call["attempt"] and not run.stops_at:
+                    run.stops_at = time.monotonic() + STOP_S
+                return self._answer(200)
+            case "/pace":
+                return self._answer(200)
+            case "/hold":
+                return await self._hold(call)
+        return 404, None
+
+    def _start(self, call: dict) -> tuple[int, object]:
+        task, attempt = call["task"], call["attempt"]
+        if call["deadlineMs"] <= self._clock():
+            return self._answer(409, reason="late")
+        self._extend(call["deadlineMs"])
+        present = self.runs.get(task)
+        if present is not None and present.attempt == attempt:
+            return self._answer(200)
+        if attempt <= self._highest.get(task, 0) or present is not None:
+            return self._answer(409, reason="old")
+        job, _, step, _ = task.split(".")
+        size = self._sizes[job, int(step)]
+        memory = sum(run.size[1] for run in self.runs.values())
+        if self.used_cpu + size[0] > self.cpu or memory + size[1] > self.memory:
+            return self._answer(409, reason="room")
+        now = time.monotonic()
+        length = int(call["spec"].split()[int(step)]) / 1_000
+        self.runs[task] = Run(attempt, now, length, size, call.get("checkpoint", ""), now)
+        self._record("run begins", minion=self.id, task=task, attempt=attempt)
+        return self._answer(200)
+
+    async def _hold(self, call: dict) -> tuple[int, object]:
+        if call.get("deadlineMs"):
+            self._extend(call["deadlineMs"])
+        acknowledged = call.get("ackedSeq", 0)
+        self._ends = [end for end in self._ends if end[0] > acknowledged]
+        until = time.monotonic() + min(2_000, call.get("waitMs", 0)) / 1_000
+        while not self._ends and time.monotonic() < until:
+            await asyncio.sleep(TICK_S)
+        now = time.monotonic()
+        running = [
+            [task, run.attempt, run.saved, min(99, int(100 * (now - run.began) / run.length)), 0]
+            for task, run in self.runs.items()
+        ]
+        return self._answer(200, running=running, finished=self._ends[:MAX_ENDS])
