--- a/review/lib/site.py
+++ b/review/lib/site.py
@@ -193,7 +193,8 @@
         lines = []
         for number in range(self._count):
             path = Path(self._folder.name) / f"node-{number}.log"
-            lines += [f"host {number}: {line}" for line in path.read_text().splitlines()]
+            text = path.read_text().replace(str(ROOT), "")
+            lines += [f"host {number}: {line}" for line in text.splitlines()]
         return lines
 
     def _write_settings(self, number: int, address: str) -> str:
