--- a/review/lib/minion.py
+++ b/review/lib/minion.py
@@ -1,8 +1,9 @@
 """
 Stand-in of a minion, by PROTOCOL.md, "Running tasks" and "Service discovery".
 
-A task's ``spec`` is the number of ms that it works. The minion guards its capacity, kills what runs
-when its lease expires, and keeps ends until they are acknowledged.
+The ``spec`` of a job holds for each step the number of ms that a task of it works. The minion guards
+its capacity, kills what runs when its lease expires, and keeps ends until they are acknowledged. The
+members of a gang work from the moment when all of them are present, and end together.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 import secrets
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lib.store import Store
 from lib.wire import Message, Server
@@ -22,6 +23,10 @@
 CHECKPOINT_S = 2.0
 STOP_S = 0.2
 MAX_ENDS = 500
+STARTUP_S = 0.4  # of a task that lasts
+GANG_TIMEOUT_S = 3.0
+IDLE_TAIL_MS = 25.0  # of a task that serves
+MAX_UTILIZATION = 0.98
 
 
 @dataclass
@@ -29,20 +34,40 @@
     attempt: int
     began: float
     length: float
-    size: tuple[int, int]
+    step: dict
     saved: str = ""
     saved_at: float = 0.0
     stops_at: float = 0.0
+    pace: int = 100
+
+    @property
+    def cpu(self) -> int:
+        return 0 if self.step.get("fillCount") else self.step.get("cpu", 0)
+
+
+@dataclass
+class Shared:
+    """
+    What all minions know: the steps of jobs, the gangs, and how the tasks that serve are loaded.
+
+    ``load`` is the utilization of a task that serves without neighbours; ``effect`` is by how much
+    a neighbour that fills raises it, per share of the minion's cores.
+    """
+
+    steps: dict[tuple[str, int], dict] = field(default_factory=dict)
+    gangs: dict[tuple[str, int], dict[str, Run]] = field(default_factory=dict)
+    load: float = 0.3
+    effect: float = 1.0
 
 
 class Minion:
-    """One minion; ``sizes`` maps a job and step to the room that each of its tasks takes."""
+    """One minion, of those that share ``shared``."""
 
     def __init__(
         self,
         store: Store,
         record: Callable[..., None],
-        sizes: dict[tuple[str, int], tuple[int, int]],
+        shared: Shared,
         service: str,
         zone: str,
         rack: str,
@@ -52,7 +77,7 @@
         self.id = f"i-{secrets.token_hex(4)}"
         self.runs: dict[str, Run] = {}
         self.cpu, self.memory = cpu, memory
-        self._store, self._record, self._sizes = store, record, sizes
+        self._store, self._record, self._shared = store, record, shared
         self._entry = {
             "service": service,
             "zone": zone,
@@ -87,7 +112,7 @@
 
     @property
     def used_cpu(self) -> int:
-        return sum(run.size[0] for run in self.runs.values())
+        return sum(run.cpu for run in self.runs.values())
 
     async def _beat(self) -> None:
         while True:
@@ -104,14 +129,43 @@
                 elif run.stops_at and now >= run.stops_at:
                     run.saved = secrets.token_hex(8)
                     self._end(task, "stopped")
+                elif run.step.get("gang"):
+                    self._advance_member(task, run, now)
                 elif now >= run.began + run.length:
                     self._end(task, "done")
                 elif now >= run.saved_at + CHECKPOINT_S:
                     run.saved, run.saved_at = secrets.token_hex(8), now
             await asyncio.sleep(TICK_S)
 
+    def _advance_member(self, task: str, run: Run, now: float) -> None:
+        """End a member of a gang that waits for too long, misses another one or is done."""
+        members = self._gang(task, run)
+        whole = len(members) == run.step["count"]
+        if whole and not run.saved_at:
+            run.saved_at = now  # from here on it works
+        if whole and now >= max(it.saved_at for it in members.values()) + run.length:
+            self._end(task, "done")
+            run.saved = "done"
+        elif not whole and any(it.saved == "done" for it in self._all(task, run)):
+            self._end(task, "done")
+        elif not whole and run.saved_at:
+            self._end(task, "broken")
+        elif not whole and now >= run.began + GANG_TIMEOUT_S:
+            self._end(task, "alone")
+
+    def _all(self, task: str, run: Run) -> list[Run]:
+        key = (task.rpartition(".")[0], run.attempt)
+        return list(self._shared.gangs.get(key, {}).values())
+
+    def _gang(self, task: str, run: Run) -> dict[str, Run]:
+        key = (task.rpartition(".")[0], run.attempt)
+        known = self._shared.gangs.setdefault(key, {})
+        return {name: it for name, it in known.items() if it.length >= 0 and it.saved != "done"}
+
     def _end(self, task: str, how: str) -> None:
         run = self.runs.pop(task)
+        if run.step.get("gang") and how != "done":
+            self._shared.gangs.get((task.rpartition(".")[0], run.attempt), {}).pop(task, None)
         self._highest[task] = max(run.attempt, self._highest.get(task, 0))
         self._number += 1
         self._ends.append([self._number, task, run.attempt, how, run.saved])
@@ -149,6 +203,12 @@
                     run.stops_at = time.monotonic() + STOP_S
                 return self._answer(200)
             case "/pace":
+                paced = self.runs.get(call["task"])
+                if paced is not None and paced.attempt == call["attempt"]:
+                    paced.pace = call["percent"]
+                    self._record(
+                        "run paced", minion=self.id, task=call["task"], percent=call["percent"]
+                    )
                 return self._answer(200)
             case "/hold":
                 return await self._hold(call)
@@ -165,13 +225,18 @@
         if attempt <= self._highest.get(task, 0) or present is not None:
             return self._answer(409, reason="old")
         job, _, step, _ = task.split(".")
-        size = self._sizes[job, int(step)]
-        memory = sum(run.size[1] for run in self.runs.values())
-        if self.used_cpu + size[0] > self.cpu or memory + size[1] > self.memory:
-            return self._answer(409, reason="room")
         now = time.monotonic()
         length = int(call["spec"].split()[int(step)]) / 1_000
-        self.runs[task] = Run(attempt, now, length, size, call.get("checkpoint", ""), now)
+        run = Run(attempt, now, length, self._shared.steps[job, int(step)])
+        memory = sum(it.step.get("memMb", 0) for it in self.runs.values())
+        if self.used_cpu + run.cpu > self.cpu or memory + run.step.get("memMb", 0) > self.memory:
+            return self._answer(409, reason="room")
+        if run.step.get("gang"):
+            key = (task.rpartition(".")[0], attempt)
+            self._shared.gangs.setdefault(key, {})[task] = run
+        else:
+            run.saved, run.saved_at = call.get("checkpoint", ""), now
+        self.runs[task] = run
         self._record("run begins", minion=self.id, task=task, attempt=attempt)
         return self._answer(200)
 
@@ -183,9 +248,29 @@
         until = time.monotonic() + min(2_000, call.get("waitMs", 0)) / 1_000
         while not self._ends and time.monotonic() < until:
             await asyncio.sleep(TICK_S)
-        now = time.monotonic()
         running = [
-            [task, run.attempt, run.saved, min(99, int(100 * (now - run.began) / run.length)), 0]
+            [task, run.attempt, run.saved, self._percent(run), self._figure(run)]
             for task, run in self.runs.items()
         ]
         return self._answer(200, running=running, finished=self._ends[:MAX_ENDS])
+
+    def _percent(self, run: Run) -> int:
+        now = time.monotonic()
+        if run.step.get("longRunning"):
+            return 100 if now >= run.began + STARTUP_S else 0
+        if run.step.get("gang") and not run.saved_at:
+            return 0
+        began = run.saved_at if run.step.get("gang") else run.began
+        return min(99, int(100 * (now - began) / run.length))
+
+    def _figure(self, run: Run) -> int:
+        """Return the tail of a task that serves in ms, for any other task the cpu in use."""
+        if not run.step.get("targetMs"):
+            return run.step.get("cpu", 0) * run.pace // 100
+        filling = sum(
+            it.step["cpu"] * it.pace / 100
+            for it in self.runs.values()
+            if it.step.get("fillCount")
+        )
+        raised = self._shared.load * (1 + self._shared.effect * filling / self.cpu)
+        return int(IDLE_TAIL_MS / (1 - min(MAX_UTILIZATION, raised)))
--- a/review/lib/site.py
+++ b/review/lib/site.py
@@ -21,7 +21,7 @@
 from pathlib import Path
 
 from lib import wire
-from lib.minion import Minion
+from lib.minion import Minion, Shared
 from lib.store import ROW_BYTES, Store
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -50,17 +50,17 @@
 
 
 class Site:
-    """The deployment; ``sizes`` maps a job and a step to what a task of it takes."""
+    """The deployment."""
 
     def __init__(self, record: Record, hosts: int = 6, minions: int = 24) -> None:
         self.record = record
         self.store = Store(record)
-        self.sizes: dict[tuple[str, int], tuple[int, int]] = {}
+        self.shared = Shared()
         self.network = _find_network(hosts)
         self.fronts: list[str] = []
         self.processes: list[subprocess.Popen[bytes]] = []
         self.minions = [
-            Minion(self.store, record, self.sizes, SERVICE, ZONES[n % 4], f"r{n % 4}-{n // 6}")
+            Minion(self.store, record, self.shared, SERVICE, ZONES[n % 4], f"r{n % 4}-{n // 6}")
             for n in range(minions)
         ]
         self._count = hosts
@@ -126,7 +126,7 @@
     ) -> int:
         """Submit a job; return the status of the answer, 0 without one."""
         for number, step in enumerate(steps):
-            self.sizes[job, number] = (step.get("cpu", 0), step.get("memMb", 0))
+            self.shared.steps[job, number] = step
         body = {"spec": " ".join(map(str, lengths)), "pipeline": steps}
         tasks = sum(step["count"] for step in steps)
         return await self.ask("POST", job, host, body, tasks=tasks, **options)
