--- a/review/lib/minion.py
+++ b/review/lib/minion.py
@@ -56,6 +56,7 @@
 
     steps: dict[tuple[str, int], dict] = field(default_factory=dict)
     gangs: dict[tuple[str, int], dict[str, Run]] = field(default_factory=dict)
+    ends: dict[str, int] = field(default_factory=dict)
     load: float = 0.3
     effect: float = 1.0
 
@@ -73,6 +74,7 @@
         rack: str,
         cpu: int = 64_000,
         memory: int = 256_000,
+        kind: str = "a",
     ) -> None:
         self.id = f"i-{secrets.token_hex(4)}"
         self.runs: dict[str, Run] = {}
@@ -87,7 +89,7 @@
             "coldLeftMs": 0,
             "machine": f"m-{self.id[2:]}",
             "capacity": {"cpu": cpu, "memMb": memory, "gpu": 0},
-            "labels": ["a", rack],
+            "labels": [kind, rack],
             "born": time.time_ns() // 1_000_000,
             "seq": 0,
         }
@@ -110,6 +112,14 @@
             task.cancel()
         await self._server.close()
 
+    async def crash(self) -> None:
+        """End without a word; the entry is removed after three intervals of silence."""
+        self._record("minion crashes", minion=self.id, runs=",".join(self.runs) or "-")
+        self.runs.clear()
+        await self.close()
+        loop = asyncio.get_running_loop()
+        loop.call_later(3 * HEARTBEAT_S, self._store.remove, "servers", self.id)
+
     @property
     def used_cpu(self) -> int:
         return sum(run.cpu for run in self.runs.values())
@@ -169,6 +179,7 @@
         self._highest[task] = max(run.attempt, self._highest.get(task, 0))
         self._number += 1
         self._ends.append([self._number, task, run.attempt, how, run.saved])
+        self._shared.ends[how] = self._shared.ends.get(how, 0) + 1
         self._record("run ended", minion=self.id, task=task, attempt=run.attempt, how=how)
 
     def _clock(self) -> int:
--- a/review/lib/site.py
+++ b/review/lib/site.py
@@ -67,6 +67,15 @@
         self._folder = tempfile.TemporaryDirectory()
         self._store_port = 0
 
+    async def add_minion(self, number: int, kind: str) -> Minion:
+        """Start a minion of a kind, in the place of the one with this number."""
+        zone, rack = ZONES[number % 4], f"r{number % 4}-{number // 6}"
+        minion = Minion(self.store, self.record, self.shared, SERVICE, zone, rack, kind=kind)
+        self.minions[number] = minion
+        await minion.start(f"{self.network}.201")
+        self.record("minion starts", minion=minion.id, kind=kind)
+        return minion
+
     async def start(self) -> None:
         self._store_port = await self.store.listen(f"{self.network}.200")
         self.store.put("op", "config", self.configuration())
