--- a/review/lib/minion.py
+++ b/review/lib/minion.py
@@ -1,9 +1,10 @@
 """
 Stand-in of a minion, by PROTOCOL.md, "Running tasks" and "Service discovery".
 
-The ``spec`` of a job holds for each step the number of ms that a task of it works. The minion guards
-its capacity, kills what runs when its lease expires, and keeps ends until they are acknowledged. The
-members of a gang work from the moment when all of them are present, and end together.
+The ``spec`` of a job holds for each step the number of ms that a task of it works. The minion
+guards its capacity, kills what runs when its lease expires, and keeps ends until they are
+acknowledged. The members of a gang work from the moment when all of them are present, and end
+together.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from lib.store import Store
 from lib.wire import Message, Server
@@ -80,7 +82,7 @@
         self.runs: dict[str, Run] = {}
         self.cpu, self.memory = cpu, memory
         self._store, self._record, self._shared = store, record, shared
-        self._entry = {
+        self._entry: dict[str, Any] = {
             "service": service,
             "zone": zone,
             "version": "1",
@@ -279,9 +281,7 @@
         if not run.step.get("targetMs"):
             return run.step.get("cpu", 0) * run.pace // 100
         filling = sum(
-            it.step["cpu"] * it.pace / 100
-            for it in self.runs.values()
-            if it.step.get("fillCount")
+            it.step["cpu"] * it.pace / 100 for it in self.runs.values() if it.step.get("fillCount")
         )
         raised = self._shared.load * (1 + self._shared.effect * filling / self.cpu)
         return int(IDLE_TAIL_MS / (1 - min(MAX_UTILIZATION, raised)))
--- a/review/lib/site.py
+++ b/review/lib/site.py
@@ -17,8 +17,9 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
+from typing import Any
 
 from lib import wire
 from lib.minion import Minion, Shared
@@ -52,30 +53,31 @@
 class Site:
     """The deployment."""
 
-    def __init__(self, record: Record, hosts: int = 6, minions: int = 24) -> None:
+    def __init__(
+        self, record: Record, hosts: int = 6, minions: int = 24, kinds: dict[int, str] | None = None
+    ) -> None:
         self.record = record
         self.store = Store(record)
         self.shared = Shared()
         self.network = _find_network(hosts)
         self.fronts: list[str] = []
         self.processes: list[subprocess.Popen[bytes]] = []
-        self.minions = [
-            Minion(self.store, record, self.shared, SERVICE, ZONES[n % 4], f"r{n % 4}-{n // 6}")
-            for n in range(minions)
-        ]
+        self.minions = [self._make_minion(n, (kinds or {}).get(n, "a")) for n in range(minions)]
         self._count = hosts
         self._folder = tempfile.TemporaryDirectory()
         self._store_port = 0
 
     async def add_minion(self, number: int, kind: str) -> Minion:
         """Start a minion of a kind, in the place of the one with this number."""
-        zone, rack = ZONES[number % 4], f"r{number % 4}-{number // 6}"
-        minion = Minion(self.store, self.record, self.shared, SERVICE, zone, rack, kind=kind)
-        self.minions[number] = minion
+        minion = self.minions[number] = self._make_minion(number, kind)
         await minion.start(f"{self.network}.201")
         self.record("minion starts", minion=minion.id, kind=kind)
         return minion
 
+    def _make_minion(self, number: int, kind: str) -> Minion:
+        zone, rack = ZONES[number % 4], f"r{number % 4}-{number // 6}"
+        return Minion(self.store, self.record, self.shared, SERVICE, zone, rack, kind=kind)
+
     async def start(self) -> None:
         self._store_port = await self.store.listen(f"{self.network}.200")
         self.store.put("op", "config", self.configuration())
@@ -131,7 +133,7 @@
         return answer is not None and answer.status == 200
 
     async def submit(
-        self, job: str, steps: list[dict], lengths: list[int], host: int, **options: object
+        self, job: str, steps: list[dict], lengths: list[int], host: int, **options: Any
     ) -> int:
         """Submit a job; return the status of the answer, 0 without one."""
         for number, step in enumerate(steps):
@@ -170,8 +172,14 @@
         if answer is not None and method == "GET" and status == 200:
             state = answer.json().get("state", "")
         self.record(
-            "consumer", sent=f"{sent:.3f}", method=method, job=job, host=host % self._count,
-            **noted, answer=status or "none", state=state or "-",
+            "consumer",
+            sent=f"{sent:.3f}",
+            method=method,
+            job=job,
+            host=host % self._count,
+            **noted,
+            answer=status or "none",
+            state=state or "-",
         )
         return status, state
 
@@ -289,7 +297,9 @@
     raise OSError("no free loopback network")
 
 
-def run_case(case: Callable[[Record, bool], object], folder: Path) -> int:
+def run_case(
+    case: Callable[[Record, bool], Coroutine[Any, Any, list[str] | None]], folder: Path
+) -> int:
     """Run a case with or without its trouble; return the exit code of the script."""
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
