--- a/review/lib/site.py
+++ b/review/deployment.py
@@ -21,11 +21,11 @@
 from pathlib import Path
 from typing import Any
 
-from lib import wire
-from lib.minion import Minion, Shared
-from lib.store import ROW_BYTES, Store
+import wire
+from minion import Minion, Shared
+from store import ROW_BYTES, Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 SERVICE = "library"
 HOST = "nony24.example"
 PREFIX = "/lohu930/"
--- a/review/lib/minion.py
+++ b/review/minion.py
@@ -16,13 +16,14 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from lib.store import Store
-from lib.wire import Message, Server
+from store import Store
+from wire import Message, Server
 
 TICK_S = 0.02
 HEARTBEAT_S = 1.5
 MAX_HOLD_MS = 10_000
 CHECKPOINT_S = 2.0
+RESTORE_S = 0.1
 STOP_S = 0.2
 MAX_ENDS = 500
 STARTUP_S = 0.4  # of a task that lasts
@@ -33,27 +34,38 @@
 
 @dataclass
 class Run:
+    """One run; ``worked`` is for how many seconds it has worked, with what it resumed from."""
+
     attempt: int
     began: float
     length: float
     step: dict
     saved: str = ""
-    saved_at: float = 0.0
+    saved_at: float = 0.0  # for a member of a gang, since when the gang is whole
     stops_at: float = 0.0
     pace: int = 100
+    worked: float = 0.0
+    seen_at: float = 0.0
 
     @property
     def cpu(self) -> int:
         return 0 if self.step.get("fillCount") else self.step.get("cpu", 0)
 
+    def work(self, now: float) -> None:
+        """Add the work since the last time, at the pace; a gang works only once it is whole."""
+        if not self.step.get("gang") or self.saved_at:
+            self.worked += max(0.0, now - self.seen_at) * self.pace / 100
+        self.seen_at = max(now, self.seen_at)
+
 
 @dataclass
 class Shared:
     """
     What all minions know: the steps of jobs, the gangs, and how the tasks that serve are loaded.
 
-    ``load`` is the utilization of a task that serves without neighbours; ``effect`` is by how much
-    a neighbour that fills raises it, per share of the minion's cores.
+    ``saves`` tells what each checkpoint holds; ``load`` is the utilization of a task that serves
+    without neighbours; ``effect`` is by how much a neighbour that fills raises it, per share of the
+    minion's cores.
     """
 
     steps: dict[tuple[str, int], dict] = field(default_factory=dict)
@@ -61,6 +73,7 @@
     ends: dict[str, int] = field(default_factory=dict)
     load: float = 0.3
     effect: float = 1.0
+    saves: dict[str, float] = field(default_factory=dict)  # seconds of work by checkpoint
 
 
 class Minion:
@@ -136,26 +149,32 @@
         while True:
             now = time.monotonic()
             for task, run in list(self.runs.items()):
+                run.work(now)
                 if now >= self._lease:
                     self._end(task, "lapsed")
                 elif run.stops_at and now >= run.stops_at:
-                    run.saved = secrets.token_hex(8)
+                    self._save(run, now)
                     self._end(task, "stopped")
                 elif run.step.get("gang"):
                     self._advance_member(task, run, now)
-                elif now >= run.began + run.length:
+                elif run.worked >= run.length:
                     self._end(task, "done")
                 elif now >= run.saved_at + CHECKPOINT_S:
-                    run.saved, run.saved_at = secrets.token_hex(8), now
+                    self._save(run, now)
             await asyncio.sleep(TICK_S)
 
+    def _save(self, run: Run, now: float) -> None:
+        if run.step.get("checkpointing") and not run.step.get("gang"):
+            run.saved, run.saved_at = secrets.token_hex(8), now
+            self._shared.saves[run.saved] = run.worked
+
     def _advance_member(self, task: str, run: Run, now: float) -> None:
         """End a member of a gang that waits for too long, misses another one or is done."""
         members = self._gang(task, run)
         whole = len(members) == run.step["count"]
         if whole and not run.saved_at:
             run.saved_at = now  # from here on it works
-        if whole and now >= max(it.saved_at for it in members.values()) + run.length:
+        if whole and run.worked >= run.length:
             self._end(task, "done")
             run.saved = "done"
         elif not whole and any(it.saved == "done" for it in self._all(task, run)):
@@ -240,7 +259,7 @@
         job, _, step, _ = task.split(".")
         now = time.monotonic()
         length = int(call["spec"].split()[int(step)]) / 1_000
-        run = Run(attempt, now, length, self._shared.steps[job, int(step)])
+        run = Run(attempt, now, length, self._shared.steps[job, int(step)], seen_at=now)
         memory = sum(it.step.get("memMb", 0) for it in self.runs.values())
         if self.used_cpu + run.cpu > self.cpu or memory + run.step.get("memMb", 0) > self.memory:
             return self._answer(409, reason="room")
@@ -249,8 +268,12 @@
             self._shared.gangs.setdefault(key, {})[task] = run
         else:
             run.saved, run.saved_at = call.get("checkpoint", ""), now
+            run.worked = self._shared.saves.get(run.saved, 0.0)
+            run.seen_at = now + (RESTORE_S if run.saved else 0.0)
         self.runs[task] = run
-        self._record("run begins", minion=self.id, task=task, attempt=attempt)
+        self._record(
+            "run begins", minion=self.id, task=task, attempt=attempt, resumes=f"{run.worked:.1f}"
+        )
         return self._answer(200)
 
     async def _hold(self, call: dict) -> tuple[int, object]:
@@ -271,10 +294,7 @@
         now = time.monotonic()
         if run.step.get("longRunning"):
             return 100 if now >= run.began + STARTUP_S else 0
-        if run.step.get("gang") and not run.saved_at:
-            return 0
-        began = run.saved_at if run.step.get("gang") else run.began
-        return min(99, int(100 * (now - began) / run.length))
+        return min(99, int(100 * run.worked / run.length))
 
     def _figure(self, run: Run) -> int:
         """Return the tail of a task that serves in ms, for any other task the cpu in use."""
--- a/review/lib/store.py
+++ b/review/store.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
-from lib.wire import Message, Server
+from wire import Message, Server
 
 ROW_BYTES = 65_536
 MAX_ENTRIES = 100
