--- /dev/null
+++ b/review/rig/minion.py
@@ -0,0 +1,272 @@
+"""Stand-in of a minion, as PROTOCOL.md describes it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from review.rig.http import Call, HttpServer, Reply
+from review.rig.store import PlatformStore
+
+__all__ = ["Minion", "Work"]
+
+REPORT_S = 1.1  # heartbeatMs
+MAX_HOLD_S = 10.0
+CHECKPOINT_S = 1.0
+RESTORE_S = 0.25
+STOP_S = 0.1  # stopTimeoutMs is 200
+TICK_S = 0.02
+
+
+@dataclass(slots=True)
+class Work:
+    """What a task of a step needs: cores in thousandths, memory in MB, and seconds of work."""
+
+    cpu: int
+    memory: int
+    seconds: float
+    checkpointing: bool = False
+
+
+@dataclass(slots=True)
+class _Run:
+    attempt: int
+    work: Work
+    began: float
+    saved: float  # work in s that its checkpoint held
+    stopping_at: float = 0.0
+
+    def done(self, now: float) -> float:
+        """Return the work that is done, in s."""
+        pause = RESTORE_S if self.saved else 0.0
+        return self.saved + max(0.0, now - self.began - pause)
+
+    def checkpoint(self, now: float) -> str:
+        if not self.work.checkpointing:
+            return ""
+        held = int(self.done(now) / CHECKPOINT_S)
+        return f"{held:016x}" if held else ""
+
+
+class Minion:
+    """One life of a minion."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        service: str,
+        host: str,
+        port: int,
+        zone: str,
+        labels: tuple[str, ...],
+        find_work: Callable[[str], Work],
+        record: Callable[[str], None],
+        cpu: int = 64_000,
+        memory: int = 250_000,
+        identifier: str = "",
+    ) -> None:
+        self.id = identifier or f"i-{secrets.token_hex(4)}"
+        # Returns whether an order is held up on its way: it gets no answer from this life.
+        self.holds_up: Callable[[str, dict[str, str], bytes], bool] = lambda *order: False
+        self.starts: list[tuple[float, str, int]] = []
+        self.ends: list[tuple[float, str, int, str]] = []
+        self.runs: dict[str, _Run] = {}
+        self.labels = labels
+        self._store = store
+        self._service = service
+        self.host, self.port = host, port
+        self.zone = zone
+        self._find_work = find_work
+        self._record = record
+        self.cpu, self.memory = cpu, memory
+        self._token = 0
+        self._deadline = 0.0
+        self._listed: list[list[Any]] = []
+        self._sequence = 0
+        self._highest: dict[str, int] = {}
+        self._seq = 0
+        self._born = time.time_ns() // 1_000_000
+        self._began = time.monotonic()
+        self._server = HttpServer(self._handle)
+        self._tasks: list[asyncio.Task] = []
+        self.up = False
+        self.crashed_at = 0.0
+
+    async def start(self) -> None:
+        await self._server.start(self.host, self.port)
+        self.up = True
+        self._tasks = [asyncio.ensure_future(it()) for it in (self._report, self._advance)]
+
+    def crash(self) -> None:
+        """End at once; the entry is removed after three intervals of silence."""
+        self.up = False
+        self.crashed_at = time.monotonic()
+        for task in self._tasks:
+            task.cancel()
+        self._server.stop()
+        lost = sorted(f"{task}#{run.attempt}" for task, run in self.runs.items())
+        self._record(f"minion {self.id} crashes, its runs: {' '.join(lost) or 'none'}")
+        loop = asyncio.get_running_loop()
+        loop.call_later(3 * REPORT_S, self._expire)
+
+    def _expire(self) -> None:
+        entry = self._store.read("servers", self.id)
+        if entry is not None and json.loads(entry)["born"] == self._born:
+            self._store.remove("servers", self.id)
+
+    def stop(self) -> None:
+        """End with the case."""
+        for task in self._tasks:
+            task.cancel()
+        self._server.stop()
+
+    def count_fitting(self, work: Work) -> int:
+        """Return how many more tasks fit beside what runs."""
+        cpu = self.cpu - sum(run.work.cpu for run in self.runs.values())
+        memory = self.memory - sum(run.work.memory for run in self.runs.values())
+        return max(0, min(cpu // work.cpu, memory // work.memory))
+
+    def _now(self) -> float:
+        return time.monotonic() - self._began + 1.0
+
+    async def _report(self) -> None:
+        while True:
+            self._seq += 1
+            entry = {
+                "service": self._service,
+                "address": f"{self.host}:{self.port}",
+                "zone": self.zone,
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "coldLeftMs": 0,
+                "capacity": {"cpu": self.cpu, "memMb": self.memory, "gpu": 0},
+                "labels": list(self.labels),
+                "clockMs": int(self._now() * 1_000),
+                "born": self._born,
+                "seq": self._seq,
+            }
+            self._store.put("servers", self.id, json.dumps(entry).encode())
+            await asyncio.sleep(REPORT_S)
+
+    async def _advance(self) -> None:
+        while True:
+            now = self._now()
+            for task, run in list(self.runs.items()):
+                if now >= self._deadline:
+                    self._end(task, "lapsed")
+                elif run.stopping_at and now >= run.stopping_at:
+                    self._end(task, "stopped")
+                elif not run.stopping_at and run.done(now) >= run.work.seconds:
+                    self._end(task, "done")
+            await asyncio.sleep(TICK_S)
+
+    def _end(self, task: str, how: str) -> None:
+        run = self.runs.pop(task)
+        self._highest[task] = max(self._highest.get(task, 0), run.attempt)
+        self._sequence += 1
+        saved = "" if how == "done" else run.checkpoint(self._now())
+        self._listed.append([self._sequence, task, run.attempt, how, saved])
+        self.ends.append((time.monotonic(), task, run.attempt, how))
+        self._record(f"minion {self.id}: {task}#{run.attempt} ends {how}")
+
+    async def _handle(self, call: Call) -> Reply:
+        _, path, headers, body = call
+        if headers.get("x-expect-instance", self.id) != self.id:
+            return 421, None
+        if self.holds_up(path, headers, body):
+            await asyncio.sleep(60.0)
+            return None
+        order = json.loads(body) if body else {}
+        match path:
+            case "/run-start":
+                return self._reply(self._start(order))
+            case "/run-stop":
+                return self._reply(self._stop(order))
+            case "/pace":
+                return self._reply(self._fence(order))
+            case "/hold":
+                return await self._hold(order)
+            case "/healthz":
+                return 200, None
+        return 404, None
+
+    def _reply(self, reason: str, **fields: Any) -> Reply:
+        body = {"clockMs": int(self._now() * 1_000), "born": self._born, **fields}
+        return (409, {**body, "reason": reason}) if reason else (200, body)
+
+    def _fence(self, order: dict[str, Any]) -> str:
+        token = order.get("fencingToken", 0)
+        if token < self._token:
+            return "fence"
+        self._token = token
+        return ""
+
+    def _extend(self, deadline_ms: int) -> None:
+        latest = self._now() + MAX_HOLD_S
+        self._deadline = max(self._deadline, min(deadline_ms / 1_000, latest))
+
+    def _start(self, order: dict[str, Any]) -> str:
+        task, attempt = order["task"], order["attempt"]
+        reason = self._fence(order)
+        if reason:
+            return reason
+        if order["deadlineMs"] <= self._now() * 1_000:
+            return "late"
+        self._extend(order["deadlineMs"])
+        present = self.runs.get(task)
+        if present is not None and present.attempt == attempt:
+            return ""
+        if present is not None or attempt <= self._highest.get(task, 0):
+            return "old"
+        work = self._find_work(task)
+        if (
+            sum(run.work.cpu for run in self.runs.values()) + work.cpu > self.cpu
+            or sum(run.work.memory for run in self.runs.values()) + work.memory > self.memory
+        ):
+            return "room"
+        saved = int(order.get("checkpoint") or "0", 16) * CHECKPOINT_S
+        self.runs[task] = _Run(attempt, work, self._now(), saved)
+        self.starts.append((time.monotonic(), task, attempt))
+        self._record(f"minion {self.id}: {task}#{attempt} starts")
+        return ""
+
+    def _stop(self, order: dict[str, Any]) -> str:
+        task, attempt = order["task"], order["attempt"]
+        reason = self._fence(order)
+        if reason:
+            return reason
+        self._highest[task] = max(self._highest.get(task, 0), attempt)
+        run = self.runs.get(task)
+        if run is not None and run.attempt <= attempt and not run.stopping_at:
+            run.stopping_at = self._now() + STOP_S
+        return ""
+
+    async def _hold(self, order: dict[str, Any]) -> Reply:
+        reason = self._fence(order)
+        if reason:
+            return self._reply(reason)
+        seen = order.get("ackedSeq", 0)
+        self._listed = [row for row in self._listed if row[0] > seen]
+        if order.get("deadlineMs", 0):
+            self._extend(order["deadlineMs"])
+        until = time.monotonic() + order.get("waitMs", 0) / 1_000
+        while not self._listed and time.monotonic() < until:
+            await asyncio.sleep(TICK_S)
+        now = self._now()
+        running = [
+            [
+                task,
+                run.attempt,
+                run.checkpoint(now),
+                min(99, int(100 * run.done(now) / run.work.seconds)),
+                run.work.cpu / 1_000,
+            ]
+            for task, run in self.runs.items()
+        ]
+        return self._reply("", running=running, finished=self._listed[:500])
