--- a/review/rig/minion.py
+++ b/review/rig/minion.py
@@ -41,6 +41,8 @@
     spread: float = 0.0
     lasting: bool = False
     fails_after: float = 0.0
+    fills: bool = False  # its cores aren't counted against a minion's capacity
+    tail: Callable[[], float] | None = None  # of a task that serves, in ms
 
 
 @dataclass(slots=True)
@@ -50,11 +52,15 @@
     began: float
     saved: float  # work in s that its checkpoint held
     stopping_at: float = 0.0
+    pause: float = 0.0
+    rate: float = 1.0  # the share at which it may work
 
     def done(self, now: float) -> float:
         """Return the work that is done, in s."""
-        pause = RESTORE_S if self.saved else 0.0
-        return self.saved + max(0.0, now - self.began - pause)
+        return self.saved + self.rate * max(0.0, now - self.began - self.pause)
+
+    def set_rate(self, rate: float, now: float) -> None:
+        self.saved, self.began, self.pause, self.rate = self.done(now), now, 0.0, rate
 
     def checkpoint(self, now: float) -> str:
         if not self.work.checkpointing:
@@ -139,9 +145,14 @@
 
     def count_fitting(self, work: Work) -> int:
         """Return how many more tasks fit beside what runs."""
-        cpu = self.cpu - sum(run.work.cpu for run in self.runs.values())
-        memory = self.memory - sum(run.work.memory for run in self.runs.values())
-        return max(0, min(cpu // work.cpu, memory // work.memory))
+        memory = (self.memory - sum(run.work.memory for run in self.runs.values())) // work.memory
+        return max(0, memory if work.fills else min(memory, self._count_free() // work.cpu))
+
+    def _count_cpu(self) -> int:
+        return sum(run.work.cpu for run in self.runs.values() if not run.work.fills)
+
+    def _count_free(self) -> int:
+        return self.cpu - self._count_cpu()
 
     def _now(self) -> float:
         return time.monotonic() - self._began + 1.0
@@ -215,7 +226,7 @@
             case "/run-stop":
                 return self._reply(self._stop(order))
             case "/pace":
-                return self._reply(self._fence(order))
+                return self._reply(self._pace(order))
             case "/hold":
                 return await self._hold(order)
             case "/healthz":
@@ -252,7 +263,7 @@
             return "old"
         work = self._find_work(task)
         if (
-            sum(run.work.cpu for run in self.runs.values()) + work.cpu > self.cpu
+            self._count_cpu() + (0 if work.fills else work.cpu) > self.cpu
             or sum(run.work.memory for run in self.runs.values()) + work.memory > self.memory
         ):
             return "room"
@@ -260,7 +271,8 @@
             seconds = work.seconds * random.uniform(1 - work.spread, 1 + work.spread)
             work = replace(work, seconds=seconds)
         saved = int(order.get("checkpoint") or "0", 16) * CHECKPOINT_S
-        self.runs[task] = _Run(attempt, work, self._now(), saved)
+        pause = RESTORE_S if saved else 0.0
+        self.runs[task] = _Run(attempt, work, self._now(), saved, pause=pause)
         self.starts.append((time.monotonic(), task, attempt))
         self._record(f"minion {self.id}: {task}#{attempt} starts")
         return ""
@@ -276,6 +288,13 @@
             run.stopping_at = self._now() + STOP_S
         return ""
 
+    def _pace(self, order: dict[str, Any]) -> str:
+        reason = self._fence(order)
+        run = self.runs.get(order["task"])
+        if not reason and run is not None and run.attempt == order["attempt"]:
+            run.set_rate(order["percent"] / 100, self._now())
+        return reason
+
     async def _hold(self, order: dict[str, Any]) -> Reply:
         reason = self._fence(order)
         if reason:
@@ -299,7 +318,7 @@
                 run.attempt,
                 run.checkpoint(now),
                 self._percent(run, now),
-                run.work.cpu / 1_000,
+                run.work.tail() if run.work.tail else run.work.cpu * run.rate,
             ]
             for task, run in self.runs.items()
         ]
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -25,13 +25,14 @@
 from review.rig.minion import Minion, Work
 from review.rig.store import PlatformStore
 
-__all__ = ["PREFIX", "HeldError", "Rig", "play", "trouble"]
+__all__ = ["BATCH_PREFIX", "PREFIX", "HeldError", "Rig", "play", "trouble"]
 
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = ("welshpool", "malaga", "osborne-park", "canning-vale")
 SERVICE = "changeover-svc"
 HOST = "nony24.example"
 PREFIX = "/lohu930/"
+BATCH_PREFIX = "/pufi791/"  # of a less urgent queue
 RETRIES = 4  # of a consumer
 FRONT, READINESS, CONTROL, STORE, CLOUD, ADVICE, MINION = 8161, 8167, 8166, 8169, 8170, 8171, 8080
 # The settings of DEPLOY.md for the small site sceac-line, but for names and addresses.
@@ -221,7 +222,9 @@
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         }
-        document = {"version": 7, "routes": [route], "services": [service], "limits": limits}
+        batch = {"name": "r-d3zji9n", "pathPrefix": BATCH_PREFIX, "priority": 2}
+        routes = [route, {**route, **batch}]
+        document = {"version": 7, "routes": routes, "services": [service], "limits": limits}
         self.store.put("op", "config", json.dumps(document).encode())
 
     def _start_host(self, number: int) -> None:
@@ -271,15 +274,15 @@
         return secrets.token_hex(8)
 
     async def submit(
-        self, pipeline: list[dict], work: list[Work], job: str = "", **fields: int
+        self, pipeline: list[dict], work: list[Work], job: str = "", prefix: str = PREFIX
     ) -> str:
         """Hand a job in as a consumer does; return its id, empty if it wasn't accepted."""
         job = job or self.make_id()
         for number, needed in enumerate(work):
             self.work[job, number] = needed
-        body = json.dumps({"spec": "reels", "pipeline": pipeline, **fields}).encode()
+        body = json.dumps({"spec": "reels", "pipeline": pipeline}).encode()
         for _ in range(RETRIES + 1):
-            status, headers, _ = await self.call("POST", PREFIX + job, body)
+            status, headers, _ = await self.call("POST", prefix + job, body)
             if 200 <= status < 300:
                 return job
             await asyncio.sleep(float(headers.get("retry-after", "0.2")))
