Decode all foreign bytes in one module: a nested row ended the owners of all cells

Cause: msgspec raises RecursionError for values nested about 1,000 deep, also within fields that it skips. It is a RuntimeError, so it passed RowReader and decode_worker, which name MsgspecError and ValueError, and ended the owner on each host that took the cell. Some 30 other places that decode foreign bytes had lists of errors of their own, most of them without this one; a long number in TOML passed likewise.

The callers' handlers name MalformedError. A nested submission is answered with 400, was 500.

--- a/toucanpin/bundles/canonical.py
+++ b/toucanpin/bundles/canonical.py
@@ -8,13 +8,15 @@
 from __future__ import annotations
 
 import hashlib
+from typing import Any
 
 import msgspec
 from expression import Error, Ok, Result
 
 from toucanpin.bundles.document import check_bundle
 from toucanpin.bundles.schema import Bundle
-from toucanpin.exception import BundleError
+from toucanpin.decoding import decode_json
+from toucanpin.exception import BundleError, MalformedError
 
 __all__ = ["decode_bundle", "digest", "encode_bundle", "is_canonical"]
 
@@ -27,8 +29,8 @@
 def is_canonical(document: bytes) -> bool:
     """Return whether bytes are canonical JSON, regardless of their fields."""
     try:
-        return msgspec.json.encode(msgspec.json.decode(document), order="sorted") == document
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return msgspec.json.encode(decode_json(document, Any), order="sorted") == document
+    except (MalformedError, RecursionError):
         return False
 
 
@@ -42,8 +44,8 @@
     if not is_canonical(document):
         return Error(BundleError(("the bytes are not canonical",)))
     try:
-        bundle = msgspec.json.decode(document, type=Bundle)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        bundle = decode_json(document, Bundle)
+    except MalformedError as error:
         return Error(BundleError((f"the bundle doesn't fit the schema: {error}",)))
     faults = tuple(f"{f.path} is {f.value!r}; allowed: {f.allowed}" for f in check_bundle(bundle))
     return Error(BundleError(faults)) if faults else Ok(bundle)
--- a/toucanpin/bundles/document.py
+++ b/toucanpin/bundles/document.py
@@ -9,7 +9,6 @@
 
 import math
 import re
-import tomllib
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
@@ -20,7 +19,8 @@
 from msgspec import inspect
 
 from toucanpin.bundles.schema import Bundle
-from toucanpin.exception import BundleError
+from toucanpin.decoding import convert, decode_toml
+from toucanpin.exception import BundleError, MalformedError
 
 __all__ = ["Fault", "check_bundle", "check_name", "parse_bundle", "parse_document"]
 
@@ -67,18 +67,16 @@
     if len(text.encode()) > MAX_DOCUMENT_BYTES:
         return Error(BundleError((f"{name}: larger than {MAX_DOCUMENT_BYTES} bytes",)))
     try:
-        document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        return Error(BundleError((f"{name}: not TOML: {error}",)))
-    except RecursionError:
-        return Error(BundleError((f"{name}: nests too deeply",)))
+        document = decode_toml(text)
+    except MalformedError as error:
+        return Error(BundleError((f"{name}: {error}",)))
     lines = dict(_find_lines(text))
     faults = list(_check_shape(document, inspect.type_info(kind), ""))
     if not faults:
-        faults = list(check(msgspec.convert(document, kind)))
+        faults = list(check(convert(document, kind)))
     if faults:
         return Error(BundleError(tuple(_describe(name, lines, fault) for fault in faults)))
-    return Ok(msgspec.convert(document, kind))
+    return Ok(convert(document, kind))
 
 
 def check_bundle(bundle: Bundle) -> Iterator[Fault]:
--- a/toucanpin/bundles/record.py
+++ b/toucanpin/bundles/record.py
@@ -11,7 +11,8 @@
 from expression import Error, Ok, Result
 
 from toucanpin.bundles.signature import KeyRing, SignedBundle, Verified, verify_bundle
-from toucanpin.exception import BundleError
+from toucanpin.decoding import decode_json
+from toucanpin.exception import BundleError, MalformedError
 
 __all__ = [
     "CURRENT_KEY",
@@ -52,8 +53,8 @@
 def decode_record(value: bytes) -> Result[BundleRecord, BundleError]:
     """Return the unverified record of a row value."""
     try:
-        return Ok(msgspec.json.decode(value, type=BundleRecord))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Ok(decode_json(value, BundleRecord))
+    except MalformedError as error:
         return Error(BundleError((f"not a record of a bundle: {error}",)))
 
 
@@ -77,6 +78,6 @@
 def decode_signed(data: bytes) -> Result[SignedBundle, BundleError]:
     """Return the unverified signed bundle of untrusted bytes."""
     try:
-        return Ok(msgspec.json.decode(data, type=SignedBundle))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Ok(decode_json(data, SignedBundle))
+    except MalformedError as error:
         return Error(BundleError((f"not a signed bundle: {error}",)))
--- a/toucanpin/bundles/signature.py
+++ b/toucanpin/bundles/signature.py
@@ -25,7 +25,8 @@
 from toucanpin.bundles.canonical import decode_bundle, digest, is_canonical
 from toucanpin.bundles.document import Fault, check_name, parse_document
 from toucanpin.bundles.schema import Bundle
-from toucanpin.exception import BundleError
+from toucanpin.decoding import decode_json
+from toucanpin.exception import BundleError, MalformedError
 
 __all__ = [
     "KeyRing",
@@ -213,8 +214,8 @@
     if not is_canonical(document):
         return Error(BundleError(("the key ring's bytes are not canonical",)))
     try:
-        ring = msgspec.json.decode(document, type=KeyRing)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        ring = decode_json(document, KeyRing)
+    except MalformedError as error:
         return Error(BundleError((f"the key ring doesn't fit its schema: {error}",)))
     faults = tuple(f"key ring: {f.path} is {f.value!r}; {f.allowed}" for f in check_ring(ring))
     return Error(BundleError(faults)) if faults else Ok(ring)
--- a/toucanpin/cli/bundle.py
+++ b/toucanpin/cli/bundle.py
@@ -31,6 +31,8 @@
 from toucanpin.cli.signing import keys, sign
 from toucanpin.daemon.bundle_apps import BundleRollout, History, SubmitAnswer, SubmitRequest
 from toucanpin.daemon.bundles import BundleStatus
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError
 
 __all__ = ["bundle"]
 
@@ -142,8 +144,8 @@
         text = answer.body.decode(errors="replace").strip()
         fail(f"HTTP {answer.status}: {text}", ExitCode.REFUSED)
     try:
-        outcome = msgspec.json.decode(answer.body, type=SubmitAnswer)
-    except msgspec.MsgspecError as error:
+        outcome = decode_json(answer.body, SubmitAnswer)
+    except MalformedError as error:
         fail(
             f"the answer is invalid, the request may have taken effect: {error}", ExitCode.UNCERTAIN
         )
--- a/toucanpin/cli/explain.py
+++ b/toucanpin/cli/explain.py
@@ -15,6 +15,8 @@
 import msgspec
 
 from toucanpin.cli.exits import ExitCode
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError
 
 __all__ = ["LogLine", "explain", "parse_lines", "select_lines"]
 
@@ -49,8 +51,8 @@
         if start < 0:
             continue
         try:
-            fields = msgspec.json.decode(text[start:])
-        except msgspec.MsgspecError:
+            fields = decode_json(text[start:], Any)
+        except MalformedError:
             continue
         if isinstance(fields, dict) and "event" in fields:
             yield LogLine(
--- a/toucanpin/cli/files.py
+++ b/toucanpin/cli/files.py
@@ -11,7 +11,6 @@
 from typing import TypeVar
 
 import click
-import msgspec
 from expression import Result
 
 from toucanpin.bundles.canonical import decode_bundle, encode_bundle
@@ -23,7 +22,8 @@
 from toucanpin.cli.http import fail, read
 from toucanpin.cli.keys import PrivateKey, load_key
 from toucanpin.daemon.bundles import BundleStatus
-from toucanpin.exception import BundleError
+from toucanpin.decoding import decode_json
+from toucanpin.exception import BundleError, MalformedError
 
 __all__ = [
     "existing_file",
@@ -67,8 +67,8 @@
 def read_signed_ring(path: Path) -> SignedRing:
     """Read a signed key ring."""
     try:
-        return msgspec.json.decode(path.read_bytes(), type=SignedRing)
-    except msgspec.MsgspecError as error:
+        return decode_json(path.read_bytes(), SignedRing)
+    except MalformedError as error:
         fail(f"{path}: not a signed key ring: {error}", ExitCode.REFUSED)
 
 
--- a/toucanpin/cli/http.py
+++ b/toucanpin/cli/http.py
@@ -27,8 +27,11 @@
     SSLError,
 )
 
+from toucanpin import decoding
 from toucanpin.cli.access import get_access
 from toucanpin.cli.exits import ExitCode
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError
 
 __all__ = ["Answer", "RequestFailure", "request", "request_json", "convert", "fail", "read", "send"]
 
@@ -105,16 +108,16 @@
     if answer.status >= MIN_ERROR_STATUS:
         _fail_refused(answer)
     try:
-        return msgspec.json.decode(answer.body) if answer.body else None
-    except msgspec.MsgspecError as error:
+        return decode_json(answer.body, Any) if answer.body else None
+    except MalformedError as error:
         _fail_invalid_answer(error)
 
 
 def convert(value: Any, kind: type[Value]) -> Value:
     """Convert a decoded answer to a type; exit if it doesn't match."""
     try:
-        return msgspec.convert(value, kind)
-    except msgspec.MsgspecError as error:
+        return decoding.convert(value, kind)
+    except MalformedError as error:
         _fail_invalid_answer(error)
 
 
@@ -148,7 +151,7 @@
     return RequestFailure(f"{url}: TLS failed, the request may have taken effect: {error}", True)
 
 
-def _fail_invalid_answer(error: msgspec.MsgspecError) -> NoReturn:
+def _fail_invalid_answer(error: MalformedError) -> NoReturn:
     """Exit because an answer is invalid."""
     fail(f"the answer is invalid, the request may have taken effect: {error}", ExitCode.UNCERTAIN)
 
@@ -157,9 +160,9 @@
     """Exit with the reason of a refusal."""
     text = answer.body.decode(errors="replace").strip()
     try:
-        fields = msgspec.json.decode(answer.body)
+        fields = decode_json(answer.body, dict)
         text = f"{fields['reason']} ({fields['verdict']}): {fields['detail']}"
-    except (msgspec.DecodeError, KeyError, TypeError):
+    except (MalformedError, KeyError, TypeError):
         text = f"HTTP {answer.status}: {text}"
     conflict = answer.status == http.HTTPStatus.CONFLICT
     fail(text, ExitCode.CONFLICT if conflict else ExitCode.REFUSED)
--- a/toucanpin/cli/job.py
+++ b/toucanpin/cli/job.py
@@ -15,12 +15,13 @@
 from typing import Any
 
 import click
-import msgspec
 
 from toucanpin.cli.access import callers_option
 from toucanpin.cli.exits import ExitCode
 from toucanpin.cli.http import convert, fail, read, request, request_json
 from toucanpin.cli.output import output_option, show
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError
 from toucanpin.placement.submission import JobStatus, StandingStatus
 
 __all__ = ["STANDING_COLUMNS", "job", "standing"]
@@ -55,8 +56,8 @@
     """Submit the job that FILE describes as JSON (- for standard input)."""
     key = key or uuid.uuid4().hex
     try:
-        submission = msgspec.json.decode(file.read())
-    except msgspec.DecodeError as error:
+        submission = decode_json(file.read(), Any)
+    except MalformedError as error:
         fail(f"{file.name}: not valid JSON: {error}", ExitCode.USAGE)
     answer = request_json("POST", f"{url}/v1/jobs", submission, {"Idempotency-Key": key})
     _show_jobs(form, [convert(answer, JobStatus)])
@@ -95,8 +96,8 @@
     """Cancel the job NAME; a job that has already ended is unchanged (exit code 3)."""
     answer = request("DELETE", f"{url}/v1/jobs/{urllib.parse.quote(name, safe='')}")
     try:
-        found = msgspec.json.decode(answer.body, type=JobStatus)
-    except msgspec.MsgspecError:
+        found = decode_json(answer.body, JobStatus)
+    except MalformedError:
         fail(answer.body.decode(errors="replace"), ExitCode.REFUSED)
     _show_jobs(form, [found])
     sys.exit(ExitCode.DONE if answer.status == OK_STATUS else ExitCode.CONFLICT)
--- a/toucanpin/cli/keys.py
+++ b/toucanpin/cli/keys.py
@@ -10,13 +10,15 @@
 import os
 import re
 import stat
-import tomllib
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from expression import Error, Ok, Result
 
+from toucanpin.decoding import decode_toml
+from toucanpin.exception import MalformedError
+
 __all__ = ["PrivateKey", "create_key", "load_key", "encode_public_key"]
 
 OWNER_ONLY_MODE = 0o600
@@ -53,12 +55,12 @@
         mode = path.stat().st_mode
         if mode & (stat.S_IRWXG | stat.S_IRWXO):
             return Error(f"{path}: accessible to group or others; set its mode to 0600")
-        document = tomllib.loads(path.read_text(encoding="utf-8"))
+        document = decode_toml(path.read_text(encoding="utf-8"))
         key = Ed25519PrivateKey.from_private_bytes(bytes.fromhex(document["private"]))
         key_id = document["id"]
     except OSError as error:
         return Error(f"{path}: {error.strerror}")
-    except (KeyError, TypeError, ValueError):
+    except (MalformedError, KeyError, TypeError, ValueError):
         return Error(f"{path}: not a private key file, as 'bundle keys new' writes it")
     if not isinstance(key_id, str) or not _KEY_ID_PATTERN.fullmatch(key_id):
         return Error(f"{path}: invalid key id; allowed are 1 to 63 of a-z, 0-9, '.', '_' and '-'")
--- a/toucanpin/daemon/access.py
+++ b/toucanpin/daemon/access.py
@@ -11,7 +11,6 @@
 import enum
 import hashlib
 import hmac
-import tomllib
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Annotated, Any
@@ -20,7 +19,8 @@
 
 from toucanpin.daemon.interfaces import EventSink, WsgiApp
 from toucanpin.daemon.web import StartResponse, answer_refusal
-from toucanpin.exception import SettingsError
+from toucanpin.decoding import convert, decode_toml
+from toucanpin.exception import MalformedError, SettingsError
 from toucanpin.verdict import Reason, Refusal, Verdict
 
 __all__ = ["Operator", "OperatorRole", "guard_app", "read_operators"]
@@ -63,9 +63,9 @@
         If the file can't be read or is malformed, or a name or token appears twice.
     """
     try:
-        table = tomllib.loads(path.read_text(encoding="utf-8"))
-        operators = msgspec.convert(table, _OperatorsFile).operator
-    except (OSError, ValueError, msgspec.ValidationError) as error:
+        table = decode_toml(path.read_text(encoding="utf-8"))
+        operators = convert(table, _OperatorsFile).operator
+    except (OSError, UnicodeDecodeError, MalformedError) as error:
         raise SettingsError((f"{path}: {error}",)) from error
     for key in ("name", "token_sha256"):
         values = [getattr(operator, key) for operator in operators]
--- a/toucanpin/daemon/bundle_apps.py
+++ b/toucanpin/daemon/bundle_apps.py
@@ -38,6 +38,8 @@
 from toucanpin.daemon.gossip import Gossip
 from toucanpin.daemon.interfaces import EventSink, WsgiApp
 from toucanpin.daemon.web import StartResponse, answer_json, answer_refusal
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError
 from toucanpin.membership.member import Standing
 from toucanpin.platform.ports import Row, Table
 from toucanpin.verdict import Reason, Refusal, Verdict
@@ -193,8 +195,8 @@
             )
         try:
             body = environ["wsgi.input"].read(int(length))
-            request = msgspec.json.decode(body, type=SubmitRequest)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            request = decode_json(body, SubmitRequest)
+        except MalformedError as error:
             return _refuse(start, f"not a submission: {error}")
         operator = _identify_operator(environ, request.signed)
         outcome = self._accept(request, operator)
--- a/toucanpin/daemon/jobs_app.py
+++ b/toucanpin/daemon/jobs_app.py
@@ -20,6 +20,8 @@
 from toucanpin.daemon.decisions import perform_table_action, run_decision
 from toucanpin.daemon.interfaces import BundleView
 from toucanpin.daemon.web import answer_refusal
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError
 from toucanpin.placement.actions import Decision
 from toucanpin.placement.jobs import (
     JobFilter,
@@ -122,8 +124,8 @@
         payload = bundle.limits.max_job_payload if bundle else 0
         body = read_body(environ, 2 * payload + MAX_BODY_OVERHEAD_BYTES)
         try:
-            request = msgspec.json.decode(body, type=Submission)
-        except msgspec.MsgspecError as error:
+            request = decode_json(body, Submission)
+        except MalformedError as error:
             refusal = Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, str(error))
             raise RefusedError(refusal) from error
         key = environ.get("HTTP_IDEMPOTENCY_KEY", "").strip()
--- a/toucanpin/daemon/settings_reader.py
+++ b/toucanpin/daemon/settings_reader.py
@@ -9,7 +9,6 @@
 
 import difflib
 import stat
-import tomllib
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -18,7 +17,8 @@
 
 from toucanpin.daemon.endpoint import parse_endpoint
 from toucanpin.daemon.settings import Settings
-from toucanpin.exception import SettingsError
+from toucanpin.decoding import convert, decode_toml
+from toucanpin.exception import MalformedError, SettingsError
 from toucanpin.placement.leases import LeaseTerms
 from toucanpin.placement.state import ControlOptions
 
@@ -38,15 +38,15 @@
         If the file can't be read or used, with one line for each fault.
     """
     try:
-        table = tomllib.loads(path.read_text(encoding="utf-8"))
+        table = decode_toml(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError((f"{path}: can't be read: {error.strerror}",)) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise SettingsError((f"{path}: is not TOML: {error}",)) from error
+    except (MalformedError, UnicodeDecodeError) as error:
+        raise SettingsError((f"{path}: is {error}",)) from error
     faults = list(_check_schema(table))
     if faults:
         raise SettingsError(tuple(f"{path}: {fault}" for fault in faults))
-    settings = msgspec.convert(table, Settings)
+    settings = convert(table, Settings)
     faults = list(_check_consistency(settings, path.parent))
     if faults:
         raise SettingsError(tuple(f"{path}: {fault}" for fault in faults))
@@ -92,8 +92,8 @@
                 yield f"{name}.{key}: is missing and has no default"
             continue
         try:
-            msgspec.convert(values[key], field.type)
-        except msgspec.ValidationError as error:
+            convert(values[key], field.type)
+        except MalformedError as error:
             yield f"{name}.{key}: {values[key]!r} is not allowed: {error}"
 
 
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -13,6 +13,7 @@
 import logbook
 import msgspec
 
+from toucanpin.decoding import decode_msgpack
 from toucanpin.entry.cell_reading import RETRY_DELAY_S, CellReader, join_pages
 from toucanpin.entry.clocks import steady_time
 from toucanpin.entry.row_reader import RowReader
@@ -283,7 +284,7 @@
 
 
 def _decode_learned(row: Row) -> LearnedModel:
-    return msgspec.msgpack.decode(row.value, type=LearnedModel)
+    return decode_msgpack(row.value, LearnedModel)
 
 
 def _decode_owner(row: Row) -> OwnerRecord:
--- a/toucanpin/entry/peers.py
+++ b/toucanpin/entry/peers.py
@@ -15,6 +15,7 @@
 import msgspec
 import xxhash
 
+from toucanpin.decoding import decode_msgpack
 from toucanpin.entry.clocks import MIN_AGREEING_HOSTS, measure_wall_offset
 from toucanpin.entry.row_cache import RowCache
 from toucanpin.entry.row_reader import RowReader
@@ -214,7 +215,7 @@
 
 
 def _decode_peer(row: Row) -> Peer:
-    peer = msgspec.msgpack.decode(row.value, type=Peer)
+    peer = decode_msgpack(row.value, Peer)
     check_address(f"{peer.address}:{peer.port}")
     if peer.name != row.key:
         raise PlatformError(f"the row holds the host {peer.name!r}")
--- a/toucanpin/entry/row_reader.py
+++ b/toucanpin/entry/row_reader.py
@@ -11,7 +11,6 @@
 from typing import TypeVar
 
 import logbook
-import msgspec
 
 from toucanpin.entry.metrics import MALFORMED_ROWS
 from toucanpin.exception import PlatformError, ToucanpinError
@@ -21,7 +20,7 @@
 
 _log = logbook.Logger("entries")
 T = TypeVar("T")
-DECODE_ERRORS = (ToucanpinError, msgspec.MsgspecError, ValueError)
+DECODE_ERRORS = (ToucanpinError, ValueError)
 MAX_REPORTED_ROWS = 1_000  # malformed rows to remember; with more of them some are logged again
 
 
--- a/toucanpin/entry/submissions.py
+++ b/toucanpin/entry/submissions.py
@@ -27,9 +27,10 @@
 import logbook
 import msgspec
 
+from toucanpin.decoding import decode_json
 from toucanpin.entry.clocks import Clocks
 from toucanpin.entry.tables import JOBS_TABLE, REFUSALS_TABLE, job_part, list_job_parts
-from toucanpin.exception import PlatformError
+from toucanpin.exception import MalformedError, PlatformError
 from toucanpin.http import CallError
 from toucanpin.platform.store import Committed, Conflict, ExpectedVersion, Put, Row, Store
 from toucanpin.scheduling.job import Job, encode_job
@@ -188,8 +189,8 @@
 def _read_time(row: Row) -> int:
     """Return when a refusal was written, in ms on the table's clock, 0 if it can't be decoded."""
     try:
-        return msgspec.json.decode(row.value, type=int)
-    except msgspec.MsgspecError:
+        return decode_json(row.value, int)
+    except MalformedError:
         return 0
 
 
--- a/toucanpin/entry/tests/test_row_reader.py
+++ b/toucanpin/entry/tests/test_row_reader.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from standins.site.site import PREFIX, Site
+from standins.site.site import JOB, PREFIX, Site
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.exception import PlatformError
 from toucanpin.http import Answer
@@ -49,6 +49,8 @@
     None,
     "text",
 )
+NESTED_JSON = b"[" * 2_000 + b"]" * 2_000
+NESTED_MSGPACK = b"\x91" * 2_000 + b"\x01"
 
 
 class _SinglePageStore:
@@ -154,6 +156,44 @@
         self.assertTrue(await site.wait_for_state("completed"))
         self.assertEqual(200, (await site.call("GET", PREFIX)).status)
 
+    async def test_jobs_are_run_beside_deeply_nested_rows_in_all_tables(self) -> None:
+        """
+        Guards against one row, nested deeper than the decoder goes, that ends the owners of all
+        cells: its error isn't one of a malformed value.
+        """
+        site = Site()
+        site.configure()
+        self.addAsyncCleanup(site.close)
+        await site.add_host()
+        await site.add_worker()
+        self.assertTrue(await site.wait_until_ready())
+        foreign = {"born": msgspec.Raw(NESTED_JSON)}
+        site.store.put("servers", "i-foreign", msgspec.json.encode({**VALID_ENTRY, **foreign}))
+        site.store.put("op", "wave/1", b'{"wave":1,"machines":' + NESTED_JSON + b"}")
+        for table in ("hosts", "keys", "effects", "counts", "progress", "jobs", "refusals"):
+            for key, value in (("json", NESTED_JSON), ("msgpack", NESTED_MSGPACK)):
+                site.store.put(table, key, value)
+                site.store.put(table, key, value, part="c")
+                site.store.put(table, key, value, part="c/3")
+        reads_before = site.store.read_counts["servers"]
+        self.assertTrue(
+            await site.wait_until(lambda: site.store.read_counts["servers"] > reads_before + 3)
+        )
+        self.assertEqual(200, (await site.submit()).status)
+        self.assertTrue(await site.wait_for_state("completed"))
+        site.store.put("progress", "f" * 16, NESTED_MSGPACK, part="c")
+        self.assertEqual(503, (await site.call("GET", PREFIX + "f" * 16)).status)
+
+    async def test_a_deeply_nested_submission_is_refused_as_malformed(self) -> None:
+        """Guards against an answer that blames the host for its caller's fault."""
+        site = Site()
+        site.configure()
+        self.addAsyncCleanup(site.close)
+        await site.add_host()
+        self.assertTrue(await site.wait_until_ready())
+        body = b'{"spec":"s","pipeline":[{}],"more":' + NESTED_JSON + b"}"
+        self.assertEqual(400, (await site.call("POST", PREFIX + JOB, body)).status)
+
     async def test_an_owner_whose_row_is_malformed_is_replaced(self) -> None:
         """
         Another writer has overwritten the owner's row, so the owner is unknown.  A host must take
--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -13,6 +13,7 @@
 import logbook
 import msgspec
 
+from toucanpin.decoding import decode_msgpack
 from toucanpin.entry.clocks import Clocks, steady_time
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.tables import WAVES_TABLE
@@ -320,4 +321,4 @@
 
 
 def _decode_record(row: Row) -> WaveRecord:
-    return msgspec.msgpack.decode(row.value, type=WaveRecord)
+    return decode_msgpack(row.value, WaveRecord)
--- a/toucanpin/exception.py
+++ b/toucanpin/exception.py
@@ -9,6 +9,7 @@
 __all__ = [
     "ToucanpinError",
     "SettingsError",
+    "MalformedError",
     "WireError",
     "PlatformError",
     "BundleError",
@@ -28,6 +29,10 @@
         self.faults = faults
 
 
+class MalformedError(ToucanpinError):
+    """Report bytes that aren't a value of the expected type."""
+
+
 class WireError(ToucanpinError):
     """Report an inner message that can't be understood or trusted."""
 
--- a/toucanpin/placement/records.py
+++ b/toucanpin/placement/records.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from toucanpin.decoding import decode_json
 from toucanpin.platform.ports import Size
 
 __all__ = [
@@ -205,7 +206,7 @@
 
 def decode(value: bytes, kind: type[R]) -> R:
     """Return the decoded row; unknown fields of newer writers are ignored."""
-    return msgspec.json.decode(value, type=kind)
+    return decode_json(value, kind)
 
 
 def authority_key(controller: ControllerId) -> str:
--- a/toucanpin/platform/advice.py
+++ b/toucanpin/platform/advice.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError
 from toucanpin.http import CallError
 from toucanpin.platform.store import Transport
 from toucanpin.scheduling.advising import Advice
@@ -55,7 +57,7 @@
         if answer.status != 200:
             raise CallError(Verdict.NOT_RUN, f"the advice service answered {answer.status}")
         try:
-            found = msgspec.json.decode(answer.body, type=_Answer)
-        except msgspec.MsgspecError as error:
+            found = decode_json(answer.body, _Answer)
+        except MalformedError as error:
             raise CallError(Verdict.NOT_RUN, f"advice can't be decoded: {error}") from error
         return Advice(dict(found.approved), found.validity_ms / 1_000)
--- a/toucanpin/platform/http.py
+++ b/toucanpin/platform/http.py
@@ -16,6 +16,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError
 from toucanpin.platform.exchange import Answer, Exchange
 from toucanpin.platform.messages import (
     OBJECT_ABSENT,
@@ -168,8 +170,8 @@
     if answer.status != HTTPStatus.OK:
         return Error(Unknown(f"status {answer.status}: {answer.body[:200]!r}"))
     try:
-        return Ok(msgspec.json.decode(answer.body, type=message_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Ok(decode_json(answer.body, message_type))
+    except MalformedError as error:
         return Error(Unknown(f"the answer can't be understood: {error}"))
 
 
--- a/toucanpin/platform/job_messages.py
+++ b/toucanpin/platform/job_messages.py
@@ -11,14 +11,14 @@
 
 import msgspec
 
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError, ToucanpinError
 from toucanpin.scheduling.configuration import Queue
 from toucanpin.scheduling.job import Job, Step
 from toucanpin.scheduling.progress import JobState
 
 __all__ = ["JobSyntaxError", "decode_submission", "encode_count", "encode_state", "is_job_id"]
 
-from toucanpin.exception import ToucanpinError
-
 DEADLINE_HEADER = "x-deadline-ms"
 MAX_SPEC_BYTES = 4_000  # the platform's limit
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
@@ -66,9 +66,6 @@
     interval_ms: int = 0
 
 
-_decoder = msgspec.json.Decoder(_Submission, strict=False)
-
-
 def is_job_id(text: str) -> bool:
     """Return whether ``text`` is a job id."""
     return _JOB_ID.fullmatch(text) is not None
@@ -84,8 +81,8 @@
         If the body is not a valid job.
     """
     try:
-        submission = _decoder.decode(body)
-    except msgspec.MsgspecError as error:
+        submission = decode_json(body, _Submission, strict=False)
+    except MalformedError as error:
         raise JobSyntaxError(str(error)) from error
     if len(submission.spec.encode()) > MAX_SPEC_BYTES:
         raise JobSyntaxError(f"spec has more than {MAX_SPEC_BYTES} bytes")
--- a/toucanpin/platform/machines.py
+++ b/toucanpin/platform/machines.py
@@ -14,7 +14,8 @@
 
 import msgspec
 
-from toucanpin.exception import PlatformError
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError, PlatformError
 from toucanpin.http.client import Answer, CallError, Client
 from toucanpin.scheduling.upkeep import Machine, MachineState, Wave
 from toucanpin.verdict import Verdict
@@ -170,8 +171,8 @@
         If the value is not a valid wave.
     """
     try:
-        wave = msgspec.json.decode(value, type=_Wave)
-    except (msgspec.MsgspecError, ValueError) as error:
+        wave = decode_json(value, _Wave)
+    except MalformedError as error:
         raise PlatformError(f"upkeep wave can't be decoded: {error}") from error
     return Wave(wave.wave, wave.machines, wave.duration_s, max(1, wave.cap))
 
@@ -185,8 +186,8 @@
     if answer.status not in (200, 409):
         raise CallError(Verdict.NOT_RUN, f"the machines service answered {answer.status}")
     try:
-        return msgspec.json.decode(answer.body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(answer.body, kind)
+    except MalformedError as error:
         detail = f"the machines service's answer can't be decoded: {error}"
         raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
 
@@ -205,8 +206,8 @@
         be this one.
     """
     try:
-        machine = msgspec.json.decode(raw, type=_Machine)
-    except (msgspec.MsgspecError, ValueError):
+        machine = decode_json(raw, _Machine)
+    except MalformedError:
         return Machine(_read_name(raw), "", MachineState.DOWN, "")
     state = _STATES.get(machine.state, MachineState.DOWN)
     return Machine(machine.machine, machine.pool, state, machine.id or "")
@@ -214,7 +215,7 @@
 
 def _read_name(raw: msgspec.Raw) -> str:
     try:
-        return msgspec.json.decode(raw, type=_MachineName).machine
-    except (msgspec.MsgspecError, ValueError) as error:
+        return decode_json(raw, _MachineName).machine
+    except MalformedError as error:
         detail = f"an entry in the list of machines has no valid name: {error}"
         raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
--- a/toucanpin/platform/queues.py
+++ b/toucanpin/platform/queues.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from toucanpin.exception import PlatformError
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError, PlatformError
 from toucanpin.scheduling.configuration import Configuration, Queue, Service
 
 __all__ = [
@@ -74,9 +75,6 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-_decoder = msgspec.json.Decoder(_Document)
-
-
 def decode_configuration(value: bytes) -> Configuration:
     """
     Return the configuration in the operators' document.
@@ -87,8 +85,8 @@
         If the document is invalid.
     """
     try:
-        document = _decoder.decode(value)
-    except (msgspec.MsgspecError, ValueError) as error:
+        document = decode_json(value, _Document)
+    except MalformedError as error:
         raise PlatformError(f"operators' configuration can't be decoded: {error}") from error
     queues = tuple(_to_queue(route) for route in document.routes)
     services = {
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -15,7 +15,8 @@
 
 import msgspec
 
-from toucanpin.exception import PlatformError, ToucanpinError
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError, PlatformError, ToucanpinError
 from toucanpin.http.client import Answer, CallError
 from toucanpin.scheduling.remote_clock import ClockEstimate
 from toucanpin.steady import steady_time
@@ -293,8 +294,8 @@
         if answer.status not in accepted:
             raise PlatformError(f"the store answered {answer.status}: {answer.body[:200]!r}")
         try:
-            rows = msgspec.json.decode(answer.body, type=_WireRows)
-        except msgspec.MsgspecError as error:
+            rows = decode_json(answer.body, _WireRows)
+        except MalformedError as error:
             detail = f"the store's answer can't be decoded: {error}"
             raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
         self.clock = max(self.clock, int(rows.now_ms))
@@ -312,8 +313,8 @@
 def _read_row(raw: msgspec.Raw) -> Iterable[Row]:
     """Yield the row whatever its value is, or nothing if its other fields can't be decoded."""
     try:
-        row = msgspec.json.decode(raw, type=_WireRow)
-    except (msgspec.MsgspecError, ValueError):
+        row = decode_json(raw, _WireRow)
+    except MalformedError:
         return
     value = _read_value(row.value)
     sound = value is not None
@@ -323,6 +324,6 @@
 def _read_value(raw: msgspec.Raw) -> bytes | None:
     """Return the bytes of a value, None if it isn't base64 text."""
     try:
-        return binascii.a2b_base64(msgspec.json.decode(raw, type=str), strict_mode=True)
-    except (msgspec.MsgspecError, ValueError):
+        return binascii.a2b_base64(decode_json(raw, str), strict_mode=True)
+    except (MalformedError, ValueError):
         return None
--- a/toucanpin/platform/workers.py
+++ b/toucanpin/platform/workers.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from toucanpin.exception import PlatformError
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError, PlatformError
 from toucanpin.http.client import Answer, CallError, Client
 from toucanpin.platform.addresses import check_address
 from toucanpin.scheduling.job import TaskKey, format_task
@@ -94,9 +95,6 @@
     born: Any = 0
 
 
-_entry_decoder = msgspec.json.Decoder(_Entry)
-
-
 class _Start(msgspec.Struct, rename="camel", omit_defaults=True):
     task: str
     attempt: int
@@ -226,8 +224,8 @@
         If the entry is invalid.
     """
     try:
-        entry = _entry_decoder.decode(value)
-    except (msgspec.MsgspecError, ValueError) as error:
+        entry = decode_json(value, _Entry)
+    except MalformedError as error:
         raise PlatformError(f"entry of worker {identifier} can't be decoded: {error}") from error
     return WorkerEntry(
         id=identifier,
@@ -264,8 +262,8 @@
     if answer.status not in accepted:
         raise PlatformError(f"a worker answered {answer.status}: {answer.body[:200]!r}")
     try:
-        return msgspec.json.decode(answer.body, type=_Answer)
-    except msgspec.MsgspecError as error:
+        return decode_json(answer.body, _Answer)
+    except MalformedError as error:
         detail = f"a worker's answer can't be decoded: {error}"
         raise CallError(Verdict.MAY_HAVE_RUN, detail) from error
 
--- a/toucanpin/scheduling/job.py
+++ b/toucanpin/scheduling/job.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from toucanpin.decoding import decode_json
+
 __all__ = ["Job", "Step", "TaskKey", "decode_job", "encode_job", "find_job_fault", "format_task"]
 
 MAX_TASKS = 3_000  # per occurrence: its progress has to fit one row of the table
@@ -113,4 +115,4 @@
 
 def decode_job(value: bytes) -> Job:
     """Decode a job from its row."""
-    return msgspec.json.decode(value, type=Job)
+    return decode_json(value, Job)
--- a/toucanpin/scheduling/ownership.py
+++ b/toucanpin/scheduling/ownership.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from toucanpin.decoding import decode_msgpack
 from toucanpin.scheduling.forecast import Forecast
 
 __all__ = [
@@ -191,4 +192,4 @@
 
 def decode_owner(value: bytes) -> OwnerRecord:
     """Decode an owner from its row."""
-    return msgspec.msgpack.decode(value, type=OwnerRecord)
+    return decode_msgpack(value, OwnerRecord)
--- a/toucanpin/scheduling/pending_counts.py
+++ b/toucanpin/scheduling/pending_counts.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from toucanpin.decoding import decode_msgpack
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.progress import JobState
 
@@ -76,4 +77,4 @@
 
 def decode_counts(value: bytes) -> PendingCounts:
     """Decode counts from their row."""
-    return msgspec.msgpack.decode(value, type=PendingCounts)
+    return decode_msgpack(value, PendingCounts)
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from toucanpin.decoding import decode_msgpack
 from toucanpin.scheduling.job import Job
 
 __all__ = [
@@ -110,7 +111,7 @@
 
 def decode_progress(value: bytes) -> Progress:
     """Decode a job's progress from its row."""
-    return msgspec.msgpack.decode(value, type=Progress)
+    return decode_msgpack(value, Progress)
 
 
 def matches_job(progress: Progress, job: Job) -> bool:
--- a/toucanpin/timeline/codec.py
+++ b/toucanpin/timeline/codec.py
@@ -11,13 +11,14 @@
 
 import msgspec
 
+from toucanpin.decoding import decode_json
+from toucanpin.exception import MalformedError
 from toucanpin.timeline.event import Event
 from toucanpin.timeline.faults import Unreadable
 
 __all__ = ["decode_lines", "encode_lines"]
 
 _ENCODER = msgspec.json.Encoder()
-_DECODER = msgspec.json.Decoder(Event)
 
 
 def encode_lines(events: Iterable[Event]) -> Iterator[bytes]:
@@ -36,6 +37,6 @@
         if not line.strip():
             continue
         try:
-            yield _DECODER.decode(line)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            yield decode_json(line, Event)
+        except MalformedError as error:
             yield Unreadable(source, number, str(error))
--- a/toucanpin/wire/keys.py
+++ b/toucanpin/wire/keys.py
@@ -11,11 +11,11 @@
 import hmac
 import re
 import stat
-import tomllib
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from toucanpin.exception import SettingsError
+from toucanpin.decoding import decode_toml
+from toucanpin.exception import MalformedError, SettingsError
 
 __all__ = ["PeerKeys", "load_peer_keys", "parse_peer_keys"]
 
@@ -78,8 +78,8 @@
         If the text is invalid; lists all faults, and contains no secret.
     """
     try:
-        document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+        document = decode_toml(text)
+    except MalformedError as error:
         raise SettingsError((f"{name}: not TOML",)) from error
     faults = [f"{name}: unknown key {key}" for key in document.keys() - {"current", "keys"}]
     table = document.get("keys")
