Check the types of a worker's answers: one malformed list of runs ended the owner

What callers saw: jobs stay pending on all workers of a cell while one worker answers polls with a row that is too short, a number in place of a task, an unknown end or a sequence above 64 bits; a job of another writer with dots in its id did the same through each worker that ran it.

Cause: rows of `running` and `finished` were `list[list]`, read by position: IndexError, AttributeError, KeyError, TypeError, or OverflowError a poll later. A poll names CallError and PlatformError only, so the error ended the owner.

Change: rows are typed and bounded; an unknown end is a PlatformError; a task's key is split from its end; an id with control characters, which is sent in a header, names no worker. A malformed answer counts as none, so such a worker falls silent, its leases end, and the others go on.

Tests: 22 malformed answers to a poll (19 of them failed before: 9 accepted, 10 with other errors), a job with dots in its id, and a site on the virtual clock where one of two workers answers so (two of three kinds failed before).

--- a/toucanpin/entry/tests/test_worker_entries.py
+++ b/toucanpin/entry/tests/test_worker_entries.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import functools
 import unittest
 from dataclasses import replace
 from unittest.mock import patch
 
+import msgspec
+
 from standins.site.site import Site
+from standins.site.virtual import run_virtual
+from toucanpin.http import Response
 
 DISABLED_PERIOD_S = 1_000.0  # s; longer than a test takes
 READS = 4
@@ -57,5 +62,29 @@
         self.assertFalse(self.worker.core.starts)
 
 
+class MalformedAnswerTest(unittest.TestCase):
+    def test_a_worker_with_malformed_answers_gets_no_tasks_and_keeps_none_from_others(self) -> None:
+        """Guards against one worker whose answers end the owner of its cell, on each host."""
+        for field, value in (("finished", [[1, "x"]]), ("running", [[7]]), ("clockMs", 2**70)):
+            with self.subTest(field):
+                run_virtual(functools.partial(self._play, field, value))
+
+    async def _play(self, field: str, value: object) -> None:
+        site = Site()
+        site.configure()
+        await site.add_host()
+        malformed = await site.add_worker()
+        malformed._reply = lambda status, body: Response(  # type: ignore[method-assign]
+            status, msgspec.json.encode({**body, field: value})
+        )
+        well = await site.add_worker()
+        self.assertTrue(await site.wait_until_ready())
+        self.assertEqual(200, (await site.submit(count=3)).status)
+        self.assertTrue(await site.wait_for_state("completed"))
+        self.assertEqual(3, len(well.core.starts))
+        self.assertFalse(malformed.core.starts)
+        await site.close()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/toucanpin/platform/tests/test_store_and_workers.py
+++ b/toucanpin/platform/tests/test_store_and_workers.py
@@ -32,7 +32,12 @@
         self.calls: list[tuple[str, str, bytes]] = []
 
     async def call(
-        self, method: str, path: str, body: bytes = b"", *, timeout: float = 1.0
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+        timeout: float = 1.0,
     ) -> Answer:
         self.calls.append((method, path, body))
         return self.answers.pop(0)
@@ -269,5 +274,67 @@
         self.assertEqual([True, False], [queue.advised for queue in configuration.queues])
 
 
+VALID_ANSWER: dict[str, object] = {
+    "clockMs": 5,
+    "running": [["a1.0.0.1", 1, "", 41, 2.5]],
+    "finished": [[1, "a1.0.0.2", 1, "done", ""]],
+    "born": 9,
+}
+MALFORMED_ANSWERS: tuple[dict[str, object], ...] = (
+    {"clockMs": 2**70},
+    {"clockMs": -1},
+    {"clockMs": "5"},
+    {"running": [[]]},
+    {"running": [["a1.0.0.1", 1, ""]]},
+    {"running": [[7, 1, "", 41]]},
+    {"running": [["a1.0.0.1", "1", "", 41]]},
+    {"running": [["a1.0.0.1", 1, None, 41]]},
+    {"running": [["a1.0.0.1", 1, "", "41"]]},
+    {"running": [["a1.0.0.1", 1, "", 41, "fast"]]},
+    {"running": [["a1.0.0.1", 2**70, "", 41]]},
+    {"running": [["a1.0.0", 1, "", 41]]},
+    {"running": [{"task": "a1.0.0.1"}]},
+    {"running": {}},
+    {"finished": [[]]},
+    {"finished": [[1, "a1.0.0.2", 1, "done"]]},
+    {"finished": [["1", "a1.0.0.2", 1, "done", ""]]},
+    {"finished": [[2**70, "a1.0.0.2", 1, "done", ""]]},
+    {"finished": [[1, None, 1, "done", ""]]},
+    {"finished": [[1, "a1.0.0.2", 1, "vanished", ""]]},
+    {"finished": [[1, "a1.0.0.2", 1, ["done"], ""]]},
+    {"finished": [[1, "a1.0.0.2", 1, "done", 5]]},
+)
+
+
+class MalformedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_malformed_answer_to_a_poll_counts_as_none(self) -> None:
+        """Guards against one worker whose list of runs ends the owner of its cell."""
+        client = WorkerClient("w", "127.0.0.1:1")
+        for changed in MALFORMED_ANSWERS:
+            body = {**VALID_ANSWER, **changed}
+            client._client = ScriptedTransport(_answer(200, **body))  # type: ignore[assignment]
+            with self.subTest(changed), self.assertRaises((CallError, PlatformError)):
+                await client.poll(1, 0, 0, 0.0, 1.0)
+
+    async def test_a_valid_answer_may_have_more_fields(self) -> None:
+        client = WorkerClient("w", "127.0.0.1:1")
+        rows = [["a1.0.0.1", 1, "", 41, 2.5, "more"]]
+        body = {**VALID_ANSWER, "running": rows, "more": [[[]]]}
+        client._client = ScriptedTransport(_answer(200, **body))  # type: ignore[assignment]
+        answer = await client.poll(1, 0, 0, 0.0, 1.0)
+        assert isinstance(answer, PollAnswer)
+        self.assertEqual(41, answer.running[0].percent)
+        self.assertEqual(RunEnd.DONE, answer.ended[0].end)
+
+    def test_an_id_that_breaks_a_header_names_no_worker(self) -> None:
+        with self.assertRaises(PlatformError):
+            decode_worker("i-1\r\nX-Other: 1", b"{}")
+
+    def test_a_task_of_a_job_with_dots_in_its_id_is_parsed(self) -> None:
+        """Guards against a row of another writer by which all answers of a worker are refused."""
+        task = TaskKey("a.b", 0, 1, 2)
+        self.assertEqual(task, parse_task(encode_task(task)))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/toucanpin/platform/workers.py
+++ b/toucanpin/platform/workers.py
@@ -43,8 +43,9 @@
 MAX_CPU_MILLICORES = 10_000_000  # 10,000 cores
 MAX_MEMORY_MB = 1_000_000_000  # 1 PB
 MAX_ACCELERATORS = 10_000
-# A larger one would make each later restart look older, so that all its answers were ignored.
-MAX_BORN_MS = 2**53  # the largest whole number that every writer of JSON keeps
+# The largest number that every writer of JSON keeps.  A larger sequence or clock would be accepted,
+# but not every message that it is sent back in can carry it.
+MAX_NUMBER = 2**53
 _INSTANCE_HEADER = "X-Expect-Instance"
 _RUN_ENDS = {
     "done": RunEnd.DONE,
@@ -125,11 +126,34 @@
     wait_ms: int = 0
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+
+class _Running(msgspec.Struct, array_like=True):
+    """A row of the list of running tasks."""
+
+    task: str
+    attempt: _Number
+    saved: str
+    percent: _Number | Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+    measure: float = 0.0
+
+
+class _Finished(msgspec.Struct, array_like=True):
+    """A row of the list of ended runs."""
+
+    sequence: _Number
+    task: str
+    attempt: _Number
+    end: str
+    saved: str
+
+
 class _Answer(msgspec.Struct, rename="camel"):
-    clock_ms: int
+    clock_ms: _Number
     reason: str = ""
-    running: list[list] = []
-    finished: list[list] = []
+    running: tuple[_Running, ...] = ()
+    finished: tuple[_Finished, ...] = ()
     born: Any = 0
 
 
@@ -223,6 +247,8 @@
     PlatformError
         If the entry is invalid.
     """
+    if not identifier.isprintable():  # it is sent in a header
+        raise PlatformError(f"{identifier[:60]!r} is not the id of a worker")
     try:
         entry = decode_json(value, _Entry)
     except MalformedError as error:
@@ -252,7 +278,7 @@
 def parse_task(text: str) -> TaskKey:
     """Return the task key that ``text`` is the wire form of."""
     try:
-        job, occurrence, step, index = text.split(".")
+        job, occurrence, step, index = text.rsplit(".", 3)
         return TaskKey(job, int(occurrence), int(step), int(index))
     except ValueError as error:
         raise PlatformError(f"{text!r} is not a task key") from error
@@ -279,7 +305,7 @@
 
 def _read_born(value: Any) -> int:
     """Return the start of an incarnation in Unix ms, 0 if it is missing or can't be one."""
-    known = type(value) is int and 0 < value <= MAX_BORN_MS
+    known = type(value) is int and 0 < value <= MAX_NUMBER
     return value if known else 0
 
 
@@ -290,10 +316,13 @@
         raise PlatformError(f"a worker refused for an unknown reason: {reason!r}") from error
 
 
-def _to_running(row: list) -> RunningTask:
-    measure = float(row[4]) if len(row) > 4 else 0.0
-    return RunningTask(parse_task(row[0]), row[1], row[2], row[3], measure)
+def _to_running(row: _Running) -> RunningTask:
+    percent = int(row.percent)
+    return RunningTask(parse_task(row.task), row.attempt, row.saved, percent, row.measure)
 
 
-def _to_ended(row: list) -> EndedRun:
-    return EndedRun(row[0], parse_task(row[1]), row[2], _RUN_ENDS[row[3]], row[4])
+def _to_ended(row: _Finished) -> EndedRun:
+    end = _RUN_ENDS.get(row.end)
+    if end is None:
+        raise PlatformError(f"a run ended in an unknown way: {row.end[:60]!r}")
+    return EndedRun(row.sequence, parse_task(row.task), row.attempt, end, row.saved)
