Leave jobs that stand still their turn beside jobs that can never run

Cause: StandingJobs counted a try, four a round, before it knew whether any worker takes the task, and the hopeless jobs come first in each round by their priority.

Change: placements and searches are counted apart; searches of a round look at 4,000 workers together and are four at least; one that found no worker is repeated after 0.3 s.

The cost of the added searches at size wasn't measured.

--- a/toucanpin/scheduling/standing_jobs.py
+++ b/toucanpin/scheduling/standing_jobs.py
@@ -41,7 +41,13 @@
 # a write and a start take the rest.
 MAX_STANDSTILL_S = 1.8
 MAX_USED_SHARE = 0.52  # of all cores, by their load; the promise holds up to half of them
-MAX_PLACED = 4  # in a round, as each looks at all workers
+MAX_PLACED = 4  # in a round, as each changes what the next ones may do
+# Each search looks at all workers, so on a large fleet a round has time for a few only.
+MIN_SEARCHES = 4
+MAX_SEARCHED_WORKERS = 4_000  # in a round with more searches
+# Until a search is repeated that found no worker.  Jobs that can never run come first in each round
+# by their priority, and would use up the searches of all.
+SEARCH_PAUSE_S = 0.3
 MIN_KEPT_PACE_PERCENT = 5  # at which a task of a standing job goes on beside a loaded service
 PACES_PERCENT = (100, 60, 30, 10, MIN_KEPT_PACE_PERCENT)
 
@@ -72,30 +78,36 @@
 class StandingJobs:
     """Placement of the tasks of standing jobs in one round."""
 
-    __slots__ = ("_cell", "_has_idle_cores", "_left", "_round")
+    __slots__ = ("_cell", "_has_idle_cores", "_placements_left", "_round", "_searches_left")
 
     def __init__(self, cell: Cell, round_: PlacementRound) -> None:
         self._cell = cell
         self._round = round_
-        self._left = MAX_PLACED
+        self._placements_left = MAX_PLACED
+        self._searches_left = max(MIN_SEARCHES, MAX_SEARCHED_WORKERS // max(1, len(cell.workers)))
         self._has_idle_cores: bool | None = None
 
     def place_for(
         self, live: LiveJob, turn: PlacementTurn, step: Step, eligible: list[Worker]
     ) -> None:
         """Place a task of a turn if its job has stood still for too long."""
-        if not self._left or step.gang or not self._stands_still(live, turn.group):
+        if not self._placements_left or not self._searches_left or step.gang:
+            return
+        if not self._stands_still(live, turn.group):
             return
         if self._has_idle_cores is None:
             self._has_idle_cores = self._find_idle_cores()
         task = self._find_task(live, turn) if self._has_idle_cores else None
         if task is None:
             return
-        self._left -= 1
+        self._searches_left -= 1
         choices = self._list_choices(live, task, step, eligible)
         best = min(choices, key=_Choice.rank, default=None)
-        if best is not None:
-            self._assign(live, task, step, best)
+        if best is None:
+            self._cell.waits[turn.group].last_resort_at = self._round.now.steady + SEARCH_PAUSE_S
+            return
+        self._placements_left -= 1
+        self._assign(live, task, step, best)
 
     def _find_idle_cores(self) -> bool:
         """Return whether so many cores are idle that no job may stand still."""
@@ -105,7 +117,9 @@
 
     def _stands_still(self, live: LiveJob, group: Group) -> bool:
         wait = self._cell.waits.get(group)
-        if wait is None or self._round.now.steady < wait.since + MAX_STANDSTILL_S:
+        if wait is None:
+            return False
+        if self._round.now.steady < max(wait.since + MAX_STANDSTILL_S, wait.last_resort_at):
             return False
         return not list_runs(self._cell, live)
 
--- a/toucanpin/scheduling/tests/test_held_tasks.py
+++ b/toucanpin/scheduling/tests/test_held_tasks.py
@@ -126,6 +126,21 @@
                 self._measure_standstill(fleet, jobs, 100.0)
                 self.assertEqual({JobState.COMPLETED}, {JobState(fleet.state(it)) for it in jobs})
 
+    def test_jobs_that_can_never_run_hold_no_other_job(self) -> None:
+        """
+        Guards against urgent jobs whose label no worker has: they come first in each round, and a
+        few of them used up all tries to place a task of a job that stands still.
+        """
+        for hopeless in (6, 200):
+            with self.subTest(hopeless):
+                fleet = self._serve(0.7)
+                for number in range(hopeless):
+                    fleet.submit(make_job(f"never{number}", (Step(cpu=1_000, label="none"),)))
+                jobs = [f"batch{number}" for number in range(4)]
+                for job in jobs:
+                    fleet.submit(make_job(job, (BATCH,), priority=2))
+                self.assertLessEqual(self._measure_standstill(fleet, jobs, 20.0), MAX_STANDSTILL_S)
+
     def test_services_bear_the_tasks_of_standing_jobs(self) -> None:
         """Guards against services over their target because no batch job may stand still."""
         for load in (0.5, 0.7, 0.78):
--- a/toucanpin/scheduling/waits.py
+++ b/toucanpin/scheduling/waits.py
@@ -32,10 +32,12 @@
     """
     Start of a step's wait for workers, and the latest reason for it.
 
-    Before ``retry_at`` placement isn't tried again.
+    Before ``retry_at`` placement isn't tried again, before ``last_resort_at`` not because its job
+    stands still either.
     """
 
     since: float
     reason: WaitReason = WaitReason.NO_ROOM
     logged_at: float = 0.0
     retry_at: float = 0.0
+    last_resort_at: float = 0.0
