Lay a failure on the side that fails more: jobs that fail everywhere took all workers

Cause: trust.py counted the jobs that failed on a worker, never whether they fail everywhere; only a success of a task started after the latest failure cleared a worker, which tasks of seconds can't give beside failures each half second; the one trial at a time went to the failing tasks, as those that ran before precede, and StandingJobs left distrusted workers out.

A step that fails on most workers it has tried, three at least, is at fault itself if these are most of the fleet or fewer jobs fail on them; its failures count against no worker until it does well. At most half of the workers are distrusted for jobs that did well nowhere. A task started on a distrusted worker that does well clears it, also while it runs, and shows the jobs that failed meanwhile to be at fault. A job that stands still may try a distrusted worker once. The stand-in of a worker can fail or hold tasks by job.

Why it works: a failure has two suspects, and each has other encounters to be judged by. A bad worker fails jobs that do well elsewhere, so its count stays.

Processor time wasn't measured: one set a step and a look at all workers when one becomes distrusted.

--- a/standins/site/worker_core.py
+++ b/standins/site/worker_core.py
@@ -32,7 +32,8 @@
     attempt: int
     started: float
     duration: float
-    fails: bool
+    fails_after: float | None = None  # s, None if it doesn't fail
+    stuck: bool = False
 
 
 @dataclass(slots=True)
@@ -50,7 +51,10 @@
     silent: bool = False
     delays_orders: bool = False
     loses_starts: bool = False  # answers no start and carries none out, as on a broken route
-    failing: bool = False
+    failing: bool = False  # fails every task
+    stuck_jobs: set[str] = field(default_factory=set)  # jobs that make no progress
+    refused_jobs: dict[str, RefusalReason] = field(default_factory=dict)
+    failing_jobs: dict[str, float] = field(default_factory=dict)  # jobs that fail after some s
     refusals_left: int = 0  # number of starts to refuse
     refusal: RefusalReason = RefusalReason.NO_ROOM
     acknowledged_ends: list[EndedRun] = field(default_factory=list)
@@ -78,12 +82,15 @@
         if self.refusals_left:
             self.refusals_left -= 1
             return self.refusal
+        if task.job in self.refused_jobs:
+            return self.refused_jobs[task.job]
         present = self.runs.get(task)
         if present is not None and present.attempt == attempt:
             return None
         if attempt <= self.highest.get(task, 0):
             return RefusalReason.OLD_ATTEMPT
-        self.runs[task] = Run(attempt, now, self.duration, self.failing)
+        fails_after = 0.0 if self.failing else self.failing_jobs.get(task.job)
+        self.runs[task] = Run(attempt, now, self.duration, fails_after, task.job in self.stuck_jobs)
         self.starts.append((task, attempt))
         return None
 
@@ -119,7 +126,7 @@
 
     def percent(self, run: Run, now: float) -> int:
         """Return the progress of a run in percent."""
-        if self.stuck:
+        if self.stuck or run.stuck:
             return 0
         return min(99, int(100 * (now - run.started) / run.duration))
 
@@ -139,7 +146,7 @@
         for task, run in list(self.runs.items()):
             if now >= self.deadline:
                 self.end(task, RunEnd.LEASE_EXPIRED)
-            elif run.fails:
+            elif run.fails_after is not None and now >= run.started + run.fails_after:
                 self.end(task, RunEnd.FAILED)
-            elif not self.stuck and now >= run.started + run.duration:
+            elif not (self.stuck or run.stuck) and now >= run.started + run.duration:
                 self.end(task, RunEnd.DONE)
--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -37,6 +37,7 @@
     "log_losses",
     "log_placement",
     "log_slow_workers",
+    "log_steps_at_fault",
     "log_standstill",
     "log_unsettled",
     "log_waits",
@@ -115,6 +116,21 @@
         )
 
 
+def log_steps_at_fault(cell: Cell) -> None:
+    """Log each step whose failures have begun to be laid on its job, once."""
+    found = cell.unlogged_steps_at_fault
+    cell.unlogged_steps_at_fault = []
+    for step in found:
+        _log.warning(
+            "tasks fail by themselves, not by their workers",
+            event="job.at_fault",
+            job=step.job,
+            step=step.step,
+            failed=step.failed,
+            well=step.well,
+        )
+
+
 def log_failed_tasks(cell: Cell, tasks: Iterable[TaskKey], now: Now) -> None:
     """Log each task that has crashed too many workers, with those workers."""
     for task in tasks:
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -32,6 +32,7 @@
     log_headroom,
     log_losses,
     log_slow_workers,
+    log_steps_at_fault,
     log_unsettled,
     log_waits,
 )
@@ -309,6 +310,7 @@
     def _dispatch_orders(self) -> None:
         log_losses(self._cell)
         log_slow_workers(self._cell)
+        log_steps_at_fault(self._cell)
         orders = self._cell.orders
         self._cell.orders = []
         for order in orders:
--- a/toucanpin/entry/tests/test_decision_log.py
+++ b/toucanpin/entry/tests/test_decision_log.py
@@ -13,6 +13,7 @@
     log_failed_tasks,
     log_losses,
     log_placement,
+    log_steps_at_fault,
     log_waits,
 )
 from toucanpin.scheduling.cell import Group
@@ -32,6 +33,17 @@
     def _events(self) -> list[str]:
         return [record.kwargs["event"] for record in self.handler.records]
 
+    def test_a_step_that_fails_on_most_workers_is_logged_once(self) -> None:
+        for number in range(3):
+            self.fleet.add_worker(f"more{number}")
+        for worker in self.fleet.workers.values():
+            worker.failing = True
+        self.fleet.submit(make_job("j", (Step(count=4, cpu=1_000, long_running=True),)))
+        self.fleet.run(5.0)
+        log_steps_at_fault(self.fleet.cell)
+        log_steps_at_fault(self.fleet.cell)
+        self.assertEqual(["job.at_fault"], self._events())
+
     def test_only_the_longest_waits_are_logged(self) -> None:
         """
         Thousands of steps wait in an overload.  A line for each of them would fill the log and take
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -26,6 +26,8 @@
     "Group",
     "LiveJob",
     "Now",
+    "StepAtFault",
+    "StepOutcomes",
     "StepTickets",
     "add_run",
     "compute_task_offsets",
@@ -71,6 +73,31 @@
     retry_at: float = 0.0
 
 
+@dataclass(slots=True)
+class StepOutcomes:
+    """
+    Where the tasks of a step failed and did well; of this owner only.
+
+    ``failed`` tells by worker when a task last failed there; ``at_fault`` is whether the step fails
+    by itself rather than by its workers.
+    """
+
+    failed: dict[str, float] = field(default_factory=dict)
+    well: set[str] = field(default_factory=set)
+    at_fault: bool = False
+    logged: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StepAtFault:
+    """A step that fails by itself; ``failed`` and ``well`` count the workers where it did."""
+
+    job: str
+    step: int
+    failed: int
+    well: int
+
+
 @dataclass(slots=True)
 class LiveJob:
     """
@@ -89,6 +116,7 @@
     tasks_left: dict[int, list[int]] = field(default_factory=dict)
     racks: dict[Group, str] = field(default_factory=dict)
     task_durations: dict[int, list[float]] = field(default_factory=dict)
+    outcomes: dict[int, StepOutcomes] = field(default_factory=dict)  # by step
     end_logged: bool = False
 
 
@@ -138,6 +166,7 @@
     orders: list[StopOrder | PaceOrder] = field(default_factory=list)
     unlogged_losses: list[Loss] = field(default_factory=list)
     unlogged_slow_workers: list[SlowWorker] = field(default_factory=list)
+    unlogged_steps_at_fault: list[StepAtFault] = field(default_factory=list)
     # When the newest start without an answer was sent, by worker, task and attempt.
     unanswered_starts: dict[tuple[str, TaskKey, int], float] = field(default_factory=dict)
     lost_workers: list[LostWorker] = field(default_factory=list)  # lately
--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.evacuating import list_not_evacuated
@@ -30,6 +30,7 @@
     "CandidateWorkers",
     "has_label",
     "is_reserved_for_others",
+    "list_available",
     "list_eligible",
     "may_place_long_running",
     "meets_constraints",
@@ -135,7 +136,12 @@
 
 def list_eligible(cell: Cell, now: Now) -> list[Worker]:
     """Return the workers that may get new tasks."""
-    return [worker for worker in list_not_evacuated(cell) if _is_eligible(worker, now)]
+    return [worker for worker in list_available(cell, now) if is_trusted(worker, now)]
+
+
+def list_available(cell: Cell, now: Now) -> Iterator[Worker]:
+    """Yield the workers that would carry out a start, also those on which tasks fail."""
+    return (worker for worker in list_not_evacuated(cell) if _is_available(worker, now))
 
 
 def may_place_long_running(
@@ -159,7 +165,7 @@
     return access is ReserveAccess.SPARE and free_slots > 1
 
 
-def _is_eligible(worker: Worker, now: Now) -> bool:
+def _is_available(worker: Worker, now: Now) -> bool:
     return (
         worker.reached
         and not worker.silent
@@ -168,7 +174,6 @@
         and not worker.unknown_tasks
         and not worker.draining_since
         and now.steady >= worker.full_until
-        and is_trusted(worker, now)
         and now.steady - worker.answered_at < CONTACT_TIMEOUT_S
     )
 
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -46,7 +46,7 @@
     mark_started(cell, ended.task.job)
     run = worker.runs.get(ended.task)
     if run is not None and run.attempt == ended.attempt:
-        _update_trust(worker, run, ended.end, now)
+        _update_trust(cell, worker, run, ended.end, now)
         finish_run(cell, worker, run, ended.end, ended.checkpoint, now)
         return
     match ended.end:
@@ -279,9 +279,9 @@
     return live.progress.tasks[task.occurrence][start : start + count]
 
 
-def _update_trust(worker: Worker, run: Run, end: RunEnd, now: Now) -> None:
+def _update_trust(cell: Cell, worker: Worker, run: Run, end: RunEnd, now: Now) -> None:
     match end:
         case RunEnd.DONE:
-            record_success(worker, run)
+            record_success(cell, worker, run)
         case RunEnd.FAILED:
-            record_failure(worker, run, now)
+            record_failure(cell, worker, run, now)
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -24,6 +24,7 @@
 from toucanpin.scheduling.orders import PollAnswer, PollOrder, RunningTask, StopOrder, WorkerEntry
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.stopping import stop_run
+from toucanpin.scheduling.trust import record_survival
 from toucanpin.scheduling.worker import Phase, Run, Worker, grant_lease
 from toucanpin.scheduling.worker_faults import LossCause
 
@@ -304,6 +305,7 @@
     run.percent = running.percent
     run.last_listed_at = now.steady
     run.measure = running.measure
+    record_survival(cell, worker, run, now)
     if record is not None:
         clear_survivor(run, record)
     if running.checkpoint:
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -114,7 +114,7 @@
     if run.step.gang and not _is_gang_known_complete(cell, run, complete):
         _stop_incomplete_gang(cell, run, now)
     elif _is_stalled(run):
-        record_failure(worker, run, now, SUSPECT_TIME_S)
+        record_failure(cell, worker, run, now, SUSPECT_TIME_S)
         _relocate(cell, run, "stands still")
 
 
--- a/toucanpin/scheduling/standing_jobs.py
+++ b/toucanpin/scheduling/standing_jobs.py
@@ -16,12 +16,16 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from toucanpin.scheduling.assigning import assign_task
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, list_runs
-from toucanpin.scheduling.choosing import is_reserved_for_others, meets_constraints
+from toucanpin.scheduling.choosing import (
+    is_reserved_for_others,
+    list_available,
+    meets_constraints,
+)
 from toucanpin.scheduling.evacuating import list_not_evacuated
 from toucanpin.scheduling.interrupted_tasks import PlacementTurn
 from toucanpin.scheduling.job import Step, TaskKey
@@ -30,7 +34,7 @@
 from toucanpin.scheduling.progress import CrashSuspicion
 from toucanpin.scheduling.retrying import count_failures
 from toucanpin.scheduling.suspicion import find_suspicion, is_new_worker, requires_proof
-from toucanpin.scheduling.trust import is_distrusted, is_trusted
+from toucanpin.scheduling.trust import is_distrusted, is_trusted, may_try
 from toucanpin.scheduling.unplaceable import find_block
 from toucanpin.scheduling.worker import Worker, has_room
 from toucanpin.scheduling.worker_costs import MAX_SHARE
@@ -101,14 +105,36 @@
         if task is None:
             return
         self._searches_left -= 1
-        choices = self._list_choices(live, task, step, eligible)
-        best = min(choices, key=_Choice.rank, default=None)
+        trusted = (it for it in eligible if is_trusted(it, self._round.now))
+        best = self._choose(live, task, step, trusted) or self._choose(
+            live, task, step, self._list_untried(live)
+        )
         if best is None:
             self._cell.waits[turn.group].last_resort_at = self._round.now.steady + SEARCH_PAUSE_S
             return
         self._placements_left -= 1
         self._assign(live, task, step, best)
 
+    def _choose(
+        self, live: LiveJob, task: TaskKey, step: Step, workers: Iterable[Worker]
+    ) -> _Choice | None:
+        choices = self._list_choices(live, task, step, workers)
+        return min(choices, key=_Choice.rank, default=None)
+
+    def _list_untried(self, live: LiveJob) -> Iterator[Worker]:
+        """
+        Yield the distrusted workers on which no task of a job has failed.
+
+        They may be distrusted for jobs that fail by themselves, and a job may have nowhere else to
+        go.  If they are bad, each of them costs a job one attempt.
+        """
+        if live.job.advised:
+            return
+        now = self._round.now
+        for worker in list_available(self._cell, now):
+            if may_try(worker, live.job.id, now):
+                yield worker
+
     def _find_idle_cores(self) -> bool:
         """Return whether so many cores are idle that no job may stand still."""
         workers = list_not_evacuated(self._cell)
@@ -138,19 +164,17 @@
         return min(startable, key=lambda task: count_failures(live, task), default=None)
 
     def _list_choices(
-        self, live: LiveJob, task: TaskKey, step: Step, eligible: list[Worker]
+        self, live: LiveJob, task: TaskKey, step: Step, workers: Iterable[Worker]
     ) -> Iterator[_Choice]:
         group = Group(task.job, task.occurrence, task.step)
         now = self._round.now
         has_failed = count_failures(live, task) > 0
         is_suspected = find_suspicion(live, task) is not CrashSuspicion.NONE
-        for worker in eligible:
+        for worker in workers:
             if not has_room(worker, step) or not meets_constraints(worker, group, step):
                 continue
             if task in worker.runs or is_reserved_for_others(worker, live, now):
                 continue
-            if not is_trusted(worker, now):
-                continue
             risk = _Risk.NONE
             if is_suspected and is_new_worker(worker, now):
                 risk = _Risk.MAY_BE_LOST
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -85,6 +85,7 @@
     sampled_at: int = 0  # on the worker's clock in ms, when the progress was ``sampled_percent``
     sampled_percent: int = 0
     born: int = 0  # incarnation of the worker on which it was placed, 0 if unknown
+    survived: bool = False  # it has run for longer than those that failed on its worker
 
 
 @dataclass(slots=True)
@@ -132,6 +133,8 @@
     learned_at: float = 0.0  # when interference effects were last learned from its measurements
     failed_jobs: set[str] = field(default_factory=set)  # with failures since its last success
     failed_at: float = 0.0
+    distrusted_since: float = 0.0
+    failed_after: float = 0.0  # the longest time in s that a task ran before it failed, since then
     retries_blocked_until: float = 0.0  # tasks that have failed before aren't tried there
     unknown_tasks: frozenset[TaskKey] = frozenset()  # listed tasks that its owner didn't start
     # These sums show at once that preemption can't help an urgent task; without them each
