--- a/toucanpin/scheduling/tests/test_attribution.py
+++ b/toucanpin/scheduling/tests/test_attribution.py
@@ -5,6 +5,7 @@
 import unittest
 
 from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.orders import RefusalReason
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.trust import is_distrusted
@@ -146,6 +147,19 @@
             fleet.submit(make_job(f"bad{number}", (Step(count=6, cpu=CORES),)))
         self.check(fleet)
 
+    def test_tasks_that_all_workers_refuse(self) -> None:
+        """Guards against workers that count as full for tasks that none of them takes."""
+        for reason in RefusalReason:
+            if reason is RefusalReason.FENCED:
+                continue
+            with self.subTest(reason):
+                fleet = MixedFleet(12)
+                for number in range(6):
+                    for worker in fleet.workers.values():
+                        worker.refused_jobs[f"bad{number}"] = reason
+                    fleet.submit(make_job(f"bad{number}", (Step(count=12, cpu=CORES),)))
+                self.check(fleet)
+
     def test_blame_does_not_follow_a_job_that_recovers(self) -> None:
         fleet = MixedFleet(6)
         for name in ("a", "b", "c"):
