Refuse jobs and documents with numbers that no row can carry

What callers saw: after a job that is repeated 10^25 times is accepted, its owner begins its due occurrences without an end, as does each next one; a process took all of 15 s and more without answering (trial). Numbers above 64 bits in a queue's priority would end an owner that writes its backlog (by reading, not brought about).

Cause: JSON has no bound on numbers, and find_job_fault had none on repeats.

Change: a job is repeated 10,000 times at most; numbers beyond 2^53 are malformed in jobs, the operators' document, waves and the store's pages. The bound stands once, in toucanpin/decoding.py.

--- a/toucanpin/decoding.py
+++ b/toucanpin/decoding.py
@@ -16,15 +16,19 @@
 from __future__ import annotations
 
 import tomllib
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
 from toucanpin.exception import MalformedError
 
-__all__ = ["convert", "decode_json", "decode_msgpack", "decode_toml"]
+__all__ = ["MAX_NUMBER", "Whole", "convert", "decode_json", "decode_msgpack", "decode_toml"]
 
 T = TypeVar("T")
+# The largest whole number that every writer of JSON keeps.  JSON itself has no bound, but rows in
+# MessagePack carry 64 bits, so a larger one would end whoever writes it there later.
+MAX_NUMBER = 2**53
+Whole = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 _FAULTS = (msgspec.MsgspecError, ValueError, RecursionError, OverflowError)
 
 
--- a/toucanpin/platform/machines.py
+++ b/toucanpin/platform/machines.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from toucanpin.decoding import decode_json
+from toucanpin.decoding import Whole, decode_json
 from toucanpin.exception import MalformedError, PlatformError
 from toucanpin.http.client import Answer, CallError, Client
 from toucanpin.scheduling.upkeep import Machine, MachineState, Wave
@@ -93,10 +93,10 @@
 class _Wave(msgspec.Struct, rename="camel"):
     """An upkeep wave; at most ``cap`` of its machines may be down at once."""
 
-    wave: int
+    wave: Whole
     machines: tuple[str, ...] = ()
     duration_s: float = 0
-    cap: int = 1
+    cap: Whole = 1
 
 
 class MachineClient:
--- a/toucanpin/platform/queues.py
+++ b/toucanpin/platform/queues.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from toucanpin.decoding import decode_json
+from toucanpin.decoding import Whole, decode_json
 from toucanpin.exception import MalformedError, PlatformError
 from toucanpin.scheduling.configuration import Configuration, Queue, Service
 
@@ -49,8 +49,8 @@
     host: str = ""
     path_prefix: str = "/"
     service: str = ""
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Whole = 0
+    max_attempts: Whole = 1
     stretch: float = 2.0
     target_latency_ms: float = 1_000
     timeout_ms: float = 3_000
@@ -64,12 +64,12 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
+    max_header_bytes: Whole = 16_384
+    max_body_bytes: Whole = 262_144
 
 
 class _Document(msgspec.Struct, rename="camel"):
-    version: int
+    version: Whole
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -10,12 +10,12 @@
 import binascii
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Annotated, Protocol
 from urllib.parse import quote
 
 import msgspec
 
-from toucanpin.decoding import decode_json
+from toucanpin.decoding import MAX_NUMBER, Whole, decode_json
 from toucanpin.exception import MalformedError, PlatformError, ToucanpinError
 from toucanpin.http.client import Answer, CallError
 from toucanpin.scheduling.remote_clock import ClockEstimate
@@ -146,15 +146,15 @@
     part: str = ""
     key: str = ""
     value: msgspec.Raw = msgspec.Raw(b'""')
-    row_version: int = 0
+    row_version: Whole = 0
     deleted: bool = False
 
 
 class _WireRows(msgspec.Struct, rename="camel"):
     rows: list[msgspec.Raw] = []
     more_pages: bool = False
-    row_version: int = 0
-    now_ms: float = 0
+    row_version: Whole = 0
+    now_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
 
 
 class Store:
--- a/toucanpin/platform/tests/test_store_and_workers.py
+++ b/toucanpin/platform/tests/test_store_and_workers.py
@@ -306,6 +306,24 @@
 )
 
 
+class LargeNumberTest(unittest.IsolatedAsyncioTestCase):
+    def test_a_document_with_a_number_that_no_row_can_carry_is_malformed(self) -> None:
+        """Guards against owners that end once they write a priority of more than 64 bits."""
+        for changed in ({"priority": 2**70}, {"priority": -(2**70)}, {"maxAttempts": 2**70}):
+            document = {"version": 1, "routes": [{"name": "q", "service": "c", **changed}]}
+            with self.subTest(changed), self.assertRaises(PlatformError):
+                decode_configuration(msgspec.json.encode(document))
+
+    async def test_a_page_with_a_clock_that_no_row_can_carry_is_no_answer(self) -> None:
+        for changed in ({"nowMs": 1e300}, {"nowMs": -1}, {"rowVersion": 2**70}):
+            store = Store(
+                ScriptedTransport(_answer(200, **{"nowMs": 5, "rowVersion": 1, **changed}))
+            )
+            with self.subTest(changed), self.assertRaises(CallError):
+                await store.read("t")
+            self.assertEqual(0, store.clock)
+
+
 class MalformedAnswerTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_malformed_answer_to_a_poll_counts_as_none(self) -> None:
         """Guards against one worker whose list of runs ends the owner of its cell."""
--- a/toucanpin/platform/workers.py
+++ b/toucanpin/platform/workers.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from toucanpin.decoding import decode_json
+from toucanpin.decoding import MAX_NUMBER, decode_json
 from toucanpin.exception import MalformedError, PlatformError
 from toucanpin.http.client import Answer, CallError, Client
 from toucanpin.platform.addresses import check_address
@@ -43,9 +43,6 @@
 MAX_CPU_MILLICORES = 10_000_000  # 10,000 cores
 MAX_MEMORY_MB = 1_000_000_000  # 1 PB
 MAX_ACCELERATORS = 10_000
-# The largest number that every writer of JSON keeps.  A larger sequence or clock would be accepted,
-# but not every message that it is sent back in can carry it.
-MAX_NUMBER = 2**53
 _INSTANCE_HEADER = "X-Expect-Instance"
 _RUN_ENDS = {
     "done": RunEnd.DONE,
--- a/toucanpin/scheduling/job.py
+++ b/toucanpin/scheduling/job.py
@@ -7,14 +7,28 @@
 
 from __future__ import annotations
 
+from operator import attrgetter
+
 import msgspec
 
-from toucanpin.decoding import decode_json
+from toucanpin.decoding import MAX_NUMBER, decode_json
 
 __all__ = ["Job", "Step", "TaskKey", "decode_job", "encode_job", "find_job_fault", "format_task"]
 
 MAX_TASKS = 3_000  # per occurrence: its progress has to fit one row of the table
 MAX_STEPS = 200
+MAX_OCCURRENCES = 10_000  # the row of its progress lists those that have ended
+_STEP_NUMBERS = (
+    "count",
+    "cpu",
+    "memory",
+    "accelerators",
+    "estimate",
+    "per_worker",
+    "target",
+    "max_unavailable",
+)
+_JOB_NUMBERS = ("priority", "max_failures", "stretch", "aim", "accepted", "start_at", "interval")
 
 
 class Step(msgspec.Struct, frozen=True, omit_defaults=True, rename="camel"):
@@ -99,7 +113,13 @@
         return f"a job has at most {MAX_TASKS} tasks"
     if job.repeats < 0 or job.interval < 0:
         return "repeats and interval can't be negative"
+    if job.repeats > MAX_OCCURRENCES:
+        return f"a job is repeated {MAX_OCCURRENCES} times at most, not {job.repeats}"
+    if fault := _find_large_number("job", job):
+        return fault
     for number, step in enumerate(job.steps):
+        if fault := _find_large_number(f"step {number}", step):
+            return fault
         if step.count < 1 or min(step.cpu, step.memory, step.accelerators) < 0:
             return f"step {number}: count and sizes must be positive"
         # Steps depend on earlier ones only, so there are no cycles.
@@ -108,6 +128,16 @@
     return ""
 
 
+def _find_large_number(name: str, part: Job | Step) -> str:
+    """Return which number of a job or step is out of range, or an empty string."""
+    fields = _JOB_NUMBERS if isinstance(part, Job) else _STEP_NUMBERS
+    values = attrgetter(*fields)(part)
+    if min(values) >= -MAX_NUMBER and max(values) <= MAX_NUMBER:
+        return ""
+    field, value = max(zip(fields, values, strict=True), key=lambda it: abs(it[1]))
+    return f"{name}: {field} is {value:.3g}; allowed are -{MAX_NUMBER} to {MAX_NUMBER}"
+
+
 def encode_job(job: Job) -> bytes:
     """Return the encoded row of a job."""
     return msgspec.json.encode(job)
--- a/toucanpin/scheduling/tests/test_job_lifecycle.py
+++ b/toucanpin/scheduling/tests/test_job_lifecycle.py
@@ -214,6 +214,10 @@
             (make_job(steps=(Step(after=(0,)),)), "earlier"),
             (make_job(steps=(Step(count=0),)), "positive"),
             (make_job(steps=(Step(count=10_000),)), "tasks"),
+            (make_job(steps=(Step(cpu=2**60),)), "cpu"),
+            (make_job(steps=(Step(estimate=-(2**60)),)), "estimate"),
+            (make_job(priority=2**60), "priority"),
+            (make_job(repeats=10**9), "repeated"),
         )
         for job, word in cases:
             with self.subTest(word):
