--- a/toucanpin/platform/store.py
+++ b/toucanpin/platform/store.py
@@ -154,7 +154,7 @@
     rows: list[msgspec.Raw] = []
     more_pages: bool = False
     row_version: Whole = 0
-    now_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
+    now_ms: Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)] = 0
 
 
 class Store:
