--- a/toucanpin/entry/tests/test_row_reader.py
+++ b/toucanpin/entry/tests/test_row_reader.py
@@ -135,6 +135,16 @@
 
 
 class MalformedRowsTest(unittest.IsolatedAsyncioTestCase):
+    async def _start_site(self) -> Site:
+        """Return a site with a host and a worker."""
+        site = Site()
+        site.configure()
+        self.addAsyncCleanup(site.close)
+        await site.add_host()
+        await site.add_worker()
+        self.assertTrue(await site.wait_until_ready())
+        return site
+
     async def test_jobs_are_run_despite_malformed_rows_in_all_tables(self) -> None:
         """
         Guards against an owner that fails at the first malformed row.  All hosts took the cell in
@@ -161,12 +171,7 @@
         Guards against one row, nested deeper than the decoder goes, that ends the owners of all
         cells: its error isn't one of a malformed value.
         """
-        site = Site()
-        site.configure()
-        self.addAsyncCleanup(site.close)
-        await site.add_host()
-        await site.add_worker()
-        self.assertTrue(await site.wait_until_ready())
+        site = await self._start_site()
         foreign = {"born": msgspec.Raw(NESTED_JSON)}
         site.store.put("servers", "i-foreign", msgspec.json.encode({**VALID_ENTRY, **foreign}))
         site.store.put("op", "wave/1", b'{"wave":1,"machines":' + NESTED_JSON + b"}")
@@ -199,12 +204,7 @@
         Another writer has overwritten the owner's row, so the owner is unknown.  A host must take
         the cell, with a token above all earlier ones.
         """
-        site = Site()
-        site.configure()
-        self.addAsyncCleanup(site.close)
-        await site.add_host()
-        await site.add_worker()
-        self.assertTrue(await site.wait_until_ready())
+        site = await self._start_site()
         self.assertEqual(200, (await site.submit()).status)
         self.assertTrue(await site.wait_for_state("completed"))
         site.store.put("owners", "owner", b"\xc1", part="c")
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from toucanpin.scheduling.advising import list_ticketed
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
-from toucanpin.scheduling.cell import Cell, LiveJob, Now
+from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
 from toucanpin.scheduling.choosing import CandidateWorkers, list_eligible, may_place_long_running
 from toucanpin.scheduling.evicting import make_room, update_scarcity
 from toucanpin.scheduling.gangs import place_gang
@@ -222,34 +224,19 @@
         suspicion = find_suspicion(live, task)
         if candidates is None or candidates.suspicion is not suspicion:
             candidates = CandidateWorkers(round_, live, group, step, eligible, suspicion)
-        worker = candidates.best()
-        if worker is None:
-            reason = _find_reason(live, step, eligible)
-            record_wait(cell, group, reason, now)
-            if not live.job.advised:
-                record_unplaceable(cell, step, candidates, now)
-            record_shortage(round_, live, step, None, candidates)
-            if candidates.constraint_excluded:
-                postpone(cell, group, step, now)
+        if candidates.best() is None:
+            _record_no_room(cell, round_, live, group, step, eligible, candidates)
             return
-        chosen = candidates
         failures = count_failures(live, task)
         if failures in hopeless:
             record_wait(cell, group, WaitReason.FAILING_WORKERS, now)
             continue
-        is_wasted = wastes_attempt(live, task, worker, eligible, now)
-        if is_wasted or task in worker.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
-            safe = list_retry_workers(live, task, eligible, now)
-            chosen = CandidateWorkers(round_, live, group, step, safe, suspicion)
-            worker = chosen.best()
-        if worker is None and is_wasted:
-            others = list_last_resorts(cell, group, eligible, now)
-            chosen = CandidateWorkers(round_, live, group, step, others, suspicion)
-            worker = chosen.best()
+        choice = _choose_for_retry(cell, round_, live, task, eligible, candidates)
+        chosen = choice.candidates
+        worker = chosen.best()
         if worker is None:
-            reason = WaitReason.FAILING_WORKERS if is_wasted else WaitReason.NO_ROOM
-            record_wait(cell, group, reason, now)
-            if is_wasted:
+            record_wait(cell, group, choice.reason, now)
+            if choice.reason is WaitReason.FAILING_WORKERS:
                 hopeless.add(failures)
             continue
         if not may_place_long_running(eligible, group, step, access):
@@ -271,6 +258,63 @@
         candidates = candidates if chosen is candidates else None
 
 
+@dataclass(frozen=True, slots=True)
+class _RetryChoice:
+    """The workers for a task given its failures, and why it waits if they have no room."""
+
+    candidates: CandidateWorkers
+    reason: WaitReason
+
+
+def _record_no_room(
+    cell: Cell,
+    round_: PlacementRound,
+    live: LiveJob,
+    group: Group,
+    step: Step,
+    eligible: list[Worker],
+    candidates: CandidateWorkers,
+) -> None:
+    """Record that no worker takes any task of a step, so that the others aren't tried."""
+    now = round_.now
+    record_wait(cell, group, _find_reason(live, step, eligible), now)
+    if not live.job.advised:
+        record_unplaceable(cell, step, candidates, now)
+    record_shortage(round_, live, step, None, candidates)
+    if candidates.constraint_excluded:
+        postpone(cell, group, step, now)
+
+
+def _choose_for_retry(
+    cell: Cell,
+    round_: PlacementRound,
+    live: LiveJob,
+    task: TaskKey,
+    eligible: list[Worker],
+    candidates: CandidateWorkers,
+) -> _RetryChoice:
+    """
+    Return the workers on which a task may be tried again.
+
+    These are ``candidates``, which take any task of the step, unless the best of them is a waste of
+    an attempt.
+    """
+    now, suspicion = round_.now, candidates.suspicion
+    group, step = Group(task.job, task.occurrence, task.step), live.job.steps[task.step]
+    best = candidates.best()
+    assert best is not None
+    is_wasted = wastes_attempt(live, task, best, eligible, now)
+    if is_wasted or task in best.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
+        safe = list_retry_workers(live, task, eligible, now)
+        candidates = CandidateWorkers(round_, live, group, step, safe, suspicion)
+    if not is_wasted:
+        return _RetryChoice(candidates, WaitReason.NO_ROOM)
+    if candidates.best() is None:
+        others = list_last_resorts(cell, group, eligible, now)
+        candidates = CandidateWorkers(round_, live, group, step, others, suspicion)
+    return _RetryChoice(candidates, WaitReason.FAILING_WORKERS)
+
+
 def _needs_only_room(cell: Cell, live: LiveJob, turn: PlacementTurn, now: Now) -> bool:
     """Return whether a waiting task of a turn may be placed once there is room."""
     group = turn.group
