--- a/toucanpin/scheduling/attribution.py
+++ b/toucanpin/scheduling/attribution.py
@@ -25,8 +25,8 @@
     "MIN_FAILED_JOBS",
     "clear_worker",
     "is_distrusted",
-    "is_own_failure",
     "limit_distrusted",
+    "record_failed",
     "record_well",
 ]
 
@@ -43,8 +43,8 @@
     return len(worker.failed_jobs) >= MIN_FAILED_JOBS
 
 
-def is_own_failure(cell: Cell, worker: Worker, run: Run, now: Now) -> bool:
-    """Record a failed run; return whether its job fails by itself, which clears its workers."""
+def record_failed(cell: Cell, worker: Worker, run: Run, now: Now) -> bool:
+    """Record a failed or refused run; return whether that is laid on its job."""
     outcomes = _find_outcomes(cell, run)
     if outcomes is None:
         return False
@@ -112,6 +112,7 @@
         return False
     if 2 * len(failed) > len(cell.workers):
         return True
+    # A worker on which more jobs fail than this one fails on workers may be bad itself.
     workers = (cell.workers[key] for key in failed if key in cell.workers)
     credible = (it for it in workers if len(it.failed_jobs - {job}) < len(failed) - 1)
     return sum(1 for _ in credible) >= MIN_FAILED_WORKERS
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -9,7 +9,7 @@
 
 import enum
 
-from toucanpin.scheduling.attribution import is_own_failure
+from toucanpin.scheduling.attribution import record_failed
 from toucanpin.scheduling.cell import Cell, Group, Now, mark_started
 from toucanpin.scheduling.ending import RETRY_DELAY_S, end_run
 from toucanpin.scheduling.evacuating import has_current_evacuations, is_evacuated
@@ -93,11 +93,12 @@
             return StartOutcome.FENCED
         case RefusalReason.LATE:
             return StartOutcome.RETRY_NOW
-        case RefusalReason.NO_ROOM if is_own_failure(cell, worker, run, now):
-            # Most workers refuse it, so none of them counts as full for others.
-            cell.delayed_until[run.task] = now.steady + RETRY_DELAY_S
         case RefusalReason.NO_ROOM:
-            worker.full_until = now.steady + NO_ROOM_BACKOFF_S
+            # If most workers refuse a task, none of them counts as full for others.
+            if record_failed(cell, worker, run, now):
+                cell.delayed_until[run.task] = now.steady + RETRY_DELAY_S
+            else:
+                worker.full_until = now.steady + NO_ROOM_BACKOFF_S
         case RefusalReason.NO_TICKET:
             group = Group(run.task.job, run.task.occurrence, run.task.step)
             cell.step_tickets.pop(group, None)
--- a/toucanpin/scheduling/trust.py
+++ b/toucanpin/scheduling/trust.py
@@ -11,8 +11,8 @@
     MIN_FAILED_JOBS,
     clear_worker,
     is_distrusted,
-    is_own_failure,
     limit_distrusted,
+    record_failed,
     record_well,
 )
 from toucanpin.scheduling.cell import Cell, Now
@@ -44,7 +44,7 @@
     # A long-running task may fail at any time; only an early failure is evidence against its
     # worker.
     is_late = run.step.long_running and now.steady > run.ordered_at + EARLY_FAILURE_S
-    if not is_late and is_own_failure(cell, worker, run, now):
+    if not is_late and record_failed(cell, worker, run, now):
         return
     until = now.steady + avoidance
     worker.suspect_until = max(worker.suspect_until, until)
