Test the id that breaks a header with an entry that is valid otherwise

Found in the last reading: the test gave decode_worker an entry that is invalid for any id, so it passed before too and guarded against nothing.

--- a/toucanpin/platform/tests/test_store_and_workers.py
+++ b/toucanpin/platform/tests/test_store_and_workers.py
@@ -345,8 +345,12 @@
         self.assertEqual(RunEnd.DONE, answer.ended[0].end)
 
     def test_an_id_that_breaks_a_header_names_no_worker(self) -> None:
+        capacity = {"cpu": 1_000, "memMb": 1_000}
+        entry = {"service": "s", "address": "10.0.0.1:80", "zone": "dc", "state": "ready", "seq": 1}
+        body = msgspec.json.encode({**entry, "capacity": capacity, "labels": []})
+        self.assertEqual("i-1", decode_worker("i-1", body).id)
         with self.assertRaises(PlatformError):
-            decode_worker("i-1\r\nX-Other: 1", b"{}")
+            decode_worker("i-1\r\nX-Other: 1", body)
 
     def test_a_task_of_a_job_with_dots_in_its_id_is_parsed(self) -> None:
         """Guards against a row of another writer by which all answers of a worker are refused."""
