--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -127,6 +127,10 @@
         """Return the cores that are kept for short tasks, by what is counted."""
         return self._owner.count_headroom() if self._owner else {}
 
+    def count_room(self) -> dict[str, float]:
+        """Return the cores of the cell by who holds or waits for them, empty if it isn't owned."""
+        return self._owner.count_room() if self._owner else {}
+
     def count_unsettled(self) -> dict[str, float]:
         """Return the number of runs on workers that don't answer, empty if the cell isn't owned."""
         return self._owner.count_unsettled() if self._owner else {}
--- a/toucanpin/entry/logs.py
+++ b/toucanpin/entry/logs.py
@@ -20,7 +20,7 @@
 
 MAX_LINES_PER_S = 600.0  # an owner of hundreds of workers exceeds it under peak load
 MAX_BURST_LINES = 3_000.0  # such as a line for each task at a takeover
-RESERVED_LINES = 300.0  # part of the burst that is kept for warnings and errors
+RESERVED_LINES = 300.0  # part of the burst that is kept for notices, warnings and errors
 MAX_BUFFERED_BYTES = 262_144  # waiting for a slow reader, before lines are dropped
 
 
@@ -45,7 +45,7 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write one record, or count it as dropped."""
-        reserved = RESERVED_LINES if record.level < logbook.WARNING else 0.0
+        reserved = RESERVED_LINES if record.level < logbook.NOTICE else 0.0
         if not self._take_token(reserved) or len(self._buffer) > MAX_BUFFERED_BYTES:
             self.dropped += 1
             return
@@ -58,7 +58,8 @@
         """
         Take a token for one line if more than ``reserved`` tokens are left.
 
-        Without the reserve an overloaded owner would drop the warnings about its overload.
+        Without the reserve an overloaded owner would drop the warnings about its overload, and the
+        summaries that stand in for the lines it drops.
         """
         now = time.monotonic()
         self._tokens = min(
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -40,6 +40,7 @@
 from toucanpin.entry.load_estimates import LoadEstimates
 from toucanpin.entry.periodic import PeriodTimer
 from toucanpin.entry.placement_turns import PlacementTurns
+from toucanpin.entry.room_log import count_room, log_room
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.submissions import sweep_refusals
 from toucanpin.entry.waves import WaveController
@@ -260,6 +261,10 @@
         """Return the cores that are kept for short tasks, by what is counted."""
         return count_headroom(self._cell)
 
+    def count_room(self) -> dict[str, float]:
+        """Return the cores of the cell by who holds or waits for them, and its whole workers."""
+        return count_room(self._cell)
+
     def resign(self) -> None:
         """Give up the ownership with the next write."""
         self._resigning = True
@@ -295,6 +300,7 @@
         log_unsettled(self._cell, now)
         log_waits(self._cell, now)
         log_headroom(self._cell, now)
+        log_room(self._cell, self._delay.read(now.steady))
         log_colocation(self._cell, self._interference, now)
         self._estimate_backlog(now)
         self._estimates.log_delay(self._workers.count_starting(), now)
--- a/toucanpin/entry/root.py
+++ b/toucanpin/entry/root.py
@@ -192,6 +192,12 @@
             "what",
             self._read_headroom,
         )
+        register_gauge(
+            "toucanpin.room",
+            "Cores by who holds or waits for them, and workers without long-running tasks",
+            "what",
+            self._read_room,
+        )
         register_gauge(
             "toucanpin.configuration", "Version and age in s", "what", self._read_configuration
         )
@@ -208,6 +214,12 @@
             cores.update(candidate.count_headroom())
         return dict(cores)
 
+    def _read_room(self) -> dict[str, float]:
+        cores: Counter[str] = Counter()
+        for candidate in self._candidates.values():
+            cores.update(candidate.count_room())
+        return dict(cores)
+
     def _read_unsettled(self) -> dict[str, float]:
         counts: Counter[str] = Counter()
         for candidate in self._candidates.values():
--- a/toucanpin/entry/tests/test_logs.py
+++ b/toucanpin/entry/tests/test_logs.py
@@ -73,6 +73,17 @@
             logbook.Logger("part").warning("late", event="part.late")
         self.assertEqual("part.late", self._read()[-1]["event"])
 
+    def test_a_summary_is_written_while_lines_of_single_tasks_are_dropped(self) -> None:
+        """Guards against a time line that ends in the second in which the load begins."""
+        self.addCleanup(os.close, self.writer)
+        for _ in range(int(MAX_BURST_LINES) // 100 + 10):
+            self._log(100)
+            self._read()
+        self.assertGreater(self.handler.dropped, 0)
+        with self.handler.applicationbound():
+            logbook.Logger("part").notice("summary", event="part.summary")
+        self.assertEqual("part.summary", self._read()[-1]["event"])
+
     def test_a_closed_pipe_does_not_stop_the_process(self) -> None:
         reader, writer = os.pipe()
         os.close(reader)
