Judge the reserve for each worker: one failed task opened all reserved cores

Cause: a long-running task could be placed if any worker had room for it outside the reserve, but the worker chosen was the cheapest. After a failure a worker is avoided for 3 s at a cost above that of reserved cores. So while an avoided worker had a free place outside the reserve, as it has when a task fails there, all long-running tasks that waited or came went onto reserved workers, a whole service in one turn, one worker a task if its tasks exclude each other.

Change: the workers that a task may take are listed by its access to the reserve. With no access only those that leave it count, and an avoided one among them is taken if there is no other.

The test failed before: no whole worker was left of three.

--- a/toucanpin/scheduling/choosing.py
+++ b/toucanpin/scheduling/choosing.py
@@ -29,10 +29,10 @@
     "CONTACT_TIMEOUT_S",
     "CandidateWorkers",
     "has_label",
+    "has_spare_place",
     "is_reserved_for_others",
     "list_available",
     "list_eligible",
-    "may_place_long_running",
     "meets_constraints",
 ]
 
@@ -43,8 +43,9 @@
     """
     Workers that could run a task of a step, in a heap by cost.
 
-    ``suspicion`` is how strongly these tasks are suspected of crashing workers;
-    ``constraint_excluded`` is true if other tasks of the step excluded a worker that has room.
+    ``suspicion`` is how strongly these tasks are suspected of crashing workers, ``access`` which
+    reserved cores they may use.  ``constraint_excluded`` is true if other tasks of the step
+    excluded a worker that has room, ``reserve_excluded`` if only the reserve did.
     """
 
     __slots__ = (
@@ -54,8 +55,10 @@
         "_live",
         "_round",
         "_step",
-        "suspicion",
+        "access",
         "constraint_excluded",
+        "reserve_excluded",
+        "suspicion",
     )
 
     def __init__(
@@ -66,15 +69,18 @@
         step: Step,
         eligible: Iterable[Worker],
         suspicion: CrashSuspicion = CrashSuspicion.NONE,
+        access: ReserveAccess = ReserveAccess.ALL,
     ) -> None:
         self._round = round_
         self.suspicion = suspicion
+        self.access = access
         self._live = live
         self._group = group
         self._step = step
         self._eligible = list(eligible)
         self._heap: list[tuple[float, int, Worker]] = []
         self.constraint_excluded = False
+        self.reserve_excluded = False
         self.update_all()
 
     def update_all(self) -> None:
@@ -120,6 +126,11 @@
         # A worker on trial gets one task at a time, and may have got one in this round.
         if is_reserved_for_others(worker, self._live, now) or not is_trusted(worker, now):
             return None
+        # Judged for each worker: were one place outside the reserve enough, a step would take all
+        # reserved cores if that place is on a worker that is avoided.
+        if self.access is ReserveAccess.NONE and not leaves_reserve(worker, step):
+            self.reserve_excluded = True
+            return None
         cost = (
             compute_best_effort_cost(self._round, worker, step)
             if step.best_effort
@@ -144,25 +155,20 @@
     return (worker for worker in list_not_evacuated(cell) if _is_available(worker, now))
 
 
-def may_place_long_running(
-    eligible: Iterable[Worker], group: Group, step: Step, access: ReserveAccess
-) -> bool:
+def has_spare_place(eligible: Iterable[Worker], group: Group, step: Step) -> bool:
     """
-    Return whether a long-running task may be placed now.
+    Return whether a place for a long-running task is left beside the one that it takes.
 
-    Without a reserve long-running tasks would occupy the last cores of every worker, and short
-    urgent ones would wait for seconds.
+    A place outside the reserve counts for itself.
     """
-    if access is ReserveAccess.ALL:
-        return True
-    free_slots = 0
+    places = 0
     for worker in eligible:
         if not _may_run(worker, group, step):
             continue
         if leaves_reserve(worker, step):
             return True
-        free_slots += 1 if step.per_worker else count_fitting_tasks(worker, step)
-    return access is ReserveAccess.SPARE and free_slots > 1
+        places += 1 if step.per_worker else count_fitting_tasks(worker, step)
+    return places > 1
 
 
 def _is_available(worker: Worker, now: Now) -> bool:
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -12,7 +12,7 @@
 from toucanpin.scheduling.advising import list_ticketed
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
 from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
-from toucanpin.scheduling.choosing import CandidateWorkers, list_eligible, may_place_long_running
+from toucanpin.scheduling.choosing import CandidateWorkers, has_spare_place, list_eligible
 from toucanpin.scheduling.evicting import make_room, update_scarcity
 from toucanpin.scheduling.gangs import place_gang
 from toucanpin.scheduling.interference_model import InterferenceModel
@@ -222,10 +222,13 @@
             record_wait(cell, group, known, now)
             return
         suspicion = find_suspicion(live, task)
-        if candidates is None or candidates.suspicion is not suspicion:
-            candidates = CandidateWorkers(round_, live, group, step, eligible, suspicion)
+        if candidates is None or (candidates.suspicion, candidates.access) != (suspicion, access):
+            candidates = CandidateWorkers(round_, live, group, step, eligible, suspicion, access)
         if candidates.best() is None:
-            _record_no_room(cell, round_, live, group, step, eligible, candidates)
+            if candidates.reserve_excluded:
+                _record_reserved(cell, round_, live, group, step, candidates)
+            else:
+                _record_no_room(cell, round_, live, group, step, eligible, candidates)
             return
         failures = count_failures(live, task)
         if failures in hopeless:
@@ -239,15 +242,8 @@
             if choice.reason is WaitReason.FAILING_WORKERS:
                 hopeless.add(failures)
             continue
-        if not may_place_long_running(eligible, group, step, access):
-            record_wait(cell, group, WaitReason.RESERVED, now)
-            # Two places on one worker aren't enough for a step that may use only one of them.
-            if candidates.constraint_excluded or (
-                step.per_worker and access is ReserveAccess.SPARE
-            ):
-                postpone(cell, group, step, now)
-            else:
-                record_shortage(round_, live, step, access, candidates)
+        if access is ReserveAccess.SPARE and not has_spare_place(eligible, group, step):
+            _record_reserved(cell, round_, live, group, step, candidates)
             return
         cell.delayed_until.pop(task, None)
         waiting.discard(index)
@@ -285,6 +281,24 @@
         postpone(cell, group, step, now)
 
 
+def _record_reserved(
+    cell: Cell,
+    round_: PlacementRound,
+    live: LiveJob,
+    group: Group,
+    step: Step,
+    candidates: CandidateWorkers,
+) -> None:
+    """Record that only reserved cores are left to the tasks of a long-running step."""
+    record_wait(cell, group, WaitReason.RESERVED, round_.now)
+    # Two places on one worker aren't enough for a step that may use only one of them.
+    uses_one_place = step.per_worker and candidates.access is ReserveAccess.SPARE
+    if candidates.constraint_excluded or uses_one_place:
+        postpone(cell, group, step, round_.now)
+    else:
+        record_shortage(round_, live, step, candidates.access, candidates)
+
+
 def _choose_for_retry(
     cell: Cell,
     round_: PlacementRound,
@@ -306,12 +320,14 @@
     is_wasted = wastes_attempt(live, task, best, eligible, now)
     if is_wasted or task in best.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
         safe = list_retry_workers(live, task, eligible, now)
-        candidates = CandidateWorkers(round_, live, group, step, safe, suspicion)
+        candidates = CandidateWorkers(round_, live, group, step, safe, suspicion, candidates.access)
     if not is_wasted:
         return _RetryChoice(candidates, WaitReason.NO_ROOM)
     if candidates.best() is None:
         others = list_last_resorts(cell, group, eligible, now)
-        candidates = CandidateWorkers(round_, live, group, step, others, suspicion)
+        candidates = CandidateWorkers(
+            round_, live, group, step, others, suspicion, candidates.access
+        )
     return _RetryChoice(candidates, WaitReason.FAILING_WORKERS)
 
 
--- a/toucanpin/scheduling/tests/test_reserving.py
+++ b/toucanpin/scheduling/tests/test_reserving.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.orders import RunEnd
+from toucanpin.scheduling.reserving import MIN_RESERVED_SHARE
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
 WORKERS = 40
@@ -80,6 +82,21 @@
         self.assertTrue(reserved)
         self.assertFalse([w for w in reserved if w.silent])
 
+    def test_a_failed_task_opens_no_reserved_cores(self) -> None:
+        """
+        Guards against urgent tasks that find no room for minutes: the place of a failed task, on a
+        worker that is avoided from then on, let all long-running tasks onto reserved workers.
+        """
+        self._fill_up()
+        packed = next(it for it in self.fleet.workers.values() if len(it.runs) == 4)
+        packed.end(next(iter(packed.runs)), RunEnd.FAILED)
+        self.fleet.run(0.5)
+        self.assertGreaterEqual(self._count_whole(), MIN_RESERVED_SHARE * WORKERS)
+
+    def _count_whole(self) -> int:
+        """Return the number of workers without a long-running task."""
+        return sum(not worker.long_running_cpu for worker in self.fleet.cell.workers.values())
+
     def test_service_starts_after_one_with_a_limit_per_worker_found_no_two_places(self) -> None:
         """
         Guards against a service that waits though the reserve has room for two of its tasks: they
