Pack long-running tasks by long-running work: restarts wore the reserve off

Cause: a long-running task that may use reserved cores (the first of a service, or one that was interrupted a second ago) took the fullest worker, counting short tasks. A whole worker that short tasks filled for that moment was the fullest one, was taken, and stayed occupied for minutes.

Change: the free share of a worker counts long-running work only if the task is a long-running one, and reserved cores cost more the emptier their worker is.

The test failed before.

--- a/toucanpin/scheduling/tests/test_reserving.py
+++ b/toucanpin/scheduling/tests/test_reserving.py
@@ -7,15 +7,21 @@
 import msgspec
 
 from toucanpin.scheduling.job import Step, TaskKey
-from toucanpin.scheduling.orders import RunEnd
+from toucanpin.scheduling.orders import RunEnd, WorkerEntry
 from toucanpin.scheduling.reserving import MIN_RESERVED_SHARE
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.worker import Worker
+from toucanpin.scheduling.worker_costs import compute_packing_cost
 
 WORKERS = 40
 CORES = 64_000
 LONG_RUNNING = Step(count=24, cpu=13_000, long_running=True)
 
 
+def make_worker(name: str) -> Worker:
+    return Worker(WorkerEntry(name, "c", f"{name}:1", "dc", True, CORES, 256_000, 0))
+
+
 class ReservingTest(unittest.TestCase):
     def setUp(self) -> None:
         self.fleet = Fleet(workers=WORKERS, cpu=CORES)
@@ -93,6 +99,19 @@
         self.fleet.run(0.5)
         self.assertGreaterEqual(self._count_whole(), MIN_RESERVED_SHARE * WORKERS)
 
+    def test_a_restarted_task_leaves_workers_whole_that_short_tasks_fill(self) -> None:
+        """
+        Guards against a reserve that wears off: a long-running task that may use reserved cores
+        chose the worker that short tasks filled for a moment, and kept it for minutes.
+        """
+        packed, filled = (make_worker(name) for name in "ab")
+        packed.cpu = packed.long_running_cpu = 3 * LONG_RUNNING.cpu
+        packed.reserved_cpu = CORES - packed.cpu
+        filled.cpu = 50_000
+        filled.reserved_cpu = CORES
+        costs = [compute_packing_cost(worker, LONG_RUNNING) for worker in (packed, filled)]
+        self.assertLess(*costs)
+
     def _count_whole(self) -> int:
         """Return the number of workers without a long-running task."""
         return sum(not worker.long_running_cpu for worker in self.fleet.cell.workers.values())
--- a/toucanpin/scheduling/worker_costs.py
+++ b/toucanpin/scheduling/worker_costs.py
@@ -77,11 +77,13 @@
 def compute_packing_cost(worker: Worker, step: Step) -> float:
     """Return the cost of a worker for a task that reserves cores, the lowest for the fullest."""
     capacity = max(1, worker.entry.cpu)
+    # Short tasks are gone in a moment; a worker that is full of them is still whole.
+    held = worker.long_running_cpu if step.long_running else worker.cpu
     # Packing small tasks leaves whole workers for large ones.
-    free_share = 1 - (worker.cpu + step.cpu) / capacity
+    free_share = 1 - (held + step.cpu) / capacity
     cost = 0.0
     if step.long_running and not leaves_reserve(worker, step):
-        cost += RESERVE_COST
+        cost += RESERVE_COST * (1 + free_share)
     if step.target:
         neighbour_cost = BEST_EFFORT_NEIGHBOUR_COST * worker.best_effort_cpu / capacity
         return cost + free_share + neighbour_cost + _compute_image_cost(worker, step.image)
