Name numbers and ports out of range in the node's file

What operators saw: a process that ends with OverflowError or ValueError and a traceback, or takes port 99999, for one odd value in the file (internalPorts=1e400 or nan, a port of 5,000 digits, bytes that aren't UTF-8). Found by reading; nobody reported it.

Cause: the file was the one foreign text whose numbers had no bounds.

Change: numbers are finite and at least 0, ports go from 1 to 65535; each fault is named, with the value, like the others.

--- a/toucanpin/platform/addresses.py
+++ b/toucanpin/platform/addresses.py
@@ -11,7 +11,7 @@
 
 from toucanpin.exception import PlatformError
 
-__all__ = ["check_address"]
+__all__ = ["MAX_PORT", "check_address", "is_port"]
 
 MAX_PORT = 65_535
 
@@ -30,6 +30,12 @@
         IPv4Address(host)
     except AddressValueError as error:
         raise PlatformError(f"{address[:60]!r} is not an IPv4 address: {error}") from error
-    if not (port.isascii() and port.isdecimal()) or not 1 <= int(port[:6]) <= MAX_PORT:
+    if not is_port(port):
         raise PlatformError(f"{address[:60]!r} has no port from 1 to {MAX_PORT}")
     return address
+
+
+def is_port(text: str) -> bool:
+    """Return whether ``text`` is a port number."""
+    # Numbers of thousands of digits can't be converted.
+    return text.isascii() and text.isdecimal() and 1 <= int(text[:6]) <= MAX_PORT
--- a/toucanpin/platform/nodefile.py
+++ b/toucanpin/platform/nodefile.py
@@ -7,10 +7,13 @@
 
 from __future__ import annotations
 
+import math
 import os
 from pathlib import Path
 
+from toucanpin.decoding import MAX_NUMBER
 from toucanpin.exception import SettingsError
+from toucanpin.platform.addresses import MAX_PORT, is_port
 from toucanpin.scheduling.settings import Bounds, HostSettings
 
 __all__ = ["parse_settings", "read_settings"]
@@ -26,6 +29,8 @@
         text = path.read_text()
     except OSError as error:
         raise SettingsError((f"{path}: {error.strerror}",)) from error
+    except UnicodeDecodeError as error:
+        raise SettingsError((f"{path} isn't UTF-8: {error.reason}",)) from error
     return parse_settings(text)
 
 
@@ -64,7 +69,7 @@
         data_centre=reader.text("zone", ""),
         front=reader.address("listen.front"),
         readiness=reader.address("listen.readiness"),
-        inner_port=int(reader.number("internalPorts", 0)),
+        inner_port=int(reader.number("internalPorts", 0, MAX_PORT)),
         store=reader.address("platform.address"),
         advice=reader.text("advice", ""),
         machines=reader.text("cloudApi.address", ""),
@@ -95,19 +100,24 @@
             return ""
         return value
 
-    def number(self, name: str, default: float) -> float:
+    def number(self, name: str, default: float, limit: float = MAX_NUMBER) -> float:
         value = self._values.get(name, "").partition(",")[0]
         if not value:
             return default
         try:
-            return float(value)
+            number = float(value)
         except ValueError:
-            self.faults.append(f"{name}={value} is not a number")
+            self.faults.append(f"{name}={value[:60]} is not a number")
             return default
+        # Also "nan" and "1e400" are numbers, which nothing here can count with.
+        if not (math.isfinite(number) and 0 <= number <= limit):
+            self.faults.append(f"{name}={value[:60]} is not from 0 to {limit}")
+            return default
+        return number
 
     def address(self, name: str) -> str:
         value = self.text(name)
         host, _, port = value.rpartition(":")
-        if value and not (host and port.isdigit()):
-            self.faults.append(f"{name}={value} is not an address with a port")
+        if value and not (host and is_port(port)):
+            self.faults.append(f"{name}={value[:60]} is not an address with a port")
         return value
--- a/toucanpin/platform/tests/test_nodefile.py
+++ b/toucanpin/platform/tests/test_nodefile.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import os
+import tempfile
 import unittest
+from unittest.mock import patch
 
 from toucanpin.exception import SettingsError
-from toucanpin.platform.nodefile import parse_settings
+from toucanpin.platform.nodefile import PATH_VARIABLE, parse_settings, read_settings
 
 GOOD = """
 nodeName=edge-1
@@ -41,6 +44,29 @@
         for word in ("nodeName", "maxHoldMs=soon", "controlMode=heartbeat", "nowhere"):
             self.assertIn(word, faults)
 
+    def test_numbers_out_of_range_are_named(self) -> None:
+        """Guards against a process that ends with an arithmetic error in place of the fault."""
+        odd = {"internalPorts": ("1e400", "nan", "99999", "-1"), "bounds.status_s": ("inf", "-2")}
+        odd["listen.front"] = ("10.1.0.13:99999", "10.1.0.13:" + "9" * 5_000, "10.1.0.13:²")
+        for name, values in odd.items():
+            for value in values:
+                with self.subTest(name, value=value[:20]):
+                    with self.assertRaises(SettingsError) as caught:
+                        parse_settings(f"{GOOD}{name}={value}\n")
+                    self.assertIn(name, "\n".join(caught.exception.faults))
+
+    def test_a_file_that_is_not_text_is_named(self) -> None:
+        """Guards against a traceback in place of the file's name."""
+        with tempfile.NamedTemporaryFile() as file:
+            file.write(b"nodeName=\xff\n")
+            file.flush()
+            with (
+                patch.dict(os.environ, {PATH_VARIABLE: file.name}),
+                self.assertRaises(SettingsError) as caught,
+            ):
+                read_settings()
+        self.assertIn(file.name, "\n".join(caught.exception.faults))
+
 
 if __name__ == "__main__":
     unittest.main()
