Leave hosts out that can't be: infinite cores, announcements from the future

What callers would see: after an owner's end each host waits for a stronger one, and calls one that doesn't exist, for as long as one row of another writer stands in the list of hosts.

Cause: the cores of a host were any number, also inf and NaN, which precede every host or compare with none; an announcement 2^62 ms ahead never expires.

Change: 0 to 10,000 cores, and no announcement later than the table's clock plus the time for which one counts.

--- a/toucanpin/entry/peers.py
+++ b/toucanpin/entry/peers.py
@@ -10,6 +10,7 @@
 import asyncio
 import secrets
 import time
+from typing import Annotated
 
 import logbook
 import msgspec
@@ -41,6 +42,7 @@
 HEALTHY_TIMEOUT_S = 6.0  # a host counts as healthy for this time after an announcement
 STRONGER_FACTOR = 1.5  # ratio of cores that justifies a change of owner
 KEY_BYTES = 32
+MAX_CORES = 10_000  # of a host; more would make every other host wait for it to take a cell
 MAX_EXACT_ERROR_MS = 20  # hosts with a larger error don't count for the time of day
 
 
@@ -59,7 +61,7 @@
     announced: int
     wall_offset: int = msgspec.field(name="wall")
     wall_error: int = msgspec.field(default=0, name="error")
-    cores: float = 1.0
+    cores: Annotated[float, msgspec.Meta(ge=0, le=MAX_CORES)] = 1.0
 
 
 class Peers:
@@ -180,7 +182,9 @@
         self.record_read(self._store.clock)
         rows = self._cache.rows.values()
         found = tuple(self._reader.read(rows, _decode_peer))
-        self.known = tuple(peer for _, peer in found)
+        # An announcement from the future is another writer's, and would never expire.
+        latest = self._store.clock + int(PEER_TIMEOUT_S * 1_000)
+        self.known = tuple(peer for _, peer in found if peer.announced <= latest)
         limit = self._store.clock - int(ROW_RETENTION_S * 1_000)
         await self._drop_expired(
             [row for row, peer in found if peer.announced < limit][:MAX_DROPPED_ROWS]
--- a/toucanpin/entry/tests/test_peers.py
+++ b/toucanpin/entry/tests/test_peers.py
@@ -27,6 +27,22 @@
         peer = Peer(name, "127.0.0.1", 1, announced, 0)
         self.site.store.put(HOSTS_TABLE, name, msgspec.msgpack.encode(peer))
 
+    async def test_hosts_that_cannot_be_are_not_counted(self) -> None:
+        """
+        Guards against one row of another writer in the list of hosts that every host counts as a
+        stronger one: each waits for it before it takes a cell, and calls it without an end.
+        """
+        now = int(CLOCK_OFFSET_S * 1_000)
+        store = self.site.store
+        for number, cores in enumerate((float("inf"), float("nan"), 1e300, -1.0)):
+            peer = Peer(f"odd{number}", "127.0.0.1", 1, now, 0, 0, cores)
+            store.put(HOSTS_TABLE, peer.name, msgspec.msgpack.encode(peer))
+        self._announce("future", 2**62)
+        self._announce("live", now)
+        host = await self.site.add_host()
+        self.assertTrue(await self.site.wait_until(host.has_peers))
+        self.assertEqual({"live", "h0"}, {peer.name for peer in host._peers.known})
+
     def _is_listed(self, name: str) -> bool:
         return (HOSTS_TABLE, "", name) in self.site.store.rows
 
