Bound what hundreds of odd entries cost: one line each, and polls without an end

With 300 odd rows that another writer rewrites twice a second the owner wrote 11,400 warnings in 20 s, which take the place of other warnings; with 300 entries of workers at whose addresses nobody answers it polled each of them 3.3 times a second, 1,000 connections a second.

Cause: a malformed row is logged once per version; a silent worker is polled each 0.3 s for as long as its entry stands, though it never answered and runs nothing.

Change: a reader of rows writes 20 lines in 10 s at most and counts the rest in the next one (`omitted`; the counter toucanpin_entries_unsound has all). Polls of a worker that has never answered and runs nothing come 0.3 to 1.5 s apart. One that answered, or that has a task, as before.

--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -56,6 +56,9 @@
 START_RETRY_DELAY_S = 0.02  # before a start without an answer is repeated
 RETRY_DELAY_S = 0.1  # before any other call is repeated
 SILENT_RETRY_DELAY_S = 0.3  # between polls of a worker that doesn't answer
+# Longest time between polls of a worker that has never answered and runs nothing: entries of other
+# writers may name hundreds of addresses at which nobody answers.
+MAX_UNKNOWN_RETRY_DELAY_S = 1.5
 RENEWAL_PERIOD_S = 1.0  # between renewals of a lease while the cell's rows are being read
 MAX_WRITE_WAIT_S = 0.4  # polls of a worker pause for up to this time while its ends are written
 
@@ -140,6 +143,7 @@
         """Poll one worker, to renew its lease and to learn of ended runs, until it is replaced."""
         identifier = worker.entry.id
         client = self._clients[identifier]
+        failures = 0
         await self._renew_until_loaded(worker, client)
         while self._cell.workers.get(identifier) is worker:
             order = plan_poll(self._cell, worker, self._clocks.now())
@@ -161,7 +165,8 @@
                 repeated = worker.silent
                 mark_silent(worker, self._clocks.now())
                 if repeated:
-                    await asyncio.sleep(SILENT_RETRY_DELAY_S)
+                    await asyncio.sleep(_plan_retry_delay(worker, failures))
+                    failures += 1
                     continue
                 # Poll again at once: a single answer may have been lost, and the worker gets no
                 # tasks until it answers.
@@ -298,3 +303,10 @@
     async def order(self, order: StopOrder | PaceOrder) -> None:
         """Send an order to its worker."""
         await self._orders.send(order)
+
+
+def _plan_retry_delay(worker: Worker, failures: int) -> float:
+    """Return the seconds until a silent worker is polled again."""
+    if worker.reached or worker.runs:
+        return SILENT_RETRY_DELAY_S
+    return min(MAX_UNKNOWN_RETRY_DELAY_S, SILENT_RETRY_DELAY_S * 2.0 ** min(failures, 8))
--- a/toucanpin/entry/row_reader.py
+++ b/toucanpin/entry/row_reader.py
@@ -12,6 +12,7 @@
 
 import logbook
 
+from toucanpin.entry.clocks import steady_time
 from toucanpin.entry.metrics import MALFORMED_ROWS
 from toucanpin.exception import PlatformError, ToucanpinError
 from toucanpin.platform.store import Row
@@ -21,21 +22,26 @@
 _log = logbook.Logger("entries")
 T = TypeVar("T")
 DECODE_ERRORS = (ToucanpinError, ValueError)
-MAX_REPORTED_ROWS = 1_000  # malformed rows to remember; with more of them some are logged again
+MAX_REPORTED_ROWS = 1_000  # malformed rows to remember; with more of them some count again
+MAX_LINES = 20  # in a period; another writer may change hundreds of rows twice a second
+LINE_PERIOD_S = 10.0
 
 
 class RowReader:
     """
-    Decoder of rows that logs each malformed row once.
+    Decoder of rows that logs each malformed row once, and some of them if there are many.
 
     Tables with many writers may hold anything.  They are read about once a second, and a line for
-    each read would fill the log.
+    each read would fill the log, and take the place of other warnings.
     """
 
-    __slots__ = ("_reported",)
+    __slots__ = ("_lines", "_omitted", "_period_ends", "_reported")
 
     def __init__(self) -> None:
         self._reported: dict[tuple[str, str, str], int] = {}
+        self._period_ends = 0.0
+        self._lines = 0  # written in this period
+        self._omitted = 0  # since the last line
 
     def read(self, rows: Iterable[Row], decode: Callable[[Row], T]) -> Iterator[tuple[Row, T]]:
         """Yield each valid row with the result of ``decode`` for it."""
@@ -63,6 +69,10 @@
             self._reported.clear()
         self._reported[name] = row.version
         MALFORMED_ROWS.add(1, {"table": row.table})
+        if not self._take_line():
+            self._omitted += 1
+            return
+        omitted, self._omitted = self._omitted, 0
         _log.warning(
             "malformed row",
             event="entry.unsound",
@@ -71,4 +81,14 @@
             key=row.key,
             version=row.version,
             reason=str(error)[:300],
+            omitted=omitted,
         )
+
+    def _take_line(self) -> bool:
+        """Return whether one more line may be written in this period."""
+        now = steady_time()
+        if now >= self._period_ends:
+            self._period_ends = now + LINE_PERIOD_S
+            self._lines = 0
+        self._lines += 1
+        return self._lines <= MAX_LINES
