Choose the reserve with all workers known: a change of the owner gave it away

What callers saw: after each change of the owner urgent jobs waited for room again.

Cause: a new owner gets to know its workers some at a time, and reserved a tenth of those few. The other whole workers among them were taken by the long-running tasks that waited. Likewise any worker that became a candidate between two choices (it answered again, joined or restarted) could be taken for up to 0.25 s.

Change: until all listed workers are known, or were given the time to answer, all cores are reserved: a service may start one task, and an interrupted task runs after a second, as ever. After that the reserve is chosen anew as soon as there is a candidate that the last choice didn't weigh. The remembered peak falls with the time between choices, at most as much as before.

--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -166,7 +166,6 @@
             self._delay,
             self._rows,
             self._workers,
-            introduction,
             self._estimates,
             self._standstill,
             self._update_evacuated,
--- a/toucanpin/entry/placement_turns.py
+++ b/toucanpin/entry/placement_turns.py
@@ -15,7 +15,6 @@
 from toucanpin.entry.decision_log import log_standstill
 from toucanpin.entry.load_estimates import LoadEstimates
 from toucanpin.entry.metrics import TURN_TIME
-from toucanpin.entry.worker_introduction import WorkerIntroduction
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.evacuating import has_current_evacuations
 from toucanpin.scheduling.interference_model import InterferenceModel
@@ -39,7 +38,6 @@
         "_delay",
         "_estimates",
         "_interference",
-        "_introduction",
         "_rows",
         "_share",
         "_standstill",
@@ -55,7 +53,6 @@
         delay: ProcessDelay,
         rows: CellRows,
         workers: CellWorkers,
-        introduction: WorkerIntroduction,
         estimates: LoadEstimates,
         standstill: StandstillMeter,
         update_evacuated: Callable[[], None],
@@ -66,7 +63,6 @@
         self._delay = delay
         self._rows = rows
         self._workers = workers
-        self._introduction = introduction
         self._estimates = estimates
         self._standstill = standstill
         self._update_evacuated = update_evacuated
@@ -94,7 +90,7 @@
     def _place(self, now: Now) -> None:
         log_standstill(self._cell, self._standstill.record_placing(now.steady))
         max_starts = self._delay.limit_starts(now.steady)
-        if not self._introduction.completed or awaits_first_renewals(self._cell):
+        if not self._cell.introduced or awaits_first_renewals(self._cell):
             max_starts = min(max_starts, MAX_STARTS_BEFORE_RENEWALS)
         max_starts -= self._workers.count_starting()
         before = len(self._cell.placed)
--- a/toucanpin/entry/worker_introduction.py
+++ b/toucanpin/entry/worker_introduction.py
@@ -41,14 +41,14 @@
     cell, and the reads and the write that its first placement needs would come last.
     """
 
-    __slots__ = ("_asked_at", "_cell", "_is_loaded", "_registry", "completed")
+    __slots__ = ("_asked_at", "_cell", "_is_loaded", "_registry")
 
     def __init__(self, cell: Cell, registry: _Registry, is_loaded: Callable[[], bool]) -> None:
         self._cell = cell
         self._registry = registry
         self._is_loaded = is_loaded
         self._asked_at: dict[str, float] = {}  # of workers that may still answer
-        self.completed = False  # every worker of the first list has been asked
+        cell.introduced = False
 
     async def update(self, entries: Sequence[WorkerEntry], malformed: Collection[str]) -> None:
         """Update the entries of all listed workers within MAX_INTRODUCTION_S."""
@@ -69,7 +69,7 @@
                 introduced.update(asked)
             await asyncio.sleep(INTRODUCTION_INTERVAL_S)
         self._registry.update_entries(entries, malformed)
-        self.completed = True
+        self._cell.introduced = True
 
     def _list_introduced(self) -> set[str]:
         """Return the workers with an entry; others are only known from the rows of their tasks."""
--- a/toucanpin/scheduling/reserving.py
+++ b/toucanpin/scheduling/reserving.py
@@ -33,19 +33,29 @@
 
 def reserve_cores(cell: Cell, eligible: Sequence[Worker], now: Now) -> None:
     """Reserve cores on the workers with the least long-running work, preferably on idle ones."""
-    if now.steady < cell.reserved_at + RESERVE_PERIOD_S:
+    if not cell.introduced:
+        # The reserve of a part of the fleet would be too small, and the other whole workers of that
+        # part be taken.
+        _reserve_all(eligible)
+        return
+    # A worker that has become a candidate since could be taken before the next choice.
+    is_complete = all(worker.weighed_for_reserve for worker in eligible)
+    elapsed = now.steady - cell.reserved_at
+    if is_complete and elapsed < RESERVE_PERIOD_S:
         return
     cell.reserved_at = now.steady
     for worker in cell.workers.values():
         worker.reserved_cpu = 0
+        worker.weighed_for_reserve = False
+    for worker in eligible:
+        worker.weighed_for_reserve = True
     if not cell.features.urgent_headroom:
-        _reserve_on(eligible, _compute_reserve(cell, eligible))
+        _reserve_on(eligible, _compute_reserve(cell, eligible, elapsed))
         return
-    missing = _plan_headroom(cell, eligible, now)
+    missing = _plan_headroom(cell, eligible, elapsed, now)
     if now.steady < cell.headroom.scarce_until:
         # Also those that come free before the next choice.
-        for worker in eligible:
-            worker.reserved_cpu = worker.entry.cpu
+        _reserve_all(eligible)
         return
     total = sum(worker.entry.cpu for worker in eligible)
     # Cores that are all in one data centre would be lost with it.
@@ -54,6 +64,11 @@
         _reserve_on(workers, math.ceil(missing * share))
 
 
+def _reserve_all(eligible: Iterable[Worker]) -> None:
+    for worker in eligible:
+        worker.reserved_cpu = worker.entry.cpu
+
+
 def _reserve_on(workers: Iterable[Worker], missing: int) -> None:
     """Reserve cores on the workers with the least long-running work."""
     for worker in sorted(workers, key=_rank):
@@ -67,7 +82,7 @@
         missing -= free
 
 
-def _plan_headroom(cell: Cell, eligible: Sequence[Worker], now: Now) -> int:
+def _plan_headroom(cell: Cell, eligible: Sequence[Worker], elapsed: float, now: Now) -> int:
     """Return the cores to reserve by the demand of short tasks as seen by this owner."""
     total = sum(worker.entry.cpu for worker in eligible)
     cell.headroom.max_priority = _find_long_running_priority(cell)
@@ -77,7 +92,7 @@
     record_demand(cell.headroom, urgent, MAX_HEADROOM_SHARE * total, now.steady)
     used_here = sum(worker.cpu - worker.long_running_cpu for worker in eligible)
     planned = plan_headroom(cell.headroom, eligible, bool(cell.evacuated), used_here)
-    return max(planned, _compute_reserve(cell, eligible))
+    return max(planned, _compute_reserve(cell, eligible, elapsed))
 
 
 def _list_urgent_queues(cell: Cell) -> set[str]:
@@ -125,21 +140,21 @@
     return not step.long_running and not step.best_effort
 
 
-def _compute_reserve(cell: Cell, eligible: Sequence[Worker]) -> int:
+def _compute_reserve(cell: Cell, eligible: Sequence[Worker], elapsed: float) -> int:
     """
     Return the cores to reserve: the recent peak demand of short tasks, less what they use now.
 
     Long-running tasks keep cores once they have them, so a new owner without a recorded peak
-    reserves the maximum and then gives up what isn't needed.
+    reserves the maximum and then gives up what isn't needed.  While nothing waits, nobody needs
+    them, and the peak doesn't fall.
     """
     total = sum(worker.entry.cpu for worker in eligible)
     used = sum(worker.cpu - worker.long_running_cpu for worker in eligible)
     previous_peak = (
         cell.short_task_peak if cell.short_task_peak is not None else MAX_RESERVED_SHARE * total
     )
-    cell.short_task_peak = max(
-        used + _sum_waiting_cpu(cell), previous_peak * math.exp(-RESERVE_PERIOD_S / PEAK_DECAY_S)
-    )
+    decay = math.exp(-min(elapsed, RESERVE_PERIOD_S) / PEAK_DECAY_S)
+    cell.short_task_peak = max(used + _sum_waiting_cpu(cell), previous_peak * decay)
     return int(
         min(
             MAX_RESERVED_SHARE * total, max(MIN_RESERVED_SHARE * total, cell.short_task_peak - used)
--- a/toucanpin/scheduling/tests/test_reserving.py
+++ b/toucanpin/scheduling/tests/test_reserving.py
@@ -112,6 +112,39 @@
         costs = [compute_packing_cost(worker, LONG_RUNNING) for worker in (packed, filled)]
         self.assertLess(*costs)
 
+    def test_a_new_owner_keeps_the_workers_that_it_knows_first(self) -> None:
+        """
+        Guards against a change of the owner that costs the reserve: a tenth of the few workers that
+        the next owner knows at first is reserved, and the other whole ones among them are taken.
+        """
+        self._fill_up()
+        whole = self._count_whole()
+        self.fleet.replace_owner()
+        packed = {name for name, worker in self.fleet.workers.items() if worker.runs}
+        self.fleet.unlisted = packed
+        self.fleet.cell.introduced = False
+        self.fleet.run(0.5)
+        self.fleet.unlisted = set()
+        self.fleet.run(0.5)
+        self.fleet.cell.introduced = True
+        self.fleet.run(0.5)
+        self.assertGreaterEqual(self._count_whole(), whole)
+
+    def test_a_worker_that_answers_again_is_not_taken_at_once(self) -> None:
+        """
+        Guards against whole workers that are lost one by one, as each can be had for a moment
+        between its answer and the next choice of reserved workers.
+        """
+        self._fill_up()
+        whole = [it for it in self.fleet.cell.workers.values() if not it.long_running_cpu]
+        for number in range(12):
+            silent = self.fleet.workers[whole[number % len(whole)].entry.id]
+            silent.silent = True
+            self.fleet.run(0.35)
+            silent.silent = False
+            self.fleet.run(0.25)
+        self.assertGreaterEqual(self._count_whole(), MIN_RESERVED_SHARE * WORKERS)
+
     def _count_whole(self) -> int:
         """Return the number of workers without a long-running task."""
         return sum(not worker.long_running_cpu for worker in self.fleet.cell.workers.values())
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -105,6 +105,7 @@
     latency_critical_count: int = 0
     long_running_cpu: int = 0
     reserved_cpu: int = 0  # CPU that long-running tasks leave to short ones
+    weighed_for_reserve: bool = False  # it was a candidate when reserved cores were last chosen
     reached: bool = False  # it has answered this owner
     first_listed_at: float = 0.0  # when this incarnation was first listed
     listed_at: float = 0.0
