--- a/toucanpin/scheduling/reserving.py
+++ b/toucanpin/scheduling/reserving.py
@@ -27,7 +27,7 @@
 
 MIN_RESERVED_SHARE = 0.05  # of all cores
 MAX_RESERVED_SHARE = 0.1  # of all cores
-PEAK_DECAY_S = 30.0  # in which a recorded peak falls to a third; demand comes in waves of a third
+PEAK_DECAY_S = 10.0  # in which a recorded peak falls to a third
 RESERVE_PERIOD_S = 0.25
 
 
