--- a/toucanpin/entry/tests/test_logs.py
+++ b/toucanpin/entry/tests/test_logs.py
@@ -33,6 +33,14 @@
             except BlockingIOError:
                 return [msgspec.json.decode(line) for line in b"".join(parts).splitlines()]
 
+    def _exceed_rate(self) -> None:
+        """Write lines until some are dropped."""
+        self.addCleanup(os.close, self.writer)
+        for _ in range(int(MAX_BURST_LINES) // 100 + 10):
+            self._log(100)
+            self._read()
+        self.assertGreater(self.handler.dropped, 0)
+
     def test_a_line_contains_host_clock_event_and_fields(self) -> None:
         self._log(1)
         (line,) = self._read()
@@ -64,22 +72,14 @@
 
     def test_a_warning_is_written_while_other_lines_are_dropped(self) -> None:
         """Guards against an overload that leaves no room for the warnings about it."""
-        self.addCleanup(os.close, self.writer)
-        for _ in range(int(MAX_BURST_LINES) // 100 + 10):
-            self._log(100)
-            self._read()
-        self.assertGreater(self.handler.dropped, 0)
+        self._exceed_rate()
         with self.handler.applicationbound():
             logbook.Logger("part").warning("late", event="part.late")
         self.assertEqual("part.late", self._read()[-1]["event"])
 
     def test_a_summary_is_written_while_lines_of_single_tasks_are_dropped(self) -> None:
         """Guards against a time line that ends in the second in which the load begins."""
-        self.addCleanup(os.close, self.writer)
-        for _ in range(int(MAX_BURST_LINES) // 100 + 10):
-            self._log(100)
-            self._read()
-        self.assertGreater(self.handler.dropped, 0)
+        self._exceed_rate()
         with self.handler.applicationbound():
             logbook.Logger("part").notice("summary", event="part.summary")
         self.assertEqual("part.summary", self._read()[-1]["event"])
--- a/toucanpin/scheduling/placing.py
+++ b/toucanpin/scheduling/placing.py
@@ -7,11 +7,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from toucanpin.scheduling.advising import list_ticketed
 from toucanpin.scheduling.assigning import assign_task, record_wait, update_candidates
-from toucanpin.scheduling.cell import Cell, Group, LiveJob, Now
+from toucanpin.scheduling.cell import Cell, LiveJob, Now
 from toucanpin.scheduling.choosing import CandidateWorkers, has_spare_place, list_eligible
 from toucanpin.scheduling.evicting import make_room, update_scarcity
 from toucanpin.scheduling.gangs import place_gang
@@ -26,16 +24,12 @@
 from toucanpin.scheduling.large_tasks import LargeTaskReservation
 from toucanpin.scheduling.placement_round import PlacementRound, ReserveAccess
 from toucanpin.scheduling.preempting import PreemptionCandidates, PreemptionRound
-from toucanpin.scheduling.progress import CrashSuspicion
 from toucanpin.scheduling.racks import update_rack
 from toucanpin.scheduling.reserve_access import find_reserve_access
 from toucanpin.scheduling.reserving import reserve_cores
-from toucanpin.scheduling.retrying import (
-    count_failures,
-    list_last_resorts,
-    list_retry_workers,
-    wastes_attempt,
-)
+from toucanpin.scheduling.retry_choice import choose_for_retry
+from toucanpin.scheduling.retrying import count_failures, list_retry_workers
+from toucanpin.scheduling.room_waits import find_room_reason, record_no_room, record_reserved
 from toucanpin.scheduling.standing_jobs import StandingJobs
 from toucanpin.scheduling.suspicion import find_suspicion
 from toucanpin.scheduling.unplaceable import (
@@ -44,12 +38,9 @@
     is_delayed,
     is_known_unplaceable,
     is_shortage_known,
-    postpone,
-    record_shortage,
-    record_unplaceable,
 )
 from toucanpin.scheduling.waits import WaitReason
-from toucanpin.scheduling.worker import Worker, has_room
+from toucanpin.scheduling.worker import Worker
 
 __all__ = ["place_tasks"]
 
@@ -206,7 +197,7 @@
     # Ordering the tasks first would look at each of thousands of them in each turn.
     is_short = not eligible or is_shortage_known(round_, live, step)
     if is_short and _needs_only_room(cell, live, turn, now):
-        record_wait(cell, group, _find_reason(live, step, eligible), now)
+        record_wait(cell, group, find_room_reason(live, step, eligible), now)
         return
     candidates: CandidateWorkers | None = None
     hopeless: set[int] = set()  # numbers of failures with which tasks found no room to be retried
@@ -226,15 +217,15 @@
             candidates = CandidateWorkers(round_, live, group, step, eligible, suspicion, access)
         if candidates.best() is None:
             if candidates.reserve_excluded:
-                _record_reserved(cell, round_, live, group, step, candidates)
+                record_reserved(cell, round_, live, group, step, candidates)
             else:
-                _record_no_room(cell, round_, live, group, step, eligible, candidates)
+                record_no_room(cell, round_, live, group, step, eligible, candidates)
             return
         failures = count_failures(live, task)
         if failures in hopeless:
             record_wait(cell, group, WaitReason.FAILING_WORKERS, now)
             continue
-        choice = _choose_for_retry(cell, round_, live, task, eligible, candidates)
+        choice = choose_for_retry(cell, round_, live, task, eligible, candidates)
         chosen = choice.candidates
         worker = chosen.best()
         if worker is None:
@@ -243,7 +234,7 @@
                 hopeless.add(failures)
             continue
         if access is ReserveAccess.SPARE and not has_spare_place(eligible, group, step):
-            _record_reserved(cell, round_, live, group, step, candidates)
+            record_reserved(cell, round_, live, group, step, candidates)
             return
         cell.delayed_until.pop(task, None)
         waiting.discard(index)
@@ -254,93 +245,8 @@
         candidates = candidates if chosen is candidates else None
 
 
-@dataclass(frozen=True, slots=True)
-class _RetryChoice:
-    """The workers for a task given its failures, and why it waits if they have no room."""
-
-    candidates: CandidateWorkers
-    reason: WaitReason
-
-
-def _record_no_room(
-    cell: Cell,
-    round_: PlacementRound,
-    live: LiveJob,
-    group: Group,
-    step: Step,
-    eligible: list[Worker],
-    candidates: CandidateWorkers,
-) -> None:
-    """Record that no worker takes any task of a step, so that the others aren't tried."""
-    now = round_.now
-    record_wait(cell, group, _find_reason(live, step, eligible), now)
-    if not live.job.advised:
-        record_unplaceable(cell, step, candidates, now)
-    record_shortage(round_, live, step, None, candidates)
-    if candidates.constraint_excluded:
-        postpone(cell, group, step, now)
-
-
-def _record_reserved(
-    cell: Cell,
-    round_: PlacementRound,
-    live: LiveJob,
-    group: Group,
-    step: Step,
-    candidates: CandidateWorkers,
-) -> None:
-    """Record that only reserved cores are left to the tasks of a long-running step."""
-    record_wait(cell, group, WaitReason.RESERVED, round_.now)
-    # Two places on one worker aren't enough for a step that may use only one of them.
-    uses_one_place = step.per_worker and candidates.access is ReserveAccess.SPARE
-    if candidates.constraint_excluded or uses_one_place:
-        postpone(cell, group, step, round_.now)
-    else:
-        record_shortage(round_, live, step, candidates.access, candidates)
-
-
-def _choose_for_retry(
-    cell: Cell,
-    round_: PlacementRound,
-    live: LiveJob,
-    task: TaskKey,
-    eligible: list[Worker],
-    candidates: CandidateWorkers,
-) -> _RetryChoice:
-    """
-    Return the workers on which a task may be tried again.
-
-    These are ``candidates``, which take any task of the step, unless the best of them is a waste of
-    an attempt.
-    """
-    now, suspicion = round_.now, candidates.suspicion
-    group, step = Group(task.job, task.occurrence, task.step), live.job.steps[task.step]
-    best = candidates.best()
-    assert best is not None
-    is_wasted = wastes_attempt(live, task, best, eligible, now)
-    if is_wasted or task in best.runs or suspicion is CrashSuspicion.LAST_ATTEMPT:
-        safe = list_retry_workers(live, task, eligible, now)
-        candidates = CandidateWorkers(round_, live, group, step, safe, suspicion, candidates.access)
-    if not is_wasted:
-        return _RetryChoice(candidates, WaitReason.NO_ROOM)
-    if candidates.best() is None:
-        others = list_last_resorts(cell, group, eligible, now)
-        candidates = CandidateWorkers(
-            round_, live, group, step, others, suspicion, candidates.access
-        )
-    return _RetryChoice(candidates, WaitReason.FAILING_WORKERS)
-
-
 def _needs_only_room(cell: Cell, live: LiveJob, turn: PlacementTurn, now: Now) -> bool:
     """Return whether a waiting task of a turn may be placed once there is room."""
     group = turn.group
     tasks = (TaskKey(group.job, group.occurrence, group.step, index) for index in turn.tasks)
     return any(find_block(cell, live, task, now) is None for task in tasks)
-
-
-def _find_reason(live: LiveJob, step: Step, eligible: list[Worker]) -> WaitReason:
-    if live.job.advised and not eligible:
-        return WaitReason.NO_TICKET
-    if step.best_effort and any(has_room(worker, step) for worker in eligible):
-        return WaitReason.INTERFERENCE
-    return WaitReason.NO_ROOM
