--- a/toucanpin/scheduling/tests/test_reserving.py
+++ b/toucanpin/scheduling/tests/test_reserving.py
@@ -6,15 +6,19 @@
 
 import msgspec
 
+from toucanpin.scheduling.features import Features
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.orders import RunEnd, WorkerEntry
 from toucanpin.scheduling.reserving import MIN_RESERVED_SHARE
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.tests.urgent_load import UrgentLoad
 from toucanpin.scheduling.worker import Worker
 from toucanpin.scheduling.worker_costs import compute_packing_cost
 
 WORKERS = 40
 CORES = 64_000
+SEEDS = (1, 2, 3)
+URGENT_AIM_S = 0.3  # that a caller allows an urgent job beyond its work
 LONG_RUNNING = Step(count=24, cpu=13_000, long_running=True)
 
 
@@ -145,6 +149,22 @@
             self.fleet.run(0.25)
         self.assertGreaterEqual(self._count_whole(), MIN_RESERVED_SHARE * WORKERS)
 
+    def test_urgent_tasks_find_room_beside_long_running_ones_that_fail(self) -> None:
+        """
+        Guards against a reserve that is lost on a fleet on which some task fails at any time: whole
+        workers are taken at a failure, and urgent tasks wait for as long as others run there.
+        """
+        waited, tasks = 0.0, 0
+        for seed in SEEDS:
+            load = UrgentLoad(Features(), workers=64, seed=seed, failures_per_s=0.003)
+            load.run(24.0)
+            waited += load.waited
+            urgent = (job for name, job in load.jobs.items() if name.startswith("urgent"))
+            tasks += sum(step.count for job in urgent for step in job.steps)
+            workers = load.fleet.cell.workers.values()
+            self.assertTrue([worker for worker in workers if not worker.long_running_cpu])
+        self.assertLess(waited / tasks, URGENT_AIM_S)
+
     def _count_whole(self) -> int:
         """Return the number of workers without a long-running task."""
         return sum(not worker.long_running_cpu for worker in self.fleet.cell.workers.values())
--- a/toucanpin/scheduling/tests/urgent_load.py
+++ b/toucanpin/scheduling/tests/urgent_load.py
@@ -46,11 +46,14 @@
     Replay urgent jobs beside long-running ones, with a burst and an evacuated data centre.
 
     ``waited`` sums the time that urgent tasks waited, ``worked`` the core-seconds that long-running
-    ones had, both in s.
+    ones had, both in s.  ``failures_per_s`` is the rate at which each long-running task fails.
     """
 
-    def __init__(self, features: Features, workers: int, seed: int) -> None:
+    def __init__(
+        self, features: Features, workers: int, seed: int, failures_per_s: float = 0.0
+    ) -> None:
         self.random = random.Random(seed)
+        self.failures_per_s = failures_per_s
         self.fleet = Fleet(workers=0)
         self.fleet.cell.features = features
         self.waited = self.worked = 0.0
@@ -115,7 +118,10 @@
         for worker in self.fleet.workers.values():
             for task, run in worker.runs.items():
                 is_long = self.jobs[task.job].steps[0].long_running
+                is_new = run.duration not in (LONG_DURATION_S, URGENT_DURATION_S)
                 run.duration = LONG_DURATION_S if is_long else URGENT_DURATION_S
+                if is_long and is_new and self.failures_per_s:
+                    run.fails_after = self.random.expovariate(self.failures_per_s)
 
     def _measure(self) -> None:
         for group, waiting in self.fleet.cell.waiting.items():
