Count a cell's room where its other counts are; one name for one thing

Demand was the name of two classes; the one of room.py is CoreUse. count_room stands in cell_counts.py beside the other counts of the metrics, and the log line computes the room once. No change of behaviour.

--- a/toucanpin/entry/cell_counts.py
+++ b/toucanpin/entry/cell_counts.py
@@ -12,9 +12,10 @@
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.evacuating import describe_evacuations
 from toucanpin.scheduling.headroom import describe_headroom
+from toucanpin.scheduling.room import describe_room
 from toucanpin.scheduling.unsettled import describe_unsettled
 
-__all__ = ["count_evacuated", "count_headroom", "count_unsettled", "count_waiting"]
+__all__ = ["count_evacuated", "count_headroom", "count_room", "count_unsettled", "count_waiting"]
 
 
 def count_waiting(cell: Cell) -> Counter[str]:
@@ -41,3 +42,22 @@
 def count_headroom(cell: Cell) -> dict[str, float]:
     """Return the cores that are kept for short tasks, by what is counted."""
     return describe_headroom(cell.headroom) if cell.features.urgent_headroom else {}
+
+
+def count_room(cell: Cell) -> dict[str, float]:
+    """Return the cores of a cell by who holds or waits for them, and its whole workers."""
+    room = describe_room(cell)
+    cores = {
+        "total": room.total,
+        "free": room.free,
+        "unoccupied": room.unoccupied,
+        "reserved": room.reserved,
+        "largest": room.largest,
+        "short": room.short.used,
+        "long_running": room.long_running.used,
+        "short_waiting": room.short.waiting,
+        "long_running_waiting": room.long_running.waiting,
+    }
+    return {what: thousandths / 1_000 for what, thousandths in cores.items()} | {
+        "whole_workers": float(room.whole)
+    }
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -17,6 +17,7 @@
 from toucanpin.entry.cell_counts import (
     count_evacuated,
     count_headroom,
+    count_room,
     count_unsettled,
     count_waiting,
 )
@@ -40,7 +41,7 @@
 from toucanpin.entry.load_estimates import LoadEstimates
 from toucanpin.entry.periodic import PeriodTimer
 from toucanpin.entry.placement_turns import PlacementTurns
-from toucanpin.entry.room_log import count_room, log_room
+from toucanpin.entry.room_log import log_room
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.submissions import sweep_refusals
 from toucanpin.entry.waves import WaveController
--- a/toucanpin/entry/room_log.py
+++ b/toucanpin/entry/room_log.py
@@ -2,44 +2,26 @@
 Log of room
 ===========
 
-Log who holds and who waits for the cores of a cell, once in a while.
+Log who holds and who waits for the cores of a cell.
 """
 
 from __future__ import annotations
 
 import logbook
 
+from toucanpin.entry.cell_counts import count_room
 from toucanpin.scheduling.cell import Cell
-from toucanpin.scheduling.room import Room, describe_room
 
-__all__ = ["count_room", "log_room"]
+__all__ = ["log_room"]
 
 _log = logbook.Logger("decisions")
-
-
-def count_room(cell: Cell) -> dict[str, float]:
-    """Return the cores of a cell by who holds or waits for them, and its whole workers."""
-    room = describe_room(cell)
-    cores = {
-        "total": room.total,
-        "free": room.free,
-        "unoccupied": room.unoccupied,
-        "reserved": room.reserved,
-        "largest": room.largest,
-        "short": room.short.used,
-        "long_running": room.long_running.used,
-        "short_waiting": room.short.waiting,
-        "long_running_waiting": room.long_running.waiting,
-    }
-    return {what: thousandths / 1_000 for what, thousandths in cores.items()} | {
-        "whole_workers": float(room.whole)
-    }
+REQUESTED = ("short", "short_waiting", "long_running_waiting")  # of the counts of a cell's room
 
 
 def log_room(cell: Cell, delay: float) -> None:
     """Log the room of a cell while short tasks use or wait for it; ``delay`` is the owner's."""
-    room = describe_room(cell)
-    if not _is_requested(room):
+    cores = count_room(cell)
+    if not any(cores[what] for what in REQUESTED):
         return
     # At a level that is kept while the lines of single tasks are dropped.
     _log.notice(
@@ -48,9 +30,5 @@
         cell=cell.name,
         delay=round(delay, 3),
         peak=round((cell.short_task_peak or 0) / 1_000),
-        **count_room(cell),
+        **cores,
     )
-
-
-def _is_requested(room: Room) -> bool:
-    return bool(room.short.used or room.short.waiting or room.long_running.waiting)
--- a/toucanpin/scheduling/room.py
+++ b/toucanpin/scheduling/room.py
@@ -14,11 +14,11 @@
 from toucanpin.scheduling.evacuating import list_not_evacuated
 from toucanpin.scheduling.job import Step
 
-__all__ = ["Demand", "Room", "describe_room"]
+__all__ = ["CoreUse", "Room", "describe_room"]
 
 
 @dataclass(slots=True)
-class Demand:
+class CoreUse:
     """Cores of one kind of task, in thousandths: in use, and requested by waiting tasks."""
 
     used: int = 0
@@ -40,8 +40,8 @@
     unoccupied: int = 0
     reserved: int = 0
     largest: int = 0
-    short: Demand = field(default_factory=Demand)
-    long_running: Demand = field(default_factory=Demand)
+    short: CoreUse = field(default_factory=CoreUse)
+    long_running: CoreUse = field(default_factory=CoreUse)
 
 
 def describe_room(cell: Cell) -> Room:
@@ -59,8 +59,8 @@
             room.whole += 1
             room.unoccupied += free
     for step, count in _count_waiting(cell):
-        demand = room.long_running if step.long_running else room.short
-        demand.waiting += count * step.cpu
+        use = room.long_running if step.long_running else room.short
+        use.waiting += count * step.cpu
     return room
 
 
