--- a/standins/site/virtual.py
+++ b/standins/site/virtual.py
@@ -21,7 +21,7 @@
 
 from toucanpin.entry.peer_calls import PeerCaller
 from toucanpin.entry.relay import RelayServer
-from toucanpin.http import Answer, CallError, Client, Request, Server
+from toucanpin.http import Answer, CallError, Client, Request, Server, UnreachableError
 from toucanpin.verdict import Verdict
 
 __all__ = ["Processor", "run_virtual", "start_on"]
@@ -187,7 +187,7 @@
                 await asyncio.sleep(LINK_DELAY_S)
                 server = self._servers.get(client.address)
                 if server is None:
-                    raise CallError(Verdict.NOT_RUN, f"{client.address} can't be reached")
+                    raise UnreachableError(f"{client.address} can't be reached")
                 # A request that has arrived is carried out, also if its caller has given up.
                 handling = asyncio.ensure_future(server.handle(request))
                 self._handling[handling] = server
--- a/standins/site/worker.py
+++ b/standins/site/worker.py
@@ -37,6 +37,7 @@
         self.core = WorkerCore(entry)
         self.refuse_next = 0
         self.garbage_next = 0
+        self.unanswered_next = 0  # starts that are dropped
         self.polls = 0
         self.crashing: frozenset[str] = frozenset()  # jobs whose tasks crash this worker
         self.crashed = asyncio.Event()
@@ -117,6 +118,9 @@
         if parse_task(call["task"]).job in self.crashing:
             self.crashed.set()
             return None
+        if self.unanswered_next:
+            self.unanswered_next -= 1
+            return None
         if self.garbage_next:
             self.garbage_next -= 1
             return Response(500, b"garbage")
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -23,7 +23,7 @@
 )
 from toucanpin.entry.worker_orders import WorkerOrders
 from toucanpin.exception import PlatformError
-from toucanpin.http import CallError
+from toucanpin.http import CallError, UnreachableError
 from toucanpin.platform.workers import WorkerClient, WorkerReplacedError
 from toucanpin.scheduling.answer_timeout import MAX_LATENESS_S, AnswerTimeout
 from toucanpin.scheduling.cell import Cell
@@ -163,7 +163,8 @@
                 if self._cell.workers.get(identifier) is not worker:
                     break
                 repeated = worker.silent
-                mark_silent(worker, self._clocks.now())
+                connects = not isinstance(error, UnreachableError)
+                mark_silent(worker, self._clocks.now(), connects)
                 if repeated:
                     await asyncio.sleep(_plan_retry_delay(worker, failures))
                     failures += 1
--- a/toucanpin/entry/tests/test_restarted_workers.py
+++ b/toucanpin/entry/tests/test_restarted_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
@@ -17,6 +18,9 @@
 MAX_CRASHES = 5  # two more starts after the third crash
 OTHER_JOB = "00000000000000a2"
 RESTART_DELAY_S = 0.3  # s until a worker process answers again under its id
+EARLIER_LEASES_S = 9.0  # until no lease of an earlier owner is in force
+ENTRY_LIFE_S = 3.3  # until the entry of a worker that is gone is removed
+MAX_IDLE_S = 9.0  # of a task that lasts, by the users' rule
 
 
 class RestartedWorkerTest(unittest.TestCase):
@@ -79,6 +83,30 @@
 
         self._run(play)
 
+    def test_task_is_not_kept_for_a_process_that_is_gone(self) -> None:
+        """
+        A start had no answer, its worker ends, is back for a moment under its id and is gone.
+        Guards against a task that waits there for the longest delay of an order.
+        """
+
+        async def play() -> None:
+            worker = await self.site.add_worker(duration=60.0)
+            worker.unanswered_next = 1
+            self.assertTrue(await self.site.wait_until_ready())
+            await self.site.submit(JOB, longRunning=True)
+            self.assertTrue(await self.site.wait_until(lambda: worker.core.runs))
+            spare = await self.site.add_worker(duration=60.0)
+            await asyncio.sleep(EARLIER_LEASES_S)
+            began = time.monotonic()
+            restarted = await self._restart(worker)
+            await restarted.stop()
+            await asyncio.sleep(ENTRY_LIFE_S)
+            self.site.store.delete("servers", worker.core.entry.id)
+            self.assertTrue(await self.site.wait_until(lambda: spare.core.runs))
+            self.assertLess(time.monotonic() - began, MAX_IDLE_S)
+
+        self._run(play)
+
     def test_crashing_task_fails_though_its_workers_keep_their_ids(self) -> None:
         """Guards against a crash loop: each worker answers again soon, as if nothing was lost."""
 
--- a/toucanpin/http/__init__.py
+++ b/toucanpin/http/__init__.py
@@ -1,7 +1,16 @@
 """HTTP/1.1 on asyncio: a client that reports whether a failed call may have run, and a server."""
 
-from toucanpin.http.client import Answer, CallError, Client, TooLargeError
+from toucanpin.http.client import Answer, CallError, Client, TooLargeError, UnreachableError
 from toucanpin.http.messages import Request, Response
 from toucanpin.http.server import Server
 
-__all__ = ["Answer", "CallError", "Client", "Request", "Response", "Server", "TooLargeError"]
+__all__ = [
+    "Answer",
+    "CallError",
+    "Client",
+    "Request",
+    "Response",
+    "Server",
+    "TooLargeError",
+    "UnreachableError",
+]
--- a/toucanpin/http/client.py
+++ b/toucanpin/http/client.py
@@ -18,7 +18,7 @@
 from toucanpin.exception import ToucanpinError
 from toucanpin.verdict import Verdict
 
-__all__ = ["Answer", "CallError", "Client", "TooLargeError"]
+__all__ = ["Answer", "CallError", "Client", "TooLargeError", "UnreachableError"]
 
 # TCP sends a lost SYN packet again only after 1 s, and a dead host never answers.
 CONNECT_TIMEOUT_S = 0.6
@@ -51,6 +51,13 @@
         return self.verdict is Verdict.NOT_RUN
 
 
+class UnreachableError(CallError):
+    """Raised if no connection can be opened, so the request certainly had no effect."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(Verdict.NOT_RUN, detail)
+
+
 class TooLargeError(CallError):
     """Raised if an answer exceeds MAX_ANSWER_BYTES, which is no sign of an unhealthy server."""
 
@@ -131,7 +138,7 @@
         except (OSError, TimeoutError) as error:
             _cancel_opening(opening)
             detail = f"{self.address} can't be reached: {error or 'time-out'}"
-            raise CallError(Verdict.NOT_RUN, detail) from error
+            raise UnreachableError(detail) from error
         except asyncio.CancelledError:
             _cancel_opening(opening)
             raise
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -178,6 +178,8 @@
     next_due: float = 0.0
     headroom: Headroom = field(default_factory=Headroom)
     short_task_peak: float | None = None  # recent peak of the cores that short tasks requested
+    entries_read_at: float = float("-inf")  # when the workers' entries were last read
+    entries_sound_since: float = float("-inf")  # since when each read of them soon followed another
     introduced: bool = True  # all listed workers are known, or were given the time to answer
     reserved_at: float = float("-inf")  # when cores were last reserved for short tasks
     paced_at: float = 0.0
--- a/toucanpin/scheduling/incarnations.py
+++ b/toucanpin/scheduling/incarnations.py
@@ -14,13 +14,12 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from itertools import takewhile
 
 from toucanpin.scheduling.cell import Cell, Now, add_run, drop_run
 from toucanpin.scheduling.crashing import record_incarnation_lost, record_loss
 from toucanpin.scheduling.ending import end_run
-from toucanpin.scheduling.job import TaskKey
-from toucanpin.scheduling.orders import StopOrder, WorkerEntry
+from toucanpin.scheduling.late_starts import bound_late_start, stop_late_starts
+from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker
 from toucanpin.scheduling.worker_faults import Loss, LossCause
@@ -29,21 +28,9 @@
     "admit_answer",
     "begin_incarnation",
     "end_lost_runs",
-    "is_earlier",
     "record_lost_run",
-    "record_unanswered_start",
-    "stop_late_starts",
 ]
 
-# Longest time after which a worker carries out an order that it left unanswered; the platform
-# allows 12 s.
-MAX_ORDER_DELAY_S = 13.0
-
-
-def is_earlier(born: int, than: int) -> bool:
-    """Return whether an incarnation is certainly an earlier one than another of its worker."""
-    return 0 < born < than
-
 
 def admit_answer(cell: Cell, worker: Worker, born: int, sent_at: float, now: Now) -> Worker | None:
     """
@@ -70,7 +57,7 @@
     Replace a worker by its next incarnation, whose entry may not be listed yet.
 
     A start that the earlier incarnation left unanswered may reach the next one.  So its task may
-    run elsewhere only once the next one has acknowledged a stop.
+    run elsewhere only once the next one has acknowledged a stop or is gone.
     """
     listed = entry is not None
     successor = Worker(
@@ -86,7 +73,7 @@
     )
     record_incarnation_lost(cell, worker, now)
     unsettled = []
-    for run in [run for run in worker.runs.values() if _may_start_late(cell, run)]:
+    for run in [run for run in worker.runs.values() if _may_start_late(cell, run, now)]:
         if run.phase is not Phase.UNKNOWN:
             record_lost_run(cell, worker, run, LossCause.REPLACED, now)
         unsettled.append(replace(run))
@@ -95,33 +82,12 @@
     cell.end_sequences.pop(worker.entry.id, None)
     cell.workers[worker.entry.id] = successor
     for run in unsettled:
-        _hand_over_run(cell, successor, run, now)
+        _hand_over_run(cell, successor, run)
     stop_late_starts(cell, successor, now)
     _discard_tickets(cell, worker.entry.id)
     return successor
 
 
-def record_unanswered_start(cell: Cell, worker: Worker, run: Run, now: Now) -> None:
-    """Record that a start got no answer; those too old to be carried out are forgotten."""
-    starts = cell.unanswered_starts
-    key = (run.worker, run.task, run.attempt)
-    starts.pop(key, None)
-    starts[key] = now.steady
-    # Each start is added at the end, so the oldest ones come first.
-    for known in list(takewhile(lambda it: _is_too_old(starts[it], now), starts)):
-        del starts[known]
-    current = cell.workers.get(run.worker)
-    if current is not None and current is not worker:
-        _stop_late_start(cell, current, run.task, run.attempt)
-
-
-def stop_late_starts(cell: Cell, worker: Worker, now: Now) -> None:
-    """Stop starts that an earlier incarnation left unanswered and whose runs have ended since."""
-    for (identifier, task, attempt), sent_at in cell.unanswered_starts.items():
-        if identifier == worker.entry.id and not _is_too_old(sent_at, now):
-            _stop_late_start(cell, worker, task, attempt)
-
-
 def end_lost_runs(cell: Cell, worker: Worker, cause: LossCause, now: Now) -> None:
     """End the runs of a worker that certainly runs them no more."""
     for run in list(worker.runs.values()):
@@ -141,40 +107,23 @@
     )
 
 
-def _is_too_old(sent_at: float, now: Now) -> bool:
-    """Return whether an order without an answer certainly isn't carried out any more."""
-    return now.steady > sent_at + MAX_ORDER_DELAY_S
-
-
-def _may_start_late(cell: Cell, run: Run) -> bool:
-    """Return whether a start of a run may still be carried out by the next incarnation."""
+def _may_start_late(cell: Cell, run: Run, now: Now) -> bool:
+    """Return whether a start of a run may still execute on the next incarnation."""
     if run.phase is Phase.UNKNOWN:  # until the next incarnation has this owner's token
         return True
-    # A start may be in flight also after its run was stopped.
-    in_flight = run.ordered_at > 0.0 and not run.started_at
-    return in_flight or (run.worker, run.task, run.attempt) in cell.unanswered_starts
+    return now.steady < bound_late_start(cell, run)
 
 
-def _hand_over_run(cell: Cell, successor: Worker, run: Run, now: Now) -> None:
+def _hand_over_run(cell: Cell, successor: Worker, run: Run) -> None:
     """Keep a run of the earlier incarnation until the next one can't start it any more."""
     if run.phase is Phase.UNKNOWN:
         add_run(cell, successor, run)
         return
+    successor.late_starts_end = max(successor.late_starts_end, bound_late_start(cell, run))
     run.phase = Phase.ORDERED
     run.born = successor.born  # which the late start may crash as well
     add_run(cell, successor, run)
     stop_run(cell, run, "its worker restarted")
-    # The lease of a late start ends on the clock of the earlier incarnation, which may be far ahead
-    # of the next one's, so only the longest lease bounds it.
-    until = now.steady + MAX_ORDER_DELAY_S + cell.max_lease
-    successor.lease_expires_at = max(successor.lease_expires_at, until)
-
-
-def _stop_late_start(cell: Cell, worker: Worker, task: TaskKey, attempt: int) -> None:
-    """Stop a start on a worker that may carry it out late, unless its run is being stopped."""
-    run = worker.runs.get(task)
-    if run is None or run.attempt != attempt:
-        cell.orders.append(StopOrder(worker.entry.id, task, attempt, "may start late"))
 
 
 def _discard_tickets(cell: Cell, worker: str) -> None:
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -16,12 +16,12 @@
 from toucanpin.scheduling.incarnations import (
     begin_incarnation,
     end_lost_runs,
-    is_earlier,
     record_lost_run,
-    stop_late_starts,
 )
+from toucanpin.scheduling.late_starts import bound_late_starts, is_earlier, stop_late_starts
 from toucanpin.scheduling.lease_ends import bound_earlier_leases, is_lease_withheld
 from toucanpin.scheduling.orders import PollAnswer, PollOrder, RunningTask, StopOrder, WorkerEntry
+from toucanpin.scheduling.presence import is_gone, record_listing
 from toucanpin.scheduling.progress import JobState, TaskState
 from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.trust import record_survival
@@ -80,6 +80,8 @@
     Workers in ``malformed``, whose entries can no longer be decoded, keep their runs and get no new
     ones.  A list may be older than a worker's answer, or newer.
     """
+    entries = list(entries)
+    record_listing(cell, {entry.id for entry in entries}.union(malformed), now)
     for identifier, known in cell.workers.items():
         known.malformed = identifier in malformed or not known.sized
     added = []
@@ -171,6 +173,7 @@
     _update_clock(worker, answer.clock, now)
     worker.answered_at = now.steady
     worker.silent = False
+    worker.connects = True
     worker.silent_since = 0.0
     worker.lists_ends = bool(answer.ended)
     # Its next incarnation may carry out a late start of this owner.
@@ -194,8 +197,9 @@
     worker.utilization = None
 
 
-def mark_silent(worker: Worker, now: Now) -> None:
-    """Record that a worker did not answer."""
+def mark_silent(worker: Worker, now: Now, connects: bool = True) -> None:
+    """Record that a worker did not answer, and whether it accepted the connection."""
+    worker.connects = connects
     if not worker.silent:
         worker.silent_since = now.steady
     worker.silent = True
@@ -219,9 +223,13 @@
             continue
         if now.steady <= worker.lease_expires_at:
             continue
+        may_start_late = now.steady <= bound_late_starts(cell, worker)
+        if may_start_late and not is_gone(cell, worker, now):
+            continue
         if worker.runs:
             record_incarnation_lost(cell, worker, now)
-            end_lost_runs(cell, worker, LossCause.LAPSED, now)
+            cause = LossCause.GONE if may_start_late else LossCause.LAPSED
+            end_lost_runs(cell, worker, cause, now)
         unlisted = now.steady > worker.listed_at + FORGET_WORKER_AFTER_S
         if unlisted and now.steady > worker.answered_at + FORGET_WORKER_AFTER_S:
             del cell.workers[worker.entry.id]
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -16,7 +16,12 @@
 from toucanpin.scheduling.intake import begin_due, restore_job, submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Job, Step, TaskKey
-from toucanpin.scheduling.lease_ends import CLOCK_FACTOR, CLOCK_MARGIN_S
+from toucanpin.scheduling.lease_ends import (
+    CLOCK_FACTOR,
+    CLOCK_MARGIN_S,
+    list_lease_ends,
+    restore_lease_ends,
+)
 from toucanpin.scheduling.leases import (
     OWNER_AUTHORITY_S,
     apply_answer,
@@ -52,6 +57,7 @@
 LATE_START_S = 6.0  # after which a worker carries out a start that it left unanswered
 FIRST_BORN = 1_000  # incarnation of each worker
 RESTART_TIME_S = 3.0  # until a crashed worker is back as a new incarnation
+ENTRY_LIFE_S = 3.3  # for which the entry of a worker that is gone stays listed
 
 
 def make_job(identifier: str = "j1", steps: tuple[Step, ...] = (Step(cpu=1_000),), **fields) -> Job:
@@ -71,6 +77,7 @@
         self.jobs: dict[str, Job] = {}
         self.store_up = True
         self.unlisted: set[str] = set()
+        self.lists_workers = True  # the list of workers can be read
         self.duplicate_runs: list[TaskKey] = []
         self.crashing: set[TaskKey] = set()  # tasks that crash each worker that starts them
         self.crashes: list[TaskKey] = []
@@ -78,6 +85,7 @@
         self.max_starts = NO_LIMIT  # in a turn, of an owner that is behind
         self.keeps_names = False  # crashed workers restart under their names
         self._down: list[tuple[float, WorkerEntry]] = []
+        self._gone: dict[str, tuple[float, WorkerEntry]] = {}  # entries and until when they stay
         self._clock_starts: dict[str, float] = {}  # of workers that restarted under their names
         self.pending: list[Run] = []
         self.stops: list[StopOrder] = []
@@ -98,8 +106,15 @@
         """Crash a worker; its entry stays until another incarnation starts at its address."""
         self._down.append((self.time + RESTART_TIME_S, self.workers.pop(name).entry))
 
+    def remove(self, name: str) -> WorkerCore:
+        """End a worker; its entry is removed some seconds later."""
+        core = self.workers.pop(name)
+        self._gone[name] = (self.time + ENTRY_LIFE_S, core.entry)
+        return core
+
     def restart(self, name: str, **fields) -> WorkerCore:
         """Restart a worker under its name; late starts are carried out by its next incarnation."""
+        self._gone.pop(name, None)
         earlier = self.workers[name]
         fields = {"born": earlier.entry.born + 1, **fields}
         entry = dataclasses.replace(earlier.entry, **fields)
@@ -128,7 +143,9 @@
         """Kill the owner and start another one from the rows."""
         self.pending.clear()
         self.stops.clear()
+        listed = list_lease_ends(self.cell, self.time)
         self.cell = self._make_cell(self.cell.token + 1)
+        self.cell.earlier_lease_ends = restore_lease_ends(listed, self.time)
         self.model = InterferenceModel()
         for job in self.jobs.values():
             if job.id in self.rows:
@@ -160,8 +177,10 @@
         self._find_duplicate_runs()
         entries = [worker.entry for worker in self.workers.values()]
         entries += [entry for _, entry in self._down]
+        entries += [entry for until, entry in self._gone.values() if self.time < until]
         listed = [entry for entry in entries if entry.id not in self.unlisted]
-        update_workers(self.cell, listed, self.now())
+        if self.lists_workers:
+            update_workers(self.cell, listed, self.now())
         self._poll_workers()
         expire_leases(self.cell, self.now())
         fail_crashing_jobs(self.cell, self.now())
@@ -195,7 +214,7 @@
                 if worker.entry.address and f"{worker.entry.id}'" in self.workers:
                     remove_replaced_worker(self.cell, worker, self.now())
                 else:
-                    mark_silent(worker, self.now())
+                    mark_silent(worker, self.now(), connects=False)
                 continue
             if core.silent:
                 mark_silent(worker, self.now())
--- a/toucanpin/scheduling/unsettled.py
+++ b/toucanpin/scheduling/unsettled.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 
 from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.late_starts import bound_late_starts
 from toucanpin.scheduling.worker import Worker
 
 __all__ = ["Unsettled", "describe_unsettled"]
@@ -28,7 +29,7 @@
 
     ``unreached`` counts those on workers that never answered this owner, of which ``unlisted``
     have no entry any more, and ``silent`` those on workers that stopped answering.  ``until`` is
-    the local time at which the last lease has certainly ended.
+    the local time from which on none of them executes for certain.
     """
 
     workers: int
@@ -50,7 +51,7 @@
         _count_runs(unreached),
         _count_runs(worker for worker in unreached if not worker.entry.address),
         total - _count_runs(unreached),
-        max(worker.lease_expires_at for worker in workers),
+        max(max(it.lease_expires_at, bound_late_starts(cell, it)) for it in workers),
     )
 
 
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -112,11 +112,14 @@
     answered_at: float = 0.0
     silent: bool = False  # it did not answer the latest poll
     silent_since: float = 0.0  # 0 if it answers
+    connects: bool = True  # it accepted the connection of the latest poll
+    unlisted_since: float = 0.0  # 0 if it has an entry
     # Its entry can't be decoded or is of an earlier incarnation, though it may still answer.
     malformed: bool = False
     clock: int = 0
     clock_read_at: float = 0.0
     lease_expires_at: float = 0.0
+    late_starts_end: float = 0.0  # from when on no start to an earlier incarnation executes here
     renewed: bool = False  # this owner has granted it a lease
     renewal_due: bool = True  # none was granted since it was first listed, or silent
     listed_sequence: int = 0  # of the newest end that it listed
