--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -23,7 +23,7 @@
 from toucanpin.scheduling.advising import plan_advice_requests
 from toucanpin.scheduling.cell import Cell, Now, add_run
 from toucanpin.scheduling.consolidating import consolidate_images
-from toucanpin.scheduling.intake import begin_due, submit_job
+from toucanpin.scheduling.intake import submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Job, Step, TaskKey
 from toucanpin.scheduling.leases import apply_answer, update_workers
--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -135,6 +135,10 @@
         """Return the number of runs on workers that don't answer, empty if the cell isn't owned."""
         return self._owner.count_unsettled() if self._owner else {}
 
+    def count_late_occurrences(self) -> dict[str, float]:
+        """Return the due occurrences that haven't begun, empty if the cell isn't owned."""
+        return self._owner.count_late_occurrences() if self._owner else {}
+
     def count_evacuated(self) -> dict[str, float]:
         """Return the number of tasks in evacuated data centres, empty if the cell isn't owned."""
         return self._owner.count_evacuated() if self._owner else {}
--- a/toucanpin/entry/cell_counts.py
+++ b/toucanpin/entry/cell_counts.py
@@ -9,13 +9,21 @@
 
 from collections import Counter
 
-from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.evacuating import describe_evacuations
 from toucanpin.scheduling.headroom import describe_headroom
+from toucanpin.scheduling.occurrences import describe_late_jobs
 from toucanpin.scheduling.room import describe_room
 from toucanpin.scheduling.unsettled import describe_unsettled
 
-__all__ = ["count_evacuated", "count_headroom", "count_room", "count_unsettled", "count_waiting"]
+__all__ = [
+    "count_evacuated",
+    "count_headroom",
+    "count_late_occurrences",
+    "count_room",
+    "count_unsettled",
+    "count_waiting",
+]
 
 
 def count_waiting(cell: Cell) -> Counter[str]:
@@ -26,6 +34,14 @@
     return counts
 
 
+def count_late_occurrences(cell: Cell, now: Now) -> dict[str, float]:
+    """Return the number of due occurrences that haven't begun, by priority."""
+    counts: Counter[str] = Counter()
+    for job in describe_late_jobs(cell, now):
+        counts[str(cell.jobs[job.job].job.priority)] += job.waiting
+    return {priority: float(count) for priority, count in counts.items()}
+
+
 def count_evacuated(cell: Cell) -> dict[str, float]:
     """Return the number of tasks that still run in each evacuated data centre."""
     return {it.data_centre: float(it.runs) for it in describe_evacuations(cell)}
--- a/toucanpin/entry/cell_decisions.py
+++ b/toucanpin/entry/cell_decisions.py
@@ -17,10 +17,10 @@
 from toucanpin.scheduling.consolidating import consolidate_images
 from toucanpin.scheduling.crashing import fail_crashing_jobs
 from toucanpin.scheduling.forecast import FORECAST_PERIOD_S
-from toucanpin.scheduling.intake import begin_due
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.leases import expire_leases
 from toucanpin.scheduling.moving import move_tasks
+from toucanpin.scheduling.occurrences import begin_due
 from toucanpin.scheduling.pacing import control_pace
 
 __all__ = ["CellDecisions"]
--- a/toucanpin/entry/gauges.py
+++ b/toucanpin/entry/gauges.py
@@ -60,6 +60,12 @@
         "priority",
         partial(_sum_counts, candidates, Candidate.count_waiting),
     )
+    register_gauge(
+        "toucanpin.occurrences.late",
+        "Occurrences of recurring jobs that are due and haven't begun",
+        "priority",
+        partial(_sum_counts, candidates, Candidate.count_late_occurrences),
+    )
     register_gauge(
         "toucanpin.tasks.evacuating",
         "Tasks that still run in evacuated data centres",
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -17,6 +17,7 @@
 from toucanpin.entry.cell_counts import (
     count_evacuated,
     count_headroom,
+    count_late_occurrences,
     count_room,
     count_unsettled,
     count_waiting,
@@ -39,6 +40,7 @@
 )
 from toucanpin.entry.job_cleanup import JobCleanup
 from toucanpin.entry.load_estimates import LoadEstimates
+from toucanpin.entry.occurrence_log import LateJobsLog
 from toucanpin.entry.periodic import PeriodTimer
 from toucanpin.entry.placement_turns import PlacementTurns
 from toucanpin.entry.room_log import log_room
@@ -113,6 +115,7 @@
         self._cell.stop_time = settings.bounds.stop_time
         self._cell.restore_time = settings.bounds.restore_time
         self._cell.max_lease = settings.bounds.max_lease
+        self._cell.max_row = settings.max_row
         self._cell.features = select_features(settings.bounds)
         self._interference = InterferenceModel(
             ColocationPlan() if self._cell.features.colocation_planning else None
@@ -158,6 +161,7 @@
             self._cell, self._interference, clocks, advice_dispatcher, spawn, self._wake.set
         )
         self._report_timer = PeriodTimer(REPORT_PERIOD_S)
+        self._late_jobs = LateJobsLog()
         self._standstill = StandstillMeter(silent_since)
         self._standstill.record_blocked(StandstillCause.TAKEOVER, steady_time())
         placement = PlacementTurns(
@@ -249,6 +253,10 @@
         """Newest forecast of the waits of new jobs, None if there is none."""
         return self._rows.forecast
 
+    def count_late_occurrences(self) -> dict[str, float]:
+        """Return the number of due occurrences that haven't begun, by priority."""
+        return count_late_occurrences(self._cell, self._clocks.now())
+
     def count_evacuated(self) -> dict[str, float]:
         """Return the number of tasks that still run in each evacuated data centre."""
         return count_evacuated(self._cell)
@@ -299,6 +307,7 @@
         """Log what waits and why, and estimate for how long."""
         log_unsettled(self._cell, now)
         log_waits(self._cell, now)
+        self._late_jobs.write_if_due(self._cell, now)
         log_headroom(self._cell, now)
         log_room(self._cell, self._delay.read(now.steady))
         log_colocation(self._cell, self._interference, now)
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from toucanpin.scheduling.durations import Durations
@@ -22,6 +23,7 @@
 from toucanpin.scheduling.worker_faults import Loss, LostWorker, SlowWorker
 
 __all__ = [
+    "BegunLoad",
     "Cell",
     "Group",
     "LiveJob",
@@ -98,14 +100,23 @@
     well: int
 
 
+@dataclass(slots=True)
+class BegunLoad:
+    """Unfinished tasks of begun occurrences, and the thousandths of cores that they request."""
+
+    tasks: int = 0
+    cpu: int = 0
+
+
 @dataclass(slots=True)
 class LiveJob:
     """
     Job in memory, with its progress and estimates.
 
-    ``tasks_left`` counts the unfinished tasks of each step by occurrence; ``remaining_ms`` is the
-    estimated time from the start of each step to the end of the job; ``task_durations`` holds the
-    durations of finished tasks by step, in s.
+    ``next_occurrence`` is the first one that hasn't begun; ``tasks_left`` counts the unfinished
+    tasks of each step by begun occurrence; ``remaining_ms`` is the estimated time from the start of
+    each step to the end of the job; ``task_durations`` holds the durations in s of the tasks
+    finished last by step.
     """
 
     job: Job
@@ -113,9 +124,11 @@
     objective: int = 0
     offsets: tuple[int, ...] = ()
     remaining_ms: tuple[int, ...] = ()
+    next_occurrence: int = 0
+    begun: BegunLoad = field(default_factory=BegunLoad)
     tasks_left: dict[int, list[int]] = field(default_factory=dict)
     racks: dict[Group, str] = field(default_factory=dict)
-    task_durations: dict[int, list[float]] = field(default_factory=dict)
+    task_durations: dict[int, deque[float]] = field(default_factory=dict)
     outcomes: dict[int, StepOutcomes] = field(default_factory=dict)  # by step
     end_logged: bool = False
 
@@ -135,7 +148,10 @@
     ``evacuated_until``.  ``unplaceable`` holds by image the demands of best-effort tasks for which
     no worker was found; they are not tried again until ``unplaceable_until``.  ``stop_time`` and
     ``restore_time`` are the times in s that workers may take to stop and to resume a task, and
-    ``max_lease`` is the longest lease that they accept.  ``features`` are the optional decisions
+    ``max_lease`` is the longest lease that they accept.  ``max_row`` is the size of a row of the
+    table in bytes.  ``unbegun`` are the jobs with occurrences that haven't begun, ``begun`` the
+    load of those that have by priority, ``begun_lately`` the tasks of those that began since the
+    latest check.  ``features`` are the optional decisions
     that the deployment calls for.
     """
 
@@ -151,6 +167,7 @@
     stop_time: float = 0.2
     restore_time: float = 0.25
     max_lease: float = 10.0
+    max_row: int = 65_536
     features: Features = Features()
     evacuated: frozenset[str] = frozenset()
     evacuated_until: float = float("inf")
@@ -175,7 +192,10 @@
     job_rows_to_delete: list[str] = field(default_factory=list)
     progress_rows_to_delete: list[str] = field(default_factory=list)  # job rows already deleted
     step_tickets: dict[Group, StepTickets] = field(default_factory=dict)
-    next_due: float = 0.0
+    unbegun: dict[str, None] = field(default_factory=dict)
+    begun: dict[int, BegunLoad] = field(default_factory=dict)
+    begun_lately: int = 0
+    next_due: float = 0.0  # when occurrences that are due are looked for again
     headroom: Headroom = field(default_factory=Headroom)
     short_task_peak: float | None = None  # recent peak of the cores that short tasks requested
     entries_read_at: float = float("-inf")  # when the workers' entries were last read
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+from collections import deque
+
+from toucanpin.scheduling.begun_load import remove_job_load, remove_task_load
 from toucanpin.scheduling.cell import (
     Cell,
     Group,
@@ -19,6 +22,7 @@
     mark_started,
 )
 from toucanpin.scheduling.job import TaskKey
+from toucanpin.scheduling.number_ranges import add_number, count_numbers
 from toucanpin.scheduling.orders import EndedRun, RunEnd
 from toucanpin.scheduling.progress import JobState, TaskRecord, TaskState, clear_losses
 from toucanpin.scheduling.step_queue import queue_ready_steps
@@ -35,6 +39,7 @@
     "finish_run",
 ]
 
+MIN_KNOWN_DURATIONS = 100  # of a step's tasks
 RETRY_DELAY_S = 0.25  # for tasks whose number of attempts isn't limited otherwise
 
 
@@ -113,6 +118,7 @@
     live.progress.state = state
     live.progress.ended = now.table
     mark_dirty(cell, live)
+    remove_job_load(cell, live)
     for group in [group for group in cell.waiting if group.job == live.job.id]:
         del cell.waiting[group]
     for group in [group for group in cell.step_tickets if group.job == live.job.id]:
@@ -235,26 +241,40 @@
     occurrence = task.occurrence
     left = live.tasks_left[occurrence]
     left[task.step] -= len(done)
+    remove_task_load(cell, live, task.step, len(done))
     if left[task.step]:
         return
     _record_step_duration(cell, live, task.step)
     if any(left):
         queue_ready_steps(cell, live, occurrence)
         return
-    live.progress.ended_occurrences.append(occurrence)
-    del live.progress.tasks[occurrence]
-    del live.tasks_left[occurrence]
-    if len(live.progress.ended_occurrences) == live.job.occurrences:
+    _end_occurrence(cell, live, occurrence)
+    if count_numbers(live.progress.ended_occurrences) == live.job.occurrences:
         live.progress.state = JobState.COMPLETED
         live.progress.ended = now.table
 
 
+def _end_occurrence(cell: Cell, live: LiveJob, occurrence: int) -> None:
+    """Forget an occurrence that is done: of thousands only that they have ended is kept."""
+    add_number(live.progress.ended_occurrences, occurrence)
+    del live.progress.tasks[occurrence]
+    del live.tasks_left[occurrence]
+    for number in range(len(live.job.steps)):
+        group = Group(live.job.id, occurrence, number)
+        cell.step_tickets.pop(group, None)
+        live.racks.pop(group, None)
+
+
 def _record_task_time(cell: Cell, live: LiveJob, run: Run, now: Now) -> None:
     """Record the run time of a task, by which slow workers are detected."""
     if not run.started_at or run.untimed:
         return
     took = now.steady - run.started_at
-    live.task_durations.setdefault(run.task.step, []).append(took)
+    known = live.task_durations.get(run.task.step)
+    if known is None:
+        known = deque(maxlen=max(MIN_KNOWN_DURATIONS, run.step.count))
+        live.task_durations[run.task.step] = known
+    known.append(took)
     if run.pace == 100:
         record_task_time(cell.task_times, live.job.queue, run.step.estimate, took)
 
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -2,24 +2,33 @@
 Intake of jobs
 ==============
 
-Submission, restoration and cancellation of jobs, and start of occurrences that are due.
+Submission, restoration and cancellation of jobs.
 """
 
 from __future__ import annotations
 
-from toucanpin.scheduling.cell import Cell, LiveJob, Now, add_run, compute_task_offsets
+from toucanpin.scheduling.begun_load import add_occurrence_load
+from toucanpin.scheduling.cell import (
+    Cell,
+    LiveJob,
+    Now,
+    add_run,
+    compute_task_offsets,
+    find_record,
+)
 from toucanpin.scheduling.crashing import forget_crashes, restore_crashes
 from toucanpin.scheduling.ending import end_job
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.job_times import sum_remaining_times
 from toucanpin.scheduling.lease_ends import bound_earlier_leases
+from toucanpin.scheduling.occurrences import await_occurrences, begin_occurrences
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.progress import JobState, Progress, TaskState
-from toucanpin.scheduling.step_queue import begin_occurrence, queue_ready_steps
+from toucanpin.scheduling.step_queue import queue_ready_steps
 from toucanpin.scheduling.suspicion import assess_suspicion
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
-__all__ = ["begin_due", "cancel_job", "forget_ended", "restore_job", "submit_job"]
+__all__ = ["cancel_job", "forget_ended", "restore_job", "submit_job"]
 
 
 def submit_job(cell: Cell, job: Job, now: Now) -> bool:
@@ -28,7 +37,8 @@
         return False
     live = _make_live_job(cell, job, Progress(JobState.PENDING, 0, [], {}))
     cell.jobs[job.id] = live
-    _begin_due_occurrences(cell, live, now)
+    await_occurrences(cell, live)
+    begin_occurrences(cell, live, now)
     return True
 
 
@@ -38,6 +48,8 @@
     cell.jobs[job.id] = live
     for occurrence, records in progress.tasks.items():
         live.tasks_left[occurrence] = _count_left(live, occurrence)
+        if not JobState(progress.state).ended:
+            add_occurrence_load(cell, live, occurrence)
         for number, step in enumerate(job.steps):
             for index in range(step.count):
                 record = records[live.offsets[number] + index]
@@ -57,7 +69,8 @@
         if not JobState(progress.state).ended:
             queue_ready_steps(cell, live, occurrence)
     if not JobState(progress.state).ended:
-        _begin_due_occurrences(cell, live, now)
+        await_occurrences(cell, live)
+        begin_occurrences(cell, live, now)
 
 
 def cancel_job(cell: Cell, identifier: str, now: Now) -> None:
@@ -67,16 +80,6 @@
         end_job(cell, live, JobState.CANCELLED, now)
 
 
-def begin_due(cell: Cell, now: Now) -> None:
-    """Begin the occurrences that are due."""
-    if now.steady < cell.next_due:
-        return
-    cell.next_due = now.steady + DUE_CHECK_INTERVAL_S
-    for live in cell.jobs.values():
-        if live.job.repeats and not JobState(live.progress.state).ended:
-            _begin_due_occurrences(cell, live, now)
-
-
 def forget_ended(cell: Cell, now: Now, retention: float) -> None:
     """Forget jobs that ended over ``retention`` seconds ago, and queue their rows for deletion."""
     limit = now.table - int(retention * 1_000)
@@ -90,13 +93,10 @@
         cell.dirty.pop(identifier, None)
         cell.job_rows_to_delete.append(identifier)
     cell.interrupted = {task: at for task, at in cell.interrupted.items() if task.job in cell.jobs}
-    cell.moved_tasks = {task for task in cell.moved_tasks if task.job in cell.jobs}
+    cell.moved_tasks = {task for task in cell.moved_tasks if _is_unfinished(cell, task)}
     forget_crashes(cell)
 
 
-DUE_CHECK_INTERVAL_S = 0.02  # between checks for occurrences that are due
-
-
 def _make_live_job(cell: Cell, job: Job, progress: Progress) -> LiveJob:
     times = [cell.durations.predict(job.queue, step.estimate) for step in job.steps]
     remaining = sum_remaining_times(job, times)
@@ -104,14 +104,10 @@
     return LiveJob(job, progress, objective, compute_task_offsets(job), remaining)
 
 
-def _begin_due_occurrences(cell: Cell, live: LiveJob, now: Now) -> None:
-    job = live.job
-    ended = set(live.progress.ended_occurrences)
-    for occurrence in range(job.occurrences):
-        if job.repeats and job.start_at + occurrence * job.interval > now.wall:
-            break
-        if occurrence not in live.progress.tasks and occurrence not in ended:
-            begin_occurrence(cell, live, occurrence)
+def _is_unfinished(cell: Cell, task: TaskKey) -> bool:
+    """Return whether a task's occurrence has begun and hasn't ended."""
+    live = cell.jobs.get(task.job)
+    return live is not None and find_record(live, task) is not None
 
 
 def _count_left(live: LiveJob, occurrence: int) -> list[int]:
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -13,6 +13,7 @@
 
 from toucanpin.decoding import decode_msgpack
 from toucanpin.scheduling.job import Job
+from toucanpin.scheduling.number_ranges import Ranges, count_numbers, list_numbers
 
 __all__ = [
     "CrashSuspicion",
@@ -27,6 +28,9 @@
 ]
 
 
+MAX_LISTED_OCCURRENCES = 500  # one by one
+
+
 class JobState(enum.IntEnum):
     """State of a job."""
 
@@ -88,12 +92,26 @@
     Persistent state of one job.
 
     ``ended`` is on the table's clock in ms; ``tasks`` has the records of each occurrence in
-    progress, ordered by step and index; ``ended_occurrences`` lists the occurrences that are done.
+    progress, ordered by step and index; ``ended_occurrences`` has the occurrences that are done.
     """
 
     state: int
     ended: int
-    ended_occurrences: list[int] = msgspec.field(name="over")
+    ended_occurrences: Ranges
+    tasks: dict[int, list[TaskRecord]]
+
+
+class _Row(msgspec.Struct, array_like=True):
+    """
+    Row of a job's progress.
+
+    Few ended occurrences are listed one by one, as earlier builds read them; these don't start a
+    job of which ranges have ended.
+    """
+
+    state: int
+    ended: int
+    ended_occurrences: list[int | tuple[int, int]]
     tasks: dict[int, list[TaskRecord]]
 
 
@@ -106,21 +124,46 @@
 
 def encode_progress(progress: Progress) -> bytes:
     """Return the encoded row of a job's progress."""
-    return msgspec.msgpack.encode(progress)
+    ranges = progress.ended_occurrences
+    few = count_numbers(ranges) <= MAX_LISTED_OCCURRENCES
+    ended: list[int | tuple[int, int]] = [*list_numbers(ranges)] if few else [*ranges]
+    return msgspec.msgpack.encode(_Row(progress.state, progress.ended, ended, progress.tasks))
 
 
 def decode_progress(value: bytes) -> Progress:
     """Decode a job's progress from its row."""
-    return decode_msgpack(value, Progress)
+    row = decode_msgpack(value, _Row)
+    ranges: Ranges = []
+    for numbers in sorted(_to_range(it) for it in row.ended_occurrences):
+        _append_range(ranges, numbers)
+    return Progress(row.state, row.ended, ranges, row.tasks)
 
 
 def matches_job(progress: Progress, job: Job) -> bool:
     """Return whether progress has a job's number of tasks and only known states."""
     total = sum(step.count for step in job.steps)
     known = set(TaskState)
+    ended = progress.ended_occurrences
+    if ended and not 0 <= ended[0][0] <= ended[-1][1] < job.occurrences:
+        return False
     return progress.state in set(JobState) and all(
         0 <= occurrence < job.occurrences
         and len(records) == total
         and all(record.state in known for record in records)
         for occurrence, records in progress.tasks.items()
     )
+
+
+def _to_range(numbers: int | tuple[int, int]) -> tuple[int, int]:
+    return (numbers, numbers) if isinstance(numbers, int) else numbers
+
+
+def _append_range(ranges: Ranges, numbers: tuple[int, int]) -> None:
+    """Add a range that begins after the beginning of those before it; empty ones are dropped."""
+    first, last = numbers
+    if first > last:
+        return
+    if ranges and first <= ranges[-1][1] + 1:
+        ranges[-1] = (ranges[-1][0], max(ranges[-1][1], last))
+    else:
+        ranges.append((first, last))
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -13,7 +13,7 @@
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.crashing import fail_crashing_jobs
 from toucanpin.scheduling.incarnations import admit_answer
-from toucanpin.scheduling.intake import begin_due, restore_job, submit_job
+from toucanpin.scheduling.intake import restore_job, submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Job, Step, TaskKey
 from toucanpin.scheduling.lease_ends import (
@@ -32,6 +32,7 @@
     update_workers,
 )
 from toucanpin.scheduling.moving import move_tasks
+from toucanpin.scheduling.occurrences import begin_due
 from toucanpin.scheduling.orders import (
     PaceOrder,
     PollAnswer,
