--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -28,6 +28,7 @@
 from toucanpin.scheduling.job import Job, Step, TaskKey
 from toucanpin.scheduling.leases import apply_answer, update_workers
 from toucanpin.scheduling.moving import move_tasks
+from toucanpin.scheduling.occurrences import begin_due
 from toucanpin.scheduling.orders import PollAnswer, RunningTask, WorkerEntry
 from toucanpin.scheduling.pacing import control_pace
 from toucanpin.scheduling.pending_counts import count_pending
