--- a/toucanpin/entry/load_estimates.py
+++ b/toucanpin/entry/load_estimates.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
 import logbook
 
 from toucanpin.entry.cell_rows import CellRows
@@ -16,6 +14,7 @@
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.forecast import FORECAST_PERIOD_S
 from toucanpin.scheduling.forecasting import make_forecast
+from toucanpin.scheduling.job_order import count_brief_tasks
 from toucanpin.scheduling.load_history import LoadHistory
 from toucanpin.scheduling.load_shedding import ProcessDelay, StartBacklog
 
@@ -45,19 +44,10 @@
 
     def update_backlog(self, now: Now) -> None:
         """Estimate the waits that are due to the owner itself."""
-        waiting = self._count_brief_tasks()
+        waiting = count_brief_tasks(self._cell, now)
         delay = self._delay.read(now.steady)
         self._rows.backlog = self._backlog.estimate_waits(waiting, delay, now.steady)
 
-    def _count_brief_tasks(self) -> Counter[int]:
-        """Return the waiting tasks by priority, without those that may wait indefinitely."""
-        waiting: Counter[int] = Counter()
-        for group, indices in self._cell.waiting.items():
-            job = self._cell.jobs[group.job].job
-            if not job.steps[group.step].long_running:
-                waiting[job.priority] += len(indices)
-        return waiting
-
     def update_forecast(self, now: Now) -> None:
         """Forecast the waits for room, unless the owner is late."""
         if self._delay.read(now.steady) > MAX_FORECAST_DELAY_S:
--- a/toucanpin/scheduling/tests/test_occurrences.py
+++ b/toucanpin/scheduling/tests/test_occurrences.py
@@ -10,6 +10,7 @@
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.intake import cancel_job
 from toucanpin.scheduling.job import Job, Step
+from toucanpin.scheduling.job_order import count_brief_tasks
 from toucanpin.scheduling.occurrences import begin_due, count_due, describe_late_jobs
 from toucanpin.scheduling.progress import (
     JobState,
@@ -81,6 +82,32 @@
             self._run(0.1)
             self.assertLessEqual(_count_records(self.fleet.cell), RUNNABLE * 128 + 20 * 20)
 
+    def test_each_of_many_jobs_that_are_behind_has_its_turn(self) -> None:
+        """Guards against jobs of which nothing runs until all that another one owes is done."""
+        for number in range(20):
+            self.fleet.submit(self._make_backlog(f"b{number:02}", count=20, repeats=500))
+        self._run(3.0)
+        done = [len(self._count_starts(name)) for name in self.fleet.jobs]
+        self.assertEqual(20, len(done))
+        self.assertLessEqual(max(done) - min(done), 2 * 20)
+
+    def test_occurrence_that_is_due_now_precedes_what_is_owed(self) -> None:
+        """Guards against a schedule that is never on time beside one that is behind."""
+        self.fleet.submit(self._make_backlog("a1"))
+        due = self.fleet.now().wall + 2_000
+        job = make_job("b1", (SMALL,), repeats=4, start_at=due, interval=1_000, aim=3_000)
+        self.fleet.submit(job)
+        self._assert_completes("b1", seconds=2.0 + 4.0 + 0.5)
+
+    def test_new_job_is_not_refused_for_what_comes_after_it(self) -> None:
+        """Guards against an owner that is busy with what is owed and refuses what is on time."""
+        self.fleet.submit(self._make_backlog("b1", priority=2))
+        self.fleet.submit(make_job("j1", (Step(count=200, cpu=4_000),), priority=2, aim=60_000))
+        self._run(0.2)
+        waiting = count_brief_tasks(self.fleet.cell, self.fleet.now())
+        self.assertEqual({2}, set(waiting))
+        self.assertLessEqual(waiting[2], 200)
+
     def test_occurrences_without_an_interval_begin_as_far_as_they_can_run(self) -> None:
         """Guards against thousands of occurrences of thousands of tasks that are due at once."""
         due = self.fleet.now().wall
