--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -25,6 +25,8 @@
 
 _Entry = tuple[str, str, str, bytes | None]
 MAX_BODY = 1_048_576  # bytes of one transaction
+MAX_ENTRIES = 100  # of one transaction
+MAX_VALUE_BYTES = 65_536  # of base64, in one row
 
 
 @dataclass(slots=True)
@@ -118,6 +120,8 @@
 
     async def _transact(self, call: dict[str, Any], faults: StoreFaults) -> Response | None:
         self.transactions += 1
+        if _exceeds_limits(call):
+            return Response(400)
         if faults.late_writes:
             faults.late_writes -= 1
             asyncio.get_running_loop().call_later(faults.late_delay, self._apply_if_current, call)
@@ -198,6 +202,13 @@
         return Response(status, msgspec.json.encode(body))
 
 
+def _exceeds_limits(call: dict[str, Any]) -> bool:
+    """Return whether the users' store would refuse a transaction."""
+    entries = sum(len(call[field]) for field in ("expectedRevision", "puts", "remove"))
+    largest = max((len(row["value"]) for row in call["puts"]), default=0)
+    return entries > MAX_ENTRIES or largest > MAX_VALUE_BYTES
+
+
 def _name(row: dict[str, Any]) -> tuple[str, str, str]:
     return row["table"], row["part"], row["key"]
 
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Awaitable, Callable, Sequence
 
 import logbook
@@ -49,7 +50,9 @@
 from toucanpin.scheduling.leases import OWNER_AUTHORITY_MS
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
 from toucanpin.scheduling.pending_counts import TableView, count_pending, encode_counts
-from toucanpin.scheduling.progress import Progress, decode_progress, matches_job
+from toucanpin.scheduling.progress import Progress, matches_job
+from toucanpin.scheduling.progress_rows import decode_progress, find_max_value
+from toucanpin.scheduling.progress_rows import split_key as split_progress_key
 from toucanpin.scheduling.write_batches import WriteBatch
 
 __all__ = ["CellRows", "OwnershipLostError", "decode_job_row"]
@@ -115,8 +118,7 @@
             self._interference.restore(effects, now().steady)
             self._cell.durations.fits = effects.durations
             self._cell.task_times = effects.task_times
-        known = {row.key: it for row, it in self._reader.read(progress.rows, _decode_progress)}
-        self.blocked = {row.key for row in progress.rows if row.key not in known}
+        known = self._decode_progress(progress.rows)
         await self._add_jobs(jobs.rows, known, now())
         forget_lease_ends(self._cell)
         self.view = TableView(jobs.version, jobs.clock)
@@ -129,6 +131,25 @@
         )
         return jobs.version
 
+    def _decode_progress(self, rows: Sequence[Row]) -> dict[str, Progress]:
+        """Return the progress of jobs by id; those whose rows can't be decoded are blocked."""
+        first: list[Row] = []
+        pieces: dict[str, list[bytes]] = defaultdict(list)  # in the order of their keys
+        for row in rows:
+            job, is_piece = split_progress_key(row.key)
+            if is_piece:
+                pieces[job].append(row.value)
+            else:
+                first.append(row)
+
+        def decode(row: Row) -> Progress:
+            return decode_progress(row.value, pieces.get(row.key, ()))
+
+        known = {row.key: it for row, it in self._reader.read(first, decode)}
+        self.blocked = {row.key for row in first if row.key not in known}
+        self._cell.progress_pieces = {job: len(values) for job, values in pieces.items()}
+        return known
+
     async def _add_jobs(self, rows: Sequence[Row], known: dict[str, Progress], now: Now) -> None:
         job_rows = [row for row in rows if not split_key(row.key)[1]]
         for count, (row, job) in enumerate(self._reader.read(job_rows, decode_job_row), 1):
@@ -253,6 +274,12 @@
         self._effects_written_at = steady_time()
         model = self._interference.export(self._cell.durations, self._cell.task_times)
         learned = msgspec.msgpack.encode(model)
+        if len(learned) > find_max_value(self._cell.max_row):
+            # The next owner can learn them anew; a row that is refused would end this one.
+            _log.warning(
+                "learned effects don't fit a row", event="effects.large", size=len(learned)
+            )
+            return []
         return [Put(EFFECTS_TABLE, OWNER_KEY, learned)]
 
     def _put_counts(self) -> list[Put]:
@@ -279,10 +306,6 @@
     return job
 
 
-def _decode_progress(row: Row) -> Progress:
-    return decode_progress(row.value)
-
-
 def _decode_learned(row: Row) -> LearnedModel:
     return decode_msgpack(row.value, LearnedModel)
 
--- a/toucanpin/entry/job_lookup.py
+++ b/toucanpin/entry/job_lookup.py
@@ -23,7 +23,8 @@
 from toucanpin.http import CallError
 from toucanpin.platform.store import Row, Store
 from toucanpin.scheduling.configuration import Queue
-from toucanpin.scheduling.progress import JobState, decode_progress
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.progress_rows import decode_state
 
 __all__ = ["JobLookup", "ReadResult"]
 
@@ -105,6 +106,6 @@
 
 def _read_state(row: Row) -> JobState:
     try:
-        return JobState(decode_progress(row.value).state)
+        return decode_state(row.value)
     except DECODE_ERRORS as error:
         raise PlatformError(f"the progress of {row.key} can't be read: {error}") from error
--- a/toucanpin/entry/tests/test_cell_loading.py
+++ b/toucanpin/entry/tests/test_cell_loading.py
@@ -25,7 +25,8 @@
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner
-from toucanpin.scheduling.progress import JobState, Progress, encode_progress
+from toucanpin.scheduling.progress import JobState, Progress
+from toucanpin.scheduling.progress_rows import encode_progress
 from toucanpin.verdict import Verdict
 
 RENEWALS = 8  # they take more than twice the time after which a silent owner is replaced
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -190,6 +190,7 @@
     suspects: dict[str, set[TaskKey]] = field(default_factory=dict)  # by the worker lost
     crashing: set[TaskKey] = field(default_factory=set)  # not to be started again
     job_rows_to_delete: list[str] = field(default_factory=list)
+    progress_pieces: dict[str, int] = field(default_factory=dict)  # rows beyond the first, by job
     progress_rows_to_delete: list[str] = field(default_factory=list)  # job rows already deleted
     step_tickets: dict[Group, StepTickets] = field(default_factory=dict)
     unbegun: dict[str, None] = field(default_factory=dict)
--- a/toucanpin/scheduling/job.py
+++ b/toucanpin/scheduling/job.py
@@ -15,9 +15,9 @@
 
 __all__ = ["Job", "Step", "TaskKey", "decode_job", "encode_job", "find_job_fault", "format_task"]
 
-MAX_TASKS = 3_000  # per occurrence: its progress has to fit one row of the table
+MAX_TASKS = 3_000  # per occurrence: its progress has to fit one transaction of the table
 MAX_STEPS = 200
-MAX_OCCURRENCES = 10_000  # the row of its progress lists those that have ended
+MAX_OCCURRENCES = 10_000
 _STEP_NUMBERS = (
     "count",
     "cpu",
--- a/toucanpin/scheduling/number_ranges.py
+++ b/toucanpin/scheduling/number_ranges.py
@@ -10,7 +10,14 @@
 from bisect import bisect_right
 from collections.abc import Iterable
 
-__all__ = ["Ranges", "add_number", "count_numbers", "find_first_missing", "list_numbers"]
+__all__ = [
+    "Ranges",
+    "add_number",
+    "append_range",
+    "count_numbers",
+    "find_first_missing",
+    "list_numbers",
+]
 
 Ranges = list[tuple[int, int]]  # first and last number of each, in order and with gaps between
 
@@ -29,6 +36,16 @@
     ranges[place - joins_before : place + joins_after] = [(first, last)]
 
 
+def append_range(ranges: Ranges, first: int, last: int) -> None:
+    """Add a range that begins after the beginning of all others, in place; none if it is empty."""
+    if first > last:
+        return
+    if ranges and first <= ranges[-1][1] + 1:
+        ranges[-1] = (ranges[-1][0], max(ranges[-1][1], last))
+    else:
+        ranges.append((first, last))
+
+
 def count_numbers(ranges: Ranges) -> int:
     """Return how many numbers sorted ranges have."""
     return sum(last - first + 1 for first, last in ranges)
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -2,7 +2,7 @@
 Progress of a job
 =================
 
-The record of every task of a job, stored in one row that is written by the owner of the cell.
+The record of every task of a job, written by the owner of the cell.
 """
 
 from __future__ import annotations
@@ -11,9 +11,8 @@
 
 import msgspec
 
-from toucanpin.decoding import decode_msgpack
 from toucanpin.scheduling.job import Job
-from toucanpin.scheduling.number_ranges import Ranges, count_numbers, list_numbers
+from toucanpin.scheduling.number_ranges import Ranges
 
 __all__ = [
     "CrashSuspicion",
@@ -22,15 +21,10 @@
     "TaskRecord",
     "TaskState",
     "clear_losses",
-    "decode_progress",
-    "encode_progress",
     "matches_job",
 ]
 
 
-MAX_LISTED_OCCURRENCES = 500  # one by one
-
-
 class JobState(enum.IntEnum):
     """State of a job."""
 
@@ -101,20 +95,6 @@
     tasks: dict[int, list[TaskRecord]]
 
 
-class _Row(msgspec.Struct, array_like=True):
-    """
-    Row of a job's progress.
-
-    Few ended occurrences are listed one by one, as earlier builds read them; these don't start a
-    job of which ranges have ended.
-    """
-
-    state: int
-    ended: int
-    ended_occurrences: list[int | tuple[int, int]]
-    tasks: dict[int, list[TaskRecord]]
-
-
 def clear_losses(record: TaskRecord) -> None:
     """Discard all workers that were lost while they ran a task."""
     record.crashed = {}
@@ -122,23 +102,6 @@
     record.explained = []
 
 
-def encode_progress(progress: Progress) -> bytes:
-    """Return the encoded row of a job's progress."""
-    ranges = progress.ended_occurrences
-    few = count_numbers(ranges) <= MAX_LISTED_OCCURRENCES
-    ended: list[int | tuple[int, int]] = [*list_numbers(ranges)] if few else [*ranges]
-    return msgspec.msgpack.encode(_Row(progress.state, progress.ended, ended, progress.tasks))
-
-
-def decode_progress(value: bytes) -> Progress:
-    """Decode a job's progress from its row."""
-    row = decode_msgpack(value, _Row)
-    ranges: Ranges = []
-    for numbers in sorted(_to_range(it) for it in row.ended_occurrences):
-        _append_range(ranges, numbers)
-    return Progress(row.state, row.ended, ranges, row.tasks)
-
-
 def matches_job(progress: Progress, job: Job) -> bool:
     """Return whether progress has a job's number of tasks and only known states."""
     total = sum(step.count for step in job.steps)
@@ -152,18 +115,3 @@
         and all(record.state in known for record in records)
         for occurrence, records in progress.tasks.items()
     )
-
-
-def _to_range(numbers: int | tuple[int, int]) -> tuple[int, int]:
-    return (numbers, numbers) if isinstance(numbers, int) else numbers
-
-
-def _append_range(ranges: Ranges, numbers: tuple[int, int]) -> None:
-    """Add a range that begins after the beginning of those before it; empty ones are dropped."""
-    first, last = numbers
-    if first > last:
-        return
-    if ranges and first <= ranges[-1][1] + 1:
-        ranges[-1] = (ranges[-1][0], max(ranges[-1][1], last))
-    else:
-        ranges.append((first, last))
--- a/toucanpin/scheduling/tests/admission_day.py
+++ b/toucanpin/scheduling/tests/admission_day.py
@@ -26,7 +26,8 @@
 from toucanpin.scheduling.job_times import compute_time_limit
 from toucanpin.scheduling.load_history import LoadHistory
 from toucanpin.scheduling.orders import StartAnswer, WorkerEntry
-from toucanpin.scheduling.progress import JobState, decode_progress
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.progress_rows import decode_progress
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 
 __all__ = ["Day", "Fate", "Load", "make_batch", "make_best_effort", "make_urgent", "play"]
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -41,7 +41,8 @@
 )
 from toucanpin.scheduling.pacing import control_pace
 from toucanpin.scheduling.placing import NO_LIMIT, place_tasks
-from toucanpin.scheduling.progress import decode_progress
+from toucanpin.scheduling.progress import Progress
+from toucanpin.scheduling.progress_rows import decode_progress, decode_state, split_key
 from toucanpin.scheduling.starting import (
     StartOutcome,
     apply_start_answer,
@@ -150,7 +151,7 @@
         self.model = InterferenceModel()
         for job in self.jobs.values():
             if job.id in self.rows:
-                restore_job(self.cell, job, decode_progress(self.rows[job.id]), self.now())
+                restore_job(self.cell, job, self.read_progress(job.id), self.now())
             else:
                 submit_job(self.cell, job, self.now())
 
@@ -161,7 +162,12 @@
 
     def state(self, job: str) -> int:
         """Return a job's state as written to the table."""
-        return decode_progress(self.rows[job]).state if job in self.rows else 0
+        return decode_state(self.rows[job]) if job in self.rows else 0
+
+    def read_progress(self, job: str) -> Progress:
+        """Return a job's progress as written to the table."""
+        pieces = [self.rows[key] for key in sorted(self.rows) if split_key(key) == (job, True)]
+        return decode_progress(self.rows[job], pieces)
 
     def _make_cell(self, token: int) -> Cell:
         cell = Cell(
@@ -192,6 +198,8 @@
         if self.store_up:
             batch = take_batch(self.cell)
             self.rows.update(batch.records)
+            for key in batch.forgotten:
+                self.rows.pop(key, None)
             self.cell.confirmed_at = self.time
             self.pending += apply_batch(self.cell, batch)
         self._send_starts()
--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -10,7 +10,8 @@
 from standins.site.worker_core import WorkerCore
 from toucanpin.scheduling.crashing import fail_crashing_jobs
 from toucanpin.scheduling.job import Step, TaskKey
-from toucanpin.scheduling.progress import JobState, encode_progress
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.progress_rows import encode_progress
 from toucanpin.scheduling.suspicion import MAX_CRASHES_AT_START, NEW_WORKER_PERIOD_S
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 
--- a/toucanpin/scheduling/tests/test_durations.py
+++ b/toucanpin/scheduling/tests/test_durations.py
@@ -8,7 +8,8 @@
 
 from toucanpin.scheduling.durations import Durations, Fit
 from toucanpin.scheduling.job import Step
-from toucanpin.scheduling.progress import JobState, decode_progress
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.progress_rows import decode_progress
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
 ESTIMATE_DEVIATION = 0.9  # standard deviation of the logarithm of estimates
--- a/toucanpin/scheduling/tests/test_incarnation_losses.py
+++ b/toucanpin/scheduling/tests/test_incarnation_losses.py
@@ -8,11 +8,8 @@
 
 from toucanpin.scheduling.intake import forget_ended
 from toucanpin.scheduling.job import Step, TaskKey
-from toucanpin.scheduling.progress import (
-    JobState,
-    TaskRecord,
-    decode_progress,
-)
+from toucanpin.scheduling.progress import JobState, TaskRecord
+from toucanpin.scheduling.progress_rows import decode_progress
 from toucanpin.scheduling.tests.fleet import FIRST_BORN, Fleet, make_job
 
 MAX_CRASHES = 5  # two more starts after the third crash
--- a/toucanpin/scheduling/tests/test_occurrences.py
+++ b/toucanpin/scheduling/tests/test_occurrences.py
@@ -12,14 +12,8 @@
 from toucanpin.scheduling.job import Job, Step
 from toucanpin.scheduling.job_order import count_brief_tasks
 from toucanpin.scheduling.occurrences import begin_due, count_due, describe_late_jobs
-from toucanpin.scheduling.progress import (
-    JobState,
-    Progress,
-    TaskRecord,
-    decode_progress,
-    encode_progress,
-    matches_job,
-)
+from toucanpin.scheduling.progress import JobState, Progress, TaskRecord, matches_job
+from toucanpin.scheduling.progress_rows import decode_progress, encode_progress
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
 MINUTE_MS = 60_000
--- a/toucanpin/scheduling/tests/test_overload.py
+++ b/toucanpin/scheduling/tests/test_overload.py
@@ -7,7 +7,8 @@
 from toucanpin.scheduling.cell import Group, Now
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.job_order import rank_group
-from toucanpin.scheduling.progress import JobState, decode_progress
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.progress_rows import decode_progress
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
 
--- a/toucanpin/scheduling/tests/test_unsettled.py
+++ b/toucanpin/scheduling/tests/test_unsettled.py
@@ -8,7 +8,7 @@
 from toucanpin.scheduling.intake import restore_job
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.leases import mark_silent
-from toucanpin.scheduling.progress import decode_progress
+from toucanpin.scheduling.progress_rows import decode_progress
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.unsettled import Unsettled, describe_unsettled
 
--- a/toucanpin/scheduling/write_batches.py
+++ b/toucanpin/scheduling/write_batches.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from toucanpin.scheduling.cell import Cell
-from toucanpin.scheduling.progress import encode_progress
+from toucanpin.scheduling.progress_rows import encode_rows, list_piece_keys
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = [
@@ -23,7 +23,7 @@
     "take_batch",
 ]
 
-MAX_ROWS = 90  # of a transaction's 100 entries; the owner's row takes two
+MAX_ROWS = 85  # of a transaction's 100 entries; the owner's row and deletes take some
 MAX_FORGOTTEN = 5  # jobs per transaction
 MAX_BYTES = 400_000  # of a transaction's 1 MB, which base64 makes a third larger
 
@@ -46,8 +46,8 @@
     """
     Content of one transaction and the actions that depend on it.
 
-    ``records`` has the progress of jobs by id; ``forgotten`` are jobs whose progress is deleted;
-    ``placed`` are runs to be started and ``ends`` the newest written end of each worker.
+    ``records`` has the rows of jobs' progress by key; ``forgotten`` are the keys of rows that are
+    deleted; ``placed`` are runs to be started and ``ends`` the newest written end of each worker.
     """
 
     records: dict[str, bytes]
@@ -65,20 +65,24 @@
     """Remove pending writes from the cell, up to the limits of one transaction."""
     records: dict[str, bytes] = {}
     size = 0
+    unused: list[str] = []
     for identifier in list(cell.dirty):
-        if len(records) >= MAX_ROWS or size > MAX_BYTES:
+        rows = encode_rows(identifier, cell.jobs[identifier].progress, cell.max_row)
+        size += sum(map(len, rows.values()))
+        if records and (len(records) + len(rows) + len(unused) > MAX_ROWS or size > MAX_BYTES):
             break
         del cell.dirty[identifier]
-        records[identifier] = encode_progress(cell.jobs[identifier].progress)
-        size += len(records[identifier])
+        records |= rows
+        unused += _replace_pieces(cell, identifier, len(rows) - 1)
     # Ends and starts depend on the rows of all jobs that they changed.
     complete = not cell.dirty
     placed = [run for run in cell.placed if complete or run.task.job not in cell.dirty]
     cell.placed = [run for run in cell.placed if not complete and run.task.job in cell.dirty]
     ends = tuple(_take_ends(cell)) if complete else ()
-    forgotten = tuple(cell.progress_rows_to_delete[:MAX_FORGOTTEN])
-    del cell.progress_rows_to_delete[: len(forgotten)]
-    return WriteBatch(records, forgotten, tuple(placed), ends)
+    ended = cell.progress_rows_to_delete[:MAX_FORGOTTEN]
+    del cell.progress_rows_to_delete[: len(ended)]
+    unused += [key for job in ended for key in (job, *_replace_pieces(cell, job, 0))]
+    return WriteBatch(records, tuple(unused), tuple(placed), ends)
 
 
 def apply_batch(cell: Cell, batch: WriteBatch) -> list[Run]:
@@ -94,6 +98,14 @@
     return started
 
 
+def _replace_pieces(cell: Cell, job: str, count: int) -> Iterable[str]:
+    """Record the number of a job's pieces; return the keys of those that aren't used any more."""
+    before = cell.progress_pieces.pop(job, 0)
+    if count:
+        cell.progress_pieces[job] = count
+    return list_piece_keys(job, before, count)
+
+
 def _take_ends(cell: Cell) -> Iterator[WrittenEnd]:
     """Remove the ends that aren't written yet from the cell."""
     for identifier, sequence in cell.end_sequences.items():
--- a/toucanpin/tests/test_decoding.py
+++ b/toucanpin/tests/test_decoding.py
@@ -31,7 +31,7 @@
 from toucanpin.scheduling.configuration import Queue
 from toucanpin.scheduling.ownership import decode_owner
 from toucanpin.scheduling.pending_counts import decode_counts
-from toucanpin.scheduling.progress import decode_progress
+from toucanpin.scheduling.progress_rows import decode_progress
 from toucanpin.timeline.codec import decode_lines
 from toucanpin.wire.keys import parse_peer_keys
 
