--- a/standins/site/virtual.py
+++ b/standins/site/virtual.py
@@ -187,7 +187,7 @@
                 await asyncio.sleep(LINK_DELAY_S)
                 server = self._servers.get(client.address)
                 if server is None:
-                    raise UnreachableError(f"{client.address} can't be reached")
+                    raise UnreachableError(f"{client.address} can't be reached", True)
                 # A request that has arrived is carried out, also if its caller has given up.
                 handling = asyncio.ensure_future(server.handle(request))
                 self._handling[handling] = server
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -163,8 +163,8 @@
                 if self._cell.workers.get(identifier) is not worker:
                     break
                 repeated = worker.silent
-                connects = not isinstance(error, UnreachableError)
-                mark_silent(worker, self._clocks.now(), connects)
+                refuses = isinstance(error, UnreachableError) and error.refused
+                mark_silent(worker, self._clocks.now(), refuses)
                 if repeated:
                     await asyncio.sleep(_plan_retry_delay(worker, failures))
                     failures += 1
--- a/toucanpin/http/client.py
+++ b/toucanpin/http/client.py
@@ -52,10 +52,15 @@
 
 
 class UnreachableError(CallError):
-    """Raised if no connection can be opened, so the request certainly had no effect."""
+    """
+    Raised if no connection can be opened, so the request certainly had no effect.
 
-    def __init__(self, detail: str) -> None:
+    ``refused`` is whether the host answered that nobody listens there.
+    """
+
+    def __init__(self, detail: str, refused: bool) -> None:
         super().__init__(Verdict.NOT_RUN, detail)
+        self.refused = refused
 
 
 class TooLargeError(CallError):
@@ -138,7 +143,7 @@
         except (OSError, TimeoutError) as error:
             _cancel_opening(opening)
             detail = f"{self.address} can't be reached: {error or 'time-out'}"
-            raise UnreachableError(detail) from error
+            raise UnreachableError(detail, isinstance(error, ConnectionRefusedError)) from error
         except asyncio.CancelledError:
             _cancel_opening(opening)
             raise
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -186,6 +186,8 @@
     unlogged_steps_at_fault: list[StepAtFault] = field(default_factory=list)
     # When the newest start without an answer was sent, by worker, task and attempt.
     unanswered_starts: dict[tuple[str, TaskKey, int], float] = field(default_factory=dict)
+    # Of forgotten workers, which may return under their ids.
+    late_orders_ends: dict[str, float] = field(default_factory=dict)
     lost_workers: list[LostWorker] = field(default_factory=list)  # lately
     suspects: dict[str, set[TaskKey]] = field(default_factory=dict)  # by the worker lost
     crashing: set[TaskKey] = field(default_factory=set)  # not to be started again
--- a/toucanpin/scheduling/incarnations.py
+++ b/toucanpin/scheduling/incarnations.py
@@ -18,7 +18,11 @@
 from toucanpin.scheduling.cell import Cell, Now, add_run, drop_run
 from toucanpin.scheduling.crashing import record_incarnation_lost, record_loss
 from toucanpin.scheduling.ending import end_run
-from toucanpin.scheduling.late_starts import bound_late_start, stop_late_starts
+from toucanpin.scheduling.late_orders import (
+    bound_late_start,
+    bound_next_incarnation,
+    stop_late_starts,
+)
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker
@@ -70,6 +74,7 @@
         first_listed_at=now.steady,
         listed_at=worker.listed_at,
         answered_at=0.0 if listed else now.steady,
+        late_orders_end=bound_next_incarnation(cell, worker),
     )
     record_incarnation_lost(cell, worker, now)
     unsettled = []
@@ -119,7 +124,6 @@
     if run.phase is Phase.UNKNOWN:
         add_run(cell, successor, run)
         return
-    successor.late_starts_end = max(successor.late_starts_end, bound_late_start(cell, run))
     run.phase = Phase.ORDERED
     run.born = successor.born  # which the late start may crash as well
     add_run(cell, successor, run)
--- a/toucanpin/scheduling/late_starts.py
+++ b/toucanpin/scheduling/late_orders.py
@@ -1,14 +1,15 @@
 """
-Late starts
+Late orders
 ===========
 
-Bound the time for which a start without an answer may still be carried out, and stop such starts.
+Bound the time for which orders to an earlier incarnation may still have effects, and stop starts.
 
 Notes
 -----
-A worker that leaves a start unanswered may carry it out seconds later.  Within one incarnation this
-is harmless once the lease that the start carries has ended.  The next incarnation's clock begins
-anew, so that the same start is in time there, and only the longest lease bounds it.
+A worker that leaves an order unanswered may carry it out seconds later.  Within one incarnation
+this is harmless once the lease that the order carries has ended.  The next incarnation's clock
+begins anew, so that the same start is in time there, and a renewal lengthens the lease of all that
+runs there.  Only the longest lease bounds both.
 """
 
 from __future__ import annotations
@@ -22,9 +23,11 @@
 
 __all__ = [
     "bound_late_start",
-    "bound_late_starts",
+    "bound_late_orders",
+    "bound_next_incarnation",
     "is_earlier",
     "record_unanswered_start",
+    "remember_late_orders",
     "stop_late_starts",
 ]
 
@@ -46,18 +49,39 @@
     return _bound_execution(cell, sent_at) if sent_at else 0.0
 
 
-def bound_late_starts(cell: Cell, worker: Worker) -> float:
+def bound_late_orders(cell: Cell, worker: Worker) -> float:
     """
-    Return the local time by which no start to an earlier incarnation executes on a worker.
+    Return the local time by which no order to an earlier incarnation has effects on a worker.
 
     A new owner doesn't know which starts had no answer.
     """
     if worker.reached:
-        return worker.late_starts_end
+        return worker.late_orders_end
     may_be_listed = not worker.entry.address and not cell.introduced
     if may_be_listed or any(_may_start_unseen(worker, run) for run in worker.runs.values()):
-        return max(worker.late_starts_end, cell.earlier_leases_end)
-    return worker.late_starts_end
+        return max(worker.late_orders_end, cell.earlier_leases_end)
+    return worker.late_orders_end
+
+
+def bound_next_incarnation(cell: Cell, worker: Worker) -> float:
+    """
+    Return the local time by which no order to a worker has effects on its next incarnation.
+
+    Some order to a process that ends is usually without an answer.
+    """
+    ends = [worker.late_orders_end]
+    ends += [bound_late_start(cell, run) for run in worker.runs.values()]
+    if worker.granted_at:
+        ends.append(_bound_execution(cell, worker.granted_at))
+    return max(ends)
+
+
+def remember_late_orders(cell: Cell, worker: Worker, now: Now) -> None:
+    """Keep until when orders to a forgotten worker may have effects if it returns."""
+    ends = cell.late_orders_ends
+    ends[worker.entry.id] = bound_next_incarnation(cell, worker)
+    for identifier in [identifier for identifier, end in ends.items() if end <= now.steady]:
+        del ends[identifier]
 
 
 def record_unanswered_start(cell: Cell, worker: Worker, run: Run, now: Now) -> None:
--- a/toucanpin/scheduling/lease_ends.py
+++ b/toucanpin/scheduling/lease_ends.py
@@ -74,7 +74,7 @@
     ends = {
         key: end for key, end in cell.earlier_lease_ends.items() if not _has_answered(cell, key)
     }
-    ends |= {worker.entry.id: worker.lease_expires_at for worker in _list_silent(cell)}
+    ends |= {worker.entry.id: _bound_runs(worker) for worker in _list_silent(cell)}
     soonest = sorted(ends.items(), key=lambda item: item[1])[:MAX_LISTED_WORKERS]
     return {key: count_ms_until(end, now) for key, end in soonest}
 
@@ -113,8 +113,13 @@
 
 
 def bound_earlier_leases(cell: Cell, worker: str) -> float:
-    """Return the local time by which the leases of a worker by earlier owners have ended."""
-    return min(cell.earlier_leases_end, cell.earlier_lease_ends.get(worker, float("inf")))
+    """
+    Return the local time by which the leases of a worker by earlier owners have ended.
+
+    A listed end may be later than that of all leases that were granted, as a worker that has
+    restarted may lengthen one by an order to its earlier incarnation.
+    """
+    return cell.earlier_lease_ends.get(worker, cell.earlier_leases_end)
 
 
 def _list_silent(cell: Cell) -> Iterable[Worker]:
@@ -124,6 +129,15 @@
             yield worker
 
 
+def _bound_runs(worker: Worker) -> float:
+    """
+    Return when what a worker runs has ended, by an order to an earlier incarnation at the latest.
+
+    Such an order has no effects on a process that has ended; the next owner can't find that out.
+    """
+    return max(worker.lease_expires_at, 0.0 if worker.refuses else worker.late_orders_end)
+
+
 def _has_answered(cell: Cell, identifier: str) -> bool:
     worker = cell.workers.get(identifier)
     return worker is not None and bool(worker.clock)
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -18,7 +18,12 @@
     end_lost_runs,
     record_lost_run,
 )
-from toucanpin.scheduling.late_starts import bound_late_starts, is_earlier, stop_late_starts
+from toucanpin.scheduling.late_orders import (
+    bound_late_orders,
+    is_earlier,
+    remember_late_orders,
+    stop_late_starts,
+)
 from toucanpin.scheduling.lease_ends import bound_earlier_leases, is_lease_withheld
 from toucanpin.scheduling.orders import PollAnswer, PollOrder, RunningTask, StopOrder, WorkerEntry
 from toucanpin.scheduling.presence import is_gone, record_listing
@@ -92,6 +97,7 @@
                 entry,
                 born=entry.born,
                 lease_expires_at=bound_earlier_leases(cell, entry.id),
+                late_orders_end=cell.late_orders_ends.pop(entry.id, 0.0),
                 first_listed_at=now.steady,
             )
             cell.workers[entry.id] = worker
@@ -143,7 +149,7 @@
     if not worker.clock or until <= now.steady or is_lease_withheld(cell, worker):
         return 0
     cell.earlier_lease_ends.pop(worker.entry.id, None)
-    return grant_lease(worker, until)
+    return grant_lease(worker, until, now.steady)
 
 
 def awaits_renewal(worker: Worker) -> bool:
@@ -173,7 +179,7 @@
     _update_clock(worker, answer.clock, now)
     worker.answered_at = now.steady
     worker.silent = False
-    worker.connects = True
+    worker.refuses = False
     worker.silent_since = 0.0
     worker.lists_ends = bool(answer.ended)
     # Its next incarnation may carry out a late start of this owner.
@@ -197,9 +203,9 @@
     worker.utilization = None
 
 
-def mark_silent(worker: Worker, now: Now, connects: bool = True) -> None:
-    """Record that a worker did not answer, and whether it accepted the connection."""
-    worker.connects = connects
+def mark_silent(worker: Worker, now: Now, refuses: bool = False) -> None:
+    """Record that a worker did not answer, and whether nobody listened at its address."""
+    worker.refuses = refuses
     if not worker.silent:
         worker.silent_since = now.steady
     worker.silent = True
@@ -221,18 +227,16 @@
     for worker in list(cell.workers.values()):
         if not worker.silent and worker.reached:
             continue
-        if now.steady <= worker.lease_expires_at:
-            continue
-        may_start_late = now.steady <= bound_late_starts(cell, worker)
-        if may_start_late and not is_gone(cell, worker, now):
+        may_run = now.steady <= max(worker.lease_expires_at, bound_late_orders(cell, worker))
+        if may_run and not is_gone(cell, worker, now):
             continue
         if worker.runs:
             record_incarnation_lost(cell, worker, now)
-            cause = LossCause.GONE if may_start_late else LossCause.LAPSED
-            end_lost_runs(cell, worker, cause, now)
+            end_lost_runs(cell, worker, LossCause.GONE if may_run else LossCause.LAPSED, now)
         unlisted = now.steady > worker.listed_at + FORGET_WORKER_AFTER_S
         if unlisted and now.steady > worker.answered_at + FORGET_WORKER_AFTER_S:
             del cell.workers[worker.entry.id]
+            remember_late_orders(cell, worker, now)
             forgotten.append(worker)
     return forgotten
 
--- a/toucanpin/scheduling/presence.py
+++ b/toucanpin/scheduling/presence.py
@@ -6,9 +6,10 @@
 
 Notes
 -----
-A worker that is gone opens no connection, and its entry is removed once its reports are missing.
-One that hangs accepts connections.  Entries may also expire because the table was unavailable; they
-are back soon after its return.
+Nobody listens at the address of a worker that is gone, and its entry is removed once its reports
+are missing.  One that is cut off or hangs refuses no connection: it may run on.  Between two
+incarnations connections are refused as well, but not for long enough to lose the entry.  Entries
+may also expire because the table was unavailable; they are back soon after its return.
 """
 
 from __future__ import annotations
@@ -40,8 +41,8 @@
 
 
 def is_gone(cell: Cell, worker: Worker, now: Now) -> bool:
-    """Return whether a worker has no entry and accepts no connection, while the list is sound."""
-    if worker.connects or not worker.unlisted_since:
+    """Return whether a worker has no entry and refuses connections, while the list is sound."""
+    if not worker.refuses or not worker.unlisted_since:
         return False
     if now.steady > cell.entries_read_at + MAX_READ_GAP_S:
         return False
--- a/toucanpin/scheduling/starting.py
+++ b/toucanpin/scheduling/starting.py
@@ -14,7 +14,7 @@
 from toucanpin.scheduling.ending import RETRY_DELAY_S, end_run
 from toucanpin.scheduling.evacuating import has_current_evacuations, is_evacuated
 from toucanpin.scheduling.first_pace import order_first_pace
-from toucanpin.scheduling.late_starts import record_unanswered_start
+from toucanpin.scheduling.late_orders import record_unanswered_start
 from toucanpin.scheduling.lease_ends import is_lease_withheld
 from toucanpin.scheduling.leases import lease_end
 from toucanpin.scheduling.orders import RefusalReason, StartAnswer
@@ -72,7 +72,7 @@
     if until - now.steady < MIN_START_LEASE_S:
         return 0
     run.ordered_at = now.steady
-    return grant_lease(worker, until)
+    return grant_lease(worker, until, now.steady)
 
 
 def apply_start_answer(
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -223,7 +223,7 @@
                 if worker.entry.address and f"{worker.entry.id}'" in self.workers:
                     remove_replaced_worker(self.cell, worker, self.now())
                 else:
-                    mark_silent(worker, self.now(), connects=False)
+                    mark_silent(worker, self.now(), refuses=True)
                 continue
             if core.silent:
                 mark_silent(worker, self.now())
--- a/toucanpin/scheduling/tests/test_ended_incarnations.py
+++ b/toucanpin/scheduling/tests/test_ended_incarnations.py
@@ -8,6 +8,7 @@
 from toucanpin.scheduling.job import Step
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
+LONGEST_LEASE_S = 10.0  # that a worker accepts
 EARLIER_LEASES_S = 10.0  # until no lease of an earlier owner is in force
 DOWN_S = 1.0  # between two incarnations
 UP_S = 0.1  # for which a short-lived one is up
@@ -23,11 +24,11 @@
         self.fleet = Fleet(workers=4)
         self.fleet.run(EARLIER_LEASES_S)
 
-    def _begin(self, count: int = 1) -> str:
-        """Start long-running tasks after a start without an answer; return the worker of one."""
+    def _begin(self, count: int = 1, answered: bool = False) -> str:
+        """Start long-running tasks, at first without an answer; return the worker of one."""
         for core in self.fleet.workers.values():
             core.duration = 600.0
-            core.delays_orders = True
+            core.delays_orders = not answered
         step = Step(count=count, cpu=1_000, long_running=True)
         self.fleet.submit(make_job(steps=(step,)))
         self.fleet.run(0.1)
@@ -124,7 +125,7 @@
             self.fleet.run(0.1)
         self.assertEqual(1, self._count_running())
 
-    def test_incarnation_that_accepts_connections_is_not_gone(self) -> None:
+    def test_incarnation_that_refuses_no_connection_is_not_gone(self) -> None:
         """
         The next incarnation is cut off from the store and answers nothing, but is there.  Guards
         against starting its task elsewhere while it carries out the late start.
@@ -137,6 +138,31 @@
         self.fleet.run(30.0)
         self.assertFalse(self.fleet.duplicate_runs)
 
+    def test_lease_that_a_late_renewal_lengthens_on_the_next_incarnation(self) -> None:
+        """
+        A renewal to a worker that ends is carried out by its next incarnation, whose clock is far
+        behind, and which is cut off then.  Guards against its task running on beside another run.
+        """
+        for replaced in (False, True):
+            with self.subTest(owner_replaced=replaced):
+                self.fleet = Fleet(workers=4)
+                self.fleet.run(EARLIER_LEASES_S)
+                name = self._begin(14, answered=True)  # all that long-running tasks get
+                earlier = self._end(name)
+                self.fleet.run(DOWN_S)
+                core = self._return(earlier)
+                self.fleet.run(3.0)
+                self.assertTrue(core.runs)
+                self.fleet.add_worker("spare").duration = 600.0
+                core.deadline = self.fleet.clock(name) + LONGEST_LEASE_S
+                core.silent = True
+                self.fleet.run(1.0)
+                self.fleet.unlisted.add(name)
+                if replaced:
+                    self.fleet.replace_owner()
+                self.fleet.run(LONGEST_LEASE_S + 3.0)
+                self.assertFalse(self.fleet.duplicate_runs)
+
     def test_missing_entry_counts_only_while_the_list_is_sound(self) -> None:
         """
         Entries that expired while the store was unavailable are back within 2 s.  Guards against
--- a/toucanpin/scheduling/unsettled.py
+++ b/toucanpin/scheduling/unsettled.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 
 from toucanpin.scheduling.cell import Cell
-from toucanpin.scheduling.late_starts import bound_late_starts
+from toucanpin.scheduling.late_orders import bound_late_orders
 from toucanpin.scheduling.worker import Worker
 
 __all__ = ["Unsettled", "describe_unsettled"]
@@ -51,7 +51,7 @@
         _count_runs(unreached),
         _count_runs(worker for worker in unreached if not worker.entry.address),
         total - _count_runs(unreached),
-        max(max(it.lease_expires_at, bound_late_starts(cell, it)) for it in workers),
+        max(max(it.lease_expires_at, bound_late_orders(cell, it)) for it in workers),
     )
 
 
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -112,14 +112,15 @@
     answered_at: float = 0.0
     silent: bool = False  # it did not answer the latest poll
     silent_since: float = 0.0  # 0 if it answers
-    connects: bool = True  # it accepted the connection of the latest poll
+    refuses: bool = False  # nobody listened at its address at the latest poll
     unlisted_since: float = 0.0  # 0 if it has an entry
     # Its entry can't be decoded or is of an earlier incarnation, though it may still answer.
     malformed: bool = False
     clock: int = 0
     clock_read_at: float = 0.0
     lease_expires_at: float = 0.0
-    late_starts_end: float = 0.0  # from when on no start to an earlier incarnation executes here
+    granted_at: float = 0.0  # when the newest order with a lease was sent
+    late_orders_end: float = 0.0  # of those to earlier incarnations, with their leases
     renewed: bool = False  # this owner has granted it a lease
     renewal_due: bool = True  # none was granted since it was first listed, or silent
     listed_sequence: int = 0  # of the newest end that it listed
@@ -233,17 +234,18 @@
     return worker.entry.cpu - worker.cpu + worker.stopping_cpu + preemptible_cpu
 
 
-def grant_lease(worker: Worker, until: float) -> int:
+def grant_lease(worker: Worker, until: float, now: float) -> int:
     """
     Return a lease's end on the worker's clock, and record when it has expired for certain.
 
-    ``until`` is on the local clock. Orders may arrive late, but the lease end that they carry is
-    fixed.
+    ``until`` and ``now`` are on the local clock. Orders may arrive late, but the lease end that
+    they carry is fixed.
     """
     ahead = max(0.0, until - worker.clock_read_at)
     deadline = worker.clock + int(ahead * 1_000)
     expires_at = worker.clock_read_at + ahead / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
     worker.lease_expires_at = max(worker.lease_expires_at, expires_at)
+    worker.granted_at = now
     worker.renewed = True
     worker.renewal_due = False
     return deadline
