--- a/toucanpin/scheduling/interrupted_tasks.py
+++ b/toucanpin/scheduling/interrupted_tasks.py
@@ -30,6 +30,7 @@
     "InterruptedTaskReservation",
     "PlacementTurn",
     "leaves_cores_to_short",
+    "list_interrupted",
     "list_turns",
     "may_take_reserve",
 ]
@@ -74,6 +75,17 @@
     return [turn for _, turn in sorted(turns, key=lambda ranked: ranked[0])]
 
 
+def list_interrupted(cell: Cell, group: Group, now: Now) -> Iterator[tuple[int, float]]:
+    """Yield the waiting tasks of a step that have run before, and when they last did."""
+    live = cell.jobs[group.job]
+    start = live.offsets[group.step]
+    records = live.progress.tasks[group.occurrence]
+    for index in cell.waiting[group]:
+        if records[start + index].attempt:
+            task = TaskKey(group.job, group.occurrence, group.step, index)
+            yield index, cell.interrupted.setdefault(task, now.steady)
+
+
 def may_take_reserve(cell: Cell, live: LiveJob, group: Group, index: int, now: Now) -> bool:
     """Return whether a long-running task that has run before may take reserved cores."""
     records = live.progress.tasks[group.occurrence]
@@ -103,18 +115,7 @@
         return set()
     # The wait of the step tells nothing of a task that failed while its siblings waited.
     due = now.steady - (MAX_RETRY_DELAY_S if _are_cores_scarce(cell, now) else PRECEDENCE_WAIT_S)
-    return {index for index, since in _list_interrupted(cell, group, now) if since <= due}
-
-
-def _list_interrupted(cell: Cell, group: Group, now: Now) -> Iterator[tuple[int, float]]:
-    """Yield the waiting tasks of a step that have run before, and when they last did."""
-    live = cell.jobs[group.job]
-    start = live.offsets[group.step]
-    records = live.progress.tasks[group.occurrence]
-    for index in cell.waiting[group]:
-        if records[start + index].attempt:
-            task = TaskKey(group.job, group.occurrence, group.step, index)
-            yield index, cell.interrupted.setdefault(task, now.steady)
+    return {index for index, since in list_interrupted(cell, group, now) if since <= due}
 
 
 class InterruptedTaskReservation:
--- a/toucanpin/scheduling/standing_jobs.py
+++ b/toucanpin/scheduling/standing_jobs.py
@@ -2,7 +2,8 @@
 Standing jobs
 =============
 
-Place a task of a job of which nothing runs, although half of the cores are idle.
+Place a task of a job of which nothing runs, although half of the cores are idle, and long-running
+tasks that have been away for too long.
 
 Notes
 -----
@@ -10,7 +11,8 @@
 retries wait for workers on which nothing fails, and some cores are kept free.  Each of these holds
 is ended by an event that may not come for as long as a cell runs.  So a job stands still for a
 bounded time only: then one of its tasks runs where it does the least harm, best-effort ones at a
-low pace.
+low pace.  So does each long-running task that has run before, whatever else of its job runs and
+however full the cell is.
 """
 
 from __future__ import annotations
@@ -27,7 +29,7 @@
     meets_constraints,
 )
 from toucanpin.scheduling.evacuating import list_not_evacuated
-from toucanpin.scheduling.interrupted_tasks import PlacementTurn
+from toucanpin.scheduling.interrupted_tasks import PlacementTurn, list_interrupted
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.placement_round import PlacementRound
 from toucanpin.scheduling.prediction import predict_share
@@ -46,6 +48,7 @@
 MAX_STANDSTILL_S = 1.8
 # Of all cores, by their load or as requested of workers; the promise holds up to half of them.
 MAX_USED_SHARE = 0.52
+MAX_INTERRUPTION_S = 6.0  # of a long-running task, to which 3 s are added
 MAX_PLACED = 4  # in a round, as each changes what the next ones may do
 # Each search looks at all workers, so on a large fleet a round has time for a few only.
 MIN_SEARCHES = 4
@@ -100,9 +103,9 @@
             return
         if not self._has_waited(turn.group):
             return
-        if list_runs(self._cell, live) or not self._are_cores_idle():
-            return
-        task = self._find_task(live, turn.group, turn.tasks)
+        task = self._find_overdue_task(live, turn, step)
+        if task is None and not list_runs(self._cell, live) and self._are_cores_idle():
+            task = self._find_task(live, turn.group, turn.tasks)
         if task is None:
             return
         self._searches_left -= 1
@@ -160,6 +163,15 @@
             return False
         return self._round.now.steady >= max(wait.since + MAX_STANDSTILL_S, wait.last_resort_at)
 
+    def _find_overdue_task(self, live: LiveJob, turn: PlacementTurn, step: Step) -> TaskKey | None:
+        """Return a long-running task that has run before and waits for too long."""
+        if not step.long_running:
+            return None
+        now = self._round.now
+        waiting = list_interrupted(self._cell, turn.group, now)
+        overdue = {index for index, since in waiting if since <= now.steady - MAX_INTERRUPTION_S}
+        return self._find_task(live, turn.group, overdue)
+
     def _find_task(self, live: LiveJob, group: Group, indices: Collection[int]) -> TaskKey | None:
         """Return the one of some waiting tasks with the fewest failures that may start now."""
         cell, now = self._cell, self._round.now
--- a/toucanpin/scheduling/tests/test_held_tasks.py
+++ b/toucanpin/scheduling/tests/test_held_tasks.py
@@ -14,6 +14,7 @@
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 
 MAX_STANDSTILL_S = 3.0  # of a job whose tasks may run, while under half of the cores are in use
+MAX_INTERRUPTION_S = 9.0  # of a lasting task, while all is calm
 MAX_OVER_TARGET_S = 4.0  # of a service, because of best-effort tasks beside it
 TARGET_MS = 50
 IDLE_TAIL_MS = 10.0
@@ -25,11 +26,12 @@
 class _SharedCore(WorkerCore):
     """Worker on which best-effort tasks disturb services, as far as they work."""
 
-    __slots__ = ("load", "paces", "saved", "seen_at")
+    __slots__ = ("effect", "load", "paces", "saved", "seen_at")
 
     def __init__(self, entry: WorkerEntry, load: float, saved: dict[TaskKey, float]) -> None:
         super().__init__(entry)
         self.load = load  # utilization of the service without neighbours
+        self.effect = EFFECT
         self.paces: dict[TaskKey, int] = {}
         self.seen_at = 0.0
         self.saved = saved  # time in s that stopped tasks have worked for, on all workers
@@ -54,7 +56,7 @@
             for task in self.runs
             if task.job.startswith("batch")
         )
-        return IDLE_TAIL_MS / max(0.02, 1 - self.load * (1 + EFFECT * sum(shares)))
+        return IDLE_TAIL_MS / max(0.02, 1 - self.load * (1 + self.effect * sum(shares)))
 
     def poll(self, token: int, acknowledged: int, deadline: int, now: float):
         answer = super().poll(token, acknowledged, deadline, now)
@@ -156,6 +158,27 @@
             fleet.submit(make_job(job, (step,)))
         self.assertLessEqual(self._measure_standstill(fleet, jobs, 10.0), MAX_STANDSTILL_S)
 
+    def test_interrupted_best_effort_task_starts_again_beside_loaded_services(self) -> None:
+        """
+        The services are close to their target all the time, and sound.  Guards against a lasting
+        task that stays away since others of its job run.
+        """
+        fleet = self._serve(0.3)
+        lasting = msgspec.structs.replace(BATCH, count=3, cpu=200, long_running=True, per_worker=1)
+        fleet.submit(make_job("batch", (lasting,)))
+        fleet.run(2.0)
+        for core in fleet.workers.values():
+            assert isinstance(core, _SharedCore)
+            core.duration, core.load, core.effect = 600.0, 0.78, 0.0
+        fleet.model._store_effect(Effect("web", "batch", 0.1, 0.05))
+        running = [name for name, core in fleet.workers.items() if len(core.runs) == 2]
+        self.assertEqual(3, len(running))
+        fleet.run(4.0)
+        fleet.crash(running[0])
+        fleet.run(MAX_INTERRUPTION_S)
+        tasks = [task for core in fleet.workers.values() for task in core.runs]
+        self.assertEqual(3, sum(task.job == "batch" for task in tasks))
+
     def test_services_bear_the_tasks_of_standing_jobs(self) -> None:
         """Guards against services over their target because no batch job may stand still."""
         for load in (0.5, 0.7, 0.78):
