--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -25,7 +25,7 @@
 from toucanpin.scheduling.intake import submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.learning import learn_effects
-from toucanpin.scheduling.leases import apply_answer, plan_poll, update_workers
+from toucanpin.scheduling.leases import plan_poll, update_workers
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import PaceOrder, RunEnd, StartAnswer, StopOrder, WorkerEntry
 from toucanpin.scheduling.pacing import control_pace
@@ -33,6 +33,7 @@
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.starting import apply_start_answer, plan_start, record_stop_acknowledged
 from toucanpin.scheduling.worker import Phase, Run
+from toucanpin.scheduling.worker_answers import apply_answer
 from toucanpin.scheduling.write_batches import apply_batch, take_batch
 
 __all__ = ["Outcome", "main", "run_day"]
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -26,7 +26,7 @@
 from toucanpin.scheduling.intake import submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Job, Step, TaskKey
-from toucanpin.scheduling.leases import apply_answer, update_workers
+from toucanpin.scheduling.leases import update_workers
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.occurrences import begin_due
 from toucanpin.scheduling.orders import PollAnswer, RunningTask, WorkerEntry
@@ -34,6 +34,7 @@
 from toucanpin.scheduling.pending_counts import count_pending
 from toucanpin.scheduling.placing import place_tasks
 from toucanpin.scheduling.worker import Phase, Run, Worker
+from toucanpin.scheduling.worker_answers import apply_answer
 
 __all__ = ["FullFleet", "main"]
 
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -31,12 +31,10 @@
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.learning import learn_effects
 from toucanpin.scheduling.leases import (
-    apply_answer,
     awaits_renewal,
     mark_silent,
     plan_poll,
     plan_renewal,
-    record_clock,
     remove_replaced_worker,
     update_workers,
 )
@@ -50,6 +48,7 @@
 )
 from toucanpin.scheduling.trust import is_distrusted
 from toucanpin.scheduling.worker import Phase, Run, Worker
+from toucanpin.scheduling.worker_answers import apply_answer, record_clock
 
 __all__ = ["CellWorkers"]
 
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -24,7 +24,6 @@
 )
 from toucanpin.scheduling.leases import (
     OWNER_AUTHORITY_S,
-    apply_answer,
     expire_leases,
     mark_silent,
     plan_poll,
@@ -51,6 +50,7 @@
     record_stop_acknowledged,
 )
 from toucanpin.scheduling.worker import Phase, Run
+from toucanpin.scheduling.worker_answers import apply_answer
 from toucanpin.scheduling.write_batches import apply_batch, take_batch
 
 __all__ = ["Fleet", "make_job"]
--- a/toucanpin/scheduling/tests/test_stale_views.py
+++ b/toucanpin/scheduling/tests/test_stale_views.py
@@ -5,7 +5,6 @@
 import unittest
 
 from toucanpin.scheduling.job import Step, TaskKey
-from toucanpin.scheduling.leases import apply_answer
 from toucanpin.scheduling.moving import move_tasks
 from toucanpin.scheduling.orders import EndedRun, PollAnswer, RunEnd, StopOrder
 from toucanpin.scheduling.pacing import control_pace
@@ -13,6 +12,7 @@
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 from toucanpin.scheduling.upkeep import drain_worker
 from toucanpin.scheduling.worker import Phase
+from toucanpin.scheduling.worker_answers import apply_answer
 
 
 class PartialListTest(unittest.TestCase):
