Count the wait of a plain job that hasn't begun from its acceptance

The due time of a job without repetitions was taken as 1970, so one that waits to begin (only beyond 60,000 begun tasks of large jobs) would be told to be late by decades, and go before all recurring ones of its priority. Change: its due time is when it was accepted.

Red before: test_large_jobs_hold_a_bounded_number_of_tasks (lateness 102 s of a virtual clock that began at 100 s, for 2 s).

--- a/toucanpin/entry/occurrence_log.py
+++ b/toucanpin/entry/occurrence_log.py
@@ -2,7 +2,7 @@
 Log of occurrences
 ==================
 
-Log the recurring jobs that are behind their schedule.
+Log the jobs of which occurrences are due and have not begun.
 """
 
 from __future__ import annotations
@@ -35,7 +35,7 @@
         late = describe_late_jobs(cell, now)
         for job in late[:MAX_LOGGED_JOBS]:
             _log.notice(
-                "a recurring job is behind its schedule",
+                "occurrences of a job are due and have not begun",
                 event="job.behind",
                 job=job.job,
                 waiting=job.waiting,
--- a/toucanpin/scheduling/occurrences.py
+++ b/toucanpin/scheduling/occurrences.py
@@ -101,9 +101,9 @@
 def describe_late_jobs(cell: Cell, now: Now) -> list[LateJob]:
     """Return the jobs of which due occurrences wait to begin, the latest first."""
     late = [
-        LateJob(live.job.id, count_due(live, now), (now.wall - _due_time(live)) / 1_000)
+        LateJob(live.job.id, count_due(live, now), (now.wall - _due_time(live, now)) / 1_000)
         for live in _list_due(cell, now)
-        if now.wall - _due_time(live) > MIN_LATENESS_S * 1_000
+        if now.wall - _due_time(live, now) > MIN_LATENESS_S * 1_000
     ]
     return sorted(late, key=lambda it: (-it.lateness, it.job))
 
@@ -112,7 +112,7 @@
     """Begin an occurrence of each job that may have one more; return whether any has begun."""
     cores = _count_cores(cell)
     began = False
-    for live in sorted(due, key=_rank):
+    for live in sorted(due, key=lambda live: _rank(live, now)):
         if cell.begun_lately >= MAX_TASKS_PER_CHECK:
             break
         if _may_begin(cell, live, cores):
@@ -153,17 +153,20 @@
 def _is_due(live: LiveJob, now: Now) -> bool:
     if live.next_occurrence >= live.job.occurrences:
         return False
-    return not live.job.repeats or _due_time(live) <= now.wall
+    return _due_time(live, now) <= now.wall
 
 
-def _due_time(live: LiveJob) -> int:
+def _due_time(live: LiveJob, now: Now) -> int:
     """Return when the next occurrence of a job is due, in Unix ms."""
-    return live.job.start_at + live.next_occurrence * live.job.interval
+    job = live.job
+    if not job.repeats:
+        return min(now.wall, job.accepted - now.table + now.wall)
+    return job.start_at + live.next_occurrence * job.interval
 
 
-def _rank(live: LiveJob) -> tuple[int, bool, int, str]:
+def _rank(live: LiveJob, now: Now) -> tuple[int, bool, int, str]:
     """Return the key that sorts jobs: by priority, those of which nothing has begun first."""
-    return live.job.priority, bool(live.progress.tasks), _due_time(live), live.job.id
+    return live.job.priority, bool(live.progress.tasks), _due_time(live, now), live.job.id
 
 
 def _may_begin(cell: Cell, live: LiveJob, cores: int) -> bool:
--- a/toucanpin/scheduling/tests/test_occurrences.py
+++ b/toucanpin/scheduling/tests/test_occurrences.py
@@ -217,9 +217,12 @@
         fleet = Fleet(workers=2)
         fleet.run(0.2)
         for number in range(300):
-            fleet.submit(make_job(f"large{number}", (Step(count=3_000, cpu=60_000),)))
+            step = Step(count=3_000, cpu=60_000)
+            fleet.submit(make_job(f"large{number}", (step,), accepted=fleet.now().table))
         fleet.run(2.0)
         self.assertLessEqual(_count_records(fleet.cell), 100_000)
+        late = describe_late_jobs(fleet.cell, fleet.now())
+        self.assertAlmostEqual(2.0, late[0].lateness, delta=0.2)
         fleet.submit(make_job("small", (Step(count=2, cpu=100),)))
         fleet.run(3.0)
         self.assertEqual(JobState.COMPLETED, fleet.state("small"))
