--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -213,6 +213,7 @@
     durations: Durations = field(default_factory=lambda: Durations({}))
     task_times: dict[str, TaskTimes] = field(default_factory=dict)  # by queue
     interrupted: dict[TaskKey, float] = field(default_factory=dict)
+    stalls: dict[TaskKey, int] = field(default_factory=dict)  # how often a task was stopped as such
     moved_tasks: set[TaskKey] = field(default_factory=set)  # away from slow workers
 
 
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -93,6 +93,7 @@
         cell.dirty.pop(identifier, None)
         cell.job_rows_to_delete.append(identifier)
     cell.interrupted = {task: at for task, at in cell.interrupted.items() if task.job in cell.jobs}
+    cell.stalls = {task: it for task, it in cell.stalls.items() if _is_unfinished(cell, task)}
     cell.moved_tasks = {task for task in cell.moved_tasks if _is_unfinished(cell, task)}
     forget_crashes(cell)
 
--- a/toucanpin/scheduling/moving.py
+++ b/toucanpin/scheduling/moving.py
@@ -28,7 +28,10 @@
 
 __all__ = ["move_tasks"]
 
-STALL_TIMEOUT_S = 1.5  # longer than a long task on a slow worker takes for one percent
+STALL_TIMEOUT_S = 1.5  # without progress, of a task that takes less for one percent
+STALL_FACTOR = 2.0  # times the time that one percent takes
+USUAL_STALLS = 2  # of a task; further ones are laid on it, and each doubles its timeout
+MAX_STALL_DOUBLINGS = 6
 SUSPECT_TIME_S = 5.0  # for which a worker is avoided after a task was stalled or slow on it
 SLOW_TIME_S = 1.5  # for which a worker is avoided after its tasks were slow
 PLACING_TIME_S = 0.5  # from the end of a task that is moved until it is placed again
@@ -113,8 +116,11 @@
         return
     if run.step.gang and not _is_gang_known_complete(cell, run, complete):
         _stop_incomplete_gang(cell, run, now)
-    elif _is_stalled(run):
-        record_failure(cell, worker, run, now, SUSPECT_TIME_S)
+    elif _is_stalled(cell, run):
+        # A task that stands still wherever it runs says nothing of its workers.
+        stalls = cell.stalls[run.task] = cell.stalls.get(run.task, 0) + 1
+        if stalls <= USUAL_STALLS:
+            record_failure(cell, worker, run, now, SUSPECT_TIME_S)
         _relocate(cell, run, "stands still")
 
 
@@ -186,14 +192,29 @@
     return elapsed * (100 - run.percent) / run.percent > left
 
 
-def _is_stalled(run: Run) -> bool:
+def _is_stalled(cell: Cell, run: Run) -> bool:
     """
     Return whether a task made no progress between two reports of its worker.
 
+    Progress is told in whole percent, so a long task, or one that is slowed down, is silent for
+    longer; so is one whose estimate is far too short, which is given more time at each try.
     The time without progress counts up to the latest report, not up to now: an owner whose link is
     congested gets no reports for a while and would otherwise stop all tasks and lose their work.
     """
-    return run.percent < 100 and run.last_listed_at - run.progressed_at > STALL_TIMEOUT_S
+    idle = run.last_listed_at - run.progressed_at
+    if run.percent >= 100 or idle <= STALL_TIMEOUT_S:
+        return False
+    doublings = cell.stalls.get(run.task, 0) + 1 - USUAL_STALLS
+    doublings = max(0, min(MAX_STALL_DOUBLINGS, doublings))
+    timeout = max(STALL_TIMEOUT_S, STALL_FACTOR * _estimate_percent_time(run))
+    return idle > timeout * 2.0**doublings
+
+
+def _estimate_percent_time(run: Run) -> float:
+    """Return the time in s that a task takes for one percent, by its estimate and so far."""
+    estimated = run.step.estimate / 100_000 * 100 / run.pace
+    measured = (run.progressed_at - run.started_at) / run.percent if run.percent else 0.0
+    return max(estimated, measured)
 
 
 def _claim_room(cell: Cell, worker: Worker, now: Now) -> None:
--- a/toucanpin/scheduling/tests/test_moving.py
+++ b/toucanpin/scheduling/tests/test_moving.py
@@ -107,6 +107,44 @@
         self.assertFalse(any(worker.runs for worker in fleet.workers.values()))
 
 
+class LongTaskTest(unittest.TestCase):
+    """Tasks that take several seconds for one percent, the unit in which progress is told."""
+
+    DURATION_S = 400.0
+
+    def _count_starts(self, step: Step, seconds: float) -> int:
+        fleet = Fleet(workers=8)
+        for worker in fleet.workers.values():
+            worker.duration = self.DURATION_S
+        for number in range(6):
+            fleet.submit(make_job(f"j{number}", (step,)))
+        fleet.run(seconds)
+        self.assertEqual(12, sum(len(core.runs) for core in fleet.workers.values()))
+        return sum(len(core.starts) for core in fleet.workers.values())
+
+    def test_long_tasks_are_not_stopped(self) -> None:
+        """Guards against tasks that are never done, as none of them is left alone."""
+        estimate = int(1_000 * self.DURATION_S)
+        self.assertEqual(12, self._count_starts(Step(count=2, cpu=1_000, estimate=estimate), 60.0))
+
+    def test_long_tasks_without_an_estimate_are_stopped_a_few_times(self) -> None:
+        """Guards against the same where callers tell no duration, or one that is far too short."""
+        starts = self._count_starts(Step(count=2, cpu=1_000, estimate=500), 60.0)
+        self.assertLessEqual(starts, 12 * 5)
+
+    def test_task_that_is_slowed_down_is_not_stopped(self) -> None:
+        """Guards against stopping best-effort tasks that their owner keeps at a low pace."""
+        fleet = Fleet(workers=2)
+        for worker in fleet.workers.values():
+            worker.duration = self.DURATION_S
+        fleet.submit(make_job(steps=(Step(cpu=1_000, estimate=20_000),)))
+        fleet.run(0.2)
+        (run,) = fleet.cell.runs["j1"]
+        run.pace = 5
+        fleet.run(3.5)
+        self.assertEqual(1, sum(len(core.starts) for core in fleet.workers.values()))
+
+
 class CopyTest(unittest.TestCase):
     STEP = Step(cpu=1_000, speculative=True)
 
