Log what the release of a lost run relied on, and released runs that are seen again

Cause: the incident's record can't tell a sign of death that overrules a lease from a lease that ends later than counted: task.lost names the cause but not what was left of the lease nor how the worker was silent, worker.silent tells only the first failed poll, worker.gone says 'lease expired' when a worker is forgotten, and nothing tells that a released run was seen again.

Change: task.lost has lease_left, silence, silent and unlisted; worker.silent is told again when its way changes; a new event task.seen_again (a warning while it runs) and the counter toucanpin.runs.reappeared, which should stay at 0 for 'running'. No decision changed. Two tests of the log lines, both new.

--- a/toucanpin/entry/cell_decisions.py
+++ b/toucanpin/entry/cell_decisions.py
@@ -54,7 +54,7 @@
     def make_due(self, now: Now) -> None:
         """Make all decisions that are due."""
         for worker in expire_leases(self._cell, now):
-            _log.info("worker's lease expired", event="worker.gone", worker=worker.entry.id)
+            _log.info("worker forgotten", event="worker.gone", worker=worker.entry.id)
         log_failed_tasks(self._cell, fail_crashing_jobs(self._cell, now), now)
         begin_due(self._cell, now)
         for decision in self._periodic:
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -23,7 +23,7 @@
 )
 from toucanpin.entry.worker_orders import WorkerOrders
 from toucanpin.exception import PlatformError
-from toucanpin.http import CallError, UnreachableError
+from toucanpin.http import CallError, ConnectionEndedError, UnreachableError
 from toucanpin.platform.workers import WorkerClient, WorkerReplacedError
 from toucanpin.scheduling.answer_timeout import MAX_LATENESS_S, AnswerTimeout
 from toucanpin.scheduling.cell import Cell
@@ -47,7 +47,7 @@
     plan_start,
 )
 from toucanpin.scheduling.trust import is_distrusted
-from toucanpin.scheduling.worker import Phase, Run, Worker
+from toucanpin.scheduling.worker import Phase, Run, Silence, Worker
 from toucanpin.scheduling.worker_answers import apply_answer, record_clock
 
 __all__ = ["CellWorkers"]
@@ -162,15 +162,16 @@
                 if self._cell.workers.get(identifier) is not worker:
                     break
                 repeated = worker.silent
-                refuses = isinstance(error, UnreachableError) and error.refused
-                mark_silent(worker, self._clocks.now(), refuses)
+                silence = _find_silence(error)
+                if silence is not worker.silence:
+                    log_silent(worker, silence, error)
+                mark_silent(worker, self._clocks.now(), silence)
                 if repeated:
                     await asyncio.sleep(_plan_retry_delay(worker, failures))
                     failures += 1
                     continue
                 # Poll again at once: a single answer may have been lost, and the worker gets no
                 # tasks until it answers.
-                log_silent(worker, error)
                 continue
             if isinstance(answer, RefusalReason):
                 raise OwnershipLostError(f"worker {identifier} refused: {answer.value}")
@@ -305,6 +306,15 @@
         await self._orders.send(order)
 
 
+def _find_silence(error: Exception) -> Silence:
+    """Return in which way a call failed."""
+    if isinstance(error, UnreachableError) and error.refused:
+        return Silence.REFUSED
+    if isinstance(error, ConnectionEndedError) or isinstance(error.__cause__, ConnectionError):
+        return Silence.RESET
+    return Silence.UNANSWERED
+
+
 def _plan_retry_delay(worker: Worker, failures: int) -> float:
     """Return the seconds until a silent worker is polled again."""
     if worker.reached or worker.runs:
--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -12,7 +12,14 @@
 import logbook
 
 from toucanpin.entry.log_fields import describe_attempt
-from toucanpin.entry.metrics import LOST_RUNS, SLOW_WORKERS, STANDSTILL_TIME, START_WAIT, STARTS
+from toucanpin.entry.metrics import (
+    LOST_RUNS,
+    REAPPEARED_RUNS,
+    SLOW_WORKERS,
+    STANDSTILL_TIME,
+    START_WAIT,
+    STARTS,
+)
 from toucanpin.scheduling.cell import Cell, Group, Now, find_record
 from toucanpin.scheduling.colocation_report import describe_colocation
 from toucanpin.scheduling.evacuating import describe_evacuations, list_not_evacuated
@@ -36,6 +43,7 @@
     "log_forecast",
     "log_losses",
     "log_placement",
+    "log_reappearances",
     "log_slow_workers",
     "log_steps_at_fault",
     "log_standstill",
@@ -98,6 +106,28 @@
             cause=loss.cause.value,
             age=round(loss.age, 3),
             crashes=loss.crashes,
+            lease_left=round(loss.lease_left, 3),
+            silence=loss.silence.value if loss.silence else "",
+            silent=round(loss.silent_for, 3),
+            unlisted=round(loss.unlisted_for, 3),
+        )
+
+
+def log_reappearances(cell: Cell) -> None:
+    """Log each released run that its worker lists again, once."""
+    found = cell.unlogged_reappearances
+    cell.unlogged_reappearances = []
+    for again in found:
+        REAPPEARED_RUNS.add(1, {"state": again.end.value if again.end else "running"})
+        write = _log.info if again.end else _log.warning
+        write(
+            "a released run is seen again",
+            event="task.seen_again",
+            **describe_attempt(again.loss.task, again.loss.attempt, again.loss.worker),
+            end=again.end.value if again.end else "",
+            after=round(again.after, 3),
+            cause=again.loss.cause.value,
+            lease_left=round(again.loss.lease_left, 3),
         )
 
 
--- a/toucanpin/entry/metrics.py
+++ b/toucanpin/entry/metrics.py
@@ -26,6 +26,7 @@
     "LOOP_LAG",
     "LOST_RUNS",
     "MALFORMED_ROWS",
+    "REAPPEARED_RUNS",
     "REFUSED_JOBS",
     "REFUSED_STARTS",
     "REQUESTS",
@@ -98,6 +99,10 @@
 LOST_RUNS = _meter.create_counter(
     "toucanpin.runs.lost", description="Runs lost with their workers, by cause"
 )
+REAPPEARED_RUNS = _meter.create_counter(
+    "toucanpin.runs.reappeared",
+    description="Runs that their workers list after their tasks were released, by state",
+)
 SLOW_WORKERS = _meter.create_counter(
     "toucanpin.workers.slow", description="Times that a worker began to run its tasks slowly"
 )
--- a/toucanpin/entry/owner.py
+++ b/toucanpin/entry/owner.py
@@ -33,6 +33,7 @@
     log_evacuations,
     log_headroom,
     log_losses,
+    log_reappearances,
     log_slow_workers,
     log_steps_at_fault,
     log_unsettled,
@@ -324,6 +325,7 @@
 
     def _dispatch_orders(self) -> None:
         log_losses(self._cell)
+        log_reappearances(self._cell)
         log_slow_workers(self._cell)
         log_steps_at_fault(self._cell)
         orders = self._cell.orders
--- a/toucanpin/entry/tests/test_decision_log.py
+++ b/toucanpin/entry/tests/test_decision_log.py
@@ -13,6 +13,7 @@
     log_failed_tasks,
     log_losses,
     log_placement,
+    log_reappearances,
     log_steps_at_fault,
     log_waits,
 )
@@ -21,6 +22,7 @@
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
 
 _HISTORY = ("attempts", "failures", "losses")
+_SEEN = ("task", "attempt", "worker", "end")
 
 
 class DecisionsTest(unittest.TestCase):
@@ -88,6 +90,39 @@
         )
         self.assertEqual("another life answers at its worker's address", logged[0]["cause"])
 
+    def test_a_lost_run_shows_what_its_release_relied_on(self) -> None:
+        """Guards against tasks that run twice while nothing tells why the first was released."""
+        self.fleet.workers["w0"].duration = 60.0
+        self.fleet.submit(make_job("j1", (Step(cpu=900),)))
+        self.fleet.run(12.0)
+        self.fleet.workers["w0"].silent = True
+        self.fleet.refusing.add("w0")
+        self.fleet.unlisted.add("w0")
+        self.fleet.run(6.0)
+        log_losses(self.fleet.cell)
+        (lost,) = [r.kwargs for r in self.handler.records if r.kwargs["event"] == "task.lost"]
+        self.assertEqual("connection refused", lost["silence"])
+        since = (lost["silent"], lost["unlisted"], lost["lease_left"])
+        self.assertTrue(all(isinstance(seconds, float) for seconds in since), since)
+        self.assertAlmostEqual(lost["silent"], lost["unlisted"], delta=0.1)
+
+    def test_a_released_run_that_is_seen_again_is_logged_once(self) -> None:
+        """Guards against a run beside its replacement that nobody notices."""
+        worker = self.fleet.workers["w0"]
+        worker.duration = 60.0
+        self.fleet.submit(make_job("j1", (Step(cpu=900),)))
+        self.fleet.run(12.0)
+        worker.silent = True
+        worker.deadline = self.fleet.clock("w0") + 60.0  # a worker that ignores its lease
+        self.fleet.run(6.0)
+        worker.silent = False
+        self.fleet.run(1.0)
+        log_reappearances(self.fleet.cell)
+        log_reappearances(self.fleet.cell)
+        (seen,) = [r.kwargs for r in self.handler.records if r.kwargs["event"] == "task.seen_again"]
+        self.assertEqual(("j1.0.0.0", 1, "w0", ""), tuple(seen[it] for it in _SEEN))
+        self.assertLess(0.0, seen["after"])
+
     def test_a_long_wait_shows_what_keeps_workers_from_the_step(self) -> None:
         """Guards against waits whose cause can't be told: room that lies on unusable workers."""
         self.fleet.add_worker("w1", 1_000)
--- a/toucanpin/entry/worker_log.py
+++ b/toucanpin/entry/worker_log.py
@@ -15,7 +15,7 @@
 from toucanpin.entry.metrics import ENDS, REFUSED_STARTS
 from toucanpin.scheduling.job import format_task
 from toucanpin.scheduling.orders import EndedRun, RefusalReason, StopOrder
-from toucanpin.scheduling.worker import Run, Worker
+from toucanpin.scheduling.worker import Run, Silence, Worker
 
 __all__ = [
     "log_distrusted",
@@ -56,12 +56,13 @@
     _log.info("worker replaced", event="worker.replaced", worker=worker.entry.id)
 
 
-def log_silent(worker: Worker, error: Exception) -> None:
-    """Log a worker that has left a poll without an answer."""
+def log_silent(worker: Worker, silence: Silence, error: Exception) -> None:
+    """Log a worker that doesn't answer any more, or doesn't in another way than before."""
     _log.warning(
         "no answer from a worker",
         event="worker.silent",
         worker=worker.entry.id,
+        silence=silence.value,
         reason=error,
     )
 
--- a/toucanpin/http/client.py
+++ b/toucanpin/http/client.py
@@ -18,7 +18,14 @@
 from toucanpin.exception import ToucanpinError
 from toucanpin.verdict import Verdict
 
-__all__ = ["Answer", "CallError", "Client", "TooLargeError", "UnreachableError"]
+__all__ = [
+    "Answer",
+    "CallError",
+    "Client",
+    "ConnectionEndedError",
+    "TooLargeError",
+    "UnreachableError",
+]
 
 # TCP sends a lost SYN packet again only after 1 s, and a dead host never answers.
 CONNECT_TIMEOUT_S = 0.6
@@ -63,6 +70,13 @@
         self.refused = refused
 
 
+class ConnectionEndedError(CallError):
+    """Raised if the connection ends before the answer is complete."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(Verdict.MAY_HAVE_RUN, detail)
+
+
 class TooLargeError(CallError):
     """Raised if an answer exceeds MAX_ANSWER_BYTES, which is no sign of an unhealthy server."""
 
@@ -202,7 +216,9 @@
             self._fail(f"answer is not HTTP: {error}")
 
     def connection_lost(self, error: Exception | None) -> None:
-        self._fail(f"connection ended: {error or 'closed'}")
+        # Part of the request may have reached the server before the connection ended, even if an
+        # idle connection was closed while the request was being written.
+        self._end(ConnectionEndedError(f"connection ended: {error or 'closed'}"))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
@@ -221,8 +237,6 @@
             waiter.set_result(answer)
 
     def _fail(self, detail: str) -> None:
-        # Part of the request may have reached the server before the connection ended, even if an
-        # idle connection was closed while the request was being written.
         self._end(CallError(Verdict.MAY_HAVE_RUN, detail))
 
     def _end(self, error: CallError) -> None:
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -20,7 +20,7 @@
 from toucanpin.scheduling.task_times import TaskTimes
 from toucanpin.scheduling.waits import Wait
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
-from toucanpin.scheduling.worker_faults import Loss, LostWorker, SlowWorker
+from toucanpin.scheduling.worker_faults import Loss, LostWorker, Reappearance, SlowWorker
 
 __all__ = [
     "BegunLoad",
@@ -182,10 +182,13 @@
     end_sequences: dict[str, int] = field(default_factory=dict)
     orders: list[StopOrder | PaceOrder] = field(default_factory=list)
     unlogged_losses: list[Loss] = field(default_factory=list)
+    unlogged_reappearances: list[Reappearance] = field(default_factory=list)
     unlogged_slow_workers: list[SlowWorker] = field(default_factory=list)
     unlogged_steps_at_fault: list[StepAtFault] = field(default_factory=list)
     # When the newest start without an answer was sent, by worker, task and attempt.
     unanswered_starts: dict[tuple[str, TaskKey, int], float] = field(default_factory=dict)
+    # By worker, task and attempt, in order of their release.
+    released_runs: dict[tuple[str, TaskKey, int], Loss] = field(default_factory=dict)
     # Of forgotten workers, which may return under their ids.
     late_orders_ends: dict[str, float] = field(default_factory=dict)
     lost_workers: list[LostWorker] = field(default_factory=list)  # lately
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -25,6 +25,7 @@
 from toucanpin.scheduling.number_ranges import add_number, count_numbers
 from toucanpin.scheduling.orders import EndedRun, RunEnd
 from toucanpin.scheduling.progress import JobState, TaskRecord, TaskState, clear_losses
+from toucanpin.scheduling.released_runs import record_seen_again
 from toucanpin.scheduling.step_queue import queue_ready_steps
 from toucanpin.scheduling.stopping import requeue_task, stop_gang, stop_run
 from toucanpin.scheduling.task_times import record_task_time
@@ -54,6 +55,7 @@
         _update_trust(cell, worker, run, ended.end, now)
         finish_run(cell, worker, run, ended.end, ended.checkpoint, now)
         return
+    record_seen_again(cell, worker.entry.id, ended.task, ended.attempt, ended.end, now)
     match ended.end:
         case RunEnd.DONE:
             _apply_late_success(cell, ended.task, now)
--- a/toucanpin/scheduling/incarnations.py
+++ b/toucanpin/scheduling/incarnations.py
@@ -24,6 +24,7 @@
     stop_late_starts,
 )
 from toucanpin.scheduling.orders import WorkerEntry
+from toucanpin.scheduling.released_runs import record_release
 from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.worker import Phase, Run, Worker
 from toucanpin.scheduling.worker_faults import Loss, LossCause
@@ -105,11 +106,27 @@
 
 def record_lost_run(cell: Cell, worker: Worker, run: Run, cause: LossCause, now: Now) -> None:
     """Count the loss of a worker against one of its runs, and queue it for the log."""
-    age = now.steady - run.ordered_at if run.ordered_at else 0.0
-    crashes = record_loss(cell, worker, run, now)
-    cell.unlogged_losses.append(
-        Loss(run.task, run.attempt, run.worker, run.phase, cause, age, crashes)
+    loss = Loss(
+        run.task,
+        run.attempt,
+        run.worker,
+        run.phase,
+        cause,
+        age=_count_since(run.ordered_at, now),
+        crashes=record_loss(cell, worker, run, now),
+        lease_left=worker.lease_expires_at - now.steady,
+        silence=worker.silence,
+        silent_for=_count_since(worker.silent_since, now),
+        unlisted_for=_count_since(worker.unlisted_since, now),
+        released_at=now.steady,
     )
+    cell.unlogged_losses.append(loss)
+    record_release(cell, loss, now)
+
+
+def _count_since(at: float, now: Now) -> float:
+    """Return the seconds since a time, 0 if there was none."""
+    return now.steady - at if at else 0.0
 
 
 def _may_start_late(cell: Cell, run: Run, now: Now) -> bool:
--- a/toucanpin/scheduling/lease_ends.py
+++ b/toucanpin/scheduling/lease_ends.py
@@ -20,7 +20,7 @@
 
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.ownership import OwnerRecord
-from toucanpin.scheduling.worker import Worker
+from toucanpin.scheduling.worker import Silence, Worker
 
 __all__ = [
     "bound_earlier_leases",
@@ -135,7 +135,8 @@
 
     Such an order has no effects on a process that has ended; the next owner can't find that out.
     """
-    return max(worker.lease_expires_at, 0.0 if worker.refuses else worker.late_orders_end)
+    refuses = worker.silence is Silence.REFUSED
+    return max(worker.lease_expires_at, 0.0 if refuses else worker.late_orders_end)
 
 
 def _has_answered(cell: Cell, identifier: str) -> bool:
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -24,7 +24,7 @@
 from toucanpin.scheduling.lease_ends import bound_earlier_leases, is_lease_withheld
 from toucanpin.scheduling.orders import PollOrder, WorkerEntry
 from toucanpin.scheduling.presence import is_gone, record_listing
-from toucanpin.scheduling.worker import Phase, Worker, grant_lease
+from toucanpin.scheduling.worker import Phase, Silence, Worker, grant_lease
 from toucanpin.scheduling.worker_faults import LossCause
 
 __all__ = [
@@ -158,9 +158,9 @@
     )
 
 
-def mark_silent(worker: Worker, now: Now, refuses: bool = False) -> None:
-    """Record that a worker did not answer, and whether nobody listened at its address."""
-    worker.refuses = refuses
+def mark_silent(worker: Worker, now: Now, silence: Silence = Silence.UNANSWERED) -> None:
+    """Record that a worker did not answer, and in which way."""
+    worker.silence = silence
     if not worker.silent:
         worker.silent_since = now.steady
     worker.silent = True
--- a/toucanpin/scheduling/presence.py
+++ b/toucanpin/scheduling/presence.py
@@ -17,7 +17,7 @@
 from collections.abc import Collection
 
 from toucanpin.scheduling.cell import Cell, Now
-from toucanpin.scheduling.worker import Worker
+from toucanpin.scheduling.worker import Silence, Worker
 
 __all__ = ["is_gone", "record_listing"]
 
@@ -42,7 +42,7 @@
 
 def is_gone(cell: Cell, worker: Worker, now: Now) -> bool:
     """Return whether a worker has no entry and refuses connections, while the list is sound."""
-    if not worker.refuses or not worker.unlisted_since:
+    if worker.silence is not Silence.REFUSED or not worker.unlisted_since:
         return False
     if now.steady > cell.entries_read_at + MAX_READ_GAP_S:
         return False
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -49,7 +49,7 @@
     plan_start,
     record_stop_acknowledged,
 )
-from toucanpin.scheduling.worker import Phase, Run
+from toucanpin.scheduling.worker import Phase, Run, Silence
 from toucanpin.scheduling.worker_answers import apply_answer
 from toucanpin.scheduling.write_batches import apply_batch, take_batch
 
@@ -79,6 +79,7 @@
         self.jobs: dict[str, Job] = {}
         self.store_up = True
         self.unlisted: set[str] = set()
+        self.refusing: set[str] = set()  # silent workers that refuse connections and run on
         self.lists_workers = True  # the list of workers can be read
         self.duplicate_runs: list[TaskKey] = []
         self.crashing: set[TaskKey] = set()  # tasks that crash each worker that starts them
@@ -223,10 +224,11 @@
                 if worker.entry.address and f"{worker.entry.id}'" in self.workers:
                     remove_replaced_worker(self.cell, worker, self.now())
                 else:
-                    mark_silent(worker, self.now(), refuses=True)
+                    mark_silent(worker, self.now(), Silence.REFUSED)
                 continue
             if core.silent:
-                mark_silent(worker, self.now())
+                refuses = worker.entry.id in self.refusing
+                mark_silent(worker, self.now(), Silence.REFUSED if refuses else Silence.UNANSWERED)
                 continue
             clock = self.clock(worker.entry.id)
             answer = core.poll(self.cell.token, order.acknowledged, order.deadline, clock)
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -18,6 +18,7 @@
 __all__ = [
     "Phase",
     "Run",
+    "Silence",
     "Worker",
     "bound_freeable_cpu",
     "count_fitting_tasks",
@@ -46,6 +47,14 @@
     UNKNOWN = "unknown"  # read from a row at takeover; the worker hasn't been asked
 
 
+class Silence(enum.Enum):
+    """How a worker left the latest poll without an answer."""
+
+    REFUSED = "connection refused"
+    RESET = "connection ended"
+    UNANSWERED = "no answer"
+
+
 @dataclass(slots=True)
 class Run:
     """One attempt of a task on one worker; times are on the local steady clock."""
@@ -112,7 +121,7 @@
     answered_at: float = 0.0
     silent: bool = False  # it did not answer the latest poll
     silent_since: float = 0.0  # 0 if it answers
-    refuses: bool = False  # nobody listened at its address at the latest poll
+    silence: Silence | None = None  # None if it answered the latest poll
     unlisted_since: float = 0.0  # 0 if it has an entry
     # Its entry can't be decoded or is of an earlier incarnation, though it may still answer.
     malformed: bool = False
--- a/toucanpin/scheduling/worker_answers.py
+++ b/toucanpin/scheduling/worker_answers.py
@@ -18,6 +18,7 @@
 from toucanpin.scheduling.late_orders import is_earlier
 from toucanpin.scheduling.orders import PollAnswer, RunningTask, StopOrder
 from toucanpin.scheduling.progress import JobState, TaskState
+from toucanpin.scheduling.released_runs import record_seen_again
 from toucanpin.scheduling.stopping import stop_run
 from toucanpin.scheduling.trust import record_survival
 from toucanpin.scheduling.worker import Phase, Run, Worker
@@ -35,7 +36,7 @@
     _update_clock(worker, answer.clock, now)
     worker.answered_at = now.steady
     worker.silent = False
-    worker.refuses = False
+    worker.silence = None
     worker.silent_since = 0.0
     worker.lists_ends = bool(answer.ended)
     # Its next incarnation may carry out a late start of this owner.
@@ -80,6 +81,7 @@
     run = worker.runs.get(running.task)
     if run is None or run.attempt != running.attempt:
         # Started by an earlier owner, or by an order that was carried out late.
+        record_seen_again(cell, worker.entry.id, running.task, running.attempt, None, now)
         cell.orders.append(StopOrder(worker.entry.id, running.task, running.attempt, "unknown run"))
         return
     if run.phase is Phase.STOPPING:
--- a/toucanpin/scheduling/worker_faults.py
+++ b/toucanpin/scheduling/worker_faults.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass
 
 from toucanpin.scheduling.job import TaskKey
-from toucanpin.scheduling.worker import Phase, Run, Worker
+from toucanpin.scheduling.orders import RunEnd
+from toucanpin.scheduling.worker import Phase, Run, Silence, Worker
 
-__all__ = ["Loss", "LossCause", "LostWorker", "SlowWorker"]
+__all__ = ["Loss", "LossCause", "LostWorker", "Reappearance", "SlowWorker"]
 
 
 class LossCause(enum.Enum):
@@ -34,7 +35,9 @@
     Run that was lost with its worker.
 
     ``age`` is the time in s since its start was sent; ``crashes`` counts the workers that were lost
-    while they ran its task.
+    while they ran its task.  ``lease_left`` is the time in s until its worker's lease has certainly
+    ended, negative if it has; ``silent_for`` and ``unlisted_for`` tell in s for how long the worker
+    hasn't answered and has had no entry, 0 if it has.  ``released_at`` is on the steady clock.
     """
 
     task: TaskKey
@@ -44,6 +47,24 @@
     cause: LossCause
     age: float
     crashes: int
+    lease_left: float
+    silence: Silence | None
+    silent_for: float
+    unlisted_for: float
+    released_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reappearance:
+    """
+    Released run that its worker lists again, ``after`` s later.
+
+    ``end`` is None if it still runs; an end may have come before the release.
+    """
+
+    loss: Loss
+    end: RunEnd | None
+    after: float
 
 
 @dataclass(frozen=True, slots=True)
