--- /dev/null
+++ b/toucanpin/scheduling/tests/test_overruled_leases.py
@@ -0,0 +1,56 @@
+"""Workers that refuse connections and have no entry, and run on under their leases."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucanpin.scheduling.job import Step
+from toucanpin.scheduling.tests.fleet import Fleet, make_job
+
+EARLIER_LEASES_S = 10.0  # until no lease of an earlier owner is in force
+REPORT_PERIOD_S = 1.1  # of a worker; its entry is removed after three missing reports
+# The users' rule: from 6 s after its last run a task may be idle for 3 s.
+MAX_IDLE_S = 9.0
+
+
+class OverruledLeaseTest(unittest.TestCase):
+    """A worker is cut off from owner and store, its connections are refused, and it runs on."""
+
+    def _begin(self, long_running: bool = True) -> Fleet:
+        """Return a fleet whose workers run a task each."""
+        fleet = Fleet(workers=4)
+        fleet.run(EARLIER_LEASES_S)
+        for core in fleet.workers.values():
+            core.duration = 600.0
+        step = Step(count=4, cpu=1_000, long_running=long_running, per_worker=1)
+        fleet.submit(make_job(steps=(step,)))
+        fleet.run(3.0)
+        self.assertTrue(all(core.runs for core in fleet.workers.values()))
+        fleet.add_worker("spare").duration = 600.0
+        return fleet
+
+    def _cut_off(self, fleet: Fleet, name: str, unlisted_after: float) -> None:
+        fleet.workers[name].silent = True
+        fleet.refusing.add(name)
+        fleet.run(unlisted_after)
+        fleet.unlisted.add(name)
+
+    def _assert_moves_once(self, fleet: Fleet, seconds: float) -> None:
+        fleet.run(seconds)
+        self.assertFalse(set(fleet.duplicate_runs))
+        self.assertTrue(fleet.workers["spare"].runs)
+        self.assertFalse(fleet.workers["w0"].runs)
+
+    def test_refused_connections_do_not_overrule_a_lease(self) -> None:
+        """Guards against a task that is started elsewhere while its worker, cut off, runs it on."""
+        for long_running in (False, True):
+            for reports_missed in (0.0, 1.0, 2.0, 3.0):
+                with self.subTest(long_running=long_running, reports_missed=reports_missed):
+                    fleet = self._begin(long_running)
+                    unlisted_after = reports_missed * REPORT_PERIOD_S
+                    self._cut_off(fleet, "w0", unlisted_after)
+                    self._assert_moves_once(fleet, MAX_IDLE_S - unlisted_after)
+
+
+if __name__ == "__main__":
+    unittest.main()
