A lease that was granted ends by time only, whatever a worker looks like

A cut that refuses and hides the entry looks the same, and the worker runs on until its lease ends: up to 1.4 s beside the next run where the entry goes after three missing reports. A sign of death was taken for proof.

--- a/standins/site/worker.py
+++ b/standins/site/worker.py
@@ -62,6 +62,11 @@
             self._task.cancel()
         await self._server.drain(0.0)
 
+    async def cut_off(self) -> None:
+        """Refuse connections and lose the entry, as behind a cut; what runs there runs on."""
+        await self._server.drain(0.0)
+        self._store.delete("servers", self.core.entry.id)
+
     async def leave(self) -> None:
         """Stop and remove the worker's entry from the store."""
         await self.stop()
--- a/toucanpin/entry/tests/test_restarted_workers.py
+++ b/toucanpin/entry/tests/test_restarted_workers.py
@@ -107,6 +107,22 @@
 
         self._run(play)
 
+    def test_task_of_a_worker_that_refuses_connections_keeps_its_lease(self) -> None:
+        """Guards against a task that is started elsewhere while its worker, cut off, runs it on."""
+
+        async def play() -> None:
+            worker = await self.site.add_worker(duration=60.0)
+            self.assertTrue(await self.site.wait_until_ready())
+            await self.site.submit(JOB, longRunning=True)
+            self.assertTrue(await self.site.wait_until(lambda: worker.core.runs))
+            spare = await self.site.add_worker(duration=60.0)
+            await asyncio.sleep(EARLIER_LEASES_S)
+            await worker.cut_off()
+            self.assertTrue(await self.site.wait_until(lambda: spare.core.runs))
+            self.assertFalse(worker.core.runs)
+
+        self._run(play)
+
     def test_crashing_task_fails_though_its_workers_keep_their_ids(self) -> None:
         """Guards against a crash loop: each worker answers again soon, as if nothing was lost."""
 
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -182,12 +182,14 @@
     for worker in list(cell.workers.values()):
         if not worker.silent and worker.reached:
             continue
-        may_run = now.steady <= max(worker.lease_expires_at, bound_late_orders(cell, worker))
-        if may_run and not is_gone(cell, worker, now):
+        if now.steady <= worker.lease_expires_at:
+            continue
+        may_start = now.steady <= bound_late_orders(cell, worker)
+        if may_start and not is_gone(cell, worker, now):
             continue
         if worker.runs:
             record_incarnation_lost(cell, worker, now)
-            end_lost_runs(cell, worker, LossCause.GONE if may_run else LossCause.LAPSED, now)
+            end_lost_runs(cell, worker, LossCause.GONE if may_start else LossCause.LAPSED, now)
         unlisted = now.steady > worker.listed_at + FORGET_WORKER_AFTER_S
         if unlisted and now.steady > worker.answered_at + FORGET_WORKER_AFTER_S:
             del cell.workers[worker.entry.id]
--- a/toucanpin/scheduling/presence.py
+++ b/toucanpin/scheduling/presence.py
@@ -2,14 +2,15 @@
 Presence of workers
 ===================
 
-Tell a worker that is gone from one that only doesn't answer.
+Tell a worker that seems to be gone from one that only doesn't answer.
 
 Notes
 -----
 Nobody listens at the address of a worker that is gone, and its entry is removed once its reports
-are missing.  One that is cut off or hangs refuses no connection: it may run on.  Between two
-incarnations connections are refused as well, but not for long enough to lose the entry.  Entries
-may also expire because the table was unavailable; they are back soon after its return.
+are missing.  Between two incarnations connections are refused as well, but not for long enough to
+lose the entry.  Entries may also expire because the table was unavailable; they are back soon after
+its return.  One that is cut off may look the same and run on, so these signs end no lease, only the
+wait for orders that a later incarnation might carry out.
 """
 
 from __future__ import annotations
--- a/toucanpin/scheduling/tests/test_overruled_leases.py
+++ b/toucanpin/scheduling/tests/test_overruled_leases.py
@@ -51,6 +51,46 @@
                     self._cut_off(fleet, "w0", unlisted_after)
                     self._assert_moves_once(fleet, MAX_IDLE_S - unlisted_after)
 
+    def test_next_owner_waits_for_the_lease_of_a_worker_that_refuses_connections(self) -> None:
+        """Guards against a takeover after which a lease counts as ended that is in force."""
+        for owned_for in (0.5, 2.0, 3.0):
+            with self.subTest(owned_for=owned_for):
+                fleet = self._begin()
+                self._cut_off(fleet, "w0", 0.0)
+                fleet.run(owned_for)
+                fleet.replace_owner()
+                self._assert_moves_once(fleet, MAX_IDLE_S)
+
+    def test_worker_that_returns_within_its_lease_keeps_its_task(self) -> None:
+        """Guards against work that is thrown away, and run twice, at a cut of some seconds."""
+        fleet = self._begin()
+        self._cut_off(fleet, "w0", 0.0)
+        fleet.run(3.5)
+        fleet.workers["w0"].silent = False
+        fleet.refusing.clear()
+        fleet.unlisted.clear()
+        fleet.run(MAX_IDLE_S)
+        self.assertFalse(set(fleet.duplicate_runs))
+        self.assertTrue(fleet.workers["w0"].runs)
+
+    def test_lease_of_the_next_incarnation_is_not_overruled(self) -> None:
+        """
+        A worker has restarted under its id shortly before.  Guards against evidence that ends the
+        wait for orders to its earlier incarnation, and the lease of the present one with it.
+        """
+        fleet = self._begin()
+        earlier = fleet.remove("w0")
+        fleet.run(1.0)
+        fleet.workers["w0"] = earlier
+        core = fleet.restart("w0")
+        fleet.workers["spare"].silent = True  # so that the task returns to its worker
+        fleet.run(4.0)
+        fleet.workers["spare"].silent = False
+        fleet.run(4.0)
+        self.assertTrue(core.runs)
+        self._cut_off(fleet, "w0", 0.0)
+        self._assert_moves_once(fleet, MAX_IDLE_S)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucanpin/scheduling/worker_faults.py
+++ b/toucanpin/scheduling/worker_faults.py
@@ -26,7 +26,7 @@
 
     REPLACED = "another life answers at its worker's address"
     LAPSED = "its worker's lease has ended"
-    GONE = "its worker is gone, on which a start may have been carried out late"
+    GONE = "its worker seems to be gone, and its lease has ended"
 
 
 @dataclass(frozen=True, slots=True)
