Owner's row: refused connections alone end no wait for orders to an earlier incarnation

Cause: an owner left the wait for late orders out of what it tells the next one as soon as the worker refused a connection, which it also does between two incarnations. The next owner then released a task that a late start could still begin there. Change: the entry has to be missing too, as then the next owner couldn't find out. The test failed before.

--- a/toucanpin/scheduling/lease_ends.py
+++ b/toucanpin/scheduling/lease_ends.py
@@ -133,10 +133,11 @@
     """
     Return when what a worker runs has ended, by an order to an earlier incarnation at the latest.
 
-    Such an order has no effects on a process that has ended; the next owner can't find that out.
+    Such an order has no effects on a process that has ended; the next owner can't find that out, as
+    it knows no address of a worker without an entry.
     """
-    refuses = worker.silence is Silence.REFUSED
-    return max(worker.lease_expires_at, 0.0 if refuses else worker.late_orders_end)
+    seems_gone = worker.silence is Silence.REFUSED and worker.unlisted_since > 0.0
+    return max(worker.lease_expires_at, 0.0 if seems_gone else worker.late_orders_end)
 
 
 def _has_answered(cell: Cell, identifier: str) -> bool:
--- a/toucanpin/scheduling/tests/test_lease_ends.py
+++ b/toucanpin/scheduling/tests/test_lease_ends.py
@@ -31,7 +31,7 @@
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
 from toucanpin.scheduling.starting import plan_start
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
-from toucanpin.scheduling.worker import Worker
+from toucanpin.scheduling.worker import Silence, Worker
 
 SERVICE = make_job("j1", (Step(cpu=1_000, long_running=True),))
 
@@ -91,6 +91,18 @@
         self.assertIsNot(self.worker, successor)
         self.assertEqual(0, plan_poll(self.fleet.cell, successor, self.fleet.now()).deadline)
 
+    def test_refused_connections_end_no_wait_of_the_next_owner(self) -> None:
+        """
+        A worker that has restarted is between two incarnations when its owner ends.  Guards against
+        telling the next owner that orders to the first one can have no effects any more.
+        """
+        late_orders_end = self.worker.late_orders_end = self.worker.lease_expires_at + 10.0
+        mark_silent(self.worker, self.fleet.now(), Silence.REFUSED)
+        left = (late_orders_end - self.fleet.time) * 1_000
+        self.assertGreaterEqual(self._list()["w0"], left)
+        self.worker.unlisted_since = self.fleet.time
+        self.assertLess(self._list()["w0"], left)
+
     def test_an_earlier_end_is_not_listed_again_for_the_next_incarnation(self) -> None:
         """
         A worker that an earlier owner listed answers, and leaves a start of this owner unanswered;
