Property: no task runs twice however workers are cut off

Draws cuts of workers (silent or refused, entry gone after 0 to 3.3 s, overlapping), owners that end, restarts under the id and clocks 2% slow.

--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -80,6 +80,7 @@
         self.store_up = True
         self.unlisted: set[str] = set()
         self.refusing: set[str] = set()  # silent workers that refuse connections and run on
+        self.clock_rates: dict[str, float] = {}  # of workers whose clocks run slow
         self.lists_workers = True  # the list of workers can be read
         self.duplicate_runs: list[TaskKey] = []
         self.crashing: set[TaskKey] = set()  # tasks that crash each worker that starts them
@@ -131,7 +132,8 @@
 
     def clock(self, name: str) -> float:
         """Return the clock of a worker's incarnation."""
-        return self.time - self._clock_starts.get(name, 0.0)
+        passed = self.time - self._clock_starts.get(name, 0.0)
+        return passed * self.clock_rates.get(name, 1.0)
 
     def now(self) -> Now:
         """Return the virtual clocks."""
--- a/toucanpin/scheduling/tests/test_overruled_leases.py
+++ b/toucanpin/scheduling/tests/test_overruled_leases.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import dataclass
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from standins.site.worker_core import WorkerCore
 from toucanpin.scheduling.job import Step
-from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.progress import JobState
+from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 
 EARLIER_LEASES_S = 10.0  # until no lease of an earlier owner is in force
 REPORT_PERIOD_S = 1.1  # of a worker; its entry is removed after three missing reports
@@ -92,5 +98,86 @@
         self._assert_moves_once(fleet, MAX_IDLE_S)
 
 
+SLOWEST_CLOCK_RATE = 0.98
+WORKERS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class _Cut:
+    """A cut of a worker from owner and store, in s; its entry is missing after a while."""
+
+    worker: int
+    begins: float
+    lasts: float
+    unlisted_after: float
+    refuses: bool
+
+
+_CUTS = st.builds(
+    _Cut,
+    st.integers(0, WORKERS - 1),
+    st.floats(0.0, 12.0),
+    st.floats(0.5, 9.0),
+    st.floats(0.0, 3.3),
+    st.booleans(),
+)
+_OWNER_ENDS = st.floats(0.0, 15.0)
+_RESTARTS = st.tuples(st.integers(0, WORKERS - 1), st.floats(0.0, 15.0))
+
+
+class DrawnCutsTest(unittest.TestCase):
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(
+        cuts=st.lists(_CUTS, min_size=1, max_size=5),
+        owner_ends=st.lists(_OWNER_ENDS, max_size=2),
+        restarts=st.lists(_RESTARTS, max_size=2),
+    )
+    def test_no_task_runs_twice_however_workers_are_cut_off(
+        self, cuts: list[_Cut], owner_ends: list[float], restarts: list[tuple[int, float]]
+    ) -> None:
+        """Guards against any evidence but the end of its lease that releases what a worker runs."""
+        fleet = Fleet(workers=WORKERS)
+        for number in range(0, WORKERS, 2):
+            fleet.clock_rates[f"w{number}"] = SLOWEST_CLOCK_RATE
+        fleet.run(EARLIER_LEASES_S)
+        began = fleet.time
+        for core in fleet.workers.values():
+            core.duration = 6.0
+        for number in range(3):
+            fleet.submit(make_job(f"j{number}", (Step(count=3, cpu=1_000),), max_failures=50))
+        fleet.submit(make_job("lasting", (Step(count=2, cpu=1_000, long_running=True),)))
+        events = [(at, "owner", None) for at in owner_ends]
+        events += [(at, "restart", f"w{number}") for number, at in restarts]
+        events.sort(key=lambda event: event[0])
+        while fleet.time < began + 21.0:
+            _apply_cuts(fleet, cuts, fleet.time - began)
+            while events and events[0][0] <= fleet.time - began:
+                _, kind, name = events.pop(0)
+                if kind == "owner":
+                    fleet.replace_owner()
+                else:
+                    fleet.restart(name)
+            fleet.run(TIME_STEP_S)
+        fleet.run(30.0)
+        self.assertFalse(set(fleet.duplicate_runs))
+        for number in range(3):
+            self.assertEqual(JobState.COMPLETED, fleet.state(f"j{number}"))
+        self.assertEqual(2, sum(_counts_lasting(core) for core in fleet.workers.values()))
+
+
+def _apply_cuts(fleet: Fleet, cuts: list[_Cut], at: float) -> None:
+    """Cut off the workers whose cuts are under way, and no others."""
+    active = [cut for cut in cuts if cut.begins <= at < cut.begins + cut.lasts]
+    for name, core in fleet.workers.items():
+        core.silent = any(f"w{cut.worker}" == name for cut in active)
+    fleet.refusing = {f"w{cut.worker}" for cut in active if cut.refuses}
+    fleet.unlisted = {f"w{cut.worker}" for cut in active if at >= cut.begins + cut.unlisted_after}
+
+
+def _counts_lasting(core: WorkerCore) -> int:
+    """Return how many tasks of the lasting job a worker runs."""
+    return sum(task.job == "lasting" for task in core.runs)
+
+
 if __name__ == "__main__":
     unittest.main()
