A wait for late orders that an earlier owner lists outlasts a restart of its worker

Cause: a next owner took a listed end, which may count orders to an earlier incarnation, for the end of a lease, and dropped it at the worker's next restart for its general bound (7.6 s in place of 22.5 s): the late start ran beside the task. As a lease it could also not be ended any more by a worker that is gone. Change: what a listed end has beyond all leases of earlier owners counts as the wait for late orders, and is kept like one. The test failed before; virtual clock only.

--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -20,7 +20,7 @@
 from toucanpin.scheduling.ending import end_job
 from toucanpin.scheduling.job import Job, TaskKey
 from toucanpin.scheduling.job_times import sum_remaining_times
-from toucanpin.scheduling.lease_ends import bound_earlier_leases
+from toucanpin.scheduling.lease_ends import bound_earlier_leases, bound_earlier_orders
 from toucanpin.scheduling.occurrences import await_occurrences, begin_occurrences
 from toucanpin.scheduling.orders import WorkerEntry
 from toucanpin.scheduling.progress import JobState, Progress, TaskState
@@ -126,6 +126,10 @@
     worker = cell.workers.get(identifier)
     if worker is None:
         entry = WorkerEntry(identifier, cell.name, "", "", False, 0, 0, 0)
-        worker = Worker(entry, lease_expires_at=bound_earlier_leases(cell, identifier))
+        worker = Worker(
+            entry,
+            lease_expires_at=bound_earlier_leases(cell, identifier),
+            late_orders_end=bound_earlier_orders(cell, identifier),
+        )
         cell.workers[identifier] = worker
     return worker
--- a/toucanpin/scheduling/lease_ends.py
+++ b/toucanpin/scheduling/lease_ends.py
@@ -24,6 +24,7 @@
 
 __all__ = [
     "bound_earlier_leases",
+    "bound_earlier_orders",
     "confirm_lease_ends",
     "count_ms_until",
     "find_earlier_leases_end",
@@ -113,13 +114,19 @@
 
 
 def bound_earlier_leases(cell: Cell, worker: str) -> float:
+    """Return the local time by which the leases of a worker by earlier owners have ended."""
+    listed = cell.earlier_lease_ends.get(worker, cell.earlier_leases_end)
+    return min(listed, cell.earlier_leases_end)
+
+
+def bound_earlier_orders(cell: Cell, worker: str) -> float:
     """
-    Return the local time by which the leases of a worker by earlier owners have ended.
+    Return the local time by which late orders of earlier owners to a worker have no effects.
 
-    A listed end may be later than that of all leases that were granted, as a worker that has
-    restarted may lengthen one by an order to its earlier incarnation.
+    A listed end that is later than that of all leases counts orders to earlier incarnations.
     """
-    return cell.earlier_lease_ends.get(worker, cell.earlier_leases_end)
+    listed = cell.earlier_lease_ends.get(worker, 0.0)
+    return listed if listed > cell.earlier_leases_end else 0.0
 
 
 def _list_silent(cell: Cell) -> Iterable[Worker]:
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -21,7 +21,11 @@
     remember_late_orders,
     stop_late_starts,
 )
-from toucanpin.scheduling.lease_ends import bound_earlier_leases, is_lease_withheld
+from toucanpin.scheduling.lease_ends import (
+    bound_earlier_leases,
+    bound_earlier_orders,
+    is_lease_withheld,
+)
 from toucanpin.scheduling.orders import PollOrder, WorkerEntry
 from toucanpin.scheduling.presence import is_gone, record_listing
 from toucanpin.scheduling.worker import Phase, Silence, Worker, grant_lease
@@ -86,7 +90,9 @@
                 entry,
                 born=entry.born,
                 lease_expires_at=bound_earlier_leases(cell, entry.id),
-                late_orders_end=cell.late_orders_ends.pop(entry.id, 0.0),
+                late_orders_end=max(
+                    cell.late_orders_ends.pop(entry.id, 0.0), bound_earlier_orders(cell, entry.id)
+                ),
                 first_listed_at=now.steady,
             )
             cell.workers[entry.id] = worker
--- a/toucanpin/scheduling/tests/test_ended_incarnations.py
+++ b/toucanpin/scheduling/tests/test_ended_incarnations.py
@@ -163,6 +163,28 @@
                 self.fleet.run(LONGEST_LEASE_S + 3.0)
                 self.assertFalse(self.fleet.duplicate_runs)
 
+    def test_wait_that_an_earlier_owner_lists_outlasts_the_next_restart(self) -> None:
+        """
+        A start had no answer, its worker restarts, its owner ends, and it restarts once more, cut
+        off each time.  Guards against a next owner that forgets the late start at that restart.
+        """
+        self.fleet.start_delay = 11.5
+        for core in self.fleet.workers.values():
+            core.duration = 600.0
+            core.delays_orders = True
+        self.fleet.submit(make_job(steps=(Step(cpu=1_000, long_running=True),)))
+        self.fleet.run(0.1)
+        for core in self.fleet.workers.values():
+            core.delays_orders = False
+        (name,) = [name for name, core in self.fleet.workers.items() if core.delayed_starts]
+        self.fleet.restart(name).silent = True
+        self.fleet.run(0.5)
+        self.fleet.replace_owner()
+        self.fleet.run(0.5)
+        self.fleet.restart(name).silent = True
+        self.fleet.run(25.0)
+        self.assertFalse(self.fleet.duplicate_runs)
+
     def test_missing_entry_counts_only_while_the_list_is_sound(self) -> None:
         """
         Entries that expired while the store was unavailable are back within 2 s.  Guards against
