Owner's row: a missing entry counts only in a list that can be relied on

Found by the review. Cause: left the wait for late orders out of the row as soon as a refusing worker had no entry, also right after an outage in which entries expire; the next owner then released what a late start began. Change: the same soundness of the list is asked for as where the owner itself relies on it; only the second of absence isn't, as the next owner can't find out. The test failed before; the earlier test's last part now waits until the list is sound.

--- a/toucanpin/scheduling/lease_ends.py
+++ b/toucanpin/scheduling/lease_ends.py
@@ -20,7 +20,8 @@
 
 from toucanpin.scheduling.cell import Cell
 from toucanpin.scheduling.ownership import OwnerRecord
-from toucanpin.scheduling.worker import Silence, Worker
+from toucanpin.scheduling.presence import seems_gone
+from toucanpin.scheduling.worker import Worker
 
 __all__ = [
     "bound_earlier_leases",
@@ -75,7 +76,7 @@
     ends = {
         key: end for key, end in cell.earlier_lease_ends.items() if not _has_answered(cell, key)
     }
-    ends |= {worker.entry.id: _bound_runs(worker) for worker in _list_silent(cell)}
+    ends |= {worker.entry.id: _bound_runs(cell, worker, now) for worker in _list_silent(cell)}
     soonest = sorted(ends.items(), key=lambda item: item[1])[:MAX_LISTED_WORKERS]
     return {key: count_ms_until(end, now) for key, end in soonest}
 
@@ -136,15 +137,16 @@
             yield worker
 
 
-def _bound_runs(worker: Worker) -> float:
+def _bound_runs(cell: Cell, worker: Worker, now: float) -> float:
     """
     Return when what a worker runs has ended, by an order to an earlier incarnation at the latest.
 
     Such an order has no effects on a process that has ended; the next owner can't find that out, as
     it knows no address of a worker without an entry.
     """
-    seems_gone = worker.silence is Silence.REFUSED and worker.unlisted_since > 0.0
-    return max(worker.lease_expires_at, 0.0 if seems_gone else worker.late_orders_end)
+    if seems_gone(cell, worker, now):
+        return worker.lease_expires_at
+    return max(worker.lease_expires_at, worker.late_orders_end)
 
 
 def _has_answered(cell: Cell, identifier: str) -> bool:
--- a/toucanpin/scheduling/presence.py
+++ b/toucanpin/scheduling/presence.py
@@ -20,7 +20,7 @@
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.worker import Silence, Worker
 
-__all__ = ["is_gone", "record_listing"]
+__all__ = ["is_gone", "record_listing", "seems_gone"]
 
 # Between two reads, within which the table can't have been unavailable for long enough to make the
 # entry of a worker that is there expire: it takes three missing reports.
@@ -42,11 +42,16 @@
 
 
 def is_gone(cell: Cell, worker: Worker, now: Now) -> bool:
+    """Return whether a worker has seemed to be gone in reads one after the other."""
+    if not seems_gone(cell, worker, now.steady):
+        return False
+    return now.steady >= worker.unlisted_since + MIN_MISSING_S
+
+
+def seems_gone(cell: Cell, worker: Worker, now: float) -> bool:
     """Return whether a worker has no entry and refuses connections, while the list is sound."""
     if worker.silence is not Silence.REFUSED or not worker.unlisted_since:
         return False
-    if now.steady > cell.entries_read_at + MAX_READ_GAP_S:
-        return False
-    if now.steady < cell.entries_sound_since + ENTRY_RETURN_S:
+    if now > cell.entries_read_at + MAX_READ_GAP_S:
         return False
-    return now.steady >= worker.unlisted_since + MIN_MISSING_S
+    return now >= cell.entries_sound_since + ENTRY_RETURN_S
--- a/toucanpin/scheduling/tests/test_lease_ends.py
+++ b/toucanpin/scheduling/tests/test_lease_ends.py
@@ -29,6 +29,7 @@
     update_workers,
 )
 from toucanpin.scheduling.ownership import OwnerRecord, decode_owner, encode_owner
+from toucanpin.scheduling.presence import ENTRY_RETURN_S
 from toucanpin.scheduling.starting import plan_start
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 from toucanpin.scheduling.worker import Silence, Worker
@@ -100,9 +101,29 @@
         mark_silent(self.worker, self.fleet.now(), Silence.REFUSED)
         left = (late_orders_end - self.fleet.time) * 1_000
         self.assertGreaterEqual(self._list()["w0"], left)
+        self.fleet.run(ENTRY_RETURN_S)
+        mark_silent(self.worker, self.fleet.now(), Silence.REFUSED)
         self.worker.unlisted_since = self.fleet.time
+        left = (late_orders_end - self.fleet.time) * 1_000
         self.assertLess(self._list()["w0"], left)
 
+    def test_missing_entry_ends_no_wait_of_the_next_owner_after_an_outage_of_the_list(self) -> None:
+        """
+        Entries have expired while the list couldn't be read, and their worker is between two
+        incarnations.  Guards against telling the next owner that it is gone.
+        """
+        self.fleet.workers["w0"].duration = 600.0
+        self.fleet.run(5.0)
+        late_orders_end = self.worker.late_orders_end = self.fleet.time + 20.0
+        self.fleet.lists_workers = False
+        self.fleet.run(2.0)
+        self.fleet.lists_workers = True
+        self.fleet.unlisted.add("w0")
+        self.fleet.run(TIME_STEP_S)
+        mark_silent(self.worker, self.fleet.now(), Silence.REFUSED)
+        left = (late_orders_end - self.fleet.time) * 1_000
+        self.assertGreaterEqual(self._list()["w0"], left)
+
     def test_an_earlier_end_is_not_listed_again_for_the_next_incarnation(self) -> None:
         """
         A worker that an earlier owner listed answers, and leaves a start of this owner unanswered;
