--- a/toucanpin/entry/decision_log.py
+++ b/toucanpin/entry/decision_log.py
@@ -28,6 +28,7 @@
 from toucanpin.scheduling.headroom import describe_headroom, is_scarce
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import TaskKey, format_task
+from toucanpin.scheduling.orders import RunEnd
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.standstill import Standstill
 from toucanpin.scheduling.suspicion import describe_losses
@@ -119,6 +120,8 @@
     cell.unlogged_reappearances = []
     for again in found:
         REAPPEARED_RUNS.add(1, {"state": again.end.value if again.end else "running"})
+        if again.end is RunEnd.LEASE_EXPIRED:
+            continue  # as expected, and logged as an end
         write = _log.info if again.end else _log.warning
         write(
             "a released run is seen again",
--- a/toucanpin/entry/tests/test_decision_log.py
+++ b/toucanpin/entry/tests/test_decision_log.py
@@ -19,7 +19,9 @@
 )
 from toucanpin.scheduling.cell import Group
 from toucanpin.scheduling.job import Step, TaskKey
+from toucanpin.scheduling.orders import PollAnswer
 from toucanpin.scheduling.tests.fleet import Fleet, make_job
+from toucanpin.scheduling.worker_answers import apply_answer
 
 _HISTORY = ("attempts", "failures", "losses")
 _SEEN = ("task", "attempt", "worker", "end")
@@ -123,6 +125,22 @@
         self.assertEqual(("j1.0.0.0", 1, "w0", ""), tuple(seen[it] for it in _SEEN))
         self.assertLess(0.0, seen["after"])
 
+    def test_an_answer_from_before_a_release_is_no_sight_of_its_run(self) -> None:
+        """Guards against a warning whenever a worker's last answer comes late."""
+        worker = self.fleet.workers["w0"]
+        worker.duration = 60.0
+        self.fleet.submit(make_job("j1", (Step(cpu=900),)))
+        self.fleet.run(12.0)
+        worker.silent = True
+        self.fleet.run(4.0)
+        known, asked_at = self.fleet.cell.workers["w0"], self.fleet.time
+        answer = worker.poll(self.fleet.cell.token, 0, 0, self.fleet.clock("w0"))
+        self.fleet.run(1.0)
+        assert isinstance(answer, PollAnswer)
+        apply_answer(self.fleet.cell, known, answer, asked_at, self.fleet.now())
+        log_reappearances(self.fleet.cell)
+        self.assertNotIn("task.seen_again", self._events())
+
     def test_a_long_wait_shows_what_keeps_workers_from_the_step(self) -> None:
         """Guards against waits whose cause can't be told: room that lies on unusable workers."""
         self.fleet.add_worker("w1", 1_000)
--- a/toucanpin/scheduling/ending.py
+++ b/toucanpin/scheduling/ending.py
@@ -44,8 +44,8 @@
 RETRY_DELAY_S = 0.25  # for tasks whose number of attempts isn't limited otherwise
 
 
-def apply_end(cell: Cell, worker: Worker, ended: EndedRun, now: Now) -> None:
-    """Apply an end that a worker lists."""
+def apply_end(cell: Cell, worker: Worker, ended: EndedRun, sent_at: float, now: Now) -> None:
+    """Apply an end that a worker lists; ``sent_at`` is when it was polled."""
     cell.end_sequences[worker.entry.id] = max(
         cell.end_sequences.get(worker.entry.id, 0), ended.sequence
     )
@@ -55,7 +55,7 @@
         _update_trust(cell, worker, run, ended.end, now)
         finish_run(cell, worker, run, ended.end, ended.checkpoint, now)
         return
-    record_seen_again(cell, worker.entry.id, ended.task, ended.attempt, ended.end, now)
+    record_seen_again(cell, worker.entry.id, ended.task, ended.attempt, ended.end, sent_at)
     match ended.end:
         case RunEnd.DONE:
             _apply_late_success(cell, ended.task, now)
--- a/toucanpin/scheduling/tests/test_overruled_leases.py
+++ b/toucanpin/scheduling/tests/test_overruled_leases.py
@@ -146,17 +146,17 @@
         for number in range(3):
             fleet.submit(make_job(f"j{number}", (Step(count=3, cpu=1_000),), max_failures=50))
         fleet.submit(make_job("lasting", (Step(count=2, cpu=1_000, long_running=True),)))
-        events = [(at, "owner", None) for at in owner_ends]
-        events += [(at, "restart", f"w{number}") for number, at in restarts]
+        events = [(at, "") for at in owner_ends]
+        events += [(at, f"w{number}") for number, at in restarts]
         events.sort(key=lambda event: event[0])
         while fleet.time < began + 21.0:
             _apply_cuts(fleet, cuts, fleet.time - began)
             while events and events[0][0] <= fleet.time - began:
-                _, kind, name = events.pop(0)
-                if kind == "owner":
-                    fleet.replace_owner()
+                _, restarted = events.pop(0)
+                if restarted:
+                    fleet.restart(restarted)
                 else:
-                    fleet.restart(name)
+                    fleet.replace_owner()
             fleet.run(TIME_STEP_S)
         fleet.run(30.0)
         self.assertFalse(set(fleet.duplicate_runs))
--- a/toucanpin/scheduling/worker_answers.py
+++ b/toucanpin/scheduling/worker_answers.py
@@ -44,12 +44,12 @@
     clear_worker(cell, worker)
     for ended in answer.ended:
         if ended.sequence > worker.listed_sequence:
-            apply_end(cell, worker, ended, now)
+            apply_end(cell, worker, ended, sent_at, now)
             worker.listed_sequence = ended.sequence
     listed = {running.task: running for running in answer.running}
     worker.unknown_tasks = frozenset(_find_unknown_runs(worker, answer.running))
     for running in answer.running:
-        _apply_running(cell, worker, running, now)
+        _apply_running(cell, worker, running, sent_at, now)
     # A missing run may have ended after the last end that fitted into the answer.
     complete = len(answer.ended) < MAX_LISTED_ENDS
     for run in list(worker.runs.values()) if complete else ():
@@ -77,11 +77,13 @@
             yield running.task
 
 
-def _apply_running(cell: Cell, worker: Worker, running: RunningTask, now: Now) -> None:
+def _apply_running(
+    cell: Cell, worker: Worker, running: RunningTask, sent_at: float, now: Now
+) -> None:
     run = worker.runs.get(running.task)
     if run is None or run.attempt != running.attempt:
         # Started by an earlier owner, or by an order that was carried out late.
-        record_seen_again(cell, worker.entry.id, running.task, running.attempt, None, now)
+        record_seen_again(cell, worker.entry.id, running.task, running.attempt, None, sent_at)
         cell.orders.append(StopOrder(worker.entry.id, running.task, running.attempt, "unknown run"))
         return
     if run.phase is Phase.STOPPING:
--- a/toucanpin/scheduling/worker_faults.py
+++ b/toucanpin/scheduling/worker_faults.py
@@ -57,7 +57,7 @@
 @dataclass(frozen=True, slots=True)
 class Reappearance:
     """
-    Released run that its worker lists again, ``after`` s later.
+    Released run that its worker lists again, asked for it ``after`` s later.
 
     ``end`` is None if it still runs; an end may have come before the release.
     """
