Orders to each incarnation of a worker get a token of their own: no late poll makes the next one forget ends

Cause: a poll acknowledges ends by their number, and numbers begin anew with each incarnation. A poll to the earlier one that had no answer is carried out up to 12 s late by the next one under the same id, and makes it forget ends that it never told. Orders name the worker by its id, which both have, and all orders of an owner had one token.

Change: an owner raises the token of its orders to a worker with each incarnation, and when it forgets one (fencing.py). Tasks get there by orders with the raised token only, so the worker refuses the late poll before any of their ends. A refusal of an order to an earlier incarnation ends no ownership: polls stop, a stop is sent to the next incarnation. No poll, write or wait more.

RandomFaultsTest is played with the raised tokens only.

Remains: a late poll that arrives before the first order under the raised token; only starts sent to the earlier incarnation can have ended there by then (docs/design/lives-of-workers.md).

--- a/standins/site/worker_core.py
+++ b/standins/site/worker_core.py
@@ -61,6 +61,8 @@
     stuck: bool = False
     duration: float = 1.0
     delayed_starts: list[tuple[float, TaskKey, int, int, int]] = field(default_factory=list)
+    # When they are carried out, and their tokens, acknowledged ends and deadlines.
+    delayed_polls: list[tuple[float, int, int, int]] = field(default_factory=list)
     starts: list[tuple[TaskKey, int]] = field(default_factory=list)
 
     def start(
@@ -138,7 +140,7 @@
         self.ended.append(EndedRun(self.sequence, task, run.attempt, end, ""))
 
     def advance(self, now: float) -> None:
-        """Carry out delayed starts, and end the runs that lapsed, failed or finished."""
+        """Carry out delayed orders, and end the runs that lapsed, failed or finished."""
         for order in [order for order in self.delayed_starts if order[0] <= now]:
             self.delayed_starts.remove(order)
             _, task, attempt, deadline, token = order
@@ -150,3 +152,7 @@
                 self.end(task, RunEnd.FAILED)
             elif not (self.stuck or run.stuck) and now >= run.started + run.duration:
                 self.end(task, RunEnd.DONE)
+        for poll in [poll for poll in self.delayed_polls if poll[0] <= now]:
+            self.delayed_polls.remove(poll)
+            _, token, acknowledged, deadline = poll
+            self.poll(token, acknowledged, deadline, now)
--- a/toucanpin/entry/candidate.py
+++ b/toucanpin/entry/candidate.py
@@ -29,6 +29,7 @@
 from toucanpin.platform.store import Committed, Conflict, ExpectedVersion, Put, Row, Store
 from toucanpin.scheduling.authority import TAKEOVER_AUTHORITY_S
 from toucanpin.scheduling.evacuating import EvacuationList
+from toucanpin.scheduling.fencing import plan_owner_token
 from toucanpin.scheduling.forecast import KnownForecast
 from toucanpin.scheduling.lease_ends import (
     count_ms_until,
@@ -242,7 +243,7 @@
 
     async def _acquire(self, watch: OwnerWatch) -> None:
         previous = watch.record
-        token = previous.token + 1 if previous else 1
+        token = plan_owner_token(previous.token) if previous else 1
         seen_at, now = watch.changed_at, steady_time()
         lease_ends = previous.lease_ends if previous else {}
         earlier_end = find_earlier_leases_end(previous, seen_at, now)
--- a/toucanpin/entry/cell_rows.py
+++ b/toucanpin/entry/cell_rows.py
@@ -37,6 +37,7 @@
 from toucanpin.platform.store import Committed, ExpectedVersion, Page, Put, Row, Store
 from toucanpin.scheduling.authority import choose_authority
 from toucanpin.scheduling.cell import Cell, Now
+from toucanpin.scheduling.fencing import find_newest_token
 from toucanpin.scheduling.forecast import Forecast
 from toucanpin.scheduling.intake import cancel_job, restore_job, submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel, LearnedModel
@@ -210,7 +211,7 @@
         record = OwnerRecord(
             host,
             self.record.life,
-            self.record.token,
+            find_newest_token(self._cell),
             sequence,
             self.backlog,
             self.forecast,
--- a/toucanpin/entry/cell_workers.py
+++ b/toucanpin/entry/cell_workers.py
@@ -27,6 +27,7 @@
 from toucanpin.platform.workers import WorkerClient, WorkerReplacedError
 from toucanpin.scheduling.answer_timeout import MAX_LATENESS_S, AnswerTimeout
 from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.fencing import find_token
 from toucanpin.scheduling.incarnations import admit_answer
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.learning import learn_effects
@@ -146,12 +147,13 @@
         await self._renew_until_loaded(worker, client)
         while self._cell.workers.get(identifier) is worker:
             order = plan_poll(self._cell, worker, self._clocks.now())
+            token = find_token(self._cell, worker)
             sent_at = steady_time()
             # Only a second poll shows whether the answer to the first was lost or is late.
             timeout = MAX_LATENESS_S if worker.silent else self._answer_timeout.limit(sent_at)
             try:
                 answer = await client.poll(
-                    self._cell.token, order.acknowledged, order.deadline, order.wait, timeout
+                    token, order.acknowledged, order.deadline, order.wait, timeout
                 )
             except WorkerReplacedError:
                 log_replaced(worker)
@@ -174,6 +176,8 @@
                 # tasks until it answers.
                 continue
             if isinstance(answer, RefusalReason):
+                if self._cell.workers.get(identifier) is not worker:
+                    break  # the next incarnation refuses what was sent to this one
                 raise OwnershipLostError(f"worker {identifier} refused: {answer.value}")
             self._tell_unknown(worker, answer.born)
             if not self._admits_answer(worker, answer.born, sent_at):
@@ -214,16 +218,19 @@
         """
         while not self._loaded.is_set() and self._cell.workers.get(worker.entry.id) is worker:
             deadline = plan_renewal(self._cell, worker, self._clocks.now())
+            token = find_token(self._cell, worker)
             pause = RENEWAL_PERIOD_S if deadline else RETRY_DELAY_S if worker.clock else 0.0
             sent_at = steady_time()
             try:
-                answer = await client.poll(self._cell.token, 0, deadline, 0.0, MAX_LATENESS_S)
+                answer = await client.poll(token, 0, deadline, 0.0, MAX_LATENESS_S)
             except WorkerReplacedError:
                 return
             except (CallError, PlatformError):
                 pause = RETRY_DELAY_S
             else:
                 if isinstance(answer, RefusalReason):
+                    if self._cell.workers.get(worker.entry.id) is not worker:
+                        return
                     raise OwnershipLostError(f"worker {worker.entry.id} refused: {answer.value}")
                 if self._admits_answer(worker, answer.born, sent_at):
                     record_clock(worker, answer, self._clocks.now())
@@ -267,7 +274,7 @@
                     run.attempt,
                     live.job.spec,
                     deadline,
-                    self._cell.token,
+                    find_token(self._cell, worker),
                     run.checkpoint,
                     run.ticket,
                 )
--- a/toucanpin/entry/tests/test_cell_workers.py
+++ b/toucanpin/entry/tests/test_cell_workers.py
@@ -7,11 +7,13 @@
 
 from standins.site.site import JOB, Site
 from standins.site.virtual import LINK_DELAY_S, run_virtual
+from toucanpin.entry.cell_rows import OwnershipLostError
 from toucanpin.entry.cell_workers import RETRY_DELAY_S, CellWorkers
 from toucanpin.entry.clocks import Clocks
 from toucanpin.http import CallError
 from toucanpin.platform.store import Store
 from toucanpin.scheduling.cell import Cell, add_run
+from toucanpin.scheduling.incarnations import begin_incarnation
 from toucanpin.scheduling.interference_model import InterferenceModel
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.lease_ends import withhold_leases
@@ -23,6 +25,7 @@
     RefusalReason,
     RunEnd,
     RunningTask,
+    StopOrder,
     WorkerEntry,
 )
 from toucanpin.scheduling.stopping import stop_run
@@ -227,6 +230,68 @@
             self.assertEqual(pace, run.pace)
 
 
+class RestartedWorkerTest(unittest.IsolatedAsyncioTestCase):
+    """A worker restarts while orders to its earlier incarnation are in flight, and refuses them."""
+
+    def setUp(self) -> None:
+        self.cell = Cell("c", 1, 0.0, 0.0)
+        self.clocks = Clocks(Store(Site().store))  # type: ignore[arg-type]
+        self.workers = CellWorkers(
+            self.cell, InterferenceModel(), self.clocks, ProcessDelay(), lambda _: None, _do_nothing
+        )
+        self.workers.signal_loaded()
+        self.worker = Worker(WorkerEntry("w", "c", "127.0.0.1:1", "dc", True, 1, 1, 0), born=1)
+        self.cell.workers["w"] = self.worker
+        self.client = _FencingWorkerClient()
+        self.workers._clients["w"] = self.client  # type: ignore[assignment]
+
+    def _restart(self) -> None:
+        begin_incarnation(self.cell, self.worker, 2, self.clocks.now())
+
+    async def test_refused_poll_of_the_earlier_incarnation_ends_no_ownership(self) -> None:
+        """Guards against an owner that gives up its cell, as if another one had taken it."""
+        self.client.before_answer = self._restart
+        await self.workers._poll(self.worker)
+        self.assertEqual([1], self.client.tokens)
+
+    async def test_refused_poll_ends_the_ownership(self) -> None:
+        """Guards against going on as the owner, though another one has polled the worker."""
+        with self.assertRaises(OwnershipLostError):
+            await self.workers._poll(self.worker)
+
+    async def test_refused_stop_is_sent_to_the_next_incarnation(self) -> None:
+        """Guards against a stop that is lost, and against giving up the cell for it."""
+        self.client.before_answer = self._restart
+        await self.workers.order(StopOrder("w", TaskKey("j", 0, 0, 0), 1, "moved"))
+        self.assertEqual([1, 2], self.client.tokens)
+
+    async def test_refused_stop_ends_the_ownership(self) -> None:
+        """Guards against repeating a stop that another owner's worker refuses."""
+        with self.assertRaises(OwnershipLostError):
+            await self.workers.order(StopOrder("w", TaskKey("j", 0, 0, 0), 1, "moved"))
+
+
+class _FencingWorkerClient:
+    """Worker that refuses the first order, as it has seen a higher token."""
+
+    def __init__(self) -> None:
+        self.tokens: list[int] = []
+        self.before_answer = _do_nothing
+
+    def close(self) -> None:
+        """Do nothing."""
+
+    async def poll(self, token: int, *_: object) -> RefusalReason:
+        self.tokens.append(token)
+        self.before_answer()
+        return RefusalReason.FENCED
+
+    async def stop(self, task: TaskKey, attempt: int, token: int) -> RefusalReason | None:
+        self.tokens.append(token)
+        self.before_answer()
+        return RefusalReason.FENCED if len(self.tokens) == 1 else None
+
+
 class _SilentWorkerClient:
     """Worker that never answers."""
 
--- a/toucanpin/entry/tests/test_restarted_workers.py
+++ b/toucanpin/entry/tests/test_restarted_workers.py
@@ -7,6 +7,7 @@
 import unittest
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import logbook
@@ -83,6 +84,30 @@
 
         self._run(play)
 
+    def test_next_owner_outranks_the_orders_to_a_restarted_worker(self) -> None:
+        """Guards against an owner whose orders are refused by a worker that restarted before."""
+
+        async def play() -> None:
+            worker = await self.site.add_worker()
+            self.assertTrue(await self.site.wait_until_ready())
+            for restarts in range(2):
+                worker = await self._restart(worker)
+                raised = partial(self._has_token, worker, 2 + restarts)
+                self.assertTrue(await self.site.wait_until(raised))
+            newest = worker.core.token
+            await self.site.hosts[0].abort()
+            host = len(self.site.hosts)
+            await self.site.add_host()
+            raised = partial(self._has_token, worker, newest + 1)
+            self.assertTrue(await self.site.wait_until(raised))
+            await self.site.submit(JOB, host)
+            self.assertTrue(await self.site.wait_for_state("completed", JOB, host))
+
+        self._run(play)
+
+    def _has_token(self, worker: SiteWorker, token: int) -> bool:
+        return worker.core.token >= token
+
     def test_task_is_not_kept_for_a_process_that_is_gone(self) -> None:
         """
         A start had no answer, its worker ends, is back for a moment under its id and is gone.
--- a/toucanpin/entry/worker_orders.py
+++ b/toucanpin/entry/worker_orders.py
@@ -18,6 +18,7 @@
 from toucanpin.http import CallError
 from toucanpin.platform.workers import WorkerClient, WorkerReplacedError
 from toucanpin.scheduling.cell import Cell
+from toucanpin.scheduling.fencing import find_token
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.orders import PaceOrder, RefusalReason, StopOrder
 from toucanpin.scheduling.starting import record_stop_acknowledged
@@ -80,13 +81,16 @@
                 return
             run = worker.runs.get(order.task)
             try:
-                refused = await client.stop(order.task, order.attempt, self._cell.token)
+                token = find_token(self._cell, worker)
+                refused = await client.stop(order.task, order.attempt, token)
             except WorkerReplacedError:
                 return
             except (CallError, PlatformError):
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             if refused is RefusalReason.FENCED:
+                if self._cell.workers.get(order.worker) is not worker:
+                    continue  # the next incarnation refuses what was sent to this one
                 raise OwnershipLostError(f"worker {order.worker} has another owner")
             if refused is RefusalReason.UNHEALTHY:
                 await asyncio.sleep(RETRY_DELAY_S)
@@ -96,11 +100,13 @@
             return
 
     async def _pace(self, order: PaceOrder) -> None:
+        worker = self._cell.workers.get(order.worker)
         client = self._clients.get(order.worker)
-        if client is None:
+        if worker is None or client is None:
             return
         try:
-            await client.pace(order.task, order.attempt, order.percent, self._cell.token)
+            token = find_token(self._cell, worker)
+            await client.pace(order.task, order.attempt, order.percent, token)
         except (CallError, PlatformError):
             worker = self._cell.workers.get(order.worker)
             run = worker.runs.get(order.task) if worker else None
--- a/toucanpin/scheduling/cell.py
+++ b/toucanpin/scheduling/cell.py
@@ -139,9 +139,10 @@
     """
     State of a cell as its owner knows it.
 
-    ``token`` fences earlier owners at the workers; ``earlier_leases_end`` is the local time by
-    which every lease that an earlier owner may have granted has ended, and ``earlier_lease_ends``
-    has earlier times for some workers.  Workers in ``withheld`` get no lease.  ``confirmed_at`` is
+    ``token`` fences earlier owners at the workers, and with ``token_offset`` added earlier
+    incarnations of a worker, see ``fencing``; ``earlier_leases_end`` is the local time by which
+    every lease that an earlier owner may have granted has ended, and ``earlier_lease_ends`` has
+    earlier times for some workers.  Workers in ``withheld`` get no lease.  ``confirmed_at`` is
     when the newest write that the table accepted was sent, ``taken_over_from`` when that of the
     earlier owner was seen, ``owned_since`` when this one began.  ``interrupted`` tells when
     long-running tasks that wait again last ran.
@@ -160,6 +161,7 @@
     token: int
     earlier_leases_end: float
     confirmed_at: float
+    token_offset: int = 0
     earlier_lease_ends: dict[str, float] = field(default_factory=dict)
     withheld: set[str] = field(default_factory=set)
     taken_over_from: float = 0.0
--- a/toucanpin/scheduling/incarnations.py
+++ b/toucanpin/scheduling/incarnations.py
@@ -18,6 +18,7 @@
 from toucanpin.scheduling.cell import Cell, Now, add_run, drop_run
 from toucanpin.scheduling.crashing import record_incarnation_lost, record_loss
 from toucanpin.scheduling.ending import end_run
+from toucanpin.scheduling.fencing import raise_token
 from toucanpin.scheduling.late_orders import (
     bound_late_start,
     bound_next_incarnation,
@@ -68,6 +69,7 @@
     successor = Worker(
         entry or worker.entry,
         born=born,
+        token_offset=raise_token(cell),
         earlier_born=worker.born,
         sized=listed,
         malformed=not listed,
--- a/toucanpin/scheduling/intake.py
+++ b/toucanpin/scheduling/intake.py
@@ -128,6 +128,7 @@
         entry = WorkerEntry(identifier, cell.name, "", "", False, 0, 0, 0)
         worker = Worker(
             entry,
+            token_offset=cell.token_offset,
             lease_expires_at=bound_earlier_leases(cell, identifier),
             late_orders_end=bound_earlier_orders(cell, identifier),
         )
--- a/toucanpin/scheduling/leases.py
+++ b/toucanpin/scheduling/leases.py
@@ -11,6 +11,7 @@
 
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.crashing import record_incarnation_lost
+from toucanpin.scheduling.fencing import raise_token
 from toucanpin.scheduling.incarnations import (
     begin_incarnation,
     end_lost_runs,
@@ -82,6 +83,7 @@
             worker = Worker(
                 entry,
                 born=entry.born,
+                token_offset=cell.token_offset,
                 lease_expires_at=bound_earlier_leases(cell, entry.id),
                 late_orders_end=max(
                     cell.late_orders_ends.pop(entry.id, 0.0), bound_earlier_orders(cell, entry.id)
@@ -173,6 +175,7 @@
     record_incarnation_lost(cell, worker, now)
     end_lost_runs(cell, worker, LossCause.REPLACED, now)
     del cell.workers[worker.entry.id]
+    raise_token(cell)
 
 
 def expire_leases(cell: Cell, now: Now) -> list[Worker]:
@@ -194,6 +197,8 @@
             del cell.workers[worker.entry.id]
             remember_late_orders(cell, worker, now)
             forgotten.append(worker)
+    if forgotten:
+        raise_token(cell)  # they may return under their ids
     return forgotten
 
 
--- a/toucanpin/scheduling/tests/fleet.py
+++ b/toucanpin/scheduling/tests/fleet.py
@@ -13,6 +13,7 @@
 from toucanpin.scheduling.authority import OWNER_AUTHORITY_S
 from toucanpin.scheduling.cell import Cell, Now
 from toucanpin.scheduling.crashing import fail_crashing_jobs
+from toucanpin.scheduling.fencing import find_newest_token, find_token, plan_owner_token
 from toucanpin.scheduling.incarnations import admit_answer
 from toucanpin.scheduling.intake import restore_job, submit_job
 from toucanpin.scheduling.interference_model import InterferenceModel
@@ -49,13 +50,14 @@
     plan_start,
     record_stop_acknowledged,
 )
-from toucanpin.scheduling.worker import Phase, Run, Silence
+from toucanpin.scheduling.worker import Phase, Run, Silence, Worker
 from toucanpin.scheduling.worker_answers import apply_answer
 from toucanpin.scheduling.write_batches import apply_batch, take_batch
 
 __all__ = ["Fleet", "make_job"]
 
 TIME_STEP_S = 0.05  # of the virtual clock
+LATE_POLL_S = 3.5  # after which a worker carries out a poll that it left unanswered
 LATE_START_S = 6.0  # after which a worker carries out a start that it left unanswered
 FIRST_BORN = 1_000  # incarnation of each worker
 RESTART_TIME_S = 3.0  # until a crashed worker is back as a new incarnation
@@ -70,6 +72,8 @@
 class Fleet:
     """Drive one cell's owner against scripted workers."""
 
+    raises_tokens = True  # for each incarnation of a worker
+
     def __init__(self, workers: int = 2, cpu: int = 4_000, token: int = 1) -> None:
         self.time = 100.0
         self.workers: dict[str, WorkerCore] = {}
@@ -86,6 +90,8 @@
         self.crashing: set[TaskKey] = set()  # tasks that crash each worker that starts them
         self.crashes: list[TaskKey] = []
         self.start_delay = LATE_START_S
+        self.poll_delay = LATE_POLL_S
+        self.delaying_polls: set[str] = set()  # workers that leave polls unanswered
         self.max_starts = NO_LIMIT  # in a turn, of an owner that is behind
         self.keeps_names = False  # crashed workers restart under their names
         self._down: list[tuple[float, WorkerEntry]] = []
@@ -117,7 +123,7 @@
         return core
 
     def restart(self, name: str, **fields) -> WorkerCore:
-        """Restart a worker under its name; late starts are carried out by its next incarnation."""
+        """Restart a worker under its name; late orders are carried out by its next incarnation."""
         self._gone.pop(name, None)
         earlier = self.workers[name]
         fields = {"born": earlier.entry.born + 1, **fields}
@@ -128,6 +134,8 @@
         step = self.clock(name) - before
         for due, task, attempt, deadline, token in earlier.delayed_starts:
             successor.delayed_starts.append((due + step, task, attempt, deadline, token))
+        for due, token, acknowledged, deadline in earlier.delayed_polls:
+            successor.delayed_polls.append((due + step, token, acknowledged, deadline))
         return successor
 
     def clock(self, name: str) -> float:
@@ -149,7 +157,7 @@
         self.pending.clear()
         self.stops.clear()
         listed = list_lease_ends(self.cell, self.time)
-        self.cell = self._make_cell(self.cell.token + 1)
+        self.cell = self._make_cell(plan_owner_token(find_newest_token(self.cell)))
         self.cell.earlier_lease_ends = restore_lease_ends(listed, self.time)
         self.model = InterferenceModel()
         for job in self.jobs.values():
@@ -233,7 +241,14 @@
                 mark_silent(worker, self.now(), Silence.REFUSED if refuses else Silence.UNANSWERED)
                 continue
             clock = self.clock(worker.entry.id)
-            answer = core.poll(self.cell.token, order.acknowledged, order.deadline, clock)
+            token = self._find_token(worker)
+            if worker.entry.id in self.delaying_polls:
+                due = clock + self.poll_delay
+                poll = (due, token, order.acknowledged, order.deadline)
+                core.delayed_polls.append(poll)
+                mark_silent(worker, self.now())
+                continue
+            answer = core.poll(token, order.acknowledged, order.deadline, clock)
             assert isinstance(answer, PollAnswer), answer
             if admit_answer(self.cell, worker, answer.born, self.time, self.now()) is worker:
                 apply_answer(self.cell, worker, answer, self.time, self.now())
@@ -248,19 +263,19 @@
             if not deadline:
                 unsettled.append(run)
                 continue
+            token = self._find_token(worker)
             core = self.workers.get(run.worker)
             if core is None or core.silent or core.loses_starts:
                 outcome = apply_start_failure(self.cell, worker, run, False, self.now())
             elif core.delays_orders:
                 due = self.clock(run.worker) + self.start_delay
-                core.delayed_starts.append((due, run.task, run.attempt, deadline, self.cell.token))
+                core.delayed_starts.append((due, run.task, run.attempt, deadline, token))
                 outcome = apply_start_failure(self.cell, worker, run, False, self.now())
             elif run.task in self.crashing:
                 self.crashes.append(run.task)
                 self.crash(run.worker)
                 outcome = apply_start_failure(self.cell, worker, run, False, self.now())
             else:
-                token = self.cell.token
                 clock = self.clock(run.worker)
                 answer = core.start(run.task, run.attempt, deadline, token, clock)
                 found = admit_answer(self.cell, worker, answer.born, self.time, self.now())
@@ -284,11 +299,14 @@
             if core.silent or core.delays_orders:
                 self.stops.append(order)
                 continue
-            core.stop(order.task, order.attempt, self.cell.token)
+            core.stop(order.task, order.attempt, self._find_token(worker))
             run = worker.runs.get(order.task)
             if run is not None and run.attempt == order.attempt:
                 record_stop_acknowledged(worker, run, self.now())
 
+    def _find_token(self, worker: Worker) -> int:
+        return find_token(self.cell, worker) if self.raises_tokens else self.cell.token
+
     def _find_duplicate_runs(self) -> None:
         seen: set[TaskKey] = set()
         for worker in self.workers.values():
--- a/toucanpin/scheduling/tests/test_ended_incarnations.py
+++ b/toucanpin/scheduling/tests/test_ended_incarnations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 from standins.site.worker_core import WorkerCore
 from toucanpin.scheduling.job import Step
@@ -211,5 +212,15 @@
         self._assert_runs_in_time()
 
 
+class EndedUnderOneTokenTest(EndedIncarnationTest):
+    """The same without a token for each incarnation: late orders aren't refused for theirs."""
+
+    def setUp(self) -> None:
+        patcher = patch.object(Fleet, "raises_tokens", False)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        super().setUp()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/toucanpin/scheduling/tests/test_incarnations.py
+++ b/toucanpin/scheduling/tests/test_incarnations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 from toucanpin.scheduling.advising import Advice, AdviceRequest, find_ticket, record_advice
 from toucanpin.scheduling.cell import Group, StepTickets
@@ -246,6 +247,16 @@
         self.assertEqual("", find_ticket(cell, group, "w0", now))
 
 
+class RestartUnderOneTokenTest(RestartTest):
+    """The same without a token for each incarnation: late orders aren't refused for theirs."""
+
+    def setUp(self) -> None:
+        patcher = patch.object(Fleet, "raises_tokens", False)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        super().setUp()
+
+
 class NewsInAnyOrderTest(unittest.TestCase):
     """Entries and answers of two incarnations overtake each other."""
 
--- a/toucanpin/scheduling/worker.py
+++ b/toucanpin/scheduling/worker.py
@@ -103,6 +103,7 @@
 
     entry: WorkerEntry
     born: int = 0  # start of this incarnation in Unix ms, 0 if unknown
+    token_offset: int = 0  # of orders to it, above the owner's token
     earlier_born: int = 0  # that of the incarnation that it replaced
     sized: bool = True  # its entry is of this incarnation, whose size may differ from the earlier
     runs: dict[TaskKey, Run] = field(default_factory=dict)
