One holder at a time orders a machine, also one that no list names

Cause: an owner orders the machines of its own workers, and each machine that no list names, since only the answer tells whether it exists. Nothing made one of several owners the holder of such a machine, and the tokens of two cells aren't comparable: a machine that joined another cell could see them go back, too.

Change: an owner claims a machine in a row of the store before it orders it, listed or not. The row names the cell, its owner's token and the token of the orders, which grows with each new holder. The claim lasts for the machines' lease and is renewed while orders are repeated. The next owner of the cell takes it over at once, as it sends nothing within a lease of its takeover; another cell's owner once the last order is a lease old, so that a wave doesn't wait for a cell that is gone. One owner's first token for a machine stays that of its cell. Weighed: the owner of the first cell by name orders what no list names. Its tokens would still not be comparable, and it may have no owner.

--- a/standins/site/machines.py
+++ b/standins/site/machines.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from typing import NamedTuple
 
 import msgspec
 
@@ -15,7 +17,15 @@
 from standins.site.worker import SiteWorker
 from toucanpin.http import Request, Response, Server
 
-__all__ = ["SiteMachines"]
+__all__ = ["MachineOrder", "SiteMachines"]
+
+
+class MachineOrder(NamedTuple):
+    """An order for the upkeep of a machine."""
+
+    machine: str
+    holder: str
+    token: int
 
 
 class SiteMachines:
@@ -28,7 +38,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.workers: dict[str, SiteWorker | None] = {}
         self.runs_at_upkeep: dict[str, int] = {}
-        self.orders: list[tuple[str, str, int]] = []
+        self.orders: list[MachineOrder] = []
+        self.order_times: list[float] = []
         self.max_down = 0
         self.lose_answers = 0
         self.refuse_orders = 0  # number of orders to refuse with 503
@@ -57,7 +68,8 @@
         call = msgspec.json.decode(request.body)
         holder = request.headers["x-lease-holder"]
         token = int(request.headers["x-fencing-token"])
-        self.orders.append((call["machine"], holder, token))
+        self.orders.append(MachineOrder(call["machine"], holder, token))
+        self.order_times.append(time.monotonic())
         if self.refuse_orders:
             self.refuse_orders -= 1
             self.refused.append(call["machine"])
@@ -71,7 +83,7 @@
         machines = [
             {
                 "machine": name,
-                "pool": "c",
+                "pool": worker.core.entry.service if worker else "",
                 "state": self.states.get(name, "up" if worker else "upkeep"),
                 "id": worker.core.entry.id if worker else None,
             }
@@ -102,4 +114,6 @@
     async def _replace(self, name: str, worker: SiteWorker) -> None:
         await worker.leave()
         await asyncio.sleep(self._upkeep)
-        self.workers[name] = await self._site.add_worker(duration=worker.core.duration)
+        self.workers[name] = await self._site.add_worker(
+            duration=worker.core.duration, service=worker.core.entry.service
+        )
--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -66,8 +66,10 @@
         self.workers: list[SiteWorker] = []
         self._servers: list = []
 
-    def configure(self, version: int = 1, prefix: str = PREFIX) -> None:
-        """Store a configuration with one queue."""
+    def configure(
+        self, version: int = 1, prefix: str = PREFIX, services: tuple[str, ...] = ("c",)
+    ) -> None:
+        """Store a configuration with some services, and one queue of the service ``c``."""
         route = {
             "name": "q",
             "host": HOST,
@@ -76,7 +78,8 @@
             "maxAttempts": 2,
             "priority": 0,
         }
-        document = {"version": version, "routes": [route], "services": [{"name": "c"}]}
+        named = [{"name": service} for service in services]
+        document = {"version": version, "routes": [route], "services": named}
         self.store.put("op", "config", msgspec.json.encode(document))
 
     def evacuate(self, data_centre: str) -> None:
@@ -122,12 +125,13 @@
         address: str = "",
         data_centre: str = "dc",
         name: str = "",
+        service: str = "c",
     ) -> SiteWorker:
         """Start a worker, or a new incarnation of one at its address, or under its name too."""
         name = name or f"w{len(self.workers)}"
         address = address or f"127.0.0.1:{free_port()}"
         born = time.time_ns() // 1_000_000
-        entry = WorkerEntry(name, "c", address, data_centre, True, cpu, 8_000, 0, born=born)
+        entry = WorkerEntry(name, service, address, data_centre, True, cpu, 8_000, 0, born=born)
         worker = SiteWorker(self.store, entry)
         worker.core.duration = duration
         await worker.start()
--- a/toucanpin/entry/tables.py
+++ b/toucanpin/entry/tables.py
@@ -15,6 +15,7 @@
     "HOSTS_TABLE",
     "JOBS_TABLE",
     "KEYS_TABLE",
+    "MACHINES_TABLE",
     "OWNERS_TABLE",
     "OWNER_KEY",
     "PROGRESS_TABLE",
@@ -35,6 +36,7 @@
 OWNERS_TABLE = "owners"  # by cell: its owner
 HANDOVERS_TABLE = "handovers"  # by cell: written when an owner resigns, to notify the candidates
 WAVES_TABLE = "waves"  # by number: progress of a upkeep wave; written by owners
+MACHINES_TABLE = "machines"  # by name: which owner may order a machine; written by owners
 HOSTS_TABLE = "hosts"  # by name: addresses of the hosts; each host writes its own
 KEYS_TABLE = "keys"  # the key that all hosts share
 OWNER_KEY = "owner"
--- a/toucanpin/entry/waves.py
+++ b/toucanpin/entry/waves.py
@@ -15,6 +15,7 @@
 
 from toucanpin.decoding import decode_msgpack
 from toucanpin.entry.clocks import Clocks, steady_time
+from toucanpin.entry.machine_claims import MAX_CLAIMED_AT_ONCE, MachineClaims
 from toucanpin.entry.row_reader import RowReader
 from toucanpin.entry.tables import WAVES_TABLE
 from toucanpin.exception import PlatformError
@@ -75,6 +76,7 @@
         self._cell = cell
         self._clocks = clocks
         self._bounds = bounds
+        self._claims = MachineClaims(store, cell, clocks, bounds.machine_lease)
         # Two owners must not send orders for the same machine alternately.
         self._orders_allowed_at = 0.0 if first else steady_time() + bounds.machine_lease
         self._reader = RowReader()
@@ -200,16 +202,22 @@
             await self._write_record(wave, completed_record, version, (_put_status(wave, True),))
             _log.info("upkeep wave completed", event="wave.completed", wave=wave.number)
             return []
-        for name, worker in record.down.items():
-            machine = self._machines.get(name)
-            if machine is None or machine.state is not MachineState.UP:
-                continue
-            if machine.worker == worker and name in orders:
-                self._start_order(wave, name)
+        unchanged = [
+            name
+            for name, worker in record.down.items()
+            if name in orders and self._is_up_with(name, worker)
+        ]
+        for name in await self._claims.acquire(unchanged):
+            self._start_order(wave, name)
         if await self._order_missing(wave, record, version):
             return self._list_draining_workers()
         return await self._drain_workers(wave, record, version)
 
+    def _is_up_with(self, name: str, worker: str) -> bool:
+        """Return whether a machine is listed as up, and with a worker."""
+        machine = self._machines.get(name)
+        return machine is not None and machine.state is MachineState.UP and machine.worker == worker
+
     def _list_ordered_workers(self, wave: Wave) -> list[Worker]:
         """
         Return the workers whose machines have been ordered into upkeep.
@@ -233,11 +241,13 @@
         missing = list_missing_machines(
             self._cell, wave, record, self._machines, self._last_seen, self._listed_at
         )
-        for name in missing:
-            if name in record.down:
-                self._start_order(wave, name)
-        new = [name for name in missing if name not in record.down]
-        new = new[: max(0, wave.cap - len(record.down))]
+        for name in await self._claims.acquire(it for it in missing if it in record.down):
+            self._start_order(wave, name)
+        free = max(0, wave.cap - len(record.down))
+        new = [name for name in missing if name not in record.down] if free else []
+        # More are claimed than there is room for: others may be another owner's.
+        held = await self._claims.acquire(new[:MAX_CLAIMED_AT_ONCE])
+        new = [name for name in new if name in held][:free]
         if not new:
             return False
         down = {**record.down, **dict.fromkeys(new, "")}
@@ -256,6 +266,10 @@
         names = {machine.worker: name for name, machine in self._machines.items()}
         free = max(0, wave.cap - len(record.down))
         new = {names[worker.entry.id]: worker.entry.id for worker in ready[:free]}
+        held = await self._claims.acquire(new)
+        new = {name: worker for name, worker in new.items() if name in held}
+        if not new:
+            return chosen
         down = {**record.down, **new}
         if await self._write_record(wave, WaveRecord(record.begun, down, record.done), version):
             # Earlier orders are repeated only if the newest list shows the machine unchanged: one
@@ -276,9 +290,10 @@
         """Order the upkeep of a machine once; a later step repeats it if nothing has changed."""
         order = self._orders.setdefault(wave.number, {}).setdefault(name, UpkeepOrder())
         try:
-            if steady_time() > self._cell.confirmed_at + MAX_COMMIT_AGE_S:
+            token = self._claims.find_token(name)
+            if not token or steady_time() > self._cell.confirmed_at + MAX_COMMIT_AGE_S:
                 return
-            answer = await self._client.begin_upkeep(name, wave.number, self._cell.token)
+            answer = await self._client.begin_upkeep(name, wave.number, token)
             _log.info(
                 "upkeep of a machine ordered",
                 event="upkeep.ordered",
