Count losses that two tasks share once for each, as either may have caused them

Cause: each task's losses were counted without a look at who else was lost with it. Beside a task that crashes its workers another one is lost with it at its start, often twice; a third worker that restarts by chance then made three, before the other had crashed its third. The wrong job was failed, and its losses then explained those of the right one.

Change: losses that another job's task shares at its start too, at least two of them, count once against the limit of three at the start. Five in all still suffice. Such a task that crashes its workers crashes four instead of three.

Result: the new test is red before and green now, test_crashing and test_incarnation_losses are green.

--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -28,6 +28,7 @@
 from toucanpin.scheduling.suspicion import (
     MIN_PROOF_CRASHES,
     NEW_WORKER_PERIOD_S,
+    find_shared_losses,
     is_known_to_crash,
     name_incarnation,
     was_lost_at_start,
@@ -141,6 +142,9 @@
     if not is_known_to_crash(record.crashed, record.explained):
         cell.crashing.discard(task)
         return False
+    shared = find_shared_losses(cell, task, record.crashed)
+    if not is_known_to_crash(record.crashed, record.explained, shared):
+        return False
     unexplained = [lost for lost in record.crashed if lost not in record.explained]
     return sum(_has_ended(cell, lost) for lost in unexplained) >= MIN_CONFIRMED_CRASHES
 
--- a/toucanpin/scheduling/suspicion.py
+++ b/toucanpin/scheduling/suspicion.py
@@ -16,7 +16,7 @@
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
-from toucanpin.scheduling.cell import Cell, LiveJob, Now
+from toucanpin.scheduling.cell import Cell, LiveJob, Now, find_record
 from toucanpin.scheduling.instability import SUSPICION_PERIOD_S, is_unstable
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.progress import CrashSuspicion, TaskRecord
@@ -30,6 +30,7 @@
     "assess_suspicion",
     "count_suspected",
     "describe_losses",
+    "find_shared_losses",
     "find_suspicion",
     "is_known_to_crash",
     "is_new_worker",
@@ -43,6 +44,7 @@
 MAX_CRASHES = 5  # workers lost while they ran a task, until it isn't started any more
 MAX_CRASHES_AT_START = 3  # the same for unexplained losses right after the task's start
 MIN_UNEXPLAINED = 2  # of MAX_CRASHES losses
+MIN_SHARED_LOSSES = 2  # with one other task, either of which may have crashed the workers
 MIN_PROOF_CRASHES = 3  # from which on a task is started only where one more would prove something
 START_PERIOD_S = 1.0  # within which a loss counts as one at the start
 NEW_WORKER_PERIOD_S = 3.0  # since the first listing; longer than most workers that flap stay up
@@ -53,14 +55,32 @@
 MAX_UNSTABLE_HOLD_S = 20.0  # the same while workers go on being lost, for as long as they like
 
 
-def is_known_to_crash(losses: Mapping[str, bool], explained: Collection[str]) -> bool:
-    """Return whether losses show that a task crashes its workers."""
-    unexplained = [at_start for lost, at_start in losses.items() if lost not in explained]
-    if sum(unexplained) >= MAX_CRASHES_AT_START:
+def is_known_to_crash(
+    losses: Mapping[str, bool], explained: Collection[str], shared: Collection[str] = ()
+) -> bool:
+    """Return whether losses show that a task crashes its workers; ``shared`` ones count once."""
+    unexplained = {lost: at_start for lost, at_start in losses.items() if lost not in explained}
+    at_start = {lost for lost, is_at_start in unexplained.items() if is_at_start}
+    evidence = len(at_start.difference(shared)) + bool(at_start.intersection(shared))
+    if evidence >= MAX_CRASHES_AT_START:
         return True
     return len(losses) >= MAX_CRASHES and len(unexplained) >= MIN_UNEXPLAINED
 
 
+def find_shared_losses(cell: Cell, task: TaskKey, losses: Mapping[str, bool]) -> set[str]:
+    """
+    Return the losses that another job's task may have caused as well, lost with it repeatedly.
+
+    A task that crashes its workers may take the same neighbour along to each of them.
+    """
+    shared: dict[TaskKey, set[str]] = {}
+    for lost in losses:
+        for other in cell.suspects.get(lost, ()):
+            if other.job != task.job and _was_lost_at_start_of(cell, other, lost):
+                shared.setdefault(other, set()).add(lost)
+    return {lost for both in shared.values() if len(both) >= MIN_SHARED_LOSSES for lost in both}
+
+
 def is_start_blocked(cell: Cell, live: LiveJob, task: TaskKey, now: Now) -> bool:
     """
     Return whether a task may not be started until more is known of the lost workers that ran it.
@@ -74,7 +94,7 @@
     }
     if len(losses) < MIN_PROOF_CRASHES:
         return False
-    if is_known_to_crash(losses, record.explained):
+    if is_known_to_crash(losses, record.explained, find_shared_losses(cell, task, losses)):
         return not _is_hold_over(cell, record, silent, now)
     if _is_long_ago(record, MAX_UNSTABLE_HOLD_S, now):
         return False
@@ -156,6 +176,13 @@
     return now.table > max(record.lost_at.values(), default=0) + hold * 1_000
 
 
+def _was_lost_at_start_of(cell: Cell, task: TaskKey, lost: str) -> bool:
+    """Return whether a loss still counts against a task as one right after its start."""
+    live = cell.jobs.get(task.job)
+    record = find_record(live, task) if live else None
+    return record is not None and record.crashed.get(lost, False)
+
+
 def _list_silent_runs(cell: Cell, live: LiveJob, task: TaskKey) -> Iterator[Run]:
     """Yield the runs of a task that may have copies on workers that don't answer."""
     if not live.job.steps[task.step].speculative:
--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -12,7 +12,11 @@
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.progress import JobState
 from toucanpin.scheduling.progress_rows import encode_progress
-from toucanpin.scheduling.suspicion import MAX_CRASHES_AT_START, NEW_WORKER_PERIOD_S
+from toucanpin.scheduling.suspicion import (
+    MAX_CRASHES_AT_START,
+    MIN_PROOF_CRASHES,
+    NEW_WORKER_PERIOD_S,
+)
 from toucanpin.scheduling.tests.fleet import TIME_STEP_S, Fleet, make_job
 
 # A task is started at most twice more after it has crashed three workers.
@@ -190,6 +194,33 @@
         self.assertEqual(JobState.FAILED, fleet.state("bad"))
         self.assertEqual(JobState.ACTIVE, fleet.state("good"))
 
+    def test_neighbour_of_a_crashing_task_does_not_fail_before_that(self) -> None:
+        """
+        Guards against failing a task that was lost twice with a crashing task, and once more by
+        chance before that one has crashed its third worker.
+        """
+        for good in ("a", "z"):  # before and after the crashing one
+            with self.subTest(good=good):
+                fleet = Fleet(workers=8, cpu=8_000)
+                fleet.keeps_names = True
+                fleet.crashing = {TaskKey("bad", 0, 0, 0)}
+                for worker in fleet.workers.values():
+                    worker.duration = 100.0
+                fleet.submit(make_job(good, (Step(cpu=500, long_running=True),)))
+                fleet.submit(make_job("bad", (Step(cpu=500),)))
+                while len(fleet.crashes) < MIN_PROOF_CRASHES - 1:
+                    fleet.run(TIME_STEP_S)
+                while any(_runs(worker, good) for worker in fleet.workers.values()):
+                    fleet.run(TIME_STEP_S)
+                while not (holders := [it for it, w in fleet.workers.items() if _runs(w, good)]):
+                    fleet.run(TIME_STEP_S)
+                (holder,) = holders
+                fleet.restart(holder)
+                fleet.run(30.0)
+                self.assertEqual(JobState.FAILED, fleet.state("bad"))
+                self.assertLessEqual(len(fleet.crashes), MAX_STARTS)
+                self.assertEqual(JobState.ACTIVE, fleet.state(good))
+
 
 class CrashingWorkerTest(unittest.TestCase):
     def test_random_worker_crashes_fail_no_job(self) -> None:
