Soak: links that refuse connections, and resets that are resets

LinkMode.REFUSED closes the listener and resets what is open. RESET ended connections by an orderly end (FIN); both modes now send a reset, as their names say.

The network lock of concurrent runs moves to network.py, as the test of links uses it too.

--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -8,12 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
-import tempfile
 import time
 from collections import Counter
 from pathlib import Path
-from typing import IO
 
 import msgspec
 
@@ -24,6 +21,7 @@
 from tools.soak.hosts import Host
 from tools.soak.jobs import LATE_LABEL, MAX_ATTEMPTS, ROUTES
 from tools.soak.links import Link
+from tools.soak.network import take_network
 from tools.soak.plan import DATA_CENTRES, Size
 from tools.soak.store import HostView, SoakStore
 from tools.soak.workers import SoakWorker
@@ -41,8 +39,6 @@
 RESTART_DELAY_S = 1.0  # after a task has crashed a worker
 WORKER_CPU = 8_000  # thousandths of a core
 WORKER_MEMORY_MB = 16_000
-NETWORK_NUMBERS = range(1, 200)  # third octet of 127.*.x.y, one for each concurrent run
-LOCK_DIRECTORY = Path(tempfile.gettempdir())
 
 
 class Deployment:
@@ -61,7 +57,7 @@
         self.modes: dict[tuple[int, int | None], tuple[LinkMode, float]] = {}
         self._incarnations = [0] * size.workers
         self._replacing: set[asyncio.Task[None]] = set()
-        self._lock, self._network = _take_network()
+        self._lock, self._network = take_network()
         self._version = 0
         self._evacuations: Counter[str] = Counter()
         self._servers: list[Server] = []
@@ -281,16 +277,3 @@
         "priority": priority,
         "maxAttempts": MAX_ATTEMPTS,
     }
-
-
-def _take_network() -> tuple[IO[str], int]:
-    """Return the lock and the number of a network that no other run on this machine uses."""
-    for number in NETWORK_NUMBERS:
-        lock = (LOCK_DIRECTORY / f"toucanpin-soak-{number}.lock").open("w")
-        try:
-            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            lock.close()
-            continue
-        return lock, number
-    raise OSError(f"all {len(NETWORK_NUMBERS)} loopback networks are in use by other soak runs")
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -39,7 +39,8 @@
 
     OPEN = "open"
     DELAYED = "delayed"
-    RESET = "reset"
+    RESET = "reset"  # open and new connections
+    REFUSED = "refused"  # open connections are reset, nobody listens for new ones
     CUT_THERE = "cut there"  # requests are held, answers pass
     CUT_BACK = "cut back"  # requests pass, answers are held
     SILENT = "silent"  # both are held
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -2,13 +2,16 @@
 Links
 =====
 
-TCP proxies between an entry host and the store or a worker, which delay, reset or hold bytes.
+TCP proxies between an entry host and the store or a worker, which delay or hold bytes, and reset or
+refuse connections.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 from tools.soak.faults import LinkMode
 
@@ -17,6 +20,8 @@
 CHUNK_BYTES = 65_536
 REQUEST_HOLDING_MODES = (LinkMode.CUT_THERE, LinkMode.SILENT)
 ANSWER_HOLDING_MODES = (LinkMode.CUT_BACK, LinkMode.SILENT)
+ENDING_MODES = (LinkMode.RESET, LinkMode.REFUSED)
+NO_LINGER = struct.pack("ii", 1, 0)  # the peer gets a reset in place of an orderly end
 
 
 class Link:
@@ -32,28 +37,31 @@
         self._mode = LinkMode.OPEN
         self._delay = 0.0
         self._changed = asyncio.Event()
+        self._address = ""
         self._server: asyncio.Server | None = None
+        self._listening = asyncio.Lock()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, address: str) -> None:
-        """Accept connections on an address."""
-        host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(
-            self._accept, host, int(port), backlog=256, limit=CHUNK_BYTES
-        )
+        """Accept connections on an address while the mode allows it."""
+        self._address = address
+        await self._adjust_listener()
 
     def set_mode(self, mode: LinkMode, delay: float = 0.0) -> None:
         """Change how bytes are treated from now on."""
         self._mode = mode
         self._delay = delay if mode is LinkMode.DELAYED else 0.0
-        if mode is LinkMode.RESET:
+        if mode in ENDING_MODES:
             self._abort()
         self._changed.set()
         self._changed = asyncio.Event()
+        if self._address:
+            self._keep(asyncio.ensure_future(self._adjust_listener()))
 
     def close(self) -> None:
         """Stop listening and end all connections."""
+        self._address = ""
         if self._server is not None:
             self._server.close()
         for task in self._tasks:
@@ -62,13 +70,28 @@
 
     def _abort(self) -> None:
         for writer in tuple(self._writers):
-            writer.transport.abort()
+            _reset(writer)
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _adjust_listener(self) -> None:
+        """Listen unless connections are refused."""
+        async with self._listening:
+            if self._mode is LinkMode.REFUSED and self._server is not None:
+                self._server.close()
+                self._server = None
+            elif self._mode is not LinkMode.REFUSED and self._server is None:
+                host, _, port = self._address.rpartition(":")
+                self._server = await asyncio.start_server(
+                    self._accept, host, int(port), backlog=256, limit=CHUNK_BYTES
+                )
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._keep(task)
         self._writers.add(writer)
         try:
             await self._relay(reader, writer)
@@ -78,7 +101,8 @@
             self._drop(writer)
 
     async def _relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._mode is LinkMode.RESET:
+        if self._mode in ENDING_MODES:
+            _reset(writer)
             return
         host, _, port = self._target.rpartition(":")
         target_reader, target_writer = await asyncio.open_connection(
@@ -120,3 +144,10 @@
     def _drop(self, writer: asyncio.StreamWriter) -> None:
         self._writers.discard(writer)
         writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    raw = writer.get_extra_info("socket")
+    if raw is not None and not writer.transport.is_closing():
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    writer.transport.abort()
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -22,6 +22,7 @@
 MIN_SCALED_HOSTS = 12  # larger deployments get proportionally more series
 SERIES_LENGTHS = (2, 3, 4, 6)  # in faults
 FAULT_GAPS_S = (0.0, 1.2)  # between faults of a series
+REFUSAL_GAPS_S = (4.0, 16.0)  # between times in which links refuse connections
 RESTART_GAPS_S = (1.0, 5.0)  # between restarts of workers under their ids
 STORM_SHARES = (0.3, 0.8)  # of the workers
 STORM_LENGTHS_S = (6.0, 14.0)
@@ -36,7 +37,13 @@
 DATA_CENTRES = ("dc0", "dc1", "dc2")
 UNUSED_DATA_CENTRE = "dc9"
 EXTRA_QUEUE_COUNTS = (0, 1, 3, 40, 1_000)
-FAULTY_MODES = tuple(mode for mode in LinkMode if mode is not LinkMode.OPEN)
+FAULTY_MODES = (
+    LinkMode.DELAYED,
+    LinkMode.RESET,
+    LinkMode.CUT_THERE,
+    LinkMode.CUT_BACK,
+    LinkMode.SILENT,
+)
 CUT_MODES = (LinkMode.CUT_THERE, LinkMode.CUT_BACK, LinkMode.SILENT)
 
 
@@ -63,8 +70,9 @@
     host_factor = max(1.0, size.hosts / MIN_SCALED_HOSTS)
     for _ in range(max(2, round(size.seconds / SERIES_PERIOD_S * host_factor))):
         timed += _draw_series(random_, size)
-    # Drawn apart, so that each seed keeps the other faults that it had before there were restarts.
+    # Drawn apart, so that each seed keeps the other faults that it had before there were these.
     timed += _draw_restarts(random.Random(f"restarts/{seed}"), size)
+    timed += _draw_refusals(random.Random(f"refusals/{seed}"), size)
     if size.unstable:
         timed += _draw_storm(random.Random(f"storm/{seed}"), size)
     return tuple(sorted(timed, key=lambda it: it.at))
@@ -115,6 +123,18 @@
         at += random_.uniform(*RESTART_GAPS_S)
 
 
+def _draw_refusals(random_: random.Random, size: Size) -> Iterator[TimedFault]:
+    """Yield times in which links refuse connections."""
+    at = random_.uniform(FAULT_FREE_START_S, REFUSAL_GAPS_S[1])
+    while at < size.seconds:
+        targets = _draw_targets(random_, size)
+        workers = random_.choice((None, targets.workers))
+        lasts = targets.draw_time(LONG_DURATIONS_S)
+        trouble = faults.LinkTrouble(targets.draw_hosts(), workers, LinkMode.REFUSED, lasts)
+        yield TimedFault(round(at, 3), trouble)
+        at += random_.uniform(*REFUSAL_GAPS_S)
+
+
 def _draw_storm(random_: random.Random, size: Size) -> Iterator[TimedFault]:
     """Yield faults of many workers at the same time, and of the owners of their cells."""
     begin = random_.uniform(FAULT_FREE_START_S, size.seconds / 3)
