Soak: workers that are cut off from the store and all hosts, and run on

WorkerCut cuts the links of a worker to all hosts, in one mode or one after the other, and its reports to the store; with no mode, its reports alone. ReportPath lets the entry lapse three reports (3.3 s) after the last one, which came up to 1.1 s before the cut, and lists the worker that is up when the last cut ends, also a later incarnation. A worker that leaves meanwhile isn't deregistered; one that drains counts as draining for the checks once the store has heard of it, as the event's description says. Troubles of single links don't open a cut.

Checks: unchanged. A cut is trouble of workers (Standing waits 4 s after it), and where hosts are cut off it disturbs orders alone, as LATE orders do, so that Counts and Configurations aren't excused by it. A cut of reports alone excuses no start.

Plans change with the vocabulary: cuts, and the late orders, ends of owners and restarts beside them, are drawn by a generator of their own ("cuts/SEED").

Run: test_reports, test_injector (virtual clock), test_plan, test_checks, test_links, green; test_plan was red before the draw, as no plan had the fault's type.

--- a/standins/site/worker.py
+++ b/standins/site/worker.py
@@ -9,17 +9,16 @@
 
 import asyncio
 import time
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
-from standins.site.store import SiteStore
 from standins.site.worker_core import WorkerCore
 from toucanpin.http import Request, Response, Server
 from toucanpin.platform.workers import encode_task, parse_task
 from toucanpin.scheduling.orders import RefusalReason, StartAnswer, WorkerEntry
 
-__all__ = ["SiteWorker"]
+__all__ = ["Registry", "SiteWorker"]
 
 TICK_S = 0.02  # period of checks for ended runs
 _REASONS = {
@@ -30,10 +29,20 @@
 }
 
 
+class Registry(Protocol):
+    """Where workers register: the store, or a path to it."""
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a row."""
+
+    def delete(self, table: str, key: str) -> None:
+        """Delete a row."""
+
+
 class SiteWorker:
     """Serve the HTTP interface of one worker."""
 
-    def __init__(self, store: SiteStore, entry: WorkerEntry) -> None:
+    def __init__(self, store: Registry, entry: WorkerEntry) -> None:
         self.core = WorkerCore(entry)
         self.refuse_next = 0
         self.garbage_next = 0
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -23,6 +23,7 @@
 from tools.soak.links import Link
 from tools.soak.network import take_network
 from tools.soak.plan import DATA_CENTRES, Size
+from tools.soak.reports import ReportPath
 from tools.soak.store import HostView, SoakStore
 from tools.soak.workers import SoakWorker
 from toucanpin.entry.tables import OWNER_KEY, OWNERS_TABLE
@@ -51,6 +52,7 @@
         self.state = SharedState(QUEUES)
         self.store = SoakStore()
         self.moods: list[list[WorkerMood]] = [[] for _ in range(size.workers)]
+        self.reports = [ReportPath(self.store) for _ in range(size.workers)]
         self.workers: list[SoakWorker | None] = [None] * size.workers
         self.extra_workers: list[SoakWorker] = []
         self.links: dict[tuple[int, int | None], Link] = {}
@@ -134,7 +136,14 @@
         self._worker_numbers[address] = number
         site = DATA_CENTRES[number % len(DATA_CENTRES)]
         worker = self._make_worker(
-            name, service, address, site, (), self.moods[number], number % 2 == 1
+            name,
+            service,
+            address,
+            site,
+            (),
+            self.moods[number],
+            self.reports[number],
+            number % 2 == 1,
         )
         await worker.start()
         # A worker that ended while it starts would go on listening at the address of the next one.
@@ -170,7 +179,14 @@
             address = f"{self._address(4, number)}:7002"
             self._worker_numbers[address] = self.size.workers + number
             worker = self._make_worker(
-                f"late-{service}", service, address, "dc", ("k", "r9", LATE_LABEL), [], False
+                f"late-{service}",
+                service,
+                address,
+                "dc",
+                ("k", "r9", LATE_LABEL),
+                [],
+                ReportPath(self.store),
+                False,
             )
             self.extra_workers.append(worker)
             await worker.start()
@@ -202,6 +218,7 @@
         data_centre: str,
         labels: tuple[str, ...],
         moods: list[WorkerMood],
+        reports: ReportPath,
         slow_clock: bool,
     ) -> SoakWorker:
         labels = labels or ("k", f"r{address.rpartition('.')[2]}")
@@ -218,7 +235,7 @@
             born=time.time_ns() // 1_000_000,
         )
         return SoakWorker(
-            self.store,
+            reports,
             entry,
             self.record,
             self.state.jobs,
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -27,6 +27,7 @@
     "SettingsChange",
     "StoreTrouble",
     "TimedFault",
+    "WorkerCut",
     "WorkerEnds",
     "WorkerMood",
     "WorkerRestarts",
@@ -167,6 +168,21 @@
     away: float
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerCut:
+    """
+    Cut a worker off from the store and all hosts; what it runs goes on under its leases.
+
+    Its links to hosts have each of the ``modes`` for an equal part of ``lasts`` s; with none, only
+    its reports are cut.  The last report arrived ``report_age`` s before.
+    """
+
+    worker: int
+    modes: tuple[LinkMode, ...]
+    lasts: float
+    report_age: float
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerMood:
     """Make a worker misbehave for ``lasts`` s."""
@@ -191,6 +207,7 @@
     | LinkTrouble
     | WorkerEnds
     | WorkerRestarts
+    | WorkerCut
     | WorkerMood
 )
 
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -18,7 +18,7 @@
 
 __all__ = ["FaultInjector"]
 
-WORKER_FAULTS = (faults.WorkerEnds, faults.WorkerRestarts, faults.WorkerMood)
+WORKER_FAULTS = (faults.WorkerEnds, faults.WorkerRestarts, faults.WorkerCut, faults.WorkerMood)
 RECORD_PERIOD_S = 0.2  # between records of an ongoing disturbance
 
 
@@ -29,6 +29,7 @@
         self._deployment = deployment
         self._active: dict[asyncio.Task[None], Fault] = {}
         self._links: list[faults.LinkTrouble] = []
+        self._cuts: list[faults.LinkTrouble] = []  # they outweigh troubles of single links
 
     async def run(self, plan: tuple[TimedFault, ...]) -> None:
         """Inject all faults of a plan and wait until the last has ended."""
@@ -78,7 +79,9 @@
             case faults.WorkerEnds() | faults.WorkerRestarts() | faults.WorkerMood():
                 return self._disturb_worker(fault)
             case faults.LinkTrouble():
-                return self._disturb_link(fault)
+                return self._disturb_link(fault, self._links)
+            case faults.WorkerCut():
+                return self._cut_worker(fault)
         return self._disturb_store(fault)
 
     async def _signal(
@@ -121,19 +124,33 @@
                 for view in views:
                     view.end(fault)
 
-    async def _disturb_link(self, fault: faults.LinkTrouble) -> None:
-        self._links.append(fault)
+    async def _disturb_link(
+        self, fault: faults.LinkTrouble, active: list[faults.LinkTrouble]
+    ) -> None:
+        active.append(fault)
         self._set_links(fault)
         await asyncio.sleep(fault.lasts)
-        self._links.remove(fault)
+        active.remove(fault)
         self._set_links(fault)
 
+    async def _cut_worker(self, fault: faults.WorkerCut) -> None:
+        reports = self._deployment.reports[fault.worker]
+        reports.cut(fault.report_age)
+        hosts = tuple(range(self._deployment.size.hosts))
+        for mode in fault.modes:
+            lasts = fault.lasts / len(fault.modes)
+            trouble = faults.LinkTrouble(hosts, (fault.worker,), mode, lasts)
+            await self._disturb_link(trouble, self._cuts)
+        if not fault.modes:
+            await asyncio.sleep(fault.lasts)
+        reports.restore()
+
     def _set_links(self, changed: faults.LinkTrouble) -> None:
         """Set each affected link to the mode of the newest fault on it that is active."""
         for host in changed.hosts:
             for worker in changed.workers or (None,):
                 mode, delay = LinkMode.OPEN, 0.0
-                for link in self._links:
+                for link in (*self._links, *self._cuts):
                     if host in link.hosts and worker in (link.workers or (None,)):
                         mode, delay = link.mode, link.delay
                 self._deployment.set_link(host, worker, mode, delay)
@@ -162,6 +179,8 @@
             return None
         case faults.DataCentreEvacuated():
             return None
+        case faults.WorkerCut():
+            return True if fault.modes else None
         case faults.LinkTrouble():
             return fault.workers is not None
     return False
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -14,6 +14,7 @@
 from tools.soak import faults
 from tools.soak.events import Signal
 from tools.soak.faults import Fault, LinkMode, Mood, TimedFault
+from tools.soak.reports import REPORT_PERIOD_S
 
 __all__ = ["DATA_CENTRES", "Size", "draw_plan"]
 
@@ -23,6 +24,8 @@
 SERIES_LENGTHS = (2, 3, 4, 6)  # in faults
 FAULT_GAPS_S = (0.0, 1.2)  # between faults of a series
 REFUSAL_GAPS_S = (4.0, 16.0)  # between times in which links refuse connections
+CUT_GAPS_S = (3.0, 9.0)  # between cuts of workers
+WORKER_CUT_DURATIONS_S = (2.0, 9.0)  # a lease is 4.5 s, an entry lapses after 2.2 to 3.3 s
 RESTART_GAPS_S = (1.0, 5.0)  # between restarts of workers under their ids
 STORM_SHARES = (0.3, 0.8)  # of the workers
 STORM_LENGTHS_S = (6.0, 14.0)
@@ -45,6 +48,16 @@
     LinkMode.SILENT,
 )
 CUT_MODES = (LinkMode.CUT_THERE, LinkMode.CUT_BACK, LinkMode.SILENT)
+WORKER_CUT_MODES = (
+    (),  # from the store only
+    (LinkMode.SILENT,),
+    (LinkMode.CUT_BACK,),
+    (LinkMode.RESET,),
+    (LinkMode.REFUSED,),
+    (LinkMode.RESET, LinkMode.REFUSED),
+    (LinkMode.SILENT, LinkMode.REFUSED),
+    (LinkMode.REFUSED, LinkMode.SILENT),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +86,7 @@
     # Drawn apart, so that each seed keeps the other faults that it had before there were these.
     timed += _draw_restarts(random.Random(f"restarts/{seed}"), size)
     timed += _draw_refusals(random.Random(f"refusals/{seed}"), size)
+    timed += _draw_cuts(random.Random(f"cuts/{seed}"), size)
     if size.unstable:
         timed += _draw_storm(random.Random(f"storm/{seed}"), size)
     return tuple(sorted(timed, key=lambda it: it.at))
@@ -135,6 +149,48 @@
         at += random_.uniform(*REFUSAL_GAPS_S)
 
 
+def _draw_cuts(random_: random.Random, size: Size) -> Iterator[TimedFault]:
+    """Yield cuts of one worker, some, or a data centre's, with faults that hit them meanwhile."""
+    at = random_.uniform(FAULT_FREE_START_S, CUT_GAPS_S[1])
+    while at < size.seconds:
+        modes = random_.choice(WORKER_CUT_MODES)
+        lasts = round(random_.uniform(*WORKER_CUT_DURATIONS_S), 2)
+        workers = _draw_cut_workers(random_, size)
+        for worker in workers:
+            report_age = round(random_.uniform(0.0, REPORT_PERIOD_S), 2)
+            yield TimedFault(round(at, 3), faults.WorkerCut(worker, modes, lasts, report_age))
+        beside = _draw_beside_cut(random_, random_.choice(workers), at, lasts)
+        yield from (timed for timed in beside if timed.at < size.seconds)
+        at += random_.uniform(*CUT_GAPS_S)
+
+
+def _draw_cut_workers(random_: random.Random, size: Size) -> tuple[int, ...]:
+    match random_.randrange(3):
+        case 0:
+            return (random_.randrange(size.workers),)
+        case 1:
+            return _draw_targets(random_, size).workers
+    first = random_.randrange(min(size.workers, len(DATA_CENTRES)))
+    return tuple(range(first, size.workers, len(DATA_CENTRES)))
+
+
+def _draw_beside_cut(
+    random_: random.Random, worker: int, at: float, lasts: float
+) -> Iterator[TimedFault]:
+    """Yield late orders before a cut, and the end of the worker's owner or a restart during it."""
+    away = round(random_.uniform(*SHORT_DURATIONS_S), 2)
+    meanwhile = round(at + random_.uniform(0.0, lasts), 3)
+    if random_.random() < 0.3:
+        late_for = round(random_.uniform(*LONG_DURATIONS_S), 2)
+        before = round(max(FAULT_FREE_START_S, at - random_.uniform(0.0, late_for)), 3)
+        yield TimedFault(before, faults.WorkerMood(worker, late_for, Mood.LATE, away))
+    match random_.randrange(4):
+        case 0:
+            yield TimedFault(meanwhile, faults.OwnerEnds(worker % SERVICE_COUNT, away))
+        case 1:
+            yield TimedFault(meanwhile, faults.WorkerRestarts(worker, away))
+
+
 def _draw_storm(random_: random.Random, size: Size) -> Iterator[TimedFault]:
     """Yield faults of many workers at the same time, and of the owners of their cells."""
     begin = random_.uniform(FAULT_FREE_START_S, size.seconds / 3)
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from standins.site.store import SiteStore
 from standins.site.worker import SiteWorker
 from standins.site.worker_core import WorkerCore
 from tools.soak.events import (
@@ -26,6 +25,7 @@
 )
 from tools.soak.faults import Mood, WorkerMood
 from tools.soak.jobs import JobPlan
+from tools.soak.reports import ReportPath
 from toucanpin.http import Request, Response
 from toucanpin.scheduling.job import TaskKey
 from toucanpin.scheduling.orders import PollAnswer, RefusalReason, RunEnd, WorkerEntry
@@ -112,7 +112,7 @@
 
     def __init__(
         self,
-        store: SiteStore,
+        reports: ReportPath,
         entry: WorkerEntry,
         record: Record,
         jobs: dict[str, JobPlan],
@@ -121,7 +121,8 @@
         replace: Callable[[SoakWorker], None],
         slow_clock: bool = False,
     ) -> None:
-        super().__init__(store, entry)
+        super().__init__(reports, entry)
+        self._reports = reports
         self.core = _Core(
             entry,
             record=record,
@@ -163,17 +164,17 @@
         if self._finished:
             return
         await self._finish()
-        if keeps_name:
-            return
-        loop = asyncio.get_running_loop()
-        loop.call_later(ENTRY_RETENTION_S, self._store.delete, "servers", self.core.entry.id)
+        if not keeps_name:
+            self._reports.expire(self.core.entry.id, ENTRY_RETENTION_S)
 
     async def drain(self, seconds: float) -> None:
         """Report that the worker drains, keep running for some seconds, then exit."""
         self.core.entry = replace(self.core.entry, ready=False)
         self.register()
-        self._record(WorkerDraining(time.monotonic(), self.core.entry.id))
-        await asyncio.sleep(seconds)
+        ends_at = time.monotonic() + seconds
+        if await self._reports.arrives(seconds) and not self._finished:
+            self._record(WorkerDraining(time.monotonic(), self.core.entry.id))
+        await asyncio.sleep(ends_at - time.monotonic())
         if not self._finished:
             await self._finish()
             self._store.delete("servers", self.core.entry.id)
@@ -189,6 +190,7 @@
     async def _finish(self) -> None:
         self.advance()
         self._finished = True
+        self._reports.end()
         self._record(WorkerGone(time.monotonic(), self.core.entry.id))
         await self.stop()
 
