Soak: cuts of the worker that runs the most lasting tasks

BusiestWorkerCut picks its worker as it begins, as OwnerEnds picks its host; three of ten cuts are such ones.

--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -197,6 +197,15 @@
         name = decode_owner(stored.value).host if stored else ""
         return next((host.number for host in self.hosts if name == f"h{host.number}"), 0)
 
+    def find_busiest_worker(self) -> int:
+        """Return the number of the worker that runs the most tasks that last."""
+        jobs = self.state.jobs
+        counts = [
+            sum(jobs[task.job].long_running for task in worker.core.runs) if worker else 0
+            for worker in self.workers
+        ]
+        return counts.index(max(counts))
+
     def set_link(self, host: int, worker: int | None, mode: LinkMode, delay: float = 0.0) -> None:
         """Set the mode of a link, also of one that is yet to be created."""
         self.modes[host, worker] = (mode, delay)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -13,6 +13,7 @@
 from tools.soak.events import Signal
 
 __all__ = [
+    "BusiestWorkerCut",
     "ConfigurationChanges",
     "DataCentreEvacuated",
     "Fault",
@@ -183,6 +184,15 @@
     report_age: float
 
 
+@dataclass(frozen=True, slots=True)
+class BusiestWorkerCut:
+    """Cut off the worker that runs the most tasks that last, as WorkerCut does."""
+
+    modes: tuple[LinkMode, ...]
+    lasts: float
+    report_age: float
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerMood:
     """Make a worker misbehave for ``lasts`` s."""
@@ -208,6 +218,7 @@
     | WorkerEnds
     | WorkerRestarts
     | WorkerCut
+    | BusiestWorkerCut
     | WorkerMood
 )
 
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -18,7 +18,13 @@
 
 __all__ = ["FaultInjector"]
 
-WORKER_FAULTS = (faults.WorkerEnds, faults.WorkerRestarts, faults.WorkerCut, faults.WorkerMood)
+WORKER_FAULTS = (
+    faults.WorkerEnds,
+    faults.WorkerRestarts,
+    faults.WorkerCut,
+    faults.BusiestWorkerCut,
+    faults.WorkerMood,
+)
 RECORD_PERIOD_S = 0.2  # between records of an ongoing disturbance
 
 
@@ -82,6 +88,10 @@
                 return self._disturb_link(fault, self._links)
             case faults.WorkerCut():
                 return self._cut_worker(fault)
+            case faults.BusiestWorkerCut():
+                worker = self._deployment.find_busiest_worker()
+                cut = faults.WorkerCut(worker, fault.modes, fault.lasts, fault.report_age)
+                return self._cut_worker(cut)
         return self._disturb_store(fault)
 
     async def _signal(
@@ -179,7 +189,7 @@
             return None
         case faults.DataCentreEvacuated():
             return None
-        case faults.WorkerCut():
+        case faults.WorkerCut() | faults.BusiestWorkerCut():
             return True if fault.modes else None
         case faults.LinkTrouble():
             return fault.workers is not None
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -25,6 +25,7 @@
 FAULT_GAPS_S = (0.0, 1.2)  # between faults of a series
 REFUSAL_GAPS_S = (4.0, 16.0)  # between times in which links refuse connections
 CUT_GAPS_S = (3.0, 9.0)  # between cuts of workers
+BUSIEST_CUT_SHARE = 0.3
 WORKER_CUT_DURATIONS_S = (2.0, 9.0)  # a lease is 4.5 s, an entry lapses after 2.2 to 3.3 s
 RESTART_GAPS_S = (1.0, 5.0)  # between restarts of workers under their ids
 STORM_SHARES = (0.3, 0.8)  # of the workers
@@ -150,20 +151,35 @@
 
 
 def _draw_cuts(random_: random.Random, size: Size) -> Iterator[TimedFault]:
-    """Yield cuts of one worker, some, or a data centre's, with faults that hit them meanwhile."""
+    """Yield cuts of workers from the store and all hosts, which may overlap."""
     at = random_.uniform(FAULT_FREE_START_S, CUT_GAPS_S[1])
     while at < size.seconds:
         modes = random_.choice(WORKER_CUT_MODES)
         lasts = round(random_.uniform(*WORKER_CUT_DURATIONS_S), 2)
-        workers = _draw_cut_workers(random_, size)
-        for worker in workers:
-            report_age = round(random_.uniform(0.0, REPORT_PERIOD_S), 2)
-            yield TimedFault(round(at, 3), faults.WorkerCut(worker, modes, lasts, report_age))
-        beside = _draw_beside_cut(random_, random_.choice(workers), at, lasts)
-        yield from (timed for timed in beside if timed.at < size.seconds)
+        if random_.random() < BUSIEST_CUT_SHARE:
+            cut = faults.BusiestWorkerCut(modes, lasts, _draw_report_age(random_))
+            yield TimedFault(round(at, 3), cut)
+        else:
+            yield from _draw_cut(random_, size, at, modes, lasts)
         at += random_.uniform(*CUT_GAPS_S)
 
 
+def _draw_cut(
+    random_: random.Random, size: Size, at: float, modes: tuple[LinkMode, ...], lasts: float
+) -> Iterator[TimedFault]:
+    """Yield cuts of one worker, some, or a data centre's, with faults that hit them meanwhile."""
+    workers = _draw_cut_workers(random_, size)
+    for worker in workers:
+        cut = faults.WorkerCut(worker, modes, lasts, _draw_report_age(random_))
+        yield TimedFault(round(at, 3), cut)
+    beside = _draw_beside_cut(random_, random_.choice(workers), at, lasts)
+    yield from (timed for timed in beside if timed.at < size.seconds)
+
+
+def _draw_report_age(random_: random.Random) -> float:
+    return round(random_.uniform(0.0, REPORT_PERIOD_S), 2)
+
+
 def _draw_cut_workers(random_: random.Random, size: Size) -> tuple[int, ...]:
     match random_.randrange(3):
         case 0:
--- a/tools/soak/tests/test_injector.py
+++ b/tools/soak/tests/test_injector.py
@@ -14,11 +14,20 @@
 from standins.site.virtual import run_virtual
 from tools.soak import events
 from tools.soak.deployment import Deployment
-from tools.soak.faults import Fault, LinkMode, LinkTrouble, TimedFault, WorkerCut, WorkerRestarts
+from tools.soak.faults import (
+    BusiestWorkerCut,
+    Fault,
+    LinkMode,
+    LinkTrouble,
+    TimedFault,
+    WorkerCut,
+    WorkerRestarts,
+)
 from tools.soak.hosts import Host
 from tools.soak.injector import FaultInjector
 from tools.soak.jobs import JobPlan, StepPlan
 from tools.soak.plan import Size
+from tools.soak.reports import MAX_SILENCE_S
 from toucanpin.scheduling.job import TaskKey
 
 SIZE = Size(hosts=2, workers=2)
@@ -51,6 +60,24 @@
             with self.subTest(worker=worker):
                 self._run(play)
 
+    def test_busiest_worker_is_the_one_with_the_most_lasting_tasks(self) -> None:
+        """Guards against cuts that hit idle workers only, so that no run is left alone."""
+
+        async def play() -> None:
+            busiest = self.deployment.workers[1]
+            assert busiest is not None
+            now = busiest._now()
+            busiest.core.start(TASK, 1, int((now + LEASE_S) * 1_000), 1, now)
+            cut = BusiestWorkerCut((LinkMode.REFUSED,), CUT_S, 0.0)
+            task = asyncio.ensure_future(self._inject(TimedFault(0.0, cut)))
+            await asyncio.sleep(MAX_SILENCE_S + 0.1)
+            self.assertEqual(["w0-1"], self._list())
+            self.assertTrue(busiest.core.runs)
+            await task
+            self.assertEqual(["w0-1", "w1-1"], self._list())
+
+        self._run(play)
+
     def test_modes_follow_one_another_on_all_links(self) -> None:
         """Guards against cuts that another trouble of a link opens, or that stay."""
 
