Soak: test that a worker that crashes while cut off isn't listed again

Of seven faults planted in the parts of the cuts on a scratch copy, the tests missed one: without ReportPath.end() an incarnation that had crashed during a cut was listed again at its end. The new test fails with that planted, and is green without. The other six (order of troubles on a link, the age of the last report, a drain that reached no store, which checks a cut excuses, the listener, resets) each made tests fail.

--- a/tools/soak/tests/test_injector.py
+++ b/tools/soak/tests/test_injector.py
@@ -21,6 +21,7 @@
     LinkTrouble,
     TimedFault,
     WorkerCut,
+    WorkerEnds,
     WorkerRestarts,
 )
 from tools.soak.hosts import Host
@@ -122,6 +123,20 @@
             with self.subTest(restart=restart):
                 self._run(play)
 
+    def test_worker_that_crashes_while_cut_off_is_not_listed_again(self) -> None:
+        """Guards against an entry of a process that has ended, written when the cut ends."""
+
+        async def play() -> None:
+            cut = WorkerCut(0, (LinkMode.SILENT,), CUT_S, 1.0)
+            crash = WorkerEnds(0, 0.0, CUT_S + 1.0)
+            task = asyncio.ensure_future(self._inject(TimedFault(2.0, cut), TimedFault(3.0, crash)))
+            await asyncio.sleep(CUT_S + 2.5)
+            self.assertEqual(["w1-1"], self._list())
+            await task
+            self.assertEqual(["w0-2", "w1-1"], self._list())
+
+        self._run(play)
+
     def test_cut_is_trouble_of_workers_and_of_orders_alone(self) -> None:
         """Guards against cuts that count against hosts, or excuse more than they disturb."""
         for modes, delays_orders in (((LinkMode.SILENT,), {True}), ((), set())):
