--- a/tools/soak/weakened.py
+++ b/tools/soak/weakened.py
@@ -16,6 +16,7 @@
 from toucanpin.entry.submissions import SubmissionOutcome, Submissions
 from toucanpin.platform import workers
 from toucanpin.scheduling import unplaceable
+from toucanpin.scheduling.presence import is_gone
 
 __all__ = ["WEAKENINGS", "main"]
 
@@ -32,6 +33,19 @@
     cell_decisions.expire_leases = weakened
 
 
+def _overrule_leases() -> None:
+    """Treat the lease of a worker as ended once the worker seems to be gone."""
+    original = cell_decisions.expire_leases
+
+    def weakened(cell, now):  # type: ignore[no-untyped-def]
+        for worker in cell.workers.values():
+            if worker.silent and is_gone(cell, worker, now):
+                worker.lease_expires_at = 0.0
+        return original(cell, now)
+
+    cell_decisions.expire_leases = weakened
+
+
 def _refuse_uncertain_writes() -> None:
     """Answer that a job was not accepted when the outcome of its write is unknown."""
     original = Submissions.submit
@@ -82,6 +96,7 @@
 
 WEAKENINGS: dict[str, Callable[[], None]] = {
     "leases": _ignore_leases,
+    "overruled-leases": _overrule_leases,
     "unsure-writes": _refuse_uncertain_writes,
     "written-ends": _acknowledge_early,
     "drain": _exit_immediately,
