Start a gang that stands still, each member at a pace that its worker bears

A gang of tasks that fill stayed pending beside services at half of their target, with most cores idle (LOST); the same job without a gang was done within seconds.

Cause: a gang is placed at full speed or not at all, and too few workers bear a member at full speed. The way out for jobs that stand still left gangs out. A gang whose image had just found no place for another step wasn't recorded as waiting either, so its wait didn't count.

Each member goes to the worker that bears the highest pace beside the members chosen before, since a gang advances with its slowest member; workers are kept in a heap and only the one that was taken is weighed again. Members are kept at a low pace rather than stopped.

Tests: the new one covers loads of 0.5 and 0.7, and 0.85 with checkpoints. The test that services bear standing jobs (HARM) is played with gangs, too, also at 0.78; its bound is unchanged.

--- a/toucanpin/scheduling/gangs.py
+++ b/toucanpin/scheduling/gangs.py
@@ -24,7 +24,7 @@
 from toucanpin.scheduling.waits import WaitReason
 from toucanpin.scheduling.worker import Phase, Run, Worker, release_run, reserve_run
 
-__all__ = ["place_gang"]
+__all__ = ["align_records", "list_members", "place_gang"]
 
 
 def place_gang(
@@ -37,18 +37,13 @@
 ) -> None:
     """Place all tasks of a gang or none, since an incomplete gang makes no progress."""
     waiting = cell.waiting[group]
-    if len(waiting) < step.count or is_known_unplaceable(cell, step, round_.now):
+    if len(waiting) < step.count:
         return
-    start = live.offsets[group.step]
-    records = live.progress.tasks[group.occurrence][start : start + step.count]
-    attempt = max(record.attempt for record in records)
-    checkpoint = max((record.checkpoint for record in records), default="")
-    for record in records:
-        record.attempt = attempt
-        record.checkpoint = checkpoint
-    members = [
-        TaskKey(group.job, group.occurrence, group.step, index) for index in range(step.count)
-    ]
+    if is_known_unplaceable(cell, step, round_.now):
+        record_wait(cell, group, WaitReason.INCOMPLETE_GANG, round_.now)
+        return
+    align_records(live, group, step)
+    members = list_members(group, step)
     if any(is_start_blocked(cell, live, member, round_.now) for member in members):
         record_wait(cell, group, WaitReason.CRASHING, round_.now)
         return
@@ -76,6 +71,22 @@
         assign_task(cell, live, task, step, worker, round_.now)
 
 
+def align_records(live: LiveJob, group: Group, step: Step) -> None:
+    """Give all members of a gang, whose runs share them, the same attempt and checkpoint."""
+    start = live.offsets[group.step]
+    records = live.progress.tasks[group.occurrence][start : start + step.count]
+    attempt = max(record.attempt for record in records)
+    checkpoint = max((record.checkpoint for record in records), default="")
+    for record in records:
+        record.attempt = attempt
+        record.checkpoint = checkpoint
+
+
+def list_members(group: Group, step: Step) -> list[TaskKey]:
+    """Return all tasks of a gang."""
+    return [TaskKey(group.job, group.occurrence, group.step, index) for index in range(step.count)]
+
+
 def _choose_workers(
     candidates: CandidateWorkers, live: LiveJob, group: Group, step: Step
 ) -> list[Worker]:
--- a/toucanpin/scheduling/standing_jobs.py
+++ b/toucanpin/scheduling/standing_jobs.py
@@ -2,8 +2,8 @@
 Standing jobs
 =============
 
-Place a task of a job of which nothing runs, although half of the cores are idle, and long-running
-tasks that have been away for too long.
+Place a task or a gang of a job of which nothing runs, although half of the cores are idle, and
+long-running tasks that have been away for too long.
 
 Notes
 -----
@@ -18,6 +18,7 @@
 from __future__ import annotations
 
 import enum
+import heapq
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 
@@ -29,6 +30,7 @@
     meets_constraints,
 )
 from toucanpin.scheduling.evacuating import list_not_evacuated
+from toucanpin.scheduling.gangs import align_records, list_members
 from toucanpin.scheduling.interrupted_tasks import PlacementTurn, list_interrupted
 from toucanpin.scheduling.job import Step, TaskKey
 from toucanpin.scheduling.placement_round import PlacementRound
@@ -38,7 +40,7 @@
 from toucanpin.scheduling.suspicion import find_suspicion, is_new_worker, requires_proof
 from toucanpin.scheduling.trust import is_distrusted, is_trusted, may_try
 from toucanpin.scheduling.unplaceable import find_block
-from toucanpin.scheduling.worker import Worker, has_room
+from toucanpin.scheduling.worker import Phase, Run, Worker, has_room, release_run, reserve_run
 from toucanpin.scheduling.worker_costs import MAX_SHARE
 
 __all__ = ["MIN_KEPT_PACE_PERCENT", "StandingJobs"]
@@ -82,6 +84,10 @@
         """Return the key by which choices are compared, the lowest for the best."""
         return self.risk, self.share, -self.pace, self.worker.entry.id
 
+    def rank_for_gang(self) -> tuple[_Risk, int, float, str]:
+        """Return the same key for a member of a gang, which advances with its slowest member."""
+        return self.risk, -self.pace, self.share, self.worker.entry.id
+
 
 class StandingJobs:
     """Placement of the tasks of standing jobs in one round."""
@@ -98,11 +104,14 @@
     def place_for(
         self, live: LiveJob, turn: PlacementTurn, step: Step, eligible: list[Worker]
     ) -> None:
-        """Place a task of a turn if its job has stood still for too long."""
-        if not self._placements_left or not self._searches_left or step.gang:
+        """Place a task of a turn, or its whole gang, if its job has stood still for too long."""
+        if not self._placements_left or not self._searches_left:
             return
         if not self._has_waited(turn.group):
             return
+        if step.gang:
+            self._place_gang(live, turn.group, step, eligible)
+            return
         task = self._find_overdue_task(live, turn, step)
         if task is None and not list_runs(self._cell, live) and self._are_cores_idle():
             task = self._find_task(live, turn.group, turn.tasks)
@@ -119,6 +128,52 @@
         self._placements_left -= 1
         self._assign(live, task, step, best)
 
+    def _place_gang(self, live: LiveJob, group: Group, step: Step, eligible: list[Worker]) -> None:
+        """Place all members of a gang of which nothing runs, or none."""
+        members = list_members(group, step)
+        if len(self._cell.waiting[group]) < len(members) or list_runs(self._cell, live):
+            return
+        if not self._are_cores_idle() or not all(self._may_start(live, it) for it in members):
+            return
+        self._searches_left -= 1
+        align_records(live, group, step)
+        trusted = [it for it in eligible if is_trusted(it, self._round.now)]
+        choices = self._choose_for_gang(live, members, step, trusted)
+        if len(choices) < len(members):
+            self._cell.waits[group].last_resort_at = self._round.now.steady + SEARCH_PAUSE_S
+            return
+        self._placements_left -= 1
+        for member, choice in zip(members, choices, strict=True):
+            self._assign(live, member, step, choice)
+
+    def _choose_for_gang(
+        self, live: LiveJob, members: list[TaskKey], step: Step, workers: list[Worker]
+    ) -> list[_Choice]:
+        """Return a choice for each member of a gang, fewer if not all find a worker."""
+        heap = [
+            (choice.rank_for_gang(), choice)
+            for choice in self._list_choices(live, members[0], step, workers)
+        ]
+        heapq.heapify(heap)
+        chosen: list[_Choice] = []
+        trial: list[tuple[Worker, Run]] = []
+        while heap:
+            _, choice = heapq.heappop(heap)
+            worker = choice.worker
+            run = Run(members[len(chosen)], 0, worker.entry.id, step, Phase.PLACED)
+            run.pace = choice.pace
+            chosen.append(choice)
+            if len(chosen) == len(members):
+                break
+            # The next member is weighed beside this one.
+            reserve_run(worker, run)
+            trial.append((worker, run))
+            for again in self._list_choices(live, members[len(chosen)], step, (worker,)):
+                heapq.heappush(heap, (again.rank_for_gang(), again))
+        for worker, run in trial:
+            release_run(worker, run)
+        return chosen
+
     def _choose(
         self, live: LiveJob, task: TaskKey, step: Step, workers: Iterable[Worker]
     ) -> _Choice | None:
@@ -174,18 +229,20 @@
 
     def _find_task(self, live: LiveJob, group: Group, indices: Collection[int]) -> TaskKey | None:
         """Return the one of some waiting tasks with the fewest failures that may start now."""
-        cell, now = self._cell, self._round.now
+        cell = self._cell
         tasks = (
             TaskKey(group.job, group.occurrence, group.step, index)
             for index in sorted(cell.waiting[group].intersection(indices))
         )
-        startable = (
-            task
-            for task in tasks
-            if find_block(cell, live, task, now) is None and not requires_proof(live, task, now)
-        )
+        startable = (task for task in tasks if self._may_start(live, task))
         return min(startable, key=lambda task: count_failures(live, task), default=None)
 
+    def _may_start(self, live: LiveJob, task: TaskKey) -> bool:
+        now = self._round.now
+        return find_block(self._cell, live, task, now) is None and not requires_proof(
+            live, task, now
+        )
+
     def _list_choices(
         self, live: LiveJob, task: TaskKey, step: Step, workers: Iterable[Worker]
     ) -> Iterator[_Choice]:
--- a/toucanpin/scheduling/tests/test_held_tasks.py
+++ b/toucanpin/scheduling/tests/test_held_tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 
 import msgspec
@@ -21,6 +22,7 @@
 EFFECT = 4.5  # of the best-effort image on the service, per share of the cores
 SERVICE = Step(cpu=1_000, long_running=True, image="web", target=TARGET_MS, per_worker=1)
 BATCH = Step(count=2, cpu=1_200, memory=10, best_effort=True, image="batch", checkpoints=True)
+GANG = msgspec.structs.replace(BATCH, count=5, gang=True, checkpoints=False)
 
 
 class _SharedCore(WorkerCore):
@@ -128,6 +130,20 @@
                 self._measure_standstill(fleet, jobs, 100.0)
                 self.assertEqual({JobState.COMPLETED}, {JobState(fleet.state(it)) for it in jobs})
 
+    def test_gangs_do_not_stand_still_beside_services(self) -> None:
+        """Guards against a gang of batch tasks that waits for good, as not all find a place."""
+        # Above its target by its own load, a service pauses what can't resume elsewhere.
+        cases = ((0.5, False), (0.7, False), (0.5, True), (0.7, True), (0.85, True))
+        for load, checkpoints in cases:
+            with self.subTest(load=load, checkpoints=checkpoints):
+                fleet = self._serve(load)
+                gang = msgspec.structs.replace(GANG, checkpoints=checkpoints)
+                fleet.submit(make_job("batch0", (gang,), priority=2))
+                standstill = self._measure_standstill(fleet, ["batch0"], 20.0)
+                self.assertLessEqual(standstill, MAX_STANDSTILL_S)
+                self._measure_standstill(fleet, ["batch0"], 100.0)
+                self.assertEqual(JobState.COMPLETED, JobState(fleet.state("batch0")))
+
     def test_jobs_that_can_never_run_hold_no_other_job(self) -> None:
         """
         Guards against urgent jobs whose label no worker has: they come first in each round, and a
@@ -181,11 +197,11 @@
 
     def test_services_bear_the_tasks_of_standing_jobs(self) -> None:
         """Guards against services over their target because no batch job may stand still."""
-        for load in (0.5, 0.7, 0.78):
-            with self.subTest(load=load):
+        for load, step in itertools.product((0.5, 0.7, 0.78), (BATCH, GANG)):
+            with self.subTest(load=load, gang=step.gang):
                 fleet = self._serve(load)
                 for number in range(4):
-                    fleet.submit(make_job(f"batch{number}", (BATCH,), priority=2))
+                    fleet.submit(make_job(f"batch{number}", (step,), priority=2))
                 over: dict[str, float] = {}
                 for _ in range(round(40.0 / TIME_STEP_S)):
                     fleet.run(TIME_STEP_S)
