Clear a task of suspicion once it has saved work well beyond each loss

Cause: all losses of a task count until it ends, and no other worker is lost in the same second to explain them. A task that lasts is cleared after 5 s at work, one that ends never was. Time alone can't tell the case from a task that crashes each worker 5 s after its start; what differs is that this one gets nearer to its end.

Change: a new checkpoint of a run that is 3 s old, at 5% of the work beyond the furthest point at which a worker was lost, discards the losses. The point is kept in the task's record and only rises, so that happens 20 times at most.

--- a/standins/site/worker_core.py
+++ b/standins/site/worker_core.py
@@ -34,6 +34,7 @@
     duration: float
     fails_after: float | None = None  # s, None if it doesn't fail
     stuck: bool = False
+    resumed: float = 0.0  # s of work that its checkpoint holds
 
 
 @dataclass(slots=True)
@@ -60,6 +61,8 @@
     acknowledged_ends: list[EndedRun] = field(default_factory=list)
     stuck: bool = False
     duration: float = 1.0
+    checkpoint_every: float = 0.0  # s of work, 0 if tasks save none
+    saved_work: dict[TaskKey, float] = field(default_factory=dict)  # in s
     delayed_starts: list[tuple[float, TaskKey, int, int, int]] = field(default_factory=list)
     # When they are carried out, and their tokens, acknowledged ends and deadlines.
     delayed_polls: list[tuple[float, int, int, int]] = field(default_factory=list)
@@ -92,7 +95,8 @@
         if attempt <= self.highest.get(task, 0):
             return RefusalReason.OLD_ATTEMPT
         fails_after = 0.0 if self.failing else self.failing_jobs.get(task.job)
-        self.runs[task] = Run(attempt, now, self.duration, fails_after, task.job in self.stuck_jobs)
+        stuck, resumed = task.job in self.stuck_jobs, self.saved_work.get(task, 0.0)
+        self.runs[task] = Run(attempt, now, self.duration, fails_after, stuck, resumed)
         self.starts.append((task, attempt))
         return None
 
@@ -121,7 +125,7 @@
         self.ended = [ended for ended in self.ended if ended.sequence > acknowledged]
         self._extend_lease(deadline, now)
         running = tuple(
-            RunningTask(task, run.attempt, "", self.percent(run, now))
+            RunningTask(task, run.attempt, self._save(task, run, now), self.percent(run, now))
             for task, run in self.runs.items()
         )
         return PollAnswer(int(now * 1_000), running, tuple(self.ended), self.entry.born)
@@ -130,7 +134,15 @@
         """Return the progress of a run in percent."""
         if self.stuck or run.stuck:
             return 0
-        return min(99, int(100 * (now - run.started) / run.duration))
+        return min(99, int(100 * (run.resumed + now - run.started) / run.duration))
+
+    def _save(self, task: TaskKey, run: Run, now: float) -> str:
+        """Save the work of a run; return its newest checkpoint."""
+        if not self.checkpoint_every:
+            return ""
+        periods = (now - run.started) // self.checkpoint_every
+        self.saved_work[task] = run.resumed + periods * self.checkpoint_every
+        return f"{self.saved_work[task]:g}" if self.saved_work[task] else ""
 
     def end(self, task: TaskKey, end: RunEnd) -> None:
         """End a run and record how it ended."""
@@ -150,7 +162,7 @@
                 self.end(task, RunEnd.LEASE_EXPIRED)
             elif run.fails_after is not None and now >= run.started + run.fails_after:
                 self.end(task, RunEnd.FAILED)
-            elif not (self.stuck or run.stuck) and now >= run.started + run.duration:
+            elif not (self.stuck or run.stuck) and now >= run.started + run.duration - run.resumed:
                 self.end(task, RunEnd.DONE)
         for poll in [poll for poll in self.delayed_polls if poll[0] <= now]:
             self.delayed_polls.remove(poll)
--- a/toucanpin/scheduling/crashing.py
+++ b/toucanpin/scheduling/crashing.py
@@ -36,6 +36,7 @@
 from toucanpin.scheduling.worker import Phase, Run, Worker
 
 __all__ = [
+    "clear_advanced",
     "clear_survivor",
     "clear_worker",
     "fail_crashing_jobs",
@@ -47,6 +48,10 @@
 
 MIN_CONFIRMED_CRASHES = 2  # lost workers that certainly ended; others may only be disconnected
 SURVIVAL_PERIOD_S = 5.0  # after which a long-running task is cleared of suspicion
+# A run that goes on for so long and does so much of its task's work clears it of suspicion.  A task
+# that saves work before it crashes each worker must not crash many.
+MIN_ADVANCE_PERIOD_S = 3.0
+MIN_ADVANCE_PERCENT = 5
 # Since the latest loss, until the others of the same time are known as well.
 ASSESSMENT_DELAY_S = 1.0
 FIRST_LISTING_PERIOD_S = 3.0  # from a takeover until an owner has found the workers that are there
@@ -74,6 +79,7 @@
     if lost not in record.crashed and _may_have_caused_loss(worker, run):
         at = worker.silent_since or now.steady
         record.crashed[lost] = was_lost_at_start(run)
+        record.furthest = max(record.furthest, run.percent)
         record.lost_at[lost] = now.table - int((now.steady - at) * 1_000)
         if _is_explained(cell, worker, run, record, at):
             record.explained.append(lost)
@@ -96,6 +102,15 @@
         run.suspicion = CrashSuspicion.NONE
 
 
+def clear_advanced(run: Run, record: TaskRecord) -> None:
+    """Discard the losses of a task that has saved work well beyond the point of each of them."""
+    if run.step.long_running or run.last_listed_at < run.started_at + MIN_ADVANCE_PERIOD_S:
+        return
+    if run.percent >= record.furthest + MIN_ADVANCE_PERCENT:
+        clear_losses(record)
+        run.suspicion = CrashSuspicion.NONE
+
+
 def restore_crashes(cell: Cell, task: TaskKey, record: TaskRecord) -> None:
     """Restore the losses that an earlier owner counted against a task."""
     if record.crashed:
--- a/toucanpin/scheduling/progress.py
+++ b/toucanpin/scheduling/progress.py
@@ -66,7 +66,8 @@
     once. ``crashed`` maps workers that were lost while they ran the task, and haven't answered
     since, to whether the loss was right after the start.  ``born`` tells the incarnation of
     ``worker``.  ``lost_at`` tells when the lost workers last answered, in ms on the table's clock;
-    ``explained`` names those that were probably lost whatever they ran.
+    ``explained`` names those that were probably lost whatever they ran; ``furthest`` is the largest
+    progress in percent that the task had when a worker was lost.
     """
 
     state: int = 0
@@ -79,6 +80,7 @@
     born: int = 0
     lost_at: dict[str, int] = {}
     explained: list[str] = []
+    furthest: int = 0
 
 
 class Progress(msgspec.Struct, array_like=True):
--- a/toucanpin/scheduling/tests/test_crashing.py
+++ b/toucanpin/scheduling/tests/test_crashing.py
@@ -25,12 +25,39 @@
 # how long tasks run in s.
 STORMS = ((1, 0.3, 0.3, 1.4), (0, 0.6, 0.3, 1.4), (0, 1.0, 0.15, 1.4), (1, 0.3, 0.3, 3.0))
 STORM_PERIOD_S = 0.5
+MAX_TIME_S = 400.0
 
 
 def _runs(worker: WorkerCore, job: str) -> bool:
     return any(task.job == job for task in worker.runs)
 
 
+def _crash_holders(
+    fleet: Fleet, every: float, at: float = 0.0, crashes: int = 100, replaces_owner: bool = False
+) -> int:
+    """
+    Restart the worker of a task that resumes, ``every`` s after a start or ``at`` s of its work.
+
+    Return how many workers were restarted until the job ended.
+    """
+    saved: dict[TaskKey, float] = {}
+    count = 0
+    while not JobState(fleet.state("j1")).ended and fleet.time < MAX_TIME_S:
+        for worker in fleet.workers.values():
+            worker.duration, worker.checkpoint_every, worker.saved_work = 45.0, 1.0, saved
+        fleet.run(TIME_STEP_S)
+        for name, worker in list(fleet.workers.items()):
+            for run in worker.runs.values():
+                worked = fleet.clock(name) - run.started
+                if count < crashes and (worked > every or 0 < at < run.resumed + worked):
+                    fleet.restart(name)
+                    count += 1
+                    fleet.run(TIME_STEP_S)
+                    if replaces_owner:
+                        fleet.replace_owner()
+    return count
+
+
 def _play_storm(
     random: Random, share: float, chance: float, duration: float, crashing_jobs: int = 0
 ) -> Fleet:
@@ -194,6 +221,15 @@
         self.assertEqual(JobState.FAILED, fleet.state("bad"))
         self.assertEqual(JobState.ACTIVE, fleet.state("good"))
 
+    def test_resumed_task_that_crashes_every_worker_fails(self) -> None:
+        """Guards against crash loops of tasks that save some work before each crash."""
+        for every, at in ((0.5, 0.0), (2.0, 0.0), (100.0, 20.0), (100.0, 0.5)):
+            with self.subTest(every=every, at=at):
+                fleet = Fleet(workers=8)
+                fleet.submit(make_job(steps=(Step(cpu=1_000, checkpoints=True),)))
+                self.assertLessEqual(_crash_holders(fleet, every, at), MAX_STARTS)
+                self.assertEqual(JobState.FAILED, fleet.state("j1"))
+
     def test_neighbour_of_a_crashing_task_does_not_fail_before_that(self) -> None:
         """
         Guards against failing a task that was lost twice with a crashing task, and once more by
@@ -293,6 +329,19 @@
         fleet.run(15.0)
         self.assertEqual(JobState.ACTIVE, fleet.state("long"))
 
+    def test_workers_that_restart_anyway_fail_no_task_that_gets_on(self) -> None:
+        """
+        Guards against failing a long task that is resumed after each of several restarts, which hit
+        no other workers, as it needs these.
+        """
+        for replaces_owner in (False, True):
+            with self.subTest(replaces_owner=replaces_owner):
+                fleet = Fleet(workers=2)
+                fleet.submit(make_job(steps=(Step(cpu=1_000, checkpoints=True),)))
+                crashes = _crash_holders(fleet, 5.3, crashes=7, replaces_owner=replaces_owner)
+                self.assertEqual(7, crashes)
+                self.assertEqual(JobState.COMPLETED, fleet.state("j1"))
+
     def test_disconnected_workers_count_against_no_task(self) -> None:
         """
         Guards against counting a lost connection as a crash: the task runs to its end elsewhere.
--- a/toucanpin/scheduling/worker_answers.py
+++ b/toucanpin/scheduling/worker_answers.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 from toucanpin.scheduling.cell import Cell, Now, find_record, mark_started
-from toucanpin.scheduling.crashing import clear_survivor, clear_worker
+from toucanpin.scheduling.crashing import clear_advanced, clear_survivor, clear_worker
 from toucanpin.scheduling.ending import apply_end, end_run
 from toucanpin.scheduling.first_pace import order_first_pace
 from toucanpin.scheduling.incarnations import record_lost_run
@@ -112,6 +112,8 @@
         run.checkpoint = running.checkpoint
         placed = record is not None and record.state in (TaskState.PLACED, TaskState.GANG_FAILED)
         if record is not None and placed and record.attempt == run.attempt:
+            if running.checkpoint != record.checkpoint:
+                clear_advanced(run, record)
             record.checkpoint = running.checkpoint
 
 
